--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Two commands for a newcomer: `make demo` and `make test`.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+SOURCES = $(shell git ls-files --cached --others --exclude-standard 'packages/*.h' 'packages/*.cpp' 'tests/*.h' 'tests/*.cpp')
+UNITS = $(filter %.cpp,$(SOURCES))
+# Packages of Debian that are declared but not on this machine.
+MISSING = $(shell for P in $$(cat packages.list); do dpkg -s $$P >/dev/null 2>&1 || echo $$P; done)
+
+.PHONY: deps build format format-check lint test demo prove bench sanitize
+
+deps:
+	@if [ -n "$(MISSING)" ]; then apt-get update -q && DEBIAN_FRONTEND=noninteractive apt-get install -y -q --no-install-recommends $(MISSING); fi
+
+$(BUILD)/build.ninja: CMakeLists.txt
+	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo
+
+build: deps
+	@$(MAKE) --no-print-directory $(BUILD)/build.ninja
+	cmake --build $(BUILD) -j $(JOBS)
+
+format:
+	@clang-format -i $(SOURCES)
+
+format-check:
+	@clang-format --dry-run --Werror $(SOURCES)
+
+lint:
+	@echo $(UNITS) | tr ' ' '\n' | xargs -P $(JOBS) -n 2 clang-tidy -p $(BUILD) --quiet --extra-arg=-Wno-unknown-warning-option 2>/dev/null
+
+test: build format-check lint
+	RC_PARAMS="seed=20261202 max_success=200" ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
+
+demo: build
+	$(BUILD)/bin/havenstair-demo $(BUILD)/bin
--- /dev/null
+++ b/packages/decisions/common/Time.h
@@ -0,0 +1,35 @@
+/// \file
+/// Time as the decisions see it: a value handed in by the caller, never read.
+#ifndef HAVENSTAIR_DECISIONS_COMMON_TIME_H
+#define HAVENSTAIR_DECISIONS_COMMON_TIME_H
+
+#include <chrono>
+#include <cstdint>
+
+namespace havenstair {
+
+/// All intervals are whole microseconds.
+using Duration = std::chrono::microseconds;
+
+/// A clock without `now()`: decisions cannot read the time by themselves.
+struct MonotonicClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<MonotonicClock, Duration>;
+  static constexpr bool is_steady = true; // NOLINT: name set by the standard
+};
+
+/// A point on the box's own monotonic clock.
+using TimePoint = MonotonicClock::time_point;
+
+/// Milliseconds since the Unix epoch; used only for ages of UUIDv7 keys.
+using WallMillis = std::int64_t;
+
+using std::chrono_literals::operator""us;
+using std::chrono_literals::operator""ms;
+using std::chrono_literals::operator""s;
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/decisions/process/LeaseKeeper.cpp
@@ -0,0 +1,43 @@
+#include "decisions/process/LeaseKeeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace havenstair {
+
+LeaseKeeper::LeaseKeeper(Options Opts) : m_Opts(std::move(Opts)) {}
+
+std::optional<LeaseAction> LeaseKeeper::tick(TimePoint Now) {
+  if (m_CallInFlight || Now < m_NextCall)
+    return std::nullopt;
+  m_CallInFlight = true;
+  if (m_LeaseId.empty())
+    return CreateLease{};
+  return RenewLease{m_LeaseId};
+}
+
+void LeaseKeeper::granted(const std::string &LeaseId, TimePoint SentAt) {
+  m_CallInFlight = false;
+  m_LeaseId = LeaseId;
+  m_HeldUntil =
+      std::max(m_HeldUntil, SentAt + m_Opts.m_TimeToLive - m_Opts.m_Margin);
+  m_NextCall = SentAt + m_Opts.m_RenewEvery;
+}
+
+void LeaseKeeper::failed(TimePoint RetryAt) {
+  m_CallInFlight = false;
+  m_NextCall = RetryAt;
+}
+
+void LeaseKeeper::lost(TimePoint Now) {
+  m_CallInFlight = false;
+  m_LeaseId.clear();
+  m_HeldUntil = TimePoint{};
+  m_NextCall = Now;
+}
+
+bool LeaseKeeper::held(TimePoint Now) const {
+  return !m_LeaseId.empty() && Now < m_HeldUntil;
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/decisions/request/ForwardedRequest.h
@@ -0,0 +1,71 @@
+/// \file
+/// A request as boxes hand it to each other, and the way its answer returns.
+#ifndef HAVENSTAIR_DECISIONS_REQUEST_FORWARDEDREQUEST_H
+#define HAVENSTAIR_DECISIONS_REQUEST_FORWARDEDREQUEST_H
+
+#include "decisions/common/Id.h"
+#include "decisions/common/Time.h"
+#include "decisions/request/ErrorKind.h"
+#include "decisions/request/RequestAttempts.h"
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace havenstair {
+
+/// What the receiving box is asked to do.
+enum class ForwardRole {
+  Admit,    ///< As owner of the upstream: admit and run, or refuse.
+  KeyOwner, ///< As owner of the key's slice: run once, or tell the outcome.
+  Dispatch  ///< As a box of another data centre: choose an upstream there.
+};
+
+/// One attempt of a request.
+struct ForwardedRequest {
+  RequestId m_Id;
+  AttemptId m_Attempt = 0;
+  ForwardRole m_Role = ForwardRole::Admit;
+  GroupName m_Group;
+  UpstreamName m_Upstream; ///< Chosen upstream; empty unless Admit.
+  ArtifactName m_Artifact; ///< Model or adapter; empty for plain services.
+  std::string m_Service;   ///< Plain service; empty for models.
+  std::string m_Method;
+  std::string m_Target; ///< Path and query towards the upstream.
+  std::string m_ContentType;
+  std::string m_Body;
+  bool m_Unsafe = false; ///< Must not run twice.
+  bool m_Stream = false; ///< The answer is a stream of events.
+  IdempotencyKey m_Key;  ///< Empty when the caller gave none.
+  int m_Priority = 0;
+  Duration m_Budget = 0us; ///< Time left until the latest useful start.
+  double m_Cost = 1;       ///< Expected cost in tokens.
+  std::uint64_t m_Prefix = 0;
+  int m_Hops = 0; ///< Data centres that handed it on.
+
+  bool operator==(const ForwardedRequest &) const = default;
+};
+
+/// Start of an answer.
+struct AnswerHead {
+  int m_Status = 0;
+  std::string m_ContentType;
+
+  bool operator==(const AnswerHead &) const = default;
+};
+
+/// Where an answer goes. Exactly one of ended() and failed() is called, last.
+class AnswerSink {
+public:
+  virtual ~AnswerSink() = default;
+  /// An upstream was given the request after \p Waited in the owner's queue.
+  virtual void started(Duration Waited) = 0;
+  virtual void head(const AnswerHead &Head) = 0;
+  virtual void bytes(std::string_view Bytes) = 0;
+  /// The answer is whole; \p Tokens were generated for it.
+  virtual void ended(double Tokens) = 0;
+  virtual void failed(const Failure &Reason) = 0;
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/decisions/request/UpstreamAdmission.cpp
@@ -0,0 +1,154 @@
+#include "decisions/request/UpstreamAdmission.h"
+
+#include <algorithm>
+
+namespace havenstair {
+
+namespace {
+
+/// Weight of the newest sample in the mean service time.
+constexpr double ServiceTimeGain = 0.1;
+constexpr Duration LeastRetryAfter = 100ms;
+
+} // namespace
+
+UpstreamAdmission::UpstreamAdmission(Options Opts)
+    : m_Opts(std::move(Opts)), m_Queue({.m_WeightOf = m_Opts.m_WeightOf}),
+      m_MeanService(m_Opts.m_FirstServiceTime) {}
+
+AdmissionActions UpstreamAdmission::offer(QueuedRequest Request,
+                                          TimePoint Now) {
+  AdmissionActions Actions;
+  if (static_cast<int>(m_Running.size()) < m_Opts.m_Slots && m_Queue.empty()) {
+    // Also an idle upstream counts the cost, for the groups' shares.
+    m_Queue.push(Request);
+    m_Queue.pop();
+    start(Request, Now, Actions);
+    return Actions;
+  }
+  const Duration Wait = expectedWait(Request.m_Group);
+  const bool Full = static_cast<int>(m_Queue.size()) >= m_Opts.m_MaxWaiting;
+  if (Full || Now + Wait > Request.m_Deadline) {
+    Actions.push_back(RefuseRequest{Request.m_Id, overloaded(Request.m_Group)});
+    return Actions;
+  }
+  m_Arrived[Request.m_Id] = Now;
+  ++m_WaitingOf[Request.m_Group];
+  m_Queue.push(std::move(Request));
+  startWaiting(Now, Actions);
+  return Actions;
+}
+
+void UpstreamAdmission::start(const QueuedRequest &Request, TimePoint Now,
+                              AdmissionActions &Actions) {
+  Duration Waited = 0us;
+  if (const auto Found = m_Arrived.find(Request.m_Id);
+      Found != m_Arrived.end()) {
+    Waited = Now - Found->second;
+    m_Arrived.erase(Found);
+    --m_WaitingOf[Request.m_Group];
+  }
+  m_Running[Request.m_Id] = {.m_Group = Request.m_Group,
+                             .m_Estimate = Request.m_Cost,
+                             .m_Started = Now};
+  Actions.push_back(StartRequest{Request.m_Id, Waited});
+}
+
+void UpstreamAdmission::startWaiting(TimePoint Now, AdmissionActions &Actions) {
+  while (static_cast<int>(m_Running.size()) < m_Opts.m_Slots) {
+    const std::optional<QueuedRequest> Next = m_Queue.pop();
+    if (!Next)
+      return;
+    start(*Next, Now, Actions);
+  }
+}
+
+AdmissionActions UpstreamAdmission::finished(const RequestId &Id, double Cost,
+                                             TimePoint Now) {
+  AdmissionActions Actions;
+  const auto Found = m_Running.find(Id);
+  if (Found == m_Running.end())
+    return Actions;
+  const Running Done = Found->second;
+  m_Running.erase(Found);
+  const Duration Took = Now - Done.m_Started;
+  const double Step =
+      ServiceTimeGain * static_cast<double>((Took - m_MeanService).count());
+  m_MeanService += Duration(static_cast<Duration::rep>(Step));
+  m_Queue.charge(Done.m_Group, Cost - Done.m_Estimate);
+  m_Served[Done.m_Group] += Cost;
+  startWaiting(Now, Actions);
+  return Actions;
+}
+
+AdmissionActions UpstreamAdmission::cancelled(const RequestId &Id,
+                                              TimePoint Now) {
+  if (const auto Found = m_Running.find(Id); Found != m_Running.end())
+    return finished(Id, Found->second.m_Estimate, Now);
+  for (const QueuedRequest &Request : m_Queue.waiting())
+    if (Request.m_Id == Id)
+      --m_WaitingOf[Request.m_Group];
+  m_Queue.remove(Id);
+  m_Arrived.erase(Id);
+  return {};
+}
+
+AdmissionActions UpstreamAdmission::sweep(TimePoint Now) {
+  AdmissionActions Actions;
+  std::map<GroupName, int> Ahead;
+  for (const QueuedRequest &Request : m_Queue.waiting()) {
+    int &Before = Ahead[Request.m_Group];
+    if (Now + waitBehind(Request.m_Group, Before) <= Request.m_Deadline) {
+      ++Before;
+      continue;
+    }
+    const ErrorKind Kind = Now > Request.m_Deadline ? ErrorKind::DeadlinePassed
+                                                    : ErrorKind::Overloaded;
+    Failure Reason = overloaded(Request.m_Group);
+    Reason.m_Kind = Kind;
+    m_Queue.remove(Request.m_Id);
+    m_Arrived.erase(Request.m_Id);
+    --m_WaitingOf[Request.m_Group];
+    Actions.push_back(RefuseRequest{Request.m_Id, std::move(Reason)});
+  }
+  return Actions;
+}
+
+void UpstreamAdmission::chargeElsewhere(const GroupName &Group, double Cost) {
+  m_Queue.charge(Group, Cost);
+}
+
+std::map<GroupName, double> UpstreamAdmission::takeServed() {
+  return std::exchange(m_Served, {});
+}
+
+UpstreamLoad UpstreamAdmission::load() const {
+  return {.m_Running = static_cast<int>(m_Running.size()),
+          .m_Waiting = static_cast<int>(m_Queue.size()),
+          .m_Slots = m_Opts.m_Slots};
+}
+
+Duration UpstreamAdmission::expectedWait(const GroupName &Group) const {
+  const auto Found = m_WaitingOf.find(Group);
+  return waitBehind(Group, Found == m_WaitingOf.end() ? 0 : Found->second);
+}
+
+/// With S slots and mean service time T a slot frees every T/S; the group gets
+/// its share of them. Never longer than waiting behind the whole queue.
+Duration UpstreamAdmission::waitBehind(const GroupName &Group,
+                                       int Ahead) const {
+  const double PerSlot =
+      static_cast<double>(m_MeanService.count()) / m_Opts.m_Slots;
+  const double ByShare = (Ahead + 1) / m_Queue.shareOf(Group);
+  const double Whole = static_cast<double>(m_Queue.size() + 1);
+  const double Turns = std::min(ByShare, Whole);
+  return Duration(static_cast<Duration::rep>(Turns * PerSlot));
+}
+
+Failure UpstreamAdmission::overloaded(const GroupName &Group) const {
+  return {.m_Kind = ErrorKind::Overloaded,
+          .m_RetryAfter = std::max(expectedWait(Group), LeastRetryAfter),
+          .m_Detail = {}};
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/decisions/version/Assignment.cpp
@@ -0,0 +1,114 @@
+#include "decisions/version/Assignment.h"
+
+#include "decisions/common/StableHash.h"
+#include <algorithm>
+
+namespace havenstair {
+
+namespace {
+
+using Counts = std::map<BoxName, int>;
+
+/// The box with the fewest; ties by rendezvous hash, so that boxes with equal
+/// counts do not all pile up on the first name.
+BoxName leastLoaded(const Counts &Owned, const std::string &Key) {
+  const auto Fewest = std::min_element(
+      Owned.begin(), Owned.end(),
+      [](const auto &A, const auto &B) { return A.second < B.second; });
+  std::vector<BoxName> Ties;
+  for (const auto &[Box, Count] : Owned)
+    if (Count == Fewest->second)
+      Ties.push_back(Box);
+  return *rendezvousPick(Ties, Key);
+}
+
+/// One thing to own: its name and its owner so far.
+struct Item {
+  std::string m_Key;
+  BoxName m_Owner;
+};
+
+/// Gives items without a live owner to the least loaded boxes, then moves
+/// single items until the counts differ by at most one.
+void balance(std::vector<Item> &Items, const std::vector<BoxName> &Live) {
+  Counts Owned;
+  for (const BoxName &Box : Live)
+    Owned[Box] = 0;
+  for (const Item &Each : Items)
+    if (const auto Found = Owned.find(Each.m_Owner); Found != Owned.end())
+      ++Found->second;
+  for (Item &Each : Items) {
+    if (Owned.count(Each.m_Owner) != 0)
+      continue;
+    Each.m_Owner = leastLoaded(Owned, Each.m_Key);
+    ++Owned[Each.m_Owner];
+  }
+  for (Item &Each : Items) {
+    const BoxName To = leastLoaded(Owned, Each.m_Key);
+    if (Owned[Each.m_Owner] <= Owned[To] + 1)
+      continue;
+    --Owned[Each.m_Owner];
+    ++Owned[To];
+    Each.m_Owner = To;
+  }
+}
+
+} // namespace
+
+std::optional<BoxName> Assignment::ownerOf(const UpstreamName &Upstream) const {
+  const auto Found = m_OwnerOf.find(Upstream);
+  if (Found == m_OwnerOf.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+std::optional<BoxName> Assignment::ownerOfSlice(int Slice) const {
+  const auto Index = static_cast<std::size_t>(Slice);
+  if (Index >= m_KeyOwners.size())
+    return std::nullopt;
+  return m_KeyOwners[Index];
+}
+
+int keySlice(const GroupName &Group, const IdempotencyKey &Key) {
+  return static_cast<int>(stableHash(Group.str(), Key.str()) % KeySliceCount);
+}
+
+std::optional<Assignment> nextAssignment(const Assignment &Current,
+                                         std::vector<BoxName> Live,
+                                         std::vector<UpstreamName> Upstreams) {
+  if (Live.empty())
+    return std::nullopt;
+  std::sort(Live.begin(), Live.end());
+  std::sort(Upstreams.begin(), Upstreams.end());
+  std::vector<Item> Owned;
+  for (const UpstreamName &Upstream : Upstreams)
+    Owned.push_back(
+        {Upstream.str(), Current.ownerOf(Upstream).value_or(BoxName())});
+  std::vector<Item> Slices;
+  for (int Slice = 0; Slice < KeySliceCount; ++Slice)
+    Slices.push_back({"slice-" + std::to_string(Slice),
+                      Current.ownerOfSlice(Slice).value_or(BoxName())});
+  balance(Owned, Live);
+  balance(Slices, Live);
+
+  Assignment Next;
+  Next.m_Version = Current.m_Version + 1;
+  Next.m_Boxes = std::move(Live);
+  for (Item &Each : Owned)
+    Next.m_OwnerOf[UpstreamName(Each.m_Key)] = Each.m_Owner;
+  for (std::size_t Slice = 0; Slice < Slices.size(); ++Slice) {
+    const bool Kept =
+        Current.ownerOfSlice(static_cast<int>(Slice)) == Slices[Slice].m_Owner;
+    Next.m_KeyOwners.push_back(Slices[Slice].m_Owner);
+    Next.m_KeyOwnerSince.push_back(Kept ? Current.m_KeyOwnerSince[Slice]
+                                        : Next.m_Version);
+  }
+  const bool Same = Next.m_Boxes == Current.m_Boxes &&
+                    Next.m_OwnerOf == Current.m_OwnerOf &&
+                    Next.m_KeyOwners == Current.m_KeyOwners;
+  if (Same)
+    return std::nullopt;
+  return Next;
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/havenstaird/process/Box.cpp
@@ -0,0 +1,669 @@
+#include "havenstaird/process/Box.h"
+
+#include "decisions/common/StableHash.h"
+#include "havenstaird/common/Log.h"
+#include "wire/common/Crypto.h"
+#include "wire/version/TableJson.h"
+#include <algorithm>
+#include <random>
+
+namespace havenstair {
+
+namespace {
+
+constexpr std::size_t IncarnationBytes = 4;
+constexpr std::size_t MoveHistory = 2000;
+constexpr std::size_t RequestHistory = 4096;
+constexpr Duration TickEvery = 50ms;
+/// Digests that may be missing before a box counts as out of reach.
+constexpr int SilentDigests = 3;
+/// Silence after which the link is closed, so that its work ends visibly.
+constexpr Duration SilenceLimit = 5s;
+/// Time for the balancer to see that the box is leaving.
+constexpr Duration BalancerGrace = 1s;
+/// Time for peers to say that they give no more work to a stopping box.
+constexpr Duration ShunLimit = 5s;
+constexpr std::size_t EntryBuffer = 1 << 20;
+
+} // namespace
+
+BoxName makeIncarnation(const BoxName &Box) {
+  return BoxName(Box.str() + "~" + randomHex(IncarnationBytes));
+}
+
+std::string boxOfIncarnation(const BoxName &Incarnation) {
+  return Incarnation.str().substr(0, Incarnation.str().find('~'));
+}
+
+double Box::randomUnit() {
+  static std::mt19937_64 Generator{std::random_device{}()};
+  return std::uniform_real_distribution<double>(0, 1)(Generator);
+}
+
+Box::Box(EventLoop &Loop, Settings Given, std::function<void()> OnStopped)
+    : m_Loop(Loop), m_Settings(std::move(Given)),
+      m_Self(makeIncarnation(m_Settings.m_Box)), m_Http(Loop),
+      m_Platform(m_Http, {.m_Address = m_Settings.m_Platform,
+                          .m_OnCall =
+                              [this](const char *Call) {
+                                m_Metrics.platformCall(Call);
+                              }}),
+      m_Moves(MoveHistory), m_Requests(RequestHistory),
+      m_OnStopped(std::move(OnStopped)),
+      m_Mesh(Loop, meshOptions(), meshHooks()),
+      m_Forwarder(
+          Loop, m_Self,
+          [this](const BoxName &To, const PeerFrame &Frame) {
+            return sendFrame(To, Frame);
+          },
+          [this](const BoxName &Origin, const ForwardedRequest &Request,
+                 AnswerSinkPtr Sink) {
+            return runForwarded(Origin, Request, std::move(Sink));
+          }),
+      m_Table(Loop, m_Platform, tableOptions()),
+      m_Owners(Loop, m_Http, m_Platform, m_Directory, ownerOptions()),
+      m_Dispatcher(Loop, m_Forwarder, dispatchView(), dispatcherOptions()),
+      m_Keyed(
+          m_Dispatcher,
+          {.m_Self = m_Self,
+           .m_Registry = {},
+           .m_MayOwn =
+               [this] { return m_Membership && m_Membership->leaseHeld(); }}),
+      m_KeyRouter(Loop, m_Forwarder, keyRouterOptions()),
+      m_CallerApi(m_Limiter, m_Metrics, m_Requests, callerOptions()),
+      m_AdminApi(m_Table, adminOptions()),
+      m_CallerServer(
+          Loop, serverOptions(m_Settings.m_Callers),
+          [this](const HttpExchangePtr &Exchange) {
+            if (!m_AdminApi.handleHealth(Exchange))
+              m_CallerApi.handle(Exchange);
+          },
+          [this](const HttpExchangePtr &Exchange, HttpServer::Turned Why) {
+            m_CallerApi.turnedAway(Exchange, Why);
+          }),
+      m_OperatorServer(Loop, serverOptions(m_Settings.m_Operators),
+                       [this](const HttpExchangePtr &Exchange) {
+                         m_AdminApi.handle(Exchange);
+                       }),
+      m_Planner(Loop, plannerOptions()) {
+  m_Membership =
+      std::make_unique<Membership>(m_Loop, m_Platform, membershipOptions());
+  m_Mesh.learnSeeds(m_Settings.m_Seeds);
+  m_Tick = m_Loop.every(TickEvery, [this] { tick(); });
+  m_DigestTimer = m_Loop.every(m_Settings.m_DigestEvery,
+                               [this] { sendDigests(false, std::nullopt); });
+}
+
+Box::~Box() = default;
+
+PeerMesh::Options Box::meshOptions() const {
+  return {.m_Listen = m_Settings.m_Peers,
+          .m_Link = {.m_Self = m_Self,
+                     .m_DataCentre = m_Settings.m_DataCentre,
+                     .m_Secret = m_Settings.m_PeerSecret},
+          .m_Random = randomUnit};
+}
+
+PeerMesh::Hooks Box::meshHooks() {
+  return {
+      .m_Up =
+          [this](const BoxName &Peer, const DataCentreName &DataCentre) {
+            peerUp(Peer, DataCentre);
+          },
+      .m_Frame = [this](const BoxName &Peer,
+                        PeerFrame Frame) { onFrame(Peer, std::move(Frame)); },
+      .m_Down = [this](const BoxName &Peer) { peerDown(Peer); }};
+}
+
+Membership::Options Box::membershipOptions() {
+  Membership::Options Opts;
+  Opts.m_Self = {.m_Box = m_Self,
+                 .m_DataCentre = m_Settings.m_DataCentre,
+                 .m_Peers = m_Mesh.endpoint(),
+                 .m_Callers = m_CallerServer.endpoint(),
+                 .m_Operators = m_OperatorServer.endpoint()};
+  Opts.m_Lease.m_TimeToLive = m_Settings.m_LeaseTimeToLive;
+  Opts.m_Lease.m_RenewEvery = m_Settings.m_LeaseRenewEvery;
+  Opts.m_Random = randomUnit;
+  Opts.m_OnAssignment = [this](const Assignment &Current) {
+    assignmentChanged(Current);
+  };
+  Opts.m_OnUpstreams = [this](const UpstreamList &List) {
+    upstreamsChanged(List);
+  };
+  Opts.m_OnBoxes = [this](const std::vector<PeerAddress> &Boxes) {
+    m_Mesh.learn(Boxes);
+    updateShare();
+  };
+  Opts.m_OnBoxGone = [this](const BoxName &Box) {
+    m_Mesh.forget(Box);
+    updateShare();
+  };
+  Opts.m_Upstreams = [this] {
+    std::vector<UpstreamName> Names;
+    for (const UpstreamSpec &Spec : m_Directory.upstreams())
+      Names.push_back(Spec.m_Name);
+    return Names;
+  };
+  return Opts;
+}
+
+OwnerService::Options Box::ownerOptions() {
+  OwnerService::Options Opts;
+  Opts.m_Self = m_Self;
+  Opts.m_DataCentre = m_Settings.m_DataCentre;
+  Opts.m_OrderLife = m_Settings.m_OrderLife;
+  Opts.m_WeightOf = [this](const GroupName &Group) {
+    return m_Table.table().weightOf(Group);
+  };
+  Opts.m_OnMove = [this](const MoveRecord &Record) { recordMove(Record); };
+  Opts.m_OnChange = [this] { changed(); };
+  return Opts;
+}
+
+TableSync::Options Box::tableOptions() {
+  return {.m_Random = randomUnit,
+          .m_Capacity = [this] { return engineCapacity(); },
+          .m_OnChange = [this] { tableChanged(); }};
+}
+
+Dispatcher::Options Box::dispatcherOptions() {
+  return {.m_Routing = defaultRouting(),
+          .m_OnRetry = [this] { m_Metrics.retried(); },
+          .m_OnAttempt =
+              [this](const RequestId &Id, const UpstreamName &Upstream,
+                     const BoxName &To) {
+                m_Directory.noteSent(Upstream);
+                m_Requests.attempt(Id, {Upstream, To});
+              }};
+}
+
+DispatchView Box::dispatchView() {
+  return {
+      .m_Directory = &m_Directory,
+      .m_AdmitterOf =
+          [this](const UpstreamName &Upstream) { return admitterOf(Upstream); },
+      .m_SpillTo =
+          [this](const ForwardedRequest &Request) { return spillTo(Request); }};
+}
+
+KeyRouter::Options Box::keyRouterOptions() {
+  return {.m_OwnerOf =
+              [this](const ForwardedRequest &Request) {
+                return m_Membership->assignment().ownerOfSlice(
+                    keySlice(Request.m_Group, Request.m_Key));
+              },
+          .m_NextAttempt = [this] { return m_Dispatcher.nextAttempt(); }};
+}
+
+Planner::Options Box::plannerOptions() {
+  Planner::Options Opts;
+  Opts.m_Policy = std::make_unique<Placement>(
+      Placement::forPreference(m_Settings.m_FewMoves));
+  Opts.m_Directory = &m_Directory;
+  Opts.m_Table = [this]() -> const Table & { return m_Table.table(); };
+  Opts.m_MyTurn = [this] { return myTurnToPlan(); };
+  Opts.m_OwnerReachable = [this](const UpstreamName &Upstream) {
+    const auto Owner = m_Membership->assignment().ownerOf(Upstream);
+    return Owner && usable(*Owner);
+  };
+  Opts.m_Order = [this](const Move &Wanted) { planOrder(Wanted); };
+  return Opts;
+}
+
+CallerApi::Options Box::callerOptions() {
+  return {.m_Table = [this]() -> const Table & { return m_Table.table(); },
+          .m_Start =
+              [this](ForwardedRequest Request, AnswerSinkPtr Sink) {
+                return startRequest(std::move(Request), std::move(Sink));
+              },
+          .m_DefaultDeadline = m_Settings.m_DefaultDeadline,
+          .m_IdPrefix = m_Self.str()};
+}
+
+AdminApi::Options Box::adminOptions() {
+  return {
+      .m_Token = m_Settings.m_OperatorToken,
+      .m_Upstreams = [this](const std::string &) { return upstreamsView(); },
+      .m_Boxes = [this](const std::string &) { return boxesView(); },
+      .m_Moves = [this](const std::string &Id) { return movesView(Id); },
+      .m_Requests = [this](const std::string &Id) { return requestView(Id); },
+      .m_Metrics = [this] { return m_Metrics.serialize(); },
+      .m_Healthy = [this] { return !m_Stopping; },
+      .m_Ready =
+          [this] {
+            return !m_Stopping && m_Membership->platformSeen() &&
+                   m_Directory.listIndex() != 0;
+          },
+      .m_Drain = [this] { stop(); }};
+}
+
+HttpServer::Options Box::serverOptions(const Endpoint &Listen) const {
+  return {.m_Listen = Listen,
+          .m_MaxBody = m_Settings.m_MaxBody,
+          .m_MaxBuffered = EntryBuffer};
+}
+
+// Requests.
+
+std::function<void()> Box::startRequest(ForwardedRequest Request,
+                                        AnswerSinkPtr Sink) {
+  if (!Request.m_Key.empty())
+    return m_KeyRouter.run(std::move(Request), std::move(Sink));
+  const DispatchId Id =
+      m_Dispatcher.dispatch(std::move(Request), std::move(Sink));
+  return [this, Id] { m_Dispatcher.cancel(Id); };
+}
+
+std::function<void()> Box::runForwarded(const BoxName &Origin,
+                                        const ForwardedRequest &Request,
+                                        AnswerSinkPtr Sink) {
+  if (Request.m_Role == ForwardRole::KeyOwner) {
+    m_Keyed.run(Request, Sink);
+    return [] {};
+  }
+  if (Request.m_Role == ForwardRole::Dispatch) {
+    const DispatchId Id = m_Dispatcher.dispatch(Request, std::move(Sink));
+    return [this, Id] { m_Dispatcher.cancel(Id); };
+  }
+  const RequestId Id = admissionId(Origin, Request.m_Attempt);
+  m_Owners.admit(Id, Request, Sink);
+  return [this, Id, Upstream = Request.m_Upstream] {
+    m_Owners.cancel(Upstream, Id);
+  };
+}
+
+/// Linked, heard of lately, and not about to stop.
+bool Box::usable(const BoxName &Peer) const {
+  if (Peer == m_Self)
+    return !m_Stopping;
+  const auto Found = m_Peers.find(Peer);
+  if (Found == m_Peers.end() || Found->second.m_Stopping)
+    return false;
+  const Duration Silence = EventLoop::now() - Found->second.m_LastHeard;
+  return m_Mesh.reachable(Peer) &&
+         Silence < SilentDigests * m_Settings.m_DigestEvery;
+}
+
+std::optional<BoxName> Box::admitterOf(const UpstreamName &Upstream) const {
+  const auto Owner = m_Membership->assignment().ownerOf(Upstream);
+  if (Owner && usable(*Owner))
+    return Owner;
+  // All boxes that reach each other choose the same stand-in.
+  std::vector<BoxName> Others;
+  for (const BoxName &Peer : m_Mesh.reachable(m_Settings.m_DataCentre))
+    if (usable(Peer))
+      Others.push_back(Peer);
+  if (usable(m_Self) || Others.empty())
+    Others.push_back(m_Self);
+  return rendezvousPick(Others, Upstream.str());
+}
+
+std::optional<BoxName> Box::spillTo(const ForwardedRequest &Request) const {
+  std::vector<BoxName> Able;
+  for (const auto &[Peer, State] : m_Peers) {
+    const bool Serves = std::any_of(
+        State.m_Remote.begin(), State.m_Remote.end(), [&](const auto &Item) {
+          const UpstreamDigest &Digest = Item.second;
+          if (!Request.m_Service.empty())
+            return Digest.m_Service == Request.m_Service;
+          return Digest.m_Serving.count(Request.m_Artifact) != 0;
+        });
+    if (Serves && usable(Peer))
+      Able.push_back(Peer);
+  }
+  return rendezvousPick(Able, std::to_string(Request.m_Prefix));
+}
+
+// Peers.
+
+bool Box::sendFrame(const BoxName &To, const PeerFrame &Frame) {
+  const std::size_t Bytes = m_Mesh.send(To, Frame);
+  if (Bytes != 0)
+    m_Metrics.peerBytes(frameName(Frame), Bytes);
+  return Bytes != 0;
+}
+
+void Box::peerUp(const BoxName &Peer, const DataCentreName &DataCentre) {
+  logInfo(LogPart::Peers, "Link to " + Peer.str() + " is up.");
+  m_Peers[Peer] = {.m_LastHeard = EventLoop::now(), .m_DataCentre = DataCentre};
+  sendDigests(true, Peer);
+}
+
+void Box::peerDown(const BoxName &Peer) {
+  logInfo(LogPart::Peers, "Link to " + Peer.str() + " is down.");
+  m_Peers.erase(Peer);
+  m_Planner.forget(Peer);
+  m_Forwarder.peerDown(Peer);
+}
+
+void Box::onFrame(const BoxName &Peer, PeerFrame Frame) {
+  const auto Found = m_Peers.find(Peer);
+  if (Found == m_Peers.end())
+    return;
+  Found->second.m_LastHeard = EventLoop::now();
+  if (m_Forwarder.onFrame(Peer, Frame))
+    return;
+  if (const auto *Digest = std::get_if<DigestFrame>(&Frame))
+    return onDigest(Peer, *Digest);
+  if (const auto *News = std::get_if<TableFrame>(&Frame))
+    return m_Table.learn(*News);
+  const bool Here = Found->second.m_DataCentre == m_Settings.m_DataCentre;
+  if (!Here)
+    return;
+  if (const auto *Known = std::get_if<AssignmentFrame>(&Frame))
+    return m_Membership->learnAssignment(Known->m_Assignment);
+  if (const auto *Plan = std::get_if<PlanFrame>(&Frame))
+    return m_Owners.order(Plan->m_Move);
+  if (const auto *Made = std::get_if<MoveFrame>(&Frame))
+    m_Moves.add(Made->m_Record);
+}
+
+void Box::onDigest(const BoxName &Peer, const DigestFrame &Digest) {
+  PeerState &State = m_Peers[Peer];
+  State.m_Stopping = Digest.m_Stopping;
+  State.m_AssignmentSeen = Digest.m_AssignmentSeen;
+  State.m_TableCompleteTo = Digest.m_TableCompleteTo;
+  State.m_ShunsUs = Digest.m_Shunned.count(m_Self) != 0;
+  if (Digest.m_TableCompleteTo < m_Table.table().completeTo())
+    sendFrame(Peer, m_Table.newerThan(Digest.m_TableCompleteTo));
+  if (State.m_DataCentre != m_Settings.m_DataCentre) {
+    for (const UpstreamDigest &Each : Digest.m_Upstreams)
+      State.m_Remote[Each.m_Upstream] = Each;
+    return;
+  }
+  for (const UpstreamDigest &Each : Digest.m_Upstreams)
+    m_Directory.apply(Each);
+  for (const auto &[Upstream, Index] : Digest.m_Leaving)
+    m_Directory.markLeaving(Upstream, Index);
+  m_Owners.chargeElsewhere(Digest.m_Served);
+  m_Planner.noteDemand(Peer, Digest.m_Demand);
+  const Assignment &Mine = m_Membership->assignment();
+  if (Digest.m_AssignmentSeen < Mine.m_Version)
+    sendFrame(Peer, AssignmentFrame{Mine});
+  else if (Mine.m_Version != 0)
+    m_Owners.writerMovedOn(Peer);
+}
+
+/// Tells what changed since the last digest; all of it when \p Whole.
+void Box::sendDigests(bool Whole, const std::optional<BoxName> &Only) {
+  DigestFrame Frame;
+  Frame.m_AssignmentSeen =
+      m_Membership ? m_Membership->assignment().m_Version : 0;
+  Frame.m_TableCompleteTo = m_Table.table().completeTo();
+  Frame.m_Stopping = m_Stopping;
+  Frame.m_Leaving = m_Directory.leaving();
+  Frame.m_Demand = m_Owners.demand();
+  for (const auto &[Peer, State] : m_Peers)
+    if (State.m_Stopping)
+      Frame.m_Shunned.insert(Peer);
+  for (UpstreamDigest &Digest : m_Owners.digests()) {
+    m_Directory.apply(Digest);
+    UpstreamDigest Plain = Digest;
+    Plain.m_Sequence = 0;
+    const bool Same = m_LastSent[Digest.m_Upstream] == Plain;
+    if (!Whole && Same)
+      continue;
+    if (!Only)
+      m_LastSent[Digest.m_Upstream] = std::move(Plain);
+    Frame.m_Upstreams.push_back(std::move(Digest));
+  }
+  if (Only) {
+    sendFrame(*Only, Frame);
+    return;
+  }
+  Frame.m_Served = m_Owners.takeServed();
+  m_Planner.noteDemand(m_Self, Frame.m_Demand);
+  for (const auto &[Peer, State] : m_Peers)
+    sendFrame(Peer, Frame);
+}
+
+void Box::dropSilentPeers() {
+  const TimePoint Now = EventLoop::now();
+  for (const auto &[Peer, State] : m_Peers)
+    if (Now - State.m_LastHeard > SilenceLimit)
+      m_Mesh.drop(Peer);
+}
+
+void Box::gossipTable() {
+  const TableVersion Mine = m_Table.table().completeTo();
+  for (const auto &[Peer, State] : m_Peers)
+    if (State.m_TableCompleteTo < Mine)
+      sendFrame(Peer, m_Table.newerThan(State.m_TableCompleteTo));
+}
+
+// What the parts tell.
+
+void Box::assignmentChanged(const Assignment &Current) {
+  m_Owners.follow(Current);
+  m_Keyed.follow(Current);
+  changed();
+}
+
+void Box::upstreamsChanged(const UpstreamList &List) {
+  if (!m_Directory.apply(List))
+    return;
+  m_Owners.followList();
+  changed();
+}
+
+void Box::tableChanged() { gossipTable(); }
+
+/// News that peers act on do not wait for the next regular digest.
+void Box::changed() {
+  if (std::exchange(m_DigestWanted, true))
+    return;
+  m_Loop.defer([this] {
+    m_DigestWanted = false;
+    sendDigests(false, std::nullopt);
+  });
+}
+
+void Box::recordMove(const MoveRecord &Record) {
+  const Move &Made = Record.m_Move;
+  m_Moves.add(Record);
+  m_Metrics.moved(Made.m_Reason);
+  logInfo(LogPart::Planner,
+          std::string(Made.m_Verb == MoveVerb::Load ? "Loads " : "Unloads ") +
+              Made.m_Artifact.str() + " on " + Made.m_Upstream.str() + ": " +
+              Made.m_Explanation);
+  for (const BoxName &Peer : m_Mesh.reachable(m_Settings.m_DataCentre))
+    sendFrame(Peer, MoveFrame{Record});
+}
+
+void Box::planOrder(const Move &Wanted) {
+  const auto Owner = m_Membership->assignment().ownerOf(Wanted.m_Upstream);
+  if (!Owner)
+    return;
+  if (*Owner == m_Self)
+    m_Owners.order(Wanted);
+  else
+    sendFrame(*Owner, PlanFrame{Wanted});
+}
+
+/// The first box of the assignment that can be reached.
+bool Box::myTurnToPlan() const {
+  for (const BoxName &Box : m_Membership->assignment().m_Boxes) {
+    if (Box == m_Self)
+      return true;
+    if (usable(Box))
+      return false;
+  }
+  return false;
+}
+
+void Box::updateShare() {
+  if (!m_Membership)
+    return;
+  std::vector<BoxName> Live;
+  for (const auto &[Name, Record] : m_Membership->boxes())
+    if (!Record.m_Stopping)
+      Live.push_back(Name);
+  const auto Place = std::find(Live.begin(), Live.end(), m_Self);
+  if (Place == Live.end())
+    return;
+  m_Limiter.setShare({.m_Index = static_cast<int>(Place - Live.begin()),
+                      .m_Boxes = static_cast<int>(Live.size())});
+}
+
+/// A former owner is gone for good when its box has started anew, since a box
+/// runs one process only.
+void Box::releaseFormerWriters() {
+  for (const BoxName &Writer : m_Owners.formerWriters())
+    for (const auto &[Name, Record] : m_Membership->boxes())
+      if (Name != Writer && boxOfIncarnation(Name) == boxOfIncarnation(Writer))
+        m_Owners.writerMovedOn(Writer);
+}
+
+Capacity Box::engineCapacity() const {
+  Capacity Result;
+  for (const UpstreamSpec &Spec : m_Directory.upstreams())
+    if (Spec.m_Kind == UpstreamKind::Engine && !Spec.m_Leaving)
+      Result.m_Engines.push_back(Spec.m_Capacity - Spec.m_KvReserve);
+  return Result;
+}
+
+void Box::tick() {
+  m_Owners.tick();
+  m_Keyed.tick();
+  dropSilentPeers();
+  releaseFormerWriters();
+  m_Metrics.setLeaseHeld(m_Membership->leaseHeld());
+  m_Metrics.setVersions(
+      static_cast<double>(m_Membership->assignment().m_Version),
+      static_cast<double>(m_Table.table().completeTo()));
+  for (const UpstreamOwner *Owner : m_Owners.owned())
+    if (Owner->spec().m_Kind == UpstreamKind::Engine)
+      m_Metrics.setMemoryTaken(Owner->spec().m_Name,
+                               static_cast<double>(Owner->ledger().taken()),
+                               static_cast<double>(Owner->ledger().capacity()));
+  if (m_Stopping)
+    considerExit();
+}
+
+// Views for operators.
+
+Json Box::upstreamsView() const {
+  Json List = Json::array();
+  for (const UpstreamSpec &Spec : m_Directory.upstreams()) {
+    const auto Owner = m_Membership->assignment().ownerOf(Spec.m_Name);
+    Json Item{
+        {"name", Spec.m_Name.str()},
+        {"kind", Spec.m_Kind == UpstreamKind::Engine ? "engine" : "service"},
+        {"service", Spec.m_Service},
+        {"state", Spec.m_Leaving ? "leaving" : "live"},
+        {"owner", Owner ? Owner->str() : ""},
+        {"checks_tokens", Spec.m_ChecksTokens},
+        {"memory_mib", Spec.m_Capacity}};
+    if (const UpstreamDigest *Digest = m_Directory.digestOf(Spec.m_Name)) {
+      Json Serving = Json::array();
+      for (const ArtifactName &Name : Digest->m_Serving)
+        Serving.push_back(Name.str());
+      Item["ready"] = Digest->m_Ready;
+      Item["serving"] = std::move(Serving);
+      Item["available_mib"] = Digest->m_Available;
+      Item["running"] = Digest->m_Load.m_Running;
+      Item["waiting"] = Digest->m_Load.m_Waiting;
+      Item["slots"] = Digest->m_Load.m_Slots;
+    }
+    List.push_back(std::move(Item));
+  }
+  return {{"upstreams", std::move(List)}};
+}
+
+Json Box::boxesView() const {
+  Json List = Json::array();
+  for (const auto &[Name, Record] : m_Membership->boxes())
+    List.push_back({{"name", Name.str()},
+                    {"data_centre", Record.m_DataCentre.str()},
+                    {"callers", Record.m_Callers.str()},
+                    {"operators", Record.m_Operators.str()},
+                    {"state", Record.m_Stopping ? "stopping" : "live"},
+                    {"reachable", Name == m_Self || m_Mesh.reachable(Name)}});
+  return {{"self", m_Self.str()},
+          {"lease_held", m_Membership->leaseHeld()},
+          {"assignment", m_Membership->assignment().m_Version},
+          {"table", m_Table.table().completeTo()},
+          {"boxes", std::move(List)}};
+}
+
+Json Box::movesView(const std::string &Id) const {
+  const auto ToJson = [](const MoveRecord &Record) {
+    const Move &Made = Record.m_Move;
+    return Json{{"id", Record.m_Id},
+                {"at_ms", Record.m_At},
+                {"upstream", Made.m_Upstream.str()},
+                {"verb", Made.m_Verb == MoveVerb::Load ? "load" : "unload"},
+                {"artifact", Made.m_Artifact.str()},
+                {"size_mib", Made.m_Size},
+                {"reason", moveReasonName(Made.m_Reason)},
+                {"explanation", Made.m_Explanation},
+                {"ordered_by", Record.m_OrderedBy.str()}};
+  };
+  if (!Id.empty()) {
+    const MoveRecord *Found = m_Moves.find(Id);
+    return Found == nullptr ? Json() : ToJson(*Found);
+  }
+  Json List = Json::array();
+  for (const MoveRecord &Record : m_Moves.records())
+    List.push_back(ToJson(Record));
+  return {{"moves", std::move(List)}};
+}
+
+Json Box::requestView(const std::string &Id) const {
+  const RequestRecord *Found = m_Requests.find(RequestId(Id));
+  if (Found == nullptr)
+    return {};
+  Json Attempts = Json::array();
+  for (const AttemptRecord &Each : Found->m_Attempts)
+    Attempts.push_back({{"upstream", Each.m_Upstream.str()},
+                        {"admitted_by", Each.m_Admitter.str()}});
+  return {{"id", Found->m_Id.str()},
+          {"group", Found->m_Group.str()},
+          {"target", Found->m_Target},
+          {"attempts", std::move(Attempts)},
+          {"outcome", Found->m_Code.empty() ? "running" : Found->m_Code},
+          {"queued_us", Found->m_Queued.count()},
+          {"whole_us", Found->m_Whole.count()}};
+}
+
+// Stopping.
+
+void Box::stop() {
+  if (std::exchange(m_Stopping, true))
+    return;
+  logInfo(LogPart::Box, "Stops: hands over and finishes what runs.");
+  m_StopBegan = EventLoop::now();
+  m_Membership->beginStop();
+  changed();
+}
+
+bool Box::allShunUs() const {
+  return std::all_of(m_Peers.begin(), m_Peers.end(), [](const auto &Item) {
+    return Item.second.m_ShunsUs || Item.second.m_Stopping;
+  });
+}
+
+bool Box::idle() const {
+  return m_Owners.active() == 0 && m_Dispatcher.active() == 0 &&
+         m_Keyed.running() == 0 && m_Forwarder.serving() == 0 &&
+         m_CallerServer.openExchanges() == 0;
+}
+
+void Box::considerExit() {
+  const Duration Since = EventLoop::now() - m_StopBegan;
+  if (Since > BalancerGrace)
+    m_CallerServer.stopAccepting();
+  const bool Limit = Since > m_Settings.m_StopLimit;
+  const bool Shunned = allShunUs() || Since > ShunLimit;
+  const bool HandedOver = m_Membership->handedOver() || Since > ShunLimit;
+  const bool Finished =
+      Since > BalancerGrace && Shunned && HandedOver && idle();
+  if ((!Finished && !Limit) || !m_OnStopped)
+    return;
+  if (Limit)
+    logWarning(LogPart::Box, "Ends with work unfinished: the limit passed.");
+  m_Membership->leave(std::exchange(m_OnStopped, nullptr));
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/havenstaird/process/Box.h
@@ -0,0 +1,158 @@
+/// \file
+/// The process of one box: wires all parts together.
+#ifndef HAVENSTAIR_HAVENSTAIRD_PROCESS_BOX_H
+#define HAVENSTAIR_HAVENSTAIRD_PROCESS_BOX_H
+
+#include "decisions/process/GroupLimiter.h"
+#include "decisions/process/MoveLog.h"
+#include "decisions/process/RequestLog.h"
+#include "havenstaird/process/Membership.h"
+#include "havenstaird/process/Metrics.h"
+#include "havenstaird/process/OwnerService.h"
+#include "havenstaird/process/PeerForwarder.h"
+#include "havenstaird/process/Planner.h"
+#include "havenstaird/process/Settings.h"
+#include "havenstaird/request/CallerApi.h"
+#include "havenstaird/request/Dispatcher.h"
+#include "havenstaird/request/KeyRouter.h"
+#include "havenstaird/request/KeyedRunner.h"
+#include "havenstaird/version/AdminApi.h"
+#include "havenstaird/version/TableSync.h"
+#include "wire/process/PeerMesh.h"
+#include <memory>
+#include <set>
+
+namespace havenstair {
+
+/// Name of one start of a box: no two processes ever share one, so nothing
+/// that an earlier process did can be taken for this one's.
+BoxName makeIncarnation(const BoxName &Box);
+/// The box's name without the suffix of its start.
+std::string boxOfIncarnation(const BoxName &Incarnation);
+
+/// All parts of `havenstaird`, on one loop.
+class Box {
+public:
+  /// \p OnStopped runs when a planned stop has ended.
+  /// \throws std::runtime_error when an address cannot be bound.
+  Box(EventLoop &Loop, Settings Given, std::function<void()> OnStopped);
+  ~Box();
+
+  /// Begins the planned stop: hands over, and finishes what runs.
+  void stop();
+
+  Endpoint callers() const { return m_CallerServer.endpoint(); }
+  Endpoint operators() const { return m_OperatorServer.endpoint(); }
+  Endpoint peers() const { return m_Mesh.endpoint(); }
+  const BoxName &name() const { return m_Self; }
+
+private:
+  /// What this box last heard of another.
+  struct PeerState {
+    TimePoint m_LastHeard;
+    DataCentreName m_DataCentre;
+    bool m_Stopping = false;
+    FencingToken m_AssignmentSeen = 0;
+    TableVersion m_TableCompleteTo = 0;
+    bool m_ShunsUs = false;
+    /// Upstreams of other data centres, for spilling.
+    std::map<UpstreamName, UpstreamDigest> m_Remote;
+  };
+
+  // Making the parts.
+  PeerMesh::Options meshOptions() const;
+  PeerMesh::Hooks meshHooks();
+  Membership::Options membershipOptions();
+  OwnerService::Options ownerOptions();
+  TableSync::Options tableOptions();
+  Dispatcher::Options dispatcherOptions();
+  DispatchView dispatchView();
+  KeyRouter::Options keyRouterOptions();
+  Planner::Options plannerOptions();
+  CallerApi::Options callerOptions();
+  AdminApi::Options adminOptions();
+  HttpServer::Options serverOptions(const Endpoint &Listen) const;
+
+  // Requests.
+  std::function<void()> startRequest(ForwardedRequest Request,
+                                     AnswerSinkPtr Sink);
+  std::function<void()> runForwarded(const BoxName &Origin,
+                                     const ForwardedRequest &Request,
+                                     AnswerSinkPtr Sink);
+  std::optional<BoxName> admitterOf(const UpstreamName &Upstream) const;
+  std::optional<BoxName> spillTo(const ForwardedRequest &Request) const;
+  bool usable(const BoxName &Peer) const;
+
+  // Peers.
+  void peerUp(const BoxName &Peer, const DataCentreName &DataCentre);
+  void peerDown(const BoxName &Peer);
+  void onFrame(const BoxName &Peer, PeerFrame Frame);
+  void onDigest(const BoxName &Peer, const DigestFrame &Digest);
+  bool sendFrame(const BoxName &To, const PeerFrame &Frame);
+  void sendDigests(bool Whole, const std::optional<BoxName> &Only);
+  void dropSilentPeers();
+  void gossipTable();
+
+  // What the parts tell.
+  void assignmentChanged(const Assignment &Current);
+  void upstreamsChanged(const UpstreamList &List);
+  void tableChanged();
+  void recordMove(const MoveRecord &Record);
+  void planOrder(const Move &Wanted);
+  bool myTurnToPlan() const;
+  void updateShare();
+  void releaseFormerWriters();
+  void changed();
+
+  // Views for operators.
+  Json upstreamsView() const;
+  Json boxesView() const;
+  Json movesView(const std::string &Id) const;
+  Json requestView(const std::string &Id) const;
+  Capacity engineCapacity() const;
+
+  // Stopping.
+  void considerExit();
+  bool allShunUs() const;
+  bool idle() const;
+
+  void tick();
+  static double randomUnit();
+
+  EventLoop &m_Loop;
+  Settings m_Settings;
+  BoxName m_Self;
+  Metrics m_Metrics;
+  HttpClient m_Http;
+  PlatformClient m_Platform;
+  UpstreamDirectory m_Directory;
+  GroupLimiter m_Limiter{GroupLimiter::Options{}};
+  MoveLog m_Moves;
+  RequestLog m_Requests;
+  std::map<BoxName, PeerState> m_Peers;
+  std::map<UpstreamName, UpstreamDigest> m_LastSent;
+  bool m_DigestWanted = false;
+  bool m_Stopping = false;
+  TimePoint m_StopBegan;
+  std::function<void()> m_OnStopped;
+
+  PeerMesh m_Mesh;
+  PeerForwarder m_Forwarder;
+  TableSync m_Table;
+  OwnerService m_Owners;
+  Dispatcher m_Dispatcher;
+  KeyedRunner m_Keyed;
+  KeyRouter m_KeyRouter;
+  CallerApi m_CallerApi;
+  AdminApi m_AdminApi;
+  HttpServer m_CallerServer;
+  HttpServer m_OperatorServer;
+  std::unique_ptr<Membership> m_Membership;
+  Planner m_Planner;
+  Timer m_Tick;
+  Timer m_DigestTimer;
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/havenstaird/process/Metrics.h
@@ -0,0 +1,54 @@
+/// \file
+/// What the daemon counts and measures, in the Prometheus text format.
+#ifndef HAVENSTAIR_HAVENSTAIRD_PROCESS_METRICS_H
+#define HAVENSTAIR_HAVENSTAIRD_PROCESS_METRICS_H
+
+#include "decisions/common/Id.h"
+#include "decisions/common/Time.h"
+#include "decisions/process/Placement.h"
+#include "decisions/request/ErrorKind.h"
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace havenstair {
+
+/// Latencies of one request, as far as they are known.
+struct RequestTimes {
+  Duration m_Queued = 0us;
+  Duration m_FirstByte = 0us;
+  Duration m_Whole = 0us;
+  bool m_HasFirstByte = false;
+};
+
+/// Registry of all metrics. Label sets are bounded: groups of the table,
+/// kinds of the closed lists, and upstreams of the platform's list.
+class Metrics {
+public:
+  Metrics();
+  ~Metrics();
+
+  /// A request of \p Group was answered; \p Code is "ok" or an error's code.
+  void answered(const GroupName &Group, std::string_view Code,
+                const RequestTimes &Times);
+  void betweenTokens(const GroupName &Group, Duration Gap);
+  void retried();
+  void moved(MoveReason Reason);
+  void peerBytes(std::string_view Frame, std::size_t Bytes);
+  void platformCall(std::string_view Call);
+  void setLeaseHeld(bool Held);
+  void setVersions(double Assignment, double Table);
+  void setMemoryTaken(const UpstreamName &Upstream, double Taken,
+                      double Capacity);
+
+  /// The text of `/metrics`.
+  std::string serialize() const;
+
+private:
+  struct Families;
+  std::unique_ptr<Families> m_Families;
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/havenstaird/version/AdminApi.h
@@ -0,0 +1,58 @@
+/// \file
+/// The API towards operators.
+#ifndef HAVENSTAIR_HAVENSTAIRD_VERSION_ADMINAPI_H
+#define HAVENSTAIR_HAVENSTAIRD_VERSION_ADMINAPI_H
+
+#include "havenstaird/version/TableSync.h"
+#include "wire/common/HttpServer.h"
+#include "wire/common/Json.h"
+#include <functional>
+#include <string>
+
+namespace havenstair {
+
+/// Edits of the table, and views of what the box knows.
+class AdminApi {
+public:
+  /// A view answers with JSON; null when there is no such thing.
+  using View = std::function<Json(const std::string &Name)>;
+
+  struct Options {
+    std::string m_Token;
+    View m_Upstreams;
+    View m_Boxes;
+    View m_Moves;    ///< All moves, or the one named.
+    View m_Requests; ///< The request named.
+    std::function<std::string()> m_Metrics;
+    std::function<bool()> m_Healthy;
+    std::function<bool()> m_Ready;
+    std::function<void()> m_Drain;
+  };
+
+  AdminApi(TableSync &Rows, Options Opts);
+
+  void handle(const HttpExchangePtr &Exchange);
+  /// Answers `/healthz` and `/readyz`. \returns false for other paths.
+  bool handleHealth(const HttpExchangePtr &Exchange) const;
+
+private:
+  void route(const HttpExchangePtr &Exchange);
+  void checkToken(const HttpExchange &Exchange) const;
+  void showTable(const HttpExchangePtr &Exchange) const;
+  void groupRequest(const HttpExchangePtr &Exchange, const GroupName &Group);
+  void showGroup(const HttpExchangePtr &Exchange, const GroupName &Group) const;
+  void editGroup(const HttpExchangePtr &Exchange, const GroupName &Group);
+  void catalogueRequest(const HttpExchangePtr &Exchange);
+  void runEdit(const HttpExchangePtr &Exchange, TableEdit Edit);
+  void replyEdit(const HttpExchangePtr &Exchange, const EditOutcome &Outcome,
+                 const std::string &EditId) const;
+  void showView(const HttpExchangePtr &Exchange, const View &Of,
+                const std::string &Name) const;
+
+  TableSync &m_Rows;
+  Options m_Opts;
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/wire/common/EventLoop.cpp
@@ -0,0 +1,116 @@
+#include "wire/common/EventLoop.h"
+
+#include <event2/event.h>
+#include <stdexcept>
+#include <utility>
+
+namespace havenstair {
+
+namespace {
+
+timeval toTimeval(Duration Time) {
+  timeval Result{};
+  Result.tv_sec = Time.count() / 1000000;
+  Result.tv_usec = Time.count() % 1000000;
+  return Result;
+}
+
+void runDeferred(evutil_socket_t, short, void *Arg) {
+  const std::unique_ptr<std::function<void()>> Call(
+      static_cast<std::function<void()> *>(Arg));
+  (*Call)();
+}
+
+void runTimer(evutil_socket_t, short, void *Arg) {
+  // A copy, since the call may destroy its own timer.
+  const std::function<void()> Call = *static_cast<std::function<void()> *>(Arg);
+  Call();
+}
+
+} // namespace
+
+struct Timer::State {
+  event *m_Event = nullptr;
+  std::function<void()> m_Call;
+
+  ~State() {
+    if (m_Event != nullptr)
+      event_free(m_Event);
+  }
+};
+
+Timer::Timer() = default;
+Timer::~Timer() = default;
+Timer::Timer(Timer &&) noexcept = default;
+Timer &Timer::operator=(Timer &&) noexcept = default;
+
+EventLoop::EventLoop() : m_Base(event_base_new()) {
+  if (m_Base == nullptr)
+    throw std::runtime_error("no event loop could be made");
+}
+
+EventLoop::~EventLoop() { event_base_free(m_Base); }
+
+void EventLoop::run() { event_base_loop(m_Base, EVLOOP_NO_EXIT_ON_EMPTY); }
+
+bool EventLoop::runUntil(const std::function<bool()> &Done, Duration Limit) {
+  const TimePoint End = now() + Limit;
+  // Wakes the loop at the limit even when nothing else happens.
+  const Timer Wake = after(Limit, [] {});
+  while (!Done() && now() < End)
+    event_base_loop(m_Base, EVLOOP_ONCE);
+  return Done();
+}
+
+void EventLoop::stop() { event_base_loopbreak(m_Base); }
+
+void EventLoop::defer(std::function<void()> Call) {
+  auto Owned = std::make_unique<std::function<void()>>(std::move(Call));
+  const timeval Immediately{};
+  event_base_once(m_Base, -1, EV_TIMEOUT, runDeferred, Owned.release(),
+                  &Immediately);
+}
+
+Timer EventLoop::after(Duration Delay, std::function<void()> Call) {
+  Timer Result;
+  Result.m_State = std::make_unique<Timer::State>();
+  Result.m_State->m_Call = std::move(Call);
+  Result.m_State->m_Event =
+      event_new(m_Base, -1, 0, runTimer, &Result.m_State->m_Call);
+  const timeval Time = toTimeval(Delay);
+  event_add(Result.m_State->m_Event, &Time);
+  return Result;
+}
+
+Timer EventLoop::every(Duration Period, std::function<void()> Call) {
+  Timer Result;
+  Result.m_State = std::make_unique<Timer::State>();
+  Result.m_State->m_Call = std::move(Call);
+  Result.m_State->m_Event =
+      event_new(m_Base, -1, EV_PERSIST, runTimer, &Result.m_State->m_Call);
+  const timeval Time = toTimeval(Period);
+  event_add(Result.m_State->m_Event, &Time);
+  return Result;
+}
+
+Timer EventLoop::onSignal(int Number, std::function<void()> Call) {
+  Timer Result;
+  Result.m_State = std::make_unique<Timer::State>();
+  Result.m_State->m_Call = std::move(Call);
+  Result.m_State->m_Event =
+      evsignal_new(m_Base, Number, runTimer, &Result.m_State->m_Call);
+  event_add(Result.m_State->m_Event, nullptr);
+  return Result;
+}
+
+TimePoint EventLoop::now() {
+  const auto Since = std::chrono::steady_clock::now().time_since_epoch();
+  return TimePoint(std::chrono::duration_cast<Duration>(Since));
+}
+
+WallMillis EventLoop::wallMillis() {
+  const auto Since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Since).count();
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/wire/common/HttpServer.h
@@ -0,0 +1,126 @@
+/// \file
+/// HTTP towards callers and operators, by evhttp.
+#ifndef HAVENSTAIR_WIRE_COMMON_HTTPSERVER_H
+#define HAVENSTAIR_WIRE_COMMON_HTTPSERVER_H
+
+#include "wire/common/Endpoint.h"
+#include "wire/common/HttpClient.h"
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_request;
+struct event;
+
+namespace havenstair {
+
+class EventLoop;
+
+/// One request of a caller and the answer to it. Lives until the answer was
+/// handed to evhttp, or the caller left and the owner let go of it.
+class HttpExchange : public std::enable_shared_from_this<HttpExchange> {
+public:
+  /// \p OpenCount is one higher while the exchange is open.
+  HttpExchange(EventLoop &Loop, evhttp_request *Request,
+               std::size_t MaxBuffered, std::shared_ptr<std::size_t> OpenCount);
+  ~HttpExchange();
+  HttpExchange(const HttpExchange &) = delete;
+  HttpExchange &operator=(const HttpExchange &) = delete;
+
+  /// Empty for a method that the server does not know.
+  std::string method() const { return m_Method; }
+  const std::string &path() const { return m_Path; }
+  const std::string &query() const { return m_Query; }
+  /// Value of the query parameter \p Name; empty when absent.
+  std::string queryValue(const std::string &Name) const;
+  std::string header(const std::string &Name) const;
+  const std::string &body() const { return m_Body; }
+
+  /// Sends a whole answer.
+  void reply(int Status, const HttpHeaders &Headers, std::string_view Body);
+  /// Starts a streamed answer.
+  void startStream(int Status, const HttpHeaders &Headers);
+  /// Sends one piece. \returns false when the reader is too slow and its
+  /// buffer is full; the stream must then be ended.
+  bool sendChunk(std::string_view Bytes);
+  void endStream();
+  /// Closes the connection without a proper end, so that a cut answer cannot
+  /// pass for a whole one.
+  void abort();
+
+  /// \p Left runs once if the caller leaves before the answer is complete.
+  void onCallerLeft(std::function<void()> Left) { m_Left = std::move(Left); }
+  bool open() const { return m_Request != nullptr; }
+  bool streaming() const { return m_Streaming; }
+
+private:
+  friend class HttpServer;
+  void watchClose();
+  void callerLeft(bool ConnectionClosing);
+  void closeConnection(evhttp_request *Request);
+  void release();
+
+  EventLoop &m_Loop;
+  evhttp_request *m_Request;
+  event *m_CloseEvent = nullptr;
+  std::size_t m_MaxBuffered;
+  std::shared_ptr<std::size_t> m_OpenCount;
+  std::string m_Method;
+  std::string m_Path;
+  std::string m_Query;
+  std::string m_Body;
+  bool m_Streaming = false;
+  std::function<void()> m_Left;
+};
+
+using HttpExchangePtr = std::shared_ptr<HttpExchange>;
+
+/// Listens on one address and hands each request to one handler.
+class HttpServer {
+public:
+  struct Options {
+    Endpoint m_Listen; ///< Port 0 takes any free port.
+    std::size_t m_MaxBody = 1 << 20;
+    std::size_t m_MaxHeaders = 16 << 10;
+    /// Most bytes that wait for a slow reader.
+    std::size_t m_MaxBuffered = 1 << 20;
+    Duration m_IdleTimeout = 60s;
+    /// Requests open at once; more are refused at once.
+    std::size_t m_MaxOpen = 20000;
+  };
+  using Handler = std::function<void(const HttpExchangePtr &)>;
+  /// Answers requests that the server turns away by itself.
+  enum class Turned { BodyTooLarge, TooMany };
+  using TurnedAway = std::function<void(const HttpExchangePtr &, Turned)>;
+
+  /// \throws std::runtime_error when the address cannot be bound.
+  HttpServer(EventLoop &Loop, Options Opts, Handler OnRequest,
+             TurnedAway OnTurnedAway = nullptr);
+  ~HttpServer();
+
+  /// The bound address, with the real port.
+  Endpoint endpoint() const { return m_Endpoint; }
+  /// Stops to accept connections; open exchanges go on.
+  void stopAccepting();
+  std::size_t openExchanges() const { return *m_OpenCount; }
+
+private:
+  static void onRequest(evhttp_request *Request, void *Arg);
+  void handle(const HttpExchangePtr &Exchange);
+
+  EventLoop &m_Loop;
+  Options m_Opts;
+  Handler m_Handler;
+  TurnedAway m_TurnedAway;
+  evhttp *m_Http;
+  evhttp_bound_socket *m_Socket = nullptr;
+  Endpoint m_Endpoint;
+  std::shared_ptr<std::size_t> m_OpenCount = std::make_shared<std::size_t>(0);
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/wire/common/Json.h
@@ -0,0 +1,91 @@
+/// \file
+/// Reading JSON and CBOR from outside without surprises.
+#ifndef HAVENSTAIR_WIRE_COMMON_JSON_H
+#define HAVENSTAIR_WIRE_COMMON_JSON_H
+
+#include "decisions/common/Id.h"
+#include "decisions/common/Time.h"
+#include <cmath>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <utility>
+
+namespace havenstair {
+
+using Json = nlohmann::json;
+
+/// Bytes from outside that do not have the expected form.
+class DecodeError : public std::runtime_error {
+public:
+  using std::runtime_error::runtime_error;
+};
+
+/// Parses \p Text. \throws DecodeError for anything but one JSON value.
+Json parseJson(std::string_view Text);
+
+/// Writes \p Value; invalid UTF-8 is replaced, never thrown on.
+std::string dumpJson(const Json &Value);
+
+/// \p Value as a whole number of type T. \throws DecodeError when it is none,
+/// or out of range; a plain conversion would be undefined then.
+template <typename T> T wholeNumber(const Json &Value) {
+  if (Value.is_number_unsigned()) {
+    const auto Number = Value.get<std::uint64_t>();
+    if (std::in_range<T>(Number))
+      return static_cast<T>(Number);
+  } else if (Value.is_number_integer()) {
+    const auto Number = Value.get<std::int64_t>();
+    if (std::in_range<T>(Number))
+      return static_cast<T>(Number);
+  } else if (Value.is_number_float()) {
+    // Spreadsheets write whole numbers as 3.0; 2^53 bounds exact ones.
+    constexpr double Largest = 9007199254740992.0;
+    const auto Number = Value.get<double>();
+    if (std::trunc(Number) == Number && std::abs(Number) <= Largest &&
+        std::in_range<T>(static_cast<std::int64_t>(Number)))
+      return static_cast<T>(Number);
+  }
+  throw DecodeError("a whole number was expected");
+}
+
+/// The field \p Name of \p Object. \throws DecodeError when it is missing or
+/// of another type.
+template <typename T> T field(const Json &Object, const char *Name) {
+  try {
+    if constexpr (std::is_integral_v<T> && !std::is_same_v<T, bool>)
+      return wholeNumber<T>(Object.at(Name));
+    else
+      return Object.at(Name).template get<T>();
+  } catch (const std::exception &) {
+    throw DecodeError(std::string("field ") + Name + " is missing or wrong");
+  }
+}
+
+/// Like field(), but \p Default when the field is absent or null.
+template <typename T>
+T fieldOr(const Json &Object, const char *Name, T Default) {
+  if (!Object.is_object())
+    throw DecodeError("an object was expected");
+  const auto Found = Object.find(Name);
+  if (Found == Object.end() || Found->is_null())
+    return Default;
+  return field<T>(Object, Name);
+}
+
+/// A name field; empty when absent.
+template <typename IdType>
+IdType idField(const Json &Object, const char *Name) {
+  return IdType(fieldOr<std::string>(Object, Name, ""));
+}
+
+/// A duration field in whole microseconds.
+Duration micros(const Json &Object, const char *Name);
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/wire/connection/PeerFrames.h
@@ -0,0 +1,144 @@
+/// \file
+/// The typed messages between boxes and their CBOR form.
+#ifndef HAVENSTAIR_WIRE_CONNECTION_PEERFRAMES_H
+#define HAVENSTAIR_WIRE_CONNECTION_PEERFRAMES_H
+
+#include "decisions/process/MoveLog.h"
+#include "decisions/process/Placement.h"
+#include "decisions/process/UpstreamDirectory.h"
+#include "decisions/request/ForwardedRequest.h"
+#include "decisions/version/Assignment.h"
+#include "decisions/version/Table.h"
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace havenstair {
+
+/// First frame of each side.
+struct HelloFrame {
+  BoxName m_Box;
+  DataCentreName m_DataCentre;
+  std::string m_Nonce;
+
+  bool operator==(const HelloFrame &) const = default;
+};
+
+/// Answer to the other side's nonce; shows that the secret is known.
+struct ProofFrame {
+  std::string m_Hmac;
+
+  bool operator==(const ProofFrame &) const = default;
+};
+
+struct ForwardFrame {
+  ForwardedRequest m_Request;
+
+  bool operator==(const ForwardFrame &) const = default;
+};
+
+/// The sender of the forward is no longer interested.
+struct CancelFrame {
+  AttemptId m_Attempt = 0;
+
+  bool operator==(const CancelFrame &) const = default;
+};
+
+struct StartedFrame {
+  AttemptId m_Attempt = 0;
+  Duration m_Waited = 0us;
+
+  bool operator==(const StartedFrame &) const = default;
+};
+
+struct HeadFrame {
+  AttemptId m_Attempt = 0;
+  AnswerHead m_Head;
+
+  bool operator==(const HeadFrame &) const = default;
+};
+
+struct BytesFrame {
+  AttemptId m_Attempt = 0;
+  std::string m_Bytes;
+
+  bool operator==(const BytesFrame &) const = default;
+};
+
+struct EndedFrame {
+  AttemptId m_Attempt = 0;
+  double m_Tokens = 0;
+
+  bool operator==(const EndedFrame &) const = default;
+};
+
+struct FailedFrame {
+  AttemptId m_Attempt = 0;
+  Failure m_Failure;
+
+  bool operator==(const FailedFrame &) const = default;
+};
+
+/// What a box tells the boxes of its data centre every second, by difference.
+struct DigestFrame {
+  FencingToken m_AssignmentSeen = 0;
+  TableVersion m_TableCompleteTo = 0;
+  bool m_Stopping = false;
+  /// Boxes that the sender gives no new work because they are stopping.
+  std::set<BoxName> m_Shunned;
+  std::vector<UpstreamDigest> m_Upstreams;
+  std::map<UpstreamName, std::uint64_t> m_Leaving;
+  std::map<GroupName, double> m_Served; ///< Cost since the last digest.
+  DemandByArtifact m_Demand;            ///< At this box's upstreams.
+
+  bool operator==(const DigestFrame &) const = default;
+};
+
+/// Rows and catalogue for a box that knows an older version.
+struct TableFrame {
+  TableVersion m_CompleteTo = 0; ///< With these, nothing up to here is missing.
+  std::vector<GroupRow> m_Rows;
+  std::optional<Catalogue> m_Catalogue;
+
+  bool operator==(const TableFrame &) const = default;
+};
+
+struct AssignmentFrame {
+  Assignment m_Assignment;
+
+  bool operator==(const AssignmentFrame &) const = default;
+};
+
+/// The planner asks an owner for a move.
+struct PlanFrame {
+  Move m_Move;
+
+  bool operator==(const PlanFrame &) const = default;
+};
+
+/// A move was ordered; for every box's log.
+struct MoveFrame {
+  MoveRecord m_Record;
+
+  bool operator==(const MoveFrame &) const = default;
+};
+
+using PeerFrame = std::variant<HelloFrame, ProofFrame, ForwardFrame,
+                               CancelFrame, StartedFrame, HeadFrame, BytesFrame,
+                               EndedFrame, FailedFrame, DigestFrame, TableFrame,
+                               AssignmentFrame, PlanFrame, MoveFrame>;
+
+/// Name of the kind of \p Frame, for metrics.
+std::string_view frameName(const PeerFrame &Frame);
+
+std::string encodeFrame(const PeerFrame &Frame);
+
+/// \throws DecodeError for bytes that are not a frame.
+PeerFrame decodeFrame(std::string_view Bytes);
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/wire/connection/PeerLink.cpp
@@ -0,0 +1,153 @@
+#include "wire/connection/PeerLink.h"
+
+#include "wire/common/Crypto.h"
+#include "wire/common/EventLoop.h"
+#include "wire/common/Json.h"
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+namespace havenstair {
+
+namespace {
+
+constexpr std::size_t NonceBytes = 16;
+/// Part of what is signed, so that a proof is of no use elsewhere.
+constexpr std::string_view ProofLabel = "havenstair-peer-1";
+
+} // namespace
+
+PeerLink::PeerLink(EventLoop &Loop, bufferevent *Stream, bool Dialled,
+                   Options Opts, Hooks Callbacks)
+    : m_Loop(Loop), m_Stream(Stream), m_Dialled(Dialled),
+      m_Opts(std::move(Opts)), m_Hooks(std::move(Callbacks)),
+      m_Nonce(randomHex(NonceBytes)) {
+  WebSocketSession::Hooks Session;
+  Session.m_Write = [this](const char *Bytes, std::size_t Count) {
+    bufferevent_write(m_Stream, Bytes, Count);
+  };
+  Session.m_Open = [this] {
+    sendRaw(HelloFrame{m_Opts.m_Self, m_Opts.m_DataCentre, m_Nonce});
+  };
+  Session.m_Message = [this](const std::string &Payload) {
+    onMessage(Payload);
+  };
+  Session.m_Closed = [this] { close(); };
+  m_Session = Dialled ? WebSocketSession::dial("ws://peer/havenstair",
+                                               m_Opts.m_MaxMessage, Session)
+                      : WebSocketSession::accept(m_Opts.m_MaxMessage, Session);
+  bufferevent_setcb(
+      m_Stream,
+      [](bufferevent *, void *Arg) {
+        static_cast<PeerLink *>(Arg)->onReadable();
+      },
+      nullptr,
+      [](bufferevent *, short What, void *Arg) {
+        static_cast<PeerLink *>(Arg)->onEvent(What);
+      },
+      this);
+  bufferevent_enable(m_Stream, EV_READ | EV_WRITE);
+  if (!m_Dialled)
+    m_Session->start();
+}
+
+PeerLink::~PeerLink() {
+  *m_Alive = false;
+  bufferevent_free(m_Stream);
+}
+
+void PeerLink::onReadable() {
+  evbuffer *Input = bufferevent_get_input(m_Stream);
+  const std::shared_ptr<bool> Alive = m_Alive;
+  while (*Alive && !m_Closed && evbuffer_get_length(Input) > 0) {
+    const std::size_t Count = evbuffer_get_contiguous_space(Input);
+    const std::string Bytes(reinterpret_cast<const char *>(evbuffer_pullup(
+                                Input, static_cast<ev_ssize_t>(Count))),
+                            Count);
+    evbuffer_drain(Input, Count);
+    m_Session->feed(Bytes.data(), Bytes.size());
+  }
+}
+
+void PeerLink::onEvent(short What) {
+  if ((What & BEV_EVENT_CONNECTED) != 0) {
+    m_Session->start();
+    return;
+  }
+  close();
+}
+
+void PeerLink::onMessage(const std::string &Payload) {
+  if (m_Closed)
+    return;
+  try {
+    PeerFrame Frame = decodeFrame(Payload);
+    if (const auto *Hello = std::get_if<HelloFrame>(&Frame))
+      return onHello(*Hello);
+    if (const auto *Proof = std::get_if<ProofFrame>(&Frame))
+      return onProof(*Proof);
+    if (!m_Up)
+      return close();
+    m_Hooks.m_Frame(*this, std::move(Frame));
+  } catch (const DecodeError &) {
+    close();
+  }
+}
+
+std::string PeerLink::proofOf(const BoxName &Prover,
+                              const std::string &Nonce) const {
+  std::string Text(ProofLabel);
+  for (const std::string &Part :
+       {Prover.str(),
+        std::string(m_Dialled == (Prover == m_Opts.m_Self) ? "dialler"
+                                                           : "listener"),
+        Nonce})
+    Text += "\n" + Part;
+  return hmacHex(m_Opts.m_Secret, Text);
+}
+
+void PeerLink::onHello(const HelloFrame &Hello) {
+  const bool Own = Hello.m_Box == m_Opts.m_Self;
+  if (!m_Peer.empty() || Own || Hello.m_Nonce.size() != NonceBytes * 2)
+    return close();
+  m_Peer = Hello.m_Box;
+  m_PeerDataCentre = Hello.m_DataCentre;
+  sendRaw(ProofFrame{proofOf(m_Opts.m_Self, Hello.m_Nonce)});
+}
+
+void PeerLink::onProof(const ProofFrame &Proof) {
+  const bool Valid = !m_Peer.empty() && !m_Up &&
+                     equalConstantTime(Proof.m_Hmac, proofOf(m_Peer, m_Nonce));
+  if (!Valid)
+    return close();
+  m_Up = true;
+  m_Hooks.m_Up(*this);
+}
+
+std::size_t PeerLink::sendRaw(const PeerFrame &Frame) {
+  if (m_Closed)
+    return 0;
+  const evbuffer *Output = bufferevent_get_output(m_Stream);
+  if (evbuffer_get_length(Output) > m_Opts.m_MaxBuffered) {
+    close();
+    return 0;
+  }
+  const std::string Bytes = encodeFrame(Frame);
+  return m_Session->send(Bytes) ? Bytes.size() : 0;
+}
+
+std::size_t PeerLink::send(const PeerFrame &Frame) {
+  return m_Up ? sendRaw(Frame) : 0;
+}
+
+void PeerLink::close() {
+  if (std::exchange(m_Closed, true))
+    return;
+  bufferevent_disable(m_Stream, EV_READ | EV_WRITE);
+  m_Loop.defer([this, Alive = m_Alive] {
+    if (*Alive)
+      m_Hooks.m_Down(*this);
+  });
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/wire/connection/PeerLink.h
@@ -0,0 +1,79 @@
+/// \file
+/// One authenticated connection to another box.
+#ifndef HAVENSTAIR_WIRE_CONNECTION_PEERLINK_H
+#define HAVENSTAIR_WIRE_CONNECTION_PEERLINK_H
+
+#include "wire/connection/PeerFrames.h"
+#include "wire/connection/WebSocketSession.h"
+#include <functional>
+#include <memory>
+#include <string>
+
+struct bufferevent;
+
+namespace havenstair {
+
+class EventLoop;
+
+/// WebSocket over a bufferevent. Both sides prove that they know the shared
+/// secret before any other frame is accepted.
+class PeerLink {
+public:
+  struct Options {
+    BoxName m_Self;
+    DataCentreName m_DataCentre;
+    std::string m_Secret;
+    std::size_t m_MaxMessage = 4 << 20;
+    /// Bytes that may wait to be sent before the link counts as stuck.
+    std::size_t m_MaxBuffered = 64 << 20;
+  };
+  struct Hooks {
+    std::function<void(PeerLink &)> m_Up; ///< Both proofs are valid.
+    std::function<void(PeerLink &, PeerFrame)> m_Frame;
+    /// Runs once, from the loop; the link is of no use afterwards.
+    std::function<void(PeerLink &)> m_Down;
+  };
+
+  /// Takes over \p Stream, which is connecting when \p Dialled.
+  PeerLink(EventLoop &Loop, bufferevent *Stream, bool Dialled, Options Opts,
+           Hooks Callbacks);
+  ~PeerLink();
+  PeerLink(const PeerLink &) = delete;
+  PeerLink &operator=(const PeerLink &) = delete;
+
+  /// \returns the bytes of the message; 0 when the link is not up or stuck, and
+  /// nothing was sent.
+  std::size_t send(const PeerFrame &Frame);
+  bool up() const { return m_Up && !m_Closed; }
+  bool dialled() const { return m_Dialled; }
+  const BoxName &peer() const { return m_Peer; }
+  const DataCentreName &peerDataCentre() const { return m_PeerDataCentre; }
+  /// Closes the connection; m_Down runs in the next pass of the loop.
+  void close();
+
+private:
+  void onReadable();
+  void onEvent(short What);
+  void onMessage(const std::string &Payload);
+  void onHello(const HelloFrame &Hello);
+  void onProof(const ProofFrame &Proof);
+  std::size_t sendRaw(const PeerFrame &Frame);
+  std::string proofOf(const BoxName &Prover, const std::string &Nonce) const;
+
+  EventLoop &m_Loop;
+  bufferevent *m_Stream;
+  bool m_Dialled;
+  Options m_Opts;
+  Hooks m_Hooks;
+  std::unique_ptr<WebSocketSession> m_Session;
+  std::string m_Nonce;
+  BoxName m_Peer;
+  DataCentreName m_PeerDataCentre;
+  bool m_Up = false;
+  bool m_Closed = false;
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/wire/process/PeerMesh.h
@@ -0,0 +1,107 @@
+/// \file
+/// All links of one box to the others.
+#ifndef HAVENSTAIR_WIRE_PROCESS_PEERMESH_H
+#define HAVENSTAIR_WIRE_PROCESS_PEERMESH_H
+
+#include "decisions/process/Backoff.h"
+#include "wire/common/Endpoint.h"
+#include "wire/common/EventLoop.h"
+#include "wire/connection/PeerLink.h"
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+struct evconnlistener;
+
+namespace havenstair {
+
+/// Another box and where it listens for peers. A seed has an empty name until
+/// it is reached: each start of a box has a name of its own.
+struct PeerAddress {
+  BoxName m_Box;
+  DataCentreName m_DataCentre;
+  Endpoint m_Endpoint;
+
+  auto operator<=>(const PeerAddress &) const = default;
+};
+
+/// Keeps a link to each known box. Within a data centre the box with the lower
+/// name dials; to other data centres, whoever learns of the other. When both
+/// dial, the link that the lower name dialled stays.
+class PeerMesh {
+public:
+  struct Options {
+    Endpoint m_Listen;
+    PeerLink::Options m_Link;
+    Duration m_RedialFirst = 100ms;
+    Duration m_RedialCap = 2s;
+    RandomUnit m_Random;
+  };
+  struct Hooks {
+    std::function<void(const BoxName &, const DataCentreName &)> m_Up;
+    std::function<void(const BoxName &, PeerFrame)> m_Frame;
+    std::function<void(const BoxName &)> m_Down;
+  };
+
+  /// \throws std::runtime_error when the address cannot be bound.
+  PeerMesh(EventLoop &Loop, Options Opts, Hooks Callbacks);
+  ~PeerMesh();
+
+  Endpoint endpoint() const { return m_Endpoint; }
+  /// Adds or updates addresses; known boxes that are not named stay.
+  void learn(const std::vector<PeerAddress> &Peers);
+  /// Dials \p Seeds while none of the known boxes there is reached.
+  void learnSeeds(const std::vector<Endpoint> &Seeds);
+  /// Forgets a box that the platform no longer lists.
+  void forget(const BoxName &Box);
+
+  /// Closes the link to a box that has gone silent.
+  void drop(const BoxName &Box);
+
+  /// \returns the bytes of the message; 0 when there is no link, and nothing
+  /// was sent.
+  std::size_t send(const BoxName &To, const PeerFrame &Frame);
+  bool reachable(const BoxName &Box) const;
+  /// Boxes of \p DataCentre with a link, sorted.
+  std::vector<BoxName> reachable(const DataCentreName &DataCentre) const;
+  /// Data centres with at least one link.
+  std::vector<DataCentreName> dataCentres() const;
+  std::vector<PeerAddress> known() const;
+
+private:
+  struct Known {
+    PeerAddress m_Address;
+    bool m_Seed = false;
+    Backoff m_Backoff;
+    Timer m_Redial;
+    bool m_Dialling = false;
+  };
+
+  void learnOne(const PeerAddress &Peer, bool Seed);
+  void accept(int Socket);
+  void dial(const BoxName &Box);
+  void adopt(bufferevent *Stream, bool Dialled, const BoxName &Dialing);
+  void linkUp(PeerLink &Link);
+  void linkDown(PeerLink &Link);
+  void redialLater(Known &Peer);
+  PeerLink *find(const BoxName &Box) const;
+  bool reached(const Known &Peer) const;
+  bool dialsTo(const Known &Peer) const;
+  bool preferred(const PeerLink &Link) const;
+
+  EventLoop &m_Loop;
+  Options m_Opts;
+  Hooks m_Hooks;
+  evconnlistener *m_Listener = nullptr;
+  Endpoint m_Endpoint;
+  std::map<BoxName, Known> m_Known;
+  std::map<PeerLink *, std::unique_ptr<PeerLink>> m_Links;
+  std::map<PeerLink *, BoxName> m_DialledFor;
+  std::map<BoxName, PeerLink *> m_UpLinks;
+};
+
+} // namespace havenstair
+
+#endif
