--- a/packages/decisions/process/UpstreamDirectory.cpp
+++ b/packages/decisions/process/UpstreamDirectory.cpp
@@ -34,7 +34,11 @@
   };
   if (!Known.m_Upstream.empty() && Age(Digest) <= Age(Known))
     return false;
+  const std::set<ArtifactName> Served = Known.m_Serving;
   Known = Digest;
+  // A new owner that has not read the ledger yet knows less than this box.
+  if (!Digest.m_Ready)
+    Known.m_Serving.insert(Served.begin(), Served.end());
   m_SentSince.erase(Digest.m_Upstream);
   return true;
 }
--- a/packages/havenstaird/process/Box.cpp
+++ b/packages/havenstaird/process/Box.cpp
@@ -399,6 +399,8 @@
       Frame.m_Shunned.insert(Peer);
   for (UpstreamDigest &Digest : m_Owners.digests()) {
     m_Directory.apply(Digest);
+    // While the ledger is unread, what was served before is passed on.
+    Digest.m_Serving = m_Directory.digestOf(Digest.m_Upstream)->m_Serving;
     UpstreamDigest Plain = Digest;
     Plain.m_Sequence = 0;
     const bool Same = m_LastSent[Digest.m_Upstream] == Plain;
--- a/packages/havenstaird/process/Settings.cpp
+++ b/packages/havenstaird/process/Settings.cpp
@@ -35,6 +35,8 @@
   --lease-ms MS           Time to live of the box's lease [15000].
   --renew-ms MS           How often the lease is renewed [5000].
   --order-life-ms MS      Longest life of an order on the network [5000].
+  --clock-skew-ms MS      Most that clocks of callers and boxes differ [5000].
+  --key-retention-ms MS   How long idempotency keys are kept [900000].
   --deadline-ms MS        Deadline of requests that give none [5000].
   --digest-ms MS          How often owners tell their load [1000].
   --stop-limit-ms MS      Longest planned stop [60000].
@@ -203,6 +205,10 @@
                        "at most half of --lease-ms");
   Result.m_OrderLife =
       readMillis(From, "--order-life-ms", Result.m_OrderLife, {100, 600000});
+  Result.m_ClockSkew =
+      readMillis(From, "--clock-skew-ms", Result.m_ClockSkew, {0, 600000});
+  Result.m_KeyRetention = readMillis(From, "--key-retention-ms",
+                                     Result.m_KeyRetention, {1000, 86400000});
   Result.m_DefaultDeadline =
       readMillis(From, "--deadline-ms", Result.m_DefaultDeadline, {1, 600000});
   Result.m_DigestEvery =
--- a/packages/havenstaird/process/Settings.h
+++ b/packages/havenstaird/process/Settings.h
@@ -34,6 +34,8 @@
   Duration m_LeaseTimeToLive = 15s;
   Duration m_LeaseRenewEvery = 5s;
   Duration m_OrderLife = 5s;
+  Duration m_ClockSkew = 5s;
+  Duration m_KeyRetention = 900s;
   Duration m_DefaultDeadline = 5s;
   Duration m_DigestEvery = 1s;
   Duration m_StopLimit = 60s;
--- a/packages/havenstaird/request/Dispatcher.cpp
+++ b/packages/havenstaird/request/Dispatcher.cpp
@@ -189,7 +189,11 @@
     return giveUp(Item, Stop->m_Failure);
   if (!std::holds_alternative<TryElsewhere>(Decision))
     return;
-  if (!m_RetryBudget.trySpend())
+  // What a lost box had in hand is gone with it, so trying again adds no load;
+  // other retries do.
+  const bool BoxLost = Reason.m_Kind == ErrorKind::OwnerLost ||
+                       Reason.m_Kind == ErrorKind::OwnerUnavailable;
+  if (!BoxLost && !m_RetryBudget.trySpend())
     return giveUp(Item, Reason);
   if (m_Opts.m_OnRetry)
     m_Opts.m_OnRetry();
--- a/tests/decisions/process/UpstreamDirectoryTest.cpp
+++ b/tests/decisions/process/UpstreamDirectoryTest.cpp
@@ -72,6 +72,7 @@
   Digest.m_Assignment = 2;
   Digest.m_Sequence = 5;
   Digest.m_Serving = {modelName(1)};
+  Digest.m_Ready = true;
   REQUIRE(Directory.apply(Digest));
   Digest.m_Serving.clear();
   Digest.m_Sequence = 4;
@@ -84,6 +85,12 @@
     REQUIRE(Directory.apply(Digest));
     REQUIRE(Directory.serving(modelName(1), {}).empty());
   }
+  SECTION("a new owner that has not read the ledger takes nothing away") {
+    Digest.m_Assignment = 3;
+    Digest.m_Ready = false;
+    REQUIRE(Directory.apply(Digest));
+    REQUIRE(Directory.serving(modelName(1), {}).size() == 1);
+  }
 }
 
 TEST_CASE("What this box sent counts until the next digest", "[directory]") {
--- /dev/null
+++ b/tests/process/SettingsTest.cpp
@@ -0,0 +1,78 @@
+#include "havenstaird/process/Settings.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace havenstair;
+
+namespace {
+
+using Variables = std::map<std::string, std::string>;
+
+Variables goodVariables() {
+  return {{"HAVENSTAIR_BOX", "box-1"},
+          {"HAVENSTAIR_DATA_CENTRE", "kl"},
+          {"HAVENSTAIR_CALLERS", "127.0.0.1:0"},
+          {"HAVENSTAIR_OPERATORS", "127.0.0.1:0"},
+          {"HAVENSTAIR_PEERS", "[::1]:0"},
+          {"HAVENSTAIR_PLATFORM", "127.0.0.1:8500"},
+          {"HAVENSTAIR_PEER_SECRET", "sixteen-characters"},
+          {"HAVENSTAIR_OPERATOR_TOKEN", "sixteen-characters"}};
+}
+
+Settings read(const std::vector<std::string> &Flags, const Variables &Set) {
+  return readSettings(
+      Flags, [&](const std::string &Name) -> std::optional<std::string> {
+        const auto Found = Set.find(Name);
+        if (Found == Set.end())
+          return std::nullopt;
+        return Found->second;
+      });
+}
+
+} // namespace
+
+TEST_CASE("Settings come from flags first, then from variables", "[settings]") {
+  Variables Set = goodVariables();
+  Set["HAVENSTAIR_LEASE_MS"] = "20000";
+  REQUIRE(read({}, Set).m_LeaseTimeToLive == 20s);
+  const Settings Given = read({"--lease-ms", "30000", "--box", "other",
+                               "--seeds", "127.0.0.1:1,127.0.0.1:2"},
+                              Set);
+  REQUIRE(Given.m_LeaseTimeToLive == 30s);
+  REQUIRE(Given.m_Box == BoxName("other"));
+  REQUIRE(Given.m_Seeds.size() == 2);
+  REQUIRE(Given.m_Peers == Endpoint{"::1", 0});
+}
+
+TEST_CASE("Each bad setting names itself, its value and what is allowed",
+          "[settings]") {
+  const auto [Name, Value] = GENERATE(table<std::string, std::string>({
+      {"--box", "a box"},           {"--box", ""},
+      {"--data-centre", "k/l"},     {"--callers", "localhost:80"},
+      {"--operators", "127.0.0.1"}, {"--peers", "127.0.0.1:99999"},
+      {"--platform", "nowhere"},    {"--seeds", "here"},
+      {"--lease-ms", "10"},         {"--lease-ms", "15s"},
+      {"--renew-ms", "9000"},       {"--order-life-ms", "-1"},
+      {"--clock-skew-ms", "-5"},    {"--key-retention-ms", "1"},
+      {"--deadline-ms", "0"},       {"--digest-ms", "1e9"},
+      {"--stop-limit-ms", "never"}, {"--few-moves", "2"},
+      {"--few-moves", "nan"},       {"--max-body", "1"},
+      {"--log-level", "loud"},
+  }));
+  CAPTURE(Name, Value);
+  REQUIRE_THROWS_WITH(read({Name + "=" + Value}, goodVariables()),
+                      Catch::Contains(Name) && Catch::Contains(Value) &&
+                          Catch::Contains("allowed"));
+}
+
+TEST_CASE("Secrets are needed, long enough, and never shown", "[settings]") {
+  const auto Name =
+      GENERATE("HAVENSTAIR_PEER_SECRET", "HAVENSTAIR_OPERATOR_TOKEN");
+  Variables Set = goodVariables();
+  Set[Name] = "short-secret";
+  REQUIRE_THROWS_WITH(read({}, Set), Catch::Contains(Name) &&
+                                         !Catch::Contains("short-secret"));
+  Set.erase(Name);
+  REQUIRE_THROWS_WITH(read({}, Set), Catch::Contains("missing"));
+}
