--- a/packages/havenstaird/process/Box.cpp
+++ b/packages/havenstaird/process/Box.cpp
@@ -66,7 +66,8 @@
       m_Keyed(
           m_Dispatcher,
           {.m_Self = m_Self,
-           .m_Registry = {},
+           .m_Registry = {.m_Retention = m_Settings.m_KeyRetention,
+                          .m_ClockSkew = m_Settings.m_ClockSkew},
            .m_MayOwn =
                [this] { return m_Membership && m_Membership->leaseHeld(); }}),
       m_KeyRouter(Loop, m_Forwarder, keyRouterOptions()),
