Refuse by the group's target, and place by offered load

Cause 1: with the fixed deadline of 5 s requests started that had missed their first-token target already, and held the slots of those that could still make it. The deadline of a model's request is now its group's first-token target; the header Havenstair-Deadline-Ms still asks for a longer wait.

Refused requests now count as load for the mean service time (Little's law), for placement only. Ruled out: lower thresholds, which would move in the steady workloads too.

--- a/bench/Policies.cpp
+++ b/bench/Policies.cpp
@@ -118,7 +118,8 @@
                 return std::make_unique<Placement>(
                     Placement::forPreference(FewMoves));
               },
-          .m_Deadline = FirstDeadline};
+          .m_Deadline = 1,
+          .m_OfferedLoad = true};
 }
 
 } // namespace havenstair::bench
--- a/bench/Simulation.cpp
+++ b/bench/Simulation.cpp
@@ -140,7 +140,7 @@
     Digest.m_Assignment = 1;
     Digest.m_Sequence = m_Sequence;
     Digest.m_Ready = true;
-    Digest.m_Load = Of.m_Admission.load();
+    Digest.m_Load = Of.m_Admission.load(m_Now);
     if (!Of.m_Engine.m_Lost)
       Digest.m_Serving = Of.m_Engine.m_Serving;
     for (UpstreamDirectory &Box : Where.m_Boxes)
@@ -241,7 +241,7 @@
     Of.m_Engine.m_LastUsed[Wanted.m_Artifact] = m_Now;
     const ServiceTimes Times =
         Of.m_Engine.begin(Wanted.m_Conversation, Wanted.m_PromptTokens,
-                          Of.m_Admission.load().m_Running - 1);
+                          Of.m_Admission.load(m_Now).m_Running - 1);
     m_Outcome.m_Cached += Times.m_Cached ? 1 : 0;
     const Duration First = m_Now - Wanted.m_At + Times.m_Prefill;
     const bool Met = First <= FirstTokenTarget &&
@@ -334,7 +334,9 @@
     Result.m_Available = Of.m_Engine.available();
     Result.m_Held = Of.m_Engine.m_Held;
     Result.m_Serving = Of.m_Engine.m_Serving;
-    Result.m_Pressure = Of.m_Admission.load().pressure();
+    Result.m_Pressure = m_Rules.m_OfferedLoad
+                            ? Of.m_Admission.load(m_Now).offered()
+                            : Of.m_Admission.load(m_Now).pressure();
     return Result;
   }
 
@@ -420,8 +422,9 @@
       const Served &Of = m_Engines.at(Name);
       if (Of.m_Engine.m_Lost)
         continue;
-      if (Best.empty() || Of.m_Admission.load().pressure() <
-                              m_Engines.at(Best).m_Admission.load().pressure())
+      if (Best.empty() ||
+          Of.m_Admission.load(m_Now).pressure() <
+              m_Engines.at(Best).m_Admission.load(m_Now).pressure())
         Best = Name;
     }
     FakeEngine &Engine = m_Engines.at(Best).m_Engine;
--- a/bench/Simulation.h
+++ b/bench/Simulation.h
@@ -27,6 +27,8 @@
   bool m_Fair = true; ///< Queue by group and weight; else first come first.
   /// Latest start of a request, as a factor of its first-token target.
   double m_Deadline = 1;
+  /// Placement counts refused requests as load.
+  bool m_OfferedLoad = false;
   bool m_LoadOnDemand = false;
   bool m_Spill = true;
   Duration m_PlanEvery = 500ms;
--- a/packages/decisions/process/Placement.h
+++ b/packages/decisions/process/Placement.h
@@ -54,7 +54,7 @@
   MemoryMiB m_Available = 0;
   std::map<ArtifactName, MemoryMiB> m_Held; ///< Loading, serving, unloading.
   std::set<ArtifactName> m_Serving;
-  double m_Pressure = 0; ///< Requests running or waiting for each slot.
+  double m_Pressure = 0; ///< Offered load for each slot.
 
   bool operator==(const EngineView &) const = default;
 };
--- a/packages/decisions/request/UpstreamAdmission.cpp
+++ b/packages/decisions/request/UpstreamAdmission.cpp
@@ -1,6 +1,7 @@
 #include "decisions/request/UpstreamAdmission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace havenstair {
 
@@ -29,7 +30,7 @@
   const Duration Wait = expectedWait(Request.m_Group);
   const bool Full = static_cast<int>(m_Queue.size()) >= m_Opts.m_MaxWaiting;
   if (Full || Now + Wait > Request.m_Deadline) {
-    Actions.push_back(RefuseRequest{Request.m_Id, overloaded(Request.m_Group)});
+    Actions.push_back(refuse(Request, ErrorKind::Overloaded, Now));
     return Actions;
   }
   m_Arrived[Request.m_Id] = Now;
@@ -104,12 +105,10 @@
     }
     const ErrorKind Kind = Now > Request.m_Deadline ? ErrorKind::DeadlinePassed
                                                     : ErrorKind::Overloaded;
-    Failure Reason = overloaded(Request.m_Group);
-    Reason.m_Kind = Kind;
     m_Queue.remove(Request.m_Id);
     m_Arrived.erase(Request.m_Id);
     --m_WaitingOf[Request.m_Group];
-    Actions.push_back(RefuseRequest{Request.m_Id, std::move(Reason)});
+    Actions.push_back(refuse(Request, Kind, Now));
   }
   return Actions;
 }
@@ -122,10 +121,11 @@
   return std::exchange(m_Served, {});
 }
 
-UpstreamLoad UpstreamAdmission::load() const {
+UpstreamLoad UpstreamAdmission::load(TimePoint Now) const {
   return {.m_Running = static_cast<int>(m_Running.size()),
           .m_Waiting = static_cast<int>(m_Queue.size()),
-          .m_Slots = m_Opts.m_Slots};
+          .m_Slots = m_Opts.m_Slots,
+          .m_Refused = static_cast<int>(refusedLoad(Now))};
 }
 
 Duration UpstreamAdmission::expectedWait(const GroupName &Group) const {
@@ -145,10 +145,24 @@
   return Duration(static_cast<Duration::rep>(Turns * PerSlot));
 }
 
-Failure UpstreamAdmission::overloaded(const GroupName &Group) const {
-  return {.m_Kind = ErrorKind::Overloaded,
-          .m_RetryAfter = std::max(expectedWait(Group), LeastRetryAfter),
-          .m_Detail = {}};
+RefuseRequest UpstreamAdmission::refuse(const QueuedRequest &Request,
+                                        ErrorKind Kind, TimePoint Now) {
+  m_RefusedLoad = refusedLoad(Now) + 1;
+  m_RefusedAt = Now;
+  return {
+      Request.m_Id,
+      {.m_Kind = Kind,
+       .m_RetryAfter = std::max(expectedWait(Request.m_Group), LeastRetryAfter),
+       .m_Detail = {}}};
+}
+
+/// Little's law: a refused request would have run for the mean service time,
+/// so it counts for about that long.
+double UpstreamAdmission::refusedLoad(TimePoint Now) const {
+  const auto Since = static_cast<double>((Now - m_RefusedAt).count());
+  const auto Mean =
+      static_cast<double>(std::max<Duration>(m_MeanService, 1us).count());
+  return m_RefusedLoad * std::exp(-Since / Mean);
 }
 
 } // namespace havenstair
--- a/packages/decisions/request/UpstreamAdmission.h
+++ b/packages/decisions/request/UpstreamAdmission.h
@@ -18,11 +18,18 @@
   int m_Running = 0;
   int m_Waiting = 0;
   int m_Slots = 1;
+  /// Requests that would be running, had they not been refused lately.
+  int m_Refused = 0;
 
   /// Requests running or waiting for each slot.
   double pressure() const {
     return static_cast<double>(m_Running + m_Waiting) / m_Slots;
   }
+  /// The same with those that were refused; what placement goes by, since
+  /// refusals keep the queue short however large the demand.
+  double offered() const {
+    return static_cast<double>(m_Running + m_Waiting + m_Refused) / m_Slots;
+  }
   bool operator==(const UpstreamLoad &) const = default;
 };
 
@@ -66,7 +73,7 @@
   /// Cost served for each group since the last call.
   std::map<GroupName, double> takeServed();
 
-  UpstreamLoad load() const;
+  UpstreamLoad load(TimePoint Now) const;
   /// Expected wait of a request of \p Group that arrives now.
   Duration expectedWait(const GroupName &Group) const;
 
@@ -77,11 +84,13 @@
     TimePoint m_Started;
   };
 
+  RefuseRequest refuse(const QueuedRequest &Request, ErrorKind Kind,
+                       TimePoint Now);
+  double refusedLoad(TimePoint Now) const;
   void start(const QueuedRequest &Request, TimePoint Now,
              AdmissionActions &Actions);
   void startWaiting(TimePoint Now, AdmissionActions &Actions);
   Duration waitBehind(const GroupName &Group, int Ahead) const;
-  Failure overloaded(const GroupName &Group) const;
 
   Options m_Opts;
   FairQueue m_Queue;
@@ -90,6 +99,8 @@
   std::map<GroupName, int> m_WaitingOf;
   std::map<GroupName, double> m_Served;
   Duration m_MeanService;
+  double m_RefusedLoad = 0;
+  TimePoint m_RefusedAt;
 };
 
 } // namespace havenstair
--- a/packages/havenstaird/process/Planner.cpp
+++ b/packages/havenstaird/process/Planner.cpp
@@ -45,7 +45,7 @@
       View.m_Available = Digest->m_Available;
       View.m_Held = Digest->m_Held;
       View.m_Serving = Digest->m_Serving;
-      View.m_Pressure = Digest->m_Load.pressure();
+      View.m_Pressure = Digest->m_Load.offered();
     }
     Result.push_back(std::move(View));
   }
--- a/packages/havenstaird/process/Settings.cpp
+++ b/packages/havenstaird/process/Settings.cpp
@@ -37,7 +37,8 @@
   --order-life-ms MS      Longest life of an order on the network [5000].
   --clock-skew-ms MS      Most that clocks of callers and boxes differ [5000].
   --key-retention-ms MS   How long idempotency keys are kept [900000].
-  --deadline-ms MS        Deadline of requests that give none [5000].
+  --deadline-ms MS        Deadline of plain-service requests that give none;
+                          for models it is the group's target [5000].
   --digest-ms MS          How often owners tell their load [1000].
   --stop-limit-ms MS      Longest planned stop [60000].
   --few-moves PART        0 puts attainment first, 1 few moves [0].
--- a/packages/havenstaird/process/UpstreamOwner.cpp
+++ b/packages/havenstaird/process/UpstreamOwner.cpp
@@ -420,7 +420,7 @@
   Result.m_Assignment = m_Token;
   Result.m_Ready = !IsEngine || m_Orders.ready();
   Result.m_Service = m_Opts.m_Spec.m_Service;
-  Result.m_Load = m_Admission.load();
+  Result.m_Load = m_Admission.load(EventLoop::now());
   if (!IsEngine)
     return Result;
   Result.m_Serving = m_Orders.serving();
--- a/packages/havenstaird/request/CallerApi.cpp
+++ b/packages/havenstaird/request/CallerApi.cpp
@@ -297,8 +297,10 @@
       Path == "/v1/chat/completions" || Path == "/v1/completions";
   if (!IsModel && !Path.starts_with(ServicePrefix))
     throw RequestError(ErrorKind::NotFound);
+  // A model's request that would miss its group's target is refused at once,
+  // unless its caller says that it will wait longer.
   ForwardedRequest Request =
-      IsModel ? readModelRequest(*Exchange, m_Opts.m_DefaultDeadline)
+      IsModel ? readModelRequest(*Exchange, Row.m_Targets.m_FirstToken)
               : readServiceRequest(*Exchange, m_Opts.m_DefaultDeadline);
   // The same answer for what does not exist and what is not given.
   if (IsModel && !Row.mayCall(Request.m_Artifact))
--- a/packages/wire/connection/PeerFrames.cpp
+++ b/packages/wire/connection/PeerFrames.cpp
@@ -193,6 +193,7 @@
           {"available", Digest.m_Available},
           {"running", Digest.m_Load.m_Running},
           {"waiting", Digest.m_Load.m_Waiting},
+          {"refused", Digest.m_Load.m_Refused},
           {"slots", Digest.m_Load.m_Slots}};
 }
 
@@ -209,6 +210,7 @@
   Digest.m_Available = field<MemoryMiB>(From, "available");
   Digest.m_Load.m_Running = field<int>(From, "running");
   Digest.m_Load.m_Waiting = field<int>(From, "waiting");
+  Digest.m_Load.m_Refused = field<int>(From, "refused");
   Digest.m_Load.m_Slots = field<int>(From, "slots");
   if (Digest.m_Load.m_Slots < 1)
     throw DecodeError("field slots is out of range");
--- a/tests/decisions/request/UpstreamAdmissionTest.cpp
+++ b/tests/decisions/request/UpstreamAdmissionTest.cpp
@@ -68,6 +68,17 @@
           ErrorKind::Overloaded);
 }
 
+TEST_CASE("Refused requests count as load for a while", "[admission]") {
+  UpstreamAdmission Admission = makeAdmission(1);
+  Admission.offer(request(1, at(10s)), at(0us));
+  for (int Id = 2; Id < 7; ++Id)
+    Admission.offer(request(Id, at(1ms)), at(0us));
+  REQUIRE(Admission.load(at(0us)).m_Refused == 5);
+  REQUIRE(Admission.load(at(0us)).offered() == 6);
+  REQUIRE(Admission.load(at(0us)).pressure() == 1);
+  REQUIRE(Admission.load(at(2s)).m_Refused == 0);
+}
+
 TEST_CASE("A request that ends lets the next one start", "[admission]") {
   UpstreamAdmission Admission = makeAdmission(1);
   Admission.offer(request(1, at(10s)), at(0us));
@@ -108,7 +119,7 @@
       } else {
         Known.note(Admission.sweep(Now), Slots);
       }
-      const UpstreamLoad Load = Admission.load();
+      const UpstreamLoad Load = Admission.load(Now);
       Known.m_Violations +=
           Load.m_Waiting == static_cast<int>(Known.m_Waiting.size()) ? 0 : 1;
     }
--- a/tests/wire/PeerFramesTest.cpp
+++ b/tests/wire/PeerFramesTest.cpp
@@ -45,7 +45,7 @@
     Digest.m_Held[modelName(Count)] = *drawn(1, 9000);
   }
   Digest.m_Available = *drawn(-100, 9000);
-  Digest.m_Load = {*drawn(0, 9), *drawn(0, 9), *drawn(1, 9)};
+  Digest.m_Load = {*drawn(0, 9), *drawn(0, 9), *drawn(1, 9), *drawn(0, 9)};
   return Digest;
 }
 
