Bring digests, planner and choice inside the bounds of the target size

Cause, from slopes at three sizes (6/12/24 boxes, 132/265/530 upstreams): a digest of one box was 4,882 B to 23 peers each second, 112 KB/s against a bound of 7; one plan took 46.3 ms every 500 ms, 9.3 % of a core against 2.7 %, and grew with models times engines; the choice of an upstream looked at all digests, 15.7 us.

Changes, each measured at 24 boxes, 530 upstreams, 1,700 models: loads as one list of numbers by place in the assignment, residents only when they change, demand to the planner only, served cost of the eight largest groups every fifth digest: 159 B when every load changed, 25 B without news. Index of engines by artifact in the planner: 46.3 -> 3.7 ms. Index of upstreams by artifact in the directory: 15.7 -> 0.6 us.

Ruled out: digests every 10 s, which would starve the choice of news.

--- a/packages/decisions/process/Placement.cpp
+++ b/packages/decisions/process/Placement.cpp
@@ -31,14 +31,19 @@
   std::vector<EngineView> m_Engines;
   std::map<ArtifactName, int> m_Copies;  ///< Held on engines that stay.
   std::map<ArtifactName, int> m_Serving; ///< Serving on engines that stay.
+  /// Engines that hold each artifact, by position.
+  std::map<ArtifactName, std::vector<std::size_t>> m_HeldBy;
   std::vector<Move> m_Moves;
   TimePoint m_Now;
   int m_Loading = 0;
 
   Working(const PlacementInput &Input, TimePoint Now)
       : m_Input(Input), m_Engines(Input.m_Engines), m_Now(Now) {
-    for (const EngineView &Engine : m_Engines)
-      count(Engine);
+    for (std::size_t Index = 0; Index < m_Engines.size(); ++Index) {
+      count(m_Engines[Index]);
+      for (const auto &[Name, Size] : m_Engines[Index].m_Held)
+        m_HeldBy[Name].push_back(Index);
+    }
   }
 
   void count(const EngineView &Engine) {
@@ -278,10 +283,11 @@
       continue;
     double Best = INFINITY;
     bool Loading = false;
-    for (const EngineView &Engine : State.m_Engines) {
+    for (const std::size_t Index : State.m_HeldBy[Name]) {
+      const EngineView &Engine = State.m_Engines[Index];
       if (Engine.m_Serving.count(Name) != 0)
         Best = std::min(Best, Engine.m_Pressure);
-      else if (Engine.m_Held.count(Name) != 0)
+      else
         Loading = true;
     }
     const bool IsBusy = Best != INFINITY && Best > m_Opts.m_BusyPressure;
--- a/packages/decisions/process/UpstreamDirectory.cpp
+++ b/packages/decisions/process/UpstreamDirectory.cpp
@@ -19,7 +19,10 @@
     if (Spec.m_Leaving)
       m_Leaving[Name] = m_Index;
   std::erase_if(m_Digests, [&](const auto &Item) {
-    return m_Specs.count(Item.first) == 0;
+    const bool Gone = m_Specs.count(Item.first) == 0;
+    if (Gone)
+      unindexServing(Item.second);
+    return Gone;
   });
   std::erase_if(m_SentSince, [&](const auto &Item) {
     return m_Specs.count(Item.first) == 0;
@@ -35,14 +38,41 @@
   if (!Known.m_Upstream.empty() && Age(Digest) <= Age(Known))
     return false;
   const std::set<ArtifactName> Served = Known.m_Serving;
+  unindexServing(Known);
   Known = Digest;
   // A new owner that has not read the ledger yet knows less than this box.
   if (!Digest.m_Ready)
     Known.m_Serving.insert(Served.begin(), Served.end());
+  indexServing(Known);
   m_SentSince.erase(Digest.m_Upstream);
   return true;
 }
 
+void UpstreamDirectory::applyLoad(const UpstreamName &Upstream,
+                                  const UpstreamLoad &Load) {
+  const auto Found = m_Digests.find(Upstream);
+  if (Found == m_Digests.end())
+    return;
+  Found->second.m_Load = Load;
+  m_SentSince.erase(Upstream);
+}
+
+void UpstreamDirectory::indexServing(const UpstreamDigest &Digest) {
+  for (const ArtifactName &Name : Digest.m_Serving)
+    m_ServedBy[Name].insert(Digest.m_Upstream);
+}
+
+void UpstreamDirectory::unindexServing(const UpstreamDigest &Digest) {
+  for (const ArtifactName &Name : Digest.m_Serving) {
+    const auto Found = m_ServedBy.find(Name);
+    if (Found == m_ServedBy.end())
+      continue;
+    Found->second.erase(Digest.m_Upstream);
+    if (Found->second.empty())
+      m_ServedBy.erase(Found);
+  }
+}
+
 void UpstreamDirectory::markLeaving(const UpstreamName &Upstream,
                                     std::uint64_t Index) {
   if (Index <= m_Index)
@@ -55,12 +85,6 @@
   ++m_SentSince[Upstream];
 }
 
-void UpstreamDirectory::forgetServing(const UpstreamName &Upstream,
-                                      const ArtifactName &Model) {
-  if (const auto Found = m_Digests.find(Upstream); Found != m_Digests.end())
-    Found->second.m_Serving.erase(Model);
-}
-
 const UpstreamSpec *
 UpstreamDirectory::find(const UpstreamName &Upstream) const {
   const auto Found = m_Specs.find(Upstream);
@@ -92,12 +116,12 @@
 UpstreamDirectory::serving(const ArtifactName &Model,
                            const std::set<UpstreamName> &Except) const {
   std::vector<Candidate> Result;
-  for (const auto &[Name, Digest] : m_Digests) {
-    if (Digest.m_Serving.count(Model) == 0 || Except.count(Name) != 0)
-      continue;
-    if (mayTakeWork(Name))
+  const auto Found = m_ServedBy.find(Model);
+  if (Found == m_ServedBy.end())
+    return Result;
+  for (const UpstreamName &Name : Found->second)
+    if (Except.count(Name) == 0 && mayTakeWork(Name))
       Result.push_back({Name, pressureOf(*find(Name))});
-  }
   return Result;
 }
 
--- a/packages/decisions/process/UpstreamDirectory.h
+++ b/packages/decisions/process/UpstreamDirectory.h
@@ -73,12 +73,12 @@
   /// \returns whether the list was newer.
   bool apply(const UpstreamList &List);
   bool apply(const UpstreamDigest &Digest);
+  /// A newer load of an upstream whose digest is known; only load changed.
+  void applyLoad(const UpstreamName &Upstream, const UpstreamLoad &Load);
   /// A peer has seen \p Upstream leave in the list with \p Index.
   void markLeaving(const UpstreamName &Upstream, std::uint64_t Index);
   /// This box forwarded a request, until the next digest counts it.
   void noteSent(const UpstreamName &Upstream);
-  /// The model was asked of an engine that did not hold it.
-  void forgetServing(const UpstreamName &Upstream, const ArtifactName &Model);
 
   const UpstreamSpec *find(const UpstreamName &Upstream) const;
   bool mayTakeWork(const UpstreamName &Upstream) const;
@@ -96,10 +96,14 @@
 
 private:
   double pressureOf(const UpstreamSpec &Spec) const;
+  void indexServing(const UpstreamDigest &Digest);
+  void unindexServing(const UpstreamDigest &Digest);
 
   std::uint64_t m_Index = 0;
   std::map<UpstreamName, UpstreamSpec> m_Specs;
   std::map<UpstreamName, UpstreamDigest> m_Digests;
+  /// Which upstreams serve an artifact; a request must not look at them all.
+  std::map<ArtifactName, std::set<UpstreamName>> m_ServedBy;
   std::map<UpstreamName, int> m_SentSince;
   std::map<UpstreamName, std::uint64_t> m_Leaving;
 };
--- a/packages/decisions/version/Assignment.cpp
+++ b/packages/decisions/version/Assignment.cpp
@@ -77,6 +77,19 @@
   return Found->second;
 }
 
+int Assignment::placeOf(const UpstreamName &Upstream) const {
+  const auto Found = m_OwnerOf.find(Upstream);
+  if (Found == m_OwnerOf.end())
+    return -1;
+  return static_cast<int>(std::distance(m_OwnerOf.begin(), Found));
+}
+
+std::optional<UpstreamName> Assignment::upstreamAt(int Place) const {
+  if (Place < 0 || Place >= static_cast<int>(m_OwnerOf.size()))
+    return std::nullopt;
+  return std::next(m_OwnerOf.begin(), Place)->first;
+}
+
 std::optional<BoxName> Assignment::ownerOfSlice(int Slice) const {
   const auto Index = static_cast<std::size_t>(Slice);
   if (Index >= m_KeyOwners.size())
--- a/packages/decisions/version/Assignment.h
+++ b/packages/decisions/version/Assignment.h
@@ -24,6 +24,9 @@
   std::vector<FencingToken> m_KeyOwnerSince;
 
   std::optional<BoxName> ownerOf(const UpstreamName &Upstream) const;
+  /// Place of \p Upstream in the order of names; -1 when it has none.
+  int placeOf(const UpstreamName &Upstream) const;
+  std::optional<UpstreamName> upstreamAt(int Place) const;
   std::optional<BoxName> ownerOfSlice(int Slice) const;
   bool operator==(const Assignment &) const = default;
 };
--- a/packages/havenstaird/process/Box.cpp
+++ b/packages/havenstaird/process/Box.cpp
@@ -5,6 +5,7 @@
 #include "wire/common/Crypto.h"
 #include "wire/version/TableJson.h"
 #include <algorithm>
+#include <cmath>
 #include <random>
 
 namespace havenstair {
@@ -23,6 +24,9 @@
 constexpr Duration BalancerGrace = 1s;
 /// Time for peers to say that they give no more work to a stopping box.
 constexpr Duration ShunLimit = 5s;
+/// Served cost is told with every so many digests, of this many groups.
+constexpr int DigestsPerServed = 5;
+constexpr std::size_t MostServedGroups = 8;
 constexpr std::size_t EntryBuffer = 1 << 20;
 
 } // namespace
@@ -91,8 +95,8 @@
       std::make_unique<Membership>(m_Loop, m_Platform, membershipOptions());
   m_Mesh.learnSeeds(m_Settings.m_Seeds);
   m_Tick = m_Loop.every(TickEvery, [this] { tick(); });
-  m_DigestTimer = m_Loop.every(m_Settings.m_DigestEvery,
-                               [this] { sendDigests(false, std::nullopt); });
+  m_DigestTimer =
+      m_Loop.every(m_Settings.m_DigestEvery, [this] { sendDigests(); });
 }
 
 Box::~Box() = default;
@@ -203,7 +207,7 @@
       Placement::forPreference(m_Settings.m_FewMoves));
   Opts.m_Directory = &m_Directory;
   Opts.m_Table = [this]() -> const Table & { return m_Table.table(); };
-  Opts.m_MyTurn = [this] { return myTurnToPlan(); };
+  Opts.m_MyTurn = [this] { return plannerBox() == m_Self; };
   Opts.m_OwnerReachable = [this](const UpstreamName &Upstream) {
     const auto Owner = m_Membership->assignment().ownerOf(Upstream);
     return Owner && usable(*Owner);
@@ -328,7 +332,7 @@
 void Box::peerUp(const BoxName &Peer, const DataCentreName &DataCentre) {
   logInfo(LogPart::Peers, "Link to " + Peer.str() + " is up.");
   m_Peers[Peer] = {.m_LastHeard = EventLoop::now(), .m_DataCentre = DataCentre};
-  sendDigests(true, Peer);
+  sendWholeDigest(Peer);
 }
 
 void Box::peerDown(const BoxName &Peer) {
@@ -352,6 +356,8 @@
   const bool Here = Found->second.m_DataCentre == m_Settings.m_DataCentre;
   if (!Here)
     return;
+  if (const auto *Demand = std::get_if<DemandFrame>(&Frame))
+    return m_Planner.noteDemand(Peer, Demand->m_Demand);
   if (const auto *Known = std::get_if<AssignmentFrame>(&Frame))
     return m_Membership->learnAssignment(Known->m_Assignment);
   if (const auto *Plan = std::get_if<PlanFrame>(&Frame))
@@ -366,8 +372,12 @@
   State.m_AssignmentSeen = Digest.m_AssignmentSeen;
   State.m_TableCompleteTo = Digest.m_TableCompleteTo;
   State.m_ShunsUs = Digest.m_Shunned.count(m_Self) != 0;
-  if (Digest.m_TableCompleteTo < m_Table.table().completeTo())
-    sendFrame(Peer, m_Table.newerThan(Digest.m_TableCompleteTo));
+  const TableVersion Known = Digest.m_TableCompleteTo;
+  const auto KnowsTable = [&](const PeerState &Other) {
+    return Other.m_TableCompleteTo > Known;
+  };
+  if (Known < m_Table.table().completeTo() && isSenderTo(Peer, KnowsTable))
+    sendFrame(Peer, m_Table.newerThan(Known));
   if (State.m_DataCentre != m_Settings.m_DataCentre) {
     for (const UpstreamDigest &Each : Digest.m_Upstreams)
       State.m_Remote[Each.m_Upstream] = Each;
@@ -378,47 +388,108 @@
   for (const auto &[Upstream, Index] : Digest.m_Leaving)
     m_Directory.markLeaving(Upstream, Index);
   m_Owners.chargeElsewhere(Digest.m_Served);
-  m_Planner.noteDemand(Peer, Digest.m_Demand);
+  applyLoads(Digest);
   const Assignment &Mine = m_Membership->assignment();
-  if (Digest.m_AssignmentSeen < Mine.m_Version)
-    sendFrame(Peer, AssignmentFrame{Mine});
-  else if (Mine.m_Version != 0)
+  const auto KnowsAssignment = [&](const PeerState &Other) {
+    return Other.m_AssignmentSeen > Digest.m_AssignmentSeen &&
+           Other.m_DataCentre == m_Settings.m_DataCentre;
+  };
+  if (Digest.m_AssignmentSeen >= Mine.m_Version && Mine.m_Version != 0)
     m_Owners.writerMovedOn(Peer);
+  else if (Digest.m_AssignmentSeen < Mine.m_Version &&
+           isSenderTo(Peer, KnowsAssignment))
+    sendFrame(Peer, AssignmentFrame{Mine});
 }
 
-/// Tells what changed since the last digest; all of it when \p Whole.
-void Box::sendDigests(bool Whole, const std::optional<BoxName> &Only) {
+DigestFrame Box::digestHead() const {
   DigestFrame Frame;
   Frame.m_AssignmentSeen =
       m_Membership ? m_Membership->assignment().m_Version : 0;
   Frame.m_TableCompleteTo = m_Table.table().completeTo();
   Frame.m_Stopping = m_Stopping;
   Frame.m_Leaving = m_Directory.leaving();
-  Frame.m_Demand = m_Owners.demand();
   for (const auto &[Peer, State] : m_Peers)
     if (State.m_Stopping)
       Frame.m_Shunned.insert(Peer);
+  return Frame;
+}
+
+void Box::sendWholeDigest(const BoxName &To) {
+  DigestFrame Frame = digestHead();
+  for (UpstreamDigest &Digest : m_Owners.digests())
+    Frame.m_Upstreams.push_back(std::move(Digest));
+  sendFrame(To, Frame);
+}
+
+/// The groups with the highest cost since the last time. A group that takes
+/// more than its share is among them.
+std::map<GroupName, double> Box::servedLately() {
+  for (const auto &[Group, Cost] : m_Owners.takeServed())
+    m_Served[Group] += Cost;
+  if (++m_DigestCount % DigestsPerServed != 0)
+    return {};
+  std::vector<std::pair<double, GroupName>> ByCost;
+  for (const auto &[Group, Cost] : m_Served)
+    ByCost.emplace_back(Cost, Group);
+  m_Served.clear();
+  std::sort(ByCost.rbegin(), ByCost.rend());
+  ByCost.resize(std::min(ByCost.size(), MostServedGroups));
+  std::map<GroupName, double> Result;
+  for (const auto &[Cost, Group] : ByCost)
+    Result[Group] = std::round(Cost);
+  return Result;
+}
+
+void Box::sendDigests() {
+  DigestFrame Frame = digestHead();
+  const Assignment &Current = m_Membership->assignment();
   for (UpstreamDigest &Digest : m_Owners.digests()) {
     m_Directory.apply(Digest);
     // While the ledger is unread, what was served before is passed on.
     Digest.m_Serving = m_Directory.digestOf(Digest.m_Upstream)->m_Serving;
+    UpstreamDigest &Last = m_LastSent[Digest.m_Upstream];
     UpstreamDigest Plain = Digest;
     Plain.m_Sequence = 0;
-    const bool Same = m_LastSent[Digest.m_Upstream] == Plain;
-    if (!Whole && Same)
+    if (Plain == Last)
       continue;
-    if (!Only)
-      m_LastSent[Digest.m_Upstream] = std::move(Plain);
-    Frame.m_Upstreams.push_back(std::move(Digest));
-  }
-  if (Only) {
-    sendFrame(*Only, Frame);
-    return;
+    UpstreamDigest OldLoad = Plain;
+    OldLoad.m_Load = Last.m_Load;
+    const bool OnlyLoad = OldLoad == Last;
+    Last = std::move(Plain);
+    if (OnlyLoad)
+      Frame.m_Loads.push_back(
+          {.m_Place = Current.placeOf(Digest.m_Upstream),
+           .m_Load = {.m_Running = Digest.m_Load.m_Running,
+                      .m_Waiting = Digest.m_Load.m_Waiting,
+                      .m_Refused = Digest.m_Load.m_Refused}});
+    else
+      Frame.m_Upstreams.push_back(std::move(Digest));
   }
-  Frame.m_Served = m_Owners.takeServed();
-  m_Planner.noteDemand(m_Self, Frame.m_Demand);
+  Frame.m_Served = servedLately();
   for (const auto &[Peer, State] : m_Peers)
     sendFrame(Peer, Frame);
+  const DemandByArtifact Demand = m_Owners.demand();
+  m_Planner.noteDemand(m_Self, Demand);
+  const std::optional<BoxName> Planning = plannerBox();
+  if (Planning && *Planning != m_Self)
+    sendFrame(*Planning, DemandFrame{Demand});
+}
+
+/// Places count under one assignment only; under another they are dropped,
+/// and the next change of the load comes through.
+void Box::applyLoads(const DigestFrame &Digest) {
+  const Assignment &Current = m_Membership->assignment();
+  if (Digest.m_AssignmentSeen != Current.m_Version)
+    return;
+  for (const LoadNote &Note : Digest.m_Loads) {
+    const std::optional<UpstreamName> Name = Current.upstreamAt(Note.m_Place);
+    if (!Name)
+      continue;
+    const UpstreamDigest *Known = m_Directory.digestOf(*Name);
+    UpstreamLoad Load = Note.m_Load;
+    Load.m_Slots = Known == nullptr ? 1 : Known->m_Load.m_Slots;
+    m_Directory.applyLoad(*Name, Load);
+  }
 }
 
 void Box::dropSilentPeers() {
@@ -428,11 +499,15 @@
       m_Mesh.drop(Peer);
 }
 
-void Box::gossipTable() {
-  const TableVersion Mine = m_Table.table().completeTo();
-  for (const auto &[Peer, State] : m_Peers)
-    if (State.m_TableCompleteTo < Mine)
-      sendFrame(Peer, m_Table.newerThan(State.m_TableCompleteTo));
+/// Of all boxes that know more than \p Peer, one sends it what it lacks.
+bool Box::isSenderTo(
+    const BoxName &Peer,
+    const std::function<bool(const PeerState &)> &Knows) const {
+  std::vector<BoxName> Senders{m_Self};
+  for (const auto &[Other, State] : m_Peers)
+    if (Other != Peer && Knows(State))
+      Senders.push_back(Other);
+  return rendezvousPick(Senders, Peer.str()) == m_Self;
 }
 
 // What the parts tell.
@@ -450,7 +525,7 @@
   changed();
 }
 
-void Box::tableChanged() { gossipTable(); }
+void Box::tableChanged() { changed(); }
 
 /// News that peers act on do not wait for the next regular digest.
 void Box::changed() {
@@ -458,7 +533,7 @@
     return;
   m_Loop.defer([this] {
     m_DigestWanted = false;
-    sendDigests(false, std::nullopt);
+    sendDigests();
   });
 }
 
@@ -484,15 +559,12 @@
     sendFrame(*Owner, PlanFrame{Wanted});
 }
 
-/// The first box of the assignment that can be reached.
-bool Box::myTurnToPlan() const {
-  for (const BoxName &Box : m_Membership->assignment().m_Boxes) {
-    if (Box == m_Self)
-      return true;
-    if (usable(Box))
-      return false;
-  }
-  return false;
+/// The first box of the assignment that can be reached plans.
+std::optional<BoxName> Box::plannerBox() const {
+  for (const BoxName &Box : m_Membership->assignment().m_Boxes)
+    if (Box == m_Self || usable(Box))
+      return Box;
+  return std::nullopt;
 }
 
 void Box::updateShare() {
--- a/packages/havenstaird/process/Box.h
+++ b/packages/havenstaird/process/Box.h
@@ -89,9 +89,17 @@
   void onFrame(const BoxName &Peer, PeerFrame Frame);
   void onDigest(const BoxName &Peer, const DigestFrame &Digest);
   bool sendFrame(const BoxName &To, const PeerFrame &Frame);
-  void sendDigests(bool Whole, const std::optional<BoxName> &Only);
+  /// Everything to one box whose link just came up.
+  void sendWholeDigest(const BoxName &To);
+  /// What changed since the last digest, to all boxes.
+  void sendDigests();
+  DigestFrame digestHead() const;
+  std::map<GroupName, double> servedLately();
+  void applyLoads(const DigestFrame &Digest);
+  std::optional<BoxName> plannerBox() const;
   void dropSilentPeers();
-  void gossipTable();
+  bool isSenderTo(const BoxName &Peer,
+                  const std::function<bool(const PeerState &)> &Knows) const;
 
   // What the parts tell.
   void assignmentChanged(const Assignment &Current);
@@ -99,7 +107,6 @@
   void tableChanged();
   void recordMove(const MoveRecord &Record);
   void planOrder(const Move &Wanted);
-  bool myTurnToPlan() const;
   void updateShare();
   void releaseFormerWriters();
   void changed();
@@ -131,6 +138,8 @@
   RequestLog m_Requests;
   std::map<BoxName, PeerState> m_Peers;
   std::map<UpstreamName, UpstreamDigest> m_LastSent;
+  std::map<GroupName, double> m_Served;
+  int m_DigestCount = 0;
   bool m_DigestWanted = false;
   bool m_Stopping = false;
   TimePoint m_StopBegan;
--- a/packages/havenstaird/version/TableSync.cpp
+++ b/packages/havenstaird/version/TableSync.cpp
@@ -14,7 +14,7 @@
 const std::string CatalogueKey = TablePrefix + "catalogue";
 const std::string GroupPrefix = TablePrefix + "groups/";
 /// Edits that the log remembers. A box that missed more reads all rows.
-constexpr std::size_t LogLength = 256;
+constexpr std::size_t LogLength = 64;
 
 std::string keyOf(const TableEdit &Edit) {
   return Edit.m_Row ? GroupPrefix + Edit.m_Row->m_Group.str() : CatalogueKey;
--- a/packages/wire/connection/PeerFrames.cpp
+++ b/packages/wire/connection/PeerFrames.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 constexpr std::array<std::string_view, std::variant_size_v<PeerFrame>> Names{
-    "hello", "proof",  "forward", "cancel", "started",    "head", "bytes",
-    "ended", "failed", "digest",  "table",  "assignment", "plan", "move"};
+    "hello",  "proof", "forward",    "cancel", "started",
+    "head",   "bytes", "ended",      "failed", "digest",
+    "demand", "table", "assignment", "plan",   "move"};
 
 /// Which alternative of the variant a message is; no message uses the name.
 constexpr const char *KindField = "frame";
@@ -217,6 +218,36 @@
   return Digest;
 }
 
+constexpr std::size_t NumbersPerNote = 4;
+
+/// One flat list of numbers: a note takes about five bytes in CBOR.
+Json toJson(const std::vector<LoadNote> &Notes) {
+  Json Numbers = Json::array();
+  for (const LoadNote &Note : Notes)
+    for (int Number : {Note.m_Place, Note.m_Load.m_Running,
+                       Note.m_Load.m_Waiting, Note.m_Load.m_Refused})
+      Numbers.push_back(Number);
+  return Numbers;
+}
+
+std::vector<LoadNote> loadNotesFromJson(const Json &From) {
+  if (!From.is_array() || From.size() % NumbersPerNote != 0)
+    throw DecodeError("field loads is missing or wrong");
+  std::vector<LoadNote> Notes;
+  for (std::size_t At = 0; At < From.size(); At += NumbersPerNote)
+    Notes.push_back({.m_Place = wholeNumber<int>(From[At]),
+                     .m_Load = {.m_Running = wholeNumber<int>(From[At + 1]),
+                                .m_Waiting = wholeNumber<int>(From[At + 2]),
+                                .m_Refused = wholeNumber<int>(From[At + 3])}});
+  return Notes;
+}
+
+/// Adds the field unless it is empty; most digests have little to tell.
+void addUnlessEmpty(Json &To, const char *Name, Json Value) {
+  if (!Value.empty())
+    To[Name] = std::move(Value);
+}
+
 Json toJson(const DigestFrame &Frame) {
   Json Upstreams = Json::array();
   for (const UpstreamDigest &Digest : Frame.m_Upstreams)
@@ -224,26 +255,40 @@
   Json Shunned = Json::array();
   for (const BoxName &Box : Frame.m_Shunned)
     Shunned.push_back(Box.str());
-  return {{"assignment", Frame.m_AssignmentSeen},
-          {"shunned", std::move(Shunned)},
-          {"table", Frame.m_TableCompleteTo},
-          {"stopping", Frame.m_Stopping},
-          {"upstreams", std::move(Upstreams)},
-          {"leaving", mapToJson(Frame.m_Leaving)},
-          {"served", mapToJson(Frame.m_Served)},
-          {"demand", mapToJson(Frame.m_Demand)}};
+  Json Result{{"as", Frame.m_AssignmentSeen},
+              {"table", Frame.m_TableCompleteTo}};
+  if (Frame.m_Stopping)
+    Result["stopping"] = true;
+  addUnlessEmpty(Result, "shunned", std::move(Shunned));
+  addUnlessEmpty(Result, "upstreams", std::move(Upstreams));
+  addUnlessEmpty(Result, "loads", toJson(Frame.m_Loads));
+  addUnlessEmpty(Result, "leaving", mapToJson(Frame.m_Leaving));
+  addUnlessEmpty(Result, "served", mapToJson(Frame.m_Served));
+  return Result;
 }
 
 void fromJson(const Json &From, DigestFrame &Frame) {
-  Frame.m_AssignmentSeen = field<FencingToken>(From, "assignment");
+  Frame.m_AssignmentSeen = field<FencingToken>(From, "as");
   Frame.m_TableCompleteTo = field<TableVersion>(From, "table");
-  Frame.m_Stopping = field<bool>(From, "stopping");
-  for (std::string &Box : field<std::vector<std::string>>(From, "shunned"))
+  Frame.m_Stopping = fieldOr<bool>(From, "stopping", false);
+  for (std::string &Box :
+       fieldOr<std::vector<std::string>>(From, "shunned", {}))
     Frame.m_Shunned.emplace(std::move(Box));
-  for (const Json &Each : field<std::vector<Json>>(From, "upstreams"))
+  for (const Json &Each : fieldOr<std::vector<Json>>(From, "upstreams", {}))
     Frame.m_Upstreams.push_back(upstreamDigestFromJson(Each));
-  Frame.m_Leaving = mapFromJson<UpstreamName, std::uint64_t>(From, "leaving");
-  Frame.m_Served = mapFromJson<GroupName, double>(From, "served");
+  Frame.m_Loads =
+      loadNotesFromJson(fieldOr<Json>(From, "loads", Json::array()));
+  if (From.contains("leaving"))
+    Frame.m_Leaving = mapFromJson<UpstreamName, std::uint64_t>(From, "leaving");
+  if (From.contains("served"))
+    Frame.m_Served = mapFromJson<GroupName, double>(From, "served");
+}
+
+Json toJson(const DemandFrame &Frame) {
+  return {{"demand", mapToJson(Frame.m_Demand)}};
+}
+
+void fromJson(const Json &From, DemandFrame &Frame) {
   Frame.m_Demand = mapFromJson<ArtifactName, double>(From, "demand");
 }
 
--- a/packages/wire/connection/PeerFrames.h
+++ b/packages/wire/connection/PeerFrames.h
@@ -82,6 +82,15 @@
   bool operator==(const FailedFrame &) const = default;
 };
 
+/// Load of one upstream, by its place among the owners of the assignment that
+/// the digest names. Names would make up most of the bytes of a digest.
+struct LoadNote {
+  int m_Place = 0;
+  UpstreamLoad m_Load; ///< Without its slots, which do not change.
+
+  bool operator==(const LoadNote &) const = default;
+};
+
 /// What a box tells the boxes of its data centre every second, by difference.
 struct DigestFrame {
   FencingToken m_AssignmentSeen = 0;
@@ -89,14 +98,23 @@
   bool m_Stopping = false;
   /// Boxes that the sender gives no new work because they are stopping.
   std::set<BoxName> m_Shunned;
+  /// Upstreams of which more than the load changed.
   std::vector<UpstreamDigest> m_Upstreams;
+  std::vector<LoadNote> m_Loads; ///< Upstreams whose load changed.
   std::map<UpstreamName, std::uint64_t> m_Leaving;
-  std::map<GroupName, double> m_Served; ///< Cost since the last digest.
-  DemandByArtifact m_Demand;            ///< At this box's upstreams.
+  /// Cost since the last time, of the groups with the highest cost.
+  std::map<GroupName, double> m_Served;
 
   bool operator==(const DigestFrame &) const = default;
 };
 
+/// Demand at the sender's upstreams, for the box that plans.
+struct DemandFrame {
+  DemandByArtifact m_Demand;
+
+  bool operator==(const DemandFrame &) const = default;
+};
+
 /// Rows and catalogue for a box that knows an older version.
 struct TableFrame {
   TableVersion m_CompleteTo = 0; ///< With these, nothing up to here is missing.
@@ -126,10 +144,11 @@
   bool operator==(const MoveFrame &) const = default;
 };
 
-using PeerFrame = std::variant<HelloFrame, ProofFrame, ForwardFrame,
-                               CancelFrame, StartedFrame, HeadFrame, BytesFrame,
-                               EndedFrame, FailedFrame, DigestFrame, TableFrame,
-                               AssignmentFrame, PlanFrame, MoveFrame>;
+using PeerFrame =
+    std::variant<HelloFrame, ProofFrame, ForwardFrame, CancelFrame,
+                 StartedFrame, HeadFrame, BytesFrame, EndedFrame, FailedFrame,
+                 DigestFrame, DemandFrame, TableFrame, AssignmentFrame,
+                 PlanFrame, MoveFrame>;
 
 /// Name of the kind of \p Frame, for metrics.
 std::string_view frameName(const PeerFrame &Frame);
--- a/tests/wire/PeerFramesTest.cpp
+++ b/tests/wire/PeerFramesTest.cpp
@@ -58,7 +58,10 @@
   Frame.m_Upstreams = {drawnDigest()};
   Frame.m_Leaving[upstreamName(1)] = static_cast<std::uint64_t>(*drawn(0, 9));
   Frame.m_Served[groupName(1)] = *drawn(0, 100) / 4.0;
-  Frame.m_Demand[modelName(1)] = *drawn(0, 100) / 4.0;
+  Frame.m_Loads = {{.m_Place = *drawn(0, 500),
+                    .m_Load = {.m_Running = *drawn(0, 9),
+                               .m_Waiting = *drawn(0, 9),
+                               .m_Refused = *drawn(0, 9)}}};
   return Frame;
 }
 
@@ -115,6 +118,7 @@
           EndedFrame{Attempt, *drawn(0, 100) / 2.0},
           FailedFrame{Attempt, Reason},
           drawnDigestFrame(),
+          DemandFrame{{{modelName(1), *drawn(0, 100) / 4.0}}},
           drawnTable(),
           AssignmentFrame{drawnAssignment()},
           PlanFrame{drawnMove()},
