--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,19 @@
 
 demo: build
 	$(BUILD)/bin/havenstair-demo $(BUILD)/bin
+
+# Three tables: the policies, the real path's cost, the state at three sizes.
+bench: build
+	$(BUILD)/bin/havenstair-bench
+	$(BUILD)/bin/havenstair-bench-path $(BUILD)/bin
+	$(BUILD)/bin/havenstair-bench-capacity
+
+# Ten thousand generated sequences for each point that must always hold.
+prove: build
+	RC_PARAMS="seed=20261202 max_success=10000" $(BUILD)/bin/havenstair-decisions-tests "[proof]"
+
+# All tests once more, under the address and undefined-behaviour sanitizers.
+sanitize: deps
+	cmake -S . -B $(BUILD)-sanitize -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DHAVENSTAIR_SANITIZE=ON
+	cmake --build $(BUILD)-sanitize -j $(JOBS)
+	RC_PARAMS="seed=20261202 max_success=100" ctest --test-dir $(BUILD)-sanitize --output-on-failure -j 4
--- a/packages/decisions/process/EngineOrders.cpp
+++ b/packages/decisions/process/EngineOrders.cpp
@@ -136,7 +136,7 @@
                                         TimePoint Now) {
   if (!owned() || m_Opts.m_ChecksTokens || m_JournalFenced)
     return {};
-  if (Journal.m_Token > m_Token)
+  if (fencedOutBy(Journal))
     return {};
   for (const EngineOrder &Order : Journal.m_Unsettled)
     m_Pending.emplace(Order.m_Id, PendingOrder{.m_Order = Order,
@@ -200,7 +200,7 @@
   if (m_Opts.m_ChecksTokens)
     return Report.m_HighestToken >= Pending.m_Order.m_Token;
   // Without tokens only time rules out that the order still arrives.
-  return Pending.m_EndedAt && AsOf >= *Pending.m_EndedAt + m_Opts.m_OrderLife;
+  return Pending.m_EndedAt && AsOf > *Pending.m_EndedAt + m_Opts.m_OrderLife;
 }
 
 EngineActions EngineOrders::reported(const EngineReport &Report, TimePoint AsOf,
--- a/packages/decisions/process/EngineOrders.h
+++ b/packages/decisions/process/EngineOrders.h
@@ -135,6 +135,11 @@
   EngineActions writerMovedOn(const BoxName &Writer, TimePoint Now);
   EngineActions tick(TimePoint Now);
 
+  /// A later owner wrote \p Journal. Its index is not for this owner: writing
+  /// under it would undo the fence.
+  bool fencedOutBy(const OrderJournal &Journal) const {
+    return Journal.m_Token > m_Token;
+  }
   bool owned() const { return m_Token != 0; }
   bool ready() const { return m_Ready; }
   const MemoryLedger &ledger() const { return m_Ledger; }
--- a/packages/havenstaird/process/Box.cpp
+++ b/packages/havenstaird/process/Box.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t MoveHistory = 2000;
 constexpr std::size_t RequestHistory = 4096;
 constexpr Duration TickEvery = 50ms;
+constexpr Duration SlowTickEvery = 1s;
 /// Digests that may be missing before a box counts as out of reach.
 constexpr int SilentDigests = 3;
 /// Silence after which the link is closed, so that its work ends visibly.
@@ -95,6 +96,7 @@
       std::make_unique<Membership>(m_Loop, m_Platform, membershipOptions());
   m_Mesh.learnSeeds(m_Settings.m_Seeds);
   m_Tick = m_Loop.every(TickEvery, [this] { tick(); });
+  m_SlowTick = m_Loop.every(SlowTickEvery, [this] { slowTick(); });
   m_DigestTimer =
       m_Loop.every(m_Settings.m_DigestEvery, [this] { sendDigests(); });
 }
@@ -600,8 +602,14 @@
 
 void Box::tick() {
   m_Owners.tick();
-  m_Keyed.tick();
   dropSilentPeers();
+  if (m_Stopping)
+    considerExit();
+}
+
+/// Work that is not urgent.
+void Box::slowTick() {
+  m_Keyed.tick();
   releaseFormerWriters();
   m_Metrics.setLeaseHeld(m_Membership->leaseHeld());
   m_Metrics.setVersions(
@@ -612,8 +620,6 @@
       m_Metrics.setMemoryTaken(Owner->spec().m_Name,
                                static_cast<double>(Owner->ledger().taken()),
                                static_cast<double>(Owner->ledger().capacity()));
-  if (m_Stopping)
-    considerExit();
 }
 
 // Views for operators.
--- a/packages/havenstaird/process/Box.h
+++ b/packages/havenstaird/process/Box.h
@@ -124,6 +124,7 @@
   bool idle() const;
 
   void tick();
+  void slowTick();
   static double randomUnit();
 
   EventLoop &m_Loop;
@@ -159,6 +160,7 @@
   std::unique_ptr<Membership> m_Membership;
   Planner m_Planner;
   Timer m_Tick;
+  Timer m_SlowTick;
   Timer m_DigestTimer;
 };
 
--- a/packages/havenstaird/process/Membership.cpp
+++ b/packages/havenstaird/process/Membership.cpp
@@ -14,7 +14,7 @@
 /// this much longer, in case those before it are gone.
 constexpr Duration RankDelay = 400ms;
 /// How often boxes of other data centres are looked up.
-constexpr Duration RemotePollEvery = 60s;
+constexpr Duration RemotePollEvery = 120s;
 /// Links to each other data centre.
 constexpr int RemoteLinks = 2;
 constexpr int MostPort = 65535;
--- a/packages/havenstaird/process/UpstreamOwner.cpp
+++ b/packages/havenstaird/process/UpstreamOwner.cpp
@@ -322,18 +322,21 @@
             Read.m_Status == PlatformStatus::Lost)
           return;
         OrderJournal Journal;
-        m_JournalIndex = 0;
+        PlatformIndex Index = 0;
         try {
           if (!Read.m_Entries.empty()) {
             const PlatformEntry &Entry = Read.m_Entries.front();
             Journal = orderJournalFromJson(parseJson(Entry.m_Value));
-            m_JournalIndex = Entry.m_ModifyIndex;
+            Index = Entry.m_ModifyIndex;
           }
         } catch (const DecodeError &Error) {
           logError(LogPart::Owner,
                    "Journal " + m_Opts.m_JournalKey + ": " + Error.what());
           return;
         }
+        if (m_Orders.fencedOutBy(Journal))
+          return;
+        m_JournalIndex = Index;
         performOrders(m_Orders.journalRead(Journal, EventLoop::now()));
       });
 }
@@ -376,8 +379,7 @@
   performOrders(m_Orders.journalFailed(Now));
   try {
     const OrderJournal Other = orderJournalFromJson(parseJson(Entry.m_Value));
-    // A later owner has fenced this one out; its index is not for us.
-    if (Other.m_Token > m_Token)
+    if (m_Orders.fencedOutBy(Other))
       return;
     m_JournalIndex = Entry.m_ModifyIndex;
     if (Other.m_Token < m_Token)
--- a/packages/wire/common/Endpoint.cpp
+++ b/packages/wire/common/Endpoint.cpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <event2/util.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace havenstair {
@@ -49,4 +50,9 @@
   return Length;
 }
 
+void sendWithoutDelay(int Socket) {
+  const int On = 1;
+  setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+}
+
 } // namespace havenstair
--- a/packages/wire/common/Endpoint.h
+++ b/packages/wire/common/Endpoint.h
@@ -28,6 +28,10 @@
 /// Binary form of \p Of. \returns its length, 0 when it is not an IP number.
 int toSockaddr(const Endpoint &Of, sockaddr_storage &Out);
 
+/// Sends small writes at once. Without it a token or a short message waits for
+/// the other side's delayed acknowledgement.
+void sendWithoutDelay(int Socket);
+
 } // namespace havenstair
 
 #endif
--- a/packages/wire/common/HttpServer.cpp
+++ b/packages/wire/common/HttpServer.cpp
@@ -115,6 +115,7 @@
 void HttpExchange::watchClose() {
   evhttp_connection *Connection = evhttp_request_get_connection(m_Request);
   bufferevent *Stream = evhttp_connection_get_bufferevent(Connection);
+  sendWithoutDelay(bufferevent_getfd(Stream));
   m_CloseEvent = event_new(
       m_Loop.base(), bufferevent_getfd(Stream), EV_CLOSED,
       [](evutil_socket_t, short, void *Arg) {
--- a/packages/wire/connection/PeerLink.cpp
+++ b/packages/wire/connection/PeerLink.cpp
@@ -1,6 +1,7 @@
 #include "wire/connection/PeerLink.h"
 
 #include "wire/common/Crypto.h"
+#include "wire/common/Endpoint.h"
 #include "wire/common/EventLoop.h"
 #include "wire/common/Json.h"
 #include <event2/buffer.h>
@@ -47,8 +48,10 @@
       },
       this);
   bufferevent_enable(m_Stream, EV_READ | EV_WRITE);
-  if (!m_Dialled)
-    m_Session->start();
+  if (m_Dialled)
+    return;
+  sendWithoutDelay(bufferevent_getfd(m_Stream));
+  m_Session->start();
 }
 
 PeerLink::~PeerLink() {
@@ -71,6 +74,7 @@
 
 void PeerLink::onEvent(short What) {
   if ((What & BEV_EVENT_CONNECTED) != 0) {
+    sendWithoutDelay(bufferevent_getfd(m_Stream));
     m_Session->start();
     return;
   }
--- a/packages/wire/process/PlatformClient.cpp
+++ b/packages/wire/process/PlatformClient.cpp
@@ -103,7 +103,7 @@
 void PlatformClient::list(const std::string &Prefix, PlatformWait Wait,
                           ReadDone Callback) {
   readTarget(Wait.m_After == 0 ? "list" : "watch",
-             "/v1/kv/" + Prefix + "?recurse&" + waitQuery(Wait), Wait,
+             "/v1/kv/" + Prefix + "?recurse=true&" + waitQuery(Wait), Wait,
              std::move(Callback));
 }
 
--- a/tests/decisions/process/EngineOrdersTest.cpp
+++ b/tests/decisions/process/EngineOrdersTest.cpp
@@ -54,11 +54,18 @@
   std::uint64_t m_Violations = 0;
 };
 
+/// An action that was decided on. A write of the journal is bound to the index
+/// that was known then, as the product sends both at once.
+struct HeldAction {
+  EngineAction m_Action;
+  std::uint64_t m_JournalIndex = 0;
+};
+
 /// A box with the actions that it decided on but has not carried out yet.
 struct WorldBox {
   std::unique_ptr<EngineOrders> m_Orders;
   BoxName m_Name;
-  std::deque<EngineAction> m_InHand;
+  std::deque<HeldAction> m_InHand;
   std::uint64_t m_JournalIndex = 0;
   FencingToken m_Token = 0;
   bool m_MovedOn = true;
@@ -135,7 +142,8 @@
   }
 
   void hold(WorldBox &Box, const EngineActions &Actions) {
-    Box.m_InHand.insert(Box.m_InHand.end(), Actions.begin(), Actions.end());
+    for (const EngineAction &Action : Actions)
+      Box.m_InHand.push_back({Action, Box.m_JournalIndex});
   }
 
   /// The former owner is not told: it may be paused with orders in hand.
@@ -176,14 +184,15 @@
   void carryOut(WorldBox &Box, int Chance) {
     if (Box.m_InHand.empty())
       return;
-    const EngineAction Action = Box.m_InHand.front();
+    const HeldAction Held = Box.m_InHand.front();
+    const EngineAction &Action = Held.m_Action;
     Box.m_InHand.pop_front();
     const bool Lost = Chance % 5 == 0;
     m_Faults += Lost ? 1 : 0;
     if (const auto *Send = std::get_if<SendOrder>(&Action))
       return send(Box, Send->m_Order, Chance);
     if (const auto *Write = std::get_if<WriteJournal>(&Action))
-      return write(Box, Write->m_Journal, Chance);
+      return write(Box, Write->m_Journal, Held.m_JournalIndex, Chance);
     if (const auto *Raise = std::get_if<RaiseToken>(&Action)) {
       if (!Lost)
         m_Engine.raise(Raise->m_Token);
@@ -191,7 +200,7 @@
     }
     if (std::holds_alternative<ReadReport>(Action))
       return Lost ? void() : report(Box);
-    if (Lost)
+    if (Lost || Box.m_Orders->fencedOutBy(m_Journal))
       return;
     Box.m_JournalIndex = m_JournalIndex;
     hold(Box, Box.m_Orders->journalRead(m_Journal, m_Now));
@@ -205,9 +214,10 @@
     hold(Box, Box.m_Orders->attemptEnded(Order.m_Id, m_Now));
   }
 
-  void write(WorldBox &Box, const OrderJournal &Wanted, int Chance) {
+  void write(WorldBox &Box, const OrderJournal &Wanted, std::uint64_t Index,
+             int Chance) {
     const bool Reached = Chance % 5 != 0;
-    const bool Won = Reached && Box.m_JournalIndex == m_JournalIndex;
+    const bool Won = Reached && Index == m_JournalIndex;
     if (Won) {
       m_Journal = Wanted;
       ++m_JournalIndex;
@@ -220,7 +230,7 @@
       return hold(Box, Box.m_Orders->journalWritten(m_Now));
     }
     hold(Box, Box.m_Orders->journalFailed(m_Now));
-    if (m_Journal.m_Token > Box.m_Token)
+    if (Box.m_Orders->fencedOutBy(m_Journal))
       return;
     Box.m_JournalIndex = m_JournalIndex;
     if (m_Journal.m_Token < Box.m_Token)
--- a/tests/support/ChildProcess.h
+++ b/tests/support/ChildProcess.h
@@ -37,6 +37,7 @@
   /// Waits for the end. \returns the exit code, or 128 plus the signal.
   int wait();
   bool running();
+  pid_t id() const { return m_Id; }
 
 private:
   std::optional<std::string> readLine();
--- a/tests/support/TestSystem.cpp
+++ b/tests/support/TestSystem.cpp
@@ -110,20 +110,27 @@
 TestBox &TestSystem::addBox(const std::string &Name,
                             const std::string &DataCentre,
                             const std::vector<std::string> &More) {
-  std::vector<std::string> Arguments{"--box",           Name,
-                                     "--data-centre",   DataCentre,
-                                     "--callers",       "127.0.0.1:0",
-                                     "--operators",     "127.0.0.1:0",
-                                     "--peers",         "127.0.0.1:0",
-                                     "--platform",      m_PlatformAddress.str(),
-                                     "--lease-ms",      "2000",
-                                     "--renew-ms",      "500",
-                                     "--digest-ms",     "200",
-                                     "--order-life-ms", "300",
-                                     "--clock-skew-ms", "200"};
-  Arguments.insert(Arguments.end(), m_Opts.m_BoxArguments.begin(),
-                   m_Opts.m_BoxArguments.end());
-  Arguments.insert(Arguments.end(), More.begin(), More.end());
+  std::map<std::string, std::string> Flags{
+      {"--box", Name},
+      {"--data-centre", DataCentre},
+      {"--callers", "127.0.0.1:0"},
+      {"--operators", "127.0.0.1:0"},
+      {"--peers", "127.0.0.1:0"},
+      {"--platform", m_PlatformAddress.str()},
+      {"--lease-ms", "2000"},
+      {"--renew-ms", "500"},
+      {"--digest-ms", "200"},
+      {"--order-life-ms", "300"},
+      {"--clock-skew-ms", "200"}};
+  // Later ones go before earlier ones.
+  for (const auto &List : {m_Opts.m_BoxArguments, More})
+    for (std::size_t Index = 0; Index + 1 < List.size(); Index += 2)
+      Flags[List[Index]] = List[Index + 1];
+  std::vector<std::string> Arguments;
+  for (const auto &[Flag, Value] : Flags) {
+    Arguments.push_back(Flag);
+    Arguments.push_back(Value);
+  }
   TestBox Made;
   Made.m_Process =
       std::make_unique<ChildProcess>(program("havenstaird", Arguments));
