--- a/packages/decisions/process/EngineOrders.cpp
+++ b/packages/decisions/process/EngineOrders.cpp
@@ -284,10 +284,22 @@
   return {ReadReport{}};
 }
 
+/// Nothing is on its way, so the report is not expected to change.
+bool EngineOrders::quiet() const {
+  if (!m_Ready || !m_Pending.empty() || m_JournalDirty)
+    return false;
+  const std::vector<LedgerEntry> Entries = m_Ledger.entries();
+  return std::none_of(Entries.begin(), Entries.end(), [](const auto &Entry) {
+    return Entry.m_Residency == Residency::Loading;
+  });
+}
+
 EngineActions EngineOrders::tick(TimePoint Now) {
   if (!owned())
     return {};
-  if (m_LastAsk && Now < *m_LastAsk + m_Opts.m_ReportInterval)
+  const Duration Interval =
+      quiet() ? m_Opts.m_QuietInterval : m_Opts.m_ReportInterval;
+  if (m_LastAsk && Now < *m_LastAsk + Interval)
     return {};
   m_LastAsk = Now;
   if (!m_Opts.m_ChecksTokens && !m_JournalKnown)
--- a/packages/decisions/process/EngineOrders.h
+++ b/packages/decisions/process/EngineOrders.h
@@ -97,8 +97,11 @@
     /// Longest time between the end of an attempt to send an order and the
     /// last moment at which the engine may still act on it.
     Duration m_OrderLife = 5s;
-    /// Time without news after which the report is read again.
+    /// Time after which the report is read again while something is on its
+    /// way: an order, a load, or the takeover.
     Duration m_ReportInterval = 1s;
+    /// The same while nothing is.
+    Duration m_QuietInterval = 10s;
     /// Hook for tests that take the reservation out; true in the product.
     bool m_CountUnsettled = true;
   };
@@ -169,6 +172,7 @@
   MemoryMiB reserveToCount(MemoryMiB Reported) const;
   bool hasPending(const ArtifactName &Artifact) const;
   EngineActions requestJournalWrite();
+  bool quiet() const;
   void recountHeldOrders();
 
   Options m_Opts;
--- a/packages/havenstaird/process/Membership.cpp
+++ b/packages/havenstaird/process/Membership.cpp
@@ -15,6 +15,8 @@
 constexpr Duration RankDelay = 400ms;
 /// How often boxes of other data centres are looked up.
 constexpr Duration RemotePollEvery = 120s;
+/// Writes of a whole fleet that waits for the platform stay within its rate.
+constexpr Duration LeaseRetryCap = 10s;
 /// Links to each other data centre.
 constexpr int RemoteLinks = 2;
 constexpr int MostPort = 65535;
@@ -107,8 +109,9 @@
 
 Membership::Membership(EventLoop &Loop, Platform &Service, Options Opts)
     : m_Platform(Service), m_Opts(std::move(Opts)), m_Lease(m_Opts.m_Lease),
-      m_LeaseBackoff(
-          {.m_First = 100ms, .m_Cap = 3s, .m_Random = m_Opts.m_Random}),
+      m_LeaseBackoff({.m_First = 100ms,
+                      .m_Cap = LeaseRetryCap,
+                      .m_Random = m_Opts.m_Random}),
       m_BoxWatch(Loop, watchOptions([this](PlatformWait Wait,
                                            const PlatformWatch::Next &Next) {
                    m_Platform.list(
--- a/packages/havenstaird/process/UpstreamOwner.cpp
+++ b/packages/havenstaird/process/UpstreamOwner.cpp
@@ -180,6 +180,9 @@
 void UpstreamOwner::onHead(const CallPtr &Item, int Status,
                            const HttpHeaders &Headers) {
   if (m_Opts.m_Spec.m_Kind == UpstreamKind::Engine) {
+    // The ledger says otherwise, so the engine has lost it: read it again.
+    if (Status == 404 && owned())
+      readReport();
     if (Status == 404)
       Item->m_Refused =
           Failure{.m_Kind = ErrorKind::NoResidentCopy, .m_RetryAfter = 1s};
--- a/packages/wire/common/EventLoop.cpp
+++ b/packages/wire/common/EventLoop.cpp
@@ -15,12 +15,6 @@
   return Result;
 }
 
-void runDeferred(evutil_socket_t, short, void *Arg) {
-  const std::unique_ptr<std::function<void()>> Call(
-      static_cast<std::function<void()> *>(Arg));
-  (*Call)();
-}
-
 void runTimer(evutil_socket_t, short, void *Arg) {
   // A copy, since the call may destroy its own timer.
   const std::function<void()> Call = *static_cast<std::function<void()> *>(Arg);
@@ -47,9 +41,26 @@
 EventLoop::EventLoop() : m_Base(event_base_new()) {
   if (m_Base == nullptr)
     throw std::runtime_error("no event loop could be made");
+  m_DeferEvent = event_new(
+      m_Base, -1, 0,
+      [](evutil_socket_t, short, void *Arg) {
+        static_cast<EventLoop *>(Arg)->runDeferred();
+      },
+      this);
 }
 
-EventLoop::~EventLoop() { event_base_free(m_Base); }
+EventLoop::~EventLoop() {
+  m_Deferred.clear();
+  event_free(m_DeferEvent);
+  event_base_free(m_Base);
+}
+
+void EventLoop::runDeferred() {
+  std::vector<std::function<void()>> Calls;
+  std::swap(Calls, m_Deferred);
+  for (const std::function<void()> &Call : Calls)
+    Call();
+}
 
 void EventLoop::run() { event_base_loop(m_Base, EVLOOP_NO_EXIT_ON_EMPTY); }
 
@@ -68,10 +79,9 @@
 void EventLoop::stop() { event_base_loopbreak(m_Base); }
 
 void EventLoop::defer(std::function<void()> Call) {
-  auto Owned = std::make_unique<std::function<void()>>(std::move(Call));
+  m_Deferred.push_back(std::move(Call));
   const timeval Immediately{};
-  event_base_once(m_Base, -1, EV_TIMEOUT, runDeferred, Owned.release(),
-                  &Immediately);
+  event_add(m_DeferEvent, &Immediately);
 }
 
 Timer EventLoop::after(Duration Delay, std::function<void()> Call) {
--- a/packages/wire/common/EventLoop.h
+++ b/packages/wire/common/EventLoop.h
@@ -6,6 +6,7 @@
 #include "decisions/common/Time.h"
 #include <functional>
 #include <memory>
+#include <vector>
 
 struct event_base;
 struct event;
@@ -41,7 +42,8 @@
   bool runUntil(const std::function<bool()> &Done, Duration Limit);
   void stop();
 
-  /// Runs \p Call once in the next pass of the loop.
+  /// Runs \p Call once in the next pass of the loop. What was not run when
+  /// the loop is destroyed is destroyed unrun.
   void defer(std::function<void()> Call);
   /// Runs \p Call once after \p Delay, unless the timer is destroyed before.
   [[nodiscard]] Timer after(Duration Delay, std::function<void()> Call);
@@ -57,7 +59,11 @@
   event_base *base() const { return m_Base; }
 
 private:
+  void runDeferred();
+
   event_base *m_Base;
+  event *m_DeferEvent = nullptr;
+  std::vector<std::function<void()>> m_Deferred;
 };
 
 } // namespace havenstair
--- a/packages/wire/common/HttpClient.cpp
+++ b/packages/wire/common/HttpClient.cpp
@@ -64,9 +64,9 @@
       return;
     evhttp_connection *Closing = m_Connection;
     m_Connection = nullptr;
-    m_Loop->defer([Self = shared_from_this(), Closing] {
-      evhttp_connection_free(Closing);
-    });
+    const std::shared_ptr<evhttp_connection> Held(Closing,
+                                                  evhttp_connection_free);
+    m_Loop->defer([Self = shared_from_this(), Held] {});
   }
 
   void finish(HttpEnd End) {
--- a/packages/wire/common/HttpServer.cpp
+++ b/packages/wire/common/HttpServer.cpp
@@ -221,6 +221,7 @@
   bufferevent *Stream = evhttp_connection_get_bufferevent(Connection);
   bufferevent_disable(Stream, EV_READ | EV_WRITE);
   bufferevent_setcb(Stream, nullptr, nullptr, nullptr, nullptr);
+  // The server frees those that are left when it is destroyed.
   m_Loop.defer([Connection] { evhttp_connection_free(Connection); });
 }
 
--- a/tests/decisions/process/EngineOrdersTest.cpp
+++ b/tests/decisions/process/EngineOrdersTest.cpp
@@ -135,6 +135,7 @@
                               .m_ChecksTokens = m_Engine.m_ChecksTokens,
                               .m_OrderLife = OrderLife,
                               .m_ReportInterval = 10ms,
+                              .m_QuietInterval = 50ms,
                               .m_CountUnsettled = m_CountUnsettled});
     Box.m_InHand.clear();
     Box.m_Token = 0;
@@ -333,6 +334,23 @@
   REQUIRE(run(Steps, ChecksTokens, true).m_Engine.m_Violations == 0);
 }
 
+TEST_CASE("A quiet engine is asked less often", "[orders]") {
+  EngineOrders Orders({.m_Self = BoxName("a"),
+                       .m_Capacity = Capacity,
+                       .m_ReportInterval = 1s,
+                       .m_QuietInterval = 10s});
+  const auto At = [](Duration Since) { return TimePoint(Since); };
+  Orders.takeOver(1, At(0s));
+  EngineReport Report;
+  Report.m_HighestToken = {1, 0};
+  Orders.reported(Report, At(0s), At(0s));
+  REQUIRE(Orders.tick(At(9s)).empty());
+  REQUIRE(Orders.tick(At(10s)).size() == 1);
+  Orders.reported(Report, At(10s), At(10s));
+  Orders.load(ArtifactName("m"), 10, At(10s));
+  REQUIRE_FALSE(Orders.tick(At(11s)).empty());
+}
+
 TEST_CASE("An order reaches the engine and settles", "[memory][orders]") {
   const bool ChecksTokens = GENERATE(true, false);
   std::vector<Step> Steps{{1, 0, 0}};
