--- a/packages/decisions/request/Router.cpp
+++ b/packages/decisions/request/Router.cpp
@@ -10,8 +10,6 @@
 
 /// Characters of a prompt that identify its conversation's shared start.
 constexpr std::size_t PrefixLength = 1024;
-/// Pressure that a cached prefix is worth; see docs/design/routing.md.
-constexpr double DefaultSlack = 0.25;
 
 std::uint64_t preference(const Candidate &Of, std::uint64_t Prefix) {
   return stableHash(Of.m_Upstream.str(), std::to_string(Prefix));
@@ -51,10 +49,6 @@
   return Best->m_Upstream;
 }
 
-RoutingHook defaultRouting() {
-  return [](const std::vector<Candidate> &Candidates, std::uint64_t Prefix) {
-    return prefixAffinity(Candidates, Prefix, DefaultSlack);
-  };
-}
+RoutingHook defaultRouting() { return leastPressure; }
 
 } // namespace havenstair
--- a/packages/decisions/request/Router.h
+++ b/packages/decisions/request/Router.h
@@ -32,7 +32,8 @@
 prefixAffinity(const std::vector<Candidate> &Candidates, std::uint64_t Prefix,
                double Slack);
 
-/// The product's choice: prefixAffinity() with the measured slack.
+/// The product's choice: leastPressure(), so a conversation stays where it is
+/// while nothing is less busy. docs/design/routing.md has the measurement.
 RoutingHook defaultRouting();
 
 } // namespace havenstair
