Concurrency limits hold over all boxes, and reach all of them

Cause 1: an even part for each box gave a limit below the number of boxes to the first boxes only; callers of the others were refused for ever. Now one box counts for a group.

Cause 3, by the address sanitizer: a deferred call that was destroyed with its loop deferred another one into the vector being cleared.

--- a/packages/decisions/process/GroupLimiter.cpp
+++ b/packages/decisions/process/GroupLimiter.cpp
@@ -6,14 +6,14 @@
 
 namespace {
 
-constexpr Duration ConcurrencyRetryAfter = 500ms;
-
 Duration timeToEarn(double Missing, double Rate) {
   return Duration(static_cast<Duration::rep>(Missing / Rate * 1e6));
 }
 
-Failure limited(ErrorKind Kind, Duration RetryAfter) {
-  return {.m_Kind = Kind, .m_RetryAfter = RetryAfter, .m_Detail = {}};
+Failure rateLimited(Duration RetryAfter) {
+  return {.m_Kind = ErrorKind::RateLimited,
+          .m_RetryAfter = RetryAfter,
+          .m_Detail = {}};
 }
 
 } // namespace
@@ -43,23 +43,18 @@
                                               TimePoint Now) {
   Usage &Used = m_Usage[Row.m_Group];
   const GroupLimits &Limits = Row.m_Limits;
-  if (Limits.m_Concurrency > 0 &&
-      Used.m_Running >= concurrencyPart(Limits.m_Concurrency, m_Share))
-    return limited(ErrorKind::ConcurrencyLimited, ConcurrencyRetryAfter);
   const double TokenRate = Limits.m_TokensPerSecond / m_Share.m_Boxes;
   if (TokenRate > 0) {
     refill(Used.m_Tokens, TokenRate, 0, Now);
     // Tokens are charged when they are known; a debt is paid off first.
     if (Used.m_Tokens.m_Level < 0)
-      return limited(ErrorKind::RateLimited,
-                     timeToEarn(-Used.m_Tokens.m_Level, TokenRate));
+      return rateLimited(timeToEarn(-Used.m_Tokens.m_Level, TokenRate));
   }
   const double Rate = Limits.m_RequestsPerSecond / m_Share.m_Boxes;
   if (Rate > 0) {
     refill(Used.m_Requests, Rate, 1, Now);
     if (Used.m_Requests.m_Level < 1)
-      return limited(ErrorKind::RateLimited,
-                     timeToEarn(1 - Used.m_Requests.m_Level, Rate));
+      return rateLimited(timeToEarn(1 - Used.m_Requests.m_Level, Rate));
     Used.m_Requests.m_Level -= 1;
   }
   ++Used.m_Running;
--- a/packages/decisions/process/GroupLimiter.h
+++ b/packages/decisions/process/GroupLimiter.h
@@ -36,8 +36,10 @@
   explicit GroupLimiter(Options Opts);
 
   void setShare(const LimitShare &Share) { m_Share = Share; }
+  const LimitShare &share() const { return m_Share; }
 
-  /// Takes one request of \p Row into account, or says why not.
+  /// Takes one request of \p Row into account, or says why its rates forbid
+  /// it. Concurrency is counted here and judged by the group's home.
   std::optional<Failure> tryAdmit(const GroupRow &Row, TimePoint Now);
   /// A request that was admitted ended, after \p Tokens were generated.
   void finished(const GroupName &Group, double Tokens);
--- a/packages/havenstaird/process/Box.cpp
+++ b/packages/havenstaird/process/Box.cpp
@@ -25,6 +25,8 @@
 constexpr Duration BalancerGrace = 1s;
 /// Time for peers to say that they give no more work to a stopping box.
 constexpr Duration ShunLimit = 5s;
+/// Digests in a row after which any box sends what another lacks.
+constexpr int BehindTooLong = 3;
 /// Served cost is told with every so many digests, of this many groups.
 constexpr int DigestsPerServed = 5;
 constexpr std::size_t MostServedGroups = 8;
@@ -76,6 +78,7 @@
            .m_MayOwn =
                [this] { return m_Membership && m_Membership->leaseHeld(); }}),
       m_KeyRouter(Loop, m_Forwarder, keyRouterOptions()),
+      m_Gate(Loop, m_Limiter, gateOptions()),
       m_CallerApi(m_Limiter, m_Metrics, m_Requests, callerOptions()),
       m_AdminApi(m_Table, adminOptions()),
       m_CallerServer(
@@ -218,12 +221,28 @@
   return Opts;
 }
 
+ConcurrencyGate::Options Box::gateOptions() {
+  return {
+      .m_Self = m_Self,
+      .m_HomeOf = [this](const GroupName &Group) { return homeOf(Group); },
+      .m_Send = [this](const BoxName &To,
+                       const PeerFrame &Frame) { return sendFrame(To, Frame); },
+      .m_PartOf = [this](int Limit) { return dataCentrePart(Limit); },
+      .m_Running =
+          [this](const GroupName &Group) { return m_Limiter.running(Group); }};
+}
+
 CallerApi::Options Box::callerOptions() {
   return {.m_Table = [this]() -> const Table & { return m_Table.table(); },
           .m_Start =
               [this](ForwardedRequest Request, AnswerSinkPtr Sink) {
                 return startRequest(std::move(Request), std::move(Sink));
               },
+          .m_Enter =
+              [this](const GroupRow &Row, std::function<void(bool)> Done) {
+                m_Gate.enter(Row, std::move(Done));
+              },
+          .m_Left = [this](const GroupName &Group) { m_Gate.left(Group); },
           .m_DefaultDeadline = m_Settings.m_DefaultDeadline,
           .m_IdPrefix = m_Self.str()};
 }
@@ -306,6 +325,27 @@
   return rendezvousPick(Others, Upstream.str());
 }
 
+/// The box that counts a group's running requests in this data centre.
+BoxName Box::homeOf(const GroupName &Group) const {
+  std::vector<BoxName> Able;
+  for (const BoxName &Box : m_Membership->assignment().m_Boxes)
+    if (usable(Box))
+      Able.push_back(Box);
+  return rendezvousPick(Able, Group.str()).value_or(m_Self);
+}
+
+/// Each data centre counts for itself, so that a cut does not stop it.
+int Box::dataCentrePart(int Limit) const {
+  std::set<DataCentreName> All;
+  for (const auto &[Name, Record] : m_Membership->boxes())
+    All.insert(Record.m_DataCentre);
+  All.insert(m_Settings.m_DataCentre);
+  const auto Place = All.find(m_Settings.m_DataCentre);
+  return concurrencyPart(
+      Limit, {.m_Index = static_cast<int>(std::distance(All.begin(), Place)),
+              .m_Boxes = static_cast<int>(All.size())});
+}
+
 std::optional<BoxName> Box::spillTo(const ForwardedRequest &Request) const {
   std::vector<BoxName> Able;
   for (const auto &[Peer, State] : m_Peers) {
@@ -341,6 +381,7 @@
   logInfo(LogPart::Peers, "Link to " + Peer.str() + " is down.");
   m_Peers.erase(Peer);
   m_Planner.forget(Peer);
+  m_Gate.peerDown(Peer);
   m_Forwarder.peerDown(Peer);
 }
 
@@ -349,7 +390,7 @@
   if (Found == m_Peers.end())
     return;
   Found->second.m_LastHeard = EventLoop::now();
-  if (m_Forwarder.onFrame(Peer, Frame))
+  if (m_Forwarder.onFrame(Peer, Frame) || m_Gate.onFrame(Peer, Frame))
     return;
   if (const auto *Digest = std::get_if<DigestFrame>(&Frame))
     return onDigest(Peer, *Digest);
@@ -374,12 +415,7 @@
   State.m_AssignmentSeen = Digest.m_AssignmentSeen;
   State.m_TableCompleteTo = Digest.m_TableCompleteTo;
   State.m_ShunsUs = Digest.m_Shunned.count(m_Self) != 0;
-  const TableVersion Known = Digest.m_TableCompleteTo;
-  const auto KnowsTable = [&](const PeerState &Other) {
-    return Other.m_TableCompleteTo > Known;
-  };
-  if (Known < m_Table.table().completeTo() && isSenderTo(Peer, KnowsTable))
-    sendFrame(Peer, m_Table.newerThan(Known));
+  sendWhatItLacks(Peer, Digest);
   if (State.m_DataCentre != m_Settings.m_DataCentre) {
     for (const UpstreamDigest &Each : Digest.m_Upstreams)
       State.m_Remote[Each.m_Upstream] = Each;
@@ -392,15 +428,8 @@
   m_Owners.chargeElsewhere(Digest.m_Served);
   applyLoads(Digest);
   const Assignment &Mine = m_Membership->assignment();
-  const auto KnowsAssignment = [&](const PeerState &Other) {
-    return Other.m_AssignmentSeen > Digest.m_AssignmentSeen &&
-           Other.m_DataCentre == m_Settings.m_DataCentre;
-  };
   if (Digest.m_AssignmentSeen >= Mine.m_Version && Mine.m_Version != 0)
     m_Owners.writerMovedOn(Peer);
-  else if (Digest.m_AssignmentSeen < Mine.m_Version &&
-           isSenderTo(Peer, KnowsAssignment))
-    sendFrame(Peer, AssignmentFrame{Mine});
 }
 
 DigestFrame Box::digestHead() const {
@@ -501,6 +530,28 @@
       m_Mesh.drop(Peer);
 }
 
+void Box::sendWhatItLacks(const BoxName &Peer, const DigestFrame &Digest) {
+  PeerState &State = m_Peers[Peer];
+  const bool Here = State.m_DataCentre == m_Settings.m_DataCentre;
+  const Assignment &Mine = m_Membership->assignment();
+  const bool OldTable = Digest.m_TableCompleteTo < m_Table.table().completeTo();
+  const bool OldAssignment = Here && Digest.m_AssignmentSeen < Mine.m_Version;
+  State.m_Behind = OldTable || OldAssignment ? State.m_Behind + 1 : 0;
+  // The box whose turn it is may not reach the peer; then anyone helps.
+  const bool Overdue = State.m_Behind % BehindTooLong == 0;
+  const auto KnowsTable = [&](const PeerState &Other) {
+    return Other.m_TableCompleteTo > Digest.m_TableCompleteTo;
+  };
+  if (OldTable && (Overdue || isSenderTo(Peer, KnowsTable)))
+    sendFrame(Peer, m_Table.newerThan(Digest.m_TableCompleteTo));
+  const auto KnowsAssignment = [&](const PeerState &Other) {
+    return Other.m_AssignmentSeen > Digest.m_AssignmentSeen &&
+           Other.m_DataCentre == m_Settings.m_DataCentre;
+  };
+  if (OldAssignment && (Overdue || isSenderTo(Peer, KnowsAssignment)))
+    sendFrame(Peer, AssignmentFrame{Mine});
+}
+
 /// Of all boxes that know more than \p Peer, one sends it what it lacks.
 bool Box::isSenderTo(
     const BoxName &Peer,
@@ -610,6 +661,7 @@
 /// Work that is not urgent.
 void Box::slowTick() {
   m_Keyed.tick();
+  m_Gate.tick();
   releaseFormerWriters();
   m_Metrics.setLeaseHeld(m_Membership->leaseHeld());
   m_Metrics.setVersions(
--- a/packages/havenstaird/process/Box.h
+++ b/packages/havenstaird/process/Box.h
@@ -13,6 +13,7 @@
 #include "havenstaird/process/Planner.h"
 #include "havenstaird/process/Settings.h"
 #include "havenstaird/request/CallerApi.h"
+#include "havenstaird/request/ConcurrencyGate.h"
 #include "havenstaird/request/Dispatcher.h"
 #include "havenstaird/request/KeyRouter.h"
 #include "havenstaird/request/KeyedRunner.h"
@@ -55,6 +56,8 @@
     FencingToken m_AssignmentSeen = 0;
     TableVersion m_TableCompleteTo = 0;
     bool m_ShunsUs = false;
+    /// Digests in a row that showed it behind this box.
+    int m_Behind = 0;
     /// Upstreams of other data centres, for spilling.
     std::map<UpstreamName, UpstreamDigest> m_Remote;
   };
@@ -69,6 +72,7 @@
   DispatchView dispatchView();
   KeyRouter::Options keyRouterOptions();
   Planner::Options plannerOptions();
+  ConcurrencyGate::Options gateOptions();
   CallerApi::Options callerOptions();
   AdminApi::Options adminOptions();
   HttpServer::Options serverOptions(const Endpoint &Listen) const;
@@ -80,6 +84,8 @@
                                      const ForwardedRequest &Request,
                                      AnswerSinkPtr Sink);
   std::optional<BoxName> admitterOf(const UpstreamName &Upstream) const;
+  BoxName homeOf(const GroupName &Group) const;
+  int dataCentrePart(int Limit) const;
   std::optional<BoxName> spillTo(const ForwardedRequest &Request) const;
   bool usable(const BoxName &Peer) const;
 
@@ -100,6 +106,7 @@
   void dropSilentPeers();
   bool isSenderTo(const BoxName &Peer,
                   const std::function<bool(const PeerState &)> &Knows) const;
+  void sendWhatItLacks(const BoxName &Peer, const DigestFrame &Digest);
 
   // What the parts tell.
   void assignmentChanged(const Assignment &Current);
@@ -153,6 +160,7 @@
   Dispatcher m_Dispatcher;
   KeyedRunner m_Keyed;
   KeyRouter m_KeyRouter;
+  ConcurrencyGate m_Gate;
   CallerApi m_CallerApi;
   AdminApi m_AdminApi;
   HttpServer m_CallerServer;
--- a/packages/havenstaird/request/CallerApi.cpp
+++ b/packages/havenstaird/request/CallerApi.cpp
@@ -22,6 +22,7 @@
 constexpr long LongestDeadlineMs = 600000;
 constexpr int MostPriority = 9;
 constexpr std::size_t LongestKey = 128;
+constexpr Duration ConcurrencyRetryAfter = 500ms;
 
 /// A whole number from a header; \p Default when the header is absent.
 long headerNumber(const HttpExchange &Exchange, const std::string &Name,
@@ -231,7 +232,7 @@
     if (std::exchange(m_Done, true))
       return;
     m_Times.m_Whole = EventLoop::now() - m_Arrived;
-    m_Api.m_Limiter.finished(m_Group, Tokens);
+    m_Api.ended(m_Group, Tokens);
     m_Api.m_Metrics.answered(m_Group, Code, m_Times);
     m_Api.m_Log.end(m_Id, std::string(Code), m_Times.m_Queued, m_Times.m_Whole);
     logDebug(LogPart::Entry,
@@ -341,14 +342,33 @@
     m_Metrics.answered(Row.m_Group, answerFor(Reason->m_Kind).m_Code, {});
     return replyError(Exchange, *Reason, Request.m_Id);
   }
-  auto Sink = std::make_shared<CallerSink>(*this, Exchange, Row.m_Group,
-                                           Request.m_Id, Request.m_Stream);
+  m_Opts.m_Enter(Row, [this, Exchange, Group = Row.m_Group,
+                       Request = std::move(Request)](bool Allowed) {
+    if (Allowed && Exchange->open())
+      return run(Exchange, Group, Request);
+    ended(Group, 0);
+    const Failure Reason{.m_Kind = ErrorKind::ConcurrencyLimited,
+                         .m_RetryAfter = ConcurrencyRetryAfter};
+    m_Metrics.answered(Group, answerFor(Reason.m_Kind).m_Code, {});
+    replyError(Exchange, Reason, Request.m_Id);
+  });
+}
+
+void CallerApi::ended(const GroupName &Group, double Tokens) {
+  m_Limiter.finished(Group, Tokens);
+  m_Opts.m_Left(Group);
+}
+
+void CallerApi::run(const HttpExchangePtr &Exchange, const GroupName &Group,
+                    ForwardedRequest Request) {
+  auto Sink = std::make_shared<CallerSink>(*this, Exchange, Group, Request.m_Id,
+                                           Request.m_Stream);
   Exchange->onCallerLeft([Weak = std::weak_ptr<CallerSink>(Sink)] {
     if (const auto Held = Weak.lock())
       Held->left();
   });
   m_Log.begin({.m_Id = Request.m_Id,
-               .m_Group = Row.m_Group,
+               .m_Group = Group,
                .m_Target = Request.m_Service.empty() ? Request.m_Artifact.str()
                                                      : Request.m_Service});
   Sink->setGiveUp(m_Opts.m_Start(std::move(Request), Sink));
--- a/packages/havenstaird/request/CallerApi.h
+++ b/packages/havenstaird/request/CallerApi.h
@@ -33,6 +33,10 @@
   struct Options {
     std::function<const Table &()> m_Table;
     Start m_Start;
+    /// Asks whether a group's concurrency limit allows one more request.
+    std::function<void(const GroupRow &, std::function<void(bool)>)> m_Enter;
+    /// A request that was counted for the limit ended.
+    std::function<void(const GroupName &)> m_Left;
     Duration m_DefaultDeadline = 5s;
     std::string m_IdPrefix; ///< Name of the box; part of request ids.
   };
@@ -51,6 +55,9 @@
   void listModels(const HttpExchangePtr &Exchange, const GroupRow &Row) const;
   void start(const HttpExchangePtr &Exchange, const GroupRow &Row,
              ForwardedRequest Request);
+  void run(const HttpExchangePtr &Exchange, const GroupName &Group,
+           ForwardedRequest Request);
+  void ended(const GroupName &Group, double Tokens);
   RequestId nextId();
 
   GroupLimiter &m_Limiter;
--- a/packages/wire/common/EventLoop.cpp
+++ b/packages/wire/common/EventLoop.cpp
@@ -50,7 +50,9 @@
 }
 
 EventLoop::~EventLoop() {
-  m_Deferred.clear();
+  // Destroying a call may defer another one.
+  while (!m_Deferred.empty())
+    std::exchange(m_Deferred, {});
   event_free(m_DeferEvent);
   event_base_free(m_Base);
 }
--- a/packages/wire/connection/PeerFrames.cpp
+++ b/packages/wire/connection/PeerFrames.cpp
@@ -9,9 +9,10 @@
 namespace {
 
 constexpr std::array<std::string_view, std::variant_size_v<PeerFrame>> Names{
-    "hello",  "proof", "forward",    "cancel", "started",
-    "head",   "bytes", "ended",      "failed", "digest",
-    "demand", "table", "assignment", "plan",   "move"};
+    "hello",     "proof",        "forward",    "cancel", "started",
+    "head",      "bytes",        "ended",      "failed", "digest",
+    "demand",    "table",        "assignment", "plan",   "move",
+    "limit_ask", "limit_answer", "limit_tell"};
 
 /// Which alternative of the variant a message is; no message uses the name.
 constexpr const char *KindField = "frame";
@@ -358,6 +359,38 @@
   Frame.m_Record.m_At = field<WallMillis>(From, "at");
 }
 
+Json toJson(const LimitAskFrame &Frame) {
+  return {{"id", Frame.m_Id},
+          {"group", Frame.m_Group.str()},
+          {"running", Frame.m_Running},
+          {"limit", Frame.m_Limit}};
+}
+
+void fromJson(const Json &From, LimitAskFrame &Frame) {
+  Frame.m_Id = field<std::uint64_t>(From, "id");
+  Frame.m_Group = GroupName(field<std::string>(From, "group"));
+  Frame.m_Running = field<int>(From, "running");
+  Frame.m_Limit = field<int>(From, "limit");
+}
+
+Json toJson(const LimitAnswerFrame &Frame) {
+  return {{"id", Frame.m_Id}, {"allowed", Frame.m_Allowed}};
+}
+
+void fromJson(const Json &From, LimitAnswerFrame &Frame) {
+  Frame.m_Id = field<std::uint64_t>(From, "id");
+  Frame.m_Allowed = field<bool>(From, "allowed");
+}
+
+Json toJson(const LimitTellFrame &Frame) {
+  return {{"group", Frame.m_Group.str()}, {"running", Frame.m_Running}};
+}
+
+void fromJson(const Json &From, LimitTellFrame &Frame) {
+  Frame.m_Group = GroupName(field<std::string>(From, "group"));
+  Frame.m_Running = field<int>(From, "running");
+}
+
 /// Decodes into the alternative number \p Index of the variant.
 template <std::size_t Index = 0>
 PeerFrame decodeAs(std::size_t Wanted, const Json &From) {
--- a/packages/wire/connection/PeerFrames.h
+++ b/packages/wire/connection/PeerFrames.h
@@ -130,6 +130,31 @@
   bool operator==(const AssignmentFrame &) const = default;
 };
 
+/// May one more request of a limited group run? Asked of the box that counts.
+struct LimitAskFrame {
+  std::uint64_t m_Id = 0;
+  GroupName m_Group;
+  int m_Running = 0; ///< Through the sender, the new one among them.
+  int m_Limit = 0;   ///< Of the whole fleet, as the sender's table says.
+
+  bool operator==(const LimitAskFrame &) const = default;
+};
+
+struct LimitAnswerFrame {
+  std::uint64_t m_Id = 0;
+  bool m_Allowed = false;
+
+  bool operator==(const LimitAnswerFrame &) const = default;
+};
+
+/// How many requests of a limited group run through the sender now.
+struct LimitTellFrame {
+  GroupName m_Group;
+  int m_Running = 0;
+
+  bool operator==(const LimitTellFrame &) const = default;
+};
+
 /// The planner asks an owner for a move.
 struct PlanFrame {
   Move m_Move;
@@ -148,7 +173,8 @@
     std::variant<HelloFrame, ProofFrame, ForwardFrame, CancelFrame,
                  StartedFrame, HeadFrame, BytesFrame, EndedFrame, FailedFrame,
                  DigestFrame, DemandFrame, TableFrame, AssignmentFrame,
-                 PlanFrame, MoveFrame>;
+                 PlanFrame, MoveFrame, LimitAskFrame, LimitAnswerFrame,
+                 LimitTellFrame>;
 
 /// Name of the kind of \p Frame, for metrics.
 std::string_view frameName(const PeerFrame &Frame);
--- a/tests/process/CallerApiTest.cpp
+++ b/tests/process/CallerApiTest.cpp
@@ -148,4 +148,29 @@
     REQUIRE(errorCode(Refused) == "rate_limited");
     REQUIRE(std::stoi(findHeader(Refused.m_Headers, "Retry-After")) > 0);
   }
+  SECTION("a concurrency limit of one holds over both boxes, and is not lost") {
+    REQUIRE(
+        System->addGroup("box-1", "one", {"plans"}, {}, {{"concurrency", 1}})
+            .m_Status == 200);
+    for (const char *Box : {"box-1", "box-2"})
+      REQUIRE(System->waitFor([&] {
+        return System->complete(Box, "one", "plans", "x", false, 1).ok();
+      }));
+    const std::uint64_t Before = engineSum(*System, "requests");
+    bool Ended = false;
+    System->client().start(
+        System->box("box-1").m_Callers, HttpMethod::Post, "/v1/completions",
+        TestSystem::completionBody("plans", "long", true, 300),
+        TestSystem::callerHeaders("one"),
+        [&](const HttpAnswer &) { Ended = true; });
+    REQUIRE(System->waitFor(
+        [&] { return engineSum(*System, "requests") > Before; }));
+    const HttpAnswer Second =
+        System->complete("box-2", "one", "plans", "x", false, 1);
+    CHECK(errorCode(Second) == "concurrency_limited");
+    REQUIRE(System->waitFor([&] { return Ended; }));
+    REQUIRE(System->waitFor([&] {
+      return System->complete("box-2", "one", "plans", "x", false, 1).ok();
+    }));
+  }
 }
--- a/tests/wire/PeerFramesTest.cpp
+++ b/tests/wire/PeerFramesTest.cpp
@@ -122,7 +122,10 @@
           drawnTable(),
           AssignmentFrame{drawnAssignment()},
           PlanFrame{drawnMove()},
-          MoveFrame{{"id", drawnMove(), boxName(1), 1700000000000}}};
+          MoveFrame{{"id", drawnMove(), boxName(1), 1700000000000}},
+          LimitAskFrame{Attempt, groupName(1), *drawn(0, 9), *drawn(0, 9)},
+          LimitAnswerFrame{Attempt, *rc::gen::arbitrary<bool>()},
+          LimitTellFrame{groupName(2), *drawn(0, 9)}};
 }
 
 } // namespace
