Split the box: digest exchange and operators' views have files of their own

What boxes tell each other is DigestExchange now, the JSON for operators BoxViews; Box wires and stops.

--- a/packages/havenstaird/process/Box.h
+++ b/packages/havenstaird/process/Box.h
@@ -6,6 +6,7 @@
 #include "decisions/process/GroupLimiter.h"
 #include "decisions/process/MoveLog.h"
 #include "decisions/process/RequestLog.h"
+#include "havenstaird/process/DigestExchange.h"
 #include "havenstaird/process/Membership.h"
 #include "havenstaird/process/Metrics.h"
 #include "havenstaird/process/OwnerService.h"
@@ -21,7 +22,6 @@
 #include "havenstaird/version/TableSync.h"
 #include "wire/process/PeerMesh.h"
 #include <memory>
-#include <set>
 
 namespace havenstair {
 
@@ -48,20 +48,6 @@
   const BoxName &name() const { return m_Self; }
 
 private:
-  /// What this box last heard of another.
-  struct PeerState {
-    TimePoint m_LastHeard;
-    DataCentreName m_DataCentre;
-    bool m_Stopping = false;
-    FencingToken m_AssignmentSeen = 0;
-    TableVersion m_TableCompleteTo = 0;
-    bool m_ShunsUs = false;
-    /// Digests in a row that showed it behind this box.
-    int m_Behind = 0;
-    /// Upstreams of other data centres, for spilling.
-    std::map<UpstreamName, UpstreamDigest> m_Remote;
-  };
-
   // Making the parts.
   PeerMesh::Options meshOptions() const;
   PeerMesh::Hooks meshHooks();
@@ -72,6 +58,7 @@
   DispatchView dispatchView();
   KeyRouter::Options keyRouterOptions();
   Planner::Options plannerOptions();
+  DigestExchange::Options exchangeOptions();
   ConcurrencyGate::Options gateOptions();
   CallerApi::Options callerOptions();
   AdminApi::Options adminOptions();
@@ -87,26 +74,13 @@
   BoxName homeOf(const GroupName &Group) const;
   int dataCentrePart(int Limit) const;
   std::optional<BoxName> spillTo(const ForwardedRequest &Request) const;
-  bool usable(const BoxName &Peer) const;
 
   // Peers.
   void peerUp(const BoxName &Peer, const DataCentreName &DataCentre);
   void peerDown(const BoxName &Peer);
   void onFrame(const BoxName &Peer, PeerFrame Frame);
-  void onDigest(const BoxName &Peer, const DigestFrame &Digest);
   bool sendFrame(const BoxName &To, const PeerFrame &Frame);
-  /// Everything to one box whose link just came up.
-  void sendWholeDigest(const BoxName &To);
-  /// What changed since the last digest, to all boxes.
-  void sendDigests();
-  DigestFrame digestHead() const;
-  std::map<GroupName, double> servedLately();
-  void applyLoads(const DigestFrame &Digest);
-  std::optional<BoxName> plannerBox() const;
   void dropSilentPeers();
-  bool isSenderTo(const BoxName &Peer,
-                  const std::function<bool(const PeerState &)> &Knows) const;
-  void sendWhatItLacks(const BoxName &Peer, const DigestFrame &Digest);
 
   // What the parts tell.
   void assignmentChanged(const Assignment &Current);
@@ -118,16 +92,10 @@
   void releaseFormerWriters();
   void changed();
 
-  // Views for operators.
-  Json upstreamsView() const;
-  Json boxesView() const;
-  Json movesView(const std::string &Id) const;
-  Json requestView(const std::string &Id) const;
   Capacity engineCapacity() const;
 
   // Stopping.
   void considerExit();
-  bool allShunUs() const;
   bool idle() const;
 
   void tick();
@@ -144,10 +112,6 @@
   GroupLimiter m_Limiter{GroupLimiter::Options{}};
   MoveLog m_Moves;
   RequestLog m_Requests;
-  std::map<BoxName, PeerState> m_Peers;
-  std::map<UpstreamName, UpstreamDigest> m_LastSent;
-  std::map<GroupName, double> m_Served;
-  int m_DigestCount = 0;
   bool m_DigestWanted = false;
   bool m_Stopping = false;
   TimePoint m_StopBegan;
@@ -167,6 +131,7 @@
   HttpServer m_OperatorServer;
   std::unique_ptr<Membership> m_Membership;
   Planner m_Planner;
+  DigestExchange m_Exchange;
   Timer m_Tick;
   Timer m_SlowTick;
   Timer m_DigestTimer;
