--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Packages of Debian that are declared but not on this machine.
 MISSING = $(shell for P in $$(cat packages.list); do dpkg -s $$P >/dev/null 2>&1 || echo $$P; done)
 
-.PHONY: deps build format format-check lint test demo prove bench sanitize
+.PHONY: deps build format format-check lint test demo prove bench sanitize fuzz
 
 deps:
 	@if [ -n "$(MISSING)" ]; then apt-get update -q && DEBIAN_FRONTEND=noninteractive apt-get install -y -q --no-install-recommends $(MISSING); fi
@@ -40,7 +40,7 @@
 	$(BUILD)/bin/havenstair-bench-capacity
 
 # Ten thousand generated sequences for each point that must always hold.
-prove: build
+prove: build fuzz
 	RC_PARAMS="seed=20261202 max_success=10000" $(BUILD)/bin/havenstair-decisions-tests "[proof]"
 
 # All tests once more, under the address and undefined-behaviour sanitizers.
@@ -48,3 +48,10 @@
 	cmake -S . -B $(BUILD)-sanitize -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DHAVENSTAIR_SANITIZE=ON
 	cmake --build $(BUILD)-sanitize -j $(JOBS)
 	RC_PARAMS="seed=20261202 max_success=100" ctest --test-dir $(BUILD)-sanitize --output-on-failure -j 4
+
+# A fixed number of runs of each fuzz target, from its corpus.
+FUZZ_RUNS ?= 200000
+fuzz: deps
+	cmake -S . -B $(BUILD)-fuzz -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_CXX_COMPILER=clang++ -DHAVENSTAIR_FUZZ=ON >/dev/null
+	cmake --build $(BUILD)-fuzz -j $(JOBS) --target havenstair-fuzz-frames havenstair-fuzz-documents
+	for T in frames documents; do mkdir -p $(BUILD)-fuzz/$$T && $(BUILD)-fuzz/bin/havenstair-fuzz-$$T -runs=$(FUZZ_RUNS) -seed=20261202 -print_final_stats=1 $(BUILD)-fuzz/$$T tests/fuzz/corpus/$$T || exit 1; done
--- /dev/null
+++ b/tests/fuzz/FuzzDocuments.cpp
@@ -0,0 +1,52 @@
+/// \file
+/// Fuzz target: documents of the platform, of operators and of engines. The
+/// first byte chooses the reader.
+#include "wire/common/Json.h"
+#include "wire/process/EngineClient.h"
+#include "wire/version/TableCsv.h"
+#include "wire/version/TableJson.h"
+
+#include <cstdint>
+
+namespace {
+
+using namespace havenstair;
+
+void readAs(int Kind, std::string_view Text) {
+  switch (Kind % 7) {
+  case 0:
+    tableToCsv(tableFromCsv(Text));
+    return;
+  case 1:
+    groupRowFromJson(parseJson(Text));
+    return;
+  case 2:
+    catalogueFromJson(parseJson(Text));
+    return;
+  case 3:
+    assignmentFromJson(parseJson(Text));
+    return;
+  case 4:
+    engineReportFromJson(parseJson(Text));
+    return;
+  case 5:
+    orderJournalFromJson(parseJson(Text));
+    return;
+  default:
+    engineOrderFromJson(parseJson(Text));
+  }
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
+                                      std::size_t Size) {
+  if (Size == 0)
+    return 0;
+  try {
+    readAs(Data[0], {reinterpret_cast<const char *>(Data) + 1, Size - 1});
+  } catch (const havenstair::DecodeError &) {
+    return 0;
+  }
+  return 0;
+}
--- /dev/null
+++ b/tests/fuzz/FuzzFrames.cpp
@@ -0,0 +1,23 @@
+/// \file
+/// Fuzz target: bytes of a peer's message.
+#include "wire/common/Json.h"
+#include "wire/connection/PeerFrames.h"
+
+#include <cstdint>
+#include <cstdlib>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
+                                      std::size_t Size) {
+  using namespace havenstair;
+  try {
+    const std::string_view Bytes(reinterpret_cast<const char *>(Data), Size);
+    const PeerFrame Frame = decodeFrame(Bytes);
+    // What is read must survive being written and read again.
+    const std::string Once = encodeFrame(Frame);
+    if (encodeFrame(decodeFrame(Once)) != Once)
+      std::abort();
+  } catch (const DecodeError &) {
+    return 0;
+  }
+  return 0;
+}
