--- a/packages/decisions/request/ErrorKind.cpp
+++ b/packages/decisions/request/ErrorKind.cpp
@@ -47,7 +47,6 @@
      "The upstream failed after it was given the request."},
     {502, "stream_cut", Unknown, false, "The answer was cut off."},
     {499, "caller_left", Unknown, false, "The caller left."},
-    {503, "box_stopping", NotRun, true, "This box is stopping."},
     {503, "platform_unavailable", NotRun, true,
      "The platform's service did not answer."},
     {409, "edit_conflict", NotRun, false,
--- a/packages/decisions/request/ErrorKind.h
+++ b/packages/decisions/request/ErrorKind.h
@@ -36,7 +36,6 @@
   UpstreamFailed,
   StreamCut,
   CallerLeft,
-  BoxStopping,
   PlatformUnavailable,
   EditConflict,
   BadCell,
--- a/packages/decisions/request/RequestAttempts.cpp
+++ b/packages/decisions/request/RequestAttempts.cpp
@@ -9,7 +9,6 @@
   case ErrorKind::NoUpstream:
   case ErrorKind::OwnerUnavailable:
   case ErrorKind::OwnerLost:
-  case ErrorKind::BoxStopping:
   case ErrorKind::UpstreamFailed:
   case ErrorKind::StreamCut:
   case ErrorKind::OutcomeUnknown:
--- a/tests/wire/HttpTest.cpp
+++ b/tests/wire/HttpTest.cpp
@@ -59,6 +59,19 @@
   std::string m_Bytes;
 };
 
+/// What a client makes of the server's bytes.
+HttpAnswer answerOf(RawServer &Server) {
+  EventLoop Loop;
+  HttpClient Client(Loop);
+  std::optional<HttpAnswer> Got;
+  Client.fetch(callTo(Server.m_Endpoint, "/"),
+               [&](HttpAnswer Answer) { Got = std::move(Answer); });
+  const Timer Wake = Loop.every(1ms, [] {});
+  REQUIRE(Loop.runUntil([&] { return Server.tryServe(); }, Limit));
+  REQUIRE(Loop.runUntil([&] { return Got.has_value(); }, Limit));
+  return *Got;
+}
+
 } // namespace
 
 TEST_CASE("A call reaches a server and its answer comes back", "[http]") {
@@ -101,30 +114,16 @@
   const auto Cut = GENERATE(0U, 1U, 9U, 20U, 38U, 40U, 42U);
   REQUIRE(Cut < Whole.size());
   RawServer Server(Whole.substr(0, Cut));
-  EventLoop Loop;
-  HttpClient Client(Loop);
-  std::optional<HttpAnswer> Got;
-  Client.fetch(callTo(Server.m_Endpoint, "/"),
-               [&](HttpAnswer Answer) { Got = std::move(Answer); });
-  const Timer Wake = Loop.every(1ms, [] {});
-  REQUIRE(Loop.runUntil([&] { return Server.tryServe(); }, Limit));
-  REQUIRE(Loop.runUntil([&] { return Got.has_value(); }, Limit));
-  REQUIRE(Got->m_End == HttpEnd::Broken);
+  const HttpAnswer Got = answerOf(Server);
+  REQUIRE(Got.m_End == HttpEnd::Broken);
 }
 
 TEST_CASE("A chunked answer without its last chunk is broken", "[http]") {
   RawServer Server("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                    "5\r\nhello\r\n");
-  EventLoop Loop;
-  HttpClient Client(Loop);
-  std::optional<HttpAnswer> Got;
-  Client.fetch(callTo(Server.m_Endpoint, "/"),
-               [&](HttpAnswer Answer) { Got = std::move(Answer); });
-  const Timer Wake = Loop.every(1ms, [] {});
-  REQUIRE(Loop.runUntil([&] { return Server.tryServe(); }, Limit));
-  REQUIRE(Loop.runUntil([&] { return Got.has_value(); }, Limit));
-  REQUIRE(Got->m_End == HttpEnd::Broken);
-  REQUIRE(Got->m_Body == "hello");
+  const HttpAnswer Got = answerOf(Server);
+  REQUIRE(Got.m_End == HttpEnd::Broken);
+  REQUIRE(Got.m_Body == "hello");
 }
 
 TEST_CASE("The server sees a caller that leaves", "[http]") {
