Place a model where its adapters fit too

Cause: models were placed one by one, the largest first; an adapter can only ride on the engine of its base. Two engines of 100, models of 50 with an adapter of 45, 50 and 45: the last model took the adapter's room, and the adapter had no copy for ever, although the table's check had found a packing. Now a model is placed with the room of its callable adapters, which follow at once; the largest family first.

Also the reason adapter_base, which nothing gave, is given.

--- a/packages/decisions/process/Placement.cpp
+++ b/packages/decisions/process/Placement.cpp
@@ -31,6 +31,8 @@
   std::vector<EngineView> m_Engines;
   std::map<ArtifactName, int> m_Copies;  ///< Held on engines that stay.
   std::map<ArtifactName, int> m_Serving; ///< Serving on engines that stay.
+  /// Callable adapters by their base.
+  std::map<ArtifactName, std::vector<const CatalogueEntry *>> m_AdaptersOf;
   /// Engines that hold each artifact, by position.
   std::map<ArtifactName, std::vector<std::size_t>> m_HeldBy;
   std::vector<Move> m_Moves;
@@ -39,6 +41,10 @@
 
   Working(const PlacementInput &Input, TimePoint Now)
       : m_Input(Input), m_Engines(Input.m_Engines), m_Now(Now) {
+    for (const ArtifactName &Name : Input.m_Callable)
+      if (const CatalogueEntry *Entry = entry(Name);
+          Entry != nullptr && Entry->isAdapter())
+        m_AdaptersOf[Entry->m_Base].push_back(Entry);
     for (std::size_t Index = 0; Index < m_Engines.size(); ++Index) {
       count(m_Engines[Index]);
       for (const auto &[Name, Size] : m_Engines[Index].m_Held)
@@ -77,6 +83,48 @@
                        });
   }
 
+  /// Callable adapters of \p Base without a copy; they need its engine.
+  std::vector<const CatalogueEntry *>
+  missingAdapters(const ArtifactName &Base) const {
+    std::vector<const CatalogueEntry *> Result;
+    const auto Range = m_AdaptersOf.find(Base);
+    if (Range == m_AdaptersOf.end())
+      return Result;
+    for (const CatalogueEntry *Adapter : Range->second) {
+      const auto Copies = m_Copies.find(Adapter->m_Name);
+      if (Copies == m_Copies.end() || Copies->second == 0)
+        Result.push_back(Adapter);
+    }
+    return Result;
+  }
+
+  /// Memory of an artifact together with the adapters that must ride on it.
+  MemoryMiB familySize(const CatalogueEntry &Entry) const {
+    MemoryMiB Sum = Entry.m_Size;
+    for (const CatalogueEntry *Adapter : missingAdapters(Entry.m_Name))
+      Sum += Adapter->m_Size;
+    return Sum;
+  }
+
+  bool leavesSomewhere(const ArtifactName &Name) const {
+    return std::any_of(
+        m_Engines.begin(), m_Engines.end(), [&](const EngineView &Engine) {
+          return Engine.m_Leaving && Engine.m_Held.count(Name) != 0;
+        });
+  }
+
+  /// Loads what had no copy, with the reason that fits.
+  void loadMissing(EngineView &Engine, const CatalogueEntry &Entry) {
+    if (m_Input.m_Callable.count(Entry.m_Name) == 0)
+      return load(Engine, Entry, MoveReason::AdapterBase,
+                  "Base of a callable adapter, without a copy.");
+    if (leavesSomewhere(Entry.m_Name))
+      return load(Engine, Entry, MoveReason::UpstreamLeaves,
+                  "Its only copies are on upstreams that leave.");
+    load(Engine, Entry, MoveReason::Coverage,
+         "Callable, but there was no copy.");
+  }
+
   void load(EngineView &Engine, const CatalogueEntry &Entry, MoveReason Reason,
             std::string Why) {
     Engine.m_Available -= Entry.m_Size;
@@ -162,14 +210,15 @@
     if (State.m_Copies[Name] == 0)
       Missing.push_back(Entry);
   }
-  // Large models first, while there is room for them; adapters last.
-  std::sort(Missing.begin(), Missing.end(), [](const auto *A, const auto *B) {
+  // Large families first, while there is room for them; adapters last.
+  std::sort(Missing.begin(), Missing.end(), [&](const auto *A, const auto *B) {
     if (A->isAdapter() != B->isAdapter())
       return B->isAdapter();
-    return A->m_Size > B->m_Size;
+    return State.familySize(*A) > State.familySize(*B);
   });
   for (const CatalogueEntry *Entry : Missing)
-    coverOne(State, *Entry);
+    if (State.m_Copies[Entry->m_Name] == 0)
+      coverOne(State, *Entry);
 }
 
 void Placement::coverOne(Working &State, const CatalogueEntry &Entry) {
@@ -192,27 +241,25 @@
   }
   std::sort(Places.begin(), Places.end(),
             [](auto *A, auto *B) { return A->m_Available > B->m_Available; });
-  for (EngineView *Engine : Places) {
-    if (Engine->m_Available < Entry.m_Size)
-      continue;
-    const bool Leaves = std::any_of(
-        State.m_Engines.begin(), State.m_Engines.end(), [&](const auto &Other) {
-          return Other.m_Leaving && Other.m_Held.count(Entry.m_Name) != 0;
-        });
-    const MoveReason Reason =
-        Leaves ? MoveReason::UpstreamLeaves : MoveReason::Coverage;
-    const std::string Why = Leaves
-                                ? "Its only copies are on upstreams that leave."
-                                : "Callable, but there was no copy.";
-    State.load(*Engine, Entry, Reason, Why);
-    return;
-  }
+  // With room for its adapters if there is such an engine; they have no other.
+  for (const MemoryMiB Need : {State.familySize(Entry), Entry.m_Size})
+    for (EngineView *Engine : Places)
+      if (Engine->m_Available >= Need)
+        return loadFamily(State, *Engine, Entry);
   // Nothing fits: first the engine where the least has to go.
   for (EngineView *Engine : Places)
     if (makeRoom(State, *Engine, Entry.m_Size, Entry.m_Name, true))
       return;
 }
 
+void Placement::loadFamily(Working &State, EngineView &Engine,
+                           const CatalogueEntry &Entry) {
+  State.loadMissing(Engine, Entry);
+  for (const CatalogueEntry *Adapter : State.missingAdapters(Entry.m_Name))
+    if (Engine.m_Available >= Adapter->m_Size)
+      State.loadMissing(Engine, *Adapter);
+}
+
 bool Placement::makeRoom(Working &State, EngineView &Engine, MemoryMiB Need,
                          const ArtifactName &For, bool ForCoverage) {
   struct Victim {
--- a/packages/decisions/process/Placement.h
+++ b/packages/decisions/process/Placement.h
@@ -110,6 +110,8 @@
 
   void cover(Working &State);
   void coverOne(Working &State, const CatalogueEntry &Entry);
+  void loadFamily(Working &State, EngineView &Engine,
+                  const CatalogueEntry &Entry);
   void dropNotCallable(Working &State);
   void addCopies(Working &State);
   bool addCopy(Working &State, const CatalogueEntry &Entry, double Best);
--- a/tests/decisions/process/PlacementTest.cpp
+++ b/tests/decisions/process/PlacementTest.cpp
@@ -102,6 +102,31 @@
       REQUIRE(Engine.m_Serving.count(modelName(1)) != 0);
 }
 
+TEST_CASE("A model finds room together with its adapters", "[placement]") {
+  World Made(2);
+  // By models alone the 45 could go beside the first 50, and the adapter
+  // would find no room on the only engine with its base.
+  Made.addModel(0, 50);
+  Made.addModel(1, 45, 0);
+  Made.addModel(2, 50);
+  Made.addModel(3, 45);
+  for (int Count = 0; Count < 4; ++Count)
+    Made.round();
+  REQUIRE(Made.uncovered() == 0);
+}
+
+TEST_CASE("A base that only its adapter needs is loaded for that reason",
+          "[placement]") {
+  World Made(1);
+  Made.addModel(0, 50);
+  Made.addModel(1, 10, 0);
+  Made.m_Input.m_Callable.erase(modelName(0));
+  const std::vector<Move> Moves = Made.round();
+  REQUIRE(Moves.size() == 2);
+  REQUIRE(Moves.at(0).m_Reason == MoveReason::AdapterBase);
+  REQUIRE(Moves.at(1).m_Reason == MoveReason::Coverage);
+}
+
 TEST_CASE("A placement that serves all makes no moves", "[placement]") {
   World Made(3);
   Made.addModel(0, 60);
