--- a/tests/fuzz/FuzzDocuments.cpp
+++ b/tests/fuzz/FuzzDocuments.cpp
@@ -39,6 +39,8 @@
 
 } // namespace
 
+// The name is libFuzzer's.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
                                       std::size_t Size) {
   if (Size == 0)
--- a/tests/fuzz/FuzzFrames.cpp
+++ b/tests/fuzz/FuzzFrames.cpp
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <cstdlib>
 
+// The name is libFuzzer's.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
                                       std::size_t Size) {
   using namespace havenstair;
--- a/tests/fuzz/ReplayMain.cpp
+++ b/tests/fuzz/ReplayMain.cpp
@@ -7,6 +7,8 @@
 #include <iterator>
 #include <vector>
 
+// The name is libFuzzer's.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
                                       std::size_t Size);
 
