Data centres that start together find each other at once; CLI tests

Cause: boxes of other data centres were looked up at the start and then every 120 s. Boxes that start together had no lease yet at the first look, so a fleet that started cold was not linked for two minutes: make demo failed in a fresh clone ('a box of another data centre reaches the model too'). The gap now grows from 0.5 s to 120 s.

Also tests for group add, set, remove, table edit and drain.

--- a/packages/havenstaird/process/Membership.cpp
+++ b/packages/havenstaird/process/Membership.cpp
@@ -15,6 +15,8 @@
 constexpr Duration RankDelay = 400ms;
 /// How often boxes of other data centres are looked up.
 constexpr Duration RemotePollEvery = 120s;
+/// The same right after the start, when data centres may start together.
+constexpr Duration FirstRemotePoll = 500ms;
 /// Writes of a whole fleet that waits for the platform stay within its rate.
 constexpr Duration LeaseRetryCap = 10s;
 /// Links to each other data centre.
@@ -166,7 +168,8 @@
 
 PlatformWatch::Options Membership::pollOptions(PlatformWatch::Read Read) const {
   PlatformWatch::Options Result = watchOptions(std::move(Read));
-  Result.m_Gap = RemotePollEvery;
+  Result.m_Gap = FirstRemotePoll;
+  Result.m_MostGap = RemotePollEvery;
   return Result;
 }
 
--- a/packages/wire/process/PlatformWatch.cpp
+++ b/packages/wire/process/PlatformWatch.cpp
@@ -1,5 +1,7 @@
 #include "wire/process/PlatformWatch.h"
 
+#include <algorithm>
+
 namespace havenstair {
 
 PlatformWatch::PlatformWatch(EventLoop &Loop, Options Opts)
@@ -32,6 +34,7 @@
   // An index that went back means that the service was restored: start anew.
   m_After = Index < m_After ? 0 : Index;
   m_Retry = m_Loop.after(m_Opts.m_Gap, [this] { readOnce(); });
+  m_Opts.m_Gap = std::min(m_Opts.m_Gap * 2, m_Opts.m_MostGap);
 }
 
 } // namespace havenstair
--- a/packages/wire/process/PlatformWatch.h
+++ b/packages/wire/process/PlatformWatch.h
@@ -27,6 +27,9 @@
     /// Least time between two successful reads, so that a busy key cannot use
     /// up the platform's rate.
     Duration m_Gap = 20ms;
+    /// The gap doubles with each read up to this; for what matters most while
+    /// boxes start.
+    Duration m_MostGap = 20ms;
     Duration m_RetryFirst = 100ms;
     Duration m_RetryCap = 3s;
   };
--- a/tests/process/AdminApiTest.cpp
+++ b/tests/process/AdminApiTest.cpp
@@ -168,6 +168,31 @@
     REQUIRE(Status == 0);
     REQUIRE(Why.find("Reason: coverage") != std::string::npos);
   }
+  SECTION("groups are added, changed and removed") {
+    const auto Run = [&](const std::vector<std::string> &Words) {
+      System->commandLine("box-2", Words, Status);
+      return Status;
+    };
+    CHECK(Run({"group", "add", "new", "--set", "weight=2"}) == 0);
+    CHECK(Run({"group", "add", "new"}) == 3);
+    CHECK(Run({"group", "set", "new", "--set", "weight=3", "--set",
+               "models=plans notes"}) == 0);
+    CHECK(Run({"table", "edit", "new", "concurrency", "7"}) == 0);
+    CHECK(Run({"table", "edit", "new", "wings", "2"}) == 4);
+    const Json Row = System->admin("box-2", "/admin/v1/groups/new");
+    CHECK(Row.at("weight") == 3);
+    CHECK(Row.at("concurrency") == 7);
+    CHECK(Row.at("models").size() == 2);
+    CHECK(Run({"group", "remove", "new"}) == 0);
+    CHECK(System->admin("box-2", "/admin/v1/groups/new").is_null());
+  }
+  SECTION("a drained box hands over and ends") {
+    System->commandLine("box-1", {"drain", "box-2"}, Status);
+    REQUIRE(Status == 0);
+    REQUIRE(System->box("box-2").m_Process->wait() == 0);
+    REQUIRE(System->complete("box-1", "g", "plans", "x", true).ok());
+    REQUIRE(System->complete("box-1", "g", "notes", "x", true).ok());
+  }
   SECTION("load reports latencies and outcomes") {
     const std::string Text = System->commandLine(
         "box-1",
