Remove three functions that nothing calls

PeerMesh::dataCentres and PeerMesh::known served the box's digests before these became DigestExchange; Membership::platformCurrent was never called. Found by reading the whole change once more.

--- a/packages/havenstaird/process/Membership.h
+++ b/packages/havenstaird/process/Membership.h
@@ -58,7 +58,6 @@
   bool leaseHeld() const { return m_Lease.held(EventLoop::now()); }
   /// Whether the platform has answered at least once.
   bool platformSeen() const { return m_BoxesKnown; }
-  bool platformCurrent() const { return m_BoxWatch.current(); }
   /// All boxes with a lease, by what was last heard.
   const std::map<BoxName, BoxRecord> &boxes() const { return m_Boxes; }
 
--- a/packages/wire/process/PeerMesh.cpp
+++ b/packages/wire/process/PeerMesh.cpp
@@ -3,7 +3,6 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
-#include <set>
 #include <stdexcept>
 #include <sys/socket.h>
 
@@ -215,20 +214,4 @@
   return Result;
 }
 
-std::vector<DataCentreName> PeerMesh::dataCentres() const {
-  std::set<DataCentreName> Names;
-  for (const auto &[Box, Link] : m_UpLinks)
-    if (Link->up())
-      Names.insert(Link->peerDataCentre());
-  return {Names.begin(), Names.end()};
-}
-
-std::vector<PeerAddress> PeerMesh::known() const {
-  std::vector<PeerAddress> Result;
-  for (const auto &[Box, Peer] : m_Known)
-    if (!Peer.m_Seed)
-      Result.push_back(Peer.m_Address);
-  return Result;
-}
-
 } // namespace havenstair
--- a/packages/wire/process/PeerMesh.h
+++ b/packages/wire/process/PeerMesh.h
@@ -66,9 +66,6 @@
   bool reachable(const BoxName &Box) const;
   /// Boxes of \p DataCentre with a link, sorted.
   std::vector<BoxName> reachable(const DataCentreName &DataCentre) const;
-  /// Data centres with at least one link.
-  std::vector<DataCentreName> dataCentres() const;
-  std::vector<PeerAddress> known() const;
 
 private:
   struct Known {
