--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Two commands for a newcomer: `make demo` and `make test`.
 BUILD ?= build
 JOBS ?= $(shell nproc)
-SOURCES = $(shell git ls-files --cached --others --exclude-standard 'packages/*.h' 'packages/*.cpp' 'tests/*.h' 'tests/*.cpp' 'bench/*.h' 'bench/*.cpp')
+SOURCES = $(shell git ls-files --cached --others --exclude-standard 'packages/*.h' 'packages/*.cpp' 'platform/*.h' 'platform/*.cpp' 'tests/*.h' 'tests/*.cpp' 'bench/*.h' 'bench/*.cpp')
 UNITS = $(filter %.cpp,$(SOURCES))
 # Packages of Debian that are declared but not on this machine.
 MISSING = $(shell for P in $$(cat packages.list); do dpkg -s $$P >/dev/null 2>&1 || echo $$P; done)
--- a/packages/decisions/request/ErrorKind.cpp
+++ b/packages/decisions/request/ErrorKind.cpp
@@ -54,6 +54,10 @@
     {422, "bad_cell", NotRun, false, "A cell of the row is wrong."},
     {401, "operator_token_needed", NotRun, false,
      "The operator's token is missing or wrong."},
+    {503, "no_configuration", NotRun, true,
+     "The box does not know a configuration yet."},
+    {504, "route_timeout", Unknown, false,
+     "The upstream did not answer within the time of the route."},
     {500, "internal", Unknown, false, "An error inside the box."},
 }};
 
--- a/packages/decisions/request/ErrorKind.h
+++ b/packages/decisions/request/ErrorKind.h
@@ -40,6 +40,8 @@
   EditConflict,
   BadCell,
   OperatorTokenNeeded,
+  NoConfiguration,
+  RouteTimeout,
   Internal
 };
 
--- /dev/null
+++ b/packages/decisions/request/EventSplitter.cpp
@@ -0,0 +1,55 @@
+#include "decisions/request/EventSplitter.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace havenstair {
+
+namespace {
+
+constexpr std::string_view IdField = "id:";
+
+/// Place after the last blank line of \p Text; 0 without one. Lines end with
+/// LF or CRLF (HTML Living Standard, section 9.2.6).
+std::size_t endOfEvents(std::string_view Text) {
+  const std::size_t Plain = Text.rfind("\n\n");
+  const std::size_t WithReturn = Text.rfind("\n\r\n");
+  std::size_t End = 0;
+  if (Plain != std::string_view::npos)
+    End = Plain + 2;
+  if (WithReturn != std::string_view::npos)
+    End = std::max(End, WithReturn + 3);
+  return End;
+}
+
+} // namespace
+
+std::string EventSplitter::feed(std::string_view Bytes) {
+  m_Rest.append(Bytes);
+  const std::size_t End = endOfEvents(m_Rest);
+  std::string Whole = m_Rest.substr(0, End);
+  m_Rest.erase(0, End);
+  noteIds(Whole);
+  return Whole;
+}
+
+void EventSplitter::noteIds(std::string_view Events) {
+  std::size_t Start = 0;
+  while (Start < Events.size()) {
+    const std::size_t End = std::min(Events.find('\n', Start), Events.size());
+    std::string_view Line = Events.substr(Start, End - Start);
+    Start = End + 1;
+    if (!Line.starts_with(IdField))
+      continue;
+    Line.remove_prefix(IdField.size());
+    while (Line.starts_with(' '))
+      Line.remove_prefix(1);
+    std::int64_t Id = 0;
+    const auto Read =
+        std::from_chars(Line.data(), Line.data() + Line.size(), Id);
+    if (Read.ec == std::errc())
+      m_LastId = Id;
+  }
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/decisions/request/ReplicaChoice.cpp
@@ -0,0 +1,94 @@
+#include "decisions/request/ReplicaChoice.h"
+
+#include "decisions/common/StableHash.h"
+#include <algorithm>
+#include <string>
+
+namespace havenstair {
+
+namespace {
+
+/// Differences below this are left to chance, so that boxes which see the same
+/// loads do not all pick the same upstream.
+constexpr double EqualMs = 2;
+
+/// The engine that every box prefers for a shared beginning.
+const UpstreamInstance *
+preferredFor(const std::vector<const UpstreamInstance *> &Candidates,
+             const RequestDescriptor &Request) {
+  const std::string Key = std::to_string(PrefixIndex::sharedKey(Request));
+  const auto Best = std::max_element(
+      Candidates.begin(), Candidates.end(), [&](const auto *A, const auto *B) {
+        return stableHash(A->m_Id, Key) < stableHash(B->m_Id, Key);
+      });
+  return *Best;
+}
+
+double sharedTokens(const RequestDescriptor &Request) {
+  double Sum = 0;
+  for (std::size_t Index = 0; Index + 1 < Request.m_Prompt.size(); ++Index)
+    Sum += Request.m_Prompt[Index].m_Tokens;
+  return Sum;
+}
+
+double tokensToRead(const UpstreamInstance &At, bool Preferred,
+                    const RequestDescriptor &Request,
+                    const ReplicaKnowledge &Known,
+                    const ReplicaWeights &Weights) {
+  double Cached = Known.m_Prefixes.cachedTokens(At.m_Id, Request);
+  if (Preferred)
+    Cached =
+        std::max(Cached, Weights.m_PreferredCached * sharedTokens(Request));
+  return std::max(1.0, Request.m_PromptTokens - Cached);
+}
+
+} // namespace
+
+std::optional<ChosenReplica>
+chooseReplica(const std::vector<const UpstreamInstance *> &Candidates,
+              const RequestDescriptor &Request, const std::string &OwnZone,
+              const ReplicaKnowledge &Known, const ReplicaWeights &Weights,
+              double Tie, TimePoint Now) {
+  if (Candidates.empty())
+    return std::nullopt;
+  const bool Engines = !Request.m_Model.empty();
+  const UpstreamInstance *Preferred =
+      Engines ? preferredFor(Candidates, Request) : nullptr;
+  std::vector<ChosenReplica> Judged;
+  for (const UpstreamInstance *Each : Candidates) {
+    const InstanceLoad Load = Known.m_Loads.load(Each->m_Id, Now);
+    ChosenReplica Item{.m_Instance = Each, .m_PendingMs = Load.m_PendingMs};
+    Item.m_WorkMs = Weights.m_PlainMs;
+    // A plain server works on all its slots at once.
+    if (!Engines)
+      Item.m_PendingMs = Load.m_PendingMs / std::max(1, Each->m_Slots);
+    else
+      Item.m_WorkMs = Known.m_Latency.workMs(
+          Request.m_Model,
+          tokensToRead(*Each, Each == Preferred, Request, Known, Weights));
+    const int Over = std::max(0, Load.m_Running + 1 - Each->m_Slots);
+    const double Queue =
+        Over * Weights.m_OverfullMs + Load.m_Running * Weights.m_RunningMs;
+    Item.m_ExpectedMs = Known.m_Latency.expectedMs(Each->m_Id, Item.m_PendingMs,
+                                                   Item.m_WorkMs) +
+                        Queue;
+    Item.m_CostMs =
+        Item.m_ExpectedMs +
+        (Each->m_Zone == OwnZone ? 0 : Weights.m_OtherZoneMs) +
+        Known.m_Failures.rate(Each->m_Id, Now) * Weights.m_FailureMs;
+    Judged.push_back(Item);
+  }
+  const auto Cheaper = [](const ChosenReplica &A, const ChosenReplica &B) {
+    return A.m_CostMs < B.m_CostMs;
+  };
+  const double Least =
+      std::min_element(Judged.begin(), Judged.end(), Cheaper)->m_CostMs;
+  std::erase_if(Judged, [&](const ChosenReplica &Each) {
+    return Each.m_CostMs > Least + EqualMs;
+  });
+  const auto Index =
+      static_cast<std::size_t>(Tie * static_cast<double>(Judged.size()));
+  return Judged[std::min(Index, Judged.size() - 1)];
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/decisions/request/ReplicaChoice.h
@@ -0,0 +1,59 @@
+/// \file
+/// The choice of one upstream among those that can run a request.
+#ifndef HAVENSTAIR_DECISIONS_REQUEST_REPLICACHOICE_H
+#define HAVENSTAIR_DECISIONS_REQUEST_REPLICACHOICE_H
+
+#include "decisions/process/FailureBook.h"
+#include "decisions/process/LatencyModel.h"
+#include "decisions/process/LoadBook.h"
+#include "decisions/process/PrefixIndex.h"
+#include "decisions/request/RequestDescriptor.h"
+#include <optional>
+#include <vector>
+
+namespace havenstair {
+
+/// What the choice weighs, all in milliseconds of expected time.
+struct ReplicaWeights {
+  double m_OtherZoneMs = 6;
+  /// Cost of a failed try; times the upstream's failure rate.
+  double m_FailureMs = 3000;
+  /// For each request beyond the upstream's slots.
+  double m_OverfullMs = 60;
+  /// Part of the shared prompt that the engine preferred by all boxes is
+  /// believed to have read when this box knows nothing.
+  double m_PreferredCached = 0.7;
+  /// Work of a request to a plain service.
+  double m_PlainMs = 20;
+  /// For each running request, as it slows down all steps.
+  double m_RunningMs = 0.5;
+};
+
+/// A choice with what it was made from.
+struct ChosenReplica {
+  const UpstreamInstance *m_Instance = nullptr;
+  double m_CostMs = 0;     ///< What was compared.
+  double m_ExpectedMs = 0; ///< Time to the first token.
+  double m_PendingMs = 0;  ///< Work ahead of it.
+  double m_WorkMs = 0;     ///< Its own.
+};
+
+/// The books that the choice reads.
+struct ReplicaKnowledge {
+  const LoadBook &m_Loads;
+  const PrefixIndex &m_Prefixes;
+  const LatencyModel &m_Latency;
+  const FailureBook &m_Failures;
+};
+
+/// Picks the candidate with the least expected cost; \p Tie, from 0 to 1,
+/// decides between equal ones. Empty without candidates.
+std::optional<ChosenReplica>
+chooseReplica(const std::vector<const UpstreamInstance *> &Candidates,
+              const RequestDescriptor &Request, const std::string &OwnZone,
+              const ReplicaKnowledge &Known, const ReplicaWeights &Weights,
+              double Tie, TimePoint Now);
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/gateway/common/DecisionLog.cpp
@@ -0,0 +1,101 @@
+#include "gateway/common/DecisionLog.h"
+
+#include <cerrno>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace havenstair {
+
+namespace {
+
+/// Lines are gathered for this long, so that many cost one system call.
+constexpr Duration GatherFor = 50ms;
+constexpr Duration RetryAfterFull = 200ms;
+
+/// Files never block; pipes and sockets do unless they are told not to.
+void neverBlock(int Descriptor) {
+  struct stat Status {};
+  if (fstat(Descriptor, &Status) != 0 || S_ISREG(Status.st_mode))
+    return;
+  const int Flags = fcntl(Descriptor, F_GETFL);
+  if (Flags >= 0)
+    fcntl(Descriptor, F_SETFL, Flags | O_NONBLOCK);
+}
+
+} // namespace
+
+DecisionLog::DecisionLog(EventLoop &Loop, Options Opts)
+    : m_Loop(Loop), m_Opts(Opts), m_Start(EventLoop::now()) {
+  neverBlock(m_Opts.m_Descriptor);
+}
+
+DecisionLog::~DecisionLog() { flush(); }
+
+bool DecisionLog::allowed(std::string_view Event, TimePoint Now) {
+  const auto Second = Now.time_since_epoch() / 1s;
+  auto Found = m_Windows.find(Event);
+  if (Found == m_Windows.end())
+    Found = m_Windows.emplace(std::string(Event), Window{}).first;
+  Window &Current = Found->second;
+  if (Current.m_Second != Second) {
+    const std::uint64_t LeftOut = Current.m_LeftOut;
+    Current = {.m_Second = Second};
+    if (LeftOut > 0)
+      append("left_out", {{"of", Event}, {"lines", LeftOut}}, Now);
+  }
+  if (Current.m_Lines < m_Opts.m_PerKindAndSecond &&
+      m_Buffer.size() < m_Opts.m_MostBuffered) {
+    ++Current.m_Lines;
+    return true;
+  }
+  ++Current.m_LeftOut;
+  ++m_LeftOut;
+  return false;
+}
+
+void DecisionLog::write(std::string_view Event, Fields Values) {
+  const TimePoint Now = EventLoop::now();
+  if (!allowed(Event, Now))
+    return;
+  Json Line = Json::object();
+  for (const auto &[Name, Value] : Values)
+    Line[std::string(Name)] = Value;
+  append(Event, std::move(Line), Now);
+}
+
+void DecisionLog::append(std::string_view Event, Json Line, TimePoint Now) {
+  Line["event"] = Event;
+  Line["up_ms"] = (Now - m_Start) / 1ms;
+  Line["time"] = EventLoop::wallMillis();
+  m_Buffer += dumpJson(Line);
+  m_Buffer += '\n';
+  if (!m_FlushDue)
+    flushLater(GatherFor);
+}
+
+void DecisionLog::flushLater(Duration Delay) {
+  m_FlushDue = true;
+  m_Timer = m_Loop.after(Delay, [this] {
+    m_FlushDue = false;
+    flush();
+  });
+}
+
+void DecisionLog::flush() {
+  while (!m_Buffer.empty()) {
+    const ssize_t Written =
+        ::write(m_Opts.m_Descriptor, m_Buffer.data(), m_Buffer.size());
+    if (Written < 0 && errno == EINTR)
+      continue;
+    if (Written < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+      return flushLater(RetryAfterFull);
+    if (Written <= 0) {
+      m_Buffer.clear();
+      return;
+    }
+    m_Buffer.erase(0, static_cast<std::size_t>(Written));
+  }
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/gateway/process/Gateway.h
@@ -0,0 +1,69 @@
+/// \file
+/// The process that takes callers' requests and sends them to upstreams.
+#ifndef HAVENSTAIR_GATEWAY_PROCESS_GATEWAY_H
+#define HAVENSTAIR_GATEWAY_PROCESS_GATEWAY_H
+
+#include "gateway/common/DecisionLog.h"
+#include "gateway/process/PlatformBinding.h"
+#include "gateway/process/PrefixMirror.h"
+#include "gateway/process/ServingState.h"
+#include "gateway/process/UpstreamRegistry.h"
+#include "gateway/request/Forwarder.h"
+#include "wire/common/EventLoop.h"
+#include "wire/common/HttpClient.h"
+#include "wire/common/HttpServer.h"
+#include <functional>
+#include <memory>
+#include <random>
+
+namespace havenstair {
+
+/// Puts together what one process needs; all of it runs on one loop.
+class Gateway {
+public:
+  /// \throws std::runtime_error when an address cannot be bound.
+  Gateway(EventLoop &Loop, PlatformBinding Binding, GatewayOptions Options,
+          std::function<void()> Stopped);
+  ~Gateway();
+  Gateway(const Gateway &) = delete;
+  Gateway &operator=(const Gateway &) = delete;
+
+  /// Reads the settings again; a bad file leaves the last good ones in force.
+  void reload();
+  /// Ends when no request is under way, and before the grace period does.
+  void stop();
+
+private:
+  void startServers();
+  void configChanged();
+  void upstreamsChanged();
+  void applyBounds();
+  void answerReadiness(const HttpExchangePtr &Exchange);
+  void stopIfIdle();
+
+  EventLoop &m_Loop;
+  PlatformBinding m_Binding;
+  GatewayOptions m_Options;
+  std::function<void()> m_Stopped;
+  DecisionLog m_Log;
+  std::mt19937_64 m_Random;
+  HttpClient m_UpstreamHttp;
+  HttpClient m_StoreHttp;
+  std::unique_ptr<CoordinationStore> m_Store;
+  std::unique_ptr<EngineControl> m_Engines;
+  ServingState m_State;
+  Forwarder m_Forwarder;
+  UpstreamRegistry m_Registry;
+  PrefixMirror m_ConfigMirror;
+  PrefixMirror m_UpstreamMirror;
+  std::unique_ptr<HttpServer> m_Callers;
+  std::unique_ptr<HttpServer> m_Readiness;
+  Timer m_ReloadTimer;
+  Timer m_StopTimer;
+  TimePoint m_StopAt{};
+  TimePoint m_LeaveAt{};
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/gateway/process/GatewayOptions.h
@@ -0,0 +1,46 @@
+/// \file
+/// Settings of a gateway process, as the platform's adapter hands them over.
+#ifndef HAVENSTAIR_GATEWAY_PROCESS_GATEWAYOPTIONS_H
+#define HAVENSTAIR_GATEWAY_PROCESS_GATEWAYOPTIONS_H
+
+#include "decisions/common/Id.h"
+#include "decisions/common/Time.h"
+#include "wire/common/Endpoint.h"
+#include <string>
+#include <vector>
+
+namespace havenstair {
+
+/// What the operators promise and expect; may change while the process runs.
+struct ServingBounds {
+  Duration m_GracePeriod = 8s;   ///< From the signal to stop to the kill.
+  Duration m_DrainTimeout = 2s;  ///< New work to a leaving upstream ends.
+  Duration m_OrderTurn = 3s;     ///< Between orders of two order givers.
+  Duration m_CeilingWindow = 5s; ///< For loads from the store of weights.
+  double m_RetryRatio = 0.2;
+  Duration m_RetryWindow = 10s;
+  double m_RetryAllowance = 10;
+
+  bool operator==(const ServingBounds &) const = default;
+};
+
+/// Where the process listens and what it is called.
+struct GatewayOptions {
+  BoxName m_Box;
+  DataCentreName m_DataCentre;
+  Endpoint m_Callers;
+  Endpoint m_Readiness;
+  Endpoint m_Metrics;
+  Endpoint m_Peers;
+  std::vector<Endpoint> m_Seeds; ///< Peers that may be up.
+  std::string m_PeerSecret;
+  Endpoint m_Store;
+  Duration m_LeastLease = 1s; ///< Shortest lease that the store grants.
+  ServingBounds m_Bounds;
+
+  bool operator==(const GatewayOptions &) const = default;
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/gateway/process/PrefixMirror.h
@@ -0,0 +1,76 @@
+/// \file
+/// A copy of all keys under one prefix of the store, kept by watching.
+#ifndef HAVENSTAIR_GATEWAY_PROCESS_PREFIXMIRROR_H
+#define HAVENSTAIR_GATEWAY_PROCESS_PREFIXMIRROR_H
+
+#include "decisions/process/Backoff.h"
+#include "gateway/process/CoordinationStore.h"
+#include "wire/common/EventLoop.h"
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace havenstair {
+
+/// Reads the prefix, then watches it from there on. Reads anew when the store
+/// forgot the changes in between.
+class PrefixMirror {
+public:
+  struct Options {
+    std::string m_Prefix;
+    Duration m_Wait = 10s;
+    /// Pause after news before the next watch, so that changes that come
+    /// together cost one call.
+    Duration m_Gather = 0us;
+    Backoff::Options m_Retry{.m_First = 100ms, .m_Cap = 1s, .m_Random = {}};
+  };
+  struct Hooks {
+    /// The copy has changed, or was confirmed by a whole read.
+    std::function<void()> m_Changed;
+    /// Any answer of the store that proves it is reached.
+    std::function<void()> m_Reached;
+  };
+
+  PrefixMirror(EventLoop &Loop, CoordinationStore &Store, Options Opts,
+               Hooks Callbacks);
+  ~PrefixMirror();
+  PrefixMirror(const PrefixMirror &) = delete;
+  PrefixMirror &operator=(const PrefixMirror &) = delete;
+
+  void start();
+  /// Abandons what is under way and reads anew; for a store that is back.
+  void resync();
+  /// Stops reading; start() begins again.
+  void stop();
+  bool running() const { return m_Running; }
+
+  const std::map<std::string, StoreItem> &items() const { return m_Items; }
+  /// Revision up to which the copy is whole; 0 before the first read.
+  StoreRevision revision() const { return m_At; }
+
+private:
+  void read();
+  void watch();
+  void onRead(StoreItems Read);
+  void onChanges(StoreChanges Changes);
+  void later(Duration Delay, void (PrefixMirror::*Step)());
+
+  EventLoop &m_Loop;
+  CoordinationStore &m_Store;
+  Options m_Opts;
+  Hooks m_Hooks;
+  Backoff m_Backoff;
+  std::map<std::string, StoreItem> m_Items;
+  StoreRevision m_At = 0;
+  bool m_Running = false;
+  /// Answers of earlier calls are dropped.
+  std::uint64_t m_Round = 0;
+  std::shared_ptr<void> m_Watching;
+  Timer m_Timer;
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/gateway/process/ServingState.h
@@ -0,0 +1,43 @@
+/// \file
+/// What all requests of the process share.
+#ifndef HAVENSTAIR_GATEWAY_PROCESS_SERVINGSTATE_H
+#define HAVENSTAIR_GATEWAY_PROCESS_SERVINGSTATE_H
+
+#include "decisions/process/DemandBook.h"
+#include "decisions/process/FailureBook.h"
+#include "decisions/process/LatencyModel.h"
+#include "decisions/process/LoadBook.h"
+#include "decisions/process/PrefixIndex.h"
+#include "decisions/process/ServingView.h"
+#include "decisions/process/SharedRetryBudget.h"
+#include "decisions/version/ServingConfig.h"
+#include <memory>
+#include <string>
+
+namespace havenstair {
+
+/// Books of one process; the configuration is replaced as a whole.
+struct ServingState {
+  /// Tokens of shared parts that an engine is believed to keep.
+  static constexpr double PrefixTokens = 150000;
+
+  std::string m_Zone;
+  std::shared_ptr<const ServingConfig> m_Config; ///< Null before the first.
+  ServingView m_Upstreams;
+  LoadBook m_Loads;
+  PrefixIndex m_Prefixes{PrefixTokens};
+  LatencyModel m_Latency;
+  FailureBook m_Failures;
+  SharedRetryBudget m_Budget{{}};
+  ModelDemands m_Demand; ///< Since it was last taken.
+  int m_Boxes = 1;       ///< Most boxes known at one time.
+  bool m_Stopping = false;
+
+  bool ready() const {
+    return m_Config != nullptr && m_Upstreams.known() && !m_Stopping;
+  }
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/gateway/request/Forwarder.cpp
@@ -0,0 +1,76 @@
+#include "gateway/request/Forwarder.h"
+
+#include "gateway/common/DecisionLog.h"
+#include "gateway/request/OwnAnswer.h"
+#include "gateway/request/ProxiedRequest.h"
+
+#include <vector>
+
+namespace havenstair {
+
+namespace {
+
+/// When a caller may come back to a box that has no configuration yet.
+constexpr Duration UnconfiguredAway = 500ms;
+
+} // namespace
+
+Forwarder::Forwarder(EventLoop &Loop, HttpClient &Client, ServingState &State,
+                     RequestDialect Dialect, DecisionLog &Log, Options Opts,
+                     Hooks Callbacks)
+    : m_Loop(Loop), m_Client(Client), m_State(State),
+      m_Dialect(std::move(Dialect)), m_Log(Log), m_Opts(Opts),
+      m_Hooks(std::move(Callbacks)) {}
+
+Forwarder::~Forwarder() = default;
+
+void Forwarder::refuseUnread(const HttpExchangePtr &Exchange,
+                             const Failure &Reason, const std::string &Id) {
+  m_Log.write("refused", {{"request", Id},
+                          {"path", Exchange->path()},
+                          {"reason", answerFor(Reason.m_Kind).m_Code},
+                          {"detail", Reason.m_Detail}});
+  m_Hooks.m_Ended(
+      {.m_Route = "none", .m_Outcome = answerFor(Reason.m_Kind).m_Code});
+  HttpHeaders Headers = m_Dialect.m_OwnAnswer(Id);
+  if (Reason.m_Kind == ErrorKind::BadRequest)
+    Headers.push_back({"Connection", "close"});
+  answerFailure(Exchange, Reason, std::move(Headers));
+}
+
+void Forwarder::handle(const HttpExchangePtr &Exchange) {
+  RequestDescriptor Request;
+  try {
+    if (!Exchange->framedUnambiguously())
+      throw RequestError(ErrorKind::BadRequest, "ambiguous framing");
+    Request = m_Dialect.m_Read(*Exchange);
+  } catch (const RequestError &Error) {
+    return refuseUnread(Exchange, Error.failure(), Request.m_Id);
+  }
+  if (!m_State.m_Config || !m_State.m_Upstreams.known())
+    return refuseUnread(Exchange,
+                        {.m_Kind = ErrorKind::NoConfiguration,
+                         .m_RetryAfter = UnconfiguredAway},
+                        Request.m_Id);
+  const Route *Found = m_State.m_Config->route(Request.m_Host, Request.m_Path);
+  if (Found == nullptr)
+    return refuseUnread(Exchange, {.m_Kind = ErrorKind::NotFound},
+                        Request.m_Id);
+  const auto Proxied = std::make_shared<ProxiedRequest>(
+      *this, Exchange, std::move(Request), m_State.m_Config, *Found);
+  m_Open.insert(Proxied);
+  Proxied->begin();
+}
+
+void Forwarder::upstreamsChanged() {
+  const std::vector<std::shared_ptr<ProxiedRequest>> All(m_Open.begin(),
+                                                         m_Open.end());
+  for (const auto &Each : All)
+    Each->upstreamsChanged();
+}
+
+void Forwarder::remove(const std::shared_ptr<ProxiedRequest> &Ended) {
+  m_Open.erase(Ended);
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/gateway/request/Forwarder.h
@@ -0,0 +1,82 @@
+/// \file
+/// Takes callers' requests and sends each to an upstream.
+#ifndef HAVENSTAIR_GATEWAY_REQUEST_FORWARDER_H
+#define HAVENSTAIR_GATEWAY_REQUEST_FORWARDER_H
+
+#include "decisions/request/ForwardingPolicy.h"
+#include "decisions/request/ReplicaAdmission.h"
+#include "decisions/request/ReplicaChoice.h"
+#include "gateway/process/ServingState.h"
+#include "gateway/request/RequestDialect.h"
+#include "wire/common/EventLoop.h"
+#include "wire/common/HttpClient.h"
+#include "wire/common/HttpServer.h"
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace havenstair {
+
+class DecisionLog;
+class ProxiedRequest;
+
+/// How a request ended, for metrics.
+struct RequestResult {
+  std::string m_Route;
+  std::string_view m_Outcome; ///< "ok", or the code of an error kind.
+  Duration m_FirstByte = 0us; ///< Zero when there was none.
+  Duration m_Whole = 0us;
+};
+
+/// Owner of all requests of the process that are under way.
+class Forwarder {
+public:
+  struct Options {
+    ReplicaWeights m_Weights;
+    AdmissionOptions m_Admission;
+    Duration m_ConnectTimeout = 500ms;
+    /// Part of the target that a request waits for its model to be loaded.
+    double m_ParkPart = 0.2;
+    std::size_t m_MaxAnswer = 16 << 20; ///< Bytes of a buffered answer.
+  };
+  struct Hooks {
+    /// A request waits for a model or adapter that no upstream holds.
+    std::function<void(const ModelKey &)> m_Missing;
+    std::function<void(const RequestResult &)> m_Ended;
+    std::function<double()> m_Random; ///< From 0 to 1.
+  };
+
+  Forwarder(EventLoop &Loop, HttpClient &Client, ServingState &State,
+            RequestDialect Dialect, DecisionLog &Log, Options Opts,
+            Hooks Callbacks);
+  ~Forwarder();
+  Forwarder(const Forwarder &) = delete;
+  Forwarder &operator=(const Forwarder &) = delete;
+
+  void handle(const HttpExchangePtr &Exchange);
+  /// The list of upstreams has changed: waiting requests look again.
+  void upstreamsChanged();
+  std::size_t open() const { return m_Open.size(); }
+
+private:
+  friend class ProxiedRequest;
+
+  void refuseUnread(const HttpExchangePtr &Exchange, const Failure &Reason,
+                    const std::string &Id);
+  void remove(const std::shared_ptr<ProxiedRequest> &Ended);
+
+  EventLoop &m_Loop;
+  HttpClient &m_Client;
+  ServingState &m_State;
+  RequestDialect m_Dialect;
+  DecisionLog &m_Log;
+  Options m_Opts;
+  Hooks m_Hooks;
+  std::set<std::shared_ptr<ProxiedRequest>> m_Open;
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/gateway/request/OwnAnswer.cpp
@@ -0,0 +1,32 @@
+#include "gateway/request/OwnAnswer.h"
+
+#include "wire/common/Json.h"
+#include <cstdio>
+
+namespace havenstair {
+
+namespace {
+
+std::string secondsText(Duration Time) {
+  char Text[32];
+  std::snprintf(Text, sizeof(Text), "%.3f",
+                static_cast<double>(Time.count()) / 1e6);
+  return Text;
+}
+
+} // namespace
+
+void answerFailure(const HttpExchangePtr &Exchange, const Failure &Reason,
+                   HttpHeaders Headers) {
+  const ErrorAnswer &Answer = answerFor(Reason.m_Kind);
+  Headers.push_back({"Content-Type", "application/json"});
+  if (Answer.m_ComeBack && Reason.m_RetryAfter > 0us)
+    Headers.push_back({"Retry-After", secondsText(Reason.m_RetryAfter)});
+  const Json Body{{"error",
+                   {{"code", Answer.m_Code},
+                    {"message", Answer.m_Message},
+                    {"detail", Reason.m_Detail}}}};
+  Exchange->reply(Answer.m_HttpStatus, Headers, dumpJson(Body));
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -0,0 +1,469 @@
+#include "gateway/request/ProxiedRequest.h"
+
+#include "gateway/common/DecisionLog.h"
+#include "gateway/request/OwnAnswer.h"
+#include <algorithm>
+#include <cmath>
+
+namespace havenstair {
+
+namespace {
+
+/// Requests without a deadline of the caller end with the route's time-out.
+constexpr Duration LongestDeadline = 3600s;
+
+/// When a caller may come back after all upstreams turned a request down.
+constexpr Duration RejectedAway = 150ms;
+
+/// When a caller may come back for a model that is being loaded.
+constexpr Duration LoadingAway = 600ms;
+
+/// The least silence of an upstream that counts as a failure.
+constexpr Duration LeastSilence = 1200ms;
+
+/// Tokens of an answer count in part: most end before their bound.
+constexpr double OutputPart = 0.5;
+
+double millis(Duration Time) {
+  return static_cast<double>(Time.count()) / 1000;
+}
+
+Duration fromMillis(double Millis) {
+  return Duration(static_cast<Duration::rep>(Millis * 1000));
+}
+
+} // namespace
+
+ProxiedRequest::ProxiedRequest(Forwarder &Owner, HttpExchangePtr Exchange,
+                               RequestDescriptor Request,
+                               std::shared_ptr<const ServingConfig> Config,
+                               const Route &Of)
+    : m_Owner(Owner), m_Exchange(std::move(Exchange)),
+      m_Request(std::move(Request)), m_FromCaller(m_Exchange->headers()),
+      m_Config(std::move(Config)), m_Route(Of),
+      m_Service(chooseSplit(Of, m_Request.m_Id)), m_Arrived(EventLoop::now()),
+      m_Deadline(m_Arrived +
+                 std::min(m_Request.m_Deadline.value_or(LongestDeadline),
+                          Of.m_Timeout)),
+      m_LastEvent(m_Request.m_LastEvent) {}
+
+void ProxiedRequest::begin() {
+  ServingState &State = m_Owner.m_State;
+  State.m_Budget.requested(m_Service, m_Arrived);
+  if (!m_Request.m_Model.empty()) {
+    const double Work =
+        State.m_Latency.workMs(m_Request.m_Model, m_Request.m_PromptTokens);
+    const ModelDemand Demand{.m_Requests = 1, .m_WorkMs = Work};
+    State.m_Demand[{m_Service, m_Request.m_Model, ""}] += Demand;
+    if (!m_Request.m_Adapter.empty())
+      State.m_Demand[{m_Service, m_Request.m_Model, m_Request.m_Adapter}] +=
+          Demand;
+  }
+  const auto Weak = weak_from_this();
+  m_Exchange->onCallerLeft([Weak] {
+    if (const auto Self = Weak.lock())
+      Self->onCallerLeft();
+  });
+  m_DeadlineTimer = m_Owner.m_Loop.after(m_Deadline - m_Arrived, [Weak] {
+    if (const auto Self = Weak.lock())
+      Self->onDeadline();
+  });
+  step();
+}
+
+void ProxiedRequest::upstreamsChanged() {
+  if (m_Parked && !m_Done)
+    step();
+}
+
+void ProxiedRequest::step() {
+  const TimePoint Now = EventLoop::now();
+  ServingState &State = m_Owner.m_State;
+  const auto Tried = [this](const InstanceId &Id) {
+    return m_Tried.contains(Id);
+  };
+  const auto Candidates = State.m_Upstreams.candidates(
+      m_Service, m_Request.m_Model, m_Request.m_Adapter, Tried, Now);
+  const ReplicaKnowledge Known{.m_Loads = State.m_Loads,
+                               .m_Prefixes = State.m_Prefixes,
+                               .m_Latency = State.m_Latency,
+                               .m_Failures = State.m_Failures};
+  const auto Chosen =
+      chooseReplica(Candidates, m_Request, State.m_Zone, Known,
+                    m_Owner.m_Opts.m_Weights, m_Owner.m_Hooks.m_Random(), Now);
+  if (!Chosen)
+    return park(Now);
+  if (m_Sends == 0 && !m_Request.m_Model.empty()) {
+    const AdmissionFacts Facts{.m_Target = m_Route.m_Target,
+                               .m_Waited = waited(Now),
+                               .m_TimeLeft = m_Deadline - Now,
+                               .m_ExpectedMs = Chosen->m_ExpectedMs,
+                               .m_WorkMs = Chosen->m_WorkMs};
+    if (const auto Away = refuseFor(Facts, m_Owner.m_Opts.m_Admission))
+      return refuse(ErrorKind::Overloaded, *Away,
+                    "expected ms: " +
+                        std::to_string(std::lround(Chosen->m_ExpectedMs)));
+  }
+  m_Parked = false;
+  m_ParkTimer = Timer();
+  send(*Chosen, Now);
+}
+
+/// Waits for an upstream that can take the request, as long as a refusal still
+/// lets the caller come back in time.
+void ProxiedRequest::park(TimePoint Now) {
+  if (m_Sends > 0)
+    return carryOut(m_BytesPassed  ? ForwardingStep::Cut
+                    : m_MayHaveRun ? ForwardingStep::Fail
+                                   : ForwardingStep::Refuse);
+  if (!m_Request.m_Model.empty())
+    m_Owner.m_Hooks.m_Missing(
+        {m_Service, m_Request.m_Model, m_Request.m_Adapter});
+  if (m_Parked)
+    return;
+  m_Parked = true;
+  const Duration Whole =
+      fromMillis(millis(std::min(m_Route.m_Target, m_Deadline - m_Arrived)) *
+                 m_Owner.m_Opts.m_ParkPart);
+  const Duration Rest = std::max(Duration(0us), Whole - waited(Now));
+  m_ParkTimer = m_Owner.m_Loop.after(Rest, [Weak = weak_from_this()] {
+    const auto Self = Weak.lock();
+    if (Self && !Self->m_Done && Self->m_Parked)
+      Self->refuse(Self->m_Request.m_Model.empty() ? ErrorKind::NoUpstream
+                                                   : ErrorKind::NoResidentCopy,
+                   LoadingAway, {});
+  });
+}
+
+int ProxiedRequest::enginePriority() const {
+  // Routes of one priority: the shorter target first. 5 is what an engine
+  // assumes without a word, so all ours lie around it.
+  constexpr Duration LongTarget = 3s;
+  const int Base = 3 + 2 * std::min(m_Route.m_Priority, 2);
+  return std::min(9, Base + (m_Route.m_Target >= LongTarget ? 1 : 0));
+}
+
+HttpCall ProxiedRequest::makeCall(const UpstreamInstance &To, TimePoint Now) {
+  const ForwardedFields Fields{.m_Instance = To.m_Id,
+                               .m_TimeLeft = m_Deadline - Now,
+                               .m_Priority = enginePriority(),
+                               .m_LastEvent = m_LastEvent};
+  HttpCall Call;
+  Call.m_To = Endpoint::parse(To.m_Address).value_or(Endpoint{});
+  Call.m_Method =
+      parseHttpMethod(m_Exchange->method()).value_or(HttpMethod::Get);
+  Call.m_Target = m_Exchange->target();
+  Call.m_Headers = m_Owner.m_Dialect.m_Forward(m_FromCaller, Fields);
+  Call.m_Body = m_Exchange->body();
+  // A kept connection may be closing; what must not run twice cannot tell.
+  Call.m_Use =
+      m_Route.idempotent() ? ConnectionUse::Reused : ConnectionUse::FreshKept;
+  Call.m_ConnectTimeout = m_Owner.m_Opts.m_ConnectTimeout;
+  Call.m_IdleTimeout = m_Deadline - Now + 1s;
+  Call.m_MaxBody = m_Owner.m_Opts.m_MaxAnswer;
+  const auto Weak = weak_from_this();
+  Call.m_OnHead = [Weak](int Status, const HttpHeaders &Headers) {
+    if (const auto Self = Weak.lock())
+      Self->onHead(Status, Headers);
+  };
+  Call.m_OnBytes = [Weak](std::string_view Bytes) {
+    if (const auto Self = Weak.lock())
+      Self->onBytes(Bytes);
+  };
+  Call.m_OnEnd = [Weak](HttpEnd End) {
+    if (const auto Self = Weak.lock())
+      Self->onEnd(End);
+  };
+  return Call;
+}
+
+void ProxiedRequest::send(const ChosenReplica &Chosen, TimePoint Now) {
+  ServingState &State = m_Owner.m_State;
+  const UpstreamInstance &To = *Chosen.m_Instance;
+  m_Tried.insert(To.m_Id);
+  ++m_Sends;
+  m_Events = EventSplitter();
+  m_Send = Send{.m_Instance = To.m_Id,
+                .m_At = Now,
+                .m_PendingMs = Chosen.m_PendingMs,
+                .m_WorkMs = Chosen.m_WorkMs,
+                .m_ExpectedMs = Chosen.m_ExpectedMs,
+                .m_Tokens = m_Request.m_PromptTokens +
+                            OutputPart * m_Request.m_MostOutput};
+  m_Owner.m_Log.write("sent",
+                      {{"request", m_Request.m_Id},
+                       {"route", m_Route.m_Name},
+                       {"config", m_Config->m_Version},
+                       {"list", State.m_Upstreams.list().m_Revision},
+                       {"upstream", To.m_Id},
+                       {"send", m_Sends},
+                       {"model", m_Request.m_Model},
+                       {"pending_ms", std::lround(Chosen.m_PendingMs)},
+                       {"work_ms", std::lround(Chosen.m_WorkMs)},
+                       {"expected_ms", std::lround(Chosen.m_ExpectedMs)}});
+  HttpCall Call = makeCall(To, Now);
+  State.m_Loads.sent(To.m_Id, Chosen.m_WorkMs, m_Send->m_Tokens);
+  if (!m_Request.m_Model.empty())
+    State.m_Prefixes.noteRead(To.m_Id, m_Request);
+  m_Call = m_Owner.m_Client.start(std::move(Call));
+  const double Expected = 2.5 * Chosen.m_ExpectedMs + millis(m_Route.m_Target);
+  watchSilence(std::max(LeastSilence, fromMillis(Expected)));
+}
+
+/// Requests that may run again do not wait for ever for an upstream that says
+/// nothing; for others its silence is no reason to give up.
+void ProxiedRequest::watchSilence(Duration Limit) {
+  m_SilenceTimer = Timer();
+  if (!m_Route.idempotent() || m_Sends >= m_Route.m_MaxAttempts)
+    return;
+  m_SilenceTimer = m_Owner.m_Loop.after(Limit, [Weak = weak_from_this()] {
+    const auto Self = Weak.lock();
+    if (Self && !Self->m_Done && Self->m_Send)
+      Self->settle(SendOutcome::Broken);
+  });
+}
+
+void ProxiedRequest::onHead(int Status, const HttpHeaders &Headers) {
+  if (m_Done || !m_Send)
+    return;
+  const AnswerFacts Facts = m_Owner.m_Dialect.m_ReadAnswer(Status, Headers);
+  m_Send->m_Status = Status;
+  m_Send->m_Headers = Headers;
+  m_Send->m_NotRun = Facts.m_NotRun;
+  m_Send->m_Foreign =
+      !Facts.m_RequestId.empty() && Facts.m_RequestId != m_Request.m_Id;
+  const bool Nameless = Facts.m_RequestId.empty() && Status / 100 == 2;
+  if (m_Send->m_Foreign || Nameless) {
+    m_Send->m_Foreign = true;
+    settle(SendOutcome::Broken);
+  }
+}
+
+void ProxiedRequest::onBytes(std::string_view Bytes) {
+  if (m_Done || !m_Send)
+    return;
+  if (streaming() && m_Send->m_Status == 200)
+    return passEvents(m_Events.feed(Bytes));
+  m_Send->m_Body.append(Bytes);
+  if (m_Send->m_Body.size() > m_Owner.m_Opts.m_MaxAnswer)
+    settle(SendOutcome::Broken);
+}
+
+void ProxiedRequest::noteStarted(TimePoint Now) {
+  if (m_Send->m_Started || !m_Send->m_Counted)
+    return;
+  m_Send->m_Started = true;
+  ServingState &State = m_Owner.m_State;
+  const double Observed = millis(Now - m_Send->m_At);
+  State.m_Loads.started(m_Send->m_Instance, m_Send->m_WorkMs);
+  State.m_Latency.observe(m_Send->m_Instance, m_Request.m_Model,
+                          m_Send->m_PendingMs, m_Send->m_WorkMs, Observed);
+  if (!m_FirstByte)
+    m_FirstByte = Now;
+}
+
+void ProxiedRequest::passEvents(const std::string &Events) {
+  if (Events.empty())
+    return;
+  noteStarted(EventLoop::now());
+  if (!m_BytesPassed) {
+    m_BytesPassed = true;
+    m_Exchange->startStream(m_Send->m_Status,
+                            withoutConnectionFields(m_Send->m_Headers));
+  }
+  if (m_Events.lastId())
+    m_LastEvent = m_Events.lastId();
+  if (!m_Exchange->sendChunk(Events))
+    return cut();
+  const Duration Gap = std::max(LeastSilence, 4 * m_Route.m_GapTarget);
+  watchSilence(Gap);
+}
+
+void ProxiedRequest::onEnd(HttpEnd End) {
+  if (m_Done || !m_Send)
+    return;
+  settle(judge(End));
+}
+
+SendOutcome ProxiedRequest::judge(HttpEnd End) const {
+  if (m_Send->m_NotRun)
+    return SendOutcome::Rejected;
+  if (End == HttpEnd::NotWritten)
+    return SendOutcome::NotSent;
+  if (End == HttpEnd::Broken)
+    return SendOutcome::Broken;
+  return m_Send->m_Status >= 500 ? SendOutcome::ServerError
+                                 : SendOutcome::Answered;
+}
+
+void ProxiedRequest::noteOutcome(SendOutcome Outcome, TimePoint Now) {
+  ServingState &State = m_Owner.m_State;
+  const InstanceId &At = m_Send->m_Instance;
+  releaseLoad();
+  switch (Outcome) {
+  case SendOutcome::Answered:
+    State.m_Failures.succeeded(At, Now);
+    return;
+  case SendOutcome::NotSent:
+    --m_Sends;
+    State.m_Failures.unreachable(At, Now);
+    return;
+  case SendOutcome::Rejected:
+  case SendOutcome::ServerError:
+    State.m_Failures.failed(At, Now);
+    return;
+  case SendOutcome::Broken:
+    m_MayHaveRun = true;
+    State.m_Failures.failed(At, Now);
+    return;
+  }
+}
+
+void ProxiedRequest::releaseLoad() {
+  if (!m_Send || !std::exchange(m_Send->m_Counted, false))
+    return;
+  LoadBook &Loads = m_Owner.m_State.m_Loads;
+  if (!m_Send->m_Started)
+    Loads.started(m_Send->m_Instance, m_Send->m_WorkMs);
+  Loads.ended(m_Send->m_Instance, m_Send->m_Tokens);
+}
+
+ForwardingStep ProxiedRequest::decide(SendOutcome Outcome, TimePoint Now) {
+  const ForwardingFacts Facts{.m_Idempotent = m_Route.idempotent(),
+                              .m_Resumable = m_Route.m_Resumable,
+                              .m_BytesPassed = m_BytesPassed,
+                              .m_MayHaveRun = m_MayHaveRun,
+                              .m_Sends = m_Sends,
+                              .m_MaxSends = m_Route.m_MaxAttempts,
+                              .m_TimeLeft = Now < m_Deadline};
+  const ForwardingStep Wanted = nextStep(Outcome, Facts, true);
+  if (!needsBudget(Wanted, Outcome))
+    return Wanted;
+  ServingState &State = m_Owner.m_State;
+  const bool Left = State.m_Budget.trySpend(m_Service, State.m_Boxes, Now);
+  return nextStep(Outcome, Facts, Left);
+}
+
+void ProxiedRequest::settle(SendOutcome Outcome) {
+  const TimePoint Now = EventLoop::now();
+  m_SilenceTimer = Timer();
+  // Rejections and cut calls are cancelled with the handle.
+  m_Call = HttpCallHandle();
+  if (Outcome == SendOutcome::Answered) {
+    if (streaming() && m_Send->m_Status == 200)
+      passEvents(std::string(m_Events.rest()));
+    else
+      noteStarted(Now);
+  }
+  if (m_Done)
+    return;
+  noteOutcome(Outcome, Now);
+  const ForwardingStep Step = decide(Outcome, Now);
+  if (Outcome != SendOutcome::Answered)
+    m_Owner.m_Log.write("send_failed",
+                        {{"request", m_Request.m_Id},
+                         {"upstream", m_Send->m_Instance},
+                         {"send", m_Sends},
+                         {"outcome", outcomeName(Outcome)},
+                         {"status", m_Send->m_Status},
+                         {"foreign", m_Send->m_Foreign},
+                         {"after_ms", (Now - m_Send->m_At) / 1ms},
+                         {"passed", m_BytesPassed},
+                         {"step", stepName(Step)}});
+  carryOut(Step);
+}
+
+void ProxiedRequest::carryOut(ForwardingStep Step) {
+  switch (Step) {
+  case ForwardingStep::SendAgain:
+  case ForwardingStep::Resume:
+    m_Send.reset();
+    return step();
+  case ForwardingStep::PassOn:
+    return passAnswer();
+  case ForwardingStep::Refuse:
+    return refuse(ErrorKind::NoUpstream, RejectedAway, {});
+  case ForwardingStep::Fail:
+    return fail(ErrorKind::OutcomeUnknown);
+  case ForwardingStep::Cut:
+    return cut();
+  }
+}
+
+void ProxiedRequest::passAnswer() {
+  if (streaming() && m_Send->m_Status == 200) {
+    if (!m_BytesPassed)
+      m_Exchange->startStream(m_Send->m_Status,
+                              withoutConnectionFields(m_Send->m_Headers));
+    m_Exchange->endStream();
+    return end("ok");
+  }
+  // Without its word that it did not run the request, its status would be
+  // taken for a promise.
+  if (promisesNotRun(m_Send->m_Status))
+    return fail(ErrorKind::UpstreamFailed);
+  const bool Good = m_Send->m_Status < 500;
+  m_Exchange->reply(m_Send->m_Status,
+                    withoutConnectionFields(m_Send->m_Headers), m_Send->m_Body);
+  end(Good ? "ok" : "upstream_error");
+}
+
+void ProxiedRequest::refuse(ErrorKind Kind, Duration Away, std::string Detail) {
+  answerFailure(
+      m_Exchange,
+      {.m_Kind = Kind, .m_RetryAfter = Away, .m_Detail = std::move(Detail)},
+      m_Owner.m_Dialect.m_OwnAnswer(m_Request.m_Id));
+  end(answerFor(Kind).m_Code);
+}
+
+void ProxiedRequest::fail(ErrorKind Kind) {
+  answerFailure(m_Exchange, {.m_Kind = Kind},
+                m_Owner.m_Dialect.m_OwnAnswer(m_Request.m_Id));
+  end(answerFor(Kind).m_Code);
+}
+
+void ProxiedRequest::cut() {
+  m_Exchange->abort();
+  end(answerFor(ErrorKind::StreamCut).m_Code);
+}
+
+void ProxiedRequest::onDeadline() {
+  if (m_Done)
+    return;
+  if (m_BytesPassed)
+    return cut();
+  const bool Sent = m_Send.has_value() || m_MayHaveRun;
+  fail(Sent ? ErrorKind::RouteTimeout : ErrorKind::DeadlinePassed);
+}
+
+void ProxiedRequest::onCallerLeft() {
+  if (!m_Done)
+    end(answerFor(ErrorKind::CallerLeft).m_Code);
+}
+
+void ProxiedRequest::end(std::string_view Outcome) {
+  if (std::exchange(m_Done, true))
+    return;
+  const auto Self = shared_from_this();
+  const TimePoint Now = EventLoop::now();
+  releaseLoad();
+  m_Call = HttpCallHandle();
+  m_DeadlineTimer = Timer();
+  m_ParkTimer = Timer();
+  m_SilenceTimer = Timer();
+  const Duration First = m_FirstByte ? *m_FirstByte - m_Arrived : 0us;
+  m_Owner.m_Log.write(Outcome == "ok" ? "answered" : "not_answered",
+                      {{"request", m_Request.m_Id},
+                       {"route", m_Route.m_Name},
+                       {"outcome", Outcome},
+                       {"sends", m_Sends},
+                       {"first_ms", First / 1ms},
+                       {"whole_ms", waited(Now) / 1ms}});
+  m_Owner.m_Hooks.m_Ended({.m_Route = m_Route.m_Name,
+                           .m_Outcome = Outcome,
+                           .m_FirstByte = First,
+                           .m_Whole = waited(Now)});
+  m_Owner.remove(Self);
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -0,0 +1,102 @@
+/// \file
+/// One request of a caller, from its arrival to its answer.
+#ifndef HAVENSTAIR_GATEWAY_REQUEST_PROXIEDREQUEST_H
+#define HAVENSTAIR_GATEWAY_REQUEST_PROXIEDREQUEST_H
+
+#include "decisions/request/EventSplitter.h"
+#include "gateway/request/Forwarder.h"
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace havenstair {
+
+/// Chooses an upstream, sends the request, passes the answer on, and repeats
+/// where forwarding policy says so. Lives until the answer is given.
+class ProxiedRequest : public std::enable_shared_from_this<ProxiedRequest> {
+public:
+  ProxiedRequest(Forwarder &Owner, HttpExchangePtr Exchange,
+                 RequestDescriptor Request,
+                 std::shared_ptr<const ServingConfig> Config, const Route &Of);
+
+  void begin();
+  void upstreamsChanged();
+
+private:
+  /// One send to an upstream.
+  struct Send {
+    InstanceId m_Instance;
+    TimePoint m_At{};
+    double m_PendingMs = 0;
+    double m_WorkMs = 0;
+    double m_ExpectedMs = 0;
+    double m_Tokens = 0;
+    bool m_Counted = true;  ///< In the book of loads.
+    bool m_Started = false; ///< Its first byte or event came.
+    bool m_NotRun = false;
+    bool m_Foreign = false; ///< The answer was another request's.
+    int m_Status = 0;
+    HttpHeaders m_Headers;
+    std::string m_Body;
+  };
+
+  void step();
+  void park(TimePoint Now);
+  void send(const ChosenReplica &Chosen, TimePoint Now);
+  HttpCall makeCall(const UpstreamInstance &To, TimePoint Now);
+  void watchSilence(Duration Limit);
+
+  void onHead(int Status, const HttpHeaders &Headers);
+  void onBytes(std::string_view Bytes);
+  void onEnd(HttpEnd End);
+  void noteStarted(TimePoint Now);
+  void passEvents(const std::string &Events);
+
+  SendOutcome judge(HttpEnd End) const;
+  void settle(SendOutcome Outcome);
+  void noteOutcome(SendOutcome Outcome, TimePoint Now);
+  void releaseLoad();
+  ForwardingStep decide(SendOutcome Outcome, TimePoint Now);
+  void carryOut(ForwardingStep Step);
+
+  void passAnswer();
+  void refuse(ErrorKind Kind, Duration Away, std::string Detail);
+  void fail(ErrorKind Kind);
+  void cut();
+  void onDeadline();
+  void onCallerLeft();
+  void end(std::string_view Outcome);
+
+  bool streaming() const { return m_Route.m_Kind == RouteKind::Stream; }
+  Duration waited(TimePoint Now) const { return Now - m_Arrived; }
+  int enginePriority() const;
+
+  Forwarder &m_Owner;
+  HttpExchangePtr m_Exchange;
+  RequestDescriptor m_Request;
+  HttpHeaders m_FromCaller;
+  std::shared_ptr<const ServingConfig> m_Config;
+  const Route &m_Route;
+  std::string m_Service;
+  TimePoint m_Arrived;
+  TimePoint m_Deadline;
+  std::set<InstanceId> m_Tried;
+  int m_Sends = 0;
+  bool m_MayHaveRun = false;
+  bool m_BytesPassed = false;
+  bool m_Parked = false;
+  bool m_Done = false;
+  std::optional<TimePoint> m_FirstByte;
+  std::optional<std::int64_t> m_LastEvent;
+  std::optional<Send> m_Send;
+  EventSplitter m_Events;
+  HttpCallHandle m_Call;
+  Timer m_DeadlineTimer;
+  Timer m_ParkTimer;
+  Timer m_SilenceTimer;
+};
+
+} // namespace havenstair
+
+#endif
--- a/packages/havenstaird/main.cpp
+++ b/packages/havenstaird/main.cpp
@@ -2,6 +2,7 @@
 /// `havenstaird`: the process of a box.
 #include "havenstaird/common/Log.h"
 #include "havenstaird/process/Box.h"
+#include "havenstaird/process/ServeCommand.h"
 #include "havenstaird/process/Settings.h"
 #include "wire/common/Json.h"
 
@@ -57,8 +58,10 @@
 int main(int Count, char **Values) {
   std::signal(SIGPIPE, SIG_IGN);
   try {
-    const Settings Given =
-        readSettings({Values + 1, Values + Count}, environment);
+    const std::vector<std::string> Arguments(Values + 1, Values + Count);
+    if (!Arguments.empty() && Arguments.front() == "serve")
+      return runServe(Arguments, environment);
+    const Settings Given = readSettings(Arguments, environment);
     if (Given.m_CheckOnly) {
       std::cout << "settings are good\n";
       return 0;
--- a/packages/wire/common/HttpClient.cpp
+++ b/packages/wire/common/HttpClient.cpp
@@ -1,13 +1,21 @@
 #include "wire/common/HttpClient.h"
 
 #include "wire/common/EventLoop.h"
+#include "wire/common/KeptConnections.h"
+#include <array>
+#include <charconv>
 #include <cstdint>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <strings.h>
+#include <sys/socket.h>
+#include <utility>
 
 namespace havenstair {
 
@@ -25,10 +33,76 @@
     return EVHTTP_REQ_PUT;
   case HttpMethod::Delete:
     return EVHTTP_REQ_DELETE;
+  case HttpMethod::Head:
+    return EVHTTP_REQ_HEAD;
+  case HttpMethod::Options:
+    return EVHTTP_REQ_OPTIONS;
+  case HttpMethod::Patch:
+    return EVHTTP_REQ_PATCH;
   }
   return EVHTTP_REQ_GET;
 }
 
+constexpr std::array<std::pair<std::string_view, HttpMethod>, 7> MethodNames{
+    {{"GET", HttpMethod::Get},
+     {"POST", HttpMethod::Post},
+     {"PUT", HttpMethod::Put},
+     {"DELETE", HttpMethod::Delete},
+     {"HEAD", HttpMethod::Head},
+     {"OPTIONS", HttpMethod::Options},
+     {"PATCH", HttpMethod::Patch}}};
+
+/// Unacknowledged bytes end a connection after this, in milliseconds: a
+/// machine without power says nothing.
+constexpr int UserTimeoutMs = 3000;
+
+/// How long a connection may rest when the other side does not say.
+constexpr Duration DefaultRest = 2s;
+
+/// Part of what the other side's `Keep-Alive` says that is used.
+constexpr double RestPart = 0.5;
+
+/// Sets what evhttp leaves to the system.
+void tuneSocket(evhttp_connection *Connection) {
+  const int Socket =
+      bufferevent_getfd(evhttp_connection_get_bufferevent(Connection));
+  if (Socket < 0)
+    return;
+  sendWithoutDelay(Socket);
+  setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMs,
+             sizeof(UserTimeoutMs));
+}
+
+bool connected(evhttp_connection *Connection) {
+  const int Socket =
+      bufferevent_getfd(evhttp_connection_get_bufferevent(Connection));
+  sockaddr_storage Peer{};
+  socklen_t Length = sizeof(Peer);
+  return Socket >= 0 &&
+         getpeername(Socket, reinterpret_cast<sockaddr *>(&Peer), &Length) == 0;
+}
+
+/// How long a connection may rest after an answer with \p Headers.
+Duration restAllowed(const HttpHeaders &Headers) {
+  constexpr std::string_view Field = "timeout=";
+  const std::string Text = findHeader(Headers, "Keep-Alive");
+  const std::size_t At = Text.find(Field);
+  if (At == std::string::npos)
+    return DefaultRest;
+  int Seconds = 0;
+  const char *Start = Text.data() + At + Field.size();
+  std::from_chars(Start, Text.data() + Text.size(), Seconds);
+  return Duration(static_cast<Duration::rep>(Seconds * RestPart * 1e6));
+}
+
+/// Whether the end of an answer with \p Headers can be told without the end
+/// of its connection.
+bool framed(int Status, const HttpHeaders &Headers) {
+  return Status == 204 || Status == 304 ||
+         !findHeader(Headers, "Content-Length").empty() ||
+         !findHeader(Headers, "Transfer-Encoding").empty();
+}
+
 HttpHeaders copyHeaders(const evkeyvalq *From) {
   HttpHeaders Result;
   for (const evkeyval *Each = From->tqh_first; Each != nullptr;
@@ -39,6 +113,13 @@
 
 } // namespace
 
+std::optional<HttpMethod> parseHttpMethod(std::string_view Name) {
+  for (const auto &[Text, Method] : MethodNames)
+    if (Text == Name)
+      return Method;
+  return std::nullopt;
+}
+
 std::string findHeader(const HttpHeaders &Headers, std::string_view Name) {
   for (const HttpHeader &Header : Headers) {
     const bool Same =
@@ -52,8 +133,12 @@
 
 struct HttpCallHandle::State : std::enable_shared_from_this<State> {
   EventLoop *m_Loop = nullptr;
+  std::weak_ptr<KeptConnections> m_Kept;
   HttpCall m_Call;
   evhttp_connection *m_Connection = nullptr;
+  Timer m_ConnectTimer;
+  int m_Status = 0;
+  HttpHeaders m_AnswerHeaders;
   bool m_Done = false;
   bool m_Failed = false;
 
@@ -73,11 +158,35 @@
     if (m_Done)
       return;
     m_Done = true;
+    m_ConnectTimer = Timer();
+    if (End == HttpEnd::Complete && mayKeep())
+      keep();
     closeLater();
     if (m_Call.m_OnEnd)
       m_Call.m_OnEnd(End);
   }
 
+  /// Bytes after the answer belong to no request; a connection that has any is
+  /// not used again.
+  bool mayKeep() const {
+    if (m_Call.m_Use == ConnectionUse::Fresh || m_Connection == nullptr)
+      return false;
+    bufferevent *Stream = evhttp_connection_get_bufferevent(m_Connection);
+    return framed(m_Status, m_AnswerHeaders) && connected(m_Connection) &&
+           strcasecmp(findHeader(m_AnswerHeaders, "Connection").c_str(),
+                      "close") != 0 &&
+           evbuffer_get_length(bufferevent_get_input(Stream)) == 0;
+  }
+
+  void keep() {
+    const Duration Rest = restAllowed(m_AnswerHeaders);
+    const auto Kept = m_Kept.lock();
+    if (!Kept || Rest <= 0us)
+      return;
+    evhttp_connection *Connection = std::exchange(m_Connection, nullptr);
+    Kept->put(m_Call.m_To, Connection, EventLoop::now() + Rest);
+  }
+
   void passBytes(evhttp_request *Request) {
     evbuffer *Input = evhttp_request_get_input_buffer(Request);
     const std::size_t Length = evbuffer_get_length(Input);
@@ -92,10 +201,13 @@
 
   static int onHead(evhttp_request *Request, void *Arg) {
     const auto Self = static_cast<State *>(Arg)->shared_from_this();
-    if (!Self->m_Done && Self->m_Call.m_OnHead)
-      Self->m_Call.m_OnHead(
-          evhttp_request_get_response_code(Request),
-          copyHeaders(evhttp_request_get_input_headers(Request)));
+    if (Self->m_Done)
+      return 0;
+    Self->m_Status = evhttp_request_get_response_code(Request);
+    Self->m_AnswerHeaders =
+        copyHeaders(evhttp_request_get_input_headers(Request));
+    if (Self->m_Call.m_OnHead)
+      Self->m_Call.m_OnHead(Self->m_Status, Self->m_AnswerHeaders);
     return 0;
   }
 
@@ -123,9 +235,13 @@
   }
 
   bool open() {
-    m_Connection = evhttp_connection_base_new(
-        m_Loop->base(), nullptr, m_Call.m_To.m_Address.c_str(),
-        static_cast<std::uint16_t>(m_Call.m_To.m_Port));
+    if (m_Call.m_Use == ConnectionUse::Reused)
+      if (const auto Kept = m_Kept.lock())
+        m_Connection = Kept->take(m_Call.m_To, EventLoop::now());
+    if (m_Connection == nullptr)
+      m_Connection = evhttp_connection_base_new(
+          m_Loop->base(), nullptr, m_Call.m_To.m_Address.c_str(),
+          static_cast<std::uint16_t>(m_Call.m_To.m_Port));
     if (m_Connection == nullptr)
       return false;
     const Duration Idle = m_Call.m_IdleTimeout;
@@ -139,21 +255,44 @@
     return true;
   }
 
+  void limitConnecting() {
+    if (m_Call.m_ConnectTimeout <= 0us || connected(m_Connection))
+      return;
+    m_ConnectTimer =
+        m_Loop->after(m_Call.m_ConnectTimeout, [Self = weak_from_this()] {
+          const auto Still = Self.lock();
+          if (Still && !Still->m_Done && Still->m_Connection != nullptr &&
+              !connected(Still->m_Connection))
+            Still->finish(HttpEnd::NotWritten);
+        });
+  }
+
   bool send() {
     evhttp_request *Request = evhttp_request_new(onDone, this);
     evhttp_request_set_header_cb(Request, onHead);
     evhttp_request_set_chunked_cb(Request, onChunk);
     evhttp_request_set_error_cb(Request, onError);
     evkeyvalq *Headers = evhttp_request_get_output_headers(Request);
-    evhttp_add_header(Headers, "Host", m_Call.m_To.str().c_str());
-    evhttp_add_header(Headers, "Connection", "close");
+    if (findHeader(m_Call.m_Headers, "Host").empty())
+      evhttp_add_header(Headers, "Host", m_Call.m_To.str().c_str());
+    if (m_Call.m_Use == ConnectionUse::Fresh)
+      evhttp_add_header(Headers, "Connection", "close");
     for (const HttpHeader &Header : m_Call.m_Headers)
       evhttp_add_header(Headers, Header.m_Name.c_str(), Header.m_Value.c_str());
+    // evhttp adds a length for some methods only.
+    if (!m_Call.m_Body.empty())
+      evhttp_add_header(Headers, "Content-Length",
+                        std::to_string(m_Call.m_Body.size()).c_str());
     evbuffer_add(evhttp_request_get_output_buffer(Request),
                  m_Call.m_Body.data(), m_Call.m_Body.size());
-    return evhttp_make_request(m_Connection, Request,
-                               toCommand(m_Call.m_Method),
-                               m_Call.m_Target.c_str()) == 0;
+    const int Failed =
+        evhttp_make_request(m_Connection, Request, toCommand(m_Call.m_Method),
+                            m_Call.m_Target.c_str());
+    if (Failed != 0)
+      return false;
+    tuneSocket(m_Connection);
+    limitConnecting();
+    return true;
   }
 };
 
@@ -178,9 +317,16 @@
   m_State.reset();
 }
 
+HttpClient::HttpClient(EventLoop &Loop)
+    : m_Loop(Loop), m_Kept(std::make_shared<KeptConnections>(Loop)) {}
+HttpClient::~HttpClient() = default;
+
+void HttpClient::forget(const Endpoint &To) { m_Kept->drop(To); }
+
 HttpCallHandle HttpClient::start(HttpCall Call) {
   auto State = std::make_shared<HttpCallHandle::State>();
   State->m_Loop = &m_Loop;
+  State->m_Kept = m_Kept;
   State->m_Call = std::move(Call);
   // Not from here: the caller does not hold the handle yet.
   m_Loop.defer([State] {
@@ -192,8 +338,10 @@
   return HttpCallHandle(State);
 }
 
-void HttpClient::fetch(HttpCall Call, std::function<void(HttpAnswer)> Done) {
-  const std::uint64_t Id = ++m_NextFetch;
+namespace {
+
+/// Lets \p Call collect its answer. \returns where it is collected.
+std::shared_ptr<HttpAnswer> collect(HttpCall &Call) {
   auto Answer = std::make_shared<HttpAnswer>();
   Call.m_OnHead = [Answer](int Status, const HttpHeaders &Headers) {
     Answer->m_Status = Status;
@@ -202,6 +350,14 @@
   Call.m_OnBytes = [Answer](std::string_view Bytes) {
     Answer->m_Body.append(Bytes);
   };
+  return Answer;
+}
+
+} // namespace
+
+void HttpClient::fetch(HttpCall Call, std::function<void(HttpAnswer)> Done) {
+  const std::uint64_t Id = ++m_NextFetch;
+  const auto Answer = collect(Call);
   Call.m_OnEnd = [this, Id, Answer, Done = std::move(Done)](HttpEnd End) {
     Answer->m_End = End;
     // The handle must outlive this callback, which belongs to it.
@@ -211,4 +367,14 @@
   m_Fetches.emplace(Id, start(std::move(Call)));
 }
 
+std::shared_ptr<void>
+HttpClient::fetchHeld(HttpCall Call, std::function<void(HttpAnswer)> Done) {
+  const auto Answer = collect(Call);
+  Call.m_OnEnd = [Answer, Done = std::move(Done)](HttpEnd End) {
+    Answer->m_End = End;
+    Done(std::move(*Answer));
+  };
+  return std::make_shared<HttpCallHandle>(start(std::move(Call)));
+}
+
 } // namespace havenstair
--- a/packages/wire/common/HttpClient.h
+++ b/packages/wire/common/HttpClient.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,8 +16,12 @@
 namespace havenstair {
 
 class EventLoop;
+class KeptConnections;
 
-enum class HttpMethod { Get, Post, Put, Delete };
+enum class HttpMethod { Get, Post, Put, Delete, Head, Options, Patch };
+
+/// The method whose name is \p Name; empty for one that is not supported.
+std::optional<HttpMethod> parseHttpMethod(std::string_view Name);
 
 /// One header field.
 struct HttpHeader {
@@ -37,14 +42,25 @@
   Broken      ///< Bytes may have left; the answer is missing or cut.
 };
 
-/// A request to send. The connection is new for each call, so that no kept
-/// connection that the other side just closed can swallow a request.
+/// Whether a call may use a kept connection, and leave one behind.
+enum class ConnectionUse {
+  Fresh,     ///< A new connection, closed afterwards.
+  FreshKept, ///< A new connection, kept afterwards for other calls.
+  Reused     ///< A kept connection where there is one, kept afterwards.
+};
+
+/// A request to send. By default its connection is new, so that no kept
+/// connection that the other side just closed can swallow it.
 struct HttpCall {
   Endpoint m_To;
   HttpMethod m_Method = HttpMethod::Get;
   std::string m_Target; ///< Path with query.
   HttpHeaders m_Headers;
   std::string m_Body;
+  ConnectionUse m_Use = ConnectionUse::Fresh;
+  /// Longest time for a connection to come up; zero leaves it to the idle
+  /// timeout.
+  Duration m_ConnectTimeout = 0us;
   /// Longest silence of the other side before the call counts as broken.
   Duration m_IdleTimeout = 10s;
   std::size_t m_MaxBody = 16 << 20;
@@ -84,7 +100,10 @@
 /// Sends calls on one loop.
 class HttpClient {
 public:
-  explicit HttpClient(EventLoop &Loop) : m_Loop(Loop) {}
+  explicit HttpClient(EventLoop &Loop);
+  ~HttpClient();
+  HttpClient(const HttpClient &) = delete;
+  HttpClient &operator=(const HttpClient &) = delete;
 
   EventLoop &loop() { return m_Loop; }
 
@@ -95,8 +114,18 @@
   /// runs on after this client's caller has forgotten it.
   void fetch(HttpCall Call, std::function<void(HttpAnswer)> Done);
 
+  /// Like fetch(), but destroying what is returned cancels the call.
+  [[nodiscard]] std::shared_ptr<void>
+  fetchHeld(HttpCall Call, std::function<void(HttpAnswer)> Done);
+
+  /// Closes the kept connections to \p To.
+  void forget(const Endpoint &To);
+
 private:
+  friend class HttpCallHandle;
+
   EventLoop &m_Loop;
+  std::shared_ptr<KeptConnections> m_Kept;
   std::map<std::uint64_t, HttpCallHandle> m_Fetches;
   std::uint64_t m_NextFetch = 0;
 };
--- a/packages/wire/common/HttpServer.cpp
+++ b/packages/wire/common/HttpServer.cpp
@@ -1,6 +1,8 @@
 #include "wire/common/HttpServer.h"
 
 #include "wire/common/EventLoop.h"
+#include <algorithm>
+#include <cctype>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -9,6 +11,7 @@
 #include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
 #include <stdexcept>
+#include <strings.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -58,6 +61,31 @@
   return ntohs(reinterpret_cast<sockaddr_in *>(&Address)->sin_port);
 }
 
+/// Whether \p Name is a token of RFC 9110, section 5.6.2.
+bool isToken(std::string_view Name) {
+  constexpr std::string_view Signs = "!#$%&'*+-.^_`|~";
+  const auto Allowed = [&](char Sign) {
+    return std::isalnum(static_cast<unsigned char>(Sign)) != 0 ||
+           Signs.find(Sign) != std::string_view::npos;
+  };
+  return !Name.empty() && std::all_of(Name.begin(), Name.end(), Allowed);
+}
+
+bool isNumber(std::string_view Text) {
+  const auto IsDigit = [](char Sign) { return Sign >= '0' && Sign <= '9'; };
+  return !Text.empty() && std::all_of(Text.begin(), Text.end(), IsDigit);
+}
+
+bool sameName(std::string_view A, std::string_view B) {
+  return A.size() == B.size() && strncasecmp(A.data(), B.data(), A.size()) == 0;
+}
+
+/// The methods whose bodies evhttp reads; a body elsewhere would stay on the
+/// connection and be read as the next request.
+bool bodyIsRead(std::string_view Method) {
+  return Method == "POST" || Method == "PUT" || Method == "PATCH";
+}
+
 struct BufferDeleter {
   void operator()(evbuffer *Buffer) const { evbuffer_free(Buffer); }
 };
@@ -83,6 +111,8 @@
   const char *Query = Uri == nullptr ? nullptr : evhttp_uri_get_query(Uri);
   m_Path = Path == nullptr ? "" : Path;
   m_Query = Query == nullptr ? "" : Query;
+  const char *Target = evhttp_request_get_uri(Request);
+  m_Target = Target == nullptr ? "" : Target;
   ++*m_OpenCount;
 }
 
@@ -110,6 +140,40 @@
   return Found == nullptr ? "" : Found;
 }
 
+HttpHeaders HttpExchange::headers() const {
+  HttpHeaders Result;
+  if (m_Request == nullptr)
+    return Result;
+  const evkeyvalq *From = evhttp_request_get_input_headers(m_Request);
+  for (const evkeyval *Each = From->tqh_first; Each != nullptr;
+       Each = Each->next.tqe_next)
+    Result.push_back({Each->key, Each->value});
+  return Result;
+}
+
+bool HttpExchange::framedUnambiguously() const {
+  int Lengths = 0;
+  int Codings = 0;
+  bool HasBody = false;
+  for (const HttpHeader &Header : headers()) {
+    if (!isToken(Header.m_Name))
+      return false;
+    if (sameName(Header.m_Name, "Content-Length")) {
+      ++Lengths;
+      HasBody = HasBody || Header.m_Value != "0";
+      if (!isNumber(Header.m_Value))
+        return false;
+    }
+    if (sameName(Header.m_Name, "Transfer-Encoding")) {
+      ++Codings;
+      HasBody = true;
+      if (!sameName(Header.m_Value, "chunked"))
+        return false;
+    }
+  }
+  return Lengths + Codings <= 1 && (!HasBody || bodyIsRead(m_Method));
+}
+
 /// evhttp does not read while an answer is made, so it does not see the other
 /// side close. EV_CLOSED does, without taking bytes away from evhttp.
 void HttpExchange::watchClose() {
@@ -260,6 +324,10 @@
   m_Socket = nullptr;
 }
 
+void HttpServer::setIdleTimeout(Duration Timeout) {
+  evhttp_set_timeout(m_Http, static_cast<int>(Timeout / 1s));
+}
+
 void HttpServer::onRequest(evhttp_request *Request, void *Arg) {
   auto *Self = static_cast<HttpServer *>(Arg);
   const auto Exchange = std::make_shared<HttpExchange>(
@@ -269,7 +337,7 @@
 }
 
 void HttpServer::handle(const HttpExchangePtr &Exchange) {
-  if (m_Socket == nullptr)
+  if (m_Socket == nullptr || m_CloseAfterAnswers)
     evhttp_add_header(evhttp_request_get_output_headers(Exchange->m_Request),
                       "Connection", "close");
   const bool TooLarge = Exchange->body().size() > m_Opts.m_MaxBody;
--- a/packages/wire/common/HttpServer.h
+++ b/packages/wire/common/HttpServer.h
@@ -37,7 +37,15 @@
   /// Value of the query parameter \p Name; empty when absent.
   std::string queryValue(const std::string &Name) const;
   std::string header(const std::string &Name) const;
+  /// All header fields as they came.
+  HttpHeaders headers() const;
+  /// Path with query, byte for byte as it came.
+  const std::string &target() const { return m_Target; }
   const std::string &body() const { return m_Body; }
+  /// Whether the request's framing has one reading only. A request that does
+  /// not must be answered with a closed connection, since what follows on the
+  /// connection may be part of its body (RFC 9112, section 6.3).
+  bool framedUnambiguously() const;
 
   /// Sends a whole answer.
   void reply(int Status, const HttpHeaders &Headers, std::string_view Body);
@@ -69,6 +77,7 @@
   std::size_t m_MaxBuffered;
   std::shared_ptr<std::size_t> m_OpenCount;
   std::string m_Method;
+  std::string m_Target;
   std::string m_Path;
   std::string m_Query;
   std::string m_Body;
@@ -105,6 +114,10 @@
   Endpoint endpoint() const { return m_Endpoint; }
   /// Stops to accept connections; open exchanges go on.
   void stopAccepting();
+  /// Answers from now on ask the other side to close the connection.
+  void closeAfterAnswers() { m_CloseAfterAnswers = true; }
+  /// How long a connection may rest between requests, for new connections.
+  void setIdleTimeout(Duration Timeout);
   std::size_t openExchanges() const { return *m_OpenCount; }
 
 private:
@@ -117,6 +130,7 @@
   TurnedAway m_TurnedAway;
   evhttp *m_Http;
   evhttp_bound_socket *m_Socket = nullptr;
+  bool m_CloseAfterAnswers = false;
   Endpoint m_Endpoint;
   std::shared_ptr<std::size_t> m_OpenCount = std::make_shared<std::size_t>(0);
 };
--- /dev/null
+++ b/packages/wire/common/KeptConnections.h
@@ -0,0 +1,49 @@
+/// \file
+/// Connections to other servers that rest between two calls.
+#ifndef HAVENSTAIR_WIRE_COMMON_KEPTCONNECTIONS_H
+#define HAVENSTAIR_WIRE_COMMON_KEPTCONNECTIONS_H
+
+#include "decisions/common/Time.h"
+#include "wire/common/Endpoint.h"
+#include <map>
+#include <vector>
+
+struct evhttp_connection;
+
+namespace havenstair {
+
+class EventLoop;
+
+/// Idle connections by address, the last used first. A connection that the
+/// other side closes is dropped at once.
+class KeptConnections {
+public:
+  explicit KeptConnections(EventLoop &Loop) : m_Loop(Loop) {}
+  ~KeptConnections();
+  KeptConnections(const KeptConnections &) = delete;
+  KeptConnections &operator=(const KeptConnections &) = delete;
+
+  /// Keeps \p Connection, on which no call runs, until \p Until.
+  void put(const Endpoint &To, evhttp_connection *Connection, TimePoint Until);
+  /// Hands out a connection that still rests at \p Now; null without one.
+  evhttp_connection *take(const Endpoint &To, TimePoint Now);
+  /// Closes all connections to \p To.
+  void drop(const Endpoint &To);
+  std::size_t size() const;
+
+private:
+  struct Idle {
+    evhttp_connection *m_Connection;
+    TimePoint m_Until;
+  };
+
+  static void onClosed(evhttp_connection *Connection, void *Arg);
+  void closeLater(evhttp_connection *Connection);
+
+  EventLoop &m_Loop;
+  std::map<Endpoint, std::vector<Idle>> m_Idle;
+};
+
+} // namespace havenstair
+
+#endif
