--- /dev/null
+++ b/packages/decisions/process/AdapterPlanner.cpp
@@ -0,0 +1,127 @@
+#include "decisions/process/AdapterPlanner.h"
+
+#include <algorithm>
+
+namespace havenstair {
+
+namespace {
+
+class AdapterPlan {
+public:
+  AdapterPlan(const std::vector<AdapterEngine> &Engines,
+              const std::map<AdapterKey, double> &Rates, const EngineSpec &Spec)
+      : m_Engines(Engines), m_Rates(Rates), m_Spec(Spec) {
+    for (const AdapterEngine &Engine : Engines)
+      for (const ResidentModel &Model : Engine.m_Ledger->models())
+        for (const std::string &Adapter : Model.m_Adapters)
+          ++m_Copies[{Model.m_Name, Adapter}];
+  }
+
+  double rate(const AdapterKey &Key) const {
+    const auto Found = m_Rates.find(Key);
+    return Found == m_Rates.end() ? 0 : Found->second;
+  }
+
+  int copies(const AdapterKey &Key) const {
+    const auto Found = m_Copies.find(Key);
+    return Found == m_Copies.end() ? 0 : Found->second;
+  }
+
+  /// Whether a copy is on its way somewhere.
+  bool coming(const AdapterKey &Key) const {
+    return std::any_of(m_Engines.begin(), m_Engines.end(),
+                       [&](const AdapterEngine &Each) {
+                         return Each.m_Ledger->coming(Key.first, Key.second);
+                       });
+  }
+
+  /// Plans the load of \p Key, or the unload that makes room for it.
+  /// \p MayEvict judges the adapter that would make way.
+  template <typename Judge> bool place(const AdapterKey &Key, Judge MayEvict) {
+    const ResidencyOrder Load{
+        .m_Load = true, .m_Model = Key.first, .m_Adapter = Key.second};
+    const AdapterEngine *Free = nullptr;
+    const AdapterEngine *Full = nullptr;
+    for (const AdapterEngine &Each : m_Engines) {
+      if (m_Taken.contains(Each.m_Id) || Each.m_Retiring.contains(Key.first) ||
+          !Each.m_Ledger->holds(Key.first) ||
+          Each.m_Ledger->holds(Key.first, Key.second))
+        continue;
+      const bool Fits = Each.m_Ledger->allows(Load, m_Spec);
+      const AdapterEngine *&Best = Fits ? Free : Full;
+      if (Best == nullptr || Each.m_Busy < Best->m_Busy)
+        Best = &Each;
+    }
+    if (Free != nullptr)
+      return take(*Free, Load);
+    return Full != nullptr && makeRoom(*Full, MayEvict);
+  }
+
+  std::vector<AdapterMove> moves() && { return std::move(m_Moves); }
+
+private:
+  bool take(const AdapterEngine &At, ResidencyOrder Order) {
+    m_Taken.insert(At.m_Id);
+    m_Moves.push_back({.m_Engine = At.m_Id, .m_Order = std::move(Order)});
+    return true;
+  }
+
+  /// The least wanted copy on \p At makes way.
+  template <typename Judge>
+  bool makeRoom(const AdapterEngine &At, Judge MayEvict) {
+    std::optional<AdapterKey> Least;
+    for (const ResidentModel &Model : At.m_Ledger->models())
+      for (const std::string &Adapter : Model.m_Adapters) {
+        const AdapterKey Key{Model.m_Name, Adapter};
+        if (!Least || worth(Key) < worth(*Least))
+          Least = Key;
+      }
+    if (!Least || !MayEvict(*Least))
+      return false;
+    const ResidencyOrder Unload{
+        .m_Load = false, .m_Model = Least->first, .m_Adapter = Least->second};
+    return At.m_Ledger->allows(Unload, m_Spec) && take(At, Unload);
+  }
+
+  double worth(const AdapterKey &Key) const {
+    return rate(Key) / std::max(1, copies(Key));
+  }
+
+  const std::vector<AdapterEngine> &m_Engines;
+  const std::map<AdapterKey, double> &m_Rates;
+  const EngineSpec &m_Spec;
+  std::map<AdapterKey, int> m_Copies;
+  std::set<InstanceId> m_Taken;
+  std::vector<AdapterMove> m_Moves;
+};
+
+} // namespace
+
+std::vector<AdapterMove> planAdapters(const std::vector<AdapterEngine> &Engines,
+                                      const std::set<AdapterKey> &Missing,
+                                      const std::map<AdapterKey, double> &Rates,
+                                      const EngineSpec &Spec,
+                                      const AdapterOptions &Opts) {
+  AdapterPlan Plan(Engines, Rates, Spec);
+  for (const AdapterKey &Key : Missing)
+    if (Plan.copies(Key) == 0 && !Plan.coming(Key))
+      Plan.place(Key, [&](const AdapterKey &Victim) {
+        return !Missing.contains(Victim);
+      });
+  std::vector<std::pair<double, AdapterKey>> Wanted;
+  for (const auto &[Key, Rate] : Rates) {
+    const double PerCopy = Rate / std::max(1, Plan.copies(Key));
+    if (PerCopy > Opts.m_RatePerCopy && !Plan.coming(Key))
+      Wanted.emplace_back(PerCopy, Key);
+  }
+  std::sort(Wanted.rbegin(), Wanted.rend());
+  for (const auto &[PerCopy, Key] : Wanted) {
+    const double After = Plan.rate(Key) / (Plan.copies(Key) + 1);
+    Plan.place(Key, [&](const AdapterKey &Victim) {
+      return Plan.rate(Victim) * Opts.m_SwapFactor < After;
+    });
+  }
+  return std::move(Plan).moves();
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/decisions/process/DemandRates.cpp
@@ -0,0 +1,68 @@
+#include "decisions/process/DemandRates.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace havenstair {
+
+namespace {
+
+/// Below this many requests a second a key is not told.
+constexpr double LeastRequests = 0.002;
+
+double seconds(Duration Time) {
+  return static_cast<double>(Time.count()) / 1e6;
+}
+
+ModelDemand scaled(const ModelDemand &Of, double Factor) {
+  return {.m_Requests = Of.m_Requests * Factor,
+          .m_WorkMs = Of.m_WorkMs * Factor};
+}
+
+double withTrend(double Fast, double Slow, double Trend) {
+  return (Fast + Slow) / 2 + Trend * std::max(0.0, Fast - Slow);
+}
+
+} // namespace
+
+DemandRates::Known DemandRates::decayed(const Known &From,
+                                        TimePoint Now) const {
+  const double Age = std::max(0.0, seconds(Now - From.m_At));
+  return {
+      .m_Fast = scaled(From.m_Fast, std::exp(-Age / seconds(m_Opts.m_Fast))),
+      .m_Slow = scaled(From.m_Slow, std::exp(-Age / seconds(m_Opts.m_Slow))),
+      .m_At = Now};
+}
+
+void DemandRates::add(const ModelKey &Key, const ModelDemand &Demand,
+                      TimePoint Now) {
+  Known &Entry = m_Known[Key];
+  Entry = decayed(Entry, Now);
+  Entry.m_Fast += scaled(Demand, 1 / seconds(m_Opts.m_Fast));
+  Entry.m_Slow += scaled(Demand, 1 / seconds(m_Opts.m_Slow));
+}
+
+ModelDemand DemandRates::expected(const Known &From) const {
+  return {.m_Requests = withTrend(From.m_Fast.m_Requests,
+                                  From.m_Slow.m_Requests, m_Opts.m_Trend),
+          .m_WorkMs = withTrend(From.m_Fast.m_WorkMs, From.m_Slow.m_WorkMs,
+                                m_Opts.m_Trend)};
+}
+
+ModelDemand DemandRates::rate(const ModelKey &Key, TimePoint Now) const {
+  const auto Found = m_Known.find(Key);
+  return Found == m_Known.end() ? ModelDemand{}
+                                : expected(decayed(Found->second, Now));
+}
+
+ModelDemands DemandRates::rates(TimePoint Now) const {
+  ModelDemands Result;
+  for (const auto &[Key, Entry] : m_Known) {
+    const ModelDemand Rate = expected(decayed(Entry, Now));
+    if (Rate.m_Requests >= LeastRequests)
+      Result.emplace(Key, Rate);
+  }
+  return Result;
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/decisions/process/DemandRates.h
@@ -0,0 +1,50 @@
+/// \file
+/// Demand by model as a rate, with the direction in which it moves.
+#ifndef HAVENSTAIR_DECISIONS_PROCESS_DEMANDRATES_H
+#define HAVENSTAIR_DECISIONS_PROCESS_DEMANDRATES_H
+
+#include "decisions/common/Time.h"
+#include "decisions/process/DemandBook.h"
+#include <map>
+
+namespace havenstair {
+
+/// Two exponentially weighted rates for each key, a fast and a slow one. Their
+/// difference tells whether demand rises, so that a replica is ordered before
+/// it is missed: a load takes as long as demand takes to move.
+class DemandRates {
+public:
+  struct Options {
+    Duration m_Fast = 1s; ///< Time constants.
+    Duration m_Slow = 4s;
+    double m_Trend = 1; ///< Weight of a rise.
+  };
+
+  DemandRates() : DemandRates(Options{}) {}
+  explicit DemandRates(Options Opts) : m_Opts(Opts) {}
+
+  void add(const ModelKey &Key, const ModelDemand &Demand, TimePoint Now);
+  /// Expected rate per second.
+  ModelDemand rate(const ModelKey &Key, TimePoint Now) const;
+  /// All keys with a rate worth telling.
+  ModelDemands rates(TimePoint Now) const;
+  /// Whether any demand was ever added.
+  bool empty() const { return m_Known.empty(); }
+
+private:
+  struct Known {
+    ModelDemand m_Fast;
+    ModelDemand m_Slow;
+    TimePoint m_At{};
+  };
+
+  Known decayed(const Known &From, TimePoint Now) const;
+  ModelDemand expected(const Known &From) const;
+
+  Options m_Opts;
+  std::map<ModelKey, Known> m_Known;
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/decisions/process/EngineLedger.h
@@ -0,0 +1,107 @@
+/// \file
+/// What one engine holds and what orders may still change it.
+/// See docs/design/orders.md.
+#ifndef HAVENSTAIR_DECISIONS_PROCESS_ENGINELEDGER_H
+#define HAVENSTAIR_DECISIONS_PROCESS_ENGINELEDGER_H
+
+#include "decisions/common/Time.h"
+#include "decisions/process/ResidencyOrder.h"
+#include "decisions/process/UpstreamInstance.h"
+#include "decisions/version/ServingConfig.h"
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace havenstair {
+
+/// The order count of an engine serves as a compare-and-swap: of all orders
+/// that expect the same count, at most one is ever carried out, however late.
+/// So an order without an answer is sent again unchanged until the count has
+/// moved, and nothing else is ordered meanwhile: both its outcomes fit.
+class EngineLedger {
+public:
+  struct Options {
+    /// An order without an answer is sent again after this.
+    Duration m_ResendAfter = 400ms;
+    /// Longest time after which an order may still be carried out.
+    Duration m_OrderLife = 15s;
+  };
+
+  EngineLedger() : EngineLedger(Options{}) {}
+  explicit EngineLedger(Options Opts) : m_Opts(Opts) {}
+
+  /// What the engine says of itself. Words that are older than what is known
+  /// are dropped.
+  void heard(const ResidencyReport &Report, TimePoint Now);
+  /// What its entry in the list says. The entry lags and names no order count,
+  /// so news in it only asks for a report.
+  void listed(const UpstreamInstance &Entry);
+
+  /// Whether \p Order may be given now: nothing else is under way, and with
+  /// all that may still come the engine stays within \p Spec.
+  bool allows(const ResidencyOrder &Order, const EngineSpec &Spec) const;
+  /// \p Order is sent. \returns the count that it expects.
+  std::uint64_t begin(const ResidencyOrder &Order, TimePoint Now);
+  void answered(OrderAnswer Answer, TimePoint Now);
+  /// The order to send again, when one is due.
+  std::optional<ResidencyOrder> resend(TimePoint Now) const;
+
+  /// Nothing is under way or uncertain.
+  bool idle() const {
+    return m_Known && !m_Call && !m_Uncertain && !m_ModelOrder;
+  }
+  bool known() const { return m_Known; }
+  bool waitsForAnswer() const { return m_Call.has_value(); }
+  bool uncertain() const { return m_Uncertain.has_value(); }
+  /// An accepted order for a model that is not yet carried out.
+  const std::optional<ResidencyOrder> &modelOrder() const {
+    return m_ModelOrder;
+  }
+  /// Whether its own word is needed to go on.
+  bool needsReport() const {
+    return !m_Known || m_ModelOrder || m_Uncertain || !m_Coming.empty() ||
+           m_Doubt;
+  }
+
+  std::uint64_t count() const { return m_Count; }
+  const std::vector<ResidentModel> &models() const { return m_Models; }
+  const std::set<std::string> &inMemory() const { return m_InMemory; }
+  const std::set<std::string> &onDisk() const { return m_OnDisk; }
+  bool holds(const std::string &Model, const std::string &Adapter = {}) const;
+  /// Adapters there or on their way.
+  int adapters() const;
+  bool coming(const std::string &Model, const std::string &Adapter) const {
+    return m_Coming.contains({Model, Adapter});
+  }
+  /// Adapters of \p Model that are on their way.
+  std::set<std::string> comingAdapters(const std::string &Model) const;
+  /// Weights and adapters there or on their way, in MB.
+  double usedMb(const EngineSpec &Spec) const;
+
+private:
+  struct Sent {
+    ResidencyOrder m_Order;
+    std::uint64_t m_Expected = 0;
+    TimePoint m_At{};
+    TimePoint m_First{};
+  };
+
+  Options m_Opts;
+  bool m_Known = false;
+  std::uint64_t m_Count = 0;
+  std::vector<ResidentModel> m_Models;
+  std::vector<ResidentModel> m_Listed;
+  std::set<std::string> m_InMemory;
+  std::set<std::string> m_OnDisk;
+  std::set<std::pair<std::string, std::string>> m_Coming;
+  std::optional<Sent> m_Call;
+  std::optional<Sent> m_Uncertain;
+  std::optional<ResidencyOrder> m_ModelOrder;
+  bool m_Doubt = false; ///< Its state differs from what was expected.
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/decisions/process/ReplicaPlanner.h
@@ -0,0 +1,80 @@
+/// \file
+/// Which models are on which engines: the next moves towards demand.
+/// See docs/design/replicas.md.
+#ifndef HAVENSTAIR_DECISIONS_PROCESS_REPLICAPLANNER_H
+#define HAVENSTAIR_DECISIONS_PROCESS_REPLICAPLANNER_H
+
+#include "decisions/process/UpstreamInstance.h"
+#include "decisions/version/ServingConfig.h"
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace havenstair {
+
+/// An engine as the plan sees it: with what is under way counted as done.
+struct PlannedEngine {
+  InstanceId m_Id;
+  std::set<std::string> m_Models;
+  std::set<std::string> m_InMemory;
+  std::set<std::string> m_OnDisk;
+  double m_Slowness = 1;
+  bool m_Movable = true; ///< Nothing is under way, and it stays.
+  bool m_Leaving = false;
+};
+
+/// Where the weights of a load come from; the nearer the sooner.
+enum class LoadSource { HostMemory, Disk, Store };
+
+std::string_view sourceName(LoadSource Source);
+
+/// Why a model is loaded.
+enum class PlanReason {
+  NotResident, ///< No engine that stays holds it.
+  DemandRose   ///< Its engines have more to do than others.
+};
+
+std::string_view reasonName(PlanReason Reason);
+
+/// Load a model, after another has made way for it unless that is empty.
+struct PlannedMove {
+  InstanceId m_Engine;
+  std::string m_Evict;
+  std::string m_Load;
+  LoadSource m_Source = LoadSource::Store;
+  PlanReason m_Reason = PlanReason::DemandRose;
+  double m_Gain = 0; ///< Fewer waiting requests, on average.
+
+  bool operator==(const PlannedMove &) const = default;
+};
+
+/// What the plan is made from. Demand is in engines' worth of work: 1 keeps
+/// one average engine busy.
+struct PlannerInput {
+  std::vector<PlannedEngine> m_Engines;
+  std::map<std::string, double> m_Demand;
+  std::size_t m_StoreLoads = 0; ///< That may begin from the store now.
+};
+
+struct PlannerOptions {
+  /// Least gain of a load from the engine's own memory or disk, and from the
+  /// store of weights.
+  double m_LeastGainNear = 0.02;
+  double m_LeastGainStore = 0.05;
+  /// From 0 to 1; 1 asks four times the gain of each move.
+  double m_FewMoves = 0;
+};
+
+/// Up to \p Most moves, the most useful first, on different engines. Never
+/// takes away the last replica of a model, and never plans more on an engine
+/// than \p Spec lets it hold.
+std::vector<PlannedMove> planReplicas(const PlannerInput &Input,
+                                      const EngineSpec &Spec,
+                                      const PlannerOptions &Opts,
+                                      std::size_t Most);
+
+} // namespace havenstair
+
+#endif
--- a/packages/decisions/process/ServingView.cpp
+++ b/packages/decisions/process/ServingView.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-std::vector<InstanceId> ServingView::update(UpstreamList List, TimePoint Now) {
+std::vector<InstanceId> ServingView::update(InstanceList List, TimePoint Now) {
   std::vector<InstanceId> Gone;
   if (m_Known && List.m_Revision < m_List.m_Revision)
     return Gone;
@@ -30,14 +30,55 @@
     else
       m_Leaving.erase(Id);
   }
+  for (const auto &[Id, Each] : List.m_Instances) {
+    const auto Before = m_List.m_Instances.find(Id);
+    if (Before == m_List.m_Instances.end() || Before->second != Each)
+      m_ListedAt[Id] = Now;
+  }
   m_List = std::move(List);
   m_Known = true;
+  for (const InstanceId &Id : Gone) {
+    m_Told.erase(Id);
+    m_ListedAt.erase(Id);
+  }
+  m_Current.clear();
+  for (const auto &[Id, Each] : m_List.m_Instances)
+    refresh(Id, Now);
   return Gone;
 }
 
-const UpstreamInstance *ServingView::find(const InstanceId &Id) const {
+void ServingView::refresh(const InstanceId &Id, TimePoint Now) {
   const auto Listed = m_List.m_Instances.find(Id);
-  if (Listed != m_List.m_Instances.end())
+  if (Listed == m_List.m_Instances.end())
+    return;
+  UpstreamInstance &Current = m_Current[Id] = Listed->second;
+  const auto Word = m_Told.find(Id);
+  if (Word == m_Told.end())
+    return;
+  const TimePoint At = Word->second.m_At;
+  if (Now - At <= m_Opts.m_WordFresh || At >= m_ListedAt[Id])
+    Current.m_Models = Word->second.m_Models;
+}
+
+void ServingView::told(const InstanceId &Engine,
+                       std::vector<ResidentModel> Models,
+                       std::set<std::string> Retiring, TimePoint Now) {
+  m_Told[Engine] = {.m_Models = std::move(Models),
+                    .m_Retiring = std::move(Retiring),
+                    .m_At = Now};
+  refresh(Engine, Now);
+}
+
+bool ServingView::retiring(const InstanceId &Id, const std::string &Model,
+                           TimePoint Now) const {
+  const auto Found = m_Told.find(Id);
+  return Found != m_Told.end() && Found->second.m_Retiring.contains(Model) &&
+         Now - Found->second.m_At <= m_Opts.m_RetiringHolds;
+}
+
+const UpstreamInstance *ServingView::find(const InstanceId &Id) const {
+  const auto Listed = m_Current.find(Id);
+  if (Listed != m_Current.end())
     return &Listed->second;
   const auto Left = m_Leaving.find(Id);
   return Left == m_Leaving.end() ? nullptr : &Left->second.m_Instance;
@@ -51,10 +92,10 @@
   const auto Fits = [&](const UpstreamInstance &Each) {
     return Each.m_Service == Service &&
            (Model.empty() || Each.holds(Model, Adapter)) &&
-           !Excluded(Each.m_Id);
+           !retiring(Each.m_Id, Model, Now) && !Excluded(Each.m_Id);
   };
   std::vector<const UpstreamInstance *> Result;
-  for (const auto &[Id, Each] : m_List.m_Instances)
+  for (const auto &[Id, Each] : m_Current)
     if (!Each.m_Draining && Fits(Each))
       Result.push_back(&Each);
   if (!Result.empty())
@@ -65,13 +106,4 @@
   return Result;
 }
 
-std::vector<const UpstreamInstance *>
-ServingView::active(const std::string &Service) const {
-  std::vector<const UpstreamInstance *> Result;
-  for (const auto &[Id, Each] : m_List.m_Instances)
-    if (!Each.m_Draining && Each.m_Service == Service)
-      Result.push_back(&Each);
-  return Result;
-}
-
 } // namespace havenstair
--- a/packages/decisions/process/ServingView.h
+++ b/packages/decisions/process/ServingView.h
@@ -19,6 +19,10 @@
   struct Options {
     /// How long after the news an upstream that leaves may still be used.
     Duration m_LastResort = 800ms;
+    /// How long the word that a model retires holds without being repeated.
+    Duration m_RetiringHolds = 6s;
+    /// How long the word of the box that gives orders is fresh.
+    Duration m_WordFresh = 4s;
   };
 
   ServingView() : ServingView(Options{}) {}
@@ -26,9 +30,15 @@
 
   /// Takes over \p List unless a newer one is known. \returns the upstreams
   /// that are no longer listed.
-  std::vector<InstanceId> update(UpstreamList List, TimePoint Now);
+  std::vector<InstanceId> update(InstanceList List, TimePoint Now);
 
-  const UpstreamList &list() const { return m_List; }
+  /// What the box that gives orders knows of an engine. The list lags behind
+  /// it, so its word holds while it is fresh; afterwards the later of both.
+  /// \p Retiring: models that take no new requests.
+  void told(const InstanceId &Engine, std::vector<ResidentModel> Models,
+            std::set<std::string> Retiring, TimePoint Now);
+
+  const InstanceList &list() const { return m_List; }
   bool known() const { return m_Known; }
 
   /// An entry of the list or one that has just left it; null otherwise.
@@ -40,20 +50,35 @@
              const std::string &Adapter,
              const std::function<bool(const InstanceId &)> &Excluded,
              TimePoint Now) const;
-  /// Upstreams of \p Service that are not leaving.
-  std::vector<const UpstreamInstance *>
-  active(const std::string &Service) const;
+  /// All entries of the list, with what was told since.
+  const std::map<InstanceId, UpstreamInstance> &current() const {
+    return m_Current;
+  }
 
 private:
   struct Leaving {
     UpstreamInstance m_Instance;
     TimePoint m_Since;
   };
+  struct Told {
+    std::vector<ResidentModel> m_Models;
+    std::set<std::string> m_Retiring;
+    TimePoint m_At{};
+  };
+
+  bool retiring(const InstanceId &Id, const std::string &Model,
+                TimePoint Now) const;
+  void refresh(const InstanceId &Id, TimePoint Now);
 
   Options m_Opts;
-  UpstreamList m_List;
+  InstanceList m_List;
   bool m_Known = false;
   std::map<InstanceId, Leaving> m_Leaving;
+  std::map<InstanceId, Told> m_Told;
+  /// When the list last told something new of an upstream.
+  std::map<InstanceId, TimePoint> m_ListedAt;
+  /// The entries of the list with what was told.
+  std::map<InstanceId, UpstreamInstance> m_Current;
 };
 
 } // namespace havenstair
--- a/packages/decisions/process/UpstreamInstance.h
+++ b/packages/decisions/process/UpstreamInstance.h
@@ -35,8 +35,6 @@
   /// Time until it is taken away, when it said so.
   std::optional<Duration> m_Remaining;
   std::vector<ResidentModel> m_Models;
-  /// Orders it has taken since its start.
-  std::uint64_t m_OrderCount = 0;
   /// Models whose weights lie in its host memory, and on its disk.
   std::set<std::string> m_InMemory;
   std::set<std::string> m_OnDisk;
@@ -58,11 +56,11 @@
 };
 
 /// All entries, as of one revision of the platform's list.
-struct UpstreamList {
+struct InstanceList {
   std::uint64_t m_Revision = 0;
   std::map<InstanceId, UpstreamInstance> m_Instances;
 
-  bool operator==(const UpstreamList &) const = default;
+  bool operator==(const InstanceList &) const = default;
 };
 
 } // namespace havenstair
--- /dev/null
+++ b/packages/gateway/process/Fleet.h
@@ -0,0 +1,89 @@
+/// \file
+/// The other boxes: who they are, links to them, and what they tell.
+#ifndef HAVENSTAIR_GATEWAY_PROCESS_FLEET_H
+#define HAVENSTAIR_GATEWAY_PROCESS_FLEET_H
+
+#include "gateway/process/GatewayOptions.h"
+#include "gateway/process/LeasedKey.h"
+#include "gateway/process/PrefixMirror.h"
+#include "wire/process/PeerMesh.h"
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace havenstair {
+
+class DecisionLog;
+
+/// Keeps this box's entry in the store, reads the entries of the others, and
+/// exchanges messages with them over links that outlive an outage of the
+/// store.
+class Fleet {
+public:
+  struct Options {
+    BoxName m_Box; ///< Of this start of the process.
+    DataCentreName m_DataCentre;
+    Endpoint m_Peers;
+    std::vector<Endpoint> m_Seeds;
+    std::string m_Secret;
+    std::string m_Prefix; ///< Keys of boxes begin with it.
+    Duration m_Lease = 4s;
+    Duration m_DigestEvery = 250ms;
+    RandomUnit m_Random;
+  };
+  struct Hooks {
+    /// What this box tells; its demand is taken by this.
+    std::function<FleetDigestFrame()> m_Digest;
+    std::function<void(const BoxName &, PeerFrame)> m_Frame;
+    std::function<void(const BoxName &)> m_Up;
+    std::function<void(const BoxName &)> m_Down;
+    /// The store answers again after it did not.
+    std::function<void()> m_StoreBack;
+  };
+
+  Fleet(EventLoop &Loop, CoordinationStore &Store, DecisionLog &Log,
+        Options Opts, Hooks Callbacks);
+  ~Fleet();
+  Fleet(const Fleet &) = delete;
+  Fleet &operator=(const Fleet &) = delete;
+
+  /// The store's keys have changed; \p Items are those of the whole prefix.
+  void entriesChanged(const std::map<std::string, StoreItem> &Items);
+  void send(const BoxName &To, const PeerFrame &Frame);
+  /// To all boxes that are linked.
+  void sendAll(const PeerFrame &Frame);
+  const std::set<BoxName> &linked() const { return m_Linked; }
+  /// This box and the others that are listed or linked.
+  std::size_t size() const;
+  /// Whether the store answered this box within \p Within.
+  bool storeReached(Duration Within, TimePoint Now) const;
+  /// Takes this box's entry away.
+  void leave();
+
+private:
+  void tick();
+  void storeAnswered(bool Reached);
+  StoreTransaction entry(LeaseId Lease) const;
+  PeerMesh::Options meshOptions() const;
+  PeerMesh::Hooks meshHooks();
+
+  EventLoop &m_Loop;
+  DecisionLog &m_Log;
+  Options m_Opts;
+  Hooks m_Hooks;
+  LeasedKey m_Entry;
+  PeerMesh m_Mesh;
+  std::set<BoxName> m_Listed;
+  std::set<BoxName> m_Linked;
+  TimePoint m_ReachedAt{};
+  bool m_Reached = true;
+  bool m_Left = false;
+  Timer m_TickTimer;
+  Timer m_DigestTimer;
+};
+
+} // namespace havenstair
+
+#endif
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -1,5 +1,8 @@
 #include "gateway/process/Gateway.h"
 
+#include "wire/common/Crypto.h"
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace havenstair {
@@ -22,6 +25,17 @@
 /// Callers' connections may rest longer than the callers themselves use them.
 constexpr Duration IdleMargin = 10s;
 
+/// How often a box asks the others while the store is silent, and from when.
+constexpr Duration AskEvery = 400ms;
+constexpr Duration StoreSilence = 1500ms;
+
+/// Tells one start of a box from another.
+constexpr std::size_t NameBytes = 3;
+
+/// Where the platform gives no secret, links rely on its network; the proof
+/// then only keeps out what is no box of ours.
+constexpr const char *OpenSecret = "havenstair gateway fleet";
+
 double drawUnit(std::mt19937_64 &Random) {
   return std::uniform_real_distribution<double>(0, 1)(Random);
 }
@@ -37,28 +51,36 @@
       m_Store(m_Binding.m_MakeStore(Loop, m_StoreHttp, m_Options.m_Store)),
       m_Engines(m_Binding.m_MakeEngines(m_UpstreamHttp)),
       m_Forwarder(Loop, m_UpstreamHttp, m_State, m_Binding.m_Dialect, m_Log, {},
-                  {.m_Missing = [](const ModelKey &) {},
+                  {.m_Missing = [this](const ModelKey &Key) { missing(Key); },
                    .m_Ended = [](const RequestResult &) {},
                    .m_Random = [this] { return drawUnit(m_Random); }}),
       m_Registry(m_Binding.m_DecodeUpstream, m_Log),
       m_ConfigMirror(
-          Loop, *m_Store,
-          {.m_Prefix = m_Binding.m_ConfigPrefix,
-           .m_Retry = {.m_Random = [this] { return drawUnit(m_Random); }}},
+          Loop, *m_Store, mirrorOptions(m_Binding.m_ConfigPrefix, 0us),
           {.m_Changed = [this] { configChanged(); }, .m_Reached = [] {}}),
       m_UpstreamMirror(
           Loop, *m_Store,
-          {.m_Prefix = m_Binding.m_UpstreamPrefix,
-           .m_Gather = GatherUpstreams,
-           .m_Retry = {.m_Random = [this] { return drawUnit(m_Random); }}},
-          {.m_Changed = [this] { upstreamsChanged(); }, .m_Reached = [] {}}) {
+          mirrorOptions(m_Binding.m_UpstreamPrefix, GatherUpstreams),
+          {.m_Changed = [this] { upstreamsChanged(); }, .m_Reached = [] {}}),
+      m_OwnMirror(
+          Loop, *m_Store, mirrorOptions(m_Binding.m_OwnPrefix, 0us),
+          {.m_Changed = [this] { ownKeysChanged(); }, .m_Reached = [] {}}),
+      m_Process(m_Options.m_Box.str() + "." + randomHex(NameBytes)),
+      m_Fleet(Loop, *m_Store, m_Log, fleetOptions(), fleetHooks()),
+      m_Giver(Loop, *m_Store, *m_Engines, m_State, m_Log, giverOptions(),
+              {.m_Contents = [this](const FleetContentsFrame &Frame) {
+                take(m_Process, Frame);
+                m_Fleet.sendAll(Frame);
+              }}) {
   m_State.m_Zone = m_Options.m_DataCentre.str();
   applyBounds();
   startServers();
   m_ConfigMirror.start();
   m_UpstreamMirror.start();
+  m_OwnMirror.start();
   m_ReloadTimer = Loop.every(ReloadEvery, [this] { reload(); });
-  m_Log.write("started", {{"box", m_Options.m_Box.str()},
+  m_AskTimer = Loop.every(AskEvery, [this] { askPeers(); });
+  m_Log.write("started", {{"box", m_Process.str()},
                           {"zone", m_State.m_Zone},
                           {"callers", m_Options.m_Callers.str()},
                           {"store", m_Options.m_Store.str()}});
@@ -66,6 +88,163 @@
 
 Gateway::~Gateway() = default;
 
+PrefixMirror::Options Gateway::mirrorOptions(const std::string &Prefix,
+                                             Duration Gather) {
+  return {.m_Prefix = Prefix,
+          .m_Gather = Gather,
+          .m_Retry = {.m_First = 100ms, .m_Cap = 1s, .m_Random = [this] {
+                        return drawUnit(m_Random);
+                      }}};
+}
+
+Fleet::Options Gateway::fleetOptions() const {
+  Fleet::Options Opts;
+  Opts.m_Box = m_Process;
+  Opts.m_DataCentre = m_Options.m_DataCentre;
+  Opts.m_Peers = m_Options.m_Peers;
+  Opts.m_Seeds = m_Options.m_Seeds;
+  Opts.m_Secret =
+      m_Options.m_PeerSecret.empty() ? OpenSecret : m_Options.m_PeerSecret;
+  Opts.m_Prefix = m_Binding.m_OwnPrefix;
+  Opts.m_Lease = std::max(Opts.m_Lease, m_Options.m_LeastLease);
+  Opts.m_Random = [this] { return drawUnit(m_Random); };
+  return Opts;
+}
+
+Fleet::Hooks Gateway::fleetHooks() {
+  return {.m_Digest = [this] { return digest(); },
+          .m_Frame = [this](const BoxName &From,
+                            const PeerFrame &Frame) { onFrame(From, Frame); },
+          .m_Up =
+              [this](const BoxName &Box) {
+                if (m_Giver.giving())
+                  m_Fleet.send(Box, m_Giver.contents());
+              },
+          .m_Down = [this](const BoxName &Box) { m_State.m_Loads.forget(Box); },
+          .m_StoreBack = [this] { resync(); }};
+}
+
+OrderGiver::Options Gateway::giverOptions() const {
+  OrderGiver::Options Opts;
+  Opts.m_Prefix = m_Binding.m_OwnPrefix;
+  Opts.m_Holder = m_Options.m_Box.str();
+  Opts.m_Process = m_Process.str();
+  Opts.m_Lease = std::max(Opts.m_Lease, m_Options.m_LeastLease);
+  Opts.m_Bounds = m_Options.m_Bounds;
+  return Opts;
+}
+
+void Gateway::ownKeysChanged() {
+  m_Fleet.entriesChanged(m_OwnMirror.items());
+  m_Giver.entriesChanged(m_OwnMirror.items());
+  m_State.m_Boxes = std::max(m_State.m_Boxes, static_cast<int>(m_Fleet.size()));
+}
+
+/// A connection to the store may be dead without saying so.
+void Gateway::resync() {
+  m_StoreHttp.forget(m_Options.m_Store);
+  m_ConfigMirror.resync();
+  m_UpstreamMirror.resync();
+  m_OwnMirror.resync();
+}
+
+FleetDigestFrame Gateway::digest() {
+  FleetDigestFrame Frame;
+  Frame.m_Config = m_State.m_Config ? m_State.m_Config->m_Version : 0;
+  Frame.m_List = m_State.m_Upstreams.list().m_Revision;
+  Frame.m_Stopping = m_State.m_Stopping;
+  Frame.m_Loads = m_State.m_Loads.own();
+  Frame.m_Demand = std::exchange(m_State.m_Demand, {});
+  m_Giver.demanded(Frame.m_Demand);
+  return Frame;
+}
+
+void Gateway::onFrame(const BoxName &From, const PeerFrame &Frame) {
+  std::visit(
+      [&](const auto &Each) {
+        if constexpr (requires { take(From, Each); })
+          take(From, Each);
+      },
+      Frame);
+}
+
+void Gateway::take(const BoxName &From, const FleetDigestFrame &Frame) {
+  m_State.m_Loads.told(From, Frame.m_Loads, EventLoop::now());
+  m_Giver.demanded(Frame.m_Demand);
+}
+
+void Gateway::take(const BoxName &From, const FleetWantFrame &Frame) {
+  const ConfigVersion Version =
+      m_State.m_Config ? m_State.m_Config->m_Version : 0;
+  if (Version > Frame.m_Config)
+    sendKeys(From, m_Binding.m_ConfigPrefix, m_ConfigMirror);
+  if (m_UpstreamMirror.revision() > Frame.m_List)
+    sendKeys(From, m_Binding.m_UpstreamPrefix, m_UpstreamMirror);
+}
+
+void Gateway::sendKeys(const BoxName &To, const std::string &Prefix,
+                       const PrefixMirror &From) {
+  FleetKeysFrame Frame{.m_Prefix = Prefix, .m_Revision = From.revision()};
+  for (const auto &[Key, Item] : From.items())
+    Frame.m_Items.push_back(
+        {.m_Key = Key, .m_Value = Item.m_Value, .m_Revision = Item.m_Revision});
+  m_Fleet.send(To, Frame);
+}
+
+void Gateway::take(const BoxName &From, const FleetKeysFrame &Frame) {
+  std::map<std::string, StoreItem> Items;
+  for (const StoredValue &Each : Frame.m_Items)
+    Items[Each.m_Key] = {.m_Key = Each.m_Key,
+                         .m_Value = Each.m_Value,
+                         .m_Revision = Each.m_Revision};
+  m_Log.write("keys_from_peer", {{"peer", From.str()},
+                                 {"prefix", Frame.m_Prefix},
+                                 {"revision", Frame.m_Revision},
+                                 {"keys", Items.size()}});
+  if (Frame.m_Prefix == m_Binding.m_ConfigPrefix)
+    m_ConfigMirror.adopt(std::move(Items), Frame.m_Revision);
+  else if (Frame.m_Prefix == m_Binding.m_UpstreamPrefix)
+    m_UpstreamMirror.adopt(std::move(Items), Frame.m_Revision);
+}
+
+void Gateway::take(const BoxName &, const FleetContentsFrame &Frame) {
+  if (Frame.m_FencingToken < m_ContentsToken)
+    return;
+  m_ContentsToken = Frame.m_FencingToken;
+  const TimePoint Now = EventLoop::now();
+  for (const EngineContents &Each : Frame.m_Engines)
+    m_State.m_Upstreams.told(Each.m_Engine, Each.m_Models, Each.m_Retiring,
+                             Now);
+  m_Forwarder.upstreamsChanged();
+}
+
+void Gateway::take(const BoxName &, const FleetMissingFrame &Frame) {
+  m_Giver.missing(Frame.m_Keys);
+}
+
+void Gateway::missing(const ModelKey &Key) {
+  if (m_Giver.giving())
+    return m_Giver.missing({Key});
+  if (!m_Giver.holder().empty())
+    m_Fleet.send(BoxName(m_Giver.holder()), FleetMissingFrame{{Key}});
+}
+
+/// A box that the store turns away learns from those that it serves.
+void Gateway::askPeers() {
+  if (m_Fleet.storeReached(StoreSilence, EventLoop::now()) ||
+      m_Fleet.linked().empty())
+    return;
+  const auto Count = static_cast<double>(m_Fleet.linked().size());
+  const auto Index = static_cast<std::ptrdiff_t>(drawUnit(m_Random) * Count);
+  const auto Peer =
+      std::next(m_Fleet.linked().begin(),
+                std::min(Index, std::ssize(m_Fleet.linked()) - 1));
+  m_Fleet.send(
+      *Peer, FleetWantFrame{
+                 .m_Config = m_State.m_Config ? m_State.m_Config->m_Version : 0,
+                 .m_List = m_UpstreamMirror.revision()});
+}
+
 void Gateway::startServers() {
   HttpServer::Options Opts;
   Opts.m_Listen = m_Options.m_Callers;
@@ -102,6 +281,7 @@
       return;
     m_Options.m_Bounds = Read.m_Bounds;
     applyBounds();
+    m_Giver.setBounds(m_Options.m_Bounds);
     m_Log.write("settings_changed", {{"box", m_Options.m_Box.str()}});
   } catch (const std::exception &Error) {
     m_Log.write("bad_settings", {{"why", Error.what()}});
@@ -140,6 +320,7 @@
               {{"revision", m_UpstreamMirror.revision()},
                {"listed", m_State.m_Upstreams.list().m_Instances.size()},
                {"gone", Gone}});
+  m_Giver.upstreamsChanged();
   m_Forwarder.upstreamsChanged();
 }
 
@@ -150,6 +331,8 @@
   m_LeaveAt = Now + LeastStop;
   m_StopAt = Now + m_Options.m_Bounds.m_GracePeriod - GraceMargin;
   m_Callers->closeAfterAnswers();
+  m_Giver.leave();
+  m_Fleet.leave();
   m_Log.write("stopping", {{"open", m_Forwarder.open()}});
   m_StopTimer = m_Loop.every(StopCheckEvery, [this] { stopIfIdle(); });
 }
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -4,6 +4,8 @@
 #define HAVENSTAIR_GATEWAY_PROCESS_GATEWAY_H
 
 #include "gateway/common/DecisionLog.h"
+#include "gateway/process/Fleet.h"
+#include "gateway/process/OrderGiver.h"
 #include "gateway/process/PlatformBinding.h"
 #include "gateway/process/PrefixMirror.h"
 #include "gateway/process/ServingState.h"
@@ -34,7 +36,25 @@
   void stop();
 
 private:
+  Fleet::Options fleetOptions() const;
+  Fleet::Hooks fleetHooks();
+  OrderGiver::Options giverOptions() const;
+  PrefixMirror::Options mirrorOptions(const std::string &Prefix,
+                                      Duration Gather);
   void startServers();
+  void ownKeysChanged();
+  FleetDigestFrame digest();
+  void onFrame(const BoxName &From, const PeerFrame &Frame);
+  void take(const BoxName &From, const FleetDigestFrame &Frame);
+  void take(const BoxName &From, const FleetWantFrame &Frame);
+  void take(const BoxName &From, const FleetKeysFrame &Frame);
+  void take(const BoxName &From, const FleetContentsFrame &Frame);
+  void take(const BoxName &From, const FleetMissingFrame &Frame);
+  void sendKeys(const BoxName &To, const std::string &Prefix,
+                const PrefixMirror &From);
+  void askPeers();
+  void missing(const ModelKey &Key);
+  void resync();
   void configChanged();
   void upstreamsChanged();
   void applyBounds();
@@ -46,7 +66,7 @@
   GatewayOptions m_Options;
   std::function<void()> m_Stopped;
   DecisionLog m_Log;
-  std::mt19937_64 m_Random;
+  mutable std::mt19937_64 m_Random;
   HttpClient m_UpstreamHttp;
   HttpClient m_StoreHttp;
   std::unique_ptr<CoordinationStore> m_Store;
@@ -56,9 +76,15 @@
   UpstreamRegistry m_Registry;
   PrefixMirror m_ConfigMirror;
   PrefixMirror m_UpstreamMirror;
+  PrefixMirror m_OwnMirror;
+  BoxName m_Process; ///< Name of this start of the process.
+  Fleet m_Fleet;
+  OrderGiver m_Giver;
+  FencingToken m_ContentsToken = 0;
   std::unique_ptr<HttpServer> m_Callers;
   std::unique_ptr<HttpServer> m_Readiness;
   Timer m_ReloadTimer;
+  Timer m_AskTimer;
   Timer m_StopTimer;
   TimePoint m_StopAt{};
   TimePoint m_LeaveAt{};
--- /dev/null
+++ b/packages/gateway/process/LeasedKey.cpp
@@ -0,0 +1,124 @@
+#include "gateway/process/LeasedKey.h"
+
+#include <utility>
+
+namespace havenstair {
+
+namespace {
+
+LeaseKeeper::Options keeperOptions(const LeasedKey::Options &Opts) {
+  return {.m_TimeToLive = Opts.m_TimeToLive,
+          .m_RenewEvery = Opts.m_RenewEvery,
+          .m_Margin = Opts.m_Margin};
+}
+
+bool reached(StoreStatus Status) {
+  return Status != StoreStatus::Lost && Status != StoreStatus::Refused;
+}
+
+} // namespace
+
+LeasedKey::LeasedKey(EventLoop &Loop, CoordinationStore &Store, Options Opts,
+                     Hooks Callbacks)
+    : m_Loop(Loop), m_Store(Store), m_Opts(Opts), m_Hooks(std::move(Callbacks)),
+      m_Keeper(keeperOptions(Opts)) {}
+
+template <typename Call> auto LeasedKey::guarded(Call Then) {
+  return [this, Round = m_Round, Alive = std::weak_ptr<bool>(m_Alive),
+          Then = std::move(Then)](const auto &...Values) {
+    if (!Alive.expired() && Round == m_Round)
+      Then(Values...);
+  };
+}
+
+bool LeasedKey::held(TimePoint Now) const {
+  return m_Claimed && m_Keeper.held(Now);
+}
+
+void LeasedKey::answered(StoreStatus Status) {
+  m_Hooks.m_Answered(reached(Status));
+}
+
+void LeasedKey::lose() {
+  if (std::exchange(m_Claimed, false))
+    m_Hooks.m_Lost();
+}
+
+void LeasedKey::tick(TimePoint Now) {
+  if (m_Claimed && !m_Keeper.held(Now))
+    lose();
+  const std::optional<LeaseAction> Action = m_Keeper.tick(Now);
+  if (!Action)
+    return;
+  if (std::holds_alternative<CreateLease>(*Action))
+    create(Now);
+  else
+    renew(Now);
+}
+
+void LeasedKey::create(TimePoint Now) {
+  m_Store.grantLease(
+      m_Opts.m_TimeToLive,
+      guarded([this, Now](StoreStatus Status, LeaseId Lease, Duration) {
+        answered(Status);
+        if (Status != StoreStatus::Ok)
+          return m_Keeper.failed(EventLoop::now() + m_Opts.m_RetryAfter);
+        m_Lease = Lease;
+        m_Keeper.granted(std::to_string(Lease), Now);
+        claim(Now);
+      }));
+}
+
+void LeasedKey::renew(TimePoint Now) {
+  m_Store.keepLease(m_Lease, guarded([this, Now](StoreStatus Status) {
+                      answered(Status);
+                      if (Status == StoreStatus::Ok) {
+                        m_Keeper.granted(std::to_string(m_Lease), Now);
+                        if (!m_Claimed)
+                          claim(Now);
+                        return;
+                      }
+                      if (Status != StoreStatus::NotFound)
+                        return m_Keeper.failed(EventLoop::now() +
+                                               m_Opts.m_RetryAfter);
+                      m_Lease = 0;
+                      m_Keeper.lost(EventLoop::now());
+                      lose();
+                    }));
+}
+
+void LeasedKey::claim(TimePoint) {
+  if (std::exchange(m_Claiming, true))
+    return;
+  const std::optional<StoreTransaction> Transaction = m_Hooks.m_Claim(m_Lease);
+  if (!Transaction) {
+    m_Claiming = false;
+    return;
+  }
+  m_Store.transact(*Transaction,
+                   guarded([this](StoreStatus Status, StoreRevision Revision) {
+                     m_Claiming = false;
+                     answered(Status);
+                     if (Status == StoreStatus::Ok) {
+                       m_Claimed = true;
+                       return m_Hooks.m_Claimed(Revision);
+                     }
+                     // Somebody else has the key, or an unanswered write may
+                     // yet put it there: without its lease it does not stay.
+                     if (Status != StoreStatus::Refused)
+                       release();
+                   }));
+}
+
+void LeasedKey::release() {
+  const LeaseId Ended = std::exchange(m_Lease, 0);
+  ++m_Round;
+  m_Claiming = false;
+  m_Keeper = LeaseKeeper(keeperOptions(m_Opts));
+  m_Keeper.failed(EventLoop::now() + m_Opts.m_RetryAfter);
+  lose();
+  if (Ended != 0)
+    m_Store.endLease(Ended, [](StoreStatus) {});
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/gateway/process/LeasedKey.h
@@ -0,0 +1,73 @@
+/// \file
+/// A key of the store that exists while this process keeps a lease.
+#ifndef HAVENSTAIR_GATEWAY_PROCESS_LEASEDKEY_H
+#define HAVENSTAIR_GATEWAY_PROCESS_LEASEDKEY_H
+
+#include "decisions/process/LeaseKeeper.h"
+#include "gateway/process/CoordinationStore.h"
+#include "wire/common/EventLoop.h"
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace havenstair {
+
+/// Takes a lease, writes its keys under it, and renews it. Whether the lease
+/// is held is judged by this process's own clock from when the last good call
+/// was sent, so a frozen process finds its lease ended when it wakes.
+class LeasedKey {
+public:
+  struct Options {
+    Duration m_TimeToLive = 3s;
+    Duration m_RenewEvery = 1s;
+    Duration m_Margin = 300ms;
+    Duration m_RetryAfter = 200ms;
+  };
+  struct Hooks {
+    /// The transaction that writes the keys under \p Lease; empty when it is
+    /// not to be written now.
+    std::function<std::optional<StoreTransaction>(LeaseId Lease)> m_Claim;
+    /// The keys are written; \p Revision is that of the transaction.
+    std::function<void(StoreRevision Revision)> m_Claimed;
+    /// They may be gone.
+    std::function<void()> m_Lost;
+    /// An answer came, or none.
+    std::function<void(bool Reached)> m_Answered;
+  };
+
+  LeasedKey(EventLoop &Loop, CoordinationStore &Store, Options Opts,
+            Hooks Callbacks);
+  LeasedKey(const LeasedKey &) = delete;
+  LeasedKey &operator=(const LeasedKey &) = delete;
+
+  /// Makes the next call when one is due.
+  void tick(TimePoint Now);
+  /// Whether the keys are written and the lease runs.
+  bool held(TimePoint Now) const;
+  /// Ends the lease, and with it the keys.
+  void release();
+
+private:
+  void create(TimePoint Now);
+  void renew(TimePoint Now);
+  void claim(TimePoint Now);
+  void answered(StoreStatus Status);
+  void lose();
+  /// A callback that is dropped when this object is gone or has started anew.
+  template <typename Call> auto guarded(Call Then);
+
+  EventLoop &m_Loop;
+  CoordinationStore &m_Store;
+  Options m_Opts;
+  Hooks m_Hooks;
+  LeaseKeeper m_Keeper;
+  LeaseId m_Lease = 0;
+  bool m_Claimed = false;
+  bool m_Claiming = false;
+  std::uint64_t m_Round = 0;
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -0,0 +1,568 @@
+#include "gateway/process/OrderGiver.h"
+
+#include "gateway/common/DecisionLog.h"
+#include "wire/common/Json.h"
+#include <algorithm>
+#include <utility>
+
+namespace havenstair {
+
+namespace {
+
+constexpr Duration TickEvery = 50ms;
+constexpr Duration PlanEvery = 200ms;
+
+/// Time for all boxes to hear that a model retires.
+constexpr Duration RetireFor = 120ms;
+
+/// An adapter arrives in some milliseconds; engines tell of it much later.
+constexpr Duration AdapterArrivesIn = 30ms;
+
+/// How long requests are believed to wait for a missing model.
+constexpr Duration MissingCounts = 1s;
+
+/// Added to the time between the orders of two order givers.
+constexpr Duration TurnMargin = 300ms;
+
+/// Contents are told again after this, changed or not.
+constexpr Duration TellAgainAfter = 3s;
+
+constexpr Duration ReportEvery = 120ms;
+constexpr Duration ReportAfterFailure = 400ms;
+constexpr Duration UnloadTakes = 60ms;
+
+/// No plan is made while engines appear, since their models seem missing.
+constexpr Duration SettleFor = 1300ms;
+
+/// A model that cannot be unloaded in this time stays.
+constexpr Duration UnloadWithin = 6s;
+
+/// Most moves that one plan begins.
+constexpr std::size_t MostMoves = 6;
+
+constexpr const char *HolderKey = "giver";
+constexpr const char *TermKey = "giver-term";
+
+Duration expectedLoad(const ModelSpec *Model, LoadSource Source) {
+  if (Model == nullptr)
+    return 1s;
+  switch (Source) {
+  case LoadSource::HostMemory:
+    return Model->m_MemoryLoad;
+  case LoadSource::Disk:
+    return Model->m_DiskLoad;
+  case LoadSource::Store:
+    return Model->m_StoreLoad;
+  }
+  return Model->m_StoreLoad;
+}
+
+std::string_view answerName(OrderAnswer Answer) {
+  switch (Answer) {
+  case OrderAnswer::Accepted:
+    return "accepted";
+  case OrderAnswer::AlreadyDone:
+    return "already_done";
+  case OrderAnswer::Busy:
+    return "busy";
+  case OrderAnswer::Fenced:
+    return "fenced";
+  case OrderAnswer::Refused:
+    return "refused";
+  case OrderAnswer::Lost:
+    return "lost";
+  }
+  return "lost";
+}
+
+} // namespace
+
+OrderGiver::OrderGiver(EventLoop &Loop, CoordinationStore &Store,
+                       EngineControl &Engines, ServingState &State,
+                       DecisionLog &Log, Options Opts, Hooks Callbacks)
+    : m_Loop(Loop), m_Control(Engines), m_State(State), m_Log(Log),
+      m_Opts(std::move(Opts)), m_Hooks(std::move(Callbacks)),
+      m_Key(Loop, Store, {.m_TimeToLive = m_Opts.m_Lease},
+            {.m_Claim = [this](LeaseId Lease) { return claim(Lease); },
+             .m_Claimed = [this](StoreRevision At) { claimed(At); },
+             .m_Lost = [this] { lost(); },
+             .m_Answered = [](bool) {}}) {
+  m_Timer = Loop.every(TickEvery, [this] { tick(); });
+}
+
+OrderGiver::~OrderGiver() = default;
+
+void OrderGiver::setBounds(const ServingBounds &Bounds) {
+  m_Opts.m_Bounds = Bounds;
+}
+
+void OrderGiver::entriesChanged(const std::map<std::string, StoreItem> &Items) {
+  m_EntriesKnown = true;
+  const auto Key = Items.find(m_Opts.m_Prefix + HolderKey);
+  m_KeyTaken = Key != Items.end();
+  m_Holder = m_KeyTaken ? Key->second.m_Value : "";
+  const auto Term = Items.find(m_Opts.m_Prefix + TermKey);
+  m_TermRevision = Term == Items.end() ? 0 : Term->second.m_Revision;
+  m_TermHolder = Term == Items.end() ? "" : Term->second.m_Value;
+}
+
+std::optional<StoreTransaction> OrderGiver::claim(LeaseId Lease) const {
+  if (!m_EntriesKnown || m_KeyTaken)
+    return std::nullopt;
+  const std::string Key = m_Opts.m_Prefix + HolderKey;
+  const std::string Term = m_Opts.m_Prefix + TermKey;
+  return StoreTransaction{
+      .m_Conditions = {{.m_Key = Key, .m_Revision = 0},
+                       {.m_Key = Term, .m_Revision = m_TermRevision}},
+      .m_Puts = {{.m_Key = Key, .m_Value = m_Opts.m_Process, .m_Lease = Lease},
+                 {.m_Key = Term, .m_Value = m_Opts.m_Holder}},
+      .m_Removals = {}};
+}
+
+void OrderGiver::claimed(StoreRevision Revision) {
+  const TimePoint Now = EventLoop::now();
+  const bool First = m_TermRevision == 0;
+  const bool Own = m_TermHolder == m_Opts.m_Holder;
+  m_Giving = true;
+  m_Token = Revision;
+  m_MayOrderFrom =
+      First || Own ? Now : Now + m_Opts.m_Bounds.m_OrderTurn + TurnMargin;
+  m_Engines.clear();
+  m_Ceiling = LoadCeiling();
+  for (const auto &[Id, Each] : m_State.m_Upstreams.current())
+    if (const EngineSpec *Spec = specOf(Each.m_Service))
+      m_Ceiling.configure({.m_LoadsPerS = Spec->m_LoadsPerS,
+                           .m_Window = m_Opts.m_Bounds.m_CeilingWindow});
+  if (!First)
+    m_Ceiling.takeOver(Now);
+  m_Log.write("giver", {{"token", m_Token},
+                        {"before", m_TermHolder},
+                        {"orders_in_ms", (m_MayOrderFrom - Now) / 1ms}});
+}
+
+void OrderGiver::lost() {
+  m_Giving = false;
+  m_Engines.clear();
+  m_Log.write("giver_lost", {{"token", m_Token}});
+}
+
+void OrderGiver::leave() {
+  m_Left = true;
+  m_Key.release();
+}
+
+bool OrderGiver::mayOrder(TimePoint Now) const {
+  return m_Giving && m_Key.held(Now) && Now >= m_MayOrderFrom;
+}
+
+const EngineSpec *OrderGiver::specOf(const std::string &Service) const {
+  const ServiceSpec *Found =
+      m_State.m_Config ? m_State.m_Config->service(Service) : nullptr;
+  return Found != nullptr && Found->m_Engine ? &*Found->m_Engine : nullptr;
+}
+
+void OrderGiver::demanded(const ModelDemands &Demand) {
+  const TimePoint Now = EventLoop::now();
+  for (const auto &[Key, Each] : Demand)
+    m_Rates.add(Key, Each, Now);
+}
+
+void OrderGiver::missing(const std::vector<ModelKey> &Keys) {
+  const TimePoint Now = EventLoop::now();
+  for (const ModelKey &Key : Keys)
+    m_Missing[Key] = Now;
+  if (!m_Giving || std::exchange(m_TickSoon, true))
+    return;
+  m_NextPlan = Now;
+  m_Loop.defer([this] {
+    m_TickSoon = false;
+    tick();
+  });
+}
+
+void OrderGiver::upstreamsChanged() {
+  if (m_Giving)
+    refreshEngines(EventLoop::now());
+}
+
+void OrderGiver::tick() {
+  const TimePoint Now = EventLoop::now();
+  if (m_Left)
+    return;
+  if (m_Giving || (m_EntriesKnown && !m_KeyTaken && m_State.m_Config))
+    m_Key.tick(Now);
+  if (!m_Giving)
+    return;
+  refreshEngines(Now);
+  askReports(Now);
+  advanceTasks(Now);
+  if (Now >= m_NextPlan) {
+    m_NextPlan = Now + PlanEvery;
+    plan(Now);
+  }
+  tellChanges();
+}
+
+void OrderGiver::refreshEngines(TimePoint Now) {
+  std::erase_if(m_Engines, [&](const auto &Each) {
+    return !m_State.m_Upstreams.list().m_Instances.contains(Each.first);
+  });
+  for (const auto &[Id, Entry] : m_State.m_Upstreams.list().m_Instances) {
+    if (specOf(Entry.m_Service) == nullptr)
+      continue;
+    const auto [Place, New] = m_Engines.try_emplace(Id);
+    Engine &Known = Place->second;
+    if (New)
+      m_GrewAt = Now;
+    // The first word is the engine's own: the list lags behind it.
+    if (Known.m_Ledger.known())
+      Known.m_Ledger.listed(Entry);
+    if (Entry.m_Draining)
+      Known.m_Task.reset();
+  }
+}
+
+void OrderGiver::askReports(TimePoint Now) {
+  for (auto &[Id, Each] : m_Engines) {
+    const EngineLedger &Ledger = Each.m_Ledger;
+    if (!Each.m_ReportAsked && Ledger.needsReport() &&
+        !Ledger.waitsForAnswer() && Now >= Each.m_NextReport)
+      askReport(Id, Each, Now);
+  }
+}
+
+void OrderGiver::askReport(const InstanceId &Id, Engine &Of, TimePoint Now) {
+  const auto Entry = m_State.m_Upstreams.list().m_Instances.find(Id);
+  if (Entry == m_State.m_Upstreams.list().m_Instances.end())
+    return;
+  Of.m_ReportAsked = true;
+  Of.m_NextReport = Now + ReportEvery;
+  m_Control.report(Entry->second,
+                   [this, Id, Token = m_Token](
+                       const std::optional<ResidencyReport> &Report) {
+                     if (m_Giving && Token == m_Token)
+                       heard(Id, Report);
+                   });
+}
+
+void OrderGiver::heard(const InstanceId &Id,
+                       const std::optional<ResidencyReport> &Report) {
+  const auto Found = m_Engines.find(Id);
+  if (Found == m_Engines.end())
+    return;
+  Engine &Of = Found->second;
+  const TimePoint Now = EventLoop::now();
+  Of.m_ReportAsked = false;
+  if (!Report) {
+    Of.m_NextReport = Now + ReportAfterFailure;
+    return;
+  }
+  Of.m_Ledger.heard(*Report, Now);
+  if (Of.m_StoreLoadUncertain && !Of.m_Ledger.uncertain()) {
+    Of.m_StoreLoadUncertain.reset();
+    m_Ceiling.settled(Now);
+  }
+  if (const auto Entry = m_State.m_Upstreams.list().m_Instances.find(Id);
+      Entry != m_State.m_Upstreams.list().m_Instances.end())
+    if (const EngineSpec *Spec = specOf(Entry->second.m_Service))
+      advance(Id, Of, *Spec, Now);
+  tellChanges();
+}
+
+void OrderGiver::advanceTasks(TimePoint Now) {
+  for (auto &[Id, Each] : m_Engines) {
+    const auto Entry = m_State.m_Upstreams.list().m_Instances.find(Id);
+    if (Entry == m_State.m_Upstreams.list().m_Instances.end())
+      continue;
+    if (const EngineSpec *Spec = specOf(Entry->second.m_Service))
+      advance(Id, Each, *Spec, Now);
+  }
+}
+
+void OrderGiver::advance(const InstanceId &Id, Engine &Of,
+                         const EngineSpec &Spec, TimePoint Now) {
+  if (const auto Again = Of.m_Ledger.resend(Now)) {
+    give(Id, Of, *Again, LoadSource::Disk, Now);
+    return;
+  }
+  const bool Unloading = Of.m_Task && Of.m_Task->m_Phase != Phase::Loading;
+  if (Unloading && !Of.m_Ledger.modelOrder() &&
+      Now - Of.m_Task->m_Since > UnloadWithin)
+    Of.m_Task.reset();
+  if (!Of.m_Task || !Of.m_Ledger.idle())
+    return;
+  Task &Current = *Of.m_Task;
+  const PlannedMove &Move = Current.m_Move;
+  if (Current.m_Phase == Phase::Retiring) {
+    if (Now - Current.m_Since < RetireFor)
+      return;
+    Current.m_Phase = Phase::Unloading;
+  }
+  if (Current.m_Phase == Phase::Unloading) {
+    if (Of.m_Ledger.holds(Move.m_Evict)) {
+      give(Id, Of, {.m_Load = false, .m_Model = Move.m_Evict, .m_Adapter = {}},
+           LoadSource::Disk, Now);
+      return;
+    }
+    Current.m_Phase = Phase::Loading;
+  }
+  if (Of.m_Ledger.holds(Move.m_Load)) {
+    Of.m_Task.reset();
+    return;
+  }
+  const LoadSource Source =
+      Of.m_Ledger.inMemory().contains(Move.m_Load) ? LoadSource::HostMemory
+      : Of.m_Ledger.onDisk().contains(Move.m_Load) ? LoadSource::Disk
+                                                   : LoadSource::Store;
+  const ResidencyOrder Load{
+      .m_Load = true, .m_Model = Move.m_Load, .m_Adapter = {}};
+  if (!Of.m_Ledger.allows(Load, Spec)) {
+    // What it holds is not what the plan was made from.
+    if (!Of.m_Ledger.needsReport())
+      Of.m_Task.reset();
+    return;
+  }
+  give(Id, Of, Load, Source, Now);
+}
+
+bool OrderGiver::give(const InstanceId &Id, Engine &To,
+                      const ResidencyOrder &Order, LoadSource Source,
+                      TimePoint) {
+  const auto Entry = m_State.m_Upstreams.list().m_Instances.find(Id);
+  const TimePoint Now = EventLoop::now();
+  if (Entry == m_State.m_Upstreams.list().m_Instances.end() || !mayOrder(Now))
+    return false;
+  const EngineSpec *Spec = specOf(Entry->second.m_Service);
+  if (Spec == nullptr || !To.m_Ledger.allows(Order, *Spec))
+    return false;
+  const bool FromStore =
+      Order.m_Load && Order.m_Adapter.empty() && Source == LoadSource::Store;
+  if (FromStore) {
+    if (m_Ceiling.left(Now) == 0)
+      return false;
+    m_Ceiling.begun(Now);
+  }
+  const OrderStamp Stamp{.m_Holder = m_Opts.m_Holder,
+                         .m_FencingToken = m_Token,
+                         .m_ExpectedCount = To.m_Ledger.begin(Order, Now)};
+  m_Log.write("order",
+              {{"engine", Id},
+               {"load", Order.m_Load},
+               {"model", Order.m_Model},
+               {"adapter", Order.m_Adapter},
+               {"source", sourceName(Source)},
+               {"expected_count", Stamp.m_ExpectedCount},
+               {"token", m_Token},
+               {"reason",
+                To.m_Task ? reasonName(To.m_Task->m_Move.m_Reason) : "adapter"},
+               {"gain", To.m_Task ? To.m_Task->m_Move.m_Gain : 0}});
+  m_Control.order(
+      Entry->second, Order, Stamp,
+      [this, Id, Order, Source, Token = m_Token](OrderAnswer Answer) {
+        if (m_Giving && Token == m_Token)
+          orderAnswered(Id, Order, Source, Answer);
+      });
+  return true;
+}
+
+void OrderGiver::orderAnswered(const InstanceId &Id,
+                               const ResidencyOrder &Order, LoadSource Source,
+                               OrderAnswer Answer) {
+  const TimePoint Now = EventLoop::now();
+  if (Answer != OrderAnswer::Accepted)
+    m_Log.write("order_answer", {{"engine", Id},
+                                 {"load", Order.m_Load},
+                                 {"model", Order.m_Model},
+                                 {"adapter", Order.m_Adapter},
+                                 {"answer", answerName(Answer)}});
+  const auto Found = m_Engines.find(Id);
+  if (Found == m_Engines.end())
+    return;
+  Engine &Of = Found->second;
+  Of.m_Ledger.answered(Answer, Now);
+  const bool ModelLoad = Order.m_Load && Order.m_Adapter.empty();
+  if (Answer == OrderAnswer::Lost && ModelLoad && Source == LoadSource::Store &&
+      !Of.m_StoreLoadUncertain) {
+    Of.m_StoreLoadUncertain = Order;
+    m_Ceiling.uncertain();
+  }
+  if (Of.m_StoreLoadUncertain && !Of.m_Ledger.uncertain()) {
+    Of.m_StoreLoadUncertain.reset();
+    m_Ceiling.settled(Now);
+  }
+  Of.m_NextReport = Now + UnloadTakes;
+  if (Answer == OrderAnswer::Accepted) {
+    const auto Entry = m_State.m_Upstreams.list().m_Instances.find(Id);
+    const EngineSpec *Spec =
+        Entry == m_State.m_Upstreams.list().m_Instances.end()
+            ? nullptr
+            : specOf(Entry->second.m_Service);
+    if (ModelLoad && Spec != nullptr)
+      Of.m_NextReport = Now + expectedLoad(Spec->model(Order.m_Model), Source);
+    if (!Order.m_Adapter.empty()) {
+      Of.m_AdapterOrderAt = Now;
+      Of.m_NextReport = Now + ReportEvery;
+    }
+  }
+  if (!std::exchange(m_TickSoon, true)) {
+    m_NextPlan = std::min(m_NextPlan, Now + TickEvery);
+    m_Loop.defer([this] {
+      m_TickSoon = false;
+      tick();
+    });
+  }
+}
+
+void OrderGiver::plan(TimePoint Now) {
+  std::erase_if(m_Missing, [&](const auto &Each) {
+    return Now - Each.second > MissingCounts;
+  });
+  // Engines that start together appear one after the other.
+  if (!mayOrder(Now) || !m_State.m_Config || Now - m_GrewAt < SettleFor)
+    return;
+  for (const ServiceSpec &Service : m_State.m_Config->m_Services)
+    if (Service.m_Engine) {
+      planModels(Service.m_Name, *Service.m_Engine, Now);
+      planAdapterMoves(Service.m_Name, *Service.m_Engine, Now);
+    }
+}
+
+void OrderGiver::planModels(const std::string &Service, const EngineSpec &Spec,
+                            TimePoint Now) {
+  PlannerInput Input;
+  Input.m_StoreLoads = m_Ceiling.left(Now);
+  for (const auto &[Key, Rate] : m_Rates.rates(Now))
+    if (Key.m_Service == Service && Key.m_Adapter.empty())
+      Input.m_Demand[Key.m_Model] = Rate.m_WorkMs / 1000;
+  for (const auto &[Id, Each] : m_Engines) {
+    const UpstreamInstance &Entry =
+        m_State.m_Upstreams.list().m_Instances.at(Id);
+    if (Entry.m_Service != Service)
+      continue;
+    PlannedEngine Planned{.m_Id = Id,
+                          .m_InMemory = Each.m_Ledger.inMemory(),
+                          .m_OnDisk = Each.m_Ledger.onDisk(),
+                          .m_Slowness = m_State.m_Latency.slowness(Id),
+                          .m_Movable = Each.m_Ledger.idle() && !Each.m_Task,
+                          .m_Leaving = Entry.m_Draining};
+    const std::vector<ResidentModel> &Models =
+        Each.m_Ledger.known() ? Each.m_Ledger.models() : Entry.m_Models;
+    for (const ResidentModel &Model : Models)
+      Planned.m_Models.insert(Model.m_Name);
+    if (const auto &Order = Each.m_Ledger.modelOrder();
+        Order && Order->m_Load && !Order->m_Model.empty())
+      Planned.m_Models.insert(Order->m_Model);
+    if (Each.m_Task) {
+      Planned.m_Models.erase(Each.m_Task->m_Move.m_Evict);
+      Planned.m_Models.insert(Each.m_Task->m_Move.m_Load);
+    }
+    Input.m_Engines.push_back(std::move(Planned));
+  }
+  for (const PlannedMove &Move :
+       planReplicas(Input, Spec, m_Opts.m_Planner, MostMoves)) {
+    Engine &At = m_Engines.at(Move.m_Engine);
+    At.m_Task =
+        Task{.m_Move = Move,
+             .m_Phase = Move.m_Evict.empty() ? Phase::Loading : Phase::Retiring,
+             .m_Since = Now};
+    m_Log.write("move", {{"engine", Move.m_Engine},
+                         {"evict", Move.m_Evict},
+                         {"load", Move.m_Load},
+                         {"source", sourceName(Move.m_Source)},
+                         {"reason", reasonName(Move.m_Reason)},
+                         {"gain", Move.m_Gain},
+                         {"demand", Input.m_Demand[Move.m_Load]}});
+    advance(Move.m_Engine, At, Spec, Now);
+  }
+}
+
+double OrderGiver::busyPart(const std::string &Service, const Engine &Of,
+                            TimePoint Now) const {
+  double Sum = 0;
+  for (const ResidentModel &Model : Of.m_Ledger.models()) {
+    const ModelDemand Rate = m_Rates.rate({Service, Model.m_Name, ""}, Now);
+    const auto Count = static_cast<double>(replicas(Model.m_Name));
+    Sum += Rate.m_WorkMs / 1000 / std::max(1.0, Count);
+  }
+  return Sum;
+}
+
+std::size_t OrderGiver::replicas(const std::string &Model) const {
+  return static_cast<std::size_t>(
+      std::count_if(m_Engines.begin(), m_Engines.end(), [&](const auto &Each) {
+        return Each.second.m_Ledger.holds(Model);
+      }));
+}
+
+void OrderGiver::planAdapterMoves(const std::string &Service,
+                                  const EngineSpec &Spec, TimePoint Now) {
+  std::vector<AdapterEngine> Engines;
+  for (const auto &[Id, Each] : m_Engines) {
+    const UpstreamInstance &Entry =
+        m_State.m_Upstreams.list().m_Instances.at(Id);
+    if (Entry.m_Service != Service || Entry.m_Draining ||
+        !Each.m_Ledger.known())
+      continue;
+    AdapterEngine Engine{.m_Id = Id,
+                         .m_Ledger = &Each.m_Ledger,
+                         .m_Busy = busyPart(Service, Each, Now),
+                         .m_Retiring = {}};
+    if (Each.m_Task)
+      Engine.m_Retiring.insert(Each.m_Task->m_Move.m_Evict);
+    Engines.push_back(std::move(Engine));
+  }
+  std::set<AdapterKey> Missing;
+  for (const auto &[Key, At] : m_Missing)
+    if (Key.m_Service == Service && !Key.m_Adapter.empty())
+      Missing.insert({Key.m_Model, Key.m_Adapter});
+  std::map<AdapterKey, double> Rates;
+  for (const auto &[Key, Rate] : m_Rates.rates(Now))
+    if (Key.m_Service == Service && !Key.m_Adapter.empty())
+      Rates[{Key.m_Model, Key.m_Adapter}] = Rate.m_Requests;
+  for (const AdapterMove &Move :
+       planAdapters(Engines, Missing, Rates, Spec, m_Opts.m_Adapters))
+    give(Move.m_Engine, m_Engines.at(Move.m_Engine), Move.m_Order,
+         LoadSource::Disk, Now);
+}
+
+EngineContents OrderGiver::contentsOf(const InstanceId &Id, const Engine &Of,
+                                      TimePoint Now) const {
+  EngineContents Result{
+      .m_Engine = Id, .m_Models = Of.m_Ledger.models(), .m_Retiring = {}};
+  if (Now - Of.m_AdapterOrderAt >= AdapterArrivesIn)
+    for (ResidentModel &Model : Result.m_Models)
+      for (const std::string &Adapter :
+           Of.m_Ledger.comingAdapters(Model.m_Name))
+        Model.m_Adapters.insert(Adapter);
+  if (Of.m_Task && Of.m_Task->m_Phase != Phase::Loading)
+    Result.m_Retiring.insert(Of.m_Task->m_Move.m_Evict);
+  return Result;
+}
+
+FleetContentsFrame OrderGiver::contents() const {
+  FleetContentsFrame Frame{.m_FencingToken = m_Token, .m_Engines = {}};
+  const TimePoint Now = EventLoop::now();
+  for (const auto &[Id, Each] : m_Engines)
+    if (m_Giving && Each.m_Ledger.known())
+      Frame.m_Engines.push_back(contentsOf(Id, Each, Now));
+  return Frame;
+}
+
+void OrderGiver::tellChanges() {
+  const TimePoint Now = EventLoop::now();
+  FleetContentsFrame Frame{.m_FencingToken = m_Token, .m_Engines = {}};
+  for (auto &[Id, Each] : m_Engines) {
+    if (!Each.m_Ledger.known())
+      continue;
+    EngineContents Contents = contentsOf(Id, Each, Now);
+    if (Contents == Each.m_Told && Now - Each.m_ToldAt < TellAgainAfter)
+      continue;
+    Each.m_Told = Contents;
+    Each.m_ToldAt = Now;
+    Frame.m_Engines.push_back(std::move(Contents));
+  }
+  if (!Frame.m_Engines.empty())
+    m_Hooks.m_Contents(Frame);
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/gateway/process/OrderGiver.h
@@ -0,0 +1,151 @@
+/// \file
+/// Gives orders to all engines, on one box at a time.
+#ifndef HAVENSTAIR_GATEWAY_PROCESS_ORDERGIVER_H
+#define HAVENSTAIR_GATEWAY_PROCESS_ORDERGIVER_H
+
+#include "decisions/process/AdapterPlanner.h"
+#include "decisions/process/DemandRates.h"
+#include "decisions/process/EngineLedger.h"
+#include "decisions/process/LoadCeiling.h"
+#include "decisions/process/ReplicaPlanner.h"
+#include "gateway/process/EngineControl.h"
+#include "gateway/process/GatewayOptions.h"
+#include "gateway/process/LeasedKey.h"
+#include "gateway/process/ServingState.h"
+#include "wire/connection/FleetFrames.h"
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace havenstair {
+
+class DecisionLog;
+
+/// Holds the key of the order giver under a lease; its revision is the fencing
+/// token. While it is held, plans replicas and adapters from demand and carries
+/// the plan out, one order at a time on each engine.
+/// See docs/design/orders.md.
+class OrderGiver {
+public:
+  struct Options {
+    std::string m_Prefix;  ///< Of the keys that this writes.
+    std::string m_Holder;  ///< This machine; the same for all its starts.
+    std::string m_Process; ///< This start of the process.
+    Duration m_Lease = 3s;
+    ServingBounds m_Bounds;
+    PlannerOptions m_Planner;
+    AdapterOptions m_Adapters;
+  };
+  struct Hooks {
+    /// Contents of engines changed; all boxes are to know.
+    std::function<void(const FleetContentsFrame &)> m_Contents;
+  };
+
+  OrderGiver(EventLoop &Loop, CoordinationStore &Store, EngineControl &Engines,
+             ServingState &State, DecisionLog &Log, Options Opts,
+             Hooks Callbacks);
+  ~OrderGiver();
+  OrderGiver(const OrderGiver &) = delete;
+  OrderGiver &operator=(const OrderGiver &) = delete;
+
+  /// The store's keys have changed; \p Items are those of the whole prefix.
+  void entriesChanged(const std::map<std::string, StoreItem> &Items);
+  void upstreamsChanged();
+  /// Demand of this box or another one.
+  void demanded(const ModelDemands &Demand);
+  /// Requests wait for models that no engine holds.
+  void missing(const std::vector<ModelKey> &Keys);
+  void setBounds(const ServingBounds &Bounds);
+
+  /// Name of the process that holds the key, as last read; empty for none.
+  const std::string &holder() const { return m_Holder; }
+  bool giving() const { return m_Giving; }
+  /// Contents of all engines, for a box that has just been linked.
+  FleetContentsFrame contents() const;
+  /// Gives the key up.
+  void leave();
+
+private:
+  /// What is being done on one engine.
+  enum class Phase { Retiring, Unloading, Loading };
+  struct Task {
+    PlannedMove m_Move;
+    Phase m_Phase = Phase::Loading;
+    TimePoint m_Since{};
+  };
+  struct Engine {
+    EngineLedger m_Ledger;
+    std::optional<Task> m_Task;
+    std::optional<ResidencyOrder> m_StoreLoadUncertain;
+    bool m_ReportAsked = false;
+    TimePoint m_NextReport{};
+    EngineContents m_Told;
+    TimePoint m_ToldAt{};
+    TimePoint m_AdapterOrderAt{};
+  };
+
+  std::optional<StoreTransaction> claim(LeaseId Lease) const;
+  void claimed(StoreRevision Revision);
+  void lost();
+  void tick();
+  bool mayOrder(TimePoint Now) const;
+
+  const EngineSpec *specOf(const std::string &Service) const;
+  void refreshEngines(TimePoint Now);
+  void askReports(TimePoint Now);
+  void askReport(const InstanceId &Id, Engine &Of, TimePoint Now);
+  void heard(const InstanceId &Id,
+             const std::optional<ResidencyReport> &Report);
+  void advanceTasks(TimePoint Now);
+  void advance(const InstanceId &Id, Engine &Of, const EngineSpec &Spec,
+               TimePoint Now);
+  void plan(TimePoint Now);
+  void planModels(const std::string &Service, const EngineSpec &Spec,
+                  TimePoint Now);
+  void planAdapterMoves(const std::string &Service, const EngineSpec &Spec,
+                        TimePoint Now);
+  bool give(const InstanceId &Id, Engine &To, const ResidencyOrder &Order,
+            LoadSource Source, TimePoint Now);
+  void orderAnswered(const InstanceId &Id, const ResidencyOrder &Order,
+                     LoadSource Source, OrderAnswer Answer);
+  void tellChanges();
+  EngineContents contentsOf(const InstanceId &Id, const Engine &Of,
+                            TimePoint Now) const;
+  double busyPart(const std::string &Service, const Engine &Of,
+                  TimePoint Now) const;
+  std::size_t replicas(const std::string &Model) const;
+
+  EventLoop &m_Loop;
+  EngineControl &m_Control;
+  ServingState &m_State;
+  DecisionLog &m_Log;
+  Options m_Opts;
+  Hooks m_Hooks;
+  LeasedKey m_Key;
+  bool m_EntriesKnown = false;
+  bool m_KeyTaken = false; ///< Some process holds it, as last read.
+  StoreRevision m_TermRevision = 0;
+  std::string m_TermHolder;
+  std::string m_Holder;
+  bool m_Giving = false;
+  bool m_Left = false;
+  FencingToken m_Token = 0;
+  TimePoint m_MayOrderFrom{};
+  TimePoint m_ClaimFrom{};
+  TimePoint m_NextPlan{};
+  /// The last time an engine appeared.
+  TimePoint m_GrewAt{};
+  std::map<InstanceId, Engine> m_Engines;
+  std::map<ModelKey, TimePoint> m_Missing;
+  DemandRates m_Rates;
+  LoadCeiling m_Ceiling;
+  Timer m_Timer;
+  bool m_TickSoon = false;
+};
+
+} // namespace havenstair
+
+#endif
--- a/packages/gateway/process/PrefixMirror.cpp
+++ b/packages/gateway/process/PrefixMirror.cpp
@@ -65,21 +65,34 @@
 
 void PrefixMirror::watch() {
   const std::uint64_t Round = ++m_Round;
-  m_Watching = m_Store.watch(
-      m_Opts.m_Prefix, m_At, m_Opts.m_Wait,
-      [this, Round, Alive = std::weak_ptr<bool>(m_Alive)](StoreChanges News) {
-        if (!Alive.expired() && Round == m_Round)
-          onChanges(std::move(News));
-      });
+  m_Watching =
+      m_Store.watch(m_Opts.m_Prefix, m_At, m_Opts.m_Wait,
+                    [this, Round, Alive = std::weak_ptr<bool>(m_Alive)](
+                        const StoreChanges &News) {
+                      if (!Alive.expired() && Round == m_Round)
+                        onChanges(News);
+                    });
+}
+
+void PrefixMirror::adopt(std::map<std::string, StoreItem> Items,
+                         StoreRevision Revision) {
+  if (Revision <= m_At)
+    return;
+  m_Items = std::move(Items);
+  m_At = Revision;
+  m_Hooks.m_Changed();
 }
 
-void PrefixMirror::onChanges(StoreChanges News) {
+void PrefixMirror::onChanges(const StoreChanges &News) {
   if (News.m_Status == StoreStatus::HistoryGone)
     return read();
   if (News.m_Status != StoreStatus::Ok)
     return later(m_Backoff.next(), &PrefixMirror::read);
   m_Backoff.reset();
   for (const StoreChange &Change : News.m_Changes) {
+    // Adopted in the meantime.
+    if (Change.m_Revision <= m_At)
+      continue;
     if (Change.m_Value)
       m_Items[Change.m_Key] = {.m_Key = Change.m_Key,
                                .m_Value = *Change.m_Value,
--- a/packages/gateway/process/PrefixMirror.h
+++ b/packages/gateway/process/PrefixMirror.h
@@ -45,6 +45,9 @@
   void stop();
   bool running() const { return m_Running; }
 
+  /// Takes over a copy that another process made, when it is newer.
+  void adopt(std::map<std::string, StoreItem> Items, StoreRevision Revision);
+
   const std::map<std::string, StoreItem> &items() const { return m_Items; }
   /// Revision up to which the copy is whole; 0 before the first read.
   StoreRevision revision() const { return m_At; }
@@ -53,7 +56,7 @@
   void read();
   void watch();
   void onRead(StoreItems Read);
-  void onChanges(StoreChanges Changes);
+  void onChanges(const StoreChanges &News);
   void later(Duration Delay, void (PrefixMirror::*Step)());
 
   EventLoop &m_Loop;
--- a/packages/gateway/process/UpstreamRegistry.cpp
+++ b/packages/gateway/process/UpstreamRegistry.cpp
@@ -15,11 +15,11 @@
   return Result;
 }
 
-UpstreamList
+InstanceList
 UpstreamRegistry::read(const std::map<std::string, StoreItem> &Items,
                        StoreRevision Revision) {
   std::map<std::string, Decoded> Next;
-  UpstreamList List{.m_Revision = Revision, .m_Instances = {}};
+  InstanceList List{.m_Revision = Revision, .m_Instances = {}};
   for (const auto &[Key, Item] : Items) {
     const auto Before = m_Known.find(Key);
     const bool Same =
--- a/packages/gateway/process/UpstreamRegistry.h
+++ b/packages/gateway/process/UpstreamRegistry.h
@@ -24,7 +24,7 @@
       : m_Decode(std::move(Decoder)), m_Log(Log) {}
 
   /// The list that \p Items describe, as of \p Revision.
-  UpstreamList read(const std::map<std::string, StoreItem> &Items,
+  InstanceList read(const std::map<std::string, StoreItem> &Items,
                     StoreRevision Revision);
 
 private:
--- /dev/null
+++ b/packages/wire/connection/FleetFrames.cpp
@@ -0,0 +1,172 @@
+#include "wire/connection/FleetFrames.h"
+
+#include <cmath>
+
+namespace havenstair {
+
+namespace {
+
+/// Work is told in whole milliseconds; it is an estimate anyway.
+std::int64_t rounded(double Value) {
+  constexpr double Most = 1e12;
+  return std::llround(std::min(std::max(Value, 0.0), Most));
+}
+
+Json toJson(const ModelKey &Key) {
+  return Json::array({Key.m_Service, Key.m_Model, Key.m_Adapter});
+}
+
+const Json &part(const Json &From, std::size_t Index, std::size_t Count) {
+  if (!From.is_array() || From.size() != Count)
+    throw DecodeError("a list has the wrong length");
+  return From[Index];
+}
+
+std::string text(const Json &From) {
+  if (!From.is_string())
+    throw DecodeError("a text was expected");
+  return From.get<std::string>();
+}
+
+ModelKey modelKeyFrom(const Json &From, std::size_t Count) {
+  return {.m_Service = text(part(From, 0, Count)),
+          .m_Model = text(part(From, 1, Count)),
+          .m_Adapter = text(part(From, 2, Count))};
+}
+
+const Json &list(const Json &From, const char *Name) {
+  static const Json None = Json::array();
+  const auto Found = From.find(Name);
+  if (Found == From.end())
+    return None;
+  if (!Found->is_array())
+    throw DecodeError(std::string("field ") + Name + " is no list");
+  return *Found;
+}
+
+Json toJson(const ResidentModel &Model) {
+  return Json::array({Model.m_Name, Model.m_Adapters});
+}
+
+ResidentModel residentFrom(const Json &From) {
+  ResidentModel Result{.m_Name = text(part(From, 0, 2)), .m_Adapters = {}};
+  if (!From[1].is_array())
+    throw DecodeError("adapters are no list");
+  for (const Json &Adapter : From[1])
+    Result.m_Adapters.insert(text(Adapter));
+  return Result;
+}
+
+constexpr std::size_t LoadParts = 4;
+constexpr std::size_t DemandParts = 5;
+
+} // namespace
+
+Json toJson(const FleetDigestFrame &Frame) {
+  Json Result{{"config", Frame.m_Config}, {"list", Frame.m_List}};
+  if (Frame.m_Stopping)
+    Result["stopping"] = true;
+  Json &Loads = Result["loads"] = Json::array();
+  for (const auto &[Id, Load] : Frame.m_Loads)
+    Loads.push_back(Json::array({Id, Load.m_Running, rounded(Load.m_PendingMs),
+                                 rounded(Load.m_Tokens)}));
+  Json &Demand = Result["demand"] = Json::array();
+  for (const auto &[Key, Each] : Frame.m_Demand)
+    Demand.push_back(
+        Json::array({Key.m_Service, Key.m_Model, Key.m_Adapter,
+                     rounded(Each.m_Requests), rounded(Each.m_WorkMs)}));
+  return Result;
+}
+
+void fromJson(const Json &From, FleetDigestFrame &Frame) {
+  Frame.m_Config = field<std::uint64_t>(From, "config");
+  Frame.m_List = field<std::uint64_t>(From, "list");
+  Frame.m_Stopping = fieldOr<bool>(From, "stopping", false);
+  for (const Json &Each : list(From, "loads"))
+    Frame.m_Loads[text(part(Each, 0, LoadParts))] = {
+        .m_Running = wholeNumber<int>(Each[1]),
+        .m_PendingMs = wholeNumber<std::int32_t>(Each[2]) * 1.0,
+        .m_Tokens = wholeNumber<std::int32_t>(Each[3]) * 1.0};
+  for (const Json &Each : list(From, "demand"))
+    Frame.m_Demand[modelKeyFrom(Each, DemandParts)] = {
+        .m_Requests = wholeNumber<std::int32_t>(Each[3]) * 1.0,
+        .m_WorkMs = wholeNumber<std::int32_t>(Each[4]) * 1.0};
+}
+
+Json toJson(const FleetWantFrame &Frame) {
+  return {{"config", Frame.m_Config}, {"list", Frame.m_List}};
+}
+
+void fromJson(const Json &From, FleetWantFrame &Frame) {
+  Frame.m_Config = field<std::uint64_t>(From, "config");
+  Frame.m_List = field<std::uint64_t>(From, "list");
+}
+
+Json toJson(const FleetKeysFrame &Frame) {
+  Json Items = Json::array();
+  for (const StoredValue &Item : Frame.m_Items)
+    Items.push_back(Json::array(
+        {Item.m_Key, Json::binary({Item.m_Value.begin(), Item.m_Value.end()}),
+         Item.m_Revision}));
+  return {{"prefix", Frame.m_Prefix},
+          {"revision", Frame.m_Revision},
+          {"items", std::move(Items)}};
+}
+
+void fromJson(const Json &From, FleetKeysFrame &Frame) {
+  constexpr std::size_t Parts = 3;
+  Frame.m_Prefix = field<std::string>(From, "prefix");
+  Frame.m_Revision = field<std::uint64_t>(From, "revision");
+  for (const Json &Each : list(From, "items")) {
+    if (!part(Each, 1, Parts).is_binary())
+      throw DecodeError("a value is not binary");
+    const Json::binary_t &Value = Each[1].get_binary();
+    Frame.m_Items.push_back(
+        {.m_Key = text(Each[0]),
+         .m_Value = {Value.begin(), Value.end()},
+         .m_Revision = wholeNumber<std::uint64_t>(Each[2])});
+  }
+}
+
+Json toJson(const FleetContentsFrame &Frame) {
+  Json Engines = Json::array();
+  for (const EngineContents &Each : Frame.m_Engines) {
+    Json Models = Json::array();
+    for (const ResidentModel &Model : Each.m_Models)
+      Models.push_back(toJson(Model));
+    Engines.push_back(
+        Json::array({Each.m_Engine, std::move(Models), Each.m_Retiring}));
+  }
+  return {{"token", Frame.m_FencingToken}, {"engines", std::move(Engines)}};
+}
+
+void fromJson(const Json &From, FleetContentsFrame &Frame) {
+  constexpr std::size_t Parts = 3;
+  Frame.m_FencingToken = field<std::uint64_t>(From, "token");
+  for (const Json &Each : list(From, "engines")) {
+    EngineContents Contents;
+    Contents.m_Engine = text(part(Each, 0, Parts));
+    if (!Each[1].is_array() || !Each[2].is_array())
+      throw DecodeError("contents of an engine are wrong");
+    for (const Json &Model : Each[1])
+      Contents.m_Models.push_back(residentFrom(Model));
+    for (const Json &Model : Each[2])
+      Contents.m_Retiring.insert(text(Model));
+    Frame.m_Engines.push_back(std::move(Contents));
+  }
+}
+
+Json toJson(const FleetMissingFrame &Frame) {
+  Json Keys = Json::array();
+  for (const ModelKey &Key : Frame.m_Keys)
+    Keys.push_back(toJson(Key));
+  return {{"keys", std::move(Keys)}};
+}
+
+void fromJson(const Json &From, FleetMissingFrame &Frame) {
+  constexpr std::size_t Parts = 3;
+  for (const Json &Each : list(From, "keys"))
+    Frame.m_Keys.push_back(modelKeyFrom(Each, Parts));
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/wire/connection/FleetFrames.h
@@ -0,0 +1,95 @@
+/// \file
+/// Messages between the boxes of a gateway fleet.
+#ifndef HAVENSTAIR_WIRE_CONNECTION_FLEETFRAMES_H
+#define HAVENSTAIR_WIRE_CONNECTION_FLEETFRAMES_H
+
+#include "decisions/process/DemandBook.h"
+#include "decisions/process/LoadBook.h"
+#include "decisions/process/UpstreamInstance.h"
+#include "wire/common/Json.h"
+#include <cstdint>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace havenstair {
+
+/// What a box tells all others several times a second.
+struct FleetDigestFrame {
+  std::uint64_t m_Config = 0; ///< Version of the configuration it serves by.
+  std::uint64_t m_List = 0;   ///< Revision of its list of upstreams.
+  bool m_Stopping = false;
+  InstanceLoads m_Loads; ///< Through the sender.
+  ModelDemands m_Demand; ///< Since its last digest.
+
+  bool operator==(const FleetDigestFrame &) const = default;
+};
+
+/// The sender cannot reach the store; it asks for what is newer than this.
+struct FleetWantFrame {
+  std::uint64_t m_Config = 0;
+  std::uint64_t m_List = 0;
+
+  bool operator==(const FleetWantFrame &) const = default;
+};
+
+/// A key of the store as the sender knows it.
+struct StoredValue {
+  std::string m_Key;
+  std::string m_Value;
+  std::uint64_t m_Revision = 0;
+
+  bool operator==(const StoredValue &) const = default;
+};
+
+/// All keys under a prefix of the store, for a box that cannot read them.
+struct FleetKeysFrame {
+  std::string m_Prefix;
+  std::uint64_t m_Revision = 0; ///< Up to which the keys are whole.
+  std::vector<StoredValue> m_Items;
+
+  bool operator==(const FleetKeysFrame &) const = default;
+};
+
+/// What an engine holds, by the box that gives orders.
+struct EngineContents {
+  InstanceId m_Engine;
+  std::vector<ResidentModel> m_Models;
+  /// Models that are about to make way: no new requests for them.
+  std::set<std::string> m_Retiring;
+
+  bool operator==(const EngineContents &) const = default;
+};
+
+/// From the box that gives orders, whenever something has changed.
+struct FleetContentsFrame {
+  std::uint64_t m_FencingToken = 0;
+  std::vector<EngineContents> m_Engines;
+
+  bool operator==(const FleetContentsFrame &) const = default;
+};
+
+/// Requests wait at the sender for models that no engine holds.
+struct FleetMissingFrame {
+  std::vector<ModelKey> m_Keys;
+
+  bool operator==(const FleetMissingFrame &) const = default;
+};
+
+Json toJson(const FleetDigestFrame &Frame);
+Json toJson(const FleetWantFrame &Frame);
+Json toJson(const FleetKeysFrame &Frame);
+Json toJson(const FleetContentsFrame &Frame);
+Json toJson(const FleetMissingFrame &Frame);
+
+/// \throws DecodeError for a value of another form.
+void fromJson(const Json &From, FleetDigestFrame &Frame);
+void fromJson(const Json &From, FleetWantFrame &Frame);
+void fromJson(const Json &From, FleetKeysFrame &Frame);
+void fromJson(const Json &From, FleetContentsFrame &Frame);
+void fromJson(const Json &From, FleetMissingFrame &Frame);
+
+} // namespace havenstair
+
+#endif
--- a/packages/wire/connection/PeerFrames.h
+++ b/packages/wire/connection/PeerFrames.h
@@ -9,6 +9,7 @@
 #include "decisions/request/ForwardedRequest.h"
 #include "decisions/version/Assignment.h"
 #include "decisions/version/Table.h"
+#include "wire/connection/FleetFrames.h"
 #include <optional>
 #include <set>
 #include <string>
@@ -174,7 +175,8 @@
                  StartedFrame, HeadFrame, BytesFrame, EndedFrame, FailedFrame,
                  DigestFrame, DemandFrame, TableFrame, AssignmentFrame,
                  PlanFrame, MoveFrame, LimitAskFrame, LimitAnswerFrame,
-                 LimitTellFrame>;
+                 LimitTellFrame, FleetDigestFrame, FleetWantFrame,
+                 FleetKeysFrame, FleetContentsFrame, FleetMissingFrame>;
 
 /// Name of the kind of \p Frame, for metrics.
 std::string_view frameName(const PeerFrame &Frame);
