Order giver outlives outages; one box relays the list; second tries are served

Ruled out: a shorter lease; it loses orders in every outage of the store. Change: a lease of 20 s; another box takes over by replacing the key once it hears a majority but not the holder; the holder goes on while it reaches the store or a majority vouches for it (HolderView). The holder relays the list by difference. CallerClock finds second tries by their deadline.

--- a/packages/decisions/request/ErrorKind.cpp
+++ b/packages/decisions/request/ErrorKind.cpp
@@ -58,6 +58,7 @@
      "The box does not know a configuration yet."},
     {504, "route_timeout", Unknown, false,
      "The upstream did not answer within the time of the route."},
+    {503, "stopping", NotRun, true, "The box is about to stop."},
     {500, "internal", Unknown, false, "An error inside the box."},
 }};
 
--- a/packages/decisions/request/ErrorKind.h
+++ b/packages/decisions/request/ErrorKind.h
@@ -42,6 +42,7 @@
   OperatorTokenNeeded,
   NoConfiguration,
   RouteTimeout,
+  Stopping,
   Internal
 };
 
--- a/packages/decisions/request/ReplicaAdmission.cpp
+++ b/packages/decisions/request/ReplicaAdmission.cpp
@@ -22,8 +22,9 @@
                                   const AdmissionOptions &Opts) {
   const double Target = millis(Facts.m_Target);
   const double Waited = millis(Facts.m_Waited);
-  // Late refusals help nobody: the caller has no time left to come back.
-  if (Waited > Opts.m_EarlyPart * Target)
+  // Neither late refusals nor second ones help: the caller has no time, or no
+  // try, left to come back.
+  if (Facts.m_TriedBefore || Waited > Opts.m_EarlyPart * Target)
     return std::nullopt;
   const double Own = std::min(Facts.m_WorkMs, Opts.m_OwnPart * Target);
   const double Wait = Facts.m_ExpectedMs - Facts.m_WorkMs + Waited;
--- a/packages/decisions/request/ReplicaAdmission.h
+++ b/packages/decisions/request/ReplicaAdmission.h
@@ -10,11 +10,12 @@
 
 /// What admission judges by.
 struct AdmissionFacts {
-  Duration m_Target = 1s;   ///< Of the route.
-  Duration m_Waited = 0us;  ///< Since the request arrived.
-  Duration m_TimeLeft = 1s; ///< Until the caller or the route gives up.
-  double m_ExpectedMs = 0;  ///< To the first token, at the best upstream.
-  double m_WorkMs = 0;      ///< The request's own part of it.
+  Duration m_Target = 1s;     ///< Of the route.
+  Duration m_Waited = 0us;    ///< Since the request arrived.
+  Duration m_TimeLeft = 1s;   ///< Until the caller or the route gives up.
+  bool m_TriedBefore = false; ///< The caller was refused once already.
+  double m_ExpectedMs = 0;    ///< To the first token, at the best upstream.
+  double m_WorkMs = 0;        ///< The request's own part of it.
 };
 
 struct AdmissionOptions {
--- a/packages/gateway/process/Fleet.h
+++ b/packages/gateway/process/Fleet.h
@@ -55,6 +55,8 @@
   /// To all boxes that are linked.
   void sendAll(const PeerFrame &Frame);
   const std::set<BoxName> &linked() const { return m_Linked; }
+  /// The other boxes that the store lists.
+  const std::set<BoxName> &listed() const { return m_Listed; }
   /// This box and the others that are listed or linked.
   std::size_t size() const;
   /// Whether the store answered this box within \p Within.
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -18,6 +18,9 @@
 /// The balancer needs two questions, a second apart, to see that a box stops.
 constexpr Duration LeastStop = 3s;
 
+/// When a caller may come back, to another box.
+constexpr Duration StoppingAway = 10ms;
+
 /// What is left of the grace period when the process ends by itself.
 constexpr Duration GraceMargin = 600ms;
 constexpr Duration StopCheckEvery = 100ms;
@@ -29,6 +32,11 @@
 constexpr Duration AskEvery = 400ms;
 constexpr Duration StoreSilence = 1500ms;
 
+/// A box watches the list of upstreams itself when the one that relays it has
+/// been silent for this long.
+constexpr Duration RelaySilence = 900ms;
+constexpr Duration ChooseSourceEvery = 100ms;
+
 /// Tells one start of a box from another.
 constexpr std::size_t NameBytes = 3;
 
@@ -68,10 +76,13 @@
       m_Process(m_Options.m_Box.str() + "." + randomHex(NameBytes)),
       m_Fleet(Loop, *m_Store, m_Log, fleetOptions(), fleetHooks()),
       m_Giver(Loop, *m_Store, *m_Engines, m_State, m_Log, giverOptions(),
-              {.m_Contents = [this](const FleetContentsFrame &Frame) {
-                take(m_Process, Frame);
-                m_Fleet.sendAll(Frame);
-              }}) {
+              {.m_Contents =
+                   [this](const FleetContentsFrame &Frame) {
+                     take(m_Process, Frame);
+                     m_Fleet.sendAll(Frame);
+                   },
+               .m_StoreReached = [this] { return storeJustReached(); },
+               .m_Random = [this] { return drawUnit(m_Random); }}) {
   m_State.m_Zone = m_Options.m_DataCentre.str();
   applyBounds();
   startServers();
@@ -80,6 +91,8 @@
   m_OwnMirror.start();
   m_ReloadTimer = Loop.every(ReloadEvery, [this] { reload(); });
   m_AskTimer = Loop.every(AskEvery, [this] { askPeers(); });
+  m_SourceTimer =
+      Loop.every(ChooseSourceEvery, [this] { chooseUpstreamSource(); });
   m_Log.write("started", {{"box", m_Process.str()},
                           {"zone", m_State.m_Zone},
                           {"callers", m_Options.m_Callers.str()},
@@ -117,10 +130,17 @@
                             const PeerFrame &Frame) { onFrame(From, Frame); },
           .m_Up =
               [this](const BoxName &Box) {
-                if (m_Giver.giving())
-                  m_Fleet.send(Box, m_Giver.contents());
+                if (!m_Giver.giving())
+                  return;
+                m_Fleet.send(Box, m_Giver.contents());
+                m_Fleet.send(Box, keysFrame(m_Binding.m_UpstreamPrefix,
+                                            m_UpstreamMirror.whole()));
+              },
+          .m_Down =
+              [this](const BoxName &Box) {
+                m_State.m_Loads.forget(Box);
+                m_Giver.boxLost(Box);
               },
-          .m_Down = [this](const BoxName &Box) { m_State.m_Loads.forget(Box); },
           .m_StoreBack = [this] { resync(); }};
 }
 
@@ -136,6 +156,7 @@
 
 void Gateway::ownKeysChanged() {
   m_Fleet.entriesChanged(m_OwnMirror.items());
+  m_Giver.boxesListed(m_Fleet.listed());
   m_Giver.entriesChanged(m_OwnMirror.items());
   m_State.m_Boxes = std::max(m_State.m_Boxes, static_cast<int>(m_Fleet.size()));
 }
@@ -153,6 +174,9 @@
   Frame.m_Config = m_State.m_Config ? m_State.m_Config->m_Version : 0;
   Frame.m_List = m_State.m_Upstreams.list().m_Revision;
   Frame.m_Stopping = m_State.m_Stopping;
+  Frame.m_StoreReached = storeJustReached();
+  Frame.m_Giving = m_Giver.giving();
+  Frame.m_Holder = m_Giver.holder();
   Frame.m_Loads = m_State.m_Loads.own();
   Frame.m_Demand = std::exchange(m_State.m_Demand, {});
   m_Giver.demanded(Frame.m_Demand);
@@ -169,42 +193,96 @@
 }
 
 void Gateway::take(const BoxName &From, const FleetDigestFrame &Frame) {
-  m_State.m_Loads.told(From, Frame.m_Loads, EventLoop::now());
+  const TimePoint Now = EventLoop::now();
+  m_State.m_Loads.told(From, Frame.m_Loads, Now);
   m_Giver.demanded(Frame.m_Demand);
+  m_Giver.heardHolder(From, Frame.m_Holder, Frame.m_Giving);
+  if (From != m_Giver.holder().m_Box || !Frame.m_StoreReached)
+    return;
+  m_Relay = From;
+  m_RelayHeardAt = Now;
+  // Something was lost on the way.
+  if (!m_UpstreamMirror.running() && Frame.m_List > m_UpstreamMirror.revision())
+    m_Fleet.send(From, want());
+}
+
+FleetWantFrame Gateway::want() const {
+  return {.m_Config = m_State.m_Config ? m_State.m_Config->m_Version : 0,
+          .m_List = m_UpstreamMirror.revision()};
 }
 
 void Gateway::take(const BoxName &From, const FleetWantFrame &Frame) {
   const ConfigVersion Version =
       m_State.m_Config ? m_State.m_Config->m_Version : 0;
   if (Version > Frame.m_Config)
-    sendKeys(From, m_Binding.m_ConfigPrefix, m_ConfigMirror);
+    m_Fleet.send(From,
+                 keysFrame(m_Binding.m_ConfigPrefix, m_ConfigMirror.whole()));
   if (m_UpstreamMirror.revision() > Frame.m_List)
-    sendKeys(From, m_Binding.m_UpstreamPrefix, m_UpstreamMirror);
+    m_Fleet.send(
+        From, keysFrame(m_Binding.m_UpstreamPrefix, m_UpstreamMirror.whole()));
+}
+
+FleetKeysFrame Gateway::keysFrame(const std::string &Prefix,
+                                  const PrefixMirror::Delta &News) const {
+  FleetKeysFrame Frame{.m_Prefix = Prefix,
+                       .m_Since = News.m_Since,
+                       .m_Revision = News.m_Revision,
+                       .m_Items = {},
+                       .m_Gone = News.m_Gone};
+  for (const StoreItem &Item : News.m_Items)
+    Frame.m_Items.push_back({.m_Key = Item.m_Key,
+                             .m_Value = Item.m_Value,
+                             .m_Revision = Item.m_Revision});
+  return Frame;
 }
 
-void Gateway::sendKeys(const BoxName &To, const std::string &Prefix,
-                       const PrefixMirror &From) {
-  FleetKeysFrame Frame{.m_Prefix = Prefix, .m_Revision = From.revision()};
-  for (const auto &[Key, Item] : From.items())
-    Frame.m_Items.push_back(
-        {.m_Key = Key, .m_Value = Item.m_Value, .m_Revision = Item.m_Revision});
-  m_Fleet.send(To, Frame);
+/// The box that gives orders watches the list for all: every box that watches
+/// pays for each change.
+bool Gateway::storeJustReached() const {
+  return m_Fleet.storeReached(StoreSilence, EventLoop::now());
+}
+
+void Gateway::relayUpstreams() {
+  const PrefixMirror::Delta News = m_UpstreamMirror.takeChanges();
+  if (m_Giver.giving())
+    m_Fleet.sendAll(keysFrame(m_Binding.m_UpstreamPrefix, News));
+}
+
+void Gateway::chooseUpstreamSource() {
+  const TimePoint Now = EventLoop::now();
+  const bool Relayed = !m_Giver.giving() && !m_Relay.empty() &&
+                       m_Relay == m_Giver.holder().m_Box &&
+                       Now - m_RelayHeardAt <= RelaySilence &&
+                       m_UpstreamMirror.revision() > 0;
+  if (Relayed == !m_UpstreamMirror.running())
+    return;
+  m_Log.write("list_source", {{"relay", Relayed ? m_Relay.str() : ""}});
+  if (Relayed)
+    m_UpstreamMirror.stop();
+  else
+    m_UpstreamMirror.start();
 }
 
 void Gateway::take(const BoxName &From, const FleetKeysFrame &Frame) {
-  std::map<std::string, StoreItem> Items;
+  PrefixMirror::Delta News{.m_Since = Frame.m_Since,
+                           .m_Revision = Frame.m_Revision,
+                           .m_Items = {},
+                           .m_Gone = Frame.m_Gone};
   for (const StoredValue &Each : Frame.m_Items)
-    Items[Each.m_Key] = {.m_Key = Each.m_Key,
-                         .m_Value = Each.m_Value,
-                         .m_Revision = Each.m_Revision};
-  m_Log.write("keys_from_peer", {{"peer", From.str()},
-                                 {"prefix", Frame.m_Prefix},
-                                 {"revision", Frame.m_Revision},
-                                 {"keys", Items.size()}});
-  if (Frame.m_Prefix == m_Binding.m_ConfigPrefix)
-    m_ConfigMirror.adopt(std::move(Items), Frame.m_Revision);
-  else if (Frame.m_Prefix == m_Binding.m_UpstreamPrefix)
-    m_UpstreamMirror.adopt(std::move(Items), Frame.m_Revision);
+    News.m_Items.push_back({.m_Key = Each.m_Key,
+                            .m_Value = Each.m_Value,
+                            .m_Revision = Each.m_Revision});
+  const bool Config = Frame.m_Prefix == m_Binding.m_ConfigPrefix;
+  if (!Config && Frame.m_Prefix != m_Binding.m_UpstreamPrefix)
+    return;
+  const bool Whole = (Config ? m_ConfigMirror : m_UpstreamMirror).adopt(News);
+  if (!Whole)
+    m_Fleet.send(From, want());
+  if (Frame.m_Since == 0)
+    m_Log.write("keys_from_peer", {{"peer", From.str()},
+                                   {"prefix", Frame.m_Prefix},
+                                   {"revision", Frame.m_Revision},
+                                   {"keys", Frame.m_Items.size()}});
 }
 
 void Gateway::take(const BoxName &, const FleetContentsFrame &Frame) {
@@ -225,8 +303,8 @@
 void Gateway::missing(const ModelKey &Key) {
   if (m_Giver.giving())
     return m_Giver.missing({Key});
-  if (!m_Giver.holder().empty())
-    m_Fleet.send(BoxName(m_Giver.holder()), FleetMissingFrame{{Key}});
+  if (!m_Giver.holder().m_Box.empty())
+    m_Fleet.send(m_Giver.holder().m_Box, FleetMissingFrame{{Key}});
 }
 
 /// A box that the store turns away learns from those that it serves.
@@ -239,10 +317,7 @@
   const auto Peer =
       std::next(m_Fleet.linked().begin(),
                 std::min(Index, std::ssize(m_Fleet.linked()) - 1));
-  m_Fleet.send(
-      *Peer, FleetWantFrame{
-                 .m_Config = m_State.m_Config ? m_State.m_Config->m_Version : 0,
-                 .m_List = m_UpstreamMirror.revision()});
+  m_Fleet.send(*Peer, want());
 }
 
 void Gateway::startServers() {
@@ -252,15 +327,22 @@
   Opts.m_MaxHeaders = 2 * CallerLimits{}.m_HeaderBytes;
   Opts.m_IdleTimeout = CallerLimits{}.m_IdleTimeout + IdleMargin;
   m_Callers = std::make_unique<HttpServer>(
-      m_Loop, Opts, [this](const HttpExchangePtr &Exchange) {
-        m_Forwarder.handle(Exchange);
-      });
+      m_Loop, Opts,
+      [this](const HttpExchangePtr &Exchange) { takeRequest(Exchange); });
   Opts.m_Listen = m_Options.m_Readiness;
   m_Readiness = std::make_unique<HttpServer>(
       m_Loop, Opts,
       [this](const HttpExchangePtr &Exchange) { answerReadiness(Exchange); });
 }
 
+/// A request that comes late in a stop may not end before the process does.
+void Gateway::takeRequest(const HttpExchangePtr &Exchange) {
+  if (m_State.m_Stopping && EventLoop::now() >= m_LeaveAt)
+    return m_Forwarder.refuse(Exchange, {.m_Kind = ErrorKind::Stopping,
+                                         .m_RetryAfter = StoppingAway});
+  m_Forwarder.handle(Exchange);
+}
+
 void Gateway::answerReadiness(const HttpExchangePtr &Exchange) {
   if (Exchange->path() != m_Binding.m_ReadinessPath)
     return Exchange->reply(404, {}, "");
@@ -320,6 +402,7 @@
               {{"revision", m_UpstreamMirror.revision()},
                {"listed", m_State.m_Upstreams.list().m_Instances.size()},
                {"gone", Gone}});
+  relayUpstreams();
   m_Giver.upstreamsChanged();
   m_Forwarder.upstreamsChanged();
 }
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -50,14 +50,19 @@
   void take(const BoxName &From, const FleetKeysFrame &Frame);
   void take(const BoxName &From, const FleetContentsFrame &Frame);
   void take(const BoxName &From, const FleetMissingFrame &Frame);
-  void sendKeys(const BoxName &To, const std::string &Prefix,
-                const PrefixMirror &From);
+  FleetKeysFrame keysFrame(const std::string &Prefix,
+                           const PrefixMirror::Delta &News) const;
+  bool storeJustReached() const;
+  void relayUpstreams();
+  void chooseUpstreamSource();
+  FleetWantFrame want() const;
   void askPeers();
   void missing(const ModelKey &Key);
   void resync();
   void configChanged();
   void upstreamsChanged();
   void applyBounds();
+  void takeRequest(const HttpExchangePtr &Exchange);
   void answerReadiness(const HttpExchangePtr &Exchange);
   void stopIfIdle();
 
@@ -81,10 +86,14 @@
   Fleet m_Fleet;
   OrderGiver m_Giver;
   FencingToken m_ContentsToken = 0;
+  /// Last word of the box that relays the list of upstreams.
+  BoxName m_Relay;
+  TimePoint m_RelayHeardAt{};
   std::unique_ptr<HttpServer> m_Callers;
   std::unique_ptr<HttpServer> m_Readiness;
   Timer m_ReloadTimer;
   Timer m_AskTimer;
+  Timer m_SourceTimer;
   Timer m_StopTimer;
   TimePoint m_StopAt{};
   TimePoint m_LeaveAt{};
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -11,6 +11,7 @@
 
 constexpr Duration TickEvery = 50ms;
 constexpr Duration PlanEvery = 200ms;
+constexpr Duration ClaimWithin = 300ms;
 
 /// Time for all boxes to hear that a model retires.
 constexpr Duration RetireFor = 120ms;
@@ -82,6 +83,7 @@
                        DecisionLog &Log, Options Opts, Hooks Callbacks)
     : m_Loop(Loop), m_Control(Engines), m_State(State), m_Log(Log),
       m_Opts(std::move(Opts)), m_Hooks(std::move(Callbacks)),
+      m_View(BoxName(m_Opts.m_Process)),
       m_Key(Loop, Store, {.m_TimeToLive = m_Opts.m_Lease},
             {.m_Claim = [this](LeaseId Lease) { return claim(Lease); },
              .m_Claimed = [this](StoreRevision At) { claimed(At); },
@@ -99,20 +101,58 @@
 void OrderGiver::entriesChanged(const std::map<std::string, StoreItem> &Items) {
   m_EntriesKnown = true;
   const auto Key = Items.find(m_Opts.m_Prefix + HolderKey);
-  m_KeyTaken = Key != Items.end();
-  m_Holder = m_KeyTaken ? Key->second.m_Value : "";
+  m_KeyRevision = Key == Items.end() ? 0 : Key->second.m_Revision;
+  if (Key != Items.end())
+    m_View.known(
+        {.m_Token = m_KeyRevision, .m_Box = BoxName(Key->second.m_Value)});
   const auto Term = Items.find(m_Opts.m_Prefix + TermKey);
   m_TermRevision = Term == Items.end() ? 0 : Term->second.m_Revision;
   m_TermHolder = Term == Items.end() ? "" : Term->second.m_Value;
+  stopIfReplaced();
+}
+
+void OrderGiver::heardHolder(const BoxName &From, const OrderHolder &Known,
+                             bool Giving) {
+  m_View.heard(From, Known, Giving, EventLoop::now());
+  stopIfReplaced();
+}
+
+void OrderGiver::boxesListed(std::set<BoxName> Others) {
+  m_View.listed(std::move(Others));
+}
+
+void OrderGiver::stopIfReplaced() {
+  if (m_Giving && m_View.holder().m_Token > m_Token)
+    m_Key.release();
+}
+
+/// Nobody gives orders, as far as this box and a majority know.
+bool OrderGiver::mayClaim(TimePoint Now) const {
+  return m_EntriesKnown && m_State.m_Config && m_View.hearsMajority(Now) &&
+         !m_View.holderActive(Now);
+}
+
+/// Boxes that see the same do not all claim at once.
+bool OrderGiver::claimDue(TimePoint Now) {
+  if (!mayClaim(Now)) {
+    m_ClaimFrom.reset();
+    return false;
+  }
+  if (!m_ClaimFrom)
+    m_ClaimFrom =
+        Now +
+        Duration(static_cast<Duration::rep>(
+            m_Hooks.m_Random() * static_cast<double>(ClaimWithin.count())));
+  return Now >= *m_ClaimFrom;
 }
 
 std::optional<StoreTransaction> OrderGiver::claim(LeaseId Lease) const {
-  if (!m_EntriesKnown || m_KeyTaken)
+  if (!mayClaim(EventLoop::now()))
     return std::nullopt;
   const std::string Key = m_Opts.m_Prefix + HolderKey;
   const std::string Term = m_Opts.m_Prefix + TermKey;
   return StoreTransaction{
-      .m_Conditions = {{.m_Key = Key, .m_Revision = 0},
+      .m_Conditions = {{.m_Key = Key, .m_Revision = m_KeyRevision},
                        {.m_Key = Term, .m_Revision = m_TermRevision}},
       .m_Puts = {{.m_Key = Key, .m_Value = m_Opts.m_Process, .m_Lease = Lease},
                  {.m_Key = Term, .m_Value = m_Opts.m_Holder}},
@@ -125,6 +165,7 @@
   const bool Own = m_TermHolder == m_Opts.m_Holder;
   m_Giving = true;
   m_Token = Revision;
+  m_View.known({.m_Token = Revision, .m_Box = BoxName(m_Opts.m_Process)});
   m_MayOrderFrom =
       First || Own ? Now : Now + m_Opts.m_Bounds.m_OrderTurn + TurnMargin;
   m_Engines.clear();
@@ -152,7 +193,8 @@
 }
 
 bool OrderGiver::mayOrder(TimePoint Now) const {
-  return m_Giving && m_Key.held(Now) && Now >= m_MayOrderFrom;
+  return m_Giving && m_Key.held(Now) && Now >= m_MayOrderFrom &&
+         (m_Hooks.m_StoreReached() || m_View.vouched(Now));
 }
 
 const EngineSpec *OrderGiver::specOf(const std::string &Service) const {
@@ -189,7 +231,8 @@
   const TimePoint Now = EventLoop::now();
   if (m_Left)
     return;
-  if (m_Giving || (m_EntriesKnown && !m_KeyTaken && m_State.m_Config))
+  noticePause(Now);
+  if (m_Giving || claimDue(Now))
     m_Key.tick(Now);
   if (!m_Giving)
     return;
@@ -203,6 +246,16 @@
   tellChanges();
 }
 
+/// A process that stood still believes what was true before.
+void OrderGiver::noticePause(TimePoint Now) {
+  constexpr Duration Pause = 500ms;
+  const TimePoint Before = std::exchange(m_TickedAt, Now);
+  if (Before == TimePoint{} || Now - Before < Pause)
+    return;
+  m_View.paused(Now);
+  m_Log.write("paused", {{"for_ms", (Now - Before) / 1ms}});
+}
+
 void OrderGiver::refreshEngines(TimePoint Now) {
   std::erase_if(m_Engines, [&](const auto &Each) {
     return !m_State.m_Upstreams.list().m_Instances.contains(Each.first);
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -6,6 +6,7 @@
 #include "decisions/process/AdapterPlanner.h"
 #include "decisions/process/DemandRates.h"
 #include "decisions/process/EngineLedger.h"
+#include "decisions/process/HolderView.h"
 #include "decisions/process/LoadCeiling.h"
 #include "decisions/process/ReplicaPlanner.h"
 #include "gateway/process/EngineControl.h"
@@ -34,7 +35,9 @@
     std::string m_Prefix;  ///< Of the keys that this writes.
     std::string m_Holder;  ///< This machine; the same for all its starts.
     std::string m_Process; ///< This start of the process.
-    Duration m_Lease = 3s;
+    /// Long, so that orders go on while the store is down. Another box takes
+    /// over by replacing the key, not by waiting for its end.
+    Duration m_Lease = 20s;
     ServingBounds m_Bounds;
     PlannerOptions m_Planner;
     AdapterOptions m_Adapters;
@@ -42,6 +45,9 @@
   struct Hooks {
     /// Contents of engines changed; all boxes are to know.
     std::function<void(const FleetContentsFrame &)> m_Contents;
+    /// Whether the store has answered this box just now.
+    std::function<bool()> m_StoreReached;
+    std::function<double()> m_Random; ///< From 0 to 1.
   };
 
   OrderGiver(EventLoop &Loop, CoordinationStore &Store, EngineControl &Engines,
@@ -60,8 +66,14 @@
   void missing(const std::vector<ModelKey> &Keys);
   void setBounds(const ServingBounds &Bounds);
 
-  /// Name of the process that holds the key, as last read; empty for none.
-  const std::string &holder() const { return m_Holder; }
+  /// Another box told whom it knows to give orders.
+  void heardHolder(const BoxName &From, const OrderHolder &Known, bool Giving);
+  /// The boxes that the store lists, without this one.
+  void boxesListed(std::set<BoxName> Others);
+  void boxLost(const BoxName &Box) { m_View.forget(Box); }
+
+  /// Whom this box knows to give orders.
+  const OrderHolder &holder() const { return m_View.holder(); }
   bool giving() const { return m_Giving; }
   /// Contents of all engines, for a box that has just been linked.
   FleetContentsFrame contents() const;
@@ -91,6 +103,10 @@
   void claimed(StoreRevision Revision);
   void lost();
   void tick();
+  void noticePause(TimePoint Now);
+  bool mayClaim(TimePoint Now) const;
+  bool claimDue(TimePoint Now);
+  void stopIfReplaced();
   bool mayOrder(TimePoint Now) const;
 
   const EngineSpec *specOf(const std::string &Service) const;
@@ -124,17 +140,19 @@
   DecisionLog &m_Log;
   Options m_Opts;
   Hooks m_Hooks;
+  HolderView m_View;
   LeasedKey m_Key;
   bool m_EntriesKnown = false;
-  bool m_KeyTaken = false; ///< Some process holds it, as last read.
+  StoreRevision m_KeyRevision = 0; ///< 0 when nobody holds the key.
   StoreRevision m_TermRevision = 0;
   std::string m_TermHolder;
-  std::string m_Holder;
+  TimePoint m_TickedAt{};
+  std::optional<TimePoint> m_ClaimFrom;
+
   bool m_Giving = false;
   bool m_Left = false;
   FencingToken m_Token = 0;
   TimePoint m_MayOrderFrom{};
-  TimePoint m_ClaimFrom{};
   TimePoint m_NextPlan{};
   /// The last time an engine appeared.
   TimePoint m_GrewAt{};
--- a/packages/gateway/process/PrefixMirror.cpp
+++ b/packages/gateway/process/PrefixMirror.cpp
@@ -74,13 +74,45 @@
                     });
 }
 
-void PrefixMirror::adopt(std::map<std::string, StoreItem> Items,
-                         StoreRevision Revision) {
-  if (Revision <= m_At)
-    return;
-  m_Items = std::move(Items);
-  m_At = Revision;
+bool PrefixMirror::adopt(const Delta &News) {
+  if (News.m_Revision <= m_At)
+    return true;
+  if (News.m_Since > m_At)
+    return false;
+  if (News.m_Since == 0)
+    m_Items.clear();
+  for (const StoreItem &Item : News.m_Items)
+    m_Items[Item.m_Key] = Item;
+  for (const std::string &Key : News.m_Gone)
+    m_Items.erase(Key);
+  m_At = News.m_Revision;
   m_Hooks.m_Changed();
+  return true;
+}
+
+PrefixMirror::Delta PrefixMirror::whole() const {
+  Delta Result{.m_Since = 0, .m_Revision = m_At, .m_Items = {}, .m_Gone = {}};
+  for (const auto &[Key, Item] : m_Items)
+    Result.m_Items.push_back(Item);
+  return Result;
+}
+
+PrefixMirror::Delta PrefixMirror::takeChanges() {
+  Delta Result{
+      .m_Since = m_TakenAt, .m_Revision = m_At, .m_Items = {}, .m_Gone = {}};
+  std::map<std::string, StoreRevision> Taken;
+  for (const auto &[Key, Item] : m_Items) {
+    const auto Before = m_Taken.find(Key);
+    if (Before == m_Taken.end() || Before->second != Item.m_Revision)
+      Result.m_Items.push_back(Item);
+    Taken[Key] = Item.m_Revision;
+  }
+  for (const auto &[Key, Revision] : m_Taken)
+    if (!Taken.contains(Key))
+      Result.m_Gone.push_back(Key);
+  m_Taken = std::move(Taken);
+  m_TakenAt = m_At;
+  return Result;
 }
 
 void PrefixMirror::onChanges(const StoreChanges &News) {
--- a/packages/gateway/process/PrefixMirror.h
+++ b/packages/gateway/process/PrefixMirror.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace havenstair {
 
@@ -45,8 +46,21 @@
   void stop();
   bool running() const { return m_Running; }
 
-  /// Takes over a copy that another process made, when it is newer.
-  void adopt(std::map<std::string, StoreItem> Items, StoreRevision Revision);
+  /// What has changed since a revision; since 0, everything.
+  struct Delta {
+    StoreRevision m_Since = 0;
+    StoreRevision m_Revision = 0;
+    std::vector<StoreItem> m_Items;
+    std::vector<std::string> m_Gone;
+  };
+
+  /// Takes over what another process read. \returns false when something is
+  /// missing between this copy and \p News.
+  bool adopt(const Delta &News);
+  /// The whole copy.
+  Delta whole() const;
+  /// What has changed since the last call; the whole copy at the first.
+  Delta takeChanges();
 
   const std::map<std::string, StoreItem> &items() const { return m_Items; }
   /// Revision up to which the copy is whole; 0 before the first read.
@@ -65,6 +79,9 @@
   Hooks m_Hooks;
   Backoff m_Backoff;
   std::map<std::string, StoreItem> m_Items;
+  /// As it was when changes were last taken.
+  std::map<std::string, StoreRevision> m_Taken;
+  StoreRevision m_TakenAt = 0;
   StoreRevision m_At = 0;
   bool m_Running = false;
   /// Answers of earlier calls are dropped.
--- a/packages/gateway/process/ServingState.h
+++ b/packages/gateway/process/ServingState.h
@@ -10,6 +10,7 @@
 #include "decisions/process/PrefixIndex.h"
 #include "decisions/process/ServingView.h"
 #include "decisions/process/SharedRetryBudget.h"
+#include "decisions/request/CallerClock.h"
 #include "decisions/version/ServingConfig.h"
 #include <memory>
 #include <string>
@@ -29,6 +30,7 @@
   LatencyModel m_Latency;
   FailureBook m_Failures;
   SharedRetryBudget m_Budget{{}};
+  CallerClock m_Callers;
   ModelDemands m_Demand; ///< Since it was last taken.
   int m_Boxes = 1;       ///< Most boxes known at one time.
   bool m_Stopping = false;
--- a/packages/gateway/request/Forwarder.cpp
+++ b/packages/gateway/request/Forwarder.cpp
@@ -38,6 +38,16 @@
   answerFailure(Exchange, Reason, std::move(Headers));
 }
 
+void Forwarder::refuse(const HttpExchangePtr &Exchange, const Failure &Reason) {
+  std::string Id;
+  try {
+    Id = m_Dialect.m_Read(*Exchange).m_Id;
+  } catch (const RequestError &) {
+    // It is refused all the same.
+  }
+  refuseUnread(Exchange, Reason, Id);
+}
+
 void Forwarder::handle(const HttpExchangePtr &Exchange) {
   RequestDescriptor Request;
   try {
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -56,6 +56,8 @@
   Forwarder &operator=(const Forwarder &) = delete;
 
   void handle(const HttpExchangePtr &Exchange);
+  /// Answers a request that is not to be sent anywhere.
+  void refuse(const HttpExchangePtr &Exchange, const Failure &Reason);
   /// The list of upstreams has changed: waiting requests look again.
   void upstreamsChanged();
   std::size_t open() const { return m_Open.size(); }
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -50,6 +50,9 @@
 void ProxiedRequest::begin() {
   ServingState &State = m_Owner.m_State;
   State.m_Budget.requested(m_Service, m_Arrived);
+  if (m_Request.m_Deadline)
+    m_SinceFirstTry = State.m_Callers.sinceFirstTry(
+        m_Route.m_Name, *m_Request.m_Deadline, m_Arrived);
   if (!m_Request.m_Model.empty()) {
     const double Work =
         State.m_Latency.workMs(m_Request.m_Model, m_Request.m_PromptTokens);
@@ -97,6 +100,7 @@
     const AdmissionFacts Facts{.m_Target = m_Route.m_Target,
                                .m_Waited = waited(Now),
                                .m_TimeLeft = m_Deadline - Now,
+                               .m_TriedBefore = m_SinceFirstTry > 0us,
                                .m_ExpectedMs = Chosen->m_ExpectedMs,
                                .m_WorkMs = Chosen->m_WorkMs};
     if (const auto Away = refuseFor(Facts, m_Owner.m_Opts.m_Admission))
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -81,6 +81,7 @@
   std::string m_Service;
   TimePoint m_Arrived;
   TimePoint m_Deadline;
+  Duration m_SinceFirstTry = 0us; ///< Zero unless the caller tried before.
   std::set<InstanceId> m_Tried;
   int m_Sends = 0;
   bool m_MayHaveRun = false;
--- a/packages/wire/common/HttpClient.cpp
+++ b/packages/wire/common/HttpClient.cpp
@@ -60,7 +60,7 @@
 constexpr Duration DefaultRest = 2s;
 
 /// Part of what the other side's `Keep-Alive` says that is used.
-constexpr double RestPart = 0.5;
+constexpr double RestPart = 0.8;
 
 /// Sets what evhttp leaves to the system.
 void tuneSocket(evhttp_connection *Connection) {
--- a/packages/wire/connection/FleetFrames.cpp
+++ b/packages/wire/connection/FleetFrames.cpp
@@ -66,6 +66,12 @@
   Json Result{{"config", Frame.m_Config}, {"list", Frame.m_List}};
   if (Frame.m_Stopping)
     Result["stopping"] = true;
+  if (Frame.m_StoreReached)
+    Result["store"] = true;
+  if (Frame.m_Giving)
+    Result["giving"] = true;
+  Result["token"] = Frame.m_Holder.m_Token;
+  Result["holder"] = Frame.m_Holder.m_Box.str();
   Json &Loads = Result["loads"] = Json::array();
   for (const auto &[Id, Load] : Frame.m_Loads)
     Loads.push_back(Json::array({Id, Load.m_Running, rounded(Load.m_PendingMs),
@@ -82,6 +88,10 @@
   Frame.m_Config = field<std::uint64_t>(From, "config");
   Frame.m_List = field<std::uint64_t>(From, "list");
   Frame.m_Stopping = fieldOr<bool>(From, "stopping", false);
+  Frame.m_StoreReached = fieldOr<bool>(From, "store", false);
+  Frame.m_Giving = fieldOr<bool>(From, "giving", false);
+  Frame.m_Holder = {.m_Token = field<FencingToken>(From, "token"),
+                    .m_Box = idField<BoxName>(From, "holder")};
   for (const Json &Each : list(From, "loads"))
     Frame.m_Loads[text(part(Each, 0, LoadParts))] = {
         .m_Running = wholeNumber<int>(Each[1]),
@@ -109,14 +119,19 @@
         {Item.m_Key, Json::binary({Item.m_Value.begin(), Item.m_Value.end()}),
          Item.m_Revision}));
   return {{"prefix", Frame.m_Prefix},
+          {"since", Frame.m_Since},
           {"revision", Frame.m_Revision},
-          {"items", std::move(Items)}};
+          {"items", std::move(Items)},
+          {"gone", Frame.m_Gone}};
 }
 
 void fromJson(const Json &From, FleetKeysFrame &Frame) {
   constexpr std::size_t Parts = 3;
   Frame.m_Prefix = field<std::string>(From, "prefix");
+  Frame.m_Since = field<std::uint64_t>(From, "since");
   Frame.m_Revision = field<std::uint64_t>(From, "revision");
+  for (const Json &Each : list(From, "gone"))
+    Frame.m_Gone.push_back(text(Each));
   for (const Json &Each : list(From, "items")) {
     if (!part(Each, 1, Parts).is_binary())
       throw DecodeError("a value is not binary");
--- a/packages/wire/connection/FleetFrames.h
+++ b/packages/wire/connection/FleetFrames.h
@@ -4,6 +4,7 @@
 #define HAVENSTAIR_WIRE_CONNECTION_FLEETFRAMES_H
 
 #include "decisions/process/DemandBook.h"
+#include "decisions/process/HolderView.h"
 #include "decisions/process/LoadBook.h"
 #include "decisions/process/UpstreamInstance.h"
 #include "wire/common/Json.h"
@@ -20,6 +21,9 @@
   std::uint64_t m_Config = 0; ///< Version of the configuration it serves by.
   std::uint64_t m_List = 0;   ///< Revision of its list of upstreams.
   bool m_Stopping = false;
+  bool m_StoreReached = false;
+  bool m_Giving = false; ///< The sender gives orders.
+  OrderHolder m_Holder;  ///< Whom the sender knows to give orders.
   InstanceLoads m_Loads; ///< Through the sender.
   ModelDemands m_Demand; ///< Since its last digest.
 
@@ -43,11 +47,14 @@
   bool operator==(const StoredValue &) const = default;
 };
 
-/// All keys under a prefix of the store, for a box that cannot read them.
+/// Keys under a prefix of the store, for boxes that do not read them
+/// themselves: all of them, or what has changed since a revision.
 struct FleetKeysFrame {
   std::string m_Prefix;
+  std::uint64_t m_Since = 0;    ///< 0 for all keys.
   std::uint64_t m_Revision = 0; ///< Up to which the keys are whole.
   std::vector<StoredValue> m_Items;
+  std::vector<std::string> m_Gone;
 
   bool operator==(const FleetKeysFrame &) const = default;
 };
