A model keeps a replica that serves; the bound on loads is the service's

The bound on loads from the store was read before the list of upstreams was known and stayed at a default of one a second: five loads in a window where ten are allowed, and a newly hot model waited 5 s. Ruled out: adapters ordered while a model loads; engines answer 409 (124 times).

--- a/packages/decisions/process/LoadCeiling.h
+++ b/packages/decisions/process/LoadCeiling.h
@@ -8,15 +8,16 @@
 
 namespace havenstair {
 
-/// In any window, no more loads begin than `LoadsPerS x Window`. An order
-/// without an answer may begin its load at any later time, so it counts until
-/// its outcome is known. A new order giver assumes that the one before it has
-/// used up a whole window just before it stopped.
+/// In any window, no more loads begin than `LoadsPerS x Window x Overage`. An
+/// order without an answer may begin its load at any later time, so it counts
+/// until its outcome is known. A new order giver assumes that the one before it
+/// has used up a whole window just before it stopped.
 class LoadCeiling {
 public:
   struct Options {
     double m_LoadsPerS = 1;
     Duration m_Window = 5s;
+    double m_Overage = 1; ///< Factor by which the bound may be passed.
 
     bool operator==(const Options &) const = default;
   };
--- a/packages/decisions/process/ReplicaPlanner.cpp
+++ b/packages/decisions/process/ReplicaPlanner.cpp
@@ -45,6 +45,15 @@
     return Found == m_Holders.end() ? 0 : Found->second.size();
   }
 
+  /// Replicas that serve now.
+  std::size_t present(const std::string &Model) const {
+    const std::set<std::size_t> &Holders = holders(Model);
+    return static_cast<std::size_t>(
+        std::count_if(Holders.begin(), Holders.end(), [&](std::size_t At) {
+          return !m_Engines[At].m_Coming.contains(Model);
+        }));
+  }
+
   double demand(const std::string &Model) const {
     const auto Found = m_Demand.find(Model);
     return Found == m_Demand.end() ? 0 : Found->second;
@@ -103,6 +112,7 @@
       m_Holders[Evict].erase(At);
     }
     m_Engines[At].m_Models.insert(Load);
+    m_Engines[At].m_Coming.insert(Load);
     m_Engines[At].m_Movable = false;
     m_Holders[Load].insert(At);
     for (std::size_t Each : Touched)
@@ -153,7 +163,7 @@
 std::vector<std::string> evictable(const Picture &Now, std::size_t At) {
   std::vector<std::string> Result{""};
   for (const std::string &Model : Now.engines()[At].m_Models)
-    if (Now.replicas(Model) >= 2)
+    if (Now.present(Model) >= 2)
       Result.push_back(Model);
   return Result;
 }
--- a/packages/decisions/process/ReplicaPlanner.h
+++ b/packages/decisions/process/ReplicaPlanner.h
@@ -18,6 +18,7 @@
 struct PlannedEngine {
   InstanceId m_Id;
   std::set<std::string> m_Models;
+  std::set<std::string> m_Coming; ///< Those of them that are not there yet.
   std::set<std::string> m_InMemory;
   std::set<std::string> m_OnDisk;
   double m_Slowness = 1;
--- a/packages/gateway/process/GatewayOptions.h
+++ b/packages/gateway/process/GatewayOptions.h
@@ -17,6 +17,7 @@
   Duration m_DrainTimeout = 2s;  ///< New work to a leaving upstream ends.
   Duration m_OrderTurn = 3s;     ///< Between orders of two order givers.
   Duration m_CeilingWindow = 5s; ///< For loads from the store of weights.
+  double m_CeilingOverage = 1;
   double m_RetryRatio = 0.2;
   Duration m_RetryWindow = 10s;
   double m_RetryAllowance = 10;
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -170,10 +170,6 @@
       First || Own ? Now : Now + m_Opts.m_Bounds.m_OrderTurn + TurnMargin;
   m_Engines.clear();
   m_Ceiling = LoadCeiling();
-  for (const auto &[Id, Each] : m_State.m_Upstreams.current())
-    if (const EngineSpec *Spec = specOf(Each.m_Service))
-      m_Ceiling.configure({.m_LoadsPerS = Spec->m_LoadsPerS,
-                           .m_Window = m_Opts.m_Bounds.m_CeilingWindow});
   if (!First)
     m_Ceiling.takeOver(Now);
   m_Log.write("giver", {{"token", m_Token},
@@ -482,6 +478,9 @@
 
 void OrderGiver::planModels(const std::string &Service, const EngineSpec &Spec,
                             TimePoint Now) {
+  m_Ceiling.configure({.m_LoadsPerS = Spec.m_LoadsPerS,
+                       .m_Window = m_Opts.m_Bounds.m_CeilingWindow,
+                       .m_Overage = m_Opts.m_Bounds.m_CeilingOverage});
   PlannerInput Input;
   Input.m_StoreLoads = m_Ceiling.left(Now);
   for (const auto &[Key, Rate] : m_Rates.rates(Now))
@@ -503,11 +502,14 @@
     for (const ResidentModel &Model : Models)
       Planned.m_Models.insert(Model.m_Name);
     if (const auto &Order = Each.m_Ledger.modelOrder();
-        Order && Order->m_Load && !Order->m_Model.empty())
+        Order && Order->m_Load && !Order->m_Model.empty()) {
       Planned.m_Models.insert(Order->m_Model);
+      Planned.m_Coming.insert(Order->m_Model);
+    }
     if (Each.m_Task) {
       Planned.m_Models.erase(Each.m_Task->m_Move.m_Evict);
       Planned.m_Models.insert(Each.m_Task->m_Move.m_Load);
+      Planned.m_Coming.insert(Each.m_Task->m_Move.m_Load);
     }
     Input.m_Engines.push_back(std::move(Planned));
   }
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -269,12 +269,16 @@
 void ProxiedRequest::passEvents(const std::string &Events) {
   if (Events.empty())
     return;
-  noteStarted(EventLoop::now());
+  const TimePoint Now = EventLoop::now();
+  noteStarted(Now);
   if (!m_BytesPassed) {
     m_BytesPassed = true;
     m_Exchange->startStream(m_Send->m_Status,
                             withoutConnectionFields(m_Send->m_Headers));
   }
+  if (m_LastPassed)
+    m_LongestGap = std::max(m_LongestGap, Now - *m_LastPassed);
+  m_LastPassed = Now;
   if (m_Events.lastId())
     m_LastEvent = m_Events.lastId();
   if (!m_Exchange->sendChunk(Events))
@@ -460,8 +464,12 @@
                       {{"request", m_Request.m_Id},
                        {"route", m_Route.m_Name},
                        {"outcome", Outcome},
+                       {"model", m_Request.m_Model},
+                       {"adapter", m_Request.m_Adapter},
+                       {"tried_before_ms", m_SinceFirstTry / 1ms},
                        {"sends", m_Sends},
                        {"first_ms", First / 1ms},
+                       {"gap_ms", m_LongestGap / 1ms},
                        {"whole_ms", waited(Now) / 1ms}});
   m_Owner.m_Hooks.m_Ended({.m_Route = m_Route.m_Name,
                            .m_Outcome = Outcome,
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -89,6 +89,8 @@
   bool m_Parked = false;
   bool m_Done = false;
   std::optional<TimePoint> m_FirstByte;
+  std::optional<TimePoint> m_LastPassed; ///< When events last went out.
+  Duration m_LongestGap = 0us;           ///< Between events.
   std::optional<std::int64_t> m_LastEvent;
   std::optional<Send> m_Send;
   EventSplitter m_Events;
