--- a/packages/decisions/request/ReplicaChoice.cpp
+++ b/packages/decisions/request/ReplicaChoice.cpp
@@ -72,8 +72,11 @@
     Item.m_ExpectedMs = Known.m_Latency.expectedMs(Each->m_Id, Item.m_PendingMs,
                                                    Item.m_WorkMs) +
                         Queue;
+    const double Burst =
+        std::max(0.0, Item.m_PendingMs + Item.m_WorkMs - Weights.m_QuietMs);
     Item.m_CostMs =
         Item.m_ExpectedMs +
+        (Engines ? Weights.m_Disturbance * Burst * Load.m_Running : 0) +
         (Each->m_Zone == OwnZone ? 0 : Weights.m_OtherZoneMs) +
         Known.m_Failures.rate(Each->m_Id, Now) * Weights.m_FailureMs;
     Judged.push_back(Item);
--- a/packages/decisions/request/ReplicaChoice.h
+++ b/packages/decisions/request/ReplicaChoice.h
@@ -25,6 +25,10 @@
   double m_PreferredCached = 0.7;
   /// Work of a request to a plain service.
   double m_PlainMs = 20;
+  /// Prompts are read between the steps of running streams: cost for each
+  /// stream and millisecond of work beyond what fits between two events.
+  double m_Disturbance = 0;
+  double m_QuietMs = 200;
   /// For each running request, as it slows down all steps.
   double m_RunningMs = 0.5;
 };
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -51,14 +51,16 @@
 } // namespace
 
 Gateway::Gateway(EventLoop &Loop, PlatformBinding Binding,
-                 GatewayOptions Options, std::function<void()> Stopped)
+                 GatewayOptions Options, GatewayPolicy Policy,
+                 std::function<void()> Stopped)
     : m_Loop(Loop), m_Binding(std::move(Binding)),
-      m_Options(std::move(Options)), m_Stopped(std::move(Stopped)),
-      m_Log(Loop, {}), m_Random(std::random_device()()), m_UpstreamHttp(Loop),
-      m_StoreHttp(Loop),
+      m_Options(std::move(Options)), m_Policy(Policy),
+      m_Stopped(std::move(Stopped)), m_Log(Loop, {}),
+      m_Random(std::random_device()()), m_UpstreamHttp(Loop), m_StoreHttp(Loop),
       m_Store(m_Binding.m_MakeStore(Loop, m_StoreHttp, m_Options.m_Store)),
       m_Engines(m_Binding.m_MakeEngines(m_UpstreamHttp)),
-      m_Forwarder(Loop, m_UpstreamHttp, m_State, m_Binding.m_Dialect, m_Log, {},
+      m_Forwarder(Loop, m_UpstreamHttp, m_State, m_Binding.m_Dialect, m_Log,
+                  forwarderOptions(),
                   {.m_Missing = [this](const ModelKey &Key) { missing(Key); },
                    .m_Ended = [](const RequestResult &) {},
                    .m_Random = [this] { return drawUnit(m_Random); }}),
@@ -151,6 +153,17 @@
   Opts.m_Process = m_Process.str();
   Opts.m_Lease = std::max(Opts.m_Lease, m_Options.m_LeastLease);
   Opts.m_Bounds = m_Options.m_Bounds;
+  Opts.m_Planner = m_Policy.m_Planner;
+  Opts.m_Adapters = m_Policy.m_Adapters;
+  Opts.m_Rates = m_Policy.m_Rates;
+  return Opts;
+}
+
+Forwarder::Options Gateway::forwarderOptions() const {
+  Forwarder::Options Opts;
+  Opts.m_Weights = m_Policy.m_Choice;
+  Opts.m_Admission = m_Policy.m_Admission;
+  Opts.m_ParkPart = m_Policy.m_ParkPart;
   return Opts;
 }
 
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -5,6 +5,7 @@
 
 #include "gateway/common/DecisionLog.h"
 #include "gateway/process/Fleet.h"
+#include "gateway/process/GatewayPolicy.h"
 #include "gateway/process/OrderGiver.h"
 #include "gateway/process/PlatformBinding.h"
 #include "gateway/process/PrefixMirror.h"
@@ -25,7 +26,7 @@
 public:
   /// \throws std::runtime_error when an address cannot be bound.
   Gateway(EventLoop &Loop, PlatformBinding Binding, GatewayOptions Options,
-          std::function<void()> Stopped);
+          GatewayPolicy Policy, std::function<void()> Stopped);
   ~Gateway();
   Gateway(const Gateway &) = delete;
   Gateway &operator=(const Gateway &) = delete;
@@ -39,6 +40,7 @@
   Fleet::Options fleetOptions() const;
   Fleet::Hooks fleetHooks();
   OrderGiver::Options giverOptions() const;
+  Forwarder::Options forwarderOptions() const;
   PrefixMirror::Options mirrorOptions(const std::string &Prefix,
                                       Duration Gather);
   void startServers();
@@ -69,6 +71,7 @@
   EventLoop &m_Loop;
   PlatformBinding m_Binding;
   GatewayOptions m_Options;
+  GatewayPolicy m_Policy;
   std::function<void()> m_Stopped;
   DecisionLog m_Log;
   mutable std::mt19937_64 m_Random;
--- /dev/null
+++ b/packages/gateway/process/GatewayPolicy.h
@@ -0,0 +1,27 @@
+/// \file
+/// The weights of all decisions of a gateway process.
+#ifndef HAVENSTAIR_GATEWAY_PROCESS_GATEWAYPOLICY_H
+#define HAVENSTAIR_GATEWAY_PROCESS_GATEWAYPOLICY_H
+
+#include "decisions/process/AdapterPlanner.h"
+#include "decisions/process/DemandRates.h"
+#include "decisions/process/ReplicaPlanner.h"
+#include "decisions/request/ReplicaAdmission.h"
+#include "decisions/request/ReplicaChoice.h"
+
+namespace havenstair {
+
+/// Defaults are those that the rounds in docs/design/rounds.md chose.
+struct GatewayPolicy {
+  ReplicaWeights m_Choice;
+  AdmissionOptions m_Admission;
+  PlannerOptions m_Planner;
+  AdapterOptions m_Adapters;
+  DemandRates::Options m_Rates;
+  /// Part of the target that a request waits for its model to be loaded.
+  double m_ParkPart = 0.2;
+};
+
+} // namespace havenstair
+
+#endif
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -83,7 +83,7 @@
                        DecisionLog &Log, Options Opts, Hooks Callbacks)
     : m_Loop(Loop), m_Control(Engines), m_State(State), m_Log(Log),
       m_Opts(std::move(Opts)), m_Hooks(std::move(Callbacks)),
-      m_View(BoxName(m_Opts.m_Process)),
+      m_View(BoxName(m_Opts.m_Process)), m_Rates(m_Opts.m_Rates),
       m_Key(Loop, Store, {.m_TimeToLive = m_Opts.m_Lease},
             {.m_Claim = [this](LeaseId Lease) { return claim(Lease); },
              .m_Claimed = [this](StoreRevision At) { claimed(At); },
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -41,6 +41,7 @@
     ServingBounds m_Bounds;
     PlannerOptions m_Planner;
     AdapterOptions m_Adapters;
+    DemandRates::Options m_Rates;
   };
   struct Hooks {
     /// Contents of engines changed; all boxes are to know.
@@ -141,6 +142,7 @@
   Options m_Opts;
   Hooks m_Hooks;
   HolderView m_View;
+  DemandRates m_Rates;
   LeasedKey m_Key;
   bool m_EntriesKnown = false;
   StoreRevision m_KeyRevision = 0; ///< 0 when nobody holds the key.
@@ -158,7 +160,6 @@
   TimePoint m_GrewAt{};
   std::map<InstanceId, Engine> m_Engines;
   std::map<ModelKey, TimePoint> m_Missing;
-  DemandRates m_Rates;
   LoadCeiling m_Ceiling;
   Timer m_Timer;
   bool m_TickSoon = false;
--- /dev/null
+++ b/packages/havenstaird/process/PolicySettings.cpp
@@ -0,0 +1,97 @@
+#include "havenstaird/process/PolicySettings.h"
+
+#include "havenstaird/process/Settings.h"
+#include <array>
+#include <charconv>
+#include <sstream>
+
+namespace havenstair {
+
+namespace {
+
+/// One number of the policy.
+struct PolicySetting {
+  const char *m_Flag;
+  const char *m_Meaning;
+  double m_Least;
+  double m_Most;
+  double &(*m_Member)(GatewayPolicy &);
+};
+
+const std::array<PolicySetting, 14> Table{{
+    {"--few-moves", "0 puts attainment first, 1 few moves", 0, 1,
+     [](GatewayPolicy &P) -> double & { return P.m_Planner.m_FewMoves; }},
+    {"--least-gain-near", "least gain of a load from the engine's own copies",
+     0, 100,
+     [](GatewayPolicy &P) -> double & { return P.m_Planner.m_LeastGainNear; }},
+    {"--least-gain-store", "least gain of a load from the store of weights", 0,
+     100,
+     [](GatewayPolicy &P) -> double & { return P.m_Planner.m_LeastGainStore; }},
+    {"--demand-trend", "weight of a rise of demand", 0, 10,
+     [](GatewayPolicy &P) -> double & { return P.m_Rates.m_Trend; }},
+    {"--adapter-rate", "requests a second for each copy of an adapter", 0.01,
+     1000,
+     [](GatewayPolicy &P) -> double & { return P.m_Adapters.m_RatePerCopy; }},
+    {"--other-zone-ms", "cost of another data centre", 0, 10000,
+     [](GatewayPolicy &P) -> double & { return P.m_Choice.m_OtherZoneMs; }},
+    {"--failure-ms", "cost of a failed try", 0, 60000,
+     [](GatewayPolicy &P) -> double & { return P.m_Choice.m_FailureMs; }},
+    {"--running-ms", "cost of each running request", 0, 1000,
+     [](GatewayPolicy &P) -> double & { return P.m_Choice.m_RunningMs; }},
+    {"--preferred-cached", "part believed cached at the preferred engine", 0, 1,
+     [](GatewayPolicy &P) -> double & { return P.m_Choice.m_PreferredCached; }},
+    {"--disturbance", "cost of reading prompts beside running streams", 0, 100,
+     [](GatewayPolicy &P) -> double & { return P.m_Choice.m_Disturbance; }},
+    {"--wait-part", "part of the target that a wait may take", 0.1, 100,
+     [](GatewayPolicy &P) -> double & { return P.m_Admission.m_WaitPart; }},
+    {"--early-part", "part of the target in which refusals are early", 0, 1,
+     [](GatewayPolicy &P) -> double & { return P.m_Admission.m_EarlyPart; }},
+    {"--own-part", "part of the target that a request's own work may take", 0,
+     1, [](GatewayPolicy &P) -> double & { return P.m_Admission.m_OwnPart; }},
+    {"--park-part", "part of the target to wait for a load", 0, 10,
+     [](GatewayPolicy &P) -> double & { return P.m_ParkPart; }},
+}};
+
+std::string shortNumber(double Value) {
+  std::ostringstream Text;
+  Text << Value;
+  return Text.str();
+}
+
+double readNumber(const PolicySetting &Of, const std::string &Text) {
+  double Value = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Read = std::from_chars(Text.data(), End, Value);
+  const bool Good = Read.ec == std::errc() && Read.ptr == End &&
+                    Value >= Of.m_Least && Value <= Of.m_Most;
+  if (!Good)
+    throw SettingError(Of.m_Flag, Text,
+                       "a number from " + shortNumber(Of.m_Least) + " to " +
+                           shortNumber(Of.m_Most));
+  return Value;
+}
+
+} // namespace
+
+std::string policyUsage() {
+  GatewayPolicy Default;
+  std::string Text;
+  for (const PolicySetting &Each : Table) {
+    std::string Line = std::string("  ") + Each.m_Flag + " NUMBER";
+    Line.resize(std::max<std::size_t>(Line.size() + 2, 30), ' ');
+    Text += Line + Each.m_Meaning + " (" + shortNumber(Each.m_Least) + " to " +
+            shortNumber(Each.m_Most) + ") [" +
+            shortNumber(Each.m_Member(Default)) + "].\n";
+  }
+  return Text;
+}
+
+GatewayPolicy readPolicy(const SettingLookup &Find) {
+  GatewayPolicy Result;
+  for (const PolicySetting &Each : Table)
+    if (const auto Text = Find(Each.m_Flag))
+      Each.m_Member(Result) = readNumber(Each, *Text);
+  return Result;
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/havenstaird/process/PolicySettings.h
@@ -0,0 +1,25 @@
+/// \file
+/// The settings of a gateway's policy: flags and HAVENSTAIR_* variables.
+#ifndef HAVENSTAIR_HAVENSTAIRD_PROCESS_POLICYSETTINGS_H
+#define HAVENSTAIR_HAVENSTAIRD_PROCESS_POLICYSETTINGS_H
+
+#include "gateway/process/GatewayPolicy.h"
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace havenstair {
+
+/// The text of a flag or of its variable; empty when neither is given.
+using SettingLookup =
+    std::function<std::optional<std::string>(const std::string &Flag)>;
+
+/// The lines of the usage page, with ranges and defaults.
+std::string policyUsage();
+
+/// \throws SettingError for the first value that is not allowed.
+GatewayPolicy readPolicy(const SettingLookup &Find);
+
+} // namespace havenstair
+
+#endif
--- a/packages/havenstaird/process/ServeCommand.cpp
+++ b/packages/havenstaird/process/ServeCommand.cpp
@@ -1,6 +1,7 @@
 #include "havenstaird/process/ServeCommand.h"
 
 #include "gateway/process/Gateway.h"
+#include "havenstaird/process/PolicySettings.h"
 #include "platform/Binding.h"
 
 #include <csignal>
@@ -26,32 +27,40 @@
   --check-settings        Check the settings and end.
   --help                  Show this page.
   --version               Show the version.
+
+Policy; each also by a variable, --few-moves by HAVENSTAIR_FEW_MOVES:
 )";
 
-std::string nodeFile(std::map<std::string, docopt::value> &Flags,
-                     const EnvironmentLookup &Environment) {
-  const docopt::value &Flag = Flags["--node-file"];
-  std::string Path = Flag.isString()
-                         ? Flag.asString()
-                         : Environment("HAVENSTAIR_NODE_FILE").value_or("");
-  if (Path.empty())
-    throw SettingError("--node-file", "", "the path of a file");
-  return Path;
+std::string variableOf(const std::string &Flag) {
+  std::string Name = "HAVENSTAIR_";
+  for (char Letter : Flag.substr(2))
+    Name += Letter == '-' ? '_' : static_cast<char>(std::toupper(Letter));
+  return Name;
 }
 
 } // namespace
 
 int runServe(const std::vector<std::string> &Arguments,
              const EnvironmentLookup &Environment) {
-  auto Flags = docopt::docopt(Usage, Arguments, true, VersionText);
-  PlatformBinding Binding = platform::makeBinding(nodeFile(Flags, Environment));
+  auto Flags =
+      docopt::docopt(Usage + policyUsage(), Arguments, true, VersionText);
+  const SettingLookup Find =
+      [&](const std::string &Flag) -> std::optional<std::string> {
+    const docopt::value &Given = Flags[Flag];
+    return Given.isString() ? Given.asString() : Environment(variableOf(Flag));
+  };
+  const std::string NodeFile = Find("--node-file").value_or("");
+  if (NodeFile.empty())
+    throw SettingError("--node-file", "", "the path of a file");
+  const GatewayPolicy Policy = readPolicy(Find);
+  PlatformBinding Binding = platform::makeBinding(NodeFile);
   GatewayOptions Options = Binding.m_ReadOptions();
   if (Flags["--check-settings"].asBool()) {
     std::cout << "settings are good\n";
     return 0;
   }
   EventLoop Loop;
-  Gateway Running(Loop, std::move(Binding), std::move(Options),
+  Gateway Running(Loop, std::move(Binding), std::move(Options), Policy,
                   [&] { Loop.stop(); });
   const Timer Term = Loop.onSignal(SIGTERM, [&] { Running.stop(); });
   const Timer Interrupt = Loop.onSignal(SIGINT, [&] { Running.stop(); });
