--- a/packages/decisions/process/AdapterPlanner.cpp
+++ b/packages/decisions/process/AdapterPlanner.cpp
@@ -111,14 +111,15 @@
   std::vector<std::pair<double, AdapterKey>> Wanted;
   for (const auto &[Key, Rate] : Rates) {
     const double PerCopy = Rate / std::max(1, Plan.copies(Key));
-    if (PerCopy > Opts.m_RatePerCopy && !Plan.coming(Key))
+    if (PerCopy > Opts.m_RateWhenFree && !Plan.coming(Key))
       Wanted.emplace_back(PerCopy, Key);
   }
   std::sort(Wanted.rbegin(), Wanted.rend());
   for (const auto &[PerCopy, Key] : Wanted) {
     const double After = Plan.rate(Key) / (Plan.copies(Key) + 1);
+    const bool Hot = PerCopy > Opts.m_RatePerCopy;
     Plan.place(Key, [&](const AdapterKey &Victim) {
-      return Plan.rate(Victim) * Opts.m_SwapFactor < After;
+      return Hot && Plan.rate(Victim) * Opts.m_SwapFactor < After;
     });
   }
   return std::move(Plan).moves();
--- a/packages/decisions/process/AdapterPlanner.h
+++ b/packages/decisions/process/AdapterPlanner.h
@@ -37,6 +37,8 @@
 struct AdapterOptions {
   /// Requests a second by copy above which another copy is worth its order.
   double m_RatePerCopy = 1.2;
+  /// The same where a place is free.
+  double m_RateWhenFree = 0.25;
   /// An adapter makes way only for one that is wanted this many times more.
   double m_SwapFactor = 3;
 };
--- a/packages/decisions/process/EngineLedger.cpp
+++ b/packages/decisions/process/EngineLedger.cpp
@@ -134,6 +134,13 @@
       m_Doubt = true;
     return;
   case OrderAnswer::AlreadyDone:
+    if (!Ended.m_Order.m_Load && !Ended.m_Order.m_Adapter.empty() &&
+        !m_Uncertain) {
+      // An adapter that no request uses goes at once.
+      m_Count = Ended.m_Expected + 1;
+      dropAdapter(Ended.m_Order.m_Model, Ended.m_Order.m_Adapter);
+      return;
+    }
     // What is still on its way has nothing left to change.
     m_Uncertain.reset();
     m_Doubt = true;
@@ -151,6 +158,13 @@
   }
 }
 
+void EngineLedger::dropAdapter(const std::string &Model,
+                               const std::string &Adapter) {
+  for (ResidentModel &Each : m_Models)
+    if (Each.m_Name == Model)
+      Each.m_Adapters.erase(Adapter);
+}
+
 std::optional<ResidencyOrder> EngineLedger::resend(TimePoint Now) const {
   if (!m_Uncertain || m_Call || m_Doubt ||
       Now - m_Uncertain->m_At < m_Opts.m_ResendAfter)
--- a/packages/decisions/process/EngineLedger.h
+++ b/packages/decisions/process/EngineLedger.h
@@ -88,6 +88,8 @@
     TimePoint m_First{};
   };
 
+  void dropAdapter(const std::string &Model, const std::string &Adapter);
+
   Options m_Opts;
   bool m_Known = false;
   std::uint64_t m_Count = 0;
--- a/packages/decisions/process/LoadBook.cpp
+++ b/packages/decisions/process/LoadBook.cpp
@@ -1,9 +1,17 @@
 #include "decisions/process/LoadBook.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace havenstair {
 
+namespace {
+
+/// Work that other boxes should know of before they choose.
+constexpr double WorthTellingMs = 25;
+
+} // namespace
+
 void LoadBook::sent(const InstanceId &To, double WorkMs, double Tokens) {
   m_Own[To] += {.m_Running = 1, .m_PendingMs = WorkMs, .m_Tokens = Tokens};
 }
@@ -31,6 +39,42 @@
   m_Told[Box] = {.m_Loads = std::move(Loads), .m_At = Now};
 }
 
+void LoadBook::toldChanges(const BoxName &Box, const InstanceLoads &Changes,
+                           TimePoint Now) {
+  const auto Found = m_Told.find(Box);
+  // Changes mean nothing without what they change.
+  if (Found == m_Told.end())
+    return;
+  Found->second.m_At = Now;
+  for (const auto &[Id, Load] : Changes) {
+    if (Load == InstanceLoad{})
+      Found->second.m_Loads.erase(Id);
+    else
+      Found->second.m_Loads[Id] = Load;
+  }
+}
+
+InstanceLoads LoadBook::takeChanges() {
+  InstanceLoads Changes;
+  for (const auto &[Id, Load] : m_Own) {
+    const auto Before = m_Last.find(Id);
+    const double Pending =
+        Before == m_Last.end() ? 0 : Before->second.m_PendingMs;
+    if (std::abs(Load.m_PendingMs - Pending) >= WorthTellingMs)
+      Changes[Id] = Load;
+  }
+  for (const auto &[Id, Load] : m_Last)
+    if (!m_Own.contains(Id) && Load.m_PendingMs >= WorthTellingMs)
+      Changes[Id] = {};
+  for (const auto &[Id, Load] : Changes) {
+    if (Load == InstanceLoad{})
+      m_Last.erase(Id);
+    else
+      m_Last[Id] = Load;
+  }
+  return Changes;
+}
+
 InstanceLoad LoadBook::load(const InstanceId &Of, TimePoint Now) const {
   InstanceLoad Sum;
   if (const auto Own = m_Own.find(Of); Own != m_Own.end())
--- a/packages/decisions/process/LoadBook.h
+++ b/packages/decisions/process/LoadBook.h
@@ -41,6 +41,14 @@
 
   /// What \p Box says of its own requests; replaces what it said before.
   void told(const BoxName &Box, InstanceLoads Loads, TimePoint Now);
+  /// What has changed of what \p Box said before.
+  void toldChanges(const BoxName &Box, const InstanceLoads &Changes,
+                   TimePoint Now);
+  /// Changes of this box's own loads since the last call, when together they
+  /// are worth telling at once.
+  InstanceLoads takeChanges();
+  /// This box's own loads have been told as a whole.
+  void toldAll() { m_Last = m_Own; }
   void forget(const BoxName &Box) { m_Told.erase(Box); }
 
   InstanceLoad load(const InstanceId &Of, TimePoint Now) const;
@@ -54,6 +62,7 @@
   };
 
   InstanceLoads m_Own;
+  InstanceLoads m_Last; ///< As last told.
   std::map<BoxName, Word> m_Told;
 };
 
--- a/packages/decisions/request/ReplicaAdmission.cpp
+++ b/packages/decisions/request/ReplicaAdmission.cpp
@@ -22,10 +22,17 @@
                                   const AdmissionOptions &Opts) {
   const double Target = millis(Facts.m_Target);
   const double Waited = millis(Facts.m_Waited);
-  // Neither late refusals nor second ones help: the caller has no time, or no
-  // try, left to come back.
-  if (Facts.m_TriedBefore || Waited > Opts.m_EarlyPart * Target)
-    return std::nullopt;
+  const double Left = std::min(
+      millis(Facts.m_TimeLeft),
+      std::max(millis(Opts.m_LeastPatience), Opts.m_PatienceTargets * Target));
+  const bool Hopeless = Facts.m_ExpectedMs > Opts.m_HopelessPart * Left;
+  // Neither late refusals nor second ones help, unless the work would be for
+  // nothing: the caller has no time, or no try, left to come back.
+  if (Facts.m_TriedBefore || Waited > Opts.m_EarlyPart * Target) {
+    if (!Hopeless)
+      return std::nullopt;
+    return fromMillis(LeastAwayMs);
+  }
   const double Own = std::min(Facts.m_WorkMs, Opts.m_OwnPart * Target);
   const double Wait = Facts.m_ExpectedMs - Facts.m_WorkMs + Waited;
   const double Allowed = Opts.m_WaitPart * (Target - Own);
--- a/packages/decisions/request/ReplicaAdmission.h
+++ b/packages/decisions/request/ReplicaAdmission.h
@@ -28,6 +28,13 @@
   double m_WaitPart = 1.1;
   /// Refusals only count as early within this part of the target.
   double m_EarlyPart = 0.22;
+  /// A second try is refused when its first token is expected after this part
+  /// of the time that it has left.
+  double m_HopelessPart = 0.6;
+  /// Callers give up a silent stream after this many times its target, or
+  /// after LeastPatience.
+  double m_PatienceTargets = 4;
+  Duration m_LeastPatience = 2s;
 };
 
 /// How long the caller should stay away; empty to send the request now.
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -35,6 +35,7 @@
 /// A box watches the list of upstreams itself when the one that relays it has
 /// been silent for this long.
 constexpr Duration RelaySilence = 900ms;
+constexpr Duration TellLoadsEvery = 40ms;
 constexpr Duration ChooseSourceEvery = 100ms;
 
 /// Tells one start of a box from another.
@@ -93,6 +94,7 @@
   m_OwnMirror.start();
   m_ReloadTimer = Loop.every(ReloadEvery, [this] { reload(); });
   m_AskTimer = Loop.every(AskEvery, [this] { askPeers(); });
+  m_LoadsTimer = Loop.every(TellLoadsEvery, [this] { tellLoads(); });
   m_SourceTimer =
       Loop.every(ChooseSourceEvery, [this] { chooseUpstreamSource(); });
   m_Log.write("started", {{"box", m_Process.str()},
@@ -191,6 +193,7 @@
   Frame.m_Giving = m_Giver.giving();
   Frame.m_Holder = m_Giver.holder();
   Frame.m_Loads = m_State.m_Loads.own();
+  m_State.m_Loads.toldAll();
   Frame.m_Demand = std::exchange(m_State.m_Demand, {});
   m_Giver.demanded(Frame.m_Demand);
   return Frame;
@@ -219,6 +222,16 @@
     m_Fleet.send(From, want());
 }
 
+void Gateway::take(const BoxName &From, const FleetLoadsFrame &Frame) {
+  m_State.m_Loads.toldChanges(From, Frame.m_Loads, EventLoop::now());
+}
+
+void Gateway::tellLoads() {
+  FleetLoadsFrame Frame{m_State.m_Loads.takeChanges()};
+  if (!Frame.m_Loads.empty())
+    m_Fleet.sendAll(Frame);
+}
+
 FleetWantFrame Gateway::want() const {
   return {.m_Config = m_State.m_Config ? m_State.m_Config->m_Version : 0,
           .m_List = m_UpstreamMirror.revision()};
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -48,6 +48,8 @@
   FleetDigestFrame digest();
   void onFrame(const BoxName &From, const PeerFrame &Frame);
   void take(const BoxName &From, const FleetDigestFrame &Frame);
+  void take(const BoxName &From, const FleetLoadsFrame &Frame);
+  void tellLoads();
   void take(const BoxName &From, const FleetWantFrame &Frame);
   void take(const BoxName &From, const FleetKeysFrame &Frame);
   void take(const BoxName &From, const FleetContentsFrame &Frame);
@@ -97,6 +99,7 @@
   Timer m_ReloadTimer;
   Timer m_AskTimer;
   Timer m_SourceTimer;
+  Timer m_LoadsTimer;
   Timer m_StopTimer;
   TimePoint m_StopAt{};
   TimePoint m_LeaveAt{};
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -17,7 +17,7 @@
 constexpr Duration RetireFor = 120ms;
 
 /// An adapter arrives in some milliseconds; engines tell of it much later.
-constexpr Duration AdapterArrivesIn = 30ms;
+constexpr Duration AdapterArrivesIn = 40ms;
 
 /// How long requests are believed to wait for a missing model.
 constexpr Duration MissingCounts = 1s;
@@ -454,7 +454,8 @@
     }
   }
   if (!std::exchange(m_TickSoon, true)) {
-    m_NextPlan = std::min(m_NextPlan, Now + TickEvery);
+    if (!Order.m_Adapter.empty())
+      m_NextPlan = Now;
     m_Loop.defer([this] {
       m_TickSoon = false;
       tick();
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -36,7 +36,7 @@
   struct Options {
     ReplicaWeights m_Weights;
     AdmissionOptions m_Admission;
-    Duration m_ConnectTimeout = 500ms;
+    Duration m_ConnectTimeout = 300ms;
     /// Part of the target that a request waits for its model to be loaded.
     double m_ParkPart = 0.2;
     std::size_t m_MaxAnswer = 16 << 20; ///< Bytes of a buffered answer.
--- a/packages/wire/connection/FleetFrames.cpp
+++ b/packages/wire/connection/FleetFrames.cpp
@@ -60,6 +60,24 @@
 constexpr std::size_t LoadParts = 4;
 constexpr std::size_t DemandParts = 5;
 
+Json toJson(const InstanceLoads &Loads) {
+  Json Result = Json::array();
+  for (const auto &[Id, Load] : Loads)
+    Result.push_back(Json::array({Id, Load.m_Running, rounded(Load.m_PendingMs),
+                                  rounded(Load.m_Tokens)}));
+  return Result;
+}
+
+InstanceLoads loadsFrom(const Json &From) {
+  InstanceLoads Result;
+  for (const Json &Each : list(From, "loads"))
+    Result[text(part(Each, 0, LoadParts))] = {
+        .m_Running = wholeNumber<int>(Each[1]),
+        .m_PendingMs = wholeNumber<std::int32_t>(Each[2]) * 1.0,
+        .m_Tokens = wholeNumber<std::int32_t>(Each[3]) * 1.0};
+  return Result;
+}
+
 } // namespace
 
 Json toJson(const FleetDigestFrame &Frame) {
@@ -72,10 +90,7 @@
     Result["giving"] = true;
   Result["token"] = Frame.m_Holder.m_Token;
   Result["holder"] = Frame.m_Holder.m_Box.str();
-  Json &Loads = Result["loads"] = Json::array();
-  for (const auto &[Id, Load] : Frame.m_Loads)
-    Loads.push_back(Json::array({Id, Load.m_Running, rounded(Load.m_PendingMs),
-                                 rounded(Load.m_Tokens)}));
+  Result["loads"] = toJson(Frame.m_Loads);
   Json &Demand = Result["demand"] = Json::array();
   for (const auto &[Key, Each] : Frame.m_Demand)
     Demand.push_back(
@@ -92,17 +107,21 @@
   Frame.m_Giving = fieldOr<bool>(From, "giving", false);
   Frame.m_Holder = {.m_Token = field<FencingToken>(From, "token"),
                     .m_Box = idField<BoxName>(From, "holder")};
-  for (const Json &Each : list(From, "loads"))
-    Frame.m_Loads[text(part(Each, 0, LoadParts))] = {
-        .m_Running = wholeNumber<int>(Each[1]),
-        .m_PendingMs = wholeNumber<std::int32_t>(Each[2]) * 1.0,
-        .m_Tokens = wholeNumber<std::int32_t>(Each[3]) * 1.0};
+  Frame.m_Loads = loadsFrom(From);
   for (const Json &Each : list(From, "demand"))
     Frame.m_Demand[modelKeyFrom(Each, DemandParts)] = {
         .m_Requests = wholeNumber<std::int32_t>(Each[3]) * 1.0,
         .m_WorkMs = wholeNumber<std::int32_t>(Each[4]) * 1.0};
 }
 
+Json toJson(const FleetLoadsFrame &Frame) {
+  return {{"loads", toJson(Frame.m_Loads)}};
+}
+
+void fromJson(const Json &From, FleetLoadsFrame &Frame) {
+  Frame.m_Loads = loadsFrom(From);
+}
+
 Json toJson(const FleetWantFrame &Frame) {
   return {{"config", Frame.m_Config}, {"list", Frame.m_List}};
 }
--- a/packages/wire/connection/FleetFrames.h
+++ b/packages/wire/connection/FleetFrames.h
@@ -30,6 +30,14 @@
   bool operator==(const FleetDigestFrame &) const = default;
 };
 
+/// Loads that have changed since the sender's last digest or load frame; an
+/// upstream without any load is named with zeros.
+struct FleetLoadsFrame {
+  InstanceLoads m_Loads;
+
+  bool operator==(const FleetLoadsFrame &) const = default;
+};
+
 /// The sender cannot reach the store; it asks for what is newer than this.
 struct FleetWantFrame {
   std::uint64_t m_Config = 0;
@@ -85,6 +93,7 @@
 };
 
 Json toJson(const FleetDigestFrame &Frame);
+Json toJson(const FleetLoadsFrame &Frame);
 Json toJson(const FleetWantFrame &Frame);
 Json toJson(const FleetKeysFrame &Frame);
 Json toJson(const FleetContentsFrame &Frame);
@@ -92,6 +101,7 @@
 
 /// \throws DecodeError for a value of another form.
 void fromJson(const Json &From, FleetDigestFrame &Frame);
+void fromJson(const Json &From, FleetLoadsFrame &Frame);
 void fromJson(const Json &From, FleetWantFrame &Frame);
 void fromJson(const Json &From, FleetKeysFrame &Frame);
 void fromJson(const Json &From, FleetContentsFrame &Frame);
--- a/packages/wire/connection/PeerFrames.h
+++ b/packages/wire/connection/PeerFrames.h
@@ -170,13 +170,12 @@
   bool operator==(const MoveFrame &) const = default;
 };
 
-using PeerFrame =
-    std::variant<HelloFrame, ProofFrame, ForwardFrame, CancelFrame,
-                 StartedFrame, HeadFrame, BytesFrame, EndedFrame, FailedFrame,
-                 DigestFrame, DemandFrame, TableFrame, AssignmentFrame,
-                 PlanFrame, MoveFrame, LimitAskFrame, LimitAnswerFrame,
-                 LimitTellFrame, FleetDigestFrame, FleetWantFrame,
-                 FleetKeysFrame, FleetContentsFrame, FleetMissingFrame>;
+using PeerFrame = std::variant<
+    HelloFrame, ProofFrame, ForwardFrame, CancelFrame, StartedFrame, HeadFrame,
+    BytesFrame, EndedFrame, FailedFrame, DigestFrame, DemandFrame, TableFrame,
+    AssignmentFrame, PlanFrame, MoveFrame, LimitAskFrame, LimitAnswerFrame,
+    LimitTellFrame, FleetDigestFrame, FleetWantFrame, FleetKeysFrame,
+    FleetContentsFrame, FleetMissingFrame, FleetLoadsFrame>;
 
 /// Name of the kind of \p Frame, for metrics.
 std::string_view frameName(const PeerFrame &Frame);
