--- a/packages/decisions/process/DemandRates.h
+++ b/packages/decisions/process/DemandRates.h
@@ -17,7 +17,7 @@
   struct Options {
     Duration m_Fast = 1s; ///< Time constants.
     Duration m_Slow = 4s;
-    double m_Trend = 1; ///< Weight of a rise.
+    double m_Trend = 0.3; ///< Weight of a rise.
   };
 
   DemandRates() : DemandRates(Options{}) {}
--- a/packages/decisions/process/ReplicaPlanner.h
+++ b/packages/decisions/process/ReplicaPlanner.h
@@ -63,7 +63,7 @@
   /// Least gain of a load from the engine's own memory or disk, and from the
   /// store of weights.
   double m_LeastGainNear = 0.1;
-  double m_LeastGainStore = 0.5;
+  double m_LeastGainStore = 0.8;
   /// From 0 to 1; 1 asks four times the gain of each move.
   double m_FewMoves = 0;
 };
--- a/packages/decisions/request/ReplicaChoice.h
+++ b/packages/decisions/request/ReplicaChoice.h
@@ -27,7 +27,7 @@
   double m_PlainMs = 20;
   /// Prompts are read between the steps of running streams: cost for each
   /// stream and millisecond of work beyond what fits between two events.
-  double m_Disturbance = 0.02;
+  double m_Disturbance = 0.06;
   double m_QuietMs = 200;
   /// For each running request, as it slows down all steps.
   double m_RunningMs = 0.5;
