--- a/packages/decisions/process/DemandRates.h
+++ b/packages/decisions/process/DemandRates.h
@@ -17,7 +17,9 @@
   struct Options {
     Duration m_Fast = 1s; ///< Time constants.
     Duration m_Slow = 4s;
-    double m_Trend = 0.3; ///< Weight of a rise.
+    /// Weight of a rise. None by default: in the rounds each part of it cost
+    /// more by loads for noise than it gained by early ones.
+    double m_Trend = 0;
   };
 
   DemandRates() : DemandRates(Options{}) {}
--- a/packages/gateway/process/Fleet.cpp
+++ b/packages/gateway/process/Fleet.cpp
@@ -59,7 +59,7 @@
 }
 
 StoreTransaction Fleet::entry(LeaseId Lease) const {
-  const Json Value{{"peers", m_Opts.m_Peers.str()},
+  const Json Value{{"peers", m_Mesh.endpoint().str()},
                    {"zone", m_Opts.m_DataCentre.str()}};
   return {.m_Conditions = {},
           .m_Puts = {{.m_Key = m_Opts.m_Prefix + BoxKeys + m_Opts.m_Box.str(),
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -31,6 +31,12 @@
   Gateway(const Gateway &) = delete;
   Gateway &operator=(const Gateway &) = delete;
 
+  /// The bound addresses, with their real ports.
+  Endpoint callers() const { return m_Callers->endpoint(); }
+  Endpoint readiness() const { return m_Readiness->endpoint(); }
+  const ServingState &state() const { return m_State; }
+  bool givesOrders() const { return m_Giver.giving(); }
+
   /// Reads the settings again; a bad file leaves the last good ones in force.
   void reload();
   /// Ends when no request is under way, and before the grace period does.
--- /dev/null
+++ b/tests/decisions/process/EngineLedgerTest.cpp
@@ -0,0 +1,264 @@
+#include "decisions/process/EngineLedger.h"
+#include "support/Draw.h"
+#include "support/Names.h"
+#include <deque>
+#include <optional>
+
+using namespace havenstair;
+
+namespace {
+
+constexpr double EngineMb = 220;
+constexpr double ModelMb = 70;
+constexpr int Capacity = 3;
+
+std::string model(int Number) { return "m" + std::to_string(Number); }
+
+EngineSpec spec() {
+  EngineSpec Result;
+  Result.m_WeightsMb = EngineMb;
+  Result.m_AdapterCapacity = Capacity;
+  for (int Number = 0; Number < 6; ++Number) {
+    ModelSpec Model;
+    Model.m_Name = model(Number);
+    Model.m_SizeMb = ModelMb;
+    Model.m_Adapters = 4;
+    Model.m_AdapterMb = 1;
+    Result.m_Models.push_back(Model);
+  }
+  return Result;
+}
+
+/// An engine that takes orders as the pages say; it is the oracle.
+class Engine {
+public:
+  struct Late {
+    ResidencyOrder m_Order;
+    std::uint64_t m_Expected = 0;
+  };
+
+  OrderAnswer take(const ResidencyOrder &Order, std::uint64_t Expected) {
+    if (Expected != m_Count || m_UnderWay)
+      return OrderAnswer::Busy;
+    const bool OfAdapter = !Order.m_Adapter.empty();
+    if (OfAdapter && !holds(Order.m_Model))
+      return OrderAnswer::Refused;
+    if (OfAdapter && Order.m_Load && m_Coming.size() >= 4)
+      return OrderAnswer::Busy;
+    if (Order.m_Load == present(Order))
+      return OrderAnswer::AlreadyDone;
+    ++m_Count;
+    if (!OfAdapter) {
+      m_UnderWay = Order;
+      checkRoom(Order);
+      return OrderAnswer::Accepted;
+    }
+    if (!Order.m_Load) {
+      of(Order.m_Model)->m_Adapters.erase(Order.m_Adapter);
+      return OrderAnswer::AlreadyDone;
+    }
+    m_Coming.push_back(Order);
+    checkRoom(Order);
+    return OrderAnswer::Accepted;
+  }
+
+  /// What is under way is done.
+  void finish() {
+    for (const ResidencyOrder &Each : m_Coming)
+      if (ResidentModel *Model = of(Each.m_Model))
+        Model->m_Adapters.insert(Each.m_Adapter);
+    m_Coming.clear();
+    if (!m_UnderWay)
+      return;
+    if (m_UnderWay->m_Load)
+      m_Models.push_back({.m_Name = m_UnderWay->m_Model, .m_Adapters = {}});
+    else
+      std::erase_if(m_Models, [&](const ResidentModel &Each) {
+        return Each.m_Name == m_UnderWay->m_Model;
+      });
+    m_UnderWay.reset();
+  }
+
+  ResidencyReport report() const {
+    ResidencyReport Result;
+    Result.m_OrderCount = m_Count;
+    Result.m_OrderUnderWay = m_UnderWay.has_value();
+    Result.m_Models = m_Models;
+    for (const ResidencyOrder &Each : m_Coming)
+      Result.m_Pending.push_back(
+          {.m_Name = Each.m_Model, .m_Adapters = {Each.m_Adapter}});
+    return Result;
+  }
+
+  bool overcommitted() const { return m_Overcommitted; }
+
+private:
+  ResidentModel *of(const std::string &Name) {
+    for (ResidentModel &Each : m_Models)
+      if (Each.m_Name == Name)
+        return &Each;
+    return nullptr;
+  }
+  bool holds(const std::string &Name) { return of(Name) != nullptr; }
+  bool present(const ResidencyOrder &Order) {
+    const ResidentModel *Found = of(Order.m_Model);
+    return Found != nullptr && (Order.m_Adapter.empty() ||
+                                Found->m_Adapters.contains(Order.m_Adapter));
+  }
+  void checkRoom(const ResidencyOrder &Order) {
+    if (!Order.m_Load)
+      return;
+    std::size_t Adapters = m_Coming.size();
+    std::size_t Models = m_Models.size() + (m_UnderWay ? 1 : 0);
+    for (const ResidentModel &Each : m_Models)
+      Adapters += Each.m_Adapters.size();
+    const double Mb =
+        static_cast<double>(Models) * ModelMb + static_cast<double>(Adapters);
+    m_Overcommitted = m_Overcommitted || Mb > EngineMb || Adapters > Capacity;
+  }
+
+  std::uint64_t m_Count = 0;
+  std::vector<ResidentModel> m_Models{{.m_Name = model(0), .m_Adapters = {}}};
+  std::vector<ResidencyOrder> m_Coming;
+  std::optional<ResidencyOrder> m_UnderWay;
+  bool m_Overcommitted = false;
+};
+
+ResidencyOrder drawnOrder() {
+  ResidencyOrder Order;
+  Order.m_Load = *drawn(0, 3) != 0;
+  Order.m_Model = model(*drawn(0, 6));
+  if (*rc::gen::arbitrary<bool>())
+    Order.m_Adapter = "a" + std::to_string(*drawn(1, 5));
+  return Order;
+}
+
+ResidencyOrder load(int Number) {
+  return {.m_Load = true, .m_Model = model(Number), .m_Adapter = {}};
+}
+
+} // namespace
+
+TEST_CASE("An engine is never ordered beyond its memory, whatever is lost or "
+          "comes late",
+          "[orders][property][proof]") {
+  rc::prop("memory", [] {
+    const EngineSpec Spec = spec();
+    Engine Real;
+    EngineLedger Ledger;
+    std::deque<Engine::Late> Late;
+    TimePoint Now = at(0s);
+    for (int Step = 0; Step < 120; ++Step) {
+      Now += std::chrono::milliseconds(*drawn(0, 900));
+      switch (*drawn(0, 6)) {
+      case 0:
+      case 1: {
+        const auto Again = Ledger.resend(Now);
+        const ResidencyOrder Order = Again ? *Again : drawnOrder();
+        if (!Ledger.allows(Order, Spec))
+          break;
+        const std::uint64_t Expected = Ledger.begin(Order, Now);
+        switch (*drawn(0, 4)) {
+        case 0: // It is taken, and the answer is lost.
+          Real.take(Order, Expected);
+          Ledger.answered(OrderAnswer::Lost, Now);
+          break;
+        case 1: // It is carried out later, or never.
+          Late.push_back({Order, Expected});
+          Ledger.answered(OrderAnswer::Lost, Now);
+          break;
+        default:
+          Ledger.answered(Real.take(Order, Expected), Now);
+        }
+        break;
+      }
+      case 2:
+        if (!Late.empty()) {
+          Real.take(Late.front().m_Order, Late.front().m_Expected);
+          Late.pop_front();
+        }
+        break;
+      case 3:
+        Real.finish();
+        break;
+      default:
+        Ledger.heard(Real.report(), Now);
+      }
+      RC_ASSERT(!Real.overcommitted());
+    }
+  });
+}
+
+TEST_CASE("Nothing is ordered before the engine has told what it holds",
+          "[orders]") {
+  REQUIRE_FALSE(EngineLedger().allows(load(1), spec()));
+}
+
+TEST_CASE("An order without an answer is sent again, and nothing else",
+          "[orders]") {
+  EngineLedger Ledger;
+  Ledger.heard(Engine().report(), at(0s));
+  Ledger.begin(load(1), at(0s));
+  Ledger.answered(OrderAnswer::Lost, at(1s));
+  REQUIRE_FALSE(Ledger.allows(load(2), spec()));
+  REQUIRE_FALSE(Ledger.resend(at(1s)));
+  REQUIRE(Ledger.resend(at(2s)) == load(1));
+  REQUIRE(Ledger.allows(load(1), spec()));
+  SECTION("until the count has moved") {
+    ResidencyReport Moved = Engine().report();
+    Moved.m_OrderCount = 1;
+    Ledger.heard(Moved, at(2s));
+    REQUIRE_FALSE(Ledger.resend(at(3s)));
+    REQUIRE(Ledger.allows(load(2), spec()));
+  }
+  SECTION("or its life is over") {
+    Ledger.heard(Engine().report(), at(5s));
+    REQUIRE(Ledger.uncertain());
+    Ledger.heard(Engine().report(), at(20s));
+    REQUIRE_FALSE(Ledger.uncertain());
+  }
+}
+
+TEST_CASE("A report that is older than an accepted order is dropped",
+          "[orders]") {
+  EngineLedger Ledger;
+  Ledger.heard(Engine().report(), at(0s));
+  Ledger.begin(load(1), at(0s));
+  Ledger.answered(OrderAnswer::Accepted, at(0s));
+  Ledger.heard(Engine().report(), at(1s));
+  REQUIRE(Ledger.count() == 1);
+  REQUIRE(Ledger.modelOrder() == load(1));
+}
+
+TEST_CASE("An adapter that no request uses goes at once", "[orders]") {
+  Engine Real;
+  EngineLedger Ledger;
+  Ledger.heard(Real.report(), at(0s));
+  const ResidencyOrder Bring{
+      .m_Load = true, .m_Model = model(0), .m_Adapter = "a1"};
+  const std::uint64_t Expected = Ledger.begin(Bring, at(0s));
+  Ledger.answered(Real.take(Bring, Expected), at(0s));
+  REQUIRE(Ledger.coming(model(0), "a1"));
+  Real.finish();
+  Ledger.heard(Real.report(), at(1s));
+  REQUIRE(Ledger.holds(model(0), "a1"));
+  const ResidencyOrder Away{
+      .m_Load = false, .m_Model = model(0), .m_Adapter = "a1"};
+  Ledger.answered(Real.take(Away, Ledger.begin(Away, at(1s))), at(1s));
+  REQUIRE_FALSE(Ledger.holds(model(0), "a1"));
+  REQUIRE_FALSE(Ledger.needsReport());
+  REQUIRE(Ledger.count() == Real.report().m_OrderCount);
+}
+
+TEST_CASE("News in the list only asks for a report", "[orders]") {
+  EngineLedger Ledger;
+  Ledger.heard(Engine().report(), at(0s));
+  UpstreamInstance Entry;
+  Entry.m_Models = {{.m_Name = model(3), .m_Adapters = {}}};
+  Ledger.listed(Entry);
+  REQUIRE(Ledger.needsReport());
+  REQUIRE(Ledger.holds(model(0)));
+  Ledger.heard(Engine().report(), at(1s));
+  Ledger.listed(Entry);
+  REQUIRE_FALSE(Ledger.needsReport());
+}
--- /dev/null
+++ b/tests/decisions/process/HolderViewTest.cpp
@@ -0,0 +1,105 @@
+#include "decisions/process/HolderView.h"
+#include "support/Draw.h"
+#include "support/Names.h"
+#include <set>
+#include <vector>
+
+using namespace havenstair;
+
+namespace {
+
+const OrderHolder First{.m_Token = 10, .m_Box = boxName(0)};
+const OrderHolder Second{.m_Token = 20, .m_Box = boxName(1)};
+
+HolderView viewOf(int Self, int Boxes) {
+  HolderView View(boxName(Self));
+  std::set<BoxName> Others;
+  for (int Index = 0; Index < Boxes; ++Index)
+    if (Index != Self)
+      Others.insert(boxName(Index));
+  View.listed(std::move(Others));
+  return View;
+}
+
+} // namespace
+
+TEST_CASE("A holder goes on while a majority vouches for it", "[holder]") {
+  HolderView View = viewOf(0, 5);
+  View.known(First);
+  REQUIRE_FALSE(View.vouched(at(1s)));
+  View.heard(boxName(2), First, false, at(1s));
+  REQUIRE_FALSE(View.vouched(at(1s)));
+  View.heard(boxName(3), First, false, at(1s));
+  REQUIRE(View.vouched(at(1s)));
+  REQUIRE_FALSE(View.vouched(at(3s)));
+}
+
+TEST_CASE("One word of a newer holder ends the older one", "[holder]") {
+  HolderView View = viewOf(0, 3);
+  View.known(First);
+  View.heard(boxName(2), Second, false, at(1s));
+  REQUIRE(View.holder() == Second);
+  REQUIRE_FALSE(View.vouched(at(1s)));
+  View.heard(boxName(1), First, false, at(1s));
+  REQUIRE(View.holder() == Second);
+}
+
+TEST_CASE("A holder that is heard is not replaced", "[holder]") {
+  HolderView View = viewOf(1, 3);
+  View.known(First);
+  REQUIRE_FALSE(View.holderActive(at(1s)));
+  View.heard(boxName(0), First, true, at(1s));
+  REQUIRE(View.holderActive(at(2s)));
+  REQUIRE_FALSE(View.holderActive(at(3s)));
+  View.heard(boxName(0), First, false, at(3s));
+  REQUIRE_FALSE(View.holderActive(at(3s)));
+}
+
+TEST_CASE("Words that waited while the process stood still do not count",
+          "[holder]") {
+  HolderView View = viewOf(0, 3);
+  View.known(First);
+  View.heard(boxName(1), First, false, at(1s));
+  REQUIRE(View.vouched(at(1s)));
+  View.paused(at(5s));
+  REQUIRE_FALSE(View.vouched(at(5s)));
+  View.heard(boxName(1), First, false, at(5s) + 100ms);
+  REQUIRE_FALSE(View.vouched(at(5s) + 100ms));
+  View.heard(boxName(1), First, false, at(5s) + 400ms);
+  REQUIRE(View.vouched(at(5s) + 400ms));
+}
+
+TEST_CASE("Two boxes never both go on: their majorities share a box",
+          "[holder][property]") {
+  rc::prop("one holder", [] {
+    const int Boxes = *drawn(2, 9);
+    std::vector<HolderView> Views;
+    for (int Self = 0; Self < Boxes; ++Self)
+      Views.push_back(viewOf(Self, Boxes));
+    Views[0].known(First);
+    Views[1].known(Second);
+    // Words travel over any links, in any order, for a while.
+    for (int Step = 0; Step < *drawn(0, 60); ++Step) {
+      const auto From = static_cast<std::size_t>(*drawn(0, Boxes));
+      const auto To = static_cast<std::size_t>(*drawn(0, Boxes));
+      if (From != To)
+        Views[To].heard(boxName(static_cast<int>(From)), Views[From].holder(),
+                        false, at(1s));
+    }
+    // The second hears a majority before it gives orders, and tells it.
+    int Told = 0;
+    for (int Index = 0; Index < Boxes && 2 * (Told + 1) <= Boxes; ++Index)
+      if (Index != 1) {
+        Views[static_cast<std::size_t>(Index)].heard(boxName(1), Second, true,
+                                                     at(2s));
+        ++Told;
+      }
+    // From now on only fresh words count for the first.
+    for (int Index = 1; Index < Boxes; ++Index)
+      if (*rc::gen::arbitrary<bool>())
+        Views[0].heard(boxName(Index),
+                       Views[static_cast<std::size_t>(Index)].holder(), false,
+                       at(3s));
+    RC_ASSERT(!Views[0].vouched(at(3s)));
+  });
+}
--- /dev/null
+++ b/tests/decisions/process/LoadBookTest.cpp
@@ -0,0 +1,56 @@
+#include "decisions/process/LoadBook.h"
+#include "support/Draw.h"
+#include "support/Names.h"
+
+using namespace havenstair;
+
+TEST_CASE("Loads come back to nothing when all requests have ended",
+          "[load][property]") {
+  rc::prop("balanced", [] {
+    LoadBook Book;
+    std::vector<double> Works;
+    for (int Index = 0; Index < *drawn(1, 20); ++Index)
+      Works.push_back(*drawn(0, 500) / 3.0);
+    for (double Work : Works)
+      Book.sent("a", Work, 10);
+    for (double Work : Works) {
+      Book.started("a", Work);
+      Book.ended("a", 10);
+    }
+    RC_ASSERT(Book.own().empty());
+    RC_ASSERT(Book.load("a", at(1s)) == InstanceLoad{});
+  });
+}
+
+TEST_CASE("The word of a silent box fades away", "[load]") {
+  LoadBook Book;
+  Book.told(boxName(1), {{"a", {.m_Running = 3, .m_PendingMs = 90}}}, at(1s));
+  REQUIRE(Book.load("a", at(2s)).m_Running == 3);
+  REQUIRE(Book.load("a", at(1s) + LoadBook::WordCounts + 1ms).m_Running == 0);
+  Book.forget(boxName(1));
+  REQUIRE(Book.load("a", at(1s)).m_Running == 0);
+}
+
+TEST_CASE("Changes lead another box to the same picture", "[load][property]") {
+  rc::prop("deltas", [] {
+    LoadBook Sender;
+    LoadBook Receiver;
+    Receiver.told(boxName(1), Sender.own(), at(0s));
+    Sender.toldAll();
+    const std::vector<InstanceId> Names{"a", "b", "c"};
+    for (int Step = 0; Step < *drawn(1, 30); ++Step) {
+      const InstanceId &Id = Names[*drawn<std::size_t>(0, 3)];
+      if (*rc::gen::arbitrary<bool>())
+        Sender.sent(Id, *drawn(0, 90), 1);
+      else
+        Sender.ended(Id, 1);
+      Receiver.toldChanges(boxName(1), Sender.takeChanges(), at(1s));
+      // What was not worth telling is the only difference.
+      for (const InstanceId &Each : Names) {
+        const double Known = Receiver.load(Each, at(1s)).m_PendingMs;
+        const double True = Sender.load(Each, at(1s)).m_PendingMs;
+        RC_ASSERT(std::abs(Known - True) < 25);
+      }
+    }
+  });
+}
--- /dev/null
+++ b/tests/decisions/process/ReplicaPlannerTest.cpp
@@ -0,0 +1,154 @@
+#include "decisions/process/ReplicaPlanner.h"
+#include "support/Draw.h"
+#include <algorithm>
+
+using namespace havenstair;
+
+namespace {
+
+std::string model(int Number) { return "m" + std::to_string(Number); }
+
+EngineSpec spec(int Models) {
+  EngineSpec Result;
+  Result.m_WeightsMb = 220;
+  Result.m_AdapterCapacity = 4;
+  for (int Number = 0; Number < Models; ++Number) {
+    ModelSpec Model;
+    Model.m_Name = model(Number);
+    Model.m_SizeMb = Number % 2 == 0 ? 65 : 72;
+    Result.m_Models.push_back(Model);
+  }
+  return Result;
+}
+
+PlannedEngine engine(int Number, std::set<std::string> Models) {
+  return {.m_Id = "e" + std::to_string(Number), .m_Models = std::move(Models)};
+}
+
+double sizeOf(const EngineSpec &Spec, const std::set<std::string> &Models) {
+  double Sum = 0;
+  for (const std::string &Name : Models)
+    Sum += Spec.model(Name)->m_SizeMb;
+  return Sum;
+}
+
+PlannerInput drawnInput(const EngineSpec &Spec) {
+  PlannerInput Input;
+  const int Engines = *drawn(1, 7);
+  for (int Number = 0; Number < Engines; ++Number) {
+    PlannedEngine Each = engine(Number, {});
+    for (int Place = 0; Place < *drawn(0, 4); ++Place) {
+      const auto Model =
+          model(*drawn(0, static_cast<int>(Spec.m_Models.size())));
+      Each.m_Models.insert(Model);
+      if (*drawn(0, 4) == 0)
+        Each.m_Coming.insert(Model);
+    }
+    for (int Copy = 0; Copy < *drawn(0, 4); ++Copy)
+      Each.m_OnDisk.insert(
+          model(*drawn(0, static_cast<int>(Spec.m_Models.size()))));
+    Each.m_Movable = *drawn(0, 4) != 0;
+    Each.m_Leaving = *drawn(0, 6) == 0;
+    Input.m_Engines.push_back(std::move(Each));
+  }
+  for (const ModelSpec &Model : Spec.m_Models)
+    if (*rc::gen::arbitrary<bool>())
+      Input.m_Demand[Model.m_Name] = *drawn(0, 300) / 100.0;
+  Input.m_StoreLoads = static_cast<std::size_t>(*drawn(0, 4));
+  return Input;
+}
+
+} // namespace
+
+TEST_CASE("A plan keeps memory, the last replica and the bound on loads",
+          "[planner][property]") {
+  rc::prop("safe plans", [] {
+    const EngineSpec Spec = spec(*drawn(1, 9));
+    const PlannerInput Input = drawnInput(Spec);
+    const auto Moves = planReplicas(Input, Spec, {}, 5);
+    RC_ASSERT(Moves.size() <= 5);
+    std::map<InstanceId, PlannedEngine> After;
+    for (const PlannedEngine &Each : Input.m_Engines)
+      After[Each.m_Id] = Each;
+    std::size_t FromStore = 0;
+    for (const PlannedMove &Move : Moves) {
+      PlannedEngine &At = After.at(Move.m_Engine);
+      RC_ASSERT(At.m_Movable && !At.m_Leaving);
+      RC_ASSERT(!At.m_Models.contains(Move.m_Load));
+      if (!Move.m_Evict.empty()) {
+        const auto Serving =
+            std::count_if(After.begin(), After.end(), [&](const auto &Each) {
+              return !Each.second.m_Leaving &&
+                     Each.second.m_Models.contains(Move.m_Evict) &&
+                     !Each.second.m_Coming.contains(Move.m_Evict);
+            });
+        RC_ASSERT(Serving >= 2);
+        At.m_Models.erase(Move.m_Evict);
+        At.m_Coming.erase(Move.m_Evict);
+      }
+      At.m_Models.insert(Move.m_Load);
+      At.m_Coming.insert(Move.m_Load);
+      At.m_Movable = false;
+      RC_ASSERT(sizeOf(Spec, At.m_Models) <= Spec.m_WeightsMb);
+      FromStore += Move.m_Source == LoadSource::Store ? 1 : 0;
+    }
+    RC_ASSERT(FromStore <= Input.m_StoreLoads);
+  });
+}
+
+TEST_CASE("A model without an engine is loaded first, nearest copy first",
+          "[planner]") {
+  const EngineSpec Spec = spec(3);
+  PlannerInput Input;
+  Input.m_Engines = {engine(0, {model(0)}), engine(1, {model(0)})};
+  Input.m_Engines[1].m_OnDisk = {model(1)};
+  Input.m_StoreLoads = 4;
+  const auto Moves = planReplicas(Input, Spec, {}, 4);
+  REQUIRE(Moves.size() == 2);
+  const auto OfOne =
+      std::find_if(Moves.begin(), Moves.end(), [](const PlannedMove &Each) {
+        return Each.m_Load == model(1);
+      });
+  REQUIRE(OfOne->m_Engine == "e1");
+  REQUIRE(OfOne->m_Source == LoadSource::Disk);
+  REQUIRE(OfOne->m_Reason == PlanReason::NotResident);
+}
+
+TEST_CASE("A replica that still loads does not let the serving one go",
+          "[planner]") {
+  const EngineSpec Spec = spec(4);
+  PlannerInput Input;
+  Input.m_Engines = {engine(0, {model(0), model(1), model(2)}),
+                     engine(1, {model(0), model(3)})};
+  Input.m_Engines[1].m_Coming = {model(0)};
+  Input.m_Engines[1].m_Movable = false;
+  Input.m_Demand = {{model(3), 3.0}};
+  Input.m_StoreLoads = 4;
+  REQUIRE(planReplicas(Input, Spec, {}, 4).empty());
+  Input.m_Engines[1].m_Coming.clear();
+  const auto Moves = planReplicas(Input, Spec, {}, 4);
+  REQUIRE(Moves.size() == 1);
+  REQUIRE(Moves.front().m_Evict == model(0));
+}
+
+TEST_CASE("Busy models get replicas, idle fleets stay as they are",
+          "[planner]") {
+  const EngineSpec Spec = spec(2);
+  PlannerInput Input;
+  Input.m_Engines = {engine(0, {model(0)}), engine(1, {model(1)})};
+  Input.m_StoreLoads = 4;
+  SECTION("idle") { REQUIRE(planReplicas(Input, Spec, {}, 4).empty()); }
+  SECTION("busy") {
+    Input.m_Demand = {{model(0), 1.2}};
+    const auto Moves = planReplicas(Input, Spec, {}, 4);
+    REQUIRE(Moves.size() == 1);
+    REQUIRE(Moves.front().m_Engine == "e1");
+    REQUIRE(Moves.front().m_Reason == PlanReason::DemandRose);
+    REQUIRE(Moves.front().m_Gain > 0);
+  }
+  SECTION("few moves ask for more") {
+    Input.m_Demand = {{model(0), 0.75}};
+    REQUIRE(planReplicas(Input, Spec, {}, 4).size() == 1);
+    REQUIRE(planReplicas(Input, Spec, {.m_FewMoves = 1}, 4).empty());
+  }
+}
--- /dev/null
+++ b/tests/decisions/request/ReplicaChoiceTest.cpp
@@ -0,0 +1,108 @@
+#include "decisions/request/ReplicaChoice.h"
+#include "support/Draw.h"
+#include "support/Names.h"
+
+using namespace havenstair;
+
+namespace {
+
+UpstreamInstance engine(const std::string &Id, const std::string &Zone = "a") {
+  UpstreamInstance Result;
+  Result.m_Id = Id;
+  Result.m_Zone = Zone;
+  Result.m_Slots = 64;
+  return Result;
+}
+
+RequestDescriptor prompt(int Shared, int Own) {
+  RequestDescriptor Result;
+  Result.m_Model = "m";
+  Result.m_PromptTokens = Shared + Own;
+  Result.m_Prompt = {{"shared", Shared}, {"own", Own}};
+  return Result;
+}
+
+struct Books {
+  LoadBook m_Loads;
+  PrefixIndex m_Prefixes{1e6};
+  LatencyModel m_Latency;
+  FailureBook m_Failures;
+
+  std::optional<ChosenReplica>
+  choose(const std::vector<const UpstreamInstance *> &Candidates,
+         const RequestDescriptor &Request, double Tie = 0) const {
+    return chooseReplica(Candidates, Request, "a",
+                         {.m_Loads = m_Loads,
+                          .m_Prefixes = m_Prefixes,
+                          .m_Latency = m_Latency,
+                          .m_Failures = m_Failures},
+                         {}, Tie, at(1s));
+  }
+};
+
+} // namespace
+
+TEST_CASE("Nothing is chosen from nothing", "[choice]") {
+  REQUIRE_FALSE(Books().choose({}, prompt(0, 10)));
+}
+
+TEST_CASE("The upstream with less work ahead is chosen", "[choice]") {
+  Books Known;
+  const auto A = engine("a"), B = engine("b");
+  Known.m_Loads.sent("a", 500, 100);
+  REQUIRE(Known.choose({&A, &B}, prompt(0, 100))->m_Instance == &B);
+}
+
+TEST_CASE("What other boxes tell counts like what this box sent", "[choice]") {
+  Books Known;
+  const auto A = engine("a"), B = engine("b");
+  Known.m_Loads.told(boxName(1), {{"a", {.m_Running = 1, .m_PendingMs = 500}}},
+                     at(900ms));
+  REQUIRE(Known.choose({&A, &B}, prompt(0, 100))->m_Instance == &B);
+}
+
+TEST_CASE("An engine that has read the shared parts is preferred", "[choice]") {
+  Books Known;
+  const auto A = engine("a"), B = engine("b");
+  const bool First = GENERATE(true, false);
+  const auto &Reader = First ? A : B;
+  RequestDescriptor Earlier = prompt(8000, 10);
+  Earlier.m_Prompt.back().m_Id = "other";
+  Known.m_Prefixes.noteRead(Reader.m_Id, Earlier);
+  REQUIRE(Known.choose({&A, &B}, prompt(8000, 1000))->m_Instance == &Reader);
+}
+
+TEST_CASE("All boxes prefer the same engine for the same shared parts",
+          "[choice][property]") {
+  rc::prop("agreement", [] {
+    std::vector<UpstreamInstance> Engines;
+    for (int Index = 0; Index < *drawn(2, 7); ++Index)
+      Engines.push_back(engine("engine-" + std::to_string(Index)));
+    std::vector<const UpstreamInstance *> Candidates;
+    for (const UpstreamInstance &Each : Engines)
+      Candidates.push_back(&Each);
+    RequestDescriptor Request = prompt(9000, 100);
+    Request.m_Prompt.front().m_Id = *rc::gen::arbitrary<std::string>();
+    const auto One = Books().choose(Candidates, Request, 0.1);
+    const auto Other = Books().choose(Candidates, Request, 0.9);
+    RC_ASSERT(One->m_Instance == Other->m_Instance);
+  });
+}
+
+TEST_CASE("An upstream that fails is left until it is judged again",
+          "[choice]") {
+  Books Known;
+  const auto A = engine("a"), B = engine("b", "z");
+  REQUIRE(Known.choose({&A, &B}, prompt(0, 100))->m_Instance == &A);
+  Known.m_Failures.unreachable("a", at(1s));
+  REQUIRE(Known.choose({&A, &B}, prompt(0, 100))->m_Instance == &B);
+  REQUIRE(Known.m_Failures.rate("a", at(60s)) < 0.01);
+}
+
+TEST_CASE("A long prompt keeps away from running streams", "[choice]") {
+  Books Known;
+  const auto A = engine("a"), B = engine("b", "z");
+  for (int Count = 0; Count < 10; ++Count)
+    Known.m_Loads.sent("a", 0, 100);
+  REQUIRE(Known.choose({&A, &B}, prompt(0, 30000))->m_Instance == &B);
+}
--- /dev/null
+++ b/tests/standin/StandinStore.cpp
@@ -0,0 +1,237 @@
+#include "standin/StandinStore.h"
+
+#include "platform/Base64.h"
+#include <utility>
+
+namespace havenstair {
+
+namespace {
+
+constexpr Duration TickEvery = 20ms;
+
+std::uint64_t number(const std::string &Text) {
+  return Text.empty() ? 0 : std::stoull(Text);
+}
+
+} // namespace
+
+StandinStore::StandinStore(EventLoop &Loop)
+    : m_Server(Loop, {.m_Listen = {"127.0.0.1", 0}, .m_MaxBody = 8 << 20},
+               [this](const HttpExchangePtr &Exchange) { handle(Exchange); }) {
+  m_Timer = Loop.every(TickEvery, [this] { tick(); });
+}
+
+void StandinStore::put(const std::string &Key, const std::string &Value) {
+  const Item Next{.m_Value = platform::encodeBase64(Value)};
+  change(Key, &Next);
+  wake(EventLoop::now());
+}
+
+void StandinStore::remove(const std::string &Key) {
+  change(Key, nullptr);
+  wake(EventLoop::now());
+}
+
+std::string StandinStore::value(const std::string &Key) const {
+  const auto Found = m_Items.find(Key);
+  return Found == m_Items.end() ? ""
+                                : platform::decodeBase64(Found->second.m_Value);
+}
+
+void StandinStore::forgetHistory() {
+  m_History.clear();
+  m_Forgotten = m_Revision;
+  for (Watch &Each : std::exchange(m_Watches, {}))
+    Each.m_Exchange->abort();
+}
+
+void StandinStore::change(const std::string &Key, const Item *To) {
+  ++m_Revision;
+  Change News{.m_Key = Key, .m_Revision = m_Revision, .m_Gone = To == nullptr};
+  if (To == nullptr) {
+    m_Items.erase(Key);
+  } else {
+    News.m_Value = To->m_Value;
+    m_Items[Key] = *To;
+    m_Items[Key].m_Revision = m_Revision;
+  }
+  m_History.push_back(std::move(News));
+}
+
+void StandinStore::answer(const HttpExchangePtr &Exchange, int Status,
+                          const Json &Body) {
+  if (m_Fault == Fault::LosesAnswer && Exchange->method() == "POST") {
+    m_Fault = Fault::None;
+    return Exchange->abort();
+  }
+  Exchange->reply(Status, {{"Content-Type", "application/json"}},
+                  dumpJson(Body));
+}
+
+void StandinStore::handle(const HttpExchangePtr &Exchange) {
+  ++m_Calls;
+  if (m_Fault == Fault::Refuses)
+    return Exchange->reply(503, {}, "");
+  if (m_Fault == Fault::Silent) {
+    m_Unanswered.push_back(Exchange);
+    return;
+  }
+  const std::string &Path = Exchange->path();
+  const std::string Id = Path.substr(Path.rfind('/') + 1);
+  if (Path == "/v1/kv-range")
+    return range(Exchange);
+  if (Path == "/v1/kv-watch")
+    return watch(Exchange);
+  if (Path == "/v1/kv-txn")
+    return transact(Exchange);
+  if (Path == "/v1/kv-lease")
+    return grant(Exchange);
+  if (Path.starts_with("/v1/kv-keep/"))
+    return keep(Exchange, Id);
+  if (Path.starts_with("/v1/kv-lease-end/"))
+    return endLease(Exchange, Id);
+  Exchange->reply(404, {}, "");
+}
+
+/// Pages of two items, so that every reader meets them.
+void StandinStore::range(const HttpExchangePtr &Exchange) {
+  constexpr std::size_t PageSize = 2;
+  const std::string Prefix = Exchange->queryValue("pathPrefix");
+  const std::string After = Exchange->queryValue("after");
+  Json Items = Json::array();
+  bool More = false;
+  for (const auto &[Key, Each] : m_Items) {
+    if (!Key.starts_with(Prefix) || Key <= After)
+      continue;
+    More = Items.size() == PageSize;
+    if (More)
+      break;
+    Items.push_back({{"privateKey", Key},
+                     {"value", Each.m_Value},
+                     {"revision", Each.m_Revision},
+                     {"lease", Each.m_Lease}});
+  }
+  answer(Exchange, 200,
+         {{"items", std::move(Items)}, {"more", More}, {"at", m_Revision}});
+}
+
+Json StandinStore::changes(const std::string &Prefix,
+                           std::uint64_t After) const {
+  Json Result = Json::array();
+  for (const Change &Each : m_History) {
+    if (Each.m_Revision <= After || !Each.m_Key.starts_with(Prefix))
+      continue;
+    Json News{{"privateKey", Each.m_Key}, {"revision", Each.m_Revision}};
+    if (Each.m_Gone)
+      News["gone"] = true;
+    else
+      News["value"] = Each.m_Value;
+    Result.push_back(std::move(News));
+  }
+  return Result;
+}
+
+void StandinStore::watch(const HttpExchangePtr &Exchange) {
+  const std::uint64_t After = number(Exchange->queryValue("after"));
+  if (After < m_Forgotten)
+    return Exchange->reply(410, {}, "");
+  const TimePoint Now = EventLoop::now();
+  m_Watches.push_back({.m_Exchange = Exchange,
+                       .m_Prefix = Exchange->queryValue("pathPrefix"),
+                       .m_After = After,
+                       .m_Ends = Now + std::chrono::milliseconds(number(
+                                           Exchange->queryValue("waitMs")))});
+  wake(Now);
+}
+
+void StandinStore::wake(TimePoint Now) {
+  if (m_Fault != Fault::None && m_Fault != Fault::LosesAnswer)
+    return;
+  for (auto Each = m_Watches.begin(); Each != m_Watches.end();) {
+    Json Events = changes(Each->m_Prefix, Each->m_After);
+    if (Events.empty() && Now < Each->m_Ends) {
+      ++Each;
+      continue;
+    }
+    answer(Each->m_Exchange, 200,
+           {{"events", std::move(Events)}, {"at", m_Revision}});
+    Each = m_Watches.erase(Each);
+  }
+}
+
+void StandinStore::transact(const HttpExchangePtr &Exchange) {
+  const Json Body = parseJson(Exchange->body());
+  Json Others = Json::array();
+  for (const Json &Each : Body.at("expectedCount")) {
+    const auto Found = m_Items.find(Each.at("privateKey"));
+    const std::uint64_t Revision =
+        Found == m_Items.end() ? 0 : Found->second.m_Revision;
+    if (Revision != Each.at("revision").get<std::uint64_t>())
+      Others.push_back(
+          {{"privateKey", Each.at("privateKey")}, {"revision", Revision}});
+  }
+  if (!Others.empty())
+    return answer(Exchange, 412, {{"items", std::move(Others)}});
+  for (const Json &Each : Body.at("put")) {
+    const auto Lease = Each.at("lease").get<std::uint64_t>();
+    if (Lease != 0 && !m_Leases.contains(Lease))
+      return answer(Exchange, 404, Json::object());
+  }
+  for (const Json &Each : Body.at("put")) {
+    const Item Next{.m_Value = Each.at("value"),
+                    .m_Lease = Each.at("lease").get<std::uint64_t>()};
+    change(Each.at("privateKey"), &Next);
+  }
+  for (const Json &Each : Body.at("removals"))
+    change(Each, nullptr);
+  answer(Exchange, 200, {{"revision", m_Revision}});
+  wake(EventLoop::now());
+}
+
+void StandinStore::grant(const HttpExchangePtr &Exchange) {
+  const Json Body = parseJson(Exchange->body());
+  const auto Millis = Body.at("ttl_ms").get<std::int64_t>();
+  const std::uint64_t Id = m_NextLease++;
+  const Duration Time = std::chrono::milliseconds(Millis);
+  m_Leases[Id] = {.m_TimeToLive = Time, .m_Ends = EventLoop::now() + Time};
+  answer(Exchange, 200, {{"lease", Id}, {"ttl_ms", Millis}});
+}
+
+void StandinStore::keep(const HttpExchangePtr &Exchange,
+                        const std::string &Id) {
+  const auto Found = m_Leases.find(number(Id));
+  if (Found == m_Leases.end())
+    return answer(Exchange, 404, Json::object());
+  Found->second.m_Ends = EventLoop::now() + Found->second.m_TimeToLive;
+  answer(Exchange, 200, {{"ttl_ms", Found->second.m_TimeToLive / 1ms}});
+}
+
+void StandinStore::endLease(const HttpExchangePtr &Exchange,
+                            const std::string &Id) {
+  dropLease(number(Id));
+  answer(Exchange, 200, Json::object());
+  wake(EventLoop::now());
+}
+
+void StandinStore::dropLease(std::uint64_t Id) {
+  m_Leases.erase(Id);
+  std::list<std::string> Gone;
+  for (const auto &[Key, Each] : m_Items)
+    if (Each.m_Lease == Id && Id != 0)
+      Gone.push_back(Key);
+  for (const std::string &Key : Gone)
+    change(Key, nullptr);
+}
+
+void StandinStore::tick() {
+  const TimePoint Now = EventLoop::now();
+  std::list<std::uint64_t> Ended;
+  for (const auto &[Id, Each] : m_Leases)
+    if (Now >= Each.m_Ends)
+      Ended.push_back(Id);
+  for (std::uint64_t Id : Ended)
+    dropLease(Id);
+  wake(Now);
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/tests/standin/StandinStore.h
@@ -0,0 +1,93 @@
+/// \file
+/// Stand-in for the users' metadata store, with its faults on request.
+#ifndef HAVENSTAIR_TESTS_STANDIN_STANDINSTORE_H
+#define HAVENSTAIR_TESTS_STANDIN_STANDINSTORE_H
+
+#include "wire/common/EventLoop.h"
+#include "wire/common/HttpServer.h"
+#include "wire/common/Json.h"
+#include <list>
+#include <map>
+#include <string>
+
+namespace havenstair {
+
+/// Keys with revisions, transactions, leases and watches, in memory.
+class StandinStore {
+public:
+  /// What is wrong with the store now.
+  enum class Fault {
+    None,
+    Refuses,    ///< Every call gets 503.
+    Silent,     ///< No call gets an answer.
+    LosesAnswer ///< The next write is done and not answered.
+  };
+
+  explicit StandinStore(EventLoop &Loop);
+
+  Endpoint endpoint() const { return m_Server.endpoint(); }
+  /// Writes a key as the operator or a server does.
+  void put(const std::string &Key, const std::string &Value);
+  void remove(const std::string &Key);
+  /// The value of a key; empty without it.
+  std::string value(const std::string &Key) const;
+  bool has(const std::string &Key) const { return m_Items.contains(Key); }
+  void setFault(Fault Now) { m_Fault = Now; }
+  /// Forgets all changes so far, and ends the watches.
+  void forgetHistory();
+  std::size_t calls() const { return m_Calls; }
+
+private:
+  struct Item {
+    std::string m_Value; ///< Base64, as the calls carry it.
+    std::uint64_t m_Revision = 0;
+    std::uint64_t m_Lease = 0;
+  };
+  struct Change {
+    std::string m_Key;
+    std::uint64_t m_Revision = 0;
+    bool m_Gone = false;
+    std::string m_Value;
+  };
+  struct Lease {
+    Duration m_TimeToLive = 0us;
+    TimePoint m_Ends{};
+  };
+  struct Watch {
+    HttpExchangePtr m_Exchange;
+    std::string m_Prefix;
+    std::uint64_t m_After = 0;
+    TimePoint m_Ends{};
+  };
+
+  void handle(const HttpExchangePtr &Exchange);
+  void range(const HttpExchangePtr &Exchange);
+  void watch(const HttpExchangePtr &Exchange);
+  void transact(const HttpExchangePtr &Exchange);
+  void grant(const HttpExchangePtr &Exchange);
+  void keep(const HttpExchangePtr &Exchange, const std::string &Id);
+  void endLease(const HttpExchangePtr &Exchange, const std::string &Id);
+  void answer(const HttpExchangePtr &Exchange, int Status, const Json &Body);
+  Json changes(const std::string &Prefix, std::uint64_t After) const;
+  void change(const std::string &Key, const Item *To);
+  void dropLease(std::uint64_t Id);
+  void wake(TimePoint Now);
+  void tick();
+
+  HttpServer m_Server;
+  std::map<std::string, Item> m_Items;
+  std::list<Change> m_History;
+  std::uint64_t m_Forgotten = 0;
+  std::map<std::uint64_t, Lease> m_Leases;
+  std::list<Watch> m_Watches;
+  std::uint64_t m_Revision = 1;
+  std::uint64_t m_NextLease = 100;
+  std::size_t m_Calls = 0;
+  Fault m_Fault = Fault::None;
+  std::list<HttpExchangePtr> m_Unanswered;
+  Timer m_Timer;
+};
+
+} // namespace havenstair
+
+#endif
