Gateway tests against stand-ins that speak the platform's protocol

A store with pages, watches, leases, lost history and outages, and a runner that writes any bytes: rejections, foreign, surplus, unframed and cut answers.

--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -53,10 +53,11 @@
 
 Gateway::Gateway(EventLoop &Loop, PlatformBinding Binding,
                  GatewayOptions Options, GatewayPolicy Policy,
-                 std::function<void()> Stopped)
+                 int LogDescriptor, std::function<void()> Stopped)
     : m_Loop(Loop), m_Binding(std::move(Binding)),
       m_Options(std::move(Options)), m_Policy(Policy),
-      m_Stopped(std::move(Stopped)), m_Log(Loop, {}),
+      m_Stopped(std::move(Stopped)),
+      m_Log(Loop, {.m_Descriptor = LogDescriptor}),
       m_Random(std::random_device()()), m_UpstreamHttp(Loop), m_StoreHttp(Loop),
       m_Store(m_Binding.m_MakeStore(Loop, m_StoreHttp, m_Options.m_Store)),
       m_Engines(m_Binding.m_MakeEngines(m_UpstreamHttp)),
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -26,7 +26,8 @@
 public:
   /// \throws std::runtime_error when an address cannot be bound.
   Gateway(EventLoop &Loop, PlatformBinding Binding, GatewayOptions Options,
-          GatewayPolicy Policy, std::function<void()> Stopped);
+          GatewayPolicy Policy, int LogDescriptor,
+          std::function<void()> Stopped);
   ~Gateway();
   Gateway(const Gateway &) = delete;
   Gateway &operator=(const Gateway &) = delete;
@@ -35,6 +36,7 @@
   Endpoint callers() const { return m_Callers->endpoint(); }
   Endpoint readiness() const { return m_Readiness->endpoint(); }
   const ServingState &state() const { return m_State; }
+  std::size_t openRequests() const { return m_Forwarder.open(); }
   bool givesOrders() const { return m_Giver.giving(); }
 
   /// Reads the settings again; a bad file leaves the last good ones in force.
--- a/packages/havenstaird/process/ServeCommand.cpp
+++ b/packages/havenstaird/process/ServeCommand.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <docopt/docopt.h>
 #include <iostream>
+#include <unistd.h>
 
 namespace havenstair {
 
@@ -61,7 +62,7 @@
   }
   EventLoop Loop;
   Gateway Running(Loop, std::move(Binding), std::move(Options), Policy,
-                  [&] { Loop.stop(); });
+                  STDOUT_FILENO, [&] { Loop.stop(); });
   const Timer Term = Loop.onSignal(SIGTERM, [&] { Running.stop(); });
   const Timer Interrupt = Loop.onSignal(SIGINT, [&] { Running.stop(); });
   const Timer Hangup = Loop.onSignal(SIGHUP, [&] { Running.reload(); });
--- a/packages/wire/common/HttpServer.cpp
+++ b/packages/wire/common/HttpServer.cpp
@@ -86,6 +86,16 @@
   return Method == "POST" || Method == "PUT" || Method == "PATCH";
 }
 
+/// Bytes of a cut answer that the socket takes at once still go out: the other
+/// side may go on after them elsewhere.
+void writeWhatIsLeft(bufferevent *Stream) {
+  evbuffer *Output = bufferevent_get_output(Stream);
+  if (evbuffer_get_length(Output) == 0)
+    return;
+  evbuffer_unfreeze(Output, 1);
+  evbuffer_write(Output, bufferevent_getfd(Stream));
+}
+
 struct BufferDeleter {
   void operator()(evbuffer *Buffer) const { evbuffer_free(Buffer); }
 };
@@ -285,6 +295,7 @@
   bufferevent *Stream = evhttp_connection_get_bufferevent(Connection);
   bufferevent_disable(Stream, EV_READ | EV_WRITE);
   bufferevent_setcb(Stream, nullptr, nullptr, nullptr, nullptr);
+  writeWhatIsLeft(Stream);
   // The server frees those that are left when it is destroyed.
   m_Loop.defer([Connection] { evhttp_connection_free(Connection); });
 }
--- /dev/null
+++ b/tests/gateway/GatewayTest.h
@@ -0,0 +1,156 @@
+/// \file
+/// A gateway between a stand-in store and stand-in runners, all on one loop.
+#ifndef HAVENSTAIR_TESTS_GATEWAY_GATEWAYTEST_H
+#define HAVENSTAIR_TESTS_GATEWAY_GATEWAYTEST_H
+
+#include "gateway/process/Gateway.h"
+#include "platform/Binding.h"
+#include "standin/StandinRunner.h"
+#include "standin/StandinStore.h"
+#include "wire/common/HttpClient.h"
+#include "wire/common/Json.h"
+
+#include <catch2/catch.hpp>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <fcntl.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+namespace havenstair {
+
+/// Routes of the test's configuration: `/safe/`, `/unsafe/`, `/stream/` (not
+/// resumable) and `/resumable/`, all of the host `test.example`.
+class GatewayTest {
+public:
+  using Request = StandinRunner::Request;
+  using ConnectionPtr = StandinRunner::ConnectionPtr;
+
+  GatewayTest() : m_Store(m_Loop), m_Http(m_Loop) {}
+
+  /// Adds a runner that is listed under \p Id.
+  StandinRunner &addRunner(const std::string &Id,
+                           StandinRunner::Behaviour Behave) {
+    auto &Runner = m_Runners[Id];
+    Runner = std::make_unique<StandinRunner>(m_Loop, std::move(Behave));
+    list(Id, "ready");
+    return *Runner;
+  }
+
+  void list(const std::string &Id, const std::string &State) {
+    const Json Entry{
+        {"service", "s"}, {"address", m_Runners.at(Id)->endpoint().str()},
+        {"zone", "a"},    {"slots", 8},
+        {"state", State}, {"sequenceNumber", 1}};
+    m_Store.put("servers/" + Id, dumpJson(Entry));
+  }
+
+  Json route(const std::string &Name, const std::string &Kind,
+             bool Resumable = false) const {
+    return {{"name", Name},
+            {"host", "test.example"},
+            {"pathPrefix", "/" + Name + "/"},
+            {"routeKind", Kind},
+            {"timeoutMs", m_TimeoutMs},
+            {"targetLatencyMs", 1000},
+            {"priority", 1},
+            {"service", "s"},
+            {"maxAttempts", 2},
+            {"resumable", Resumable}};
+  }
+
+  void configure(std::uint64_t Version, Json MoreRoutes = Json::array()) {
+    Json Routes = Json::array({route("safe", "safe"), route("unsafe", "unsafe"),
+                               route("stream", "streaming"),
+                               route("resumable", "streaming", true)});
+    for (Json &Each : MoreRoutes)
+      Routes.push_back(std::move(Each));
+    const Json Config{{"version", Version},
+                      {"routes", std::move(Routes)},
+                      {"services", Json::array({{{"name", "s"}}})},
+                      {"limits", Json::object()}};
+    m_Store.put("op/config", dumpJson(Config));
+  }
+
+  GatewayOptions options() const {
+    GatewayOptions Options;
+    Options.m_Box = BoxName("box");
+    Options.m_DataCentre = DataCentreName("a");
+    Options.m_Callers = Options.m_Readiness = Options.m_Peers =
+        Options.m_Metrics = {"127.0.0.1", 0};
+    Options.m_Store = m_Store.endpoint();
+    Options.m_Bounds.m_RetryAllowance = 100;
+    return Options;
+  }
+
+  void startGateway() {
+    PlatformBinding Binding = platform::makeBinding("");
+    Binding.m_ReadOptions = [this] { return options(); };
+    m_Gateway = std::make_unique<Gateway>(m_Loop, std::move(Binding), options(),
+                                          GatewayPolicy{}, m_NullLog,
+                                          [this] { m_Stopped = true; });
+  }
+
+  /// Starts a gateway that knows configuration and runners.
+  void start() {
+    configure(1);
+    startGateway();
+    REQUIRE(until([&] { return m_Gateway->state().ready(); }));
+  }
+
+  bool until(const std::function<bool()> &Done) {
+    return m_Loop.runUntil(Done, 20s);
+  }
+
+  HttpCall call(const std::string &Target, const std::string &Id,
+                const std::string &Body = "") const {
+    HttpCall Call;
+    Call.m_To = m_Gateway->callers();
+    Call.m_Method = HttpMethod::Post;
+    Call.m_Target = Target;
+    Call.m_Headers = {{"Host", "test.example"},
+                      {"X-Attempt-Id", Id},
+                      {"X-Deadline-Remaining-Ms", "8000"}};
+    Call.m_Body = Body;
+    return Call;
+  }
+
+  HttpAnswer fetch(HttpCall Call) {
+    HttpAnswer Result;
+    bool Done = false;
+    m_Http.fetch(std::move(Call), [&](HttpAnswer Answer) {
+      Result = std::move(Answer);
+      Done = true;
+    });
+    REQUIRE(until([&] { return Done; }));
+    return Result;
+  }
+
+  HttpAnswer fetch(const std::string &Target, const std::string &Id,
+                   const std::string &Body = "") {
+    return fetch(call(Target, Id, Body));
+  }
+
+  std::size_t arrivals(const std::string &Id) const {
+    std::size_t Sum = 0;
+    for (const auto &[Name, Runner] : m_Runners)
+      Sum += Runner->arrivals(Id);
+    return Sum;
+  }
+
+  int m_TimeoutMs = 8000;
+  int m_NullLog = open("/dev/null", O_WRONLY);
+  EventLoop m_Loop;
+  StandinStore m_Store;
+  HttpClient m_Http;
+  std::map<std::string, std::unique_ptr<StandinRunner>> m_Runners;
+  std::unique_ptr<Gateway> m_Gateway;
+  bool m_Stopped = false;
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/tests/gateway/PlatformTest.cpp
@@ -0,0 +1,183 @@
+#include "gateway/GatewayTest.h"
+
+#include "platform/NodeFile.h"
+#include "platform/OperatorConfig.h"
+#include "platform/ServerEntry.h"
+
+using namespace havenstair;
+
+namespace {
+
+using Request = StandinRunner::Request;
+using ConnectionPtr = StandinRunner::ConnectionPtr;
+
+void answerWell(const Request &Of, const ConnectionPtr &To) {
+  To->write(StandinRunner::answer(Of, 200, "body"));
+}
+
+int readiness(GatewayTest &Test) {
+  HttpCall Call;
+  Call.m_To = Test.m_Gateway->readiness();
+  Call.m_Target = "/v1/readiness";
+  return Test.fetch(std::move(Call)).m_Status;
+}
+
+} // namespace
+
+TEST_CASE("A box without a configuration is not ready and refuses",
+          "[gateway][config]") {
+  GatewayTest Test;
+  Test.addRunner("i-1", answerWell);
+  Test.startGateway();
+  REQUIRE(readiness(Test) == 503);
+  REQUIRE(Test.fetch("/safe/x", "id-1").m_Status == 503);
+  Test.configure(1);
+  REQUIRE(Test.until([&] { return Test.m_Gateway->state().ready(); }));
+  REQUIRE(readiness(Test) == 200);
+  REQUIRE(Test.fetch("/safe/x", "id-2").m_Status == 200);
+  REQUIRE(Test.fetch("/none/x", "id-3").m_Status == 404);
+}
+
+TEST_CASE("A new configuration is taken, an older or bad one is not",
+          "[gateway][config]") {
+  GatewayTest Test;
+  Test.addRunner("i-1", answerWell);
+  Test.start();
+  const auto Version = [&] {
+    return Test.m_Gateway->state().m_Config->m_Version;
+  };
+  Test.configure(7, Json::array({Test.route("added", "safe")}));
+  REQUIRE(Test.until([&] { return Version() == 7; }));
+  REQUIRE(Test.fetch("/added/x", "id-1").m_Status == 200);
+  Test.configure(3);
+  Test.m_Store.put("op/config", "{ not json");
+  Test.m_Store.put("servers/bad", "neither");
+  Test.configure(9);
+  REQUIRE(Test.until([&] { return Version() == 9; }));
+  REQUIRE(Test.fetch("/added/x", "id-2").m_Status == 404);
+}
+
+TEST_CASE("News that the store has forgotten is read anew",
+          "[gateway][config]") {
+  GatewayTest Test;
+  Test.addRunner("i-1", answerWell);
+  Test.start();
+  Test.m_Store.setFault(StandinStore::Fault::Refuses);
+  Test.m_Store.forgetHistory();
+  Test.configure(5);
+  Test.m_Store.forgetHistory();
+  Test.m_Store.setFault(StandinStore::Fault::None);
+  REQUIRE(Test.until(
+      [&] { return Test.m_Gateway->state().m_Config->m_Version == 5; }));
+}
+
+TEST_CASE("Requests are served while the store is away", "[gateway][store]") {
+  GatewayTest Test;
+  Test.addRunner("i-1", answerWell);
+  Test.start();
+  Test.m_Store.setFault(
+      GENERATE(StandinStore::Fault::Refuses, StandinStore::Fault::Silent));
+  for (int Number = 0; Number < 5; ++Number)
+    REQUIRE(Test.fetch("/safe/x", "id-" + std::to_string(Number)).m_Status ==
+            200);
+  REQUIRE(readiness(Test) == 200);
+}
+
+TEST_CASE("A draining runner gets nothing while another serves",
+          "[gateway][drain]") {
+  GatewayTest Test;
+  StandinRunner &Leaving = Test.addRunner("i-1", answerWell);
+  Test.addRunner("i-2", answerWell);
+  Test.start();
+  Test.list("i-1", "draining");
+  REQUIRE(Test.until([&] {
+    return Test.m_Gateway->state().m_Upstreams.current().at("i-1").m_Draining;
+  }));
+  for (int Number = 0; Number < 6; ++Number)
+    REQUIRE(Test.fetch("/safe/x", "id-" + std::to_string(Number)).m_Status ==
+            200);
+  REQUIRE(Leaving.requests().empty());
+}
+
+TEST_CASE("A stop ends what runs, and refuses what comes too late",
+          "[gateway][stop]") {
+  GatewayTest Test;
+  ConnectionPtr Held;
+  Request Waiting;
+  Test.addRunner("i-1", [&](const Request &Of, const ConnectionPtr &To) {
+    if (Of.header("x-attempt-id") != "id-slow")
+      return answerWell(Of, To);
+    Waiting = Of;
+    Held = To;
+  });
+  Test.start();
+  HttpAnswer Slow;
+  bool Done = false;
+  Test.m_Http.fetch(Test.call("/unsafe/x", "id-slow"), [&](HttpAnswer Answer) {
+    Slow = std::move(Answer);
+    Done = true;
+  });
+  REQUIRE(Test.until([&] { return Held != nullptr; }));
+  Test.m_Gateway->stop();
+  REQUIRE(readiness(Test) == 503);
+  const HttpAnswer Early = Test.fetch("/safe/x", "id-early");
+  REQUIRE(Early.m_Status == 200);
+  REQUIRE(findHeader(Early.m_Headers, "Connection") == "close");
+  int LateStatus = 200;
+  for (int Number = 0; LateStatus == 200; ++Number)
+    LateStatus = Test.fetch("/safe/x", "id-" + std::to_string(Number)).m_Status;
+  REQUIRE(LateStatus == 503);
+  REQUIRE_FALSE(Test.m_Stopped);
+  Held->write(StandinRunner::answer(Waiting, 200, "at last"));
+  REQUIRE(Test.until([&] { return Done && Test.m_Stopped; }));
+  REQUIRE(Slow.m_Body == "at last");
+  REQUIRE_FALSE(Test.m_Store.has("havenstair/giver"));
+}
+
+TEST_CASE("The settings file is read in the platform's form",
+          "[platform][settings]") {
+  Json File{{"nodeName", "n"},
+            {"zone", "z"},
+            {"ipAddress", "10.0.0.1"},
+            {"listenAddresses",
+             {{"frontend", "10.0.0.1:80"}, {"ready", "10.0.0.1:81"}}},
+            {"internalPortRange", {7380, 7395}},
+            {"seedNodes", {"10.0.0.2:90", "no address"}},
+            {"bounds", {{"gracePeriodS", 6}, {"retryBudgetRatio", 0.3}}},
+            {"platform", {{"address", "10.9.9.9:99"}, {"ttl_min_ms", 1500}}},
+            {"unknown", "ignored"}};
+  const GatewayOptions Options = platform::parseNodeFile(dumpJson(File));
+  REQUIRE(Options.m_Callers == Endpoint{"10.0.0.1", 80});
+  REQUIRE(Options.m_Peers == Endpoint{"10.0.0.1", 7380});
+  REQUIRE(Options.m_Seeds == std::vector{Endpoint{"10.0.0.2", 7380}});
+  REQUIRE(Options.m_Bounds.m_GracePeriod == 6s);
+  REQUIRE(Options.m_Bounds.m_RetryRatio == 0.3);
+  REQUIRE(Options.m_LeastLease == 1500ms);
+  const std::string Missing =
+      GENERATE("nodeName", "internalPortRange", "ipAddress", "listenAddresses");
+  File.erase(Missing);
+  REQUIRE_THROWS_AS(platform::parseNodeFile(dumpJson(File)), DecodeError);
+}
+
+TEST_CASE("What cannot be a configuration or a server is an error",
+          "[platform]") {
+  const std::string Text =
+      GENERATE("", "null", "[]", "{}", R"({"version":-1})",
+               R"({"version":1,"routes":{},"services":7})",
+               R"({"version":1,"routes":[{"name":1}],"services":[]})");
+  REQUIRE_THROWS_AS(platform::decodeConfig(Text), DecodeError);
+  REQUIRE_THROWS_AS(platform::decodeServer("servers/i", Text), DecodeError);
+}
+
+TEST_CASE("A runner's report tells what is on its way", "[platform]") {
+  const ResidencyReport Report = platform::decodeReport(
+      R"({"sequenceNumber":4,"utilization":true,
+          "modelList":[{"name":"m","version":1,"adapterList":["a1"]}],
+          "pendingLoads":["m/a2@1"],
+          "available":{"resident":["m"],"persisted":["m","n"]}})");
+  REQUIRE(Report.m_OrderCount == 4);
+  REQUIRE(Report.m_OrderUnderWay);
+  REQUIRE(Report.m_Models.front().m_Adapters.contains("a1"));
+  REQUIRE(Report.m_Pending.front().m_Adapters.contains("a2"));
+  REQUIRE(Report.m_OnDisk.contains("n"));
+}
--- a/tests/standin/StandinRunner.cpp
+++ b/tests/standin/StandinRunner.cpp
@@ -72,7 +72,10 @@
   if (m_Stream == nullptr)
     return;
   m_Closing = true;
-  bufferevent_flush(m_Stream, EV_WRITE, BEV_FINISHED);
+  // The end follows the bytes, not the other way round.
+  evbuffer_unfreeze(bufferevent_get_output(m_Stream), 1);
+  evbuffer_write(bufferevent_get_output(m_Stream), bufferevent_getfd(m_Stream));
+  evbuffer_freeze(bufferevent_get_output(m_Stream), 1);
   shutdown(bufferevent_getfd(m_Stream), SHUT_WR);
 }
 
