--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 	@clang-format --dry-run --Werror $(SOURCES)
 
 lint:
+	@tests/check-names
 	@echo $(UNITS) | tr ' ' '\n' | xargs -P $(JOBS) -n 2 clang-tidy -p $(BUILD) --quiet --extra-arg=-Wno-unknown-warning-option 2>/dev/null
 
 test: build format-check lint
--- a/packages/gateway/process/Fleet.cpp
+++ b/packages/gateway/process/Fleet.cpp
@@ -15,9 +15,8 @@
 
 Fleet::Fleet(EventLoop &Loop, CoordinationStore &Store, DecisionLog &Log,
              Options Opts, Hooks Callbacks)
-    : m_Loop(Loop), m_Log(Log), m_Opts(std::move(Opts)),
-      m_Hooks(std::move(Callbacks)),
-      m_Entry(Loop, Store, {.m_TimeToLive = m_Opts.m_Lease},
+    : m_Log(Log), m_Opts(std::move(Opts)), m_Hooks(std::move(Callbacks)),
+      m_Entry(Store, {.m_TimeToLive = m_Opts.m_Lease},
               {.m_Claim = [this](LeaseId Lease) { return entry(Lease); },
                .m_Claimed = [](StoreRevision) {},
                .m_Lost = [] {},
--- a/packages/gateway/process/Fleet.h
+++ b/packages/gateway/process/Fleet.h
@@ -71,7 +71,6 @@
   PeerMesh::Options meshOptions() const;
   PeerMesh::Hooks meshHooks();
 
-  EventLoop &m_Loop;
   DecisionLog &m_Log;
   Options m_Opts;
   Hooks m_Hooks;
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -43,6 +43,8 @@
 
 /// Where the platform gives no secret, links rely on its network; the proof
 /// then only keeps out what is no box of ours.
+constexpr const char *MetricsPath = "/metrics";
+
 constexpr const char *OpenSecret = "havenstair gateway fleet";
 
 double drawUnit(std::mt19937_64 &Random) {
@@ -61,11 +63,17 @@
       m_Random(std::random_device()()), m_UpstreamHttp(Loop), m_StoreHttp(Loop),
       m_Store(m_Binding.m_MakeStore(Loop, m_StoreHttp, m_Options.m_Store)),
       m_Engines(m_Binding.m_MakeEngines(m_UpstreamHttp)),
-      m_Forwarder(Loop, m_UpstreamHttp, m_State, m_Binding.m_Dialect, m_Log,
-                  forwarderOptions(),
-                  {.m_Missing = [this](const ModelKey &Key) { missing(Key); },
-                   .m_Ended = [](const RequestResult &) {},
-                   .m_Random = [this] { return drawUnit(m_Random); }}),
+      m_Forwarder(
+          Loop, m_UpstreamHttp, m_State, m_Binding.m_Dialect, m_Log,
+          forwarderOptions(),
+          {.m_Missing = [this](const ModelKey &Key) { missing(Key); },
+           .m_Ended =
+               [this](const RequestResult &Result) { m_Metrics.ended(Result); },
+           .m_SendEnded =
+               [this](std::string_view Outcome) {
+                 m_Metrics.sendEnded(Outcome);
+               },
+           .m_Random = [this] { return drawUnit(m_Random); }}),
       m_Registry(m_Binding.m_DecodeUpstream, m_Log),
       m_ConfigMirror(
           Loop, *m_Store, mirrorOptions(m_Binding.m_ConfigPrefix, 0us),
@@ -85,6 +93,10 @@
                      take(m_Process, Frame);
                      m_Fleet.sendAll(Frame);
                    },
+               .m_Ordered =
+                   [this](std::string_view Operation, std::string_view Answer) {
+                     m_Metrics.ordered(Operation, Answer);
+                   },
                .m_StoreReached = [this] { return storeJustReached(); },
                .m_Random = [this] { return drawUnit(m_Random); }}) {
   m_State.m_Zone = m_Options.m_DataCentre.str();
@@ -360,6 +372,10 @@
   m_Readiness = std::make_unique<HttpServer>(
       m_Loop, Opts,
       [this](const HttpExchangePtr &Exchange) { answerReadiness(Exchange); });
+  Opts.m_Listen = m_Options.m_Metrics;
+  m_MetricsServer = std::make_unique<HttpServer>(
+      m_Loop, Opts,
+      [this](const HttpExchangePtr &Exchange) { answerMetrics(Exchange); });
 }
 
 /// A request that comes late in a stop may not end before the process does.
@@ -370,6 +386,26 @@
   m_Forwarder.handle(Exchange);
 }
 
+void Gateway::answerMetrics(const HttpExchangePtr &Exchange) {
+  if (Exchange->path() != MetricsPath)
+    return Exchange->reply(404, {}, "");
+  const auto Number = [](auto Value) { return static_cast<double>(Value); };
+  GatewayGauges Now;
+  Now.m_OpenRequests = Number(m_Forwarder.open());
+  Now.m_ConfigVersion =
+      m_State.m_Config ? Number(m_State.m_Config->m_Version) : 0;
+  Now.m_ListRevision = Number(m_State.m_Upstreams.list().m_Revision);
+  Now.m_Upstreams = Number(m_State.m_Upstreams.current().size());
+  Now.m_Peers = Number(m_Fleet.linked().size());
+  Now.m_StoreReached = storeJustReached() ? 1 : 0;
+  Now.m_GivesOrders = m_Giver.giving() ? 1 : 0;
+  Now.m_FencingToken = Number(m_Giver.holder().m_Token);
+  Now.m_LogLinesLeftOut = Number(m_Log.leftOut());
+  m_Metrics.set(Now);
+  Exchange->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                  m_Metrics.serialize());
+}
+
 void Gateway::answerReadiness(const HttpExchangePtr &Exchange) {
   if (Exchange->path() != m_Binding.m_ReadinessPath)
     return Exchange->reply(404, {}, "");
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -5,6 +5,7 @@
 
 #include "gateway/common/DecisionLog.h"
 #include "gateway/process/Fleet.h"
+#include "gateway/process/GatewayMetrics.h"
 #include "gateway/process/GatewayPolicy.h"
 #include "gateway/process/OrderGiver.h"
 #include "gateway/process/PlatformBinding.h"
@@ -35,6 +36,7 @@
   /// The bound addresses, with their real ports.
   Endpoint callers() const { return m_Callers->endpoint(); }
   Endpoint readiness() const { return m_Readiness->endpoint(); }
+  Endpoint metrics() const { return m_MetricsServer->endpoint(); }
   const ServingState &state() const { return m_State; }
   std::size_t openRequests() const { return m_Forwarder.open(); }
   bool givesOrders() const { return m_Giver.giving(); }
@@ -75,6 +77,7 @@
   void upstreamsChanged();
   void applyBounds();
   void takeRequest(const HttpExchangePtr &Exchange);
+  void answerMetrics(const HttpExchangePtr &Exchange);
   void answerReadiness(const HttpExchangePtr &Exchange);
   void stopIfIdle();
 
@@ -84,6 +87,7 @@
   GatewayPolicy m_Policy;
   std::function<void()> m_Stopped;
   DecisionLog m_Log;
+  GatewayMetrics m_Metrics;
   mutable std::mt19937_64 m_Random;
   HttpClient m_UpstreamHttp;
   HttpClient m_StoreHttp;
@@ -104,6 +108,7 @@
   TimePoint m_RelayHeardAt{};
   std::unique_ptr<HttpServer> m_Callers;
   std::unique_ptr<HttpServer> m_Readiness;
+  std::unique_ptr<HttpServer> m_MetricsServer;
   Timer m_ReloadTimer;
   Timer m_AskTimer;
   Timer m_SourceTimer;
--- /dev/null
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -0,0 +1,116 @@
+#include "gateway/process/GatewayMetrics.h"
+
+#include "gateway/request/Forwarder.h"
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+#include <set>
+
+namespace havenstair {
+
+namespace {
+
+/// Routes that have labels of their own.
+constexpr std::size_t MostRoutes = 64;
+
+const prometheus::Histogram::BucketBoundaries Seconds{
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 5, 10, 20};
+
+double seconds(Duration Time) {
+  return static_cast<double>(Time.count()) / 1e6;
+}
+
+} // namespace
+
+struct GatewayMetrics::Families {
+  prometheus::Registry m_Registry;
+  prometheus::Family<prometheus::Counter> &m_Requests =
+      prometheus::BuildCounter()
+          .Name("havenstair_requests_total")
+          .Help("Callers' requests by route and outcome")
+          .Register(m_Registry);
+  prometheus::Family<prometheus::Histogram> &m_FirstByte =
+      prometheus::BuildHistogram()
+          .Name("havenstair_first_byte_seconds")
+          .Help("Time to the first byte or event, by route")
+          .Register(m_Registry);
+  prometheus::Family<prometheus::Histogram> &m_Whole =
+      prometheus::BuildHistogram()
+          .Name("havenstair_request_seconds")
+          .Help("Time to the end of the answer, by route")
+          .Register(m_Registry);
+  prometheus::Family<prometheus::Counter> &m_Sends =
+      prometheus::BuildCounter()
+          .Name("havenstair_sends_total")
+          .Help("Sends to upstreams by outcome")
+          .Register(m_Registry);
+  prometheus::Family<prometheus::Counter> &m_Orders =
+      prometheus::BuildCounter()
+          .Name("havenstair_orders_total")
+          .Help("Orders to engines by operation and answer")
+          .Register(m_Registry);
+  prometheus::Family<prometheus::Gauge> &m_State =
+      prometheus::BuildGauge()
+          .Name("havenstair_state")
+          .Help("State of this box by name")
+          .Register(m_Registry);
+  std::set<std::string> m_Routes;
+
+  std::string label(const std::string &Route) {
+    if (m_Routes.size() < MostRoutes)
+      m_Routes.insert(Route);
+    return m_Routes.contains(Route) ? Route : "other";
+  }
+
+  void state(const char *Name, double Value) {
+    m_State.Add({{"name", Name}}).Set(Value);
+  }
+};
+
+GatewayMetrics::GatewayMetrics() : m_Families(std::make_unique<Families>()) {}
+GatewayMetrics::~GatewayMetrics() = default;
+
+void GatewayMetrics::ended(const RequestResult &Result) {
+  const std::string Route = m_Families->label(Result.m_Route);
+  m_Families->m_Requests
+      .Add({{"route", Route}, {"outcome", std::string(Result.m_Outcome)}})
+      .Increment();
+  if (Result.m_FirstByte > 0us)
+    m_Families->m_FirstByte.Add({{"route", Route}}, Seconds)
+        .Observe(seconds(Result.m_FirstByte));
+  m_Families->m_Whole.Add({{"route", Route}}, Seconds)
+      .Observe(seconds(Result.m_Whole));
+}
+
+void GatewayMetrics::sendEnded(std::string_view Outcome) {
+  m_Families->m_Sends.Add({{"outcome", std::string(Outcome)}}).Increment();
+}
+
+void GatewayMetrics::ordered(std::string_view Operation,
+                             std::string_view Answer) {
+  m_Families->m_Orders
+      .Add({{"operation", std::string(Operation)},
+            {"answer", std::string(Answer)}})
+      .Increment();
+}
+
+void GatewayMetrics::set(const GatewayGauges &Now) {
+  m_Families->state("open_requests", Now.m_OpenRequests);
+  m_Families->state("config_version", Now.m_ConfigVersion);
+  m_Families->state("list_revision", Now.m_ListRevision);
+  m_Families->state("upstreams", Now.m_Upstreams);
+  m_Families->state("peers", Now.m_Peers);
+  m_Families->state("store_reached", Now.m_StoreReached);
+  m_Families->state("gives_orders", Now.m_GivesOrders);
+  m_Families->state("fencing_token", Now.m_FencingToken);
+  m_Families->state("log_lines_left_out", Now.m_LogLinesLeftOut);
+}
+
+std::string GatewayMetrics::serialize() const {
+  return prometheus::TextSerializer().Serialize(
+      m_Families->m_Registry.Collect());
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -0,0 +1,52 @@
+/// \file
+/// What a gateway counts and measures, in the Prometheus text format.
+#ifndef HAVENSTAIR_GATEWAY_PROCESS_GATEWAYMETRICS_H
+#define HAVENSTAIR_GATEWAY_PROCESS_GATEWAYMETRICS_H
+
+#include "decisions/common/Time.h"
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace havenstair {
+
+struct RequestResult;
+
+/// State that is read when the figures are asked for.
+struct GatewayGauges {
+  double m_OpenRequests = 0;
+  double m_ConfigVersion = 0;
+  double m_ListRevision = 0;
+  double m_Upstreams = 0;
+  double m_Peers = 0;
+  double m_StoreReached = 0; ///< 1 while the store answers this box.
+  double m_GivesOrders = 0;  ///< 1 on the box that gives orders.
+  double m_FencingToken = 0;
+  double m_LogLinesLeftOut = 0;
+};
+
+/// Registry of all metrics. Labels are bounded: routes of the configuration,
+/// and words of closed lists. Past a bound, routes are told as "other".
+class GatewayMetrics {
+public:
+  GatewayMetrics();
+  ~GatewayMetrics();
+
+  void ended(const RequestResult &Result);
+  /// A send to an upstream ended with \p Outcome.
+  void sendEnded(std::string_view Outcome);
+  /// An order to an engine was answered.
+  void ordered(std::string_view Operation, std::string_view Answer);
+  void set(const GatewayGauges &Now);
+
+  /// The text of the metrics page.
+  std::string serialize() const;
+
+private:
+  struct Families;
+  std::unique_ptr<Families> m_Families;
+};
+
+} // namespace havenstair
+
+#endif
--- a/packages/gateway/process/LeasedKey.cpp
+++ b/packages/gateway/process/LeasedKey.cpp
@@ -1,5 +1,6 @@
 #include "gateway/process/LeasedKey.h"
 
+#include "wire/common/EventLoop.h"
 #include <utility>
 
 namespace havenstair {
@@ -18,9 +19,8 @@
 
 } // namespace
 
-LeasedKey::LeasedKey(EventLoop &Loop, CoordinationStore &Store, Options Opts,
-                     Hooks Callbacks)
-    : m_Loop(Loop), m_Store(Store), m_Opts(Opts), m_Hooks(std::move(Callbacks)),
+LeasedKey::LeasedKey(CoordinationStore &Store, Options Opts, Hooks Callbacks)
+    : m_Store(Store), m_Opts(Opts), m_Hooks(std::move(Callbacks)),
       m_Keeper(keeperOptions(Opts)) {}
 
 template <typename Call> auto LeasedKey::guarded(Call Then) {
--- a/packages/gateway/process/LeasedKey.h
+++ b/packages/gateway/process/LeasedKey.h
@@ -5,7 +5,6 @@
 
 #include "decisions/process/LeaseKeeper.h"
 #include "gateway/process/CoordinationStore.h"
-#include "wire/common/EventLoop.h"
 #include <functional>
 #include <memory>
 #include <optional>
@@ -35,8 +34,7 @@
     std::function<void(bool Reached)> m_Answered;
   };
 
-  LeasedKey(EventLoop &Loop, CoordinationStore &Store, Options Opts,
-            Hooks Callbacks);
+  LeasedKey(CoordinationStore &Store, Options Opts, Hooks Callbacks);
   LeasedKey(const LeasedKey &) = delete;
   LeasedKey &operator=(const LeasedKey &) = delete;
 
@@ -56,7 +54,6 @@
   /// A callback that is dropped when this object is gone or has started anew.
   template <typename Call> auto guarded(Call Then);
 
-  EventLoop &m_Loop;
   CoordinationStore &m_Store;
   Options m_Opts;
   Hooks m_Hooks;
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -84,7 +84,7 @@
     : m_Loop(Loop), m_Control(Engines), m_State(State), m_Log(Log),
       m_Opts(std::move(Opts)), m_Hooks(std::move(Callbacks)),
       m_View(BoxName(m_Opts.m_Process)), m_Rates(m_Opts.m_Rates),
-      m_Key(Loop, Store, {.m_TimeToLive = m_Opts.m_Lease},
+      m_Key(Store, {.m_TimeToLive = m_Opts.m_Lease},
             {.m_Claim = [this](LeaseId Lease) { return claim(Lease); },
              .m_Claimed = [this](StoreRevision At) { claimed(At); },
              .m_Lost = [this] { lost(); },
@@ -418,6 +418,7 @@
                                const ResidencyOrder &Order, LoadSource Source,
                                OrderAnswer Answer) {
   const TimePoint Now = EventLoop::now();
+  m_Hooks.m_Ordered(Order.m_Load ? "load" : "unload", answerName(Answer));
   if (Answer != OrderAnswer::Accepted)
     m_Log.write("order_answer", {{"engine", Id},
                                  {"load", Order.m_Load},
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -46,6 +46,9 @@
   struct Hooks {
     /// Contents of engines changed; all boxes are to know.
     std::function<void(const FleetContentsFrame &)> m_Contents;
+    /// An order was answered; for metrics.
+    std::function<void(std::string_view Operation, std::string_view Answer)>
+        m_Ordered;
     /// Whether the store has answered this box just now.
     std::function<bool()> m_StoreReached;
     std::function<double()> m_Random; ///< From 0 to 1.
--- a/packages/gateway/process/PlatformBinding.h
+++ b/packages/gateway/process/PlatformBinding.h
@@ -32,7 +32,6 @@
   std::string m_UpstreamPrefix; ///< Keys of running servers.
   std::string m_OwnPrefix;      ///< Keys that the gateway may write.
   std::string m_ReadinessPath;
-  std::string m_MetricsPath;
 
   /// \throws DecodeError for a value that is no configuration.
   std::function<ServingConfig(const std::string &Value)> m_DecodeConfig;
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -45,6 +45,7 @@
     /// A request waits for a model or adapter that no upstream holds.
     std::function<void(const ModelKey &)> m_Missing;
     std::function<void(const RequestResult &)> m_Ended;
+    std::function<void(std::string_view Outcome)> m_SendEnded;
     std::function<double()> m_Random; ///< From 0 to 1.
   };
 
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -366,6 +366,7 @@
   if (m_Done)
     return;
   noteOutcome(Outcome, Now);
+  m_Owner.m_Hooks.m_SendEnded(outcomeName(Outcome));
   const ForwardingStep Step = decide(Outcome, Now);
   if (Outcome != SendOutcome::Answered)
     m_Owner.m_Log.write("send_failed",
--- a/packages/havenstaird/process/ServeCommand.cpp
+++ b/packages/havenstaird/process/ServeCommand.cpp
@@ -4,6 +4,7 @@
 #include "havenstaird/process/PolicySettings.h"
 #include "platform/Binding.h"
 
+#include <charconv>
 #include <csignal>
 #include <docopt/docopt.h>
 #include <iostream>
@@ -25,6 +26,8 @@
   --node-file FILE        Settings file of the platform; also by the variable
                           HAVENSTAIR_NODE_FILE. Read again on SIGHUP, and
                           every two seconds.
+  --metrics-port PORT     Port of the metrics page at this box's address; the
+                          second of the platform's internal ports by default.
   --check-settings        Check the settings and end.
   --help                  Show this page.
   --version               Show the version.
@@ -32,6 +35,16 @@
 Policy; each also by a variable, --few-moves by HAVENSTAIR_FEW_MOVES:
 )";
 
+int readPort(const std::string &Flag, const std::string &Text) {
+  constexpr int MostPort = 65535;
+  int Port = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Read = std::from_chars(Text.data(), End, Port);
+  if (Read.ec != std::errc() || Read.ptr != End || Port < 1 || Port > MostPort)
+    throw SettingError(Flag, Text, "a number from 1 to 65535");
+  return Port;
+}
+
 std::string variableOf(const std::string &Flag) {
   std::string Name = "HAVENSTAIR_";
   for (char Letter : Flag.substr(2))
@@ -56,6 +69,8 @@
   const GatewayPolicy Policy = readPolicy(Find);
   PlatformBinding Binding = platform::makeBinding(NodeFile);
   GatewayOptions Options = Binding.m_ReadOptions();
+  if (const auto Port = Find("--metrics-port"))
+    Options.m_Metrics.m_Port = readPort("--metrics-port", *Port);
   if (Flags["--check-settings"].asBool()) {
     std::cout << "settings are good\n";
     return 0;
