--- a/packages/gateway/process/Fleet.h
+++ b/packages/gateway/process/Fleet.h
@@ -6,6 +6,7 @@
 #include "gateway/process/GatewayOptions.h"
 #include "gateway/process/LeasedKey.h"
 #include "gateway/process/PrefixMirror.h"
+#include "wire/common/EventLoop.h"
 #include "wire/process/PeerMesh.h"
 #include <functional>
 #include <map>
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -13,6 +13,7 @@
 #include "gateway/process/GatewayOptions.h"
 #include "gateway/process/LeasedKey.h"
 #include "gateway/process/ServingState.h"
+#include "wire/common/EventLoop.h"
 #include "wire/connection/FleetFrames.h"
 #include <functional>
 #include <map>
