--- a/packages/havenstair/main.cpp
+++ b/packages/havenstair/main.cpp
@@ -4,6 +4,7 @@
 #include "havenstair/common/ExitCode.h"
 #include "havenstair/process/FleetCommands.h"
 #include "havenstair/request/LoadCommand.h"
+#include "havenstair/request/TraceCommand.h"
 #include "havenstair/version/TableCommands.h"
 #include "wire/common/Crypto.h"
 
@@ -34,6 +35,7 @@
   havenstair boxes [options]
   havenstair moves [options]
   havenstair explain ID [options]
+  havenstair trace ID FILE...
   havenstair drain BOX [options]
   havenstair hash-key KEY
   havenstair load --callers=LIST --keys=LIST --models=LIST [--rate=N]
@@ -150,7 +152,7 @@
 void runTable(const Arguments &Given, TableCommands &Commands) {
   const auto On = [&](const char *Word) { return Given.at(Word).asBool(); };
   if (On("import"))
-    Commands.importCsv(Given.at("FILE").asString(),
+    Commands.importCsv(Given.at("FILE").asStringList().front(),
                        Given.at("--dry-run").asBool());
   else if (On("export"))
     Commands.exportCsv();
@@ -189,6 +191,9 @@
     std::cout << sha256Hex(Given.at("KEY").asString()) << "\n";
     return;
   }
+  if (On("trace"))
+    return printTrace(Given.at("ID").asString(),
+                      Given.at("FILE").asStringList());
   if (On("load"))
     return LoadCommand(loadOptions(Given)).run();
   ApiClient Api = makeClient(Given);
@@ -199,7 +204,7 @@
   else if (On("group"))
     runGroup(Given, Rows);
   else if (On("models") && On("import"))
-    Rows.importModels(Given.at("FILE").asString());
+    Rows.importModels(Given.at("FILE").asStringList().front());
   else if (On("models"))
     Rows.showModels();
   else if (On("upstreams"))
