--- a/packages/decisions/process/AdapterPlanner.cpp
+++ b/packages/decisions/process/AdapterPlanner.cpp
@@ -73,6 +73,8 @@
     for (const ResidentModel &Model : At.m_Ledger->models())
       for (const std::string &Adapter : Model.m_Adapters) {
         const AdapterKey Key{Model.m_Name, Adapter};
+        if (At.m_Fresh.contains(Key))
+          continue;
         if (!Least || worth(Key) < worth(*Least))
           Least = Key;
       }
@@ -105,9 +107,7 @@
   AdapterPlan Plan(Engines, Rates, Spec);
   for (const AdapterKey &Key : Missing)
     if (Plan.copies(Key) == 0 && !Plan.coming(Key))
-      Plan.place(Key, [&](const AdapterKey &Victim) {
-        return !Missing.contains(Victim);
-      });
+      Plan.place(Key, [](const AdapterKey &) { return true; });
   std::vector<std::pair<double, AdapterKey>> Wanted;
   for (const auto &[Key, Rate] : Rates) {
     const double PerCopy = Rate / std::max(1, Plan.copies(Key));
--- a/packages/decisions/process/AdapterPlanner.h
+++ b/packages/decisions/process/AdapterPlanner.h
@@ -25,6 +25,8 @@
   double m_Busy = 0; ///< Part of its time; the less busy one is chosen.
   /// Models that are about to make way.
   std::set<std::string> m_Retiring;
+  /// Adapters that came a moment ago; requests wait for them.
+  std::set<AdapterKey> m_Fresh;
 };
 
 struct AdapterMove {
--- a/packages/decisions/process/HolderView.cpp
+++ b/packages/decisions/process/HolderView.cpp
@@ -10,12 +10,14 @@
   if (Now < m_DropUntil)
     return;
   m_Words[From] = {.m_Known = Known, .m_Giving = Giving, .m_At = Now};
-  known(Known);
+  known(Known, Now);
 }
 
-void HolderView::known(const OrderHolder &Holder) {
-  if (Holder.m_Token > m_Holder.m_Token)
-    m_Holder = Holder;
+void HolderView::known(const OrderHolder &Holder, TimePoint Now) {
+  if (Holder.m_Token <= m_Holder.m_Token)
+    return;
+  m_Holder = Holder;
+  m_HolderSince = Now;
 }
 
 void HolderView::listed(std::set<BoxName> Others) {
@@ -49,7 +51,13 @@
 }
 
 bool HolderView::holderActive(TimePoint Now) const {
+  const bool New =
+      !m_Holder.m_Box.empty() && Now - m_HolderSince <= m_Opts.m_SilenceAfter;
   const auto Found = m_Words.find(m_Holder.m_Box);
+  const bool Left = Found != m_Words.end() && !Found->second.m_Giving &&
+                    Found->second.m_At > m_HolderSince;
+  if (New && !Left)
+    return true;
   return Found != m_Words.end() && Found->second.m_Giving &&
          Now - Found->second.m_At <= m_Opts.m_SilenceAfter;
 }
--- a/packages/decisions/process/HolderView.h
+++ b/packages/decisions/process/HolderView.h
@@ -44,7 +44,7 @@
   void heard(const BoxName &From, const OrderHolder &Known, bool Giving,
              TimePoint Now);
   /// What the store or this box itself says.
-  void known(const OrderHolder &Holder);
+  void known(const OrderHolder &Holder, TimePoint Now);
   /// The boxes that the store lists, without this one.
   void listed(std::set<BoxName> Others);
   /// This process stood still until \p Now.
@@ -56,7 +56,8 @@
   bool vouched(TimePoint Now) const;
   /// Whether a majority, with this box, has been heard lately.
   bool hearsMajority(TimePoint Now) const;
-  /// Whether the known holder has been heard lately and gives orders.
+  /// Whether the known holder has been heard lately and gives orders, or is so
+  /// new that it cannot have been heard.
   bool holderActive(TimePoint Now) const;
 
 private:
@@ -74,6 +75,7 @@
   BoxName m_Self;
   Options m_Opts;
   OrderHolder m_Holder;
+  TimePoint m_HolderSince{};
   std::set<BoxName> m_Others;
   std::map<BoxName, Word> m_Words;
   TimePoint m_DropUntil{};
--- a/packages/decisions/process/ReplicaPlanner.cpp
+++ b/packages/decisions/process/ReplicaPlanner.cpp
@@ -13,6 +13,9 @@
 constexpr std::array<std::string_view, 2> ReasonNames{"not_resident",
                                                       "demand_rose"};
 
+/// Below this a model's replicas may go at any time, in engines' worth of work.
+constexpr double LittleDemand = 0.05;
+
 /// Requests that wait, on average, at an engine that is busy for the part \p U
 /// of its time: M/M/1 queue length (Kleinrock, Queueing Systems, volume 1,
 /// section 3.2), continued as a line where it has no value.
@@ -163,7 +166,8 @@
 std::vector<std::string> evictable(const Picture &Now, std::size_t At) {
   std::vector<std::string> Result{""};
   for (const std::string &Model : Now.engines()[At].m_Models)
-    if (Now.present(Model) >= 2)
+    if (Now.present(Model) >= 2 && (Now.demand(Model) < LittleDemand ||
+                                    !Now.engines()[At].m_Fresh.contains(Model)))
       Result.push_back(Model);
   return Result;
 }
--- a/packages/decisions/process/ReplicaPlanner.h
+++ b/packages/decisions/process/ReplicaPlanner.h
@@ -19,6 +19,8 @@
   InstanceId m_Id;
   std::set<std::string> m_Models;
   std::set<std::string> m_Coming; ///< Those of them that are not there yet.
+  /// Came a short while ago: they stay while they are wanted.
+  std::set<std::string> m_Fresh;
   std::set<std::string> m_InMemory;
   std::set<std::string> m_OnDisk;
   double m_Slowness = 1;
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -12,6 +12,7 @@
 constexpr Duration TickEvery = 50ms;
 constexpr Duration PlanEvery = 200ms;
 constexpr Duration ClaimWithin = 300ms;
+constexpr Duration AfterOwn = 200ms;
 
 /// Time for all boxes to hear that a model retires.
 constexpr Duration RetireFor = 120ms;
@@ -104,7 +105,8 @@
   m_KeyRevision = Key == Items.end() ? 0 : Key->second.m_Revision;
   if (Key != Items.end())
     m_View.known(
-        {.m_Token = m_KeyRevision, .m_Box = BoxName(Key->second.m_Value)});
+        {.m_Token = m_KeyRevision, .m_Box = BoxName(Key->second.m_Value)},
+        EventLoop::now());
   const auto Term = Items.find(m_Opts.m_Prefix + TermKey);
   m_TermRevision = Term == Items.end() ? 0 : Term->second.m_Revision;
   m_TermHolder = Term == Items.end() ? "" : Term->second.m_Value;
@@ -138,9 +140,13 @@
     m_ClaimFrom.reset();
     return false;
   }
+  // The machine that gave the last orders may go on at once.
+  const bool Own = m_TermHolder == m_Opts.m_Holder;
+  if (!m_ClaimFrom && Own)
+    m_ClaimFrom = Now;
   if (!m_ClaimFrom)
     m_ClaimFrom =
-        Now +
+        Now + AfterOwn +
         Duration(static_cast<Duration::rep>(
             m_Hooks.m_Random() * static_cast<double>(ClaimWithin.count())));
   return Now >= *m_ClaimFrom;
@@ -165,7 +171,8 @@
   const bool Own = m_TermHolder == m_Opts.m_Holder;
   m_Giving = true;
   m_Token = Revision;
-  m_View.known({.m_Token = Revision, .m_Box = BoxName(m_Opts.m_Process)});
+  m_View.known({.m_Token = Revision, .m_Box = BoxName(m_Opts.m_Process)},
+               EventLoop::now());
   m_MayOrderFrom =
       First || Own ? Now : Now + m_Opts.m_Bounds.m_OrderTurn + TurnMargin;
   m_Engines.clear();
@@ -356,6 +363,7 @@
     Current.m_Phase = Phase::Loading;
   }
   if (Of.m_Ledger.holds(Move.m_Load)) {
+    Of.m_ModelAt[Move.m_Load] = Now;
     Of.m_Task.reset();
     return;
   }
@@ -450,6 +458,7 @@
     if (ModelLoad && Spec != nullptr)
       Of.m_NextReport = Now + expectedLoad(Spec->model(Order.m_Model), Source);
     if (!Order.m_Adapter.empty()) {
+      Of.m_AdapterAt[{Order.m_Model, Order.m_Adapter}] = Now;
       Of.m_AdapterOrderAt = Now;
       Of.m_NextReport = Now + ReportEvery;
     }
@@ -499,6 +508,9 @@
                           .m_Slowness = m_State.m_Latency.slowness(Id),
                           .m_Movable = Each.m_Ledger.idle() && !Each.m_Task,
                           .m_Leaving = Entry.m_Draining};
+    for (const auto &[Model, At] : Each.m_ModelAt)
+      if (Now - At < m_Opts.m_ReplicaStays)
+        Planned.m_Fresh.insert(Model);
     const std::vector<ResidentModel> &Models =
         Each.m_Ledger.known() ? Each.m_Ledger.models() : Entry.m_Models;
     for (const ResidentModel &Model : Models)
@@ -563,7 +575,11 @@
     AdapterEngine Engine{.m_Id = Id,
                          .m_Ledger = &Each.m_Ledger,
                          .m_Busy = busyPart(Service, Each, Now),
-                         .m_Retiring = {}};
+                         .m_Retiring = {},
+                         .m_Fresh = {}};
+    for (const auto &[Key, At] : Each.m_AdapterAt)
+      if (Now - At < m_Opts.m_AdapterStays)
+        Engine.m_Fresh.insert(Key);
     if (Each.m_Task)
       Engine.m_Retiring.insert(Each.m_Task->m_Move.m_Evict);
     Engines.push_back(std::move(Engine));
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -41,6 +41,9 @@
     Duration m_Lease = 20s;
     ServingBounds m_Bounds;
     PlannerOptions m_Planner;
+    /// How long a replica stays at least, and an adapter.
+    Duration m_ReplicaStays = 6s;
+    Duration m_AdapterStays = 400ms;
     AdapterOptions m_Adapters;
     DemandRates::Options m_Rates;
   };
@@ -102,6 +105,8 @@
     EngineContents m_Told;
     TimePoint m_ToldAt{};
     TimePoint m_AdapterOrderAt{};
+    std::map<std::string, TimePoint> m_ModelAt;  ///< When a model came.
+    std::map<AdapterKey, TimePoint> m_AdapterAt; ///< When it was ordered.
   };
 
   std::optional<StoreTransaction> claim(LeaseId Lease) const;
--- a/tests/decisions/process/ReplicaPlannerTest.cpp
+++ b/tests/decisions/process/ReplicaPlannerTest.cpp
@@ -131,6 +131,28 @@
   REQUIRE(Moves.front().m_Evict == model(0));
 }
 
+TEST_CASE("A wanted replica that has just come is not moved on", "[planner]") {
+  const EngineSpec Spec = spec(3);
+  PlannerInput Input;
+  Input.m_Engines = {engine(0, {model(0), model(1)}), engine(1, {model(0)}),
+                     engine(2, {model(2)})};
+  Input.m_Engines[0].m_Models.insert(model(2));
+  Input.m_Engines[1].m_Movable = Input.m_Engines[2].m_Movable = false;
+  Input.m_Engines[1].m_Models.insert(model(1));
+  Input.m_Engines[0].m_Models.erase(model(1));
+  Input.m_Demand = {{model(0), 0.2}, {model(1), 3.0}};
+  Input.m_Engines[0].m_Models = {model(0), model(2)};
+  Input.m_Engines[0].m_OnDisk = {model(1)};
+  EngineSpec Narrow = Spec;
+  Narrow.m_WeightsMb = 150;
+  const auto Before = planReplicas(Input, Narrow, {}, 1);
+  REQUIRE(Before.size() == 1);
+  REQUIRE_FALSE(Before.front().m_Evict.empty());
+  Input.m_Engines[0].m_Fresh = {Before.front().m_Evict};
+  const auto After = planReplicas(Input, Narrow, {}, 1);
+  REQUIRE((After.empty() || After.front().m_Evict != Before.front().m_Evict));
+}
+
 TEST_CASE("Busy models get replicas, idle fleets stay as they are",
           "[planner]") {
   const EngineSpec Spec = spec(2);
