A pause of a stream is no failure; adapters are brought in the order of waiting

Change: a silent engine is asked for a connection; only without one the stream goes on elsewhere. Waiting adapters come oldest first and stay wanted for 5 s; free places take any adapter with demand.

--- a/packages/decisions/process/AdapterPlanner.cpp
+++ b/packages/decisions/process/AdapterPlanner.cpp
@@ -100,7 +100,7 @@
 } // namespace
 
 std::vector<AdapterMove> planAdapters(const std::vector<AdapterEngine> &Engines,
-                                      const std::set<AdapterKey> &Missing,
+                                      const std::vector<AdapterKey> &Missing,
                                       const std::map<AdapterKey, double> &Rates,
                                       const EngineSpec &Spec,
                                       const AdapterOptions &Opts) {
--- a/packages/decisions/process/AdapterPlanner.h
+++ b/packages/decisions/process/AdapterPlanner.h
@@ -40,15 +40,15 @@
   /// Requests a second by copy above which another copy is worth its order.
   double m_RatePerCopy = 1.2;
   /// The same where a place is free.
-  double m_RateWhenFree = 0.25;
+  double m_RateWhenFree = 0.05;
   /// An adapter makes way only for one that is wanted this many times more.
   double m_SwapFactor = 3;
 };
 
 /// The next order for each engine at most. Adapters in \p Missing are waited
-/// for and come first. \p Rates: requests a second.
+/// for and come first, in their order. \p Rates: requests a second.
 std::vector<AdapterMove> planAdapters(const std::vector<AdapterEngine> &Engines,
-                                      const std::set<AdapterKey> &Missing,
+                                      const std::vector<AdapterKey> &Missing,
                                       const std::map<AdapterKey, double> &Rates,
                                       const EngineSpec &Spec,
                                       const AdapterOptions &Opts);
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -21,7 +21,7 @@
 constexpr Duration AdapterArrivesIn = 40ms;
 
 /// How long requests are believed to wait for a missing model.
-constexpr Duration MissingCounts = 1s;
+constexpr Duration MissingCounts = 5s;
 
 /// Added to the time between the orders of two order givers.
 constexpr Duration TurnMargin = 300ms;
@@ -215,7 +215,8 @@
 void OrderGiver::missing(const std::vector<ModelKey> &Keys) {
   const TimePoint Now = EventLoop::now();
   for (const ModelKey &Key : Keys)
-    m_Missing[Key] = Now;
+    m_Missing.try_emplace(Key, Wanted{.m_Since = Now}).first->second.m_Last =
+        Now;
   if (!m_Giving || std::exchange(m_TickSoon, true))
     return;
   m_NextPlan = Now;
@@ -475,7 +476,8 @@
 
 void OrderGiver::plan(TimePoint Now) {
   std::erase_if(m_Missing, [&](const auto &Each) {
-    return Now - Each.second > MissingCounts;
+    return Now - Each.second.m_Last > MissingCounts ||
+           resident(Each.first.m_Model, Each.first.m_Adapter);
   });
   // Engines that start together appear one after the other.
   if (!mayOrder(Now) || !m_State.m_Config || Now - m_GrewAt < SettleFor)
@@ -556,6 +558,13 @@
   return Sum;
 }
 
+bool OrderGiver::resident(const std::string &Model,
+                          const std::string &Adapter) const {
+  return std::any_of(m_Engines.begin(), m_Engines.end(), [&](const auto &Each) {
+    return Each.second.m_Ledger.holds(Model, Adapter);
+  });
+}
+
 std::size_t OrderGiver::replicas(const std::string &Model) const {
   return static_cast<std::size_t>(
       std::count_if(m_Engines.begin(), m_Engines.end(), [&](const auto &Each) {
@@ -584,10 +593,14 @@
       Engine.m_Retiring.insert(Each.m_Task->m_Move.m_Evict);
     Engines.push_back(std::move(Engine));
   }
-  std::set<AdapterKey> Missing;
-  for (const auto &[Key, At] : m_Missing)
+  std::vector<std::pair<TimePoint, AdapterKey>> Waiting;
+  for (const auto &[Key, Since] : m_Missing)
     if (Key.m_Service == Service && !Key.m_Adapter.empty())
-      Missing.insert({Key.m_Model, Key.m_Adapter});
+      Waiting.push_back({Since.m_Since, {Key.m_Model, Key.m_Adapter}});
+  std::sort(Waiting.begin(), Waiting.end());
+  std::vector<AdapterKey> Missing;
+  for (const auto &[Since, Key] : Waiting)
+    Missing.push_back(Key);
   std::map<AdapterKey, double> Rates;
   for (const auto &[Key, Rate] : m_Rates.rates(Now))
     if (Key.m_Service == Service && !Key.m_Adapter.empty())
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -96,6 +96,11 @@
     Phase m_Phase = Phase::Loading;
     TimePoint m_Since{};
   };
+  /// A model or adapter that requests waited for.
+  struct Wanted {
+    TimePoint m_Since{};
+    TimePoint m_Last{};
+  };
   struct Engine {
     EngineLedger m_Ledger;
     std::optional<Task> m_Task;
@@ -142,6 +147,7 @@
                             TimePoint Now) const;
   double busyPart(const std::string &Service, const Engine &Of,
                   TimePoint Now) const;
+  bool resident(const std::string &Model, const std::string &Adapter) const;
   std::size_t replicas(const std::string &Model) const;
 
   EventLoop &m_Loop;
@@ -168,7 +174,7 @@
   /// The last time an engine appeared.
   TimePoint m_GrewAt{};
   std::map<InstanceId, Engine> m_Engines;
-  std::map<ModelKey, TimePoint> m_Missing;
+  std::map<ModelKey, Wanted> m_Missing;
   LoadCeiling m_Ceiling;
   Timer m_Timer;
   bool m_TickSoon = false;
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -126,9 +126,11 @@
   if (m_Parked)
     return;
   m_Parked = true;
-  const Duration Whole =
-      fromMillis(millis(std::min(m_Route.m_Target, m_Deadline - m_Arrived)) *
-                 m_Owner.m_Opts.m_ParkPart);
+  // A second refusal is final, so a second try waits longer.
+  const double Part = m_SinceFirstTry > 0us ? m_Owner.m_Opts.m_SecondParkPart
+                                            : m_Owner.m_Opts.m_ParkPart;
+  const Duration Whole = fromMillis(
+      millis(std::min(m_Route.m_Target, m_Deadline - m_Arrived)) * Part);
   const Duration Rest = std::max(Duration(0us), Whole - waited(Now));
   m_ParkTimer = m_Owner.m_Loop.after(Rest, [Weak = weak_from_this()] {
     const auto Self = Weak.lock();
@@ -210,6 +212,8 @@
   if (!m_Request.m_Model.empty())
     State.m_Prefixes.noteRead(To.m_Id, m_Request);
   m_Call = m_Owner.m_Client.start(std::move(Call));
+  if (!streaming())
+    return watchSilence(3 * m_Route.m_Target);
   const double Expected = 2.5 * Chosen.m_ExpectedMs + millis(m_Route.m_Target);
   watchSilence(std::max(LeastSilence, fromMillis(Expected)));
 }
@@ -220,11 +224,42 @@
   m_SilenceTimer = Timer();
   if (!m_Route.idempotent() || m_Sends >= m_Route.m_MaxAttempts)
     return;
-  m_SilenceTimer = m_Owner.m_Loop.after(Limit, [Weak = weak_from_this()] {
+  m_SilenceTimer =
+      m_Owner.m_Loop.after(Limit, [Weak = weak_from_this(), Limit] {
+        const auto Self = Weak.lock();
+        if (Self && !Self->m_Done && Self->m_Send)
+          Self->onSilence(Limit);
+      });
+}
+
+/// A busy engine pauses a stream for long; only one that takes no connection
+/// any more has lost it.
+void ProxiedRequest::onSilence(Duration Limit) {
+  if (!streaming())
+    return settle(SendOutcome::Broken);
+  const UpstreamInstance *At =
+      m_Owner.m_State.m_Upstreams.find(m_Send->m_Instance);
+  if (At == nullptr)
+    return settle(SendOutcome::Broken);
+  const ServiceSpec *Service = m_Config->service(m_Service);
+  HttpCall Probe;
+  Probe.m_To = Endpoint::parse(At->m_Address).value_or(Endpoint{});
+  Probe.m_Target = Service == nullptr || Service->m_HealthPath.empty()
+                       ? "/"
+                       : Service->m_HealthPath;
+  Probe.m_ConnectTimeout = m_Owner.m_Opts.m_ConnectTimeout;
+  Probe.m_IdleTimeout = m_Owner.m_Opts.m_ConnectTimeout;
+  const auto Weak = weak_from_this();
+  const int Sends = m_Sends;
+  Probe.m_OnEnd = [Weak, Limit, Sends](HttpEnd End) {
     const auto Self = Weak.lock();
-    if (Self && !Self->m_Done && Self->m_Send)
-      Self->settle(SendOutcome::Broken);
-  });
+    if (!Self || Self->m_Done || !Self->m_Send || Self->m_Sends != Sends)
+      return;
+    if (End == HttpEnd::NotWritten)
+      return Self->settle(SendOutcome::Broken);
+    Self->watchSilence(Limit);
+  };
+  m_Probe = m_Owner.m_Client.start(std::move(Probe));
 }
 
 void ProxiedRequest::onHead(int Status, const HttpHeaders &Headers) {
@@ -355,6 +390,7 @@
 void ProxiedRequest::settle(SendOutcome Outcome) {
   const TimePoint Now = EventLoop::now();
   m_SilenceTimer = Timer();
+  m_Probe = HttpCallHandle();
   // Rejections and cut calls are cancelled with the handle.
   m_Call = HttpCallHandle();
   if (Outcome == SendOutcome::Answered) {
@@ -460,6 +496,7 @@
   m_DeadlineTimer = Timer();
   m_ParkTimer = Timer();
   m_SilenceTimer = Timer();
+  m_Probe = HttpCallHandle();
   const Duration First = m_FirstByte ? *m_FirstByte - m_Arrived : 0us;
   m_Owner.m_Log.write(Outcome == "ok" ? "answered" : "not_answered",
                       {{"request", m_Request.m_Id},
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -46,6 +46,7 @@
   void send(const ChosenReplica &Chosen, TimePoint Now);
   HttpCall makeCall(const UpstreamInstance &To, TimePoint Now);
   void watchSilence(Duration Limit);
+  void onSilence(Duration Limit);
 
   void onHead(int Status, const HttpHeaders &Headers);
   void onBytes(std::string_view Bytes);
@@ -95,6 +96,7 @@
   std::optional<Send> m_Send;
   EventSplitter m_Events;
   HttpCallHandle m_Call;
+  HttpCallHandle m_Probe; ///< Whether a silent upstream is still there.
   Timer m_DeadlineTimer;
   Timer m_ParkTimer;
   Timer m_SilenceTimer;
--- a/tests/gateway/StreamTest.cpp
+++ b/tests/gateway/StreamTest.cpp
@@ -88,3 +88,52 @@
   Call.m_Headers.push_back({"Last-Event-Id", "4"});
   REQUIRE(Test.fetch(std::move(Call)).m_Body == plain(5, Pieces));
 }
+
+TEST_CASE("A runner that pauses a stream keeps it while it takes connections",
+          "[gateway][streams]") {
+  GatewayTest Test;
+  ConnectionPtr Stream;
+  const auto Behave = [&](const Request &Of, const ConnectionPtr &To) {
+    if (Of.m_Method == "GET") {
+      // The question whether it is there; now it goes on.
+      for (int Id = 3; Id <= Pieces; ++Id)
+        Stream->write(StandinRunner::event(Id));
+      Stream->write(StandinRunner::streamEnd());
+      return To->write(StandinRunner::answer(Of, 200, ""));
+    }
+    Stream = To;
+    To->write(StandinRunner::streamHead(Of));
+    for (int Id = 1; Id <= 2; ++Id)
+      To->write(StandinRunner::event(Id));
+  };
+  Test.addRunner("i-1", Behave);
+  Test.addRunner("i-2", Behave);
+  Test.start();
+  const HttpAnswer Answer = Test.fetch("/resumable/x", "id-1");
+  REQUIRE(Answer.m_Body == plain(1, Pieces));
+  REQUIRE(Test.arrivals("id-1") == 1);
+}
+
+TEST_CASE(
+    "A stream whose runner takes no connection any more goes on elsewhere",
+    "[gateway][streams]") {
+  GatewayTest Test;
+  std::string First;
+  const auto Behave = [&](const std::string &Id) {
+    return [&, Id](const Request &Of, const ConnectionPtr &To) {
+      if (!First.empty())
+        return streamUntil(Of, To, Pieces);
+      First = Id;
+      To->write(StandinRunner::streamHead(Of));
+      To->write(StandinRunner::event(1));
+      Test.m_Runners.at(Id)->stopListening();
+    };
+  };
+  Test.addRunner("i-1", Behave("i-1"));
+  Test.addRunner("i-2", Behave("i-2"));
+  Test.start();
+  const HttpAnswer Answer = Test.fetch("/resumable/x", "id-1");
+  REQUIRE(Answer.m_End == HttpEnd::Complete);
+  REQUIRE(Answer.m_Body == plain(1, Pieces));
+  REQUIRE(Test.arrivals("id-1") == 2);
+}
--- a/tests/standin/StandinRunner.h
+++ b/tests/standin/StandinRunner.h
@@ -57,6 +57,8 @@
 
   Endpoint endpoint() const { return m_Endpoint; }
   void setBehaviour(Behaviour OnRequest) { m_Behaviour = std::move(OnRequest); }
+  /// New connections are refused from now on; open ones stay.
+  void stopListening();
   const std::vector<Request> &requests() const { return m_Requests; }
   /// Requests that carry the attempt \p Id.
   std::size_t arrivals(const std::string &Id) const;
