--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -171,6 +171,8 @@
   Opts.m_Planner = m_Policy.m_Planner;
   Opts.m_Adapters = m_Policy.m_Adapters;
   Opts.m_Rates = m_Policy.m_Rates;
+  Opts.m_ReplicaStays =
+      Duration(static_cast<Duration::rep>(m_Policy.m_ReplicaStaysMs * 1000));
   return Opts;
 }
 
@@ -179,6 +181,7 @@
   Opts.m_Weights = m_Policy.m_Choice;
   Opts.m_Admission = m_Policy.m_Admission;
   Opts.m_ParkPart = m_Policy.m_ParkPart;
+  Opts.m_SecondParkPart = m_Policy.m_SecondParkPart;
   return Opts;
 }
 
--- a/packages/havenstaird/process/PolicySettings.cpp
+++ b/packages/havenstaird/process/PolicySettings.cpp
@@ -18,7 +18,7 @@
   double &(*m_Member)(GatewayPolicy &);
 };
 
-const std::array<PolicySetting, 14> Table{{
+const std::array<PolicySetting, 18> Table{{
     {"--few-moves", "0 puts attainment first, 1 few moves", 0, 1,
      [](GatewayPolicy &P) -> double & { return P.m_Planner.m_FewMoves; }},
     {"--least-gain-near", "least gain of a load from the engine's own copies",
@@ -48,6 +48,16 @@
      [](GatewayPolicy &P) -> double & { return P.m_Admission.m_EarlyPart; }},
     {"--own-part", "part of the target that a request's own work may take", 0,
      1, [](GatewayPolicy &P) -> double & { return P.m_Admission.m_OwnPart; }},
+    {"--hopeless-part", "part of the time left after which a try is hopeless",
+     0.01, 10,
+     [](GatewayPolicy &P) -> double & { return P.m_Admission.m_HopelessPart; }},
+    {"--second-park-part", "the same for a second try", 0, 10,
+     [](GatewayPolicy &P) -> double & { return P.m_SecondParkPart; }},
+    {"--replica-stays-ms", "least stay of a wanted replica", 0, 600000,
+     [](GatewayPolicy &P) -> double & { return P.m_ReplicaStaysMs; }},
+    {"--free-adapter-rate", "requests a second that a free place is worth", 0,
+     1000,
+     [](GatewayPolicy &P) -> double & { return P.m_Adapters.m_RateWhenFree; }},
     {"--park-part", "part of the target to wait for a load", 0, 10,
      [](GatewayPolicy &P) -> double & { return P.m_ParkPart; }},
 }};
