--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -40,6 +40,8 @@
   const ServingState &state() const { return m_State; }
   std::size_t openRequests() const { return m_Forwarder.open(); }
   bool givesOrders() const { return m_Giver.giving(); }
+  std::size_t peers() const { return m_Fleet.linked().size(); }
+  bool watchesList() const { return m_UpstreamMirror.running(); }
 
   /// Reads the settings again; a bad file leaves the last good ones in force.
   void reload();
--- /dev/null
+++ b/tests/gateway/FleetTest.cpp
@@ -0,0 +1,84 @@
+#include "gateway/GatewayTest.h"
+
+using namespace havenstair;
+
+namespace {
+
+using Request = StandinRunner::Request;
+using ConnectionPtr = StandinRunner::ConnectionPtr;
+
+/// Two boxes before one store.
+class FleetTest : public GatewayTest {
+public:
+  FleetTest() {
+    addRunner("i-1", [](const Request &Of, const ConnectionPtr &To) {
+      To->write(StandinRunner::answer(Of, 200, "body"));
+    });
+    configure(1);
+    startGateway();
+    PlatformBinding Binding = platform::makeBinding("");
+    GatewayOptions Options = options();
+    Options.m_Box = BoxName("other");
+    Binding.m_ReadOptions = [Options] { return Options; };
+    m_Other = std::make_unique<Gateway>(m_Loop, std::move(Binding), Options,
+                                        GatewayPolicy{}, m_NullLog,
+                                        [this] { m_OtherStopped = true; });
+    REQUIRE(until([&] {
+      return m_Gateway->peers() == 1 && m_Other->peers() == 1 &&
+             m_Gateway->state().ready() && m_Other->state().ready();
+    }));
+  }
+
+  int givers() const {
+    return (m_Gateway->givesOrders() ? 1 : 0) +
+           (m_Other->givesOrders() ? 1 : 0);
+  }
+
+  std::unique_ptr<Gateway> m_Other;
+  bool m_OtherStopped = false;
+};
+
+} // namespace
+
+TEST_CASE("One box gives orders, and the other when that one leaves",
+          "[gateway][fleet]") {
+  FleetTest Test;
+  REQUIRE(Test.until([&] { return Test.givers() == 1; }));
+  const bool First = Test.m_Gateway->givesOrders();
+  (First ? Test.m_Gateway : Test.m_Other)->stop();
+  REQUIRE(Test.until(
+      [&] { return (First ? Test.m_Other : Test.m_Gateway)->givesOrders(); }));
+  REQUIRE(Test.givers() == 1);
+}
+
+TEST_CASE("The order giver goes on while the store is away",
+          "[gateway][fleet]") {
+  FleetTest Test;
+  REQUIRE(Test.until([&] { return Test.givers() == 1; }));
+  const std::size_t Calls = Test.m_Store.calls();
+  Test.m_Store.setFault(StandinStore::Fault::Refuses);
+  REQUIRE(Test.until([&] { return Test.m_Store.calls() > Calls + 20; }));
+  REQUIRE(Test.givers() == 1);
+}
+
+TEST_CASE("News of runners reaches a box that does not watch the list itself",
+          "[gateway][fleet]") {
+  FleetTest Test;
+  REQUIRE(Test.until([&] { return Test.givers() == 1; }));
+  const auto Relayed = [&] {
+    return Test.m_Gateway->watchesList() != Test.m_Other->watchesList();
+  };
+  REQUIRE(Test.until(Relayed));
+  Test.addRunner("i-2", [](const Request &, const ConnectionPtr &) {});
+  const auto Known = [](const Gateway &Box) {
+    return Box.state().m_Upstreams.current().contains("i-2");
+  };
+  REQUIRE(Test.until(
+      [&] { return Known(*Test.m_Gateway) && Known(*Test.m_Other); }));
+  SECTION("and is read from the store when the relay is gone") {
+    const bool First = Test.m_Gateway->givesOrders();
+    auto &Left = First ? Test.m_Other : Test.m_Gateway;
+    (First ? Test.m_Gateway : Test.m_Other).reset();
+    REQUIRE(Test.until([&] { return Left->watchesList(); }));
+  }
+}
--- /dev/null
+++ b/tests/gateway/OrderTest.cpp
@@ -0,0 +1,129 @@
+#include "gateway/GatewayTest.h"
+
+#include <set>
+
+using namespace havenstair;
+
+namespace {
+
+using Request = StandinRunner::Request;
+using ConnectionPtr = StandinRunner::ConnectionPtr;
+
+/// An engine that holds the model `m` and takes orders for its adapters.
+class OrderedEngine {
+public:
+  void serve(const Request &Of, const ConnectionPtr &To) {
+    if (Of.m_Target == "/v1/report")
+      return To->write(StandinRunner::answer(Of, 200, dumpJson(report())));
+    if (Of.m_Target == "/v1/order")
+      return order(Of, To);
+    const std::string Model = Of.header("x-model-name");
+    const std::size_t Slash = Model.find('/');
+    const bool Held = Slash == std::string::npos ||
+                      m_Adapters.contains(Model.substr(Slash + 1));
+    To->write(Held ? StandinRunner::answer(Of, 200, "run")
+                   : StandinRunner::answer(Of, 421, "",
+                                           "X-Request-Not-Executed: 1\r\n"));
+  }
+
+  std::vector<Json> m_Orders;
+
+private:
+  Json report() const {
+    return {{"sequenceNumber", m_Orders.size()},
+            {"utilization", false},
+            {"modelList",
+             Json::array({{{"name", "m"}, {"adapterList", m_Adapters}}})}};
+  }
+
+  void order(const Request &Of, const ConnectionPtr &To) {
+    const Json Order = parseJson(Of.m_Body);
+    if (Order.at("expectedCount") != m_Orders.size())
+      return To->write(StandinRunner::answer(Of, 409, ""));
+    m_Orders.push_back(Order);
+    m_Adapters.insert(Order.at("adapterName").get<std::string>());
+    To->write(StandinRunner::answer(Of, 202, ""));
+  }
+
+  std::set<std::string> m_Adapters;
+};
+
+class OrderTest : public GatewayTest {
+public:
+  OrderTest() {
+    addRunner("i-1", [this](const Request &Of, const ConnectionPtr &To) {
+      m_Engine.serve(Of, To);
+    });
+    m_Store.put("servers/i-1",
+                dumpJson({{"service", "llm"},
+                          {"address", m_Runners.at("i-1")->endpoint().str()},
+                          {"zone", "a"},
+                          {"slots", 8},
+                          {"state", "ready"},
+                          {"modelList",
+                           Json::array({{{"name", "m"},
+                                         {"adapterList", Json::array()}}})}}));
+    Json Model{{"name", "m"},
+               {"weightsMb", 60},
+               {"loadTimeS", 4},
+               {"adapterList", 3},
+               {"adapterSizeMb", 1}};
+    Json Route = route("llm", "unsafe");
+    Route["service"] = "llm";
+    m_Store.put(
+        "op/config",
+        dumpJson({{"version", 1},
+                  {"routes", Json::array({std::move(Route)})},
+                  {"services",
+                   Json::array({{{"name", "llm"},
+                                 {"inferenceEngine",
+                                  {{"slots", 8},
+                                   {"weightsMb", 100},
+                                   {"adapterCapacity", 4},
+                                   {"loadsPerS", 2},
+                                   {"modelList",
+                                    Json::array({std::move(Model)})}}}}})}}));
+    startGateway();
+    REQUIRE(until([&] {
+      return m_Gateway->state().ready() && m_Gateway->givesOrders();
+    }));
+  }
+
+  int ask(const std::string &Model, const std::string &Id) {
+    HttpCall Call = call("/llm/x", Id);
+    Call.m_Headers.push_back({"X-Model-Name", Model});
+    Call.m_Headers.push_back({"X-Token-Counts", "100,10"});
+    return fetch(std::move(Call)).m_Status;
+  }
+
+  OrderedEngine m_Engine;
+};
+
+} // namespace
+
+TEST_CASE("An adapter that requests wait for is ordered, and then they run",
+          "[gateway][orders]") {
+  OrderTest Test;
+  REQUIRE(Test.ask("m", "id-model") == 200);
+  int Status = 0;
+  for (int Number = 0; Status != 200 && Number < 200; ++Number)
+    Status = Test.ask("m/a2", "id-" + std::to_string(Number));
+  REQUIRE(Status == 200);
+  REQUIRE(Test.m_Engine.m_Orders.size() == 1);
+  const Json &Order = Test.m_Engine.m_Orders.front();
+  REQUIRE(Order.at("operation") == "model_load");
+  REQUIRE(Order.at("modelName") == "m");
+  REQUIRE(Order.at("adapterName") == "a2");
+  REQUIRE(Order.at("lockHolder") == "box");
+  REQUIRE(Order.at("fencingToken").get<std::uint64_t>() > 0);
+}
+
+TEST_CASE("A model that nothing holds is refused with when to come back",
+          "[gateway][orders]") {
+  OrderTest Test;
+  HttpCall Call = Test.call("/llm/x", "id-1");
+  Call.m_Headers.push_back({"X-Model-Name", "none"});
+  const HttpAnswer Answer = Test.fetch(std::move(Call));
+  REQUIRE(Answer.m_Status == 503);
+  REQUIRE_FALSE(findHeader(Answer.m_Headers, "Retry-After").empty());
+}
