Lint: what clang-tidy found in the new code

Parameters by reference, no comparison with an empty text, no use after a move in a macro's loop, a connection that holds itself in its handlers.

--- a/packages/havenstair/request/TraceCommand.cpp
+++ b/packages/havenstair/request/TraceCommand.cpp
@@ -15,7 +15,9 @@
   for (const auto &[Name, Value] : Line.items()) {
     const bool Known = Name == "event" || Name == "request" || Name == "time" ||
                        Name == "up_ms";
-    if (Known || Value == "")
+    const bool Blank =
+        Value.is_string() && Value.get_ref<const std::string &>().empty();
+    if (Known || Blank)
       continue;
     Text += "  " + Name + "=" +
             (Value.is_string() ? Value.get<std::string>() : dumpJson(Value));
--- a/tests/gateway/StreamTest.cpp
+++ b/tests/gateway/StreamTest.cpp
@@ -86,7 +86,8 @@
   Test.start();
   HttpCall Call = Test.call("/resumable/x", "id-1");
   Call.m_Headers.push_back({"Last-Event-Id", "4"});
-  REQUIRE(Test.fetch(std::move(Call)).m_Body == plain(5, Pieces));
+  const HttpAnswer Answer = Test.fetch(std::move(Call));
+  REQUIRE(Answer.m_Body == plain(5, Pieces));
 }
 
 TEST_CASE("A runner that pauses a stream keeps it while it takes connections",
--- a/tests/standin/StandinRunner.cpp
+++ b/tests/standin/StandinRunner.cpp
@@ -122,19 +122,19 @@
       Stream,
       [](bufferevent *From, void *Arg) {
         auto *Self = static_cast<StandinRunner *>(Arg);
-        Self->onReadable(Self->m_Connections.at(From));
+        Self->onReadable(*Self->m_Connections.at(From));
       },
       nullptr,
       [](bufferevent *Of, short What, void *Arg) {
         auto *Self = static_cast<StandinRunner *>(Arg);
-        Self->onEvent(Self->m_Connections.at(Of), What);
+        Self->onEvent(*Self->m_Connections.at(Of), What);
       },
       this);
   bufferevent_enable(Stream, EV_READ | EV_WRITE);
 }
 
-void StandinRunner::onReadable(const ConnectionPtr &From) {
-  const ConnectionPtr Held = From;
+void StandinRunner::onReadable(Connection &From) {
+  const ConnectionPtr Held = From.shared_from_this();
   evbuffer *Input = bufferevent_get_input(Held->m_Stream);
   std::string Bytes(evbuffer_get_length(Input), '\0');
   evbuffer_remove(Input, Bytes.data(), Bytes.size());
@@ -147,10 +147,10 @@
   }
 }
 
-void StandinRunner::onEvent(const ConnectionPtr &Of, short What) {
+void StandinRunner::onEvent(Connection &Of, short What) {
   if ((What & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
     return;
-  const ConnectionPtr Held = Of;
+  const ConnectionPtr Held = Of.shared_from_this();
   m_ClosedByCaller += Held->m_Closing ? 0 : 1;
   m_Connections.erase(Held->m_Stream);
   bufferevent_free(std::exchange(Held->m_Stream, nullptr));
--- a/tests/standin/StandinRunner.h
+++ b/tests/standin/StandinRunner.h
@@ -30,7 +30,7 @@
   };
 
   /// A caller's connection; outlives the request.
-  class Connection {
+  class Connection : public std::enable_shared_from_this<Connection> {
   public:
     explicit Connection(bufferevent *Stream) : m_Stream(Stream) {}
     ~Connection();
@@ -77,8 +77,8 @@
 
 private:
   void accept(int Socket);
-  void onReadable(const ConnectionPtr &From);
-  void onEvent(const ConnectionPtr &Of, short What);
+  void onReadable(Connection &From);
+  void onEvent(Connection &Of, short What);
 
   EventLoop &m_Loop;
   Behaviour m_Behaviour;
