Remove a hook of the dialect that nothing reads

The list of vouching header fields was filled in and never used: answers pass either as they came or as our own, without the upstream's fields. Behaviour is unchanged.

--- a/packages/gateway/request/RequestDialect.h
+++ b/packages/gateway/request/RequestDialect.h
@@ -36,8 +36,6 @@
   std::function<AnswerFacts(int Status, const HttpHeaders &)> m_ReadAnswer;
   /// Header fields of an answer that the gateway gives itself.
   std::function<HttpHeaders(const std::string &RequestId)> m_OwnAnswer;
-  /// Header fields of an upstream's answer that vouch for its status.
-  std::vector<std::string> m_Vouching;
 };
 
 /// \p Headers without the fields that concern one connection only (RFC 9110,
