Bound on loads: an order counts until a window after it was settled

The log shows 11 loads ordered at 19.07 s and 9 more at 24.12 s, 5.05 s later: a load begins when the engine takes the order, up to a second after it is sent, so the windows touch. Second cause, found on reading: a new order giver declared the window used up before it knew the bound, so 5 places of 10 stayed free. Shown on the old class: 5 left after a takeover (0 expected), 10 left at 5.0 s while loads ordered at 0 s began until 0.4 s. Ruled out: orders sent again (one count, one load), loads from disk. Change: LoadCeiling knows each order by its engine, from sending until the word that settles it; engines that vanish no longer hold a place for ever.

--- a/packages/decisions/process/LoadCeiling.cpp
+++ b/packages/decisions/process/LoadCeiling.cpp
@@ -11,23 +11,18 @@
                                   m_Opts.m_Overage));
 }
 
-void LoadCeiling::takeOver(TimePoint Until) {
-  m_Begun.assign(most(), Until);
-  m_Uncertain = 0;
-}
-
 std::size_t LoadCeiling::left(TimePoint Now) {
-  while (!m_Begun.empty() && m_Begun.front() <= Now - m_Opts.m_Window)
-    m_Begun.pop_front();
-  const std::size_t Taken = m_Begun.size() + m_Uncertain;
+  if (m_TakenOver && Now <= *m_TakenOver + m_Opts.m_Window)
+    return 0;
+  while (!m_Begun.empty() && *m_Begun.begin() < Now - m_Opts.m_Window)
+    m_Begun.erase(m_Begun.begin());
+  const std::size_t Taken = m_Begun.size() + m_Open.size();
   return Taken < most() ? most() - Taken : 0;
 }
 
-void LoadCeiling::settled(TimePoint Now) {
-  if (m_Uncertain == 0)
-    return;
-  --m_Uncertain;
-  begun(Now);
+void LoadCeiling::settled(const InstanceId &Engine, TimePoint Until) {
+  if (m_Open.erase(Engine) > 0)
+    m_Begun.insert(Until);
 }
 
 } // namespace havenstair
--- a/packages/decisions/process/LoadCeiling.h
+++ b/packages/decisions/process/LoadCeiling.h
@@ -3,15 +3,19 @@
 #ifndef HAVENSTAIR_DECISIONS_PROCESS_LOADCEILING_H
 #define HAVENSTAIR_DECISIONS_PROCESS_LOADCEILING_H
 
+#include "decisions/common/Id.h"
 #include "decisions/common/Time.h"
-#include <deque>
+#include "decisions/process/UpstreamInstance.h"
+#include <optional>
+#include <set>
 
 namespace havenstair {
 
-/// In any window, no more loads begin than `LoadsPerS x Window x Overage`. An
-/// order without an answer may begin its load at any later time, so it counts
-/// until its outcome is known. A new order giver assumes that the one before it
-/// has used up a whole window just before it stopped.
+/// In any window, no more loads begin than `LoadsPerS x Window x Overage`. When
+/// a load begins is not known: at any time between the sending of its order and
+/// the word that settles it. So an order counts from its sending until a window
+/// after it was settled. A new order giver assumes that the one before it has
+/// used up a whole window just before it stopped.
 class LoadCeiling {
 public:
   struct Options {
@@ -26,22 +30,25 @@
 
   void configure(Options Opts) { m_Opts = Opts; }
   /// Another order giver gave its last order before \p Until.
-  void takeOver(TimePoint Until);
-  /// Loads that may begin now.
+  void takeOver(TimePoint Until) { m_TakenOver = Until; }
+  /// Loads that may be ordered now.
   std::size_t left(TimePoint Now);
-  /// A load from the store was ordered.
-  void begun(TimePoint Now) { m_Begun.push_back(Now); }
-  /// It is not known whether an order was taken, or will be.
-  void uncertain() { ++m_Uncertain; }
-  /// An uncertain order has been settled; it may have begun until \p Now.
-  void settled(TimePoint Now);
+  /// A load from the store is ordered from \p Engine, which takes one at a
+  /// time.
+  void ordered(const InstanceId &Engine) { m_Open.insert(Engine); }
+  /// Whether it is not yet known when, or if, the load of \p Engine began.
+  bool open(const InstanceId &Engine) const { return m_Open.contains(Engine); }
+  /// The load of \p Engine began before \p Until, or never will. Nothing
+  /// happens when none is open.
+  void settled(const InstanceId &Engine, TimePoint Until);
 
 private:
   std::size_t most() const;
 
   Options m_Opts;
-  std::deque<TimePoint> m_Begun;
-  std::size_t m_Uncertain = 0;
+  std::set<InstanceId> m_Open;
+  std::multiset<TimePoint> m_Begun;
+  std::optional<TimePoint> m_TakenOver;
 };
 
 } // namespace havenstair
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -42,6 +42,12 @@
 /// Most moves that one plan begins.
 constexpr std::size_t MostMoves = 6;
 
+/// A holder that is replaced hears of it within this.
+constexpr Duration LastOrderOfOther = 700ms;
+
+/// An order that an engine took before it was delisted may begin until then.
+constexpr Duration OrderOutlivesEntry = 5s;
+
 constexpr const char *HolderKey = "giver";
 constexpr const char *TermKey = "giver-term";
 
@@ -177,8 +183,9 @@
       First || Own ? Now : Now + m_Opts.m_Bounds.m_OrderTurn + TurnMargin;
   m_Engines.clear();
   m_Ceiling = LoadCeiling();
+  // Nobody tells the holder before that it is one no more at once.
   if (!First)
-    m_Ceiling.takeOver(Now);
+    m_Ceiling.takeOver(Own ? Now : Now + LastOrderOfOther);
   m_Log.write("giver", {{"token", m_Token},
                         {"before", m_TermHolder},
                         {"orders_in_ms", (m_MayOrderFrom - Now) / 1ms}});
@@ -262,7 +269,10 @@
 
 void OrderGiver::refreshEngines(TimePoint Now) {
   std::erase_if(m_Engines, [&](const auto &Each) {
-    return !m_State.m_Upstreams.list().m_Instances.contains(Each.first);
+    if (m_State.m_Upstreams.list().m_Instances.contains(Each.first))
+      return false;
+    m_Ceiling.settled(Each.first, Now + OrderOutlivesEntry);
+    return true;
   });
   for (const auto &[Id, Entry] : m_State.m_Upstreams.list().m_Instances) {
     if (specOf(Entry.m_Service) == nullptr)
@@ -315,10 +325,7 @@
     return;
   }
   Of.m_Ledger.heard(*Report, Now);
-  if (Of.m_StoreLoadUncertain && !Of.m_Ledger.uncertain()) {
-    Of.m_StoreLoadUncertain.reset();
-    m_Ceiling.settled(Now);
-  }
+  settleLoad(Id, Of, Now);
   if (const auto Entry = m_State.m_Upstreams.list().m_Instances.find(Id);
       Entry != m_State.m_Upstreams.list().m_Instances.end())
     if (const EngineSpec *Spec = specOf(Entry->second.m_Service))
@@ -398,7 +405,7 @@
   if (FromStore) {
     if (m_Ceiling.left(Now) == 0)
       return false;
-    m_Ceiling.begun(Now);
+    m_Ceiling.ordered(Id);
   }
   const OrderStamp Stamp{.m_Holder = m_Opts.m_Holder,
                          .m_FencingToken = m_Token,
@@ -423,6 +430,13 @@
   return true;
 }
 
+/// A load has begun, or never will, once the engine's word is in.
+void OrderGiver::settleLoad(const InstanceId &Id, const Engine &Of,
+                            TimePoint Now) {
+  if (!Of.m_Ledger.uncertain() && !Of.m_Ledger.waitsForAnswer())
+    m_Ceiling.settled(Id, Now);
+}
+
 void OrderGiver::orderAnswered(const InstanceId &Id,
                                const ResidencyOrder &Order, LoadSource Source,
                                OrderAnswer Answer) {
@@ -440,15 +454,7 @@
   Engine &Of = Found->second;
   Of.m_Ledger.answered(Answer, Now);
   const bool ModelLoad = Order.m_Load && Order.m_Adapter.empty();
-  if (Answer == OrderAnswer::Lost && ModelLoad && Source == LoadSource::Store &&
-      !Of.m_StoreLoadUncertain) {
-    Of.m_StoreLoadUncertain = Order;
-    m_Ceiling.uncertain();
-  }
-  if (Of.m_StoreLoadUncertain && !Of.m_Ledger.uncertain()) {
-    Of.m_StoreLoadUncertain.reset();
-    m_Ceiling.settled(Now);
-  }
+  settleLoad(Id, Of, Now);
   Of.m_NextReport = Now + UnloadTakes;
   if (Answer == OrderAnswer::Accepted) {
     const auto Entry = m_State.m_Upstreams.list().m_Instances.find(Id);
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -104,7 +104,6 @@
   struct Engine {
     EngineLedger m_Ledger;
     std::optional<Task> m_Task;
-    std::optional<ResidencyOrder> m_StoreLoadUncertain;
     bool m_ReportAsked = false;
     TimePoint m_NextReport{};
     EngineContents m_Told;
@@ -142,6 +141,7 @@
             LoadSource Source, TimePoint Now);
   void orderAnswered(const InstanceId &Id, const ResidencyOrder &Order,
                      LoadSource Source, OrderAnswer Answer);
+  void settleLoad(const InstanceId &Id, const Engine &Of, TimePoint Now);
   void tellChanges();
   EngineContents contentsOf(const InstanceId &Id, const Engine &Of,
                             TimePoint Now) const;
--- a/tests/decisions/process/LoadCeilingTest.cpp
+++ b/tests/decisions/process/LoadCeilingTest.cpp
@@ -1,29 +1,63 @@
 #include "decisions/process/LoadCeiling.h"
 #include "support/Draw.h"
 #include "support/Names.h"
+#include <map>
 #include <vector>
 
 using namespace havenstair;
 
-TEST_CASE("No window sees more loads begin than the bound",
+namespace {
+
+/// A load as the store of weights sees it: it begins at some time between the
+/// sending of its order and the word that settles it.
+struct OpenLoad {
+  TimePoint m_Begins{};
+  TimePoint m_Settles{};
+};
+
+std::size_t mostInWindow(const std::vector<TimePoint> &Begun, Duration Window) {
+  std::size_t Most = 0;
+  for (const TimePoint From : Begun)
+    Most = std::max<std::size_t>(
+        Most, std::count_if(Begun.begin(), Begun.end(), [&](TimePoint Each) {
+          return Each >= From && Each <= From + Window;
+        }));
+  return Most;
+}
+
+} // namespace
+
+TEST_CASE("No window sees more loads begin than the bound, however late each "
+          "begins",
           "[ceiling][property]") {
   rc::prop("bounded", [] {
     LoadCeiling Ceiling;
-    const double PerSecond = *drawn(1, 40) / 10.0;
+    const double PerSecond = *drawn(2, 40) / 10.0;
     Ceiling.configure({.m_LoadsPerS = PerSecond, .m_Window = 5s});
+    std::map<InstanceId, OpenLoad> Open;
     std::vector<TimePoint> Begun;
     TimePoint Now = at(0s);
     for (int Step = 0; Step < 200; ++Step) {
       Now += std::chrono::milliseconds(*drawn(0, 300));
+      for (auto At = Open.begin(); At != Open.end();) {
+        if (At->second.m_Settles > Now) {
+          ++At;
+          continue;
+        }
+        Ceiling.settled(At->first, Now);
+        At = Open.erase(At);
+      }
       if (Ceiling.left(Now) == 0)
         continue;
-      Ceiling.begun(Now);
-      Begun.push_back(Now);
-      const auto InWindow =
-          std::count_if(Begun.begin(), Begun.end(),
-                        [&](TimePoint Each) { return Each > Now - 5s; });
-      RC_ASSERT(static_cast<double>(InWindow) <= std::max(1.0, PerSecond * 5));
+      const InstanceId Engine = "i-" + std::to_string(Step);
+      const auto Begins = Now + std::chrono::milliseconds(*drawn(0, 4000));
+      const auto Settles = Begins + std::chrono::milliseconds(*drawn(0, 2000));
+      Open[Engine] = {.m_Begins = Begins, .m_Settles = Settles};
+      Ceiling.ordered(Engine);
+      Begun.push_back(Begins);
     }
+    RC_ASSERT(static_cast<double>(mostInWindow(Begun, 5s)) <=
+              std::max(1.0, PerSecond * 5));
   });
 }
 
@@ -32,18 +66,37 @@
   LoadCeiling Ceiling;
   Ceiling.configure({.m_LoadsPerS = 0.4, .m_Window = 5s});
   REQUIRE(Ceiling.left(at(0s)) == 2);
-  Ceiling.begun(at(0s));
-  Ceiling.uncertain();
+  Ceiling.ordered("i-1");
   REQUIRE(Ceiling.left(at(60s)) == 1);
-  Ceiling.settled(at(60s));
+  Ceiling.settled("i-1", at(60s));
   REQUIRE(Ceiling.left(at(61s)) == 1);
   REQUIRE(Ceiling.left(at(66s)) == 2);
 }
 
+TEST_CASE("What is settled twice, or was never ordered, counts once at most",
+          "[ceiling]") {
+  LoadCeiling Ceiling;
+  Ceiling.configure({.m_LoadsPerS = 0.4, .m_Window = 5s});
+  Ceiling.settled("i-2", at(0s));
+  REQUIRE(Ceiling.left(at(0s)) == 2);
+  Ceiling.ordered("i-1");
+  Ceiling.settled("i-1", at(1s));
+  Ceiling.settled("i-1", at(2s));
+  REQUIRE(Ceiling.left(at(3s)) == 1);
+  REQUIRE(Ceiling.left(at(6s) + 1ms) == 2);
+}
+
 TEST_CASE("A new order giver begins with a used-up window", "[ceiling]") {
   LoadCeiling Ceiling;
-  Ceiling.configure({.m_LoadsPerS = 2, .m_Window = 5s});
-  Ceiling.takeOver(at(10s));
+  SECTION("the bound is known before") {
+    Ceiling.configure({.m_LoadsPerS = 2, .m_Window = 5s});
+    Ceiling.takeOver(at(10s));
+  }
+  SECTION("the bound becomes known only then") {
+    Ceiling.takeOver(at(10s));
+    Ceiling.configure({.m_LoadsPerS = 2, .m_Window = 5s});
+  }
   REQUIRE(Ceiling.left(at(14s)) == 0);
+  REQUIRE(Ceiling.left(at(15s)) == 0);
   REQUIRE(Ceiling.left(at(15s) + 1ms) == 10);
 }
