--- /dev/null
+++ b/packages/decisions/process/FleetTopology.cpp
@@ -0,0 +1,80 @@
+#include "decisions/process/FleetTopology.h"
+
+#include "decisions/common/StableHash.h"
+#include <algorithm>
+#include <utility>
+
+namespace havenstair {
+
+FleetTopology::FleetTopology(FleetMember Self, Options Opts)
+    : m_Self(std::move(Self)), m_Opts(Opts) {
+  arrange();
+}
+
+void FleetTopology::listed(std::vector<FleetMember> Others) {
+  m_Others = std::move(Others);
+  arrange();
+}
+
+void FleetTopology::holderIs(const BoxName &Holder) {
+  if (Holder == m_Holder)
+    return;
+  m_Holder = Holder;
+  arrange();
+}
+
+void FleetTopology::arrange() {
+  std::vector<FleetMember> All = m_Others;
+  All.push_back(m_Self);
+  m_Flat = All.size() <= m_Opts.m_MeshUpTo;
+  m_Relays.clear();
+  std::map<DataCentreName, std::vector<FleetMember>> ByDataCentre;
+  for (const FleetMember &Each : All) {
+    if (m_Flat || Each.m_Box == m_Holder)
+      m_Relays.insert(Each.m_Box);
+    ByDataCentre[Each.m_DataCentre].push_back(Each);
+  }
+  const auto Stronger = [](const FleetMember &A, const FleetMember &B) {
+    return A.m_Capacity != B.m_Capacity ? A.m_Capacity > B.m_Capacity
+                                        : A.m_Box < B.m_Box;
+  };
+  for (auto &[DataCentre, Members] : ByDataCentre) {
+    std::sort(Members.begin(), Members.end(), Stronger);
+    for (std::size_t Rank = 0;
+         Rank < std::min(m_Opts.m_RelaysPerDataCentre, Members.size()); ++Rank)
+      m_Relays.insert(Members[Rank].m_Box);
+  }
+  m_Links.clear();
+  if (!relay()) {
+    m_Links = linksOfLeaf();
+    return;
+  }
+  for (const BoxName &Relay : m_Relays)
+    if (Relay != m_Self.m_Box)
+      m_Links.push_back(Relay);
+}
+
+/// Leaves spread over the relays of their data centre. One relay elsewhere is
+/// for the time when all of these are gone.
+std::vector<BoxName> FleetTopology::linksOfLeaf() const {
+  std::vector<std::pair<std::uint64_t, BoxName>> Near;
+  std::vector<std::pair<std::uint64_t, BoxName>> Far;
+  for (const FleetMember &Each : m_Others) {
+    if (!isRelay(Each.m_Box))
+      continue;
+    const bool Here = Each.m_DataCentre == m_Self.m_DataCentre;
+    (Here ? Near : Far)
+        .emplace_back(stableHash(Each.m_Box.str(), m_Self.m_Box.str()),
+                      Each.m_Box);
+  }
+  std::sort(Near.rbegin(), Near.rend());
+  std::sort(Far.rbegin(), Far.rend());
+  std::vector<BoxName> Result;
+  for (const auto &[Hash, Box] : Near)
+    Result.push_back(Box);
+  if (!Far.empty())
+    Result.push_back(Far.front().second);
+  return Result;
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/decisions/process/FleetTopology.h
@@ -0,0 +1,71 @@
+/// \file
+/// Which boxes of a fleet are linked to which.
+/// See docs/design/fleet.md.
+#ifndef HAVENSTAIR_DECISIONS_PROCESS_FLEETTOPOLOGY_H
+#define HAVENSTAIR_DECISIONS_PROCESS_FLEETTOPOLOGY_H
+
+#include "decisions/common/Id.h"
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace havenstair {
+
+/// A box as it describes itself to the others.
+struct FleetMember {
+  BoxName m_Box;
+  DataCentreName m_DataCentre;
+  double m_Capacity = 1; ///< Share of a core.
+
+  bool operator==(const FleetMember &) const = default;
+};
+
+/// A tree of two levels: relays are linked to each other, every other box (a
+/// leaf) is linked to the relays of its data centre and talks to one of them.
+/// In a small fleet all boxes are relays. Every box that knows the same members
+/// and the same order giver comes to the same relays.
+class FleetTopology {
+public:
+  struct Options {
+    /// Up to this many boxes, all are relays.
+    std::size_t m_MeshUpTo = 16;
+    std::size_t m_RelaysPerDataCentre = 3;
+  };
+
+  explicit FleetTopology(FleetMember Self)
+      : FleetTopology(std::move(Self), Options{}) {}
+  FleetTopology(FleetMember Self, Options Opts);
+
+  /// The other boxes that are known now.
+  void listed(std::vector<FleetMember> Others);
+  /// The box that gives orders stays a relay while it is listed, so that a
+  /// stronger box that joins does not end its turn.
+  void holderIs(const BoxName &Holder);
+
+  /// All boxes are relays.
+  bool flat() const { return m_Flat; }
+  bool isRelay(const BoxName &Box) const { return m_Relays.contains(Box); }
+  /// Whether this box is one.
+  bool relay() const { return isRelay(m_Self.m_Box); }
+  const std::set<BoxName> &relays() const { return m_Relays; }
+  /// The boxes to link to; of a leaf the most preferred first.
+  const std::vector<BoxName> &links() const { return m_Links; }
+
+private:
+  void arrange();
+  std::vector<BoxName> linksOfLeaf() const;
+
+  FleetMember m_Self;
+  Options m_Opts;
+  std::vector<FleetMember> m_Others;
+  BoxName m_Holder;
+  bool m_Flat = true;
+  std::set<BoxName> m_Relays;
+  std::vector<BoxName> m_Links;
+};
+
+} // namespace havenstair
+
+#endif
--- a/packages/decisions/process/HolderView.cpp
+++ b/packages/decisions/process/HolderView.cpp
@@ -37,7 +37,8 @@
     return false;
   const auto Count =
       std::count_if(m_Words.begin(), m_Words.end(), [&](const auto &Each) {
-        return fresh(Each.second, Now) && Each.second.m_Known == m_Holder;
+        return fresh(Each.second, Now) && m_Others.contains(Each.first) &&
+               Each.second.m_Known == m_Holder;
       });
   return static_cast<std::size_t>(Count) + 1 >= majority();
 }
--- a/packages/decisions/process/HolderView.h
+++ b/packages/decisions/process/HolderView.h
@@ -45,7 +45,7 @@
              TimePoint Now);
   /// What the store or this box itself says.
   void known(const OrderHolder &Holder, TimePoint Now);
-  /// The boxes that the store lists, without this one.
+  /// The boxes whose majority decides, without this one.
   void listed(std::set<BoxName> Others);
   /// This process stood still until \p Now.
   void paused(TimePoint Now);
--- a/packages/decisions/process/LeaseKeeper.h
+++ b/packages/decisions/process/LeaseKeeper.h
@@ -39,6 +39,9 @@
   /// The platform says that the lease does not exist.
   void lost(TimePoint Now);
 
+  /// Takes effect from the next renewal on.
+  void setRenewEvery(Duration Every) { m_Opts.m_RenewEvery = Every; }
+
   bool held(TimePoint Now) const;
   const std::string &leaseId() const { return m_LeaseId; }
   /// End of the lease by this box's clock; the epoch when there is none.
--- a/packages/decisions/process/LoadBook.cpp
+++ b/packages/decisions/process/LoadBook.cpp
@@ -87,4 +87,14 @@
   return Sum;
 }
 
+InstanceLoads LoadBook::sum(const std::function<bool(const BoxName &)> &Counts,
+                            TimePoint Now) const {
+  InstanceLoads Sum = m_Own;
+  for (const auto &[Box, Word] : m_Told)
+    if (Now - Word.m_At <= WordCounts && Counts(Box))
+      for (const auto &[Id, Load] : Word.m_Loads)
+        Sum[Id] += Load;
+  return Sum;
+}
+
 } // namespace havenstair
--- a/packages/decisions/process/LoadBook.h
+++ b/packages/decisions/process/LoadBook.h
@@ -6,6 +6,7 @@
 #include "decisions/common/Id.h"
 #include "decisions/common/Time.h"
 #include "decisions/process/UpstreamInstance.h"
+#include <functional>
 #include <map>
 
 namespace havenstair {
@@ -52,6 +53,9 @@
   void forget(const BoxName &Box) { m_Told.erase(Box); }
 
   InstanceLoad load(const InstanceId &Of, TimePoint Now) const;
+  /// This box's own loads and what the boxes that \p Counts accepts have told.
+  InstanceLoads sum(const std::function<bool(const BoxName &)> &Counts,
+                    TimePoint Now) const;
   /// Only what went through this box; for the other boxes.
   const InstanceLoads &own() const { return m_Own; }
 
--- a/packages/gateway/process/Fleet.cpp
+++ b/packages/gateway/process/Fleet.cpp
@@ -1,7 +1,6 @@
 #include "gateway/process/Fleet.h"
 
 #include "gateway/common/DecisionLog.h"
-#include "wire/common/Json.h"
 #include <algorithm>
 
 namespace havenstair {
@@ -23,11 +22,12 @@
            .m_Claimed = [](StoreRevision) {},
            .m_Lost = [] {},
            .m_Answered = [this](bool Reached) { storeAnswered(Reached); }}),
-      m_Mesh(Loop, meshOptions(), meshHooks()) {
+      m_Mesh(Loop, meshOptions(), meshHooks()),
+      m_Topology({.m_Box = m_Opts.m_Box,
+                  .m_DataCentre = m_Opts.m_DataCentre,
+                  .m_Capacity = m_Opts.m_Capacity}) {
   m_Mesh.learnSeeds(m_Opts.m_Seeds);
   m_TickTimer = Loop.every(TickEvery, [this] { tick(); });
-  m_DigestTimer =
-      Loop.every(m_Opts.m_DigestEvery, [this] { sendAll(m_Hooks.m_Digest()); });
 }
 
 Fleet::~Fleet() = default;
@@ -61,7 +61,8 @@
 
 StoreTransaction Fleet::entry(LeaseId Lease) const {
   const Json Value{{"peers", m_Mesh.endpoint().str()},
-                   {"zone", m_Opts.m_DataCentre.str()}};
+                   {"zone", m_Opts.m_DataCentre.str()},
+                   {"capacity", m_Opts.m_Capacity}};
   return {.m_Conditions = {},
           .m_Puts = {{.m_Key = m_Opts.m_Prefix + BoxKeys + m_Opts.m_Box.str(),
                       .m_Value = dumpJson(Value),
@@ -91,30 +92,64 @@
 
 void Fleet::entriesChanged(const std::map<std::string, StoreItem> &Items) {
   const std::string Start = m_Opts.m_Prefix + BoxKeys;
-  std::set<BoxName> Listed;
-  std::vector<PeerAddress> Peers;
+  std::vector<FleetMember> Members;
+  m_Listed.clear();
   for (const auto &[Key, Item] : Items) {
-    if (!Key.starts_with(Start))
+    const BoxName Box(Key.starts_with(Start) ? Key.substr(Start.size()) : "");
+    if (Box.empty() || Box == m_Opts.m_Box)
       continue;
-    const BoxName Box(Key.substr(Start.size()));
     try {
       const Json Value = parseJson(Item.m_Value);
-      const auto Address = Endpoint::parse(field<std::string>(Value, "peers"));
-      if (!Address || Box == m_Opts.m_Box)
+      const std::optional<PeerAddress> Address = addressOf(Box, Value);
+      if (!Address)
         continue;
-      Listed.insert(Box);
-      Peers.push_back(
-          {.m_Box = Box,
-           .m_DataCentre = DataCentreName(field<std::string>(Value, "zone")),
-           .m_Endpoint = *Address});
+      m_Listed[Box] = *Address;
+      Members.push_back({.m_Box = Box,
+                         .m_DataCentre = Address->m_DataCentre,
+                         .m_Capacity = fieldOr<double>(Value, "capacity", 1)});
     } catch (const DecodeError &Error) {
       m_Log.write("bad_box", {{"key", Key}, {"why", Error.what()}});
     }
   }
-  for (const BoxName &Gone : m_Listed)
-    if (!Listed.contains(Gone))
+  m_Topology.listed(std::move(Members));
+  link();
+}
+
+std::optional<PeerAddress> Fleet::addressOf(const BoxName &Box,
+                                            const Json &Value) const {
+  const auto Address = Endpoint::parse(field<std::string>(Value, "peers"));
+  if (!Address)
+    return std::nullopt;
+  return PeerAddress{.m_Box = Box,
+                     .m_DataCentre =
+                         DataCentreName(field<std::string>(Value, "zone")),
+                     .m_Endpoint = *Address};
+}
+
+bool Fleet::holderIs(const BoxName &Holder) {
+  const std::set<BoxName> Before = m_Topology.relays();
+  m_Topology.holderIs(Holder);
+  if (m_Topology.relays() == Before)
+    return false;
+  link();
+  return true;
+}
+
+void Fleet::link() {
+  std::set<BoxName> Wanted;
+  std::vector<PeerAddress> Peers;
+  for (const BoxName &Box : m_Topology.links()) {
+    Peers.push_back(m_Listed.at(Box));
+    // Relays do not know who their leaves are.
+    Peers.back().m_Dial = !m_Topology.relay();
+    Wanted.insert(Box);
+  }
+  for (const BoxName &Gone : m_Wanted)
+    if (!Wanted.contains(Gone))
       m_Mesh.forget(Gone);
-  m_Listed = std::move(Listed);
+  m_Wanted = std::move(Wanted);
+  m_Entry.setRenewEvery(m_Topology.relay() ? m_Opts.m_RenewEvery
+                                           : m_Opts.m_LeafRenewEvery);
   m_Mesh.learn(Peers);
 }
 
@@ -122,16 +157,10 @@
   m_Mesh.send(To, Frame);
 }
 
-void Fleet::sendAll(const PeerFrame &Frame) {
-  // A link that fails while it is written to leaves the set.
-  const std::set<BoxName> To = m_Linked;
-  for (const BoxName &Box : To)
-    m_Mesh.send(Box, Frame);
-}
-
 std::size_t Fleet::size() const {
-  std::set<BoxName> Others = m_Listed;
-  Others.insert(m_Linked.begin(), m_Linked.end());
+  std::set<BoxName> Others = m_Linked;
+  for (const auto &[Box, Address] : m_Listed)
+    Others.insert(Box);
   return Others.size() + 1;
 }
 
--- a/packages/gateway/process/Fleet.h
+++ b/packages/gateway/process/Fleet.h
@@ -3,14 +3,17 @@
 #ifndef HAVENSTAIR_GATEWAY_PROCESS_FLEET_H
 #define HAVENSTAIR_GATEWAY_PROCESS_FLEET_H
 
+#include "decisions/process/FleetTopology.h"
 #include "gateway/process/GatewayOptions.h"
 #include "gateway/process/LeasedKey.h"
 #include "gateway/process/PrefixMirror.h"
 #include "wire/common/EventLoop.h"
+#include "wire/common/Json.h"
 #include "wire/process/PeerMesh.h"
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -19,13 +22,14 @@
 class DecisionLog;
 
 /// Keeps this box's entry in the store, reads the entries of the others, and
-/// exchanges messages with them over links that outlive an outage of the
+/// keeps the links of the fleet's topology, which outlive an outage of the
 /// store.
 class Fleet {
 public:
   struct Options {
     BoxName m_Box; ///< Of this start of the process.
     DataCentreName m_DataCentre;
+    double m_Capacity = 1; ///< Share of a core.
     Endpoint m_Peers;
     std::vector<Endpoint> m_Seeds;
     std::string m_Secret;
@@ -33,12 +37,11 @@
     Duration m_Lease = 4s;
     /// Short: other boxes rely on news from one that reaches the store.
     Duration m_RenewEvery = 500ms;
-    Duration m_DigestEvery = 250ms;
+    /// Of a leaf: nobody relies on it, and each renewal is paid for.
+    Duration m_LeafRenewEvery = 1s;
     RandomUnit m_Random;
   };
   struct Hooks {
-    /// What this box tells; its demand is taken by this.
-    std::function<FleetDigestFrame()> m_Digest;
     std::function<void(const BoxName &, PeerFrame)> m_Frame;
     std::function<void(const BoxName &)> m_Up;
     std::function<void(const BoxName &)> m_Down;
@@ -55,11 +58,11 @@
   /// The store's keys have changed; \p Items are those of the whole prefix.
   void entriesChanged(const std::map<std::string, StoreItem> &Items);
   void send(const BoxName &To, const PeerFrame &Frame);
-  /// To all boxes that are linked.
-  void sendAll(const PeerFrame &Frame);
   const std::set<BoxName> &linked() const { return m_Linked; }
-  /// The other boxes that the store lists.
-  const std::set<BoxName> &listed() const { return m_Listed; }
+  const BoxName &self() const { return m_Opts.m_Box; }
+  const FleetTopology &topology() const { return m_Topology; }
+  /// \returns whether that changes the topology.
+  bool holderIs(const BoxName &Holder);
   /// This box and the others that are listed or linked.
   std::size_t size() const;
   /// Whether the store answered the last call.
@@ -73,6 +76,9 @@
   void tick();
   void storeAnswered(bool Reached);
   StoreTransaction entry(LeaseId Lease) const;
+  std::optional<PeerAddress> addressOf(const BoxName &Box,
+                                       const Json &Value) const;
+  void link();
   PeerMesh::Options meshOptions() const;
   PeerMesh::Hooks meshHooks();
 
@@ -81,13 +87,14 @@
   Hooks m_Hooks;
   LeasedKey m_Entry;
   PeerMesh m_Mesh;
-  std::set<BoxName> m_Listed;
+  FleetTopology m_Topology;
+  std::map<BoxName, PeerAddress> m_Listed;
+  std::set<BoxName> m_Wanted; ///< Boxes that links are kept to.
   std::set<BoxName> m_Linked;
   TimePoint m_ReachedAt{};
   bool m_Reached = true;
   bool m_Left = false;
   Timer m_TickTimer;
-  Timer m_DigestTimer;
 };
 
 } // namespace havenstair
--- /dev/null
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -0,0 +1,430 @@
+#include "gateway/process/FleetExchange.h"
+
+#include "gateway/common/DecisionLog.h"
+#include "gateway/process/Fleet.h"
+#include "gateway/process/OrderGiver.h"
+#include <algorithm>
+#include <iterator>
+#include <utility>
+#include <variant>
+
+namespace havenstair {
+
+namespace {
+
+constexpr Duration TellEvery = 250ms;
+constexpr Duration TellLoadsEvery = 40ms;
+
+/// How often a box asks the others while the store is silent, and from when.
+constexpr Duration AskEvery = 400ms;
+constexpr Duration StoreSilence = 1500ms;
+
+/// A box watches the list of upstreams itself when the one that relays it has
+/// been silent for this long.
+constexpr Duration ListSilence = 900ms;
+constexpr Duration ChooseSourceEvery = 100ms;
+
+/// A box that starts waits this long for the list of boxes, and a leaf for its
+/// uplink, before it reads the list of upstreams itself.
+constexpr Duration WaitForBoxes = 300ms;
+constexpr Duration WaitForUplink = 900ms;
+
+/// A relay, or a leaf, that has said nothing for this long is taken as gone.
+constexpr Duration NeighbourSilence = 1s;
+
+} // namespace
+
+FleetExchange::FleetExchange(EventLoop &Loop, Parts Of, Options Opts,
+                             Hooks Callbacks)
+    : m_Of(Of), m_Opts(std::move(Opts)), m_Hooks(std::move(Callbacks)),
+      m_StartedAt(EventLoop::now()) {
+  m_TellTimer = Loop.every(TellEvery, [this] { tell(); });
+  m_LoadsTimer = Loop.every(TellLoadsEvery, [this] { tellLoads(); });
+  m_SourceTimer = Loop.every(ChooseSourceEvery, [this] { chooseListSource(); });
+  m_AskTimer = Loop.every(AskEvery, [this] { askPeers(); });
+}
+
+bool FleetExchange::storeJustReached() const {
+  return m_Of.m_Fleet.storeReached(StoreSilence, EventLoop::now());
+}
+
+void FleetExchange::arranged() {
+  const FleetTopology &Topology = m_Of.m_Fleet.topology();
+  std::set<BoxName> Voters = Topology.relays();
+  Voters.erase(m_Of.m_Fleet.self());
+  m_Of.m_Giver.setVoters(std::move(Voters), Topology.relay());
+  chooseListSource();
+}
+
+void FleetExchange::boxesChanged() {
+  const PrefixMirror::Delta News = m_Of.m_Boxes.takeChanges();
+  if (!m_Leaves.empty())
+    toLeaves(keysFrame(m_Opts.m_BoxPrefix, News));
+  arranged();
+}
+
+void FleetExchange::linkUp(const BoxName &Box) {
+  if (!m_Of.m_Giver.giving())
+    return;
+  m_Of.m_Fleet.send(Box, m_Of.m_Giver.contents());
+  m_Of.m_Fleet.send(
+      Box, keysFrame(m_Opts.m_UpstreamPrefix, m_Of.m_Upstreams.whole()));
+}
+
+void FleetExchange::linkDown(const BoxName &Box) {
+  m_Of.m_State.m_Loads.forget(Box);
+  m_Of.m_Giver.boxLost(Box);
+  m_Leaves.erase(Box);
+  if (Box == m_ListSource)
+    m_ListHeardAt = TimePoint{};
+}
+
+// What is told.
+
+FleetDigestFrame FleetExchange::word(TimePoint Now) const {
+  const ServingState &State = m_Of.m_State;
+  FleetDigestFrame Frame;
+  Frame.m_Config = State.m_Config ? State.m_Config->m_Version : 0;
+  Frame.m_List = m_Of.m_Upstreams.revision();
+  Frame.m_Boxes = m_Of.m_Boxes.revision();
+  Frame.m_Stopping = State.m_Stopping;
+  Frame.m_ListFresh = listFresh(Now);
+  Frame.m_Giving = m_Of.m_Giver.giving();
+  Frame.m_Holder = m_Of.m_Giver.holder();
+  return Frame;
+}
+
+bool FleetExchange::listFresh(TimePoint Now) const {
+  if (m_Of.m_Upstreams.running())
+    return m_Of.m_Fleet.storeAnswers() && storeJustReached();
+  return Now - m_ListHeardAt <= ListSilence;
+}
+
+void FleetExchange::tell() {
+  const TimePoint Now = EventLoop::now();
+  if (m_Of.m_Fleet.holderIs(m_Of.m_Giver.holder().m_Box))
+    arranged();
+  chooseUplink(Now);
+  ServingState &State = m_Of.m_State;
+  FleetDigestFrame Frame = word(Now);
+  Frame.m_Demand = std::exchange(State.m_Demand, {});
+  m_Of.m_Giver.demanded(Frame.m_Demand);
+  if (m_Of.m_Fleet.topology().relay())
+    return tellRelays(std::move(Frame), Now);
+  if (m_Uplink.empty())
+    return;
+  Frame.m_Leaf = true;
+  Frame.m_Loads = State.m_Loads.own();
+  State.m_Loads.toldAll();
+  m_Of.m_Fleet.send(m_Uplink, Frame);
+}
+
+void FleetExchange::tellRelays(FleetDigestFrame Frame, TimePoint Now) {
+  LoadBook &Loads = m_Of.m_State.m_Loads;
+  dropSilentLeaves(Now);
+  Frame.m_Loads = Loads.sum(
+      [this](const BoxName &Box) { return m_Leaves.contains(Box); }, Now);
+  Loads.toldAll();
+  for (const BoxName &Relay : relayTargets())
+    m_Of.m_Fleet.send(Relay, Frame);
+  Frame.m_Demand.clear();
+  const std::map<BoxName, TimePoint> Leaves = m_Leaves;
+  for (const auto &[Leaf, HeardAt] : Leaves) {
+    Frame.m_Loads = Loads.sum(
+        [&Leaf = Leaf](const BoxName &Box) { return Box != Leaf; }, Now);
+    m_Of.m_Fleet.send(Leaf, Frame);
+  }
+}
+
+/// Only boxes that tell of nobody but themselves tell of each change at once.
+void FleetExchange::tellLoads() {
+  const FleetTopology &Topology = m_Of.m_Fleet.topology();
+  if (Topology.relay() && !Topology.flat())
+    return;
+  const FleetLoadsFrame Frame{m_Of.m_State.m_Loads.takeChanges()};
+  if (Frame.m_Loads.empty())
+    return;
+  if (!Topology.relay())
+    return m_Of.m_Fleet.send(m_Uplink, Frame);
+  for (const BoxName &Relay : relayTargets())
+    m_Of.m_Fleet.send(Relay, Frame);
+}
+
+void FleetExchange::tellContents(const FleetContentsFrame &Frame) {
+  take(m_Of.m_Fleet.self(), Frame);
+  for (const BoxName &Relay : relayTargets())
+    m_Of.m_Fleet.send(Relay, Frame);
+}
+
+void FleetExchange::missing(const ModelKey &Key) {
+  take(m_Of.m_Fleet.self(), FleetMissingFrame{{Key}});
+}
+
+void FleetExchange::upstreamsChanged() {
+  const PrefixMirror::Delta News = m_Of.m_Upstreams.takeChanges();
+  if (m_Of.m_Giver.giving())
+    toAll(keysFrame(m_Opts.m_UpstreamPrefix, News));
+  else if (!m_Leaves.empty())
+    toLeaves(keysFrame(m_Opts.m_UpstreamPrefix, News));
+}
+
+FleetWantFrame FleetExchange::want() const {
+  const ServingState &State = m_Of.m_State;
+  return {.m_Config = State.m_Config ? State.m_Config->m_Version : 0,
+          .m_List = m_Of.m_Upstreams.revision(),
+          .m_Boxes = m_Of.m_Boxes.revision()};
+}
+
+FleetKeysFrame FleetExchange::keysFrame(const std::string &Prefix,
+                                        const PrefixMirror::Delta &News) const {
+  FleetKeysFrame Frame{.m_Prefix = Prefix,
+                       .m_Since = News.m_Since,
+                       .m_Revision = News.m_Revision,
+                       .m_Items = {},
+                       .m_Gone = News.m_Gone};
+  for (const StoreItem &Item : News.m_Items)
+    Frame.m_Items.push_back({.m_Key = Item.m_Key,
+                             .m_Value = Item.m_Value,
+                             .m_Revision = Item.m_Revision});
+  return Frame;
+}
+
+// To whom.
+
+std::vector<BoxName> FleetExchange::relayTargets() const {
+  const FleetTopology &Topology = m_Of.m_Fleet.topology();
+  std::vector<BoxName> Result;
+  for (const BoxName &Box : m_Of.m_Fleet.linked())
+    if (Topology.flat() || Topology.isRelay(Box))
+      Result.push_back(Box);
+  return Result;
+}
+
+void FleetExchange::toLeaves(const PeerFrame &Frame) {
+  // A link that fails while it is written to leaves the map.
+  const std::map<BoxName, TimePoint> Leaves = m_Leaves;
+  for (const auto &[Leaf, HeardAt] : Leaves)
+    m_Of.m_Fleet.send(Leaf, Frame);
+}
+
+void FleetExchange::toAll(const PeerFrame &Frame) {
+  for (const BoxName &Relay : relayTargets())
+    m_Of.m_Fleet.send(Relay, Frame);
+  toLeaves(Frame);
+}
+
+void FleetExchange::dropSilentLeaves(TimePoint Now) {
+  std::erase_if(m_Leaves, [&](const auto &Each) {
+    const bool Silent = Now - Each.second > NeighbourSilence;
+    if (Silent)
+      m_Of.m_State.m_Loads.forget(Each.first);
+    return Silent;
+  });
+}
+
+/// Stays with one relay while it speaks; then takes the next that is linked.
+void FleetExchange::chooseUplink(TimePoint Now) {
+  const Fleet &Boxes = m_Of.m_Fleet;
+  const FleetTopology &Topology = Boxes.topology();
+  const bool Good = !m_Uplink.empty() && Boxes.linked().contains(m_Uplink) &&
+                    Topology.isRelay(m_Uplink) &&
+                    Now - m_UplinkHeardAt <= NeighbourSilence;
+  if (Good && !Topology.relay())
+    return;
+  const BoxName Before = std::exchange(m_Uplink, BoxName());
+  if (!Before.empty())
+    m_Of.m_State.m_Loads.forget(Before);
+  if (Topology.relay())
+    return;
+  const std::vector<BoxName> &Links = Topology.links();
+  const auto Last = std::find(Links.begin(), Links.end(), Before);
+  const auto First =
+      Last == Links.end() ? 0 : std::distance(Links.begin(), Last) + 1;
+  for (std::ptrdiff_t Step = 0; Step < std::ssize(Links); ++Step) {
+    const auto Index = (First + Step) % std::ssize(Links);
+    const BoxName &Candidate = Links[static_cast<std::size_t>(Index)];
+    if (!Boxes.linked().contains(Candidate))
+      continue;
+    m_Uplink = Candidate;
+    m_UplinkHeardAt = Now;
+    break;
+  }
+  if (m_Uplink != Before)
+    m_Of.m_Log.write("uplink",
+                     {{"relay", m_Uplink.str()}, {"before", Before.str()}});
+}
+
+/// The box that gives orders watches the list for all, and relays pass it on,
+/// as they do the list of boxes: every box that watches pays for each change.
+BoxName FleetExchange::listSource() const {
+  return m_Of.m_Fleet.topology().relay() ? m_Of.m_Giver.holder().m_Box
+                                         : m_Uplink;
+}
+
+void FleetExchange::chooseListSource() {
+  const TimePoint Now = EventLoop::now();
+  const bool Relayed = !m_Of.m_Giver.giving() && !m_ListSource.empty() &&
+                       m_ListSource == listSource() &&
+                       Now - m_ListHeardAt <= ListSilence;
+  if (!startsSoon(Now))
+    follow(m_Of.m_Upstreams, Relayed && m_Of.m_Upstreams.revision() > 0);
+  follow(m_Of.m_Boxes, Relayed && !m_Of.m_Fleet.topology().relay());
+}
+
+/// Whether this box, which has just started, may yet be told of the list.
+bool FleetExchange::startsSoon(TimePoint Now) const {
+  if (m_Of.m_Upstreams.running() || m_Of.m_Upstreams.revision() > 0)
+    return false;
+  if (m_Of.m_Boxes.revision() == 0)
+    return Now - m_StartedAt < WaitForBoxes;
+  return !m_Of.m_Fleet.topology().relay() && Now - m_StartedAt < WaitForUplink;
+}
+
+void FleetExchange::follow(PrefixMirror &Mirror, bool Relayed) {
+  if (Relayed == !Mirror.running())
+    return;
+  m_Of.m_Log.write("list_source",
+                   {{"list", &Mirror == &m_Of.m_Boxes ? "boxes" : "upstreams"},
+                    {"relay", Relayed ? m_ListSource.str() : ""}});
+  if (Relayed)
+    Mirror.stop();
+  else
+    Mirror.start();
+}
+
+/// A box that the store turns away learns from those that it serves.
+void FleetExchange::askPeers() {
+  const std::set<BoxName> &Linked = m_Of.m_Fleet.linked();
+  if (storeJustReached() || Linked.empty())
+    return;
+  const auto Index = static_cast<std::ptrdiff_t>(
+      m_Opts.m_Random() * static_cast<double>(Linked.size()));
+  const auto Peer =
+      std::next(Linked.begin(), std::min(Index, std::ssize(Linked) - 1));
+  m_Of.m_Fleet.send(*Peer, want());
+}
+
+// What is taken.
+
+void FleetExchange::onFrame(const BoxName &From, const PeerFrame &Frame) {
+  std::visit(
+      [&](const auto &Each) {
+        if constexpr (requires { take(From, Each); })
+          take(From, Each);
+      },
+      Frame);
+}
+
+void FleetExchange::take(const BoxName &From, const FleetDigestFrame &Frame) {
+  const TimePoint Now = EventLoop::now();
+  if (Frame.m_Leaf)
+    return takeFromLeaf(From, Frame, Now);
+  m_Of.m_Giver.heardHolder(From, Frame.m_Holder, Frame.m_Giving);
+  if (From == m_Uplink)
+    m_UplinkHeardAt = Now;
+  // Another relay would tell a leaf again of what its own one has told.
+  if (!m_Of.m_Fleet.topology().relay() && From != m_Uplink)
+    return;
+  m_Of.m_State.m_Loads.told(From, Frame.m_Loads, Now);
+  m_Of.m_Giver.demanded(Frame.m_Demand);
+  if (From == listSource())
+    heardListSource(From, Frame, Now);
+}
+
+void FleetExchange::takeFromLeaf(const BoxName &From,
+                                 const FleetDigestFrame &Frame, TimePoint Now) {
+  const bool New = m_Leaves.insert_or_assign(From, Now).second;
+  ServingState &State = m_Of.m_State;
+  State.m_Loads.told(From, Frame.m_Loads, Now);
+  // Told to the other relays as part of this box's own demand.
+  for (const auto &[Key, Demand] : Frame.m_Demand)
+    State.m_Demand[Key] += Demand;
+  if (New && m_Of.m_Giver.giving())
+    m_Of.m_Fleet.send(From, m_Of.m_Giver.contents());
+}
+
+void FleetExchange::heardListSource(const BoxName &From,
+                                    const FleetDigestFrame &Frame,
+                                    TimePoint Now) {
+  // One that the store turns away knows no news.
+  if (!Frame.m_ListFresh) {
+    m_ListHeardAt = TimePoint{};
+    return;
+  }
+  m_ListSource = From;
+  m_ListHeardAt = Now;
+  // Something was lost on the way.
+  const auto Behind = [](const PrefixMirror &Mirror, std::uint64_t Known) {
+    return !Mirror.running() && Known > Mirror.revision();
+  };
+  if (Behind(m_Of.m_Upstreams, Frame.m_List) ||
+      Behind(m_Of.m_Boxes, Frame.m_Boxes))
+    m_Of.m_Fleet.send(From, want());
+}
+
+void FleetExchange::take(const BoxName &From, const FleetLoadsFrame &Frame) {
+  m_Of.m_State.m_Loads.toldChanges(From, Frame.m_Loads, EventLoop::now());
+}
+
+void FleetExchange::take(const BoxName &From, const FleetWantFrame &Frame) {
+  const FleetWantFrame Own = want();
+  if (Own.m_Config > Frame.m_Config)
+    m_Of.m_Fleet.send(From,
+                      keysFrame(m_Opts.m_ConfigPrefix, m_Of.m_Config.whole()));
+  if (Own.m_List > Frame.m_List)
+    m_Of.m_Fleet.send(
+        From, keysFrame(m_Opts.m_UpstreamPrefix, m_Of.m_Upstreams.whole()));
+  if (Own.m_Boxes > Frame.m_Boxes)
+    m_Of.m_Fleet.send(From,
+                      keysFrame(m_Opts.m_BoxPrefix, m_Of.m_Boxes.whole()));
+}
+
+PrefixMirror *FleetExchange::mirrorOf(const std::string &Prefix) {
+  if (Prefix == m_Opts.m_ConfigPrefix)
+    return &m_Of.m_Config;
+  if (Prefix == m_Opts.m_UpstreamPrefix)
+    return &m_Of.m_Upstreams;
+  return Prefix == m_Opts.m_BoxPrefix ? &m_Of.m_Boxes : nullptr;
+}
+
+void FleetExchange::take(const BoxName &From, const FleetKeysFrame &Frame) {
+  PrefixMirror::Delta News{.m_Since = Frame.m_Since,
+                           .m_Revision = Frame.m_Revision,
+                           .m_Items = {},
+                           .m_Gone = Frame.m_Gone};
+  for (const StoredValue &Each : Frame.m_Items)
+    News.m_Items.push_back({.m_Key = Each.m_Key,
+                            .m_Value = Each.m_Value,
+                            .m_Revision = Each.m_Revision});
+  PrefixMirror *Mirror = mirrorOf(Frame.m_Prefix);
+  if (Mirror != nullptr && !Mirror->adopt(News))
+    m_Of.m_Fleet.send(From, want());
+  if (Frame.m_Since == 0)
+    m_Of.m_Log.write("keys_from_peer", {{"peer", From.str()},
+                                        {"prefix", Frame.m_Prefix},
+                                        {"revision", Frame.m_Revision},
+                                        {"keys", Frame.m_Items.size()}});
+}
+
+void FleetExchange::take(const BoxName &, const FleetContentsFrame &Frame) {
+  if (Frame.m_FencingToken < m_ContentsToken)
+    return;
+  m_ContentsToken = Frame.m_FencingToken;
+  const TimePoint Now = EventLoop::now();
+  for (const EngineContents &Each : Frame.m_Engines)
+    m_Of.m_State.m_Upstreams.told(Each.m_Engine, Each.m_Models, Each.m_Retiring,
+                                  Now);
+  toLeaves(Frame);
+  m_Hooks.m_ContentsChanged();
+}
+
+/// Hands on what is missing, on the way to the box that gives orders.
+void FleetExchange::take(const BoxName &From, const FleetMissingFrame &Frame) {
+  if (m_Of.m_Giver.giving())
+    return m_Of.m_Giver.missing(Frame.m_Keys);
+  const BoxName Next = listSource();
+  if (!Next.empty() && Next != From)
+    m_Of.m_Fleet.send(Next, Frame);
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/gateway/process/FleetExchange.h
@@ -0,0 +1,121 @@
+/// \file
+/// What a box tells the other boxes, and what it takes from them.
+/// See docs/design/fleet.md.
+#ifndef HAVENSTAIR_GATEWAY_PROCESS_FLEETEXCHANGE_H
+#define HAVENSTAIR_GATEWAY_PROCESS_FLEETEXCHANGE_H
+
+#include "gateway/process/PrefixMirror.h"
+#include "gateway/process/ServingState.h"
+#include "wire/common/EventLoop.h"
+#include "wire/connection/PeerFrames.h"
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace havenstair {
+
+class DecisionLog;
+class Fleet;
+class OrderGiver;
+
+/// Runs the exchange along the fleet's topology. Relays tell each other of
+/// themselves and their leaves; a leaf tells one relay, its uplink, and hears
+/// from it of everybody else. News from the order giver go the same ways.
+class FleetExchange {
+public:
+  struct Options {
+    std::string m_ConfigPrefix;
+    std::string m_UpstreamPrefix;
+    std::string m_BoxPrefix;
+    RandomUnit m_Random;
+  };
+  /// What the exchange reads and changes.
+  struct Parts {
+    Fleet &m_Fleet;
+    OrderGiver &m_Giver;
+    ServingState &m_State;
+    PrefixMirror &m_Config;
+    PrefixMirror &m_Upstreams;
+    PrefixMirror &m_Boxes;
+    DecisionLog &m_Log;
+  };
+  struct Hooks {
+    /// Contents of engines were learned.
+    std::function<void()> m_ContentsChanged;
+  };
+
+  FleetExchange(EventLoop &Loop, Parts Of, Options Opts, Hooks Callbacks);
+  FleetExchange(const FleetExchange &) = delete;
+  FleetExchange &operator=(const FleetExchange &) = delete;
+
+  /// The list of boxes has changed.
+  void boxesChanged();
+  void linkUp(const BoxName &Box);
+  void linkDown(const BoxName &Box);
+  void onFrame(const BoxName &From, const PeerFrame &Frame);
+  /// Contents that this box knows as the order giver.
+  void tellContents(const FleetContentsFrame &Frame);
+  /// Requests wait for \p Key, which no engine holds.
+  void missing(const ModelKey &Key);
+  /// The list of upstreams has changed.
+  void upstreamsChanged();
+  /// Whether the store has answered this box just now.
+  bool storeJustReached() const;
+
+private:
+  void arranged();
+  void tell();
+  void tellLoads();
+  void tellRelays(FleetDigestFrame Frame, TimePoint Now);
+  FleetDigestFrame word(TimePoint Now) const;
+  bool listFresh(TimePoint Now) const;
+  FleetWantFrame want() const;
+  FleetKeysFrame keysFrame(const std::string &Prefix,
+                           const PrefixMirror::Delta &News) const;
+
+  std::vector<BoxName> relayTargets() const;
+  void toLeaves(const PeerFrame &Frame);
+  void toAll(const PeerFrame &Frame);
+  void dropSilentLeaves(TimePoint Now);
+  void chooseUplink(TimePoint Now);
+  BoxName listSource() const;
+  void chooseListSource();
+  bool startsSoon(TimePoint Now) const;
+  void follow(PrefixMirror &Mirror, bool Relayed);
+  PrefixMirror *mirrorOf(const std::string &Prefix);
+  void askPeers();
+
+  void take(const BoxName &From, const FleetDigestFrame &Frame);
+  void takeFromLeaf(const BoxName &From, const FleetDigestFrame &Frame,
+                    TimePoint Now);
+  void heardListSource(const BoxName &From, const FleetDigestFrame &Frame,
+                       TimePoint Now);
+  void take(const BoxName &From, const FleetLoadsFrame &Frame);
+  void take(const BoxName &From, const FleetWantFrame &Frame);
+  void take(const BoxName &From, const FleetKeysFrame &Frame);
+  void take(const BoxName &From, const FleetContentsFrame &Frame);
+  void take(const BoxName &From, const FleetMissingFrame &Frame);
+
+  Parts m_Of;
+  Options m_Opts;
+  Hooks m_Hooks;
+  FencingToken m_ContentsToken = 0;
+  /// Boxes that asked this one to be their relay, and when they last did.
+  std::map<BoxName, TimePoint> m_Leaves;
+  BoxName m_Uplink; ///< Empty on a relay.
+  TimePoint m_UplinkHeardAt{};
+  /// Last word of the box whose list this one follows.
+  BoxName m_ListSource;
+  TimePoint m_ListHeardAt{};
+  TimePoint m_StartedAt;
+  Timer m_TellTimer;
+  Timer m_LoadsTimer;
+  Timer m_SourceTimer;
+  Timer m_AskTimer;
+};
+
+} // namespace havenstair
+
+#endif
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -12,6 +12,9 @@
 /// Changes of upstreams that come together cost one call to the store.
 constexpr Duration GatherUpstreams = 200ms;
 
+/// The same for boxes; they start together.
+constexpr Duration GatherBoxes = 300ms;
+
 /// How often the settings are read without a signal.
 constexpr Duration ReloadEvery = 2s;
 
@@ -29,16 +32,6 @@
 /// Callers' connections may rest longer than the callers themselves use them.
 constexpr Duration IdleMargin = 10s;
 
-/// How often a box asks the others while the store is silent, and from when.
-constexpr Duration AskEvery = 400ms;
-constexpr Duration StoreSilence = 1500ms;
-
-/// A box watches the list of upstreams itself when the one that relays it has
-/// been silent for this long.
-constexpr Duration RelaySilence = 900ms;
-constexpr Duration TellLoadsEvery = 40ms;
-constexpr Duration ChooseSourceEvery = 100ms;
-
 /// Tells one start of a box from another.
 constexpr std::size_t NameBytes = 3;
 
@@ -67,7 +60,8 @@
       m_Forwarder(
           Loop, m_UpstreamHttp, m_State, m_Binding.m_Dialect, m_Log,
           forwarderOptions(),
-          {.m_Missing = [this](const ModelKey &Key) { missing(Key); },
+          {.m_Missing =
+               [this](const ModelKey &Key) { m_Exchange.missing(Key); },
            .m_Ended =
                [this](const RequestResult &Result) { m_Metrics.ended(Result); },
            .m_SendEnded =
@@ -84,33 +78,42 @@
           mirrorOptions(m_Binding.m_UpstreamPrefix, GatherUpstreams),
           {.m_Changed = [this] { upstreamsChanged(); }, .m_Reached = [] {}}),
       m_OwnMirror(
-          Loop, *m_Store, mirrorOptions(m_Binding.m_OwnPrefix, 0us),
+          Loop, *m_Store, mirrorOptions(m_Binding.m_OwnPrefix, GatherBoxes),
           {.m_Changed = [this] { ownKeysChanged(); }, .m_Reached = [] {}}),
       m_Process(m_Options.m_Box.str() + "." + randomHex(NameBytes)),
       m_Fleet(Loop, *m_Store, m_Log, fleetOptions(), fleetHooks()),
-      m_Giver(Loop, *m_Store, *m_Engines, m_State, m_Log, giverOptions(),
-              {.m_Contents =
-                   [this](const FleetContentsFrame &Frame) {
-                     take(m_Process, Frame);
-                     m_Fleet.sendAll(Frame);
-                   },
-               .m_Ordered =
-                   [this](std::string_view Operation, std::string_view Answer) {
-                     m_Metrics.ordered(Operation, Answer);
-                   },
-               .m_StoreReached = [this] { return storeJustReached(); },
-               .m_Random = [this] { return drawUnit(m_Random); }}) {
+      m_Giver(
+          Loop, *m_Store, *m_Engines, m_State, m_Log, giverOptions(),
+          {.m_Contents =
+               [this](const FleetContentsFrame &Frame) {
+                 m_Exchange.tellContents(Frame);
+               },
+           .m_Ordered =
+               [this](std::string_view Operation, std::string_view Answer) {
+                 m_Metrics.ordered(Operation, Answer);
+               },
+           .m_StoreReached = [this] { return m_Exchange.storeJustReached(); },
+           .m_Random = [this] { return drawUnit(m_Random); }}),
+      m_Exchange(
+          Loop,
+          {.m_Fleet = m_Fleet,
+           .m_Giver = m_Giver,
+           .m_State = m_State,
+           .m_Config = m_ConfigMirror,
+           .m_Upstreams = m_UpstreamMirror,
+           .m_Boxes = m_OwnMirror,
+           .m_Log = m_Log},
+          {.m_ConfigPrefix = m_Binding.m_ConfigPrefix,
+           .m_UpstreamPrefix = m_Binding.m_UpstreamPrefix,
+           .m_BoxPrefix = m_Binding.m_OwnPrefix,
+           .m_Random = [this] { return drawUnit(m_Random); }},
+          {.m_ContentsChanged = [this] { m_Forwarder.upstreamsChanged(); }}) {
   m_State.m_Zone = m_Options.m_DataCentre.str();
   applyBounds();
   startServers();
   m_ConfigMirror.start();
-  m_UpstreamMirror.start();
   m_OwnMirror.start();
   m_ReloadTimer = Loop.every(ReloadEvery, [this] { reload(); });
-  m_AskTimer = Loop.every(AskEvery, [this] { askPeers(); });
-  m_LoadsTimer = Loop.every(TellLoadsEvery, [this] { tellLoads(); });
-  m_SourceTimer =
-      Loop.every(ChooseSourceEvery, [this] { chooseUpstreamSource(); });
   m_Log.write("started", {{"box", m_Process.str()},
                           {"zone", m_State.m_Zone},
                           {"callers", m_Options.m_Callers.str()},
@@ -132,6 +135,7 @@
   Fleet::Options Opts;
   Opts.m_Box = m_Process;
   Opts.m_DataCentre = m_Options.m_DataCentre;
+  Opts.m_Capacity = m_Options.m_Capacity;
   Opts.m_Peers = m_Options.m_Peers;
   Opts.m_Seeds = m_Options.m_Seeds;
   Opts.m_Secret =
@@ -143,24 +147,12 @@
 }
 
 Fleet::Hooks Gateway::fleetHooks() {
-  return {.m_Digest = [this] { return digest(); },
-          .m_Frame = [this](const BoxName &From,
-                            const PeerFrame &Frame) { onFrame(From, Frame); },
-          .m_Up =
-              [this](const BoxName &Box) {
-                if (!m_Giver.giving())
-                  return;
-                m_Fleet.send(Box, m_Giver.contents());
-                m_Fleet.send(Box, keysFrame(m_Binding.m_UpstreamPrefix,
-                                            m_UpstreamMirror.whole()));
-              },
-          .m_Down =
-              [this](const BoxName &Box) {
-                m_State.m_Loads.forget(Box);
-                m_Giver.boxLost(Box);
-                if (Box == m_Relay)
-                  m_RelayHeardAt = TimePoint{};
+  return {.m_Frame =
+              [this](const BoxName &From, const PeerFrame &Frame) {
+                m_Exchange.onFrame(From, Frame);
               },
+          .m_Up = [this](const BoxName &Box) { m_Exchange.linkUp(Box); },
+          .m_Down = [this](const BoxName &Box) { m_Exchange.linkDown(Box); },
           .m_StoreBack = [this] { resync(); }};
 }
 
@@ -190,8 +182,8 @@
 
 void Gateway::ownKeysChanged() {
   m_Fleet.entriesChanged(m_OwnMirror.items());
-  m_Giver.boxesListed(m_Fleet.listed());
   m_Giver.entriesChanged(m_OwnMirror.items());
+  m_Exchange.boxesChanged();
   m_State.m_Boxes = std::max(m_State.m_Boxes, static_cast<int>(m_Fleet.size()));
 }
 
@@ -203,173 +195,6 @@
   m_OwnMirror.resync();
 }
 
-FleetDigestFrame Gateway::digest() {
-  FleetDigestFrame Frame;
-  Frame.m_Config = m_State.m_Config ? m_State.m_Config->m_Version : 0;
-  Frame.m_List = m_State.m_Upstreams.list().m_Revision;
-  Frame.m_Stopping = m_State.m_Stopping;
-  Frame.m_StoreReached = m_Fleet.storeAnswers() && storeJustReached();
-  Frame.m_Giving = m_Giver.giving();
-  Frame.m_Holder = m_Giver.holder();
-  Frame.m_Loads = m_State.m_Loads.own();
-  m_State.m_Loads.toldAll();
-  Frame.m_Demand = std::exchange(m_State.m_Demand, {});
-  m_Giver.demanded(Frame.m_Demand);
-  return Frame;
-}
-
-void Gateway::onFrame(const BoxName &From, const PeerFrame &Frame) {
-  std::visit(
-      [&](const auto &Each) {
-        if constexpr (requires { take(From, Each); })
-          take(From, Each);
-      },
-      Frame);
-}
-
-void Gateway::take(const BoxName &From, const FleetDigestFrame &Frame) {
-  const TimePoint Now = EventLoop::now();
-  m_State.m_Loads.told(From, Frame.m_Loads, Now);
-  m_Giver.demanded(Frame.m_Demand);
-  m_Giver.heardHolder(From, Frame.m_Holder, Frame.m_Giving);
-  if (From != m_Giver.holder().m_Box)
-    return;
-  // A relay that the store turns away knows no news.
-  if (!Frame.m_StoreReached) {
-    m_RelayHeardAt = TimePoint{};
-    return;
-  }
-  m_Relay = From;
-  m_RelayHeardAt = Now;
-  // Something was lost on the way.
-  if (!m_UpstreamMirror.running() && Frame.m_List > m_UpstreamMirror.revision())
-    m_Fleet.send(From, want());
-}
-
-void Gateway::take(const BoxName &From, const FleetLoadsFrame &Frame) {
-  m_State.m_Loads.toldChanges(From, Frame.m_Loads, EventLoop::now());
-}
-
-void Gateway::tellLoads() {
-  FleetLoadsFrame Frame{m_State.m_Loads.takeChanges()};
-  if (!Frame.m_Loads.empty())
-    m_Fleet.sendAll(Frame);
-}
-
-FleetWantFrame Gateway::want() const {
-  return {.m_Config = m_State.m_Config ? m_State.m_Config->m_Version : 0,
-          .m_List = m_UpstreamMirror.revision()};
-}
-
-void Gateway::take(const BoxName &From, const FleetWantFrame &Frame) {
-  const ConfigVersion Version =
-      m_State.m_Config ? m_State.m_Config->m_Version : 0;
-  if (Version > Frame.m_Config)
-    m_Fleet.send(From,
-                 keysFrame(m_Binding.m_ConfigPrefix, m_ConfigMirror.whole()));
-  if (m_UpstreamMirror.revision() > Frame.m_List)
-    m_Fleet.send(
-        From, keysFrame(m_Binding.m_UpstreamPrefix, m_UpstreamMirror.whole()));
-}
-
-FleetKeysFrame Gateway::keysFrame(const std::string &Prefix,
-                                  const PrefixMirror::Delta &News) const {
-  FleetKeysFrame Frame{.m_Prefix = Prefix,
-                       .m_Since = News.m_Since,
-                       .m_Revision = News.m_Revision,
-                       .m_Items = {},
-                       .m_Gone = News.m_Gone};
-  for (const StoreItem &Item : News.m_Items)
-    Frame.m_Items.push_back({.m_Key = Item.m_Key,
-                             .m_Value = Item.m_Value,
-                             .m_Revision = Item.m_Revision});
-  return Frame;
-}
-
-/// The box that gives orders watches the list for all: every box that watches
-/// pays for each change.
-bool Gateway::storeJustReached() const {
-  return m_Fleet.storeReached(StoreSilence, EventLoop::now());
-}
-
-void Gateway::relayUpstreams() {
-  const PrefixMirror::Delta News = m_UpstreamMirror.takeChanges();
-  if (m_Giver.giving())
-    m_Fleet.sendAll(keysFrame(m_Binding.m_UpstreamPrefix, News));
-}
-
-void Gateway::chooseUpstreamSource() {
-  const TimePoint Now = EventLoop::now();
-  const bool Relayed = !m_Giver.giving() && !m_Relay.empty() &&
-                       m_Relay == m_Giver.holder().m_Box &&
-                       Now - m_RelayHeardAt <= RelaySilence &&
-                       m_UpstreamMirror.revision() > 0;
-  if (Relayed == !m_UpstreamMirror.running())
-    return;
-  m_Log.write("list_source", {{"relay", Relayed ? m_Relay.str() : ""}});
-  if (Relayed)
-    m_UpstreamMirror.stop();
-  else
-    m_UpstreamMirror.start();
-}
-
-void Gateway::take(const BoxName &From, const FleetKeysFrame &Frame) {
-  PrefixMirror::Delta News{.m_Since = Frame.m_Since,
-                           .m_Revision = Frame.m_Revision,
-                           .m_Items = {},
-                           .m_Gone = Frame.m_Gone};
-  for (const StoredValue &Each : Frame.m_Items)
-    News.m_Items.push_back({.m_Key = Each.m_Key,
-                            .m_Value = Each.m_Value,
-                            .m_Revision = Each.m_Revision});
-  const bool Config = Frame.m_Prefix == m_Binding.m_ConfigPrefix;
-  if (!Config && Frame.m_Prefix != m_Binding.m_UpstreamPrefix)
-    return;
-  const bool Whole = (Config ? m_ConfigMirror : m_UpstreamMirror).adopt(News);
-  if (!Whole)
-    m_Fleet.send(From, want());
-  if (Frame.m_Since == 0)
-    m_Log.write("keys_from_peer", {{"peer", From.str()},
-                                   {"prefix", Frame.m_Prefix},
-                                   {"revision", Frame.m_Revision},
-                                   {"keys", Frame.m_Items.size()}});
-}
-
-void Gateway::take(const BoxName &, const FleetContentsFrame &Frame) {
-  if (Frame.m_FencingToken < m_ContentsToken)
-    return;
-  m_ContentsToken = Frame.m_FencingToken;
-  const TimePoint Now = EventLoop::now();
-  for (const EngineContents &Each : Frame.m_Engines)
-    m_State.m_Upstreams.told(Each.m_Engine, Each.m_Models, Each.m_Retiring,
-                             Now);
-  m_Forwarder.upstreamsChanged();
-}
-
-void Gateway::take(const BoxName &, const FleetMissingFrame &Frame) {
-  m_Giver.missing(Frame.m_Keys);
-}
-
-void Gateway::missing(const ModelKey &Key) {
-  if (m_Giver.giving())
-    return m_Giver.missing({Key});
-  if (!m_Giver.holder().m_Box.empty())
-    m_Fleet.send(m_Giver.holder().m_Box, FleetMissingFrame{{Key}});
-}
-
-/// A box that the store turns away learns from those that it serves.
-void Gateway::askPeers() {
-  if (m_Fleet.storeReached(StoreSilence, EventLoop::now()) ||
-      m_Fleet.linked().empty())
-    return;
-  const auto Count = static_cast<double>(m_Fleet.linked().size());
-  const auto Index = static_cast<std::ptrdiff_t>(drawUnit(m_Random) * Count);
-  const auto Peer =
-      std::next(m_Fleet.linked().begin(),
-                std::min(Index, std::ssize(m_Fleet.linked()) - 1));
-  m_Fleet.send(*Peer, want());
-}
-
 void Gateway::startServers() {
   HttpServer::Options Opts;
   Opts.m_Listen = m_Options.m_Callers;
@@ -408,7 +233,7 @@
   Now.m_ListRevision = Number(m_State.m_Upstreams.list().m_Revision);
   Now.m_Upstreams = Number(m_State.m_Upstreams.current().size());
   Now.m_Peers = Number(m_Fleet.linked().size());
-  Now.m_StoreReached = storeJustReached() ? 1 : 0;
+  Now.m_StoreReached = m_Exchange.storeJustReached() ? 1 : 0;
   Now.m_GivesOrders = m_Giver.giving() ? 1 : 0;
   Now.m_FencingToken = Number(m_Giver.holder().m_Token);
   Now.m_LogLinesLeftOut = Number(m_Log.leftOut());
@@ -476,7 +301,7 @@
               {{"revision", m_UpstreamMirror.revision()},
                {"listed", m_State.m_Upstreams.list().m_Instances.size()},
                {"gone", Gone}});
-  relayUpstreams();
+  m_Exchange.upstreamsChanged();
   m_Giver.upstreamsChanged();
   m_Forwarder.upstreamsChanged();
 }
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -5,6 +5,7 @@
 
 #include "gateway/common/DecisionLog.h"
 #include "gateway/process/Fleet.h"
+#include "gateway/process/FleetExchange.h"
 #include "gateway/process/GatewayMetrics.h"
 #include "gateway/process/GatewayPolicy.h"
 #include "gateway/process/OrderGiver.h"
@@ -57,23 +58,6 @@
                                       Duration Gather);
   void startServers();
   void ownKeysChanged();
-  FleetDigestFrame digest();
-  void onFrame(const BoxName &From, const PeerFrame &Frame);
-  void take(const BoxName &From, const FleetDigestFrame &Frame);
-  void take(const BoxName &From, const FleetLoadsFrame &Frame);
-  void tellLoads();
-  void take(const BoxName &From, const FleetWantFrame &Frame);
-  void take(const BoxName &From, const FleetKeysFrame &Frame);
-  void take(const BoxName &From, const FleetContentsFrame &Frame);
-  void take(const BoxName &From, const FleetMissingFrame &Frame);
-  FleetKeysFrame keysFrame(const std::string &Prefix,
-                           const PrefixMirror::Delta &News) const;
-  bool storeJustReached() const;
-  void relayUpstreams();
-  void chooseUpstreamSource();
-  FleetWantFrame want() const;
-  void askPeers();
-  void missing(const ModelKey &Key);
   void resync();
   void configChanged();
   void upstreamsChanged();
@@ -104,17 +88,11 @@
   BoxName m_Process; ///< Name of this start of the process.
   Fleet m_Fleet;
   OrderGiver m_Giver;
-  FencingToken m_ContentsToken = 0;
-  /// Last word of the box that relays the list of upstreams.
-  BoxName m_Relay;
-  TimePoint m_RelayHeardAt{};
+  FleetExchange m_Exchange;
   std::unique_ptr<HttpServer> m_Callers;
   std::unique_ptr<HttpServer> m_Readiness;
   std::unique_ptr<HttpServer> m_MetricsServer;
   Timer m_ReloadTimer;
-  Timer m_AskTimer;
-  Timer m_SourceTimer;
-  Timer m_LoadsTimer;
   Timer m_StopTimer;
   TimePoint m_StopAt{};
   TimePoint m_LeaveAt{};
--- a/packages/gateway/process/GatewayOptions.h
+++ b/packages/gateway/process/GatewayOptions.h
@@ -29,6 +29,7 @@
 struct GatewayOptions {
   BoxName m_Box;
   DataCentreName m_DataCentre;
+  double m_Capacity = 1; ///< Share of a core that the box gives.
   Endpoint m_Callers;
   Endpoint m_Readiness;
   Endpoint m_Metrics;
--- a/packages/gateway/process/LeasedKey.cpp
+++ b/packages/gateway/process/LeasedKey.cpp
@@ -110,6 +110,11 @@
                    }));
 }
 
+void LeasedKey::setRenewEvery(Duration Every) {
+  m_Opts.m_RenewEvery = Every;
+  m_Keeper.setRenewEvery(Every);
+}
+
 void LeasedKey::release() {
   const LeaseId Ended = std::exchange(m_Lease, 0);
   ++m_Round;
--- a/packages/gateway/process/LeasedKey.h
+++ b/packages/gateway/process/LeasedKey.h
@@ -44,6 +44,8 @@
   bool held(TimePoint Now) const;
   /// Ends the lease, and with it the keys.
   void release();
+  /// Takes effect from the next renewal on.
+  void setRenewEvery(Duration Every);
 
 private:
   void create(TimePoint Now);
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -125,8 +125,9 @@
   stopIfReplaced();
 }
 
-void OrderGiver::boxesListed(std::set<BoxName> Others) {
+void OrderGiver::setVoters(std::set<BoxName> Others, bool Eligible) {
   m_View.listed(std::move(Others));
+  m_Eligible = Eligible;
 }
 
 void OrderGiver::stopIfReplaced() {
@@ -136,8 +137,8 @@
 
 /// Nobody gives orders, as far as this box and a majority know.
 bool OrderGiver::mayClaim(TimePoint Now) const {
-  return m_EntriesKnown && m_State.m_Config && m_View.hearsMajority(Now) &&
-         !m_View.holderActive(Now);
+  return m_EntriesKnown && m_Eligible && m_State.m_Config &&
+         m_View.hearsMajority(Now) && !m_View.holderActive(Now);
 }
 
 /// Boxes that see the same do not all claim at once.
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -76,8 +76,9 @@
 
   /// Another box told whom it knows to give orders.
   void heardHolder(const BoxName &From, const OrderHolder &Known, bool Giving);
-  /// The boxes that the store lists, without this one.
-  void boxesListed(std::set<BoxName> Others);
+  /// The other boxes whose majority decides who gives orders, and whether this
+  /// box may be that one.
+  void setVoters(std::set<BoxName> Others, bool Eligible);
   void boxLost(const BoxName &Box) { m_View.forget(Box); }
 
   /// Whom this box knows to give orders.
@@ -160,6 +161,7 @@
   DemandRates m_Rates;
   LeasedKey m_Key;
   bool m_EntriesKnown = false;
+  bool m_Eligible = true;
   StoreRevision m_KeyRevision = 0; ///< 0 when nobody holds the key.
   StoreRevision m_TermRevision = 0;
   std::string m_TermHolder;
--- a/packages/wire/connection/FleetFrames.cpp
+++ b/packages/wire/connection/FleetFrames.cpp
@@ -81,11 +81,15 @@
 } // namespace
 
 Json toJson(const FleetDigestFrame &Frame) {
-  Json Result{{"config", Frame.m_Config}, {"list", Frame.m_List}};
+  Json Result{{"config", Frame.m_Config},
+              {"list", Frame.m_List},
+              {"boxes", Frame.m_Boxes}};
   if (Frame.m_Stopping)
     Result["stopping"] = true;
-  if (Frame.m_StoreReached)
-    Result["store"] = true;
+  if (Frame.m_Leaf)
+    Result["leaf"] = true;
+  if (Frame.m_ListFresh)
+    Result["fresh"] = true;
   if (Frame.m_Giving)
     Result["giving"] = true;
   Result["token"] = Frame.m_Holder.m_Token;
@@ -102,8 +106,10 @@
 void fromJson(const Json &From, FleetDigestFrame &Frame) {
   Frame.m_Config = field<std::uint64_t>(From, "config");
   Frame.m_List = field<std::uint64_t>(From, "list");
+  Frame.m_Boxes = field<std::uint64_t>(From, "boxes");
   Frame.m_Stopping = fieldOr<bool>(From, "stopping", false);
-  Frame.m_StoreReached = fieldOr<bool>(From, "store", false);
+  Frame.m_Leaf = fieldOr<bool>(From, "leaf", false);
+  Frame.m_ListFresh = fieldOr<bool>(From, "fresh", false);
   Frame.m_Giving = fieldOr<bool>(From, "giving", false);
   Frame.m_Holder = {.m_Token = field<FencingToken>(From, "token"),
                     .m_Box = idField<BoxName>(From, "holder")};
@@ -123,12 +129,15 @@
 }
 
 Json toJson(const FleetWantFrame &Frame) {
-  return {{"config", Frame.m_Config}, {"list", Frame.m_List}};
+  return {{"config", Frame.m_Config},
+          {"list", Frame.m_List},
+          {"boxes", Frame.m_Boxes}};
 }
 
 void fromJson(const Json &From, FleetWantFrame &Frame) {
   Frame.m_Config = field<std::uint64_t>(From, "config");
   Frame.m_List = field<std::uint64_t>(From, "list");
+  Frame.m_Boxes = field<std::uint64_t>(From, "boxes");
 }
 
 Json toJson(const FleetKeysFrame &Frame) {
--- a/packages/wire/connection/FleetFrames.h
+++ b/packages/wire/connection/FleetFrames.h
@@ -20,12 +20,17 @@
 struct FleetDigestFrame {
   std::uint64_t m_Config = 0; ///< Version of the configuration it serves by.
   std::uint64_t m_List = 0;   ///< Revision of its list of upstreams.
+  std::uint64_t m_Boxes = 0;  ///< Revision of its list of boxes.
   bool m_Stopping = false;
-  bool m_StoreReached = false;
+  bool m_Leaf = false; ///< The sender asks the receiver to be its relay.
+  /// The sender's list of upstreams is as new as the store's.
+  bool m_ListFresh = false;
   bool m_Giving = false; ///< The sender gives orders.
   OrderHolder m_Holder;  ///< Whom the sender knows to give orders.
-  InstanceLoads m_Loads; ///< Through the sender.
-  ModelDemands m_Demand; ///< Since its last digest.
+  /// Through the sender and all boxes that it tells of: none of them is the
+  /// receiver, or known to it from elsewhere.
+  InstanceLoads m_Loads;
+  ModelDemands m_Demand; ///< Of the same boxes, since the last digest.
 
   bool operator==(const FleetDigestFrame &) const = default;
 };
@@ -38,10 +43,12 @@
   bool operator==(const FleetLoadsFrame &) const = default;
 };
 
-/// The sender cannot reach the store; it asks for what is newer than this.
+/// The sender does not read the store itself now; it asks for what is newer
+/// than this.
 struct FleetWantFrame {
   std::uint64_t m_Config = 0;
   std::uint64_t m_List = 0;
+  std::uint64_t m_Boxes = 0;
 
   bool operator==(const FleetWantFrame &) const = default;
 };
--- a/packages/wire/process/PeerMesh.cpp
+++ b/packages/wire/process/PeerMesh.cpp
@@ -99,7 +99,8 @@
 bool PeerMesh::dialsTo(const Known &Peer) const {
   const PeerLink::Options &Own = m_Opts.m_Link;
   const bool Here = Peer.m_Address.m_DataCentre == Own.m_DataCentre;
-  return Peer.m_Seed || !Here || Own.m_Self < Peer.m_Address.m_Box;
+  return Peer.m_Seed || Peer.m_Address.m_Dial || !Here ||
+         Own.m_Self < Peer.m_Address.m_Box;
 }
 
 /// Both sides judge alike which of two links stays.
--- a/packages/wire/process/PeerMesh.h
+++ b/packages/wire/process/PeerMesh.h
@@ -23,6 +23,8 @@
   BoxName m_Box;
   DataCentreName m_DataCentre;
   Endpoint m_Endpoint;
+  /// The other box does not dial this one.
+  bool m_Dial = false;
 
   auto operator<=>(const PeerAddress &) const = default;
 };
--- a/tests/wire/PeerFramesTest.cpp
+++ b/tests/wire/PeerFramesTest.cpp
@@ -114,8 +114,10 @@
   FleetDigestFrame Frame;
   Frame.m_Config = *rc::gen::arbitrary<std::uint64_t>();
   Frame.m_List = *rc::gen::arbitrary<std::uint64_t>();
+  Frame.m_Boxes = *rc::gen::arbitrary<std::uint64_t>();
   Frame.m_Stopping = *rc::gen::arbitrary<bool>();
-  Frame.m_StoreReached = *rc::gen::arbitrary<bool>();
+  Frame.m_Leaf = *rc::gen::arbitrary<bool>();
+  Frame.m_ListFresh = *rc::gen::arbitrary<bool>();
   Frame.m_Giving = *rc::gen::arbitrary<bool>();
   Frame.m_Holder = {.m_Token = *rc::gen::arbitrary<std::uint64_t>(),
                     .m_Box = boxName(*drawn(0, 9))};
@@ -168,7 +170,7 @@
           LimitAnswerFrame{Attempt, *rc::gen::arbitrary<bool>()},
           LimitTellFrame{groupName(2), *drawn(0, 9)},
           drawnFleetDigest(),
-          FleetWantFrame{Attempt, Attempt / 2},
+          FleetWantFrame{Attempt, Attempt / 2, Attempt / 3},
           drawnKeys(),
           drawnContents(),
           FleetMissingFrame{{{"s", "m", "a"}, {"s", "m", ""}}},
