--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -14,6 +14,7 @@
 
 constexpr Duration TellEvery = 250ms;
 constexpr Duration TellLoadsEvery = 40ms;
+constexpr Duration TellLoadsEveryInLarge = 120ms;
 
 /// How often a box asks the others while the store is silent, and from when.
 constexpr Duration AskEvery = 400ms;
@@ -36,10 +37,10 @@
 
 FleetExchange::FleetExchange(EventLoop &Loop, Parts Of, Options Opts,
                              Hooks Callbacks)
-    : m_Of(Of), m_Opts(std::move(Opts)), m_Hooks(std::move(Callbacks)),
-      m_StartedAt(EventLoop::now()) {
+    : m_Loop(Loop), m_Of(Of), m_Opts(std::move(Opts)),
+      m_Hooks(std::move(Callbacks)), m_StartedAt(EventLoop::now()) {
   m_TellTimer = Loop.every(TellEvery, [this] { tell(); });
-  m_LoadsTimer = Loop.every(TellLoadsEvery, [this] { tellLoads(); });
+  tellLoadsLater();
   m_SourceTimer = Loop.every(ChooseSourceEvery, [this] { chooseListSource(); });
   m_AskTimer = Loop.every(AskEvery, [this] { askPeers(); });
 }
@@ -136,6 +137,15 @@
   }
 }
 
+void FleetExchange::tellLoadsLater() {
+  const bool Flat = m_Of.m_Fleet.topology().flat();
+  m_LoadsTimer =
+      m_Loop.after(Flat ? TellLoadsEvery : TellLoadsEveryInLarge, [this] {
+        tellLoads();
+        tellLoadsLater();
+      });
+}
+
 /// Only boxes that tell of nobody but themselves tell of each change at once.
 void FleetExchange::tellLoads() {
   const FleetTopology &Topology = m_Of.m_Fleet.topology();
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -68,6 +68,7 @@
   void arranged();
   void tell();
   void tellLoads();
+  void tellLoadsLater();
   void tellRelays(FleetDigestFrame Frame, TimePoint Now);
   FleetDigestFrame word(TimePoint Now) const;
   bool listFresh(TimePoint Now) const;
@@ -98,6 +99,7 @@
   void take(const BoxName &From, const FleetContentsFrame &Frame);
   void take(const BoxName &From, const FleetMissingFrame &Frame);
 
+  EventLoop &m_Loop;
   Parts m_Of;
   Options m_Opts;
   Hooks m_Hooks;
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -9,7 +9,10 @@
 
 namespace {
 
+/// While orders are given, while they may have to be, and otherwise.
 constexpr Duration TickEvery = 50ms;
+constexpr Duration StandbyTickEvery = 150ms;
+constexpr Duration IdleTickEvery = 1s;
 constexpr Duration PlanEvery = 200ms;
 constexpr Duration ClaimWithin = 300ms;
 constexpr Duration AfterOwn = 200ms;
@@ -96,7 +99,17 @@
              .m_Claimed = [this](StoreRevision At) { claimed(At); },
              .m_Lost = [this] { lost(); },
              .m_Answered = [](bool) {}}) {
-  m_Timer = Loop.every(TickEvery, [this] { tick(); });
+  tickLater();
+}
+
+void OrderGiver::tickLater() {
+  const Duration Away = m_Giving     ? TickEvery
+                        : m_Eligible ? StandbyTickEvery
+                                     : IdleTickEvery;
+  m_Timer = m_Loop.after(Away, [this] {
+    tick();
+    tickLater();
+  });
 }
 
 OrderGiver::~OrderGiver() = default;
@@ -127,7 +140,8 @@
 
 void OrderGiver::setVoters(std::set<BoxName> Others, bool Eligible) {
   m_View.listed(std::move(Others));
-  m_Eligible = Eligible;
+  if (std::exchange(m_Eligible, Eligible) != Eligible)
+    tickLater();
 }
 
 void OrderGiver::stopIfReplaced() {
@@ -177,6 +191,7 @@
   const bool First = m_TermRevision == 0;
   const bool Own = m_TermHolder == m_Opts.m_Holder;
   m_Giving = true;
+  tickLater();
   m_Token = Revision;
   m_View.known({.m_Token = Revision, .m_Box = BoxName(m_Opts.m_Process)},
                EventLoop::now());
@@ -261,6 +276,10 @@
 /// A process that stood still believes what was true before.
 void OrderGiver::noticePause(TimePoint Now) {
   constexpr Duration Pause = 500ms;
+  if (!m_Eligible) {
+    m_TickedAt = TimePoint{};
+    return;
+  }
   const TimePoint Before = std::exchange(m_TickedAt, Now);
   if (Before == TimePoint{} || Now - Before < Pause)
     return;
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -118,6 +118,7 @@
   void claimed(StoreRevision Revision);
   void lost();
   void tick();
+  void tickLater();
   void noticePause(TimePoint Now);
   bool mayClaim(TimePoint Now) const;
   bool claimDue(TimePoint Now);
--- a/packages/gateway/process/PrefixMirror.h
+++ b/packages/gateway/process/PrefixMirror.h
@@ -20,7 +20,7 @@
 public:
   struct Options {
     std::string m_Prefix;
-    Duration m_Wait = 10s;
+    Duration m_Wait = 25s;
     /// Pause after news before the next watch, so that changes that come
     /// together cost one call.
     Duration m_Gather = 0us;
