A watch that has gone silent is found within a second

Boxes that joined had read 178 and followed 77 all the same. Ruled out: the relay over peers (all boxes had what the giver had), the runners' announcements (in the list of every box that read the store). Change: the list's watch waits 900 ms; a source that is older than this box's own list is not followed; a box told of a newer list or configuration reads anew, or takes it from the teller. Tests: both new ones fail on the code before (dead watch of the list, dead watch of the configuration). Cause: in a jam second tries were always sent, so first ones were refused, came back, and were all late; 42 of 186 never began.

--- a/packages/decisions/request/ReplicaAdmission.h
+++ b/packages/decisions/request/ReplicaAdmission.h
@@ -30,7 +30,7 @@
   double m_EarlyPart = 0.22;
   /// A second try is refused when its first token is expected after this part
   /// of the time that it has left.
-  double m_HopelessPart = 0.6;
+  double m_HopelessPart = 0.35;
   /// Callers give up a silent stream after this many times its target, or
   /// after LeastPatience.
   double m_PatienceTargets = 4;
--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -25,6 +25,10 @@
 constexpr Duration ListSilence = 900ms;
 constexpr Duration ChooseSourceEvery = 100ms;
 
+/// A watch that has not told by now what another box knows is taken as dead.
+constexpr Duration WatchTells = 400ms;
+constexpr Duration ReadAgainEvery = 1s;
+
 /// A box that starts waits this long for the list of boxes, and a leaf for its
 /// uplink, before it reads the list of upstreams itself.
 constexpr Duration WaitForBoxes = 300ms;
@@ -330,6 +334,8 @@
   if (Frame.m_Leaf)
     return takeFromLeaf(From, Frame, Now);
   m_Of.m_Giver.heardHolder(From, Frame.m_Holder, Frame.m_Giving);
+  noteConfig(From, Frame, Now);
+  noteNewerList(Frame, Now);
   if (From == m_Uplink)
     m_UplinkHeardAt = Now;
   // Another relay would tell a leaf again of what its own one has told.
@@ -353,11 +359,35 @@
     m_Of.m_Fleet.send(From, m_Of.m_Giver.contents());
 }
 
+void FleetExchange::noteConfig(const BoxName &From,
+                               const FleetDigestFrame &Frame, TimePoint Now) {
+  if (Frame.m_Config <= want().m_Config)
+    return;
+  if (Frame.m_Config > m_ConfigTold) {
+    m_ConfigTold = Frame.m_Config;
+    m_ConfigToldAt = Now;
+  }
+  if (Now - m_ConfigToldAt < WatchTells)
+    return;
+  m_ConfigToldAt = Now;
+  m_Of.m_Fleet.send(From, want());
+}
+
+void FleetExchange::noteNewerList(const FleetDigestFrame &Frame,
+                                  TimePoint Now) {
+  const bool Behind = m_Of.m_Upstreams.running() && Frame.m_ListFresh &&
+                      Frame.m_List > m_Of.m_Upstreams.revision();
+  if (!Behind || Now - m_ListReadAt < ReadAgainEvery)
+    return;
+  m_ListReadAt = Now;
+  m_Of.m_Upstreams.resync();
+}
+
 void FleetExchange::heardListSource(const BoxName &From,
                                     const FleetDigestFrame &Frame,
                                     TimePoint Now) {
-  // One that the store turns away knows no news.
-  if (!Frame.m_ListFresh) {
+  // One that the store turns away, or whose watch is dead, knows no news.
+  if (!Frame.m_ListFresh || Frame.m_List < m_Of.m_Upstreams.revision()) {
     m_ListHeardAt = TimePoint{};
     return;
   }
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -91,6 +91,9 @@
   void take(const BoxName &From, const FleetDigestFrame &Frame);
   void takeFromLeaf(const BoxName &From, const FleetDigestFrame &Frame,
                     TimePoint Now);
+  void noteConfig(const BoxName &From, const FleetDigestFrame &Frame,
+                  TimePoint Now);
+  void noteNewerList(const FleetDigestFrame &Frame, TimePoint Now);
   void heardListSource(const BoxName &From, const FleetDigestFrame &Frame,
                        TimePoint Now);
   void take(const BoxName &From, const FleetLoadsFrame &Frame);
@@ -112,6 +115,10 @@
   BoxName m_ListSource;
   TimePoint m_ListHeardAt{};
   TimePoint m_StartedAt;
+  /// The newest configuration that another box told of, and since when.
+  ConfigVersion m_ConfigTold = 0;
+  TimePoint m_ConfigToldAt{};
+  TimePoint m_ListReadAt{}; ///< When it was read anew on another box's word.
   Timer m_TellTimer;
   Timer m_LoadsTimer;
   Timer m_SourceTimer;
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -15,6 +15,14 @@
 /// The same for boxes; they start together.
 constexpr Duration GatherBoxes = 300ms;
 
+/// How long a watch may wait before it is asked again. A watch whose connection
+/// was lost on the way says nothing until then: the list of upstreams must not
+/// be older than the time in which a leaving one may still get work. The other
+/// boxes tell of a newer configuration, and new boxes make themselves known.
+constexpr Duration WaitForUpstreams = 900ms;
+constexpr Duration WaitForConfig = 20s;
+constexpr Duration WaitForBoxes = 10s;
+
 /// How often the settings are read without a signal.
 constexpr Duration ReloadEvery = 2s;
 
@@ -71,14 +79,17 @@
            .m_Random = [this] { return drawUnit(m_Random); }}),
       m_Registry(m_Binding.m_DecodeUpstream, m_Log),
       m_ConfigMirror(
-          Loop, *m_Store, mirrorOptions(m_Binding.m_ConfigPrefix, 0us),
+          Loop, *m_Store,
+          mirrorOptions(m_Binding.m_ConfigPrefix, 0us, WaitForConfig),
           {.m_Changed = [this] { configChanged(); }, .m_Reached = [] {}}),
       m_UpstreamMirror(
           Loop, *m_Store,
-          mirrorOptions(m_Binding.m_UpstreamPrefix, GatherUpstreams),
+          mirrorOptions(m_Binding.m_UpstreamPrefix, GatherUpstreams,
+                        WaitForUpstreams),
           {.m_Changed = [this] { upstreamsChanged(); }, .m_Reached = [] {}}),
       m_OwnMirror(
-          Loop, *m_Store, mirrorOptions(m_Binding.m_OwnPrefix, GatherBoxes),
+          Loop, *m_Store,
+          mirrorOptions(m_Binding.m_OwnPrefix, GatherBoxes, WaitForBoxes),
           {.m_Changed = [this] { ownKeysChanged(); }, .m_Reached = [] {}}),
       m_Process(m_Options.m_Box.str() + "." + randomHex(NameBytes)),
       m_Fleet(Loop, *m_Store, m_Log, fleetOptions(), fleetHooks()),
@@ -123,8 +134,9 @@
 Gateway::~Gateway() = default;
 
 PrefixMirror::Options Gateway::mirrorOptions(const std::string &Prefix,
-                                             Duration Gather) {
+                                             Duration Gather, Duration Wait) {
   return {.m_Prefix = Prefix,
+          .m_Wait = Wait,
           .m_Gather = Gather,
           .m_Retry = {.m_First = 100ms, .m_Cap = 1s, .m_Random = [this] {
                         return drawUnit(m_Random);
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -55,7 +55,7 @@
   OrderGiver::Options giverOptions() const;
   Forwarder::Options forwarderOptions() const;
   PrefixMirror::Options mirrorOptions(const std::string &Prefix,
-                                      Duration Gather);
+                                      Duration Gather, Duration Wait);
   void startServers();
   void ownKeysChanged();
   void resync();
--- a/tests/gateway/FleetTest.cpp
+++ b/tests/gateway/FleetTest.cpp
@@ -82,3 +82,16 @@
     REQUIRE(Test.until([&] { return Left->watchesList(); }));
   }
 }
+
+TEST_CASE("A box whose watch of the configuration is dead hears from others",
+          "[gateway][fleet]") {
+  FleetTest Test;
+  REQUIRE(Test.until([&] { return Test.m_Store.silenceWatch("op/config"); }));
+  Test.configure(2);
+  const auto Version = [](const Gateway &Box) {
+    return Box.state().m_Config->m_Version;
+  };
+  REQUIRE(Test.until([&] {
+    return Version(*Test.m_Gateway) == 2 && Version(*Test.m_Other) == 2;
+  }));
+}
--- a/tests/gateway/PlatformTest.cpp
+++ b/tests/gateway/PlatformTest.cpp
@@ -186,3 +186,17 @@
   REQUIRE(Report.m_Pending.front().m_Adapters.contains("a2"));
   REQUIRE(Report.m_OnDisk.contains("n"));
 }
+
+TEST_CASE("A leaving runner is learned though the watch of the list is dead",
+          "[gateway][platform]") {
+  GatewayTest Test;
+  Test.addRunner("i-1", [](const Request &, const ConnectionPtr &) {});
+  Test.start();
+  const auto Serving = [&] {
+    return Test.m_Gateway->state().m_Upstreams.current().contains("i-1");
+  };
+  REQUIRE(Test.until(Serving));
+  REQUIRE(Test.until([&] { return Test.m_Store.silenceWatch("servers/"); }));
+  Test.m_Store.remove("servers/i-1");
+  REQUIRE(Test.until([&] { return !Serving(); }));
+}
--- a/tests/standin/StandinStore.cpp
+++ b/tests/standin/StandinStore.cpp
@@ -144,6 +144,17 @@
   wake(Now);
 }
 
+bool StandinStore::silenceWatch(const std::string &Prefix) {
+  const auto Found =
+      std::find_if(m_Watches.begin(), m_Watches.end(),
+                   [&](const Watch &Each) { return Each.m_Prefix == Prefix; });
+  if (Found == m_Watches.end())
+    return false;
+  m_Unanswered.push_back(Found->m_Exchange);
+  m_Watches.erase(Found);
+  return true;
+}
+
 void StandinStore::wake(TimePoint Now) {
   if (m_Fault != Fault::None && m_Fault != Fault::LosesAnswer)
     return;
--- a/tests/standin/StandinStore.h
+++ b/tests/standin/StandinStore.h
@@ -35,6 +35,9 @@
   void setFault(Fault Now) { m_Fault = Now; }
   /// Forgets all changes so far, and ends the watches.
   void forgetHistory();
+  /// One watch of \p Prefix is never answered, as when its connection is lost
+  /// on the way. \returns whether there was one.
+  bool silenceWatch(const std::string &Prefix);
   std::size_t calls() const { return m_Calls; }
 
 private:
