--- a/packages/decisions/common/Time.h
+++ b/packages/decisions/common/Time.h
@@ -26,6 +26,16 @@
 /// Milliseconds since the Unix epoch; used only for ages of UUIDv7 keys.
 using WallMillis = std::int64_t;
 
+/// \p Time in milliseconds, with fractions.
+constexpr double inMillis(Duration Time) {
+  return static_cast<double>(Time.count()) / 1000;
+}
+
+/// \p Millis milliseconds, down to a whole microsecond.
+constexpr Duration fromMillis(double Millis) {
+  return Duration(static_cast<Duration::rep>(Millis * 1000));
+}
+
 using std::chrono_literals::operator""us;
 using std::chrono_literals::operator""ms;
 using std::chrono_literals::operator""s;
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -24,14 +24,6 @@
 /// Tokens of an answer count in part: most end before their bound.
 constexpr double OutputPart = 0.5;
 
-double millis(Duration Time) {
-  return static_cast<double>(Time.count()) / 1000;
-}
-
-Duration fromMillis(double Millis) {
-  return Duration(static_cast<Duration::rep>(Millis * 1000));
-}
-
 } // namespace
 
 ProxiedRequest::ProxiedRequest(Forwarder &Owner, HttpExchangePtr Exchange,
@@ -130,7 +122,7 @@
   const double Part = m_SinceFirstTry > 0us ? m_Owner.m_Opts.m_SecondParkPart
                                             : m_Owner.m_Opts.m_ParkPart;
   const Duration Whole = fromMillis(
-      millis(std::min(m_Route.m_Target, m_Deadline - m_Arrived)) * Part);
+      inMillis(std::min(m_Route.m_Target, m_Deadline - m_Arrived)) * Part);
   const Duration Rest = std::max(Duration(0us), Whole - waited(Now));
   m_ParkTimer = m_Owner.m_Loop.after(Rest, [Weak = weak_from_this()] {
     const auto Self = Weak.lock();
@@ -214,7 +206,8 @@
   m_Call = m_Owner.m_Client.start(std::move(Call));
   if (!streaming())
     return watchSilence(3 * m_Route.m_Target);
-  const double Expected = 2.5 * Chosen.m_ExpectedMs + millis(m_Route.m_Target);
+  const double Expected =
+      2.5 * Chosen.m_ExpectedMs + inMillis(m_Route.m_Target);
   watchSilence(std::max(LeastSilence, fromMillis(Expected)));
 }
 
@@ -293,7 +286,7 @@
     return;
   m_Send->m_Started = true;
   ServingState &State = m_Owner.m_State;
-  const double Observed = millis(Now - m_Send->m_At);
+  const double Observed = inMillis(Now - m_Send->m_At);
   State.m_Loads.started(m_Send->m_Instance, m_Send->m_WorkMs);
   State.m_Latency.observe(m_Send->m_Instance, m_Request.m_Model,
                           m_Send->m_PendingMs, m_Send->m_WorkMs, Observed);
--- a/packages/gateway/request/RequestDialect.cpp
+++ b/packages/gateway/request/RequestDialect.cpp
@@ -1,8 +1,8 @@
 #include "gateway/request/RequestDialect.h"
 
+#include "wire/common/HttpClient.h"
 #include <algorithm>
 #include <array>
-#include <strings.h>
 
 namespace havenstair {
 
@@ -13,10 +13,6 @@
     "TE",         "Trailer",       "Transfer-Encoding", "Upgrade",
     "Expect",     "Content-Length"};
 
-bool sameName(std::string_view A, std::string_view B) {
-  return A.size() == B.size() && strncasecmp(A.data(), B.data(), A.size()) == 0;
-}
-
 /// Whether \p Name stands in \p List, which is separated by commas.
 bool listed(std::string_view List, std::string_view Name) {
   std::size_t Start = 0;
@@ -27,7 +23,7 @@
       Item.remove_prefix(1);
     while (Item.ends_with(' '))
       Item.remove_suffix(1);
-    if (sameName(Item, Name))
+    if (sameFieldName(Item, Name))
       return true;
     Start = Comma + 1;
   }
@@ -40,9 +36,11 @@
   const std::string Named = findHeader(Headers, "Connection");
   HttpHeaders Result;
   for (const HttpHeader &Header : Headers) {
-    const bool OfConnection = std::any_of(
-        ConnectionFields.begin(), ConnectionFields.end(),
-        [&](std::string_view Field) { return sameName(Field, Header.m_Name); });
+    const bool OfConnection =
+        std::any_of(ConnectionFields.begin(), ConnectionFields.end(),
+                    [&](std::string_view Field) {
+                      return sameFieldName(Field, Header.m_Name);
+                    });
     if (!OfConnection && !listed(Named, Header.m_Name))
       Result.push_back(Header);
   }
--- a/packages/wire/common/HttpClient.cpp
+++ b/packages/wire/common/HttpClient.cpp
@@ -120,14 +120,14 @@
   return std::nullopt;
 }
 
+bool sameFieldName(std::string_view A, std::string_view B) {
+  return A.size() == B.size() && strncasecmp(A.data(), B.data(), A.size()) == 0;
+}
+
 std::string findHeader(const HttpHeaders &Headers, std::string_view Name) {
-  for (const HttpHeader &Header : Headers) {
-    const bool Same =
-        Header.m_Name.size() == Name.size() &&
-        strncasecmp(Header.m_Name.data(), Name.data(), Name.size()) == 0;
-    if (Same)
+  for (const HttpHeader &Header : Headers)
+    if (sameFieldName(Header.m_Name, Name))
       return Header.m_Value;
-  }
   return {};
 }
 
--- a/packages/wire/common/HttpClient.h
+++ b/packages/wire/common/HttpClient.h
@@ -32,6 +32,9 @@
 };
 using HttpHeaders = std::vector<HttpHeader>;
 
+/// Whether two names of fields are the same; case does not count.
+bool sameFieldName(std::string_view A, std::string_view B);
+
 /// Value of the field \p Name, by case-insensitive name; empty when absent.
 std::string findHeader(const HttpHeaders &Headers, std::string_view Name);
 
--- a/packages/wire/common/HttpServer.cpp
+++ b/packages/wire/common/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "wire/common/HttpServer.h"
 
 #include "wire/common/EventLoop.h"
+#include "wire/common/HttpClient.h"
 #include <algorithm>
 #include <cctype>
 #include <event2/buffer.h>
@@ -11,7 +12,6 @@
 #include <event2/keyvalq_struct.h>
 #include <netinet/in.h>
 #include <stdexcept>
-#include <strings.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -76,10 +76,6 @@
   return !Text.empty() && std::all_of(Text.begin(), Text.end(), IsDigit);
 }
 
-bool sameName(std::string_view A, std::string_view B) {
-  return A.size() == B.size() && strncasecmp(A.data(), B.data(), A.size()) == 0;
-}
-
 /// The methods whose bodies evhttp reads; a body elsewhere would stay on the
 /// connection and be read as the next request.
 bool bodyIsRead(std::string_view Method) {
@@ -168,16 +164,16 @@
   for (const HttpHeader &Header : headers()) {
     if (!isToken(Header.m_Name))
       return false;
-    if (sameName(Header.m_Name, "Content-Length")) {
+    if (sameFieldName(Header.m_Name, "Content-Length")) {
       ++Lengths;
       HasBody = HasBody || Header.m_Value != "0";
       if (!isNumber(Header.m_Value))
         return false;
     }
-    if (sameName(Header.m_Name, "Transfer-Encoding")) {
+    if (sameFieldName(Header.m_Name, "Transfer-Encoding")) {
       ++Codings;
       HasBody = true;
-      if (!sameName(Header.m_Value, "chunked"))
+      if (!sameFieldName(Header.m_Value, "chunked"))
         return false;
     }
   }
