An order giver orders on what it read of its key lately

Its lease was renewed, which it took as 'the store is reached', but its watch of the key had been lost in the cut, so it did not know that the key had been replaced; a lease says nothing of a key. Ruled out: the majority (the box was cut from it), the list of voters. Change: orders need the key's own state: read by a call that was sent no more than 1.9 s ago, or a majority that vouches. The order giver's watch waits 0.9 s. The bound of 1.9 s and the turn of 3 s leave 1.1 s for an order on its way.

--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -25,6 +25,10 @@
 constexpr Duration ListSilence = 900ms;
 constexpr Duration ChooseSourceEvery = 100ms;
 
+/// How long a watch of the boxes' keys waits, on the order giver and elsewhere.
+constexpr Duration HolderWatchWait = 900ms;
+constexpr Duration BoxWatchWait = 10s;
+
 /// A watch that has not told by now what another box knows is taken as dead.
 constexpr Duration WatchTells = 400ms;
 constexpr Duration ReadAgainEvery = 1s;
@@ -105,11 +109,23 @@
   return Now - m_ListHeardAt <= ListSilence;
 }
 
+/// The box that gives orders must hear at once that it was replaced, also when
+/// a watch is lost on the way.
+void FleetExchange::watchOwnKey() {
+  const bool Giving = m_Of.m_Giver.giving();
+  if (std::exchange(m_WatchesOwnKey, Giving) == Giving)
+    return;
+  m_Of.m_Boxes.setWait(Giving ? HolderWatchWait : BoxWatchWait);
+  if (Giving)
+    m_Of.m_Boxes.resync();
+}
+
 void FleetExchange::tell() {
   const TimePoint Now = EventLoop::now();
   if (m_Of.m_Fleet.holderIs(m_Of.m_Giver.holder().m_Box))
     arranged();
   chooseUplink(Now);
+  watchOwnKey();
   ServingState &State = m_Of.m_State;
   FleetDigestFrame Frame = word(Now);
   Frame.m_Demand = std::exchange(State.m_Demand, {});
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -66,6 +66,7 @@
 
 private:
   void arranged();
+  void watchOwnKey();
   void tell();
   void tellLoads();
   void tellLoadsLater();
@@ -114,6 +115,7 @@
   /// Last word of the box whose list this one follows.
   BoxName m_ListSource;
   TimePoint m_ListHeardAt{};
+  bool m_WatchesOwnKey = false;
   TimePoint m_StartedAt;
   /// The newest configuration that another box told of, and since when.
   ConfigVersion m_ConfigTold = 0;
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -93,18 +93,17 @@
           {.m_Changed = [this] { ownKeysChanged(); }, .m_Reached = [] {}}),
       m_Process(m_Options.m_Box.str() + "." + randomHex(NameBytes)),
       m_Fleet(Loop, *m_Store, m_Log, fleetOptions(), fleetHooks()),
-      m_Giver(
-          Loop, *m_Store, *m_Engines, m_State, m_Log, giverOptions(),
-          {.m_Contents =
-               [this](const FleetContentsFrame &Frame) {
-                 m_Exchange.tellContents(Frame);
-               },
-           .m_Ordered =
-               [this](std::string_view Operation, std::string_view Answer) {
-                 m_Metrics.ordered(Operation, Answer);
-               },
-           .m_StoreReached = [this] { return m_Exchange.storeJustReached(); },
-           .m_Random = [this] { return drawUnit(m_Random); }}),
+      m_Giver(Loop, *m_Store, *m_Engines, m_State, m_Log, giverOptions(),
+              {.m_Contents =
+                   [this](const FleetContentsFrame &Frame) {
+                     m_Exchange.tellContents(Frame);
+                   },
+               .m_Ordered =
+                   [this](std::string_view Operation, std::string_view Answer) {
+                     m_Metrics.ordered(Operation, Answer);
+                   },
+               .m_HolderRead = [this] { return m_OwnMirror.confirmedAt(); },
+               .m_Random = [this] { return drawUnit(m_Random); }}),
       m_Exchange(
           Loop,
           {.m_Fleet = m_Fleet,
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -45,6 +45,10 @@
 /// Most moves that one plan begins.
 constexpr std::size_t MostMoves = 6;
 
+/// A holder orders on what it read of its key this long ago. The turn between
+/// two holders is longer than that and the sending of an order together.
+constexpr Duration HolderReadCounts = 1900ms;
+
 /// A holder that is replaced hears of it within this.
 constexpr Duration LastOrderOfOther = 700ms;
 
@@ -220,7 +224,8 @@
 
 bool OrderGiver::mayOrder(TimePoint Now) const {
   return m_Giving && m_Key.held(Now) && Now >= m_MayOrderFrom &&
-         (m_Hooks.m_StoreReached() || m_View.vouched(Now));
+         (Now - m_Hooks.m_HolderRead() <= HolderReadCounts ||
+          m_View.vouched(Now));
 }
 
 const EngineSpec *OrderGiver::specOf(const std::string &Service) const {
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -53,8 +53,8 @@
     /// An order was answered; for metrics.
     std::function<void(std::string_view Operation, std::string_view Answer)>
         m_Ordered;
-    /// Whether the store has answered this box just now.
-    std::function<bool()> m_StoreReached;
+    /// When the store's keys, the holder's among them, were last read.
+    std::function<TimePoint()> m_HolderRead;
     std::function<double()> m_Random; ///< From 0 to 1.
   };
 
--- a/packages/gateway/process/PrefixMirror.cpp
+++ b/packages/gateway/process/PrefixMirror.cpp
@@ -39,6 +39,7 @@
 
 void PrefixMirror::read() {
   const std::uint64_t Round = ++m_Round;
+  m_SentAt = EventLoop::now();
   m_Store.range(
       m_Opts.m_Prefix,
       [this, Round, Alive = std::weak_ptr<bool>(m_Alive)](StoreItems Read) {
@@ -51,6 +52,7 @@
   if (Read.m_Status != StoreStatus::Ok)
     return later(m_Backoff.next(), &PrefixMirror::read);
   m_Backoff.reset();
+  m_ConfirmedAt = m_SentAt;
   // An answer that was under way for long must not undo newer changes.
   if (Read.m_At >= m_At) {
     m_Items.clear();
@@ -65,6 +67,7 @@
 
 void PrefixMirror::watch() {
   const std::uint64_t Round = ++m_Round;
+  m_SentAt = EventLoop::now();
   m_Watching =
       m_Store.watch(m_Opts.m_Prefix, m_At, m_Opts.m_Wait,
                     [this, Round, Alive = std::weak_ptr<bool>(m_Alive)](
@@ -121,6 +124,7 @@
   if (News.m_Status != StoreStatus::Ok)
     return later(m_Backoff.next(), &PrefixMirror::read);
   m_Backoff.reset();
+  m_ConfirmedAt = m_SentAt;
   for (const StoreChange &Change : News.m_Changes) {
     // Adopted in the meantime.
     if (Change.m_Revision <= m_At)
--- a/packages/gateway/process/PrefixMirror.h
+++ b/packages/gateway/process/PrefixMirror.h
@@ -45,6 +45,11 @@
   /// Stops reading; start() begins again.
   void stop();
   bool running() const { return m_Running; }
+  /// How long the watches from the next one on may wait.
+  void setWait(Duration Wait) { m_Opts.m_Wait = Wait; }
+  /// What this copy holds was the store's state at that time or later. When
+  /// the answer came says less: it may have waited in a socket.
+  TimePoint confirmedAt() const { return m_ConfirmedAt; }
 
   /// What has changed since a revision; since 0, everything.
   struct Delta {
@@ -83,6 +88,8 @@
   std::map<std::string, StoreRevision> m_Taken;
   StoreRevision m_TakenAt = 0;
   StoreRevision m_At = 0;
+  TimePoint m_SentAt{}; ///< Of the call that is under way.
+  TimePoint m_ConfirmedAt{};
   bool m_Running = false;
   /// Answers of earlier calls are dropped.
   std::uint64_t m_Round = 0;
--- a/tests/gateway/FleetTest.cpp
+++ b/tests/gateway/FleetTest.cpp
@@ -95,3 +95,14 @@
     return Version(*Test.m_Gateway) == 2 && Version(*Test.m_Other) == 2;
   }));
 }
+
+TEST_CASE("An order giver that was replaced stops though its watch is dead",
+          "[gateway][fleet]") {
+  FleetTest Test;
+  REQUIRE(Test.until([&] { return Test.givers() == 1; }));
+  // Both boxes' watches are lost, and all links with them stay as they are.
+  REQUIRE(Test.until([&] { return Test.m_Store.silenceWatch("havenstair/"); }));
+  Test.m_Store.silenceWatch("havenstair/");
+  Test.m_Store.put("havenstair/giver", "somebody else");
+  REQUIRE(Test.until([&] { return Test.givers() == 0; }));
+}
