Tests of admission: what is hopeless follows the chosen 0.35

Two tests used 1,500 ms as a wait that is not hopeless yet; with 0.35 of 3.2 s the bound is 1,120 ms instead of 1,920.

--- a/tests/decisions/request/ReplicaAdmissionTest.cpp
+++ b/tests/decisions/request/ReplicaAdmissionTest.cpp
@@ -37,14 +37,14 @@
 }
 
 TEST_CASE("A refusal that would come late is not given", "[admission]") {
-  AdmissionFacts Late = facts(1500, 100);
+  AdmissionFacts Late = facts(1100, 100);
   Late.m_Waited = 400ms;
   REQUIRE_FALSE(refuseFor(Late, {}));
 }
 
 TEST_CASE("A second try is refused only when it cannot begin in time",
           "[admission]") {
-  AdmissionFacts Second = facts(1500, 100);
+  AdmissionFacts Second = facts(1100, 100);
   Second.m_TriedBefore = true;
   REQUIRE_FALSE(refuseFor(Second, {}));
   Second.m_ExpectedMs = 4000;
