Fleet exchange: one way to the relays, one bound for a lost watch

LoadCeiling::open() had no caller. - The topology tells whether a new holder changes the relays; Fleet copied and compared the set at each digest. - addressOf() is private to Fleet.cpp; the version of the configuration, or 0, stood four times: ServingState::configVersion(). - Three tests made a gateway by hand: GatewayTest::makeGateway().

--- a/packages/decisions/process/FleetTopology.cpp
+++ b/packages/decisions/process/FleetTopology.cpp
@@ -16,11 +16,13 @@
   arrange();
 }
 
-void FleetTopology::holderIs(const BoxName &Holder) {
+bool FleetTopology::holderIs(const BoxName &Holder) {
   if (Holder == m_Holder)
-    return;
+    return false;
+  const std::set<BoxName> Before = m_Relays;
   m_Holder = Holder;
   arrange();
+  return m_Relays != Before;
 }
 
 void FleetTopology::arrange() {
--- a/packages/decisions/process/FleetTopology.h
+++ b/packages/decisions/process/FleetTopology.h
@@ -41,8 +41,9 @@
   /// The other boxes that are known now.
   void listed(std::vector<FleetMember> Others);
   /// The box that gives orders stays a relay while it is listed, so that a
-  /// stronger box that joins does not end its turn.
-  void holderIs(const BoxName &Holder);
+  /// stronger box that joins does not end its turn. \returns whether that
+  /// changes the relays.
+  bool holderIs(const BoxName &Holder);
 
   /// All boxes are relays.
   bool flat() const { return m_Flat; }
--- a/packages/decisions/process/LoadCeiling.h
+++ b/packages/decisions/process/LoadCeiling.h
@@ -36,8 +36,6 @@
   /// A load from the store is ordered from \p Engine, which takes one at a
   /// time.
   void ordered(const InstanceId &Engine) { m_Open.insert(Engine); }
-  /// Whether it is not yet known when, or if, the load of \p Engine began.
-  bool open(const InstanceId &Engine) const { return m_Open.contains(Engine); }
   /// The load of \p Engine began before \p Until, or never will. Nothing
   /// happens when none is open.
   void settled(const InstanceId &Engine, TimePoint Until);
--- a/packages/gateway/process/Fleet.cpp
+++ b/packages/gateway/process/Fleet.cpp
@@ -1,6 +1,7 @@
 #include "gateway/process/Fleet.h"
 
 #include "gateway/common/DecisionLog.h"
+#include "wire/common/Json.h"
 #include <algorithm>
 
 namespace havenstair {
@@ -10,6 +11,16 @@
 constexpr Duration TickEvery = 100ms;
 constexpr const char *BoxKeys = "box/";
 
+std::optional<PeerAddress> addressOf(const BoxName &Box, const Json &Value) {
+  const auto Address = Endpoint::parse(field<std::string>(Value, "peers"));
+  if (!Address)
+    return std::nullopt;
+  return PeerAddress{.m_Box = Box,
+                     .m_DataCentre =
+                         DataCentreName(field<std::string>(Value, "zone")),
+                     .m_Endpoint = *Address};
+}
+
 } // namespace
 
 Fleet::Fleet(EventLoop &Loop, CoordinationStore &Store, DecisionLog &Log,
@@ -115,21 +126,8 @@
   link();
 }
 
-std::optional<PeerAddress> Fleet::addressOf(const BoxName &Box,
-                                            const Json &Value) const {
-  const auto Address = Endpoint::parse(field<std::string>(Value, "peers"));
-  if (!Address)
-    return std::nullopt;
-  return PeerAddress{.m_Box = Box,
-                     .m_DataCentre =
-                         DataCentreName(field<std::string>(Value, "zone")),
-                     .m_Endpoint = *Address};
-}
-
 bool Fleet::holderIs(const BoxName &Holder) {
-  const std::set<BoxName> Before = m_Topology.relays();
-  m_Topology.holderIs(Holder);
-  if (m_Topology.relays() == Before)
+  if (!m_Topology.holderIs(Holder))
     return false;
   link();
   return true;
--- a/packages/gateway/process/Fleet.h
+++ b/packages/gateway/process/Fleet.h
@@ -8,12 +8,10 @@
 #include "gateway/process/LeasedKey.h"
 #include "gateway/process/PrefixMirror.h"
 #include "wire/common/EventLoop.h"
-#include "wire/common/Json.h"
 #include "wire/process/PeerMesh.h"
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 
@@ -76,8 +74,6 @@
   void tick();
   void storeAnswered(bool Reached);
   StoreTransaction entry(LeaseId Lease) const;
-  std::optional<PeerAddress> addressOf(const BoxName &Box,
-                                       const Json &Value) const;
   void link();
   PeerMesh::Options meshOptions() const;
   PeerMesh::Hooks meshHooks();
--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -25,10 +25,6 @@
 constexpr Duration ListSilence = 900ms;
 constexpr Duration ChooseSourceEvery = 100ms;
 
-/// How long a watch of the boxes' keys waits, on the order giver and elsewhere.
-constexpr Duration HolderWatchWait = 900ms;
-constexpr Duration BoxWatchWait = 10s;
-
 /// A watch that has not told by now what another box knows is taken as dead.
 constexpr Duration WatchTells = 400ms;
 constexpr Duration ReadAgainEvery = 1s;
@@ -93,7 +89,7 @@
 FleetDigestFrame FleetExchange::word(TimePoint Now) const {
   const ServingState &State = m_Of.m_State;
   FleetDigestFrame Frame;
-  Frame.m_Config = State.m_Config ? State.m_Config->m_Version : 0;
+  Frame.m_Config = State.configVersion();
   Frame.m_List = m_Of.m_Upstreams.revision();
   Frame.m_Boxes = m_Of.m_Boxes.revision();
   Frame.m_Stopping = State.m_Stopping;
@@ -109,23 +105,13 @@
   return Now - m_ListHeardAt <= ListSilence;
 }
 
-/// The box that gives orders must hear at once that it was replaced, also when
-/// a watch is lost on the way.
-void FleetExchange::watchOwnKey() {
-  const bool Giving = m_Of.m_Giver.giving();
-  if (std::exchange(m_WatchesOwnKey, Giving) == Giving)
-    return;
-  m_Of.m_Boxes.setWait(Giving ? HolderWatchWait : BoxWatchWait);
-  if (Giving)
-    m_Of.m_Boxes.resync();
-}
-
 void FleetExchange::tell() {
   const TimePoint Now = EventLoop::now();
   if (m_Of.m_Fleet.holderIs(m_Of.m_Giver.holder().m_Box))
     arranged();
   chooseUplink(Now);
-  watchOwnKey();
+  // The box that gives orders must hear at once that it was replaced.
+  m_Of.m_Boxes.watchClosely(m_Of.m_Giver.giving());
   ServingState &State = m_Of.m_State;
   FleetDigestFrame Frame = word(Now);
   Frame.m_Demand = std::exchange(State.m_Demand, {});
@@ -146,8 +132,7 @@
   Frame.m_Loads = Loads.sum(
       [this](const BoxName &Box) { return m_Leaves.contains(Box); }, Now);
   Loads.toldAll();
-  for (const BoxName &Relay : relayTargets())
-    m_Of.m_Fleet.send(Relay, Frame);
+  toRelays(Frame);
   Frame.m_Demand.clear();
   const std::map<BoxName, TimePoint> Leaves = m_Leaves;
   for (const auto &[Leaf, HeardAt] : Leaves) {
@@ -176,14 +161,12 @@
     return;
   if (!Topology.relay())
     return m_Of.m_Fleet.send(m_Uplink, Frame);
-  for (const BoxName &Relay : relayTargets())
-    m_Of.m_Fleet.send(Relay, Frame);
+  toRelays(Frame);
 }
 
 void FleetExchange::tellContents(const FleetContentsFrame &Frame) {
   take(m_Of.m_Fleet.self(), Frame);
-  for (const BoxName &Relay : relayTargets())
-    m_Of.m_Fleet.send(Relay, Frame);
+  toRelays(Frame);
 }
 
 void FleetExchange::missing(const ModelKey &Key) {
@@ -199,8 +182,7 @@
 }
 
 FleetWantFrame FleetExchange::want() const {
-  const ServingState &State = m_Of.m_State;
-  return {.m_Config = State.m_Config ? State.m_Config->m_Version : 0,
+  return {.m_Config = m_Of.m_State.configVersion(),
           .m_List = m_Of.m_Upstreams.revision(),
           .m_Boxes = m_Of.m_Boxes.revision()};
 }
@@ -221,25 +203,23 @@
 
 // To whom.
 
-std::vector<BoxName> FleetExchange::relayTargets() const {
+void FleetExchange::toRelays(const PeerFrame &Frame) {
   const FleetTopology &Topology = m_Of.m_Fleet.topology();
-  std::vector<BoxName> Result;
-  for (const BoxName &Box : m_Of.m_Fleet.linked())
+  // A link that fails while it is written to leaves the set.
+  const std::set<BoxName> Linked = m_Of.m_Fleet.linked();
+  for (const BoxName &Box : Linked)
     if (Topology.flat() || Topology.isRelay(Box))
-      Result.push_back(Box);
-  return Result;
+      m_Of.m_Fleet.send(Box, Frame);
 }
 
 void FleetExchange::toLeaves(const PeerFrame &Frame) {
-  // A link that fails while it is written to leaves the map.
   const std::map<BoxName, TimePoint> Leaves = m_Leaves;
   for (const auto &[Leaf, HeardAt] : Leaves)
     m_Of.m_Fleet.send(Leaf, Frame);
 }
 
 void FleetExchange::toAll(const PeerFrame &Frame) {
-  for (const BoxName &Relay : relayTargets())
-    m_Of.m_Fleet.send(Relay, Frame);
+  toRelays(Frame);
   toLeaves(Frame);
 }
 
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -12,7 +12,6 @@
 #include <map>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace havenstair {
 
@@ -66,7 +65,6 @@
 
 private:
   void arranged();
-  void watchOwnKey();
   void tell();
   void tellLoads();
   void tellLoadsLater();
@@ -77,7 +75,7 @@
   FleetKeysFrame keysFrame(const std::string &Prefix,
                            const PrefixMirror::Delta &News) const;
 
-  std::vector<BoxName> relayTargets() const;
+  void toRelays(const PeerFrame &Frame);
   void toLeaves(const PeerFrame &Frame);
   void toAll(const PeerFrame &Frame);
   void dropSilentLeaves(TimePoint Now);
@@ -115,7 +113,6 @@
   /// Last word of the box whose list this one follows.
   BoxName m_ListSource;
   TimePoint m_ListHeardAt{};
-  bool m_WatchesOwnKey = false;
   TimePoint m_StartedAt;
   /// The newest configuration that another box told of, and since when.
   ConfigVersion m_ConfigTold = 0;
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -19,7 +19,6 @@
 /// was lost on the way says nothing until then: the list of upstreams must not
 /// be older than the time in which a leaving one may still get work. The other
 /// boxes tell of a newer configuration, and new boxes make themselves known.
-constexpr Duration WaitForUpstreams = 900ms;
 constexpr Duration WaitForConfig = 20s;
 constexpr Duration WaitForBoxes = 10s;
 
@@ -81,16 +80,15 @@
       m_ConfigMirror(
           Loop, *m_Store,
           mirrorOptions(m_Binding.m_ConfigPrefix, 0us, WaitForConfig),
-          {.m_Changed = [this] { configChanged(); }, .m_Reached = [] {}}),
-      m_UpstreamMirror(
-          Loop, *m_Store,
-          mirrorOptions(m_Binding.m_UpstreamPrefix, GatherUpstreams,
-                        WaitForUpstreams),
-          {.m_Changed = [this] { upstreamsChanged(); }, .m_Reached = [] {}}),
+          {.m_Changed = [this] { configChanged(); }}),
+      m_UpstreamMirror(Loop, *m_Store,
+                       mirrorOptions(m_Binding.m_UpstreamPrefix,
+                                     GatherUpstreams, PrefixMirror::CloseWait),
+                       {.m_Changed = [this] { upstreamsChanged(); }}),
       m_OwnMirror(
           Loop, *m_Store,
           mirrorOptions(m_Binding.m_OwnPrefix, GatherBoxes, WaitForBoxes),
-          {.m_Changed = [this] { ownKeysChanged(); }, .m_Reached = [] {}}),
+          {.m_Changed = [this] { ownKeysChanged(); }}),
       m_Process(m_Options.m_Box.str() + "." + randomHex(NameBytes)),
       m_Fleet(Loop, *m_Store, m_Log, fleetOptions(), fleetHooks()),
       m_Giver(Loop, *m_Store, *m_Engines, m_State, m_Log, giverOptions(),
@@ -177,8 +175,7 @@
   Opts.m_Planner = m_Policy.m_Planner;
   Opts.m_Adapters = m_Policy.m_Adapters;
   Opts.m_Rates = m_Policy.m_Rates;
-  Opts.m_ReplicaStays =
-      Duration(static_cast<Duration::rep>(m_Policy.m_ReplicaStaysMs * 1000));
+  Opts.m_ReplicaStays = fromMillis(m_Policy.m_ReplicaStaysMs);
   return Opts;
 }
 
@@ -239,8 +236,7 @@
   const auto Number = [](auto Value) { return static_cast<double>(Value); };
   GatewayGauges Now;
   Now.m_OpenRequests = Number(m_Forwarder.open());
-  Now.m_ConfigVersion =
-      m_State.m_Config ? Number(m_State.m_Config->m_Version) : 0;
+  Now.m_ConfigVersion = Number(m_State.configVersion());
   Now.m_ListRevision = Number(m_State.m_Upstreams.list().m_Revision);
   Now.m_Upstreams = Number(m_State.m_Upstreams.current().size());
   Now.m_Peers = Number(m_Fleet.linked().size());
@@ -284,8 +280,7 @@
   for (const auto &[Key, Item] : m_ConfigMirror.items()) {
     try {
       ServingConfig Read = m_Binding.m_DecodeConfig(Item.m_Value);
-      const ConfigVersion Before =
-          m_State.m_Config ? m_State.m_Config->m_Version : 0;
+      const ConfigVersion Before = m_State.configVersion();
       if (m_State.m_Config && Read.m_Version <= Before)
         continue;
       m_Log.write("config", {{"version", Read.m_Version},
--- a/packages/gateway/process/PrefixMirror.cpp
+++ b/packages/gateway/process/PrefixMirror.cpp
@@ -33,6 +33,14 @@
   read();
 }
 
+void PrefixMirror::watchClosely(bool Closely) {
+  if (std::exchange(m_Closely, Closely) == Closely)
+    return;
+  // The watch that is under way may have been lost already.
+  if (Closely)
+    resync();
+}
+
 void PrefixMirror::later(Duration Delay, void (PrefixMirror::*Step)()) {
   m_Timer = m_Loop.after(Delay, [this, Step] { (this->*Step)(); });
 }
@@ -60,7 +68,6 @@
       m_Items.emplace(Each.m_Key, Each);
     m_At = Read.m_At;
   }
-  m_Hooks.m_Reached();
   m_Hooks.m_Changed();
   watch();
 }
@@ -68,13 +75,13 @@
 void PrefixMirror::watch() {
   const std::uint64_t Round = ++m_Round;
   m_SentAt = EventLoop::now();
-  m_Watching =
-      m_Store.watch(m_Opts.m_Prefix, m_At, m_Opts.m_Wait,
-                    [this, Round, Alive = std::weak_ptr<bool>(m_Alive)](
-                        const StoreChanges &News) {
-                      if (!Alive.expired() && Round == m_Round)
-                        onChanges(News);
-                    });
+  m_Watching = m_Store.watch(
+      m_Opts.m_Prefix, m_At, m_Closely ? CloseWait : m_Opts.m_Wait,
+      [this, Round,
+       Alive = std::weak_ptr<bool>(m_Alive)](const StoreChanges &News) {
+        if (!Alive.expired() && Round == m_Round)
+          onChanges(News);
+      });
 }
 
 bool PrefixMirror::adopt(const Delta &News) {
@@ -137,7 +144,6 @@
       m_Items.erase(Change.m_Key);
   }
   m_At = std::max(m_At, News.m_At);
-  m_Hooks.m_Reached();
   if (News.m_Changes.empty())
     return watch();
   m_Hooks.m_Changed();
--- a/packages/gateway/process/PrefixMirror.h
+++ b/packages/gateway/process/PrefixMirror.h
@@ -18,9 +18,12 @@
 /// forgot the changes in between.
 class PrefixMirror {
 public:
+  /// How long a watch waits where a lost one would soon do harm.
+  static constexpr Duration CloseWait = 900ms;
+
   struct Options {
     std::string m_Prefix;
-    Duration m_Wait = 25s;
+    Duration m_Wait = CloseWait;
     /// Pause after news before the next watch, so that changes that come
     /// together cost one call.
     Duration m_Gather = 0us;
@@ -29,8 +32,6 @@
   struct Hooks {
     /// The copy has changed, or was confirmed by a whole read.
     std::function<void()> m_Changed;
-    /// Any answer of the store that proves it is reached.
-    std::function<void()> m_Reached;
   };
 
   PrefixMirror(EventLoop &Loop, CoordinationStore &Store, Options Opts,
@@ -45,8 +46,8 @@
   /// Stops reading; start() begins again.
   void stop();
   bool running() const { return m_Running; }
-  /// How long the watches from the next one on may wait.
-  void setWait(Duration Wait) { m_Opts.m_Wait = Wait; }
+  /// Whether a watch that is lost on the way must be found within CloseWait.
+  void watchClosely(bool Closely);
   /// What this copy holds was the store's state at that time or later. When
   /// the answer came says less: it may have waited in a socket.
   TimePoint confirmedAt() const { return m_ConfirmedAt; }
@@ -88,6 +89,7 @@
   std::map<std::string, StoreRevision> m_Taken;
   StoreRevision m_TakenAt = 0;
   StoreRevision m_At = 0;
+  bool m_Closely = false;
   TimePoint m_SentAt{}; ///< Of the call that is under way.
   TimePoint m_ConfirmedAt{};
   bool m_Running = false;
--- a/packages/gateway/process/ServingState.h
+++ b/packages/gateway/process/ServingState.h
@@ -35,6 +35,10 @@
   int m_Boxes = 1;       ///< Most boxes known at one time.
   bool m_Stopping = false;
 
+  /// 0 before the first.
+  ConfigVersion configVersion() const {
+    return m_Config ? m_Config->m_Version : 0;
+  }
   bool ready() const {
     return m_Config != nullptr && m_Upstreams.known() && !m_Stopping;
   }
--- a/tests/gateway/FleetTest.cpp
+++ b/tests/gateway/FleetTest.cpp
@@ -16,13 +16,9 @@
     });
     configure(1);
     startGateway();
-    PlatformBinding Binding = platform::makeBinding("");
     GatewayOptions Options = options();
     Options.m_Box = BoxName("other");
-    Binding.m_ReadOptions = [Options] { return Options; };
-    m_Other = std::make_unique<Gateway>(m_Loop, std::move(Binding), Options,
-                                        GatewayPolicy{}, m_NullLog,
-                                        [this] { m_OtherStopped = true; });
+    m_Other = makeGateway(Options, [this] { m_OtherStopped = true; });
     REQUIRE(until([&] {
       return m_Gateway->peers() == 1 && m_Other->peers() == 1 &&
              m_Gateway->state().ready() && m_Other->state().ready();
--- a/tests/gateway/GatewayTest.h
+++ b/tests/gateway/GatewayTest.h
@@ -14,6 +14,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <fcntl.h>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -86,12 +87,17 @@
     return Options;
   }
 
-  void startGateway() {
+  std::unique_ptr<Gateway> makeGateway(const GatewayOptions &Options,
+                                       std::function<void()> Stopped) {
     PlatformBinding Binding = platform::makeBinding("");
-    Binding.m_ReadOptions = [this] { return options(); };
-    m_Gateway = std::make_unique<Gateway>(m_Loop, std::move(Binding), options(),
-                                          GatewayPolicy{}, m_NullLog,
-                                          [this] { m_Stopped = true; });
+    Binding.m_ReadOptions = [Options] { return Options; };
+    return std::make_unique<Gateway>(m_Loop, std::move(Binding), Options,
+                                     GatewayPolicy{}, m_NullLog,
+                                     std::move(Stopped));
+  }
+
+  void startGateway() {
+    m_Gateway = makeGateway(options(), [this] { m_Stopped = true; });
   }
 
   /// Starts a gateway that knows configuration and runners.
--- a/tests/gateway/LargeFleetTest.cpp
+++ b/tests/gateway/LargeFleetTest.cpp
@@ -47,10 +47,7 @@
     GatewayOptions Options = options();
     Options.m_Box = BoxName("box-" + std::to_string(10 + Number));
     Options.m_Capacity = leafOnly(Number) ? 0.12 : 0.5;
-    PlatformBinding Binding = platform::makeBinding("");
-    Binding.m_ReadOptions = [Options] { return Options; };
-    return std::make_unique<Gateway>(m_Loop, std::move(Binding), Options,
-                                     GatewayPolicy{}, m_NullLog, [] {});
+    return makeGateway(Options, [] {});
   }
 };
 
