Durations to and from numbers: one pair for each unit

IdempotencyRegistry keeps its own: whole milliseconds of the wall clock are another thing. Same arithmetic, no change of behaviour.

--- a/packages/decisions/common/Time.h
+++ b/packages/decisions/common/Time.h
@@ -36,6 +36,16 @@
   return Duration(static_cast<Duration::rep>(Millis * 1000));
 }
 
+/// \p Time in seconds, with fractions.
+constexpr double inSeconds(Duration Time) {
+  return static_cast<double>(Time.count()) / 1e6;
+}
+
+/// \p Seconds seconds, down to a whole microsecond.
+constexpr Duration fromSeconds(double Seconds) {
+  return Duration(static_cast<Duration::rep>(Seconds * 1e6));
+}
+
 using std::chrono_literals::operator""us;
 using std::chrono_literals::operator""ms;
 using std::chrono_literals::operator""s;
--- a/packages/decisions/process/DemandRates.cpp
+++ b/packages/decisions/process/DemandRates.cpp
@@ -10,10 +10,6 @@
 /// Below this many requests a second a key is not told.
 constexpr double LeastRequests = 0.002;
 
-double seconds(Duration Time) {
-  return static_cast<double>(Time.count()) / 1e6;
-}
-
 ModelDemand scaled(const ModelDemand &Of, double Factor) {
   return {.m_Requests = Of.m_Requests * Factor,
           .m_WorkMs = Of.m_WorkMs * Factor};
@@ -27,10 +23,10 @@
 
 DemandRates::Known DemandRates::decayed(const Known &From,
                                         TimePoint Now) const {
-  const double Age = std::max(0.0, seconds(Now - From.m_At));
+  const double Age = std::max(0.0, inSeconds(Now - From.m_At));
   return {
-      .m_Fast = scaled(From.m_Fast, std::exp(-Age / seconds(m_Opts.m_Fast))),
-      .m_Slow = scaled(From.m_Slow, std::exp(-Age / seconds(m_Opts.m_Slow))),
+      .m_Fast = scaled(From.m_Fast, std::exp(-Age / inSeconds(m_Opts.m_Fast))),
+      .m_Slow = scaled(From.m_Slow, std::exp(-Age / inSeconds(m_Opts.m_Slow))),
       .m_At = Now};
 }
 
@@ -38,8 +34,8 @@
                       TimePoint Now) {
   Known &Entry = m_Known[Key];
   Entry = decayed(Entry, Now);
-  Entry.m_Fast += scaled(Demand, 1 / seconds(m_Opts.m_Fast));
-  Entry.m_Slow += scaled(Demand, 1 / seconds(m_Opts.m_Slow));
+  Entry.m_Fast += scaled(Demand, 1 / inSeconds(m_Opts.m_Fast));
+  Entry.m_Slow += scaled(Demand, 1 / inSeconds(m_Opts.m_Slow));
 }
 
 ModelDemand DemandRates::expected(const Known &From) const {
--- a/packages/decisions/process/GroupLimiter.cpp
+++ b/packages/decisions/process/GroupLimiter.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 Duration timeToEarn(double Missing, double Rate) {
-  return Duration(static_cast<Duration::rep>(Missing / Rate * 1e6));
+  return fromSeconds(Missing / Rate);
 }
 
 Failure rateLimited(Duration RetryAfter) {
@@ -34,7 +34,7 @@
     Of.m_Filled = Now;
     return;
   }
-  const double Seconds = static_cast<double>((Now - Of.m_Filled).count()) / 1e6;
+  const double Seconds = inSeconds(Now - Of.m_Filled);
   Of.m_Level = std::min(Most, Of.m_Level + Rate * Seconds);
   Of.m_Filled = Now;
 }
--- a/packages/decisions/process/LoadCeiling.cpp
+++ b/packages/decisions/process/LoadCeiling.cpp
@@ -5,7 +5,7 @@
 namespace havenstair {
 
 std::size_t LoadCeiling::most() const {
-  const double Seconds = static_cast<double>(m_Opts.m_Window.count()) / 1e6;
+  const double Seconds = inSeconds(m_Opts.m_Window);
   return std::max<std::size_t>(
       1, static_cast<std::size_t>(m_Opts.m_LoadsPerS * Seconds *
                                   m_Opts.m_Overage));
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -18,10 +18,6 @@
 const prometheus::Histogram::BucketBoundaries Seconds{
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 5, 10, 20};
 
-double seconds(Duration Time) {
-  return static_cast<double>(Time.count()) / 1e6;
-}
-
 } // namespace
 
 struct GatewayMetrics::Families {
@@ -79,9 +75,9 @@
       .Increment();
   if (Result.m_FirstByte > 0us)
     m_Families->m_FirstByte.Add({{"route", Route}}, Seconds)
-        .Observe(seconds(Result.m_FirstByte));
+        .Observe(inSeconds(Result.m_FirstByte));
   m_Families->m_Whole.Add({{"route", Route}}, Seconds)
-      .Observe(seconds(Result.m_Whole));
+      .Observe(inSeconds(Result.m_Whole));
 }
 
 void GatewayMetrics::sendEnded(std::string_view Outcome) {
--- a/packages/gateway/request/OwnAnswer.cpp
+++ b/packages/gateway/request/OwnAnswer.cpp
@@ -9,8 +9,7 @@
 
 std::string secondsText(Duration Time) {
   char Text[32];
-  std::snprintf(Text, sizeof(Text), "%.3f",
-                static_cast<double>(Time.count()) / 1e6);
+  std::snprintf(Text, sizeof(Text), "%.3f", inSeconds(Time));
   return Text;
 }
 
--- a/packages/havenstair/main.cpp
+++ b/packages/havenstair/main.cpp
@@ -111,7 +111,7 @@
 }
 
 Duration millis(const Arguments &Given, const char *Flag) {
-  return Duration(static_cast<Duration::rep>(number(Given, Flag) * 1000));
+  return fromMillis(number(Given, Flag));
 }
 
 LoadOptions loadOptions(const Arguments &Given) {
--- a/packages/havenstair/request/LoadCommand.cpp
+++ b/packages/havenstair/request/LoadCommand.cpp
@@ -13,8 +13,6 @@
 constexpr Duration ProgressEvery = 1s;
 constexpr std::string_view StreamEnd = "data: [DONE]";
 
-double toMs(Duration Time) { return static_cast<double>(Time.count()) / 1000; }
-
 Json latencies(const std::vector<double> &Values) {
   return {{"p50", percentile(Values, 0.5)},
           {"p95", percentile(Values, 0.95)},
@@ -63,7 +61,7 @@
   if (EventLoop::now() - m_Began >= m_Opts.m_Time)
     return;
   std::exponential_distribution<double> Gap(rateNow());
-  const Duration Wait(static_cast<Duration::rep>(Gap(m_Random) * 1e6));
+  const Duration Wait = fromSeconds(Gap(m_Random));
   m_Next = m_Loop.after(Wait, [this] {
     sendOne();
     scheduleNext();
@@ -97,7 +95,7 @@
   Call.m_OnBytes = [Item](std::string_view Bytes) {
     const TimePoint Now = EventLoop::now();
     if (Item->m_HasFirst)
-      Item->m_Gaps.push_back(toMs(Now - Item->m_Last));
+      Item->m_Gaps.push_back(inMillis(Now - Item->m_Last));
     else
       Item->m_First = Now - Item->m_Began;
     Item->m_HasFirst = true;
@@ -133,12 +131,12 @@
   ++m_Outcomes[Outcome];
   if (Outcome != "ok")
     return;
-  m_FirstMs.push_back(toMs(Item->m_First));
-  m_WholeMs.push_back(toMs(EventLoop::now() - Item->m_Began));
+  m_FirstMs.push_back(inMillis(Item->m_First));
+  m_WholeMs.push_back(inMillis(EventLoop::now() - Item->m_Began));
   const double SlowGap = percentile(Item->m_Gaps, 0.95);
   m_GapMs.insert(m_GapMs.end(), Item->m_Gaps.begin(), Item->m_Gaps.end());
   if (Item->m_First <= m_Opts.m_FirstTokenTarget &&
-      SlowGap <= toMs(m_Opts.m_BetweenTokensTarget))
+      SlowGap <= inMillis(m_Opts.m_BetweenTokensTarget))
     ++m_Met;
 }
 
--- a/packages/havenstaird/process/Metrics.cpp
+++ b/packages/havenstaird/process/Metrics.cpp
@@ -14,10 +14,6 @@
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.077, 0.1, 0.25,
     0.5,   0.68,   1,     2.5,  5,     10,   30,    60};
 
-double toSeconds(Duration Time) {
-  return static_cast<double>(Time.count()) / 1e6;
-}
-
 } // namespace
 
 struct Metrics::Families {
@@ -84,16 +80,16 @@
   if (Group.empty())
     return;
   const prometheus::Labels Labels{{"group", Group.str()}};
-  m_Families->m_Queued.Add(Labels, Seconds).Observe(toSeconds(Times.m_Queued));
+  m_Families->m_Queued.Add(Labels, Seconds).Observe(inSeconds(Times.m_Queued));
   if (Times.m_HasFirstByte)
     m_Families->m_FirstToken.Add(Labels, Seconds)
-        .Observe(toSeconds(Times.m_FirstByte));
-  m_Families->m_Whole.Add(Labels, Seconds).Observe(toSeconds(Times.m_Whole));
+        .Observe(inSeconds(Times.m_FirstByte));
+  m_Families->m_Whole.Add(Labels, Seconds).Observe(inSeconds(Times.m_Whole));
 }
 
 void Metrics::betweenTokens(const GroupName &Group, Duration Gap) {
   m_Families->m_BetweenTokens.Add({{"group", Group.str()}}, Seconds)
-      .Observe(toSeconds(Gap));
+      .Observe(inSeconds(Gap));
 }
 
 void Metrics::retried() { m_Families->m_Retries.Add({}).Increment(); }
--- a/packages/havenstaird/process/Settings.cpp
+++ b/packages/havenstaird/process/Settings.cpp
@@ -143,9 +143,8 @@
 
 Duration readMillis(const Source &From, const std::string &Flag,
                     Duration Default, Range Allowed) {
-  const double Millis = readNumber(
-      From, Flag, static_cast<double>(Default.count()) / 1000, Allowed);
-  return Duration(static_cast<Duration::rep>(Millis * 1000));
+  const double Millis = readNumber(From, Flag, inMillis(Default), Allowed);
+  return fromMillis(Millis);
 }
 
 LogLevel readLevel(const Source &From) {
--- a/packages/wire/common/HttpClient.cpp
+++ b/packages/wire/common/HttpClient.cpp
@@ -92,7 +92,7 @@
   int Seconds = 0;
   const char *Start = Text.data() + At + Field.size();
   std::from_chars(Start, Text.data() + Text.size(), Seconds);
-  return Duration(static_cast<Duration::rep>(Seconds * RestPart * 1e6));
+  return fromSeconds(Seconds * RestPart);
 }
 
 /// Whether the end of an answer with \p Headers can be told without the end
--- a/packages/wire/version/TableJson.cpp
+++ b/packages/wire/version/TableJson.cpp
@@ -25,16 +25,12 @@
   return fieldOr<std::set<std::string>>(From, Field, {});
 }
 
-double toMillis(Duration Time) {
-  return static_cast<double>(Time.count()) / 1000;
-}
-
 Duration millisField(const Json &From, const char *Name, Duration Default) {
-  const double Millis = fieldOr<double>(From, Name, toMillis(Default));
+  const double Millis = fieldOr<double>(From, Name, inMillis(Default));
   constexpr double Largest = 1e9;
   if (!(std::abs(Millis) <= Largest))
     throw DecodeError(std::string("field ") + Name + " is out of range");
-  return Duration(static_cast<Duration::rep>(Millis * 1000));
+  return fromMillis(Millis);
 }
 
 } // namespace
@@ -45,8 +41,8 @@
               {"requests_per_second", Row.m_Limits.m_RequestsPerSecond},
               {"concurrency", Row.m_Limits.m_Concurrency},
               {"tokens_per_second", Row.m_Limits.m_TokensPerSecond},
-              {"first_token_ms", toMillis(Row.m_Targets.m_FirstToken)},
-              {"between_tokens_ms", toMillis(Row.m_Targets.m_BetweenTokens)},
+              {"first_token_ms", inMillis(Row.m_Targets.m_FirstToken)},
+              {"between_tokens_ms", inMillis(Row.m_Targets.m_BetweenTokens)},
               {"models", namesToJson(Row.m_Artifacts)},
               {"services", Row.m_Services},
               {"key_hashes", Row.m_KeyHashes},
