Placement by lost work: slots counted, routing as it is, releases, demand ahead

The planner knew prompt work only; took demand as spread evenly, so that taking a hot replica away from a busy engine counted as a gain; put a model without a replica before all else and evicted the hottest for it (gain -225); waited behind moves that could not begin; and its means lagged demand by three seconds.

Change: ReplicaPicture (levels as water finds them, lost work with a knee from measured pauses: 5 to 14 in 100 at half of it), one objective for all moves, time of drain and load counted, replicas that nobody asks for leave, demand by the trend of two means, second tries not counted again, moves that cannot begin are planned anew, the bound's slack used but for one.

--- a/packages/decisions/process/DemandRates.cpp
+++ b/packages/decisions/process/DemandRates.cpp
@@ -15,8 +15,10 @@
           .m_WorkMs = Of.m_WorkMs * Factor};
 }
 
-double withTrend(double Fast, double Slow, double Trend) {
-  return (Fast + Slow) / 2 + Trend * std::max(0.0, Fast - Slow);
+/// Both rates lag behind a demand that moves steadily, each by its time
+/// constant; so their difference tells how fast it moves.
+double ahead(double Fast, double Slow, double Lead) {
+  return std::max(0.0, (Fast + Slow) / 2 + Lead * (Fast - Slow));
 }
 
 } // namespace
@@ -39,10 +41,10 @@
 }
 
 ModelDemand DemandRates::expected(const Known &From) const {
-  return {.m_Requests = withTrend(From.m_Fast.m_Requests,
-                                  From.m_Slow.m_Requests, m_Opts.m_Trend),
-          .m_WorkMs = withTrend(From.m_Fast.m_WorkMs, From.m_Slow.m_WorkMs,
-                                m_Opts.m_Trend)};
+  return {.m_Requests = ahead(From.m_Fast.m_Requests, From.m_Slow.m_Requests,
+                              m_Opts.m_Trend),
+          .m_WorkMs = ahead(From.m_Fast.m_WorkMs, From.m_Slow.m_WorkMs,
+                            m_Opts.m_Trend)};
 }
 
 ModelDemand DemandRates::rate(const ModelKey &Key, TimePoint Now) const {
--- a/packages/decisions/process/DemandRates.h
+++ b/packages/decisions/process/DemandRates.h
@@ -19,7 +19,7 @@
     Duration m_Slow = 4s;
     /// Weight of a rise. None by default: in the rounds each part of it cost
     /// more by loads for noise than it gained by early ones.
-    double m_Trend = 0;
+    double m_Trend = 1.5;
   };
 
   DemandRates() : DemandRates(Options{}) {}
--- a/packages/decisions/process/LatencyModel.cpp
+++ b/packages/decisions/process/LatencyModel.cpp
@@ -48,4 +48,14 @@
                        LeastTokenMs, MostTokenMs);
 }
 
+double LatencyModel::holdMs(const std::string &Model) const {
+  const auto Found = m_HoldMs.find(Model);
+  return Found == m_HoldMs.end() ? m_Opts.m_HoldMs : Found->second;
+}
+
+void LatencyModel::observeHold(const std::string &Model, double HoldMs) {
+  double &Known = m_HoldMs.try_emplace(Model, m_Opts.m_HoldMs).first->second;
+  Known += m_Opts.m_HoldWeight * (HoldMs - Known);
+}
+
 } // namespace havenstair
--- a/packages/decisions/process/LatencyModel.h
+++ b/packages/decisions/process/LatencyModel.h
@@ -20,6 +20,9 @@
     double m_TokenWeight = 0.08;
     double m_EngineWeight = 0.08;
     double m_BaseMs = 8; ///< Time that no token causes.
+    /// Before an answer was seen: that of a few hundred tokens.
+    double m_HoldMs = 1000;
+    double m_HoldWeight = 0.05;
   };
 
   LatencyModel() : LatencyModel(Options{}) {}
@@ -35,11 +38,18 @@
   void observe(const InstanceId &At, const std::string &Model, double PendingMs,
                double WorkMs, double ObservedMs);
   double slowness(const InstanceId &At) const;
+
+  /// Milliseconds for which a request of \p Model takes a slot after its first
+  /// token.
+  double holdMs(const std::string &Model) const;
+  /// An answer of \p Model ended \p HoldMs after its first token.
+  void observeHold(const std::string &Model, double HoldMs);
   void forget(const InstanceId &At) { m_Slowness.erase(At); }
 
 private:
   Options m_Opts;
   std::map<std::string, double> m_TokenMs;
+  std::map<std::string, double> m_HoldMs;
   std::map<InstanceId, double> m_Slowness;
 };
 
--- a/packages/decisions/process/LoadCeiling.h
+++ b/packages/decisions/process/LoadCeiling.h
@@ -11,17 +11,19 @@
 
 namespace havenstair {
 
-/// In any window, no more loads begin than `LoadsPerS x Window x Overage`. When
-/// a load begins is not known: at any time between the sending of its order and
-/// the word that settles it. So an order counts from its sending until a window
-/// after it was settled. A new order giver assumes that the one before it has
-/// used up a whole window just before it stopped.
+/// In any window, no more loads begin than `LoadsPerS x Window x Overage +
+/// Slack`. When a load begins is not known: at any time between the sending of
+/// its order and the word that settles it. So an order counts from its sending
+/// until a window after it was settled. A new order giver assumes that the one
+/// before it has used up a whole window just before it stopped.
 class LoadCeiling {
 public:
   struct Options {
     double m_LoadsPerS = 1;
     Duration m_Window = 5s;
     double m_Overage = 1; ///< Factor by which the bound may be passed.
+    /// Loads beyond it; the platform allows three, one is kept in hand.
+    std::size_t m_Slack = 2;
 
     bool operator==(const Options &) const = default;
   };
--- /dev/null
+++ b/packages/decisions/process/ReplicaPicture.cpp
@@ -0,0 +1,221 @@
+#include "decisions/process/ReplicaPicture.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace havenstair {
+
+namespace {
+
+/// From here on all that is added is lost. By measurement, 5 to 14 in 100
+/// answers pause for too long at half of it, and a fifth close to it.
+constexpr double Knee = 1.2;
+
+/// Passes in which models find their level beside each other.
+constexpr int SettlePasses = 3;
+
+} // namespace
+
+double lostWork(double Offered) {
+  if (Offered <= Knee)
+    return Offered * Offered * Offered / (3 * Knee * Knee);
+  return Knee / 3 + Offered - Knee;
+}
+
+ReplicaPicture::ReplicaPicture(const PlannerInput &Input,
+                               const EngineSpec &Spec,
+                               const PlannerOptions &Opts)
+    : m_Engines(Input.m_Engines), m_Input(Input), m_Spec(Spec), m_Opts(Opts) {
+  for (std::size_t At = 0; At < m_Engines.size(); ++At)
+    if (!m_Engines[At].m_Leaving)
+      for (const std::string &Model : m_Engines[At].m_Models)
+        m_Holders[Model].insert(At);
+  m_Offered.resize(m_Engines.size());
+  settle();
+}
+
+std::size_t ReplicaPicture::present(const std::string &Model) const {
+  const std::set<std::size_t> &Holders = holders(Model);
+  return static_cast<std::size_t>(
+      std::count_if(Holders.begin(), Holders.end(), [&](std::size_t At) {
+        return !m_Engines[At].m_Coming.contains(Model);
+      }));
+}
+
+double ReplicaPicture::demand(const std::string &Model) const {
+  const auto Found = m_Input.m_Demand.find(Model);
+  return Found == m_Input.m_Demand.end() ? 0 : Found->second;
+}
+
+bool ReplicaPicture::fits(std::size_t At, const std::string &Evict,
+                          const std::string &Load) const {
+  double Sum = sizeMb(Load);
+  double LargestAdapter = adapterMb(Load);
+  for (const std::string &Model : m_Engines[At].m_Models) {
+    if (Model == Evict)
+      continue;
+    Sum += sizeMb(Model);
+    LargestAdapter = std::max(LargestAdapter, adapterMb(Model));
+  }
+  return Sum + m_Spec.m_AdapterCapacity * LargestAdapter <= m_Spec.m_WeightsMb;
+}
+
+bool ReplicaPicture::hasFreePlace(std::size_t At) const {
+  const auto Larger = [](const ModelSpec &A, const ModelSpec &B) {
+    return A.m_SizeMb < B.m_SizeMb;
+  };
+  const auto Largest =
+      std::max_element(m_Spec.m_Models.begin(), m_Spec.m_Models.end(), Larger);
+  return Largest == m_Spec.m_Models.end() || fits(At, "", Largest->m_Name);
+}
+
+double ReplicaPicture::drainMs(const std::string &Model) const {
+  if (Model.empty())
+    return 0;
+  // Most of a request's work is the slot that its answer takes.
+  const double Running =
+      demand(Model) * m_Spec.m_Slots /
+      static_cast<double>(std::max<std::size_t>(1, replicas(Model)));
+  return m_Opts.m_LongAnswerMs * (1 - std::exp(-Running));
+}
+
+/// Fills the engines up to one level, as water does.
+ReplicaPicture::Work
+ReplicaPicture::spread(double Demand, const std::set<std::size_t> &Holders,
+                       const Work &Others) const {
+  std::vector<std::pair<double, std::size_t>> Rising;
+  for (std::size_t At : Holders)
+    Rising.emplace_back(Others.at(At), At);
+  std::sort(Rising.begin(), Rising.end());
+  // Work that lifts all engines below the level by one.
+  double PerLevel = 0;
+  double Level = 0;
+  double Left = Demand;
+  for (std::size_t Next = 0; Next < Rising.size(); ++Next) {
+    const auto [Height, At] = Rising[Next];
+    if (PerLevel > 0 && (Height - Level) * PerLevel >= Left)
+      break;
+    Left -= PerLevel * (Height - Level);
+    Level = Height;
+    PerLevel += 1 / m_Engines[At].m_Slowness;
+  }
+  if (PerLevel > 0)
+    Level += Left / PerLevel;
+  Work Result;
+  for (const auto &[Height, At] : Rising)
+    Result[At] = std::max(0.0, Level - Height);
+  return Result;
+}
+
+ReplicaPicture::Work
+ReplicaPicture::othersWork(const std::string &Model,
+                           const std::set<std::size_t> &Holders,
+                           const Work &Changed) const {
+  const auto Placed = m_Placed.find(Model);
+  Work Result;
+  for (std::size_t At : Holders) {
+    const auto Known = Changed.find(At);
+    double Others = Known == Changed.end() ? m_Offered[At] : Known->second;
+    if (Placed != m_Placed.end())
+      if (const auto Own = Placed->second.find(At); Own != Placed->second.end())
+        Others -= Own->second;
+    Result[At] = std::max(0.0, Others);
+  }
+  return Result;
+}
+
+void ReplicaPicture::place(const std::string &Model) {
+  const std::set<std::size_t> &Holders = holders(Model);
+  const Work Others = othersWork(Model, Holders, {});
+  Work Placed = spread(demand(Model), Holders, Others);
+  for (const auto &[At, Before] : m_Placed[Model])
+    m_Offered[At] = std::max(0.0, m_Offered[At] - Before);
+  for (const auto &[At, Own] : Placed)
+    m_Offered[At] += Own;
+  m_Placed[Model] = std::move(Placed);
+}
+
+void ReplicaPicture::settle() {
+  for (int Pass = 0; Pass < SettlePasses; ++Pass)
+    for (const auto &[Model, Demand] : m_Input.m_Demand)
+      if (Demand > 0)
+        place(Model);
+}
+
+double ReplicaPicture::less(const Work &Changed) const {
+  double Sum = 0;
+  for (const auto &[At, Offered] : Changed)
+    Sum += lostWork(m_Offered[At]) - lostWork(Offered);
+  return Sum;
+}
+
+ReplicaPicture::Change ReplicaPicture::gain(std::size_t At,
+                                            const std::string &Evict,
+                                            const std::string &Load) const {
+  Work Changed;
+  const auto Replace = [&](const std::string &Model,
+                           const std::set<std::size_t> &Holders) {
+    std::set<std::size_t> Touched = holders(Model);
+    Touched.insert(Holders.begin(), Holders.end());
+    const Work Others = othersWork(Model, Touched, Changed);
+    for (const auto &[Engine, Work] : Others)
+      Changed[Engine] = Work;
+    for (const auto &[Engine, Own] : spread(demand(Model), Holders, Others))
+      Changed[Engine] += Own;
+  };
+  Change Result;
+  if (!Evict.empty()) {
+    std::set<std::size_t> Rest = holders(Evict);
+    Rest.erase(At);
+    Replace(Evict, Rest);
+    Result.m_WhileLoading = less(Changed);
+  }
+  Result.m_Afterwards = Result.m_WhileLoading;
+  if (Load.empty())
+    return Result;
+  std::set<std::size_t> More = holders(Load);
+  const bool First = More.empty();
+  More.insert(At);
+  Replace(Load, More);
+  Result.m_Afterwards = less(Changed) + (First ? unreachable(Load) : 0);
+  return Result;
+}
+
+void ReplicaPicture::apply(std::size_t At, const std::string &Evict,
+                           const std::string &Load) {
+  if (!Evict.empty()) {
+    m_Engines[At].m_Models.erase(Evict);
+    m_Holders[Evict].erase(At);
+  }
+  m_Engines[At].m_Movable = false;
+  if (!Load.empty()) {
+    m_Engines[At].m_Models.insert(Load);
+    m_Engines[At].m_Coming.insert(Load);
+    m_Holders[Load].insert(At);
+  }
+  settle();
+}
+
+const std::set<std::size_t> &
+ReplicaPicture::holders(const std::string &Model) const {
+  static const std::set<std::size_t> None;
+  const auto Found = m_Holders.find(Model);
+  return Found == m_Holders.end() ? None : Found->second;
+}
+
+double ReplicaPicture::unreachable(const std::string &Model) const {
+  return demand(Model) + m_Opts.m_ReachableWorth;
+}
+
+double ReplicaPicture::sizeMb(const std::string &Model) const {
+  const ModelSpec *Found = m_Spec.model(Model);
+  return Found == nullptr ? m_Spec.m_WeightsMb : Found->m_SizeMb;
+}
+
+double ReplicaPicture::adapterMb(const std::string &Model) const {
+  const ModelSpec *Found = m_Spec.model(Model);
+  return Found == nullptr || Found->m_Adapters == 0 ? 0 : Found->m_AdapterMb;
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/decisions/process/ReplicaPicture.h
@@ -0,0 +1,86 @@
+/// \file
+/// How much work engines lose, given which models they hold.
+#ifndef HAVENSTAIR_DECISIONS_PROCESS_REPLICAPICTURE_H
+#define HAVENSTAIR_DECISIONS_PROCESS_REPLICAPICTURE_H
+
+#include "decisions/process/ReplicaPlanner.h"
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace havenstair {
+
+/// Work that is late or refused each second at an engine with \p Offered work
+/// a second, both in engines' worth. An engine that has little to do loses
+/// next to nothing; one that has far too much loses what lies beyond it.
+double lostWork(double Offered);
+
+/// The engines with their offered work, under the assumption that a model's
+/// demand goes where its replicas have the least to do, up to one level.
+class ReplicaPicture {
+public:
+  /// What a move changes, in engines' worth of work lost each second.
+  struct Change {
+    double m_WhileLoading = 0; ///< The old model is gone, the new not there.
+    double m_Afterwards = 0;
+  };
+
+  ReplicaPicture(const PlannerInput &Input, const EngineSpec &Spec,
+                 const PlannerOptions &Opts);
+
+  const std::vector<PlannedEngine> &engines() const { return m_Engines; }
+  std::size_t replicas(const std::string &Model) const {
+    return holders(Model).size();
+  }
+  /// Replicas that serve now.
+  std::size_t present(const std::string &Model) const;
+  double demand(const std::string &Model) const;
+  /// Work offered to the engine.
+  double offered(std::size_t At) const { return m_Offered[At]; }
+
+  /// Whether \p Load has room once \p Evict (may be empty) is gone.
+  bool fits(std::size_t At, const std::string &Evict,
+            const std::string &Load) const;
+  /// Whether a model of the largest size has room.
+  bool hasFreePlace(std::size_t At) const;
+  /// Milliseconds until the answers of \p Model that run at one replica have
+  /// ended.
+  double drainMs(const std::string &Model) const;
+  /// Less lost work when \p Load takes the place of \p Evict; either may be
+  /// empty.
+  Change gain(std::size_t At, const std::string &Evict,
+              const std::string &Load) const;
+  void apply(std::size_t At, const std::string &Evict, const std::string &Load);
+
+private:
+  using Work = std::map<std::size_t, double>; ///< By engine.
+
+  /// How \p Demand spreads over \p Holders beside the work of other models.
+  Work spread(double Demand, const std::set<std::size_t> &Holders,
+              const Work &Others) const;
+  Work othersWork(const std::string &Model,
+                  const std::set<std::size_t> &Holders,
+                  const Work &Changed) const;
+  void place(const std::string &Model);
+  void settle();
+  double less(const Work &Changed) const;
+  const std::set<std::size_t> &holders(const std::string &Model) const;
+  /// Lost work of a model without an engine.
+  double unreachable(const std::string &Model) const;
+  double sizeMb(const std::string &Model) const;
+  double adapterMb(const std::string &Model) const;
+
+  std::vector<PlannedEngine> m_Engines;
+  const PlannerInput &m_Input;
+  const EngineSpec &m_Spec;
+  const PlannerOptions &m_Opts;
+  std::map<std::string, std::set<std::size_t>> m_Holders;
+  std::map<std::string, Work> m_Placed;
+  std::vector<double> m_Offered;
+};
+
+} // namespace havenstair
+
+#endif
--- a/packages/decisions/process/ReplicaPlanner.h
+++ b/packages/decisions/process/ReplicaPlanner.h
@@ -36,19 +36,20 @@
 /// Why a model is loaded.
 enum class PlanReason {
   NotResident, ///< No engine that stays holds it.
-  DemandRose   ///< Its engines have more to do than others.
+  DemandRose,  ///< Its engines have more to do than others.
+  NotWanted    ///< A replica leaves, so that the next load finds its place.
 };
 
 std::string_view reasonName(PlanReason Reason);
 
-/// Load a model, after another has made way for it unless that is empty.
+/// Load a model, after another has made way for it; either may be empty.
 struct PlannedMove {
   InstanceId m_Engine;
   std::string m_Evict;
   std::string m_Load;
   LoadSource m_Source = LoadSource::Store;
   PlanReason m_Reason = PlanReason::DemandRose;
-  double m_Gain = 0; ///< Fewer waiting requests, on average.
+  double m_Gain = 0; ///< Work saved each second, in engines' worth.
 
   bool operator==(const PlannedMove &) const = default;
 };
@@ -61,13 +62,22 @@
   std::size_t m_StoreLoads = 0; ///< That may begin from the store now.
 };
 
+/// Gains are in engines' worth of work saved each second.
 struct PlannerOptions {
   /// Least gain of a load from the engine's own memory or disk, and from the
   /// store of weights.
-  double m_LeastGainNear = 0.1;
-  double m_LeastGainStore = 0.8;
+  double m_LeastGainNear = 0.02;
+  double m_LeastGainStore = 0.02;
   /// From 0 to 1; 1 asks four times the gain of each move.
   double m_FewMoves = 0;
+  /// Time for which a move is judged: demand has moved on afterwards.
+  double m_HorizonMs = 12000;
+  /// What it is worth that a model has a replica at all, beyond its demand.
+  double m_ReachableWorth = 0.1;
+  /// A replica leaves when no more than this is lost by it.
+  double m_ReleaseLoss = 0.01;
+  /// Time until nearly all answers that run at a replica have ended.
+  double m_LongAnswerMs = 4000;
 };
 
 /// Up to \p Most moves, the most useful first, on different engines. Never
--- a/packages/decisions/request/ReplicaAdmission.cpp
+++ b/packages/decisions/request/ReplicaAdmission.cpp
@@ -30,7 +30,8 @@
   const double Allowed = Opts.m_WaitPart * (Target - Own);
   if (Wait <= Allowed)
     return std::nullopt;
-  return fromMillis(std::max(LeastAwayMs, Wait - 0.6 * Allowed));
+  return fromMillis(
+      std::max(LeastAwayMs, Opts.m_AwayPart * inMillis(Facts.m_TimeLeft)));
 }
 
 } // namespace havenstair
--- a/packages/decisions/request/ReplicaAdmission.h
+++ b/packages/decisions/request/ReplicaAdmission.h
@@ -31,6 +31,9 @@
   /// A second try is refused when its first token is expected after this part
   /// of the time that it has left.
   double m_HopelessPart = 0.35;
+  /// A caller that is refused comes back after this part of the time that it
+  /// has left: replicas come, and demand moves on, in seconds.
+  double m_AwayPart = 0.32;
   /// Callers give up a silent stream after this many times its target, or
   /// after LeastPatience.
   double m_PatienceTargets = 4;
--- a/packages/decisions/request/ReplicaChoice.cpp
+++ b/packages/decisions/request/ReplicaChoice.cpp
@@ -67,8 +67,11 @@
           Request.m_Model,
           tokensToRead(*Each, Each == Preferred, Request, Known, Weights));
     const int Over = std::max(0, Load.m_Running + 1 - Each->m_Slots);
-    const double Queue =
-        Over * Weights.m_OverfullMs + Load.m_Running * Weights.m_RunningMs;
+    // A slot becomes free each time that one of the answers ends.
+    const double SlotMs = Engines ? Known.m_Latency.holdMs(Request.m_Model) /
+                                        std::max(1, Each->m_Slots)
+                                  : Weights.m_OverfullMs;
+    const double Queue = Over * SlotMs + Load.m_Running * Weights.m_RunningMs;
     Item.m_ExpectedMs = Known.m_Latency.expectedMs(Each->m_Id, Item.m_PendingMs,
                                                    Item.m_WorkMs) +
                         Queue;
--- a/packages/decisions/request/ReplicaChoice.h
+++ b/packages/decisions/request/ReplicaChoice.h
@@ -18,7 +18,7 @@
   double m_OtherZoneMs = 6;
   /// Cost of a failed try; times the upstream's failure rate.
   double m_FailureMs = 3000;
-  /// For each request beyond the upstream's slots.
+  /// For each request beyond the slots of a plain service.
   double m_OverfullMs = 60;
   /// Part of the shared prompt that the engine preferred by all boxes is
   /// believed to have read when this box knows nothing.
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -42,6 +42,9 @@
 /// A model that cannot be unloaded in this time stays.
 constexpr Duration UnloadWithin = 6s;
 
+/// A move whose engine takes no order in this time is planned anew.
+constexpr Duration BeginWithin = 1500ms;
+
 /// Most moves that one plan begins.
 constexpr std::size_t MostMoves = 6;
 
@@ -55,6 +58,11 @@
 /// An order that an engine took before it was delisted may begin until then.
 constexpr Duration OrderOutlivesEntry = 5s;
 
+/// A model whose replicas have more than this to do each, in engines' worth,
+/// lacks replicas; it is logged this often.
+constexpr double ShortageFrom = 0.7;
+constexpr Duration ShortageLineEvery = 500ms;
+
 constexpr const char *HolderKey = "giver";
 constexpr const char *TermKey = "giver-term";
 
@@ -378,14 +386,21 @@
   if (Unloading && !Of.m_Ledger.modelOrder() &&
       Now - Of.m_Task->m_Since > UnloadWithin)
     Of.m_Task.reset();
-  if (!Of.m_Task || !Of.m_Ledger.idle())
+  if (!Of.m_Task)
+    return;
+  if (!Of.m_Ledger.idle()) {
+    // Counted as a replica that comes, it would keep others from being loaded.
+    if (!Of.m_Ledger.modelOrder() && Now - Of.m_Task->m_Since > BeginWithin)
+      Of.m_Task.reset();
     return;
+  }
   Task &Current = *Of.m_Task;
   const PlannedMove &Move = Current.m_Move;
   if (Current.m_Phase == Phase::Retiring) {
     if (Now - Current.m_Since < RetireFor)
       return;
     Current.m_Phase = Phase::Unloading;
+    Current.m_Since = Now;
   }
   if (Current.m_Phase == Phase::Unloading) {
     if (Of.m_Ledger.holds(Move.m_Evict)) {
@@ -394,6 +409,11 @@
       return;
     }
     Current.m_Phase = Phase::Loading;
+    Current.m_Since = Now;
+  }
+  if (Move.m_Load.empty()) {
+    Of.m_Task.reset();
+    return;
   }
   if (Of.m_Ledger.holds(Move.m_Load)) {
     Of.m_ModelAt[Move.m_Load] = Now;
@@ -553,13 +573,15 @@
       Planned.m_Models.insert(Order->m_Model);
       Planned.m_Coming.insert(Order->m_Model);
     }
-    if (Each.m_Task) {
+    if (Each.m_Task)
       Planned.m_Models.erase(Each.m_Task->m_Move.m_Evict);
+    if (Each.m_Task && !Each.m_Task->m_Move.m_Load.empty()) {
       Planned.m_Models.insert(Each.m_Task->m_Move.m_Load);
       Planned.m_Coming.insert(Each.m_Task->m_Move.m_Load);
     }
     Input.m_Engines.push_back(std::move(Planned));
   }
+  logShortage(Input, Now);
   for (const PlannedMove &Move :
        planReplicas(Input, Spec, m_Opts.m_Planner, MostMoves)) {
     Engine &At = m_Engines.at(Move.m_Engine);
@@ -567,17 +589,54 @@
         Task{.m_Move = Move,
              .m_Phase = Move.m_Evict.empty() ? Phase::Loading : Phase::Retiring,
              .m_Since = Now};
-    m_Log.write("move", {{"engine", Move.m_Engine},
-                         {"evict", Move.m_Evict},
-                         {"load", Move.m_Load},
-                         {"source", sourceName(Move.m_Source)},
-                         {"reason", reasonName(Move.m_Reason)},
-                         {"gain", Move.m_Gain},
-                         {"demand", Input.m_Demand[Move.m_Load]}});
+    m_Log.write(
+        "move",
+        {{"engine", Move.m_Engine},
+         {"evict", Move.m_Evict},
+         {"load", Move.m_Load},
+         {"source", sourceName(Move.m_Source)},
+         {"reason", reasonName(Move.m_Reason)},
+         {"gain", Move.m_Gain},
+         {"demand",
+          Input.m_Demand[Move.m_Load.empty() ? Move.m_Evict : Move.m_Load]}});
     advance(Move.m_Engine, At, Spec, Now);
   }
 }
 
+/// Says what a plan has to work with while a model lacks replicas.
+void OrderGiver::logShortage(const PlannerInput &Input, TimePoint Now) {
+  if (Now < m_NextShortageLine)
+    return;
+  std::string Worst;
+  double WorstShare = ShortageFrom;
+  for (const auto &[Model, Demand] : Input.m_Demand) {
+    const auto Count =
+        static_cast<double>(std::max<std::size_t>(1, replicas(Model)));
+    if (Demand / Count < WorstShare)
+      continue;
+    WorstShare = Demand / Count;
+    Worst = Model;
+  }
+  if (Worst.empty())
+    return;
+  m_NextShortageLine = Now + ShortageLineEvery;
+  const auto Movable =
+      std::count_if(Input.m_Engines.begin(), Input.m_Engines.end(),
+                    [](const PlannedEngine &Each) {
+                      return Each.m_Movable && !Each.m_Leaving;
+                    });
+  const auto Planned = std::count_if(
+      Input.m_Engines.begin(), Input.m_Engines.end(),
+      [&](const PlannedEngine &Each) { return Each.m_Models.contains(Worst); });
+  m_Log.write("shortage", {{"model", Worst},
+                           {"demand", Input.m_Demand.at(Worst)},
+                           {"replicas", replicas(Worst)},
+                           {"planned", Planned},
+                           {"engines", Input.m_Engines.size()},
+                           {"movable", Movable},
+                           {"store_loads_left", Input.m_StoreLoads}});
+}
+
 double OrderGiver::busyPart(const std::string &Service, const Engine &Of,
                             TimePoint Now) const {
   double Sum = 0;
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -137,6 +137,7 @@
   void plan(TimePoint Now);
   void planModels(const std::string &Service, const EngineSpec &Spec,
                   TimePoint Now);
+  void logShortage(const PlannerInput &Input, TimePoint Now);
   void planAdapterMoves(const std::string &Service, const EngineSpec &Spec,
                         TimePoint Now);
   bool give(const InstanceId &Id, Engine &To, const ResidencyOrder &Order,
@@ -174,6 +175,7 @@
   FencingToken m_Token = 0;
   TimePoint m_MayOrderFrom{};
   TimePoint m_NextPlan{};
+  TimePoint m_NextShortageLine{};
   /// The last time an engine appeared.
   TimePoint m_GrewAt{};
   std::map<InstanceId, Engine> m_Engines;
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -15,7 +15,7 @@
 /// When a caller may come back after all upstreams turned a request down.
 constexpr Duration RejectedAway = 150ms;
 
-/// When a caller may come back for a model that is being loaded.
+/// When a caller may come back at the earliest for a model that is loaded.
 constexpr Duration LoadingAway = 600ms;
 
 /// The least silence of an upstream that counts as a failure.
@@ -45,9 +45,12 @@
   if (m_Request.m_Deadline)
     m_SinceFirstTry = State.m_Callers.sinceFirstTry(
         m_Route.m_Name, *m_Request.m_Deadline, m_Arrived);
-  if (!m_Request.m_Model.empty()) {
+  // A second try is the same demand once more.
+  if (!m_Request.m_Model.empty() && m_SinceFirstTry == 0us) {
+    // Reading a prompt takes the whole engine, writing the answer one slot.
     const double Work =
-        State.m_Latency.workMs(m_Request.m_Model, m_Request.m_PromptTokens);
+        State.m_Latency.workMs(m_Request.m_Model, m_Request.m_PromptTokens) +
+        State.m_Latency.holdMs(m_Request.m_Model) / slots();
     const ModelDemand Demand{.m_Requests = 1, .m_WorkMs = Work};
     State.m_Demand[{m_Service, m_Request.m_Model, ""}] += Demand;
     if (!m_Request.m_Adapter.empty())
@@ -66,6 +69,13 @@
   step();
 }
 
+int ProxiedRequest::slots() const {
+  const ServiceSpec *Service = m_Config->service(m_Service);
+  return Service != nullptr && Service->m_Engine
+             ? std::max(1, Service->m_Engine->m_Slots)
+             : 1;
+}
+
 void ProxiedRequest::upstreamsChanged() {
   if (m_Parked && !m_Done)
     step();
@@ -129,10 +139,16 @@
     if (Self && !Self->m_Done && Self->m_Parked)
       Self->refuse(Self->m_Request.m_Model.empty() ? ErrorKind::NoUpstream
                                                    : ErrorKind::NoResidentCopy,
-                   LoadingAway, {});
+                   Self->loadingAway(), {});
   });
 }
 
+Duration ProxiedRequest::loadingAway() const {
+  const double Left = inMillis(m_Deadline - EventLoop::now());
+  return std::max(LoadingAway,
+                  fromMillis(m_Owner.m_Opts.m_Admission.m_AwayPart * Left));
+}
+
 int ProxiedRequest::enginePriority() const {
   // Routes of one priority: the shorter target first. 5 is what an engine
   // assumes without a word, so all ours lie around it.
@@ -491,6 +507,9 @@
   m_SilenceTimer = Timer();
   m_Probe = HttpCallHandle();
   const Duration First = m_FirstByte ? *m_FirstByte - m_Arrived : 0us;
+  if (Outcome == "ok" && streaming() && m_FirstByte)
+    m_Owner.m_State.m_Latency.observeHold(m_Request.m_Model,
+                                          inMillis(Now - *m_FirstByte));
   m_Owner.m_Log.write(Outcome == "ok" ? "answered" : "not_answered",
                       {{"request", m_Request.m_Id},
                        {"route", m_Route.m_Name},
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -71,7 +71,10 @@
 
   bool streaming() const { return m_Route.m_Kind == RouteKind::Stream; }
   Duration waited(TimePoint Now) const { return Now - m_Arrived; }
+  Duration loadingAway() const;
   int enginePriority() const;
+  /// Requests that one engine of the service runs at once.
+  int slots() const;
 
   Forwarder &m_Owner;
   HttpExchangePtr m_Exchange;
--- a/packages/havenstaird/process/PolicySettings.cpp
+++ b/packages/havenstaird/process/PolicySettings.cpp
@@ -18,7 +18,7 @@
   double &(*m_Member)(GatewayPolicy &);
 };
 
-const std::array<PolicySetting, 18> Table{{
+const std::array<PolicySetting, 23> Table{{
     {"--few-moves", "0 puts attainment first, 1 few moves", 0, 1,
      [](GatewayPolicy &P) -> double & { return P.m_Planner.m_FewMoves; }},
     {"--least-gain-near", "least gain of a load from the engine's own copies",
@@ -27,6 +27,14 @@
     {"--least-gain-store", "least gain of a load from the store of weights", 0,
      100,
      [](GatewayPolicy &P) -> double & { return P.m_Planner.m_LeastGainStore; }},
+    {"--release-loss", "loss at which an unneeded replica leaves", 0, 100,
+     [](GatewayPolicy &P) -> double & { return P.m_Planner.m_ReleaseLoss; }},
+    {"--reachable-worth", "worth of a model's first replica", 0, 100,
+     [](GatewayPolicy &P) -> double & { return P.m_Planner.m_ReachableWorth; }},
+    {"--plan-horizon-ms", "time for which a move is judged", 1000, 600000,
+     [](GatewayPolicy &P) -> double & { return P.m_Planner.m_HorizonMs; }},
+    {"--long-answer-ms", "time in which nearly all answers end", 0, 600000,
+     [](GatewayPolicy &P) -> double & { return P.m_Planner.m_LongAnswerMs; }},
     {"--demand-trend", "weight of a rise of demand", 0, 10,
      [](GatewayPolicy &P) -> double & { return P.m_Rates.m_Trend; }},
     {"--adapter-rate", "requests a second for each copy of an adapter", 0.01,
@@ -46,6 +54,8 @@
      [](GatewayPolicy &P) -> double & { return P.m_Admission.m_WaitPart; }},
     {"--early-part", "part of the target in which refusals are early", 0, 1,
      [](GatewayPolicy &P) -> double & { return P.m_Admission.m_EarlyPart; }},
+    {"--away-part", "part of the time left after which to come back", 0, 1,
+     [](GatewayPolicy &P) -> double & { return P.m_Admission.m_AwayPart; }},
     {"--own-part", "part of the target that a request's own work may take", 0,
      1, [](GatewayPolicy &P) -> double & { return P.m_Admission.m_OwnPart; }},
     {"--hopeless-part", "part of the time left after which a try is hopeless",
--- a/tests/decisions/process/DemandRatesTest.cpp
+++ b/tests/decisions/process/DemandRatesTest.cpp
@@ -41,3 +41,20 @@
   REQUIRE(Rates.rates(Now + 120s).empty());
   REQUIRE(Rates.rate({"s", "never", ""}, Now) == ModelDemand{});
 }
+
+TEST_CASE("A demand that moves is told as it will soon be", "[demand]") {
+  DemandRates Rates;
+  TimePoint Now = at(0s);
+  run(Rates, Now, 20, 20s);
+  SECTION("rising") {
+    for (int PerSecond = 20; PerSecond < 40; ++PerSecond)
+      run(Rates, Now, PerSecond, 200ms);
+    // A plain mean would still be at thirty.
+    REQUIRE(Rates.rate(Key, Now).m_Requests > 37);
+  }
+  SECTION("falling") {
+    for (int PerSecond = 20; PerSecond > 0; --PerSecond)
+      run(Rates, Now, PerSecond, 200ms);
+    REQUIRE(Rates.rate(Key, Now).m_Requests < 2);
+  }
+}
--- a/tests/decisions/process/LatencyModelTest.cpp
+++ b/tests/decisions/process/LatencyModelTest.cpp
@@ -41,3 +41,16 @@
     RC_ASSERT(Model.workMs("m", 1000) <= 1000);
   });
 }
+
+TEST_CASE("The time that answers take a slot is learned by model",
+          "[latency]") {
+  LatencyModel Model;
+  const double Before = Model.holdMs("long");
+  for (int Times = 0; Times < 200; ++Times) {
+    Model.observeHold("long", 3000);
+    Model.observeHold("short", 100);
+  }
+  REQUIRE(Model.holdMs("long") == Approx(3000).epsilon(0.05));
+  REQUIRE(Model.holdMs("short") == Approx(100).epsilon(0.05));
+  REQUIRE(Model.holdMs("never seen") == Before);
+}
--- a/tests/decisions/process/ReplicaPlannerTest.cpp
+++ b/tests/decisions/process/ReplicaPlannerTest.cpp
@@ -86,9 +86,12 @@
         At.m_Models.erase(Move.m_Evict);
         At.m_Coming.erase(Move.m_Evict);
       }
+      At.m_Movable = false;
+      RC_ASSERT(!Move.m_Load.empty() || !Move.m_Evict.empty());
+      if (Move.m_Load.empty())
+        continue;
       At.m_Models.insert(Move.m_Load);
       At.m_Coming.insert(Move.m_Load);
-      At.m_Movable = false;
       RC_ASSERT(sizeOf(Spec, At.m_Models) <= Spec.m_WeightsMb);
       FromStore += Move.m_Source == LoadSource::Store ? 1 : 0;
     }
@@ -140,7 +143,7 @@
   Input.m_Engines[1].m_Movable = Input.m_Engines[2].m_Movable = false;
   Input.m_Engines[1].m_Models.insert(model(1));
   Input.m_Engines[0].m_Models.erase(model(1));
-  Input.m_Demand = {{model(0), 0.2}, {model(1), 3.0}};
+  Input.m_Demand = {{model(0), 0.2}, {model(1), 3.0}, {model(2), 0.2}};
   Input.m_Engines[0].m_Models = {model(0), model(2)};
   Input.m_Engines[0].m_OnDisk = {model(1)};
   EngineSpec Narrow = Spec;
@@ -174,3 +177,69 @@
     REQUIRE(planReplicas(Input, Spec, {.m_FewMoves = 1}, 4).empty());
   }
 }
+
+TEST_CASE("A replica beside much other work is no reason to take it away",
+          "[planner]") {
+  // Boxes send to the replica that has less to do; the full one does no harm.
+  const EngineSpec Spec = spec(4);
+  PlannerInput Input;
+  Input.m_Engines = {engine(0, {model(0), model(1), model(2)}),
+                     engine(1, {model(0)}), engine(2, {model(3)})};
+  Input.m_Demand = {{model(0), 1.2}, {model(1), 1.0}};
+  Input.m_StoreLoads = 0;
+  for (const PlannedMove &Move : planReplicas(Input, Spec, {}, 4))
+    REQUIRE(Move.m_Evict != model(0));
+}
+
+TEST_CASE("The engine of a model that nobody asks for keeps the hot one",
+          "[planner]") {
+  // The cold model has a place elsewhere; the hot replica stays.
+  const EngineSpec Spec = spec(7);
+  PlannerInput Input;
+  Input.m_Engines = {engine(0, {model(0), model(1), model(2)}),
+                     engine(1, {model(0), model(3), model(4)}),
+                     engine(2, {model(5), model(3)})};
+  Input.m_Demand = {{model(0), 2.0}, {model(6), 0.01}};
+  Input.m_StoreLoads = 4;
+  const auto Moves = planReplicas(Input, Spec, {}, 1);
+  REQUIRE(Moves.size() == 1);
+  REQUIRE(Moves.front().m_Evict != model(0));
+}
+
+TEST_CASE("Replicas that nobody asks for leave, so that a place is free",
+          "[planner]") {
+  const EngineSpec Spec = spec(4);
+  PlannerInput Input;
+  Input.m_Engines = {engine(0, {model(0), model(1), model(2)}),
+                     engine(1, {model(0), model(3)})};
+  SECTION("idle") {
+    const auto Moves = planReplicas(Input, Spec, {}, 4);
+    REQUIRE(Moves.size() == 1);
+    REQUIRE(Moves.front().m_Engine == "e0");
+    REQUIRE(Moves.front().m_Evict == model(0));
+    REQUIRE(Moves.front().m_Load.empty());
+    REQUIRE(Moves.front().m_Reason == PlanReason::NotWanted);
+  }
+  SECTION("wanted") {
+    Input.m_Demand = {{model(0), 1.2}};
+    REQUIRE(planReplicas(Input, Spec, {}, 4).empty());
+  }
+}
+
+TEST_CASE("A busy victim is dearer than an idle one", "[planner]") {
+  EngineSpec Spec = spec(6);
+  Spec.m_Slots = 48;
+  for (ModelSpec &Model : Spec.m_Models)
+    Model.m_StoreLoad = 6s;
+  PlannerInput Input;
+  Input.m_Engines = {engine(0, {model(0), model(1), model(4)}),
+                     engine(1, {model(0), model(2), model(5)}),
+                     engine(2, {model(2), model(3), model(1)})};
+  Input.m_Engines[2].m_Movable = false;
+  Input.m_Demand = {{model(3), 2.5}, {model(1), 0.12}};
+  Input.m_StoreLoads = 4;
+  const auto Moves = planReplicas(Input, Spec, {}, 1);
+  REQUIRE(Moves.size() == 1);
+  REQUIRE(Moves.front().m_Load == model(3));
+  REQUIRE(Moves.front().m_Evict != model(1));
+}
--- a/tests/decisions/request/ReplicaAdmissionTest.cpp
+++ b/tests/decisions/request/ReplicaAdmissionTest.cpp
@@ -28,6 +28,17 @@
   REQUIRE(*Away > 0us);
 }
 
+TEST_CASE("A caller comes back when replicas have had time to come",
+          "[admission]") {
+  // Callers wait for up to a third of the time that they have left.
+  AdmissionFacts Long = facts(3000, 100);
+  Long.m_TimeLeft = 12s;
+  const auto Away = refuseFor(Long, {});
+  REQUIRE(Away);
+  REQUIRE(*Away >= 3s);
+  REQUIRE(*Away <= 4s);
+}
+
 TEST_CASE("A large request is not refused for its own size",
           "[admission][property]") {
   rc::prop("size-neutral", [] {
