A call that was given up is never sent, and what was sent never counts as unsent

On a slow box it came up in between, and evhttp sent the request of a call that had been given up.

Ruled out: the order within one pass (the loop hands out connections before timers), kept connections (not used for unsafe requests).

Change: from the give-up on, evhttp hears nothing of the connection; 'not written' is said only when no byte was ever put into its output buffer, also when the other side resets first.

--- a/packages/wire/common/HttpClient.cpp
+++ b/packages/wire/common/HttpClient.cpp
@@ -141,19 +141,47 @@
   HttpHeaders m_AnswerHeaders;
   bool m_Done = false;
   bool m_Failed = false;
+  bool m_Written = false; ///< Bytes of the request may have left.
 
   /// evhttp still uses the connection while its callbacks run, so it is freed
-  /// in the next pass of the loop.
+  /// in the next pass of the loop. Until then it must not come up: evhttp would
+  /// send the request of a call that was given up.
   void closeLater() {
     if (m_Connection == nullptr)
       return;
     evhttp_connection *Closing = m_Connection;
     m_Connection = nullptr;
+    bufferevent_setcb(evhttp_connection_get_bufferevent(Closing), nullptr,
+                      nullptr, nullptr, nullptr);
+    stopNotingWrites(Closing);
     const std::shared_ptr<evhttp_connection> Held(Closing,
                                                   evhttp_connection_free);
     m_Loop->defer([Self = shared_from_this(), Held] {});
   }
 
+  /// evhttp fills the output buffer when the connection is up, and not before.
+  static void onOutput(evbuffer *, const evbuffer_cb_info *Change, void *Arg) {
+    if (Change->n_added > 0)
+      static_cast<State *>(Arg)->m_Written = true;
+  }
+
+  void noteWrites() {
+    evbuffer_add_cb(
+        bufferevent_get_output(evhttp_connection_get_bufferevent(m_Connection)),
+        onOutput, this);
+  }
+
+  void stopNotingWrites(evhttp_connection *Connection) {
+    evbuffer_remove_cb(
+        bufferevent_get_output(evhttp_connection_get_bufferevent(Connection)),
+        onOutput, this);
+  }
+
+  /// The end of a call that failed before its answer.
+  HttpEnd failure() const {
+    return m_Written ? HttpEnd::Broken : HttpEnd::NotWritten;
+  }
+
   void finish(HttpEnd End) {
     if (m_Done)
       return;
@@ -184,6 +212,7 @@
     if (!Kept || Rest <= 0us)
       return;
     evhttp_connection *Connection = std::exchange(m_Connection, nullptr);
+    stopNotingWrites(Connection);
     Kept->put(m_Call.m_To, Connection, EventLoop::now() + Rest);
   }
 
@@ -229,7 +258,7 @@
     if (Request == nullptr || Self->m_Failed)
       return Self->finish(HttpEnd::Broken);
     if (evhttp_request_get_response_code(Request) == 0)
-      return Self->finish(HttpEnd::NotWritten);
+      return Self->finish(Self->failure());
     Self->passBytes(Request);
     Self->finish(HttpEnd::Complete);
   }
@@ -244,6 +273,7 @@
           static_cast<std::uint16_t>(m_Call.m_To.m_Port));
     if (m_Connection == nullptr)
       return false;
+    noteWrites();
     const Duration Idle = m_Call.m_IdleTimeout;
     const timeval Timeout{.tv_sec = Idle.count() / 1000000,
                           .tv_usec = Idle.count() % 1000000};
@@ -263,7 +293,7 @@
           const auto Still = Self.lock();
           if (Still && !Still->m_Done && Still->m_Connection != nullptr &&
               !connected(Still->m_Connection))
-            Still->finish(HttpEnd::NotWritten);
+            Still->finish(Still->failure());
         });
   }
 
@@ -333,7 +363,7 @@
     if (State->m_Done)
       return;
     if (!State->open() || !State->send())
-      State->finish(HttpEnd::NotWritten);
+      State->finish(State->failure());
   });
   return HttpCallHandle(State);
 }
--- a/tests/wire/HttpTest.cpp
+++ b/tests/wire/HttpTest.cpp
@@ -3,10 +3,13 @@
 #include "wire/common/HttpServer.h"
 
 #include <arpa/inet.h>
+#include <array>
 #include <catch2/catch.hpp>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <vector>
 
 using namespace havenstair;
 
@@ -72,6 +75,60 @@
   return *Got;
 }
 
+/// A listener whose queue is full: connections to it come up only after others
+/// were taken from the queue, when their opening packet is sent again.
+class FullListener {
+public:
+  FullListener() {
+    m_Socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Length = sizeof(Address);
+    bind(m_Socket, reinterpret_cast<sockaddr *>(&Address), Length);
+    listen(m_Socket, 0);
+    getsockname(m_Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
+    m_Endpoint = {"127.0.0.1", ntohs(Address.sin_port)};
+    for (int &Filler : m_Fillers) {
+      Filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect(Filler, reinterpret_cast<sockaddr *>(&Address), Length);
+    }
+  }
+  ~FullListener() {
+    for (int Filler : m_Fillers)
+      close(Filler);
+    for (int Each : m_Accepted)
+      close(Each);
+    close(m_Socket);
+  }
+
+  /// Takes what waits, and counts the bytes that came on all connections.
+  std::size_t takeBytes() {
+    for (int Next = accept4(m_Socket, nullptr, nullptr, SOCK_NONBLOCK);
+         Next >= 0; Next = accept4(m_Socket, nullptr, nullptr, SOCK_NONBLOCK))
+      m_Accepted.push_back(Next);
+    std::size_t Sum = 0;
+    for (int Each : m_Accepted) {
+      char Buffer[4096];
+      const ssize_t Got = read(Each, Buffer, sizeof(Buffer));
+      Sum += Got > 0 ? static_cast<std::size_t>(Got) : 0;
+    }
+    return Sum;
+  }
+  /// Waits for a connection in the queue, as a process does that stands still.
+  void waitForConnection(std::chrono::milliseconds AtMost) const {
+    pollfd Waiting{.fd = m_Socket, .events = POLLIN, .revents = 0};
+    poll(&Waiting, 1, static_cast<int>(AtMost.count()));
+  }
+
+  Endpoint m_Endpoint;
+
+private:
+  int m_Socket;
+  std::array<int, 2> m_Fillers{};
+  std::vector<int> m_Accepted;
+};
+
 } // namespace
 
 TEST_CASE("A call reaches a server and its answer comes back", "[http]") {
@@ -180,3 +237,30 @@
   REQUIRE_FALSE(Held->sendChunk(std::string(600, 'a')));
   Held->abort();
 }
+
+TEST_CASE("A call that was given up before it was sent is never sent",
+          "[http]") {
+  // The connection comes up while the process handles the end of the call.
+  FullListener Server;
+  EventLoop Loop;
+  HttpClient Client(Loop);
+  HttpCall Call = callTo(Server.m_Endpoint, "/once");
+  Call.m_ConnectTimeout = 200ms;
+  std::optional<HttpEnd> End;
+  Call.m_OnEnd = [&](HttpEnd How) {
+    End = How;
+    Server.takeBytes();
+    Server.waitForConnection(4000ms);
+  };
+  const HttpCallHandle Running = Client.start(std::move(Call));
+  REQUIRE(Loop.runUntil([&] { return End.has_value(); }, Limit));
+  REQUIRE(*End == HttpEnd::NotWritten);
+  std::size_t Bytes = 0;
+  int Looks = 0;
+  const Timer Look = Loop.every(10ms, [&] {
+    Bytes += Server.takeBytes();
+    ++Looks;
+  });
+  REQUIRE(Loop.runUntil([&] { return Looks > 20; }, Limit));
+  REQUIRE(Bytes == 0);
+}
