A first replica that comes late gets a nearer one; former loads counted; no stall for new engines

All planning stood for 1.3 s whenever an engine started. After a takeover no load came from the store for 5.7 s, though loads that take longer than the window are still under way and can be counted from the engines' reports.

--- a/packages/decisions/process/LoadCeiling.cpp
+++ b/packages/decisions/process/LoadCeiling.cpp
@@ -11,6 +11,12 @@
                                       m_Opts.m_Slack);
 }
 
+void LoadCeiling::formerLoads(std::size_t Count, TimePoint Now) {
+  m_TakenOver.reset();
+  for (std::size_t Load = 0; Load < Count; ++Load)
+    m_Begun.insert(Now);
+}
+
 std::size_t LoadCeiling::left(TimePoint Now) {
   if (m_TakenOver && Now <= *m_TakenOver + m_Opts.m_Window)
     return 0;
--- a/packages/decisions/process/LoadCeiling.h
+++ b/packages/decisions/process/LoadCeiling.h
@@ -33,6 +33,11 @@
   void configure(Options Opts) { m_Opts = Opts; }
   /// Another order giver gave its last order before \p Until.
   void takeOver(TimePoint Until) { m_TakenOver = Until; }
+  /// Whether a whole window of another order giver's loads is assumed.
+  bool takenOver() const { return m_TakenOver.has_value(); }
+  /// Of the other order giver's loads, no more than \p Count may have begun in
+  /// the window that ends at \p Now.
+  void formerLoads(std::size_t Count, TimePoint Now);
   /// Loads that may be ordered now.
   std::size_t left(TimePoint Now);
   /// A load from the store is ordered from \p Engine, which takes one at a
--- a/packages/decisions/process/ReplicaPicture.cpp
+++ b/packages/decisions/process/ReplicaPicture.cpp
@@ -48,6 +48,18 @@
   return Found == m_Input.m_Demand.end() ? 0 : Found->second;
 }
 
+std::optional<double>
+ReplicaPicture::firstComesInMs(const std::string &Model) const {
+  std::optional<double> First;
+  for (std::size_t At : holders(Model)) {
+    const auto Coming = m_Engines[At].m_Coming.find(Model);
+    if (Coming == m_Engines[At].m_Coming.end())
+      return std::nullopt;
+    First = std::min(First.value_or(Coming->second), Coming->second);
+  }
+  return First;
+}
+
 bool ReplicaPicture::fits(std::size_t At, const std::string &Evict,
                           const std::string &Load) const {
   double Sum = sizeMb(Load);
@@ -183,7 +195,7 @@
 }
 
 void ReplicaPicture::apply(std::size_t At, const std::string &Evict,
-                           const std::string &Load) {
+                           const std::string &Load, double LoadMs) {
   if (!Evict.empty()) {
     m_Engines[At].m_Models.erase(Evict);
     m_Holders[Evict].erase(At);
@@ -191,7 +203,7 @@
   m_Engines[At].m_Movable = false;
   if (!Load.empty()) {
     m_Engines[At].m_Models.insert(Load);
-    m_Engines[At].m_Coming.insert(Load);
+    m_Engines[At].m_Coming[Load] = LoadMs;
     m_Holders[Load].insert(At);
   }
   settle();
--- a/packages/decisions/process/ReplicaPicture.h
+++ b/packages/decisions/process/ReplicaPicture.h
@@ -6,6 +6,7 @@
 #include "decisions/process/ReplicaPlanner.h"
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -37,6 +38,9 @@
   /// Replicas that serve now.
   std::size_t present(const std::string &Model) const;
   double demand(const std::string &Model) const;
+  /// Milliseconds until a first replica of \p Model serves; none when one
+  /// does, or when none comes.
+  std::optional<double> firstComesInMs(const std::string &Model) const;
   /// Work offered to the engine.
   double offered(std::size_t At) const { return m_Offered[At]; }
 
@@ -52,7 +56,9 @@
   /// empty.
   Change gain(std::size_t At, const std::string &Evict,
               const std::string &Load) const;
-  void apply(std::size_t At, const std::string &Evict, const std::string &Load);
+  /// \p LoadMs: time until the loaded model serves.
+  void apply(std::size_t At, const std::string &Evict, const std::string &Load,
+             double LoadMs);
 
 private:
   using Work = std::map<std::size_t, double>; ///< By engine.
--- a/packages/decisions/process/ReplicaPlanner.cpp
+++ b/packages/decisions/process/ReplicaPlanner.cpp
@@ -68,7 +68,8 @@
     const PlannedMove &Move = Best->m_Move;
     if (Move.m_Source == LoadSource::Store)
       --m_StoreLoads;
-    m_Now.apply(Best->m_At, Move.m_Evict, Move.m_Load);
+    m_Now.apply(Best->m_At, Move.m_Evict, Move.m_Load,
+                servesInMs(Move.m_Evict, Move.m_Load, Move.m_Source));
     return Move;
   }
 
@@ -82,7 +83,7 @@
         if (Model.empty() ||
             m_Now.gain(At, Model, "").m_Afterwards < -m_Opts.m_ReleaseLoss)
           continue;
-        m_Now.apply(At, Model, "");
+        m_Now.apply(At, Model, "", 0);
         return PlannedMove{.m_Engine = Engine.m_Id,
                            .m_Evict = Model,
                            .m_Load = {},
@@ -136,15 +137,17 @@
         const double Gain = gain(At, Evict, Model, Source);
         if (Gain >= least(Model, Source) &&
             (!Best || Gain > Best->m_Move.m_Gain))
-          Best = Scored{.m_At = At,
-                        .m_Move = {.m_Engine = Engine.m_Id,
-                                   .m_Evict = Evict,
-                                   .m_Load = Model,
-                                   .m_Source = Source,
-                                   .m_Reason = m_Now.replicas(Model) == 0
-                                                   ? PlanReason::NotResident
-                                                   : PlanReason::DemandRose,
-                                   .m_Gain = Gain}};
+          Best = Scored{
+              .m_At = At,
+              .m_Move = {.m_Engine = Engine.m_Id,
+                         .m_Evict = Evict,
+                         .m_Load = Model,
+                         .m_Source = Source,
+                         .m_Reason = m_Now.replicas(Model) == 0
+                                         ? PlanReason::NotResident
+                                         : PlanReason::DemandRose,
+                         .m_ServesInMs = servesInMs(Evict, Model, Source),
+                         .m_Gain = Gain}};
         // A free place needs no victim.
         if (Evict.empty())
           break;
@@ -153,17 +156,24 @@
     return Best;
   }
 
+  double servesInMs(const std::string &Evict, const std::string &Model,
+                    LoadSource Source) const {
+    return m_Now.drainMs(Evict) + inMillis(loadTime(m_Spec, Model, Source));
+  }
+
   /// Work saved each second, on average until the horizon.
   double gain(std::size_t At, const std::string &Evict,
               const std::string &Model, LoadSource Source) const {
     const ReplicaPicture::Change Change = m_Now.gain(At, Evict, Model);
     const double Horizon = m_Opts.m_HorizonMs;
-    const double Until =
-        std::min(Horizon, m_Now.drainMs(Evict) +
-                              inMillis(loadTime(m_Spec, Model, Source)));
-    return (Change.m_WhileLoading * Until +
-            Change.m_Afterwards * (Horizon - Until)) /
-           Horizon;
+    const double Until = std::min(Horizon, servesInMs(Evict, Model, Source));
+    double Saved =
+        Change.m_WhileLoading * Until + Change.m_Afterwards * (Horizon - Until);
+    // Until a first replica is there, all that is asked of the model is lost.
+    if (const auto First = m_Now.firstComesInMs(Model))
+      Saved += m_Now.demand(Model) *
+               std::max(0.0, std::min(Horizon, *First) - Until);
+    return Saved / Horizon;
   }
 
   double least(const std::string &Model, LoadSource Source) const {
--- a/packages/decisions/process/ReplicaPlanner.h
+++ b/packages/decisions/process/ReplicaPlanner.h
@@ -18,7 +18,8 @@
 struct PlannedEngine {
   InstanceId m_Id;
   std::set<std::string> m_Models;
-  std::set<std::string> m_Coming; ///< Those of them that are not there yet.
+  /// Those of them that are not there yet, with the milliseconds until then.
+  std::map<std::string, double> m_Coming;
   /// Came a short while ago: they stay while they are wanted.
   std::set<std::string> m_Fresh;
   std::set<std::string> m_InMemory;
@@ -49,7 +50,8 @@
   std::string m_Load;
   LoadSource m_Source = LoadSource::Store;
   PlanReason m_Reason = PlanReason::DemandRose;
-  double m_Gain = 0; ///< Work saved each second, in engines' worth.
+  double m_ServesInMs = 0; ///< Expected time until the model serves.
+  double m_Gain = 0;       ///< Work saved each second, in engines' worth.
 
   bool operator==(const PlannedMove &) const = default;
 };
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -3,6 +3,7 @@
 #include "gateway/common/DecisionLog.h"
 #include "wire/common/Json.h"
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace havenstair {
@@ -36,7 +37,8 @@
 constexpr Duration ReportAfterFailure = 400ms;
 constexpr Duration UnloadTakes = 60ms;
 
-/// No plan is made while engines appear, since their models seem missing.
+/// No plan is made while engines return to the list or the list is read for the
+/// first time, since their models seem missing.
 constexpr Duration SettleFor = 1300ms;
 
 /// A model that cannot be unloaded in this time stays.
@@ -55,6 +57,9 @@
 /// A holder that is replaced hears of it within this.
 constexpr Duration LastOrderOfOther = 700ms;
 
+/// Engines tell of themselves as they were up to this long ago.
+constexpr Duration ReportLag = 300ms;
+
 /// An order that an engine took before it was delisted may begin until then.
 constexpr Duration OrderOutlivesEntry = 5s;
 
@@ -210,10 +215,14 @@
   m_MayOrderFrom =
       First || Own ? Now : Now + m_Opts.m_Bounds.m_OrderTurn + TurnMargin;
   m_Engines.clear();
+  m_Gone.clear();
+  m_ClaimedAt = Now;
   m_Ceiling = LoadCeiling();
   // Nobody tells the holder before that it is one no more at once.
+  const TimePoint LastOrder = Own ? Now : Now + LastOrderOfOther;
+  m_FormerOrdersUntil = First ? Now : LastOrder + ReportLag;
   if (!First)
-    m_Ceiling.takeOver(Own ? Now : Now + LastOrderOfOther);
+    m_Ceiling.takeOver(LastOrder);
   m_Log.write("giver", {{"token", m_Token},
                         {"before", m_TermHolder},
                         {"orders_in_ms", (m_MayOrderFrom - Now) / 1ms}});
@@ -305,6 +314,7 @@
     if (m_State.m_Upstreams.list().m_Instances.contains(Each.first))
       return false;
     m_Ceiling.settled(Each.first, Now + OrderOutlivesEntry);
+    m_Gone.insert(Each.first);
     return true;
   });
   for (const auto &[Id, Entry] : m_State.m_Upstreams.list().m_Instances) {
@@ -312,7 +322,9 @@
       continue;
     const auto [Place, New] = m_Engines.try_emplace(Id);
     Engine &Known = Place->second;
-    if (New)
+    // One that starts is empty. One that returns to the list, as all may do
+    // after an outage of the store, brings models that seemed missing.
+    if (New && (m_Gone.erase(Id) > 0 || Now - m_ClaimedAt < SettleFor))
       m_GrewAt = Now;
     // The first word is the engine's own: the list lags behind it.
     if (Known.m_Ledger.known())
@@ -323,6 +335,9 @@
 }
 
 void OrderGiver::askReports(TimePoint Now) {
+  // What an engine says before the former holder's last order may change.
+  if (Now < m_FormerOrdersUntil)
+    return;
   for (auto &[Id, Each] : m_Engines) {
     const EngineLedger &Ledger = Each.m_Ledger;
     if (!Each.m_ReportAsked && Ledger.needsReport() &&
@@ -507,8 +522,10 @@
         Entry == m_State.m_Upstreams.list().m_Instances.end()
             ? nullptr
             : specOf(Entry->second.m_Service);
-    if (ModelLoad && Spec != nullptr)
+    if (ModelLoad && Spec != nullptr) {
       Of.m_NextReport = Now + expectedLoad(Spec->model(Order.m_Model), Source);
+      Of.m_ServesAt = Of.m_NextReport;
+    }
     if (!Order.m_Adapter.empty()) {
       Of.m_AdapterAt[{Order.m_Model, Order.m_Adapter}] = Now;
       Of.m_AdapterOrderAt = Now;
@@ -540,11 +557,37 @@
     }
 }
 
+/// A load from the store that takes longer than the window of their bound is
+/// still under way at its end: once all engines have spoken, those under way
+/// are all that count of the former holder's.
+void OrderGiver::countFormerLoads(const EngineSpec &Spec, TimePoint Now) {
+  if (!m_Ceiling.takenOver() || Spec.m_Models.empty())
+    return;
+  const auto Sooner = [](const ModelSpec &A, const ModelSpec &B) {
+    return A.m_StoreLoad < B.m_StoreLoad;
+  };
+  const Duration Shortest =
+      std::min_element(Spec.m_Models.begin(), Spec.m_Models.end(), Sooner)
+          ->m_StoreLoad;
+  if (Now < m_FormerOrdersUntil + m_Opts.m_Bounds.m_CeilingWindow - Shortest)
+    return;
+  const auto UnderWay = static_cast<std::size_t>(
+      std::count_if(m_Engines.begin(), m_Engines.end(), [](const auto &Each) {
+        const EngineLedger &Ledger = Each.second.m_Ledger;
+        return !Ledger.known() || Ledger.modelOrder();
+      }));
+  m_Ceiling.formerLoads(UnderWay, Now);
+  m_Log.write("former_loads", {{"under_way", UnderWay},
+                               {"engines", m_Engines.size()},
+                               {"left", m_Ceiling.left(Now)}});
+}
+
 void OrderGiver::planModels(const std::string &Service, const EngineSpec &Spec,
                             TimePoint Now) {
   m_Ceiling.configure({.m_LoadsPerS = Spec.m_LoadsPerS,
                        .m_Window = m_Opts.m_Bounds.m_CeilingWindow,
                        .m_Overage = m_Opts.m_Bounds.m_CeilingOverage});
+  countFormerLoads(Spec, Now);
   PlannerInput Input;
   Input.m_StoreLoads = m_Ceiling.left(Now);
   for (const auto &[Key, Rate] : m_Rates.rates(Now))
@@ -571,13 +614,15 @@
     if (const auto &Order = Each.m_Ledger.modelOrder();
         Order && Order->m_Load && !Order->m_Model.empty()) {
       Planned.m_Models.insert(Order->m_Model);
-      Planned.m_Coming.insert(Order->m_Model);
+      Planned.m_Coming[Order->m_Model] =
+          std::max(0.0, inMillis(Each.m_ServesAt - Now));
     }
     if (Each.m_Task)
       Planned.m_Models.erase(Each.m_Task->m_Move.m_Evict);
     if (Each.m_Task && !Each.m_Task->m_Move.m_Load.empty()) {
       Planned.m_Models.insert(Each.m_Task->m_Move.m_Load);
-      Planned.m_Coming.insert(Each.m_Task->m_Move.m_Load);
+      Planned.m_Coming[Each.m_Task->m_Move.m_Load] =
+          std::max(0.0, inMillis(Each.m_ServesAt - Now));
     }
     Input.m_Engines.push_back(std::move(Planned));
   }
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -109,6 +109,7 @@
     TimePoint m_NextReport{};
     EngineContents m_Told;
     TimePoint m_ToldAt{};
+    TimePoint m_ServesAt{}; ///< When its task or load is expected to end.
     TimePoint m_AdapterOrderAt{};
     std::map<std::string, TimePoint> m_ModelAt;  ///< When a model came.
     std::map<AdapterKey, TimePoint> m_AdapterAt; ///< When it was ordered.
@@ -135,6 +136,7 @@
   void advance(const InstanceId &Id, Engine &Of, const EngineSpec &Spec,
                TimePoint Now);
   void plan(TimePoint Now);
+  void countFormerLoads(const EngineSpec &Spec, TimePoint Now);
   void planModels(const std::string &Service, const EngineSpec &Spec,
                   TimePoint Now);
   void logShortage(const PlannerInput &Input, TimePoint Now);
@@ -176,8 +178,12 @@
   TimePoint m_MayOrderFrom{};
   TimePoint m_NextPlan{};
   TimePoint m_NextShortageLine{};
-  /// The last time an engine appeared.
+  TimePoint m_ClaimedAt{};
+  /// Until when the holder before may have given orders.
+  TimePoint m_FormerOrdersUntil{};
+  /// The last time engines came back, or were listed at the start.
   TimePoint m_GrewAt{};
+  std::set<InstanceId> m_Gone; ///< Engines that left the list.
   std::map<InstanceId, Engine> m_Engines;
   std::map<ModelKey, Wanted> m_Missing;
   LoadCeiling m_Ceiling;
--- a/tests/decisions/process/LoadCeilingTest.cpp
+++ b/tests/decisions/process/LoadCeilingTest.cpp
@@ -108,3 +108,15 @@
   Ceiling.configure({.m_LoadsPerS = 1.6, .m_Window = 5s, .m_Overage = 1.1});
   REQUIRE(Ceiling.left(at(0s)) == 10);
 }
+
+TEST_CASE("Loads of the former order giver that are known count by number",
+          "[ceiling]") {
+  LoadCeiling Ceiling;
+  Ceiling.configure({.m_LoadsPerS = 2, .m_Window = 5s, .m_Slack = 0});
+  Ceiling.takeOver(at(10s));
+  REQUIRE(Ceiling.left(at(11s)) == 0);
+  Ceiling.formerLoads(3, at(11s));
+  REQUIRE_FALSE(Ceiling.takenOver());
+  REQUIRE(Ceiling.left(at(11s)) == 7);
+  REQUIRE(Ceiling.left(at(16s) + 1ms) == 10);
+}
--- a/tests/decisions/process/ReplicaPlannerTest.cpp
+++ b/tests/decisions/process/ReplicaPlannerTest.cpp
@@ -42,7 +42,7 @@
           model(*drawn(0, static_cast<int>(Spec.m_Models.size())));
       Each.m_Models.insert(Model);
       if (*drawn(0, 4) == 0)
-        Each.m_Coming.insert(Model);
+        Each.m_Coming[Model] = *drawn(0, 8000);
     }
     for (int Copy = 0; Copy < *drawn(0, 4); ++Copy)
       Each.m_OnDisk.insert(
@@ -91,7 +91,7 @@
       if (Move.m_Load.empty())
         continue;
       At.m_Models.insert(Move.m_Load);
-      At.m_Coming.insert(Move.m_Load);
+      At.m_Coming[Move.m_Load] = Move.m_ServesInMs;
       RC_ASSERT(sizeOf(Spec, At.m_Models) <= Spec.m_WeightsMb);
       FromStore += Move.m_Source == LoadSource::Store ? 1 : 0;
     }
@@ -123,7 +123,7 @@
   PlannerInput Input;
   Input.m_Engines = {engine(0, {model(0), model(1), model(2)}),
                      engine(1, {model(0), model(3)})};
-  Input.m_Engines[1].m_Coming = {model(0)};
+  Input.m_Engines[1].m_Coming = {{model(0), 1000}};
   Input.m_Engines[1].m_Movable = false;
   Input.m_Demand = {{model(3), 3.0}};
   Input.m_StoreLoads = 4;
@@ -243,3 +243,21 @@
   REQUIRE(Moves.front().m_Load == model(3));
   REQUIRE(Moves.front().m_Evict != model(1));
 }
+
+TEST_CASE("A model whose first replica comes late gets a nearer one",
+          "[planner]") {
+  EngineSpec Spec = spec(2);
+  Spec.m_Models[1].m_StoreLoad = 6s;
+  Spec.m_Models[1].m_DiskLoad = 1s;
+  PlannerInput Input;
+  Input.m_Engines = {engine(0, {model(0), model(1)}), engine(1, {model(0)})};
+  Input.m_Engines[0].m_Coming = {{model(1), 10000}};
+  Input.m_Engines[0].m_Movable = false;
+  Input.m_Engines[1].m_OnDisk = {model(1)};
+  Input.m_Demand = {{model(1), 0.3}};
+  const auto Moves = planReplicas(Input, Spec, {}, 1);
+  REQUIRE(Moves.size() == 1);
+  REQUIRE(Moves.front().m_Load == model(1));
+  Input.m_Engines[0].m_Coming.clear();
+  REQUIRE(planReplicas(Input, Spec, {}, 1).empty());
+}
