Prompts are let into an engine at a pace that its streams bear

Change: while the prompt work ahead at the chosen engine fills more than a quarter of the longest pause of the route, a request waits, for up to 0.3 of its target, looking again each 15 ms.

--- a/packages/decisions/request/ReplicaChoice.h
+++ b/packages/decisions/request/ReplicaChoice.h
@@ -30,7 +30,7 @@
   double m_Disturbance = 0.06;
   double m_QuietMs = 200;
   /// For each running request, as it slows down all steps.
-  double m_RunningMs = 0.5;
+  double m_RunningMs = 2;
 };
 
 /// A choice with what it was made from.
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -4,6 +4,7 @@
 #define HAVENSTAIR_GATEWAY_REQUEST_FORWARDER_H
 
 #include "decisions/request/ForwardingPolicy.h"
+#include "decisions/request/PromptPace.h"
 #include "decisions/request/ReplicaAdmission.h"
 #include "decisions/request/ReplicaChoice.h"
 #include "gateway/process/ServingState.h"
@@ -38,6 +39,7 @@
     AdmissionOptions m_Admission;
     Duration m_ConnectTimeout = 300ms;
     /// Part of the target that a request waits for its model to be loaded.
+    PaceOptions m_Pace;
     double m_ParkPart = 0.15;
     double m_SecondParkPart = 0.8;      ///< The same for a caller's second try.
     std::size_t m_MaxAnswer = 16 << 20; ///< Bytes of a buffered answer.
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -110,11 +110,32 @@
                     "expected ms: " +
                         std::to_string(std::lround(Chosen->m_ExpectedMs)));
   }
+  if (const auto Pause = paceOf(*Chosen, Now)) {
+    m_ParkTimer = m_Owner.m_Loop.after(*Pause, [Weak = weak_from_this()] {
+      const auto Self = Weak.lock();
+      if (Self && !Self->m_Done)
+        Self->step();
+    });
+    return;
+  }
   m_Parked = false;
   m_ParkTimer = Timer();
   send(*Chosen, Now);
 }
 
+/// How long to wait before a prompt is read beside running streams: they pause
+/// while prompts are read, so these come one after the other.
+std::optional<Duration> ProxiedRequest::paceOf(const ChosenReplica &Chosen,
+                                               TimePoint Now) const {
+  const PaceFacts Facts{.m_GapTarget = m_Route.m_GapTarget,
+                        .m_Target = m_Route.m_Target,
+                        .m_Waited = waited(Now),
+                        .m_PendingMs = Chosen.m_PendingMs};
+  if (m_Sends > 0 || !streaming() || m_Request.m_Model.empty())
+    return std::nullopt;
+  return paceFor(Facts, m_Owner.m_Opts.m_Pace);
+}
+
 /// Waits for an upstream that can take the request, as long as a refusal still
 /// lets the caller come back in time.
 void ProxiedRequest::park(TimePoint Now) {
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -42,6 +42,8 @@
   };
 
   void step();
+  std::optional<Duration> paceOf(const ChosenReplica &Chosen,
+                                 TimePoint Now) const;
   void park(TimePoint Now);
   void send(const ChosenReplica &Chosen, TimePoint Now);
   HttpCall makeCall(const UpstreamInstance &To, TimePoint Now);
--- a/packages/havenstaird/process/PolicySettings.cpp
+++ b/packages/havenstaird/process/PolicySettings.cpp
@@ -18,7 +18,7 @@
   double &(*m_Member)(GatewayPolicy &);
 };
 
-const std::array<PolicySetting, 23> Table{{
+const std::array<PolicySetting, 25> Table{{
     {"--few-moves", "0 puts attainment first, 1 few moves", 0, 1,
      [](GatewayPolicy &P) -> double & { return P.m_Planner.m_FewMoves; }},
     {"--least-gain-near", "least gain of a load from the engine's own copies",
@@ -56,6 +56,10 @@
      [](GatewayPolicy &P) -> double & { return P.m_Admission.m_EarlyPart; }},
     {"--away-part", "part of the time left after which to come back", 0, 1,
      [](GatewayPolicy &P) -> double & { return P.m_Admission.m_AwayPart; }},
+    {"--pace-gap-part", "part of the longest pause that prompt work may fill",
+     0, 1000, [](GatewayPolicy &P) -> double & { return P.m_Pace.m_GapPart; }},
+    {"--pace-wait-part", "part of the target to wait for that", 0, 1,
+     [](GatewayPolicy &P) -> double & { return P.m_Pace.m_WaitPart; }},
     {"--own-part", "part of the target that a request's own work may take", 0,
      1, [](GatewayPolicy &P) -> double & { return P.m_Admission.m_OwnPart; }},
     {"--hopeless-part", "part of the time left after which a try is hopeless",
