HolderClaim: who gives orders, out of OrderGiver

OrderGiver held the key, the voters, the plans and the tasks of all engines in 800 lines. The claim has its own class and hooks now; no change of behaviour: gateway tests (takeover, outage, replaced holder) as before.

--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -167,10 +167,10 @@
 
 OrderGiver::Options Gateway::giverOptions() const {
   OrderGiver::Options Opts;
-  Opts.m_Prefix = m_Binding.m_OwnPrefix;
-  Opts.m_Holder = m_Options.m_Box.str();
-  Opts.m_Process = m_Process.str();
-  Opts.m_Lease = std::max(Opts.m_Lease, m_Options.m_LeastLease);
+  Opts.m_Claim.m_Prefix = m_Binding.m_OwnPrefix;
+  Opts.m_Claim.m_Holder = m_Options.m_Box.str();
+  Opts.m_Claim.m_Process = m_Process.str();
+  Opts.m_Claim.m_Lease = std::max(Opts.m_Claim.m_Lease, m_Options.m_LeastLease);
   Opts.m_Bounds = m_Options.m_Bounds;
   Opts.m_Planner = m_Policy.m_Planner;
   Opts.m_Adapters = m_Policy.m_Adapters;
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -15,8 +15,6 @@
 constexpr Duration StandbyTickEvery = 150ms;
 constexpr Duration IdleTickEvery = 1s;
 constexpr Duration PlanEvery = 200ms;
-constexpr Duration ClaimWithin = 300ms;
-constexpr Duration AfterOwn = 200ms;
 
 /// Time for all boxes to hear that a model retires.
 constexpr Duration RetireFor = 120ms;
@@ -50,10 +48,6 @@
 /// Most moves that one plan begins.
 constexpr std::size_t MostMoves = 6;
 
-/// A holder orders on what it read of its key this long ago. The turn between
-/// two holders is longer than that and the sending of an order together.
-constexpr Duration HolderReadCounts = 1900ms;
-
 /// A holder that is replaced hears of it within this.
 constexpr Duration LastOrderOfOther = 700ms;
 
@@ -68,9 +62,6 @@
 constexpr double ShortageFrom = 0.7;
 constexpr Duration ShortageLineEvery = 500ms;
 
-constexpr const char *HolderKey = "giver";
-constexpr const char *TermKey = "giver-term";
-
 Duration expectedLoad(const ModelSpec *Model, LoadSource Source) {
   if (Model == nullptr)
     return 1s;
@@ -110,19 +101,21 @@
                        DecisionLog &Log, Options Opts, Hooks Callbacks)
     : m_Loop(Loop), m_Control(Engines), m_State(State), m_Log(Log),
       m_Opts(std::move(Opts)), m_Hooks(std::move(Callbacks)),
-      m_View(BoxName(m_Opts.m_Process)), m_Rates(m_Opts.m_Rates),
-      m_Key(Store, {.m_TimeToLive = m_Opts.m_Lease},
-            {.m_Claim = [this](LeaseId Lease) { return claim(Lease); },
-             .m_Claimed = [this](StoreRevision At) { claimed(At); },
-             .m_Lost = [this] { lost(); },
-             .m_Answered = [](bool) {}}) {
+      m_Rates(m_Opts.m_Rates),
+      m_Claim(Store, Log, m_Opts.m_Claim,
+              {.m_Taken =
+                   [this](const HolderClaim::Former &Before) { taken(Before); },
+               .m_Lost = [this] { lost(); },
+               .m_Prepared = [this] { return m_State.m_Config != nullptr; },
+               .m_HolderRead = m_Hooks.m_HolderRead,
+               .m_Random = m_Hooks.m_Random}) {
   tickLater();
 }
 
 void OrderGiver::tickLater() {
-  const Duration Away = m_Giving     ? TickEvery
-                        : m_Eligible ? StandbyTickEvery
-                                     : IdleTickEvery;
+  const Duration Away = giving()             ? TickEvery
+                        : m_Claim.eligible() ? StandbyTickEvery
+                                             : IdleTickEvery;
   m_Timer = m_Loop.after(Away, [this] {
     tick();
     tickLater();
@@ -135,114 +128,46 @@
   m_Opts.m_Bounds = Bounds;
 }
 
-void OrderGiver::entriesChanged(const std::map<std::string, StoreItem> &Items) {
-  m_EntriesKnown = true;
-  const auto Key = Items.find(m_Opts.m_Prefix + HolderKey);
-  m_KeyRevision = Key == Items.end() ? 0 : Key->second.m_Revision;
-  if (Key != Items.end())
-    m_View.known(
-        {.m_Token = m_KeyRevision, .m_Box = BoxName(Key->second.m_Value)},
-        EventLoop::now());
-  const auto Term = Items.find(m_Opts.m_Prefix + TermKey);
-  m_TermRevision = Term == Items.end() ? 0 : Term->second.m_Revision;
-  m_TermHolder = Term == Items.end() ? "" : Term->second.m_Value;
-  stopIfReplaced();
-}
-
-void OrderGiver::heardHolder(const BoxName &From, const OrderHolder &Known,
-                             bool Giving) {
-  m_View.heard(From, Known, Giving, EventLoop::now());
-  stopIfReplaced();
-}
-
 void OrderGiver::setVoters(std::set<BoxName> Others, bool Eligible) {
-  m_View.listed(std::move(Others));
-  if (std::exchange(m_Eligible, Eligible) != Eligible)
+  const bool Before = m_Claim.eligible();
+  m_Claim.setVoters(std::move(Others), Eligible);
+  if (Before != Eligible)
     tickLater();
 }
 
-void OrderGiver::stopIfReplaced() {
-  if (m_Giving && m_View.holder().m_Token > m_Token)
-    m_Key.release();
-}
-
-/// Nobody gives orders, as far as this box and a majority know.
-bool OrderGiver::mayClaim(TimePoint Now) const {
-  return m_EntriesKnown && m_Eligible && m_State.m_Config &&
-         m_View.hearsMajority(Now) && !m_View.holderActive(Now);
-}
-
-/// Boxes that see the same do not all claim at once.
-bool OrderGiver::claimDue(TimePoint Now) {
-  if (!mayClaim(Now)) {
-    m_ClaimFrom.reset();
-    return false;
-  }
-  // The machine that gave the last orders may go on at once.
-  const bool Own = m_TermHolder == m_Opts.m_Holder;
-  if (!m_ClaimFrom && Own)
-    m_ClaimFrom = Now;
-  if (!m_ClaimFrom)
-    m_ClaimFrom =
-        Now + AfterOwn +
-        Duration(static_cast<Duration::rep>(
-            m_Hooks.m_Random() * static_cast<double>(ClaimWithin.count())));
-  return Now >= *m_ClaimFrom;
-}
-
-std::optional<StoreTransaction> OrderGiver::claim(LeaseId Lease) const {
-  if (!mayClaim(EventLoop::now()))
-    return std::nullopt;
-  const std::string Key = m_Opts.m_Prefix + HolderKey;
-  const std::string Term = m_Opts.m_Prefix + TermKey;
-  return StoreTransaction{
-      .m_Conditions = {{.m_Key = Key, .m_Revision = m_KeyRevision},
-                       {.m_Key = Term, .m_Revision = m_TermRevision}},
-      .m_Puts = {{.m_Key = Key, .m_Value = m_Opts.m_Process, .m_Lease = Lease},
-                 {.m_Key = Term, .m_Value = m_Opts.m_Holder}},
-      .m_Removals = {}};
-}
-
-void OrderGiver::claimed(StoreRevision Revision) {
+void OrderGiver::taken(const HolderClaim::Former &Before) {
   const TimePoint Now = EventLoop::now();
-  const bool First = m_TermRevision == 0;
-  const bool Own = m_TermHolder == m_Opts.m_Holder;
-  m_Giving = true;
+  const bool Own = Before.m_SameMachine;
   tickLater();
-  m_Token = Revision;
-  m_View.known({.m_Token = Revision, .m_Box = BoxName(m_Opts.m_Process)},
-               EventLoop::now());
-  m_MayOrderFrom =
-      First || Own ? Now : Now + m_Opts.m_Bounds.m_OrderTurn + TurnMargin;
+  m_MayOrderFrom = Before.m_None || Own
+                       ? Now
+                       : Now + m_Opts.m_Bounds.m_OrderTurn + TurnMargin;
   m_Engines.clear();
   m_Gone.clear();
   m_ClaimedAt = Now;
   m_Ceiling = LoadCeiling();
   // Nobody tells the holder before that it is one no more at once.
   const TimePoint LastOrder = Own ? Now : Now + LastOrderOfOther;
-  m_FormerOrdersUntil = First ? Now : LastOrder + ReportLag;
-  if (!First)
+  m_FormerOrdersUntil = Before.m_None ? Now : LastOrder + ReportLag;
+  if (!Before.m_None)
     m_Ceiling.takeOver(LastOrder);
-  m_Log.write("giver", {{"token", m_Token},
-                        {"before", m_TermHolder},
+  m_Log.write("giver", {{"token", m_Claim.token()},
+                        {"before", Before.m_Holder},
                         {"orders_in_ms", (m_MayOrderFrom - Now) / 1ms}});
 }
 
 void OrderGiver::lost() {
-  m_Giving = false;
   m_Engines.clear();
-  m_Log.write("giver_lost", {{"token", m_Token}});
+  m_Log.write("giver_lost", {{"token", m_Claim.token()}});
 }
 
 void OrderGiver::leave() {
   m_Left = true;
-  m_Key.release();
+  m_Claim.release();
 }
 
 bool OrderGiver::mayOrder(TimePoint Now) const {
-  return m_Giving && m_Key.held(Now) && Now >= m_MayOrderFrom &&
-         (Now - m_Hooks.m_HolderRead() <= HolderReadCounts ||
-          m_View.vouched(Now));
+  return Now >= m_MayOrderFrom && m_Claim.sure(Now);
 }
 
 const EngineSpec *OrderGiver::specOf(const std::string &Service) const {
@@ -262,7 +187,7 @@
   for (const ModelKey &Key : Keys)
     m_Missing.try_emplace(Key, Wanted{.m_Since = Now}).first->second.m_Last =
         Now;
-  if (!m_Giving || std::exchange(m_TickSoon, true))
+  if (!giving() || std::exchange(m_TickSoon, true))
     return;
   m_NextPlan = Now;
   m_Loop.defer([this] {
@@ -272,7 +197,7 @@
 }
 
 void OrderGiver::upstreamsChanged() {
-  if (m_Giving)
+  if (giving())
     refreshEngines(EventLoop::now());
 }
 
@@ -280,10 +205,8 @@
   const TimePoint Now = EventLoop::now();
   if (m_Left)
     return;
-  noticePause(Now);
-  if (m_Giving || claimDue(Now))
-    m_Key.tick(Now);
-  if (!m_Giving)
+  m_Claim.tick(Now);
+  if (!giving())
     return;
   refreshEngines(Now);
   askReports(Now);
@@ -295,20 +218,6 @@
   tellChanges();
 }
 
-/// A process that stood still believes what was true before.
-void OrderGiver::noticePause(TimePoint Now) {
-  constexpr Duration Pause = 500ms;
-  if (!m_Eligible) {
-    m_TickedAt = TimePoint{};
-    return;
-  }
-  const TimePoint Before = std::exchange(m_TickedAt, Now);
-  if (Before == TimePoint{} || Now - Before < Pause)
-    return;
-  m_View.paused(Now);
-  m_Log.write("paused", {{"for_ms", (Now - Before) / 1ms}});
-}
-
 void OrderGiver::refreshEngines(TimePoint Now) {
   std::erase_if(m_Engines, [&](const auto &Each) {
     if (m_State.m_Upstreams.list().m_Instances.contains(Each.first))
@@ -353,9 +262,9 @@
   Of.m_ReportAsked = true;
   Of.m_NextReport = Now + ReportEvery;
   m_Control.report(Entry->second,
-                   [this, Id, Token = m_Token](
+                   [this, Id, Token = m_Claim.token()](
                        const std::optional<ResidencyReport> &Report) {
-                     if (m_Giving && Token == m_Token)
+                     if (giving() && Token == m_Claim.token())
                        heard(Id, Report);
                    });
 }
@@ -467,8 +376,8 @@
       return false;
     m_Ceiling.ordered(Id);
   }
-  const OrderStamp Stamp{.m_Holder = m_Opts.m_Holder,
-                         .m_FencingToken = m_Token,
+  const OrderStamp Stamp{.m_Holder = m_Opts.m_Claim.m_Holder,
+                         .m_FencingToken = m_Claim.token(),
                          .m_ExpectedCount = To.m_Ledger.begin(Order, Now)};
   m_Log.write("order",
               {{"engine", Id},
@@ -477,14 +386,14 @@
                {"adapter", Order.m_Adapter},
                {"source", sourceName(Source)},
                {"expected_count", Stamp.m_ExpectedCount},
-               {"token", m_Token},
+               {"token", m_Claim.token()},
                {"reason",
                 To.m_Task ? reasonName(To.m_Task->m_Move.m_Reason) : "adapter"},
                {"gain", To.m_Task ? To.m_Task->m_Move.m_Gain : 0}});
   m_Control.order(
       Entry->second, Order, Stamp,
-      [this, Id, Order, Source, Token = m_Token](OrderAnswer Answer) {
-        if (m_Giving && Token == m_Token)
+      [this, Id, Order, Source, Token = m_Claim.token()](OrderAnswer Answer) {
+        if (giving() && Token == m_Claim.token())
           orderAnswered(Id, Order, Source, Answer);
       });
   return true;
@@ -761,17 +670,17 @@
 }
 
 FleetContentsFrame OrderGiver::contents() const {
-  FleetContentsFrame Frame{.m_FencingToken = m_Token, .m_Engines = {}};
+  FleetContentsFrame Frame{.m_FencingToken = m_Claim.token(), .m_Engines = {}};
   const TimePoint Now = EventLoop::now();
   for (const auto &[Id, Each] : m_Engines)
-    if (m_Giving && Each.m_Ledger.known())
+    if (giving() && Each.m_Ledger.known())
       Frame.m_Engines.push_back(contentsOf(Id, Each, Now));
   return Frame;
 }
 
 void OrderGiver::tellChanges() {
   const TimePoint Now = EventLoop::now();
-  FleetContentsFrame Frame{.m_FencingToken = m_Token, .m_Engines = {}};
+  FleetContentsFrame Frame{.m_FencingToken = m_Claim.token(), .m_Engines = {}};
   for (auto &[Id, Each] : m_Engines) {
     if (!Each.m_Ledger.known())
       continue;
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -6,12 +6,11 @@
 #include "decisions/process/AdapterPlanner.h"
 #include "decisions/process/DemandRates.h"
 #include "decisions/process/EngineLedger.h"
-#include "decisions/process/HolderView.h"
 #include "decisions/process/LoadCeiling.h"
 #include "decisions/process/ReplicaPlanner.h"
 #include "gateway/process/EngineControl.h"
 #include "gateway/process/GatewayOptions.h"
-#include "gateway/process/LeasedKey.h"
+#include "gateway/process/HolderClaim.h"
 #include "gateway/process/ServingState.h"
 #include "wire/common/EventLoop.h"
 #include "wire/connection/FleetFrames.h"
@@ -26,19 +25,13 @@
 
 class DecisionLog;
 
-/// Holds the key of the order giver under a lease; its revision is the fencing
-/// token. While it is held, plans replicas and adapters from demand and carries
-/// the plan out, one order at a time on each engine.
-/// See docs/design/orders.md.
+/// While this box holds the order giver's key, plans replicas and adapters from
+/// demand and carries the plan out, one order at a time on each engine. See
+/// docs/design/orders.md.
 class OrderGiver {
 public:
   struct Options {
-    std::string m_Prefix;  ///< Of the keys that this writes.
-    std::string m_Holder;  ///< This machine; the same for all its starts.
-    std::string m_Process; ///< This start of the process.
-    /// Long, so that orders go on while the store is down. Another box takes
-    /// over by replacing the key, not by waiting for its end.
-    Duration m_Lease = 20s;
+    HolderClaim::Options m_Claim;
     ServingBounds m_Bounds;
     PlannerOptions m_Planner;
     /// How long a replica stays at least, and an adapter.
@@ -66,7 +59,9 @@
   OrderGiver &operator=(const OrderGiver &) = delete;
 
   /// The store's keys have changed; \p Items are those of the whole prefix.
-  void entriesChanged(const std::map<std::string, StoreItem> &Items);
+  void entriesChanged(const std::map<std::string, StoreItem> &Items) {
+    m_Claim.entriesChanged(Items);
+  }
   void upstreamsChanged();
   /// Demand of this box or another one.
   void demanded(const ModelDemands &Demand);
@@ -75,15 +70,17 @@
   void setBounds(const ServingBounds &Bounds);
 
   /// Another box told whom it knows to give orders.
-  void heardHolder(const BoxName &From, const OrderHolder &Known, bool Giving);
+  void heardHolder(const BoxName &From, const OrderHolder &Known, bool Giving) {
+    m_Claim.heardHolder(From, Known, Giving);
+  }
   /// The other boxes whose majority decides who gives orders, and whether this
   /// box may be that one.
   void setVoters(std::set<BoxName> Others, bool Eligible);
-  void boxLost(const BoxName &Box) { m_View.forget(Box); }
+  void boxLost(const BoxName &Box) { m_Claim.boxLost(Box); }
 
   /// Whom this box knows to give orders.
-  const OrderHolder &holder() const { return m_View.holder(); }
-  bool giving() const { return m_Giving; }
+  const OrderHolder &holder() const { return m_Claim.holder(); }
+  bool giving() const { return m_Claim.taken(); }
   /// Contents of all engines, for a box that has just been linked.
   FleetContentsFrame contents() const;
   /// Gives the key up.
@@ -115,15 +112,10 @@
     std::map<AdapterKey, TimePoint> m_AdapterAt; ///< When it was ordered.
   };
 
-  std::optional<StoreTransaction> claim(LeaseId Lease) const;
-  void claimed(StoreRevision Revision);
+  void taken(const HolderClaim::Former &Before);
   void lost();
   void tick();
   void tickLater();
-  void noticePause(TimePoint Now);
-  bool mayClaim(TimePoint Now) const;
-  bool claimDue(TimePoint Now);
-  void stopIfReplaced();
   bool mayOrder(TimePoint Now) const;
 
   const EngineSpec *specOf(const std::string &Service) const;
@@ -161,20 +153,9 @@
   DecisionLog &m_Log;
   Options m_Opts;
   Hooks m_Hooks;
-  HolderView m_View;
   DemandRates m_Rates;
-  LeasedKey m_Key;
-  bool m_EntriesKnown = false;
-  bool m_Eligible = true;
-  StoreRevision m_KeyRevision = 0; ///< 0 when nobody holds the key.
-  StoreRevision m_TermRevision = 0;
-  std::string m_TermHolder;
-  TimePoint m_TickedAt{};
-  std::optional<TimePoint> m_ClaimFrom;
-
-  bool m_Giving = false;
+  HolderClaim m_Claim;
   bool m_Left = false;
-  FencingToken m_Token = 0;
   TimePoint m_MayOrderFrom{};
   TimePoint m_NextPlan{};
   TimePoint m_NextShortageLine{};
