serve: policy options can be given as flags

docopt reads options only below a title that ends in 'options:'; the policy's stood below another, so each of them ended with 'Unexpected argument'. The test sets each flag of the help page to its default and to a word.

--- a/packages/havenstaird/process/PolicySettings.cpp
+++ b/packages/havenstaird/process/PolicySettings.cpp
@@ -97,6 +97,14 @@
 
 } // namespace
 
+std::map<std::string, double> policyDefaults() {
+  GatewayPolicy Default;
+  std::map<std::string, double> Result;
+  for (const PolicySetting &Each : Table)
+    Result[Each.m_Flag] = Each.m_Member(Default);
+  return Result;
+}
+
 std::string policyUsage() {
   GatewayPolicy Default;
   std::string Text;
--- a/packages/havenstaird/process/PolicySettings.h
+++ b/packages/havenstaird/process/PolicySettings.h
@@ -5,6 +5,7 @@
 
 #include "gateway/process/GatewayPolicy.h"
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -14,6 +15,9 @@
 using SettingLookup =
     std::function<std::optional<std::string>(const std::string &Flag)>;
 
+/// The flags with their defaults.
+std::map<std::string, double> policyDefaults();
+
 /// The lines of the usage page, with ranges and defaults.
 std::string policyUsage();
 
--- a/packages/havenstaird/process/ServeCommand.cpp
+++ b/packages/havenstaird/process/ServeCommand.cpp
@@ -32,7 +32,9 @@
   --help                  Show this page.
   --version               Show the version.
 
-Policy; each also by a variable, --few-moves by HAVENSTAIR_FEW_MOVES:
+Each policy option also has a variable: --few-moves is HAVENSTAIR_FEW_MOVES.
+
+Policy options:
 )";
 
 int readPort(const std::string &Flag, const std::string &Text) {
--- a/tests/process/SettingsTest.cpp
+++ b/tests/process/SettingsTest.cpp
@@ -1,7 +1,12 @@
 #include "havenstaird/process/Settings.h"
 
+#include "havenstaird/process/PolicySettings.h"
+#include "havenstaird/process/ServeCommand.h"
 #include <catch2/catch.hpp>
+#include <cstdio>
+#include <fstream>
 #include <map>
+#include <unistd.h>
 
 using namespace havenstair;
 
@@ -30,8 +35,41 @@
       });
 }
 
+/// A settings file of the platform, for as long as this lives.
+class NodeFile {
+public:
+  NodeFile() {
+    const int Made = mkstemp(m_Path.data());
+    close(Made);
+    std::ofstream(m_Path) << R"({"nodeName": "n-1", "ipAddress": "127.0.0.1",
+      "zone": "a", "internalPortRange": [7380, 7395],
+      "listenAddresses": {"frontend": "127.0.0.1:1", "ready": "127.0.0.1:2"},
+      "platform": {"address": "127.0.0.1:3"}})";
+  }
+  ~NodeFile() { std::remove(m_Path.c_str()); }
+  NodeFile(const NodeFile &) = delete;
+  NodeFile &operator=(const NodeFile &) = delete;
+
+  std::string m_Path = "/tmp/havenstair-node-XXXXXX";
+};
+
+int checkServe(const std::string &Flag, const std::string &Value) {
+  const NodeFile File;
+  return runServe(
+      {"serve", "--node-file", File.m_Path, "--check-settings", Flag, Value},
+      [](const std::string &) { return std::nullopt; });
+}
+
 } // namespace
 
+TEST_CASE("Each policy flag of the help page can be set", "[settings]") {
+  for (const auto &[Flag, Default] : policyDefaults()) {
+    INFO(Flag);
+    REQUIRE(checkServe(Flag, std::to_string(Default)) == 0);
+    REQUIRE_THROWS_AS(checkServe(Flag, "many"), SettingError);
+  }
+}
+
 TEST_CASE("Settings come from flags first, then from variables", "[settings]") {
   Variables Set = goodVariables();
   Set["HAVENSTAIR_LEASE_MS"] = "20000";
