No release before demand; refusals tell what they were judged by

The line of a request's end has the replicas, the expected time and the work ahead of its last choice.

--- a/packages/decisions/process/ReplicaPicture.cpp
+++ b/packages/decisions/process/ReplicaPicture.cpp
@@ -48,6 +48,13 @@
   return Found == m_Input.m_Demand.end() ? 0 : Found->second;
 }
 
+double ReplicaPicture::demand() const {
+  double Sum = 0;
+  for (const auto &[Model, Demand] : m_Input.m_Demand)
+    Sum += Demand;
+  return Sum;
+}
+
 std::optional<double>
 ReplicaPicture::firstComesInMs(const std::string &Model) const {
   std::optional<double> First;
--- a/packages/decisions/process/ReplicaPicture.h
+++ b/packages/decisions/process/ReplicaPicture.h
@@ -38,6 +38,7 @@
   /// Replicas that serve now.
   std::size_t present(const std::string &Model) const;
   double demand(const std::string &Model) const;
+  double demand() const; ///< For all models.
   /// Milliseconds until a first replica of \p Model serves; none when one
   /// does, or when none comes.
   std::optional<double> firstComesInMs(const std::string &Model) const;
--- a/packages/decisions/process/ReplicaPlanner.cpp
+++ b/packages/decisions/process/ReplicaPlanner.cpp
@@ -73,8 +73,12 @@
     return Move;
   }
 
-  /// A replica that is hardly missed leaves an engine without a free place.
+  /// A replica that is hardly missed leaves an engine without a free place;
+  /// not before there is any demand, as what engines start with is a guess at
+  /// it.
   std::optional<PlannedMove> nextRelease() {
+    if (m_Now.demand() < LittleDemand)
+      return std::nullopt;
     for (std::size_t At = 0; At < m_Now.engines().size(); ++At) {
       const PlannedEngine &Engine = m_Now.engines()[At];
       if (!Engine.m_Movable || Engine.m_Leaving || m_Now.hasFreePlace(At))
--- a/packages/decisions/process/ReplicaPlanner.h
+++ b/packages/decisions/process/ReplicaPlanner.h
@@ -77,7 +77,7 @@
   /// What it is worth that a model has a replica at all, beyond its demand.
   double m_ReachableWorth = 0.1;
   /// A replica leaves when no more than this is lost by it.
-  double m_ReleaseLoss = 0.01;
+  double m_ReleaseLoss = 0.002;
   /// Time until nearly all answers that run at a replica have ended.
   double m_LongAnswerMs = 4000;
 };
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -96,6 +96,9 @@
   const auto Chosen =
       chooseReplica(Candidates, m_Request, State.m_Zone, Known,
                     m_Owner.m_Opts.m_Weights, m_Owner.m_Hooks.m_Random(), Now);
+  m_Judged = {.m_Replicas = Candidates.size(),
+              .m_ExpectedMs = Chosen ? Chosen->m_ExpectedMs : 0,
+              .m_PendingMs = Chosen ? Chosen->m_PendingMs : 0};
   if (!Chosen)
     return park(Now);
   if (m_Sends == 0 && !m_Request.m_Model.empty()) {
@@ -539,6 +542,9 @@
                        {"adapter", m_Request.m_Adapter},
                        {"tried_before_ms", m_SinceFirstTry / 1ms},
                        {"sends", m_Sends},
+                       {"replicas", m_Judged.m_Replicas},
+                       {"expected_ms", std::lround(m_Judged.m_ExpectedMs)},
+                       {"pending_ms", std::lround(m_Judged.m_PendingMs)},
                        {"first_ms", First / 1ms},
                        {"gap_ms", m_LongestGap / 1ms},
                        {"whole_ms", waited(Now) / 1ms}});
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -41,6 +41,13 @@
     std::string m_Body;
   };
 
+  /// What the last choice was made from; for the log.
+  struct Judged {
+    std::size_t m_Replicas = 0;
+    double m_ExpectedMs = 0;
+    double m_PendingMs = 0;
+  };
+
   void step();
   std::optional<Duration> paceOf(const ChosenReplica &Chosen,
                                  TimePoint Now) const;
@@ -99,6 +106,7 @@
   Duration m_LongestGap = 0us;           ///< Between events.
   std::optional<std::int64_t> m_LastEvent;
   std::optional<Send> m_Send;
+  Judged m_Judged;
   EventSplitter m_Events;
   HttpCallHandle m_Call;
   HttpCallHandle m_Probe; ///< Whether a silent upstream is still there.
