--- a/tests/gateway/PaceTest.cpp
+++ b/tests/gateway/PaceTest.cpp
@@ -46,6 +46,7 @@
   }
 
   int m_Whole = 0; ///< Whole answers.
+  Timer m_Reading; ///< Ends before its loop does.
 };
 
 void streamOne(const Request &Of, const ConnectionPtr &To) {
@@ -59,12 +60,11 @@
 TEST_CASE("A prompt is not sent beside another that the engine still reads",
           "[gateway][pace]") {
   std::optional<bool> BesideFirst;
-  Timer Reading;
   PaceTest *Running = nullptr;
   PaceTest Test([&](const Request &Of, const ConnectionPtr &To) {
     if (Of.header("x-attempt-id") != "id-1")
       return streamOne(Of, To);
-    Reading = Running->m_Loop.after(100ms, [&, Of, To] {
+    Running->m_Reading = Running->m_Loop.after(100ms, [&, Of, To] {
       BesideFirst = Running->arrivals("id-2") > 0;
       streamOne(Of, To);
     });
