One loadTime and one nearestSource for the plan and the orders

The planner and OrderGiver each said how long a load takes and from where an engine loads a model. A variable that hid the type Work has its own name.

--- a/packages/decisions/process/ReplicaPicture.cpp
+++ b/packages/decisions/process/ReplicaPicture.cpp
@@ -178,8 +178,8 @@
     std::set<std::size_t> Touched = holders(Model);
     Touched.insert(Holders.begin(), Holders.end());
     const Work Others = othersWork(Model, Touched, Changed);
-    for (const auto &[Engine, Work] : Others)
-      Changed[Engine] = Work;
+    for (const auto &[Engine, Other] : Others)
+      Changed[Engine] = Other;
     for (const auto &[Engine, Own] : spread(demand(Model), Holders, Others))
       Changed[Engine] += Own;
   };
--- a/packages/decisions/process/ReplicaPlanner.cpp
+++ b/packages/decisions/process/ReplicaPlanner.cpp
@@ -17,12 +17,6 @@
 /// Below this a model's replicas may go at any time, in engines' worth of work.
 constexpr double LittleDemand = 0.05;
 
-LoadSource sourceOf(const PlannedEngine &At, const std::string &Model) {
-  if (At.m_InMemory.contains(Model))
-    return LoadSource::HostMemory;
-  return At.m_OnDisk.contains(Model) ? LoadSource::Disk : LoadSource::Store;
-}
-
 /// Models that may make way on an engine; the empty name stands for none.
 std::vector<std::string> evictable(const ReplicaPicture &Now, std::size_t At) {
   std::vector<std::string> Result{""};
@@ -33,22 +27,6 @@
   return Result;
 }
 
-Duration loadTime(const EngineSpec &Spec, const std::string &Model,
-                  LoadSource Source) {
-  const ModelSpec *Found = Spec.model(Model);
-  if (Found == nullptr)
-    return 0us;
-  switch (Source) {
-  case LoadSource::HostMemory:
-    return Found->m_MemoryLoad;
-  case LoadSource::Disk:
-    return Found->m_DiskLoad;
-  case LoadSource::Store:
-    return Found->m_StoreLoad;
-  }
-  return Found->m_StoreLoad;
-}
-
 /// Looks for the moves of one plan, the most useful first.
 class MoveSearch {
 public:
@@ -132,7 +110,8 @@
       if (!Engine.m_Movable || Engine.m_Leaving ||
           Engine.m_Models.contains(Model))
         continue;
-      const LoadSource Source = sourceOf(Engine, Model);
+      const LoadSource Source =
+          nearestSource(Engine.m_InMemory, Engine.m_OnDisk, Model);
       if (Source == LoadSource::Store && m_StoreLoads == 0)
         continue;
       for (const std::string &Evict : evictable(m_Now, At)) {
@@ -162,7 +141,8 @@
 
   double servesInMs(const std::string &Evict, const std::string &Model,
                     LoadSource Source) const {
-    return m_Now.drainMs(Evict) + inMillis(loadTime(m_Spec, Model, Source));
+    return m_Now.drainMs(Evict) +
+           inMillis(loadTime(m_Spec.model(Model), Source));
   }
 
   /// Work saved each second, on average until the horizon.
@@ -200,6 +180,28 @@
   return SourceNames.at(static_cast<std::size_t>(Source));
 }
 
+LoadSource nearestSource(const std::set<std::string> &InMemory,
+                         const std::set<std::string> &OnDisk,
+                         const std::string &Model) {
+  if (InMemory.contains(Model))
+    return LoadSource::HostMemory;
+  return OnDisk.contains(Model) ? LoadSource::Disk : LoadSource::Store;
+}
+
+Duration loadTime(const ModelSpec *Model, LoadSource Source) {
+  if (Model == nullptr)
+    return 1s;
+  switch (Source) {
+  case LoadSource::HostMemory:
+    return Model->m_MemoryLoad;
+  case LoadSource::Disk:
+    return Model->m_DiskLoad;
+  case LoadSource::Store:
+    return Model->m_StoreLoad;
+  }
+  return Model->m_StoreLoad;
+}
+
 std::string_view reasonName(PlanReason Reason) {
   return ReasonNames.at(static_cast<std::size_t>(Reason));
 }
--- a/packages/decisions/process/ReplicaPlanner.h
+++ b/packages/decisions/process/ReplicaPlanner.h
@@ -34,6 +34,14 @@
 
 std::string_view sourceName(LoadSource Source);
 
+/// The nearest place from which an engine with these copies loads \p Model.
+LoadSource nearestSource(const std::set<std::string> &InMemory,
+                         const std::set<std::string> &OnDisk,
+                         const std::string &Model);
+
+/// How long a load takes; a guess for a model that is not known (null).
+Duration loadTime(const ModelSpec *Model, LoadSource Source);
+
 /// Why a model is loaded.
 enum class PlanReason {
   NotResident, ///< No engine that stays holds it.
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -62,20 +62,6 @@
 constexpr double ShortageFrom = 0.7;
 constexpr Duration ShortageLineEvery = 500ms;
 
-Duration expectedLoad(const ModelSpec *Model, LoadSource Source) {
-  if (Model == nullptr)
-    return 1s;
-  switch (Source) {
-  case LoadSource::HostMemory:
-    return Model->m_MemoryLoad;
-  case LoadSource::Disk:
-    return Model->m_DiskLoad;
-  case LoadSource::Store:
-    return Model->m_StoreLoad;
-  }
-  return Model->m_StoreLoad;
-}
-
 std::string_view answerName(OrderAnswer Answer) {
   switch (Answer) {
   case OrderAnswer::Accepted:
@@ -345,9 +331,7 @@
     return;
   }
   const LoadSource Source =
-      Of.m_Ledger.inMemory().contains(Move.m_Load) ? LoadSource::HostMemory
-      : Of.m_Ledger.onDisk().contains(Move.m_Load) ? LoadSource::Disk
-                                                   : LoadSource::Store;
+      nearestSource(Of.m_Ledger.inMemory(), Of.m_Ledger.onDisk(), Move.m_Load);
   const ResidencyOrder Load{
       .m_Load = true, .m_Model = Move.m_Load, .m_Adapter = {}};
   if (!Of.m_Ledger.allows(Load, Spec)) {
@@ -432,7 +416,7 @@
             ? nullptr
             : specOf(Entry->second.m_Service);
     if (ModelLoad && Spec != nullptr) {
-      Of.m_NextReport = Now + expectedLoad(Spec->model(Order.m_Model), Source);
+      Of.m_NextReport = Now + loadTime(Spec->model(Order.m_Model), Source);
       Of.m_ServesAt = Of.m_NextReport;
     }
     if (!Order.m_Adapter.empty()) {
