--- a/tests/wire/HttpTest.cpp
+++ b/tests/wire/HttpTest.cpp
@@ -25,18 +25,25 @@
   return Call;
 }
 
+/// A socket that listens at a free port; its queue holds \p Backlog.
+int listenOnLoopback(int Backlog, sockaddr_in &Address) {
+  const int Socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  Address = {};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t Length = sizeof(Address);
+  bind(Socket, reinterpret_cast<sockaddr *>(&Address), Length);
+  listen(Socket, Backlog);
+  getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
+  return Socket;
+}
+
 /// A listener that answers each connection with fixed bytes and closes it.
 class RawServer {
 public:
   explicit RawServer(std::string Bytes) : m_Bytes(std::move(Bytes)) {
-    m_Socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t Length = sizeof(Address);
-    bind(m_Socket, reinterpret_cast<sockaddr *>(&Address), Length);
-    listen(m_Socket, 1);
-    getsockname(m_Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
+    m_Socket = listenOnLoopback(1, Address);
     m_Endpoint = {"127.0.0.1", ntohs(Address.sin_port)};
   }
   ~RawServer() { close(m_Socket); }
@@ -80,18 +87,12 @@
 class FullListener {
 public:
   FullListener() {
-    m_Socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t Length = sizeof(Address);
-    bind(m_Socket, reinterpret_cast<sockaddr *>(&Address), Length);
-    listen(m_Socket, 0);
-    getsockname(m_Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
+    m_Socket = listenOnLoopback(0, Address);
     m_Endpoint = {"127.0.0.1", ntohs(Address.sin_port)};
     for (int &Filler : m_Fillers) {
       Filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect(Filler, reinterpret_cast<sockaddr *>(&Address), Length);
+      connect(Filler, reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
     }
   }
   ~FullListener() {
