Replicas are counted, and the largest model is found, once for a plan

In each plan, five times a second, the line on shortage counted the replicas of each wanted model over all engines, the adapters' plan did so for each model of each engine, and each look for a free place went through all models: at 140 engines and 200 models tens of thousands of comparisons. Now one pass each.

--- a/packages/decisions/process/ReplicaPicture.cpp
+++ b/packages/decisions/process/ReplicaPicture.cpp
@@ -15,6 +15,16 @@
 /// Passes in which models find their level beside each other.
 constexpr int SettlePasses = 3;
 
+/// Empty when there is no model.
+std::string largestModel(const EngineSpec &Spec) {
+  const auto Larger = [](const ModelSpec &A, const ModelSpec &B) {
+    return A.m_SizeMb < B.m_SizeMb;
+  };
+  const auto Largest =
+      std::max_element(Spec.m_Models.begin(), Spec.m_Models.end(), Larger);
+  return Largest == Spec.m_Models.end() ? "" : Largest->m_Name;
+}
+
 } // namespace
 
 double lostWork(double Offered) {
@@ -26,7 +36,8 @@
 ReplicaPicture::ReplicaPicture(const PlannerInput &Input,
                                const EngineSpec &Spec,
                                const PlannerOptions &Opts)
-    : m_Engines(Input.m_Engines), m_Input(Input), m_Spec(Spec), m_Opts(Opts) {
+    : m_Engines(Input.m_Engines), m_Input(Input), m_Spec(Spec), m_Opts(Opts),
+      m_Largest(largestModel(Spec)) {
   for (std::size_t At = 0; At < m_Engines.size(); ++At)
     if (!m_Engines[At].m_Leaving)
       for (const std::string &Model : m_Engines[At].m_Models)
@@ -81,12 +92,7 @@
 }
 
 bool ReplicaPicture::hasFreePlace(std::size_t At) const {
-  const auto Larger = [](const ModelSpec &A, const ModelSpec &B) {
-    return A.m_SizeMb < B.m_SizeMb;
-  };
-  const auto Largest =
-      std::max_element(m_Spec.m_Models.begin(), m_Spec.m_Models.end(), Larger);
-  return Largest == m_Spec.m_Models.end() || fits(At, "", Largest->m_Name);
+  return m_Largest.empty() || fits(At, "", m_Largest);
 }
 
 double ReplicaPicture::drainMs(const std::string &Model) const {
--- a/packages/decisions/process/ReplicaPicture.h
+++ b/packages/decisions/process/ReplicaPicture.h
@@ -81,6 +81,7 @@
   const PlannerInput &m_Input;
   const EngineSpec &m_Spec;
   const PlannerOptions &m_Opts;
+  std::string m_Largest; ///< Empty when there is no model.
   std::map<std::string, std::set<std::size_t>> m_Holders;
   std::map<std::string, Work> m_Placed;
   std::vector<double> m_Offered;
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -545,11 +545,16 @@
 void OrderGiver::logShortage(const PlannerInput &Input, TimePoint Now) {
   if (Now < m_NextShortageLine)
     return;
+  const std::map<std::string, std::size_t> Replicas = replicas();
+  const auto Serving = [&](const std::string &Model) {
+    const auto Found = Replicas.find(Model);
+    return Found == Replicas.end() ? 0 : Found->second;
+  };
   std::string Worst;
   double WorstShare = ShortageFrom;
   for (const auto &[Model, Demand] : Input.m_Demand) {
     const auto Count =
-        static_cast<double>(std::max<std::size_t>(1, replicas(Model)));
+        static_cast<double>(std::max<std::size_t>(1, Serving(Model)));
     if (Demand / Count < WorstShare)
       continue;
     WorstShare = Demand / Count;
@@ -568,7 +573,7 @@
       [&](const PlannedEngine &Each) { return Each.m_Models.contains(Worst); });
   m_Log.write("shortage", {{"model", Worst},
                            {"demand", Input.m_Demand.at(Worst)},
-                           {"replicas", replicas(Worst)},
+                           {"replicas", Serving(Worst)},
                            {"planned", Planned},
                            {"engines", Input.m_Engines.size()},
                            {"movable", Movable},
@@ -576,12 +581,14 @@
 }
 
 double OrderGiver::busyPart(const std::string &Service, const Engine &Of,
+                            const std::map<std::string, std::size_t> &Replicas,
                             TimePoint Now) const {
   double Sum = 0;
   for (const ResidentModel &Model : Of.m_Ledger.models()) {
     const ModelDemand Rate = m_Rates.rate({Service, Model.m_Name, ""}, Now);
-    const auto Count = static_cast<double>(replicas(Model.m_Name));
-    Sum += Rate.m_WorkMs / 1000 / std::max(1.0, Count);
+    // Of holds it, so it is among them.
+    const auto Count = static_cast<double>(Replicas.at(Model.m_Name));
+    Sum += Rate.m_WorkMs / 1000 / Count;
   }
   return Sum;
 }
@@ -593,15 +600,17 @@
   });
 }
 
-std::size_t OrderGiver::replicas(const std::string &Model) const {
-  return static_cast<std::size_t>(
-      std::count_if(m_Engines.begin(), m_Engines.end(), [&](const auto &Each) {
-        return Each.second.m_Ledger.holds(Model);
-      }));
+std::map<std::string, std::size_t> OrderGiver::replicas() const {
+  std::map<std::string, std::size_t> Result;
+  for (const auto &[Id, Each] : m_Engines)
+    for (const ResidentModel &Model : Each.m_Ledger.models())
+      ++Result[Model.m_Name];
+  return Result;
 }
 
 void OrderGiver::planAdapterMoves(const std::string &Service,
                                   const EngineSpec &Spec, TimePoint Now) {
+  const std::map<std::string, std::size_t> Replicas = replicas();
   std::vector<AdapterEngine> Engines;
   for (const auto &[Id, Each] : m_Engines) {
     const UpstreamInstance &Entry =
@@ -611,7 +620,7 @@
       continue;
     AdapterEngine Engine{.m_Id = Id,
                          .m_Ledger = &Each.m_Ledger,
-                         .m_Busy = busyPart(Service, Each, Now),
+                         .m_Busy = busyPart(Service, Each, Replicas, Now),
                          .m_Retiring = {},
                          .m_Fresh = {}};
     for (const auto &[Key, At] : Each.m_AdapterAt)
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -143,9 +143,11 @@
   EngineContents contentsOf(const InstanceId &Id, const Engine &Of,
                             TimePoint Now) const;
   double busyPart(const std::string &Service, const Engine &Of,
+                  const std::map<std::string, std::size_t> &Replicas,
                   TimePoint Now) const;
   bool resident(const std::string &Model, const std::string &Adapter) const;
-  std::size_t replicas(const std::string &Model) const;
+  /// Engines that hold each model.
+  std::map<std::string, std::size_t> replicas() const;
 
   EventLoop &m_Loop;
   EngineControl &m_Control;
