A request whose model goes while it waits for its pace is refused, not held

Found on the re-read: the pace used the timer of a request that waits for its model and left its flag set. One that had waited, got a replica and lost it again during its pace was neither refused nor sent until its deadline. The test got 504 after 8 s; now 503, by the rule for a model that no engine holds. The pace has its own timer, and a request that has a replica no longer counts as waiting for one.

The engine's entry and configuration, written twice in OrderTest and PaceTest, stand in GatewayTest; assertions as before.

--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -101,6 +101,8 @@
               .m_PendingMs = Chosen ? Chosen->m_PendingMs : 0};
   if (!Chosen)
     return park(Now);
+  m_Parked = false;
+  m_ParkTimer = Timer();
   if (m_Sends == 0 && !m_Request.m_Model.empty()) {
     const AdmissionFacts Facts{.m_Target = m_Route.m_Target,
                                .m_Waited = waited(Now),
@@ -114,15 +116,13 @@
                         std::to_string(std::lround(Chosen->m_ExpectedMs)));
   }
   if (const auto Pause = paceOf(*Chosen, Now)) {
-    m_ParkTimer = m_Owner.m_Loop.after(*Pause, [Weak = weak_from_this()] {
+    m_PaceTimer = m_Owner.m_Loop.after(*Pause, [Weak = weak_from_this()] {
       const auto Self = Weak.lock();
       if (Self && !Self->m_Done)
         Self->step();
     });
     return;
   }
-  m_Parked = false;
-  m_ParkTimer = Timer();
   send(*Chosen, Now);
 }
 
@@ -528,6 +528,7 @@
   m_Call = HttpCallHandle();
   m_DeadlineTimer = Timer();
   m_ParkTimer = Timer();
+  m_PaceTimer = Timer();
   m_SilenceTimer = Timer();
   m_Probe = HttpCallHandle();
   const Duration First = m_FirstByte ? *m_FirstByte - m_Arrived : 0us;
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -112,6 +112,7 @@
   HttpCallHandle m_Probe; ///< Whether a silent upstream is still there.
   Timer m_DeadlineTimer;
   Timer m_ParkTimer;
+  Timer m_PaceTimer;
   Timer m_SilenceTimer;
 };
 
--- a/tests/gateway/GatewayTest.h
+++ b/tests/gateway/GatewayTest.h
@@ -76,6 +76,38 @@
     m_Store.put("op/config", dumpJson(Config));
   }
 
+  /// Lists the runner \p Id as an engine of the service `llm` that holds
+  /// \p Models.
+  void listEngine(const std::string &Id,
+                  const std::vector<std::string> &Models) {
+    Json Resident = Json::array();
+    for (const std::string &Name : Models)
+      Resident.push_back({{"name", Name}, {"adapterList", Json::array()}});
+    m_Store.put("servers/" + Id,
+                dumpJson({{"service", "llm"},
+                          {"address", m_Runners.at(Id)->endpoint().str()},
+                          {"zone", "a"},
+                          {"slots", 8},
+                          {"state", "ready"},
+                          {"modelList", std::move(Resident)}}));
+  }
+
+  /// The configuration has one \p Route, to the service `llm`, whose engines
+  /// may hold \p Models.
+  void configureEngines(Json Route, Json Models) {
+    Route["service"] = "llm";
+    const Json Engine{{"slots", 8},
+                      {"weightsMb", 100},
+                      {"adapterCapacity", 4},
+                      {"loadsPerS", 2},
+                      {"modelList", std::move(Models)}};
+    const Json Service{{"name", "llm"}, {"inferenceEngine", Engine}};
+    m_Store.put("op/config",
+                dumpJson({{"version", 1},
+                          {"routes", Json::array({std::move(Route)})},
+                          {"services", Json::array({Service})}}));
+  }
+
   GatewayOptions options() const {
     GatewayOptions Options;
     Options.m_Box = BoxName("box");
--- a/tests/gateway/OrderTest.cpp
+++ b/tests/gateway/OrderTest.cpp
@@ -54,35 +54,13 @@
     addRunner("i-1", [this](const Request &Of, const ConnectionPtr &To) {
       m_Engine.serve(Of, To);
     });
-    m_Store.put("servers/i-1",
-                dumpJson({{"service", "llm"},
-                          {"address", m_Runners.at("i-1")->endpoint().str()},
-                          {"zone", "a"},
-                          {"slots", 8},
-                          {"state", "ready"},
-                          {"modelList",
-                           Json::array({{{"name", "m"},
-                                         {"adapterList", Json::array()}}})}}));
-    Json Model{{"name", "m"},
-               {"weightsMb", 60},
-               {"loadTimeS", 4},
-               {"adapterList", 3},
-               {"adapterSizeMb", 1}};
-    Json Route = route("llm", "unsafe");
-    Route["service"] = "llm";
-    m_Store.put(
-        "op/config",
-        dumpJson({{"version", 1},
-                  {"routes", Json::array({std::move(Route)})},
-                  {"services",
-                   Json::array({{{"name", "llm"},
-                                 {"inferenceEngine",
-                                  {{"slots", 8},
-                                   {"weightsMb", 100},
-                                   {"adapterCapacity", 4},
-                                   {"loadsPerS", 2},
-                                   {"modelList",
-                                    Json::array({std::move(Model)})}}}}})}}));
+    listEngine("i-1", {"m"});
+    configureEngines(route("llm", "unsafe"),
+                     Json::array({{{"name", "m"},
+                                   {"weightsMb", 60},
+                                   {"loadTimeS", 4},
+                                   {"adapterList", 3},
+                                   {"adapterSizeMb", 1}}}));
     startGateway();
     REQUIRE(until([&] {
       return m_Gateway->state().ready() && m_Gateway->givesOrders();
--- a/tests/gateway/PaceTest.cpp
+++ b/tests/gateway/PaceTest.cpp
@@ -10,43 +10,33 @@
 /// One engine with one model behind a route whose streams may pause for 100 ms.
 class PaceTest : public GatewayTest {
 public:
-  explicit PaceTest(StandinRunner::Behaviour Behave) {
+  explicit PaceTest(StandinRunner::Behaviour Behave, int TargetMs = 1000) {
     addRunner("i-1", std::move(Behave));
-    const Json Resident{{"name", "m"}, {"adapterList", Json::array()}};
-    m_Store.put("servers/i-1",
-                dumpJson({{"service", "llm"},
-                          {"address", m_Runners.at("i-1")->endpoint().str()},
-                          {"zone", "a"},
-                          {"slots", 8},
-                          {"state", "ready"},
-                          {"modelList", Json::array({Resident})}}));
+    listEngine("i-1", {"m"});
     Json Route = route("llm", "streaming");
-    Route["service"] = "llm";
     Route["gapTargetMs"] = 100;
-    const Json Model{{"name", "m"}, {"weightsMb", 60}, {"loadTimeS", 4}};
-    const Json Engine{{"slots", 8},
-                      {"weightsMb", 100},
-                      {"loadsPerS", 2},
-                      {"modelList", Json::array({Model})}};
-    const Json Service{{"name", "llm"}, {"inferenceEngine", Engine}};
-    m_Store.put("op/config", dumpJson({{"version", 1},
-                                       {"routes", Json::array({Route})},
-                                       {"services", Json::array({Service})}}));
+    Route["targetLatencyMs"] = TargetMs;
+    const auto Model = [](const char *Name) {
+      return Json{{"name", Name}, {"weightsMb", 40}, {"loadTimeS", 4}};
+    };
+    configureEngines(std::move(Route), Json::array({Model("m"), Model("n")}));
     startGateway();
     REQUIRE(until([&] { return m_Gateway->state().ready(); }));
   }
 
-  void ask(const std::string &Id) {
+  void ask(const std::string &Id, const std::string &Model = "m") {
     HttpCall Call = call("/llm/x", Id);
-    Call.m_Headers.push_back({"X-Model-Name", "m"});
+    Call.m_Headers.push_back({"X-Model-Name", Model});
     Call.m_Headers.push_back({"X-Token-Counts", "5000,10"});
-    m_Http.fetch(std::move(Call), [this](const HttpAnswer &Answer) {
+    m_Http.fetch(std::move(Call), [this, Id](const HttpAnswer &Answer) {
       m_Whole += Answer.m_End == HttpEnd::Complete ? 1 : 0;
+      m_Status[Id] = Answer.m_Status;
     });
   }
 
-  int m_Whole = 0; ///< Whole answers.
-  Timer m_Reading; ///< Ends before its loop does.
+  int m_Whole = 0;                     ///< Whole answers.
+  std::map<std::string, int> m_Status; ///< Of the answer to each request.
+  Timer m_Reading;                     ///< Ends before its loop does.
 };
 
 void streamOne(const Request &Of, const ConnectionPtr &To) {
@@ -76,3 +66,26 @@
   REQUIRE(Test.until([&] { return Test.m_Whole == 2; }));
   REQUIRE(BesideFirst == false);
 }
+
+TEST_CASE("A request whose model goes while it waits for its pace is refused",
+          "[gateway][pace]") {
+  // The engine reads the first prompt for ever.
+  PaceTest Test([](const Request &, const ConnectionPtr &) {}, 10000);
+  Test.ask("id-1");
+  REQUIRE(Test.until([&] { return Test.arrivals("id-1") == 1; }));
+  Test.ask("id-2", "n");
+  // Answered after the request before it was taken.
+  REQUIRE(Test.fetch("/elsewhere/x", "id-3").m_Status == 404);
+  const auto Holds = [&] {
+    const UpstreamInstance *Engine =
+        Test.m_Gateway->state().m_Upstreams.find("i-1");
+    return Engine->resident("n") != nullptr;
+  };
+  Test.listEngine("i-1", {"m", "n"});
+  REQUIRE(Test.until(Holds));
+  Test.listEngine("i-1", {"m"});
+  REQUIRE(Test.until([&] { return !Holds(); }));
+  REQUIRE(Test.until([&] { return Test.m_Status.contains("id-2"); }));
+  REQUIRE(Test.m_Status["id-2"] == 503);
+  REQUIRE(Test.arrivals("id-2") == 0);
+}
