One rule for when to come back, one way to tick soon; former loads over all services

The two refusals computed the time to stay away each by itself (comeBackAfter), the order giver deferred a tick in two places (tickSoon). The former holder's loads were counted with the models of the first service of engines for a ceiling that all share; now with the shortest load of all, once for a plan: with one service nothing changes. The line former_loads no longer has 'left', which the plan's own line shortage tells.

--- a/packages/decisions/request/ReplicaAdmission.cpp
+++ b/packages/decisions/request/ReplicaAdmission.cpp
@@ -6,10 +6,15 @@
 
 namespace {
 
-constexpr double LeastAwayMs = 50;
+constexpr Duration LeastAway = 50ms;
 
 } // namespace
 
+Duration comeBackAfter(Duration TimeLeft, Duration Least,
+                       const AdmissionOptions &Opts) {
+  return std::max(Least, fromMillis(Opts.m_AwayPart * inMillis(TimeLeft)));
+}
+
 std::optional<Duration> refuseFor(const AdmissionFacts &Facts,
                                   const AdmissionOptions &Opts) {
   const double Target = inMillis(Facts.m_Target);
@@ -23,15 +28,14 @@
   if (Facts.m_TriedBefore || Waited > Opts.m_EarlyPart * Target) {
     if (!Hopeless)
       return std::nullopt;
-    return fromMillis(LeastAwayMs);
+    return LeastAway;
   }
   const double Own = std::min(Facts.m_WorkMs, Opts.m_OwnPart * Target);
   const double Wait = Facts.m_ExpectedMs - Facts.m_WorkMs + Waited;
   const double Allowed = Opts.m_WaitPart * (Target - Own);
   if (Wait <= Allowed)
     return std::nullopt;
-  return fromMillis(
-      std::max(LeastAwayMs, Opts.m_AwayPart * inMillis(Facts.m_TimeLeft)));
+  return comeBackAfter(Facts.m_TimeLeft, LeastAway, Opts);
 }
 
 } // namespace havenstair
--- a/packages/decisions/request/ReplicaAdmission.h
+++ b/packages/decisions/request/ReplicaAdmission.h
@@ -40,6 +40,11 @@
   Duration m_LeastPatience = 2s;
 };
 
+/// When a caller that is refused with \p TimeLeft should come back: not before
+/// \p Least.
+Duration comeBackAfter(Duration TimeLeft, Duration Least,
+                       const AdmissionOptions &Opts);
+
 /// How long the caller should stay away; empty to send the request now.
 std::optional<Duration> refuseFor(const AdmissionFacts &Facts,
                                   const AdmissionOptions &Opts);
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -173,9 +173,17 @@
   for (const ModelKey &Key : Keys)
     m_Missing.try_emplace(Key, Wanted{.m_Since = Now}).first->second.m_Last =
         Now;
-  if (!giving() || std::exchange(m_TickSoon, true))
+  if (giving())
+    tickSoon(true);
+}
+
+/// In the next pass of the loop, once for all that ask for it by then; the
+/// first of them says whether a plan is made.
+void OrderGiver::tickSoon(bool Plan) {
+  if (std::exchange(m_TickSoon, true))
     return;
-  m_NextPlan = Now;
+  if (Plan)
+    m_NextPlan = EventLoop::now();
   m_Loop.defer([this] {
     m_TickSoon = false;
     tick();
@@ -425,14 +433,7 @@
       Of.m_NextReport = Now + ReportEvery;
     }
   }
-  if (!std::exchange(m_TickSoon, true)) {
-    if (!Order.m_Adapter.empty())
-      m_NextPlan = Now;
-    m_Loop.defer([this] {
-      m_TickSoon = false;
-      tick();
-    });
-  }
+  tickSoon(!Order.m_Adapter.empty());
 }
 
 void OrderGiver::plan(TimePoint Now) {
@@ -443,6 +444,7 @@
   // Engines that start together appear one after the other.
   if (!mayOrder(Now) || !m_State.m_Config || Now - m_GrewAt < SettleFor)
     return;
+  countFormerLoads(Now);
   for (const ServiceSpec &Service : m_State.m_Config->m_Services)
     if (Service.m_Engine) {
       planModels(Service.m_Name, *Service.m_Engine, Now);
@@ -450,19 +452,26 @@
     }
 }
 
+/// Empty before any model is known.
+std::optional<Duration> OrderGiver::shortestStoreLoad() const {
+  std::optional<Duration> Shortest;
+  for (const ServiceSpec &Service : m_State.m_Config->m_Services)
+    if (Service.m_Engine)
+      for (const ModelSpec &Model : Service.m_Engine->m_Models)
+        Shortest =
+            std::min(Shortest.value_or(Model.m_StoreLoad), Model.m_StoreLoad);
+  return Shortest;
+}
+
 /// A load from the store that takes longer than the window of their bound is
 /// still under way at its end: once all engines have spoken, those under way
 /// are all that count of the former holder's.
-void OrderGiver::countFormerLoads(const EngineSpec &Spec, TimePoint Now) {
-  if (!m_Ceiling.takenOver() || Spec.m_Models.empty())
+void OrderGiver::countFormerLoads(TimePoint Now) {
+  if (!m_Ceiling.takenOver())
     return;
-  const auto Sooner = [](const ModelSpec &A, const ModelSpec &B) {
-    return A.m_StoreLoad < B.m_StoreLoad;
-  };
-  const Duration Shortest =
-      std::min_element(Spec.m_Models.begin(), Spec.m_Models.end(), Sooner)
-          ->m_StoreLoad;
-  if (Now < m_FormerOrdersUntil + m_Opts.m_Bounds.m_CeilingWindow - Shortest)
+  const auto Shortest = shortestStoreLoad();
+  if (!Shortest ||
+      Now < m_FormerOrdersUntil + m_Opts.m_Bounds.m_CeilingWindow - *Shortest)
     return;
   const auto UnderWay = static_cast<std::size_t>(
       std::count_if(m_Engines.begin(), m_Engines.end(), [](const auto &Each) {
@@ -470,9 +479,8 @@
         return !Ledger.known() || Ledger.modelOrder();
       }));
   m_Ceiling.formerLoads(UnderWay, Now);
-  m_Log.write("former_loads", {{"under_way", UnderWay},
-                               {"engines", m_Engines.size()},
-                               {"left", m_Ceiling.left(Now)}});
+  m_Log.write("former_loads",
+              {{"under_way", UnderWay}, {"engines", m_Engines.size()}});
 }
 
 void OrderGiver::planModels(const std::string &Service, const EngineSpec &Spec,
@@ -480,7 +488,6 @@
   m_Ceiling.configure({.m_LoadsPerS = Spec.m_LoadsPerS,
                        .m_Window = m_Opts.m_Bounds.m_CeilingWindow,
                        .m_Overage = m_Opts.m_Bounds.m_CeilingOverage});
-  countFormerLoads(Spec, Now);
   PlannerInput Input;
   Input.m_StoreLoads = m_Ceiling.left(Now);
   for (const auto &[Key, Rate] : m_Rates.rates(Now))
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -116,6 +116,7 @@
   void lost();
   void tick();
   void tickLater();
+  void tickSoon(bool Plan);
   bool mayOrder(TimePoint Now) const;
 
   const EngineSpec *specOf(const std::string &Service) const;
@@ -128,7 +129,8 @@
   void advance(const InstanceId &Id, Engine &Of, const EngineSpec &Spec,
                TimePoint Now);
   void plan(TimePoint Now);
-  void countFormerLoads(const EngineSpec &Spec, TimePoint Now);
+  std::optional<Duration> shortestStoreLoad() const;
+  void countFormerLoads(TimePoint Now);
   void planModels(const std::string &Service, const EngineSpec &Spec,
                   TimePoint Now);
   void logShortage(const PlannerInput &Input, TimePoint Now);
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -168,9 +168,8 @@
 }
 
 Duration ProxiedRequest::loadingAway() const {
-  const double Left = inMillis(m_Deadline - EventLoop::now());
-  return std::max(LoadingAway,
-                  fromMillis(m_Owner.m_Opts.m_Admission.m_AwayPart * Left));
+  return comeBackAfter(m_Deadline - EventLoop::now(), LoadingAway,
+                       m_Owner.m_Opts.m_Admission);
 }
 
 int ProxiedRequest::enginePriority() const {
