A client that ends right after an answer leaves nothing behind

Cause: fetch() defers the removal of its handle to the next pass of the loop, with a pointer to the client. A client that ends in between was used after it was freed; seen as a crash of LargeFleetTest when a box is destroyed, shown by the address sanitizer. Ruled out: the links of the fleet, whose deferred work checks a token. Change: the deferred removal holds a weak pointer to the set of open calls. Test: 'A client may end right after an answer has come' (sanitizer: use after free before, none after).

--- a/packages/wire/common/HttpClient.cpp
+++ b/packages/wire/common/HttpClient.cpp
@@ -391,10 +391,13 @@
   Call.m_OnEnd = [this, Id, Answer, Done = std::move(Done)](HttpEnd End) {
     Answer->m_End = End;
     // The handle must outlive this callback, which belongs to it.
-    m_Loop.defer([this, Id] { m_Fetches.erase(Id); });
+    m_Loop.defer([Fetches = std::weak_ptr(m_Fetches), Id] {
+      if (const auto Open = Fetches.lock())
+        Open->erase(Id);
+    });
     Done(std::move(*Answer));
   };
-  m_Fetches.emplace(Id, start(std::move(Call)));
+  m_Fetches->emplace(Id, start(std::move(Call)));
 }
 
 std::shared_ptr<void>
--- a/packages/wire/common/HttpClient.h
+++ b/packages/wire/common/HttpClient.h
@@ -129,7 +129,8 @@
 
   EventLoop &m_Loop;
   std::shared_ptr<KeptConnections> m_Kept;
-  std::map<std::uint64_t, HttpCallHandle> m_Fetches;
+  using Fetches = std::map<std::uint64_t, HttpCallHandle>;
+  std::shared_ptr<Fetches> m_Fetches = std::make_shared<Fetches>();
   std::uint64_t m_NextFetch = 0;
 };
 
--- a/tests/wire/HttpTest.cpp
+++ b/tests/wire/HttpTest.cpp
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <catch2/catch.hpp>
+#include <memory>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -150,6 +151,24 @@
   REQUIRE(findHeader(Got.m_Headers, "x-test") == "/p");
 }
 
+TEST_CASE("A client may end right after an answer has come", "[http]") {
+  EventLoop Loop;
+  HttpServer Server(Loop, {.m_Listen = Loopback},
+                    [](const HttpExchangePtr &Exchange) {
+                      Exchange->reply(200, {}, "body");
+                    });
+  auto Client = std::make_unique<HttpClient>(Loop);
+  bool Done = false;
+  Client->fetch(callTo(Server.endpoint(), "/x"),
+                [&](const HttpAnswer &) { Done = true; });
+  REQUIRE(Loop.runUntil([&] { return Done; }, Limit));
+  Client.reset();
+  // What the client put off until now has nothing left to work on.
+  bool Passed = false;
+  Loop.defer([&] { Passed = true; });
+  REQUIRE(Loop.runUntil([&] { return Passed; }, Limit));
+}
+
 TEST_CASE("A call to a closed port was not written", "[http][unsafe]") {
   EventLoop Loop;
   Endpoint Closed;
