--- /dev/null
+++ b/packages/gateway/process/ManagedEngine.cpp
@@ -0,0 +1,109 @@
+#include "gateway/process/ManagedEngine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace havenstair {
+
+namespace {
+
+/// An adapter arrives in some milliseconds; engines tell of it much later.
+constexpr Duration AdapterArrivesIn = 40ms;
+
+/// Contents are told again after this, changed or not.
+constexpr Duration TellAgainAfter = 3s;
+
+} // namespace
+
+void ManagedEngine::begin(const PlannedMove &Move, TimePoint Now) {
+  using Phase = EngineTask::Phase;
+  m_Task = {.m_Move = Move,
+            .m_Phase = Move.m_Evict.empty() ? Phase::Loading : Phase::Retiring,
+            .m_Since = Now};
+  m_ServesAt = Now + fromMillis(Move.m_ServesInMs);
+}
+
+PlannedEngine ManagedEngine::forModels(const UpstreamInstance &Entry,
+                                       double Slowness, Duration ReplicaStays,
+                                       TimePoint Now) const {
+  PlannedEngine Planned{.m_Id = Entry.m_Id,
+                        .m_InMemory = m_Ledger.inMemory(),
+                        .m_OnDisk = m_Ledger.onDisk(),
+                        .m_Slowness = Slowness,
+                        .m_Movable = m_Ledger.idle() && !m_Task,
+                        .m_Leaving = Entry.m_Draining};
+  for (const auto &[Model, At] : m_ModelAt)
+    if (Now - At < ReplicaStays)
+      Planned.m_Fresh.insert(Model);
+  for (const ResidentModel &Model :
+       m_Ledger.known() ? m_Ledger.models() : Entry.m_Models)
+    Planned.m_Models.insert(Model.m_Name);
+  const auto Comes = [&](const std::string &Model) {
+    Planned.m_Models.insert(Model);
+    Planned.m_Coming[Model] = std::max(0.0, inMillis(m_ServesAt - Now));
+  };
+  if (const auto &Order = m_Ledger.modelOrder();
+      Order && Order->m_Load && !Order->m_Model.empty())
+    Comes(Order->m_Model);
+  if (!m_Task)
+    return Planned;
+  Planned.m_Models.erase(m_Task->m_Move.m_Evict);
+  if (!m_Task->m_Move.m_Load.empty())
+    Comes(m_Task->m_Move.m_Load);
+  return Planned;
+}
+
+AdapterEngine ManagedEngine::forAdapters(const InstanceId &Id, double Busy,
+                                         Duration AdapterStays,
+                                         TimePoint Now) const {
+  AdapterEngine Result{.m_Id = Id,
+                       .m_Ledger = &m_Ledger,
+                       .m_Busy = Busy,
+                       .m_Retiring = {},
+                       .m_Fresh = {}};
+  for (const auto &[Key, At] : m_AdapterAt)
+    if (Now - At < AdapterStays)
+      Result.m_Fresh.insert(Key);
+  if (m_Task)
+    Result.m_Retiring.insert(m_Task->m_Move.m_Evict);
+  return Result;
+}
+
+EngineContents ManagedEngine::lastingContents(const InstanceId &Id,
+                                              TimePoint Now) const {
+  EngineContents Result{
+      .m_Engine = Id, .m_Models = m_Ledger.models(), .m_Retiring = {}};
+  if (Now - m_AdapterOrderAt >= AdapterArrivesIn)
+    for (ResidentModel &Model : Result.m_Models)
+      for (const std::string &Adapter : m_Ledger.comingAdapters(Model.m_Name))
+        Model.m_Adapters.insert(Adapter);
+  if (m_Task && m_Task->m_Phase != EngineTask::Phase::Loading)
+    Result.m_Retiring.insert(m_Task->m_Move.m_Evict);
+  if (m_Task)
+    Result.m_Loading = m_Task->m_Move.m_Load;
+  else if (const auto &Order = m_Ledger.modelOrder(); Order && Order->m_Load)
+    Result.m_Loading = Order->m_Model;
+  return Result;
+}
+
+EngineContents ManagedEngine::contents(const InstanceId &Id,
+                                       TimePoint Now) const {
+  EngineContents Result = lastingContents(Id, Now);
+  if (!Result.m_Loading.empty())
+    Result.m_ServesIn = std::max<Duration>(0us, m_ServesAt - Now);
+  return Result;
+}
+
+std::optional<EngineContents> ManagedEngine::takeNews(const InstanceId &Id,
+                                                      TimePoint Now) {
+  EngineContents Lasting = lastingContents(Id, Now);
+  if (Lasting == m_Told && m_ServesAt == m_ToldServesAt &&
+      Now - m_ToldAt < TellAgainAfter)
+    return std::nullopt;
+  m_Told = std::move(Lasting);
+  m_ToldServesAt = m_ServesAt;
+  m_ToldAt = Now;
+  return contents(Id, Now);
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/gateway/process/ManagedEngine.h
@@ -0,0 +1,67 @@
+/// \file
+/// One engine as the box that gives orders knows it.
+#ifndef HAVENSTAIR_GATEWAY_PROCESS_MANAGEDENGINE_H
+#define HAVENSTAIR_GATEWAY_PROCESS_MANAGEDENGINE_H
+
+#include "decisions/process/AdapterPlanner.h"
+#include "decisions/process/EngineLedger.h"
+#include "decisions/process/ReplicaPlanner.h"
+#include "wire/connection/FleetFrames.h"
+#include <map>
+#include <optional>
+#include <string>
+
+namespace havenstair {
+
+/// A move that is being carried out on an engine.
+struct EngineTask {
+  enum class Phase {
+    Retiring,  ///< Boxes hear that the model makes way.
+    Unloading, ///< Its answers end.
+    Loading
+  };
+
+  PlannedMove m_Move;
+  Phase m_Phase = Phase::Loading;
+  TimePoint m_Since{};
+};
+
+/// What an engine holds, what is done to it, and what the boxes were told of
+/// it.
+struct ManagedEngine {
+  EngineLedger m_Ledger;
+  std::optional<EngineTask> m_Task;
+  bool m_ReportAsked = false;
+  TimePoint m_NextReport{};
+  TimePoint m_ServesAt{}; ///< When its task or load is expected to end.
+  TimePoint m_AdapterOrderAt{};
+  std::map<std::string, TimePoint> m_ModelAt;  ///< When a model came.
+  std::map<AdapterKey, TimePoint> m_AdapterAt; ///< When it was ordered.
+
+  /// Starts to carry \p Move out.
+  void begin(const PlannedMove &Move, TimePoint Now);
+  /// For the plan of models, with what is under way counted as done. \p Entry
+  /// stands in for the engine's own word until that is known.
+  PlannedEngine forModels(const UpstreamInstance &Entry, double Slowness,
+                          Duration ReplicaStays, TimePoint Now) const;
+  /// For the plan of adapters.
+  AdapterEngine forAdapters(const InstanceId &Id, double Busy,
+                            Duration AdapterStays, TimePoint Now) const;
+  /// For the other boxes.
+  EngineContents contents(const InstanceId &Id, TimePoint Now) const;
+  /// The same if the boxes were told something else, or long ago; it counts as
+  /// told then.
+  std::optional<EngineContents> takeNews(const InstanceId &Id, TimePoint Now);
+
+private:
+  /// All but the time that a load still takes, which changes all the time.
+  EngineContents lastingContents(const InstanceId &Id, TimePoint Now) const;
+
+  EngineContents m_Told;
+  TimePoint m_ToldServesAt{};
+  TimePoint m_ToldAt{};
+};
+
+} // namespace havenstair
+
+#endif
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -19,18 +19,12 @@
 /// Time for all boxes to hear that a model retires.
 constexpr Duration RetireFor = 120ms;
 
-/// An adapter arrives in some milliseconds; engines tell of it much later.
-constexpr Duration AdapterArrivesIn = 40ms;
-
 /// How long requests are believed to wait for a missing model.
 constexpr Duration MissingCounts = 5s;
 
 /// Added to the time between the orders of two order givers.
 constexpr Duration TurnMargin = 300ms;
 
-/// Contents are told again after this, changed or not.
-constexpr Duration TellAgainAfter = 3s;
-
 constexpr Duration ReportEvery = 120ms;
 constexpr Duration ReportAfterFailure = 400ms;
 constexpr Duration UnloadTakes = 60ms;
@@ -229,7 +223,7 @@
     if (specOf(Entry.m_Service) == nullptr)
       continue;
     const auto [Place, New] = m_Engines.try_emplace(Id);
-    Engine &Known = Place->second;
+    ManagedEngine &Known = Place->second;
     // One that starts is empty. One that returns to the list, as all may do
     // after an outage of the store, brings models that seemed missing.
     if (New && (m_Gone.erase(Id) > 0 || Now - m_ClaimedAt < SettleFor))
@@ -254,7 +248,8 @@
   }
 }
 
-void OrderGiver::askReport(const InstanceId &Id, Engine &Of, TimePoint Now) {
+void OrderGiver::askReport(const InstanceId &Id, ManagedEngine &Of,
+                           TimePoint Now) {
   const auto Entry = m_State.m_Upstreams.list().m_Instances.find(Id);
   if (Entry == m_State.m_Upstreams.list().m_Instances.end())
     return;
@@ -273,7 +268,7 @@
   const auto Found = m_Engines.find(Id);
   if (Found == m_Engines.end())
     return;
-  Engine &Of = Found->second;
+  ManagedEngine &Of = Found->second;
   const TimePoint Now = EventLoop::now();
   Of.m_ReportAsked = false;
   if (!Report) {
@@ -299,13 +294,14 @@
   }
 }
 
-void OrderGiver::advance(const InstanceId &Id, Engine &Of,
+void OrderGiver::advance(const InstanceId &Id, ManagedEngine &Of,
                          const EngineSpec &Spec, TimePoint Now) {
   if (const auto Again = Of.m_Ledger.resend(Now)) {
     give(Id, Of, *Again, LoadSource::Disk, Now);
     return;
   }
-  const bool Unloading = Of.m_Task && Of.m_Task->m_Phase != Phase::Loading;
+  const bool Unloading =
+      Of.m_Task && Of.m_Task->m_Phase != EngineTask::Phase::Loading;
   if (Unloading && !Of.m_Ledger.modelOrder() &&
       Now - Of.m_Task->m_Since > UnloadWithin)
     Of.m_Task.reset();
@@ -317,21 +313,21 @@
       Of.m_Task.reset();
     return;
   }
-  Task &Current = *Of.m_Task;
+  EngineTask &Current = *Of.m_Task;
   const PlannedMove &Move = Current.m_Move;
-  if (Current.m_Phase == Phase::Retiring) {
+  if (Current.m_Phase == EngineTask::Phase::Retiring) {
     if (Now - Current.m_Since < RetireFor)
       return;
-    Current.m_Phase = Phase::Unloading;
+    Current.m_Phase = EngineTask::Phase::Unloading;
     Current.m_Since = Now;
   }
-  if (Current.m_Phase == Phase::Unloading) {
+  if (Current.m_Phase == EngineTask::Phase::Unloading) {
     if (Of.m_Ledger.holds(Move.m_Evict)) {
       give(Id, Of, {.m_Load = false, .m_Model = Move.m_Evict, .m_Adapter = {}},
            LoadSource::Disk, Now);
       return;
     }
-    Current.m_Phase = Phase::Loading;
+    Current.m_Phase = EngineTask::Phase::Loading;
     Current.m_Since = Now;
   }
   if (Move.m_Load.empty()) {
@@ -356,7 +352,7 @@
   give(Id, Of, Load, Source, Now);
 }
 
-bool OrderGiver::give(const InstanceId &Id, Engine &To,
+bool OrderGiver::give(const InstanceId &Id, ManagedEngine &To,
                       const ResidencyOrder &Order, LoadSource Source,
                       TimePoint) {
   const auto Entry = m_State.m_Upstreams.list().m_Instances.find(Id);
@@ -397,7 +393,7 @@
 }
 
 /// A load has begun, or never will, once the engine's word is in.
-void OrderGiver::settleLoad(const InstanceId &Id, const Engine &Of,
+void OrderGiver::settleLoad(const InstanceId &Id, const ManagedEngine &Of,
                             TimePoint Now) {
   if (!Of.m_Ledger.uncertain() && !Of.m_Ledger.waitsForAnswer())
     m_Ceiling.settled(Id, Now);
@@ -417,7 +413,7 @@
   const auto Found = m_Engines.find(Id);
   if (Found == m_Engines.end())
     return;
-  Engine &Of = Found->second;
+  ManagedEngine &Of = Found->second;
   Of.m_Ledger.answered(Answer, Now);
   const bool ModelLoad = Order.m_Load && Order.m_Adapter.empty();
   settleLoad(Id, Of, Now);
@@ -510,11 +506,8 @@
               {{"under_way", UnderWay}, {"engines", m_Engines.size()}});
 }
 
-void OrderGiver::planModels(const std::string &Service, const EngineSpec &Spec,
-                            TimePoint Now) {
-  m_Ceiling.configure({.m_LoadsPerS = Spec.m_LoadsPerS,
-                       .m_Window = m_Opts.m_Bounds.m_CeilingWindow,
-                       .m_Overage = m_Opts.m_Bounds.m_CeilingOverage});
+PlannerInput OrderGiver::plannerInput(const std::string &Service,
+                                      TimePoint Now) {
   PlannerInput Input;
   Input.m_StoreLoads = m_Ceiling.left(Now);
   for (const auto &[Key, Rate] : m_Rates.rates(Now))
@@ -531,43 +524,23 @@
         m_State.m_Upstreams.list().m_Instances.at(Id);
     if (Entry.m_Service != Service)
       continue;
-    PlannedEngine Planned{.m_Id = Id,
-                          .m_InMemory = Each.m_Ledger.inMemory(),
-                          .m_OnDisk = Each.m_Ledger.onDisk(),
-                          .m_Slowness = m_State.m_Latency.slowness(Id),
-                          .m_Movable = Each.m_Ledger.idle() && !Each.m_Task,
-                          .m_Leaving = Entry.m_Draining};
-    for (const auto &[Model, At] : Each.m_ModelAt)
-      if (Now - At < m_Opts.m_ReplicaStays)
-        Planned.m_Fresh.insert(Model);
-    const std::vector<ResidentModel> &Models =
-        Each.m_Ledger.known() ? Each.m_Ledger.models() : Entry.m_Models;
-    for (const ResidentModel &Model : Models)
-      Planned.m_Models.insert(Model.m_Name);
-    if (const auto &Order = Each.m_Ledger.modelOrder();
-        Order && Order->m_Load && !Order->m_Model.empty()) {
-      Planned.m_Models.insert(Order->m_Model);
-      Planned.m_Coming[Order->m_Model] =
-          std::max(0.0, inMillis(Each.m_ServesAt - Now));
-    }
-    if (Each.m_Task)
-      Planned.m_Models.erase(Each.m_Task->m_Move.m_Evict);
-    if (Each.m_Task && !Each.m_Task->m_Move.m_Load.empty()) {
-      Planned.m_Models.insert(Each.m_Task->m_Move.m_Load);
-      Planned.m_Coming[Each.m_Task->m_Move.m_Load] =
-          std::max(0.0, inMillis(Each.m_ServesAt - Now));
-    }
-    Input.m_Engines.push_back(std::move(Planned));
+    Input.m_Engines.push_back(Each.forModels(
+        Entry, m_State.m_Latency.slowness(Id), m_Opts.m_ReplicaStays, Now));
   }
+  return Input;
+}
+
+void OrderGiver::planModels(const std::string &Service, const EngineSpec &Spec,
+                            TimePoint Now) {
+  m_Ceiling.configure({.m_LoadsPerS = Spec.m_LoadsPerS,
+                       .m_Window = m_Opts.m_Bounds.m_CeilingWindow,
+                       .m_Overage = m_Opts.m_Bounds.m_CeilingOverage});
+  PlannerInput Input = plannerInput(Service, Now);
   logShortage(Input, Now);
   for (const PlannedMove &Move :
        planReplicas(Input, Spec, m_Opts.m_Planner, MostMoves)) {
-    Engine &At = m_Engines.at(Move.m_Engine);
-    At.m_Task =
-        Task{.m_Move = Move,
-             .m_Phase = Move.m_Evict.empty() ? Phase::Loading : Phase::Retiring,
-             .m_Since = Now};
-    At.m_ServesAt = Now + fromMillis(Move.m_ServesInMs);
+    ManagedEngine &At = m_Engines.at(Move.m_Engine);
+    At.begin(Move, Now);
     m_Log.write(
         "move",
         {{"engine", Move.m_Engine},
@@ -621,7 +594,7 @@
                            {"store_loads_left", Input.m_StoreLoads}});
 }
 
-double OrderGiver::busyPart(const std::string &Service, const Engine &Of,
+double OrderGiver::busyPart(const std::string &Service, const ManagedEngine &Of,
                             const std::map<std::string, std::size_t> &Replicas,
                             TimePoint Now) const {
   double Sum = 0;
@@ -659,17 +632,9 @@
     if (Entry.m_Service != Service || Entry.m_Draining ||
         !Each.m_Ledger.known())
       continue;
-    AdapterEngine Engine{.m_Id = Id,
-                         .m_Ledger = &Each.m_Ledger,
-                         .m_Busy = busyPart(Service, Each, Replicas, Now),
-                         .m_Retiring = {},
-                         .m_Fresh = {}};
-    for (const auto &[Key, At] : Each.m_AdapterAt)
-      if (Now - At < m_Opts.m_AdapterStays)
-        Engine.m_Fresh.insert(Key);
-    if (Each.m_Task)
-      Engine.m_Retiring.insert(Each.m_Task->m_Move.m_Evict);
-    Engines.push_back(std::move(Engine));
+    Engines.push_back(Each.forAdapters(Id,
+                                       busyPart(Service, Each, Replicas, Now),
+                                       m_Opts.m_AdapterStays, Now));
   }
   std::vector<std::pair<TimePoint, AdapterKey>> Waiting;
   for (const auto &[Key, Since] : m_Missing)
@@ -689,39 +654,12 @@
          LoadSource::Disk, Now);
 }
 
-EngineContents OrderGiver::contentsOf(const InstanceId &Id, const Engine &Of,
-                                      TimePoint Now) const {
-  EngineContents Result{
-      .m_Engine = Id, .m_Models = Of.m_Ledger.models(), .m_Retiring = {}};
-  if (Now - Of.m_AdapterOrderAt >= AdapterArrivesIn)
-    for (ResidentModel &Model : Result.m_Models)
-      for (const std::string &Adapter :
-           Of.m_Ledger.comingAdapters(Model.m_Name))
-        Model.m_Adapters.insert(Adapter);
-  if (Of.m_Task && Of.m_Task->m_Phase != Phase::Loading)
-    Result.m_Retiring.insert(Of.m_Task->m_Move.m_Evict);
-  if (Of.m_Task)
-    Result.m_Loading = Of.m_Task->m_Move.m_Load;
-  else if (const auto &Order = Of.m_Ledger.modelOrder(); Order && Order->m_Load)
-    Result.m_Loading = Order->m_Model;
-  return Result;
-}
-
-/// How long a load takes yet changes all the time; it is told beside what is
-/// compared.
-EngineContents OrderGiver::withTime(EngineContents Contents, const Engine &Of,
-                                    TimePoint Now) {
-  if (!Contents.m_Loading.empty())
-    Contents.m_ServesIn = std::max<Duration>(0us, Of.m_ServesAt - Now);
-  return Contents;
-}
-
 FleetContentsFrame OrderGiver::contents() const {
   FleetContentsFrame Frame{.m_FencingToken = m_Claim.token(), .m_Engines = {}};
   const TimePoint Now = EventLoop::now();
   for (const auto &[Id, Each] : m_Engines)
     if (giving() && Each.m_Ledger.known())
-      Frame.m_Engines.push_back(withTime(contentsOf(Id, Each, Now), Each, Now));
+      Frame.m_Engines.push_back(Each.contents(Id, Now));
   return Frame;
 }
 
@@ -731,14 +669,8 @@
   for (auto &[Id, Each] : m_Engines) {
     if (!Each.m_Ledger.known())
       continue;
-    EngineContents Contents = contentsOf(Id, Each, Now);
-    if (Contents == Each.m_Told && Each.m_ServesAt == Each.m_ToldServesAt &&
-        Now - Each.m_ToldAt < TellAgainAfter)
-      continue;
-    Each.m_Told = Contents;
-    Each.m_ToldServesAt = Each.m_ServesAt;
-    Each.m_ToldAt = Now;
-    Frame.m_Engines.push_back(withTime(std::move(Contents), Each, Now));
+    if (auto News = Each.takeNews(Id, Now))
+      Frame.m_Engines.push_back(std::move(*News));
   }
   if (!Frame.m_Engines.empty())
     m_Hooks.m_Contents(Frame);
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -3,14 +3,13 @@
 #ifndef HAVENSTAIR_GATEWAY_PROCESS_ORDERGIVER_H
 #define HAVENSTAIR_GATEWAY_PROCESS_ORDERGIVER_H
 
-#include "decisions/process/AdapterPlanner.h"
 #include "decisions/process/DemandRates.h"
-#include "decisions/process/EngineLedger.h"
 #include "decisions/process/LoadCeiling.h"
 #include "decisions/process/ReplicaPlanner.h"
 #include "gateway/process/EngineControl.h"
 #include "gateway/process/GatewayOptions.h"
 #include "gateway/process/HolderClaim.h"
+#include "gateway/process/ManagedEngine.h"
 #include "gateway/process/ServingState.h"
 #include "wire/common/EventLoop.h"
 #include "wire/connection/FleetFrames.h"
@@ -87,32 +86,11 @@
   void leave();
 
 private:
-  /// What is being done on one engine.
-  enum class Phase { Retiring, Unloading, Loading };
-  struct Task {
-    PlannedMove m_Move;
-    Phase m_Phase = Phase::Loading;
-    TimePoint m_Since{};
-  };
   /// A model or adapter that requests waited for.
   struct Wanted {
     TimePoint m_Since{};
     TimePoint m_Last{};
   };
-  struct Engine {
-    EngineLedger m_Ledger;
-    std::optional<Task> m_Task;
-    bool m_ReportAsked = false;
-    TimePoint m_NextReport{};
-    EngineContents m_Told;
-    TimePoint m_ToldAt{};
-    TimePoint m_ToldServesAt{};
-    TimePoint m_ServesAt{}; ///< When its task or load is expected to end.
-    TimePoint m_AdapterOrderAt{};
-    std::map<std::string, TimePoint> m_ModelAt;  ///< When a model came.
-    std::map<AdapterKey, TimePoint> m_AdapterAt; ///< When it was ordered.
-  };
-
   void taken(const HolderClaim::Former &Before);
   void lost();
   void tick();
@@ -123,32 +101,29 @@
   const EngineSpec *specOf(const std::string &Service) const;
   void refreshEngines(TimePoint Now);
   void askReports(TimePoint Now);
-  void askReport(const InstanceId &Id, Engine &Of, TimePoint Now);
+  void askReport(const InstanceId &Id, ManagedEngine &Of, TimePoint Now);
   void heard(const InstanceId &Id,
              const std::optional<ResidencyReport> &Report);
   void advanceTasks(TimePoint Now);
-  void advance(const InstanceId &Id, Engine &Of, const EngineSpec &Spec,
+  void advance(const InstanceId &Id, ManagedEngine &Of, const EngineSpec &Spec,
                TimePoint Now);
   void plan(TimePoint Now);
   std::optional<Duration> shortestStoreLoad() const;
   void countFormerLoads(TimePoint Now);
   void expectByReplicas(TimePoint Now);
+  PlannerInput plannerInput(const std::string &Service, TimePoint Now);
   void planModels(const std::string &Service, const EngineSpec &Spec,
                   TimePoint Now);
   void logShortage(const PlannerInput &Input, TimePoint Now);
   void planAdapterMoves(const std::string &Service, const EngineSpec &Spec,
                         TimePoint Now);
-  bool give(const InstanceId &Id, Engine &To, const ResidencyOrder &Order,
-            LoadSource Source, TimePoint Now);
+  bool give(const InstanceId &Id, ManagedEngine &To,
+            const ResidencyOrder &Order, LoadSource Source, TimePoint Now);
   void orderAnswered(const InstanceId &Id, const ResidencyOrder &Order,
                      LoadSource Source, OrderAnswer Answer);
-  void settleLoad(const InstanceId &Id, const Engine &Of, TimePoint Now);
+  void settleLoad(const InstanceId &Id, const ManagedEngine &Of, TimePoint Now);
   void tellChanges();
-  EngineContents contentsOf(const InstanceId &Id, const Engine &Of,
-                            TimePoint Now) const;
-  static EngineContents withTime(EngineContents Contents, const Engine &Of,
-                                 TimePoint Now);
-  double busyPart(const std::string &Service, const Engine &Of,
+  double busyPart(const std::string &Service, const ManagedEngine &Of,
                   const std::map<std::string, std::size_t> &Replicas,
                   TimePoint Now) const;
   bool resident(const std::string &Model, const std::string &Adapter) const;
@@ -174,7 +149,7 @@
   /// The last time engines came back, or were listed at the start.
   TimePoint m_GrewAt{};
   std::set<InstanceId> m_Gone; ///< Engines that left the list.
-  std::map<InstanceId, Engine> m_Engines;
+  std::map<InstanceId, ManagedEngine> m_Engines;
   std::map<ModelKey, Wanted> m_Missing;
   LoadCeiling m_Ceiling;
   Timer m_Timer;
