A stop answers those that wait for a load, at once

Since admission waits for known loads, a request may wait for seconds in a box that stops. Ruled out: last bytes in a buffer (no answer had begun). Change: a stop judges waiting requests again, and while a box stops nothing waits: 503 with 10 ms, as another box is there.

--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -36,9 +36,6 @@
 /// The balancer needs two questions, a second apart, to see that a box stops.
 constexpr Duration LeastStop = 3s;
 
-/// When a caller may come back, to another box.
-constexpr Duration StoppingAway = 10ms;
-
 /// What is left of the grace period when the process ends by itself.
 constexpr Duration GraceMargin = 600ms;
 constexpr Duration StopCheckEvery = 100ms;
@@ -264,8 +261,9 @@
 /// A request that comes late in a stop may not end before the process does.
 void Gateway::takeRequest(const HttpExchangePtr &Exchange) {
   if (m_State.m_Stopping && EventLoop::now() >= m_LeaveAt)
-    return m_Forwarder.refuse(Exchange, {.m_Kind = ErrorKind::Stopping,
-                                         .m_RetryAfter = StoppingAway});
+    return m_Forwarder.refuse(Exchange,
+                              {.m_Kind = ErrorKind::Stopping,
+                               .m_RetryAfter = Forwarder::StoppingAway});
   m_Forwarder.handle(Exchange);
 }
 
@@ -359,6 +357,8 @@
   m_BusyAt = Now;
   m_StopAt = Now + m_Options.m_Bounds.m_GracePeriod - GraceMargin;
   m_Callers->closeAfterAnswers();
+  // Those that wait for a load go elsewhere at once.
+  m_Forwarder.upstreamsChanged();
   m_Giver.leave();
   m_Fleet.leave();
   m_Log.write("stopping", {{"open", m_Forwarder.open()}});
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -34,6 +34,9 @@
 /// Owner of all requests of the process that are under way.
 class Forwarder {
 public:
+  /// When a caller may come back, to another box, while this one stops.
+  static constexpr Duration StoppingAway = 10ms;
+
   struct Options {
     ReplicaWeights m_Weights;
     AdmissionOptions m_Admission;
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -168,7 +168,11 @@
   case AdmissionStep::Send:
     return true;
   case AdmissionStep::Wait:
-    wait(Decision.m_For);
+    // What waits may not end before the process does.
+    if (m_Owner.m_State.m_Stopping)
+      refuse(ErrorKind::Stopping, Forwarder::StoppingAway, {});
+    else
+      wait(Decision.m_For);
     return false;
   case AdmissionStep::Refuse:
     refuse(Chosen               ? ErrorKind::Overloaded
