havenstair losses: what callers lost and why, by route, model or second

From the last lines of tries in the logs of several boxes: in time, late, refused first and again, failed, time held for nothing, how close the expected first tokens were, the causes, and a strict credit for each caller: 1 in time, 0.3 late, counted from the first try; waiting unserved costs by its length up to the target, failing twice 0.3; the weights are flags. A refusal earns nothing, whenever it comes. The last line of a try tells the route's target and longest pause for it. Left: a plot, and groups by data centre.

--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -573,6 +573,8 @@
        {"serves_in_ms",
         m_Judged.m_ServesIn ? Json(*m_Judged.m_ServesIn / 1ms) : Json()},
        {"told_ms", m_ToldAway / 1ms},
+       {"target_ms", m_Route.m_Target / 1ms},
+       {"gap_target_ms", m_Route.m_GapTarget / 1ms},
        {"first_ms", First / 1ms},
        {"gap_ms", m_LongestGap / 1ms},
        {"whole_ms", waited(Now) / 1ms}});
--- a/packages/havenstair/main.cpp
+++ b/packages/havenstair/main.cpp
@@ -4,6 +4,7 @@
 #include "havenstair/common/ExitCode.h"
 #include "havenstair/process/FleetCommands.h"
 #include "havenstair/request/LoadCommand.h"
+#include "havenstair/request/LossesCommand.h"
 #include "havenstair/request/TraceCommand.h"
 #include "havenstair/version/TableCommands.h"
 #include "wire/common/Crypto.h"
@@ -36,6 +37,8 @@
   havenstair moves [options]
   havenstair explain ID [options]
   havenstair trace ID FILE...
+  havenstair losses [--by=WORD] [--late=PART] [--held=PART]
+                    [--second=PART] [--json] FILE...
   havenstair drain BOX [options]
   havenstair hash-key KEY
   havenstair load --callers=LIST --keys=LIST --models=LIST [--rate=N]
@@ -51,6 +54,10 @@
 Options:
   --operators ADDRESS  Operators' address of any box, or HAVENSTAIR_OPERATORS.
   --json               Print JSON.
+  --by=WORD            Losses by route, model or second [default: route].
+  --late=PART          Credit of a late answer [default: 0.3].
+  --held=PART          Loss by waiting the target for nothing [default: 1].
+  --second=PART        Loss by failing twice [default: 0.3].
   --set=CELL           A cell as NAME=TEXT; lists are separated by blanks.
   --dry-run            Show and check what would change; write nothing.
   --callers=LIST       Callers' addresses, by commas.
@@ -194,6 +201,13 @@
   if (On("trace"))
     return printTrace(Given.at("ID").asString(),
                       Given.at("FILE").asStringList());
+  if (On("losses"))
+    return printLosses(Given.at("FILE").asStringList(),
+                       parseLossGrouping(Given.at("--by").asString()),
+                       {.m_Late = number(Given, "--late"),
+                        .m_HeldForNothing = number(Given, "--held"),
+                        .m_SecondFailure = number(Given, "--second")},
+                       Given.at("--json").asBool());
   if (On("load"))
     return LoadCommand(loadOptions(Given)).run();
   ApiClient Api = makeClient(Given);
