Loads from a slow store of weights are told as late as they come

Ruled out: loads that were given up (no such order_answer). Change: the order giver learns by how much loads take longer than their nominal time (a mean of the last ones, at most 5), tells boxes by it and plans by it, so that more loads are less attractive while the store is slow. A load that is overdue but under way is expected in half a second, again and again. Tests: ManagedEngineTest, 'A slow store of weights makes moves later'.

--- a/packages/decisions/process/ReplicaPlanner.cpp
+++ b/packages/decisions/process/ReplicaPlanner.cpp
@@ -48,7 +48,8 @@
   MoveSearch(const PlannerInput &Input, const EngineSpec &Spec,
              const PlannerOptions &Opts)
       : m_Spec(Spec), m_Opts(Opts), m_Now(Input, Spec, Opts),
-        m_StoreLoads(Input.m_StoreLoads) {}
+        m_StoreLoads(Input.m_StoreLoads),
+        m_StoreSlowness(Input.m_StoreSlowness) {}
 
   std::optional<PlannedMove> next() {
     std::optional<Scored> Best;
@@ -195,8 +196,9 @@
 
   double servesInMs(const std::string &Evict, const std::string &Model,
                     LoadSource Source) const {
+    const double Slowness = Source == LoadSource::Store ? m_StoreSlowness : 1;
     return m_Now.drainMs(Evict) +
-           inMillis(loadTime(m_Spec.model(Model), Source));
+           Slowness * inMillis(loadTime(m_Spec.model(Model), Source));
   }
 
   /// Work saved each second, on average until the horizon.
@@ -226,6 +228,7 @@
   const PlannerOptions &m_Opts;
   ReplicaPicture m_Now;
   std::size_t m_StoreLoads;
+  double m_StoreSlowness;
 };
 
 } // namespace
--- a/packages/decisions/process/ReplicaPlanner.h
+++ b/packages/decisions/process/ReplicaPlanner.h
@@ -74,6 +74,8 @@
   /// Models that callers wait for now.
   std::set<std::string> m_Awaited;
   std::size_t m_StoreLoads = 0; ///< That may begin from the store now.
+  /// How much longer loads from the store take than when few run.
+  double m_StoreSlowness = 1;
 };
 
 /// Gains are in engines' worth of work saved each second.
--- a/packages/gateway/process/ManagedEngine.cpp
+++ b/packages/gateway/process/ManagedEngine.cpp
@@ -13,6 +13,9 @@
 /// Contents are told again after this, changed or not.
 constexpr Duration TellAgainAfter = 3s;
 
+/// When a load that is overdue is expected.
+constexpr Duration OverdueIn = 500ms;
+
 } // namespace
 
 void ManagedEngine::begin(const PlannedMove &Move, TimePoint Now) {
@@ -23,6 +26,26 @@
   m_ServesAt = Now + fromMillis(Move.m_ServesInMs);
 }
 
+void ManagedEngine::loadBegan(LoadSource Source, Duration Nominal,
+                              double Slowness, TimePoint Now) {
+  m_Load = {.m_Source = Source, .m_Nominal = Nominal, .m_Since = Now};
+  const double Factor = Source == LoadSource::Store ? Slowness : 1;
+  m_ServesAt = Now + fromMillis(Factor * inMillis(Nominal));
+}
+
+std::optional<double> ManagedEngine::loadEnded(TimePoint Now) {
+  const std::optional<Load> Ended = std::exchange(m_Load, std::nullopt);
+  if (!Ended || Ended->m_Source != LoadSource::Store || Ended->m_Nominal <= 0us)
+    return std::nullopt;
+  return inMillis(Now - Ended->m_Since) / inMillis(Ended->m_Nominal);
+}
+
+void ManagedEngine::expectOverdue(TimePoint Now) {
+  const auto &Order = m_Ledger.modelOrder();
+  if (Order && Order->m_Load && Now >= m_ServesAt)
+    m_ServesAt = Now + OverdueIn;
+}
+
 PlannedEngine ManagedEngine::forModels(const UpstreamInstance &Entry,
                                        double Slowness, Duration ReplicaStays,
                                        TimePoint Now) const {
--- a/packages/gateway/process/ManagedEngine.h
+++ b/packages/gateway/process/ManagedEngine.h
@@ -40,6 +40,15 @@
 
   /// Starts to carry \p Move out.
   void begin(const PlannedMove &Move, TimePoint Now);
+  /// It has taken the order for a load that takes \p Nominal when few run, and
+  /// \p Slowness times that now.
+  void loadBegan(LoadSource Source, Duration Nominal, double Slowness,
+                 TimePoint Now);
+  /// A load has ended. \returns how much longer it took than its nominal time;
+  /// none unless it came from the store of weights.
+  std::optional<double> loadEnded(TimePoint Now);
+  /// A load that is overdue is expected soon, as long as it is under way.
+  void expectOverdue(TimePoint Now);
   /// For the plan of models, with what is under way counted as done. \p Entry
   /// stands in for the engine's own word until that is known.
   PlannedEngine forModels(const UpstreamInstance &Entry, double Slowness,
@@ -54,9 +63,16 @@
   std::optional<EngineContents> takeNews(const InstanceId &Id, TimePoint Now);
 
 private:
+  struct Load {
+    LoadSource m_Source = LoadSource::Store;
+    Duration m_Nominal = 0us;
+    TimePoint m_Since{};
+  };
+
   /// All but the time that a load still takes, which changes all the time.
   EngineContents lastingContents(const InstanceId &Id, TimePoint Now) const;
 
+  std::optional<Load> m_Load;
   EngineContents m_Told;
   TimePoint m_ToldServesAt{};
   TimePoint m_ToldAt{};
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -291,6 +291,7 @@
       continue;
     if (const EngineSpec *Spec = specOf(Entry->second.m_Service))
       advance(Id, Each, *Spec, Now);
+    Each.expectOverdue(Now);
   }
 }
 
@@ -337,6 +338,8 @@
   if (Of.m_Ledger.holds(Move.m_Load)) {
     Of.m_ModelAt[Move.m_Load] = Now;
     Of.m_Task.reset();
+    if (const auto Slowness = Of.loadEnded(Now))
+      learnStoreSlowness(*Slowness);
     return;
   }
   const LoadSource Source =
@@ -352,6 +355,15 @@
   give(Id, Of, Load, Source, Now);
 }
 
+/// The store of weights slows down when many loads run. What was learned tells
+/// callers when a model serves, and makes further loads less attractive.
+void OrderGiver::learnStoreSlowness(double Observed) {
+  constexpr double Weight = 0.3;
+  constexpr double Most = 5;
+  m_StoreSlowness +=
+      Weight * (std::clamp(Observed, 1.0, Most) - m_StoreSlowness);
+}
+
 bool OrderGiver::give(const InstanceId &Id, ManagedEngine &To,
                       const ResidencyOrder &Order, LoadSource Source,
                       TimePoint) {
@@ -425,8 +437,9 @@
             ? nullptr
             : specOf(Entry->second.m_Service);
     if (ModelLoad && Spec != nullptr) {
-      Of.m_NextReport = Now + loadTime(Spec->model(Order.m_Model), Source);
-      Of.m_ServesAt = Of.m_NextReport;
+      const Duration Nominal = loadTime(Spec->model(Order.m_Model), Source);
+      Of.loadBegan(Source, Nominal, m_StoreSlowness, Now);
+      Of.m_NextReport = Now + Nominal;
     }
     if (!Order.m_Adapter.empty()) {
       Of.m_AdapterAt[{Order.m_Model, Order.m_Adapter}] = Now;
@@ -510,6 +523,7 @@
                                       TimePoint Now) {
   PlannerInput Input;
   Input.m_StoreLoads = m_Ceiling.left(Now);
+  Input.m_StoreSlowness = m_StoreSlowness;
   for (const auto &[Key, Rate] : m_Rates.rates(Now))
     if (Key.m_Service == Service && Key.m_Adapter.empty())
       Input.m_Demand[Key.m_Model] = Rate.m_WorkMs / 1000;
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -121,6 +121,7 @@
             const ResidencyOrder &Order, LoadSource Source, TimePoint Now);
   void orderAnswered(const InstanceId &Id, const ResidencyOrder &Order,
                      LoadSource Source, OrderAnswer Answer);
+  void learnStoreSlowness(double Observed);
   void settleLoad(const InstanceId &Id, const ManagedEngine &Of, TimePoint Now);
   void tellChanges();
   double busyPart(const std::string &Service, const ManagedEngine &Of,
@@ -152,6 +153,7 @@
   std::map<InstanceId, ManagedEngine> m_Engines;
   std::map<ModelKey, Wanted> m_Missing;
   LoadCeiling m_Ceiling;
+  double m_StoreSlowness = 1; ///< Of loads from the store of weights.
   Timer m_Timer;
   bool m_TickSoon = false;
 };
--- a/tests/decisions/process/ReplicaPlannerTest.cpp
+++ b/tests/decisions/process/ReplicaPlannerTest.cpp
@@ -302,6 +302,30 @@
   }
 }
 
+TEST_CASE("A slow store of weights makes moves later and less attractive",
+          "[planner]") {
+  const EngineSpec Spec = [] {
+    EngineSpec Result = spec(2);
+    for (ModelSpec &Each : Result.m_Models)
+      Each.m_StoreLoad = 5s;
+    return Result;
+  }();
+  PlannerInput Input;
+  Input.m_Engines = {engine(0, {model(0)}), engine(1, {model(1)})};
+  Input.m_Demand = {{model(0), 1.4}};
+  Input.m_StoreLoads = 4;
+  const auto Moves = planReplicas(Input, Spec, {}, 1);
+  REQUIRE(Moves.size() == 1);
+  REQUIRE(Moves.front().m_ServesInMs == Approx(5000));
+  Input.m_StoreSlowness = 2;
+  const auto Later = planReplicas(Input, Spec, {}, 1);
+  REQUIRE(Later.size() == 1);
+  REQUIRE(Later.front().m_ServesInMs == Approx(10000));
+  REQUIRE(Later.front().m_Gain < Moves.front().m_Gain);
+  Input.m_StoreSlowness = 3;
+  REQUIRE(planReplicas(Input, Spec, {}, 1).empty());
+}
+
 TEST_CASE("A busy victim is dearer than an idle one", "[planner]") {
   EngineSpec Spec = spec(6);
   Spec.m_Slots = 48;
--- /dev/null
+++ b/tests/gateway/ManagedEngineTest.cpp
@@ -0,0 +1,55 @@
+#include "gateway/process/ManagedEngine.h"
+#include "support/Names.h"
+
+#include <catch2/catch.hpp>
+
+using namespace havenstair;
+
+namespace {
+
+/// An engine that has taken the order to load "m" from the store.
+ManagedEngine loading(double Slowness) {
+  ManagedEngine Engine;
+  Engine.m_Ledger.heard({}, at(0s));
+  Engine.m_Ledger.begin({.m_Load = true, .m_Model = "m", .m_Adapter = {}},
+                        at(0s));
+  Engine.m_Ledger.answered(OrderAnswer::Accepted, at(0s));
+  Engine.loadBegan(LoadSource::Store, 4s, Slowness, at(0s));
+  return Engine;
+}
+
+} // namespace
+
+TEST_CASE("Boxes are told when a load serves, by how slow the store is",
+          "[orders]") {
+  ManagedEngine Engine = loading(1.5);
+  const EngineContents Contents = Engine.contents("e", at(1s));
+  REQUIRE(Contents.m_Loading == "m");
+  REQUIRE(Contents.m_ServesIn == 5s);
+  SECTION("it is told once") {
+    REQUIRE(Engine.takeNews("e", at(1s)));
+    REQUIRE_FALSE(Engine.takeNews("e", at(2s)));
+  }
+  SECTION("it is overdue, and expected soon") {
+    Engine.takeNews("e", at(5s));
+    Engine.expectOverdue(at(5s));
+    REQUIRE_FALSE(Engine.takeNews("e", at(5s)));
+    Engine.expectOverdue(at(6s));
+    const auto News = Engine.takeNews("e", at(6s));
+    REQUIRE(News);
+    REQUIRE(News->m_ServesIn > 0us);
+    REQUIRE(News->m_ServesIn <= 1s);
+  }
+  SECTION("it ends, and tells how slow the store was") {
+    REQUIRE(Engine.loadEnded(at(8s)) == 2.0);
+    REQUIRE_FALSE(Engine.loadEnded(at(9s)));
+  }
+}
+
+TEST_CASE("Loads from the engine's own disk tell nothing of the store",
+          "[orders]") {
+  ManagedEngine Engine = loading(1);
+  Engine.loadBegan(LoadSource::Disk, 1s, 3, at(0s));
+  REQUIRE(Engine.m_ServesAt == at(1s));
+  REQUIRE_FALSE(Engine.loadEnded(at(2s)));
+}
