--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -17,7 +17,7 @@
 constexpr Duration TellLoadsEvery = 40ms;
 constexpr Duration TellLoadsEveryInLarge = 120ms;
 
-/// How often a box asks the others while the store is silent, and from when.
+/// How often a box asks the others while the store is silent.
 constexpr Duration AskEvery = 400ms;
 
 /// A box reads the store itself when what it is told is older than this. The
@@ -55,6 +55,8 @@
 
 /// A watch that has not told by now what another box knows is taken as dead.
 constexpr Duration WatchTells = 400ms;
+/// A read of the configuration takes some milliseconds.
+constexpr Duration ReadConfigEvery = 200ms;
 constexpr Duration ReadAgainEvery = 1s;
 
 /// A box that starts waits this long for the list of boxes, and a leaf for its
@@ -144,6 +146,7 @@
   return std::min<Duration>(NoListAge, Now - At);
 }
 
+/// Age from which on this box reads the store itself.
 Duration FleetExchange::mostListAge() const {
   const FleetTopology &Topology = m_Of.m_Fleet.topology();
   if (!Topology.relay())
@@ -383,9 +386,9 @@
 bool FleetExchange::startsSoon(TimePoint Now) const {
   if (m_Of.m_Upstreams.running())
     return false;
-  if (m_Opts.m_FirstStart || m_Of.m_Fleet.size() == 1)
-    if (Now - m_StartedAt < WaitForBoxes)
-      return true;
+  const bool OthersEnter = m_Opts.m_FirstStart || m_Of.m_Fleet.size() == 1;
+  if (OthersEnter && Now - m_StartedAt < WaitForBoxes)
+    return true;
   return !m_Of.m_Fleet.topology().relay() && Now - m_StartedAt < WaitForUplink;
 }
 
@@ -463,10 +466,14 @@
     // Each box reads it from the store: half a megabyte sent to all relays by
     // one of them would fill its link for seconds. A stale answer may be new
     // enough.
-    m_Of.m_Config.readOnce(ReadKind::Stale);
-    return;
+    m_ConfigReadAt = Now;
+    return m_Of.m_Config.readOnce(ReadKind::Stale);
+  }
+  // All relays tell of it several times a second.
+  if (Now - m_ConfigReadAt >= ReadConfigEvery) {
+    m_ConfigReadAt = Now;
+    m_Of.m_Config.readOnce(ReadKind::Current);
   }
-  m_Of.m_Config.readOnce(ReadKind::Current);
   if (Now - m_ConfigToldAt < WatchTells)
     return;
   m_ConfigToldAt = Now;
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -134,7 +134,8 @@
   /// The newest configuration that another box told of, and since when.
   ConfigVersion m_ConfigTold = 0;
   TimePoint m_ConfigToldAt{};
-  TimePoint m_ListReadAt{}; ///< When it was read anew on another box's word.
+  TimePoint m_ConfigReadAt{}; ///< When it was last read on another box's word.
+  TimePoint m_ListReadAt{};   ///< When it was read anew on another box's word.
   Timer m_TellTimer;
   Timer m_LoadsTimer;
   Timer m_SourceTimer;
--- a/packages/gateway/process/LeasedKey.cpp
+++ b/packages/gateway/process/LeasedKey.cpp
@@ -20,8 +20,8 @@
 } // namespace
 
 LeasedKey::LeasedKey(CoordinationStore &Store, Options Opts, Hooks Callbacks)
-    : m_Store(Store), m_Opts(Opts), m_Hooks(std::move(Callbacks)),
-      m_Keeper(keeperOptions(Opts)), m_Backoff(Opts.m_Retry) {}
+    : m_Store(Store), m_Opts(std::move(Opts)), m_Hooks(std::move(Callbacks)),
+      m_Keeper(keeperOptions(m_Opts)), m_Backoff(m_Opts.m_Retry) {}
 
 template <typename Call> auto LeasedKey::guarded(Call Then) {
   return [this, Round = m_Round, Alive = std::weak_ptr<bool>(m_Alive),
--- a/tests/gateway/LargeFleetTest.cpp
+++ b/tests/gateway/LargeFleetTest.cpp
@@ -56,15 +56,15 @@
 TEST_CASE("In a large fleet one box reads the list for all",
           "[gateway][fleet]") {
   LargeFleetTest Test;
-  const auto findGiver = [&] {
+  const auto FindGiver = [&] {
     return std::find_if(
         Test.m_Boxes.begin(), Test.m_Boxes.end(),
         [](const std::unique_ptr<Gateway> &Box) { return Box->givesOrders(); });
   };
   REQUIRE(Test.until([&] {
-    return findGiver() != Test.m_Boxes.end() && Test.watching() == 1;
+    return FindGiver() != Test.m_Boxes.end() && Test.watching() == 1;
   }));
-  const auto Giver = findGiver();
+  const auto Giver = FindGiver();
   REQUIRE(Giver != Test.m_Boxes.end());
 
   SECTION("news of runners reach every leaf") {
