A free place is found among many full engines

Cause, found on reading the diff: engines on which a model finds no room were ranked by the lost work of the whole demand, next to nothing while nobody asks, so that they hid a free place behind the twelve that are looked at closely. Small fleets have fewer engines than that; at 240 a model without a replica would not have been loaded before demand came. Change: such engines are no candidates. Test: 'A free place is found among many full engines' (no move before).

--- a/packages/decisions/process/ReplicaPlanner.cpp
+++ b/packages/decisions/process/ReplicaPlanner.cpp
@@ -121,15 +121,18 @@
   }
 
   /// What a load costs, roughly: the work that is there already, and what the
-  /// cheapest victim is worth.
-  double roughCost(std::size_t At, const std::string &Model) const {
+  /// cheapest victim is worth; none when the model finds no room.
+  std::optional<double> roughCost(std::size_t At,
+                                  const std::string &Model) const {
     /// A load from the store takes some 5 s longer than one from near by.
     constexpr double FarLoad = 0.1;
-    double Victim = lostWork(m_Now.demand());
+    std::optional<double> Victim;
     for (const std::string &Evict : evictable(m_Now, At))
       if (m_Now.fits(At, Evict, Model))
-        Victim = std::min(Victim, worthAt(Evict));
-    return m_Now.offered(At) + Victim +
+        Victim = std::min(Victim.value_or(worthAt(Evict)), worthAt(Evict));
+    if (!Victim)
+      return std::nullopt;
+    return m_Now.offered(At) + *Victim +
            (sourceAt(At, Model) == LoadSource::Store ? FarLoad : 0);
   }
 
@@ -151,8 +154,10 @@
       if (!Engine.m_Movable || Engine.m_Leaving ||
           Engine.m_Models.contains(Model))
         continue;
-      if (m_StoreLoads > 0 || sourceAt(At, Model) != LoadSource::Store)
-        Ranked.emplace_back(roughCost(At, Model), At);
+      if (m_StoreLoads == 0 && sourceAt(At, Model) == LoadSource::Store)
+        continue;
+      if (const auto Cost = roughCost(At, Model))
+        Ranked.emplace_back(*Cost, At);
     }
     const auto Close = std::min(m_Opts.m_ClosePlaces, Ranked.size());
     std::partial_sort(Ranked.begin(),
--- a/tests/decisions/process/ReplicaPlannerTest.cpp
+++ b/tests/decisions/process/ReplicaPlannerTest.cpp
@@ -302,6 +302,22 @@
   }
 }
 
+TEST_CASE("A free place is found among many full engines", "[planner]") {
+  constexpr int Full = 30;
+  const EngineSpec Spec = spec(3 * Full + 2);
+  PlannerInput Input;
+  for (int Number = 0; Number < Full; ++Number)
+    Input.m_Engines.push_back(
+        engine(Number, {model(3 * Number), model(3 * Number + 1),
+                        model(3 * Number + 2)}));
+  Input.m_Engines.push_back(engine(Full, {model(3 * Full)}));
+  Input.m_StoreLoads = 4;
+  const auto Moves = planReplicas(Input, Spec, {}, 4);
+  REQUIRE(Moves.size() == 1);
+  REQUIRE(Moves.front().m_Load == model(3 * Full + 1));
+  REQUIRE(Moves.front().m_Engine == "e" + std::to_string(Full));
+}
+
 TEST_CASE("A slow store of weights makes moves later and less attractive",
           "[planner]") {
   const EngineSpec Spec = [] {
