--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -27,7 +27,7 @@
 /// digest of the first that succeeds spares the others their calls.
 constexpr std::array<Duration, 3> RelayListAges{1400ms, 1600ms, 1750ms};
 constexpr Duration LeastLeafListAge = 1400ms;
-constexpr Duration MostLeafListAge = 3s;
+constexpr Duration MostLeafListAge = 2400ms;
 /// What is left then of the time in which a leaving upstream takes work: for
 /// the read and for a request on its way.
 constexpr Duration ReadAndSend = 600ms;
