--- a/packages/havenstair/main.cpp
+++ b/packages/havenstair/main.cpp
@@ -38,7 +38,7 @@
   havenstair explain ID [options]
   havenstair trace ID FILE...
   havenstair losses [--by=WORD] [--late=PART] [--held=PART]
-                    [--second=PART] [--json] FILE...
+                    [--second=PART] [--format=WORD] FILE...
   havenstair drain BOX [options]
   havenstair hash-key KEY
   havenstair load --callers=LIST --keys=LIST --models=LIST [--rate=N]
@@ -54,6 +54,7 @@
 Options:
   --operators ADDRESS  Operators' address of any box, or HAVENSTAIR_OPERATORS.
   --json               Print JSON.
+  --format=WORD        Losses as table or json [default: table].
   --by=WORD            Losses by route, model or second [default: route].
   --late=PART          Credit of a late answer [default: 0.3].
   --held=PART          Loss by waiting the target for nothing [default: 1].
@@ -207,7 +208,7 @@
                        {.m_Late = number(Given, "--late"),
                         .m_HeldForNothing = number(Given, "--held"),
                         .m_SecondFailure = number(Given, "--second")},
-                       Given.at("--json").asBool());
+                       parseLossFormat(Given.at("--format").asString()));
   if (On("load"))
     return LoadCommand(loadOptions(Given)).run();
   ApiClient Api = makeClient(Given);
--- a/packages/havenstair/request/LossesCommand.cpp
+++ b/packages/havenstair/request/LossesCommand.cpp
@@ -154,6 +154,15 @@
                                              "' is not route, model or second");
 }
 
+LossFormat parseLossFormat(std::string_view Text) {
+  if (Text == "table")
+    return LossFormat::Table;
+  if (Text == "json")
+    return LossFormat::Json;
+  throw CommandError(ExitCode::BadUsage, "--format: '" + std::string(Text) +
+                                             "' is not table or json");
+}
+
 void addLosses(std::istream &Log, LossGrouping By, const CreditWeights &Weights,
                LossTable &To) {
   std::string Line;
@@ -213,7 +222,7 @@
 }
 
 void printLosses(const std::vector<std::string> &Files, LossGrouping By,
-                 const CreditWeights &Weights, bool AsJson) {
+                 const CreditWeights &Weights, LossFormat Format) {
   LossTable Losses;
   for (const std::string &Name : Files) {
     std::ifstream File(Name);
@@ -223,7 +232,7 @@
   }
   if (Losses.empty())
     throw CommandError(ExitCode::Failed, "no line tells of a request's end");
-  if (AsJson)
+  if (Format == LossFormat::Json)
     std::cout << dumpJson(toJson(Losses)) << "\n";
   else
     std::cout << toText(Losses);
--- a/packages/havenstair/request/LossesCommand.h
+++ b/packages/havenstair/request/LossesCommand.h
@@ -76,9 +76,11 @@
 };
 
 enum class LossGrouping { Route, Model, Second };
+enum class LossFormat { Table, Json };
 
 /// \throws CommandError for another word.
 LossGrouping parseLossGrouping(std::string_view Text);
+LossFormat parseLossFormat(std::string_view Text);
 
 using LossTable = std::map<std::string, LossSums>;
 
@@ -94,7 +96,7 @@
 /// Prints the losses told by \p Files.
 /// \throws CommandError when a file cannot be read or tells of no try.
 void printLosses(const std::vector<std::string> &Files, LossGrouping By,
-                 const CreditWeights &Weights, bool AsJson);
+                 const CreditWeights &Weights, LossFormat Format);
 
 } // namespace havenstair
 
--- a/tests/commands/LossesCommandTest.cpp
+++ b/tests/commands/LossesCommandTest.cpp
@@ -91,7 +91,9 @@
   REQUIRE(toJson(ByRoute).size() == 2);
 }
 
-TEST_CASE("Another grouping is refused", "[losses]") {
+TEST_CASE("Another grouping or format is refused", "[losses]") {
+  REQUIRE(parseLossFormat("json") == LossFormat::Json);
+  REQUIRE_THROWS_AS(parseLossFormat("xml"), CommandError);
   REQUIRE(parseLossGrouping("model") == LossGrouping::Model);
   REQUIRE_THROWS_AS(parseLossGrouping("colour"), CommandError);
 }
