The configuration is read once at a time

Boxes that were told of it began a new read every 200 ms and dropped the one under way, while half a megabyte takes a link of 10 Mbit/s 0.4 s, and after 0.4 s asked each relay for it too. Ruled out: news that came late (all boxes had been told within half a second). Change: a read under way is waited for, and peers are asked only when there is none. Test: 'One read at a time, however often it is asked for' (two reads before).

--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -469,6 +469,8 @@
     m_ConfigReadAt = Now;
     return m_Of.m_Config.readOnce(ReadKind::Stale);
   }
+  if (m_Of.m_Config.reading())
+    return;
   // All relays tell of it several times a second.
   if (Now - m_ConfigReadAt >= ReadConfigEvery) {
     m_ConfigReadAt = Now;
--- a/packages/gateway/process/PrefixMirror.cpp
+++ b/packages/gateway/process/PrefixMirror.cpp
@@ -20,6 +20,7 @@
 
 void PrefixMirror::stop() {
   m_Running = false;
+  m_Reading = false;
   ++m_Round;
   m_Watching.reset();
   m_Timer = Timer();
@@ -47,7 +48,7 @@
 }
 
 void PrefixMirror::readOnce(ReadKind Kind) {
-  if (!m_Running)
+  if (!m_Running && !m_Reading)
     read(Kind);
 }
 
@@ -56,6 +57,7 @@
 }
 
 void PrefixMirror::read(ReadKind Kind) {
+  m_Reading = true;
   const std::uint64_t Round = ++m_Round;
   m_SentAt = EventLoop::now();
   m_Store.range(
@@ -67,6 +69,7 @@
 }
 
 void PrefixMirror::onRead(StoreItems Read) {
+  m_Reading = false;
   if (Read.m_Status != StoreStatus::Ok) {
     if (m_Running)
       later(m_Backoff.next(), &PrefixMirror::read);
--- a/packages/gateway/process/PrefixMirror.h
+++ b/packages/gateway/process/PrefixMirror.h
@@ -47,8 +47,11 @@
   /// Abandons what is under way and reads anew; for a store that is back.
   void resync();
   /// Reads the prefix without watching it afterwards, when this copy is not
-  /// kept by watching anyway.
+  /// kept by watching anyway, or is being read: a large value takes a slow link
+  /// most of a second, and one read more would make both late.
   void readOnce(ReadKind Kind);
+  /// Whether a read is under way.
+  bool reading() const { return m_Reading; }
   /// Stops reading; start() begins again.
   void stop();
   bool running() const { return m_Running; }
@@ -112,6 +115,7 @@
   Duration m_WaitSent = 0us; ///< How long that watch may wait.
   TimePoint m_ConfirmedAt{};
   bool m_Running = false;
+  bool m_Reading = false;
   /// Answers of earlier calls are dropped.
   std::uint64_t m_Round = 0;
   std::shared_ptr<void> m_Watching;
--- /dev/null
+++ b/tests/gateway/PrefixMirrorTest.cpp
@@ -0,0 +1,60 @@
+#include "gateway/process/PrefixMirror.h"
+
+#include <catch2/catch.hpp>
+#include <utility>
+
+using namespace havenstair;
+
+namespace {
+
+/// Keeps reads unanswered until the test answers them.
+class HeldStore : public CoordinationStore {
+public:
+  void range(const std::string &, ReadKind Kind, ItemsDone Callback) override {
+    m_Kinds.push_back(Kind);
+    m_Reads.push_back(std::move(Callback));
+  }
+  std::shared_ptr<void> watch(const std::string &, StoreRevision, Duration,
+                              ChangesDone) override {
+    return nullptr;
+  }
+  void transact(const StoreTransaction &, WriteDone) override {}
+  void grantLease(Duration, LeaseDone) override {}
+  void keepLease(LeaseId, Done) override {}
+  void endLease(LeaseId, Done) override {}
+
+  std::vector<ReadKind> m_Kinds;
+  std::vector<ItemsDone> m_Reads;
+};
+
+} // namespace
+
+TEST_CASE("One read at a time, however often it is asked for",
+          "[gateway][mirror]") {
+  EventLoop Loop;
+  HeldStore Store;
+  int Changes = 0;
+  PrefixMirror Mirror(Loop, Store, {.m_Prefix = "p"},
+                      {.m_Changed = [&] { ++Changes; }});
+  Mirror.readOnce(ReadKind::Stale);
+  Mirror.readOnce(ReadKind::Current);
+  REQUIRE(Mirror.reading());
+  REQUIRE(Store.m_Reads.size() == 1);
+  Store.m_Reads.front()({.m_Status = StoreStatus::Ok,
+                         .m_Items = {{.m_Key = "p/a", .m_Value = "1"}},
+                         .m_At = 5});
+  REQUIRE(Changes == 1);
+  REQUIRE_FALSE(Mirror.reading());
+  SECTION("the next one is made once that has been answered") {
+    Mirror.readOnce(ReadKind::Current);
+    REQUIRE(Store.m_Kinds ==
+            std::vector<ReadKind>{ReadKind::Stale, ReadKind::Current});
+  }
+  SECTION("a read that brings the same is no news") {
+    Mirror.readOnce(ReadKind::Current);
+    Store.m_Reads.back()({.m_Status = StoreStatus::Ok,
+                          .m_Items = {{.m_Key = "p/a", .m_Value = "1"}},
+                          .m_At = 9});
+    REQUIRE(Changes == 1);
+  }
+}
