The demand of a plan is summed once; one source for when the store answered

Read again: ReplicaPicture::demand() summed the demand of all models each time it was asked, which evictable() does for each engine and each wanted model of each move: 240 x 12 sums over 399 models at the large deployment. It cannot change within a plan, so it is summed at the beginning. Fleet noted when the store answered beside MeteredStore, which tells of every answer; the second note goes. No change of behaviour; time of a plan not measured.

--- a/packages/decisions/process/ReplicaPicture.cpp
+++ b/packages/decisions/process/ReplicaPicture.cpp
@@ -25,6 +25,13 @@
   return Largest == Spec.m_Models.end() ? "" : Largest->m_Name;
 }
 
+double sum(const std::map<std::string, double> &Demand) {
+  double Sum = 0;
+  for (const auto &[Model, Each] : Demand)
+    Sum += Each;
+  return Sum;
+}
+
 } // namespace
 
 double lostWork(double Offered) {
@@ -37,7 +44,7 @@
                                const EngineSpec &Spec,
                                const PlannerOptions &Opts)
     : m_Engines(Input.m_Engines), m_Input(Input), m_Spec(Spec), m_Opts(Opts),
-      m_Largest(largestModel(Spec)) {
+      m_Largest(largestModel(Spec)), m_AllDemand(sum(Input.m_Demand)) {
   for (std::size_t At = 0; At < m_Engines.size(); ++At)
     if (!m_Engines[At].m_Leaving)
       for (const std::string &Model : m_Engines[At].m_Models)
@@ -59,13 +66,6 @@
   return Found == m_Input.m_Demand.end() ? 0 : Found->second;
 }
 
-double ReplicaPicture::demand() const {
-  double Sum = 0;
-  for (const auto &[Model, Demand] : m_Input.m_Demand)
-    Sum += Demand;
-  return Sum;
-}
-
 std::optional<double>
 ReplicaPicture::firstComesInMs(const std::string &Model) const {
   std::optional<double> First;
--- a/packages/decisions/process/ReplicaPicture.h
+++ b/packages/decisions/process/ReplicaPicture.h
@@ -38,7 +38,8 @@
   /// Replicas that serve now.
   std::size_t present(const std::string &Model) const;
   double demand(const std::string &Model) const;
-  double demand() const; ///< For all models.
+  /// For all models; asked for at each engine and model of a plan.
+  double demand() const { return m_AllDemand; }
   /// Lost work when \p Model has no engine.
   double unreachable(const std::string &Model) const;
   /// What one of several replicas of \p Model is worth beside the work that it
@@ -88,6 +89,7 @@
   const EngineSpec &m_Spec;
   const PlannerOptions &m_Opts;
   std::string m_Largest; ///< Empty when there is no model.
+  double m_AllDemand = 0;
   std::map<std::string, std::set<std::size_t>> m_Holders;
   std::map<std::string, Work> m_Placed;
   std::vector<double> m_Offered;
--- a/packages/decisions/process/ReplicaPlanner.h
+++ b/packages/decisions/process/ReplicaPlanner.h
@@ -81,7 +81,8 @@
 /// Gains are in engines' worth of work saved each second.
 struct PlannerOptions {
   /// Least gain of a load from the engine's own memory or disk, and from the
-  /// store of weights. From 0.008 to 0.05 the rounds found no difference.
+  /// store of weights. 0.008 to 0.05 made no difference
+  /// (docs/design/replicas.md).
   double m_LeastGainNear = 0.02;
   double m_LeastGainStore = 0.02;
   /// From 0 to 1; 1 asks four times the gain of each move.
--- a/packages/gateway/process/Fleet.cpp
+++ b/packages/gateway/process/Fleet.cpp
@@ -105,8 +105,6 @@
 }
 
 void Fleet::storeAnswered(bool Reached) {
-  if (Reached)
-    m_ReachedAt = EventLoop::now();
   if (Reached == m_Reached)
     return;
   m_Reached = Reached;
--- a/packages/gateway/process/GatewayPolicy.h
+++ b/packages/gateway/process/GatewayPolicy.h
@@ -12,7 +12,7 @@
 
 namespace havenstair {
 
-/// Defaults are those that the rounds in docs/design/rounds.md chose.
+/// Each default stands with its figure at its option.
 struct GatewayPolicy {
   ReplicaWeights m_Choice;
   AdmissionOptions m_Admission;
--- a/tests/gateway/LargeFleetTest.cpp
+++ b/tests/gateway/LargeFleetTest.cpp
@@ -33,6 +33,12 @@
 
   bool leafOnly(std::size_t Number) const { return Number >= Strong; }
 
+  bool allServe(ConfigVersion Version) const {
+    return std::all_of(m_Boxes.begin(), m_Boxes.end(), [&](const auto &Box) {
+      return Box->state().configVersion() == Version;
+    });
+  }
+
   std::size_t watching() const {
     return static_cast<std::size_t>(
         std::count_if(m_Boxes.begin(), m_Boxes.end(), [](const auto &Box) {
@@ -79,22 +85,14 @@
   SECTION("one box watches the configuration, and news of it reach all") {
     REQUIRE(Test.until([&] { return Test.m_Store.watches("op/config") == 1; }));
     Test.configure(2);
-    REQUIRE(Test.until([&] {
-      return std::all_of(
-          Test.m_Boxes.begin(), Test.m_Boxes.end(),
-          [](const auto &Box) { return Box->state().configVersion() == 2; });
-    }));
+    REQUIRE(Test.until([&] { return Test.allServe(2); }));
     REQUIRE(Test.until([&] { return Test.m_Store.watches("op/config") == 1; }));
   }
   SECTION("news of the configuration reach all though its watch is dead") {
     REQUIRE(Test.until([&] { return Test.m_Store.watches("op/config") == 1; }));
     REQUIRE(Test.m_Store.silenceWatch("op/config"));
     Test.configure(2);
-    REQUIRE(Test.until([&] {
-      return std::all_of(
-          Test.m_Boxes.begin(), Test.m_Boxes.end(),
-          [](const auto &Box) { return Box->state().configVersion() == 2; });
-    }));
+    REQUIRE(Test.until([&] { return Test.allServe(2); }));
   }
   SECTION("loads of a leaf reach the others, and are counted once") {
     const auto Leaf = Test.m_Boxes.rbegin();
