Interfaces for restarts, warm-up, evacuation and regions; a note for each part

Cause: the two new deployments tell when a server was born, how long it is cold, which data centre is evacuated and which regions may serve; nothing of it was decoded, so no part could be built beside another. Change: UpstreamLife, DataCentreMap, Evacuations, WarmUpSpec and WarmUpTolerance; platform/ decodes them from settings, configuration, entries, reports and answers. Nothing uses them yet. Design notes for the five parts, the way of a request in design/README.

--- a/packages/decisions/common/Id.h
+++ b/packages/decisions/common/Id.h
@@ -33,6 +33,7 @@
 
 using BoxName = Id<struct BoxTag>;
 using DataCentreName = Id<struct DataCentreTag>;
+using RegionName = Id<struct RegionTag>;
 using GroupName = Id<struct GroupTag>;
 using UpstreamName = Id<struct UpstreamTag>;
 /// A model or an adapter: whatever is loaded into accelerator memory.
--- /dev/null
+++ b/packages/decisions/process/Evacuations.h
@@ -0,0 +1,26 @@
+/// \file
+/// Data centres whose upstreams are to get no requests.
+#ifndef HAVENSTAIR_DECISIONS_PROCESS_EVACUATIONS_H
+#define HAVENSTAIR_DECISIONS_PROCESS_EVACUATIONS_H
+
+#include "decisions/common/Id.h"
+#include <cstdint>
+#include <set>
+
+namespace havenstair {
+
+/// What operators have asked for, as of one revision of the platform's store.
+struct Evacuations {
+  std::uint64_t m_Revision = 0;
+  std::set<DataCentreName> m_DataCentres;
+
+  bool operator==(const Evacuations &) const = default;
+
+  bool contains(const DataCentreName &DataCentre) const {
+    return m_DataCentres.contains(DataCentre);
+  }
+};
+
+} // namespace havenstair
+
+#endif
--- a/packages/decisions/process/ResidencyOrder.h
+++ b/packages/decisions/process/ResidencyOrder.h
@@ -40,6 +40,7 @@
 
 /// What an engine says of itself when asked.
 struct ResidencyReport {
+  UpstreamBirth m_Born = 0; ///< 0 when it does not tell.
   std::uint64_t m_OrderCount = 0;
   bool m_OrderUnderWay = false;
   std::vector<ResidentModel> m_Models;
@@ -49,6 +50,7 @@
   std::set<std::string> m_OnDisk;
   int m_Running = 0;
   int m_Queued = 0;
+  Duration m_ColdFor = 0us; ///< How much longer it is cold.
 };
 
 } // namespace havenstair
--- a/packages/decisions/process/UpstreamInstance.h
+++ b/packages/decisions/process/UpstreamInstance.h
@@ -4,6 +4,7 @@
 #define HAVENSTAIR_DECISIONS_PROCESS_UPSTREAMINSTANCE_H
 
 #include "decisions/common/Time.h"
+#include "decisions/process/UpstreamLife.h"
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -13,9 +14,6 @@
 
 namespace havenstair {
 
-/// Name of one life of a server; each start has a new one.
-using InstanceId = std::string;
-
 /// A model in an engine's accelerator memory, with its adapters there.
 struct ResidentModel {
   std::string m_Name;
@@ -32,6 +30,9 @@
   std::string m_Zone;
   int m_Slots = 1;
   bool m_Draining = false;
+  UpstreamBirth m_Born = 0; ///< 0 when it does not tell.
+  /// How much longer it was cold when it said so; zero for a warm one.
+  Duration m_ColdFor = 0us;
   /// Time until it is taken away, when it said so.
   std::optional<Duration> m_Remaining;
   std::vector<ResidentModel> m_Models;
@@ -41,6 +42,7 @@
 
   bool operator==(const UpstreamInstance &) const = default;
 
+  UpstreamLife life() const { return {.m_Id = m_Id, .m_Born = m_Born}; }
   const ResidentModel *resident(const std::string &Model) const {
     for (const ResidentModel &Each : m_Models)
       if (Each.m_Name == Model)
--- a/packages/decisions/version/Organisation.h
+++ b/packages/decisions/version/Organisation.h
@@ -3,9 +3,11 @@
 #ifndef HAVENSTAIR_DECISIONS_VERSION_ORGANISATION_H
 #define HAVENSTAIR_DECISIONS_VERSION_ORGANISATION_H
 
+#include "decisions/common/Id.h"
 #include <compare>
 #include <cstddef>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +45,8 @@
   std::vector<KeyHash> m_Keys;
   int m_Priority = 0; ///< Goes before a route's; 0 is the most urgent.
   Quota m_Quota;
+  /// Regions that may serve and see its requests; empty for all.
+  std::set<RegionName> m_AllowedRegions;
 
   bool operator==(const Organisation &) const = default;
 };
--- a/packages/decisions/version/ServingConfig.h
+++ b/packages/decisions/version/ServingConfig.h
@@ -4,6 +4,7 @@
 #define HAVENSTAIR_DECISIONS_VERSION_SERVINGCONFIG_H
 
 #include "decisions/common/Time.h"
+#include "decisions/process/WarmUp.h"
 #include "decisions/version/Organisation.h"
 #include <cstdint>
 #include <optional>
@@ -47,6 +48,8 @@
   bool m_Resumable = false;
   bool m_Public = false;           ///< Needs no key.
   std::vector<SplitShare> m_Split; ///< At least one.
+  /// Regions that may serve and see its requests; empty for all.
+  std::set<RegionName> m_AllowedRegions;
 
   bool operator==(const Route &) const = default;
 
@@ -89,6 +92,7 @@
   std::string m_Name;
   std::string m_HealthPath;
   int m_ConnectionLimit = 0;
+  WarmUpSpec m_WarmUp;
   std::optional<EngineSpec> m_Engine;
 
   bool operator==(const ServiceSpec &) const = default;
--- a/packages/gateway/process/GatewayOptions.h
+++ b/packages/gateway/process/GatewayOptions.h
@@ -3,8 +3,10 @@
 #ifndef HAVENSTAIR_GATEWAY_PROCESS_GATEWAYOPTIONS_H
 #define HAVENSTAIR_GATEWAY_PROCESS_GATEWAYOPTIONS_H
 
+#include "decisions/common/DataCentreMap.h"
 #include "decisions/common/Id.h"
 #include "decisions/common/Time.h"
+#include "decisions/process/WarmUp.h"
 #include "wire/common/Endpoint.h"
 #include <string>
 #include <vector>
@@ -25,6 +27,9 @@
   double m_QuotaOverage = 0;   ///< Part of a quota that use may exceed it by.
   double m_QuotaAllowance = 0; ///< Units that use may exceed it by, besides.
   Duration m_Revocation = 5s;  ///< A key that is taken away is refused by then.
+  WarmUpTolerance m_WarmUp;
+  /// No request goes to an evacuated data centre from then on.
+  Duration m_Evacuation = 5s;
   /// Refuse keys when the configuration may be older than that.
   bool m_FailClosed = false;
 
@@ -35,6 +40,7 @@
 struct GatewayOptions {
   BoxName m_Box;
   DataCentreName m_DataCentre;
+  DataCentreMap m_Regions;
   double m_Capacity = 1; ///< Share of a core that the box gives.
   Endpoint m_Callers;
   Endpoint m_Readiness;
--- a/packages/gateway/process/PlatformBinding.h
+++ b/packages/gateway/process/PlatformBinding.h
@@ -30,7 +30,10 @@
 
   std::string m_ConfigPrefix;   ///< Keys of the operators' configuration.
   std::string m_UpstreamPrefix; ///< Keys of running servers.
-  std::string m_OwnPrefix;      ///< Keys that the gateway may write.
+  /// Keys that ask for a data centre's evacuation while they stand; its name
+  /// follows.
+  std::string m_EvacuationPrefix;
+  std::string m_OwnPrefix; ///< Keys that the gateway may write.
   std::string m_ReadinessPath;
 
   /// \throws DecodeError for a value that is no configuration.
--- a/packages/gateway/request/RequestDialect.h
+++ b/packages/gateway/request/RequestDialect.h
@@ -24,6 +24,9 @@
 struct AnswerFacts {
   std::string m_RequestId;
   bool m_NotRun = false;
+  std::string m_Instance; ///< Who answered; empty when it does not tell.
+  /// How much longer it is cold; empty when it does not tell.
+  std::optional<Duration> m_ColdFor;
 };
 
 /// Hooks that one platform implements; they translate and decide nothing.
--- a/tests/gateway/PlatformTest.cpp
+++ b/tests/gateway/PlatformTest.cpp
@@ -164,6 +164,47 @@
   REQUIRE_THROWS_AS(platform::parseNodeFile(dumpJson(File)), DecodeError);
 }
 
+TEST_CASE("Warm-up, births, regions and evacuations are read",
+          "[platform][regions][warm-up]") {
+  const GatewayOptions Options = platform::parseNodeFile(
+      R"({"nodeName":"n","zone":"a","ipAddress":"10.0.0.1",
+          "listenAddresses":{"frontend":"10.0.0.1:80","ready":"10.0.0.1:81"},
+          "internalPortRange":[7380,7395],
+          "zones":{"a":"north","b":"north","c":"south"},
+          "bounds":{"coldOverage":1.5,"coldAllowance":5,"evacuationMs":4500},
+          "platform":{"address":"10.9.9.9:99"}})");
+  CHECK(Options.m_Regions.regionOf(DataCentreName("c")) == RegionName("south"));
+  CHECK(Options.m_Bounds.m_WarmUp ==
+        WarmUpTolerance{.m_Factor = 1.5, .m_Allowance = 5});
+  CHECK(Options.m_Bounds.m_Evacuation == 4500ms);
+
+  const UpstreamInstance Server = platform::decodeServer(
+      "servers/i-1", R"({"service":"s","address":"10.0.0.9:80",
+                         "born":1790000000123,"coldRemainingMs":2500})");
+  CHECK(Server.life() == UpstreamLife{.m_Id = "i-1", .m_Born = 1790000000123});
+  CHECK(Server.m_ColdFor == 2500ms);
+
+  const ServingConfig Config = platform::decodeConfig(
+      R"({"version":1,
+          "routes":[{"name":"r","host":"h","pathPrefix":"/","service":"s",
+                     "allowedRegions":["north","south"]}],
+          "services":[{"name":"s","coldStartS":3,"coldPerS":6.6}],
+          "tenants":[{"name":"t","allowedRegions":["south"]}]})",
+      SecretHasher());
+  CHECK(Config.m_Routes.front().m_AllowedRegions ==
+        std::set{RegionName("north"), RegionName("south")});
+  CHECK(Config.m_Organisations.front().m_AllowedRegions ==
+        std::set{RegionName("south")});
+  CHECK(Config.m_Services.front().m_WarmUp ==
+        WarmUpSpec{.m_After = 3s, .m_RequestsPerS = 6.6});
+
+  const PlatformBinding Binding = platform::makeBinding("");
+  const AnswerFacts Facts = Binding.m_Dialect.m_ReadAnswer(
+      200, {{"X-Instance-Id", "i-1"}, {"X-Cold-Remaining-Ms", "700"}});
+  CHECK(Facts.m_Instance == "i-1");
+  CHECK(Facts.m_ColdFor == 700ms);
+}
+
 TEST_CASE("What cannot be a configuration or a server is an error",
           "[platform]") {
   const std::string Text =
