What the fleet lets pass of a quota is logged by second

Change: QuotaBook keeps an account for each organisation near its quota (granted, refused, level); QuotaExchange logs it each second (quota_account). Ruled out: that the fleet admits less than the limit, and that it holds back much for boxes that are cut. Test: 'An account tells what was let pass of a quota and what was not'.

--- a/packages/decisions/process/QuotaBook.cpp
+++ b/packages/decisions/process/QuotaBook.cpp
@@ -151,6 +151,7 @@
   Of.m_Level -= Units;
   Of.m_Used += Units;
   Of.m_UsedInRound += Units;
+  Of.m_Granted += Units;
 }
 
 QuotaVerdict QuotaBook::trySpend(const std::string &Organisation,
@@ -158,7 +159,14 @@
   Bucket *Known = filled(Organisation, Now);
   if (Known == nullptr)
     return {.m_Step = QuotaStep::Grant, .m_Ample = true};
-  Bucket &Of = *Known;
+  const QuotaVerdict Verdict = judge(*Known, Request, Now);
+  if (Verdict.m_Step == QuotaStep::Refuse)
+    Known->m_Refused += Request.m_Units;
+  return Verdict;
+}
+
+QuotaVerdict QuotaBook::judge(Bucket &Of, const QuotaRequest &Request,
+                              TimePoint Now) {
   const double Debt = m_Opts.m_DebtPart * slack(Of);
   // A large request needs no fuller bucket than a small one: else only small
   // ones would get through where the quota is used up.
@@ -271,6 +279,21 @@
   return News;
 }
 
+QuotaAccounts QuotaBook::takeAccounts(TimePoint Now) {
+  QuotaAccounts Result;
+  for (auto &[Name, Of] : m_Buckets) {
+    fill(Of, Now);
+    const double Granted = std::exchange(Of.m_Granted, 0);
+    const double Refused = std::exchange(Of.m_Refused, 0);
+    if (Refused > 0 || (Granted > 0 && !ample(Of)))
+      Result[Name] = {.m_Granted = Granted,
+                      .m_Refused = Refused,
+                      .m_Level = Of.m_Level,
+                      .m_RatePerS = Of.m_Quota.m_RatePerS};
+  }
+  return Result;
+}
+
 double QuotaBook::level(const std::string &Organisation, TimePoint Now) {
   const Bucket *Of = filled(Organisation, Now);
   return Of == nullptr ? 0 : Of->m_Level;
--- a/packages/decisions/process/QuotaBook.h
+++ b/packages/decisions/process/QuotaBook.h
@@ -70,6 +70,19 @@
   bool granted() const { return m_Step == QuotaStep::Grant; }
 };
 
+/// What became of the requests of one organisation at one box since the last
+/// account.
+struct QuotaAccount {
+  double m_Granted = 0; ///< Units that this box let pass.
+  double m_Refused = 0; ///< Units of requests that it turned away.
+  double m_Level = 0;   ///< Of its copy of the bucket.
+  double m_RatePerS = 0;
+
+  bool operator==(const QuotaAccount &) const = default;
+};
+
+using QuotaAccounts = std::map<std::string, QuotaAccount>;
+
 /// Boxes that count (relays) hold copies of the same bucket and tell each other
 /// what they used. A copy fills at the part of the rate that belongs to the
 /// boxes that are heard of; what others say they used is taken off when the
@@ -128,6 +141,10 @@
   /// What was used through this box since it was last told: of buckets that
   /// are nearly empty only, or of \p All.
   QuotaWords takeNews(bool All, TimePoint Now);
+  /// Accounts since the last call of organisations whose bucket is nearly empty
+  /// or who were turned away; all begin anew. Summed over all boxes they tell
+  /// what was let pass of a quota.
+  QuotaAccounts takeAccounts(TimePoint Now);
   bool settled(TimePoint Now) const {
     return Now - m_StartedAt >= m_Opts.m_StartPhase;
   }
@@ -148,6 +165,8 @@
     double m_Used = 0;
     double m_UsedTold = 0;
     double m_UsedInRound = 0;
+    double m_Granted = 0; ///< Since the last account, as is the next.
+    double m_Refused = 0;
     bool m_Learned = false; ///< The level is another book's.
     /// Up to when units are kept for requests that wait.
     TimePoint m_KeptTo{};
@@ -168,6 +187,7 @@
   double slack(const Bucket &Of) const;
   double ownPart() const;
   double roundLimit(const Bucket &Of) const;
+  QuotaVerdict judge(Bucket &Of, const QuotaRequest &Request, TimePoint Now);
   QuotaVerdict notNow(Bucket &Of, const QuotaRequest &Request,
                       TimePoint Now) const;
   void beginRound(TimePoint Now);
--- a/packages/gateway/process/QuotaExchange.cpp
+++ b/packages/gateway/process/QuotaExchange.cpp
@@ -3,6 +3,7 @@
 #include "gateway/common/DecisionLog.h"
 #include "gateway/process/Fleet.h"
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <variant>
 
@@ -33,6 +34,10 @@
 /// are there.
 constexpr Duration AskAnyway = 500ms;
 
+/// Lines of what was let pass and turned away come this often: bounds of quotas
+/// are judged over seconds.
+constexpr Duration AccountEvery = 1s;
+
 /// Names of processes are those of their machines with a suffix.
 std::string machineOf(const BoxName &Process) {
   return Process.str().substr(0, Process.str().rfind('.'));
@@ -52,6 +57,7 @@
     : m_Loop(Loop), m_Fleet(Boxes), m_Log(Log), m_Hooks(std::move(Callbacks)),
       m_Book({.m_Tolerance = Tolerance}), m_AnsweredAt(EventLoop::now()) {
   m_TickTimer = Loop.every(TellEvery, [this] { tick(); });
+  m_AccountTimer = Loop.every(AccountEvery, [this] { logAccounts(); });
 }
 
 void QuotaExchange::setTolerance(const QuotaTolerance &Tolerance) {
@@ -106,6 +112,18 @@
     ask("", {}, {});
 }
 
+/// The sum over all boxes' lines tells what was let pass of each limit.
+void QuotaExchange::logAccounts() {
+  for (const auto &[Organisation, Of] : m_Book.takeAccounts(EventLoop::now()))
+    m_Log.write("quota_account", {{"organisation", Organisation},
+                                  {"granted", std::lround(Of.m_Granted)},
+                                  {"refused", std::lround(Of.m_Refused)},
+                                  {"level", std::lround(Of.m_Level)},
+                                  {"rate_per_s", Of.m_RatePerS},
+                                  {"share", m_Book.share()},
+                                  {"counts", m_Counts}});
+}
+
 void QuotaExchange::tell(bool All) {
   const TimePoint Now = EventLoop::now();
   QuotaUseFrame Frame{.m_Boxes = static_cast<std::uint32_t>(counted()),
--- a/packages/gateway/process/QuotaExchange.h
+++ b/packages/gateway/process/QuotaExchange.h
@@ -65,6 +65,7 @@
               const QuotaDesk::Done &Callback);
   void tick();
   void tell(bool All);
+  void logAccounts();
   void setBoxes(TimePoint Now);
   bool alone(TimePoint Now) const;
   BoxName nextRelay(const std::set<BoxName> &Tried) const;
@@ -97,6 +98,7 @@
   std::uint64_t m_LastWait = 0;
   std::map<std::uint64_t, Timer> m_Waiting; ///< For their units.
   Timer m_TickTimer;
+  Timer m_AccountTimer;
 };
 
 } // namespace havenstair
--- a/tests/decisions/process/QuotaBookTest.cpp
+++ b/tests/decisions/process/QuotaBookTest.cpp
@@ -376,6 +376,29 @@
   REQUIRE(Book.level("o", Start) == 17000);
 }
 
+TEST_CASE("An account tells what was let pass of a quota and what was not",
+          "[quota]") {
+  const TimePoint Now = TimePoint{} + 1000s;
+  QuotaBook Book = settledBook(1000, 5000, Now);
+  CHECK(Book.takeAccounts(Now).empty());
+  CHECK(Book.trySpend("o", {.m_Units = 1000}, Now).granted());
+  SECTION("one far from its quota has none") {
+    CHECK(Book.takeAccounts(Now).empty());
+  }
+  SECTION("one whose bucket is nearly empty has one, once") {
+    double Granted = 1000;
+    while (Book.trySpend("o", {.m_Units = 1000}, Now).granted())
+      Granted += 1000;
+    const QuotaAccounts Accounts = Book.takeAccounts(Now);
+    REQUIRE(Accounts.size() == 1);
+    const QuotaAccount &Of = Accounts.at("o");
+    CHECK(Of.m_Granted == Granted);
+    CHECK(Of.m_Refused == 1000);
+    CHECK(Of.m_RatePerS == 1000);
+    CHECK(Book.takeAccounts(Now).empty());
+  }
+}
+
 TEST_CASE("An organisation that no book knows is not limited", "[quota]") {
   QuotaBook Book({.m_Tolerance = Tolerance});
   REQUIRE(Book.empty());
