First tries are told from second by what was learned; losses count callers

Cause: CallerClock believed that all callers of a route begin with the same deadline. Where first deadlines differ by up to 15 in 100, 70 in 100 requests were judged second tries: their demand was not counted and their targets were taken for spent; losses reckoned credits above 1.

Weighed: (a) a fifth of the deadline passes as a first try; (b) learned steps of deadlines and how many tries were turned away, compared; the latter also with learning going on while second tries come. Ruled out: knowing a caller again (ids differ for each try, any box is asked).

Change: CallerClock learns by route; each try that was not served and whose caller was still there is told to it. losses: a second try adds no caller unless more came than went unserved, so credit is 1 at most; groups come in the order of what was lost, also in JSON.

LossesCommandTest: property of the credit, one caller at two tries, the order.

--- a/packages/decisions/request/CallerClock.cpp
+++ b/packages/decisions/request/CallerClock.cpp
@@ -1,27 +1,82 @@
 #include "decisions/request/CallerClock.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace havenstair {
 
+double CallerClock::valueOf(const Count &Of, Duration Half, TimePoint Now) {
+  const double Age = static_cast<double>((Now - Of.m_At).count()) /
+                     static_cast<double>(Half.count());
+  return Of.m_Sum * std::exp2(-std::max(0.0, Age));
+}
+
+double CallerClock::add(Count &To, Duration Half, TimePoint Now) {
+  To = {.m_Sum = valueOf(To, Half, Now) + 1, .m_At = Now};
+  return To.m_Sum;
+}
+
+void CallerClock::learn(Book &To, int Index, Duration Left,
+                        TimePoint Now) const {
+  Step &At = To.m_Steps[Index];
+  const bool New = add(At.m_Tries, m_Opts.m_Forget, Now) < 2;
+  At.m_Shortest = New ? Left : std::min(At.m_Shortest, Left);
+  add(To.m_Firsts, m_Opts.m_Forget, Now);
+}
+
+bool CallerClock::usual(const Book &Known, int Index, TimePoint Now) const {
+  const auto At = Known.m_Steps.find(Index);
+  return At != Known.m_Steps.end() &&
+         valueOf(At->second.m_Tries, m_Opts.m_Forget, Now) >=
+             m_Opts.m_LeastPart * valueOf(Known.m_Firsts, m_Opts.m_Forget, Now);
+}
+
+bool CallerClock::comeBack(const Book &Known, TimePoint Now) const {
+  /// So few may be there by chance.
+  constexpr double Few = 2;
+  const double Away = valueOf(Known.m_TurnedAway, m_Opts.m_Compare, Now);
+  const double Back = valueOf(Known.m_Unusual, m_Opts.m_Compare, Now);
+  return Away >= 0.5 && Back >= m_Opts.m_FewestBack * Away &&
+         Back <= m_Opts.m_MostBack * Away + Few;
+}
+
+Duration CallerClock::beyondUsual(const Book &Known, int Index, Duration Left,
+                                  TimePoint Now) const {
+  const double Lately = valueOf(Known.m_Lately, m_Opts.m_Compare, Now);
+  if (valueOf(Known.m_Unusual, m_Opts.m_Compare, Now) <
+      m_Opts.m_LeastSeconds * Lately)
+    return 0us;
+  // Near deadlines that some first tries had it may be one of them.
+  constexpr int Near = 2;
+  double Sum = 0;
+  const auto End = Known.m_Steps.upper_bound(Index + Near);
+  for (auto At = Known.m_Steps.lower_bound(Index - Near); At != End; ++At)
+    Sum += valueOf(At->second.m_Tries, m_Opts.m_Forget, Now);
+  if (Sum >= m_Opts.m_LeastPart * valueOf(Known.m_Firsts, m_Opts.m_Forget, Now))
+    return 0us;
+  const auto Longer = Known.m_Steps.upper_bound(Index);
+  return Longer == Known.m_Steps.end() ? 0us : Longer->second.m_Shortest - Left;
+}
+
 Duration CallerClock::sinceFirstTry(const std::string &Route, Duration Left,
                                     TimePoint Now) {
-  Longest &Known = m_Routes[Route];
-  const double Age = static_cast<double>((Now - Known.m_At).count()) /
-                     static_cast<double>(m_Opts.m_Forget.count());
-  const Duration Expected(static_cast<Duration::rep>(
-      static_cast<double>(Known.m_Deadline.count()) * std::exp2(-Age)));
-  if (Left >= Expected) {
-    Known = {.m_Deadline = Left, .m_At = Now};
+  Book &Known = m_Routes[Route];
+  const int Index = static_cast<int>(std::floor(
+      std::log(std::max(1.0, inMillis(Left))) / std::log1p(m_Opts.m_Step)));
+  add(Known.m_Lately, m_Opts.m_Compare, Now);
+  const bool Unusual = !usual(Known, Index, Now);
+  if (Unusual)
+    add(Known.m_Unusual, m_Opts.m_Compare, Now);
+  if (valueOf(Known.m_Firsts, m_Opts.m_Forget, Now) < m_Opts.m_LeastSeen ||
+      !comeBack(Known, Now)) {
+    learn(Known, Index, Left, Now);
     return 0us;
   }
-  const Duration Since = Known.m_Deadline - Left;
-  const Duration Slack(static_cast<Duration::rep>(
-      static_cast<double>(Known.m_Deadline.count()) * m_Opts.m_Slack));
-  if (Since > Slack)
-    return Since;
-  Known.m_At = Now;
-  return 0us;
+  return Unusual ? beyondUsual(Known, Index, Left, Now) : 0us;
+}
+
+void CallerClock::turnedAway(const std::string &Route, TimePoint Now) {
+  add(m_Routes[Route].m_TurnedAway, m_Opts.m_Compare, Now);
 }
 
 } // namespace havenstair
--- a/packages/decisions/request/CallerClock.h
+++ b/packages/decisions/request/CallerClock.h
@@ -9,33 +9,84 @@
 
 namespace havenstair {
 
-/// Callers of one route begin with the same deadline; one that sends less has
-/// tried before, so much ago. The longest deadline of a route is learned.
+/// Tells second tries from first ones, and takes a try for a first one in
+/// doubt. Learns with which deadlines callers of a route begin; a second try
+/// comes with one that hardly any first try has, shorter than some, and about
+/// as many come as were turned away. See docs/design/first-tries.md.
 class CallerClock {
 public:
   struct Options {
-    /// What a first try may have lost on its way, as a part of the deadline.
-    double m_Slack = 0.01;
-    /// The longest deadline shrinks by half in this time unless it is seen.
-    Duration m_Forget = 120s;
+    /// Deadlines within this part of each other count as equal: a second try
+    /// is told from the twentieth of the deadline on that callers are told to
+    /// stay away at least.
+    double m_Step = 0.05;
+    /// Part of a route's tries that makes a deadline one of first tries: even
+    /// callers that are one in 25 of all, spread by 30 in 100, come to it.
+    double m_LeastPart = 0.01;
+    /// Fewer second tries than this part of all are not worth a mistake: taken
+    /// for first ones they add so little to the demand.
+    double m_LeastSeconds = 0.04;
+    /// Tries before any is judged: a kind of callers that is one in 25 has
+    /// come 16 times by then.
+    double m_LeastSeen = 400;
+    /// What was learned counts half after this: callers' programs change with
+    /// their releases, in hours, and a box sees some tries of a route a minute.
+    Duration m_Forget = 1800s;
+    /// Tries with unusual deadlines are second ones while their number is that
+    /// of the tries turned away here, within these factors: callers come back
+    /// to any box, and boxes turn away unevenly; fewer means that they stay
+    /// away, more that callers of another kind have come.
+    double m_FewestBack = 0.1;
+    double m_MostBack = 3;
+    /// Both numbers count half after this: callers come back within their
+    /// deadlines, and some must be counted to be compared.
+    Duration m_Compare = 60s;
   };
 
   CallerClock() : CallerClock(Options{}) {}
   explicit CallerClock(Options Opts) : m_Opts(Opts) {}
 
-  /// Time since the first try of a caller that has \p Left; zero for a first
-  /// try.
+  /// Least time since the first try of a caller that has \p Left; zero for a
+  /// first try, and in doubt.
   Duration sinceFirstTry(const std::string &Route, Duration Left,
                          TimePoint Now);
+  /// A caller of \p Route was not served, and may come back.
+  void turnedAway(const std::string &Route, TimePoint Now);
 
 private:
-  struct Longest {
-    Duration m_Deadline = 0us;
+  /// Tries, counted with decay.
+  struct Count {
+    double m_Sum = 0;
     TimePoint m_At{};
   };
+  /// First tries whose deadlines lie within one step.
+  struct Step {
+    Count m_Tries;
+    Duration m_Shortest = 0us;
+  };
+  struct Book {
+    std::map<int, Step> m_Steps;
+    Count m_Firsts;
+    Count m_Lately;
+    Count m_TurnedAway;
+    Count m_Unusual;
+  };
+
+  static double valueOf(const Count &Of, Duration Half, TimePoint Now);
+  static double add(Count &To, Duration Half, TimePoint Now);
+  void learn(Book &To, int Index, Duration Left, TimePoint Now) const;
+  /// Whether first tries come with deadlines of step \p Index.
+  bool usual(const Book &Known, int Index, TimePoint Now) const;
+  /// Whether those who come with unusual deadlines are about as many as were
+  /// turned away.
+  bool comeBack(const Book &Known, TimePoint Now) const;
+
+  /// Time since the first try for an unusual deadline; zero in doubt.
+  Duration beyondUsual(const Book &Known, int Index, Duration Left,
+                       TimePoint Now) const;
 
   Options m_Opts;
-  std::map<std::string, Longest> m_Routes;
+  std::map<std::string, Book> m_Routes;
 };
 
 } // namespace havenstair
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -622,6 +622,8 @@
   m_PaceTimer = Timer();
   m_Silence.stop();
   const Duration First = m_FirstByte ? *m_FirstByte - m_Arrived : 0us;
+  if (Outcome != "ok" && Outcome != answerFor(ErrorKind::CallerLeft).m_Code)
+    m_Owner.m_State.m_Callers.turnedAway(m_Route.m_Name, Now);
   if (Outcome == "ok" && streaming() && m_FirstByte)
     m_Owner.m_State.m_Latency.observeHold(m_Request.m_Model,
                                           inMillis(Now - *m_FirstByte));
--- a/packages/havenstair/request/LossesCommand.cpp
+++ b/packages/havenstair/request/LossesCommand.cpp
@@ -143,8 +143,20 @@
     ++m_Failed;
 }
 
+std::size_t LossSums::callers() const {
+  // A second try follows one that was not served; any beyond those is a
+  // caller whose first try these logs do not tell of, or was misjudged.
+  const std::size_t Unserved = m_FirstTries + m_SecondTries - m_InTime - m_Late;
+  return m_FirstTries +
+         (m_SecondTries > Unserved ? m_SecondTries - Unserved : 0);
+}
+
+double LossSums::lost() const {
+  return static_cast<double>(callers()) - m_Credit;
+}
+
 double LossSums::creditPerCaller() const {
-  return m_FirstTries == 0 ? 0 : m_Credit / static_cast<double>(m_FirstTries);
+  return callers() == 0 ? 0 : m_Credit / static_cast<double>(callers());
 }
 
 LossGrouping parseLossGrouping(std::string_view Text) {
@@ -179,10 +191,29 @@
       To[groupOf(*Try, By)].add(*Try, Weights);
 }
 
+namespace {
+
+/// Those that lost the most first.
+std::vector<const LossTable::value_type *> ranked(const LossTable &Losses) {
+  std::vector<const LossTable::value_type *> Result;
+  for (const auto &Each : Losses)
+    Result.push_back(&Each);
+  std::stable_sort(Result.begin(), Result.end(),
+                   [](const auto *A, const auto *B) {
+                     return A->second.lost() > B->second.lost();
+                   });
+  return Result;
+}
+
+} // namespace
+
 Json toJson(const LossTable &Losses) {
   Json Result = Json::array();
-  for (const auto &[Group, Sums] : Losses)
+  for (const auto *Each : ranked(Losses)) {
+    const auto &[Group, Sums] = *Each;
     Result.push_back({{"group", Group},
+                      {"callers", Sums.callers()},
+                      {"lost", Sums.lost()},
                       {"first_tries", Sums.m_FirstTries},
                       {"second_tries", Sums.m_SecondTries},
                       {"in_time", Sums.m_InTime},
@@ -195,32 +226,23 @@
                       {"estimates_close", Sums.m_Close},
                       {"credit_per_caller", Sums.creditPerCaller()},
                       {"causes", Sums.m_Causes}});
+  }
   return Result;
 }
 
 std::string toText(const LossTable &Losses) {
-  std::vector<const LossTable::value_type *> Ranked;
-  for (const auto &Each : Losses)
-    Ranked.push_back(&Each);
-  const auto Lost = [](const LossSums &Of) {
-    return static_cast<double>(Of.m_FirstTries) - Of.m_Credit;
-  };
-  std::stable_sort(Ranked.begin(), Ranked.end(),
-                   [&](const auto *A, const auto *B) {
-                     return Lost(A->second) > Lost(B->second);
-                   });
-  TextTable Table({"group", "callers", "in time", "late", "refused",
+  TextTable Table({"group", "callers", "lost", "in time", "late", "refused",
                    "refused again", "failed", "held s", "estimates close",
                    "credit", "causes"});
-  for (const auto *Each : Ranked) {
+  for (const auto *Each : ranked(Losses)) {
     const LossSums &Sums = Each->second;
     const double Close = Sums.m_Estimated == 0
                              ? 0
                              : static_cast<double>(Sums.m_Close) /
                                    static_cast<double>(Sums.m_Estimated);
-    Table.add({Each->first, std::to_string(Sums.m_FirstTries),
-               std::to_string(Sums.m_InTime), std::to_string(Sums.m_Late),
-               std::to_string(Sums.m_RefusedFirst),
+    Table.add({Each->first, std::to_string(Sums.callers()),
+               fixed(Sums.lost(), 1), std::to_string(Sums.m_InTime),
+               std::to_string(Sums.m_Late), std::to_string(Sums.m_RefusedFirst),
                std::to_string(Sums.m_RefusedSecond),
                std::to_string(Sums.m_Failed), fixed(Sums.m_HeldMs / 1000, 1),
                fixed(Close, 2), fixed(Sums.creditPerCaller(), 3),
--- a/packages/havenstair/request/LossesCommand.h
+++ b/packages/havenstair/request/LossesCommand.h
@@ -72,7 +72,11 @@
   std::map<std::string, std::size_t> m_Causes; ///< Of what was not in time.
 
   void add(const TryEnd &Try, const CreditWeights &Weights);
-  /// Strict credit for each caller; 0 without any.
+  /// Callers, not their tries: no more credit can be owed than one each.
+  std::size_t callers() const;
+  /// Credit that callers went without, and what waiting cost them besides.
+  double lost() const;
+  /// Strict credit for each caller, 1 at most; 0 without any.
   double creditPerCaller() const;
 };
 
@@ -89,7 +93,7 @@
 void addLosses(std::istream &Log, LossGrouping By, const CreditWeights &Weights,
                LossTable &To);
 
-/// For programs.
+/// For programs, in the same order.
 Json toJson(const LossTable &Losses);
 /// For people; the groups that lost the most first.
 std::string toText(const LossTable &Losses);
--- a/tests/commands/LossesCommandTest.cpp
+++ b/tests/commands/LossesCommandTest.cpp
@@ -1,7 +1,6 @@
 #include "havenstair/request/LossesCommand.h"
 #include "havenstair/common/ExitCode.h"
-
-#include <catch2/catch.hpp>
+#include "support/Draw.h"
 #include <sstream>
 
 using namespace havenstair;
@@ -94,6 +93,51 @@
   REQUIRE(toJson(ByRoute).size() == 2);
 }
 
+TEST_CASE("No group earns more than one credit for each caller",
+          "[losses][property]") {
+  rc::prop("credit of 1 at most, whatever is taken for a second try", [] {
+    LossSums Sums;
+    for (int Try = *drawn(1, 40); Try > 0; --Try) {
+      TryEnd End = *rc::gen::arbitrary<bool>() ? inTime() : refused(0);
+      // Also those whose first try was never seen.
+      End.m_TriedBefore = *drawn(0, 3) * 10;
+      Sums.add(End, {});
+    }
+    RC_ASSERT(Sums.creditPerCaller() <= 1);
+    RC_ASSERT(Sums.callers() >= Sums.m_InTime + Sums.m_Late);
+    RC_ASSERT(Sums.lost() >= -1e-9);
+  });
+}
+
+TEST_CASE("A caller that is served at the second try is one caller",
+          "[losses]") {
+  LossSums Sums;
+  Sums.add(refused(0), {});
+  TryEnd Second = inTime();
+  Second.m_TriedBefore = 500;
+  Sums.add(Second, {});
+  REQUIRE(Sums.callers() == 1);
+  REQUIRE(Sums.creditPerCaller() == 1);
+  REQUIRE(Sums.lost() == 0);
+}
+
+TEST_CASE("What lost the most comes first, for people and programs",
+          "[losses]") {
+  LossTable Losses;
+  Losses["a"].add(inTime(), {});
+  for (int Try = 0; Try < 3; ++Try)
+    Losses["c"].add(refused(0), {});
+  Losses["b"].add(refused(0), {});
+  const Json Rows = toJson(Losses);
+  REQUIRE(Rows.at(0).at("group") == "c");
+  REQUIRE(Rows.at(0).at("lost") == 3);
+  REQUIRE(Rows.at(1).at("group") == "b");
+  REQUIRE(Rows.at(2).at("group") == "a");
+  const std::string Text = toText(Losses);
+  REQUIRE(Text.find("\nc ") < Text.find("\nb "));
+  REQUIRE(Text.find("\nb ") < Text.find("\na "));
+}
+
 TEST_CASE("Another grouping or format is refused", "[losses]") {
   REQUIRE(parseLossFormat("json") == LossFormat::Json);
   REQUIRE_THROWS_AS(parseLossFormat("xml"), CommandError);
