Boxes send nothing to evacuated data centres

Ruled out: one watch of all operators' keys (the configuration is large and each box reads it); a stale first read (it would not be the store's state). Change: a fourth PrefixMirror, followed as the list of upstreams is: one box watches, relays and digests pass it on, its age counts with the list's, and a box is ready only once it knows. ServingView leaves these upstreams out; the order giver plans without their engines, orders no loads there, and keeps copies of models that come back for a replica's usual stay. Boxes whose settings hold no bound for it make no call and await nothing. m_Evacuation is optional for this. Tests: [evacuation]: decisions, and gateways on one loop (evacuate, take back, twice, in an outage, at a box that joins, silent watch, 20 boxes with a replaced order giver, not asked for without the bound).

--- a/packages/decisions/process/ServingView.cpp
+++ b/packages/decisions/process/ServingView.cpp
@@ -49,6 +49,32 @@
   return Gone;
 }
 
+bool ServingView::evacuate(Evacuations Asked, TimePoint Now) {
+  if (Asked.m_Revision < m_Evacuations.m_Revision)
+    return false;
+  for (const DataCentreName &Each : m_Evacuations.m_DataCentres)
+    if (!Asked.contains(Each))
+      m_ReturnedAt[Each] = Now;
+  for (const DataCentreName &Each : Asked.m_DataCentres)
+    m_ReturnedAt.erase(Each);
+  const bool Changed = Asked.m_DataCentres != m_Evacuations.m_DataCentres;
+  m_Evacuations = std::move(Asked);
+  return Changed;
+}
+
+bool ServingView::evacuated(const UpstreamInstance &Upstream) const {
+  // Hardly ever is there one, and each request asks for each upstream.
+  return !m_Evacuations.m_DataCentres.empty() &&
+         m_Evacuations.contains(DataCentreName(Upstream.m_Zone));
+}
+
+std::optional<TimePoint>
+ServingView::returnedAt(const UpstreamInstance &Upstream) const {
+  const auto Found = m_ReturnedAt.find(DataCentreName(Upstream.m_Zone));
+  return Found == m_ReturnedAt.end() ? std::nullopt
+                                     : std::optional(Found->second);
+}
+
 void ServingView::refresh(const InstanceId &Id, TimePoint Now) {
   const auto Listed = m_List.m_Instances.find(Id);
   if (Listed == m_List.m_Instances.end())
@@ -87,7 +113,7 @@
     if (Each.m_Model != Model || Now - Each.m_ServesAt > m_Opts.m_LoadOverdue)
       continue;
     const auto Engine = m_Current.find(Id);
-    if (Engine == m_Current.end() || Engine->second.m_Draining ||
+    if (Engine == m_Current.end() || leaves(Engine->second) ||
         Engine->second.m_Service != Service || Engine->second.holds(Model, ""))
       continue;
     Soonest = std::min(Soonest.value_or(Each.m_ServesAt), Each.m_ServesAt);
@@ -117,7 +143,7 @@
                         TimePoint Now) const {
   const auto Fits = [&](const UpstreamInstance &Each) {
     return Each.m_Service == Service &&
-           (Model.empty() || Each.holds(Model, Adapter)) &&
+           (Model.empty() || Each.holds(Model, Adapter)) && !evacuated(Each) &&
            !retiring(Each.m_Id, Model, Now) && !Excluded(Each.m_Id);
   };
   std::vector<const UpstreamInstance *> Result;
--- a/packages/decisions/process/ServingView.h
+++ b/packages/decisions/process/ServingView.h
@@ -3,6 +3,7 @@
 #ifndef HAVENSTAIR_DECISIONS_PROCESS_SERVINGVIEW_H
 #define HAVENSTAIR_DECISIONS_PROCESS_SERVINGVIEW_H
 
+#include "decisions/process/Evacuations.h"
 #include "decisions/process/UpstreamInstance.h"
 #include <functional>
 #include <map>
@@ -45,6 +46,20 @@
   void toldLoad(const InstanceId &Engine, const std::string &Model,
                 TimePoint ServesAt);
 
+  /// Takes over what operators have asked for unless newer is known. \returns
+  /// whether that changes where requests may go.
+  bool evacuate(Evacuations Asked, TimePoint Now);
+  const Evacuations &evacuations() const { return m_Evacuations; }
+  bool evacuated(const UpstreamInstance &Upstream) const;
+  /// Whether \p Upstream is to get no more work: it leaves, or stands in an
+  /// evacuated data centre.
+  bool leaves(const UpstreamInstance &Upstream) const {
+    return Upstream.m_Draining || evacuated(Upstream);
+  }
+  /// When the evacuation of \p Upstream's data centre was last known to be
+  /// taken away; none when it was not, or stands. It may have grown cold.
+  std::optional<TimePoint> returnedAt(const UpstreamInstance &Upstream) const;
+
   const InstanceList &list() const { return m_List; }
   bool known() const { return m_Known; }
 
@@ -89,6 +104,8 @@
 
   Options m_Opts;
   InstanceList m_List;
+  Evacuations m_Evacuations;
+  std::map<DataCentreName, TimePoint> m_ReturnedAt;
   bool m_Known = false;
   std::map<InstanceId, Leaving> m_Leaving;
   std::map<InstanceId, Told> m_Told;
--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -93,7 +93,8 @@
   std::set<BoxName> Voters = Topology.relays();
   Voters.erase(m_Of.m_Fleet.self());
   m_Of.m_Giver.setVoters(std::move(Voters), Topology.relay());
-  for (PrefixMirror *Each : {&m_Of.m_Config, &m_Of.m_Upstreams, &m_Of.m_Boxes})
+  for (PrefixMirror *Each :
+       {&m_Of.m_Config, &m_Of.m_Upstreams, &m_Of.m_Boxes, &m_Of.m_Evacuations})
     Each->setRetry(Topology.relay() ? RelayRetry : LeafRetry);
   m_Of.m_Upstreams.setGather(Topology.relay() ? RelayGather : LeafGather);
   chooseListSource();
@@ -112,6 +113,9 @@
   m_Of.m_Fleet.send(Box, m_Of.m_Giver.contents());
   m_Of.m_Fleet.send(
       Box, keysFrame(m_Opts.m_UpstreamPrefix, m_Of.m_Upstreams.whole()));
+  if (m_FollowEvacuations)
+    m_Of.m_Fleet.send(
+        Box, keysFrame(m_Opts.m_EvacuationPrefix, m_Of.m_Evacuations.whole()));
 }
 
 void FleetExchange::linkDown(const BoxName &Box) {
@@ -131,6 +135,7 @@
   Frame.m_Config = State.configVersion();
   Frame.m_List = m_Of.m_Upstreams.revision();
   Frame.m_Boxes = m_Of.m_Boxes.revision();
+  Frame.m_Evacuations = m_Of.m_Evacuations.revision();
   Frame.m_Stopping = State.m_Stopping;
   Frame.m_ListAge = listAge(Now);
   Frame.m_Reads = m_Of.m_Upstreams.running();
@@ -144,6 +149,8 @@
   TimePoint At = knownAsOf(m_Of.m_Upstreams);
   if (!m_Of.m_Fleet.topology().flat())
     At = std::min(At, configAsOf());
+  if (m_FollowEvacuations)
+    At = std::min(At, evacuationsAsOf());
   return std::min<Duration>(NoListAge, Now - At);
 }
 
@@ -153,6 +160,10 @@
 
 TimePoint FleetExchange::configAsOf() const { return knownAsOf(m_Of.m_Config); }
 
+TimePoint FleetExchange::evacuationsAsOf() const {
+  return knownAsOf(m_Of.m_Evacuations);
+}
+
 /// Age from which on this box reads the store itself.
 Duration FleetExchange::mostListAge() const {
   const FleetTopology &Topology = m_Of.m_Fleet.topology();
@@ -247,19 +258,24 @@
   take(m_Of.m_Fleet.self(), FleetMissingFrame{{Key}});
 }
 
-void FleetExchange::upstreamsChanged() {
-  const PrefixMirror::Delta News = m_Of.m_Upstreams.takeChanges();
+void FleetExchange::upstreamsChanged() { passOn(m_Of.m_Upstreams); }
+
+void FleetExchange::evacuationsChanged() { passOn(m_Of.m_Evacuations); }
+
+void FleetExchange::passOn(PrefixMirror &Mirror) {
+  const PrefixMirror::Delta News = Mirror.takeChanges();
   if (m_Of.m_Giver.giving() ||
-      (m_Of.m_Fleet.topology().relay() && m_Of.m_Upstreams.running()))
-    toAll(keysFrame(m_Opts.m_UpstreamPrefix, News));
+      (m_Of.m_Fleet.topology().relay() && Mirror.running()))
+    toAll(keysFrame(Mirror.prefix(), News));
   else if (!m_Leaves.empty())
-    toLeaves(keysFrame(m_Opts.m_UpstreamPrefix, News));
+    toLeaves(keysFrame(Mirror.prefix(), News));
 }
 
 FleetWantFrame FleetExchange::want() const {
   return {.m_Config = m_Of.m_State.configVersion(),
           .m_List = m_Of.m_Upstreams.revision(),
-          .m_Boxes = m_Of.m_Boxes.revision()};
+          .m_Boxes = m_Of.m_Boxes.revision(),
+          .m_Evacuations = m_Of.m_Evacuations.revision()};
 }
 
 FleetKeysFrame FleetExchange::keysFrame(const std::string &Prefix,
@@ -379,6 +395,9 @@
   const bool HasConfig = m_Of.m_State.m_Config != nullptr;
   if (Relayed || !startsSoon(Now)) {
     follow(m_Of.m_Upstreams, Relayed && HasList);
+    follow(m_Of.m_Evacuations,
+           !m_FollowEvacuations ||
+               (Relayed && m_Of.m_Evacuations.revision() > 0));
     // A leaf that the store turns away does not try for both.
     const bool Reachable =
         Topology.relay() || m_Of.m_Upstreams.confirmedAt() >= Now - LeafGather;
@@ -512,6 +531,8 @@
   };
   return Behind(m_Of.m_Upstreams, Newest.m_List) ||
          Behind(m_Of.m_Boxes, Newest.m_Boxes) ||
+         (m_FollowEvacuations &&
+          Behind(m_Of.m_Evacuations, Newest.m_Evacuations)) ||
          (!m_Of.m_Config.running() && Newest.m_Config > want().m_Config);
 }
 
@@ -531,7 +552,10 @@
   // Its age counts from when it was said. One that the store turns away, or
   // whose watch is dead, knows no news.
   const Duration Age = Frame.m_ListAge + heldUp(Frame, Now);
-  if (Age > mostListAge() || Frame.m_List < m_Of.m_Upstreams.revision()) {
+  // Nor does one that does not follow the evacuations know them.
+  const bool Knows = !m_FollowEvacuations || Frame.m_Evacuations > 0;
+  if (Age > mostListAge() || !Knows ||
+      Frame.m_List < m_Of.m_Upstreams.revision()) {
     m_ListWords.erase(From);
     return;
   }
@@ -543,7 +567,8 @@
       m_ListWords[From] = {.m_AsOf = AsOf,
                            .m_Newest = {.m_Config = Frame.m_Config,
                                         .m_List = Frame.m_List,
-                                        .m_Boxes = Frame.m_Boxes},
+                                        .m_Boxes = Frame.m_Boxes,
+                                        .m_Evacuations = Frame.m_Evacuations},
                            .m_AsOfBefore = vouchedAsOf(From)};
   // Something was lost on the way, or this box has not followed it so far.
   if (!Newer || !behind(Word.m_Newest))
@@ -569,6 +594,9 @@
   if (Own.m_Boxes > Frame.m_Boxes)
     m_Of.m_Fleet.send(From,
                       keysFrame(m_Opts.m_BoxPrefix, m_Of.m_Boxes.whole()));
+  if (Own.m_Evacuations > Frame.m_Evacuations)
+    m_Of.m_Fleet.send(
+        From, keysFrame(m_Opts.m_EvacuationPrefix, m_Of.m_Evacuations.whole()));
 }
 
 PrefixMirror *FleetExchange::mirrorOf(const std::string &Prefix) {
@@ -576,6 +604,8 @@
     return &m_Of.m_Config;
   if (Prefix == m_Opts.m_UpstreamPrefix)
     return &m_Of.m_Upstreams;
+  if (Prefix == m_Opts.m_EvacuationPrefix && m_FollowEvacuations)
+    return &m_Of.m_Evacuations;
   return Prefix == m_Opts.m_BoxPrefix ? &m_Of.m_Boxes : nullptr;
 }
 
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -30,6 +30,7 @@
     std::string m_ConfigPrefix;
     std::string m_UpstreamPrefix;
     std::string m_BoxPrefix;
+    std::string m_EvacuationPrefix;
     /// Of the platform: how long a leaving upstream may get new work.
     Duration m_DrainTimeout = 2s;
     bool m_FirstStart = false; ///< The whole fleet starts now.
@@ -43,6 +44,7 @@
     PrefixMirror &m_Config;
     PrefixMirror &m_Upstreams;
     PrefixMirror &m_Boxes;
+    PrefixMirror &m_Evacuations;
     DecisionLog &m_Log;
   };
   struct Hooks {
@@ -65,12 +67,18 @@
   void missing(const ModelKey &Key);
   /// The list of upstreams has changed.
   void upstreamsChanged();
+  /// The list of evacuations has changed.
+  void evacuationsChanged();
   /// Boxes that this one is the relay of.
   std::size_t leaves() const { return m_Leaves.size(); }
   /// As of when this box's configuration was the store's, or later.
   TimePoint configAsOf() const;
   /// A configuration must never be old: it is watched closely.
   void watchConfigClosely(bool Closely) { m_ConfigClosely = Closely; }
+  /// Operators evacuate data centres: what they ask for travels with the list.
+  void followEvacuations(bool Follow) { m_FollowEvacuations = Follow; }
+  /// As of when this box's evacuations were the store's, or later.
+  TimePoint evacuationsAsOf() const;
   /// Whether the store has answered this box just now.
   bool storeJustReached() const;
 
@@ -93,6 +101,7 @@
   void toRelays(const PeerFrame &Frame);
   void toLeaves(const PeerFrame &Frame);
   void toAll(const PeerFrame &Frame);
+  void passOn(PrefixMirror &Mirror);
   void dropSilentLeaves(TimePoint Now);
   void chooseUplink(TimePoint Now);
   BoxName towardsGiver() const;
@@ -149,6 +158,7 @@
   TimePoint m_ConfigReadAt{}; ///< When it was last read on another box's word.
   TimePoint m_ListReadAt{};   ///< When it was read anew on another box's word.
   bool m_ConfigClosely = false;
+  bool m_FollowEvacuations = false;
   Timer m_TellTimer;
   Timer m_LoadsTimer;
   Timer m_SourceTimer;
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -103,6 +103,10 @@
                   mirrorOptions(m_Binding.m_OwnPrefix, GatherBoxes,
                                 WaitForBoxes, ReadKind::Stale),
                   {.m_Changed = [this] { ownKeysChanged(); }}),
+      m_EvacuationMirror(Loop, *m_Store,
+                         mirrorOptions(m_Binding.m_EvacuationPrefix, 0us,
+                                       PrefixMirror::CloseWait),
+                         {.m_Changed = [this] { evacuationsChanged(); }}),
       m_Process(m_Options.m_Box.str() + "." + randomHex(NameBytes)),
       m_Fleet(Loop, *m_Store, m_Log, fleetOptions(), fleetHooks()),
       m_Giver(Loop, *m_Store, *m_Engines, m_State, m_Log, giverOptions(),
@@ -124,10 +128,12 @@
            .m_Config = m_ConfigMirror,
            .m_Upstreams = m_UpstreamMirror,
            .m_Boxes = m_OwnMirror,
+           .m_Evacuations = m_EvacuationMirror,
            .m_Log = m_Log},
           {.m_ConfigPrefix = m_Binding.m_ConfigPrefix,
            .m_UpstreamPrefix = m_Binding.m_UpstreamPrefix,
            .m_BoxPrefix = m_Binding.m_OwnPrefix,
+           .m_EvacuationPrefix = m_Binding.m_EvacuationPrefix,
            .m_DrainTimeout = m_Options.m_Bounds.m_DrainTimeout,
            .m_FirstStart = m_Options.m_FirstStart,
            .m_Random = [this] { return drawUnit(m_Random); }},
@@ -245,6 +251,7 @@
   m_ConfigMirror.resync();
   m_UpstreamMirror.resync();
   m_OwnMirror.resync();
+  m_EvacuationMirror.resync();
 }
 
 void Gateway::startServers() {
@@ -307,6 +314,8 @@
                               .m_Window = Bounds.m_RetryWindow});
   m_Quotas->setTolerance(quotaTolerance());
   m_Exchange.watchConfigClosely(Bounds.m_FailClosed);
+  m_State.m_NeedsEvacuations = Bounds.m_Evacuation.has_value();
+  m_Exchange.followEvacuations(m_State.m_NeedsEvacuations);
 }
 
 QuotaTolerance Gateway::quotaTolerance() const {
@@ -376,6 +385,28 @@
   m_Forwarder.upstreamsChanged();
 }
 
+void Gateway::evacuationsChanged() {
+  Evacuations Asked{.m_Revision = m_EvacuationMirror.revision()};
+  Json Names = Json::array();
+  for (const auto &[Key, Item] : m_EvacuationMirror.items()) {
+    Names.push_back(Key.substr(m_Binding.m_EvacuationPrefix.size()));
+    Asked.m_DataCentres.emplace(Names.back().get<std::string>());
+  }
+  const TimePoint Now = EventLoop::now();
+  m_Log.write("evacuations",
+              {{"revision", Asked.m_Revision},
+               {"data_centres", Names},
+               {"age_ms", std::min<Duration>(
+                              NoListAge, Now - m_Exchange.evacuationsAsOf()) /
+                              1ms}});
+  const bool Changed = m_State.m_Upstreams.evacuate(std::move(Asked), Now);
+  m_Exchange.evacuationsChanged();
+  if (!Changed)
+    return;
+  m_Giver.evacuationsChanged(Now);
+  m_Forwarder.upstreamsChanged();
+}
+
 void Gateway::stop() {
   if (std::exchange(m_State.m_Stopping, true))
     return;
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -70,6 +70,7 @@
   void logStoreCalls();
   void configChanged();
   void upstreamsChanged();
+  void evacuationsChanged();
   void applyBounds();
   QuotaTolerance quotaTolerance() const;
   bool mayTrustKeys() const;
@@ -98,6 +99,7 @@
   PrefixMirror m_ConfigMirror;
   PrefixMirror m_UpstreamMirror;
   PrefixMirror m_OwnMirror;
+  PrefixMirror m_EvacuationMirror;
   BoxName m_Process; ///< Name of this start of the process.
   Fleet m_Fleet;
   OrderGiver m_Giver;
--- a/packages/gateway/process/GatewayOptions.h
+++ b/packages/gateway/process/GatewayOptions.h
@@ -8,6 +8,7 @@
 #include "decisions/common/Time.h"
 #include "decisions/process/WarmUp.h"
 #include "wire/common/Endpoint.h"
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,8 +29,9 @@
   double m_QuotaAllowance = 0; ///< Units that use may exceed it by, besides.
   Duration m_Revocation = 5s;  ///< A key that is taken away is refused by then.
   WarmUpTolerance m_WarmUp;
-  /// No request goes to an evacuated data centre from then on.
-  Duration m_Evacuation = 5s;
+  /// No request goes to an evacuated data centre from then on; none where
+  /// operators do not evacuate.
+  std::optional<Duration> m_Evacuation;
   /// Refuse keys when the configuration may be older than that.
   bool m_FailClosed = false;
 
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -194,6 +194,32 @@
     refreshEngines(EventLoop::now());
 }
 
+void OrderGiver::evacuationsChanged(TimePoint Now) {
+  if (!giving())
+    return;
+  refreshEngines(Now);
+  keepCopiesOfReturned(Now);
+  tickSoon(true);
+}
+
+/// Models that were brought elsewhere during an evacuation stay there until the
+/// return has held: the engines that come back may be cold.
+void OrderGiver::keepCopiesOfReturned(TimePoint Now) {
+  const ServingView &View = m_State.m_Upstreams;
+  const auto Returned = [&](const InstanceId &Id) {
+    return View.returnedAt(View.list().m_Instances.at(Id)) == Now;
+  };
+  std::set<std::string> Models;
+  for (const auto &[Id, Each] : m_Engines)
+    if (Returned(Id))
+      for (const ResidentModel &Model : Each.m_Ledger.models())
+        Models.insert(Model.m_Name);
+  for (auto &[Id, Each] : m_Engines)
+    for (const ResidentModel &Model : Each.m_Ledger.models())
+      if (Models.contains(Model.m_Name) && !Returned(Id))
+        Each.m_ModelAt[Model.m_Name] = Now + SettleFor;
+}
+
 void OrderGiver::tick() {
   const TimePoint Now = EventLoop::now();
   if (m_Left)
@@ -231,7 +257,7 @@
     // The first word is the engine's own: the list lags behind it.
     if (Known.m_Ledger.known())
       Known.m_Ledger.listed(Entry);
-    if (Entry.m_Draining)
+    if (m_State.m_Upstreams.leaves(Entry))
       Known.m_Task.reset();
   }
 }
@@ -374,6 +400,8 @@
   const EngineSpec *Spec = specOf(Entry->second.m_Service);
   if (Spec == nullptr || !To.m_Ledger.allows(Order, *Spec))
     return false;
+  if (Order.m_Load && m_State.m_Upstreams.evacuated(Entry->second))
+    return false;
   const bool FromStore =
       Order.m_Load && Order.m_Adapter.empty() && Source == LoadSource::Store;
   if (FromStore) {
@@ -540,6 +568,7 @@
       continue;
     Input.m_Engines.push_back(Each.forModels(
         Entry, m_State.m_Latency.slowness(Id), m_Opts.m_ReplicaStays, Now));
+    Input.m_Engines.back().m_Leaving = m_State.m_Upstreams.leaves(Entry);
   }
   return Input;
 }
@@ -621,18 +650,26 @@
   return Sum;
 }
 
+bool OrderGiver::evacuated(const InstanceId &Id) const {
+  const ServingView &View = m_State.m_Upstreams;
+  const auto Entry = View.list().m_Instances.find(Id);
+  return Entry != View.list().m_Instances.end() &&
+         View.evacuated(Entry->second);
+}
+
 bool OrderGiver::resident(const std::string &Model,
                           const std::string &Adapter) const {
   return std::any_of(m_Engines.begin(), m_Engines.end(), [&](const auto &Each) {
-    return Each.second.m_Ledger.holds(Model, Adapter);
+    return Each.second.m_Ledger.holds(Model, Adapter) && !evacuated(Each.first);
   });
 }
 
 std::map<std::string, std::size_t> OrderGiver::replicas() const {
   std::map<std::string, std::size_t> Result;
   for (const auto &[Id, Each] : m_Engines)
-    for (const ResidentModel &Model : Each.m_Ledger.models())
-      ++Result[Model.m_Name];
+    if (!evacuated(Id))
+      for (const ResidentModel &Model : Each.m_Ledger.models())
+        ++Result[Model.m_Name];
   return Result;
 }
 
@@ -643,7 +680,7 @@
   for (const auto &[Id, Each] : m_Engines) {
     const UpstreamInstance &Entry =
         m_State.m_Upstreams.list().m_Instances.at(Id);
-    if (Entry.m_Service != Service || Entry.m_Draining ||
+    if (Entry.m_Service != Service || m_State.m_Upstreams.leaves(Entry) ||
         !Each.m_Ledger.known())
       continue;
     Engines.push_back(Each.forAdapters(Id,
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -62,6 +62,8 @@
     m_Claim.entriesChanged(Items);
   }
   void upstreamsChanged();
+  /// Data centres are evacuated, or were taken back at \p Now.
+  void evacuationsChanged(TimePoint Now);
   /// Demand of this box or another one.
   void demanded(const ModelDemands &Demand);
   /// Requests wait for models that no engine holds.
@@ -101,6 +103,7 @@
 
   const EngineSpec *specOf(const std::string &Service) const;
   void refreshEngines(TimePoint Now);
+  void keepCopiesOfReturned(TimePoint Now);
   void askReports(TimePoint Now);
   void askReport(const InstanceId &Id, ManagedEngine &Of, TimePoint Now);
   void heard(const InstanceId &Id,
@@ -128,8 +131,9 @@
   double busyPart(const std::string &Service, const ManagedEngine &Of,
                   const std::map<std::string, std::size_t> &Replicas,
                   TimePoint Now) const;
+  bool evacuated(const InstanceId &Id) const;
   bool resident(const std::string &Model, const std::string &Adapter) const;
-  /// Engines that hold each model.
+  /// Engines that hold each model, but for evacuated ones.
   std::map<std::string, std::size_t> replicas() const;
 
   EventLoop &m_Loop;
--- a/packages/gateway/process/ServingState.h
+++ b/packages/gateway/process/ServingState.h
@@ -34,14 +34,20 @@
   ModelDemands m_Demand; ///< Since it was last taken.
   int m_Boxes = 1;       ///< Most boxes known at one time.
   bool m_Stopping = false;
+  /// Operators evacuate data centres: which ones must be known before requests
+  /// are sent.
+  bool m_NeedsEvacuations = false;
 
   /// 0 before the first.
   ConfigVersion configVersion() const {
     return m_Config ? m_Config->m_Version : 0;
   }
-  bool ready() const {
-    return m_Config != nullptr && m_Upstreams.known() && !m_Stopping;
+  /// Whether what requests are sent by is known.
+  bool knowsAll() const {
+    return m_Config != nullptr && m_Upstreams.known() &&
+           (!m_NeedsEvacuations || m_Upstreams.evacuations().m_Revision > 0);
   }
+  bool ready() const { return knowsAll() && !m_Stopping; }
 };
 
 } // namespace havenstair
--- a/packages/gateway/request/Forwarder.cpp
+++ b/packages/gateway/request/Forwarder.cpp
@@ -58,7 +58,7 @@
   } catch (const RequestError &Error) {
     return refuseUnread(Exchange, Error.failure(), Request.m_Id);
   }
-  if (!m_State.m_Config || !m_State.m_Upstreams.known())
+  if (!m_State.knowsAll())
     return refuseUnread(Exchange,
                         {.m_Kind = ErrorKind::NoConfiguration,
                          .m_RetryAfter = UnconfiguredAway},
--- a/packages/wire/connection/FleetFrames.cpp
+++ b/packages/wire/connection/FleetFrames.cpp
@@ -86,6 +86,8 @@
               {"config", Frame.m_Config},
               {"list", Frame.m_List},
               {"boxes", Frame.m_Boxes}};
+  if (Frame.m_Evacuations > 0)
+    Result["evacuations"] = Frame.m_Evacuations;
   if (Frame.m_Stopping)
     Result["stopping"] = true;
   if (Frame.m_Leaf)
@@ -113,6 +115,7 @@
   Frame.m_Config = field<std::uint64_t>(From, "config");
   Frame.m_List = field<std::uint64_t>(From, "list");
   Frame.m_Boxes = field<std::uint64_t>(From, "boxes");
+  Frame.m_Evacuations = fieldOr<std::uint64_t>(From, "evacuations", 0);
   Frame.m_Stopping = fieldOr<bool>(From, "stopping", false);
   Frame.m_Leaf = fieldOr<bool>(From, "leaf", false);
   const auto Age = fieldOr<std::uint32_t>(From, "age", NoListAge / 1ms);
@@ -140,13 +143,15 @@
 Json toJson(const FleetWantFrame &Frame) {
   return {{"config", Frame.m_Config},
           {"list", Frame.m_List},
-          {"boxes", Frame.m_Boxes}};
+          {"boxes", Frame.m_Boxes},
+          {"evacuations", Frame.m_Evacuations}};
 }
 
 void fromJson(const Json &From, FleetWantFrame &Frame) {
   Frame.m_Config = field<std::uint64_t>(From, "config");
   Frame.m_List = field<std::uint64_t>(From, "list");
   Frame.m_Boxes = field<std::uint64_t>(From, "boxes");
+  Frame.m_Evacuations = fieldOr<std::uint64_t>(From, "evacuations", 0);
 }
 
 Json toJson(const FleetKeysFrame &Frame) {
--- a/packages/wire/connection/FleetFrames.h
+++ b/packages/wire/connection/FleetFrames.h
@@ -27,6 +27,7 @@
   std::uint64_t m_Config = 0; ///< Version of the configuration it serves by.
   std::uint64_t m_List = 0;   ///< Revision of its list of upstreams.
   std::uint64_t m_Boxes = 0;  ///< Revision of its list of boxes.
+  std::uint64_t m_Evacuations = 0; ///< Revision of its evacuations.
   bool m_Stopping = false;
   bool m_Leaf = false; ///< The sender asks the receiver to be its relay.
   /// The sender's copies of the store's keys were the store's state this long
@@ -57,6 +58,7 @@
   std::uint64_t m_Config = 0;
   std::uint64_t m_List = 0;
   std::uint64_t m_Boxes = 0;
+  std::uint64_t m_Evacuations = 0;
 
   bool operator==(const FleetWantFrame &) const = default;
 };
--- a/tests/decisions/process/ServingViewTest.cpp
+++ b/tests/decisions/process/ServingViewTest.cpp
@@ -118,3 +118,77 @@
     REQUIRE_FALSE(View.servesAt("s", "m", at(10s)));
   }
 }
+
+namespace {
+
+UpstreamInstance standing(const std::string &Id,
+                          const std::string &DataCentre) {
+  UpstreamInstance Result = engine(Id);
+  Result.m_Zone = DataCentre;
+  return Result;
+}
+
+Evacuations evacuated(std::uint64_t Revision,
+                      std::set<DataCentreName> DataCentres) {
+  return {.m_Revision = Revision, .m_DataCentres = std::move(DataCentres)};
+}
+
+} // namespace
+
+TEST_CASE("An evacuated data centre's upstreams get nothing",
+          "[view][evacuation]") {
+  ServingView View;
+  View.update(list(1, {standing("a", "x"), standing("b", "y")}), at(1s));
+  REQUIRE(View.evacuate(evacuated(5, {DataCentreName("x")}), at(1s)));
+  REQUIRE(names(View, at(1s)) == Names{"b"});
+
+  SECTION("also not as a last resort") {
+    View.update(list(2, {standing("a", "x")}), at(2s));
+    View.evacuate(evacuated(6, {DataCentreName("x"), DataCentreName("y")}),
+                  at(2s));
+    REQUIRE(names(View, at(2s)).empty());
+  }
+  SECTION("and no load there is waited for") {
+    View.toldLoad("a", "m2", at(3s));
+    REQUIRE_FALSE(View.servesAt("s", "m2", at(1s)));
+  }
+  SECTION("older news do not undo it") {
+    REQUIRE_FALSE(View.evacuate(evacuated(4, {}), at(2s)));
+    REQUIRE(names(View, at(2s)) == Names{"b"});
+  }
+  SECTION("until it is taken back, which is remembered") {
+    REQUIRE(View.evacuate(evacuated(6, {}), at(2s)));
+    REQUIRE(names(View, at(2s)) == Names{"a", "b"});
+    REQUIRE(View.returnedAt(standing("a", "x")) == at(2s));
+    REQUIRE_FALSE(View.returnedAt(standing("b", "y")));
+  }
+  SECTION("and again when it is evacuated once more") {
+    View.evacuate(evacuated(6, {}), at(2s));
+    View.evacuate(evacuated(7, {DataCentreName("x")}), at(2s) + 300ms);
+    REQUIRE(names(View, at(3s)) == Names{"b"});
+    REQUIRE_FALSE(View.returnedAt(standing("a", "x")));
+  }
+}
+
+TEST_CASE("The newest news of evacuations win, in whichever order they come",
+          "[view][evacuation]") {
+  rc::prop("the state is that of the highest revision", [] {
+    std::vector<Evacuations> News;
+    for (std::uint64_t Revision = 1; Revision <= 6; ++Revision) {
+      std::set<DataCentreName> Asked;
+      for (const char *Name : {"x", "y"})
+        if (*drawn(0, 1) == 1)
+          Asked.emplace(Name);
+      News.push_back(evacuated(Revision, std::move(Asked)));
+    }
+    ServingView View;
+    std::uint64_t Newest = 0;
+    for (int Count = 0; Count < 12; ++Count) {
+      const int Index = *drawn(0, 5);
+      const Evacuations &Each = News[static_cast<std::size_t>(Index)];
+      View.evacuate(Each, at(1s));
+      Newest = std::max(Newest, Each.m_Revision);
+    }
+    RC_ASSERT(View.evacuations() == News[static_cast<std::size_t>(Newest - 1)]);
+  });
+}
--- /dev/null
+++ b/tests/gateway/EvacuationTest.cpp
@@ -0,0 +1,223 @@
+#include "gateway/GatewayTest.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+#include <vector>
+
+using namespace havenstair;
+
+namespace {
+
+using Request = StandinRunner::Request;
+using ConnectionPtr = StandinRunner::ConnectionPtr;
+
+constexpr const char *KeyOfX = "op/evacuate/x";
+
+/// Boxes in the data centre x before one store, a runner in each of the data
+/// centres x and y.
+class EvacuationTest : public GatewayTest {
+public:
+  EvacuationTest() {
+    const auto Answers = [](const Request &Of, const ConnectionPtr &To) {
+      To->write(StandinRunner::answer(Of, 200, "body"));
+    };
+    addRunner("i-x", Answers);
+    addRunner("i-y", Answers);
+    list("i-x", "ready", "x");
+    list("i-y", "ready", "y");
+    configure(1);
+  }
+
+  void startBoxes(std::size_t Count) {
+    while (m_Boxes.size() < Count)
+      startBox();
+    REQUIRE(until([&] {
+      return std::all_of(m_Boxes.begin(), m_Boxes.end(),
+                         [](const auto &Box) { return Box->state().ready(); });
+    }));
+  }
+
+  Gateway &startBox() {
+    GatewayOptions Options = options();
+    Options.m_DataCentre = DataCentreName("x");
+    Options.m_Box = BoxName("box-" + std::to_string(10 + m_Started));
+    Options.m_Capacity = m_Started < Strong ? 0.5 : 0.12;
+    Options.m_Bounds.m_Evacuation = 5s;
+    ++m_Started;
+    m_Boxes.push_back(makeGateway(Options, [] {}));
+    return *m_Boxes.back();
+  }
+
+  static bool evacuated(const Gateway &Box) {
+    return Box.state().m_Upstreams.evacuations().contains(DataCentreName("x"));
+  }
+
+  bool allKnow(bool Evacuated) {
+    return until([&] {
+      return std::all_of(m_Boxes.begin(), m_Boxes.end(), [&](const auto &Box) {
+        return evacuated(*Box) == Evacuated;
+      });
+    });
+  }
+
+  std::size_t watching() const { return m_Store.watches("op/evacuate/"); }
+
+  std::vector<std::unique_ptr<Gateway>>::iterator giver() {
+    return std::find_if(m_Boxes.begin(), m_Boxes.end(),
+                        [](const auto &Box) { return Box->givesOrders(); });
+  }
+
+  /// Sends requests to \p Box. \returns how many of them i-x got.
+  std::size_t sentToX(const Gateway &Box, int Requests = 12) {
+    std::size_t Sum = 0;
+    for (int Count = 0; Count < Requests; ++Count) {
+      const std::string Id = "r-" + std::to_string(++m_Sent);
+      CHECK(fetch(callTo(Box, "/safe/x", Id)).m_Status == 200);
+      Sum += m_Runners.at("i-x")->arrivals(Id);
+    }
+    return Sum;
+  }
+
+  std::vector<std::unique_ptr<Gateway>> m_Boxes;
+
+private:
+  static constexpr std::size_t Strong = 3;
+
+  std::size_t m_Started = 0;
+  int m_Sent = 0;
+};
+
+} // namespace
+
+TEST_CASE("No box sends to an evacuated data centre until it is taken back",
+          "[gateway][evacuation]") {
+  EvacuationTest Test;
+  Test.startBoxes(2);
+  REQUIRE(Test.sentToX(*Test.m_Boxes[0]) > 0);
+  Test.m_Store.put(KeyOfX, "{}");
+  REQUIRE(Test.allKnow(true));
+  for (const auto &Box : Test.m_Boxes)
+    REQUIRE(Test.sentToX(*Box) == 0);
+  Test.m_Store.remove(KeyOfX);
+  REQUIRE(Test.allKnow(false));
+  Test.m_Store.remove("servers/i-y");
+  REQUIRE(Test.until([&] {
+    return !Test.m_Boxes[0]->state().m_Upstreams.current().contains("i-y");
+  }));
+  REQUIRE(Test.sentToX(*Test.m_Boxes[0]) > 0);
+}
+
+TEST_CASE("An evacuation that was taken back and asked for anew holds",
+          "[gateway][evacuation]") {
+  EvacuationTest Test;
+  Test.startBoxes(2);
+  Test.m_Store.put(KeyOfX, "{}");
+  REQUIRE(Test.allKnow(true));
+  Test.m_Store.remove(KeyOfX);
+  Test.m_Store.put(KeyOfX, "{}");
+  Test.m_Store.remove(KeyOfX);
+  Test.m_Store.put(KeyOfX, "{}");
+  Test.m_Store.put("op/evacuate/z", "{}");
+  REQUIRE(Test.until([&] {
+    return std::all_of(Test.m_Boxes.begin(), Test.m_Boxes.end(),
+                       [](const auto &Box) {
+                         return Box->state().m_Upstreams.evacuations().contains(
+                             DataCentreName("z"));
+                       });
+  }));
+  REQUIRE(Test.allKnow(true));
+}
+
+TEST_CASE("An evacuation during an outage of the store is known once it is "
+          "back, and one before it holds all the while",
+          "[gateway][evacuation]") {
+  EvacuationTest Test;
+  Test.startBoxes(2);
+  const bool Before = GENERATE(false, true);
+  if (Before) {
+    Test.m_Store.put(KeyOfX, "{}");
+    REQUIRE(Test.allKnow(true));
+  }
+  Test.m_Store.setFault(StandinStore::Fault::Refuses);
+  const std::size_t Calls = Test.m_Store.calls();
+  REQUIRE(Test.until([&] { return Test.m_Store.calls() > Calls + 10; }));
+  REQUIRE(Test.allKnow(Before));
+  Test.m_Store.put(KeyOfX, "{}");
+  Test.m_Store.setFault(StandinStore::Fault::None);
+  REQUIRE(Test.allKnow(true));
+}
+
+TEST_CASE("A box that starts knows the evacuations before it is ready",
+          "[gateway][evacuation]") {
+  EvacuationTest Test;
+  Test.m_Store.put(KeyOfX, "{}");
+  Test.startBoxes(1);
+  REQUIRE(EvacuationTest::evacuated(*Test.m_Boxes[0]));
+  const Gateway &Joins = Test.startBox();
+  REQUIRE(Test.until([&] { return Joins.state().ready(); }));
+  REQUIRE(EvacuationTest::evacuated(Joins));
+  REQUIRE(Test.sentToX(Joins) == 0);
+}
+
+TEST_CASE("A box that the store turns away learns of an evacuation from others",
+          "[gateway][evacuation]") {
+  EvacuationTest Test;
+  Test.startBoxes(3);
+  REQUIRE(Test.until([&] { return Test.watching() == 1; }));
+  REQUIRE(Test.m_Store.silenceWatch("op/evacuate/"));
+  Test.m_Store.put(KeyOfX, "{}");
+  REQUIRE(Test.allKnow(true));
+}
+
+TEST_CASE("In a large fleet one box watches the evacuations, and all follow",
+          "[gateway][fleet][evacuation]") {
+  EvacuationTest Test;
+  Test.startBoxes(20);
+  REQUIRE(Test.until([&] {
+    return Test.giver() != Test.m_Boxes.end() && Test.watching() == 1;
+  }));
+  Test.m_Store.put(KeyOfX, "{}");
+  REQUIRE(Test.allKnow(true));
+
+  SECTION("a leaf that joins then, too") {
+    const Gateway &Joins = Test.startBox();
+    REQUIRE(Test.until([&] { return Joins.state().ready(); }));
+    REQUIRE(EvacuationTest::evacuated(Joins));
+  }
+  SECTION("also when the one that gives orders is replaced") {
+    Test.m_Boxes.erase(Test.giver());
+    REQUIRE(Test.until([&] { return Test.giver() != Test.m_Boxes.end(); }));
+    REQUIRE(Test.allKnow(true));
+    Test.m_Store.remove(KeyOfX);
+    REQUIRE(Test.allKnow(false));
+    REQUIRE(Test.until([&] { return Test.watching() == 1; }));
+  }
+}
+
+TEST_CASE("Where operators do not evacuate, nobody asks the store for it",
+          "[gateway][evacuation]") {
+  EvacuationTest Test;
+  Test.start();
+  REQUIRE(Test.m_Gateway->state().ready());
+  Test.wait(300ms);
+  REQUIRE(Test.watching() == 0);
+}
+
+TEST_CASE("Requests that wait in an evacuated data centre go elsewhere at once",
+          "[gateway][evacuation]") {
+  EvacuationTest Test;
+  Test.startBoxes(1);
+  Test.m_Store.put(KeyOfX, "{}");
+  REQUIRE(Test.allKnow(true));
+  Test.m_Store.remove("servers/i-y");
+  REQUIRE(Test.until([&] {
+    return !Test.m_Boxes[0]->state().m_Upstreams.current().contains("i-y");
+  }));
+  // i-y may be used for a moment after it left.
+  Test.wait(500ms);
+  const HttpAnswer Answer =
+      Test.fetch(EvacuationTest::callTo(*Test.m_Boxes[0], "/unsafe/x", "id"));
+  CHECK(Answer.m_Status == 503);
+  CHECK(Test.arrivals("id") == 0);
+}
--- a/tests/gateway/GatewayTest.h
+++ b/tests/gateway/GatewayTest.h
@@ -41,11 +41,12 @@
     return *Runner;
   }
 
-  void list(const std::string &Id, const std::string &State) {
+  void list(const std::string &Id, const std::string &State,
+            const std::string &DataCentre = "a") {
     const Json Entry{
-        {"service", "s"}, {"address", m_Runners.at(Id)->endpoint().str()},
-        {"zone", "a"},    {"slots", 8},
-        {"state", State}, {"sequenceNumber", 1}};
+        {"service", "s"},     {"address", m_Runners.at(Id)->endpoint().str()},
+        {"zone", DataCentre}, {"slots", 8},
+        {"state", State},     {"sequenceNumber", 1}};
     m_Store.put("servers/" + Id, dumpJson(Entry));
   }
 
--- a/tests/wire/PeerFramesTest.cpp
+++ b/tests/wire/PeerFramesTest.cpp
@@ -117,6 +117,7 @@
   Frame.m_Config = *rc::gen::arbitrary<std::uint64_t>();
   Frame.m_List = *rc::gen::arbitrary<std::uint64_t>();
   Frame.m_Boxes = *rc::gen::arbitrary<std::uint64_t>();
+  Frame.m_Evacuations = *rc::gen::arbitrary<std::uint64_t>();
   Frame.m_Stopping = *rc::gen::arbitrary<bool>();
   Frame.m_Leaf = *rc::gen::arbitrary<bool>();
   Frame.m_Reads = *rc::gen::arbitrary<bool>();
