Entries without a usable address no longer end every box

Cause: an entry of another writer whose address is no IP number ("nowhere") was taken as a server. The call to it failed within evhttp_make_request(), which ended the call and still returned 0; the client then asked the connection that was gone for its socket. All boxes ended with a segmentation fault, and again after each start while the entry stood. Any connect() that fails at once, such as one with no free local port, takes the same path.

Ruled out: a fault in reading the other kinds of rubbish (bytes that are no JSON, missing fields, other types); these were refused already.

--- a/packages/wire/common/HttpClient.cpp
+++ b/packages/wire/common/HttpClient.cpp
@@ -264,6 +264,10 @@
   }
 
   bool open() {
+    sockaddr_storage Address{};
+    // evhttp would look a name up, and block the loop meanwhile.
+    if (toSockaddr(m_Call.m_To, Address) == 0)
+      return false;
     if (m_Call.m_Use == ConnectionUse::Reused)
       if (const auto Kept = m_Kept.lock())
         m_Connection = Kept->take(m_Call.m_To, EventLoop::now());
@@ -320,6 +324,9 @@
                             m_Call.m_Target.c_str());
     if (Failed != 0)
       return false;
+    // evhttp has ended the call when connect() failed at once.
+    if (m_Done)
+      return true;
     tuneSocket(m_Connection);
     limitConnecting();
     return true;
--- a/tests/gateway/PlatformTest.cpp
+++ b/tests/gateway/PlatformTest.cpp
@@ -215,6 +215,14 @@
   REQUIRE_THROWS_AS(platform::decodeServer("servers/i", Text), DecodeError);
 }
 
+TEST_CASE("An entry without a usable address is no server", "[platform]") {
+  const std::string Address = GENERATE("", "nowhere", "nowhere:80", "127.0.0.1",
+                                       "127.0.0.1:99999", "127.0.0.1:0");
+  const std::string Text =
+      dumpJson({{"service", "s"}, {"address", Address}, {"state", "ready"}});
+  REQUIRE_THROWS_AS(platform::decodeServer("servers/i", Text), DecodeError);
+}
+
 TEST_CASE("A runner's report tells what is on its way", "[platform]") {
   const ResidencyReport Report = platform::decodeReport(
       R"({"sequenceNumber":4,"utilization":true,
--- a/tests/wire/HttpTest.cpp
+++ b/tests/wire/HttpTest.cpp
@@ -185,6 +185,29 @@
   REQUIRE(Got->m_End == HttpEnd::NotWritten);
 }
 
+TEST_CASE("A call that fails before it connects ends as failed", "[http]") {
+  const ConnectionUse Use =
+      GENERATE(ConnectionUse::Fresh, ConnectionUse::Reused);
+  EventLoop Loop;
+  HttpClient Client(Loop);
+  std::optional<HttpAnswer> Got;
+  const auto Fetch = [&](const Endpoint &To) {
+    HttpCall Call = callTo(To, "/");
+    Call.m_Use = Use;
+    Call.m_ConnectTimeout = 1s;
+    Client.fetch(std::move(Call), [&](HttpAnswer Answer) { Got = Answer; });
+    REQUIRE(Loop.runUntil([&] { return Got.has_value(); }, Limit));
+  };
+  SECTION("what is no address gets nothing") {
+    Fetch(GENERATE(Endpoint{}, Endpoint{"nowhere", 80}));
+    REQUIRE(Got->m_End == HttpEnd::NotWritten);
+  }
+  SECTION("connect() refuses a broadcast address at once") {
+    Fetch({"127.255.255.255", 9});
+    REQUIRE(Got->m_End != HttpEnd::Complete);
+  }
+}
+
 TEST_CASE("An answer that is cut anywhere is broken, never whole",
           "[http][unsafe]") {
   const std::string Whole = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
