--- a/packages/decisions/process/EngineLedger.cpp
+++ b/packages/decisions/process/EngineLedger.cpp
@@ -20,8 +20,46 @@
   return Found == nullptr ? Spec.m_WeightsMb : Found->m_SizeMb;
 }
 
+struct Room {
+  double m_Mb = 0;
+  int m_Adapters = 0;
+};
+
+Room roomFor(const std::set<ResidencyOrder> &Loads, const EngineSpec &Spec) {
+  Room Result;
+  for (const ResidencyOrder &Each : Loads) {
+    const bool OfModel = Each.m_Adapter.empty();
+    Result.m_Mb +=
+        OfModel ? modelMb(Spec, Each.m_Model) : adapterMb(Spec, Each.m_Model);
+    Result.m_Adapters += OfModel ? 0 : 1;
+  }
+  return Result;
+}
+
 } // namespace
 
+LateOrders EngineLedger::lateWithCall(TimePoint Now) const {
+  LateOrders Late = m_Late;
+  if (m_Call)
+    Late.lost(m_Call->m_Order, m_Call->m_Expected, Now);
+  return Late;
+}
+
+void EngineLedger::startAgain(TimePoint Now) {
+  LateOrders Late = lateWithCall(Now);
+  const std::optional<TimePoint> HeldUntil = m_HeldUntil;
+  *this = EngineLedger(m_Opts);
+  m_Late = std::move(Late);
+  m_HeldUntil = HeldUntil;
+  passTime(Now);
+}
+
+void EngineLedger::passTime(TimePoint Now) {
+  m_Late.expire(m_Opts.m_OrderLife, Now);
+  if (m_HeldUntil && Now >= *m_HeldUntil)
+    m_HeldUntil.reset();
+}
+
 void EngineLedger::heard(const ResidencyReport &Report, TimePoint Now) {
   // While a call is under way its answer tells how the count moves.
   if (m_Call || (m_Known && Report.m_OrderCount < m_Count))
@@ -94,6 +132,32 @@
   return Sum;
 }
 
+/// Whether \p Order fits beside what it holds and late orders may still bring.
+bool EngineLedger::fitsBesideLate(const ResidencyOrder &Order,
+                                  const EngineSpec &Spec) const {
+  std::set<ResidencyOrder> Loads = m_Late.loads(m_Count);
+  std::erase_if(Loads, [&](const ResidencyOrder &Each) {
+    return holds(Each.m_Model, Each.m_Adapter) ||
+           m_Coming.contains({Each.m_Model, Each.m_Adapter});
+  });
+  Loads.insert(Order);
+  const Room Wanted = roomFor(Loads, Spec);
+  return usedMb(Spec) + Wanted.m_Mb <= Spec.m_WeightsMb &&
+         (Wanted.m_Adapters == 0 ||
+          adapters() + Wanted.m_Adapters <= Spec.m_AdapterCapacity);
+}
+
+/// Whether \p Order and all late ones fit together into an engine that holds
+/// nothing: before anybody knows that it has started again, they may all come.
+bool EngineLedger::fitsLaterStart(const ResidencyOrder &Order,
+                                  const EngineSpec &Spec) const {
+  std::set<ResidencyOrder> Loads = m_Late.loads();
+  Loads.insert(Order);
+  const Room Wanted = roomFor(Loads, Spec);
+  return Loads.size() == 1 || (Wanted.m_Mb <= Spec.m_WeightsMb &&
+                               Wanted.m_Adapters <= Spec.m_AdapterCapacity);
+}
+
 bool EngineLedger::allows(const ResidencyOrder &Order,
                           const EngineSpec &Spec) const {
   const bool Again = m_Uncertain && m_Uncertain->m_Order == Order;
@@ -101,13 +165,14 @@
     return false;
   if (!Order.m_Load)
     return true;
+  if (m_HeldUntil)
+    return false;
+  if (!fitsBesideLate(Order, Spec) || !fitsLaterStart(Order, Spec))
+    return false;
   if (Order.m_Adapter.empty())
-    return !holds(Order.m_Model) && m_Coming.empty() &&
-           usedMb(Spec) + modelMb(Spec, Order.m_Model) <= Spec.m_WeightsMb;
+    return !holds(Order.m_Model) && m_Coming.empty();
   return holds(Order.m_Model) && m_Coming.size() < MostComing &&
-         !m_Coming.contains({Order.m_Model, Order.m_Adapter}) &&
-         adapters() < Spec.m_AdapterCapacity &&
-         usedMb(Spec) + adapterMb(Spec, Order.m_Model) <= Spec.m_WeightsMb;
+         !m_Coming.contains({Order.m_Model, Order.m_Adapter});
 }
 
 std::uint64_t EngineLedger::begin(const ResidencyOrder &Order, TimePoint Now) {
@@ -154,6 +219,7 @@
   case OrderAnswer::Lost:
     Ended.m_At = Now;
     m_Uncertain = Ended;
+    m_Late.lost(Ended.m_Order, Ended.m_Expected, Now);
     return;
   }
 }
--- a/packages/decisions/process/EngineLedger.h
+++ b/packages/decisions/process/EngineLedger.h
@@ -5,6 +5,7 @@
 #define HAVENSTAIR_DECISIONS_PROCESS_ENGINELEDGER_H
 
 #include "decisions/common/Time.h"
+#include "decisions/process/LateOrders.h"
 #include "decisions/process/ResidencyOrder.h"
 #include "decisions/process/UpstreamInstance.h"
 #include "decisions/version/ServingConfig.h"
@@ -19,7 +20,9 @@
 /// The order count of an engine serves as a compare-and-swap: of all orders
 /// that expect the same count, at most one is ever carried out, however late.
 /// So an order without an answer is sent again unchanged until the count has
-/// moved, and nothing else is ordered meanwhile: both its outcomes fit.
+/// moved, and nothing else is ordered meanwhile: both its outcomes fit. An
+/// engine that has started again counts from 0, so that orders to its former
+/// start may fit again: until they are too late they count as possible.
 class EngineLedger {
 public:
   struct Options {
@@ -32,6 +35,19 @@
   EngineLedger() : EngineLedger(Options{}) {}
   explicit EngineLedger(Options Opts) : m_Opts(Opts) {}
 
+  /// The engine has started again at \p Now, and has told nothing yet.
+  void startAgain(TimePoint Now);
+  /// Late orders that are not known may still be carried out until \p Until, so
+  /// nothing is loaded before.
+  void holdUntil(TimePoint Until) { m_HeldUntil = Until; }
+  /// To be called every now and then: orders become too late with time.
+  void passTime(TimePoint Now);
+  /// Orders that may still be carried out by this start, or by a later one.
+  const LateOrders &late() const { return m_Late; }
+  /// The same, if a call that is under way gets no answer.
+  LateOrders lateWithCall(TimePoint Now) const;
+  void setLate(LateOrders Late) { m_Late = std::move(Late); }
+
   /// What the engine says of itself. Words that are older than what is known
   /// are dropped.
   void heard(const ResidencyReport &Report, TimePoint Now);
@@ -89,6 +105,10 @@
   };
 
   void dropAdapter(const std::string &Model, const std::string &Adapter);
+  bool fitsBesideLate(const ResidencyOrder &Order,
+                      const EngineSpec &Spec) const;
+  bool fitsLaterStart(const ResidencyOrder &Order,
+                      const EngineSpec &Spec) const;
 
   Options m_Opts;
   bool m_Known = false;
@@ -101,6 +121,8 @@
   std::optional<Sent> m_Call;
   std::optional<Sent> m_Uncertain;
   std::optional<ResidencyOrder> m_ModelOrder;
+  LateOrders m_Late;
+  std::optional<TimePoint> m_HeldUntil;
   bool m_Doubt = false; ///< Its state differs from what was expected.
 };
 
--- a/packages/decisions/process/LoadBook.cpp
+++ b/packages/decisions/process/LoadBook.cpp
@@ -54,6 +54,12 @@
   }
 }
 
+void LoadBook::startedAgain(const InstanceId &Of) {
+  m_Own.erase(Of);
+  for (auto &[Box, Word] : m_Told)
+    Word.m_Loads.erase(Of);
+}
+
 InstanceLoads LoadBook::takeChanges() {
   InstanceLoads Changes;
   for (const auto &[Id, Load] : m_Own) {
--- a/packages/decisions/process/LoadBook.h
+++ b/packages/decisions/process/LoadBook.h
@@ -51,6 +51,8 @@
   /// This box's own loads have been told as a whole.
   void toldAll() { m_Last = m_Own; }
   void forget(const BoxName &Box) { m_Told.erase(Box); }
+  /// \p Of has started again: nothing of what was sent runs there any more.
+  void startedAgain(const InstanceId &Of);
 
   InstanceLoad load(const InstanceId &Of, TimePoint Now) const;
   /// This box's own loads and what the boxes that \p Counts accepts have told.
--- a/packages/decisions/process/LoadCeiling.h
+++ b/packages/decisions/process/LoadCeiling.h
@@ -43,6 +43,11 @@
   /// A load from the store is ordered from \p Engine, which takes one at a
   /// time.
   void ordered(const InstanceId &Engine) { m_Open.insert(Engine); }
+  /// \p Count loads that were ordered may begin at any time before \p Until.
+  void mayBegin(std::size_t Count, TimePoint Until) {
+    for (std::size_t Load = 0; Load < Count; ++Load)
+      m_Begun.insert(Until);
+  }
   /// The load of \p Engine began before \p Until, or never will. Nothing
   /// happens when none is open.
   void settled(const InstanceId &Engine, TimePoint Until);
--- a/packages/decisions/process/ResidencyOrder.h
+++ b/packages/decisions/process/ResidencyOrder.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace havenstair {
@@ -38,6 +39,9 @@
   Lost         ///< No answer; it may be carried out, now or later.
 };
 
+/// For logs and metrics.
+std::string_view answerName(OrderAnswer Answer);
+
 /// What an engine says of itself when asked.
 struct ResidencyReport {
   UpstreamBirth m_Born = 0; ///< 0 when it does not tell.
--- a/packages/decisions/process/ServingView.cpp
+++ b/packages/decisions/process/ServingView.cpp
@@ -12,10 +12,66 @@
 
 } // namespace
 
-std::vector<InstanceId> ServingView::update(InstanceList List, TimePoint Now) {
-  std::vector<InstanceId> Gone;
+/// A late write of an earlier start may lie over the entry of the newest, which
+/// holds then.
+void ServingView::keepNewestLives(InstanceList &List) {
+  for (auto Each = List.m_Instances.begin(); Each != List.m_Instances.end();) {
+    UpstreamInstance &Entry = Each->second;
+    const auto Before = m_List.m_Instances.find(Each->first);
+    if (m_Lives.believes(Entry.life())) {
+      m_Lives.note(Entry.life());
+    } else if (Before != m_List.m_Instances.end() &&
+               m_Lives.believes(Before->second.life())) {
+      Entry = Before->second;
+    } else {
+      Each = List.m_Instances.erase(Each);
+      continue;
+    }
+    ++Each;
+  }
+}
+
+/// Forgets what is known of starts before those in \p List. \returns what they
+/// were before.
+std::vector<UpstreamInstance>
+ServingView::startedAgain(const InstanceList &List, TimePoint Now) {
+  std::vector<UpstreamInstance> Result;
+  for (const auto &[Id, Each] : List.m_Instances) {
+    if (!m_ListedLives.note(Each.life()))
+      continue;
+    const auto Before = m_List.m_Instances.find(Id);
+    Result.push_back(Before == m_List.m_Instances.end() ? Each
+                                                        : Before->second);
+    forgetBefore(Each.life());
+    m_AgainAt[Id] = Now;
+  }
+  return Result;
+}
+
+std::optional<TimePoint>
+ServingView::startedAgainAt(const InstanceId &Id) const {
+  const auto Found = m_AgainAt.find(Id);
+  return Found == m_AgainAt.end() ? std::nullopt : std::optional(Found->second);
+}
+
+void ServingView::forgetBefore(const UpstreamLife &Life) {
+  const InstanceId &Id = Life.m_Id;
+  m_Leaving.erase(Id);
+  m_ListedAt.erase(Id);
+  if (const auto Word = m_Told.find(Id);
+      Word != m_Told.end() && Word->second.m_Born != Life.m_Born)
+    m_Told.erase(Word);
+  if (const auto Load = m_Loads.find(Id);
+      Load != m_Loads.end() && Load->second.m_Born != Life.m_Born)
+    m_Loads.erase(Load);
+}
+
+std::vector<UpstreamInstance> ServingView::update(InstanceList List,
+                                                  TimePoint Now) {
   if (m_Known && List.m_Revision < m_List.m_Revision)
-    return Gone;
+    return {};
+  keepNewestLives(List);
+  std::vector<UpstreamInstance> Gone;
   std::erase_if(m_Leaving, [&](const auto &Each) {
     return Now - Each.second.m_Since > RememberFor;
   });
@@ -23,8 +79,9 @@
     if (List.m_Instances.contains(Id))
       continue;
     m_Leaving.try_emplace(Id, Leaving{.m_Instance = Before, .m_Since = Now});
-    Gone.push_back(Id);
+    Gone.push_back(Before);
   }
+  const std::vector<UpstreamInstance> Again = startedAgain(List, Now);
   for (const auto &[Id, Each] : List.m_Instances) {
     if (Each.m_Draining)
       m_Leaving.try_emplace(Id, Leaving{.m_Instance = Each, .m_Since = Now});
@@ -38,11 +95,12 @@
   }
   m_List = std::move(List);
   m_Known = true;
-  for (const InstanceId &Id : Gone) {
-    m_Told.erase(Id);
-    m_Loads.erase(Id);
-    m_ListedAt.erase(Id);
+  for (const UpstreamInstance &Each : Gone) {
+    m_Told.erase(Each.m_Id);
+    m_Loads.erase(Each.m_Id);
+    m_ListedAt.erase(Each.m_Id);
   }
+  Gone.insert(Gone.end(), Again.begin(), Again.end());
   m_Current.clear();
   for (const auto &[Id, Each] : m_List.m_Instances)
     refresh(Id, Now);
@@ -53,6 +111,11 @@
   const auto Listed = m_List.m_Instances.find(Id);
   if (Listed == m_List.m_Instances.end())
     return;
+  // It has started again, and the list does not say yet what it is now.
+  if (!m_Lives.believes(Listed->second.life())) {
+    m_Current.erase(Id);
+    return;
+  }
   UpstreamInstance &Current = m_Current[Id] = Listed->second;
   const auto Word = m_Told.find(Id);
   if (Word == m_Told.end())
@@ -62,21 +125,29 @@
     Current.m_Models = Word->second.m_Models;
 }
 
-void ServingView::told(const InstanceId &Engine,
+void ServingView::told(const UpstreamLife &Engine,
                        std::vector<ResidentModel> Models,
                        std::set<std::string> Retiring, TimePoint Now) {
-  m_Told[Engine] = {.m_Models = std::move(Models),
-                    .m_Retiring = std::move(Retiring),
-                    .m_At = Now};
-  refresh(Engine, Now);
+  if (!m_Lives.believes(Engine))
+    return;
+  if (m_Lives.note(Engine))
+    m_Loads.erase(Engine.m_Id);
+  m_Told[Engine.m_Id] = {.m_Models = std::move(Models),
+                         .m_Retiring = std::move(Retiring),
+                         .m_At = Now,
+                         .m_Born = Engine.m_Born};
+  refresh(Engine.m_Id, Now);
 }
 
-void ServingView::toldLoad(const InstanceId &Engine, const std::string &Model,
+void ServingView::toldLoad(const UpstreamLife &Engine, const std::string &Model,
                            TimePoint ServesAt) {
+  if (!m_Lives.believes(Engine))
+    return;
   if (Model.empty())
-    m_Loads.erase(Engine);
+    m_Loads.erase(Engine.m_Id);
   else
-    m_Loads[Engine] = {.m_Model = Model, .m_ServesAt = ServesAt};
+    m_Loads[Engine.m_Id] = {
+        .m_Model = Model, .m_ServesAt = ServesAt, .m_Born = Engine.m_Born};
 }
 
 std::optional<TimePoint> ServingView::servesAt(const std::string &Service,
@@ -127,7 +198,8 @@
   if (!Result.empty())
     return Result;
   for (const auto &[Id, Each] : m_Leaving)
-    if (Now - Each.m_Since <= m_Opts.m_LastResort && Fits(Each.m_Instance))
+    if (Now - Each.m_Since <= m_Opts.m_LastResort &&
+        m_Lives.believes(Each.m_Instance.life()) && Fits(Each.m_Instance))
       Result.push_back(&Each.m_Instance);
   return Result;
 }
--- a/packages/decisions/process/ServingView.h
+++ b/packages/decisions/process/ServingView.h
@@ -3,6 +3,7 @@
 #ifndef HAVENSTAIR_DECISIONS_PROCESS_SERVINGVIEW_H
 #define HAVENSTAIR_DECISIONS_PROCESS_SERVINGVIEW_H
 
+#include "decisions/process/LifeBook.h"
 #include "decisions/process/UpstreamInstance.h"
 #include <functional>
 #include <map>
@@ -32,18 +33,28 @@
   ServingView() : ServingView(Options{}) {}
   explicit ServingView(Options Opts) : m_Opts(Opts) {}
 
-  /// Takes over \p List unless a newer one is known. \returns the upstreams
-  /// that are no longer listed.
-  std::vector<InstanceId> update(InstanceList List, TimePoint Now);
+  /// Takes over \p List unless a newer one is known; entries of earlier starts
+  /// than the newest that was heard of say nothing. \returns the upstreams of
+  /// which all books are to be forgotten, as they were: those that are no
+  /// longer listed, and those that have started again.
+  std::vector<UpstreamInstance> update(InstanceList List, TimePoint Now);
 
   /// What the box that gives orders knows of an engine. The list lags behind
   /// it, so its word holds while it is fresh; afterwards the later of both.
   /// \p Retiring: models that take no new requests.
-  void told(const InstanceId &Engine, std::vector<ResidentModel> Models,
+  /// A word on an earlier start than the newest is dropped.
+  void told(const UpstreamLife &Engine, std::vector<ResidentModel> Models,
             std::set<std::string> Retiring, TimePoint Now);
   /// The same word on the model that \p Engine is loading, empty for none.
-  void toldLoad(const InstanceId &Engine, const std::string &Model,
+  void toldLoad(const UpstreamLife &Engine, const std::string &Model,
                 TimePoint ServesAt);
+  /// When it was seen that \p Id had started again; none if it was not.
+  std::optional<TimePoint> startedAgainAt(const InstanceId &Id) const;
+  /// Whether the books are of a later start than \p Life: what is still heard
+  /// of that one changes them no more.
+  bool past(const UpstreamLife &Life) const {
+    return !m_ListedLives.believes(Life);
+  }
 
   const InstanceList &list() const { return m_List; }
   bool known() const { return m_Known; }
@@ -76,13 +87,19 @@
     std::vector<ResidentModel> m_Models;
     std::set<std::string> m_Retiring;
     TimePoint m_At{};
+    UpstreamBirth m_Born = 0;
   };
 
   struct Load {
     std::string m_Model;
     TimePoint m_ServesAt{};
+    UpstreamBirth m_Born = 0;
   };
 
+  void keepNewestLives(InstanceList &List);
+  std::vector<UpstreamInstance> startedAgain(const InstanceList &List,
+                                             TimePoint Now);
+  void forgetBefore(const UpstreamLife &Life);
   bool retiring(const InstanceId &Id, const std::string &Model,
                 TimePoint Now) const;
   void refresh(const InstanceId &Id, TimePoint Now);
@@ -90,6 +107,9 @@
   Options m_Opts;
   InstanceList m_List;
   bool m_Known = false;
+  LifeBook m_Lives;       ///< Of all that was heard.
+  LifeBook m_ListedLives; ///< Of the lists; what the books are of.
+  std::map<InstanceId, TimePoint> m_AgainAt;
   std::map<InstanceId, Leaving> m_Leaving;
   std::map<InstanceId, Told> m_Told;
   std::map<InstanceId, Load> m_Loads;
--- a/packages/decisions/version/ServingConfig.cpp
+++ b/packages/decisions/version/ServingConfig.cpp
@@ -43,6 +43,16 @@
   }
 }
 
+std::optional<Duration> ServingConfig::shortestStoreLoad() const {
+  std::optional<Duration> Shortest;
+  for (const ServiceSpec &Service : m_Services)
+    if (Service.m_Engine)
+      for (const ModelSpec &Model : Service.m_Engine->m_Models)
+        Shortest =
+            std::min(Shortest.value_or(Model.m_StoreLoad), Model.m_StoreLoad);
+  return Shortest;
+}
+
 const Organisation *ServingConfig::holderOf(const KeyHash &Key) const {
   const auto Found = m_KeyIndex.find(Key);
   return Found == m_KeyIndex.end() ? nullptr : &m_Organisations[Found->second];
--- a/packages/decisions/version/ServingConfig.h
+++ b/packages/decisions/version/ServingConfig.h
@@ -129,6 +129,8 @@
   /// one.
   const Route *route(std::string_view Host, std::string_view Path) const;
   const ServiceSpec *service(std::string_view Name) const;
+  /// Of all models; empty without any.
+  std::optional<Duration> shortestStoreLoad() const;
   /// The organisation with \p Key; null without one, and before
   /// indexOrganisations().
   const Organisation *holderOf(const KeyHash &Key) const;
--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -605,8 +605,8 @@
   const TimePoint Now = EventLoop::now();
   for (const EngineContents &Each : Frame.m_Engines) {
     ServingView &Upstreams = m_Of.m_State.m_Upstreams;
-    Upstreams.told(Each.m_Engine, Each.m_Models, Each.m_Retiring, Now);
-    Upstreams.toldLoad(Each.m_Engine, Each.m_Loading, Now + Each.m_ServesIn);
+    Upstreams.told(Each.life(), Each.m_Models, Each.m_Retiring, Now);
+    Upstreams.toldLoad(Each.life(), Each.m_Loading, Now + Each.m_ServesIn);
   }
   toLeaves(Frame);
   m_Hooks.m_ContentsChanged();
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -72,7 +72,8 @@
           MeteredStore::Hooks{
               .m_Called =
                   [this](std::string_view Call, std::string_view Subject) {
-                    storeCalled(Call, Subject);
+                    m_Metrics.storeCalled(Call, Subject);
+                    m_StoreCalls.called(Call, Subject);
                   },
               .m_Reached =
                   [this] { m_Fleet.noteStoreReached(EventLoop::now()); }})),
@@ -142,8 +143,9 @@
   startServers();
   m_OwnMirror.start();
   m_ReloadTimer = Loop.every(ReloadEvery, [this] { reload(); });
-  m_StoreCallsTimer =
-      Loop.every(LogStoreCallsEvery, [this] { logStoreCalls(); });
+  m_StoreCallsTimer = Loop.every(LogStoreCallsEvery, [this] {
+    m_StoreCalls.write(m_Log, m_Fleet.topology().relay(), m_Giver.giving());
+  });
   m_Log.write("started", {{"box", m_Process.str()},
                           {"zone", m_State.m_Zone},
                           {"callers", m_Options.m_Callers.str()},
@@ -223,22 +225,6 @@
   m_State.m_Boxes = std::max(m_State.m_Boxes, static_cast<int>(m_Fleet.size()));
 }
 
-void Gateway::storeCalled(std::string_view Call, std::string_view Subject) {
-  m_Metrics.storeCalled(Call, Subject);
-  std::string Name(Call);
-  if (!Subject.empty())
-    Name += " " + std::string(Subject);
-  ++m_StoreCalls[Name];
-}
-
-void Gateway::logStoreCalls() {
-  if (m_StoreCalls.empty())
-    return;
-  m_Log.write("store_calls", {{"relay", m_Fleet.topology().relay()},
-                              {"giving", m_Giver.giving()},
-                              {"calls", std::exchange(m_StoreCalls, {})}});
-}
-
 /// A connection to the store may be dead without saying so.
 void Gateway::resync() {
   m_StoreHttp.forget(m_Options.m_Store);
@@ -360,12 +346,17 @@
 }
 
 void Gateway::upstreamsChanged() {
-  const std::vector<InstanceId> Gone = m_State.m_Upstreams.update(
-      m_Registry.read(m_UpstreamMirror.items(), m_UpstreamMirror.revision()),
-      EventLoop::now());
-  for (const InstanceId &Id : Gone) {
-    m_State.m_Prefixes.forget(Id);
-    m_State.m_Latency.forget(Id);
+  std::vector<InstanceId> Gone;
+  for (const UpstreamInstance &Each :
+       m_State.m_Upstreams.update(m_Registry.read(m_UpstreamMirror.items(),
+                                                  m_UpstreamMirror.revision()),
+                                  EventLoop::now())) {
+    m_State.forget(Each.m_Id);
+    Gone.push_back(Each.m_Id);
+    // Connections that were kept ended with it; nothing may be sent on them.
+    if (const auto Address = Endpoint::parse(Each.m_Address);
+        Address && m_State.m_Upstreams.list().m_Instances.contains(Each.m_Id))
+      m_UpstreamHttp.forget(*Address);
   }
   m_Log.write("upstreams",
               {{"revision", m_UpstreamMirror.revision()},
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/process/PrefixMirror.h"
 #include "gateway/process/QuotaExchange.h"
 #include "gateway/process/ServingState.h"
+#include "gateway/process/StoreCallLog.h"
 #include "gateway/process/UpstreamRegistry.h"
 #include "gateway/request/Forwarder.h"
 #include "wire/common/EventLoop.h"
@@ -66,8 +67,6 @@
   void startServers();
   void ownKeysChanged();
   void resync();
-  void storeCalled(std::string_view Call, std::string_view Subject);
-  void logStoreCalls();
   void configChanged();
   void upstreamsChanged();
   void applyBounds();
@@ -85,8 +84,7 @@
   std::function<void()> m_Stopped;
   DecisionLog m_Log;
   GatewayMetrics m_Metrics;
-  /// Calls to the store since they were last logged.
-  std::map<std::string, std::uint64_t> m_StoreCalls;
+  StoreCallLog m_StoreCalls;
   mutable std::mt19937_64 m_Random;
   HttpClient m_UpstreamHttp;
   HttpClient m_StoreHttp;
--- a/packages/gateway/process/ManagedEngine.cpp
+++ b/packages/gateway/process/ManagedEngine.cpp
@@ -18,6 +18,19 @@
 
 } // namespace
 
+bool ManagedEngine::startedAgain(UpstreamBirth Born, TimePoint Now) {
+  if (Born <= m_Born)
+    return false;
+  if (std::exchange(m_Born, Born) == 0)
+    return false;
+  EngineLedger Ledger = std::move(m_Ledger);
+  Ledger.startAgain(Now);
+  *this = ManagedEngine();
+  m_Ledger = std::move(Ledger);
+  m_Born = Born;
+  return true;
+}
+
 void ManagedEngine::begin(const PlannedMove &Move, TimePoint Now) {
   using Phase = EngineTask::Phase;
   m_Task = {.m_Move = Move,
@@ -95,7 +108,7 @@
 EngineContents ManagedEngine::lastingContents(const InstanceId &Id,
                                               TimePoint Now) const {
   EngineContents Result{
-      .m_Engine = Id, .m_Models = m_Ledger.models(), .m_Retiring = {}};
+      .m_Engine = Id, .m_Born = m_Born, .m_Models = m_Ledger.models()};
   if (Now - m_AdapterOrderAt >= AdapterArrivesIn)
     for (ResidentModel &Model : Result.m_Models)
       for (const std::string &Adapter : m_Ledger.comingAdapters(Model.m_Name))
--- a/packages/gateway/process/ManagedEngine.h
+++ b/packages/gateway/process/ManagedEngine.h
@@ -30,6 +30,7 @@
 /// it.
 struct ManagedEngine {
   EngineLedger m_Ledger;
+  UpstreamBirth m_Born = 0; ///< Of the start that all of this is of.
   std::optional<EngineTask> m_Task;
   bool m_ReportAsked = false;
   TimePoint m_NextReport{};
@@ -38,6 +39,14 @@
   std::map<std::string, TimePoint> m_ModelAt;  ///< When a model came.
   std::map<AdapterKey, TimePoint> m_AdapterAt; ///< When it was ordered.
 
+  /// A word of the start \p Born came. A later one than is known begins
+  /// everything anew, but for orders that may still come late. \returns whether
+  /// it did.
+  bool startedAgain(UpstreamBirth Born, TimePoint Now);
+  /// Whether \p Born is the start that is known, or is not told.
+  bool present(UpstreamBirth Born) const {
+    return Born == 0 || m_Born == 0 || Born == m_Born;
+  }
   /// Starts to carry \p Move out.
   void begin(const PlannedMove &Move, TimePoint Now);
   /// It has taken the order for a load that takes \p Nominal when few run, and
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -51,6 +51,9 @@
 /// An order that an engine took before it was delisted may begin until then.
 constexpr Duration OrderOutlivesEntry = 5s;
 
+/// An order may be carried out this long after it was sent.
+constexpr Duration OrderLife = EngineLedger::Options{}.m_OrderLife;
+
 /// Usual work a second, in ms, that each replica of a model beyond the first
 /// tells of: a third of an engine, at which engines are comfortable.
 constexpr double SpareReplicaTellsMs = 300;
@@ -60,24 +63,6 @@
 constexpr double ShortageFrom = 0.7;
 constexpr Duration ShortageLineEvery = 500ms;
 
-std::string_view answerName(OrderAnswer Answer) {
-  switch (Answer) {
-  case OrderAnswer::Accepted:
-    return "accepted";
-  case OrderAnswer::AlreadyDone:
-    return "already_done";
-  case OrderAnswer::Busy:
-    return "busy";
-  case OrderAnswer::Fenced:
-    return "fenced";
-  case OrderAnswer::Refused:
-    return "refused";
-  case OrderAnswer::Lost:
-    return "lost";
-  }
-  return "lost";
-}
-
 } // namespace
 
 OrderGiver::OrderGiver(EventLoop &Loop, CoordinationStore &Store,
@@ -212,11 +197,13 @@
 }
 
 void OrderGiver::refreshEngines(TimePoint Now) {
-  std::erase_if(m_Engines, [&](const auto &Each) {
-    if (m_State.m_Upstreams.list().m_Instances.contains(Each.first))
+  std::erase_if(m_Engines, [&](auto &Each) {
+    const auto &Listed = m_State.m_Upstreams.list().m_Instances;
+    const auto Entry = Listed.find(Each.first);
+    if (Entry != Listed.end() && specOf(Entry->second.m_Service) != nullptr)
       return false;
     m_Ceiling.settled(Each.first, Now + OrderOutlivesEntry);
-    m_Gone.insert(Each.first);
+    m_Gone[Each.first] = Each.second.m_Ledger.lateWithCall(Now);
     return true;
   });
   for (const auto &[Id, Entry] : m_State.m_Upstreams.list().m_Instances) {
@@ -226,8 +213,15 @@
     ManagedEngine &Known = Place->second;
     // One that starts is empty. One that returns to the list, as all may do
     // after an outage of the store, brings models that seemed missing.
-    if (New && (m_Gone.erase(Id) > 0 || Now - m_ClaimedAt < SettleFor))
+    const auto Before = m_Gone.extract(Id);
+    if (New && (Before || Now - m_ClaimedAt < SettleFor))
       m_GrewAt = Now;
+    if (Before)
+      Known.m_Ledger.setLate(Before.mapped());
+    const auto AgainAt = m_State.m_Upstreams.startedAgainAt(Id);
+    const bool Again = Known.startedAgain(Entry.m_Born, Now);
+    if (Again || (New && AgainAt && Now - *AgainAt <= OrderLife))
+      countLateOrders(Id, Known, Now);
     // The first word is the engine's own: the list lags behind it.
     if (Known.m_Ledger.known())
       Known.m_Ledger.listed(Entry);
@@ -236,6 +230,24 @@
   }
 }
 
+/// Orders to the former start of an engine may still be carried out by this
+/// one.
+void OrderGiver::countLateOrders(const InstanceId &Id, ManagedEngine &Of,
+                                 TimePoint Now) {
+  const std::size_t Loads = Of.m_Ledger.late().modelLoads();
+  m_Ceiling.settled(Id, Now);
+  m_Ceiling.mayBegin(Loads, Now + OrderLife);
+  // Those of the holder before this one are not known.
+  const TimePoint FormerLate = m_FormerOrdersUntil + OrderLife;
+  const bool Held = m_FormerOrdersUntil > m_ClaimedAt && Now < FormerLate;
+  if (Held)
+    Of.m_Ledger.holdUntil(FormerLate);
+  m_Log.write("engine_again", {{"engine", Id},
+                               {"born", Of.m_Born},
+                               {"late_loads", Loads},
+                               {"held", Held}});
+}
+
 void OrderGiver::askReports(TimePoint Now) {
   // What an engine says before the former holder's last order may change.
   if (Now < m_FormerOrdersUntil)
@@ -275,6 +287,10 @@
     Of.m_NextReport = Now + ReportAfterFailure;
     return;
   }
+  if (Of.startedAgain(Report->m_Born, Now))
+    countLateOrders(Id, Of, Now);
+  if (!Of.present(Report->m_Born))
+    return;
   Of.m_Ledger.heard(*Report, Now);
   settleLoad(Id, Of, Now);
   if (const auto Entry = m_State.m_Upstreams.list().m_Instances.find(Id);
@@ -291,6 +307,7 @@
       continue;
     if (const EngineSpec *Spec = specOf(Entry->second.m_Service))
       advance(Id, Each, *Spec, Now);
+    Each.m_Ledger.passTime(Now);
     Each.expectOverdue(Now);
   }
 }
@@ -339,7 +356,7 @@
     Of.m_ModelAt[Move.m_Load] = Now;
     Of.m_Task.reset();
     if (const auto Slowness = Of.loadEnded(Now))
-      learnStoreSlowness(*Slowness);
+      m_StoreSlowness.observe(*Slowness);
     return;
   }
   const LoadSource Source =
@@ -355,15 +372,6 @@
   give(Id, Of, Load, Source, Now);
 }
 
-/// The store of weights slows down when many loads run. What was learned tells
-/// callers when a model serves, and makes further loads less attractive.
-void OrderGiver::learnStoreSlowness(double Observed) {
-  constexpr double Weight = 0.3;
-  constexpr double Most = 5;
-  m_StoreSlowness +=
-      Weight * (std::clamp(Observed, 1.0, Most) - m_StoreSlowness);
-}
-
 bool OrderGiver::give(const InstanceId &Id, ManagedEngine &To,
                       const ResidencyOrder &Order, LoadSource Source,
                       TimePoint) {
@@ -395,12 +403,13 @@
                {"reason",
                 To.m_Task ? reasonName(To.m_Task->m_Move.m_Reason) : "adapter"},
                {"gain", To.m_Task ? To.m_Task->m_Move.m_Gain : 0}});
-  m_Control.order(
-      Entry->second, Order, Stamp,
-      [this, Id, Order, Source, Token = m_Claim.token()](OrderAnswer Answer) {
-        if (giving() && Token == m_Claim.token())
-          orderAnswered(Id, Order, Source, Answer);
-      });
+  m_Control.order(Entry->second, Order, Stamp,
+                  [this, Id, Order, Source, Token = m_Claim.token(),
+                   Born = To.m_Born](OrderAnswer Answer) {
+                    if (giving() && Token == m_Claim.token())
+                      orderAnswered({.m_Id = Id, .m_Born = Born}, Order, Source,
+                                    Answer);
+                  });
   return true;
 }
 
@@ -411,9 +420,10 @@
     m_Ceiling.settled(Id, Now);
 }
 
-void OrderGiver::orderAnswered(const InstanceId &Id,
+void OrderGiver::orderAnswered(const UpstreamLife &Engine,
                                const ResidencyOrder &Order, LoadSource Source,
                                OrderAnswer Answer) {
+  const InstanceId &Id = Engine.m_Id;
   const TimePoint Now = EventLoop::now();
   m_Hooks.m_Ordered(Order.m_Load ? "load" : "unload", answerName(Answer));
   if (Answer != OrderAnswer::Accepted)
@@ -423,7 +433,8 @@
                                  {"adapter", Order.m_Adapter},
                                  {"answer", answerName(Answer)}});
   const auto Found = m_Engines.find(Id);
-  if (Found == m_Engines.end())
+  // Whatever a former start answered, the order counts as late.
+  if (Found == m_Engines.end() || !Found->second.present(Engine.m_Born))
     return;
   ManagedEngine &Of = Found->second;
   Of.m_Ledger.answered(Answer, Now);
@@ -438,7 +449,7 @@
             : specOf(Entry->second.m_Service);
     if (ModelLoad && Spec != nullptr) {
       const Duration Nominal = loadTime(Spec->model(Order.m_Model), Source);
-      Of.loadBegan(Source, Nominal, m_StoreSlowness, Now);
+      Of.loadBegan(Source, Nominal, m_StoreSlowness.factor(), Now);
       Of.m_NextReport = Now + Nominal;
     }
     if (!Order.m_Adapter.empty()) {
@@ -488,24 +499,13 @@
           Now);
 }
 
-/// Empty before any model is known.
-std::optional<Duration> OrderGiver::shortestStoreLoad() const {
-  std::optional<Duration> Shortest;
-  for (const ServiceSpec &Service : m_State.m_Config->m_Services)
-    if (Service.m_Engine)
-      for (const ModelSpec &Model : Service.m_Engine->m_Models)
-        Shortest =
-            std::min(Shortest.value_or(Model.m_StoreLoad), Model.m_StoreLoad);
-  return Shortest;
-}
-
 /// A load from the store that takes longer than the window of their bound is
 /// still under way at its end: once all engines have spoken, those under way
 /// are all that count of the former holder's.
 void OrderGiver::countFormerLoads(TimePoint Now) {
   if (!m_Ceiling.takenOver())
     return;
-  const auto Shortest = shortestStoreLoad();
+  const auto Shortest = m_State.m_Config->shortestStoreLoad();
   if (!Shortest ||
       Now < m_FormerOrdersUntil + m_Opts.m_Bounds.m_CeilingWindow - *Shortest)
     return;
@@ -523,7 +523,7 @@
                                       TimePoint Now) {
   PlannerInput Input;
   Input.m_StoreLoads = m_Ceiling.left(Now);
-  Input.m_StoreSlowness = m_StoreSlowness;
+  Input.m_StoreSlowness = m_StoreSlowness.factor();
   for (const auto &[Key, Rate] : m_Rates.rates(Now))
     if (Key.m_Service == Service && Key.m_Adapter.empty())
       Input.m_Demand[Key.m_Model] = Rate.m_WorkMs / 1000;
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -6,6 +6,7 @@
 #include "decisions/process/DemandRates.h"
 #include "decisions/process/LoadCeiling.h"
 #include "decisions/process/ReplicaPlanner.h"
+#include "decisions/process/StoreSlowness.h"
 #include "gateway/process/EngineControl.h"
 #include "gateway/process/GatewayOptions.h"
 #include "gateway/process/HolderClaim.h"
@@ -101,6 +102,7 @@
 
   const EngineSpec *specOf(const std::string &Service) const;
   void refreshEngines(TimePoint Now);
+  void countLateOrders(const InstanceId &Id, ManagedEngine &Of, TimePoint Now);
   void askReports(TimePoint Now);
   void askReport(const InstanceId &Id, ManagedEngine &Of, TimePoint Now);
   void heard(const InstanceId &Id,
@@ -109,7 +111,6 @@
   void advance(const InstanceId &Id, ManagedEngine &Of, const EngineSpec &Spec,
                TimePoint Now);
   void plan(TimePoint Now);
-  std::optional<Duration> shortestStoreLoad() const;
   void countFormerLoads(TimePoint Now);
   void expectByReplicas(TimePoint Now);
   PlannerInput plannerInput(const std::string &Service, TimePoint Now);
@@ -120,9 +121,8 @@
                         TimePoint Now);
   bool give(const InstanceId &Id, ManagedEngine &To,
             const ResidencyOrder &Order, LoadSource Source, TimePoint Now);
-  void orderAnswered(const InstanceId &Id, const ResidencyOrder &Order,
+  void orderAnswered(const UpstreamLife &Engine, const ResidencyOrder &Order,
                      LoadSource Source, OrderAnswer Answer);
-  void learnStoreSlowness(double Observed);
   void settleLoad(const InstanceId &Id, const ManagedEngine &Of, TimePoint Now);
   void tellChanges();
   double busyPart(const std::string &Service, const ManagedEngine &Of,
@@ -150,11 +150,12 @@
   TimePoint m_FormerOrdersUntil{};
   /// The last time engines came back, or were listed at the start.
   TimePoint m_GrewAt{};
-  std::set<InstanceId> m_Gone; ///< Engines that left the list.
+  /// Engines that left the list, with what they may still carry out.
+  std::map<InstanceId, LateOrders> m_Gone;
   std::map<InstanceId, ManagedEngine> m_Engines;
   std::map<ModelKey, Wanted> m_Missing;
   LoadCeiling m_Ceiling;
-  double m_StoreSlowness = 1; ///< Of loads from the store of weights.
+  StoreSlowness m_StoreSlowness;
   Timer m_Timer;
   bool m_TickSoon = false;
 };
--- a/packages/gateway/process/ServingState.h
+++ b/packages/gateway/process/ServingState.h
@@ -35,6 +35,17 @@
   int m_Boxes = 1;       ///< Most boxes known at one time.
   bool m_Stopping = false;
 
+  /// Forgets what was learned of an upstream that has left or started again.
+  void forget(const InstanceId &Id) {
+    m_Prefixes.forget(Id);
+    m_Latency.forget(Id);
+    // What still runs on one that has only left goes on counting.
+    if (!m_Upstreams.list().m_Instances.contains(Id))
+      return;
+    m_Failures.forget(Id);
+    m_Loads.startedAgain(Id);
+  }
+
   /// 0 before the first.
   ConfigVersion configVersion() const {
     return m_Config ? m_Config->m_Version : 0;
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -334,6 +334,7 @@
   ++m_Sends;
   m_Events = EventSplitter();
   m_Send = Send{.m_Instance = To.m_Id,
+                .m_Born = To.m_Born,
                 .m_At = Now,
                 .m_PendingMs = Chosen.m_PendingMs,
                 .m_WorkMs = Chosen.m_WorkMs,
@@ -416,13 +417,15 @@
   if (m_Send->m_Started || !m_Send->m_Counted)
     return;
   m_Send->m_Started = true;
+  if (!m_FirstByte)
+    m_FirstByte = Now;
+  if (upstreamStartedAgain())
+    return;
   ServingState &State = m_Owner.m_State;
   const double Observed = inMillis(Now - m_Send->m_At);
   State.m_Loads.started(m_Send->m_Instance, m_Send->m_WorkMs);
   State.m_Latency.observe(m_Send->m_Instance, m_Request.m_Model,
                           m_Send->m_PendingMs, m_Send->m_WorkMs, Observed);
-  if (!m_FirstByte)
-    m_FirstByte = Now;
 }
 
 void ProxiedRequest::passEvents(const std::string &Events) {
@@ -466,27 +469,27 @@
   ServingState &State = m_Owner.m_State;
   const InstanceId &At = m_Send->m_Instance;
   releaseLoad();
-  switch (Outcome) {
-  case SendOutcome::Answered:
-    State.m_Failures.succeeded(At, Now);
+  m_Sends -= Outcome == SendOutcome::NotSent ? 1 : 0;
+  m_MayHaveRun = m_MayHaveRun || Outcome == SendOutcome::Broken;
+  if (upstreamStartedAgain())
     return;
-  case SendOutcome::NotSent:
-    --m_Sends;
+  if (Outcome == SendOutcome::Answered)
+    State.m_Failures.succeeded(At, Now);
+  else if (Outcome == SendOutcome::NotSent)
     State.m_Failures.unreachable(At, Now);
-    return;
-  case SendOutcome::Rejected:
-  case SendOutcome::ServerError:
-    State.m_Failures.failed(At, Now);
-    return;
-  case SendOutcome::Broken:
-    m_MayHaveRun = true;
+  else
     State.m_Failures.failed(At, Now);
-    return;
-  }
+}
+
+/// What a former start of the upstream did says nothing of the present one.
+bool ProxiedRequest::upstreamStartedAgain() const {
+  return m_Owner.m_State.m_Upstreams.past(
+      {.m_Id = m_Send->m_Instance, .m_Born = m_Send->m_Born});
 }
 
 void ProxiedRequest::releaseLoad() {
-  if (!m_Send || !std::exchange(m_Send->m_Counted, false))
+  if (!m_Send || !std::exchange(m_Send->m_Counted, false) ||
+      upstreamStartedAgain())
     return;
   LoadBook &Loads = m_Owner.m_State.m_Loads;
   if (!m_Send->m_Started)
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -31,6 +31,7 @@
   /// One send to an upstream.
   struct Send {
     InstanceId m_Instance;
+    UpstreamBirth m_Born = 0;
     TimePoint m_At{};
     double m_PendingMs = 0;
     double m_WorkMs = 0;
@@ -81,6 +82,7 @@
   void settle(SendOutcome Outcome);
   void noteOutcome(SendOutcome Outcome, TimePoint Now);
   void releaseLoad();
+  bool upstreamStartedAgain() const;
   ForwardingStep decide(SendOutcome Outcome, TimePoint Now);
   void carryOut(ForwardingStep Step);
 
--- a/packages/wire/connection/FleetFrames.cpp
+++ b/packages/wire/connection/FleetFrames.cpp
@@ -190,15 +190,23 @@
         Json::array({Each.m_Engine, std::move(Models), Each.m_Retiring,
                      Each.m_Loading, Each.m_ServesIn / 1ms}));
   }
-  return {{"token", Frame.m_FencingToken}, {"engines", std::move(Engines)}};
+  Json Result{{"token", Frame.m_FencingToken}, {"engines", std::move(Engines)}};
+  // Beside the engines: boxes of an earlier release read those as they are.
+  for (const EngineContents &Each : Frame.m_Engines)
+    if (Each.m_Born != 0)
+      Result["born"][Each.m_Engine] = Each.m_Born;
+  return Result;
 }
 
 void fromJson(const Json &From, FleetContentsFrame &Frame) {
   constexpr std::size_t Parts = 5;
   Frame.m_FencingToken = field<std::uint64_t>(From, "token");
+  const auto Births = fieldOr<Json>(From, "born", Json::object());
   for (const Json &Each : list(From, "engines")) {
     EngineContents Contents;
     Contents.m_Engine = text(part(Each, 0, Parts));
+    Contents.m_Born =
+        fieldOr<UpstreamBirth>(Births, Contents.m_Engine.c_str(), 0);
     if (!Each[1].is_array() || !Each[2].is_array())
       throw DecodeError("contents of an engine are wrong");
     for (const Json &Model : Each[1])
--- a/packages/wire/connection/FleetFrames.h
+++ b/packages/wire/connection/FleetFrames.h
@@ -85,6 +85,7 @@
 /// What an engine holds, by the box that gives orders.
 struct EngineContents {
   InstanceId m_Engine;
+  UpstreamBirth m_Born = 0; ///< 0 when it does not tell.
   std::vector<ResidentModel> m_Models;
   /// Models that are about to make way: no new requests for them.
   std::set<std::string> m_Retiring;
@@ -93,6 +94,8 @@
   Duration m_ServesIn = 0us;
 
   bool operator==(const EngineContents &) const = default;
+
+  UpstreamLife life() const { return {.m_Id = m_Engine, .m_Born = m_Born}; }
 };
 
 /// From the box that gives orders, whenever something has changed.
--- a/tests/decisions/process/EngineLedgerTest.cpp
+++ b/tests/decisions/process/EngineLedgerTest.cpp
@@ -37,6 +37,10 @@
     std::uint64_t m_Expected = 0;
   };
 
+  Engine() = default;
+  /// One with other memory than most.
+  explicit Engine(double Mb) : m_Mb(Mb) {}
+
   OrderAnswer take(const ResidencyOrder &Order, std::uint64_t Expected) {
     if (Expected != m_Count || m_UnderWay)
       return OrderAnswer::Busy;
@@ -81,6 +85,7 @@
 
   ResidencyReport report() const {
     ResidencyReport Result;
+    Result.m_Born = m_Born;
     Result.m_OrderCount = m_Count;
     Result.m_OrderUnderWay = m_UnderWay.has_value();
     Result.m_Models = m_Models;
@@ -92,6 +97,15 @@
 
   bool overcommitted() const { return m_Overcommitted; }
 
+  /// It ends, and starts again under its name; it holds nothing then.
+  void startAgain() {
+    ++m_Born;
+    m_Count = 0;
+    m_Models.clear();
+    m_Coming.clear();
+    m_UnderWay.reset();
+  }
+
 private:
   ResidentModel *of(const std::string &Name) {
     for (ResidentModel &Each : m_Models)
@@ -114,9 +128,11 @@
       Adapters += Each.m_Adapters.size();
     const double Mb =
         static_cast<double>(Models) * ModelMb + static_cast<double>(Adapters);
-    m_Overcommitted = m_Overcommitted || Mb > EngineMb || Adapters > Capacity;
+    m_Overcommitted = m_Overcommitted || Mb > m_Mb || Adapters > Capacity;
   }
 
+  double m_Mb = EngineMb;
+  UpstreamBirth m_Born = 1;
   std::uint64_t m_Count = 0;
   std::vector<ResidentModel> m_Models{{.m_Name = model(0), .m_Adapters = {}}};
   std::vector<ResidencyOrder> m_Coming;
@@ -189,6 +205,131 @@
   });
 }
 
+TEST_CASE("Late orders to former starts of an engine never take it beyond its "
+          "memory",
+          "[orders][property][proof][lives]") {
+  rc::prop("memory over starts", [] {
+    constexpr double Mb = 2 * ModelMb + Capacity;
+    EngineSpec Spec = spec();
+    Spec.m_WeightsMb = Mb;
+    const Duration Lateness = EngineLedger::Options{}.m_OrderLife;
+    Engine Real(Mb);
+    EngineLedger Ledger;
+    std::vector<std::pair<Engine::Late, TimePoint>> Late;
+    TimePoint Now = at(0s);
+    for (int Step = 0; Step < 200; ++Step) {
+      Now += std::chrono::milliseconds(*drawn(0, 300));
+      Ledger.passTime(Now);
+      std::erase_if(
+          Late, [&](const auto &Each) { return Now - Each.second > Lateness; });
+      switch (*drawn(0, 9)) {
+      case 0:
+      case 1:
+      case 2: {
+        const auto Again = Ledger.resend(Now);
+        const ResidencyOrder Order = Again               ? *Again
+                                     : *drawn(0, 2) != 0 ? load(*drawn(0, 6))
+                                                         : drawnOrder();
+        if (!Ledger.allows(Order, Spec))
+          break;
+        const std::uint64_t Expected = Ledger.begin(Order, Now);
+        if (*drawn(0, 2) == 0) {
+          Late.push_back({{Order, Expected}, Now});
+          // It starts again before or after the call is given up.
+          if (*drawn(0, 3) != 0)
+            Ledger.answered(OrderAnswer::Lost, Now);
+        } else {
+          Ledger.answered(Real.take(Order, Expected), Now);
+        }
+        break;
+      }
+      case 3:
+      case 4:
+        // The worst order that may come: one that fits.
+        for (auto Each = Late.begin(); Each != Late.end(); ++Each)
+          if (Each->first.m_Expected == Real.report().m_OrderCount) {
+            Real.take(Each->first.m_Order, Each->first.m_Expected);
+            Late.erase(Each);
+            break;
+          }
+        break;
+      case 5:
+        Real.finish();
+        break;
+      case 6:
+        if (*drawn(0, 2) == 0) {
+          Real.startAgain();
+          Ledger.startAgain(Now);
+        }
+        break;
+      default:
+        Ledger.answered(OrderAnswer::Lost, Now);
+        Ledger.heard(Real.report(), Now);
+      }
+      RC_ASSERT(!Real.overcommitted());
+    }
+  });
+}
+
+TEST_CASE("What was under way at a restart may still be carried out after it",
+          "[orders][lives]") {
+  EngineSpec Spec = spec();
+  Spec.m_WeightsMb = ModelMb;
+  Engine Real(ModelMb);
+  Real.startAgain();
+  EngineLedger Ledger;
+  Ledger.heard(Real.report(), at(0s));
+  const bool Answered = GENERATE(false, true);
+  Ledger.begin(load(1), at(0s));
+  if (Answered)
+    Ledger.answered(OrderAnswer::Lost, at(0s));
+  Ledger.startAgain(at(1s));
+  REQUIRE_FALSE(Ledger.known());
+  Ledger.heard(Real.report(), at(1s));
+  REQUIRE_FALSE(Ledger.allows(load(2), Spec));
+  REQUIRE(Ledger.allows(load(1), Spec));
+  Ledger.passTime(at(20s));
+  REQUIRE(Ledger.allows(load(2), Spec));
+}
+
+TEST_CASE("Late loads together fit an engine that starts again and is empty",
+          "[orders][lives]") {
+  EngineSpec Spec = spec();
+  Spec.m_WeightsMb = 2 * ModelMb;
+  Engine Real(2 * ModelMb);
+  Real.startAgain();
+  EngineLedger Ledger;
+  const auto Carry = [&](const ResidencyOrder &Order, bool AnswerLost) {
+    Ledger.heard(Real.report(), at(0s));
+    REQUIRE(Ledger.allows(Order, Spec));
+    const OrderAnswer Answer = Real.take(Order, Ledger.begin(Order, at(0s)));
+    Ledger.answered(AnswerLost ? OrderAnswer::Lost : Answer, at(0s));
+    Real.finish();
+    Ledger.heard(Real.report(), at(0s));
+  };
+  const ResidencyOrder Away{
+      .m_Load = false, .m_Model = model(1), .m_Adapter = {}};
+  Carry(load(1), true);
+  Carry(load(2), true);
+  Carry(Away, false);
+  REQUIRE(Ledger.idle());
+  REQUIRE_FALSE(Ledger.allows(load(3), Spec));
+  REQUIRE(Ledger.allows(load(1), Spec));
+  Ledger.passTime(at(20s));
+  REQUIRE(Ledger.allows(load(3), Spec));
+}
+
+TEST_CASE("While late orders that nobody knows may come, nothing is loaded",
+          "[orders][lives]") {
+  EngineLedger Ledger;
+  Ledger.holdUntil(at(9s));
+  Ledger.startAgain(at(0s));
+  Ledger.heard(Engine().report(), at(1s));
+  REQUIRE_FALSE(Ledger.allows(load(1), spec()));
+  Ledger.passTime(at(9s));
+  REQUIRE(Ledger.allows(load(1), spec()));
+}
+
 TEST_CASE("Nothing is ordered before the engine has told what it holds",
           "[orders]") {
   REQUIRE_FALSE(EngineLedger().allows(load(1), spec()));
--- a/tests/decisions/process/ServingViewTest.cpp
+++ b/tests/decisions/process/ServingViewTest.cpp
@@ -16,6 +16,8 @@
   return Result;
 }
 
+using Names = std::vector<InstanceId>;
+
 InstanceList list(std::uint64_t Revision,
                   const std::vector<UpstreamInstance> &All) {
   InstanceList Result{.m_Revision = Revision, .m_Instances = {}};
@@ -33,7 +35,17 @@
   return Result;
 }
 
-using Names = std::vector<InstanceId>;
+UpstreamInstance born(UpstreamInstance Of, UpstreamBirth At) {
+  Of.m_Born = At;
+  return Of;
+}
+
+Names idsOf(const std::vector<UpstreamInstance> &All) {
+  Names Result;
+  for (const UpstreamInstance &Each : All)
+    Result.push_back(Each.m_Id);
+  return Result;
+}
 
 } // namespace
 
@@ -72,7 +84,7 @@
   ServingView View;
   View.update(list(1, {engine("a")}), at(1s));
   REQUIRE(names(View, at(1s), "a2").empty());
-  View.told("a", {{.m_Name = "m", .m_Adapters = {"a1", "a2"}}}, {}, at(2s));
+  View.told({"a"}, {{.m_Name = "m", .m_Adapters = {"a1", "a2"}}}, {}, at(2s));
   REQUIRE(names(View, at(2s), "a2") == Names{"a"});
   View.update(list(2, {engine("a", false, "other")}), at(3s));
   REQUIRE(names(View, at(3s)) == Names{"a"});
@@ -85,9 +97,9 @@
 TEST_CASE("A model that retires takes no new requests", "[view]") {
   ServingView View;
   View.update(list(1, {engine("a"), engine("b")}), at(1s));
-  View.told("a", {{.m_Name = "m", .m_Adapters = {}}}, {"m"}, at(1s));
+  View.told({"a"}, {{.m_Name = "m", .m_Adapters = {}}}, {"m"}, at(1s));
   REQUIRE(names(View, at(2s)) == Names{"b"});
-  View.told("a", {{.m_Name = "m", .m_Adapters = {}}}, {}, at(2s));
+  View.told({"a"}, {{.m_Name = "m", .m_Adapters = {}}}, {}, at(2s));
   REQUIRE(names(View, at(2s)) == Names{"a", "b"});
 }
 
@@ -97,13 +109,13 @@
   View.update(list(1, {engine("a", false, "x"), engine("b", false, "x")}),
               at(1s));
   REQUIRE_FALSE(View.servesAt("s", "m", at(1s)));
-  View.toldLoad("a", "m", at(6s));
-  View.toldLoad("b", "m", at(4s));
+  View.toldLoad({"a"}, "m", at(6s));
+  View.toldLoad({"b"}, "m", at(4s));
   REQUIRE(View.servesAt("s", "m", at(1s)) == at(4s));
   REQUIRE_FALSE(View.servesAt("other", "m", at(1s)));
   REQUIRE_FALSE(View.servesAt("s", "n", at(1s)));
   SECTION("it is given up") {
-    View.toldLoad("b", "", at(0s));
+    View.toldLoad({"b"}, "", at(0s));
     REQUIRE(View.servesAt("s", "m", at(1s)) == at(6s));
   }
   SECTION("its engine has gone") {
@@ -111,10 +123,100 @@
     REQUIRE(View.servesAt("s", "m", at(2s)) == at(6s));
   }
   SECTION("it has come") {
-    View.told("b", {{.m_Name = "m", .m_Adapters = {}}}, {}, at(4s));
+    View.told({"b"}, {{.m_Name = "m", .m_Adapters = {}}}, {}, at(4s));
     REQUIRE(View.servesAt("s", "m", at(4s)) == at(6s));
   }
   SECTION("it does not come") {
     REQUIRE_FALSE(View.servesAt("s", "m", at(10s)));
   }
 }
+
+TEST_CASE("An upstream that has started again is gone and new",
+          "[view][lives]") {
+  ServingView View;
+  View.update(list(1, {born(engine("a"), 100)}), at(1s));
+  View.told({"a", 100}, {{.m_Name = "m", .m_Adapters = {"a2"}}}, {}, at(1s));
+  View.toldLoad({"a", 100}, "n", at(3s));
+  SECTION("though it never left the list") {
+    const auto Gone =
+        View.update(list(2, {born(engine("a", false, "x"), 200)}), at(2s));
+    REQUIRE(idsOf(Gone) == Names{"a"});
+    REQUIRE(Gone.front().m_Born == 100);
+  }
+  SECTION("after it had left, whatever was heard of it since") {
+    REQUIRE(idsOf(View.update(list(2, {}), at(2s))) == Names{"a"});
+    View.told({"a", 100}, {{.m_Name = "m", .m_Adapters = {}}}, {}, at(2s));
+    View.toldLoad({"a", 100}, "n", at(3s));
+    REQUIRE(idsOf(View.update(list(3, {born(engine("a", false, "x"), 200)}),
+                              at(2s))) == Names{"a"});
+  }
+  REQUIRE(View.past({"a", 100}));
+  REQUIRE_FALSE(View.past({"a", 200}));
+  REQUIRE(names(View, at(2s)).empty());
+  REQUIRE_FALSE(View.servesAt("s", "n", at(2s)));
+}
+
+TEST_CASE("An earlier start than the newest seen is never believed again",
+          "[view][lives]") {
+  ServingView View;
+  View.update(list(1, {born(engine("a", false, "x"), 200)}), at(1s));
+  SECTION("in a later list: the newest entry holds") {
+    REQUIRE(
+        View.update(list(2, {born(engine("a", true), 100)}), at(1s)).empty());
+    REQUIRE(View.find("a")->m_Born == 200);
+    REQUIRE_FALSE(View.find("a")->m_Draining);
+  }
+  SECTION("in a later list, after it had left") {
+    View.update(list(2, {}), at(1s));
+    View.update(list(3, {born(engine("a"), 100)}), at(1s));
+    REQUIRE_FALSE(View.current().contains("a"));
+  }
+  SECTION("in the order giver's word") {
+    View.told({"a", 100}, {{.m_Name = "m", .m_Adapters = {}}}, {}, at(1s));
+    View.toldLoad({"a", 100}, "n", at(3s));
+    REQUIRE_FALSE(View.servesAt("s", "n", at(1s)));
+  }
+  REQUIRE(names(View, at(1s)).empty());
+}
+
+TEST_CASE("An upstream whose new start is only told of takes nothing until it "
+          "is listed",
+          "[view][lives]") {
+  ServingView View;
+  View.update(list(1, {born(engine("a"), 100)}), at(1s));
+  const bool Left = GENERATE(false, true);
+  if (Left)
+    View.update(list(2, {}), at(1s));
+  REQUIRE(names(View, at(1s)) == Names{"a"});
+  View.told({"a", 200}, {{.m_Name = "m", .m_Adapters = {"a2"}}}, {}, at(1s));
+  REQUIRE(names(View, at(1s)).empty());
+  REQUIRE_FALSE(View.past({"a", 100}));
+  REQUIRE(idsOf(View.update(list(3, {born(engine("a", false, "x"), 200)}),
+                            at(1s))) == Names{"a"});
+  REQUIRE(names(View, at(1s), "a2") == Names{"a"});
+}
+
+TEST_CASE("The drain mark of a former start does not bind the new one",
+          "[view][lives]") {
+  ServingView View;
+  View.update(list(1, {born(engine("a", true), 100)}), at(1s));
+  View.update(list(2, {born(engine("a"), 200)}), at(2s));
+  REQUIRE(names(View, at(2s)) == Names{"a"});
+  SECTION("and its own mark has its own time") {
+    View.update(list(3, {born(engine("a", true), 200)}), at(3s));
+    REQUIRE(names(View, at(3s)) == Names{"a"});
+    REQUIRE(names(View, at(3s) + 401ms).empty());
+  }
+  SECTION("not even when it drains from the first word on") {
+    View.update(list(3, {born(engine("a", true), 300)}), at(3s));
+    REQUIRE(names(View, at(3s)) == Names{"a"});
+  }
+}
+
+TEST_CASE("Who tells no birth is judged by name", "[view][lives]") {
+  ServingView View;
+  View.update(list(1, {born(engine("a"), 100)}), at(1s));
+  REQUIRE(View.update(list(2, {engine("a")}), at(1s)).empty());
+  REQUIRE(names(View, at(1s)) == Names{"a"});
+  REQUIRE(View.update(list(3, {born(engine("a"), 100)}), at(1s)).empty());
+}
--- a/tests/gateway/GatewayTest.h
+++ b/tests/gateway/GatewayTest.h
@@ -42,10 +42,19 @@
   }
 
   void list(const std::string &Id, const std::string &State) {
-    const Json Entry{
-        {"service", "s"}, {"address", m_Runners.at(Id)->endpoint().str()},
-        {"zone", "a"},    {"slots", 8},
-        {"state", State}, {"sequenceNumber", 1}};
+    m_Store.put("servers/" + Id, dumpJson(entry(Id, State)));
+  }
+
+  Json entry(const std::string &Id, const std::string &State) const {
+    return {{"service", "s"}, {"address", m_Runners.at(Id)->endpoint().str()},
+            {"zone", "a"},    {"slots", 8},
+            {"state", State}, {"sequenceNumber", 1}};
+  }
+
+  /// Lists the runner \p Id as one that started at \p Born.
+  void listBorn(const std::string &Id, UpstreamBirth Born) {
+    Json Entry = entry(Id, "ready");
+    Entry["born"] = Born;
     m_Store.put("servers/" + Id, dumpJson(Entry));
   }
 
@@ -79,8 +88,8 @@
 
   /// Lists the runner \p Id as an engine of the service `llm` that holds
   /// \p Models.
-  void listEngine(const std::string &Id,
-                  const std::vector<std::string> &Models) {
+  void listEngine(const std::string &Id, const std::vector<std::string> &Models,
+                  UpstreamBirth Born = 0) {
     Json Resident = Json::array();
     for (const std::string &Name : Models)
       Resident.push_back({{"name", Name}, {"adapterList", Json::array()}});
@@ -90,6 +99,7 @@
                           {"zone", "a"},
                           {"slots", 8},
                           {"state", "ready"},
+                          {"born", Born},
                           {"modelList", std::move(Resident)}}));
   }
 
--- a/tests/gateway/OrderTest.cpp
+++ b/tests/gateway/OrderTest.cpp
@@ -1,5 +1,6 @@
 #include "gateway/GatewayTest.h"
 
+#include <algorithm>
 #include <set>
 
 using namespace havenstair;
@@ -26,11 +27,19 @@
                                            "X-Request-Not-Executed: 1\r\n"));
   }
 
+  /// It ends, and starts again under its name.
+  void startAgain(UpstreamBirth Born) {
+    m_Born = Born;
+    m_Orders.clear();
+    m_Adapters.clear();
+  }
+
   std::vector<Json> m_Orders;
 
 private:
   Json report() const {
     return {{"sequenceNumber", m_Orders.size()},
+            {"born", m_Born},
             {"utilization", false},
             {"modelList",
              Json::array({{{"name", "m"}, {"adapterList", m_Adapters}}})}};
@@ -45,6 +54,7 @@
     To->write(StandinRunner::answer(Of, 202, ""));
   }
 
+  UpstreamBirth m_Born = 100;
   std::set<std::string> m_Adapters;
 };
 
@@ -54,7 +64,7 @@
     addRunner("i-1", [this](const Request &Of, const ConnectionPtr &To) {
       m_Engine.serve(Of, To);
     });
-    listEngine("i-1", {"m"});
+    listEngine("i-1", {"m"}, 100);
     configureEngines(route("llm", "unsafe"),
                      Json::array({{{"name", "m"},
                                    {"weightsMb", 60},
@@ -74,6 +84,14 @@
     return fetch(std::move(Call)).m_Status;
   }
 
+  /// Whether requests for \p Model run in the end.
+  bool runs(const std::string &Model) {
+    int Status = 0;
+    for (int Number = 0; Status != 200 && Number < 200; ++Number)
+      Status = ask(Model, "id-" + Model + std::to_string(Number));
+    return Status == 200;
+  }
+
   OrderedEngine m_Engine;
 };
 
@@ -96,6 +114,26 @@
   REQUIRE(Order.at("fencingToken").get<std::uint64_t>() > 0);
 }
 
+TEST_CASE("An engine that has started again under its name is ordered anew",
+          "[gateway][orders][lives]") {
+  OrderTest Test;
+  REQUIRE(Test.runs("m/a2"));
+  const bool ListLags = GENERATE(false, true);
+  Test.m_Engine.startAgain(200);
+  if (!ListLags)
+    Test.listEngine("i-1", {"m"}, 200);
+  // Its own report tells of the start, or its entry does.
+  Test.ask("m/a3", "id-first");
+  if (ListLags)
+    Test.listEngine("i-1", {"m"}, 200);
+  REQUIRE(Test.runs("m/a3"));
+  REQUIRE(Test.m_Engine.m_Orders.front().at("expectedCount") == 0);
+  const std::vector<Json> &Orders = Test.m_Engine.m_Orders;
+  REQUIRE(std::any_of(Orders.begin(), Orders.end(), [](const Json &Each) {
+    return Each.at("adapterName") == "a3";
+  }));
+}
+
 TEST_CASE("A model that nothing holds is refused with when to come back",
           "[gateway][orders]") {
   OrderTest Test;
--- a/tests/wire/PeerFramesTest.cpp
+++ b/tests/wire/PeerFramesTest.cpp
@@ -144,6 +144,7 @@
   Contents.m_Loading = *rc::gen::element<std::string>("", "m7");
   Contents.m_ServesIn = std::chrono::milliseconds(*rc::gen::inRange(0, 9000));
   Contents.m_Engine = "i-1";
+  Contents.m_Born = *rc::gen::element<UpstreamBirth>(0, 1790000000123);
   Contents.m_Models = {{.m_Name = "m", .m_Adapters = {"a1", "a2"}}};
   Contents.m_Retiring = {"m"};
   return {.m_FencingToken = *rc::gen::arbitrary<std::uint64_t>(),
