One rule for every try: second tries are refused like first ones

Cause: a try that was judged a second one passed the overload rule, whatever it did to others; who is a second try can't be told surely. Change: m_TriedBefore is gone. The longest time told and the assumed patience say their unit, source and reason; their values are as before and were not measured anew. Tests: "A second try is refused only when it cannot be served" asserted the removed rule; in its place "The same rule holds for a caller's first try and for later ones", which also asserts the refusal.

--- a/packages/decisions/request/ReplicaAdmission.cpp
+++ b/packages/decisions/request/ReplicaAdmission.cpp
@@ -64,8 +64,6 @@
                             : longestAway(Facts, Opts);
   if (Opts.m_Spread * Start.m_FirstMs > inMillis(patience(Facts, Opts)))
     return refuse(Away, "too_late");
-  if (Facts.m_TriedBefore)
-    return send();
   const double Target = inMillis(Facts.m_Target);
   const double Own = std::min(Start.m_WorkMs, Opts.m_OwnPart * Target);
   const double Others = Start.m_FirstMs - Start.m_WorkMs;
--- a/packages/decisions/request/ReplicaAdmission.h
+++ b/packages/decisions/request/ReplicaAdmission.h
@@ -24,7 +24,6 @@
   Duration m_GapTarget = 0us; ///< Longest pause of its streams.
   Duration m_Waited = 0us;    ///< Since the request arrived.
   Duration m_TimeLeft = 1s;   ///< Until the caller or the route gives up.
-  bool m_TriedBefore = false; ///< The caller was refused once already.
   bool m_NamesModel = true;   ///< An upstream may have to load it.
   std::optional<ExpectedStart> m_Start; ///< None when no upstream can.
   /// Until a load that is under way serves; none when none is known.
@@ -48,24 +47,28 @@
   /// waiting for others. It keeps admission from refusing large requests only
   /// because they are large.
   double m_OwnPart = 0.5;
-  /// A first try is refused when the work of others before it would take more
+  /// A try is refused when the work of others before it would take more
   /// than this part of the target that its own work leaves: it would be late,
   /// and make those behind it late.
   double m_WaitPart = 1.1;
   /// First tokens come within this factor of what is expected, nearly always.
   /// 0.83 against 0.76 (mean score of 16 days, 18 engines) with 3 against 1.7.
   double m_Spread = 2.9;
-  /// Callers follow a time to come back up to a third of the time that they
-  /// have left. It is told when nothing better is known: replicas come, and
-  /// demand moves on, in seconds.
+  /// Part of the caller's time left. Callers follow a told time up to a third
+  /// of what they have left when they read it, which is less than what they
+  /// had left here: of 1 s it leaves 20 ms for the way back. Told when nothing
+  /// better is known: replicas come, and demand moves on, in seconds.
   double m_LongestAwayPart = 0.32;
   /// A load that the order giver begins for a request that waits is known here
   /// within this: a plan each 200 ms, two hops of 250 ms.
   double m_LoadKnownWithinMs = 750;
-  /// Callers give up a silent stream after this many times its target or its
-  /// longest pause, but not before LeastPatience.
+  /// Times the target, and times the longest pause, that a caller is believed
+  /// to bear silence, the longer of both, within its deadline. Assumed, not
+  /// learned: callers tell no more than their deadline, and whom these turn
+  /// away would be served late at best.
   double m_PatienceTargets = 4;
   double m_PatienceGaps = 8;
+  /// Callers with targets of some hundred milliseconds bear at least this.
   Duration m_LeastPatience = 2s;
 };
 
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -167,7 +167,6 @@
                        .m_GapTarget = m_Route.m_GapTarget,
                        .m_Waited = waited(Now),
                        .m_TimeLeft = m_Deadline - Now,
-                       .m_TriedBefore = m_SinceFirstTry > 0us,
                        .m_NamesModel = !m_Request.m_Model.empty(),
                        .m_Start = std::nullopt,
                        .m_ServesIn = std::nullopt};
--- a/tests/decisions/request/ReplicaAdmissionTest.cpp
+++ b/tests/decisions/request/ReplicaAdmissionTest.cpp
@@ -81,10 +81,14 @@
   });
 }
 
-TEST_CASE("A second try is refused only when it cannot be served",
+TEST_CASE("The same rule holds for a caller's first try and for later ones",
           "[admission]") {
+  // Less time is left to a caller that comes back; nothing else differs.
   AdmissionFacts Second = facts(1100, 100);
-  Second.m_TriedBefore = true;
+  Second.m_TimeLeft = 3500ms;
+  REQUIRE(refused(Second));
+  REQUIRE(judged(Second).m_Reason == "overloaded");
+  Second.m_Start->m_FirstMs = 700;
   REQUIRE(sent(Second));
   Second.m_Start->m_FirstMs = 4000;
   REQUIRE(refused(Second));
