--- /dev/null
+++ b/tests/decisions/process/WarmUpViewTest.cpp
@@ -0,0 +1,128 @@
+#include "decisions/process/WarmUpView.h"
+#include "support/Draw.h"
+
+using namespace havenstair;
+
+namespace {
+
+constexpr TimePoint Start(1000s);
+
+ServiceSpec service(double Rate) {
+  ServiceSpec Result;
+  Result.m_Name = "s";
+  Result.m_WarmUp = {.m_After = 3s, .m_RequestsPerS = Rate};
+  return Result;
+}
+
+UpstreamInstance server(const InstanceId &Id, UpstreamBirth Born,
+                        Duration ColdFor = 0us) {
+  UpstreamInstance Result;
+  Result.m_Id = Id;
+  Result.m_Service = "s";
+  Result.m_Zone = "a";
+  Result.m_Born = Born;
+  Result.m_ColdFor = ColdFor;
+  return Result;
+}
+
+InstanceList list(const std::vector<UpstreamInstance> &All) {
+  InstanceList Result;
+  for (const UpstreamInstance &Each : All)
+    Result.m_Instances[Each.m_Id] = Each;
+  return Result;
+}
+
+/// A view that knows one warm server.
+WarmUpView settled() {
+  WarmUpView View;
+  View.configure({service(6.6)});
+  View.listed(list({server("e", 5)}), Start);
+  return View;
+}
+
+} // namespace
+
+TEST_CASE("A box that starts takes servers for warm unless they say otherwise",
+          "[warmup]") {
+  WarmUpView View;
+  View.configure({service(6.6)});
+  View.listed(list({server("e", 5), server("f", 5, 2s)}), Start);
+  CHECK_FALSE(View.cold("e", Start));
+  CHECK(View.warmAt("f", Start) == Start + 2s);
+  CHECK_FALSE(View.cold("f", Start + 2s));
+  CHECK(View.coldByDataCentre(Start) ==
+        std::map<DataCentreName, int>{{DataCentreName("a"), 1}});
+}
+
+TEST_CASE("Nothing is cold where operators state no rate", "[warmup]") {
+  WarmUpView View;
+  View.configure({service(0)});
+  View.listed(list({server("e", 5, 2s)}), Start);
+  View.suspect("e", Start);
+  View.told("e", 2s, Start, Start);
+  CHECK_FALSE(View.cold("e", Start));
+  CHECK_FALSE(View.active());
+}
+
+TEST_CASE("Who is new or starts again is cold until its next word",
+          "[warmup]") {
+  WarmUpView View = settled();
+  SECTION("new") {
+    View.listed(list({server("e", 5), server("f", 9)}), Start + 1s);
+    CHECK(View.warmAt("f", Start + 1s) == Start + 4s);
+  }
+  SECTION("started again") {
+    View.listed(list({server("e", 6)}), Start + 1s);
+    CHECK(View.warmAt("e", Start + 1s) == Start + 4s);
+    // A word on what was asked before the start is of the former life.
+    View.told("e", 0us, Start, Start + 1100ms);
+    CHECK(View.cold("e", Start + 1100ms));
+    View.told("e", 0us, Start + 1050ms, Start + 1100ms);
+    CHECK_FALSE(View.cold("e", Start + 1100ms));
+  }
+  SECTION("started again and said how long") {
+    View.listed(list({server("e", 6, 2500ms)}), Start + 1s);
+    CHECK(View.warmAt("e", Start + 1s) == Start + 3500ms);
+    View.listed(list({server("e", 5)}), Start + 3s);
+    CHECK(View.cold("e", Start + 3s));
+  }
+  SECTION("came back as the same life") {
+    View.listed(list({}), Start + 1s);
+    View.listed(list({server("e", 5)}), Start + 9s);
+    CHECK_FALSE(View.cold("e", Start + 9s));
+  }
+}
+
+TEST_CASE("Entries and answers are one source, and the later word wins",
+          "[warmup]") {
+  WarmUpView View = settled();
+  View.told("e", 3s, Start + 5s, Start + 5s);
+  CHECK(View.warmAt("e", Start + 5s) == Start + 8s);
+  SECTION("an entry that was written before comes late") {
+    UpstreamInstance Late = server("e", 5);
+    Late.m_Models = {{.m_Name = "m", .m_Adapters = {}}};
+    View.listed(list({Late}), Start + 5500ms);
+    CHECK(View.cold("e", Start + 5500ms));
+    Late.m_Models = {};
+    View.listed(list({Late}), Start + 6500ms);
+    CHECK_FALSE(View.cold("e", Start + 6500ms));
+  }
+  SECTION("an entry that has not changed is no word") {
+    View.listed(list({server("e", 5)}), Start + 7s);
+    CHECK(View.cold("e", Start + 7s));
+  }
+  SECTION("an answer says that it is warm") {
+    View.told("e", 0us, Start + 6s, Start + 6s);
+    CHECK_FALSE(View.cold("e", Start + 6s));
+  }
+}
+
+TEST_CASE("A suspected server is cold until it says otherwise", "[warmup]") {
+  WarmUpView View = settled();
+  View.suspect("e", Start + 10s);
+  CHECK(View.warmAt("e", Start + 10s) == Start + 13s);
+  View.told("e", 0us, Start + 9900ms, Start + 10s);
+  CHECK(View.cold("e", Start + 10s));
+  View.told("e", 700ms, Start + 10s, Start + 10100ms);
+  CHECK(View.warmAt("e", Start + 10100ms) == Start + 10800ms);
+}
