--- a/packages/decisions/process/FleetTopology.cpp
+++ b/packages/decisions/process/FleetTopology.cpp
@@ -46,6 +46,10 @@
          Rank < std::min(m_Opts.m_RelaysPerDataCentre, Members.size()); ++Rank)
       m_Relays.insert(Members[Rank].m_Box);
   }
+  m_RelaysOf.clear();
+  for (const FleetMember &Each : All)
+    if (isRelay(Each.m_Box))
+      m_RelaysOf[Each.m_DataCentre].insert(Each.m_Box);
   m_Links.clear();
   if (!relay()) {
     m_Links = linksOfLeaf();
@@ -56,6 +60,12 @@
       m_Links.push_back(Relay);
 }
 
+const std::set<BoxName> &
+FleetTopology::relaysOf(const DataCentreName &DataCentre) const {
+  const auto Found = m_RelaysOf.find(DataCentre);
+  return Found == m_RelaysOf.end() ? m_Relays : Found->second;
+}
+
 /// Leaves spread over the relays of their data centre. One relay elsewhere is
 /// for the time when all of these are gone.
 std::vector<BoxName> FleetTopology::linksOfLeaf() const {
--- a/packages/decisions/process/FleetTopology.h
+++ b/packages/decisions/process/FleetTopology.h
@@ -51,6 +51,8 @@
   /// Whether this box is one.
   bool relay() const { return isRelay(m_Self.m_Box); }
   const std::set<BoxName> &relays() const { return m_Relays; }
+  /// Those of \p DataCentre, or all where it has no box.
+  const std::set<BoxName> &relaysOf(const DataCentreName &DataCentre) const;
   /// The boxes to link to; of a leaf the most preferred first.
   const std::vector<BoxName> &links() const { return m_Links; }
 
@@ -64,6 +66,7 @@
   BoxName m_Holder;
   bool m_Flat = true;
   std::set<BoxName> m_Relays;
+  std::map<DataCentreName, std::set<BoxName>> m_RelaysOf;
   std::vector<BoxName> m_Links;
 };
 
--- a/packages/decisions/process/WarmUpView.cpp
+++ b/packages/decisions/process/WarmUpView.cpp
@@ -58,20 +58,43 @@
     Of.m_WarmAt = Now + Entry.m_ColdFor;
   else if (Now - Of.m_EventAt >= m_Opts.m_EntryLate)
     Of.m_WarmAt = Now;
+  else // Unless the next entry says otherwise.
+    Of.m_WarmAt = std::min(Of.m_WarmAt, Of.m_EventAt + m_Opts.m_EntryLate +
+                                            m_Opts.m_EntryEvery);
 }
 
-void WarmUpView::told(const InstanceId &Id, Duration ColdFor, TimePoint AskedAt,
+bool WarmUpView::told(const InstanceId &Id, Duration ColdFor, TimePoint AskedAt,
                       TimePoint Now) {
   const auto Found = m_Servers.find(Id);
-  if (Found == m_Servers.end())
-    return;
+  if (Found == m_Servers.end() || AskedAt < Found->second.m_EventAt)
+    return false;
   Server &Of = Found->second;
-  if (AskedAt < Of.m_EventAt)
-    return;
+  const bool TurnsCold = ColdFor > 0us && Of.m_WarmAt <= Now;
   // An entry that was written before may still come.
-  if (ColdFor > 0us && Of.m_WarmAt <= Now)
+  if (TurnsCold)
     Of.m_EventAt = AskedAt;
   Of.m_WarmAt = Now + ColdFor;
+  return TurnsCold && spec(Id) != nullptr;
+}
+
+void WarmUpView::noteBusy(const InstanceId &Id, TimePoint Free) {
+  if (const auto Found = m_Servers.find(Id); Found != m_Servers.end())
+    Found->second.m_Free = std::max(Found->second.m_Free, Free);
+}
+
+Duration WarmUpView::permitWait(const InstanceId &Id, TimePoint Now) const {
+  const auto Warm = warmAt(Id, Now);
+  if (!Warm)
+    return 0us;
+  const TimePoint Free = std::min(*Warm, m_Servers.at(Id).m_Free);
+  return std::max<Duration>(0us, Free - Now);
+}
+
+UpstreamLife WarmUpView::life(const InstanceId &Id) const {
+  const auto Found = m_Servers.find(Id);
+  return {.m_Id = Id,
+          .m_Born =
+              Found == m_Servers.end() ? 0 : Found->second.m_Entry.m_Born};
 }
 
 void WarmUpView::suspect(const InstanceId &Id, TimePoint Now) {
@@ -103,6 +126,14 @@
              : DataCentreName(Found->second.m_Entry.m_Zone);
 }
 
+std::vector<InstanceId> WarmUpView::limited() const {
+  std::vector<InstanceId> Result;
+  for (const auto &[Id, Each] : m_Servers)
+    if (Each.m_Listed && spec(Id) != nullptr)
+      Result.push_back(Id);
+  return Result;
+}
+
 std::map<DataCentreName, int>
 WarmUpView::coldByDataCentre(TimePoint Now) const {
   std::map<DataCentreName, int> Result;
--- a/packages/decisions/process/WarmUpView.h
+++ b/packages/decisions/process/WarmUpView.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace havenstair {
 
@@ -23,6 +24,8 @@
     /// An entry may have been written this long before it is read here: the
     /// platform's watch, gathering of changes and two hops.
     Duration m_EntryLate = 1s;
+    /// Servers write their entries at least this often.
+    Duration m_EntryEvery = 1200ms;
     /// A life that leaves the list for less, as in an outage of the store, has
     /// not started again.
     Duration m_RememberFor = 60s;
@@ -37,7 +40,8 @@
   void listed(const InstanceList &List, TimePoint Now);
   /// \p Id said it, in answer to what was sent at \p AskedAt. An answer of an
   /// unknown server, or to what was sent before its start, says nothing.
-  void told(const InstanceId &Id, Duration ColdFor, TimePoint AskedAt,
+  /// \returns whether it was believed to be warm and is cold.
+  bool told(const InstanceId &Id, Duration ColdFor, TimePoint AskedAt,
             TimePoint Now);
   /// \p Id may have turned cold without a word, as after a time without work.
   void suspect(const InstanceId &Id, TimePoint Now);
@@ -47,9 +51,17 @@
   bool cold(const InstanceId &Id, TimePoint Now) const {
     return warmAt(Id, Now).has_value();
   }
+  /// A permit to send to \p Id will not be had before \p Free.
+  void noteBusy(const InstanceId &Id, TimePoint Free);
+  /// How long a request to \p Id waits for its permit at least, as far as this
+  /// box was told; zero for a warm one.
+  Duration permitWait(const InstanceId &Id, TimePoint Now) const;
+  UpstreamLife life(const InstanceId &Id) const;
   /// Null when \p Id is not known, or its service states nothing.
   const WarmUpSpec *spec(const InstanceId &Id) const;
   DataCentreName dataCentre(const InstanceId &Id) const;
+  /// Listed servers of services that state what a cold one bears.
+  std::vector<InstanceId> limited() const;
   /// Cold servers by data centre.
   std::map<DataCentreName, int> coldByDataCentre(TimePoint Now) const;
   /// Some service states what a cold server bears.
@@ -61,6 +73,7 @@
     bool m_Listed = true;
     TimePoint m_GoneAt{};
     TimePoint m_WarmAt{};
+    TimePoint m_Free{}; ///< A permit is to be had.
     /// What was said before does not end its warm-up.
     TimePoint m_EventAt{};
   };
--- a/packages/decisions/request/ReplicaChoice.cpp
+++ b/packages/decisions/request/ReplicaChoice.cpp
@@ -42,6 +42,15 @@
   return std::max(1.0, Request.m_PromptTokens - Cached);
 }
 
+/// What a cold server is slower by: it takes one request after the other, at
+/// its rate, and permits to send to it may be given out for some time.
+double coldMs(const InstanceId &Id, const ReplicaKnowledge &Known,
+              TimePoint Now) {
+  if (Known.m_WarmUp == nullptr || !Known.m_WarmUp->cold(Id, Now))
+    return 0;
+  return 1000 / Known.m_WarmUp->spec(Id)->m_RequestsPerS;
+}
+
 } // namespace
 
 std::optional<ChosenReplica>
@@ -75,11 +84,15 @@
     Item.m_ExpectedMs = Known.m_Latency.expectedMs(Each->m_Id, Item.m_PendingMs,
                                                    Item.m_WorkMs) +
                         Queue;
+    if (Known.m_WarmUp != nullptr)
+      Item.m_ExpectedMs +=
+          inMillis(Known.m_WarmUp->permitWait(Each->m_Id, Now));
     const double Burst =
         std::max(0.0, Item.m_PendingMs + Item.m_WorkMs - Weights.m_QuietMs);
     Item.m_CostMs =
         Item.m_ExpectedMs +
         (Engines ? Weights.m_Disturbance * Burst * Load.m_Running : 0) +
+        coldMs(Each->m_Id, Known, Now) +
         (Each->m_Zone == OwnZone ? 0 : Weights.m_OtherZoneMs) +
         Known.m_Failures.rate(Each->m_Id, Now) * Weights.m_FailureMs;
     Judged.push_back(Item);
--- a/packages/decisions/request/ReplicaChoice.h
+++ b/packages/decisions/request/ReplicaChoice.h
@@ -7,6 +7,7 @@
 #include "decisions/process/LatencyModel.h"
 #include "decisions/process/LoadBook.h"
 #include "decisions/process/PrefixIndex.h"
+#include "decisions/process/WarmUpView.h"
 #include "decisions/request/RequestDescriptor.h"
 #include <optional>
 #include <vector>
@@ -48,6 +49,7 @@
   const PrefixIndex &m_Prefixes;
   const LatencyModel &m_Latency;
   const FailureBook &m_Failures;
+  const WarmUpView *m_WarmUp = nullptr; ///< Null where all are warm.
 };
 
 /// Picks the candidate with the least expected cost; \p Tie, from 0 to 1,
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/process/Gateway.h"
 
+#include "gateway/process/ObservedEngines.h"
 #include "wire/common/Crypto.h"
 #include <algorithm>
 #include <iterator>
@@ -27,9 +28,6 @@
 constexpr Duration WaitForConfig = 20s;
 constexpr Duration WaitForBoxes = 10s;
 
-/// How often the calls to the store are logged, when there were any.
-constexpr Duration LogStoreCallsEvery = 10s;
-
 /// How often the settings are read without a signal.
 constexpr Duration ReloadEvery = 2s;
 
@@ -66,17 +64,27 @@
       m_Options(std::move(Options)), m_Policy(Policy),
       m_Stopped(std::move(Stopped)),
       m_Log(Loop, {.m_Descriptor = LogDescriptor}),
+      m_StoreCalls(Loop, m_Log,
+                   [this] {
+                     return StoreCallLog::Role{m_Fleet.topology().relay(),
+                                               m_Giver.giving()};
+                   }),
       m_Random(std::random_device()()), m_UpstreamHttp(Loop), m_StoreHttp(Loop),
       m_Store(std::make_unique<MeteredStore>(
           m_Binding.m_MakeStore(Loop, m_StoreHttp, m_Options.m_Store),
           MeteredStore::Hooks{
               .m_Called =
-                  [this](std::string_view Call, std::string_view Subject) {
-                    storeCalled(Call, Subject);
+                  [this](auto Call, auto Subject) {
+                    m_Metrics.storeCalled(Call, Subject);
+                    m_StoreCalls.called(Call, Subject);
                   },
               .m_Reached =
                   [this] { m_Fleet.noteStoreReached(EventLoop::now()); }})),
-      m_Engines(m_Binding.m_MakeEngines(m_UpstreamHttp)),
+      m_Engines(std::make_unique<ObservedEngines>(
+          m_Binding.m_MakeEngines(m_UpstreamHttp),
+          [this](const auto &Of, const auto &Report, TimePoint AskedAt) {
+            m_WarmUp->heard(Of.m_Id, Report.m_ColdFor, AskedAt);
+          })),
       m_Forwarder(
           Loop, m_UpstreamHttp, m_State, m_Binding.m_Dialect, m_Log,
           forwarderOptions(),
@@ -133,17 +141,20 @@
            .m_Random = [this] { return drawUnit(m_Random); }},
           {.m_ContentsChanged = [this] { m_Forwarder.upstreamsChanged(); }}),
       m_Quotas(std::make_shared<QuotaExchange>(
-          Loop, m_Fleet, m_Log, quotaTolerance(),
+          Loop, m_Fleet, m_Log, m_Options.m_Bounds.quotaTolerance(),
           QuotaExchange::Hooks{
-              .m_Leaves = [this] { return m_Exchange.leaves(); }})) {
-  m_Forwarder.setQuotas(m_Quotas);
+              .m_Leaves = [this] { return m_Exchange.leaves(); }})),
+      m_WarmUp(std::make_shared<WarmUpExchange>(
+          Loop, m_Fleet, m_State.m_WarmUp, m_Log, m_Options.m_Bounds.m_WarmUp,
+          WarmUpExchange::Hooks{.m_Asked = [this](const auto &At, auto What) {
+            m_Metrics.permitAsked(At, What);
+          }})) {
+  m_Forwarder.setDesks(m_Quotas, m_WarmUp);
   m_State.m_Zone = m_Options.m_DataCentre.str();
   applyBounds();
   startServers();
   m_OwnMirror.start();
   m_ReloadTimer = Loop.every(ReloadEvery, [this] { reload(); });
-  m_StoreCallsTimer =
-      Loop.every(LogStoreCallsEvery, [this] { logStoreCalls(); });
   m_Log.write("started", {{"box", m_Process.str()},
                           {"zone", m_State.m_Zone},
                           {"callers", m_Options.m_Callers.str()},
@@ -184,9 +195,18 @@
               [this](const BoxName &From, const PeerFrame &Frame) {
                 m_Exchange.onFrame(From, Frame);
                 m_Quotas->onFrame(From, Frame);
+                m_WarmUp->onFrame(From, Frame);
+              },
+          .m_Up =
+              [this](const BoxName &Box) {
+                m_Exchange.linkUp(Box);
+                m_WarmUp->refreshRole();
+              },
+          .m_Down =
+              [this](const BoxName &Box) {
+                m_Exchange.linkDown(Box);
+                m_WarmUp->refreshRole();
               },
-          .m_Up = [this](const BoxName &Box) { m_Exchange.linkUp(Box); },
-          .m_Down = [this](const BoxName &Box) { m_Exchange.linkDown(Box); },
           .m_StoreBack = [this] { resync(); }};
 }
 
@@ -217,28 +237,13 @@
   m_Giver.entriesChanged(m_OwnMirror.items());
   m_Exchange.boxesChanged();
   m_Quotas->boxesChanged();
+  m_WarmUp->refreshRole();
   const bool Starting = EventLoop::now() - m_StartedAt < StartsWithin;
   m_OwnMirror.setGather(
       m_Fleet.topology().flat() || Starting ? GatherBoxes : GatherBoxesInLarge);
   m_State.m_Boxes = std::max(m_State.m_Boxes, static_cast<int>(m_Fleet.size()));
 }
 
-void Gateway::storeCalled(std::string_view Call, std::string_view Subject) {
-  m_Metrics.storeCalled(Call, Subject);
-  std::string Name(Call);
-  if (!Subject.empty())
-    Name += " " + std::string(Subject);
-  ++m_StoreCalls[Name];
-}
-
-void Gateway::logStoreCalls() {
-  if (m_StoreCalls.empty())
-    return;
-  m_Log.write("store_calls", {{"relay", m_Fleet.topology().relay()},
-                              {"giving", m_Giver.giving()},
-                              {"calls", std::exchange(m_StoreCalls, {})}});
-}
-
 /// A connection to the store may be dead without saying so.
 void Gateway::resync() {
   m_StoreHttp.forget(m_Options.m_Store);
@@ -289,6 +294,7 @@
   Now.m_GivesOrders = m_Giver.giving() ? 1 : 0;
   Now.m_FencingToken = Number(m_Giver.holder().m_Token);
   Now.m_LogLinesLeftOut = Number(m_Log.leftOut());
+  Now.m_Cold = m_State.m_WarmUp.coldByDataCentre(EventLoop::now());
   m_Metrics.set(Now);
   Exchange->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                   m_Metrics.serialize());
@@ -305,17 +311,11 @@
   m_State.m_Budget.configure({.m_Ratio = Bounds.m_RetryRatio,
                               .m_Allowance = Bounds.m_RetryAllowance,
                               .m_Window = Bounds.m_RetryWindow});
-  m_Quotas->setTolerance(quotaTolerance());
+  m_Quotas->setTolerance(Bounds.quotaTolerance());
+  m_WarmUp->setTolerance(Bounds.m_WarmUp);
   m_Exchange.watchConfigClosely(Bounds.m_FailClosed);
 }
 
-QuotaTolerance Gateway::quotaTolerance() const {
-  const ServingBounds &Bounds = m_Options.m_Bounds;
-  return {.m_Window = Bounds.m_QuotaWindow,
-          .m_Overage = Bounds.m_QuotaOverage,
-          .m_Allowance = Bounds.m_QuotaAllowance};
-}
-
 /// Where operators ask for it, keys are not trusted when the configuration may
 /// be older than the time in which a key that was taken away must be refused.
 bool Gateway::mayTrustKeys() const {
@@ -353,6 +353,7 @@
       m_Callers->setIdleTimeout(Read.m_Limits.m_IdleTimeout + IdleMargin);
       m_State.m_Config = std::make_shared<const ServingConfig>(std::move(Read));
       m_Quotas->configure(m_State.m_Config->m_Organisations);
+      m_State.m_WarmUp.configure(m_State.m_Config->m_Services);
     } catch (const DecodeError &Error) {
       m_Log.write("bad_config", {{"key", Key}, {"why", Error.what()}});
     }
@@ -363,6 +364,8 @@
   const std::vector<InstanceId> Gone = m_State.m_Upstreams.update(
       m_Registry.read(m_UpstreamMirror.items(), m_UpstreamMirror.revision()),
       EventLoop::now());
+  m_State.m_WarmUp.listed(m_State.m_Upstreams.list(), EventLoop::now());
+  m_WarmUp->refreshRole();
   for (const InstanceId &Id : Gone) {
     m_State.m_Prefixes.forget(Id);
     m_State.m_Latency.forget(Id);
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -14,7 +14,9 @@
 #include "gateway/process/PrefixMirror.h"
 #include "gateway/process/QuotaExchange.h"
 #include "gateway/process/ServingState.h"
+#include "gateway/process/StoreCallLog.h"
 #include "gateway/process/UpstreamRegistry.h"
+#include "gateway/process/WarmUpExchange.h"
 #include "gateway/request/Forwarder.h"
 #include "wire/common/EventLoop.h"
 #include "wire/common/HttpClient.h"
@@ -66,12 +68,9 @@
   void startServers();
   void ownKeysChanged();
   void resync();
-  void storeCalled(std::string_view Call, std::string_view Subject);
-  void logStoreCalls();
   void configChanged();
   void upstreamsChanged();
   void applyBounds();
-  QuotaTolerance quotaTolerance() const;
   bool mayTrustKeys() const;
   void takeRequest(const HttpExchangePtr &Exchange);
   void answerMetrics(const HttpExchangePtr &Exchange);
@@ -85,8 +84,7 @@
   std::function<void()> m_Stopped;
   DecisionLog m_Log;
   GatewayMetrics m_Metrics;
-  /// Calls to the store since they were last logged.
-  std::map<std::string, std::uint64_t> m_StoreCalls;
+  StoreCallLog m_StoreCalls;
   mutable std::mt19937_64 m_Random;
   HttpClient m_UpstreamHttp;
   HttpClient m_StoreHttp;
@@ -103,11 +101,11 @@
   OrderGiver m_Giver;
   FleetExchange m_Exchange;
   std::shared_ptr<QuotaExchange> m_Quotas;
+  std::shared_ptr<WarmUpExchange> m_WarmUp;
   std::unique_ptr<HttpServer> m_Callers;
   std::unique_ptr<HttpServer> m_Readiness;
   std::unique_ptr<HttpServer> m_MetricsServer;
   Timer m_ReloadTimer;
-  Timer m_StoreCallsTimer;
   Timer m_StopTimer;
   TimePoint m_StartedAt = EventLoop::now();
   TimePoint m_StopAt{};
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -62,6 +62,17 @@
           .Name("havenstair_organisation_requests_total")
           .Help("Callers' requests by organisation and outcome")
           .Register(m_Registry);
+  prometheus::Family<prometheus::Counter> &m_Permits =
+      prometheus::BuildCounter()
+          .Name("havenstair_warm_up_permits_total")
+          .Help("Permits asked for cold servers, by data centre and answer")
+          .Register(m_Registry);
+  prometheus::Family<prometheus::Gauge> &m_Cold =
+      prometheus::BuildGauge()
+          .Name("havenstair_cold_servers")
+          .Help("Cold servers by data centre")
+          .Register(m_Registry);
+  std::set<std::string> m_DataCentres;
   std::set<std::string> m_Routes;
   std::set<std::string> m_Organisations;
 
@@ -112,6 +123,15 @@
       .Increment();
 }
 
+void GatewayMetrics::permitAsked(const DataCentreName &At,
+                                 std::string_view Answer) {
+  m_Families->m_Permits
+      .Add({{"data_centre",
+             Families::label(m_Families->m_DataCentres, At.str())},
+            {"answer", std::string(Answer)}})
+      .Increment();
+}
+
 void GatewayMetrics::storeCalled(std::string_view Call,
                                  std::string_view Subject) {
   m_Families->m_StoreCalls
@@ -129,6 +149,13 @@
   m_Families->state("gives_orders", Now.m_GivesOrders);
   m_Families->state("fencing_token", Now.m_FencingToken);
   m_Families->state("log_lines_left_out", Now.m_LogLinesLeftOut);
+  for (const auto &[DataCentre, Count] : Now.m_Cold)
+    Families::label(m_Families->m_DataCentres, DataCentre.str());
+  for (const std::string &Each : m_Families->m_DataCentres) {
+    const auto Found = Now.m_Cold.find(DataCentreName(Each));
+    m_Families->m_Cold.Add({{"data_centre", Each}})
+        .Set(Found == Now.m_Cold.end() ? 0 : Found->second);
+  }
 }
 
 std::string GatewayMetrics::serialize() const {
--- a/packages/gateway/process/GatewayMetrics.h
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -3,7 +3,9 @@
 #ifndef HAVENSTAIR_GATEWAY_PROCESS_GATEWAYMETRICS_H
 #define HAVENSTAIR_GATEWAY_PROCESS_GATEWAYMETRICS_H
 
+#include "decisions/common/Id.h"
 #include "decisions/common/Time.h"
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -23,6 +25,7 @@
   double m_GivesOrders = 0;  ///< 1 on the box that gives orders.
   double m_FencingToken = 0;
   double m_LogLinesLeftOut = 0;
+  std::map<DataCentreName, int> m_Cold; ///< Cold servers.
 };
 
 /// Registry of all metrics. Labels are bounded: routes of the configuration,
@@ -37,6 +40,8 @@
   void sendEnded(std::string_view Outcome);
   /// An order to an engine was answered.
   void ordered(std::string_view Operation, std::string_view Answer);
+  /// A permit for a cold server in \p At was asked for.
+  void permitAsked(const DataCentreName &At, std::string_view Answer);
   /// A call to the store was made; \p Subject is its prefix, or empty.
   void storeCalled(std::string_view Call, std::string_view Subject);
   void set(const GatewayGauges &Now);
--- a/packages/gateway/process/GatewayOptions.h
+++ b/packages/gateway/process/GatewayOptions.h
@@ -6,6 +6,7 @@
 #include "decisions/common/DataCentreMap.h"
 #include "decisions/common/Id.h"
 #include "decisions/common/Time.h"
+#include "decisions/process/QuotaBook.h"
 #include "decisions/process/WarmUp.h"
 #include "wire/common/Endpoint.h"
 #include <string>
@@ -34,6 +35,12 @@
   bool m_FailClosed = false;
 
   bool operator==(const ServingBounds &) const = default;
+
+  QuotaTolerance quotaTolerance() const {
+    return {.m_Window = m_QuotaWindow,
+            .m_Overage = m_QuotaOverage,
+            .m_Allowance = m_QuotaAllowance};
+  }
 };
 
 /// Where the process listens and what it is called.
--- a/packages/gateway/process/ServingState.h
+++ b/packages/gateway/process/ServingState.h
@@ -10,6 +10,7 @@
 #include "decisions/process/PrefixIndex.h"
 #include "decisions/process/ServingView.h"
 #include "decisions/process/SharedRetryBudget.h"
+#include "decisions/process/WarmUpView.h"
 #include "decisions/request/CallerClock.h"
 #include "decisions/version/ServingConfig.h"
 #include <memory>
@@ -25,6 +26,7 @@
   std::string m_Zone;
   std::shared_ptr<const ServingConfig> m_Config; ///< Null before the first.
   ServingView m_Upstreams;
+  WarmUpView m_WarmUp;
   LoadBook m_Loads;
   PrefixIndex m_Prefixes{PrefixTokens};
   LatencyModel m_Latency;
--- /dev/null
+++ b/packages/gateway/process/WarmUpExchange.cpp
@@ -0,0 +1,214 @@
+#include "gateway/process/WarmUpExchange.h"
+
+#include "gateway/common/DecisionLog.h"
+#include "gateway/process/Fleet.h"
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace havenstair {
+
+namespace {
+
+/// Relays also change with the box that gives orders, of which no list tells.
+constexpr Duration RefreshEvery = 1s;
+
+/// A lost answer, or no box that could give a permit: links and lists are
+/// found to be lost, or come back, in about this time.
+constexpr Duration AskAgainAfter = 250ms;
+
+} // namespace
+
+WarmUpExchange::WarmUpExchange(EventLoop &Loop, Fleet &Boxes, WarmUpView &View,
+                               DecisionLog &Log,
+                               const WarmUpTolerance &Tolerance,
+                               Hooks Callbacks)
+    : m_Loop(Loop), m_Fleet(Boxes), m_View(View), m_Log(Log),
+      m_Hooks(std::move(Callbacks)), m_Permits(Tolerance) {
+  m_TickTimer = Loop.every(RefreshEvery, [this] { refreshRole(); });
+}
+
+std::optional<BoxName>
+WarmUpExchange::admitter(const InstanceId &Server) const {
+  std::set<BoxName> Reached = m_Fleet.linked();
+  Reached.insert(m_Fleet.self());
+  return admitterOf(
+      Server, m_Fleet.topology().relaysOf(m_View.dataCentre(Server)), Reached);
+}
+
+void WarmUpExchange::refreshRole() {
+  const TimePoint Now = EventLoop::now();
+  std::erase_if(m_PassedOn, [&](const auto &Each) {
+    return Now - Each.second.m_Since > RefreshEvery;
+  });
+  std::set<InstanceId> Own;
+  if (m_View.active() && m_Fleet.topology().relay())
+    for (const InstanceId &Each : m_View.limited())
+      if (admitter(Each) == m_Fleet.self())
+        Own.insert(Each);
+  m_Permits.admits(Own, Now);
+}
+
+/// The box to ask: a relay knows the admitter; a leaf is linked to few and asks
+/// one of the server's data centre, or its own uplinks in their order.
+BoxName WarmUpExchange::nextBox(const InstanceId &Server) const {
+  if (m_Fleet.topology().relay())
+    return admitter(Server).value_or(BoxName());
+  const std::set<BoxName> &Near =
+      m_Fleet.topology().relaysOf(m_View.dataCentre(Server));
+  BoxName Other;
+  for (const BoxName &Each : m_Fleet.topology().links()) {
+    if (!m_Fleet.linked().contains(Each))
+      continue;
+    if (Near.contains(Each))
+      return Each;
+    if (Other.empty())
+      Other = Each;
+  }
+  return Other;
+}
+
+WarmUpVerdict WarmUpExchange::decide(const InstanceId &Server,
+                                     Duration Patience) {
+  const WarmUpSpec *Spec = m_View.spec(Server);
+  if (Spec == nullptr)
+    return {.m_Granted = false, .m_After = AskAgainAfter};
+  return m_Permits.ask(Server, *Spec, Patience, EventLoop::now());
+}
+
+void WarmUpExchange::ask(const InstanceId &Server, Duration Patience,
+                         Done Callback) {
+  Asked Of{.m_Server = Server,
+           .m_Done = std::move(Callback),
+           .m_Since = EventLoop::now(),
+           .m_Timer = Timer()};
+  const BoxName To = nextBox(Server);
+  if (To.empty())
+    return finish(Of, std::nullopt);
+  if (To == m_Fleet.self())
+    return finish(Of, decide(Server, Patience));
+  const std::uint64_t Id = ++m_LastId;
+  Of.m_Timer =
+      m_Loop.after(WarmUpPermits::Validity, [this, Id] { unanswered(Id); });
+  m_Asked[Id] = std::move(Of);
+  m_Fleet.send(To, WarmUpAskFrame{
+                       .m_Id = Id, .m_Server = Server, .m_Patience = Patience});
+}
+
+void WarmUpExchange::unanswered(std::uint64_t Id) {
+  const auto Found = m_Asked.find(Id);
+  if (Found == m_Asked.end())
+    return;
+  const Asked Of = std::move(Found->second);
+  m_Asked.erase(Found);
+  finish(Of, std::nullopt);
+}
+
+/// Tells who asked. A box that was held up finds its permit lapsed.
+void WarmUpExchange::finish(const Asked &Of,
+                            const std::optional<WarmUpVerdict> &Verdict) {
+  const TimePoint Now = EventLoop::now();
+  const TimePoint Lapses = Of.m_Since + WarmUpPermits::Validity;
+  const TimePoint Warm = m_View.warmAt(Of.m_Server, Now).value_or(Now);
+  const bool InTime = Verdict && Now <= Lapses;
+  const bool Granted = InTime && Verdict->m_Granted;
+  const Duration Away = InTime ? Verdict->m_After : AskAgainAfter;
+  WarmUpAnswer Answer{.m_Permit = std::nullopt,
+                      .m_Free = std::min(Warm, Now + Away)};
+  if (Granted)
+    Answer.m_Permit = {.m_From = Now + Verdict->m_After,
+                       .m_Until = Lapses + Verdict->m_After};
+  else
+    m_View.noteBusy(Of.m_Server, Answer.m_Free);
+  const std::string_view What = Granted  ? "granted"
+                                : InTime ? "refused"
+                                         : "unanswered";
+  m_Hooks.m_Asked(m_View.dataCentre(Of.m_Server), What);
+  m_Log.write("warm_up_permit",
+              {{"upstream", Of.m_Server},
+               {"answer", What},
+               {"after_ms", Verdict ? Verdict->m_After / 1ms : 0},
+               {"asked_ms", (Now - Of.m_Since) / 1ms},
+               {"warm_in_ms", (Warm - Now) / 1ms}});
+  Of.m_Done(Answer);
+}
+
+void WarmUpExchange::heard(const InstanceId &Server, Duration ColdFor,
+                           TimePoint AskedAt) {
+  if (!m_View.told(Server, ColdFor, AskedAt, EventLoop::now()))
+    return;
+  m_Log.write("turned_cold",
+              {{"upstream", Server}, {"cold_ms", ColdFor / 1ms}});
+  tellNews({.m_Life = m_View.life(Server), .m_ColdFor = ColdFor}, {});
+}
+
+void WarmUpExchange::tellNews(const WarmUpNewsFrame &News,
+                              const BoxName &Except) {
+  // A link that fails while it is written to leaves the set.
+  const std::vector<BoxName> All(m_Fleet.linked().begin(),
+                                 m_Fleet.linked().end());
+  for (const BoxName &Each : All)
+    if (Each != Except)
+      m_Fleet.send(Each, News);
+}
+
+void WarmUpExchange::onFrame(const BoxName &From, const PeerFrame &Frame) {
+  std::visit(
+      [&](const auto &Each) {
+        if constexpr (requires { take(From, Each); })
+          take(From, Each);
+      },
+      Frame);
+}
+
+void WarmUpExchange::take(const BoxName &From, const WarmUpAskFrame &Frame) {
+  const auto Admitter = admitter(Frame.m_Server);
+  const bool PassOn = Admitter && *Admitter != m_Fleet.self() &&
+                      !m_Fleet.topology().isRelay(From);
+  if (!PassOn) {
+    m_Fleet.send(From,
+                 WarmUpAnswerFrame{
+                     .m_Id = Frame.m_Id,
+                     .m_Verdict = decide(Frame.m_Server, Frame.m_Patience)});
+    return;
+  }
+  const std::uint64_t Id = ++m_LastId;
+  m_PassedOn[Id] = {
+      .m_From = From, .m_Id = Frame.m_Id, .m_Since = EventLoop::now()};
+  m_Fleet.send(*Admitter, WarmUpAskFrame{.m_Id = Id,
+                                         .m_Server = Frame.m_Server,
+                                         .m_Patience = Frame.m_Patience});
+}
+
+void WarmUpExchange::take(const BoxName &, const WarmUpAnswerFrame &Frame) {
+  if (const auto Passed = m_PassedOn.find(Frame.m_Id);
+      Passed != m_PassedOn.end()) {
+    const PassedOn To = Passed->second;
+    m_PassedOn.erase(Passed);
+    m_Fleet.send(To.m_From, WarmUpAnswerFrame{.m_Id = To.m_Id,
+                                              .m_Verdict = Frame.m_Verdict});
+    return;
+  }
+  const auto Found = m_Asked.find(Frame.m_Id);
+  // It was given up; what was granted lapses.
+  if (Found == m_Asked.end())
+    return;
+  const Asked Of = std::move(Found->second);
+  m_Asked.erase(Found);
+  finish(Of, Frame.m_Verdict);
+}
+
+void WarmUpExchange::take(const BoxName &From, const WarmUpNewsFrame &Frame) {
+  const TimePoint Now = EventLoop::now();
+  const InstanceId &Server = Frame.m_Life.m_Id;
+  // Of a life that is not the newest here, it says nothing.
+  if (m_View.life(Server) != Frame.m_Life || m_View.cold(Server, Now))
+    return;
+  if (m_View.told(Server, Frame.m_ColdFor, Now, Now) &&
+      m_Fleet.topology().relay())
+    tellNews(Frame, From);
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/gateway/process/WarmUpExchange.h
@@ -0,0 +1,92 @@
+/// \file
+/// How boxes keep one rate for each cold server together.
+/// See docs/design/warm-up.md.
+#ifndef HAVENSTAIR_GATEWAY_PROCESS_WARMUPEXCHANGE_H
+#define HAVENSTAIR_GATEWAY_PROCESS_WARMUPEXCHANGE_H
+
+#include "decisions/process/WarmUpPermits.h"
+#include "decisions/process/WarmUpView.h"
+#include "gateway/request/WarmUpDesk.h"
+#include "wire/common/EventLoop.h"
+#include "wire/connection/PeerFrames.h"
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string_view>
+
+namespace havenstair {
+
+class DecisionLog;
+class Fleet;
+
+/// One relay of a cold server's data centre gives out permits for it. Other
+/// boxes ask it, leaves by way of a relay. News that a server is cold go to all
+/// boxes at once.
+class WarmUpExchange : public WarmUpDesk {
+public:
+  struct Hooks {
+    /// A permit for a server in \p At was asked for; \p What became of it, one
+    /// of "granted", "refused" and "unanswered".
+    std::function<void(const DataCentreName &At, std::string_view What)>
+        m_Asked;
+  };
+
+  WarmUpExchange(EventLoop &Loop, Fleet &Boxes, WarmUpView &View,
+                 DecisionLog &Log, const WarmUpTolerance &Tolerance,
+                 Hooks Callbacks);
+  WarmUpExchange(const WarmUpExchange &) = delete;
+  WarmUpExchange &operator=(const WarmUpExchange &) = delete;
+
+  void setTolerance(const WarmUpTolerance &Tolerance) {
+    m_Permits.setTolerance(Tolerance);
+  }
+  /// Boxes, links, servers or the configuration have changed.
+  void refreshRole();
+
+  void ask(const InstanceId &Server, Duration Patience, Done Callback) override;
+  void heard(const InstanceId &Server, Duration ColdFor,
+             TimePoint AskedAt) override;
+
+  void onFrame(const BoxName &From, const PeerFrame &Frame);
+
+private:
+  /// A question of this box that has not been answered yet.
+  struct Asked {
+    InstanceId m_Server;
+    Done m_Done;
+    TimePoint m_Since{};
+    Timer m_Timer;
+  };
+  /// A question of a leaf that was passed on.
+  struct PassedOn {
+    BoxName m_From;
+    std::uint64_t m_Id = 0;
+    TimePoint m_Since{};
+  };
+
+  std::optional<BoxName> admitter(const InstanceId &Server) const;
+  BoxName nextBox(const InstanceId &Server) const;
+  WarmUpVerdict decide(const InstanceId &Server, Duration Patience);
+  void finish(const Asked &Of, const std::optional<WarmUpVerdict> &Verdict);
+  void unanswered(std::uint64_t Id);
+  void tellNews(const WarmUpNewsFrame &News, const BoxName &Except);
+
+  void take(const BoxName &From, const WarmUpAskFrame &Frame);
+  void take(const BoxName &From, const WarmUpAnswerFrame &Frame);
+  void take(const BoxName &From, const WarmUpNewsFrame &Frame);
+
+  EventLoop &m_Loop;
+  Fleet &m_Fleet;
+  WarmUpView &m_View;
+  DecisionLog &m_Log;
+  Hooks m_Hooks;
+  WarmUpPermits m_Permits;
+  std::uint64_t m_LastId = 0;
+  std::map<std::uint64_t, Asked> m_Asked;
+  std::map<std::uint64_t, PassedOn> m_PassedOn;
+  Timer m_TickTimer;
+};
+
+} // namespace havenstair
+
+#endif
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -10,6 +10,7 @@
 #include "gateway/process/ServingState.h"
 #include "gateway/request/QuotaDesk.h"
 #include "gateway/request/RequestDialect.h"
+#include "gateway/request/WarmUpDesk.h"
 #include "wire/common/EventLoop.h"
 #include "wire/common/HttpClient.h"
 #include "wire/common/HttpServer.h"
@@ -65,7 +66,11 @@
   Forwarder &operator=(const Forwarder &) = delete;
 
   /// Before the first request.
-  void setQuotas(std::weak_ptr<QuotaDesk> Desk) { m_Quotas = std::move(Desk); }
+  void setDesks(std::weak_ptr<QuotaDesk> Quotas,
+                std::weak_ptr<WarmUpDesk> WarmUp) {
+    m_Quotas = std::move(Quotas);
+    m_WarmUp = std::move(WarmUp);
+  }
   void handle(const HttpExchangePtr &Exchange);
   /// Answers a request that is not to be sent anywhere.
   void refuse(const HttpExchangePtr &Exchange, const Failure &Reason);
@@ -88,6 +93,7 @@
   Options m_Opts;
   Hooks m_Hooks;
   std::weak_ptr<QuotaDesk> m_Quotas;
+  std::weak_ptr<WarmUpDesk> m_WarmUp;
   std::set<std::shared_ptr<ProxiedRequest>> m_Open;
 };
 
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -4,6 +4,7 @@
 #include "decisions/request/EnginePriority.h"
 #include "gateway/common/DecisionLog.h"
 #include "gateway/request/OwnAnswer.h"
+#include "gateway/request/UpstreamCall.h"
 #include <algorithm>
 #include <cmath>
 
@@ -30,14 +31,6 @@
 /// Tokens of an answer count in part: most end before their bound.
 constexpr double OutputPart = 0.5;
 
-/// What the quota of \p Of counts \p Request as; 0 without a quota.
-double unitsOf(const RequestDescriptor &Request, const Organisation *Of) {
-  if (Of == nullptr || !Of->m_Quota.limited())
-    return 0;
-  return Of->m_Quota.costOf(Request.m_TokensTold,
-                            Request.m_PromptTokens + Request.m_MostOutput);
-}
-
 } // namespace
 
 ProxiedRequest::ProxiedRequest(Forwarder &Owner, HttpExchangePtr Exchange,
@@ -51,6 +44,8 @@
       m_Organisation(Caller == nullptr ? "" : Caller->m_Name),
       m_Priority(enginePriority(*m_Config, Of, Caller)),
       m_Quota(Owner.m_Quotas, m_Organisation, unitsOf(m_Request, Caller)),
+      m_Permit(Owner.m_Loop, Owner.m_WarmUp, Owner.m_State.m_WarmUp,
+               [this] { resume(); }),
       m_Arrived(EventLoop::now()),
       m_Deadline(m_Arrived +
                  std::min(m_Request.m_Deadline.value_or(LongestDeadline),
@@ -109,15 +104,16 @@
 void ProxiedRequest::step() {
   const TimePoint Now = EventLoop::now();
   ServingState &State = m_Owner.m_State;
-  const auto Tried = [this](const InstanceId &Id) {
-    return m_Tried.contains(Id);
+  const auto Tried = [&](const InstanceId &Id) {
+    return m_Tried.contains(Id) || m_Permit.excludes(Id, Now);
   };
   const auto Candidates = State.m_Upstreams.candidates(
       m_Service, m_Request.m_Model, m_Request.m_Adapter, Tried, Now);
   const ReplicaKnowledge Known{.m_Loads = State.m_Loads,
                                .m_Prefixes = State.m_Prefixes,
                                .m_Latency = State.m_Latency,
-                               .m_Failures = State.m_Failures};
+                               .m_Failures = State.m_Failures,
+                               .m_WarmUp = &State.m_WarmUp};
   const auto Chosen =
       chooseReplica(Candidates, m_Request, State.m_Zone, Known,
                     m_Owner.m_Opts.m_Weights, m_Owner.m_Hooks.m_Random(), Now);
@@ -125,7 +121,9 @@
               .m_ExpectedMs = Chosen ? Chosen->m_ExpectedMs : 0,
               .m_PendingMs = Chosen ? Chosen->m_PendingMs : 0};
   m_ParkTimer = Timer();
-  if (!keyStillHolds())
+  if (!Chosen && m_Permit.drop())
+    return step();
+  if (!keyStillHolds() || refusedCold(Chosen, Now))
     return;
   if (m_Sends == 0 && !admitted(Chosen, Now))
     return;
@@ -138,13 +136,30 @@
     return;
   if (const auto Pause = paceOf(*Chosen, Now)) {
     m_PaceTimer = m_Owner.m_Loop.after(*Pause, [Weak = weak_from_this()] {
-      const auto Self = Weak.lock();
-      if (Self && !Self->m_Done)
-        Self->step();
+      if (const auto Self = Weak.lock())
+        Self->resume();
     });
     return;
   }
-  send(*Chosen, Now);
+  if (m_Permit.ready(Chosen->m_Instance->m_Id, timeToSpare(Now), Now))
+    send(*Chosen, Now);
+}
+
+void ProxiedRequest::resume() {
+  const auto Self = shared_from_this();
+  if (!m_Done)
+    step();
+}
+
+/// Whether the request has its answer as only cold servers are left, and no
+/// permit to send to one is to be had in time.
+bool ProxiedRequest::refusedCold(const std::optional<ChosenReplica> &Chosen,
+                                 TimePoint Now) {
+  const auto Away = m_Permit.away(Now);
+  if (Chosen || !Away || m_BytesPassed || m_MayHaveRun)
+    return false;
+  refuse(ErrorKind::Overloaded, *Away, "cold");
+  return true;
 }
 
 /// How long to wait before a prompt is read beside running streams: they pause
@@ -155,7 +170,8 @@
                         .m_Target = m_Route.m_Target,
                         .m_Waited = waited(Now),
                         .m_PendingMs = Chosen.m_PendingMs};
-  if (m_Sends > 0 || !streaming() || m_Request.m_Model.empty())
+  if (m_Sends > 0 || !streaming() || m_Request.m_Model.empty() ||
+      m_Permit.holds(Now))
     return std::nullopt;
   return paceFor(Facts, m_Owner.m_Opts.m_Pace);
 }
@@ -244,9 +260,9 @@
   return false;
 }
 
-/// How long units may be waited for: while the answer still comes in time, and
-/// what is late already as long as a word from the other boxes takes.
-Duration ProxiedRequest::quotaPatience(TimePoint Now) const {
+/// How long units or permits may be waited for: while the answer still comes in
+/// time, and what is late already as long as a word from the other boxes takes.
+Duration ProxiedRequest::timeToSpare(TimePoint Now) const {
   constexpr Duration Least = 100ms;
   return std::max<Duration>(Least, m_Route.m_Target - waited(Now) -
                                        fromMillis(m_Judged.m_ExpectedMs));
@@ -259,7 +275,7 @@
     return m_Quota.granted();
   m_AskingQuota = true;
   m_Quota.ask(
-      quotaPatience(Now),
+      timeToSpare(Now),
       [this](const std::optional<QuotaVerdict> &Verdict) { onQuota(Verdict); });
   m_AskingQuota = false;
   return m_Quota.granted();
@@ -278,21 +294,6 @@
     step();
 }
 
-/// A kept connection may be closing; what must not run twice cannot tell. And a
-/// runner of a plain service that is short of slots gives them to connections
-/// that come anew: of requests on kept ones it turned away 19 in 20, of others
-/// 9 in 20, in the same seconds.
-ConnectionUse ProxiedRequest::connectionFor(const UpstreamInstance &To,
-                                            TimePoint Now) const {
-  /// One failure counts for four seconds.
-  constexpr double LatelyFailed = 0.1;
-  const bool Short =
-      m_Request.m_Model.empty() &&
-      m_Owner.m_State.m_Failures.rate(To.m_Id, Now) >= LatelyFailed;
-  return m_Route.idempotent() && !Short ? ConnectionUse::Reused
-                                        : ConnectionUse::FreshKept;
-}
-
 HttpCall ProxiedRequest::makeCall(const UpstreamInstance &To, TimePoint Now) {
   const ForwardedFields Fields{.m_Instance = To.m_Id,
                                .m_Organisation = m_Organisation,
@@ -306,7 +307,8 @@
   Call.m_Target = m_Exchange->target();
   Call.m_Headers = m_Owner.m_Dialect.m_Forward(m_FromCaller, Fields);
   Call.m_Body = m_Exchange->body();
-  Call.m_Use = connectionFor(To, Now);
+  Call.m_Use = connectionFor(m_Route.idempotent(), m_Request.m_Model.empty(),
+                             m_Owner.m_State.m_Failures.rate(To.m_Id, Now));
   Call.m_ConnectTimeout = m_Owner.m_Opts.m_ConnectTimeout;
   Call.m_IdleTimeout = m_Deadline - Now + 1s;
   Call.m_MaxBody = m_Owner.m_Opts.m_MaxAnswer;
@@ -331,6 +333,7 @@
   const UpstreamInstance &To = *Chosen.m_Instance;
   m_Tried.insert(To.m_Id);
   m_Quota.noteSent();
+  m_Permit.noteSent();
   ++m_Sends;
   m_Events = EventSplitter();
   m_Send = Send{.m_Instance = To.m_Id,
@@ -375,15 +378,8 @@
       m_Send ? m_Owner.m_State.m_Upstreams.find(m_Send->m_Instance) : nullptr;
   if (!streaming() || At == nullptr)
     return std::nullopt;
-  const ServiceSpec *Service = m_Config->service(m_Service);
-  HttpCall Probe;
-  Probe.m_To = Endpoint::parse(At->m_Address).value_or(Endpoint{});
-  Probe.m_Target = Service == nullptr || Service->m_HealthPath.empty()
-                       ? "/"
-                       : Service->m_HealthPath;
-  Probe.m_ConnectTimeout = m_Owner.m_Opts.m_ConnectTimeout;
-  Probe.m_IdleTimeout = m_Owner.m_Opts.m_ConnectTimeout;
-  return Probe;
+  return healthCall(*At, m_Config->service(m_Service),
+                    m_Owner.m_Opts.m_ConnectTimeout);
 }
 
 void ProxiedRequest::onHead(int Status, const HttpHeaders &Headers) {
@@ -393,6 +389,7 @@
   m_Send->m_Status = Status;
   m_Send->m_Headers = Headers;
   m_Send->m_NotRun = Facts.m_NotRun;
+  m_Permit.heard(Facts, m_Send->m_Instance, m_Send->m_At);
   m_Send->m_Foreign =
       !Facts.m_RequestId.empty() && Facts.m_RequestId != m_Request.m_Id;
   const bool Nameless = Facts.m_RequestId.empty() && Status / 100 == 2;
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -6,6 +6,7 @@
 #include "decisions/request/EventSplitter.h"
 #include "decisions/request/ReplicaAdmission.h"
 #include "gateway/request/Forwarder.h"
+#include "gateway/request/RequestPermit.h"
 #include "gateway/request/RequestQuota.h"
 #include "gateway/request/SilenceWatch.h"
 #include <memory>
@@ -55,6 +56,8 @@
   };
 
   void step();
+  void resume();
+  bool refusedCold(const std::optional<ChosenReplica> &Chosen, TimePoint Now);
   std::optional<Duration> paceOf(const ChosenReplica &Chosen,
                                  TimePoint Now) const;
   AdmissionFacts admissionFacts(const std::optional<ChosenReplica> &Chosen,
@@ -62,11 +65,10 @@
   bool admitted(const std::optional<ChosenReplica> &Chosen, TimePoint Now);
   void wait(Duration For);
   bool keyStillHolds();
-  Duration quotaPatience(TimePoint Now) const;
+  Duration timeToSpare(TimePoint Now) const;
   bool withinQuota(TimePoint Now);
   void onQuota(const std::optional<QuotaVerdict> &Verdict);
   void send(const ChosenReplica &Chosen, TimePoint Now);
-  ConnectionUse connectionFor(const UpstreamInstance &To, TimePoint Now) const;
   HttpCall makeCall(const UpstreamInstance &To, TimePoint Now);
   void expectWithin(Duration Limit);
   std::optional<HttpCall> probe() const;
@@ -108,6 +110,7 @@
   int m_Priority;             ///< To an engine.
   RequestQuota m_Quota;
   bool m_AskingQuota = false;
+  RequestPermit m_Permit;
   TimePoint m_Arrived;
   TimePoint m_Deadline;
   Duration m_SinceFirstTry = 0us; ///< Zero unless the caller tried before.
--- a/packages/wire/connection/PeerFrames.cpp
+++ b/packages/wire/connection/PeerFrames.cpp
@@ -9,13 +9,14 @@
 namespace {
 
 constexpr std::array<std::string_view, std::variant_size_v<PeerFrame>> Names{
-    "hello",        "proof",          "forward",       "cancel",
-    "started",      "head",           "bytes",         "ended",
-    "failed",       "digest",         "demand",        "table",
-    "assignment",   "plan",           "move",          "limit_ask",
-    "limit_answer", "limit_tell",     "fleet_digest",  "fleet_want",
-    "fleet_keys",   "fleet_contents", "fleet_missing", "fleet_loads",
-    "quota_ask",    "quota_answer",   "quota_use"};
+    "hello",          "proof",          "forward",       "cancel",
+    "started",        "head",           "bytes",         "ended",
+    "failed",         "digest",         "demand",        "table",
+    "assignment",     "plan",           "move",          "limit_ask",
+    "limit_answer",   "limit_tell",     "fleet_digest",  "fleet_want",
+    "fleet_keys",     "fleet_contents", "fleet_missing", "fleet_loads",
+    "quota_ask",      "quota_answer",   "quota_use",     "warm_up_ask",
+    "warm_up_answer", "warm_up_news"};
 
 /// Which alternative of the variant a message is; no message uses the name.
 constexpr const char *KindField = "frame";
--- a/packages/wire/connection/PeerFrames.h
+++ b/packages/wire/connection/PeerFrames.h
@@ -11,6 +11,7 @@
 #include "decisions/version/Table.h"
 #include "wire/connection/FleetFrames.h"
 #include "wire/connection/QuotaFrames.h"
+#include "wire/connection/WarmUpFrames.h"
 #include <optional>
 #include <set>
 #include <string>
@@ -177,7 +178,8 @@
     AssignmentFrame, PlanFrame, MoveFrame, LimitAskFrame, LimitAnswerFrame,
     LimitTellFrame, FleetDigestFrame, FleetWantFrame, FleetKeysFrame,
     FleetContentsFrame, FleetMissingFrame, FleetLoadsFrame, QuotaAskFrame,
-    QuotaAnswerFrame, QuotaUseFrame>;
+    QuotaAnswerFrame, QuotaUseFrame, WarmUpAskFrame, WarmUpAnswerFrame,
+    WarmUpNewsFrame>;
 
 /// Name of the kind of \p Frame, for metrics.
 std::string_view frameName(const PeerFrame &Frame);
--- /dev/null
+++ b/packages/wire/connection/WarmUpFrames.cpp
@@ -0,0 +1,49 @@
+#include "wire/connection/WarmUpFrames.h"
+
+namespace havenstair {
+
+namespace {
+
+Duration durationField(const Json &From, const char *Name) {
+  return Duration(field<std::uint32_t>(From, Name));
+}
+
+} // namespace
+
+Json toJson(const WarmUpAskFrame &Frame) {
+  return {{"id", Frame.m_Id},
+          {"server", Frame.m_Server},
+          {"patience_us", Frame.m_Patience.count()}};
+}
+
+void fromJson(const Json &From, WarmUpAskFrame &Frame) {
+  Frame.m_Id = field<std::uint64_t>(From, "id");
+  Frame.m_Server = field<std::string>(From, "server");
+  Frame.m_Patience = durationField(From, "patience_us");
+}
+
+Json toJson(const WarmUpAnswerFrame &Frame) {
+  return {{"id", Frame.m_Id},
+          {"granted", Frame.m_Verdict.m_Granted},
+          {"after_us", Frame.m_Verdict.m_After.count()}};
+}
+
+void fromJson(const Json &From, WarmUpAnswerFrame &Frame) {
+  Frame.m_Id = field<std::uint64_t>(From, "id");
+  Frame.m_Verdict = {.m_Granted = field<bool>(From, "granted"),
+                     .m_After = durationField(From, "after_us")};
+}
+
+Json toJson(const WarmUpNewsFrame &Frame) {
+  return {{"server", Frame.m_Life.m_Id},
+          {"born", Frame.m_Life.m_Born},
+          {"cold_us", Frame.m_ColdFor.count()}};
+}
+
+void fromJson(const Json &From, WarmUpNewsFrame &Frame) {
+  Frame.m_Life = {.m_Id = field<std::string>(From, "server"),
+                  .m_Born = field<UpstreamBirth>(From, "born")};
+  Frame.m_ColdFor = durationField(From, "cold_us");
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/tests/gateway/RequestPermitTest.cpp
@@ -0,0 +1,152 @@
+#include "gateway/request/RequestPermit.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace havenstair;
+
+namespace {
+
+/// Keeps questions until the test answers them.
+class HeldWarmUpDesk : public WarmUpDesk {
+public:
+  void ask(const InstanceId &, Duration, Done Callback) override {
+    m_Asked.push_back(std::move(Callback));
+  }
+  void heard(const InstanceId &Server, Duration, TimePoint) override {
+    m_Heard.push_back(Server);
+  }
+
+  std::vector<Done> m_Asked;
+  std::vector<InstanceId> m_Heard;
+};
+
+/// A request before two cold servers.
+class RequestPermitTest {
+public:
+  RequestPermitTest() {
+    ServiceSpec Service;
+    Service.m_Name = "s";
+    Service.m_WarmUp = {.m_After = 60s, .m_RequestsPerS = 6.6};
+    m_View.configure({Service});
+    InstanceList List;
+    for (const char *Id : {"e", "f"}) {
+      UpstreamInstance &Entry = List.m_Instances[Id];
+      Entry.m_Id = Id;
+      Entry.m_Service = "s";
+      Entry.m_ColdFor = 60s;
+    }
+    m_View.listed(List, EventLoop::now());
+  }
+
+  static WarmUpAnswer granted(Duration From, Duration For) {
+    const TimePoint Now = EventLoop::now();
+    return {.m_Permit =
+                WarmUpPermit{.m_From = Now + From, .m_Until = Now + From + For},
+            .m_Free = {}};
+  }
+  bool ready(const InstanceId &Server) {
+    return m_Permit.ready(Server, 1s, EventLoop::now());
+  }
+  bool resumed(int Times) {
+    return m_Loop.runUntil([&] { return m_Resumed == Times; }, 20s);
+  }
+
+  EventLoop m_Loop;
+  WarmUpView m_View;
+  std::shared_ptr<HeldWarmUpDesk> m_Desk = std::make_shared<HeldWarmUpDesk>();
+  int m_Resumed = 0;
+  RequestPermit m_Permit{m_Loop, m_Desk, m_View, [this] { ++m_Resumed; }};
+};
+
+} // namespace
+
+TEST_CASE("A cold server is sent to with a permit, for one send",
+          "[gateway][warmup]") {
+  RequestPermitTest Test;
+  REQUIRE_FALSE(Test.ready("e"));
+  REQUIRE_FALSE(Test.ready("e"));
+  REQUIRE(Test.m_Desk->m_Asked.size() == 1);
+  Test.m_Desk->m_Asked[0](RequestPermitTest::granted(0us, 60s));
+  REQUIRE(Test.resumed(1));
+  REQUIRE(Test.m_Permit.excludes("f", EventLoop::now()));
+  REQUIRE_FALSE(Test.m_Permit.excludes("e", EventLoop::now()));
+  REQUIRE(Test.ready("e"));
+  Test.m_Permit.noteSent();
+  REQUIRE_FALSE(Test.ready("e"));
+  REQUIRE(Test.m_Desk->m_Asked.size() == 2);
+}
+
+TEST_CASE("A permit for later is waited for, and one that lapsed is no use",
+          "[gateway][warmup]") {
+  RequestPermitTest Test;
+  REQUIRE_FALSE(Test.ready("e"));
+  SECTION("for later") {
+    Test.m_Desk->m_Asked[0](RequestPermitTest::granted(60s, 60s));
+    REQUIRE_FALSE(Test.ready("e"));
+    REQUIRE(Test.m_Desk->m_Asked.size() == 1);
+  }
+  SECTION("lapsed") {
+    Test.m_Desk->m_Asked[0](RequestPermitTest::granted(-2s, 1s));
+    REQUIRE_FALSE(Test.m_Permit.excludes("f", EventLoop::now()));
+    REQUIRE_FALSE(Test.ready("e"));
+    REQUIRE(Test.m_Desk->m_Asked.size() == 2);
+  }
+  SECTION("its server is gone") {
+    Test.m_Desk->m_Asked[0](RequestPermitTest::granted(0us, 60s));
+    REQUIRE(Test.m_Permit.drop());
+    REQUIRE_FALSE(Test.m_Permit.drop());
+    REQUIRE_FALSE(Test.m_Permit.excludes("f", EventLoop::now()));
+  }
+}
+
+TEST_CASE("A server that refuses is left out until a permit is to be had",
+          "[gateway][warmup]") {
+  RequestPermitTest Test;
+  REQUIRE_FALSE(Test.m_Permit.away(EventLoop::now()));
+  REQUIRE_FALSE(Test.ready("e"));
+  const TimePoint Free = EventLoop::now() + 60s;
+  Test.m_Desk->m_Asked[0]({.m_Permit = std::nullopt, .m_Free = Free});
+  REQUIRE(Test.resumed(1));
+  REQUIRE(Test.m_Permit.excludes("e", EventLoop::now()));
+  REQUIRE_FALSE(Test.m_Permit.excludes("f", EventLoop::now()));
+  REQUIRE_FALSE(Test.m_Permit.excludes("e", Free));
+  REQUIRE(Test.m_Permit.away(Free - 5s) == 5s);
+}
+
+TEST_CASE("A request that goes elsewhere does not wait for the answer",
+          "[gateway][warmup]") {
+  RequestPermitTest Test;
+  REQUIRE_FALSE(Test.ready("e"));
+  REQUIRE(Test.ready("warm"));
+  Test.m_Desk->m_Asked[0](RequestPermitTest::granted(0us, 60s));
+  REQUIRE_FALSE(Test.m_Permit.holds(EventLoop::now()));
+}
+
+TEST_CASE("A request that outlives the desk finds cold servers refused",
+          "[gateway][warmup]") {
+  RequestPermitTest Test;
+  const auto Late = [&] {
+    Test.ready("e");
+    return Test.m_Desk->m_Asked[0];
+  }();
+  Test.m_Desk.reset();
+  REQUIRE_FALSE(Test.ready("f"));
+  REQUIRE(Test.m_Permit.excludes("f", EventLoop::now()));
+  Late(RequestPermitTest::granted(0us, 60s));
+  REQUIRE_FALSE(Test.m_Permit.holds(EventLoop::now()));
+}
+
+TEST_CASE("What an answer says of warm-up counts for who gave it",
+          "[gateway][warmup]") {
+  RequestPermitTest Test;
+  const TimePoint Now = EventLoop::now();
+  Test.m_Permit.heard({}, "e", Now);
+  REQUIRE(Test.m_Desk->m_Heard.empty());
+  AnswerFacts Facts;
+  Facts.m_ColdFor = 2s;
+  Test.m_Permit.heard(Facts, "e", Now);
+  Facts.m_Instance = "other";
+  Test.m_Permit.heard(Facts, "e", Now);
+  REQUIRE(Test.m_Desk->m_Heard == std::vector<InstanceId>{"e"});
+}
