--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/process/Gateway.h"
 
+#include "gateway/process/ObservedEngines.h"
 #include "wire/common/Crypto.h"
 #include <algorithm>
 #include <iterator>
@@ -27,9 +28,6 @@
 constexpr Duration WaitForConfig = 20s;
 constexpr Duration WaitForBoxes = 10s;
 
-/// How often the calls to the store are logged, when there were any.
-constexpr Duration LogStoreCallsEvery = 10s;
-
 /// How often the settings are read without a signal.
 constexpr Duration ReloadEvery = 2s;
 
@@ -66,18 +64,27 @@
       m_Options(std::move(Options)), m_Policy(Policy),
       m_Stopped(std::move(Stopped)),
       m_Log(Loop, {.m_Descriptor = LogDescriptor}),
+      m_StoreCalls(Loop, m_Log,
+                   [this] {
+                     return StoreCallLog::Role{m_Fleet.topology().relay(),
+                                               m_Giver.giving()};
+                   }),
       m_Random(std::random_device()()), m_UpstreamHttp(Loop), m_StoreHttp(Loop),
       m_Store(std::make_unique<MeteredStore>(
           m_Binding.m_MakeStore(Loop, m_StoreHttp, m_Options.m_Store),
           MeteredStore::Hooks{
               .m_Called =
-                  [this](std::string_view Call, std::string_view Subject) {
+                  [this](auto Call, auto Subject) {
                     m_Metrics.storeCalled(Call, Subject);
                     m_StoreCalls.called(Call, Subject);
                   },
               .m_Reached =
                   [this] { m_Fleet.noteStoreReached(EventLoop::now()); }})),
-      m_Engines(m_Binding.m_MakeEngines(m_UpstreamHttp)),
+      m_Engines(std::make_unique<ObservedEngines>(
+          m_Binding.m_MakeEngines(m_UpstreamHttp),
+          [this](const auto &Of, const auto &Report, TimePoint AskedAt) {
+            m_WarmUp->heard(Of.m_Id, Report.m_ColdFor, AskedAt);
+          })),
       m_Forwarder(
           Loop, m_UpstreamHttp, m_State, m_Binding.m_Dialect, m_Log,
           forwarderOptions(),
@@ -140,18 +147,20 @@
            .m_Random = [this] { return drawUnit(m_Random); }},
           {.m_ContentsChanged = [this] { m_Forwarder.upstreamsChanged(); }}),
       m_Quotas(std::make_shared<QuotaExchange>(
-          Loop, m_Fleet, m_Log, quotaTolerance(),
+          Loop, m_Fleet, m_Log, m_Options.m_Bounds.quotaTolerance(),
           QuotaExchange::Hooks{
-              .m_Leaves = [this] { return m_Exchange.leaves(); }})) {
-  m_Forwarder.setQuotas(m_Quotas);
+              .m_Leaves = [this] { return m_Exchange.leaves(); }})),
+      m_WarmUp(std::make_shared<WarmUpExchange>(
+          Loop, m_Fleet, m_State.m_WarmUp, m_Log, m_Options.m_Bounds.m_WarmUp,
+          WarmUpExchange::Hooks{.m_Asked = [this](const auto &At, auto What) {
+            m_Metrics.permitAsked(At, What);
+          }})) {
+  m_Forwarder.setDesks(m_Quotas, m_WarmUp);
   m_State.m_Zone = m_Options.m_DataCentre.str();
   applyBounds();
   startServers();
   m_OwnMirror.start();
   m_ReloadTimer = Loop.every(ReloadEvery, [this] { reload(); });
-  m_StoreCallsTimer = Loop.every(LogStoreCallsEvery, [this] {
-    m_StoreCalls.write(m_Log, m_Fleet.topology().relay(), m_Giver.giving());
-  });
   m_Log.write("started", {{"box", m_Process.str()},
                           {"zone", m_State.m_Zone},
                           {"callers", m_Options.m_Callers.str()},
@@ -192,9 +201,18 @@
               [this](const BoxName &From, const PeerFrame &Frame) {
                 m_Exchange.onFrame(From, Frame);
                 m_Quotas->onFrame(From, Frame);
+                m_WarmUp->onFrame(From, Frame);
+              },
+          .m_Up =
+              [this](const BoxName &Box) {
+                m_Exchange.linkUp(Box);
+                m_WarmUp->refreshRole();
+              },
+          .m_Down =
+              [this](const BoxName &Box) {
+                m_Exchange.linkDown(Box);
+                m_WarmUp->refreshRole();
               },
-          .m_Up = [this](const BoxName &Box) { m_Exchange.linkUp(Box); },
-          .m_Down = [this](const BoxName &Box) { m_Exchange.linkDown(Box); },
           .m_StoreBack = [this] { resync(); }};
 }
 
@@ -225,6 +243,7 @@
   m_Giver.entriesChanged(m_OwnMirror.items());
   m_Exchange.boxesChanged();
   m_Quotas->boxesChanged();
+  m_WarmUp->refreshRole();
   const bool Starting = EventLoop::now() - m_StartedAt < StartsWithin;
   m_OwnMirror.setGather(
       m_Fleet.topology().flat() || Starting ? GatherBoxes : GatherBoxesInLarge);
@@ -282,6 +301,7 @@
   Now.m_GivesOrders = m_Giver.giving() ? 1 : 0;
   Now.m_FencingToken = Number(m_Giver.holder().m_Token);
   Now.m_LogLinesLeftOut = Number(m_Log.leftOut());
+  Now.m_Cold = m_State.m_WarmUp.coldByDataCentre(EventLoop::now());
   m_Metrics.set(Now);
   Exchange->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                   m_Metrics.serialize());
@@ -298,19 +318,13 @@
   m_State.m_Budget.configure({.m_Ratio = Bounds.m_RetryRatio,
                               .m_Allowance = Bounds.m_RetryAllowance,
                               .m_Window = Bounds.m_RetryWindow});
-  m_Quotas->setTolerance(quotaTolerance());
+  m_Quotas->setTolerance(Bounds.quotaTolerance());
+  m_WarmUp->setTolerance(Bounds.m_WarmUp);
   m_Exchange.watchConfigClosely(Bounds.m_FailClosed);
   m_State.m_NeedsEvacuations = Bounds.m_Evacuation.has_value();
   m_Exchange.followEvacuations(m_State.m_NeedsEvacuations);
 }
 
-QuotaTolerance Gateway::quotaTolerance() const {
-  const ServingBounds &Bounds = m_Options.m_Bounds;
-  return {.m_Window = Bounds.m_QuotaWindow,
-          .m_Overage = Bounds.m_QuotaOverage,
-          .m_Allowance = Bounds.m_QuotaAllowance};
-}
-
 /// Where operators ask for it, keys are not trusted when the configuration may
 /// be older than the time in which a key that was taken away must be refused.
 bool Gateway::mayTrustKeys() const {
@@ -348,6 +362,7 @@
       m_Callers->setIdleTimeout(Read.m_Limits.m_IdleTimeout + IdleMargin);
       m_State.m_Config = std::make_shared<const ServingConfig>(std::move(Read));
       m_Quotas->configure(m_State.m_Config->m_Organisations);
+      m_State.m_WarmUp.configure(m_State.m_Config->m_Services);
     } catch (const DecodeError &Error) {
       m_Log.write("bad_config", {{"key", Key}, {"why", Error.what()}});
     }
@@ -367,6 +382,8 @@
         Address && m_State.m_Upstreams.list().m_Instances.contains(Each.m_Id))
       m_UpstreamHttp.forget(*Address);
   }
+  m_State.m_WarmUp.listed(m_State.m_Upstreams.list(), EventLoop::now());
+  m_WarmUp->refreshRole();
   m_Log.write("upstreams",
               {{"revision", m_UpstreamMirror.revision()},
                {"listed", m_State.m_Upstreams.list().m_Instances.size()},
@@ -391,6 +408,9 @@
                               NoListAge, Now - m_Exchange.evacuationsAsOf()) /
                               1ms}});
   const bool Changed = m_State.m_Upstreams.evacuate(std::move(Asked), Now);
+  for (const auto &[Id, Each] : m_State.m_Upstreams.list().m_Instances)
+    if (m_State.m_Upstreams.returnedAt(Each) == Now)
+      m_State.m_WarmUp.suspect(Id, Now);
   m_Exchange.evacuationsChanged();
   if (!Changed)
     return;
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -16,6 +16,7 @@
 #include "gateway/process/ServingState.h"
 #include "gateway/process/StoreCallLog.h"
 #include "gateway/process/UpstreamRegistry.h"
+#include "gateway/process/WarmUpExchange.h"
 #include "gateway/request/Forwarder.h"
 #include "wire/common/EventLoop.h"
 #include "wire/common/HttpClient.h"
@@ -71,7 +72,6 @@
   void upstreamsChanged();
   void evacuationsChanged();
   void applyBounds();
-  QuotaTolerance quotaTolerance() const;
   bool mayTrustKeys() const;
   void takeRequest(const HttpExchangePtr &Exchange);
   void answerMetrics(const HttpExchangePtr &Exchange);
@@ -103,11 +103,11 @@
   OrderGiver m_Giver;
   FleetExchange m_Exchange;
   std::shared_ptr<QuotaExchange> m_Quotas;
+  std::shared_ptr<WarmUpExchange> m_WarmUp;
   std::unique_ptr<HttpServer> m_Callers;
   std::unique_ptr<HttpServer> m_Readiness;
   std::unique_ptr<HttpServer> m_MetricsServer;
   Timer m_ReloadTimer;
-  Timer m_StoreCallsTimer;
   Timer m_StopTimer;
   TimePoint m_StartedAt = EventLoop::now();
   TimePoint m_StopAt{};
--- a/packages/gateway/process/StoreCallLog.cpp
+++ b/packages/gateway/process/StoreCallLog.cpp
@@ -5,6 +5,19 @@
 
 namespace havenstair {
 
+namespace {
+
+/// How often the calls to the store are logged, when there were any.
+constexpr Duration LogStoreCallsEvery = 10s;
+
+} // namespace
+
+StoreCallLog::StoreCallLog(EventLoop &Loop, DecisionLog &Log,
+                           std::function<Role()> RoleNow)
+    : m_Log(Log), m_RoleNow(std::move(RoleNow)) {
+  m_Timer = Loop.every(LogStoreCallsEvery, [this] { write(); });
+}
+
 void StoreCallLog::called(std::string_view Call, std::string_view Subject) {
   std::string Name(Call);
   if (!Subject.empty())
@@ -12,12 +25,13 @@
   ++m_Calls[Name];
 }
 
-void StoreCallLog::write(DecisionLog &Log, bool Relay, bool Giving) {
+void StoreCallLog::write() {
   if (m_Calls.empty())
     return;
-  Log.write("store_calls", {{"relay", Relay},
-                            {"giving", Giving},
-                            {"calls", std::exchange(m_Calls, {})}});
+  const Role Now = m_RoleNow();
+  m_Log.write("store_calls", {{"relay", Now.m_Relay},
+                              {"giving", Now.m_Giving},
+                              {"calls", std::exchange(m_Calls, {})}});
 }
 
 } // namespace havenstair
