Fewer calls for evacuations: leaves ask late, nobody while the store is silent

Change: a leaf, whom nobody follows, reads them itself only when what it was told is 3.5 s old; no box tries while its reads of the list are not answered.

--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -28,6 +28,10 @@
 constexpr std::array<Duration, 3> RelayListAges{1400ms, 1600ms, 1750ms};
 constexpr Duration LeastLeafListAge = 1400ms;
 constexpr Duration MostLeafListAge = 2400ms;
+/// Age of what a leaf was told of evacuations from which on it reads them
+/// itself. Operators give boxes 5 s.
+constexpr Duration LeafEvacuationAge = 3500ms;
+
 /// What is left then of the time in which a leaving upstream takes work: for
 /// the read and for a request on its way.
 constexpr Duration ReadAndSend = 600ms;
@@ -395,9 +399,7 @@
   const bool HasConfig = m_Of.m_State.m_Config != nullptr;
   if (Relayed || !startsSoon(Now)) {
     follow(m_Of.m_Upstreams, Relayed && HasList);
-    follow(m_Of.m_Evacuations,
-           !m_FollowEvacuations ||
-               (Relayed && m_Of.m_Evacuations.revision() > 0));
+    follow(m_Of.m_Evacuations, leavesEvacuations(Now, Relayed));
     // A leaf that the store turns away does not try for both.
     const bool Reachable =
         Topology.relay() || m_Of.m_Upstreams.confirmedAt() >= Now - LeafGather;
@@ -411,6 +413,21 @@
   follow(m_Of.m_Boxes, !Topology.relay() && !m_Uplink.empty());
 }
 
+/// Whether this box need not, or cannot, read the evacuations itself.
+bool FleetExchange::leavesEvacuations(TimePoint Now, bool Relayed) const {
+  if (!m_FollowEvacuations)
+    return true;
+  if (m_Of.m_Evacuations.revision() > 0) {
+    // Nobody follows a leaf, so that it need not read before the bound asks.
+    const bool Leaf = !m_Of.m_Fleet.topology().relay();
+    if (Relayed || (Leaf && !m_Of.m_Evacuations.running() &&
+                    Now - evacuationsAsOf() < LeafEvacuationAge))
+      return true;
+  }
+  // Each try costs. The list's own tell when the store answers again.
+  return Now - m_Of.m_Upstreams.confirmedAt() > MostLeafListAge;
+}
+
 /// Whether this box, which has just started, may yet be told of the list.
 bool FleetExchange::startsSoon(TimePoint Now) const {
   if (m_Of.m_Upstreams.running())
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -112,6 +112,7 @@
   bool behind(const FleetWantFrame &Newest) const;
   void chooseListSource();
   bool startsSoon(TimePoint Now) const;
+  bool leavesEvacuations(TimePoint Now, bool Relayed) const;
   void follow(PrefixMirror &Mirror, bool Relayed);
   PrefixMirror *mirrorOf(const std::string &Prefix);
   void askPeers();
