--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -393,16 +393,18 @@
     Asked.m_DataCentres.emplace(Names.back().get<std::string>());
   }
   const TimePoint Now = EventLoop::now();
+  const bool First = m_State.m_Upstreams.evacuations().m_Revision == 0;
+  const StoreRevision Revision = Asked.m_Revision;
+  const bool Changed = m_State.m_Upstreams.evacuate(std::move(Asked), Now);
+  m_Exchange.evacuationsChanged();
+  if (!Changed && !First)
+    return;
   m_Log.write("evacuations",
-              {{"revision", Asked.m_Revision},
+              {{"revision", Revision},
                {"data_centres", Names},
                {"age_ms", std::min<Duration>(
                               NoListAge, Now - m_Exchange.evacuationsAsOf()) /
                               1ms}});
-  const bool Changed = m_State.m_Upstreams.evacuate(std::move(Asked), Now);
-  m_Exchange.evacuationsChanged();
-  if (!Changed)
-    return;
   m_Giver.evacuationsChanged(Now);
   m_Forwarder.upstreamsChanged();
 }
--- a/tests/gateway/EvacuationTest.cpp
+++ b/tests/gateway/EvacuationTest.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -88,6 +90,51 @@
   int m_Sent = 0;
 };
 
+/// An engine that takes orders for models.
+class ModelEngine {
+public:
+  explicit ModelEngine(std::set<std::string> Models)
+      : m_Models(std::move(Models)) {}
+
+  void serve(const Request &Of, const ConnectionPtr &To) {
+    if (Of.m_Target == "/v1/report")
+      return To->write(StandinRunner::answer(Of, 200, dumpJson(report())));
+    if (Of.m_Target == "/v1/order")
+      return order(Of, To);
+    To->write(StandinRunner::answer(Of, 200, "run"));
+  }
+  std::size_t orders() const { return m_Orders; }
+  bool holds(const std::string &Model) const {
+    return m_Models.contains(Model);
+  }
+
+private:
+  Json report() const {
+    Json Models = Json::array();
+    for (const std::string &Name : m_Models)
+      Models.push_back({{"name", Name}, {"adapterList", Json::array()}});
+    return {{"sequenceNumber", m_Orders},
+            {"utilization", false},
+            {"modelList", std::move(Models)}};
+  }
+
+  void order(const Request &Of, const ConnectionPtr &To) {
+    const Json Order = parseJson(Of.m_Body);
+    if (Order.at("expectedCount") != m_Orders)
+      return To->write(StandinRunner::answer(Of, 409, ""));
+    ++m_Orders;
+    const std::string Model = Order.at("modelName").get<std::string>();
+    if (Order.at("operation") == "model_load")
+      m_Models.insert(Model);
+    else
+      m_Models.erase(Model);
+    To->write(StandinRunner::answer(Of, 202, ""));
+  }
+
+  std::set<std::string> m_Models;
+  std::size_t m_Orders = 0;
+};
+
 } // namespace
 
 TEST_CASE("No box sends to an evacuated data centre until it is taken back",
@@ -221,3 +268,54 @@
   CHECK(Answer.m_Status == 503);
   CHECK(Test.arrivals("id") == 0);
 }
+
+TEST_CASE(
+    "A model of an evacuated data centre is loaded elsewhere, and nothing "
+    "is loaded there",
+    "[gateway][orders][evacuation]") {
+  EvacuationTest Test;
+  ModelEngine There({"m"});
+  ModelEngine Elsewhere({});
+  Test.addRunner("e-x", [&](const Request &Of, const ConnectionPtr &To) {
+    There.serve(Of, To);
+  });
+  Test.addRunner("e-y", [&](const Request &Of, const ConnectionPtr &To) {
+    Elsewhere.serve(Of, To);
+  });
+  Test.listEngine("e-x", {"m"}, "x");
+  Test.listEngine("e-y", {}, "y");
+  Test.configureEngines(Test.route("llm", "unsafe"),
+                        Json::array({{{"name", "m"},
+                                      {"weightsMb", 60},
+                                      {"loadTimeS", 1},
+                                      {"adapterList", 0},
+                                      {"adapterSizeMb", 1}}}));
+  Test.startBoxes(1);
+  const Gateway &Box = *Test.m_Boxes[0];
+  int Asked = 0;
+  const auto Served = [&] {
+    HttpCall Call =
+        EvacuationTest::callTo(Box, "/llm/x", "m-" + std::to_string(++Asked));
+    Call.m_Headers.push_back({"X-Model-Name", "m"});
+    Call.m_Headers.push_back({"X-Token-Counts", "100,10"});
+    return Test.fetch(std::move(Call)).m_Status == 200;
+  };
+  REQUIRE(Test.until([&] { return Box.givesOrders(); }));
+  REQUIRE(Served());
+  const std::size_t Before = There.orders();
+  Test.m_Store.put(KeyOfX, "{}");
+  REQUIRE(Test.allKnow(true));
+  bool Again = false;
+  for (int Tries = 0; !Again && Tries < 2000; ++Tries)
+    Again = Served();
+  REQUIRE(Again);
+  CHECK(Elsewhere.holds("m"));
+  CHECK(There.orders() == Before);
+
+  Test.m_Store.remove(KeyOfX);
+  REQUIRE(Test.allKnow(false));
+  const auto Candidates = Box.state().m_Upstreams.candidates(
+      "llm", "m", "", [](const InstanceId &) { return false; },
+      EventLoop::now());
+  CHECK(Candidates.size() == 2);
+}
--- a/tests/gateway/GatewayTest.h
+++ b/tests/gateway/GatewayTest.h
@@ -80,15 +80,15 @@
 
   /// Lists the runner \p Id as an engine of the service `llm` that holds
   /// \p Models.
-  void listEngine(const std::string &Id,
-                  const std::vector<std::string> &Models) {
+  void listEngine(const std::string &Id, const std::vector<std::string> &Models,
+                  const std::string &DataCentre = "a") {
     Json Resident = Json::array();
     for (const std::string &Name : Models)
       Resident.push_back({{"name", Name}, {"adapterList", Json::array()}});
     m_Store.put("servers/" + Id,
                 dumpJson({{"service", "llm"},
                           {"address", m_Runners.at(Id)->endpoint().str()},
-                          {"zone", "a"},
+                          {"zone", DataCentre},
                           {"slots", 8},
                           {"state", "ready"},
                           {"modelList", std::move(Resident)}}));
