--- a/tests/gateway/GatewayTest.h
+++ b/tests/gateway/GatewayTest.h
@@ -92,14 +92,14 @@
   /// Lists the runner \p Id as an engine of the service `llm` that holds
   /// \p Models.
   void listEngine(const std::string &Id, const std::vector<std::string> &Models,
-                  UpstreamBirth Born = 0) {
+                  UpstreamBirth Born = 0, const std::string &DataCentre = "a") {
     Json Resident = Json::array();
     for (const std::string &Name : Models)
       Resident.push_back({{"name", Name}, {"adapterList", Json::array()}});
     m_Store.put("servers/" + Id,
                 dumpJson({{"service", "llm"},
                           {"address", m_Runners.at(Id)->endpoint().str()},
-                          {"zone", "a"},
+                          {"zone", DataCentre},
                           {"slots", 8},
                           {"state", "ready"},
                           {"born", Born},
