--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Packages of Debian that are declared but not on this machine.
 MISSING = $(shell for P in $$(cat packages.list); do dpkg -s $$P >/dev/null 2>&1 || echo $$P; done)
 
-.PHONY: deps build format format-check lint test demo prove bench sanitize fuzz
+.PHONY: deps build format format-check lint test demo prove bench sanitize fuzz soak
 
 deps:
 	@if [ -n "$(MISSING)" ]; then apt-get update -q && DEBIAN_FRONTEND=noninteractive apt-get install -y -q --no-install-recommends $(MISSING); fi
@@ -56,3 +56,9 @@
 	cmake -S . -B $(BUILD)-fuzz -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_CXX_COMPILER=clang++ -DHAVENSTAIR_FUZZ=ON >/dev/null
 	cmake --build $(BUILD)-fuzz -j $(JOBS) --target havenstair-fuzz-frames havenstair-fuzz-documents
 	for T in frames documents; do mkdir -p $(BUILD)-fuzz/$$T && $(BUILD)-fuzz/bin/havenstair-fuzz-$$T -runs=$(FUZZ_RUNS) -seed=20261202 -print_final_stats=1 $(BUILD)-fuzz/$$T tests/fuzz/corpus/$$T || exit 1; done
+
+# A fault soak of one seed (docs/SOAK.md); the seed is random without SEED.
+SEED ?= $(shell od -An -N4 -tu4 /dev/urandom | tr -d ' ')
+MINUTES ?= 1
+soak: build
+	$(BUILD)/bin/havenstair-soak --programs $(BUILD)/bin --seed $(SEED) --seconds $$(($(MINUTES) * 60))
--- /dev/null
+++ b/tests/soak/FaultInjector.cpp
@@ -0,0 +1,246 @@
+#include "soak/FaultInjector.h"
+
+#include "wire/common/Json.h"
+
+#include <array>
+
+namespace havenstair {
+
+namespace {
+
+using Direction = LoopbackProxy::Direction;
+
+constexpr Duration LinkDelay = 400ms;
+constexpr Duration StoreDelay = 250ms;
+constexpr Duration EngineDelay = 600ms;
+constexpr Duration OrderDelay = 1500ms;
+constexpr int AnswersHarmed = 3;
+
+template <typename Part>
+Part &pick(const std::vector<std::unique_ptr<Part>> &From, int Number) {
+  return *From[static_cast<std::size_t>(Number) % From.size()];
+}
+
+/// Entries that name no server to use.
+std::string rubbish(int Number) {
+  const std::array<std::string, 7> Kinds{
+      std::string("\xff\xfe\x00\x01", 4),
+      "{",
+      "[]",
+      R"({"service":7,"address":[],"slots":"many"})",
+      R"({"service":"plain"})",
+      R"({"service":"plain","address":"nowhere","state":"ready"})",
+      R"({"service":"none","address":"127.0.0.1:1","state":"dreaming",)"
+      R"("born":"yesterday"})"};
+  return Kinds[static_cast<std::size_t>(Number) % Kinds.size()];
+}
+
+} // namespace
+
+void FaultInjector::strike(const ScheduledFault &Fault) {
+  SoakBox &Box = pick(m_On.m_Boxes, Fault.m_Target);
+  if (Fault.m_Kind <= SoakFault::HangUpBox)
+    strikeBox(Fault, Box);
+  else if (Fault.m_Kind <= SoakFault::RefuseAtStore)
+    strikeStoreLink(Fault, Box);
+  else if (Fault.m_Kind <= SoakFault::SilencePeerLink)
+    strikePeerLink(Fault, Box);
+  else if (Fault.m_Kind <= SoakFault::ForgetHistory)
+    strikeStore(Fault);
+  else if (Fault.m_Kind <= SoakFault::SurplusAnswers)
+    strikeEngine(Fault, pick(m_On.m_Engines, Fault.m_Target));
+  else if (Fault.m_Kind <= SoakFault::SilenceEngineLink)
+    strikeEngineLink(Fault, pick(m_On.m_Engines, Fault.m_Target));
+  else
+    strikeKeys(Fault);
+}
+
+void FaultInjector::later(Duration Delay, Call Undo) {
+  m_Timers.push_back(m_On.m_Loop.after(Delay, std::move(Undo)));
+}
+
+void FaultInjector::trouble(const std::string &Subject, Duration For,
+                            Call Undo) {
+  m_On.m_Oracle.trouble().begin(Subject, EventLoop::now());
+  later(For, [this, Subject, Undo = std::move(Undo)] {
+    Undo();
+    m_On.m_Oracle.trouble().end(Subject, EventLoop::now());
+  });
+}
+
+void FaultInjector::hold(const void *Part, SoakFault Kind, Duration For,
+                         const std::function<void(bool)> &Set) {
+  int &Holding = m_Holding[{Part, Kind}];
+  ++Holding;
+  Set(true);
+  later(For, [&Holding, Set] {
+    if (--Holding == 0)
+      Set(false);
+  });
+}
+
+void FaultInjector::strikeBox(const ScheduledFault &Fault, SoakBox &Box) {
+  switch (Fault.m_Kind) {
+  case SoakFault::PauseBox:
+    Box.pause();
+    return later(Fault.m_For, [&Box] { Box.resume(); });
+  case SoakFault::KillBox:
+    return Box.kill(Fault.m_For);
+  case SoakFault::StopBox:
+    return Box.stop(Fault.m_For);
+  default:
+    return Box.hangUp();
+  }
+}
+
+void FaultInjector::strikeStoreLink(const ScheduledFault &Fault, SoakBox &Box) {
+  LoopbackProxy &Link = Box.storeLink();
+  trouble(Box.name(), Fault.m_For, [] {});
+  switch (Fault.m_Kind) {
+  case SoakFault::DelayStoreLink:
+    return hold(&Link, Fault.m_Kind, Fault.m_For,
+                [&Link](bool On) { Link.setDelay(On ? LinkDelay : 0us); });
+  case SoakFault::CutToStore:
+    return hold(&Link, Fault.m_Kind, Fault.m_For,
+                [&Link](bool On) { Link.setCut(Direction::ToServer, On); });
+  case SoakFault::CutFromStore:
+    return hold(&Link, Fault.m_Kind, Fault.m_For,
+                [&Link](bool On) { Link.setCut(Direction::ToClient, On); });
+  case SoakFault::RefuseAtStore:
+    return hold(&Link, Fault.m_Kind, Fault.m_For,
+                [&Link](bool On) { Link.setRefusing(On); });
+  case SoakFault::SilenceStoreLink:
+    return Link.silenceOpen();
+  default:
+    return Link.resetOpen();
+  }
+}
+
+void FaultInjector::strikePeerLink(const ScheduledFault &Fault, SoakBox &Box) {
+  LoopbackProxy &Link = Box.peerLink();
+  // Whoever talks to that box may have a harmed link.
+  for (const auto &Each : m_On.m_Boxes)
+    trouble(Each->name(), Fault.m_For, [] {});
+  if (Fault.m_Kind == SoakFault::DelayPeerLink)
+    return hold(&Link, Fault.m_Kind, Fault.m_For,
+                [&Link](bool On) { Link.setDelay(On ? LinkDelay : 0us); });
+  if (Fault.m_Kind == SoakFault::SilencePeerLink)
+    return Link.silenceOpen();
+  Link.resetOpen();
+}
+
+void FaultInjector::applyStoreFault() {
+  using Fault = StandinStore::Fault;
+  m_On.m_Store.setFault(m_Silent > 0 ? Fault::Silent
+                        : m_Down > 0 ? Fault::Refuses
+                                     : Fault::None);
+}
+
+void FaultInjector::strikeStore(const ScheduledFault &Fault) {
+  // History may go at any time; nobody is excused for it.
+  if (Fault.m_Kind == SoakFault::ForgetHistory)
+    return m_On.m_Store.forgetHistory();
+  trouble(Disturbances::Store, Fault.m_For, [] {});
+  if (Fault.m_Kind == SoakFault::SlowStore) {
+    for (const auto &Each : m_On.m_Boxes) {
+      LoopbackProxy &Link = Each->storeLink();
+      hold(&Link, SoakFault::DelayStoreLink, Fault.m_For,
+           [&Link](bool On) { Link.setDelay(On ? StoreDelay : 0us); });
+    }
+    return;
+  }
+  if (Fault.m_Kind == SoakFault::LoseStoreAnswer) {
+    if (m_Down + m_Silent == 0)
+      m_On.m_Store.setFault(StandinStore::Fault::LosesAnswer);
+    return;
+  }
+  int &Count = Fault.m_Kind == SoakFault::DownStore ? m_Down : m_Silent;
+  ++Count;
+  applyStoreFault();
+  later(Fault.m_For, [this, &Count] {
+    --Count;
+    applyStoreFault();
+  });
+  // Some servers lapse meanwhile, and are back soon after.
+  constexpr Duration Lapses = 3s;
+  constexpr Duration BackWithin = 1500ms;
+  if (Fault.m_For < Lapses)
+    return;
+  SoakEngine &Engine = pick(m_On.m_Engines, Fault.m_Target);
+  later(Lapses, [&Engine] { Engine.lapse(); });
+  later(Fault.m_For + BackWithin, [&Engine] { Engine.publish(); });
+}
+
+void FaultInjector::strikeEngine(const ScheduledFault &Fault,
+                                 SoakEngine &Engine) {
+  switch (Fault.m_Kind) {
+  case SoakFault::RestartEngine:
+    return Engine.restart(0us);
+  case SoakFault::RestartColdEngine:
+    return Engine.restart(Fault.m_For);
+  case SoakFault::DrainEngine:
+  case SoakFault::VanishEngine:
+    Engine.leave(Fault.m_Kind == SoakFault::DrainEngine);
+    return later(Fault.m_For, [&Engine] { Engine.comeBack(); });
+  case SoakFault::LateEngine:
+    return hold(&Engine, Fault.m_Kind, Fault.m_For,
+                [&Engine](bool On) { Engine.setLate(On ? EngineDelay : 0us); });
+  case SoakFault::LateOrders:
+    // An order that is taken late is judged as one that trouble held up.
+    trouble(Engine.id(), Fault.m_For + OrderDelay, [] {});
+    return hold(&Engine, Fault.m_Kind, Fault.m_For, [&Engine](bool On) {
+      Engine.setOrdersLate(On ? OrderDelay : 0us);
+    });
+  case SoakFault::BreakAnswers:
+    return Engine.breakOff(AnswersHarmed);
+  default:
+    return Engine.sendSurplus(AnswersHarmed);
+  }
+}
+
+void FaultInjector::strikeEngineLink(const ScheduledFault &Fault,
+                                     SoakEngine &Engine) {
+  LoopbackProxy &Link = Engine.link();
+  trouble(Engine.id(), Fault.m_For, [] {});
+  switch (Fault.m_Kind) {
+  case SoakFault::DelayEngineLink:
+    return hold(&Link, Fault.m_Kind, Fault.m_For,
+                [&Link](bool On) { Link.setDelay(On ? LinkDelay : 0us); });
+  case SoakFault::CutToEngine:
+    return hold(&Link, Fault.m_Kind, Fault.m_For,
+                [&Link](bool On) { Link.setCut(Direction::ToServer, On); });
+  case SoakFault::CutFromEngine:
+    return hold(&Link, Fault.m_Kind, Fault.m_For,
+                [&Link](bool On) { Link.setCut(Direction::ToClient, On); });
+  case SoakFault::SilenceEngineLink:
+    return Link.silenceOpen();
+  default:
+    return Link.resetOpen();
+  }
+}
+
+void FaultInjector::strikeKeys(const ScheduledFault &Fault) {
+  StandinStore &Store = m_On.m_Store;
+  if (Fault.m_Kind == SoakFault::Configure)
+    return m_On.m_Config.next();
+  if (Fault.m_Kind == SoakFault::Rubbish) {
+    const std::string Key = "servers/rubbish-" + std::to_string(m_Rubbish++);
+    Store.put(Key, rubbish(Fault.m_Target));
+    return later(Fault.m_For, [&Store, Key] { Store.remove(Key); });
+  }
+  const std::string DataCentre = Fault.m_Target % 2 == 0 ? "za" : "zb";
+  hold(&Store,
+       Fault.m_Target % 2 == 0 ? SoakFault::Evacuate : SoakFault::Rubbish,
+       Fault.m_For, [this, DataCentre](bool On) {
+         const std::string Key = "op/evacuate/" + DataCentre;
+         if (On) {
+           m_On.m_Store.put(Key, "{}");
+           m_On.m_Oracle.routing().evacuated(DataCentre, EventLoop::now());
+         } else {
+           m_On.m_Store.remove(Key);
+           m_On.m_Oracle.routing().readmitted(DataCentre);
+         }
+       });
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/tests/soak/LoopbackProxy.h
@@ -0,0 +1,69 @@
+/// \file
+/// Stands between two processes on loopback and harms what passes.
+#ifndef HAVENSTAIR_TESTS_SOAK_LOOPBACKPROXY_H
+#define HAVENSTAIR_TESTS_SOAK_LOOPBACKPROXY_H
+
+#include "wire/common/Endpoint.h"
+#include "wire/common/EventLoop.h"
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+struct bufferevent;
+struct evconnlistener;
+
+namespace havenstair {
+
+/// Passes connections on to one endpoint.
+class LoopbackProxy {
+public:
+  enum class Direction { ToServer, ToClient };
+
+  /// \throws std::runtime_error when \p Listen cannot be bound.
+  LoopbackProxy(EventLoop &Loop, const Endpoint &Listen, const Endpoint &To);
+  ~LoopbackProxy();
+  LoopbackProxy(const LoopbackProxy &) = delete;
+  LoopbackProxy &operator=(const LoopbackProxy &) = delete;
+
+  Endpoint endpoint() const { return m_Endpoint; }
+
+  /// All bytes come later by \p Delay from now on.
+  void setDelay(Duration Delay) { m_Delay = Delay; }
+  /// Bytes of that direction wait while it is cut; nothing is lost, as a
+  /// network sends again what did not arrive.
+  void setCut(Direction Of, bool Cut);
+  /// New connections are reset, and the open ones once.
+  void setRefusing(bool Refusing);
+  void resetOpen();
+  /// What is open now stays open and never carries a byte again.
+  void silenceOpen();
+  /// Bytes to the server of that kind are sent on a second connection too. The
+  /// answer to it is dropped.
+  void setDoubled(std::function<bool(const std::string &)> Doubled) {
+    m_Doubled = std::move(Doubled);
+  }
+
+private:
+  class Link;
+
+  void accept(int Socket);
+  void remove(const Link *Gone);
+  void sendAgain(const std::string &Bytes);
+
+  EventLoop &m_Loop;
+  Endpoint m_To;
+  Endpoint m_Endpoint;
+  evconnlistener *m_Listener = nullptr;
+  Duration m_Delay = 0us;
+  bool m_CutToServer = false;
+  bool m_CutToClient = false;
+  bool m_Refusing = false;
+  std::function<bool(const std::string &)> m_Doubled;
+  std::list<std::shared_ptr<Link>> m_Links;
+  std::list<bufferevent *> m_Repeats;
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/tests/soak/LoopbackProxyTest.cpp
@@ -0,0 +1,127 @@
+#include "soak/LoopbackProxy.h"
+#include "standin/StandinRunner.h"
+#include "wire/common/HttpClient.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+using namespace havenstair;
+
+namespace {
+
+/// A server behind a proxy, and a client before it.
+class ProxyTest {
+public:
+  std::optional<HttpAnswer> m_Answer;
+  EventLoop m_Loop;
+  StandinRunner m_Server{m_Loop, [](const auto &Asked, const auto &To) {
+                           To->write(
+                               StandinRunner::answer(Asked, 200, Asked.m_Body));
+                         }};
+  LoopbackProxy m_Proxy{m_Loop, {"127.0.0.1", 0}, m_Server.endpoint()};
+  HttpClient m_Http{m_Loop};
+
+  void send(const std::string &Body) {
+    m_Answer.reset();
+    HttpCall Call;
+    Call.m_To = m_Proxy.endpoint();
+    Call.m_Method = HttpMethod::Post;
+    Call.m_Target = "/x";
+    Call.m_Body = Body;
+    Call.m_Use = ConnectionUse::Reused;
+    m_Http.fetch(std::move(Call),
+                 [&](HttpAnswer Answer) { m_Answer = std::move(Answer); });
+  }
+  bool until(const std::function<bool()> &Done) {
+    return m_Loop.runUntil(Done, 20s);
+  }
+  bool answered() {
+    return until([&] { return m_Answer.has_value(); });
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(ProxyTest, "A proxy passes bytes both ways", "[soak][proxy]") {
+  for (const std::string &Body : {std::string(200000, 'x'), std::string("y")}) {
+    send(Body);
+    REQUIRE(answered());
+    REQUIRE(m_Answer->ok());
+    REQUIRE(m_Answer->m_Body == Body);
+  }
+  REQUIRE(m_Server.accepted() == 1);
+}
+
+TEST_CASE_METHOD(ProxyTest, "A cut holds one way up until it heals",
+                 "[soak][proxy]") {
+  using Direction = LoopbackProxy::Direction;
+  send("first");
+  REQUIRE(answered());
+  SECTION("to the server") {
+    m_Proxy.setCut(Direction::ToServer, true);
+    send("second");
+    REQUIRE_FALSE(
+        m_Loop.runUntil([&] { return m_Server.requests().size() > 1; }, 100ms));
+    m_Proxy.setCut(Direction::ToServer, false);
+  }
+  SECTION("to the client") {
+    m_Proxy.setCut(Direction::ToClient, true);
+    send("second");
+    REQUIRE(until([&] { return m_Server.requests().size() == 2; }));
+    REQUIRE_FALSE(m_Loop.runUntil([&] { return m_Answer.has_value(); }, 100ms));
+    m_Proxy.setCut(Direction::ToClient, false);
+  }
+  REQUIRE(answered());
+  REQUIRE(m_Answer->m_Body == "second");
+}
+
+TEST_CASE_METHOD(ProxyTest, "A silenced connection is lost, a new one works",
+                 "[soak][proxy]") {
+  send("first");
+  REQUIRE(answered());
+  m_Proxy.silenceOpen();
+  send("second");
+  REQUIRE_FALSE(m_Loop.runUntil([&] { return m_Answer.has_value(); }, 100ms));
+  send("third");
+  REQUIRE(answered());
+  REQUIRE(m_Answer->m_Body == "third");
+}
+
+TEST_CASE_METHOD(ProxyTest, "Resets and refusals reach the client",
+                 "[soak][proxy]") {
+  m_Proxy.setRefusing(true);
+  send("first");
+  REQUIRE(answered());
+  REQUIRE_FALSE(m_Answer->ok());
+  m_Proxy.setRefusing(false);
+  send("second");
+  REQUIRE(answered());
+  REQUIRE(m_Answer->ok());
+  m_Server.setBehaviour([](const auto &, const auto &) {});
+  send("third");
+  REQUIRE(until([&] { return m_Server.requests().size() == 2; }));
+  m_Proxy.resetOpen();
+  REQUIRE(answered());
+  REQUIRE(m_Answer->m_End == HttpEnd::Broken);
+}
+
+TEST_CASE_METHOD(ProxyTest, "Delayed bytes keep their order", "[soak][proxy]") {
+  m_Proxy.setDelay(50ms);
+  const std::string Body(200000, 'x');
+  send(Body + "end");
+  m_Loop.runUntil([&] { return !m_Server.requests().empty(); }, 30ms);
+  m_Proxy.setDelay(0us);
+  REQUIRE(answered());
+  REQUIRE(m_Answer->m_Body == Body + "end");
+}
+
+TEST_CASE_METHOD(ProxyTest, "A proxy that doubles sends a request twice",
+                 "[soak][proxy]") {
+  m_Proxy.setDoubled(
+      [](const std::string &Bytes) { return Bytes.starts_with("POST /x"); });
+  send("first");
+  REQUIRE(answered());
+  REQUIRE(m_Answer->m_Body == "first");
+  REQUIRE(until([&] { return m_Server.requests().size() == 2; }));
+  REQUIRE(m_Server.accepted() == 2);
+}
--- /dev/null
+++ b/tests/soak/SoakBounds.h
@@ -0,0 +1,42 @@
+/// \file
+/// The bounds that a soak holds the system to; boxes get the same figures.
+#ifndef HAVENSTAIR_TESTS_SOAK_SOAKBOUNDS_H
+#define HAVENSTAIR_TESTS_SOAK_SOAKBOUNDS_H
+
+#include "decisions/common/Time.h"
+
+namespace havenstair {
+
+struct SoakBounds {
+  Duration m_Contact = 3s;      ///< Calm for so long, a box is held to bounds.
+  Duration m_Drain = 2s;        ///< New work to a leaving engine ends.
+  Duration m_Configure = 2s;    ///< A configuration is in force.
+  Duration m_Rollback = 250ms;  ///< A box may still show what it had before.
+  Duration m_RollbackHeld = 2s; ///< The same for a box that was held up.
+  Duration m_OrderTurn = 3s;    ///< Between orders of two givers.
+  Duration m_Thaw = 300ms;      ///< Orders count again after trouble.
+  Duration m_LoadWindow = 5s;
+  double m_LoadsPerS = 2;
+  double m_LoadOverage = 1.1;
+  double m_LoadAllowance = 3;
+  Duration m_RetryWindow = 10s;
+  double m_RetryRatio = 0.2;
+  double m_RetryAllowance = 54;
+  Duration m_Evacuate = 5s;
+  double m_ColdPerS = 6;
+  double m_ColdOverage = 2;
+  double m_ColdAllowance = 10;
+  /// What the soak's own process may take to note an event.
+  Duration m_Slack = 200ms;
+
+  // Promises whose parts of the system are still being built.
+  bool m_CheckEvacuation = false;
+  bool m_CheckWarmUp = false;
+  bool m_CheckRegions = false;
+
+  bool operator==(const SoakBounds &) const = default;
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/tests/soak/SoakBox.h
@@ -0,0 +1,87 @@
+/// \file
+/// One box of a soak: its process, its settings file and its links.
+#ifndef HAVENSTAIR_TESTS_SOAK_SOAKBOX_H
+#define HAVENSTAIR_TESTS_SOAK_SOAKBOX_H
+
+#include "soak/LoopbackProxy.h"
+#include "soak/SoakBounds.h"
+#include "soak/SoakOracle.h"
+#include "support/ChildProcess.h"
+#include "wire/common/EventLoop.h"
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace havenstair {
+
+/// Ports that are alike at all boxes, each of which has its own address.
+struct SoakPorts {
+  int m_Callers = 0;
+  int m_Readiness = 0;
+  int m_Peers = 0; ///< The metrics page has the port behind it.
+};
+
+/// Starts the program, and starts it again after each end.
+class SoakBox {
+public:
+  struct Options {
+    std::string m_Name;
+    std::string m_DataCentre;
+    std::string m_Address;     ///< Loopback address of this box alone.
+    std::string m_SeedAddress; ///< Where others find it through the proxy.
+    SoakPorts m_Ports;
+    std::vector<std::string> m_Seeds; ///< Seed addresses of the first boxes.
+    Endpoint m_Store;
+    std::string m_Program;
+    std::string m_Folder; ///< For the settings file and the log.
+    SoakBounds m_Bounds;
+  };
+
+  SoakBox(EventLoop &Loop, SoakOracle &Oracle, Options Opts);
+
+  const std::string &name() const { return m_Opts.m_Name; }
+  /// Counts the starts.
+  int life() const { return m_Life; }
+  Endpoint callers() const {
+    return {m_Opts.m_Address, m_Opts.m_Ports.m_Callers};
+  }
+  Endpoint readiness() const {
+    return {m_Opts.m_Address, m_Opts.m_Ports.m_Readiness};
+  }
+  LoopbackProxy &storeLink() { return m_StoreLink; }
+  LoopbackProxy &peerLink() { return m_PeerLink; }
+
+  void start();
+  void pause();
+  void resume();
+  void hangUp();
+  /// Kills the process; it starts again after \p Away.
+  void kill(Duration Away);
+  /// Asks the process to stop; it starts again after its end and \p Away.
+  void stop(Duration Away);
+
+private:
+  void writeSettings() const;
+  void look();
+  void startAgain();
+  void signal(int Number);
+
+  EventLoop &m_Loop;
+  SoakOracle &m_Oracle;
+  Options m_Opts;
+  LoopbackProxy m_StoreLink;
+  LoopbackProxy m_PeerLink;
+  std::unique_ptr<ChildProcess> m_Process;
+  int m_Life = 0;
+  int m_Paused = 0;
+  bool m_Leaving = false; ///< Its end is wanted.
+  bool m_Away = false;    ///< Ended, and not started again yet.
+  Duration m_AwayFor{};
+  TimePoint m_KillAt;
+  Timer m_Look;
+  Timer m_Return;
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/tests/soak/SoakConfig.h
@@ -0,0 +1,46 @@
+/// \file
+/// The operators' configurations of a soak, with rising versions.
+#ifndef HAVENSTAIR_TESTS_SOAK_SOAKCONFIG_H
+#define HAVENSTAIR_TESTS_SOAK_SOAKCONFIG_H
+
+#include "soak/SoakBounds.h"
+#include "soak/SoakOracle.h"
+#include "standin/StandinStore.h"
+#include <cstdint>
+#include <string>
+
+namespace havenstair {
+
+class SoakConfig {
+public:
+  inline static const std::string Host = "soak.example";
+  inline static const std::string HealthPath = "/health";
+  inline static const std::string PlainService = "plain";
+  inline static const std::string EngineService = "llm";
+  static constexpr int Models = 6;
+  static constexpr double ModelMb = 40;
+  static constexpr double EngineMb = 100; ///< Two models and some adapters.
+  static constexpr double AdapterMb = 2;
+  static constexpr int AdapterLimit = 4;
+
+  SoakConfig(StandinStore &Store, SoakOracle &Oracle, const SoakBounds &Bounds)
+      : m_Store(Store), m_Oracle(Oracle), m_Bounds(Bounds) {}
+
+  /// Writes the next version.
+  void next();
+  std::uint64_t version() const { return m_Version; }
+  /// Prefix of the route that comes with \p Version and goes two later.
+  static std::string passingPath(std::uint64_t Version) {
+    return "/p" + std::to_string(Version) + "/";
+  }
+
+private:
+  StandinStore &m_Store;
+  SoakOracle &m_Oracle;
+  const SoakBounds &m_Bounds;
+  std::uint64_t m_Version = 0;
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/tests/soak/SoakEngine.cpp
@@ -0,0 +1,292 @@
+#include "soak/SoakEngine.h"
+
+#include "soak/SoakConfig.h"
+#include "soak/StreamText.h"
+#include "wire/common/Json.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace havenstair {
+
+namespace {
+
+constexpr Duration TickEvery = 50ms;
+constexpr Duration EventGap = 20ms;
+constexpr int NotFound = 404;
+constexpr int Misdirected = 421;
+constexpr int Full = 503;
+
+std::string chunk(const std::string &Text) {
+  char Size[24];
+  std::snprintf(Size, sizeof(Size), "%zx\r\n", Text.size());
+  return Size + Text + "\r\n";
+}
+
+} // namespace
+
+/// One request that runs.
+struct SoakEngine::Run {
+  Request m_Asked;
+  Connection m_To;
+  std::string m_Signature;
+  int m_Life = 0;
+  int m_Next = 1;
+  int m_Last = 1;
+  int m_BreakAt = 0; ///< Event before which the stream is cut; zero for none.
+};
+
+SoakEngine::SoakEngine(EventLoop &Loop, StandinStore &Store, SoakOracle &Oracle,
+                       Options Opts)
+    : m_Loop(Loop), m_Store(Store), m_Oracle(Oracle), m_Opts(std::move(Opts)),
+      m_Random(m_Opts.m_Seed),
+      m_Runner(Loop, [this](const Request &Asked,
+                            const Connection &To) { take(Asked, To); }),
+      m_Link(Loop, {"127.0.0.1", 0}, m_Runner.endpoint()) {
+  if (m_Opts.m_Shelf)
+    m_Shelf.emplace(*m_Opts.m_Shelf);
+  takeName();
+  m_Tick = Loop.every(TickEvery, [this] {
+    if (m_Shelf && m_Shelf->advance(EventLoop::now()) && m_Listed)
+      publish();
+  });
+  publish();
+}
+
+int SoakEngine::draw(int Least, int Most) {
+  return std::uniform_int_distribution<int>(Least, Most)(m_Random);
+}
+
+void SoakEngine::takeName() {
+  m_Id = m_Opts.m_Name + "-" + std::to_string(++m_Lives);
+  m_Born = EventLoop::wallMillis();
+}
+
+void SoakEngine::publish() {
+  const TimePoint Now = EventLoop::now();
+  Json Entry{
+      {"service", m_Opts.m_Service},
+      {"address", m_Link.endpoint().str()},
+      {"zone", m_Opts.m_DataCentre},
+      {"slots", m_Opts.m_Slots},
+      {"state", m_Draining ? "draining" : "ready"},
+      {"born", m_Born},
+      {"coldRemainingMs", std::max<std::int64_t>(0, (m_ColdUntil - Now) / 1ms)},
+      {"sequenceNumber", m_Shelf ? m_Shelf->taken() : 0}};
+  if (m_Shelf)
+    Entry["modelList"] = m_Shelf->models();
+  m_Listed = true;
+  m_Store.put("servers/" + m_Id, dumpJson(Entry));
+  if (m_Draining)
+    m_Oracle.routing().engineLeaves(m_Id, Now);
+  else
+    m_Oracle.routing().engineServes(m_Id);
+}
+
+void SoakEngine::lapse() {
+  m_Listed = false;
+  m_Store.remove("servers/" + m_Id);
+  m_Oracle.routing().engineLeaves(m_Id, EventLoop::now());
+}
+
+void SoakEngine::leave(bool Says) {
+  m_Draining = true;
+  if (Says)
+    publish();
+  else
+    lapse();
+}
+
+void SoakEngine::restart(Duration Cold) {
+  const TimePoint Now = EventLoop::now();
+  ++m_Lives;
+  m_Active = 0;
+  m_Timers.clear();
+  m_Born = std::max(m_Born + 1, EventLoop::wallMillis());
+  m_ColdUntil = Now + Cold;
+  if (m_Shelf)
+    m_Shelf->forget();
+  m_Oracle.orders().forgot(m_Id);
+  m_Oracle.routing().engineCold(m_Id, Now, m_ColdUntil);
+  m_Link.resetOpen();
+  if (m_Listed)
+    publish();
+}
+
+void SoakEngine::comeBack() {
+  if (m_Listed)
+    lapse();
+  m_Draining = false;
+  takeName();
+  restart(0us);
+  publish();
+}
+
+void SoakEngine::later(Duration Delay, std::function<void()> Call) {
+  const std::uint64_t Number = m_NextTimer++;
+  m_Timers[Number] =
+      m_Loop.after(Delay, [this, Number, Call = std::move(Call)] {
+        // The call may restart the engine, which drops all timers.
+        m_Loop.defer([this, Number] { m_Timers.erase(Number); });
+        Call();
+      });
+}
+
+std::string SoakEngine::head(const Request &Of, int Status,
+                             const std::string &More) const {
+  return "HTTP/1.1 " + std::to_string(Status) +
+         " Text\r\nX-Attempt-Id: " + Of.header("x-attempt-id") + "\r\n" + More;
+}
+
+void SoakEngine::refuse(const Request &Asked, const Connection &To,
+                        int Status) {
+  To->write(head(Asked, Status,
+                 "X-Request-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+}
+
+void SoakEngine::take(const Request &Asked, const Connection &To) {
+  const std::string Expected = Asked.header("x-expected-instance");
+  const bool Other = !Expected.empty() && Expected != m_Id;
+  if (m_Shelf && Asked.m_Target == "/v1/order" && !Other)
+    return takeOrder(Asked, To);
+  if (m_Shelf && Asked.m_Target == "/v1/report" && !Other)
+    return report(Asked, To);
+  if (Asked.m_Target == SoakConfig::HealthPath && !Other)
+    return tellHealth(Asked, To);
+  if (Asked.m_Target.starts_with("/v1/"))
+    return refuse(Asked, To, Other ? Misdirected : NotFound);
+  const bool Here = !Other && modelHere(Asked);
+  const bool Runs = Here && m_Active < m_Opts.m_Slots;
+  if (!Other)
+    m_Oracle.arrived({.m_Id = Asked.header("x-attempt-id"),
+                      .m_Engine = m_Id,
+                      .m_Service = m_Opts.m_Service,
+                      .m_DataCentre = m_Opts.m_DataCentre,
+                      .m_Target = Asked.m_Target,
+                      .m_Body = Asked.m_Body,
+                      .m_Runs = Runs,
+                      .m_At = EventLoop::now()});
+  if (!Runs)
+    return refuse(Asked, To, Here ? Full : Misdirected);
+  run(Asked, To);
+}
+
+void SoakEngine::tellHealth(const Request &Asked, const Connection &To) const {
+  To->write(head(Asked, m_Draining ? Full : 200,
+                 "X-Instance-Id: " + m_Id + "\r\nContent-Length: 0\r\n\r\n"));
+}
+
+bool SoakEngine::modelHere(const Request &Asked) const {
+  const std::string Model = Asked.header("x-model-name");
+  return !m_Shelf || m_Shelf->holds(Model.substr(0, Model.find('/')));
+}
+
+void SoakEngine::takeOrder(const Request &Asked, const Connection &To) {
+  const auto Obey = [this, Body = parseJson(Asked.m_Body)] {
+    EngineOrderSeen Seen;
+    const int Status = m_Shelf->order(Body, EventLoop::now(), Seen);
+    Seen.m_Engine = m_Id;
+    m_Oracle.orders().ordered(Seen);
+    if (m_Listed)
+      publish();
+    return Status;
+  };
+  if (m_OrdersLate > 0us)
+    return later(m_OrdersLate, Obey);
+  To->write(head(Asked, Obey(), "Content-Length: 0\r\n\r\n"));
+}
+
+void SoakEngine::report(const Request &Asked, const Connection &To) {
+  const std::string Body = dumpJson({{"inferenceStage", "prefill_decode"},
+                                     {"modelList", m_Shelf->models()},
+                                     {"utilization", m_Shelf->busy()},
+                                     {"sequenceNumber", m_Shelf->taken()},
+                                     {"born", m_Born},
+                                     {"queuedRequests", 0},
+                                     {"activeRequests", m_Active}});
+  To->write(head(Asked, 200,
+                 "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+                     Body));
+}
+
+void SoakEngine::run(const Request &Asked, const Connection &To) {
+  constexpr int LeastEvents = 3;
+  constexpr int MostEvents = 25;
+  ++m_Active;
+  const auto Started = std::make_shared<Run>();
+  Started->m_Asked = Asked;
+  Started->m_To = To;
+  Started->m_Life = m_Lives;
+  Started->m_Signature =
+      m_Id + "." + std::to_string(m_Lives) + "." + std::to_string(++m_Runs);
+  const std::string Id = Asked.header("x-attempt-id");
+  const bool Streams = Asked.m_Target.find("stream") != std::string::npos;
+  m_Oracle.made({.m_Id = Id,
+                 .m_Signature = Started->m_Signature,
+                 .m_Status = 200,
+                 .m_Body = Streams ? ""
+                                   : "answer to " + Id + " by " +
+                                         Started->m_Signature + " " +
+                                         Asked.m_Body});
+  const Duration Work = std::chrono::milliseconds(draw(1, 60)) + m_Late;
+  if (!Streams)
+    return later(Work, [this, Started] { finish(Started); });
+  // A stream's length follows from its id, for runs that resume it.
+  Started->m_Last =
+      LeastEvents + static_cast<int>(std::hash<std::string>()(Id) %
+                                     (MostEvents - LeastEvents));
+  const std::string After = Asked.header("last-event-id");
+  Started->m_Next = After.empty() ? 1 : std::stoi(After) + 1;
+  if (m_BreakOff > 0) {
+    --m_BreakOff;
+    Started->m_BreakAt = draw(Started->m_Next, Started->m_Last);
+  }
+  To->write(head(Asked, 200,
+                 "X-Server-Signature: " + Started->m_Signature +
+                     "\r\nContent-Type: text/event-stream\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n"));
+  later(Work, [this, Started] { stream(Started); });
+}
+
+void SoakEngine::stream(const std::shared_ptr<Run> &Of) {
+  const std::string Text =
+      streamText({.m_Number = Of->m_Next,
+                  .m_Request = Of->m_Asked.header("x-attempt-id"),
+                  .m_Run = Of->m_Signature,
+                  .m_Last = Of->m_Next >= Of->m_Last});
+  if (Of->m_Next == Of->m_BreakAt) {
+    --m_Active;
+    const std::string Whole = chunk(Text);
+    Of->m_To->write(Whole.substr(0, Whole.size() / 2));
+    return Of->m_To->close();
+  }
+  Of->m_To->write(chunk(Text));
+  if (Of->m_Next++ >= Of->m_Last || !Of->m_To->open()) {
+    --m_Active;
+    return Of->m_To->write(StandinRunner::streamEnd());
+  }
+  later(EventGap + m_Late, [this, Of] { stream(Of); });
+}
+
+void SoakEngine::finish(const std::shared_ptr<Run> &Of) {
+  --m_Active;
+  const std::string Id = Of->m_Asked.header("x-attempt-id");
+  const std::string Body = "answer to " + (m_Spoiling ? "another" : Id) +
+                           " by " + Of->m_Signature + " " + Of->m_Asked.m_Body;
+  const std::string Whole =
+      head(Of->m_Asked, 200,
+           "X-Server-Signature: " + Of->m_Signature + "\r\nContent-Length: " +
+               std::to_string(Body.size()) + "\r\n\r\n" + Body);
+  if (m_BreakOff > 0) {
+    --m_BreakOff;
+    Of->m_To->write(Whole.substr(0, Whole.size() - Body.size() / 2));
+    return Of->m_To->close();
+  }
+  Of->m_To->write(Whole);
+  if (m_Surplus > 0) {
+    --m_Surplus;
+    Of->m_To->write(Whole);
+  }
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/tests/soak/SoakEngine.h
@@ -0,0 +1,108 @@
+/// \file
+/// A stand-in server of the soak: answers callers' requests, takes orders,
+/// keeps itself in the stand-in store and misbehaves on request.
+#ifndef HAVENSTAIR_TESTS_SOAK_SOAKENGINE_H
+#define HAVENSTAIR_TESTS_SOAK_SOAKENGINE_H
+
+#include "soak/LoopbackProxy.h"
+#include "soak/ModelShelf.h"
+#include "soak/SoakOracle.h"
+#include "standin/StandinRunner.h"
+#include "standin/StandinStore.h"
+#include "wire/common/EventLoop.h"
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+namespace havenstair {
+
+/// A plain service without a shelf of models, an engine with one.
+class SoakEngine {
+public:
+  struct Options {
+    std::string m_Name;
+    std::string m_Service;
+    std::string m_DataCentre;
+    int m_Slots = 8;
+    std::optional<ModelShelf::Options> m_Shelf;
+    std::uint64_t m_Seed = 0;
+  };
+
+  SoakEngine(EventLoop &Loop, StandinStore &Store, SoakOracle &Oracle,
+             Options Opts);
+
+  /// The id in its entry; a new one after each return.
+  const std::string &id() const { return m_Id; }
+  LoopbackProxy &link() { return m_Link; }
+
+  /// Starts again under its id with a newer birth and nothing kept. It is cold
+  /// for \p Cold.
+  void restart(Duration Cold);
+  /// Says that it leaves, or lets its entry go without a word; it serves on.
+  void leave(bool Says);
+  /// Ends, if it still runs, and comes back under a new id.
+  void comeBack();
+  /// The entry goes although the engine lives, as when the store forgot it.
+  void lapse();
+  void publish();
+
+  void setLate(Duration Late) { m_Late = Late; }
+  void setOrdersLate(Duration Late) { m_OrdersLate = Late; }
+  /// The next answers break off midway.
+  void breakOff(int Count) { m_BreakOff = Count; }
+  /// The next answers are followed by one more that nobody asked for.
+  void sendSurplus(int Count) { m_Surplus = Count; }
+  /// Mutation: answers to callers have the body of another request.
+  void setSpoiling(bool Spoiling) { m_Spoiling = Spoiling; }
+
+private:
+  using Request = StandinRunner::Request;
+  using Connection = StandinRunner::ConnectionPtr;
+  struct Run;
+
+  void take(const Request &Asked, const Connection &To);
+  void takeOrder(const Request &Asked, const Connection &To);
+  void tellHealth(const Request &Asked, const Connection &To) const;
+  void report(const Request &Asked, const Connection &To);
+  void run(const Request &Asked, const Connection &To);
+  void stream(const std::shared_ptr<Run> &Of);
+  void finish(const std::shared_ptr<Run> &Of);
+  void later(Duration Delay, std::function<void()> Call);
+  std::string head(const Request &Of, int Status,
+                   const std::string &More) const;
+  void refuse(const Request &Asked, const Connection &To, int Status);
+  bool modelHere(const Request &Asked) const;
+  void takeName();
+  int draw(int Least, int Most);
+
+  EventLoop &m_Loop;
+  StandinStore &m_Store;
+  SoakOracle &m_Oracle;
+  Options m_Opts;
+  std::mt19937_64 m_Random;
+  std::optional<ModelShelf> m_Shelf;
+  StandinRunner m_Runner;
+  LoopbackProxy m_Link;
+  Timer m_Tick;
+
+  std::string m_Id;
+  int m_Lives = 0;
+  std::uint64_t m_Runs = 0;
+  WallMillis m_Born = 0;
+  TimePoint m_ColdUntil;
+  int m_Active = 0;
+  bool m_Listed = true;
+  bool m_Draining = false;
+  Duration m_Late = 0us;
+  Duration m_OrdersLate = 0us;
+  int m_BreakOff = 0;
+  int m_Surplus = 0;
+  bool m_Spoiling = false;
+  std::uint64_t m_NextTimer = 0;
+  std::map<std::uint64_t, Timer> m_Timers;
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/tests/soak/SoakEvents.h
@@ -0,0 +1,145 @@
+/// \file
+/// What callers, engines and the store see during a soak, as plain values.
+#ifndef HAVENSTAIR_TESTS_SOAK_SOAKEVENTS_H
+#define HAVENSTAIR_TESTS_SOAK_SOAKEVENTS_H
+
+#include "decisions/common/Time.h"
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace havenstair {
+
+/// What the system promises its callers and the engines behind it.
+enum class Promise {
+  WholeAnswer,    ///< A success is the engine's whole answer.
+  OwnAnswer,      ///< An answer belongs to the request that got it.
+  Unchanged,      ///< Engines get only what callers sent.
+  RunOnce,        ///< What may not be repeated runs once at most.
+  NotRun,         ///< A status that says "not run" is true.
+  StreamOrder,    ///< Events have neither holes nor repeats.
+  Draining,       ///< An engine that leaves gets nothing new.
+  ConfigInForce,  ///< A configuration is in force within its bound.
+  ConfigBack,     ///< An older configuration never comes back.
+  OneGiver,       ///< Orders come from one box at a time.
+  FencingToken,   ///< Fencing tokens never fall, nor are shared.
+  EngineMemory,   ///< No engine is ordered to hold more than fits.
+  StoreLoads,     ///< Loads from the store of weights stay below a rate.
+  RetryBudget,    ///< Repeated sends are a small part of all.
+  Evacuation,     ///< An evacuated data centre gets nothing new.
+  WarmUpRate,     ///< A cold engine gets no more than it can take.
+  AllowedRegions, ///< Requests stay in the regions that they may see.
+  BoxLives        ///< Boxes do not end by themselves.
+};
+
+const char *toString(Promise Of);
+
+/// Whether the promise has a bound in time or in a rate, so that a machine
+/// that is too busy may break it for the system.
+constexpr bool isTimed(Promise Of) {
+  switch (Of) {
+  case Promise::Draining:
+  case Promise::ConfigInForce:
+  case Promise::OneGiver:
+  case Promise::StoreLoads:
+  case Promise::RetryBudget:
+  case Promise::Evacuation:
+  case Promise::WarmUpRate:
+    return true;
+  default:
+    return false;
+  }
+}
+
+/// One promise that was broken.
+struct SoakVerdict {
+  Promise m_Promise;
+  TimePoint m_At;
+  std::string m_Subject; ///< Id of a request, or name of an engine or box.
+  std::string m_Text;
+
+  bool operator==(const SoakVerdict &) const = default;
+};
+using VerdictHook = std::function<void(SoakVerdict)>;
+
+enum class RequestKind { Safe, Unsafe, Stream, ResumableStream };
+
+constexpr bool mayRepeat(RequestKind Kind) {
+  return Kind == RequestKind::Safe || Kind == RequestKind::ResumableStream;
+}
+constexpr bool isStream(RequestKind Kind) {
+  return Kind == RequestKind::Stream || Kind == RequestKind::ResumableStream;
+}
+
+/// A caller begins to send.
+struct CallerRequest {
+  std::string m_Id;
+  std::string m_Box;
+  int m_BoxLife = 0; ///< Which start of that box took the request.
+  RequestKind m_Kind = RequestKind::Safe;
+  std::string m_Service;
+  std::string m_Target;
+  std::string m_Body;
+  /// The first version whose routes know the target; none for lasting routes.
+  std::optional<std::uint64_t> m_Since;
+  TimePoint m_At;
+
+  bool operator==(const CallerRequest &) const = default;
+};
+
+/// What the caller got.
+struct CallerAnswer {
+  std::string m_Id;
+  int m_Status = 0; ///< Zero without a head.
+  bool m_Complete = false;
+  std::string m_AnswersId;
+  std::string m_Signature; ///< Of the engine; empty for the box's own answer.
+  std::string m_Body;
+  TimePoint m_At;
+
+  bool operator==(const CallerAnswer &) const = default;
+};
+
+/// A request reaches an engine.
+struct EngineArrival {
+  std::string m_Id;
+  std::string m_Engine;
+  std::string m_Service;
+  std::string m_DataCentre;
+  std::string m_Target;
+  std::string m_Body;
+  bool m_Runs = false; ///< Taken, rather than refused as not run.
+  TimePoint m_At;
+
+  bool operator==(const EngineArrival &) const = default;
+};
+
+/// The whole answer that an engine makes, also when it is broken off later.
+struct EngineAnswer {
+  std::string m_Id;
+  std::string m_Signature;
+  int m_Status = 0;
+  std::string m_Body;
+
+  bool operator==(const EngineAnswer &) const = default;
+};
+
+/// An order reaches an engine. Sizes are as after the order.
+struct EngineOrderSeen {
+  std::string m_Engine;
+  std::string m_Holder;
+  std::uint64_t m_Token = 0;
+  bool m_StoreLoad = false; ///< Begins a load from the store of weights.
+  double m_UsedMb = 0;
+  double m_LimitMb = 0;
+  int m_Adapters = 0;
+  int m_AdapterLimit = 0;
+  TimePoint m_At;
+
+  bool operator==(const EngineOrderSeen &) const = default;
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/tests/soak/SoakOracle.cpp
@@ -0,0 +1,43 @@
+#include "soak/SoakOracle.h"
+
+namespace havenstair {
+
+SoakOracle::SoakOracle(SoakBounds Bounds)
+    : m_Bounds(Bounds), m_Answers(noteVerdict()),
+      m_Config(m_Bounds, m_Trouble, noteVerdict()),
+      m_Routing(m_Bounds, m_Trouble, noteVerdict()),
+      m_Orders(m_Bounds, m_Trouble, noteVerdict()) {}
+
+void SoakOracle::sent(const CallerRequest &Request) {
+  m_Answers.sent(Request);
+  m_Routing.sent(Request);
+}
+
+void SoakOracle::arrived(const EngineArrival &Arrival) {
+  m_Answers.arrived(Arrival);
+  const CallerRequest *Request = m_Answers.request(Arrival.m_Id);
+  if (Request == nullptr)
+    return;
+  m_Routing.arrived(Arrival, *Request);
+  if (Request->m_Since)
+    m_Config.ran(*Request, Arrival.m_At);
+}
+
+void SoakOracle::answered(const CallerAnswer &Answer) {
+  m_Answers.answered(Answer);
+  constexpr int NotFound = 404;
+  const CallerRequest *Request = m_Answers.request(Answer.m_Id);
+  const bool Unknown = Request != nullptr && Request->m_Since &&
+                       Answer.m_Status == NotFound &&
+                       Answer.m_Signature.empty();
+  if (Unknown)
+    m_Config.unknown(*Request, Answer.m_At);
+}
+
+void SoakOracle::boxEnded(const std::string &Box, int Status, TimePoint At) {
+  m_Verdicts.push_back(
+      {Promise::BoxLives, At, Box,
+       "ended by itself with status " + std::to_string(Status)});
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/tests/soak/SoakOracle.h
@@ -0,0 +1,52 @@
+/// \file
+/// Watches a soak from outside: events in, broken promises out.
+#ifndef HAVENSTAIR_TESTS_SOAK_SOAKORACLE_H
+#define HAVENSTAIR_TESTS_SOAK_SOAKORACLE_H
+
+#include "soak/AnswerOracle.h"
+#include "soak/ConfigOracle.h"
+#include "soak/OrderOracle.h"
+#include "soak/RoutingOracle.h"
+#include <vector>
+
+namespace havenstair {
+
+/// Hands each event to those that judge it and keeps their verdicts.
+class SoakOracle {
+public:
+  explicit SoakOracle(SoakBounds Bounds);
+  SoakOracle(const SoakOracle &) = delete;
+  SoakOracle &operator=(const SoakOracle &) = delete;
+
+  void sent(const CallerRequest &Request);
+  void answered(const CallerAnswer &Answer);
+  void arrived(const EngineArrival &Arrival);
+  void made(const EngineAnswer &Answer) { m_Answers.made(Answer); }
+  /// A box ended although nobody stopped it.
+  void boxEnded(const std::string &Box, int Status, TimePoint At);
+
+  Disturbances &trouble() { return m_Trouble; }
+  ConfigOracle &config() { return m_Config; }
+  RoutingOracle &routing() { return m_Routing; }
+  OrderOracle &orders() { return m_Orders; }
+  const std::vector<SoakVerdict> &verdicts() const { return m_Verdicts; }
+
+private:
+  VerdictHook noteVerdict() {
+    return [this](SoakVerdict Verdict) {
+      m_Verdicts.push_back(std::move(Verdict));
+    };
+  }
+
+  const SoakBounds m_Bounds;
+  std::vector<SoakVerdict> m_Verdicts;
+  Disturbances m_Trouble;
+  AnswerOracle m_Answers;
+  ConfigOracle m_Config;
+  RoutingOracle m_Routing;
+  OrderOracle m_Orders;
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/tests/soak/SoakRun.cpp
@@ -0,0 +1,189 @@
+#include "soak/SoakRun.h"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <netinet/in.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace havenstair {
+
+namespace {
+
+constexpr Duration ReadyWithin = 20s;
+constexpr Duration LastAnswers = 7s; ///< Beyond the callers' patience.
+constexpr Duration OwnPassEvery = 10ms;
+constexpr Duration OwnPause = 100ms; ///< Longer ones excuse late events.
+
+const char *const DataCentres[] = {"za", "zb"};
+
+/// Addresses of this process's boxes: 127.X.Y.N, with X and Y by its id.
+std::string loopback(int Number) {
+  constexpr int Range = 250;
+  const int Process = getpid() % (Range * Range);
+  return "127." + std::to_string(1 + Process / Range) + "." +
+         std::to_string(1 + Process % Range) + "." + std::to_string(Number);
+}
+
+int bindAt(const std::string &Address, int Port, int &Socket) {
+  Socket = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Wanted{};
+  Wanted.sin_family = AF_INET;
+  Wanted.sin_port = htons(static_cast<std::uint16_t>(Port));
+  inet_pton(AF_INET, Address.c_str(), &Wanted.sin_addr);
+  if (bind(Socket, reinterpret_cast<sockaddr *>(&Wanted), sizeof(Wanted)) != 0)
+    return 0;
+  socklen_t Length = sizeof(Wanted);
+  getsockname(Socket, reinterpret_cast<sockaddr *>(&Wanted), &Length);
+  return ntohs(Wanted.sin_port);
+}
+
+/// Four ports in a row that are free at \p Address.
+SoakPorts freePorts(const std::string &Address) {
+  constexpr int Tries = 100;
+  constexpr int Ports = 4;
+  for (int Try = 0; Try < Tries; ++Try) {
+    int Sockets[Ports];
+    const int First = bindAt(Address, 0, Sockets[0]);
+    bool Free = First != 0;
+    for (int Next = 1; Next < Ports; ++Next)
+      Free = bindAt(Address, First + Next, Sockets[Next]) != 0 && Free;
+    for (int Each : Sockets)
+      close(Each);
+    if (Free)
+      return {
+          .m_Callers = First, .m_Readiness = First + 1, .m_Peers = First + 2};
+  }
+  throw std::runtime_error("no free ports at " + Address);
+}
+
+} // namespace
+
+SoakRun::SoakRun(Options Opts)
+    : m_Opts(std::move(Opts)), m_Plan(makePlan(m_Opts.m_Seed, m_Opts.m_Length)),
+      m_Oracle(m_Opts.m_Bounds), m_Store(m_Loop),
+      m_Config(m_Store, m_Oracle, m_Opts.m_Bounds),
+      m_Callers(m_Loop, m_Oracle, m_Config, m_Boxes),
+      m_Faults({.m_Loop = m_Loop,
+                .m_Oracle = m_Oracle,
+                .m_Store = m_Store,
+                .m_Config = m_Config,
+                .m_Boxes = m_Boxes,
+                .m_Engines = m_Engines}),
+      m_Http(m_Loop) {
+  makeEngines();
+  makeBoxes();
+  mutate();
+}
+
+void SoakRun::makeEngines() {
+  const ModelShelf::Options Shelf{.m_LimitMb = SoakConfig::EngineMb,
+                                  .m_AdapterLimit = SoakConfig::AdapterLimit,
+                                  .m_ModelMb = SoakConfig::ModelMb,
+                                  .m_AdapterMb = SoakConfig::AdapterMb,
+                                  .m_ChecksTokens = m_Plan.m_FencingEnforced};
+  for (int Number = 0; Number < m_Plan.m_Plain + m_Plan.m_Engines; ++Number) {
+    const bool Plain = Number < m_Plan.m_Plain;
+    SoakEngine::Options Opts{
+        .m_Name = (Plain ? "s" : "e") + std::to_string(Number),
+        .m_Service =
+            Plain ? SoakConfig::PlainService : SoakConfig::EngineService,
+        .m_DataCentre = DataCentres[Number % 2],
+        .m_Shelf = std::nullopt,
+        .m_Seed = m_Opts.m_Seed + static_cast<std::uint64_t>(Number)};
+    if (!Plain)
+      Opts.m_Shelf = Shelf;
+    m_Engines.push_back(
+        std::make_unique<SoakEngine>(m_Loop, m_Store, m_Oracle, Opts));
+  }
+}
+
+void SoakRun::makeBoxes() {
+  constexpr int FirstSeedAddress = 100;
+  constexpr int SeedBoxes = 3;
+  const SoakPorts Ports = freePorts(loopback(1));
+  std::vector<std::string> Seeds;
+  for (int Number = 1; Number <= std::min(m_Plan.m_Boxes, SeedBoxes); ++Number)
+    Seeds.push_back(loopback(FirstSeedAddress + Number));
+  for (int Number = 1; Number <= m_Plan.m_Boxes; ++Number)
+    m_Boxes.push_back(std::make_unique<SoakBox>(
+        m_Loop, m_Oracle,
+        SoakBox::Options{.m_Name = "box-" + std::to_string(Number),
+                         .m_DataCentre = DataCentres[Number % 2],
+                         .m_Address = loopback(Number),
+                         .m_SeedAddress = loopback(FirstSeedAddress + Number),
+                         .m_Ports = Ports,
+                         .m_Seeds = Seeds,
+                         .m_Store = m_Store.endpoint(),
+                         .m_Program = m_Opts.m_Program,
+                         .m_Folder = m_Opts.m_Folder,
+                         .m_Bounds = m_Opts.m_Bounds}));
+}
+
+void SoakRun::mutate() {
+  for (const auto &Each : m_Engines) {
+    if (m_Opts.m_Mutation == Mutation::SpoilAnswer)
+      Each->setSpoiling(true);
+    if (m_Opts.m_Mutation == Mutation::DoubleUnsafe)
+      Each->link().setDoubled([](const std::string &Bytes) {
+        return Bytes.starts_with("POST /unsafe/");
+      });
+  }
+}
+
+void SoakRun::watchOwnPauses() {
+  m_LastPass = EventLoop::now();
+  m_Timers.push_back(m_Loop.every(OwnPassEvery, [this] {
+    const TimePoint Now = EventLoop::now();
+    const Duration Pause = Now - m_LastPass;
+    m_LongestPause = std::max(m_LongestPause, Pause);
+    if (Pause > OwnPause)
+      m_Oracle.trouble().add(Disturbances::Harness, m_LastPass, Now);
+    m_LastPass = Now;
+  }));
+}
+
+void SoakRun::waitReady() {
+  for (const auto &Box : m_Boxes) {
+    bool Ready = false;
+    const TimePoint End = EventLoop::now() + ReadyWithin;
+    while (!Ready && !m_Interrupted) {
+      if (EventLoop::now() > End)
+        throw std::runtime_error(Box->name() + " is not ready");
+      bool Answered = false;
+      HttpCall Call;
+      Call.m_To = Box->readiness();
+      Call.m_Target = "/v1/readiness";
+      m_Http.fetch(std::move(Call), [&](const HttpAnswer &Answer) {
+        Ready = Answer.ok();
+        Answered = true;
+      });
+      m_Loop.runUntil([&] { return Answered; }, ReadyWithin);
+      m_Loop.runUntil([] { return false; }, Ready ? 0ms : 50ms);
+    }
+  }
+}
+
+bool SoakRun::play() {
+  const auto Interrupt = [this] { m_Interrupted = true; };
+  m_Timers.push_back(m_Loop.onSignal(SIGINT, Interrupt));
+  m_Timers.push_back(m_Loop.onSignal(SIGTERM, Interrupt));
+  watchOwnPauses();
+  m_Config.next();
+  for (const auto &Box : m_Boxes)
+    Box->start();
+  waitReady();
+  m_Started = EventLoop::now();
+  for (const ScheduledFault &Each : m_Plan.m_Faults)
+    m_Timers.push_back(
+        m_Loop.after(Each.m_At, [this, Each] { m_Faults.strike(Each); }));
+  m_Callers.start(m_Plan.m_Callers, m_Opts.m_Seed);
+  m_Loop.runUntil([this] { return m_Interrupted; }, m_Opts.m_Length);
+  m_Callers.stop();
+  m_Loop.runUntil([this] { return m_Interrupted || m_Callers.open() == 0; },
+                  LastAnswers);
+  return !m_Interrupted;
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/tests/soak/SoakRun.h
@@ -0,0 +1,70 @@
+/// \file
+/// One soak: its parts, from the start of the boxes to the verdict.
+#ifndef HAVENSTAIR_TESTS_SOAK_SOAKRUN_H
+#define HAVENSTAIR_TESTS_SOAK_SOAKRUN_H
+
+#include "soak/FaultInjector.h"
+#include "soak/SoakCallers.h"
+#include "soak/SoakConfig.h"
+#include "soak/SoakOracle.h"
+#include "soak/SoakSchedule.h"
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace havenstair {
+
+class SoakRun {
+public:
+  /// Faults of the soak's own parts that an oracle must find.
+  enum class Mutation { None, DoubleUnsafe, SpoilAnswer };
+
+  struct Options {
+    std::uint64_t m_Seed = 1;
+    Duration m_Length = 20s;
+    std::string m_Program; ///< The daemon.
+    std::string m_Folder;  ///< For settings files and logs.
+    SoakBounds m_Bounds;
+    Mutation m_Mutation = Mutation::None;
+  };
+
+  explicit SoakRun(Options Opts);
+
+  /// Plays all. \returns whether it was played to its end.
+  /// \throws std::runtime_error when the boxes never become ready.
+  bool play();
+  const SoakPlan &plan() const { return m_Plan; }
+  const SoakOracle &oracle() const { return m_Oracle; }
+  const SoakCallers::Counts &counts() const { return m_Callers.counts(); }
+  /// When the callers started, for the times of verdicts.
+  TimePoint started() const { return m_Started; }
+  Duration longestPause() const { return m_LongestPause; }
+
+private:
+  void makeBoxes();
+  void makeEngines();
+  void mutate();
+  void waitReady();
+  void watchOwnPauses();
+
+  Options m_Opts;
+  SoakPlan m_Plan;
+  EventLoop m_Loop;
+  SoakOracle m_Oracle;
+  StandinStore m_Store;
+  SoakConfig m_Config;
+  std::vector<std::unique_ptr<SoakEngine>> m_Engines;
+  std::vector<std::unique_ptr<SoakBox>> m_Boxes;
+  SoakCallers m_Callers;
+  FaultInjector m_Faults;
+  HttpClient m_Http;
+  bool m_Interrupted = false;
+  TimePoint m_Started;
+  TimePoint m_LastPass;
+  Duration m_LongestPause = 0us;
+  std::vector<Timer> m_Timers;
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/tests/soak/SoakSchedule.cpp
@@ -0,0 +1,126 @@
+#include "soak/SoakSchedule.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace havenstair {
+
+namespace {
+
+struct FaultKind {
+  SoakFault m_Kind;
+  const char *m_Name;
+  int m_LeastMs; ///< Shortest and longest time that it lasts; zero for none.
+  int m_MostMs;
+};
+
+// Spans reach from what nobody may notice to beyond leases and time-outs.
+constexpr std::array<FaultKind, 34> Kinds{{
+    {SoakFault::PauseBox, "pause-box", 50, 4000},
+    {SoakFault::KillBox, "kill-box", 100, 3000},
+    {SoakFault::StopBox, "stop-box", 100, 2000},
+    {SoakFault::HangUpBox, "hang-up-box", 0, 0},
+    {SoakFault::DelayStoreLink, "delay-store-link", 500, 4000},
+    {SoakFault::ResetStoreLink, "reset-store-link", 0, 0},
+    {SoakFault::CutToStore, "cut-to-store", 300, 5000},
+    {SoakFault::CutFromStore, "cut-from-store", 300, 5000},
+    {SoakFault::SilenceStoreLink, "silence-store-link", 0, 0},
+    {SoakFault::RefuseAtStore, "refuse-at-store", 300, 5000},
+    {SoakFault::DelayPeerLink, "delay-peer-link", 500, 3000},
+    {SoakFault::ResetPeerLink, "reset-peer-link", 0, 0},
+    {SoakFault::SilencePeerLink, "silence-peer-link", 0, 0},
+    {SoakFault::SlowStore, "slow-store", 500, 3000},
+    {SoakFault::DownStore, "down-store", 300, 5000},
+    {SoakFault::SilentStore, "silent-store", 300, 4000},
+    {SoakFault::LoseStoreAnswer, "lose-store-answer", 0, 0},
+    {SoakFault::ForgetHistory, "forget-history", 0, 0},
+    {SoakFault::RestartEngine, "restart-engine", 0, 0},
+    {SoakFault::RestartColdEngine, "restart-cold-engine", 500, 3000},
+    {SoakFault::DrainEngine, "drain-engine", 3000, 6000},
+    {SoakFault::VanishEngine, "vanish-engine", 3000, 6000},
+    {SoakFault::LateEngine, "late-engine", 500, 3000},
+    {SoakFault::LateOrders, "late-orders", 500, 3000},
+    {SoakFault::BreakAnswers, "break-answers", 0, 0},
+    {SoakFault::SurplusAnswers, "surplus-answers", 0, 0},
+    {SoakFault::DelayEngineLink, "delay-engine-link", 300, 3000},
+    {SoakFault::ResetEngineLink, "reset-engine-link", 0, 0},
+    {SoakFault::CutToEngine, "cut-to-engine", 200, 3000},
+    {SoakFault::CutFromEngine, "cut-from-engine", 200, 3000},
+    {SoakFault::SilenceEngineLink, "silence-engine-link", 0, 0},
+    {SoakFault::Configure, "configure", 0, 0},
+    {SoakFault::Rubbish, "rubbish", 200, 3000},
+    {SoakFault::Evacuate, "evacuate", 6000, 9000},
+}};
+
+const FaultKind &kindOf(SoakFault Of) {
+  return *std::find_if(Kinds.begin(), Kinds.end(), [&](const FaultKind &Each) {
+    return Each.m_Kind == Of;
+  });
+}
+
+class Drawing {
+public:
+  explicit Drawing(std::uint64_t Seed) : m_Random(Seed) {}
+
+  int operator()(int Least, int Most) {
+    return std::uniform_int_distribution<int>(Least, Most)(m_Random);
+  }
+  ScheduledFault fault(Duration At, SoakFault Kind) {
+    constexpr int MostTargets = 1000;
+    const FaultKind &Of = kindOf(Kind);
+    return {.m_At = At,
+            .m_Kind = Kind,
+            .m_Target = (*this)(0, MostTargets),
+            .m_For =
+                std::chrono::milliseconds((*this)(Of.m_LeastMs, Of.m_MostMs))};
+  }
+
+private:
+  std::mt19937_64 m_Random;
+};
+
+/// Some faults within a few seconds.
+void addBurst(Drawing &Draw, Duration At, std::vector<ScheduledFault> &To) {
+  const int Count = Draw(2, 7);
+  for (int Number = 0; Number < Count; ++Number) {
+    const int Kind = Draw(0, static_cast<int>(Kinds.size()) - 1);
+    const Duration Into = std::chrono::milliseconds(Draw(0, 3000));
+    To.push_back(
+        Draw.fault(At + Into, Kinds.at(static_cast<std::size_t>(Kind)).m_Kind));
+  }
+}
+
+} // namespace
+
+const char *toString(SoakFault Of) { return kindOf(Of).m_Name; }
+
+std::string ScheduledFault::str() const {
+  return std::to_string(m_At / 1ms) + " ms " + toString(m_Kind) + " " +
+         std::to_string(m_Target) + " for " + std::to_string(m_For / 1ms) +
+         " ms";
+}
+
+SoakPlan makePlan(std::uint64_t Seed, Duration Length) {
+  Drawing Draw(Seed);
+  SoakPlan Result{.m_Boxes = Draw(2, 6),
+                  .m_Plain = Draw(2, 4),
+                  .m_Engines = Draw(2, 4),
+                  .m_Callers = Draw(8, 32),
+                  .m_FencingEnforced = Draw(0, 1) == 1,
+                  .m_Faults = {}};
+  const Duration CalmAtStart = 1s;
+  for (Duration At = CalmAtStart; At < Length;
+       At += std::chrono::milliseconds(Draw(2000, 9000)))
+    addBurst(Draw, At, Result.m_Faults);
+  for (Duration At = CalmAtStart; At < Length;
+       At += std::chrono::milliseconds(Draw(800, 6000)))
+    Result.m_Faults.push_back(Draw.fault(At, SoakFault::Configure));
+  std::stable_sort(Result.m_Faults.begin(), Result.m_Faults.end(),
+                   [](const ScheduledFault &A, const ScheduledFault &B) {
+                     return A.m_At < B.m_At;
+                   });
+  return Result;
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/tests/soak/SoakSchedule.h
@@ -0,0 +1,80 @@
+/// \file
+/// Which faults a soak plays, drawn from its seed.
+#ifndef HAVENSTAIR_TESTS_SOAK_SOAKSCHEDULE_H
+#define HAVENSTAIR_TESTS_SOAK_SOAKSCHEDULE_H
+
+#include "decisions/common/Time.h"
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace havenstair {
+
+enum class SoakFault {
+  PauseBox,
+  KillBox,
+  StopBox,
+  HangUpBox,
+  DelayStoreLink,
+  ResetStoreLink,
+  CutToStore,
+  CutFromStore,
+  SilenceStoreLink,
+  RefuseAtStore,
+  DelayPeerLink,
+  ResetPeerLink,
+  SilencePeerLink,
+  SlowStore,
+  DownStore,
+  SilentStore,
+  LoseStoreAnswer,
+  ForgetHistory,
+  RestartEngine,
+  RestartColdEngine,
+  DrainEngine,
+  VanishEngine,
+  LateEngine,
+  LateOrders,
+  BreakAnswers,
+  SurplusAnswers,
+  DelayEngineLink,
+  ResetEngineLink,
+  CutToEngine,
+  CutFromEngine,
+  SilenceEngineLink,
+  Configure,
+  Rubbish,
+  Evacuate
+};
+
+const char *toString(SoakFault Of);
+
+/// One fault; what \p m_Target counts depends on the kind.
+struct ScheduledFault {
+  Duration m_At{}; ///< After the callers' start.
+  SoakFault m_Kind = SoakFault::PauseBox;
+  int m_Target = 0;
+  Duration m_For{};
+
+  bool operator==(const ScheduledFault &) const = default;
+  std::string str() const;
+};
+
+struct SoakPlan {
+  int m_Boxes = 0;
+  int m_Plain = 0;   ///< Servers of the plain service.
+  int m_Engines = 0; ///< Engines with models.
+  int m_Callers = 0;
+  bool m_FencingEnforced = false;
+  std::vector<ScheduledFault> m_Faults; ///< By time.
+
+  bool operator==(const SoakPlan &) const = default;
+};
+
+/// The same plan for the same \p Seed and \p Length. Bursts of faults that
+/// overlap alternate with calm, in which the bounds in time are judged.
+SoakPlan makePlan(std::uint64_t Seed, Duration Length);
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/tests/soak/SoakScheduleTest.cpp
@@ -0,0 +1,33 @@
+#include "soak/SoakSchedule.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace havenstair;
+
+TEST_CASE("A soak's plan follows from its seed", "[soak][schedule]") {
+  REQUIRE(makePlan(7, 60s) == makePlan(7, 60s));
+  REQUIRE_FALSE(makePlan(7, 60s) == makePlan(8, 60s));
+}
+
+TEST_CASE("A soak's faults are in order, overlap and leave some calm",
+          "[soak][schedule]") {
+  const SoakPlan Plan = makePlan(7, 600s);
+  REQUIRE(std::is_sorted(
+      Plan.m_Faults.begin(), Plan.m_Faults.end(),
+      [](const auto &A, const auto &B) { return A.m_At < B.m_At; }));
+  std::set<SoakFault> Kinds;
+  bool Overlap = false;
+  bool Calm = false;
+  Duration Until = 0s;
+  for (const ScheduledFault &Each : Plan.m_Faults) {
+    Kinds.insert(Each.m_Kind);
+    Overlap = Overlap || Each.m_At < Until;
+    Calm = Calm || Each.m_At > Until + 1s;
+    Until = std::max(Until, Each.m_At + Each.m_For);
+  }
+  REQUIRE(Overlap);
+  REQUIRE(Calm);
+  REQUIRE(Kinds.size() == static_cast<std::size_t>(SoakFault::Evacuate) + 1);
+}
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,154 @@
+/// \file
+/// `havenstair-soak`: plays faults on real processes and tells the first
+/// promise that they broke. Not installed.
+#include "soak/SoakRun.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <docopt/docopt.h>
+#include <filesystem>
+#include <iostream>
+
+namespace {
+
+using namespace havenstair;
+
+constexpr const char *Usage =
+    R"(havenstair-soak: a randomized soak of the gateway.
+
+Usage:
+  havenstair-soak [options]
+
+Options:
+  --seed N          Draws the whole plan [default: 1].
+  --seconds N       Length, from the callers' start [default: 20].
+  --programs DIR    Folder of the daemon [default: build/bin].
+  --logs DIR        Folder for logs; kept. A new one in /tmp without, which is
+                    removed when no promise was broken.
+  --plan            Show the plan and end.
+  --mutate NAME     Harm the soak's own parts: double-unsafe or spoil-answer.
+  --untimed         Tell broken bounds in time, but end with 0 all the same.
+  --evacuation      Judge evacuations too.
+  --warm-up         Judge the rate at cold engines too.
+  --regions         Judge regions too.
+
+Ends with 0 when all promises were kept, 1 when one was broken, 2 when the soak
+could not be played, 3 when it was interrupted, 4 when nothing was served.
+)";
+
+constexpr int Kept = 0;
+constexpr int Broken = 1;
+constexpr int NotPlayed = 2;
+constexpr int Interrupted = 3;
+constexpr int NothingServed = 4;
+
+SoakRun::Mutation mutation(const std::string &Name) {
+  if (Name.empty())
+    return SoakRun::Mutation::None;
+  if (Name == "double-unsafe")
+    return SoakRun::Mutation::DoubleUnsafe;
+  if (Name == "spoil-answer")
+    return SoakRun::Mutation::SpoilAnswer;
+  throw std::runtime_error("no mutation is called " + Name);
+}
+
+void showPlan(std::uint64_t Seed, const SoakPlan &Plan) {
+  std::cout << "seed " << Seed << ": " << Plan.m_Boxes << " boxes, "
+            << Plan.m_Plain << " plain servers, " << Plan.m_Engines
+            << " engines"
+            << (Plan.m_FencingEnforced ? " that check fencing tokens" : "")
+            << ", " << Plan.m_Callers << " callers\n";
+  for (const ScheduledFault &Each : Plan.m_Faults)
+    std::cout << "  " << Each.str() << "\n";
+  std::cout << std::flush;
+}
+
+struct ReportOptions {
+  std::string m_Folder;
+  bool m_Untimed = false;
+};
+
+int report(const SoakRun &Run, bool Played, const ReportOptions &Opts) {
+  const SoakCallers::Counts &Counts = Run.counts();
+  std::cout << "sent " << Counts.m_Sent << ", served " << Counts.m_Served
+            << ", refused " << Counts.m_Refused << ", left " << Counts.m_Left
+            << ", broken " << Counts.m_Broken << "; longest pause of the soak "
+            << Run.longestPause() / 1ms << " ms\n";
+  const auto &Verdicts = Run.oracle().verdicts();
+  constexpr std::size_t MostShown = 20;
+  for (std::size_t Index = 0; Index < std::min(Verdicts.size(), MostShown);
+       ++Index) {
+    const SoakVerdict &Each = Verdicts[Index];
+    std::cout << "BROKEN " << toString(Each.m_Promise) << " after "
+              << (Each.m_At - Run.started()) / 1ms << " ms: " << Each.m_Subject
+              << " " << Each.m_Text << "\n";
+  }
+  if (!Verdicts.empty())
+    std::cout << Verdicts.size() << " broken; logs in " << Opts.m_Folder
+              << "\n";
+  const bool Fails = std::any_of(
+      Verdicts.begin(), Verdicts.end(), [&](const SoakVerdict &Each) {
+        return !Opts.m_Untimed || !isTimed(Each.m_Promise);
+      });
+  if (Fails)
+    return Broken;
+  if (!Played)
+    return Interrupted;
+  if (Counts.m_Served == 0)
+    return NothingServed;
+  if (Verdicts.empty())
+    std::cout << "all promises kept\n";
+  return Kept;
+}
+
+std::string makeFolder(const docopt::value &Given) {
+  if (Given.isString()) {
+    std::filesystem::create_directories(Given.asString());
+    return Given.asString();
+  }
+  std::string Name = "/tmp/havenstair-soak-XXXXXX";
+  if (mkdtemp(Name.data()) == nullptr)
+    throw std::runtime_error("no folder for logs could be made");
+  return Name;
+}
+
+int soak(std::map<std::string, docopt::value> &Flags) {
+  SoakRun::Options Opts;
+  Opts.m_Seed = std::stoull(Flags["--seed"].asString());
+  Opts.m_Length = std::chrono::seconds(Flags["--seconds"].asLong());
+  Opts.m_Bounds.m_CheckEvacuation = Flags["--evacuation"].asBool();
+  Opts.m_Bounds.m_CheckWarmUp = Flags["--warm-up"].asBool();
+  Opts.m_Bounds.m_CheckRegions = Flags["--regions"].asBool();
+  const docopt::value &Mutate = Flags["--mutate"];
+  Opts.m_Mutation = mutation(Mutate.isString() ? Mutate.asString() : "");
+  showPlan(Opts.m_Seed, makePlan(Opts.m_Seed, Opts.m_Length));
+  if (Flags["--plan"].asBool())
+    return Kept;
+  Opts.m_Program = Flags["--programs"].asString() + "/havenstaird";
+  Opts.m_Folder = makeFolder(Flags["--logs"]);
+  const ReportOptions Reporting{.m_Folder = Opts.m_Folder,
+                                .m_Untimed = Flags["--untimed"].asBool()};
+  int Result = NotPlayed;
+  {
+    SoakRun Run(std::move(Opts));
+    const bool Played = Run.play();
+    Result = report(Run, Played, Reporting);
+  }
+  if (Result == Kept && !Flags["--logs"].isString())
+    std::filesystem::remove_all(Reporting.m_Folder);
+  return Result;
+}
+
+} // namespace
+
+int main(int Count, char **Values) {
+  std::signal(SIGPIPE, SIG_IGN);
+  auto Flags = docopt::docopt(Usage, {Values + 1, Values + Count}, true);
+  try {
+    return soak(Flags);
+  } catch (const std::exception &Error) {
+    std::cerr << "havenstair-soak: " << Error.what() << "\n";
+    return NotPlayed;
+  }
+}
--- a/tests/support/ChildProcess.cpp
+++ b/tests/support/ChildProcess.cpp
@@ -18,6 +18,9 @@
 
 void runChild(const ChildProcess::Options &Opts, int Output) {
   prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (!Opts.m_OutputFile.empty())
+    Output =
+        open(Opts.m_OutputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(Output, STDOUT_FILENO);
   const std::string &Errors =
       Opts.m_ErrorFile.empty() ? "/dev/null" : Opts.m_ErrorFile;
@@ -25,6 +28,8 @@
   dup2(Error, STDERR_FILENO);
   for (const auto &[Name, Value] : Opts.m_Environment)
     setenv(Name.c_str(), Value.c_str(), 1);
+  // A copy of a socket would keep its connection open after the parent's close.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   std::vector<char *> Arguments;
   Arguments.push_back(const_cast<char *>(Opts.m_Program.c_str()));
   for (const std::string &Argument : Opts.m_Arguments)
--- a/tests/support/ChildProcess.h
+++ b/tests/support/ChildProcess.h
@@ -21,6 +21,9 @@
     std::map<std::string, std::string> m_Environment;
     /// File for standard error; empty drops it.
     std::string m_ErrorFile;
+    /// File for standard output, in place of readReady() and readAll(); empty
+    /// keeps them.
+    std::string m_OutputFile;
   };
 
   explicit ChildProcess(const Options &Opts);
