Requests that come before a box knows its lists are kept until it does

Cause: after all boxes lost their power, 330 requests in 0.8 s were answered 503 with 500 ms away by boxes that knew their lists 0.05 to 0.5 s after they had started; a caller has one more try, which came 0.5 s later or met another box that had just started. Ruled out: a shorter time told (the second try meets boxes that start too). Change: EarlyRequests keeps them until all is known, for 1.5 s since the start of the process and a third of the caller's time at most, 500 at most; then they go on with the time that they arrived, or are refused as before. A stop refuses them at once. Tests: EarlyRequestsTest (kept no longer than a start takes, than a part of the caller's time, only so many; served once; refused by a stop).

--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -366,6 +366,7 @@
       m_Log.write("bad_config", {{"key", Key}, {"why", Error.what()}});
     }
   }
+  m_Forwarder.releaseEarly();
 }
 
 void Gateway::upstreamsChanged() {
@@ -383,6 +384,7 @@
   m_Exchange.upstreamsChanged();
   m_Giver.upstreamsChanged();
   m_Forwarder.upstreamsChanged();
+  m_Forwarder.releaseEarly();
 }
 
 void Gateway::evacuationsChanged() {
@@ -401,6 +403,7 @@
                               1ms}});
   const bool Changed = m_State.m_Upstreams.evacuate(std::move(Asked), Now);
   m_Exchange.evacuationsChanged();
+  m_Forwarder.releaseEarly();
   if (!Changed)
     return;
   m_Giver.evacuationsChanged(Now);
@@ -417,6 +420,7 @@
   m_Callers->closeAfterAnswers();
   // Those that wait for a load go elsewhere at once.
   m_Forwarder.upstreamsChanged();
+  m_Forwarder.releaseEarly();
   m_Giver.leave();
   m_Fleet.leave();
   m_Log.write("stopping", {{"open", m_Forwarder.open()}});
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -45,6 +45,7 @@
   Endpoint readiness() const { return m_Readiness->endpoint(); }
   Endpoint metrics() const { return m_MetricsServer->endpoint(); }
   const ServingState &state() const { return m_State; }
+  /// Requests that have no answer yet.
   std::size_t openRequests() const { return m_Forwarder.open(); }
   bool givesOrders() const { return m_Giver.giving(); }
   std::size_t peers() const { return m_Fleet.linked().size(); }
--- a/packages/gateway/request/Forwarder.cpp
+++ b/packages/gateway/request/Forwarder.cpp
@@ -14,6 +14,9 @@
 /// When a caller may come back to a box that has no configuration yet.
 constexpr Duration UnconfiguredAway = 500ms;
 
+/// How often requests that were kept too long are looked for.
+constexpr Duration LookForOverdue = 50ms;
+
 } // namespace
 
 Forwarder::Forwarder(EventLoop &Loop, HttpClient &Client, ServingState &State,
@@ -21,7 +24,7 @@
                      Hooks Callbacks)
     : m_Loop(Loop), m_Client(Client), m_State(State),
       m_Dialect(std::move(Dialect)), m_Log(Log), m_Opts(Opts),
-      m_Hooks(std::move(Callbacks)) {}
+      m_Hooks(std::move(Callbacks)), m_Early(EventLoop::now(), Opts.m_Early) {}
 
 Forwarder::~Forwarder() = default;
 
@@ -58,11 +61,57 @@
   } catch (const RequestError &Error) {
     return refuseUnread(Exchange, Error.failure(), Request.m_Id);
   }
-  if (!m_State.knowsAll())
-    return refuseUnread(Exchange,
-                        {.m_Kind = ErrorKind::NoConfiguration,
-                         .m_RetryAfter = UnconfiguredAway},
-                        Request.m_Id);
+  EarlyRequests::Item Item{.m_Exchange = Exchange,
+                           .m_Request = std::move(Request),
+                           .m_Arrived = EventLoop::now()};
+  if (m_State.knowsAll())
+    begin(std::move(Item));
+  else
+    keepOrRefuse(std::move(Item));
+}
+
+void Forwarder::keepOrRefuse(EarlyRequests::Item Item) {
+  const TimePoint Now = EventLoop::now();
+  if (!m_State.m_Stopping && m_Early.keep(Item, Now)) {
+    if (m_Early.size() == 1)
+      m_EarlyTimer = m_Loop.every(LookForOverdue, [this] { refuseOverdue(); });
+    return;
+  }
+  refuseUnread(
+      Item.m_Exchange,
+      {.m_Kind = ErrorKind::NoConfiguration, .m_RetryAfter = UnconfiguredAway},
+      Item.m_Request.m_Id);
+}
+
+void Forwarder::refuseOverdue() {
+  for (const EarlyRequests::Item &Each : m_Early.takeOverdue(EventLoop::now()))
+    if (Each.m_Exchange->open())
+      refuseUnread(Each.m_Exchange,
+                   {.m_Kind = ErrorKind::NoConfiguration,
+                    .m_RetryAfter = UnconfiguredAway},
+                   Each.m_Request.m_Id);
+}
+
+void Forwarder::releaseEarly() {
+  if (m_Early.size() == 0 || (!m_State.knowsAll() && !m_State.m_Stopping))
+    return;
+  m_EarlyTimer = Timer();
+  std::vector<EarlyRequests::Item> Kept = m_Early.takeAll();
+  m_Log.write("kept_until_known",
+              {{"requests", Kept.size()}, {"known", m_State.knowsAll()}});
+  for (EarlyRequests::Item &Each : Kept) {
+    if (!Each.m_Exchange->open())
+      continue;
+    if (m_State.knowsAll())
+      begin(std::move(Each));
+    else
+      keepOrRefuse(std::move(Each));
+  }
+}
+
+void Forwarder::begin(EarlyRequests::Item Item) {
+  const HttpExchangePtr &Exchange = Item.m_Exchange;
+  RequestDescriptor &Request = Item.m_Request;
   const Route *Found = m_State.m_Config->route(Request.m_Host, Request.m_Path);
   if (Found == nullptr)
     return refuseUnread(Exchange, {.m_Kind = ErrorKind::NotFound},
@@ -78,7 +127,7 @@
     return refuseUnread(Exchange, {.m_Kind = *Caller.m_Refusal}, Request.m_Id);
   const auto Proxied = std::make_shared<ProxiedRequest>(
       *this, Exchange, std::move(Request), m_State.m_Config, *Found,
-      Caller.m_Organisation);
+      Caller.m_Organisation, Item.m_Arrived);
   m_Open.insert(Proxied);
   Proxied->begin();
 }
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -8,6 +8,7 @@
 #include "decisions/request/ReplicaAdmission.h"
 #include "decisions/request/ReplicaChoice.h"
 #include "gateway/process/ServingState.h"
+#include "gateway/request/EarlyRequests.h"
 #include "gateway/request/QuotaDesk.h"
 #include "gateway/request/RequestDialect.h"
 #include "wire/common/EventLoop.h"
@@ -45,6 +46,7 @@
     AdmissionOptions m_Admission;
     Duration m_ConnectTimeout = 300ms;
     PaceOptions m_Pace;
+    EarlyRequests::Options m_Early;
     std::size_t m_MaxAnswer = 16 << 20; ///< Bytes of a buffered answer.
   };
   struct Hooks {
@@ -71,13 +73,19 @@
   void refuse(const HttpExchangePtr &Exchange, const Failure &Reason);
   /// The list of upstreams has changed: waiting requests look again.
   void upstreamsChanged();
-  std::size_t open() const { return m_Open.size(); }
+  /// The box may know all that it serves by now, or stops: requests that were
+  /// kept for that go on.
+  void releaseEarly();
+  std::size_t open() const { return m_Open.size() + m_Early.size(); }
 
 private:
   friend class ProxiedRequest;
 
   void refuseUnread(const HttpExchangePtr &Exchange, const Failure &Reason,
                     const std::string &Id);
+  void keepOrRefuse(EarlyRequests::Item Item);
+  void refuseOverdue();
+  void begin(EarlyRequests::Item Item);
   void remove(const std::shared_ptr<ProxiedRequest> &Ended);
 
   EventLoop &m_Loop;
@@ -88,6 +96,8 @@
   Options m_Opts;
   Hooks m_Hooks;
   std::weak_ptr<QuotaDesk> m_Quotas;
+  EarlyRequests m_Early;
+  Timer m_EarlyTimer;
   std::set<std::shared_ptr<ProxiedRequest>> m_Open;
 };
 
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -43,7 +43,8 @@
 ProxiedRequest::ProxiedRequest(Forwarder &Owner, HttpExchangePtr Exchange,
                                RequestDescriptor Request,
                                std::shared_ptr<const ServingConfig> Config,
-                               const Route &Of, const Organisation *Caller)
+                               const Route &Of, const Organisation *Caller,
+                               TimePoint Arrived)
     : m_Owner(Owner), m_Exchange(std::move(Exchange)),
       m_Request(std::move(Request)), m_FromCaller(m_Exchange->headers()),
       m_Config(std::move(Config)), m_Route(Of),
@@ -51,7 +52,7 @@
       m_Organisation(Caller == nullptr ? "" : Caller->m_Name),
       m_Priority(enginePriority(*m_Config, Of, Caller)),
       m_Quota(Owner.m_Quotas, m_Organisation, unitsOf(m_Request, Caller)),
-      m_Arrived(EventLoop::now()),
+      m_Arrived(Arrived),
       m_Deadline(m_Arrived +
                  std::min(m_Request.m_Deadline.value_or(LongestDeadline),
                           Of.m_Timeout)),
@@ -87,7 +88,7 @@
     if (const auto Self = Weak.lock())
       Self->onCallerLeft();
   });
-  m_DeadlineTimer = m_Owner.m_Loop.after(m_Deadline - m_Arrived, [Weak] {
+  m_DeadlineTimer = m_Owner.m_Loop.after(m_Deadline - EventLoop::now(), [Weak] {
     if (const auto Self = Weak.lock())
       Self->onDeadline();
   });
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -22,7 +22,7 @@
   ProxiedRequest(Forwarder &Owner, HttpExchangePtr Exchange,
                  RequestDescriptor Request,
                  std::shared_ptr<const ServingConfig> Config, const Route &Of,
-                 const Organisation *Caller);
+                 const Organisation *Caller, TimePoint Arrived);
 
   void begin();
   void upstreamsChanged();
--- /dev/null
+++ b/tests/gateway/EarlyRequestsTest.cpp
@@ -0,0 +1,75 @@
+#include "gateway/request/EarlyRequests.h"
+#include "gateway/GatewayTest.h"
+
+using namespace havenstair;
+
+namespace {
+
+using Request = StandinRunner::Request;
+using ConnectionPtr = StandinRunner::ConnectionPtr;
+
+void answerWell(const Request &Of, const ConnectionPtr &To) {
+  To->write(StandinRunner::answer(Of, 200, "body"));
+}
+
+EarlyRequests::Item early(TimePoint Arrived, std::optional<Duration> Deadline) {
+  EarlyRequests::Item Result{.m_Arrived = Arrived};
+  Result.m_Request.m_Deadline = Deadline;
+  return Result;
+}
+
+} // namespace
+
+TEST_CASE("Early requests are kept while the lists are known to come",
+          "[gateway][start]") {
+  const TimePoint Start = TimePoint{} + 100s;
+  EarlyRequests Kept(
+      Start, {.m_Within = 1500ms, .m_PartOfDeadline = 0.5, .m_Most = 2});
+  SECTION("no longer than a start takes") {
+    CHECK(Kept.keep(early(Start, std::nullopt), Start));
+    CHECK(Kept.takeOverdue(Start + 1499ms).empty());
+    CHECK(Kept.takeOverdue(Start + 1500ms).size() == 1);
+    CHECK_FALSE(Kept.keep(early(Start + 1600ms, std::nullopt), Start + 1600ms));
+  }
+  SECTION("no longer than half of the caller's time") {
+    CHECK(Kept.keep(early(Start, 600ms), Start));
+    CHECK(Kept.keep(early(Start, 5s), Start));
+    CHECK(Kept.takeOverdue(Start + 299ms).empty());
+    CHECK(Kept.takeOverdue(Start + 300ms).size() == 1);
+    CHECK(Kept.size() == 1);
+  }
+  SECTION("only so many") {
+    CHECK(Kept.keep(early(Start, 5s), Start));
+    CHECK(Kept.keep(early(Start, 5s), Start));
+    CHECK_FALSE(Kept.keep(early(Start, 5s), Start));
+    CHECK(Kept.takeAll().size() == 2);
+    CHECK(Kept.size() == 0);
+  }
+}
+
+TEST_CASE("A request that comes before the configuration is served with it",
+          "[gateway][start]") {
+  GatewayTest Test;
+  Test.addRunner("i-1", answerWell);
+  Test.startGateway();
+  HttpAnswer Answer;
+  bool Done = false;
+  Test.m_Http.fetch(Test.call("/unsafe/x", "id-1"), [&](HttpAnswer Of) {
+    Answer = std::move(Of);
+    Done = true;
+  });
+  REQUIRE(Test.until([&] { return Test.m_Gateway->openRequests() == 1; }));
+
+  SECTION("once") {
+    Test.configure(1);
+    REQUIRE(Test.until([&] { return Done; }));
+    CHECK(Answer.m_Status == 200);
+    CHECK(Test.arrivals("id-1") == 1);
+  }
+  SECTION("or refused when the box stops") {
+    Test.m_Gateway->stop();
+    REQUIRE(Test.until([&] { return Done; }));
+    CHECK(Answer.m_Status == 503);
+    CHECK(Test.arrivals("id-1") == 0);
+  }
+}
