--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -367,6 +367,7 @@
       m_Log.write("bad_config", {{"key", Key}, {"why", Error.what()}});
     }
   }
+  m_Forwarder.releaseEarly();
 }
 
 void Gateway::upstreamsChanged() {
@@ -391,6 +392,7 @@
   m_Exchange.upstreamsChanged();
   m_Giver.upstreamsChanged();
   m_Forwarder.upstreamsChanged();
+  m_Forwarder.releaseEarly();
 }
 
 void Gateway::evacuationsChanged() {
@@ -418,6 +420,7 @@
       m_State.m_WarmUp.suspect(Id, Now);
   m_Giver.evacuationsChanged(Now);
   m_Forwarder.upstreamsChanged();
+  m_Forwarder.releaseEarly();
 }
 
 void Gateway::stop() {
@@ -430,6 +433,7 @@
   m_Callers->closeAfterAnswers();
   // Those that wait for a load go elsewhere at once.
   m_Forwarder.upstreamsChanged();
+  m_Forwarder.releaseEarly();
   m_Giver.leave();
   m_Fleet.leave();
   m_Log.write("stopping", {{"open", m_Forwarder.open()}});
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -36,7 +36,8 @@
 ProxiedRequest::ProxiedRequest(Forwarder &Owner, HttpExchangePtr Exchange,
                                RequestDescriptor Request,
                                std::shared_ptr<const ServingConfig> Config,
-                               const Route &Of, const Organisation *Caller)
+                               const Route &Of, const Organisation *Caller,
+                               TimePoint Arrived)
     : m_Owner(Owner), m_Exchange(std::move(Exchange)),
       m_Request(std::move(Request)), m_FromCaller(m_Exchange->headers()),
       m_Config(std::move(Config)), m_Route(Of),
@@ -46,7 +47,7 @@
       m_Quota(Owner.m_Quotas, m_Organisation, unitsOf(m_Request, Caller)),
       m_Permit(Owner.m_Loop, Owner.m_WarmUp, Owner.m_State.m_WarmUp,
                [this] { resume(); }),
-      m_Arrived(EventLoop::now()),
+      m_Arrived(Arrived),
       m_Deadline(m_Arrived +
                  std::min(m_Request.m_Deadline.value_or(LongestDeadline),
                           Of.m_Timeout)),
@@ -82,7 +83,7 @@
     if (const auto Self = Weak.lock())
       Self->onCallerLeft();
   });
-  m_DeadlineTimer = m_Owner.m_Loop.after(m_Deadline - m_Arrived, [Weak] {
+  m_DeadlineTimer = m_Owner.m_Loop.after(m_Deadline - EventLoop::now(), [Weak] {
     if (const auto Self = Weak.lock())
       Self->onDeadline();
   });
