--- a/packages/decisions/common/Time.h
+++ b/packages/decisions/common/Time.h
@@ -31,9 +31,25 @@
   return static_cast<double>(Time.count()) / 1000;
 }
 
+/// Longer times, from outside or from a sum, are as good as for ever; they must
+/// not overflow when they are added to a point in time.
+constexpr Duration LongestDuration = std::chrono::hours(24 * 365 * 30);
+
+/// \p Micros microseconds, no longer than LongestDuration either way; zero for
+/// what is no number.
+constexpr Duration boundedMicros(double Micros) {
+  constexpr auto Most = static_cast<double>(LongestDuration.count());
+  if (Micros >= Most)
+    return LongestDuration;
+  if (Micros <= -Most)
+    return -LongestDuration;
+  return Micros == Micros ? Duration(static_cast<Duration::rep>(Micros))
+                          : Duration(0);
+}
+
 /// \p Millis milliseconds, down to a whole microsecond.
 constexpr Duration fromMillis(double Millis) {
-  return Duration(static_cast<Duration::rep>(Millis * 1000));
+  return boundedMicros(Millis * 1000);
 }
 
 /// \p Time in seconds, with fractions.
@@ -43,7 +59,7 @@
 
 /// \p Seconds seconds, down to a whole microsecond.
 constexpr Duration fromSeconds(double Seconds) {
-  return Duration(static_cast<Duration::rep>(Seconds * 1e6));
+  return boundedMicros(Seconds * 1e6);
 }
 
 using std::chrono_literals::operator""us;
