--- a/tests/gateway/GatewayTest.h
+++ b/tests/gateway/GatewayTest.h
@@ -51,7 +51,8 @@
     return {
         {"service", "s"},     {"address", m_Runners.at(Id)->endpoint().str()},
         {"zone", DataCentre}, {"slots", 8},
-        {"state", State},     {"sequenceNumber", 1}};
+        {"state", State},     {"sequenceNumber", 1},
+        {"version", "v1"},    {"coldRemainingMs", 0}};
   }
 
   /// Lists the runner \p Id as one that started at \p Born.
@@ -102,6 +103,9 @@
                           {"zone", DataCentre},
                           {"slots", 8},
                           {"state", "ready"},
+                          {"version", "v1"},
+                          {"coldRemainingMs", 0},
+                          {"sequenceNumber", 1},
                           {"born", Born},
                           {"modelList", std::move(Resident)}}));
   }
