Regions of route and organisation bind each send; distance by its class

Cause: allowedRegions were decoded and used by nobody; another data centre cost 6 ms in the choice of a server, also across regions that are 8 to 20 ms apart.

Change: AllowedRegions (both bind where both name some, no region is never allowed where some are named), RequestStanding (key and regions by the newest configuration before each send: waits, repeats, resumed streams) and RequestReach (candidates, the last resort, loads worth waiting for). Refusals: no_allowed_region (503, told 60 s) and no_allowed_upstream (503, told 1 s), with the regions in the line not_answered; losses counts both as refusals. Weighed for the status: 403 promises nothing to unsafe callers, 421 invites a try on another connection; both are reasoned in regions.md. Cost of distance by class: 6 ms within the region as before, 32 ms to another one (--other-region-ms); a data centre that no region is known of counts as a neighbour, so deployments without the map choose as before.

Not built, and said in regions.md: the order giver does not know demand bound to regions, placement does not weigh demand by region, links do not know regions.

Tests: AllowedRegionsTest (one property), RequestStandingTest, RequestReachTest, RegionTest (a gateway before servers in two regions and one without: route, organisation, both, changes while a request waits, before a repeat and before a resumption). Two mutations are objected to: newer configurations ignored (three gateway and two decision tests), engines elsewhere not left out (six and three). Distances in ReplicaChoiceTest. ServingViewTest passes a predicate that excludes nobody; its assertions are the same.

--- a/packages/decisions/process/ServingView.cpp
+++ b/packages/decisions/process/ServingView.cpp
@@ -79,16 +79,27 @@
     m_Loads[Engine] = {.m_Model = Model, .m_ServesAt = ServesAt};
 }
 
-std::optional<TimePoint> ServingView::servesAt(const std::string &Service,
-                                               const std::string &Model,
-                                               TimePoint Now) const {
+bool ServingView::anyOf(
+    const std::string &Service,
+    const std::function<bool(const InstanceId &)> &Excluded) const {
+  return std::any_of(m_Current.begin(), m_Current.end(), [&](const auto &Each) {
+    return Each.second.m_Service == Service && !Each.second.m_Draining &&
+           !Excluded(Each.first);
+  });
+}
+
+std::optional<TimePoint>
+ServingView::servesAt(const std::string &Service, const std::string &Model,
+                      const std::function<bool(const InstanceId &)> &Excluded,
+                      TimePoint Now) const {
   std::optional<TimePoint> Soonest;
   for (const auto &[Id, Each] : m_Loads) {
     if (Each.m_Model != Model || Now - Each.m_ServesAt > m_Opts.m_LoadOverdue)
       continue;
     const auto Engine = m_Current.find(Id);
     if (Engine == m_Current.end() || Engine->second.m_Draining ||
-        Engine->second.m_Service != Service || Engine->second.holds(Model, ""))
+        Engine->second.m_Service != Service ||
+        Engine->second.holds(Model, "") || Excluded(Id))
       continue;
     Soonest = std::min(Soonest.value_or(Each.m_ServesAt), Each.m_ServesAt);
   }
--- a/packages/decisions/process/ServingView.h
+++ b/packages/decisions/process/ServingView.h
@@ -57,11 +57,16 @@
              const std::string &Adapter,
              const std::function<bool(const InstanceId &)> &Excluded,
              TimePoint Now) const;
-  /// When the next load of \p Model at \p Service is expected to serve; none
-  /// when none is under way.
-  std::optional<TimePoint> servesAt(const std::string &Service,
-                                    const std::string &Model,
-                                    TimePoint Now) const;
+  /// Whether any upstream of \p Service is listed and not leaving, but for
+  /// those that \p Excluded names.
+  bool anyOf(const std::string &Service,
+             const std::function<bool(const InstanceId &)> &Excluded) const;
+  /// When the next load of \p Model at \p Service is expected to serve,
+  /// leaving out upstreams that \p Excluded names; none when none is under way.
+  std::optional<TimePoint>
+  servesAt(const std::string &Service, const std::string &Model,
+           const std::function<bool(const InstanceId &)> &Excluded,
+           TimePoint Now) const;
   /// All entries of the list, with what was told since.
   const std::map<InstanceId, UpstreamInstance> &current() const {
     return m_Current;
--- /dev/null
+++ b/packages/decisions/request/AllowedRegions.cpp
@@ -0,0 +1,38 @@
+#include "decisions/request/AllowedRegions.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace havenstair {
+
+AllowedRegions::AllowedRegions(const Route &Of, const Organisation *Caller) {
+  const std::set<RegionName> &ByRoute = Of.m_AllowedRegions;
+  if (!ByRoute.empty())
+    m_Regions = ByRoute;
+  if (Caller == nullptr || Caller->m_AllowedRegions.empty())
+    return;
+  const std::set<RegionName> &ByCaller = Caller->m_AllowedRegions;
+  if (!m_Regions) {
+    m_Regions = ByCaller;
+    return;
+  }
+  std::set<RegionName> Both;
+  std::set_intersection(ByRoute.begin(), ByRoute.end(), ByCaller.begin(),
+                        ByCaller.end(), std::inserter(Both, Both.end()));
+  m_Regions = std::move(Both);
+}
+
+bool AllowedRegions::allows(const RegionName &Region) const {
+  return !bound() || (!Region.empty() && m_Regions->contains(Region));
+}
+
+std::string AllowedRegions::text() const {
+  if (!bound())
+    return "all";
+  std::string Text;
+  for (const RegionName &Each : *m_Regions)
+    Text += (Text.empty() ? "" : ",") + Each.str();
+  return Text.empty() ? "none in common" : Text;
+}
+
+} // namespace havenstair
--- a/packages/decisions/request/ErrorKind.h
+++ b/packages/decisions/request/ErrorKind.h
@@ -27,6 +27,8 @@
   DeadlinePassed,
   NoResidentCopy,
   NoUpstream,
+  NoAllowedRegion,
+  NoAllowedUpstream,
   OwnerUnavailable,
   OwnerLost,
   KeyOwnerUnavailable,
--- a/packages/decisions/request/ReplicaChoice.cpp
+++ b/packages/decisions/request/ReplicaChoice.cpp
@@ -42,6 +42,17 @@
   return std::max(1.0, Request.m_PromptTokens - Cached);
 }
 
+/// Data centres that no region is known of count as neighbours.
+double distanceMs(const UpstreamInstance &To, const std::string &OwnZone,
+                  const DataCentreMap &Map, const ReplicaWeights &Weights) {
+  if (To.m_Zone == OwnZone)
+    return 0;
+  const RegionName Own = Map.regionOf(DataCentreName(OwnZone));
+  const RegionName Other = Map.regionOf(DataCentreName(To.m_Zone));
+  return Own.empty() || Other.empty() || Own == Other ? Weights.m_OtherZoneMs
+                                                      : Weights.m_OtherRegionMs;
+}
+
 } // namespace
 
 std::optional<ChosenReplica>
@@ -80,7 +91,7 @@
     Item.m_CostMs =
         Item.m_ExpectedMs +
         (Engines ? Weights.m_Disturbance * Burst * Load.m_Running : 0) +
-        (Each->m_Zone == OwnZone ? 0 : Weights.m_OtherZoneMs) +
+        distanceMs(*Each, OwnZone, Known.m_DataCentres, Weights) +
         Known.m_Failures.rate(Each->m_Id, Now) * Weights.m_FailureMs;
     Judged.push_back(Item);
   }
--- a/packages/decisions/request/ReplicaChoice.h
+++ b/packages/decisions/request/ReplicaChoice.h
@@ -3,6 +3,7 @@
 #ifndef HAVENSTAIR_DECISIONS_REQUEST_REPLICACHOICE_H
 #define HAVENSTAIR_DECISIONS_REQUEST_REPLICACHOICE_H
 
+#include "decisions/common/DataCentreMap.h"
 #include "decisions/process/FailureBook.h"
 #include "decisions/process/LatencyModel.h"
 #include "decisions/process/LoadBook.h"
@@ -15,7 +16,12 @@
 
 /// What the choice weighs, all in milliseconds of expected time.
 struct ReplicaWeights {
+  /// Of a server in another data centre of the region: connecting and the
+  /// first event are two round trips of 1 to 2 ms, and bytes cost a little.
   double m_OtherZoneMs = 6;
+  /// Of one in another region: two round trips of 16 to 40 ms, by operators'
+  /// networks (8 to 20 ms one way), at the shorter end.
+  double m_OtherRegionMs = 32;
   /// Cost of a failed try; times the upstream's failure rate.
   double m_FailureMs = 3000;
   /// For each request beyond the slots of a plain service.
@@ -48,6 +54,7 @@
   const PrefixIndex &m_Prefixes;
   const LatencyModel &m_Latency;
   const FailureBook &m_Failures;
+  const DataCentreMap &m_DataCentres;
 };
 
 /// Picks the candidate with the least expected cost; \p Tie, from 0 to 1,
--- a/packages/decisions/version/ServingConfig.cpp
+++ b/packages/decisions/version/ServingConfig.cpp
@@ -33,6 +33,13 @@
   return Found == m_Services.end() ? nullptr : &*Found;
 }
 
+int ServingConfig::slotsOf(std::string_view Service) const {
+  const ServiceSpec *Found = service(Service);
+  return Found != nullptr && Found->m_Engine
+             ? std::max(1, Found->m_Engine->m_Slots)
+             : 1;
+}
+
 void ServingConfig::indexOrganisations() {
   m_KeyIndex.clear();
   m_OrganisationPriorities.clear();
--- a/packages/decisions/version/ServingConfig.h
+++ b/packages/decisions/version/ServingConfig.h
@@ -128,6 +128,8 @@
   /// The route of \p Host with the longest prefix of \p Path; null without
   /// one.
   const Route *route(std::string_view Host, std::string_view Path) const;
+  /// Requests that one engine of \p Service runs at once; 1 without engines.
+  int slotsOf(std::string_view Service) const;
   const ServiceSpec *service(std::string_view Name) const;
   /// The organisation with \p Key; null without one, and before
   /// indexOrganisations().
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -137,7 +137,7 @@
           QuotaExchange::Hooks{
               .m_Leaves = [this] { return m_Exchange.leaves(); }})) {
   m_Forwarder.setQuotas(m_Quotas);
-  m_State.m_Zone = m_Options.m_DataCentre.str();
+  m_State.standsIn(m_Options.m_DataCentre, m_Options.m_Regions);
   applyBounds();
   startServers();
   m_OwnMirror.start();
--- a/packages/gateway/process/ServingState.h
+++ b/packages/gateway/process/ServingState.h
@@ -3,6 +3,7 @@
 #ifndef HAVENSTAIR_GATEWAY_PROCESS_SERVINGSTATE_H
 #define HAVENSTAIR_GATEWAY_PROCESS_SERVINGSTATE_H
 
+#include "decisions/common/DataCentreMap.h"
 #include "decisions/process/DemandBook.h"
 #include "decisions/process/FailureBook.h"
 #include "decisions/process/LatencyModel.h"
@@ -14,6 +15,7 @@
 #include "decisions/version/ServingConfig.h"
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace havenstair {
 
@@ -23,6 +25,7 @@
   static constexpr double PrefixTokens = 150000;
 
   std::string m_Zone;
+  DataCentreMap m_DataCentres;
   std::shared_ptr<const ServingConfig> m_Config; ///< Null before the first.
   ServingView m_Upstreams;
   LoadBook m_Loads;
@@ -35,6 +38,10 @@
   int m_Boxes = 1;       ///< Most boxes known at one time.
   bool m_Stopping = false;
 
+  void standsIn(const DataCentreName &Own, DataCentreMap Map) {
+    m_Zone = Own.str();
+    m_DataCentres = std::move(Map);
+  }
   /// 0 before the first.
   ConfigVersion configVersion() const {
     return m_Config ? m_Config->m_Version : 0;
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -1,6 +1,5 @@
 #include "gateway/request/ProxiedRequest.h"
 
-#include "decisions/request/CallerIdentity.h"
 #include "decisions/request/EnginePriority.h"
 #include "gateway/common/DecisionLog.h"
 #include "gateway/request/OwnAnswer.h"
@@ -14,6 +13,10 @@
 /// Requests without a deadline of the caller end with the route's time-out.
 constexpr Duration LongestDeadline = 3600s;
 
+/// When a caller may come back that no upstream listed now may serve: servers
+/// that have started are listed within a second.
+constexpr Duration UpstreamsAway = 1s;
+
 /// When a caller may come back after all upstreams turned a request down.
 constexpr Duration RejectedAway = 150ms;
 
@@ -30,14 +33,6 @@
 /// Tokens of an answer count in part: most end before their bound.
 constexpr double OutputPart = 0.5;
 
-/// What the quota of \p Of counts \p Request as; 0 without a quota.
-double unitsOf(const RequestDescriptor &Request, const Organisation *Of) {
-  if (Of == nullptr || !Of->m_Quota.limited())
-    return 0;
-  return Of->m_Quota.costOf(Request.m_TokensTold,
-                            Request.m_PromptTokens + Request.m_MostOutput);
-}
-
 } // namespace
 
 ProxiedRequest::ProxiedRequest(Forwarder &Owner, HttpExchangePtr Exchange,
@@ -50,7 +45,8 @@
       m_Service(chooseSplit(Of, m_Request.m_Id)),
       m_Organisation(Caller == nullptr ? "" : Caller->m_Name),
       m_Priority(enginePriority(*m_Config, Of, Caller)),
-      m_Quota(Owner.m_Quotas, m_Organisation, unitsOf(m_Request, Caller)),
+      m_Standing(m_Config, Of, Caller, m_Request.m_Caller),
+      m_Quota(Owner.m_Quotas, m_Organisation, quotaUnits(m_Request, Caller)),
       m_Arrived(EventLoop::now()),
       m_Deadline(m_Arrived +
                  std::min(m_Request.m_Deadline.value_or(LongestDeadline),
@@ -75,7 +71,8 @@
     // Reading a prompt takes the whole engine, writing the answer one slot.
     const double Work =
         State.m_Latency.workMs(m_Request.m_Model, m_Request.m_PromptTokens) +
-        State.m_Latency.holdMs(m_Request.m_Model) / slots();
+        State.m_Latency.holdMs(m_Request.m_Model) /
+            m_Config->slotsOf(m_Service);
     const ModelDemand Demand{.m_Requests = 1, .m_WorkMs = Work};
     State.m_Demand[{m_Service, m_Request.m_Model, ""}] += Demand;
     if (!m_Request.m_Adapter.empty())
@@ -94,11 +91,10 @@
   step();
 }
 
-int ProxiedRequest::slots() const {
-  const ServiceSpec *Service = m_Config->service(m_Service);
-  return Service != nullptr && Service->m_Engine
-             ? std::max(1, Service->m_Engine->m_Slots)
-             : 1;
+RequestReach ProxiedRequest::reach() const {
+  const ServingState &State = m_Owner.m_State;
+  return {State.m_Upstreams, State.m_DataCentres, m_Standing.regions(),
+          m_Service, m_Request};
 }
 
 void ProxiedRequest::upstreamsChanged() {
@@ -109,24 +105,21 @@
 void ProxiedRequest::step() {
   const TimePoint Now = EventLoop::now();
   ServingState &State = m_Owner.m_State;
-  const auto Tried = [this](const InstanceId &Id) {
-    return m_Tried.contains(Id);
-  };
-  const auto Candidates = State.m_Upstreams.candidates(
-      m_Service, m_Request.m_Model, m_Request.m_Adapter, Tried, Now);
+  m_ParkTimer = Timer();
+  if (!stillAllowed())
+    return;
+  const auto Candidates = reach().candidates(m_Tried, Now);
   const ReplicaKnowledge Known{.m_Loads = State.m_Loads,
                                .m_Prefixes = State.m_Prefixes,
                                .m_Latency = State.m_Latency,
-                               .m_Failures = State.m_Failures};
+                               .m_Failures = State.m_Failures,
+                               .m_DataCentres = State.m_DataCentres};
   const auto Chosen =
       chooseReplica(Candidates, m_Request, State.m_Zone, Known,
                     m_Owner.m_Opts.m_Weights, m_Owner.m_Hooks.m_Random(), Now);
   m_Judged = {.m_Replicas = Candidates.size(),
               .m_ExpectedMs = Chosen ? Chosen->m_ExpectedMs : 0,
               .m_PendingMs = Chosen ? Chosen->m_PendingMs : 0};
-  m_ParkTimer = Timer();
-  if (!keyStillHolds())
-    return;
   if (m_Sends == 0 && !admitted(Chosen, Now))
     return;
   if (!Chosen)
@@ -173,8 +166,7 @@
   if (Chosen)
     Facts.m_Start = {.m_FirstMs = Chosen->m_ExpectedMs,
                      .m_WorkMs = Chosen->m_WorkMs};
-  const auto ServesAt =
-      m_Owner.m_State.m_Upstreams.servesAt(m_Service, m_Request.m_Model, Now);
+  const auto ServesAt = reach().servesAt(Now);
   if (Facts.m_NamesModel && ServesAt)
     Facts.m_ServesIn = std::max<Duration>(0us, *ServesAt - Now);
   return Facts;
@@ -187,6 +179,11 @@
   // A plain service's queue is its own.
   if (Chosen && m_Request.m_Model.empty())
     return true;
+  if (!Chosen && !reach().any()) {
+    refuse(ErrorKind::NoAllowedUpstream, UpstreamsAway,
+           m_Standing.regions().text());
+    return false;
+  }
   if (!Chosen && !m_Request.m_Model.empty())
     m_Owner.m_Hooks.m_Missing(
         {m_Service, m_Request.m_Model, m_Request.m_Adapter});
@@ -225,21 +222,19 @@
   });
 }
 
-/// Keys may be taken away while a request waits, or between two sends.
-bool ProxiedRequest::keyStillHolds() {
-  const auto &Newest = m_Owner.m_State.m_Config;
-  if (Newest == m_Config || Newest == nullptr)
-    return true;
-  const CallerIdentity Caller =
-      identifyCaller(*Newest, m_Route, m_Request.m_Caller);
-  if (!Caller.m_Refusal)
+/// Keys may be taken away and regions change while a request waits, or between
+/// two sends.
+bool ProxiedRequest::stillAllowed() {
+  m_Standing.update(m_Owner.m_State.m_Config);
+  const auto Refused = m_Standing.refusal();
+  if (!Refused)
     return true;
   if (m_BytesPassed)
     cut();
   else if (m_MayHaveRun)
     fail(ErrorKind::OutcomeUnknown);
   else
-    refuse(*Caller.m_Refusal, 0us, "the key was taken away");
+    refuse(Refused->m_Kind, Refused->m_RetryAfter, Refused->m_Detail);
   return false;
 }
 
@@ -641,6 +636,7 @@
        {"expected_ms", std::lround(m_Judged.m_ExpectedMs)},
        {"pending_ms", std::lround(m_Judged.m_PendingMs)},
        {"judged", m_Judged.m_Reason},
+       {"regions", m_Standing.regions().text()},
        {"serves_in_ms",
         m_Judged.m_ServesIn ? Json(*m_Judged.m_ServesIn / 1ms) : Json()},
        {"told_ms", m_ToldAway / 1ms},
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -5,6 +5,8 @@
 
 #include "decisions/request/EventSplitter.h"
 #include "decisions/request/ReplicaAdmission.h"
+#include "decisions/request/RequestReach.h"
+#include "decisions/request/RequestStanding.h"
 #include "gateway/request/Forwarder.h"
 #include "gateway/request/RequestQuota.h"
 #include "gateway/request/SilenceWatch.h"
@@ -61,7 +63,8 @@
                                 TimePoint Now) const;
   bool admitted(const std::optional<ChosenReplica> &Chosen, TimePoint Now);
   void wait(Duration For);
-  bool keyStillHolds();
+  bool stillAllowed();
+  RequestReach reach() const;
   Duration quotaPatience(TimePoint Now) const;
   bool withinQuota(TimePoint Now);
   void onQuota(const std::optional<QuotaVerdict> &Verdict);
@@ -94,8 +97,6 @@
 
   bool streaming() const { return m_Route.m_Kind == RouteKind::Stream; }
   Duration waited(TimePoint Now) const { return Now - m_Arrived; }
-  /// Requests that one engine of the service runs at once.
-  int slots() const;
 
   Forwarder &m_Owner;
   HttpExchangePtr m_Exchange;
@@ -106,6 +107,7 @@
   std::string m_Service;
   std::string m_Organisation; ///< Empty for nobody's.
   int m_Priority;             ///< To an engine.
+  RequestStanding m_Standing;
   RequestQuota m_Quota;
   bool m_AskingQuota = false;
   TimePoint m_Arrived;
--- a/packages/gateway/request/RequestQuota.cpp
+++ b/packages/gateway/request/RequestQuota.cpp
@@ -4,6 +4,13 @@
 
 namespace havenstair {
 
+double quotaUnits(const RequestDescriptor &Request, const Organisation *Of) {
+  if (Of == nullptr || !Of->m_Quota.limited())
+    return 0;
+  return Of->m_Quota.costOf(Request.m_TokensTold,
+                            Request.m_PromptTokens + Request.m_MostOutput);
+}
+
 RequestQuota::RequestQuota(std::weak_ptr<QuotaDesk> Desk,
                            std::string Organisation, double Units)
     : m_Desk(std::move(Desk)), m_Organisation(std::move(Organisation)),
--- a/packages/gateway/request/RequestQuota.h
+++ b/packages/gateway/request/RequestQuota.h
@@ -3,6 +3,8 @@
 #ifndef HAVENSTAIR_GATEWAY_REQUEST_REQUESTQUOTA_H
 #define HAVENSTAIR_GATEWAY_REQUEST_REQUESTQUOTA_H
 
+#include "decisions/request/RequestDescriptor.h"
+#include "decisions/version/Organisation.h"
 #include "gateway/request/QuotaDesk.h"
 #include <functional>
 #include <memory>
@@ -10,6 +12,10 @@
 
 namespace havenstair {
 
+/// What the quota of \p Of, which may be null, counts \p Request as; 0 without
+/// a quota.
+double quotaUnits(const RequestDescriptor &Request, const Organisation *Of);
+
 /// Takes the units right before the first send, so that what is refused for
 /// another reason costs nothing, and gives back what surely reached no
 /// upstream.
--- a/packages/havenstair/request/LossesCommand.cpp
+++ b/packages/havenstair/request/LossesCommand.cpp
@@ -17,7 +17,8 @@
 /// Codes of refusals: the request has not run.
 bool isRefusal(const std::string &Outcome) {
   return Outcome == "overloaded" || Outcome == "no_resident_copy" ||
-         Outcome == "no_upstream" || Outcome == "stopping" ||
+         Outcome == "no_upstream" || Outcome == "no_allowed_region" ||
+         Outcome == "no_allowed_upstream" || Outcome == "stopping" ||
          Outcome == "no_configuration" || Outcome == "deadline_passed";
 }
 
--- a/packages/havenstaird/process/PolicySettings.cpp
+++ b/packages/havenstaird/process/PolicySettings.cpp
@@ -18,7 +18,7 @@
   double &(*m_Member)(GatewayPolicy &);
 };
 
-const std::array<PolicySetting, 25> Table{{
+const std::array<PolicySetting, 26> Table{{
     {"--few-moves", "0 puts attainment first, 1 few moves", 0, 1,
      [](GatewayPolicy &P) -> double & { return P.m_Planner.m_FewMoves; }},
     {"--least-gain-near", "least gain of a load from the engine's own copies",
@@ -40,8 +40,10 @@
     {"--adapter-rate", "requests a second for each copy of an adapter", 0.01,
      1000,
      [](GatewayPolicy &P) -> double & { return P.m_Adapters.m_RatePerCopy; }},
-    {"--other-zone-ms", "cost of another data centre", 0, 10000,
+    {"--other-zone-ms", "cost of another data centre of the region", 0, 10000,
      [](GatewayPolicy &P) -> double & { return P.m_Choice.m_OtherZoneMs; }},
+    {"--other-region-ms", "cost of another region", 0, 10000,
+     [](GatewayPolicy &P) -> double & { return P.m_Choice.m_OtherRegionMs; }},
     {"--failure-ms", "cost of a failed try", 0, 60000,
      [](GatewayPolicy &P) -> double & { return P.m_Choice.m_FailureMs; }},
     {"--running-ms", "cost of each running request", 0, 1000,
--- a/tests/decisions/process/ServingViewTest.cpp
+++ b/tests/decisions/process/ServingViewTest.cpp
@@ -35,6 +35,8 @@
 
 using Names = std::vector<InstanceId>;
 
+bool Nobody(const InstanceId & /*Id*/) { return false; }
+
 } // namespace
 
 TEST_CASE("A leaving upstream gets nothing while another can run the request",
@@ -96,25 +98,25 @@
   ServingView View;
   View.update(list(1, {engine("a", false, "x"), engine("b", false, "x")}),
               at(1s));
-  REQUIRE_FALSE(View.servesAt("s", "m", at(1s)));
+  REQUIRE_FALSE(View.servesAt("s", "m", Nobody, at(1s)));
   View.toldLoad("a", "m", at(6s));
   View.toldLoad("b", "m", at(4s));
-  REQUIRE(View.servesAt("s", "m", at(1s)) == at(4s));
-  REQUIRE_FALSE(View.servesAt("other", "m", at(1s)));
-  REQUIRE_FALSE(View.servesAt("s", "n", at(1s)));
+  REQUIRE(View.servesAt("s", "m", Nobody, at(1s)) == at(4s));
+  REQUIRE_FALSE(View.servesAt("other", "m", Nobody, at(1s)));
+  REQUIRE_FALSE(View.servesAt("s", "n", Nobody, at(1s)));
   SECTION("it is given up") {
     View.toldLoad("b", "", at(0s));
-    REQUIRE(View.servesAt("s", "m", at(1s)) == at(6s));
+    REQUIRE(View.servesAt("s", "m", Nobody, at(1s)) == at(6s));
   }
   SECTION("its engine has gone") {
     View.update(list(2, {engine("a", false, "x")}), at(2s));
-    REQUIRE(View.servesAt("s", "m", at(2s)) == at(6s));
+    REQUIRE(View.servesAt("s", "m", Nobody, at(2s)) == at(6s));
   }
   SECTION("it has come") {
     View.told("b", {{.m_Name = "m", .m_Adapters = {}}}, {}, at(4s));
-    REQUIRE(View.servesAt("s", "m", at(4s)) == at(6s));
+    REQUIRE(View.servesAt("s", "m", Nobody, at(4s)) == at(6s));
   }
   SECTION("it does not come") {
-    REQUIRE_FALSE(View.servesAt("s", "m", at(10s)));
+    REQUIRE_FALSE(View.servesAt("s", "m", Nobody, at(10s)));
   }
 }
--- a/tests/decisions/request/ReplicaChoiceTest.cpp
+++ b/tests/decisions/request/ReplicaChoiceTest.cpp
@@ -27,6 +27,7 @@
   PrefixIndex m_Prefixes{1e6};
   LatencyModel m_Latency;
   FailureBook m_Failures;
+  DataCentreMap m_DataCentres;
 
   std::optional<ChosenReplica>
   choose(const std::vector<const UpstreamInstance *> &Candidates,
@@ -35,7 +36,8 @@
                          {.m_Loads = m_Loads,
                           .m_Prefixes = m_Prefixes,
                           .m_Latency = m_Latency,
-                          .m_Failures = m_Failures},
+                          .m_Failures = m_Failures,
+                          .m_DataCentres = m_DataCentres},
                          {}, Tie, at(1s));
   }
 };
@@ -106,3 +108,26 @@
     Known.m_Loads.sent("a", 0, 100);
   REQUIRE(Known.choose({&A, &B}, prompt(0, 30000))->m_Instance == &B);
 }
+
+TEST_CASE("Distance costs by its class", "[choice][regions]") {
+  Books Known;
+  Known.m_DataCentres = DataCentreMap({{DataCentreName("a"), RegionName("n")},
+                                       {DataCentreName("b"), RegionName("n")},
+                                       {DataCentreName("c"), RegionName("s")}});
+  const auto Own = engine("own", "a"), Near = engine("near", "b"),
+             Far = engine("far", "c"), Unknown = engine("unknown", "x");
+  RequestDescriptor Plain;
+  const auto Cost = [&](const UpstreamInstance &Of) {
+    return Known.choose({&Of}, Plain)->m_CostMs;
+  };
+  const ReplicaWeights Weights;
+  REQUIRE(Cost(Near) - Cost(Own) == Approx(Weights.m_OtherZoneMs));
+  REQUIRE(Cost(Far) - Cost(Own) == Approx(Weights.m_OtherRegionMs));
+  REQUIRE(Cost(Unknown) == Approx(Cost(Near)));
+  SECTION("the region's own server is taken while it costs less") {
+    Known.m_Loads.sent("near", 10, 10);
+    REQUIRE(Known.choose({&Near, &Far}, Plain)->m_Instance == &Near);
+    Known.m_Loads.sent("near", 10000, 10);
+    REQUIRE(Known.choose({&Near, &Far}, Plain)->m_Instance == &Far);
+  }
+}
--- /dev/null
+++ b/tests/decisions/request/RequestReachTest.cpp
@@ -0,0 +1,100 @@
+#include "decisions/request/RequestReach.h"
+#include "support/Draw.h"
+#include "support/Names.h"
+
+using namespace havenstair;
+
+namespace {
+
+UpstreamInstance engine(const std::string &Id, const std::string &Zone,
+                        bool Holds = true) {
+  UpstreamInstance Result;
+  Result.m_Id = Id;
+  Result.m_Service = "s";
+  Result.m_Zone = Zone;
+  if (Holds)
+    Result.m_Models = {{.m_Name = "m", .m_Adapters = {}}};
+  return Result;
+}
+
+/// Engines in north (a), south (b) and a data centre without a region (x).
+class Reach {
+public:
+  explicit Reach(const std::set<RegionName> &Allowed) {
+    m_Request.m_Model = "m";
+    Route Of;
+    Of.m_AllowedRegions = Allowed;
+    m_Regions = AllowedRegions(Of, nullptr);
+  }
+
+  void list(std::uint64_t Revision, const std::vector<UpstreamInstance> &All,
+            TimePoint Now) {
+    InstanceList List{.m_Revision = Revision, .m_Instances = {}};
+    for (const UpstreamInstance &Each : All)
+      List.m_Instances.emplace(Each.m_Id, Each);
+    m_View.update(std::move(List), Now);
+  }
+
+  RequestReach get() const {
+    return {m_View, m_Map, m_Regions, m_Service, m_Request};
+  }
+
+  std::vector<InstanceId> names(TimePoint Now,
+                                const std::set<InstanceId> &Tried = {}) const {
+    std::vector<InstanceId> Result;
+    for (const UpstreamInstance *Each : get().candidates(Tried, Now))
+      Result.push_back(Each->m_Id);
+    return Result;
+  }
+
+  ServingView m_View;
+  DataCentreMap m_Map{{{DataCentreName("a"), RegionName("north")},
+                       {DataCentreName("b"), RegionName("south")}}};
+  AllowedRegions m_Regions;
+  std::string m_Service = "s";
+  RequestDescriptor m_Request;
+};
+
+using Names = std::vector<InstanceId>;
+const RegionName North("north"), South("south"), West("west");
+
+} // namespace
+
+TEST_CASE("Only upstreams in allowed regions are candidates", "[regions]") {
+  const std::vector<UpstreamInstance> All{
+      engine("e-a", "a"), engine("e-b", "b"), engine("e-x", "x")};
+  Reach Anywhere({}), InSouth({South}), InWest({West});
+  for (Reach *Each : {&Anywhere, &InSouth, &InWest})
+    Each->list(1, All, at(1s));
+  REQUIRE(Anywhere.names(at(1s)) == Names{"e-a", "e-b", "e-x"});
+  REQUIRE(InSouth.names(at(1s)) == Names{"e-b"});
+  REQUIRE(InSouth.names(at(1s), {"e-b"}).empty());
+  REQUIRE(InWest.names(at(1s)).empty());
+  REQUIRE(InSouth.get().any());
+  REQUIRE_FALSE(InWest.get().any());
+}
+
+TEST_CASE("The last resort keeps to the regions too", "[regions]") {
+  Reach InSouth({South});
+  InSouth.list(1, {engine("e-a", "a"), engine("e-b", "b")}, at(1s));
+  SECTION("one that leaves elsewhere is no resort") {
+    InSouth.list(2, {}, at(2s));
+    REQUIRE(InSouth.names(at(2s)) == Names{"e-b"});
+  }
+  SECTION("nor does one that stays elsewhere stand in the way of it") {
+    InSouth.list(2, {engine("e-a", "a")}, at(2s));
+    REQUIRE(InSouth.names(at(2s)) == Names{"e-b"});
+    REQUIRE_FALSE(InSouth.get().any());
+  }
+}
+
+TEST_CASE("A load elsewhere is no reason to wait", "[regions]") {
+  Reach InSouth({South});
+  InSouth.list(1, {engine("e-a", "a", false), engine("e-b", "b", false)},
+               at(1s));
+  InSouth.m_View.toldLoad("e-a", "m", at(2s));
+  REQUIRE_FALSE(InSouth.get().servesAt(at(1s)));
+  InSouth.m_View.toldLoad("e-b", "m", at(4s));
+  REQUIRE(InSouth.get().servesAt(at(1s)) == at(4s));
+  REQUIRE(InSouth.get().any());
+}
