--- a/packages/decisions/request/ReplicaChoice.cpp
+++ b/packages/decisions/request/ReplicaChoice.cpp
@@ -51,6 +51,17 @@
   return 1000 / Known.m_WarmUp->spec(Id)->m_RequestsPerS;
 }
 
+/// Data centres that no region is known of count as neighbours.
+double distanceMs(const UpstreamInstance &To, const std::string &OwnZone,
+                  const DataCentreMap &Map, const ReplicaWeights &Weights) {
+  if (To.m_Zone == OwnZone)
+    return 0;
+  const RegionName Own = Map.regionOf(DataCentreName(OwnZone));
+  const RegionName Other = Map.regionOf(DataCentreName(To.m_Zone));
+  return Own.empty() || Other.empty() || Own == Other ? Weights.m_OtherZoneMs
+                                                      : Weights.m_OtherRegionMs;
+}
+
 } // namespace
 
 std::optional<ChosenReplica>
@@ -93,7 +104,7 @@
         Item.m_ExpectedMs +
         (Engines ? Weights.m_Disturbance * Burst * Load.m_Running : 0) +
         coldMs(Each->m_Id, Known, Now) +
-        (Each->m_Zone == OwnZone ? 0 : Weights.m_OtherZoneMs) +
+        distanceMs(*Each, OwnZone, Known.m_DataCentres, Weights) +
         Known.m_Failures.rate(Each->m_Id, Now) * Weights.m_FailureMs;
     Judged.push_back(Item);
   }
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -156,7 +156,7 @@
             m_Metrics.permitAsked(At, What);
           }})) {
   m_Forwarder.setDesks(m_Quotas, m_WarmUp);
-  m_State.m_Zone = m_Options.m_DataCentre.str();
+  m_State.standsIn(m_Options.m_DataCentre, m_Options.m_Regions);
   applyBounds();
   startServers();
   m_OwnMirror.start();
--- a/packages/gateway/process/ServingState.h
+++ b/packages/gateway/process/ServingState.h
@@ -3,6 +3,7 @@
 #ifndef HAVENSTAIR_GATEWAY_PROCESS_SERVINGSTATE_H
 #define HAVENSTAIR_GATEWAY_PROCESS_SERVINGSTATE_H
 
+#include "decisions/common/DataCentreMap.h"
 #include "decisions/process/DemandBook.h"
 #include "decisions/process/FailureBook.h"
 #include "decisions/process/LatencyModel.h"
@@ -15,6 +16,7 @@
 #include "decisions/version/ServingConfig.h"
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace havenstair {
 
@@ -24,6 +26,7 @@
   static constexpr double PrefixTokens = 150000;
 
   std::string m_Zone;
+  DataCentreMap m_DataCentres;
   std::shared_ptr<const ServingConfig> m_Config; ///< Null before the first.
   ServingView m_Upstreams;
   WarmUpView m_WarmUp;
@@ -51,6 +54,10 @@
     m_Loads.startedAgain(Id);
   }
 
+  void standsIn(const DataCentreName &Own, DataCentreMap Map) {
+    m_Zone = Own.str();
+    m_DataCentres = std::move(Map);
+  }
   /// 0 before the first.
   ConfigVersion configVersion() const {
     return m_Config ? m_Config->m_Version : 0;
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -1,6 +1,5 @@
 #include "gateway/request/ProxiedRequest.h"
 
-#include "decisions/request/CallerIdentity.h"
 #include "decisions/request/EnginePriority.h"
 #include "gateway/common/DecisionLog.h"
 #include "gateway/request/OwnAnswer.h"
@@ -15,6 +14,10 @@
 /// Requests without a deadline of the caller end with the route's time-out.
 constexpr Duration LongestDeadline = 3600s;
 
+/// When a caller may come back that no upstream listed now may serve: servers
+/// that have started are listed within a second.
+constexpr Duration UpstreamsAway = 1s;
+
 /// When a caller may come back after all upstreams turned a request down.
 constexpr Duration RejectedAway = 150ms;
 
@@ -44,7 +47,8 @@
       m_Service(chooseSplit(Of, m_Request.m_Id)),
       m_Organisation(Caller == nullptr ? "" : Caller->m_Name),
       m_Priority(enginePriority(*m_Config, Of, Caller)),
-      m_Quota(Owner.m_Quotas, m_Organisation, unitsOf(m_Request, Caller)),
+      m_Standing(m_Config, Of, Caller, m_Request.m_Caller),
+      m_Quota(Owner.m_Quotas, m_Organisation, quotaUnits(m_Request, Caller)),
       m_Permit(Owner.m_Loop, Owner.m_WarmUp, Owner.m_State.m_WarmUp,
                [this] { resume(); }),
       m_Arrived(Arrived),
@@ -71,7 +75,8 @@
     // Reading a prompt takes the whole engine, writing the answer one slot.
     const double Work =
         State.m_Latency.workMs(m_Request.m_Model, m_Request.m_PromptTokens) +
-        State.m_Latency.holdMs(m_Request.m_Model) / slots();
+        State.m_Latency.holdMs(m_Request.m_Model) /
+            m_Config->slotsOf(m_Service);
     const ModelDemand Demand{.m_Requests = 1, .m_WorkMs = Work};
     State.m_Demand[{m_Service, m_Request.m_Model, ""}] += Demand;
     if (!m_Request.m_Adapter.empty())
@@ -90,11 +95,10 @@
   step();
 }
 
-int ProxiedRequest::slots() const {
-  const ServiceSpec *Service = m_Config->service(m_Service);
-  return Service != nullptr && Service->m_Engine
-             ? std::max(1, Service->m_Engine->m_Slots)
-             : 1;
+RequestReach ProxiedRequest::reach() const {
+  const ServingState &State = m_Owner.m_State;
+  return {State.m_Upstreams, State.m_DataCentres, m_Standing.regions(),
+          m_Service, m_Request};
 }
 
 void ProxiedRequest::upstreamsChanged() {
@@ -105,15 +109,18 @@
 void ProxiedRequest::step() {
   const TimePoint Now = EventLoop::now();
   ServingState &State = m_Owner.m_State;
-  const auto Tried = [&](const InstanceId &Id) {
+  m_ParkTimer = Timer();
+  if (!stillAllowed())
+    return;
+  const auto Excluded = [&](const InstanceId &Id) {
     return m_Tried.contains(Id) || m_Permit.excludes(Id, Now);
   };
-  const auto Candidates = State.m_Upstreams.candidates(
-      m_Service, m_Request.m_Model, m_Request.m_Adapter, Tried, Now);
+  const auto Candidates = reach().candidates(Excluded, Now);
   const ReplicaKnowledge Known{.m_Loads = State.m_Loads,
                                .m_Prefixes = State.m_Prefixes,
                                .m_Latency = State.m_Latency,
                                .m_Failures = State.m_Failures,
+                               .m_DataCentres = State.m_DataCentres,
                                .m_WarmUp = &State.m_WarmUp};
   const auto Chosen =
       chooseReplica(Candidates, m_Request, State.m_Zone, Known,
@@ -121,10 +128,9 @@
   m_Judged = {.m_Replicas = Candidates.size(),
               .m_ExpectedMs = Chosen ? Chosen->m_ExpectedMs : 0,
               .m_PendingMs = Chosen ? Chosen->m_PendingMs : 0};
-  m_ParkTimer = Timer();
   if (!Chosen && m_Permit.drop())
     return step();
-  if (!keyStillHolds() || refusedCold(Chosen, Now))
+  if (refusedCold(Chosen, Now))
     return;
   if (m_Sends == 0 && !admitted(Chosen, Now))
     return;
@@ -190,8 +196,7 @@
   if (Chosen)
     Facts.m_Start = {.m_FirstMs = Chosen->m_ExpectedMs,
                      .m_WorkMs = Chosen->m_WorkMs};
-  const auto ServesAt =
-      m_Owner.m_State.m_Upstreams.servesAt(m_Service, m_Request.m_Model, Now);
+  const auto ServesAt = reach().servesAt(Now);
   if (Facts.m_NamesModel && ServesAt)
     Facts.m_ServesIn = std::max<Duration>(0us, *ServesAt - Now);
   return Facts;
@@ -204,6 +209,11 @@
   // A plain service's queue is its own.
   if (Chosen && m_Request.m_Model.empty())
     return true;
+  if (!Chosen && !reach().any()) {
+    refuse(ErrorKind::NoAllowedUpstream, UpstreamsAway,
+           m_Standing.regions().text());
+    return false;
+  }
   if (!Chosen && !m_Request.m_Model.empty())
     m_Owner.m_Hooks.m_Missing(
         {m_Service, m_Request.m_Model, m_Request.m_Adapter});
@@ -242,21 +252,19 @@
   });
 }
 
-/// Keys may be taken away while a request waits, or between two sends.
-bool ProxiedRequest::keyStillHolds() {
-  const auto &Newest = m_Owner.m_State.m_Config;
-  if (Newest == m_Config || Newest == nullptr)
-    return true;
-  const CallerIdentity Caller =
-      identifyCaller(*Newest, m_Route, m_Request.m_Caller);
-  if (!Caller.m_Refusal)
+/// Keys may be taken away and regions change while a request waits, or between
+/// two sends.
+bool ProxiedRequest::stillAllowed() {
+  m_Standing.update(m_Owner.m_State.m_Config);
+  const auto Refused = m_Standing.refusal();
+  if (!Refused)
     return true;
   if (m_BytesPassed)
     cut();
   else if (m_MayHaveRun)
     fail(ErrorKind::OutcomeUnknown);
   else
-    refuse(*Caller.m_Refusal, 0us, "the key was taken away");
+    refuse(Refused->m_Kind, Refused->m_RetryAfter, Refused->m_Detail);
   return false;
 }
 
@@ -642,6 +650,7 @@
        {"expected_ms", std::lround(m_Judged.m_ExpectedMs)},
        {"pending_ms", std::lround(m_Judged.m_PendingMs)},
        {"judged", m_Judged.m_Reason},
+       {"regions", m_Standing.regions().text()},
        {"serves_in_ms",
         m_Judged.m_ServesIn ? Json(*m_Judged.m_ServesIn / 1ms) : Json()},
        {"told_ms", m_ToldAway / 1ms},
--- a/packages/gateway/request/RequestQuota.cpp
+++ b/packages/gateway/request/RequestQuota.cpp
@@ -4,7 +4,7 @@
 
 namespace havenstair {
 
-double unitsOf(const RequestDescriptor &Request, const Organisation *Of) {
+double quotaUnits(const RequestDescriptor &Request, const Organisation *Of) {
   if (Of == nullptr || !Of->m_Quota.limited())
     return 0;
   return Of->m_Quota.costOf(Request.m_TokensTold,
--- a/packages/gateway/request/RequestQuota.h
+++ b/packages/gateway/request/RequestQuota.h
@@ -12,9 +12,9 @@
 
 namespace havenstair {
 
-/// What the quota of \p Of counts \p Request as; 0 without a quota. \p Of may
-/// be null.
-double unitsOf(const RequestDescriptor &Request, const Organisation *Of);
+/// What the quota of \p Of, which may be null, counts \p Request as; 0 without
+/// a quota.
+double quotaUnits(const RequestDescriptor &Request, const Organisation *Of);
 
 /// Takes the units right before the first send, so that what is refused for
 /// another reason costs nothing, and gives back what surely reached no
