--- a/packages/decisions/request/CallerClock.cpp
+++ b/packages/decisions/request/CallerClock.cpp
@@ -5,6 +5,15 @@
 
 namespace havenstair {
 
+CallerClock::Book &CallerClock::bookOf(const std::string &Route,
+                                       TimePoint Now) {
+  if (m_Routes.size() >= m_Opts.m_Routes && !m_Routes.contains(Route))
+    std::erase_if(m_Routes, [&](const auto &Each) {
+      return Now - Each.second.m_Lately.m_At > m_Opts.m_Forget;
+    });
+  return m_Routes[Route];
+}
+
 double CallerClock::valueOf(const Count &Of, Duration Half, TimePoint Now) {
   const double Age = static_cast<double>((Now - Of.m_At).count()) /
                      static_cast<double>(Half.count());
@@ -60,7 +69,7 @@
 
 Duration CallerClock::sinceFirstTry(const std::string &Route, Duration Left,
                                     TimePoint Now) {
-  Book &Known = m_Routes[Route];
+  Book &Known = bookOf(Route, Now);
   const int Index = static_cast<int>(std::floor(
       std::log(std::max(1.0, inMillis(Left))) / std::log1p(m_Opts.m_Step)));
   add(Known.m_Lately, m_Opts.m_Compare, Now);
@@ -76,7 +85,7 @@
 }
 
 void CallerClock::turnedAway(const std::string &Route, TimePoint Now) {
-  add(m_Routes[Route].m_TurnedAway, m_Opts.m_Compare, Now);
+  add(bookOf(Route, Now).m_TurnedAway, m_Opts.m_Compare, Now);
 }
 
 } // namespace havenstair
--- a/packages/decisions/request/CallerClock.h
+++ b/packages/decisions/request/CallerClock.h
@@ -4,6 +4,7 @@
 #define HAVENSTAIR_DECISIONS_REQUEST_CALLERCLOCK_H
 
 #include "decisions/common/Time.h"
+#include <cstddef>
 #include <map>
 #include <string>
 
@@ -41,6 +42,9 @@
     /// Both numbers count half after this: callers come back within their
     /// deadlines, and some must be counted to be compared.
     Duration m_Compare = 60s;
+    /// Routes that are remembered at least; beyond, those that nobody has asked
+    /// for in the time of m_Forget go. Far more than a box serves at a time.
+    std::size_t m_Routes = 1000;
   };
 
   CallerClock() : CallerClock(Options{}) {}
@@ -52,6 +56,7 @@
                          TimePoint Now);
   /// A caller of \p Route was not served, and may come back.
   void turnedAway(const std::string &Route, TimePoint Now);
+  std::size_t routes() const { return m_Routes.size(); }
 
 private:
   /// Tries, counted with decay.
@@ -72,6 +77,8 @@
     Count m_Unusual;
   };
 
+  /// What is known of \p Route; makes room for a new one.
+  Book &bookOf(const std::string &Route, TimePoint Now);
   static double valueOf(const Count &Of, Duration Half, TimePoint Now);
   static double add(Count &To, Duration Half, TimePoint Now);
   void learn(Book &To, int Index, Duration Left, TimePoint Now) const;
--- a/tests/decisions/request/CallerClockTest.cpp
+++ b/tests/decisions/request/CallerClockTest.cpp
@@ -179,3 +179,12 @@
   Clock.turnedAway("r", at(300s));
   REQUIRE(Clock.sinceFirstTry("r", 4s, at(302s)) == 0us);
 }
+
+TEST_CASE("Routes that nobody asks for any more are forgotten",
+          "[admission][first-tries]") {
+  CallerClock Clock({.m_Routes = 10});
+  for (int Route = 0; Route < 200; ++Route) {
+    Clock.sinceFirstTry(std::to_string(Route), 5s, at(Route * 600s));
+    REQUIRE(Clock.routes() <= 10);
+  }
+}
--- a/tests/gateway/RegionTest.cpp
+++ b/tests/gateway/RegionTest.cpp
@@ -157,6 +157,12 @@
     REQUIRE(Answer.m_Body.find("no_allowed_region") != std::string::npos);
     REQUIRE(retryAfter(Answer) == "60.000");
     REQUIRE(Test.arrivals("id-1") == 0);
+    HttpCall Metrics;
+    Metrics.m_To = Test.m_Gateway->metrics();
+    Metrics.m_Target = "/metrics";
+    REQUIRE(Test.fetch(std::move(Metrics))
+                .m_Body.find("outcome=\"no_allowed_region\"") !=
+            std::string::npos);
     REQUIRE(Test.until([&] {
       return Test.log().find("\"regions\":\"none in common\"") !=
              std::string::npos;
