--- a/packages/decisions/process/WarmUpView.cpp
+++ b/packages/decisions/process/WarmUpView.cpp
@@ -102,6 +102,12 @@
     start(Found->second, Now);
 }
 
+void WarmUpView::suspectAt(const DataCentreName &DataCentre, TimePoint Now) {
+  for (auto &[Id, Each] : m_Servers)
+    if (Each.m_Listed && Each.m_Entry.m_Zone == DataCentre.str())
+      start(Each, Now);
+}
+
 std::optional<TimePoint> WarmUpView::warmAt(const InstanceId &Id,
                                             TimePoint Now) const {
   const auto Found = m_Servers.find(Id);
--- a/packages/decisions/process/WarmUpView.h
+++ b/packages/decisions/process/WarmUpView.h
@@ -45,6 +45,8 @@
             TimePoint Now);
   /// \p Id may have turned cold without a word, as after a time without work.
   void suspect(const InstanceId &Id, TimePoint Now);
+  /// The same of all that are listed in \p DataCentre.
+  void suspectAt(const DataCentreName &DataCentre, TimePoint Now);
 
   /// When a cold server is warm; none for a warm one.
   std::optional<TimePoint> warmAt(const InstanceId &Id, TimePoint Now) const;
--- a/tests/decisions/process/WarmUpViewTest.cpp
+++ b/tests/decisions/process/WarmUpViewTest.cpp
@@ -126,7 +126,12 @@
 
 TEST_CASE("A suspected server is cold until it says otherwise", "[warmup]") {
   WarmUpView View = settled();
-  View.suspect("e", Start + 10s);
+  SECTION("by its name") { View.suspect("e", Start + 10s); }
+  SECTION("by its data centre") {
+    View.suspectAt(DataCentreName("b"), Start + 10s);
+    CHECK_FALSE(View.cold("e", Start + 10s));
+    View.suspectAt(DataCentreName("a"), Start + 10s);
+  }
   CHECK(View.warmAt("e", Start + 10s) == Start + 13s);
   View.told("e", 0us, Start + 9900ms, Start + 10s);
   CHECK(View.cold("e", Start + 10s));
--- a/tests/decisions/request/ReplicaChoiceTest.cpp
+++ b/tests/decisions/request/ReplicaChoiceTest.cpp
@@ -27,6 +27,7 @@
   PrefixIndex m_Prefixes{1e6};
   LatencyModel m_Latency;
   FailureBook m_Failures;
+  WarmUpView m_WarmUp;
 
   std::optional<ChosenReplica>
   choose(const std::vector<const UpstreamInstance *> &Candidates,
@@ -35,7 +36,8 @@
                          {.m_Loads = m_Loads,
                           .m_Prefixes = m_Prefixes,
                           .m_Latency = m_Latency,
-                          .m_Failures = m_Failures},
+                          .m_Failures = m_Failures,
+                          .m_WarmUp = &m_WarmUp},
                          {}, Tie, at(1s));
   }
 };
@@ -106,3 +108,29 @@
     Known.m_Loads.sent("a", 0, 100);
   REQUIRE(Known.choose({&A, &B}, prompt(0, 30000))->m_Instance == &B);
 }
+
+TEST_CASE("A cold engine is chosen where warm ones would be later by more than "
+          "its rate and the wait for a permit",
+          "[choice][warmup]") {
+  Books Known;
+  ServiceSpec Service;
+  Service.m_Name = "s";
+  Service.m_WarmUp = {.m_After = 60s, .m_RequestsPerS = 10};
+  Known.m_WarmUp.configure({Service});
+  UpstreamInstance Cold = engine("cold");
+  UpstreamInstance Warm = engine("warm");
+  Cold.m_Service = Warm.m_Service = "s";
+  Cold.m_ColdFor = 60s;
+  Known.m_WarmUp.listed(
+      {.m_Revision = 1, .m_Instances = {{"cold", Cold}, {"warm", Warm}}},
+      at(1s));
+  const auto Chosen = [&] {
+    return Known.choose({&Cold, &Warm}, prompt(0, 10))->m_Instance->m_Id;
+  };
+  Known.m_Loads.sent("warm", 60, 10);
+  REQUIRE(Chosen() == "warm");
+  Known.m_Loads.sent("warm", 120, 10);
+  REQUIRE(Chosen() == "cold");
+  Known.m_WarmUp.noteBusy("cold", at(1s) + 900ms);
+  REQUIRE(Chosen() == "warm");
+}
