--- a/tests/decisions/request/ReplicaChoiceTest.cpp
+++ b/tests/decisions/request/ReplicaChoiceTest.cpp
@@ -28,6 +28,7 @@
   LatencyModel m_Latency;
   FailureBook m_Failures;
   DataCentreMap m_DataCentres;
+  WarmUpView m_WarmUp;
 
   std::optional<ChosenReplica>
   choose(const std::vector<const UpstreamInstance *> &Candidates,
@@ -37,7 +38,8 @@
                           .m_Prefixes = m_Prefixes,
                           .m_Latency = m_Latency,
                           .m_Failures = m_Failures,
-                          .m_DataCentres = m_DataCentres},
+                          .m_DataCentres = m_DataCentres,
+                          .m_WarmUp = &m_WarmUp},
                          {}, Tie, at(1s));
   }
 };
@@ -131,3 +133,29 @@
     REQUIRE(Known.choose({&Near, &Far}, Plain)->m_Instance == &Far);
   }
 }
+
+TEST_CASE("A cold engine is chosen where warm ones would be later by more than "
+          "its rate and the wait for a permit",
+          "[choice][warmup]") {
+  Books Known;
+  ServiceSpec Service;
+  Service.m_Name = "s";
+  Service.m_WarmUp = {.m_After = 60s, .m_RequestsPerS = 10};
+  Known.m_WarmUp.configure({Service});
+  UpstreamInstance Cold = engine("cold");
+  UpstreamInstance Warm = engine("warm");
+  Cold.m_Service = Warm.m_Service = "s";
+  Cold.m_ColdFor = 60s;
+  Known.m_WarmUp.listed(
+      {.m_Revision = 1, .m_Instances = {{"cold", Cold}, {"warm", Warm}}},
+      at(1s));
+  const auto Chosen = [&] {
+    return Known.choose({&Cold, &Warm}, prompt(0, 10))->m_Instance->m_Id;
+  };
+  Known.m_Loads.sent("warm", 60, 10);
+  REQUIRE(Chosen() == "warm");
+  Known.m_Loads.sent("warm", 120, 10);
+  REQUIRE(Chosen() == "cold");
+  Known.m_WarmUp.noteBusy("cold", at(1s) + 900ms);
+  REQUIRE(Chosen() == "warm");
+}
