The following of lists has a class of its own

Cause: FleetExchange had 672 lines; which box reads a list and which follows it is a job of its own, and each list more was an entry in seven places. Change: ListFollower (mirrors, words of others, ages, who reads) taken out of FleetExchange, which keeps loads, demand, uplinks and frames: 672 -> 338 lines. No change of behaviour. havenstair-gateway-tests: 68 cases pass.

--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -4,7 +4,6 @@
 #include "gateway/process/Fleet.h"
 #include "gateway/process/OrderGiver.h"
 #include <algorithm>
-#include <array>
 #include <iterator>
 #include <utility>
 #include <variant>
@@ -20,59 +19,10 @@
 /// How often a box asks the others while the store is silent.
 constexpr Duration AskEvery = 400ms;
 
-/// A box reads the store itself when what it is told is older than this. The
-/// oldest that a relay hears of in good times is 1.2 s: a watch waits 0.9 s, a
-/// digest 0.25 s. All lie below the 2 s for which platforms let a leaving
-/// upstream take work. Relays read one after the other, and leaves last, as a
-/// digest of the first that succeeds spares the others their calls.
-constexpr std::array<Duration, 3> RelayListAges{1400ms, 1600ms, 1750ms};
-constexpr Duration LeastLeafListAge = 1400ms;
-constexpr Duration MostLeafListAge = 2400ms;
-/// Age of what a leaf was told of evacuations from which on it reads them
-/// itself. Operators give boxes 5 s.
-constexpr Duration LeafEvacuationAge = 3500ms;
-
-/// What is left then of the time in which a leaving upstream takes work: for
-/// the read and for a request on its way.
-constexpr Duration ReadAndSend = 600ms;
-
-/// Pauses between tries of a box to read the store. Relays tell their leaves as
-/// soon as the store is back, so that these need not ask it: with the pauses of
-/// a relay each leaf of a data centre that was cut off made 13 calls in 2 s.
-constexpr RetryPauses RelayRetry{.m_First = 100ms, .m_Cap = 1s};
-constexpr RetryPauses LeafRetry{.m_First = 500ms, .m_Cap = 5s};
-
-/// Changes of the list that come together cost one call. Engines change their
-/// entries all the time, and a leaf reads only while no relay does.
-constexpr Duration RelayGather = 200ms;
-constexpr Duration LeafGather = 1s;
-
-/// A box that has come to know much newer lists tells of it at once: the boxes
-/// behind it are about to read for themselves.
-constexpr Duration MuchNewer = 500ms;
-
-constexpr Duration ChooseSourceEvery = 100ms;
-
-/// Another box's lists are asked for when they are newer by this than those of
-/// the box that is followed.
-constexpr Duration NewerSource = 500ms;
-
 /// A word echoes a number that this box told up to 250 ms before the other one
 /// got it, which tells up to 250 ms later; the rest is for the way.
 constexpr Duration UsualEcho = 700ms;
 
-/// A watch that has not told by now what another box knows is taken as dead.
-constexpr Duration WatchTells = 400ms;
-/// A read of the configuration takes some milliseconds.
-constexpr Duration ReadConfigEvery = 200ms;
-constexpr Duration ReadAgainEvery = 1s;
-
-/// A box that starts waits this long for the list of boxes, and a leaf for its
-/// uplink, before it reads the list of upstreams itself. When the whole fleet
-/// starts, boxes enter the list within some tenths of a second.
-constexpr Duration WaitForBoxes = 700ms;
-constexpr Duration WaitForUplink = 2s;
-
 /// A relay, or a leaf, that has said nothing for this long is taken as gone.
 constexpr Duration NeighbourSilence = 1s;
 
@@ -81,10 +31,21 @@
 FleetExchange::FleetExchange(EventLoop &Loop, Parts Of, Options Opts,
                              Hooks Callbacks)
     : m_Loop(Loop), m_Of(Of), m_Opts(std::move(Opts)),
-      m_Hooks(std::move(Callbacks)), m_StartedAt(EventLoop::now()) {
+      m_Hooks(std::move(Callbacks)),
+      m_Lists(Loop,
+              {.m_Fleet = Of.m_Fleet,
+               .m_Giver = Of.m_Giver,
+               .m_State = Of.m_State,
+               .m_Config = Of.m_Config,
+               .m_Upstreams = Of.m_Upstreams,
+               .m_Boxes = Of.m_Boxes,
+               .m_Evacuations = Of.m_Evacuations,
+               .m_Log = Of.m_Log},
+              m_Opts.m_Lists,
+              {.m_TowardsGiver = [this] { return towardsGiver(); },
+               .m_TellNow = [this] { tell(); }}) {
   m_TellTimer = Loop.every(TellEvery, [this] { tell(); });
   tellLoadsLater();
-  m_SourceTimer = Loop.every(ChooseSourceEvery, [this] { chooseListSource(); });
   m_AskTimer = Loop.every(AskEvery, [this] { askPeers(); });
 }
 
@@ -97,17 +58,13 @@
   std::set<BoxName> Voters = Topology.relays();
   Voters.erase(m_Of.m_Fleet.self());
   m_Of.m_Giver.setVoters(std::move(Voters), Topology.relay());
-  for (PrefixMirror *Each :
-       {&m_Of.m_Config, &m_Of.m_Upstreams, &m_Of.m_Boxes, &m_Of.m_Evacuations})
-    Each->setRetry(Topology.relay() ? RelayRetry : LeafRetry);
-  m_Of.m_Upstreams.setGather(Topology.relay() ? RelayGather : LeafGather);
-  chooseListSource();
+  m_Lists.arranged();
 }
 
 void FleetExchange::boxesChanged() {
   const PrefixMirror::Delta News = m_Of.m_Boxes.takeChanges();
   if (!m_Leaves.empty())
-    toLeaves(keysFrame(m_Opts.m_BoxPrefix, News));
+    toLeaves(ListFollower::keysFrame(m_Of.m_Boxes, News));
   arranged();
 }
 
@@ -115,88 +72,37 @@
   if (!m_Of.m_Giver.giving())
     return;
   m_Of.m_Fleet.send(Box, m_Of.m_Giver.contents());
-  m_Of.m_Fleet.send(
-      Box, keysFrame(m_Opts.m_UpstreamPrefix, m_Of.m_Upstreams.whole()));
-  if (m_FollowEvacuations)
-    m_Of.m_Fleet.send(
-        Box, keysFrame(m_Opts.m_EvacuationPrefix, m_Of.m_Evacuations.whole()));
+  m_Lists.tellWhole(Box);
 }
 
 void FleetExchange::linkDown(const BoxName &Box) {
   m_Of.m_State.m_Loads.forget(Box);
   m_Of.m_Giver.boxLost(Box);
   m_Leaves.erase(Box);
-  m_ListWords.erase(Box);
+  m_Lists.forget(Box);
   m_Clock.forget(Box);
 }
 
 // What is told.
 
 FleetDigestFrame FleetExchange::word(TimePoint Now) {
-  const ServingState &State = m_Of.m_State;
   FleetDigestFrame Frame;
   Frame.m_Number = m_Clock.tell(Now);
-  Frame.m_Config = State.configVersion();
-  Frame.m_List = m_Of.m_Upstreams.revision();
-  Frame.m_Boxes = m_Of.m_Boxes.revision();
-  Frame.m_Evacuations = m_Of.m_Evacuations.revision();
-  Frame.m_Stopping = State.m_Stopping;
-  Frame.m_ListAge = listAge(Now);
-  Frame.m_Reads = m_Of.m_Upstreams.running();
+  m_Lists.describe(Frame, Now);
+  Frame.m_Stopping = m_Of.m_State.m_Stopping;
   Frame.m_Giving = m_Of.m_Giver.giving();
   Frame.m_Holder = m_Of.m_Giver.holder();
   return Frame;
 }
 
-/// How long ago this box's copies were the store's state, whoever read it.
-Duration FleetExchange::listAge(TimePoint Now) const {
-  TimePoint At = knownAsOf(m_Of.m_Upstreams);
-  if (!m_Of.m_Fleet.topology().flat())
-    At = std::min(At, configAsOf());
-  if (m_FollowEvacuations)
-    At = std::min(At, evacuationsAsOf());
-  return std::min<Duration>(NoListAge, Now - At);
-}
-
-TimePoint FleetExchange::knownAsOf(const PrefixMirror &Mirror) const {
-  return Mirror.running() ? Mirror.confirmedAt() : vouchedAsOf(m_ListSource);
-}
-
-TimePoint FleetExchange::configAsOf() const { return knownAsOf(m_Of.m_Config); }
-
-TimePoint FleetExchange::evacuationsAsOf() const {
-  return knownAsOf(m_Of.m_Evacuations);
-}
-
-/// Age from which on this box reads the store itself.
-Duration FleetExchange::mostListAge() const {
-  const FleetTopology &Topology = m_Of.m_Fleet.topology();
-  if (!Topology.relay())
-    return std::clamp<Duration>(m_Opts.m_DrainTimeout - ReadAndSend,
-                                LeastLeafListAge, MostLeafListAge);
-  std::set<BoxName> Deputies = Topology.relays();
-  Deputies.erase(m_Of.m_Giver.holder().m_Box);
-  const auto Rank =
-      std::distance(Deputies.begin(), Deputies.find(m_Of.m_Fleet.self()));
-  return RelayListAges.at(std::min<std::size_t>(static_cast<std::size_t>(Rank),
-                                                RelayListAges.size() - 1));
-}
-
 void FleetExchange::tell() {
   const TimePoint Now = EventLoop::now();
   if (m_Of.m_Fleet.holderIs(m_Of.m_Giver.holder().m_Box))
     arranged();
   chooseUplink(Now);
-  // The box that gives orders must hear at once that it was replaced. In a
-  // large fleet the box that reads the list for all reads the configuration
-  // too.
-  m_Of.m_Boxes.watchClosely(m_Of.m_Giver.giving());
-  m_Of.m_Config.watchClosely(
-      m_ConfigClosely ||
-      (m_Of.m_Upstreams.running() && !m_Of.m_Fleet.topology().flat()));
+  m_Lists.watchClosely();
   ServingState &State = m_Of.m_State;
   FleetDigestFrame Frame = word(Now);
-  m_ToldAsOf = Now - Frame.m_ListAge;
   Frame.m_Demand = std::exchange(State.m_Demand, {});
   m_Of.m_Giver.demanded(Frame.m_Demand);
   if (m_Of.m_Fleet.topology().relay())
@@ -270,30 +176,9 @@
   const PrefixMirror::Delta News = Mirror.takeChanges();
   if (m_Of.m_Giver.giving() ||
       (m_Of.m_Fleet.topology().relay() && Mirror.running()))
-    toAll(keysFrame(Mirror.prefix(), News));
+    toAll(ListFollower::keysFrame(Mirror, News));
   else if (!m_Leaves.empty())
-    toLeaves(keysFrame(Mirror.prefix(), News));
-}
-
-FleetWantFrame FleetExchange::want() const {
-  return {.m_Config = m_Of.m_State.configVersion(),
-          .m_List = m_Of.m_Upstreams.revision(),
-          .m_Boxes = m_Of.m_Boxes.revision(),
-          .m_Evacuations = m_Of.m_Evacuations.revision()};
-}
-
-FleetKeysFrame FleetExchange::keysFrame(const std::string &Prefix,
-                                        const PrefixMirror::Delta &News) const {
-  FleetKeysFrame Frame{.m_Prefix = Prefix,
-                       .m_Since = News.m_Since,
-                       .m_Revision = News.m_Revision,
-                       .m_Items = {},
-                       .m_Gone = News.m_Gone};
-  for (const StoreItem &Item : News.m_Items)
-    Frame.m_Items.push_back({.m_Key = Item.m_Key,
-                             .m_Value = Item.m_Value,
-                             .m_Revision = Item.m_Revision});
-  return Frame;
+    toLeaves(ListFollower::keysFrame(Mirror, News));
 }
 
 // To whom.
@@ -361,95 +246,6 @@
                                          : m_Uplink;
 }
 
-TimePoint FleetExchange::vouchedAsOf(const BoxName &Box) const {
-  const auto Found = m_ListWords.find(Box);
-  if (Found == m_ListWords.end())
-    return {};
-  const ListWord &Word = Found->second;
-  return behind(Word.m_Newest) ? Word.m_AsOfBefore : Word.m_AsOf;
-}
-
-bool FleetExchange::vouches(const BoxName &Box, TimePoint Now) const {
-  return Now - vouchedAsOf(Box) <= mostListAge();
-}
-
-/// The box that gives orders watches the list for all, and relays pass it on,
-/// as they do the list of boxes: every box that watches pays for each change.
-/// While the store turns that box away, another relay reads in its place.
-BoxName FleetExchange::listSource(TimePoint Now) const {
-  const BoxName First = towardsGiver();
-  if (vouches(First, Now) || !m_Of.m_Fleet.topology().relay())
-    return First;
-  // Of several that read, all but the first by name stop.
-  const bool Reads = m_Of.m_Upstreams.running();
-  const auto Other = std::find_if(
-      m_ListWords.begin(), m_ListWords.end(), [&](const auto &Each) {
-        return vouches(Each.first, Now) &&
-               (!Reads || Each.first < m_Of.m_Fleet.self());
-      });
-  return Other == m_ListWords.end() ? First : Other->first;
-}
-
-void FleetExchange::chooseListSource() {
-  const TimePoint Now = EventLoop::now();
-  m_ListSource = listSource(Now);
-  const bool Relayed = !m_Of.m_Giver.giving() && vouches(m_ListSource, Now);
-  const FleetTopology &Topology = m_Of.m_Fleet.topology();
-  const bool HasList = m_Of.m_Upstreams.revision() > 0;
-  const bool HasConfig = m_Of.m_State.m_Config != nullptr;
-  if (Relayed || !startsSoon(Now)) {
-    follow(m_Of.m_Upstreams, Relayed && HasList);
-    follow(m_Of.m_Evacuations, leavesEvacuations(Now, Relayed));
-    // A leaf that the store turns away does not try for both.
-    const bool Reachable =
-        Topology.relay() || m_Of.m_Upstreams.confirmedAt() >= Now - LeafGather;
-    // A small fleet learns of a configuration sooner than by way of others.
-    follow(m_Of.m_Config,
-           (Relayed || !Reachable) && HasConfig && !Topology.flat());
-  }
-  if (Now - listAge(Now) - m_ToldAsOf >= MuchNewer)
-    tell();
-  // A leaf needs to know of other boxes only while it has no relay.
-  follow(m_Of.m_Boxes, !Topology.relay() && !m_Uplink.empty());
-}
-
-/// Whether this box need not, or cannot, read the evacuations itself.
-bool FleetExchange::leavesEvacuations(TimePoint Now, bool Relayed) const {
-  if (!m_FollowEvacuations)
-    return true;
-  if (m_Of.m_Evacuations.revision() > 0) {
-    // Nobody follows a leaf, so that it need not read before the bound asks.
-    const bool Leaf = !m_Of.m_Fleet.topology().relay();
-    if (Relayed || (Leaf && !m_Of.m_Evacuations.running() &&
-                    Now - evacuationsAsOf() < LeafEvacuationAge))
-      return true;
-  }
-  // Each try costs. The list's own tell when the store answers again.
-  return Now - m_Of.m_Upstreams.confirmedAt() > MostLeafListAge;
-}
-
-/// Whether this box, which has just started, may yet be told of the list.
-bool FleetExchange::startsSoon(TimePoint Now) const {
-  if (m_Of.m_Upstreams.running())
-    return false;
-  const bool OthersEnter = m_Opts.m_FirstStart || m_Of.m_Fleet.size() == 1;
-  if (OthersEnter && Now - m_StartedAt < WaitForBoxes)
-    return true;
-  return !m_Of.m_Fleet.topology().relay() && Now - m_StartedAt < WaitForUplink;
-}
-
-void FleetExchange::follow(PrefixMirror &Mirror, bool Relayed) {
-  if (Relayed == !Mirror.running())
-    return;
-  m_Of.m_Log.write("list_source",
-                   {{"list", Mirror.prefix()},
-                    {"relay", Relayed ? m_ListSource.str() : ""}});
-  if (Relayed)
-    Mirror.stop();
-  else
-    Mirror.start();
-}
-
 /// A box that the store turns away learns from those that it serves.
 void FleetExchange::askPeers() {
   const std::set<BoxName> &Linked = m_Of.m_Fleet.linked();
@@ -459,7 +255,7 @@
       m_Opts.m_Random() * static_cast<double>(Linked.size()));
   const auto Peer =
       std::next(Linked.begin(), std::min(Index, std::ssize(Linked) - 1));
-  m_Of.m_Fleet.send(*Peer, want());
+  m_Of.m_Fleet.send(*Peer, m_Lists.want());
 }
 
 // What is taken.
@@ -480,8 +276,8 @@
     return takeFromLeaf(From, Frame, Now);
   m_Of.m_Giver.heardHolder(From, Frame.m_Holder, Frame.m_Giving,
                            m_Clock.toldAt(Frame.m_Echo));
-  noteConfig(From, Frame, Now);
-  noteNewerList(Frame, Now);
+  m_Lists.noteConfig(From, Frame, Now);
+  m_Lists.noteNewer(Frame, Now);
   if (From == m_Uplink)
     m_UplinkHeardAt = Now;
   // Another relay would tell a leaf again of what its own one has told.
@@ -489,7 +285,7 @@
     return;
   m_Of.m_State.m_Loads.told(From, Frame.m_Loads, Now);
   m_Of.m_Giver.demanded(Frame.m_Demand);
-  heardOfLists(From, Frame, Now);
+  m_Lists.heard(From, Frame, heldUp(Frame, Now), Now);
 }
 
 void FleetExchange::takeFromLeaf(const BoxName &From,
@@ -504,55 +300,6 @@
     m_Of.m_Fleet.send(From, m_Of.m_Giver.contents());
 }
 
-void FleetExchange::noteConfig(const BoxName &From,
-                               const FleetDigestFrame &Frame, TimePoint Now) {
-  if (Frame.m_Config <= want().m_Config)
-    return;
-  if (Frame.m_Config > m_ConfigTold) {
-    m_ConfigTold = Frame.m_Config;
-    m_ConfigToldAt = Now;
-    // Each box reads it from the store: half a megabyte sent to all relays by
-    // one of them would fill its link for seconds. A stale answer may be new
-    // enough.
-    m_ConfigReadAt = Now;
-    return m_Of.m_Config.readOnce(ReadKind::Stale);
-  }
-  if (m_Of.m_Config.reading())
-    return;
-  // All relays tell of it several times a second.
-  if (Now - m_ConfigReadAt >= ReadConfigEvery) {
-    m_ConfigReadAt = Now;
-    m_Of.m_Config.readOnce(ReadKind::Current);
-  }
-  if (Now - m_ConfigToldAt < WatchTells)
-    return;
-  m_ConfigToldAt = Now;
-  m_Of.m_Fleet.send(From, want());
-}
-
-void FleetExchange::noteNewerList(const FleetDigestFrame &Frame,
-                                  TimePoint Now) {
-  const bool Behind = m_Of.m_Upstreams.running() &&
-                      Frame.m_ListAge <= mostListAge() &&
-                      Frame.m_List > m_Of.m_Upstreams.revision();
-  if (!Behind || Now - m_ListReadAt < ReadAgainEvery)
-    return;
-  m_ListReadAt = Now;
-  m_Of.m_Upstreams.resync();
-}
-
-/// Whether there is news that this box does not read itself.
-bool FleetExchange::behind(const FleetWantFrame &Newest) const {
-  const auto Behind = [](const PrefixMirror &Mirror, std::uint64_t Known) {
-    return !Mirror.running() && Known > Mirror.revision();
-  };
-  return Behind(m_Of.m_Upstreams, Newest.m_List) ||
-         Behind(m_Of.m_Boxes, Newest.m_Boxes) ||
-         (m_FollowEvacuations &&
-          Behind(m_Of.m_Evacuations, Newest.m_Evacuations)) ||
-         (!m_Of.m_Config.running() && Newest.m_Config > want().m_Config);
-}
-
 /// By how much longer a word may have been under way than words are in good
 /// times: held up by a link, or unread by this box while it was busy.
 Duration FleetExchange::heldUp(const FleetDigestFrame &Frame,
@@ -561,90 +308,10 @@
   return std::clamp<Duration>(Now - SaidAfter - UsualEcho, 0us, NoListAge);
 }
 
-void FleetExchange::heardOfLists(const BoxName &From,
-                                 const FleetDigestFrame &Frame, TimePoint Now) {
-  // Only one that reads the store itself knows more than what it is told.
-  if (From != towardsGiver() && !Frame.m_Reads)
-    return;
-  // Its age counts from when it was said. One that the store turns away, or
-  // whose watch is dead, knows no news.
-  const Duration Age = Frame.m_ListAge + heldUp(Frame, Now);
-  // Nor does one that does not follow the evacuations know them.
-  const bool Knows = !m_FollowEvacuations || Frame.m_Evacuations > 0;
-  if (Age > mostListAge() || !Knows ||
-      Frame.m_List < m_Of.m_Upstreams.revision()) {
-    m_ListWords.erase(From);
-    return;
-  }
-  const TimePoint AsOf = Now - Age;
-  const BoxName Source = listSource(Now);
-  const bool Newer =
-      Source == From || AsOf - vouchedAsOf(Source) >= NewerSource;
-  const ListWord &Word =
-      m_ListWords[From] = {.m_AsOf = AsOf,
-                           .m_Newest = {.m_Config = Frame.m_Config,
-                                        .m_List = Frame.m_List,
-                                        .m_Boxes = Frame.m_Boxes,
-                                        .m_Evacuations = Frame.m_Evacuations},
-                           .m_AsOfBefore = vouchedAsOf(From)};
-  // Something was lost on the way, or this box has not followed it so far.
-  if (!Newer || !behind(Word.m_Newest))
-    return;
-  FleetWantFrame Wanted = want();
-  // That is being read, see noteConfig().
-  Wanted.m_Config = std::max(Wanted.m_Config, Frame.m_Config);
-  m_Of.m_Fleet.send(From, Wanted);
-}
-
 void FleetExchange::take(const BoxName &From, const FleetLoadsFrame &Frame) {
   m_Of.m_State.m_Loads.toldChanges(From, Frame.m_Loads, EventLoop::now());
 }
 
-void FleetExchange::take(const BoxName &From, const FleetWantFrame &Frame) {
-  const FleetWantFrame Own = want();
-  if (Own.m_Config > Frame.m_Config)
-    m_Of.m_Fleet.send(From,
-                      keysFrame(m_Opts.m_ConfigPrefix, m_Of.m_Config.whole()));
-  if (Own.m_List > Frame.m_List)
-    m_Of.m_Fleet.send(
-        From, keysFrame(m_Opts.m_UpstreamPrefix, m_Of.m_Upstreams.whole()));
-  if (Own.m_Boxes > Frame.m_Boxes)
-    m_Of.m_Fleet.send(From,
-                      keysFrame(m_Opts.m_BoxPrefix, m_Of.m_Boxes.whole()));
-  if (Own.m_Evacuations > Frame.m_Evacuations)
-    m_Of.m_Fleet.send(
-        From, keysFrame(m_Opts.m_EvacuationPrefix, m_Of.m_Evacuations.whole()));
-}
-
-PrefixMirror *FleetExchange::mirrorOf(const std::string &Prefix) {
-  if (Prefix == m_Opts.m_ConfigPrefix)
-    return &m_Of.m_Config;
-  if (Prefix == m_Opts.m_UpstreamPrefix)
-    return &m_Of.m_Upstreams;
-  if (Prefix == m_Opts.m_EvacuationPrefix && m_FollowEvacuations)
-    return &m_Of.m_Evacuations;
-  return Prefix == m_Opts.m_BoxPrefix ? &m_Of.m_Boxes : nullptr;
-}
-
-void FleetExchange::take(const BoxName &From, const FleetKeysFrame &Frame) {
-  PrefixMirror::Delta News{.m_Since = Frame.m_Since,
-                           .m_Revision = Frame.m_Revision,
-                           .m_Items = {},
-                           .m_Gone = Frame.m_Gone};
-  for (const StoredValue &Each : Frame.m_Items)
-    News.m_Items.push_back({.m_Key = Each.m_Key,
-                            .m_Value = Each.m_Value,
-                            .m_Revision = Each.m_Revision});
-  PrefixMirror *Mirror = mirrorOf(Frame.m_Prefix);
-  if (Mirror != nullptr && !Mirror->adopt(News))
-    m_Of.m_Fleet.send(From, want());
-  if (Frame.m_Since == 0)
-    m_Of.m_Log.write("keys_from_peer", {{"peer", From.str()},
-                                        {"prefix", Frame.m_Prefix},
-                                        {"revision", Frame.m_Revision},
-                                        {"keys", Frame.m_Items.size()}});
-}
-
 void FleetExchange::take(const BoxName &, const FleetContentsFrame &Frame) {
   if (Frame.m_FencingToken < m_ContentsToken)
     return;
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -5,6 +5,7 @@
 #define HAVENSTAIR_GATEWAY_PROCESS_FLEETEXCHANGE_H
 
 #include "decisions/process/EchoClock.h"
+#include "gateway/process/ListFollower.h"
 #include "gateway/process/PrefixMirror.h"
 #include "gateway/process/ServingState.h"
 #include "wire/common/EventLoop.h"
@@ -27,13 +28,7 @@
 class FleetExchange {
 public:
   struct Options {
-    std::string m_ConfigPrefix;
-    std::string m_UpstreamPrefix;
-    std::string m_BoxPrefix;
-    std::string m_EvacuationPrefix;
-    /// Of the platform: how long a leaving upstream may get new work.
-    Duration m_DrainTimeout = 2s;
-    bool m_FirstStart = false; ///< The whole fleet starts now.
+    ListFollower::Options m_Lists;
     RandomUnit m_Random;
   };
   /// What the exchange reads and changes.
@@ -71,14 +66,8 @@
   void evacuationsChanged();
   /// Boxes that this one is the relay of.
   std::size_t leaves() const { return m_Leaves.size(); }
-  /// As of when this box's configuration was the store's, or later.
-  TimePoint configAsOf() const;
-  /// A configuration must never be old: it is watched closely.
-  void watchConfigClosely(bool Closely) { m_ConfigClosely = Closely; }
-  /// Operators evacuate data centres: what they ask for travels with the list.
-  void followEvacuations(bool Follow) { m_FollowEvacuations = Follow; }
-  /// As of when this box's evacuations were the store's, or later.
-  TimePoint evacuationsAsOf() const;
+  ListFollower &lists() { return m_Lists; }
+  const ListFollower &lists() const { return m_Lists; }
   /// Whether the store has answered this box just now.
   bool storeJustReached() const;
 
@@ -90,12 +79,6 @@
   void tellRelays(FleetDigestFrame Frame, TimePoint Now);
   FleetDigestFrame word(TimePoint Now);
   Duration heldUp(const FleetDigestFrame &Frame, TimePoint Now) const;
-  Duration listAge(TimePoint Now) const;
-  TimePoint knownAsOf(const PrefixMirror &Mirror) const;
-  Duration mostListAge() const;
-  FleetWantFrame want() const;
-  FleetKeysFrame keysFrame(const std::string &Prefix,
-                           const PrefixMirror::Delta &News) const;
 
   void tellBox(const BoxName &To, FleetDigestFrame Frame);
   void toRelays(const PeerFrame &Frame);
@@ -105,29 +88,18 @@
   void dropSilentLeaves(TimePoint Now);
   void chooseUplink(TimePoint Now);
   BoxName towardsGiver() const;
-  BoxName listSource(TimePoint Now) const;
-  /// As of when \p Box vouches for this box's copy.
-  TimePoint vouchedAsOf(const BoxName &Box) const;
-  bool vouches(const BoxName &Box, TimePoint Now) const;
-  bool behind(const FleetWantFrame &Newest) const;
-  void chooseListSource();
-  bool startsSoon(TimePoint Now) const;
-  bool leavesEvacuations(TimePoint Now, bool Relayed) const;
-  void follow(PrefixMirror &Mirror, bool Relayed);
-  PrefixMirror *mirrorOf(const std::string &Prefix);
   void askPeers();
 
   void take(const BoxName &From, const FleetDigestFrame &Frame);
   void takeFromLeaf(const BoxName &From, const FleetDigestFrame &Frame,
                     TimePoint Now);
-  void noteConfig(const BoxName &From, const FleetDigestFrame &Frame,
-                  TimePoint Now);
-  void noteNewerList(const FleetDigestFrame &Frame, TimePoint Now);
-  void heardOfLists(const BoxName &From, const FleetDigestFrame &Frame,
-                    TimePoint Now);
   void take(const BoxName &From, const FleetLoadsFrame &Frame);
-  void take(const BoxName &From, const FleetWantFrame &Frame);
-  void take(const BoxName &From, const FleetKeysFrame &Frame);
+  void take(const BoxName &From, const FleetWantFrame &Frame) {
+    m_Lists.answer(From, Frame);
+  }
+  void take(const BoxName &From, const FleetKeysFrame &Frame) {
+    m_Lists.adopt(From, Frame);
+  }
   void take(const BoxName &From, const FleetContentsFrame &Frame);
   void take(const BoxName &From, const FleetMissingFrame &Frame);
 
@@ -141,28 +113,9 @@
   std::map<BoxName, TimePoint> m_Leaves;
   BoxName m_Uplink; ///< Empty on a relay.
   TimePoint m_UplinkHeardAt{};
-  /// What a box whose lists this one could follow last said of them.
-  struct ListWord {
-    TimePoint m_AsOf{};      ///< They were the store's state then, or later.
-    FleetWantFrame m_Newest; ///< What they hold.
-    /// As of when this box's copy was the same as theirs before that.
-    TimePoint m_AsOfBefore{};
-  };
-  std::map<BoxName, ListWord> m_ListWords;
-  BoxName m_ListSource; ///< The box whose lists this one follows.
-  TimePoint m_ToldAsOf =
-      EventLoop::now(); ///< As of when this box last vouched for its lists.
-  TimePoint m_StartedAt;
-  /// The newest configuration that another box told of, and since when.
-  ConfigVersion m_ConfigTold = 0;
-  TimePoint m_ConfigToldAt{};
-  TimePoint m_ConfigReadAt{}; ///< When it was last read on another box's word.
-  TimePoint m_ListReadAt{};   ///< When it was read anew on another box's word.
-  bool m_ConfigClosely = false;
-  bool m_FollowEvacuations = false;
+  ListFollower m_Lists;
   Timer m_TellTimer;
   Timer m_LoadsTimer;
-  Timer m_SourceTimer;
   Timer m_AskTimer;
 };
 
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -130,12 +130,8 @@
            .m_Boxes = m_OwnMirror,
            .m_Evacuations = m_EvacuationMirror,
            .m_Log = m_Log},
-          {.m_ConfigPrefix = m_Binding.m_ConfigPrefix,
-           .m_UpstreamPrefix = m_Binding.m_UpstreamPrefix,
-           .m_BoxPrefix = m_Binding.m_OwnPrefix,
-           .m_EvacuationPrefix = m_Binding.m_EvacuationPrefix,
-           .m_DrainTimeout = m_Options.m_Bounds.m_DrainTimeout,
-           .m_FirstStart = m_Options.m_FirstStart,
+          {.m_Lists = {.m_DrainTimeout = m_Options.m_Bounds.m_DrainTimeout,
+                       .m_FirstStart = m_Options.m_FirstStart},
            .m_Random = [this] { return drawUnit(m_Random); }},
           {.m_ContentsChanged = [this] { m_Forwarder.upstreamsChanged(); }}),
       m_Quotas(std::make_shared<QuotaExchange>(
@@ -313,9 +309,9 @@
                               .m_Allowance = Bounds.m_RetryAllowance,
                               .m_Window = Bounds.m_RetryWindow});
   m_Quotas->setTolerance(quotaTolerance());
-  m_Exchange.watchConfigClosely(Bounds.m_FailClosed);
+  m_Exchange.lists().watchConfigClosely(Bounds.m_FailClosed);
   m_State.m_NeedsEvacuations = Bounds.m_Evacuation.has_value();
-  m_Exchange.followEvacuations(m_State.m_NeedsEvacuations);
+  m_Exchange.lists().followEvacuations(m_State.m_NeedsEvacuations);
 }
 
 QuotaTolerance Gateway::quotaTolerance() const {
@@ -330,7 +326,8 @@
 bool Gateway::mayTrustKeys() const {
   const ServingBounds &Bounds = m_Options.m_Bounds;
   return !Bounds.m_FailClosed ||
-         EventLoop::now() - m_Exchange.configAsOf() <= Bounds.m_Revocation;
+         EventLoop::now() - m_Exchange.lists().configAsOf() <=
+             Bounds.m_Revocation;
 }
 
 void Gateway::reload() {
@@ -399,12 +396,13 @@
   m_Exchange.evacuationsChanged();
   if (!Changed && !First)
     return;
-  m_Log.write("evacuations",
-              {{"revision", Revision},
-               {"data_centres", Names},
-               {"age_ms", std::min<Duration>(
-                              NoListAge, Now - m_Exchange.evacuationsAsOf()) /
-                              1ms}});
+  m_Log.write(
+      "evacuations",
+      {{"revision", Revision},
+       {"data_centres", Names},
+       {"age_ms", std::min<Duration>(
+                      NoListAge, Now - m_Exchange.lists().evacuationsAsOf()) /
+                      1ms}});
   m_Giver.evacuationsChanged(Now);
   m_Forwarder.upstreamsChanged();
 }
--- /dev/null
+++ b/packages/gateway/process/ListFollower.h
@@ -0,0 +1,133 @@
+/// \file
+/// Which box reads lists of the store, and which follow it. See
+/// docs/design/fleet.md.
+#ifndef HAVENSTAIR_GATEWAY_PROCESS_LISTFOLLOWER_H
+#define HAVENSTAIR_GATEWAY_PROCESS_LISTFOLLOWER_H
+
+#include "gateway/process/PrefixMirror.h"
+#include "gateway/process/ServingState.h"
+#include "wire/common/EventLoop.h"
+#include "wire/connection/FleetFrames.h"
+#include <array>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace havenstair {
+
+class DecisionLog;
+class Fleet;
+class OrderGiver;
+
+/// Keeps this box's copies of the store's lists as new as they must be: by the
+/// word of the box that reads for all while that vouches for them, by reading
+/// itself otherwise.
+class ListFollower {
+public:
+  struct Options {
+    /// Of the platform: how long a leaving upstream may get new work.
+    Duration m_DrainTimeout = 2s;
+    bool m_FirstStart = false; ///< The whole fleet starts now.
+  };
+  /// What it reads and changes.
+  struct Parts {
+    Fleet &m_Fleet;
+    OrderGiver &m_Giver;
+    ServingState &m_State;
+    PrefixMirror &m_Config;
+    PrefixMirror &m_Upstreams;
+    PrefixMirror &m_Boxes;
+    PrefixMirror &m_Evacuations;
+    DecisionLog &m_Log;
+  };
+  struct Hooks {
+    /// The next box on the way to the one that gives orders; may be empty.
+    std::function<BoxName()> m_TowardsGiver;
+    /// Others are about to read what this box has just learned.
+    std::function<void()> m_TellNow;
+  };
+
+  ListFollower(EventLoop &Loop, Parts Of, Options Opts, Hooks Callbacks);
+  ListFollower(const ListFollower &) = delete;
+  ListFollower &operator=(const ListFollower &) = delete;
+
+  /// The topology may have changed.
+  void arranged();
+  /// Whom it follows is chosen anew.
+  void choose();
+  void watchClosely();
+  void forget(const BoxName &Box) { m_ListWords.erase(Box); }
+
+  /// Fills in what \p Frame tells of the lists; it counts as told then.
+  void describe(FleetDigestFrame &Frame, TimePoint Now);
+  /// Tells \p To the lists that requests are sent by.
+  void tellWhole(const BoxName &To) const;
+  /// What this box would ask another one for.
+  FleetWantFrame want() const;
+  /// Sends \p From what is newer here than \p Frame says.
+  void answer(const BoxName &From, const FleetWantFrame &Frame);
+  void adopt(const BoxName &From, const FleetKeysFrame &Frame);
+  static FleetKeysFrame keysFrame(const PrefixMirror &Of,
+                                  const PrefixMirror::Delta &News);
+
+  /// \p From, a relay, tells of a configuration, and of a list.
+  void noteConfig(const BoxName &From, const FleetDigestFrame &Frame,
+                  TimePoint Now);
+  void noteNewer(const FleetDigestFrame &Frame, TimePoint Now);
+  /// \p HeldUp: by how much longer than usual the word was under way.
+  void heard(const BoxName &From, const FleetDigestFrame &Frame,
+             Duration HeldUp, TimePoint Now);
+
+  /// As of when this box's configuration was the store's, or later; and its
+  /// evacuations.
+  TimePoint configAsOf() const;
+  TimePoint evacuationsAsOf() const;
+  /// A configuration must never be old: it is watched closely.
+  void watchConfigClosely(bool Closely) { m_ConfigClosely = Closely; }
+  /// Operators evacuate data centres: what they ask for travels with the list.
+  void followEvacuations(bool Follow) { m_FollowEvacuations = Follow; }
+
+private:
+  Duration age(TimePoint Now) const;
+  TimePoint knownAsOf(const PrefixMirror &Mirror) const;
+  Duration mostListAge() const;
+  BoxName listSource(TimePoint Now) const;
+  /// As of when \p Box vouches for this box's copy.
+  TimePoint vouchedAsOf(const BoxName &Box) const;
+  bool vouches(const BoxName &Box, TimePoint Now) const;
+  bool behind(const FleetWantFrame &Newest) const;
+  bool startsSoon(TimePoint Now) const;
+  bool leavesEvacuations(TimePoint Now, bool Relayed) const;
+  void follow(PrefixMirror &Mirror, bool Relayed);
+  std::array<PrefixMirror *, 4> all() const;
+  PrefixMirror *mirrorOf(const std::string &Prefix) const;
+
+  /// What a box whose lists this one could follow last said of them.
+  struct ListWord {
+    TimePoint m_AsOf{};      ///< They were the store's state then, or later.
+    FleetWantFrame m_Newest; ///< What they hold.
+    /// As of when this box's copy was the same as theirs before that.
+    TimePoint m_AsOfBefore{};
+  };
+
+  Parts m_Of;
+  Options m_Opts;
+  Hooks m_Hooks;
+  std::map<BoxName, ListWord> m_ListWords;
+  BoxName m_ListSource; ///< The box whose lists this one follows.
+  TimePoint m_ToldAsOf =
+      EventLoop::now(); ///< As of when this box last vouched for its lists.
+  TimePoint m_StartedAt = EventLoop::now();
+  /// The newest configuration that another box told of, and since when.
+  ConfigVersion m_ConfigTold = 0;
+  TimePoint m_ConfigToldAt{};
+  TimePoint m_ConfigReadAt{}; ///< When it was last read on another box's word.
+  TimePoint m_ListReadAt{};   ///< When it was read anew on another box's word.
+  bool m_ConfigClosely = false;
+  bool m_FollowEvacuations = false;
+  Timer m_SourceTimer;
+};
+
+} // namespace havenstair
+
+#endif
