--- a/packages/decisions/process/ReplicaPicture.cpp
+++ b/packages/decisions/process/ReplicaPicture.cpp
@@ -46,13 +46,14 @@
     : m_Engines(Input.m_Engines), m_Input(Input), m_Spec(Spec), m_Opts(Opts),
       m_Largest(largestModel(Spec)), m_AllDemand(sum(Input.m_Demand)),
       m_Demand(Input.m_Demand.begin(), Input.m_Demand.end()),
-      m_Usual(Input.m_Usual.begin(), Input.m_Usual.end()) {
+      m_Usual(Input.m_Usual.begin(), Input.m_Usual.end()),
+      m_Risk(Input.m_Engines, Opts.m_SpreadWorth) {
   for (const ModelSpec &Model : Spec.m_Models)
     m_Specs[Model.m_Name] = &Model;
   for (std::size_t At = 0; At < m_Engines.size(); ++At)
     if (!m_Engines[At].m_Leaving)
       for (const std::string &Model : m_Engines[At].m_Models)
-        m_Holders[Model].insert(At);
+        hold(At, Model);
   m_Offered.resize(m_Engines.size());
   settle();
 }
@@ -200,6 +201,8 @@
     Rest.erase(At);
     Replace(Evict, Rest);
     Missed = Rest.empty() ? unreachable(Evict) : spareWorth(Evict);
+    Missed -= m_Risk.less(Evict, workOf(Evict),
+                          {.m_More = std::nullopt, .m_Less = At});
     Result.m_WhileLoading = less(Changed) - Missed;
   }
   Result.m_Afterwards = Result.m_WhileLoading;
@@ -211,8 +214,9 @@
   const double Unasked = Evict.empty() ? 0 : m_Opts.m_ReachableWorth;
   More.insert(At);
   Replace(Load, More);
-  Result.m_Afterwards =
-      less(Changed) - Missed + (First ? unreachable(Load) - Unasked : 0);
+  Result.m_Afterwards = less(Changed) - Missed +
+                        (First ? unreachable(Load) - Unasked : 0) +
+                        spreadBy(At, Load);
   return Result;
 }
 
@@ -221,12 +225,13 @@
   if (!Evict.empty()) {
     m_Engines[At].m_Models.erase(Evict);
     m_Holders[Evict].erase(At);
+    m_Risk.remove(At, Evict);
   }
   m_Engines[At].m_Movable = false;
   if (!Load.empty()) {
     m_Engines[At].m_Models.insert(Load);
     m_Engines[At].m_Coming[Load] = LoadMs;
-    m_Holders[Load].insert(At);
+    hold(At, Load);
   }
   settle();
 }
@@ -238,6 +243,21 @@
   return Found == m_Holders.end() ? None : Found->second;
 }
 
+void ReplicaPicture::hold(std::size_t At, const std::string &Model) {
+  m_Holders[Model].insert(At);
+  m_Risk.add(At, Model);
+}
+
+double ReplicaPicture::spreadBy(std::size_t At,
+                                const std::string &Model) const {
+  return m_Risk.less(Model, workOf(Model),
+                     {.m_More = At, .m_Less = std::nullopt});
+}
+
+DataCentreRisk::Work ReplicaPicture::workOf(const std::string &Model) const {
+  return {.m_Demand = demand(Model), .m_Unreachable = unreachable(Model)};
+}
+
 double ReplicaPicture::usual(const std::string &Model) const {
   const auto Found = m_Usual.find(Model);
   return Found == m_Usual.end() ? 0 : Found->second;
--- a/packages/decisions/process/ReplicaPicture.h
+++ b/packages/decisions/process/ReplicaPicture.h
@@ -3,6 +3,7 @@
 #ifndef HAVENSTAIR_DECISIONS_PROCESS_REPLICAPICTURE_H
 #define HAVENSTAIR_DECISIONS_PROCESS_REPLICAPICTURE_H
 
+#include "decisions/process/DataCentreRisk.h"
 #include "decisions/process/ReplicaPlanner.h"
 #include <cstddef>
 #include <map>
@@ -66,12 +67,16 @@
   /// empty.
   Change gain(std::size_t At, const std::string &Evict,
               const std::string &Load) const;
+  /// By how much a replica of \p Model at \p At lowers what the loss of a data
+  /// centre is expected to cost.
+  double spreadBy(std::size_t At, const std::string &Model) const;
   /// \p LoadMs: time until the loaded model serves.
   void apply(std::size_t At, const std::string &Evict, const std::string &Load,
              double LoadMs);
 
 private:
   double usual(const std::string &Model) const;
+  DataCentreRisk::Work workOf(const std::string &Model) const;
   using Work = std::map<std::size_t, double>; ///< By engine.
 
   /// How \p Demand spreads over \p Holders beside the work of other models.
@@ -80,6 +85,7 @@
   Work othersWork(const std::string &Model,
                   const std::set<std::size_t> &Holders,
                   const Work &Changed) const;
+  void hold(std::size_t At, const std::string &Model);
   void place(const std::string &Model);
   void settle();
   double less(const Work &Changed) const;
@@ -102,6 +108,7 @@
   std::unordered_map<std::string, std::set<std::size_t>> m_Holders;
   std::unordered_map<std::string, Work> m_Placed;
   std::vector<double> m_Offered;
+  DataCentreRisk m_Risk;
 };
 
 } // namespace havenstair
--- a/packages/decisions/process/ReplicaPlanner.h
+++ b/packages/decisions/process/ReplicaPlanner.h
@@ -4,6 +4,7 @@
 #ifndef HAVENSTAIR_DECISIONS_PROCESS_REPLICAPLANNER_H
 #define HAVENSTAIR_DECISIONS_PROCESS_REPLICAPLANNER_H
 
+#include "decisions/common/Id.h"
 #include "decisions/process/UpstreamInstance.h"
 #include "decisions/version/ServingConfig.h"
 #include <map>
@@ -27,6 +28,7 @@
   double m_Slowness = 1;
   bool m_Movable = true; ///< Nothing is under way, and it stays.
   bool m_Leaving = false;
+  DataCentreName m_DataCentre;
 };
 
 /// Where the weights of a load come from; the nearer the sooner.
@@ -104,6 +106,11 @@
   /// Engines that are looked at closely for one model. All of them took 80 ms a
   /// move with 240 engines, on a whole core.
   std::size_t m_ClosePlaces = 12;
+  /// Weight of the work that the loss of the data centre that holds most of a
+  /// model would cost each second: the part of the time in which one is
+  /// evacuated or cut off and its models are not yet loaded elsewhere. 0 places
+  /// replicas without regard to data centres.
+  double m_SpreadWorth = 0;
   /// A replica leaves when no more than this is lost by it.
   double m_ReleaseLoss = 0.002;
   /// Time until nearly all answers that run at a replica have ended: unloads
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/process/Gateway.h"
 
+#include "gateway/process/PartOptions.h"
 #include "wire/common/Crypto.h"
 #include <algorithm>
 #include <iterator>
@@ -47,12 +48,8 @@
 /// Tells one start of a box from another.
 constexpr std::size_t NameBytes = 3;
 
-/// Where the platform gives no secret, links rely on its network; the proof
-/// then only keeps out what is no box of ours.
 constexpr const char *MetricsPath = "/metrics";
 
-constexpr const char *OpenSecret = "havenstair gateway fleet";
-
 double drawUnit(std::mt19937_64 &Random) {
   return std::uniform_real_distribution<double>(0, 1)(Random);
 }
@@ -79,11 +76,15 @@
       m_Engines(m_Binding.m_MakeEngines(m_UpstreamHttp)),
       m_Forwarder(
           Loop, m_UpstreamHttp, m_State, m_Binding.m_Dialect, m_Log,
-          forwarderOptions(),
+          forwarderOptions(m_Policy),
           {.m_Missing =
                [this](const ModelKey &Key) { m_Exchange.missing(Key); },
            .m_Ended =
-               [this](const RequestResult &Result) { m_Metrics.ended(Result); },
+               [this](const RequestResult &Result) {
+                 m_Metrics.ended(Result);
+                 if (!m_State.m_Upstreams.evacuations().m_DataCentres.empty())
+                   m_Metrics.endedInEvacuation(Result.m_Outcome);
+               },
            .m_SendEnded =
                [this](std::string_view Outcome) {
                  m_Metrics.sendEnded(Outcome);
@@ -108,8 +109,12 @@
                                        PrefixMirror::CloseWait),
                          {.m_Changed = [this] { evacuationsChanged(); }}),
       m_Process(m_Options.m_Box.str() + "." + randomHex(NameBytes)),
-      m_Fleet(Loop, *m_Store, m_Log, fleetOptions(), fleetHooks()),
-      m_Giver(Loop, *m_Store, *m_Engines, m_State, m_Log, giverOptions(),
+      m_Fleet(Loop, *m_Store, m_Log,
+              fleetOptions(m_Options, m_Binding, m_Process,
+                           [this] { return drawUnit(m_Random); }),
+              fleetHooks()),
+      m_Giver(Loop, *m_Store, *m_Engines, m_State, m_Log,
+              giverOptions(m_Options, m_Binding, m_Policy, m_Process),
               {.m_Contents =
                    [this](const FleetContentsFrame &Frame) {
                      m_Exchange.tellContents(Frame);
@@ -166,21 +171,6 @@
                       }}};
 }
 
-Fleet::Options Gateway::fleetOptions() const {
-  Fleet::Options Opts;
-  Opts.m_Box = m_Process;
-  Opts.m_DataCentre = m_Options.m_DataCentre;
-  Opts.m_Capacity = m_Options.m_Capacity;
-  Opts.m_Peers = m_Options.m_Peers;
-  Opts.m_Seeds = m_Options.m_Seeds;
-  Opts.m_Secret =
-      m_Options.m_PeerSecret.empty() ? OpenSecret : m_Options.m_PeerSecret;
-  Opts.m_Prefix = m_Binding.m_OwnPrefix;
-  Opts.m_Lease = std::max(Opts.m_Lease, m_Options.m_LeastLease);
-  Opts.m_Random = [this] { return drawUnit(m_Random); };
-  return Opts;
-}
-
 Fleet::Hooks Gateway::fleetHooks() {
   return {.m_Frame =
               [this](const BoxName &From, const PeerFrame &Frame) {
@@ -192,28 +182,6 @@
           .m_StoreBack = [this] { resync(); }};
 }
 
-OrderGiver::Options Gateway::giverOptions() const {
-  OrderGiver::Options Opts;
-  Opts.m_Claim.m_Prefix = m_Binding.m_OwnPrefix;
-  Opts.m_Claim.m_Holder = m_Options.m_Box.str();
-  Opts.m_Claim.m_Process = m_Process.str();
-  Opts.m_Claim.m_Lease = std::max(Opts.m_Claim.m_Lease, m_Options.m_LeastLease);
-  Opts.m_Bounds = m_Options.m_Bounds;
-  Opts.m_Planner = m_Policy.m_Planner;
-  Opts.m_Adapters = m_Policy.m_Adapters;
-  Opts.m_Rates = m_Policy.m_Rates;
-  Opts.m_ReplicaStays = fromMillis(m_Policy.m_ReplicaStaysMs);
-  return Opts;
-}
-
-Forwarder::Options Gateway::forwarderOptions() const {
-  Forwarder::Options Opts;
-  Opts.m_Weights = m_Policy.m_Choice;
-  Opts.m_Admission = m_Policy.m_Admission;
-  Opts.m_Pace = m_Policy.m_Pace;
-  return Opts;
-}
-
 void Gateway::ownKeysChanged() {
   m_Fleet.entriesChanged(m_OwnMirror.items());
   m_Giver.entriesChanged(m_OwnMirror.items());
@@ -287,6 +255,8 @@
   Now.m_ConfigVersion = Number(m_State.configVersion());
   Now.m_ListRevision = Number(m_State.m_Upstreams.list().m_Revision);
   Now.m_Upstreams = Number(m_State.m_Upstreams.current().size());
+  Now.m_Evacuated =
+      Number(m_State.m_Upstreams.evacuations().m_DataCentres.size());
   Now.m_Peers = Number(m_Fleet.linked().size());
   Now.m_StoreReached = m_Exchange.storeJustReached() ? 1 : 0;
   Now.m_GivesOrders = m_Giver.giving() ? 1 : 0;
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -56,10 +56,7 @@
   void stop();
 
 private:
-  Fleet::Options fleetOptions() const;
   Fleet::Hooks fleetHooks();
-  OrderGiver::Options giverOptions() const;
-  Forwarder::Options forwarderOptions() const;
   PrefixMirror::Options mirrorOptions(const std::string &Prefix,
                                       Duration Gather, Duration Wait,
                                       ReadKind FirstRead = ReadKind::Current);
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -62,6 +62,12 @@
           .Name("havenstair_organisation_requests_total")
           .Help("Callers' requests by organisation and outcome")
           .Register(m_Registry);
+  prometheus::Family<prometheus::Counter> &m_InEvacuation =
+      prometheus::BuildCounter()
+          .Name("havenstair_requests_in_evacuation_total")
+          .Help("Callers' requests that ended while a data centre was "
+                "evacuated, by outcome")
+          .Register(m_Registry);
   std::set<std::string> m_Routes;
   std::set<std::string> m_Organisations;
 
@@ -100,6 +106,11 @@
       .Observe(inSeconds(Result.m_Whole));
 }
 
+void GatewayMetrics::endedInEvacuation(std::string_view Outcome) {
+  m_Families->m_InEvacuation.Add({{"outcome", std::string(Outcome)}})
+      .Increment();
+}
+
 void GatewayMetrics::sendEnded(std::string_view Outcome) {
   m_Families->m_Sends.Add({{"outcome", std::string(Outcome)}}).Increment();
 }
@@ -125,6 +136,7 @@
   m_Families->state("list_revision", Now.m_ListRevision);
   m_Families->state("upstreams", Now.m_Upstreams);
   m_Families->state("peers", Now.m_Peers);
+  m_Families->state("evacuated_data_centres", Now.m_Evacuated);
   m_Families->state("store_reached", Now.m_StoreReached);
   m_Families->state("gives_orders", Now.m_GivesOrders);
   m_Families->state("fencing_token", Now.m_FencingToken);
--- a/packages/gateway/process/GatewayMetrics.h
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -19,6 +19,7 @@
   double m_ListRevision = 0;
   double m_Upstreams = 0;
   double m_Peers = 0;
+  double m_Evacuated = 0;    ///< Data centres.
   double m_StoreReached = 0; ///< 1 while the store answers this box.
   double m_GivesOrders = 0;  ///< 1 on the box that gives orders.
   double m_FencingToken = 0;
@@ -33,6 +34,9 @@
   ~GatewayMetrics();
 
   void ended(const RequestResult &Result);
+  /// The same while a data centre is evacuated: refusals that may be due to
+  /// that.
+  void endedInEvacuation(std::string_view Outcome);
   /// A send to an upstream ended with \p Outcome.
   void sendEnded(std::string_view Outcome);
   /// An order to an engine was answered.
--- a/packages/gateway/process/ManagedEngine.cpp
+++ b/packages/gateway/process/ManagedEngine.cpp
@@ -54,7 +54,8 @@
                         .m_OnDisk = m_Ledger.onDisk(),
                         .m_Slowness = Slowness,
                         .m_Movable = m_Ledger.idle() && !m_Task,
-                        .m_Leaving = Entry.m_Draining};
+                        .m_Leaving = Entry.m_Draining,
+                        .m_DataCentre = DataCentreName(Entry.m_Zone)};
   for (const auto &[Model, At] : m_ModelAt)
     if (Now - At < ReplicaStays)
       Planned.m_Fresh.insert(Model);
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -55,11 +55,6 @@
 /// tells of: a third of an engine, at which engines are comfortable.
 constexpr double SpareReplicaTellsMs = 300;
 
-/// A model whose replicas have more than this to do each, in engines' worth,
-/// lacks replicas; it is logged this often.
-constexpr double ShortageFrom = 0.7;
-constexpr Duration ShortageLineEvery = 500ms;
-
 std::string_view answerName(OrderAnswer Answer) {
   switch (Answer) {
   case OrderAnswer::Accepted:
@@ -92,7 +87,8 @@
                .m_Lost = [this] { lost(); },
                .m_Prepared = [this] { return m_State.m_Config != nullptr; },
                .m_HolderRead = m_Hooks.m_HolderRead,
-               .m_Random = m_Hooks.m_Random}) {
+               .m_Random = m_Hooks.m_Random}),
+      m_Shortage(Log) {
   tickLater();
 }
 
@@ -579,7 +575,7 @@
                        .m_Window = m_Opts.m_Bounds.m_CeilingWindow,
                        .m_Overage = m_Opts.m_Bounds.m_CeilingOverage});
   PlannerInput Input = plannerInput(Service, Now);
-  logShortage(Input, Now);
+  m_Shortage.tell(Input, replicas(), Now);
   for (const PlannedMove &Move :
        planReplicas(Input, Spec, m_Opts.m_Planner, MostMoves)) {
     ManagedEngine &At = m_Engines.at(Move.m_Engine);
@@ -598,45 +594,6 @@
   }
 }
 
-/// Says what a plan has to work with while a model lacks replicas.
-void OrderGiver::logShortage(const PlannerInput &Input, TimePoint Now) {
-  if (Now < m_NextShortageLine)
-    return;
-  const std::map<std::string, std::size_t> Replicas = replicas();
-  const auto Serving = [&](const std::string &Model) {
-    const auto Found = Replicas.find(Model);
-    return Found == Replicas.end() ? 0 : Found->second;
-  };
-  std::string Worst;
-  double WorstShare = ShortageFrom;
-  for (const auto &[Model, Demand] : Input.m_Demand) {
-    const auto Count =
-        static_cast<double>(std::max<std::size_t>(1, Serving(Model)));
-    if (Demand / Count < WorstShare)
-      continue;
-    WorstShare = Demand / Count;
-    Worst = Model;
-  }
-  if (Worst.empty())
-    return;
-  m_NextShortageLine = Now + ShortageLineEvery;
-  const auto Movable =
-      std::count_if(Input.m_Engines.begin(), Input.m_Engines.end(),
-                    [](const PlannedEngine &Each) {
-                      return Each.m_Movable && !Each.m_Leaving;
-                    });
-  const auto Planned = std::count_if(
-      Input.m_Engines.begin(), Input.m_Engines.end(),
-      [&](const PlannedEngine &Each) { return Each.m_Models.contains(Worst); });
-  m_Log.write("shortage", {{"model", Worst},
-                           {"demand", Input.m_Demand.at(Worst)},
-                           {"replicas", Serving(Worst)},
-                           {"planned", Planned},
-                           {"engines", Input.m_Engines.size()},
-                           {"movable", Movable},
-                           {"store_loads_left", Input.m_StoreLoads}});
-}
-
 double OrderGiver::busyPart(const std::string &Service, const ManagedEngine &Of,
                             const std::map<std::string, std::size_t> &Replicas,
                             TimePoint Now) const {
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -11,6 +11,7 @@
 #include "gateway/process/HolderClaim.h"
 #include "gateway/process/ManagedEngine.h"
 #include "gateway/process/ServingState.h"
+#include "gateway/process/ShortageLog.h"
 #include "wire/common/EventLoop.h"
 #include "wire/connection/FleetFrames.h"
 #include <functional>
@@ -118,7 +119,6 @@
   PlannerInput plannerInput(const std::string &Service, TimePoint Now);
   void planModels(const std::string &Service, const EngineSpec &Spec,
                   TimePoint Now);
-  void logShortage(const PlannerInput &Input, TimePoint Now);
   void planAdapterMoves(const std::string &Service, const EngineSpec &Spec,
                         TimePoint Now);
   bool give(const InstanceId &Id, ManagedEngine &To,
@@ -148,7 +148,6 @@
   bool m_Expected = false; ///< Usual demand was told by replicas.
   TimePoint m_MayOrderFrom{};
   TimePoint m_NextPlan{};
-  TimePoint m_NextShortageLine{};
   TimePoint m_ClaimedAt{};
   /// Until when the holder before may have given orders.
   TimePoint m_FormerOrdersUntil{};
@@ -158,6 +157,7 @@
   std::map<InstanceId, ManagedEngine> m_Engines;
   std::map<ModelKey, Wanted> m_Missing;
   LoadCeiling m_Ceiling;
+  ShortageLog m_Shortage;
   double m_StoreSlowness = 1; ///< Of loads from the store of weights.
   Timer m_Timer;
   bool m_TickSoon = false;
--- /dev/null
+++ b/packages/gateway/process/ShortageLog.cpp
@@ -0,0 +1,56 @@
+#include "gateway/process/ShortageLog.h"
+
+#include "gateway/common/DecisionLog.h"
+#include <algorithm>
+
+namespace havenstair {
+
+namespace {
+
+/// A model whose replicas have more than this to do each, in engines' worth,
+/// lacks replicas; it is logged this often.
+constexpr double ShortageFrom = 0.7;
+constexpr Duration ShortageLineEvery = 500ms;
+
+} // namespace
+
+void ShortageLog::tell(const PlannerInput &Input,
+                       const std::map<std::string, std::size_t> &Replicas,
+                       TimePoint Now) {
+  if (Now < m_NextLine)
+    return;
+  const auto Serving = [&](const std::string &Model) {
+    const auto Found = Replicas.find(Model);
+    return Found == Replicas.end() ? 0 : Found->second;
+  };
+  std::string Worst;
+  double WorstShare = ShortageFrom;
+  for (const auto &[Model, Demand] : Input.m_Demand) {
+    const auto Count =
+        static_cast<double>(std::max<std::size_t>(1, Serving(Model)));
+    if (Demand / Count < WorstShare)
+      continue;
+    WorstShare = Demand / Count;
+    Worst = Model;
+  }
+  if (Worst.empty())
+    return;
+  m_NextLine = Now + ShortageLineEvery;
+  const auto Movable =
+      std::count_if(Input.m_Engines.begin(), Input.m_Engines.end(),
+                    [](const PlannedEngine &Each) {
+                      return Each.m_Movable && !Each.m_Leaving;
+                    });
+  const auto Planned = std::count_if(
+      Input.m_Engines.begin(), Input.m_Engines.end(),
+      [&](const PlannedEngine &Each) { return Each.m_Models.contains(Worst); });
+  m_Log.write("shortage", {{"model", Worst},
+                           {"demand", Input.m_Demand.at(Worst)},
+                           {"replicas", Serving(Worst)},
+                           {"planned", Planned},
+                           {"engines", Input.m_Engines.size()},
+                           {"movable", Movable},
+                           {"store_loads_left", Input.m_StoreLoads}});
+}
+
+} // namespace havenstair
--- a/packages/havenstaird/process/PolicySettings.cpp
+++ b/packages/havenstaird/process/PolicySettings.cpp
@@ -18,7 +18,7 @@
   double &(*m_Member)(GatewayPolicy &);
 };
 
-const std::array<PolicySetting, 25> Table{{
+const std::array<PolicySetting, 26> Table{{
     {"--few-moves", "0 puts attainment first, 1 few moves", 0, 1,
      [](GatewayPolicy &P) -> double & { return P.m_Planner.m_FewMoves; }},
     {"--least-gain-near", "least gain of a load from the engine's own copies",
@@ -31,6 +31,9 @@
      [](GatewayPolicy &P) -> double & { return P.m_Planner.m_ReleaseLoss; }},
     {"--reachable-worth", "worth of a model's first replica", 0, 100,
      [](GatewayPolicy &P) -> double & { return P.m_Planner.m_ReachableWorth; }},
+    {"--spread-worth",
+     "part of the time that a data centre is away, unreplaced; 0: no spread", 0,
+     1, [](GatewayPolicy &P) -> double & { return P.m_Planner.m_SpreadWorth; }},
     {"--plan-horizon-ms", "time for which a move is judged", 1000, 600000,
      [](GatewayPolicy &P) -> double & { return P.m_Planner.m_HorizonMs; }},
     {"--long-answer-ms", "time in which nearly all answers end", 0, 600000,
--- a/tests/decisions/process/ReplicaPlannerTest.cpp
+++ b/tests/decisions/process/ReplicaPlannerTest.cpp
@@ -377,3 +377,49 @@
   Input.m_Engines[0].m_Coming.clear();
   REQUIRE(planReplicas(Input, Spec, {}, 1).empty());
 }
+
+TEST_CASE("A hot model gets its second replica in another data centre",
+          "[planner][evacuation]") {
+  const EngineSpec Spec = spec(1);
+  PlannerInput Input;
+  for (int Number = 0; Number < 4; ++Number) {
+    Input.m_Engines.push_back(engine(Number, {}));
+    Input.m_Engines.back().m_DataCentre =
+        DataCentreName(Number < 3 ? "x" : "y");
+  }
+  Input.m_Engines[0].m_Models.insert(model(0));
+  Input.m_Demand[model(0)] = 0.3;
+  Input.m_StoreLoads = 4;
+  PlannerOptions Opts;
+  SECTION("though its replica has little to do") {
+    Opts.m_SpreadWorth = 0.1;
+    const auto Moves = planReplicas(Input, Spec, Opts, 4);
+    REQUIRE(Moves.size() == 1);
+    REQUIRE(Moves[0].m_Engine == "e3");
+    REQUIRE(Moves[0].m_Load == model(0));
+  }
+  SECTION("but not without a weight") {
+    Opts.m_SpreadWorth = 0;
+    REQUIRE(planReplicas(Input, Spec, Opts, 4).empty());
+  }
+  SECTION("nor when all engines stand in one data centre") {
+    Opts.m_SpreadWorth = 0.1;
+    for (PlannedEngine &Each : Input.m_Engines)
+      Each.m_DataCentre = DataCentreName("x");
+    REQUIRE(planReplicas(Input, Spec, Opts, 4).empty());
+  }
+}
+
+TEST_CASE("A model that lost a data centre is loaded again, the hottest first",
+          "[planner][evacuation]") {
+  const EngineSpec Spec = spec(2);
+  PlannerInput Input;
+  Input.m_Engines = {engine(0, {model(0), model(1)}), engine(1, {})};
+  Input.m_Engines[0].m_Leaving = true;
+  Input.m_Demand = {{model(0), 0.2}, {model(1), 0.6}};
+  Input.m_StoreLoads = 1;
+  const auto Moves = planReplicas(Input, Spec, {}, 4);
+  REQUIRE(Moves.size() == 1);
+  REQUIRE(Moves[0].m_Engine == "e1");
+  REQUIRE(Moves[0].m_Load == model(1));
+}
