--- a/tests/decisions/process/WarmUpHerdTest.cpp
+++ b/tests/decisions/process/WarmUpHerdTest.cpp
@@ -100,7 +100,8 @@
                                       {.m_Loads = m_Loads[Box],
                                        .m_Prefixes = m_Prefixes,
                                        .m_Latency = m_Latency,
-                                       .m_Failures = m_Failures},
+                                       .m_Failures = m_Failures,
+                                       .m_DataCentres = m_DataCentres},
                                       {}, m_Unit(m_Random), m_Now);
     const auto Engine =
         static_cast<std::size_t>(Chosen->m_Instance - m_Engines.data());
@@ -118,6 +119,7 @@
   PrefixIndex m_Prefixes{1e6};
   LatencyModel m_Latency;
   FailureBook m_Failures;
+  DataCentreMap m_DataCentres;
   std::deque<std::vector<InstanceLoads>> m_Words;
   std::vector<Running> m_Running;
   std::vector<TimePoint> m_Arrivals;
