--- a/packages/gateway/request/Forwarder.cpp
+++ b/packages/gateway/request/Forwarder.cpp
@@ -67,10 +67,10 @@
   if (m_State.knowsAll())
     begin(std::move(Item));
   else
-    keepOrRefuse(std::move(Item));
+    keepOrRefuse(Item);
 }
 
-void Forwarder::keepOrRefuse(EarlyRequests::Item Item) {
+void Forwarder::keepOrRefuse(const EarlyRequests::Item &Item) {
   const TimePoint Now = EventLoop::now();
   if (!m_State.m_Stopping && m_Early.keep(Item, Now)) {
     if (m_Early.size() == 1)
@@ -105,7 +105,7 @@
     if (m_State.knowsAll())
       begin(std::move(Each));
     else
-      keepOrRefuse(std::move(Each));
+      keepOrRefuse(Each);
   }
 }
 
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -88,7 +88,7 @@
 
   void refuseUnread(const HttpExchangePtr &Exchange, const Failure &Reason,
                     const std::string &Id);
-  void keepOrRefuse(EarlyRequests::Item Item);
+  void keepOrRefuse(const EarlyRequests::Item &Item);
   void refuseOverdue();
   void begin(EarlyRequests::Item Item);
   void remove(const std::shared_ptr<ProxiedRequest> &Ended);
--- a/tests/decisions/process/ServingViewTest.cpp
+++ b/tests/decisions/process/ServingViewTest.cpp
@@ -47,7 +47,7 @@
   return Result;
 }
 
-bool Nobody(const InstanceId & /*Id*/) { return false; }
+bool nobody(const InstanceId & /*Id*/) { return false; }
 
 } // namespace
 
@@ -110,26 +110,26 @@
   ServingView View;
   View.update(list(1, {engine("a", false, "x"), engine("b", false, "x")}),
               at(1s));
-  REQUIRE_FALSE(View.servesAt("s", "m", Nobody, at(1s)));
+  REQUIRE_FALSE(View.servesAt("s", "m", nobody, at(1s)));
   View.toldLoad({"a"}, "m", at(6s));
   View.toldLoad({"b"}, "m", at(4s));
-  REQUIRE(View.servesAt("s", "m", Nobody, at(1s)) == at(4s));
-  REQUIRE_FALSE(View.servesAt("other", "m", Nobody, at(1s)));
-  REQUIRE_FALSE(View.servesAt("s", "n", Nobody, at(1s)));
+  REQUIRE(View.servesAt("s", "m", nobody, at(1s)) == at(4s));
+  REQUIRE_FALSE(View.servesAt("other", "m", nobody, at(1s)));
+  REQUIRE_FALSE(View.servesAt("s", "n", nobody, at(1s)));
   SECTION("it is given up") {
     View.toldLoad({"b"}, "", at(0s));
-    REQUIRE(View.servesAt("s", "m", Nobody, at(1s)) == at(6s));
+    REQUIRE(View.servesAt("s", "m", nobody, at(1s)) == at(6s));
   }
   SECTION("its engine has gone") {
     View.update(list(2, {engine("a", false, "x")}), at(2s));
-    REQUIRE(View.servesAt("s", "m", Nobody, at(2s)) == at(6s));
+    REQUIRE(View.servesAt("s", "m", nobody, at(2s)) == at(6s));
   }
   SECTION("it has come") {
     View.told({"b"}, {{.m_Name = "m", .m_Adapters = {}}}, {}, at(4s));
-    REQUIRE(View.servesAt("s", "m", Nobody, at(4s)) == at(6s));
+    REQUIRE(View.servesAt("s", "m", nobody, at(4s)) == at(6s));
   }
   SECTION("it does not come") {
-    REQUIRE_FALSE(View.servesAt("s", "m", Nobody, at(10s)));
+    REQUIRE_FALSE(View.servesAt("s", "m", nobody, at(10s)));
   }
 }
 
@@ -164,7 +164,7 @@
   }
   SECTION("and no load there is waited for") {
     View.toldLoad({"a"}, "m2", at(3s));
-    REQUIRE_FALSE(View.servesAt("s", "m2", Nobody, at(1s)));
+    REQUIRE_FALSE(View.servesAt("s", "m2", nobody, at(1s)));
   }
   SECTION("older news do not undo it") {
     REQUIRE_FALSE(View.evacuate(evacuated(4, {}), at(2s)));
@@ -229,7 +229,7 @@
   REQUIRE(View.past({"a", 100}));
   REQUIRE_FALSE(View.past({"a", 200}));
   REQUIRE(names(View, at(2s)).empty());
-  REQUIRE_FALSE(View.servesAt("s", "n", Nobody, at(2s)));
+  REQUIRE_FALSE(View.servesAt("s", "n", nobody, at(2s)));
 }
 
 TEST_CASE("An earlier start than the newest seen is never believed again",
@@ -250,7 +250,7 @@
   SECTION("in the order giver's word") {
     View.told({"a", 100}, {{.m_Name = "m", .m_Adapters = {}}}, {}, at(1s));
     View.toldLoad({"a", 100}, "n", at(3s));
-    REQUIRE_FALSE(View.servesAt("s", "n", Nobody, at(1s)));
+    REQUIRE_FALSE(View.servesAt("s", "n", nobody, at(1s)));
   }
   REQUIRE(names(View, at(1s)).empty());
 }
--- a/tests/gateway/RegionTest.cpp
+++ b/tests/gateway/RegionTest.cpp
@@ -155,8 +155,8 @@
     HttpCall Metrics;
     Metrics.m_To = Test.m_Gateway->metrics();
     Metrics.m_Target = "/metrics";
-    REQUIRE(Test.fetch(std::move(Metrics))
-                .m_Body.find("outcome=\"no_allowed_region\"") !=
+    const HttpAnswer Shown = Test.fetch(std::move(Metrics));
+    REQUIRE(Shown.m_Body.find("outcome=\"no_allowed_region\"") !=
             std::string::npos);
     REQUIRE(Test.until([&] {
       return Test.log().find("\"regions\":\"none in common\"") !=
