A falling count tells of a new start where no birth is told

Where the entry does not go in between, its reports were dropped as older for ever, and it got no order any more. Ruled out: births made up by each box (boxes would disagree on which start is newer); the number in entries (it counts heartbeats, and boxes miss some). Change: a report asked for after the count was known that tells a lower one, twice in a row, begins the ledger anew, with late orders kept. The line 'upstreams' says how many tell their birth.

--- a/packages/decisions/process/EngineLedger.cpp
+++ b/packages/decisions/process/EngineLedger.cpp
@@ -1,6 +1,7 @@
 #include "decisions/process/EngineLedger.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace havenstair {
 
@@ -60,10 +61,25 @@
     m_HeldUntil.reset();
 }
 
-void EngineLedger::heard(const ResidencyReport &Report, TimePoint Now) {
+bool EngineLedger::older(const ResidencyReport &Report, TimePoint Now,
+                         TimePoint AskedAt) {
+  if (!m_Known || Report.m_OrderCount >= m_Count) {
+    m_CountFell = false;
+    return false;
+  }
+  // A late answer may have taken the place of the one that was due.
+  if (AskedAt <= m_CountAt || !std::exchange(m_CountFell, true))
+    return true;
+  startAgain(Now);
+  return false;
+}
+
+void EngineLedger::heard(const ResidencyReport &Report, TimePoint Now,
+                         TimePoint AskedAt) {
   // While a call is under way its answer tells how the count moves.
-  if (m_Call || (m_Known && Report.m_OrderCount < m_Count))
+  if (m_Call || older(Report, Now, AskedAt))
     return;
+  m_CountAt = Now;
   if (m_Uncertain) {
     const bool Moved = Report.m_OrderCount > m_Uncertain->m_Expected;
     if (Moved || Now - m_Uncertain->m_First > m_Opts.m_OrderLife)
@@ -189,6 +205,7 @@
   m_Call.reset();
   switch (Answer) {
   case OrderAnswer::Accepted:
+    m_CountAt = Now;
     m_Uncertain.reset();
     m_Count = Ended.m_Expected + 1;
     if (Ended.m_Order.m_Adapter.empty())
@@ -202,6 +219,7 @@
     if (!Ended.m_Order.m_Load && !Ended.m_Order.m_Adapter.empty() &&
         !m_Uncertain) {
       // An adapter that no request uses goes at once.
+      m_CountAt = Now;
       m_Count = Ended.m_Expected + 1;
       dropAdapter(Ended.m_Order.m_Model, Ended.m_Order.m_Adapter);
       return;
--- a/packages/decisions/process/EngineLedger.h
+++ b/packages/decisions/process/EngineLedger.h
@@ -49,8 +49,11 @@
   void setLate(LateOrders Late) { m_Late = std::move(Late); }
 
   /// What the engine says of itself. Words that are older than what is known
-  /// are dropped.
-  void heard(const ResidencyReport &Report, TimePoint Now);
+  /// are dropped. One that was asked for at \p AskedAt, after the count was
+  /// last known, and tells a lower count is of a later start that tells no
+  /// birth; it is believed when it comes twice.
+  void heard(const ResidencyReport &Report, TimePoint Now,
+             TimePoint AskedAt = {});
   /// What its entry in the list says. The entry lags and names no order count,
   /// so news in it only asks for a report.
   void listed(const UpstreamInstance &Entry);
@@ -104,6 +107,7 @@
     TimePoint m_First{};
   };
 
+  bool older(const ResidencyReport &Report, TimePoint Now, TimePoint AskedAt);
   void dropAdapter(const std::string &Model, const std::string &Adapter);
   bool fitsBesideLate(const ResidencyOrder &Order,
                       const EngineSpec &Spec) const;
@@ -123,6 +127,8 @@
   std::optional<ResidencyOrder> m_ModelOrder;
   LateOrders m_Late;
   std::optional<TimePoint> m_HeldUntil;
+  TimePoint m_CountAt{}; ///< When the count was last known to be that.
+  bool m_CountFell = false;
   bool m_Doubt = false; ///< Its state differs from what was expected.
 };
 
--- a/packages/decisions/process/ServingView.cpp
+++ b/packages/decisions/process/ServingView.cpp
@@ -48,6 +48,12 @@
   return Result;
 }
 
+std::size_t ServingView::tellingBirth() const {
+  const auto Tells = [](const auto &Each) { return Each.second.m_Born != 0; };
+  return static_cast<std::size_t>(std::count_if(
+      m_List.m_Instances.begin(), m_List.m_Instances.end(), Tells));
+}
+
 std::optional<TimePoint>
 ServingView::startedAgainAt(const InstanceId &Id) const {
   const auto Found = m_AgainAt.find(Id);
--- a/packages/decisions/process/ServingView.h
+++ b/packages/decisions/process/ServingView.h
@@ -48,6 +48,8 @@
   /// The same word on the model that \p Engine is loading, empty for none.
   void toldLoad(const UpstreamLife &Engine, const std::string &Model,
                 TimePoint ServesAt);
+  /// Listed upstreams that tell their birth; the others are judged by name.
+  std::size_t tellingBirth() const;
   /// When it was seen that \p Id had started again; none if it was not.
   std::optional<TimePoint> startedAgainAt(const InstanceId &Id) const;
   /// Whether the books are of a later start than \p Life: what is still heard
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -361,6 +361,7 @@
   m_Log.write("upstreams",
               {{"revision", m_UpstreamMirror.revision()},
                {"listed", m_State.m_Upstreams.list().m_Instances.size()},
+               {"tell_birth", m_State.m_Upstreams.tellingBirth()},
                {"gone", Gone}});
   m_Exchange.upstreamsChanged();
   m_Giver.upstreamsChanged();
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -268,15 +268,16 @@
   Of.m_ReportAsked = true;
   Of.m_NextReport = Now + ReportEvery;
   m_Control.report(Entry->second,
-                   [this, Id, Token = m_Claim.token()](
-                       const std::optional<ResidencyReport> &Report) {
+                   [this, Id, Token = m_Claim.token(),
+                    Now](const std::optional<ResidencyReport> &Report) {
                      if (giving() && Token == m_Claim.token())
-                       heard(Id, Report);
+                       heard(Id, Report, Now);
                    });
 }
 
 void OrderGiver::heard(const InstanceId &Id,
-                       const std::optional<ResidencyReport> &Report) {
+                       const std::optional<ResidencyReport> &Report,
+                       TimePoint AskedAt) {
   const auto Found = m_Engines.find(Id);
   if (Found == m_Engines.end())
     return;
@@ -291,7 +292,7 @@
     countLateOrders(Id, Of, Now);
   if (!Of.present(Report->m_Born))
     return;
-  Of.m_Ledger.heard(*Report, Now);
+  Of.m_Ledger.heard(*Report, Now, AskedAt);
   settleLoad(Id, Of, Now);
   if (const auto Entry = m_State.m_Upstreams.list().m_Instances.find(Id);
       Entry != m_State.m_Upstreams.list().m_Instances.end())
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -105,8 +105,8 @@
   void countLateOrders(const InstanceId &Id, ManagedEngine &Of, TimePoint Now);
   void askReports(TimePoint Now);
   void askReport(const InstanceId &Id, ManagedEngine &Of, TimePoint Now);
-  void heard(const InstanceId &Id,
-             const std::optional<ResidencyReport> &Report);
+  void heard(const InstanceId &Id, const std::optional<ResidencyReport> &Report,
+             TimePoint AskedAt);
   void advanceTasks(TimePoint Now);
   void advance(const InstanceId &Id, ManagedEngine &Of, const EngineSpec &Spec,
                TimePoint Now);
--- a/tests/gateway/OrderTest.cpp
+++ b/tests/gateway/OrderTest.cpp
@@ -119,13 +119,14 @@
   OrderTest Test;
   REQUIRE(Test.runs("m/a2"));
   const bool ListLags = GENERATE(false, true);
-  Test.m_Engine.startAgain(200);
+  const UpstreamBirth Born = GENERATE(200, 0);
+  Test.m_Engine.startAgain(Born);
   if (!ListLags)
-    Test.listEngine("i-1", {"m"}, 200);
+    Test.listEngine("i-1", {"m"}, Born);
   // Its own report tells of the start, or its entry does.
   Test.ask("m/a3", "id-first");
   if (ListLags)
-    Test.listEngine("i-1", {"m"}, 200);
+    Test.listEngine("i-1", {"m"}, Born);
   REQUIRE(Test.runs("m/a3"));
   REQUIRE(Test.m_Engine.m_Orders.front().at("expectedCount") == 0);
   const std::vector<Json> &Orders = Test.m_Engine.m_Orders;
