Copies that outlast an evacuation: tested where they are kept

Change: ManagedEngine::keep, used when a data centre is taken back; test that a copy so kept is fresh for a replica's usual time from then. Ruled out that the order test passes without the planner knowing (it does not end then).

--- a/packages/gateway/process/ManagedEngine.cpp
+++ b/packages/gateway/process/ManagedEngine.cpp
@@ -26,6 +26,12 @@
   m_ServesAt = Now + fromMillis(Move.m_ServesInMs);
 }
 
+void ManagedEngine::keep(const std::set<std::string> &Models, TimePoint At) {
+  for (const ResidentModel &Model : m_Ledger.models())
+    if (Models.contains(Model.m_Name))
+      m_ModelAt[Model.m_Name] = At;
+}
+
 void ManagedEngine::loadBegan(LoadSource Source, Duration Nominal,
                               double Slowness, TimePoint Now) {
   m_Load = {.m_Source = Source, .m_Nominal = Nominal, .m_Since = Now};
--- a/packages/gateway/process/ManagedEngine.h
+++ b/packages/gateway/process/ManagedEngine.h
@@ -9,6 +9,7 @@
 #include "wire/connection/FleetFrames.h"
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace havenstair {
@@ -40,6 +41,8 @@
 
   /// Starts to carry \p Move out.
   void begin(const PlannedMove &Move, TimePoint Now);
+  /// Those of \p Models that it holds count as come at \p At.
+  void keep(const std::set<std::string> &Models, TimePoint At);
   /// It has taken the order for a load that takes \p Nominal when few run, and
   /// \p Slowness times that now.
   void loadBegan(LoadSource Source, Duration Nominal, double Slowness,
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -211,9 +211,8 @@
       for (const ResidentModel &Model : Each.m_Ledger.models())
         Models.insert(Model.m_Name);
   for (auto &[Id, Each] : m_Engines)
-    for (const ResidentModel &Model : Each.m_Ledger.models())
-      if (Models.contains(Model.m_Name) && !Returned(Id))
-        Each.m_ModelAt[Model.m_Name] = Now + SettleFor;
+    if (!Returned(Id))
+      Each.keep(Models, Now + SettleFor);
 }
 
 void OrderGiver::tick() {
--- a/tests/gateway/ManagedEngineTest.cpp
+++ b/tests/gateway/ManagedEngineTest.cpp
@@ -53,3 +53,19 @@
   REQUIRE(Engine.m_ServesAt == at(1s));
   REQUIRE_FALSE(Engine.loadEnded(at(2s)));
 }
+
+TEST_CASE("A copy that is kept stays for a replica's usual time from then on",
+          "[orders][evacuation]") {
+  ManagedEngine Engine;
+  ResidencyReport Report;
+  Report.m_Models = {{.m_Name = "kept", .m_Adapters = {}},
+                     {.m_Name = "other", .m_Adapters = {}}};
+  Engine.m_Ledger.heard(Report, at(0s));
+  Engine.keep({"kept", "elsewhere"}, at(10s));
+  const auto Fresh = [&](TimePoint Now) {
+    return Engine.forModels({}, 1, 6s, Now).m_Fresh;
+  };
+  REQUIRE(Fresh(at(9s)) == std::set<std::string>{"kept"});
+  REQUIRE(Fresh(at(15s)) == std::set<std::string>{"kept"});
+  REQUIRE(Fresh(at(16s)).empty());
+}
