Running a loop for a while does not wait for later timers

Cause: runUntil() set one timer for its limit. libevent's clock steps by some milliseconds, so that this timer could fire a little before the limit; the loop then went on with nothing to wake it but the next event, seconds later. Seen as a test of the soak's proxy that failed in about one run of a hundred (2 of 300): a wait of 100 ms took until the client's idle timeout of 10 s.

Ruled out: the proxy, the kept connection and the client, by a system call trace: the loop slept for 9.9 s after its timer.

Change: each pass sets the timer anew for what is left.

--- a/packages/wire/common/EventLoop.cpp
+++ b/packages/wire/common/EventLoop.cpp
@@ -68,10 +68,11 @@
 
 bool EventLoop::runUntil(const std::function<bool()> &Done, Duration Limit) {
   const TimePoint End = now() + Limit;
-  // Wakes the loop at the limit even when nothing else happens.
-  const Timer Wake = after(Limit, [] {});
   bool Reached = Done();
-  while (!Reached && now() < End) {
+  for (Duration Left = Limit; !Reached && Left > 0us; Left = End - now()) {
+    // Wakes the loop at the limit even when nothing else happens. By libevent's
+    // clock, which is coarser, that may be a little too early.
+    const Timer Wake = after(Left, [] {});
     event_base_loop(m_Base, EVLOOP_ONCE);
     Reached = Done();
   }
--- a/tests/wire/HttpTest.cpp
+++ b/tests/wire/HttpTest.cpp
@@ -169,6 +169,22 @@
   REQUIRE(Loop.runUntil([&] { return Passed; }, Limit));
 }
 
+TEST_CASE("A loop that runs for a while does not wait for later timers",
+          "[loop]") {
+  EventLoop Loop;
+  bool Later = false;
+  const Timer Far = Loop.after(10s, [&] { Later = true; });
+  // libevent's clock steps by some milliseconds, so that a timer may fire a
+  // little before its time; the tries begin at all places within a step.
+  for (int Try = 0; Try < 300; ++Try) {
+    const TimePoint Begin = EventLoop::now() + Try % 20 * 200us;
+    while (EventLoop::now() < Begin)
+      continue;
+    Loop.runUntil([] { return false; }, 5ms);
+  }
+  REQUIRE_FALSE(Later);
+}
+
 TEST_CASE("A call to a closed port was not written", "[http][unsafe]") {
   EventLoop Loop;
   Endpoint Closed;
