The soak judges givers of orders also while trouble lasts

Cause: orders of a box in trouble were not judged at all, which excused the one case that matters: a box that has lost the store and goes on giving orders while another has taken over.

Change: an order is judged when it arrives, and excused only for 0.3 s after trouble of its giver or of the engine's link has ended, or while an engine that checks tokens guards itself; loads and memory are judged when the order begins.

--- a/tests/soak/Disturbances.cpp
+++ b/tests/soak/Disturbances.cpp
@@ -34,4 +34,15 @@
       [&](const Span &Each) { return Each.m_From <= To && Each.m_To >= From; });
 }
 
+bool Disturbances::healed(const std::string &Subject, TimePoint From,
+                          TimePoint To) const {
+  const auto Found = m_Subjects.find(Subject);
+  if (Found == m_Subjects.end())
+    return false;
+  const auto &Past = Found->second.m_Past;
+  return std::any_of(Past.begin(), Past.end(), [&](const Span &Each) {
+    return Each.m_To >= From && Each.m_To <= To;
+  });
+}
+
 } // namespace havenstair
--- a/tests/soak/Disturbances.h
+++ b/tests/soak/Disturbances.h
@@ -27,6 +27,9 @@
   /// Whether \p Subject had no trouble from \p From to \p To.
   bool calm(const std::string &Subject, TimePoint From, TimePoint To) const;
 
+  /// Whether trouble of \p Subject ended from \p From to \p To.
+  bool healed(const std::string &Subject, TimePoint From, TimePoint To) const;
+
 private:
   struct Span {
     TimePoint m_From;
--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -186,7 +186,7 @@
     return hold(&Engine, Fault.m_Kind, Fault.m_For,
                 [&Engine](bool On) { Engine.setLate(On ? EngineDelay : 0us); });
   case SoakFault::LateOrders:
-    // An order that is taken late is judged as one that trouble held up.
+    // Loads that begin late come in bunches.
     trouble(Engine.id(), Fault.m_For + OrderDelay, [] {});
     return hold(&Engine, Fault.m_Kind, Fault.m_For, [&Engine](bool On) {
       Engine.setOrdersLate(On ? OrderDelay : 0us);
@@ -201,7 +201,8 @@
 void FaultInjector::strikeEngineLink(const ScheduledFault &Fault,
                                      SoakEngine &Engine) {
   LoopbackProxy &Link = Engine.link();
-  trouble(Engine.id(), Fault.m_For, [] {});
+  // Bytes that were delayed arrive after the end.
+  trouble(Engine.id(), Fault.m_For + LinkDelay, [] {});
   switch (Fault.m_Kind) {
   case SoakFault::DelayEngineLink:
     return hold(&Link, Fault.m_Kind, Fault.m_For,
--- a/tests/soak/LoopbackProxyTest.cpp
+++ b/tests/soak/LoopbackProxyTest.cpp
@@ -72,6 +72,8 @@
     m_Proxy.setCut(Direction::ToClient, false);
   }
   REQUIRE(answered());
+  CAPTURE(static_cast<int>(m_Answer->m_End), m_Answer->m_Status,
+          m_Server.accepted(), m_Server.requests().size());
   REQUIRE(m_Answer->m_Body == "second");
 }
 
--- a/tests/soak/ModelShelf.cpp
+++ b/tests/soak/ModelShelf.cpp
@@ -37,12 +37,19 @@
   return static_cast<int>(Sum);
 }
 
-int ModelShelf::order(const Json &Body, TimePoint Now, EngineOrderSeen &Seen) {
+OrderArrival ModelShelf::arrival(const Json &Body, TimePoint Now) const {
+  return {.m_Engine = {},
+          .m_Holder = boxOf(fieldOr<std::string>(Body, "lockHolder", "")),
+          .m_Token = fieldOr<std::uint64_t>(Body, "fencingToken", 0),
+          .m_Fenced = m_Opts.m_ChecksTokens,
+          .m_At = Now};
+}
+
+int ModelShelf::order(const Json &Body, TimePoint Now, OrderBegun &Seen) {
   const auto Operation = fieldOr<std::string>(Body, "operation", "");
   const auto Model = fieldOr<std::string>(Body, "modelName", "");
   const auto Adapter = fieldOr<std::string>(Body, "adapterName", "");
-  Seen.m_Holder = boxOf(fieldOr<std::string>(Body, "lockHolder", ""));
-  Seen.m_Token = fieldOr<std::uint64_t>(Body, "fencingToken", 0);
+  const auto Token = fieldOr<std::uint64_t>(Body, "fencingToken", 0);
   Seen.m_At = Now;
   Seen.m_LimitMb = m_Opts.m_LimitMb;
   Seen.m_AdapterLimit = m_Opts.m_AdapterLimit;
@@ -50,11 +57,11 @@
   Seen.m_Adapters = adapters();
   const bool Load = Operation == "model_load";
   const bool Known = Load || Operation == "model_unload";
-  if (!Known || Model.empty() || Seen.m_Holder.empty())
+  if (!Known || Model.empty() || !Body.contains("lockHolder"))
     return Malformed;
-  if (m_Opts.m_ChecksTokens && Seen.m_Token < m_Highest)
+  if (m_Opts.m_ChecksTokens && Token < m_Highest)
     return Fenced;
-  m_Highest = std::max(m_Highest, Seen.m_Token);
+  m_Highest = std::max(m_Highest, Token);
   const auto Count = fieldOr<std::uint64_t>(Body, "expectedCount", m_Taken);
   if (m_Busy || Count != m_Taken)
     return Busy;
--- a/tests/soak/ModelShelf.h
+++ b/tests/soak/ModelShelf.h
@@ -25,9 +25,11 @@
 
   explicit ModelShelf(Options Opts) : m_Opts(Opts) {}
 
+  /// Who sends the order \p Body, but for the engine's name.
+  OrderArrival arrival(const Json &Body, TimePoint Now) const;
   /// Begins what \p Body asks for. \returns the status to answer with; \p Seen
-  /// is filled for an order that is well formed.
-  int order(const Json &Body, TimePoint Now, EngineOrderSeen &Seen);
+  /// is what the engine will hold, but for its name.
+  int order(const Json &Body, TimePoint Now, OrderBegun &Seen);
   /// Ends the order under way when its time has come. \returns whether
   /// anything changed.
   bool advance(TimePoint Now);
--- a/tests/soak/OrderOracle.h
+++ b/tests/soak/OrderOracle.h
@@ -18,7 +18,8 @@
               VerdictHook Broken)
       : m_Bounds(Bounds), m_Trouble(Trouble), m_Broken(std::move(Broken)) {}
 
-  void ordered(const EngineOrderSeen &Order);
+  void arrived(const OrderArrival &Order);
+  void begun(const OrderBegun &Order);
   /// The engine starts again and remembers no orders.
   void forgot(const std::string &Engine) { m_Engines.erase(Engine); }
 
@@ -28,8 +29,10 @@
     std::uint64_t m_Highest = 0;
   };
 
-  void judgeGiver(const EngineOrderSeen &Order);
-  void judgeLoad(const EngineOrderSeen &Order);
+  bool counts(const OrderArrival &Order) const;
+  void judgeToken(const OrderArrival &Order);
+  void judgeTurn(const OrderArrival &Order);
+  void judgeLoad(const OrderBegun &Order);
 
   const SoakBounds &m_Bounds;
   const Disturbances &m_Trouble;
--- a/tests/soak/SoakConfig.cpp
+++ b/tests/soak/SoakConfig.cpp
@@ -62,7 +62,8 @@
                                  {"coldPerS", m_Bounds.m_ColdPerS}},
                                 engineService(m_Bounds)})},
       {"limits", Json::object()}};
-  m_Store.put("op/config", dumpJson(Config));
+  if (!m_Withholding || m_Version == 1)
+    m_Store.put("op/config", dumpJson(Config));
   m_Oracle.config().configured(m_Version, EventLoop::now());
 }
 
--- a/tests/soak/SoakConfig.h
+++ b/tests/soak/SoakConfig.h
@@ -28,6 +28,8 @@
 
   /// Writes the next version.
   void next();
+  /// Mutation: later versions are told to the oracle and never written.
+  void setWithholding(bool Withholding) { m_Withholding = Withholding; }
   std::uint64_t version() const { return m_Version; }
   /// Prefix of the route that comes with \p Version and goes two later.
   static std::string passingPath(std::uint64_t Version) {
@@ -39,6 +41,7 @@
   SoakOracle &m_Oracle;
   const SoakBounds &m_Bounds;
   std::uint64_t m_Version = 0;
+  bool m_Withholding = false;
 };
 
 } // namespace havenstair
--- a/tests/soak/SoakEngine.cpp
+++ b/tests/soak/SoakEngine.cpp
@@ -90,6 +90,8 @@
 }
 
 void SoakEngine::leave(bool Says) {
+  if (m_Withholding)
+    return m_Oracle.routing().engineLeaves(m_Id, EventLoop::now());
   m_Draining = true;
   if (Says)
     publish();
@@ -182,11 +184,15 @@
 }
 
 void SoakEngine::takeOrder(const Request &Asked, const Connection &To) {
-  const auto Obey = [this, Body = parseJson(Asked.m_Body)] {
-    EngineOrderSeen Seen;
+  const Json Body = parseJson(Asked.m_Body);
+  OrderArrival Arrival = m_Shelf->arrival(Body, EventLoop::now());
+  Arrival.m_Engine = m_Id;
+  m_Oracle.orders().arrived(Arrival);
+  const auto Obey = [this, Body] {
+    OrderBegun Seen;
     const int Status = m_Shelf->order(Body, EventLoop::now(), Seen);
     Seen.m_Engine = m_Id;
-    m_Oracle.orders().ordered(Seen);
+    m_Oracle.orders().begun(Seen);
     if (m_Listed)
       publish();
     return Status;
--- a/tests/soak/SoakEngine.h
+++ b/tests/soak/SoakEngine.h
@@ -53,6 +53,8 @@
   void breakOff(int Count) { m_BreakOff = Count; }
   /// The next answers are followed by one more that nobody asked for.
   void sendSurplus(int Count) { m_Surplus = Count; }
+  /// Mutation: the oracle hears that the engine leaves, and the store does not.
+  void setWithholding(bool Withholding) { m_Withholding = Withholding; }
   /// Mutation: answers to callers have the body of another request.
   void setSpoiling(bool Spoiling) { m_Spoiling = Spoiling; }
 
@@ -99,6 +101,7 @@
   int m_BreakOff = 0;
   int m_Surplus = 0;
   bool m_Spoiling = false;
+  bool m_Withholding = false;
   std::uint64_t m_NextTimer = 0;
   std::map<std::uint64_t, Timer> m_Timers;
 };
--- a/tests/soak/SoakEvents.h
+++ b/tests/soak/SoakEvents.h
@@ -125,11 +125,20 @@
   bool operator==(const EngineAnswer &) const = default;
 };
 
-/// An order reaches an engine. Sizes are as after the order.
-struct EngineOrderSeen {
+/// An order reaches an engine.
+struct OrderArrival {
   std::string m_Engine;
   std::string m_Holder;
   std::uint64_t m_Token = 0;
+  bool m_Fenced = false; ///< The engine refuses tokens that fell.
+  TimePoint m_At;
+
+  bool operator==(const OrderArrival &) const = default;
+};
+
+/// An engine begins to carry out an order. Sizes are as after it.
+struct OrderBegun {
+  std::string m_Engine;
   bool m_StoreLoad = false; ///< Begins a load from the store of weights.
   double m_UsedMb = 0;
   double m_LimitMb = 0;
@@ -137,7 +146,7 @@
   int m_AdapterLimit = 0;
   TimePoint m_At;
 
-  bool operator==(const EngineOrderSeen &) const = default;
+  bool operator==(const OrderBegun &) const = default;
 };
 
 } // namespace havenstair
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -72,6 +72,7 @@
                 .m_Boxes = m_Boxes,
                 .m_Engines = m_Engines}),
       m_Http(m_Loop) {
+  m_Plan.m_Boxes = m_Opts.m_Boxes.value_or(m_Plan.m_Boxes);
   makeEngines();
   makeBoxes();
   mutate();
@@ -122,7 +123,9 @@
 }
 
 void SoakRun::mutate() {
+  m_Config.setWithholding(m_Opts.m_Mutation == Mutation::WithholdConfig);
   for (const auto &Each : m_Engines) {
+    Each->setWithholding(m_Opts.m_Mutation == Mutation::WithholdLeaving);
     if (m_Opts.m_Mutation == Mutation::SpoilAnswer)
       Each->setSpoiling(true);
     if (m_Opts.m_Mutation == Mutation::DoubleUnsafe)
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -9,6 +9,7 @@
 #include "soak/SoakOracle.h"
 #include "soak/SoakSchedule.h"
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,13 +18,20 @@
 class SoakRun {
 public:
   /// Faults of the soak's own parts that an oracle must find.
-  enum class Mutation { None, DoubleUnsafe, SpoilAnswer };
+  enum class Mutation {
+    None,
+    DoubleUnsafe,
+    SpoilAnswer,
+    WithholdConfig,
+    WithholdLeaving
+  };
 
   struct Options {
     std::uint64_t m_Seed = 1;
     Duration m_Length = 20s;
-    std::string m_Program; ///< The daemon.
-    std::string m_Folder;  ///< For settings files and logs.
+    std::optional<int> m_Boxes; ///< In place of the plan's number.
+    std::string m_Program;      ///< The daemon.
+    std::string m_Folder;       ///< For settings files and logs.
     SoakBounds m_Bounds;
     Mutation m_Mutation = Mutation::None;
   };
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -9,6 +9,7 @@
 #include <docopt/docopt.h>
 #include <filesystem>
 #include <iostream>
+#include <map>
 
 namespace {
 
@@ -23,11 +24,13 @@
 Options:
   --seed N          Draws the whole plan [default: 1].
   --seconds N       Length, from the callers' start [default: 20].
+  --boxes N         Boxes, from 1 to 60, in place of the seed's number.
   --programs DIR    Folder of the daemon [default: build/bin].
   --logs DIR        Folder for logs; kept. A new one in /tmp without, which is
                     removed when no promise was broken.
   --plan            Show the plan and end.
-  --mutate NAME     Harm the soak's own parts: double-unsafe or spoil-answer.
+  --mutate NAME     Harm the soak's own parts: double-unsafe, spoil-answer,
+                    withhold-config or withhold-leaving.
   --untimed         Tell broken bounds in time, but end with 0 all the same.
   --evacuation      Judge evacuations too.
   --warm-up         Judge the rate at cold engines too.
@@ -46,13 +49,25 @@
 SoakRun::Mutation mutation(const std::string &Name) {
   if (Name.empty())
     return SoakRun::Mutation::None;
-  if (Name == "double-unsafe")
-    return SoakRun::Mutation::DoubleUnsafe;
-  if (Name == "spoil-answer")
-    return SoakRun::Mutation::SpoilAnswer;
+  using Mutation = SoakRun::Mutation;
+  const std::map<std::string, Mutation> Known{
+      {"double-unsafe", Mutation::DoubleUnsafe},
+      {"spoil-answer", Mutation::SpoilAnswer},
+      {"withhold-config", Mutation::WithholdConfig},
+      {"withhold-leaving", Mutation::WithholdLeaving}};
+  if (const auto Found = Known.find(Name); Found != Known.end())
+    return Found->second;
   throw std::runtime_error("no mutation is called " + Name);
 }
 
+int boxes(const std::string &Text) {
+  constexpr int MostBoxes = 60;
+  const int Number = std::stoi(Text);
+  if (Number < 1 || Number > MostBoxes)
+    throw std::runtime_error("--boxes takes a number from 1 to 60");
+  return Number;
+}
+
 void showPlan(std::uint64_t Seed, const SoakPlan &Plan) {
   std::cout << "seed " << Seed << ": " << Plan.m_Boxes << " boxes, "
             << Plan.m_Plain << " plain servers, " << Plan.m_Engines
@@ -120,9 +135,13 @@
   Opts.m_Bounds.m_CheckEvacuation = Flags["--evacuation"].asBool();
   Opts.m_Bounds.m_CheckWarmUp = Flags["--warm-up"].asBool();
   Opts.m_Bounds.m_CheckRegions = Flags["--regions"].asBool();
+  if (Flags["--boxes"].isString())
+    Opts.m_Boxes = boxes(Flags["--boxes"].asString());
   const docopt::value &Mutate = Flags["--mutate"];
   Opts.m_Mutation = mutation(Mutate.isString() ? Mutate.asString() : "");
-  showPlan(Opts.m_Seed, makePlan(Opts.m_Seed, Opts.m_Length));
+  SoakPlan Plan = makePlan(Opts.m_Seed, Opts.m_Length);
+  Plan.m_Boxes = Opts.m_Boxes.value_or(Plan.m_Boxes);
+  showPlan(Opts.m_Seed, Plan);
   if (Flags["--plan"].asBool())
     return Kept;
   Opts.m_Program = Flags["--programs"].asString() + "/havenstaird";
