--- a/tests/wire/HttpTest.cpp
+++ b/tests/wire/HttpTest.cpp
@@ -211,7 +211,8 @@
     HttpCall Call = callTo(To, "/");
     Call.m_Use = Use;
     Call.m_ConnectTimeout = 1s;
-    Client.fetch(std::move(Call), [&](HttpAnswer Answer) { Got = Answer; });
+    Client.fetch(std::move(Call),
+                 [&](const HttpAnswer &Answer) { Got = Answer; });
     REQUIRE(Loop.runUntil([&] { return Got.has_value(); }, Limit));
   };
   SECTION("what is no address gets nothing") {
