A box that hears no others finds a lost watch of the configuration

Cause: the watch of the configuration waits 20 s where other boxes would tell of newer versions. A box whose links to all others are silent, or that is alone, hears nothing, and a watch that was lost on the way leaves it on the old configuration until the 20 s are over.

Change: without a word of any other box for NeighbourSilence (1 s) the configuration is watched closely, as the order giver's keys are. Left open: links between boxes that are silent are not found and replaced while their connections stay up.

--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -176,8 +176,9 @@
   // large fleet the box that reads the list for all reads the configuration
   // too.
   m_Of.m_Boxes.watchClosely(m_Of.m_Giver.giving());
+  // Nobody tells a box that hears no others that its watch is lost.
   m_Of.m_Config.watchClosely(
-      m_ConfigClosely ||
+      m_ConfigClosely || Now - m_HeardAt > NeighbourSilence ||
       (m_Of.m_Upstreams.running() && !m_Of.m_Fleet.topology().flat()));
   ServingState &State = m_Of.m_State;
   FleetDigestFrame Frame = word(Now);
@@ -439,6 +440,7 @@
 
 void FleetExchange::take(const BoxName &From, const FleetDigestFrame &Frame) {
   const TimePoint Now = EventLoop::now();
+  m_HeardAt = Now;
   m_Clock.heard(From, Frame.m_Number);
   if (Frame.m_Leaf)
     return takeFromLeaf(From, Frame, Now);
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -143,6 +143,8 @@
   TimePoint m_ToldAsOf =
       EventLoop::now(); ///< As of when this box last vouched for its lists.
   TimePoint m_StartedAt;
+  /// When any box last told its state; the start before that.
+  TimePoint m_HeardAt = m_StartedAt;
   /// The newest configuration that another box told of, and since when.
   ConfigVersion m_ConfigTold = 0;
   TimePoint m_ConfigToldAt{};
--- a/tests/gateway/FleetTest.cpp
+++ b/tests/gateway/FleetTest.cpp
@@ -92,6 +92,16 @@
   }));
 }
 
+TEST_CASE("A box that hears no others finds a dead watch of the configuration",
+          "[gateway][fleet]") {
+  GatewayTest Test;
+  Test.start();
+  REQUIRE(Test.until([&] { return Test.m_Store.silenceWatch("op/config"); }));
+  Test.configure(2);
+  REQUIRE(Test.until(
+      [&] { return Test.m_Gateway->state().m_Config->m_Version == 2; }));
+}
+
 TEST_CASE("An order giver that was replaced stops though its watch is dead",
           "[gateway][fleet]") {
   FleetTest Test;
