--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -100,7 +100,7 @@
   if (m_Of.m_Fleet.holderIs(m_Of.m_Giver.holder().m_Box))
     arranged();
   chooseUplink(Now);
-  m_Lists.watchClosely();
+  m_Lists.watchClosely(Now - m_HeardAt <= NeighbourSilence);
   ServingState &State = m_Of.m_State;
   FleetDigestFrame Frame = word(Now);
   Frame.m_Demand = std::exchange(State.m_Demand, {});
@@ -271,6 +271,7 @@
 
 void FleetExchange::take(const BoxName &From, const FleetDigestFrame &Frame) {
   const TimePoint Now = EventLoop::now();
+  m_HeardAt = Now;
   m_Clock.heard(From, Frame.m_Number);
   if (Frame.m_Leaf)
     return takeFromLeaf(From, Frame, Now);
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -113,6 +113,8 @@
   std::map<BoxName, TimePoint> m_Leaves;
   BoxName m_Uplink; ///< Empty on a relay.
   TimePoint m_UplinkHeardAt{};
+  /// When any box last told its state; the start before that.
+  TimePoint m_HeardAt = EventLoop::now();
   ListFollower m_Lists;
   Timer m_TellTimer;
   Timer m_LoadsTimer;
--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -76,13 +76,14 @@
   choose();
 }
 
-void ListFollower::watchClosely() {
+void ListFollower::watchClosely(bool HearsOthers) {
   // The box that gives orders must hear at once that it was replaced. In a
   // large fleet the box that reads the list for all reads the configuration
   // too.
   m_Of.m_Boxes.watchClosely(m_Of.m_Giver.giving());
+  // Nobody tells a box that hears no others that its watch is lost.
   m_Of.m_Config.watchClosely(
-      m_ConfigClosely ||
+      m_ConfigClosely || !HearsOthers ||
       (m_Of.m_Upstreams.running() && !m_Of.m_Fleet.topology().flat()));
 }
 
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -55,7 +55,9 @@
   void arranged();
   /// Whom it follows is chosen anew.
   void choose();
-  void watchClosely();
+  /// Decides which lists are watched closely; \p HearsOthers: another box has
+  /// told of its state just now.
+  void watchClosely(bool HearsOthers);
   void forget(const BoxName &Box) { m_ListWords.erase(Box); }
 
   /// Fills in what \p Frame tells of the lists; it counts as told then.
--- a/tests/wire/HttpTest.cpp
+++ b/tests/wire/HttpTest.cpp
@@ -169,6 +169,22 @@
   REQUIRE(Loop.runUntil([&] { return Passed; }, Limit));
 }
 
+TEST_CASE("A loop that runs for a while does not wait for later timers",
+          "[loop]") {
+  EventLoop Loop;
+  bool Later = false;
+  const Timer Far = Loop.after(10s, [&] { Later = true; });
+  // libevent's clock steps by some milliseconds, so that a timer may fire a
+  // little before its time; the tries begin at all places within a step.
+  for (int Try = 0; Try < 300; ++Try) {
+    const TimePoint Begin = EventLoop::now() + Try % 20 * 200us;
+    while (EventLoop::now() < Begin)
+      continue;
+    Loop.runUntil([] { return false; }, 5ms);
+  }
+  REQUIRE_FALSE(Later);
+}
+
 TEST_CASE("A call to a closed port was not written", "[http][unsafe]") {
   EventLoop Loop;
   Endpoint Closed;
@@ -195,7 +211,8 @@
     HttpCall Call = callTo(To, "/");
     Call.m_Use = Use;
     Call.m_ConnectTimeout = 1s;
-    Client.fetch(std::move(Call), [&](HttpAnswer Answer) { Got = Answer; });
+    Client.fetch(std::move(Call),
+                 [&](const HttpAnswer &Answer) { Got = Answer; });
     REQUIRE(Loop.runUntil([&] { return Got.has_value(); }, Limit));
   };
   SECTION("what is no address gets nothing") {
