--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -364,8 +364,7 @@
   const std::vector<InstanceId> Gone = m_State.m_Upstreams.update(
       m_Registry.read(m_UpstreamMirror.items(), m_UpstreamMirror.revision()),
       EventLoop::now());
-  m_State.m_WarmUp.listed(m_State.m_Upstreams.list(), EventLoop::now());
-  m_WarmUp->refreshRole();
+  m_WarmUp->listed(m_State.m_Upstreams.list());
   for (const InstanceId &Id : Gone) {
     m_State.m_Prefixes.forget(Id);
     m_State.m_Latency.forget(Id);
--- a/packages/gateway/process/WarmUpExchange.cpp
+++ b/packages/gateway/process/WarmUpExchange.cpp
@@ -38,6 +38,11 @@
       Server, m_Fleet.topology().relaysOf(m_View.dataCentre(Server)), Reached);
 }
 
+void WarmUpExchange::listed(const InstanceList &List) {
+  m_View.listed(List, EventLoop::now());
+  refreshRole();
+}
+
 void WarmUpExchange::refreshRole() {
   const TimePoint Now = EventLoop::now();
   std::erase_if(m_PassedOn, [&](const auto &Each) {
--- a/packages/gateway/process/WarmUpExchange.h
+++ b/packages/gateway/process/WarmUpExchange.h
@@ -40,7 +40,9 @@
   void setTolerance(const WarmUpTolerance &Tolerance) {
     m_Permits.setTolerance(Tolerance);
   }
-  /// Boxes, links, servers or the configuration have changed.
+  /// The list of servers has changed.
+  void listed(const InstanceList &List);
+  /// Boxes or links have changed.
   void refreshRole();
 
   void ask(const InstanceId &Server, Duration Patience, Done Callback) override;
