--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -350,8 +350,7 @@
         Address && m_State.m_Upstreams.list().m_Instances.contains(Each.m_Id))
       m_UpstreamHttp.forget(*Address);
   }
-  m_State.m_WarmUp.listed(m_State.m_Upstreams.list(), EventLoop::now());
-  m_WarmUp->refreshRole();
+  m_WarmUp->listed(m_State.m_Upstreams.list());
   m_Log.write("upstreams",
               {{"revision", m_UpstreamMirror.revision()},
                {"listed", m_State.m_Upstreams.list().m_Instances.size()},
