Mends of the review: evacuation bounds that change, untold restarts, whole words

Found on reading by one who did not write the parts, each by its sequence: - A bound for evacuations that comes into the settings of a box that serves made it unready until it had read them; it goes on serving meanwhile now. A bound that goes let an evacuation stand for good; it ends now. - The order giver planned before it knew the evacuations. - A start that only a falling count shows left tasks, marks and the ceiling of the former one; it begins anew like a told one, and falls under a told birth are no starts. - A difference could leave an evacuation behind at one box: all are told. - Late orders of an engine that was long gone aged only after they were counted. Two tests are renamed to what they check; no assertion changed.

--- a/packages/decisions/process/EngineLedger.cpp
+++ b/packages/decisions/process/EngineLedger.cpp
@@ -61,24 +61,30 @@
     m_HeldUntil.reset();
 }
 
-bool EngineLedger::older(const ResidencyReport &Report, TimePoint Now,
-                         TimePoint AskedAt) {
-  if (!m_Known || Report.m_OrderCount >= m_Count) {
-    m_CountFell = false;
-    return false;
-  }
+bool EngineLedger::older(const ResidencyReport &Report) const {
+  return m_Known && Report.m_OrderCount < m_Count;
+}
+
+/// Whether \p Report, which tells a lower count, does so because the engine
+/// has started again.
+bool EngineLedger::ofLaterStart(const ResidencyReport &Report,
+                                TimePoint AskedAt) {
   // A late answer may have taken the place of the one that was due.
-  if (AskedAt <= m_CountAt || !std::exchange(m_CountFell, true))
-    return true;
-  startAgain(Now);
-  return false;
+  return Report.m_Born == 0 && AskedAt > m_CountAt &&
+         std::exchange(m_CountFell, true);
 }
 
-void EngineLedger::heard(const ResidencyReport &Report, TimePoint Now,
+bool EngineLedger::heard(const ResidencyReport &Report, TimePoint Now,
                          TimePoint AskedAt) {
   // While a call is under way its answer tells how the count moves.
-  if (m_Call || older(Report, Now, AskedAt))
-    return;
+  if (m_Call)
+    return false;
+  const bool Older = older(Report);
+  if (Older && !ofLaterStart(Report, AskedAt))
+    return false;
+  if (Older)
+    startAgain(Now);
+  m_CountFell = false;
   m_CountAt = Now;
   if (m_Uncertain) {
     const bool Moved = Report.m_OrderCount > m_Uncertain->m_Expected;
@@ -100,6 +106,7 @@
     m_ModelOrder.reset();
   else if (!m_ModelOrder)
     m_ModelOrder = ResidencyOrder{}; // Somebody else's, of unknown kind.
+  return Older;
 }
 
 void EngineLedger::listed(const UpstreamInstance &Entry) {
--- a/packages/decisions/process/EngineLedger.h
+++ b/packages/decisions/process/EngineLedger.h
@@ -51,8 +51,9 @@
   /// What the engine says of itself. Words that are older than what is known
   /// are dropped. One that was asked for at \p AskedAt, after the count was
   /// last known, and tells a lower count is of a later start that tells no
-  /// birth; it is believed when it comes twice.
-  void heard(const ResidencyReport &Report, TimePoint Now,
+  /// birth; it is believed when it comes twice. \returns whether it shows such
+  /// a start; all but late orders begins anew then.
+  bool heard(const ResidencyReport &Report, TimePoint Now,
              TimePoint AskedAt = {});
   /// What its entry in the list says. The entry lags and names no order count,
   /// so news in it only asks for a report.
@@ -107,7 +108,8 @@
     TimePoint m_First{};
   };
 
-  bool older(const ResidencyReport &Report, TimePoint Now, TimePoint AskedAt);
+  bool older(const ResidencyReport &Report) const;
+  bool ofLaterStart(const ResidencyReport &Report, TimePoint AskedAt);
   void dropAdapter(const std::string &Model, const std::string &Adapter);
   bool fitsBesideLate(const ResidencyOrder &Order,
                       const EngineSpec &Spec) const;
--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -168,12 +168,18 @@
   take(m_Of.m_Fleet.self(), FleetMissingFrame{{Key}});
 }
 
-void FleetExchange::upstreamsChanged() { passOn(m_Of.m_Upstreams); }
+void FleetExchange::upstreamsChanged() {
+  passOn(m_Of.m_Upstreams, m_Of.m_Upstreams.takeChanges());
+}
 
-void FleetExchange::evacuationsChanged() { passOn(m_Of.m_Evacuations); }
+/// Always all of them: they are few, and one that a box missed would stand for
+/// days, as nothing else of them may change.
+void FleetExchange::evacuationsChanged() {
+  passOn(m_Of.m_Evacuations, m_Of.m_Evacuations.whole());
+}
 
-void FleetExchange::passOn(PrefixMirror &Mirror) {
-  const PrefixMirror::Delta News = Mirror.takeChanges();
+void FleetExchange::passOn(const PrefixMirror &Mirror,
+                           const PrefixMirror::Delta &News) {
   if (m_Of.m_Giver.giving() ||
       (m_Of.m_Fleet.topology().relay() && Mirror.running()))
     toAll(ListFollower::keysFrame(Mirror, News));
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -84,7 +84,7 @@
   void toRelays(const PeerFrame &Frame);
   void toLeaves(const PeerFrame &Frame);
   void toAll(const PeerFrame &Frame);
-  void passOn(PrefixMirror &Mirror);
+  void passOn(const PrefixMirror &Mirror, const PrefixMirror::Delta &News);
   void dropSilentLeaves(TimePoint Now);
   void chooseUplink(TimePoint Now);
   BoxName towardsGiver() const;
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -287,8 +287,25 @@
   m_Quotas->setTolerance(Bounds.quotaTolerance());
   m_WarmUp->setTolerance(Bounds.m_WarmUp);
   m_Exchange.lists().watchConfigClosely(Bounds.m_FailClosed);
-  m_State.m_NeedsEvacuations = Bounds.m_Evacuation.has_value();
-  m_Exchange.lists().followEvacuations(m_State.m_NeedsEvacuations);
+  // A box that serves when operators begin to evacuate goes on meanwhile.
+  const bool Evacuates = Bounds.m_Evacuation.has_value();
+  m_State.m_NeedsEvacuations =
+      Evacuates && (m_State.m_NeedsEvacuations || !m_State.knowsAll());
+  m_Exchange.lists().followEvacuations(Evacuates);
+  if (!Evacuates)
+    endEvacuations();
+}
+
+/// Nobody follows them any more, so none may stand for good.
+void Gateway::endEvacuations() {
+  const TimePoint Now = EventLoop::now();
+  ServingView &View = m_State.m_Upstreams;
+  const Evacuations None{.m_Revision = View.evacuations().m_Revision,
+                         .m_DataCentres = {}};
+  if (!View.evacuate(None, Now))
+    return;
+  m_Giver.evacuationsChanged(Now);
+  m_Forwarder.upstreamsChanged();
 }
 
 /// Where operators ask for it, keys are not trusted when the configuration may
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -69,6 +69,7 @@
   void configChanged();
   void upstreamsChanged();
   void evacuationsChanged();
+  void endEvacuations();
   void applyBounds();
   bool mayTrustKeys() const;
   void takeRequest(const HttpExchangePtr &Exchange);
--- a/packages/gateway/process/ManagedEngine.cpp
+++ b/packages/gateway/process/ManagedEngine.cpp
@@ -23,12 +23,25 @@
     return false;
   if (std::exchange(m_Born, Born) == 0)
     return false;
+  m_Ledger.startAgain(Now);
+  beginAnew();
+  return true;
+}
+
+bool ManagedEngine::heard(const ResidencyReport &Report, TimePoint Now,
+                          TimePoint AskedAt) {
+  if (!m_Ledger.heard(Report, Now, AskedAt))
+    return false;
+  beginAnew();
+  return true;
+}
+
+void ManagedEngine::beginAnew() {
   EngineLedger Ledger = std::move(m_Ledger);
-  Ledger.startAgain(Now);
+  const UpstreamBirth Born = m_Born;
   *this = ManagedEngine();
   m_Ledger = std::move(Ledger);
   m_Born = Born;
-  return true;
 }
 
 void ManagedEngine::begin(const PlannedMove &Move, TimePoint Now) {
--- a/packages/gateway/process/ManagedEngine.h
+++ b/packages/gateway/process/ManagedEngine.h
@@ -48,6 +48,9 @@
   bool present(UpstreamBirth Born) const {
     return Born == 0 || m_Born == 0 || Born == m_Born;
   }
+  /// What the engine says of itself. \returns whether it shows a start that was
+  /// not told; all but late orders begins anew then.
+  bool heard(const ResidencyReport &Report, TimePoint Now, TimePoint AskedAt);
   /// Starts to carry \p Move out.
   void begin(const PlannedMove &Move, TimePoint Now);
   /// Those of \p Models that it holds count as come at \p At.
@@ -81,6 +84,8 @@
     TimePoint m_Since{};
   };
 
+  /// Forgets all but its ledger and birth.
+  void beginAnew();
   /// All but the time that a load still takes, which changes all the time.
   EngineContents lastingContents(const InstanceId &Id, TimePoint Now) const;
 
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -70,7 +70,7 @@
               {.m_Taken =
                    [this](const HolderClaim::Former &Before) { taken(Before); },
                .m_Lost = [this] { lost(); },
-               .m_Prepared = [this] { return m_State.m_Config != nullptr; },
+               .m_Prepared = [this] { return m_State.knowsAll(); },
                .m_HolderRead = m_Hooks.m_HolderRead,
                .m_Random = m_Hooks.m_Random}),
       m_Shortage(Log) {
@@ -237,8 +237,10 @@
     const auto Before = m_Gone.extract(Id);
     if (New && (Before || Now - m_ClaimedAt < SettleFor))
       m_GrewAt = Now;
-    if (Before)
+    if (Before) {
       Known.m_Ledger.setLate(Before.mapped());
+      Known.m_Ledger.passTime(Now);
+    }
     const auto AgainAt = m_State.m_Upstreams.startedAgainAt(Id);
     const bool Again = Known.startedAgain(Entry.m_Born, Now);
     if (Again || (New && AgainAt && Now - *AgainAt <= OrderLife))
@@ -313,7 +315,8 @@
     countLateOrders(Id, Of, Now);
   if (!Of.present(Report->m_Born))
     return;
-  Of.m_Ledger.heard(*Report, Now, AskedAt);
+  if (Of.heard(*Report, Now, AskedAt))
+    countLateOrders(Id, Of, Now);
   settleLoad(Id, Of, Now);
   if (const auto Entry = m_State.m_Upstreams.list().m_Instances.find(Id);
       Entry != m_State.m_Upstreams.list().m_Instances.end())
@@ -491,7 +494,7 @@
            resident(Each.first.m_Model, Each.first.m_Adapter);
   });
   // Engines that start together appear one after the other.
-  if (!mayOrder(Now) || !m_State.m_Config || Now - m_GrewAt < SettleFor)
+  if (!mayOrder(Now) || !m_State.knowsAll() || Now - m_GrewAt < SettleFor)
     return;
   countFormerLoads(Now);
   expectByReplicas(Now);
--- a/tests/gateway/EvacuationTest.cpp
+++ b/tests/gateway/EvacuationTest.cpp
@@ -207,7 +207,7 @@
   REQUIRE(Test.sentToX(Joins) == 0);
 }
 
-TEST_CASE("A box that the store turns away learns of an evacuation from others",
+TEST_CASE("An evacuation is learned though the watch of evacuations is dead",
           "[gateway][evacuation]") {
   EvacuationTest Test;
   Test.startBoxes(3);
@@ -251,7 +251,7 @@
   REQUIRE(Test.watching() == 0);
 }
 
-TEST_CASE("Requests that wait in an evacuated data centre go elsewhere at once",
+TEST_CASE("A request is refused when all its upstreams are evacuated",
           "[gateway][evacuation]") {
   EvacuationTest Test;
   Test.startBoxes(1);
