--- a/packages/decisions/common/DataCentreMap.cpp
+++ b/packages/decisions/common/DataCentreMap.cpp
@@ -7,13 +7,4 @@
   return Found == m_Regions.end() ? RegionName() : Found->second;
 }
 
-DistanceClass DataCentreMap::distance(const DataCentreName &A,
-                                      const DataCentreName &B) const {
-  if (A == B)
-    return DistanceClass::SameDataCentre;
-  const RegionName Region = regionOf(A);
-  return !Region.empty() && Region == regionOf(B) ? DistanceClass::SameRegion
-                                                  : DistanceClass::OtherRegion;
-}
-
 } // namespace havenstair
--- a/packages/decisions/common/DataCentreMap.h
+++ b/packages/decisions/common/DataCentreMap.h
@@ -8,11 +8,7 @@
 
 namespace havenstair {
 
-/// How far apart two data centres are.
-enum class DistanceClass { SameDataCentre, SameRegion, OtherRegion };
-
-/// The operators' map of data centres. One that is not on it has no region:
-/// it is in another region than all others.
+/// The operators' map of data centres. One that is not on it has no region.
 class DataCentreMap {
 public:
   DataCentreMap() = default;
@@ -23,8 +19,6 @@
 
   /// Empty for a data centre that is not on the map.
   RegionName regionOf(const DataCentreName &DataCentre) const;
-  DistanceClass distance(const DataCentreName &A,
-                         const DataCentreName &B) const;
   const std::map<DataCentreName, RegionName> &regions() const {
     return m_Regions;
   }
--- a/packages/decisions/process/DataCentreRisk.cpp
+++ b/packages/decisions/process/DataCentreRisk.cpp
@@ -36,8 +36,8 @@
   --m_Replicas.at(Model)[m_DataCentre[Engine]];
 }
 
-double DataCentreRisk::less(const std::string &Model, const Work &Of,
-                            const Change &To) const {
+double DataCentreRisk::reduction(const std::string &Model, const Work &Of,
+                                 const Change &To) const {
   if (m_Weight <= 0 || m_DataCentres < 2)
     return 0;
   const auto Found = m_Replicas.find(Model);
--- a/packages/decisions/process/DataCentreRisk.h
+++ b/packages/decisions/process/DataCentreRisk.h
@@ -35,7 +35,8 @@
   void remove(std::size_t Engine, const std::string &Model);
   /// By how much the expected loss of work each second falls with \p To, in
   /// engines' worth.
-  double less(const std::string &Model, const Work &Of, const Change &To) const;
+  double reduction(const std::string &Model, const Work &Of,
+                   const Change &To) const;
 
 private:
   using Counts = std::vector<int>; ///< By data centre.
--- a/packages/decisions/process/EngineLedger.cpp
+++ b/packages/decisions/process/EngineLedger.cpp
@@ -65,10 +65,10 @@
   return m_Known && Report.m_OrderCount < m_Count;
 }
 
-/// Whether \p Report, which tells a lower count, does so because the engine
-/// has started again.
-bool EngineLedger::ofLaterStart(const ResidencyReport &Report,
-                                TimePoint AskedAt) {
+/// Remembers that \p Report tells a lower count. \returns whether it does so
+/// because the engine has started again.
+bool EngineLedger::noteLowerCount(const ResidencyReport &Report,
+                                  TimePoint AskedAt) {
   // A late answer may have taken the place of the one that was due.
   return Report.m_Born == 0 && AskedAt > m_CountAt &&
          std::exchange(m_CountFell, true);
@@ -79,10 +79,10 @@
   // While a call is under way its answer tells how the count moves.
   if (m_Call)
     return false;
-  const bool Older = older(Report);
-  if (Older && !ofLaterStart(Report, AskedAt))
+  const bool Restarted = older(Report);
+  if (Restarted && !noteLowerCount(Report, AskedAt))
     return false;
-  if (Older)
+  if (Restarted)
     startAgain(Now);
   m_CountFell = false;
   m_CountAt = Now;
@@ -106,7 +106,7 @@
     m_ModelOrder.reset();
   else if (!m_ModelOrder)
     m_ModelOrder = ResidencyOrder{}; // Somebody else's, of unknown kind.
-  return Older;
+  return Restarted;
 }
 
 void EngineLedger::listed(const UpstreamInstance &Entry) {
--- a/packages/decisions/process/EngineLedger.h
+++ b/packages/decisions/process/EngineLedger.h
@@ -109,7 +109,7 @@
   };
 
   bool older(const ResidencyReport &Report) const;
-  bool ofLaterStart(const ResidencyReport &Report, TimePoint AskedAt);
+  bool noteLowerCount(const ResidencyReport &Report, TimePoint AskedAt);
   void dropAdapter(const std::string &Model, const std::string &Adapter);
   bool fitsBesideLate(const ResidencyOrder &Order,
                       const EngineSpec &Spec) const;
--- a/packages/decisions/process/ReplicaPicture.cpp
+++ b/packages/decisions/process/ReplicaPicture.cpp
@@ -201,8 +201,8 @@
     Rest.erase(At);
     Replace(Evict, Rest);
     Missed = Rest.empty() ? unreachable(Evict) : spareWorth(Evict);
-    Missed -= m_Risk.less(Evict, workOf(Evict),
-                          {.m_More = std::nullopt, .m_Less = At});
+    Missed -= m_Risk.reduction(Evict, workOf(Evict),
+                               {.m_More = std::nullopt, .m_Less = At});
     Result.m_WhileLoading = less(Changed) - Missed;
   }
   Result.m_Afterwards = Result.m_WhileLoading;
@@ -216,7 +216,7 @@
   Replace(Load, More);
   Result.m_Afterwards = less(Changed) - Missed +
                         (First ? unreachable(Load) - Unasked : 0) +
-                        spreadBy(At, Load);
+                        riskReductionOf(At, Load);
   return Result;
 }
 
@@ -248,10 +248,10 @@
   m_Risk.add(At, Model);
 }
 
-double ReplicaPicture::spreadBy(std::size_t At,
-                                const std::string &Model) const {
-  return m_Risk.less(Model, workOf(Model),
-                     {.m_More = At, .m_Less = std::nullopt});
+double ReplicaPicture::riskReductionOf(std::size_t At,
+                                       const std::string &Model) const {
+  return m_Risk.reduction(Model, workOf(Model),
+                          {.m_More = At, .m_Less = std::nullopt});
 }
 
 DataCentreRisk::Work ReplicaPicture::workOf(const std::string &Model) const {
--- a/packages/decisions/process/ReplicaPicture.h
+++ b/packages/decisions/process/ReplicaPicture.h
@@ -69,7 +69,7 @@
               const std::string &Load) const;
   /// By how much a replica of \p Model at \p At lowers what the loss of a data
   /// centre is expected to cost.
-  double spreadBy(std::size_t At, const std::string &Model) const;
+  double riskReductionOf(std::size_t At, const std::string &Model) const;
   /// \p LoadMs: time until the loaded model serves.
   void apply(std::size_t At, const std::string &Evict, const std::string &Load,
              double LoadMs);
--- a/packages/decisions/process/ReplicaPlanner.cpp
+++ b/packages/decisions/process/ReplicaPlanner.cpp
@@ -159,7 +159,7 @@
         Cheapest = Worth;
     if (!Cheapest)
       return std::nullopt;
-    return m_Now.offered(At) + *Cheapest - m_Now.spreadBy(At, Model) +
+    return m_Now.offered(At) + *Cheapest - m_Now.riskReductionOf(At, Model) +
            (sourceAt(At, Model) == LoadSource::Store ? FarLoad : 0);
   }
 
--- a/packages/decisions/process/WarmUpPermits.h
+++ b/packages/decisions/process/WarmUpPermits.h
@@ -33,8 +33,8 @@
 };
 
 /// The books of one box. Of one server's permits, those that may arrive in the
-/// same second are less than half of what all boxes together may send: boxes
-/// whose lists differ may ask two admitters at once.
+/// same second are at most half of what all boxes together may send, but always
+/// one: boxes whose lists differ may ask two admitters at once.
 class WarmUpPermits {
 public:
   /// Who asked may send until so long after it asked, and after the wait that
--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -32,16 +32,7 @@
                              Hooks Callbacks)
     : m_Loop(Loop), m_Of(Of), m_Opts(std::move(Opts)),
       m_Hooks(std::move(Callbacks)),
-      m_Lists(Loop,
-              {.m_Fleet = Of.m_Fleet,
-               .m_Giver = Of.m_Giver,
-               .m_State = Of.m_State,
-               .m_Config = Of.m_Config,
-               .m_Upstreams = Of.m_Upstreams,
-               .m_Boxes = Of.m_Boxes,
-               .m_Evacuations = Of.m_Evacuations,
-               .m_Log = Of.m_Log},
-              m_Opts.m_Lists,
+      m_Lists(Loop, Of, m_Opts.m_Lists,
               {.m_TowardsGiver = [this] { return towardsGiver(); },
                .m_TellNow = [this] { tell(); }}) {
   m_TellTimer = Loop.every(TellEvery, [this] { tell(); });
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -32,16 +32,7 @@
     RandomUnit m_Random;
   };
   /// What the exchange reads and changes.
-  struct Parts {
-    Fleet &m_Fleet;
-    OrderGiver &m_Giver;
-    ServingState &m_State;
-    PrefixMirror &m_Config;
-    PrefixMirror &m_Upstreams;
-    PrefixMirror &m_Boxes;
-    PrefixMirror &m_Evacuations;
-    DecisionLog &m_Log;
-  };
+  using Parts = ListFollower::Parts;
   struct Hooks {
     /// Contents of engines were learned.
     std::function<void()> m_ContentsChanged;
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -298,14 +298,10 @@
 
 /// Nobody follows them any more, so none may stand for good.
 void Gateway::endEvacuations() {
-  const TimePoint Now = EventLoop::now();
-  ServingView &View = m_State.m_Upstreams;
-  const Evacuations None{.m_Revision = View.evacuations().m_Revision,
-                         .m_DataCentres = {}};
-  if (!View.evacuate(None, Now))
+  if (m_State.m_Upstreams.evacuations().m_DataCentres.empty())
     return;
-  m_Giver.evacuationsChanged(Now);
-  m_Forwarder.upstreamsChanged();
+  applyEvacuations({.m_Revision = m_State.m_Upstreams.evacuations().m_Revision,
+                    .m_DataCentres = {}});
 }
 
 /// Where operators ask for it, keys are not trusted when the configuration may
@@ -383,30 +379,33 @@
 
 void Gateway::evacuationsChanged() {
   Evacuations Asked{.m_Revision = m_EvacuationMirror.revision()};
-  Json Names = Json::array();
-  for (const auto &[Key, Item] : m_EvacuationMirror.items()) {
-    Names.push_back(Key.substr(m_Binding.m_EvacuationPrefix.size()));
-    Asked.m_DataCentres.emplace(Names.back().get<std::string>());
-  }
-  const TimePoint Now = EventLoop::now();
-  const bool First = m_State.m_Upstreams.evacuations().m_Revision == 0;
-  const StoreRevision Revision = Asked.m_Revision;
-  const std::set<DataCentreName> Before =
-      m_State.m_Upstreams.evacuations().m_DataCentres;
-  const bool Changed = m_State.m_Upstreams.evacuate(std::move(Asked), Now);
+  for (const auto &[Key, Item] : m_EvacuationMirror.items())
+    Asked.m_DataCentres.emplace(
+        Key.substr(m_Binding.m_EvacuationPrefix.size()));
+  applyEvacuations(std::move(Asked));
   m_Exchange.evacuationsChanged();
-  if (!Changed && !First)
+}
+
+void Gateway::applyEvacuations(Evacuations Asked) {
+  const TimePoint Now = EventLoop::now();
+  ServingView &View = m_State.m_Upstreams;
+  const Evacuations Before = View.evacuations();
+  const bool Changed = View.evacuate(std::move(Asked), Now);
+  if (!Changed && Before.m_Revision > 0)
     return;
+  Json Names = Json::array();
+  for (const DataCentreName &Each : View.evacuations().m_DataCentres)
+    Names.push_back(Each.str());
   m_Log.write(
       "evacuations",
-      {{"revision", Revision},
-       {"data_centres", Names},
+      {{"revision", View.evacuations().m_Revision},
+       {"data_centres", std::move(Names)},
        {"age_ms", std::min<Duration>(
                       NoListAge, Now - m_Exchange.lists().evacuationsAsOf()) /
                       1ms}});
   // Engines that come back may have turned cold without a word.
-  for (const DataCentreName &Each : Before)
-    if (!m_State.m_Upstreams.evacuations().contains(Each))
+  for (const DataCentreName &Each : Before.m_DataCentres)
+    if (!View.evacuations().contains(Each))
       m_State.m_WarmUp.suspectAt(Each, Now);
   m_Giver.evacuationsChanged(Now);
   m_Forwarder.upstreamsChanged();
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -70,6 +70,7 @@
   void upstreamsChanged();
   void evacuationsChanged();
   void endEvacuations();
+  void applyEvacuations(Evacuations Asked);
   void applyBounds();
   bool mayTrustKeys() const;
   void takeRequest(const HttpExchangePtr &Exchange);
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -84,7 +84,8 @@
   /// evacuations.
   TimePoint configAsOf() const;
   TimePoint evacuationsAsOf() const;
-  /// A configuration must never be old: it is watched closely.
+  /// Whether to watch the configuration closely, as where keys must not be
+  /// trusted by an old one.
   void watchConfigClosely(bool Closely) { m_ConfigClosely = Closely; }
   /// Operators evacuate data centres: what they ask for travels with the list.
   void followEvacuations(bool Follow) { m_FollowEvacuations = Follow; }
--- a/packages/gateway/process/WarmUpExchange.cpp
+++ b/packages/gateway/process/WarmUpExchange.cpp
@@ -138,7 +138,7 @@
   m_Log.write("warm_up_permit",
               {{"upstream", Of.m_Server},
                {"answer", What},
-               {"after_ms", Verdict ? Verdict->m_After / 1ms : 0},
+               {"after_ms", (Granted ? Verdict->m_After : Away) / 1ms},
                {"asked_ms", (Now - Of.m_Since) / 1ms},
                {"warm_in_ms", (Warm - Now) / 1ms}});
   Of.m_Done(Answer);
--- a/packages/gateway/request/Forwarder.cpp
+++ b/packages/gateway/request/Forwarder.cpp
@@ -97,7 +97,7 @@
     return;
   m_EarlyTimer = Timer();
   std::vector<EarlyRequests::Item> Kept = m_Early.takeAll();
-  m_Log.write("kept_until_known",
+  m_Log.write("early_requests",
               {{"requests", Kept.size()}, {"known", m_State.knowsAll()}});
   for (EarlyRequests::Item &Each : Kept) {
     if (!Each.m_Exchange->open())
