--- a/tests/soak/SoakEngine.cpp
+++ b/tests/soak/SoakEngine.cpp
@@ -104,6 +104,8 @@
   const TimePoint Now = EventLoop::now();
   ++m_Lives;
   m_Active = 0;
+  // A process that starts is not leaving, whatever the one before did.
+  m_Draining = false;
   m_Timers.clear();
   m_Born = std::max(m_Born + 1, EventLoop::wallMillis());
   m_ColdUntil = Now + Cold;
