Sight: logs name a request's content by a digest

The logs of the incident name each attempt by an id of its own, so they cannot tell whether the same request is there at each engine's end, or engines end for a cause of their own. Lines sent, send_failed and answered have a digest of what callers repeat: method, host, target, organisation, body; no header, no key.

--- a/packages/decisions/common/Id.h
+++ b/packages/decisions/common/Id.h
@@ -40,6 +40,8 @@
 using ArtifactName = Id<struct ArtifactTag>;
 using OrderId = Id<struct OrderTag>;
 using RequestId = Id<struct RequestTag>;
+/// Stands for a request whenever and wherever it comes again.
+using RequestDigest = Id<struct RequestDigestTag>;
 using IdempotencyKey = Id<struct IdempotencyTag>;
 
 /// Memory of an accelerator in MiB.
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -3,6 +3,7 @@
 #include "decisions/request/EnginePriority.h"
 #include "gateway/common/DecisionLog.h"
 #include "gateway/request/OwnAnswer.h"
+#include "gateway/request/RequestDigest.h"
 #include "gateway/request/UpstreamCall.h"
 #include <algorithm>
 #include <cmath>
@@ -46,6 +47,11 @@
       m_Config(std::move(Config)), m_Route(Of),
       m_Service(chooseSplit(Of, m_Request.m_Id)),
       m_Organisation(Caller == nullptr ? "" : Caller->m_Name),
+      m_Digest(digestOf({.m_Method = m_Exchange->method(),
+                         .m_Host = m_Request.m_Host,
+                         .m_Target = m_Exchange->target(),
+                         .m_Organisation = m_Organisation,
+                         .m_Body = m_Exchange->body()})),
       m_Priority(enginePriority(*m_Config, Of, Caller)),
       m_Standing(m_Config, Of, Caller, m_Request.m_Caller),
       m_Quota(Owner.m_Quotas, m_Organisation, quotaUnits(m_Request, Caller)),
@@ -355,6 +361,7 @@
                             OutputPart * m_Request.m_MostOutput};
   m_Owner.m_Log.write("sent",
                       {{"request", m_Request.m_Id},
+                       {"digest", m_Digest.str()},
                        {"route", m_Route.m_Name},
                        {"config", m_Config->m_Version},
                        {"list", State.m_Upstreams.list().m_Revision},
@@ -539,6 +546,7 @@
   if (Outcome != SendOutcome::Answered)
     m_Owner.m_Log.write("send_failed",
                         {{"request", m_Request.m_Id},
+                         {"digest", m_Digest.str()},
                          {"upstream", m_Send->m_Instance},
                          {"send", m_Sends},
                          {"outcome", outcomeName(Outcome)},
@@ -640,6 +648,7 @@
   m_Owner.m_Log.write(
       Outcome == "ok" ? "answered" : "not_answered",
       {{"request", m_Request.m_Id},
+       {"digest", m_Digest.str()},
        {"route", m_Route.m_Name},
        {"outcome", Outcome},
        {"organisation", m_Organisation},
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -110,7 +110,8 @@
   const Route &m_Route;
   std::string m_Service;
   std::string m_Organisation; ///< Empty for nobody's.
-  int m_Priority;             ///< To an engine.
+  RequestDigest m_Digest;
+  int m_Priority; ///< To an engine.
   RequestStanding m_Standing;
   RequestQuota m_Quota;
   bool m_AskingQuota = false;
