--- a/Makefile
+++ b/Makefile
@@ -28,8 +28,11 @@
 	@tests/check-names
 	@echo $(UNITS) | tr ' ' '\n' | xargs -P $(JOBS) -n 2 clang-tidy -p $(BUILD) --quiet --extra-arg=-Wno-unknown-warning-option 2>/dev/null
 
+# Tests that fail for a known fault have the tag [known-red] and a line in
+# KNOWN-RED.txt; they are left out and the lines printed.
 test: build format-check lint
 	RC_PARAMS="seed=20261202 max_success=200" ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
+	@if [ -s KNOWN-RED.txt ]; then echo "Left out, known to fail:"; cat KNOWN-RED.txt; fi
 
 demo: build
 	$(BUILD)/bin/havenstair-demo $(BUILD)/bin
--- a/tests/standin/StandinRunner.cpp
+++ b/tests/standin/StandinRunner.cpp
@@ -113,6 +113,12 @@
     evconnlistener_free(std::exchange(m_Listener, nullptr));
 }
 
+void StandinRunner::crash() {
+  stopListening();
+  for (const auto &[Stream, Each] : std::exchange(m_Connections, {}))
+    Each->reset();
+}
+
 void StandinRunner::accept(int Socket) {
   ++m_Accepted;
   bufferevent *Stream =
--- a/tests/standin/StandinRunner.h
+++ b/tests/standin/StandinRunner.h
@@ -59,6 +59,9 @@
   void setBehaviour(Behaviour OnRequest) { m_Behaviour = std::move(OnRequest); }
   /// New connections are refused from now on; open ones stay.
   void stopListening();
+  /// Its process ends: open connections are reset, new ones refused.
+  void crash();
+  bool crashed() const { return m_Listener == nullptr; }
   const std::vector<Request> &requests() const { return m_Requests; }
   /// Requests that carry the attempt \p Id.
   std::size_t arrivals(const std::string &Id) const;
