Mend: a request is known by its content, and barred after three ends

Cause: all that boxes counted of a failed request they counted by its id, by box or by start of a server, so each try of the caller began anew. A request that ends each server that runs it was sent on once by the box, came again under another id to another box, and the planner gave its model to further servers.

Change: CrashBook counts ended servers under a request's digest over the fleet; at three it is barred, unless something else was there each time. CrashWatch asks a server at once when a connection breaks. Relays tell each other, bars go to all and to the store, where they outlive the boxes. A request that runs well is cleared everywhere. Servers of a herd count once for what was on a few of them. New answers request_barred (400, not run) and servers_ended (502).

StreamTest counts streams without the question whether the server lives.

--- a/packages/decisions/request/ErrorKind.cpp
+++ b/packages/decisions/request/ErrorKind.cpp
@@ -63,6 +63,10 @@
     {504, "route_timeout", Unknown, false,
      "The upstream did not answer within the time of the route."},
     {503, "stopping", NotRun, true, "The box is about to stop."},
+    {400, "request_barred", NotRun, false,
+     "Servers ended each time they ran this request, so it is not run."},
+    {502, "servers_ended", Unknown, false,
+     "Servers ended as they ran this request; it was not repeated."},
     {500, "internal", Unknown, false, "An error inside the box."},
 }};
 
--- a/packages/decisions/request/ErrorKind.h
+++ b/packages/decisions/request/ErrorKind.h
@@ -45,6 +45,8 @@
   NoConfiguration,
   RouteTimeout,
   Stopping,
+  RequestBarred,
+  ServersEnded,
   Internal
 };
 
--- /dev/null
+++ b/packages/gateway/process/CrashExchange.cpp
@@ -0,0 +1,298 @@
+#include "gateway/process/CrashExchange.h"
+
+#include "gateway/common/DecisionLog.h"
+#include "gateway/process/Fleet.h"
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace havenstair {
+
+namespace {
+
+/// How often bars are brought to the store, and what is old is forgotten.
+constexpr Duration TickEvery = 500ms;
+
+/// A server that is asked answers or refuses within this time.
+constexpr Duration AskedFor = 300ms;
+
+/// A timer may end some milliseconds before its time.
+constexpr Duration TimerEarly = 2ms;
+
+/// What waits to be judged goes on without it after as long: a loop that is
+/// busy comes late to its timers.
+constexpr Duration JudgedWithin = 100ms;
+
+/// Named in one log line.
+constexpr std::size_t MostLogged = 16;
+
+/// Bars in one frame to a box that has come: 20 KB.
+constexpr std::size_t MostTold = 128;
+
+Json logged(const std::vector<RequestDigest> &Requests) {
+  Json Result = Json::array();
+  for (const RequestDigest &Each : Requests)
+    if (Result.size() < MostLogged)
+      Result.push_back(Each.str());
+  return Result;
+}
+
+} // namespace
+
+CrashExchange::CrashExchange(EventLoop &Loop, HttpClient &Client,
+                             CoordinationStore &Store, Fleet &Boxes,
+                             const ServingView &View, CrashBook &Book,
+                             DecisionLog &Log, const std::string &Prefix,
+                             Hooks Callbacks)
+    : m_Loop(Loop), m_Fleet(Boxes), m_Book(Book), m_Log(Log),
+      m_Hooks(std::move(Callbacks)),
+      m_Watch(Client, View, watchHooks(m_Hooks.m_Watch)),
+      m_Keeper(Store, Log, Prefix) {
+  m_TickTimer = Loop.every(TickEvery, [this] { tick(); });
+}
+
+CrashWatch::Hooks CrashExchange::watchHooks(CrashWatch::Hooks Outer) {
+  Outer.m_Crashed = [this](const UpstreamLife &Server,
+                           const std::set<RequestDigest> &Running) {
+    m_Hooks.m_Asked("ended");
+    crashed(Server, {Running.begin(), Running.end()});
+  };
+  Outer.m_Lives = [this](const UpstreamLife &) {
+    m_Hooks.m_Asked("lives");
+    m_Hooks.m_Changed();
+  };
+  return Outer;
+}
+
+void CrashExchange::tick() {
+  const TimePoint Now = EventLoop::now();
+  m_Watch.prune(Now);
+  m_Book.prune(Now);
+  if (m_Hooks.m_Writes())
+    m_Keeper.write(m_Book.bars(), Now);
+}
+
+void CrashExchange::broke(const UpstreamLife &Server,
+                          const RequestDigest &Request) {
+  m_Watch.broke(Server, Request, EventLoop::now());
+}
+
+void CrashExchange::ranWell(const RequestDigest &Request) {
+  if (!m_Book.ranWell(Request, EventLoop::now()))
+    return;
+  m_Log.write("request_cleared",
+              {{"digest", Request.str()}, {"by", m_Fleet.self().str()}});
+  tellAll(RanWellFrame{.m_Request = Request});
+  // What was there with it each time is left alone with the blame.
+  judge();
+}
+
+std::optional<Duration> CrashExchange::hold(const RequestDigest &Request,
+                                            TimePoint Now) const {
+  if (const auto JudgedAt = m_Book.judgedAt(Request, Now))
+    return *JudgedAt - Now + JudgedWithin;
+  // One end more, and it would be barred.
+  if (m_Book.suspicious(Request, Now) && m_Watch.asking(Request))
+    return AskedFor;
+  return std::nullopt;
+}
+
+void CrashExchange::crashed(const UpstreamLife &Server,
+                            const std::vector<RequestDigest> &Running) {
+  const CrashFrame Frame{.m_Server = Server, .m_Running = Running};
+  m_Log.write("server_ended", {{"upstream", Server.m_Id},
+                               {"born", Server.m_Born},
+                               {"requests", Running.size()},
+                               {"digests", logged(Running)}});
+  if (heard(Frame))
+    tellRelays(Frame, BoxName());
+  m_Hooks.m_Changed();
+}
+
+/// \returns whether it is new.
+bool CrashExchange::heard(const CrashFrame &Frame) {
+  const TimePoint Now = EventLoop::now();
+  const CrashBook::Heard Heard =
+      m_Book.crashed(Frame.m_Server, Frame.m_Running, Now);
+  for (const RequestDigest &Each : Heard.m_RanWell)
+    tellAll(RanWellFrame{.m_Request = Each});
+  if (!Heard.m_New)
+    return false;
+  // Leaves hear of no ends; those may know which requests ran well.
+  if (m_Fleet.topology().relay() && !m_Fleet.topology().flat())
+    tellSuspects(Frame.m_Running);
+  judgeLater();
+  return true;
+}
+
+void CrashExchange::tellSuspects(const std::vector<RequestDigest> &Among) {
+  CrashSuspectsFrame Frame;
+  for (const RequestDigest &Each : Among)
+    if (m_Book.suspicious(Each, EventLoop::now()))
+      Frame.m_Requests.push_back(Each);
+  if (Frame.m_Requests.empty())
+    return;
+  tell(Frame,
+       [this](const BoxName &Box) { return !m_Fleet.topology().isRelay(Box); });
+}
+
+void CrashExchange::judgeLater() {
+  const TimePoint Now = EventLoop::now();
+  if (const auto At = m_Book.settlesAt(Now))
+    m_JudgeTimer = m_Loop.after(*At - Now + TimerEarly, [this] { judge(); });
+}
+
+void CrashExchange::judge() {
+  const TimePoint Now = EventLoop::now();
+  const std::vector<RequestDigest> Barred = m_Book.judge(m_Fleet.self(), Now);
+  judgeLater();
+  for (const RequestDigest &Each : Barred)
+    noteBarred(Each, "judged");
+  if (!Barred.empty())
+    tellAll(RequestBarsFrame{.m_Bars = toldBars(Barred)});
+  m_Hooks.m_Changed();
+}
+
+void CrashExchange::noteBarred(const RequestDigest &Request,
+                               std::string_view How) {
+  const TimePoint Now = EventLoop::now();
+  const RequestBar *Bar = m_Book.bar(Request, Now);
+  if (Bar == nullptr)
+    return;
+  m_Log.write("request_barred", {{"digest", Request.str()},
+                                 {"servers", Bar->m_Servers},
+                                 {"by", Bar->m_By.str()},
+                                 {"how", How},
+                                 {"since_ms", (Now - Bar->m_Since) / 1ms},
+                                 {"for_ms", (Bar->m_Until - Now) / 1ms}});
+}
+
+std::vector<ToldBar>
+CrashExchange::toldBars(const std::vector<RequestDigest> &Of) const {
+  const TimePoint Now = EventLoop::now();
+  std::vector<ToldBar> Result;
+  for (const RequestDigest &Each : Of)
+    if (const RequestBar *Bar = m_Book.bar(Each, Now))
+      Result.push_back({.m_Request = Each,
+                        .m_Servers = Bar->m_Servers,
+                        .m_By = Bar->m_By,
+                        .m_Age = Now - Bar->m_Since,
+                        .m_Left = Bar->m_Until - Now});
+  return Result;
+}
+
+void CrashExchange::entriesChanged(
+    const std::map<std::string, StoreItem> &Items) {
+  const TimePoint Now = EventLoop::now();
+  BarKeeper::News News = m_Keeper.entriesChanged(Items);
+  m_Book.letThrough(std::move(News.m_LetThrough));
+  for (auto &[Request, Bar] : News.m_Bars) {
+    // How old it is nobody can tell: the boxes that knew may all have ended.
+    Bar.m_Since = Now;
+    Bar.m_Until = TimePoint::max();
+    if (m_Book.adopt(Request, Bar, Now))
+      noteBarred(Request, "stored");
+  }
+  m_Hooks.m_Changed();
+}
+
+void CrashExchange::linkUp(const BoxName &Box) {
+  std::vector<RequestDigest> All;
+  for (const auto &[Request, Bar] : m_Book.bars())
+    All.push_back(Request);
+  std::vector<ToldBar> Bars = toldBars(All);
+  for (std::size_t At = 0; At < Bars.size(); At += MostTold) {
+    const auto From = Bars.begin() + static_cast<std::ptrdiff_t>(At);
+    const auto Count = std::min(MostTold, Bars.size() - At);
+    m_Fleet.send(
+        Box, RequestBarsFrame{
+                 .m_Bars = {From, From + static_cast<std::ptrdiff_t>(Count)}});
+  }
+}
+
+void CrashExchange::tell(const PeerFrame &Frame, const Whom &To) {
+  // A link that fails while it is written to leaves the set.
+  const std::vector<BoxName> All(m_Fleet.linked().begin(),
+                                 m_Fleet.linked().end());
+  for (const BoxName &Each : All)
+    if (To(Each))
+      m_Fleet.send(Each, Frame);
+}
+
+void CrashExchange::tellAll(const PeerFrame &Frame) {
+  tell(Frame, [](const BoxName &) { return true; });
+}
+
+void CrashExchange::tellRelays(const PeerFrame &Frame, const BoxName &But) {
+  for (const BoxName &Each : m_Fleet.linkedRelays())
+    if (Each != But)
+      m_Fleet.send(Each, Frame);
+}
+
+/// Relays are linked to each other: what one of them says goes to leaves only,
+/// or it would go round among them.
+void CrashExchange::passOn(const PeerFrame &Frame, const BoxName &From) {
+  const FleetTopology &Topology = m_Fleet.topology();
+  if (!Topology.relay())
+    return;
+  const bool FromRelay = Topology.flat() || Topology.isRelay(From);
+  tell(Frame, [&](const BoxName &Box) {
+    return Box != From &&
+           !(FromRelay && (Topology.flat() || Topology.isRelay(Box)));
+  });
+}
+
+void CrashExchange::onFrame(const BoxName &From, const PeerFrame &Frame) {
+  std::visit(
+      [&](const auto &Each) {
+        if constexpr (requires { take(From, Each); })
+          take(From, Each);
+      },
+      Frame);
+}
+
+void CrashExchange::take(const BoxName &From, const CrashFrame &Frame) {
+  if (!heard(Frame))
+    return;
+  const FleetTopology &Topology = m_Fleet.topology();
+  if (Topology.relay() && !Topology.flat() && !Topology.isRelay(From))
+    tellRelays(Frame, From);
+  m_Hooks.m_Changed();
+}
+
+void CrashExchange::take(const BoxName &, const CrashSuspectsFrame &Frame) {
+  const TimePoint Now = EventLoop::now();
+  for (const RequestDigest &Each : Frame.m_Requests)
+    if (m_Book.suspected(Each, Now))
+      tellAll(RanWellFrame{.m_Request = Each});
+}
+
+void CrashExchange::take(const BoxName &From, const RanWellFrame &Frame) {
+  if (!m_Book.ranWell(Frame.m_Request, EventLoop::now()))
+    return;
+  m_Log.write("request_cleared",
+              {{"digest", Frame.m_Request.str()}, {"by", From.str()}});
+  passOn(Frame, From);
+  judge();
+}
+
+void CrashExchange::take(const BoxName &From, const RequestBarsFrame &Frame) {
+  const TimePoint Now = EventLoop::now();
+  RequestBarsFrame New;
+  for (const ToldBar &Each : Frame.m_Bars) {
+    const RequestBar Bar{.m_Servers = Each.m_Servers,
+                         .m_By = Each.m_By,
+                         .m_Since = Now - Each.m_Age,
+                         .m_Until = Now + Each.m_Left};
+    if (!m_Book.adopt(Each.m_Request, Bar, Now))
+      continue;
+    noteBarred(Each.m_Request, "told");
+    New.m_Bars.push_back(Each);
+  }
+  if (New.m_Bars.empty())
+    return;
+  passOn(New, From);
+  m_Hooks.m_Changed();
+}
+
+} // namespace havenstair
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/process/ObservedEngines.h"
 #include "gateway/process/PartOptions.h"
+#include "gateway/request/UpstreamCall.h"
 #include "wire/common/Crypto.h"
 #include <algorithm>
 #include <iterator>
@@ -153,10 +154,14 @@
               .m_Leaves = [this] { return m_Exchange.leaves(); }})),
       m_WarmUp(std::make_shared<WarmUpExchange>(
           Loop, m_Fleet, m_State.m_WarmUp, m_Log, m_Options.m_Bounds.m_WarmUp,
-          WarmUpExchange::Hooks{.m_Asked = [this](const auto &At, auto What) {
-            m_Metrics.permitAsked(At, What);
-          }})) {
-  m_Forwarder.setDesks(m_Quotas, m_WarmUp);
+          WarmUpExchange::Hooks{.m_Asked =
+                                    [this](const auto &At, auto What) {
+                                      m_Metrics.permitAsked(At, What);
+                                    }})),
+      m_Crashes(std::make_shared<CrashExchange>(
+          Loop, m_UpstreamHttp, *m_Store, m_Fleet, m_State.m_Upstreams,
+          m_State.m_Crashes, m_Log, m_Binding.m_OwnPrefix, crashHooks())) {
+  m_Forwarder.setDesks(m_Quotas, m_WarmUp, m_Crashes);
   m_State.standsIn(m_Options.m_DataCentre, m_Options.m_Regions);
   applyBounds();
   startServers();
@@ -188,11 +193,13 @@
                 m_Exchange.onFrame(From, Frame);
                 m_Quotas->onFrame(From, Frame);
                 m_WarmUp->onFrame(From, Frame);
+                m_Crashes->onFrame(From, Frame);
               },
           .m_Up =
               [this](const BoxName &Box) {
                 m_Exchange.linkUp(Box);
                 m_WarmUp->refreshRole();
+                m_Crashes->linkUp(Box);
               },
           .m_Down =
               [this](const BoxName &Box) {
@@ -202,11 +209,25 @@
           .m_StoreBack = [this] { resync(); }};
 }
 
+CrashExchange::Hooks Gateway::crashHooks() {
+  return {.m_Watch = {.m_Question =
+                          [this](const UpstreamInstance &At) {
+                            return healthCall(
+                                At, m_State.m_Config->service(At.m_Service),
+                                Forwarder::Options{}.m_ConnectTimeout);
+                          },
+                      .m_ReadAnswer = m_Binding.m_Dialect.m_ReadAnswer},
+          .m_Changed = [this] { m_Forwarder.crashesChanged(); },
+          .m_Asked = [this](auto What) { m_Metrics.serverAsked(What); },
+          .m_Writes = [this] { return m_Giver.giving(); }};
+}
+
 void Gateway::ownKeysChanged() {
   m_Fleet.entriesChanged(m_OwnMirror.items());
   m_Giver.entriesChanged(m_OwnMirror.items());
   m_Exchange.boxesChanged();
   m_Quotas->boxesChanged();
+  m_Crashes->entriesChanged(m_OwnMirror.items());
   m_WarmUp->refreshRole();
   const bool Starting = EventLoop::now() - m_StartedAt < StartsWithin;
   m_OwnMirror.setGather(
@@ -267,6 +288,7 @@
   Now.m_GivesOrders = m_Giver.giving() ? 1 : 0;
   Now.m_FencingToken = Number(m_Giver.holder().m_Token);
   Now.m_LogLinesLeftOut = Number(m_Log.leftOut());
+  Now.m_BarredRequests = Number(m_State.m_Crashes.bars().size());
   Now.m_Cold = m_State.m_WarmUp.coldByDataCentre(EventLoop::now());
   m_Metrics.set(Now);
   Exchange->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
@@ -366,6 +388,7 @@
       m_UpstreamHttp.forget(*Address);
   }
   m_WarmUp->listed(m_State.m_Upstreams.list());
+  m_Crashes->listed();
   m_Log.write("upstreams",
               {{"revision", m_UpstreamMirror.revision()},
                {"listed", m_State.m_Upstreams.list().m_Instances.size()},
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -4,6 +4,7 @@
 #define HAVENSTAIR_GATEWAY_PROCESS_GATEWAY_H
 
 #include "gateway/common/DecisionLog.h"
+#include "gateway/process/CrashExchange.h"
 #include "gateway/process/Fleet.h"
 #include "gateway/process/FleetExchange.h"
 #include "gateway/process/GatewayMetrics.h"
@@ -60,6 +61,7 @@
 
 private:
   Fleet::Hooks fleetHooks();
+  CrashExchange::Hooks crashHooks();
   PrefixMirror::Options mirrorOptions(const std::string &Prefix,
                                       Duration Gather, Duration Wait,
                                       ReadKind FirstRead = ReadKind::Current);
@@ -104,6 +106,7 @@
   FleetExchange m_Exchange;
   std::shared_ptr<QuotaExchange> m_Quotas;
   std::shared_ptr<WarmUpExchange> m_WarmUp;
+  std::shared_ptr<CrashExchange> m_Crashes;
   std::unique_ptr<HttpServer> m_Callers;
   std::unique_ptr<HttpServer> m_Readiness;
   std::unique_ptr<HttpServer> m_MetricsServer;
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -67,6 +67,12 @@
           .Name("havenstair_warm_up_permits_total")
           .Help("Permits asked for cold servers, by data centre and answer")
           .Register(m_Registry);
+  prometheus::Family<prometheus::Counter> &m_ServersAsked =
+      prometheus::BuildCounter()
+          .Name("havenstair_broken_servers_total")
+          .Help("Servers that were asked after a connection broke, by whether "
+                "they had ended")
+          .Register(m_Registry);
   prometheus::Family<prometheus::Gauge> &m_Cold =
       prometheus::BuildGauge()
           .Name("havenstair_cold_servers")
@@ -143,6 +149,10 @@
       .Increment();
 }
 
+void GatewayMetrics::serverAsked(std::string_view What) {
+  m_Families->m_ServersAsked.Add({{"what", std::string(What)}}).Increment();
+}
+
 void GatewayMetrics::storeCalled(std::string_view Call,
                                  std::string_view Subject) {
   m_Families->m_StoreCalls
@@ -161,6 +171,7 @@
   m_Families->state("gives_orders", Now.m_GivesOrders);
   m_Families->state("fencing_token", Now.m_FencingToken);
   m_Families->state("log_lines_left_out", Now.m_LogLinesLeftOut);
+  m_Families->state("barred_requests", Now.m_BarredRequests);
   for (const auto &[DataCentre, Count] : Now.m_Cold)
     Families::label(m_Families->m_DataCentres, DataCentre.str());
   for (const std::string &Each : m_Families->m_DataCentres) {
--- a/packages/gateway/process/GatewayMetrics.h
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -26,6 +26,7 @@
   double m_GivesOrders = 0;  ///< 1 on the box that gives orders.
   double m_FencingToken = 0;
   double m_LogLinesLeftOut = 0;
+  double m_BarredRequests = 0; ///< Contents that are sent to no server.
   std::map<DataCentreName, int> m_Cold; ///< Cold servers.
 };
 
@@ -46,6 +47,8 @@
   void ordered(std::string_view Operation, std::string_view Answer);
   /// A permit for a cold server in \p At was asked for.
   void permitAsked(const DataCentreName &At, std::string_view Answer);
+  /// A server was asked whether it had ended; \p What it turned out to be.
+  void serverAsked(std::string_view What);
   /// A call to the store was made; \p Subject is its prefix, or empty.
   void storeCalled(std::string_view Call, std::string_view Subject);
   void set(const GatewayGauges &Now);
--- a/packages/gateway/process/ServingState.h
+++ b/packages/gateway/process/ServingState.h
@@ -4,6 +4,7 @@
 #define HAVENSTAIR_GATEWAY_PROCESS_SERVINGSTATE_H
 
 #include "decisions/common/DataCentreMap.h"
+#include "decisions/process/CrashBook.h"
 #include "decisions/process/DemandBook.h"
 #include "decisions/process/FailureBook.h"
 #include "decisions/process/LatencyModel.h"
@@ -34,6 +35,7 @@
   PrefixIndex m_Prefixes{PrefixTokens};
   LatencyModel m_Latency;
   FailureBook m_Failures;
+  CrashBook m_Crashes;
   SharedRetryBudget m_Budget{{}};
   CallerClock m_Callers;
   ModelDemands m_Demand; ///< Since it was last taken.
--- /dev/null
+++ b/packages/gateway/request/CrashDesk.h
@@ -0,0 +1,33 @@
+/// \file
+/// Where requests tell that a server may have ended under them.
+#ifndef HAVENSTAIR_GATEWAY_REQUEST_CRASHDESK_H
+#define HAVENSTAIR_GATEWAY_REQUEST_CRASHDESK_H
+
+#include "decisions/common/Id.h"
+#include "decisions/common/Time.h"
+#include "decisions/process/UpstreamLife.h"
+#include <optional>
+
+namespace havenstair {
+
+class CrashDesk {
+public:
+  CrashDesk() = default;
+  CrashDesk(const CrashDesk &) = delete;
+  CrashDesk &operator=(const CrashDesk &) = delete;
+  virtual ~CrashDesk() = default;
+
+  /// The connection to \p Server broke while \p Request was there.
+  virtual void broke(const UpstreamLife &Server,
+                     const RequestDigest &Request) = 0;
+  /// A server ran it to an end.
+  virtual void ranWell(const RequestDigest &Request) = 0;
+  /// How long \p Request waits before it is sent, as it may be barred by then;
+  /// none when it need not. News end the wait.
+  virtual std::optional<Duration> hold(const RequestDigest &Request,
+                                       TimePoint Now) const = 0;
+};
+
+} // namespace havenstair
+
+#endif
--- /dev/null
+++ b/packages/gateway/request/CrashGuard.h
@@ -0,0 +1,46 @@
+/// \file
+/// One request's part in the ends of servers.
+#ifndef HAVENSTAIR_GATEWAY_REQUEST_CRASHGUARD_H
+#define HAVENSTAIR_GATEWAY_REQUEST_CRASHGUARD_H
+
+#include "decisions/process/CrashBook.h"
+#include "decisions/process/UpstreamInstance.h"
+#include "gateway/request/CrashDesk.h"
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace havenstair {
+
+/// Knows the request by its content, which stays the same from try to try.
+class CrashGuard {
+public:
+  /// The desk may end before the request does.
+  CrashGuard(RequestDigest Request, const CrashBook &Book,
+             std::weak_ptr<CrashDesk> Desk)
+      : m_Request(std::move(Request)), m_Book(Book), m_Desk(std::move(Desk)) {}
+
+  const RequestDigest &digest() const { return m_Request; }
+  /// Null while it may be sent.
+  const RequestBar *bar(TimePoint Now) const {
+    return m_Book.bar(m_Request, Now);
+  }
+  /// How long it waits before it is sent; none when it need not.
+  std::optional<Duration> hold(TimePoint Now) const;
+  /// Leaves one of \p Candidates when the request is suspected. Those that were
+  /// at the same ends go to other servers then, so that the next end tells them
+  /// apart.
+  void keepApart(std::vector<const UpstreamInstance *> &Candidates,
+                 TimePoint Now) const;
+  void broke(const UpstreamLife &Server) const;
+  void ranWell() const;
+
+private:
+  RequestDigest m_Request;
+  const CrashBook &m_Book;
+  std::weak_ptr<CrashDesk> m_Desk;
+};
+
+} // namespace havenstair
+
+#endif
--- a/packages/gateway/request/Forwarder.cpp
+++ b/packages/gateway/request/Forwarder.cpp
@@ -139,6 +139,13 @@
     Each->upstreamsChanged();
 }
 
+void Forwarder::crashesChanged() {
+  const std::vector<std::shared_ptr<ProxiedRequest>> All(m_Open.begin(),
+                                                         m_Open.end());
+  for (const auto &Each : All)
+    Each->crashesChanged();
+}
+
 void Forwarder::remove(const std::shared_ptr<ProxiedRequest> &Ended) {
   m_Open.erase(Ended);
 }
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -8,6 +8,7 @@
 #include "decisions/request/ReplicaAdmission.h"
 #include "decisions/request/ReplicaChoice.h"
 #include "gateway/process/ServingState.h"
+#include "gateway/request/CrashDesk.h"
 #include "gateway/request/EarlyRequests.h"
 #include "gateway/request/QuotaDesk.h"
 #include "gateway/request/RequestDialect.h"
@@ -69,15 +70,19 @@
 
   /// Before the first request.
   void setDesks(std::weak_ptr<QuotaDesk> Quotas,
-                std::weak_ptr<WarmUpDesk> WarmUp) {
+                std::weak_ptr<WarmUpDesk> WarmUp,
+                std::weak_ptr<CrashDesk> Crashes) {
     m_Quotas = std::move(Quotas);
     m_WarmUp = std::move(WarmUp);
+    m_Crashes = std::move(Crashes);
   }
   void handle(const HttpExchangePtr &Exchange);
   /// Answers a request that is not to be sent anywhere.
   void refuse(const HttpExchangePtr &Exchange, const Failure &Reason);
   /// The list of upstreams has changed: waiting requests look again.
   void upstreamsChanged();
+  /// Requests were barred or cleared, or servers asked whether they ended.
+  void crashesChanged();
   /// The box may know all that it serves by now, or stops: requests that were
   /// kept for that go on.
   void releaseEarly();
@@ -102,6 +107,7 @@
   Hooks m_Hooks;
   std::weak_ptr<QuotaDesk> m_Quotas;
   std::weak_ptr<WarmUpDesk> m_WarmUp;
+  std::weak_ptr<CrashDesk> m_Crashes;
   EarlyRequests m_Early;
   Timer m_EarlyTimer;
   std::set<std::shared_ptr<ProxiedRequest>> m_Open;
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -47,11 +47,12 @@
       m_Config(std::move(Config)), m_Route(Of),
       m_Service(chooseSplit(Of, m_Request.m_Id)),
       m_Organisation(Caller == nullptr ? "" : Caller->m_Name),
-      m_Digest(digestOf({.m_Method = m_Exchange->method(),
-                         .m_Host = m_Request.m_Host,
-                         .m_Target = m_Exchange->target(),
-                         .m_Organisation = m_Organisation,
-                         .m_Body = m_Exchange->body()})),
+      m_Crashes(digestOf({.m_Method = m_Exchange->method(),
+                          .m_Host = m_Request.m_Host,
+                          .m_Target = m_Exchange->target(),
+                          .m_Organisation = m_Organisation,
+                          .m_Body = m_Exchange->body()}),
+                Owner.m_State.m_Crashes, Owner.m_Crashes),
       m_Priority(enginePriority(*m_Config, Of, Caller)),
       m_Standing(m_Config, Of, Caller, m_Request.m_Caller),
       m_Quota(Owner.m_Quotas, m_Organisation, quotaUnits(m_Request, Caller)),
@@ -116,12 +117,15 @@
   const TimePoint Now = EventLoop::now();
   ServingState &State = m_Owner.m_State;
   m_ParkTimer = Timer();
-  if (!stillAllowed())
+  if (!stillAllowed() || refusedBarred(Now))
     return;
+  if (const auto Hold = m_Crashes.hold(Now))
+    return wait(*Hold);
   const auto Excluded = [&](const InstanceId &Id) {
     return m_Tried.contains(Id) || m_Permit.excludes(Id, Now);
   };
-  const auto Candidates = reach().candidates(Excluded, Now);
+  auto Candidates = reach().candidates(Excluded, Now);
+  m_Crashes.keepApart(Candidates, Now);
   const ReplicaKnowledge Known{.m_Loads = State.m_Loads,
                                .m_Prefixes = State.m_Prefixes,
                                .m_Latency = State.m_Latency,
@@ -159,6 +163,18 @@
     send(*Chosen, Now);
 }
 
+/// A request that ends servers ends those that it still waits for, too. One
+/// that a server has begun to answer may yet show that it does not.
+void ProxiedRequest::crashesChanged() {
+  if (m_Done)
+    return;
+  const auto Self = shared_from_this();
+  if (m_Parked)
+    step();
+  else if (m_Send && !m_Send->m_Started)
+    refusedBarred(EventLoop::now());
+}
+
 void ProxiedRequest::resume() {
   const auto Self = shared_from_this();
   if (!m_Done)
@@ -275,6 +291,21 @@
   return false;
 }
 
+/// Whether the request has its final answer, as servers ended under it. It is
+/// known by its content, as each try has another id.
+bool ProxiedRequest::refusedBarred(TimePoint Now) {
+  const RequestBar *Bar = m_Crashes.bar(Now);
+  if (Bar == nullptr)
+    return false;
+  if (m_BytesPassed)
+    cut();
+  else if (m_MayHaveRun || m_Send)
+    fail(ErrorKind::ServersEnded);
+  else
+    refuse(ErrorKind::RequestBarred, 0us, {});
+  return true;
+}
+
 /// How long units or permits may be waited for: while the answer still comes in
 /// time, and what is late already as long as a word from the other boxes takes.
 Duration ProxiedRequest::timeToSpare(TimePoint Now) const {
@@ -361,7 +392,7 @@
                             OutputPart * m_Request.m_MostOutput};
   m_Owner.m_Log.write("sent",
                       {{"request", m_Request.m_Id},
-                       {"digest", m_Digest.str()},
+                       {"digest", m_Crashes.digest().str()},
                        {"route", m_Route.m_Name},
                        {"config", m_Config->m_Version},
                        {"list", State.m_Upstreams.list().m_Revision},
@@ -464,6 +495,8 @@
 void ProxiedRequest::onEnd(HttpEnd End) {
   if (m_Done || !m_Send)
     return;
+  if (End == HttpEnd::Broken)
+    m_Crashes.broke({.m_Id = m_Send->m_Instance, .m_Born = m_Send->m_Born});
   settle(judge(End));
 }
 
@@ -485,6 +518,8 @@
   m_Sends -= Outcome == SendOutcome::NotSent ? 1 : 0;
   m_MayHaveRun = m_MayHaveRun || Outcome == SendOutcome::Broken ||
                  Outcome == SendOutcome::ServerError;
+  if (Outcome == SendOutcome::Answered || Outcome == SendOutcome::ServerError)
+    m_Crashes.ranWell();
   if (upstreamStartedAgain())
     return;
   if (Outcome == SendOutcome::Answered)
@@ -546,7 +581,7 @@
   if (Outcome != SendOutcome::Answered)
     m_Owner.m_Log.write("send_failed",
                         {{"request", m_Request.m_Id},
-                         {"digest", m_Digest.str()},
+                         {"digest", m_Crashes.digest().str()},
                          {"upstream", m_Send->m_Instance},
                          {"send", m_Sends},
                          {"outcome", outcomeName(Outcome)},
@@ -648,7 +683,7 @@
   m_Owner.m_Log.write(
       Outcome == "ok" ? "answered" : "not_answered",
       {{"request", m_Request.m_Id},
-       {"digest", m_Digest.str()},
+       {"digest", m_Crashes.digest().str()},
        {"route", m_Route.m_Name},
        {"outcome", Outcome},
        {"organisation", m_Organisation},
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -7,6 +7,7 @@
 #include "decisions/request/ReplicaAdmission.h"
 #include "decisions/request/RequestReach.h"
 #include "decisions/request/RequestStanding.h"
+#include "gateway/request/CrashGuard.h"
 #include "gateway/request/Forwarder.h"
 #include "gateway/request/RequestPermit.h"
 #include "gateway/request/RequestQuota.h"
@@ -29,6 +30,7 @@
 
   void begin();
   void upstreamsChanged();
+  void crashesChanged();
 
 private:
   /// One send to an upstream.
@@ -68,6 +70,7 @@
   bool admitted(const std::optional<ChosenReplica> &Chosen, TimePoint Now);
   void wait(Duration For);
   bool stillAllowed();
+  bool refusedBarred(TimePoint Now);
   RequestReach reach() const;
   Duration timeToSpare(TimePoint Now) const;
   bool withinQuota(TimePoint Now);
@@ -110,7 +113,7 @@
   const Route &m_Route;
   std::string m_Service;
   std::string m_Organisation; ///< Empty for nobody's.
-  RequestDigest m_Digest;
+  CrashGuard m_Crashes;
   int m_Priority; ///< To an engine.
   RequestStanding m_Standing;
   RequestQuota m_Quota;
--- a/packages/wire/common/Json.h
+++ b/packages/wire/common/Json.h
@@ -86,6 +86,10 @@
 /// A duration field in whole microseconds.
 Duration micros(const Json &Object, const char *Name);
 
+/// The same for a time that is never negative nor longer than a day.
+/// \throws DecodeError for any other.
+Duration durationField(const Json &Object, const char *Name);
+
 } // namespace havenstair
 
 #endif
--- /dev/null
+++ b/packages/wire/connection/CrashFrames.cpp
@@ -0,0 +1,81 @@
+#include "wire/connection/CrashFrames.h"
+
+#include <string>
+
+namespace havenstair {
+
+namespace {
+
+Json digestsToJson(const std::vector<RequestDigest> &Requests) {
+  Json Result = Json::array();
+  for (const RequestDigest &Each : Requests)
+    Result.push_back(Each.str());
+  return Result;
+}
+
+std::vector<RequestDigest> digestsField(const Json &From, const char *Name) {
+  std::vector<RequestDigest> Result;
+  for (std::string &Each : field<std::vector<std::string>>(From, Name))
+    Result.emplace_back(std::move(Each));
+  return Result;
+}
+
+Json toJson(const ToldBar &Bar) {
+  return {{"request", Bar.m_Request.str()},
+          {"servers", Bar.m_Servers},
+          {"by", Bar.m_By.str()},
+          {"age_us", Bar.m_Age.count()},
+          {"left_us", Bar.m_Left.count()}};
+}
+
+ToldBar barFromJson(const Json &From) {
+  return {.m_Request = RequestDigest(field<std::string>(From, "request")),
+          .m_Servers = field<std::vector<InstanceId>>(From, "servers"),
+          .m_By = BoxName(field<std::string>(From, "by")),
+          .m_Age = durationField(From, "age_us"),
+          .m_Left = durationField(From, "left_us")};
+}
+
+} // namespace
+
+Json toJson(const CrashFrame &Frame) {
+  return {{"server", Frame.m_Server.m_Id},
+          {"born", Frame.m_Server.m_Born},
+          {"running", digestsToJson(Frame.m_Running)}};
+}
+
+void fromJson(const Json &From, CrashFrame &Frame) {
+  Frame.m_Server = {.m_Id = field<std::string>(From, "server"),
+                    .m_Born = field<UpstreamBirth>(From, "born")};
+  Frame.m_Running = digestsField(From, "running");
+}
+
+Json toJson(const CrashSuspectsFrame &Frame) {
+  return {{"requests", digestsToJson(Frame.m_Requests)}};
+}
+
+void fromJson(const Json &From, CrashSuspectsFrame &Frame) {
+  Frame.m_Requests = digestsField(From, "requests");
+}
+
+Json toJson(const RanWellFrame &Frame) {
+  return {{"request", Frame.m_Request.str()}};
+}
+
+void fromJson(const Json &From, RanWellFrame &Frame) {
+  Frame.m_Request = RequestDigest(field<std::string>(From, "request"));
+}
+
+Json toJson(const RequestBarsFrame &Frame) {
+  Json Bars = Json::array();
+  for (const ToldBar &Each : Frame.m_Bars)
+    Bars.push_back(toJson(Each));
+  return {{"bars", std::move(Bars)}};
+}
+
+void fromJson(const Json &From, RequestBarsFrame &Frame) {
+  for (const Json &Each : field<std::vector<Json>>(From, "bars"))
+    Frame.m_Bars.push_back(barFromJson(Each));
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/wire/connection/CrashFrames.h
@@ -0,0 +1,68 @@
+/// \file
+/// Messages between the boxes of a gateway fleet about requests that end the
+/// servers that run them. See docs/design/crashing-requests.md.
+#ifndef HAVENSTAIR_WIRE_CONNECTION_CRASHFRAMES_H
+#define HAVENSTAIR_WIRE_CONNECTION_CRASHFRAMES_H
+
+#include "decisions/process/CrashBook.h"
+#include "wire/common/Json.h"
+#include <vector>
+
+namespace havenstair {
+
+/// A server ended; these requests of the sender, or of its leaf, were on it.
+struct CrashFrame {
+  UpstreamLife m_Server;
+  std::vector<RequestDigest> m_Running;
+
+  bool operator==(const CrashFrame &) const = default;
+};
+
+/// More than one server has ended under these. Who knows that one of them ran
+/// well says so.
+struct CrashSuspectsFrame {
+  std::vector<RequestDigest> m_Requests;
+
+  bool operator==(const CrashSuspectsFrame &) const = default;
+};
+
+/// A server ran a suspected request to an end and lives.
+struct RanWellFrame {
+  RequestDigest m_Request;
+
+  bool operator==(const RanWellFrame &) const = default;
+};
+
+/// One barred request. Clocks differ from box to box, so times are told as they
+/// are from now on.
+struct ToldBar {
+  RequestDigest m_Request;
+  std::vector<InstanceId> m_Servers;
+  BoxName m_By;
+  Duration m_Age = 0us;
+  Duration m_Left = 0us;
+
+  bool operator==(const ToldBar &) const = default;
+};
+
+/// Bars that are new, or all of them to a box whose link has come up.
+struct RequestBarsFrame {
+  std::vector<ToldBar> m_Bars;
+
+  bool operator==(const RequestBarsFrame &) const = default;
+};
+
+Json toJson(const CrashFrame &Frame);
+Json toJson(const CrashSuspectsFrame &Frame);
+Json toJson(const RanWellFrame &Frame);
+Json toJson(const RequestBarsFrame &Frame);
+
+/// \throws DecodeError for a value of another form.
+void fromJson(const Json &From, CrashFrame &Frame);
+void fromJson(const Json &From, CrashSuspectsFrame &Frame);
+void fromJson(const Json &From, RanWellFrame &Frame);
+void fromJson(const Json &From, RequestBarsFrame &Frame);
+
+} // namespace havenstair
+
+#endif
--- a/packages/wire/connection/PeerFrames.cpp
+++ b/packages/wire/connection/PeerFrames.cpp
@@ -16,7 +16,8 @@
     "limit_answer",   "limit_tell",     "fleet_digest",  "fleet_want",
     "fleet_keys",     "fleet_contents", "fleet_missing", "fleet_loads",
     "quota_ask",      "quota_answer",   "quota_use",     "warm_up_ask",
-    "warm_up_answer", "warm_up_news"};
+    "warm_up_answer", "warm_up_news",   "crash",         "crash_suspects",
+    "ran_well",       "request_bars"};
 
 /// Which alternative of the variant a message is; no message uses the name.
 constexpr const char *KindField = "frame";
--- a/packages/wire/connection/PeerFrames.h
+++ b/packages/wire/connection/PeerFrames.h
@@ -9,6 +9,7 @@
 #include "decisions/request/ForwardedRequest.h"
 #include "decisions/version/Assignment.h"
 #include "decisions/version/Table.h"
+#include "wire/connection/CrashFrames.h"
 #include "wire/connection/FleetFrames.h"
 #include "wire/connection/QuotaFrames.h"
 #include "wire/connection/WarmUpFrames.h"
@@ -179,7 +180,8 @@
     LimitTellFrame, FleetDigestFrame, FleetWantFrame, FleetKeysFrame,
     FleetContentsFrame, FleetMissingFrame, FleetLoadsFrame, QuotaAskFrame,
     QuotaAnswerFrame, QuotaUseFrame, WarmUpAskFrame, WarmUpAnswerFrame,
-    WarmUpNewsFrame>;
+    WarmUpNewsFrame, CrashFrame, CrashSuspectsFrame, RanWellFrame,
+    RequestBarsFrame>;
 
 /// Name of the kind of \p Frame, for metrics.
 std::string_view frameName(const PeerFrame &Frame);
--- a/packages/wire/connection/WarmUpFrames.cpp
+++ b/packages/wire/connection/WarmUpFrames.cpp
@@ -2,20 +2,6 @@
 
 namespace havenstair {
 
-namespace {
-
-/// No box sends a longer time; a larger number is a mistake.
-constexpr Duration Longest = std::chrono::hours(24);
-
-Duration durationField(const Json &From, const char *Name) {
-  const auto Micros = field<std::uint64_t>(From, Name);
-  if (Micros > static_cast<std::uint64_t>(Longest.count()))
-    throw DecodeError(std::string("field ") + Name + " is too long a time");
-  return Duration(static_cast<Duration::rep>(Micros));
-}
-
-} // namespace
-
 Json toJson(const WarmUpAskFrame &Frame) {
   return {{"id", Frame.m_Id},
           {"server", Frame.m_Server},
--- a/tests/gateway/StreamTest.cpp
+++ b/tests/gateway/StreamTest.cpp
@@ -50,6 +50,9 @@
   GatewayTest Test;
   int Streams = 0;
   const auto Behave = [&](const Request &Of, const ConnectionPtr &To) {
+    // A server whose connection broke is asked whether it has ended.
+    if (Of.m_Target == "/")
+      return To->write(StandinRunner::answer(Of, 200, "healthy"));
     streamUntil(Of, To, ++Streams == 1 ? 3 : Pieces);
   };
   Test.addRunner("i-1", Behave);
