What clears a request of blame: a whole run on a server that lives on

Cause (reviewed, not seen in a log): an answer 5xx may come without a run, and the rest of a resumed stream may be nothing; both cleared a request that ends servers. A server may also end just after it has answered.

Change: only a whole 2xx answer counts, a second later, if the server has not ended. A box that asked a server in vain believes another that found its end. Five ends bar a request whatever else was there (the bound for ties and herds).

--- a/packages/decisions/process/CrashBook.cpp
+++ b/packages/decisions/process/CrashBook.cpp
@@ -175,9 +175,7 @@
 /// Whether it may as well be another one that was there each time. Who ended
 /// servers before is to blame rather than who was beside it.
 bool CrashBook::tied(const RequestDigest &Request, TimePoint Now) const {
-  return !m_Ended.contains(Request) &&
-         count(settled(Request, Now), Request, Now) < m_Opts.m_MostTied &&
-         together(Request, Now).size() > 1;
+  return !m_Ended.contains(Request) && together(Request, Now).size() > 1;
 }
 
 /// Of those that are to be barred the one that was there most often: it may
@@ -189,8 +187,11 @@
     if (Servers.size() < needed(Request) || bar(Request, Now) != nullptr ||
         m_LetThrough.contains(Request))
       continue;
-    const std::size_t Count = count(settled(Request, Now), Request, Now);
-    if (Count < needed(Request) || Count <= Most || tied(Request, Now))
+    const bool TooMany = Servers.size() >= m_Opts.m_MostServers;
+    const std::size_t Count =
+        TooMany ? Servers.size() : count(settled(Request, Now), Request, Now);
+    if (Count < needed(Request) || Count <= Most ||
+        (!TooMany && tied(Request, Now)))
       continue;
     Result = Request;
     Most = Count;
@@ -216,12 +217,8 @@
 std::vector<RequestDigest> CrashBook::judge(const BoxName &By, TimePoint Now) {
   std::vector<RequestDigest> Result;
   while (const auto Guilty = mostGuilty(Now)) {
-    std::vector<RequestDigest> Barred{*Guilty};
-    if (count(settled(*Guilty, Now), *Guilty, Now) >= m_Opts.m_MostTied)
-      Barred = together(*Guilty, Now);
-    for (const RequestDigest &Each : Barred)
-      bar(Each, By, Now);
-    Result.insert(Result.end(), Barred.begin(), Barred.end());
+    bar(*Guilty, By, Now);
+    Result.push_back(*Guilty);
   }
   return Result;
 }
--- a/packages/decisions/process/CrashBook.h
+++ b/packages/decisions/process/CrashBook.h
@@ -35,9 +35,9 @@
     /// Ended servers that bar a request. Two may be chance: a caller's request
     /// is sent on once, and both servers may end for another reason.
     std::size_t m_Servers = 3;
-    /// Requests that were there together each time are not told apart by fewer;
-    /// then all of them are barred.
-    std::size_t m_MostTied = 5;
+    /// Ended servers that bar a request whatever else was there: a caller's
+    /// request is sent four times at most, with its second try.
+    std::size_t m_MostServers = 5;
     /// Servers that end within this time of each other may have one cause: a
     /// host, a switch, an operator. Where a request was on fewer than half of
     /// them they count as one end for it.
--- a/packages/gateway/process/CrashExchange.cpp
+++ b/packages/gateway/process/CrashExchange.cpp
@@ -11,7 +11,15 @@
 namespace {
 
 /// How often bars are brought to the store, and what is old is forgotten.
-constexpr Duration TickEvery = 500ms;
+constexpr Duration TickEvery = 250ms;
+
+/// A server that lives on for as long after it has run a request did not end by
+/// it. It may end by one that it has answered: what it still does for it, such
+/// as keeping its prompt, takes milliseconds.
+constexpr Duration LivesOnFor = 1s;
+
+/// Runs that wait for that: ten times what a box answers in such a time.
+constexpr std::size_t MostRuns = 2048;
 
 /// A server that is asked answers or refuses within this time.
 constexpr Duration AskedFor = 300ms;
@@ -66,6 +74,7 @@
 
 void CrashExchange::tick() {
   const TimePoint Now = EventLoop::now();
+  confirmRuns(Now);
   m_Watch.prune(Now);
   m_Book.prune(Now);
   if (m_Hooks.m_Writes())
@@ -77,7 +86,32 @@
   m_Watch.broke(Server, Request, EventLoop::now());
 }
 
-void CrashExchange::ranWell(const RequestDigest &Request) {
+void CrashExchange::unreachable(const UpstreamLife &Server) {
+  const TimePoint Now = EventLoop::now();
+  for (const Run &Each : m_Runs)
+    if (Each.m_Server == Server)
+      m_Watch.broke(Server, Each.m_Request, Now);
+}
+
+void CrashExchange::ranWell(const UpstreamLife &Server,
+                            const RequestDigest &Request) {
+  if (m_Runs.size() >= MostRuns)
+    m_Runs.pop_front();
+  m_Runs.push_back(
+      {.m_Server = Server, .m_Request = Request, .m_At = EventLoop::now()});
+}
+
+/// A server may end by a request just after it has answered.
+void CrashExchange::confirmRuns(TimePoint Now) {
+  while (!m_Runs.empty() && Now - m_Runs.front().m_At >= LivesOnFor) {
+    const Run Of = m_Runs.front();
+    m_Runs.pop_front();
+    if (!m_Watch.mayHaveEnded(Of.m_Server))
+      cleared(Of.m_Request);
+  }
+}
+
+void CrashExchange::cleared(const RequestDigest &Request) {
   if (!m_Book.ranWell(Request, EventLoop::now()))
     return;
   m_Log.write("request_cleared",
@@ -99,11 +133,14 @@
 
 void CrashExchange::crashed(const UpstreamLife &Server,
                             const std::vector<RequestDigest> &Running) {
-  const CrashFrame Frame{.m_Server = Server, .m_Running = Running};
+  CrashFrame Frame{.m_Server = Server, .m_Running = Running};
+  for (const Run &Each : m_Runs)
+    if (Each.m_Server == Server)
+      Frame.m_Running.push_back(Each.m_Request);
   m_Log.write("server_ended", {{"upstream", Server.m_Id},
                                {"born", Server.m_Born},
-                               {"requests", Running.size()},
-                               {"digests", logged(Running)}});
+                               {"requests", Frame.m_Running.size()},
+                               {"digests", logged(Frame.m_Running)}});
   if (heard(Frame))
     tellRelays(Frame, BoxName());
   m_Hooks.m_Changed();
@@ -254,6 +291,7 @@
 void CrashExchange::take(const BoxName &From, const CrashFrame &Frame) {
   if (!heard(Frame))
     return;
+  m_Watch.heardOfEnd(Frame.m_Server);
   const FleetTopology &Topology = m_Fleet.topology();
   if (Topology.relay() && !Topology.flat() && !Topology.isRelay(From))
     tellRelays(Frame, From);
--- a/packages/gateway/process/CrashExchange.h
+++ b/packages/gateway/process/CrashExchange.h
@@ -9,6 +9,7 @@
 #include "gateway/request/CrashDesk.h"
 #include "wire/common/EventLoop.h"
 #include "wire/connection/PeerFrames.h"
+#include <deque>
 #include <functional>
 #include <map>
 #include <string>
@@ -41,12 +42,14 @@
                 DecisionLog &Log, const std::string &Prefix, Hooks Callbacks);
 
   void broke(const UpstreamLife &Server, const RequestDigest &Request) override;
-  void ranWell(const RequestDigest &Request) override;
+  void unreachable(const UpstreamLife &Server) override;
+  void ranWell(const UpstreamLife &Server,
+               const RequestDigest &Request) override;
   std::optional<Duration> hold(const RequestDigest &Request,
                                TimePoint Now) const override;
 
   /// The list of servers has changed.
-  void listed() { m_Watch.listed(); }
+  void listed() { m_Watch.listed(EventLoop::now()); }
   /// The store's keys have changed; \p Items are those of the whole prefix.
   void entriesChanged(const std::map<std::string, StoreItem> &Items);
   /// A box that has just come may know nothing.
@@ -57,7 +60,16 @@
   using Whom = std::function<bool(const BoxName &)>;
 
   CrashWatch::Hooks watchHooks(CrashWatch::Hooks Outer);
+  /// A run whose server may yet turn out to have ended by it.
+  struct Run {
+    UpstreamLife m_Server;
+    RequestDigest m_Request;
+    TimePoint m_At{};
+  };
+
   void tick();
+  void confirmRuns(TimePoint Now);
+  void cleared(const RequestDigest &Request);
   void crashed(const UpstreamLife &Server,
                const std::vector<RequestDigest> &Running);
   bool heard(const CrashFrame &Frame);
@@ -84,6 +96,7 @@
   Hooks m_Hooks;
   CrashWatch m_Watch;
   BarKeeper m_Keeper;
+  std::deque<Run> m_Runs; ///< The oldest first.
   Timer m_JudgeTimer;
   Timer m_TickTimer;
 };
--- a/packages/gateway/process/CrashWatch.cpp
+++ b/packages/gateway/process/CrashWatch.cpp
@@ -34,13 +34,16 @@
   const auto [Found, New] = m_Broken.try_emplace(Server, Broken{.m_At = Now});
   Broken &Of = Found->second;
   Of.m_At = Now;
+  const bool Noted = Of.m_Running.contains(Request);
   if (Of.m_Running.size() < MostRunning)
     Of.m_Running.insert(Request);
+  if (Of.m_State == State::Ended && Noted)
+    return;
   if (Of.m_State == State::Ended)
     return m_Hooks.m_Crashed(Server, {Request});
   if (m_View.past(Server))
     return ended(Server);
-  if (New || Of.m_State == State::Lives)
+  if (New || Of.m_State != State::Asked)
     ask(Server, *At);
 }
 
@@ -66,7 +69,8 @@
   const bool Other = !By.empty() && By != Server.m_Id;
   if (Refused || Other || m_View.past(Server))
     return ended(Server);
-  Found->second.m_State = State::Lives;
+  const bool Answered = Answer.m_End == HttpEnd::Complete;
+  Found->second.m_State = Answered ? State::Lives : State::Silent;
   m_Hooks.m_Lives(Server);
 }
 
@@ -84,11 +88,27 @@
   });
 }
 
-void CrashWatch::listed() {
+void CrashWatch::heardOfEnd(const UpstreamLife &Server) {
+  const auto Found = m_Broken.find(Server);
+  if (Found != m_Broken.end() && (Found->second.m_State == State::Asked ||
+                                  Found->second.m_State == State::Silent))
+    ended(Server);
+}
+
+bool CrashWatch::mayHaveEnded(const UpstreamLife &Server) const {
+  const auto Found = m_Broken.find(Server);
+  return Found != m_Broken.end() && Found->second.m_State != State::Lives;
+}
+
+void CrashWatch::listed(TimePoint Now) {
   std::vector<UpstreamLife> Ended;
-  for (const auto &[Server, Of] : m_Broken)
-    if (Of.m_State != State::Ended && m_View.past(Server))
+  for (const auto &[Server, Of] : m_Broken) {
+    const bool Gone = Of.m_State == State::Silent &&
+                      !m_View.list().m_Instances.contains(Server.m_Id) &&
+                      Now - Of.m_At < Remembered;
+    if (Of.m_State != State::Ended && (Gone || m_View.past(Server)))
       Ended.push_back(Server);
+  }
   for (const UpstreamLife &Server : Ended)
     ended(Server);
 }
--- a/packages/gateway/process/CrashWatch.h
+++ b/packages/gateway/process/CrashWatch.h
@@ -15,10 +15,10 @@
 namespace havenstair {
 
 /// A broken connection alone says little: links are reset, and answers cut. The
-/// server is asked at once. It has ended when it takes no connection, when
-/// another one answers in its place, or when it is listed with a later start.
-/// One that says nothing at all may be cut off, and is not believed to have
-/// ended.
+/// server is asked at once. It has ended when it refuses connections, when
+/// another one answers in its place, when it is listed with a later start, or
+/// when another box has found that out. One that says nothing may be cut off;
+/// it has ended if its entry goes, too.
 class CrashWatch {
 public:
   struct Hooks {
@@ -40,14 +40,24 @@
   /// The connection to \p Server broke with \p Request on it.
   void broke(const UpstreamLife &Server, const RequestDigest &Request,
              TimePoint Now);
+  /// Another box has found that \p Server ended.
+  void heardOfEnd(const UpstreamLife &Server);
   /// Whether a server on which \p Request was is being asked.
   bool asking(const RequestDigest &Request) const;
   /// The list of servers has changed.
-  void listed();
+  void listed(TimePoint Now);
+  /// Whether connections to \p Server broke lately and it has not answered
+  /// since.
+  bool mayHaveEnded(const UpstreamLife &Server) const;
   void prune(TimePoint Now);
 
 private:
-  enum class State { Asked, Lives, Ended };
+  enum class State {
+    Asked,
+    Lives,  ///< It answered.
+    Silent, ///< No answer came.
+    Ended
+  };
 
   struct Broken {
     State m_State = State::Asked;
--- a/packages/gateway/request/CrashDesk.h
+++ b/packages/gateway/request/CrashDesk.h
@@ -20,8 +20,11 @@
   /// The connection to \p Server broke while \p Request was there.
   virtual void broke(const UpstreamLife &Server,
                      const RequestDigest &Request) = 0;
-  /// A server ran it to an end.
-  virtual void ranWell(const RequestDigest &Request) = 0;
+  /// No connection to \p Server came up.
+  virtual void unreachable(const UpstreamLife &Server) = 0;
+  /// \p Server ran all of it and answered well.
+  virtual void ranWell(const UpstreamLife &Server,
+                       const RequestDigest &Request) = 0;
   /// How long \p Request waits before it is sent, as it may be barred by then;
   /// none when it need not. News end the wait.
   virtual std::optional<Duration> hold(const RequestDigest &Request,
--- a/packages/gateway/request/CrashGuard.cpp
+++ b/packages/gateway/request/CrashGuard.cpp
@@ -29,9 +29,14 @@
     Desk->broke(Server, m_Request);
 }
 
-void CrashGuard::ranWell() const {
+void CrashGuard::unreachable(const UpstreamLife &Server) const {
   if (const std::shared_ptr<CrashDesk> Desk = m_Desk.lock())
-    Desk->ranWell(m_Request);
+    Desk->unreachable(Server);
+}
+
+void CrashGuard::ranWell(const UpstreamLife &Server) const {
+  if (const std::shared_ptr<CrashDesk> Desk = m_Desk.lock())
+    Desk->ranWell(Server, m_Request);
 }
 
 } // namespace havenstair
--- a/packages/gateway/request/CrashGuard.h
+++ b/packages/gateway/request/CrashGuard.h
@@ -33,7 +33,8 @@
   void keepApart(std::vector<const UpstreamInstance *> &Candidates,
                  TimePoint Now) const;
   void broke(const UpstreamLife &Server) const;
-  void ranWell() const;
+  void unreachable(const UpstreamLife &Server) const;
+  void ranWell(const UpstreamLife &Server) const;
 
 private:
   RequestDigest m_Request;
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -389,7 +389,8 @@
                 .m_WorkMs = Chosen.m_WorkMs,
                 .m_ExpectedMs = Chosen.m_ExpectedMs,
                 .m_Tokens = m_Request.m_PromptTokens +
-                            OutputPart * m_Request.m_MostOutput};
+                            OutputPart * m_Request.m_MostOutput,
+                .m_Resumed = m_LastEvent.has_value()};
   m_Owner.m_Log.write("sent",
                       {{"request", m_Request.m_Id},
                        {"digest", m_Crashes.digest().str()},
@@ -496,7 +497,9 @@
   if (m_Done || !m_Send)
     return;
   if (End == HttpEnd::Broken)
-    m_Crashes.broke({.m_Id = m_Send->m_Instance, .m_Born = m_Send->m_Born});
+    m_Crashes.broke(upstreamLife());
+  if (End == HttpEnd::NotWritten)
+    m_Crashes.unreachable(upstreamLife());
   settle(judge(End));
 }
 
@@ -518,8 +521,8 @@
   m_Sends -= Outcome == SendOutcome::NotSent ? 1 : 0;
   m_MayHaveRun = m_MayHaveRun || Outcome == SendOutcome::Broken ||
                  Outcome == SendOutcome::ServerError;
-  if (Outcome == SendOutcome::Answered || Outcome == SendOutcome::ServerError)
-    m_Crashes.ranWell();
+  if (ranWell(Outcome))
+    m_Crashes.ranWell(upstreamLife());
   if (upstreamStartedAgain())
     return;
   if (Outcome == SendOutcome::Answered)
@@ -530,10 +533,16 @@
     State.m_Failures.failed(At, Now);
 }
 
+/// Whether the upstream ran all of the request. A failure may come without a
+/// run, and the rest of a stream may be nothing.
+bool ProxiedRequest::ranWell(SendOutcome Outcome) const {
+  return Outcome == SendOutcome::Answered && m_Send->m_Status / 100 == 2 &&
+         !m_Send->m_Resumed;
+}
+
 /// What a former start of the upstream did says nothing of the present one.
 bool ProxiedRequest::upstreamStartedAgain() const {
-  return m_Owner.m_State.m_Upstreams.past(
-      {.m_Id = m_Send->m_Instance, .m_Born = m_Send->m_Born});
+  return m_Owner.m_State.m_Upstreams.past(upstreamLife());
 }
 
 void ProxiedRequest::releaseLoad() {
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -46,6 +46,7 @@
     bool m_Started = false; ///< Its first byte or event came.
     bool m_NotRun = false;
     bool m_Foreign = false; ///< The answer was another request's.
+    bool m_Resumed = false; ///< Only the rest of the answer was asked for.
     int m_Status = 0;
     HttpHeaders m_Headers;
     std::string m_Body;
@@ -90,6 +91,10 @@
   void settle(SendOutcome Outcome);
   void noteOutcome(SendOutcome Outcome, TimePoint Now);
   void releaseLoad();
+  UpstreamLife upstreamLife() const {
+    return {.m_Id = m_Send->m_Instance, .m_Born = m_Send->m_Born};
+  }
+  bool ranWell(SendOutcome Outcome) const;
   bool upstreamStartedAgain() const;
   ForwardingStep decide(SendOutcome Outcome, TimePoint Now);
   void carryOut(ForwardingStep Step);
--- a/tests/gateway/CrashTest.cpp
+++ b/tests/gateway/CrashTest.cpp
@@ -330,6 +330,12 @@
       Test.begin("/safe/x", CrashTest::Held);
     REQUIRE(Test.until([&] { return Test.m_Held.size() >= 120; }));
   };
+  // It has run before, and the servers have lived on.
+  Flood();
+  Test.answerHeld();
+  REQUIRE(Test.until([&] { return Test.m_Statuses.size() == 120; }));
+  Test.m_Statuses.clear();
+  Test.wait(1500ms);
   for (int Herd = 0; Herd < 2; ++Herd) {
     Flood();
     for (int Number = 0; Number < 4; ++Number)
@@ -428,3 +434,67 @@
               CrashTest::digest(CrashTest::Held, "/unsafe/x"),
               EventLoop::now()) == 0);
 }
+
+TEST_CASE("A server that ends just after its answer ended by the request",
+          "[gateway][crash]") {
+  CrashTest Test(2, 8);
+  std::vector<Timer> Ends;
+  for (const auto &[Id, Runner] : Test.m_Runners)
+    Runner->setBehaviour([&, Server = Runner.get()](const Request &Of,
+                                                    const ConnectionPtr &To) {
+      To->write(StandinRunner::answer(Of, 200, "body"));
+      if (Of.m_Body == CrashTest::Boom)
+        Ends.push_back(Test.m_Loop.after(5ms, [Server] { Server->crash(); }));
+    });
+  std::size_t Served = 0;
+  REQUIRE(Test.until([&] {
+    const std::size_t Before = Test.ended();
+    const int Status = Test.attempt("/unsafe/x", CrashTest::Boom).m_Status;
+    if (Status == 200) {
+      ++Served;
+      REQUIRE(Test.until([&] { return Test.ended() > Before; }));
+    }
+    return Status == 400;
+  }));
+  REQUIRE(Served < 8);
+}
+
+TEST_CASE("The rest of a stream is no proof that the request is fine",
+          "[gateway][crash]") {
+  CrashTest Test(2, 12);
+  for (const auto &[Id, Runner] : Test.m_Runners)
+    Runner->setBehaviour(
+        [Server = Runner.get()](const Request &Of, const ConnectionPtr &To) {
+          To->write(StandinRunner::streamHead(Of));
+          if (!Of.header("last-event-id").empty())
+            return To->write(StandinRunner::streamEnd());
+          To->write(StandinRunner::event(1));
+          Server->crash();
+        });
+  for (int Try = 0; Try < 3; ++Try) {
+    Test.attempt("/resumable/x", CrashTest::Boom);
+    Test.wait(1500ms);
+  }
+  REQUIRE(Test.until([&] {
+    return CrashTest::barredAt(*Test.m_Boxes.front(), CrashTest::Boom,
+                               "/resumable/x");
+  }));
+}
+
+TEST_CASE("A failure that a server makes is no proof that the request is fine",
+          "[gateway][crash]") {
+  CrashTest Test(1, 8);
+  int Requests = 0;
+  for (const auto &[Id, Runner] : Test.m_Runners)
+    Runner->setBehaviour(
+        [&, Server = Runner.get()](const Request &Of, const ConnectionPtr &To) {
+          if (++Requests % 2 == 0)
+            return To->write(StandinRunner::answer(Of, 500, "shed"));
+          Server->crash();
+        });
+  for (int Try = 0; Try < 6; ++Try) {
+    Test.attempt("/unsafe/x", CrashTest::Boom);
+    Test.wait(300ms);
+  }
+  REQUIRE(Test.attempt("/unsafe/x", CrashTest::Boom).m_Status == 400);
+}
