Requests that may all be to blame are sent one by one, on other servers

Change: who was on an ended server chooses among half of the servers by rendezvous, after two ends one; where enough ended and something else was there each time, tries are put off by a drawn part of 2 s, and none goes while words of an end are on their way. Test: 24 tries wait, three at most may be sent.

--- a/packages/decisions/process/CrashBook.cpp
+++ b/packages/decisions/process/CrashBook.cpp
@@ -302,15 +302,19 @@
 
 std::optional<TimePoint> CrashBook::judgedAt(const RequestDigest &Request,
                                              TimePoint Now) const {
-  const std::size_t Needed = needed(Request);
   if (bar(Request, Now) != nullptr || m_LetThrough.contains(Request) ||
-      crashes(Request, Now) < Needed ||
-      count(settled(Request, Now), Request, Now) >= Needed)
+      crashes(Request, Now) < needed(Request))
     return std::nullopt;
   TimePoint Result{};
   for (const Crash *Each : unexplained(Request, Now))
     Result = std::max(Result, Each->m_NewsAt + m_Opts.m_Settles);
-  return Result;
+  return Result > Now ? std::optional(Result) : std::nullopt;
+}
+
+bool CrashBook::doubtful(const RequestDigest &Request, TimePoint Now) const {
+  const auto Found = m_Under.find(Request);
+  return Found != m_Under.end() && Found->second.size() >= needed(Request) &&
+         bar(Request, Now) == nullptr && !m_LetThrough.contains(Request);
 }
 
 bool CrashBook::suspicious(const RequestDigest &Request, TimePoint Now) const {
--- a/packages/decisions/process/CrashBook.h
+++ b/packages/decisions/process/CrashBook.h
@@ -99,6 +99,9 @@
   /// Servers that ended under \p Request, but for those at whose end a barred
   /// request was there too, and those of a herd as one.
   std::size_t crashes(const RequestDigest &Request, TimePoint Now) const;
+  /// Whether enough servers ended under it, but what else was there may be to
+  /// blame.
+  bool doubtful(const RequestDigest &Request, TimePoint Now) const;
   /// Whether it is to be kept away from others that are suspected.
   bool suspicious(const RequestDigest &Request, TimePoint Now) const;
   /// When all words of the next end have come; none when they have of all.
--- a/packages/gateway/request/CrashGuard.cpp
+++ b/packages/gateway/request/CrashGuard.cpp
@@ -5,23 +5,50 @@
 
 namespace havenstair {
 
+namespace {
+
+/// A server ends some 100 ms after the request was sent, and boxes hear of it
+/// in as long: of tries that come four a second, one or two go in that time
+/// when each is put off by a drawn part of this.
+constexpr Duration LongestPause = 2s;
+
+} // namespace
+
 std::optional<Duration> CrashGuard::hold(TimePoint Now) const {
   const std::shared_ptr<CrashDesk> Desk = m_Desk.lock();
   return Desk ? Desk->hold(m_Request, Now) : std::nullopt;
 }
 
 void CrashGuard::keepApart(std::vector<const UpstreamInstance *> &Candidates,
-                           TimePoint Now) const {
-  if (Candidates.size() < 2 || !m_Book.suspicious(m_Request, Now))
+                           bool Broke, TimePoint Now) const {
+  const bool Several = m_Book.suspicious(m_Request, Now);
+  const std::size_t Left = Several ? 1 : (Candidates.size() + 1) / 2;
+  if (Candidates.size() < 2 ||
+      !(Several || Broke || m_Book.crashes(m_Request, Now) > 0))
     return;
   // By rendezvous, so that boxes need not tell each other who is where.
   const auto Weight = [&](const UpstreamInstance *Each) {
     return stableHash(Each->m_Id, m_Request.str());
   };
-  const UpstreamInstance *Only = *std::max_element(
+  std::sort(
       Candidates.begin(), Candidates.end(),
-      [&](const auto *A, const auto *B) { return Weight(A) < Weight(B); });
-  Candidates = {Only};
+      [&](const auto *A, const auto *B) { return Weight(A) > Weight(B); });
+  Candidates.resize(Left);
+}
+
+std::optional<Duration> CrashGuard::pause(double Random, Duration TimeLeft,
+                                          TimePoint Now) {
+  if (!m_Book.doubtful(m_Request, Now))
+    return std::nullopt;
+  if (!m_PausedUntil) {
+    const Duration Within = std::min(LongestPause, TimeLeft / 2);
+    m_PausedUntil = Now + Duration(static_cast<Duration::rep>(
+                              Random * static_cast<double>(Within.count())));
+  }
+  if (Now < *m_PausedUntil)
+    return *m_PausedUntil - Now;
+  m_PausedUntil.reset();
+  return std::nullopt;
 }
 
 void CrashGuard::broke(const UpstreamLife &Server) const {
--- a/packages/gateway/request/CrashGuard.h
+++ b/packages/gateway/request/CrashGuard.h
@@ -27,11 +27,17 @@
   }
   /// How long it waits before it is sent; none when it need not.
   std::optional<Duration> hold(TimePoint Now) const;
-  /// Leaves one of \p Candidates when the request is suspected. Those that were
-  /// at the same ends go to other servers then, so that the next end tells them
-  /// apart.
-  void keepApart(std::vector<const UpstreamInstance *> &Candidates,
+  /// Leaves some of \p Candidates when a server has ended under the request, or
+  /// broke its connection (\p Broke), and one when several have. Requests that
+  /// were on the same server are then on others, so that the next end tells
+  /// them apart and takes fewer of them along.
+  void keepApart(std::vector<const UpstreamInstance *> &Candidates, bool Broke,
                  TimePoint Now) const;
+  /// How long to wait before the next send when the request or another one that
+  /// was there each time ends servers. \p Random is from 0 to 1. Of many tries
+  /// one goes first, and the others are spared if it ends one more.
+  std::optional<Duration> pause(double Random, Duration TimeLeft,
+                                TimePoint Now);
   void broke(const UpstreamLife &Server) const;
   void unreachable(const UpstreamLife &Server) const;
   void ranWell(const UpstreamLife &Server) const;
@@ -40,6 +46,7 @@
   RequestDigest m_Request;
   const CrashBook &m_Book;
   std::weak_ptr<CrashDesk> m_Desk;
+  std::optional<TimePoint> m_PausedUntil;
 };
 
 } // namespace havenstair
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -125,7 +125,7 @@
     return m_Tried.contains(Id) || m_Permit.excludes(Id, Now);
   };
   auto Candidates = reach().candidates(Excluded, Now);
-  m_Crashes.keepApart(Candidates, Now);
+  m_Crashes.keepApart(Candidates, m_MayHaveRun, Now);
   const ReplicaKnowledge Known{.m_Loads = State.m_Loads,
                                .m_Prefixes = State.m_Prefixes,
                                .m_Latency = State.m_Latency,
@@ -149,6 +149,9 @@
     return carryOut(m_BytesPassed  ? ForwardingStep::Cut
                     : m_MayHaveRun ? ForwardingStep::Fail
                                    : ForwardingStep::Refuse);
+  if (const auto Pause =
+          m_Crashes.pause(m_Owner.m_Hooks.m_Random(), m_Deadline - Now, Now))
+    return wait(*Pause);
   m_Parked = false;
   if (!withinQuota(Now))
     return;
--- a/tests/gateway/CrashTest.cpp
+++ b/tests/gateway/CrashTest.cpp
@@ -89,6 +89,30 @@
     return fetch(callTo(Box, Target, "id-" + std::to_string(m_Attempts), Body));
   }
 
+  std::vector<std::string> ids() const {
+    std::vector<std::string> Result;
+    for (const auto &[Id, Runner] : m_Runners)
+      Result.push_back(Id);
+    return Result;
+  }
+
+  /// Lists just these servers, and waits until all boxes know.
+  void onlyListed(const std::set<std::string> &Listed) {
+    for (const std::string &Id : ids())
+      if (Listed.contains(Id))
+        list(Id, "ready");
+      else
+        m_Store.remove("servers/" + Id);
+    REQUIRE(until([&] {
+      return std::all_of(m_Boxes.begin(), m_Boxes.end(), [&](const auto &Box) {
+        std::set<std::string> Known;
+        for (const auto &[Id, At] : Box->state().m_Upstreams.current())
+          Known.insert(Id);
+        return Known == Listed;
+      });
+    }));
+  }
+
   /// All boxes know of each end under \p Body.
   void untilKnown(const std::string &Target, const std::string &Body) {
     REQUIRE(until([&] {
@@ -265,29 +289,11 @@
 
 TEST_CASE("Who only ran beside such a request is served", "[gateway][crash]") {
   CrashTest Test(2, 8);
-  std::vector<std::string> Ids;
-  for (const auto &[Id, Runner] : Test.m_Runners)
-    Ids.push_back(Id);
-  const auto OnlyListed = [&](const std::set<std::string> &Listed) {
-    for (const std::string &Id : Ids)
-      if (Listed.contains(Id))
-        Test.list(Id, "ready");
-      else
-        Test.m_Store.remove("servers/" + Id);
-    REQUIRE(Test.until([&] {
-      return std::all_of(
-          Test.m_Boxes.begin(), Test.m_Boxes.end(), [&](const auto &Box) {
-            std::set<std::string> Known;
-            for (const auto &[Id, At] : Box->state().m_Upstreams.current())
-              Known.insert(Id);
-            return Known == Listed;
-          });
-    }));
-  };
+  const std::vector<std::string> Ids = Test.ids();
   // One server at a time is there, so that both meet on each of three.
   constexpr std::size_t Meetings = 3;
   for (std::size_t Number = 0; Number < Meetings; ++Number) {
-    OnlyListed({Ids[Number]});
+    Test.onlyListed({Ids[Number]});
     Test.begin("/unsafe/x", CrashTest::Held);
     REQUIRE(Test.until([&] { return Test.m_Held.size() == Number + 1; }));
     Test.begin("/unsafe/x", CrashTest::Boom);
@@ -303,7 +309,7 @@
     return Crashes(CrashTest::Held) == Meetings &&
            Crashes(CrashTest::Boom) == Meetings;
   }));
-  OnlyListed({Ids.begin() + Meetings, Ids.end()});
+  Test.onlyListed({Ids.begin() + Meetings, Ids.end()});
   Test.m_Held.clear();
   Test.m_Statuses.clear();
   Test.begin("/unsafe/x", CrashTest::Held);
@@ -498,3 +504,37 @@
   }
   REQUIRE(Test.attempt("/unsafe/x", CrashTest::Boom).m_Status == 400);
 }
+
+// One server at a time holds what the requests ask for. Those that were on one
+// that ended are sent on together, and are together on each that ends, so that
+// nothing tells which of them it was. Meanwhile more tries wait for a server.
+TEST_CASE("Of many tries that wait for a server few are sent when it comes",
+          "[gateway][crash]") {
+  CrashTest Test(4, 8);
+  const std::vector<std::string> Ids = Test.ids();
+  for (std::size_t Number = 0; Number < 3; ++Number) {
+    Test.onlyListed({Ids[Number]});
+    const std::size_t Before = Test.m_Statuses.size();
+    Test.begin("/unsafe/x", CrashTest::Held);
+    REQUIRE(Test.until([&] { return Test.m_Held.size() == Number + 1; }));
+    Test.begin("/unsafe/x", CrashTest::Boom);
+    REQUIRE(Test.until([&] { return Test.m_Statuses.size() == Before + 2; }));
+  }
+  REQUIRE(Test.until([&] {
+    return std::all_of(Test.m_Boxes.begin(), Test.m_Boxes.end(),
+                       [](const auto &Box) {
+                         return Box->state().m_Crashes.doubtful(
+                             CrashTest::digest(CrashTest::Boom, "/unsafe/x"),
+                             EventLoop::now());
+                       });
+  }));
+  Test.onlyListed({Ids.begin() + 3, Ids.end()});
+  const std::size_t Before = Test.m_Statuses.size();
+  constexpr std::size_t Tries = 24;
+  for (std::size_t Try = 0; Try < Tries; ++Try)
+    Test.begin("/unsafe/x", CrashTest::Boom);
+  REQUIRE(Test.until([&] { return Test.m_Statuses.size() == Before + Tries; }));
+  const auto Barred = static_cast<std::size_t>(
+      std::count(Test.m_Statuses.begin(), Test.m_Statuses.end(), 400));
+  REQUIRE(Tries - Barred <= 3);
+}
