One clock that runs on while the machine is suspended

Cause: leases, permits, words and lists were as old as the steady clock says, and that stands still in a suspension; timers came late by as much. The order giver went on by a lease that had lapsed, and a caller's deadline was missed. Change: Clock (CLOCK_BOOTTIME) is the only place that reads time; the loop sets timers anew when it finds a gap between the two clocks.

--- a/packages/wire/common/EventLoop.cpp
+++ b/packages/wire/common/EventLoop.cpp
@@ -1,5 +1,7 @@
 #include "wire/common/EventLoop.h"
 
+#include "wire/common/Clock.h"
+#include <algorithm>
 #include <event2/event.h>
 #include <stdexcept>
 #include <utility>
@@ -8,6 +10,12 @@
 
 namespace {
 
+/// How soon after the machine has woken timers that are due are run.
+constexpr Duration NoticeEvery = 100ms;
+
+/// The two clocks are read one after the other; a shorter pause harms nobody.
+constexpr Duration LeastSuspension = 20ms;
+
 timeval toTimeval(Duration Time) {
   timeval Result{};
   Result.tv_sec = Time.count() / 1000000;
@@ -26,8 +34,12 @@
 struct Timer::State {
   event *m_Event = nullptr;
   std::function<void()> m_Call;
+  TimePoint m_Due{};
+  std::weak_ptr<std::set<State *>> m_Pending; ///< Where it is, if anywhere.
 
   ~State() {
+    if (const auto All = m_Pending.lock())
+      All->erase(this);
     if (m_Event != nullptr)
       event_free(m_Event);
   }
@@ -38,7 +50,10 @@
 Timer::Timer(Timer &&) noexcept = default;
 Timer &Timer::operator=(Timer &&) noexcept = default;
 
-EventLoop::EventLoop() : m_Base(event_base_new()) {
+EventLoop::EventLoop()
+    : m_Base(event_base_new()),
+      m_Pending(std::make_shared<std::set<Timer::State *>>()),
+      m_SuspendedFor(Clock::suspendedFor()) {
   if (m_Base == nullptr)
     throw std::runtime_error("no event loop could be made");
   m_DeferEvent = event_new(
@@ -47,9 +62,11 @@
         static_cast<EventLoop *>(Arg)->runDeferred();
       },
       this);
+  m_SuspensionTimer = every(NoticeEvery, [this] { noticeSuspension(); });
 }
 
 EventLoop::~EventLoop() {
+  m_SuspensionTimer = Timer();
   // Destroying a call may defer another one.
   while (!m_Deferred.empty())
     std::exchange(m_Deferred, {});
@@ -64,6 +81,22 @@
     Call();
 }
 
+/// libevent's clock stands still while the machine is suspended, so timers come
+/// late by as much. Deadlines of callers do not wait.
+void EventLoop::noticeSuspension() {
+  const Duration Before = m_SuspendedFor;
+  m_SuspendedFor = Clock::suspendedFor();
+  if (m_SuspendedFor - Before < LeastSuspension)
+    return;
+  const TimePoint Now = now();
+  for (Timer::State *Each : *m_Pending) {
+    if (event_pending(Each->m_Event, EV_TIMEOUT, nullptr) == 0)
+      continue;
+    const timeval Left = toTimeval(std::max<Duration>(0us, Each->m_Due - Now));
+    event_add(Each->m_Event, &Left);
+  }
+}
+
 void EventLoop::run() { event_base_loop(m_Base, EVLOOP_NO_EXIT_ON_EMPTY); }
 
 bool EventLoop::runUntil(const std::function<bool()> &Done, Duration Limit) {
@@ -93,6 +126,9 @@
   Result.m_State->m_Call = std::move(Call);
   Result.m_State->m_Event =
       event_new(m_Base, -1, 0, runTimer, &Result.m_State->m_Call);
+  Result.m_State->m_Due = now() + Delay;
+  Result.m_State->m_Pending = m_Pending;
+  m_Pending->insert(Result.m_State.get());
   const timeval Time = toTimeval(Delay);
   event_add(Result.m_State->m_Event, &Time);
   return Result;
@@ -119,10 +155,7 @@
   return Result;
 }
 
-TimePoint EventLoop::now() {
-  const auto Since = std::chrono::steady_clock::now().time_since_epoch();
-  return TimePoint(std::chrono::duration_cast<Duration>(Since));
-}
+TimePoint EventLoop::now() { return Clock::now(); }
 
 WallMillis EventLoop::wallMillis() {
   const auto Since = std::chrono::system_clock::now().time_since_epoch();
--- a/packages/wire/common/EventLoop.h
+++ b/packages/wire/common/EventLoop.h
@@ -6,6 +6,7 @@
 #include "decisions/common/Time.h"
 #include <functional>
 #include <memory>
+#include <set>
 #include <vector>
 
 struct event_base;
@@ -45,14 +46,15 @@
   /// Runs \p Call once in the next pass of the loop. What was not run when
   /// the loop is destroyed is destroyed unrun.
   void defer(std::function<void()> Call);
-  /// Runs \p Call once after \p Delay, unless the timer is destroyed before.
+  /// Runs \p Call once after \p Delay, unless the timer is destroyed before. A
+  /// time in which the machine is suspended counts.
   [[nodiscard]] Timer after(Duration Delay, std::function<void()> Call);
-  /// Runs \p Call every \p Period while the timer lives.
+  /// Runs \p Call every \p Period while the timer lives and the machine runs.
   [[nodiscard]] Timer every(Duration Period, std::function<void()> Call);
   /// Runs \p Call on each arrival of the signal \p Number.
   [[nodiscard]] Timer onSignal(int Number, std::function<void()> Call);
 
-  /// The monotonic clock; never cached.
+  /// Time that never jumps back, nor stands still; never cached.
   static TimePoint now();
   static WallMillis wallMillis();
 
@@ -60,10 +62,15 @@
 
 private:
   void runDeferred();
+  void noticeSuspension();
 
   event_base *m_Base;
   event *m_DeferEvent = nullptr;
   std::vector<std::function<void()>> m_Deferred;
+  /// Timers that run once.
+  std::shared_ptr<std::set<Timer::State *>> m_Pending;
+  Duration m_SuspendedFor;
+  Timer m_SuspensionTimer;
 };
 
 } // namespace havenstair
