Soak with requests that end engines; allowances of boxes that start again

Same class elsewhere: a box that starts again had its part of the retry allowance anew in each life; it grows over a window now. The new property failed before the change.

--- a/packages/decisions/process/SharedRetryBudget.h
+++ b/packages/decisions/process/SharedRetryBudget.h
@@ -23,7 +23,11 @@
     double m_Margin = 0.8; ///< Part of the bound that is used.
   };
 
-  explicit SharedRetryBudget(Options Opts) : m_Opts(Opts) {}
+  /// \p Started: when the process did. What it spent in a former life is not
+  /// known, so its part of the allowance is there after a window only: boxes
+  /// that start again would else have it once for each life.
+  explicit SharedRetryBudget(Options Opts, TimePoint Started = TimePoint::min())
+      : m_Opts(Opts), m_Started(Started) {}
 
   /// New bounds; what was counted stays.
   void configure(Options Opts) { m_Opts = Opts; }
@@ -44,7 +48,10 @@
 
   Counts &current(const std::string &Service, TimePoint Now);
 
+  double grown(TimePoint Now) const;
+
   Options m_Opts;
+  TimePoint m_Started;
   std::map<std::string, Counts> m_Services;
 };
 
--- a/packages/gateway/process/CrashExchange.cpp
+++ b/packages/gateway/process/CrashExchange.cpp
@@ -3,6 +3,7 @@
 #include "gateway/common/DecisionLog.h"
 #include "gateway/process/Fleet.h"
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <variant>
 
@@ -133,10 +134,12 @@
 
 void CrashExchange::crashed(const UpstreamLife &Server,
                             const std::vector<RequestDigest> &Running) {
-  CrashFrame Frame{.m_Server = Server, .m_Running = Running};
+  std::set<RequestDigest> All(Running.begin(), Running.end());
   for (const Run &Each : m_Runs)
     if (Each.m_Server == Server)
-      Frame.m_Running.push_back(Each.m_Request);
+      All.insert(Each.m_Request);
+  const CrashFrame Frame{.m_Server = Server,
+                         .m_Running = {All.begin(), All.end()}};
   m_Log.write("server_ended", {{"upstream", Server.m_Id},
                                {"born", Server.m_Born},
                                {"requests", Frame.m_Running.size()},
--- a/packages/gateway/process/ServingState.h
+++ b/packages/gateway/process/ServingState.h
@@ -15,6 +15,7 @@
 #include "decisions/process/WarmUpView.h"
 #include "decisions/request/CallerClock.h"
 #include "decisions/version/ServingConfig.h"
+#include "wire/common/EventLoop.h"
 #include <memory>
 #include <string>
 #include <utility>
@@ -36,7 +37,7 @@
   LatencyModel m_Latency;
   FailureBook m_Failures;
   CrashBook m_Crashes;
-  SharedRetryBudget m_Budget{{}};
+  SharedRetryBudget m_Budget{{}, EventLoop::now()};
   CallerClock m_Callers;
   ModelDemands m_Demand; ///< Since it was last taken.
   int m_Boxes = 1;       ///< Most boxes known at one time.
--- a/tests/decisions/process/SharedRetryBudgetTest.cpp
+++ b/tests/decisions/process/SharedRetryBudgetTest.cpp
@@ -48,6 +48,29 @@
   });
 }
 
+TEST_CASE("Boxes that start again do not have their allowance twice",
+          "[budget][property]") {
+  rc::prop("shared bound over lives", [] {
+    const int Boxes = *drawn(1, 9);
+    const SharedRetryBudget::Options Opts{
+        .m_Ratio = Ratio, .m_Allowance = Allowance, .m_Window = Window};
+    std::vector<SharedRetryBudget> Budgets(static_cast<std::size_t>(Boxes),
+                                           SharedRetryBudget(Opts, at(0s)));
+    std::vector<TimePoint> Repeats;
+    TimePoint Now = at(0s);
+    for (int Step = 0; Step < 400; ++Step) {
+      Now += std::chrono::milliseconds(*drawn(0, 200));
+      SharedRetryBudget &Box =
+          Budgets[static_cast<std::size_t>(*drawn(0, Boxes))];
+      if (*drawn(0, 20) == 0)
+        Box = SharedRetryBudget(Opts, Now);
+      else if (Box.trySpend("s", Boxes, Now))
+        Repeats.push_back(Now);
+      RC_ASSERT(static_cast<double>(countIn(Repeats, Now)) <= Allowance);
+    }
+  });
+}
+
 TEST_CASE("Each service has a budget of its own", "[budget]") {
   SharedRetryBudget Budget(
       {.m_Ratio = 0, .m_Allowance = 2, .m_Window = Window, .m_Margin = 1});
--- /dev/null
+++ b/tests/soak/CrashingCallers.h
@@ -0,0 +1,50 @@
+/// \file
+/// Callers of a soak whose requests end the engines that run them.
+#ifndef HAVENSTAIR_TESTS_SOAK_CRASHINGCALLERS_H
+#define HAVENSTAIR_TESTS_SOAK_CRASHINGCALLERS_H
+
+#include "soak/SoakBox.h"
+#include "soak/SoakOracle.h"
+#include "wire/common/HttpClient.h"
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace havenstair {
+
+/// Each has one request, which it sends again and again: the same target and
+/// body, at any box, under another id and on a new connection.
+class CrashingCallers {
+public:
+  CrashingCallers(EventLoop &Loop, SoakOracle &Oracle,
+                  std::vector<std::unique_ptr<SoakBox>> &Boxes)
+      : m_Loop(Loop), m_Oracle(Oracle), m_Boxes(Boxes), m_Http(Loop) {}
+
+  void start(int Callers, std::uint64_t Seed);
+  void stop() { m_Callers.clear(); }
+
+private:
+  struct Caller {
+    CallerRequest m_Request;
+    HttpHeaders m_Headers;
+    int m_MostPauseMs = 0;
+    Timer m_Next;
+  };
+
+  void next(Caller &By);
+  void send(Caller &By);
+  int draw(int Least, int Most);
+
+  EventLoop &m_Loop;
+  SoakOracle &m_Oracle;
+  std::vector<std::unique_ptr<SoakBox>> &m_Boxes;
+  HttpClient m_Http;
+  std::mt19937_64 m_Random;
+  std::uint64_t m_NextId = 1;
+  std::vector<std::unique_ptr<Caller>> m_Callers;
+};
+
+} // namespace havenstair
+
+#endif
--- a/tests/soak/LoopbackProxy.cpp
+++ b/tests/soak/LoopbackProxy.cpp
@@ -169,17 +169,21 @@
 LoopbackProxy::LoopbackProxy(EventLoop &Loop, const Endpoint &Listen,
                              const Endpoint &To)
     : m_Loop(Loop), m_To(To), m_Endpoint(Listen) {
+  listen();
+}
+
+void LoopbackProxy::listen() {
   sockaddr_storage Address{};
-  const int Size = toSockaddr(Listen, Address);
+  const int Size = toSockaddr(m_Endpoint, Address);
   m_Listener = evconnlistener_new_bind(
-      Loop.base(),
+      m_Loop.base(),
       [](evconnlistener *, evutil_socket_t Socket, sockaddr *, int, void *Arg) {
         static_cast<LoopbackProxy *>(Arg)->accept(Socket);
       },
       this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
       -1, reinterpret_cast<sockaddr *>(&Address), Size);
   if (m_Listener == nullptr)
-    throw std::runtime_error("a proxy cannot listen at " + Listen.str());
+    throw std::runtime_error("a proxy cannot listen at " + m_Endpoint.str());
   sockaddr_in Bound{};
   socklen_t Length = sizeof(Bound);
   getsockname(evconnlistener_get_fd(m_Listener),
@@ -191,7 +195,16 @@
   m_Links.clear();
   for (bufferevent *Each : m_Repeats)
     bufferevent_free(Each);
-  evconnlistener_free(m_Listener);
+  setListening(false);
+}
+
+void LoopbackProxy::setListening(bool Listening) {
+  if (Listening == (m_Listener != nullptr))
+    return;
+  if (Listening)
+    return listen();
+  evconnlistener_free(std::exchange(m_Listener, nullptr));
+  resetOpen();
 }
 
 void LoopbackProxy::accept(int Socket) {
--- a/tests/soak/LoopbackProxy.h
+++ b/tests/soak/LoopbackProxy.h
@@ -36,6 +36,9 @@
   /// New connections are reset, and the open ones once.
   void setRefusing(bool Refusing);
   void resetOpen();
+  /// Without, new connections are refused as by a machine on which nothing
+  /// runs, and the open ones are reset once.
+  void setListening(bool Listening);
   /// What is open now stays open and never carries a byte again.
   void silenceOpen();
   /// Bytes to the server of that kind are sent on a second connection too. The
@@ -47,6 +50,7 @@
 private:
   class Link;
 
+  void listen();
   void accept(int Socket);
   void remove(const Link *Gone);
   void sendAgain(const std::string &Bytes);
--- a/tests/soak/SoakBounds.h
+++ b/tests/soak/SoakBounds.h
@@ -26,6 +26,10 @@
   double m_ColdPerS = 6;
   double m_ColdOverage = 2;
   double m_ColdAllowance = 10;
+  /// Engines that a request may end, and arrivals of it that are forgiven from
+  /// m_Contact after that.
+  int m_Crashes = 3;
+  int m_CrashingArrivals = 3;
   /// What the soak's own process may take to note an event.
   Duration m_Slack = 200ms;
 
--- a/tests/soak/SoakEngine.cpp
+++ b/tests/soak/SoakEngine.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <utility>
 
 namespace havenstair {
 
@@ -100,8 +101,26 @@
     lapse();
 }
 
+/// The process ends and says nothing; it is back after some seconds, under its
+/// id or a new one.
+void SoakEngine::crash(const std::string &Body) {
+  constexpr int LeastAwayMs = 300;
+  constexpr int MostAwayMs = 3000;
+  if (std::exchange(m_Down, true))
+    return;
+  m_Oracle.crashes().ended(Body, EventLoop::now());
+  m_Link.setListening(false);
+  const bool SameId = draw(0, 1) == 0;
+  m_BackTimer =
+      m_Loop.after(std::chrono::milliseconds(draw(LeastAwayMs, MostAwayMs)),
+                   [this, SameId] { SameId ? restart(0us) : comeBack(); });
+}
+
 void SoakEngine::restart(Duration Cold) {
   const TimePoint Now = EventLoop::now();
+  m_BackTimer = Timer();
+  m_Down = false;
+  m_Link.setListening(true);
   ++m_Lives;
   m_Active = 0;
   // A process that starts is not leaving, whatever the one before did.
@@ -237,6 +256,9 @@
                                    : "answer to " + Id + " by " +
                                          Started->m_Signature + " " +
                                          Asked.m_Body});
+  if (CrashOracle::crashes(Asked.m_Body))
+    return later(std::chrono::milliseconds(draw(1, 120)),
+                 [this, Body = Asked.m_Body] { crash(Body); });
   const Duration Work = std::chrono::milliseconds(draw(1, 60)) + m_Late;
   if (!Streams)
     return later(Work, [this, Started] { finish(Started); });
--- a/tests/soak/SoakEngine.h
+++ b/tests/soak/SoakEngine.h
@@ -68,6 +68,7 @@
   void tellHealth(const Request &Asked, const Connection &To) const;
   void report(const Request &Asked, const Connection &To);
   void run(const Request &Asked, const Connection &To);
+  void crash(const std::string &Body);
   void stream(const std::shared_ptr<Run> &Of);
   void finish(const std::shared_ptr<Run> &Of);
   void later(Duration Delay, std::function<void()> Call);
@@ -104,6 +105,8 @@
   bool m_Withholding = false;
   std::uint64_t m_NextTimer = 0;
   std::map<std::uint64_t, Timer> m_Timers;
+  bool m_Down = false; ///< It ended and is not back.
+  Timer m_BackTimer;
 };
 
 } // namespace havenstair
--- a/tests/soak/SoakEvents.cpp
+++ b/tests/soak/SoakEvents.cpp
@@ -34,6 +34,10 @@
     return "retry-budget";
   case Promise::Evacuation:
     return "evacuation";
+  case Promise::CrashingBarred:
+    return "crashing-barred";
+  case Promise::OthersServed:
+    return "others-served";
   case Promise::WarmUpRate:
     return "warm-up-rate";
   case Promise::AllowedRegions:
--- a/tests/soak/SoakEvents.h
+++ b/tests/soak/SoakEvents.h
@@ -30,7 +30,9 @@
   Evacuation,     ///< An evacuated data centre gets nothing new.
   WarmUpRate,     ///< A cold engine gets no more than it can take.
   AllowedRegions, ///< Requests stay in the regions that they may see.
-  BoxLives        ///< Boxes do not end by themselves.
+  BoxLives,       ///< Boxes do not end by themselves.
+  CrashingBarred, ///< A request that ends engines soon reaches none.
+  OthersServed    ///< No other request is taken for such a one.
 };
 
 const char *toString(Promise Of);
@@ -46,6 +48,7 @@
   case Promise::RetryBudget:
   case Promise::Evacuation:
   case Promise::WarmUpRate:
+  case Promise::CrashingBarred:
     return true;
   default:
     return false;
--- a/tests/soak/SoakOracle.cpp
+++ b/tests/soak/SoakOracle.cpp
@@ -6,7 +6,8 @@
     : m_Bounds(Bounds), m_Answers(noteVerdict()),
       m_Config(m_Bounds, m_Trouble, noteVerdict()),
       m_Routing(m_Bounds, m_Trouble, noteVerdict()),
-      m_Orders(m_Bounds, m_Trouble, noteVerdict()) {}
+      m_Orders(m_Bounds, m_Trouble, noteVerdict()),
+      m_Crashes(m_Bounds, m_Trouble, noteVerdict()) {}
 
 void SoakOracle::sent(const CallerRequest &Request) {
   m_Answers.sent(Request);
@@ -19,6 +20,7 @@
   if (Request == nullptr)
     return;
   m_Routing.arrived(Arrival, *Request);
+  m_Crashes.arrived(Arrival, *Request);
   if (Request->m_Since)
     m_Config.ran(*Request, Arrival.m_At);
 }
@@ -30,6 +32,8 @@
   const bool Unknown = Request != nullptr && Request->m_Since &&
                        Answer.m_Status == NotFound &&
                        Answer.m_Signature.empty();
+  if (Request != nullptr)
+    m_Crashes.answered(Answer, *Request);
   if (Unknown)
     m_Config.unknown(*Request, Answer.m_At);
 }
--- a/tests/soak/SoakOracle.h
+++ b/tests/soak/SoakOracle.h
@@ -5,6 +5,7 @@
 
 #include "soak/AnswerOracle.h"
 #include "soak/ConfigOracle.h"
+#include "soak/CrashOracle.h"
 #include "soak/OrderOracle.h"
 #include "soak/RoutingOracle.h"
 #include <vector>
@@ -29,6 +30,8 @@
   ConfigOracle &config() { return m_Config; }
   RoutingOracle &routing() { return m_Routing; }
   OrderOracle &orders() { return m_Orders; }
+  CrashOracle &crashes() { return m_Crashes; }
+  const CrashOracle &crashes() const { return m_Crashes; }
   const std::vector<SoakVerdict> &verdicts() const { return m_Verdicts; }
 
 private:
@@ -45,6 +48,7 @@
   ConfigOracle m_Config;
   RoutingOracle m_Routing;
   OrderOracle m_Orders;
+  CrashOracle m_Crashes;
 };
 
 } // namespace havenstair
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -65,12 +65,12 @@
       m_Oracle(m_Opts.m_Bounds), m_Store(m_Loop),
       m_Config(m_Store, m_Oracle, m_Opts.m_Bounds),
       m_Callers(m_Loop, m_Oracle, m_Config, m_Boxes),
-      m_Faults({.m_Loop = m_Loop,
-                .m_Oracle = m_Oracle,
-                .m_Store = m_Store,
-                .m_Config = m_Config,
-                .m_Boxes = m_Boxes,
-                .m_Engines = m_Engines}),
+      m_Crashing(m_Loop, m_Oracle, m_Boxes), m_Faults({.m_Loop = m_Loop,
+                                                       .m_Oracle = m_Oracle,
+                                                       .m_Store = m_Store,
+                                                       .m_Config = m_Config,
+                                                       .m_Boxes = m_Boxes,
+                                                       .m_Engines = m_Engines}),
       m_Http(m_Loop) {
   m_Plan.m_Boxes = m_Opts.m_Boxes.value_or(m_Plan.m_Boxes);
   // Of the two regions, the route may use the one with data centre za only.
@@ -184,8 +184,10 @@
     m_Timers.push_back(
         m_Loop.after(Each.m_At, [this, Each] { m_Faults.strike(Each); }));
   m_Callers.start(m_Plan.m_Callers, m_Opts.m_Seed);
+  m_Crashing.start(m_Opts.m_Crashing, m_Opts.m_Seed);
   m_Loop.runUntil([this] { return m_Interrupted; }, m_Opts.m_Length);
   m_Callers.stop();
+  m_Crashing.stop();
   m_Loop.runUntil([this] { return m_Interrupted || m_Callers.open() == 0; },
                   LastAnswers);
   return !m_Interrupted;
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -3,6 +3,7 @@
 #ifndef HAVENSTAIR_TESTS_SOAK_SOAKRUN_H
 #define HAVENSTAIR_TESTS_SOAK_SOAKRUN_H
 
+#include "soak/CrashingCallers.h"
 #include "soak/FaultInjector.h"
 #include "soak/SoakCallers.h"
 #include "soak/SoakConfig.h"
@@ -30,6 +31,7 @@
     std::uint64_t m_Seed = 1;
     Duration m_Length = 20s;
     std::optional<int> m_Boxes; ///< In place of the plan's number.
+    int m_Crashing = 0;         ///< Requests that end engines.
     std::string m_Program;      ///< The daemon.
     std::string m_Folder;       ///< For settings files and logs.
     SoakBounds m_Bounds;
@@ -64,6 +66,7 @@
   std::vector<std::unique_ptr<SoakEngine>> m_Engines;
   std::vector<std::unique_ptr<SoakBox>> m_Boxes;
   SoakCallers m_Callers;
+  CrashingCallers m_Crashing;
   FaultInjector m_Faults;
   HttpClient m_Http;
   bool m_Interrupted = false;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -24,6 +24,8 @@
 Options:
   --seed N          Draws the whole plan [default: 1].
   --seconds N       Length, from the callers' start [default: 20].
+  --crashing N      Requests that end the engines that run them, from 0 to 6
+                    [default: 0].
   --boxes N         Boxes, from 1 to 60, in place of the seed's number.
   --programs DIR    Folder of the daemon [default: build/bin].
   --logs DIR        Folder for logs; kept. A new one in /tmp without, which is
@@ -87,6 +89,8 @@
             << ", refused " << Counts.m_Refused << ", left " << Counts.m_Left
             << ", broken " << Counts.m_Broken << "; longest pause of the soak "
             << Run.longestPause() / 1ms << " ms\n";
+  if (const int Ended = Run.oracle().crashes().engines(); Ended > 0)
+    std::cout << Ended << " engines ended under requests\n";
   const auto &Verdicts = Run.oracle().verdicts();
   constexpr std::size_t MostShown = 20;
   for (std::size_t Index = 0; Index < std::min(Verdicts.size(), MostShown);
@@ -131,6 +135,7 @@
   Opts.m_Length = std::chrono::seconds(Flags["--seconds"].asLong());
   if (Flags["--boxes"].isString())
     Opts.m_Boxes = boxes(Flags["--boxes"].asString());
+  Opts.m_Crashing = static_cast<int>(Flags["--crashing"].asLong());
   const docopt::value &Mutate = Flags["--mutate"];
   Opts.m_Mutation = mutation(Mutate.isString() ? Mutate.asString() : "");
   SoakPlan Plan = makePlan(Opts.m_Seed, Opts.m_Length);
