--- a/packages/gateway/process/CrashExchange.cpp
+++ b/packages/gateway/process/CrashExchange.cpp
@@ -66,8 +66,11 @@
     m_Hooks.m_Asked("ended");
     crashed(Server, {Running.begin(), Running.end()});
   };
-  Outer.m_Lives = [this](const UpstreamLife &) {
+  Outer.m_Lives = [this, Lives = std::move(Outer.m_Lives)](
+                      const UpstreamLife &Server, const AnswerFacts &Answer,
+                      TimePoint AskedAt) {
     m_Hooks.m_Asked("lives");
+    Lives(Server, Answer, AskedAt);
     m_Hooks.m_Changed();
   };
   return Outer;
--- a/packages/gateway/process/CrashExchange.h
+++ b/packages/gateway/process/CrashExchange.h
@@ -27,7 +27,7 @@
 class CrashExchange : public CrashDesk {
 public:
   struct Hooks {
-    CrashWatch::Hooks m_Watch; ///< Without those that this class fills in.
+    CrashWatch::Hooks m_Watch; ///< Without m_Crashed.
     /// Requests that wait may go on, and barred ones are to end.
     std::function<void()> m_Changed;
     /// A server was asked after its connection broke; \p What it turned out to
--- a/packages/gateway/process/CrashWatch.cpp
+++ b/packages/gateway/process/CrashWatch.cpp
@@ -49,29 +49,32 @@
 
 void CrashWatch::ask(const UpstreamLife &Server, const UpstreamInstance &At) {
   HttpCall Call = m_Hooks.m_Question(At);
-  const TimePoint Until = EventLoop::now() + Call.m_ConnectTimeout;
+  const TimePoint AskedAt = EventLoop::now();
+  const TimePoint Until = AskedAt + Call.m_ConnectTimeout;
   Broken &Of = m_Broken.at(Server);
   Of.m_State = State::Asked;
-  Of.m_Question = m_Client.fetchHeld(
-      std::move(Call), [this, Server, Until](const HttpAnswer &Answer) {
-        answered(Server, Answer, EventLoop::now() < Until);
+  Of.m_Question =
+      m_Client.fetchHeld(std::move(Call), [this, Server, AskedAt,
+                                           Until](const HttpAnswer &Answer) {
+        answered(Server, Answer, AskedAt, EventLoop::now() < Until);
       });
 }
 
 void CrashWatch::answered(const UpstreamLife &Server, const HttpAnswer &Answer,
-                          bool InTime) {
+                          TimePoint AskedAt, bool InTime) {
   const auto Found = m_Broken.find(Server);
   if (Found == m_Broken.end() || Found->second.m_State == State::Ended)
     return;
   const bool Refused = Answer.m_End == HttpEnd::NotWritten && InTime;
-  const std::string By =
-      m_Hooks.m_ReadAnswer(Answer.m_Status, Answer.m_Headers).m_Instance;
-  const bool Other = !By.empty() && By != Server.m_Id;
+  const AnswerFacts Facts =
+      m_Hooks.m_ReadAnswer(Answer.m_Status, Answer.m_Headers);
+  const bool Other =
+      !Facts.m_Instance.empty() && Facts.m_Instance != Server.m_Id;
   if (Refused || Other || m_View.past(Server))
     return ended(Server);
   const bool Answered = Answer.m_End == HttpEnd::Complete;
   Found->second.m_State = Answered ? State::Lives : State::Silent;
-  m_Hooks.m_Lives(Server);
+  m_Hooks.m_Lives(Server, Facts, AskedAt);
 }
 
 void CrashWatch::ended(const UpstreamLife &Server) {
--- a/packages/gateway/process/CrashWatch.h
+++ b/packages/gateway/process/CrashWatch.h
@@ -29,8 +29,10 @@
     std::function<void(const UpstreamLife &Server,
                        const std::set<RequestDigest> &Running)>
         m_Crashed;
-    /// A server was asked and lives, as far as it seems.
-    std::function<void(const UpstreamLife &Server)> m_Lives;
+    /// A server that was asked at \p AskedAt lives, as far as it seems.
+    std::function<void(const UpstreamLife &Server, const AnswerFacts &Answer,
+                       TimePoint AskedAt)>
+        m_Lives;
   };
 
   CrashWatch(HttpClient &Client, const ServingView &View, Hooks Callbacks);
@@ -68,7 +70,7 @@
 
   void ask(const UpstreamLife &Server, const UpstreamInstance &At);
   void answered(const UpstreamLife &Server, const HttpAnswer &Answer,
-                bool InTime);
+                TimePoint AskedAt, bool InTime);
   void ended(const UpstreamLife &Server);
 
   HttpClient &m_Client;
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -216,7 +216,16 @@
                                 At, m_State.m_Config->service(At.m_Service),
                                 Forwarder::Options{}.m_ConnectTimeout);
                           },
-                      .m_ReadAnswer = m_Binding.m_Dialect.m_ReadAnswer},
+                      .m_ReadAnswer = m_Binding.m_Dialect.m_ReadAnswer,
+                      // It may have started again and be cold, and this word
+                      // comes before the list's.
+                      .m_Lives =
+                          [this](const UpstreamLife &Server,
+                                 const AnswerFacts &Answer, TimePoint AskedAt) {
+                            if (Answer.m_ColdFor)
+                              m_WarmUp->heard(Server.m_Id, *Answer.m_ColdFor,
+                                              AskedAt);
+                          }},
           .m_Changed = [this] { m_Forwarder.crashesChanged(); },
           .m_Asked = [this](auto What) { m_Metrics.serverAsked(What); },
           .m_Writes = [this] { return m_Giver.giving(); }};
--- a/tests/gateway/CrashTest.cpp
+++ b/tests/gateway/CrashTest.cpp
@@ -591,3 +591,33 @@
       std::count(Test.m_Statuses.begin(), Test.m_Statuses.end(), 400));
   REQUIRE(Tries - Barred <= 3);
 }
+
+// A server that starts again resets its connections. The list tells of that
+// some 200 ms later; until then it would get all that it got while warm.
+TEST_CASE("A server whose connections broke is asked whether it is cold",
+          "[gateway][crash][warmup]") {
+  CrashTest Test(1, 1);
+  Json Service{{"name", "s"}, {"coldStartS", 30}, {"coldPerS", 6.6}};
+  Test.m_Store.put(
+      "op/config",
+      dumpJson({{"version", 2},
+                {"routes", Json::array({Test.route("unsafe", "unsafe")})},
+                {"services", Json::array({Service})}}));
+  REQUIRE(Test.until(
+      [&] { return Test.m_Boxes.front()->state().configVersion() == 2; }));
+  const auto Cold = [&] {
+    return Test.m_Boxes.front()->state().m_WarmUp.cold("i-10",
+                                                       EventLoop::now());
+  };
+  REQUIRE(Test.until([&] { return !Cold(); }));
+  Test.m_Runners.at("i-10")->setBehaviour(
+      [](const Request &Of, const ConnectionPtr &To) {
+        if (Of.m_Method == "GET")
+          return To->write(StandinRunner::answer(
+              Of, 200, "healthy",
+              "X-Instance-Id: i-10\r\nX-Cold-Remaining-Ms: 20000\r\n"));
+        To->reset();
+      });
+  Test.attempt("/unsafe/x", "body");
+  REQUIRE(Test.until(Cold));
+}
--- a/tests/soak/SoakEngine.cpp
+++ b/tests/soak/SoakEngine.cpp
@@ -196,8 +196,11 @@
 }
 
 void SoakEngine::tellHealth(const Request &Asked, const Connection &To) const {
+  const auto Cold =
+      std::max<std::int64_t>(0, (m_ColdUntil - EventLoop::now()) / 1ms);
   To->write(head(Asked, m_Draining ? Full : 200,
-                 "X-Instance-Id: " + m_Id + "\r\nContent-Length: 0\r\n\r\n"));
+                 "X-Instance-Id: " + m_Id + "\r\nX-Cold-Remaining-Ms: " +
+                     std::to_string(Cold) + "\r\nContent-Length: 0\r\n\r\n"));
 }
 
 bool SoakEngine::modelHere(const Request &Asked) const {
