--- a/packages/gateway/process/CrashExchange.cpp
+++ b/packages/gateway/process/CrashExchange.cpp
@@ -120,7 +120,7 @@
     return;
   m_Log.write("request_cleared",
               {{"digest", Request.str()}, {"by", m_Fleet.self().str()}});
-  tellAll(RanWellFrame{.m_Request = Request});
+  m_Fleet.sendAll(RanWellFrame{.m_Request = Request});
   // What was there with it each time is left alone with the blame.
   judge();
 }
@@ -148,7 +148,7 @@
                                {"requests", Frame.m_Running.size()},
                                {"digests", logged(Frame.m_Running)}});
   if (heard(Frame))
-    tellRelays(Frame, BoxName());
+    m_Fleet.sendRelays(Frame);
   m_Hooks.m_Changed();
 }
 
@@ -158,7 +158,7 @@
   const CrashBook::Heard Heard =
       m_Book.crashed(Frame.m_Server, Frame.m_Running, Now);
   for (const RequestDigest &Each : Heard.m_RanWell)
-    tellAll(RanWellFrame{.m_Request = Each});
+    m_Fleet.sendAll(RanWellFrame{.m_Request = Each});
   if (!Heard.m_New)
     return false;
   // Leaves hear of no ends; those may know which requests ran well.
@@ -173,10 +173,8 @@
   for (const RequestDigest &Each : Among)
     if (m_Book.suspicious(Each, EventLoop::now()))
       Frame.m_Requests.push_back(Each);
-  if (Frame.m_Requests.empty())
-    return;
-  tell(Frame,
-       [this](const BoxName &Box) { return !m_Fleet.topology().isRelay(Box); });
+  if (!Frame.m_Requests.empty())
+    m_Fleet.sendLeaves(Frame);
 }
 
 void CrashExchange::judgeLater() {
@@ -192,7 +190,7 @@
   for (const RequestDigest &Each : Barred)
     noteBarred(Each, "judged");
   if (!Barred.empty())
-    tellAll(RequestBarsFrame{.m_Bars = toldBars(Barred)});
+    m_Fleet.sendAll(RequestBarsFrame{.m_Bars = toldBars(Barred)});
   m_Hooks.m_Changed();
 }
 
@@ -253,38 +251,6 @@
   }
 }
 
-void CrashExchange::tell(const PeerFrame &Frame, const Whom &To) {
-  // A link that fails while it is written to leaves the set.
-  const std::vector<BoxName> All(m_Fleet.linked().begin(),
-                                 m_Fleet.linked().end());
-  for (const BoxName &Each : All)
-    if (To(Each))
-      m_Fleet.send(Each, Frame);
-}
-
-void CrashExchange::tellAll(const PeerFrame &Frame) {
-  tell(Frame, [](const BoxName &) { return true; });
-}
-
-void CrashExchange::tellRelays(const PeerFrame &Frame, const BoxName &But) {
-  for (const BoxName &Each : m_Fleet.linkedRelays())
-    if (Each != But)
-      m_Fleet.send(Each, Frame);
-}
-
-/// Relays are linked to each other: what one of them says goes to leaves only,
-/// or it would go round among them.
-void CrashExchange::passOn(const PeerFrame &Frame, const BoxName &From) {
-  const FleetTopology &Topology = m_Fleet.topology();
-  if (!Topology.relay())
-    return;
-  const bool FromRelay = Topology.flat() || Topology.isRelay(From);
-  tell(Frame, [&](const BoxName &Box) {
-    return Box != From &&
-           !(FromRelay && (Topology.flat() || Topology.isRelay(Box)));
-  });
-}
-
 void CrashExchange::onFrame(const BoxName &From, const PeerFrame &Frame) {
   std::visit(
       [&](const auto &Each) {
@@ -300,7 +266,7 @@
   m_Watch.heardOfEnd(Frame.m_Server);
   const FleetTopology &Topology = m_Fleet.topology();
   if (Topology.relay() && !Topology.flat() && !Topology.isRelay(From))
-    tellRelays(Frame, From);
+    m_Fleet.sendRelays(Frame, From);
   m_Hooks.m_Changed();
 }
 
@@ -308,7 +274,7 @@
   const TimePoint Now = EventLoop::now();
   for (const RequestDigest &Each : Frame.m_Requests)
     if (m_Book.suspected(Each, Now))
-      tellAll(RanWellFrame{.m_Request = Each});
+      m_Fleet.sendAll(RanWellFrame{.m_Request = Each});
 }
 
 void CrashExchange::take(const BoxName &From, const RanWellFrame &Frame) {
@@ -316,7 +282,7 @@
     return;
   m_Log.write("request_cleared",
               {{"digest", Frame.m_Request.str()}, {"by", From.str()}});
-  passOn(Frame, From);
+  m_Fleet.passOn(Frame, From);
   judge();
 }
 
@@ -335,7 +301,7 @@
   }
   if (New.m_Bars.empty())
     return;
-  passOn(New, From);
+  m_Fleet.passOn(New, From);
   m_Hooks.m_Changed();
 }
 
--- a/packages/gateway/process/CrashExchange.h
+++ b/packages/gateway/process/CrashExchange.h
@@ -57,8 +57,6 @@
   void onFrame(const BoxName &From, const PeerFrame &Frame);
 
 private:
-  using Whom = std::function<bool(const BoxName &)>;
-
   CrashWatch::Hooks watchHooks(CrashWatch::Hooks Outer);
   /// A run whose server may yet turn out to have ended by it.
   struct Run {
@@ -79,11 +77,6 @@
   void noteBarred(const RequestDigest &Request, std::string_view How);
   std::vector<ToldBar> toldBars(const std::vector<RequestDigest> &Of) const;
 
-  void tell(const PeerFrame &Frame, const Whom &To);
-  void tellAll(const PeerFrame &Frame);
-  void tellRelays(const PeerFrame &Frame, const BoxName &But);
-  void passOn(const PeerFrame &Frame, const BoxName &From);
-
   void take(const BoxName &From, const CrashFrame &Frame);
   void take(const BoxName &From, const CrashSuspectsFrame &Frame);
   void take(const BoxName &From, const RanWellFrame &Frame);
--- a/packages/gateway/process/Fleet.cpp
+++ b/packages/gateway/process/Fleet.cpp
@@ -175,6 +175,35 @@
   m_Mesh.send(To, Frame);
 }
 
+void Fleet::sendAll(const PeerFrame &Frame) {
+  const std::set<BoxName> All = m_Linked;
+  for (const BoxName &Each : All)
+    send(Each, Frame);
+}
+
+void Fleet::sendRelays(const PeerFrame &Frame, const BoxName &But) {
+  for (const BoxName &Each : linkedRelays())
+    if (Each != But)
+      send(Each, Frame);
+}
+
+void Fleet::sendLeaves(const PeerFrame &Frame) {
+  if (m_Topology.flat())
+    return;
+  const std::set<BoxName> All = m_Linked;
+  for (const BoxName &Each : All)
+    if (!m_Topology.isRelay(Each))
+      send(Each, Frame);
+}
+
+void Fleet::passOn(const PeerFrame &Frame, const BoxName &From) {
+  if (m_Topology.flat() || !m_Topology.relay())
+    return;
+  sendLeaves(Frame);
+  if (!m_Topology.isRelay(From))
+    sendRelays(Frame, From);
+}
+
 std::vector<BoxName> Fleet::linkedRelays() const {
   std::vector<BoxName> Result;
   for (const BoxName &Box : m_Linked)
--- a/packages/gateway/process/Fleet.h
+++ b/packages/gateway/process/Fleet.h
@@ -59,6 +59,15 @@
   /// The store's keys have changed; \p Items are those of the whole prefix.
   void entriesChanged(const std::map<std::string, StoreItem> &Items);
   void send(const BoxName &To, const PeerFrame &Frame);
+  /// To all linked boxes.
+  void sendAll(const PeerFrame &Frame);
+  /// To the linked relays, but for \p But.
+  void sendRelays(const PeerFrame &Frame, const BoxName &But = BoxName());
+  /// To the linked leaves, of which a small fleet has none.
+  void sendLeaves(const PeerFrame &Frame);
+  /// What \p From said and all boxes are to hear. Relays are linked to each
+  /// other: what one of them says goes to leaves only, or it would go round.
+  void passOn(const PeerFrame &Frame, const BoxName &From);
   const std::set<BoxName> &linked() const { return m_Linked; }
   /// The relays that are linked; in a small fleet all that are. A copy: a link
   /// that fails while it is written to leaves the set.
--- a/packages/gateway/process/WarmUpExchange.cpp
+++ b/packages/gateway/process/WarmUpExchange.cpp
@@ -153,19 +153,8 @@
     return;
   m_Log.write("turned_cold",
               {{"upstream", Server}, {"cold_ms", ColdFor / 1ms}});
-  tellNews({.m_Life = m_View.life(Server), .m_ColdFor = ColdFor},
-           [](const BoxName &) { return true; });
-}
-
-void WarmUpExchange::tellNews(
-    const WarmUpNewsFrame &News,
-    const std::function<bool(const BoxName &)> &Whom) {
-  // A link that fails while it is written to leaves the set.
-  const std::vector<BoxName> All(m_Fleet.linked().begin(),
-                                 m_Fleet.linked().end());
-  for (const BoxName &Each : All)
-    if (Whom(Each))
-      m_Fleet.send(Each, News);
+  m_Fleet.sendAll(
+      WarmUpNewsFrame{.m_Life = m_View.life(Server), .m_ColdFor = ColdFor});
 }
 
 void WarmUpExchange::onFrame(const BoxName &From, const PeerFrame &Frame) {
@@ -220,15 +209,8 @@
   // Of a life that is not the newest here, it says nothing.
   if (m_View.life(Server) != Frame.m_Life || m_View.cold(Server, Now))
     return;
-  const FleetTopology &Topology = m_Fleet.topology();
-  if (!m_View.told(Server, Frame.m_ColdFor, Now, Now) || !Topology.relay())
-    return;
-  // All relays are linked to each other: what one of them says goes to leaves
-  // only, or it would go round among them.
-  const bool FromRelay = Topology.isRelay(From);
-  tellNews(Frame, [&](const BoxName &Box) {
-    return Box != From && !(FromRelay && Topology.isRelay(Box));
-  });
+  if (m_View.told(Server, Frame.m_ColdFor, Now, Now))
+    m_Fleet.passOn(Frame, From);
 }
 
 } // namespace havenstair
--- a/packages/gateway/process/WarmUpExchange.h
+++ b/packages/gateway/process/WarmUpExchange.h
@@ -71,9 +71,6 @@
   WarmUpVerdict decide(const InstanceId &Server, Duration Patience);
   void finish(const Asked &Of, const std::optional<WarmUpVerdict> &Verdict);
   void unanswered(std::uint64_t Id);
-  void tellNews(const WarmUpNewsFrame &News,
-                const std::function<bool(const BoxName &)> &Whom);
-
   void take(const BoxName &From, const WarmUpAskFrame &Frame);
   void take(const BoxName &From, const WarmUpAnswerFrame &Frame);
   void take(const BoxName &From, const WarmUpNewsFrame &Frame);
