A bar that was lifted is not taken over from a box that was cut off

Found on reading: a box that was away as a request was cleared told of the bar when its links came up, and the others took it over for the rest of its time. Test first failed for the adopted bar.

--- a/packages/decisions/process/CrashBook.cpp
+++ b/packages/decisions/process/CrashBook.cpp
@@ -72,6 +72,9 @@
                      m_Suspects.contains(Request) || m_Bars.contains(Request);
   m_RanWell[Request] = Now;
   boundByTime(m_RanWell, m_Opts.m_MostRanWell);
+  if (m_Bars.contains(Request))
+    m_Pardoned[Request] = Now;
+  boundByTime(m_Pardoned, m_Opts.m_MostBars);
   clear(Request);
   return Known;
 }
@@ -241,6 +244,7 @@
                                   }));
   m_Suspects.erase(Request);
   m_Ended.erase(Request);
+  m_Pardoned.erase(Request);
   m_Bars[Request] = std::move(Bar);
 }
 
@@ -248,7 +252,8 @@
                       TimePoint Now) {
   // A box that has just learned of a bar would else keep it up for ever.
   if (m_Bars.contains(Request) || m_Ended.contains(Request) ||
-      m_LetThrough.contains(Request) || ranWellLately(Request, Now))
+      m_Pardoned.contains(Request) || m_LetThrough.contains(Request) ||
+      ranWellLately(Request, Now))
     return false;
   Bar.m_Until = std::min(Bar.m_Until, Now + m_Opts.m_BarredFor);
   insertBar(Request, std::move(Bar));
@@ -289,6 +294,7 @@
   }
   boundByTime(m_Ended, m_Opts.m_MostBars);
   pruneByTime(m_Ended, Now - m_Opts.m_BarredFor);
+  pruneByTime(m_Pardoned, Now - m_Opts.m_BarredFor);
   pruneByTime(m_Suspects, Now - m_Opts.m_Remembers);
   pruneByTime(m_RanWell, Now - m_Opts.m_RanWellFor);
 }
--- a/packages/decisions/process/CrashBook.h
+++ b/packages/decisions/process/CrashBook.h
@@ -84,6 +84,11 @@
   std::vector<RequestDigest> judge(const BoxName &By, TimePoint Now);
   /// Another box has barred it. \returns whether that is new.
   bool adopt(const RequestDigest &Request, RequestBar Bar, TimePoint Now);
+  /// Whether its bar was lifted as it ran well, so that who still tells of the
+  /// bar has not heard.
+  bool pardoned(const RequestDigest &Request) const {
+    return m_Pardoned.contains(Request);
+  }
   /// Operators let \p Requests through, and none else.
   void letThrough(std::set<RequestDigest> Requests);
   /// Forgets what is too old.
@@ -144,6 +149,8 @@
   std::map<RequestDigest, RequestBar> m_Bars;
   /// Bars that have ended; one more crash is enough until then.
   std::map<RequestDigest, TimePoint> m_Ended;
+  /// Bars that were lifted, for as long as another box may keep them up.
+  std::map<RequestDigest, TimePoint> m_Pardoned;
   std::set<RequestDigest> m_LetThrough;
 };
 
--- a/packages/gateway/process/CrashExchange.cpp
+++ b/packages/gateway/process/CrashExchange.cpp
@@ -290,6 +290,9 @@
   const TimePoint Now = EventLoop::now();
   RequestBarsFrame New;
   for (const ToldBar &Each : Frame.m_Bars) {
+    // Who was cut off as the bar was lifted would keep it up.
+    if (m_Book.pardoned(Each.m_Request))
+      m_Fleet.send(From, RanWellFrame{.m_Request = Each.m_Request});
     const RequestBar Bar{.m_Servers = Each.m_Servers,
                          .m_By = Each.m_By,
                          .m_Since = Now - Each.m_Age,
--- a/tests/decisions/process/CrashBookTest.cpp
+++ b/tests/decisions/process/CrashBookTest.cpp
@@ -160,6 +160,25 @@
   REQUIRE(Test.judge().empty());
 }
 
+TEST_CASE("A bar that was lifted is not taken over from who has not heard",
+          "[crash][decisions]") {
+  BookTest Test;
+  for (int End = 0; End < 3; ++End)
+    Test.crash({Bad});
+  Test.judge();
+  const RequestBar Lifted = *Test.m_Book.bar(Bad, Test.m_Now);
+  Test.m_Book.ranWell(Bad, Test.m_Now);
+  Test.m_Now += 60s;
+  REQUIRE(Test.m_Book.pardoned(Bad));
+  REQUIRE_FALSE(Test.m_Book.adopt(Bad, Lifted, Test.m_Now));
+  SECTION("but what it does afterwards counts") {
+    for (int End = 0; End < 3; ++End)
+      Test.crash({Bad});
+    REQUIRE(Test.judge() == std::vector{Bad});
+    REQUIRE_FALSE(Test.m_Book.pardoned(Bad));
+  }
+}
+
 TEST_CASE("A bar ends by itself, and one more end renews it",
           "[crash][decisions]") {
   BookTest Test;
