CrashBook asks whether requests are tied without a list of them

Found on the last read: together() made a list of which only the size was used, left from when all of the list were barred; tied() asks directly. A comment said that a bound leaves as many as it names, it drops a tenth.

--- a/packages/decisions/process/CrashBook.cpp
+++ b/packages/decisions/process/CrashBook.cpp
@@ -1,7 +1,6 @@
 #include "decisions/process/CrashBook.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace havenstair {
@@ -14,8 +13,7 @@
 /// Suspicion among other boxes begins with the second end.
 constexpr std::size_t SuspiciousFrom = 2;
 
-/// Drops the entries of \p Times with the earliest times until \p Most are
-/// left.
+/// Drops the earliest tenth of \p Times when there are more than \p Most.
 void boundByTime(std::map<RequestDigest, TimePoint> &Times, std::size_t Most) {
   if (Times.size() <= Most)
     return;
@@ -178,7 +176,16 @@
 /// Whether it may as well be another one that was there each time. Who ended
 /// servers before is to blame rather than who was beside it.
 bool CrashBook::tied(const RequestDigest &Request, TimePoint Now) const {
-  return !m_Ended.contains(Request) && together(Request, Now).size() > 1;
+  const std::vector<const Crash *> All = settled(Request, Now);
+  if (m_Ended.contains(Request) || All.empty())
+    return false;
+  const std::set<RequestDigest> &First = All.front()->m_Running;
+  return std::any_of(First.begin(), First.end(), [&](const auto &Other) {
+    return Other != Request &&
+           std::all_of(All.begin(), All.end(), [&](const Crash *Each) {
+             return Each->m_Running.contains(Other);
+           });
+  });
 }
 
 /// Of those that are to be barred the one that was there most often: it may
@@ -202,21 +209,6 @@
   return Result;
 }
 
-/// Those that were there each time \p Request was, itself among them.
-std::vector<RequestDigest> CrashBook::together(const RequestDigest &Request,
-                                               TimePoint Now) const {
-  std::vector<RequestDigest> Result;
-  const std::vector<const Crash *> All = settled(Request, Now);
-  if (All.empty())
-    return Result;
-  for (const RequestDigest &Other : All.front()->m_Running)
-    if (std::all_of(All.begin(), All.end(), [&](const Crash *Each) {
-          return Each->m_Running.contains(Other);
-        }))
-      Result.push_back(Other);
-  return Result;
-}
-
 std::vector<RequestDigest> CrashBook::judge(const BoxName &By, TimePoint Now) {
   std::vector<RequestDigest> Result;
   while (const auto Guilty = mostGuilty(Now)) {
--- a/packages/decisions/process/CrashBook.h
+++ b/packages/decisions/process/CrashBook.h
@@ -131,8 +131,6 @@
                  TimePoint Now) const;
   std::size_t count(std::vector<const Crash *> Of, const RequestDigest &Request,
                     TimePoint Now) const;
-  std::vector<RequestDigest> together(const RequestDigest &Request,
-                                      TimePoint Now) const;
   bool tied(const RequestDigest &Request, TimePoint Now) const;
   std::optional<RequestDigest> mostGuilty(TimePoint Now) const;
   void bar(const RequestDigest &Request, const BoxName &By, TimePoint Now);
