--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -35,6 +35,11 @@
   return Kinds[static_cast<std::size_t>(Number) % Kinds.size()];
 }
 
+bool watchesConfig(const std::string &Asked) {
+  return Asked.starts_with("GET /v1/kv-watch") &&
+         Asked.find("op%2Fconfig") != std::string::npos;
+}
+
 } // namespace
 
 void FaultInjector::strike(const ScheduledFault &Fault) {
@@ -51,8 +56,10 @@
     strikeEngine(Fault, pick(m_On.m_Engines, Fault.m_Target));
   else if (Fault.m_Kind <= SoakFault::SilenceEngineLink)
     strikeEngineLink(Fault, pick(m_On.m_Engines, Fault.m_Target));
-  else
+  else if (Fault.m_Kind <= SoakFault::Evacuate)
     strikeKeys(Fault);
+  else
+    strikeWaysOfConfig(Fault, Box);
 }
 
 void FaultInjector::later(Duration Delay, Call Undo) {
@@ -244,4 +251,32 @@
        });
 }
 
+void FaultInjector::strikeWaysOfConfig(const ScheduledFault &Fault,
+                                       SoakBox &Box) {
+  const auto Strike = [&](SoakBox &Each) {
+    trouble(Each.name(), Fault.m_For, [] {});
+    switch (Fault.m_Kind) {
+    case SoakFault::SilenceConfigWatch:
+    case SoakFault::SilenceConfigWatches:
+      return Each.storeLink().silenceOpen(watchesConfig);
+    case SoakFault::SilenceStoreLinks:
+      return Each.storeLink().silenceOpen();
+    case SoakFault::SilencePeerLinks:
+      return Each.peerLink().silenceOpen();
+    case SoakFault::SilenceAllLinks:
+      Each.storeLink().silenceOpen();
+      return Each.peerLink().silenceOpen();
+    default:
+      LoopbackProxy &Link = Each.storeLink();
+      return hold(&Link, SoakFault::RefuseAtStore, Fault.m_For,
+                  [&Link](bool On) { Link.setRefusing(On); });
+    }
+  };
+  if (Fault.m_Kind == SoakFault::SilenceConfigWatch)
+    return Strike(Box);
+  for (const auto &Each : m_On.m_Boxes)
+    if (Fault.m_Kind != SoakFault::TurnAwayBoxes || Each.get() != &Box)
+      Strike(*Each);
+}
+
 } // namespace havenstair
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -41,6 +41,7 @@
   void strikeEngine(const ScheduledFault &Fault, SoakEngine &Engine);
   void strikeEngineLink(const ScheduledFault &Fault, SoakEngine &Engine);
   void strikeKeys(const ScheduledFault &Fault);
+  void strikeWaysOfConfig(const ScheduledFault &Fault, SoakBox &Box);
 
   /// Notes trouble of \p Subject while it lasts; \p Undo ends it.
   void trouble(const std::string &Subject, Duration For, Call Undo);
--- a/tests/soak/LoopbackProxy.cpp
+++ b/tests/soak/LoopbackProxy.cpp
@@ -64,6 +64,8 @@
     for (Side &Each : m_Sides)
       Each.m_Timer = Timer();
   }
+  /// What the client sent last, in one piece.
+  const std::string &asked() const { return m_Asked; }
   /// Passes on what is due, of both directions.
   void flush() {
     flush(0);
@@ -116,6 +118,8 @@
     std::string Bytes = take(Of.m_Stream);
     if (m_Silent)
       return;
+    if (From == 0)
+      m_Asked = Bytes;
     if (From == 0 && m_Of.m_Doubled && m_Of.m_Doubled(Bytes))
       m_Of.sendAgain(Bytes);
     // A shorter delay must not let bytes overtake earlier ones.
@@ -163,6 +167,7 @@
 
   LoopbackProxy &m_Of;
   std::array<Side, 2> m_Sides;
+  std::string m_Asked;
   bool m_Silent = false;
 };
 
@@ -241,8 +246,14 @@
 }
 
 void LoopbackProxy::silenceOpen() {
+  silenceOpen([](const std::string &) { return true; });
+}
+
+void LoopbackProxy::silenceOpen(
+    const std::function<bool(const std::string &)> &Which) {
   for (const auto &Each : m_Links)
-    Each->silence();
+    if (Which(Each->asked()))
+      Each->silence();
 }
 
 void LoopbackProxy::sendAgain(const std::string &Bytes) {
--- a/tests/soak/LoopbackProxy.h
+++ b/tests/soak/LoopbackProxy.h
@@ -41,6 +41,9 @@
   void setListening(bool Listening);
   /// What is open now stays open and never carries a byte again.
   void silenceOpen();
+  /// The same, of the connections on which the client last sent bytes of that
+  /// kind.
+  void silenceOpen(const std::function<bool(const std::string &)> &Which);
   /// Bytes to the server of that kind are sent on a second connection too. The
   /// answer to it is dropped.
   void setDoubled(std::function<bool(const std::string &)> Doubled) {
--- a/tests/soak/SoakBox.h
+++ b/tests/soak/SoakBox.h
@@ -48,6 +48,8 @@
   Endpoint readiness() const {
     return {m_Opts.m_Address, m_Opts.m_Ports.m_Readiness};
   }
+  /// Where it listens for others.
+  Endpoint peers() const { return {m_Opts.m_Address, m_Opts.m_Ports.m_Peers}; }
   LoopbackProxy &storeLink() { return m_StoreLink; }
   LoopbackProxy &peerLink() { return m_PeerLink; }
 
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -61,7 +61,10 @@
 } // namespace
 
 SoakRun::SoakRun(Options Opts)
-    : m_Opts(std::move(Opts)), m_Plan(makePlan(m_Opts.m_Seed, m_Opts.m_Length)),
+    : m_Opts(std::move(Opts)),
+      m_Plan(m_Opts.m_ConfigPlan
+                 ? makeConfigPlan(m_Opts.m_Seed, m_Opts.m_Length)
+                 : makePlan(m_Opts.m_Seed, m_Opts.m_Length)),
       m_Oracle(m_Opts.m_Bounds), m_Store(m_Loop),
       m_Config(m_Store, m_Oracle, m_Opts.m_Bounds),
       m_Callers(m_Loop, m_Oracle, m_Config, m_Boxes),
@@ -77,9 +80,28 @@
   m_Oracle.routing().allowed("/near/x", {"za"});
   makeEngines();
   makeBoxes();
+  if (m_Opts.m_ConfigPlan)
+    linkThroughProxies();
   mutate();
 }
 
+/// Boxes enter the addresses of their own proxies in the store, so that each
+/// link between them passes one.
+void SoakRun::linkThroughProxies() {
+  m_Store.setRewrite([this](const std::string &, const std::string &Value) {
+    for (const auto &Box : m_Boxes) {
+      const std::string Own = Box->peers().str();
+      const auto At = Value.find("\"" + Own + "\"");
+      if (At == std::string::npos)
+        continue;
+      std::string Result = Value;
+      return Result.replace(At + 1, Own.size(),
+                            Box->peerLink().endpoint().str());
+    }
+    return Value;
+  });
+}
+
 void SoakRun::makeEngines() {
   const ModelShelf::Options Shelf{.m_LimitMb = SoakConfig::EngineMb,
                                   .m_AdapterLimit = SoakConfig::AdapterLimit,
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -30,6 +30,7 @@
   struct Options {
     std::uint64_t m_Seed = 1;
     Duration m_Length = 20s;
+    bool m_ConfigPlan = false;  ///< makeConfigPlan() in place of makePlan().
     std::optional<int> m_Boxes; ///< In place of the plan's number.
     int m_Crashing = 0;         ///< Requests that end engines.
     std::string m_Program;      ///< The daemon.
@@ -52,6 +53,7 @@
 
 private:
   void makeBoxes();
+  void linkThroughProxies();
   void makeEngines();
   void mutate();
   void waitReady();
--- a/tests/soak/SoakSchedule.cpp
+++ b/tests/soak/SoakSchedule.cpp
@@ -53,10 +53,21 @@
     {SoakFault::Evacuate, "evacuate", 6000, 9000},
 }};
 
+constexpr std::array<FaultKind, 6> ConfigKinds{{
+    {SoakFault::SilenceConfigWatch, "silence-config-watch", 0, 0},
+    {SoakFault::SilenceConfigWatches, "silence-config-watches", 0, 0},
+    {SoakFault::SilenceStoreLinks, "silence-store-links", 0, 0},
+    {SoakFault::SilencePeerLinks, "silence-peer-links", 0, 0},
+    {SoakFault::SilenceAllLinks, "silence-all-links", 0, 0},
+    {SoakFault::TurnAwayBoxes, "turn-away-boxes", 1000, 8000},
+}};
+
 const FaultKind &kindOf(SoakFault Of) {
-  return *std::find_if(Kinds.begin(), Kinds.end(), [&](const FaultKind &Each) {
-    return Each.m_Kind == Of;
-  });
+  const auto Is = [Of](const FaultKind &Each) { return Each.m_Kind == Of; };
+  const auto *const Found = std::find_if(Kinds.begin(), Kinds.end(), Is);
+  return Found != Kinds.end()
+             ? *Found
+             : *std::find_if(ConfigKinds.begin(), ConfigKinds.end(), Is);
 }
 
 class Drawing {
@@ -91,6 +102,22 @@
   }
 }
 
+void sortByTime(std::vector<ScheduledFault> &Faults) {
+  std::stable_sort(Faults.begin(), Faults.end(),
+                   [](const ScheduledFault &A, const ScheduledFault &B) {
+                     return A.m_At < B.m_At;
+                   });
+}
+
+/// One to three versions, up to a second apart.
+void addVersions(Drawing &Draw, Duration At, std::vector<ScheduledFault> &To) {
+  const int Count = Draw(1, 3);
+  for (int Number = 0; Number < Count; ++Number) {
+    To.push_back(Draw.fault(At, SoakFault::Configure));
+    At += std::chrono::milliseconds(Draw(50, 1000));
+  }
+}
+
 } // namespace
 
 const char *toString(SoakFault Of) { return kindOf(Of).m_Name; }
@@ -116,10 +143,30 @@
   for (Duration At = CalmAtStart; At < Length;
        At += std::chrono::milliseconds(Draw(800, 6000)))
     Result.m_Faults.push_back(Draw.fault(At, SoakFault::Configure));
-  std::stable_sort(Result.m_Faults.begin(), Result.m_Faults.end(),
-                   [](const ScheduledFault &A, const ScheduledFault &B) {
-                     return A.m_At < B.m_At;
-                   });
+  sortByTime(Result.m_Faults);
+  return Result;
+}
+
+SoakPlan makeConfigPlan(std::uint64_t Seed, Duration Length) {
+  constexpr int Boxes = 8;
+  Drawing Draw(Seed);
+  SoakPlan Result{.m_Boxes = Boxes,
+                  .m_Plain = 3,
+                  .m_Engines = 2,
+                  .m_Callers = 32,
+                  .m_FencingEnforced = false,
+                  .m_Faults = {}};
+  for (Duration At = 1500ms; At < Length;
+       At += std::chrono::milliseconds(Draw(1500, 4500)))
+    addVersions(Draw, At, Result.m_Faults);
+  // Bounds in time are judged from 3 s after a fault.
+  for (Duration At = 3s; At < Length;
+       At += std::chrono::milliseconds(Draw(5000, 9000))) {
+    const int Kind = Draw(0, static_cast<int>(ConfigKinds.size()) - 1);
+    Result.m_Faults.push_back(
+        Draw.fault(At, ConfigKinds.at(static_cast<std::size_t>(Kind)).m_Kind));
+  }
+  sortByTime(Result.m_Faults);
   return Result;
 }
 
--- a/tests/soak/SoakSchedule.h
+++ b/tests/soak/SoakSchedule.h
@@ -44,7 +44,14 @@
   SilenceEngineLink,
   Configure,
   Rubbish,
-  Evacuate
+  Evacuate,
+  // Of makeConfigPlan() alone.
+  SilenceConfigWatch,   ///< Of one box, while its other connections work.
+  SilenceConfigWatches, ///< The same of all boxes at once.
+  SilenceStoreLinks,    ///< All open connections of all boxes to the store.
+  SilencePeerLinks,     ///< All open connections between boxes.
+  SilenceAllLinks,      ///< Both.
+  TurnAwayBoxes         ///< All boxes but one are refused at the store.
 };
 
 const char *toString(SoakFault Of);
@@ -75,6 +82,11 @@
 /// overlap alternate with calm, in which the bounds in time are judged.
 SoakPlan makePlan(std::uint64_t Seed, Duration Length);
 
+/// Configurations in series, while the ways on which boxes learn of them are
+/// harmed: connections fall silent, of one box or of all, again and again, or
+/// the store turns boxes away.
+SoakPlan makeConfigPlan(std::uint64_t Seed, Duration Length);
+
 } // namespace havenstair
 
 #endif
--- a/tests/soak/SoakScheduleTest.cpp
+++ b/tests/soak/SoakScheduleTest.cpp
@@ -11,6 +11,20 @@
   REQUIRE_FALSE(makePlan(7, 60s) == makePlan(8, 60s));
 }
 
+TEST_CASE("A plan of configurations strikes the ways on which they are learned",
+          "[soak][schedule]") {
+  const SoakPlan Plan = makeConfigPlan(7, 600s);
+  REQUIRE(Plan == makeConfigPlan(7, 600s));
+  std::set<SoakFault> Kinds;
+  for (const ScheduledFault &Each : Plan.m_Faults)
+    Kinds.insert(Each.m_Kind);
+  REQUIRE(Kinds ==
+          std::set{SoakFault::Configure, SoakFault::SilenceConfigWatch,
+                   SoakFault::SilenceConfigWatches,
+                   SoakFault::SilenceStoreLinks, SoakFault::SilencePeerLinks,
+                   SoakFault::SilenceAllLinks, SoakFault::TurnAwayBoxes});
+}
+
 TEST_CASE("A soak's faults are in order, overlap and leave some calm",
           "[soak][schedule]") {
   const SoakPlan Plan = makePlan(7, 600s);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -27,6 +27,8 @@
   --crashing N      Requests that end the engines that run them, from 0 to 6
                     [default: 0].
   --boxes N         Boxes, from 1 to 60, in place of the seed's number.
+  --config          Harm the ways on which boxes learn of configurations, in
+                    place of the seed's usual plan.
   --programs DIR    Folder of the daemon [default: build/bin].
   --logs DIR        Folder for logs; kept. A new one in /tmp without, which is
                     removed when no promise was broken.
@@ -138,7 +140,9 @@
   Opts.m_Crashing = static_cast<int>(Flags["--crashing"].asLong());
   const docopt::value &Mutate = Flags["--mutate"];
   Opts.m_Mutation = mutation(Mutate.isString() ? Mutate.asString() : "");
-  SoakPlan Plan = makePlan(Opts.m_Seed, Opts.m_Length);
+  Opts.m_ConfigPlan = Flags["--config"].asBool();
+  SoakPlan Plan = Opts.m_ConfigPlan ? makeConfigPlan(Opts.m_Seed, Opts.m_Length)
+                                    : makePlan(Opts.m_Seed, Opts.m_Length);
   Plan.m_Boxes = Opts.m_Boxes.value_or(Plan.m_Boxes);
   showPlan(Opts.m_Seed, Plan);
   if (Flags["--plan"].asBool())
--- a/tests/standin/StandinStore.cpp
+++ b/tests/standin/StandinStore.cpp
@@ -197,8 +197,11 @@
       return answer(Exchange, 404, Json::object());
   }
   for (const Json &Each : Body.at("put")) {
-    const Item Next{.m_Value = Each.at("value"),
-                    .m_Lease = Each.at("lease").get<std::uint64_t>()};
+    Item Next{.m_Value = Each.at("value"),
+              .m_Lease = Each.at("lease").get<std::uint64_t>()};
+    if (m_Rewrite)
+      Next.m_Value = platform::encodeBase64(m_Rewrite(
+          Each.at("privateKey"), platform::decodeBase64(Next.m_Value)));
     change(Each.at("privateKey"), &Next);
   }
   for (const Json &Each : Body.at("removals"))
--- a/tests/standin/StandinStore.h
+++ b/tests/standin/StandinStore.h
@@ -6,6 +6,7 @@
 #include "wire/common/EventLoop.h"
 #include "wire/common/HttpServer.h"
 #include "wire/common/Json.h"
+#include <functional>
 #include <list>
 #include <map>
 #include <string>
@@ -33,6 +34,12 @@
   std::string value(const std::string &Key) const;
   bool has(const std::string &Key) const { return m_Items.contains(Key); }
   void setFault(Fault Now) { m_Fault = Now; }
+  /// What boxes write is kept as \p Rewrite, given key and value, returns it.
+  void setRewrite(std::function<std::string(const std::string &Key,
+                                            const std::string &Value)>
+                      Rewrite) {
+    m_Rewrite = std::move(Rewrite);
+  }
   /// Forgets all changes so far, and ends the watches.
   void forgetHistory();
   /// One watch of \p Prefix is never answered, as when its connection is lost
@@ -89,6 +96,8 @@
   std::uint64_t m_NextLease = 100;
   std::size_t m_Calls = 0;
   Fault m_Fault = Fault::None;
+  std::function<std::string(const std::string &, const std::string &)>
+      m_Rewrite;
   std::list<HttpExchangePtr> m_Unanswered;
   Timer m_Timer;
 };
