--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -99,6 +99,10 @@
                  m_Metrics.sendEnded(Outcome);
                },
            .m_MayTrustKeys = [this] { return mayTrustKeys(); },
+           .m_ConfigAge =
+               [this](TimePoint Now) {
+                 return m_Exchange.lists().configWord(Now).m_Age;
+               },
            .m_Random = [this] { return drawUnit(m_Random); }}),
       m_Registry(m_Binding.m_DecodeUpstream, m_Log),
       m_ConfigMirror(
@@ -288,6 +292,9 @@
   GatewayGauges Now;
   Now.m_OpenRequests = Number(m_Forwarder.open());
   Now.m_ConfigVersion = Number(m_State.configVersion());
+  const auto Config = m_Exchange.lists().configWord(EventLoop::now());
+  Now.m_ConfigTold = Number(Config.m_Told);
+  Now.m_ConfigAge = inSeconds(Config.m_Age);
   Now.m_ListRevision = Number(m_State.m_Upstreams.list().m_Revision);
   Now.m_Upstreams = Number(m_State.m_Upstreams.current().size());
   Now.m_Evacuated =
@@ -358,6 +365,22 @@
   }
 }
 
+void Gateway::logConfig(const ServingConfig &Read, StoreRevision Revision) {
+  const auto Known = m_Exchange.lists().configWord(EventLoop::now());
+  const bool Told = Known.m_Told >= Read.m_Version;
+  m_Metrics.configTaken(toString(m_ConfigMirror.source()));
+  m_Log.write("config",
+              {{"version", Read.m_Version},
+               {"before", m_State.configVersion()},
+               {"routes", Read.m_Routes.size()},
+               {"organisations", Read.m_Organisations.size()},
+               {"revision", Revision},
+               {"source", toString(m_ConfigMirror.source())},
+               {"age_ms", Known.m_Age / 1ms},
+               {"told_by", Told ? Known.m_ToldBy.str() : ""},
+               {"told_ms", Told ? Json(Known.m_ToldBefore / 1ms) : Json()}});
+}
+
 void Gateway::configChanged() {
   for (const auto &[Key, Item] : m_ConfigMirror.items()) {
     try {
@@ -365,11 +388,7 @@
       const ConfigVersion Before = m_State.configVersion();
       if (m_State.m_Config && Read.m_Version <= Before)
         continue;
-      m_Log.write("config", {{"version", Read.m_Version},
-                             {"before", Before},
-                             {"routes", Read.m_Routes.size()},
-                             {"organisations", Read.m_Organisations.size()},
-                             {"revision", Item.m_Revision}});
+      logConfig(Read, Item.m_Revision);
       m_Callers->setIdleTimeout(Read.m_Limits.m_IdleTimeout + IdleMargin);
       m_State.m_Config = std::make_shared<const ServingConfig>(std::move(Read));
       m_Quotas->configure(m_State.m_Config->m_Organisations);
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -69,6 +69,7 @@
   void ownKeysChanged();
   void resync();
   void configChanged();
+  void logConfig(const ServingConfig &Read, StoreRevision Revision);
   void upstreamsChanged();
   void evacuationsChanged();
   void endEvacuations();
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -52,6 +52,11 @@
           .Name("havenstair_store_calls_total")
           .Help("Calls to the platform's store by call and prefix")
           .Register(m_Registry);
+  prometheus::Family<prometheus::Counter> &m_ConfigsTaken =
+      prometheus::BuildCounter()
+          .Name("havenstair_configs_taken_total")
+          .Help("Configurations taken, by the way on which they came")
+          .Register(m_Registry);
   prometheus::Family<prometheus::Gauge> &m_State =
       prometheus::BuildGauge()
           .Name("havenstair_state")
@@ -160,9 +165,15 @@
       .Increment();
 }
 
+void GatewayMetrics::configTaken(std::string_view Source) {
+  m_Families->m_ConfigsTaken.Add({{"source", std::string(Source)}}).Increment();
+}
+
 void GatewayMetrics::set(const GatewayGauges &Now) {
   m_Families->state("open_requests", Now.m_OpenRequests);
   m_Families->state("config_version", Now.m_ConfigVersion);
+  m_Families->state("config_told", Now.m_ConfigTold);
+  m_Families->state("config_age_seconds", Now.m_ConfigAge);
   m_Families->state("list_revision", Now.m_ListRevision);
   m_Families->state("upstreams", Now.m_Upstreams);
   m_Families->state("peers", Now.m_Peers);
--- a/packages/gateway/process/GatewayMetrics.h
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -18,6 +18,8 @@
 struct GatewayGauges {
   double m_OpenRequests = 0;
   double m_ConfigVersion = 0;
+  double m_ConfigTold = 0; ///< Newest version that another box told of.
+  double m_ConfigAge = 0;  ///< Seconds since it was surely the store's.
   double m_ListRevision = 0;
   double m_Upstreams = 0;
   double m_Peers = 0;
@@ -51,6 +53,8 @@
   void serverAsked(std::string_view What);
   /// A call to the store was made; \p Subject is its prefix, or empty.
   void storeCalled(std::string_view Call, std::string_view Subject);
+  /// A configuration was taken that came on the way \p Source.
+  void configTaken(std::string_view Source);
   void set(const GatewayGauges &Now);
 
   /// The text of the metrics page.
--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -120,6 +120,15 @@
 
 TimePoint ListFollower::configAsOf() const { return knownAsOf(m_Of.m_Config); }
 
+ListFollower::ConfigWord ListFollower::configWord(TimePoint Now) const {
+  return {.m_Age = std::min<Duration>(NoListAge, Now - configAsOf()),
+          .m_VouchedBy = m_Of.m_Config.running() ? BoxName() : m_ListSource,
+          .m_Told = m_ConfigTold,
+          .m_ToldBy = m_ConfigToldBy,
+          .m_ToldBefore =
+              std::min<Duration>(NoListAge, Now - m_ConfigToldFirst)};
+}
+
 TimePoint ListFollower::evacuationsAsOf() const {
   return knownAsOf(m_Of.m_Evacuations);
 }
@@ -254,7 +263,12 @@
     return;
   if (Frame.m_Config > m_ConfigTold) {
     m_ConfigTold = Frame.m_Config;
-    m_ConfigToldAt = Now;
+    m_ConfigToldBy = From;
+    m_ConfigToldFirst = m_ConfigToldAt = Now;
+    m_Of.m_Log.write("config_told", {{"version", Frame.m_Config},
+                                     {"known", want().m_Config},
+                                     {"peer", From.str()},
+                                     {"age_ms", configWord(Now).m_Age / 1ms}});
     // Each box reads it from the store: half a megabyte sent to all relays by
     // one of them would fill its link for seconds. A stale answer may be new
     // enough.
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -80,6 +80,16 @@
   void heard(const BoxName &From, const FleetDigestFrame &Frame,
              Duration HeldUp, TimePoint Now);
 
+  /// How old this box's configuration is, by whose word, and what it was told
+  /// of newer ones.
+  struct ConfigWord {
+    Duration m_Age{};        ///< It was the store's so long ago, or later.
+    BoxName m_VouchedBy;     ///< Empty for this box's own calls.
+    ConfigVersion m_Told{};  ///< The newest that another box told of.
+    BoxName m_ToldBy;        ///< The first to tell of it.
+    Duration m_ToldBefore{}; ///< How long ago.
+  };
+  ConfigWord configWord(TimePoint Now) const;
   /// As of when this box's configuration was the store's, or later; and its
   /// evacuations.
   TimePoint configAsOf() const;
@@ -123,7 +133,9 @@
   TimePoint m_StartedAt = EventLoop::now();
   /// The newest configuration that another box told of, and since when.
   ConfigVersion m_ConfigTold = 0;
-  TimePoint m_ConfigToldAt{};
+  BoxName m_ConfigToldBy;
+  TimePoint m_ConfigToldFirst{};
+  TimePoint m_ConfigToldAt{}; ///< When it was told, or last asked for.
   TimePoint m_ConfigReadAt{}; ///< When it was last read on another box's word.
   TimePoint m_ListReadAt{};   ///< When it was read anew on another box's word.
   bool m_ConfigClosely = false;
--- a/packages/gateway/process/PrefixMirror.cpp
+++ b/packages/gateway/process/PrefixMirror.cpp
@@ -5,6 +5,20 @@
 
 namespace havenstair {
 
+const char *toString(CopySource Of) {
+  switch (Of) {
+  case CopySource::None:
+    return "none";
+  case CopySource::Read:
+    return "read";
+  case CopySource::Watch:
+    return "watch";
+  case CopySource::Peer:
+    return "peer";
+  }
+  return "none";
+}
+
 PrefixMirror::PrefixMirror(EventLoop &Loop, CoordinationStore &Store,
                            Options Opts, Hooks Callbacks)
     : m_Loop(Loop), m_Store(Store), m_Opts(std::move(Opts)),
@@ -97,6 +111,7 @@
   if (!First && Items == m_Items)
     return false;
   m_Items = std::move(Items);
+  m_Source = CopySource::Read;
   return true;
 }
 
@@ -135,6 +150,7 @@
   for (const std::string &Key : News.m_Gone)
     m_Items.erase(Key);
   m_At = News.m_Revision;
+  m_Source = CopySource::Peer;
   m_Hooks.m_Changed();
   return true;
 }
@@ -188,6 +204,7 @@
   if (News.m_Changes.empty())
     return watch();
   m_At = std::max(m_At, News.m_At);
+  m_Source = CopySource::Watch;
   m_Hooks.m_Changed();
   if (m_Opts.m_Gather > 0us)
     return later(m_Opts.m_Gather, &PrefixMirror::watch);
--- a/packages/gateway/process/PrefixMirror.h
+++ b/packages/gateway/process/PrefixMirror.h
@@ -14,6 +14,16 @@
 
 namespace havenstair {
 
+/// On which way a copy came to be what it is.
+enum class CopySource {
+  None, ///< Nothing is known yet.
+  Read,
+  Watch,
+  Peer ///< Another box sent its own.
+};
+
+const char *toString(CopySource Of);
+
 /// Reads the prefix, then watches it from there on. Reads anew when the store
 /// forgot the changes in between.
 class PrefixMirror {
@@ -88,6 +98,8 @@
   /// Revision of the newest change in the copy, or of the last whole read; 0
   /// before it.
   StoreRevision revision() const { return m_At; }
+  /// How the newest change came.
+  CopySource source() const { return m_Source; }
 
 private:
   void read();
@@ -110,6 +122,7 @@
   StoreRevision m_TakenAt = 0;
   StoreRevision m_At = 0;
   StoreRevision m_WatchedTo = 0; ///< Nothing has changed from m_At to there.
+  CopySource m_Source = CopySource::None;
   bool m_Closely = false;
   TimePoint m_SentAt{};      ///< Of the call that is under way.
   Duration m_WaitSent = 0us; ///< How long that watch may wait.
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -58,6 +58,8 @@
     std::function<void(std::string_view Outcome)> m_SendEnded;
     /// Whether the configuration is new enough to tell whose a key is.
     std::function<bool()> m_MayTrustKeys;
+    /// How long ago the configuration was surely the store's.
+    std::function<Duration(TimePoint Now)> m_ConfigAge;
     std::function<double()> m_Random; ///< From 0 to 1.
   };
 
