Reproduce: configurations that nobody asks for (known red)

Three tests, each with its own cause's part: all boxes' watches dead, a series of versions before a box whose watch is dead, a link between boxes that falls silent. The proxy that silences moves to the stand-ins, so that these tests can use it.

--- /dev/null
+++ b/tests/gateway/ConfigurationTest.cpp
@@ -0,0 +1,107 @@
+/// \file
+/// How boxes learn of configurations while the ways to them are harmed.
+///
+/// Users ran seven boxes as real processes. A version that their store had
+/// confirmed was not in force in time, on most runs: requests on a route that
+/// it added were refused as unknown, others ran as only the version before
+/// allowed.
+///
+/// Order of events: open connections fell silent without a reset while new ones
+/// worked. A box's watch of the configuration waited on such a connection for
+/// up to 20 s. The links between boxes were as silent, or the watches of all
+/// boxes were, so that nobody knew of the new version who could have told.
+///
+/// Cause: each box took it that others would tell it of what its own watch
+/// missed, and none of them had to have asked. The evidence: in a soak of eight
+/// boxes whose watches were silenced at one moment, all showed the version
+/// before for 9 s; their logs told ages of their copies of many seconds and no
+/// word of others, while other calls to the store were answered all the time. A
+/// box that was told asked nobody while still newer versions came.
+#include "gateway/GatewayTest.h"
+
+#include <algorithm>
+#include <array>
+
+using namespace havenstair;
+
+namespace {
+
+constexpr const char *ConfigPrefix = "op/config";
+constexpr const char *ListPrefix = "servers/";
+
+/// Some boxes before one store.
+class ConfigurationTest : public GatewayTest {
+public:
+  static constexpr std::size_t Boxes = 3;
+
+  ConfigurationTest() {
+    addRunner("i-1", [](const auto &, const auto &) {});
+    configure(1);
+    for (std::size_t Number = 0; Number < Boxes; ++Number) {
+      GatewayOptions Options = options();
+      Options.m_Box = BoxName("box-" + std::to_string(Number));
+      m_Boxes.at(Number) = makeGateway(Options, [] {});
+    }
+    REQUIRE(until([this] {
+      return count([](const Gateway &Box) {
+               return Box.state().ready() && Box.peers() == Boxes - 1;
+             }) == Boxes;
+    }));
+    // One reads the list for all.
+    REQUIRE(until([this] {
+      return count([](const Gateway &Box) { return Box.watchesList(); }) == 1 &&
+             m_Store.watches(ConfigPrefix) == Boxes;
+    }));
+  }
+
+  template <typename Holds> std::size_t count(Holds Of) const {
+    return static_cast<std::size_t>(
+        std::count_if(m_Boxes.begin(), m_Boxes.end(),
+                      [&](const auto &Each) { return Of(*Each); }));
+  }
+  /// Boxes that serve by \p Version or a later one.
+  std::size_t serving(ConfigVersion Version) const {
+    return count([Version](const Gateway &Box) {
+      return Box.state().configVersion() >= Version;
+    });
+  }
+
+  std::array<std::unique_ptr<Gateway>, Boxes> m_Boxes;
+};
+
+} // namespace
+
+TEST_CASE("Boxes whose watches of the configuration are all dead learn of it",
+          "[gateway][configuration][known-red]") {
+  ConfigurationTest Test;
+  while (Test.m_Store.silenceWatch(ConfigPrefix)) {
+  }
+  Test.configure(2);
+  // Operators give boxes 2 s: within them a watch of 0.9 s, as one box keeps it
+  // on the list, is answered three times.
+  constexpr std::size_t Watches = 3;
+  const std::size_t Before = Test.m_Store.answered(ListPrefix);
+  REQUIRE(Test.until([&] {
+    return Test.m_Store.answered(ListPrefix) > Before + Watches ||
+           Test.serving(2) == ConfigurationTest::Boxes;
+  }));
+  REQUIRE(Test.serving(2) == ConfigurationTest::Boxes);
+}
+
+TEST_CASE("Versions that come fast do not keep a box from reading them",
+          "[gateway][configuration][known-red]") {
+  ConfigurationTest Test;
+  REQUIRE(Test.m_Store.silenceWatch(ConfigPrefix));
+  // As many in quick series as fit into the 2 s that operators give boxes.
+  constexpr Duration Apart = 200ms;
+  constexpr ConfigVersion Last = 11;
+  ConfigVersion Written = 1;
+  const Timer Series = Test.m_Loop.every(Apart, [&] {
+    if (Written < Last)
+      Test.configure(++Written);
+  });
+  REQUIRE(Test.until([&] {
+    return Written == Last || Test.serving(2) == ConfigurationTest::Boxes;
+  }));
+  REQUIRE(Test.serving(2) == ConfigurationTest::Boxes);
+}
--- a/tests/soak/SoakBox.h
+++ b/tests/soak/SoakBox.h
@@ -3,7 +3,7 @@
 #ifndef HAVENSTAIR_TESTS_SOAK_SOAKBOX_H
 #define HAVENSTAIR_TESTS_SOAK_SOAKBOX_H
 
-#include "soak/LoopbackProxy.h"
+#include "standin/LoopbackProxy.h"
 #include "soak/SoakBounds.h"
 #include "soak/SoakOracle.h"
 #include "support/ChildProcess.h"
--- a/tests/soak/SoakEngine.h
+++ b/tests/soak/SoakEngine.h
@@ -4,7 +4,7 @@
 #ifndef HAVENSTAIR_TESTS_SOAK_SOAKENGINE_H
 #define HAVENSTAIR_TESTS_SOAK_SOAKENGINE_H
 
-#include "soak/LoopbackProxy.h"
+#include "standin/LoopbackProxy.h"
 #include "soak/ModelShelf.h"
 #include "soak/SoakOracle.h"
 #include "standin/StandinRunner.h"
--- a/tests/soak/LoopbackProxy.h
+++ b/tests/standin/LoopbackProxy.h
@@ -1,7 +1,7 @@
 /// \file
 /// Stands between two processes on loopback and harms what passes.
-#ifndef HAVENSTAIR_TESTS_SOAK_LOOPBACKPROXY_H
-#define HAVENSTAIR_TESTS_SOAK_LOOPBACKPROXY_H
+#ifndef HAVENSTAIR_TESTS_STANDIN_LOOPBACKPROXY_H
+#define HAVENSTAIR_TESTS_STANDIN_LOOPBACKPROXY_H
 
 #include "wire/common/Endpoint.h"
 #include "wire/common/EventLoop.h"
--- a/tests/soak/LoopbackProxyTest.cpp
+++ b/tests/standin/LoopbackProxyTest.cpp
@@ -1,4 +1,4 @@
-#include "soak/LoopbackProxy.h"
+#include "standin/LoopbackProxy.h"
 #include "standin/StandinRunner.h"
 #include "wire/common/HttpClient.h"
 
--- a/tests/wire/PeerMeshTest.cpp
+++ b/tests/wire/PeerMeshTest.cpp
@@ -1,4 +1,5 @@
 #include "wire/process/PeerMesh.h"
+#include "standin/LoopbackProxy.h"
 #include "support/Names.h"
 
 #include <catch2/catch.hpp>
@@ -82,3 +83,24 @@
   REQUIRE(Loop.runUntil([&] { return A.m_Ups == 1 && B.m_Ups == 1; }, Limit));
   REQUIRE(B.m_Mesh.reachable(BoxName("a")));
 }
+
+// Users saw one box serve by an old configuration for 20 s while the others
+// knew better. All its open connections had fallen silent without a reset: its
+// watch, and its links to the others. Those stayed up in the eyes of both ends
+// for as long as the processes lived, so that nobody could tell it. In the logs
+// of a soak no link between eight boxes carried a word again after such a
+// moment, and none was closed.
+TEST_CASE("A link that falls silent without a reset is closed and made anew",
+          "[peers][known-red]") {
+  EventLoop Loop;
+  End A(Loop, "a", "the-secret-of-all");
+  End B(Loop, "b", "the-secret-of-all");
+  LoopbackProxy Between(Loop, {"127.0.0.1", 0}, B.m_Mesh.endpoint());
+  A.m_Mesh.learn(
+      {{BoxName("b"), DataCentreName("kl"), Between.endpoint(), true}});
+  REQUIRE(Loop.runUntil([&] { return A.m_Ups == 1 && B.m_Ups == 1; }, Limit));
+  Between.silenceOpen();
+  REQUIRE(Loop.runUntil([&] { return A.m_Ups == 2 && B.m_Ups == 2; }, Limit));
+  A.m_Mesh.send(BoxName("b"), CancelFrame{7});
+  REQUIRE(Loop.runUntil([&] { return !B.m_Heard.empty(); }, Limit));
+}
