A watch is sent anew rather than read, and the parts of the bound have names

Cause: seven boxes that start read the configuration twice, as each reads for itself until it hears of one that does. A box that hears no word young enough first tried connections that may be as silent. Change: a watch that must be close is sent anew; connections that rest are dropped before a box reads for itself.

--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -35,7 +35,7 @@
       m_Lists(Loop, Of, m_Opts.m_Lists,
               {.m_TowardsGiver = [this] { return towardsGiver(); },
                .m_TellNow = [this] { tell(); },
-               .m_WatchDead = [this] { m_Hooks.m_StoreDead(); }}) {
+               .m_DropConnections = [this] { m_Hooks.m_DropConnections(); }}) {
   m_TellTimer = Loop.every(TellEvery, [this] { tell(); });
   tellLoadsLater();
   m_AskTimer = Loop.every(AskEvery, [this] { askPeers(); });
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -36,8 +36,8 @@
   struct Hooks {
     /// Contents of engines were learned.
     std::function<void()> m_ContentsChanged;
-    /// A connection to the store is dead without saying so.
-    std::function<void()> m_StoreDead;
+    /// Connections to the store may be dead without saying so.
+    std::function<void()> m_DropConnections;
   };
 
   FleetExchange(EventLoop &Loop, Parts Of, Options Opts, Hooks Callbacks);
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -152,7 +152,8 @@
                        .m_FirstStart = m_Options.m_FirstStart},
            .m_Random = [this] { return drawUnit(m_Random); }},
           {.m_ContentsChanged = [this] { m_Forwarder.upstreamsChanged(); },
-           .m_StoreDead = [this] { m_StoreHttp.forget(m_Options.m_Store); }}),
+           .m_DropConnections =
+               [this] { m_StoreHttp.forget(m_Options.m_Store); }}),
       m_Quotas(std::make_shared<QuotaExchange>(
           Loop, m_Fleet, m_Log, m_Options.m_Bounds.quotaTolerance(),
           QuotaExchange::Hooks{
--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -48,14 +48,6 @@
 /// the box that is followed.
 constexpr Duration NewerSource = 500ms;
 
-/// How long after the box that reads for all a configuration is in force on
-/// the others, whose own watches may be dead: together with the 1.4 s in which
-/// that box finds its own watch dead (a wait of 0.9 s and 0.5 s without an
-/// answer) less than the 2 s that operators give.
-///
-/// A watch that has not told by now what another box knows is taken as dead:
-/// it tells within some ms, unless half a megabyte comes over a slow link.
-constexpr Duration WatchTells = 200ms;
 /// A read of the configuration takes some milliseconds.
 constexpr Duration ReadConfigEvery = 200ms;
 /// The other box is asked for its copy when the store turns this one away; when
@@ -224,6 +216,9 @@
   const bool HasList = m_Of.m_Upstreams.revision() > 0;
   const bool HasConfig = m_Of.m_State.m_Config != nullptr;
   if (Relayed || !startsSoon(Now)) {
+    // What silenced the box that reads may have silenced these connections too.
+    if (!Relayed && !m_Of.m_Upstreams.running())
+      m_Hooks.m_DropConnections();
     follow(m_Of.m_Upstreams, Relayed && HasList);
     follow(m_Of.m_Evacuations, leavesEvacuations(Now, Relayed));
     // A leaf that the store turns away does not try for both.
@@ -324,7 +319,7 @@
     if (!First || Now - m_ConfigBehindSince < WatchTells)
       return;
     m_ConfigReadFor = m_ConfigTold;
-    m_Hooks.m_WatchDead();
+    m_Hooks.m_DropConnections();
     return Config.resync();
   }
   if (!First && Now - m_ConfigReadAt < ReadConfigEvery)
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -24,6 +24,13 @@
 /// itself otherwise.
 class ListFollower {
 public:
+  /// A watch of the configuration that has not told by now what another box
+  /// knows is taken as dead: it tells within some ms, unless half a megabyte
+  /// comes over a slow link. With the time in which the box that reads for all
+  /// finds its own watch dead (CloseWait and the store's time-out) less than
+  /// the 2 s in which operators want a configuration in force.
+  static constexpr Duration WatchTells = 200ms;
+
   struct Options {
     /// Of the platform: how long a leaving upstream may get new work.
     Duration m_DrainTimeout = 2s;
@@ -45,8 +52,9 @@
     std::function<BoxName()> m_TowardsGiver;
     /// Others are about to read what this box has just learned.
     std::function<void()> m_TellNow;
-    /// A connection to the store is dead without saying so.
-    std::function<void()> m_WatchDead;
+    /// Connections to the store may be dead without saying so: the next call
+    /// takes a new one.
+    std::function<void()> m_DropConnections;
   };
 
   ListFollower(EventLoop &Loop, Parts Of, Options Opts, Hooks Callbacks);
--- a/packages/wire/connection/PeerLink.cpp
+++ b/packages/wire/connection/PeerLink.cpp
@@ -16,9 +16,6 @@
 /// Relays tell each other their state four times a second, so that only links
 /// that carry nothing by themselves are asked: after 1.5 s.
 constexpr int PingAfterLooks = 3;
-/// Operators count a box whose connections broke as in touch again after 3 s;
-/// a silent link is given up by then. Leaves 1.5 s for the answer to a ping.
-constexpr int MostQuietLooks = 6;
 /// Part of what is signed, so that a proof is of no use elsewhere.
 constexpr std::string_view ProofLabel = "havenstair-peer-1";
 
--- a/packages/wire/connection/PeerLink.h
+++ b/packages/wire/connection/PeerLink.h
@@ -20,6 +20,11 @@
 class PeerLink {
 public:
   static constexpr Duration LookEvery = 500ms;
+  /// Operators hold a box to their bounds again 3 s after its connections
+  /// broke: a silent link is given up by then. Leaves 1.5 s for the answer to a
+  /// ping.
+  static constexpr int MostQuietLooks = 6;
+
   struct Options {
     BoxName m_Self;
     DataCentreName m_DataCentre;
--- a/tests/gateway/ConfigurationTest.cpp
+++ b/tests/gateway/ConfigurationTest.cpp
@@ -142,3 +142,16 @@
   Read();
   REQUIRE(Answers == std::vector{StoreStatus::Lost, StoreStatus::Ok});
 }
+
+TEST_CASE("The parts of the time until a configuration is in force add up to "
+          "less than operators give",
+          "[gateway][configuration]") {
+  constexpr Duration Given = 2s;
+  // Two calls and two words between boxes, on a box that is slow to its loop.
+  constexpr Duration CallsAndWords = 4 * 50ms;
+  constexpr Duration FoundDead =
+      PrefixMirror::CloseWait + platform::StoreClient::WatchTimeout;
+  REQUIRE(FoundDead + ListFollower::WatchTells + CallsAndWords < Given);
+  // Connections that fell silent: boxes count as reached again after 3 s.
+  REQUIRE(PeerLink::MostQuietLooks * PeerLink::LookEvery <= 3s);
+}
