--- a/tests/soak/SoakBox.h
+++ b/tests/soak/SoakBox.h
@@ -3,9 +3,9 @@
 #ifndef HAVENSTAIR_TESTS_SOAK_SOAKBOX_H
 #define HAVENSTAIR_TESTS_SOAK_SOAKBOX_H
 
-#include "standin/LoopbackProxy.h"
 #include "soak/SoakBounds.h"
 #include "soak/SoakOracle.h"
+#include "standin/LoopbackProxy.h"
 #include "support/ChildProcess.h"
 #include "wire/common/EventLoop.h"
 #include <memory>
--- a/tests/soak/SoakConfig.cpp
+++ b/tests/soak/SoakConfig.cpp
@@ -51,6 +51,9 @@
   });
   if (m_Version > 1)
     Routes.push_back(route(passingPath(m_Version - 1), "safe", PlainService));
+  for (int Number = 0; Number < m_MoreRoutes; ++Number)
+    Routes.push_back(
+        route("/more" + std::to_string(Number) + "/", "safe", PlainService));
   Json Near = route("/near/", "safe", PlainService);
   Near["allowedRegions"] = Json::array({"ra"});
   Routes.push_back(std::move(Near));
--- a/tests/soak/SoakConfig.h
+++ b/tests/soak/SoakConfig.h
@@ -30,6 +30,8 @@
   void next();
   /// Mutation: later versions are told to the oracle and never written.
   void setWithholding(bool Withholding) { m_Withholding = Withholding; }
+  /// Versions have \p Count routes more, which nobody asks for.
+  void setMoreRoutes(int Count) { m_MoreRoutes = Count; }
   std::uint64_t version() const { return m_Version; }
   /// Prefix of the route that comes with \p Version and goes two later.
   static std::string passingPath(std::uint64_t Version) {
@@ -42,6 +44,7 @@
   const SoakBounds &m_Bounds;
   std::uint64_t m_Version = 0;
   bool m_Withholding = false;
+  int m_MoreRoutes = 0;
 };
 
 } // namespace havenstair
--- a/tests/soak/SoakEngine.h
+++ b/tests/soak/SoakEngine.h
@@ -4,9 +4,9 @@
 #ifndef HAVENSTAIR_TESTS_SOAK_SOAKENGINE_H
 #define HAVENSTAIR_TESTS_SOAK_SOAKENGINE_H
 
-#include "standin/LoopbackProxy.h"
 #include "soak/ModelShelf.h"
 #include "soak/SoakOracle.h"
+#include "standin/LoopbackProxy.h"
 #include "standin/StandinRunner.h"
 #include "standin/StandinStore.h"
 #include "wire/common/EventLoop.h"
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -62,9 +62,10 @@
 
 SoakRun::SoakRun(Options Opts)
     : m_Opts(std::move(Opts)),
-      m_Plan(m_Opts.m_ConfigPlan
-                 ? makeConfigPlan(m_Opts.m_Seed, m_Opts.m_Length)
-                 : makePlan(m_Opts.m_Seed, m_Opts.m_Length)),
+      m_Plan(
+          m_Opts.m_ConfigPlan
+              ? makeConfigPlan(m_Opts.m_Seed, m_Opts.m_Length, m_Opts.m_Again)
+              : makePlan(m_Opts.m_Seed, m_Opts.m_Length)),
       m_Oracle(m_Opts.m_Bounds), m_Store(m_Loop),
       m_Config(m_Store, m_Oracle, m_Opts.m_Bounds),
       m_Callers(m_Loop, m_Oracle, m_Config, m_Boxes),
@@ -147,6 +148,7 @@
 }
 
 void SoakRun::mutate() {
+  m_Config.setMoreRoutes(m_Opts.m_MoreRoutes);
   m_Config.setWithholding(m_Opts.m_Mutation == Mutation::WithholdConfig);
   for (const auto &Each : m_Engines) {
     Each->setWithholding(m_Opts.m_Mutation == Mutation::WithholdLeaving);
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -31,6 +31,8 @@
     std::uint64_t m_Seed = 1;
     Duration m_Length = 20s;
     bool m_ConfigPlan = false;  ///< makeConfigPlan() in place of makePlan().
+    Duration m_Again = 0us;     ///< For makeConfigPlan().
+    int m_MoreRoutes = 0;       ///< In each configuration, for its size.
     std::optional<int> m_Boxes; ///< In place of the plan's number.
     int m_Crashing = 0;         ///< Requests that end engines.
     std::string m_Program;      ///< The daemon.
--- a/tests/soak/SoakSchedule.cpp
+++ b/tests/soak/SoakSchedule.cpp
@@ -147,7 +147,7 @@
   return Result;
 }
 
-SoakPlan makeConfigPlan(std::uint64_t Seed, Duration Length) {
+SoakPlan makeConfigPlan(std::uint64_t Seed, Duration Length, Duration Again) {
   constexpr int Boxes = 8;
   Drawing Draw(Seed);
   SoakPlan Result{.m_Boxes = Boxes,
@@ -165,6 +165,10 @@
     const int Kind = Draw(0, static_cast<int>(ConfigKinds.size()) - 1);
     Result.m_Faults.push_back(
         Draw.fault(At, ConfigKinds.at(static_cast<std::size_t>(Kind)).m_Kind));
+    if (Again > 0us) {
+      Result.m_Faults.push_back(Result.m_Faults.back());
+      Result.m_Faults.back().m_At += Again;
+    }
   }
   sortByTime(Result.m_Faults);
   return Result;
--- a/tests/soak/SoakSchedule.h
+++ b/tests/soak/SoakSchedule.h
@@ -84,8 +84,10 @@
 
 /// Configurations in series, while the ways on which boxes learn of them are
 /// harmed: connections fall silent, of one box or of all, again and again, or
-/// the store turns boxes away.
-SoakPlan makeConfigPlan(std::uint64_t Seed, Duration Length);
+/// the store turns boxes away. With \p Again, each strikes once more so long
+/// after: connections that were made meanwhile are as silent.
+SoakPlan makeConfigPlan(std::uint64_t Seed, Duration Length,
+                        Duration Again = 0us);
 
 } // namespace havenstair
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -29,6 +29,8 @@
   --boxes N         Boxes, from 1 to 60, in place of the seed's number.
   --config          Harm the ways on which boxes learn of configurations, in
                     place of the seed's usual plan.
+  --again MS        With --config: each harm once more after MS [default: 0].
+  --routes N        Routes that make configurations larger [default: 0].
   --programs DIR    Folder of the daemon [default: build/bin].
   --logs DIR        Folder for logs; kept. A new one in /tmp without, which is
                     removed when no promise was broken.
@@ -147,8 +149,11 @@
   const docopt::value &Mutate = Flags["--mutate"];
   Opts.m_Mutation = mutation(Mutate.isString() ? Mutate.asString() : "");
   Opts.m_ConfigPlan = Flags["--config"].asBool();
-  SoakPlan Plan = Opts.m_ConfigPlan ? makeConfigPlan(Opts.m_Seed, Opts.m_Length)
-                                    : makePlan(Opts.m_Seed, Opts.m_Length);
+  Opts.m_Again = std::chrono::milliseconds(Flags["--again"].asLong());
+  Opts.m_MoreRoutes = static_cast<int>(Flags["--routes"].asLong());
+  SoakPlan Plan = Opts.m_ConfigPlan
+                      ? makeConfigPlan(Opts.m_Seed, Opts.m_Length, Opts.m_Again)
+                      : makePlan(Opts.m_Seed, Opts.m_Length);
   Plan.m_Boxes = Opts.m_Boxes.value_or(Plan.m_Boxes);
   showPlan(Opts.m_Seed, Plan);
   if (Flags["--plan"].asBool())
