--- a/packages/gateway/request/Forwarder.cpp
+++ b/packages/gateway/request/Forwarder.cpp
@@ -30,6 +30,7 @@
 
 void Forwarder::refuseUnread(const HttpExchangePtr &Exchange,
                              const Failure &Reason, const std::string &Id) {
+  const ConfigVouch Config = m_Hooks.m_ConfigVouch(EventLoop::now());
   m_Log.write("refused",
               {{"request", Id},
                {"path", Exchange->path()},
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -37,6 +37,12 @@
   Duration m_Whole = 0us;
 };
 
+/// How long ago the configuration was surely the store's, and by whose word.
+struct ConfigVouch {
+  Duration m_Age{};
+  BoxName m_By; ///< Empty for this box's own calls.
+};
+
 /// Owner of all requests of the process that are under way.
 class Forwarder {
 public:
@@ -58,8 +64,7 @@
     std::function<void(std::string_view Outcome)> m_SendEnded;
     /// Whether the configuration is new enough to tell whose a key is.
     std::function<bool()> m_MayTrustKeys;
-    /// How long ago the configuration was surely the store's.
-    std::function<Duration(TimePoint Now)> m_ConfigAge;
+    std::function<ConfigVouch(TimePoint Now)> m_ConfigVouch;
     std::function<double()> m_Random; ///< From 0 to 1.
   };
 
--- a/packages/wire/common/Build.cpp
+++ b/packages/wire/common/Build.cpp
@@ -4,8 +4,7 @@
 
 std::string buildName() {
   const std::string Commit = HAVENSTAIR_COMMIT;
-  return std::string(HAVENSTAIR_VERSION) +
-         (Commit.empty() ? "" : "+" + Commit);
+  return std::string(HAVENSTAIR_VERSION) + (Commit.empty() ? "" : "+" + Commit);
 }
 
 } // namespace havenstair
