--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -100,9 +100,11 @@
                  m_Metrics.sendEnded(Outcome);
                },
            .m_MayTrustKeys = [this] { return mayTrustKeys(); },
-           .m_ConfigAge =
+           .m_ConfigVouch =
                [this](TimePoint Now) {
-                 return m_Exchange.lists().configWord(Now).m_Age;
+                 const auto Word = m_Exchange.lists().configWord(Now);
+                 return ConfigVouch{.m_Age = Word.m_Age,
+                                    .m_By = Word.m_VouchedBy};
                },
            .m_Random = [this] { return drawUnit(m_Random); }}),
       m_Registry(m_Binding.m_DecodeUpstream, m_Log),
--- a/packages/gateway/request/Forwarder.cpp
+++ b/packages/gateway/request/Forwarder.cpp
@@ -31,13 +31,13 @@
 void Forwarder::refuseUnread(const HttpExchangePtr &Exchange,
                              const Failure &Reason, const std::string &Id) {
   const ConfigVouch Config = m_Hooks.m_ConfigVouch(EventLoop::now());
-  m_Log.write("refused",
-              {{"request", Id},
-               {"path", Exchange->path()},
-               {"reason", answerFor(Reason.m_Kind).m_Code},
-               {"detail", Reason.m_Detail},
-               {"config", m_State.configVersion()},
-               {"config_age_ms", m_Hooks.m_ConfigAge(EventLoop::now()) / 1ms}});
+  m_Log.write("refused", {{"request", Id},
+                          {"path", Exchange->path()},
+                          {"reason", answerFor(Reason.m_Kind).m_Code},
+                          {"detail", Reason.m_Detail},
+                          {"config", m_State.configVersion()},
+                          {"config_age_ms", Config.m_Age / 1ms},
+                          {"config_by", Config.m_By.str()}});
   m_Hooks.m_Ended(
       {.m_Route = "none", .m_Outcome = answerFor(Reason.m_Kind).m_Code});
   HttpHeaders Headers = m_Dialect.m_OwnAnswer(Id);
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -394,19 +394,21 @@
                 .m_Tokens = m_Request.m_PromptTokens +
                             OutputPart * m_Request.m_MostOutput,
                 .m_Resumed = m_LastEvent.has_value()};
-  m_Owner.m_Log.write(
-      "sent", {{"request", m_Request.m_Id},
-               {"digest", m_Crashes.digest().str()},
-               {"route", m_Route.m_Name},
-               {"config", m_Config->m_Version},
-               {"config_age_ms", m_Owner.m_Hooks.m_ConfigAge(Now) / 1ms},
-               {"list", State.m_Upstreams.list().m_Revision},
-               {"upstream", To.m_Id},
-               {"send", m_Sends},
-               {"model", m_Request.m_Model},
-               {"pending_ms", std::lround(Chosen.m_PendingMs)},
-               {"work_ms", std::lround(Chosen.m_WorkMs)},
-               {"expected_ms", std::lround(Chosen.m_ExpectedMs)}});
+  const ConfigVouch Config = m_Owner.m_Hooks.m_ConfigVouch(Now);
+  m_Owner.m_Log.write("sent",
+                      {{"request", m_Request.m_Id},
+                       {"digest", m_Crashes.digest().str()},
+                       {"route", m_Route.m_Name},
+                       {"config", m_Config->m_Version},
+                       {"config_age_ms", Config.m_Age / 1ms},
+                       {"config_by", Config.m_By.str()},
+                       {"list", State.m_Upstreams.list().m_Revision},
+                       {"upstream", To.m_Id},
+                       {"send", m_Sends},
+                       {"model", m_Request.m_Model},
+                       {"pending_ms", std::lround(Chosen.m_PendingMs)},
+                       {"work_ms", std::lround(Chosen.m_WorkMs)},
+                       {"expected_ms", std::lround(Chosen.m_ExpectedMs)}});
   HttpCall Call = makeCall(To, Now);
   State.m_Loads.sent(To.m_Id, Chosen.m_WorkMs, m_Send->m_Tokens);
   if (!m_Request.m_Model.empty())
