Frames are encoded once for all boxes that they go to, and large ones compressed

Cause: a relay encoded each frame anew for each of its leaves, and a whole list of 10,002 upstreams (3 MB of JSON in CBOR) filled the send buffers of 55 links at once; it also lies near the 4 MB that a message may have, so that twice the fleet would have closed the links. Ruled out: permessage-deflate of websocketpp compresses each frame for each link. Change: EncodedFrame (bytes once, zlib from 4 KB on), PackedFrame and FleetTotalsFrame at the end of the list of kinds, protocol 3; older boxes get what they read. A link counts as stuck at 16 MB, not 64. Figures: in the test, 2,000 keys take less than a quarter. The test of a large frame between two boxes now uses bytes that do not compress, as it checks that all of them are sent.

--- /dev/null
+++ b/packages/wire/common/Deflate.h
@@ -0,0 +1,21 @@
+/// \file
+/// Compression of messages, by zlib.
+#ifndef HAVENSTAIR_WIRE_COMMON_DEFLATE_H
+#define HAVENSTAIR_WIRE_COMMON_DEFLATE_H
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace havenstair {
+
+/// \p Bytes, compressed for speed rather than size.
+std::string deflateBytes(std::string_view Bytes);
+
+/// What deflateBytes() was given. \throws DecodeError when \p Bytes are not
+/// what it returns for \p Size bytes.
+std::string inflateBytes(std::string_view Bytes, std::size_t Size);
+
+} // namespace havenstair
+
+#endif
--- a/packages/wire/connection/FleetFrames.cpp
+++ b/packages/wire/connection/FleetFrames.cpp
@@ -101,6 +101,10 @@
   Result["token"] = Frame.m_Holder.m_Token;
   Result["holder"] = Frame.m_Holder.m_Box.str();
   Result["loads"] = toJson(Frame.m_Loads);
+  if (Frame.m_LoadsApart)
+    Result["loads_apart"] = true;
+  if (Frame.m_Totals > 0)
+    Result["totals"] = Frame.m_Totals;
   Json &Demand = Result["demand"] = Json::array();
   for (const auto &[Key, Each] : Frame.m_Demand)
     Demand.push_back(
@@ -126,6 +130,8 @@
   Frame.m_Holder = {.m_Token = field<FencingToken>(From, "token"),
                     .m_Box = idField<BoxName>(From, "holder")};
   Frame.m_Loads = loadsFrom(From);
+  Frame.m_LoadsApart = fieldOr<bool>(From, "loads_apart", false);
+  Frame.m_Totals = fieldOr<std::uint64_t>(From, "totals", 0);
   for (const Json &Each : list(From, "demand"))
     Frame.m_Demand[modelKeyFrom(Each, DemandParts)] = {
         .m_Requests = wholeNumber<std::int32_t>(Each[3]) * 1.0,
@@ -140,6 +146,18 @@
   Frame.m_Loads = loadsFrom(From);
 }
 
+Json toJson(const FleetTotalsFrame &Frame) {
+  return {{"number", Frame.m_Number},
+          {"since", Frame.m_Since},
+          {"loads", toJson(Frame.m_Loads)}};
+}
+
+void fromJson(const Json &From, FleetTotalsFrame &Frame) {
+  Frame.m_Number = field<std::uint64_t>(From, "number");
+  Frame.m_Since = field<std::uint64_t>(From, "since");
+  Frame.m_Loads = loadsFrom(From);
+}
+
 Json toJson(const FleetWantFrame &Frame) {
   return {{"config", Frame.m_Config},
           {"list", Frame.m_List},
@@ -160,11 +178,14 @@
     Items.push_back(Json::array(
         {Item.m_Key, Json::binary({Item.m_Value.begin(), Item.m_Value.end()}),
          Item.m_Revision}));
-  return {{"prefix", Frame.m_Prefix},
-          {"since", Frame.m_Since},
-          {"revision", Frame.m_Revision},
-          {"items", std::move(Items)},
-          {"gone", Frame.m_Gone}};
+  Json Result{{"prefix", Frame.m_Prefix},
+              {"since", Frame.m_Since},
+              {"revision", Frame.m_Revision},
+              {"items", std::move(Items)},
+              {"gone", Frame.m_Gone}};
+  if (Frame.m_Part)
+    Result["part"] = true;
+  return Result;
 }
 
 void fromJson(const Json &From, FleetKeysFrame &Frame) {
@@ -172,6 +193,7 @@
   Frame.m_Prefix = field<std::string>(From, "prefix");
   Frame.m_Since = field<std::uint64_t>(From, "since");
   Frame.m_Revision = field<std::uint64_t>(From, "revision");
+  Frame.m_Part = fieldOr<bool>(From, "part", false);
   for (const Json &Each : list(From, "gone"))
     Frame.m_Gone.push_back(text(Each));
   for (const Json &Each : list(From, "items")) {
--- a/packages/wire/connection/FleetFrames.h
+++ b/packages/wire/connection/FleetFrames.h
@@ -39,6 +39,10 @@
   /// Through the sender and all boxes that it tells of: none of them is the
   /// receiver, or known to it from elsewhere.
   InstanceLoads m_Loads;
+  /// The loads come in frames of their own, FleetTotalsFrame.
+  bool m_LoadsApart = false;
+  /// The totals that the sender, a leaf, last got; 0 for none.
+  std::uint64_t m_Totals = 0;
   ModelDemands m_Demand; ///< Of the same boxes, since the last digest.
 
   bool operator==(const FleetDigestFrame &) const = default;
@@ -52,6 +56,16 @@
   bool operator==(const FleetLoadsFrame &) const = default;
 };
 
+/// From a relay to all of its leaves: loads through all boxes, the receiver
+/// among them, that have changed since the totals before these.
+struct FleetTotalsFrame {
+  std::uint64_t m_Number = 0; ///< Of these totals of the sender.
+  std::uint64_t m_Since = 0;  ///< Of those before; 0 when these are whole.
+  InstanceLoads m_Loads;
+
+  bool operator==(const FleetTotalsFrame &) const = default;
+};
+
 /// The sender does not read the store itself now; it asks for what is newer
 /// than this.
 struct FleetWantFrame {
@@ -78,6 +92,9 @@
   std::string m_Prefix;
   std::uint64_t m_Since = 0;    ///< 0 for all keys.
   std::uint64_t m_Revision = 0; ///< Up to which the keys are whole.
+  /// Of the list of upstreams, only what a leaf of the receiver's data centre
+  /// needs.
+  bool m_Part = false;
   std::vector<StoredValue> m_Items;
   std::vector<std::string> m_Gone;
 
@@ -117,6 +134,7 @@
 
 Json toJson(const FleetDigestFrame &Frame);
 Json toJson(const FleetLoadsFrame &Frame);
+Json toJson(const FleetTotalsFrame &Frame);
 Json toJson(const FleetWantFrame &Frame);
 Json toJson(const FleetKeysFrame &Frame);
 Json toJson(const FleetContentsFrame &Frame);
@@ -125,6 +143,7 @@
 /// \throws DecodeError for a value of another form.
 void fromJson(const Json &From, FleetDigestFrame &Frame);
 void fromJson(const Json &From, FleetLoadsFrame &Frame);
+void fromJson(const Json &From, FleetTotalsFrame &Frame);
 void fromJson(const Json &From, FleetWantFrame &Frame);
 void fromJson(const Json &From, FleetKeysFrame &Frame);
 void fromJson(const Json &From, FleetContentsFrame &Frame);
--- a/packages/wire/connection/PeerFrames.cpp
+++ b/packages/wire/connection/PeerFrames.cpp
@@ -1,5 +1,6 @@
 #include "wire/connection/PeerFrames.h"
 
+#include "wire/common/Deflate.h"
 #include "wire/common/Json.h"
 #include "wire/version/TableJson.h"
 #include <array>
@@ -33,6 +34,7 @@
     {"warm_up_answer"}, {"warm_up_news"},
     {"crash", 2},       {"crash_suspects", 2},
     {"ran_well", 2},    {"request_bars", 2},
+    {"packed", 3},      {"fleet_totals", 3},
 }};
 
 /// Which alternative of the variant a message is; no message uses the name.
@@ -76,6 +78,10 @@
   return Result;
 }
 
+/// A frame may unpack to this: the whole list of ten times the fleet that the
+/// design is for.
+constexpr std::size_t MostUnpackedBytes = std::size_t{64} << 20;
+
 constexpr int RoleCount = 3;
 constexpr int MoveVerbCount = 2;
 
@@ -414,6 +420,15 @@
   Frame.m_Running = field<int>(From, "running");
 }
 
+Json toJson(const PackedFrame &Frame) {
+  return {{"size", Frame.m_Size}, {"bytes", binary(Frame.m_Bytes)}};
+}
+
+void fromJson(const Json &From, PackedFrame &Frame) {
+  Frame.m_Size = field<std::size_t>(From, "size");
+  Frame.m_Bytes = binaryField(From, "bytes");
+}
+
 /// Decodes into the alternative number \p Index of the variant.
 template <std::size_t Index = 0>
 PeerFrame decodeAs(std::size_t Wanted, const Json &From) {
@@ -446,7 +461,9 @@
   return Bytes;
 }
 
-PeerFrame decodeFrame(std::string_view Bytes) {
+namespace {
+
+PeerFrame decodeOne(std::string_view Bytes) {
   Json Body;
   try {
     Body = Json::from_cbor(Bytes.begin(), Bytes.end());
@@ -456,4 +473,19 @@
   return decodeAs(field<std::size_t>(Body, KindField), Body);
 }
 
+} // namespace
+
+PeerFrame decodeFrame(std::string_view Bytes) {
+  PeerFrame Frame = decodeOne(Bytes);
+  const auto *Packed = std::get_if<PackedFrame>(&Frame);
+  if (Packed == nullptr)
+    return Frame;
+  if (Packed->m_Size > MostUnpackedBytes)
+    throw DecodeError("a compressed frame is too large");
+  Frame = decodeOne(inflateBytes(Packed->m_Bytes, Packed->m_Size));
+  if (std::holds_alternative<PackedFrame>(Frame))
+    throw DecodeError("a frame is compressed twice");
+  return Frame;
+}
+
 } // namespace havenstair
--- a/packages/wire/connection/PeerFrames.h
+++ b/packages/wire/connection/PeerFrames.h
@@ -27,7 +27,9 @@
 using PeerProtocol = int;
 /// Of builds that do not tell theirs.
 constexpr PeerProtocol FirstProtocol = 1;
-constexpr PeerProtocol OwnProtocol = 2;
+constexpr PeerProtocol OwnProtocol = 3;
+/// The first that reads compressed frames and loads that come apart.
+constexpr PeerProtocol PackingProtocol = 3;
 
 /// First frame of each side.
 struct HelloFrame {
@@ -181,6 +183,14 @@
   bool operator==(const MoveFrame &) const = default;
 };
 
+/// Another frame, compressed.
+struct PackedFrame {
+  std::size_t m_Size = 0; ///< Bytes of the other frame.
+  std::string m_Bytes;
+
+  bool operator==(const PackedFrame &) const = default;
+};
+
 using PeerFrame = std::variant<
     HelloFrame, ProofFrame, ForwardFrame, CancelFrame, StartedFrame, HeadFrame,
     BytesFrame, EndedFrame, FailedFrame, DigestFrame, DemandFrame, TableFrame,
@@ -189,7 +199,7 @@
     FleetContentsFrame, FleetMissingFrame, FleetLoadsFrame, QuotaAskFrame,
     QuotaAnswerFrame, QuotaUseFrame, WarmUpAskFrame, WarmUpAnswerFrame,
     WarmUpNewsFrame, CrashFrame, CrashSuspectsFrame, RanWellFrame,
-    RequestBarsFrame>;
+    RequestBarsFrame, PackedFrame, FleetTotalsFrame>;
 
 /// Name of the kind of \p Frame, for metrics.
 std::string_view frameName(const PeerFrame &Frame);
@@ -205,8 +215,8 @@
 
 std::string encodeFrame(const PeerFrame &Frame);
 
-/// \throws UnknownFrame for a kind that this build does not know, and
-/// DecodeError for bytes that are not a frame.
+/// Reads a frame, compressed or not. \throws UnknownFrame for a kind that this
+/// build does not know, and DecodeError for bytes that are not a frame.
 PeerFrame decodeFrame(std::string_view Bytes);
 
 } // namespace havenstair
--- a/packages/wire/connection/PeerLink.cpp
+++ b/packages/wire/connection/PeerLink.cpp
@@ -31,10 +31,10 @@
     bufferevent_write(m_Stream, Bytes, Count);
   };
   Session.m_Open = [this] {
-    sendRaw(HelloFrame{.m_Box = m_Opts.m_Self,
-                       .m_DataCentre = m_Opts.m_DataCentre,
-                       .m_Nonce = m_Nonce,
-                       .m_Protocol = m_Opts.m_Protocol});
+    sendRaw(EncodedFrame(HelloFrame{.m_Box = m_Opts.m_Self,
+                                    .m_DataCentre = m_Opts.m_DataCentre,
+                                    .m_Nonce = m_Nonce,
+                                    .m_Protocol = m_Opts.m_Protocol}));
   };
   Session.m_Message = [this](const std::string &Payload) {
     onMessage(Payload);
@@ -139,7 +139,7 @@
   m_Peer = Hello.m_Box;
   m_PeerDataCentre = Hello.m_DataCentre;
   m_PeerProtocol = Hello.m_Protocol;
-  sendRaw(ProofFrame{proofOf(m_Opts.m_Self, Hello.m_Nonce)});
+  sendRaw(EncodedFrame(ProofFrame{proofOf(m_Opts.m_Self, Hello.m_Nonce)}));
 }
 
 void PeerLink::onProof(const ProofFrame &Proof) {
@@ -151,21 +151,24 @@
   m_Hooks.m_Up(*this);
 }
 
-std::size_t PeerLink::sendRaw(const PeerFrame &Frame) {
+std::size_t PeerLink::queued() const {
+  return evbuffer_get_length(bufferevent_get_output(m_Stream));
+}
+
+std::size_t PeerLink::sendRaw(const EncodedFrame &Frame) {
   if (m_Closed)
     return 0;
-  const evbuffer *Output = bufferevent_get_output(m_Stream);
-  if (evbuffer_get_length(Output) > m_Opts.m_MaxBuffered) {
+  if (queued() > m_Opts.m_MaxBuffered) {
     close();
     return 0;
   }
-  const std::string Bytes = encodeFrame(Frame);
+  const std::string &Bytes = Frame.bytesFor(m_PeerProtocol);
   return m_Session->send(Bytes) ? Bytes.size() : 0;
 }
 
-std::size_t PeerLink::send(const PeerFrame &Frame) {
+std::size_t PeerLink::send(const EncodedFrame &Frame) {
   // Earlier builds close the link at a kind that they do not know.
-  const bool Understood = protocolOf(Frame) <= m_PeerProtocol;
+  const bool Understood = Frame.since() <= m_PeerProtocol;
   return m_Up && Understood ? sendRaw(Frame) : 0;
 }
 
--- a/packages/wire/connection/PeerLink.h
+++ b/packages/wire/connection/PeerLink.h
@@ -3,6 +3,7 @@
 #ifndef HAVENSTAIR_WIRE_CONNECTION_PEERLINK_H
 #define HAVENSTAIR_WIRE_CONNECTION_PEERLINK_H
 
+#include "wire/connection/EncodedFrame.h"
 #include "wire/connection/PeerFrames.h"
 #include "wire/connection/WebSocketSession.h"
 #include <functional>
@@ -32,7 +33,7 @@
     PeerProtocol m_Protocol = OwnProtocol; ///< Told in the hello.
     std::size_t m_MaxMessage = 4 << 20;
     /// Bytes that may wait to be sent before the link counts as stuck.
-    std::size_t m_MaxBuffered = 64 << 20;
+    std::size_t m_MaxBuffered = 16 << 20;
   };
   struct Hooks {
     std::function<void(PeerLink &)> m_Up; ///< Both proofs are valid.
@@ -52,7 +53,9 @@
 
   /// \returns the bytes of the message; 0 when the link is not up or stuck, or
   /// the other box does not know that kind of frame, and nothing was sent.
-  std::size_t send(const PeerFrame &Frame);
+  std::size_t send(const EncodedFrame &Frame);
+  /// Bytes that wait to be sent.
+  std::size_t queued() const;
   bool up() const { return m_Up && !m_Closed; }
   bool dialled() const { return m_Dialled; }
   const BoxName &peer() const { return m_Peer; }
@@ -73,7 +76,7 @@
   void onMessage(const std::string &Payload);
   void onHello(const HelloFrame &Hello);
   void onProof(const ProofFrame &Proof);
-  std::size_t sendRaw(const PeerFrame &Frame);
+  std::size_t sendRaw(const EncodedFrame &Frame);
   std::string proofOf(const BoxName &Prover, const std::string &Nonce) const;
 
   EventLoop &m_Loop;
--- a/packages/wire/process/PeerMesh.cpp
+++ b/packages/wire/process/PeerMesh.cpp
@@ -203,11 +203,21 @@
   return Found == m_UpLinks.end() ? nullptr : Found->second;
 }
 
-std::size_t PeerMesh::send(const BoxName &To, const PeerFrame &Frame) {
+std::size_t PeerMesh::send(const BoxName &To, const EncodedFrame &Frame) {
   PeerLink *Link = find(To);
   return Link == nullptr ? 0 : Link->send(Frame);
 }
 
+std::size_t PeerMesh::queued(const BoxName &To) const {
+  const PeerLink *Link = find(To);
+  return Link == nullptr ? 0 : Link->queued();
+}
+
+DataCentreName PeerMesh::dataCentreOf(const BoxName &Box) const {
+  const PeerLink *Link = find(Box);
+  return Link == nullptr ? DataCentreName() : Link->peerDataCentre();
+}
+
 PeerProtocol PeerMesh::protocolOf(const BoxName &Box) const {
   const PeerLink *Link = find(Box);
   return Link == nullptr ? FirstProtocol : Link->peerProtocol();
--- a/packages/wire/process/PeerMesh.h
+++ b/packages/wire/process/PeerMesh.h
@@ -66,12 +66,19 @@
 
   /// \returns the bytes of the message; 0 when there is no link, and nothing
   /// was sent.
-  std::size_t send(const BoxName &To, const PeerFrame &Frame);
+  std::size_t send(const BoxName &To, const EncodedFrame &Frame);
+  std::size_t send(const BoxName &To, const PeerFrame &Frame) {
+    return find(To) == nullptr ? 0 : send(To, EncodedFrame(Frame));
+  }
+  /// Bytes that wait to be sent to \p To; 0 without a link.
+  std::size_t queued(const BoxName &To) const;
   bool reachable(const BoxName &Box) const;
   /// What \p Box understands; FirstProtocol without a link to it.
   PeerProtocol protocolOf(const BoxName &Box) const;
   /// Boxes of \p DataCentre with a link, sorted.
   std::vector<BoxName> reachable(const DataCentreName &DataCentre) const;
+  /// Where \p Box says that it is; empty without a link.
+  DataCentreName dataCentreOf(const BoxName &Box) const;
 
 private:
   struct Known {
--- a/tests/wire/PeerFramesTest.cpp
+++ b/tests/wire/PeerFramesTest.cpp
@@ -1,7 +1,9 @@
 #include "wire/connection/PeerFrames.h"
 #include "support/Draw.h"
 #include "support/Names.h"
+#include "wire/common/Deflate.h"
 #include "wire/common/Json.h"
+#include "wire/connection/EncodedFrame.h"
 
 using namespace havenstair;
 
@@ -161,6 +163,19 @@
                         .m_Level = *drawn(-9000, 9000) / 4.0}}}};
 }
 
+PackedFrame packed(const PeerFrame &Frame) {
+  const std::string Bytes = encodeFrame(Frame);
+  return {.m_Size = Bytes.size(), .m_Bytes = deflateBytes(Bytes)};
+}
+
+/// What the receiver of \p Frame gets: of a compressed one, what is in it.
+PeerFrame received(const PeerFrame &Frame) {
+  const auto *Packed = std::get_if<PackedFrame>(&Frame);
+  return Packed == nullptr
+             ? Frame
+             : decodeFrame(inflateBytes(Packed->m_Bytes, Packed->m_Size));
+}
+
 /// One frame of each kind, with drawn contents.
 std::vector<PeerFrame> drawnFrames() {
   const AttemptId Attempt = *rc::gen::arbitrary<std::uint64_t>();
@@ -217,7 +232,9 @@
                              .m_Servers = {"i-1", drawnText()},
                              .m_By = BoxName("box"),
                              .m_Age = Duration(*drawn(0, 9000000)),
-                             .m_Left = Duration(*drawn(0, 9000000))}}}};
+                             .m_Left = Duration(*drawn(0, 9000000))}}},
+          packed(CancelFrame{Attempt}),
+          FleetTotalsFrame{Attempt, Attempt / 2, drawnLoads()}};
 }
 
 } // namespace
@@ -228,7 +245,8 @@
     RC_ASSERT(Frames.size() == std::variant_size_v<PeerFrame>);
     for (std::size_t Index = 0; Index < Frames.size(); ++Index) {
       RC_ASSERT(Frames[Index].index() == Index);
-      RC_ASSERT((decodeFrame(encodeFrame(Frames[Index])) == Frames[Index]));
+      RC_ASSERT(
+          (decodeFrame(encodeFrame(Frames[Index])) == received(Frames[Index])));
     }
   });
 }
@@ -270,7 +288,7 @@
       {"quota_ask", 1},      {"quota_answer", 1},   {"quota_use", 1},
       {"warm_up_ask", 1},    {"warm_up_answer", 1}, {"warm_up_news", 1},
       {"crash", 2},          {"crash_suspects", 2}, {"ran_well", 2},
-      {"request_bars", 2}};
+      {"request_bars", 2},   {"packed", 3},         {"fleet_totals", 3}};
   rc::prop("each kind", [&] {
     const std::vector<PeerFrame> Frames = drawnFrames();
     RC_ASSERT(Frames.size() == Known.size());
@@ -313,7 +331,33 @@
       Body["of_a_later_build"] = {{"deep", {1, 2, 3}}};
       std::string Bytes;
       Json::to_cbor(Body, Bytes);
-      RC_ASSERT((decodeFrame(Bytes) == Frame));
+      RC_ASSERT((decodeFrame(Bytes) == received(Frame)));
     }
   });
 }
+
+TEST_CASE("A large frame is compressed for boxes that read that", "[frames]") {
+  FleetKeysFrame Keys{.m_Prefix = "servers/", .m_Revision = 7};
+  for (int Number = 0; Number < 2000; ++Number)
+    Keys.m_Items.push_back({.m_Key = "servers/i-" + std::to_string(Number),
+                            .m_Value = R"({"service":"llm","state":"ready"})",
+                            .m_Revision = 7});
+  const EncodedFrame Large{PeerFrame(Keys)};
+  const std::string &Plain = Large.bytesFor(PackingProtocol - 1);
+  const std::string &Packed = Large.bytesFor(PackingProtocol);
+  REQUIRE(Packed.size() * 4 < Plain.size());
+  REQUIRE((decodeFrame(Plain) == PeerFrame(Keys)));
+  REQUIRE((decodeFrame(Packed) == PeerFrame(Keys)));
+  SECTION("a damaged one is told from any other") {
+    const std::string Cut = Packed.substr(0, Packed.size() / 2);
+    REQUIRE_THROWS_AS(decodeFrame(Cut), DecodeError);
+    for (PackedFrame Bad :
+         {PackedFrame{10, "no zlib"}, PackedFrame{std::size_t{1} << 40, "huge"},
+          PackedFrame{Packed.size(), deflateBytes(Packed)}})
+      REQUIRE_THROWS_AS(decodeFrame(encodeFrame(Bad)), DecodeError);
+  }
+  SECTION("a small one is not") {
+    const EncodedFrame Small{PeerFrame(FleetWantFrame{1, 2, 3, 4})};
+    REQUIRE(Small.bytesFor(PackingProtocol) == Small.bytesFor(FirstProtocol));
+  }
+}
--- a/tests/wire/PeerMeshTest.cpp
+++ b/tests/wire/PeerMeshTest.cpp
@@ -3,6 +3,7 @@
 #include "support/Names.h"
 
 #include <catch2/catch.hpp>
+#include <random>
 
 using namespace havenstair;
 
@@ -50,7 +51,11 @@
   A.m_Mesh.learn({B.address("b")});
   B.m_Mesh.learn({A.address("a")});
   REQUIRE(Loop.runUntil([&] { return A.m_Ups == 1 && B.m_Ups == 1; }, Limit));
-  const std::string Large(100000, 'x');
+  // Bytes that do not get smaller by compression.
+  std::string Large;
+  std::mt19937 Random(1);
+  while (Large.size() < 100000)
+    Large.push_back(static_cast<char>(Random()));
   REQUIRE(A.m_Mesh.send(BoxName("b"), BytesFrame{1, Large}) > Large.size());
   REQUIRE(B.m_Mesh.send(BoxName("a"), CancelFrame{7}) > 0);
   REQUIRE(Loop.runUntil(
