--- a/packages/decisions/process/LoadBook.cpp
+++ b/packages/decisions/process/LoadBook.cpp
@@ -39,6 +39,15 @@
   m_Told[Box] = {.m_Loads = std::move(Loads), .m_At = Now};
 }
 
+void LoadBook::apply(const InstanceLoads &Changes, InstanceLoads &To) {
+  for (const auto &[Id, Load] : Changes) {
+    if (Load == InstanceLoad{})
+      To.erase(Id);
+    else
+      To[Id] = Load;
+  }
+}
+
 void LoadBook::toldChanges(const BoxName &Box, const InstanceLoads &Changes,
                            TimePoint Now) {
   const auto Found = m_Told.find(Box);
@@ -46,12 +55,17 @@
   if (Found == m_Told.end())
     return;
   Found->second.m_At = Now;
-  for (const auto &[Id, Load] : Changes) {
-    if (Load == InstanceLoad{})
-      Found->second.m_Loads.erase(Id);
-    else
-      Found->second.m_Loads[Id] = Load;
-  }
+  apply(Changes, Found->second.m_Loads);
+}
+
+void LoadBook::toldTotals(const BoxName &Box, const InstanceLoads &Changes,
+                          bool Whole, TimePoint Now) {
+  Word &Of = m_Told[Box];
+  if (Whole)
+    Of.m_Loads.clear();
+  Of.m_At = Now;
+  Of.m_CountsOwn = true;
+  apply(Changes, Of.m_Loads);
 }
 
 void LoadBook::startedAgain(const InstanceId &Of) {
@@ -81,15 +95,30 @@
   return Changes;
 }
 
+/// What runs there through other boxes, by the word \p Of. Where that was said
+/// before it could count what this box told last, the rest would be negative.
+InstanceLoad LoadBook::ofOthers(const Word &Of, const InstanceId &Id) const {
+  const auto Found = Of.m_Loads.find(Id);
+  if (Found == Of.m_Loads.end())
+    return {};
+  InstanceLoad Result = Found->second;
+  const auto Own = m_Last.find(Id);
+  if (!Of.m_CountsOwn || Own == m_Last.end())
+    return Result;
+  const InstanceLoad &Told = Own->second;
+  Result.m_Running = std::max(0, Result.m_Running - Told.m_Running);
+  Result.m_PendingMs = std::max(0.0, Result.m_PendingMs - Told.m_PendingMs);
+  Result.m_Tokens = std::max(0.0, Result.m_Tokens - Told.m_Tokens);
+  return Result;
+}
+
 InstanceLoad LoadBook::load(const InstanceId &Of, TimePoint Now) const {
   InstanceLoad Sum;
   if (const auto Own = m_Own.find(Of); Own != m_Own.end())
     Sum += Own->second;
-  for (const auto &[Box, Word] : m_Told) {
-    const auto Found = Word.m_Loads.find(Of);
-    if (Found != Word.m_Loads.end() && Now - Word.m_At <= WordCounts)
-      Sum += Found->second;
-  }
+  for (const auto &[Box, Word] : m_Told)
+    if (Now - Word.m_At <= WordCounts)
+      Sum += ofOthers(Word, Of);
   return Sum;
 }
 
--- a/packages/decisions/process/LoadBook.h
+++ b/packages/decisions/process/LoadBook.h
@@ -45,6 +45,10 @@
   /// What has changed of what \p Box said before.
   void toldChanges(const BoxName &Box, const InstanceLoads &Changes,
                    TimePoint Now);
+  /// What has changed of the totals that \p Box tells, which count this box's
+  /// own loads as they were last told; all of them when \p Whole.
+  void toldTotals(const BoxName &Box, const InstanceLoads &Changes, bool Whole,
+                  TimePoint Now);
   /// Changes of this box's own loads since the last call, when together they
   /// are worth telling at once.
   InstanceLoads takeChanges();
@@ -65,8 +69,12 @@
   struct Word {
     InstanceLoads m_Loads;
     TimePoint m_At;
+    bool m_CountsOwn = false; ///< This box's loads are among them.
   };
 
+  static void apply(const InstanceLoads &Changes, InstanceLoads &To);
+  InstanceLoad ofOthers(const Word &Of, const InstanceId &Id) const;
+
   InstanceLoads m_Own;
   InstanceLoads m_Last; ///< As last told.
   std::map<BoxName, Word> m_Told;
--- a/tests/decisions/process/LoadBookTest.cpp
+++ b/tests/decisions/process/LoadBookTest.cpp
@@ -54,3 +54,50 @@
     }
   });
 }
+
+TEST_CASE("Totals of a relay count this box's own loads once",
+          "[load][property]") {
+  rc::prop("totals", [] {
+    LoadBook Leaf;
+    LoadBook Relay;
+    InstanceLoads Told;
+    const std::vector<InstanceId> Names{"a", "b", "c"};
+    const BoxName Other = boxName(2);
+    InstanceLoads Others;
+    for (int Step = 0; Step < *drawn(1, 30); ++Step) {
+      const InstanceId &Id = Names[*drawn<std::size_t>(0, 3)];
+      if (*rc::gen::arbitrary<bool>())
+        Leaf.sent(Id, *drawn(0, 90), 1);
+      else
+        Leaf.ended(Id, 1);
+      Others[Id] = {.m_Running = *drawn(1, 9)};
+      Relay.told(Other, Others, at(1s));
+      Relay.told(boxName(1), Leaf.own(), at(1s));
+      Leaf.toldAll();
+      const InstanceLoads Totals =
+          Relay.sum([](const BoxName &) { return true; }, at(1s));
+      InstanceLoads Changes = Totals;
+      for (const auto &[Each, Load] : Told)
+        Changes.try_emplace(Each);
+      Leaf.toldTotals(boxName(3), Changes, Step == 0, at(1s));
+      Told = Totals;
+      for (const InstanceId &Each : Names) {
+        const int Own =
+            Leaf.own().contains(Each) ? Leaf.own().at(Each).m_Running : 0;
+        const int Elsewhere =
+            Others.contains(Each) ? Others.at(Each).m_Running : 0;
+        RC_ASSERT(Leaf.load(Each, at(1s)).m_Running == Own + Elsewhere);
+      }
+    }
+  });
+}
+
+TEST_CASE("Totals that are older than what this box has told are no debt",
+          "[load]") {
+  LoadBook Leaf;
+  Leaf.toldTotals(boxName(1), {{"a", {.m_Running = 1}}}, true, at(1s));
+  Leaf.sent("a", 10, 1);
+  Leaf.sent("a", 10, 1);
+  Leaf.toldAll();
+  REQUIRE(Leaf.load("a", at(1s)).m_Running == 2);
+}
