--- a/packages/gateway/process/Fleet.cpp
+++ b/packages/gateway/process/Fleet.cpp
@@ -18,6 +18,10 @@
 /// Added to the time between renewals before the store counts as silent.
 constexpr Duration StoreSilence = 500ms;
 
+/// A relay's link carries this in some milliseconds, a leaf's in a tenth of a
+/// second.
+constexpr std::size_t SlowFromBytes = std::size_t{256} << 10;
+
 constexpr const char *BoxKeys = "box/";
 
 std::optional<PeerAddress> addressOf(const BoxName &Box, const Json &Value) {
@@ -123,27 +127,42 @@
   return Now - m_ReachedAt <= 2 * renewEvery() + StoreSilence;
 }
 
-void Fleet::entriesChanged(const std::map<std::string, StoreItem> &Items) {
+Fleet::ListedBox Fleet::decode(const BoxName &Box,
+                               const StoreItem &Item) const {
+  ListedBox Result{.m_Revision = Item.m_Revision, .m_Address = std::nullopt};
+  try {
+    const Json Value = parseJson(Item.m_Value);
+    Result.m_Address = addressOf(Box, Value);
+    Result.m_Capacity = fieldOr<double>(Value, "capacity", 1);
+  } catch (const DecodeError &Error) {
+    m_Log.write("bad_box", {{"key", Item.m_Key}, {"why", Error.what()}});
+  }
+  return Result;
+}
+
+void Fleet::readEntries(const std::map<std::string, StoreItem> &Items) {
   const std::string Start = m_Opts.m_Prefix + BoxKeys;
-  std::vector<FleetMember> Members;
-  m_Listed.clear();
+  std::map<BoxName, ListedBox> Read;
   for (const auto &[Key, Item] : Items) {
     const BoxName Box(Key.starts_with(Start) ? Key.substr(Start.size()) : "");
     if (Box.empty() || Box == m_Opts.m_Box)
       continue;
-    try {
-      const Json Value = parseJson(Item.m_Value);
-      const std::optional<PeerAddress> Address = addressOf(Box, Value);
-      if (!Address)
-        continue;
-      m_Listed[Box] = *Address;
-      Members.push_back({.m_Box = Box,
-                         .m_DataCentre = Address->m_DataCentre,
-                         .m_Capacity = fieldOr<double>(Value, "capacity", 1)});
-    } catch (const DecodeError &Error) {
-      m_Log.write("bad_box", {{"key", Key}, {"why", Error.what()}});
-    }
+    const auto Before = m_Listed.find(Box);
+    const bool Same = Before != m_Listed.end() &&
+                      Before->second.m_Revision == Item.m_Revision;
+    Read.emplace(Box, Same ? Before->second : decode(Box, Item));
   }
+  std::erase_if(Read, [](const auto &Each) { return !Each.second.m_Address; });
+  m_Listed = std::move(Read);
+}
+
+void Fleet::entriesChanged(const std::map<std::string, StoreItem> &Items) {
+  readEntries(Items);
+  std::vector<FleetMember> Members;
+  for (const auto &[Box, Each] : m_Listed)
+    Members.push_back({.m_Box = Box,
+                       .m_DataCentre = Each.m_Address->m_DataCentre,
+                       .m_Capacity = Each.m_Capacity});
   m_Topology.listed(std::move(Members));
   link();
 }
@@ -159,7 +178,7 @@
   std::set<BoxName> Wanted;
   std::vector<PeerAddress> Peers;
   for (const BoxName &Box : m_Topology.links()) {
-    Peers.push_back(m_Listed.at(Box));
+    Peers.push_back(*m_Listed.at(Box).m_Address);
     // Relays do not know who their leaves are.
     Peers.back().m_Dial = !m_Topology.relay();
     Wanted.insert(Box);
@@ -174,7 +193,21 @@
 }
 
 void Fleet::send(const BoxName &To, const PeerFrame &Frame) {
-  m_Mesh.send(To, Frame);
+  if (m_Linked.contains(To))
+    send(To, EncodedFrame(Frame));
+}
+
+void Fleet::send(const BoxName &To, const EncodedFrame &Frame) {
+  const std::size_t Bytes = m_Mesh.send(To, Frame);
+  if (Bytes == 0)
+    return;
+  Sent &Kind = m_Sent[Frame.kind()];
+  ++Kind.m_Frames;
+  Kind.m_Bytes += Bytes;
+}
+
+bool Fleet::slow(const BoxName &To) const {
+  return m_Mesh.queued(To) > SlowFromBytes;
 }
 
 void Fleet::sendAll(const PeerFrame &Frame) {
--- a/packages/gateway/process/Fleet.h
+++ b/packages/gateway/process/Fleet.h
@@ -59,6 +59,25 @@
   /// The store's keys have changed; \p Items are those of the whole prefix.
   void entriesChanged(const std::map<std::string, StoreItem> &Items);
   void send(const BoxName &To, const PeerFrame &Frame);
+  void send(const BoxName &To, const EncodedFrame &Frame);
+  /// Frames of one kind that this box has sent, and their bytes.
+  struct Sent {
+    std::uint64_t m_Frames = 0;
+    std::uint64_t m_Bytes = 0;
+  };
+  /// By name of their kind.
+  const std::map<std::string_view, Sent> &sent() const { return m_Sent; }
+  /// Whether so much waits to be sent to \p To that a state which will be told
+  /// anew had better wait, too.
+  bool slow(const BoxName &To) const;
+  /// Whether \p Box, which is linked, understands \p Protocol.
+  bool understands(const BoxName &Box, PeerProtocol Protocol) const {
+    return m_Mesh.protocolOf(Box) >= Protocol;
+  }
+  /// Where \p Box, which is linked, stands.
+  DataCentreName dataCentreOf(const BoxName &Box) const {
+    return m_Mesh.dataCentreOf(Box);
+  }
   /// To all linked boxes.
   void sendAll(const PeerFrame &Frame);
   /// To the linked relays, but for \p But.
@@ -94,6 +113,7 @@
   void tick();
   void storeAnswered(bool Reached);
   StoreTransaction entry(LeaseId Lease) const;
+  void readEntries(const std::map<std::string, StoreItem> &Items);
   Duration renewEvery() const;
   void link();
   PeerMesh::Options meshOptions() const;
@@ -105,10 +125,19 @@
   LeasedKey m_Entry;
   PeerMesh m_Mesh;
   FleetTopology m_Topology;
-  std::map<BoxName, PeerAddress> m_Listed;
+  /// What the entry of a box says, decoded once for each of its revisions.
+  struct ListedBox {
+    StoreRevision m_Revision = 0;
+    std::optional<PeerAddress> m_Address; ///< None when it cannot be used.
+    double m_Capacity = 1;
+  };
+  ListedBox decode(const BoxName &Box, const StoreItem &Item) const;
+
+  std::map<BoxName, ListedBox> m_Listed;
   std::set<BoxName> m_Wanted; ///< Boxes that links are kept to.
   std::set<BoxName> m_Linked;
   std::uint64_t m_Skipped = 0;
+  std::map<std::string_view, Sent> m_Sent;
   TimePoint m_ReachedAt{};
   bool m_Reached = true;
   bool m_Left = false;
--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -3,8 +3,10 @@
 #include "gateway/common/DecisionLog.h"
 #include "gateway/process/Fleet.h"
 #include "gateway/process/OrderGiver.h"
+#include "gateway/process/UpstreamRegistry.h"
 #include <algorithm>
 #include <iterator>
+#include <optional>
 #include <utility>
 #include <variant>
 
@@ -25,6 +27,22 @@
 
 /// A relay, or a leaf, that has said nothing for this long is taken as gone.
 constexpr Duration NeighbourSilence = 1s;
+/// Before a relay whose lists are too old is left for another one.
+constexpr Duration LeastWithUplink = 2s;
+
+/// What has changed from \p Before to \p Now; zeros stand for what has ended.
+InstanceLoads changes(const InstanceLoads &Before, const InstanceLoads &Now) {
+  InstanceLoads Result;
+  for (const auto &[Id, Load] : Now) {
+    const auto Known = Before.find(Id);
+    if (Known == Before.end() || Known->second != Load)
+      Result[Id] = Load;
+  }
+  for (const auto &[Id, Load] : Before)
+    if (!Now.contains(Id))
+      Result[Id] = {};
+  return Result;
+}
 
 } // namespace
 
@@ -35,6 +53,7 @@
       m_Lists(Loop, Of, m_Opts.m_Lists,
               {.m_TowardsGiver = [this] { return towardsGiver(); },
                .m_TellNow = [this] { tell(); },
+               .m_TellLeaf = [this](const BoxName &To) { tellLeaf(To); },
                .m_DropConnections = [this] { m_Hooks.m_DropConnections(); }}) {
   m_TellTimer = Loop.every(TellEvery, [this] { tell(); });
   tellLoadsLater();
@@ -61,7 +80,10 @@
 }
 
 void FleetExchange::linkUp(const BoxName &Box) {
-  if (!m_Of.m_Giver.giving())
+  const FleetTopology &Topology = m_Of.m_Fleet.topology();
+  // Leaves are told when they choose this box, which few of those do that link
+  // to it.
+  if (!m_Of.m_Giver.giving() || (!Topology.flat() && !Topology.isRelay(Box)))
     return;
   m_Of.m_Fleet.send(Box, m_Of.m_Giver.contents());
   m_Lists.tellWhole(Box);
@@ -92,6 +114,10 @@
   if (m_Of.m_Fleet.holderIs(m_Of.m_Giver.holder().m_Box))
     arranged();
   chooseUplink(Now);
+  // A read that brings nothing new still makes the list that of a later
+  // revision. Boxes that hear of it only by digest would ask for all of it.
+  if (m_Of.m_Upstreams.revision() != m_ListToldAt)
+    upstreamsChanged();
   ServingState &State = m_Of.m_State;
   FleetDigestFrame Frame = word(Now);
   Frame.m_Demand = std::exchange(State.m_Demand, {});
@@ -101,6 +127,7 @@
   if (m_Uplink.empty())
     return;
   Frame.m_Leaf = true;
+  Frame.m_Totals = m_TotalsHeard;
   Frame.m_Loads = State.m_Loads.own();
   State.m_Loads.toldAll();
   tellBox(m_Uplink, std::move(Frame));
@@ -120,11 +147,52 @@
   for (const BoxName &Relay : m_Of.m_Fleet.linkedRelays())
     tellBox(Relay, Frame);
   Frame.m_Demand.clear();
-  const std::map<BoxName, TimePoint> Leaves = m_Leaves;
-  for (const auto &[Leaf, HeardAt] : Leaves) {
-    Frame.m_Loads = Loads.sum(
-        [&Leaf = Leaf](const BoxName &Box) { return Box != Leaf; }, Now);
-    tellBox(Leaf, Frame);
+  tellLeaves(std::move(Frame), Now);
+}
+
+void FleetExchange::tellLeaves(FleetDigestFrame Frame, TimePoint Now) {
+  const LoadBook &Loads = m_Of.m_State.m_Loads;
+  const std::map<BoxName, Leaf> Leaves = m_Leaves;
+  for (const auto &[Name, Each] : Leaves) {
+    // The next one says all that this one would.
+    if (m_Of.m_Fleet.slow(Name))
+      continue;
+    Frame.m_LoadsApart = m_Of.m_Fleet.understands(Name, PackingProtocol);
+    Frame.m_Loads.clear();
+    if (!Frame.m_LoadsApart)
+      Frame.m_Loads = Loads.sum(
+          [&Name = Name](const BoxName &Box) { return Box != Name; }, Now);
+    tellBox(Name, Frame);
+  }
+  tellTotals(Now);
+}
+
+/// The same for all leaves, so that it is summed up and encoded once: for each
+/// by itself, 55 leaves took a relay more time than there is.
+void FleetExchange::tellTotals(TimePoint Now) {
+  if (m_Leaves.empty())
+    return;
+  const std::uint64_t Before = m_TotalsNumber++;
+  InstanceLoads Totals =
+      m_Of.m_State.m_Loads.sum([](const BoxName &) { return true; }, Now);
+  const EncodedFrame News(
+      FleetTotalsFrame{.m_Number = m_TotalsNumber,
+                       .m_Since = Before,
+                       .m_Loads = changes(m_Totals, Totals)});
+  m_Totals = std::move(Totals);
+  std::optional<EncodedFrame> Whole;
+  const std::map<BoxName, Leaf> Leaves = m_Leaves;
+  for (const auto &[Name, Each] : Leaves) {
+    if (m_Of.m_Fleet.slow(Name) ||
+        !m_Of.m_Fleet.understands(Name, PackingProtocol))
+      continue;
+    const bool Follows = Each.m_Totals != 0 && Each.m_Totals == Before;
+    if (!Follows && !Whole)
+      Whole.emplace(FleetTotalsFrame{
+          .m_Number = m_TotalsNumber, .m_Since = 0, .m_Loads = m_Totals});
+    m_Of.m_Fleet.send(Name, Follows ? News : *Whole);
+    if (const auto Known = m_Leaves.find(Name); Known != m_Leaves.end())
+      Known->second.m_Totals = m_TotalsNumber;
   }
 }
 
@@ -168,45 +236,83 @@
 }
 
 void FleetExchange::upstreamsChanged() {
-  passOn(m_Of.m_Upstreams, m_Of.m_Upstreams.takeChanges());
+  m_ListToldAt = m_Of.m_Upstreams.revision();
+  const PrefixMirror::Delta News = m_Of.m_Upstreams.takeChanges();
+  if (readsForOthers(m_Of.m_Upstreams))
+    toRelays(ListFollower::keysFrame(m_Of.m_Upstreams, News));
+  newsToLeaves();
 }
 
 /// Always all of them: they are few, and one that a box missed would stand for
 /// days, as nothing else of them may change.
 void FleetExchange::evacuationsChanged() {
-  passOn(m_Of.m_Evacuations, m_Of.m_Evacuations.whole());
+  const PrefixMirror &Mirror = m_Of.m_Evacuations;
+  passOn(Mirror, Mirror.whole());
+}
+
+bool FleetExchange::readsForOthers(const PrefixMirror &Mirror) const {
+  return m_Of.m_Giver.giving() ||
+         (m_Of.m_Fleet.topology().relay() && Mirror.running());
 }
 
 void FleetExchange::passOn(const PrefixMirror &Mirror,
                            const PrefixMirror::Delta &News) {
-  if (m_Of.m_Giver.giving() ||
-      (m_Of.m_Fleet.topology().relay() && Mirror.running()))
-    toAll(ListFollower::keysFrame(Mirror, News));
-  else if (!m_Leaves.empty())
-    toLeaves(ListFollower::keysFrame(Mirror, News));
+  const FleetKeysFrame Frame = ListFollower::keysFrame(Mirror, News);
+  if (readsForOthers(Mirror))
+    toRelays(Frame);
+  toLeaves(Frame);
+}
+
+DataCentreName FleetExchange::dataCentreOf(const BoxName &Leaf) const {
+  return m_Of.m_Fleet.dataCentreOf(Leaf);
+}
+
+void FleetExchange::newsToLeaves() {
+  // A part of the list would pass for the whole one.
+  if (m_Leaves.empty() || m_Of.m_Upstreams.part())
+    return m_LeafLists.clear();
+  std::map<DataCentreName, EncodedFrame> News;
+  const std::map<BoxName, Leaf> Leaves = m_Leaves;
+  for (const auto &[Name, Each] : Leaves) {
+    const DataCentreName At = dataCentreOf(Name);
+    auto Found = News.find(At);
+    if (Found == News.end())
+      Found =
+          News.emplace(At, m_LeafLists.takeNews(At, m_Of.m_Upstreams,
+                                                m_Of.m_Registry.shortlist()))
+              .first;
+    m_Of.m_Fleet.send(Name, Found->second);
+  }
+}
+
+void FleetExchange::tellLeaf(const BoxName &Leaf) {
+  if (m_Of.m_Upstreams.part() || m_Of.m_Upstreams.revision() == 0)
+    return;
+  m_Of.m_Fleet.send(Leaf,
+                    m_LeafLists.whole(dataCentreOf(Leaf), m_Of.m_Upstreams,
+                                      m_Of.m_Registry.shortlist()));
 }
 
 // To whom.
 
 void FleetExchange::toRelays(const PeerFrame &Frame) {
+  const EncodedFrame Encoded(Frame);
   for (const BoxName &Relay : m_Of.m_Fleet.linkedRelays())
-    m_Of.m_Fleet.send(Relay, Frame);
+    m_Of.m_Fleet.send(Relay, Encoded);
 }
 
 void FleetExchange::toLeaves(const PeerFrame &Frame) {
-  const std::map<BoxName, TimePoint> Leaves = m_Leaves;
-  for (const auto &[Leaf, HeardAt] : Leaves)
-    m_Of.m_Fleet.send(Leaf, Frame);
-}
-
-void FleetExchange::toAll(const PeerFrame &Frame) {
-  toRelays(Frame);
-  toLeaves(Frame);
+  if (m_Leaves.empty())
+    return;
+  const EncodedFrame Encoded(Frame);
+  const std::map<BoxName, Leaf> Leaves = m_Leaves;
+  for (const auto &[Name, Each] : Leaves)
+    m_Of.m_Fleet.send(Name, Encoded);
 }
 
 void FleetExchange::dropSilentLeaves(TimePoint Now) {
   std::erase_if(m_Leaves, [&](const auto &Each) {
-    const bool Silent = Now - Each.second > NeighbourSilence;
+    const bool Silent = Now - Each.second.m_HeardAt > NeighbourSilence;
     if (Silent)
       m_Of.m_State.m_Loads.forget(Each.first);
     return Silent;
@@ -217,12 +323,14 @@
 void FleetExchange::chooseUplink(TimePoint Now) {
   const Fleet &Boxes = m_Of.m_Fleet;
   const FleetTopology &Topology = Boxes.topology();
-  const bool Good = !m_Uplink.empty() && Boxes.linked().contains(m_Uplink) &&
-                    Topology.isRelay(m_Uplink) &&
-                    Now - m_UplinkHeardAt <= NeighbourSilence;
+  const bool Good =
+      !m_Uplink.empty() && Boxes.linked().contains(m_Uplink) &&
+      Topology.isRelay(m_Uplink) && Now - m_UplinkHeardAt <= NeighbourSilence &&
+      (Now - m_UplinkSince <= LeastWithUplink || !m_Lists.uplinkFails(Now));
   if (Good && !Topology.relay())
     return;
   const BoxName Before = std::exchange(m_Uplink, BoxName());
+  m_TotalsHeard = 0;
   if (!Before.empty())
     m_Of.m_State.m_Loads.forget(Before);
   if (Topology.relay())
@@ -237,6 +345,7 @@
     if (!Boxes.linked().contains(Candidate))
       continue;
     m_Uplink = Candidate;
+    m_UplinkSince = Now;
     m_UplinkHeardAt = Now;
     break;
   }
@@ -288,14 +397,19 @@
   // Another relay would tell a leaf again of what its own one has told.
   if (!m_Of.m_Fleet.topology().relay() && From != m_Uplink)
     return;
-  m_Of.m_State.m_Loads.told(From, Frame.m_Loads, Now);
+  if (!Frame.m_LoadsApart)
+    m_Of.m_State.m_Loads.told(From, Frame.m_Loads, Now);
   m_Of.m_Giver.demanded(Frame.m_Demand);
   m_Lists.heard(From, Frame, heldUp(Frame, Now), Now);
 }
 
 void FleetExchange::takeFromLeaf(const BoxName &From,
                                  const FleetDigestFrame &Frame, TimePoint Now) {
-  const bool New = m_Leaves.insert_or_assign(From, Now).second;
+  const auto [Place, New] = m_Leaves.try_emplace(From);
+  Place->second.m_HeardAt = Now;
+  // It has none, or some were lost on the way to it.
+  if (Frame.m_Totals == 0)
+    Place->second.m_Totals = 0;
   ServingState &State = m_Of.m_State;
   State.m_Loads.told(From, Frame.m_Loads, Now);
   // Told to the other relays as part of this box's own demand.
@@ -317,6 +431,17 @@
   m_Of.m_State.m_Loads.toldChanges(From, Frame.m_Loads, EventLoop::now());
 }
 
+void FleetExchange::take(const BoxName &From, const FleetTotalsFrame &Frame) {
+  if (From != m_Uplink)
+    return;
+  const bool Whole = Frame.m_Since == 0;
+  const bool Follows = Whole || Frame.m_Since == m_TotalsHeard;
+  m_TotalsHeard = Follows ? Frame.m_Number : 0;
+  if (Follows)
+    m_Of.m_State.m_Loads.toldTotals(From, Frame.m_Loads, Whole,
+                                    EventLoop::now());
+}
+
 void FleetExchange::take(const BoxName &, const FleetContentsFrame &Frame) {
   if (Frame.m_FencingToken < m_ContentsToken)
     return;
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -5,6 +5,7 @@
 #define HAVENSTAIR_GATEWAY_PROCESS_FLEETEXCHANGE_H
 
 #include "decisions/process/EchoClock.h"
+#include "gateway/process/LeafLists.h"
 #include "gateway/process/ListFollower.h"
 #include "gateway/process/PrefixMirror.h"
 #include "gateway/process/ServingState.h"
@@ -72,13 +73,18 @@
   void tellLoads();
   void tellLoadsLater();
   void tellRelays(FleetDigestFrame Frame, TimePoint Now);
+  void tellLeaves(FleetDigestFrame Frame, TimePoint Now);
+  void tellTotals(TimePoint Now);
   FleetDigestFrame word(TimePoint Now);
   Duration heldUp(const FleetDigestFrame &Frame, TimePoint Now) const;
 
   void tellBox(const BoxName &To, FleetDigestFrame Frame);
   void toRelays(const PeerFrame &Frame);
   void toLeaves(const PeerFrame &Frame);
-  void toAll(const PeerFrame &Frame);
+  void newsToLeaves();
+  void tellLeaf(const BoxName &Leaf);
+  DataCentreName dataCentreOf(const BoxName &Leaf) const;
+  bool readsForOthers(const PrefixMirror &Mirror) const;
   void passOn(const PrefixMirror &Mirror, const PrefixMirror::Delta &News);
   void dropSilentLeaves(TimePoint Now);
   void chooseUplink(TimePoint Now);
@@ -89,6 +95,7 @@
   void takeFromLeaf(const BoxName &From, const FleetDigestFrame &Frame,
                     TimePoint Now);
   void take(const BoxName &From, const FleetLoadsFrame &Frame);
+  void take(const BoxName &From, const FleetTotalsFrame &Frame);
   void take(const BoxName &From, const FleetWantFrame &Frame) {
     m_Lists.answer(From, Frame);
   }
@@ -98,16 +105,27 @@
   void take(const BoxName &From, const FleetContentsFrame &Frame);
   void take(const BoxName &From, const FleetMissingFrame &Frame);
 
+  /// A box that asked this one to be its relay.
+  struct Leaf {
+    TimePoint m_HeardAt{};
+    std::uint64_t m_Totals = 0; ///< The last that it was told; 0 for none.
+  };
+
   EventLoop &m_Loop;
   Parts m_Of;
   Options m_Opts;
   Hooks m_Hooks;
   FencingToken m_ContentsToken = 0;
   EchoClock m_Clock;
-  /// Boxes that asked this one to be their relay, and when they last did.
-  std::map<BoxName, TimePoint> m_Leaves;
+  std::map<BoxName, Leaf> m_Leaves;
+  LeafLists m_LeafLists;
+  StoreRevision m_ListToldAt = 0; ///< Of the list that others were told.
+  InstanceLoads m_Totals;         ///< As last told to the leaves.
+  std::uint64_t m_TotalsNumber = 0;
   BoxName m_Uplink; ///< Empty on a relay.
+  TimePoint m_UplinkSince{};
   TimePoint m_UplinkHeardAt{};
+  std::uint64_t m_TotalsHeard = 0; ///< From the uplink; 0 for none.
   ListFollower m_Lists;
   Timer m_TellTimer;
   Timer m_LoadsTimer;
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -146,6 +146,7 @@
            .m_State = m_State,
            .m_Config = m_ConfigMirror,
            .m_Upstreams = m_UpstreamMirror,
+           .m_Registry = m_Registry,
            .m_Boxes = m_OwnMirror,
            .m_Evacuations = m_EvacuationMirror,
            .m_Log = m_Log},
@@ -302,10 +303,15 @@
   Now.m_ConfigAge = inSeconds(Lists.configVouch(EventLoop::now()).m_Age);
   Now.m_ListRevision = Number(m_State.m_Upstreams.list().m_Revision);
   Now.m_Upstreams = Number(m_State.m_Upstreams.current().size());
+  Now.m_Listed = Number(m_Registry.size());
   Now.m_Evacuated =
       Number(m_State.m_Upstreams.evacuations().m_DataCentres.size());
   Now.m_Peers = Number(m_Fleet.linked().size());
   Now.m_Protocols = m_Fleet.protocols();
+  for (const auto &[Kind, Sent] : m_Fleet.sent()) {
+    Now.m_PeerFrames[Kind] = Number(Sent.m_Frames);
+    Now.m_PeerBytes[Kind] = Number(Sent.m_Bytes);
+  }
   Now.m_FramesSkipped = Number(m_Fleet.skipped());
   Now.m_StoreReached = m_Exchange.storeJustReached() ? 1 : 0;
   Now.m_GivesOrders = m_Giver.giving() ? 1 : 0;
@@ -420,10 +426,10 @@
 
 void Gateway::upstreamsChanged() {
   std::vector<InstanceId> Gone;
-  for (const UpstreamInstance &Each :
-       m_State.m_Upstreams.update(m_Registry.read(m_UpstreamMirror.items(),
-                                                  m_UpstreamMirror.revision()),
-                                  EventLoop::now())) {
+  for (const UpstreamInstance &Each : m_State.m_Upstreams.update(
+           m_Registry.read(m_UpstreamMirror.items(),
+                           m_UpstreamMirror.revision(), m_State.m_DataCentres),
+           EventLoop::now())) {
     m_State.forget(Each.m_Id);
     Gone.push_back(Each.m_Id);
     // Connections that were kept ended with it; nothing may be sent on them.
@@ -435,7 +441,8 @@
   m_Crashes->listed();
   m_Log.write("upstreams",
               {{"revision", m_UpstreamMirror.revision()},
-               {"listed", m_State.m_Upstreams.list().m_Instances.size()},
+               {"listed", m_Registry.size()},
+               {"known", m_State.m_Upstreams.list().m_Instances.size()},
                {"tell_birth", m_State.m_Upstreams.tellingBirth()},
                {"gone", Gone}});
   m_Exchange.upstreamsChanged();
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -52,6 +52,12 @@
   std::size_t openRequests() const { return m_Forwarder.open(); }
   bool givesOrders() const { return m_Giver.giving(); }
   std::size_t peers() const { return m_Fleet.linked().size(); }
+  /// Entries of the list of upstreams, as far as this box knows them.
+  std::size_t listedUpstreams() const { return m_Registry.size(); }
+  /// Frames that it has sent to other boxes, by kind.
+  const std::map<std::string_view, Fleet::Sent> &sent() const {
+    return m_Fleet.sent();
+  }
   bool watchesList() const { return m_UpstreamMirror.running(); }
 
   /// Reads the settings again; a bad file leaves the last good ones in force.
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -88,6 +88,16 @@
           .Name("havenstair_linked_boxes")
           .Help("Linked boxes by the protocol that they understand")
           .Register(m_Registry);
+  prometheus::Family<prometheus::Gauge> &m_PeerFrames =
+      prometheus::BuildGauge()
+          .Name("havenstair_peer_frames_sent")
+          .Help("Frames sent to other boxes since the start, by kind")
+          .Register(m_Registry);
+  prometheus::Family<prometheus::Gauge> &m_PeerBytes =
+      prometheus::BuildGauge()
+          .Name("havenstair_peer_bytes_sent")
+          .Help("Their bytes, by kind")
+          .Register(m_Registry);
   std::set<int> m_KnownProtocols;
   std::set<std::string> m_DataCentres;
   prometheus::Family<prometheus::Counter> &m_InEvacuation =
@@ -181,6 +191,7 @@
   m_Families->state("config_told", Now.m_ConfigTold);
   m_Families->state("config_age_seconds", Now.m_ConfigAge);
   m_Families->state("list_revision", Now.m_ListRevision);
+  m_Families->state("upstreams_listed", Now.m_Listed);
   m_Families->state("upstreams", Now.m_Upstreams);
   m_Families->state("peers", Now.m_Peers);
   m_Families->state("evacuated_data_centres", Now.m_Evacuated);
@@ -190,6 +201,10 @@
   m_Families->state("log_lines_left_out", Now.m_LogLinesLeftOut);
   m_Families->state("barred_requests", Now.m_BarredRequests);
   m_Families->state("frames_skipped", Now.m_FramesSkipped);
+  for (const auto &[Kind, Frames] : Now.m_PeerFrames)
+    m_Families->m_PeerFrames.Add({{"kind", std::string(Kind)}}).Set(Frames);
+  for (const auto &[Kind, Bytes] : Now.m_PeerBytes)
+    m_Families->m_PeerBytes.Add({{"kind", std::string(Kind)}}).Set(Bytes);
   for (const auto &[Protocol, Boxes] : Now.m_Protocols)
     m_Families->m_KnownProtocols.insert(Protocol);
   for (int Each : m_Families->m_KnownProtocols) {
--- a/packages/gateway/process/GatewayMetrics.h
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -21,7 +21,8 @@
   double m_ConfigTold = 0; ///< Newest version that another box told of.
   double m_ConfigAge = 0;  ///< Seconds since it was surely the store's.
   double m_ListRevision = 0;
-  double m_Upstreams = 0;
+  double m_Listed = 0;    ///< Entries of the list, as far as it is known here.
+  double m_Upstreams = 0; ///< Those of them that requests may be sent to.
   double m_Peers = 0;
   double m_Evacuated = 0;    ///< Data centres.
   double m_StoreReached = 0; ///< 1 while the store answers this box.
@@ -31,7 +32,9 @@
   double m_BarredRequests = 0;    ///< Contents that are sent to no server.
   double m_FramesSkipped = 0;     ///< Of kinds that only later builds know.
   std::map<int, int> m_Protocols; ///< Linked boxes by what they understand.
-  std::map<DataCentreName, int> m_Cold; ///< Cold servers.
+  std::map<DataCentreName, int> m_Cold;            ///< Cold servers.
+  std::map<std::string_view, double> m_PeerFrames; ///< Sent, by kind.
+  std::map<std::string_view, double> m_PeerBytes;
 };
 
 /// Registry of all metrics. Labels are bounded: routes of the configuration,
--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -65,6 +65,15 @@
 /// starts, boxes enter the list within some tenths of a second.
 constexpr Duration WaitForBoxes = 700ms;
 constexpr Duration WaitForUplink = 2s;
+/// The same for what its uplink knows, once it has one.
+constexpr Duration WaitForLists = 10s;
+
+/// Longest list, as a leaf knows it, that a leaf reads itself: the store gives
+/// as much in one call. Of longer ones each read takes dozens of calls, and all
+/// leaves of a data centre begin at once.
+constexpr std::size_t MostLeafReads = 500;
+/// How long an uplink may tell of lists that are too old.
+constexpr Duration UplinkFailsAfter = 2s;
 
 } // namespace
 
@@ -104,8 +113,18 @@
   m_ToldAsOf = Now - Frame.m_ListAge;
 }
 
-void ListFollower::tellWhole(const BoxName &To) const {
-  m_Of.m_Fleet.send(To, keysFrame(m_Of.m_Upstreams, m_Of.m_Upstreams.whole()));
+/// Made once for all relays that ask for it at one time.
+const EncodedFrame &ListFollower::wholeList() {
+  const PrefixMirror &List = m_Of.m_Upstreams;
+  if (!m_WholeList || m_WholeList->m_At != List.revision())
+    m_WholeList = {.m_At = List.revision(),
+                   .m_Frame = EncodedFrame(keysFrame(List, List.whole()))};
+  return m_WholeList->m_Frame;
+}
+
+void ListFollower::tellWhole(const BoxName &To) {
+  if (!m_Of.m_Upstreams.part())
+    m_Of.m_Fleet.send(To, wholeList());
   if (m_FollowEvacuations)
     m_Of.m_Fleet.send(
         To, keysFrame(m_Of.m_Evacuations, m_Of.m_Evacuations.whole()));
@@ -155,16 +174,34 @@
 
 FleetWantFrame ListFollower::want() const {
   return {.m_Config = m_Of.m_State.configVersion(),
-          .m_List = m_Of.m_Upstreams.revision(),
+          .m_List = lacksWhole() ? 0 : m_Of.m_Upstreams.revision(),
           .m_Boxes = m_Of.m_Boxes.revision(),
           .m_Evacuations = m_Of.m_Evacuations.revision()};
 }
 
+/// A relay that was a leaf knows only what a leaf needs.
+bool ListFollower::lacksWhole() const {
+  return m_Of.m_Upstreams.part() && m_Of.m_Fleet.topology().relay();
+}
+
+/// Whether this box, a leaf, does not read the list of upstreams itself.
+bool ListFollower::followsUplink() const {
+  return !m_Of.m_Fleet.topology().relay() &&
+         m_Of.m_Upstreams.items().size() > MostLeafReads &&
+         !m_Hooks.m_TowardsGiver().empty();
+}
+
+bool ListFollower::uplinkFails(TimePoint Now) const {
+  return followsUplink() &&
+         Now - knownAsOf(m_Of.m_Upstreams) > mostListAge() + UplinkFailsAfter;
+}
+
 FleetKeysFrame ListFollower::keysFrame(const PrefixMirror &Of,
                                        const PrefixMirror::Delta &News) {
   FleetKeysFrame Frame{.m_Prefix = Of.prefix(),
                        .m_Since = News.m_Since,
                        .m_Revision = News.m_Revision,
+                       .m_Part = News.m_Part,
                        .m_Items = {},
                        .m_Gone = News.m_Gone};
   for (const StoreItem &Item : News.m_Items)
@@ -216,7 +253,7 @@
     // What silenced the box that reads may have silenced these connections too.
     if (!Relayed && !m_Of.m_Upstreams.running())
       m_Hooks.m_DropConnections();
-    follow(m_Of.m_Upstreams, Relayed && HasList);
+    follow(m_Of.m_Upstreams, (Relayed || followsUplink()) && HasList);
     follow(m_Of.m_Evacuations, leavesEvacuations(Now, Relayed));
     // A leaf that the store turns away does not try for both.
     const bool Reachable =
@@ -254,7 +291,9 @@
   const bool OthersEnter = m_Opts.m_FirstStart || m_Of.m_Fleet.size() == 1;
   if (OthersEnter && Now - m_StartedAt < WaitForBoxes)
     return true;
-  return !m_Of.m_Fleet.topology().relay() && Now - m_StartedAt < WaitForUplink;
+  const Duration Patience =
+      m_Hooks.m_TowardsGiver().empty() ? WaitForUplink : WaitForLists;
+  return !m_Of.m_Fleet.topology().relay() && Now - m_StartedAt < Patience;
 }
 
 void ListFollower::follow(PrefixMirror &Mirror, bool Relayed) {
@@ -341,6 +380,7 @@
     return !Mirror.running() && Known > Mirror.revision();
   };
   return Behind(m_Of.m_Upstreams, Newest.m_List) ||
+         (lacksWhole() && !m_Of.m_Upstreams.running()) ||
          Behind(m_Of.m_Boxes, Newest.m_Boxes) ||
          (m_FollowEvacuations &&
           Behind(m_Of.m_Evacuations, Newest.m_Evacuations));
@@ -382,6 +422,9 @@
 }
 
 void ListFollower::answer(const BoxName &From, const FleetWantFrame &Frame) {
+  // It asks again with the next digest, and what it lacks may lie in its way.
+  if (m_Of.m_Fleet.slow(From))
+    return;
   const FleetWantFrame Own = want();
   const auto Tell = [&](const PrefixMirror &Mirror, std::uint64_t Held,
                         std::uint64_t Known) {
@@ -389,11 +432,23 @@
       m_Of.m_Fleet.send(From, keysFrame(Mirror, Mirror.whole()));
   };
   Tell(m_Of.m_Config, Own.m_Config, Frame.m_Config);
-  Tell(m_Of.m_Upstreams, Own.m_List, Frame.m_List);
+  if (Own.m_List > Frame.m_List)
+    answerList(From);
   Tell(m_Of.m_Boxes, Own.m_Boxes, Frame.m_Boxes);
   Tell(m_Of.m_Evacuations, Own.m_Evacuations, Frame.m_Evacuations);
 }
 
+/// A part of the list is of no use to anybody else.
+void ListFollower::answerList(const BoxName &From) {
+  const FleetTopology &Topology = m_Of.m_Fleet.topology();
+  if (m_Of.m_Upstreams.part())
+    return;
+  if (Topology.flat() || Topology.isRelay(From))
+    m_Of.m_Fleet.send(From, wholeList());
+  else if (Topology.relay())
+    m_Hooks.m_TellLeaf(From);
+}
+
 std::array<PrefixMirror *, 4> ListFollower::all() const {
   return {&m_Of.m_Config, &m_Of.m_Upstreams, &m_Of.m_Boxes,
           &m_Of.m_Evacuations};
@@ -411,6 +466,7 @@
 void ListFollower::adopt(const BoxName &From, const FleetKeysFrame &Frame) {
   PrefixMirror::Delta News{.m_Since = Frame.m_Since,
                            .m_Revision = Frame.m_Revision,
+                           .m_Part = Frame.m_Part,
                            .m_Items = {},
                            .m_Gone = Frame.m_Gone};
   for (const StoredValue &Each : Frame.m_Items)
@@ -418,8 +474,13 @@
                             .m_Value = Each.m_Value,
                             .m_Revision = Each.m_Revision});
   PrefixMirror *Mirror = mirrorOf(Frame.m_Prefix);
-  if (Mirror != nullptr && !Mirror->adopt(News))
-    m_Of.m_Fleet.send(From, want());
+  if (Mirror != nullptr && !Mirror->adopt(News)) {
+    FleetWantFrame Wanted = want();
+    // A copy of the other kind is of no use, however new it is.
+    if (Mirror == &m_Of.m_Upstreams && Frame.m_Part != Mirror->part())
+      Wanted.m_List = 0;
+    m_Of.m_Fleet.send(From, Wanted);
+  }
   if (Frame.m_Since == 0)
     m_Of.m_Log.write("keys_from_peer", {{"peer", From.str()},
                                         {"prefix", Frame.m_Prefix},
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -8,10 +8,12 @@
 #include "gateway/process/PrefixMirror.h"
 #include "gateway/process/ServingState.h"
 #include "wire/common/EventLoop.h"
+#include "wire/connection/EncodedFrame.h"
 #include "wire/connection/FleetFrames.h"
 #include <array>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace havenstair {
@@ -19,6 +21,7 @@
 class DecisionLog;
 class Fleet;
 class OrderGiver;
+class UpstreamRegistry;
 
 /// Keeps this box's copies of the store's lists as new as they must be: by the
 /// word of the box that reads for all while that vouches for them, by reading
@@ -44,6 +47,7 @@
     ServingState &m_State;
     PrefixMirror &m_Config;
     PrefixMirror &m_Upstreams;
+    const UpstreamRegistry &m_Registry; ///< Of m_Upstreams.
     PrefixMirror &m_Boxes;
     PrefixMirror &m_Evacuations;
     DecisionLog &m_Log;
@@ -53,6 +57,8 @@
     std::function<BoxName()> m_TowardsGiver;
     /// Others are about to read what this box has just learned.
     std::function<void()> m_TellNow;
+    /// A leaf asks for the whole of its list of upstreams.
+    std::function<void(const BoxName &)> m_TellLeaf;
     /// Connections to the store may be dead without saying so: the next call
     /// takes a new one.
     std::function<void()> m_DropConnections;
@@ -71,7 +77,7 @@
   /// Fills in what \p Frame tells of the lists; it counts as told then.
   void describe(FleetDigestFrame &Frame, TimePoint Now);
   /// Tells \p To the lists that requests are sent by.
-  void tellWhole(const BoxName &To) const;
+  void tellWhole(const BoxName &To);
   /// What this box would ask another one for.
   FleetWantFrame want() const;
   /// Sends \p From what is newer here than \p Frame says.
@@ -88,6 +94,10 @@
   void heard(const BoxName &From, const FleetDigestFrame &Frame,
              Duration HeldUp, TimePoint Now);
 
+  /// Whether the uplink of this box, a leaf, has to be followed, and its lists
+  /// have been too old for long: another one may know better.
+  bool uplinkFails(TimePoint Now) const;
+
   ConfigVouch configVouch(TimePoint Now) const;
   /// The newest configuration that another box told of.
   struct ToldConfig {
@@ -115,6 +125,10 @@
   TimePoint vouchedAsOf(const BoxName &Box) const;
   bool vouches(const BoxName &Box, TimePoint Now) const;
   bool listsBehind(const FleetWantFrame &Newest) const;
+  const EncodedFrame &wholeList();
+  void answerList(const BoxName &From);
+  bool lacksWhole() const;
+  bool followsUplink() const;
   void watchClosely();
   void noteTold(const BoxName &By, ConfigVersion Version, TimePoint Now);
   void readConfig(TimePoint Now);
@@ -135,6 +149,12 @@
   Parts m_Of;
   Options m_Opts;
   Hooks m_Hooks;
+  /// The whole list of upstreams, for those that ask for it.
+  struct WholeList {
+    StoreRevision m_At = 0;
+    EncodedFrame m_Frame;
+  };
+  std::optional<WholeList> m_WholeList;
   std::map<BoxName, ListWord> m_ListWords;
   BoxName m_ListSource; ///< The box whose lists this one follows.
   TimePoint m_ToldAsOf =
--- a/packages/gateway/process/ManagedEngine.cpp
+++ b/packages/gateway/process/ManagedEngine.cpp
@@ -10,9 +10,15 @@
 /// An adapter arrives in some milliseconds; engines tell of it much later.
 constexpr Duration AdapterArrivesIn = 40ms;
 
-/// Contents are told again after this, changed or not.
+/// Contents that the list does not tell are told again after this, changed or
+/// not: boxes may have missed them.
 constexpr Duration TellAgainAfter = 3s;
 
+bool saysSame(const UpstreamInstance &Entry, const EngineContents &Contents) {
+  return Contents.m_Models == Entry.m_Models && Contents.m_Retiring.empty() &&
+         Contents.m_Loading.empty();
+}
+
 /// When a load that is overdue is expected.
 constexpr Duration OverdueIn = 500ms;
 
@@ -150,16 +156,27 @@
   return Result;
 }
 
-std::optional<EngineContents> ManagedEngine::takeNews(const InstanceId &Id,
-                                                      TimePoint Now) {
-  EngineContents Lasting = lastingContents(Id, Now);
-  if (Lasting == m_Told && m_ServesAt == m_ToldServesAt &&
-      Now - m_ToldAt < TellAgainAfter)
+bool ManagedEngine::differsFrom(const UpstreamInstance &Entry,
+                                TimePoint Now) const {
+  return !saysSame(Entry, lastingContents(Entry.m_Id, Now));
+}
+
+std::optional<EngineContents>
+ManagedEngine::takeNews(const UpstreamInstance &Entry, TimePoint Now) {
+  EngineContents Lasting = lastingContents(Entry.m_Id, Now);
+  const bool Changed =
+      m_Told && (Lasting != *m_Told || m_ServesAt != m_ToldServesAt);
+  // Were all engines told of every few seconds, that would be most of what
+  // boxes of a large fleet tell each other.
+  const bool Again = !saysSame(Entry, Lasting) &&
+                     (!m_Told || Now - m_ToldAt >= TellAgainAfter);
+  if (!Changed && !Again && m_Told)
     return std::nullopt;
+  const bool News = Changed || Again;
   m_Told = std::move(Lasting);
   m_ToldServesAt = m_ServesAt;
   m_ToldAt = Now;
-  return contents(Id, Now);
+  return News ? std::optional(contents(Entry.m_Id, Now)) : std::nullopt;
 }
 
 } // namespace havenstair
--- a/packages/gateway/process/ManagedEngine.h
+++ b/packages/gateway/process/ManagedEngine.h
@@ -73,9 +73,12 @@
                             Duration AdapterStays, TimePoint Now) const;
   /// For the other boxes.
   EngineContents contents(const InstanceId &Id, TimePoint Now) const;
-  /// The same if the boxes were told something else, or long ago; it counts as
-  /// told then.
-  std::optional<EngineContents> takeNews(const InstanceId &Id, TimePoint Now);
+  /// The same if the boxes were told something else, or long ago what \p Entry,
+  /// which all of them read, does not say; it counts as told then.
+  std::optional<EngineContents> takeNews(const UpstreamInstance &Entry,
+                                         TimePoint Now);
+  /// Whether the boxes need to be told more than \p Entry says.
+  bool differsFrom(const UpstreamInstance &Entry, TimePoint Now) const;
 
 private:
   struct Load {
@@ -90,7 +93,8 @@
   EngineContents lastingContents(const InstanceId &Id, TimePoint Now) const;
 
   std::optional<Load> m_Load;
-  EngineContents m_Told;
+  /// Nothing at first: then all that its entry does not say is news.
+  std::optional<EngineContents> m_Told;
   TimePoint m_ToldServesAt{};
   TimePoint m_ToldAt{};
 };
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -15,6 +15,8 @@
 constexpr Duration StandbyTickEvery = 150ms;
 constexpr Duration IdleTickEvery = 1s;
 constexpr Duration PlanEvery = 200ms;
+/// Plans take at most this part of the time, however many engines there are.
+constexpr int PlanTimeShare = 5;
 
 /// Time for all boxes to hear that a model retires.
 constexpr Duration RetireFor = 120ms;
@@ -26,6 +28,9 @@
 constexpr Duration TurnMargin = 300ms;
 
 constexpr Duration ReportEvery = 120ms;
+/// Reports that are under way at one time. An answer takes some milliseconds,
+/// and a box that is asked for thousands at once does nothing else.
+constexpr std::size_t MostReportsAsked = 64;
 constexpr Duration ReportAfterFailure = 400ms;
 constexpr Duration UnloadTakes = 60ms;
 
@@ -163,7 +168,7 @@
   if (std::exchange(m_TickSoon, true))
     return;
   if (Plan)
-    m_NextPlan = EventLoop::now();
+    m_NextPlan = std::max(EventLoop::now(), m_PlanFrom);
   m_Loop.defer([this] {
     m_TickSoon = false;
     tick();
@@ -211,8 +216,11 @@
   askReports(Now);
   advanceTasks(Now);
   if (Now >= m_NextPlan) {
-    m_NextPlan = Now + PlanEvery;
     plan(Now);
+    const Duration Rest = PlanTimeShare * (EventLoop::now() - Now);
+    m_NextPlan = Now + std::max<Duration>(PlanEvery, Rest);
+    // Sooner when requests wait for it, where plans are short.
+    m_PlanFrom = Now + std::max<Duration>(0us, Rest - TickEvery);
   }
   tellChanges();
 }
@@ -275,12 +283,23 @@
   // What an engine says before the former holder's last order may change.
   if (Now < m_FormerOrdersUntil)
     return;
-  for (auto &[Id, Each] : m_Engines) {
-    const EngineLedger &Ledger = Each.m_Ledger;
-    if (!Each.m_ReportAsked && Ledger.needsReport() &&
-        !Ledger.waitsForAnswer() && Now >= Each.m_NextReport)
+  auto Asked = static_cast<std::size_t>(
+      std::count_if(m_Engines.begin(), m_Engines.end(), [](const auto &Each) {
+        return Each.second.m_ReportAsked;
+      }));
+  // Engines that are under way first: those that are not known yet only hold
+  // up what might be planned there.
+  for (const bool Known : {true, false})
+    for (auto &[Id, Each] : m_Engines) {
+      const EngineLedger &Ledger = Each.m_Ledger;
+      const bool Due = Ledger.known() == Known && !Each.m_ReportAsked &&
+                       Ledger.needsReport() && !Ledger.waitsForAnswer() &&
+                       Now >= Each.m_NextReport;
+      if (!Due || Asked >= MostReportsAsked)
+        continue;
+      ++Asked;
       askReport(Id, Each, Now);
-  }
+    }
 }
 
 void OrderGiver::askReport(const InstanceId &Id, ManagedEngine &Of,
@@ -669,18 +688,23 @@
   FleetContentsFrame Frame{.m_FencingToken = m_Claim.token(), .m_Engines = {}};
   const TimePoint Now = EventLoop::now();
   for (const auto &[Id, Each] : m_Engines)
-    if (giving() && Each.m_Ledger.known())
+    if (giving() && Each.m_Ledger.known() && Each.differsFrom(entryOf(Id), Now))
       Frame.m_Engines.push_back(Each.contents(Id, Now));
   return Frame;
 }
 
+/// Engines that are not listed are not kept.
+const UpstreamInstance &OrderGiver::entryOf(const InstanceId &Id) const {
+  return m_State.m_Upstreams.list().m_Instances.at(Id);
+}
+
 void OrderGiver::tellChanges() {
   const TimePoint Now = EventLoop::now();
   FleetContentsFrame Frame{.m_FencingToken = m_Claim.token(), .m_Engines = {}};
   for (auto &[Id, Each] : m_Engines) {
     if (!Each.m_Ledger.known())
       continue;
-    if (auto News = Each.takeNews(Id, Now))
+    if (auto News = Each.takeNews(entryOf(Id), Now))
       Frame.m_Engines.push_back(std::move(*News));
   }
   if (!Frame.m_Engines.empty())
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -127,6 +127,7 @@
   void orderAnswered(const UpstreamLife &Engine, const ResidencyOrder &Order,
                      LoadSource Source, OrderAnswer Answer);
   void settleLoad(const InstanceId &Id, const ManagedEngine &Of, TimePoint Now);
+  const UpstreamInstance &entryOf(const InstanceId &Id) const;
   void tellChanges();
   double busyPart(const std::string &Service, const ManagedEngine &Of,
                   const std::map<std::string, std::size_t> &Replicas,
@@ -148,6 +149,7 @@
   bool m_Expected = false; ///< Usual demand was told by replicas.
   TimePoint m_MayOrderFrom{};
   TimePoint m_NextPlan{};
+  TimePoint m_PlanFrom{}; ///< None before, whoever waits.
   TimePoint m_ClaimedAt{};
   /// Until when the holder before may have given orders.
   TimePoint m_FormerOrdersUntil{};
--- a/packages/gateway/process/PrefixMirror.cpp
+++ b/packages/gateway/process/PrefixMirror.cpp
@@ -122,6 +122,7 @@
   // different times would each take the other for behind, and both go on
   // reading.
   const bool First = std::exchange(m_At, Read.m_At) == 0;
+  m_Part = false;
   if (!First && Items == m_Items)
     return false;
   m_Items = std::move(Items);
@@ -153,12 +154,22 @@
 }
 
 bool PrefixMirror::adopt(const Delta &News) {
-  if (News.m_Revision <= m_At)
+  const bool OfOtherKind = News.m_Part != m_Part;
+  const bool Replaces =
+      News.m_Since == 0 && OfOtherKind && News.m_Revision >= m_At;
+  if (News.m_Revision <= m_At && !Replaces)
     return true;
-  if (News.m_Since > m_At)
+  if (News.m_Since > m_At || (News.m_Since > 0 && OfOtherKind))
     return false;
+  // Nothing has changed that this copy holds; with a long list this is most of
+  // what a leaf hears.
+  if (News.m_Since > 0 && News.m_Items.empty() && News.m_Gone.empty()) {
+    m_At = News.m_Revision;
+    return true;
+  }
   if (News.m_Since == 0)
     m_Items.clear();
+  m_Part = News.m_Part;
   for (const StoreItem &Item : News.m_Items)
     m_Items[Item.m_Key] = Item;
   for (const std::string &Key : News.m_Gone)
@@ -170,15 +181,22 @@
 }
 
 PrefixMirror::Delta PrefixMirror::whole() const {
-  Delta Result{.m_Since = 0, .m_Revision = m_At, .m_Items = {}, .m_Gone = {}};
+  Delta Result{.m_Since = 0,
+               .m_Revision = m_At,
+               .m_Part = m_Part,
+               .m_Items = {},
+               .m_Gone = {}};
   for (const auto &[Key, Item] : m_Items)
     Result.m_Items.push_back(Item);
   return Result;
 }
 
 PrefixMirror::Delta PrefixMirror::takeChanges() {
-  Delta Result{
-      .m_Since = m_TakenAt, .m_Revision = m_At, .m_Items = {}, .m_Gone = {}};
+  Delta Result{.m_Since = m_TakenAt,
+               .m_Revision = m_At,
+               .m_Part = m_Part,
+               .m_Items = {},
+               .m_Gone = {}};
   std::map<std::string, StoreRevision> Taken;
   for (const auto &[Key, Item] : m_Items) {
     const auto Before = m_Taken.find(Key);
--- a/packages/gateway/process/PrefixMirror.h
+++ b/packages/gateway/process/PrefixMirror.h
@@ -81,13 +81,17 @@
   struct Delta {
     StoreRevision m_Since = 0;
     StoreRevision m_Revision = 0;
+    bool m_Part = false; ///< Not all keys, but those that a leaf needs.
     std::vector<StoreItem> m_Items;
     std::vector<std::string> m_Gone;
   };
 
   /// Takes over what another process read. \returns false when something is
-  /// missing between this copy and \p News.
+  /// missing between this copy and \p News, or one is a part and the other is
+  /// not.
   bool adopt(const Delta &News);
+  /// Whether this copy holds only what a leaf needs.
+  bool part() const { return m_Part; }
   /// The whole copy.
   Delta whole() const;
   /// What has changed since the last call; the whole copy at the first.
@@ -127,6 +131,7 @@
   StoreRevision m_QuietTo = 0;
   TimePoint m_QuietAt{};
   CopySource m_Source = CopySource::None;
+  bool m_Part = false;
   bool m_Closely = false;
   TimePoint m_SentAt{};      ///< Of the call that is under way.
   Duration m_WaitSent = 0us; ///< How long that watch may wait.
--- a/packages/gateway/process/UpstreamRegistry.cpp
+++ b/packages/gateway/process/UpstreamRegistry.cpp
@@ -15,21 +15,34 @@
   return Result;
 }
 
+/// Both are in the order of their keys; what is the same stays in its place.
+void UpstreamRegistry::update(const std::map<std::string, StoreItem> &Items) {
+  auto Known = m_Known.begin();
+  for (const auto &[Key, Item] : Items) {
+    while (Known != m_Known.end() && Known->first < Key)
+      Known = m_Known.erase(Known);
+    if (Known == m_Known.end() || Known->first != Key)
+      Known = m_Known.emplace_hint(Known, Key, decode(Item));
+    else if (Known->second.m_Revision != Item.m_Revision)
+      Known->second = decode(Item);
+    ++Known;
+  }
+  m_Known.erase(Known, m_Known.end());
+}
+
 InstanceList
 UpstreamRegistry::read(const std::map<std::string, StoreItem> &Items,
-                       StoreRevision Revision) {
-  std::map<std::string, Decoded> Next;
-  InstanceList List{.m_Revision = Revision, .m_Instances = {}};
-  for (const auto &[Key, Item] : Items) {
-    const auto Before = m_Known.find(Key);
-    const bool Same =
-        Before != m_Known.end() && Before->second.m_Revision == Item.m_Revision;
-    Decoded Entry = Same ? std::move(Before->second) : decode(Item);
+                       StoreRevision Revision, const DataCentreMap &Map) {
+  update(Items);
+  std::vector<const UpstreamInstance *> Good;
+  Good.reserve(m_Known.size());
+  for (const auto &[Key, Entry] : m_Known)
     if (Entry.m_Good)
-      List.m_Instances.emplace(Entry.m_Instance.m_Id, Entry.m_Instance);
-    Next.emplace(Key, std::move(Entry));
-  }
-  m_Known = std::move(Next);
+      Good.push_back(&Entry.m_Instance);
+  m_Shortlist = Shortlist(Good, Map);
+  InstanceList List{.m_Revision = Revision, .m_Instances = {}};
+  for (const UpstreamInstance *Each : m_Shortlist.forAll())
+    List.m_Instances.emplace(Each->m_Id, *Each);
   return List;
 }
 
--- a/packages/gateway/process/UpstreamRegistry.h
+++ b/packages/gateway/process/UpstreamRegistry.h
@@ -3,6 +3,7 @@
 #ifndef HAVENSTAIR_GATEWAY_PROCESS_UPSTREAMREGISTRY_H
 #define HAVENSTAIR_GATEWAY_PROCESS_UPSTREAMREGISTRY_H
 
+#include "decisions/process/Shortlist.h"
 #include "decisions/process/UpstreamInstance.h"
 #include "gateway/process/CoordinationStore.h"
 #include <functional>
@@ -23,9 +24,15 @@
   UpstreamRegistry(Decode Decoder, DecisionLog &Log)
       : m_Decode(std::move(Decoder)), m_Log(Log) {}
 
-  /// The list that \p Items describe, as of \p Revision.
+  /// Takes over the list that \p Items describe. \returns its shortlist, as of
+  /// \p Revision.
   InstanceList read(const std::map<std::string, StoreItem> &Items,
-                    StoreRevision Revision);
+                    StoreRevision Revision, const DataCentreMap &Map);
+
+  /// Of the list that was last read.
+  const Shortlist &shortlist() const { return m_Shortlist; }
+  /// Entries of that list.
+  std::size_t size() const { return m_Known.size(); }
 
 private:
   struct Decoded {
@@ -35,10 +42,12 @@
   };
 
   Decoded decode(const StoreItem &Item);
+  void update(const std::map<std::string, StoreItem> &Items);
 
   Decode m_Decode;
   DecisionLog &m_Log;
-  std::map<std::string, Decoded> m_Known;
+  std::map<std::string, Decoded> m_Known; ///< By key.
+  Shortlist m_Shortlist;
 };
 
 } // namespace havenstair
--- a/tests/gateway/EntryTest.cpp
+++ b/tests/gateway/EntryTest.cpp
@@ -104,7 +104,7 @@
       const std::string Id = "i-" + std::to_string(Number);
       Items["servers/" + Id] = item(Id, dumpJson(goodEntry()), ++Revision);
     }
-    const InstanceList Before = Registry.read(Items, Revision);
+    const InstanceList Before = Registry.read(Items, Revision, {});
     RC_ASSERT(Before.m_Instances.size() == 4U);
     const std::string Bad = *rc::gen::element<std::string>(
         "i-0", "i-2", "another", "two words", "cr\r\nlf: x", "");
@@ -112,13 +112,13 @@
     InstanceList Expected = Before;
     Expected.m_Revision = Revision;
     Expected.m_Instances.erase(Bad);
-    RC_ASSERT(Registry.read(Items, Revision) == Expected);
+    RC_ASSERT(Registry.read(Items, Revision, {}) == Expected);
     if (!Before.m_Instances.contains(Bad))
       return;
     Items["servers/" + Bad] = item(Bad, dumpJson(goodEntry()), ++Revision);
     Expected = Before;
     Expected.m_Revision = Revision;
-    RC_ASSERT(Registry.read(Items, Revision) == Expected);
+    RC_ASSERT(Registry.read(Items, Revision, {}) == Expected);
   });
 }
 
@@ -144,7 +144,7 @@
     const std::map<std::string, StoreItem> Items{
         {"servers/bad", item("bad", Rubbish, 1)}};
     for (StoreRevision Revision = 1; Revision < 5; ++Revision)
-      REQUIRE(Registry.read(Items, Revision).m_Instances.empty());
+      REQUIRE(Registry.read(Items, Revision, {}).m_Instances.empty());
   }
   std::size_t Longest = 0;
   REQUIRE(linesOf(File, "bad_upstream", Longest) == 1);
--- a/tests/gateway/LargeFleetTest.cpp
+++ b/tests/gateway/LargeFleetTest.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <memory>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 using namespace havenstair;
@@ -18,7 +20,10 @@
   static constexpr std::size_t Boxes = 20;
   static constexpr std::size_t Strong = 3;
 
-  LargeFleetTest() {
+  /// With \p Engines listed, three models on each, before the boxes start.
+  explicit LargeFleetTest(int Engines = 0) {
+    for (int Number = 0; Number < Engines; ++Number)
+      listSilentEngine(Number);
     addRunner("i-1", [](const Request &Of, const ConnectionPtr &To) {
       To->write(StandinRunner::answer(Of, 200, "body"));
     });
@@ -46,6 +51,47 @@
         }));
   }
 
+  /// An engine that nobody has to reach.
+  void listSilentEngine(int Number) {
+    Json Models = Json::array();
+    for (int Step = 0; Step < 3; ++Step)
+      Models.push_back({{"name", "m-" + std::to_string((Number + Step) % 10)},
+                        {"adapterList", Json::array()}});
+    m_Store.put("servers/e-" + std::to_string(Number),
+                dumpJson({{"service", "llm"},
+                          {"address", "127.0.0.1:9"},
+                          {"zone", "a"},
+                          {"slots", 64},
+                          {"state", "ready"},
+                          {"version", "v1"},
+                          {"coldRemainingMs", 0},
+                          {"sequenceNumber", 1},
+                          {"modelList", std::move(Models)}}));
+  }
+
+  /// Each leaf knows as much as it is to know of \p Listed entries.
+  bool leavesKnow(std::size_t Listed) const {
+    return std::all_of(
+        m_Boxes.begin() + Strong, m_Boxes.end(), [&](const auto &Box) {
+          const InstanceList &List = Box->state().m_Upstreams.list();
+          return List.m_Instances.contains("i-1") &&
+                 List.m_Instances.size() >= std::min<std::size_t>(Listed, 40);
+        });
+  }
+
+  /// Bytes that all boxes have sent in frames of \p Kind.
+  std::uint64_t bytes(std::string_view Kind) const {
+    std::uint64_t Sum = 0;
+    for (const auto &Box : m_Boxes)
+      if (const auto Found = Box->sent().find(Kind); Found != Box->sent().end())
+        Sum += Found->second.m_Bytes;
+    return Sum;
+  }
+
+  std::size_t knownToLeaf() const {
+    return m_Boxes.back()->state().m_Upstreams.list().m_Instances.size();
+  }
+
   std::vector<std::unique_ptr<Gateway>> m_Boxes;
 
 private:
@@ -124,3 +170,45 @@
     REQUIRE(Test.until([&] { return Test.watching() == 1; }));
   }
 }
+
+TEST_CASE("What leaves know and are told does not grow with the list",
+          "[gateway][fleet]") {
+  const auto Measure = [](int Engines) {
+    LargeFleetTest Test(Engines);
+    REQUIRE(Test.until(
+        [&] { return Test.leavesKnow(static_cast<std::size_t>(Engines)); }));
+    const std::uint64_t Before = Test.bytes("fleet_keys");
+    // A change of one entry, which every leaf hears of.
+    Test.addRunner("i-2", [](const Request &, const ConnectionPtr &) {});
+    REQUIRE(Test.until([&] {
+      return std::all_of(
+          Test.m_Boxes.begin(), Test.m_Boxes.end(), [](const auto &Box) {
+            return Box->state().m_Upstreams.current().contains("i-2");
+          });
+    }));
+    return std::pair(Test.knownToLeaf(), Test.bytes("fleet_keys") - Before);
+  };
+  const auto [KnownOfFew, BytesOfFew] = Measure(600);
+  const auto [KnownOfMany, BytesOfMany] = Measure(2400);
+  // Ten models with sixteen replicas each at most, of three on an engine.
+  REQUIRE(KnownOfFew <= 162);
+  REQUIRE(KnownOfMany <= 162);
+  REQUIRE(BytesOfMany <= 2 * BytesOfFew);
+}
+
+TEST_CASE("A leaf that becomes a relay learns the whole list",
+          "[gateway][fleet]") {
+  constexpr int Engines = 600;
+  LargeFleetTest Test(Engines);
+  REQUIRE(Test.until([&] { return Test.leavesKnow(Engines); }));
+  REQUIRE(Test.knownToLeaf() < Engines);
+  const auto Listed = [&](std::size_t Number) {
+    return Test.m_Boxes[Number]->listedUpstreams() == Engines + 1;
+  };
+  // The next boxes by name are relays once the strong ones are gone.
+  for (std::size_t Number = 0; Number < LargeFleetTest::Strong; ++Number)
+    Test.m_Boxes[Number].reset();
+  const auto Next = LargeFleetTest::Strong;
+  REQUIRE_FALSE(Listed(Next));
+  REQUIRE(Test.until([&] { return Listed(Next); }));
+}
--- a/tests/gateway/ManagedEngineTest.cpp
+++ b/tests/gateway/ManagedEngineTest.cpp
@@ -23,19 +23,21 @@
 TEST_CASE("Boxes are told when a load serves, by how slow the store is",
           "[orders]") {
   ManagedEngine Engine = loading(1.5);
+  UpstreamInstance Entry;
+  Entry.m_Id = "e";
   const EngineContents Contents = Engine.contents("e", at(1s));
   REQUIRE(Contents.m_Loading == "m");
   REQUIRE(Contents.m_ServesIn == 5s);
   SECTION("it is told once") {
-    REQUIRE(Engine.takeNews("e", at(1s)));
-    REQUIRE_FALSE(Engine.takeNews("e", at(2s)));
+    REQUIRE(Engine.takeNews(Entry, at(1s)));
+    REQUIRE_FALSE(Engine.takeNews(Entry, at(2s)));
   }
   SECTION("it is overdue, and expected soon") {
-    Engine.takeNews("e", at(5s));
+    Engine.takeNews(Entry, at(5s));
     Engine.expectOverdue(at(5s));
-    REQUIRE_FALSE(Engine.takeNews("e", at(5s)));
+    REQUIRE_FALSE(Engine.takeNews(Entry, at(5s)));
     Engine.expectOverdue(at(6s));
-    const auto News = Engine.takeNews("e", at(6s));
+    const auto News = Engine.takeNews(Entry, at(6s));
     REQUIRE(News);
     REQUIRE(News->m_ServesIn > 0us);
     REQUIRE(News->m_ServesIn <= 1s);
@@ -69,3 +71,32 @@
   REQUIRE(Fresh(at(15s)) == std::set<std::string>{"kept"});
   REQUIRE(Fresh(at(16s)).empty());
 }
+
+TEST_CASE("What the list tells of an engine is not told again", "[orders]") {
+  ManagedEngine Engine;
+  ResidencyReport Report;
+  Report.m_Models = {{.m_Name = "m", .m_Adapters = {}}};
+  Engine.m_Ledger.heard(Report, at(0s));
+  UpstreamInstance Entry;
+  Entry.m_Id = "e";
+  SECTION("at no time while they say the same") {
+    Entry.m_Models = Report.m_Models;
+    REQUIRE_FALSE(Engine.differsFrom(Entry, at(0s)));
+    for (const Duration Later : {0s, 4s, 8s})
+      REQUIRE_FALSE(Engine.takeNews(Entry, at(Later)));
+  }
+  SECTION("but what it does not tell, as boxes may have missed it") {
+    REQUIRE(Engine.differsFrom(Entry, at(0s)));
+    REQUIRE(Engine.takeNews(Entry, at(0s)));
+    REQUIRE_FALSE(Engine.takeNews(Entry, at(1s)));
+    REQUIRE(Engine.takeNews(Entry, at(4s)));
+  }
+  SECTION("and each change, though the list already tells it") {
+    Entry.m_Models = Report.m_Models;
+    REQUIRE_FALSE(Engine.takeNews(Entry, at(0s)));
+    Report.m_Models.clear();
+    Engine.m_Ledger.heard(Report, at(1s));
+    Entry.m_Models.clear();
+    REQUIRE(Engine.takeNews(Entry, at(1s)));
+  }
+}
--- a/tests/gateway/OrderTest.cpp
+++ b/tests/gateway/OrderTest.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
+#include <vector>
 
 using namespace havenstair;
 
@@ -144,3 +146,43 @@
   REQUIRE(Answer.m_Status == 503);
   REQUIRE_FALSE(findHeader(Answer.m_Headers, "Retry-After").empty());
 }
+
+TEST_CASE("However many engines there are, few are asked for reports at a time",
+          "[gateway][orders]") {
+  constexpr std::size_t Engines = 300;
+  constexpr std::size_t MostAtOnce = 64;
+  GatewayTest Test;
+  std::vector<std::pair<Request, ConnectionPtr>> Waiting;
+  Test.addRunner("i-0", [&](const Request &Of, const ConnectionPtr &To) {
+    Waiting.emplace_back(Of, To);
+  });
+  // All at one address: each is asked by its own call.
+  for (std::size_t Number = 0; Number < Engines; ++Number) {
+    const std::string Id = "i-" + std::to_string(Number);
+    Json Entry = parseJson(Test.m_Store.value("servers/i-0"));
+    Entry["service"] = "llm";
+    Entry["modelList"] =
+        Json::array({{{"name", "m-" + std::to_string(Number % 50)},
+                      {"adapterList", Json::array()}}});
+    Test.m_Store.put("servers/" + Id, dumpJson(Entry));
+  }
+  Test.configureEngines(Test.route("llm", "unsafe"), Json::array());
+  Test.startGateway();
+  REQUIRE(Test.until([&] { return Waiting.size() == MostAtOnce; }));
+  Test.wait(300ms);
+  REQUIRE(Waiting.size() == MostAtOnce);
+  // Each answer makes room for the next.
+  std::size_t Answered = 0;
+  REQUIRE(Test.until([&] {
+    for (auto &[Of, To] : std::exchange(Waiting, {})) {
+      To->write(
+          StandinRunner::answer(Of, 200,
+                                dumpJson({{"sequenceNumber", 0},
+                                          {"born", 0},
+                                          {"utilization", false},
+                                          {"modelList", Json::array()}})));
+      ++Answered;
+    }
+    return Answered >= Engines;
+  }));
+}
--- a/tests/gateway/PrefixMirrorTest.cpp
+++ b/tests/gateway/PrefixMirrorTest.cpp
@@ -95,3 +95,52 @@
     REQUIRE(Store.m_After.back() == 30);
   }
 }
+
+TEST_CASE("A part of a list is never taken for the whole, nor continued by it",
+          "[gateway][mirror]") {
+  EventLoop Loop;
+  HeldStore Store;
+  PrefixMirror Mirror(Loop, Store, {.m_Prefix = "p"}, {.m_Changed = [] {}});
+  const auto News = [](StoreRevision Since, StoreRevision To, bool Part,
+                       const std::string &Key) {
+    return PrefixMirror::Delta{.m_Since = Since,
+                               .m_Revision = To,
+                               .m_Part = Part,
+                               .m_Items = {{.m_Key = Key, .m_Value = "1"}},
+                               .m_Gone = {}};
+  };
+  REQUIRE(Mirror.adopt(News(0, 5, true, "p/a")));
+  REQUIRE(Mirror.part());
+  SECTION("changes of the other kind are missing what they change") {
+    REQUIRE_FALSE(Mirror.adopt(News(5, 6, false, "p/b")));
+    REQUIRE(Mirror.items().size() == 1);
+    REQUIRE(Mirror.adopt(News(5, 6, true, "p/b")));
+    REQUIRE(Mirror.items().size() == 2);
+  }
+  SECTION("and a change elsewhere only makes it newer") {
+    int Changes = 0;
+    PrefixMirror Other(Loop, Store, {.m_Prefix = "p"},
+                       {.m_Changed = [&] { ++Changes; }});
+    REQUIRE(Other.adopt(News(0, 5, true, "p/a")));
+    REQUIRE(Other.adopt({.m_Since = 5, .m_Revision = 6, .m_Part = true}));
+    REQUIRE(Other.revision() == 6);
+    REQUIRE(Changes == 1);
+  }
+  SECTION("the whole one takes its place, also as of the same revision") {
+    REQUIRE(Mirror.adopt(News(0, 5, false, "p/b")));
+    REQUIRE_FALSE(Mirror.part());
+    REQUIRE(Mirror.items().contains("p/b"));
+    REQUIRE(Mirror.items().size() == 1);
+  }
+  SECTION("but not an older one") {
+    REQUIRE(Mirror.adopt(News(0, 4, false, "p/b")));
+    REQUIRE(Mirror.part());
+  }
+  SECTION("and what is read from the store is whole") {
+    Mirror.readOnce(ReadKind::Current);
+    Store.m_Reads.front()({.m_Status = StoreStatus::Ok,
+                           .m_Items = {{.m_Key = "p/a", .m_Value = "1"}},
+                           .m_At = 6});
+    REQUIRE_FALSE(Mirror.part());
+  }
+}
