Leaves have a new configuration from their relay, compressed

Cause: each of 986 boxes read each version from the store, stale and then current; a leaf that started watched it as well until it had heard of a relay. Ruled out: pushing it to all (half a megabyte fills a small link for seconds): a leaf asks, a relay with a busy link does not answer, and after 200 ms the leaf reads the store. Test: 17 leaves make less than half as many reads of a new version as they are, and still learn it when their relays are gone.

--- a/packages/gateway/process/Fleet.cpp
+++ b/packages/gateway/process/Fleet.cpp
@@ -210,6 +210,13 @@
   return m_Mesh.queued(To) > SlowFromBytes;
 }
 
+bool Fleet::busy() const {
+  std::size_t Queued = 0;
+  for (const BoxName &Each : m_Linked)
+    Queued += m_Mesh.queued(Each);
+  return Queued > SlowFromBytes;
+}
+
 void Fleet::sendAll(const PeerFrame &Frame) {
   const std::set<BoxName> All = m_Linked;
   for (const BoxName &Each : All)
--- a/packages/gateway/process/Fleet.h
+++ b/packages/gateway/process/Fleet.h
@@ -70,6 +70,8 @@
   /// Whether so much waits to be sent to \p To that a state which will be told
   /// anew had better wait, too.
   bool slow(const BoxName &To) const;
+  /// The same over all links of this box.
+  bool busy() const;
   /// Whether \p Box, which is linked, understands \p Protocol.
   bool understands(const BoxName &Box, PeerProtocol Protocol) const {
     return m_Mesh.protocolOf(Box) >= Protocol;
--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -55,6 +55,8 @@
 /// two copies at once take twice as long.
 constexpr Duration AskPeerAfter = 400ms;
 constexpr Duration AskPeerWhileReading = 1s;
+/// A digest later the box tries the store.
+constexpr Duration UplinkAnswers = 200ms;
 /// Doubled with each time, as a copy that this box cannot read never helps.
 constexpr Duration LeastAskPause = 400ms;
 constexpr Duration MostAskPause = 6400ms;
@@ -113,21 +115,22 @@
   m_ToldAsOf = Now - Frame.m_ListAge;
 }
 
-/// Made once for all relays that ask for it at one time.
-const EncodedFrame &ListFollower::wholeList() {
-  const PrefixMirror &List = m_Of.m_Upstreams;
-  if (!m_WholeList || m_WholeList->m_At != List.revision())
-    m_WholeList = {.m_At = List.revision(),
-                   .m_Frame = EncodedFrame(keysFrame(List, List.whole()))};
-  return m_WholeList->m_Frame;
+/// Made once for all boxes that ask for it at one time.
+const EncodedFrame &ListFollower::whole(const PrefixMirror &Of) {
+  const auto Known = m_WholeCopies.find(Of.prefix());
+  if (Known != m_WholeCopies.end() && Known->second.m_At == Of.revision())
+    return Known->second.m_Frame;
+  WholeCopy Copy{.m_At = Of.revision(),
+                 .m_Frame = EncodedFrame(keysFrame(Of, Of.whole()))};
+  return m_WholeCopies.insert_or_assign(Of.prefix(), std::move(Copy))
+      .first->second.m_Frame;
 }
 
 void ListFollower::tellWhole(const BoxName &To) {
   if (!m_Of.m_Upstreams.part())
-    m_Of.m_Fleet.send(To, wholeList());
+    m_Of.m_Fleet.send(To, whole(m_Of.m_Upstreams));
   if (m_FollowEvacuations)
-    m_Of.m_Fleet.send(
-        To, keysFrame(m_Of.m_Evacuations, m_Of.m_Evacuations.whole()));
+    m_Of.m_Fleet.send(To, whole(m_Of.m_Evacuations));
 }
 
 /// How long ago this box's copies were the store's state, whoever read it.
@@ -259,8 +262,8 @@
     const bool Reachable =
         Topology.relay() || m_Of.m_Upstreams.confirmedAt() >= Now - LeafGather;
     // A small fleet learns of a configuration sooner than by way of others.
-    follow(m_Of.m_Config,
-           (Relayed || !Reachable) && HasConfig && !Topology.flat());
+    follow(m_Of.m_Config, (Relayed || !Reachable) && !Topology.flat() &&
+                              (HasConfig || asksUplink()));
   }
   watchClosely();
   if (Now - age(Now) - m_ToldAsOf >= MuchNewer)
@@ -321,6 +324,8 @@
   }
   if (Frame.m_Config > m_ToldConfig.m_Version)
     noteTold(From, Frame.m_Config, Now);
+  if (waitsForUplink(From, Now))
+    return;
   readConfig(Now);
   const bool Reading = m_Of.m_Config.reading();
   const Duration Patience = Reading ? AskPeerWhileReading : AskPeerAfter;
@@ -332,6 +337,28 @@
   m_Of.m_Fleet.send(From, want());
 }
 
+/// Whether the uplink of this box, a leaf, sends its configuration, compressed:
+/// hundreds of leaves that read each version from the store make more calls
+/// than all else that a fleet does.
+bool ListFollower::asksUplink() const {
+  const BoxName Uplink = m_Hooks.m_TowardsGiver();
+  return !m_Of.m_Fleet.topology().relay() && !Uplink.empty() &&
+         m_Of.m_Fleet.understands(Uplink, PackingProtocol);
+}
+
+/// Asks the uplink for the configuration. \returns whether it may yet answer.
+bool ListFollower::waitsForUplink(const BoxName &From, TimePoint Now) {
+  if (From != m_Hooks.m_TowardsGiver() || !asksUplink() ||
+      m_Of.m_Config.running())
+    return false;
+  // Each newer version is asked for at once, and none twice.
+  if (m_ConfigAskedFor != m_ToldConfig.m_Version) {
+    m_ConfigAskedFor = m_ToldConfig.m_Version;
+    m_Of.m_Fleet.send(From, want());
+  }
+  return Now - m_ConfigBehindSince < UplinkAnswers;
+}
+
 void ListFollower::noteTold(const BoxName &By, ConfigVersion Version,
                             TimePoint Now) {
   m_ToldConfig = {.m_Version = Version, .m_By = By, .m_At = Now};
@@ -429,9 +456,12 @@
   const auto Tell = [&](const PrefixMirror &Mirror, std::uint64_t Held,
                         std::uint64_t Known) {
     if (Held > Known)
-      m_Of.m_Fleet.send(From, keysFrame(Mirror, Mirror.whole()));
+      m_Of.m_Fleet.send(From, whole(Mirror));
   };
-  Tell(m_Of.m_Config, Own.m_Config, Frame.m_Config);
+  // Those that get none read the store. Without this bound, half a megabyte for
+  // each leaf would fill a small relay's link for seconds.
+  if (!m_Of.m_Fleet.busy())
+    Tell(m_Of.m_Config, Own.m_Config, Frame.m_Config);
   if (Own.m_List > Frame.m_List)
     answerList(From);
   Tell(m_Of.m_Boxes, Own.m_Boxes, Frame.m_Boxes);
@@ -444,7 +474,7 @@
   if (m_Of.m_Upstreams.part())
     return;
   if (Topology.flat() || Topology.isRelay(From))
-    m_Of.m_Fleet.send(From, wholeList());
+    m_Of.m_Fleet.send(From, whole(m_Of.m_Upstreams));
   else if (Topology.relay())
     m_Hooks.m_TellLeaf(From);
 }
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -13,7 +13,6 @@
 #include <array>
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
 
 namespace havenstair {
@@ -125,8 +124,10 @@
   TimePoint vouchedAsOf(const BoxName &Box) const;
   bool vouches(const BoxName &Box, TimePoint Now) const;
   bool listsBehind(const FleetWantFrame &Newest) const;
-  const EncodedFrame &wholeList();
+  const EncodedFrame &whole(const PrefixMirror &Of);
   void answerList(const BoxName &From);
+  bool asksUplink() const;
+  bool waitsForUplink(const BoxName &From, TimePoint Now);
   bool lacksWhole() const;
   bool followsUplink() const;
   void watchClosely();
@@ -149,21 +150,22 @@
   Parts m_Of;
   Options m_Opts;
   Hooks m_Hooks;
-  /// The whole list of upstreams, for those that ask for it.
-  struct WholeList {
+  /// A whole copy, for those that ask for it.
+  struct WholeCopy {
     StoreRevision m_At = 0;
     EncodedFrame m_Frame;
   };
-  std::optional<WholeList> m_WholeList;
+  std::map<std::string, WholeCopy> m_WholeCopies; ///< By prefix.
   std::map<BoxName, ListWord> m_ListWords;
   BoxName m_ListSource; ///< The box whose lists this one follows.
   TimePoint m_ToldAsOf =
       EventLoop::now(); ///< As of when this box last vouched for its lists.
   TimePoint m_StartedAt = EventLoop::now();
   ToldConfig m_ToldConfig;
-  TimePoint m_ConfigBehindSince{}; ///< Told of a version that it lacks.
-  TimePoint m_ConfigAskedAt{};     ///< When another box was asked for its copy.
-  Duration m_AskPause{};           ///< Until it may be asked again.
+  TimePoint m_ConfigBehindSince{};    ///< Told of a version that it lacks.
+  ConfigVersion m_ConfigAskedFor = 0; ///< The last one, of the uplink.
+  TimePoint m_ConfigAskedAt{}; ///< When another box was asked for its copy.
+  Duration m_AskPause{};       ///< Until it may be asked again.
   ConfigVersion m_ConfigReadFor = 0; ///< The last one that made it read.
   TimePoint m_ConfigReadAt{}; ///< When it was last read on another box's word.
   TimePoint m_ListReadAt{};   ///< When it was read anew on another box's word.
--- a/tests/standin/StandinStore.cpp
+++ b/tests/standin/StandinStore.cpp
@@ -99,6 +99,7 @@
   constexpr std::size_t PageSize = 2;
   const std::string Prefix = Exchange->queryValue("pathPrefix");
   const std::string After = Exchange->queryValue("after");
+  ++m_Reads[Prefix];
   Json Items = Json::array();
   bool More = false;
   for (const auto &[Key, Each] : m_Items) {
--- a/tests/standin/StandinStore.h
+++ b/tests/standin/StandinStore.h
@@ -51,6 +51,11 @@
     const auto Found = m_WaitedOut.find(Prefix);
     return Found == m_WaitedOut.end() ? 0 : Found->second;
   }
+  /// Reads of \p Prefix, each page by itself.
+  std::size_t reads(const std::string &Prefix) const {
+    const auto Found = m_Reads.find(Prefix);
+    return Found == m_Reads.end() ? 0 : Found->second;
+  }
   /// Watches of \p Prefix that wait now.
   std::size_t watches(const std::string &Prefix) const;
 
@@ -98,6 +103,7 @@
   std::map<std::uint64_t, Lease> m_Leases;
   std::list<Watch> m_Watches;
   std::map<std::string, std::size_t> m_WaitedOut; ///< Watches by prefix.
+  std::map<std::string, std::size_t> m_Reads;     ///< By prefix.
   std::uint64_t m_Revision = 1;
   std::uint64_t m_NextLease = 100;
   std::size_t m_Calls = 0;
