Leaves hear at once of what leaves, and of the rest after a rest

Change: LeafLists tells at once only when an upstream leaves that leaves know, else after 1 ms for each entry; relays gather changes for 0.1 ms an entry, up to a second; a leaf computes no shortlist of its shortlist and no changes for nobody; a log line names 16 upstreams at most.

--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -118,6 +118,8 @@
   // revision. Boxes that hear of it only by digest would ask for all of it.
   if (m_Of.m_Upstreams.revision() != m_ListToldAt)
     upstreamsChanged();
+  else
+    newsToLeaves(false);
   ServingState &State = m_Of.m_State;
   FleetDigestFrame Frame = word(Now);
   Frame.m_Demand = std::exchange(State.m_Demand, {});
@@ -157,6 +159,9 @@
     // The next one says all that this one would.
     if (m_Of.m_Fleet.slow(Name))
       continue;
+    // What may wait is not there yet, as far as leaves are concerned.
+    Frame.m_List = m_LeafLists.toldAt(m_Of.m_Fleet.dataCentreOf(Name))
+                       .value_or(m_Of.m_Upstreams.revision());
     Frame.m_LoadsApart = m_Of.m_Fleet.understands(Name, PackingProtocol);
     Frame.m_Loads.clear();
     if (!Frame.m_LoadsApart)
@@ -237,10 +242,12 @@
 
 void FleetExchange::upstreamsChanged() {
   m_ListToldAt = m_Of.m_Upstreams.revision();
+  if (!m_Of.m_Fleet.topology().relay())
+    return;
   const PrefixMirror::Delta News = m_Of.m_Upstreams.takeChanges();
   if (readsForOthers(m_Of.m_Upstreams))
     toRelays(ListFollower::keysFrame(m_Of.m_Upstreams, News));
-  newsToLeaves();
+  newsToLeaves(false);
 }
 
 /// Always all of them: they are few, and one that a box missed would stand for
@@ -263,34 +270,37 @@
   toLeaves(Frame);
 }
 
-DataCentreName FleetExchange::dataCentreOf(const BoxName &Leaf) const {
-  return m_Of.m_Fleet.dataCentreOf(Leaf);
-}
-
-void FleetExchange::newsToLeaves() {
+/// \p All: at once, also what might wait.
+void FleetExchange::newsToLeaves(bool All) {
+  const PrefixMirror &List = m_Of.m_Upstreams;
   // A part of the list would pass for the whole one.
-  if (m_Leaves.empty() || m_Of.m_Upstreams.part())
+  if (m_Leaves.empty() || List.part())
     return m_LeafLists.clear();
-  std::map<DataCentreName, EncodedFrame> News;
+  const Shortlist &Of = m_Of.m_Registry.shortlist();
+  const TimePoint Now = EventLoop::now();
+  std::map<DataCentreName, std::optional<EncodedFrame>> News;
   const std::map<BoxName, Leaf> Leaves = m_Leaves;
   for (const auto &[Name, Each] : Leaves) {
-    const DataCentreName At = dataCentreOf(Name);
+    const DataCentreName At = m_Of.m_Fleet.dataCentreOf(Name);
     auto Found = News.find(At);
     if (Found == News.end())
-      Found =
-          News.emplace(At, m_LeafLists.takeNews(At, m_Of.m_Upstreams,
-                                                m_Of.m_Registry.shortlist()))
-              .first;
-    m_Of.m_Fleet.send(Name, Found->second);
+      Found = News.emplace(At, All ? m_LeafLists.takeAllNews(At, List, Of, Now)
+                                   : m_LeafLists.takeNews(At, List, Of, Now))
+                  .first;
+    if (Found->second)
+      m_Of.m_Fleet.send(Name, *Found->second);
   }
 }
 
 void FleetExchange::tellLeaf(const BoxName &Leaf) {
-  if (m_Of.m_Upstreams.part() || m_Of.m_Upstreams.revision() == 0)
+  const PrefixMirror &List = m_Of.m_Upstreams;
+  if (List.part() || List.revision() == 0)
     return;
-  m_Of.m_Fleet.send(Leaf,
-                    m_LeafLists.whole(dataCentreOf(Leaf), m_Of.m_Upstreams,
-                                      m_Of.m_Registry.shortlist()));
+  // What comes next goes on from the same for all.
+  newsToLeaves(true);
+  m_Of.m_Fleet.send(Leaf, m_LeafLists.whole(m_Of.m_Fleet.dataCentreOf(Leaf),
+                                            List, m_Of.m_Registry.shortlist(),
+                                            EventLoop::now()));
 }
 
 // To whom.
@@ -415,7 +425,11 @@
   // Told to the other relays as part of this box's own demand.
   for (const auto &[Key, Demand] : Frame.m_Demand)
     State.m_Demand[Key] += Demand;
-  if (New && m_Of.m_Giver.giving())
+  if (!New)
+    return;
+  // It may come from a relay that has told it more than this one its leaves.
+  newsToLeaves(true);
+  if (m_Of.m_Giver.giving())
     m_Of.m_Fleet.send(From, m_Of.m_Giver.contents());
 }
 
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -81,9 +81,8 @@
   void tellBox(const BoxName &To, FleetDigestFrame Frame);
   void toRelays(const PeerFrame &Frame);
   void toLeaves(const PeerFrame &Frame);
-  void newsToLeaves();
+  void newsToLeaves(bool All);
   void tellLeaf(const BoxName &Leaf);
-  DataCentreName dataCentreOf(const BoxName &Leaf) const;
   bool readsForOthers(const PrefixMirror &Mirror) const;
   void passOn(const PrefixMirror &Mirror, const PrefixMirror::Delta &News);
   void dropSilentLeaves(TimePoint Now);
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -45,6 +45,9 @@
 /// Callers' connections may rest longer than the callers themselves use them.
 constexpr Duration IdleMargin = 10s;
 
+/// Upstreams named in one log line.
+constexpr std::size_t MostLogged = 16;
+
 /// Tells one start of a box from another.
 constexpr std::size_t NameBytes = 3;
 
@@ -424,14 +427,21 @@
   m_Forwarder.releaseEarly();
 }
 
+InstanceList Gateway::readUpstreams() {
+  const PrefixMirror &List = m_UpstreamMirror;
+  return List.part() ? m_Registry.readShortlist(List.items(), List.revision())
+                     : m_Registry.read(List.items(), List.revision(),
+                                       m_State.m_DataCentres);
+}
+
 void Gateway::upstreamsChanged() {
-  std::vector<InstanceId> Gone;
-  for (const UpstreamInstance &Each : m_State.m_Upstreams.update(
-           m_Registry.read(m_UpstreamMirror.items(),
-                           m_UpstreamMirror.revision(), m_State.m_DataCentres),
-           EventLoop::now())) {
+  const std::vector<UpstreamInstance> Gone =
+      m_State.m_Upstreams.update(readUpstreams(), EventLoop::now());
+  Json Names = Json::array();
+  for (const UpstreamInstance &Each : Gone) {
     m_State.forget(Each.m_Id);
-    Gone.push_back(Each.m_Id);
+    if (Names.size() < MostLogged)
+      Names.push_back(Each.m_Id);
     // Connections that were kept ended with it; nothing may be sent on them.
     if (const auto Address = Endpoint::parse(Each.m_Address);
         Address && m_State.m_Upstreams.list().m_Instances.contains(Each.m_Id))
@@ -444,7 +454,8 @@
                {"listed", m_Registry.size()},
                {"known", m_State.m_Upstreams.list().m_Instances.size()},
                {"tell_birth", m_State.m_Upstreams.tellingBirth()},
-               {"gone", Gone}});
+               {"gone", std::move(Names)},
+               {"all_gone", Gone.size()}});
   m_Exchange.upstreamsChanged();
   m_Giver.upstreamsChanged();
   m_Forwarder.upstreamsChanged();
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -77,6 +77,7 @@
   void configChanged();
   bool takeConfig(const StoreItem &Item);
   void logConfig(const ServingConfig &Read, StoreRevision Revision);
+  InstanceList readUpstreams();
   void upstreamsChanged();
   void evacuationsChanged();
   void endEvacuations();
--- a/packages/gateway/process/LeafLists.cpp
+++ b/packages/gateway/process/LeafLists.cpp
@@ -1,70 +1,110 @@
 #include "gateway/process/LeafLists.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace havenstair {
 
-std::map<std::string, StoreRevision>
-LeafLists::keys(const Shortlist::Chosen &Of, const PrefixMirror &List) {
-  std::map<std::string, StoreRevision> Result;
+namespace {
+
+/// A leaf goes through all that it knows at each change, some 20 us for an
+/// entry: with this rest that is 2 % of a core.
+constexpr Duration RestForEntry = 1ms;
+
+} // namespace
+
+LeafLists::Keys LeafLists::keys(const Shortlist::Chosen &Of,
+                                const PrefixMirror &List) {
+  Keys Result;
   for (const UpstreamInstance *Each : Of) {
-    const std::string Key = List.prefix() + Each->m_Id;
-    Result.emplace(Key, List.items().at(Key).m_Revision);
+    const std::string Name = List.prefix() + Each->m_Id;
+    Result.emplace(Name, Key{.m_Revision = List.items().at(Name).m_Revision,
+                             .m_Draining = Each->m_Draining});
   }
   return Result;
 }
 
-EncodedFrame LeafLists::takeNews(const DataCentreName &DataCentre,
-                                 const PrefixMirror &List,
-                                 const Shortlist &Of) {
-  Told &Before = m_Lists[DataCentre];
+/// Whether an upstream that is known has left or begins to.
+bool LeafLists::urgent(const Keys &Before, const Keys &Now,
+                       const PrefixMirror &List) {
+  return std::any_of(Before.begin(), Before.end(), [&](const auto &Each) {
+    const auto Known = Now.find(Each.first);
+    return Known == Now.end()
+               ? !List.items().contains(Each.first)
+               : Known->second.m_Draining && !Each.second.m_Draining;
+  });
+}
+
+EncodedFrame LeafLists::take(Told &Of, Keys Now, const PrefixMirror &List,
+                             TimePoint When) {
   FleetKeysFrame Frame{.m_Prefix = List.prefix(),
-                       .m_Since = Before.m_At,
+                       .m_Since = Of.m_At,
                        .m_Revision = List.revision(),
                        .m_Part = true,
                        .m_Items = {},
                        .m_Gone = {}};
-  Told Now{.m_At = List.revision(),
-           .m_Keys = keys(Of.forDataCentre(DataCentre), List),
-           .m_Whole = std::nullopt};
-  for (const auto &[Key, Revision] : Now.m_Keys) {
-    const auto Known = Before.m_Keys.find(Key);
-    if (Known == Before.m_Keys.end() || Known->second != Revision)
-      Frame.m_Items.push_back({.m_Key = Key,
-                               .m_Value = List.items().at(Key).m_Value,
-                               .m_Revision = Revision});
+  for (const auto &[Name, Each] : Now) {
+    const auto Known = Of.m_Keys.find(Name);
+    if (Known == Of.m_Keys.end() || Known->second.m_Revision != Each.m_Revision)
+      Frame.m_Items.push_back({.m_Key = Name,
+                               .m_Value = List.items().at(Name).m_Value,
+                               .m_Revision = Each.m_Revision});
   }
-  for (const auto &[Key, Revision] : Before.m_Keys)
-    if (!Now.m_Keys.contains(Key))
-      Frame.m_Gone.push_back(Key);
-  Before = std::move(Now);
+  for (const auto &[Name, Each] : Of.m_Keys)
+    if (!Now.contains(Name))
+      Frame.m_Gone.push_back(Name);
+  Of = {.m_At = List.revision(),
+        .m_When = When,
+        .m_Keys = std::move(Now),
+        .m_Whole = std::nullopt};
   return EncodedFrame(Frame);
 }
 
+std::optional<EncodedFrame>
+LeafLists::takeNews(const DataCentreName &DataCentre, const PrefixMirror &List,
+                    const Shortlist &Of, TimePoint Now) {
+  const auto Found = m_Lists.find(DataCentre);
+  if (Found == m_Lists.end() || Found->second.m_At == List.revision())
+    return std::nullopt;
+  Told &Known = Found->second;
+  Keys Next = keys(Of.forDataCentre(DataCentre), List);
+  const auto Entries = static_cast<Duration::rep>(Next.size());
+  const bool Rested = Now - Known.m_When >= Entries * RestForEntry;
+  if (!Rested && !urgent(Known.m_Keys, Next, List))
+    return std::nullopt;
+  return take(Known, std::move(Next), List, Now);
+}
+
+std::optional<EncodedFrame>
+LeafLists::takeAllNews(const DataCentreName &DataCentre,
+                       const PrefixMirror &List, const Shortlist &Of,
+                       TimePoint Now) {
+  const auto Found = m_Lists.find(DataCentre);
+  if (Found == m_Lists.end() || Found->second.m_At == List.revision())
+    return std::nullopt;
+  return take(Found->second, keys(Of.forDataCentre(DataCentre), List), List,
+              Now);
+}
+
 const EncodedFrame &LeafLists::whole(const DataCentreName &DataCentre,
                                      const PrefixMirror &List,
-                                     const Shortlist &Of) {
+                                     const Shortlist &Of, TimePoint Now) {
   Told &Known = m_Lists[DataCentre];
-  if (Known.m_At != List.revision()) {
-    m_Lists.erase(DataCentre);
-    // All is news to one who knows nothing.
-    EncodedFrame All = takeNews(DataCentre, List, Of);
-    return m_Lists.at(DataCentre).m_Whole.emplace(std::move(All));
-  }
   if (!Known.m_Whole) {
-    FleetKeysFrame Frame{.m_Prefix = List.prefix(),
-                         .m_Since = 0,
-                         .m_Revision = Known.m_At,
-                         .m_Part = true,
-                         .m_Items = {},
-                         .m_Gone = {}};
-    for (const auto &[Key, Revision] : Known.m_Keys)
-      Frame.m_Items.push_back({.m_Key = Key,
-                               .m_Value = List.items().at(Key).m_Value,
-                               .m_Revision = Revision});
-    Known.m_Whole.emplace(Frame);
+    // All is news to one who knows nothing.
+    Known = Told();
+    EncodedFrame All =
+        take(Known, keys(Of.forDataCentre(DataCentre), List), List, Now);
+    Known.m_Whole.emplace(std::move(All));
   }
   return *Known.m_Whole;
 }
 
+std::optional<StoreRevision>
+LeafLists::toldAt(const DataCentreName &DataCentre) const {
+  const auto Found = m_Lists.find(DataCentre);
+  return Found == m_Lists.end() ? std::nullopt
+                                : std::optional(Found->second.m_At);
+}
+
 } // namespace havenstair
--- a/packages/gateway/process/LeafLists.h
+++ b/packages/gateway/process/LeafLists.h
@@ -3,6 +3,7 @@
 #ifndef HAVENSTAIR_GATEWAY_PROCESS_LEAFLISTS_H
 #define HAVENSTAIR_GATEWAY_PROCESS_LEAFLISTS_H
 
+#include "decisions/common/Time.h"
 #include "decisions/process/Shortlist.h"
 #include "gateway/process/PrefixMirror.h"
 #include "wire/connection/EncodedFrame.h"
@@ -18,25 +19,46 @@
 /// for all leaves of a data centre.
 class LeafLists {
 public:
-  /// The list has become \p List, of which \p Of is the shortlist. \returns
-  /// what has changed for the leaves of \p DataCentre.
-  EncodedFrame takeNews(const DataCentreName &DataCentre,
-                        const PrefixMirror &List, const Shortlist &Of);
-  /// All keys for the leaves of \p DataCentre, in the same list.
+  /// The list is \p List, of which \p Of is the shortlist. \returns what has
+  /// changed for the leaves of \p DataCentre, when it is time to tell them: at
+  /// once when an upstream leaves that they know, otherwise after a rest that
+  /// grows with what they take up each time.
+  std::optional<EncodedFrame> takeNews(const DataCentreName &DataCentre,
+                                       const PrefixMirror &List,
+                                       const Shortlist &Of, TimePoint Now);
+  /// The same at any time; none when nothing was ever told.
+  std::optional<EncodedFrame> takeAllNews(const DataCentreName &DataCentre,
+                                          const PrefixMirror &List,
+                                          const Shortlist &Of, TimePoint Now);
+  /// All keys for the leaves of \p DataCentre. They must have been told all
+  /// news: what comes next goes on from it.
   const EncodedFrame &whole(const DataCentreName &DataCentre,
-                            const PrefixMirror &List, const Shortlist &Of);
+                            const PrefixMirror &List, const Shortlist &Of,
+                            TimePoint Now);
+  /// Revision of the list that the leaves of \p DataCentre were told; none
+  /// before.
+  std::optional<StoreRevision> toldAt(const DataCentreName &DataCentre) const;
   /// No leaves are left.
   void clear() { m_Lists.clear(); }
 
 private:
+  struct Key {
+    StoreRevision m_Revision = 0;
+    bool m_Draining = false;
+  };
+  using Keys = std::map<std::string, Key>;
   struct Told {
     StoreRevision m_At = 0;
-    std::map<std::string, StoreRevision> m_Keys;
+    TimePoint m_When{};
+    Keys m_Keys;
     std::optional<EncodedFrame> m_Whole; ///< As of m_At, once it was asked for.
   };
 
-  static std::map<std::string, StoreRevision> keys(const Shortlist::Chosen &Of,
-                                                   const PrefixMirror &List);
+  static Keys keys(const Shortlist::Chosen &Of, const PrefixMirror &List);
+  static bool urgent(const Keys &Before, const Keys &Now,
+                     const PrefixMirror &List);
+  EncodedFrame take(Told &Of, Keys Now, const PrefixMirror &List,
+                    TimePoint When);
 
   std::map<DataCentreName, Told> m_Lists;
 };
--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -33,9 +33,11 @@
 constexpr RetryPauses RelayRetry{.m_First = 100ms, .m_Cap = 1s};
 constexpr RetryPauses LeafRetry{.m_First = 500ms, .m_Cap = 5s};
 
-/// Changes of the list that come together cost one call. Engines change their
-/// entries all the time, and a leaf reads only while no relay does.
+/// Changes of the list that come together cost one call, and one pass over all
+/// of its entries. Engines change their entries all the time, and a leaf reads
+/// only while no relay does.
 constexpr Duration RelayGather = 200ms;
+constexpr Duration RelayGatherForEntry = 100us;
 constexpr Duration LeafGather = 1s;
 
 /// A box that has come to know much newer lists tells of it at once: the boxes
@@ -89,7 +91,6 @@
   const bool Relay = m_Of.m_Fleet.topology().relay();
   for (PrefixMirror *Each : all())
     Each->setRetry(Relay ? RelayRetry : LeafRetry);
-  m_Of.m_Upstreams.setGather(Relay ? RelayGather : LeafGather);
   choose();
 }
 
@@ -245,8 +246,18 @@
   return Other == m_ListWords.end() ? First : Other->first;
 }
 
+Duration ListFollower::gather() const {
+  if (!m_Of.m_Fleet.topology().relay())
+    return LeafGather;
+  const auto Entries =
+      static_cast<Duration::rep>(m_Of.m_Upstreams.items().size());
+  return std::clamp<Duration>(Entries * RelayGatherForEntry, RelayGather,
+                              LeafGather);
+}
+
 void ListFollower::choose() {
   const TimePoint Now = EventLoop::now();
+  m_Of.m_Upstreams.setGather(gather());
   m_ListSource = listSource(Now);
   const bool Relayed = !m_Of.m_Giver.giving() && vouches(m_ListSource, Now);
   const FleetTopology &Topology = m_Of.m_Fleet.topology();
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -123,6 +123,7 @@
   /// As of when \p Box vouches for this box's copy.
   TimePoint vouchedAsOf(const BoxName &Box) const;
   bool vouches(const BoxName &Box, TimePoint Now) const;
+  Duration gather() const;
   bool listsBehind(const FleetWantFrame &Newest) const;
   const EncodedFrame &whole(const PrefixMirror &Of);
   void answerList(const BoxName &From);
--- a/packages/gateway/process/UpstreamRegistry.cpp
+++ b/packages/gateway/process/UpstreamRegistry.cpp
@@ -4,6 +4,17 @@
 
 namespace havenstair {
 
+namespace {
+
+InstanceList listOf(const Shortlist::Chosen &Of, StoreRevision Revision) {
+  InstanceList Result{.m_Revision = Revision, .m_Instances = {}};
+  for (const UpstreamInstance *Each : Of)
+    Result.m_Instances.emplace(Each->m_Id, *Each);
+  return Result;
+}
+
+} // namespace
+
 UpstreamRegistry::Decoded UpstreamRegistry::decode(const StoreItem &Item) {
   Decoded Result{.m_Revision = Item.m_Revision, .m_Instance = {}};
   try {
@@ -30,20 +41,29 @@
   m_Known.erase(Known, m_Known.end());
 }
 
+std::vector<const UpstreamInstance *> UpstreamRegistry::good() const {
+  std::vector<const UpstreamInstance *> Result;
+  Result.reserve(m_Known.size());
+  for (const auto &[Key, Entry] : m_Known)
+    if (Entry.m_Good)
+      Result.push_back(&Entry.m_Instance);
+  return Result;
+}
+
 InstanceList
 UpstreamRegistry::read(const std::map<std::string, StoreItem> &Items,
                        StoreRevision Revision, const DataCentreMap &Map) {
   update(Items);
-  std::vector<const UpstreamInstance *> Good;
-  Good.reserve(m_Known.size());
-  for (const auto &[Key, Entry] : m_Known)
-    if (Entry.m_Good)
-      Good.push_back(&Entry.m_Instance);
-  m_Shortlist = Shortlist(Good, Map);
-  InstanceList List{.m_Revision = Revision, .m_Instances = {}};
-  for (const UpstreamInstance *Each : m_Shortlist.forAll())
-    List.m_Instances.emplace(Each->m_Id, *Each);
-  return List;
+  m_Shortlist = Shortlist(good(), Map);
+  return listOf(m_Shortlist.forAll(), Revision);
+}
+
+InstanceList
+UpstreamRegistry::readShortlist(const std::map<std::string, StoreItem> &Items,
+                                StoreRevision Revision) {
+  m_Shortlist = Shortlist();
+  update(Items);
+  return listOf(good(), Revision);
 }
 
 } // namespace havenstair
--- a/packages/gateway/process/UpstreamRegistry.h
+++ b/packages/gateway/process/UpstreamRegistry.h
@@ -28,6 +28,9 @@
   /// \p Revision.
   InstanceList read(const std::map<std::string, StoreItem> &Items,
                     StoreRevision Revision, const DataCentreMap &Map);
+  /// The same for a list that is a shortlist; it has none of its own then.
+  InstanceList readShortlist(const std::map<std::string, StoreItem> &Items,
+                             StoreRevision Revision);
 
   /// Of the list that was last read.
   const Shortlist &shortlist() const { return m_Shortlist; }
@@ -43,6 +46,7 @@
 
   Decoded decode(const StoreItem &Item);
   void update(const std::map<std::string, StoreItem> &Items);
+  std::vector<const UpstreamInstance *> good() const;
 
   Decode m_Decode;
   DecisionLog &m_Log;
