A report tells of its own engine only

Cause: as an order giver takes over, each of a thousand reports made it look at all engines for news (perf: tellChanges and below it the most of its time). Change: the engine of the report alone; each tick still looks at all.

--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -341,7 +341,7 @@
       Entry != m_State.m_Upstreams.list().m_Instances.end())
     if (const EngineSpec *Spec = specOf(Entry->second.m_Service))
       advance(Id, Of, *Spec, Now);
-  tellChanges();
+  tellChange(Id, Of);
 }
 
 void OrderGiver::advanceTasks(TimePoint Now) {
@@ -698,15 +698,28 @@
   return m_State.m_Upstreams.list().m_Instances.at(Id);
 }
 
+void OrderGiver::takeNews(const InstanceId &Id, ManagedEngine &Of,
+                          TimePoint Now, FleetContentsFrame &Frame) {
+  if (!Of.m_Ledger.known())
+    return;
+  if (auto News = Of.takeNews(entryOf(Id), Now))
+    Frame.m_Engines.push_back(std::move(*News));
+}
+
 void OrderGiver::tellChanges() {
   const TimePoint Now = EventLoop::now();
   FleetContentsFrame Frame{.m_FencingToken = m_Claim.token(), .m_Engines = {}};
-  for (auto &[Id, Each] : m_Engines) {
-    if (!Each.m_Ledger.known())
-      continue;
-    if (auto News = Each.takeNews(entryOf(Id), Now))
-      Frame.m_Engines.push_back(std::move(*News));
-  }
+  for (auto &[Id, Each] : m_Engines)
+    takeNews(Id, Each, Now, Frame);
+  if (!Frame.m_Engines.empty())
+    m_Hooks.m_Contents(Frame);
+}
+
+/// Reports come by the hundred: were all engines looked at for each, a box
+/// would do nothing else as it takes over.
+void OrderGiver::tellChange(const InstanceId &Id, ManagedEngine &Of) {
+  FleetContentsFrame Frame{.m_FencingToken = m_Claim.token(), .m_Engines = {}};
+  takeNews(Id, Of, EventLoop::now(), Frame);
   if (!Frame.m_Engines.empty())
     m_Hooks.m_Contents(Frame);
 }
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -128,7 +128,10 @@
                      LoadSource Source, OrderAnswer Answer);
   void settleLoad(const InstanceId &Id, const ManagedEngine &Of, TimePoint Now);
   const UpstreamInstance &entryOf(const InstanceId &Id) const;
+  void takeNews(const InstanceId &Id, ManagedEngine &Of, TimePoint Now,
+                FleetContentsFrame &Frame);
   void tellChanges();
+  void tellChange(const InstanceId &Id, ManagedEngine &Of);
   double busyPart(const std::string &Service, const ManagedEngine &Of,
                   const std::map<std::string, std::size_t> &Replicas,
                   TimePoint Now) const;
