--- a/tests/gateway/LeafListsTest.cpp
+++ b/tests/gateway/LeafListsTest.cpp
@@ -39,14 +39,14 @@
     for (int Number = 0; Number < Engines; ++Number)
       put(Number, "ready");
     change();
-    tell(m_Lists.whole(Here, m_List, m_Registry.shortlist(), at(0s)));
+    tell(m_Lists.whole(m_Here, m_List, m_Registry.shortlist(), at(0s)));
   }
 
   void put(int Number, const std::string &State) {
     const Json Value{
         {"service", "llm"},
         {"address", "127.0.0.1:9"},
-        {"zone", Here.str()},
+        {"zone", m_Here.str()},
         {"slots", 64},
         {"state", State},
         {"version", "v1"},
@@ -75,7 +75,7 @@
   /// \returns whether the leaf was told something at \p Now.
   bool news(TimePoint Now) {
     const auto News =
-        m_Lists.takeNews(Here, m_List, m_Registry.shortlist(), Now);
+        m_Lists.takeNews(m_Here, m_List, m_Registry.shortlist(), Now);
     if (News)
       tell(*News);
     return News.has_value();
@@ -86,7 +86,7 @@
   }
 
   static constexpr int Engines = 60;
-  const DataCentreName Here{"a"};
+  const DataCentreName m_Here{"a"};
   EventLoop m_Loop;
   NoStore m_Store;
   DecisionLog m_Log;
@@ -144,7 +144,7 @@
       Test.change();
       REQUIRE_FALSE(Test.news(at(10ms)));
     }
-    REQUIRE(Test.m_Lists.toldAt(Test.Here) == Test.m_Leaf.revision());
+    REQUIRE(Test.m_Lists.toldAt(Test.m_Here) == Test.m_Leaf.revision());
     REQUIRE(Test.news(at(1s)));
     REQUIRE_FALSE(Test.news(at(1s)));
     REQUIRE(Test.m_Leaf.revision() == Test.m_List.revision());
