A long list is not older for being gathered; what was known of a copy stays true

Change: the pause after news is at most 0.5 s and taken off the wait; the age of the list goes by the latest that was ever known of the copy; an uplink fails by that.

--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -38,6 +38,7 @@
 /// only while no relay does.
 constexpr Duration RelayGather = 200ms;
 constexpr Duration RelayGatherForEntry = 100us;
+constexpr Duration MostRelayGather = 500ms;
 constexpr Duration LeafGather = 1s;
 
 /// A box that has come to know much newer lists tells of it at once: the boxes
@@ -136,12 +137,18 @@
 
 /// How long ago this box's copies were the store's state, whoever read it.
 Duration ListFollower::age(TimePoint Now) const {
-  TimePoint At = std::min(knownAsOf(m_Of.m_Upstreams), configAsOf());
+  TimePoint At = std::min(listAsOf(), configAsOf());
   if (m_FollowEvacuations)
     At = std::min(At, evacuationsAsOf());
   return std::min<Duration>(NoListAge, Now - At);
 }
 
+/// A copy only ever becomes newer: what was once known of it stays true, also
+/// while this box begins to read it and knows nothing by itself yet.
+TimePoint ListFollower::listAsOf() const {
+  return std::max(m_ListAsOf, knownAsOf(m_Of.m_Upstreams));
+}
+
 TimePoint ListFollower::knownAsOf(const PrefixMirror &Mirror) const {
   return Mirror.running() ? Mirror.confirmedAt() : vouchedAsOf(m_ListSource);
 }
@@ -252,12 +259,13 @@
   const auto Entries =
       static_cast<Duration::rep>(m_Of.m_Upstreams.items().size());
   return std::clamp<Duration>(Entries * RelayGatherForEntry, RelayGather,
-                              LeafGather);
+                              MostRelayGather);
 }
 
 void ListFollower::choose() {
   const TimePoint Now = EventLoop::now();
   m_Of.m_Upstreams.setGather(gather());
+  m_ListAsOf = listAsOf();
   m_ListSource = listSource(Now);
   const bool Relayed = !m_Of.m_Giver.giving() && vouches(m_ListSource, Now);
   const FleetTopology &Topology = m_Of.m_Fleet.topology();
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -117,6 +117,7 @@
 
 private:
   Duration age(TimePoint Now) const;
+  TimePoint listAsOf() const;
   TimePoint knownAsOf(const PrefixMirror &Mirror) const;
   Duration mostListAge() const;
   BoxName listSource(TimePoint Now) const;
@@ -158,7 +159,8 @@
   };
   std::map<std::string, WholeCopy> m_WholeCopies; ///< By prefix.
   std::map<BoxName, ListWord> m_ListWords;
-  BoxName m_ListSource; ///< The box whose lists this one follows.
+  TimePoint m_ListAsOf{}; ///< The latest that was known of this box's copy.
+  BoxName m_ListSource;   ///< The box whose lists this one follows.
   TimePoint m_ToldAsOf =
       EventLoop::now(); ///< As of when this box last vouched for its lists.
   TimePoint m_StartedAt = EventLoop::now();
--- a/packages/gateway/process/PrefixMirror.cpp
+++ b/packages/gateway/process/PrefixMirror.cpp
@@ -13,6 +13,9 @@
 /// missed, or the store says that it is forgotten and it is read.
 constexpr Duration Settle = 2s;
 
+/// The pause after news that the ages which boxes bear allow for.
+constexpr Duration UsualGather = 200ms;
+
 } // namespace
 
 const char *toString(CopySource Of) {
@@ -136,8 +139,12 @@
   constexpr Duration LeastWait = 100ms;
   if (!m_Closely && m_Opts.m_Wait > CloseWait)
     return m_Opts.m_Wait;
-  return std::clamp<Duration>(CloseWait - (Now - m_ConfirmedAt), LeastWait,
-                              CloseWait);
+  // A longer pause after news is taken off the wait: the copy would be older
+  // than others bear before they read themselves.
+  const Duration Longest =
+      CloseWait - std::max<Duration>(0us, m_Opts.m_Gather - UsualGather);
+  return std::clamp<Duration>(Longest - (Now - m_ConfirmedAt), LeastWait,
+                              std::max(LeastWait, Longest));
 }
 
 void PrefixMirror::watch() {
