Adapters that requests wait for are planned by themselves, engines by their models

Change: what is awaited is planned without copies, at a fifth of the time by its own measure; adapters look at the holders of their model only; shares of engines are worked out once for each model.

--- a/packages/decisions/process/AdapterPlanner.cpp
+++ b/packages/decisions/process/AdapterPlanner.cpp
@@ -10,11 +10,13 @@
 public:
   AdapterPlan(const std::vector<AdapterEngine> &Engines,
               const std::map<AdapterKey, double> &Rates, const EngineSpec &Spec)
-      : m_Engines(Engines), m_Rates(Rates), m_Spec(Spec) {
+      : m_Rates(Rates), m_Spec(Spec) {
     for (const AdapterEngine &Engine : Engines)
-      for (const ResidentModel &Model : Engine.m_Ledger->models())
+      for (const ResidentModel &Model : Engine.m_Ledger->models()) {
+        m_Holders[Model.m_Name].push_back(&Engine);
         for (const std::string &Adapter : Model.m_Adapters)
           ++m_Copies[{Model.m_Name, Adapter}];
+      }
   }
 
   double rate(const AdapterKey &Key) const {
@@ -29,10 +31,10 @@
 
   /// Whether a copy is on its way somewhere.
   bool coming(const AdapterKey &Key) const {
-    return std::any_of(m_Engines.begin(), m_Engines.end(),
-                       [&](const AdapterEngine &Each) {
-                         return Each.m_Ledger->coming(Key.first, Key.second);
-                       });
+    const Holders &Of = holders(Key.first);
+    return std::any_of(Of.begin(), Of.end(), [&](const AdapterEngine *Each) {
+      return Each->m_Ledger->coming(Key.first, Key.second);
+    });
   }
 
   /// Plans the load of \p Key, or the unload that makes room for it.
@@ -42,15 +44,15 @@
         .m_Load = true, .m_Model = Key.first, .m_Adapter = Key.second};
     const AdapterEngine *Free = nullptr;
     const AdapterEngine *Full = nullptr;
-    for (const AdapterEngine &Each : m_Engines) {
-      if (m_Taken.contains(Each.m_Id) || Each.m_Retiring.contains(Key.first) ||
-          !Each.m_Ledger->holds(Key.first) ||
-          Each.m_Ledger->holds(Key.first, Key.second))
+    for (const AdapterEngine *Each : holders(Key.first)) {
+      if (m_Taken.contains(Each->m_Id) ||
+          Each->m_Retiring.contains(Key.first) ||
+          Each->m_Ledger->holds(Key.first, Key.second))
         continue;
-      const bool Fits = Each.m_Ledger->allows(Load, m_Spec);
+      const bool Fits = Each->m_Ledger->allows(Load, m_Spec);
       const AdapterEngine *&Best = Fits ? Free : Full;
-      if (Best == nullptr || Each.m_Busy < Best->m_Busy)
-        Best = &Each;
+      if (Best == nullptr || Each->m_Busy < Best->m_Busy)
+        Best = Each;
     }
     if (Free != nullptr)
       return take(*Free, Load);
@@ -60,6 +62,16 @@
   std::vector<AdapterMove> moves() && { return std::move(m_Moves); }
 
 private:
+  using Holders = std::vector<const AdapterEngine *>;
+
+  /// Engines that hold \p Model, in their order. An adapter goes to no other,
+  /// and comes to no other.
+  const Holders &holders(const std::string &Model) const {
+    static const Holders None;
+    const auto Found = m_Holders.find(Model);
+    return Found == m_Holders.end() ? None : Found->second;
+  }
+
   bool take(const AdapterEngine &At, ResidencyOrder Order) {
     m_Taken.insert(At.m_Id);
     m_Moves.push_back({.m_Engine = At.m_Id, .m_Order = std::move(Order)});
@@ -89,7 +101,7 @@
     return rate(Key) / std::max(1, copies(Key));
   }
 
-  const std::vector<AdapterEngine> &m_Engines;
+  std::map<std::string, Holders> m_Holders;
   const std::map<AdapterKey, double> &m_Rates;
   const EngineSpec &m_Spec;
   std::map<AdapterKey, int> m_Copies;
@@ -108,6 +120,8 @@
   for (const AdapterKey &Key : Missing)
     if (Plan.copies(Key) == 0 && !Plan.coming(Key))
       Plan.place(Key, [](const AdapterKey &) { return true; });
+  if (!Opts.m_Copies)
+    return std::move(Plan).moves();
   std::vector<std::pair<double, AdapterKey>> Wanted;
   for (const auto &[Key, Rate] : Rates) {
     const double PerCopy = Rate / std::max(1, Plan.copies(Key));
--- a/packages/decisions/process/AdapterPlanner.h
+++ b/packages/decisions/process/AdapterPlanner.h
@@ -43,6 +43,8 @@
   double m_RateWhenFree = 0.05;
   /// An adapter makes way only for one that is wanted this many times more.
   double m_SwapFactor = 3;
+  /// Whether more copies are planned than what requests wait for.
+  bool m_Copies = true;
 };
 
 /// The next order for each engine at most. Adapters in \p Missing are waited
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -162,14 +162,20 @@
     tickSoon(true);
 }
 
-/// In the next pass of the loop, once for all that ask for it by then; the
-/// first of them says whether a plan is made.
+/// In the next pass of the loop, once for all that ask for it by then, or as
+/// soon as a plan may be made when one is wanted.
 void OrderGiver::tickSoon(bool Plan) {
+  TimePoint At = EventLoop::now();
+  if (Plan) {
+    // A whole plan may take long in a large fleet. What requests wait for is
+    // planned by itself meanwhile.
+    m_NextPlan = std::max(At, m_PlanFrom);
+    m_AwaitedSoon = true;
+    At = std::max(At, std::min(m_PlanFrom, m_AwaitedFrom));
+  }
   if (std::exchange(m_TickSoon, true))
     return;
-  if (Plan)
-    m_NextPlan = std::max(EventLoop::now(), m_PlanFrom);
-  m_Loop.defer([this] {
+  m_SoonTimer = m_Loop.after(At - EventLoop::now(), [this] {
     m_TickSoon = false;
     tick();
   });
@@ -217,10 +223,13 @@
   advanceTasks(Now);
   if (Now >= m_NextPlan) {
     plan(Now);
-    const Duration Rest = PlanTimeShare * (EventLoop::now() - Now);
-    m_NextPlan = Now + std::max<Duration>(PlanEvery, Rest);
-    // Sooner when requests wait for it, where plans are short.
-    m_PlanFrom = Now + std::max<Duration>(0us, Rest - TickEvery);
+    m_PlanFrom = Now + PlanTimeShare * (EventLoop::now() - Now);
+    m_NextPlan = std::max(m_PlanFrom, Now + PlanEvery);
+    m_AwaitedSoon = false;
+  } else if (m_AwaitedSoon && Now >= m_AwaitedFrom) {
+    m_AwaitedSoon = false;
+    planAwaited(Now);
+    m_AwaitedFrom = Now + PlanTimeShare * (EventLoop::now() - Now);
   }
   tellChanges();
 }
@@ -507,23 +516,48 @@
   tickSoon(!Order.m_Adapter.empty());
 }
 
+bool OrderGiver::mayPlan(TimePoint Now) const {
+  // Engines that start together appear one after the other.
+  return mayOrder(Now) && m_State.knowsAll() && Now - m_GrewAt >= SettleFor;
+}
+
+/// Adapters that requests wait for: they arrive in some milliseconds.
+void OrderGiver::planAwaited(TimePoint Now) {
+  if (!mayPlan(Now))
+    return;
+  AdapterOptions Awaited = m_Opts.m_Adapters;
+  Awaited.m_Copies = false;
+  for (const ServiceSpec &Service : m_State.m_Config->m_Services)
+    if (Service.m_Engine)
+      planAdapterMoves(Service.m_Name, *Service.m_Engine, Awaited, Now);
+}
+
 void OrderGiver::plan(TimePoint Now) {
   std::erase_if(m_Missing, [&](const auto &Each) {
     return Now - Each.second.m_Last > MissingCounts ||
            resident(Each.first.m_Model, Each.first.m_Adapter);
   });
-  // Engines that start together appear one after the other.
-  if (!mayOrder(Now) || !m_State.knowsAll() || Now - m_GrewAt < SettleFor)
+  if (!mayPlan(Now))
     return;
   countFormerLoads(Now);
   expectByReplicas(Now);
   for (const ServiceSpec &Service : m_State.m_Config->m_Services)
     if (Service.m_Engine) {
       planModels(Service.m_Name, *Service.m_Engine, Now);
-      planAdapterMoves(Service.m_Name, *Service.m_Engine, Now);
+      planAdapterMoves(Service.m_Name, *Service.m_Engine, m_Opts.m_Adapters,
+                       Now);
     }
 }
 
+std::map<AdapterKey, double>
+OrderGiver::adapterRates(const std::string &Service, TimePoint Now) const {
+  std::map<AdapterKey, double> Result;
+  for (const auto &[Key, Rate] : m_Rates.rates(Now))
+    if (Key.m_Service == Service && !Key.m_Adapter.empty())
+      Result[{Key.m_Model, Key.m_Adapter}] = Rate.m_Requests;
+  return Result;
+}
+
 /// Before demand is known, replicas beyond the first tell of it: whoever placed
 /// them, the operators or another order giver, expected it there.
 void OrderGiver::expectByReplicas(TimePoint Now) {
@@ -616,17 +650,15 @@
   }
 }
 
-double OrderGiver::busyPart(const std::string &Service, const ManagedEngine &Of,
-                            const std::map<std::string, std::size_t> &Replicas,
-                            TimePoint Now) const {
-  double Sum = 0;
-  for (const ResidentModel &Model : Of.m_Ledger.models()) {
-    const ModelDemand Rate = m_Rates.rate({Service, Model.m_Name, ""}, Now);
-    // Of holds it, so it is among them.
-    const auto Count = static_cast<double>(Replicas.at(Model.m_Name));
-    Sum += Rate.m_WorkMs / 1000 / Count;
+/// The part of its time that a replica of each model takes of an engine.
+std::map<std::string, double>
+OrderGiver::replicaShares(const std::string &Service, TimePoint Now) const {
+  std::map<std::string, double> Result;
+  for (const auto &[Model, Count] : replicas()) {
+    const ModelDemand Rate = m_Rates.rate({Service, Model, ""}, Now);
+    Result[Model] = Rate.m_WorkMs / 1000 / static_cast<double>(Count);
   }
-  return Sum;
+  return Result;
 }
 
 bool OrderGiver::evacuated(const InstanceId &Id) const {
@@ -653,18 +685,19 @@
 }
 
 void OrderGiver::planAdapterMoves(const std::string &Service,
-                                  const EngineSpec &Spec, TimePoint Now) {
-  const std::map<std::string, std::size_t> Replicas = replicas();
+                                  const EngineSpec &Spec,
+                                  const AdapterOptions &Opts, TimePoint Now) {
+  const std::map<std::string, double> Shares = replicaShares(Service, Now);
   std::vector<AdapterEngine> Engines;
   for (const auto &[Id, Each] : m_Engines) {
-    const UpstreamInstance &Entry =
-        m_State.m_Upstreams.list().m_Instances.at(Id);
+    const UpstreamInstance &Entry = entryOf(Id);
     if (Entry.m_Service != Service || m_State.m_Upstreams.leaves(Entry) ||
         !Each.m_Ledger.known())
       continue;
-    Engines.push_back(Each.forAdapters(Id,
-                                       busyPart(Service, Each, Replicas, Now),
-                                       m_Opts.m_AdapterStays, Now));
+    double Busy = 0;
+    for (const ResidentModel &Model : Each.m_Ledger.models())
+      Busy += Shares.at(Model.m_Name);
+    Engines.push_back(Each.forAdapters(Id, Busy, m_Opts.m_AdapterStays, Now));
   }
   std::vector<std::pair<TimePoint, AdapterKey>> Waiting;
   for (const auto &[Key, Since] : m_Missing)
@@ -674,12 +707,8 @@
   std::vector<AdapterKey> Missing;
   for (const auto &[Since, Key] : Waiting)
     Missing.push_back(Key);
-  std::map<AdapterKey, double> Rates;
-  for (const auto &[Key, Rate] : m_Rates.rates(Now))
-    if (Key.m_Service == Service && !Key.m_Adapter.empty())
-      Rates[{Key.m_Model, Key.m_Adapter}] = Rate.m_Requests;
   for (const AdapterMove &Move :
-       planAdapters(Engines, Missing, Rates, Spec, m_Opts.m_Adapters))
+       planAdapters(Engines, Missing, adapterRates(Service, Now), Spec, Opts))
     give(Move.m_Engine, m_Engines.at(Move.m_Engine), Move.m_Order,
          LoadSource::Disk, Now);
 }
--- a/packages/gateway/process/OrderGiver.h
+++ b/packages/gateway/process/OrderGiver.h
@@ -114,6 +114,8 @@
   void advanceTasks(TimePoint Now);
   void advance(const InstanceId &Id, ManagedEngine &Of, const EngineSpec &Spec,
                TimePoint Now);
+  bool mayPlan(TimePoint Now) const;
+  void planAwaited(TimePoint Now);
   void plan(TimePoint Now);
   void countFormerLoads(TimePoint Now);
   void expectByReplicas(TimePoint Now);
@@ -121,7 +123,9 @@
   void planModels(const std::string &Service, const EngineSpec &Spec,
                   TimePoint Now);
   void planAdapterMoves(const std::string &Service, const EngineSpec &Spec,
-                        TimePoint Now);
+                        const AdapterOptions &Opts, TimePoint Now);
+  std::map<AdapterKey, double> adapterRates(const std::string &Service,
+                                            TimePoint Now) const;
   bool give(const InstanceId &Id, ManagedEngine &To,
             const ResidencyOrder &Order, LoadSource Source, TimePoint Now);
   void orderAnswered(const UpstreamLife &Engine, const ResidencyOrder &Order,
@@ -132,9 +136,8 @@
                 FleetContentsFrame &Frame);
   void tellChanges();
   void tellChange(const InstanceId &Id, ManagedEngine &Of);
-  double busyPart(const std::string &Service, const ManagedEngine &Of,
-                  const std::map<std::string, std::size_t> &Replicas,
-                  TimePoint Now) const;
+  std::map<std::string, double> replicaShares(const std::string &Service,
+                                              TimePoint Now) const;
   bool evacuated(const InstanceId &Id) const;
   bool resident(const std::string &Model, const std::string &Adapter) const;
   /// Engines that hold each model, but for evacuated ones.
@@ -152,7 +155,9 @@
   bool m_Expected = false; ///< Usual demand was told by replicas.
   TimePoint m_MayOrderFrom{};
   TimePoint m_NextPlan{};
-  TimePoint m_PlanFrom{}; ///< None before, whoever waits.
+  TimePoint m_PlanFrom{};    ///< None before, whoever waits.
+  TimePoint m_AwaitedFrom{}; ///< The same for what requests wait for.
+  bool m_AwaitedSoon = false;
   TimePoint m_ClaimedAt{};
   /// Until when the holder before may have given orders.
   TimePoint m_FormerOrdersUntil{};
@@ -166,6 +171,7 @@
   ShortageLog m_Shortage;
   StoreSlowness m_StoreSlowness;
   Timer m_Timer;
+  Timer m_SoonTimer;
   bool m_TickSoon = false;
 };
 
--- a/tests/decisions/process/AdapterPlannerTest.cpp
+++ b/tests/decisions/process/AdapterPlannerTest.cpp
@@ -94,3 +94,18 @@
   Engines[0].m_Retiring.clear();
   REQUIRE(planAdapters(Engines, {{"other", "a1"}}, {}, spec(2), {}).empty());
 }
+
+TEST_CASE("Only what requests wait for may be planned, by the same worth",
+          "[adapters]") {
+  const EngineLedger A = ledger({"a2", "a3"}), B = ledger({});
+  const std::vector<AdapterEngine> Engines{{.m_Id = "a", .m_Ledger = &A},
+                                           {.m_Id = "b", .m_Ledger = &B}};
+  const std::map<AdapterKey, double> Rates{{{"m", "a2"}, 9},
+                                           {{"m", "a3"}, 0.1}};
+  AdapterOptions Awaited;
+  Awaited.m_Copies = false;
+  REQUIRE(planAdapters(Engines, {}, Rates, spec(2), Awaited).empty());
+  REQUIRE_FALSE(planAdapters(Engines, {}, Rates, spec(2), {}).empty());
+  REQUIRE(planAdapters({Engines.front()}, {{"m", "a1"}}, Rates, spec(2),
+                       Awaited) == std::vector{move("a", false, "a3")});
+}
