--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -203,8 +203,7 @@
 }
 
 bool ListFollower::uplinkFails(TimePoint Now) const {
-  return followsUplink() &&
-         Now - knownAsOf(m_Of.m_Upstreams) > mostListAge() + UplinkFailsAfter;
+  return followsUplink() && Now - listAsOf() > mostListAge() + UplinkFailsAfter;
 }
 
 FleetKeysFrame ListFollower::keysFrame(const PrefixMirror &Of,
@@ -365,7 +364,8 @@
          m_Of.m_Fleet.understands(Uplink, PackingProtocol);
 }
 
-/// Asks the uplink for the configuration. \returns whether it may yet answer.
+/// Asks the uplink, when \p From is that, for the configuration. \returns
+/// whether it may yet answer.
 bool ListFollower::waitsForUplink(const BoxName &From, TimePoint Now) {
   if (From != m_Hooks.m_TowardsGiver() || !asksUplink() ||
       m_Of.m_Config.running())
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -15,8 +15,9 @@
 constexpr Duration StandbyTickEvery = 150ms;
 constexpr Duration IdleTickEvery = 1s;
 constexpr Duration PlanEvery = 200ms;
-/// Plans take at most this part of the time, however many engines there are.
-constexpr int PlanTimeShare = 5;
+/// After a plan, this many times what it took passes before the next: plans of
+/// a large fleet would leave no time for anything else.
+constexpr int RestAfterPlan = 5;
 
 /// Time for all boxes to hear that a model retires.
 constexpr Duration RetireFor = 120ms;
@@ -223,13 +224,13 @@
   advanceTasks(Now);
   if (Now >= m_NextPlan) {
     plan(Now);
-    m_PlanFrom = Now + PlanTimeShare * (EventLoop::now() - Now);
+    m_PlanFrom = Now + RestAfterPlan * (EventLoop::now() - Now);
     m_NextPlan = std::max(m_PlanFrom, Now + PlanEvery);
     m_AwaitedSoon = false;
   } else if (m_AwaitedSoon && Now >= m_AwaitedFrom) {
     m_AwaitedSoon = false;
     planAwaited(Now);
-    m_AwaitedFrom = Now + PlanTimeShare * (EventLoop::now() - Now);
+    m_AwaitedFrom = Now + RestAfterPlan * (EventLoop::now() - Now);
   }
   tellChanges();
 }
