--- a/packages/decisions/process/LoadBook.cpp
+++ b/packages/decisions/process/LoadBook.cpp
@@ -86,12 +86,7 @@
   for (const auto &[Id, Load] : m_Last)
     if (!m_Own.contains(Id) && Load.m_PendingMs >= WorthTellingMs)
       Changes[Id] = {};
-  for (const auto &[Id, Load] : Changes) {
-    if (Load == InstanceLoad{})
-      m_Last.erase(Id);
-    else
-      m_Last[Id] = Load;
-  }
+  apply(Changes, m_Last);
   return Changes;
 }
 
--- a/packages/gateway/process/Fleet.cpp
+++ b/packages/gateway/process/Fleet.cpp
@@ -218,24 +218,27 @@
 }
 
 void Fleet::sendAll(const PeerFrame &Frame) {
+  const EncodedFrame Encoded(Frame);
   const std::set<BoxName> All = m_Linked;
   for (const BoxName &Each : All)
-    send(Each, Frame);
+    send(Each, Encoded);
 }
 
 void Fleet::sendRelays(const PeerFrame &Frame, const BoxName &But) {
+  const EncodedFrame Encoded(Frame);
   for (const BoxName &Each : linkedRelays())
     if (Each != But)
-      send(Each, Frame);
+      send(Each, Encoded);
 }
 
 void Fleet::sendLeaves(const PeerFrame &Frame) {
   if (m_Topology.flat())
     return;
+  const EncodedFrame Encoded(Frame);
   const std::set<BoxName> All = m_Linked;
   for (const BoxName &Each : All)
     if (!m_Topology.isRelay(Each))
-      send(Each, Frame);
+      send(Each, Encoded);
 }
 
 void Fleet::passOn(const PeerFrame &Frame, const BoxName &From) {
--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -172,8 +172,8 @@
   tellTotals(Now);
 }
 
-/// The same for all leaves, so that it is summed up and encoded once: for each
-/// by itself, 55 leaves took a relay more time than there is.
+/// The same for all leaves, so that it is summed up and encoded once: a relay
+/// has no time to do that for each of dozens.
 void FleetExchange::tellTotals(TimePoint Now) {
   if (m_Leaves.empty())
     return;
@@ -220,12 +220,12 @@
     return;
   if (!Topology.relay())
     return m_Of.m_Fleet.send(m_Uplink, Frame);
-  toRelays(Frame);
+  m_Of.m_Fleet.sendRelays(Frame);
 }
 
 void FleetExchange::tellContents(const FleetContentsFrame &Frame) {
   take(m_Of.m_Fleet.self(), Frame);
-  toRelays(Frame);
+  m_Of.m_Fleet.sendRelays(Frame);
 }
 
 void FleetExchange::missing(const ModelKey &Key) {
@@ -246,7 +246,7 @@
     return;
   const PrefixMirror::Delta News = m_Of.m_Upstreams.takeChanges();
   if (readsForOthers(m_Of.m_Upstreams))
-    toRelays(ListFollower::keysFrame(m_Of.m_Upstreams, News));
+    m_Of.m_Fleet.sendRelays(ListFollower::keysFrame(m_Of.m_Upstreams, News));
   newsToLeaves(false);
 }
 
@@ -254,7 +254,10 @@
 /// days, as nothing else of them may change.
 void FleetExchange::evacuationsChanged() {
   const PrefixMirror &Mirror = m_Of.m_Evacuations;
-  passOn(Mirror, Mirror.whole());
+  const FleetKeysFrame Frame = ListFollower::keysFrame(Mirror, Mirror.whole());
+  if (readsForOthers(Mirror))
+    m_Of.m_Fleet.sendRelays(Frame);
+  toLeaves(Frame);
 }
 
 bool FleetExchange::readsForOthers(const PrefixMirror &Mirror) const {
@@ -262,14 +265,6 @@
          (m_Of.m_Fleet.topology().relay() && Mirror.running());
 }
 
-void FleetExchange::passOn(const PrefixMirror &Mirror,
-                           const PrefixMirror::Delta &News) {
-  const FleetKeysFrame Frame = ListFollower::keysFrame(Mirror, News);
-  if (readsForOthers(Mirror))
-    toRelays(Frame);
-  toLeaves(Frame);
-}
-
 /// \p All: at once, also what might wait.
 void FleetExchange::newsToLeaves(bool All) {
   const PrefixMirror &List = m_Of.m_Upstreams;
@@ -284,33 +279,26 @@
     const DataCentreName At = m_Of.m_Fleet.dataCentreOf(Name);
     auto Found = News.find(At);
     if (Found == News.end())
-      Found = News.emplace(At, All ? m_LeafLists.takeAllNews(At, List, Of, Now)
-                                   : m_LeafLists.takeNews(At, List, Of, Now))
-                  .first;
+      Found =
+          News.emplace(At, m_LeafLists.takeNews(At, List, Of, Now, All)).first;
     if (Found->second)
       m_Of.m_Fleet.send(Name, *Found->second);
   }
 }
 
-void FleetExchange::tellLeaf(const BoxName &Leaf) {
+void FleetExchange::tellLeaf(const BoxName &To) {
   const PrefixMirror &List = m_Of.m_Upstreams;
   if (List.part() || List.revision() == 0)
     return;
   // What comes next goes on from the same for all.
   newsToLeaves(true);
-  m_Of.m_Fleet.send(Leaf, m_LeafLists.whole(m_Of.m_Fleet.dataCentreOf(Leaf),
-                                            List, m_Of.m_Registry.shortlist(),
-                                            EventLoop::now()));
+  m_Of.m_Fleet.send(To, m_LeafLists.whole(m_Of.m_Fleet.dataCentreOf(To), List,
+                                          m_Of.m_Registry.shortlist(),
+                                          EventLoop::now()));
 }
 
 // To whom.
 
-void FleetExchange::toRelays(const PeerFrame &Frame) {
-  const EncodedFrame Encoded(Frame);
-  for (const BoxName &Relay : m_Of.m_Fleet.linkedRelays())
-    m_Of.m_Fleet.send(Relay, Encoded);
-}
-
 void FleetExchange::toLeaves(const PeerFrame &Frame) {
   if (m_Leaves.empty())
     return;
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -79,12 +79,10 @@
   Duration heldUp(const FleetDigestFrame &Frame, TimePoint Now) const;
 
   void tellBox(const BoxName &To, FleetDigestFrame Frame);
-  void toRelays(const PeerFrame &Frame);
   void toLeaves(const PeerFrame &Frame);
   void newsToLeaves(bool All);
-  void tellLeaf(const BoxName &Leaf);
+  void tellLeaf(const BoxName &To);
   bool readsForOthers(const PrefixMirror &Mirror) const;
-  void passOn(const PrefixMirror &Mirror, const PrefixMirror::Delta &News);
   void dropSilentLeaves(TimePoint Now);
   void chooseUplink(TimePoint Now);
   BoxName towardsGiver() const;
--- a/packages/gateway/process/LeafLists.cpp
+++ b/packages/gateway/process/LeafLists.cpp
@@ -1,5 +1,6 @@
 #include "gateway/process/LeafLists.h"
 
+#include "gateway/process/ListFollower.h"
 #include <algorithm>
 #include <utility>
 
@@ -7,8 +8,8 @@
 
 namespace {
 
-/// A leaf goes through all that it knows at each change, some 20 us for an
-/// entry: with this rest that is 2 % of a core.
+/// A leaf goes through all that it knows at each change: with this rest that
+/// takes a small part of its processor, however much it knows.
 constexpr Duration RestForEntry = 1ms;
 
 } // namespace
@@ -37,32 +38,29 @@
 
 EncodedFrame LeafLists::take(Told &Of, Keys Now, const PrefixMirror &List,
                              TimePoint When) {
-  FleetKeysFrame Frame{.m_Prefix = List.prefix(),
-                       .m_Since = Of.m_At,
-                       .m_Revision = List.revision(),
-                       .m_Part = true,
-                       .m_Items = {},
-                       .m_Gone = {}};
+  PrefixMirror::Delta News{.m_Since = Of.m_At,
+                           .m_Revision = List.revision(),
+                           .m_Part = true,
+                           .m_Items = {},
+                           .m_Gone = {}};
   for (const auto &[Name, Each] : Now) {
     const auto Known = Of.m_Keys.find(Name);
     if (Known == Of.m_Keys.end() || Known->second.m_Revision != Each.m_Revision)
-      Frame.m_Items.push_back({.m_Key = Name,
-                               .m_Value = List.items().at(Name).m_Value,
-                               .m_Revision = Each.m_Revision});
+      News.m_Items.push_back(List.items().at(Name));
   }
   for (const auto &[Name, Each] : Of.m_Keys)
     if (!Now.contains(Name))
-      Frame.m_Gone.push_back(Name);
+      News.m_Gone.push_back(Name);
   Of = {.m_At = List.revision(),
         .m_When = When,
         .m_Keys = std::move(Now),
         .m_Whole = std::nullopt};
-  return EncodedFrame(Frame);
+  return EncodedFrame(ListFollower::keysFrame(List, News));
 }
 
 std::optional<EncodedFrame>
 LeafLists::takeNews(const DataCentreName &DataCentre, const PrefixMirror &List,
-                    const Shortlist &Of, TimePoint Now) {
+                    const Shortlist &Of, TimePoint Now, bool AtOnce) {
   const auto Found = m_Lists.find(DataCentre);
   if (Found == m_Lists.end() || Found->second.m_At == List.revision())
     return std::nullopt;
@@ -70,22 +68,11 @@
   Keys Next = keys(Of.forDataCentre(DataCentre), List);
   const auto Entries = static_cast<Duration::rep>(Next.size());
   const bool Rested = Now - Known.m_When >= Entries * RestForEntry;
-  if (!Rested && !urgent(Known.m_Keys, Next, List))
+  if (!AtOnce && !Rested && !urgent(Known.m_Keys, Next, List))
     return std::nullopt;
   return take(Known, std::move(Next), List, Now);
 }
 
-std::optional<EncodedFrame>
-LeafLists::takeAllNews(const DataCentreName &DataCentre,
-                       const PrefixMirror &List, const Shortlist &Of,
-                       TimePoint Now) {
-  const auto Found = m_Lists.find(DataCentre);
-  if (Found == m_Lists.end() || Found->second.m_At == List.revision())
-    return std::nullopt;
-  return take(Found->second, keys(Of.forDataCentre(DataCentre), List), List,
-              Now);
-}
-
 const EncodedFrame &LeafLists::whole(const DataCentreName &DataCentre,
                                      const PrefixMirror &List,
                                      const Shortlist &Of, TimePoint Now) {
--- a/packages/gateway/process/LeafLists.h
+++ b/packages/gateway/process/LeafLists.h
@@ -22,14 +22,12 @@
   /// The list is \p List, of which \p Of is the shortlist. \returns what has
   /// changed for the leaves of \p DataCentre, when it is time to tell them: at
   /// once when an upstream leaves that they know, otherwise after a rest that
-  /// grows with what they take up each time.
+  /// grows with what they take up each time; at any time with \p AtOnce. None
+  /// when nothing was ever told.
   std::optional<EncodedFrame> takeNews(const DataCentreName &DataCentre,
                                        const PrefixMirror &List,
-                                       const Shortlist &Of, TimePoint Now);
-  /// The same at any time; none when nothing was ever told.
-  std::optional<EncodedFrame> takeAllNews(const DataCentreName &DataCentre,
-                                          const PrefixMirror &List,
-                                          const Shortlist &Of, TimePoint Now);
+                                       const Shortlist &Of, TimePoint Now,
+                                       bool AtOnce = false);
   /// All keys for the leaves of \p DataCentre. They must have been told all
   /// news: what comes next goes on from it.
   const EncodedFrame &whole(const DataCentreName &DataCentre,
--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -99,8 +99,6 @@
 /// and may be dead as long. So the box that reads the list for all watches the
 /// configuration closely too, and its word of both is what others rely on: one
 /// box that asks is always known by name, and without it each asks for itself.
-/// Before, all eight boxes of a fleet whose watches fell silent at one moment
-/// showed the version before for 9 s.
 void ListFollower::watchClosely() {
   // The box that gives orders must hear at once that it was replaced.
   m_Of.m_Boxes.watchClosely(m_Of.m_Giver.giving());
@@ -221,6 +219,19 @@
   return Frame;
 }
 
+PrefixMirror::Delta ListFollower::newsIn(const FleetKeysFrame &Frame) {
+  PrefixMirror::Delta News{.m_Since = Frame.m_Since,
+                           .m_Revision = Frame.m_Revision,
+                           .m_Part = Frame.m_Part,
+                           .m_Items = {},
+                           .m_Gone = Frame.m_Gone};
+  for (const StoredValue &Each : Frame.m_Items)
+    News.m_Items.push_back({.m_Key = Each.m_Key,
+                            .m_Value = Each.m_Value,
+                            .m_Revision = Each.m_Revision});
+  return News;
+}
+
 TimePoint ListFollower::vouchedAsOf(const BoxName &Box) const {
   const auto Found = m_ListWords.find(Box);
   if (Found == m_ListWords.end())
@@ -513,17 +524,8 @@
 }
 
 void ListFollower::adopt(const BoxName &From, const FleetKeysFrame &Frame) {
-  PrefixMirror::Delta News{.m_Since = Frame.m_Since,
-                           .m_Revision = Frame.m_Revision,
-                           .m_Part = Frame.m_Part,
-                           .m_Items = {},
-                           .m_Gone = Frame.m_Gone};
-  for (const StoredValue &Each : Frame.m_Items)
-    News.m_Items.push_back({.m_Key = Each.m_Key,
-                            .m_Value = Each.m_Value,
-                            .m_Revision = Each.m_Revision});
   PrefixMirror *Mirror = mirrorOf(Frame.m_Prefix);
-  if (Mirror != nullptr && !Mirror->adopt(News)) {
+  if (Mirror != nullptr && !Mirror->adopt(newsIn(Frame))) {
     FleetWantFrame Wanted = want();
     // A copy of the other kind is of no use, however new it is.
     if (Mirror == &m_Of.m_Upstreams && Frame.m_Part != Mirror->part())
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -84,6 +84,8 @@
   void adopt(const BoxName &From, const FleetKeysFrame &Frame);
   static FleetKeysFrame keysFrame(const PrefixMirror &Of,
                                   const PrefixMirror::Delta &News);
+  /// What keysFrame() was given.
+  static PrefixMirror::Delta newsIn(const FleetKeysFrame &Frame);
 
   /// \p From, a relay, tells of a configuration, and of a list.
   void noteConfig(const BoxName &From, const FleetDigestFrame &Frame,
--- a/packages/gateway/process/ManagedEngine.cpp
+++ b/packages/gateway/process/ManagedEngine.cpp
@@ -164,19 +164,24 @@
 std::optional<EngineContents>
 ManagedEngine::takeNews(const UpstreamInstance &Entry, TimePoint Now) {
   EngineContents Lasting = lastingContents(Entry.m_Id, Now);
-  const bool Changed =
-      m_Told && (Lasting != *m_Told || m_ServesAt != m_ToldServesAt);
+  // The first time, all that they know is what the list says.
+  if (!m_Told) {
+    m_Told = {
+        .m_Engine = Entry.m_Id, .m_Born = m_Born, .m_Models = Entry.m_Models};
+    m_ToldServesAt = m_ServesAt;
+    m_ToldAt = Now;
+  }
+  const bool Changed = Lasting != *m_Told || m_ServesAt != m_ToldServesAt;
   // Were all engines told of every few seconds, that would be most of what
   // boxes of a large fleet tell each other.
-  const bool Again = !saysSame(Entry, Lasting) &&
-                     (!m_Told || Now - m_ToldAt >= TellAgainAfter);
-  if (!Changed && !Again && m_Told)
+  const bool Again =
+      !saysSame(Entry, Lasting) && Now - m_ToldAt >= TellAgainAfter;
+  if (!Changed && !Again)
     return std::nullopt;
-  const bool News = Changed || Again;
   m_Told = std::move(Lasting);
   m_ToldServesAt = m_ServesAt;
   m_ToldAt = Now;
-  return News ? std::optional(contents(Entry.m_Id, Now)) : std::nullopt;
+  return contents(Entry.m_Id, Now);
 }
 
 } // namespace havenstair
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -200,7 +200,7 @@
 void OrderGiver::keepCopiesOfReturned(TimePoint Now) {
   const ServingView &View = m_State.m_Upstreams;
   const auto Returned = [&](const InstanceId &Id) {
-    return View.returnedAt(View.list().m_Instances.at(Id)) == Now;
+    return View.returnedAt(entryOf(Id)) == Now;
   };
   std::set<std::string> Models;
   for (const auto &[Id, Each] : m_Engines)
@@ -566,8 +566,7 @@
     return;
   std::map<ModelKey, std::size_t> Replicas;
   for (const auto &[Id, Each] : m_Engines) {
-    const UpstreamInstance &Entry =
-        m_State.m_Upstreams.list().m_Instances.at(Id);
+    const UpstreamInstance &Entry = entryOf(Id);
     for (const ResidentModel &Model :
          Each.m_Ledger.known() ? Each.m_Ledger.models() : Entry.m_Models)
       ++Replicas[{Entry.m_Service, Model.m_Name, ""}];
@@ -615,8 +614,7 @@
     if (Key.m_Service == Service)
       Input.m_Awaited.insert(Key.m_Model);
   for (const auto &[Id, Each] : m_Engines) {
-    const UpstreamInstance &Entry =
-        m_State.m_Upstreams.list().m_Instances.at(Id);
+    const UpstreamInstance &Entry = entryOf(Id);
     if (Entry.m_Service != Service)
       continue;
     Input.m_Engines.push_back(Each.forModels(
--- a/packages/gateway/process/PrefixMirror.cpp
+++ b/packages/gateway/process/PrefixMirror.cpp
@@ -66,8 +66,7 @@
   if (std::exchange(m_Closely, Closely) == Closely)
     return;
   // The watch that is under way may have been lost already; another brings the
-  // same news with one call less than reading anew: on a quiet day of seven
-  // boxes 15 reads of the configuration instead of 24.
+  // same news with one call less than reading anew.
   if (!Closely || !m_Running || m_Reading || m_WaitSent <= CloseWait)
     return;
   m_Timer = Timer();
--- a/packages/gateway/request/CrashGuard.h
+++ b/packages/gateway/request/CrashGuard.h
@@ -40,9 +40,7 @@
                  TimePoint Now) const;
   /// How long to wait before the next send when servers have ended under the
   /// request twice. \p Random is from 0 to 1. Of many tries one goes first, and
-  /// the others are spared if it ends one more: of 24 tries at four boxes that
-  /// wait for a server after the second end 24 were sent without, 1 to 3 with
-  /// it.
+  /// the others are spared if it ends one more.
   std::optional<Duration> pause(double Random, Duration TimeLeft,
                                 TimePoint Now);
   /// Its connection to \p Server broke, which had begun to answer it at
--- a/tests/gateway/LeafListsTest.cpp
+++ b/tests/gateway/LeafListsTest.cpp
@@ -1,6 +1,7 @@
 #include "gateway/process/LeafLists.h"
 
 #include "gateway/common/DecisionLog.h"
+#include "gateway/process/ListFollower.h"
 #include "gateway/process/UpstreamRegistry.h"
 #include "platform/ServerEntry.h"
 #include "support/Names.h"
@@ -99,16 +100,7 @@
   void tell(const EncodedFrame &Frame) {
     const PeerFrame Read = decodeFrame(Frame.bytesFor(OwnProtocol));
     const auto &Keys = std::get<FleetKeysFrame>(Read);
-    PrefixMirror::Delta News{.m_Since = Keys.m_Since,
-                             .m_Revision = Keys.m_Revision,
-                             .m_Part = Keys.m_Part,
-                             .m_Items = {},
-                             .m_Gone = Keys.m_Gone};
-    for (const StoredValue &Each : Keys.m_Items)
-      News.m_Items.push_back({.m_Key = Each.m_Key,
-                              .m_Value = Each.m_Value,
-                              .m_Revision = Each.m_Revision});
-    REQUIRE(m_Leaf.adopt(News));
+    REQUIRE(m_Leaf.adopt(ListFollower::newsIn(Keys)));
   }
 
   StoreRevision m_Revision = 0;
