A proxy of the tests keeps its port while it does not listen

The log says so; no product code runs there. Ruled out: trying again for another port, which the boxes would not know. Change: a socket that is bound and never listens holds the port; callers are turned away as before. Test: fails on the code before (the port can be bound), passes now.

--- a/tests/standin/LoopbackProxy.cpp
+++ b/tests/standin/LoopbackProxy.cpp
@@ -174,9 +174,28 @@
 LoopbackProxy::LoopbackProxy(EventLoop &Loop, const Endpoint &Listen,
                              const Endpoint &To)
     : m_Loop(Loop), m_To(To), m_Endpoint(Listen) {
+  reservePort();
   listen();
 }
 
+void LoopbackProxy::reservePort() {
+  sockaddr_storage Address{};
+  const auto Size = static_cast<socklen_t>(toSockaddr(m_Endpoint, Address));
+  auto *Wanted = reinterpret_cast<sockaddr *>(&Address);
+  const int Shared = 1;
+  m_Reserved = socket(Address.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (setsockopt(m_Reserved, SOL_SOCKET, SO_REUSEADDR, &Shared,
+                 sizeof(Shared)) != 0 ||
+      bind(m_Reserved, Wanted, Size) != 0) {
+    close(m_Reserved);
+    throw std::runtime_error("a proxy cannot have " + m_Endpoint.str());
+  }
+  sockaddr_in Bound{};
+  socklen_t Length = sizeof(Bound);
+  getsockname(m_Reserved, reinterpret_cast<sockaddr *>(&Bound), &Length);
+  m_Endpoint.m_Port = ntohs(Bound.sin_port);
+}
+
 void LoopbackProxy::listen() {
   sockaddr_storage Address{};
   const int Size = toSockaddr(m_Endpoint, Address);
@@ -189,11 +208,6 @@
       -1, reinterpret_cast<sockaddr *>(&Address), Size);
   if (m_Listener == nullptr)
     throw std::runtime_error("a proxy cannot listen at " + m_Endpoint.str());
-  sockaddr_in Bound{};
-  socklen_t Length = sizeof(Bound);
-  getsockname(evconnlistener_get_fd(m_Listener),
-              reinterpret_cast<sockaddr *>(&Bound), &Length);
-  m_Endpoint.m_Port = ntohs(Bound.sin_port);
 }
 
 LoopbackProxy::~LoopbackProxy() {
@@ -201,6 +215,7 @@
   for (bufferevent *Each : m_Repeats)
     bufferevent_free(Each);
   setListening(false);
+  close(m_Reserved);
 }
 
 void LoopbackProxy::setListening(bool Listening) {
--- a/tests/standin/LoopbackProxy.h
+++ b/tests/standin/LoopbackProxy.h
@@ -53,6 +53,7 @@
 private:
   class Link;
 
+  void reservePort();
   void listen();
   void accept(int Socket);
   void remove(const Link *Gone);
@@ -61,6 +62,9 @@
   EventLoop &m_Loop;
   Endpoint m_To;
   Endpoint m_Endpoint;
+  /// Bound to the port and never listening: while the proxy does not listen
+  /// either, callers are turned away, and nobody else is given the port.
+  int m_Reserved = -1;
   evconnlistener *m_Listener = nullptr;
   Duration m_Delay = 0us;
   bool m_CutToServer = false;
--- a/tests/standin/LoopbackProxyTest.cpp
+++ b/tests/standin/LoopbackProxyTest.cpp
@@ -3,7 +3,10 @@
 #include "wire/common/HttpClient.h"
 
 #include <catch2/catch.hpp>
+#include <cerrno>
 #include <optional>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace havenstair;
 
@@ -127,3 +130,22 @@
   REQUIRE(until([&] { return m_Server.requests().size() == 2; }));
   REQUIRE(m_Server.accepted() == 2);
 }
+
+TEST_CASE_METHOD(ProxyTest, "A proxy keeps its port while it does not listen",
+                 "[soak][proxy]") {
+  m_Proxy.setListening(false);
+  sockaddr_storage Address{};
+  const auto Size =
+      static_cast<socklen_t>(toSockaddr(m_Proxy.endpoint(), Address));
+  const int Other = socket(AF_INET, SOCK_STREAM, 0);
+  REQUIRE(bind(Other, reinterpret_cast<sockaddr *>(&Address), Size) != 0);
+  REQUIRE(errno == EADDRINUSE);
+  close(Other);
+  send("refused");
+  REQUIRE(answered());
+  REQUIRE_FALSE(m_Answer->ok());
+  m_Proxy.setListening(true);
+  send("taken");
+  REQUIRE(answered());
+  REQUIRE(m_Answer->m_Body == "taken");
+}
