Sight: how a box that was told of a configuration went about it

What was missing: the logs told that a box was told of a version and when it took it, and nothing in between, so that reads thrown away, pauses, copies that were not sent and a busy loop looked the same.

No logic changed.

Test: how each read ended is told, thrown away ones too.

--- a/packages/gateway/process/CoordinationStore.h
+++ b/packages/gateway/process/CoordinationStore.h
@@ -26,12 +26,16 @@
   Lost         ///< No usable answer; a write may still take effect.
 };
 
+const char *toString(StoreStatus Of);
+
 /// How new what is read must be.
 enum class ReadKind {
   Current, ///< As new as every write that was acknowledged before.
   Stale    ///< May be seconds old; costs the store a tenth of the other.
 };
 
+const char *toString(ReadKind Of);
+
 /// One key with its value.
 struct StoreItem {
   std::string m_Key;
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -112,7 +112,8 @@
       m_ConfigMirror(
           Loop, *m_Store,
           mirrorOptions(m_Binding.m_ConfigPrefix, 0us, WaitForConfig),
-          {.m_Changed = [this] { configChanged(); }}),
+          {.m_Changed = [this] { configChanged(); },
+           .m_ReadEnded = [this](const auto &End) { logConfigRead(End); }}),
       m_UpstreamMirror(Loop, *m_Store,
                        mirrorOptions(m_Binding.m_UpstreamPrefix,
                                      GatherUpstreams, PrefixMirror::CloseWait),
@@ -304,6 +305,7 @@
   const ListFollower &Lists = m_Exchange.lists();
   Now.m_ConfigTold = Number(Lists.toldConfig().m_Version);
   Now.m_ConfigAge = inSeconds(Lists.configVouch(EventLoop::now()).m_Age);
+  Now.m_ConfigBehind = inSeconds(Lists.configBehind(EventLoop::now()));
   Now.m_ListRevision = Number(m_State.m_Upstreams.list().m_Revision);
   Now.m_Upstreams = Number(m_State.m_Upstreams.current().size());
   Now.m_Listed = Number(m_Registry.size());
@@ -381,6 +383,17 @@
   }
 }
 
+void Gateway::logConfigRead(const PrefixMirror::ReadEnd &End) {
+  const char *Outcome = End.m_Dropped ? "dropped" : toString(End.m_Status);
+  m_Metrics.configRead(Outcome);
+  m_Log.write("config_read", {{"kind", toString(End.m_Kind)},
+                              {"outcome", Outcome},
+                              {"took_ms", End.m_Took / 1ms},
+                              {"bytes", End.m_Bytes},
+                              {"at", End.m_At},
+                              {"next_ms", End.m_NextTry / 1ms}});
+}
+
 void Gateway::logConfig(const ServingConfig &Read, StoreRevision Revision) {
   const TimePoint Now = EventLoop::now();
   const ListFollower::ToldConfig &Known = m_Exchange.lists().toldConfig();
@@ -401,6 +414,7 @@
 
 /// \returns whether \p Item is a newer configuration than the one in force.
 bool Gateway::takeConfig(const StoreItem &Item) {
+  const TimePoint Began = EventLoop::now();
   try {
     ServingConfig Read = m_Binding.m_DecodeConfig(Item.m_Value);
     if (m_State.m_Config && Read.m_Version <= m_State.configVersion())
@@ -410,6 +424,10 @@
     m_State.m_Config = std::make_shared<const ServingConfig>(std::move(Read));
     m_Quotas->configure(m_State.m_Config->m_Organisations);
     m_State.m_WarmUp.configure(m_State.m_Config->m_Services);
+    m_Log.write("config_in_force",
+                {{"version", m_State.configVersion()},
+                 {"bytes", Item.m_Value.size()},
+                 {"held_ms", (EventLoop::now() - Began) / 1ms}});
     return true;
   } catch (const DecodeError &Error) {
     m_Metrics.configTaken("unreadable");
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -76,6 +76,7 @@
   void resync();
   void configChanged();
   bool takeConfig(const StoreItem &Item);
+  void logConfigRead(const PrefixMirror::ReadEnd &End);
   void logConfig(const ServingConfig &Read, StoreRevision Revision);
   InstanceList readUpstreams();
   void upstreamsChanged();
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -57,6 +57,11 @@
           .Name("havenstair_configs_taken_total")
           .Help("Configurations taken, by the way on which they came")
           .Register(m_Registry);
+  prometheus::Family<prometheus::Counter> &m_ConfigReads =
+      prometheus::BuildCounter()
+          .Name("havenstair_config_reads_total")
+          .Help("Reads of the configuration from the store, by outcome")
+          .Register(m_Registry);
   prometheus::Family<prometheus::Gauge> &m_State =
       prometheus::BuildGauge()
           .Name("havenstair_state")
@@ -185,11 +190,17 @@
   m_Families->m_ConfigsTaken.Add({{"source", std::string(Source)}}).Increment();
 }
 
+void GatewayMetrics::configRead(std::string_view Outcome) {
+  m_Families->m_ConfigReads.Add({{"outcome", std::string(Outcome)}})
+      .Increment();
+}
+
 void GatewayMetrics::set(const GatewayGauges &Now) {
   m_Families->state("open_requests", Now.m_OpenRequests);
   m_Families->state("config_version", Now.m_ConfigVersion);
   m_Families->state("config_told", Now.m_ConfigTold);
   m_Families->state("config_age_seconds", Now.m_ConfigAge);
+  m_Families->state("config_behind_seconds", Now.m_ConfigBehind);
   m_Families->state("list_revision", Now.m_ListRevision);
   m_Families->state("upstreams_listed", Now.m_Listed);
   m_Families->state("upstreams", Now.m_Upstreams);
--- a/packages/gateway/process/GatewayMetrics.h
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -18,8 +18,9 @@
 struct GatewayGauges {
   double m_OpenRequests = 0;
   double m_ConfigVersion = 0;
-  double m_ConfigTold = 0; ///< Newest version that another box told of.
-  double m_ConfigAge = 0;  ///< Seconds since it was surely the store's.
+  double m_ConfigTold = 0;   ///< Newest version that another box told of.
+  double m_ConfigAge = 0;    ///< Seconds since it was surely the store's.
+  double m_ConfigBehind = 0; ///< Seconds since a newer one was told of.
   double m_ListRevision = 0;
   double m_Listed = 0;    ///< Entries of the list, as far as it is known here.
   double m_Upstreams = 0; ///< Those of them that requests may be sent to.
@@ -60,6 +61,8 @@
   void storeCalled(std::string_view Call, std::string_view Subject);
   /// A configuration was taken that came on the way \p Source.
   void configTaken(std::string_view Source);
+  /// A read of the configuration ended with \p Outcome.
+  void configRead(std::string_view Outcome);
   void set(const GatewayGauges &Now);
 
   /// The text of the metrics page.
--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -363,7 +363,15 @@
     return;
   m_ConfigAskedAt = Now;
   m_AskPause = std::min(2 * m_AskPause, MostAskPause);
-  m_Of.m_Fleet.send(From, want());
+  askForConfig(From, m_AskPause);
+}
+
+void ListFollower::askForConfig(const BoxName &Peer, Duration Pause) {
+  m_Of.m_Log.write("config_asked", {{"peer", Peer.str()},
+                                    {"version", m_ToldConfig.m_Version},
+                                    {"known", want().m_Config},
+                                    {"next_ms", Pause / 1ms}});
+  m_Of.m_Fleet.send(Peer, want());
 }
 
 /// Whether the uplink of this box, a leaf, sends its configuration, compressed:
@@ -384,11 +392,16 @@
   // Each newer version is asked for at once, and none twice.
   if (m_ConfigAskedFor != m_ToldConfig.m_Version) {
     m_ConfigAskedFor = m_ToldConfig.m_Version;
-    m_Of.m_Fleet.send(From, want());
+    askForConfig(From, UplinkAnswers);
   }
   return Now - m_ConfigBehindSince < UplinkAnswers;
 }
 
+Duration ListFollower::configBehind(TimePoint Now) const {
+  return m_ToldConfig.m_Version > want().m_Config ? Now - m_ConfigBehindSince
+                                                  : 0us;
+}
+
 void ListFollower::noteTold(const BoxName &By, ConfigVersion Version,
                             TimePoint Now) {
   m_ToldConfig = {.m_Version = Version, .m_By = By, .m_At = Now};
@@ -479,10 +492,14 @@
 }
 
 void ListFollower::answer(const BoxName &From, const FleetWantFrame &Frame) {
+  const FleetWantFrame Own = want();
+  const bool LacksConfig = Own.m_Config > Frame.m_Config;
   // It asks again with the next digest, and what it lacks may lie in its way.
-  if (m_Of.m_Fleet.slow(From))
+  if (m_Of.m_Fleet.slow(From)) {
+    if (LacksConfig)
+      noteNotSent(From, "slow_link");
     return;
-  const FleetWantFrame Own = want();
+  }
   const auto Tell = [&](const PrefixMirror &Mirror, std::uint64_t Held,
                         std::uint64_t Known) {
     if (Held > Known)
@@ -492,12 +509,20 @@
   // each leaf would fill a small relay's link for seconds.
   if (!m_Of.m_Fleet.busy())
     Tell(m_Of.m_Config, Own.m_Config, Frame.m_Config);
+  else if (LacksConfig)
+    noteNotSent(From, "busy_links");
   if (Own.m_List > Frame.m_List)
     answerList(From);
   Tell(m_Of.m_Boxes, Own.m_Boxes, Frame.m_Boxes);
   Tell(m_Of.m_Evacuations, Own.m_Evacuations, Frame.m_Evacuations);
 }
 
+void ListFollower::noteNotSent(const BoxName &To, std::string_view Why) {
+  m_Of.m_Log.write(
+      "config_not_sent",
+      {{"peer", To.str()}, {"version", want().m_Config}, {"why", Why}});
+}
+
 /// A part of the list is of no use to anybody else.
 void ListFollower::answerList(const BoxName &From) {
   const FleetTopology &Topology = m_Of.m_Fleet.topology();
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace havenstair {
 
@@ -107,6 +108,9 @@
     TimePoint m_At{}; ///< When it did.
   };
   const ToldConfig &toldConfig() const { return m_ToldConfig; }
+  /// How long ago another box first told of a version that this one lacks; 0
+  /// when it lacks none.
+  Duration configBehind(TimePoint Now) const;
   /// As of when this box's configuration was the store's, or later; and its
   /// evacuations.
   TimePoint configAsOf() const;
@@ -136,6 +140,9 @@
   bool followsUplink() const;
   void watchClosely();
   void noteTold(const BoxName &By, ConfigVersion Version, TimePoint Now);
+  /// \p Pause: before it is asked again, or another way is tried.
+  void askForConfig(const BoxName &Peer, Duration Pause);
+  void noteNotSent(const BoxName &To, std::string_view Why);
   void readConfig(TimePoint Now);
   bool startsSoon(TimePoint Now) const;
   bool leavesEvacuations(TimePoint Now, bool Relayed) const;
--- a/packages/gateway/process/PrefixMirror.cpp
+++ b/packages/gateway/process/PrefixMirror.cpp
@@ -47,7 +47,7 @@
 
 void PrefixMirror::stop() {
   m_Running = false;
-  m_Reading = false;
+  dropRead();
   ++m_Round;
   m_Watching.reset();
   m_Timer = Timer();
@@ -86,8 +86,22 @@
   read(m_At == 0 ? m_Opts.m_FirstRead : ReadKind::Current);
 }
 
+/// Its answer is left unread.
+void PrefixMirror::dropRead() {
+  if (std::exchange(m_Reading, false))
+    tellReadEnd({.m_Kind = m_ReadKind, .m_Dropped = true});
+}
+
+void PrefixMirror::tellReadEnd(ReadEnd End) const {
+  End.m_Took = EventLoop::now() - m_SentAt;
+  if (m_Hooks.m_ReadEnded)
+    m_Hooks.m_ReadEnded(End);
+}
+
 void PrefixMirror::read(ReadKind Kind) {
+  dropRead();
   m_Reading = true;
+  m_ReadKind = Kind;
   const std::uint64_t Round = ++m_Round;
   m_SentAt = EventLoop::now();
   m_Store.range(
@@ -100,11 +114,18 @@
 
 void PrefixMirror::onRead(StoreItems Read) {
   m_Reading = false;
+  ReadEnd End{.m_Kind = m_ReadKind, .m_Status = Read.m_Status};
   if (Read.m_Status != StoreStatus::Ok) {
-    if (m_Running)
-      later(m_Backoff.next(), &PrefixMirror::read);
-    return;
+    if (m_Running) {
+      End.m_NextTry = m_Backoff.next();
+      later(End.m_NextTry, &PrefixMirror::read);
+    }
+    return tellReadEnd(End);
   }
+  End.m_At = Read.m_At;
+  for (const StoreItem &Each : Read.m_Items)
+    End.m_Bytes += Each.m_Value.size();
+  tellReadEnd(End);
   m_Backoff.reset();
   m_ConfirmedAt = m_SentAt;
   // An answer that was under way for long must not undo newer changes.
--- a/packages/gateway/process/PrefixMirror.h
+++ b/packages/gateway/process/PrefixMirror.h
@@ -42,9 +42,21 @@
     ReadKind m_FirstRead = ReadKind::Current;
     Backoff::Options m_Retry{.m_First = 100ms, .m_Cap = 1s, .m_Random = {}};
   };
+  /// How a read of the whole prefix ended.
+  struct ReadEnd {
+    ReadKind m_Kind = ReadKind::Current;
+    StoreStatus m_Status = StoreStatus::Lost;
+    /// Its answer is not waited for any more, though it may still come.
+    bool m_Dropped = false;
+    Duration m_Took = 0us;
+    std::size_t m_Bytes = 0;  ///< Of the values.
+    StoreRevision m_At = 0;   ///< The store's, of a good answer.
+    Duration m_NextTry = 0us; ///< Pause before the next one; 0 for none.
+  };
   struct Hooks {
     /// The copy has changed, or was read for the first time.
     std::function<void()> m_Changed;
+    std::function<void(const ReadEnd &)> m_ReadEnded; ///< May be empty.
   };
 
   PrefixMirror(EventLoop &Loop, CoordinationStore &Store, Options Opts,
@@ -108,6 +120,8 @@
 private:
   void read();
   void read(ReadKind Kind);
+  void dropRead();
+  void tellReadEnd(ReadEnd End) const;
   void watch();
   Duration nextWait(TimePoint Now) const;
   void onRead(StoreItems Read);
@@ -138,6 +152,7 @@
   TimePoint m_ConfirmedAt{};
   bool m_Running = false;
   bool m_Reading = false;
+  ReadKind m_ReadKind = ReadKind::Current; ///< Of the read under way.
   /// Answers of earlier calls are dropped.
   std::uint64_t m_Round = 0;
   std::shared_ptr<void> m_Watching;
--- a/tests/gateway/PrefixMirrorTest.cpp
+++ b/tests/gateway/PrefixMirrorTest.cpp
@@ -73,6 +73,35 @@
   }
 }
 
+TEST_CASE("How each read ended is told", "[gateway][mirror]") {
+  EventLoop Loop;
+  HeldStore Store;
+  std::vector<PrefixMirror::ReadEnd> Ends;
+  PrefixMirror Mirror(
+      Loop, Store,
+      {.m_Prefix = "p",
+       .m_Retry = {.m_First = 100ms,
+                   .m_Cap = 1s,
+                   .m_Random = [] { return 1.0; }}},
+      {.m_Changed = [] {},
+       .m_ReadEnded = [&](const auto &End) { Ends.push_back(End); }});
+  Mirror.start();
+  Mirror.resync();
+  REQUIRE(Ends.size() == 1);
+  REQUIRE(Ends.back().m_Dropped);
+  Store.m_Reads.back()({.m_Status = StoreStatus::Refused});
+  REQUIRE(Ends.back().m_Status == StoreStatus::Refused);
+  REQUIRE(Ends.back().m_NextTry > 0us);
+  Mirror.resync();
+  Store.m_Reads.back()({.m_Status = StoreStatus::Ok,
+                        .m_Items = {{.m_Key = "p/a", .m_Value = "12"}},
+                        .m_At = 5});
+  REQUIRE(Ends.size() == 3);
+  REQUIRE(Ends.back().m_Status == StoreStatus::Ok);
+  REQUIRE(Ends.back().m_Bytes == 2);
+  REQUIRE(Ends.back().m_At == 5);
+}
+
 TEST_CASE("A change that a watch was not told of comes with the next ones",
           "[gateway][mirror]") {
   EventLoop Loop;
