Reproduce: leaves late with a configuration (known red)

What callers saw: a route refused as unknown seven seconds after the version that brought it had been acknowledged, on boxes with small links.

Ruled out: a slow store.

--- a/tests/decisions/process/FleetTopologyTest.cpp
+++ b/tests/decisions/process/FleetTopologyTest.cpp
@@ -2,6 +2,7 @@
 #include "support/Draw.h"
 #include "support/Names.h"
 #include <algorithm>
+#include <set>
 
 using namespace havenstair;
 
@@ -59,6 +60,32 @@
   }
 }
 
+TEST_CASE("No leaf goes first to a relay as weak as itself while it has a "
+          "stronger one",
+          "[topology][known-red]") {
+  const auto Fleet = fleetOf(60);
+  for (std::size_t Number = 3; Number < Fleet.size(); ++Number) {
+    const FleetTopology Leaf = seenBy(Fleet, Number);
+    if (!Leaf.relay())
+      REQUIRE(Leaf.links().front() == Fleet[Number % 3].m_Box);
+  }
+  SECTION("those of equals are spread over all of them") {
+    std::vector<FleetMember> Equals = Fleet;
+    for (FleetMember &Each : Equals)
+      Each.m_Capacity = 0.5;
+    std::set<BoxName> First;
+    for (std::size_t Number = 0; Number < Equals.size(); ++Number)
+      if (const FleetTopology Seen = seenBy(Equals, Number); !Seen.relay())
+        First.insert(Seen.links().front());
+    REQUIRE(First.size() == 9);
+  }
+  SECTION("without it the others take its place") {
+    const std::vector<FleetMember> Weak(Fleet.begin() + 3, Fleet.end());
+    const FleetTopology Leaf = seenBy(Weak, Weak.size() - 1);
+    REQUIRE(Leaf.links().size() == 4);
+  }
+}
+
 TEST_CASE("Boxes that know the same members agree on the relays",
           "[topology][property]") {
   rc::prop("agreed", [] {
--- a/tests/gateway/GatewayTest.h
+++ b/tests/gateway/GatewayTest.h
@@ -141,6 +141,14 @@
                                        std::function<void()> Stopped) {
     PlatformBinding Binding = platform::makeBinding("");
     Binding.m_ReadOptions = [Options] { return Options; };
+    Binding.m_DecodeConfig =
+        [this, Box = Options.m_Box,
+         Decode = std::move(Binding.m_DecodeConfig)](const std::string &Value) {
+          ServingConfig Result = Decode(Value);
+          if (Box == m_Stubborn && Result.m_Version > 1)
+            throw DecodeError("a field that this box does not know");
+          return Result;
+        };
     return std::make_unique<Gateway>(m_Loop, std::move(Binding), Options,
                                      GatewayPolicy{}, m_LogDescriptor,
                                      std::move(Stopped));
@@ -221,6 +229,8 @@
             {"uncachedTokens", 200}};
   }
 
+  /// The box that can read no version but the first.
+  BoxName m_Stubborn;
   int m_TimeoutMs = 8000;
   Json m_Organisations = Json::array(); ///< Of the next configuration.
   int m_LogDescriptor = open("/dev/null", O_WRONLY);
--- a/tests/gateway/LargeFleetTest.cpp
+++ b/tests/gateway/LargeFleetTest.cpp
@@ -36,6 +36,10 @@
     }));
   }
 
+  static BoxName nameOf(std::size_t Number) {
+    return BoxName("box-" + std::to_string(10 + Number));
+  }
+
   bool leafOnly(std::size_t Number) const { return Number >= Strong; }
 
   bool allServe(ConfigVersion Version) const {
@@ -97,7 +101,7 @@
 private:
   std::unique_ptr<Gateway> startBox(std::size_t Number) {
     GatewayOptions Options = options();
-    Options.m_Box = BoxName("box-" + std::to_string(10 + Number));
+    Options.m_Box = nameOf(Number);
     Options.m_Capacity = leafOnly(Number) ? 0.12 : 0.5;
     return makeGateway(Options, [] {});
   }
@@ -193,6 +197,25 @@
   }
 }
 
+TEST_CASE("Leaves follow a configuration that their relay has not taken",
+          "[gateway][fleet][configuration][known-red]") {
+  LargeFleetTest Test;
+  REQUIRE(Test.until([&] { return Test.m_Store.watches("op/config") == 1; }));
+  // A relay that reads for itself alone.
+  const auto Stubborn = std::find_if(
+      Test.m_Boxes.begin(), Test.m_Boxes.begin() + LargeFleetTest::Strong,
+      [](const auto &Box) { return !Box->givesOrders(); });
+  Test.m_Stubborn = LargeFleetTest::nameOf(
+      static_cast<std::size_t>(std::distance(Test.m_Boxes.begin(), Stubborn)));
+  Test.configure(2);
+  REQUIRE(Test.until([&] {
+    return std::all_of(
+        Test.m_Boxes.begin(), Test.m_Boxes.end(), [&](const auto &Box) {
+          return Box == *Stubborn || Box->state().configVersion() == 2;
+        });
+  }));
+}
+
 TEST_CASE("What leaves know and are told does not grow with the list",
           "[gateway][fleet]") {
   const auto Measure = [](int Engines) {
--- a/tests/gateway/PrefixMirrorTest.cpp
+++ b/tests/gateway/PrefixMirrorTest.cpp
@@ -73,6 +73,34 @@
   }
 }
 
+TEST_CASE("A read that is under way is not thrown away",
+          "[gateway][mirror][known-red]") {
+  EventLoop Loop;
+  HeldStore Store;
+  PrefixMirror Mirror(Loop, Store, {.m_Prefix = "p"}, {.m_Changed = [] {}});
+  const auto Answer = [&] {
+    Store.m_Reads.front()({.m_Status = StoreStatus::Ok,
+                           .m_Items = {{.m_Key = "p/a", .m_Value = "1"}},
+                           .m_At = 5});
+  };
+  SECTION("when the box begins to watch") {
+    Mirror.readOnce(ReadKind::Current);
+    Mirror.start();
+    REQUIRE(Store.m_Reads.size() == 1);
+    Answer();
+    REQUIRE(Store.m_After == std::vector<StoreRevision>{5});
+  }
+  SECTION("when it begins to follow another box") {
+    Mirror.start();
+    Mirror.stop();
+    Mirror.readOnce(ReadKind::Current);
+    REQUIRE(Store.m_Reads.size() == 1);
+    Answer();
+    REQUIRE(Mirror.revision() == 5);
+    REQUIRE(Store.m_After.empty());
+  }
+}
+
 TEST_CASE("How each read ended is told", "[gateway][mirror]") {
   EventLoop Loop;
   HeldStore Store;
