Mend: a read that is under way is never thrown away

What callers saw: routes refused as unknown on boxes with small links, seconds after their version was in force elsewhere.

Cause: one megabyte fills a link of 10 Mbit/s for 0.8 s. Meanwhile the word of the relay comes late, the list counts as old, the box begins to watch list and configuration itself, and that threw the read away, whose bytes still came. So did going back to following, and the store's return.

Change: start(), stop() and resync() wait for a read that is under way. One on a dead connection ends after 1 s without a byte, as before, and is then tried again at once where resync() was asked for meanwhile.

Ruled out: cancelling the call. Its bytes are on the way already, and the next read needs the same ones.

Configuration and mirror tests pass.

--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -384,7 +384,7 @@
 }
 
 void Gateway::logConfigRead(const PrefixMirror::ReadEnd &End) {
-  const char *Outcome = End.m_Dropped ? "dropped" : toString(End.m_Status);
+  const char *Outcome = toString(End.m_Status);
   m_Metrics.configRead(Outcome);
   m_Log.write("config_read", {{"kind", toString(End.m_Kind)},
                               {"outcome", Outcome},
--- a/packages/gateway/process/PrefixMirror.cpp
+++ b/packages/gateway/process/PrefixMirror.cpp
@@ -40,22 +40,27 @@
 PrefixMirror::~PrefixMirror() = default;
 
 void PrefixMirror::start() {
-  if (std::exchange(m_Running, true))
+  if (std::exchange(m_Running, true) || m_Reading)
     return;
   resync();
 }
 
 void PrefixMirror::stop() {
   m_Running = false;
-  dropRead();
-  ++m_Round;
   m_Watching.reset();
   m_Timer = Timer();
+  if (!m_Reading)
+    ++m_Round;
 }
 
 void PrefixMirror::resync() {
   if (!m_Running)
     return;
+  // It may wait on a connection that is dead, and then fails soon.
+  if (m_Reading) {
+    m_ReadAgain = true;
+    return;
+  }
   ++m_Round;
   m_Watching.reset();
   m_Timer = Timer();
@@ -86,21 +91,14 @@
   read(m_At == 0 ? m_Opts.m_FirstRead : ReadKind::Current);
 }
 
-/// Its answer is left unread.
-void PrefixMirror::dropRead() {
-  if (std::exchange(m_Reading, false))
-    tellReadEnd({.m_Kind = m_ReadKind, .m_Dropped = true});
-}
-
-void PrefixMirror::tellReadEnd(ReadEnd End) const {
-  End.m_Took = EventLoop::now() - m_SentAt;
+void PrefixMirror::tellReadEnd(const ReadEnd &End) const {
   if (m_Hooks.m_ReadEnded)
     m_Hooks.m_ReadEnded(End);
 }
 
 void PrefixMirror::read(ReadKind Kind) {
-  dropRead();
   m_Reading = true;
+  m_ReadAgain = false;
   m_ReadKind = Kind;
   const std::uint64_t Round = ++m_Round;
   m_SentAt = EventLoop::now();
@@ -112,16 +110,21 @@
       });
 }
 
+void PrefixMirror::onReadFailed(ReadEnd End) {
+  if (m_Running) {
+    End.m_NextTry = std::exchange(m_ReadAgain, false) ? 0us : m_Backoff.next();
+    later(End.m_NextTry, &PrefixMirror::read);
+  }
+  tellReadEnd(End);
+}
+
 void PrefixMirror::onRead(StoreItems Read) {
   m_Reading = false;
-  ReadEnd End{.m_Kind = m_ReadKind, .m_Status = Read.m_Status};
-  if (Read.m_Status != StoreStatus::Ok) {
-    if (m_Running) {
-      End.m_NextTry = m_Backoff.next();
-      later(End.m_NextTry, &PrefixMirror::read);
-    }
-    return tellReadEnd(End);
-  }
+  ReadEnd End{.m_Kind = m_ReadKind,
+              .m_Status = Read.m_Status,
+              .m_Took = EventLoop::now() - m_SentAt};
+  if (Read.m_Status != StoreStatus::Ok)
+    return onReadFailed(End);
   End.m_At = Read.m_At;
   for (const StoreItem &Each : Read.m_Items)
     End.m_Bytes += Each.m_Value.size();
--- a/packages/gateway/process/PrefixMirror.h
+++ b/packages/gateway/process/PrefixMirror.h
@@ -46,8 +46,6 @@
   struct ReadEnd {
     ReadKind m_Kind = ReadKind::Current;
     StoreStatus m_Status = StoreStatus::Lost;
-    /// Its answer is not waited for any more, though it may still come.
-    bool m_Dropped = false;
     Duration m_Took = 0us;
     std::size_t m_Bytes = 0;  ///< Of the values.
     StoreRevision m_At = 0;   ///< The store's, of a good answer.
@@ -65,16 +63,18 @@
   PrefixMirror(const PrefixMirror &) = delete;
   PrefixMirror &operator=(const PrefixMirror &) = delete;
 
+  /// A read that is under way is waited for, here and below: a large value
+  /// takes a slow link most of a second, its bytes come whether or not they are
+  /// waited for, and one read more would make both late.
   void start();
-  /// Abandons what is under way and reads anew; for a store that is back.
+  /// Gives up the watch and reads anew; for a store that is back.
   void resync();
   /// Reads the prefix without watching it afterwards, when this copy is not
-  /// kept by watching anyway, or is being read: a large value takes a slow link
-  /// most of a second, and one read more would make both late.
+  /// kept by watching anyway.
   void readOnce(ReadKind Kind);
   /// Whether a read is under way.
   bool reading() const { return m_Reading; }
-  /// Stops reading; start() begins again.
+  /// Stops watching; start() begins again.
   void stop();
   bool running() const { return m_Running; }
   /// Pauses between tries while the store does not answer.
@@ -120,8 +120,8 @@
 private:
   void read();
   void read(ReadKind Kind);
-  void dropRead();
-  void tellReadEnd(ReadEnd End) const;
+  void onReadFailed(ReadEnd End);
+  void tellReadEnd(const ReadEnd &End) const;
   void watch();
   Duration nextWait(TimePoint Now) const;
   void onRead(StoreItems Read);
@@ -153,6 +153,7 @@
   bool m_Running = false;
   bool m_Reading = false;
   ReadKind m_ReadKind = ReadKind::Current; ///< Of the read under way.
+  bool m_ReadAgain = false; ///< At once, should the read under way fail.
   /// Answers of earlier calls are dropped.
   std::uint64_t m_Round = 0;
   std::shared_ptr<void> m_Watching;
