Mend: no pause between tries outlasts the time for a configuration

What callers saw: routes refused as unknown long after the way to their version was well again.

Cause: a box asked a peer after 0.4, 0.8 ... 6.4 s, anew only once it had caught up with all that it was told of, which it never has in a series; a leaf that watches for itself tried again after up to 5 s and was not woken by what others told it; and only a digest drove it on.

Change: ConfigPursuit (decisions, no network) knows what a box was told of, who holds it, and what was tried. Each way is tried again within 1 s, however long it has failed, and from 0.2 s on once a version was taken; a timer drives it on. ConfigFollower takes its steps; ListFollower loses that part. A small relay asks a stronger box for its packed copy, as leaves do, in place of reading a megabyte.

A copy that cannot be read is asked for each second, not each 6.4 s; reads of one, each 0.2 s before, are a second apart too.

Test: a property over versions, outages and ways: in force within 3 s of the ways being well (and the failing read, 1 s, where nobody can send a copy).

--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -402,7 +402,7 @@
     return takeFromLeaf(From, Frame, Now);
   m_Of.m_Giver.heardHolder(From, Frame.m_Holder, Frame.m_Giving,
                            m_Clock.toldAt(Frame.m_Echo));
-  m_Lists.noteConfig(From, Frame, Now);
+  m_Lists.config().heard(From, Frame, Now);
   m_Lists.noteNewer(Frame, Now);
   if (From == m_Uplink)
     m_UplinkHeardAt = Now;
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -303,9 +303,9 @@
   Now.m_OpenRequests = Number(m_Forwarder.open());
   Now.m_ConfigVersion = Number(m_State.configVersion());
   const ListFollower &Lists = m_Exchange.lists();
-  Now.m_ConfigTold = Number(Lists.toldConfig().m_Version);
+  Now.m_ConfigTold = Number(Lists.config().newest().m_Version);
   Now.m_ConfigAge = inSeconds(Lists.configVouch(EventLoop::now()).m_Age);
-  Now.m_ConfigBehind = inSeconds(Lists.configBehind(EventLoop::now()));
+  Now.m_ConfigBehind = inSeconds(Lists.config().behind(EventLoop::now()));
   Now.m_ListRevision = Number(m_State.m_Upstreams.list().m_Revision);
   Now.m_Upstreams = Number(m_State.m_Upstreams.current().size());
   Now.m_Listed = Number(m_Registry.size());
@@ -396,7 +396,7 @@
 
 void Gateway::logConfig(const ServingConfig &Read, StoreRevision Revision) {
   const TimePoint Now = EventLoop::now();
-  const ListFollower::ToldConfig &Known = m_Exchange.lists().toldConfig();
+  const ConfigPursuit::Told &Known = m_Exchange.lists().config().newest();
   const bool Told = Known.m_Version >= Read.m_Version;
   const char *Source = toString(m_ConfigMirror.source());
   m_Metrics.configTaken(Source);
--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -51,18 +51,6 @@
 /// the box that is followed.
 constexpr Duration NewerSource = 500ms;
 
-/// A read of the configuration takes some milliseconds.
-constexpr Duration ReadConfigEvery = 200ms;
-/// The other box is asked for its copy when the store turns this one away; when
-/// a read hangs, later: half a megabyte takes a link of 10 Mbit/s 0.5 s, and
-/// two copies at once take twice as long.
-constexpr Duration AskPeerAfter = 400ms;
-constexpr Duration AskPeerWhileReading = 1s;
-/// A digest later the box tries the store.
-constexpr Duration UplinkAnswers = 200ms;
-/// Doubled with each time, as a copy that this box cannot read never helps.
-constexpr Duration LeastAskPause = 400ms;
-constexpr Duration MostAskPause = 6400ms;
 constexpr Duration ReadAgainEvery = 1s;
 
 /// A box that starts waits this long for the list of boxes, and a leaf for its
@@ -84,7 +72,17 @@
 
 ListFollower::ListFollower(EventLoop &Loop, Parts Of, Options Opts,
                            Hooks Callbacks)
-    : m_Of(Of), m_Opts(Opts), m_Hooks(std::move(Callbacks)) {
+    : m_Of(Of), m_Opts(Opts), m_Hooks(std::move(Callbacks)),
+      m_Config(
+          {.m_Fleet = Of.m_Fleet,
+           .m_State = Of.m_State,
+           .m_Mirror = Of.m_Config,
+           .m_Log = Of.m_Log},
+          {.m_TowardsGiver = m_Hooks.m_TowardsGiver,
+           .m_Ask =
+               [this](const BoxName &Box) { m_Of.m_Fleet.send(Box, want()); },
+           .m_DropConnections = m_Hooks.m_DropConnections,
+           .m_Age = [this](TimePoint Now) { return configVouch(Now).m_Age; }}) {
   m_SourceTimer = Loop.every(ChooseSourceEvery, [this] { choose(); });
 }
 
@@ -95,6 +93,11 @@
   choose();
 }
 
+void ListFollower::forget(const BoxName &Box) {
+  m_ListWords.erase(Box);
+  m_Config.forget(Box);
+}
+
 /// The watch of the configuration that nobody vouches for waits for seconds,
 /// and may be dead as long. So the box that reads the list for all watches the
 /// configuration closely too, and its word of both is what others rely on: one
@@ -292,9 +295,10 @@
         Topology.relay() || m_Of.m_Upstreams.confirmedAt() >= Now - LeafGather;
     // A small fleet learns of a configuration sooner than by way of others.
     follow(m_Of.m_Config, (Relayed || !Reachable) && !Topology.flat() &&
-                              (HasConfig || asksUplink()));
+                              (HasConfig || m_Config.asksUplink()));
   }
   watchClosely();
+  m_Config.pursue(Now);
   if (Now - age(Now) - m_ToldAsOf >= MuchNewer)
     m_Hooks.m_TellNow();
   // A leaf needs to know of other boxes only while it has no relay.
@@ -340,100 +344,6 @@
     Mirror.start();
 }
 
-void ListFollower::noteConfig(const BoxName &From,
-                              const FleetDigestFrame &Frame, TimePoint Now) {
-  const ConfigVersion Known = want().m_Config;
-  if (Frame.m_Config <= Known)
-    return;
-  // Since the first version that it lacks: were each newer one to begin the
-  // wait anew, a box whose watch is dead would follow none of a quick series.
-  if (m_ToldConfig.m_Version <= Known) {
-    m_ConfigBehindSince = Now;
-    m_AskPause = LeastAskPause;
-  }
-  if (Frame.m_Config > m_ToldConfig.m_Version)
-    noteTold(From, Frame.m_Config, Now);
-  if (waitsForUplink(From, Now))
-    return;
-  readConfig(Now);
-  const bool Reading = m_Of.m_Config.reading();
-  const Duration Patience = Reading ? AskPeerWhileReading : AskPeerAfter;
-  if (Now - m_ConfigBehindSince < Patience ||
-      Now - m_ConfigAskedAt < m_AskPause)
-    return;
-  m_ConfigAskedAt = Now;
-  m_AskPause = std::min(2 * m_AskPause, MostAskPause);
-  askForConfig(From, m_AskPause);
-}
-
-void ListFollower::askForConfig(const BoxName &Peer, Duration Pause) {
-  m_Of.m_Log.write("config_asked", {{"peer", Peer.str()},
-                                    {"version", m_ToldConfig.m_Version},
-                                    {"known", want().m_Config},
-                                    {"next_ms", Pause / 1ms}});
-  m_Of.m_Fleet.send(Peer, want());
-}
-
-/// Whether the uplink of this box, a leaf, sends its configuration, compressed:
-/// hundreds of leaves that read each version from the store make more calls
-/// than all else that a fleet does.
-bool ListFollower::asksUplink() const {
-  const BoxName Uplink = m_Hooks.m_TowardsGiver();
-  return !m_Of.m_Fleet.topology().relay() && !Uplink.empty() &&
-         m_Of.m_Fleet.understands(Uplink, PackingProtocol);
-}
-
-/// Asks the uplink, when \p From is that, for the configuration. \returns
-/// whether it may yet answer.
-bool ListFollower::waitsForUplink(const BoxName &From, TimePoint Now) {
-  if (From != m_Hooks.m_TowardsGiver() || !asksUplink() ||
-      m_Of.m_Config.running())
-    return false;
-  // Each newer version is asked for at once, and none twice.
-  if (m_ConfigAskedFor != m_ToldConfig.m_Version) {
-    m_ConfigAskedFor = m_ToldConfig.m_Version;
-    askForConfig(From, UplinkAnswers);
-  }
-  return Now - m_ConfigBehindSince < UplinkAnswers;
-}
-
-Duration ListFollower::configBehind(TimePoint Now) const {
-  return m_ToldConfig.m_Version > want().m_Config ? Now - m_ConfigBehindSince
-                                                  : 0us;
-}
-
-void ListFollower::noteTold(const BoxName &By, ConfigVersion Version,
-                            TimePoint Now) {
-  m_ToldConfig = {.m_Version = Version, .m_By = By, .m_At = Now};
-  m_Of.m_Log.write("config_told", {{"version", Version},
-                                   {"known", want().m_Config},
-                                   {"peer", By.str()},
-                                   {"age_ms", configVouch(Now).m_Age / 1ms}});
-}
-
-/// Each box reads a configuration that it was told of from the store: half a
-/// megabyte sent to all relays by one of them would fill its link for seconds.
-void ListFollower::readConfig(TimePoint Now) {
-  PrefixMirror &Config = m_Of.m_Config;
-  if (Config.reading())
-    return;
-  const bool First = m_ConfigReadFor != m_ToldConfig.m_Version;
-  if (Config.running()) {
-    // Tries after the first are the copy's own.
-    if (!First || Now - m_ConfigBehindSince < WatchTells)
-      return;
-    m_ConfigReadFor = m_ToldConfig.m_Version;
-    m_Hooks.m_DropConnections();
-    return Config.resync();
-  }
-  if (!First && Now - m_ConfigReadAt < ReadConfigEvery)
-    return;
-  m_ConfigReadFor = m_ToldConfig.m_Version;
-  m_ConfigReadAt = Now;
-  // A stale answer may be new enough.
-  Config.readOnce(First ? ReadKind::Stale : ReadKind::Current);
-}
-
 void ListFollower::noteNewer(const FleetDigestFrame &Frame, TimePoint Now) {
   const bool Behind = m_Of.m_Upstreams.running() &&
                       Frame.m_ListAge <= mostListAge() &&
@@ -486,7 +396,7 @@
   if (!Newer || !listsBehind(Word.m_Newest))
     return;
   FleetWantFrame Wanted = want();
-  // That is being read, see noteConfig().
+  // That is pursued by itself.
   Wanted.m_Config = std::max(Wanted.m_Config, Frame.m_Config);
   m_Of.m_Fleet.send(From, Wanted);
 }
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -5,6 +5,7 @@
 #define HAVENSTAIR_GATEWAY_PROCESS_LISTFOLLOWER_H
 
 #include "gateway/common/ConfigVouch.h"
+#include "gateway/process/ConfigFollower.h"
 #include "gateway/process/PrefixMirror.h"
 #include "gateway/process/ServingState.h"
 #include "wire/common/EventLoop.h"
@@ -28,13 +29,6 @@
 /// itself otherwise.
 class ListFollower {
 public:
-  /// A watch of the configuration that has not told by now what another box
-  /// knows is taken as dead: it tells within some ms, unless half a megabyte
-  /// comes over a slow link. With the time in which the box that reads for all
-  /// finds its own watch dead (CloseWait and the store's time-out) less than
-  /// the 2 s in which operators want a configuration in force.
-  static constexpr Duration WatchTells = 200ms;
-
   struct Options {
     /// Of the platform: how long a leaving upstream may get new work.
     Duration m_DrainTimeout = 2s;
@@ -72,7 +66,7 @@
   void arranged();
   /// Whom it follows is chosen anew.
   void choose();
-  void forget(const BoxName &Box) { m_ListWords.erase(Box); }
+  void forget(const BoxName &Box);
 
   /// Fills in what \p Frame tells of the lists; it counts as told then.
   void describe(FleetDigestFrame &Frame, TimePoint Now);
@@ -88,9 +82,10 @@
   /// What keysFrame() was given.
   static PrefixMirror::Delta newsIn(const FleetKeysFrame &Frame);
 
-  /// \p From, a relay, tells of a configuration, and of a list.
-  void noteConfig(const BoxName &From, const FleetDigestFrame &Frame,
-                  TimePoint Now);
+  /// How it comes by newer configurations.
+  ConfigFollower &config() { return m_Config; }
+  const ConfigFollower &config() const { return m_Config; }
+  /// Another box tells of a list.
   void noteNewer(const FleetDigestFrame &Frame, TimePoint Now);
   /// \p HeldUp: by how much longer than usual the word was under way.
   void heard(const BoxName &From, const FleetDigestFrame &Frame,
@@ -101,16 +96,6 @@
   bool uplinkFails(TimePoint Now) const;
 
   ConfigVouch configVouch(TimePoint Now) const;
-  /// The newest configuration that another box told of.
-  struct ToldConfig {
-    ConfigVersion m_Version = 0;
-    BoxName m_By;     ///< The first to tell of it.
-    TimePoint m_At{}; ///< When it did.
-  };
-  const ToldConfig &toldConfig() const { return m_ToldConfig; }
-  /// How long ago another box first told of a version that this one lacks; 0
-  /// when it lacks none.
-  Duration configBehind(TimePoint Now) const;
   /// As of when this box's configuration was the store's, or later; and its
   /// evacuations.
   TimePoint configAsOf() const;
@@ -134,16 +119,10 @@
   bool listsBehind(const FleetWantFrame &Newest) const;
   const EncodedFrame &whole(const PrefixMirror &Of);
   void answerList(const BoxName &From);
-  bool asksUplink() const;
-  bool waitsForUplink(const BoxName &From, TimePoint Now);
   bool lacksWhole() const;
   bool followsUplink() const;
   void watchClosely();
-  void noteTold(const BoxName &By, ConfigVersion Version, TimePoint Now);
-  /// \p Pause: before it is asked again, or another way is tried.
-  void askForConfig(const BoxName &Peer, Duration Pause);
   void noteNotSent(const BoxName &To, std::string_view Why);
-  void readConfig(TimePoint Now);
   bool startsSoon(TimePoint Now) const;
   bool leavesEvacuations(TimePoint Now, bool Relayed) const;
   void follow(PrefixMirror &Mirror, bool Relayed);
@@ -173,16 +152,10 @@
   TimePoint m_ToldAsOf =
       EventLoop::now(); ///< As of when this box last vouched for its lists.
   TimePoint m_StartedAt = EventLoop::now();
-  ToldConfig m_ToldConfig;
-  TimePoint m_ConfigBehindSince{};    ///< Told of a version that it lacks.
-  ConfigVersion m_ConfigAskedFor = 0; ///< The last one, of the uplink.
-  TimePoint m_ConfigAskedAt{}; ///< When another box was asked for its copy.
-  Duration m_AskPause{};       ///< Until it may be asked again.
-  ConfigVersion m_ConfigReadFor = 0; ///< The last one that made it read.
-  TimePoint m_ConfigReadAt{}; ///< When it was last read on another box's word.
-  TimePoint m_ListReadAt{};   ///< When it was read anew on another box's word.
+  TimePoint m_ListReadAt{}; ///< When it was read anew on another box's word.
   bool m_ConfigClosely = false;
   bool m_FollowEvacuations = false;
+  ConfigFollower m_Config;
   Timer m_SourceTimer;
 };
 
