--- a/packages/decisions/process/ConfigPursuit.cpp
+++ b/packages/decisions/process/ConfigPursuit.cpp
@@ -59,10 +59,9 @@
   return Now - Way.m_At >= (first(Way) ? LeastPause : Way.m_Pause);
 }
 
-void ConfigPursuit::noteTry(Tries &Way, TimePoint Now) const {
-  Way.m_Pause = Way.m_Pause == 0us || m_TryingSince > Way.m_At
-                    ? LeastPause
-                    : std::min(2 * Way.m_Pause, MostPause);
+void ConfigPursuit::noteTry(Tries &Way, Duration Least, TimePoint Now) const {
+  const bool Anew = Way.m_Pause == 0us || m_TryingSince > Way.m_At;
+  Way.m_Pause = Anew ? Least : std::min(2 * Way.m_Pause, MostPause);
   Way.m_For = m_Newest.m_Version;
   Way.m_At = Now;
 }
@@ -83,7 +82,7 @@
   if (At.m_Watching && Now - m_TryingSince < WatchTells)
     return ConfigStep::None;
   const bool First = first(m_Reads);
-  noteTry(m_Reads, Now);
+  noteTry(m_Reads, LeastPause, Now);
   if (At.m_Watching)
     return ConfigStep::ReadAnew;
   return First ? ConfigStep::ReadStale : ConfigStep::ReadCurrent;
@@ -95,7 +94,7 @@
     return ConfigStep::None;
   if (!asks(At, Now))
     return read(At, Now);
-  noteTry(m_Asks, Now);
+  noteTry(m_Asks, LeastAskPause, Now);
   return ConfigStep::Ask;
 }
 
--- a/packages/decisions/process/ConfigPursuit.h
+++ b/packages/decisions/process/ConfigPursuit.h
@@ -40,6 +40,8 @@
   static constexpr Duration AskWhileReading = 1s;
   /// Between two tries on the same way; the pause doubles up to the longest.
   static constexpr Duration LeastPause = 200ms;
+  /// A copy is sent, and unpacked by a small box, within this.
+  static constexpr Duration LeastAskPause = 500ms;
   static constexpr Duration MostPause = 1s;
 
   /// How the box stands when it decides.
@@ -85,7 +87,7 @@
   void noteProgress(ConfigVersion Known);
   bool mayTry(const Tries &Way, TimePoint Now) const;
   bool first(const Tries &Way) const { return Way.m_For != m_Newest.m_Version; }
-  void noteTry(Tries &Way, TimePoint Now) const;
+  void noteTry(Tries &Way, Duration Least, TimePoint Now) const;
   bool asks(const Situation &At, TimePoint Now) const;
   ConfigStep read(const Situation &At, TimePoint Now);
 
