A box asks for the version that there is, while newer ones are only known of

What a word tells is a type of its own now: the version held, and the one known of. The one that is held is asked for.

Test: a section of "A box that leaves the reading to others asks the one that has it".

--- a/packages/decisions/process/ConfigPursuit.cpp
+++ b/packages/decisions/process/ConfigPursuit.cpp
@@ -4,24 +4,8 @@
 
 namespace havenstair {
 
-const char *toString(ConfigStep Of) {
-  switch (Of) {
-  case ConfigStep::None:
-    return "none";
-  case ConfigStep::Ask:
-    return "ask";
-  case ConfigStep::ReadStale:
-    return "read_stale";
-  case ConfigStep::ReadCurrent:
-    return "read_current";
-  case ConfigStep::ReadAnew:
-    return "read_anew";
-  }
-  return "none";
-}
-
-bool ConfigPursuit::told(ConfigVersion Version, const BoxName &By, bool Holds,
-                         TimePoint Now) {
+bool ConfigPursuit::told(const BoxName &By, const Word &Of, TimePoint Now) {
+  const ConfigVersion Version = std::max(Of.m_Held, Of.m_Known);
   const bool News = Version > m_Newest.m_Version;
   // Counted from the first version that it lacks: were each newer one to begin
   // the waits anew, a box would follow none of a quick series.
@@ -29,18 +13,20 @@
     m_BehindSince = Now;
     m_TryingSince = Now;
   }
-  if (News) {
+  if (News)
     m_Newest = {.m_Version = Version, .m_By = By, .m_At = Now};
-    m_Holder = BoxName();
-  }
-  if (Holds && Version == m_Newest.m_Version && m_Holder.empty())
+  if (Of.m_Held > m_Held) {
+    m_Held = Of.m_Held;
     m_Holder = By;
+  }
   return News;
 }
 
 void ConfigPursuit::forget(const BoxName &Box) {
-  if (m_Holder == Box)
-    m_Holder = BoxName();
+  if (m_Holder != Box)
+    return;
+  m_Holder = BoxName();
+  m_Held = 0;
 }
 
 Duration ConfigPursuit::behind(ConfigVersion Known, TimePoint Now) const {
@@ -55,19 +41,21 @@
   m_TryingSince = m_Newest.m_At;
 }
 
-bool ConfigPursuit::mayTry(const Tries &Way, TimePoint Now) const {
-  return Now - Way.m_At >= (first(Way) ? LeastPause : Way.m_Pause);
+bool ConfigPursuit::mayTry(const Tries &Way, ConfigVersion For, TimePoint Now) {
+  return Now - Way.m_At >= (Way.m_For == For ? Way.m_Pause : LeastPause);
 }
 
-void ConfigPursuit::noteTry(Tries &Way, Duration Least, TimePoint Now) const {
+void ConfigPursuit::noteTry(Tries &Way, ConfigVersion For, Duration Least,
+                            TimePoint Now) const {
   const bool Anew = Way.m_Pause == 0us || m_TryingSince > Way.m_At;
   Way.m_Pause = Anew ? Least : std::min(2 * Way.m_Pause, MostPause);
-  Way.m_For = m_Newest.m_Version;
+  Way.m_For = For;
   Way.m_At = Now;
 }
 
 bool ConfigPursuit::asks(const Situation &At, TimePoint Now) const {
-  if (m_Holder.empty() || !mayTry(m_Asks, Now))
+  const bool Helps = !m_Holder.empty() && m_Held > At.m_Known;
+  if (!Helps || !mayTry(m_Asks, m_Held, Now))
     return false;
   const Duration After = At.m_LeavesReads ? 0us
                          : At.m_Reading   ? AskWhileReading
@@ -77,12 +65,12 @@
 
 ConfigStep ConfigPursuit::read(const Situation &At, TimePoint Now) {
   const bool Waits = At.m_LeavesReads && Now - m_TryingSince < HolderAnswers;
-  if (At.m_Reading || Waits || !mayTry(m_Reads, Now))
+  if (At.m_Reading || Waits || !mayTry(m_Reads, m_Newest.m_Version, Now))
     return ConfigStep::None;
   if (At.m_Watching && Now - m_TryingSince < WatchTells)
     return ConfigStep::None;
-  const bool First = first(m_Reads);
-  noteTry(m_Reads, LeastPause, Now);
+  const bool First = m_Reads.m_For != m_Newest.m_Version;
+  noteTry(m_Reads, m_Newest.m_Version, LeastPause, Now);
   if (At.m_Watching)
     return ConfigStep::ReadAnew;
   return First ? ConfigStep::ReadStale : ConfigStep::ReadCurrent;
@@ -94,7 +82,7 @@
     return ConfigStep::None;
   if (!asks(At, Now))
     return read(At, Now);
-  noteTry(m_Asks, LeastAskPause, Now);
+  noteTry(m_Asks, m_Held, LeastAskPause, Now);
   return ConfigStep::Ask;
 }
 
--- a/packages/decisions/process/ConfigPursuit.h
+++ b/packages/decisions/process/ConfigPursuit.h
@@ -18,8 +18,6 @@
   ReadAnew     ///< The box's own watch has not told: begin it again.
 };
 
-const char *toString(ConfigStep Of);
-
 /// Knows which version a box was told of, who holds it, and what was tried.
 /// After a failure each way is tried again within MostPause, however long it
 /// has failed: a pause that went on growing would outlast the time in which a
@@ -59,17 +57,22 @@
     TimePoint m_At{}; ///< When it did.
   };
 
-  /// \p By tells that there is \p Version, of which it has a copy where \p
-  /// Holds. \returns whether the version is news.
-  bool told(ConfigVersion Version, const BoxName &By, bool Holds,
-            TimePoint Now);
+  /// What another box tells of configurations.
+  struct Word {
+    ConfigVersion m_Held = 0;  ///< It can send its copy of that one.
+    ConfigVersion m_Known = 0; ///< The newest that it was told of itself.
+  };
+
+  /// \returns whether there is a version that was not known of.
+  bool told(const BoxName &By, const Word &Of, TimePoint Now);
   /// \p Box cannot be asked any more.
   void forget(const BoxName &Box);
   /// What to do now. A step that is returned counts as taken.
   ConfigStep next(const Situation &At, TimePoint Now);
 
   const Told &newest() const { return m_Newest; }
-  /// Whom to ask; empty when no box is known to have the newest version.
+  /// The first box to have the newest version that any is known to have; it is
+  /// asked. Empty when none is known.
   const BoxName &holder() const { return m_Holder; }
   /// How long it waits before it asks again.
   Duration askPause() const { return m_Asks.m_Pause; }
@@ -85,14 +88,15 @@
   };
 
   void noteProgress(ConfigVersion Known);
-  bool mayTry(const Tries &Way, TimePoint Now) const;
-  bool first(const Tries &Way) const { return Way.m_For != m_Newest.m_Version; }
-  void noteTry(Tries &Way, Duration Least, TimePoint Now) const;
+  static bool mayTry(const Tries &Way, ConfigVersion For, TimePoint Now);
+  void noteTry(Tries &Way, ConfigVersion For, Duration Least,
+               TimePoint Now) const;
   bool asks(const Situation &At, TimePoint Now) const;
   ConfigStep read(const Situation &At, TimePoint Now);
 
   Told m_Newest;
   BoxName m_Holder;
+  ConfigVersion m_Held = 0; ///< What that one has.
   ConfigVersion m_Known = 0;
   TimePoint m_BehindSince{}; ///< Of the oldest version that it lacks.
   TimePoint m_TryingSince{}; ///< The same, or since it last took a version.
--- a/packages/gateway/process/ConfigFollower.cpp
+++ b/packages/gateway/process/ConfigFollower.cpp
@@ -34,14 +34,15 @@
 void ConfigFollower::heard(const BoxName &From, const FleetDigestFrame &Frame,
                            TimePoint Now) {
   const ConfigVersion Known = m_Of.m_State.configVersion();
-  const ConfigVersion Told = std::max(Frame.m_Config, Frame.m_ConfigKnown);
-  if (Told <= Known)
+  const ConfigPursuit::Word Word{.m_Held = Frame.m_Config,
+                                 .m_Known = Frame.m_ConfigKnown};
+  if (std::max(Word.m_Held, Word.m_Known) <= Known)
     return;
-  if (m_Pursuit.told(Told, From, Frame.m_Config == Told, Now))
-    m_Of.m_Log.write("config_told", {{"version", Told},
+  if (m_Pursuit.told(From, Word, Now))
+    m_Of.m_Log.write("config_told", {{"version", m_Pursuit.newest().m_Version},
                                      {"known", Known},
                                      {"peer", From.str()},
-                                     {"holds", Frame.m_Config == Told},
+                                     {"held", Word.m_Held},
                                      {"age_ms", m_Hooks.m_Age(Now) / 1ms}});
   pursue(Now);
 }
--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -397,7 +397,7 @@
   if (!Newer || !listsBehind(Word.m_Newest))
     return;
   FleetWantFrame Wanted = want();
-  // That is pursued by itself.
+  // ConfigFollower asks for that.
   Wanted.m_Config = std::max(Wanted.m_Config, Frame.m_Config);
   m_Of.m_Fleet.send(From, Wanted);
 }
--- a/tests/decisions/process/ConfigPursuitTest.cpp
+++ b/tests/decisions/process/ConfigPursuitTest.cpp
@@ -13,6 +13,10 @@
 const BoxName Relay("relay");
 constexpr TimePoint Start{3600s};
 
+ConfigPursuit::Word word(ConfigVersion Version, bool Holds) {
+  return {.m_Held = Holds ? Version : 0, .m_Known = Version};
+}
+
 /// Which of its ways to a configuration a box has.
 struct Ways {
   bool m_Holder = true; ///< Another box tells that it holds the version.
@@ -41,7 +45,7 @@
   std::size_t Told = 0;
   for (TimePoint Now = Start; Now < Start + Longest; Now += Step) {
     while (Told < Versions.size() && Versions[Told] <= Now)
-      Pursuit.told(++Told, Relay, Of.m_Holder, Now);
+      Pursuit.told(Relay, word(++Told, Of.m_Holder), Now);
     if (CopyComes && *CopyComes <= Now && Told == Versions.size())
       return Now;
     if (ReadEnds && *ReadEnds <= Now) {
@@ -98,33 +102,39 @@
   REQUIRE(Pursuit.next(Leaf, Start) == ConfigStep::None);
 
   SECTION("at once, and not again before it may have answered") {
-    REQUIRE(Pursuit.told(2, Relay, true, Start));
+    REQUIRE(Pursuit.told(Relay, word(2, true), Start));
     REQUIRE(Pursuit.next(Leaf, Start) == ConfigStep::Ask);
     REQUIRE(Pursuit.holder() == Relay);
     REQUIRE(Pursuit.next(Leaf, Start + 400ms) == ConfigStep::None);
     REQUIRE(Pursuit.next(Leaf, Start + 500ms) == ConfigStep::Ask);
   }
   SECTION("not one that only knows of it") {
-    REQUIRE(Pursuit.told(2, Relay, false, Start));
+    REQUIRE(Pursuit.told(Relay, word(2, false), Start));
     REQUIRE(Pursuit.holder().empty());
     REQUIRE(Pursuit.next(Leaf, Start + 500ms) == ConfigStep::None);
-    REQUIRE_FALSE(Pursuit.told(2, Relay, true, Start + 500ms));
+    REQUIRE_FALSE(Pursuit.told(Relay, word(2, true), Start + 500ms));
     REQUIRE(Pursuit.next(Leaf, Start + 500ms) == ConfigStep::Ask);
   }
   SECTION("and reads the store when nobody has it for long") {
-    REQUIRE(Pursuit.told(2, Relay, false, Start));
+    REQUIRE(Pursuit.told(Relay, word(2, false), Start));
     REQUIRE(Pursuit.next(Leaf, Start + ConfigPursuit::HolderAnswers) ==
             ConfigStep::ReadStale);
     REQUIRE(Pursuit.next(Leaf, Start + ConfigPursuit::HolderAnswers + 200ms) ==
             ConfigStep::ReadCurrent);
   }
+  SECTION("for what it has while it only knows of newer ones") {
+    REQUIRE(Pursuit.told(Relay, {.m_Held = 2, .m_Known = 3}, Start));
+    REQUIRE(Pursuit.next(Leaf, Start) == ConfigStep::Ask);
+    REQUIRE(Pursuit.next({.m_Known = 2, .m_LeavesReads = true},
+                         Start + 600ms) == ConfigStep::None);
+  }
   SECTION("but none that has gone") {
-    REQUIRE(Pursuit.told(2, Relay, true, Start));
+    REQUIRE(Pursuit.told(Relay, word(2, true), Start));
     Pursuit.forget(Relay);
     REQUIRE(Pursuit.next(Leaf, Start) == ConfigStep::None);
   }
   SECTION("and nobody once it has it") {
-    REQUIRE(Pursuit.told(2, Relay, true, Start));
+    REQUIRE(Pursuit.told(Relay, word(2, true), Start));
     REQUIRE(Pursuit.behind(1, Start + 300ms) == 300ms);
     REQUIRE(Pursuit.next({.m_Known = 2}, Start + 300ms) == ConfigStep::None);
     REQUIRE(Pursuit.behind(2, Start + 300ms) == 0us);
@@ -135,9 +145,9 @@
           "[config-pursuit]") {
   ConfigPursuit Pursuit;
   const ConfigPursuit::Situation Leaf{.m_Known = 1, .m_LeavesReads = true};
-  Pursuit.told(2, Relay, true, Start);
+  Pursuit.told(Relay, word(2, true), Start);
   REQUIRE(Pursuit.next(Leaf, Start) == ConfigStep::Ask);
-  Pursuit.told(3, Relay, true, Start + 250ms);
+  Pursuit.told(Relay, word(3, true), Start + 250ms);
   REQUIRE(Pursuit.next(Leaf, Start + 250ms) == ConfigStep::Ask);
   REQUIRE(Pursuit.behind(1, Start + 250ms) == 250ms);
 }
@@ -146,7 +156,7 @@
           "[config-pursuit]") {
   ConfigPursuit Pursuit;
   const ConfigPursuit::Situation Box{.m_Known = 1, .m_Watching = true};
-  REQUIRE(Pursuit.told(2, Relay, true, Start));
+  REQUIRE(Pursuit.told(Relay, word(2, true), Start));
   REQUIRE(Pursuit.next(Box, Start + 100ms) == ConfigStep::None);
   REQUIRE(Pursuit.next(Box, Start + ConfigPursuit::WatchTells) ==
           ConfigStep::ReadAnew);
