Mend: a relay that is asked while its links are busy sends later, not never

Cause: all leaves of a relay ask for a version at once.

Line config_delayed in place of config_not_sent.

Also: the test of a relay that cannot take a version waits until one box gives orders.

Before, those that were left out were forgotten.

--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -419,6 +419,7 @@
                                  const FleetDigestFrame &Frame, TimePoint Now) {
   const auto [Place, New] = m_Leaves.try_emplace(From);
   Place->second.m_HeardAt = Now;
+  m_Lists.configAnswers().holds(From, Frame.m_Config);
   // It has none, or some were lost on the way to it.
   if (Frame.m_Totals == 0)
     Place->second.m_Totals = 0;
--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -82,7 +82,8 @@
            .m_Ask =
                [this](const BoxName &Box) { m_Of.m_Fleet.send(Box, want()); },
            .m_DropConnections = m_Hooks.m_DropConnections,
-           .m_Age = [this](TimePoint Now) { return configVouch(Now).m_Age; }}) {
+           .m_Age = [this](TimePoint Now) { return configVouch(Now).m_Age; }}),
+      m_ConfigAnswers(answerHooks()) {
   m_SourceTimer = Loop.every(ChooseSourceEvery, [this] { choose(); });
 }
 
@@ -96,6 +97,7 @@
 void ListFollower::forget(const BoxName &Box) {
   m_ListWords.erase(Box);
   m_Config.forget(Box);
+  m_ConfigAnswers.forget(Box);
 }
 
 /// The watch of the configuration that nobody vouches for waits for seconds,
@@ -300,6 +302,7 @@
   }
   watchClosely();
   m_Config.pursue(Now);
+  m_ConfigAnswers.proceed(want().m_Config);
   if (Now - age(Now) - m_ToldAsOf >= MuchNewer)
     m_Hooks.m_TellNow();
   // A leaf needs to know of other boxes only while it has no relay.
@@ -404,34 +407,35 @@
 
 void ListFollower::answer(const BoxName &From, const FleetWantFrame &Frame) {
   const FleetWantFrame Own = want();
-  const bool LacksConfig = Own.m_Config > Frame.m_Config;
+  m_ConfigAnswers.asked(From, Frame.m_Config, Own.m_Config);
   // It asks again with the next digest, and what it lacks may lie in its way.
-  if (m_Of.m_Fleet.slow(From)) {
-    if (LacksConfig)
-      noteNotSent(From, "slow_link");
+  if (m_Of.m_Fleet.slow(From))
     return;
-  }
   const auto Tell = [&](const PrefixMirror &Mirror, std::uint64_t Held,
                         std::uint64_t Known) {
     if (Held > Known)
       m_Of.m_Fleet.send(From, whole(Mirror));
   };
-  // Those that get none read the store. Without this bound, half a megabyte for
-  // each leaf would fill a small relay's link for seconds.
-  if (!m_Of.m_Fleet.busy())
-    Tell(m_Of.m_Config, Own.m_Config, Frame.m_Config);
-  else if (LacksConfig)
-    noteNotSent(From, "busy_links");
   if (Own.m_List > Frame.m_List)
     answerList(From);
   Tell(m_Of.m_Boxes, Own.m_Boxes, Frame.m_Boxes);
   Tell(m_Of.m_Evacuations, Own.m_Evacuations, Frame.m_Evacuations);
 }
 
-void ListFollower::noteNotSent(const BoxName &To, std::string_view Why) {
-  m_Of.m_Log.write(
-      "config_not_sent",
-      {{"peer", To.str()}, {"version", want().m_Config}, {"why", Why}});
+ConfigAnswers::Hooks ListFollower::answerHooks() {
+  return {
+      .m_Busy = [this] { return m_Of.m_Fleet.busy(); },
+      .m_Slow = [this](const BoxName &Box) { return m_Of.m_Fleet.slow(Box); },
+      .m_Send =
+          [this](const BoxName &Box) {
+            m_Of.m_Fleet.send(Box, whole(m_Of.m_Config));
+          },
+      .m_Delayed =
+          [this](const BoxName &Box, std::string_view Why) {
+            m_Of.m_Log.write("config_delayed", {{"peer", Box.str()},
+                                                {"version", want().m_Config},
+                                                {"why", Why}});
+          }};
 }
 
 /// A part of the list is of no use to anybody else.
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -5,6 +5,7 @@
 #define HAVENSTAIR_GATEWAY_PROCESS_LISTFOLLOWER_H
 
 #include "gateway/common/ConfigVouch.h"
+#include "gateway/process/ConfigAnswers.h"
 #include "gateway/process/ConfigFollower.h"
 #include "gateway/process/PrefixMirror.h"
 #include "gateway/process/ServingState.h"
@@ -15,7 +16,6 @@
 #include <functional>
 #include <map>
 #include <string>
-#include <string_view>
 
 namespace havenstair {
 
@@ -85,6 +85,8 @@
   /// How it comes by newer configurations.
   ConfigFollower &config() { return m_Config; }
   const ConfigFollower &config() const { return m_Config; }
+  /// Which boxes wait for the configuration of this one.
+  ConfigAnswers &configAnswers() { return m_ConfigAnswers; }
   /// Another box tells of a list.
   void noteNewer(const FleetDigestFrame &Frame, TimePoint Now);
   /// \p HeldUp: by how much longer than usual the word was under way.
@@ -122,7 +124,7 @@
   bool lacksWhole() const;
   bool followsUplink() const;
   void watchClosely();
-  void noteNotSent(const BoxName &To, std::string_view Why);
+  ConfigAnswers::Hooks answerHooks();
   bool startsSoon(TimePoint Now) const;
   bool leavesEvacuations(TimePoint Now, bool Relayed) const;
   void follow(PrefixMirror &Mirror, bool Relayed);
@@ -156,6 +158,7 @@
   bool m_ConfigClosely = false;
   bool m_FollowEvacuations = false;
   ConfigFollower m_Config;
+  ConfigAnswers m_ConfigAnswers;
   Timer m_SourceTimer;
 };
 
--- a/tests/gateway/LargeFleetTest.cpp
+++ b/tests/gateway/LargeFleetTest.cpp
@@ -200,7 +200,11 @@
 TEST_CASE("Leaves follow a configuration that their relay has not taken",
           "[gateway][fleet][configuration]") {
   LargeFleetTest Test;
-  REQUIRE(Test.until([&] { return Test.m_Store.watches("op/config") == 1; }));
+  REQUIRE(Test.until([&] {
+    return Test.m_Store.watches("op/config") == 1 &&
+           std::any_of(Test.m_Boxes.begin(), Test.m_Boxes.end(),
+                       [](const auto &Box) { return Box->givesOrders(); });
+  }));
   // A relay that reads for itself alone.
   const auto Stubborn = std::find_if(
       Test.m_Boxes.begin(), Test.m_Boxes.begin() + LargeFleetTest::Strong,
