Sight: what limits boxes hear servers name

Callers saw nothing; operators saw a server that gets more than it named, and no line of any box that says whether the word arrived.

The head of an answer is read for the limit (a decimal number; anything else is ignored with a line, the last good one stands), kept by life in ServerWords, and told by server_limit lines. Nothing is decided by it.

It ends by an answer without the field to a request that was sent after it was heard: answers overlap, and one that was sent before says nothing of it. 421 and answers of another instance say nothing of this server.

--- /dev/null
+++ b/packages/decisions/process/ServerWords.cpp
@@ -0,0 +1,103 @@
+#include "decisions/process/ServerWords.h"
+
+#include <utility>
+
+namespace havenstair {
+
+const char *toString(LimitChange Change) {
+  switch (Change) {
+  case LimitChange::None:
+    return "none";
+  case LimitChange::Begun:
+    return "begun";
+  case LimitChange::Altered:
+    return "altered";
+  case LimitChange::Ended:
+    return "ended";
+  }
+  return "unknown";
+}
+
+void ServerWords::listed(const InstanceList &List, TimePoint Now) {
+  for (auto &[Id, Each] : m_Servers) {
+    const bool Listed = List.m_Instances.contains(Id);
+    if (Listed)
+      Each.m_GoneAt.reset();
+    else if (!Each.m_GoneAt)
+      Each.m_GoneAt = Now;
+  }
+  std::erase_if(m_Servers, [&](const auto &Each) {
+    return Each.second.m_GoneAt && Now - *Each.second.m_GoneAt > RememberFor;
+  });
+  for (const auto &[Id, Entry] : List.m_Instances) {
+    Words &Of = m_Servers[Id];
+    if (Entry.m_Born > Of.m_Born)
+      Of = Words{.m_Born = Entry.m_Born};
+  }
+}
+
+/// Null for a life that is not the newest, or not listed yet: what is said of
+/// it is said again.
+ServerWords::Words *ServerWords::wordsOf(const UpstreamLife &Server) {
+  const auto Found = m_Servers.find(Server.m_Id);
+  return Found == m_Servers.end() || Found->second.m_Born != Server.m_Born
+             ? nullptr
+             : &Found->second;
+}
+
+LimitChange ServerWords::heardLimit(const UpstreamLife &Server,
+                                    std::optional<double> PerS,
+                                    const BoxName &Self, TimePoint SentAt,
+                                    TimePoint Now) {
+  Words *Of = wordsOf(Server);
+  if (Of == nullptr)
+    return LimitChange::None;
+  if (!PerS) {
+    // Answers overlap: this one may be older than the limit.
+    if (!Of->m_Limit || SentAt <= Of->m_Limit->m_Heard)
+      return LimitChange::None;
+    Of->m_Limit.reset();
+    return LimitChange::Ended;
+  }
+  return toldLimit(Server, PerS, Self, 0us, Now);
+}
+
+LimitChange ServerWords::toldLimit(const UpstreamLife &Server,
+                                   std::optional<double> PerS,
+                                   const BoxName &By, Duration Age,
+                                   TimePoint Now) {
+  Words *Of = wordsOf(Server);
+  if (Of == nullptr)
+    return LimitChange::None;
+  if (!PerS)
+    return std::exchange(Of->m_Limit, std::nullopt) ? LimitChange::Ended
+                                                    : LimitChange::None;
+  if (!Of->m_Limit) {
+    Of->m_Limit = {
+        .m_PerS = *PerS, .m_Since = Now - Age, .m_Heard = Now, .m_By = By};
+    return LimitChange::Begun;
+  }
+  if (Of->m_Limit->m_PerS == *PerS)
+    return LimitChange::None;
+  Of->m_Limit->m_PerS = *PerS;
+  Of->m_Limit->m_Heard = Now;
+  Of->m_Limit->m_By = By;
+  return LimitChange::Altered;
+}
+
+const NamedLimit *ServerWords::limit(const InstanceId &Id) const {
+  const auto Found = m_Servers.find(Id);
+  return Found == m_Servers.end() || !Found->second.m_Limit
+             ? nullptr
+             : &*Found->second.m_Limit;
+}
+
+std::map<UpstreamLife, NamedLimit> ServerWords::limits() const {
+  std::map<UpstreamLife, NamedLimit> Result;
+  for (const auto &[Id, Each] : m_Servers)
+    if (Each.m_Limit)
+      Result[{.m_Id = Id, .m_Born = Each.m_Born}] = *Each.m_Limit;
+  return Result;
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/decisions/process/ServerWords.h
@@ -0,0 +1,69 @@
+/// \file
+/// What servers said of themselves in their answers.
+/// See docs/design/server-words.md.
+#ifndef HAVENSTAIR_DECISIONS_PROCESS_SERVERWORDS_H
+#define HAVENSTAIR_DECISIONS_PROCESS_SERVERWORDS_H
+
+#include "decisions/common/Id.h"
+#include "decisions/common/Time.h"
+#include "decisions/process/UpstreamInstance.h"
+#include <map>
+#include <optional>
+
+namespace havenstair {
+
+/// A limit that a server names, as one box believes it.
+struct NamedLimit {
+  double m_PerS = 0;   ///< Requests that it takes from all boxes together.
+  TimePoint m_Since{}; ///< It was first named.
+  TimePoint m_Heard{}; ///< What is sent from here on may find it ended.
+  BoxName m_By;        ///< Who heard it from the server.
+
+  bool operator==(const NamedLimit &) const = default;
+};
+
+/// What a word on a limit changed.
+enum class LimitChange { None, Begun, Altered, Ended };
+
+/// \returns its name, for logs.
+const char *toString(LimitChange Change);
+
+/// Keeps the words of the newest known life of each server. A limit holds until
+/// an answer without one to what was sent after it was heard.
+class ServerWords {
+public:
+  /// A server that leaves the list for less, as in an outage of the store, goes
+  /// on with what it said.
+  static constexpr Duration RememberFor = 60s;
+
+  /// The newest list.
+  void listed(const InstanceList &List, TimePoint Now);
+
+  /// \p Server named \p PerS, or no limit, in answer to what this box sent at
+  /// \p SentAt.
+  LimitChange heardLimit(const UpstreamLife &Server, std::optional<double> PerS,
+                         const BoxName &Self, TimePoint SentAt, TimePoint Now);
+  /// Another box, \p By, heard it; \p Age is the time since the limit was first
+  /// named.
+  LimitChange toldLimit(const UpstreamLife &Server, std::optional<double> PerS,
+                        const BoxName &By, Duration Age, TimePoint Now);
+  /// Null when \p Id names none.
+  const NamedLimit *limit(const InstanceId &Id) const;
+  /// Of all servers that name one.
+  std::map<UpstreamLife, NamedLimit> limits() const;
+
+private:
+  struct Words {
+    UpstreamBirth m_Born = 0;
+    std::optional<TimePoint> m_GoneAt; ///< From the list.
+    std::optional<NamedLimit> m_Limit;
+  };
+
+  Words *wordsOf(const UpstreamLife &Server);
+
+  std::map<InstanceId, Words> m_Servers;
+};
+
+} // namespace havenstair
+
+#endif
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -172,8 +172,10 @@
                                     }})),
       m_Crashes(std::make_shared<CrashExchange>(
           Loop, m_UpstreamHttp, *m_Store, m_Fleet, m_State.m_Upstreams,
-          m_State.m_Crashes, m_Log, m_Binding.m_OwnPrefix, crashHooks())) {
-  m_Forwarder.setDesks(m_Quotas, m_WarmUp, m_Crashes);
+          m_State.m_Crashes, m_Log, m_Binding.m_OwnPrefix, crashHooks())),
+      m_Words(std::make_shared<ServerWordExchange>(m_Fleet, m_State.m_Words,
+                                                   m_Log)) {
+  m_Forwarder.setDesks(m_Quotas, m_WarmUp, m_Crashes, m_Words);
   m_State.standsIn(m_Options.m_DataCentre, m_Options.m_Regions);
   applyBounds();
   startServers();
@@ -466,6 +468,7 @@
       m_UpstreamHttp.forget(*Address);
   }
   m_WarmUp->listed(m_State.m_Upstreams.list());
+  m_State.m_Words.listed(m_State.m_Upstreams.list(), EventLoop::now());
   m_Crashes->listed();
   m_Log.write("upstreams",
               {{"revision", m_UpstreamMirror.revision()},
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/process/PlatformBinding.h"
 #include "gateway/process/PrefixMirror.h"
 #include "gateway/process/QuotaExchange.h"
+#include "gateway/process/ServerWordExchange.h"
 #include "gateway/process/ServingState.h"
 #include "gateway/process/StoreCallLog.h"
 #include "gateway/process/UpstreamRegistry.h"
@@ -117,6 +118,7 @@
   std::shared_ptr<QuotaExchange> m_Quotas;
   std::shared_ptr<WarmUpExchange> m_WarmUp;
   std::shared_ptr<CrashExchange> m_Crashes;
+  std::shared_ptr<ServerWordExchange> m_Words;
   std::unique_ptr<HttpServer> m_Callers;
   std::unique_ptr<HttpServer> m_Readiness;
   std::unique_ptr<HttpServer> m_MetricsServer;
--- a/packages/gateway/process/ServingState.h
+++ b/packages/gateway/process/ServingState.h
@@ -10,6 +10,7 @@
 #include "decisions/process/LatencyModel.h"
 #include "decisions/process/LoadBook.h"
 #include "decisions/process/PrefixIndex.h"
+#include "decisions/process/ServerWords.h"
 #include "decisions/process/ServingView.h"
 #include "decisions/process/SharedRetryBudget.h"
 #include "decisions/process/WarmUpView.h"
@@ -32,6 +33,7 @@
   std::shared_ptr<const ServingConfig> m_Config; ///< Null before the first.
   ServingView m_Upstreams;
   WarmUpView m_WarmUp;
+  ServerWords m_Words;
   LoadBook m_Loads;
   PrefixIndex m_Prefixes{PrefixTokens};
   LatencyModel m_Latency;
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -13,6 +13,7 @@
 #include "gateway/request/EarlyRequests.h"
 #include "gateway/request/QuotaDesk.h"
 #include "gateway/request/RequestDialect.h"
+#include "gateway/request/ServerWordDesk.h"
 #include "gateway/request/WarmUpDesk.h"
 #include "wire/common/EventLoop.h"
 #include "wire/common/HttpClient.h"
@@ -73,10 +74,12 @@
   /// Before the first request.
   void setDesks(std::weak_ptr<QuotaDesk> Quotas,
                 std::weak_ptr<WarmUpDesk> WarmUp,
-                std::weak_ptr<CrashDesk> Crashes) {
+                std::weak_ptr<CrashDesk> Crashes,
+                std::weak_ptr<ServerWordDesk> Words) {
     m_Quotas = std::move(Quotas);
     m_WarmUp = std::move(WarmUp);
     m_Crashes = std::move(Crashes);
+    m_Words = std::move(Words);
   }
   void handle(const HttpExchangePtr &Exchange);
   /// Answers a request that is not to be sent anywhere.
@@ -110,6 +113,7 @@
   std::weak_ptr<QuotaDesk> m_Quotas;
   std::weak_ptr<WarmUpDesk> m_WarmUp;
   std::weak_ptr<CrashDesk> m_Crashes;
+  std::weak_ptr<ServerWordDesk> m_Words;
   EarlyRequests m_Early;
   Timer m_EarlyTimer;
   std::set<std::shared_ptr<ProxiedRequest>> m_Open;
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -450,8 +450,10 @@
   const bool Nameless = Facts.m_RequestId.empty() && Status / 100 == 2;
   if (m_Send->m_Foreign || Nameless) {
     m_Send->m_Foreign = true;
-    settle(SendOutcome::Broken);
+    return settle(SendOutcome::Broken);
   }
+  if (const auto Desk = m_Owner.m_Words.lock())
+    Desk->heard(upstreamLife(), Facts, m_Send->m_At);
 }
 
 void ProxiedRequest::onBytes(std::string_view Bytes) {
--- a/packages/gateway/request/RequestDialect.h
+++ b/packages/gateway/request/RequestDialect.h
@@ -24,9 +24,14 @@
 struct AnswerFacts {
   std::string m_RequestId;
   bool m_NotRun = false;
-  std::string m_Instance; ///< Who answered; empty when it does not tell.
+  bool m_Misdirected = false; ///< Another server may stand at the address.
+  std::string m_Instance;     ///< Who answered; empty when it does not tell.
   /// How much longer it is cold; empty when it does not tell.
   std::optional<Duration> m_ColdFor;
+  /// Requests a second that it takes from all boxes together; empty when it
+  /// names no limit.
+  std::optional<double> m_Limit;
+  bool m_BadLimit = false; ///< It names one that cannot be read.
 };
 
 /// Hooks that one platform implements; they translate and decide nothing.
--- /dev/null
+++ b/packages/gateway/request/ServerWordDesk.h
@@ -0,0 +1,26 @@
+/// \file
+/// Where requests bring what servers say of themselves in their answers.
+#ifndef HAVENSTAIR_GATEWAY_REQUEST_SERVERWORDDESK_H
+#define HAVENSTAIR_GATEWAY_REQUEST_SERVERWORDDESK_H
+
+#include "decisions/common/Time.h"
+#include "decisions/process/UpstreamLife.h"
+#include "gateway/request/RequestDialect.h"
+
+namespace havenstair {
+
+class ServerWordDesk {
+public:
+  ServerWordDesk() = default;
+  ServerWordDesk(const ServerWordDesk &) = delete;
+  ServerWordDesk &operator=(const ServerWordDesk &) = delete;
+  virtual ~ServerWordDesk() = default;
+
+  /// \p Server said \p Words in answer to what was sent to it at \p SentAt.
+  virtual void heard(const UpstreamLife &Server, const AnswerFacts &Words,
+                     TimePoint SentAt) = 0;
+};
+
+} // namespace havenstair
+
+#endif
--- a/tests/gateway/PlatformTest.cpp
+++ b/tests/gateway/PlatformTest.cpp
@@ -207,6 +207,36 @@
   CHECK(Facts.m_ColdFor == 700ms);
 }
 
+TEST_CASE("A limit is one decimal number, or it is none", "[platform]") {
+  const RequestDialect Dialect = platform::makeBinding("").m_Dialect;
+  const auto Read = [&](const HttpHeaders &Headers) {
+    return Dialect.m_ReadAnswer(200, Headers);
+  };
+  SECTION("whole or in parts") {
+    const auto [Text, Value] = GENERATE(table<std::string, double>(
+        {{"0", 0}, {"0.5", 0.5}, {"1", 1}, {"2.50", 2.5}, {"1000", 1000}}));
+    CHECK(Read({{"server-limit", Text}}).m_Limit == Value);
+    CHECK_FALSE(Read({{"server-limit", Text}}).m_BadLimit);
+  }
+  SECTION("not anything else") {
+    const std::string Text =
+        GENERATE("", "-1", "-0", "x", "1,2", "1 a second", "nan", "inf", "1e3",
+                 "0x10", "99999999999", "+1");
+    CHECK_FALSE(Read({{"Server-Limit", Text}}).m_Limit);
+    CHECK(Read({{"Server-Limit", Text}}).m_BadLimit);
+  }
+  SECTION("not two") {
+    const AnswerFacts Facts =
+        Read({{"Server-Limit", "1"}, {"Server-Limit", "1"}});
+    CHECK_FALSE(Facts.m_Limit);
+    CHECK(Facts.m_BadLimit);
+  }
+  SECTION("or it is not there") {
+    CHECK_FALSE(Read({}).m_Limit);
+    CHECK_FALSE(Read({}).m_BadLimit);
+  }
+}
+
 TEST_CASE("What cannot be a configuration or a server is an error",
           "[platform]") {
   const std::string Text =
