Permits to send are named by what they are, not by their first use

SendPermits, PermitDesk, PermitExchange and the frames that ask for permits were named after warm-up, the one reason for which a server bears little. Names only; the wire and the log are as they were.

--- a/packages/decisions/process/WarmUpPermits.cpp
+++ b/packages/decisions/process/SendPermits.cpp
@@ -1,4 +1,4 @@
-#include "decisions/process/WarmUpPermits.h"
+#include "decisions/process/SendPermits.h"
 
 #include "decisions/common/StableHash.h"
 #include <algorithm>
@@ -27,7 +27,7 @@
   return rendezvousPick(Candidates, Server);
 }
 
-void WarmUpPermits::admits(const std::set<InstanceId> &Servers, TimePoint Now) {
+void SendPermits::admits(const std::set<InstanceId> &Servers, TimePoint Now) {
   std::erase_if(
       m_Books, [&](const auto &Each) { return !Servers.contains(Each.first); });
   for (const InstanceId &Each : Servers)
@@ -35,15 +35,14 @@
                         Book{.m_Since = Now, .m_Given = {}, .m_ToldTo = {}});
 }
 
-std::size_t WarmUpPermits::perWindow(const WarmUpSpec &Spec) const {
+std::size_t SendPermits::perWindow(const WarmUpSpec &Spec) const {
   const double Half = std::floor(m_Tolerance.mostPerS(Spec) / AtOnce);
   const double Rate = std::ceil(Spec.m_RequestsPerS * inSeconds(Window));
   return static_cast<std::size_t>(std::max(1.0, std::min(Half, Rate)));
 }
 
-WarmUpVerdict WarmUpPermits::ask(const InstanceId &Server,
-                                 const WarmUpSpec &Spec, Duration Patience,
-                                 TimePoint Now) {
+PermitVerdict SendPermits::ask(const InstanceId &Server, const WarmUpSpec &Spec,
+                               Duration Patience, TimePoint Now) {
   const auto Found = m_Books.find(Server);
   if (Found == m_Books.end())
     return {.m_Granted = false, .m_After = Window};
--- a/packages/decisions/process/WarmUpPermits.h
+++ b/packages/decisions/process/SendPermits.h
@@ -1,8 +1,8 @@
 /// \file
 /// Permits to send requests to cold servers, as one box gives them out.
 /// See docs/design/warm-up.md.
-#ifndef HAVENSTAIR_DECISIONS_PROCESS_WARMUPPERMITS_H
-#define HAVENSTAIR_DECISIONS_PROCESS_WARMUPPERMITS_H
+#ifndef HAVENSTAIR_DECISIONS_PROCESS_SENDPERMITS_H
+#define HAVENSTAIR_DECISIONS_PROCESS_SENDPERMITS_H
 
 #include "decisions/common/Id.h"
 #include "decisions/common/Time.h"
@@ -24,18 +24,18 @@
                                   const std::set<BoxName> &Reached);
 
 /// Answer to who asks to send one request.
-struct WarmUpVerdict {
+struct PermitVerdict {
   bool m_Granted = false;
   /// From the answer on: when it may be sent, or when one may ask again.
   Duration m_After = 0us;
 
-  bool operator==(const WarmUpVerdict &) const = default;
+  bool operator==(const PermitVerdict &) const = default;
 };
 
 /// The books of one box. Of one server's permits, those that may arrive in the
 /// same second are at most half of what all boxes together may send, but always
 /// one: boxes whose lists differ may ask two admitters at once.
-class WarmUpPermits {
+class SendPermits {
 public:
   /// Who asked may send until so long after it asked, and after the wait that
   /// it was told: an answer comes within some ms, or it is of no use.
@@ -46,7 +46,7 @@
   /// Permits that are given out in this time may arrive within one second.
   static constexpr Duration Window = 1s + Validity + OnTheWay;
 
-  explicit WarmUpPermits(const WarmUpTolerance &Tolerance)
+  explicit SendPermits(const WarmUpTolerance &Tolerance)
       : m_Tolerance(Tolerance) {}
 
   void setTolerance(const WarmUpTolerance &Tolerance) {
@@ -58,7 +58,7 @@
 
   /// A permit for one request to \p Server within \p Patience. Also after a
   /// start under the same name the window holds what was given out before.
-  WarmUpVerdict ask(const InstanceId &Server, const WarmUpSpec &Spec,
+  PermitVerdict ask(const InstanceId &Server, const WarmUpSpec &Spec,
                     Duration Patience, TimePoint Now);
 
   /// Permits for one server in any window.
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -164,9 +164,9 @@
           Loop, m_Fleet, m_Log, m_Options.m_Bounds.quotaTolerance(),
           QuotaExchange::Hooks{
               .m_Leaves = [this] { return m_Exchange.leaves(); }})),
-      m_WarmUp(std::make_shared<WarmUpExchange>(
+      m_WarmUp(std::make_shared<PermitExchange>(
           Loop, m_Fleet, m_State.m_WarmUp, m_Log, m_Options.m_Bounds.m_WarmUp,
-          WarmUpExchange::Hooks{.m_Asked =
+          PermitExchange::Hooks{.m_Asked =
                                     [this](const auto &At, auto What) {
                                       m_Metrics.permitAsked(At, What);
                                     }})),
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/process/GatewayPolicy.h"
 #include "gateway/process/MeteredStore.h"
 #include "gateway/process/OrderGiver.h"
+#include "gateway/process/PermitExchange.h"
 #include "gateway/process/PlatformBinding.h"
 #include "gateway/process/PrefixMirror.h"
 #include "gateway/process/QuotaExchange.h"
@@ -18,7 +19,6 @@
 #include "gateway/process/ServingState.h"
 #include "gateway/process/StoreCallLog.h"
 #include "gateway/process/UpstreamRegistry.h"
-#include "gateway/process/WarmUpExchange.h"
 #include "gateway/request/Forwarder.h"
 #include "wire/common/EventLoop.h"
 #include "wire/common/HttpClient.h"
@@ -116,7 +116,7 @@
   OrderGiver m_Giver;
   FleetExchange m_Exchange;
   std::shared_ptr<QuotaExchange> m_Quotas;
-  std::shared_ptr<WarmUpExchange> m_WarmUp;
+  std::shared_ptr<PermitExchange> m_WarmUp;
   std::shared_ptr<CrashExchange> m_Crashes;
   std::shared_ptr<ServerWordExchange> m_Words;
   std::unique_ptr<HttpServer> m_Callers;
--- a/packages/gateway/process/WarmUpExchange.cpp
+++ b/packages/gateway/process/PermitExchange.cpp
@@ -1,4 +1,4 @@
-#include "gateway/process/WarmUpExchange.h"
+#include "gateway/process/PermitExchange.h"
 
 #include "gateway/common/DecisionLog.h"
 #include "gateway/process/Fleet.h"
@@ -25,7 +25,7 @@
 
 } // namespace
 
-WarmUpExchange::WarmUpExchange(EventLoop &Loop, Fleet &Boxes, WarmUpView &View,
+PermitExchange::PermitExchange(EventLoop &Loop, Fleet &Boxes, WarmUpView &View,
                                DecisionLog &Log,
                                const WarmUpTolerance &Tolerance,
                                Hooks Callbacks)
@@ -35,19 +35,19 @@
 }
 
 std::optional<BoxName>
-WarmUpExchange::admitter(const InstanceId &Server) const {
+PermitExchange::admitter(const InstanceId &Server) const {
   std::set<BoxName> Reached = m_Fleet.linked();
   Reached.insert(m_Fleet.self());
   return admitterOf(
       Server, m_Fleet.topology().relaysOf(m_View.dataCentre(Server)), Reached);
 }
 
-void WarmUpExchange::listed(const InstanceList &List) {
+void PermitExchange::listed(const InstanceList &List) {
   m_View.listed(List, EventLoop::now());
   refreshRole();
 }
 
-void WarmUpExchange::refreshRole() {
+void PermitExchange::refreshRole() {
   const TimePoint Now = EventLoop::now();
   std::erase_if(m_PassedOn, [&](const auto &Each) {
     return Now - Each.second.m_Since > RefreshEvery;
@@ -62,7 +62,7 @@
 
 /// The box to ask: a relay knows the admitter; a leaf is linked to few and asks
 /// one of the server's data centre, or its own uplinks in their order.
-BoxName WarmUpExchange::nextBox(const InstanceId &Server) const {
+BoxName PermitExchange::nextBox(const InstanceId &Server) const {
   if (m_Fleet.topology().relay())
     return admitter(Server).value_or(BoxName());
   const std::set<BoxName> &Near =
@@ -79,7 +79,7 @@
   return Other;
 }
 
-WarmUpVerdict WarmUpExchange::decide(const InstanceId &Server,
+PermitVerdict PermitExchange::decide(const InstanceId &Server,
                                      Duration Patience) {
   const WarmUpSpec *Spec = m_View.spec(Server);
   if (Spec == nullptr)
@@ -87,7 +87,7 @@
   return m_Permits.ask(Server, *Spec, Patience, EventLoop::now());
 }
 
-void WarmUpExchange::ask(const InstanceId &Server, Duration Patience,
+void PermitExchange::ask(const InstanceId &Server, Duration Patience,
                          Done Callback) {
   Asked Of{.m_Server = Server,
            .m_Done = std::move(Callback),
@@ -100,13 +100,13 @@
     return finish(Of, decide(Server, Patience));
   const std::uint64_t Id = ++m_LastId;
   Of.m_Timer =
-      m_Loop.after(WarmUpPermits::Validity, [this, Id] { unanswered(Id); });
+      m_Loop.after(SendPermits::Validity, [this, Id] { unanswered(Id); });
   m_Asked[Id] = std::move(Of);
-  m_Fleet.send(To, WarmUpAskFrame{
+  m_Fleet.send(To, PermitAskFrame{
                        .m_Id = Id, .m_Server = Server, .m_Patience = Patience});
 }
 
-void WarmUpExchange::unanswered(std::uint64_t Id) {
+void PermitExchange::unanswered(std::uint64_t Id) {
   const auto Found = m_Asked.find(Id);
   if (Found == m_Asked.end())
     return;
@@ -116,15 +116,15 @@
 }
 
 /// Tells who asked. A box that was held up finds its permit lapsed.
-void WarmUpExchange::finish(const Asked &Of,
-                            const std::optional<WarmUpVerdict> &Verdict) {
+void PermitExchange::finish(const Asked &Of,
+                            const std::optional<PermitVerdict> &Verdict) {
   const TimePoint Now = EventLoop::now();
-  const TimePoint Lapses = Of.m_Since + WarmUpPermits::Validity;
+  const TimePoint Lapses = Of.m_Since + SendPermits::Validity;
   const TimePoint Warm = m_View.warmAt(Of.m_Server, Now).value_or(Now);
   const bool InTime = Verdict && Now <= Lapses;
   const bool Granted = InTime && Verdict->m_Granted;
   const Duration Away = InTime ? Verdict->m_After : AskAgainAfter;
-  WarmUpAnswer Answer{.m_Permit = std::nullopt,
+  PermitAnswer Answer{.m_Permit = std::nullopt,
                       .m_Free = std::min(Warm, Now + Away)};
   if (Granted)
     Answer.m_Permit = {.m_From = Now + Verdict->m_After,
@@ -144,7 +144,7 @@
   Of.m_Done(Answer);
 }
 
-void WarmUpExchange::heard(const InstanceId &Server, Duration ColdFor,
+void PermitExchange::heard(const InstanceId &Server, Duration ColdFor,
                            TimePoint AskedAt) {
   if (!m_View.told(Server, ColdFor, AskedAt, EventLoop::now()))
     return;
@@ -157,7 +157,7 @@
       WarmUpNewsFrame{.m_Life = m_View.life(Server), .m_ColdFor = ColdFor});
 }
 
-void WarmUpExchange::onFrame(const BoxName &From, const PeerFrame &Frame) {
+void PermitExchange::onFrame(const BoxName &From, const PeerFrame &Frame) {
   std::visit(
       [&](const auto &Each) {
         if constexpr (requires { take(From, Each); })
@@ -166,13 +166,13 @@
       Frame);
 }
 
-void WarmUpExchange::take(const BoxName &From, const WarmUpAskFrame &Frame) {
+void PermitExchange::take(const BoxName &From, const PermitAskFrame &Frame) {
   const auto Admitter = admitter(Frame.m_Server);
   const bool PassOn = Admitter && *Admitter != m_Fleet.self() &&
                       !m_Fleet.topology().isRelay(From);
   if (!PassOn) {
     m_Fleet.send(From,
-                 WarmUpAnswerFrame{
+                 PermitAnswerFrame{
                      .m_Id = Frame.m_Id,
                      .m_Verdict = decide(Frame.m_Server, Frame.m_Patience)});
     return;
@@ -180,17 +180,17 @@
   const std::uint64_t Id = ++m_LastId;
   m_PassedOn[Id] = {
       .m_From = From, .m_Id = Frame.m_Id, .m_Since = EventLoop::now()};
-  m_Fleet.send(*Admitter, WarmUpAskFrame{.m_Id = Id,
+  m_Fleet.send(*Admitter, PermitAskFrame{.m_Id = Id,
                                          .m_Server = Frame.m_Server,
                                          .m_Patience = Frame.m_Patience});
 }
 
-void WarmUpExchange::take(const BoxName &, const WarmUpAnswerFrame &Frame) {
+void PermitExchange::take(const BoxName &, const PermitAnswerFrame &Frame) {
   if (const auto Passed = m_PassedOn.find(Frame.m_Id);
       Passed != m_PassedOn.end()) {
     const PassedOn To = Passed->second;
     m_PassedOn.erase(Passed);
-    m_Fleet.send(To.m_From, WarmUpAnswerFrame{.m_Id = To.m_Id,
+    m_Fleet.send(To.m_From, PermitAnswerFrame{.m_Id = To.m_Id,
                                               .m_Verdict = Frame.m_Verdict});
     return;
   }
@@ -203,7 +203,7 @@
   finish(Of, Frame.m_Verdict);
 }
 
-void WarmUpExchange::take(const BoxName &From, const WarmUpNewsFrame &Frame) {
+void PermitExchange::take(const BoxName &From, const WarmUpNewsFrame &Frame) {
   const TimePoint Now = EventLoop::now();
   const InstanceId &Server = Frame.m_Life.m_Id;
   // Of a life that is not the newest here, it says nothing.
--- a/packages/gateway/process/WarmUpExchange.h
+++ b/packages/gateway/process/PermitExchange.h
@@ -1,12 +1,12 @@
 /// \file
 /// How boxes keep one rate for each cold server together.
 /// See docs/design/warm-up.md.
-#ifndef HAVENSTAIR_GATEWAY_PROCESS_WARMUPEXCHANGE_H
-#define HAVENSTAIR_GATEWAY_PROCESS_WARMUPEXCHANGE_H
+#ifndef HAVENSTAIR_GATEWAY_PROCESS_PERMITEXCHANGE_H
+#define HAVENSTAIR_GATEWAY_PROCESS_PERMITEXCHANGE_H
 
-#include "decisions/process/WarmUpPermits.h"
+#include "decisions/process/SendPermits.h"
 #include "decisions/process/WarmUpView.h"
-#include "gateway/request/WarmUpDesk.h"
+#include "gateway/request/PermitDesk.h"
 #include "wire/common/EventLoop.h"
 #include "wire/connection/PeerFrames.h"
 #include <cstdint>
@@ -22,7 +22,7 @@
 /// One relay of a cold server's data centre gives out permits for it. Other
 /// boxes ask it, leaves by way of a relay. News that a server is cold go to all
 /// boxes at once.
-class WarmUpExchange : public WarmUpDesk {
+class PermitExchange : public PermitDesk {
 public:
   struct Hooks {
     /// A permit for a server in \p At was asked for; \p What became of it, one
@@ -31,11 +31,11 @@
         m_Asked;
   };
 
-  WarmUpExchange(EventLoop &Loop, Fleet &Boxes, WarmUpView &View,
+  PermitExchange(EventLoop &Loop, Fleet &Boxes, WarmUpView &View,
                  DecisionLog &Log, const WarmUpTolerance &Tolerance,
                  Hooks Callbacks);
-  WarmUpExchange(const WarmUpExchange &) = delete;
-  WarmUpExchange &operator=(const WarmUpExchange &) = delete;
+  PermitExchange(const PermitExchange &) = delete;
+  PermitExchange &operator=(const PermitExchange &) = delete;
 
   void setTolerance(const WarmUpTolerance &Tolerance) {
     m_Permits.setTolerance(Tolerance);
@@ -68,11 +68,11 @@
 
   std::optional<BoxName> admitter(const InstanceId &Server) const;
   BoxName nextBox(const InstanceId &Server) const;
-  WarmUpVerdict decide(const InstanceId &Server, Duration Patience);
-  void finish(const Asked &Of, const std::optional<WarmUpVerdict> &Verdict);
+  PermitVerdict decide(const InstanceId &Server, Duration Patience);
+  void finish(const Asked &Of, const std::optional<PermitVerdict> &Verdict);
   void unanswered(std::uint64_t Id);
-  void take(const BoxName &From, const WarmUpAskFrame &Frame);
-  void take(const BoxName &From, const WarmUpAnswerFrame &Frame);
+  void take(const BoxName &From, const PermitAskFrame &Frame);
+  void take(const BoxName &From, const PermitAnswerFrame &Frame);
   void take(const BoxName &From, const WarmUpNewsFrame &Frame);
 
   EventLoop &m_Loop;
@@ -80,7 +80,7 @@
   WarmUpView &m_View;
   DecisionLog &m_Log;
   Hooks m_Hooks;
-  WarmUpPermits m_Permits;
+  SendPermits m_Permits;
   std::uint64_t m_LastId = 0;
   std::map<std::uint64_t, Asked> m_Asked;
   std::map<std::uint64_t, PassedOn> m_PassedOn;
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -11,10 +11,10 @@
 #include "gateway/process/ServingState.h"
 #include "gateway/request/CrashDesk.h"
 #include "gateway/request/EarlyRequests.h"
+#include "gateway/request/PermitDesk.h"
 #include "gateway/request/QuotaDesk.h"
 #include "gateway/request/RequestDialect.h"
 #include "gateway/request/ServerWordDesk.h"
-#include "gateway/request/WarmUpDesk.h"
 #include "wire/common/EventLoop.h"
 #include "wire/common/HttpClient.h"
 #include "wire/common/HttpServer.h"
@@ -73,7 +73,7 @@
 
   /// Before the first request.
   void setDesks(std::weak_ptr<QuotaDesk> Quotas,
-                std::weak_ptr<WarmUpDesk> WarmUp,
+                std::weak_ptr<PermitDesk> WarmUp,
                 std::weak_ptr<CrashDesk> Crashes,
                 std::weak_ptr<ServerWordDesk> Words) {
     m_Quotas = std::move(Quotas);
@@ -111,7 +111,7 @@
   Options m_Opts;
   Hooks m_Hooks;
   std::weak_ptr<QuotaDesk> m_Quotas;
-  std::weak_ptr<WarmUpDesk> m_WarmUp;
+  std::weak_ptr<PermitDesk> m_WarmUp;
   std::weak_ptr<CrashDesk> m_Crashes;
   std::weak_ptr<ServerWordDesk> m_Words;
   EarlyRequests m_Early;
--- a/packages/gateway/request/WarmUpDesk.h
+++ b/packages/gateway/request/PermitDesk.h
@@ -1,7 +1,7 @@
 /// \file
 /// Where requests ask whether they may be sent to a cold server.
-#ifndef HAVENSTAIR_GATEWAY_REQUEST_WARMUPDESK_H
-#define HAVENSTAIR_GATEWAY_REQUEST_WARMUPDESK_H
+#ifndef HAVENSTAIR_GATEWAY_REQUEST_PERMITDESK_H
+#define HAVENSTAIR_GATEWAY_REQUEST_PERMITDESK_H
 
 #include "decisions/common/Time.h"
 #include "decisions/process/UpstreamLife.h"
@@ -11,27 +11,27 @@
 namespace havenstair {
 
 /// One request may be sent in this time.
-struct WarmUpPermit {
+struct SendPermit {
   TimePoint m_From{};
   TimePoint m_Until{};
 
-  bool operator==(const WarmUpPermit &) const = default;
+  bool operator==(const SendPermit &) const = default;
 };
 
-struct WarmUpAnswer {
-  std::optional<WarmUpPermit> m_Permit; ///< None when refused.
+struct PermitAnswer {
+  std::optional<SendPermit> m_Permit; ///< None when refused.
   /// Of a refusal: a permit is to be had, or the server is warm.
   TimePoint m_Free{};
 };
 
-class WarmUpDesk {
+class PermitDesk {
 public:
-  using Done = std::function<void(const WarmUpAnswer &)>;
+  using Done = std::function<void(const PermitAnswer &)>;
 
-  WarmUpDesk() = default;
-  WarmUpDesk(const WarmUpDesk &) = delete;
-  WarmUpDesk &operator=(const WarmUpDesk &) = delete;
-  virtual ~WarmUpDesk() = default;
+  PermitDesk() = default;
+  PermitDesk(const PermitDesk &) = delete;
+  PermitDesk &operator=(const PermitDesk &) = delete;
+  virtual ~PermitDesk() = default;
 
   /// Calls \p Callback once, before it returns or within some tens of
   /// milliseconds.
--- a/packages/gateway/request/RequestPermit.cpp
+++ b/packages/gateway/request/RequestPermit.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-RequestPermit::RequestPermit(EventLoop &Loop, std::weak_ptr<WarmUpDesk> Desk,
+RequestPermit::RequestPermit(EventLoop &Loop, std::weak_ptr<PermitDesk> Desk,
                              const WarmUpView &View,
                              std::function<void()> Resume)
     : m_Loop(Loop), m_Desk(std::move(Desk)), m_View(View),
@@ -63,13 +63,13 @@
     return false;
   drop();
   m_Asked = Server;
-  const std::shared_ptr<WarmUpDesk> Desk = m_Desk.lock();
+  const std::shared_ptr<PermitDesk> Desk = m_Desk.lock();
   if (!Desk) {
     answered(Server, {});
     return false;
   }
   Desk->ask(Server, Patience,
-            [Weak = std::weak_ptr(m_Self), Server](const WarmUpAnswer &Answer) {
+            [Weak = std::weak_ptr(m_Self), Server](const PermitAnswer &Answer) {
               if (const auto Self = Weak.lock())
                 (*Self)->answered(Server, Answer);
             });
@@ -83,13 +83,13 @@
 void RequestPermit::heard(const AnswerFacts &Answer, const InstanceId &Server,
                           TimePoint SentAt) {
   const bool Other = !Answer.m_Instance.empty() && Answer.m_Instance != Server;
-  const std::shared_ptr<WarmUpDesk> Desk = m_Desk.lock();
+  const std::shared_ptr<PermitDesk> Desk = m_Desk.lock();
   if (Desk && Answer.m_ColdFor && !Other)
     Desk->heard(Server, *Answer.m_ColdFor, SentAt);
 }
 
 void RequestPermit::answered(const InstanceId &Server,
-                             const WarmUpAnswer &Answer) {
+                             const PermitAnswer &Answer) {
   // The request has gone elsewhere meanwhile.
   if (m_Asked != Server)
     return;
--- a/packages/gateway/request/RequestPermit.h
+++ b/packages/gateway/request/RequestPermit.h
@@ -4,8 +4,8 @@
 #define HAVENSTAIR_GATEWAY_REQUEST_REQUESTPERMIT_H
 
 #include "decisions/process/WarmUpView.h"
+#include "gateway/request/PermitDesk.h"
 #include "gateway/request/RequestDialect.h"
-#include "gateway/request/WarmUpDesk.h"
 #include "wire/common/EventLoop.h"
 #include <functional>
 #include <map>
@@ -22,7 +22,7 @@
   /// \p Resume: the request is to choose again. It is not called from within a
   /// member of this class, nor after the end of this object. The desk may end
   /// before the request does.
-  RequestPermit(EventLoop &Loop, std::weak_ptr<WarmUpDesk> Desk,
+  RequestPermit(EventLoop &Loop, std::weak_ptr<PermitDesk> Desk,
                 const WarmUpView &View, std::function<void()> Resume);
   RequestPermit(const RequestPermit &) = delete;
   RequestPermit &operator=(const RequestPermit &) = delete;
@@ -48,14 +48,14 @@
 private:
   struct Held {
     InstanceId m_Server;
-    WarmUpPermit m_Permit;
+    SendPermit m_Permit;
   };
 
   void resumeAfter(Duration Wait);
-  void answered(const InstanceId &Server, const WarmUpAnswer &Answer);
+  void answered(const InstanceId &Server, const PermitAnswer &Answer);
 
   EventLoop &m_Loop;
-  std::weak_ptr<WarmUpDesk> m_Desk;
+  std::weak_ptr<PermitDesk> m_Desk;
   const WarmUpView &m_View;
   std::function<void()> m_Resume;
   std::optional<Held> m_Held;
--- a/packages/wire/connection/PeerFrames.h
+++ b/packages/wire/connection/PeerFrames.h
@@ -11,8 +11,8 @@
 #include "decisions/version/Table.h"
 #include "wire/connection/CrashFrames.h"
 #include "wire/connection/FleetFrames.h"
+#include "wire/connection/PermitFrames.h"
 #include "wire/connection/QuotaFrames.h"
-#include "wire/connection/WarmUpFrames.h"
 #include <optional>
 #include <set>
 #include <string>
@@ -197,7 +197,7 @@
     AssignmentFrame, PlanFrame, MoveFrame, LimitAskFrame, LimitAnswerFrame,
     LimitTellFrame, FleetDigestFrame, FleetWantFrame, FleetKeysFrame,
     FleetContentsFrame, FleetMissingFrame, FleetLoadsFrame, QuotaAskFrame,
-    QuotaAnswerFrame, QuotaUseFrame, WarmUpAskFrame, WarmUpAnswerFrame,
+    QuotaAnswerFrame, QuotaUseFrame, PermitAskFrame, PermitAnswerFrame,
     WarmUpNewsFrame, CrashFrame, CrashSuspectsFrame, RanWellFrame,
     RequestBarsFrame, PackedFrame, FleetTotalsFrame>;
 
--- a/packages/wire/connection/WarmUpFrames.cpp
+++ b/packages/wire/connection/PermitFrames.cpp
@@ -1,26 +1,26 @@
-#include "wire/connection/WarmUpFrames.h"
+#include "wire/connection/PermitFrames.h"
 
 namespace havenstair {
 
-Json toJson(const WarmUpAskFrame &Frame) {
+Json toJson(const PermitAskFrame &Frame) {
   return {{"id", Frame.m_Id},
           {"server", Frame.m_Server},
           {"patience_us", Frame.m_Patience.count()}};
 }
 
-void fromJson(const Json &From, WarmUpAskFrame &Frame) {
+void fromJson(const Json &From, PermitAskFrame &Frame) {
   Frame.m_Id = field<std::uint64_t>(From, "id");
   Frame.m_Server = field<std::string>(From, "server");
   Frame.m_Patience = durationField(From, "patience_us");
 }
 
-Json toJson(const WarmUpAnswerFrame &Frame) {
+Json toJson(const PermitAnswerFrame &Frame) {
   return {{"id", Frame.m_Id},
           {"granted", Frame.m_Verdict.m_Granted},
           {"after_us", Frame.m_Verdict.m_After.count()}};
 }
 
-void fromJson(const Json &From, WarmUpAnswerFrame &Frame) {
+void fromJson(const Json &From, PermitAnswerFrame &Frame) {
   Frame.m_Id = field<std::uint64_t>(From, "id");
   Frame.m_Verdict = {.m_Granted = field<bool>(From, "granted"),
                      .m_After = durationField(From, "after_us")};
--- a/tests/decisions/process/ColdFleet.h
+++ b/tests/decisions/process/ColdFleet.h
@@ -4,7 +4,7 @@
 #define HAVENSTAIR_TESTS_DECISIONS_COLDFLEET_H
 
 #include "decisions/process/QuotaBook.h"
-#include "decisions/process/WarmUpPermits.h"
+#include "decisions/process/SendPermits.h"
 
 #include <algorithm>
 #include <functional>
@@ -143,7 +143,7 @@
     const double Rate = Tolerance.m_Factor * Spec.m_RequestsPerS;
     return fromMillis(1000 * Boxes / Rate);
   }
-  WarmUpPermits permits() const { return WarmUpPermits(Tolerance); }
+  SendPermits permits() const { return SendPermits(Tolerance); }
   WarmUpSpec believed() const {
     WarmUpSpec Result = Spec;
     if (m_Way == Way::FullAdmitter)
@@ -278,11 +278,11 @@
   void atAdmitter(std::size_t Relay, std::size_t Box, TimePoint Asked) {
     answer(Box, Asked, m_Permits[Relay].ask("e", believed(), Patience, m_Now));
   }
-  void answer(std::size_t Box, TimePoint Asked, const WarmUpVerdict &Verdict) {
+  void answer(std::size_t Box, TimePoint Asked, const PermitVerdict &Verdict) {
     if (!Verdict.m_Granted)
       return;
     later(way() + way(), Box, [=, this] {
-      const TimePoint Lapses = Asked + WarmUpPermits::Validity;
+      const TimePoint Lapses = Asked + SendPermits::Validity;
       if (m_Now > Lapses)
         return;
       later(Verdict.m_After, Box, [=, this] {
@@ -321,7 +321,7 @@
   Way m_Way;
   Dice m_Dice;
   double m_Load;
-  std::vector<WarmUpPermits> m_Permits;
+  std::vector<SendPermits> m_Permits;
   std::vector<QuotaBook> m_Buckets;
   std::vector<std::set<BoxName>> m_Lists;
   std::vector<std::set<BoxName>> m_Reached;
--- a/tests/decisions/process/WarmUpPermitsTest.cpp
+++ b/tests/decisions/process/SendPermitsTest.cpp
@@ -61,26 +61,25 @@
 } // namespace
 
 TEST_CASE("Permits come as often as a window allows, and no more", "[warmup]") {
-  WarmUpPermits Permits(Tolerance);
+  SendPermits Permits(Tolerance);
   const TimePoint Start(1000s);
-  const TimePoint Open = Start + WarmUpPermits::Window;
+  const TimePoint Open = Start + SendPermits::Window;
   Permits.admits({"e"}, Start);
   REQUIRE(Permits.perWindow(Spec) == 7);
   SECTION("none until those of another admitter have lapsed") {
     REQUIRE_FALSE(Permits.ask("e", Spec, 0us, Open - 1ms).m_Granted);
-    const WarmUpVerdict Waits = Permits.ask("e", Spec, 1s, Open - 300ms);
-    REQUIRE(Waits == WarmUpVerdict{.m_Granted = true, .m_After = 300ms});
+    const PermitVerdict Waits = Permits.ask("e", Spec, 1s, Open - 300ms);
+    REQUIRE(Waits == PermitVerdict{.m_Granted = true, .m_After = 300ms});
   }
   SECTION("so many at once, then one for each that leaves the window") {
     for (int Count = 0; Count < 7; ++Count)
       REQUIRE(Permits.ask("e", Spec, 0us, Open).m_Granted);
-    const WarmUpVerdict First = Permits.ask("e", Spec, 100ms, Open);
-    const WarmUpVerdict Second = Permits.ask("e", Spec, 100ms, Open);
+    const PermitVerdict First = Permits.ask("e", Spec, 100ms, Open);
+    const PermitVerdict Second = Permits.ask("e", Spec, 100ms, Open);
     REQUIRE_FALSE(First.m_Granted);
-    REQUIRE(First.m_After > WarmUpPermits::Window);
+    REQUIRE(First.m_After > SendPermits::Window);
     REQUIRE(Second.m_After > First.m_After);
-    REQUIRE(
-        Permits.ask("e", Spec, 0us, Open + WarmUpPermits::Window).m_Granted);
+    REQUIRE(Permits.ask("e", Spec, 0us, Open + SendPermits::Window).m_Granted);
   }
   SECTION("nothing for what another box admits, and anew when it comes back") {
     Permits.admits({}, Open);
@@ -91,9 +90,9 @@
 }
 
 TEST_CASE("A rate is not exceeded where the tolerance is large", "[warmup]") {
-  const WarmUpPermits Permits({.m_Factor = 3, .m_Allowance = 100});
+  const SendPermits Permits({.m_Factor = 3, .m_Allowance = 100});
   REQUIRE(Permits.perWindow(Spec) == 8);
-  const WarmUpPermits Strict(WarmUpTolerance{});
+  const SendPermits Strict(WarmUpTolerance{});
   REQUIRE(Strict.perWindow({.m_After = 3s, .m_RequestsPerS = 0.5}) == 1);
 }
 
--- a/tests/gateway/RequestPermitTest.cpp
+++ b/tests/gateway/RequestPermitTest.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Keeps questions until the test answers them.
-class HeldWarmUpDesk : public WarmUpDesk {
+class HeldPermitDesk : public PermitDesk {
 public:
   void ask(const InstanceId &, Duration, Done Callback) override {
     m_Asked.push_back(std::move(Callback));
@@ -39,10 +39,10 @@
     m_View.listed(List, EventLoop::now());
   }
 
-  static WarmUpAnswer granted(Duration From, Duration For) {
+  static PermitAnswer granted(Duration From, Duration For) {
     const TimePoint Now = EventLoop::now();
     return {.m_Permit =
-                WarmUpPermit{.m_From = Now + From, .m_Until = Now + From + For},
+                SendPermit{.m_From = Now + From, .m_Until = Now + From + For},
             .m_Free = {}};
   }
   bool ready(const InstanceId &Server) {
@@ -54,7 +54,7 @@
 
   EventLoop m_Loop;
   WarmUpView m_View;
-  std::shared_ptr<HeldWarmUpDesk> m_Desk = std::make_shared<HeldWarmUpDesk>();
+  std::shared_ptr<HeldPermitDesk> m_Desk = std::make_shared<HeldPermitDesk>();
   int m_Resumed = 0;
   RequestPermit m_Permit{m_Loop, m_Desk, m_View, [this] { ++m_Resumed; }};
 };
