--- a/packages/decisions/process/ServerWords.cpp
+++ b/packages/decisions/process/ServerWords.cpp
@@ -20,45 +20,36 @@
 
 void ServerWords::listed(const InstanceList &List, TimePoint Now) {
   for (auto &[Id, Each] : m_Servers) {
-    const bool Listed = List.m_Instances.contains(Id);
-    if (Listed)
-      Each.m_GoneAt.reset();
-    else if (!Each.m_GoneAt)
-      Each.m_GoneAt = Now;
+    const auto Entry = List.m_Instances.find(Id);
+    if (Entry == List.m_Instances.end()) {
+      Each.m_GoneAt = Each.m_GoneAt.value_or(Now);
+      continue;
+    }
+    Each.m_GoneAt.reset();
+    if (Entry->second.m_Born > Each.m_Born)
+      Each = Words{.m_Born = Entry->second.m_Born};
   }
   std::erase_if(m_Servers, [&](const auto &Each) {
     return Each.second.m_GoneAt && Now - *Each.second.m_GoneAt > RememberFor;
   });
-  for (const auto &[Id, Entry] : List.m_Instances) {
-    Words &Of = m_Servers[Id];
-    if (Entry.m_Born > Of.m_Born)
-      Of = Words{.m_Born = Entry.m_Born};
-  }
 }
 
-/// Null for a life that is not the newest, or not listed yet: what is said of
-/// it is said again.
+/// Null for a life before the newest that is known.
 ServerWords::Words *ServerWords::wordsOf(const UpstreamLife &Server) {
-  const auto Found = m_Servers.find(Server.m_Id);
-  return Found == m_Servers.end() || Found->second.m_Born != Server.m_Born
-             ? nullptr
-             : &Found->second;
+  Words &Of = m_Servers[Server.m_Id];
+  if (Server.m_Born > Of.m_Born)
+    Of = Words{.m_Born = Server.m_Born};
+  return Of.m_Born == Server.m_Born ? &Of : nullptr;
 }
 
 LimitChange ServerWords::heardLimit(const UpstreamLife &Server,
                                     std::optional<double> PerS,
                                     const BoxName &Self, TimePoint SentAt,
                                     TimePoint Now) {
-  Words *Of = wordsOf(Server);
-  if (Of == nullptr)
+  const NamedLimit *Before = limit(Server.m_Id);
+  // Answers overlap: one without a limit may be older than the limit.
+  if (!PerS && (Before == nullptr || SentAt <= Before->m_Heard))
     return LimitChange::None;
-  if (!PerS) {
-    // Answers overlap: this one may be older than the limit.
-    if (!Of->m_Limit || SentAt <= Of->m_Limit->m_Heard)
-      return LimitChange::None;
-    Of->m_Limit.reset();
-    return LimitChange::Ended;
-  }
   return toldLimit(Server, PerS, Self, 0us, Now);
 }
 
--- a/packages/decisions/process/ServerWords.h
+++ b/packages/decisions/process/ServerWords.h
@@ -61,7 +61,7 @@
 
   Words *wordsOf(const UpstreamLife &Server);
 
-  std::map<InstanceId, Words> m_Servers;
+  std::map<InstanceId, Words> m_Servers; ///< That ever said something.
 };
 
 } // namespace havenstair
--- a/packages/decisions/process/WarmUpView.cpp
+++ b/packages/decisions/process/WarmUpView.cpp
@@ -77,23 +77,6 @@
   return TurnsCold && spec(Id) != nullptr;
 }
 
-void WarmUpView::noteBusy(const InstanceId &Id, TimePoint Free, TimePoint Now) {
-  const auto Found = m_Servers.find(Id);
-  if (Found == m_Servers.end())
-    return;
-  TimePoint &Known = Found->second.m_Free;
-  // Each request that asks is told another time; the first is the next.
-  Known = Known > Now ? std::min(Known, Free) : Free;
-}
-
-Duration WarmUpView::permitWait(const InstanceId &Id, TimePoint Now) const {
-  const auto Warm = warmAt(Id, Now);
-  if (!Warm)
-    return 0us;
-  const TimePoint Free = std::min(*Warm, m_Servers.at(Id).m_Free);
-  return std::max<Duration>(0us, Free - Now);
-}
-
 UpstreamLife WarmUpView::life(const InstanceId &Id) const {
   const auto Found = m_Servers.find(Id);
   return {.m_Id = Id,
--- a/packages/decisions/process/WarmUpView.h
+++ b/packages/decisions/process/WarmUpView.h
@@ -53,11 +53,6 @@
   bool cold(const InstanceId &Id, TimePoint Now) const {
     return warmAt(Id, Now).has_value();
   }
-  /// A permit to send to \p Id will not be had before \p Free.
-  void noteBusy(const InstanceId &Id, TimePoint Free, TimePoint Now);
-  /// How long a request to \p Id waits for its permit at least, as far as this
-  /// box was told; zero for a warm one.
-  Duration permitWait(const InstanceId &Id, TimePoint Now) const;
   UpstreamLife life(const InstanceId &Id) const;
   /// Null when \p Id is not known, or its service states nothing.
   const WarmUpSpec *spec(const InstanceId &Id) const;
@@ -75,7 +70,6 @@
     bool m_Listed = true;
     TimePoint m_GoneAt{};
     TimePoint m_WarmAt{};
-    TimePoint m_Free{}; ///< A permit is to be had.
     /// What was said before does not end its warm-up.
     TimePoint m_EventAt{};
   };
--- a/packages/decisions/request/ReplicaChoice.cpp
+++ b/packages/decisions/request/ReplicaChoice.cpp
@@ -42,13 +42,11 @@
   return std::max(1.0, Request.m_PromptTokens - Cached);
 }
 
-/// What a cold server is slower by: it takes one request after the other, at
-/// its rate, and permits to send to it may be given out for some time.
-double coldMs(const InstanceId &Id, const ReplicaKnowledge &Known,
-              TimePoint Now) {
-  if (Known.m_WarmUp == nullptr || !Known.m_WarmUp->cold(Id, Now))
-    return 0;
-  return 1000 / Known.m_WarmUp->spec(Id)->m_RequestsPerS;
+/// A cold server takes one request after the other, at its rate. One that names
+/// a limit is as fast as others while a permit is to be had.
+double boundMs(const SendBound &Bound, const ReplicaWeights &Weights) {
+  return Bound.m_Cold ? 1000 / Bound.m_Cold->m_RequestsPerS
+                      : Weights.m_PermitMs;
 }
 
 /// Data centres that no region is known of count as neighbours.
@@ -75,6 +73,7 @@
   const UpstreamInstance *Preferred =
       Engines ? preferredFor(Candidates, Request) : nullptr;
   std::vector<ChosenReplica> Judged;
+  std::optional<double> LeastFree; // Of those that need no permit.
   for (const UpstreamInstance *Each : Candidates) {
     const InstanceLoad Load = Known.m_Loads.load(Each->m_Id, Now);
     ChosenReplica Item{.m_Instance = Each, .m_PendingMs = Load.m_PendingMs};
@@ -95,17 +94,23 @@
     Item.m_ExpectedMs = Known.m_Latency.expectedMs(Each->m_Id, Item.m_PendingMs,
                                                    Item.m_WorkMs) +
                         Queue;
-    if (Known.m_WarmUp != nullptr)
+    const std::optional<SendBound> Bound =
+        Known.m_Bounds == nullptr ? std::nullopt
+                                  : Known.m_Bounds->of(Each->m_Id, Now);
+    if (Bound)
       Item.m_ExpectedMs +=
-          inMillis(Known.m_WarmUp->permitWait(Each->m_Id, Now));
+          inMillis(Known.m_Bounds->permitWait(Each->m_Id, Now));
+    Item.m_Limited = Bound && Bound->m_LimitPerS;
     const double Burst =
         std::max(0.0, Item.m_PendingMs + Item.m_WorkMs - Weights.m_QuietMs);
     Item.m_CostMs =
         Item.m_ExpectedMs +
         (Engines ? Weights.m_Disturbance * Burst * Load.m_Running : 0) +
-        coldMs(Each->m_Id, Known, Now) +
+        (Bound ? boundMs(*Bound, Weights) : 0) +
         distanceMs(*Each, OwnZone, Known.m_DataCentres, Weights) +
         Known.m_Failures.rate(Each->m_Id, Now) * Weights.m_FailureMs;
+    if (!Bound)
+      LeastFree = std::min(LeastFree.value_or(Item.m_CostMs), Item.m_CostMs);
     Judged.push_back(Item);
   }
   const auto Cheaper = [](const ChosenReplica &A, const ChosenReplica &B) {
@@ -118,7 +123,10 @@
   });
   const auto Index =
       static_cast<std::size_t>(Tie * static_cast<double>(Judged.size()));
-  return Judged[std::min(Index, Judged.size() - 1)];
+  ChosenReplica Chosen = Judged[std::min(Index, Judged.size() - 1)];
+  if (LeastFree)
+    Chosen.m_SpareMs = std::max(0.0, *LeastFree - Chosen.m_CostMs);
+  return Chosen;
 }
 
 } // namespace havenstair
--- a/packages/decisions/request/ReplicaChoice.h
+++ b/packages/decisions/request/ReplicaChoice.h
@@ -8,7 +8,7 @@
 #include "decisions/process/LatencyModel.h"
 #include "decisions/process/LoadBook.h"
 #include "decisions/process/PrefixIndex.h"
-#include "decisions/process/WarmUpView.h"
+#include "decisions/process/SendBounds.h"
 #include "decisions/request/RequestDescriptor.h"
 #include <optional>
 #include <vector>
@@ -36,6 +36,8 @@
   /// stream and millisecond of work beyond what fits between two events.
   double m_Disturbance = 0.06;
   double m_QuietMs = 200;
+  /// Of a server that names a limit: a question to another box.
+  double m_PermitMs = 5;
   /// For each running request, as it slows down all steps.
   double m_RunningMs = 2;
 };
@@ -47,6 +49,10 @@
   double m_ExpectedMs = 0; ///< Time to the first token.
   double m_PendingMs = 0;  ///< Work ahead of it.
   double m_WorkMs = 0;     ///< Its own.
+  bool m_Limited = false;  ///< The server names a limit.
+  /// How much more the next one would cost that needs no permit; empty when
+  /// there is none.
+  std::optional<double> m_SpareMs;
 };
 
 /// The books that the choice reads.
@@ -56,7 +62,7 @@
   const LatencyModel &m_Latency;
   const FailureBook &m_Failures;
   const DataCentreMap &m_DataCentres;
-  const WarmUpView *m_WarmUp = nullptr; ///< Null where all are warm.
+  const SendBounds *m_Bounds = nullptr; ///< Null where none needs a permit.
 };
 
 /// Picks the candidate with the least expected cost; \p Tie, from 0 to 1,
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -85,7 +85,7 @@
       m_Engines(std::make_unique<ObservedEngines>(
           m_Binding.m_MakeEngines(m_UpstreamHttp),
           [this](const auto &Of, const auto &Report, TimePoint AskedAt) {
-            m_WarmUp->heard(Of.m_Id, Report.m_ColdFor, AskedAt);
+            m_Permits->heard(Of.m_Id, Report.m_ColdFor, AskedAt);
           })),
       m_Forwarder(
           Loop, m_UpstreamHttp, m_State, m_Binding.m_Dialect, m_Log,
@@ -164,18 +164,29 @@
           Loop, m_Fleet, m_Log, m_Options.m_Bounds.quotaTolerance(),
           QuotaExchange::Hooks{
               .m_Leaves = [this] { return m_Exchange.leaves(); }})),
-      m_WarmUp(std::make_shared<PermitExchange>(
-          Loop, m_Fleet, m_State.m_WarmUp, m_Log, m_Options.m_Bounds.m_WarmUp,
-          PermitExchange::Hooks{.m_Asked =
-                                    [this](const auto &At, auto What) {
-                                      m_Metrics.permitAsked(At, What);
-                                    }})),
+      m_Permits(std::make_shared<PermitExchange>(
+          Loop, m_Fleet,
+          PermitExchange::Views{.m_WarmUp = m_State.m_WarmUp,
+                                .m_Words = m_State.m_Words,
+                                .m_Bounds = m_State.m_SendBounds},
+          m_Log, m_Options.m_Bounds.m_WarmUp,
+          PermitExchange::Hooks{
+              .m_Asked =
+                  [this](const auto &At, bool Limited, auto What) {
+                    m_Metrics.permitAsked(At, Limited, What);
+                  },
+              .m_Needless =
+                  [this](const BoxName &Box, const InstanceId &Server) {
+                    m_Words->tell(Box, m_State.m_WarmUp.life(Server));
+                  }})),
       m_Crashes(std::make_shared<CrashExchange>(
           Loop, m_UpstreamHttp, *m_Store, m_Fleet, m_State.m_Upstreams,
           m_State.m_Crashes, m_Log, m_Binding.m_OwnPrefix, crashHooks())),
-      m_Words(std::make_shared<ServerWordExchange>(m_Fleet, m_State.m_Words,
-                                                   m_Log)) {
-  m_Forwarder.setDesks(m_Quotas, m_WarmUp, m_Crashes, m_Words);
+      m_Words(std::make_shared<ServerWordExchange>(
+          Loop, m_Fleet, m_State.m_Upstreams, m_State.m_Words, m_Log,
+          ServerWordExchange::Hooks{
+              .m_LimitsChanged = [this] { m_Permits->refreshRole(); }})) {
+  m_Forwarder.setDesks(m_Quotas, m_Permits, m_Crashes, m_Words);
   m_State.standsIn(m_Options.m_DataCentre, m_Options.m_Regions);
   applyBounds();
   startServers();
@@ -208,19 +219,21 @@
               [this](const BoxName &From, const PeerFrame &Frame) {
                 m_Exchange.onFrame(From, Frame);
                 m_Quotas->onFrame(From, Frame);
-                m_WarmUp->onFrame(From, Frame);
+                m_Permits->onFrame(From, Frame);
                 m_Crashes->onFrame(From, Frame);
+                m_Words->onFrame(From, Frame);
               },
           .m_Up =
               [this](const BoxName &Box) {
                 m_Exchange.linkUp(Box);
-                m_WarmUp->refreshRole();
+                m_Permits->refreshRole();
                 m_Crashes->linkUp(Box);
+                m_Words->linkUp(Box);
               },
           .m_Down =
               [this](const BoxName &Box) {
                 m_Exchange.linkDown(Box);
-                m_WarmUp->refreshRole();
+                m_Permits->refreshRole();
               },
           .m_StoreBack = [this] { resync(); }};
 }
@@ -239,8 +252,8 @@
                           [this](const UpstreamLife &Server,
                                  const AnswerFacts &Answer, TimePoint AskedAt) {
                             if (Answer.m_ColdFor)
-                              m_WarmUp->heard(Server.m_Id, *Answer.m_ColdFor,
-                                              AskedAt);
+                              m_Permits->heard(Server.m_Id, *Answer.m_ColdFor,
+                                               AskedAt);
                           }},
           .m_Changed = [this] { m_Forwarder.crashesChanged(); },
           .m_Asked = [this](auto What) { m_Metrics.serverAsked(What); },
@@ -253,7 +266,7 @@
   m_Exchange.boxesChanged();
   m_Quotas->boxesChanged();
   m_Crashes->entriesChanged(m_OwnMirror.items());
-  m_WarmUp->refreshRole();
+  m_Permits->refreshRole();
   const bool Starting = EventLoop::now() - m_StartedAt < StartsWithin;
   m_OwnMirror.setGather(
       m_Fleet.topology().flat() || Starting ? GatherBoxes : GatherBoxesInLarge);
@@ -325,6 +338,7 @@
   Now.m_FencingToken = Number(m_Giver.holder().m_Token);
   Now.m_LogLinesLeftOut = Number(m_Log.leftOut());
   Now.m_BarredRequests = Number(m_State.m_Crashes.bars().size());
+  Now.m_LimitedServers = Number(m_State.m_Words.limits().size());
   Now.m_Cold = m_State.m_WarmUp.coldByDataCentre(EventLoop::now());
   m_Metrics.set(Now);
   Exchange->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
@@ -343,7 +357,7 @@
                               .m_Allowance = Bounds.m_RetryAllowance,
                               .m_Window = Bounds.m_RetryWindow});
   m_Quotas->setTolerance(Bounds.quotaTolerance());
-  m_WarmUp->setTolerance(Bounds.m_WarmUp);
+  m_Permits->setTolerance(Bounds.m_WarmUp);
   m_Exchange.lists().watchConfigClosely(Bounds.m_FailClosed);
   // A box that serves when operators begin to evacuate goes on meanwhile.
   const bool Evacuates = Bounds.m_Evacuation.has_value();
@@ -442,7 +456,7 @@
   for (const auto &[Key, Item] : m_ConfigMirror.items())
     if (takeConfig(Item))
       m_Exchange.configChanged();
-  m_WarmUp->refreshRole();
+  m_Permits->refreshRole();
   m_Forwarder.upstreamsChanged();
   m_Forwarder.releaseEarly();
 }
@@ -467,8 +481,8 @@
         Address && m_State.m_Upstreams.list().m_Instances.contains(Each.m_Id))
       m_UpstreamHttp.forget(*Address);
   }
-  m_WarmUp->listed(m_State.m_Upstreams.list());
   m_State.m_Words.listed(m_State.m_Upstreams.list(), EventLoop::now());
+  m_Permits->listed(m_State.m_Upstreams.list());
   m_Crashes->listed();
   m_Log.write("upstreams",
               {{"revision", m_UpstreamMirror.revision()},
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -116,7 +116,7 @@
   OrderGiver m_Giver;
   FleetExchange m_Exchange;
   std::shared_ptr<QuotaExchange> m_Quotas;
-  std::shared_ptr<PermitExchange> m_WarmUp;
+  std::shared_ptr<PermitExchange> m_Permits;
   std::shared_ptr<CrashExchange> m_Crashes;
   std::shared_ptr<ServerWordExchange> m_Words;
   std::unique_ptr<HttpServer> m_Callers;
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -74,8 +74,9 @@
           .Register(m_Registry);
   prometheus::Family<prometheus::Counter> &m_Permits =
       prometheus::BuildCounter()
-          .Name("havenstair_warm_up_permits_total")
-          .Help("Permits asked for cold servers, by data centre and answer")
+          .Name("havenstair_permits_total")
+          .Help("Permits asked for servers that are cold or name a limit, by "
+                "data centre and answer")
           .Register(m_Registry);
   prometheus::Family<prometheus::Counter> &m_ServersAsked =
       prometheus::BuildCounter()
@@ -166,11 +167,12 @@
       .Increment();
 }
 
-void GatewayMetrics::permitAsked(const DataCentreName &At,
+void GatewayMetrics::permitAsked(const DataCentreName &At, bool Limited,
                                  std::string_view Answer) {
   m_Families->m_Permits
       .Add({{"data_centre",
              Families::label(m_Families->m_DataCentres, At.str())},
+            {"bound", Limited ? "limit" : "cold"},
             {"answer", std::string(Answer)}})
       .Increment();
 }
@@ -211,6 +213,7 @@
   m_Families->state("fencing_token", Now.m_FencingToken);
   m_Families->state("log_lines_left_out", Now.m_LogLinesLeftOut);
   m_Families->state("barred_requests", Now.m_BarredRequests);
+  m_Families->state("limited_servers", Now.m_LimitedServers);
   m_Families->state("frames_skipped", Now.m_FramesSkipped);
   for (const auto &[Kind, Frames] : Now.m_PeerFrames)
     m_Families->m_PeerFrames.Add({{"kind", std::string(Kind)}}).Set(Frames);
--- a/packages/gateway/process/GatewayMetrics.h
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -31,6 +31,7 @@
   double m_FencingToken = 0;
   double m_LogLinesLeftOut = 0;
   double m_BarredRequests = 0;    ///< Contents that are sent to no server.
+  double m_LimitedServers = 0;    ///< That name a limit.
   double m_FramesSkipped = 0;     ///< Of kinds that only later builds know.
   std::map<int, int> m_Protocols; ///< Linked boxes by what they understand.
   std::map<DataCentreName, int> m_Cold;            ///< Cold servers.
@@ -53,8 +54,10 @@
   void sendEnded(std::string_view Outcome);
   /// An order to an engine was answered.
   void ordered(std::string_view Operation, std::string_view Answer);
-  /// A permit for a cold server in \p At was asked for.
-  void permitAsked(const DataCentreName &At, std::string_view Answer);
+  /// A permit for a server in \p At was asked for, as it names a limit, or is
+  /// cold.
+  void permitAsked(const DataCentreName &At, bool Limited,
+                   std::string_view Answer);
   /// A server was asked whether it had ended; \p What it turned out to be.
   void serverAsked(std::string_view What);
   /// A call to the store was made; \p Subject is its prefix, or empty.
--- a/packages/gateway/process/OrderGiver.cpp
+++ b/packages/gateway/process/OrderGiver.cpp
@@ -604,9 +604,12 @@
   PlannerInput Input;
   Input.m_StoreLoads = m_Ceiling.left(Now);
   Input.m_StoreSlowness = m_StoreSlowness.factor();
+  ModelDemand All;
   for (const auto &[Key, Rate] : m_Rates.rates(Now))
-    if (Key.m_Service == Service && Key.m_Adapter.empty())
+    if (Key.m_Service == Service && Key.m_Adapter.empty()) {
       Input.m_Demand[Key.m_Model] = Rate.m_WorkMs / 1000;
+      All += Rate;
+    }
   for (const auto &[Key, Rate] : m_Rates.usual(Now))
     if (Key.m_Service == Service)
       Input.m_Usual[Key.m_Model] = Rate.m_WorkMs / 1000;
@@ -617,8 +620,12 @@
     const UpstreamInstance &Entry = entryOf(Id);
     if (Entry.m_Service != Service)
       continue;
-    Input.m_Engines.push_back(Each.forModels(
-        Entry, m_State.m_Latency.slowness(Id), m_Opts.m_ReplicaStays, Now));
+    double Slowness = m_State.m_Latency.slowness(Id);
+    if (const NamedLimit *Limit = m_State.m_Words.limit(Id);
+        Limit != nullptr && All.m_Requests > 0)
+      Slowness /= workingPart(Limit->m_PerS, All.m_WorkMs / All.m_Requests);
+    Input.m_Engines.push_back(
+        Each.forModels(Entry, Slowness, m_Opts.m_ReplicaStays, Now));
     Input.m_Engines.back().m_Leaving = m_State.m_Upstreams.leaves(Entry);
   }
   return Input;
--- a/packages/gateway/process/PermitExchange.cpp
+++ b/packages/gateway/process/PermitExchange.cpp
@@ -25,11 +25,12 @@
 
 } // namespace
 
-PermitExchange::PermitExchange(EventLoop &Loop, Fleet &Boxes, WarmUpView &View,
+PermitExchange::PermitExchange(EventLoop &Loop, Fleet &Boxes, Views Known,
                                DecisionLog &Log,
                                const WarmUpTolerance &Tolerance,
                                Hooks Callbacks)
-    : m_Loop(Loop), m_Fleet(Boxes), m_View(View), m_Log(Log),
+    : m_Loop(Loop), m_Fleet(Boxes), m_View(Known.m_WarmUp),
+      m_Words(Known.m_Words), m_Bounds(Known.m_Bounds), m_Log(Log),
       m_Hooks(std::move(Callbacks)), m_Permits(Tolerance) {
   m_TickTimer = Loop.every(RefreshEvery, [this] { refreshRole(); });
 }
@@ -39,7 +40,15 @@
   std::set<BoxName> Reached = m_Fleet.linked();
   Reached.insert(m_Fleet.self());
   return admitterOf(
-      Server, m_Fleet.topology().relaysOf(m_View.dataCentre(Server)), Reached);
+      Server, m_Fleet.topology().relaysOf(m_View.dataCentre(Server)), Reached,
+      m_Bounds.limited(Server) ? Quorum::Half : Quorum::Majority);
+}
+
+/// Whether this box admits for \p Server while all listed relays are linked.
+bool PermitExchange::firstAdmitter(const InstanceId &Server) const {
+  const std::set<BoxName> &Relays =
+      m_Fleet.topology().relaysOf(m_View.dataCentre(Server));
+  return admitterOf(Server, Relays, Relays) == m_Fleet.self();
 }
 
 void PermitExchange::listed(const InstanceList &List) {
@@ -52,12 +61,26 @@
   std::erase_if(m_PassedOn, [&](const auto &Each) {
     return Now - Each.second.m_Since > RefreshEvery;
   });
-  std::set<InstanceId> Own;
-  if (m_View.active() && m_Fleet.topology().relay())
+  m_Permits.admits(ownServers(), Now);
+}
+
+std::map<InstanceId, AdmittedServer> PermitExchange::ownServers() const {
+  std::map<InstanceId, AdmittedServer> Result;
+  if (!m_Fleet.topology().relay())
+    return Result;
+  const auto Add = [&](const InstanceId &Server,
+                       std::optional<TimePoint> BoundSince) {
+    if (admitter(Server) == m_Fleet.self())
+      Result.try_emplace(Server,
+                         AdmittedServer{.m_First = firstAdmitter(Server),
+                                        .m_BoundSince = BoundSince});
+  };
+  if (m_View.active())
     for (const InstanceId &Each : m_View.limited())
-      if (admitter(Each) == m_Fleet.self())
-        Own.insert(Each);
-  m_Permits.admits(Own, Now);
+      Add(Each, std::nullopt);
+  for (const auto &[Server, Limit] : m_Words.limits())
+    Add(Server.m_Id, Limit.m_Since);
+  return Result;
 }
 
 /// The box to ask: a relay knows the admitter; a leaf is linked to few and asks
@@ -79,12 +102,19 @@
   return Other;
 }
 
-PermitVerdict PermitExchange::decide(const InstanceId &Server,
+PermitVerdict PermitExchange::decide(const BoxName &For,
+                                     const InstanceId &Server,
                                      Duration Patience) {
-  const WarmUpSpec *Spec = m_View.spec(Server);
-  if (Spec == nullptr)
+  const TimePoint Now = EventLoop::now();
+  std::optional<SendBound> Bound = m_Bounds.of(Server, Now);
+  // Who asks believes that it is cold.
+  if (const WarmUpSpec *Spec = m_View.spec(Server); !Bound && Spec != nullptr)
+    Bound = SendBound{.m_Cold = *Spec, .m_LimitPerS = std::nullopt};
+  if (!Bound) {
+    m_Hooks.m_Needless(For, Server);
     return {.m_Granted = false, .m_After = AskAgainAfter};
-  return m_Permits.ask(Server, *Spec, Patience, EventLoop::now());
+  }
+  return m_Permits.ask(Server, *Bound, Patience, Now);
 }
 
 void PermitExchange::ask(const InstanceId &Server, Duration Patience,
@@ -97,7 +127,7 @@
   if (To.empty())
     return finish(Of, std::nullopt);
   if (To == m_Fleet.self())
-    return finish(Of, decide(Server, Patience));
+    return finish(Of, decide(m_Fleet.self(), Server, Patience));
   const std::uint64_t Id = ++m_LastId;
   Of.m_Timer =
       m_Loop.after(SendPermits::Validity, [this, Id] { unanswered(Id); });
@@ -120,27 +150,35 @@
                             const std::optional<PermitVerdict> &Verdict) {
   const TimePoint Now = EventLoop::now();
   const TimePoint Lapses = Of.m_Since + SendPermits::Validity;
-  const TimePoint Warm = m_View.warmAt(Of.m_Server, Now).value_or(Now);
+  const bool Bound = m_Bounds.bound(Of.m_Server, Now);
+  const auto Ends = Bound ? m_Bounds.endsAt(Of.m_Server, Now) : Now;
   const bool InTime = Verdict && Now <= Lapses;
   const bool Granted = InTime && Verdict->m_Granted;
   const Duration Away = InTime ? Verdict->m_After : AskAgainAfter;
   PermitAnswer Answer{.m_Permit = std::nullopt,
-                      .m_Free = std::min(Warm, Now + Away)};
+                      .m_Free =
+                          std::min(Ends.value_or(Now + Away), Now + Away)};
   if (Granted)
     Answer.m_Permit = {.m_From = Now + Verdict->m_After,
                        .m_Until = Lapses + Verdict->m_After};
   else
-    m_View.noteBusy(Of.m_Server, Answer.m_Free, Now);
+    m_Bounds.noteBusy(Of.m_Server, Answer.m_Free, Now);
   const std::string_view What = Granted  ? "granted"
                                 : InTime ? "refused"
                                          : "unanswered";
-  m_Hooks.m_Asked(m_View.dataCentre(Of.m_Server), What);
-  m_Log.write("warm_up_permit",
-              {{"upstream", Of.m_Server},
-               {"answer", What},
-               {"after_ms", (Granted ? Verdict->m_After : Away) / 1ms},
-               {"asked_ms", (Now - Of.m_Since) / 1ms},
-               {"warm_in_ms", (Warm - Now) / 1ms}});
+  const NamedLimit *Limit = m_Words.limit(Of.m_Server);
+  m_Hooks.m_Asked(m_View.dataCentre(Of.m_Server), Limit != nullptr, What);
+  m_Log.write(
+      "permit",
+      {{"upstream", Of.m_Server},
+       {"answer", What},
+       {"after_ms", (Granted ? Verdict->m_After : Away) / 1ms},
+       {"asked_ms", (Now - Of.m_Since) / 1ms},
+       {"warm_in_ms", Ends ? Json((*Ends - Now) / 1ms) : Json()},
+       {"limit_per_s", Limit != nullptr ? Json(Limit->m_PerS) : Json()},
+       {"limit_by", Limit != nullptr ? Limit->m_By.str() : ""},
+       {"limit_age_ms",
+        Limit != nullptr ? Json((Now - Limit->m_Heard) / 1ms) : Json()}});
   Of.m_Done(Answer);
 }
 
@@ -172,9 +210,9 @@
                       !m_Fleet.topology().isRelay(From);
   if (!PassOn) {
     m_Fleet.send(From,
-                 PermitAnswerFrame{
-                     .m_Id = Frame.m_Id,
-                     .m_Verdict = decide(Frame.m_Server, Frame.m_Patience)});
+                 PermitAnswerFrame{.m_Id = Frame.m_Id,
+                                   .m_Verdict = decide(From, Frame.m_Server,
+                                                       Frame.m_Patience)});
     return;
   }
   const std::uint64_t Id = ++m_LastId;
--- a/packages/gateway/process/PermitExchange.h
+++ b/packages/gateway/process/PermitExchange.h
@@ -1,10 +1,12 @@
 /// \file
-/// How boxes keep one rate for each cold server together.
-/// See docs/design/warm-up.md.
+/// How boxes keep one rate together for each server that is cold or names a
+/// limit. See docs/design/warm-up.md and docs/design/server-words.md.
 #ifndef HAVENSTAIR_GATEWAY_PROCESS_PERMITEXCHANGE_H
 #define HAVENSTAIR_GATEWAY_PROCESS_PERMITEXCHANGE_H
 
+#include "decisions/process/SendBounds.h"
 #include "decisions/process/SendPermits.h"
+#include "decisions/process/ServerWords.h"
 #include "decisions/process/WarmUpView.h"
 #include "gateway/request/PermitDesk.h"
 #include "wire/common/EventLoop.h"
@@ -19,21 +21,33 @@
 class DecisionLog;
 class Fleet;
 
-/// One relay of a cold server's data centre gives out permits for it. Other
+/// One relay of the server's data centre gives out permits for it. Other
 /// boxes ask it, leaves by way of a relay. News that a server is cold go to all
 /// boxes at once.
 class PermitExchange : public PermitDesk {
 public:
   struct Hooks {
-    /// A permit for a server in \p At was asked for; \p What became of it, one
-    /// of "granted", "refused" and "unanswered".
-    std::function<void(const DataCentreName &At, std::string_view What)>
+    /// A permit for a server in \p At was asked for, as it names a limit, or is
+    /// cold; \p What became of it, one of "granted", "refused" and
+    /// "unanswered".
+    std::function<void(const DataCentreName &At, bool Limited,
+                       std::string_view What)>
         m_Asked;
+    /// \p Box asked for a permit for \p Server, of which this box knows no
+    /// bound.
+    std::function<void(const BoxName &Box, const InstanceId &Server)>
+        m_Needless;
   };
 
-  PermitExchange(EventLoop &Loop, Fleet &Boxes, WarmUpView &View,
-                 DecisionLog &Log, const WarmUpTolerance &Tolerance,
-                 Hooks Callbacks);
+  /// What a box knows of the servers.
+  struct Views {
+    WarmUpView &m_WarmUp;
+    const ServerWords &m_Words;
+    SendBounds &m_Bounds;
+  };
+
+  PermitExchange(EventLoop &Loop, Fleet &Boxes, Views Known, DecisionLog &Log,
+                 const WarmUpTolerance &Tolerance, Hooks Callbacks);
   PermitExchange(const PermitExchange &) = delete;
   PermitExchange &operator=(const PermitExchange &) = delete;
 
@@ -42,7 +56,7 @@
   }
   /// The list of servers has changed.
   void listed(const InstanceList &List);
-  /// Boxes or links have changed.
+  /// Boxes, links or limits have changed.
   void refreshRole();
 
   void ask(const InstanceId &Server, Duration Patience, Done Callback) override;
@@ -67,8 +81,11 @@
   };
 
   std::optional<BoxName> admitter(const InstanceId &Server) const;
+  bool firstAdmitter(const InstanceId &Server) const;
+  std::map<InstanceId, AdmittedServer> ownServers() const;
   BoxName nextBox(const InstanceId &Server) const;
-  PermitVerdict decide(const InstanceId &Server, Duration Patience);
+  PermitVerdict decide(const BoxName &For, const InstanceId &Server,
+                       Duration Patience);
   void finish(const Asked &Of, const std::optional<PermitVerdict> &Verdict);
   void unanswered(std::uint64_t Id);
   void take(const BoxName &From, const PermitAskFrame &Frame);
@@ -78,6 +95,8 @@
   EventLoop &m_Loop;
   Fleet &m_Fleet;
   WarmUpView &m_View;
+  const ServerWords &m_Words;
+  SendBounds &m_Bounds;
   DecisionLog &m_Log;
   Hooks m_Hooks;
   SendPermits m_Permits;
--- a/packages/gateway/process/ServerWordExchange.cpp
+++ b/packages/gateway/process/ServerWordExchange.cpp
@@ -2,27 +2,34 @@
 
 #include "gateway/common/DecisionLog.h"
 #include "gateway/process/Fleet.h"
-#include "wire/common/EventLoop.h"
+#include <utility>
+#include <variant>
 
 namespace havenstair {
 
 namespace {
 
+/// A server may name another value in each answer.
+constexpr Duration GatherValues = 100ms;
+
 std::optional<NamedLimit> copied(const NamedLimit *Limit) {
   return Limit == nullptr ? std::nullopt : std::optional(*Limit);
 }
 
 } // namespace
 
-ServerWordExchange::ServerWordExchange(Fleet &Boxes, ServerWords &Words,
-                                       DecisionLog &Log)
-    : m_Fleet(Boxes), m_Words(Words), m_Log(Log) {}
+ServerWordExchange::ServerWordExchange(EventLoop &Loop, Fleet &Boxes,
+                                       const ServingView &View,
+                                       ServerWords &Words, DecisionLog &Log,
+                                       Hooks Callbacks)
+    : m_Loop(Loop), m_Fleet(Boxes), m_View(View), m_Words(Words), m_Log(Log),
+      m_Hooks(std::move(Callbacks)) {}
 
 void ServerWordExchange::heard(const UpstreamLife &Server,
                                const AnswerFacts &Words, TimePoint SentAt) {
   const bool Other = Words.m_Misdirected || (!Words.m_Instance.empty() &&
                                              Words.m_Instance != Server.m_Id);
-  if (Other)
+  if (Other || m_View.past(Server))
     return;
   heardLimit(Server, Words, SentAt);
 }
@@ -37,14 +44,19 @@
   const auto Before = copied(m_Words.limit(Server.m_Id));
   const LimitChange Change = m_Words.heardLimit(
       Server, Words.m_Limit, m_Fleet.self(), SentAt, EventLoop::now());
-  if (Change != LimitChange::None)
-    logLimit(Server, Change, Before, m_Fleet.self());
+  noteLimit(Server, Change, Before, m_Fleet.self());
+  if (Change == LimitChange::Altered)
+    tellLater(Server);
+  else if (Change != LimitChange::None)
+    m_Fleet.sendAll(wordOf(Server));
 }
 
-void ServerWordExchange::logLimit(const UpstreamLife &Server,
-                                  LimitChange Change,
-                                  std::optional<NamedLimit> Before,
-                                  const BoxName &By) {
+void ServerWordExchange::noteLimit(const UpstreamLife &Server,
+                                   LimitChange Change,
+                                   const std::optional<NamedLimit> &Before,
+                                   const BoxName &By) {
+  if (Change == LimitChange::None)
+    return;
   const NamedLimit *After = m_Words.limit(Server.m_Id);
   const TimePoint Now = EventLoop::now();
   m_Log.write(
@@ -56,6 +68,49 @@
        {"before", Before ? Json(Before->m_PerS) : Json()},
        {"for_ms", Before ? Json((Now - Before->m_Since) / 1ms) : Json()},
        {"by", By.str()}});
+  m_Hooks.m_LimitsChanged();
+}
+
+ServerWordFrame ServerWordExchange::wordOf(const UpstreamLife &Server) const {
+  ServerWordFrame Result{.m_Life = Server};
+  if (const NamedLimit *Limit = m_Words.limit(Server.m_Id)) {
+    Result.m_LimitPerS = Limit->m_PerS;
+    Result.m_LimitAge = EventLoop::now() - Limit->m_Since;
+  }
+  return Result;
+}
+
+void ServerWordExchange::tellLater(const UpstreamLife &Server) {
+  m_Altered.insert(Server);
+  if (m_Altered.size() == 1)
+    m_TellTimer = m_Loop.after(GatherValues, [this] { tellAltered(); });
+}
+
+void ServerWordExchange::tellAltered() {
+  for (const UpstreamLife &Each : std::exchange(m_Altered, {}))
+    m_Fleet.sendAll(wordOf(Each));
+}
+
+void ServerWordExchange::linkUp(const BoxName &Box) {
+  for (const auto &[Server, Limit] : m_Words.limits())
+    m_Fleet.send(Box, wordOf(Server));
+}
+
+void ServerWordExchange::tell(const BoxName &Box, const UpstreamLife &Server) {
+  m_Fleet.send(Box, wordOf(Server));
+}
+
+void ServerWordExchange::onFrame(const BoxName &From, const PeerFrame &Frame) {
+  const auto *Word = std::get_if<ServerWordFrame>(&Frame);
+  if (Word == nullptr || m_View.past(Word->m_Life))
+    return;
+  const auto Before = copied(m_Words.limit(Word->m_Life.m_Id));
+  const LimitChange Change =
+      m_Words.toldLimit(Word->m_Life, Word->m_LimitPerS, From, Word->m_LimitAge,
+                        EventLoop::now());
+  noteLimit(Word->m_Life, Change, Before, From);
+  if (Change != LimitChange::None)
+    m_Fleet.passOn(*Word, From);
 }
 
 } // namespace havenstair
--- a/packages/gateway/process/ServerWordExchange.h
+++ b/packages/gateway/process/ServerWordExchange.h
@@ -1,34 +1,61 @@
 /// \file
-/// Takes in what servers say of themselves in their answers.
+/// How boxes tell each other what servers say of themselves in their answers.
 /// See docs/design/server-words.md.
 #ifndef HAVENSTAIR_GATEWAY_PROCESS_SERVERWORDEXCHANGE_H
 #define HAVENSTAIR_GATEWAY_PROCESS_SERVERWORDEXCHANGE_H
 
 #include "decisions/process/ServerWords.h"
+#include "decisions/process/ServingView.h"
 #include "gateway/request/ServerWordDesk.h"
+#include "wire/common/EventLoop.h"
+#include "wire/connection/PeerFrames.h"
+#include <functional>
+#include <optional>
+#include <set>
 
 namespace havenstair {
 
 class DecisionLog;
 class Fleet;
 
-/// Hears the words of servers for this box.
+/// Takes in the words of servers that this box hears, and tells all boxes what
+/// they change. A box that is linked anew is told of all that hold.
 class ServerWordExchange : public ServerWordDesk {
 public:
-  ServerWordExchange(Fleet &Boxes, ServerWords &Words, DecisionLog &Log);
+  struct Hooks {
+    /// Limits have begun, ended or changed.
+    std::function<void()> m_LimitsChanged;
+  };
+
+  ServerWordExchange(EventLoop &Loop, Fleet &Boxes, const ServingView &View,
+                     ServerWords &Words, DecisionLog &Log, Hooks Callbacks);
 
   void heard(const UpstreamLife &Server, const AnswerFacts &Words,
              TimePoint SentAt) override;
 
+  void linkUp(const BoxName &Box);
+  /// Tells \p Box what this one believes of \p Server.
+  void tell(const BoxName &Box, const UpstreamLife &Server);
+  void onFrame(const BoxName &From, const PeerFrame &Frame);
+
 private:
   void heardLimit(const UpstreamLife &Server, const AnswerFacts &Words,
                   TimePoint SentAt);
-  void logLimit(const UpstreamLife &Server, LimitChange Change,
-                std::optional<NamedLimit> Before, const BoxName &By);
+  void noteLimit(const UpstreamLife &Server, LimitChange Change,
+                 const std::optional<NamedLimit> &Before, const BoxName &By);
+  ServerWordFrame wordOf(const UpstreamLife &Server) const;
+  void tellLater(const UpstreamLife &Server);
+  void tellAltered();
 
+  EventLoop &m_Loop;
   Fleet &m_Fleet;
+  const ServingView &m_View;
   ServerWords &m_Words;
   DecisionLog &m_Log;
+  Hooks m_Hooks;
+  /// Limits whose values have changed since the other boxes were told.
+  std::set<UpstreamLife> m_Altered;
+  Timer m_TellTimer;
 };
 
 } // namespace havenstair
--- a/packages/gateway/process/ServingState.h
+++ b/packages/gateway/process/ServingState.h
@@ -10,6 +10,7 @@
 #include "decisions/process/LatencyModel.h"
 #include "decisions/process/LoadBook.h"
 #include "decisions/process/PrefixIndex.h"
+#include "decisions/process/SendBounds.h"
 #include "decisions/process/ServerWords.h"
 #include "decisions/process/ServingView.h"
 #include "decisions/process/SharedRetryBudget.h"
@@ -34,6 +35,7 @@
   ServingView m_Upstreams;
   WarmUpView m_WarmUp;
   ServerWords m_Words;
+  SendBounds m_SendBounds{m_WarmUp, m_Words};
   LoadBook m_Loads;
   PrefixIndex m_Prefixes{PrefixTokens};
   LatencyModel m_Latency;
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -73,11 +73,11 @@
 
   /// Before the first request.
   void setDesks(std::weak_ptr<QuotaDesk> Quotas,
-                std::weak_ptr<PermitDesk> WarmUp,
+                std::weak_ptr<PermitDesk> Permits,
                 std::weak_ptr<CrashDesk> Crashes,
                 std::weak_ptr<ServerWordDesk> Words) {
     m_Quotas = std::move(Quotas);
-    m_WarmUp = std::move(WarmUp);
+    m_Permits = std::move(Permits);
     m_Crashes = std::move(Crashes);
     m_Words = std::move(Words);
   }
@@ -111,7 +111,7 @@
   Options m_Opts;
   Hooks m_Hooks;
   std::weak_ptr<QuotaDesk> m_Quotas;
-  std::weak_ptr<PermitDesk> m_WarmUp;
+  std::weak_ptr<PermitDesk> m_Permits;
   std::weak_ptr<CrashDesk> m_Crashes;
   std::weak_ptr<ServerWordDesk> m_Words;
   EarlyRequests m_Early;
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -56,7 +56,7 @@
       m_Priority(enginePriority(*m_Config, Of, Caller)),
       m_Standing(m_Config, Of, Caller, m_Request.m_Caller),
       m_Quota(Owner.m_Quotas, m_Organisation, quotaUnits(m_Request, Caller)),
-      m_Permit(Owner.m_Loop, Owner.m_WarmUp, Owner.m_State.m_WarmUp,
+      m_Permit(Owner.m_Loop, Owner.m_Permits, Owner.m_State.m_SendBounds,
                [this] { resume(); }),
       m_Arrived(Arrived),
       m_Deadline(m_Arrived +
@@ -131,7 +131,7 @@
                                .m_Latency = State.m_Latency,
                                .m_Failures = State.m_Failures,
                                .m_DataCentres = State.m_DataCentres,
-                               .m_WarmUp = &State.m_WarmUp};
+                               .m_Bounds = &State.m_SendBounds};
   const auto Chosen =
       chooseReplica(Candidates, m_Request, State.m_Zone, Known,
                     m_Owner.m_Opts.m_Weights, m_Owner.m_Hooks.m_Random(), Now);
@@ -140,7 +140,7 @@
               .m_PendingMs = Chosen ? Chosen->m_PendingMs : 0};
   if (!Chosen && m_Permit.drop())
     return step();
-  if (refusedCold(Chosen, Now))
+  if (refusedBound(Chosen, Now))
     return;
   // A permit is not given up for what another request was told meanwhile.
   if (m_Sends == 0 && !m_Permit.holds(Now) && !admitted(Chosen, Now))
@@ -162,7 +162,8 @@
     });
     return;
   }
-  if (m_Permit.ready(Chosen->m_Instance->m_Id, timeToSpare(Now), Now))
+  if (m_Permit.ready(Chosen->m_Instance->m_Id, permitPatience(*Chosen, Now),
+                     Now))
     send(*Chosen, Now);
 }
 
@@ -184,14 +185,15 @@
     step();
 }
 
-/// Whether the request has its answer as only cold servers are left, and no
-/// permit to send to one is to be had in time.
-bool ProxiedRequest::refusedCold(const std::optional<ChosenReplica> &Chosen,
-                                 TimePoint Now) {
+/// Whether the request has its answer as only servers are left that are cold or
+/// name a limit, and no permit to send to one is to be had in time.
+bool ProxiedRequest::refusedBound(const std::optional<ChosenReplica> &Chosen,
+                                  TimePoint Now) {
   const auto Away = m_Permit.away(Now);
   if (Chosen || !Away || m_BytesPassed || m_MayHaveRun)
     return false;
-  refuse(ErrorKind::Overloaded, *Away, "cold");
+  refuse(ErrorKind::Overloaded, Away->m_After,
+         Away->m_Limited ? "server_limit" : "cold");
   return true;
 }
 
@@ -317,6 +319,16 @@
                                        fromMillis(m_Judged.m_ExpectedMs));
 }
 
+/// A permit to send to a server that names a limit is not waited for longer
+/// than another server would take.
+Duration ProxiedRequest::permitPatience(const ChosenReplica &Chosen,
+                                        TimePoint Now) const {
+  const Duration Spare = timeToSpare(Now);
+  if (!Chosen.m_Limited || !Chosen.m_SpareMs)
+    return Spare;
+  return std::min(Spare, fromMillis(*Chosen.m_SpareMs));
+}
+
 /// Whether the request may be sent now. Otherwise the answer will tell, or the
 /// request has got its own.
 bool ProxiedRequest::withinQuota(TimePoint Now) {
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -63,7 +63,7 @@
 
   void step();
   void resume();
-  bool refusedCold(const std::optional<ChosenReplica> &Chosen, TimePoint Now);
+  bool refusedBound(const std::optional<ChosenReplica> &Chosen, TimePoint Now);
   std::optional<Duration> paceOf(const ChosenReplica &Chosen,
                                  TimePoint Now) const;
   AdmissionFacts admissionFacts(const std::optional<ChosenReplica> &Chosen,
@@ -74,6 +74,7 @@
   bool refusedBarred(TimePoint Now);
   RequestReach reach() const;
   Duration timeToSpare(TimePoint Now) const;
+  Duration permitPatience(const ChosenReplica &Chosen, TimePoint Now) const;
   bool withinQuota(TimePoint Now);
   void onQuota(const std::optional<QuotaVerdict> &Verdict);
   void send(const ChosenReplica &Chosen, TimePoint Now);
--- a/packages/gateway/request/RequestPermit.cpp
+++ b/packages/gateway/request/RequestPermit.cpp
@@ -13,9 +13,9 @@
 } // namespace
 
 RequestPermit::RequestPermit(EventLoop &Loop, std::weak_ptr<PermitDesk> Desk,
-                             const WarmUpView &View,
+                             const SendBounds &Bounds,
                              std::function<void()> Resume)
-    : m_Loop(Loop), m_Desk(std::move(Desk)), m_View(View),
+    : m_Loop(Loop), m_Desk(std::move(Desk)), m_Bounds(Bounds),
       m_Resume(std::move(Resume)),
       m_Self(std::make_shared<RequestPermit *>(this)) {}
 
@@ -38,17 +38,17 @@
   return std::exchange(m_Held, std::nullopt).has_value();
 }
 
-std::optional<Duration> RequestPermit::away(TimePoint Now) const {
-  std::optional<Duration> Soonest;
+std::optional<RequestPermit::Away> RequestPermit::away(TimePoint Now) const {
+  std::optional<Away> Soonest;
   for (const auto &[Server, Free] : m_Refused)
-    if (Free > Now)
-      Soonest = std::min(Soonest.value_or(Free - Now), Free - Now);
+    if (Free > Now && (!Soonest || Free - Now < Soonest->m_After))
+      Soonest = {.m_After = Free - Now, .m_Limited = m_Bounds.limited(Server)};
   return Soonest;
 }
 
 bool RequestPermit::ready(const InstanceId &Server, Duration Patience,
                           TimePoint Now) {
-  if (!m_View.cold(Server, Now)) {
+  if (!m_Bounds.bound(Server, Now)) {
     drop();
     return true;
   }
--- a/packages/gateway/request/RequestPermit.h
+++ b/packages/gateway/request/RequestPermit.h
@@ -1,9 +1,9 @@
 /// \file
-/// One request's permits to be sent to cold servers.
+/// One request's permits to be sent to servers that bear little.
 #ifndef HAVENSTAIR_GATEWAY_REQUEST_REQUESTPERMIT_H
 #define HAVENSTAIR_GATEWAY_REQUEST_REQUESTPERMIT_H
 
-#include "decisions/process/WarmUpView.h"
+#include "decisions/process/SendBounds.h"
 #include "gateway/request/PermitDesk.h"
 #include "gateway/request/RequestDialect.h"
 #include "wire/common/EventLoop.h"
@@ -14,16 +14,16 @@
 
 namespace havenstair {
 
-/// Asks for a permit right before each send to a cold server, and keeps the
-/// request to that server until the permit is used or has lapsed. A server that
-/// refuses is left out of the choice until a permit is to be had.
+/// Asks for a permit right before each send to a server that is cold or names
+/// a limit, and keeps the request to it until the permit is used or has lapsed.
+/// A server that refuses is left out of the choice until a permit is to be had.
 class RequestPermit {
 public:
   /// \p Resume: the request is to choose again. It is not called from within a
   /// member of this class, nor after the end of this object. The desk may end
   /// before the request does.
   RequestPermit(EventLoop &Loop, std::weak_ptr<PermitDesk> Desk,
-                const WarmUpView &View, std::function<void()> Resume);
+                const SendBounds &Bounds, std::function<void()> Resume);
   RequestPermit(const RequestPermit &) = delete;
   RequestPermit &operator=(const RequestPermit &) = delete;
 
@@ -41,9 +41,13 @@
   /// The head of an answer of \p Server to what was sent at \p SentAt.
   void heard(const AnswerFacts &Answer, const InstanceId &Server,
              TimePoint SentAt);
-  /// How long until one that refused has a permit or is warm; none when none
-  /// refused.
-  std::optional<Duration> away(TimePoint Now) const;
+  /// A server that refused has a permit, or needs none any more.
+  struct Away {
+    Duration m_After = 0us;
+    bool m_Limited = false; ///< It names a limit; else it is cold.
+  };
+  /// The soonest; none when none refused.
+  std::optional<Away> away(TimePoint Now) const;
 
 private:
   struct Held {
@@ -56,7 +60,7 @@
 
   EventLoop &m_Loop;
   std::weak_ptr<PermitDesk> m_Desk;
-  const WarmUpView &m_View;
+  const SendBounds &m_Bounds;
   std::function<void()> m_Resume;
   std::optional<Held> m_Held;
   std::map<InstanceId, TimePoint> m_Refused; ///< Until when.
--- a/packages/wire/connection/PeerFrames.h
+++ b/packages/wire/connection/PeerFrames.h
@@ -27,7 +27,7 @@
 using PeerProtocol = int;
 /// Of builds that do not tell theirs.
 constexpr PeerProtocol FirstProtocol = 1;
-constexpr PeerProtocol OwnProtocol = 3;
+constexpr PeerProtocol OwnProtocol = 4;
 /// The first that reads compressed frames and loads that come apart.
 constexpr PeerProtocol PackingProtocol = 3;
 
@@ -199,7 +199,7 @@
     FleetContentsFrame, FleetMissingFrame, FleetLoadsFrame, QuotaAskFrame,
     QuotaAnswerFrame, QuotaUseFrame, PermitAskFrame, PermitAnswerFrame,
     WarmUpNewsFrame, CrashFrame, CrashSuspectsFrame, RanWellFrame,
-    RequestBarsFrame, PackedFrame, FleetTotalsFrame>;
+    RequestBarsFrame, PackedFrame, FleetTotalsFrame, ServerWordFrame>;
 
 /// Name of the kind of \p Frame, for metrics.
 std::string_view frameName(const PeerFrame &Frame);
--- a/packages/wire/connection/PermitFrames.cpp
+++ b/packages/wire/connection/PermitFrames.cpp
@@ -38,4 +38,25 @@
   Frame.m_ColdFor = durationField(From, "cold_us");
 }
 
+Json toJson(const ServerWordFrame &Frame) {
+  Json Result{{"server", Frame.m_Life.m_Id}, {"born", Frame.m_Life.m_Born}};
+  if (Frame.m_LimitPerS) {
+    Result["per_s"] = *Frame.m_LimitPerS;
+    Result["age_us"] = Frame.m_LimitAge.count();
+  }
+  return Result;
+}
+
+void fromJson(const Json &From, ServerWordFrame &Frame) {
+  Frame.m_Life = {.m_Id = field<std::string>(From, "server"),
+                  .m_Born = field<UpstreamBirth>(From, "born")};
+  if (!From.contains("per_s"))
+    return;
+  const auto PerS = field<double>(From, "per_s");
+  if (!(PerS >= 0))
+    throw DecodeError("a limit below zero");
+  Frame.m_LimitPerS = PerS;
+  Frame.m_LimitAge = durationField(From, "age_us");
+}
+
 } // namespace havenstair
--- a/packages/wire/connection/PermitFrames.h
+++ b/packages/wire/connection/PermitFrames.h
@@ -1,17 +1,18 @@
 /// \file
-/// Messages between the boxes of a gateway fleet about sends to cold servers.
-/// See docs/design/warm-up.md.
+/// Messages between the boxes of a gateway fleet about servers that bear
+/// little. See docs/design/warm-up.md and docs/design/server-words.md.
 #ifndef HAVENSTAIR_WIRE_CONNECTION_PERMITFRAMES_H
 #define HAVENSTAIR_WIRE_CONNECTION_PERMITFRAMES_H
 
 #include "decisions/process/SendPermits.h"
 #include "wire/common/Json.h"
 #include <cstdint>
+#include <optional>
 
 namespace havenstair {
 
-/// May one request be sent to a cold server? Asked of the box that admits, or
-/// of a relay that passes the question on.
+/// May one request be sent to a server that is cold or names a limit? Asked of
+/// the box that admits, or of a relay that passes the question on.
 struct PermitAskFrame {
   std::uint64_t m_Id = 0; ///< Named in the answer.
   InstanceId m_Server;
@@ -35,14 +36,26 @@
   bool operator==(const WarmUpNewsFrame &) const = default;
 };
 
+/// What a server has said of itself in an answer.
+struct ServerWordFrame {
+  UpstreamLife m_Life;
+  /// Requests a second; empty when it names no limit any more.
+  std::optional<double> m_LimitPerS;
+  Duration m_LimitAge = 0us; ///< Since it was first named.
+
+  bool operator==(const ServerWordFrame &) const = default;
+};
+
 Json toJson(const PermitAskFrame &Frame);
 Json toJson(const PermitAnswerFrame &Frame);
 Json toJson(const WarmUpNewsFrame &Frame);
+Json toJson(const ServerWordFrame &Frame);
 
 /// \throws DecodeError for a value of another form.
 void fromJson(const Json &From, PermitAskFrame &Frame);
 void fromJson(const Json &From, PermitAnswerFrame &Frame);
 void fromJson(const Json &From, WarmUpNewsFrame &Frame);
+void fromJson(const Json &From, ServerWordFrame &Frame);
 
 } // namespace havenstair
 
--- a/tests/decisions/process/ColdFleet.h
+++ b/tests/decisions/process/ColdFleet.h
@@ -1,5 +1,5 @@
 /// \file
-/// A fleet of boxes before one cold server, on one clock.
+/// A fleet of boxes before one server that bears little, on one clock.
 #ifndef HAVENSTAIR_TESTS_DECISIONS_COLDFLEET_H
 #define HAVENSTAIR_TESTS_DECISIONS_COLDFLEET_H
 
@@ -19,6 +19,27 @@
 inline constexpr WarmUpSpec Spec{.m_After = 3s, .m_RequestsPerS = 6.6};
 inline constexpr WarmUpTolerance Tolerance{.m_Factor = 1.5, .m_Allowance = 5};
 
+/// What the server bears, and what is allowed in any time of some length.
+struct FleetBound {
+  SendBound m_Bound;
+  double m_PerS = 0;
+  Duration m_Span = 0us;
+  double m_Most = 0;
+
+  static FleetBound cold() {
+    return {.m_Bound = {.m_Cold = Spec, .m_LimitPerS = std::nullopt},
+            .m_PerS = Spec.m_RequestsPerS,
+            .m_Span = 1s,
+            .m_Most = Tolerance.mostPerS(Spec)};
+  }
+  static FleetBound limit(double PerS) {
+    return {.m_Bound = {.m_Cold = std::nullopt, .m_LimitPerS = PerS},
+            .m_PerS = PerS,
+            .m_Span = 4s,
+            .m_Most = 4 * 1.5 * PerS + 5};
+  }
+};
+
 /// xorshift64: the same draws for the same seed on every machine.
 class Dice {
 public:
@@ -47,19 +68,20 @@
   Buckets       ///< Relays tell each other what they used.
 };
 
-/// Ninety boxes and one cold server, for which requests come all the time. The
-/// first nine boxes are relays, three of them in the server's data centre.
+/// Boxes and one server, for which requests come all the time. The first nine
+/// boxes are relays, three of them in the server's data centre.
 class ColdFleet {
 public:
   static constexpr std::size_t Relays = 9;
   static constexpr std::size_t Near = 3;
-  static constexpr std::size_t Boxes = 90;
   static constexpr Duration TellEvery = 40ms;
 
-  ColdFleet(Way How, std::uint64_t Seed, double Load)
-      : m_Way(How), m_Dice(Seed), m_Load(Load), m_Permits(Relays, permits()),
-        m_Lists(Relays), m_Reached(Relays), m_Lives(Relays, 0),
-        m_Frozen(Boxes, TimePoint{}), m_NextOfBox(Boxes) {
+  ColdFleet(Way How, std::uint64_t Seed, double Load,
+            const FleetBound &Bound = FleetBound::cold(),
+            std::size_t Boxes = 90)
+      : m_Way(How), m_Dice(Seed), m_Load(Load), m_Bound(Bound), m_Boxes(Boxes),
+        m_Permits(Relays, permits()), m_Lists(Relays), m_Reached(Relays),
+        m_Lives(Relays, 0), m_Frozen(Boxes, TimePoint{}), m_NextOfBox(Boxes) {
     for (std::size_t Each = 0; Each < Near; ++Each)
       m_Store.insert(name(Each));
     for (std::size_t At = 0; At < Relays; ++At) {
@@ -68,14 +90,14 @@
       m_Buckets.push_back(bucket());
     }
     // A box learns some time later when the server turned cold.
-    for (std::size_t Each = 0; Each < Boxes; ++Each)
+    for (std::size_t Each = 0; Each < m_Boxes; ++Each)
       m_Phase.push_back(m_Dice.upTo(300ms));
-    // Long before the server turns cold.
+    // Long before the server bears little.
     for (std::size_t At = 0; At < Relays; ++At)
       refreshRole(At);
     if (How == Way::Buckets)
       tellUse();
-    m_Now += 10s;
+    m_Now += SendPermits::ListsSettle;
     run(m_Now);
     m_Arrivals.clear();
     m_From = m_Now;
@@ -95,7 +117,7 @@
     m_Lists[At].clear();
     if (At >= Near)
       return linksChanged();
-    later(Lease, Callers, [=, this] { change(Old, false); });
+    later(Lease, callers(), [=, this] { change(Old, false); });
     enter(At);
     linksChanged();
   }
@@ -106,7 +128,7 @@
     m_StoreCut = Store;
     linksChanged();
     for (std::size_t At = 0; At < Near; ++At)
-      later(Lease, Callers, [=, this, Name = name(At)] {
+      later(Lease, callers(), [=, this, Name = name(At)] {
         if (Name == name(At) && !reachesStore(At))
           change(Name, false);
       });
@@ -117,13 +139,14 @@
   void heal() { cut(0, false); }
   void freeze(std::size_t Box, Duration For) { m_Frozen[Box] = m_Now + For; }
 
-  /// Most arrivals in one second.
-  std::size_t worstSecond() const {
+  std::size_t boxes() const { return m_Boxes; }
+  /// Most arrivals in the time in which they are counted.
+  std::size_t worstSpan() const {
     std::vector<TimePoint> At = m_Arrivals;
     std::sort(At.begin(), At.end());
     std::size_t Most = 0;
     for (std::size_t First = 0, Next = 0; Next < At.size(); ++Next) {
-      while (At[Next] - At[First] >= 1s)
+      while (At[Next] - At[First] >= m_Bound.m_Span)
         ++First;
       Most = std::max(Most, Next - First + 1);
     }
@@ -132,7 +155,7 @@
   /// Part of the rate that arrived.
   double used() const {
     return static_cast<double>(m_Arrivals.size()) /
-           (Spec.m_RequestsPerS * inSeconds(m_Now - m_From));
+           (m_Bound.m_PerS * inSeconds(m_Now - m_From));
   }
 
 private:
@@ -140,24 +163,29 @@
   static constexpr Duration Lease = 6s;
 
   Duration evenGap() const {
-    const double Rate = Tolerance.m_Factor * Spec.m_RequestsPerS;
-    return fromMillis(1000 * Boxes / Rate);
+    const double Rate = Tolerance.m_Factor * m_Bound.m_PerS;
+    return fromMillis(1000 * static_cast<double>(m_Boxes) / Rate);
   }
   SendPermits permits() const { return SendPermits(Tolerance); }
-  WarmUpSpec believed() const {
-    WarmUpSpec Result = Spec;
-    if (m_Way == Way::FullAdmitter)
-      Result.m_RequestsPerS *= 2.5;
+  SendBound believed() const {
+    SendBound Result = m_Bound.m_Bound;
+    if (m_Way == Way::FullAdmitter && Result.m_Cold)
+      Result.m_Cold->m_RequestsPerS *= 2.5;
+    if (m_Way == Way::FullAdmitter && Result.m_LimitPerS)
+      Result.m_LimitPerS = *Result.m_LimitPerS * 2.5;
     return Result;
   }
+  Quorum quorum() const {
+    return m_Bound.m_Bound.m_LimitPerS ? Quorum::Half : Quorum::Majority;
+  }
   QuotaBook bucket() const {
-    QuotaBook Book({.m_Tolerance = {.m_Window = 1s,
+    QuotaBook Book({.m_Tolerance = {.m_Window = m_Bound.m_Span,
                                     .m_Overage = Tolerance.m_Factor - 1,
                                     .m_Allowance = Tolerance.m_Allowance}});
     Book.setBoxes(1, Relays, m_Now);
     Organisation Server;
     Server.m_Name = "e";
-    Server.m_Quota.m_RatePerS = Spec.m_RequestsPerS;
+    Server.m_Quota.m_RatePerS = m_Bound.m_PerS;
     Server.m_Quota.m_Burst = 1;
     Book.configure({Server}, m_Now);
     return Book;
@@ -169,9 +197,13 @@
   void refreshRole(std::size_t At) {
     std::set<BoxName> Reached = m_Reached[At];
     Reached.insert(name(At));
-    const bool Admits = admitterOf("e", m_Lists[At], Reached) == name(At);
-    m_Permits[At].admits(
-        Admits ? std::set<InstanceId>{"e"} : std::set<InstanceId>{}, m_Now);
+    const bool Admits =
+        admitterOf("e", m_Lists[At], Reached, quorum()) == name(At);
+    const bool First = admitterOf("e", m_Lists[At], m_Lists[At]) == name(At);
+    std::map<InstanceId, AdmittedServer> Servers;
+    if (Admits)
+      Servers["e"] = {.m_First = First, .m_BoundSince = std::nullopt};
+    m_Permits[At].admits(Servers, m_Now);
   }
   bool reachesStore(std::size_t At) const { return !m_StoreCut || At >= m_Cut; }
   /// The entry of \p At comes to the store, if it can.
@@ -231,12 +263,12 @@
   }
 
   void arrive() {
-    const double Gap = 1000 / (m_Load * Spec.m_RequestsPerS);
-    const std::size_t Box = m_Dice.below(Boxes);
+    const double Gap = 1000 / (m_Load * m_Bound.m_PerS);
+    const std::size_t Box = m_Dice.below(m_Boxes);
     request(Box);
     // The callers are no box: their time goes on.
     m_Events.emplace(m_Now + m_Dice.upTo(fromMillis(2 * Gap)),
-                     Event{Callers, [this] { arrive(); }});
+                     Event{callers(), [this] { arrive(); }});
   }
   void request(std::size_t Box) {
     if (m_Frozen[Box] > m_Now)
@@ -251,7 +283,7 @@
             [=, this, Asked = m_Now] { atRelay(Relay, Box, Asked); });
   }
   void sendPart(std::size_t Box) {
-    const Duration Slot = evenGap() / Boxes;
+    const Duration Slot = evenGap() / m_Boxes;
     const Duration Since = m_Now - TimePoint{} + m_Phase[Box];
     const Duration Turn = evenGap() - (Since - Box * Slot) % evenGap();
     if (Turn > Patience || m_NextOfBox[Box] > m_Now)
@@ -269,7 +301,7 @@
     std::set<BoxName> Reached = m_Reached[Relay];
     if (Relay < Near)
       Reached.insert(name(Relay));
-    const auto Admitter = admitterOf("e", m_Lists[Relay], Reached);
+    const auto Admitter = admitterOf("e", m_Lists[Relay], Reached, quorum());
     for (std::size_t Other = 0; Other < Near; ++Other)
       if (Admitter == name(Other) && linked(Relay, Other))
         later(Other == Relay ? 0us : way(), Other,
@@ -308,10 +340,12 @@
             m_Buckets[To].told(Name, 1, true, Words, m_Now);
           });
     }
-    m_Events.emplace(m_Now + TellEvery, Event{Callers, [this] { tellUse(); }});
+    m_Events.emplace(m_Now + TellEvery,
+                     Event{callers(), [this] { tellUse(); }});
   }
 
-  static constexpr std::size_t Callers = Boxes - 1;
+  /// The callers are the last box, which is never frozen.
+  std::size_t callers() const { return m_Boxes - 1; }
 
   struct Event {
     std::size_t m_Box;
@@ -321,6 +355,8 @@
   Way m_Way;
   Dice m_Dice;
   double m_Load;
+  FleetBound m_Bound;
+  std::size_t m_Boxes;
   std::vector<SendPermits> m_Permits;
   std::vector<QuotaBook> m_Buckets;
   std::vector<std::set<BoxName>> m_Lists;
--- a/tests/decisions/process/ServerWordsTest.cpp
+++ b/tests/decisions/process/ServerWordsTest.cpp
@@ -72,6 +72,14 @@
     Words.listed({}, Start + 2s + ServerWords::RememberFor + 1ms);
     REQUIRE(Words.limit("s") == nullptr);
   }
+  SECTION("when a later life speaks before the list tells of it") {
+    const UpstreamLife Later{.m_Id = "s", .m_Born = 2};
+    REQUIRE(Words.toldLimit(Later, 3, Other, 0ms, Start + 2s) ==
+            LimitChange::Begun);
+    REQUIRE(Words.limit("s")->m_PerS == 3);
+    REQUIRE(Words.toldLimit(Server, 1, Other, 0ms, Start + 2s) ==
+            LimitChange::None);
+  }
   SECTION("though not with a late word of a former life") {
     Words.listed(listOf(0), Start + 2s);
     REQUIRE(Words.limit("s") != nullptr);
--- a/tests/decisions/request/ReplicaChoiceTest.cpp
+++ b/tests/decisions/request/ReplicaChoiceTest.cpp
@@ -29,6 +29,8 @@
   FailureBook m_Failures;
   DataCentreMap m_DataCentres;
   WarmUpView m_WarmUp;
+  ServerWords m_Words;
+  SendBounds m_Bounds{m_WarmUp, m_Words};
 
   std::optional<ChosenReplica>
   choose(const std::vector<const UpstreamInstance *> &Candidates,
@@ -39,7 +41,7 @@
                           .m_Latency = m_Latency,
                           .m_Failures = m_Failures,
                           .m_DataCentres = m_DataCentres,
-                          .m_WarmUp = &m_WarmUp},
+                          .m_Bounds = &m_Bounds},
                          {}, Tie, at(1s));
   }
 };
@@ -156,6 +158,29 @@
   REQUIRE(Chosen() == "warm");
   Known.m_Loads.sent("warm", 120, 10);
   REQUIRE(Chosen() == "cold");
-  Known.m_WarmUp.noteBusy("cold", at(1s) + 900ms, at(1s));
+  Known.m_Bounds.noteBusy("cold", at(1s) + 900ms, at(1s));
   REQUIRE(Chosen() == "warm");
 }
+
+TEST_CASE("A server that names a limit is chosen like others while a permit is "
+          "to be had",
+          "[choice][server-limit]") {
+  Books Known;
+  const UpstreamInstance Limited = engine("limited");
+  const UpstreamInstance Whole = engine("whole");
+  Known.m_Words.toldLimit(Limited.life(), 1, BoxName("b"), 0s, at(1s));
+  const auto Chosen = [&] {
+    return *Known.choose({&Limited, &Whole}, prompt(0, 10));
+  };
+  REQUIRE(Chosen().m_Instance == &Whole);
+  Known.m_Loads.sent("whole", 20, 10);
+  REQUIRE(Chosen().m_Instance == &Limited);
+  REQUIRE(Chosen().m_Limited);
+  REQUIRE(Chosen().m_SpareMs.value() > 0);
+  REQUIRE(Chosen().m_SpareMs.value() < 25);
+  Known.m_Bounds.noteBusy("limited", at(1s) + 100ms, at(1s));
+  REQUIRE(Chosen().m_Instance == &Whole);
+  SECTION("alone it has no other to be compared with") {
+    REQUIRE_FALSE(Known.choose({&Limited}, prompt(0, 10))->m_SpareMs);
+  }
+}
--- a/tests/gateway/RequestPermitTest.cpp
+++ b/tests/gateway/RequestPermitTest.cpp
@@ -54,9 +54,11 @@
 
   EventLoop m_Loop;
   WarmUpView m_View;
+  ServerWords m_Words;
+  SendBounds m_Bounds{m_View, m_Words};
   std::shared_ptr<HeldPermitDesk> m_Desk = std::make_shared<HeldPermitDesk>();
   int m_Resumed = 0;
-  RequestPermit m_Permit{m_Loop, m_Desk, m_View, [this] { ++m_Resumed; }};
+  RequestPermit m_Permit{m_Loop, m_Desk, m_Bounds, [this] { ++m_Resumed; }};
 };
 
 } // namespace
@@ -124,7 +126,8 @@
   REQUIRE(Test.m_Permit.excludes("e", EventLoop::now()));
   REQUIRE_FALSE(Test.m_Permit.excludes("f", EventLoop::now()));
   REQUIRE_FALSE(Test.m_Permit.excludes("e", Free));
-  REQUIRE(Test.m_Permit.away(Free - 5s) == 5s);
+  REQUIRE(Test.m_Permit.away(Free - 5s)->m_After == 5s);
+  REQUIRE_FALSE(Test.m_Permit.away(Free - 5s)->m_Limited);
   REQUIRE_FALSE(Test.m_Permit.away(Free));
 }
 
--- a/tests/gateway/ServerLimitTest.cpp
+++ b/tests/gateway/ServerLimitTest.cpp
@@ -27,12 +27,36 @@
 
   explicit ServerLimitTest(std::size_t Boxes) {
     configure(1);
-    for (std::size_t Number = 0; Number < Boxes; ++Number) {
-      GatewayOptions Options = options();
-      Options.m_Box = BoxName("box-" + std::to_string(10 + Number));
-      Options.m_Capacity = Number < 3 ? 0.5 : 0.12;
-      m_Boxes.push_back(makeGateway(Options, [] {}));
-    }
+    for (std::size_t Number = 0; Number < Boxes; ++Number)
+      addBox();
+  }
+
+  void addBox() {
+    const std::size_t Number = m_Boxes.size();
+    GatewayOptions Options = options();
+    Options.m_Box = BoxName("box-" + std::to_string(10 + Number));
+    Options.m_Capacity = Number < 3 ? 0.5 : 0.12;
+    m_Boxes.push_back(makeGateway(Options, [] {}));
+  }
+
+  bool allBelieve(const InstanceId &Id, double PerS) const {
+    return std::all_of(m_Boxes.begin(), m_Boxes.end(), [&](const auto &Box) {
+      const NamedLimit *Limit = Box->state().m_Words.limit(Id);
+      return Limit != nullptr && Limit->m_PerS == PerS;
+    });
+  }
+  bool noneBelieves(const InstanceId &Id) const {
+    return std::none_of(m_Boxes.begin(), m_Boxes.end(), [&](const auto &Box) {
+      return Box->state().m_Words.limit(Id) != nullptr;
+    });
+  }
+
+  /// One request, again until it is served.
+  Outcome sendOne() {
+    Outcome Result;
+    while (Result.m_Served == 0)
+      Result = play(BetweenRequests + BetweenRequests / 2);
+    return Result;
   }
 
   /// Answers well and names \p Limit, unless that is empty.
@@ -115,7 +139,7 @@
 } // namespace
 
 TEST_CASE("All boxes together keep the limit that a server names",
-          "[gateway][server-limit][known-red]") {
+          "[gateway][server-limit]") {
   const auto Boxes = GENERATE(std::size_t{1}, std::size_t{3}, std::size_t{20});
   ServerLimitTest Test(Boxes);
   Test.addNaming("limited", "1");
@@ -128,3 +152,59 @@
   REQUIRE(Test.worstSpan("limited") <= ServerLimitTest::allowed(1));
   REQUIRE(All.m_Other == 0);
 }
+
+TEST_CASE("All boxes hear of a limit, and of its end, from the one that was "
+          "told",
+          "[gateway][server-limit]") {
+  const auto Boxes = GENERATE(std::size_t{3}, std::size_t{20});
+  ServerLimitTest Test(Boxes);
+  Test.addNaming("limited", "2.5");
+  Test.begin();
+  REQUIRE(Test.sendOne().m_Served == 1);
+  REQUIRE(Test.until([&] { return Test.allBelieve("limited", 2.5); }));
+  SECTION("of another value") {
+    Test.m_Limits["limited"] = "0.5";
+    REQUIRE(Test.sendOne().m_Served == 1);
+    REQUIRE(Test.until([&] { return Test.allBelieve("limited", 0.5); }));
+  }
+  SECTION("of its end") {
+    Test.m_Limits["limited"] = "";
+    REQUIRE(Test.sendOne().m_Served == 1);
+    REQUIRE(Test.until([&] { return Test.noneBelieves("limited"); }));
+  }
+  SECTION("a value that cannot be read changes nothing") {
+    Test.m_Limits["limited"] = "many";
+    REQUIRE(Test.sendOne().m_Served == 1);
+    REQUIRE(Test.allBelieve("limited", 2.5));
+  }
+  SECTION("a box that joins hears of it from those that know") {
+    Test.addBox();
+    REQUIRE(Test.until([&] { return Test.allBelieve("limited", 2.5); }));
+  }
+}
+
+TEST_CASE("A limit of nothing comes to its end", "[gateway][server-limit]") {
+  ServerLimitTest Test(3);
+  Test.addNaming("limited", "0");
+  Test.begin();
+  REQUIRE(Test.sendOne().m_Served == 1);
+  REQUIRE(Test.until([&] { return Test.allBelieve("limited", 0); }));
+  Test.m_Limits["limited"] = "";
+  while (!Test.noneBelieves("limited"))
+    Test.play(200ms);
+  REQUIRE(Test.play(1s).m_Served == 20);
+}
+
+TEST_CASE("What a limited server does not take is refused at once, with a time",
+          "[gateway][server-limit]") {
+  ServerLimitTest Test(3);
+  Test.addNaming("limited", "1");
+  Test.begin();
+  REQUIRE(Test.sendOne().m_Served == 1);
+  REQUIRE(Test.until([&] { return Test.allBelieve("limited", 1); }));
+  const Outcome All = Test.play(3s);
+  CAPTURE(All.m_Served, All.m_Told, All.m_Other);
+  REQUIRE(All.m_Other == 0);
+  REQUIRE(All.m_Told >= 40);
+  REQUIRE(All.m_Served >= 2);
+}
--- a/tests/wire/PeerFramesTest.cpp
+++ b/tests/wire/PeerFramesTest.cpp
@@ -236,7 +236,10 @@
                              .m_Age = Duration(*drawn(0, 9000000)),
                              .m_Left = Duration(*drawn(0, 9000000))}}},
           packed(CancelFrame{Attempt}),
-          FleetTotalsFrame{Attempt, Attempt / 2, drawnLoads()}};
+          FleetTotalsFrame{Attempt, Attempt / 2, drawnLoads()},
+          ServerWordFrame{{.m_Id = "i-1", .m_Born = *drawn(0, 90000)},
+                          *drawn(0, 900) / 4.0,
+                          Duration(*drawn(0, 9000000))}};
 }
 
 } // namespace
@@ -275,6 +278,11 @@
   });
 }
 
+TEST_CASE("A word that names no limit comes back as it was", "[frames]") {
+  const ServerWordFrame Word{.m_Life = {.m_Id = "i-1", .m_Born = 7}};
+  REQUIRE(std::get<ServerWordFrame>(decodeFrame(encodeFrame(Word))) == Word);
+}
+
 // Numbers of kinds are what other builds read. A kind that is moved, or put
 // between others, makes every link to another build misread or close.
 TEST_CASE("Kinds of frames keep their numbers and protocols", "[frames]") {
@@ -290,7 +298,8 @@
       {"quota_ask", 1},      {"quota_answer", 1},   {"quota_use", 1},
       {"warm_up_ask", 1},    {"warm_up_answer", 1}, {"warm_up_news", 1},
       {"crash", 2},          {"crash_suspects", 2}, {"ran_well", 2},
-      {"request_bars", 2},   {"packed", 3},         {"fleet_totals", 3}};
+      {"request_bars", 2},   {"packed", 3},         {"fleet_totals", 3},
+      {"server_word", 4}};
   rc::prop("each kind", [&] {
     const std::vector<PeerFrame> Frames = drawnFrames();
     RC_ASSERT(Frames.size() == Known.size());
