--- a/packages/decisions/process/ServerWords.cpp
+++ b/packages/decisions/process/ServerWords.cpp
@@ -76,6 +76,23 @@
   return LimitChange::Altered;
 }
 
+bool ServerWords::heardLeaving(const UpstreamLife &Server, const BoxName &By,
+                               TimePoint Now) {
+  Words *Of = wordsOf(Server);
+  if (Of == nullptr || Of->m_Leaving)
+    return false;
+  Of->m_Leaving = {.m_Since = Now, .m_By = By};
+  return true;
+}
+
+std::map<UpstreamLife, SaidLeaving> ServerWords::leaving() const {
+  std::map<UpstreamLife, SaidLeaving> Result;
+  for (const auto &[Id, Each] : m_Servers)
+    if (Each.m_Leaving)
+      Result[{.m_Id = Id, .m_Born = Each.m_Born}] = *Each.m_Leaving;
+  return Result;
+}
+
 const NamedLimit *ServerWords::limit(const InstanceId &Id) const {
   const auto Found = m_Servers.find(Id);
   return Found == m_Servers.end() || !Found->second.m_Limit
--- a/packages/decisions/process/ServerWords.h
+++ b/packages/decisions/process/ServerWords.h
@@ -22,6 +22,14 @@
   bool operator==(const NamedLimit &) const = default;
 };
 
+/// That a server leaves, as one box believes it.
+struct SaidLeaving {
+  TimePoint m_Since{};
+  BoxName m_By; ///< Who heard it from the server.
+
+  bool operator==(const SaidLeaving &) const = default;
+};
+
 /// What a word on a limit changed.
 enum class LimitChange { None, Begun, Altered, Ended };
 
@@ -29,7 +37,8 @@
 const char *toString(LimitChange Change);
 
 /// Keeps the words of the newest known life of each server. A limit holds until
-/// an answer without one to what was sent after it was heard.
+/// an answer without one to what was sent after it was heard. That it leaves a
+/// server says for the rest of its life.
 class ServerWords {
 public:
   /// A server that leaves the list for less, as in an outage of the store, goes
@@ -52,11 +61,18 @@
   /// Of all servers that name one.
   std::map<UpstreamLife, NamedLimit> limits() const;
 
+  /// \p Server said that it leaves, to \p By. \returns whether that is new.
+  bool heardLeaving(const UpstreamLife &Server, const BoxName &By,
+                    TimePoint Now);
+  /// Of all servers that have said so.
+  std::map<UpstreamLife, SaidLeaving> leaving() const;
+
 private:
   struct Words {
     UpstreamBirth m_Born = 0;
     std::optional<TimePoint> m_GoneAt; ///< From the list.
     std::optional<NamedLimit> m_Limit;
+    std::optional<SaidLeaving> m_Leaving;
   };
 
   Words *wordsOf(const UpstreamLife &Server);
--- a/packages/gateway/process/ServerWordExchange.cpp
+++ b/packages/gateway/process/ServerWordExchange.cpp
@@ -32,6 +32,17 @@
   if (Other || m_View.past(Server))
     return;
   heardLimit(Server, Words, SentAt);
+  if (Words.m_Leaving)
+    heardLeaving(Server, m_Fleet.self());
+}
+
+void ServerWordExchange::heardLeaving(const UpstreamLife &Server,
+                                      const BoxName &By) {
+  if (!m_Words.heardLeaving(Server, By, EventLoop::now()))
+    return;
+  m_Log.write(
+      "server_leaving",
+      {{"upstream", Server.m_Id}, {"born", Server.m_Born}, {"by", By.str()}});
 }
 
 void ServerWordExchange::heardLimit(const UpstreamLife &Server,
--- a/packages/gateway/process/ServerWordExchange.h
+++ b/packages/gateway/process/ServerWordExchange.h
@@ -39,6 +39,7 @@
   void onFrame(const BoxName &From, const PeerFrame &Frame);
 
 private:
+  void heardLeaving(const UpstreamLife &Server, const BoxName &By);
   void heardLimit(const UpstreamLife &Server, const AnswerFacts &Words,
                   TimePoint SentAt);
   void noteLimit(const UpstreamLife &Server, LimitChange Change,
--- a/packages/gateway/request/RequestDialect.h
+++ b/packages/gateway/request/RequestDialect.h
@@ -32,6 +32,7 @@
   /// names no limit.
   std::optional<double> m_Limit;
   bool m_BadLimit = false; ///< It names one that cannot be read.
+  bool m_Leaving = false;  ///< It says that it leaves.
 };
 
 /// Hooks that one platform implements; they translate and decide nothing.
--- a/tests/decisions/process/ServerWordsTest.cpp
+++ b/tests/decisions/process/ServerWordsTest.cpp
@@ -85,3 +85,19 @@
     REQUIRE(Words.limit("s") != nullptr);
   }
 }
+
+TEST_CASE("A server leaves for the rest of its life", "[server-words]") {
+  ServerWords Words;
+  const UpstreamLife Server{.m_Id = "s", .m_Born = 1};
+  Words.listed(listOf(1), Start);
+  REQUIRE(Words.leaving().empty());
+  REQUIRE(Words.heardLeaving(Server, Other, Start));
+  REQUIRE_FALSE(Words.heardLeaving(Server, Self, Start + 1s));
+  REQUIRE(Words.leaving() == std::map<UpstreamLife, SaidLeaving>{
+                                 {Server, {.m_Since = Start, .m_By = Other}}});
+  Words.listed(listOf(1), Start + 9s);
+  REQUIRE(Words.leaving().size() == 1);
+  Words.listed(listOf(2), Start + 10s);
+  REQUIRE(Words.leaving().empty());
+  REQUIRE_FALSE(Words.heardLeaving(Server, Self, Start + 11s));
+}
--- a/tests/gateway/PlatformTest.cpp
+++ b/tests/gateway/PlatformTest.cpp
@@ -207,6 +207,14 @@
   CHECK(Facts.m_ColdFor == 700ms);
 }
 
+TEST_CASE("A server leaves that says so, in one way", "[platform]") {
+  const RequestDialect Dialect = platform::makeBinding("").m_Dialect;
+  CHECK(Dialect.m_ReadAnswer(503, {{"server-leaving", "1"}}).m_Leaving);
+  const std::string Text = GENERATE("", "0", "no", "11");
+  CHECK_FALSE(Dialect.m_ReadAnswer(200, {{"Server-Leaving", Text}}).m_Leaving);
+  CHECK_FALSE(Dialect.m_ReadAnswer(200, {}).m_Leaving);
+}
+
 TEST_CASE("A limit is one decimal number, or it is none", "[platform]") {
   const RequestDialect Dialect = platform::makeBinding("").m_Dialect;
   const auto Read = [&](const HttpHeaders &Headers) {
