Mend: a server that says in an answer that it leaves is sent nothing more

Cause: leaving was learned from the list alone, and the store could not tell.

Change: the word is kept by life (ServerWords), marked in each list that ServingView takes over, so that choice, last resort, orders, loads and placement treat it as one that the list says is leaving, and told to all boxes at once, to those that are linked anew too. A frame that says a server leaves says nothing of its limit; that one has ended is said by a field of its own, as a box that did not know the limit would otherwise have ended it for all.

Ruled out: later of word and list by time (the clocks do not compare, and a list read later may have been written before).

Why it works: what the server says needs no store on its way, and nothing that is older can take it back.

--- a/packages/decisions/process/ResidencyOrder.h
+++ b/packages/decisions/process/ResidencyOrder.h
@@ -55,6 +55,7 @@
   int m_Running = 0;
   int m_Queued = 0;
   Duration m_ColdFor = 0us; ///< How much longer it is cold.
+  bool m_Leaving = false;   ///< It says that it leaves.
 };
 
 } // namespace havenstair
--- a/packages/decisions/process/ServingView.cpp
+++ b/packages/decisions/process/ServingView.cpp
@@ -31,6 +31,33 @@
   }
 }
 
+void ServingView::markSaidLeaving(InstanceList &List, TimePoint Now) {
+  for (auto &[Id, Said] : m_SaidLeaving) {
+    const auto Entry = List.m_Instances.find(Id);
+    if (Entry == List.m_Instances.end())
+      continue;
+    Said.m_Listed = Now;
+    if (Entry->second.m_Born == Said.m_Born)
+      Entry->second.m_Draining = true;
+  }
+  std::erase_if(m_SaidLeaving, [&](const auto &Each) {
+    return Now - Each.second.m_Listed > RememberFor;
+  });
+}
+
+void ServingView::saidLeaving(const UpstreamLife &Server, TimePoint Now) {
+  if (!m_Lives.believes(Server))
+    return;
+  m_SaidLeaving[Server.m_Id] = {.m_Born = Server.m_Born, .m_Listed = Now};
+  const auto Entry = m_List.m_Instances.find(Server.m_Id);
+  if (Entry == m_List.m_Instances.end() || Entry->second.life() != Server)
+    return;
+  Entry->second.m_Draining = true;
+  m_Leaving.try_emplace(Server.m_Id,
+                        Leaving{.m_Instance = Entry->second, .m_Since = Now});
+  refresh(Server.m_Id, Now);
+}
+
 /// Forgets what is known of starts before those in \p List. \returns what they
 /// were before.
 std::vector<UpstreamInstance>
@@ -77,6 +104,7 @@
   if (m_Known && List.m_Revision < m_List.m_Revision)
     return {};
   keepNewestLives(List);
+  markSaidLeaving(List, Now);
   std::vector<UpstreamInstance> Gone;
   std::erase_if(m_Leaving, [&](const auto &Each) {
     return Now - Each.second.m_Since > RememberFor;
--- a/packages/decisions/process/ServingView.h
+++ b/packages/decisions/process/ServingView.h
@@ -59,6 +59,10 @@
     return !m_ListedLives.believes(Life);
   }
 
+  /// \p Server itself says that it leaves, for the rest of its life, whatever
+  /// lists say of it: they may be older, and the store may not have taken it.
+  void saidLeaving(const UpstreamLife &Server, TimePoint Now);
+
   /// Takes over what operators have asked for unless newer is known. \returns
   /// whether that changes where requests may go.
   bool evacuate(Evacuations Asked, TimePoint Now);
@@ -105,6 +109,10 @@
     UpstreamInstance m_Instance;
     TimePoint m_Since;
   };
+  struct SaidLeaving {
+    UpstreamBirth m_Born = 0;
+    TimePoint m_Listed{}; ///< Or heard of otherwise; the last time.
+  };
   struct Told {
     std::vector<ResidentModel> m_Models;
     std::set<std::string> m_Retiring;
@@ -119,6 +127,7 @@
   };
 
   void keepNewestLives(InstanceList &List);
+  void markSaidLeaving(InstanceList &List, TimePoint Now);
   std::vector<UpstreamInstance> startedAgain(const InstanceList &List,
                                              TimePoint Now);
   void forgetBefore(const UpstreamLife &Life);
@@ -135,6 +144,7 @@
   LifeBook m_ListedLives; ///< Of the lists; what the books are of.
   std::map<InstanceId, TimePoint> m_AgainAt;
   std::map<InstanceId, Leaving> m_Leaving;
+  std::map<InstanceId, SaidLeaving> m_SaidLeaving;
   std::map<InstanceId, Told> m_Told;
   std::map<InstanceId, Load> m_Loads;
   /// When the list last told something new of an upstream.
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -86,6 +86,8 @@
           m_Binding.m_MakeEngines(m_UpstreamHttp),
           [this](const auto &Of, const auto &Report, TimePoint AskedAt) {
             m_Permits->heard(Of.m_Id, Report.m_ColdFor, AskedAt);
+            if (Report.m_Leaving)
+              m_Words->heardLeaving(Of.life());
           })),
       m_Forwarder(
           Loop, m_UpstreamHttp, m_State, m_Binding.m_Dialect, m_Log,
@@ -177,7 +179,7 @@
                   },
               .m_Needless =
                   [this](const BoxName &Box, const InstanceId &Server) {
-                    m_Words->tell(Box, m_State.m_WarmUp.life(Server));
+                    m_Words->tellNoLimit(Box, m_State.m_WarmUp.life(Server));
                   }})),
       m_Crashes(std::make_shared<CrashExchange>(
           Loop, m_UpstreamHttp, *m_Store, m_Fleet, m_State.m_Upstreams,
@@ -185,7 +187,8 @@
       m_Words(std::make_shared<ServerWordExchange>(
           Loop, m_Fleet, m_State.m_Upstreams, m_State.m_Words, m_Log,
           ServerWordExchange::Hooks{
-              .m_LimitsChanged = [this] { m_Permits->refreshRole(); }})) {
+              .m_LimitsChanged = [this] { m_Permits->refreshRole(); },
+              .m_Leaves = [this] { serverLeaves(); }})) {
   m_Forwarder.setDesks(m_Quotas, m_Permits, m_Crashes, m_Words);
   m_State.standsIn(m_Options.m_DataCentre, m_Options.m_Regions);
   applyBounds();
@@ -254,6 +257,8 @@
                             if (Answer.m_ColdFor)
                               m_Permits->heard(Server.m_Id, *Answer.m_ColdFor,
                                                AskedAt);
+                            if (Answer.m_Leaving)
+                              m_Words->heardLeaving(Server);
                           }},
           .m_Changed = [this] { m_Forwarder.crashesChanged(); },
           .m_Asked = [this](auto What) { m_Metrics.serverAsked(What); },
@@ -497,6 +502,12 @@
   m_Forwarder.releaseEarly();
 }
 
+/// A server said so itself.
+void Gateway::serverLeaves() {
+  m_Giver.upstreamsChanged();
+  m_Forwarder.upstreamsChanged();
+}
+
 void Gateway::evacuationsChanged() {
   Evacuations Asked{.m_Revision = m_EvacuationMirror.revision()};
   for (const auto &[Key, Item] : m_EvacuationMirror.items())
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -81,6 +81,7 @@
   void logConfig(const ServingConfig &Read, StoreRevision Revision);
   InstanceList readUpstreams();
   void upstreamsChanged();
+  void serverLeaves();
   void evacuationsChanged();
   void endEvacuations();
   void applyEvacuations(Evacuations Asked);
--- a/packages/gateway/process/ServerWordExchange.cpp
+++ b/packages/gateway/process/ServerWordExchange.cpp
@@ -19,9 +19,8 @@
 } // namespace
 
 ServerWordExchange::ServerWordExchange(EventLoop &Loop, Fleet &Boxes,
-                                       const ServingView &View,
-                                       ServerWords &Words, DecisionLog &Log,
-                                       Hooks Callbacks)
+                                       ServingView &View, ServerWords &Words,
+                                       DecisionLog &Log, Hooks Callbacks)
     : m_Loop(Loop), m_Fleet(Boxes), m_View(View), m_Words(Words), m_Log(Log),
       m_Hooks(std::move(Callbacks)) {}
 
@@ -33,16 +32,26 @@
     return;
   heardLimit(Server, Words, SentAt);
   if (Words.m_Leaving)
-    heardLeaving(Server, m_Fleet.self());
+    heardLeaving(Server);
 }
 
-void ServerWordExchange::heardLeaving(const UpstreamLife &Server,
-                                      const BoxName &By) {
-  if (!m_Words.heardLeaving(Server, By, EventLoop::now()))
-    return;
+void ServerWordExchange::heardLeaving(const UpstreamLife &Server) {
+  if (!m_View.past(Server) && noteLeaving(Server, m_Fleet.self()))
+    m_Fleet.sendAll(wordOf(Server));
+}
+
+/// \returns whether that is news.
+bool ServerWordExchange::noteLeaving(const UpstreamLife &Server,
+                                     const BoxName &By) {
+  const TimePoint Now = EventLoop::now();
+  if (!m_Words.heardLeaving(Server, By, Now))
+    return false;
   m_Log.write(
       "server_leaving",
       {{"upstream", Server.m_Id}, {"born", Server.m_Born}, {"by", By.str()}});
+  m_View.saidLeaving(Server, Now);
+  m_Hooks.m_Leaves();
+  return true;
 }
 
 void ServerWordExchange::heardLimit(const UpstreamLife &Server,
@@ -57,9 +66,12 @@
       Server, Words.m_Limit, m_Fleet.self(), SentAt, EventLoop::now());
   noteLimit(Server, Change, Before, m_Fleet.self());
   if (Change == LimitChange::Altered)
-    tellLater(Server);
-  else if (Change != LimitChange::None)
-    m_Fleet.sendAll(wordOf(Server));
+    return tellLater(Server);
+  if (Change == LimitChange::None)
+    return;
+  ServerWordFrame Word = wordOf(Server);
+  Word.m_LimitEnded = Change == LimitChange::Ended;
+  m_Fleet.sendAll(Word);
 }
 
 void ServerWordExchange::noteLimit(const UpstreamLife &Server,
@@ -88,6 +100,7 @@
     Result.m_LimitPerS = Limit->m_PerS;
     Result.m_LimitAge = EventLoop::now() - Limit->m_Since;
   }
+  Result.m_Leaving = m_Words.leaving().contains(Server);
   return Result;
 }
 
@@ -103,24 +116,35 @@
 }
 
 void ServerWordExchange::linkUp(const BoxName &Box) {
+  std::set<UpstreamLife> All;
   for (const auto &[Server, Limit] : m_Words.limits())
-    m_Fleet.send(Box, wordOf(Server));
+    All.insert(Server);
+  for (const auto &[Server, Said] : m_Words.leaving())
+    All.insert(Server);
+  for (const UpstreamLife &Each : All)
+    m_Fleet.send(Box, wordOf(Each));
 }
 
-void ServerWordExchange::tell(const BoxName &Box, const UpstreamLife &Server) {
-  m_Fleet.send(Box, wordOf(Server));
+void ServerWordExchange::tellNoLimit(const BoxName &Box,
+                                     const UpstreamLife &Server) {
+  ServerWordFrame Word = wordOf(Server);
+  Word.m_LimitEnded = true;
+  m_Fleet.send(Box, Word);
 }
 
 void ServerWordExchange::onFrame(const BoxName &From, const PeerFrame &Frame) {
   const auto *Word = std::get_if<ServerWordFrame>(&Frame);
   if (Word == nullptr || m_View.past(Word->m_Life))
     return;
-  const auto Before = copied(m_Words.limit(Word->m_Life.m_Id));
-  const LimitChange Change =
-      m_Words.toldLimit(Word->m_Life, Word->m_LimitPerS, From, Word->m_LimitAge,
-                        EventLoop::now());
-  noteLimit(Word->m_Life, Change, Before, From);
-  if (Change != LimitChange::None)
+  LimitChange Change = LimitChange::None;
+  if (Word->m_LimitPerS || Word->m_LimitEnded) {
+    const auto Before = copied(m_Words.limit(Word->m_Life.m_Id));
+    Change = m_Words.toldLimit(Word->m_Life, Word->m_LimitPerS, From,
+                               Word->m_LimitAge, EventLoop::now());
+    noteLimit(Word->m_Life, Change, Before, From);
+  }
+  const bool Leaves = Word->m_Leaving && noteLeaving(Word->m_Life, From);
+  if (Change != LimitChange::None || Leaves)
     m_Fleet.passOn(*Word, From);
 }
 
--- a/packages/gateway/process/ServerWordExchange.h
+++ b/packages/gateway/process/ServerWordExchange.h
@@ -25,21 +25,25 @@
   struct Hooks {
     /// Limits have begun, ended or changed.
     std::function<void()> m_LimitsChanged;
+    /// A server that was believed to stay leaves.
+    std::function<void()> m_Leaves;
   };
 
-  ServerWordExchange(EventLoop &Loop, Fleet &Boxes, const ServingView &View,
+  ServerWordExchange(EventLoop &Loop, Fleet &Boxes, ServingView &View,
                      ServerWords &Words, DecisionLog &Log, Hooks Callbacks);
 
   void heard(const UpstreamLife &Server, const AnswerFacts &Words,
              TimePoint SentAt) override;
 
+  /// \p Server said so in another answer than one to a request.
+  void heardLeaving(const UpstreamLife &Server);
   void linkUp(const BoxName &Box);
-  /// Tells \p Box what this one believes of \p Server.
-  void tell(const BoxName &Box, const UpstreamLife &Server);
+  /// Tells \p Box, which believes otherwise, that \p Server names no limit.
+  void tellNoLimit(const BoxName &Box, const UpstreamLife &Server);
   void onFrame(const BoxName &From, const PeerFrame &Frame);
 
 private:
-  void heardLeaving(const UpstreamLife &Server, const BoxName &By);
+  bool noteLeaving(const UpstreamLife &Server, const BoxName &By);
   void heardLimit(const UpstreamLife &Server, const AnswerFacts &Words,
                   TimePoint SentAt);
   void noteLimit(const UpstreamLife &Server, LimitChange Change,
@@ -50,7 +54,7 @@
 
   EventLoop &m_Loop;
   Fleet &m_Fleet;
-  const ServingView &m_View;
+  ServingView &m_View;
   ServerWords &m_Words;
   DecisionLog &m_Log;
   Hooks m_Hooks;
--- a/packages/wire/connection/PermitFrames.cpp
+++ b/packages/wire/connection/PermitFrames.cpp
@@ -44,12 +44,18 @@
     Result["per_s"] = *Frame.m_LimitPerS;
     Result["age_us"] = Frame.m_LimitAge.count();
   }
+  if (Frame.m_LimitEnded)
+    Result["limit_ended"] = true;
+  if (Frame.m_Leaving)
+    Result["leaving"] = true;
   return Result;
 }
 
 void fromJson(const Json &From, ServerWordFrame &Frame) {
   Frame.m_Life = {.m_Id = field<std::string>(From, "server"),
                   .m_Born = field<UpstreamBirth>(From, "born")};
+  Frame.m_LimitEnded = fieldOr(From, "limit_ended", false);
+  Frame.m_Leaving = fieldOr(From, "leaving", false);
   if (!From.contains("per_s"))
     return;
   const auto PerS = field<double>(From, "per_s");
--- a/packages/wire/connection/PermitFrames.h
+++ b/packages/wire/connection/PermitFrames.h
@@ -39,9 +39,11 @@
 /// What a server has said of itself in an answer.
 struct ServerWordFrame {
   UpstreamLife m_Life;
-  /// Requests a second; empty when it names no limit any more.
+  /// Requests a second; empty when this frame names no limit.
   std::optional<double> m_LimitPerS;
+  bool m_LimitEnded = false; ///< It names none any more.
   Duration m_LimitAge = 0us; ///< Since it was first named.
+  bool m_Leaving = false;    ///< It leaves, for the rest of its life.
 
   bool operator==(const ServerWordFrame &) const = default;
 };
--- a/tests/decisions/process/ServingViewTest.cpp
+++ b/tests/decisions/process/ServingViewTest.cpp
@@ -296,3 +296,46 @@
   REQUIRE(names(View, at(1s)) == Names{"a"});
   REQUIRE(View.update(list(3, {born(engine("a"), 100)}), at(1s)).empty());
 }
+
+TEST_CASE(
+    "What a server says of its leaving holds against any list, for its life",
+    "[view][server-leaving]") {
+  ServingView View;
+  const UpstreamInstance First = born(engine("a"), 1);
+  View.update(list(1, {First, engine("b")}), at(1s));
+  View.saidLeaving(First.life(), at(2s));
+  REQUIRE(names(View, at(2s)) == Names{"b"});
+  REQUIRE(View.leaves(View.list().m_Instances.at("a")));
+  SECTION("a newer list that says otherwise") {
+    View.update(list(2, {First, engine("b")}), at(3s));
+    REQUIRE(names(View, at(3s)) == Names{"b"});
+    REQUIRE(View.leaves(View.list().m_Instances.at("a")));
+  }
+  SECTION("also when it is the last one, but for a moment") {
+    ServingView Alone;
+    Alone.update(list(1, {First}), at(1s));
+    Alone.saidLeaving(First.life(), at(2s));
+    REQUIRE(names(Alone, at(2s)) == Names{"a"});
+    REQUIRE(names(Alone, at(2s) + 401ms).empty());
+    Alone.update(list(2, {First}), at(3s));
+    REQUIRE(names(Alone, at(3s)).empty());
+  }
+  SECTION("a list without it, and then with it again") {
+    View.update(list(2, {engine("b")}), at(3s));
+    View.update(list(3, {First, engine("b")}), at(4s));
+    REQUIRE(names(View, at(4s)) == Names{"b"});
+  }
+  SECTION("not for a later life, nor by a late word of the former") {
+    View.update(list(2, {born(engine("a"), 2), engine("b")}), at(3s));
+    REQUIRE(names(View, at(3s)) == Names{"a", "b"});
+    View.saidLeaving(First.life(), at(4s));
+    REQUIRE(names(View, at(4s)) == Names{"a", "b"});
+  }
+}
+
+TEST_CASE("A word of leaving that comes before the list holds", "[view]") {
+  ServingView View;
+  View.saidLeaving(engine("a").life(), at(1s));
+  View.update(list(1, {engine("a"), engine("b")}), at(2s));
+  REQUIRE(names(View, at(2s)) == Names{"b"});
+}
--- a/tests/wire/PeerFramesTest.cpp
+++ b/tests/wire/PeerFramesTest.cpp
@@ -239,7 +239,9 @@
           FleetTotalsFrame{Attempt, Attempt / 2, drawnLoads()},
           ServerWordFrame{{.m_Id = "i-1", .m_Born = *drawn(0, 90000)},
                           *drawn(0, 900) / 4.0,
-                          Duration(*drawn(0, 9000000))}};
+                          false,
+                          Duration(*drawn(0, 9000000)),
+                          *rc::gen::arbitrary<bool>()}};
 }
 
 } // namespace
@@ -279,7 +281,9 @@
 }
 
 TEST_CASE("A word that names no limit comes back as it was", "[frames]") {
-  const ServerWordFrame Word{.m_Life = {.m_Id = "i-1", .m_Born = 7}};
+  ServerWordFrame Word{.m_Life = {.m_Id = "i-1", .m_Born = 7}};
+  Word.m_LimitEnded = GENERATE(true, false);
+  Word.m_Leaving = GENERATE(true, false);
   REQUIRE(std::get<ServerWordFrame>(decodeFrame(encodeFrame(Word))) == Word);
 }
 
