--- a/packages/decisions/process/ServerWords.cpp
+++ b/packages/decisions/process/ServerWords.cpp
@@ -1,5 +1,6 @@
 #include "decisions/process/ServerWords.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace havenstair {
@@ -85,6 +86,30 @@
   return true;
 }
 
+bool ServerWords::askedRest(const UpstreamLife &Server, Duration For,
+                            TimePoint Now) {
+  Words *Of = wordsOf(Server);
+  if (Of == nullptr || Of->m_RestsUntil >= Now + For)
+    return false;
+  Of->m_RestsUntil = Now + For;
+  return true;
+}
+
+std::optional<TimePoint> ServerWords::restsUntil(const InstanceId &Id,
+                                                 TimePoint Now) const {
+  const auto Found = m_Servers.find(Id);
+  if (Found == m_Servers.end() || Found->second.m_RestsUntil <= Now)
+    return std::nullopt;
+  return Found->second.m_RestsUntil;
+}
+
+std::size_t ServerWords::resting(TimePoint Now) const {
+  return static_cast<std::size_t>(
+      std::count_if(m_Servers.begin(), m_Servers.end(), [&](const auto &Each) {
+        return Each.second.m_RestsUntil > Now;
+      }));
+}
+
 std::map<UpstreamLife, SaidLeaving> ServerWords::leaving() const {
   std::map<UpstreamLife, SaidLeaving> Result;
   for (const auto &[Id, Each] : m_Servers)
--- a/tests/gateway/PlatformTest.cpp
+++ b/tests/gateway/PlatformTest.cpp
@@ -207,6 +207,38 @@
   CHECK(Facts.m_ColdFor == 700ms);
 }
 
+TEST_CASE("Rest is asked for with an answer that turns away", "[platform]") {
+  const RequestDialect Dialect = platform::makeBinding("").m_Dialect;
+  const auto Rest = [&](int Status, const std::string &Text) {
+    return Dialect.m_ReadAnswer(Status, {{"retry-after", Text}});
+  };
+  SECTION("in seconds, also in parts") {
+    CHECK(Rest(503, "3").m_Rest == 3s);
+    CHECK(Rest(429, "0.25").m_Rest == 250ms);
+    CHECK_FALSE(Rest(503, "0").m_Rest);
+    CHECK_FALSE(Rest(503, "0").m_BadRest);
+  }
+  SECTION("or to a date, by the answer's own") {
+    const std::string Until = "Thu, 03 Dec 2026 12:00:05 GMT";
+    const AnswerFacts Facts =
+        Dialect.m_ReadAnswer(503, {{"Date", "Thu, 03 Dec 2026 12:00:00 GMT"},
+                                   {"Retry-After", Until}});
+    CHECK(Facts.m_Rest == 5s);
+    CHECK(Rest(503, Until).m_BadRest);
+  }
+  SECTION("not with another one, nor by what cannot be read") {
+    CHECK_FALSE(Rest(200, "3").m_Rest);
+    const std::string Text =
+        GENERATE("", "-1", "soon", "1,2", "1e9", "9999999");
+    CHECK_FALSE(Rest(503, Text).m_Rest);
+    CHECK(Rest(503, Text).m_BadRest);
+    const AnswerFacts Twice =
+        Dialect.m_ReadAnswer(503, {{"Retry-After", "1"}, {"Retry-After", "1"}});
+    CHECK(Twice.m_BadRest);
+    CHECK_FALSE(Twice.m_Rest);
+  }
+}
+
 TEST_CASE("A server leaves that says so, in one way", "[platform]") {
   const RequestDialect Dialect = platform::makeBinding("").m_Dialect;
   CHECK(Dialect.m_ReadAnswer(503, {{"server-leaving", "1"}}).m_Leaving);
