Mend: a server that asks a box for rest gets nothing from it until then

Cause: a 503 was weighed as a failure that fades with a half-life of 3 s, and its time was not read.

Change: such a server is no candidate for this box until the latest end of its times, for this life. Where all that could run a request rest, and no load is sooner, the caller is refused at once (detail server_rest) and told when the first has rested, spread over half of that time. Repeats that a 503 brings about stay in maxAttempts and the shared budget, as before.

Ruled out: a larger weight of failures, which is still weighed against load and has nothing to be weighed against where all rest; waiting in the box, which brings all that waited back in one moment.

Why it works: what is no candidate is sent nothing, whatever the others cost.

--- a/tests/gateway/ServerRestTest.cpp
+++ b/tests/gateway/ServerRestTest.cpp
@@ -13,7 +13,7 @@
 TEST_CASE(
     "A server that turns a box away gets nothing from it for the time that "
     "it asks for",
-    "[gateway][server-rest][known-red]") {
+    "[gateway][server-rest]") {
   const auto Boxes = GENERATE(std::size_t{1}, std::size_t{3});
   const bool Others = GENERATE(true, false);
   ServerWordsFleet Test(Boxes);
@@ -31,3 +31,49 @@
   REQUIRE(First.m_Told == First.all());
   REQUIRE((Others ? Second.m_Served : Second.m_Told) == Second.all());
 }
+
+TEST_CASE("A server that has rested is sent to again",
+          "[gateway][server-rest]") {
+  ServerWordsFleet Test(1);
+  Test.addSaying("resting", rest("0.5"));
+  Test.m_Status["resting"] = 503;
+  Test.begin();
+  const FleetOutcome First = Test.play(200ms);
+  REQUIRE(First.m_Told == First.all());
+  Test.m_Status["resting"] = 200;
+  Test.m_Words["resting"] = "";
+  REQUIRE(Test.sendOne().m_Served == 1);
+}
+
+TEST_CASE("An answer to another request does not end a server's rest",
+          "[gateway][server-rest]") {
+  ServerWordsFleet Test(1);
+  Test.addSaying("resting");
+  Test.begin();
+  // The first is answered late, after the second was turned away.
+  std::vector<std::pair<StandinRunner::Request, StandinRunner::ConnectionPtr>>
+      Held;
+  Test.m_Runners["resting"]->setBehaviour(
+      [&](const StandinRunner::Request &Of,
+          const StandinRunner::ConnectionPtr &To) {
+        if (Held.empty())
+          Held.emplace_back(Of, To);
+        else
+          To->write(StandinRunner::answer(Of, 503, "", rest("30")));
+      });
+  std::vector<int> Statuses;
+  const auto Send = [&](const std::string &Id) {
+    Test.m_Http.fetch(
+        GatewayTest::callTo(*Test.m_Boxes.front(), "/unsafe/x", Id),
+        [&](const HttpAnswer &Answer) { Statuses.push_back(Answer.m_Status); });
+  };
+  Send("first");
+  REQUIRE(Test.until([&] { return !Held.empty(); }));
+  Send("second");
+  REQUIRE(Test.until([&] { return Statuses == std::vector{503}; }));
+  Held.front().second->write(
+      StandinRunner::answer(Held.front().first, 200, "body"));
+  REQUIRE(Test.until([&] { return Statuses == std::vector{503, 200}; }));
+  REQUIRE(Test.play(200ms).m_Served == 0);
+  REQUIRE(Test.m_Runners["resting"]->requests().size() == 2);
+}
