--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -44,6 +44,8 @@
 
 void FaultInjector::strike(const ScheduledFault &Fault) {
   SoakBox &Box = pick(m_On.m_Boxes, Fault.m_Target);
+  if (Fault.m_Kind >= SoakFault::NameLimit)
+    return strikeWords(Fault, pick(m_On.m_Engines, Fault.m_Target));
   if (Fault.m_Kind <= SoakFault::HangUpBox)
     strikeBox(Fault, Box);
   else if (Fault.m_Kind <= SoakFault::RefuseAtStore)
@@ -205,6 +207,30 @@
   }
 }
 
+void FaultInjector::strikeWords(const ScheduledFault &Fault,
+                                SoakEngine &Engine) {
+  // Below one a second, above, and more than is sent anyhow.
+  constexpr std::array<double, 5> Limits{0.5, 1, 2.5, 6, 200};
+  switch (Fault.m_Kind) {
+  case SoakFault::NameLimit:
+    return hold(&Engine, Fault.m_Kind, Fault.m_For,
+                [&Engine, Target = Fault.m_Target, Limits](bool On) {
+                  const auto Number = static_cast<std::size_t>(Target);
+                  Engine.nameLimit(
+                      On ? std::optional(Limits.at(Number / 7 % Limits.size()))
+                         : std::nullopt);
+                });
+  case SoakFault::SayLeaving:
+    Engine.sayLeaving();
+    return later(Fault.m_For, [&Engine] { Engine.comeBack(); });
+  default:
+    return hold(&Engine, Fault.m_Kind, Fault.m_For,
+                [&Engine, For = Fault.m_For](bool On) {
+                  Engine.askRest(On ? For : 0us);
+                });
+  }
+}
+
 void FaultInjector::strikeEngineLink(const ScheduledFault &Fault,
                                      SoakEngine &Engine) {
   LoopbackProxy &Link = Engine.link();
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -39,6 +39,7 @@
   void strikePeerLink(const ScheduledFault &Fault, SoakBox &Box);
   void strikeStore(const ScheduledFault &Fault);
   void strikeEngine(const ScheduledFault &Fault, SoakEngine &Engine);
+  void strikeWords(const ScheduledFault &Fault, SoakEngine &Engine);
   void strikeEngineLink(const ScheduledFault &Fault, SoakEngine &Engine);
   void strikeKeys(const ScheduledFault &Fault);
   void strikeWaysOfConfig(const ScheduledFault &Fault, SoakBox &Box);
--- a/tests/soak/SoakEngine.cpp
+++ b/tests/soak/SoakEngine.cpp
@@ -123,6 +123,9 @@
   m_Link.setListening(true);
   ++m_Lives;
   m_Active = 0;
+  m_LimitPerS.reset();
+  m_SaysLeaving = false;
+  m_Rest = 0us;
   // A process that starts is not leaving, whatever the one before did.
   m_Draining = false;
   m_Timers.clear();
@@ -162,10 +165,32 @@
          " Text\r\nX-Attempt-Id: " + Of.header("x-attempt-id") + "\r\n" + More;
 }
 
+/// Header fields with what it says of itself in the answer to \p Of.
+std::string SoakEngine::words(const Request &Of, bool TurnedAway) const {
+  const Duration Rest = TurnedAway ? m_Rest : 0us;
+  m_Oracle.said({.m_Id = Of.header("x-attempt-id"),
+                 .m_Engine = m_Id,
+                 .m_LimitPerS = m_LimitPerS,
+                 .m_Leaving = m_SaysLeaving,
+                 .m_Rest = Rest,
+                 .m_At = EventLoop::now()});
+  std::string Result;
+  if (m_Silent)
+    return Result;
+  if (m_LimitPerS)
+    Result += "Server-Limit: " + std::to_string(*m_LimitPerS) + "\r\n";
+  if (m_SaysLeaving)
+    Result += "Server-Leaving: 1\r\n";
+  if (Rest > 0us)
+    Result += "Retry-After: " + std::to_string(inSeconds(Rest)) + "\r\n";
+  return Result;
+}
+
 void SoakEngine::refuse(const Request &Asked, const Connection &To,
                         int Status) {
   To->write(head(Asked, Status,
-                 "X-Request-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+                 (Status == Full ? words(Asked, true) : "") +
+                     "X-Request-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
 }
 
 void SoakEngine::take(const Request &Asked, const Connection &To) {
@@ -180,7 +205,7 @@
   if (Asked.m_Target.starts_with("/v1/"))
     return refuse(Asked, To, Other ? Misdirected : NotFound);
   const bool Here = !Other && modelHere(Asked);
-  const bool Runs = Here && m_Active < m_Opts.m_Slots;
+  const bool Runs = Here && m_Active < m_Opts.m_Slots && m_Rest == 0us;
   if (!Other)
     m_Oracle.arrived({.m_Id = Asked.header("x-attempt-id"),
                       .m_Engine = m_Id,
@@ -276,7 +301,8 @@
     Started->m_BreakAt = draw(Started->m_Next, Started->m_Last);
   }
   To->write(head(Asked, 200,
-                 "X-Server-Signature: " + Started->m_Signature +
+                 words(Asked, false) +
+                     "X-Server-Signature: " + Started->m_Signature +
                      "\r\nContent-Type: text/event-stream\r\n"
                      "Transfer-Encoding: chunked\r\n\r\n"));
   later(Work, [this, Started] { stream(Started); });
@@ -307,10 +333,11 @@
   const std::string Id = Of->m_Asked.header("x-attempt-id");
   const std::string Body = "answer to " + (m_Spoiling ? "another" : Id) +
                            " by " + Of->m_Signature + " " + Of->m_Asked.m_Body;
-  const std::string Whole =
-      head(Of->m_Asked, 200,
-           "X-Server-Signature: " + Of->m_Signature + "\r\nContent-Length: " +
-               std::to_string(Body.size()) + "\r\n\r\n" + Body);
+  const std::string Whole = head(
+      Of->m_Asked, 200,
+      words(Of->m_Asked, false) + "X-Server-Signature: " + Of->m_Signature +
+          "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+          Body);
   if (m_BreakOff > 0) {
     --m_BreakOff;
     Of->m_To->write(Whole.substr(0, Whole.size() - Body.size() / 2));
--- a/tests/soak/SoakEngine.h
+++ b/tests/soak/SoakEngine.h
@@ -49,6 +49,14 @@
 
   void setLate(Duration Late) { m_Late = Late; }
   void setOrdersLate(Duration Late) { m_OrdersLate = Late; }
+  /// Answers name a limit from now on, or none.
+  void nameLimit(std::optional<double> PerS) { m_LimitPerS = PerS; }
+  /// Answers say that it leaves, and the store does not hear of it.
+  void sayLeaving() { m_SaysLeaving = true; }
+  /// Requests are turned away, and rest is asked for.
+  void askRest(Duration For) { m_Rest = For; }
+  /// Mutation: the oracle hears the words, and the boxes do not.
+  void setSilent(bool Silent) { m_Silent = Silent; }
   /// The next answers break off midway.
   void breakOff(int Count) { m_BreakOff = Count; }
   /// The next answers are followed by one more that nobody asked for.
@@ -74,6 +82,7 @@
   void later(Duration Delay, std::function<void()> Call);
   std::string head(const Request &Of, int Status,
                    const std::string &More) const;
+  std::string words(const Request &Of, bool TurnedAway) const;
   void refuse(const Request &Asked, const Connection &To, int Status);
   bool modelHere(const Request &Asked) const;
   void takeName();
@@ -103,6 +112,10 @@
   int m_Surplus = 0;
   bool m_Spoiling = false;
   bool m_Withholding = false;
+  std::optional<double> m_LimitPerS;
+  bool m_SaysLeaving = false;
+  Duration m_Rest = 0us;
+  bool m_Silent = false;
   std::uint64_t m_NextTimer = 0;
   std::map<std::uint64_t, Timer> m_Timers;
   bool m_Down = false; ///< It ended and is not back.
--- a/tests/soak/SoakEvents.cpp
+++ b/tests/soak/SoakEvents.cpp
@@ -38,6 +38,12 @@
     return "crashing-barred";
   case Promise::OthersServed:
     return "others-served";
+  case Promise::ServerLimit:
+    return "server-limit";
+  case Promise::SaidLeaving:
+    return "said-leaving";
+  case Promise::ServerRest:
+    return "server-rest";
   case Promise::WarmUpRate:
     return "warm-up-rate";
   case Promise::AllowedRegions:
--- a/tests/soak/SoakEvents.h
+++ b/tests/soak/SoakEvents.h
@@ -32,7 +32,10 @@
   AllowedRegions, ///< Requests stay in the regions that they may see.
   BoxLives,       ///< Boxes do not end by themselves.
   CrashingBarred, ///< A request that ends engines soon reaches none.
-  OthersServed    ///< No other request is taken for such a one.
+  OthersServed,   ///< No other request is taken for such a one.
+  ServerLimit,    ///< All boxes together keep the limit that an engine names.
+  SaidLeaving,    ///< An engine that says that it leaves gets nothing new.
+  ServerRest      ///< A box that was asked for rest gives it.
 };
 
 const char *toString(Promise Of);
@@ -49,6 +52,9 @@
   case Promise::Evacuation:
   case Promise::WarmUpRate:
   case Promise::CrashingBarred:
+  case Promise::ServerLimit:
+  case Promise::SaidLeaving:
+  case Promise::ServerRest:
     return true;
   default:
     return false;
@@ -128,6 +134,18 @@
   bool operator==(const EngineAnswer &) const = default;
 };
 
+/// What an engine says of itself in an answer.
+struct EngineWords {
+  std::string m_Id; ///< Of the request.
+  std::string m_Engine;
+  std::optional<double> m_LimitPerS;
+  bool m_Leaving = false;
+  Duration m_Rest = 0us; ///< That it asks the box for.
+  TimePoint m_At;
+
+  bool operator==(const EngineWords &) const = default;
+};
+
 /// An order reaches an engine.
 struct OrderArrival {
   std::string m_Engine;
--- a/tests/soak/SoakOracle.cpp
+++ b/tests/soak/SoakOracle.cpp
@@ -7,7 +7,8 @@
       m_Config(m_Bounds, m_Trouble, noteVerdict()),
       m_Routing(m_Bounds, m_Trouble, noteVerdict()),
       m_Orders(m_Bounds, m_Trouble, noteVerdict()),
-      m_Crashes(m_Bounds, m_Trouble, noteVerdict()) {}
+      m_Crashes(m_Bounds, m_Trouble, noteVerdict()),
+      m_Words(m_Bounds, m_Trouble, noteVerdict()) {}
 
 void SoakOracle::sent(const CallerRequest &Request) {
   m_Answers.sent(Request);
@@ -21,10 +22,16 @@
     return;
   m_Routing.arrived(Arrival, *Request);
   m_Crashes.arrived(Arrival, *Request);
+  m_Words.arrived(Arrival, *Request);
   if (Request->m_Since)
     m_Config.ran(*Request, Arrival.m_At);
 }
 
+void SoakOracle::said(const EngineWords &Words) {
+  if (const CallerRequest *Request = m_Answers.request(Words.m_Id))
+    m_Words.said(Words, *Request);
+}
+
 void SoakOracle::answered(const CallerAnswer &Answer) {
   m_Answers.answered(Answer);
   constexpr int NotFound = 404;
--- a/tests/soak/SoakOracle.h
+++ b/tests/soak/SoakOracle.h
@@ -8,6 +8,7 @@
 #include "soak/CrashOracle.h"
 #include "soak/OrderOracle.h"
 #include "soak/RoutingOracle.h"
+#include "soak/ServerWordsOracle.h"
 #include <vector>
 
 namespace havenstair {
@@ -22,6 +23,7 @@
   void sent(const CallerRequest &Request);
   void answered(const CallerAnswer &Answer);
   void arrived(const EngineArrival &Arrival);
+  void said(const EngineWords &Words);
   void made(const EngineAnswer &Answer) { m_Answers.made(Answer); }
   /// A box ended although nobody stopped it.
   void boxEnded(const std::string &Box, int Status, TimePoint At);
@@ -49,6 +51,7 @@
   RoutingOracle m_Routing;
   OrderOracle m_Orders;
   CrashOracle m_Crashes;
+  ServerWordsOracle m_Words;
 };
 
 } // namespace havenstair
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -66,6 +66,8 @@
           ? makeConfigPlan(Opts.m_Seed, Opts.m_Length, Opts.m_Again)
           : makePlan(Opts.m_Seed, Opts.m_Length);
   Result.m_Boxes = Opts.m_Boxes.value_or(Result.m_Boxes);
+  if (Opts.m_Words)
+    addWords(Result, Opts.m_Seed, Opts.m_Length);
   return Result;
 }
 
@@ -156,6 +158,7 @@
   m_Config.setWithholding(m_Opts.m_Mutation == Mutation::WithholdConfig);
   for (const auto &Each : m_Engines) {
     Each->setWithholding(m_Opts.m_Mutation == Mutation::WithholdLeaving);
+    Each->setSilent(m_Opts.m_Mutation == Mutation::SilenceWords);
     if (m_Opts.m_Mutation == Mutation::SpoilAnswer)
       Each->setSpoiling(true);
     if (m_Opts.m_Mutation == Mutation::DoubleUnsafe)
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -24,7 +24,8 @@
     DoubleUnsafe,
     SpoilAnswer,
     WithholdConfig,
-    WithholdLeaving
+    WithholdLeaving,
+    SilenceWords
   };
 
   struct Options {
@@ -35,7 +36,8 @@
     int m_MoreRoutes = 0;       ///< In each configuration, for its size.
     std::optional<int> m_Boxes; ///< In place of the plan's number.
     int m_Crashing = 0;         ///< Requests that end engines.
-    std::string m_Program;      ///< The daemon.
+    bool m_Words = false;  ///< Servers say something of themselves, addWords().
+    std::string m_Program; ///< The daemon.
     /// An earlier daemon: boxes start with it, are replaced one after the
     /// other, and back again. Empty for none.
     std::string m_Previous;
--- a/tests/soak/SoakSchedule.cpp
+++ b/tests/soak/SoakSchedule.cpp
@@ -62,8 +62,17 @@
     {SoakFault::TurnAwayBoxes, "turn-away-boxes", 1000, 8000},
 }};
 
+constexpr std::array<FaultKind, 3> WordKinds{{
+    {SoakFault::NameLimit, "name-limit", 5000, 15000},
+    {SoakFault::SayLeaving, "say-leaving", 4000, 8000},
+    {SoakFault::AskRest, "ask-rest", 1000, 5000},
+}};
+
 const FaultKind &kindOf(SoakFault Of) {
   const auto Is = [Of](const FaultKind &Each) { return Each.m_Kind == Of; };
+  const auto *const Word = std::find_if(WordKinds.begin(), WordKinds.end(), Is);
+  if (Word != WordKinds.end())
+    return *Word;
   const auto *const Found = std::find_if(Kinds.begin(), Kinds.end(), Is);
   return Found != Kinds.end()
              ? *Found
@@ -174,4 +183,15 @@
   return Result;
 }
 
+void addWords(SoakPlan &Plan, std::uint64_t Seed, Duration Length) {
+  Drawing Draw(Seed);
+  for (Duration At = 500ms; At < Length;
+       At += std::chrono::milliseconds(Draw(800, 4000))) {
+    const int Kind = Draw(0, static_cast<int>(WordKinds.size()) - 1);
+    Plan.m_Faults.push_back(
+        Draw.fault(At, WordKinds.at(static_cast<std::size_t>(Kind)).m_Kind));
+  }
+  sortByTime(Plan.m_Faults);
+}
+
 } // namespace havenstair
--- a/tests/soak/SoakSchedule.h
+++ b/tests/soak/SoakSchedule.h
@@ -51,7 +51,11 @@
   SilenceStoreLinks,    ///< All open connections of all boxes to the store.
   SilencePeerLinks,     ///< All open connections between boxes.
   SilenceAllLinks,      ///< Both.
-  TurnAwayBoxes         ///< All boxes but one are refused at the store.
+  TurnAwayBoxes,        ///< All boxes but one are refused at the store.
+  // Of addWords() alone.
+  NameLimit,  ///< A server names a limit in its answers.
+  SayLeaving, ///< One says that it leaves, and the store does not hear of it.
+  AskRest     ///< One turns requests away and asks for rest.
 };
 
 const char *toString(SoakFault Of);
@@ -89,6 +93,10 @@
 SoakPlan makeConfigPlan(std::uint64_t Seed, Duration Length,
                         Duration Again = 0us);
 
+/// Adds servers that say something of themselves in their answers to \p Plan,
+/// beside its other faults.
+void addWords(SoakPlan &Plan, std::uint64_t Seed, Duration Length);
+
 } // namespace havenstair
 
 #endif
--- a/tests/soak/SoakScheduleTest.cpp
+++ b/tests/soak/SoakScheduleTest.cpp
@@ -25,6 +25,20 @@
                    SoakFault::SilenceAllLinks, SoakFault::TurnAwayBoxes});
 }
 
+TEST_CASE("Words of servers come beside the other faults of a plan",
+          "[soak][schedule]") {
+  SoakPlan Plan = makePlan(7, 600s);
+  const std::size_t Others = Plan.m_Faults.size();
+  addWords(Plan, 7, 600s);
+  std::set<SoakFault> Kinds;
+  for (const ScheduledFault &Each : Plan.m_Faults)
+    if (Each.m_Kind >= SoakFault::NameLimit)
+      Kinds.insert(Each.m_Kind);
+  REQUIRE(Kinds == std::set{SoakFault::NameLimit, SoakFault::SayLeaving,
+                            SoakFault::AskRest});
+  REQUIRE(Plan.m_Faults.size() > Others + 100);
+}
+
 TEST_CASE("A soak's faults are in order, overlap and leave some calm",
           "[soak][schedule]") {
   const SoakPlan Plan = makePlan(7, 600s);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -27,6 +27,8 @@
   --crashing N      Requests that end the engines that run them, from 0 to 6
                     [default: 0].
   --boxes N         Boxes, from 1 to 60, in place of the seed's number.
+  --words           Servers besides that name limits, say that they leave or
+                    ask for rest in their answers.
   --config          Harm the ways on which boxes learn of configurations, in
                     place of the seed's usual plan.
   --again MS        With --config: each harm once more after MS [default: 0].
@@ -38,7 +40,7 @@
                     removed when no promise was broken.
   --plan            Show the plan and end.
   --mutate NAME     Harm the soak's own parts: double-unsafe, spoil-answer,
-                    withhold-config or withhold-leaving.
+                    withhold-config, withhold-leaving or silence-words.
   --untimed         Tell broken bounds in time, but end with 0 all the same.
 
 Ends with 0 when all promises were kept, 1 when one was broken, 2 when the soak
@@ -59,7 +61,8 @@
       {"double-unsafe", Mutation::DoubleUnsafe},
       {"spoil-answer", Mutation::SpoilAnswer},
       {"withhold-config", Mutation::WithholdConfig},
-      {"withhold-leaving", Mutation::WithholdLeaving}};
+      {"withhold-leaving", Mutation::WithholdLeaving},
+      {"silence-words", Mutation::SilenceWords}};
   if (const auto Found = Known.find(Name); Found != Known.end())
     return Found->second;
   throw std::runtime_error("no mutation is called " + Name);
@@ -150,6 +153,7 @@
   Opts.m_Crashing = static_cast<int>(Flags["--crashing"].asLong());
   const docopt::value &Mutate = Flags["--mutate"];
   Opts.m_Mutation = mutation(Mutate.isString() ? Mutate.asString() : "");
+  Opts.m_Words = Flags["--words"].asBool();
   Opts.m_ConfigPlan = Flags["--config"].asBool();
   Opts.m_Again = std::chrono::milliseconds(Flags["--again"].asLong());
   Opts.m_MoreRoutes = static_cast<int>(Flags["--routes"].asLong());
