--- a/packages/decisions/process/DemandRates.h
+++ b/packages/decisions/process/DemandRates.h
@@ -20,8 +20,7 @@
     /// Of the rate that tells which models are usually asked for.
     Duration m_Usual = 30s;
     /// How far ahead demand is told, in seconds, by the difference of the two
-    /// rates. Measured with 12 engines: 0.442 without, 0.471 with 0.7, 0.492
-    /// with 1.5, 0.478 with 3; with the older planner none was best.
+    /// rates.
     double m_Trend = 1.5;
   };
 
--- a/packages/decisions/process/ReplicaPicture.cpp
+++ b/packages/decisions/process/ReplicaPicture.cpp
@@ -8,8 +8,7 @@
 
 namespace {
 
-/// From here on all that is added is lost. By measurement, 5 to 14 in 100
-/// answers pause for too long at half of it, and a fifth close to it.
+/// From here on all that is added is lost.
 constexpr double Knee = 1.2;
 
 /// Passes in which models find their level beside each other.
--- a/packages/decisions/process/ReplicaPicture.h
+++ b/packages/decisions/process/ReplicaPicture.h
@@ -99,9 +99,7 @@
   const PlannerOptions &m_Opts;
   std::string m_Largest; ///< Empty when there is no model.
   double m_AllDemand = 0;
-  /// By model. Hashed, as each engine and model of a plan asks for them: a plan
-  /// takes 7 ms with 90 engines and 15 ms with 240; with ordered maps and
-  /// searched lists it took 36 and 181 ms.
+  /// By model. Hashed, as each engine and model of a plan asks for them.
   std::unordered_map<std::string, const ModelSpec *> m_Specs;
   std::unordered_map<std::string, double> m_Demand;
   std::unordered_map<std::string, double> m_Usual;
--- a/packages/decisions/process/ReplicaPlanner.h
+++ b/packages/decisions/process/ReplicaPlanner.h
@@ -83,28 +83,24 @@
 /// Gains are in engines' worth of work saved each second.
 struct PlannerOptions {
   /// Least gain of a load from the engine's own memory or disk, and from the
-  /// store of weights. 0.008 to 0.05 made no difference
-  /// (docs/design/replicas.md).
+  /// store of weights (docs/design/replicas.md).
   double m_LeastGainNear = 0.02;
   double m_LeastGainStore = 0.02;
   /// From 0 to 1; 1 asks four times the gain of each move.
   double m_FewMoves = 0;
-  /// Time for which a move is judged: demand has moved on afterwards. 16 and
-  /// 20 s were no better.
+  /// Time for which a move is judged: demand has moved on afterwards.
   double m_HorizonMs = 12000;
   /// What it is worth that a model has a replica at all, beyond its demand and
   /// what it is usually asked for.
   double m_ReachableWorth = 0.02;
   /// Part of its usual demand that a replica keeps as its worth while others of
-  /// its model serve. Without it the first rare models that were asked for took
-  /// the places of hot ones that were not yet, and 38 in 100 requests of the
-  /// hottest were refused.
+  /// its model serve, so that rare models which are asked for first do not take
+  /// the places of hot ones.
   double m_SparePart = 0.5;
   /// What it is worth that callers who wait for a model are served: one of them
   /// asks for a tenth of a second of an engine.
   double m_AwaitedWorth = 0.25;
-  /// Engines that are looked at closely for one model. All of them took 80 ms a
-  /// move with 240 engines, on a whole core.
+  /// Engines that are looked at closely for one model; all would take too long.
   std::size_t m_ClosePlaces = 12;
   /// Weight of the work that the loss of the data centre that holds most of a
   /// model would cost each second: the part of the time in which one is
@@ -113,8 +109,7 @@
   double m_SpreadWorth = 0;
   /// A replica leaves when no more than this is lost by it.
   double m_ReleaseLoss = 0.002;
-  /// Time until nearly all answers that run at a replica have ended: unloads
-  /// took 3 to 6 s in the logs.
+  /// Time until nearly all answers that run at a replica have ended.
   double m_LongAnswerMs = 4000;
 };
 
--- a/packages/decisions/process/ServerWords.h
+++ b/packages/decisions/process/ServerWords.h
@@ -17,7 +17,7 @@
   double m_PerS = 0;   ///< Requests that it takes from all boxes together.
   TimePoint m_Since{}; ///< It was first named.
   TimePoint m_Heard{}; ///< What is sent from here on may find it ended.
-  BoxName m_By;        ///< Who heard it from the server.
+  BoxName m_By;        ///< Who told this box; itself for what it heard.
 
   bool operator==(const NamedLimit &) const = default;
 };
@@ -25,7 +25,7 @@
 /// That a server leaves, as one box believes it.
 struct SaidLeaving {
   TimePoint m_Since{};
-  BoxName m_By; ///< Who heard it from the server.
+  BoxName m_By; ///< Who told this box; itself for what it heard.
 
   bool operator==(const SaidLeaving &) const = default;
 };
@@ -52,7 +52,7 @@
   /// \p SentAt.
   LimitChange heardLimit(const UpstreamLife &Server, std::optional<double> PerS,
                          const BoxName &Self, TimePoint SentAt, TimePoint Now);
-  /// Another box, \p By, heard it; \p Age is the time since the limit was first
+  /// Another box, \p By, told it; \p Age is the time since the limit was first
   /// named.
   LimitChange toldLimit(const UpstreamLife &Server, std::optional<double> PerS,
                         const BoxName &By, Duration Age, TimePoint Now);
@@ -61,7 +61,8 @@
   /// Of all servers that name one.
   std::map<UpstreamLife, NamedLimit> limits() const;
 
-  /// \p Server said that it leaves, to \p By. \returns whether that is new.
+  /// \p Server said that it leaves, as \p By told or this box heard. \returns
+  /// whether that is new.
   bool heardLeaving(const UpstreamLife &Server, const BoxName &By,
                     TimePoint Now);
   /// \p Server turned a request of this box away and wants none for \p For. Of
--- a/tests/decisions/process/SendPermitsTest.cpp
+++ b/tests/decisions/process/SendPermitsTest.cpp
@@ -175,6 +175,14 @@
           PermitWindow{.m_Most = 20, .m_Length = 200ms});
 }
 
+TEST_CASE(
+    "A limited server works in the part of its time that the limit leaves",
+    "[server-limit]") {
+  REQUIRE(workingPart(2, 100) == 0.2);
+  REQUIRE(workingPart(50, 100) == 1);
+  REQUIRE(workingPart(0, 100) > 0);
+}
+
 TEST_CASE("No four seconds see more than a named limit allows, whatever is "
           "cut, frozen or killed",
           "[server-limit][property][proof]") {
--- a/tests/soak/ServerWordsOracle.cpp
+++ b/tests/soak/ServerWordsOracle.cpp
@@ -19,6 +19,15 @@
                     .m_Arrivals = 0};
 }
 
+void ServerWordsOracle::startedAgain(const std::string &Engine) {
+  const auto OfEngine = [&](const auto &Each) {
+    return Each.first.first == Engine;
+  };
+  m_Limits.erase(Engine);
+  std::erase_if(m_Leaving, OfEngine);
+  std::erase_if(m_Rests, OfEngine);
+}
+
 void ServerWordsOracle::arrived(const EngineArrival &Arrival,
                                 const CallerRequest &Request) {
   judgeLimit(Arrival, Request);
--- a/tests/soak/ServerWordsOracle.h
+++ b/tests/soak/ServerWordsOracle.h
@@ -23,6 +23,8 @@
 
   /// \p Request is the one whose answer says it.
   void said(const EngineWords &Words, const CallerRequest &Request);
+  /// \p Engine starts again under its id; what it said before says nothing.
+  void startedAgain(const std::string &Engine);
   /// \p Request is the one that arrives.
   void arrived(const EngineArrival &Arrival, const CallerRequest &Request);
 
--- a/tests/soak/ServerWordsOracleTest.cpp
+++ b/tests/soak/ServerWordsOracleTest.cpp
@@ -104,3 +104,13 @@
   Story.arrive(2900ms);
   REQUIRE(Story.broken() == Promises{Promise::ServerRest});
 }
+
+TEST_CASE("The soak's oracle forgets words of an engine that starts again",
+          "[soak][oracle]") {
+  WordsStory Story;
+  Story.say(0s, {.m_LimitPerS = 1, .m_Leaving = true, .m_Rest = 9s});
+  Story.m_Oracle.words().startedAgain("e");
+  for (int Number = 0; Number < 20; ++Number)
+    Story.arrive(4s + Number * 10ms);
+  REQUIRE(Story.broken().empty());
+}
--- a/tests/soak/SoakEngine.cpp
+++ b/tests/soak/SoakEngine.cpp
@@ -134,6 +134,7 @@
   if (m_Shelf)
     m_Shelf->forget();
   m_Oracle.orders().forgot(m_Id);
+  m_Oracle.words().startedAgain(m_Id);
   m_Oracle.routing().engineCold(m_Id, Now, m_ColdUntil);
   m_Link.resetOpen();
   if (m_Listed)
--- a/tests/soak/SoakOracle.h
+++ b/tests/soak/SoakOracle.h
@@ -33,6 +33,7 @@
   RoutingOracle &routing() { return m_Routing; }
   OrderOracle &orders() { return m_Orders; }
   CrashOracle &crashes() { return m_Crashes; }
+  ServerWordsOracle &words() { return m_Words; }
   const CrashOracle &crashes() const { return m_Crashes; }
   const std::vector<SoakVerdict> &verdicts() const { return m_Verdicts; }
 
