--- a/packages/decisions/process/ServerWords.cpp
+++ b/packages/decisions/process/ServerWords.cpp
@@ -86,27 +86,27 @@
   return true;
 }
 
-bool ServerWords::askedRest(const UpstreamLife &Server, Duration For,
-                            TimePoint Now) {
+bool ServerWords::heardRetryAfter(const UpstreamLife &Server, Duration For,
+                                  TimePoint Now) {
   Words *Of = wordsOf(Server);
-  if (Of == nullptr || Of->m_RestsUntil >= Now + For)
+  if (Of == nullptr || Of->m_RetryAt >= Now + For)
     return false;
-  Of->m_RestsUntil = Now + For;
+  Of->m_RetryAt = Now + For;
   return true;
 }
 
-std::optional<TimePoint> ServerWords::restsUntil(const InstanceId &Id,
-                                                 TimePoint Now) const {
+std::optional<TimePoint> ServerWords::retryAt(const InstanceId &Id,
+                                              TimePoint Now) const {
   const auto Found = m_Servers.find(Id);
-  if (Found == m_Servers.end() || Found->second.m_RestsUntil <= Now)
+  if (Found == m_Servers.end() || Found->second.m_RetryAt <= Now)
     return std::nullopt;
-  return Found->second.m_RestsUntil;
+  return Found->second.m_RetryAt;
 }
 
-std::size_t ServerWords::resting(TimePoint Now) const {
+std::size_t ServerWords::backedOff(TimePoint Now) const {
   return static_cast<std::size_t>(
       std::count_if(m_Servers.begin(), m_Servers.end(), [&](const auto &Each) {
-        return Each.second.m_RestsUntil > Now;
+        return Each.second.m_RetryAt > Now;
       }));
 }
 
--- a/packages/decisions/process/ServerWords.h
+++ b/packages/decisions/process/ServerWords.h
@@ -67,12 +67,11 @@
                     TimePoint Now);
   /// \p Server turned a request of this box away and wants none for \p For. Of
   /// several such times the latest end holds. \returns whether that is news.
-  bool askedRest(const UpstreamLife &Server, Duration For, TimePoint Now);
+  bool heardRetryAfter(const UpstreamLife &Server, Duration For, TimePoint Now);
   /// When \p Id takes requests of this box again; none when it does now.
-  std::optional<TimePoint> restsUntil(const InstanceId &Id,
-                                      TimePoint Now) const;
-  /// Servers that rest.
-  std::size_t resting(TimePoint Now) const;
+  std::optional<TimePoint> retryAt(const InstanceId &Id, TimePoint Now) const;
+  /// Servers that this box has to keep away from.
+  std::size_t backedOff(TimePoint Now) const;
 
   /// Of all servers that have said so.
   std::map<UpstreamLife, SaidLeaving> leaving() const;
@@ -83,7 +82,7 @@
     std::optional<TimePoint> m_GoneAt; ///< From the list.
     std::optional<NamedLimit> m_Limit;
     std::optional<SaidLeaving> m_Leaving;
-    TimePoint m_RestsUntil{};
+    TimePoint m_RetryAt{};
   };
 
   Words *wordsOf(const UpstreamLife &Server);
--- a/packages/decisions/request/RestRefusal.cpp
+++ b/packages/decisions/request/RetryAfterRefusal.cpp
@@ -1,4 +1,4 @@
-#include "decisions/request/RestRefusal.h"
+#include "decisions/request/RetryAfterRefusal.h"
 
 #include <algorithm>
 
@@ -9,17 +9,17 @@
 /// Part of the time that is left over which callers are spread.
 constexpr double SpreadPart = 0.5;
 
-/// And at least, as rests end at about the same time.
+/// And at least, as such times end close to each other.
 constexpr Duration LeastSpread = 250ms;
 
 } // namespace
 
-std::optional<RestRefusal>
-refuseForRest(const std::vector<const UpstreamInstance *> &Servers,
-              const ServerWords &Words, double Draw, TimePoint Now) {
-  std::optional<RestRefusal> First;
+std::optional<RetryAfterRefusal>
+refuseForRetryAfter(const std::vector<const UpstreamInstance *> &Servers,
+                    const ServerWords &Words, double Draw, TimePoint Now) {
+  std::optional<RetryAfterRefusal> First;
   for (const UpstreamInstance *Each : Servers) {
-    const auto Until = Words.restsUntil(Each->m_Id, Now);
+    const auto Until = Words.retryAt(Each->m_Id, Now);
     if (!Until)
       return std::nullopt;
     if (!First || *Until - Now < First->m_After)
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -343,7 +343,7 @@
   Now.m_FencingToken = Number(m_Giver.holder().m_Token);
   Now.m_LogLinesLeftOut = Number(m_Log.leftOut());
   Now.m_BarredRequests = Number(m_State.m_Crashes.bars().size());
-  Now.m_RestingServers = Number(m_State.m_Words.resting(EventLoop::now()));
+  Now.m_BackedOffServers = Number(m_State.m_Words.backedOff(EventLoop::now()));
   Now.m_LimitedServers = Number(m_State.m_Words.limits().size());
   Now.m_Cold = m_State.m_WarmUp.coldByDataCentre(EventLoop::now());
   m_Metrics.set(Now);
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -214,7 +214,7 @@
   m_Families->state("log_lines_left_out", Now.m_LogLinesLeftOut);
   m_Families->state("barred_requests", Now.m_BarredRequests);
   m_Families->state("limited_servers", Now.m_LimitedServers);
-  m_Families->state("resting_servers", Now.m_RestingServers);
+  m_Families->state("backed_off_servers", Now.m_BackedOffServers);
   m_Families->state("frames_skipped", Now.m_FramesSkipped);
   for (const auto &[Kind, Frames] : Now.m_PeerFrames)
     m_Families->m_PeerFrames.Add({{"kind", std::string(Kind)}}).Set(Frames);
--- a/packages/gateway/process/GatewayMetrics.h
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -32,7 +32,7 @@
   double m_LogLinesLeftOut = 0;
   double m_BarredRequests = 0;    ///< Contents that are sent to no server.
   double m_LimitedServers = 0;    ///< That name a limit.
-  double m_RestingServers = 0;    ///< That want nothing from this box.
+  double m_BackedOffServers = 0;  ///< That want nothing from this box.
   double m_FramesSkipped = 0;     ///< Of kinds that only later builds know.
   std::map<int, int> m_Protocols; ///< Linked boxes by what they understand.
   std::map<DataCentreName, int> m_Cold;            ///< Cold servers.
--- a/packages/gateway/process/ServerWordExchange.cpp
+++ b/packages/gateway/process/ServerWordExchange.cpp
@@ -33,19 +33,19 @@
   heardLimit(Server, Words, SentAt);
   if (Words.m_Leaving)
     heardLeaving(Server);
-  heardRest(Server, Words);
+  heardRetryAfter(Server, Words);
 }
 
 /// That concerns this box alone: the server turns others away by itself.
-void ServerWordExchange::heardRest(const UpstreamLife &Server,
-                                   const AnswerFacts &Words) {
-  if (Words.m_BadRest)
-    m_Log.write("bad_server_rest", {{"upstream", Server.m_Id}});
-  if (Words.m_Rest &&
-      m_Words.askedRest(Server, *Words.m_Rest, EventLoop::now()))
-    m_Log.write("server_rest", {{"upstream", Server.m_Id},
-                                {"born", Server.m_Born},
-                                {"for_ms", *Words.m_Rest / 1ms}});
+void ServerWordExchange::heardRetryAfter(const UpstreamLife &Server,
+                                         const AnswerFacts &Words) {
+  if (Words.m_BadRetryAfter)
+    m_Log.write("bad_retry_after", {{"upstream", Server.m_Id}});
+  if (Words.m_RetryAfter &&
+      m_Words.heardRetryAfter(Server, *Words.m_RetryAfter, EventLoop::now()))
+    m_Log.write("server_retry_after", {{"upstream", Server.m_Id},
+                                       {"born", Server.m_Born},
+                                       {"for_ms", *Words.m_RetryAfter / 1ms}});
 }
 
 void ServerWordExchange::heardLeaving(const UpstreamLife &Server) {
--- a/packages/gateway/process/ServerWordExchange.h
+++ b/packages/gateway/process/ServerWordExchange.h
@@ -44,7 +44,7 @@
 
 private:
   bool noteLeaving(const UpstreamLife &Server, const BoxName &By);
-  void heardRest(const UpstreamLife &Server, const AnswerFacts &Words);
+  void heardRetryAfter(const UpstreamLife &Server, const AnswerFacts &Words);
   void heardLimit(const UpstreamLife &Server, const AnswerFacts &Words,
                   TimePoint SentAt);
   void noteLimit(const UpstreamLife &Server, LimitChange Change,
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -1,7 +1,7 @@
 #include "gateway/request/ProxiedRequest.h"
 
 #include "decisions/request/EnginePriority.h"
-#include "decisions/request/RestRefusal.h"
+#include "decisions/request/RetryAfterRefusal.h"
 #include "gateway/common/DecisionLog.h"
 #include "gateway/request/OwnAnswer.h"
 #include "gateway/request/RequestDigest.h"
@@ -124,7 +124,7 @@
     return wait(*Hold);
   const auto Excluded = [&](const InstanceId &Id) {
     return m_Tried.contains(Id) || m_Permit.excludes(Id, Now) ||
-           State.m_Words.restsUntil(Id, Now);
+           State.m_Words.retryAt(Id, Now);
   };
   auto Candidates = reach().candidates(Excluded, Now);
   m_Crashes.keepApart(Candidates, m_MayHaveRun, Now);
@@ -142,7 +142,7 @@
               .m_PendingMs = Chosen ? Chosen->m_PendingMs : 0};
   if (!Chosen && m_Permit.drop())
     return step();
-  if (refusedBound(Chosen, Now) || refusedResting(Chosen, Now))
+  if (refusedBound(Chosen, Now) || refusedBackedOff(Chosen, Now))
     return;
   // A permit is not given up for what another request was told meanwhile.
   if (m_Sends == 0 && !m_Permit.holds(Now) && !admitted(Chosen, Now))
@@ -199,21 +199,21 @@
   return true;
 }
 
-/// Whether the request has its answer as all servers that could run it want
-/// rest, and no load of its model is sooner.
-bool ProxiedRequest::refusedResting(const std::optional<ChosenReplica> &Chosen,
-                                    TimePoint Now) {
+/// Whether the request has its answer as all servers that could run it have
+/// named a time to retry after, and no load of its model is sooner.
+bool ProxiedRequest::refusedBackedOff(
+    const std::optional<ChosenReplica> &Chosen, TimePoint Now) {
   if (Chosen || m_BytesPassed || m_MayHaveRun)
     return false;
   const auto Nobody = [](const InstanceId &) { return false; };
-  const auto Refusal =
-      refuseForRest(reach().candidates(Nobody, Now), m_Owner.m_State.m_Words,
-                    m_Owner.m_Hooks.m_Random(), Now);
+  const auto Refusal = refuseForRetryAfter(reach().candidates(Nobody, Now),
+                                           m_Owner.m_State.m_Words,
+                                           m_Owner.m_Hooks.m_Random(), Now);
   const auto ServesAt = reach().servesAt(Now);
   if (!Refusal || (ServesAt && *ServesAt < Now + Refusal->m_After))
     return false;
-  m_Judged.m_Reason = "server_rest";
-  refuse(ErrorKind::Overloaded, Refusal->m_After, "server_rest");
+  m_Judged.m_Reason = "server_retry_after";
+  refuse(ErrorKind::Overloaded, Refusal->m_After, "server_retry_after");
   return true;
 }
 
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -64,8 +64,8 @@
   void step();
   void resume();
   bool refusedBound(const std::optional<ChosenReplica> &Chosen, TimePoint Now);
-  bool refusedResting(const std::optional<ChosenReplica> &Chosen,
-                      TimePoint Now);
+  bool refusedBackedOff(const std::optional<ChosenReplica> &Chosen,
+                        TimePoint Now);
   std::optional<Duration> paceOf(const ChosenReplica &Chosen,
                                  TimePoint Now) const;
   AdmissionFacts admissionFacts(const std::optional<ChosenReplica> &Chosen,
--- a/packages/gateway/request/RequestDialect.h
+++ b/packages/gateway/request/RequestDialect.h
@@ -34,9 +34,9 @@
   bool m_BadLimit = false; ///< It names one that cannot be read.
   bool m_Leaving = false;  ///< It says that it leaves.
   /// It turns the request away and wants nothing from this box for so long;
-  /// empty when it asks for no rest.
-  std::optional<Duration> m_Rest;
-  bool m_BadRest = false; ///< It asks for one that cannot be read.
+  /// empty when it names no time.
+  std::optional<Duration> m_RetryAfter;
+  bool m_BadRetryAfter = false; ///< It names one that cannot be read.
 };
 
 /// Hooks that one platform implements; they translate and decide nothing.
--- a/tests/decisions/process/ServerWordsTest.cpp
+++ b/tests/decisions/process/ServerWordsTest.cpp
@@ -102,21 +102,21 @@
   REQUIRE_FALSE(Words.heardLeaving(Server, Self, Start + 11s));
 }
 
-TEST_CASE("Of several times of rest the latest end holds, for one life",
+TEST_CASE("Of several times to retry after the latest holds, for one life",
           "[server-words]") {
   ServerWords Words;
   const UpstreamLife Server{.m_Id = "s", .m_Born = 1};
-  REQUIRE_FALSE(Words.restsUntil("s", Start));
-  REQUIRE(Words.askedRest(Server, 3s, Start));
-  REQUIRE_FALSE(Words.askedRest(Server, 1s, Start + 1s));
-  REQUIRE(Words.restsUntil("s", Start + 2s) == Start + 3s);
-  REQUIRE(Words.askedRest(Server, 2s, Start + 2s));
-  REQUIRE(Words.restsUntil("s", Start + 3s) == Start + 4s);
-  REQUIRE(Words.resting(Start + 3s) == 1);
-  REQUIRE_FALSE(Words.restsUntil("s", Start + 4s));
-  REQUIRE(Words.resting(Start + 4s) == 0);
-  SECTION("a later life wants none") {
+  REQUIRE_FALSE(Words.retryAt("s", Start));
+  REQUIRE(Words.heardRetryAfter(Server, 3s, Start));
+  REQUIRE_FALSE(Words.heardRetryAfter(Server, 1s, Start + 1s));
+  REQUIRE(Words.retryAt("s", Start + 2s) == Start + 3s);
+  REQUIRE(Words.heardRetryAfter(Server, 2s, Start + 2s));
+  REQUIRE(Words.retryAt("s", Start + 3s) == Start + 4s);
+  REQUIRE(Words.backedOff(Start + 3s) == 1);
+  REQUIRE_FALSE(Words.retryAt("s", Start + 4s));
+  REQUIRE(Words.backedOff(Start + 4s) == 0);
+  SECTION("a later life takes requests") {
     Words.listed(listOf(2), Start + 3s);
-    REQUIRE_FALSE(Words.restsUntil("s", Start + 3s));
+    REQUIRE_FALSE(Words.retryAt("s", Start + 3s));
   }
 }
--- a/tests/gateway/PlatformTest.cpp
+++ b/tests/gateway/PlatformTest.cpp
@@ -207,35 +207,36 @@
   CHECK(Facts.m_ColdFor == 700ms);
 }
 
-TEST_CASE("Rest is asked for with an answer that turns away", "[platform]") {
+TEST_CASE("A time to retry after comes with an answer that turns away",
+          "[platform]") {
   const RequestDialect Dialect = platform::makeBinding("").m_Dialect;
-  const auto Rest = [&](int Status, const std::string &Text) {
+  const auto Read = [&](int Status, const std::string &Text) {
     return Dialect.m_ReadAnswer(Status, {{"retry-after", Text}});
   };
   SECTION("in seconds, also in parts") {
-    CHECK(Rest(503, "3").m_Rest == 3s);
-    CHECK(Rest(429, "0.25").m_Rest == 250ms);
-    CHECK_FALSE(Rest(503, "0").m_Rest);
-    CHECK_FALSE(Rest(503, "0").m_BadRest);
+    CHECK(Read(503, "3").m_RetryAfter == 3s);
+    CHECK(Read(429, "0.25").m_RetryAfter == 250ms);
+    CHECK_FALSE(Read(503, "0").m_RetryAfter);
+    CHECK_FALSE(Read(503, "0").m_BadRetryAfter);
   }
   SECTION("or to a date, by the answer's own") {
     const std::string Until = "Thu, 03 Dec 2026 12:00:05 GMT";
     const AnswerFacts Facts =
         Dialect.m_ReadAnswer(503, {{"Date", "Thu, 03 Dec 2026 12:00:00 GMT"},
                                    {"Retry-After", Until}});
-    CHECK(Facts.m_Rest == 5s);
-    CHECK(Rest(503, Until).m_BadRest);
+    CHECK(Facts.m_RetryAfter == 5s);
+    CHECK(Read(503, Until).m_BadRetryAfter);
   }
   SECTION("not with another one, nor by what cannot be read") {
-    CHECK_FALSE(Rest(200, "3").m_Rest);
+    CHECK_FALSE(Read(200, "3").m_RetryAfter);
     const std::string Text =
         GENERATE("", "-1", "soon", "1,2", "1e9", "9999999");
-    CHECK_FALSE(Rest(503, Text).m_Rest);
-    CHECK(Rest(503, Text).m_BadRest);
+    CHECK_FALSE(Read(503, Text).m_RetryAfter);
+    CHECK(Read(503, Text).m_BadRetryAfter);
     const AnswerFacts Twice =
         Dialect.m_ReadAnswer(503, {{"Retry-After", "1"}, {"Retry-After", "1"}});
-    CHECK(Twice.m_BadRest);
-    CHECK_FALSE(Twice.m_Rest);
+    CHECK(Twice.m_BadRetryAfter);
+    CHECK_FALSE(Twice.m_RetryAfter);
   }
 }
 
--- a/tests/gateway/ServerRestTest.cpp
+++ b/tests/gateway/ServerRetryAfterTest.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-std::string rest(const std::string &Seconds) {
+std::string retryAfter(const std::string &Seconds) {
   return "X-Request-Not-Executed: 1\r\nRetry-After: " + Seconds + "\r\n";
 }
 
@@ -13,12 +13,12 @@
 TEST_CASE(
     "A server that turns a box away gets nothing from it for the time that "
     "it asks for",
-    "[gateway][server-rest]") {
+    "[gateway][server-retry-after]") {
   const auto Boxes = GENERATE(std::size_t{1}, std::size_t{3});
   const bool Others = GENERATE(true, false);
   ServerWordsFleet Test(Boxes);
-  Test.addSaying("resting", rest("30"));
-  Test.m_Status["resting"] = 503;
+  Test.addSaying("busy", retryAfter("30"));
+  Test.m_Status["busy"] = 503;
   Test.begin();
   const FleetOutcome First = Test.play(1s);
   if (Others) {
@@ -27,39 +27,40 @@
   }
   const FleetOutcome Second = Test.play(1s);
   CAPTURE(Boxes, Others, First.m_Told, Second.m_Served, Second.m_Told);
-  REQUIRE(Test.m_Arrived["resting"].size() == Boxes);
+  REQUIRE(Test.m_Arrived["busy"].size() == Boxes);
   REQUIRE(First.m_Told == First.all());
   REQUIRE((Others ? Second.m_Served : Second.m_Told) == Second.all());
 }
 
-TEST_CASE("A server that has rested is sent to again",
-          "[gateway][server-rest]") {
+TEST_CASE("A server is sent to again after the time that it named",
+          "[gateway][server-retry-after]") {
   ServerWordsFleet Test(1);
-  Test.addSaying("resting", rest("0.5"));
-  Test.m_Status["resting"] = 503;
+  Test.addSaying("busy", retryAfter("0.5"));
+  Test.m_Status["busy"] = 503;
   Test.begin();
   const FleetOutcome First = Test.play(200ms);
   REQUIRE(First.m_Told == First.all());
-  Test.m_Status["resting"] = 200;
-  Test.m_Words["resting"] = "";
+  Test.m_Status["busy"] = 200;
+  Test.m_Words["busy"] = "";
   REQUIRE(Test.sendOne().m_Served == 1);
 }
 
-TEST_CASE("An answer to another request does not end a server's rest",
-          "[gateway][server-rest]") {
+TEST_CASE(
+    "An answer to another request does not end the time that a server named",
+    "[gateway][server-retry-after]") {
   ServerWordsFleet Test(1);
-  Test.addSaying("resting");
+  Test.addSaying("busy");
   Test.begin();
   // The first is answered late, after the second was turned away.
   std::vector<std::pair<StandinRunner::Request, StandinRunner::ConnectionPtr>>
       Held;
-  Test.m_Runners["resting"]->setBehaviour(
+  Test.m_Runners["busy"]->setBehaviour(
       [&](const StandinRunner::Request &Of,
           const StandinRunner::ConnectionPtr &To) {
         if (Held.empty())
           Held.emplace_back(Of, To);
         else
-          To->write(StandinRunner::answer(Of, 503, "", rest("30")));
+          To->write(StandinRunner::answer(Of, 503, "", retryAfter("30")));
       });
   std::vector<int> Statuses;
   const auto Send = [&](const std::string &Id) {
@@ -75,5 +76,5 @@
       StandinRunner::answer(Held.front().first, 200, "body"));
   REQUIRE(Test.until([&] { return Statuses == std::vector{503, 200}; }));
   REQUIRE(Test.play(200ms).m_Served == 0);
-  REQUIRE(Test.m_Runners["resting"]->requests().size() == 2);
+  REQUIRE(Test.m_Runners["busy"]->requests().size() == 2);
 }
--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -226,7 +226,7 @@
   default:
     return hold(&Engine, Fault.m_Kind, Fault.m_For,
                 [&Engine, For = Fault.m_For](bool On) {
-                  Engine.askRest(On ? For : 0us);
+                  Engine.askRetryAfter(On ? For : 0us);
                 });
   }
 }
--- a/tests/soak/ServerWordsOracle.cpp
+++ b/tests/soak/ServerWordsOracle.cpp
@@ -13,10 +13,10 @@
         .m_PerS = *Words.m_LimitPerS, .m_Since = Words.m_At, .m_Arrivals = {}};
   if (Words.m_Leaving)
     m_Leaving.try_emplace(Key, Words.m_At);
-  if (Words.m_Rest > 0us)
-    m_Rests[Key] = {.m_From = Words.m_At,
-                    .m_Until = Words.m_At + Words.m_Rest,
-                    .m_Arrivals = 0};
+  if (Words.m_RetryAfter > 0us)
+    m_RetryAfters[Key] = {.m_From = Words.m_At,
+                          .m_Until = Words.m_At + Words.m_RetryAfter,
+                          .m_Arrivals = 0};
 }
 
 void ServerWordsOracle::startedAgain(const std::string &Engine) {
@@ -25,14 +25,14 @@
   };
   m_Limits.erase(Engine);
   std::erase_if(m_Leaving, OfEngine);
-  std::erase_if(m_Rests, OfEngine);
+  std::erase_if(m_RetryAfters, OfEngine);
 }
 
 void ServerWordsOracle::arrived(const EngineArrival &Arrival,
                                 const CallerRequest &Request) {
   judgeLimit(Arrival, Request);
   judgeLeaving(Arrival, Request);
-  judgeRest(Arrival, Request);
+  judgeRetryAfter(Arrival, Request);
 }
 
 bool ServerWordsOracle::calm(const EngineArrival &Arrival,
@@ -78,20 +78,20 @@
                 " ms after an answer said that it leaves"});
 }
 
-void ServerWordsOracle::judgeRest(const EngineArrival &Arrival,
-                                  const CallerRequest &Request) {
-  const auto Found = m_Rests.find({Arrival.m_Engine, Request.m_Box});
-  if (Found == m_Rests.end())
+void ServerWordsOracle::judgeRetryAfter(const EngineArrival &Arrival,
+                                        const CallerRequest &Request) {
+  const auto Found = m_RetryAfters.find({Arrival.m_Engine, Request.m_Box});
+  if (Found == m_RetryAfters.end())
     return;
-  Rest &Of = Found->second;
-  const bool Within = Arrival.m_At > Of.m_From + m_Bounds.m_RestBegins &&
+  RetryAfter &Of = Found->second;
+  const bool Within = Arrival.m_At > Of.m_From + m_Bounds.m_RetryAfterBegins &&
                       Arrival.m_At < Of.m_Until;
   if (!Within || !calm(Arrival, Request, Of.m_From))
     return;
-  if (++Of.m_Arrivals > m_Bounds.m_RestArrivals)
-    m_Broken({Promise::ServerRest, Arrival.m_At, Arrival.m_Id,
+  if (++Of.m_Arrivals > m_Bounds.m_RetryAfterArrivals)
+    m_Broken({Promise::ServerRetryAfter, Arrival.m_At, Arrival.m_Id,
               "sent by " + Request.m_Box + " to " + Arrival.m_Engine +
-                  " in its rest, the " + std::to_string(Of.m_Arrivals) +
+                  " before it may, the " + std::to_string(Of.m_Arrivals) +
                   ". of them"});
 }
 
--- a/tests/soak/ServerWordsOracle.h
+++ b/tests/soak/ServerWordsOracle.h
@@ -13,8 +13,8 @@
 
 namespace havenstair {
 
-/// Limits are judged over all boxes, told or not; leaving and rest by the box
-/// that was told. Trouble of a box excuses it.
+/// Limits are judged over all boxes, told or not; leaving and Retry-After by
+/// the box that was told. Trouble of a box excuses it.
 class ServerWordsOracle {
 public:
   ServerWordsOracle(const SoakBounds &Bounds, const Disturbances &Trouble,
@@ -34,7 +34,7 @@
     TimePoint m_Since{};
     std::deque<TimePoint> m_Arrivals;
   };
-  struct Rest {
+  struct RetryAfter {
     TimePoint m_From{};
     TimePoint m_Until{};
     int m_Arrivals = 0;
@@ -45,14 +45,15 @@
             TimePoint From) const;
   void judgeLimit(const EngineArrival &Arrival, const CallerRequest &Request);
   void judgeLeaving(const EngineArrival &Arrival, const CallerRequest &Request);
-  void judgeRest(const EngineArrival &Arrival, const CallerRequest &Request);
+  void judgeRetryAfter(const EngineArrival &Arrival,
+                       const CallerRequest &Request);
 
   const SoakBounds &m_Bounds;
   const Disturbances &m_Trouble;
   VerdictHook m_Broken;
   std::map<std::string, Limit> m_Limits;
   std::map<EngineAndBox, TimePoint> m_Leaving;
-  std::map<EngineAndBox, Rest> m_Rests;
+  std::map<EngineAndBox, RetryAfter> m_RetryAfters;
 };
 
 } // namespace havenstair
--- a/tests/soak/ServerWordsOracleTest.cpp
+++ b/tests/soak/ServerWordsOracleTest.cpp
@@ -92,23 +92,23 @@
   }
 }
 
-TEST_CASE("The soak's oracle holds a box to the rest that it was asked for",
+TEST_CASE("The soak's oracle holds a box to the time to retry after",
           "[soak][oracle]") {
   WordsStory Story;
-  Story.say(0s, {.m_Rest = 3s});
+  Story.say(0s, {.m_RetryAfter = 3s});
   for (Duration Then : {100ms, 200ms, 300ms, 400ms, 600ms, 700ms, 3100ms})
     Story.arrive(Then);
   for (Duration Then : {600ms, 700ms, 800ms})
     Story.arrive(Then, "b2");
   REQUIRE(Story.broken().empty());
   Story.arrive(2900ms);
-  REQUIRE(Story.broken() == Promises{Promise::ServerRest});
+  REQUIRE(Story.broken() == Promises{Promise::ServerRetryAfter});
 }
 
 TEST_CASE("The soak's oracle forgets words of an engine that starts again",
           "[soak][oracle]") {
   WordsStory Story;
-  Story.say(0s, {.m_LimitPerS = 1, .m_Leaving = true, .m_Rest = 9s});
+  Story.say(0s, {.m_LimitPerS = 1, .m_Leaving = true, .m_RetryAfter = 9s});
   Story.m_Oracle.words().startedAgain("e");
   for (int Number = 0; Number < 20; ++Number)
     Story.arrive(4s + Number * 10ms);
--- a/tests/soak/SoakBounds.h
+++ b/tests/soak/SoakBounds.h
@@ -33,8 +33,8 @@
   Duration m_LimitSpan = 4s;
   double m_LimitOverage = 1.5;
   double m_LimitAllowance = 5;
-  Duration m_RestBegins = 500ms; ///< After the answer that asks for it.
-  int m_RestArrivals = 2;        ///< That are forgiven.
+  Duration m_RetryAfterBegins = 500ms; ///< After the answer that asks for it.
+  int m_RetryAfterArrivals = 2;        ///< That are forgiven.
   /// What the soak's own process may take to note an event.
   Duration m_Slack = 200ms;
 
--- a/tests/soak/SoakEngine.cpp
+++ b/tests/soak/SoakEngine.cpp
@@ -125,7 +125,7 @@
   m_Active = 0;
   m_LimitPerS.reset();
   m_SaysLeaving = false;
-  m_Rest = 0us;
+  m_RetryAfter = 0us;
   // A process that starts is not leaving, whatever the one before did.
   m_Draining = false;
   m_Timers.clear();
@@ -168,12 +168,12 @@
 
 /// Header fields with what it says of itself in the answer to \p Of.
 std::string SoakEngine::words(const Request &Of, bool TurnedAway) const {
-  const Duration Rest = TurnedAway ? m_Rest : 0us;
+  const Duration After = TurnedAway ? m_RetryAfter : 0us;
   m_Oracle.said({.m_Id = Of.header("x-attempt-id"),
                  .m_Engine = m_Id,
                  .m_LimitPerS = m_LimitPerS,
                  .m_Leaving = m_SaysLeaving,
-                 .m_Rest = Rest,
+                 .m_RetryAfter = After,
                  .m_At = EventLoop::now()});
   std::string Result;
   if (m_Silent)
@@ -182,8 +182,8 @@
     Result += "Server-Limit: " + std::to_string(*m_LimitPerS) + "\r\n";
   if (m_SaysLeaving)
     Result += "Server-Leaving: 1\r\n";
-  if (Rest > 0us)
-    Result += "Retry-After: " + std::to_string(inSeconds(Rest)) + "\r\n";
+  if (After > 0us)
+    Result += "Retry-After: " + std::to_string(inSeconds(After)) + "\r\n";
   return Result;
 }
 
@@ -206,7 +206,7 @@
   if (Asked.m_Target.starts_with("/v1/"))
     return refuse(Asked, To, Other ? Misdirected : NotFound);
   const bool Here = !Other && modelHere(Asked);
-  const bool Runs = Here && m_Active < m_Opts.m_Slots && m_Rest == 0us;
+  const bool Runs = Here && m_Active < m_Opts.m_Slots && m_RetryAfter == 0us;
   if (!Other)
     m_Oracle.arrived({.m_Id = Asked.header("x-attempt-id"),
                       .m_Engine = m_Id,
--- a/tests/soak/SoakEngine.h
+++ b/tests/soak/SoakEngine.h
@@ -53,8 +53,8 @@
   void nameLimit(std::optional<double> PerS) { m_LimitPerS = PerS; }
   /// Answers say that it leaves, and the store does not hear of it.
   void sayLeaving() { m_SaysLeaving = true; }
-  /// Requests are turned away, and rest is asked for.
-  void askRest(Duration For) { m_Rest = For; }
+  /// Requests are turned away, with a time to retry after.
+  void askRetryAfter(Duration For) { m_RetryAfter = For; }
   /// Mutation: the oracle hears the words, and the boxes do not.
   void setSilent(bool Silent) { m_Silent = Silent; }
   /// The next answers break off midway.
@@ -114,7 +114,7 @@
   bool m_Withholding = false;
   std::optional<double> m_LimitPerS;
   bool m_SaysLeaving = false;
-  Duration m_Rest = 0us;
+  Duration m_RetryAfter = 0us;
   bool m_Silent = false;
   std::uint64_t m_NextTimer = 0;
   std::map<std::uint64_t, Timer> m_Timers;
--- a/tests/soak/SoakEvents.cpp
+++ b/tests/soak/SoakEvents.cpp
@@ -42,8 +42,8 @@
     return "server-limit";
   case Promise::SaidLeaving:
     return "said-leaving";
-  case Promise::ServerRest:
-    return "server-rest";
+  case Promise::ServerRetryAfter:
+    return "server-retry-after";
   case Promise::WarmUpRate:
     return "warm-up-rate";
   case Promise::AllowedRegions:
--- a/tests/soak/SoakSchedule.cpp
+++ b/tests/soak/SoakSchedule.cpp
@@ -65,7 +65,7 @@
 constexpr std::array<FaultKind, 3> WordKinds{{
     {SoakFault::NameLimit, "name-limit", 5000, 15000},
     {SoakFault::SayLeaving, "say-leaving", 4000, 8000},
-    {SoakFault::AskRest, "ask-rest", 1000, 5000},
+    {SoakFault::AskRetryAfter, "ask-retry-after", 1000, 5000},
 }};
 
 const FaultKind &kindOf(SoakFault Of) {
--- a/tests/soak/SoakSchedule.h
+++ b/tests/soak/SoakSchedule.h
@@ -53,9 +53,9 @@
   SilenceAllLinks,      ///< Both.
   TurnAwayBoxes,        ///< All boxes but one are refused at the store.
   // Of addWords() alone.
-  NameLimit,  ///< A server names a limit in its answers.
-  SayLeaving, ///< One says that it leaves, and the store does not hear of it.
-  AskRest     ///< One turns requests away and asks for rest.
+  NameLimit,    ///< A server names a limit in its answers.
+  SayLeaving,   ///< One says that it leaves, and the store does not hear of it.
+  AskRetryAfter ///< One turns requests away and names a time.
 };
 
 const char *toString(SoakFault Of);
--- a/tests/soak/SoakScheduleTest.cpp
+++ b/tests/soak/SoakScheduleTest.cpp
@@ -35,7 +35,7 @@
     if (Each.m_Kind >= SoakFault::NameLimit)
       Kinds.insert(Each.m_Kind);
   REQUIRE(Kinds == std::set{SoakFault::NameLimit, SoakFault::SayLeaving,
-                            SoakFault::AskRest});
+                            SoakFault::AskRetryAfter});
   REQUIRE(Plan.m_Faults.size() > Others + 100);
 }
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -28,7 +28,7 @@
                     [default: 0].
   --boxes N         Boxes, from 1 to 60, in place of the seed's number.
   --words           Servers besides that name limits, say that they leave or
-                    ask for rest in their answers.
+                    name a time to retry after in their answers.
   --config          Harm the ways on which boxes learn of configurations, in
                     place of the seed's usual plan.
   --again MS        With --config: each harm once more after MS [default: 0].
