Sight: the store's era, dropped reads and refused watches

What callers saw: nothing changes for them here. Evidence missing: no line told that a read of a list was dropped because it was older than the copy, that a watch was refused, or that the store had come back from a copy.

Change: StoreClient reads the header that names the store's era, StoreEraTracker keeps the newest; lines store_era, store_era_ignored, watch_refused, list_read (failed or dropped reads only) and the fields copy and dropped of config_read; metrics store_era and store_restores. Nothing is decided by the era yet.

--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -76,8 +76,9 @@
                                                m_Leader.leading()};
                    }),
       m_Random(std::random_device()()), m_UpstreamHttp(Loop), m_StoreHttp(Loop),
+      m_Eras(eraHooks()),
       m_Store(std::make_unique<MeteredStore>(
-          m_Binding.m_MakeStore(Loop, m_StoreHttp, m_Options.m_Store),
+          m_Binding.m_MakeStore(m_StoreHttp, m_Options.m_Store, m_Eras),
           MeteredStore::Hooks{
               .m_Called =
                   [this](auto Call, auto Subject) {
@@ -118,21 +119,23 @@
       m_ConfigCache(
           Loop, *m_Store,
           cacheOptions(m_Binding.m_ConfigPrefix, 0us, ConfigWatchWait),
-          {.m_Changed = [this] { configChanged(); },
-           .m_ReadEnded = [this](const auto &End) { logConfigRead(End); }}),
+          cacheHooks(m_Binding.m_ConfigPrefix, [this] { configChanged(); })),
       m_UpstreamCache(Loop, *m_Store,
                       cacheOptions(m_Binding.m_UpstreamPrefix,
                                    UpstreamCoalesceDelay,
                                    WatchCache::ShortWait),
-                      {.m_Changed = [this] { upstreamsChanged(); }}),
-      m_OwnKeysCache(Loop, *m_Store,
-                     cacheOptions(m_Binding.m_OwnPrefix, BoxCoalesceDelay,
-                                  BoxWatchWait, ReadKind::Stale),
-                     {.m_Changed = [this] { ownKeysChanged(); }}),
+                      cacheHooks(m_Binding.m_UpstreamPrefix,
+                                 [this] { upstreamsChanged(); })),
+      m_OwnKeysCache(
+          Loop, *m_Store,
+          cacheOptions(m_Binding.m_OwnPrefix, BoxCoalesceDelay, BoxWatchWait,
+                       ReadKind::Stale),
+          cacheHooks(m_Binding.m_OwnPrefix, [this] { ownKeysChanged(); })),
       m_EvacuationCache(Loop, *m_Store,
                         cacheOptions(m_Binding.m_EvacuationPrefix, 0us,
                                      WatchCache::ShortWait),
-                        {.m_Changed = [this] { evacuationsChanged(); }}),
+                        cacheHooks(m_Binding.m_EvacuationPrefix,
+                                   [this] { evacuationsChanged(); })),
       m_ProcessName(m_Options.m_Box.str() + "." +
                     randomHex(ProcessSuffixBytes)),
       m_Fleet(Loop, *m_Store, m_Log,
@@ -225,6 +228,45 @@
                       }}};
 }
 
+WatchCache::Hooks Gateway::cacheHooks(const std::string &Prefix,
+                                      std::function<void()> Changed) {
+  const bool Config = Prefix == m_Binding.m_ConfigPrefix;
+  return {.m_Changed = std::move(Changed),
+          .m_ReadEnded =
+              [this, Prefix, Config](const auto &End) {
+                if (Config)
+                  logConfigRead(End);
+                else
+                  logRead(Prefix, End);
+              },
+          .m_WatchRefused =
+              [this, Prefix](StoreRevision After) {
+                m_Log.write("watch_refused",
+                            {{"prefix", Prefix}, {"after", After}});
+              }};
+}
+
+StoreEraTracker::Hooks Gateway::eraHooks() {
+  return {.m_Changed =
+              [this](const StoreEraTracker::Change &Learned) {
+                onEraChanged(Learned);
+              },
+          .m_Ignored =
+              [this](const EraReport &Report) {
+                m_Log.write(
+                    "store_era_ignored",
+                    {{"era", Report.m_Era ? Json(*Report.m_Era) : Json()},
+                     {"known", m_Eras.current()}});
+              }};
+}
+
+void Gateway::onEraChanged(const StoreEraTracker::Change &Learned) {
+  m_Log.write("store_era", {{"era", Learned.m_Now},
+                            {"before", Learned.m_Before},
+                            {"restored", Learned.m_Restored},
+                            {"by", Learned.m_By.str()}});
+}
+
 Fleet::Hooks Gateway::fleetHooks() {
   return {.m_Frame =
               [this](const BoxName &From, const PeerFrame &Frame) {
@@ -350,6 +392,8 @@
     Now.m_PeerBytes[Kind] = Number(Sent.m_Bytes);
   }
   Now.m_FramesSkipped = Number(m_Fleet.skipped());
+  Now.m_StoreEra = Number(m_Eras.current());
+  Now.m_StoreRestores = Number(m_Eras.restores());
   Now.m_StoreReached = m_Exchange.storeReachable() ? 1 : 0;
   Now.m_IsOrderLeader = m_Leader.leading() ? 1 : 0;
   Now.m_FencingToken = Number(m_Leader.leader().m_Token);
@@ -429,9 +473,24 @@
                               {"took_ms", End.m_Took / 1ms},
                               {"bytes", End.m_Bytes},
                               {"at", End.m_At},
+                              {"copy", End.m_CopyAt},
+                              {"dropped", End.m_Dropped},
                               {"next_ms", End.m_NextTry / 1ms}});
 }
 
+/// Logs a read of \p Prefix that brought nothing.
+void Gateway::logRead(const std::string &Prefix,
+                      const WatchCache::ReadOutcome &End) {
+  if (End.m_Status == StoreStatus::Ok && !End.m_Dropped)
+    return;
+  m_Log.write("list_read", {{"prefix", Prefix},
+                            {"outcome", toString(End.m_Status)},
+                            {"at", End.m_At},
+                            {"copy", End.m_CopyAt},
+                            {"dropped", End.m_Dropped},
+                            {"next_ms", End.m_NextTry / 1ms}});
+}
+
 void Gateway::logConfig(const ServingConfig &Config, StoreRevision Revision) {
   const TimePoint Now = EventLoop::now();
   const ConfigFetchPolicy::NewestVersion &Newest =
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -84,6 +84,11 @@
   void configChanged();
   bool takeConfig(const StoreItem &Item);
   void logConfigRead(const WatchCache::ReadOutcome &End);
+  StoreEraTracker::Hooks eraHooks();
+  void onEraChanged(const StoreEraTracker::Change &Learned);
+  void logRead(const std::string &Prefix, const WatchCache::ReadOutcome &End);
+  WatchCache::Hooks cacheHooks(const std::string &Prefix,
+                               std::function<void()> Changed);
   void logConfig(const ServingConfig &Config, StoreRevision Revision);
   InstanceList readUpstreams();
   void upstreamsChanged();
@@ -109,6 +114,7 @@
   mutable std::mt19937_64 m_Random;
   HttpClient m_UpstreamHttp;
   HttpClient m_StoreHttp;
+  StoreEraTracker m_Eras;
   std::unique_ptr<CoordinationStore> m_Store;
   std::unique_ptr<EngineControl> m_Engines;
   ServingState m_State;
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -209,6 +209,8 @@
   m_Families->state("upstreams", Gauges.m_Upstreams);
   m_Families->state("peers", Gauges.m_Peers);
   m_Families->state("evacuated_data_centres", Gauges.m_Evacuated);
+  m_Families->state("store_era", Gauges.m_StoreEra);
+  m_Families->state("store_restores", Gauges.m_StoreRestores);
   m_Families->state("store_reached", Gauges.m_StoreReached);
   m_Families->state("gives_orders", Gauges.m_IsOrderLeader);
   m_Families->state("fencing_token", Gauges.m_FencingToken);
--- a/packages/gateway/process/GatewayMetrics.h
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -27,6 +27,8 @@
   double m_Upstreams = 0; ///< Listed upstreams that requests may be sent to.
   double m_Peers = 0;
   double m_Evacuated = 0;     ///< Evacuated data centres.
+  double m_StoreEra = 0;      ///< Newest era of the store that is known.
+  double m_StoreRestores = 0; ///< Restores of the store seen since the start.
   double m_StoreReached = 0;  ///< 1 while the store answers this box.
   double m_IsOrderLeader = 0; ///< 1 on the box that gives orders.
   double m_FencingToken = 0;
--- a/packages/gateway/process/PlatformBinding.h
+++ b/packages/gateway/process/PlatformBinding.h
@@ -4,6 +4,7 @@
 #ifndef HAVENSTAIR_GATEWAY_PROCESS_PLATFORMBINDING_H
 #define HAVENSTAIR_GATEWAY_PROCESS_PLATFORMBINDING_H
 
+#include "decisions/process/StoreEraTracker.h"
 #include "decisions/process/UpstreamInstance.h"
 #include "decisions/version/ServingConfig.h"
 #include "gateway/process/CoordinationStore.h"
@@ -16,7 +17,6 @@
 
 namespace havenstair {
 
-class EventLoop;
 class HttpClient;
 
 /// Hooks and names that a platform's adapter fills in. None of the hooks makes
@@ -24,8 +24,8 @@
 struct PlatformBinding {
   /// Reads the current settings. \throws SettingError for an invalid file.
   std::function<GatewayOptions()> m_ReadOptions;
-  std::function<std::unique_ptr<CoordinationStore>(EventLoop &, HttpClient &,
-                                                   const Endpoint &)>
+  std::function<std::unique_ptr<CoordinationStore>(
+      HttpClient &, const Endpoint &, StoreEraTracker &)>
       m_MakeStore;
   std::function<std::unique_ptr<EngineControl>(HttpClient &)> m_MakeEngines;
   RequestDialect m_Dialect;
--- a/packages/gateway/process/WatchCache.cpp
+++ b/packages/gateway/process/WatchCache.cpp
@@ -123,17 +123,19 @@
   m_Reading = false;
   ReadOutcome End{.m_Kind = m_ReadKind,
                   .m_Status = Result.m_Status,
-                  .m_Took = EventLoop::now() - m_SentAt};
+                  .m_Took = EventLoop::now() - m_SentAt,
+                  .m_CopyAt = m_Revision};
   if (Result.m_Status != StoreStatus::Ok)
     return onReadFailed(End);
   End.m_At = Result.m_At;
   for (const StoreItem &Each : Result.m_Items)
     End.m_Bytes += Each.m_Value.size();
+  End.m_Dropped = Result.m_At < m_Revision;
   reportRead(End);
   m_Backoff.reset();
   m_ConfirmedAt = m_SentAt;
   // A late answer must not undo newer changes.
-  if (Result.m_At >= m_Revision && takeOver(std::move(Result)))
+  if (!End.m_Dropped && takeOver(std::move(Result)))
     m_Hooks.m_Changed();
   if (m_Running)
     watch();
@@ -261,8 +263,11 @@
 }
 
 void WatchCache::onChanges(const StoreChanges &Update) {
-  if (Update.m_Status == StoreStatus::HistoryGone)
+  if (Update.m_Status == StoreStatus::HistoryGone) {
+    if (m_Hooks.m_WatchRefused)
+      m_Hooks.m_WatchRefused(std::max(m_Revision, m_WatchedTo));
     return read();
+  }
   if (Update.m_Status != StoreStatus::Ok)
     return schedule(m_Backoff.next(), &WatchCache::read);
   m_Backoff.reset();
--- a/packages/gateway/process/WatchCache.h
+++ b/packages/gateway/process/WatchCache.h
@@ -50,8 +50,10 @@
     ReadKind m_Kind = ReadKind::Current;
     StoreStatus m_Status = StoreStatus::Lost;
     Duration m_Took = 0us;
-    std::size_t m_Bytes = 0; ///< Total size of the values.
-    StoreRevision m_At = 0;  ///< The store's revision, of a successful read.
+    std::size_t m_Bytes = 0;    ///< Total size of the values.
+    StoreRevision m_At = 0;     ///< The store's revision, of a successful read.
+    StoreRevision m_CopyAt = 0; ///< The copy's revision before the read.
+    bool m_Dropped = false;     ///< A successful read was older than the copy.
     /// Delay before the next read; 0 when none is scheduled.
     Duration m_NextTry = 0us;
   };
@@ -59,6 +61,8 @@
     /// The copy has changed, or was read for the first time.
     std::function<void()> m_Changed;
     std::function<void(const ReadOutcome &)> m_ReadEnded; ///< May be empty.
+    /// The store does not have the changes after a revision; may be empty.
+    std::function<void(StoreRevision After)> m_WatchRefused;
   };
 
   WatchCache(EventLoop &Loop, CoordinationStore &Store, Options Opts,
--- a/tests/gateway/ConfigurationTest.cpp
+++ b/tests/gateway/ConfigurationTest.cpp
@@ -116,7 +116,9 @@
           "[gateway][configuration]") {
   GatewayTest Test;
   LoopbackProxy Link(Test.m_Loop, {"127.0.0.1", 0}, Test.m_Store.endpoint());
-  platform::StoreClient Client(Test.m_Http, Link.endpoint());
+  StoreEraTracker Eras(
+      {.m_Changed = [](const auto &) {}, .m_Ignored = [](const auto &) {}});
+  platform::StoreClient Client(Test.m_Http, Link.endpoint(), Eras);
   // Two connections that stay idle for seconds.
   int Woken = 0;
   std::array<std::shared_ptr<void>, 2> Watches;
