--- a/tests/standin/StandinStore.cpp
+++ b/tests/standin/StandinStore.cpp
@@ -23,16 +23,65 @@
 }
 
 void StandinStore::put(const std::string &Key, const std::string &Value) {
-  const Item Next{.m_Value = platform::encodeBase64(Value)};
-  change(Key, &Next);
-  wake(EventLoop::now());
+  writeOutside({.m_Key = Key, .m_Value = Value});
 }
 
 void StandinStore::remove(const std::string &Key) {
-  change(Key, nullptr);
+  writeOutside({.m_Key = Key, .m_Value = std::nullopt});
+}
+
+void StandinStore::writeOutside(const OutsideWrite &Write) {
+  // Nobody writes again what it has replaced since.
+  m_Lost.remove_if(
+      [&](const OutsideWrite &Each) { return Each.m_Key == Write.m_Key; });
+  m_SinceCopy.push_back(Write);
+  Item Next;
+  if (Write.m_Value)
+    Next.m_Value = platform::encodeBase64(*Write.m_Value);
+  change(Write.m_Key, Write.m_Value ? &Next : nullptr);
   wake(EventLoop::now());
 }
 
+void StandinStore::keepCopy() {
+  m_Copy = {.m_Items = m_Items,
+            .m_Leases = m_Leases,
+            .m_Revision = m_Revision,
+            .m_NextLease = m_NextLease};
+  m_SinceCopy.clear();
+}
+
+void StandinStore::restore(Duration RewriteAfter) {
+  const TimePoint Now = EventLoop::now();
+  m_Items = m_Copy.m_Items;
+  m_Leases = m_Copy.m_Leases;
+  for (auto &[Id, Each] : m_Leases)
+    Each.m_Ends = Now + Each.m_TimeToLive;
+  m_Revision = m_Copy.m_Revision;
+  m_NextLease = m_Copy.m_NextLease;
+  m_History.remove_if(
+      [&](const Change &Each) { return Each.m_Revision > m_Revision; });
+  m_Lost.splice(m_Lost.end(), m_SinceCopy);
+  m_RewriteAt = Now + RewriteAfter;
+  if (m_Era)
+    ++*m_Era;
+  cutWatches();
+}
+
+void StandinStore::rewrite(TimePoint Now) {
+  if (Now < m_RewriteAt)
+    return;
+  while (!m_Lost.empty()) {
+    const OutsideWrite Next = m_Lost.front();
+    m_Lost.pop_front();
+    writeOutside(Next);
+  }
+}
+
+void StandinStore::cutWatches() {
+  for (Watch &Each : std::exchange(m_Watches, {}))
+    Each.m_Exchange->abort();
+}
+
 std::string StandinStore::value(const std::string &Key) const {
   const auto Found = m_Items.find(Key);
   return Found == m_Items.end() ? ""
@@ -42,8 +91,7 @@
 void StandinStore::forgetHistory() {
   m_History.clear();
   m_Forgotten = m_Revision;
-  for (Watch &Each : std::exchange(m_Watches, {}))
-    Each.m_Exchange->abort();
+  cutWatches();
 }
 
 void StandinStore::change(const std::string &Key, const Item *To) {
@@ -65,14 +113,21 @@
     m_Fault = Fault::None;
     return Exchange->abort();
   }
-  Exchange->reply(Status, {{"Content-Type", "application/json"}},
-                  dumpJson(Body));
+  reply(Exchange, Status, dumpJson(Body));
+}
+
+void StandinStore::reply(const HttpExchangePtr &Exchange, int Status,
+                         const std::string &Body) const {
+  HttpHeaders Headers{{"Content-Type", "application/json"}};
+  if (m_Era)
+    Headers.push_back({"Store-Era", std::to_string(*m_Era)});
+  Exchange->reply(Status, Headers, Body);
 }
 
 void StandinStore::handle(const HttpExchangePtr &Exchange) {
   ++m_Calls;
   if (m_Fault == Fault::Refuses)
-    return Exchange->reply(503, {}, "");
+    return reply(Exchange, 503, "");
   if (m_Fault == Fault::Silent) {
     m_Unanswered.push_back(Exchange);
     return;
@@ -91,7 +146,7 @@
     return keep(Exchange, Id);
   if (Path.starts_with("/v1/kv-lease-end/"))
     return endLease(Exchange, Id);
-  Exchange->reply(404, {}, "");
+  reply(Exchange, 404, "");
 }
 
 /// Pages of two items, so that every reader meets them.
@@ -142,8 +197,8 @@
 
 void StandinStore::watch(const HttpExchangePtr &Exchange) {
   const std::uint64_t After = number(Exchange->queryValue("after"));
-  if (After < m_Forgotten)
-    return Exchange->reply(410, {}, "");
+  if (After < m_Forgotten || After > m_Revision)
+    return reply(Exchange, 410, "");
   const TimePoint Now = EventLoop::now();
   m_Watches.push_back({.m_Exchange = Exchange,
                        .m_Prefix = Exchange->queryValue("pathPrefix"),
@@ -256,6 +311,7 @@
       Ended.push_back(Id);
   for (std::uint64_t Id : Ended)
     dropLease(Id);
+  rewrite(Now);
   wake(Now);
 }
 
--- a/tests/standin/StandinStore.h
+++ b/tests/standin/StandinStore.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace havenstair {
@@ -40,6 +41,15 @@
                       Rewrite) {
     m_Rewrite = std::move(Rewrite);
   }
+  /// Keeps a copy of the store as it is now.
+  void keepCopy();
+  /// Comes back from the copy in a new era. Changes since then are lost, leases
+  /// too, and their revisions are given out again. What put() and remove()
+  /// wrote since the copy is written again after \p RewriteAfter.
+  void restore(Duration RewriteAfter);
+  /// The era that answers name; an empty one is not named.
+  void setEra(std::optional<std::uint64_t> Era) { m_Era = Era; }
+  std::uint64_t revision() const { return m_Revision; }
   /// Forgets all changes so far, and ends the watches.
   void forgetHistory();
   /// One watch of \p Prefix is never answered, as when its connection is lost
@@ -75,6 +85,18 @@
     Duration m_TimeToLive = 0us;
     TimePoint m_Ends{};
   };
+  /// The parts of the store that come back from a copy.
+  struct Copy {
+    std::map<std::string, Item> m_Items;
+    std::map<std::uint64_t, Lease> m_Leases;
+    std::uint64_t m_Revision = 0;
+    std::uint64_t m_NextLease = 0;
+  };
+  /// A write of an operator or a server; without a value, a removal.
+  struct OutsideWrite {
+    std::string m_Key;
+    std::optional<std::string> m_Value;
+  };
   struct Watch {
     HttpExchangePtr m_Exchange;
     std::string m_Prefix;
@@ -82,6 +104,11 @@
     TimePoint m_Ends{};
   };
 
+  void writeOutside(const OutsideWrite &Write);
+  void rewrite(TimePoint Now);
+  void cutWatches();
+  void reply(const HttpExchangePtr &Exchange, int Status,
+             const std::string &Body) const;
   void handle(const HttpExchangePtr &Exchange);
   void range(const HttpExchangePtr &Exchange);
   void watch(const HttpExchangePtr &Exchange);
@@ -106,6 +133,11 @@
   std::map<std::string, std::size_t> m_Reads;     ///< By prefix.
   std::uint64_t m_Revision = 1;
   std::uint64_t m_NextLease = 100;
+  std::optional<std::uint64_t> m_Era = 1;
+  Copy m_Copy;
+  std::list<OutsideWrite> m_SinceCopy;
+  std::list<OutsideWrite> m_Lost; ///< To be written again.
+  TimePoint m_RewriteAt{};
   std::size_t m_Calls = 0;
   Fault m_Fault = Fault::None;
   std::function<std::string(const std::string &, const std::string &)>
