--- a/packages/decisions/process/ServingView.cpp
+++ b/packages/decisions/process/ServingView.cpp
@@ -106,10 +106,26 @@
     m_Loads.erase(Load);
 }
 
+/// Keeps what the store had acknowledged of upstreams that are leaving or have
+/// left.
+void ServingView::onStoreRestored(TimePoint Now) {
+  for (const auto &[Id, Each] : m_List.m_Instances)
+    if (Each.m_Draining)
+      m_LeavingNotices[Id] = {.m_StartTime = Each.m_StartTime, .m_Listed = Now};
+  std::map<InstanceId, UpstreamInstance> Ended;
+  for (const auto &[Id, Each] : m_Leaving)
+    if (!m_List.m_Instances.contains(Id))
+      Ended.emplace(Id, Each.m_Instance);
+  m_Reconciler.onRestored(m_List, Ended, Now);
+}
+
 std::vector<UpstreamInstance> ServingView::update(InstanceList List,
                                                   TimePoint Now) {
   if (m_Known && List.m_Revision < m_List.m_Revision)
     return {};
+  if (m_Known && List.m_Revision.m_Era > m_List.m_Revision.m_Era)
+    onStoreRestored(Now);
+  m_Reconciler.reconcile(List, Now);
   keepNewestIncarnations(List);
   markLeavingUpstreams(List, Now);
   std::vector<UpstreamInstance> Gone;
@@ -148,9 +164,25 @@
   return Gone;
 }
 
+/// An evacuation that is requested again ends like any other one later.
+void ServingView::keepEvacuations(Evacuations &Requested, TimePoint Now) {
+  const StoreRevision &Before = m_Evacuations.m_Revision;
+  if (!Before.none() && Requested.m_Revision.m_Era > Before.m_Era) {
+    m_KeptEvacuations = m_Evacuations.m_DataCentres;
+    m_EvacuationsKeptUntil = Now + m_Opts.m_KeepEvacuation;
+  }
+  if (Now >= m_EvacuationsKeptUntil)
+    m_KeptEvacuations.clear();
+  for (const DataCentreName &Each : Requested.m_DataCentres)
+    m_KeptEvacuations.erase(Each);
+  Requested.m_DataCentres.insert(m_KeptEvacuations.begin(),
+                                 m_KeptEvacuations.end());
+}
+
 bool ServingView::setEvacuations(Evacuations Requested, TimePoint Now) {
   if (Requested.m_Revision < m_Evacuations.m_Revision)
     return false;
+  keepEvacuations(Requested, Now);
   for (const DataCentreName &Each : m_Evacuations.m_DataCentres)
     if (!Requested.contains(Each))
       m_EvacuationEndedAt[Each] = Now;
--- a/packages/decisions/process/ServingView.h
+++ b/packages/decisions/process/ServingView.h
@@ -5,6 +5,7 @@
 
 #include "decisions/process/Evacuations.h"
 #include "decisions/process/IncarnationTracker.h"
+#include "decisions/process/RestoreReconciler.h"
 #include "decisions/process/UpstreamInstance.h"
 #include <functional>
 #include <map>
@@ -30,15 +31,21 @@
     Duration m_LeaderReportTtl = 4s;
     /// A load that is overdue by more is no longer expected to finish.
     Duration m_LoadOverdue = 1500ms;
+    /// How long an evacuation that a restored store lacks stays in force unless
+    /// it is requested again.
+    Duration m_KeepEvacuation = 10s;
   };
 
   ServingView() : ServingView(Options{}) {}
   explicit ServingView(Options Opts) : m_Opts(Opts) {}
 
   /// Takes over \p List unless a newer one is known; entries of incarnations
-  /// before the newest known one are ignored. \returns the previous entries of
-  /// the upstreams whose state is to be discarded everywhere: those that are no
-  /// longer listed, and those that have started again.
+  /// before the newest known one are ignored. The first list of a restored
+  /// store undoes nothing that was acknowledged before: upstreams that were
+  /// leaving leave, and RestoreReconciler decides about those that only one of
+  /// the two lists has. \returns the previous entries of the upstreams whose
+  /// state is to be discarded everywhere: those that are no longer listed, and
+  /// those that have started again.
   std::vector<UpstreamInstance> update(InstanceList List, TimePoint Now);
 
   /// Records what the leader knows of an engine. The list lags behind it, so
@@ -69,9 +76,23 @@
   /// store may have missed the change.
   void markLeaving(const UpstreamIncarnation &Upstream, TimePoint Now);
 
+  /// When update() with the same list changes the result next, after the store
+  /// was restored; empty when it does not.
+  std::optional<TimePoint> nextReconciliation(TimePoint Now) const {
+    return m_Reconciler.nextChange(Now);
+  }
+  const RestoreReconciler &reconciler() const { return m_Reconciler; }
+
   /// Takes over the evacuations that operators requested unless newer ones are
-  /// known. \returns whether the evacuated data centres changed.
+  /// known. Those that a restored store lacks stay in force for a while.
+  /// \returns whether the evacuated data centres changed.
   bool setEvacuations(Evacuations Requested, TimePoint Now);
+  /// Until when evacuations stay in force that the store lacks; empty when
+  /// there are none.
+  std::optional<TimePoint> evacuationsKeptUntil() const {
+    return m_KeptEvacuations.empty() ? std::nullopt
+                                     : std::optional(m_EvacuationsKeptUntil);
+  }
   const Evacuations &evacuations() const { return m_Evacuations; }
   /// Whether the data centre of \p Upstream is evacuated.
   bool evacuated(const UpstreamInstance &Upstream) const;
@@ -140,6 +161,8 @@
     StartTime m_StartTime = 0;
   };
 
+  void onStoreRestored(TimePoint Now);
+  void keepEvacuations(Evacuations &Requested, TimePoint Now);
   void keepNewestIncarnations(InstanceList &List);
   void markLeavingUpstreams(InstanceList &List, TimePoint Now);
   std::vector<UpstreamInstance> recordRestarts(const InstanceList &List,
@@ -153,6 +176,10 @@
   InstanceList m_List;
   Evacuations m_Evacuations;
   std::map<DataCentreName, TimePoint> m_EvacuationEndedAt;
+  /// Evacuations in force that the restored store lacks.
+  std::set<DataCentreName> m_KeptEvacuations;
+  TimePoint m_EvacuationsKeptUntil{};
+  RestoreReconciler m_Reconciler;
   bool m_Known = false;
   IncarnationTracker m_Incarnations;       ///< Newest known from any source.
   IncarnationTracker m_ListedIncarnations; ///< Newest that was listed.
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -49,6 +49,9 @@
 /// first.
 constexpr Duration IdleMargin = 10s;
 
+/// A timer may expire some milliseconds early.
+constexpr Duration ReconcileSlack = 2ms;
+
 /// Most upstreams that one log line names.
 constexpr std::size_t MaxLoggedNames = 16;
 
@@ -592,9 +595,31 @@
                                           m_State.m_DataCentres);
 }
 
+/// A box that has started since the store was restored, or learned late of a
+/// leaving before, finds it in no list.
+void Gateway::shareLeaving() {
+  if (!m_Fleet.topology().relay())
+    return;
+  const InstanceList Known = m_State.m_Upstreams.list();
+  for (const auto &[Id, Each] : Known.m_Instances)
+    if (Each.m_Draining)
+      m_Signals->recordLeaving(Each.incarnation());
+}
+
+void Gateway::reconcileLater() {
+  const TimePoint Now = EventLoop::now();
+  if (const auto At = m_State.m_Upstreams.nextReconciliation(Now))
+    m_ReconcileTimer = m_Loop.after(*At - Now + ReconcileSlack,
+                                    [this] { upstreamsChanged(); });
+}
+
 void Gateway::upstreamsChanged() {
+  const StoreRevision Before = m_State.m_Upstreams.list().m_Revision;
+  if (!Before.none() && m_UpstreamCache.revision().m_Era > Before.m_Era)
+    shareLeaving();
   const std::vector<UpstreamInstance> Gone =
       m_State.m_Upstreams.update(readUpstreams(), EventLoop::now());
+  reconcileLater();
   Json Names = Json::array();
   for (const UpstreamInstance &Each : Gone) {
     m_State.forget(Each.m_Id);
@@ -615,6 +640,8 @@
                {"listed", m_Registry.size()},
                {"known", m_State.m_Upstreams.list().m_Instances.size()},
                {"tell_birth", m_State.m_Upstreams.countWithStartTime()},
+               {"kept", m_State.m_Upstreams.reconciler().keptCount()},
+               {"held_back", m_State.m_Upstreams.reconciler().heldBackCount()},
                {"gone", std::move(Names)},
                {"all_gone", Gone.size()}});
   m_Exchange.upstreamsChanged();
@@ -636,6 +663,10 @@
         Key.substr(m_Binding.m_EvacuationPrefix.size()));
   applyEvacuations(std::move(Asked));
   m_Exchange.evacuationsChanged();
+  const TimePoint Now = EventLoop::now();
+  if (const auto Until = m_State.m_Upstreams.evacuationsKeptUntil())
+    m_EvacuationTimer = m_Loop.after(*Until - Now + ReconcileSlack,
+                                     [this] { evacuationsChanged(); });
 }
 
 void Gateway::applyEvacuations(Evacuations Asked) {
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -88,6 +88,8 @@
   void offerConfig(const StoreItem &Item);
   void keepConfig();
   void onConfigTaken();
+  void shareLeaving();
+  void reconcileLater();
   void logConfigRead(const WatchCache::ReadOutcome &End);
   StoreEraTracker::Hooks eraHooks();
   void onEraChanged(const StoreEraTracker::Change &Learned);
@@ -142,6 +144,10 @@
   std::unique_ptr<HttpServer> m_Readiness;
   std::unique_ptr<HttpServer> m_MetricsServer;
   Timer m_ReloadTimer;
+  /// Ends what is kept against the list, and the evacuations, of a restored
+  /// store.
+  Timer m_ReconcileTimer;
+  Timer m_EvacuationTimer;
   Timer m_StopTimer;
   TimePoint m_StartedAt = EventLoop::now();
   TimePoint m_StopAt{};
--- a/tests/decisions/process/ServingViewTest.cpp
+++ b/tests/decisions/process/ServingViewTest.cpp
@@ -353,3 +353,98 @@
   View.update(list(1, {engine("a"), engine("b")}), at(2s));
   REQUIRE(names(View, at(2s)) == Names{"b"});
 }
+
+TEST_CASE("What was acknowledged of upstreams before a restore holds on",
+          "[view][store-restore]") {
+  const auto Restored = [](const std::vector<UpstreamInstance> &All,
+                           std::uint64_t Number = 1) {
+    InstanceList Result = list(Number, All);
+    Result.m_Revision.m_Era = FirstEra + 1;
+    return Result;
+  };
+  ServingView View;
+  View.update(list(8, {engine("a"), engine("b"), engine("leaving", true)}),
+              at(1s));
+  SECTION("a list of the era before is older, whatever its revision") {
+    View.update(Restored({engine("a")}), at(2s));
+    View.update(list(9, {engine("a"), engine("z")}), at(2s));
+    REQUIRE_FALSE(View.list().m_Instances.contains("z"));
+  }
+  SECTION("one that was leaving leaves, though the copy says otherwise") {
+    View.update(Restored({engine("a"), engine("b"), engine("leaving")}),
+                at(2s));
+    REQUIRE(names(View, at(2s)) == Names{"a", "b"});
+    View.update(Restored({engine("a"), engine("b"), engine("leaving")}, 30),
+                at(100s));
+    REQUIRE(names(View, at(100s)) == Names{"a", "b"});
+  }
+  SECTION("one that the copy lacks is used until it should have come back") {
+    View.update(Restored({engine("a")}), at(2s));
+    REQUIRE(names(View, at(2s)) == Names{"a", "b"});
+    REQUIRE(View.nextReconciliation(at(2s)) == at(5s));
+    View.update(Restored({engine("a")}), at(5s));
+    REQUIRE(names(View, at(6s)) == Names{"a"});
+    REQUIRE_FALSE(View.nextReconciliation(at(5s)));
+  }
+  SECTION("one that is listed again may leave for good at once") {
+    View.update(Restored({engine("a")}), at(2s));
+    View.update(Restored({engine("a"), engine("b")}, 2), at(3s));
+    View.update(Restored({engine("a")}, 3), at(3s));
+    REQUIRE(names(View, at(4s)) == Names{"a"});
+  }
+  SECTION("one that had left is not used") {
+    View.update(list(9, {engine("a")}), at(2s));
+    View.update(Restored({engine("a"), engine("b")}), at(3s));
+    REQUIRE(names(View, at(3s)) == Names{"a"});
+    SECTION("until it writes its entry again") {
+      UpstreamInstance Written = engine("b");
+      Written.m_Slots = 7;
+      View.update(Restored({engine("a"), Written}, 2), at(4s));
+      REQUIRE(names(View, at(4s)) == Names{"a", "b"});
+    }
+    SECTION("until it starts again") {
+      View.update(Restored({engine("a"), startedAt(engine("b"), 7)}, 2),
+                  at(4s));
+      REQUIRE(names(View, at(4s)) == Names{"a", "b"});
+    }
+    SECTION("until the store would have dropped an upstream that has ended") {
+      View.update(Restored({engine("a"), engine("b")}), at(13s));
+      REQUIRE(names(View, at(13s)) == Names{"a", "b"});
+    }
+  }
+  SECTION("also through a second restore within the recovery of the first") {
+    View.update(Restored({engine("a")}), at(2s));
+    InstanceList Second = Restored({engine("a")});
+    ++Second.m_Revision.m_Era;
+    View.update(Second, at(4s));
+    View.update(Second, at(6s));
+    REQUIRE(names(View, at(6s)) == Names{"a", "b"});
+  }
+}
+
+TEST_CASE(
+    "An evacuation that a restored store lacks stays in force for a while",
+    "[view][evacuation][store-restore]") {
+  const DataCentreName Here("x");
+  const auto Restored = [](std::uint64_t Number,
+                           std::set<DataCentreName> DataCentres) {
+    Evacuations Result = evacuations(Number, std::move(DataCentres));
+    Result.m_Revision.m_Era = FirstEra + 1;
+    return Result;
+  };
+  ServingView View;
+  View.setEvacuations(evacuations(9, {Here}), at(1s));
+  View.setEvacuations(Restored(3, {}), at(2s));
+  REQUIRE(View.evacuations().contains(Here));
+  REQUIRE(View.evacuationsKeptUntil() == at(12s));
+  SECTION("and ends when operators do not request it again") {
+    View.setEvacuations(Restored(3, {}), at(12s));
+    REQUIRE_FALSE(View.evacuations().contains(Here));
+    REQUIRE_FALSE(View.evacuationsKeptUntil());
+  }
+  SECTION("and ends like any other once it was requested again") {
+    View.setEvacuations(Restored(4, {Here}), at(3s));
+    View.setEvacuations(Restored(5, {}), at(4s));
+    REQUIRE_FALSE(View.evacuations().contains(Here));
+  }
+}
--- a/tests/gateway/StoreRestoreTest.cpp
+++ b/tests/gateway/StoreRestoreTest.cpp
@@ -62,6 +62,12 @@
     });
   }
 
+  bool allKnowEra(StoreEra Era) const {
+    return allBoxes([&](const Gateway &Box) {
+      return Box.state().m_Upstreams.list().m_Revision.m_Era == Era;
+    });
+  }
+
   /// Raises the store's revision far above that of the copy, and waits until
   /// all boxes know the result.
   void changeMuch() {
@@ -72,6 +78,7 @@
     wait(SettlingTime);
   }
 
+  static constexpr Duration Never = 3600s;
   /// Time in which lists reach all boxes of a fleet.
   static constexpr Duration SettlingTime = 1s;
 
@@ -103,3 +110,32 @@
   Test.list("i-1", "draining");
   REQUIRE(Test.until([&] { return Test.allKnowDraining("i-1"); }));
 }
+
+TEST_CASE("What the store acknowledged before a restore holds, though the copy "
+          "lacks it",
+          "[gateway][store-restore]") {
+  StoreRestoreTest Test(
+      GENERATE(std::size_t{1}, std::size_t{3}, std::size_t{20}));
+  Test.m_Store.keepCopy();
+  Test.configure(2);
+  Test.list("i-1", "draining");
+  REQUIRE(Test.until(
+      [&] { return Test.allServe(2) && Test.allKnowDraining("i-1"); }));
+  Test.m_Store.restore(StoreRestoreTest::Never);
+  REQUIRE(Test.until([&] { return Test.allKnowEra(2); }));
+  REQUIRE(Test.allServe(2));
+  REQUIRE(Test.allKnowDraining("i-1"));
+  SECTION("until it is written again") {
+    Test.listStarted("i-1", 7);
+    Test.configure(3);
+    REQUIRE(Test.until(
+        [&] { return Test.allServe(3) && !Test.allKnowDraining("i-1"); }));
+  }
+  SECTION("and a box that starts meanwhile learns it from the others") {
+    if (Test.m_Boxes.size() == 1)
+      return;
+    Test.addBox();
+    REQUIRE(Test.until(
+        [&] { return Test.allServe(2) && Test.allKnowDraining("i-1"); }));
+  }
+}
