Leases, entries and the leader's key through a restore of the store

What callers would see: after a restore that lost leases, a box renews an id that may belong to another box, its entry and the leader's key are missing or name an earlier leader, tokens fall, and links to boxes that the copy lacks are closed; orders stop until the lease of 20 s ends. By reading and test.

Change: on a new era LeasedKey drops the lease's id without ending it, acquires a new lease and claims again; the keys count as held until the old lease's end. Entries are written again spread over 5 ms for each box (two writes each). The fencing token orders by era first (bare number in the first era); the key of the era says in which one the leader's key was written, so that a key that came back with the copy makes no old leader new. The leader goes on while a majority confirms it, and claims the key again only then: an earlier leader that the copy names, and that no majority confirms, gives no orders. Terms, not tokens, tell whether an answer is late. Boxes that the copy lacks count as listed for the spread and a lease; releases of operators hold for 10 s; quarantines that the store lacks are written again by the leader as before.

Evidence: StoreRestoreTest with copies that hold nothing of the boxes, one and two restores, 1, 3 and 20 boxes: the same leader throughout, all keys back; at most 20 calls a box.

--- a/packages/decisions/process/LeaseKeeper.cpp
+++ b/packages/decisions/process/LeaseKeeper.cpp
@@ -36,8 +36,12 @@
   m_NextCall = Now;
 }
 
-bool LeaseKeeper::held(TimePoint Now) const {
-  return !m_LeaseId.empty() && Now < m_HeldUntil;
+void LeaseKeeper::onStoreRestored(TimePoint RetryAt) {
+  m_CallInFlight = false;
+  m_LeaseId.clear();
+  m_NextCall = RetryAt;
 }
 
+bool LeaseKeeper::held(TimePoint Now) const { return Now < m_HeldUntil; }
+
 } // namespace havenstair
--- a/packages/decisions/process/LeaseKeeper.h
+++ b/packages/decisions/process/LeaseKeeper.h
@@ -45,6 +45,11 @@
   /// once.
   void onLost(TimePoint Now);
 
+  /// The platform's service may have lost the lease, or given its id to another
+  /// holder: a new one is due at \p RetryAt. The current one counts as held
+  /// until its end.
+  void onStoreRestored(TimePoint RetryAt);
+
   /// Changes the interval from the next renewal on.
   void setRenewEvery(Duration Every) { m_Opts.m_RenewEvery = Every; }
 
--- a/packages/gateway/process/CrashExchange.cpp
+++ b/packages/gateway/process/CrashExchange.cpp
@@ -248,9 +248,10 @@
 }
 
 void CrashExchange::entriesChanged(
-    const std::map<std::string, StoreItem> &Items) {
+    const std::map<std::string, StoreItem> &Items, const StoreRevision &At) {
   const TimePoint Now = EventLoop::now();
-  QuarantineStore::Changes Changes = m_Quarantine.entriesChanged(Items);
+  QuarantineStore::Changes Changes =
+      m_Quarantine.entriesChanged(Items, At, Now);
   m_Tracker.setReleased(std::move(Changes.m_Released));
   for (auto &[Request, Quarantine] : Changes.m_Added) {
     // The age of the quarantine is unknown: the boxes that knew it may all have
--- a/packages/gateway/process/CrashExchange.h
+++ b/packages/gateway/process/CrashExchange.h
@@ -56,7 +56,8 @@
   void onListChanged() { m_Detector.onListChanged(EventLoop::now()); }
   /// Called when the store's keys have changed. \p Items are all keys
   /// under the gateway's prefix.
-  void entriesChanged(const std::map<std::string, StoreItem> &Items);
+  void entriesChanged(const std::map<std::string, StoreItem> &Items,
+                      const StoreRevision &At);
   /// Sends all quarantines to \p Box, which has just been linked and may know
   /// none.
   void linkUp(const BoxName &Box);
--- a/packages/gateway/process/Fleet.cpp
+++ b/packages/gateway/process/Fleet.cpp
@@ -22,6 +22,9 @@
 /// it in some milliseconds, a leaf's in a tenth of a second.
 constexpr std::size_t SlowFromBytes = std::size_t{256} << 10;
 
+/// Each box makes two writes when the store was restored.
+constexpr Duration RestoreSpreadPerBox = 5ms;
+
 constexpr const char *BoxKeys = "box/";
 
 std::optional<PeerAddress> addressOf(const BoxName &Box, const Json &Value) {
@@ -119,6 +122,18 @@
     m_Hooks.m_StoreBack();
 }
 
+/// All boxes write their entries again, within the rate of writes that the
+/// store allows all of them together.
+Duration Fleet::restoreSpread() const {
+  return RestoreSpreadPerBox * static_cast<Duration::rep>(size());
+}
+
+void Fleet::onStoreRestored(TimePoint Now) {
+  const auto Most = static_cast<double>(restoreSpread().count());
+  m_Entry.onStoreRestored(
+      Now, Duration(static_cast<Duration::rep>(m_Opts.m_Random() * Most)));
+}
+
 Duration Fleet::renewEvery() const {
   return m_Topology.flat() ? m_Opts.m_RenewEvery : m_Opts.m_LargeRenewEvery;
 }
@@ -140,7 +155,8 @@
   return Result;
 }
 
-void Fleet::readEntries(const std::map<std::string, StoreItem> &Items) {
+std::map<BoxName, Fleet::ListedBox>
+Fleet::readEntries(const std::map<std::string, StoreItem> &Items) const {
   const std::string Start = m_Opts.m_Prefix + BoxKeys;
   std::map<BoxName, ListedBox> Listed;
   for (const auto &[Key, Item] : Items) {
@@ -154,11 +170,28 @@
   }
   std::erase_if(Listed,
                 [](const auto &Each) { return !Each.second.m_Address; });
-  m_Listed = std::move(Listed);
+  return Listed;
+}
+
+void Fleet::keepMissing(std::map<BoxName, ListedBox> &Listed, TimePoint Now) {
+  if (Now >= m_KeptUntil)
+    return m_Kept.clear();
+  // A box that is listed again may leave for good later.
+  std::erase_if(m_Kept,
+                [&](const auto &Each) { return Listed.contains(Each.first); });
+  Listed.insert(m_Kept.begin(), m_Kept.end());
 }
 
-void Fleet::entriesChanged(const std::map<std::string, StoreItem> &Items) {
-  readEntries(Items);
+void Fleet::entriesChanged(const std::map<std::string, StoreItem> &Items,
+                           const StoreRevision &At, TimePoint Now) {
+  std::map<BoxName, ListedBox> Listed = readEntries(Items);
+  if (!m_ListedAt.none() && At.m_Era > m_ListedAt.m_Era) {
+    m_Kept = m_Listed;
+    m_KeptUntil = Now + restoreSpread() + m_Opts.m_Lease;
+  }
+  m_ListedAt = At;
+  keepMissing(Listed, Now);
+  m_Listed = std::move(Listed);
   std::vector<FleetMember> Members;
   for (const auto &[Box, Each] : m_Listed)
     Members.push_back({.m_Box = Box,
--- a/packages/gateway/process/Fleet.h
+++ b/packages/gateway/process/Fleet.h
@@ -59,8 +59,18 @@
   Fleet(const Fleet &) = delete;
   Fleet &operator=(const Fleet &) = delete;
 
-  /// The store's keys have changed; \p Items are all keys under the prefix.
-  void entriesChanged(const std::map<std::string, StoreItem> &Items);
+  /// The store's keys have changed; \p Items are all keys under the prefix, as
+  /// of \p At. Boxes that a restored store lacks count as listed until their
+  /// entries should have been written again.
+  void entriesChanged(const std::map<std::string, StoreItem> &Items,
+                      const StoreRevision &At, TimePoint Now);
+  /// The store came back from a copy: writes this box's entry again.
+  void onStoreRestored(TimePoint Now);
+  /// Until when boxes count as listed that the store lacks; empty when there
+  /// are none.
+  std::optional<TimePoint> entriesKeptUntil() const {
+    return m_Kept.empty() ? std::nullopt : std::optional(m_KeptUntil);
+  }
   /// Sends \p Frame to \p To; does nothing when that box is not linked.
   void send(const BoxName &To, const PeerFrame &Frame);
   void send(const BoxName &To, const EncodedFrame &Frame);
@@ -121,10 +131,20 @@
   void leave();
 
 private:
+  /// The entry of a box, decoded once for each of its revisions.
+  struct ListedBox {
+    StoreRevision m_Revision;
+    std::optional<PeerAddress> m_Address; ///< None when the entry is invalid.
+    double m_Capacity = 1;
+  };
+
   void tick();
   void storeAnswered(bool Reached);
   StoreTransaction entry(LeaseId Lease) const;
-  void readEntries(const std::map<std::string, StoreItem> &Items);
+  std::map<BoxName, ListedBox>
+  readEntries(const std::map<std::string, StoreItem> &Items) const;
+  void keepMissing(std::map<BoxName, ListedBox> &Listed, TimePoint Now);
+  Duration restoreSpread() const;
   Duration renewEvery() const;
   void link();
   PeerMesh::Options meshOptions() const;
@@ -136,15 +156,13 @@
   LeasedKey m_Entry;
   PeerMesh m_Mesh;
   FleetTopology m_Topology;
-  /// The entry of a box, decoded once for each of its revisions.
-  struct ListedBox {
-    StoreRevision m_Revision;
-    std::optional<PeerAddress> m_Address; ///< None when the entry is invalid.
-    double m_Capacity = 1;
-  };
   ListedBox decode(const BoxName &Box, const StoreItem &Item) const;
 
   std::map<BoxName, ListedBox> m_Listed;
+  StoreRevision m_ListedAt; ///< As of which m_Listed is known.
+  /// Listed boxes that the restored store lacks.
+  std::map<BoxName, ListedBox> m_Kept;
+  TimePoint m_KeptUntil{};
   std::set<BoxName> m_Wanted; ///< Boxes to which links are kept.
   std::set<BoxName> m_Linked;
   std::uint64_t m_Skipped = 0;
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -157,6 +157,7 @@
                  m_Metrics.recordOrder(Operation, Answer);
                },
            .m_KeysReadAt = [this] { return m_OwnKeysCache.confirmedAt(); },
+           .m_Era = [this] { return m_Eras.current(); },
            .m_Random = [this] { return drawUnit(m_Random); }}),
       m_Exchange(
           Loop,
@@ -272,8 +273,12 @@
                             {"before", Learned.m_Before},
                             {"restored", Learned.m_Restored},
                             {"by", Learned.m_By.str()}});
-  if (Learned.m_Restored)
-    resync();
+  if (!Learned.m_Restored)
+    return;
+  const TimePoint Now = EventLoop::now();
+  m_Fleet.onStoreRestored(Now);
+  m_Leader.onStoreRestored(Now);
+  resync();
 }
 
 Fleet::Hooks Gateway::fleetHooks() {
@@ -326,13 +331,18 @@
 }
 
 void Gateway::ownKeysChanged() {
-  m_Fleet.entriesChanged(m_OwnKeysCache.items());
-  m_Leader.entriesChanged(m_OwnKeysCache.items());
+  const TimePoint Now = EventLoop::now();
+  const StoreRevision &At = m_OwnKeysCache.revision();
+  m_Fleet.entriesChanged(m_OwnKeysCache.items(), At, Now);
+  if (const auto Until = m_Fleet.entriesKeptUntil())
+    m_OwnKeysTimer = m_Loop.after(*Until - Now + ReconcileSlack,
+                                  [this] { ownKeysChanged(); });
+  m_Leader.entriesChanged(m_OwnKeysCache.items(), At);
   m_Exchange.boxesChanged();
   m_Quotas->boxesChanged();
-  m_Crashes->entriesChanged(m_OwnKeysCache.items());
+  m_Crashes->entriesChanged(m_OwnKeysCache.items(), At);
   m_Permits->refreshRole();
-  const bool Starting = EventLoop::now() - m_StartedAt < StartupWindow;
+  const bool Starting = Now - m_StartedAt < StartupWindow;
   m_OwnKeysCache.setCoalesceDelay(m_Fleet.topology().flat() || Starting
                                       ? BoxCoalesceDelay
                                       : LargeFleetBoxCoalesceDelay);
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -148,6 +148,7 @@
   /// store.
   Timer m_ReconcileTimer;
   Timer m_EvacuationTimer;
+  Timer m_OwnKeysTimer;
   Timer m_StopTimer;
   TimePoint m_StartedAt = EventLoop::now();
   TimePoint m_StopAt{};
--- a/packages/gateway/process/LeaderElection.cpp
+++ b/packages/gateway/process/LeaderElection.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/common/DecisionLog.h"
 #include "wire/common/EventLoop.h"
+#include "wire/common/Json.h"
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -29,6 +30,13 @@
 
 constexpr const char *LeaderKey = "giver";
 constexpr const char *TermKey = "giver-term";
+/// Names the era in which the leader's key was written, and the leader, as the
+/// key of an earlier era may come back with a copy. Not written in the first.
+constexpr const char *EraKey = "giver-era";
+
+std::string eraValue(StoreEra Era, const std::string &Process) {
+  return dumpJson({{"era", Era}, {"by", Process}});
+}
 
 } // namespace
 
@@ -42,15 +50,37 @@
              .m_Lost = [this] { lost(); },
              .m_Answered = [](bool) {}}) {}
 
+/// The era in which \p Process wrote the leader's key. Builds that know no eras
+/// leave the value of another leader.
+StoreEra
+LeaderElection::writtenIn(const std::map<std::string, StoreItem> &Items,
+                          const std::string &Process) const {
+  const auto Entry = Items.find(m_Opts.m_Prefix + EraKey);
+  if (Entry == Items.end())
+    return FirstEra;
+  try {
+    const Json Value = parseJson(Entry->second.m_Value);
+    if (field<std::string>(Value, "by") == Process)
+      return field<StoreEra>(Value, "era");
+  } catch (const DecodeError &Error) {
+    m_Log.write("bad_giver_era", {{"why", Error.what()}});
+  }
+  return FirstEra;
+}
+
 void LeaderElection::entriesChanged(
-    const std::map<std::string, StoreItem> &Items) {
-  m_EntriesKnown = true;
+    const std::map<std::string, StoreItem> &Items, const StoreRevision &At) {
+  m_EntriesAt = At;
   const auto Key = Items.find(m_Opts.m_Prefix + LeaderKey);
   m_KeyRevision = Key == Items.end() ? StoreRevision() : Key->second.m_Revision;
-  if (Key != Items.end())
-    m_View.observeTerm({.m_Token = orderingNumber(m_KeyRevision),
-                        .m_Box = BoxName(Key->second.m_Value)},
-                       EventLoop::now());
+  if (Key != Items.end()) {
+    const std::string &Process = Key->second.m_Value;
+    const StoreRevision Written{.m_Era = writtenIn(Items, Process),
+                                .m_Number = m_KeyRevision.m_Number};
+    m_View.observeTerm(
+        {.m_Token = orderingNumber(Written), .m_Box = BoxName(Process)},
+        EventLoop::now());
+  }
   const auto Term = Items.find(m_Opts.m_Prefix + TermKey);
   m_TermRevision =
       Term == Items.end() ? StoreRevision() : Term->second.m_Revision;
@@ -77,10 +107,23 @@
     m_Key.tick(Now);
 }
 
+bool LeaderElection::knowsEntries() const {
+  return !m_EntriesAt.none() && m_EntriesAt.m_Era == m_Hooks.m_Era();
+}
+
+bool LeaderElection::keyReadLately(TimePoint Now) const {
+  return knowsEntries() && m_ClaimedEra == m_EntriesAt.m_Era &&
+         Now - m_Hooks.m_KeysReadAt() <= MaxKeyAge;
+}
+
 bool LeaderElection::confirmed(TimePoint Now) const {
   return m_Leading && m_Key.held(Now) &&
-         (Now - m_Hooks.m_KeysReadAt() <= MaxKeyAge ||
-          m_View.confirmedByMajority(Now));
+         (keyReadLately(Now) || m_View.confirmedByMajority(Now));
+}
+
+/// Whether this box, which led when the store was restored, still does.
+bool LeaderElection::mayReclaim(TimePoint Now) const {
+  return knowsEntries() && m_View.confirmedByMajority(Now);
 }
 
 void LeaderElection::stopIfReplaced() {
@@ -90,7 +133,7 @@
 
 /// Whether this box and a majority know of no active leader.
 bool LeaderElection::mayClaim(TimePoint Now) const {
-  return m_EntriesKnown && m_Eligible && m_Hooks.m_Prepared() &&
+  return knowsEntries() && m_Eligible && m_Hooks.m_Prepared() &&
          m_View.majorityReachable(Now) && !m_View.leaderActive(Now);
 }
 
@@ -114,23 +157,35 @@
 }
 
 std::optional<StoreTransaction> LeaderElection::claim(LeaseId Lease) const {
-  if (!mayClaim(EventLoop::now()))
+  const TimePoint Now = EventLoop::now();
+  if (m_Leading ? !mayReclaim(Now) : !mayClaim(Now))
     return std::nullopt;
   const std::string Key = m_Opts.m_Prefix + LeaderKey;
   const std::string Term = m_Opts.m_Prefix + TermKey;
-  return StoreTransaction{
+  StoreTransaction Result{
       .m_Conditions = {{.m_Key = Key, .m_Revision = m_KeyRevision},
                        {.m_Key = Term, .m_Revision = m_TermRevision}},
       .m_Puts = {{.m_Key = Key, .m_Value = m_Opts.m_Process, .m_Lease = Lease},
                  {.m_Key = Term, .m_Value = m_Opts.m_Machine}},
       .m_Removals = {}};
+  const StoreEra Era = m_EntriesAt.m_Era;
+  if (Era != FirstEra)
+    Result.m_Puts.push_back({.m_Key = m_Opts.m_Prefix + EraKey,
+                             .m_Value = eraValue(Era, m_Opts.m_Process)});
+  return Result;
 }
 
 void LeaderElection::claimed(StoreRevision Revision) {
-  m_Leading = true;
+  const bool Again = std::exchange(m_Leading, true);
+  m_ClaimedEra = Revision.m_Era;
   m_Token = orderingNumber(Revision);
   m_View.observeTerm({.m_Token = m_Token, .m_Box = BoxName(m_Opts.m_Process)},
                      EventLoop::now());
+  if (Again) {
+    m_Log.write("giver_kept", {{"token", m_Token}, {"era", m_ClaimedEra}});
+    return;
+  }
+  ++m_Term;
   m_Hooks.m_Elected({.m_Machine = m_TermMachine,
                      .m_None = m_TermRevision.none(),
                      .m_SameMachine = m_TermMachine == m_Opts.m_Machine});
--- a/packages/gateway/process/LeaderElection.h
+++ b/packages/gateway/process/LeaderElection.h
@@ -7,6 +7,7 @@
 #include "decisions/process/LeaderView.h"
 #include "gateway/process/LeasedKey.h"
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -17,9 +18,9 @@
 
 class DecisionLog;
 
-/// Holds the leader's key under a lease; the key's revision is the fencing
-/// token. Claims the key when this box receives digests of a majority of the
-/// voters and none of an active leader.
+/// Holds the leader's key under a lease; the key's revision and era make the
+/// fencing token. Claims the key when this box receives digests of a majority
+/// of the voters and none of an active leader.
 class LeaderElection {
 public:
   struct Options {
@@ -47,6 +48,8 @@
     std::function<bool()> m_Prepared;
     /// Returns as of when the store's keys, the leader's among them, are known.
     std::function<TimePoint()> m_KeysReadAt;
+    /// Returns the newest era of the store that is known.
+    std::function<StoreEra()> m_Era;
     std::function<double()> m_Random; ///< Returns a random number from 0 to 1.
   };
 
@@ -55,8 +58,14 @@
   LeaderElection(const LeaderElection &) = delete;
   LeaderElection &operator=(const LeaderElection &) = delete;
 
-  /// The store's keys have changed; \p Items are all keys under the prefix.
-  void entriesChanged(const std::map<std::string, StoreItem> &Items);
+  /// The store's keys have changed; \p Items are all keys under the prefix, as
+  /// of \p At.
+  void entriesChanged(const std::map<std::string, StoreItem> &Items,
+                      const StoreRevision &At);
+  /// The store came back from a copy. The copy may name an earlier leader, so
+  /// that only a majority can confirm this box until it has claimed the key
+  /// again.
+  void onStoreRestored(TimePoint Now) { m_Key.onStoreRestored(Now, 0us); }
   /// Records which leader \p From knows, and whether \p From leads itself, by a
   /// report that was sent no earlier than \p SaidAfter.
   void recordPeerView(const BoxName &From, const LeaderTerm &Leader,
@@ -78,16 +87,24 @@
   /// Whether this box holds the key, as far as it knows.
   bool leading() const { return m_Leading; }
   /// Fencing token of this box's last term as the leader; 0 before the first.
+  /// It rises within a term when the key is claimed again.
   FencingToken token() const { return m_Token; }
+  /// Counts this box's terms as the leader.
+  std::uint64_t term() const { return m_Term; }
   /// Whether an order may be sent now: the lease has not expired, and either
   /// the key was read lately or a majority confirms this box as the leader.
   bool confirmed(TimePoint Now) const;
 
 private:
+  StoreEra writtenIn(const std::map<std::string, StoreItem> &Items,
+                     const std::string &Process) const;
   std::optional<StoreTransaction> claim(LeaseId Lease) const;
   void claimed(StoreRevision Revision);
   void lost();
   bool mayClaim(TimePoint Now) const;
+  bool mayReclaim(TimePoint Now) const;
+  bool knowsEntries() const;
+  bool keyReadLately(TimePoint Now) const;
   bool claimDue(TimePoint Now);
   void stopIfReplaced();
   void noticePause(TimePoint Now);
@@ -97,7 +114,7 @@
   Hooks m_Hooks;
   LeaderView m_View;
   LeasedKey m_Key;
-  bool m_EntriesKnown = false;
+  StoreRevision m_EntriesAt; ///< As of which the store's keys are known.
   bool m_Eligible = true;
   std::ptrdiff_t m_Voters = 0; ///< Number of other boxes that may claim.
   StoreRevision m_KeyRevision; ///< None when nobody holds the key.
@@ -109,7 +126,9 @@
   /// When this box claims the key; none while it may not.
   std::optional<TimePoint> m_ClaimFrom;
   bool m_Leading = false;
+  StoreEra m_ClaimedEra = FirstEra; ///< Era in which the key was claimed.
   FencingToken m_Token = 0;
+  std::uint64_t m_Term = 0;
 };
 
 } // namespace havenstair
--- a/packages/gateway/process/LeasedKey.cpp
+++ b/packages/gateway/process/LeasedKey.cpp
@@ -41,14 +41,28 @@
   m_Hooks.m_Answered(reached(Status));
 }
 
+void LeasedKey::onStoreRestored(TimePoint Now, Duration Delay) {
+  ++m_Generation;
+  m_Lease = 0;
+  m_Claiming = false;
+  if (m_Claimed && !m_ReclaimBy)
+    m_ReclaimBy = m_Keeper.heldUntil();
+  m_Keeper.onStoreRestored(Now + Delay);
+}
+
 void LeasedKey::onLost() {
+  m_ReclaimBy.reset();
   if (std::exchange(m_Claimed, false))
     m_Hooks.m_Lost();
 }
 
 void LeasedKey::tick(TimePoint Now) {
+  if (m_ReclaimBy && Now >= *m_ReclaimBy)
+    return release();
   if (m_Claimed && !m_Keeper.held(Now))
     onLost();
+  if (m_ReclaimBy && m_Lease != 0)
+    claim(Now);
   const std::optional<LeaseAction> Action = m_Keeper.tick(Now);
   if (!Action)
     return;
@@ -103,6 +117,7 @@
                      onAnswer(Status);
                      if (Status == StoreStatus::Ok) {
                        m_Claimed = true;
+                       m_ReclaimBy.reset();
                        return m_Hooks.m_Claimed(Revision);
                      }
                      // Another box has the key, or a write whose answer was
--- a/packages/gateway/process/LeasedKey.h
+++ b/packages/gateway/process/LeasedKey.h
@@ -49,6 +49,10 @@
   bool held(TimePoint Now) const;
   /// Ends the lease, which removes the keys, and starts over after a backoff.
   void release();
+  /// The store came back from a copy, in which the lease may be missing or
+  /// belong to another box: acquires a new one after \p Delay and claims the
+  /// keys again. They count as written until the old lease would have ended.
+  void onStoreRestored(TimePoint Now, Duration Delay);
   /// Takes effect with the next renewal.
   void setRenewEvery(Duration Every);
   /// Backoff while the store does not answer.
@@ -72,6 +76,9 @@
   LeaseId m_Lease = 0;
   bool m_Claimed = false;
   bool m_Claiming = false;
+  /// When the keys have to be claimed again at the latest; empty when they need
+  /// not be.
+  std::optional<TimePoint> m_ReclaimBy;
   /// Answers to calls of an earlier generation are dropped.
   std::uint64_t m_Generation = 0;
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
--- a/packages/gateway/process/OrderLeader.cpp
+++ b/packages/gateway/process/OrderLeader.cpp
@@ -83,6 +83,7 @@
                   .m_Lost = [this] { onDeposed(); },
                   .m_Prepared = [this] { return m_State.hasRequiredState(); },
                   .m_KeysReadAt = m_Hooks.m_KeysReadAt,
+                  .m_Era = m_Hooks.m_Era,
                   .m_Random = m_Hooks.m_Random}),
       m_ShortageLog(Log) {
   tickLater();
@@ -329,9 +330,9 @@
   Engine.m_ReportPending = true;
   Engine.m_NextReport = Now + ReportInterval;
   m_Control.report(Entry->second,
-                   [this, Id, Token = m_Election.token(),
+                   [this, Id, Term = m_Election.term(),
                     Now](const std::optional<ResidencyReport> &Report) {
-                     if (leading() && Token == m_Election.token())
+                     if (leading() && Term == m_Election.term())
                        onReport(Id, Report, Now);
                    });
 }
@@ -472,9 +473,9 @@
                 To.m_Task ? reasonName(To.m_Task->m_Move.m_Reason) : "adapter"},
                {"gain", To.m_Task ? To.m_Task->m_Move.m_Gain : 0}});
   m_Control.order(Entry->second, Order, Stamp,
-                  [this, Id, Order, Source, Token = m_Election.token(),
+                  [this, Id, Order, Source, Term = m_Election.term(),
                    Started = To.m_StartTime](OrderAnswer Answer) {
-                    if (leading() && Token == m_Election.token())
+                    if (leading() && Term == m_Election.term())
                       onOrderAnswered({.m_Id = Id, .m_StartTime = Started},
                                       Order, Source, Answer);
                   });
--- a/packages/gateway/process/OrderLeader.h
+++ b/packages/gateway/process/OrderLeader.h
@@ -49,6 +49,8 @@
         m_OrderAnswered;
     /// Returns as of when the store's keys, the leader's among them, are known.
     std::function<TimePoint()> m_KeysReadAt;
+    /// Returns the newest era of the store that is known.
+    std::function<StoreEra()> m_Era;
     std::function<double()> m_Random; ///< Returns a random number from 0 to 1.
   };
 
@@ -59,10 +61,14 @@
   OrderLeader(const OrderLeader &) = delete;
   OrderLeader &operator=(const OrderLeader &) = delete;
 
-  /// The store's keys have changed; \p Items are all keys under the prefix.
-  void entriesChanged(const std::map<std::string, StoreItem> &Items) {
-    m_Election.entriesChanged(Items);
+  /// The store's keys have changed; \p Items are all keys under the prefix, as
+  /// of \p At.
+  void entriesChanged(const std::map<std::string, StoreItem> &Items,
+                      const StoreRevision &At) {
+    m_Election.entriesChanged(Items, At);
   }
+  /// The store came back from a copy; see LeaderElection.
+  void onStoreRestored(TimePoint Now) { m_Election.onStoreRestored(Now); }
   /// The list of upstreams has changed.
   void upstreamsChanged();
   /// Data centres are evacuated, or returned to service at \p Now.
--- a/packages/gateway/process/QuarantineStore.cpp
+++ b/packages/gateway/process/QuarantineStore.cpp
@@ -12,6 +12,10 @@
 constexpr const char *QuarantineKeys = "barred/";
 constexpr const char *ReleasedKeys = "let-through/";
 
+/// How long a release that a restored store lacks holds unless it is written
+/// again.
+constexpr Duration KeepReleases = 10s;
+
 /// Keys that one transaction changes: half of what the store accepts in one.
 constexpr std::size_t MaxKeysPerTransaction = 16;
 
@@ -26,7 +30,8 @@
 }
 
 QuarantineStore::Changes
-QuarantineStore::entriesChanged(const std::map<std::string, StoreItem> &Items) {
+QuarantineStore::entriesChanged(const std::map<std::string, StoreItem> &Items,
+                                const StoreRevision &At, TimePoint Now) {
   m_HasRead = true;
   const std::set<RequestDigest> Before = std::exchange(m_Stored, {});
   const std::string QuarantinePrefix = m_Prefix + QuarantineKeys;
@@ -51,9 +56,25 @@
       m_Log.write("bad_bar", {{"key", Key}, {"why", Error.what()}});
     }
   }
+  keepReleases(Result.m_Released, At, Now);
   return Result;
 }
 
+void QuarantineStore::keepReleases(std::set<RequestDigest> &Released,
+                                   const StoreRevision &At, TimePoint Now) {
+  if (!m_ReadAt.none() && At.m_Era > m_ReadAt.m_Era) {
+    m_KeptReleases = m_Released;
+    m_ReleasesKeptUntil = Now + KeepReleases;
+  }
+  m_ReadAt = At;
+  if (Now >= m_ReleasesKeptUntil)
+    m_KeptReleases.clear();
+  for (const RequestDigest &Each : Released)
+    m_KeptReleases.erase(Each);
+  Released.insert(m_KeptReleases.begin(), m_KeptReleases.end());
+  m_Released = Released;
+}
+
 void QuarantineStore::reconcile(const Entries &Wanted, TimePoint Now) {
   if (m_InFlight || !m_HasRead)
     return;
--- a/packages/gateway/process/QuarantineStore.h
+++ b/packages/gateway/process/QuarantineStore.h
@@ -37,14 +37,18 @@
     std::set<RequestDigest> m_Released;
   };
   /// Reads the store's keys, of which \p Items are all under the gateway's
-  /// prefix.
-  Changes entriesChanged(const std::map<std::string, StoreItem> &Items);
+  /// prefix, as of \p At. Releases that a restored store lacks hold until
+  /// operators should have written them again.
+  Changes entriesChanged(const std::map<std::string, StoreItem> &Items,
+                         const StoreRevision &At, TimePoint Now);
   /// Brings the store's keys closer to \p Wanted by one transaction of limited
   /// size. Does nothing before the keys have been read or while a transaction
   /// is in flight.
   void reconcile(const Entries &Wanted, TimePoint Now);
 
 private:
+  void keepReleases(std::set<RequestDigest> &Released, const StoreRevision &At,
+                    TimePoint Now);
   void put(LeaseId Lease, const Entries &Missing);
   void remove(const std::vector<RequestDigest> &Surplus);
   void transact(const StoreTransaction &Transaction);
@@ -53,8 +57,13 @@
   CoordinationStore &m_Store;
   DecisionLog &m_Log;
   std::string m_Prefix;
-  std::set<RequestDigest> m_Stored; ///< Requests whose keys are in the store.
-  bool m_HasRead = false;           ///< The keys have been read.
+  std::set<RequestDigest> m_Stored;   ///< Requests whose keys are in the store.
+  std::set<RequestDigest> m_Released; ///< Requests with a key that releases.
+  /// Releases that the restored store lacks.
+  std::set<RequestDigest> m_KeptReleases;
+  TimePoint m_ReleasesKeptUntil{};
+  StoreRevision m_ReadAt;
+  bool m_HasRead = false; ///< The keys have been read.
   bool m_InFlight = false;
   /// Expires with this object, so that later callbacks can tell.
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
--- a/packages/gateway/process/WatchCache.cpp
+++ b/packages/gateway/process/WatchCache.cpp
@@ -152,9 +152,9 @@
   // The revision rises even when no key has changed: otherwise two boxes that
   // read at different times would each consider the other one outdated and keep
   // reading.
-  const bool First = std::exchange(m_Revision, Result.m_At).none();
+  const StoreEra EraBefore = std::exchange(m_Revision, Result.m_At).m_Era;
   m_Part = false;
-  if (!First && Items == m_Items)
+  if (EraBefore == m_Revision.m_Era && Items == m_Items)
     return false;
   m_Items = std::move(Items);
   ++m_Changes;
--- a/tests/gateway/StoreRestoreTest.cpp
+++ b/tests/gateway/StoreRestoreTest.cpp
@@ -14,7 +14,11 @@
   /// More changes than any test makes after a restore.
   static constexpr int ManyChanges = 400;
 
-  explicit StoreRestoreTest(std::size_t Boxes) {
+  /// What the copy has of the fleet.
+  enum class Copied { Everything, NothingOfBoxes };
+
+  explicit StoreRestoreTest(std::size_t Boxes,
+                            Copied Kept = Copied::Everything) {
     addRunner("i-1", [](const Request &Received, const ConnectionPtr &To) {
       To->write(StandinRunner::answer(Received, 200, "body"));
     });
@@ -22,6 +26,8 @@
       To->write(StandinRunner::answer(Received, 200, "body"));
     });
     configure(1);
+    if (Kept == Copied::NothingOfBoxes)
+      m_Store.keepCopy();
     for (std::size_t Number = 0; Number < Boxes; ++Number)
       addBox();
     REQUIRE(until([&] {
@@ -62,6 +68,12 @@
     });
   }
 
+  /// Whether the entries of all boxes and the leader's key are in the store.
+  bool allWritten() const {
+    return m_Store.count("havenstair/box/") == m_Boxes.size() &&
+           m_Store.has("havenstair/giver");
+  }
+
   bool allKnowEra(StoreEra Era) const {
     return allBoxes([&](const Gateway &Box) {
       return Box.state().m_Upstreams.list().m_Revision.m_Era == Era;
@@ -139,3 +151,44 @@
         [&] { return Test.allServe(2) && Test.allKnowDraining("i-1"); }));
   }
 }
+
+TEST_CASE("The leader goes on through a restore that loses all leases, and all "
+          "boxes are in the store again",
+          "[gateway][store-restore]") {
+  StoreRestoreTest Test(
+      GENERATE(std::size_t{1}, std::size_t{3}, std::size_t{20}),
+      StoreRestoreTest::Copied::NothingOfBoxes);
+  const auto Leader =
+      std::find_if(Test.m_Boxes.begin(), Test.m_Boxes.end(),
+                   [](const auto &Box) { return Box->leading(); });
+  const std::string Before = Test.m_Store.value("havenstair/giver");
+  const int Restores = GENERATE(1, 2);
+  bool OthersLed = false;
+  for (int Count = 0; Count < Restores; ++Count) {
+    Test.m_Store.restore(200ms);
+    REQUIRE_FALSE(Test.allWritten());
+    REQUIRE(Test.until([&] {
+      OthersLed = OthersLed || Test.leaders() != 1 || !(*Leader)->leading();
+      return Test.allWritten();
+    }));
+  }
+  REQUIRE_FALSE(OthersLed);
+  REQUIRE(Test.m_Store.value("havenstair/giver") == Before);
+  REQUIRE(parseJson(Test.m_Store.value("havenstair/giver-era")).at("era") ==
+          1 + Restores);
+  REQUIRE(Test.allBoxes([&](const Gateway &Box) {
+    return Box.peers() > 0 || Test.m_Boxes.size() == 1;
+  }));
+}
+
+TEST_CASE("A restore costs each box a few calls", "[gateway][store-restore]") {
+  constexpr std::size_t Boxes = 20;
+  constexpr std::size_t CallsPerBox = 20;
+  StoreRestoreTest Test(Boxes);
+  Test.m_Store.keepCopy();
+  Test.changeMuch();
+  const std::size_t Before = Test.m_Store.calls();
+  Test.m_Store.restore(StoreRestoreTest::Never);
+  REQUIRE(Test.until([&] { return Test.allKnowEra(2); }));
+  REQUIRE(Test.m_Store.calls() - Before < CallsPerBox * Boxes);
+}
--- a/tests/standin/StandinStore.cpp
+++ b/tests/standin/StandinStore.cpp
@@ -88,6 +88,13 @@
                                 : platform::decodeBase64(Found->second.m_Value);
 }
 
+std::size_t StandinStore::count(const std::string &Prefix) const {
+  return static_cast<std::size_t>(
+      std::count_if(m_Items.begin(), m_Items.end(), [&](const auto &Each) {
+        return Each.first.starts_with(Prefix);
+      }));
+}
+
 void StandinStore::forgetHistory() {
   m_History.clear();
   m_Forgotten = m_Revision;
--- a/tests/standin/StandinStore.h
+++ b/tests/standin/StandinStore.h
@@ -34,6 +34,8 @@
   /// The value of a key; empty without it.
   std::string value(const std::string &Key) const;
   bool has(const std::string &Key) const { return m_Items.contains(Key); }
+  /// Number of keys that begin with \p Prefix.
+  std::size_t count(const std::string &Prefix) const;
   void setFault(Fault Now) { m_Fault = Now; }
   /// What boxes write is kept as \p Rewrite, given key and value, returns it.
   void setRewrite(std::function<std::string(const std::string &Key,
