Soak: a store that comes back from copies of itself (--restores)

The store keeps a copy, goes silent when the copy is 20 ms to 5 s old, and comes back from it after 50 ms to 3 s; operators and servers write again 50 ms to 1.5 s later. Two may overlap.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -44,6 +44,8 @@
 
 void FaultInjector::strike(const ScheduledFault &Fault) {
   SoakBox &Box = pick(m_On.m_Boxes, Fault.m_Target);
+  if (Fault.m_Kind == SoakFault::RestoreStore)
+    return restoreStore(Fault);
   if (Fault.m_Kind >= SoakFault::NameLimit)
     return strikeWords(Fault, pick(m_On.m_Engines, Fault.m_Target));
   if (Fault.m_Kind <= SoakFault::HangUpBox)
@@ -180,6 +182,26 @@
   later(Fault.m_For + BackWithin, [&Engine] { Engine.publish(); });
 }
 
+/// Keeps a copy now; the store goes away when the copy has its age, and comes
+/// back from it. Operators and servers write again soon after.
+void FaultInjector::restoreStore(const ScheduledFault &Fault) {
+  constexpr std::array<Duration, 5> CopyAges{20ms, 200ms, 1s, 2500ms, 5s};
+  constexpr std::array<Duration, 3> RewriteDelays{50ms, 500ms, 1500ms};
+  const auto Target = static_cast<std::size_t>(Fault.m_Target);
+  const Duration RewriteAfter = RewriteDelays.at(Target % RewriteDelays.size());
+  m_On.m_Store.keepCopy();
+  later(CopyAges.at(Target / RewriteDelays.size() % CopyAges.size()),
+        [this, For = Fault.m_For, RewriteAfter] {
+          ++m_Silent;
+          applyStoreFault();
+          trouble(Disturbances::Store, For, [this, RewriteAfter] {
+            m_On.m_Store.restore(RewriteAfter);
+            --m_Silent;
+            applyStoreFault();
+          });
+        });
+}
+
 void FaultInjector::strikeEngine(const ScheduledFault &Fault,
                                  SoakEngine &Engine) {
   switch (Fault.m_Kind) {
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -38,6 +38,7 @@
   void strikeStoreLink(const ScheduledFault &Fault, SoakBox &Box);
   void strikePeerLink(const ScheduledFault &Fault, SoakBox &Box);
   void strikeStore(const ScheduledFault &Fault);
+  void restoreStore(const ScheduledFault &Fault);
   void strikeEngine(const ScheduledFault &Fault, SoakEngine &Engine);
   void strikeWords(const ScheduledFault &Fault, SoakEngine &Engine);
   void strikeEngineLink(const ScheduledFault &Fault, SoakEngine &Engine);
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -68,6 +68,8 @@
   Result.m_Boxes = Opts.m_Boxes.value_or(Result.m_Boxes);
   if (Opts.m_Words)
     addWords(Result, Opts.m_Seed, Opts.m_Length);
+  if (Opts.m_Restores)
+    addRestores(Result, Opts.m_Seed, Opts.m_Length);
   return Result;
 }
 
@@ -155,6 +157,8 @@
 
 void SoakRun::mutate() {
   m_Config.setMoreRoutes(m_Opts.m_MoreRoutes);
+  if (m_Opts.m_Mutation == Mutation::HideEra)
+    m_Store.setEra(std::nullopt);
   m_Config.setWithholding(m_Opts.m_Mutation == Mutation::WithholdConfig);
   for (const auto &Each : m_Engines) {
     Each->setWithholding(m_Opts.m_Mutation == Mutation::WithholdLeaving);
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -25,7 +25,8 @@
     SpoilAnswer,
     WithholdConfig,
     WithholdLeaving,
-    SilenceWords
+    SilenceWords,
+    HideEra
   };
 
   struct Options {
@@ -36,8 +37,9 @@
     int m_MoreRoutes = 0;       ///< In each configuration, for its size.
     std::optional<int> m_Boxes; ///< In place of the plan's number.
     int m_Crashing = 0;         ///< Requests that end engines.
-    bool m_Words = false;  ///< Servers say something of themselves, addWords().
-    std::string m_Program; ///< The daemon.
+    bool m_Words = false; ///< Servers say something of themselves, addWords().
+    bool m_Restores = false; ///< The store comes back from copies of itself.
+    std::string m_Program;   ///< The daemon.
     /// An earlier daemon: boxes start with it, are replaced one after the
     /// other, and back again. Empty for none.
     std::string m_Previous;
--- a/tests/soak/SoakSchedule.cpp
+++ b/tests/soak/SoakSchedule.cpp
@@ -68,7 +68,13 @@
     {SoakFault::AskRetryAfter, "ask-retry-after", 1000, 5000},
 }};
 
+/// How long the store is away.
+constexpr FaultKind RestoreKind{SoakFault::RestoreStore, "restore-store", 50,
+                                3000};
+
 const FaultKind &kindOf(SoakFault Of) {
+  if (Of == SoakFault::RestoreStore)
+    return RestoreKind;
   const auto Is = [Of](const FaultKind &Each) { return Each.m_Kind == Of; };
   const auto *const Word = std::find_if(WordKinds.begin(), WordKinds.end(), Is);
   if (Word != WordKinds.end())
@@ -194,4 +200,12 @@
   sortByTime(Plan.m_Faults);
 }
 
+void addRestores(SoakPlan &Plan, std::uint64_t Seed, Duration Length) {
+  Drawing Draw(Seed);
+  for (Duration At = 2s; At < Length;
+       At += std::chrono::milliseconds(Draw(1500, 12000)))
+    Plan.m_Faults.push_back(Draw.fault(At, SoakFault::RestoreStore));
+  sortByTime(Plan.m_Faults);
+}
+
 } // namespace havenstair
--- a/tests/soak/SoakSchedule.h
+++ b/tests/soak/SoakSchedule.h
@@ -53,9 +53,11 @@
   SilenceAllLinks,      ///< Both.
   TurnAwayBoxes,        ///< All boxes but one are refused at the store.
   // Of addWords() alone.
-  NameLimit,    ///< A server names a limit in its answers.
-  SayLeaving,   ///< One says that it leaves, and the store does not hear of it.
-  AskRetryAfter ///< One turns requests away and names a time.
+  NameLimit,  ///< A server names a limit in its answers.
+  SayLeaving, ///< One says that it leaves, and the store does not hear of it.
+  AskRetryAfter, ///< One turns requests away and names a time.
+  // Of addRestores() alone.
+  RestoreStore ///< The store is away and comes back from a copy of itself.
 };
 
 const char *toString(SoakFault Of);
@@ -97,6 +99,10 @@
 /// beside its other faults.
 void addWords(SoakPlan &Plan, std::uint64_t Seed, Duration Length);
 
+/// Adds restores of the store to \p Plan, beside its other faults; some follow
+/// each other within the recovery of the first.
+void addRestores(SoakPlan &Plan, std::uint64_t Seed, Duration Length);
+
 } // namespace havenstair
 
 #endif
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -29,6 +29,8 @@
   --boxes N         Boxes, from 1 to 60, in place of the seed's number.
   --words           Servers besides that name limits, say that they leave or
                     name a time to retry after in their answers.
+  --restores        Besides, the store is away for a moment and comes back from
+                    a copy of itself, some seconds old.
   --config          Harm the ways on which boxes learn of configurations, in
                     place of the seed's usual plan.
   --again MS        With --config: each harm once more after MS [default: 0].
@@ -40,7 +42,8 @@
                     removed when no promise was broken.
   --plan            Show the plan and end.
   --mutate NAME     Harm the soak's own parts: double-unsafe, spoil-answer,
-                    withhold-config, withhold-leaving or silence-words.
+                    withhold-config, withhold-leaving, silence-words or
+                    hide-era.
   --untimed         Tell broken bounds in time, but end with 0 all the same.
 
 Ends with 0 when all promises were kept, 1 when one was broken, 2 when the soak
@@ -62,7 +65,8 @@
       {"spoil-answer", Mutation::SpoilAnswer},
       {"withhold-config", Mutation::WithholdConfig},
       {"withhold-leaving", Mutation::WithholdLeaving},
-      {"silence-words", Mutation::SilenceWords}};
+      {"silence-words", Mutation::SilenceWords},
+      {"hide-era", Mutation::HideEra}};
   if (const auto Found = Known.find(Name); Found != Known.end())
     return Found->second;
   throw std::runtime_error("no mutation is called " + Name);
@@ -154,6 +158,7 @@
   const docopt::value &Mutate = Flags["--mutate"];
   Opts.m_Mutation = mutation(Mutate.isString() ? Mutate.asString() : "");
   Opts.m_Words = Flags["--words"].asBool();
+  Opts.m_Restores = Flags["--restores"].asBool();
   Opts.m_ConfigPlan = Flags["--config"].asBool();
   Opts.m_Again = std::chrono::milliseconds(Flags["--again"].asLong());
   Opts.m_MoreRoutes = static_cast<int>(Flags["--routes"].asLong());
