tests: eras in watch caches, leases and frames

Reads, changes and copies across eras; reads below the copy pause; a lease is acquired anew; frames of the first era are as before, an older box's lists count as of it. The frames' generator drew requests of lists by position, which braces around a revision's two parts changed: it names the fields now (two properties failed by that, and hold since).

--- a/tests/decisions/process/LeaseKeeperTest.cpp
+++ b/tests/decisions/process/LeaseKeeperTest.cpp
@@ -70,3 +70,19 @@
     RC_ASSERT(Violations == 0U);
   });
 }
+
+TEST_CASE("A lease that a restored platform may have lost is acquired anew, "
+          "and counts as held until its end",
+          "[lease][store-restore]") {
+  LeaseKeeper Keeper = makeKeeper();
+  REQUIRE(Keeper.tick(at(0us)).has_value());
+  Keeper.onGranted("s", at(0us));
+  Keeper.onStoreRestored(at(40ms));
+  REQUIRE(Keeper.leaseId().empty());
+  REQUIRE_FALSE(Keeper.tick(at(39ms)).has_value());
+  const auto Next = Keeper.tick(at(40ms));
+  REQUIRE(Next.has_value());
+  REQUIRE(std::holds_alternative<CreateLease>(*Next));
+  REQUIRE(Keeper.held(at(94ms)));
+  REQUIRE_FALSE(Keeper.held(at(95ms)));
+}
--- a/tests/gateway/WatchCacheTest.cpp
+++ b/tests/gateway/WatchCacheTest.cpp
@@ -209,3 +209,69 @@
     REQUIRE_FALSE(Cache.partial());
   }
 }
+
+TEST_CASE("A copy follows the store into a new era, and never back",
+          "[gateway][mirror][store-restore]") {
+  EventLoop Loop;
+  ManualStore Store;
+  WatchCache Cache(Loop, Store,
+                   {.m_Prefix = "p",
+                    .m_Retry = {.m_First = 100ms,
+                                .m_Cap = 1s,
+                                .m_Random = [] { return 1.0; }}},
+                   {.m_Changed = [] {}});
+  const auto Answer = [&](StoreRevision At, const std::string &Key) {
+    Store.m_Reads.back()({.m_Status = StoreStatus::Ok,
+                          .m_Items = {{.m_Key = Key, .m_Value = "1"}},
+                          .m_At = At});
+  };
+  Cache.start();
+  Answer(revision(90), "p/a");
+  SECTION("a read at a lower number of a later era replaces it") {
+    Cache.resync();
+    Answer(revision(5, 2), "p/b");
+    REQUIRE(Cache.revision() == revision(5, 2));
+    REQUIRE(Cache.items().contains("p/b"));
+    REQUIRE_FALSE(Cache.items().contains("p/a"));
+    REQUIRE(Store.m_WatchRevisions.back() == revision(5, 2));
+  }
+  SECTION("other boxes are sent all of it, not the difference of two eras") {
+    Cache.takeChanges();
+    Cache.resync();
+    Answer(revision(5, 2), "p/b");
+    const WatchCache::Delta Changes = Cache.takeChanges();
+    REQUIRE(Changes.m_Since.none());
+    REQUIRE(Changes.m_Items.size() == 1);
+  }
+  SECTION("changes that continue another era are not merged") {
+    REQUIRE_FALSE(Cache.adopt({.m_Since = revision(80),
+                               .m_Revision = revision(100, 2),
+                               .m_Items = {{.m_Key = "p/b"}}}));
+    REQUIRE(Cache.adopt({.m_Since = {},
+                         .m_Revision = revision(4, 2),
+                         .m_Items = {{.m_Key = "p/b"}}}));
+    REQUIRE(Cache.adopt({.m_Since = {},
+                         .m_Revision = revision(300),
+                         .m_Items = {{.m_Key = "p/z"}}}));
+    REQUIRE(Cache.revision() == revision(4, 2));
+    REQUIRE_FALSE(Cache.items().contains("p/z"));
+  }
+  SECTION(
+      "reads that end below the copy, and watches that are refused, pause") {
+    const std::size_t Before = Store.m_Reads.size();
+    Cache.resync();
+    Answer(revision(5), "p/b");
+    REQUIRE(Cache.revision() == revision(90));
+    const auto Refused = std::exchange(Store.m_Watch, {});
+    Refused({.m_Status = StoreStatus::HistoryGone});
+    REQUIRE(Store.m_Reads.size() == Before + 1);
+    REQUIRE(
+        Loop.runUntil([&] { return Store.m_Reads.size() == Before + 2; }, 20s));
+  }
+  SECTION("a value that is kept is what other boxes are sent") {
+    const std::uint64_t Changes = Cache.changes();
+    Cache.keep({.m_Key = "p/a", .m_Value = "kept"});
+    REQUIRE(Cache.changes() > Changes);
+    REQUIRE(Cache.snapshot().m_Items.front().m_Value == "kept");
+  }
+}
--- a/tests/wire/PeerFramesTest.cpp
+++ b/tests/wire/PeerFramesTest.cpp
@@ -213,7 +213,10 @@
           LimitAnswerFrame{Attempt, *rc::gen::arbitrary<bool>()},
           LimitUpdateFrame{groupName(2), *drawn(0, 9)},
           drawnFleetDigest(),
-          FleetWantFrame{Attempt, Attempt / 2, Attempt / 3},
+          FleetWantFrame{.m_Config = Attempt,
+                         .m_List = drawnRevision(),
+                         .m_Boxes = drawnRevision(),
+                         .m_Evacuations = drawnRevision()},
           drawnKeys(),
           drawnContents(),
           FleetMissingFrame{{{"s", "m", "a"}, {"s", "m", ""}}},
@@ -382,7 +385,26 @@
       REQUIRE_THROWS_AS(decodeFrame(encodeFrame(Bad)), DecodeError);
   }
   SECTION("a small one is not") {
-    const EncodedFrame Small{PeerFrame(FleetWantFrame{1, 2, 3, 4})};
+    const EncodedFrame Small{
+        PeerFrame(FleetWantFrame{.m_Config = 1, .m_List = revision(2)})};
     REQUIRE(Small.bytesFor(PackingProtocol) == Small.bytesFor(FirstProtocol));
   }
 }
+
+TEST_CASE("Frames of the first era are what boxes that know no eras read",
+          "[frames][store-restore]") {
+  FleetDigestFrame Digest;
+  Digest.m_List = revision(7);
+  REQUIRE_FALSE(toJson(Digest).contains("list_era"));
+  REQUIRE_FALSE(toJson(Digest).contains("era"));
+  Digest.m_List = revision(7, 2);
+  REQUIRE(toJson(Digest).at("list") == 7);
+  REQUIRE(toJson(Digest).at("list_era") == 2);
+  // An older box names no era: its lists are of the first one.
+  Json Older = toJson(Digest);
+  Older.erase("list_era");
+  FleetDigestFrame Read;
+  fromJson(Older, Read);
+  REQUIRE(Read.m_List == revision(7));
+  REQUIRE(Read.m_Era == FirstEra);
+}
