Stand-in store: after a restore everyone writes again what holds, once

Cause: the stand-in replayed each write since the copy, and dropped the later ones of a key as soon as it had written the first again, so that an operator's older value came back for good. Now the newest write of each key is written again; the soak's copies are up to 9 s old.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -185,7 +185,7 @@
 /// Keeps a copy now; the store goes away when the copy has its age, and comes
 /// back from it. Operators and servers write again soon after.
 void FaultInjector::restoreStore(const ScheduledFault &Fault) {
-  constexpr std::array<Duration, 5> CopyAges{20ms, 200ms, 1s, 2500ms, 5s};
+  constexpr std::array<Duration, 5> CopyAges{20ms, 200ms, 1s, 4s, 9s};
   constexpr std::array<Duration, 3> RewriteDelays{50ms, 500ms, 1500ms};
   const auto Target = static_cast<std::size_t>(Fault.m_Target);
   const Duration RewriteAfter = RewriteDelays.at(Target % RewriteDelays.size());
--- a/tests/standin/StandinStore.cpp
+++ b/tests/standin/StandinStore.cpp
@@ -60,7 +60,12 @@
   m_NextLease = m_Copy.m_NextLease;
   m_History.remove_if(
       [&](const Change &Each) { return Each.m_Revision > m_Revision; });
-  m_Lost.splice(m_Lost.end(), m_SinceCopy);
+  // Everyone writes again what holds now, not each step to it.
+  for (const OutsideWrite &Each : std::exchange(m_SinceCopy, {})) {
+    m_Lost.remove_if(
+        [&](const OutsideWrite &Other) { return Other.m_Key == Each.m_Key; });
+    m_Lost.push_back(Each);
+  }
   m_RewriteAt = Now + RewriteAfter;
   if (m_Era)
     ++*m_Era;
