--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -37,6 +37,14 @@
 /// Weight of the maximum number of output tokens: most answers are shorter.
 constexpr double OutputTokenWeight = 0.5;
 
+/// What tells where an answer with \p Headers ends, for the log.
+std::string_view framingName(const HttpHeaders &Headers) {
+  if (!findHeader(Headers, "Transfer-Encoding").empty())
+    return "chunks";
+  return findHeader(Headers, "Content-Length").empty() ? "connection"
+                                                       : "length";
+}
+
 } // namespace
 
 ProxiedRequest::ProxiedRequest(Forwarder &Owner, HttpExchangePtr Exchange,
@@ -650,6 +658,8 @@
                          {"foreign", m_Send->m_ForeignAnswer},
                          {"after_ms", (Now - m_Send->m_At) / 1ms},
                          {"passed", m_BytesPassed},
+                         {"framing", framingName(m_Send->m_Headers)},
+                         {"rest_bytes", m_Events.rest().size()},
                          {"step", stepName(Step)}});
   carryOut(Step);
 }
@@ -767,6 +777,8 @@
        {"gap_target_ms", m_Route.m_GapTarget / 1ms},
        {"first_ms", First / 1ms},
        {"gap_ms", m_LongestGap / 1ms},
+       {"framing", m_Send ? framingName(m_Send->m_Headers) : ""},
+       {"rest_bytes", m_Events.rest().size()},
        {"whole_ms", waited(Now) / 1ms}});
   m_Owner.m_Hooks.m_Ended({.m_Route = m_Route.m_Name,
                            .m_Organisation = m_Organisation,
