An answer that only its connection ends claims no more to its caller

Cause: the HTTP client reported an answer without a length or chunks as complete when its connection was closed in order, nobody above asked how it was framed, and it went on as chunks with a last one, or with a length.

HttpEnd gets Closed: whether the answer is whole, only its content can tell. To callers such an answer goes on without a length or chunks too, and its connection is closed; until its end the socket resets on close, so that neither a cut, a slow caller nor the end of the process makes it look whole (evhttp would send a FIN first). A stream that has gone out in chunks is not ended by a connection alone, and one without any event is taken for broken. HTTP/1.0 callers get the same framing: evhttp gave those that keep connections a length of 0 for a stream.

Found beside it in evhttp, each with a test: without a length and with 'Connection: keep-alive' the body counted as empty; two lengths, a length beside chunks and unknown codings were read in one of the two ways; 103 counted as final.

--- a/packages/gateway/process/CrashDetector.cpp
+++ b/packages/gateway/process/CrashDetector.cpp
@@ -78,7 +78,7 @@
       !Facts.m_Instance.empty() && Facts.m_Instance != Upstream.m_Id;
   if (Refused || OtherInstance || m_View.superseded(Upstream))
     return markEnded(Upstream);
-  const bool Answered = Answer.m_End == HttpEnd::Complete;
+  const bool Answered = Answer.received();
   Found->second.m_State = Answered ? State::Alive : State::Silent;
   m_Hooks.m_NotEnded(Upstream, Facts, ProbedAt);
 }
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -37,12 +37,16 @@
 /// Weight of the maximum number of output tokens: most answers are shorter.
 constexpr double OutputTokenWeight = 0.5;
 
-/// What tells where an answer with \p Headers ends, for the log.
-std::string_view framingName(const HttpHeaders &Headers) {
-  if (!findHeader(Headers, "Transfer-Encoding").empty())
+std::string_view framingName(AnswerFraming Framing) {
+  switch (Framing) {
+  case AnswerFraming::Length:
+    return "length";
+  case AnswerFraming::Chunks:
     return "chunks";
-  return findHeader(Headers, "Content-Length").empty() ? "connection"
-                                                       : "length";
+  case AnswerFraming::Connection:
+    return "connection";
+  }
+  return "";
 }
 
 } // namespace
@@ -398,8 +402,7 @@
                                .m_LastEvent = m_LastEvent};
   HttpCall Call;
   Call.m_To = Endpoint::parse(To.m_Address).value_or(Endpoint{});
-  Call.m_Method =
-      parseHttpMethod(m_Exchange->method()).value_or(HttpMethod::Get);
+  Call.m_Method = method();
   Call.m_Target = m_Exchange->target();
   Call.m_Headers = m_Owner.m_Dialect.m_Forward(m_FromCaller, Fields);
   Call.m_Body = m_Exchange->body();
@@ -491,6 +494,7 @@
   const AnswerFacts Facts = m_Owner.m_Dialect.m_ReadAnswer(Status, Headers);
   m_Send->m_Status = Status;
   m_Send->m_Headers = Headers;
+  m_Send->m_Framing = framingOf(method(), Status, Headers);
   m_Send->m_NotRun = Facts.m_NotRun;
   m_Permit.reportCold(Facts, m_Send->m_Instance, m_Send->m_At);
   m_Send->m_ForeignAnswer =
@@ -536,8 +540,7 @@
   noteStarted(Now);
   if (!m_BytesPassed) {
     m_BytesPassed = true;
-    m_Exchange->startStream(m_Send->m_Status,
-                            withoutConnectionFields(m_Send->m_Headers));
+    startStream();
   }
   if (m_LastPassedAt)
     m_LongestGap = std::max(m_LongestGap, Now - *m_LastPassedAt);
@@ -550,6 +553,17 @@
       std::max(MinIdleTimeout, IdleGapMultiple * m_Route.m_GapTarget));
 }
 
+/// The caller's answer is framed as the upstream's: it must not claim to be
+/// whole where only the end of a connection says so.
+void ProxiedRequest::startStream() {
+  m_CallerFraming = m_Send->m_Framing == AnswerFraming::Connection
+                        ? AnswerFraming::Connection
+                        : AnswerFraming::Chunks;
+  m_Exchange->startStream(m_Send->m_Status,
+                          withoutConnectionFields(m_Send->m_Headers),
+                          m_CallerFraming);
+}
+
 void ProxiedRequest::onEnd(HttpEnd End) {
   if (m_Done || !m_Send)
     return;
@@ -567,16 +581,24 @@
     return SendOutcome::Rejected;
   if (End == HttpEnd::NotWritten)
     return SendOutcome::NotSent;
-  if (End == HttpEnd::Broken || streamBrokeOff())
+  if (End == HttpEnd::Broken || streamBrokeOff(End))
     return SendOutcome::Broken;
   return m_Send->m_Status >= 500 ? SendOutcome::ServerError
                                  : SendOutcome::Answered;
 }
 
-/// \returns whether a stream that has ended breaks off, whatever its framing
-/// says: within an event.
-bool ProxiedRequest::streamBrokeOff() const {
-  return streaming() && m_Send->m_Status == 200 && m_Events.insideEvent();
+/// \returns whether a stream that has ended with \p End has been broken off: an
+/// event is incomplete, or nothing but the end of its connection says that it
+/// is whole, and it has no event or its caller would be told more.
+bool ProxiedRequest::streamBrokeOff(HttpEnd End) const {
+  if (!streaming() || m_Send->m_Status != 200)
+    return false;
+  if (m_Events.insideEvent() || End != HttpEnd::Closed)
+    return m_Events.insideEvent();
+  const bool ClaimsMore =
+      m_BytesPassed && m_CallerFraming == AnswerFraming::Chunks;
+  const bool Empty = !m_Events.anyEvent() && !m_Send->m_Resumed;
+  return ClaimsMore || Empty;
 }
 
 void ProxiedRequest::noteOutcome(SendOutcome Outcome, TimePoint Now) {
@@ -665,7 +687,7 @@
                          {"foreign", m_Send->m_ForeignAnswer},
                          {"after_ms", (Now - m_Send->m_At) / 1ms},
                          {"passed", m_BytesPassed},
-                         {"framing", framingName(m_Send->m_Headers)},
+                         {"framing", framingName(m_Send->m_Framing)},
                          {"rest_bytes", m_Events.rest().size()},
                          {"step", stepName(Step)}});
   carryOut(Step);
@@ -691,8 +713,7 @@
 void ProxiedRequest::passAnswer() {
   if (streaming() && m_Send->m_Status == 200) {
     if (!m_BytesPassed)
-      m_Exchange->startStream(m_Send->m_Status,
-                              withoutConnectionFields(m_Send->m_Headers));
+      startStream();
     m_Exchange->endStream();
     return end("ok");
   }
@@ -702,7 +723,8 @@
     return fail(ErrorKind::UpstreamFailed);
   const bool Success = m_Send->m_Status < 500;
   m_Exchange->reply(m_Send->m_Status,
-                    withoutConnectionFields(m_Send->m_Headers), m_Send->m_Body);
+                    withoutConnectionFields(m_Send->m_Headers), m_Send->m_Body,
+                    m_Send->m_Framing);
   end(Success ? "ok" : "upstream_error");
 }
 
@@ -784,7 +806,7 @@
        {"gap_target_ms", m_Route.m_GapTarget / 1ms},
        {"first_ms", First / 1ms},
        {"gap_ms", m_LongestGap / 1ms},
-       {"framing", m_Send ? framingName(m_Send->m_Headers) : ""},
+       {"framing", m_Send ? framingName(m_Send->m_Framing) : ""},
        {"rest_bytes", m_Events.rest().size()},
        {"whole_ms", waited(Now) / 1ms}});
   m_Owner.m_Hooks.m_Ended({.m_Route = m_Route.m_Name,
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -55,6 +55,7 @@
     bool m_Resumed = false;       ///< Only the rest of a stream was requested.
     int m_Status = 0;
     HttpHeaders m_Headers;
+    AnswerFraming m_Framing = AnswerFraming::Length;
     std::string m_Body;
   };
 
@@ -95,10 +96,11 @@
   void onBytes(std::string_view Bytes);
   void onEnd(HttpEnd End);
   void noteStarted(TimePoint Now);
+  void startStream();
   void passEvents(const std::string &Events);
 
   SendOutcome classify(HttpEnd End) const;
-  bool streamBrokeOff() const;
+  bool streamBrokeOff(HttpEnd End) const;
   void settle(SendOutcome Outcome);
   void noteOutcome(SendOutcome Outcome, TimePoint Now);
   void releaseLoad();
@@ -119,6 +121,9 @@
   void end(std::string_view Outcome);
 
   bool streaming() const { return m_Route.m_Kind == RouteKind::Stream; }
+  HttpMethod method() const {
+    return parseHttpMethod(m_Exchange->method()).value_or(HttpMethod::Get);
+  }
   Duration waited(TimePoint Now) const { return Now - m_Arrived; }
 
   Forwarder &m_Owner;
@@ -152,6 +157,8 @@
   ChoiceDetails m_Choice;
   Duration m_RefusalRetryAfter = 0us; ///< Retry time in the refusal.
   EventSplitter m_Events;
+  /// Framing of the stream that the caller gets; of use once bytes were passed.
+  AnswerFraming m_CallerFraming = AnswerFraming::Chunks;
   HttpCallHandle m_Call;
   Timer m_DeadlineTimer;
   Timer m_WaitTimer;
--- a/packages/havenstaird/process/UpstreamOwner.cpp
+++ b/packages/havenstaird/process/UpstreamOwner.cpp
@@ -221,7 +221,7 @@
 }
 
 void UpstreamOwner::onEnd(const CallPtr &Item, HttpEnd End) {
-  if (End != HttpEnd::Complete)
+  if (End != HttpEnd::Complete && End != HttpEnd::Closed)
     return finish(Item, whyEnded(*Item, End));
   if (Item->m_Refused)
     return finish(Item, *Item->m_Refused);
--- a/packages/wire/common/HttpClient.cpp
+++ b/packages/wire/common/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "wire/common/EventLoop.h"
 #include "wire/common/KeptConnections.h"
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdint>
@@ -23,6 +24,14 @@
 
 constexpr std::size_t MaxHeaderBytes = 16 << 10;
 
+constexpr const char *LengthField = "Content-Length";
+constexpr const char *CodingField = "Transfer-Encoding";
+
+constexpr int ContinueStatus = 100;
+constexpr int FirstFinalStatus = 200;
+constexpr int NoContentStatus = 204;
+constexpr int NotModifiedStatus = 304;
+
 evhttp_cmd_type toCommand(HttpMethod Method) {
   switch (Method) {
   case HttpMethod::Get:
@@ -95,12 +104,17 @@
   return fromSeconds(Seconds * RestPart);
 }
 
-/// Whether the end of an answer with \p Headers can be told without the end
-/// of its connection.
-bool framed(int Status, const HttpHeaders &Headers) {
-  return Status == 204 || Status == 304 ||
-         !findHeader(Headers, "Content-Length").empty() ||
-         !findHeader(Headers, "Transfer-Encoding").empty();
+/// Whether \p Headers can be read in one way only: not two lengths that
+/// differ, nor a coding that is not decoded here.
+bool framedUnambiguously(const HttpHeaders &Headers) {
+  const std::string Length = findHeader(Headers, LengthField);
+  return std::all_of(Headers.begin(), Headers.end(),
+                     [&](const HttpHeader &Each) {
+                       if (sameFieldName(Each.m_Name, LengthField))
+                         return Each.m_Value == Length;
+                       return !sameFieldName(Each.m_Name, CodingField) ||
+                              sameFieldName(Each.m_Value, "chunked");
+                     });
 }
 
 HttpHeaders copyHeaders(const evkeyvalq *From) {
@@ -131,6 +145,17 @@
   return {};
 }
 
+AnswerFraming framingOf(HttpMethod Method, int Status,
+                        const HttpHeaders &Headers) {
+  if (Method == HttpMethod::Head || Status == NoContentStatus ||
+      Status == NotModifiedStatus)
+    return AnswerFraming::Length;
+  if (!findHeader(Headers, CodingField).empty())
+    return AnswerFraming::Chunks;
+  return findHeader(Headers, LengthField).empty() ? AnswerFraming::Connection
+                                                  : AnswerFraming::Length;
+}
+
 struct HttpCallHandle::State : std::enable_shared_from_this<State> {
   EventLoop *m_Loop = nullptr;
   std::weak_ptr<KeptConnections> m_Kept;
@@ -139,6 +164,7 @@
   Timer m_ConnectTimer;
   int m_Status = 0;
   HttpHeaders m_AnswerHeaders;
+  AnswerFraming m_Framing = AnswerFraming::Length;
   bool m_Done = false;
   bool m_Failed = false;
   bool m_Written = false; ///< Bytes of the request may have left.
@@ -200,7 +226,7 @@
     if (m_Call.m_Use == ConnectionUse::Fresh || m_Connection == nullptr)
       return false;
     bufferevent *Stream = evhttp_connection_get_bufferevent(m_Connection);
-    return framed(m_Status, m_AnswerHeaders) && connected(m_Connection) &&
+    return connected(m_Connection) &&
            strcasecmp(findHeader(m_AnswerHeaders, "Connection").c_str(),
                       "close") != 0 &&
            evbuffer_get_length(bufferevent_get_input(Stream)) == 0;
@@ -228,18 +254,39 @@
     m_Call.m_OnBytes(Copy);
   }
 
+  /// \returns a negative value for an answer that cannot be read, which evhttp
+  /// then reports as a failure.
   static int onHead(evhttp_request *Request, void *Arg) {
     const auto Self = static_cast<State *>(Arg)->shared_from_this();
     if (Self->m_Done)
       return 0;
-    Self->m_Status = evhttp_request_get_response_code(Request);
-    Self->m_AnswerHeaders =
-        copyHeaders(evhttp_request_get_input_headers(Request));
+    const int Status = evhttp_request_get_response_code(Request);
+    // evhttp goes on to the final answer after this one, and after no other.
+    if (Status == ContinueStatus)
+      return 0;
+    evkeyvalq *Headers = evhttp_request_get_input_headers(Request);
+    Self->m_Status = Status;
+    Self->m_AnswerHeaders = copyHeaders(Headers);
+    if (Status < FirstFinalStatus ||
+        !framedUnambiguously(Self->m_AnswerHeaders))
+      return -1;
+    Self->m_Framing =
+        framingOf(Self->m_Call.m_Method, Status, Self->m_AnswerHeaders);
+    if (Self->m_Framing == AnswerFraming::Connection)
+      readUntilClose(Headers);
     if (Self->m_Call.m_OnHead)
       Self->m_Call.m_OnHead(Self->m_Status, Self->m_AnswerHeaders);
     return 0;
   }
 
+  /// Without a length evhttp takes the body for empty when the head names a
+  /// connection that stays.
+  static void readUntilClose(evkeyvalq *Headers) {
+    while (evhttp_remove_header(Headers, "Connection") == 0)
+      continue;
+    evhttp_add_header(Headers, "Connection", "close");
+  }
+
   static void onChunk(evhttp_request *Request, void *Arg) {
     const auto Self = static_cast<State *>(Arg)->shared_from_this();
     Self->passBytes(Request);
@@ -260,7 +307,9 @@
     if (evhttp_request_get_response_code(Request) == 0)
       return Self->finish(Self->failure());
     Self->passBytes(Request);
-    Self->finish(HttpEnd::Complete);
+    Self->finish(Self->m_Framing == AnswerFraming::Connection
+                     ? HttpEnd::Closed
+                     : HttpEnd::Complete);
   }
 
   bool open() {
--- a/packages/wire/common/HttpClient.h
+++ b/packages/wire/common/HttpClient.h
@@ -38,9 +38,24 @@
 /// Value of the field \p Name, by case-insensitive name; empty when absent.
 std::string findHeader(const HttpHeaders &Headers, std::string_view Name);
 
+/// What tells where an answer ends (RFC 9112, section 6.3).
+enum class AnswerFraming {
+  Length,    ///< Its length, or a status or method that allows no body.
+  Chunks,    ///< The last chunk.
+  Connection ///< The end of its connection, which also ends a cut answer.
+};
+
+/// How the answer with \p Status and \p Headers to a call by \p Method is
+/// framed.
+AnswerFraming framingOf(HttpMethod Method, int Status,
+                        const HttpHeaders &Headers);
+
 /// How an exchange ended.
 enum class HttpEnd {
-  Complete,   ///< The whole answer was received.
+  Complete,   ///< The whole answer was received, as its framing tells.
+  Closed,     ///< The other side closed the connection in order, and the
+              ///< answer has no other framing: whether it is whole, only its
+              ///< content can tell.
   NotWritten, ///< No byte of the request left this process.
   Broken      ///< Bytes may have left; the answer is missing or cut.
 };
@@ -97,7 +112,13 @@
   HttpHeaders m_Headers;
   std::string m_Body;
 
-  bool ok() const { return m_End == HttpEnd::Complete && m_Status / 100 == 2; }
+  /// Whether the answer was received. One that its connection ended may be
+  /// cut: its reader must be able to tell by the body, or need no body.
+  bool received() const {
+    return m_End == HttpEnd::Complete || m_End == HttpEnd::Closed;
+  }
+  /// Whether it was received and is a success.
+  bool ok() const { return received() && m_Status / 100 == 2; }
 };
 
 /// Sends calls on one loop.
--- a/packages/wire/common/HttpServer.cpp
+++ b/packages/wire/common/HttpServer.cpp
@@ -13,6 +13,7 @@
 #include <netinet/in.h>
 #include <stdexcept>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 
 namespace havenstair {
@@ -92,6 +93,35 @@
   evbuffer_write(Output, bufferevent_getfd(Stream));
 }
 
+/// Whether the caller of \p Request can read chunks (RFC 9112, section 7).
+bool understandsChunks(const evhttp_request *Request) {
+  return Request->major > 1 || (Request->major == 1 && Request->minor >= 1);
+}
+
+int socketOf(evhttp_connection *Connection) {
+  return bufferevent_getfd(evhttp_connection_get_bufferevent(Connection));
+}
+
+int socketOf(evhttp_request *Request) {
+  evhttp_connection *Connection = evhttp_request_get_connection(Request);
+  return Connection == nullptr ? -1 : socketOf(Connection);
+}
+
+/// Closes the socket before evhttp does, which would end it in order first.
+void closeSocket(evhttp_connection *Connection) {
+  bufferevent *Stream = evhttp_connection_get_bufferevent(Connection);
+  bufferevent_disable(Stream, EV_READ | EV_WRITE);
+  close(bufferevent_getfd(Stream));
+}
+
+/// Decides whether closing \p Socket, also by the end of the process, is a
+/// reset.
+void setResetOnClose(int Socket, bool Reset) {
+  const linger Choice{.l_onoff = Reset ? 1 : 0, .l_linger = 0};
+  if (Socket >= 0)
+    setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Choice, sizeof(Choice));
+}
+
 struct BufferDeleter {
   void operator()(evbuffer *Buffer) const { evbuffer_free(Buffer); }
 };
@@ -207,8 +237,11 @@
     return;
   const std::function<void()> Left = std::exchange(m_Left, nullptr);
   evhttp_request *Request = m_Request;
-  const bool Detached = evhttp_request_get_connection(Request) == nullptr;
+  evhttp_connection *Connection = evhttp_request_get_connection(Request);
+  const bool Detached = Connection == nullptr;
   release();
+  if (m_Unframed && ConnectionClosing && !Detached)
+    closeSocket(Connection);
   // A closing connection frees its request, unless it has let go of it.
   if (!ConnectionClosing || Detached)
     closeConnection(Request);
@@ -227,26 +260,56 @@
   --*m_OpenCount;
 }
 
-void HttpExchange::reply(int Status, const HttpHeaders &Headers,
-                         std::string_view Body) {
-  if (m_Request == nullptr)
-    return;
+void HttpExchange::addHeaders(const HttpHeaders &Headers) {
   evkeyvalq *Out = evhttp_request_get_output_headers(m_Request);
   for (const HttpHeader &Header : Headers)
     evhttp_add_header(Out, Header.m_Name.c_str(), Header.m_Value.c_str());
+}
+
+void HttpExchange::reply(int Status, const HttpHeaders &Headers,
+                         std::string_view Body, AnswerFraming Framing) {
+  if (m_Request == nullptr)
+    return;
+  if (Framing == AnswerFraming::Connection) {
+    startStream(Status, Headers, Framing);
+    evhttp_send_reply_chunk(m_Request, toBuffer(Body).get());
+    return endStream();
+  }
+  addHeaders(Headers);
   evhttp_request *Request = m_Request;
   release();
   evhttp_send_reply(Request, Status, nullptr, toBuffer(Body).get());
 }
 
-void HttpExchange::startStream(int Status, const HttpHeaders &Headers) {
+void HttpExchange::startStream(int Status, const HttpHeaders &Headers,
+                               AnswerFraming Framing) {
   if (m_Request == nullptr)
     return;
-  evkeyvalq *Out = evhttp_request_get_output_headers(m_Request);
-  for (const HttpHeader &Header : Headers)
-    evhttp_add_header(Out, Header.m_Name.c_str(), Header.m_Value.c_str());
+  addHeaders(Headers);
   m_Streaming = true;
+  if (Framing == AnswerFraming::Connection || !understandsChunks(m_Request))
+    return startUnframed(Status);
+  evhttp_send_reply_start(m_Request, Status, nullptr);
+}
+
+/// evhttp adds chunks or a length to the head of each answer that may have a
+/// body, so it is told that this one has none while it writes the head.
+void HttpExchange::startUnframed(int Status) {
+  evkeyvalq *Out = evhttp_request_get_output_headers(m_Request);
+  evhttp_remove_header(Out, "Connection");
+  evhttp_add_header(Out, "Connection", "close");
+  m_Unframed = true;
+  setResetOnClose(socketOf(m_Request), true);
+  evhttp_request_set_on_complete_cb(
+      m_Request,
+      [](evhttp_request *Sent, void *) {
+        setResetOnClose(socketOf(Sent), false);
+      },
+      nullptr);
+  const evhttp_cmd_type Method = m_Request->type;
+  m_Request->type = EVHTTP_REQ_HEAD;
   evhttp_send_reply_start(m_Request, Status, nullptr);
+  m_Request->type = Method;
 }
 
 bool HttpExchange::sendChunk(std::string_view Bytes) {
@@ -293,7 +356,11 @@
   bufferevent_setcb(Stream, nullptr, nullptr, nullptr, nullptr);
   writeWhatIsLeft(Stream);
   // The server frees those that are left when it is destroyed.
-  m_Loop.defer([Connection] { evhttp_connection_free(Connection); });
+  m_Loop.defer([Connection, Reset = m_Unframed] {
+    if (Reset)
+      closeSocket(Connection);
+    evhttp_connection_free(Connection);
+  });
 }
 
 HttpServer::HttpServer(EventLoop &Loop, Options Opts, Handler OnRequest,
--- a/packages/wire/common/HttpServer.h
+++ b/packages/wire/common/HttpServer.h
@@ -47,10 +47,16 @@
   /// connection may be part of its body (RFC 9112, section 6.3).
   bool framedUnambiguously() const;
 
-  /// Sends a whole answer.
-  void reply(int Status, const HttpHeaders &Headers, std::string_view Body);
-  /// Starts a streamed answer.
-  void startStream(int Status, const HttpHeaders &Headers);
+  /// Sends a whole answer. With the framing `Connection` it has no length, and
+  /// its connection is closed after it.
+  void reply(int Status, const HttpHeaders &Headers, std::string_view Body,
+             AnswerFraming Framing = AnswerFraming::Length);
+  /// Starts a streamed answer, with the framing `Chunks` or `Connection`. To an
+  /// HTTP/1.0 caller it always is `Connection`. Until endStream() an answer of
+  /// that framing ends by a reset, also when the process ends, since an orderly
+  /// close would make it look whole.
+  void startStream(int Status, const HttpHeaders &Headers,
+                   AnswerFraming Framing = AnswerFraming::Chunks);
   /// Sends one piece. \returns false when the reader is too slow and its
   /// buffer is full; the stream must then be ended.
   bool sendChunk(std::string_view Bytes);
@@ -68,6 +74,8 @@
   friend class HttpServer;
   void watchClose();
   void callerLeft(bool ConnectionClosing);
+  void addHeaders(const HttpHeaders &Headers);
+  void startUnframed(int Status);
   void closeConnection(evhttp_request *Request);
   void release();
 
@@ -82,6 +90,7 @@
   std::string m_Query;
   std::string m_Body;
   bool m_Streaming = false;
+  bool m_Unframed = false; ///< Only an orderly close ends the answer.
   std::function<void()> m_Left;
 };
 
--- a/packages/wire/process/PlatformClient.cpp
+++ b/packages/wire/process/PlatformClient.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 PlatformStatus statusOf(const HttpAnswer &Answer) {
-  if (Answer.m_End != HttpEnd::Complete)
+  if (!Answer.received())
     return PlatformStatus::Lost;
   if (Answer.m_Status == 404)
     return PlatformStatus::NotFound;
--- a/tests/gateway/StreamEndTest.cpp
+++ b/tests/gateway/StreamEndTest.cpp
@@ -171,7 +171,7 @@
 }
 
 TEST_CASE("An answer without a length claims no more to its caller",
-          "[gateway][streams][known-red]") {
+          "[gateway][streams]") {
   GatewayTest Test;
   const std::string Target =
       GENERATE("/stream/x", "/resumable/x", "/safe/x", "/unsafe/x");
@@ -209,3 +209,73 @@
   REQUIRE(Caller.body() == pieces(1, 4));
   REQUIRE(Streams == 2);
 }
+
+TEST_CASE("An answer that a box ends before its upstream did does not look "
+          "complete",
+          "[gateway][streams]") {
+  GatewayTest Test;
+  ConnectionPtr Open;
+  Test.addRunner(
+      "i-1", [&](const Request &Received, const ConnectionPtr &Connection) {
+        Open = Connection;
+        Connection->write(framed(Received, Framing::None, pieces(1, 2)));
+      });
+  Test.start();
+  RawCaller Caller(Test, "/stream/x", "id-1");
+  REQUIRE(Test.until([&] {
+    Caller.readAll();
+    return Caller.body() == pieces(1, 2);
+  }));
+  SECTION("by its end") { Test.m_Gateway.reset(); }
+  SECTION("because the upstream's connection is reset") { Open->reset(); }
+  Caller.finish();
+  REQUIRE_FALSE(Caller.looksComplete());
+}
+
+TEST_CASE("A stream without a length that ends before its first event is "
+          "unknown to have run",
+          "[gateway][streams]") {
+  GatewayTest Test;
+  Test.addRunner("i-1", answerWith(Framing::None, ""));
+  Test.start();
+  REQUIRE(Test.fetch("/stream/x", "id-1").m_Status == 502);
+  REQUIRE(Test.arrivals("id-1") == 1);
+}
+
+TEST_CASE("A stream that has gone out in chunks is not ended by a connection "
+          "alone",
+          "[gateway][streams]") {
+  GatewayTest Test;
+  int Streams = 0;
+  const auto Behave = [&](const Request &Received,
+                          const ConnectionPtr &Connection) {
+    const bool First = Received.m_Method == "POST" && ++Streams == 1;
+    answerWith(First ? Framing::Chunks : Framing::None,
+               First ? pieces(1, 2) + "id" : pieces(3, 4))(Received,
+                                                           Connection);
+  };
+  Test.addRunner("i-1", Behave);
+  Test.addRunner("i-2", Behave);
+  Test.start();
+  RawCaller Caller(Test, "/resumable/x", "id-1");
+  Caller.finish();
+  REQUIRE(Caller.chunked());
+  REQUIRE_FALSE(Caller.looksComplete());
+}
+
+TEST_CASE("Streams that end well are passed on byte for byte",
+          "[gateway][streams]") {
+  const Framing How = GENERATE(Framing::None, Framing::Length, Framing::Chunks);
+  const std::string Text = GENERATE(
+      "data: a\n\n", "id: 1\r\ndata: a\r\n\r\n: note\r\n", "data: a\r\r",
+      ": hello\n\nid: 4\ndata: a\ndata: b\n\n\n: bye\n");
+  CAPTURE(static_cast<int>(How), Text);
+  GatewayTest Test;
+  Test.addRunner("i-1", answerWith(How, Text));
+  Test.start();
+  const std::string Version = GENERATE("1.0", "1.1");
+  RawCaller Caller(Test, "/stream/x", "id-1", Version);
+  Caller.finish();
+  REQUIRE(Caller.looksComplete());
+  REQUIRE(Caller.body() == Text);
+}
--- a/tests/wire/HttpTest.cpp
+++ b/tests/wire/HttpTest.cpp
@@ -243,6 +243,37 @@
   REQUIRE(Got.m_Body == "hello");
 }
 
+TEST_CASE(
+    "An answer without a length or chunks is known to be whole by nothing "
+    "but its content",
+    "[http]") {
+  const std::string Connection =
+      GENERATE("", "Connection: close\r\n", "Connection: keep-alive\r\n");
+  const std::string Version = GENERATE("1.0", "1.1");
+  RawServer Server("HTTP/" + Version + " 200 OK\r\n" + Connection +
+                   "\r\nthe body");
+  const HttpAnswer Answer = answerOf(Server);
+  REQUIRE(Answer.m_End == HttpEnd::Closed);
+  REQUIRE(Answer.m_Body == "the body");
+}
+
+TEST_CASE("An answer that can be read in two ways is broken", "[http]") {
+  const std::string Fields = GENERATE(
+      "Content-Length: 3\r\nContent-Length: 8\r\n",
+      "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: gzip, chunked\r\n", "Content-Length: -2\r\n");
+  CAPTURE(Fields);
+  RawServer Server("HTTP/1.1 200 OK\r\n" + Fields +
+                   "\r\n3\r\nbod\r\n0\r\n\r\n");
+  REQUIRE(answerOf(Server).m_End == HttpEnd::Broken);
+}
+
+TEST_CASE("An informational answer is not taken for the final one", "[http]") {
+  RawServer Server("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                   "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+  REQUIRE(answerOf(Server).m_End == HttpEnd::Broken);
+}
+
 TEST_CASE("The server sees a caller that leaves", "[http]") {
   EventLoop Loop;
   bool Left = false;
