Test, known red: a caller that resets its connection before the answer is not seen

A caller that closes with a reset while its request waits for the answer is not noticed: HttpExchange registers its socket for EV_CLOSED alone, and libevent 2.1 reports a socket in error (EPOLLERR) as readable and writable, not as closed. No event matches, so none runs and none is removed, and epoll_wait returns at once each time. Once the answer has begun evhttp reads, and sees it: that section passes.

--- a/tests/wire/HttpTest.cpp
+++ b/tests/wire/HttpTest.cpp
@@ -10,6 +10,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 using namespace havenstair;
@@ -131,6 +132,34 @@
   std::vector<int> m_Accepted;
 };
 
+/// A caller that sends one request and closes its connection with a reset.
+class ResettingCaller {
+public:
+  ResettingCaller(const Endpoint &To, std::string_view Request)
+      : m_Socket(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_storage Address{};
+    const int Length = toSockaddr(To, Address);
+    connect(m_Socket, reinterpret_cast<sockaddr *>(&Address),
+            static_cast<socklen_t>(Length));
+    send(m_Socket, Request.data(), Request.size(), MSG_NOSIGNAL);
+  }
+  ~ResettingCaller() { reset(); }
+  ResettingCaller(const ResettingCaller &) = delete;
+  ResettingCaller &operator=(const ResettingCaller &) = delete;
+
+  void reset() {
+    const int Socket = std::exchange(m_Socket, -1);
+    if (Socket < 0)
+      return;
+    const linger Now{.l_onoff = 1, .l_linger = 0};
+    setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Now, sizeof(Now));
+    close(Socket);
+  }
+
+private:
+  int m_Socket;
+};
+
 } // namespace
 
 TEST_CASE("A call reaches a server and its answer comes back", "[http]") {
@@ -264,6 +293,33 @@
   REQUIRE(Server.openExchanges() == 0);
 }
 
+TEST_CASE("The server sees a caller that resets its connection",
+          "[http][known-red]") {
+  EventLoop Loop;
+  bool Left = false;
+  HttpExchangePtr Held;
+  HttpServer Server(Loop, {.m_Listen = Loopback},
+                    [&](const HttpExchangePtr &Exchange) {
+                      Held = Exchange;
+                      Exchange->onCallerLeft([&] { Left = true; });
+                    });
+  ResettingCaller Caller(Server.endpoint(),
+                         "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
+  REQUIRE(Loop.runUntil([&] { return Held != nullptr; }, Limit));
+  SECTION("before the answer") {}
+  SECTION("within the answer") {
+    Held->startStream(200, {});
+    REQUIRE(Held->sendChunk("data: a\n\n"));
+    const Timer Wake = Loop.every(1ms, [] {});
+    int Passes = 0;
+    REQUIRE(Loop.runUntil([&] { return ++Passes > 10; }, Limit));
+  }
+  Caller.reset();
+  REQUIRE(Loop.runUntil([&] { return Left; }, Limit));
+  REQUIRE_FALSE(Held->open());
+  REQUIRE(Server.openExchanges() == 0);
+}
+
 TEST_CASE("A body over the limit is turned away", "[http]") {
   EventLoop Loop;
   HttpServer Server(
