Stand-ins and soak: answers that end in many ways

Stand-ins ended answers with a length or chunks and a FIN alone. AnswerEnding describes framing, end of the connection and place of the cut; EndedAnswer plays it on a StandinRunner; RawAnswer and RawCall read answers with no code of the boxes. The oracle judges by what was sent.

--- a/tests/soak/AnswerOracle.cpp
+++ b/tests/soak/AnswerOracle.cpp
@@ -2,6 +2,8 @@
 
 #include "soak/StreamText.h"
 
+#include <algorithm>
+
 namespace havenstair {
 
 namespace {
@@ -58,6 +60,40 @@
   m_Stories[Answer.m_Id].m_Made[Answer.m_Signature] = Answer;
 }
 
+void AnswerOracle::ended(const EngineEnding &Ending) {
+  m_Stories[Ending.m_Id].m_Ended[Ending.m_Signature] = Ending;
+}
+
+std::string AnswerOracle::endingsOf(const Story &Of) {
+  std::string Result;
+  for (const auto &[Signature, Ending] : Of.m_Ended)
+    Result += "; " + Signature + ": " + Ending.m_How + " after " +
+              std::to_string(Ending.m_Readable.size()) + " bytes";
+  return Result;
+}
+
+/// Whether nobody can tell a plain answer from a whole one: its engine ended it
+/// in order, and what it sent is what the caller got.
+bool AnswerOracle::looksWhole(const Story &Of, const CallerAnswer &Answer) {
+  const auto Ended = Of.m_Ended.find(Answer.m_Signature);
+  return Ended != Of.m_Ended.end() && Ended->second.m_FramedAsWhole &&
+         Ended->second.m_Readable == Answer.m_Body;
+}
+
+/// The same of a stream: one of its runs ended in order between two events, and
+/// \p LastEvent was its last.
+bool AnswerOracle::looksWholeUpTo(const Story &Of, int LastEvent) {
+  return std::any_of(Of.m_Ended.begin(), Of.m_Ended.end(),
+                     [&](const auto &Each) {
+                       const EngineEnding &Ending = Each.second;
+                       const auto Pieces = readStream(Ending.m_Readable);
+                       const int Last = Pieces.empty() ? Ending.m_After
+                                                       : Pieces.back().m_Number;
+                       return Ending.m_FramedAsWhole && Last == LastEvent &&
+                              unfinishedEvent(Ending.m_Readable).empty();
+                     });
+}
+
 void AnswerOracle::answered(const CallerAnswer &Answer) {
   Story &Of = m_Stories[Answer.m_Id];
   if (Answer.m_Status == 0)
@@ -97,10 +133,11 @@
   if (Made->second.m_Status != Answer.m_Status)
     broken(Promise::OwnAnswer, Answer.m_At, Answer.m_Id,
            "got a success where its engine failed");
-  if (Made->second.m_Body != Answer.m_Body)
+  if (Made->second.m_Body != Answer.m_Body && !looksWhole(Of, Answer))
     broken(Promise::WholeAnswer, Answer.m_At, Answer.m_Id,
            "got " + std::to_string(Answer.m_Body.size()) + " bytes of " +
-               std::to_string(Made->second.m_Body.size()) + ", or others");
+               std::to_string(Made->second.m_Body.size()) + ", or others" +
+               endingsOf(Of));
 }
 
 void AnswerOracle::judgeStream(const Story &Of, const CallerAnswer &Answer) {
@@ -125,10 +162,15 @@
                     "joins the runs " + Pieces.front().m_Run + " and " +
                         Piece.m_Run);
   }
+  if (!Answer.m_Complete)
+    return;
+  if (!unfinishedEvent(Answer.m_Body).empty())
+    return broken(Promise::WholeAnswer, Answer.m_At, Answer.m_Id,
+                  "ended as complete inside an event" + endingsOf(Of));
   const bool Finished = !Pieces.empty() && Pieces.back().m_Last;
-  if (Answer.m_Complete && !Finished)
+  if (!Finished && !looksWholeUpTo(Of, Expected - 1))
     broken(Promise::WholeAnswer, Answer.m_At, Answer.m_Id,
-           "ended as complete before its last event");
+           "ended as complete before its last event" + endingsOf(Of));
 }
 
 } // namespace havenstair
--- a/tests/soak/AnswerOracle.h
+++ b/tests/soak/AnswerOracle.h
@@ -18,6 +18,8 @@
   void answered(const CallerAnswer &Answer);
   void arrived(const EngineArrival &Arrival);
   void made(const EngineAnswer &Answer);
+  /// Without it, only the whole answer that the engine made is complete.
+  void ended(const EngineEnding &Ending);
 
   /// The request of that id; null when no caller sent it.
   const CallerRequest *request(const std::string &Id) const;
@@ -27,10 +29,14 @@
     CallerRequest m_Request;
     int m_Runs = 0;
     int m_Refused = 0; ///< Status that said "not run"; zero without.
-    std::map<std::string, EngineAnswer> m_Made; ///< By signature.
+    std::map<std::string, EngineAnswer> m_Made;  ///< By signature.
+    std::map<std::string, EngineEnding> m_Ended; ///< By signature.
   };
 
   void judgeSuccess(const Story &Of, const CallerAnswer &Answer);
+  static std::string endingsOf(const Story &Of);
+  static bool looksWhole(const Story &Of, const CallerAnswer &Answer);
+  static bool looksWholeUpTo(const Story &Of, int LastEvent);
   void judgeStream(const Story &Of, const CallerAnswer &Answer);
   void broken(Promise Of, TimePoint At, const std::string &Id,
               const std::string &Text);
--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -46,6 +46,11 @@
   SoakBox &Box = pick(m_On.m_Boxes, Fault.m_Target);
   if (Fault.m_Kind == SoakFault::RestoreStore)
     return restoreStore(Fault);
+  if (Fault.m_Kind == SoakFault::HarmEndings) {
+    SoakEngine &Engine = pick(m_On.m_Engines, Fault.m_Target);
+    return hold(&Engine, Fault.m_Kind, Fault.m_For,
+                [&Engine](bool On) { Engine.setHarmingEndings(On); });
+  }
   if (Fault.m_Kind >= SoakFault::NameLimit)
     return strikeWords(Fault, pick(m_On.m_Engines, Fault.m_Target));
   if (Fault.m_Kind <= SoakFault::HangUpBox)
--- a/tests/soak/SoakCallers.cpp
+++ b/tests/soak/SoakCallers.cpp
@@ -1,5 +1,7 @@
 #include "soak/SoakCallers.h"
 
+#include "soak/StreamText.h"
+
 #include <optional>
 
 namespace havenstair {
@@ -24,6 +26,7 @@
   Timer m_Next;
   Timer m_Leave;
   std::size_t m_Box = 0;
+  bool m_Raw = false;
 };
 
 SoakCallers::SoakCallers(EventLoop &Loop, SoakOracle &Oracle,
@@ -39,6 +42,7 @@
     Caller &Made =
         *m_Callers.emplace_back(std::make_unique<Caller>(m_Loop, Seeds()));
     Made.m_Box = static_cast<std::size_t>(Number) % m_Boxes.size();
+    Made.m_Raw = m_ReadRaw && Number % 2 == 1;
     next(Made);
   }
 }
@@ -116,9 +120,15 @@
   ++m_Open;
   ++m_Counts.m_Sent;
   m_Oracle.sent(Request);
-  By.m_Call = By.m_Http.fetchHeld(
-      std::move(Call), [this, &By, Id = Request.m_Id](
-                           const HttpAnswer &Answer) { done(By, Id, Answer); });
+  const std::string Id = Request.m_Id;
+  if (By.m_Raw)
+    By.m_Call = std::make_shared<RawCall>(
+        m_Loop, Call,
+        [this, &By, Id](const RawAnswer &Answer) { doneRaw(By, Id, Answer); });
+  else
+    By.m_Call = By.m_Http.fetchHeld(
+        std::move(Call),
+        [this, &By, Id](const HttpAnswer &Answer) { done(By, Id, Answer); });
   constexpr int OneLeavesIn = 40;
   if (By.draw(1, OneLeavesIn) > 1)
     return;
@@ -131,23 +141,53 @@
       });
 }
 
+/// Whether the caller has to take it for a whole answer. \p Framed tells that a
+/// length or a last chunk says so; without, a stream that ends inside an event
+/// has been broken off.
+bool SoakCallers::claimsWhole(const std::string &Id, bool Framed,
+                              const std::string &Body) const {
+  const CallerRequest *Request = m_Oracle.request(Id);
+  return Framed || Request == nullptr || !isStream(Request->m_Kind) ||
+         unfinishedEvent(Body).empty();
+}
+
 void SoakCallers::done(Caller &By, const std::string &Id,
                        const HttpAnswer &Answer) {
+  const bool Framed =
+      !findHeader(Answer.m_Headers, "Content-Length").empty() ||
+      !findHeader(Answer.m_Headers, "Transfer-Encoding").empty();
+  tell(By, {.m_Id = Id,
+            .m_Status = Answer.m_Status,
+            .m_Complete = Answer.m_End == HttpEnd::Complete &&
+                          claimsWhole(Id, Framed, Answer.m_Body),
+            .m_AnswersId = findHeader(Answer.m_Headers, "X-Attempt-Id"),
+            .m_Signature = findHeader(Answer.m_Headers, "X-Server-Signature"),
+            .m_Body = Answer.m_Body,
+            .m_At = EventLoop::now()});
+}
+
+void SoakCallers::doneRaw(Caller &By, const std::string &Id,
+                          const RawAnswer &Answer) {
+  const bool Framed = Answer.end() == RawEnd::Framing;
+  tell(By, {.m_Id = Id,
+            .m_Status = Answer.status(),
+            .m_Complete = Answer.framedAsWhole() &&
+                          claimsWhole(Id, Framed, Answer.body()),
+            .m_AnswersId = Answer.header("x-attempt-id"),
+            .m_Signature = Answer.header("x-server-signature"),
+            .m_Body = Answer.body(),
+            .m_At = EventLoop::now()});
+}
+
+void SoakCallers::tell(Caller &By, const CallerAnswer &Answer) {
   --m_Open;
   By.m_Leave = Timer();
-  const bool Whole = Answer.m_End == HttpEnd::Complete;
-  m_Oracle.answered(
-      {.m_Id = Id,
-       .m_Status = Answer.m_Status,
-       .m_Complete = Whole,
-       .m_AnswersId = findHeader(Answer.m_Headers, "X-Attempt-Id"),
-       .m_Signature = findHeader(Answer.m_Headers, "X-Server-Signature"),
-       .m_Body = Answer.m_Body,
-       .m_At = EventLoop::now()});
-  ++(Answer.ok() ? m_Counts.m_Served
-     : Whole     ? m_Counts.m_Refused
-                 : m_Counts.m_Broken);
-  if (!Whole)
+  m_Oracle.answered(Answer);
+  const bool Success = Answer.m_Status / 100 == 2;
+  ++(!Answer.m_Complete ? m_Counts.m_Broken
+     : Success          ? m_Counts.m_Served
+                        : m_Counts.m_Refused);
+  if (!Answer.m_Complete)
     By.m_Box = (By.m_Box + 1) % m_Boxes.size();
   next(By);
 }
--- a/tests/soak/SoakCallers.h
+++ b/tests/soak/SoakCallers.h
@@ -6,6 +6,7 @@
 #include "soak/SoakBox.h"
 #include "soak/SoakConfig.h"
 #include "soak/SoakOracle.h"
+#include "standin/RawCall.h"
 #include "wire/common/HttpClient.h"
 #include <memory>
 #include <random>
@@ -33,6 +34,8 @@
   SoakCallers(const SoakCallers &) = delete;
   SoakCallers &operator=(const SoakCallers &) = delete;
 
+  /// Every second caller reads answers by itself, on a connection for each.
+  void readRaw() { m_ReadRaw = true; }
   void start(int Callers, std::uint64_t Seed);
   /// No new requests from now on.
   void stop() { m_Stopped = true; }
@@ -45,6 +48,10 @@
   void send(Caller &By);
   void next(Caller &By);
   void done(Caller &By, const std::string &Id, const HttpAnswer &Answer);
+  void doneRaw(Caller &By, const std::string &Id, const RawAnswer &Answer);
+  void tell(Caller &By, const CallerAnswer &Answer);
+  bool claimsWhole(const std::string &Id, bool Framed,
+                   const std::string &Body) const;
   HttpCall makeCall(Caller &By, CallerRequest &Request);
   void chooseKind(Caller &By, CallerRequest &Request, HttpHeaders &Headers);
 
@@ -57,6 +64,7 @@
   std::uint64_t m_NextId = 1;
   std::size_t m_Open = 0;
   bool m_Stopped = false;
+  bool m_ReadRaw = false;
 };
 
 } // namespace havenstair
--- a/tests/soak/SoakEngine.h
+++ b/tests/soak/SoakEngine.h
@@ -5,7 +5,9 @@
 #define HAVENSTAIR_TESTS_SOAK_SOAKENGINE_H
 
 #include "soak/ModelShelf.h"
+#include "soak/SoakEndings.h"
 #include "soak/SoakOracle.h"
+#include "standin/EndedAnswer.h"
 #include "standin/LoopbackProxy.h"
 #include "standin/StandinRunner.h"
 #include "standin/StandinStore.h"
@@ -14,6 +16,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace havenstair {
 
@@ -59,6 +62,12 @@
   void setSilent(bool Silent) { m_Silent = Silent; }
   /// The next answers break off midway.
   void breakOff(int Count) { m_BreakOff = Count; }
+  /// Answers end in many ways from now on; sound ones until they are
+  /// harmed.
+  void playEndings();
+  void setHarmingEndings(bool Harming);
+  /// Mutation: answers that break off say that they are whole.
+  void setClaimingWhole(bool Claiming) { m_ClaimsWhole = Claiming; }
   /// The next answers are followed by one more that nobody asked for.
   void sendSurplus(int Count) { m_Surplus = Count; }
   /// Mutation: the oracle hears that the engine leaves, and the store does not.
@@ -77,6 +86,9 @@
   void report(const Request &Asked, const Connection &To);
   void run(const Request &Asked, const Connection &To);
   void crash(const std::string &Body);
+  void answer(const std::shared_ptr<Run> &Of, EndedAnswer::Options Opts);
+  void streamEnded(const std::shared_ptr<Run> &Of, Duration Wait);
+  void finishEnded(const std::shared_ptr<Run> &Of, const std::string &Body);
   void stream(const std::shared_ptr<Run> &Of);
   void finish(const std::shared_ptr<Run> &Of);
   void later(Duration Delay, std::function<void()> Call);
@@ -116,6 +128,9 @@
   bool m_SaysLeaving = false;
   Duration m_RetryAfter = 0us;
   bool m_Silent = false;
+  std::optional<SoakEndings> m_Endings;
+  bool m_ClaimsWhole = false;
+  std::vector<std::shared_ptr<EndedAnswer>> m_Answers;
   std::uint64_t m_NextTimer = 0;
   std::map<std::uint64_t, Timer> m_Timers;
   bool m_Down = false; ///< It ended and is not back.
--- a/tests/soak/SoakEvents.h
+++ b/tests/soak/SoakEvents.h
@@ -134,6 +134,21 @@
   bool operator==(const EngineAnswer &) const = default;
 };
 
+/// How an engine ends its answer, whole or not.
+struct EngineEnding {
+  std::string m_Id;
+  std::string m_Signature;
+  /// What a reader can know of the body.
+  std::string m_Readable;
+  /// Number of the event behind which a resumed run began; zero for none.
+  int m_After = 0;
+  /// By its framing, or by the orderly end of its connection without one.
+  bool m_FramedAsWhole = false;
+  std::string m_How; ///< For verdicts.
+
+  bool operator==(const EngineEnding &) const = default;
+};
+
 /// What an engine says of itself in an answer.
 struct EngineWords {
   std::string m_Id; ///< Of the request.
--- a/tests/soak/SoakOracle.h
+++ b/tests/soak/SoakOracle.h
@@ -25,9 +25,14 @@
   void arrived(const EngineArrival &Arrival);
   void said(const EngineWords &Words);
   void made(const EngineAnswer &Answer) { m_Answers.made(Answer); }
+  void ended(const EngineEnding &Ending) { m_Answers.ended(Ending); }
   /// A box ended although nobody stopped it.
   void boxEnded(const std::string &Box, int Status, TimePoint At);
 
+  /// The request of that id; null when no caller sent it.
+  const CallerRequest *request(const std::string &Id) const {
+    return m_Answers.request(Id);
+  }
   Disturbances &trouble() { return m_Trouble; }
   ConfigOracle &config() { return m_Config; }
   RoutingOracle &routing() { return m_Routing; }
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -70,6 +70,8 @@
     addWords(Result, Opts.m_Seed, Opts.m_Length);
   if (Opts.m_Restores)
     addRestores(Result, Opts.m_Seed, Opts.m_Length);
+  if (Opts.m_Endings)
+    addEndings(Result, Opts.m_Seed, Opts.m_Length);
   return Result;
 }
 
@@ -91,9 +93,17 @@
   makeBoxes();
   if (m_Opts.m_ConfigPlan)
     linkThroughProxies();
+  if (m_Opts.m_Endings)
+    playEndings();
   mutate();
 }
 
+void SoakRun::playEndings() {
+  for (const auto &Each : m_Engines)
+    Each->playEndings();
+  m_Callers.readRaw();
+}
+
 /// Boxes enter the addresses of their own proxies in the store, so that each
 /// link between them passes one.
 void SoakRun::linkThroughProxies() {
@@ -162,6 +172,7 @@
   m_Config.setWithholding(m_Opts.m_Mutation == Mutation::WithholdConfig);
   for (const auto &Each : m_Engines) {
     Each->setWithholding(m_Opts.m_Mutation == Mutation::WithholdLeaving);
+    Each->setClaimingWhole(m_Opts.m_Mutation == Mutation::ClaimWhole);
     Each->setSilent(m_Opts.m_Mutation == Mutation::SilenceWords);
     if (m_Opts.m_Mutation == Mutation::SpoilAnswer)
       Each->setSpoiling(true);
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -26,7 +26,8 @@
     WithholdConfig,
     WithholdLeaving,
     SilenceWords,
-    HideEra
+    HideEra,
+    ClaimWhole
   };
 
   struct Options {
@@ -39,6 +40,7 @@
     int m_Crashing = 0;         ///< Requests that end engines.
     bool m_Words = false; ///< Servers say something of themselves, addWords().
     bool m_Restores = false; ///< The store comes back from copies of itself.
+    bool m_Endings = false;  ///< Answers end in many ways, addEndings().
     std::string m_Program;   ///< The daemon.
     /// An earlier daemon: boxes start with it, are replaced one after the
     /// other, and back again. Empty for none.
@@ -68,6 +70,7 @@
   void linkThroughProxies();
   void replaceBoxes();
   void makeEngines();
+  void playEndings();
   void mutate();
   void waitReady();
   void watchOwnPauses();
--- a/tests/soak/SoakSchedule.cpp
+++ b/tests/soak/SoakSchedule.cpp
@@ -68,14 +68,18 @@
     {SoakFault::AskRetryAfter, "ask-retry-after", 1000, 5000},
 }};
 
-/// How long the store is away.
-constexpr FaultKind RestoreKind{SoakFault::RestoreStore, "restore-store", 50,
-                                3000};
+// Each of an option of its own. A restore lasts as long as the store is away.
+constexpr std::array<FaultKind, 2> OptionKinds{{
+    {SoakFault::RestoreStore, "restore-store", 50, 3000},
+    {SoakFault::HarmEndings, "harm-endings", 500, 4000},
+}};
 
 const FaultKind &kindOf(SoakFault Of) {
-  if (Of == SoakFault::RestoreStore)
-    return RestoreKind;
   const auto Is = [Of](const FaultKind &Each) { return Each.m_Kind == Of; };
+  const auto *const Option =
+      std::find_if(OptionKinds.begin(), OptionKinds.end(), Is);
+  if (Option != OptionKinds.end())
+    return *Option;
   const auto *const Word = std::find_if(WordKinds.begin(), WordKinds.end(), Is);
   if (Word != WordKinds.end())
     return *Word;
@@ -208,4 +212,12 @@
   sortByTime(Plan.m_Faults);
 }
 
+void addEndings(SoakPlan &Plan, std::uint64_t Seed, Duration Length) {
+  Drawing Draw(Seed);
+  for (Duration At = 1s; At < Length;
+       At += std::chrono::milliseconds(Draw(300, 2000)))
+    Plan.m_Faults.push_back(Draw.fault(At, SoakFault::HarmEndings));
+  sortByTime(Plan.m_Faults);
+}
+
 } // namespace havenstair
--- a/tests/soak/SoakSchedule.h
+++ b/tests/soak/SoakSchedule.h
@@ -57,7 +57,9 @@
   SayLeaving, ///< One says that it leaves, and the store does not hear of it.
   AskRetryAfter, ///< One turns requests away and names a time.
   // Of addRestores() alone.
-  RestoreStore ///< The store is away and comes back from a copy of itself.
+  RestoreStore, ///< The store is away and comes back from a copy of itself.
+  // Of addEndings() alone.
+  HarmEndings ///< Some answers of one server are cut or end wrongly.
 };
 
 const char *toString(SoakFault Of);
@@ -103,6 +105,10 @@
 /// each other within the recovery of the first.
 void addRestores(SoakPlan &Plan, std::uint64_t Seed, Duration Length);
 
+/// Adds spans in which servers end some answers wrongly to \p Plan, beside its
+/// other faults.
+void addEndings(SoakPlan &Plan, std::uint64_t Seed, Duration Length);
+
 } // namespace havenstair
 
 #endif
--- a/tests/soak/StreamText.h
+++ b/tests/soak/StreamText.h
@@ -4,6 +4,7 @@
 #ifndef HAVENSTAIR_TESTS_SOAK_STREAMTEXT_H
 #define HAVENSTAIR_TESTS_SOAK_STREAMTEXT_H
 
+#include "standin/AnswerEnding.h"
 #include <string>
 #include <vector>
 
@@ -18,12 +19,17 @@
   bool operator==(const StreamPiece &) const = default;
 };
 
-std::string streamText(const StreamPiece &Piece);
+/// The event, with a comment line and line ends as \p At needs.
+std::string streamText(const StreamPiece &Piece,
+                       AnswerCut At = AnswerCut::Nowhere);
 
-/// The whole events of \p Body. \returns an empty list when one of them is no
-/// event of the soak.
+/// The whole events of \p Body, whose lines end with LF or CRLF. \returns an
+/// empty list when one of them is no event of the soak.
 std::vector<StreamPiece> readStream(const std::string &Body);
 
+/// What \p Body has behind its last blank line: part of an event.
+std::string unfinishedEvent(const std::string &Body);
+
 } // namespace havenstair
 
 #endif
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -31,6 +31,8 @@
                     name a time to retry after in their answers.
   --restores        Besides, the store is away for a moment and comes back from
                     a copy of itself, some seconds old.
+  --endings         Besides, answers of servers end in many ways: without a
+                    length or chunks, cut, by a reset, in silence.
   --config          Harm the ways on which boxes learn of configurations, in
                     place of the seed's usual plan.
   --again MS        With --config: each harm once more after MS [default: 0].
@@ -42,8 +44,8 @@
                     removed when no promise was broken.
   --plan            Show the plan and end.
   --mutate NAME     Harm the soak's own parts: double-unsafe, spoil-answer,
-                    withhold-config, withhold-leaving, silence-words or
-                    hide-era.
+                    withhold-config, withhold-leaving, silence-words,
+                    hide-era, or, with --endings, claim-whole.
   --untimed         Tell broken bounds in time, but end with 0 all the same.
 
 Ends with 0 when all promises were kept, 1 when one was broken, 2 when the soak
@@ -66,7 +68,8 @@
       {"withhold-config", Mutation::WithholdConfig},
       {"withhold-leaving", Mutation::WithholdLeaving},
       {"silence-words", Mutation::SilenceWords},
-      {"hide-era", Mutation::HideEra}};
+      {"hide-era", Mutation::HideEra},
+      {"claim-whole", Mutation::ClaimWhole}};
   if (const auto Found = Known.find(Name); Found != Known.end())
     return Found->second;
   throw std::runtime_error("no mutation is called " + Name);
@@ -159,6 +162,7 @@
   Opts.m_Mutation = mutation(Mutate.isString() ? Mutate.asString() : "");
   Opts.m_Words = Flags["--words"].asBool();
   Opts.m_Restores = Flags["--restores"].asBool();
+  Opts.m_Endings = Flags["--endings"].asBool();
   Opts.m_ConfigPlan = Flags["--config"].asBool();
   Opts.m_Again = std::chrono::milliseconds(Flags["--again"].asLong());
   Opts.m_MoreRoutes = static_cast<int>(Flags["--routes"].asLong());
--- a/tests/standin/LoopbackProxy.cpp
+++ b/tests/standin/LoopbackProxy.cpp
@@ -155,7 +155,11 @@
     if (!Of.m_Ended || !Of.m_Held.empty() || cut(From))
       return;
     bufferevent *To = m_Sides[1 - From].m_Stream;
-    if (To != nullptr && evbuffer_get_length(bufferevent_get_output(To)) == 0)
+    if (To == nullptr || evbuffer_get_length(bufferevent_get_output(To)) != 0)
+      return;
+    if (m_Of.m_PassingHalfCloses && !m_Sides[1 - From].m_Ended)
+      shutdown(bufferevent_getfd(To), SHUT_WR);
+    else
       m_Of.remove(this);
   }
 
--- a/tests/standin/LoopbackProxy.h
+++ b/tests/standin/LoopbackProxy.h
@@ -44,6 +44,9 @@
   /// The same, of the connections on which the client last sent bytes of that
   /// kind.
   void silenceOpen(const std::function<bool(const std::string &)> &Which);
+  /// An end of one direction is passed on as such, and the other stays open.
+  /// Without, it closes both.
+  void setPassingHalfCloses(bool Passing) { m_PassingHalfCloses = Passing; }
   /// Bytes to the server of that kind are sent on a second connection too. The
   /// answer to it is dropped.
   void setDoubled(std::function<bool(const std::string &)> Doubled) {
@@ -70,6 +73,7 @@
   bool m_CutToServer = false;
   bool m_CutToClient = false;
   bool m_Refusing = false;
+  bool m_PassingHalfCloses = false;
   std::function<bool(const std::string &)> m_Doubled;
   std::list<std::shared_ptr<Link>> m_Links;
   std::list<bufferevent *> m_Repeats;
--- a/tests/standin/StandinRunner.cpp
+++ b/tests/standin/StandinRunner.cpp
@@ -79,6 +79,12 @@
   shutdown(bufferevent_getfd(m_Stream), SHUT_WR);
 }
 
+void StandinRunner::Connection::closeFully() {
+  close();
+  if (m_Stream != nullptr)
+    bufferevent_free(std::exchange(m_Stream, nullptr));
+}
+
 void StandinRunner::Connection::reset() {
   if (m_Stream == nullptr)
     return;
--- a/tests/standin/StandinRunner.h
+++ b/tests/standin/StandinRunner.h
@@ -35,8 +35,11 @@
     explicit Connection(bufferevent *Stream) : m_Stream(Stream) {}
     ~Connection();
     void write(const std::string &Bytes);
-    /// Writes what is left and closes.
+    /// Writes what is left and closes this direction; the other stays open
+    /// until the caller closes it.
     void close();
+    /// Writes what is left and closes both directions.
+    void closeFully();
     /// Closes so that the other side sees a reset.
     void reset();
     bool open() const { return m_Stream != nullptr; }
