--- a/tests/standin/EndedAnswer.cpp
+++ b/tests/standin/EndedAnswer.cpp
@@ -46,6 +46,8 @@
   Result->m_To->write(
       Result->m_Opts.m_Head +
       framingFields(Result->m_Opts.m_Ending, Result->text().size()));
+  if (Result->m_Opts.m_Ending.m_End != ConnectionEnd::Kept)
+    Result->m_To->takeNoMore();
   // Never from here: the caller does not hold the answer yet.
   Result->later(Result->m_Opts.m_Wait, &EndedAnswer::writeNext);
   return Result;
--- a/tests/standin/StandinRunner.cpp
+++ b/tests/standin/StandinRunner.cpp
@@ -150,11 +150,13 @@
   evbuffer *Input = bufferevent_get_input(Held->m_Stream);
   std::string Bytes(evbuffer_get_length(Input), '\0');
   evbuffer_remove(Input, Bytes.data(), Bytes.size());
+  if (!Held->m_TakesMore)
+    return;
   Held->m_Input += Bytes;
   while (const auto Taken = takeRequest(Held->m_Input)) {
     m_Requests.push_back(*Taken);
     m_Behaviour(*Taken, Held);
-    if (!Held->open())
+    if (!Held->open() || !Held->m_TakesMore)
       return;
   }
 }
--- a/tests/standin/StandinRunner.h
+++ b/tests/standin/StandinRunner.h
@@ -42,6 +42,8 @@
     void closeFully();
     /// Closes so that the other side sees a reset.
     void reset();
+    /// Further requests on this connection are not looked at.
+    void takeNoMore() { m_TakesMore = false; }
     bool open() const { return m_Stream != nullptr; }
 
   private:
@@ -49,6 +51,7 @@
     bufferevent *m_Stream;
     std::string m_Input;
     bool m_Closing = false;
+    bool m_TakesMore = true;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
   using Behaviour = std::function<void(const Request &, const ConnectionPtr &)>;
