Soak: boxes that reach no server and everybody else (--partitions)

Engines' proxies learn which box connects from the process that holds the other end of the connection, so that all boxes go on with one address for a server, as they tell each other addresses. Three ways: silence, resets, new connections refused.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -46,6 +46,8 @@
   SoakBox &Box = pick(m_On.m_Boxes, Fault.m_Target);
   if (Fault.m_Kind == SoakFault::RestoreStore)
     return restoreStore(Fault);
+  if (Fault.m_Kind == SoakFault::CutBoxes)
+    return m_Partitions.strike(Fault);
   if (Fault.m_Kind == SoakFault::HarmEndings) {
     SoakEngine &Engine = pick(m_On.m_Engines, Fault.m_Target);
     return hold(&Engine, Fault.m_Kind, Fault.m_For,
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -3,6 +3,7 @@
 #ifndef HAVENSTAIR_TESTS_SOAK_FAULTINJECTOR_H
 #define HAVENSTAIR_TESTS_SOAK_FAULTINJECTOR_H
 
+#include "soak/PartitionInjector.h"
 #include "soak/SoakBox.h"
 #include "soak/SoakConfig.h"
 #include "soak/SoakEngine.h"
@@ -27,7 +28,11 @@
     std::vector<std::unique_ptr<SoakEngine>> &m_Engines;
   };
 
-  explicit FaultInjector(Parts On) : m_On(On) {}
+  explicit FaultInjector(Parts On)
+      : m_On(On),
+        m_Partitions(On.m_Loop, On.m_Oracle, On.m_Boxes, On.m_Engines) {}
+
+  PartitionInjector &partitions() { return m_Partitions; }
 
   void strike(const ScheduledFault &Fault);
 
@@ -55,6 +60,7 @@
   void applyStoreFault();
 
   Parts m_On;
+  PartitionInjector m_Partitions;
   std::map<std::pair<const void *, SoakFault>, int> m_Holding;
   int m_Down = 0;
   int m_Silent = 0;
--- a/tests/soak/SoakBounds.h
+++ b/tests/soak/SoakBounds.h
@@ -35,6 +35,11 @@
   double m_LimitAllowance = 5;
   Duration m_RetryAfterBegins = 500ms; ///< After the answer that asks for it.
   int m_RetryAfterArrivals = 2;        ///< That are forgiven.
+  /// Of the share that others serve, what a box serves that reaches no engine;
+  /// and how many of its first tries may fail, by themselves and of all tries.
+  double m_PartitionServed = 2.0 / 3;
+  double m_PartitionFailures = 10;
+  double m_PartitionFailureRatio = 1.0 / 50;
   /// What the soak's own process may take to note an event.
   Duration m_Slack = 200ms;
 
--- a/tests/soak/SoakBox.h
+++ b/tests/soak/SoakBox.h
@@ -40,6 +40,9 @@
   SoakBox(EventLoop &Loop, SoakOracle &Oracle, Options Opts);
 
   const std::string &name() const { return m_Opts.m_Name; }
+  const std::string &dataCentre() const { return m_Opts.m_DataCentre; }
+  /// Of its last start.
+  pid_t process() const { return m_Process ? m_Process->id() : -1; }
   /// Counts the starts.
   int life() const { return m_Life; }
   Endpoint callers() const {
--- a/tests/soak/SoakCallers.cpp
+++ b/tests/soak/SoakCallers.cpp
@@ -133,7 +133,8 @@
   if (By.draw(1, OneLeavesIn) > 1)
     return;
   By.m_Leave =
-      m_Loop.after(std::chrono::milliseconds(By.draw(0, 300)), [this, &By] {
+      m_Loop.after(std::chrono::milliseconds(By.draw(0, 300)), [this, &By, Id] {
+        m_Oracle.partitions().left(Id);
         ++m_Counts.m_Left;
         --m_Open;
         By.m_Call.reset();
--- a/tests/soak/SoakEvents.cpp
+++ b/tests/soak/SoakEvents.cpp
@@ -44,6 +44,8 @@
     return "said-leaving";
   case Promise::ServerRetryAfter:
     return "server-retry-after";
+  case Promise::PartitionServed:
+    return "partition-served";
   case Promise::WarmUpRate:
     return "warm-up-rate";
   case Promise::AllowedRegions:
--- a/tests/soak/SoakEvents.h
+++ b/tests/soak/SoakEvents.h
@@ -13,29 +13,30 @@
 
 /// What the system promises its callers and the engines behind it.
 enum class Promise {
-  WholeAnswer,     ///< A success is the engine's whole answer.
-  OwnAnswer,       ///< An answer belongs to the request that got it.
-  Unchanged,       ///< Engines get only what callers sent.
-  RunOnce,         ///< What may not be repeated runs once at most.
-  NotRun,          ///< A status that says "not run" is true.
-  StreamOrder,     ///< Events have neither holes nor repeats.
-  Draining,        ///< An engine that leaves gets nothing new.
-  ConfigInForce,   ///< A configuration is in force within its bound.
-  ConfigBack,      ///< An older configuration never comes back.
-  OneGiver,        ///< Orders come from one box at a time.
-  FencingToken,    ///< Fencing tokens never fall, nor are shared.
-  EngineMemory,    ///< No engine is ordered to hold more than fits.
-  StoreLoads,      ///< Loads from the store of weights stay below a rate.
-  RetryBudget,     ///< Repeated sends are a small part of all.
-  Evacuation,      ///< An evacuated data centre gets nothing new.
-  WarmUpRate,      ///< A cold engine gets no more than it can take.
-  AllowedRegions,  ///< Requests stay in the regions that they may see.
-  BoxLives,        ///< Boxes do not end by themselves.
-  CrashingBarred,  ///< A request that ends engines soon reaches none.
-  OthersServed,    ///< No other request is taken for such a one.
-  ServerLimit,     ///< All boxes together keep the limit that an engine names.
-  SaidLeaving,     ///< An engine that says that it leaves gets nothing new.
-  ServerRetryAfter ///< A box keeps away for the time that an engine names.
+  WholeAnswer,      ///< A success is the engine's whole answer.
+  OwnAnswer,        ///< An answer belongs to the request that got it.
+  Unchanged,        ///< Engines get only what callers sent.
+  RunOnce,          ///< What may not be repeated runs once at most.
+  NotRun,           ///< A status that says "not run" is true.
+  StreamOrder,      ///< Events have neither holes nor repeats.
+  Draining,         ///< An engine that leaves gets nothing new.
+  ConfigInForce,    ///< A configuration is in force within its bound.
+  ConfigBack,       ///< An older configuration never comes back.
+  OneGiver,         ///< Orders come from one box at a time.
+  FencingToken,     ///< Fencing tokens never fall, nor are shared.
+  EngineMemory,     ///< No engine is ordered to hold more than fits.
+  StoreLoads,       ///< Loads from the store of weights stay below a rate.
+  RetryBudget,      ///< Repeated sends are a small part of all.
+  Evacuation,       ///< An evacuated data centre gets nothing new.
+  WarmUpRate,       ///< A cold engine gets no more than it can take.
+  AllowedRegions,   ///< Requests stay in the regions that they may see.
+  BoxLives,         ///< Boxes do not end by themselves.
+  CrashingBarred,   ///< A request that ends engines soon reaches none.
+  OthersServed,     ///< No other request is taken for such a one.
+  ServerLimit,      ///< All boxes together keep the limit that an engine names.
+  SaidLeaving,      ///< An engine that says that it leaves gets nothing new.
+  ServerRetryAfter, ///< A box keeps away for the time that an engine names.
+  PartitionServed   ///< A box that reaches no engine serves its callers.
 };
 
 const char *toString(Promise Of);
@@ -55,6 +56,7 @@
   case Promise::ServerLimit:
   case Promise::SaidLeaving:
   case Promise::ServerRetryAfter:
+  case Promise::PartitionServed:
     return true;
   default:
     return false;
--- a/tests/soak/SoakOracle.cpp
+++ b/tests/soak/SoakOracle.cpp
@@ -8,11 +8,13 @@
       m_Routing(m_Bounds, m_Trouble, noteVerdict()),
       m_Orders(m_Bounds, m_Trouble, noteVerdict()),
       m_Crashes(m_Bounds, m_Trouble, noteVerdict()),
-      m_Words(m_Bounds, m_Trouble, noteVerdict()) {}
+      m_Words(m_Bounds, m_Trouble, noteVerdict()),
+      m_Partitions(m_Bounds, m_Trouble, noteVerdict()) {}
 
 void SoakOracle::sent(const CallerRequest &Request) {
   m_Answers.sent(Request);
   m_Routing.sent(Request);
+  m_Partitions.sent(Request);
 }
 
 void SoakOracle::arrived(const EngineArrival &Arrival) {
@@ -34,6 +36,7 @@
 
 void SoakOracle::answered(const CallerAnswer &Answer) {
   m_Answers.answered(Answer);
+  m_Partitions.answered(Answer);
   constexpr int NotFound = 404;
   const CallerRequest *Request = m_Answers.request(Answer.m_Id);
   const bool Unknown = Request != nullptr && Request->m_Since &&
--- a/tests/soak/SoakOracle.h
+++ b/tests/soak/SoakOracle.h
@@ -7,6 +7,7 @@
 #include "soak/ConfigOracle.h"
 #include "soak/CrashOracle.h"
 #include "soak/OrderOracle.h"
+#include "soak/PartitionOracle.h"
 #include "soak/RoutingOracle.h"
 #include "soak/ServerWordsOracle.h"
 #include <vector>
@@ -38,6 +39,7 @@
   RoutingOracle &routing() { return m_Routing; }
   OrderOracle &orders() { return m_Orders; }
   CrashOracle &crashes() { return m_Crashes; }
+  PartitionOracle &partitions() { return m_Partitions; }
   ServerWordsOracle &words() { return m_Words; }
   const CrashOracle &crashes() const { return m_Crashes; }
   const std::vector<SoakVerdict> &verdicts() const { return m_Verdicts; }
@@ -58,6 +60,7 @@
   OrderOracle m_Orders;
   CrashOracle m_Crashes;
   ServerWordsOracle m_Words;
+  PartitionOracle m_Partitions;
 };
 
 } // namespace havenstair
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -72,6 +72,8 @@
     addRestores(Result, Opts.m_Seed, Opts.m_Length);
   if (Opts.m_Endings)
     addEndings(Result, Opts.m_Seed, Opts.m_Length);
+  if (Opts.m_Partitions)
+    addPartitions(Result, Opts.m_Seed, Opts.m_Length);
   return Result;
 }
 
@@ -95,6 +97,8 @@
     linkThroughProxies();
   if (m_Opts.m_Endings)
     playEndings();
+  if (m_Opts.m_Partitions)
+    m_Faults.partitions().prepare();
   mutate();
 }
 
@@ -255,6 +259,7 @@
   m_Crashing.stop();
   m_Loop.runUntil([this] { return m_Interrupted || m_Callers.open() == 0; },
                   LastAnswers);
+  m_Oracle.partitions().finish();
   return !m_Interrupted;
 }
 
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -39,9 +39,10 @@
     std::optional<int> m_Boxes; ///< In place of the plan's number.
     int m_Crashing = 0;         ///< Requests that end engines.
     bool m_Words = false; ///< Servers say something of themselves, addWords().
-    bool m_Restores = false; ///< The store comes back from copies of itself.
-    bool m_Endings = false;  ///< Answers end in many ways, addEndings().
-    std::string m_Program;   ///< The daemon.
+    bool m_Restores = false;   ///< The store comes back from copies of itself.
+    bool m_Endings = false;    ///< Answers end in many ways, addEndings().
+    bool m_Partitions = false; ///< Boxes reach no server, addPartitions().
+    std::string m_Program;     ///< The daemon.
     /// An earlier daemon: boxes start with it, are replaced one after the
     /// other, and back again. Empty for none.
     std::string m_Previous;
--- a/tests/soak/SoakSchedule.cpp
+++ b/tests/soak/SoakSchedule.cpp
@@ -69,9 +69,10 @@
 }};
 
 // Each of an option of its own. A restore lasts as long as the store is away.
-constexpr std::array<FaultKind, 2> OptionKinds{{
+constexpr std::array<FaultKind, 3> OptionKinds{{
     {SoakFault::RestoreStore, "restore-store", 50, 3000},
     {SoakFault::HarmEndings, "harm-endings", 500, 4000},
+    {SoakFault::CutBoxes, "cut-boxes", 4000, 12000},
 }};
 
 const FaultKind &kindOf(SoakFault Of) {
@@ -220,4 +221,14 @@
   sortByTime(Plan.m_Faults);
 }
 
+void addPartitions(SoakPlan &Plan, std::uint64_t Seed, Duration Length) {
+  Drawing Draw(Seed);
+  for (Duration At = 2s; At < Length;) {
+    Plan.m_Faults.push_back(Draw.fault(At, SoakFault::CutBoxes));
+    At += Plan.m_Faults.back().m_For +
+          std::chrono::milliseconds(Draw(1000, 4000));
+  }
+  sortByTime(Plan.m_Faults);
+}
+
 } // namespace havenstair
--- a/tests/soak/SoakSchedule.h
+++ b/tests/soak/SoakSchedule.h
@@ -59,7 +59,9 @@
   // Of addRestores() alone.
   RestoreStore, ///< The store is away and comes back from a copy of itself.
   // Of addEndings() alone.
-  HarmEndings ///< Some answers of one server are cut or end wrongly.
+  HarmEndings, ///< Some answers of one server are cut or end wrongly.
+  // Of addPartitions() alone.
+  CutBoxes ///< Boxes reach no server, and everybody else.
 };
 
 const char *toString(SoakFault Of);
@@ -109,6 +111,10 @@
 /// other faults.
 void addEndings(SoakPlan &Plan, std::uint64_t Seed, Duration Length);
 
+/// Adds spans in which boxes are cut off from all servers to \p Plan, beside
+/// its other faults; one at a time.
+void addPartitions(SoakPlan &Plan, std::uint64_t Seed, Duration Length);
+
 } // namespace havenstair
 
 #endif
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -33,6 +33,8 @@
                     a copy of itself, some seconds old.
   --endings         Besides, answers of servers end in many ways: without a
                     length or chunks, cut, by a reset, in silence.
+  --partitions      Besides, boxes reach no server for seconds, and everybody
+                    else.
   --config          Harm the ways on which boxes learn of configurations, in
                     place of the seed's usual plan.
   --again MS        With --config: each harm once more after MS [default: 0].
@@ -163,6 +165,7 @@
   Opts.m_Words = Flags["--words"].asBool();
   Opts.m_Restores = Flags["--restores"].asBool();
   Opts.m_Endings = Flags["--endings"].asBool();
+  Opts.m_Partitions = Flags["--partitions"].asBool();
   Opts.m_ConfigPlan = Flags["--config"].asBool();
   Opts.m_Again = std::chrono::milliseconds(Flags["--again"].asLong());
   Opts.m_MoreRoutes = static_cast<int>(Flags["--routes"].asLong());
--- a/tests/standin/LoopbackProxy.cpp
+++ b/tests/standin/LoopbackProxy.cpp
@@ -1,6 +1,7 @@
 #include "standin/LoopbackProxy.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <array>
 #include <deque>
 #include <event2/buffer.h>
@@ -32,7 +33,8 @@
 /// One connection with its other half; side 0 is the client's.
 class LoopbackProxy::Link : public std::enable_shared_from_this<Link> {
 public:
-  Link(LoopbackProxy &Of, int Socket) : m_Of(Of) {
+  Link(LoopbackProxy &Of, int Socket, std::string Client)
+      : m_Of(Of), m_Client(std::move(Client)) {
     m_Sides[0].m_Stream = bufferevent_socket_new(m_Of.m_Loop.base(), Socket,
                                                  BEV_OPT_CLOSE_ON_FREE);
     m_Sides[1].m_Stream =
@@ -64,6 +66,7 @@
     for (Side &Each : m_Sides)
       Each.m_Timer = Timer();
   }
+  const std::string &client() const { return m_Client; }
   /// What the client sent last, in one piece.
   const std::string &asked() const { return m_Asked; }
   /// Passes on what is due, of both directions.
@@ -89,7 +92,8 @@
     return Stream == m_Sides[0].m_Stream ? 0 : 1;
   }
   bool cut(std::size_t From) const {
-    return From == 0 ? m_Of.m_CutToServer : m_Of.m_CutToClient;
+    return (From == 0 ? m_Of.m_CutToServer : m_Of.m_CutToClient) ||
+           m_Of.partitionOf(m_Client) == Partition::Hangs;
   }
 
   static void onReadable(bufferevent *Stream, void *Arg) {
@@ -170,6 +174,7 @@
   }
 
   LoopbackProxy &m_Of;
+  const std::string m_Client;
   std::array<Side, 2> m_Sides;
   std::string m_Asked;
   bool m_Silent = false;
@@ -232,12 +237,14 @@
 }
 
 void LoopbackProxy::accept(int Socket) {
-  if (m_Refusing) {
+  const std::string Client = nameOf(Socket);
+  const Partition Of = partitionOf(Client);
+  if (m_Refusing || Of == Partition::Resets || Of == Partition::RefusesNew) {
     makeReset(Socket);
     close(Socket);
     return;
   }
-  m_Links.push_back(std::make_shared<Link>(*this, Socket));
+  m_Links.push_back(std::make_shared<Link>(*this, Socket, Client));
   m_Links.back()->start();
 }
 
@@ -245,13 +252,43 @@
   m_Links.remove_if([&](const auto &Each) { return Each.get() == Gone; });
 }
 
-void LoopbackProxy::setCut(Direction Of, bool Cut) {
-  (Of == Direction::ToServer ? m_CutToServer : m_CutToClient) = Cut;
+std::string LoopbackProxy::nameOf(int Socket) const {
+  if (!m_Naming)
+    return "";
+  sockaddr_in Address{};
+  socklen_t Length = sizeof(Address);
+  getpeername(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
+  char Text[INET_ADDRSTRLEN] = "";
+  inet_ntop(AF_INET, &Address.sin_addr, Text, sizeof(Text));
+  return m_Naming({Text, ntohs(Address.sin_port)});
+}
+
+LoopbackProxy::Partition
+LoopbackProxy::partitionOf(const std::string &Client) const {
+  const auto Found = m_Partitions.find(Client);
+  return Found == m_Partitions.end() ? Partition::None : Found->second;
+}
+
+void LoopbackProxy::setPartition(const std::string &Client, Partition Of) {
+  m_Partitions[Client] = Of;
+  const auto Links = m_Links;
+  for (const auto &Each : Links)
+    if (Of == Partition::Resets && Each->client() == Client)
+      Each->reset();
+  flushAll();
+}
+
+void LoopbackProxy::flushAll() {
   const auto Links = m_Links;
   for (const auto &Each : Links)
     Each->flush();
 }
 
+void LoopbackProxy::setCut(Direction Of, bool Cut) {
+  (Of == Direction::ToServer ? m_CutToServer : m_CutToClient) = Cut;
+  flushAll();
+}
+
 void LoopbackProxy::setRefusing(bool Refusing) {
   m_Refusing = Refusing;
   if (Refusing)
--- a/tests/standin/LoopbackProxy.h
+++ b/tests/standin/LoopbackProxy.h
@@ -7,6 +7,7 @@
 #include "wire/common/EventLoop.h"
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -20,6 +21,14 @@
 public:
   enum class Direction { ToServer, ToClient };
 
+  /// How a client is cut off from the server.
+  enum class Partition {
+    None,
+    Hangs,     ///< No byte passes, either way, until it heals.
+    Resets,    ///< Its open connections are reset, and new ones.
+    RefusesNew ///< New connections are reset, and the open ones live on.
+  };
+
   /// \throws std::runtime_error when \p Listen cannot be bound.
   LoopbackProxy(EventLoop &Loop, const Endpoint &Listen, const Endpoint &To);
   ~LoopbackProxy();
@@ -44,6 +53,11 @@
   /// The same, of the connections on which the client last sent bytes of that
   /// kind.
   void silenceOpen(const std::function<bool(const std::string &)> &Which);
+  /// Names the client of each new connection, for setPartition().
+  void setNaming(std::function<std::string(const Endpoint &)> Naming) {
+    m_Naming = std::move(Naming);
+  }
+  void setPartition(const std::string &Client, Partition Of);
   /// An end of one direction is passed on as such, and the other stays open.
   /// Without, it closes both.
   void setPassingHalfCloses(bool Passing) { m_PassingHalfCloses = Passing; }
@@ -59,6 +73,9 @@
   void reservePort();
   void listen();
   void accept(int Socket);
+  std::string nameOf(int Socket) const;
+  Partition partitionOf(const std::string &Client) const;
+  void flushAll();
   void remove(const Link *Gone);
   void sendAgain(const std::string &Bytes);
 
@@ -74,6 +91,8 @@
   bool m_CutToClient = false;
   bool m_Refusing = false;
   bool m_PassingHalfCloses = false;
+  std::function<std::string(const Endpoint &)> m_Naming;
+  std::map<std::string, Partition> m_Partitions; ///< By client.
   std::function<bool(const std::string &)> m_Doubled;
   std::list<std::shared_ptr<Link>> m_Links;
   std::list<bufferevent *> m_Repeats;
