Soak: servers that bear few refusals, and silent ones (--brittle)

All servers of a service name Server-Brittle for 6 to 15 s; their room shrinks without a word 3 s later, and one that turns away more than it bears in a second falls for 2 to 5 s. Sound servers are silent for 0.8 to 1.5 s.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -48,6 +48,10 @@
     return restoreStore(Fault);
   if (Fault.m_Kind == SoakFault::CutBoxes)
     return m_Partitions.strike(Fault);
+  if (Fault.m_Kind == SoakFault::BrittleService)
+    return strikeService(Fault);
+  if (Fault.m_Kind == SoakFault::PauseServer)
+    return pauseServer(Fault, pick(m_On.m_Engines, Fault.m_Target));
   if (Fault.m_Kind == SoakFault::HarmEndings) {
     SoakEngine &Engine = pick(m_On.m_Engines, Fault.m_Target);
     return hold(&Engine, Fault.m_Kind, Fault.m_For,
@@ -260,6 +264,36 @@
   }
 }
 
+void FaultInjector::strikeService(const ScheduledFault &Fault) {
+  constexpr std::array<int, 4> Refusals{1, 3, 6, 12}; // In a second.
+  const auto Number = static_cast<std::size_t>(Fault.m_Target);
+  const std::string &Service = Fault.m_Target % 2 == 0
+                                   ? SoakConfig::PlainService
+                                   : SoakConfig::EngineService;
+  std::vector<SoakEngine *> Servers;
+  for (const auto &Each : m_On.m_Engines)
+    if (Each->service() == Service)
+      Servers.push_back(Each.get());
+  m_On.m_Oracle.brittle().began(Service, static_cast<int>(Servers.size()));
+  for (SoakEngine *Each : Servers)
+    Each->sayBrittle(Refusals.at(Number / 2 % Refusals.size()));
+  later(Fault.m_For, [Servers] {
+    for (SoakEngine *Each : Servers)
+      Each->sayBrittleNoMore();
+  });
+}
+
+/// All its connections wait, and nothing is lost.
+void FaultInjector::pauseServer(const ScheduledFault &Fault,
+                                SoakEngine &Engine) {
+  LoopbackProxy &Link = Engine.link();
+  trouble(Engine.id(), Fault.m_For + LinkDelay, [] {});
+  hold(&Link, SoakFault::CutToEngine, Fault.m_For,
+       [&Link](bool On) { Link.setCut(Direction::ToServer, On); });
+  hold(&Link, SoakFault::CutFromEngine, Fault.m_For,
+       [&Link](bool On) { Link.setCut(Direction::ToClient, On); });
+}
+
 void FaultInjector::strikeEngineLink(const ScheduledFault &Fault,
                                      SoakEngine &Engine) {
   LoopbackProxy &Link = Engine.link();
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -46,6 +46,8 @@
   void restoreStore(const ScheduledFault &Fault);
   void strikeEngine(const ScheduledFault &Fault, SoakEngine &Engine);
   void strikeWords(const ScheduledFault &Fault, SoakEngine &Engine);
+  void strikeService(const ScheduledFault &Fault);
+  void pauseServer(const ScheduledFault &Fault, SoakEngine &Engine);
   void strikeEngineLink(const ScheduledFault &Fault, SoakEngine &Engine);
   void strikeKeys(const ScheduledFault &Fault);
   void strikeWaysOfConfig(const ScheduledFault &Fault, SoakBox &Box);
--- a/tests/soak/PartitionOracle.cpp
+++ b/tests/soak/PartitionOracle.cpp
@@ -1,5 +1,7 @@
 #include "soak/PartitionOracle.h"
 
+#include <algorithm>
+
 namespace havenstair {
 
 void PartitionOracle::began(const std::set<std::string> &Boxes, TimePoint At) {
@@ -18,9 +20,11 @@
     Found->second.m_Served = Answer.m_Complete && Answer.m_Status / 100 == 2;
 }
 
-void PartitionOracle::finish() {
-  for (const Partition &Each : m_Partitions)
+void PartitionOracle::finish(TimePoint At) {
+  for (Partition &Each : m_Partitions) {
+    Each.m_To = std::min(Each.m_To, At);
     judge(Each);
+  }
 }
 
 PartitionOracle::Count PartitionOracle::count(const Partition &Of,
--- a/tests/soak/PartitionOracle.h
+++ b/tests/soak/PartitionOracle.h
@@ -31,7 +31,7 @@
   /// The caller gave up by itself; its try does not count.
   void left(const std::string &Id) { m_Tries.erase(Id); }
   /// Nothing more comes: tries without an answer have failed.
-  void finish();
+  void finish(TimePoint At);
 
 private:
   struct Partition {
--- a/tests/soak/PartitionOracleTest.cpp
+++ b/tests/soak/PartitionOracleTest.cpp
@@ -27,7 +27,7 @@
   }
   Promises verdict() {
     m_Oracle.partitions().ended(at(20s));
-    m_Oracle.partitions().finish();
+    m_Oracle.partitions().finish(at(30s));
     return broken(m_Oracle);
   }
 
--- a/tests/soak/SoakBounds.h
+++ b/tests/soak/SoakBounds.h
@@ -40,6 +40,9 @@
   double m_PartitionServed = 2.0 / 3;
   double m_PartitionFailures = 10;
   double m_PartitionFailureRatio = 1.0 / 50;
+  /// Falls of brittle servers in one time, and more by the number of servers.
+  double m_BrittleFalls = 2;
+  double m_BrittleFallRatio = 0.1;
   /// What the soak's own process may take to note an event.
   Duration m_Slack = 200ms;
 
--- a/tests/soak/SoakEngine.cpp
+++ b/tests/soak/SoakEngine.cpp
@@ -107,16 +107,48 @@
 void SoakEngine::crash(const std::string &Body) {
   constexpr int LeastAwayMs = 300;
   constexpr int MostAwayMs = 3000;
-  if (std::exchange(m_Down, true))
+  if (m_Down)
     return;
   m_Oracle.crashes().ended(Body, EventLoop::now());
-  m_Link.setListening(false);
   const bool SameId = draw(0, 1) == 0;
+  m_Down = true;
+  m_Link.setListening(false);
   m_BackTimer =
       m_Loop.after(std::chrono::milliseconds(draw(LeastAwayMs, MostAwayMs)),
                    [this, SameId] { SameId ? restart(0us) : comeBack(); });
 }
 
+/// As crash(), but it is back under its id.
+void SoakEngine::fall(Duration Away) {
+  m_Brittle->forget();
+  if (std::exchange(m_Down, true))
+    return;
+  m_Oracle.brittle().fell(m_Id, EventLoop::now());
+  m_BackTimer = m_Loop.after(Away, [this] { restart(0us); });
+  // The request that it turns away comes over one of the connections that end.
+  m_Loop.defer([this] { m_Link.setListening(!m_Down); });
+}
+
+void SoakEngine::sayBrittle(int PerS) {
+  m_Brittle.emplace(PerS, EventLoop::now());
+}
+
+void SoakEngine::sayBrittleNoMore() { m_Brittle.reset(); }
+
+int SoakEngine::room() const {
+  return m_Brittle ? m_Brittle->room(m_Opts.m_Slots, EventLoop::now())
+                   : m_Opts.m_Slots;
+}
+
+void SoakEngine::noteTurnedAway(const Request &Asked) {
+  constexpr int LeastAwayMs = 2000;
+  constexpr int MostAwayMs = 5000;
+  const TimePoint Now = EventLoop::now();
+  m_Oracle.turnedAway(Asked.header("x-attempt-id"), m_Id, Now);
+  if (m_Brittle->turnedAway(Now))
+    fall(std::chrono::milliseconds(draw(LeastAwayMs, MostAwayMs)));
+}
+
 void SoakEngine::restart(Duration Cold) {
   const TimePoint Now = EventLoop::now();
   m_BackTimer = Timer();
@@ -184,6 +216,9 @@
     Result += "Server-Limit: " + std::to_string(*m_LimitPerSecond) + "\r\n";
   if (m_SaysLeaving)
     Result += "Server-Leaving: 1\r\n";
+  if (m_Brittle)
+    Result +=
+        "Server-Brittle: " + std::to_string(m_Brittle->perSecond()) + "\r\n";
   if (After > 0us)
     Result += "Retry-After: " + std::to_string(inSeconds(After)) + "\r\n";
   return Result;
@@ -208,7 +243,7 @@
   if (Asked.m_Target.starts_with("/v1/"))
     return refuse(Asked, To, Other ? Misdirected : NotFound);
   const bool Here = !Other && modelHere(Asked);
-  const bool Runs = Here && m_Active < m_Opts.m_Slots && m_RetryAfter == 0us;
+  const bool Runs = Here && m_Active < room() && m_RetryAfter == 0us;
   if (!Other)
     m_Oracle.arrived({.m_Id = Asked.header("x-attempt-id"),
                       .m_Engine = m_Id,
@@ -219,7 +254,11 @@
                       .m_Runs = Runs,
                       .m_At = EventLoop::now()});
   if (!Runs)
-    return refuse(Asked, To, Here ? Full : Misdirected);
+    refuse(Asked, To, Here ? Full : Misdirected);
+  if (!Runs && Here && m_Brittle && m_RetryAfter == 0us)
+    noteTurnedAway(Asked);
+  if (!Runs)
+    return;
   run(Asked, To);
 }
 
--- a/tests/soak/SoakEngine.h
+++ b/tests/soak/SoakEngine.h
@@ -5,6 +5,7 @@
 #define HAVENSTAIR_TESTS_SOAK_SOAKENGINE_H
 
 #include "soak/ModelShelf.h"
+#include "soak/SoakBrittleness.h"
 #include "soak/SoakEndings.h"
 #include "soak/SoakOracle.h"
 #include "standin/EndedAnswer.h"
@@ -37,6 +38,7 @@
 
   /// The id in its entry; a new one after each return.
   const std::string &id() const { return m_Id; }
+  const std::string &service() const { return m_Opts.m_Service; }
   LoopbackProxy &link() { return m_Link; }
 
   /// Starts again under its id with a newer birth and nothing kept. It is cold
@@ -58,6 +60,11 @@
   void sayLeaving() { m_SaysLeaving = true; }
   /// Requests are turned away, with a time to retry after.
   void askRetryAfter(Duration For) { m_RetryAfter = For; }
+  /// Answers say that it is brittle from now on, and its room shrinks after a
+  /// while: it falls when it turns away more than \p PerS in a second for want
+  /// of room.
+  void sayBrittle(int PerS);
+  void sayBrittleNoMore();
   /// Mutation: the oracle hears the words, and the boxes do not.
   void setSilent(bool Silent) { m_Silent = Silent; }
   /// The next answers break off midway.
@@ -86,6 +93,9 @@
   void report(const Request &Asked, const Connection &To);
   void run(const Request &Asked, const Connection &To);
   void crash(const std::string &Body);
+  void fall(Duration Away);
+  int room() const;
+  void noteTurnedAway(const Request &Asked);
   void answer(const std::shared_ptr<Run> &Of, EndedAnswer::Options Opts);
   void streamEnded(const std::shared_ptr<Run> &Of, Duration Wait);
   void finishEnded(const std::shared_ptr<Run> &Of, const std::string &Body);
@@ -128,6 +138,7 @@
   bool m_SaysLeaving = false;
   Duration m_RetryAfter = 0us;
   bool m_Silent = false;
+  std::optional<SoakBrittleness> m_Brittle;
   std::optional<SoakEndings> m_Endings;
   bool m_ClaimsWhole = false;
   std::vector<std::shared_ptr<EndedAnswer>> m_Answers;
--- a/tests/soak/SoakEvents.cpp
+++ b/tests/soak/SoakEvents.cpp
@@ -46,6 +46,8 @@
     return "server-retry-after";
   case Promise::PartitionServed:
     return "partition-served";
+  case Promise::BrittleFalls:
+    return "brittle-falls";
   case Promise::WarmUpRate:
     return "warm-up-rate";
   case Promise::AllowedRegions:
--- a/tests/soak/SoakEvents.h
+++ b/tests/soak/SoakEvents.h
@@ -36,7 +36,8 @@
   ServerLimit,      ///< All boxes together keep the limit that an engine names.
   SaidLeaving,      ///< An engine that says that it leaves gets nothing new.
   ServerRetryAfter, ///< A box keeps away for the time that an engine names.
-  PartitionServed   ///< A box that reaches no engine serves its callers.
+  PartitionServed,  ///< A box that reaches no engine serves its callers.
+  BrittleFalls      ///< Servers that bear few refusals seldom fall.
 };
 
 const char *toString(Promise Of);
@@ -57,6 +58,7 @@
   case Promise::SaidLeaving:
   case Promise::ServerRetryAfter:
   case Promise::PartitionServed:
+  case Promise::BrittleFalls:
     return true;
   default:
     return false;
--- a/tests/soak/SoakOracle.cpp
+++ b/tests/soak/SoakOracle.cpp
@@ -9,7 +9,8 @@
       m_Orders(m_Bounds, m_Trouble, noteVerdict()),
       m_Crashes(m_Bounds, m_Trouble, noteVerdict()),
       m_Words(m_Bounds, m_Trouble, noteVerdict()),
-      m_Partitions(m_Bounds, m_Trouble, noteVerdict()) {}
+      m_Partitions(m_Bounds, m_Trouble, noteVerdict()),
+      m_Brittle(m_Bounds, m_Trouble, noteVerdict()) {}
 
 void SoakOracle::sent(const CallerRequest &Request) {
   m_Answers.sent(Request);
@@ -34,6 +35,12 @@
     m_Words.said(Words, *Request);
 }
 
+void SoakOracle::turnedAway(const std::string &Id, const std::string &Engine,
+                            TimePoint At) {
+  if (const CallerRequest *Request = m_Answers.request(Id))
+    m_Brittle.turnedAway(Request->m_Service, Engine, Request->m_Box, At);
+}
+
 void SoakOracle::answered(const CallerAnswer &Answer) {
   m_Answers.answered(Answer);
   m_Partitions.answered(Answer);
--- a/tests/soak/SoakOracle.h
+++ b/tests/soak/SoakOracle.h
@@ -4,6 +4,7 @@
 #define HAVENSTAIR_TESTS_SOAK_SOAKORACLE_H
 
 #include "soak/AnswerOracle.h"
+#include "soak/BrittleOracle.h"
 #include "soak/ConfigOracle.h"
 #include "soak/CrashOracle.h"
 #include "soak/OrderOracle.h"
@@ -27,6 +28,9 @@
   void said(const EngineWords &Words);
   void made(const EngineAnswer &Answer) { m_Answers.made(Answer); }
   void ended(const EngineEnding &Ending) { m_Answers.ended(Ending); }
+  /// A brittle engine turns a request away for want of room.
+  void turnedAway(const std::string &Id, const std::string &Engine,
+                  TimePoint At);
   /// A box ended although nobody stopped it.
   void boxEnded(const std::string &Box, int Status, TimePoint At);
 
@@ -40,6 +44,7 @@
   OrderOracle &orders() { return m_Orders; }
   CrashOracle &crashes() { return m_Crashes; }
   PartitionOracle &partitions() { return m_Partitions; }
+  BrittleOracle &brittle() { return m_Brittle; }
   ServerWordsOracle &words() { return m_Words; }
   const CrashOracle &crashes() const { return m_Crashes; }
   const std::vector<SoakVerdict> &verdicts() const { return m_Verdicts; }
@@ -61,6 +66,7 @@
   CrashOracle m_Crashes;
   ServerWordsOracle m_Words;
   PartitionOracle m_Partitions;
+  BrittleOracle m_Brittle;
 };
 
 } // namespace havenstair
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -72,6 +72,8 @@
     addRestores(Result, Opts.m_Seed, Opts.m_Length);
   if (Opts.m_Endings)
     addEndings(Result, Opts.m_Seed, Opts.m_Length);
+  if (Opts.m_Brittle)
+    addBrittleness(Result, Opts.m_Seed, Opts.m_Length);
   if (Opts.m_Partitions)
     addPartitions(Result, Opts.m_Seed, Opts.m_Length);
   return Result;
@@ -259,7 +261,7 @@
   m_Crashing.stop();
   m_Loop.runUntil([this] { return m_Interrupted || m_Callers.open() == 0; },
                   LastAnswers);
-  m_Oracle.partitions().finish();
+  m_Oracle.partitions().finish(EventLoop::now());
   return !m_Interrupted;
 }
 
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -42,6 +42,7 @@
     bool m_Restores = false;   ///< The store comes back from copies of itself.
     bool m_Endings = false;    ///< Answers end in many ways, addEndings().
     bool m_Partitions = false; ///< Boxes reach no server, addPartitions().
+    bool m_Brittle = false;    ///< Servers bear few refusals, addBrittleness().
     std::string m_Program;     ///< The daemon.
     /// An earlier daemon: boxes start with it, are replaced one after the
     /// other, and back again. Empty for none.
--- a/tests/soak/SoakSchedule.cpp
+++ b/tests/soak/SoakSchedule.cpp
@@ -69,10 +69,12 @@
 }};
 
 // Each of an option of its own. A restore lasts as long as the store is away.
-constexpr std::array<FaultKind, 3> OptionKinds{{
+constexpr std::array<FaultKind, 5> OptionKinds{{
     {SoakFault::RestoreStore, "restore-store", 50, 3000},
     {SoakFault::HarmEndings, "harm-endings", 500, 4000},
     {SoakFault::CutBoxes, "cut-boxes", 4000, 12000},
+    {SoakFault::BrittleService, "brittle-service", 6000, 15000},
+    {SoakFault::PauseServer, "pause-server", 800, 1500},
 }};
 
 const FaultKind &kindOf(SoakFault Of) {
@@ -231,4 +233,17 @@
   sortByTime(Plan.m_Faults);
 }
 
+void addBrittleness(SoakPlan &Plan, std::uint64_t Seed, Duration Length) {
+  Drawing Draw(Seed);
+  for (Duration At = 1s; At < Length;) {
+    Plan.m_Faults.push_back(Draw.fault(At, SoakFault::BrittleService));
+    At +=
+        Plan.m_Faults.back().m_For + std::chrono::milliseconds(Draw(500, 3000));
+  }
+  for (Duration At = 2s; At < Length;
+       At += std::chrono::milliseconds(Draw(2000, 6000)))
+    Plan.m_Faults.push_back(Draw.fault(At, SoakFault::PauseServer));
+  sortByTime(Plan.m_Faults);
+}
+
 } // namespace havenstair
--- a/tests/soak/SoakSchedule.h
+++ b/tests/soak/SoakSchedule.h
@@ -61,7 +61,10 @@
   // Of addEndings() alone.
   HarmEndings, ///< Some answers of one server are cut or end wrongly.
   // Of addPartitions() alone.
-  CutBoxes ///< Boxes reach no server, and everybody else.
+  CutBoxes, ///< Boxes reach no server, and everybody else.
+  // Of addBrittleness() alone.
+  BrittleService, ///< All servers of a service say that they are brittle.
+  PauseServer     ///< A sound server is silent and goes on.
 };
 
 const char *toString(SoakFault Of);
@@ -115,6 +118,10 @@
 /// its other faults; one at a time.
 void addPartitions(SoakPlan &Plan, std::uint64_t Seed, Duration Length);
 
+/// Adds spans in which the servers of a service are brittle to \p Plan, one at
+/// a time, and servers that fall silent for a moment, beside its other faults.
+void addBrittleness(SoakPlan &Plan, std::uint64_t Seed, Duration Length);
+
 } // namespace havenstair
 
 #endif
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -35,6 +35,9 @@
                     length or chunks, cut, by a reset, in silence.
   --partitions      Besides, boxes reach no server for seconds, and everybody
                     else.
+  --brittle         Besides, servers of a service say that they bear few
+                    refusals, and fall over more; others are silent for a
+                    moment.
   --config          Harm the ways on which boxes learn of configurations, in
                     place of the seed's usual plan.
   --again MS        With --config: each harm once more after MS [default: 0].
@@ -166,6 +169,7 @@
   Opts.m_Restores = Flags["--restores"].asBool();
   Opts.m_Endings = Flags["--endings"].asBool();
   Opts.m_Partitions = Flags["--partitions"].asBool();
+  Opts.m_Brittle = Flags["--brittle"].asBool();
   Opts.m_ConfigPlan = Flags["--config"].asBool();
   Opts.m_Again = std::chrono::milliseconds(Flags["--again"].asLong());
   Opts.m_MoreRoutes = static_cast<int>(Flags["--routes"].asLong());
