--- a/tests/soak/SoakScheduleTest.cpp
+++ b/tests/soak/SoakScheduleTest.cpp
@@ -59,3 +59,39 @@
   REQUIRE(Calm);
   REQUIRE(Kinds.size() == static_cast<std::size_t>(SoakFault::Evacuate) + 1);
 }
+
+TEST_CASE("Partitions and brittle services come one at a time",
+          "[soak][schedule]") {
+  using AddTo = void (*)(SoakPlan &, std::uint64_t, Duration);
+  const auto [Add, Kind] = GENERATE(
+      table<AddTo, SoakFault>({{addPartitions, SoakFault::CutBoxes},
+                               {addBrittleness, SoakFault::BrittleService}}));
+  const SoakPlan Before = makePlan(7, 600s);
+  SoakPlan Plan = Before;
+  Add(Plan, 7, 600s);
+  Duration Until = 0s;
+  std::size_t Count = 0;
+  std::vector<ScheduledFault> Others;
+  for (const ScheduledFault &Each : Plan.m_Faults) {
+    if (Each.m_Kind < SoakFault::HarmEndings)
+      Others.push_back(Each);
+    if (Each.m_Kind != Kind)
+      continue;
+    REQUIRE(Each.m_At > Until);
+    Until = Each.m_At + Each.m_For;
+    ++Count;
+  }
+  REQUIRE(Count > 30);
+  REQUIRE(Others == Before.m_Faults);
+}
+
+TEST_CASE("Harmed endings leave the other faults of a plan as they are",
+          "[soak][schedule]") {
+  const SoakPlan Before = makePlan(7, 60s);
+  SoakPlan Plan = Before;
+  addEndings(Plan, 7, 60s);
+  std::erase_if(Plan.m_Faults, [](const ScheduledFault &Each) {
+    return Each.m_Kind == SoakFault::HarmEndings;
+  });
+  REQUIRE(Plan == Before);
+}
--- a/tests/standin/LoopbackProxyTest.cpp
+++ b/tests/standin/LoopbackProxyTest.cpp
@@ -1,5 +1,6 @@
 #include "standin/LoopbackProxy.h"
 #include "standin/StandinRunner.h"
+#include "support/SocketOwner.h"
 #include "wire/common/HttpClient.h"
 
 #include <catch2/catch.hpp>
@@ -110,6 +111,67 @@
   REQUIRE(m_Answer->m_End == HttpEnd::Broken);
 }
 
+TEST_CASE_METHOD(ProxyTest, "A partition holds for one client alone",
+                 "[soak][proxy][partition]") {
+  using Partition = LoopbackProxy::Partition;
+  std::string Name = "cut";
+  m_Proxy.setNaming([&](const Endpoint &) { return Name; });
+  send("first");
+  REQUIRE(answered());
+  const auto Way =
+      GENERATE(Partition::Hangs, Partition::Resets, Partition::RefusesNew);
+  m_Proxy.setPartition("cut", Way);
+
+  SECTION("its open connection hangs, ends or lives on") {
+    // A client that has noticed the reset connects anew.
+    send("second");
+    if (Way == Partition::Hangs)
+      REQUIRE_FALSE(
+          m_Loop.runUntil([&] { return m_Answer.has_value(); }, 100ms));
+    else
+      REQUIRE(answered());
+    if (Way != Partition::Hangs)
+      REQUIRE(m_Answer->ok() == (Way == Partition::RefusesNew));
+    m_Proxy.setPartition("cut", Partition::None);
+    REQUIRE(answered());
+    REQUIRE(m_Answer->ok() == (Way != Partition::Resets));
+  }
+  SECTION("its new ones hang or are reset") {
+    m_Http.forget(m_Proxy.endpoint());
+    send("second");
+    REQUIRE(m_Loop.runUntil([&] { return m_Answer.has_value(); }, 100ms) ==
+            (Way != Partition::Hangs));
+    REQUIRE(m_Server.requests().size() == 1);
+    m_Proxy.setPartition("cut", Partition::None);
+    REQUIRE(answered());
+    REQUIRE(m_Answer->ok() == (Way == Partition::Hangs));
+  }
+  SECTION("another client is served") {
+    Name = "other";
+    m_Http.forget(m_Proxy.endpoint());
+    send("second");
+    REQUIRE(answered());
+    REQUIRE(m_Answer->ok());
+  }
+}
+
+TEST_CASE_METHOD(ProxyTest, "A client is known by the process that connects",
+                 "[soak][proxy][partition]") {
+  bool Own = false;
+  bool Parent = true;
+  m_Proxy.setNaming([&](const Endpoint &Client) {
+    const auto Inode = socketInode(Client, m_Proxy.endpoint());
+    Own = Inode != 0 && holdsSocket(getpid(), Inode);
+    Parent = holdsSocket(getppid(), Inode);
+    return std::string();
+  });
+  send("first");
+  REQUIRE(answered());
+  REQUIRE(Own);
+  REQUIRE_FALSE(Parent);
+  REQUIRE(socketInode({"127.0.0.1", 1}, m_Proxy.endpoint()) == 0);
+}
+
 TEST_CASE_METHOD(ProxyTest, "Delayed bytes keep their order", "[soak][proxy]") {
   m_Proxy.setDelay(50ms);
   const std::string Body(200000, 'x');
