Soak: sound answers must arrive as a whole (sound-answer)

whole-answer finds parts that are given out as whole; a box that cut each answer without a length or chunks would have kept it. Judged in calm spans.

--- a/tests/soak/Disturbances.h
+++ b/tests/soak/Disturbances.h
@@ -16,6 +16,7 @@
 public:
   inline static const std::string Store = "store";
   inline static const std::string Harness = "harness";
+  inline static const std::string Reach = "reach"; ///< Of boxes to engines.
 
   /// Trouble of \p Subject begins; several may overlap.
   void begin(const std::string &Subject, TimePoint At);
--- a/tests/soak/EndingOracleTest.cpp
+++ b/tests/soak/EndingOracleTest.cpp
@@ -39,6 +39,8 @@
                     .m_Readable = Readable,
                     .m_After = After,
                     .m_FramedAsWhole = FramedAsWhole,
+                    .m_Sound = false,
+                    .m_Engine = "e1",
                     .m_How = ""});
   }
   Promises complete(const std::string &Body) {
@@ -139,3 +141,54 @@
     REQUIRE(unfinishedEvent(Text + Part).empty() == Between);
   }
 }
+
+TEST_CASE("The soak's oracle finds sound answers that are cut",
+          "[soak][oracle][ending]") {
+  SoakOracle Oracle((SoakBounds()));
+  const CallerRequest Request{.m_Id = "r",
+                              .m_Box = "box-1",
+                              .m_Kind = RequestKind::Safe,
+                              .m_Service = "plain",
+                              .m_Target = "/x",
+                              .m_Body = "body",
+                              .m_At = at(10s)};
+  const auto Run = [&](bool Sound) {
+    Oracle.ended({.m_Id = "r",
+                  .m_Signature = Sound ? "sound" : "cut",
+                  .m_Readable = "answer",
+                  .m_FramedAsWhole = Sound,
+                  .m_Sound = Sound,
+                  .m_Engine = "e1",
+                  .m_How = ""});
+  };
+  const auto Answered = [&](bool Complete, Duration At) {
+    Oracle.answered({.m_Id = "r",
+                     .m_Status = 200,
+                     .m_Complete = Complete,
+                     .m_AnswersId = "r",
+                     .m_Signature = "sound",
+                     .m_Body = Complete ? "answer" : "ans",
+                     .m_At = at(At)});
+    return broken(Oracle);
+  };
+  Oracle.sent(Request);
+  Oracle.made({"r", "sound", 200, "answer"});
+  Run(true);
+  SECTION("one that is cut is wrong") {
+    REQUIRE(Answered(false, 11s) == Promises{Promise::SoundAnswer});
+  }
+  SECTION("one that arrives is right") { REQUIRE(Answered(true, 11s) == None); }
+  SECTION("another run that broke off may be the cause") {
+    Run(false);
+    REQUIRE(Answered(false, 11s) == None);
+  }
+  SECTION("so may an engine that started again") {
+    Oracle.sound().startedAgain("e1", at(10500ms));
+    REQUIRE(Answered(false, 11s) == None);
+  }
+  SECTION("or trouble of the box") {
+    Oracle.trouble().add("box-1", at(9s), at(10s));
+    REQUIRE(Answered(false, 11s) == None);
+  }
+  SECTION("or time") { REQUIRE(Answered(false, 14s) == None); }
+}
--- a/tests/soak/PartitionInjector.cpp
+++ b/tests/soak/PartitionInjector.cpp
@@ -75,6 +75,8 @@
     return;
   const TimePoint Now = EventLoop::now();
   m_Oracle.partitions().began(Boxes, Now);
+  m_Oracle.trouble().add(Disturbances::Reach, Now,
+                         Now + Fault.m_For + LateBytes);
   if (Way == Partition::Hangs)
     for (const auto &Each : m_Engines)
       m_Oracle.trouble().add(Each->id(), Now, Now + Fault.m_For + LateBytes);
--- a/tests/soak/SoakBounds.h
+++ b/tests/soak/SoakBounds.h
@@ -43,6 +43,8 @@
   /// Falls of brittle servers in one time, and more by the number of servers.
   double m_BrittleFalls = 2;
   double m_BrittleFallRatio = 0.1;
+  /// Routes time out later; slower answers are not judged as sound ones.
+  Duration m_SoundWithin = 3s;
   /// What the soak's own process may take to note an event.
   Duration m_Slack = 200ms;
 
--- a/tests/soak/SoakEngine.cpp
+++ b/tests/soak/SoakEngine.cpp
@@ -169,6 +169,7 @@
     m_Shelf->forget();
   m_Oracle.orders().forgot(m_Id);
   m_Oracle.words().startedAgain(m_Id);
+  m_Oracle.sound().startedAgain(m_Id, Now);
   m_Oracle.routing().engineCold(m_Id, Now, m_ColdUntil);
   m_Link.resetOpen();
   if (m_Listed)
@@ -377,6 +378,8 @@
                   .m_Readable = readableBody(Told, m_Answers.back()->text()),
                   .m_After = Of->m_Next - 1,
                   .m_FramedAsWhole = framedAsWhole(Told),
+                  .m_Sound = isSound(Told),
+                  .m_Engine = m_Id,
                   .m_How = Told.str()});
 }
 
--- a/tests/soak/SoakEvents.cpp
+++ b/tests/soak/SoakEvents.cpp
@@ -6,6 +6,8 @@
   switch (Of) {
   case Promise::WholeAnswer:
     return "whole-answer";
+  case Promise::SoundAnswer:
+    return "sound-answer";
   case Promise::OwnAnswer:
     return "own-answer";
   case Promise::Unchanged:
--- a/tests/soak/SoakEvents.h
+++ b/tests/soak/SoakEvents.h
@@ -13,6 +13,7 @@
 
 /// What the system promises its callers and the engines behind it.
 enum class Promise {
+  SoundAnswer,      ///< What an engine answers soundly arrives as a whole.
   WholeAnswer,      ///< A success is the engine's whole answer.
   OwnAnswer,        ///< An answer belongs to the request that got it.
   Unchanged,        ///< Engines get only what callers sent.
@@ -59,6 +60,7 @@
   case Promise::ServerRetryAfter:
   case Promise::PartitionServed:
   case Promise::BrittleFalls:
+  case Promise::SoundAnswer:
     return true;
   default:
     return false;
@@ -148,6 +150,9 @@
   int m_After = 0;
   /// By its framing, or by the orderly end of its connection without one.
   bool m_FramedAsWhole = false;
+  /// All was sent, properly framed, and the connection ends in order.
+  bool m_Sound = false;
+  std::string m_Engine;
   std::string m_How; ///< For verdicts.
 
   bool operator==(const EngineEnding &) const = default;
--- a/tests/soak/SoakOracle.cpp
+++ b/tests/soak/SoakOracle.cpp
@@ -10,7 +10,8 @@
       m_Crashes(m_Bounds, m_Trouble, noteVerdict()),
       m_Words(m_Bounds, m_Trouble, noteVerdict()),
       m_Partitions(m_Bounds, m_Trouble, noteVerdict()),
-      m_Brittle(m_Bounds, m_Trouble, noteVerdict()) {}
+      m_Brittle(m_Bounds, m_Trouble, noteVerdict()),
+      m_Sound(m_Bounds, m_Trouble, noteVerdict()) {}
 
 void SoakOracle::sent(const CallerRequest &Request) {
   m_Answers.sent(Request);
@@ -51,6 +52,8 @@
                        Answer.m_Signature.empty();
   if (Request != nullptr)
     m_Crashes.answered(Answer, *Request);
+  if (Request != nullptr)
+    m_Sound.answered(Answer, *Request);
   if (Unknown)
     m_Config.unknown(*Request, Answer.m_At);
 }
--- a/tests/soak/SoakOracle.h
+++ b/tests/soak/SoakOracle.h
@@ -11,6 +11,7 @@
 #include "soak/PartitionOracle.h"
 #include "soak/RoutingOracle.h"
 #include "soak/ServerWordsOracle.h"
+#include "soak/SoundAnswerOracle.h"
 #include <vector>
 
 namespace havenstair {
@@ -27,7 +28,10 @@
   void arrived(const EngineArrival &Arrival);
   void said(const EngineWords &Words);
   void made(const EngineAnswer &Answer) { m_Answers.made(Answer); }
-  void ended(const EngineEnding &Ending) { m_Answers.ended(Ending); }
+  void ended(const EngineEnding &Ending) {
+    m_Answers.ended(Ending);
+    m_Sound.ended(Ending);
+  }
   /// A brittle engine turns a request away for want of room.
   void turnedAway(const std::string &Id, const std::string &Engine,
                   TimePoint At);
@@ -45,6 +49,7 @@
   CrashOracle &crashes() { return m_Crashes; }
   PartitionOracle &partitions() { return m_Partitions; }
   BrittleOracle &brittle() { return m_Brittle; }
+  SoundAnswerOracle &sound() { return m_Sound; }
   ServerWordsOracle &words() { return m_Words; }
   const CrashOracle &crashes() const { return m_Crashes; }
   const std::vector<SoakVerdict> &verdicts() const { return m_Verdicts; }
@@ -67,6 +72,7 @@
   ServerWordsOracle m_Words;
   PartitionOracle m_Partitions;
   BrittleOracle m_Brittle;
+  SoundAnswerOracle m_Sound;
 };
 
 } // namespace havenstair
--- a/tests/standin/AnswerEnding.cpp
+++ b/tests/standin/AnswerEnding.cpp
@@ -97,6 +97,13 @@
   return false;
 }
 
+bool isSound(const AnswerEnding &Ending) {
+  return framedAsWhole(Ending) && Ending.m_At == AnswerCut::Nowhere &&
+         Ending.m_Framing != AnswerFraming::ShorterLength &&
+         Ending.m_End != ConnectionEnd::Reset &&
+         Ending.m_End != ConnectionEnd::Silence;
+}
+
 std::string framingFields(const AnswerEnding &Ending, std::size_t BodySize) {
   if (inChunks(Ending))
     return "Transfer-Encoding: chunked\r\n\r\n";
--- a/tests/standin/AnswerEnding.h
+++ b/tests/standin/AnswerEnding.h
@@ -73,6 +73,10 @@
 /// says that the body is complete.
 bool framedAsWhole(const AnswerEnding &Ending);
 
+/// Whether all is sent, as its framing says, and its connection may be kept or
+/// ends in order.
+bool isSound(const AnswerEnding &Ending);
+
 /// The header fields of its framing with the blank line, for \p BodySize bytes
 /// that are sent.
 std::string framingFields(const AnswerEnding &Ending, std::size_t BodySize);
