--- a/tests/soak/SoakBounds.h
+++ b/tests/soak/SoakBounds.h
@@ -35,6 +35,16 @@
   double m_LimitAllowance = 5;
   Duration m_RetryAfterBegins = 500ms; ///< After the answer that asks for it.
   int m_RetryAfterArrivals = 2;        ///< That are forgiven.
+  /// Of the share that others serve, what a box serves that reaches no engine;
+  /// and how many of its first tries may fail, by themselves and of all tries.
+  double m_PartitionServed = 2.0 / 3;
+  double m_PartitionFailures = 10;
+  double m_PartitionFailureRatio = 1.0 / 50;
+  /// Falls of brittle servers in one time, and more by the number of servers.
+  double m_BrittleFalls = 2;
+  double m_BrittleFallRatio = 0.1;
+  /// Routes time out later; slower answers are not judged as sound ones.
+  Duration m_SoundWithin = 3s;
   /// What the soak's own process may take to note an event.
   Duration m_Slack = 200ms;
 
--- a/tests/soak/SoakEvents.cpp
+++ b/tests/soak/SoakEvents.cpp
@@ -6,6 +6,8 @@
   switch (Of) {
   case Promise::WholeAnswer:
     return "whole-answer";
+  case Promise::SoundAnswer:
+    return "sound-answer";
   case Promise::OwnAnswer:
     return "own-answer";
   case Promise::Unchanged:
@@ -44,6 +46,10 @@
     return "said-leaving";
   case Promise::ServerRetryAfter:
     return "server-retry-after";
+  case Promise::PartitionServed:
+    return "partition-served";
+  case Promise::BrittleFalls:
+    return "brittle-falls";
   case Promise::WarmUpRate:
     return "warm-up-rate";
   case Promise::AllowedRegions:
--- a/tests/soak/SoakOracle.h
+++ b/tests/soak/SoakOracle.h
@@ -4,11 +4,14 @@
 #define HAVENSTAIR_TESTS_SOAK_SOAKORACLE_H
 
 #include "soak/AnswerOracle.h"
+#include "soak/BrittleOracle.h"
 #include "soak/ConfigOracle.h"
 #include "soak/CrashOracle.h"
 #include "soak/OrderOracle.h"
+#include "soak/PartitionOracle.h"
 #include "soak/RoutingOracle.h"
 #include "soak/ServerWordsOracle.h"
+#include "soak/SoundAnswerOracle.h"
 #include <vector>
 
 namespace havenstair {
@@ -25,14 +28,28 @@
   void arrived(const EngineArrival &Arrival);
   void said(const EngineWords &Words);
   void made(const EngineAnswer &Answer) { m_Answers.made(Answer); }
+  void ended(const EngineEnding &Ending) {
+    m_Answers.ended(Ending);
+    m_Sound.ended(Ending);
+  }
+  /// A brittle engine turns a request away for want of room.
+  void turnedAway(const std::string &Id, const std::string &Engine,
+                  TimePoint At);
   /// A box ended although nobody stopped it.
   void boxEnded(const std::string &Box, int Status, TimePoint At);
 
+  /// The request of that id; null when no caller sent it.
+  const CallerRequest *request(const std::string &Id) const {
+    return m_Answers.request(Id);
+  }
   Disturbances &trouble() { return m_Trouble; }
   ConfigOracle &config() { return m_Config; }
   RoutingOracle &routing() { return m_Routing; }
   OrderOracle &orders() { return m_Orders; }
   CrashOracle &crashes() { return m_Crashes; }
+  PartitionOracle &partitions() { return m_Partitions; }
+  BrittleOracle &brittle() { return m_Brittle; }
+  SoundAnswerOracle &sound() { return m_Sound; }
   ServerWordsOracle &words() { return m_Words; }
   const CrashOracle &crashes() const { return m_Crashes; }
   const std::vector<SoakVerdict> &verdicts() const { return m_Verdicts; }
@@ -53,6 +70,9 @@
   OrderOracle m_Orders;
   CrashOracle m_Crashes;
   ServerWordsOracle m_Words;
+  PartitionOracle m_Partitions;
+  BrittleOracle m_Brittle;
+  SoundAnswerOracle m_Sound;
 };
 
 } // namespace havenstair
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -70,6 +70,12 @@
     addWords(Result, Opts.m_Seed, Opts.m_Length);
   if (Opts.m_Restores)
     addRestores(Result, Opts.m_Seed, Opts.m_Length);
+  if (Opts.m_Endings)
+    addEndings(Result, Opts.m_Seed, Opts.m_Length);
+  if (Opts.m_Brittle)
+    addBrittleness(Result, Opts.m_Seed, Opts.m_Length);
+  if (Opts.m_Partitions)
+    addPartitions(Result, Opts.m_Seed, Opts.m_Length);
   return Result;
 }
 
@@ -91,9 +97,19 @@
   makeBoxes();
   if (m_Opts.m_ConfigPlan)
     linkThroughProxies();
+  if (m_Opts.m_Endings)
+    playEndings();
+  if (m_Opts.m_Partitions)
+    m_Faults.partitions().prepare();
   mutate();
 }
 
+void SoakRun::playEndings() {
+  for (const auto &Each : m_Engines)
+    Each->playEndings();
+  m_Callers.readRaw();
+}
+
 /// Boxes enter the addresses of their own proxies in the store, so that each
 /// link between them passes one.
 void SoakRun::linkThroughProxies() {
@@ -162,6 +178,7 @@
   m_Config.setWithholding(m_Opts.m_Mutation == Mutation::WithholdConfig);
   for (const auto &Each : m_Engines) {
     Each->setWithholding(m_Opts.m_Mutation == Mutation::WithholdLeaving);
+    Each->setClaimingWhole(m_Opts.m_Mutation == Mutation::ClaimWhole);
     Each->setSilent(m_Opts.m_Mutation == Mutation::SilenceWords);
     if (m_Opts.m_Mutation == Mutation::SpoilAnswer)
       Each->setSpoiling(true);
@@ -244,6 +261,7 @@
   m_Crashing.stop();
   m_Loop.runUntil([this] { return m_Interrupted || m_Callers.open() == 0; },
                   LastAnswers);
+  m_Oracle.partitions().finish(EventLoop::now());
   return !m_Interrupted;
 }
 
--- a/tests/standin/StandinRunner.h
+++ b/tests/standin/StandinRunner.h
@@ -35,10 +35,15 @@
     explicit Connection(bufferevent *Stream) : m_Stream(Stream) {}
     ~Connection();
     void write(const std::string &Bytes);
-    /// Writes what is left and closes.
+    /// Writes what is left and closes this direction; the other stays open
+    /// until the caller closes it.
     void close();
+    /// Writes what is left and closes both directions.
+    void closeFully();
     /// Closes so that the other side sees a reset.
     void reset();
+    /// Further requests on this connection are not looked at.
+    void takeNoMore() { m_TakesMore = false; }
     bool open() const { return m_Stream != nullptr; }
 
   private:
@@ -46,6 +51,7 @@
     bufferevent *m_Stream;
     std::string m_Input;
     bool m_Closing = false;
+    bool m_TakesMore = true;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
   using Behaviour = std::function<void(const Request &, const ConnectionPtr &)>;
