OrderLeader: track what requests wait for in a class of decisions

OrderLeader kept the models and adapters that requests wait for in a map of its own and sorted, filtered and expired it in three places between sending orders and reading reports. AwaitedModels does that alone, with no clock and no network: add(), expire(), and the two views that the planners take. Its name is the one that PlannerInput already has for them (m_Awaited); "missing" said the same in a second word.

--- a/packages/gateway/process/OrderLeader.cpp
+++ b/packages/gateway/process/OrderLeader.cpp
@@ -23,9 +23,6 @@
 /// Time until all boxes know that a model is being retired.
 constexpr Duration RetireNotice = 120ms;
 
-/// How long a model counts as missing after the last request for it.
-constexpr Duration MissingRetention = 5s;
-
 /// Added to the time between the orders of two leaders.
 constexpr Duration HandoverMargin = 300ms;
 
@@ -162,10 +159,7 @@
 }
 
 void OrderLeader::addMissing(const std::vector<ModelKey> &Keys) {
-  const TimePoint Now = EventLoop::now();
-  for (const ModelKey &Key : Keys)
-    m_Missing.try_emplace(Key, MissingKey{.m_Since = Now})
-        .first->second.m_Last = Now;
+  m_Awaited.add(Keys, EventLoop::now());
   if (leading())
     tickSoon(true);
 }
@@ -551,10 +545,11 @@
 }
 
 void OrderLeader::plan(TimePoint Now) {
-  std::erase_if(m_Missing, [&](const auto &Each) {
-    return Now - Each.second.m_Last > MissingRetention ||
-           resident(Each.first.m_Model, Each.first.m_Adapter);
-  });
+  m_Awaited.expire(
+      [this](const ModelKey &Key) {
+        return resident(Key.m_Model, Key.m_Adapter);
+      },
+      Now);
   if (!mayPlan(Now))
     return;
   countPredecessorLoads(Now);
@@ -631,9 +626,7 @@
   for (const auto &[Key, Rate] : m_Rates.baseline(Now))
     if (Key.m_Service == Service)
       Input.m_Usual[Key.m_Model] = Rate.m_WorkMs / 1000;
-  for (const auto &[Key, Since] : m_Missing)
-    if (Key.m_Service == Service)
-      Input.m_Awaited.insert(Key.m_Model);
+  Input.m_Awaited = m_Awaited.models(Service);
   for (const auto &[Id, Each] : m_Engines) {
     const UpstreamInstance &Entry = entryOf(Id);
     if (Entry.m_Service != Service)
@@ -725,16 +718,9 @@
     Engines.push_back(
         Each.adapterPlanEntry(Id, Busy, m_Opts.m_MinAdapterStay, Now));
   }
-  std::vector<std::pair<TimePoint, AdapterKey>> Waiting;
-  for (const auto &[Key, Since] : m_Missing)
-    if (Key.m_Service == Service && !Key.m_Adapter.empty())
-      Waiting.push_back({Since.m_Since, {Key.m_Model, Key.m_Adapter}});
-  std::sort(Waiting.begin(), Waiting.end());
-  std::vector<AdapterKey> Missing;
-  for (const auto &[Since, Key] : Waiting)
-    Missing.push_back(Key);
   for (const AdapterMove &Move :
-       planAdapters(Engines, Missing, adapterRates(Service, Now), Spec, Opts))
+       planAdapters(Engines, m_Awaited.adapters(Service),
+                    adapterRates(Service, Now), Spec, Opts))
     sendOrder(Move.m_Engine, m_Engines.at(Move.m_Engine), Move.m_Order,
               LoadSource::Disk, Now);
 }
--- a/packages/gateway/process/OrderLeader.h
+++ b/packages/gateway/process/OrderLeader.h
@@ -3,6 +3,7 @@
 #ifndef HAVENSTAIR_GATEWAY_PROCESS_ORDERLEADER_H
 #define HAVENSTAIR_GATEWAY_PROCESS_ORDERLEADER_H
 
+#include "decisions/process/AwaitedModels.h"
 #include "decisions/process/DemandRates.h"
 #include "decisions/process/LoadRateLimiter.h"
 #include "decisions/process/ReplicaPlanner.h"
@@ -102,12 +103,6 @@
   void resign();
 
 private:
-  /// A model or adapter that requests wait for: when it was first and last
-  /// requested.
-  struct MissingKey {
-    TimePoint m_Since{};
-    TimePoint m_Last{};
-  };
   void onElected(const LeaderElection::Predecessor &Before);
   void onDeposed();
   void tick();
@@ -184,7 +179,7 @@
   /// Orders that engines which left the list may still carry out.
   std::map<InstanceId, LateOrders> m_DelistedEngines;
   std::map<InstanceId, ManagedEngine> m_Engines;
-  std::map<ModelKey, MissingKey> m_Missing;
+  AwaitedModels m_Awaited;
   LoadRateLimiter m_LoadLimiter;
   ShortageLog m_ShortageLog;
   StoreSlowness m_StoreSlowness;
