OrderLeader: decide when to plan in a class of decisions

When a plan is due hung on three times and a flag that tick() and tickSoon() changed between them. PlanSchedule holds them: request() when requests begin to wait, due() says which plan comes now, onPlanned() takes how long it took. tick() reads as four steps.

No behaviour changes: interval (200 ms), pause (five times the plan's duration) and the plan of awaited adapters in between are as they were.

--- /dev/null
+++ b/packages/decisions/process/PlanSchedule.cpp
@@ -0,0 +1,45 @@
+#include "decisions/process/PlanSchedule.h"
+
+#include <algorithm>
+
+namespace havenstair {
+
+namespace {
+
+constexpr Duration FullPlanInterval = 200ms;
+
+/// After a plan, the next waits for this many times the plan's duration: plans
+/// of a large fleet would leave no time for anything else.
+constexpr int PlanPauseFactor = 5;
+
+} // namespace
+
+TimePoint PlanSchedule::request(TimePoint Now) {
+  m_NextFull = std::max(Now, m_EarliestFull);
+  m_AwaitedRequested = true;
+  return std::max(Now, std::min(m_EarliestFull, m_EarliestAwaited));
+}
+
+PlanScope PlanSchedule::due(TimePoint Now) const {
+  if (Now >= m_NextFull)
+    return PlanScope::All;
+  return m_AwaitedRequested && Now >= m_EarliestAwaited
+             ? PlanScope::AwaitedAdapters
+             : PlanScope::None;
+}
+
+void PlanSchedule::onPlanned(PlanScope Scope, TimePoint Began,
+                             TimePoint Ended) {
+  if (Scope == PlanScope::None)
+    return;
+  const TimePoint Earliest = Began + PlanPauseFactor * (Ended - Began);
+  m_AwaitedRequested = false;
+  if (Scope == PlanScope::AwaitedAdapters) {
+    m_EarliestAwaited = Earliest;
+    return;
+  }
+  m_EarliestFull = Earliest;
+  m_NextFull = std::max(Earliest, Began + FullPlanInterval);
+}
+
+} // namespace havenstair
--- a/packages/gateway/process/OrderLeader.cpp
+++ b/packages/gateway/process/OrderLeader.cpp
@@ -15,10 +15,6 @@
 constexpr Duration TickInterval = 50ms;
 constexpr Duration StandbyTickInterval = 150ms;
 constexpr Duration IdleTickInterval = 1s;
-constexpr Duration PlanInterval = 200ms;
-/// After a plan, the next waits for this many times the plan's duration: plans
-/// of a large fleet would leave no time for anything else.
-constexpr int PlanPauseFactor = 5;
 
 /// Time until all boxes know that a model is being retired.
 constexpr Duration RetireNotice = 120ms;
@@ -167,14 +163,8 @@
 /// Schedules one tick in the next pass of the loop, or, with \p Plan, as soon
 /// as a plan may be made.
 void OrderLeader::tickSoon(bool Plan) {
-  TimePoint At = EventLoop::now();
-  if (Plan) {
-    // A whole plan may take long in a large fleet. What requests wait for is
-    // planned separately in the meantime.
-    m_NextPlan = std::max(At, m_EarliestPlan);
-    m_AwaitedPlanDue = true;
-    At = std::max(At, std::min(m_EarliestPlan, m_EarliestAwaitedPlan));
-  }
+  const TimePoint Now = EventLoop::now();
+  const TimePoint At = Plan ? m_Schedule.request(Now) : Now;
   if (std::exchange(m_TickSoon, true))
     return;
   m_SoonTimer = m_Loop.after(At - EventLoop::now(), [this] {
@@ -223,16 +213,9 @@
   refreshEngines(Now);
   askReports(Now);
   advanceTasks(Now);
-  if (Now >= m_NextPlan) {
-    plan(Now);
-    m_EarliestPlan = Now + PlanPauseFactor * (EventLoop::now() - Now);
-    m_NextPlan = std::max(m_EarliestPlan, Now + PlanInterval);
-    m_AwaitedPlanDue = false;
-  } else if (m_AwaitedPlanDue && Now >= m_EarliestAwaitedPlan) {
-    m_AwaitedPlanDue = false;
-    planAwaited(Now);
-    m_EarliestAwaitedPlan = Now + PlanPauseFactor * (EventLoop::now() - Now);
-  }
+  const PlanScope Due = m_Schedule.due(Now);
+  plan(Due, Now);
+  m_Schedule.onPlanned(Due, Now, EventLoop::now());
   publishChanges();
 }
 
@@ -532,6 +515,13 @@
          Now - m_EnginesAddedAt >= SettleTime;
 }
 
+void OrderLeader::plan(PlanScope Scope, TimePoint Now) {
+  if (Scope == PlanScope::All)
+    planAll(Now);
+  else if (Scope == PlanScope::AwaitedAdapters)
+    planAwaited(Now);
+}
+
 /// Plans only the adapters that requests wait for, which load in some
 /// milliseconds.
 void OrderLeader::planAwaited(TimePoint Now) {
@@ -544,7 +534,7 @@
       planAdapterMoves(Service.m_Name, *Service.m_Engine, Awaited, Now);
 }
 
-void OrderLeader::plan(TimePoint Now) {
+void OrderLeader::planAll(TimePoint Now) {
   m_Awaited.expire(
       [this](const ModelKey &Key) {
         return resident(Key.m_Model, Key.m_Adapter);
--- a/packages/gateway/process/OrderLeader.h
+++ b/packages/gateway/process/OrderLeader.h
@@ -6,6 +6,7 @@
 #include "decisions/process/AwaitedModels.h"
 #include "decisions/process/DemandRates.h"
 #include "decisions/process/LoadRateLimiter.h"
+#include "decisions/process/PlanSchedule.h"
 #include "decisions/process/ReplicaPlanner.h"
 #include "decisions/process/StoreSlowness.h"
 #include "gateway/process/EngineControl.h"
@@ -125,7 +126,8 @@
                const EngineSpec &Spec, TimePoint Now);
   bool mayPlan(TimePoint Now) const;
   void planAwaited(TimePoint Now);
-  void plan(TimePoint Now);
+  void plan(PlanScope Scope, TimePoint Now);
+  void planAll(TimePoint Now);
   void countPredecessorLoads(TimePoint Now);
   void seedDemandFromReplicas(TimePoint Now);
   PlannerInput plannerInput(const std::string &Service, TimePoint Now);
@@ -166,11 +168,7 @@
   /// Whether usual demand was derived from the replicas.
   bool m_DemandSeeded = false;
   TimePoint m_EarliestOrder{}; ///< No order is sent earlier.
-  TimePoint m_NextPlan{};
-  TimePoint m_EarliestPlan{}; ///< No whole plan before, whatever waits.
-  /// The same for the plan of awaited adapters.
-  TimePoint m_EarliestAwaitedPlan{};
-  bool m_AwaitedPlanDue = false;
+  PlanSchedule m_Schedule;
   TimePoint m_ClaimedAt{};
   /// Until when the leader before this one may have sent orders.
   TimePoint m_PredecessorOrdersUntil{};
