OrderLeader: keep the engines of the leader in a class of its own

What the leader knows of all engines (which are listed, which came back, which started again, what orders may still be carried out, how many loads count against the bound) stood between election, reports, orders and plans. ManagedEngines holds it, with the bound on loads and the slowness of the store of weights: startTerm(), refresh(), onRestarted(), and the questions that plans ask. Lookups in the list of upstreams, written out six times, are listed() and specFor().

No behaviour changes. sendOrder() loses a result that nobody read and a time that it did not use.

--- a/packages/gateway/process/OrderLeader.cpp
+++ b/packages/gateway/process/OrderLeader.cpp
@@ -30,10 +30,6 @@
 /// Expected duration of an unload.
 constexpr Duration UnloadTime = 60ms;
 
-/// No plan is made this long after engines return to the list or the list is
-/// first read, since models of engines that are not listed yet seem missing.
-constexpr Duration SettleTime = 1300ms;
-
 /// A model that cannot be unloaded within this time stays.
 constexpr Duration UnloadTimeout = 6s;
 
@@ -46,16 +42,6 @@
 /// A leader that is replaced learns of it within this time.
 constexpr Duration DeposedNoticeDelay = 700ms;
 
-/// A report may be out of date by up to this.
-constexpr Duration MaxReportLag = 300ms;
-
-/// An order that an engine accepted before it left the list may start within
-/// this time.
-constexpr Duration DelistedOrderLife = 5s;
-
-/// An order may be carried out this long after it was sent.
-constexpr Duration OrderLife = EngineLedger::Options{}.m_OrderLife;
-
 /// Work in milliseconds per second that each replica of a model beyond the
 /// first stands for: a third of an engine, a comfortable load.
 constexpr double SpareReplicaWorkMs = 300;
@@ -78,7 +64,7 @@
                   .m_KeysReadAt = m_Hooks.m_KeysReadAt,
                   .m_Era = m_Hooks.m_Era,
                   .m_Random = m_Hooks.m_Random}),
-      m_ShortageLog(Log) {
+      m_Engines(State, Log), m_ShortageLog(Log) {
   tickLater();
 }
 
@@ -113,23 +99,19 @@
       Before.m_None || SameMachine
           ? Now
           : Now + m_Opts.m_Bounds.m_LeaderHandover + HandoverMargin;
-  m_Engines.clear();
-  m_DelistedEngines.clear();
-  m_ClaimedAt = Now;
-  m_LoadLimiter = LoadRateLimiter();
   m_DemandSeeded = false;
+  std::optional<TimePoint> LastOrder;
   // The former leader learns only with a delay that it was replaced.
-  const TimePoint LastOrder = SameMachine ? Now : Now + DeposedNoticeDelay;
-  m_PredecessorOrdersUntil = Before.m_None ? Now : LastOrder + MaxReportLag;
   if (!Before.m_None)
-    m_LoadLimiter.assumeFullWindow(LastOrder);
+    LastOrder = SameMachine ? Now : Now + DeposedNoticeDelay;
+  m_Engines.startTerm(LastOrder, Now);
   m_Log.write("giver", {{"token", m_Election.token()},
                         {"before", Before.m_Machine},
                         {"orders_in_ms", (m_EarliestOrder - Now) / 1ms}});
 }
 
 void OrderLeader::onDeposed() {
-  m_Engines.clear();
+  m_Engines.endTerm();
   m_Log.write("giver_lost", {{"token", m_Election.token()}});
 }
 
@@ -142,12 +124,6 @@
   return Now >= m_EarliestOrder && m_Election.confirmed(Now);
 }
 
-const EngineSpec *OrderLeader::specOf(const std::string &Service) const {
-  const ServiceSpec *Spec =
-      m_State.m_Config ? m_State.m_Config->service(Service) : nullptr;
-  return Spec != nullptr && Spec->m_Engine ? &*Spec->m_Engine : nullptr;
-}
-
 void OrderLeader::addDemand(const ModelDemands &Demand) {
   const TimePoint Now = EventLoop::now();
   for (const auto &[Key, Each] : Demand)
@@ -175,34 +151,17 @@
 
 void OrderLeader::upstreamsChanged() {
   if (leading())
-    refreshEngines(EventLoop::now());
+    m_Engines.refresh(EventLoop::now());
 }
 
 void OrderLeader::evacuationsChanged(TimePoint Now) {
   if (!leading())
     return;
-  refreshEngines(Now);
-  keepCopiesAfterReturn(Now);
+  m_Engines.refresh(Now);
+  m_Engines.keepCopiesAfterReturn(Now);
   tickSoon(true);
 }
 
-/// Keeps models that were loaded elsewhere during an evacuation, for the usual
-/// time of a replica from now: the engines that return may be cold.
-void OrderLeader::keepCopiesAfterReturn(TimePoint Now) {
-  const ServingView &View = m_State.m_Upstreams;
-  const auto Returned = [&](const InstanceId &Id) {
-    return View.evacuationEndedAt(entryOf(Id)) == Now;
-  };
-  std::set<std::string> Models;
-  for (const auto &[Id, Each] : m_Engines)
-    if (Returned(Id))
-      for (const ResidentModel &Model : Each.m_Ledger.models())
-        Models.insert(Model.m_Name);
-  for (auto &[Id, Each] : m_Engines)
-    if (!Returned(Id))
-      Each.keepModels(Models, Now + SettleTime);
-}
-
 void OrderLeader::tick() {
   const TimePoint Now = EventLoop::now();
   if (m_Resigned)
@@ -210,7 +169,7 @@
   m_Election.tick(Now);
   if (!leading())
     return;
-  refreshEngines(Now);
+  m_Engines.refresh(Now);
   askReports(Now);
   advanceTasks(Now);
   const PlanScope Due = m_Schedule.due(Now);
@@ -219,75 +178,18 @@
   publishChanges();
 }
 
-void OrderLeader::refreshEngines(TimePoint Now) {
-  std::erase_if(m_Engines, [&](auto &Each) {
-    const auto &Listed = m_State.m_Upstreams.list().m_Instances;
-    const auto Entry = Listed.find(Each.first);
-    if (Entry != Listed.end() && specOf(Entry->second.m_Service) != nullptr)
-      return false;
-    m_LoadLimiter.onSettled(Each.first, Now + DelistedOrderLife);
-    m_DelistedEngines[Each.first] =
-        Each.second.m_Ledger.lateOrdersWithCall(Now);
-    return true;
-  });
-  for (const auto &[Id, Entry] : m_State.m_Upstreams.list().m_Instances) {
-    if (specOf(Entry.m_Service) == nullptr)
-      continue;
-    const auto [Place, New] = m_Engines.try_emplace(Id);
-    ManagedEngine &Engine = Place->second;
-    // An engine that starts is empty. Engines that return to the list, as all
-    // may do after an outage of the store, bring back models that seemed
-    // missing.
-    const auto Before = m_DelistedEngines.extract(Id);
-    if (New && (Before || Now - m_ClaimedAt < SettleTime))
-      m_EnginesAddedAt = Now;
-    if (Before) {
-      Engine.m_Ledger.setLateOrders(Before.mapped());
-      Engine.m_Ledger.expireLateOrders(Now);
-    }
-    const auto AgainAt = m_State.m_Upstreams.restartedAt(Id);
-    const bool Again = Engine.recordStart(Entry.m_StartTime, Now);
-    if (Again || (New && AgainAt && Now - *AgainAt <= OrderLife))
-      countLateOrders(Id, Engine, Now);
-    // The first state must be the engine's own report: the list lags behind it.
-    if (Engine.m_Ledger.known())
-      Engine.m_Ledger.applyListEntry(Entry);
-    if (m_State.m_Upstreams.isLeaving(Entry))
-      Engine.m_Task.reset();
-  }
-}
-
-/// Counts orders to an earlier incarnation of an engine that this one may still
-/// carry out.
-void OrderLeader::countLateOrders(const InstanceId &Id, ManagedEngine &Engine,
-                                  TimePoint Now) {
-  const std::size_t Loads = Engine.m_Ledger.lateOrders().modelLoads();
-  m_LoadLimiter.onSettled(Id, Now);
-  m_LoadLimiter.addPossibleStarts(Loads, Now + OrderLife);
-  // Orders of the leader before this one are unknown.
-  const TimePoint FormerLate = m_PredecessorOrdersUntil + OrderLife;
-  const bool Held = m_PredecessorOrdersUntil > m_ClaimedAt && Now < FormerLate;
-  if (Held)
-    Engine.m_Ledger.blockLoadsUntil(FormerLate);
-  m_Log.write("engine_again", {{"engine", Id},
-                               {"born", Engine.m_StartTime},
-                               {"late_loads", Loads},
-                               {"held", Held}});
-}
-
 void OrderLeader::askReports(TimePoint Now) {
   // A report from before the former leader's last order may be outdated by that
   // order.
-  if (Now < m_PredecessorOrdersUntil)
+  if (Now < m_Engines.reportsCurrentFrom())
     return;
-  auto Asked = static_cast<std::size_t>(
-      std::count_if(m_Engines.begin(), m_Engines.end(), [](const auto &Each) {
-        return Each.second.m_ReportPending;
-      }));
+  auto Asked = static_cast<std::size_t>(std::count_if(
+      m_Engines.all().begin(), m_Engines.all().end(),
+      [](const auto &Each) { return Each.second.m_ReportPending; }));
   // Known engines first: an unknown one only delays what might be planned
   // there.
   for (const bool Known : {true, false})
-    for (auto &[Id, Each] : m_Engines) {
+    for (auto &[Id, Each] : m_Engines.all()) {
       const EngineLedger &Ledger = Each.m_Ledger;
       const bool Due = Ledger.known() == Known && !Each.m_ReportPending &&
                        Ledger.needsReport() && !Ledger.awaitsAnswer() &&
@@ -301,52 +203,45 @@
 
 void OrderLeader::askReport(const InstanceId &Id, ManagedEngine &Engine,
                             TimePoint Now) {
-  const auto Entry = m_State.m_Upstreams.list().m_Instances.find(Id);
-  if (Entry == m_State.m_Upstreams.list().m_Instances.end())
+  const UpstreamInstance *Entry = m_Engines.listed(Id);
+  if (Entry == nullptr)
     return;
   Engine.m_ReportPending = true;
   Engine.m_NextReport = Now + ReportInterval;
-  m_Control.report(Entry->second,
-                   [this, Id, Term = m_Election.term(),
-                    Now](const std::optional<ResidencyReport> &Report) {
-                     if (leading() && Term == m_Election.term())
-                       onReport(Id, Report, Now);
-                   });
+  m_Control.report(*Entry, [this, Id, Term = m_Election.term(),
+                            Now](const std::optional<ResidencyReport> &Report) {
+    if (leading() && Term == m_Election.term())
+      onReport(Id, Report, Now);
+  });
 }
 
 void OrderLeader::onReport(const InstanceId &Id,
                            const std::optional<ResidencyReport> &Report,
                            TimePoint AskedAt) {
-  const auto Match = m_Engines.find(Id);
-  if (Match == m_Engines.end())
+  ManagedEngine *Found = m_Engines.find(Id);
+  if (Found == nullptr)
     return;
-  ManagedEngine &Engine = Match->second;
+  ManagedEngine &Engine = *Found;
   const TimePoint Now = EventLoop::now();
   Engine.m_ReportPending = false;
   if (!Report) {
     Engine.m_NextReport = Now + ReportRetryDelay;
     return;
   }
-  if (Engine.recordStart(Report->m_StartTime, Now))
-    countLateOrders(Id, Engine, Now);
+  m_Engines.recordStart(Id, Engine, Report->m_StartTime, Now);
   if (!Engine.isCurrent(Report->m_StartTime))
     return;
   if (Engine.recordReport(*Report, Now, AskedAt))
-    countLateOrders(Id, Engine, Now);
-  settleLoad(Id, Engine, Now);
-  if (const auto Entry = m_State.m_Upstreams.list().m_Instances.find(Id);
-      Entry != m_State.m_Upstreams.list().m_Instances.end())
-    if (const EngineSpec *Spec = specOf(Entry->second.m_Service))
-      advance(Id, Engine, *Spec, Now);
+    m_Engines.onRestarted(Id, Engine, Now);
+  m_Engines.settleLoad(Id, Engine, Now);
+  if (const EngineSpec *Spec = m_Engines.specFor(Id))
+    advance(Id, Engine, *Spec, Now);
   publishChange(Id, Engine);
 }
 
 void OrderLeader::advanceTasks(TimePoint Now) {
-  for (auto &[Id, Each] : m_Engines) {
-    const auto Entry = m_State.m_Upstreams.list().m_Instances.find(Id);
-    if (Entry == m_State.m_Upstreams.list().m_Instances.end())
-      continue;
-    if (const EngineSpec *Spec = specOf(Entry->second.m_Service))
+  for (auto &[Id, Each] : m_Engines.all()) {
+    if (const EngineSpec *Spec = m_Engines.specFor(Id))
       advance(Id, Each, *Spec, Now);
     Each.m_Ledger.expireLateOrders(Now);
     Each.expectOverdue(Now);
@@ -356,7 +251,7 @@
 void OrderLeader::advance(const InstanceId &Id, ManagedEngine &Engine,
                           const EngineSpec &Spec, TimePoint Now) {
   if (const auto Again = Engine.m_Ledger.resend(Now)) {
-    sendOrder(Id, Engine, *Again, LoadSource::Disk, Now);
+    sendOrder(Id, Engine, *Again, LoadSource::Disk);
     return;
   }
   const bool Unloading =
@@ -386,7 +281,7 @@
     if (Engine.m_Ledger.holds(Move.m_Evict)) {
       sendOrder(Id, Engine,
                 {.m_Load = false, .m_Model = Move.m_Evict, .m_Adapter = {}},
-                LoadSource::Disk, Now);
+                LoadSource::Disk);
       return;
     }
     Current.m_Phase = EngineTask::Phase::Loading;
@@ -400,7 +295,7 @@
     Engine.m_ModelLoadedAt[Move.m_Load] = Now;
     Engine.m_Task.reset();
     if (const auto Slowness = Engine.recordLoadEnd(Now))
-      m_StoreSlowness.observe(*Slowness);
+      m_Engines.storeSlowness().observe(*Slowness);
     return;
   }
   const LoadSource Source = nearestSource(
@@ -413,27 +308,26 @@
       Engine.m_Task.reset();
     return;
   }
-  sendOrder(Id, Engine, Load, Source, Now);
+  sendOrder(Id, Engine, Load, Source);
 }
 
-bool OrderLeader::sendOrder(const InstanceId &Id, ManagedEngine &To,
-                            const ResidencyOrder &Order, LoadSource Source,
-                            TimePoint) {
-  const auto Entry = m_State.m_Upstreams.list().m_Instances.find(Id);
+void OrderLeader::sendOrder(const InstanceId &Id, ManagedEngine &To,
+                            const ResidencyOrder &Order, LoadSource Source) {
+  const UpstreamInstance *Entry = m_Engines.listed(Id);
   const TimePoint Now = EventLoop::now();
-  if (Entry == m_State.m_Upstreams.list().m_Instances.end() || !mayOrder(Now))
-    return false;
-  const EngineSpec *Spec = specOf(Entry->second.m_Service);
+  if (Entry == nullptr || !mayOrder(Now))
+    return;
+  const EngineSpec *Spec = m_Engines.specOf(Entry->m_Service);
   if (Spec == nullptr || !To.m_Ledger.allows(Order, *Spec))
-    return false;
-  if (Order.m_Load && m_State.m_Upstreams.evacuated(Entry->second))
-    return false;
+    return;
+  if (Order.m_Load && m_State.m_Upstreams.evacuated(*Entry))
+    return;
   const bool FromStore =
       Order.m_Load && Order.m_Adapter.empty() && Source == LoadSource::Store;
   if (FromStore) {
-    if (m_LoadLimiter.available(Now) == 0)
-      return false;
-    m_LoadLimiter.onOrdered(Id);
+    if (m_Engines.loadLimiter().available(Now) == 0)
+      return;
+    m_Engines.loadLimiter().onOrdered(Id);
   }
   const OrderStamp Stamp{.m_Leader = m_Opts.m_Election.m_Machine,
                          .m_FencingToken = m_Election.token(),
@@ -449,22 +343,13 @@
                {"reason",
                 To.m_Task ? reasonName(To.m_Task->m_Move.m_Reason) : "adapter"},
                {"gain", To.m_Task ? To.m_Task->m_Move.m_Gain : 0}});
-  m_Control.order(Entry->second, Order, Stamp,
+  m_Control.order(*Entry, Order, Stamp,
                   [this, Id, Order, Source, Term = m_Election.term(),
                    Started = To.m_StartTime](OrderAnswer Answer) {
                     if (leading() && Term == m_Election.term())
                       onOrderAnswered({.m_Id = Id, .m_StartTime = Started},
                                       Order, Source, Answer);
                   });
-  return true;
-}
-
-/// Settles a load in the bound on loads: once the engine has answered and
-/// reported, the load has started or never will.
-void OrderLeader::settleLoad(const InstanceId &Id, const ManagedEngine &Engine,
-                             TimePoint Now) {
-  if (!Engine.m_Ledger.uncertain() && !Engine.m_Ledger.awaitsAnswer())
-    m_LoadLimiter.onSettled(Id, Now);
 }
 
 void OrderLeader::onOrderAnswered(const UpstreamIncarnation &Instance,
@@ -479,25 +364,21 @@
                                  {"model", Order.m_Model},
                                  {"adapter", Order.m_Adapter},
                                  {"answer", answerName(Answer)}});
-  const auto Match = m_Engines.find(Id);
+  ManagedEngine *Found = m_Engines.find(Id);
   // Whatever an earlier incarnation answered, its orders already count as late.
-  if (Match == m_Engines.end() ||
-      !Match->second.isCurrent(Instance.m_StartTime))
+  if (Found == nullptr || !Found->isCurrent(Instance.m_StartTime))
     return;
-  ManagedEngine &Engine = Match->second;
+  ManagedEngine &Engine = *Found;
   Engine.m_Ledger.recordAnswer(Answer, Now);
   const bool ModelLoad = Order.m_Load && Order.m_Adapter.empty();
-  settleLoad(Id, Engine, Now);
+  m_Engines.settleLoad(Id, Engine, Now);
   Engine.m_NextReport = Now + UnloadTime;
   if (Answer == OrderAnswer::Accepted) {
-    const auto Entry = m_State.m_Upstreams.list().m_Instances.find(Id);
-    const EngineSpec *Spec =
-        Entry == m_State.m_Upstreams.list().m_Instances.end()
-            ? nullptr
-            : specOf(Entry->second.m_Service);
+    const EngineSpec *Spec = m_Engines.specFor(Id);
     if (ModelLoad && Spec != nullptr) {
       const Duration Nominal = loadTime(Spec->model(Order.m_Model), Source);
-      Engine.recordLoadStart(Source, Nominal, m_StoreSlowness.factor(), Now);
+      Engine.recordLoadStart(Source, Nominal,
+                             m_Engines.storeSlowness().factor(), Now);
       Engine.m_NextReport = Now + Nominal;
     }
     if (!Order.m_Adapter.empty()) {
@@ -511,8 +392,7 @@
 
 bool OrderLeader::mayPlan(TimePoint Now) const {
   // Engines that start together are listed one after the other.
-  return mayOrder(Now) && m_State.hasRequiredState() &&
-         Now - m_EnginesAddedAt >= SettleTime;
+  return mayOrder(Now) && m_State.hasRequiredState() && m_Engines.settled(Now);
 }
 
 void OrderLeader::plan(PlanScope Scope, TimePoint Now) {
@@ -537,12 +417,12 @@
 void OrderLeader::planAll(TimePoint Now) {
   m_Awaited.expire(
       [this](const ModelKey &Key) {
-        return resident(Key.m_Model, Key.m_Adapter);
+        return m_Engines.resident(Key.m_Model, Key.m_Adapter);
       },
       Now);
   if (!mayPlan(Now))
     return;
-  countPredecessorLoads(Now);
+  m_Engines.countPredecessorLoads(m_Opts.m_Bounds.m_CeilingWindow, Now);
   seedDemandFromReplicas(Now);
   for (const ServiceSpec &Service : m_State.m_Config->m_Services)
     if (Service.m_Engine) {
@@ -567,8 +447,8 @@
   if (std::exchange(m_DemandSeeded, true))
     return;
   std::map<ModelKey, std::size_t> Replicas;
-  for (const auto &[Id, Each] : m_Engines) {
-    const UpstreamInstance &Entry = entryOf(Id);
+  for (const auto &[Id, Each] : m_Engines.all()) {
+    const UpstreamInstance &Entry = m_Engines.entryOf(Id);
     for (const ResidentModel &Model :
          Each.m_Ledger.known() ? Each.m_Ledger.models() : Entry.m_Models)
       ++Replicas[{Entry.m_Service, Model.m_Name, ""}];
@@ -581,32 +461,11 @@
           Now);
 }
 
-/// Determines how many loads of the former leader count against the bound on
-/// loads. A load from the store that takes longer than the bound's window is
-/// still in progress at the window's end, so once all engines have reported,
-/// only the loads in progress count.
-void OrderLeader::countPredecessorLoads(TimePoint Now) {
-  if (!m_LoadLimiter.assumesFullWindow())
-    return;
-  const auto Shortest = m_State.m_Config->shortestStoreLoad();
-  if (!Shortest || Now < m_PredecessorOrdersUntil +
-                             m_Opts.m_Bounds.m_CeilingWindow - *Shortest)
-    return;
-  const auto InProgress = static_cast<std::size_t>(
-      std::count_if(m_Engines.begin(), m_Engines.end(), [](const auto &Each) {
-        const EngineLedger &Ledger = Each.second.m_Ledger;
-        return !Ledger.known() || Ledger.acceptedModelOrder();
-      }));
-  m_LoadLimiter.setFormerLoads(InProgress, Now);
-  m_Log.write("former_loads",
-              {{"under_way", InProgress}, {"engines", m_Engines.size()}});
-}
-
 PlannerInput OrderLeader::plannerInput(const std::string &Service,
                                        TimePoint Now) {
   PlannerInput Input;
-  Input.m_StoreLoads = m_LoadLimiter.available(Now);
-  Input.m_StoreSlowness = m_StoreSlowness.factor();
+  Input.m_StoreLoads = m_Engines.loadLimiter().available(Now);
+  Input.m_StoreSlowness = m_Engines.storeSlowness().factor();
   ModelDemand All;
   for (const auto &[Key, Rate] : m_Rates.rates(Now))
     if (Key.m_Service == Service && Key.m_Adapter.empty()) {
@@ -617,8 +476,8 @@
     if (Key.m_Service == Service)
       Input.m_Usual[Key.m_Model] = Rate.m_WorkMs / 1000;
   Input.m_Awaited = m_Awaited.models(Service);
-  for (const auto &[Id, Each] : m_Engines) {
-    const UpstreamInstance &Entry = entryOf(Id);
+  for (const auto &[Id, Each] : m_Engines.all()) {
+    const UpstreamInstance &Entry = m_Engines.entryOf(Id);
     if (Entry.m_Service != Service)
       continue;
     double Slowness = m_State.m_Latency.slowness(Id);
@@ -635,14 +494,15 @@
 
 void OrderLeader::planModels(const std::string &Service, const EngineSpec &Spec,
                              TimePoint Now) {
-  m_LoadLimiter.configure({.m_LoadsPerSecond = Spec.m_LoadsPerSecond,
-                           .m_Window = m_Opts.m_Bounds.m_CeilingWindow,
-                           .m_Overage = m_Opts.m_Bounds.m_CeilingOverage});
+  m_Engines.loadLimiter().configure(
+      {.m_LoadsPerSecond = Spec.m_LoadsPerSecond,
+       .m_Window = m_Opts.m_Bounds.m_CeilingWindow,
+       .m_Overage = m_Opts.m_Bounds.m_CeilingOverage});
   PlannerInput Input = plannerInput(Service, Now);
-  m_ShortageLog.log(Input, replicas(), Now);
+  m_ShortageLog.log(Input, m_Engines.replicas(), Now);
   for (const PlannedMove &Move :
        planReplicas(Input, Spec, m_Opts.m_Planner, MaxMovesPerPlan)) {
-    ManagedEngine &At = m_Engines.at(Move.m_Engine);
+    ManagedEngine &At = m_Engines.all().at(Move.m_Engine);
     At.begin(Move, Now);
     m_Log.write(
         "move",
@@ -662,43 +522,20 @@
 std::map<std::string, double>
 OrderLeader::replicaShares(const std::string &Service, TimePoint Now) const {
   std::map<std::string, double> Result;
-  for (const auto &[Model, Count] : replicas()) {
+  for (const auto &[Model, Count] : m_Engines.replicas()) {
     const ModelDemand Rate = m_Rates.rate({Service, Model, ""}, Now);
     Result[Model] = Rate.m_WorkMs / 1000 / static_cast<double>(Count);
   }
   return Result;
 }
 
-bool OrderLeader::evacuated(const InstanceId &Id) const {
-  const ServingView &View = m_State.m_Upstreams;
-  const auto Entry = View.list().m_Instances.find(Id);
-  return Entry != View.list().m_Instances.end() &&
-         View.evacuated(Entry->second);
-}
-
-bool OrderLeader::resident(const std::string &Model,
-                           const std::string &Adapter) const {
-  return std::any_of(m_Engines.begin(), m_Engines.end(), [&](const auto &Each) {
-    return Each.second.m_Ledger.holds(Model, Adapter) && !evacuated(Each.first);
-  });
-}
-
-std::map<std::string, std::size_t> OrderLeader::replicas() const {
-  std::map<std::string, std::size_t> Result;
-  for (const auto &[Id, Each] : m_Engines)
-    if (!evacuated(Id))
-      for (const ResidentModel &Model : Each.m_Ledger.models())
-        ++Result[Model.m_Name];
-  return Result;
-}
-
 void OrderLeader::planAdapterMoves(const std::string &Service,
                                    const EngineSpec &Spec,
                                    const AdapterOptions &Opts, TimePoint Now) {
   const std::map<std::string, double> Shares = replicaShares(Service, Now);
   std::vector<AdapterEngine> Engines;
-  for (const auto &[Id, Each] : m_Engines) {
-    const UpstreamInstance &Entry = entryOf(Id);
+  for (const auto &[Id, Each] : m_Engines.all()) {
+    const UpstreamInstance &Entry = m_Engines.entryOf(Id);
     if (Entry.m_Service != Service || m_State.m_Upstreams.isLeaving(Entry) ||
         !Each.m_Ledger.known())
       continue;
@@ -711,32 +548,26 @@
   for (const AdapterMove &Move :
        planAdapters(Engines, m_Awaited.adapters(Service),
                     adapterRates(Service, Now), Spec, Opts))
-    sendOrder(Move.m_Engine, m_Engines.at(Move.m_Engine), Move.m_Order,
-              LoadSource::Disk, Now);
+    sendOrder(Move.m_Engine, m_Engines.all().at(Move.m_Engine), Move.m_Order,
+              LoadSource::Disk);
 }
 
 FleetContentsFrame OrderLeader::contents() const {
   FleetContentsFrame Frame{.m_FencingToken = m_Election.token(),
                            .m_Engines = {}};
   const TimePoint Now = EventLoop::now();
-  for (const auto &[Id, Each] : m_Engines)
+  for (const auto &[Id, Each] : m_Engines.all())
     if (leading() && Each.m_Ledger.known() &&
-        Each.differsFrom(entryOf(Id), Now))
+        Each.differsFrom(m_Engines.entryOf(Id), Now))
       Frame.m_Engines.push_back(Each.contents(Id, Now));
   return Frame;
 }
 
-/// Returns the list's entry of an engine, which always exists: engines that are
-/// not listed are not kept.
-const UpstreamInstance &OrderLeader::entryOf(const InstanceId &Id) const {
-  return m_State.m_Upstreams.list().m_Instances.at(Id);
-}
-
 void OrderLeader::takeUpdate(const InstanceId &Id, ManagedEngine &Engine,
                              TimePoint Now, FleetContentsFrame &Frame) {
   if (!Engine.m_Ledger.known())
     return;
-  if (auto Update = Engine.takeUpdate(entryOf(Id), Now))
+  if (auto Update = Engine.takeUpdate(m_Engines.entryOf(Id), Now))
     Frame.m_Engines.push_back(std::move(*Update));
 }
 
@@ -744,7 +575,7 @@
   const TimePoint Now = EventLoop::now();
   FleetContentsFrame Frame{.m_FencingToken = m_Election.token(),
                            .m_Engines = {}};
-  for (auto &[Id, Each] : m_Engines)
+  for (auto &[Id, Each] : m_Engines.all())
     takeUpdate(Id, Each, Now, Frame);
   if (!Frame.m_Engines.empty())
     m_Hooks.m_ContentsChanged(Frame);
--- a/packages/gateway/process/OrderLeader.h
+++ b/packages/gateway/process/OrderLeader.h
@@ -5,14 +5,12 @@
 
 #include "decisions/process/AwaitedModels.h"
 #include "decisions/process/DemandRates.h"
-#include "decisions/process/LoadRateLimiter.h"
 #include "decisions/process/PlanSchedule.h"
 #include "decisions/process/ReplicaPlanner.h"
-#include "decisions/process/StoreSlowness.h"
 #include "gateway/process/EngineControl.h"
 #include "gateway/process/GatewayOptions.h"
 #include "gateway/process/LeaderElection.h"
-#include "gateway/process/ManagedEngine.h"
+#include "gateway/process/ManagedEngines.h"
 #include "gateway/process/ServingState.h"
 #include "gateway/process/ShortageLog.h"
 #include "wire/common/EventLoop.h"
@@ -111,11 +109,6 @@
   void tickSoon(bool Plan);
   bool mayOrder(TimePoint Now) const;
 
-  const EngineSpec *specOf(const std::string &Service) const;
-  void refreshEngines(TimePoint Now);
-  void keepCopiesAfterReturn(TimePoint Now);
-  void countLateOrders(const InstanceId &Id, ManagedEngine &Engine,
-                       TimePoint Now);
   void askReports(TimePoint Now);
   void askReport(const InstanceId &Id, ManagedEngine &Engine, TimePoint Now);
   void onReport(const InstanceId &Id,
@@ -128,7 +121,6 @@
   void planAwaited(TimePoint Now);
   void plan(PlanScope Scope, TimePoint Now);
   void planAll(TimePoint Now);
-  void countPredecessorLoads(TimePoint Now);
   void seedDemandFromReplicas(TimePoint Now);
   PlannerInput plannerInput(const std::string &Service, TimePoint Now);
   void planModels(const std::string &Service, const EngineSpec &Spec,
@@ -137,24 +129,17 @@
                         const AdapterOptions &Opts, TimePoint Now);
   std::map<AdapterKey, double> adapterRates(const std::string &Service,
                                             TimePoint Now) const;
-  bool sendOrder(const InstanceId &Id, ManagedEngine &To,
-                 const ResidencyOrder &Order, LoadSource Source, TimePoint Now);
+  void sendOrder(const InstanceId &Id, ManagedEngine &To,
+                 const ResidencyOrder &Order, LoadSource Source);
   void onOrderAnswered(const UpstreamIncarnation &Instance,
                        const ResidencyOrder &Order, LoadSource Source,
                        OrderAnswer Answer);
-  void settleLoad(const InstanceId &Id, const ManagedEngine &Engine,
-                  TimePoint Now);
-  const UpstreamInstance &entryOf(const InstanceId &Id) const;
   void takeUpdate(const InstanceId &Id, ManagedEngine &Engine, TimePoint Now,
                   FleetContentsFrame &Frame);
   void publishChanges();
   void publishChange(const InstanceId &Id, ManagedEngine &Engine);
   std::map<std::string, double> replicaShares(const std::string &Service,
                                               TimePoint Now) const;
-  bool evacuated(const InstanceId &Id) const;
-  bool resident(const std::string &Model, const std::string &Adapter) const;
-  /// Number of engines that hold each model, evacuated ones left out.
-  std::map<std::string, std::size_t> replicas() const;
 
   EventLoop &m_Loop;
   EngineControl &m_Control;
@@ -169,18 +154,9 @@
   bool m_DemandSeeded = false;
   TimePoint m_EarliestOrder{}; ///< No order is sent earlier.
   PlanSchedule m_Schedule;
-  TimePoint m_ClaimedAt{};
-  /// Until when the leader before this one may have sent orders.
-  TimePoint m_PredecessorOrdersUntil{};
-  /// When engines last returned to the list, or were listed at the start.
-  TimePoint m_EnginesAddedAt{};
-  /// Orders that engines which left the list may still carry out.
-  std::map<InstanceId, LateOrders> m_DelistedEngines;
-  std::map<InstanceId, ManagedEngine> m_Engines;
+  ManagedEngines m_Engines;
   AwaitedModels m_Awaited;
-  LoadRateLimiter m_LoadLimiter;
   ShortageLog m_ShortageLog;
-  StoreSlowness m_StoreSlowness;
   Timer m_Timer;
   Timer m_SoonTimer;
   bool m_TickSoon = false;
