OrderLeader: send orders and carry out moves in classes of their own

OrderSender sends one order if leadership, ledger, evacuation and the bound on loads allow it, and records the answer. MoveExecutor takes an engine through its move (retire, unload, load) and drops a move that makes no progress; its 60-line function is four short ones. Neither knows of plans or elections beyond what it is given. LeaderElection says whether a callback still belongs to the current term.

No behaviour changes: the same orders at the same moments, with the same log lines and metrics.

--- a/packages/gateway/process/LeaderElection.h
+++ b/packages/gateway/process/LeaderElection.h
@@ -91,6 +91,8 @@
   FencingToken token() const { return m_Token; }
   /// Counts this box's terms as the leader.
   std::uint64_t term() const { return m_Term; }
+  /// Whether this box holds the key, as far as it knows, in its term \p Term.
+  bool leadsIn(std::uint64_t Term) const { return m_Leading && Term == m_Term; }
   /// Whether an order may be sent now: the lease has not expired, and either
   /// the key was read lately or a majority confirms this box as the leader.
   bool confirmed(TimePoint Now) const;
--- a/packages/gateway/process/OrderLeader.cpp
+++ b/packages/gateway/process/OrderLeader.cpp
@@ -16,9 +16,6 @@
 constexpr Duration StandbyTickInterval = 150ms;
 constexpr Duration IdleTickInterval = 1s;
 
-/// Time until all boxes know that a model is being retired.
-constexpr Duration RetireNotice = 120ms;
-
 /// Added to the time between the orders of two leaders.
 constexpr Duration HandoverMargin = 300ms;
 
@@ -27,15 +24,6 @@
 /// that asks thousands of engines at once does nothing else.
 constexpr std::size_t MaxPendingReports = 64;
 constexpr Duration ReportRetryDelay = 400ms;
-/// Expected duration of an unload.
-constexpr Duration UnloadTime = 60ms;
-
-/// A model that cannot be unloaded within this time stays.
-constexpr Duration UnloadTimeout = 6s;
-
-/// A move whose engine accepts no order within this time is planned anew.
-constexpr Duration BeginTimeout = 1500ms;
-
 /// Most moves that one plan starts.
 constexpr std::size_t MaxMovesPerPlan = 6;
 
@@ -64,7 +52,19 @@
                   .m_KeysReadAt = m_Hooks.m_KeysReadAt,
                   .m_Era = m_Hooks.m_Era,
                   .m_Random = m_Hooks.m_Random}),
-      m_Engines(State, Log), m_ShortageLog(Log) {
+      m_Engines(State, Log),
+      m_Orders({.m_Control = Engines,
+                .m_Election = m_Election,
+                .m_Engines = m_Engines,
+                .m_Log = Log},
+               m_Opts.m_Election.m_Machine,
+               {.m_MayOrder = [this](TimePoint Now) { return mayOrder(Now); },
+                .m_Answered = m_Hooks.m_OrderAnswered,
+                .m_Recorded =
+                    [this](const ResidencyOrder &Order) {
+                      tickSoon(!Order.m_Adapter.empty());
+                    }}),
+      m_Moves(m_Engines, m_Orders), m_ShortageLog(Log) {
   tickLater();
 }
 
@@ -171,7 +171,7 @@
     return;
   m_Engines.refresh(Now);
   askReports(Now);
-  advanceTasks(Now);
+  m_Moves.advanceAll(Now);
   const PlanScope Due = m_Schedule.due(Now);
   plan(Due, Now);
   m_Schedule.onPlanned(Due, Now, EventLoop::now());
@@ -210,7 +210,7 @@
   Engine.m_NextReport = Now + ReportInterval;
   m_Control.report(*Entry, [this, Id, Term = m_Election.term(),
                             Now](const std::optional<ResidencyReport> &Report) {
-    if (leading() && Term == m_Election.term())
+    if (m_Election.leadsIn(Term))
       onReport(Id, Report, Now);
   });
 }
@@ -234,162 +234,10 @@
   if (Engine.recordReport(*Report, Now, AskedAt))
     m_Engines.onRestarted(Id, Engine, Now);
   m_Engines.settleLoad(Id, Engine, Now);
-  if (const EngineSpec *Spec = m_Engines.specFor(Id))
-    advance(Id, Engine, *Spec, Now);
+  m_Moves.advance(Id, Engine, Now);
   publishChange(Id, Engine);
 }
 
-void OrderLeader::advanceTasks(TimePoint Now) {
-  for (auto &[Id, Each] : m_Engines.all()) {
-    if (const EngineSpec *Spec = m_Engines.specFor(Id))
-      advance(Id, Each, *Spec, Now);
-    Each.m_Ledger.expireLateOrders(Now);
-    Each.expectOverdue(Now);
-  }
-}
-
-void OrderLeader::advance(const InstanceId &Id, ManagedEngine &Engine,
-                          const EngineSpec &Spec, TimePoint Now) {
-  if (const auto Again = Engine.m_Ledger.resend(Now)) {
-    sendOrder(Id, Engine, *Again, LoadSource::Disk);
-    return;
-  }
-  const bool Unloading =
-      Engine.m_Task && Engine.m_Task->m_Phase != EngineTask::Phase::Loading;
-  if (Unloading && !Engine.m_Ledger.acceptedModelOrder() &&
-      Now - Engine.m_Task->m_Since > UnloadTimeout)
-    Engine.m_Task.reset();
-  if (!Engine.m_Task)
-    return;
-  if (!Engine.m_Ledger.idle()) {
-    // Counted as a coming replica, the move would keep other engines from
-    // loading the model.
-    if (!Engine.m_Ledger.acceptedModelOrder() &&
-        Now - Engine.m_Task->m_Since > BeginTimeout)
-      Engine.m_Task.reset();
-    return;
-  }
-  EngineTask &Current = *Engine.m_Task;
-  const PlannedMove &Move = Current.m_Move;
-  if (Current.m_Phase == EngineTask::Phase::Retiring) {
-    if (Now - Current.m_Since < RetireNotice)
-      return;
-    Current.m_Phase = EngineTask::Phase::Unloading;
-    Current.m_Since = Now;
-  }
-  if (Current.m_Phase == EngineTask::Phase::Unloading) {
-    if (Engine.m_Ledger.holds(Move.m_Evict)) {
-      sendOrder(Id, Engine,
-                {.m_Load = false, .m_Model = Move.m_Evict, .m_Adapter = {}},
-                LoadSource::Disk);
-      return;
-    }
-    Current.m_Phase = EngineTask::Phase::Loading;
-    Current.m_Since = Now;
-  }
-  if (Move.m_Load.empty()) {
-    Engine.m_Task.reset();
-    return;
-  }
-  if (Engine.m_Ledger.holds(Move.m_Load)) {
-    Engine.m_ModelLoadedAt[Move.m_Load] = Now;
-    Engine.m_Task.reset();
-    if (const auto Slowness = Engine.recordLoadEnd(Now))
-      m_Engines.storeSlowness().observe(*Slowness);
-    return;
-  }
-  const LoadSource Source = nearestSource(
-      Engine.m_Ledger.inMemory(), Engine.m_Ledger.onDisk(), Move.m_Load);
-  const ResidencyOrder Load{
-      .m_Load = true, .m_Model = Move.m_Load, .m_Adapter = {}};
-  if (!Engine.m_Ledger.allows(Load, Spec)) {
-    // The engine holds something other than the plan assumed.
-    if (!Engine.m_Ledger.needsReport())
-      Engine.m_Task.reset();
-    return;
-  }
-  sendOrder(Id, Engine, Load, Source);
-}
-
-void OrderLeader::sendOrder(const InstanceId &Id, ManagedEngine &To,
-                            const ResidencyOrder &Order, LoadSource Source) {
-  const UpstreamInstance *Entry = m_Engines.listed(Id);
-  const TimePoint Now = EventLoop::now();
-  if (Entry == nullptr || !mayOrder(Now))
-    return;
-  const EngineSpec *Spec = m_Engines.specOf(Entry->m_Service);
-  if (Spec == nullptr || !To.m_Ledger.allows(Order, *Spec))
-    return;
-  if (Order.m_Load && m_State.m_Upstreams.evacuated(*Entry))
-    return;
-  const bool FromStore =
-      Order.m_Load && Order.m_Adapter.empty() && Source == LoadSource::Store;
-  if (FromStore) {
-    if (m_Engines.loadLimiter().available(Now) == 0)
-      return;
-    m_Engines.loadLimiter().onOrdered(Id);
-  }
-  const OrderStamp Stamp{.m_Leader = m_Opts.m_Election.m_Machine,
-                         .m_FencingToken = m_Election.token(),
-                         .m_ExpectedCount = To.m_Ledger.begin(Order, Now)};
-  m_Log.write("order",
-              {{"engine", Id},
-               {"load", Order.m_Load},
-               {"model", Order.m_Model},
-               {"adapter", Order.m_Adapter},
-               {"source", sourceName(Source)},
-               {"expected_count", Stamp.m_ExpectedCount},
-               {"token", m_Election.token()},
-               {"reason",
-                To.m_Task ? reasonName(To.m_Task->m_Move.m_Reason) : "adapter"},
-               {"gain", To.m_Task ? To.m_Task->m_Move.m_Gain : 0}});
-  m_Control.order(*Entry, Order, Stamp,
-                  [this, Id, Order, Source, Term = m_Election.term(),
-                   Started = To.m_StartTime](OrderAnswer Answer) {
-                    if (leading() && Term == m_Election.term())
-                      onOrderAnswered({.m_Id = Id, .m_StartTime = Started},
-                                      Order, Source, Answer);
-                  });
-}
-
-void OrderLeader::onOrderAnswered(const UpstreamIncarnation &Instance,
-                                  const ResidencyOrder &Order,
-                                  LoadSource Source, OrderAnswer Answer) {
-  const InstanceId &Id = Instance.m_Id;
-  const TimePoint Now = EventLoop::now();
-  m_Hooks.m_OrderAnswered(Order.m_Load ? "load" : "unload", answerName(Answer));
-  if (Answer != OrderAnswer::Accepted)
-    m_Log.write("order_answer", {{"engine", Id},
-                                 {"load", Order.m_Load},
-                                 {"model", Order.m_Model},
-                                 {"adapter", Order.m_Adapter},
-                                 {"answer", answerName(Answer)}});
-  ManagedEngine *Found = m_Engines.find(Id);
-  // Whatever an earlier incarnation answered, its orders already count as late.
-  if (Found == nullptr || !Found->isCurrent(Instance.m_StartTime))
-    return;
-  ManagedEngine &Engine = *Found;
-  Engine.m_Ledger.recordAnswer(Answer, Now);
-  const bool ModelLoad = Order.m_Load && Order.m_Adapter.empty();
-  m_Engines.settleLoad(Id, Engine, Now);
-  Engine.m_NextReport = Now + UnloadTime;
-  if (Answer == OrderAnswer::Accepted) {
-    const EngineSpec *Spec = m_Engines.specFor(Id);
-    if (ModelLoad && Spec != nullptr) {
-      const Duration Nominal = loadTime(Spec->model(Order.m_Model), Source);
-      Engine.recordLoadStart(Source, Nominal,
-                             m_Engines.storeSlowness().factor(), Now);
-      Engine.m_NextReport = Now + Nominal;
-    }
-    if (!Order.m_Adapter.empty()) {
-      Engine.m_AdapterOrderedAt[{Order.m_Model, Order.m_Adapter}] = Now;
-      Engine.m_LastAdapterOrderAt = Now;
-      Engine.m_NextReport = Now + ReportInterval;
-    }
-  }
-  tickSoon(!Order.m_Adapter.empty());
-}
-
 bool OrderLeader::mayPlan(TimePoint Now) const {
   // Engines that start together are listed one after the other.
   return mayOrder(Now) && m_State.hasRequiredState() && m_Engines.settled(Now);
@@ -514,7 +362,7 @@
          {"gain", Move.m_Gain},
          {"demand",
           Input.m_Demand[Move.m_Load.empty() ? Move.m_Evict : Move.m_Load]}});
-    advance(Move.m_Engine, At, Spec, Now);
+    m_Moves.advance(Move.m_Engine, At, Now);
   }
 }
 
@@ -548,8 +396,8 @@
   for (const AdapterMove &Move :
        planAdapters(Engines, m_Awaited.adapters(Service),
                     adapterRates(Service, Now), Spec, Opts))
-    sendOrder(Move.m_Engine, m_Engines.all().at(Move.m_Engine), Move.m_Order,
-              LoadSource::Disk);
+    m_Orders.send(Move.m_Engine, m_Engines.all().at(Move.m_Engine),
+                  Move.m_Order, LoadSource::Disk);
 }
 
 FleetContentsFrame OrderLeader::contents() const {
--- a/packages/gateway/process/OrderLeader.h
+++ b/packages/gateway/process/OrderLeader.h
@@ -11,6 +11,8 @@
 #include "gateway/process/GatewayOptions.h"
 #include "gateway/process/LeaderElection.h"
 #include "gateway/process/ManagedEngines.h"
+#include "gateway/process/MoveExecutor.h"
+#include "gateway/process/OrderSender.h"
 #include "gateway/process/ServingState.h"
 #include "gateway/process/ShortageLog.h"
 #include "wire/common/EventLoop.h"
@@ -114,9 +116,6 @@
   void onReport(const InstanceId &Id,
                 const std::optional<ResidencyReport> &Report,
                 TimePoint AskedAt);
-  void advanceTasks(TimePoint Now);
-  void advance(const InstanceId &Id, ManagedEngine &Engine,
-               const EngineSpec &Spec, TimePoint Now);
   bool mayPlan(TimePoint Now) const;
   void planAwaited(TimePoint Now);
   void plan(PlanScope Scope, TimePoint Now);
@@ -129,11 +128,6 @@
                         const AdapterOptions &Opts, TimePoint Now);
   std::map<AdapterKey, double> adapterRates(const std::string &Service,
                                             TimePoint Now) const;
-  void sendOrder(const InstanceId &Id, ManagedEngine &To,
-                 const ResidencyOrder &Order, LoadSource Source);
-  void onOrderAnswered(const UpstreamIncarnation &Instance,
-                       const ResidencyOrder &Order, LoadSource Source,
-                       OrderAnswer Answer);
   void takeUpdate(const InstanceId &Id, ManagedEngine &Engine, TimePoint Now,
                   FleetContentsFrame &Frame);
   void publishChanges();
@@ -155,6 +149,8 @@
   TimePoint m_EarliestOrder{}; ///< No order is sent earlier.
   PlanSchedule m_Schedule;
   ManagedEngines m_Engines;
+  OrderSender m_Orders;
+  MoveExecutor m_Moves;
   AwaitedModels m_Awaited;
   ShortageLog m_ShortageLog;
   Timer m_Timer;
