OrderLeader: poll reports and publish contents in classes of their own

ReportPoller decides which engines are asked for a report, and records it; ContentsPublisher sends the other boxes what differs from what they know. Both were private functions of OrderLeader beside elections and plans. The frame and the test for an empty one, written out three times, stand once.

No behaviour changes: the same calls, limits, order and frames.

--- a/packages/gateway/process/OrderLeader.cpp
+++ b/packages/gateway/process/OrderLeader.cpp
@@ -19,11 +19,6 @@
 /// Added to the time between the orders of two leaders.
 constexpr Duration HandoverMargin = 300ms;
 
-constexpr Duration ReportInterval = 120ms;
-/// Most report calls in flight. An answer takes some milliseconds, and a box
-/// that asks thousands of engines at once does nothing else.
-constexpr std::size_t MaxPendingReports = 64;
-constexpr Duration ReportRetryDelay = 400ms;
 /// Most moves that one plan starts.
 constexpr std::size_t MaxMovesPerPlan = 6;
 
@@ -39,9 +34,8 @@
 OrderLeader::OrderLeader(EventLoop &Loop, CoordinationStore &Store,
                          EngineControl &Engines, ServingState &State,
                          DecisionLog &Log, Options Opts, Hooks Callbacks)
-    : m_Loop(Loop), m_Control(Engines), m_State(State), m_Log(Log),
-      m_Opts(std::move(Opts)), m_Hooks(std::move(Callbacks)),
-      m_Rates(m_Opts.m_Rates),
+    : m_Loop(Loop), m_State(State), m_Log(Log), m_Opts(std::move(Opts)),
+      m_Hooks(std::move(Callbacks)), m_Rates(m_Opts.m_Rates),
       m_Election(Store, Log, m_Opts.m_Election,
                  {.m_Elected =
                       [this](const LeaderElection::Predecessor &Before) {
@@ -64,7 +58,15 @@
                     [this](const ResidencyOrder &Order) {
                       tickSoon(!Order.m_Adapter.empty());
                     }}),
-      m_Moves(m_Engines, m_Orders), m_ShortageLog(Log) {
+      m_Moves(m_Engines, m_Orders),
+      m_Contents(m_Election, m_Engines, m_Hooks.m_ContentsChanged),
+      m_Reports(
+          Engines, m_Election, m_Engines,
+          [this](const InstanceId &Id, ManagedEngine &Engine, TimePoint Now) {
+            m_Moves.advance(Id, Engine, Now);
+            m_Contents.publish(Id, Engine, EventLoop::now());
+          }),
+      m_ShortageLog(Log) {
   tickLater();
 }
 
@@ -170,72 +172,12 @@
   if (!leading())
     return;
   m_Engines.refresh(Now);
-  askReports(Now);
+  m_Reports.poll(Now);
   m_Moves.advanceAll(Now);
   const PlanScope Due = m_Schedule.due(Now);
   plan(Due, Now);
   m_Schedule.onPlanned(Due, Now, EventLoop::now());
-  publishChanges();
-}
-
-void OrderLeader::askReports(TimePoint Now) {
-  // A report from before the former leader's last order may be outdated by that
-  // order.
-  if (Now < m_Engines.reportsCurrentFrom())
-    return;
-  auto Asked = static_cast<std::size_t>(std::count_if(
-      m_Engines.all().begin(), m_Engines.all().end(),
-      [](const auto &Each) { return Each.second.m_ReportPending; }));
-  // Known engines first: an unknown one only delays what might be planned
-  // there.
-  for (const bool Known : {true, false})
-    for (auto &[Id, Each] : m_Engines.all()) {
-      const EngineLedger &Ledger = Each.m_Ledger;
-      const bool Due = Ledger.known() == Known && !Each.m_ReportPending &&
-                       Ledger.needsReport() && !Ledger.awaitsAnswer() &&
-                       Now >= Each.m_NextReport;
-      if (!Due || Asked >= MaxPendingReports)
-        continue;
-      ++Asked;
-      askReport(Id, Each, Now);
-    }
-}
-
-void OrderLeader::askReport(const InstanceId &Id, ManagedEngine &Engine,
-                            TimePoint Now) {
-  const UpstreamInstance *Entry = m_Engines.listed(Id);
-  if (Entry == nullptr)
-    return;
-  Engine.m_ReportPending = true;
-  Engine.m_NextReport = Now + ReportInterval;
-  m_Control.report(*Entry, [this, Id, Term = m_Election.term(),
-                            Now](const std::optional<ResidencyReport> &Report) {
-    if (m_Election.leadsIn(Term))
-      onReport(Id, Report, Now);
-  });
-}
-
-void OrderLeader::onReport(const InstanceId &Id,
-                           const std::optional<ResidencyReport> &Report,
-                           TimePoint AskedAt) {
-  ManagedEngine *Found = m_Engines.find(Id);
-  if (Found == nullptr)
-    return;
-  ManagedEngine &Engine = *Found;
-  const TimePoint Now = EventLoop::now();
-  Engine.m_ReportPending = false;
-  if (!Report) {
-    Engine.m_NextReport = Now + ReportRetryDelay;
-    return;
-  }
-  m_Engines.recordStart(Id, Engine, Report->m_StartTime, Now);
-  if (!Engine.isCurrent(Report->m_StartTime))
-    return;
-  if (Engine.recordReport(*Report, Now, AskedAt))
-    m_Engines.onRestarted(Id, Engine, Now);
-  m_Engines.settleLoad(Id, Engine, Now);
-  m_Moves.advance(Id, Engine, Now);
-  publishChange(Id, Engine);
+  m_Contents.publishAll(EventLoop::now());
 }
 
 bool OrderLeader::mayPlan(TimePoint Now) const {
@@ -400,43 +342,4 @@
                   Move.m_Order, LoadSource::Disk);
 }
 
-FleetContentsFrame OrderLeader::contents() const {
-  FleetContentsFrame Frame{.m_FencingToken = m_Election.token(),
-                           .m_Engines = {}};
-  const TimePoint Now = EventLoop::now();
-  for (const auto &[Id, Each] : m_Engines.all())
-    if (leading() && Each.m_Ledger.known() &&
-        Each.differsFrom(m_Engines.entryOf(Id), Now))
-      Frame.m_Engines.push_back(Each.contents(Id, Now));
-  return Frame;
-}
-
-void OrderLeader::takeUpdate(const InstanceId &Id, ManagedEngine &Engine,
-                             TimePoint Now, FleetContentsFrame &Frame) {
-  if (!Engine.m_Ledger.known())
-    return;
-  if (auto Update = Engine.takeUpdate(m_Engines.entryOf(Id), Now))
-    Frame.m_Engines.push_back(std::move(*Update));
-}
-
-void OrderLeader::publishChanges() {
-  const TimePoint Now = EventLoop::now();
-  FleetContentsFrame Frame{.m_FencingToken = m_Election.token(),
-                           .m_Engines = {}};
-  for (auto &[Id, Each] : m_Engines.all())
-    takeUpdate(Id, Each, Now, Frame);
-  if (!Frame.m_Engines.empty())
-    m_Hooks.m_ContentsChanged(Frame);
-}
-
-/// Publishes the change of one engine. Reports come by the hundred: checking
-/// all engines for each would leave a new leader no time for anything else.
-void OrderLeader::publishChange(const InstanceId &Id, ManagedEngine &Engine) {
-  FleetContentsFrame Frame{.m_FencingToken = m_Election.token(),
-                           .m_Engines = {}};
-  takeUpdate(Id, Engine, EventLoop::now(), Frame);
-  if (!Frame.m_Engines.empty())
-    m_Hooks.m_ContentsChanged(Frame);
-}
-
 } // namespace havenstair
--- a/packages/gateway/process/OrderLeader.h
+++ b/packages/gateway/process/OrderLeader.h
@@ -7,12 +7,14 @@
 #include "decisions/process/DemandRates.h"
 #include "decisions/process/PlanSchedule.h"
 #include "decisions/process/ReplicaPlanner.h"
+#include "gateway/process/ContentsPublisher.h"
 #include "gateway/process/EngineControl.h"
 #include "gateway/process/GatewayOptions.h"
 #include "gateway/process/LeaderElection.h"
 #include "gateway/process/ManagedEngines.h"
 #include "gateway/process/MoveExecutor.h"
 #include "gateway/process/OrderSender.h"
+#include "gateway/process/ReportPoller.h"
 #include "gateway/process/ServingState.h"
 #include "gateway/process/ShortageLog.h"
 #include "wire/common/EventLoop.h"
@@ -99,7 +101,9 @@
   bool leading() const { return m_Election.leading(); }
   /// Contents of all engines that differ from the list, for a box that has just
   /// been linked; without engines unless this box leads.
-  FleetContentsFrame contents() const;
+  FleetContentsFrame contents() const {
+    return m_Contents.contents(EventLoop::now());
+  }
   /// Gives up the key and stops for good.
   void resign();
 
@@ -111,11 +115,6 @@
   void tickSoon(bool Plan);
   bool mayOrder(TimePoint Now) const;
 
-  void askReports(TimePoint Now);
-  void askReport(const InstanceId &Id, ManagedEngine &Engine, TimePoint Now);
-  void onReport(const InstanceId &Id,
-                const std::optional<ResidencyReport> &Report,
-                TimePoint AskedAt);
   bool mayPlan(TimePoint Now) const;
   void planAwaited(TimePoint Now);
   void plan(PlanScope Scope, TimePoint Now);
@@ -128,15 +127,10 @@
                         const AdapterOptions &Opts, TimePoint Now);
   std::map<AdapterKey, double> adapterRates(const std::string &Service,
                                             TimePoint Now) const;
-  void takeUpdate(const InstanceId &Id, ManagedEngine &Engine, TimePoint Now,
-                  FleetContentsFrame &Frame);
-  void publishChanges();
-  void publishChange(const InstanceId &Id, ManagedEngine &Engine);
   std::map<std::string, double> replicaShares(const std::string &Service,
                                               TimePoint Now) const;
 
   EventLoop &m_Loop;
-  EngineControl &m_Control;
   ServingState &m_State;
   DecisionLog &m_Log;
   Options m_Opts;
@@ -151,6 +145,8 @@
   ManagedEngines m_Engines;
   OrderSender m_Orders;
   MoveExecutor m_Moves;
+  ContentsPublisher m_Contents;
+  ReportPoller m_Reports;
   AwaitedModels m_Awaited;
   ShortageLog m_ShortageLog;
   Timer m_Timer;
