OrderLeader: plan what engines hold in a class of its own

No behaviour changes: the same inputs to planReplicas() and planAdapters(), in the same order, and the same log lines.

--- a/packages/gateway/process/ComponentOptions.cpp
+++ b/packages/gateway/process/ComponentOptions.cpp
@@ -41,10 +41,10 @@
   Opts.m_Election.m_Lease =
       std::max(Opts.m_Election.m_Lease, Settings.m_MinLease);
   Opts.m_Bounds = Settings.m_Bounds;
-  Opts.m_Planner = Policy.m_Planner;
-  Opts.m_Adapters = Policy.m_Adapters;
-  Opts.m_Rates = Policy.m_Rates;
-  Opts.m_MinReplicaStay = fromMillis(Policy.m_MinReplicaLifetimeMs);
+  Opts.m_Planning.m_Planner = Policy.m_Planner;
+  Opts.m_Planning.m_Adapters = Policy.m_Adapters;
+  Opts.m_Planning.m_Rates = Policy.m_Rates;
+  Opts.m_Planning.m_MinReplicaStay = fromMillis(Policy.m_MinReplicaLifetimeMs);
   return Opts;
 }
 
--- a/packages/gateway/process/OrderLeader.cpp
+++ b/packages/gateway/process/OrderLeader.cpp
@@ -2,8 +2,7 @@
 
 #include "gateway/common/DecisionLog.h"
 #include "wire/common/Json.h"
-#include <algorithm>
-#include <cmath>
+#include <optional>
 #include <utility>
 
 namespace havenstair {
@@ -19,23 +18,16 @@
 /// Added to the time between the orders of two leaders.
 constexpr Duration HandoverMargin = 300ms;
 
-/// Most moves that one plan starts.
-constexpr std::size_t MaxMovesPerPlan = 6;
-
 /// A leader that is replaced learns of it within this time.
 constexpr Duration DeposedNoticeDelay = 700ms;
 
-/// Work in milliseconds per second that each replica of a model beyond the
-/// first stands for: a third of an engine, a comfortable load.
-constexpr double SpareReplicaWorkMs = 300;
-
 } // namespace
 
 OrderLeader::OrderLeader(EventLoop &Loop, CoordinationStore &Store,
                          EngineControl &Engines, ServingState &State,
                          DecisionLog &Log, Options Opts, Hooks Callbacks)
     : m_Loop(Loop), m_State(State), m_Log(Log), m_Opts(std::move(Opts)),
-      m_Hooks(std::move(Callbacks)), m_Rates(m_Opts.m_Rates),
+      m_Hooks(std::move(Callbacks)),
       m_Election(Store, Log, m_Opts.m_Election,
                  {.m_Elected =
                       [this](const LeaderElection::Predecessor &Before) {
@@ -66,7 +58,12 @@
             m_Moves.advance(Id, Engine, Now);
             m_Contents.publish(Id, Engine, EventLoop::now());
           }),
-      m_ShortageLog(Log) {
+      m_Planner({.m_State = State,
+                 .m_Engines = m_Engines,
+                 .m_Moves = m_Moves,
+                 .m_Orders = m_Orders,
+                 .m_Log = Log},
+                m_Opts.m_Planning) {
   tickLater();
 }
 
@@ -101,7 +98,7 @@
       Before.m_None || SameMachine
           ? Now
           : Now + m_Opts.m_Bounds.m_LeaderHandover + HandoverMargin;
-  m_DemandSeeded = false;
+  m_Planner.startTerm();
   std::optional<TimePoint> LastOrder;
   // The former leader learns only with a delay that it was replaced.
   if (!Before.m_None)
@@ -127,13 +124,11 @@
 }
 
 void OrderLeader::addDemand(const ModelDemands &Demand) {
-  const TimePoint Now = EventLoop::now();
-  for (const auto &[Key, Each] : Demand)
-    m_Rates.add(Key, Each, Now);
+  m_Planner.addDemand(Demand, EventLoop::now());
 }
 
 void OrderLeader::addMissing(const std::vector<ModelKey> &Keys) {
-  m_Awaited.add(Keys, EventLoop::now());
+  m_Planner.addAwaited(Keys, EventLoop::now());
   if (leading())
     tickSoon(true);
 }
@@ -187,159 +182,9 @@
 
 void OrderLeader::plan(PlanScope Scope, TimePoint Now) {
   if (Scope == PlanScope::All)
-    planAll(Now);
-  else if (Scope == PlanScope::AwaitedAdapters)
-    planAwaited(Now);
-}
-
-/// Plans only the adapters that requests wait for, which load in some
-/// milliseconds.
-void OrderLeader::planAwaited(TimePoint Now) {
-  if (!mayPlan(Now))
-    return;
-  AdapterOptions Awaited = m_Opts.m_Adapters;
-  Awaited.m_Copies = false;
-  for (const ServiceSpec &Service : m_State.m_Config->m_Services)
-    if (Service.m_Engine)
-      planAdapterMoves(Service.m_Name, *Service.m_Engine, Awaited, Now);
-}
-
-void OrderLeader::planAll(TimePoint Now) {
-  m_Awaited.expire(
-      [this](const ModelKey &Key) {
-        return m_Engines.resident(Key.m_Model, Key.m_Adapter);
-      },
-      Now);
-  if (!mayPlan(Now))
-    return;
-  m_Engines.countPredecessorLoads(m_Opts.m_Bounds.m_CeilingWindow, Now);
-  seedDemandFromReplicas(Now);
-  for (const ServiceSpec &Service : m_State.m_Config->m_Services)
-    if (Service.m_Engine) {
-      planModels(Service.m_Name, *Service.m_Engine, Now);
-      planAdapterMoves(Service.m_Name, *Service.m_Engine, m_Opts.m_Adapters,
-                       Now);
-    }
-}
-
-std::map<AdapterKey, double>
-OrderLeader::adapterRates(const std::string &Service, TimePoint Now) const {
-  std::map<AdapterKey, double> Result;
-  for (const auto &[Key, Rate] : m_Rates.rates(Now))
-    if (Key.m_Service == Service && !Key.m_Adapter.empty())
-      Result[{Key.m_Model, Key.m_Adapter}] = Rate.m_Requests;
-  return Result;
-}
-
-/// Derives usual demand from replicas beyond the first before any demand is
-/// known: the operators or a former leader placed them where they expected it.
-void OrderLeader::seedDemandFromReplicas(TimePoint Now) {
-  if (std::exchange(m_DemandSeeded, true))
-    return;
-  std::map<ModelKey, std::size_t> Replicas;
-  for (const auto &[Id, Each] : m_Engines.all()) {
-    const UpstreamInstance &Entry = m_Engines.entryOf(Id);
-    for (const ResidentModel &Model :
-         Each.m_Ledger.known() ? Each.m_Ledger.models() : Entry.m_Models)
-      ++Replicas[{Entry.m_Service, Model.m_Name, ""}];
-  }
-  for (const auto &[Key, Count] : Replicas)
-    if (Count > 1)
-      m_Rates.expect(
-          Key,
-          {.m_WorkMs = SpareReplicaWorkMs * static_cast<double>(Count - 1)},
-          Now);
-}
-
-PlannerInput OrderLeader::plannerInput(const std::string &Service,
-                                       TimePoint Now) {
-  PlannerInput Input;
-  Input.m_StoreLoads = m_Engines.loadLimiter().available(Now);
-  Input.m_StoreSlowness = m_Engines.storeSlowness().factor();
-  ModelDemand All;
-  for (const auto &[Key, Rate] : m_Rates.rates(Now))
-    if (Key.m_Service == Service && Key.m_Adapter.empty()) {
-      Input.m_Demand[Key.m_Model] = Rate.m_WorkMs / 1000;
-      All += Rate;
-    }
-  for (const auto &[Key, Rate] : m_Rates.baseline(Now))
-    if (Key.m_Service == Service)
-      Input.m_Usual[Key.m_Model] = Rate.m_WorkMs / 1000;
-  Input.m_Awaited = m_Awaited.models(Service);
-  for (const auto &[Id, Each] : m_Engines.all()) {
-    const UpstreamInstance &Entry = m_Engines.entryOf(Id);
-    if (Entry.m_Service != Service)
-      continue;
-    double Slowness = m_State.m_Latency.slowness(Id);
-    if (const AdvertisedLimit *Limit = m_State.m_Signals.limit(Id);
-        Limit != nullptr && All.m_Requests > 0)
-      Slowness /=
-          busyFraction(Limit->m_RatePerSecond, All.m_WorkMs / All.m_Requests);
-    Input.m_Engines.push_back(
-        Each.modelPlanEntry(Entry, Slowness, m_Opts.m_MinReplicaStay, Now));
-    Input.m_Engines.back().m_Leaving = m_State.m_Upstreams.isLeaving(Entry);
-  }
-  return Input;
-}
-
-void OrderLeader::planModels(const std::string &Service, const EngineSpec &Spec,
-                             TimePoint Now) {
-  m_Engines.loadLimiter().configure(
-      {.m_LoadsPerSecond = Spec.m_LoadsPerSecond,
-       .m_Window = m_Opts.m_Bounds.m_CeilingWindow,
-       .m_Overage = m_Opts.m_Bounds.m_CeilingOverage});
-  PlannerInput Input = plannerInput(Service, Now);
-  m_ShortageLog.log(Input, m_Engines.replicas(), Now);
-  for (const PlannedMove &Move :
-       planReplicas(Input, Spec, m_Opts.m_Planner, MaxMovesPerPlan)) {
-    ManagedEngine &At = m_Engines.all().at(Move.m_Engine);
-    At.begin(Move, Now);
-    m_Log.write(
-        "move",
-        {{"engine", Move.m_Engine},
-         {"evict", Move.m_Evict},
-         {"load", Move.m_Load},
-         {"source", sourceName(Move.m_Source)},
-         {"reason", reasonName(Move.m_Reason)},
-         {"gain", Move.m_Gain},
-         {"demand",
-          Input.m_Demand[Move.m_Load.empty() ? Move.m_Evict : Move.m_Load]}});
-    m_Moves.advance(Move.m_Engine, At, Now);
-  }
-}
-
-/// Returns the share of an engine's time that each replica of a model takes.
-std::map<std::string, double>
-OrderLeader::replicaShares(const std::string &Service, TimePoint Now) const {
-  std::map<std::string, double> Result;
-  for (const auto &[Model, Count] : m_Engines.replicas()) {
-    const ModelDemand Rate = m_Rates.rate({Service, Model, ""}, Now);
-    Result[Model] = Rate.m_WorkMs / 1000 / static_cast<double>(Count);
-  }
-  return Result;
-}
-
-void OrderLeader::planAdapterMoves(const std::string &Service,
-                                   const EngineSpec &Spec,
-                                   const AdapterOptions &Opts, TimePoint Now) {
-  const std::map<std::string, double> Shares = replicaShares(Service, Now);
-  std::vector<AdapterEngine> Engines;
-  for (const auto &[Id, Each] : m_Engines.all()) {
-    const UpstreamInstance &Entry = m_Engines.entryOf(Id);
-    if (Entry.m_Service != Service || m_State.m_Upstreams.isLeaving(Entry) ||
-        !Each.m_Ledger.known())
-      continue;
-    double Busy = 0;
-    for (const ResidentModel &Model : Each.m_Ledger.models())
-      Busy += Shares.at(Model.m_Name);
-    Engines.push_back(
-        Each.adapterPlanEntry(Id, Busy, m_Opts.m_MinAdapterStay, Now));
-  }
-  for (const AdapterMove &Move :
-       planAdapters(Engines, m_Awaited.adapters(Service),
-                    adapterRates(Service, Now), Spec, Opts))
-    m_Orders.send(Move.m_Engine, m_Engines.all().at(Move.m_Engine),
-                  Move.m_Order, LoadSource::Disk);
+    m_Planner.expireAwaited(Now);
+  if (Scope != PlanScope::None && mayPlan(Now))
+    m_Planner.plan(Scope, m_Opts.m_Bounds, Now);
 }
 
 } // namespace havenstair
--- a/packages/gateway/process/OrderLeader.h
+++ b/packages/gateway/process/OrderLeader.h
@@ -3,10 +3,8 @@
 #ifndef HAVENSTAIR_GATEWAY_PROCESS_ORDERLEADER_H
 #define HAVENSTAIR_GATEWAY_PROCESS_ORDERLEADER_H
 
-#include "decisions/process/AwaitedModels.h"
-#include "decisions/process/DemandRates.h"
+#include "decisions/process/ModelDemand.h"
 #include "decisions/process/PlanSchedule.h"
-#include "decisions/process/ReplicaPlanner.h"
 #include "gateway/process/ContentsPublisher.h"
 #include "gateway/process/EngineControl.h"
 #include "gateway/process/GatewayOptions.h"
@@ -15,8 +13,8 @@
 #include "gateway/process/MoveExecutor.h"
 #include "gateway/process/OrderSender.h"
 #include "gateway/process/ReportPoller.h"
+#include "gateway/process/ResidencyPlanner.h"
 #include "gateway/process/ServingState.h"
-#include "gateway/process/ShortageLog.h"
 #include "wire/common/EventLoop.h"
 #include "wire/connection/FleetFrames.h"
 #include <functional>
@@ -38,12 +36,7 @@
   struct Options {
     LeaderElection::Options m_Election;
     ServingBounds m_Bounds;
-    PlannerOptions m_Planner;
-    /// Shortest time that a replica stays, and an adapter.
-    Duration m_MinReplicaStay = 6s;
-    Duration m_MinAdapterStay = 400ms;
-    AdapterOptions m_Adapters;
-    DemandRates::Options m_Rates;
+    ResidencyPlanner::Options m_Planning;
   };
   struct Hooks {
     /// Contents of engines have changed; sends them to all boxes.
@@ -114,32 +107,16 @@
   void tickLater();
   void tickSoon(bool Plan);
   bool mayOrder(TimePoint Now) const;
-
   bool mayPlan(TimePoint Now) const;
-  void planAwaited(TimePoint Now);
   void plan(PlanScope Scope, TimePoint Now);
-  void planAll(TimePoint Now);
-  void seedDemandFromReplicas(TimePoint Now);
-  PlannerInput plannerInput(const std::string &Service, TimePoint Now);
-  void planModels(const std::string &Service, const EngineSpec &Spec,
-                  TimePoint Now);
-  void planAdapterMoves(const std::string &Service, const EngineSpec &Spec,
-                        const AdapterOptions &Opts, TimePoint Now);
-  std::map<AdapterKey, double> adapterRates(const std::string &Service,
-                                            TimePoint Now) const;
-  std::map<std::string, double> replicaShares(const std::string &Service,
-                                              TimePoint Now) const;
 
   EventLoop &m_Loop;
   ServingState &m_State;
   DecisionLog &m_Log;
   Options m_Opts;
   Hooks m_Hooks;
-  DemandRates m_Rates;
   LeaderElection m_Election;
   bool m_Resigned = false;
-  /// Whether usual demand was derived from the replicas.
-  bool m_DemandSeeded = false;
   TimePoint m_EarliestOrder{}; ///< No order is sent earlier.
   PlanSchedule m_Schedule;
   ManagedEngines m_Engines;
@@ -147,8 +124,7 @@
   MoveExecutor m_Moves;
   ContentsPublisher m_Contents;
   ReportPoller m_Reports;
-  AwaitedModels m_Awaited;
-  ShortageLog m_ShortageLog;
+  ResidencyPlanner m_Planner;
   Timer m_Timer;
   Timer m_SoonTimer;
   bool m_TickSoon = false;
