ListFollower: ages, delays and backoff of reads as pure decisions

Fifteen constants of ListFollower and the functions that chose among them (how old a copy may become on a relay or a leaf, backoff, delay between watches, how long a starting box waits) needed neither caches nor links. The age up to which the store counts as answering has a name of its own instead of the ceiling of another age.

No behaviour changes: the same values for the same inputs.

--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -11,37 +11,10 @@
 
 namespace {
 
-/// A relay reads the store itself when its copy is older than the age of its
-/// rank, so that relays begin one after the other, and leaves last: a digest of
-/// the first that succeeds spares the others their calls. In normal operation
-/// the oldest age that a relay sees is 1.2 s: a watch waits 0.9 s, and a digest
-/// takes 0.25 s. All ages lie below the 2 s for which platforms let a draining
-/// upstream get work.
-constexpr std::array<Duration, 3> RelayMaxListAges{1400ms, 1600ms, 1750ms};
-constexpr Duration LeafMaxListAgeFloor = 1400ms;
-constexpr Duration LeafMaxListAgeCeiling = 2400ms;
 /// A leaf reads the evacuations itself when its copy is older than this.
 /// Operators give boxes 5 s.
 constexpr Duration LeafMaxEvacuationAge = 3500ms;
 
-/// Part of the drain timeout that is left for the read and for a request on its
-/// way.
-constexpr Duration ReadAndSendTime = 600ms;
-
-/// Backoff of reads of the store. Relays send updates to their leaves as soon
-/// as the store is back, so leaves need not try as often: with the backoff of a
-/// relay each leaf of a data centre that was cut off made 13 calls in 2 s.
-constexpr RetryPauses RelayRetry{.m_First = 100ms, .m_Cap = 1s};
-constexpr RetryPauses LeafRetry{.m_First = 500ms, .m_Cap = 5s};
-
-/// Changes of the list that come close together cost one call, and one pass
-/// over all entries. Engines change their entries all the time, and a leaf
-/// reads only while no relay does.
-constexpr Duration RelayCoalesceDelay = 200ms;
-constexpr Duration RelayCoalesceDelayPerEntry = 100us;
-constexpr Duration MaxRelayCoalesceDelay = 500ms;
-constexpr Duration LeafCoalesceDelay = 1s;
-
 /// A box whose lists become newer by this much sends a digest at once: the
 /// boxes behind it are about to read the store themselves.
 constexpr Duration MuchNewerBy = 500ms;
@@ -54,18 +27,6 @@
 
 constexpr Duration RereadInterval = 1s;
 
-/// A starting box waits this long for the list of boxes, and a leaf for its
-/// uplink, before it reads the list of upstreams itself. When the whole fleet
-/// starts, boxes enter the list within some tenths of a second.
-constexpr Duration BoxesTimeout = 700ms;
-constexpr Duration UplinkTimeout = 2s;
-/// How long a starting leaf that has an uplink waits for that uplink's lists.
-constexpr Duration ListsTimeout = 10s;
-
-/// Longest list, as a leaf knows it, that a leaf reads itself: the store
-/// returns this many entries in one call. A read of a longer list takes dozens
-/// of calls, and all leaves of a data centre would begin at once.
-constexpr std::size_t MaxLeafReadEntries = 500;
 /// How long an uplink may send outdated lists before another one is tried.
 constexpr Duration UplinkOutdatedAfter = 2s;
 
@@ -91,10 +52,13 @@
   m_SourceTimer = Loop.every(ChooseSourceInterval, [this] { chooseSource(); });
 }
 
+FleetRole ListFollower::role() const {
+  return m_Deps.m_Fleet.topology().relay() ? FleetRole::Relay : FleetRole::Leaf;
+}
+
 void ListFollower::onTopologyChanged() {
-  const bool Relay = m_Deps.m_Fleet.topology().relay();
   for (WatchCache *Each : caches())
-    Each->setRetry(Relay ? RelayRetry : LeafRetry);
+    Each->setRetry(listReadRetry(role()));
   chooseSource();
 }
 
@@ -195,14 +159,12 @@
 Duration ListFollower::maxListAge() const {
   const FleetTopology &Topology = m_Deps.m_Fleet.topology();
   if (!Topology.relay())
-    return std::clamp<Duration>(m_Opts.m_DrainTimeout - ReadAndSendTime,
-                                LeafMaxListAgeFloor, LeafMaxListAgeCeiling);
+    return leafMaxListAge(m_Opts.m_DrainTimeout);
   std::set<BoxName> Deputies = Topology.relays();
   Deputies.erase(m_Deps.m_Leader.leader().m_Box);
   const auto Rank =
       std::distance(Deputies.begin(), Deputies.find(m_Deps.m_Fleet.self()));
-  return RelayMaxListAges.at(std::min<std::size_t>(
-      static_cast<std::size_t>(Rank), RelayMaxListAges.size() - 1));
+  return relayMaxListAge(static_cast<std::size_t>(Rank));
 }
 
 FleetWantFrame ListFollower::makeWantFrame() const {
@@ -223,7 +185,7 @@
 /// uplink.
 bool ListFollower::followsUplink() const {
   return !m_Deps.m_Fleet.topology().relay() &&
-         m_Deps.m_Upstreams.items().size() > MaxLeafReadEntries &&
+         leavesListToUplink(m_Deps.m_Upstreams.items().size()) &&
          !m_Hooks.m_NextHopToLeader().empty();
 }
 
@@ -291,18 +253,11 @@
   return Other == m_PeerLists.end() ? First : Other->first;
 }
 
-Duration ListFollower::coalesceDelay() const {
-  if (!m_Deps.m_Fleet.topology().relay())
-    return LeafCoalesceDelay;
-  const auto Entries =
-      static_cast<Duration::rep>(m_Deps.m_Upstreams.items().size());
-  return std::clamp<Duration>(Entries * RelayCoalesceDelayPerEntry,
-                              RelayCoalesceDelay, MaxRelayCoalesceDelay);
-}
-
 void ListFollower::chooseSource() {
   const TimePoint Now = EventLoop::now();
-  m_Deps.m_Upstreams.setCoalesceDelay(coalesceDelay());
+  const Duration CoalesceDelay =
+      listCoalesceDelay(role(), m_Deps.m_Upstreams.items().size());
+  m_Deps.m_Upstreams.setCoalesceDelay(CoalesceDelay);
   m_ListConfirmedAt = listConfirmedAt();
   m_ListSource = listSource(Now);
   const bool Relayed =
@@ -310,7 +265,7 @@
   const FleetTopology &Topology = m_Deps.m_Fleet.topology();
   const bool HasList = !m_Deps.m_Upstreams.revision().none();
   const bool HasConfig = m_Deps.m_State.m_Config != nullptr;
-  if (Relayed || !awaitsFirstList(Now)) {
+  if (Relayed || !waitsAtStart(Now)) {
     // What cut off the box that reads may have cut off these connections too.
     if (!Relayed && !m_Deps.m_Upstreams.running())
       m_Hooks.m_DropConnections();
@@ -319,7 +274,7 @@
     // A leaf that cannot reach the store does not try to read both lists.
     const bool Reachable =
         Topology.relay() ||
-        m_Deps.m_Upstreams.confirmedAt() >= Now - LeafCoalesceDelay;
+        m_Deps.m_Upstreams.confirmedAt() >= Now - CoalesceDelay;
     // In a small fleet a box's own watch is faster than updates through other
     // boxes.
     setRelayed(m_Deps.m_Config, (Relayed || !Reachable) && !Topology.flat() &&
@@ -348,19 +303,18 @@
   }
   // Each try costs a call; the list's own calls show when the store answers
   // again.
-  return Now - m_Deps.m_Upstreams.confirmedAt() > LeafMaxListAgeCeiling;
+  return storeSeemsAway(Now - m_Deps.m_Upstreams.confirmedAt());
 }
 
 /// Whether this box has just started and may still be sent the list.
-bool ListFollower::awaitsFirstList(TimePoint Now) const {
+bool ListFollower::waitsAtStart(TimePoint Now) const {
   if (m_Deps.m_Upstreams.running())
     return false;
-  const bool OthersEnter = m_Opts.m_FirstStart || m_Deps.m_Fleet.size() == 1;
-  if (OthersEnter && Now - m_StartedAt < BoxesTimeout)
-    return true;
-  const Duration Patience =
-      m_Hooks.m_NextHopToLeader().empty() ? UplinkTimeout : ListsTimeout;
-  return !m_Deps.m_Fleet.topology().relay() && Now - m_StartedAt < Patience;
+  return awaitsFirstList(
+      {.m_Role = role(),
+       .m_SinceStart = Now - m_StartedAt,
+       .m_OthersEnter = m_Opts.m_FirstStart || m_Deps.m_Fleet.size() == 1,
+       .m_HasUplink = !m_Hooks.m_NextHopToLeader().empty()});
 }
 
 void ListFollower::setRelayed(WatchCache &Cache, bool Relayed) {
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -4,6 +4,7 @@
 #ifndef HAVENSTAIR_GATEWAY_PROCESS_LISTFOLLOWER_H
 #define HAVENSTAIR_GATEWAY_PROCESS_LISTFOLLOWER_H
 
+#include "decisions/process/ListReadPolicy.h"
 #include "decisions/process/StoreEraTracker.h"
 #include "gateway/common/ConfigFreshness.h"
 #include "gateway/process/ConfigFollower.h"
@@ -126,6 +127,7 @@
   void followEvacuations(bool Follow) { m_FollowEvacuations = Follow; }
 
 private:
+  FleetRole role() const;
   Duration age(TimePoint Now) const;
   TimePoint listConfirmedAt() const;
   TimePoint confirmedAtOf(const WatchCache &Cache) const;
@@ -135,7 +137,6 @@
   /// not.
   TimePoint peerConfirmedAt(const BoxName &Box) const;
   bool confirms(const BoxName &Box, TimePoint Now) const;
-  Duration coalesceDelay() const;
   bool listsBehind(const FleetWantFrame &Newest) const;
   void offerConfig(const FleetKeysFrame &Frame) const;
   const EncodedFrame &encodedSnapshot(const WatchCache &Cache);
@@ -144,7 +145,7 @@
   bool followsUplink() const;
   void watchClosely();
   ConfigSendQueue::Hooks sendQueueHooks();
-  bool awaitsFirstList(TimePoint Now) const;
+  bool waitsAtStart(TimePoint Now) const;
   bool skipsEvacuations(TimePoint Now, bool Relayed) const;
   void setRelayed(WatchCache &Cache, bool Relayed);
   std::array<WatchCache *, 4> caches() const;
