ListFollower: send lists to other boxes in a class of its own

ListFollower both decided which box to read from and sent copies to the boxes that follow it. ListSender does the second, with the encoded copies and the queue for the configuration; ListCopies holds the four caches, what a request for newer lists names and what this box lacks; keysFrame() and deltaIn() convert between copies and frames in ListFrames. ListFollower keeps its interface for FleetExchange.

No behaviour changes: the same frames to the same boxes.

--- a/packages/gateway/process/LeafSubsets.cpp
+++ b/packages/gateway/process/LeafSubsets.cpp
@@ -1,6 +1,6 @@
 #include "gateway/process/LeafSubsets.h"
 
-#include "gateway/process/ListFollower.h"
+#include "gateway/process/ListFrames.h"
 #include <algorithm>
 #include <utility>
 
@@ -58,7 +58,7 @@
            .m_SentAt = When,
            .m_Keys = std::move(Now),
            .m_Snapshot = std::nullopt};
-  return EncodedFrame(ListFollower::keysFrame(List, Update));
+  return EncodedFrame(keysFrame(List, Update));
 }
 
 std::optional<EncodedFrame>
--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/common/DecisionLog.h"
 #include "gateway/process/Fleet.h"
+#include "gateway/process/ListFrames.h"
 #include "gateway/process/OrderLeader.h"
 #include <algorithm>
 #include <iterator>
@@ -35,6 +36,11 @@
 ListFollower::ListFollower(EventLoop &Loop, Dependencies Deps, Options Opts,
                            Hooks Callbacks)
     : m_Deps(Deps), m_Opts(Opts), m_Hooks(std::move(Callbacks)),
+      m_Copies({.m_Config = Deps.m_Config,
+                .m_Upstreams = Deps.m_Upstreams,
+                .m_Boxes = Deps.m_Boxes,
+                .m_Evacuations = Deps.m_Evacuations},
+               Deps.m_State, Deps.m_Fleet.topology()),
       m_Config(
           {.m_Fleet = Deps.m_Fleet,
            .m_State = Deps.m_State,
@@ -43,12 +49,16 @@
           {.m_NextHopToLeader = m_Hooks.m_NextHopToLeader,
            .m_Ask =
                [this](const BoxName &Box) {
-                 m_Deps.m_Fleet.send(Box, makeWantFrame());
+                 m_Deps.m_Fleet.send(Box, m_Copies.makeWantFrame());
                },
            .m_DropConnections = m_Hooks.m_DropConnections,
            .m_Age =
                [this](TimePoint Now) { return configFreshness(Now).m_Age; }}),
-      m_ConfigSendQueue(sendQueueHooks()) {
+      m_Sender({.m_Fleet = Deps.m_Fleet,
+                .m_Copies = m_Copies,
+                .m_Eras = Deps.m_Eras,
+                .m_Log = Deps.m_Log},
+               m_Hooks.m_SendToLeaf) {
   m_SourceTimer = Loop.every(ChooseSourceInterval, [this] { chooseSource(); });
 }
 
@@ -57,7 +67,7 @@
 }
 
 void ListFollower::onTopologyChanged() {
-  for (WatchCache *Each : caches())
+  for (WatchCache *Each : m_Copies.all())
     Each->setRetry(listReadRetry(role()));
   chooseSource();
 }
@@ -65,7 +75,7 @@
 void ListFollower::forget(const BoxName &Box) {
   m_PeerLists.erase(Box);
   m_Config.forget(Box);
-  m_ConfigSendQueue.forget(Box);
+  m_Sender.configQueue().forget(Box);
 }
 
 /// A watch of the configuration that is not watched closely waits for many
@@ -91,39 +101,11 @@
   m_SentConfirmedAt = Now - Frame.m_ListAge;
 }
 
-/// Encoded once for all boxes that request it at the same revision.
-const EncodedFrame &ListFollower::encodedSnapshot(const WatchCache &Cache) {
-  const auto Cached = m_Snapshots.find(Cache.prefix());
-  if (Cached != m_Snapshots.end() && Cached->second.m_At == Cache.revision() &&
-      Cached->second.m_Changes == Cache.changes())
-    return Cached->second.m_Frame;
-  EncodedSnapshot Copy{.m_At = Cache.revision(),
-                       .m_Changes = Cache.changes(),
-                       .m_Frame =
-                           EncodedFrame(keysFrame(Cache, Cache.snapshot()))};
-  return m_Snapshots.insert_or_assign(Cache.prefix(), std::move(Copy))
-      .first->second.m_Frame;
-}
-
-bool ListFollower::mayFollow(const BoxName &Box) const {
-  return m_Deps.m_Eras.current() == FirstEra ||
-         m_Deps.m_Fleet.understands(Box, EraProtocol);
-}
-
-void ListFollower::sendSnapshots(const BoxName &To) {
-  if (!mayFollow(To))
-    return;
-  if (!m_Deps.m_Upstreams.partial())
-    m_Deps.m_Fleet.send(To, encodedSnapshot(m_Deps.m_Upstreams));
-  if (m_FollowEvacuations)
-    m_Deps.m_Fleet.send(To, encodedSnapshot(m_Deps.m_Evacuations));
-}
-
 /// Time since this box's copies were confirmed as the store's state, whoever
 /// read it.
 Duration ListFollower::age(TimePoint Now) const {
   TimePoint At = std::min(listConfirmedAt(), configConfirmedAt());
-  if (m_FollowEvacuations)
+  if (m_Copies.followsEvacuations())
     At = std::min(At, evacuationsConfirmedAt());
   return std::min<Duration>(NoListAge, Now - At);
 }
@@ -167,20 +149,6 @@
   return relayMaxListAge(static_cast<std::size_t>(Rank));
 }
 
-FleetWantFrame ListFollower::makeWantFrame() const {
-  return {.m_Config = m_Deps.m_State.configVersion(),
-          .m_List =
-              needsFullList() ? StoreRevision() : m_Deps.m_Upstreams.revision(),
-          .m_Boxes = m_Deps.m_Boxes.revision(),
-          .m_Evacuations = m_Deps.m_Evacuations.revision()};
-}
-
-/// Whether this box, a relay that was a leaf, has only the keys that a leaf
-/// needs.
-bool ListFollower::needsFullList() const {
-  return m_Deps.m_Upstreams.partial() && m_Deps.m_Fleet.topology().relay();
-}
-
 /// Whether this box is a leaf that leaves reading the list of upstreams to its
 /// uplink.
 bool ListFollower::followsUplink() const {
@@ -194,41 +162,14 @@
          Now - listConfirmedAt() > maxListAge() + UplinkOutdatedAfter;
 }
 
-FleetKeysFrame ListFollower::keysFrame(const WatchCache &Cache,
-                                       const WatchCache::Delta &Changes) {
-  FleetKeysFrame Frame{.m_Prefix = Cache.prefix(),
-                       .m_Since = Changes.m_Since,
-                       .m_Revision = Changes.m_Revision,
-                       .m_Part = Changes.m_Part,
-                       .m_Items = {},
-                       .m_Gone = Changes.m_Gone};
-  for (const StoreItem &Item : Changes.m_Items)
-    Frame.m_Items.push_back({.m_Key = Item.m_Key,
-                             .m_Value = Item.m_Value,
-                             .m_Revision = Item.m_Revision});
-  return Frame;
-}
-
-WatchCache::Delta ListFollower::deltaIn(const FleetKeysFrame &Frame) {
-  WatchCache::Delta Changes{.m_Since = Frame.m_Since,
-                            .m_Revision = Frame.m_Revision,
-                            .m_Part = Frame.m_Part,
-                            .m_Items = {},
-                            .m_Gone = Frame.m_Gone};
-  for (const StoredValue &Each : Frame.m_Items)
-    Changes.m_Items.push_back({.m_Key = Each.m_Key,
-                               .m_Value = Each.m_Value,
-                               .m_Revision = Each.m_Revision});
-  return Changes;
-}
-
 TimePoint ListFollower::peerConfirmedAt(const BoxName &Box) const {
   const auto Entry = m_PeerLists.find(Box);
   if (Entry == m_PeerLists.end())
     return {};
   const PeerLists &Peer = Entry->second;
-  const bool Behind = listsBehind(Peer.m_Newest) ||
-                      Peer.m_Newest.m_Config > makeWantFrame().m_Config;
+  const bool Behind =
+      m_Copies.behind(Peer.m_Newest) ||
+      Peer.m_Newest.m_Config > m_Copies.makeWantFrame().m_Config;
   return Behind ? Peer.m_ConfirmedBefore : Peer.m_ConfirmedAt;
 }
 
@@ -282,7 +223,7 @@
   }
   watchClosely();
   m_Config.proceed(Now);
-  m_ConfigSendQueue.sendWaiting(m_Deps.m_State.configVersion());
+  m_Sender.configQueue().sendWaiting(m_Deps.m_State.configVersion());
   if (Now - age(Now) - m_SentConfirmedAt >= MuchNewerBy)
     m_Hooks.m_SendNow();
   // A leaf needs the list of boxes only while it has no relay.
@@ -292,7 +233,7 @@
 
 /// Whether this box need not or cannot read the evacuations itself.
 bool ListFollower::skipsEvacuations(TimePoint Now, bool Relayed) const {
-  if (!m_FollowEvacuations)
+  if (!m_Copies.followsEvacuations())
     return true;
   if (!m_Deps.m_Evacuations.revision().none()) {
     // Nobody follows a leaf, so it reads only when its copy becomes too old.
@@ -339,18 +280,6 @@
   m_Deps.m_Upstreams.resync();
 }
 
-/// Whether \p Newest has changes of lists that this box does not read itself.
-bool ListFollower::listsBehind(const FleetWantFrame &Newest) const {
-  const auto Behind = [](const WatchCache &Cache, StoreRevision Revision) {
-    return !Cache.running() && Revision > Cache.revision();
-  };
-  return Behind(m_Deps.m_Upstreams, Newest.m_List) ||
-         (needsFullList() && !m_Deps.m_Upstreams.running()) ||
-         Behind(m_Deps.m_Boxes, Newest.m_Boxes) ||
-         (m_FollowEvacuations &&
-          Behind(m_Deps.m_Evacuations, Newest.m_Evacuations));
-}
-
 void ListFollower::recordDigest(const BoxName &From,
                                 const FleetDigestFrame &Frame,
                                 Duration ExcessDelay, TimePoint Now) {
@@ -362,7 +291,8 @@
   // store, or whose watch is dead, cannot confirm anything.
   const Duration Age = Frame.m_ListAge + ExcessDelay;
   // Nor can one that does not follow the evacuations.
-  const bool Knows = !m_FollowEvacuations || !Frame.m_Evacuations.none();
+  const bool Knows =
+      !m_Copies.followsEvacuations() || !Frame.m_Evacuations.none();
   if (Age > maxListAge() || !Knows ||
       Frame.m_List < m_Deps.m_Upstreams.revision()) {
     m_PeerLists.erase(From);
@@ -381,81 +311,18 @@
                            .m_ConfirmedBefore = peerConfirmedAt(From)};
   // Request the lists: an update was lost, or this box has not followed the
   // sender so far.
-  if (!Newer || !listsBehind(Peer.m_Newest))
+  if (!Newer || !m_Copies.behind(Peer.m_Newest))
     return;
-  FleetWantFrame Wanted = makeWantFrame();
+  FleetWantFrame Wanted = m_Copies.makeWantFrame();
   // ConfigFollower requests the configuration.
   Wanted.m_Config = std::max(Wanted.m_Config, Frame.m_Config);
   m_Deps.m_Fleet.send(From, Wanted);
 }
 
-void ListFollower::answerRequest(const BoxName &From,
-                                 const FleetWantFrame &Frame) {
-  const FleetWantFrame Own = makeWantFrame();
-  m_ConfigSendQueue.request(From, Frame.m_Config, Own.m_Config);
-  // The box requests again after the next digest, and what it lacks may already
-  // be queued.
-  if (m_Deps.m_Fleet.slow(From) || !mayFollow(From))
-    return;
-  const auto SendIfNewer = [&](const WatchCache &Cache,
-                               StoreRevision OwnRevision,
-                               StoreRevision PeerRevision) {
-    if (OwnRevision > PeerRevision)
-      m_Deps.m_Fleet.send(From, encodedSnapshot(Cache));
-  };
-  if (Own.m_List > Frame.m_List)
-    sendList(From);
-  SendIfNewer(m_Deps.m_Boxes, Own.m_Boxes, Frame.m_Boxes);
-  SendIfNewer(m_Deps.m_Evacuations, Own.m_Evacuations, Frame.m_Evacuations);
-}
-
-ConfigSendQueue::Hooks ListFollower::sendQueueHooks() {
-  return {
-      .m_Busy = [this] { return m_Deps.m_Fleet.busy(); },
-      .m_Slow = [this](const BoxName &Box) { return m_Deps.m_Fleet.slow(Box); },
-      .m_Send =
-          [this](const BoxName &Box) {
-            m_Deps.m_Fleet.send(Box, encodedSnapshot(m_Deps.m_Config));
-          },
-      .m_Delayed =
-          [this](const BoxName &Box, std::string_view Why) {
-            m_Deps.m_Log.write("config_delayed",
-                               {{"peer", Box.str()},
-                                {"version", makeWantFrame().m_Config},
-                                {"why", Why}});
-          }};
-}
-
-/// Sends the list of upstreams, or a leaf its subset. A partial list is of no
-/// use to other boxes.
-void ListFollower::sendList(const BoxName &From) {
-  const FleetTopology &Topology = m_Deps.m_Fleet.topology();
-  if (m_Deps.m_Upstreams.partial())
-    return;
-  if (Topology.flat() || Topology.isRelay(From))
-    m_Deps.m_Fleet.send(From, encodedSnapshot(m_Deps.m_Upstreams));
-  else if (Topology.relay())
-    m_Hooks.m_SendToLeaf(From);
-}
-
-std::array<WatchCache *, 4> ListFollower::caches() const {
-  return {&m_Deps.m_Config, &m_Deps.m_Upstreams, &m_Deps.m_Boxes,
-          &m_Deps.m_Evacuations};
-}
-
-WatchCache *ListFollower::cacheFor(const std::string &Prefix) const {
-  if (Prefix == m_Deps.m_Evacuations.prefix() && !m_FollowEvacuations)
-    return nullptr;
-  for (WatchCache *Each : caches())
-    if (Each->prefix() == Prefix)
-      return Each;
-  return nullptr;
-}
-
 void ListFollower::adopt(const BoxName &From, const FleetKeysFrame &Frame) {
-  WatchCache *Cache = cacheFor(Frame.m_Prefix);
+  WatchCache *Cache = m_Copies.withPrefix(Frame.m_Prefix);
   if (Cache != nullptr && !Cache->adopt(deltaIn(Frame))) {
-    FleetWantFrame Wanted = makeWantFrame();
+    FleetWantFrame Wanted = m_Copies.makeWantFrame();
     // A partial and a whole copy cannot be merged, whatever their revisions.
     if (Cache == &m_Deps.m_Upstreams && Frame.m_Part != Cache->partial())
       Wanted.m_List = {};
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -8,13 +8,13 @@
 #include "decisions/process/StoreEraTracker.h"
 #include "gateway/common/ConfigFreshness.h"
 #include "gateway/process/ConfigFollower.h"
-#include "gateway/process/ConfigSendQueue.h"
+#include "gateway/process/ListCopies.h"
+#include "gateway/process/ListFrames.h"
+#include "gateway/process/ListSender.h"
 #include "gateway/process/ServingState.h"
 #include "gateway/process/WatchCache.h"
 #include "wire/common/EventLoop.h"
-#include "wire/connection/EncodedFrame.h"
 #include "wire/connection/FleetFrames.h"
-#include <array>
 #include <functional>
 #include <map>
 #include <string>
@@ -80,27 +80,29 @@
   /// then.
   void describe(FleetDigestFrame &Frame, TimePoint Now);
   /// Sends \p To whole copies of the lists by which requests are routed.
-  void sendSnapshots(const BoxName &To);
+  void sendSnapshots(const BoxName &To) { m_Sender.sendSnapshots(To); }
   /// A request for everything that is newer than the copies of this box.
-  FleetWantFrame makeWantFrame() const;
+  FleetWantFrame makeWantFrame() const { return m_Copies.makeWantFrame(); }
   /// Sends \p From the lists that are newer here than \p Frame says.
-  void answerRequest(const BoxName &From, const FleetWantFrame &Frame);
+  void answerRequest(const BoxName &From, const FleetWantFrame &Frame) {
+    m_Sender.answerRequest(From, Frame);
+  }
   /// Whether \p Box may be sent lists of the current era: a box that knows no
   /// eras would take them for older or newer than its own by their numbers.
-  bool mayFollow(const BoxName &Box) const;
+  bool mayFollow(const BoxName &Box) const { return m_Sender.mayFollow(Box); }
   /// Merges keys that \p From has sent; requests more when some are missing.
   void adopt(const BoxName &From, const FleetKeysFrame &Frame);
   /// The frame that sends \p Changes of \p Cache.
   static FleetKeysFrame keysFrame(const WatchCache &Cache,
-                                  const WatchCache::Delta &Changes);
-  /// The inverse of keysFrame().
-  static WatchCache::Delta deltaIn(const FleetKeysFrame &Frame);
+                                  const WatchCache::Delta &Changes) {
+    return havenstair::keysFrame(Cache, Changes);
+  }
 
   /// Fetches newer configurations.
   ConfigFollower &config() { return m_Config; }
   const ConfigFollower &config() const { return m_Config; }
   /// The boxes that wait for the configuration of this one.
-  ConfigSendQueue &configSendQueue() { return m_ConfigSendQueue; }
+  ConfigSendQueue &configSendQueue() { return m_Sender.configQueue(); }
   /// Reads the list of upstreams anew when \p Frame proves this box's watch
   /// late.
   void readIfBehind(const FleetDigestFrame &Frame, TimePoint Now);
@@ -124,7 +126,7 @@
   void watchConfigClosely(bool Closely) { m_ConfigClosely = Closely; }
   /// Sets whether operators may evacuate data centres; the evacuations are then
   /// followed like the list of upstreams.
-  void followEvacuations(bool Follow) { m_FollowEvacuations = Follow; }
+  void followEvacuations(bool Follow) { m_Copies.followEvacuations(Follow); }
 
 private:
   FleetRole role() const;
@@ -137,19 +139,12 @@
   /// not.
   TimePoint peerConfirmedAt(const BoxName &Box) const;
   bool confirms(const BoxName &Box, TimePoint Now) const;
-  bool listsBehind(const FleetWantFrame &Newest) const;
   void offerConfig(const FleetKeysFrame &Frame) const;
-  const EncodedFrame &encodedSnapshot(const WatchCache &Cache);
-  void sendList(const BoxName &From);
-  bool needsFullList() const;
   bool followsUplink() const;
   void watchClosely();
-  ConfigSendQueue::Hooks sendQueueHooks();
   bool waitsAtStart(TimePoint Now) const;
   bool skipsEvacuations(TimePoint Now, bool Relayed) const;
   void setRelayed(WatchCache &Cache, bool Relayed);
-  std::array<WatchCache *, 4> caches() const;
-  WatchCache *cacheFor(const std::string &Prefix) const;
 
   /// What a box whose lists this one could follow last reported of them.
   struct PeerLists {
@@ -163,13 +158,7 @@
   Dependencies m_Deps;
   Options m_Opts;
   Hooks m_Hooks;
-  /// A whole copy, encoded for the boxes that request it.
-  struct EncodedSnapshot {
-    StoreRevision m_At;
-    std::uint64_t m_Changes = 0; ///< Changes of the copy up to this one.
-    EncodedFrame m_Frame;
-  };
-  std::map<std::string, EncodedSnapshot> m_Snapshots; ///< By prefix.
+  ListCopies m_Copies;
   std::map<BoxName, PeerLists> m_PeerLists;
   /// Latest time at which this box's list was known as the store's state.
   TimePoint m_ListConfirmedAt{};
@@ -180,9 +169,8 @@
   /// When the list was last reread because another box had a newer one.
   TimePoint m_ListReadAt{};
   bool m_ConfigClosely = false;
-  bool m_FollowEvacuations = false;
   ConfigFollower m_Config;
-  ConfigSendQueue m_ConfigSendQueue;
+  ListSender m_Sender;
   Timer m_SourceTimer;
 };
 
--- a/tests/gateway/LeafSubsetsTest.cpp
+++ b/tests/gateway/LeafSubsetsTest.cpp
@@ -1,7 +1,7 @@
 #include "gateway/process/LeafSubsets.h"
 
 #include "gateway/common/DecisionLog.h"
-#include "gateway/process/ListFollower.h"
+#include "gateway/process/ListFrames.h"
 #include "gateway/process/UpstreamRegistry.h"
 #include "platform/UpstreamEntry.h"
 #include "support/Names.h"
@@ -102,7 +102,7 @@
   void applyToLeaf(const EncodedFrame &Frame) {
     const PeerFrame Read = decodeFrame(Frame.bytesFor(OwnProtocol));
     const auto &Keys = std::get<FleetKeysFrame>(Read);
-    REQUIRE(m_Leaf.adopt(ListFollower::deltaIn(Keys)));
+    REQUIRE(m_Leaf.adopt(deltaIn(Keys)));
   }
 
   std::uint64_t m_Revision = 0;
