ListFollower: track which boxes confirm the copies in a class of its own

What other boxes last reported of their lists, and whether that confirms this box's copies, was a map with logic in three functions. PeerConfirmations holds it; recordDigest() asks mayConfirm() and reads as one sequence.

No behaviour changes: the same box is followed and the same lists are requested.

--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -41,6 +41,7 @@
                 .m_Boxes = Deps.m_Boxes,
                 .m_Evacuations = Deps.m_Evacuations},
                Deps.m_State, Deps.m_Fleet.topology()),
+      m_Peers(m_Copies),
       m_Config(
           {.m_Fleet = Deps.m_Fleet,
            .m_State = Deps.m_State,
@@ -73,7 +74,7 @@
 }
 
 void ListFollower::forget(const BoxName &Box) {
-  m_PeerLists.erase(Box);
+  m_Peers.forget(Box);
   m_Config.forget(Box);
   m_Sender.configQueue().forget(Box);
 }
@@ -117,7 +118,8 @@
 }
 
 TimePoint ListFollower::confirmedAtOf(const WatchCache &Cache) const {
-  return Cache.running() ? Cache.confirmedAt() : peerConfirmedAt(m_ListSource);
+  return Cache.running() ? Cache.confirmedAt()
+                         : m_Peers.confirmedAt(m_ListSource);
 }
 
 TimePoint ListFollower::configConfirmedAt() const {
@@ -125,7 +127,7 @@
   // The box that reads for all relies only on its own reads.
   return m_Deps.m_Upstreams.running()
              ? Own
-             : std::max(Own, peerConfirmedAt(m_ListSource));
+             : std::max(Own, m_Peers.confirmedAt(m_ListSource));
 }
 
 ConfigFreshness ListFollower::configFreshness(TimePoint Now) const {
@@ -162,19 +164,8 @@
          Now - listConfirmedAt() > maxListAge() + UplinkOutdatedAfter;
 }
 
-TimePoint ListFollower::peerConfirmedAt(const BoxName &Box) const {
-  const auto Entry = m_PeerLists.find(Box);
-  if (Entry == m_PeerLists.end())
-    return {};
-  const PeerLists &Peer = Entry->second;
-  const bool Behind =
-      m_Copies.behind(Peer.m_Newest) ||
-      Peer.m_Newest.m_Config > m_Copies.makeWantFrame().m_Config;
-  return Behind ? Peer.m_ConfirmedBefore : Peer.m_ConfirmedAt;
-}
-
 bool ListFollower::confirms(const BoxName &Box, TimePoint Now) const {
-  return Now - peerConfirmedAt(Box) <= maxListAge();
+  return Now - m_Peers.confirmedAt(Box) <= maxListAge();
 }
 
 /// The leader watches the list for all, and relays distribute it, like the list
@@ -186,12 +177,10 @@
     return First;
   // When several boxes read the list, all but the first by name stop.
   const bool Reads = m_Deps.m_Upstreams.running();
-  const auto Other = std::find_if(
-      m_PeerLists.begin(), m_PeerLists.end(), [&](const auto &Each) {
-        return confirms(Each.first, Now) &&
-               (!Reads || Each.first < m_Deps.m_Fleet.self());
-      });
-  return Other == m_PeerLists.end() ? First : Other->first;
+  const BoxName Other = m_Peers.firstOf([&](const BoxName &Each) {
+    return confirms(Each, Now) && (!Reads || Each < m_Deps.m_Fleet.self());
+  });
+  return Other.empty() ? First : Other;
 }
 
 void ListFollower::chooseSource() {
@@ -287,31 +276,24 @@
   // the leader.
   if (From != m_Hooks.m_NextHopToLeader() && !Frame.m_Reads)
     return;
-  // The age counts from when the digest was sent. A box that cannot reach the
-  // store, or whose watch is dead, cannot confirm anything.
+  // The age counts from when the digest was sent.
   const Duration Age = Frame.m_ListAge + ExcessDelay;
-  // Nor can one that does not follow the evacuations.
-  const bool Knows =
-      !m_Copies.followsEvacuations() || !Frame.m_Evacuations.none();
-  if (Age > maxListAge() || !Knows ||
-      Frame.m_List < m_Deps.m_Upstreams.revision()) {
-    m_PeerLists.erase(From);
+  if (!mayConfirm(Frame, Age)) {
+    m_Peers.forget(From);
     return;
   }
   const TimePoint ConfirmedAt = Now - Age;
   const BoxName Source = listSource(Now);
-  const bool Newer =
-      Source == From || ConfirmedAt - peerConfirmedAt(Source) >= NewerSourceBy;
-  const PeerLists &Peer =
-      m_PeerLists[From] = {.m_ConfirmedAt = ConfirmedAt,
-                           .m_Newest = {.m_Config = Frame.m_Config,
-                                        .m_List = Frame.m_List,
-                                        .m_Boxes = Frame.m_Boxes,
-                                        .m_Evacuations = Frame.m_Evacuations},
-                           .m_ConfirmedBefore = peerConfirmedAt(From)};
+  const bool Newer = Source == From ||
+                     ConfirmedAt - m_Peers.confirmedAt(Source) >= NewerSourceBy;
+  const FleetWantFrame Newest{.m_Config = Frame.m_Config,
+                              .m_List = Frame.m_List,
+                              .m_Boxes = Frame.m_Boxes,
+                              .m_Evacuations = Frame.m_Evacuations};
+  m_Peers.record(From, Newest, ConfirmedAt);
   // Request the lists: an update was lost, or this box has not followed the
   // sender so far.
-  if (!Newer || !m_Copies.behind(Peer.m_Newest))
+  if (!Newer || !m_Copies.behind(Newest))
     return;
   FleetWantFrame Wanted = m_Copies.makeWantFrame();
   // ConfigFollower requests the configuration.
@@ -319,6 +301,17 @@
   m_Deps.m_Fleet.send(From, Wanted);
 }
 
+/// Whether the sender of \p Frame, whose lists are \p Age old, can confirm this
+/// box's copies. One that cannot reach the store, whose watch is dead or that
+/// does not follow the evacuations cannot.
+bool ListFollower::mayConfirm(const FleetDigestFrame &Frame,
+                              Duration Age) const {
+  const bool Knows =
+      !m_Copies.followsEvacuations() || !Frame.m_Evacuations.none();
+  return Age <= maxListAge() && Knows &&
+         Frame.m_List >= m_Deps.m_Upstreams.revision();
+}
+
 void ListFollower::adopt(const BoxName &From, const FleetKeysFrame &Frame) {
   WatchCache *Cache = m_Copies.withPrefix(Frame.m_Prefix);
   if (Cache != nullptr && !Cache->adopt(deltaIn(Frame))) {
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -11,12 +11,12 @@
 #include "gateway/process/ListCopies.h"
 #include "gateway/process/ListFrames.h"
 #include "gateway/process/ListSender.h"
+#include "gateway/process/PeerConfirmations.h"
 #include "gateway/process/ServingState.h"
 #include "gateway/process/WatchCache.h"
 #include "wire/common/EventLoop.h"
 #include "wire/connection/FleetFrames.h"
 #include <functional>
-#include <map>
 #include <string>
 
 namespace havenstair {
@@ -135,9 +135,7 @@
   TimePoint confirmedAtOf(const WatchCache &Cache) const;
   Duration maxListAge() const;
   BoxName listSource(TimePoint Now) const;
-  /// When \p Box confirmed this box's copy; the beginning of time when it has
-  /// not.
-  TimePoint peerConfirmedAt(const BoxName &Box) const;
+  bool mayConfirm(const FleetDigestFrame &Frame, Duration Age) const;
   bool confirms(const BoxName &Box, TimePoint Now) const;
   void offerConfig(const FleetKeysFrame &Frame) const;
   bool followsUplink() const;
@@ -146,20 +144,11 @@
   bool skipsEvacuations(TimePoint Now, bool Relayed) const;
   void setRelayed(WatchCache &Cache, bool Relayed);
 
-  /// What a box whose lists this one could follow last reported of them.
-  struct PeerLists {
-    /// Its lists were the store's state then, or later.
-    TimePoint m_ConfirmedAt{};
-    FleetWantFrame m_Newest; ///< The revisions of its lists.
-    /// When this box's copy was last confirmed by that box before this report.
-    TimePoint m_ConfirmedBefore{};
-  };
-
   Dependencies m_Deps;
   Options m_Opts;
   Hooks m_Hooks;
   ListCopies m_Copies;
-  std::map<BoxName, PeerLists> m_PeerLists;
+  PeerConfirmations m_Peers;
   /// Latest time at which this box's list was known as the store's state.
   TimePoint m_ListConfirmedAt{};
   BoxName m_ListSource; ///< The box whose lists this one follows.
