--- a/tests/fuzz/FuzzDocuments.cpp
+++ b/tests/fuzz/FuzzDocuments.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// Fuzz target: documents of the platform, of operators and of engines. The
-/// first byte chooses the reader.
+/// Fuzz target for the decoders of documents of the platform, of operators and
+/// of engines. The first byte of the input selects the decoder.
 #include "platform/OperatorConfig.h"
 #include "platform/UpstreamEntry.h"
 #include "wire/common/Json.h"
@@ -14,7 +14,7 @@
 
 using namespace havenstair;
 
-void readAs(int Kind, std::string_view Text) {
+void decodeAs(int Kind, std::string_view Text) {
   switch (Kind % 10) {
   case 0:
     tableToCsv(tableFromCsv(Text));
@@ -50,14 +50,14 @@
 
 } // namespace
 
-// The name is libFuzzer's.
+// libFuzzer prescribes the name.
 // NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
                                       std::size_t Size) {
   if (Size == 0)
     return 0;
   try {
-    readAs(Data[0], {reinterpret_cast<const char *>(Data) + 1, Size - 1});
+    decodeAs(Data[0], {reinterpret_cast<const char *>(Data) + 1, Size - 1});
   } catch (const havenstair::DecodeError &) {
     return 0;
   }
--- a/tests/fuzz/FuzzFrames.cpp
+++ b/tests/fuzz/FuzzFrames.cpp
@@ -1,12 +1,12 @@
 /// \file
-/// Fuzz target: bytes of a peer's message.
+/// Fuzz target for the decoder of frames from other boxes.
 #include "wire/common/Json.h"
 #include "wire/connection/PeerFrames.h"
 
 #include <cstdint>
 #include <cstdlib>
 
-// The name is libFuzzer's.
+// libFuzzer prescribes the name.
 // NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
                                       std::size_t Size) {
@@ -14,7 +14,7 @@
   try {
     const std::string_view Bytes(reinterpret_cast<const char *>(Data), Size);
     const PeerFrame Frame = decodeFrame(Bytes);
-    // What is read must survive being written and read again.
+    // A decoded frame must stay the same when it is encoded and decoded again.
     const std::string Once = encodeFrame(Frame);
     if (encodeFrame(decodeFrame(Once)) != Once)
       std::abort();
--- a/tests/fuzz/ReplayMain.cpp
+++ b/tests/fuzz/ReplayMain.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Replays a corpus through a fuzz target; for CI, without the fuzzer.
+/// Runs a fuzz target on the files of a corpus, for CI, without the fuzzer.
 #include <cstdint>
 #include <cstdio>
 #include <filesystem>
@@ -7,7 +7,7 @@
 #include <iterator>
 #include <vector>
 
-// The name is libFuzzer's.
+// libFuzzer prescribes the name.
 // NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
                                       std::size_t Size);
