--- a/packages/havenstaird/common/Log.cpp
+++ b/packages/havenstaird/common/Log.cpp
@@ -14,11 +14,12 @@
     "[box] ",  "[lease] ", "[owner] ",   "[entry] ",
     "[keys] ", "[table] ", "[planner] ", "[peers] "};
 
-LogLevel LeastLevel = LogLevel::Info;
+LogLevel MinShownLevel = LogLevel::Info;
 
-bool shown(LogLevel Level) { return Level <= LeastLevel; }
+bool shown(LogLevel Level) { return Level <= MinShownLevel; }
 
-/// easylogging++ knows standard output only, which is for the ready line.
+/// easylogging++ can write only to standard output, which is reserved for the
+/// line that announces that the process is ready.
 class ToStandardError : public el::LogDispatchCallback {
 protected:
   void handle(const el::LogDispatchData *Data) override {
@@ -35,8 +36,8 @@
 
 } // namespace
 
-void startLogging(LogLevel Least, const std::string &File) {
-  LeastLevel = Least;
+void startLogging(LogLevel MinLevel, const std::string &File) {
+  MinShownLevel = MinLevel;
   el::Configurations Conf;
   Conf.setToDefault();
   Conf.setGlobally(el::ConfigurationType::Format,
--- a/packages/havenstaird/common/Log.h
+++ b/packages/havenstaird/common/Log.h
@@ -1,5 +1,6 @@
 /// \file
-/// Log lines: one short sentence each, with the prefix of its part.
+/// Log lines of the daemon: one short sentence each, with a prefix that names
+/// the component.
 #ifndef HAVENSTAIR_HAVENSTAIRD_COMMON_LOG_H
 #define HAVENSTAIR_HAVENSTAIRD_COMMON_LOG_H
 
@@ -8,13 +9,14 @@
 
 namespace havenstair {
 
-/// The parts of the daemon; each has its fixed prefix.
+/// Components of the daemon; each has a fixed prefix.
 enum class LogPart { Box, Lease, Owner, Entry, Keys, Table, Planner, Peers };
 
 enum class LogLevel { Error, Warning, Info, Debug };
 
-/// Sets up logging to standard error, and to \p File unless it is empty.
-void startLogging(LogLevel Least, const std::string &File);
+/// Starts to log lines of \p MinLevel and more severe ones to standard error,
+/// and to \p File unless that is empty.
+void startLogging(LogLevel MinLevel, const std::string &File);
 
 void logError(LogPart Part, std::string_view Sentence);
 void logWarning(LogPart Part, std::string_view Sentence);
--- a/packages/havenstaird/main.cpp
+++ b/packages/havenstaird/main.cpp
@@ -24,7 +24,8 @@
   return std::string(Value);
 }
 
-/// One line on standard output, for whoever started the process.
+/// Announces on standard output, to the program that started this process, that
+/// it is ready.
 void announce(const Box &Started) {
   const Json Line{{"ready", Started.name().str()},
                   {"callers", Started.callers().str()},
--- a/packages/havenstaird/process/Box.cpp
+++ b/packages/havenstaird/process/Box.cpp
@@ -16,12 +16,13 @@
 constexpr std::size_t RequestHistory = 4096;
 constexpr Duration TickEvery = 50ms;
 constexpr Duration SlowTickEvery = 1s;
-/// Silence after which the link is closed, so that its work ends visibly.
+/// A link on which nothing was received for this long is closed, so that the
+/// requests that use it fail rather than hang.
 constexpr Duration SilenceLimit = 5s;
-/// Time for the balancer to see that the box is leaving.
+/// Time for the load balancer to notice that the box is leaving.
 constexpr Duration BalancerGrace = 1s;
-/// Time for peers to say that they give no more work to a stopping box.
-constexpr Duration ShunLimit = 5s;
+/// Time for peers to confirm that they send no more work to a stopping box.
+constexpr Duration HandoverTimeout = 5s;
 constexpr std::size_t EntryBuffer = 1 << 20;
 
 } // namespace
@@ -205,7 +206,7 @@
       Placement::forPreference(m_Settings.m_FewMoves));
   Opts.m_Directory = &m_Directory;
   Opts.m_Table = [this]() -> const Table & { return m_Table.table(); };
-  Opts.m_MyTurn = [this] { return m_Exchange.plannerBox() == m_Self; };
+  Opts.m_IsPlanner = [this] { return m_Exchange.plannerBox() == m_Self; };
   Opts.m_OwnerReachable = [this](const UpstreamName &Upstream) {
     const auto Owner = m_Membership->assignment().ownerOf(Upstream);
     return Owner && m_Exchange.usable(*Owner);
@@ -220,7 +221,7 @@
       .m_HomeOf = [this](const GroupName &Group) { return homeOf(Group); },
       .m_Send = [this](const BoxName &To,
                        const PeerFrame &Frame) { return sendFrame(To, Frame); },
-      .m_PartOf = [this](int Limit) { return dataCentrePart(Limit); },
+      .m_ShareOf = [this](int Limit) { return dataCentreShare(Limit); },
       .m_Running =
           [this](const GroupName &Group) { return m_Limiter.running(Group); }};
 }
@@ -319,14 +320,15 @@
   const auto Owner = m_Membership->assignment().ownerOf(Upstream);
   if (Owner && m_Exchange.usable(*Owner))
     return Owner;
-  // All boxes that reach each other choose the same stand-in.
+  // All boxes that can reach each other choose the same stand-in.
   std::vector<BoxName> Others = m_Exchange.usableHere();
   if (m_Exchange.usable(m_Self) || Others.empty())
     Others.push_back(m_Self);
   return rendezvousPick(Others, Upstream.str());
 }
 
-/// The box that counts a group's running requests in this data centre.
+/// Returns the box that counts the running requests of a group in this data
+/// centre.
 BoxName Box::homeOf(const GroupName &Group) const {
   std::vector<BoxName> Able;
   for (const BoxName &Box : m_Membership->assignment().m_Boxes)
@@ -335,8 +337,9 @@
   return rendezvousPick(Able, Group.str()).value_or(m_Self);
 }
 
-/// Each data centre counts for itself, so that a cut does not stop it.
-int Box::dataCentrePart(int Limit) const {
+/// Returns this data centre's share of \p Limit. Each data centre counts for
+/// itself, so that a partition between them does not stop it.
+int Box::dataCentreShare(int Limit) const {
   std::set<DataCentreName> All;
   for (const auto &[Name, Record] : m_Membership->boxes())
     All.insert(Record.m_DataCentre);
@@ -374,7 +377,7 @@
 }
 
 void Box::onFrame(const BoxName &Peer, PeerFrame Frame) {
-  if (!m_Exchange.heardOf(Peer))
+  if (!m_Exchange.recordContact(Peer))
     return;
   if (m_Forwarder.onFrame(Peer, Frame) || m_Gate.onFrame(Peer, Frame))
     return;
@@ -382,11 +385,11 @@
     return m_Exchange.onDigest(Peer, *Digest);
   if (const auto *News = std::get_if<TableFrame>(&Frame))
     return m_Table.learn(*News);
-  // The rest is of this data centre only.
+  // The remaining kinds are accepted only within the data centre.
   if (!m_Exchange.isHere(Peer))
     return;
   if (const auto *Demand = std::get_if<DemandFrame>(&Frame))
-    return m_Planner.noteDemand(Peer, Demand->m_Demand);
+    return m_Planner.recordDemand(Peer, Demand->m_Demand);
   if (const auto *Known = std::get_if<AssignmentFrame>(&Frame))
     return m_Membership->learnAssignment(Known->m_Assignment);
   if (const auto *Plan = std::get_if<PlanFrame>(&Frame))
@@ -400,7 +403,7 @@
     m_Mesh.drop(Peer);
 }
 
-// What the parts tell.
+// Events of the components.
 
 void Box::assignmentChanged(const Assignment &Current) {
   m_Owners.follow(Current);
@@ -417,7 +420,8 @@
 
 void Box::tableChanged() { changed(); }
 
-/// News that peers act on do not wait for the next regular digest.
+/// Sends a digest in the next pass of the loop rather than at the next regular
+/// time, since peers act on the change.
 void Box::changed() {
   if (std::exchange(m_DigestWanted, true))
     return;
@@ -463,8 +467,8 @@
                       .m_Boxes = static_cast<int>(Live.size())});
 }
 
-/// A former owner is gone for good when its box has started anew, since a box
-/// runs one process only.
+/// Releases former owners whose box has started again: a box runs one process
+/// only, so the former owner has ended.
 void Box::releaseFormerWriters() {
   for (const BoxName &Writer : m_Owners.formerWriters())
     for (const auto &[Name, Record] : m_Membership->boxes())
@@ -487,7 +491,6 @@
     considerExit();
 }
 
-/// Work that is not urgent.
 void Box::slowTick() {
   m_Keyed.tick();
   m_Gate.tick();
@@ -508,7 +511,8 @@
 void Box::stop() {
   if (std::exchange(m_Stopping, true))
     return;
-  logInfo(LogPart::Box, "Stops: hands over and finishes what runs.");
+  logInfo(LogPart::Box,
+          "Stopping: hands over ownership and finishes running requests.");
   m_StopBegan = EventLoop::now();
   m_Exchange.beginStop();
   m_Membership->beginStop();
@@ -526,14 +530,15 @@
   if (Since > BalancerGrace)
     m_CallerServer.stopAccepting();
   const bool Limit = Since > m_Settings.m_StopLimit;
-  const bool Shunned = m_Exchange.allShunUs() || Since > ShunLimit;
-  const bool HandedOver = m_Membership->handedOver() || Since > ShunLimit;
+  const bool Avoided = m_Exchange.allAvoidSelf() || Since > HandoverTimeout;
+  const bool HandedOver = m_Membership->handedOver() || Since > HandoverTimeout;
   const bool Finished =
-      Since > BalancerGrace && Shunned && HandedOver && idle();
+      Since > BalancerGrace && Avoided && HandedOver && idle();
   if ((!Finished && !Limit) || !m_OnStopped)
     return;
   if (Limit)
-    logWarning(LogPart::Box, "Ends with work unfinished: the limit passed.");
+    logWarning(LogPart::Box,
+               "Stopped with unfinished requests: the stop limit has passed.");
   m_Membership->leave(std::exchange(m_OnStopped, nullptr));
 }
 
--- a/packages/havenstaird/process/Box.h
+++ b/packages/havenstaird/process/Box.h
@@ -1,5 +1,5 @@
 /// \file
-/// The process of one box: wires all parts together.
+/// The process of one box, made of its components.
 #ifndef HAVENSTAIR_HAVENSTAIRD_PROCESS_BOX_H
 #define HAVENSTAIR_HAVENSTAIRD_PROCESS_BOX_H
 
@@ -25,21 +25,22 @@
 
 namespace havenstair {
 
-/// Name of one start of a box: no two processes ever share one, so nothing
-/// that an earlier process did can be taken for this one's.
+/// Returns a name for one start of \p Box. No two processes share a name, so
+/// that actions of an earlier process are not attributed to this one.
 BoxName makeIncarnation(const BoxName &Box);
-/// The box's name without the suffix of its start.
+/// Returns the name of the box without the suffix of its start.
 std::string boxOfIncarnation(const BoxName &Incarnation);
 
-/// All parts of `havenstaird`, on one loop.
+/// All components of `havenstaird`, on one event loop.
 class Box {
 public:
-  /// \p OnStopped runs when a planned stop has ended.
+  /// \p OnStopped runs when a planned stop is complete.
   /// \throws std::runtime_error when an address cannot be bound.
   Box(EventLoop &Loop, Settings Given, std::function<void()> OnStopped);
   ~Box();
 
-  /// Begins the planned stop: hands over, and finishes what runs.
+  /// Begins the planned stop: hands over ownership and finishes running
+  /// requests.
   void stop();
 
   Endpoint callers() const { return m_CallerServer.endpoint(); }
@@ -48,7 +49,7 @@
   const BoxName &name() const { return m_Self; }
 
 private:
-  // Making the parts.
+  // Options and hooks of the components.
   PeerMesh::Options meshOptions() const;
   PeerMesh::Hooks meshHooks();
   Membership::Options membershipOptions();
@@ -72,7 +73,7 @@
                                      AnswerSinkPtr Sink);
   std::optional<BoxName> admitterOf(const UpstreamName &Upstream) const;
   BoxName homeOf(const GroupName &Group) const;
-  int dataCentrePart(int Limit) const;
+  int dataCentreShare(int Limit) const;
   std::optional<BoxName> spillTo(const ForwardedRequest &Request) const;
 
   // Peers.
@@ -82,7 +83,7 @@
   bool sendFrame(const BoxName &To, const PeerFrame &Frame);
   void dropSilentPeers();
 
-  // What the parts tell.
+  // Events of the components.
   void assignmentChanged(const Assignment &Current);
   void upstreamsChanged(const UpstreamList &List);
   void tableChanged();
--- a/packages/havenstaird/process/BoxViews.h
+++ b/packages/havenstaird/process/BoxViews.h
@@ -1,5 +1,5 @@
 /// \file
-/// What a box knows, as JSON for operators.
+/// Views of the state of a box, as JSON for operators.
 #ifndef HAVENSTAIR_HAVENSTAIRD_PROCESS_BOXVIEWS_H
 #define HAVENSTAIR_HAVENSTAIRD_PROCESS_BOXVIEWS_H
 
@@ -13,19 +13,20 @@
 
 namespace havenstair {
 
-/// All upstreams with their owners, load and residents.
+/// Returns all upstreams with their owners, load and resident artifacts.
 Json upstreamsView(const UpstreamDirectory &Directory,
                    const Assignment &Current);
 
-/// All boxes with a lease, as \p Self knows them.
+/// Returns all boxes with a lease that \p Self knows.
 Json boxesView(const BoxName &Self, const Membership &Members,
                TableVersion Table,
                const std::function<bool(const BoxName &)> &Reachable);
 
-/// All moves, or the one named; null when there is none.
+/// Returns all moves if \p Id is empty, otherwise that move; null when it does
+/// not exist.
 Json movesView(const MoveLog &Moves, const std::string &Id);
 
-/// One request; null when it is not known.
+/// Returns one request; null when it is not known.
 Json requestView(const RequestLog &Requests, const std::string &Id);
 
 } // namespace havenstair
--- a/packages/havenstaird/process/DigestExchange.cpp
+++ b/packages/havenstaird/process/DigestExchange.cpp
@@ -8,13 +8,13 @@
 
 namespace {
 
-/// Digests that may be missing before a box counts as out of reach.
-constexpr int SilentDigests = 3;
-/// Digests in a row after which any box sends what another lacks.
-constexpr int BehindTooLong = 3;
-/// Served cost is told with every so many digests, of this many groups.
+/// Missing digests after which a box counts as out of reach.
+constexpr int MaxMissingDigests = 3;
+/// Number of successive digests after which any box sends what another lacks.
+constexpr int MaxDigestsBehind = 3;
+/// Served cost is sent with every so many digests, of this many groups.
 constexpr int DigestsPerServed = 5;
-constexpr std::size_t MostServedGroups = 8;
+constexpr std::size_t MaxServedGroups = 8;
 
 bool serves(const UpstreamDigest &Digest, const ForwardedRequest &Request) {
   if (!Request.m_Service.empty())
@@ -32,7 +32,8 @@
 
 void DigestExchange::peerUp(const BoxName &Peer,
                             const DataCentreName &DataCentre) {
-  m_Peers[Peer] = {.m_LastHeard = EventLoop::now(), .m_DataCentre = DataCentre};
+  m_Peers[Peer] = {.m_LastContact = EventLoop::now(),
+                   .m_DataCentre = DataCentre};
   sendWhole(Peer);
 }
 
@@ -41,11 +42,11 @@
   m_Planner.forget(Peer);
 }
 
-bool DigestExchange::heardOf(const BoxName &Peer) {
+bool DigestExchange::recordContact(const BoxName &Peer) {
   const auto Found = m_Peers.find(Peer);
   if (Found == m_Peers.end())
     return false;
-  Found->second.m_LastHeard = EventLoop::now();
+  Found->second.m_LastContact = EventLoop::now();
   return true;
 }
 
@@ -61,7 +62,7 @@
   return Frame;
 }
 
-/// Everything, to a box whose link just came up.
+/// Sends the whole state to a box whose link has just come up.
 void DigestExchange::sendWhole(const BoxName &To) {
   DigestFrame Frame = head();
   Frame.m_Upstreams = m_Owners.digests();
@@ -76,7 +77,7 @@
   for (const auto &[Peer, State] : m_Peers)
     m_Opts.m_Send(Peer, Frame);
   const DemandByArtifact Demand = m_Owners.demand();
-  m_Planner.noteDemand(m_Opts.m_Self, Demand);
+  m_Planner.recordDemand(m_Opts.m_Self, Demand);
   const std::optional<BoxName> Planning = plannerBox();
   if (Planning && *Planning != m_Opts.m_Self)
     m_Opts.m_Send(*Planning, DemandFrame{Demand});
@@ -84,7 +85,8 @@
 
 void DigestExchange::addUpstream(DigestFrame &Frame, UpstreamDigest Digest) {
   m_Directory.apply(Digest);
-  // While the ledger is unread, what was served before is passed on.
+  // Until the ledger has been read, the artifacts that served before are
+  // reported.
   Digest.m_Serving = m_Directory.digestOf(Digest.m_Upstream)->m_Serving;
   UpstreamDigest &Last = m_LastSent[Digest.m_Upstream];
   UpstreamDigest Plain = Digest;
@@ -106,8 +108,8 @@
        .m_Load = Load});
 }
 
-/// The groups with the highest cost since the last time. A group that takes
-/// more than its share is among them.
+/// Returns the groups with the highest cost since they were last sent. A group
+/// that takes more than its share is among them.
 std::map<GroupName, double> DigestExchange::servedLately() {
   for (const auto &[Group, Cost] : m_Owners.takeServed())
     m_Served[Group] += Cost;
@@ -118,7 +120,7 @@
     ByCost.emplace_back(Cost, Group);
   m_Served.clear();
   std::sort(ByCost.rbegin(), ByCost.rend());
-  ByCost.resize(std::min(ByCost.size(), MostServedGroups));
+  ByCost.resize(std::min(ByCost.size(), MaxServedGroups));
   std::map<GroupName, double> Result;
   for (const auto &[Cost, Group] : ByCost)
     Result[Group] = std::round(Cost);
@@ -130,7 +132,7 @@
   State.m_Stopping = Digest.m_Stopping;
   State.m_AssignmentSeen = Digest.m_AssignmentSeen;
   State.m_TableCompleteTo = Digest.m_TableCompleteTo;
-  State.m_ShunsUs = Digest.m_Shunned.count(m_Opts.m_Self) != 0;
+  State.m_AvoidsSelf = Digest.m_Shunned.count(m_Opts.m_Self) != 0;
   sendWhatItLacks(Peer, Digest);
   if (!isHere(Peer)) {
     for (const UpstreamDigest &Each : Digest.m_Upstreams)
@@ -148,8 +150,8 @@
     m_Owners.writerMovedOn(Peer);
 }
 
-/// Places count under one assignment only; under another they are dropped,
-/// and the next change of the load comes through.
+/// Places refer to one assignment. Loads that were sent under another one are
+/// dropped; the next change of the load brings them up to date.
 void DigestExchange::applyLoads(const DigestFrame &Digest) {
   const Assignment &Current = m_Opts.m_Assignment();
   if (Digest.m_AssignmentSeen != Current.m_Version)
@@ -173,8 +175,9 @@
   const bool OldAssignment =
       isHere(Peer) && Digest.m_AssignmentSeen < Mine.m_Version;
   State.m_Behind = OldTable || OldAssignment ? State.m_Behind + 1 : 0;
-  // The box whose turn it is may not reach the peer; then anyone helps.
-  const bool Overdue = State.m_Behind % BehindTooLong == 0;
+  // The box that should send may be unable to reach the peer; then any box
+  // sends.
+  const bool Overdue = State.m_Behind % MaxDigestsBehind == 0;
   const auto KnowsTable = [&](const PeerState &Other) {
     return Other.m_TableCompleteTo > Digest.m_TableCompleteTo;
   };
@@ -188,7 +191,8 @@
     m_Opts.m_Send(Peer, AssignmentFrame{Mine});
 }
 
-/// Of all boxes that know more than \p Peer, one sends it what it lacks.
+/// Whether this box is the one, of all boxes that know more than \p Peer, that
+/// sends it what it lacks.
 bool DigestExchange::isSenderTo(const BoxName &Peer,
                                 const Knows &Knowing) const {
   std::vector<BoxName> Senders{m_Opts.m_Self};
@@ -198,9 +202,9 @@
   return rendezvousPick(Senders, Peer.str()) == m_Opts.m_Self;
 }
 
-bool DigestExchange::allShunUs() const {
+bool DigestExchange::allAvoidSelf() const {
   return std::all_of(m_Peers.begin(), m_Peers.end(), [](const auto &Item) {
-    return Item.second.m_ShunsUs || Item.second.m_Stopping;
+    return Item.second.m_AvoidsSelf || Item.second.m_Stopping;
   });
 }
 
@@ -210,9 +214,9 @@
   const auto Found = m_Peers.find(Peer);
   if (Found == m_Peers.end() || Found->second.m_Stopping)
     return false;
-  const Duration Silence = EventLoop::now() - Found->second.m_LastHeard;
+  const Duration Silence = EventLoop::now() - Found->second.m_LastContact;
   return m_Opts.m_Linked(Peer) &&
-         Silence < SilentDigests * m_Opts.m_DigestEvery;
+         Silence < MaxMissingDigests * m_Opts.m_DigestEvery;
 }
 
 bool DigestExchange::isHere(const BoxName &Peer) const {
@@ -229,7 +233,6 @@
   return Result;
 }
 
-/// The first box of the assignment that can be reached plans.
 std::optional<BoxName> DigestExchange::plannerBox() const {
   for (const BoxName &Box : m_Opts.m_Assignment().m_Boxes)
     if (Box == m_Opts.m_Self || usable(Box))
@@ -254,7 +257,7 @@
   const TimePoint Now = EventLoop::now();
   std::vector<BoxName> Result;
   for (const auto &[Peer, State] : m_Peers)
-    if (Now - State.m_LastHeard > Limit)
+    if (Now - State.m_LastContact > Limit)
       Result.push_back(Peer);
   return Result;
 }
--- a/packages/havenstaird/process/DigestExchange.h
+++ b/packages/havenstaird/process/DigestExchange.h
@@ -1,5 +1,5 @@
 /// \file
-/// What a box tells the others in its digests, and what it knows of them.
+/// Digests that a box sends to the others, and what it knows from theirs.
 #ifndef HAVENSTAIR_HAVENSTAIRD_PROCESS_DIGESTEXCHANGE_H
 #define HAVENSTAIR_HAVENSTAIRD_PROCESS_DIGESTEXCHANGE_H
 
@@ -16,7 +16,8 @@
 
 namespace havenstair {
 
-/// Keeps the news of all linked boxes. See docs/design/messages.md.
+/// Sends digests to all linked boxes, and keeps what they last reported. See
+/// docs/design/messages.md.
 class DigestExchange {
 public:
   struct Options {
@@ -33,43 +34,48 @@
   DigestExchange(UpstreamDirectory &Directory, OwnerService &Owners,
                  TableSync &Rows, Planner &Plans, Options Opts);
 
+  /// A link to \p Peer has come up.
   void peerUp(const BoxName &Peer, const DataCentreName &DataCentre);
+  /// The link to \p Peer is gone.
   void peerDown(const BoxName &Peer);
-  /// Something came from \p Peer. \returns false for a box without a link.
-  bool heardOf(const BoxName &Peer);
+  /// Records that a frame of \p Peer has arrived. \returns false for a box
+  /// without a link.
+  bool recordContact(const BoxName &Peer);
   void onDigest(const BoxName &Peer, const DigestFrame &Digest);
-  /// What changed since the last digest, to all boxes.
+  /// Sends all boxes what has changed since the last digest.
   void sendDigests();
 
-  /// From here on this box tells that it is stopping.
+  /// Reports from now on that this box is stopping.
   void beginStop() { m_Stopping = true; }
-  /// Whether all boxes have said that they give this one no more work.
-  bool allShunUs() const;
+  /// Whether all boxes have reported that they send this one no more work.
+  bool allAvoidSelf() const;
 
-  /// Linked, heard of lately, and not about to stop.
+  /// Whether work may be sent to \p Peer: it is linked, has sent something
+  /// lately and is not stopping.
   bool usable(const BoxName &Peer) const;
+  /// Whether \p Peer is in this data centre.
   bool isHere(const BoxName &Peer) const;
-  /// Boxes of this data centre that are usable, without this one.
+  /// Usable boxes of this data centre other than this one.
   std::vector<BoxName> usableHere() const;
-  /// The box that plans for the data centre.
+  /// The box that plans for the data centre; empty when none is usable.
   std::optional<BoxName> plannerBox() const;
   /// Usable boxes of other data centres that can serve \p Request.
   std::vector<BoxName> ableElsewhere(const ForwardedRequest &Request) const;
-  /// Boxes that have been silent for longer than \p Limit.
+  /// Boxes that have sent nothing for longer than \p Limit.
   std::vector<BoxName> silentFor(Duration Limit) const;
 
 private:
-  /// What this box last heard of another.
+  /// What another box last reported.
   struct PeerState {
-    TimePoint m_LastHeard;
+    TimePoint m_LastContact; ///< When its last frame arrived.
     DataCentreName m_DataCentre;
     bool m_Stopping = false;
     FencingToken m_AssignmentSeen = 0;
     TableVersion m_TableCompleteTo = 0;
-    bool m_ShunsUs = false;
-    /// Digests in a row that showed it behind this box.
+    bool m_AvoidsSelf = false; ///< It sends this box no more work.
+    /// Number of successive digests that showed it to be behind this box.
     int m_Behind = 0;
-    /// Upstreams of other data centres, for spilling.
+    /// Its upstreams, if it is in another data centre; for spilling.
     std::map<UpstreamName, UpstreamDigest> m_Remote;
   };
   using Knows = std::function<bool(const PeerState &)>;
--- a/packages/havenstaird/process/Membership.cpp
+++ b/packages/havenstaird/process/Membership.cpp
@@ -10,18 +10,19 @@
 namespace {
 
 constexpr Duration TickEvery = 100ms;
-/// The first box in the list writes the assignment; each further box waits
-/// this much longer, in case those before it are gone.
+/// The first box in the list writes the assignment. Each further box waits this
+/// much longer, and writes it if those before it have failed.
 constexpr Duration RankDelay = 400ms;
-/// How often boxes of other data centres are looked up.
+/// Interval at which the boxes of other data centres are read.
 constexpr Duration RemotePollEvery = 120s;
-/// The same right after the start, when data centres may start together.
+/// The interval right after the start, when data centres may start together.
 constexpr Duration FirstRemotePoll = 500ms;
-/// Writes of a whole fleet that waits for the platform stay within its rate.
+/// Longest pause between tries to get a lease, so that the writes of a whole
+/// fleet that waits for the platform stay within its rate.
 constexpr Duration LeaseRetryCap = 10s;
-/// Links to each other data centre.
+/// Number of links to each other data centre.
 constexpr int RemoteLinks = 2;
-constexpr int MostPort = 65535;
+constexpr int MaxPort = 65535;
 
 const std::string BoxPrefix = "havenstair/boxes/";
 
@@ -37,7 +38,8 @@
 Endpoint endpointField(const Json &From, const char *Name) {
   const auto Parsed = Endpoint::parse(field<std::string>(From, Name));
   if (!Parsed)
-    throw DecodeError(std::string("field ") + Name + " is not an address");
+    throw DecodeError(std::string("field ") + Name +
+                      " is not an IP address with a port");
   return *Parsed;
 }
 
@@ -63,7 +65,7 @@
   return Result;
 }
 
-/// A figure that the platform keeps as text.
+/// Returns a number that the platform stores as text.
 int numberField(const Json &Meta, const char *Name, int Default) {
   const std::string Text = fieldOr<std::string>(Meta, Name, "");
   if (Text.empty())
@@ -93,7 +95,7 @@
   Spec.m_KvReserve = numberField(Meta, "kv_reserve_mib", 0);
   Spec.m_ChecksTokens = fieldOr<std::string>(Meta, "checks_tokens", "") == "1";
   Spec.m_Leaving = fieldOr<std::string>(Meta, "state", "live") == "leaving";
-  if (Spec.m_Port < 1 || Spec.m_Port > MostPort)
+  if (Spec.m_Port < 1 || Spec.m_Port > MaxPort)
     throw DecodeError("field Port is out of range");
   return Spec;
 }
@@ -102,7 +104,7 @@
 
 UpstreamList upstreamListFromJson(const Json &From, PlatformIndex Index) {
   if (!From.is_array())
-    throw DecodeError("a list of upstreams was expected");
+    throw DecodeError("expected a list of upstreams");
   UpstreamList List{.m_Index = Index, .m_Upstreams = {}};
   for (const Json &Each : From)
     List.m_Upstreams.push_back(specFromJson(Each));
@@ -207,7 +209,8 @@
       });
 }
 
-/// The lease counts from when its session was asked for.
+/// Writes the box's record under its session. The lease counts from the request
+/// for the session.
 void Membership::publish(const std::string &SessionId, TimePoint SentAt) {
   m_Platform.acquire(boxKey(), dumpJson(toJson(m_Opts.m_Self)), SessionId,
                      [this, SessionId, SentAt](PlatformStatus Status) {
@@ -218,7 +221,7 @@
                        }
                        m_LeaseBackoff.reset();
                        m_Lease.onGranted(SessionId, SentAt);
-                       logInfo(LogPart::Lease, "Holds its lease.");
+                       logInfo(LogPart::Lease, "Lease acquired.");
                      });
 }
 
@@ -230,7 +233,7 @@
           m_LeaseBackoff.reset();
           m_Lease.onGranted(SessionId, SentAt);
         } else if (Status == PlatformStatus::NotFound) {
-          logWarning(LogPart::Lease, "Lost its lease.");
+          logWarning(LogPart::Lease, "Lease lost.");
           m_Lease.onLost(EventLoop::now());
         } else {
           m_Lease.onFailed(EventLoop::now() + m_LeaseBackoff.next());
@@ -285,8 +288,8 @@
   m_Opts.m_OnBoxes(Addresses);
 }
 
-/// Some boxes of each other data centre, spread by rendezvous hashing. Links
-/// to all of them would grow with the square of the fleet.
+/// Chooses some boxes of each other data centre by rendezvous hashing. The
+/// number of links to all of them would grow with the square of the fleet.
 std::vector<BoxRecord> Membership::chosenRemote() const {
   std::map<DataCentreName, std::vector<BoxName>> ByDataCentre;
   for (const auto &[Box, Record] : m_Boxes)
@@ -354,7 +357,7 @@
   const TimePoint Now = EventLoop::now();
   if (!m_WantedSince)
     m_WantedSince = Now;
-  // A box that stops knows first that it must be left out.
+  // A stopping box is the first to know that it must be left out.
   const auto Rank = m_Stopping ? 0
                                : std::lower_bound(Live.begin(), Live.end(),
                                                   m_Opts.m_Self.m_Box) -
@@ -371,7 +374,7 @@
       {{Key, dumpJson(havenstair::toJson(Next)), m_AssignmentIndex}},
       [this, Next](PlatformStatus Status) {
         m_WriteInFlight = false;
-        // Whatever became of it, the watch will show it.
+        // The watch shows the result, also of a write whose answer was lost.
         m_WantedSince.reset();
         if (Status == PlatformStatus::Ok)
           logInfo(LogPart::Lease,
--- a/packages/havenstaird/process/Membership.h
+++ b/packages/havenstaird/process/Membership.h
@@ -1,5 +1,5 @@
 /// \file
-/// The box's place in its data centre: its lease, the other boxes, the
+/// Membership of a box in its data centre: its lease, the other boxes, the
 /// assignment, and the platform's list of upstreams.
 #ifndef HAVENSTAIR_HAVENSTAIRD_PROCESS_MEMBERSHIP_H
 #define HAVENSTAIR_HAVENSTAIRD_PROCESS_MEMBERSHIP_H
@@ -18,7 +18,7 @@
 
 namespace havenstair {
 
-/// What a box writes under its lease.
+/// Record of a box that it writes under its lease.
 struct BoxRecord {
   BoxName m_Box;
   DataCentreName m_DataCentre;
@@ -30,11 +30,12 @@
   bool operator==(const BoxRecord &) const = default;
 };
 
-/// Reads the platform's list of upstreams.
-/// \throws DecodeError when it has not the expected form.
+/// Decodes the platform's list of upstreams.
+/// \throws DecodeError when it does not have the expected form.
 UpstreamList upstreamListFromJson(const Json &From, PlatformIndex Index);
 
-/// Keeps the lease and follows what the platform says.
+/// Keeps the box's lease, and watches the boxes, the assignment and the
+/// upstreams in the platform's service.
 class Membership {
 public:
   struct Options {
@@ -43,29 +44,29 @@
     RandomUnit m_Random;
     std::function<void(const Assignment &)> m_OnAssignment;
     std::function<void(const UpstreamList &)> m_OnUpstreams;
-    /// Addresses of boxes with a lease, and boxes whose lease is gone.
+    /// The addresses of boxes with a lease are known, or have changed.
     std::function<void(const std::vector<PeerAddress> &)> m_OnBoxes;
-    std::function<void(const BoxName &)> m_OnBoxGone;
-    /// Upstreams of this data centre, for the assignment.
+    std::function<void(const BoxName &)> m_OnBoxGone; ///< Its lease is gone.
+    /// Returns the upstreams of this data centre, for the assignment.
     std::function<std::vector<UpstreamName>()> m_Upstreams;
   };
 
   Membership(EventLoop &Loop, Platform &Service, Options Opts);
 
-  /// An assignment that a peer knows.
+  /// Adopts an assignment that a peer has sent, if it is newer.
   void learnAssignment(const Assignment &Newer);
   const Assignment &assignment() const { return m_Assignment; }
   bool leaseHeld() const { return m_Lease.held(EventLoop::now()); }
-  /// Whether the platform has answered at least once.
+  /// Whether the platform has returned the list of boxes at least once.
   bool platformSeen() const { return m_BoxesKnown; }
-  /// All boxes with a lease, by what was last heard.
+  /// All boxes with a lease, as last read.
   const std::map<BoxName, BoxRecord> &boxes() const { return m_Boxes; }
 
-  /// Planned stop: asks to be left out of the assignment.
+  /// Begins a planned stop: the next assignment leaves this box out.
   void beginStop();
-  /// Whether no upstream and no slice is this box's any more.
+  /// Whether this box owns neither upstreams nor slices of keys.
   bool handedOver() const;
-  /// Gives the lease up and calls \p Done.
+  /// Gives up the lease and then calls \p Done.
   void leave(std::function<void()> Done);
 
 private:
--- a/packages/havenstaird/process/Metrics.h
+++ b/packages/havenstaird/process/Metrics.h
@@ -1,5 +1,5 @@
 /// \file
-/// What the daemon counts and measures, in the Prometheus text format.
+/// Metrics of the daemon, in the Prometheus text format.
 #ifndef HAVENSTAIR_HAVENSTAIRD_PROCESS_METRICS_H
 #define HAVENSTAIR_HAVENSTAIRD_PROCESS_METRICS_H
 
@@ -13,16 +13,17 @@
 
 namespace havenstair {
 
-/// Latencies of one request, as far as they are known.
+/// Latencies of one request.
 struct RequestTimes {
-  Duration m_Queued = 0us;
-  Duration m_FirstByte = 0us;
-  Duration m_Whole = 0us;
+  Duration m_Queued = 0us;    ///< Time in the queue of the owner.
+  Duration m_FirstByte = 0us; ///< Valid if m_HasFirstByte.
+  Duration m_Whole = 0us;     ///< Time to the end of the answer.
   bool m_HasFirstByte = false;
 };
 
-/// Registry of all metrics. Label sets are bounded: groups of the table,
-/// kinds of the closed lists, and upstreams of the platform's list.
+/// Registry of all metrics. The number of label values is bounded: they are
+/// groups of the table, members of enumerations, and upstreams of the
+/// platform's list.
 class Metrics {
 public:
   Metrics();
@@ -41,7 +42,7 @@
   void setMemoryTaken(const UpstreamName &Upstream, double Taken,
                       double Capacity);
 
-  /// The text of `/metrics`.
+  /// Returns the text of `/metrics`.
   std::string serialize() const;
 
 private:
--- a/packages/havenstaird/process/OwnerService.cpp
+++ b/packages/havenstaird/process/OwnerService.cpp
@@ -37,7 +37,8 @@
     const bool Mine = Box == m_Opts.m_Self;
     UpstreamOwner *Owner = Mine ? ownerFor(Upstream) : nullptr;
     if (Mine && Owner != nullptr && !Owner->owned()) {
-      logInfo(LogPart::Owner, "Owns " + Upstream.str() + " from assignment " +
+      logInfo(LogPart::Owner, "Took over " + Upstream.str() +
+                                  " by assignment " +
                                   std::to_string(Current.m_Version) + ".");
       Owner->own(Current.m_Version);
     }
@@ -45,9 +46,9 @@
   for (const auto &[Upstream, Owner] : m_Owners) {
     if (!Owner->owned() || Current.ownerOf(Upstream) == m_Opts.m_Self)
       continue;
-    logInfo(LogPart::Owner, "Gives up " + Upstream.str() + ".");
-    // What runs or waits here goes on to its end: two boxes that admit to one
-    // upstream can only cost time.
+    logInfo(LogPart::Owner, "Gave up " + Upstream.str() + ".");
+    // Requests that run or wait here continue to their end: that two boxes
+    // admit to one upstream for a while can only cost time.
     Owner->own(0);
   }
 }
--- a/packages/havenstaird/process/OwnerService.h
+++ b/packages/havenstaird/process/OwnerService.h
@@ -1,5 +1,5 @@
 /// \file
-/// All upstreams that this box admits for.
+/// The upstreams to which this box admits requests.
 #ifndef HAVENSTAIR_HAVENSTAIRD_PROCESS_OWNERSERVICE_H
 #define HAVENSTAIR_HAVENSTAIRD_PROCESS_OWNERSERVICE_H
 
@@ -13,7 +13,8 @@
 
 namespace havenstair {
 
-/// Follows the assignment: takes upstreams over and gives them up.
+/// Takes over and gives up upstreams as the assignment says, and passes
+/// requests and orders to their owners.
 class OwnerService {
 public:
   struct Options {
@@ -22,16 +23,17 @@
     Duration m_OrderLife = 5s;
     FairQueue::WeightOf m_WeightOf;
     std::function<void(const MoveRecord &)> m_OnMove;
-    /// Something that peers must know changed.
+    /// Something that peers must know has changed.
     std::function<void()> m_OnChange;
   };
 
   OwnerService(EventLoop &Loop, HttpClient &Http, Platform &Service,
                UpstreamDirectory &Directory, Options Opts);
 
-  /// Takes over what \p Current gives to this box, and gives up the rest.
+  /// Takes over the upstreams that \p Current assigns to this box, and gives up
+  /// all others.
   void follow(const Assignment &Current);
-  /// The platform's list changed: makes and drops owners.
+  /// The platform's list has changed: adds and removes upstreams.
   void followList();
 
   void admit(const RequestId &Id, const ForwardedRequest &Request,
@@ -39,13 +41,13 @@
   void cancel(const UpstreamName &Upstream, const RequestId &Id);
   void order(const Move &Wanted);
   void writerMovedOn(const BoxName &Writer);
-  /// Former owners with unsettled orders in hand, over all engines.
+  /// Former owners with unsettled orders to any engine.
   std::set<BoxName> formerWriters() const;
   void chargeElsewhere(const std::map<GroupName, double> &Served);
   std::map<GroupName, double> takeServed();
   void tick();
 
-  /// Digests of owned upstreams.
+  /// Returns the digests of the owned upstreams.
   std::vector<UpstreamDigest> digests();
   DemandByArtifact demand() const;
   std::size_t active() const;
--- a/packages/havenstaird/process/PeerForwarder.cpp
+++ b/packages/havenstaird/process/PeerForwarder.cpp
@@ -2,7 +2,7 @@
 
 namespace havenstair {
 
-/// Sends an answer back to the box that asked.
+/// Sends an answer back to the box that forwarded the attempt.
 class PeerForwarder::ReturnSink : public AnswerSink {
 public:
   ReturnSink(PeerForwarder &Owner, BoxName To, AttemptId Attempt)
@@ -74,7 +74,8 @@
     m_Send(Given.m_To, CancelFrame{Attempt});
 }
 
-/// Only the box that an attempt was sent to may answer it.
+/// Returns the sink of an attempt; null unless it was sent to \p From, since no
+/// other box may answer it.
 AnswerSinkPtr PeerForwarder::sinkOf(const BoxName &From, AttemptId Attempt) {
   const auto Found = m_Outgoing.find(Attempt);
   if (Found == m_Outgoing.end() || Found->second.m_To != From)
@@ -136,7 +137,7 @@
 void PeerForwarder::onForward(const BoxName &From,
                               const ForwardedRequest &Request) {
   const IncomingKey Key(From, Request.m_Attempt);
-  // A doubled forward must not run twice.
+  // A frame that arrives twice must not run the attempt twice.
   if (!m_Incoming.try_emplace(Key, [] {}).second)
     return;
   auto Sink = std::make_shared<ReturnSink>(*this, From, Request.m_Attempt);
@@ -145,8 +146,8 @@
     Found->second = std::move(Cancel);
 }
 
-/// The forward was written, so whether it ran is not known.
-Failure PeerForwarder::whenLost(const Outgoing &Lost) {
+/// The frame had been written, so it is unknown whether the attempt ran.
+Failure PeerForwarder::failureWhenLost(const Outgoing &Lost) {
   if (Lost.m_Unsafe)
     return {.m_Kind = ErrorKind::OutcomeUnknown};
   return {.m_Kind =
@@ -171,7 +172,7 @@
   for (const std::function<void()> &Stop : Stops)
     Stop();
   for (const Outgoing &Each : Lost)
-    Each.m_Sink->failed(whenLost(Each));
+    Each.m_Sink->failed(failureWhenLost(Each));
 }
 
 } // namespace havenstair
--- a/packages/havenstaird/process/PeerForwarder.h
+++ b/packages/havenstaird/process/PeerForwarder.h
@@ -1,5 +1,5 @@
 /// \file
-/// Attempts that run on other boxes, and those that other boxes sent here.
+/// Attempts that this box forwards to others, and those forwarded to it.
 #ifndef HAVENSTAIR_HAVENSTAIRD_PROCESS_PEERFORWARDER_H
 #define HAVENSTAIR_HAVENSTAIRD_PROCESS_PEERFORWARDER_H
 
@@ -18,7 +18,7 @@
 /// Sends a frame to a box; false when nothing was sent.
 using FrameSender = std::function<bool(const BoxName &, const PeerFrame &)>;
 
-/// Both ends of forwarding.
+/// Forwards attempts to other boxes, and runs those that other boxes forward.
 class PeerForwarder : public AttemptRunner {
 public:
   PeerForwarder(EventLoop &Loop, BoxName Self, FrameSender Send,
@@ -28,12 +28,13 @@
            AnswerSinkPtr Sink) override;
   void cancel(AttemptId Attempt) override;
 
-  /// A frame of \p From that belongs to an attempt. \returns false for
+  /// Handles a frame of \p From that belongs to an attempt. \returns false for
   /// frames of other kinds.
   bool onFrame(const BoxName &From, const PeerFrame &Frame);
-  /// The link to \p Box is gone, with all that was on it.
+  /// The link to \p Box is gone: its attempts here are cancelled, and those
+  /// there have failed.
   void peerDown(const BoxName &Box);
-  /// Work that runs here for other boxes.
+  /// Number of attempts that run here for other boxes.
   std::size_t serving() const { return m_Incoming.size(); }
 
 private:
@@ -51,7 +52,7 @@
   void onForward(const BoxName &From, const ForwardedRequest &Request);
   AnswerSinkPtr sinkOf(const BoxName &From, AttemptId Attempt);
   AnswerSinkPtr takeSink(const BoxName &From, AttemptId Attempt);
-  static Failure whenLost(const Outgoing &Lost);
+  static Failure failureWhenLost(const Outgoing &Lost);
 
   EventLoop &m_Loop;
   BoxName m_Self;
--- a/packages/havenstaird/process/Planner.cpp
+++ b/packages/havenstaird/process/Planner.cpp
@@ -4,9 +4,10 @@
 
 namespace {
 
-/// Weight of the newest demand against the mean so far.
+/// Weight of the newest demand in the exponential moving average.
 constexpr double DemandGain = 0.3;
-constexpr double LeastDemand = 0.001;
+/// Smaller averages are dropped.
+constexpr double MinDemand = 0.001;
 
 } // namespace
 
@@ -14,7 +15,7 @@
     : m_Opts(std::move(Opts)),
       m_Timer(Loop.every(m_Opts.m_Every, [this] { planOnce(); })) {}
 
-void Planner::noteDemand(const BoxName &Box, const DemandByArtifact &Demand) {
+void Planner::recordDemand(const BoxName &Box, const DemandByArtifact &Demand) {
   m_DemandOf[Box] = Demand;
 }
 
@@ -28,7 +29,7 @@
   for (const auto &[Artifact, Count] : Sum)
     m_Smoothed[Artifact] += DemandGain * Count;
   std::erase_if(m_Smoothed,
-                [](const auto &Item) { return Item.second < LeastDemand; });
+                [](const auto &Item) { return Item.second < MinDemand; });
 }
 
 std::vector<EngineView> Planner::engines() const {
@@ -54,7 +55,7 @@
 
 void Planner::planOnce() {
   smoothDemand();
-  if (!m_Opts.m_MyTurn())
+  if (!m_Opts.m_IsPlanner())
     return;
   const Table &Current = m_Opts.m_Table();
   PlacementInput Input;
--- a/packages/havenstaird/process/Planner.h
+++ b/packages/havenstaird/process/Planner.h
@@ -1,5 +1,5 @@
 /// \file
-/// Plans placement for the data centre, on the one box whose turn it is.
+/// Plans placement for the data centre, on one box at a time.
 #ifndef HAVENSTAIR_HAVENSTAIRD_PROCESS_PLANNER_H
 #define HAVENSTAIR_HAVENSTAIRD_PROCESS_PLANNER_H
 
@@ -13,17 +13,18 @@
 
 namespace havenstair {
 
-/// Gathers demand, runs the policy and hands moves to the owners. Two planners
-/// at once can cost moves, but never memory: owners decide what fits.
+/// Collects demand, runs the policy and sends moves to the owners. Two boxes
+/// that plan at the same time can cause needless moves but cannot overcommit
+/// memory, as owners decide what fits.
 class Planner {
 public:
   struct Options {
     std::unique_ptr<PlacementPolicy> m_Policy;
     const UpstreamDirectory *m_Directory = nullptr;
     std::function<const Table &()> m_Table;
-    /// Whether this box plans now.
-    std::function<bool()> m_MyTurn;
-    /// Whether the owner of an upstream can be reached.
+    /// Returns whether this box plans now.
+    std::function<bool()> m_IsPlanner;
+    /// Returns whether the owner of an upstream can be reached.
     std::function<bool(const UpstreamName &)> m_OwnerReachable;
     std::function<void(const Move &)> m_Order;
     Duration m_Every = 500ms;
@@ -31,8 +32,8 @@
 
   Planner(EventLoop &Loop, Options Opts);
 
-  /// Demand at the upstreams of \p Box, as it says.
-  void noteDemand(const BoxName &Box, const DemandByArtifact &Demand);
+  /// Records the demand at the upstreams of \p Box that it has reported.
+  void recordDemand(const BoxName &Box, const DemandByArtifact &Demand);
   void forget(const BoxName &Box) { m_DemandOf.erase(Box); }
 
 private:
--- a/packages/havenstaird/process/PolicySettings.cpp
+++ b/packages/havenstaird/process/PolicySettings.cpp
@@ -9,17 +9,17 @@
 
 namespace {
 
-/// One number of the policy.
+/// A setting that is a number of the policy.
 struct PolicySetting {
   const char *m_Flag;
   const char *m_Meaning;
-  double m_Least;
-  double m_Most;
+  double m_Min;
+  double m_Max;
   double &(*m_Member)(GatewayPolicy &);
 };
 
 const std::array<PolicySetting, 27> Table{{
-    {"--few-moves", "0 puts attainment first, 1 few moves", 0, 1,
+    {"--few-moves", "0 prefers attainment of targets, 1 few moves", 0, 1,
      [](GatewayPolicy &P) -> double & { return P.m_Planner.m_FewMoves; }},
     {"--least-gain-near", "least gain of a load from the engine's own copies",
      0, 100,
@@ -27,18 +27,20 @@
     {"--least-gain-store", "least gain of a load from the store of weights", 0,
      100,
      [](GatewayPolicy &P) -> double & { return P.m_Planner.m_LeastGainStore; }},
-    {"--release-loss", "loss at which an unneeded replica leaves", 0, 100,
+    {"--release-loss", "loss at which a replica that is not needed is unloaded",
+     0, 100,
      [](GatewayPolicy &P) -> double & { return P.m_Planner.m_ReleaseLoss; }},
     {"--reachable-worth", "worth of a model's first replica", 0, 100,
      [](GatewayPolicy &P) -> double & { return P.m_Planner.m_ReachableWorth; }},
     {"--spread-worth",
-     "part of the time that a data centre is away, unreplaced; 0: no spread", 0,
+     "part of the time that a data centre is lost, unreplaced; 0: no spread", 0,
      1, [](GatewayPolicy &P) -> double & { return P.m_Planner.m_SpreadWorth; }},
-    {"--plan-horizon-ms", "time for which a move is judged", 1000, 600000,
+    {"--plan-horizon-ms", "time over which the gain of a move is computed",
+     1000, 600000,
      [](GatewayPolicy &P) -> double & { return P.m_Planner.m_HorizonMs; }},
     {"--long-answer-ms", "time in which nearly all answers end", 0, 600000,
      [](GatewayPolicy &P) -> double & { return P.m_Planner.m_LongAnswerMs; }},
-    {"--demand-trend", "seconds that demand is told ahead", 0, 10,
+    {"--demand-trend", "seconds by which demand is predicted ahead", 0, 10,
      [](GatewayPolicy &P) -> double & { return P.m_Rates.m_LookaheadSeconds; }},
     {"--adapter-rate", "requests a second for each copy of an adapter", 0.01,
      1000,
@@ -47,11 +49,12 @@
      [](GatewayPolicy &P) -> double & { return P.m_Choice.m_OtherZoneMs; }},
     {"--other-region-ms", "cost of another region", 0, 10000,
      [](GatewayPolicy &P) -> double & { return P.m_Choice.m_OtherRegionMs; }},
-    {"--failure-ms", "cost of a failed try", 0, 60000,
+    {"--failure-ms", "cost of a failed attempt", 0, 60000,
      [](GatewayPolicy &P) -> double & { return P.m_Choice.m_FailureMs; }},
     {"--running-ms", "cost of each running request", 0, 1000,
      [](GatewayPolicy &P) -> double & { return P.m_Choice.m_RunningMs; }},
-    {"--preferred-cached", "part believed cached at the preferred engine", 0, 1,
+    {"--preferred-cached", "part assumed to be cached at the preferred engine",
+     0, 1,
      [](GatewayPolicy &P) -> double & {
        return P.m_Choice.m_PreferredCachedFraction;
      }},
@@ -63,26 +66,29 @@
      [](GatewayPolicy &P) -> double & {
        return P.m_Admission.m_MaxWaitFraction;
      }},
-    {"--longest-away-part", "part of the time left to come back after", 0, 1,
+    {"--longest-away-part",
+     "part of the remaining time after which a retry is asked for", 0, 1,
      [](GatewayPolicy &P) -> double & {
        return P.m_Admission.m_MaxRetryAfterFraction;
      }},
-    {"--load-known-within-ms", "time in which a load that begins is known", 0,
-     60000,
+    {"--load-known-within-ms", "time within which the begin of a load is known",
+     0, 60000,
      [](GatewayPolicy &P) -> double & {
        return P.m_Admission.m_LoadVisibleWithinMs;
      }},
     {"--pace-gap-part", "part of the longest pause that prompt work may fill",
      0, 1000,
      [](GatewayPolicy &P) -> double & { return P.m_Pacing.m_MaxGapFraction; }},
-    {"--pace-wait-part", "part of the target to wait for that", 0, 1,
+    {"--pace-wait-part", "part of the target that a request may wait for that",
+     0, 1,
      [](GatewayPolicy &P) -> double & { return P.m_Pacing.m_MaxWaitFraction; }},
     {"--own-part", "part of the target that a request's own work may take", 0,
      1,
      [](GatewayPolicy &P) -> double & {
        return P.m_Admission.m_MaxOwnWorkFraction;
      }},
-    {"--expected-spread", "factor by which first tokens come later", 0.1, 100,
+    {"--expected-spread",
+     "factor by which first tokens come later than estimated", 0.1, 100,
      [](GatewayPolicy &P) -> double & {
        return P.m_Admission.m_EstimateErrorFactor;
      }},
@@ -91,7 +97,8 @@
      [](GatewayPolicy &P) -> double & { return P.m_Planner.m_SparePart; }},
     {"--awaited-worth", "worth of a model that callers wait for", 0, 100,
      [](GatewayPolicy &P) -> double & { return P.m_Planner.m_AwaitedWorth; }},
-    {"--replica-stays-ms", "least stay of a wanted replica", 0, 600000,
+    {"--replica-stays-ms", "shortest time that a wanted replica stays", 0,
+     600000,
      [](GatewayPolicy &P) -> double & { return P.m_MinReplicaLifetimeMs; }},
     {"--free-adapter-rate", "requests a second that a free place is worth", 0,
      1000,
@@ -109,11 +116,11 @@
   const char *End = Text.data() + Text.size();
   const auto Read = std::from_chars(Text.data(), End, Value);
   const bool Good = Read.ec == std::errc() && Read.ptr == End &&
-                    Value >= Of.m_Least && Value <= Of.m_Most;
+                    Value >= Of.m_Min && Value <= Of.m_Max;
   if (!Good)
     throw SettingError(Of.m_Flag, Text,
-                       "a number from " + shortNumber(Of.m_Least) + " to " +
-                           shortNumber(Of.m_Most));
+                       "a number from " + shortNumber(Of.m_Min) + " to " +
+                           shortNumber(Of.m_Max));
   return Value;
 }
 
@@ -133,8 +140,8 @@
   for (const PolicySetting &Each : Table) {
     std::string Line = std::string("  ") + Each.m_Flag + " NUMBER";
     Line.resize(std::max<std::size_t>(Line.size() + 2, 30), ' ');
-    Text += Line + Each.m_Meaning + " (" + shortNumber(Each.m_Least) + " to " +
-            shortNumber(Each.m_Most) + ") [" +
+    Text += Line + Each.m_Meaning + " (" + shortNumber(Each.m_Min) + " to " +
+            shortNumber(Each.m_Max) + ") [" +
             shortNumber(Each.m_Member(Default)) + "].\n";
   }
   return Text;
--- a/packages/havenstaird/process/PolicySettings.h
+++ b/packages/havenstaird/process/PolicySettings.h
@@ -1,5 +1,5 @@
 /// \file
-/// The settings of a gateway's policy: flags and HAVENSTAIR_* variables.
+/// Settings of the policy of a gateway: flags and HAVENSTAIR_* variables.
 #ifndef HAVENSTAIR_HAVENSTAIRD_PROCESS_POLICYSETTINGS_H
 #define HAVENSTAIR_HAVENSTAIRD_PROCESS_POLICYSETTINGS_H
 
@@ -11,17 +11,18 @@
 
 namespace havenstair {
 
-/// The text of a flag or of its variable; empty when neither is given.
+/// Returns the text of a flag or of its variable; empty when neither is given.
 using SettingLookup =
     std::function<std::optional<std::string>(const std::string &Flag)>;
 
-/// The flags with their defaults.
+/// Returns the flags with their defaults.
 std::map<std::string, double> policyDefaults();
 
-/// The lines of the usage page, with ranges and defaults.
+/// Returns the lines of the usage page, with ranges and defaults.
 std::string policyUsage();
 
-/// \throws SettingError for the first value that is not allowed.
+/// Reads the policy. \throws SettingError for the first value that is not
+/// allowed.
 GatewayPolicy readPolicy(const SettingLookup &Find);
 
 } // namespace havenstair
--- a/packages/havenstaird/process/ServeCommand.cpp
+++ b/packages/havenstaird/process/ServeCommand.cpp
@@ -23,12 +23,12 @@
   havenstaird serve [options]
 
 Options:
-  --node-file FILE        Settings file of the platform; also by the variable
-                          HAVENSTAIR_NODE_FILE. Read again on SIGHUP, and
-                          every two seconds.
-  --metrics-port PORT     Port of the metrics page at this box's address; the
-                          second of the platform's internal ports by default.
-  --check-settings        Check the settings and end.
+  --node-file FILE        Settings file of the platform; can also be set by the
+                          variable HAVENSTAIR_NODE_FILE. Read again on SIGHUP,
+                          and every two seconds.
+  --metrics-port PORT     Port of the metrics page at this box's address; by
+                          default the second of the platform's internal ports.
+  --check-settings        Check the settings and exit.
   --help                  Show this page.
   --version               Show the version.
 
@@ -38,11 +38,11 @@
 )";
 
 int readPort(const std::string &Flag, const std::string &Text) {
-  constexpr int MostPort = 65535;
+  constexpr int MaxPort = 65535;
   int Port = 0;
   const char *End = Text.data() + Text.size();
   const auto Read = std::from_chars(Text.data(), End, Port);
-  if (Read.ec != std::errc() || Read.ptr != End || Port < 1 || Port > MostPort)
+  if (Read.ec != std::errc() || Read.ptr != End || Port < 1 || Port > MaxPort)
     throw SettingError(Flag, Text, "a number from 1 to 65535");
   return Port;
 }
--- a/packages/havenstaird/process/ServeCommand.h
+++ b/packages/havenstaird/process/ServeCommand.h
@@ -9,7 +9,8 @@
 
 namespace havenstair {
 
-/// Runs until it is told to stop. \returns the status of the process.
+/// Runs the gateway until a signal stops it. \returns the exit status of the
+/// process.
 /// \throws std::runtime_error for settings that are not allowed.
 int runServe(const std::vector<std::string> &Arguments,
              const EnvironmentLookup &Environment);
--- a/packages/havenstaird/process/Settings.cpp
+++ b/packages/havenstaird/process/Settings.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t LeastSecret = 16;
+constexpr std::size_t MinSecretLength = 16;
 
 constexpr const char *Usage =
     R"(havenstaird: one box of havenstair.
@@ -19,39 +19,40 @@
 Usage:
   havenstaird [options]
 
-Each option can be given as a variable too: --box as HAVENSTAIR_BOX,
---lease-ms as HAVENSTAIR_LEASE_MS, and so on. Flags go before variables.
+Each option can also be set by a variable: --box by HAVENSTAIR_BOX,
+--lease-ms by HAVENSTAIR_LEASE_MS, and so on. Flags override variables.
 HAVENSTAIR_PEER_SECRET and HAVENSTAIR_OPERATOR_TOKEN are read from the
 environment only; each needs 16 characters or more.
 
 Options:
   --box NAME              Name of this box; each start adds a suffix.
   --data-centre NAME      Data centre of this box.
-  --callers ADDRESS       IP number and port for callers.
-  --operators ADDRESS     IP number and port for operators.
-  --peers ADDRESS         IP number and port for other boxes.
-  --platform ADDRESS      IP number and port of the platform's service.
-  --seeds LIST            Peer addresses of other boxes, by commas; needed only
-                          to start while the platform is down.
+  --callers ADDRESS       IP address and port for callers.
+  --operators ADDRESS     IP address and port for operators.
+  --peers ADDRESS         IP address and port for other boxes.
+  --platform ADDRESS      IP address and port of the platform's service.
+  --seeds LIST            Peer addresses of other boxes, separated by commas;
+                          needed only to start while the platform is down.
   --lease-ms MS           Time to live of the box's lease [15000].
   --renew-ms MS           How often the lease is renewed [5000].
   --order-life-ms MS      Longest life of an order on the network [5000].
-  --clock-skew-ms MS      Most that clocks of callers and boxes differ [5000].
+  --clock-skew-ms MS      Largest difference between the clocks of callers and
+                          boxes [5000].
   --key-retention-ms MS   How long idempotency keys are kept [900000].
-  --deadline-ms MS        Deadline of plain-service requests that give none;
-                          for models it is the group's target [5000].
-  --digest-ms MS          How often owners tell their load [1000].
-  --stop-limit-ms MS      Longest planned stop [60000].
-  --few-moves PART        0 puts attainment first, 1 few moves [0].
+  --deadline-ms MS        Deadline of requests to plain services that give
+                          none; for models it is the group's target [5000].
+  --digest-ms MS          Interval at which owners report their load [1000].
+  --stop-limit-ms MS      Longest duration of a planned stop [60000].
+  --few-moves PART        0 prefers attainment of targets, 1 few moves [0].
   --max-body BYTES        Largest body of a request [1048576].
   --log-level LEVEL       error, warning, info or debug [info].
   --log-file FILE         Also log to this file.
-  --check-settings        Check the settings and end.
+  --check-settings        Check the settings and exit.
   --help                  Show this page.
   --version               Show the version.
 )";
 
-/// Looks up one setting by its flag.
+/// Looks up settings by their flags.
 class Source {
 public:
   Source(std::map<std::string, docopt::value> Flags,
@@ -81,7 +82,7 @@
 
   std::string secret(const std::string &Variable) const {
     const std::string Value = m_Environment(Variable).value_or("");
-    if (Value.size() < LeastSecret)
+    if (Value.size() < MinSecretLength)
       throw SettingError(Variable, Value.empty() ? "" : "(hidden)",
                          "16 characters or more, from the environment");
     return Value;
@@ -112,7 +113,8 @@
 }
 
 Endpoint readEndpoint(const Source &From, const std::string &Flag) {
-  const std::string Allowed = "an IP number with a port, as 127.0.0.1:8080";
+  const std::string Allowed =
+      "an IP address with a port, such as 127.0.0.1:8080";
   const std::string Value = From.required(Flag, Allowed);
   const std::optional<Endpoint> Parsed = Endpoint::parse(Value);
   if (!Parsed)
@@ -121,8 +123,8 @@
 }
 
 struct Range {
-  double m_Least;
-  double m_Most;
+  double m_Min;
+  double m_Max;
 };
 
 double readNumber(const Source &From, const std::string &Flag, double Default,
@@ -134,11 +136,11 @@
   const char *End = Text->data() + Text->size();
   const auto Result = std::from_chars(Text->data(), End, Value);
   const bool Good = Result.ec == std::errc() && Result.ptr == End &&
-                    Value >= Allowed.m_Least && Value <= Allowed.m_Most;
+                    Value >= Allowed.m_Min && Value <= Allowed.m_Max;
   if (!Good)
     throw SettingError(Flag, *Text,
-                       "a number from " + std::to_string(Allowed.m_Least) +
-                           " to " + std::to_string(Allowed.m_Most));
+                       "a number from " + std::to_string(Allowed.m_Min) +
+                           " to " + std::to_string(Allowed.m_Max));
   return Value;
 }
 
@@ -160,7 +162,8 @@
 Endpoint readSeed(const std::string &Text) {
   if (const auto Address = Endpoint::parse(Text))
     return *Address;
-  throw SettingError("--seeds", Text, "IP numbers with ports, by commas");
+  throw SettingError("--seeds", Text,
+                     "IP addresses with ports, separated by commas");
 }
 
 std::vector<Endpoint> readSeeds(const Source &From) {
--- a/packages/havenstaird/process/Settings.h
+++ b/packages/havenstaird/process/Settings.h
@@ -15,9 +15,10 @@
 
 namespace havenstair {
 
-/// A setting whose value is not allowed.
+/// Thrown for a setting whose value is not allowed.
 class SettingError : public std::runtime_error {
 public:
+  /// \p Allowed says which values are allowed.
   SettingError(const std::string &Name, const std::string &Value,
                const std::string &Allowed);
 };
@@ -40,21 +41,22 @@
   Duration m_DigestEvery = 1s;
   Duration m_StopLimit = 60s;
   double m_FewMoves = 0;
-  std::size_t m_MaxBody = 1 << 20;
+  std::size_t m_MaxBody = 1 << 20; ///< In bytes.
   LogLevel m_LogLevel = LogLevel::Info;
   std::string m_LogFile;
-  /// Secrets come from the environment only, and are never logged.
+  // Secrets come from the environment only, and are never logged.
   std::string m_PeerSecret;
   std::string m_OperatorToken;
   bool m_CheckOnly = false;
 };
 
-/// Reads one environment variable; empty when it is not set.
+/// Returns the value of an environment variable; empty when it is not set.
 using EnvironmentLookup =
     std::function<std::optional<std::string>(const std::string &)>;
 
-/// Reads flags, then variables for flags that are not given, then defaults.
-/// Prints the page and ends the process for `--help` and `--version`.
+/// Reads the settings from flags, from variables where a flag is not given, and
+/// from defaults otherwise. For `--help` and `--version` it prints the text and
+/// ends the process.
 /// \throws SettingError for the first value that is not allowed.
 Settings readSettings(const std::vector<std::string> &Arguments,
                       const EnvironmentLookup &Environment);
--- a/packages/havenstaird/process/UpstreamOwner.cpp
+++ b/packages/havenstaird/process/UpstreamOwner.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::string_view StreamEnd = "data: [DONE]";
-/// Enough of a stream's tail to find its end mark in.
+/// Bytes at the end of a stream that are kept to find its end mark.
 constexpr std::size_t TailLength = 64;
 constexpr Duration UpstreamSilence = 60s;
 
@@ -53,7 +53,7 @@
   bool m_Started = false;
   bool m_Done = false;
   bool m_HasHead = false;
-  /// The engine said that it did not run the request.
+  /// Set when the engine has answered that it did not run the request.
   std::optional<Failure> m_Refused;
   std::string m_Tail;
   double m_Tokens = 0;
@@ -75,7 +75,7 @@
     return;
   m_Token = Token;
   ++m_Generation;
-  // Nothing of an earlier ownership may be written any more.
+  // No order of an earlier ownership may be written after this.
   m_Engine.dropOrders();
   if (m_Opts.m_Spec.m_Kind == UpstreamKind::Service)
     return;
@@ -137,7 +137,7 @@
 void UpstreamOwner::startCall(const CallPtr &Item, Duration Waited) {
   Item->m_Started = true;
   Item->m_Sink->started(Waited);
-  // The sink may have given the request up.
+  // The sink may have cancelled the request.
   if (Item->m_Done)
     return;
   Item->m_Handle = m_Http.start(upstreamCall(Item));
@@ -175,12 +175,13 @@
 }
 
 /// Engines answer 404 for a model that they do not hold, and 429 or 503 when
-/// they cannot take the request: nothing was run. Plain services are not
-/// interpreted; whatever they answer is the answer.
+/// they cannot take the request; in both cases it was not run. Answers of plain
+/// services are passed on without interpretation.
 void UpstreamOwner::onHead(const CallPtr &Item, int Status,
                            const HttpHeaders &Headers) {
   if (m_Opts.m_Spec.m_Kind == UpstreamKind::Engine) {
-    // The ledger says otherwise, so the engine has lost it: read it again.
+    // By the ledger the engine holds the model, so it has lost it since: the
+    // report is read again.
     if (Status == 404 && owned())
       readReport();
     if (Status == 404)
@@ -211,7 +212,7 @@
   Item->m_Sink->bytes(Bytes);
 }
 
-Failure UpstreamOwner::whyEnded(const Call &Item, HttpEnd End) const {
+Failure UpstreamOwner::failureFor(const Call &Item, HttpEnd End) const {
   if (End == HttpEnd::NotWritten)
     return {.m_Kind = ErrorKind::NoUpstream, .m_RetryAfter = 1s};
   if (Item.m_Request.m_Unsafe)
@@ -222,10 +223,11 @@
 
 void UpstreamOwner::onEnd(const CallPtr &Item, HttpEnd End) {
   if (End != HttpEnd::Complete)
-    return finish(Item, whyEnded(*Item, End));
+    return finish(Item, failureFor(*Item, End));
   if (Item->m_Refused)
     return finish(Item, *Item->m_Refused);
-  // A stream without its end mark is short, however cleanly it ended.
+  // A stream without its end mark is incomplete, even if its connection ended
+  // without an error.
   const bool Cut = Item->m_Request.m_Stream &&
                    m_Opts.m_Spec.m_Kind == UpstreamKind::Engine &&
                    Item->m_Tail.find(StreamEnd) == std::string::npos;
@@ -238,7 +240,7 @@
   if (std::exchange(Item->m_Done, true))
     return;
   m_Calls.erase(Item->m_Id);
-  // The handle must outlive the callback that may be running in it.
+  // The handle must outlive its callback, which may be running.
   m_Loop.defer([Item] { Item->m_Handle = HttpCallHandle(); });
   const TimePoint Now = EventLoop::now();
   const AdmissionActions Next =
@@ -270,7 +272,7 @@
           : m_Orders.unload(Wanted.m_Artifact, Now);
   const std::vector<EngineOrder> After = m_Orders.unsettled();
   performOrders(Actions);
-  noteChange();
+  reportChange();
   if (After.size() == Before.size())
     return {};
   for (const EngineOrder &Each : After)
@@ -312,7 +314,7 @@
     if (!*Alive || !Report || Generation != m_Generation)
       return;
     performOrders(m_Orders.reported(*Report, AsOf, EventLoop::now()));
-    noteChange();
+    reportChange();
   });
 }
 
@@ -344,8 +346,8 @@
       });
 }
 
-/// Writes under the index that was read last, then reads what is there now.
-/// The read also settles a conflict and a lost answer.
+/// Writes the journal with the index that was last read, then reads it again,
+/// which also resolves a conflict or a lost answer.
 void UpstreamOwner::writeJournal(const OrderJournal &Journal) {
   const std::uint64_t Generation = m_Generation;
   const std::string Text = dumpJson(toJson(Journal));
@@ -408,7 +410,7 @@
     performOrders(m_Orders.tick(Now));
 }
 
-void UpstreamOwner::noteChange() {
+void UpstreamOwner::reportChange() {
   const bool Same =
       m_LastServing == m_Orders.serving() && m_LastReady == m_Orders.ready();
   if (Same)
--- a/packages/havenstaird/process/UpstreamOwner.h
+++ b/packages/havenstaird/process/UpstreamOwner.h
@@ -1,6 +1,6 @@
 /// \file
-/// One upstream that this box admits for: its queue, its running calls and,
-/// for an engine that it owns, its orders.
+/// One upstream to which this box admits requests: its queue, its running calls
+/// and, for an engine that the box owns, its orders.
 #ifndef HAVENSTAIR_HAVENSTAIRD_PROCESS_UPSTREAMOWNER_H
 #define HAVENSTAIR_HAVENSTAIRD_PROCESS_UPSTREAMOWNER_H
 
@@ -19,10 +19,12 @@
 
 namespace havenstair {
 
-/// Key under which a box knows an admitted request: its origin and attempt.
+/// Returns the id by which a box knows an admitted request, made of its origin
+/// and attempt.
 RequestId admissionId(const BoxName &Origin, AttemptId Attempt);
 
-/// Owner, or stand-in for an owner that is out of reach.
+/// Admits requests to an upstream as its owner, or as the stand-in for an owner
+/// that is out of reach.
 class UpstreamOwner {
 public:
   struct Options {
@@ -32,9 +34,9 @@
     FairQueue::WeightOf m_WeightOf;
     /// Key of the engine's journal in the platform's service.
     std::string m_JournalKey;
-    /// Whether the upstream may take new work now.
+    /// Returns whether the upstream may take new requests now.
     std::function<bool()> m_MayTakeWork;
-    /// The set of serving artifacts changed.
+    /// The set of artifacts that serve requests has changed.
     std::function<void()> m_OnChange;
   };
 
@@ -42,7 +44,7 @@
                 Options Opts);
   ~UpstreamOwner();
 
-  /// Becomes owner under \p Token, or stand-in with token 0.
+  /// Becomes the owner under \p Token, or a stand-in if that is 0.
   void own(FencingToken Token);
   bool owned() const { return m_Token != 0; }
   FencingToken token() const { return m_Token; }
@@ -51,17 +53,18 @@
              AnswerSinkPtr Sink);
   void cancel(const RequestId &Id);
 
-  /// Orders a move. \returns the order's id; empty when it cannot be done.
+  /// Orders a move. \returns the id of the order; empty when it is not
+  /// possible.
   OrderId order(const Move &Wanted);
   void writerMovedOn(const BoxName &Writer);
   std::set<BoxName> formerWriters() const { return m_Orders.formerWriters(); }
   void chargeElsewhere(const GroupName &Group, double Cost);
   std::map<GroupName, double> takeServed() { return m_Admission.takeServed(); }
-  /// Regular work: reports, lost orders, queue.
+  /// Handles reports, lost orders and the queue; to be called regularly.
   void tick();
 
   UpstreamDigest digest() const;
-  /// Requests running or waiting for each artifact.
+  /// Returns the number of requests that run or wait for each artifact.
   DemandByArtifact demand() const;
   const MemoryLedger &ledger() const { return m_Orders.ledger(); }
   std::size_t active() const { return m_Calls.size(); }
@@ -78,7 +81,7 @@
   void onHead(const CallPtr &Item, int Status, const HttpHeaders &Headers);
   void onBytes(const CallPtr &Item, std::string_view Bytes);
   void onEnd(const CallPtr &Item, HttpEnd End);
-  Failure whyEnded(const Call &Item, HttpEnd End) const;
+  Failure failureFor(const Call &Item, HttpEnd End) const;
   void finish(const CallPtr &Item, std::optional<Failure> Reason);
   bool serves(const ForwardedRequest &Request) const;
   void readReport();
@@ -87,7 +90,7 @@
   void confirmJournal(const std::string &Written);
   void journalConfirmed(const std::string &Written, const PlatformRead &Read);
   void sendOrder(const EngineOrder &Order);
-  void noteChange();
+  void reportChange();
 
   EventLoop &m_Loop;
   HttpClient &m_Http;
--- a/packages/havenstaird/request/AttemptRunner.h
+++ b/packages/havenstaird/request/AttemptRunner.h
@@ -1,5 +1,5 @@
 /// \file
-/// The way from a chosen box to the work: run here, or forward to a peer.
+/// Interface that runs an attempt on a chosen box, this one or a peer.
 #ifndef HAVENSTAIR_HAVENSTAIRD_REQUEST_ATTEMPTRUNNER_H
 #define HAVENSTAIR_HAVENSTAIRD_REQUEST_ATTEMPTRUNNER_H
 
@@ -10,15 +10,16 @@
 
 using AnswerSinkPtr = std::shared_ptr<AnswerSink>;
 
-/// Runs attempts at the box that is responsible. Interface for tests.
+/// Runs attempts on the box that is responsible for them. An interface, so that
+/// tests can substitute a fake.
 class AttemptRunner {
 public:
   virtual ~AttemptRunner() = default;
-  /// Hands \p Request to \p To. The sink hears of it later, never from within
-  /// this call. \returns false, and runs nothing, when \p To is out of reach.
+  /// Runs \p Request on \p To. The sink is called later, never from within this
+  /// call. \returns false, and runs nothing, when \p To cannot be reached.
   virtual bool run(const BoxName &To, const ForwardedRequest &Request,
                    AnswerSinkPtr Sink) = 0;
-  /// Gives the attempt up; its sink hears nothing more.
+  /// Cancels the attempt; its sink is not called again.
   virtual void cancel(AttemptId Attempt) = 0;
 };
 
--- a/packages/havenstaird/request/CallerApi.cpp
+++ b/packages/havenstaird/request/CallerApi.cpp
@@ -14,19 +14,19 @@
 
 constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr std::string_view ServicePrefix = "/v1/services/";
-/// About four characters make a token in the languages of today's prompts.
+/// Estimate for prompts in usual languages.
 constexpr double CharactersPerToken = 4;
-/// Reading a token of the prompt costs this part of generating one.
+/// Cost of reading a token of the prompt, relative to generating one.
 constexpr double PromptTokenCost = 0.1;
 constexpr double DefaultMaxTokens = 256;
-constexpr long LongestDeadlineMs = 600000;
-constexpr int MostPriority = 9;
-constexpr std::size_t LongestKey = 128;
+constexpr long MaxDeadlineMs = 600000;
+constexpr int MaxPriority = 9;
+constexpr std::size_t MaxKeyLength = 128;
 constexpr Duration ConcurrencyRetryAfter = 500ms;
 
-/// A whole number from a header; \p Default when the header is absent.
+/// Returns a whole number from a header; \p Default when the header is absent.
 long headerNumber(const HttpExchange &Exchange, const std::string &Name,
-                  long Default, long Least, long Most) {
+                  long Default, long Min, long Max) {
   const std::string Text = Exchange.header(Name);
   if (Text.empty())
     return Default;
@@ -34,12 +34,12 @@
   const char *End = Text.data() + Text.size();
   const auto Result = std::from_chars(Text.data(), End, Value);
   const bool Good = Result.ec == std::errc() && Result.ptr == End &&
-                    Value >= Least && Value <= Most;
+                    Value >= Min && Value <= Max;
   if (!Good)
-    throw RequestError(ErrorKind::BadRequest,
-                       "Header " + Name + " must be from " +
-                           std::to_string(Least) + " to " +
-                           std::to_string(Most) + ".");
+    throw RequestError(ErrorKind::BadRequest, "Header " + Name +
+                                                  " must be from " +
+                                                  std::to_string(Min) + " to " +
+                                                  std::to_string(Max) + ".");
   return Value;
 }
 
@@ -53,29 +53,30 @@
                      "Header " + Name + " must be true or false.");
 }
 
-/// What both kinds of request have in common.
+/// Reads what both kinds of request have in common.
 ForwardedRequest readCommon(const HttpExchange &Exchange,
                             Duration DefaultDeadline) {
   ForwardedRequest Request;
   const std::string Key = Exchange.header("Idempotency-Key");
-  if (Key.size() > LongestKey)
+  if (Key.size() > MaxKeyLength)
     throw RequestError(ErrorKind::BadRequest,
                        "Header Idempotency-Key is too long.");
   Request.m_Key = IdempotencyKey(Key);
   Request.m_Unsafe = headerFlag(Exchange, "Havenstair-Unsafe") || !Key.empty();
   const long Millis =
       headerNumber(Exchange, "Havenstair-Deadline-Ms",
-                   DefaultDeadline.count() / 1000, 1, LongestDeadlineMs);
+                   DefaultDeadline.count() / 1000, 1, MaxDeadlineMs);
   Request.m_Budget = std::chrono::milliseconds(Millis);
   Request.m_Priority = static_cast<int>(
-      headerNumber(Exchange, "Havenstair-Priority", 0, 0, MostPriority));
+      headerNumber(Exchange, "Havenstair-Priority", 0, 0, MaxPriority));
   Request.m_Method = Exchange.method();
   Request.m_ContentType = Exchange.header("Content-Type");
   Request.m_Body = Exchange.body();
   return Request;
 }
 
-/// The text of a prompt, for its cost and its shared start.
+/// Returns the text of a prompt, from which its cost and its prefix are
+/// derived.
 std::string promptOf(const Json &Body) {
   const auto Prompt = Body.find("prompt");
   if (Prompt != Body.end() && Prompt->is_string())
@@ -147,7 +148,7 @@
   return Request;
 }
 
-/// Writes one answer to the caller and takes its measures.
+/// Writes one answer to the caller, and records its latencies and outcome.
 class CallerApi::CallerSink : public AnswerSink {
 public:
   CallerSink(CallerApi &Api, HttpExchangePtr Exchange, GroupName Group,
@@ -175,7 +176,7 @@
     if (m_Exchange->sendChunk(Bytes))
       return;
     logWarning(LogPart::Entry,
-               "Request " + m_Id.str() + ": its caller reads too slowly.");
+               "Request " + m_Id.str() + ": the caller reads too slowly.");
     m_Exchange->abort();
     left();
   }
@@ -190,7 +191,8 @@
 
   void failed(const Failure &Reason) override {
     if (m_Exchange->streaming()) {
-      // An error event and no end mark: nobody takes it for a whole answer.
+      // An error event without the end mark, so that no client takes the stream
+      // for a complete answer.
       m_Exchange->sendChunk("data: " + dumpJson(errorBody(Reason, m_Id)) +
                             "\n\n");
       m_Exchange->endStream();
@@ -200,7 +202,7 @@
     done(answerFor(Reason.m_Kind).m_Code, 0);
   }
 
-  /// The caller is gone; so is the reason to go on.
+  /// The caller has left, so the request is cancelled.
   void left() {
     if (m_Done)
       return;
@@ -298,12 +300,13 @@
       Path == "/v1/chat/completions" || Path == "/v1/completions";
   if (!IsModel && !Path.starts_with(ServicePrefix))
     throw RequestError(ErrorKind::NotFound);
-  // A model's request that would miss its group's target is refused at once,
-  // unless its caller says that it will wait longer.
+  // The target of the group is the deadline of a request to a model, so that
+  // one that would miss it is refused at once, unless its caller gives a longer
+  // deadline.
   ForwardedRequest Request =
       IsModel ? readModelRequest(*Exchange, Row.m_Targets.m_FirstToken)
               : readServiceRequest(*Exchange, m_Opts.m_DefaultDeadline);
-  // The same answer for what does not exist and what is not given.
+  // The answer does not show whether a model does not exist or is not allowed.
   if (IsModel && !Row.mayCall(Request.m_Artifact))
     throw RequestError(ErrorKind::ModelNotAvailable);
   if (!IsModel && Row.m_Services.count(Request.m_Service) == 0)
@@ -317,7 +320,7 @@
   const std::string Header = Exchange.header("Authorization");
   if (!Header.starts_with(BearerPrefix))
     throw RequestError(ErrorKind::MissingKey);
-  // The lookup is by hash, so its time tells nothing about the key.
+  // The lookup is by hash, so its duration reveals nothing about the key.
   const std::string Hash = sha256Hex(Header.substr(BearerPrefix.size()));
   const GroupRow *Row = m_Opts.m_Table().findByKeyHash(Hash);
   if (Row == nullptr)
--- a/packages/havenstaird/request/CallerApi.h
+++ b/packages/havenstaird/request/CallerApi.h
@@ -1,5 +1,5 @@
 /// \file
-/// The API towards callers: who asks, what it may do, and its answer.
+/// The HTTP API for callers: authentication, authorisation and answers.
 #ifndef HAVENSTAIR_HAVENSTAIRD_REQUEST_CALLERAPI_H
 #define HAVENSTAIR_HAVENSTAIRD_REQUEST_CALLERAPI_H
 
@@ -16,29 +16,30 @@
 
 class Metrics;
 
-/// What a caller asks for, read from its HTTP request.
-/// \throws RequestError with the kind of what is wrong.
+/// Reads the request of a caller from its HTTP request.
+/// \throws RequestError with the kind of the error.
 ForwardedRequest readModelRequest(const HttpExchange &Exchange,
                                   Duration DefaultDeadline);
 ForwardedRequest readServiceRequest(const HttpExchange &Exchange,
                                     Duration DefaultDeadline);
 
-/// Handles each request of the caller side.
+/// Handles the HTTP requests of callers.
 class CallerApi {
 public:
-  /// Starts the work. \returns a hook that gives it up when the caller left.
+  /// Starts a request. \returns a hook that cancels it, for when the caller has
+  /// left.
   using Start =
       std::function<std::function<void()>(ForwardedRequest, AnswerSinkPtr)>;
 
   struct Options {
     std::function<const Table &()> m_Table;
     Start m_Start;
-    /// Asks whether a group's concurrency limit allows one more request.
+    /// Asks whether the concurrency limit of a group allows one more request.
     std::function<void(const GroupRow &, std::function<void(bool)>)> m_Enter;
-    /// A request that was counted for the limit ended.
+    /// A request that was counted against the limit has ended.
     std::function<void(const GroupName &)> m_Left;
     Duration m_DefaultDeadline = 5s;
-    std::string m_IdPrefix; ///< Name of the box; part of request ids.
+    std::string m_IdPrefix; ///< Prefix of request ids: the name of the box.
   };
 
   CallerApi(GroupLimiter &Limiter, Metrics &Numbers, RequestLog &Log,
--- a/packages/havenstaird/request/ConcurrencyGate.cpp
+++ b/packages/havenstaird/request/ConcurrencyGate.cpp
@@ -13,10 +13,10 @@
   const GroupName &Group = Row.m_Group;
   const int Running = m_Opts.m_Running(Group);
   const BoxName Home = m_Opts.m_HomeOf(Group);
-  m_ToldTo[Group] = Home;
+  m_SentTo[Group] = Home;
   if (Home == m_Opts.m_Self)
     return Done(
-        m_Home.tryRun(Group, m_Opts.m_Self, Running, m_Opts.m_PartOf(Limit)));
+        m_Home.tryRun(Group, m_Opts.m_Self, Running, m_Opts.m_ShareOf(Limit)));
   const std::uint64_t Id = ++m_LastId;
   Waiting &Item = m_Waiting[Id];
   Item.m_Row = Row;
@@ -24,10 +24,10 @@
   const LimitAskFrame Ask{
       .m_Id = Id, .m_Group = Group, .m_Running = Running, .m_Limit = Limit};
   if (!m_Opts.m_Send(Home, Ask))
-    return goByOwnPart(Id);
-  Item.m_Timer = m_Loop.after(m_Opts.m_Patience, [this, Id] {
-    // The timer goes with its entry, so that must outlive this call.
-    m_Loop.defer([this, Id] { goByOwnPart(Id); });
+    return decideByOwnShare(Id);
+  Item.m_Timer = m_Loop.after(m_Opts.m_AnswerTimeout, [this, Id] {
+    // The timer is destroyed with its entry, which must outlive this call.
+    m_Loop.defer([this, Id] { decideByOwnShare(Id); });
   });
 }
 
@@ -40,24 +40,24 @@
   Done(Allowed);
 }
 
-/// The even parts of all boxes add up to the limit.
-void ConcurrencyGate::goByOwnPart(std::uint64_t Id) {
+/// The even shares of all boxes add up to the limit.
+void ConcurrencyGate::decideByOwnShare(std::uint64_t Id) {
   const auto Found = m_Waiting.find(Id);
   if (Found == m_Waiting.end())
     return;
   const GroupRow &Row = Found->second.m_Row;
-  const int Part =
+  const int Share =
       concurrencyShare(Row.m_Limits.m_Concurrency, m_Limiter.share());
-  answer(Id, m_Opts.m_Running(Row.m_Group) <= Part);
+  answer(Id, m_Opts.m_Running(Row.m_Group) <= Share);
 }
 
 void ConcurrencyGate::left(const GroupName &Group) {
-  const auto Found = m_ToldTo.find(Group);
-  if (Found != m_ToldTo.end())
-    tell(Group, Found->second);
+  const auto Found = m_SentTo.find(Group);
+  if (Found != m_SentTo.end())
+    sendCount(Group, Found->second);
 }
 
-void ConcurrencyGate::tell(const GroupName &Group, const BoxName &Home) {
+void ConcurrencyGate::sendCount(const GroupName &Group, const BoxName &Home) {
   const int Running = m_Opts.m_Running(Group);
   if (Home == m_Opts.m_Self)
     m_Home.setRunning(Group, m_Opts.m_Self, Running);
@@ -66,14 +66,14 @@
 }
 
 void ConcurrencyGate::tick() {
-  for (auto &[Group, Told] : m_ToldTo) {
+  for (auto &[Group, SentTo] : m_SentTo) {
     const BoxName Home = m_Opts.m_HomeOf(Group);
-    if (Home == Told)
+    if (Home == SentTo)
       continue;
-    Told = Home;
-    tell(Group, Home);
+    SentTo = Home;
+    sendCount(Group, Home);
   }
-  std::erase_if(m_ToldTo, [&](const auto &Item) {
+  std::erase_if(m_SentTo, [&](const auto &Item) {
     return m_Opts.m_Running(Item.first) == 0;
   });
 }
@@ -81,12 +81,12 @@
 bool ConcurrencyGate::onFrame(const BoxName &From, const PeerFrame &Frame) {
   if (const auto *Ask = std::get_if<LimitAskFrame>(&Frame)) {
     const bool Allowed = m_Home.tryRun(Ask->m_Group, From, Ask->m_Running,
-                                       m_Opts.m_PartOf(Ask->m_Limit));
+                                       m_Opts.m_ShareOf(Ask->m_Limit));
     m_Opts.m_Send(From, LimitAnswerFrame{Ask->m_Id, Allowed});
     return true;
   }
-  if (const auto *Told = std::get_if<LimitAnswerFrame>(&Frame)) {
-    answer(Told->m_Id, Told->m_Allowed);
+  if (const auto *Reply = std::get_if<LimitAnswerFrame>(&Frame)) {
+    answer(Reply->m_Id, Reply->m_Allowed);
     return true;
   }
   if (const auto *Count = std::get_if<LimitUpdateFrame>(&Frame)) {
--- a/packages/havenstaird/request/ConcurrencyGate.h
+++ b/packages/havenstaird/request/ConcurrencyGate.h
@@ -1,6 +1,6 @@
 /// \file
-/// The entry's side of concurrency limits: asks the box that counts for the
-/// group before a request starts.
+/// Concurrency limits: before a request starts, asks the box that counts the
+/// requests of its group.
 #ifndef HAVENSTAIR_HAVENSTAIRD_REQUEST_CONCURRENCYGATE_H
 #define HAVENSTAIR_HAVENSTAIRD_REQUEST_CONCURRENCYGATE_H
 
@@ -13,24 +13,26 @@
 
 namespace havenstair {
 
-/// Both sides: asks for this box, and counts for all boxes where this box is
-/// the group's home.
+/// Asks the home of a group for each of its requests, and counts the requests
+/// of all boxes for the groups whose home this box is.
 class ConcurrencyGate {
 public:
   using Answer = std::function<void(bool Allowed)>;
 
   struct Options {
     BoxName m_Self;
-    /// The box that counts for a group; itself when no other is in reach.
+    /// Returns the box that counts for a group; this box when it reaches no
+    /// other.
     std::function<BoxName(const GroupName &)> m_HomeOf;
     /// Sends a frame; false when nothing was sent.
     std::function<bool(const BoxName &, const PeerFrame &)> m_Send;
-    /// This data centre's part of a limit.
-    std::function<int(int Limit)> m_PartOf;
-    /// Requests of a group that run through this box.
+    /// Returns this data centre's share of a limit.
+    std::function<int(int Limit)> m_ShareOf;
+    /// Returns the number of requests of a group that run through this box.
     std::function<int(const GroupName &)> m_Running;
-    /// Silence of the home after which this box goes by its even part.
-    Duration m_Patience = 300ms;
+    /// Time without an answer of the home after which this box decides by its
+    /// even share of the limit.
+    Duration m_AnswerTimeout = 300ms;
   };
 
   ConcurrencyGate(EventLoop &Loop, const GroupLimiter &Limiter, Options Opts);
@@ -38,12 +40,13 @@
   /// Asks whether one more request of \p Row, already counted by m_Running,
   /// may run. \p Done runs at once for a group without a limit.
   void enter(const GroupRow &Row, Answer Done);
-  /// A request of \p Group ended.
+  /// A request of \p Group has ended.
   void left(const GroupName &Group);
-  /// Tells counts to homes that are new. For a regular call.
+  /// Sends counts to homes that have changed; to be called regularly.
   void tick();
 
-  /// \returns whether the frame was one of the gate's.
+  /// Handles a frame about concurrency limits. \returns false for frames of
+  /// other kinds.
   bool onFrame(const BoxName &From, const PeerFrame &Frame);
   void peerDown(const BoxName &Box) { m_Home.forget(Box); }
 
@@ -55,8 +58,8 @@
   };
 
   void answer(std::uint64_t Id, bool Allowed);
-  void goByOwnPart(std::uint64_t Id);
-  void tell(const GroupName &Group, const BoxName &Home);
+  void decideByOwnShare(std::uint64_t Id);
+  void sendCount(const GroupName &Group, const BoxName &Home);
 
   EventLoop &m_Loop;
   const GroupLimiter &m_Limiter;
@@ -64,8 +67,9 @@
   ConcurrencyHome m_Home;
   std::map<std::uint64_t, Waiting> m_Waiting;
   std::uint64_t m_LastId = 0;
-  /// Home of each limited group that runs here, as it was told last.
-  std::map<GroupName, BoxName> m_ToldTo;
+  /// Home to which the count of each limited group that runs here was last
+  /// sent.
+  std::map<GroupName, BoxName> m_SentTo;
 };
 
 } // namespace havenstair
--- a/packages/havenstaird/request/Dispatcher.cpp
+++ b/packages/havenstaird/request/Dispatcher.cpp
@@ -6,7 +6,7 @@
 
 constexpr Duration NoCopyRetryAfter = 1s;
 
-Failure whenNone(const ForwardedRequest &Request) {
+Failure noUpstreamFailure(const ForwardedRequest &Request) {
   const ErrorKind Kind = Request.m_Service.empty() ? ErrorKind::NoResidentCopy
                                                    : ErrorKind::NoUpstream;
   return {.m_Kind = Kind, .m_RetryAfter = NoCopyRetryAfter, .m_Detail = {}};
@@ -26,7 +26,7 @@
   Timer m_Watch;
 };
 
-/// Passes the answer of the current attempt on; drops that of any other.
+/// Passes on the answer of the current attempt and drops that of any other.
 class Dispatcher::AttemptSink : public AnswerSink {
 public:
   AttemptSink(Dispatcher &Owner, std::weak_ptr<Work> Item, AttemptId Attempt)
@@ -36,7 +36,7 @@
     const WorkPtr Item = current();
     if (!Item)
       return;
-    // From here on the upstream sets the pace.
+    // The request has started, so it can no longer count as lost.
     Item->m_Watch = Timer();
     Item->m_Sink->started(Waited);
   }
@@ -48,7 +48,7 @@
     const WorkPtr Item = current();
     if (!Item)
       return;
-    // Only a stream leaves the box before it is whole.
+    // Only a stream is delivered before it is complete.
     if (Item->m_Request.m_Stream)
       Item->m_Attempts.delivered(m_Attempt);
     Item->m_Sink->bytes(Bytes);
@@ -126,7 +126,7 @@
   }
   if (trySpill(Item))
     return;
-  giveUp(Item, Item->m_Attempts.exhausted(whenNone(Item->m_Request)));
+  giveUp(Item, Item->m_Attempts.exhausted(noUpstreamFailure(Item->m_Request)));
 }
 
 bool Dispatcher::tryUpstream(const WorkPtr &Item, const UpstreamName &Upstream,
@@ -137,7 +137,8 @@
   return startAttempt(Item, std::move(Attempt), Admitter);
 }
 
-/// One hop at most, and only when nothing here can serve.
+/// Sends the request to another data centre, over one hop at most and only when
+/// no upstream here can serve it.
 bool Dispatcher::trySpill(const WorkPtr &Item) {
   if (Item->m_Spilled || Item->m_Request.m_Hops > 0)
     return false;
@@ -168,7 +169,8 @@
   return true;
 }
 
-/// A box that neither starts nor refuses within the budget is dead or frozen.
+/// Fails an attempt that its box neither starts nor refuses within \p Limit:
+/// the box is down or does not respond.
 void Dispatcher::watchAttempt(const WorkPtr &Item, AttemptId Attempt,
                               Duration Limit) {
   const std::weak_ptr<Work> Weak = Item;
@@ -189,8 +191,8 @@
     return giveUp(Item, Stop->m_Failure);
   if (!std::holds_alternative<TryElsewhere>(Decision))
     return;
-  // What a lost box had in hand is gone with it, so trying again adds no load;
-  // other retries do.
+  // The requests of a lost box have ended with it, so retries of these add no
+  // load; other retries do.
   const bool BoxLost = Reason.m_Kind == ErrorKind::OwnerLost ||
                        Reason.m_Kind == ErrorKind::OwnerUnavailable;
   if (!BoxLost && !m_RetryBudget.trySpend())
--- a/packages/havenstaird/request/Dispatcher.h
+++ b/packages/havenstaird/request/Dispatcher.h
@@ -1,6 +1,6 @@
 /// \file
-/// Brings one request to an upstream: chooses, forwards, and tries elsewhere
-/// where that is safe.
+/// Dispatches requests to upstreams: chooses one, forwards, and retries
+/// elsewhere where that is safe.
 #ifndef HAVENSTAIR_HAVENSTAIRD_REQUEST_DISPATCHER_H
 #define HAVENSTAIR_HAVENSTAIRD_REQUEST_DISPATCHER_H
 
@@ -19,31 +19,31 @@
 
 namespace havenstair {
 
-/// Where requests can go; answered by the box from what it knows now.
+/// What a box knows of the places where requests can be sent.
 struct DispatchView {
   const UpstreamDirectory *m_Directory = nullptr;
-  /// Box that admits for an upstream: its owner, or its stand-in while the
-  /// owner is out of reach.
+  /// Returns the box that admits to an upstream: its owner, or the stand-in
+  /// while the owner is out of reach.
   std::function<std::optional<BoxName>(const UpstreamName &)> m_AdmitterOf;
-  /// A box of another data centre that can serve the request.
+  /// Returns a box of another data centre that can serve the request.
   std::function<std::optional<BoxName>(const ForwardedRequest &)> m_SpillTo;
 };
 
-/// Number of a dispatched request; names it for cancel().
+/// Number of a dispatched request, for cancel().
 using DispatchId = std::uint64_t;
 
-/// All requests that this box is bringing to upstreams.
+/// Dispatches the requests of this box.
 class Dispatcher {
 public:
   struct Options {
     RoutingHook m_Routing;
     int m_MaxAttempts = 3;
     std::function<void()> m_OnRetry;
-    /// An attempt went to a box, for an upstream unless it spilled.
+    /// An attempt was sent to a box; without an upstream if it was spilled.
     std::function<void(const RequestId &, const UpstreamName &,
                        const BoxName &)>
         m_OnAttempt;
-    /// Added to the budget of an attempt before it counts as lost.
+    /// Time after the budget of an attempt at which it counts as lost.
     Duration m_Grace = 1s;
   };
 
@@ -51,12 +51,13 @@
              Options Opts);
   ~Dispatcher();
 
-  /// Brings \p Request to an upstream. \p Sink hears the outcome once, later.
+  /// Dispatches \p Request to an upstream. \p Sink gets the outcome once, never
+  /// from within this call.
   DispatchId dispatch(ForwardedRequest Request, AnswerSinkPtr Sink);
-  /// The caller left: the work is given up.
+  /// The caller has left: cancels the request.
   void cancel(DispatchId Id);
   std::size_t active() const { return m_Active.size(); }
-  /// A number for an attempt that was never used before.
+  /// Returns a number for an attempt that was not used before.
   AttemptId nextAttempt() { return ++m_LastAttempt; }
 
 private:
--- a/packages/havenstaird/request/ErrorReply.cpp
+++ b/packages/havenstaird/request/ErrorReply.cpp
@@ -6,7 +6,8 @@
 
 constexpr Duration::rep MicrosPerSecond = 1000000;
 
-/// `Retry-After` counts whole seconds; rounded up, so nobody comes too early.
+/// `Retry-After` has whole seconds; the time is rounded up, so that no client
+/// retries too early.
 std::string retryAfterSeconds(Duration Time) {
   const auto Micros = Time.count();
   return std::to_string((Micros + MicrosPerSecond - 1) / MicrosPerSecond);
--- a/packages/havenstaird/request/ErrorReply.h
+++ b/packages/havenstaird/request/ErrorReply.h
@@ -1,5 +1,5 @@
 /// \file
-/// The one way from an error kind to an HTTP answer.
+/// HTTP answers for errors.
 #ifndef HAVENSTAIR_HAVENSTAIRD_REQUEST_ERRORREPLY_H
 #define HAVENSTAIR_HAVENSTAIRD_REQUEST_ERRORREPLY_H
 
@@ -10,10 +10,10 @@
 
 namespace havenstair {
 
-/// Body of an error, in the shape that clients of this API expect.
+/// Returns the body of an error, in the form that clients of this API expect.
 Json errorBody(const Failure &Reason, const RequestId &Id);
 
-/// Answers \p Exchange with the failure, at once.
+/// Answers \p Exchange with the failure.
 void replyError(const HttpExchangePtr &Exchange, const Failure &Reason,
                 const RequestId &Id);
 
--- a/packages/havenstaird/request/KeyRouter.cpp
+++ b/packages/havenstaird/request/KeyRouter.cpp
@@ -2,7 +2,7 @@
 
 namespace havenstair {
 
-/// One request; the sink of its attempts.
+/// One request, which is the sink of its attempts.
 class KeyRouter::Work : public AnswerSink,
                         public std::enable_shared_from_this<Work> {
 public:
@@ -53,7 +53,8 @@
           [Self = shared_from_this()] { Self->tryOwner(); });
       return;
     }
-    // A timer may hold this object; it goes in the next pass of the loop.
+    // The timer may hold this object, so it is destroyed in the next pass of
+    // the loop.
     m_Owner.m_Loop.defer(
         [Self = shared_from_this()] { Self->m_Timer = Timer(); });
     if (const AnswerSinkPtr Caller = std::exchange(m_Caller, nullptr))
@@ -61,7 +62,7 @@
   }
 
 private:
-  /// The owner neither started nor refused the request in time.
+  /// The owner has neither started nor refused the request in time.
   void lost() {
     m_Owner.m_Runner.cancel(m_Request.m_Attempt);
     failed({.m_Kind = ErrorKind::OutcomeUnknown});
--- a/packages/havenstaird/request/KeyRouter.h
+++ b/packages/havenstaird/request/KeyRouter.h
@@ -1,5 +1,5 @@
 /// \file
-/// Brings a request with an idempotency key to the owner of the key's slice.
+/// Routes requests with an idempotency key to the owner of the key's slice.
 #ifndef HAVENSTAIR_HAVENSTAIRD_REQUEST_KEYROUTER_H
 #define HAVENSTAIR_HAVENSTAIRD_REQUEST_KEYROUTER_H
 
@@ -11,8 +11,9 @@
 
 namespace havenstair {
 
-/// Forwards to one owner at a time. While the ownership moves it asks again a
-/// few times; it never goes to two boxes with one attempt's outcome unknown.
+/// Forwards a request to one owner at a time. While the ownership of the slice
+/// moves it retries a few times; it does not try a second box while the outcome
+/// of an attempt is unknown.
 class KeyRouter {
 public:
   struct Options {
@@ -20,13 +21,15 @@
     std::function<AttemptId()> m_NextAttempt;
     int m_MaxAttempts = 4;
     Duration m_RetryEvery = 100ms;
-    /// Added to the budget before an owner that is silent counts as lost.
+    /// Time after the budget at which an owner that has not responded counts as
+    /// lost.
     Duration m_Grace = 1s;
   };
 
   KeyRouter(EventLoop &Loop, AttemptRunner &Runner, Options Opts);
 
-  /// \returns a hook that forgets the caller; the work itself goes on.
+  /// Runs \p Request. \returns a hook that drops the caller; the request itself
+  /// continues.
   std::function<void()> run(ForwardedRequest Request, AnswerSinkPtr Sink);
 
 private:
--- a/packages/havenstaird/request/KeyedRunner.cpp
+++ b/packages/havenstaird/request/KeyedRunner.cpp
@@ -41,10 +41,10 @@
 
 } // namespace
 
-/// Keeps the whole answer before the caller sees any of it.
-class KeyedRunner::KeepingSink : public AnswerSink {
+/// Stores the whole answer before any of it is sent to the caller.
+class KeyedRunner::StoringSink : public AnswerSink {
 public:
-  KeepingSink(KeyedRunner &Owner, KeyedRequest Request, AnswerSinkPtr Caller)
+  StoringSink(KeyedRunner &Owner, KeyedRequest Request, AnswerSinkPtr Caller)
       : m_Owner(Owner), m_Request(std::move(Request)),
         m_Caller(std::move(Caller)) {}
 
@@ -109,9 +109,9 @@
   ++m_Running;
   ForwardedRequest Work = Request;
   Work.m_Unsafe = true;
-  // The answer is kept whole, so nothing reaches the caller before its end.
+  // The answer is stored as a whole, so the caller gets nothing before its end.
   m_Dispatcher.dispatch(std::move(Work),
-                        std::make_shared<KeepingSink>(*this, Keyed, Sink));
+                        std::make_shared<StoringSink>(*this, Keyed, Sink));
 }
 
 void KeyedRunner::tick() { m_Registry.expire(EventLoop::now()); }
--- a/packages/havenstaird/request/KeyedRunner.h
+++ b/packages/havenstaird/request/KeyedRunner.h
@@ -1,5 +1,5 @@
 /// \file
-/// Requests with an idempotency key, at the box that owns the key's slice.
+/// Runs requests with an idempotency key on the box that owns the key's slice.
 #ifndef HAVENSTAIR_HAVENSTAIRD_REQUEST_KEYEDRUNNER_H
 #define HAVENSTAIR_HAVENSTAIRD_REQUEST_KEYEDRUNNER_H
 
@@ -13,28 +13,28 @@
 
 class Dispatcher;
 
-/// Runs each key at most once and keeps its answer. A caller that leaves does
-/// not stop the work: the answer is kept for its resubmission.
+/// Runs the request of each key at most once and keeps its answer. A request
+/// continues when its caller leaves, as the answer is kept for a resubmission.
 class KeyedRunner {
 public:
   struct Options {
     BoxName m_Self;
     IdempotencyRegistry::Options m_Registry;
-    /// Whether this box may still act as owner of key slices.
+    /// Returns whether this box may still act as the owner of slices.
     std::function<bool()> m_MayOwn;
   };
 
   KeyedRunner(Dispatcher &Via, Options Opts);
 
-  /// Takes slices over and gives them up.
+  /// Takes over and gives up slices as \p Current says.
   void follow(const Assignment &Current);
   void run(const ForwardedRequest &Request, const AnswerSinkPtr &Sink);
   void tick();
-  /// Requests with a key that run now.
+  /// Number of requests with a key that run now.
   std::size_t running() const { return m_Running; }
 
 private:
-  class KeepingSink;
+  class StoringSink;
 
   Dispatcher &m_Dispatcher;
   Options m_Opts;
--- a/packages/havenstaird/version/AdminApi.cpp
+++ b/packages/havenstaird/version/AdminApi.cpp
@@ -26,7 +26,8 @@
   return "\"" + std::to_string(Version) + "\"";
 }
 
-/// Reads `If-Match` and `If-None-Match: *`. Every edit names what it saw.
+/// Reads `If-Match` and `If-None-Match: *`. Every edit must name the version of
+/// the row on which it is based.
 TableVersion expectedVersion(const HttpExchange &Exchange) {
   if (Exchange.header("If-None-Match") == "*")
     return 0;
@@ -77,7 +78,7 @@
     return false;
   const bool Good = Health ? m_Opts.m_Healthy() : m_Opts.m_Ready();
   Exchange->reply(Good ? 200 : 503, {{"Content-Type", "text/plain"}},
-                  Good ? "ok\n" : "not now\n");
+                  Good ? "ok\n" : "not ready\n");
   return true;
 }
 
--- a/packages/havenstaird/version/AdminApi.h
+++ b/packages/havenstaird/version/AdminApi.h
@@ -1,5 +1,5 @@
 /// \file
-/// The API towards operators.
+/// The HTTP API for operators.
 #ifndef HAVENSTAIR_HAVENSTAIRD_VERSION_ADMINAPI_H
 #define HAVENSTAIR_HAVENSTAIRD_VERSION_ADMINAPI_H
 
@@ -11,18 +11,18 @@
 
 namespace havenstair {
 
-/// Edits of the table, and views of what the box knows.
+/// Handles edits of the table, and views of the state of the box.
 class AdminApi {
 public:
-  /// A view answers with JSON; null when there is no such thing.
+  /// Returns a view as JSON; null when the named object does not exist.
   using View = std::function<Json(const std::string &Name)>;
 
   struct Options {
     std::string m_Token;
     View m_Upstreams;
     View m_Boxes;
-    View m_Moves;    ///< All moves, or the one named.
-    View m_Requests; ///< The request named.
+    View m_Moves;    ///< All moves if the name is empty, otherwise that move.
+    View m_Requests; ///< The named request.
     std::function<std::string()> m_Metrics;
     std::function<bool()> m_Healthy;
     std::function<bool()> m_Ready;
--- a/packages/havenstaird/version/TableSync.cpp
+++ b/packages/havenstaird/version/TableSync.cpp
@@ -13,7 +13,7 @@
 const std::string LogKey = TablePrefix + "log";
 const std::string CatalogueKey = TablePrefix + "catalogue";
 const std::string GroupPrefix = TablePrefix + "groups/";
-/// Edits that the log remembers. A box that missed more reads all rows.
+/// Number of edits in the log. A box that missed more reads all rows.
 constexpr std::size_t LogLength = 64;
 
 std::string keyOf(const TableEdit &Edit) {
@@ -45,8 +45,9 @@
   return Log;
 }
 
-/// One edit on its way. Read, check, swap; after a lost answer or a lost race
-/// read again, and look for the edit's id before anything else.
+/// Carries out one edit: reads the log, checks the edit and writes it by a
+/// compare-and-swap. After a lost answer or a conflict it reads again, and
+/// first looks for the id of the edit.
 class TableSync::EditWork : public std::enable_shared_from_this<EditWork> {
 public:
   EditWork(TableSync &Owner, TableEdit Edit, EditDone Done)
@@ -167,7 +168,7 @@
   void again() {
     const Duration Wait = m_Backoff.next();
     if (EventLoop::now() + Wait > m_Until) {
-      // A write that was sent may still take effect.
+      // The write was sent and may still take effect.
       const ErrorKind Kind =
           m_Wrote ? ErrorKind::OutcomeUnknown : ErrorKind::PlatformUnavailable;
       return finish(
@@ -205,7 +206,8 @@
   }
 
   void finish(EditOutcome Outcome) {
-    // The timer holds this object; it must not go while its callback runs.
+    // The timer holds this object, which must not be destroyed while its
+    // callback runs.
     m_Owner.m_Loop.defer(
         [Self = shared_from_this()] { Self->m_Retry = Timer(); });
     m_Done(std::move(Outcome));
--- a/packages/havenstaird/version/TableSync.h
+++ b/packages/havenstaird/version/TableSync.h
@@ -1,5 +1,5 @@
 /// \file
-/// Keeps the table in force on this box, and writes operators' edits.
+/// Keeps the table of this box up to date, and writes the edits of operators.
 /// See docs/design/table.md.
 #ifndef HAVENSTAIR_HAVENSTAIRD_VERSION_TABLESYNC_H
 #define HAVENSTAIR_HAVENSTAIRD_VERSION_TABLESYNC_H
@@ -17,12 +17,12 @@
 
 namespace havenstair {
 
-/// What became of an edit.
+/// Outcome of an edit.
 struct EditOutcome {
   std::optional<Failure> m_Failure;  ///< Empty when the edit is accepted.
   TableVersion m_Version = 0;        ///< Version of the accepted edit.
-  std::optional<GroupRow> m_Current; ///< The row as it is, after a conflict.
-  std::string m_Cell;                ///< The wrong cell, for BadCell.
+  std::optional<GroupRow> m_Current; ///< The current row, after a conflict.
+  std::string m_Cell;                ///< The invalid cell, for BadCell.
 };
 using EditDone = std::function<void(EditOutcome)>;
 
@@ -30,13 +30,14 @@
 struct TableEdit {
   std::optional<GroupRow> m_Row;
   std::optional<Catalogue> m_Catalogue;
-  /// Version that the operator saw; 0 for a row that must be new, empty when
-  /// the operator does not mind.
+  /// Version on which the edit is based; 0 for a row that must be new, empty
+  /// when any version is accepted.
   std::optional<TableVersion> m_Expected;
-  std::string m_EditId; ///< Unique; tells a lost answer from a lost race.
+  /// Unique; shows after a lost answer whether this edit or another one won.
+  std::string m_EditId;
 };
 
-/// The log of edits: gives all edits one order, and tells what changed.
+/// The log of edits, which defines their order and says which keys changed.
 struct EditLog {
   struct Change {
     TableVersion m_Version = 0;
@@ -55,14 +56,16 @@
 Json toJson(const EditLog &Log);
 EditLog editLogFromJson(const Json &From);
 
-/// Follows the platform and the peers, and applies rising versions only.
+/// Reads the table from the platform and from peers, and applies newer versions
+/// only.
 class TableSync {
 public:
   struct Options {
     RandomUnit m_Random;
-    /// Memory of the engines in reach, for the checks of the whole table.
+    /// Returns the memory of the reachable engines, for checks of the whole
+    /// table.
     std::function<Capacity()> m_Capacity;
-    /// Rows came into force here.
+    /// Rows of the table have changed on this box.
     std::function<void()> m_OnChange;
     Duration m_EditLimit = 5s;
   };
@@ -71,16 +74,16 @@
   ~TableSync();
 
   const Table &table() const { return m_Table; }
-  /// Rows from a peer.
+  /// Applies the rows that a peer has sent.
   void learn(const TableFrame &News);
-  /// What a box lacks that has everything up to \p Version.
+  /// Returns what a box lacks that has everything up to \p Version.
   TableFrame newerThan(TableVersion Version) const;
   /// Whether the platform answered the last read of the log.
   bool current() const { return m_Watch.current(); }
 
-  /// Checks and writes \p Edit. \p Done runs once, later.
+  /// Checks and writes \p Edit. \p Done runs once, never from within this call.
   void edit(TableEdit Edit, EditDone Done);
-  /// Checks \p Edit against the table in force here, and writes nothing.
+  /// Checks \p Edit against the table of this box, and writes nothing.
   std::optional<TableProblem> check(const TableEdit &Edit) const;
 
 private:
--- a/tests/process/AdminApiTest.cpp
+++ b/tests/process/AdminApiTest.cpp
@@ -13,7 +13,7 @@
 
 } // namespace
 
-TEST_CASE("Operators edit the table, and races have one winner",
+TEST_CASE("Of concurrent edits of a row by operators one succeeds",
           "[process][table]") {
   const auto System = startSmallSystem();
   const std::string Path = "/admin/v1/groups/g";
@@ -29,7 +29,7 @@
       CHECK(errorCode(Answer) == "operator_token_needed");
     }
   }
-  SECTION("of two edits that saw the same row, one wins") {
+  SECTION("of two edits based on the same row, one succeeds") {
     Json First = Row;
     First["weight"] = 2;
     Json Second = Row;
@@ -43,7 +43,7 @@
     REQUIRE(errorCode(Lost) == "edit_conflict");
     REQUIRE(parseJson(Lost.m_Body).at("current").at("weight") == 2);
   }
-  SECTION("edits of different rows at once both win") {
+  SECTION("concurrent edits of different rows all succeed") {
     std::vector<int> Statuses;
     for (int Number = 0; Number < 6; ++Number) {
       const std::string Name = "n" + std::to_string(Number);
@@ -63,7 +63,7 @@
              System->admin("box-2", "/admin/v1/table").at("rows").size() == 7;
     }));
   }
-  SECTION("an edit whose answer is lost is still told as accepted, once") {
+  SECTION("an edit whose answer was lost is reported as accepted, once") {
     System->platformFault("lose_answers", 1);
     Json Wanted = Row;
     Wanted["weight"] = 5;
@@ -75,7 +75,7 @@
     REQUIRE(Now.at("version") == parseJson(Answer.m_Body).at("version"));
     REQUIRE(Now.at("version").get<int>() == Row.at("version").get<int>() + 1);
   }
-  SECTION("a bad cell is named, and an edit must say what it saw") {
+  SECTION("an invalid cell is named, and an edit must name a version") {
     Json Wanted = Row;
     Wanted["weight"] = -1;
     const HttpAnswer Bad =
@@ -90,7 +90,7 @@
         System->adminSend("box-1", HttpMethod::Put, Path, Row, {}).m_Status ==
         400);
   }
-  SECTION("while the platform is down an edit is refused, and says so") {
+  SECTION("while the platform is down an edit is refused with that reason") {
     System->platformFault("down");
     Json Wanted = Row;
     Wanted["weight"] = 9;
@@ -142,17 +142,17 @@
     Import(Changed, {});
     REQUIRE(Status == 0);
     REQUIRE(System->admin("box-1", "/admin/v1/groups/g").at("weight") == 4);
-    // The file is now older than the row.
+    // The file now has an older version than the row.
     Import(Csv, {});
     REQUIRE(Status == 3);
   }
-  SECTION("a bad cell ends with its own code") {
+  SECTION("an invalid cell gives its own exit code") {
     std::string Bad = Csv;
     Bad.replace(Weight, 9, "\"g\",\"-4.0\"");
     Import(Bad, {});
     REQUIRE(Status == 4);
   }
-  SECTION("views are shown to people and to programs") {
+  SECTION("views are printed as tables and as JSON") {
     for (const char *View : {"boxes", "upstreams", "moves", "models"}) {
       System->commandLine("box-1", {View}, Status);
       CHECK(Status == 0);
@@ -186,7 +186,7 @@
     CHECK(Run({"group", "remove", "new"}) == 0);
     CHECK(System->admin("box-2", "/admin/v1/groups/new").is_null());
   }
-  SECTION("a drained box hands over and ends") {
+  SECTION("a drained box hands over and exits") {
     System->commandLine("box-1", {"drain", "box-2"}, Status);
     REQUIRE(Status == 0);
     REQUIRE(System->box("box-2").m_Process->wait() == 0);
--- a/tests/process/CallerApiTest.cpp
+++ b/tests/process/CallerApiTest.cpp
@@ -66,11 +66,12 @@
 
 } // namespace
 
-TEST_CASE("Callers get whole answers, streamed or not, and each error its kind",
-          "[process][callers]") {
+TEST_CASE(
+    "Callers get whole answers, streamed or not, and the kind of an error",
+    "[process][callers]") {
   const auto System = startSmallSystem();
 
-  SECTION("every bad input has its kind and status") {
+  SECTION("each invalid input has its error kind and status") {
     for (const BadCall &Bad : badCalls()) {
       CAPTURE(Bad.m_What);
       const HttpAnswer Answer =
@@ -82,7 +83,7 @@
     }
     REQUIRE(engineSum(*System, "requests") == 0);
   }
-  SECTION("answers come back whole") {
+  SECTION("answers are complete") {
     for (const char *Box : {"box-1", "box-2"})
       for (const char *Model : {"plans", "notes"}) {
         const HttpAnswer Stream = System->complete(Box, "g", Model, "s", true);
@@ -92,7 +93,7 @@
         CHECK(Whole.m_Body.find(expectedText("w", 8)) != std::string::npos);
       }
   }
-  SECTION("a group learns nothing of models that it was not given") {
+  SECTION("a group learns nothing of models that it may not use") {
     REQUIRE(System->addGroup("box-1", "h", {"notes"}, {}).m_Status == 200);
     REQUIRE(System->waitFor([&] {
       return System->admin("box-2", "/admin/v1/table").at("rows").size() == 2;
@@ -110,7 +111,7 @@
     const HttpAnswer Service = System->book("box-2", "h", "", "{}");
     REQUIRE(Service.m_Status == 404);
   }
-  SECTION("a caller that leaves cancels its work at the engine") {
+  SECTION("a caller that leaves cancels its request at the engine") {
     {
       const HttpCallHandle Call = System->client().http().start(
           {.m_To = System->box("box-2").m_Callers,
@@ -136,7 +137,7 @@
         System->complete("box-1", "g", "plans", "c", false);
     CHECK(Whole.m_Status == 502);
   }
-  SECTION("a refusal tells when to come back") {
+  SECTION("a refusal says when to retry") {
     REQUIRE(System
                 ->addGroup("box-1", "slow", {"plans"}, {},
                            {{"requests_per_second", 0.1}})
@@ -148,7 +149,7 @@
     REQUIRE(errorCode(Refused) == "rate_limited");
     REQUIRE(std::stoi(findHeader(Refused.m_Headers, "Retry-After")) > 0);
   }
-  SECTION("a concurrency limit of one holds over both boxes, and is not lost") {
+  SECTION("a concurrency limit of one holds over both boxes and is released") {
     REQUIRE(
         System->addGroup("box-1", "one", {"plans"}, {}, {{"concurrency", 1}})
             .m_Status == 200);
--- a/tests/process/FailureTest.cpp
+++ b/tests/process/FailureTest.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Many streams at once, each with a content of its own.
+/// Many concurrent streams, each with its own content.
 class Streams {
 public:
   Streams(TestSystem &System, int Count, int Tokens,
@@ -33,7 +33,7 @@
 
   int m_Whole = 0;
   int m_Visible = 0; ///< Ended in a visible error.
-  int m_Wrong = 0;   ///< Short, mixed up, or cut without a word.
+  int m_Wrong = 0;   ///< Short, mixed up, or cut without an error.
   std::string m_FirstWrong;
 
 private:
@@ -62,7 +62,7 @@
 
 } // namespace
 
-TEST_CASE("A thousand streams stay apart while an owner is killed",
+TEST_CASE("A thousand streams are not mixed up while an owner is killed",
           "[process][answers]") {
   const auto System = startSmallSystem();
   const std::string Victim =
@@ -130,7 +130,7 @@
   }
 }
 
-TEST_CASE("An unsafe request that was cut is told apart from one not run",
+TEST_CASE("An unsafe request that was cut differs from one that was not run",
           "[process][unsafe]") {
   const auto System = startSmallSystem();
   const auto Fault = [&](const std::string &Name) {
@@ -150,7 +150,7 @@
     REQUIRE(Answer.m_Status == 502);
     REQUIRE(errorCode(Answer) == "outcome_unknown");
   }
-  SECTION("cut before the work: not known either, since bytes were written") {
+  SECTION("cut before the work: unknown too, since bytes were written") {
     Fault("cut_early");
     const HttpAnswer Answer = System->book("box-2", "g", Fresh(), "{}");
     REQUIRE(errorCode(Answer) == "outcome_unknown");
@@ -251,7 +251,7 @@
   REQUIRE(System->admin("box-1", "/admin/v1/groups/g").at("weight") == 8);
 }
 
-TEST_CASE("A planned stop cuts off nothing", "[process][stop]") {
+TEST_CASE("A planned stop cuts off no request", "[process][stop]") {
   const auto System = startSmallSystem();
 
   SECTION("streams run on both boxes while one stops") {
@@ -273,7 +273,7 @@
              ownerOf(*System, "box-1", "engine-b") == "box-1";
     }));
   }
-  SECTION("a second signal ends at once") {
+  SECTION("a second signal ends the process at once") {
     Streams All(*System, 4, 500, {"box-2"});
     REQUIRE(
         System->waitFor([&] { return engineSum(*System, "requests") >= 4; }));
--- a/tests/process/ProcessTest.h
+++ b/tests/process/ProcessTest.h
@@ -1,5 +1,5 @@
 /// \file
-/// Set-up shared by the tests across real processes.
+/// Set-up shared by the tests that run real processes.
 #ifndef HAVENSTAIR_TESTS_PROCESS_PROCESSTEST_H
 #define HAVENSTAIR_TESTS_PROCESS_PROCESSTEST_H
 
@@ -12,7 +12,8 @@
 
 namespace havenstair {
 
-/// Folder of the binaries, from the environment that ctest sets.
+/// Options with the folder of the binaries, from the environment that ctest
+/// sets.
 inline TestSystem::Options testOptions() {
   const char *Programs = std::getenv("HAVENSTAIR_TEST_PROGRAMS");
   const char *Log = std::getenv("HAVENSTAIR_TEST_LOG");
@@ -50,7 +51,7 @@
   return System;
 }
 
-/// The stable code in an error's body; empty when there is none.
+/// Returns the code in the body of an error; empty when there is none.
 inline std::string errorCode(const HttpAnswer &Answer) {
   try {
     return field<std::string>(field<Json>(parseJson(Answer.m_Body), "error"),
@@ -60,7 +61,7 @@
   }
 }
 
-/// How often the stand-in service executed each key.
+/// Returns how often the stand-in service executed each key.
 inline std::map<std::string, int> executions(TestSystem &System,
                                              const std::string &Service) {
   const HttpAnswer Answer =
@@ -69,7 +70,7 @@
   return field<std::map<std::string, int>>(parseJson(Answer.m_Body), "by_key");
 }
 
-/// Books under a new key, again while no owner may run it yet.
+/// Books under a new key, and retries while no owner may run it yet.
 inline HttpAnswer bookFresh(TestSystem &System, const std::string &Box,
                             std::string &Key) {
   HttpAnswer Answer;
@@ -81,7 +82,8 @@
   return Answer;
 }
 
-/// Owner of \p Upstream as \p Box sees it, without the suffix of its start.
+/// Returns the owner of \p Upstream that \p Box knows, without the suffix of
+/// its start.
 inline std::string ownerOf(TestSystem &System, const std::string &Box,
                            const std::string &Upstream) {
   const Json View = System.admin(Box, "/admin/v1/upstreams");
@@ -93,7 +95,7 @@
   return {};
 }
 
-/// Name of the upstream that serves \p Model, as \p Box sees it.
+/// Returns the upstream that serves \p Model, as \p Box knows it.
 inline std::string servingOf(TestSystem &System, const std::string &Box,
                              const std::string &Model) {
   const Json View = System.admin(Box, "/admin/v1/upstreams");
@@ -108,7 +110,7 @@
   return Box == "box-1" ? "box-2" : "box-1";
 }
 
-/// Sum of one figure of the stand-in engines.
+/// Returns the sum of one counter of the stand-in engines.
 inline std::uint64_t engineSum(TestSystem &System, const char *Figure) {
   std::uint64_t Sum = 0;
   for (const char *Engine : {"engine-a", "engine-b"}) {
--- a/tests/process/SettingsTest.cpp
+++ b/tests/process/SettingsTest.cpp
@@ -35,7 +35,7 @@
       });
 }
 
-/// A settings file of the platform, for as long as this lives.
+/// A settings file of the platform, removed on destruction.
 class NodeFile {
 public:
   NodeFile() {
@@ -70,7 +70,7 @@
   }
 }
 
-TEST_CASE("Settings come from flags first, then from variables", "[settings]") {
+TEST_CASE("Flags override variables", "[settings]") {
   Variables Set = goodVariables();
   Set["HAVENSTAIR_LEASE_MS"] = "20000";
   REQUIRE(read({}, Set).m_LeaseTimeToLive == 20s);
@@ -83,7 +83,7 @@
   REQUIRE(Given.m_Peers == Endpoint{"::1", 0});
 }
 
-TEST_CASE("Each bad setting names itself, its value and what is allowed",
+TEST_CASE("The error for a setting names it, its value and what is allowed",
           "[settings]") {
   const auto [Name, Value] = GENERATE(table<std::string, std::string>({
       {"--box", "a box"},           {"--box", ""},
@@ -104,7 +104,8 @@
                           Catch::Contains("allowed"));
 }
 
-TEST_CASE("Secrets are needed, long enough, and never shown", "[settings]") {
+TEST_CASE("Secrets are required, have a minimum length and are never shown",
+          "[settings]") {
   const auto Name =
       GENERATE("HAVENSTAIR_PEER_SECRET", "HAVENSTAIR_OPERATOR_TOKEN");
   Variables Set = goodVariables();
