--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/common/DecisionLog.h"
 #include "gateway/process/Fleet.h"
+#include "gateway/process/ListFrames.h"
 #include "gateway/process/OrderLeader.h"
 #include <algorithm>
 #include <iterator>
@@ -11,37 +12,10 @@
 
 namespace {
 
-/// A relay reads the store itself when its copy is older than the age of its
-/// rank, so that relays begin one after the other, and leaves last: a digest of
-/// the first that succeeds spares the others their calls. In normal operation
-/// the oldest age that a relay sees is 1.2 s: a watch waits 0.9 s, and a digest
-/// takes 0.25 s. All ages lie below the 2 s for which platforms let a draining
-/// upstream get work.
-constexpr std::array<Duration, 3> RelayMaxListAges{1400ms, 1600ms, 1750ms};
-constexpr Duration LeafMaxListAgeFloor = 1400ms;
-constexpr Duration LeafMaxListAgeCeiling = 2400ms;
 /// A leaf reads the evacuations itself when its copy is older than this.
 /// Operators give boxes 5 s.
 constexpr Duration LeafMaxEvacuationAge = 3500ms;
 
-/// Part of the drain timeout that is left for the read and for a request on its
-/// way.
-constexpr Duration ReadAndSendTime = 600ms;
-
-/// Backoff of reads of the store. Relays send updates to their leaves as soon
-/// as the store is back, so leaves need not try as often: with the backoff of a
-/// relay each leaf of a data centre that was cut off made 13 calls in 2 s.
-constexpr RetryPauses RelayRetry{.m_First = 100ms, .m_Cap = 1s};
-constexpr RetryPauses LeafRetry{.m_First = 500ms, .m_Cap = 5s};
-
-/// Changes of the list that come close together cost one call, and one pass
-/// over all entries. Engines change their entries all the time, and a leaf
-/// reads only while no relay does.
-constexpr Duration RelayCoalesceDelay = 200ms;
-constexpr Duration RelayCoalesceDelayPerEntry = 100us;
-constexpr Duration MaxRelayCoalesceDelay = 500ms;
-constexpr Duration LeafCoalesceDelay = 1s;
-
 /// A box whose lists become newer by this much sends a digest at once: the
 /// boxes behind it are about to read the store themselves.
 constexpr Duration MuchNewerBy = 500ms;
@@ -54,18 +28,6 @@
 
 constexpr Duration RereadInterval = 1s;
 
-/// A starting box waits this long for the list of boxes, and a leaf for its
-/// uplink, before it reads the list of upstreams itself. When the whole fleet
-/// starts, boxes enter the list within some tenths of a second.
-constexpr Duration BoxesTimeout = 700ms;
-constexpr Duration UplinkTimeout = 2s;
-/// How long a starting leaf that has an uplink waits for that uplink's lists.
-constexpr Duration ListsTimeout = 10s;
-
-/// Longest list, as a leaf knows it, that a leaf reads itself: the store
-/// returns this many entries in one call. A read of a longer list takes dozens
-/// of calls, and all leaves of a data centre would begin at once.
-constexpr std::size_t MaxLeafReadEntries = 500;
 /// How long an uplink may send outdated lists before another one is tried.
 constexpr Duration UplinkOutdatedAfter = 2s;
 
@@ -74,6 +36,12 @@
 ListFollower::ListFollower(EventLoop &Loop, Dependencies Deps, Options Opts,
                            Hooks Callbacks)
     : m_Deps(Deps), m_Opts(Opts), m_Hooks(std::move(Callbacks)),
+      m_Copies({.m_Config = Deps.m_Config,
+                .m_Upstreams = Deps.m_Upstreams,
+                .m_Boxes = Deps.m_Boxes,
+                .m_Evacuations = Deps.m_Evacuations},
+               Deps.m_State, Deps.m_Fleet.topology()),
+      m_Peers(m_Copies),
       m_Config(
           {.m_Fleet = Deps.m_Fleet,
            .m_State = Deps.m_State,
@@ -82,26 +50,33 @@
           {.m_NextHopToLeader = m_Hooks.m_NextHopToLeader,
            .m_Ask =
                [this](const BoxName &Box) {
-                 m_Deps.m_Fleet.send(Box, makeWantFrame());
+                 m_Deps.m_Fleet.send(Box, m_Copies.makeWantFrame());
                },
            .m_DropConnections = m_Hooks.m_DropConnections,
            .m_Age =
                [this](TimePoint Now) { return configFreshness(Now).m_Age; }}),
-      m_ConfigSendQueue(sendQueueHooks()) {
+      m_Sender({.m_Fleet = Deps.m_Fleet,
+                .m_Copies = m_Copies,
+                .m_Eras = Deps.m_Eras,
+                .m_Log = Deps.m_Log},
+               m_Hooks.m_SendToLeaf) {
   m_SourceTimer = Loop.every(ChooseSourceInterval, [this] { chooseSource(); });
 }
 
+FleetRole ListFollower::role() const {
+  return m_Deps.m_Fleet.topology().relay() ? FleetRole::Relay : FleetRole::Leaf;
+}
+
 void ListFollower::onTopologyChanged() {
-  const bool Relay = m_Deps.m_Fleet.topology().relay();
-  for (WatchCache *Each : caches())
-    Each->setRetry(Relay ? RelayRetry : LeafRetry);
+  for (WatchCache *Each : m_Copies.all())
+    Each->setRetry(listReadRetry(role()));
   chooseSource();
 }
 
 void ListFollower::forget(const BoxName &Box) {
-  m_PeerLists.erase(Box);
+  m_Peers.forget(Box);
   m_Config.forget(Box);
-  m_ConfigSendQueue.forget(Box);
+  m_Sender.configQueue().forget(Box);
 }
 
 /// A watch of the configuration that is not watched closely waits for many
@@ -127,39 +102,11 @@
   m_SentConfirmedAt = Now - Frame.m_ListAge;
 }
 
-/// Encoded once for all boxes that request it at the same revision.
-const EncodedFrame &ListFollower::encodedSnapshot(const WatchCache &Cache) {
-  const auto Cached = m_Snapshots.find(Cache.prefix());
-  if (Cached != m_Snapshots.end() && Cached->second.m_At == Cache.revision() &&
-      Cached->second.m_Changes == Cache.changes())
-    return Cached->second.m_Frame;
-  EncodedSnapshot Copy{.m_At = Cache.revision(),
-                       .m_Changes = Cache.changes(),
-                       .m_Frame =
-                           EncodedFrame(keysFrame(Cache, Cache.snapshot()))};
-  return m_Snapshots.insert_or_assign(Cache.prefix(), std::move(Copy))
-      .first->second.m_Frame;
-}
-
-bool ListFollower::mayFollow(const BoxName &Box) const {
-  return m_Deps.m_Eras.current() == FirstEra ||
-         m_Deps.m_Fleet.understands(Box, EraProtocol);
-}
-
-void ListFollower::sendSnapshots(const BoxName &To) {
-  if (!mayFollow(To))
-    return;
-  if (!m_Deps.m_Upstreams.partial())
-    m_Deps.m_Fleet.send(To, encodedSnapshot(m_Deps.m_Upstreams));
-  if (m_FollowEvacuations)
-    m_Deps.m_Fleet.send(To, encodedSnapshot(m_Deps.m_Evacuations));
-}
-
 /// Time since this box's copies were confirmed as the store's state, whoever
 /// read it.
 Duration ListFollower::age(TimePoint Now) const {
   TimePoint At = std::min(listConfirmedAt(), configConfirmedAt());
-  if (m_FollowEvacuations)
+  if (m_Copies.followsEvacuations())
     At = std::min(At, evacuationsConfirmedAt());
   return std::min<Duration>(NoListAge, Now - At);
 }
@@ -171,7 +118,8 @@
 }
 
 TimePoint ListFollower::confirmedAtOf(const WatchCache &Cache) const {
-  return Cache.running() ? Cache.confirmedAt() : peerConfirmedAt(m_ListSource);
+  return Cache.running() ? Cache.confirmedAt()
+                         : m_Peers.confirmedAt(m_ListSource);
 }
 
 TimePoint ListFollower::configConfirmedAt() const {
@@ -179,7 +127,7 @@
   // The box that reads for all relies only on its own reads.
   return m_Deps.m_Upstreams.running()
              ? Own
-             : std::max(Own, peerConfirmedAt(m_ListSource));
+             : std::max(Own, m_Peers.confirmedAt(m_ListSource));
 }
 
 ConfigFreshness ListFollower::configFreshness(TimePoint Now) const {
@@ -195,35 +143,19 @@
 Duration ListFollower::maxListAge() const {
   const FleetTopology &Topology = m_Deps.m_Fleet.topology();
   if (!Topology.relay())
-    return std::clamp<Duration>(m_Opts.m_DrainTimeout - ReadAndSendTime,
-                                LeafMaxListAgeFloor, LeafMaxListAgeCeiling);
+    return leafMaxListAge(m_Opts.m_DrainTimeout);
   std::set<BoxName> Deputies = Topology.relays();
   Deputies.erase(m_Deps.m_Leader.leader().m_Box);
   const auto Rank =
       std::distance(Deputies.begin(), Deputies.find(m_Deps.m_Fleet.self()));
-  return RelayMaxListAges.at(std::min<std::size_t>(
-      static_cast<std::size_t>(Rank), RelayMaxListAges.size() - 1));
-}
-
-FleetWantFrame ListFollower::makeWantFrame() const {
-  return {.m_Config = m_Deps.m_State.configVersion(),
-          .m_List =
-              needsFullList() ? StoreRevision() : m_Deps.m_Upstreams.revision(),
-          .m_Boxes = m_Deps.m_Boxes.revision(),
-          .m_Evacuations = m_Deps.m_Evacuations.revision()};
-}
-
-/// Whether this box, a relay that was a leaf, has only the keys that a leaf
-/// needs.
-bool ListFollower::needsFullList() const {
-  return m_Deps.m_Upstreams.partial() && m_Deps.m_Fleet.topology().relay();
+  return relayMaxListAge(static_cast<std::size_t>(Rank));
 }
 
 /// Whether this box is a leaf that leaves reading the list of upstreams to its
 /// uplink.
 bool ListFollower::followsUplink() const {
   return !m_Deps.m_Fleet.topology().relay() &&
-         m_Deps.m_Upstreams.items().size() > MaxLeafReadEntries &&
+         leavesListToUplink(m_Deps.m_Upstreams.items().size()) &&
          !m_Hooks.m_NextHopToLeader().empty();
 }
 
@@ -232,46 +164,8 @@
          Now - listConfirmedAt() > maxListAge() + UplinkOutdatedAfter;
 }
 
-FleetKeysFrame ListFollower::keysFrame(const WatchCache &Cache,
-                                       const WatchCache::Delta &Changes) {
-  FleetKeysFrame Frame{.m_Prefix = Cache.prefix(),
-                       .m_Since = Changes.m_Since,
-                       .m_Revision = Changes.m_Revision,
-                       .m_Part = Changes.m_Part,
-                       .m_Items = {},
-                       .m_Gone = Changes.m_Gone};
-  for (const StoreItem &Item : Changes.m_Items)
-    Frame.m_Items.push_back({.m_Key = Item.m_Key,
-                             .m_Value = Item.m_Value,
-                             .m_Revision = Item.m_Revision});
-  return Frame;
-}
-
-WatchCache::Delta ListFollower::deltaIn(const FleetKeysFrame &Frame) {
-  WatchCache::Delta Changes{.m_Since = Frame.m_Since,
-                            .m_Revision = Frame.m_Revision,
-                            .m_Part = Frame.m_Part,
-                            .m_Items = {},
-                            .m_Gone = Frame.m_Gone};
-  for (const StoredValue &Each : Frame.m_Items)
-    Changes.m_Items.push_back({.m_Key = Each.m_Key,
-                               .m_Value = Each.m_Value,
-                               .m_Revision = Each.m_Revision});
-  return Changes;
-}
-
-TimePoint ListFollower::peerConfirmedAt(const BoxName &Box) const {
-  const auto Entry = m_PeerLists.find(Box);
-  if (Entry == m_PeerLists.end())
-    return {};
-  const PeerLists &Peer = Entry->second;
-  const bool Behind = listsBehind(Peer.m_Newest) ||
-                      Peer.m_Newest.m_Config > makeWantFrame().m_Config;
-  return Behind ? Peer.m_ConfirmedBefore : Peer.m_ConfirmedAt;
-}
-
 bool ListFollower::confirms(const BoxName &Box, TimePoint Now) const {
-  return Now - peerConfirmedAt(Box) <= maxListAge();
+  return Now - m_Peers.confirmedAt(Box) <= maxListAge();
 }
 
 /// The leader watches the list for all, and relays distribute it, like the list
@@ -283,26 +177,17 @@
     return First;
   // When several boxes read the list, all but the first by name stop.
   const bool Reads = m_Deps.m_Upstreams.running();
-  const auto Other = std::find_if(
-      m_PeerLists.begin(), m_PeerLists.end(), [&](const auto &Each) {
-        return confirms(Each.first, Now) &&
-               (!Reads || Each.first < m_Deps.m_Fleet.self());
-      });
-  return Other == m_PeerLists.end() ? First : Other->first;
-}
-
-Duration ListFollower::coalesceDelay() const {
-  if (!m_Deps.m_Fleet.topology().relay())
-    return LeafCoalesceDelay;
-  const auto Entries =
-      static_cast<Duration::rep>(m_Deps.m_Upstreams.items().size());
-  return std::clamp<Duration>(Entries * RelayCoalesceDelayPerEntry,
-                              RelayCoalesceDelay, MaxRelayCoalesceDelay);
+  const BoxName Other = m_Peers.firstOf([&](const BoxName &Each) {
+    return confirms(Each, Now) && (!Reads || Each < m_Deps.m_Fleet.self());
+  });
+  return Other.empty() ? First : Other;
 }
 
 void ListFollower::chooseSource() {
   const TimePoint Now = EventLoop::now();
-  m_Deps.m_Upstreams.setCoalesceDelay(coalesceDelay());
+  const Duration CoalesceDelay =
+      listCoalesceDelay(role(), m_Deps.m_Upstreams.items().size());
+  m_Deps.m_Upstreams.setCoalesceDelay(CoalesceDelay);
   m_ListConfirmedAt = listConfirmedAt();
   m_ListSource = listSource(Now);
   const bool Relayed =
@@ -310,7 +195,7 @@
   const FleetTopology &Topology = m_Deps.m_Fleet.topology();
   const bool HasList = !m_Deps.m_Upstreams.revision().none();
   const bool HasConfig = m_Deps.m_State.m_Config != nullptr;
-  if (Relayed || !awaitsFirstList(Now)) {
+  if (Relayed || !waitsAtStart(Now)) {
     // What cut off the box that reads may have cut off these connections too.
     if (!Relayed && !m_Deps.m_Upstreams.running())
       m_Hooks.m_DropConnections();
@@ -319,7 +204,7 @@
     // A leaf that cannot reach the store does not try to read both lists.
     const bool Reachable =
         Topology.relay() ||
-        m_Deps.m_Upstreams.confirmedAt() >= Now - LeafCoalesceDelay;
+        m_Deps.m_Upstreams.confirmedAt() >= Now - CoalesceDelay;
     // In a small fleet a box's own watch is faster than updates through other
     // boxes.
     setRelayed(m_Deps.m_Config, (Relayed || !Reachable) && !Topology.flat() &&
@@ -327,7 +212,7 @@
   }
   watchClosely();
   m_Config.proceed(Now);
-  m_ConfigSendQueue.sendWaiting(m_Deps.m_State.configVersion());
+  m_Sender.configQueue().sendWaiting(m_Deps.m_State.configVersion());
   if (Now - age(Now) - m_SentConfirmedAt >= MuchNewerBy)
     m_Hooks.m_SendNow();
   // A leaf needs the list of boxes only while it has no relay.
@@ -337,7 +222,7 @@
 
 /// Whether this box need not or cannot read the evacuations itself.
 bool ListFollower::skipsEvacuations(TimePoint Now, bool Relayed) const {
-  if (!m_FollowEvacuations)
+  if (!m_Copies.followsEvacuations())
     return true;
   if (!m_Deps.m_Evacuations.revision().none()) {
     // Nobody follows a leaf, so it reads only when its copy becomes too old.
@@ -348,19 +233,18 @@
   }
   // Each try costs a call; the list's own calls show when the store answers
   // again.
-  return Now - m_Deps.m_Upstreams.confirmedAt() > LeafMaxListAgeCeiling;
+  return storeSeemsAway(Now - m_Deps.m_Upstreams.confirmedAt());
 }
 
 /// Whether this box has just started and may still be sent the list.
-bool ListFollower::awaitsFirstList(TimePoint Now) const {
+bool ListFollower::waitsAtStart(TimePoint Now) const {
   if (m_Deps.m_Upstreams.running())
     return false;
-  const bool OthersEnter = m_Opts.m_FirstStart || m_Deps.m_Fleet.size() == 1;
-  if (OthersEnter && Now - m_StartedAt < BoxesTimeout)
-    return true;
-  const Duration Patience =
-      m_Hooks.m_NextHopToLeader().empty() ? UplinkTimeout : ListsTimeout;
-  return !m_Deps.m_Fleet.topology().relay() && Now - m_StartedAt < Patience;
+  return awaitsFirstList(
+      {.m_Role = role(),
+       .m_SinceStart = Now - m_StartedAt,
+       .m_OthersEnter = m_Opts.m_FirstStart || m_Deps.m_Fleet.size() == 1,
+       .m_HasUplink = !m_Hooks.m_NextHopToLeader().empty()});
 }
 
 void ListFollower::setRelayed(WatchCache &Cache, bool Relayed) {
@@ -385,18 +269,6 @@
   m_Deps.m_Upstreams.resync();
 }
 
-/// Whether \p Newest has changes of lists that this box does not read itself.
-bool ListFollower::listsBehind(const FleetWantFrame &Newest) const {
-  const auto Behind = [](const WatchCache &Cache, StoreRevision Revision) {
-    return !Cache.running() && Revision > Cache.revision();
-  };
-  return Behind(m_Deps.m_Upstreams, Newest.m_List) ||
-         (needsFullList() && !m_Deps.m_Upstreams.running()) ||
-         Behind(m_Deps.m_Boxes, Newest.m_Boxes) ||
-         (m_FollowEvacuations &&
-          Behind(m_Deps.m_Evacuations, Newest.m_Evacuations));
-}
-
 void ListFollower::recordDigest(const BoxName &From,
                                 const FleetDigestFrame &Frame,
                                 Duration ExcessDelay, TimePoint Now) {
@@ -404,104 +276,46 @@
   // the leader.
   if (From != m_Hooks.m_NextHopToLeader() && !Frame.m_Reads)
     return;
-  // The age counts from when the digest was sent. A box that cannot reach the
-  // store, or whose watch is dead, cannot confirm anything.
+  // The age counts from when the digest was sent.
   const Duration Age = Frame.m_ListAge + ExcessDelay;
-  // Nor can one that does not follow the evacuations.
-  const bool Knows = !m_FollowEvacuations || !Frame.m_Evacuations.none();
-  if (Age > maxListAge() || !Knows ||
-      Frame.m_List < m_Deps.m_Upstreams.revision()) {
-    m_PeerLists.erase(From);
+  if (!mayConfirm(Frame, Age)) {
+    m_Peers.forget(From);
     return;
   }
   const TimePoint ConfirmedAt = Now - Age;
   const BoxName Source = listSource(Now);
-  const bool Newer =
-      Source == From || ConfirmedAt - peerConfirmedAt(Source) >= NewerSourceBy;
-  const PeerLists &Peer =
-      m_PeerLists[From] = {.m_ConfirmedAt = ConfirmedAt,
-                           .m_Newest = {.m_Config = Frame.m_Config,
-                                        .m_List = Frame.m_List,
-                                        .m_Boxes = Frame.m_Boxes,
-                                        .m_Evacuations = Frame.m_Evacuations},
-                           .m_ConfirmedBefore = peerConfirmedAt(From)};
+  const bool Newer = Source == From ||
+                     ConfirmedAt - m_Peers.confirmedAt(Source) >= NewerSourceBy;
+  const FleetWantFrame Newest{.m_Config = Frame.m_Config,
+                              .m_List = Frame.m_List,
+                              .m_Boxes = Frame.m_Boxes,
+                              .m_Evacuations = Frame.m_Evacuations};
+  m_Peers.record(From, Newest, ConfirmedAt);
   // Request the lists: an update was lost, or this box has not followed the
   // sender so far.
-  if (!Newer || !listsBehind(Peer.m_Newest))
+  if (!Newer || !m_Copies.behind(Newest))
     return;
-  FleetWantFrame Wanted = makeWantFrame();
+  FleetWantFrame Wanted = m_Copies.makeWantFrame();
   // ConfigFollower requests the configuration.
   Wanted.m_Config = std::max(Wanted.m_Config, Frame.m_Config);
   m_Deps.m_Fleet.send(From, Wanted);
 }
 
-void ListFollower::answerRequest(const BoxName &From,
-                                 const FleetWantFrame &Frame) {
-  const FleetWantFrame Own = makeWantFrame();
-  m_ConfigSendQueue.request(From, Frame.m_Config, Own.m_Config);
-  // The box requests again after the next digest, and what it lacks may already
-  // be queued.
-  if (m_Deps.m_Fleet.slow(From) || !mayFollow(From))
-    return;
-  const auto SendIfNewer = [&](const WatchCache &Cache,
-                               StoreRevision OwnRevision,
-                               StoreRevision PeerRevision) {
-    if (OwnRevision > PeerRevision)
-      m_Deps.m_Fleet.send(From, encodedSnapshot(Cache));
-  };
-  if (Own.m_List > Frame.m_List)
-    sendList(From);
-  SendIfNewer(m_Deps.m_Boxes, Own.m_Boxes, Frame.m_Boxes);
-  SendIfNewer(m_Deps.m_Evacuations, Own.m_Evacuations, Frame.m_Evacuations);
-}
-
-ConfigSendQueue::Hooks ListFollower::sendQueueHooks() {
-  return {
-      .m_Busy = [this] { return m_Deps.m_Fleet.busy(); },
-      .m_Slow = [this](const BoxName &Box) { return m_Deps.m_Fleet.slow(Box); },
-      .m_Send =
-          [this](const BoxName &Box) {
-            m_Deps.m_Fleet.send(Box, encodedSnapshot(m_Deps.m_Config));
-          },
-      .m_Delayed =
-          [this](const BoxName &Box, std::string_view Why) {
-            m_Deps.m_Log.write("config_delayed",
-                               {{"peer", Box.str()},
-                                {"version", makeWantFrame().m_Config},
-                                {"why", Why}});
-          }};
-}
-
-/// Sends the list of upstreams, or a leaf its subset. A partial list is of no
-/// use to other boxes.
-void ListFollower::sendList(const BoxName &From) {
-  const FleetTopology &Topology = m_Deps.m_Fleet.topology();
-  if (m_Deps.m_Upstreams.partial())
-    return;
-  if (Topology.flat() || Topology.isRelay(From))
-    m_Deps.m_Fleet.send(From, encodedSnapshot(m_Deps.m_Upstreams));
-  else if (Topology.relay())
-    m_Hooks.m_SendToLeaf(From);
-}
-
-std::array<WatchCache *, 4> ListFollower::caches() const {
-  return {&m_Deps.m_Config, &m_Deps.m_Upstreams, &m_Deps.m_Boxes,
-          &m_Deps.m_Evacuations};
-}
-
-WatchCache *ListFollower::cacheFor(const std::string &Prefix) const {
-  if (Prefix == m_Deps.m_Evacuations.prefix() && !m_FollowEvacuations)
-    return nullptr;
-  for (WatchCache *Each : caches())
-    if (Each->prefix() == Prefix)
-      return Each;
-  return nullptr;
+/// Whether the sender of \p Frame, whose lists are \p Age old, can confirm this
+/// box's copies. One that cannot reach the store, whose watch is dead or that
+/// does not follow the evacuations cannot.
+bool ListFollower::mayConfirm(const FleetDigestFrame &Frame,
+                              Duration Age) const {
+  const bool Knows =
+      !m_Copies.followsEvacuations() || !Frame.m_Evacuations.none();
+  return Age <= maxListAge() && Knows &&
+         Frame.m_List >= m_Deps.m_Upstreams.revision();
 }
 
 void ListFollower::adopt(const BoxName &From, const FleetKeysFrame &Frame) {
-  WatchCache *Cache = cacheFor(Frame.m_Prefix);
+  WatchCache *Cache = m_Copies.withPrefix(Frame.m_Prefix);
   if (Cache != nullptr && !Cache->adopt(deltaIn(Frame))) {
-    FleetWantFrame Wanted = makeWantFrame();
+    FleetWantFrame Wanted = m_Copies.makeWantFrame();
     // A partial and a whole copy cannot be merged, whatever their revisions.
     if (Cache == &m_Deps.m_Upstreams && Frame.m_Part != Cache->partial())
       Wanted.m_List = {};
--- a/packages/gateway/process/OrderLeader.h
+++ b/packages/gateway/process/OrderLeader.h
@@ -3,16 +3,18 @@
 #ifndef HAVENSTAIR_GATEWAY_PROCESS_ORDERLEADER_H
 #define HAVENSTAIR_GATEWAY_PROCESS_ORDERLEADER_H
 
-#include "decisions/process/DemandRates.h"
-#include "decisions/process/LoadRateLimiter.h"
-#include "decisions/process/ReplicaPlanner.h"
-#include "decisions/process/StoreSlowness.h"
+#include "decisions/process/ModelDemand.h"
+#include "decisions/process/PlanSchedule.h"
+#include "gateway/process/ContentsPublisher.h"
 #include "gateway/process/EngineControl.h"
 #include "gateway/process/GatewayOptions.h"
 #include "gateway/process/LeaderElection.h"
-#include "gateway/process/ManagedEngine.h"
+#include "gateway/process/ManagedEngines.h"
+#include "gateway/process/MoveExecutor.h"
+#include "gateway/process/OrderSender.h"
+#include "gateway/process/ReportPoller.h"
+#include "gateway/process/ResidencyPlanner.h"
 #include "gateway/process/ServingState.h"
-#include "gateway/process/ShortageLog.h"
 #include "wire/common/EventLoop.h"
 #include "wire/connection/FleetFrames.h"
 #include <functional>
@@ -34,12 +36,7 @@
   struct Options {
     LeaderElection::Options m_Election;
     ServingBounds m_Bounds;
-    PlannerOptions m_Planner;
-    /// Shortest time that a replica stays, and an adapter.
-    Duration m_MinReplicaStay = 6s;
-    Duration m_MinAdapterStay = 400ms;
-    AdapterOptions m_Adapters;
-    DemandRates::Options m_Rates;
+    ResidencyPlanner::Options m_Planning;
   };
   struct Hooks {
     /// Contents of engines have changed; sends them to all boxes.
@@ -97,97 +94,37 @@
   bool leading() const { return m_Election.leading(); }
   /// Contents of all engines that differ from the list, for a box that has just
   /// been linked; without engines unless this box leads.
-  FleetContentsFrame contents() const;
+  FleetContentsFrame contents() const {
+    return m_Contents.contents(EventLoop::now());
+  }
   /// Gives up the key and stops for good.
   void resign();
 
 private:
-  /// A model or adapter that requests wait for: when it was first and last
-  /// requested.
-  struct MissingKey {
-    TimePoint m_Since{};
-    TimePoint m_Last{};
-  };
   void onElected(const LeaderElection::Predecessor &Before);
   void onDeposed();
   void tick();
   void tickLater();
   void tickSoon(bool Plan);
   bool mayOrder(TimePoint Now) const;
-
-  const EngineSpec *specOf(const std::string &Service) const;
-  void refreshEngines(TimePoint Now);
-  void keepCopiesAfterReturn(TimePoint Now);
-  void countLateOrders(const InstanceId &Id, ManagedEngine &Engine,
-                       TimePoint Now);
-  void askReports(TimePoint Now);
-  void askReport(const InstanceId &Id, ManagedEngine &Engine, TimePoint Now);
-  void onReport(const InstanceId &Id,
-                const std::optional<ResidencyReport> &Report,
-                TimePoint AskedAt);
-  void advanceTasks(TimePoint Now);
-  void advance(const InstanceId &Id, ManagedEngine &Engine,
-               const EngineSpec &Spec, TimePoint Now);
   bool mayPlan(TimePoint Now) const;
-  void planAwaited(TimePoint Now);
-  void plan(TimePoint Now);
-  void countPredecessorLoads(TimePoint Now);
-  void seedDemandFromReplicas(TimePoint Now);
-  PlannerInput plannerInput(const std::string &Service, TimePoint Now);
-  void planModels(const std::string &Service, const EngineSpec &Spec,
-                  TimePoint Now);
-  void planAdapterMoves(const std::string &Service, const EngineSpec &Spec,
-                        const AdapterOptions &Opts, TimePoint Now);
-  std::map<AdapterKey, double> adapterRates(const std::string &Service,
-                                            TimePoint Now) const;
-  bool sendOrder(const InstanceId &Id, ManagedEngine &To,
-                 const ResidencyOrder &Order, LoadSource Source, TimePoint Now);
-  void onOrderAnswered(const UpstreamIncarnation &Instance,
-                       const ResidencyOrder &Order, LoadSource Source,
-                       OrderAnswer Answer);
-  void settleLoad(const InstanceId &Id, const ManagedEngine &Engine,
-                  TimePoint Now);
-  const UpstreamInstance &entryOf(const InstanceId &Id) const;
-  void takeUpdate(const InstanceId &Id, ManagedEngine &Engine, TimePoint Now,
-                  FleetContentsFrame &Frame);
-  void publishChanges();
-  void publishChange(const InstanceId &Id, ManagedEngine &Engine);
-  std::map<std::string, double> replicaShares(const std::string &Service,
-                                              TimePoint Now) const;
-  bool evacuated(const InstanceId &Id) const;
-  bool resident(const std::string &Model, const std::string &Adapter) const;
-  /// Number of engines that hold each model, evacuated ones left out.
-  std::map<std::string, std::size_t> replicas() const;
+  void plan(PlanScope Scope, TimePoint Now);
 
   EventLoop &m_Loop;
-  EngineControl &m_Control;
   ServingState &m_State;
   DecisionLog &m_Log;
   Options m_Opts;
   Hooks m_Hooks;
-  DemandRates m_Rates;
   LeaderElection m_Election;
   bool m_Resigned = false;
-  /// Whether usual demand was derived from the replicas.
-  bool m_DemandSeeded = false;
   TimePoint m_EarliestOrder{}; ///< No order is sent earlier.
-  TimePoint m_NextPlan{};
-  TimePoint m_EarliestPlan{}; ///< No whole plan before, whatever waits.
-  /// The same for the plan of awaited adapters.
-  TimePoint m_EarliestAwaitedPlan{};
-  bool m_AwaitedPlanDue = false;
-  TimePoint m_ClaimedAt{};
-  /// Until when the leader before this one may have sent orders.
-  TimePoint m_PredecessorOrdersUntil{};
-  /// When engines last returned to the list, or were listed at the start.
-  TimePoint m_EnginesAddedAt{};
-  /// Orders that engines which left the list may still carry out.
-  std::map<InstanceId, LateOrders> m_DelistedEngines;
-  std::map<InstanceId, ManagedEngine> m_Engines;
-  std::map<ModelKey, MissingKey> m_Missing;
-  LoadRateLimiter m_LoadLimiter;
-  ShortageLog m_ShortageLog;
-  StoreSlowness m_StoreSlowness;
+  PlanSchedule m_Schedule;
+  ManagedEngines m_Engines;
+  OrderSender m_Orders;
+  MoveExecutor m_Moves;
+  ContentsPublisher m_Contents;
+  ReportPoller m_Reports;
+  ResidencyPlanner m_Planner;
   Timer m_Timer;
   Timer m_SoonTimer;
   bool m_TickSoon = false;
