--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -55,7 +55,7 @@
   if (Fault.m_Kind == SoakFault::HarmEndings) {
     SoakEngine &Engine = pick(m_On.m_Engines, Fault.m_Target);
     return hold(&Engine, Fault.m_Kind, Fault.m_For,
-                [&Engine](bool On) { Engine.setHarmingEndings(On); });
+                [&Engine](bool On) { Engine.endings()->setHarming(On); });
   }
   if (Fault.m_Kind >= SoakFault::NameLimit)
     return strikeWords(Fault, pick(m_On.m_Engines, Fault.m_Target));
--- a/tests/soak/SoakEngine.cpp
+++ b/tests/soak/SoakEngine.cpp
@@ -34,7 +34,6 @@
   int m_Life = 0;
   int m_Next = 1;
   int m_Last = 1;
-  AnswerEnding m_Ending;
   int m_BreakAt = 0; ///< Event before which the stream is cut; zero for none.
 };
 
@@ -162,7 +161,8 @@
   // A process that starts is not leaving, whatever the one before did.
   m_Draining = false;
   m_Timers.clear();
-  m_Answers.clear();
+  if (m_Endings)
+    m_Endings->forget();
   m_StartTime = std::max(m_StartTime + 1, EventLoop::wallMillis());
   m_ColdUntil = Now + Cold;
   if (m_Shelf)
@@ -339,8 +339,14 @@
                                      (MostEvents - LeastEvents));
   const std::string After = Asked.header("last-event-id");
   Started->m_Next = After.empty() ? 1 : std::stoi(After) + 1;
+  // A run that is resumed after its last event sends one more.
   if (m_Endings)
-    return streamEnded(Started, Work);
+    return m_Endings->sendStream(
+        endedRun(*Started, "Content-Type: text/event-stream\r\n"),
+        {.m_First = Started->m_Next,
+         .m_Last = std::max(Started->m_Next, Started->m_Last),
+         .m_Wait = Work,
+         .m_Gap = EventGap + m_Late});
   if (m_BreakOff > 0) {
     --m_BreakOff;
     Started->m_BreakAt = draw(Started->m_Next, Started->m_Last);
@@ -354,68 +360,20 @@
 }
 
 void SoakEngine::playEndings() {
-  m_Endings.emplace(m_Opts.m_Seed);
+  m_Endings.emplace(m_Loop, m_Oracle, m_Opts.m_Seed);
   m_Link.setPassingHalfCloses(true);
 }
 
-void SoakEngine::setHarmingEndings(bool Harming) {
-  m_Endings->setHarming(Harming);
-}
-
-/// Sends the answer of \p Of as its ending says.
-void SoakEngine::answer(const std::shared_ptr<Run> &Of,
-                        EndedAnswer::Options Opts) {
-  const AnswerEnding Told = Of->m_Ending;
-  Opts.m_Ending = Told;
-  if (m_ClaimsWhole)
-    Opts.m_Ending.m_Framing = AnswerFraming::Chunks;
-  std::erase_if(m_Answers, [](const auto &Each) { return Each->over(); });
-  m_Answers.push_back(EndedAnswer::send(m_Loop, Of->m_To, std::move(Opts),
-                                        [this] { --m_Active; }));
-  // An answer with a length may be complete before its engine ends it.
-  m_Oracle.ended({.m_Id = Of->m_Asked.header("x-attempt-id"),
-                  .m_Signature = Of->m_Signature,
-                  .m_Readable = readableBody(Told, m_Answers.back()->text()),
-                  .m_After = Of->m_Next - 1,
-                  .m_FramedAsWhole = framedAsWhole(Told),
-                  .m_Sound = isSound(Told),
-                  .m_Engine = m_Id,
-                  .m_How = Told.str()});
-}
-
-void SoakEngine::streamEnded(const std::shared_ptr<Run> &Of, Duration Wait) {
-  Of->m_Ending = m_Endings->next();
-  // Nothing was left of a run that is resumed after its last event.
-  const int Last = std::max(Of->m_Next, Of->m_Last);
-  const int CutIn = m_Endings->cutIn(Of->m_Ending, Of->m_Next, Last);
-  EndedAnswer::Options Opts;
-  Opts.m_Head = head(Of->m_Asked, 200,
-                     words(Of->m_Asked, false) +
-                         "X-Server-Signature: " + Of->m_Signature +
-                         "\r\nContent-Type: text/event-stream\r\n");
-  for (int Number = Of->m_Next; Number <= Last; ++Number)
-    Opts.m_Pieces.push_back(
-        streamText({.m_Number = Number,
-                    .m_Request = Of->m_Asked.header("x-attempt-id"),
-                    .m_Run = Of->m_Signature,
-                    .m_Last = Number >= Of->m_Last},
-                   Of->m_Ending.m_At));
-  Opts.m_CutIn = static_cast<std::size_t>(CutIn - Of->m_Next);
-  Opts.m_Wait = Wait;
-  Opts.m_Gap = EventGap + m_Late;
-  answer(Of, std::move(Opts));
-}
-
-void SoakEngine::finishEnded(const std::shared_ptr<Run> &Of,
-                             const std::string &Body) {
-  ++m_Active; // Until the answer has ended.
-  Of->m_Ending = m_Endings->next();
-  EndedAnswer::Options Opts;
-  Opts.m_Head = head(Of->m_Asked, 200,
-                     words(Of->m_Asked, false) +
-                         "X-Server-Signature: " + Of->m_Signature + "\r\n");
-  Opts.m_Pieces = {Body};
-  answer(Of, std::move(Opts));
+SoakEndings::Run SoakEngine::endedRun(const Run &Of,
+                                      const std::string &MoreFields) {
+  return {.m_To = Of.m_To,
+          .m_Id = Of.m_Asked.header("x-attempt-id"),
+          .m_Signature = Of.m_Signature,
+          .m_Engine = m_Id,
+          .m_Head = head(Of.m_Asked, 200,
+                         words(Of.m_Asked, false) + "X-Server-Signature: " +
+                             Of.m_Signature + "\r\n" + MoreFields),
+          .m_OnEnd = [this] { --m_Active; }};
 }
 
 void SoakEngine::stream(const std::shared_ptr<Run> &Of) {
@@ -439,12 +397,12 @@
 }
 
 void SoakEngine::finish(const std::shared_ptr<Run> &Of) {
-  --m_Active;
   const std::string Id = Of->m_Asked.header("x-attempt-id");
   const std::string Body = "answer to " + (m_Spoiling ? "another" : Id) +
                            " by " + Of->m_Signature + " " + Of->m_Asked.m_Body;
   if (m_Endings)
-    return finishEnded(Of, Body);
+    return m_Endings->sendPlain(endedRun(*Of, ""), Body);
+  --m_Active;
   const std::string Whole = head(
       Of->m_Asked, 200,
       words(Of->m_Asked, false) + "X-Server-Signature: " + Of->m_Signature +
--- a/tests/soak/SoakEngine.h
+++ b/tests/soak/SoakEngine.h
@@ -8,7 +8,6 @@
 #include "soak/SoakBrittleness.h"
 #include "soak/SoakEndings.h"
 #include "soak/SoakOracle.h"
-#include "standin/EndedAnswer.h"
 #include "standin/LoopbackProxy.h"
 #include "standin/StandinRunner.h"
 #include "standin/StandinStore.h"
@@ -17,7 +16,6 @@
 #include <optional>
 #include <random>
 #include <string>
-#include <vector>
 
 namespace havenstair {
 
@@ -69,12 +67,10 @@
   void setSilent(bool Silent) { m_Silent = Silent; }
   /// The next answers break off midway.
   void breakOff(int Count) { m_BreakOff = Count; }
-  /// Answers end in many ways from now on; sound ones until they are
-  /// harmed.
+  /// Answers end in many ways from now on.
   void playEndings();
-  void setHarmingEndings(bool Harming);
-  /// Mutation: answers that break off say that they are whole.
-  void setClaimingWhole(bool Claiming) { m_ClaimsWhole = Claiming; }
+  /// Which endings; none before playEndings().
+  std::optional<SoakEndings> &endings() { return m_Endings; }
   /// The next answers are followed by one more that nobody asked for.
   void sendSurplus(int Count) { m_Surplus = Count; }
   /// Mutation: the oracle hears that the engine leaves, and the store does not.
@@ -96,9 +92,7 @@
   void fall(Duration Away);
   int room() const;
   void noteTurnedAway(const Request &Asked);
-  void answer(const std::shared_ptr<Run> &Of, EndedAnswer::Options Opts);
-  void streamEnded(const std::shared_ptr<Run> &Of, Duration Wait);
-  void finishEnded(const std::shared_ptr<Run> &Of, const std::string &Body);
+  SoakEndings::Run endedRun(const Run &Of, const std::string &MoreFields);
   void stream(const std::shared_ptr<Run> &Of);
   void finish(const std::shared_ptr<Run> &Of);
   void later(Duration Delay, std::function<void()> Call);
@@ -140,8 +134,6 @@
   bool m_Silent = false;
   std::optional<SoakBrittleness> m_Brittle;
   std::optional<SoakEndings> m_Endings;
-  bool m_ClaimsWhole = false;
-  std::vector<std::shared_ptr<EndedAnswer>> m_Answers;
   std::uint64_t m_NextTimer = 0;
   std::map<std::uint64_t, Timer> m_Timers;
   bool m_Down = false; ///< It ended and is not back.
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -105,8 +105,11 @@
 }
 
 void SoakRun::playEndings() {
-  for (const auto &Each : m_Engines)
+  for (const auto &Each : m_Engines) {
     Each->playEndings();
+    Each->endings()->setClaimingWhole(m_Opts.m_Mutation ==
+                                      Mutation::ClaimWhole);
+  }
   m_Callers.readRaw();
 }
 
@@ -178,7 +181,6 @@
   m_Config.setWithholding(m_Opts.m_Mutation == Mutation::WithholdConfig);
   for (const auto &Each : m_Engines) {
     Each->setWithholding(m_Opts.m_Mutation == Mutation::WithholdLeaving);
-    Each->setClaimingWhole(m_Opts.m_Mutation == Mutation::ClaimWhole);
     Each->setSilent(m_Opts.m_Mutation == Mutation::SilenceWords);
     if (m_Opts.m_Mutation == Mutation::SpoilAnswer)
       Each->setSpoiling(true);
