Sight: what upstreams say of the refusals that they bear is read, told and logged

Answers may carry Server-Brittle: how many requests the upstream can turn away for want of room in a second without falling over. Nobody read it. Each box now decodes it in platform/, keeps it by incarnation as it does a limit, tells the other boxes in fields of the frame for signals (older builds pass over them) and writes refusal_limit when it begins, changes or ends. The gauge refusal_limited_servers counts such upstreams, havenstair_no_room_total the requests turned away for want of room. Nothing is decided by it yet.

--- a/packages/decisions/process/UpstreamSignals.cpp
+++ b/packages/decisions/process/UpstreamSignals.cpp
@@ -43,42 +43,72 @@
   return Current.m_StartTime == Upstream.m_StartTime ? &Current : nullptr;
 }
 
-LimitChange UpstreamSignals::recordLimit(const UpstreamIncarnation &Upstream,
-                                         std::optional<double> RatePerSecond,
-                                         const BoxName &Self, TimePoint SentAt,
-                                         TimePoint Now) {
-  const AdvertisedLimit *Before = limit(Upstream.m_Id);
+LimitChange UpstreamSignals::record(LimitMember Which,
+                                    const UpstreamIncarnation &Upstream,
+                                    std::optional<double> PerSecond,
+                                    const BoxName &Self, TimePoint SentAt,
+                                    TimePoint Now) {
+  const AdvertisedLimit *Before = find(Which, Upstream.m_Id);
   // Answers overlap, so one without a limit may be older than the limit.
-  if (!RatePerSecond && (Before == nullptr || SentAt <= Before->m_ReceivedAt))
+  if (!PerSecond && (Before == nullptr || SentAt <= Before->m_ReceivedAt))
     return LimitChange::None;
-  return mergeLimit(Upstream, RatePerSecond, Self, 0us, Now);
+  return merge(Which, Upstream, PerSecond, Self, 0us, Now);
 }
 
-LimitChange UpstreamSignals::mergeLimit(const UpstreamIncarnation &Upstream,
-                                        std::optional<double> RatePerSecond,
-                                        const BoxName &By, Duration Age,
-                                        TimePoint Now) {
+LimitChange UpstreamSignals::merge(LimitMember Which,
+                                   const UpstreamIncarnation &Upstream,
+                                   std::optional<double> PerSecond,
+                                   const BoxName &By, Duration Age,
+                                   TimePoint Now) {
   Signals *Current = signalsOf(Upstream);
   if (Current == nullptr)
     return LimitChange::None;
-  if (!RatePerSecond)
-    return std::exchange(Current->m_Limit, std::nullopt) ? LimitChange::Ended
-                                                         : LimitChange::None;
-  if (!Current->m_Limit) {
-    Current->m_Limit = {.m_RatePerSecond = *RatePerSecond,
-                        .m_Since = Now - Age,
-                        .m_ReceivedAt = Now,
-                        .m_ReportedBy = By};
+  std::optional<AdvertisedLimit> &Limit = Current->*Which;
+  if (!PerSecond)
+    return std::exchange(Limit, std::nullopt) ? LimitChange::Ended
+                                              : LimitChange::None;
+  if (!Limit) {
+    Limit = {.m_RatePerSecond = *PerSecond,
+             .m_Since = Now - Age,
+             .m_ReceivedAt = Now,
+             .m_ReportedBy = By};
     return LimitChange::Begun;
   }
-  if (Current->m_Limit->m_RatePerSecond == *RatePerSecond)
+  if (Limit->m_RatePerSecond == *PerSecond)
     return LimitChange::None;
-  Current->m_Limit->m_RatePerSecond = *RatePerSecond;
-  Current->m_Limit->m_ReceivedAt = Now;
-  Current->m_Limit->m_ReportedBy = By;
+  Limit->m_RatePerSecond = *PerSecond;
+  Limit->m_ReceivedAt = Now;
+  Limit->m_ReportedBy = By;
   return LimitChange::Altered;
 }
 
+LimitChange UpstreamSignals::recordLimit(const UpstreamIncarnation &Upstream,
+                                         std::optional<double> RatePerSecond,
+                                         const BoxName &Self, TimePoint SentAt,
+                                         TimePoint Now) {
+  return record(&Signals::m_Limit, Upstream, RatePerSecond, Self, SentAt, Now);
+}
+
+LimitChange UpstreamSignals::mergeLimit(const UpstreamIncarnation &Upstream,
+                                        std::optional<double> RatePerSecond,
+                                        const BoxName &By, Duration Age,
+                                        TimePoint Now) {
+  return merge(&Signals::m_Limit, Upstream, RatePerSecond, By, Age, Now);
+}
+
+LimitChange UpstreamSignals::recordRefusalLimit(
+    const UpstreamIncarnation &Upstream, std::optional<double> PerSecond,
+    const BoxName &Self, TimePoint SentAt, TimePoint Now) {
+  return record(&Signals::m_RefusalLimit, Upstream, PerSecond, Self, SentAt,
+                Now);
+}
+
+LimitChange UpstreamSignals::mergeRefusalLimit(
+    const UpstreamIncarnation &Upstream, std::optional<double> PerSecond,
+    const BoxName &By, Duration Age, TimePoint Now) {
+  return merge(&Signals::m_RefusalLimit, Upstream, PerSecond, By, Age, Now);
+}
+
 bool UpstreamSignals::recordLeaving(const UpstreamIncarnation &Upstream,
                                     const BoxName &By, TimePoint Now) {
   Signals *Current = signalsOf(Upstream);
@@ -119,19 +149,40 @@
   return Result;
 }
 
-const AdvertisedLimit *UpstreamSignals::limit(const InstanceId &Id) const {
+const AdvertisedLimit *UpstreamSignals::find(LimitMember Which,
+                                             const InstanceId &Id) const {
   const auto Found = m_Upstreams.find(Id);
-  return Found == m_Upstreams.end() || !Found->second.m_Limit
-             ? nullptr
-             : &*Found->second.m_Limit;
+  if (Found == m_Upstreams.end())
+    return nullptr;
+  const std::optional<AdvertisedLimit> &Limit = Found->second.*Which;
+  return Limit ? &*Limit : nullptr;
 }
 
-std::map<UpstreamIncarnation, AdvertisedLimit> UpstreamSignals::limits() const {
+std::map<UpstreamIncarnation, AdvertisedLimit>
+UpstreamSignals::all(LimitMember Which) const {
   std::map<UpstreamIncarnation, AdvertisedLimit> Result;
   for (const auto &[Id, Each] : m_Upstreams)
-    if (Each.m_Limit)
-      Result[{.m_Id = Id, .m_StartTime = Each.m_StartTime}] = *Each.m_Limit;
+    if (const std::optional<AdvertisedLimit> &Limit = Each.*Which)
+      Result[{.m_Id = Id, .m_StartTime = Each.m_StartTime}] = *Limit;
   return Result;
 }
 
+const AdvertisedLimit *UpstreamSignals::limit(const InstanceId &Id) const {
+  return find(&Signals::m_Limit, Id);
+}
+
+std::map<UpstreamIncarnation, AdvertisedLimit> UpstreamSignals::limits() const {
+  return all(&Signals::m_Limit);
+}
+
+const AdvertisedLimit *
+UpstreamSignals::refusalLimit(const InstanceId &Id) const {
+  return find(&Signals::m_RefusalLimit, Id);
+}
+
+std::map<UpstreamIncarnation, AdvertisedLimit>
+UpstreamSignals::refusalLimits() const {
+  return all(&Signals::m_RefusalLimit);
+}
+
 } // namespace havenstair
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -196,8 +196,8 @@
                   },
               .m_UnknownBound =
                   [this](const BoxName &Box, const InstanceId &Server) {
-                    m_Signals->sendNoLimit(
-                        Box, m_State.m_WarmUp.incarnation(Server));
+                    m_Signals->sendLimits(Box,
+                                          m_State.m_WarmUp.incarnation(Server));
                   }})),
       m_Crashes(std::make_shared<CrashExchange>(
           Loop, m_UpstreamHttp, *m_Store, m_Fleet, m_State.m_Upstreams,
@@ -206,6 +206,7 @@
           Loop, m_Fleet, m_State.m_Upstreams, m_State.m_Signals, m_Log,
           UpstreamSignalExchange::Hooks{
               .m_LimitsChanged = [this] { m_Permits->refreshRole(); },
+              .m_NoRoom = [this] { m_Metrics.recordNoRoom(); },
               .m_UpstreamLeaving = [this] { onUpstreamDraining(); }})) {
   m_Forwarder.setServices(m_Quotas, m_Permits, m_Crashes, m_Signals);
   m_State.setLocation(m_Options.m_DataCentre, m_Options.m_Regions);
@@ -421,6 +422,8 @@
   Now.m_BackedOffUpstreams =
       Number(m_State.m_Signals.backedOffCount(EventLoop::now()));
   Now.m_LimitedUpstreams = Number(m_State.m_Signals.limits().size());
+  Now.m_RefusalLimitedUpstreams =
+      Number(m_State.m_Signals.refusalLimits().size());
   Now.m_Cold = m_State.m_WarmUp.coldByDataCentre(EventLoop::now());
   m_Metrics.set(Now);
   Exchange->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -105,6 +105,12 @@
           .Name("havenstair_peer_bytes_sent")
           .Help("Their bytes, by kind")
           .Register(m_Registry);
+  prometheus::Counter &m_NoRoom =
+      prometheus::BuildCounter()
+          .Name("havenstair_no_room_total")
+          .Help("Requests that upstreams turned away for lack of room")
+          .Register(m_Registry)
+          .Add({});
   std::set<int> m_KnownProtocols;
   std::set<std::string> m_DataCentres;
   prometheus::Family<prometheus::Counter> &m_InEvacuation =
@@ -160,6 +166,8 @@
   m_Families->m_Sends.Add({{"outcome", std::string(Outcome)}}).Increment();
 }
 
+void GatewayMetrics::recordNoRoom() { m_Families->m_NoRoom.Increment(); }
+
 void GatewayMetrics::recordOrder(std::string_view Operation,
                                  std::string_view Answer) {
   m_Families->m_Orders
@@ -217,6 +225,8 @@
   m_Families->state("log_lines_left_out", Gauges.m_DroppedLogLines);
   m_Families->state("barred_requests", Gauges.m_QuarantinedRequests);
   m_Families->state("limited_servers", Gauges.m_LimitedUpstreams);
+  m_Families->state("refusal_limited_servers",
+                    Gauges.m_RefusalLimitedUpstreams);
   m_Families->state("backed_off_servers", Gauges.m_BackedOffUpstreams);
   m_Families->state("frames_skipped", Gauges.m_FramesSkipped);
   for (const auto &[Kind, Frames] : Gauges.m_PeerFrames)
--- a/packages/gateway/process/GatewayMetrics.h
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -33,8 +33,9 @@
   double m_IsOrderLeader = 0; ///< 1 on the box that gives orders.
   double m_FencingToken = 0;
   double m_DroppedLogLines = 0;
-  double m_QuarantinedRequests = 0; ///< Request contents not sent anywhere.
-  double m_LimitedUpstreams = 0;    ///< Upstreams that set a rate limit.
+  double m_QuarantinedRequests = 0;     ///< Request contents not sent anywhere.
+  double m_LimitedUpstreams = 0;        ///< Upstreams that set a rate limit.
+  double m_RefusalLimitedUpstreams = 0; ///< Those that set a refusal limit.
   /// Upstreams that asked this box to retry later.
   double m_BackedOffUpstreams = 0;
   double m_FramesSkipped = 0; ///< Frames of kinds that only later builds know.
@@ -59,6 +60,8 @@
   void recordRequestInEvacuation(std::string_view Outcome);
   /// Records that a send to an upstream ended with \p Outcome.
   void recordSend(std::string_view Outcome);
+  /// Records that an upstream rejected a request for lack of room.
+  void recordNoRoom();
   /// Records the answer to an order to an engine.
   void recordOrder(std::string_view Operation, std::string_view Answer);
   /// Records the answer to a query for a permit for an upstream in \p At that
--- a/packages/gateway/process/UpstreamSignalExchange.cpp
+++ b/packages/gateway/process/UpstreamSignalExchange.cpp
@@ -36,6 +36,9 @@
   if (FromOther || m_View.superseded(Upstream))
     return;
   recordLimit(Upstream, Answer, SentAt);
+  recordRefusalLimit(Upstream, Answer, SentAt);
+  if (Answer.m_NoRoom)
+    m_Hooks.m_NoRoom();
   if (Answer.m_Leaving)
     recordLeaving(Upstream);
   recordRetryAfter(Upstream, Answer);
@@ -85,32 +88,54 @@
   const auto Before = copied(m_Signals.limit(Upstream.m_Id));
   const LimitChange Change = m_Signals.recordLimit(
       Upstream, Answer.m_Limit, m_Fleet.self(), SentAt, EventLoop::now());
-  noteLimit(Upstream, Change, Before, m_Fleet.self());
+  noteLimit("server_limit", Upstream, Change, Before,
+            copied(m_Signals.limit(Upstream.m_Id)), m_Fleet.self());
+  sendChange(Upstream, Change, &UpstreamSignalFrame::m_LimitEnded);
+}
+
+void UpstreamSignalExchange::recordRefusalLimit(
+    const UpstreamIncarnation &Upstream, const AnswerFacts &Answer,
+    TimePoint SentAt) {
+  if (Answer.m_BadRefusalLimit) {
+    m_Log.write("bad_refusal_limit", {{"upstream", Upstream.m_Id}});
+    return;
+  }
+  const auto Before = copied(m_Signals.refusalLimit(Upstream.m_Id));
+  const LimitChange Change =
+      m_Signals.recordRefusalLimit(Upstream, Answer.m_RefusalLimit,
+                                   m_Fleet.self(), SentAt, EventLoop::now());
+  noteLimit("refusal_limit", Upstream, Change, Before,
+            copied(m_Signals.refusalLimit(Upstream.m_Id)), m_Fleet.self());
+  sendChange(Upstream, Change, &UpstreamSignalFrame::m_RefusalLimitEnded);
+}
+
+void UpstreamSignalExchange::sendChange(const UpstreamIncarnation &Upstream,
+                                        LimitChange Change,
+                                        bool UpstreamSignalFrame::*Ended) {
   if (Change == LimitChange::Altered)
     return sendLater(Upstream);
   if (Change == LimitChange::None)
     return;
   UpstreamSignalFrame Signal = signalFrame(Upstream);
-  Signal.m_LimitEnded = Change == LimitChange::Ended;
+  Signal.*Ended = Change == LimitChange::Ended;
   m_Fleet.sendAll(Signal);
 }
 
 void UpstreamSignalExchange::noteLimit(
-    const UpstreamIncarnation &Upstream, LimitChange Change,
-    const std::optional<AdvertisedLimit> &Before, const BoxName &By) {
+    std::string_view Event, const UpstreamIncarnation &Upstream,
+    LimitChange Change, const std::optional<AdvertisedLimit> &Before,
+    const std::optional<AdvertisedLimit> &After, const BoxName &By) {
   if (Change == LimitChange::None)
     return;
-  const AdvertisedLimit *After = m_Signals.limit(Upstream.m_Id);
   const TimePoint Now = EventLoop::now();
   m_Log.write(
-      "server_limit",
-      {{"upstream", Upstream.m_Id},
-       {"born", Upstream.m_StartTime},
-       {"change", toString(Change)},
-       {"per_s", After != nullptr ? Json(After->m_RatePerSecond) : Json()},
-       {"before", Before ? Json(Before->m_RatePerSecond) : Json()},
-       {"for_ms", Before ? Json((Now - Before->m_Since) / 1ms) : Json()},
-       {"by", By.str()}});
+      Event, {{"upstream", Upstream.m_Id},
+              {"born", Upstream.m_StartTime},
+              {"change", toString(Change)},
+              {"per_s", After ? Json(After->m_RatePerSecond) : Json()},
+              {"before", Before ? Json(Before->m_RatePerSecond) : Json()},
+              {"for_ms", Before ? Json((Now - Before->m_Since) / 1ms) : Json()},
+              {"by", By.str()}});
   m_Hooks.m_LimitsChanged();
 }
 
@@ -121,6 +146,10 @@
     Result.m_LimitPerSecond = Limit->m_RatePerSecond;
     Result.m_LimitAge = EventLoop::now() - Limit->m_Since;
   }
+  if (const AdvertisedLimit *Limit = m_Signals.refusalLimit(Upstream.m_Id)) {
+    Result.m_RefusalLimit = Limit->m_RatePerSecond;
+    Result.m_RefusalLimitAge = EventLoop::now() - Limit->m_Since;
+  }
   Result.m_Leaving = m_Signals.leaving().contains(Upstream);
   return Result;
 }
@@ -140,35 +169,62 @@
   std::set<UpstreamIncarnation> All;
   for (const auto &[Upstream, Limit] : m_Signals.limits())
     All.insert(Upstream);
+  for (const auto &[Upstream, Limit] : m_Signals.refusalLimits())
+    All.insert(Upstream);
   for (const auto &[Upstream, Said] : m_Signals.leaving())
     All.insert(Upstream);
   for (const UpstreamIncarnation &Upstream : All)
     m_Fleet.send(Box, signalFrame(Upstream));
 }
 
-void UpstreamSignalExchange::sendNoLimit(const BoxName &Box,
-                                         const UpstreamIncarnation &Upstream) {
+void UpstreamSignalExchange::sendLimits(const BoxName &Box,
+                                        const UpstreamIncarnation &Upstream) {
   UpstreamSignalFrame Signal = signalFrame(Upstream);
-  Signal.m_LimitEnded = true;
+  Signal.m_LimitEnded = !Signal.m_LimitPerSecond;
+  Signal.m_RefusalLimitEnded = !Signal.m_RefusalLimit;
   m_Fleet.send(Box, Signal);
 }
 
+LimitChange
+UpstreamSignalExchange::mergeLimit(const UpstreamSignalFrame &Signal,
+                                   const BoxName &From) {
+  if (!Signal.m_LimitPerSecond && !Signal.m_LimitEnded)
+    return LimitChange::None;
+  const UpstreamIncarnation &Upstream = Signal.m_Incarnation;
+  const auto Before = copied(m_Signals.limit(Upstream.m_Id));
+  const LimitChange Change =
+      m_Signals.mergeLimit(Upstream, Signal.m_LimitPerSecond, From,
+                           Signal.m_LimitAge, EventLoop::now());
+  noteLimit("server_limit", Upstream, Change, Before,
+            copied(m_Signals.limit(Upstream.m_Id)), From);
+  return Change;
+}
+
+LimitChange
+UpstreamSignalExchange::mergeRefusalLimit(const UpstreamSignalFrame &Signal,
+                                          const BoxName &From) {
+  if (!Signal.m_RefusalLimit && !Signal.m_RefusalLimitEnded)
+    return LimitChange::None;
+  const UpstreamIncarnation &Upstream = Signal.m_Incarnation;
+  const auto Before = copied(m_Signals.refusalLimit(Upstream.m_Id));
+  const LimitChange Change =
+      m_Signals.mergeRefusalLimit(Upstream, Signal.m_RefusalLimit, From,
+                                  Signal.m_RefusalLimitAge, EventLoop::now());
+  noteLimit("refusal_limit", Upstream, Change, Before,
+            copied(m_Signals.refusalLimit(Upstream.m_Id)), From);
+  return Change;
+}
+
 void UpstreamSignalExchange::onFrame(const BoxName &From,
                                      const PeerFrame &Frame) {
   const auto *Signal = std::get_if<UpstreamSignalFrame>(&Frame);
   if (Signal == nullptr || m_View.superseded(Signal->m_Incarnation))
     return;
-  LimitChange Change = LimitChange::None;
-  if (Signal->m_LimitPerSecond || Signal->m_LimitEnded) {
-    const auto Before = copied(m_Signals.limit(Signal->m_Incarnation.m_Id));
-    Change =
-        m_Signals.mergeLimit(Signal->m_Incarnation, Signal->m_LimitPerSecond,
-                             From, Signal->m_LimitAge, EventLoop::now());
-    noteLimit(Signal->m_Incarnation, Change, Before, From);
-  }
+  const LimitChange Limit = mergeLimit(*Signal, From);
+  const LimitChange RefusalLimit = mergeRefusalLimit(*Signal, From);
   const bool Leaves =
       Signal->m_Leaving && noteLeaving(Signal->m_Incarnation, From);
-  if (Change != LimitChange::None || Leaves)
+  if (Limit != LimitChange::None || RefusalLimit != LimitChange::None || Leaves)
     m_Fleet.passOn(*Signal, From);
 }
 
--- a/packages/gateway/process/UpstreamSignalExchange.h
+++ b/packages/gateway/process/UpstreamSignalExchange.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <optional>
 #include <set>
+#include <string_view>
 
 namespace havenstair {
 
@@ -24,8 +25,10 @@
 class UpstreamSignalExchange : public UpstreamSignalService {
 public:
   struct Hooks {
-    /// Called when rate limits have begun, ended or changed.
+    /// Called when rate limits or refusal limits have begun, ended or changed.
     std::function<void()> m_LimitsChanged;
+    /// Called when an upstream has rejected a request for lack of room.
+    std::function<void()> m_NoRoom;
     /// Called when an upstream has newly reported that it leaves.
     std::function<void()> m_UpstreamLeaving;
   };
@@ -42,8 +45,8 @@
   void recordLeaving(const UpstreamIncarnation &Upstream);
   /// Sends all signals that are in force to \p Box, which has just been linked.
   void linkUp(const BoxName &Box);
-  /// Tells \p Box, which assumes a limit, that \p Upstream sets none.
-  void sendNoLimit(const BoxName &Box, const UpstreamIncarnation &Upstream);
+  /// Tells \p Box, which assumes a limit, which limits \p Upstream sets.
+  void sendLimits(const BoxName &Box, const UpstreamIncarnation &Upstream);
   /// Handles the signal frames among those that \p From sends.
   void onFrame(const BoxName &From, const PeerFrame &Frame);
 
@@ -53,8 +56,20 @@
                         const AnswerFacts &Answer);
   void recordLimit(const UpstreamIncarnation &Upstream,
                    const AnswerFacts &Answer, TimePoint SentAt);
-  void noteLimit(const UpstreamIncarnation &Upstream, LimitChange Change,
+  void recordRefusalLimit(const UpstreamIncarnation &Upstream,
+                          const AnswerFacts &Answer, TimePoint SentAt);
+  /// Sends a change that this box has recorded.
+  void sendChange(const UpstreamIncarnation &Upstream, LimitChange Change,
+                  bool UpstreamSignalFrame::*Ended);
+  LimitChange mergeLimit(const UpstreamSignalFrame &Signal,
+                         const BoxName &From);
+  LimitChange mergeRefusalLimit(const UpstreamSignalFrame &Signal,
+                                const BoxName &From);
+  /// Logs the change \p Change of a limit as \p Event.
+  void noteLimit(std::string_view Event, const UpstreamIncarnation &Upstream,
+                 LimitChange Change,
                  const std::optional<AdvertisedLimit> &Before,
+                 const std::optional<AdvertisedLimit> &After,
                  const BoxName &By);
   UpstreamSignalFrame signalFrame(const UpstreamIncarnation &Upstream) const;
   void sendLater(const UpstreamIncarnation &Upstream);
--- a/packages/gateway/request/RequestDialect.h
+++ b/packages/gateway/request/RequestDialect.h
@@ -36,7 +36,13 @@
   /// empty if it sets no limit.
   std::optional<double> m_Limit;
   bool m_BadLimit = false; ///< The limit cannot be parsed.
-  bool m_Leaving = false;  ///< The upstream states that it leaves.
+  /// The upstream crashes when it rejects more requests than this in a second
+  /// for lack of room; empty if it does not state that.
+  std::optional<double> m_RefusalLimit;
+  bool m_BadRefusalLimit = false; ///< The refusal limit cannot be parsed.
+  /// The upstream rejects the request for lack of room.
+  bool m_NoRoom = false;
+  bool m_Leaving = false; ///< The upstream states that it leaves.
   /// The upstream rejects the request and asks this box to send nothing for
   /// this time; empty if it states no time.
   std::optional<Duration> m_RetryAfter;
--- a/packages/wire/connection/PermitFrames.cpp
+++ b/packages/wire/connection/PermitFrames.cpp
@@ -2,6 +2,20 @@
 
 namespace havenstair {
 
+namespace {
+
+/// Reads a rate per second; empty where it is missing.
+std::optional<double> rateField(const Json &From, const char *Name) {
+  if (!From.contains(Name))
+    return std::nullopt;
+  const auto PerSecond = field<double>(From, Name);
+  if (!(PerSecond >= 0))
+    throw DecodeError(std::string("field ") + Name + " is below zero");
+  return PerSecond;
+}
+
+} // namespace
+
 Json toJson(const PermitAskFrame &Frame) {
   return {{"id", Frame.m_Id},
           {"server", Frame.m_Server},
@@ -49,6 +63,12 @@
     Result["limit_ended"] = true;
   if (Frame.m_Leaving)
     Result["leaving"] = true;
+  if (Frame.m_RefusalLimit) {
+    Result["refusals_per_s"] = *Frame.m_RefusalLimit;
+    Result["refusals_age_us"] = Frame.m_RefusalLimitAge.count();
+  }
+  if (Frame.m_RefusalLimitEnded)
+    Result["refusals_ended"] = true;
   return Result;
 }
 
@@ -57,13 +77,13 @@
                          .m_StartTime = field<StartTime>(From, "born")};
   Frame.m_LimitEnded = fieldOr(From, "limit_ended", false);
   Frame.m_Leaving = fieldOr(From, "leaving", false);
-  if (!From.contains("per_s"))
-    return;
-  const auto PerS = field<double>(From, "per_s");
-  if (!(PerS >= 0))
-    throw DecodeError("a limit below zero");
-  Frame.m_LimitPerSecond = PerS;
-  Frame.m_LimitAge = durationField(From, "age_us");
+  Frame.m_RefusalLimitEnded = fieldOr(From, "refusals_ended", false);
+  Frame.m_LimitPerSecond = rateField(From, "per_s");
+  if (Frame.m_LimitPerSecond)
+    Frame.m_LimitAge = durationField(From, "age_us");
+  Frame.m_RefusalLimit = rateField(From, "refusals_per_s");
+  if (Frame.m_RefusalLimit)
+    Frame.m_RefusalLimitAge = durationField(From, "refusals_age_us");
 }
 
 } // namespace havenstair
--- a/packages/wire/connection/PermitFrames.h
+++ b/packages/wire/connection/PermitFrames.h
@@ -44,6 +44,11 @@
   bool m_LimitEnded = false; ///< It names none any more.
   Duration m_LimitAge = 0us; ///< Since it was first named.
   bool m_Leaving = false;    ///< It leaves, for the rest of its life.
+  /// Requests that it can turn away for lack of room in a second; empty when
+  /// this frame names no such limit.
+  std::optional<double> m_RefusalLimit;
+  bool m_RefusalLimitEnded = false; ///< It names none any more.
+  Duration m_RefusalLimitAge = 0us; ///< Since it was first named.
 
   bool operator==(const UpstreamSignalFrame &) const = default;
 };
--- a/tests/decisions/process/UpstreamSignalsTest.cpp
+++ b/tests/decisions/process/UpstreamSignalsTest.cpp
@@ -88,6 +88,35 @@
   }
 }
 
+TEST_CASE("A refusal limit ends with an answer without one to a later request, "
+          "and apart from a rate limit",
+          "[server-words]") {
+  UpstreamSignals Signals;
+  Signals.update(listOf(1), Start);
+  const UpstreamIncarnation Upstream{.m_Id = "s", .m_StartTime = 1};
+  REQUIRE(Signals.recordRefusalLimit(Upstream, 4, Self, Start, Start + 1s) ==
+          LimitChange::Begun);
+  REQUIRE(Signals.limit("s") == nullptr);
+  REQUIRE(Signals.refusalLimits().size() == 1);
+  REQUIRE(Signals.mergeRefusalLimit(Upstream, 2, Other, 1s, Start + 2s) ==
+          LimitChange::Altered);
+  REQUIRE(Signals.refusalLimit("s")->m_RatePerSecond == 2);
+  REQUIRE(Signals.recordLimit(Upstream, std::nullopt, Self, Start + 3s,
+                              Start + 4s) == LimitChange::None);
+  REQUIRE(Signals.recordRefusalLimit(Upstream, std::nullopt, Self, Start + 1s,
+                                     Start + 4s) == LimitChange::None);
+  SECTION("by such an answer") {
+    REQUIRE(Signals.recordRefusalLimit(Upstream, std::nullopt, Self, Start + 3s,
+                                       Start + 4s) == LimitChange::Ended);
+  }
+  SECTION("by the word of another box") {
+    REQUIRE(Signals.mergeRefusalLimit(Upstream, std::nullopt, Other, 0s,
+                                      Start + 4s) == LimitChange::Ended);
+  }
+  SECTION("by another incarnation") { Signals.update(listOf(2), Start + 4s); }
+  REQUIRE(Signals.refusalLimit("s") == nullptr);
+}
+
 TEST_CASE("A leaving notice holds for the rest of the incarnation",
           "[server-words]") {
   UpstreamSignals Signals;
--- a/tests/gateway/PlatformTest.cpp
+++ b/tests/gateway/PlatformTest.cpp
@@ -282,6 +282,49 @@
   }
 }
 
+TEST_CASE("A refusal limit is read only from a single decimal number",
+          "[platform]") {
+  const RequestDialect Dialect = platform::makeBinding("").m_Dialect;
+  const auto Read = [&](const HttpHeaders &Headers) {
+    return Dialect.m_ReadAnswer(200, Headers);
+  };
+  SECTION("an integer or a fraction") {
+    const auto [Text, Value] = GENERATE(table<std::string, double>(
+        {{"0", 0}, {"0.5", 0.5}, {"3", 3}, {"1000", 1000}}));
+    CHECK(Read({{"server-brittle", Text}}).m_RefusalLimit == Value);
+    CHECK_FALSE(Read({{"server-brittle", Text}}).m_BadRefusalLimit);
+  }
+  SECTION("no other text") {
+    const std::string Text =
+        GENERATE("", "-1", "x", "1,2", "nan", "1e3", "99999999999", "+1");
+    CHECK_FALSE(Read({{"Server-Brittle", Text}}).m_RefusalLimit);
+    CHECK(Read({{"Server-Brittle", Text}}).m_BadRefusalLimit);
+  }
+  SECTION("no two values") {
+    const AnswerFacts Facts =
+        Read({{"Server-Brittle", "1"}, {"Server-Brittle", "1"}});
+    CHECK_FALSE(Facts.m_RefusalLimit);
+    CHECK(Facts.m_BadRefusalLimit);
+  }
+  SECTION("no header") {
+    CHECK_FALSE(Read({}).m_RefusalLimit);
+    CHECK_FALSE(Read({}).m_BadRefusalLimit);
+  }
+}
+
+TEST_CASE("Only a 503 that was not executed and does not announce leaving is "
+          "for lack of room",
+          "[platform]") {
+  const RequestDialect Dialect = platform::makeBinding("").m_Dialect;
+  const HttpHeader NotRun{"X-Request-Not-Executed", "1"};
+  CHECK(Dialect.m_ReadAnswer(503, {NotRun}).m_NoRoom);
+  CHECK_FALSE(Dialect.m_ReadAnswer(503, {}).m_NoRoom);
+  CHECK_FALSE(Dialect.m_ReadAnswer(429, {NotRun}).m_NoRoom);
+  CHECK_FALSE(Dialect.m_ReadAnswer(421, {NotRun}).m_NoRoom);
+  CHECK_FALSE(
+      Dialect.m_ReadAnswer(503, {NotRun, {"Server-Leaving", "1"}}).m_NoRoom);
+}
+
 TEST_CASE("A malformed configuration or upstream entry is an error",
           "[platform]") {
   const std::string Text =
--- a/tests/wire/PeerFramesTest.cpp
+++ b/tests/wire/PeerFramesTest.cpp
@@ -253,7 +253,10 @@
                               *drawn(0, 900) / 4.0,
                               false,
                               Duration(*drawn(0, 9000000)),
-                              *rc::gen::arbitrary<bool>()}};
+                              *rc::gen::arbitrary<bool>(),
+                              *drawn(0, 900) / 4.0,
+                              *rc::gen::arbitrary<bool>(),
+                              Duration(*drawn(0, 9000000))}};
 }
 
 } // namespace
