Test, known red: brittle upstreams fall over again and again under load

RefusalLimitTest: real boxes before stand-ins that say in all answers how many refusals a second they bear, let none wait from 3 s on, and fall for 2 s when they have to turn away more. On the code of sight alone, with callers that try again once at once:

- 120 requests a second at two of them (64 a second fit), 8 s, with 1, 8 and 20 boxes, 1 and 4 refusals a second: 8 falls each time that was captured, allowed 2.2; nearly nobody is served.
- 40 a second and bursts of 60 at three of them, one restarts midway, 1, 8 and 20 boxes: 12 falls, allowed 2.3.

--- a/tests/gateway/RefusalLimitTest.cpp
+++ b/tests/gateway/RefusalLimitTest.cpp
@@ -1,4 +1,4 @@
-#include "gateway/UpstreamSignalsFleet.h"
+#include "gateway/BrittleUpstreams.h"
 
 using namespace havenstair;
 
@@ -55,3 +55,34 @@
     REQUIRE(Test.until([&] { return allKnow(Test, "brittle", 4); }));
   }
 }
+
+TEST_CASE("Brittle upstreams under too much load do not crash again and again",
+          "[gateway][refusal-limit][known-red]") {
+  const auto Boxes = GENERATE(std::size_t{1}, std::size_t{8}, std::size_t{20});
+  const int MaxRefusals = GENERATE(1, 4);
+  BrittleUpstreams Test(Boxes, 2, MaxRefusals);
+  REQUIRE(Test.load(1s, 20).m_Served > 0);
+  constexpr Duration Time = 8s;
+  const int Before = Test.served();
+  const FleetOutcome All = Test.load(Time, 120);
+  const double Served = (Test.served() - Before) / Test.capacity(Time);
+  CAPTURE(Boxes, MaxRefusals, All.m_Served, All.m_RetryLater, All.m_Other,
+          Test.crashes(), Test.refused(), Served);
+  REQUIRE(Test.crashes() <= Test.allowedCrashes());
+  REQUIRE(Served >= 0.8);
+}
+
+TEST_CASE("Brittle upstreams do not crash when bursts come, and one of them "
+          "restarts",
+          "[gateway][refusal-limit][known-red]") {
+  const auto Boxes = GENERATE(std::size_t{1}, std::size_t{8}, std::size_t{20});
+  BrittleUpstreams Test(Boxes, 3, 3);
+  REQUIRE(Test.load(1s, 20).m_Served > 0);
+  FleetOutcome All = Test.load(4s, 40, 60);
+  Test.crash(Test.m_Brittle.begin()->second);
+  All = Test.load(5s, 40, 60);
+  CAPTURE(Boxes, All.m_Served, All.m_RetryLater, All.m_Other, Test.crashes(),
+          Test.refused());
+  REQUIRE(Test.crashes() <= Test.allowedCrashes());
+  REQUIRE(All.m_Served > 0);
+}
