--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -187,17 +187,19 @@
           Loop, m_Fleet,
           PermitExchange::Views{.m_WarmUp = m_State.m_WarmUp,
                                 .m_Signals = m_State.m_Signals,
-                                .m_Bounds = m_State.m_SendBounds},
+                                .m_Bounds = m_State.m_SendBounds,
+                                .m_Upstreams = m_State.m_Upstreams,
+                                .m_Loads = m_State.m_Loads},
           m_Log, m_Options.m_Bounds.m_WarmUp,
           PermitExchange::Hooks{
               .m_PermitDecided =
-                  [this](const auto &At, bool Limited, auto What) {
-                    m_Metrics.recordPermit(At, Limited, What);
+                  [this](const auto &At, BoundKind Kind, auto What) {
+                    m_Metrics.recordPermit(At, Kind, What);
                   },
               .m_UnknownBound =
                   [this](const BoxName &Box, const InstanceId &Server) {
-                    m_Signals->sendNoLimit(
-                        Box, m_State.m_WarmUp.incarnation(Server));
+                    m_Signals->sendLimits(Box,
+                                          m_State.m_WarmUp.incarnation(Server));
                   }})),
       m_Crashes(std::make_shared<CrashExchange>(
           Loop, m_UpstreamHttp, *m_Store, m_Fleet, m_State.m_Upstreams,
@@ -206,6 +208,7 @@
           Loop, m_Fleet, m_State.m_Upstreams, m_State.m_Signals, m_Log,
           UpstreamSignalExchange::Hooks{
               .m_LimitsChanged = [this] { m_Permits->refreshRole(); },
+              .m_NoRoom = [this] { m_Metrics.recordNoRoom(); },
               .m_UpstreamLeaving = [this] { onUpstreamDraining(); }})) {
   m_Forwarder.setServices(m_Quotas, m_Permits, m_Crashes, m_Signals);
   m_State.setLocation(m_Options.m_DataCentre, m_Options.m_Regions);
@@ -421,6 +424,8 @@
   Now.m_BackedOffUpstreams =
       Number(m_State.m_Signals.backedOffCount(EventLoop::now()));
   Now.m_LimitedUpstreams = Number(m_State.m_Signals.limits().size());
+  Now.m_RefusalLimitedUpstreams =
+      Number(m_State.m_Signals.refusalLimits().size());
   Now.m_Cold = m_State.m_WarmUp.coldByDataCentre(EventLoop::now());
   m_Metrics.set(Now);
   Exchange->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
--- a/packages/wire/connection/PermitFrames.cpp
+++ b/packages/wire/connection/PermitFrames.cpp
@@ -2,6 +2,20 @@
 
 namespace havenstair {
 
+namespace {
+
+/// Reads a rate per second; empty where it is missing.
+std::optional<double> rateField(const Json &From, const char *Name) {
+  if (!From.contains(Name))
+    return std::nullopt;
+  const auto PerSecond = field<double>(From, Name);
+  if (!(PerSecond >= 0))
+    throw DecodeError(std::string("field ") + Name + " is below zero");
+  return PerSecond;
+}
+
+} // namespace
+
 Json toJson(const PermitAskFrame &Frame) {
   return {{"id", Frame.m_Id},
           {"server", Frame.m_Server},
@@ -49,6 +63,12 @@
     Result["limit_ended"] = true;
   if (Frame.m_Leaving)
     Result["leaving"] = true;
+  if (Frame.m_RefusalLimit) {
+    Result["refusals_per_s"] = *Frame.m_RefusalLimit;
+    Result["refusals_age_us"] = Frame.m_RefusalLimitAge.count();
+  }
+  if (Frame.m_RefusalLimitEnded)
+    Result["refusals_ended"] = true;
   return Result;
 }
 
@@ -57,13 +77,22 @@
                          .m_StartTime = field<StartTime>(From, "born")};
   Frame.m_LimitEnded = fieldOr(From, "limit_ended", false);
   Frame.m_Leaving = fieldOr(From, "leaving", false);
-  if (!From.contains("per_s"))
-    return;
-  const auto PerSecond = field<double>(From, "per_s");
-  if (!(PerSecond >= 0))
-    throw DecodeError("field per_s is negative");
-  Frame.m_LimitPerSecond = PerSecond;
-  Frame.m_LimitAge = durationField(From, "age_us");
+  Frame.m_RefusalLimitEnded = fieldOr(From, "refusals_ended", false);
+  Frame.m_LimitPerSecond = rateField(From, "per_s");
+  if (Frame.m_LimitPerSecond)
+    Frame.m_LimitAge = durationField(From, "age_us");
+  Frame.m_RefusalLimit = rateField(From, "refusals_per_s");
+  if (Frame.m_RefusalLimit)
+    Frame.m_RefusalLimitAge = durationField(From, "refusals_age_us");
+}
+
+Json toJson(const SendEndedFrame &Frame) {
+  return {{"server", Frame.m_Server}, {"refused", Frame.m_Refused}};
+}
+
+void fromJson(const Json &From, SendEndedFrame &Frame) {
+  Frame.m_Server = field<std::string>(From, "server");
+  Frame.m_Refused = field<bool>(From, "refused");
 }
 
 } // namespace havenstair
--- a/packages/wire/connection/PermitFrames.h
+++ b/packages/wire/connection/PermitFrames.h
@@ -46,20 +46,36 @@
   Duration m_LimitAge = 0us; ///< Since the limit was first named.
   /// This incarnation of the upstream leaves.
   bool m_Leaving = false;
+  /// Requests that it can turn away for lack of room in a second; empty when
+  /// this frame names no such limit.
+  std::optional<double> m_RefusalLimit;
+  bool m_RefusalLimitEnded = false; ///< It no longer names such a limit.
+  Duration m_RefusalLimitAge = 0us; ///< Since that limit was first named.
 
   bool operator==(const UpstreamSignalFrame &) const = default;
 };
 
+/// A request to a server that names a refusal limit has ended. Sent to the box
+/// that admits, or to a relay that passes it on.
+struct SendEndedFrame {
+  InstanceId m_Server;
+  bool m_Refused = false; ///< The server turned it away for lack of room.
+
+  bool operator==(const SendEndedFrame &) const = default;
+};
+
 Json toJson(const PermitAskFrame &Frame);
 Json toJson(const PermitAnswerFrame &Frame);
 Json toJson(const ColdUpdateFrame &Frame);
 Json toJson(const UpstreamSignalFrame &Frame);
+Json toJson(const SendEndedFrame &Frame);
 
 /// \throws DecodeError for a value of another form.
 void fromJson(const Json &From, PermitAskFrame &Frame);
 void fromJson(const Json &From, PermitAnswerFrame &Frame);
 void fromJson(const Json &From, ColdUpdateFrame &Frame);
 void fromJson(const Json &From, UpstreamSignalFrame &Frame);
+void fromJson(const Json &From, SendEndedFrame &Frame);
 
 } // namespace havenstair
 
