Tell whether this box is partitioned from all upstreams

What callers saw: boxes cut off from all upstreams served 14 of 190 first tries; no line or metric told that such a box knows that it is cut off.

Change: UpstreamReach (decisions/process) takes the ends of calls and decides; ReachMonitor probes one upstream at a time while in doubt, none in good times. Log lines partitioned and reconnected with what decided them, state 'partitioned' among the metrics. Requests are routed as before, but for one thing: with the end of a partition the failures learnt in it are forgotten.

--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -97,6 +97,9 @@
             if (Report.m_Leaving)
               m_Signals->recordLeaving(Engine.incarnation());
           })),
+      m_ReachMonitor(Loop, m_UpstreamHttp, m_State, m_Log,
+                     {.m_ProbeTimeout = Forwarder::Options{}.m_ConnectTimeout},
+                     {.m_Changed = [this](bool) { reachChanged(); }}),
       m_Forwarder(
           Loop, m_UpstreamHttp, m_State, m_Binding.m_Dialect, m_Log,
           forwarderOptions(m_Policy),
@@ -112,6 +115,14 @@
                [this](std::string_view Outcome) {
                  m_Metrics.recordSend(Outcome);
                },
+           .m_Reached =
+               [this](const UpstreamReach::Call &Call) {
+                 m_ReachMonitor.onReached(Call);
+               },
+           .m_ConnectFailed =
+               [this](const UpstreamReach::Call &Call) {
+                 m_ReachMonitor.onFailed(Call);
+               },
            .m_MayTrustKeys = [this] { return mayTrustKeys(); },
            .m_ConfigFreshness =
                [this](TimePoint Now) {
@@ -378,6 +389,10 @@
       [this](const HttpExchangePtr &Exchange) { answerMetrics(Exchange); });
 }
 
+void Gateway::reachChanged() {
+  m_ReachTimer = m_Loop.after(0us, [this] { m_Forwarder.upstreamsChanged(); });
+}
+
 /// Refuses requests that come late in a stop, as they may not end before the
 /// process does.
 void Gateway::takeRequest(const HttpExchangePtr &Exchange) {
@@ -420,6 +435,7 @@
   Now.m_QuarantinedRequests = Number(m_State.m_Crashes.quarantines().size());
   Now.m_BackedOffUpstreams =
       Number(m_State.m_Signals.backedOffCount(EventLoop::now()));
+  Now.m_Partitioned = m_State.m_Reach.partitioned() ? 1 : 0;
   Now.m_LimitedUpstreams = Number(m_State.m_Signals.limits().size());
   Now.m_Cold = m_State.m_WarmUp.coldByDataCentre(EventLoop::now());
   m_Metrics.set(Now);
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/process/PermitExchange.h"
 #include "gateway/process/PlatformBinding.h"
 #include "gateway/process/QuotaExchange.h"
+#include "gateway/process/ReachMonitor.h"
 #include "gateway/process/ServingState.h"
 #include "gateway/process/StoreCallLog.h"
 #include "gateway/process/UpstreamRegistry.h"
@@ -79,6 +80,7 @@
                                    Duration CoalesceDelay, Duration Wait,
                                    ReadKind FirstRead = ReadKind::Current);
   void startServers();
+  void reachChanged();
   void ownKeysChanged();
   void resync();
   void configChanged();
@@ -125,6 +127,7 @@
   std::unique_ptr<CoordinationStore> m_Store;
   std::unique_ptr<EngineControl> m_Engines;
   ServingState m_State;
+  ReachMonitor m_ReachMonitor;
   Forwarder m_Forwarder;
   UpstreamRegistry m_Registry;
   WatchCache m_ConfigCache;
@@ -149,6 +152,7 @@
   Timer m_ReconcileTimer;
   Timer m_EvacuationTimer;
   Timer m_OwnKeysTimer;
+  Timer m_ReachTimer;
   Timer m_StopTimer;
   TimePoint m_StartedAt = EventLoop::now();
   TimePoint m_StopAt{};
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -218,6 +218,7 @@
   m_Families->state("barred_requests", Gauges.m_QuarantinedRequests);
   m_Families->state("limited_servers", Gauges.m_LimitedUpstreams);
   m_Families->state("backed_off_servers", Gauges.m_BackedOffUpstreams);
+  m_Families->state("partitioned", Gauges.m_Partitioned);
   m_Families->state("frames_skipped", Gauges.m_FramesSkipped);
   for (const auto &[Kind, Frames] : Gauges.m_PeerFrames)
     m_Families->m_PeerFrames.Add({{"kind", std::string(Kind)}}).Set(Frames);
--- a/packages/gateway/process/GatewayMetrics.h
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -37,6 +37,7 @@
   double m_LimitedUpstreams = 0;    ///< Upstreams that set a rate limit.
   /// Upstreams that asked this box to retry later.
   double m_BackedOffUpstreams = 0;
+  double m_Partitioned = 0; ///< 1 while this box reaches no upstream.
   double m_FramesSkipped = 0; ///< Frames of kinds that only later builds know.
   std::map<int, int> m_Protocols;       ///< Linked boxes by protocol version.
   std::map<DataCentreName, int> m_Cold; ///< Cold upstreams by data centre.
--- a/packages/gateway/process/ServingState.h
+++ b/packages/gateway/process/ServingState.h
@@ -13,6 +13,7 @@
 #include "decisions/process/SendBounds.h"
 #include "decisions/process/ServingView.h"
 #include "decisions/process/SharedRetryBudget.h"
+#include "decisions/process/UpstreamReach.h"
 #include "decisions/process/UpstreamSignals.h"
 #include "decisions/process/WarmUpView.h"
 #include "decisions/request/RetryDetector.h"
@@ -41,6 +42,7 @@
   PrefixIndex m_Prefixes{PrefixTokens};
   LatencyModel m_Latency;
   FailureTracker m_Failures;
+  UpstreamReach m_Reach;
   CrashTracker m_Crashes;
   SharedRetryBudget m_Budget{{}, EventLoop::now()};
   RetryDetector m_RetryDetector;
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -63,6 +63,10 @@
     std::function<void(const RequestResult &)> m_Ended;
     /// Called when a send to an upstream has ended.
     std::function<void(std::string_view Outcome)> m_SendEnded;
+    /// Called when an upstream has begun to answer a send.
+    std::function<void(const UpstreamReach::Call &)> m_Reached;
+    /// Called when the connection of a send did not come up.
+    std::function<void(const UpstreamReach::Call &)> m_ConnectFailed;
     /// \returns whether the configuration is recent enough to decide which
     /// organisation a key belongs to.
     std::function<bool()> m_MayTrustKeys;
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -450,6 +450,7 @@
                        {"work_ms", std::lround(Chosen.m_WorkMs)},
                        {"expected_ms", std::lround(Chosen.m_ExpectedMs)}});
   HttpCall Call = makeCall(To, Now);
+  m_Send->m_MayBeKept = Call.m_Use == ConnectionUse::Reused;
   State.m_Loads.onSent(To.m_Id, Chosen.m_WorkMs, m_Send->m_Tokens);
   if (!m_Request.m_Model.empty())
     State.m_Prefixes.recordRead(To.m_Id, m_Request);
@@ -481,6 +482,9 @@
   if (m_Done || !m_Send)
     return;
   const AnswerFacts Facts = m_Owner.m_Dialect.m_ReadAnswer(Status, Headers);
+  m_Owner.m_Hooks.m_Reached(reachCall());
+  if (m_Done || !m_Send)
+    return;
   m_Send->m_Status = Status;
   m_Send->m_Headers = Headers;
   m_Send->m_NotRun = Facts.m_NotRun;
@@ -550,9 +554,18 @@
                                  EventLoop::now());
   if (End == HttpEnd::NotWritten)
     m_Crashes.onConnectFailed(upstreamIncarnation());
+  if (connectionFailed(End))
+    m_Owner.m_Hooks.m_ConnectFailed(reachCall());
   settle(classify(End));
 }
 
+/// A kept connection may also break because the upstream closes it.
+bool ProxiedRequest::connectionFailed(HttpEnd End) const {
+  const bool ResetUnused =
+      End == HttpEnd::Broken && m_Send->m_Status == 0 && !m_Send->m_MayBeKept;
+  return End == HttpEnd::NotWritten || ResetUnused;
+}
+
 SendOutcome ProxiedRequest::classify(HttpEnd End) const {
   if (m_Send->m_NotRun)
     return SendOutcome::Rejected;
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -52,6 +52,7 @@
     std::optional<TimePoint> m_Started; ///< When the answer began.
     bool m_NotRun = false; ///< The upstream states that it did not run it.
     bool m_ForeignAnswer = false; ///< The answer is for another request.
+    bool m_MayBeKept = false;     ///< It may use a kept connection.
     bool m_Resumed = false;       ///< Only the rest of a stream was requested.
     int m_Status = 0;
     HttpHeaders m_Headers;
@@ -97,6 +98,7 @@
   void noteStarted(TimePoint Now);
   void passEvents(const std::string &Events);
 
+  bool connectionFailed(HttpEnd End) const;
   SendOutcome classify(HttpEnd End) const;
   void settle(SendOutcome Outcome);
   void noteOutcome(SendOutcome Outcome, TimePoint Now);
@@ -104,6 +106,11 @@
   UpstreamIncarnation upstreamIncarnation() const {
     return {.m_Id = m_Send->m_Instance, .m_StartTime = m_Send->m_StartTime};
   }
+  UpstreamReach::Call reachCall() const {
+    return {.m_Upstream = m_Send->m_Instance,
+            .m_StartedAt = m_Send->m_At,
+            .m_MayBeKept = m_Send->m_MayBeKept};
+  }
   bool completed(SendOutcome Outcome) const;
   bool upstreamRestarted() const;
   ForwardingStep decide(SendOutcome Outcome, TimePoint Now);
