--- a/tests/gateway/GatewayTest.h
+++ b/tests/gateway/GatewayTest.h
@@ -150,6 +150,13 @@
             throw DecodeError("a field that this box does not know");
           return Result;
         };
+    Binding.m_DecodeUpstream = [this, Box = Options.m_Box,
+                                Decode = std::move(Binding.m_DecodeUpstream)](
+                                   const std::string &Key,
+                                   const std::string &Value) {
+      UpstreamInstance Entry = Decode(Key, Value);
+      return m_SeenBy ? m_SeenBy(Box, std::move(Entry)) : Entry;
+    };
     return std::make_unique<Gateway>(m_Loop, std::move(Binding), Options,
                                      GatewayPolicy{}, m_LogDescriptor,
                                      std::move(Stopped));
@@ -235,6 +242,8 @@
 
   /// A box that can decode only configuration version 1.
   BoxName m_OutdatedBox;
+  /// Changes what a box reads of an upstream's entry; may be empty.
+  std::function<UpstreamInstance(const BoxName &, UpstreamInstance)> m_SeenBy;
   int m_TimeoutMs = 8000;
   /// Organisations of the next configuration.
   Json m_Organisations = Json::array();
