Pass requests on to another box while this one reaches no upstream

Cause: a box knew no way to an upstream but its own; each request learnt that anew, at 300 ms a send.

Change: a partitioned box, or a request that met a failed connection while this is in doubt, passes the request on over HTTP to a third internal port of another box, which runs it like one of its own callers. One hop; a verdict says whether the request ran; one send to a box is one attempt; demand, quota and retry budget are counted at the asking box. A break without a byte of a kept connection counts as a failure too: the probe that follows clears it.

--- a/packages/gateway/process/ComponentOptions.cpp
+++ b/packages/gateway/process/ComponentOptions.cpp
@@ -13,6 +13,10 @@
 
 } // namespace
 
+std::string peerSecret(const GatewayOptions &Settings) {
+  return Settings.m_PeerSecret.empty() ? OpenSecret : Settings.m_PeerSecret;
+}
+
 Fleet::Options fleetOptions(const GatewayOptions &Settings,
                             const PlatformBinding &Binding,
                             const BoxName &Process, RandomUnit Random) {
@@ -22,8 +26,7 @@
   Opts.m_Capacity = Settings.m_Capacity;
   Opts.m_Peers = Settings.m_Peers;
   Opts.m_Seeds = Settings.m_Seeds;
-  Opts.m_Secret =
-      Settings.m_PeerSecret.empty() ? OpenSecret : Settings.m_PeerSecret;
+  Opts.m_Secret = peerSecret(Settings);
   Opts.m_Prefix = Binding.m_OwnPrefix;
   Opts.m_Lease = std::max(Opts.m_Lease, Settings.m_MinLease);
   Opts.m_Random = std::move(Random);
--- a/packages/gateway/process/ComponentOptions.h
+++ b/packages/gateway/process/ComponentOptions.h
@@ -12,6 +12,8 @@
 
 namespace havenstair {
 
+/// \returns the secret that all boxes share.
+std::string peerSecret(const GatewayOptions &Settings);
 /// \p Process is the name of this process of the box.
 Fleet::Options fleetOptions(const GatewayOptions &Settings,
                             const PlatformBinding &Binding,
--- a/packages/gateway/process/Fleet.cpp
+++ b/packages/gateway/process/Fleet.cpp
@@ -98,9 +98,11 @@
 }
 
 StoreTransaction Fleet::entry(LeaseId Lease) const {
-  const Json Value{{"peers", m_Mesh.endpoint().str()},
-                   {"zone", m_Opts.m_DataCentre.str()},
-                   {"capacity", m_Opts.m_Capacity}};
+  Json Value{{"peers", m_Mesh.endpoint().str()},
+             {"zone", m_Opts.m_DataCentre.str()},
+             {"capacity", m_Opts.m_Capacity}};
+  if (m_Passing)
+    Value["passing"] = m_Passing->str();
   return {.m_Conditions = {},
           .m_Puts = {{.m_Key = m_Opts.m_Prefix + BoxKeys + m_Opts.m_Box.str(),
                       .m_Value = dumpJson(Value),
@@ -149,6 +151,8 @@
     const Json Value = parseJson(Item.m_Value);
     Result.m_Address = addressOf(Box, Value);
     Result.m_Capacity = fieldOr<double>(Value, "capacity", 1);
+    Result.m_Passing =
+        Endpoint::parse(fieldOr<std::string>(Value, "passing", ""));
   } catch (const DecodeError &Error) {
     m_Log.write("bad_box", {{"key", Item.m_Key}, {"why", Error.what()}});
   }
@@ -291,6 +295,16 @@
   return Result;
 }
 
+std::vector<Fleet::PassAddress> Fleet::passAddresses() const {
+  std::vector<PassAddress> Result;
+  for (const auto &[Box, Each] : m_Listed)
+    if (Each.m_Passing)
+      Result.push_back({.m_Box = Box,
+                        .m_DataCentre = Each.m_Address->m_DataCentre,
+                        .m_Endpoint = *Each.m_Passing});
+  return Result;
+}
+
 std::map<PeerProtocol, int> Fleet::protocols() const {
   std::map<PeerProtocol, int> Result;
   for (const BoxName &Box : m_Linked)
--- a/packages/gateway/process/Fleet.h
+++ b/packages/gateway/process/Fleet.h
@@ -104,6 +104,17 @@
   /// to each other, so a frame that comes from a relay is forwarded to leaves
   /// only, or it would circulate.
   void passOn(const PeerFrame &Frame, const BoxName &From);
+  /// A box that takes requests of other boxes.
+  struct PassAddress {
+    BoxName m_Box;
+    DataCentreName m_DataCentre;
+    Endpoint m_Endpoint;
+  };
+  /// The listed boxes that take requests; not those of older builds.
+  std::vector<PassAddress> passAddresses() const;
+  /// Sets where this box takes requests of other boxes. To be called before its
+  /// entry is written.
+  void setPassing(const Endpoint &Passing) { m_Passing = Passing; }
   /// The linked boxes.
   const std::set<BoxName> &linked() const { return m_Linked; }
   /// The linked relays; in a small fleet all linked boxes. Returns a copy, as a
@@ -136,6 +147,7 @@
     StoreRevision m_Revision;
     std::optional<PeerAddress> m_Address; ///< None when the entry is invalid.
     double m_Capacity = 1;
+    std::optional<Endpoint> m_Passing; ///< None when it takes no requests.
   };
 
   void tick();
@@ -153,6 +165,7 @@
   DecisionLog &m_Log;
   Options m_Opts;
   Hooks m_Hooks;
+  std::optional<Endpoint> m_Passing;
   LeasedKey m_Entry;
   PeerMesh m_Mesh;
   FleetTopology m_Topology;
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -119,6 +119,10 @@
                [this](const UpstreamReach::Call &Call) {
                  m_ReachMonitor.onReached(Call);
                },
+           .m_PassedEnded =
+               [this](std::string_view Outcome) {
+                 m_Metrics.recordPassed("in", Outcome);
+               },
            .m_ConnectFailed =
                [this](const UpstreamReach::Call &Call) {
                  m_ReachMonitor.onFailed(Call);
@@ -387,6 +391,35 @@
   m_MetricsServer = std::make_unique<HttpServer>(
       m_Loop, Opts,
       [this](const HttpExchangePtr &Exchange) { answerMetrics(Exchange); });
+  if (!m_Options.m_Passing)
+    return;
+  Opts.m_Listen = *m_Options.m_Passing;
+  Opts.m_MaxHeaders = 2 * Opts.m_MaxHeaders;
+  m_Passes = std::make_shared<PassExchange>(
+      m_Loop, m_Fleet, m_State, m_Log,
+      PassExchange::Options{.m_Server = Opts,
+                            .m_DataCentre = m_Options.m_DataCentre,
+                            .m_Secret = peerSecret(m_Options)},
+      passHooks());
+  m_Forwarder.setPassService(m_Passes);
+  m_Fleet.setPassing(m_Passes->endpoint());
+}
+
+PassExchange::Hooks Gateway::passHooks() {
+  return {
+      .m_Handle =
+          [this](const HttpExchangePtr &Exchange, std::shared_ptr<void> Token) {
+            m_Forwarder.handlePassed(Exchange, std::move(Token));
+          },
+      .m_ReadId =
+          [this](const HttpExchange &Exchange) {
+            return m_Forwarder.idOf(Exchange);
+          },
+      .m_Ended =
+          [this](std::string_view Way, std::string_view Outcome) {
+            m_Metrics.recordPassed(Way, Outcome);
+          },
+      .m_Random = [this] { return drawUnit(m_Random); }};
 }
 
 void Gateway::reachChanged() {
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/process/GatewayPolicy.h"
 #include "gateway/process/MeteredStore.h"
 #include "gateway/process/OrderLeader.h"
+#include "gateway/process/PassExchange.h"
 #include "gateway/process/PermitExchange.h"
 #include "gateway/process/PlatformBinding.h"
 #include "gateway/process/QuotaExchange.h"
@@ -80,6 +81,7 @@
                                    Duration CoalesceDelay, Duration Wait,
                                    ReadKind FirstRead = ReadKind::Current);
   void startServers();
+  PassExchange::Hooks passHooks();
   void reachChanged();
   void ownKeysChanged();
   void resync();
@@ -146,6 +148,7 @@
   std::unique_ptr<HttpServer> m_Callers;
   std::unique_ptr<HttpServer> m_Readiness;
   std::unique_ptr<HttpServer> m_MetricsServer;
+  std::shared_ptr<PassExchange> m_Passes; ///< Null without an address for it.
   Timer m_ReloadTimer;
   /// Ends what is kept against the list, and the evacuations, of a restored
   /// store.
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -43,6 +43,12 @@
           .Name("havenstair_sends_total")
           .Help("Sends to upstreams by outcome")
           .Register(m_Registry);
+  prometheus::Family<prometheus::Counter> &m_Passed =
+      prometheus::BuildCounter()
+          .Name("havenstair_passed_requests_total")
+          .Help("Requests that were passed on to other boxes (out) or came "
+                "from them (in), by outcome")
+          .Register(m_Registry);
   prometheus::Family<prometheus::Counter> &m_Orders =
       prometheus::BuildCounter()
           .Name("havenstair_orders_total")
@@ -160,6 +166,13 @@
   m_Families->m_Sends.Add({{"outcome", std::string(Outcome)}}).Increment();
 }
 
+void GatewayMetrics::recordPassed(std::string_view Way,
+                                  std::string_view Outcome) {
+  m_Families->m_Passed
+      .Add({{"way", std::string(Way)}, {"outcome", std::string(Outcome)}})
+      .Increment();
+}
+
 void GatewayMetrics::recordOrder(std::string_view Operation,
                                  std::string_view Answer) {
   m_Families->m_Orders
--- a/packages/gateway/process/GatewayMetrics.h
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -37,7 +37,7 @@
   double m_LimitedUpstreams = 0;    ///< Upstreams that set a rate limit.
   /// Upstreams that asked this box to retry later.
   double m_BackedOffUpstreams = 0;
-  double m_Partitioned = 0; ///< 1 while this box reaches no upstream.
+  double m_Partitioned = 0;   ///< 1 while this box reaches no upstream.
   double m_FramesSkipped = 0; ///< Frames of kinds that only later builds know.
   std::map<int, int> m_Protocols;       ///< Linked boxes by protocol version.
   std::map<DataCentreName, int> m_Cold; ///< Cold upstreams by data centre.
@@ -60,6 +60,9 @@
   void recordRequestInEvacuation(std::string_view Outcome);
   /// Records that a send to an upstream ended with \p Outcome.
   void recordSend(std::string_view Outcome);
+  /// Records that a request that was passed on (\p Way "out") or came from
+  /// another box ("in") ended with \p Outcome.
+  void recordPassed(std::string_view Way, std::string_view Outcome);
   /// Records the answer to an order to an engine.
   void recordOrder(std::string_view Operation, std::string_view Answer);
   /// Records the answer to a query for a permit for an upstream in \p At that
--- a/packages/gateway/process/GatewayOptions.h
+++ b/packages/gateway/process/GatewayOptions.h
@@ -67,11 +67,14 @@
   BoxName m_Box;
   DataCentreName m_DataCentre;
   DataCentreMap m_Regions;
-  double m_Capacity = 1;         ///< Share of a core that the box has.
-  Endpoint m_Callers;            ///< Listens for callers' requests.
-  Endpoint m_Readiness;          ///< Listens for readiness probes.
-  Endpoint m_Metrics;            ///< Listens for requests for the metrics page.
-  Endpoint m_Peers;              ///< Listens for links of other boxes.
+  double m_Capacity = 1; ///< Share of a core that the box has.
+  Endpoint m_Callers;    ///< Listens for callers' requests.
+  Endpoint m_Readiness;  ///< Listens for readiness probes.
+  Endpoint m_Metrics;    ///< Listens for requests for the metrics page.
+  Endpoint m_Peers;      ///< Listens for links of other boxes.
+  /// Listens for requests that other boxes pass on; empty to neither pass
+  /// requests on nor take them.
+  std::optional<Endpoint> m_Passing;
   std::vector<Endpoint> m_Seeds; ///< Possible peers; some may be down.
   std::string m_PeerSecret;
   Endpoint m_Store;          ///< Address of the coordination store.
--- a/packages/gateway/request/Forwarder.cpp
+++ b/packages/gateway/request/Forwarder.cpp
@@ -47,14 +47,17 @@
   replyWithFailure(Exchange, Reason, std::move(Headers));
 }
 
-void Forwarder::refuse(const HttpExchangePtr &Exchange, const Failure &Reason) {
-  std::string Id;
+std::string Forwarder::idOf(const HttpExchange &Exchange) const {
   try {
-    Id = m_Dialect.m_Read(*Exchange).m_Id;
+    return m_Dialect.m_Read(Exchange).m_Id;
   } catch (const RequestError &) {
     // The request is refused in any case; only its id is missing.
+    return {};
   }
-  refuseUnread(Exchange, Reason, Id);
+}
+
+void Forwarder::refuse(const HttpExchangePtr &Exchange, const Failure &Reason) {
+  refuseUnread(Exchange, Reason, idOf(*Exchange));
 }
 
 void Forwarder::handle(const HttpExchangePtr &Exchange) {
@@ -75,6 +78,18 @@
     keepOrRefuse(Item);
 }
 
+void Forwarder::handlePassed(const HttpExchangePtr &Exchange,
+                             std::shared_ptr<void> Token) {
+  try {
+    begin({.m_Exchange = Exchange,
+           .m_Request = m_Dialect.m_Read(*Exchange),
+           .m_Arrived = EventLoop::now(),
+           .m_Passed = std::move(Token)});
+  } catch (const RequestError &Error) {
+    refuseUnread(Exchange, Error.failure(), "");
+  }
+}
+
 void Forwarder::keepOrRefuse(const StartupQueue::Item &Item) {
   const TimePoint Now = EventLoop::now();
   if (!m_State.m_Stopping && m_StartupQueue.keep(Item, Now)) {
@@ -136,7 +151,7 @@
     return refuseUnread(Exchange, {.m_Kind = *Caller.m_Refusal}, Request.m_Id);
   const auto Proxied = std::make_shared<ProxiedRequest>(
       *this, Exchange, std::move(Request), m_State.m_Config, *MatchedRoute,
-      Caller.m_Organisation, Item.m_Arrived);
+      Caller.m_Organisation, Item.m_Arrived, std::move(Item.m_Passed));
   m_Open.insert(Proxied);
   Proxied->begin();
 }
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -10,6 +10,7 @@
 #include "gateway/common/ConfigFreshness.h"
 #include "gateway/process/ServingState.h"
 #include "gateway/request/CrashService.h"
+#include "gateway/request/PassService.h"
 #include "gateway/request/PermitService.h"
 #include "gateway/request/QuotaService.h"
 #include "gateway/request/RequestDialect.h"
@@ -65,6 +66,8 @@
     std::function<void(std::string_view Outcome)> m_SendEnded;
     /// Called when an upstream has begun to answer a send.
     std::function<void(const UpstreamReach::Call &)> m_Reached;
+    /// Called when a request that another box passed on has ended.
+    std::function<void(std::string_view Outcome)> m_PassedEnded;
     /// Called when the connection of a send did not come up.
     std::function<void(const UpstreamReach::Call &)> m_ConnectFailed;
     /// \returns whether the configuration is recent enough to decide which
@@ -92,6 +95,16 @@
     m_Crashes = std::move(Crashes);
     m_Signals = std::move(Signals);
   }
+  /// Sets the service that passes requests on; without, none is.
+  void setPassService(std::weak_ptr<PassService> Passes) {
+    m_Passes = std::move(Passes);
+  }
+  /// Handles a request that another box passed on and that counts as open until
+  /// \p Token is destroyed. This box must know what it needs to serve.
+  void handlePassed(const HttpExchangePtr &Exchange,
+                    std::shared_ptr<void> Token);
+  /// \returns the id of a request; empty if it cannot be read.
+  std::string idOf(const HttpExchange &Exchange) const;
   /// Handles a caller's request.
   void handle(const HttpExchangePtr &Exchange);
   /// Answers a request with \p Reason without sending it to an upstream.
@@ -127,6 +140,7 @@
   Options m_Opts;
   Hooks m_Hooks;
   std::weak_ptr<QuotaService> m_Quotas;
+  std::weak_ptr<PassService> m_Passes;
   std::weak_ptr<PermitService> m_Permits;
   std::weak_ptr<CrashService> m_Crashes;
   std::weak_ptr<UpstreamSignalService> m_Signals;
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -37,15 +37,24 @@
 /// Weight of the maximum number of output tokens: most answers are shorter.
 constexpr double OutputTokenWeight = 0.5;
 
+/// Boxes that one request is passed on to. Each that declines answers at once.
+constexpr std::size_t MaxAskedBoxes = 6;
+
+/// A request that another box passed on has one send here: the other box counts
+/// it as one of the attempts that the route allows.
+constexpr int MaxPassedSends = 1;
+
 } // namespace
 
 ProxiedRequest::ProxiedRequest(Forwarder &Owner, HttpExchangePtr Exchange,
                                RequestDescriptor Request,
                                std::shared_ptr<const ServingConfig> Config,
                                const Route &MatchedRoute,
-                               const Organisation *Caller, TimePoint Arrived)
-    : m_Owner(Owner), m_Exchange(std::move(Exchange)),
-      m_Request(std::move(Request)), m_FromCaller(m_Exchange->headers()),
+                               const Organisation *Caller, TimePoint Arrived,
+                               std::shared_ptr<void> Passed)
+    : m_Passed(std::move(Passed)), m_Owner(Owner),
+      m_Exchange(std::move(Exchange)), m_Request(std::move(Request)),
+      m_FromCaller(withoutPassFields(m_Exchange->headers())),
       m_Config(std::move(Config)), m_Route(MatchedRoute),
       m_Service(chooseSplit(MatchedRoute, m_Request.m_Id)),
       m_Organisation(Caller == nullptr ? "" : Caller->m_Name),
@@ -57,7 +66,8 @@
                 Owner.m_State.m_Crashes, Owner.m_Crashes),
       m_Priority(enginePriority(*m_Config, MatchedRoute, Caller)),
       m_Authorization(m_Config, MatchedRoute, Caller, m_Request.m_Caller),
-      m_Quota(Owner.m_Quotas, m_Organisation, quotaUnits(m_Request, Caller)),
+      m_Quota(Owner.m_Quotas, m_Organisation,
+              m_Passed ? 0 : quotaUnits(m_Request, Caller)),
       m_Permit(Owner.m_Loop, Owner.m_Permits, Owner.m_State.m_SendBounds,
                [this] { resume(); }),
       m_Arrived(Arrived),
@@ -74,6 +84,22 @@
                          }}) {}
 
 void ProxiedRequest::begin() {
+  if (!m_Passed)
+    countArrival();
+  const auto Weak = weak_from_this();
+  m_Exchange->onCallerLeft([Weak] {
+    if (const auto Self = Weak.lock())
+      Self->onCallerLeft();
+  });
+  m_DeadlineTimer = m_Owner.m_Loop.after(m_Deadline - EventLoop::now(), [Weak] {
+    if (const auto Self = Weak.lock())
+      Self->onDeadline();
+  });
+  step();
+}
+
+/// Counts the request as demand at the box that the caller has sent it to.
+void ProxiedRequest::countArrival() {
   ServingState &State = m_Owner.m_State;
   State.m_Budget.recordRequest(m_Service, m_Arrived);
   if (m_Request.m_Deadline)
@@ -93,16 +119,6 @@
       State.m_Demand[{m_Service, m_Request.m_Model, m_Request.m_Adapter}] +=
           Demand;
   }
-  const auto Weak = weak_from_this();
-  m_Exchange->onCallerLeft([Weak] {
-    if (const auto Self = Weak.lock())
-      Self->onCallerLeft();
-  });
-  m_DeadlineTimer = m_Owner.m_Loop.after(m_Deadline - EventLoop::now(), [Weak] {
-    if (const auto Self = Weak.lock())
-      Self->onDeadline();
-  });
-  step();
 }
 
 UpstreamEligibility ProxiedRequest::eligibility() const {
@@ -124,6 +140,8 @@
     return;
   if (const auto HoldTime = m_Crashes.holdTime(Now))
     return wait(*HoldTime);
+  if (unreachable(Now) && passOn(Now))
+    return;
   const auto Excluded = [&](const InstanceId &Id) {
     return m_Tried.contains(Id) || m_Permit.excludes(Id, Now) ||
            State.m_Signals.retryAt(Id, Now);
@@ -144,6 +162,8 @@
               .m_PendingMs = Chosen ? Chosen->m_PendingMs : 0};
   if (!Chosen && m_Permit.drop())
     return step();
+  if (!Chosen && m_ConnectFailed && passOn(Now))
+    return;
   if (refuseIfBound(Chosen, Now) || refuseIfBackedOff(Chosen, Now))
     return;
   // A request with a valid permit is not refused because of what other requests
@@ -172,6 +192,67 @@
     send(*Chosen, Now);
 }
 
+/// \returns whether a send from here would probably reach no upstream: a single
+/// failure counts for the request that met it, so that it does not meet the
+/// next one.
+bool ProxiedRequest::unreachable(TimePoint Now) const {
+  const UpstreamReach &Reach = m_Owner.m_State.m_Reach;
+  return Reach.partitioned() || (m_ConnectFailed && Reach.doubtful(Now));
+}
+
+/// Passes the request on to another box; declines one that comes from another
+/// box. \returns whether the request was dealt with.
+bool ProxiedRequest::passOn(TimePoint Now) {
+  if (m_Passed) {
+    refuse(ErrorKind::NoUpstream, RejectedRetryAfter, "partitioned");
+    return true;
+  }
+  const std::shared_ptr<PassService> Service = m_Owner.m_Passes.lock();
+  const auto To = Service
+                      ? Service->choose(m_Authorization.regions(), m_AskedBoxes)
+                      : std::nullopt;
+  if (!To || m_AskedBoxes.size() >= MaxAskedBoxes)
+    return false;
+  m_Waiting = false;
+  m_Permit.drop();
+  if (withinQuota(Now))
+    sendToBox(*To, *Service, Now);
+  return true;
+}
+
+void ProxiedRequest::sendToBox(const PassService::Target &To,
+                               PassService &Service, TimePoint Now) {
+  m_AskedBoxes.insert(To.m_Box);
+  m_Quota.noteSent();
+  ++m_Sends;
+  m_Events = EventSplitter();
+  m_Send = Send{.m_Box = To,
+                .m_PassToken = Service.open(To),
+                .m_At = Now,
+                .m_CountedAsLoad = false,
+                .m_Resumed = m_LastEvent.has_value()};
+  m_Owner.m_Log.write("passed_on",
+                      {{"request", m_Request.m_Id},
+                       {"digest", m_Crashes.digest().str()},
+                       {"route", m_Route.m_Name},
+                       {"config", m_Config->m_Version},
+                       {"box", To.m_Box.str()},
+                       {"send", m_Sends},
+                       {"partitioned", m_Owner.m_State.m_Reach.partitioned()},
+                       {"waited_ms", waited(Now) / 1ms}});
+  HttpCall Call = commonCall(Now);
+  Call.m_To = To.m_Endpoint;
+  Call.m_Headers =
+      m_Owner.m_Dialect.m_PassOn(m_FromCaller, {.m_TimeLeft = m_Deadline - Now,
+                                                .m_LastEvent = m_LastEvent});
+  for (HttpHeader &Each : Service.fields(m_Request.m_Id))
+    Call.m_Headers.push_back(std::move(Each));
+  Call.m_Use = connectionFor(m_Route.idempotent(), false, 0);
+  m_Call = m_Owner.m_Client.start(std::move(Call));
+  if (!streaming())
+    expectBytesWithin(IdleTargetMultiple * m_Route.m_Target);
+}
+
 /// A quarantine also ends the tries that wait for an answer. One that an
 /// upstream has begun to answer may still show that the request is harmless.
 void ProxiedRequest::crashesChanged() {
@@ -388,15 +469,21 @@
                                .m_TimeLeft = m_Deadline - Now,
                                .m_Priority = m_Priority,
                                .m_LastEvent = m_LastEvent};
-  HttpCall Call;
+  HttpCall Call = commonCall(Now);
   Call.m_To = Endpoint::parse(To.m_Address).value_or(Endpoint{});
+  Call.m_Headers = m_Owner.m_Dialect.m_Forward(m_FromCaller, Fields);
+  Call.m_Use = connectionFor(m_Route.idempotent(), m_Request.m_Model.empty(),
+                             m_Owner.m_State.m_Failures.rate(To.m_Id, Now));
+  return Call;
+}
+
+/// \returns what calls to upstreams and to boxes have in common.
+HttpCall ProxiedRequest::commonCall(TimePoint Now) {
+  HttpCall Call;
   Call.m_Method =
       parseHttpMethod(m_Exchange->method()).value_or(HttpMethod::Get);
   Call.m_Target = m_Exchange->target();
-  Call.m_Headers = m_Owner.m_Dialect.m_Forward(m_FromCaller, Fields);
   Call.m_Body = m_Exchange->body();
-  Call.m_Use = connectionFor(m_Route.idempotent(), m_Request.m_Model.empty(),
-                             m_Owner.m_State.m_Failures.rate(To.m_Id, Now));
   Call.m_ConnectTimeout = m_Owner.m_Opts.m_ConnectTimeout;
   Call.m_IdleTimeout = m_Deadline - Now + 1s;
   Call.m_MaxBody = m_Owner.m_Opts.m_MaxAnswerBytes;
@@ -465,6 +552,9 @@
 /// Only idempotent requests that may be sent again have an idle timeout. Others
 /// cannot be retried, so there is no reason to give up on them.
 void ProxiedRequest::expectBytesWithin(Duration Limit) {
+  // A stream of another box ends there when its upstream is lost.
+  if (m_Send && m_Send->m_Box && streaming())
+    return;
   if (m_Route.idempotent() && m_Sends < m_Route.m_MaxAttempts)
     m_IdleMonitor.expectBytesWithin(Limit);
 }
@@ -482,13 +572,16 @@
   if (m_Done || !m_Send)
     return;
   const AnswerFacts Facts = m_Owner.m_Dialect.m_ReadAnswer(Status, Headers);
-  m_Owner.m_Hooks.m_Reached(reachCall());
-  if (m_Done || !m_Send)
-    return;
   m_Send->m_Status = Status;
-  m_Send->m_Headers = Headers;
-  m_Send->m_NotRun = Facts.m_NotRun;
-  m_Permit.reportCold(Facts, m_Send->m_Instance, m_Send->m_At);
+  m_Send->m_Headers = withoutPassFields(Headers);
+  if (m_Send->m_Box)
+    m_Send->m_Verdict = readVerdict(Headers);
+  else
+    m_Send->m_NotRun = Facts.m_NotRun;
+  if (!m_Send->m_Box) {
+    m_Owner.m_Hooks.m_Reached(reachCall());
+    m_Permit.reportCold(Facts, m_Send->m_Instance, m_Send->m_At);
+  }
   m_Send->m_ForeignAnswer =
       !Facts.m_RequestId.empty() && Facts.m_RequestId != m_Request.m_Id;
   const bool LacksRequestId = Facts.m_RequestId.empty() && Status / 100 == 2;
@@ -496,6 +589,8 @@
     m_Send->m_ForeignAnswer = true;
     return settle(SendOutcome::Broken);
   }
+  if (m_Send->m_Box)
+    return;
   if (const auto Service = m_Owner.m_Signals.lock())
     Service->recordSignals(upstreamIncarnation(), Facts, m_Send->m_At);
 }
@@ -511,12 +606,12 @@
 }
 
 void ProxiedRequest::noteStarted(TimePoint Now) {
-  if (m_Send->m_Started || !m_Send->m_CountedAsLoad)
+  if (m_Send->m_Started || !(m_Send->m_CountedAsLoad || m_Send->m_Box))
     return;
   m_Send->m_Started = Now;
   if (!m_FirstByte)
     m_FirstByte = Now;
-  if (upstreamRestarted())
+  if (m_Send->m_Box || upstreamRestarted())
     return;
   ServingState &State = m_Owner.m_State;
   const double Observed = inMillis(Now - m_Send->m_At);
@@ -549,25 +644,33 @@
 void ProxiedRequest::onEnd(HttpEnd End) {
   if (m_Done || !m_Send)
     return;
+  if (m_Send->m_Box)
+    return settle(classify(End));
   if (End == HttpEnd::Broken)
     m_Crashes.onConnectionBroken(upstreamIncarnation(), m_Send->m_Started,
                                  EventLoop::now());
   if (End == HttpEnd::NotWritten)
     m_Crashes.onConnectFailed(upstreamIncarnation());
+  m_ConnectFailed = m_ConnectFailed || connectionFailed(End);
   if (connectionFailed(End))
     m_Owner.m_Hooks.m_ConnectFailed(reachCall());
   settle(classify(End));
 }
 
-/// A kept connection may also break because the upstream closes it.
+/// \returns whether no byte came over the connection. A kept one may also break
+/// because the upstream closes it; the probe that follows then clears the
+/// doubt.
 bool ProxiedRequest::connectionFailed(HttpEnd End) const {
-  const bool ResetUnused =
-      End == HttpEnd::Broken && m_Send->m_Status == 0 && !m_Send->m_MayBeKept;
-  return End == HttpEnd::NotWritten || ResetUnused;
+  return End == HttpEnd::NotWritten ||
+         (End == HttpEnd::Broken && m_Send->m_Status == 0);
 }
 
 SendOutcome ProxiedRequest::classify(HttpEnd End) const {
-  if (m_Send->m_NotRun)
+  const bool Whole = End == HttpEnd::Complete;
+  if (m_Send->m_Verdict == PassVerdict::Declined)
+    return SendOutcome::NotSent;
+  if (m_Send->m_NotRun || m_Send->m_Verdict == PassVerdict::Rejected ||
+      (m_Send->m_Verdict == PassVerdict::Refused && Whole))
     return SendOutcome::Rejected;
   if (End == HttpEnd::NotWritten)
     return SendOutcome::NotSent;
@@ -584,6 +687,8 @@
   m_Sends -= Outcome == SendOutcome::NotSent ? 1 : 0;
   m_MayHaveRun = m_MayHaveRun || Outcome == SendOutcome::Broken ||
                  Outcome == SendOutcome::ServerError;
+  if (m_Send->m_Box)
+    return notePassed(Outcome);
   if (completed(Outcome))
     m_Crashes.onCompleted(upstreamIncarnation());
   if (upstreamRestarted())
@@ -596,6 +701,16 @@
     State.m_Failures.recordFailure(At, Now);
 }
 
+void ProxiedRequest::notePassed(SendOutcome Outcome) {
+  m_Send->m_PassToken.reset();
+  // An answer that breaks off may be the fault of an upstream.
+  const bool Declined =
+      Outcome == SendOutcome::NotSent ||
+      (Outcome == SendOutcome::Broken && m_Send->m_Status == 0);
+  if (const auto Service = m_Owner.m_Passes.lock())
+    Service->onOutcome(*m_Send->m_Box, outcomeName(Outcome), Declined);
+}
+
 /// \returns whether the upstream ran the request completely. An error may be
 /// returned without a run, and the rest of a resumed stream may be empty.
 bool ProxiedRequest::completed(SendOutcome Outcome) const {
@@ -619,14 +734,25 @@
   Loads.onEnded(m_Send->m_Instance, m_Send->m_Tokens);
 }
 
+int ProxiedRequest::maxSends() const {
+  return m_Passed ? std::min(MaxPassedSends, m_Route.m_MaxAttempts)
+                  : m_Route.m_MaxAttempts;
+}
+
 ForwardingStep ProxiedRequest::decide(SendOutcome Outcome, TimePoint Now) {
   const ForwardingFacts Facts{.m_Idempotent = m_Route.idempotent(),
                               .m_Resumable = m_Route.m_Resumable,
                               .m_BytesPassed = m_BytesPassed,
                               .m_MayHaveRun = m_MayHaveRun,
                               .m_Sends = m_Sends,
-                              .m_MaxSends = m_Route.m_MaxAttempts,
+                              .m_MaxSends = maxSends(),
                               .m_TimeLeft = Now < m_Deadline};
+  // What another box refuses is an answer to the caller, as if refused here.
+  if (Outcome == SendOutcome::Rejected &&
+      m_Send->m_Verdict == PassVerdict::Refused)
+    return m_BytesPassed  ? ForwardingStep::Cut
+           : m_MayHaveRun ? ForwardingStep::Fail
+                          : ForwardingStep::Refuse;
   const ForwardingStep Step = nextStep(Outcome, Facts, true);
   if (!needsRetryBudget(Step, Outcome))
     return Step;
@@ -650,20 +776,23 @@
   if (m_Done)
     return;
   noteOutcome(Outcome, Now);
-  m_Owner.m_Hooks.m_SendEnded(outcomeName(Outcome));
+  if (!m_Send->m_Box)
+    m_Owner.m_Hooks.m_SendEnded(outcomeName(Outcome));
   const ForwardingStep Step = decide(Outcome, Now);
   if (Outcome != SendOutcome::Answered)
-    m_Owner.m_Log.write("send_failed",
-                        {{"request", m_Request.m_Id},
-                         {"digest", m_Crashes.digest().str()},
-                         {"upstream", m_Send->m_Instance},
-                         {"send", m_Sends},
-                         {"outcome", outcomeName(Outcome)},
-                         {"status", m_Send->m_Status},
-                         {"foreign", m_Send->m_ForeignAnswer},
-                         {"after_ms", (Now - m_Send->m_At) / 1ms},
-                         {"passed", m_BytesPassed},
-                         {"step", stepName(Step)}});
+    m_Owner.m_Log.write(
+        "send_failed",
+        {{"request", m_Request.m_Id},
+         {"digest", m_Crashes.digest().str()},
+         {"upstream", m_Send->m_Instance},
+         {"box", m_Send->m_Box ? m_Send->m_Box->m_Box.str() : std::string()},
+         {"send", m_Sends},
+         {"outcome", outcomeName(Outcome)},
+         {"status", m_Send->m_Status},
+         {"foreign", m_Send->m_ForeignAnswer},
+         {"after_ms", (Now - m_Send->m_At) / 1ms},
+         {"passed", m_BytesPassed},
+         {"step", stepName(Step)}});
   carryOut(Step);
 }
 
@@ -676,6 +805,8 @@
   case ForwardingStep::PassOn:
     return passAnswer();
   case ForwardingStep::Refuse:
+    if (m_Send && m_Send->m_Verdict == PassVerdict::Refused)
+      return passRefusal();
     return refuse(ErrorKind::NoUpstream, RejectedRetryAfter, {});
   case ForwardingStep::Fail:
     return fail(ErrorKind::OutcomeUnknown);
@@ -702,15 +833,38 @@
   end(Success ? "ok" : "upstream_error");
 }
 
+/// Answers as the box did that was asked.
+void ProxiedRequest::passRefusal() {
+  m_Quota.refund();
+  m_Exchange->reply(m_Send->m_Status,
+                    withoutConnectionFields(m_Send->m_Headers), m_Send->m_Body);
+  end("refused_by_box");
+}
+
+/// \returns what the box that passed the request on is told of a refusal.
+PassVerdict ProxiedRequest::verdictFor(ErrorKind Kind) const {
+  switch (Kind) {
+  case ErrorKind::Overloaded:
+  case ErrorKind::NoResidentCopy:
+  case ErrorKind::RequestQuarantined:
+    return PassVerdict::Refused;
+  default:
+    return m_Sends > 0 ? PassVerdict::Rejected : PassVerdict::Declined;
+  }
+}
+
 void ProxiedRequest::refuse(ErrorKind Kind, Duration RetryAfter,
                             std::string Detail) {
   m_RefusalRetryAfter = RetryAfter;
   m_Quota.refund();
+  HttpHeaders Headers = m_Owner.m_Dialect.m_FailureHeaders(m_Request.m_Id);
+  if (m_Passed)
+    Headers.push_back(verdictField(verdictFor(Kind)));
   replyWithFailure(m_Exchange,
                    {.m_Kind = Kind,
                     .m_RetryAfter = RetryAfter,
                     .m_Detail = std::move(Detail)},
-                   m_Owner.m_Dialect.m_FailureHeaders(m_Request.m_Id));
+                   std::move(Headers));
   end(answerFor(Kind).m_Code);
 }
 
@@ -751,7 +905,8 @@
   m_PacingTimer = Timer();
   m_IdleMonitor.stop();
   const Duration First = m_FirstByte ? *m_FirstByte - m_Arrived : 0us;
-  if (Outcome != "ok" && Outcome != answerFor(ErrorKind::CallerLeft).m_Code)
+  if (!m_Passed && Outcome != "ok" &&
+      Outcome != answerFor(ErrorKind::CallerLeft).m_Code)
     m_Owner.m_State.m_RetryDetector.recordRefusal(m_Route.m_Name, Now);
   if (Outcome == "ok" && streaming() && m_FirstByte)
     m_Owner.m_State.m_Latency.observeHold(m_Request.m_Model,
@@ -763,6 +918,7 @@
        {"route", m_Route.m_Name},
        {"outcome", Outcome},
        {"organisation", m_Organisation},
+       {"passed_here", m_Passed != nullptr},
        {"units", std::lround(m_Quota.units())},
        {"model", m_Request.m_Model},
        {"adapter", m_Request.m_Adapter},
@@ -781,11 +937,14 @@
        {"first_ms", First / 1ms},
        {"gap_ms", m_LongestGap / 1ms},
        {"whole_ms", waited(Now) / 1ms}});
-  m_Owner.m_Hooks.m_Ended({.m_Route = m_Route.m_Name,
-                           .m_Organisation = m_Organisation,
-                           .m_Outcome = Outcome,
-                           .m_FirstByte = First,
-                           .m_Whole = waited(Now)});
+  if (m_Passed)
+    m_Owner.m_Hooks.m_PassedEnded(Outcome);
+  else
+    m_Owner.m_Hooks.m_Ended({.m_Route = m_Route.m_Name,
+                             .m_Organisation = m_Organisation,
+                             .m_Outcome = Outcome,
+                             .m_FirstByte = First,
+                             .m_Whole = waited(Now)});
   m_Owner.remove(Self);
 }
 
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -9,6 +9,7 @@
 #include "decisions/request/UpstreamEligibility.h"
 #include "gateway/request/CrashGuard.h"
 #include "gateway/request/Forwarder.h"
+#include "gateway/request/PassService.h"
 #include "gateway/request/RequestPermit.h"
 #include "gateway/request/RequestQuota.h"
 #include "gateway/request/StreamIdleMonitor.h"
@@ -24,11 +25,13 @@
 /// answer has been given.
 class ProxiedRequest : public std::enable_shared_from_this<ProxiedRequest> {
 public:
+  /// \p Passed is null for a request that a caller sent to this box. For one
+  /// that another box passed on, it counts that as open while it lives.
   ProxiedRequest(Forwarder &Owner, HttpExchangePtr Exchange,
                  RequestDescriptor Request,
                  std::shared_ptr<const ServingConfig> Config,
                  const Route &MatchedRoute, const Organisation *Caller,
-                 TimePoint Arrived);
+                 TimePoint Arrived, std::shared_ptr<void> Passed);
 
   /// Starts to process the request.
   void begin();
@@ -39,17 +42,21 @@
   void crashesChanged();
 
 private:
-  /// One send to an upstream.
+  /// One send to an upstream, or to the box that the request is passed on to.
   struct Send {
-    InstanceId m_Instance;
-    StartTime m_StartTime = 0;   ///< Start time of the instance.
-    TimePoint m_At{};            ///< When the request was sent.
+    InstanceId m_Instance;                    ///< Empty for a box.
+    std::optional<PassService::Target> m_Box; ///< Empty for an upstream.
+    std::shared_ptr<void> m_PassToken;        ///< Counts it as open at m_Box.
+    StartTime m_StartTime = 0;                ///< Start time of the instance.
+    TimePoint m_At{};                         ///< When the request was sent.
     double m_PendingMs = 0;      ///< Work ahead of the request at the upstream.
     double m_WorkMs = 0;         ///< The request's own work.
     double m_ExpectedMs = 0;     ///< Expected time to the first token.
     double m_Tokens = 0;         ///< Tokens that the request occupies.
     bool m_CountedAsLoad = true; ///< The load tracker counts it.
     std::optional<TimePoint> m_Started; ///< When the answer began.
+    /// What the box states; none for an upstream.
+    PassVerdict m_Verdict = PassVerdict::None;
     bool m_NotRun = false; ///< The upstream states that it did not run it.
     bool m_ForeignAnswer = false; ///< The answer is for another request.
     bool m_MayBeKept = false;     ///< It may use a kept connection.
@@ -69,7 +76,16 @@
     std::optional<Duration> m_ServesIn;
   };
 
+  void countArrival();
   void step();
+  bool unreachable(TimePoint Now) const;
+  bool passOn(TimePoint Now);
+  void sendToBox(const PassService::Target &To, PassService &Service,
+                 TimePoint Now);
+  void notePassed(SendOutcome Outcome);
+  void passRefusal();
+  PassVerdict verdictFor(ErrorKind Kind) const;
+  int maxSends() const;
   void resume();
   bool refuseIfBound(const std::optional<ChosenReplica> &Chosen, TimePoint Now);
   bool refuseIfBackedOff(const std::optional<ChosenReplica> &Chosen,
@@ -88,6 +104,7 @@
   bool withinQuota(TimePoint Now);
   void onQuota(const std::optional<QuotaVerdict> &Verdict);
   void send(const ChosenReplica &Chosen, TimePoint Now);
+  HttpCall commonCall(TimePoint Now);
   HttpCall makeCall(const UpstreamInstance &To, TimePoint Now);
   void expectBytesWithin(Duration Limit);
   std::optional<HttpCall> probe() const;
@@ -127,6 +144,9 @@
   bool streaming() const { return m_Route.m_Kind == RouteKind::Stream; }
   Duration waited(TimePoint Now) const { return Now - m_Arrived; }
 
+  /// Null for a request that a caller sent to this box; else counts it as one
+  /// that another box passed on.
+  std::shared_ptr<void> m_Passed;
   Forwarder &m_Owner;
   HttpExchangePtr m_Exchange;
   RequestDescriptor m_Request;
@@ -145,6 +165,8 @@
   TimePoint m_Deadline;
   Duration m_SinceFirstTry = 0us; ///< Zero for a first try.
   std::set<InstanceId> m_Tried;   ///< Upstreams that it was sent to.
+  std::set<BoxName> m_AskedBoxes; ///< Boxes that it was passed on to.
+  bool m_ConnectFailed = false;   ///< An upstream could not be connected to.
   int m_Sends = 0;
   bool m_MayHaveRun = false;  ///< An upstream may have run the request.
   bool m_BytesPassed = false; ///< The caller has received part of the answer.
--- a/packages/gateway/request/RequestDialect.h
+++ b/packages/gateway/request/RequestDialect.h
@@ -54,6 +54,11 @@
   std::function<HttpHeaders(const HttpHeaders &FromCaller,
                             const ForwardedFields &)>
       m_Forward;
+  /// \returns the header fields for another box, which identifies the caller
+  /// itself; only the time left and the last event are used.
+  std::function<HttpHeaders(const HttpHeaders &FromCaller,
+                            const ForwardedFields &)>
+      m_PassOn;
   /// Reads the head of an upstream's answer.
   std::function<AnswerFacts(int Status, const HttpHeaders &)> m_ReadAnswer;
   /// \returns the header fields of an answer that the gateway generates itself.
--- a/packages/gateway/request/StartupQueue.h
+++ b/packages/gateway/request/StartupQueue.h
@@ -6,6 +6,7 @@
 #include "decisions/request/RequestDescriptor.h"
 #include "wire/common/HttpServer.h"
 #include <cstddef>
+#include <memory>
 #include <vector>
 
 namespace havenstair {
@@ -34,6 +35,8 @@
     HttpExchangePtr m_Exchange;
     RequestDescriptor m_Request;
     TimePoint m_Arrived{};
+    /// Set if another box passed the request on.
+    std::shared_ptr<void> m_Passed;
   };
 
   StartupQueue(TimePoint StartedAt, Options Opts)
--- a/tests/gateway/GatewayTest.h
+++ b/tests/gateway/GatewayTest.h
@@ -133,6 +133,7 @@
     Options.m_DataCentre = DataCentreName("a");
     Options.m_Callers = Options.m_Readiness = Options.m_Peers =
         Options.m_Metrics = {"127.0.0.1", 0};
+    Options.m_Passing = Endpoint{"127.0.0.1", 0};
     Options.m_Store = m_Store.endpoint();
     Options.m_Bounds.m_RetryAllowance = 100;
     return Options;
