Do not take the crash of a single upstream for a partition

What callers saw, in tests only: tries of a request that crashes upstreams, which waited for one, were passed on or refused instead of being held back.

Cause: a box that knows one upstream took its crash for a partition, and a request blamed for crashes was passed on past this box's guard.

Change: a partition needs two upstreams; a blamed request moves on only in a partition, not in doubt.

--- a/packages/decisions/process/UpstreamReach.cpp
+++ b/packages/decisions/process/UpstreamReach.cpp
@@ -28,8 +28,9 @@
     return false;
   const std::size_t Needed =
       m_KeptAnswered ? m_Opts.m_MinFailedWithKept : m_Opts.m_MinFailed;
+  // One upstream alone may as well have ended.
   m_Partitioned =
-      m_Failed.size() >= std::max<std::size_t>(1, std::min(Needed, Known));
+      m_Failed.size() >= std::max(m_Opts.m_MinFailed, std::min(Needed, Known));
   return m_Partitioned;
 }
 
--- a/packages/gateway/request/CrashGuard.cpp
+++ b/packages/gateway/request/CrashGuard.cpp
@@ -20,6 +20,12 @@
   return Service ? Service->holdTime(m_Request, Now) : std::nullopt;
 }
 
+bool CrashGuard::blamed(TimePoint Now) const {
+  return m_Tracker.crashCount(m_Request, Now) > 0 ||
+         m_Tracker.isSuspect(m_Request, Now) ||
+         m_Tracker.isAmbiguous(m_Request, Now);
+}
+
 void CrashGuard::narrowCandidates(
     std::vector<const UpstreamInstance *> &Candidates, bool ConnectionBroke,
     TimePoint Now) const {
--- a/packages/gateway/request/CrashGuard.h
+++ b/packages/gateway/request/CrashGuard.h
@@ -38,6 +38,8 @@
   /// \returns how long the request has to wait before it is sent; empty if it
   /// need not wait.
   std::optional<Duration> holdTime(TimePoint Now) const;
+  /// \returns whether upstreams are known to have crashed under the request.
+  bool blamed(TimePoint Now) const;
   /// Reduces \p Candidates to a subset if an upstream has crashed under the
   /// request or its last connection broke (\p ConnectionBroke), and to one
   /// candidate if several upstreams have crashed. Requests that shared a
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -203,6 +203,9 @@
 /// Passes the request on to another box; declines one that comes from another
 /// box. \returns whether the request was dealt with.
 bool ProxiedRequest::passOn(TimePoint Now) {
+  // A crash looks like a partition until another upstream has answered.
+  if (m_Crashes.blamed(Now) && !m_Owner.m_State.m_Reach.partitioned())
+    return false;
   if (m_Passed) {
     refuse(ErrorKind::NoUpstream, RejectedRetryAfter, "partitioned");
     return true;
