RegionTest: one poll for each connection

Cause: "Regions that change between two sends apply to the second one" failed with 504 for 502: after a broken connection the box now probes the runners, and the fixture's single poll went over to the probe, so that the request's own connection was never closed.

Change: the fixture keeps one poll for each connection. Nothing that is required changes.

--- a/tests/gateway/RegionTest.cpp
+++ b/tests/gateway/RegionTest.cpp
@@ -101,15 +101,16 @@
                                  const ConnectionPtr &Connection) {
             First(Received, Connection);
             configureRegions(2, Regions);
-            m_Poll = m_Loop.every(5ms, [this, Connection] {
+            m_Polls.push_back(m_Loop.every(5ms, [this, Connection] {
               if (m_Gateway->state().configVersion() >= 2)
                 Connection->close();
-            });
+            }));
           });
   }
 
   std::string m_LogPath;
-  Timer m_Poll;
+  /// One for each request; the box probes the runners as well.
+  std::vector<Timer> m_Polls;
 };
 
 std::string retryAfter(const HttpAnswer &Answer) {
