--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -97,6 +97,9 @@
             if (Report.m_Leaving)
               m_Signals->recordLeaving(Engine.incarnation());
           })),
+      m_ReachMonitor(Loop, m_UpstreamHttp, m_State, m_Log,
+                     {.m_ProbeTimeout = Forwarder::Options{}.m_ConnectTimeout},
+                     {.m_Changed = [this](bool) { reachChanged(); }}),
       m_Forwarder(
           Loop, m_UpstreamHttp, m_State, m_Binding.m_Dialect, m_Log,
           forwarderOptions(m_Policy),
@@ -112,6 +115,18 @@
                [this](std::string_view Outcome) {
                  m_Metrics.recordSend(Outcome);
                },
+           .m_Reached =
+               [this](const UpstreamReach::Call &Call) {
+                 m_ReachMonitor.onReached(Call);
+               },
+           .m_PassedEnded =
+               [this](std::string_view Outcome) {
+                 m_Metrics.recordPassed("in", Outcome);
+               },
+           .m_ConnectFailed =
+               [this](const UpstreamReach::Call &Call) {
+                 m_ReachMonitor.onFailed(Call);
+               },
            .m_MayTrustKeys = [this] { return mayTrustKeys(); },
            .m_ConfigFreshness =
                [this](TimePoint Now) {
@@ -379,6 +394,39 @@
   m_MetricsServer = std::make_unique<HttpServer>(
       m_Loop, Opts,
       [this](const HttpExchangePtr &Exchange) { answerMetrics(Exchange); });
+  if (!m_Options.m_Passing)
+    return;
+  Opts.m_Listen = *m_Options.m_Passing;
+  Opts.m_MaxHeaders = 2 * Opts.m_MaxHeaders;
+  m_Passes = std::make_shared<PassExchange>(
+      m_Loop, m_Fleet, m_State, m_Log,
+      PassExchange::Options{.m_Server = Opts,
+                            .m_DataCentre = m_Options.m_DataCentre,
+                            .m_Secret = peerSecret(m_Options)},
+      passHooks());
+  m_Forwarder.setPassService(m_Passes);
+  m_Fleet.setPassing(m_Passes->endpoint());
+}
+
+PassExchange::Hooks Gateway::passHooks() {
+  return {
+      .m_Handle =
+          [this](const HttpExchangePtr &Exchange, std::shared_ptr<void> Token) {
+            m_Forwarder.handlePassed(Exchange, std::move(Token));
+          },
+      .m_ReadId =
+          [this](const HttpExchange &Exchange) {
+            return m_Forwarder.idOf(Exchange);
+          },
+      .m_Ended =
+          [this](std::string_view Way, std::string_view Outcome) {
+            m_Metrics.recordPassed(Way, Outcome);
+          },
+      .m_Random = [this] { return drawUnit(m_Random); }};
+}
+
+void Gateway::reachChanged() {
+  m_ReachTimer = m_Loop.after(0us, [this] { m_Forwarder.upstreamsChanged(); });
 }
 
 /// Refuses requests that come late in a stop, as they may not end before the
@@ -423,6 +471,7 @@
   Now.m_QuarantinedRequests = Number(m_State.m_Crashes.quarantines().size());
   Now.m_BackedOffUpstreams =
       Number(m_State.m_Signals.backedOffCount(EventLoop::now()));
+  Now.m_Partitioned = m_State.m_Reach.partitioned() ? 1 : 0;
   Now.m_LimitedUpstreams = Number(m_State.m_Signals.limits().size());
   Now.m_RefusalLimitedUpstreams =
       Number(m_State.m_Signals.refusalLimits().size());
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -11,9 +11,11 @@
 #include "gateway/process/GatewayPolicy.h"
 #include "gateway/process/MeteredStore.h"
 #include "gateway/process/OrderLeader.h"
+#include "gateway/process/PassExchange.h"
 #include "gateway/process/PermitExchange.h"
 #include "gateway/process/PlatformBinding.h"
 #include "gateway/process/QuotaExchange.h"
+#include "gateway/process/ReachMonitor.h"
 #include "gateway/process/ServingState.h"
 #include "gateway/process/StoreCallLog.h"
 #include "gateway/process/UpstreamRegistry.h"
@@ -79,6 +81,8 @@
                                    Duration CoalesceDelay, Duration Wait,
                                    ReadKind FirstRead = ReadKind::Current);
   void startServers();
+  PassExchange::Hooks passHooks();
+  void reachChanged();
   void ownKeysChanged();
   void resync();
   void configChanged();
@@ -125,6 +129,7 @@
   std::unique_ptr<CoordinationStore> m_Store;
   std::unique_ptr<EngineControl> m_Engines;
   ServingState m_State;
+  ReachMonitor m_ReachMonitor;
   Forwarder m_Forwarder;
   UpstreamRegistry m_Registry;
   WatchCache m_ConfigCache;
@@ -143,12 +148,14 @@
   std::unique_ptr<HttpServer> m_Callers;
   std::unique_ptr<HttpServer> m_Readiness;
   std::unique_ptr<HttpServer> m_MetricsServer;
+  std::shared_ptr<PassExchange> m_Passes; ///< Null without an address for it.
   Timer m_ReloadTimer;
   /// Ends what is kept against the list, and the evacuations, of a restored
   /// store.
   Timer m_ReconcileTimer;
   Timer m_EvacuationTimer;
   Timer m_OwnKeysTimer;
+  Timer m_ReachTimer;
   Timer m_StopTimer;
   TimePoint m_StartedAt = EventLoop::now();
   TimePoint m_StopAt{};
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -43,6 +43,12 @@
           .Name("havenstair_sends_total")
           .Help("Sends to upstreams by outcome")
           .Register(m_Registry);
+  prometheus::Family<prometheus::Counter> &m_Passed =
+      prometheus::BuildCounter()
+          .Name("havenstair_passed_requests_total")
+          .Help("Requests that were passed on to other boxes (out) or came "
+                "from them (in), by outcome")
+          .Register(m_Registry);
   prometheus::Family<prometheus::Counter> &m_Orders =
       prometheus::BuildCounter()
           .Name("havenstair_orders_total")
@@ -168,6 +174,13 @@
 
 void GatewayMetrics::recordNoRoom() { m_Families->m_NoRoom.Increment(); }
 
+void GatewayMetrics::recordPassed(std::string_view Way,
+                                  std::string_view Outcome) {
+  m_Families->m_Passed
+      .Add({{"way", std::string(Way)}, {"outcome", std::string(Outcome)}})
+      .Increment();
+}
+
 void GatewayMetrics::recordOrder(std::string_view Operation,
                                  std::string_view Answer) {
   m_Families->m_Orders
@@ -228,6 +241,7 @@
   m_Families->state("refusal_limited_servers",
                     Gauges.m_RefusalLimitedUpstreams);
   m_Families->state("backed_off_servers", Gauges.m_BackedOffUpstreams);
+  m_Families->state("partitioned", Gauges.m_Partitioned);
   m_Families->state("frames_skipped", Gauges.m_FramesSkipped);
   for (const auto &[Kind, Frames] : Gauges.m_PeerFrames)
     m_Families->m_PeerFrames.Add({{"kind", std::string(Kind)}}).Set(Frames);
--- a/tests/gateway/GatewayTest.h
+++ b/tests/gateway/GatewayTest.h
@@ -133,6 +133,7 @@
     Options.m_DataCentre = DataCentreName("a");
     Options.m_Callers = Options.m_Readiness = Options.m_Peers =
         Options.m_Metrics = {"127.0.0.1", 0};
+    Options.m_Passing = Endpoint{"127.0.0.1", 0};
     Options.m_Store = m_Store.endpoint();
     Options.m_Bounds.m_RetryAllowance = 100;
     return Options;
@@ -150,6 +151,13 @@
             throw DecodeError("a field that this box does not know");
           return Result;
         };
+    Binding.m_DecodeUpstream = [this, Box = Options.m_Box,
+                                Decode = std::move(Binding.m_DecodeUpstream)](
+                                   const std::string &Key,
+                                   const std::string &Value) {
+      UpstreamInstance Entry = Decode(Key, Value);
+      return m_SeenBy ? m_SeenBy(Box, std::move(Entry)) : Entry;
+    };
     return std::make_unique<Gateway>(m_Loop, std::move(Binding), Options,
                                      GatewayPolicy{}, m_LogDescriptor,
                                      std::move(Stopped));
@@ -235,6 +243,8 @@
 
   /// A box that can decode only configuration version 1.
   BoxName m_OutdatedBox;
+  /// Changes what a box reads of an upstream's entry; may be empty.
+  std::function<UpstreamInstance(const BoxName &, UpstreamInstance)> m_SeenBy;
   int m_TimeoutMs = 8000;
   /// Organisations of the next configuration.
   Json m_Organisations = Json::array();
