--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -57,6 +57,8 @@
   bool leading() const { return m_Leader.leading(); }
   /// Number of linked boxes.
   std::size_t peers() const { return m_Fleet.linked().size(); }
+  /// Number of boxes that this one is the relay of.
+  std::size_t leaves() const { return m_Exchange.leafCount(); }
   /// Number of entries of the list of upstreams, as far as this box knows them.
   std::size_t listedUpstreams() const { return m_Registry.size(); }
   /// Frames that this box has sent to other boxes, by kind.
