Contents of engines are passed on along a tree, never in a circle

What callers saw: nothing directly; boxes that took each other for leaves while the list of boxes changed sent one frame to each other as fast as the links carried it, and burnt their processors beside the streams that they passed.

Cause: FleetExchange::receive(FleetContentsFrame) passed every frame whose token is the highest on to all boxes in m_Leaves, the sender among them.

Change: a box passes contents on when they come from the box from which it first received that term's contents, or directly from the leader of that term, and not to the box that they come from. First receptions form a tree, and the leader is its root, so no circle is left; a box that received its first frame by a detour still passes on what the leader sends. No frame changes: older builds are served as before, and a circle is broken by the first new build in it.

Before: 1 and 2 frames came back in the test's two sections. After: none, and all contents of a term still reach the other leaf. [orders] and [fleet]: 21 test cases pass.

--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -335,13 +335,14 @@
 
 // Routing.
 
-void FleetExchange::sendToLeaves(const PeerFrame &Frame) {
+void FleetExchange::sendToLeaves(const PeerFrame &Frame, const BoxName &But) {
   if (m_Leaves.empty())
     return;
   const EncodedFrame Encoded(Frame);
   const std::map<BoxName, Leaf> Leaves = m_Leaves;
   for (const auto &[Name, Each] : Leaves)
-    m_Deps.m_Fleet.send(Name, Encoded);
+    if (Name != But)
+      m_Deps.m_Fleet.send(Name, Encoded);
 }
 
 void FleetExchange::dropSilentLeaves(TimePoint Now) {
@@ -501,9 +502,12 @@
                                             EventLoop::now());
 }
 
-void FleetExchange::receive(const BoxName &, const FleetContentsFrame &Frame) {
+void FleetExchange::receive(const BoxName &From,
+                            const FleetContentsFrame &Frame) {
   if (Frame.m_FencingToken < m_ContentsToken)
     return;
+  if (Frame.m_FencingToken > m_ContentsToken)
+    m_ContentsSource = From;
   m_ContentsToken = Frame.m_FencingToken;
   const TimePoint Now = EventLoop::now();
   for (const EngineContents &Each : Frame.m_Engines) {
@@ -513,10 +517,22 @@
     Upstreams.recordLeaderLoad(Each.incarnation(), Each.m_Loading,
                                Now + Each.m_ServesIn);
   }
-  sendToLeaves(Frame);
+  if (passesOnContents(From, Frame.m_FencingToken))
+    sendToLeaves(Frame, From);
   m_Hooks.m_ContentsChanged();
 }
 
+/// Whether the leaves are sent the contents that came from \p From in the term
+/// with \p Token. While the list of boxes changes, boxes may take each other
+/// for leaves. The boxes from which each first received a term's contents form
+/// a tree, so contents that go along it or come from the leader never circle.
+bool FleetExchange::passesOnContents(const BoxName &From,
+                                     FencingToken Token) const {
+  return From == m_ContentsSource ||
+         m_Deps.m_Leader.leader() ==
+             LeaderTerm{.m_Token = Token, .m_Box = From};
+}
+
 /// Forwards missing models towards the leader.
 void FleetExchange::receive(const BoxName &From,
                             const FleetMissingFrame &Frame) {
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -89,7 +89,7 @@
   Duration excessDelay(const FleetDigestFrame &Frame, TimePoint Now) const;
 
   void sendDigest(const BoxName &To, FleetDigestFrame Frame);
-  void sendToLeaves(const PeerFrame &Frame);
+  void sendToLeaves(const PeerFrame &Frame, const BoxName &But);
   void sendKeysToRelays(const FleetKeysFrame &Frame);
   void sendKeysToLeaves(const FleetKeysFrame &Frame);
   void sendListUpdates(bool All);
@@ -113,6 +113,7 @@
     m_Lists.adopt(From, Frame);
   }
   void receive(const BoxName &From, const FleetContentsFrame &Frame);
+  bool passesOnContents(const BoxName &From, FencingToken Token) const;
   void receive(const BoxName &From, const FleetMissingFrame &Frame);
 
   /// A box that has chosen this one as its relay.
@@ -127,6 +128,8 @@
   Options m_Opts;
   Hooks m_Hooks;
   FencingToken m_ContentsToken = 0; ///< Highest of the contents received.
+  /// The box from which contents with that token came first.
+  BoxName m_ContentsSource;
   EchoClock m_Clock;
   std::map<BoxName, Leaf> m_Leaves;
   LeafSubsets m_LeafSubsets;
--- a/tests/gateway/FleetContentsTest.cpp
+++ b/tests/gateway/FleetContentsTest.cpp
@@ -26,7 +26,7 @@
                {.m_Up = [this](const BoxName &Box,
                                const DataCentreName &) { m_Gateway = Box; },
                 .m_Frame = [this](const BoxName &,
-                                  PeerFrame Frame) { receive(Frame); },
+                                  const PeerFrame &Frame) { receive(Frame); },
                 .m_Down = [](const BoxName &) {}}),
         m_DigestTimer(Loop.every(100ms, [this] { sendDigest(); })) {}
 
@@ -86,7 +86,7 @@
 
 TEST_CASE("Contents of engines do not circle between boxes that take each "
           "other for leaves",
-          "[gateway][fleet][orders][known-red]") {
+          "[gateway][fleet][orders]") {
   ContentsTest Test;
   Test.m_First.sendContents(Token);
   REQUIRE(Test.until([&] { return Test.m_Second.received(Token) == 1; }));
