--- a/tests/soak/SoakEndings.cpp
+++ b/tests/soak/SoakEndings.cpp
@@ -23,13 +23,13 @@
 }
 
 AnswerEnding SoakEndings::sound() {
-  constexpr std::array Framings{AnswerFraming::Length, AnswerFraming::Chunks,
-                                AnswerFraming::Neither};
+  constexpr std::array Framings{SentFraming::Length, SentFraming::Chunks,
+                                SentFraming::Neither};
   // A reset may overtake what was sent, and silence ends nothing.
   constexpr std::array Ends{ConnectionEnd::Fin, ConnectionEnd::FinWithBytes,
                             ConnectionEnd::HalfClose};
-  const AnswerFraming Framing = pick(Framings, m_Random);
-  const bool Kept = Framing != AnswerFraming::Neither && draw(0, 1) == 0;
+  const SentFraming Framing = pick(Framings, m_Random);
+  const bool Kept = Framing != SentFraming::Neither && draw(0, 1) == 0;
   return {.m_Framing = Framing,
           .m_End = Kept ? ConnectionEnd::Kept : pick(Ends, m_Random),
           .m_At = AnswerCut::Nowhere};
@@ -48,7 +48,7 @@
 void SoakEndings::send(const Run &Of, EndedAnswer::Options Opts, int After) {
   const AnswerEnding Told = Opts.m_Ending;
   if (m_ClaimsWhole)
-    Opts.m_Ending.m_Framing = AnswerFraming::Chunks;
+    Opts.m_Ending.m_Framing = SentFraming::Chunks;
   Opts.m_Head = Of.m_Head;
   std::erase_if(m_Answers, [](const auto &Each) { return Each->over(); });
   m_Answers.push_back(
--- a/tests/standin/AnswerEnding.cpp
+++ b/tests/standin/AnswerEnding.cpp
@@ -6,19 +6,19 @@
 
 namespace {
 
-const char *nameOf(AnswerFraming Of) {
+const char *nameOf(SentFraming Of) {
   switch (Of) {
-  case AnswerFraming::Length:
+  case SentFraming::Length:
     return "length";
-  case AnswerFraming::LongerLength:
+  case SentFraming::LongerLength:
     return "longer-length";
-  case AnswerFraming::ShorterLength:
+  case SentFraming::ShorterLength:
     return "shorter-length";
-  case AnswerFraming::Chunks:
+  case SentFraming::Chunks:
     return "chunks";
-  case AnswerFraming::ChunksWithoutLast:
+  case SentFraming::ChunksWithoutLast:
     return "chunks-without-last";
-  case AnswerFraming::Neither:
+  case SentFraming::Neither:
     return "neither";
   }
   return "";
@@ -65,8 +65,8 @@
 }
 
 bool inChunks(const AnswerEnding &Ending) {
-  return Ending.m_Framing == AnswerFraming::Chunks ||
-         Ending.m_Framing == AnswerFraming::ChunksWithoutLast;
+  return Ending.m_Framing == SentFraming::Chunks ||
+         Ending.m_Framing == SentFraming::ChunksWithoutLast;
 }
 
 std::size_t withoutError(std::size_t Size) {
@@ -82,14 +82,14 @@
 
 bool framedAsWhole(const AnswerEnding &Ending) {
   switch (Ending.m_Framing) {
-  case AnswerFraming::Length:
-  case AnswerFraming::ShorterLength:
-  case AnswerFraming::Chunks:
+  case SentFraming::Length:
+  case SentFraming::ShorterLength:
+  case SentFraming::Chunks:
     return true;
-  case AnswerFraming::LongerLength:
-  case AnswerFraming::ChunksWithoutLast:
+  case SentFraming::LongerLength:
+  case SentFraming::ChunksWithoutLast:
     return false;
-  case AnswerFraming::Neither:
+  case SentFraming::Neither:
     return Ending.m_End == ConnectionEnd::Fin ||
            Ending.m_End == ConnectionEnd::FinWithBytes ||
            Ending.m_End == ConnectionEnd::HalfClose;
@@ -99,7 +99,7 @@
 
 bool isSound(const AnswerEnding &Ending) {
   return framedAsWhole(Ending) && Ending.m_At == AnswerCut::Nowhere &&
-         Ending.m_Framing != AnswerFraming::ShorterLength &&
+         Ending.m_Framing != SentFraming::ShorterLength &&
          Ending.m_End != ConnectionEnd::Reset &&
          Ending.m_End != ConnectionEnd::Silence;
 }
@@ -107,12 +107,12 @@
 std::string framingFields(const AnswerEnding &Ending, std::size_t BodySize) {
   if (inChunks(Ending))
     return "Transfer-Encoding: chunked\r\n\r\n";
-  if (Ending.m_Framing == AnswerFraming::Neither)
+  if (Ending.m_Framing == SentFraming::Neither)
     return "\r\n";
   std::size_t Length = BodySize;
-  if (Ending.m_Framing == AnswerFraming::LongerLength)
+  if (Ending.m_Framing == SentFraming::LongerLength)
     Length += LengthError;
-  if (Ending.m_Framing == AnswerFraming::ShorterLength)
+  if (Ending.m_Framing == SentFraming::ShorterLength)
     Length = withoutError(Length);
   return "Content-Length: " + std::to_string(Length) + "\r\n\r\n";
 }
@@ -127,11 +127,11 @@
 }
 
 std::string framedEnd(const AnswerEnding &Ending) {
-  return Ending.m_Framing == AnswerFraming::Chunks ? "0\r\n\r\n" : "";
+  return Ending.m_Framing == SentFraming::Chunks ? "0\r\n\r\n" : "";
 }
 
 std::string readableBody(const AnswerEnding &Ending, const std::string &Body) {
-  return Ending.m_Framing == AnswerFraming::ShorterLength
+  return Ending.m_Framing == SentFraming::ShorterLength
              ? Body.substr(0, withoutError(Body.size()))
              : Body;
 }
--- a/tests/standin/AnswerEnding.h
+++ b/tests/standin/AnswerEnding.h
@@ -11,7 +11,7 @@
 
 /// What tells a reader where the body ends. Lengths and chunks are those of the
 /// bytes that are sent, also where the text is cut.
-enum class AnswerFraming {
+enum class SentFraming {
   Length,
   LongerLength,  ///< Names more bytes than come.
   ShorterLength, ///< Names fewer bytes than come.
@@ -43,7 +43,7 @@
 };
 
 struct AnswerEnding {
-  AnswerFraming m_Framing = AnswerFraming::Length;
+  SentFraming m_Framing = SentFraming::Length;
   ConnectionEnd m_End = ConnectionEnd::Kept;
   AnswerCut m_At = AnswerCut::Nowhere;
 
@@ -55,12 +55,12 @@
 /// Bytes by which LongerLength and ShorterLength differ from what is sent.
 constexpr std::size_t LengthError = 7;
 
-inline constexpr std::array AllFramings{AnswerFraming::Length,
-                                        AnswerFraming::LongerLength,
-                                        AnswerFraming::ShorterLength,
-                                        AnswerFraming::Chunks,
-                                        AnswerFraming::ChunksWithoutLast,
-                                        AnswerFraming::Neither};
+inline constexpr std::array AllFramings{SentFraming::Length,
+                                        SentFraming::LongerLength,
+                                        SentFraming::ShorterLength,
+                                        SentFraming::Chunks,
+                                        SentFraming::ChunksWithoutLast,
+                                        SentFraming::Neither};
 inline constexpr std::array AllConnectionEnds{
     ConnectionEnd::Kept,      ConnectionEnd::Fin,   ConnectionEnd::FinWithBytes,
     ConnectionEnd::HalfClose, ConnectionEnd::Reset, ConnectionEnd::Silence};
--- a/tests/standin/AnswerEndingTest.cpp
+++ b/tests/standin/AnswerEndingTest.cpp
@@ -55,7 +55,7 @@
 TEST_CASE("A stand-in's answer ends as its description says",
           "[standin][ending]") {
   const bool ThroughProxy = GENERATE(false, true);
-  for (const AnswerFraming Framing : AllFramings)
+  for (const SentFraming Framing : AllFramings)
     for (const ConnectionEnd End : AllConnectionEnds)
       for (const AnswerCut At : {AnswerCut::Nowhere, AnswerCut::InsideEvent}) {
         const AnswerEnding Ending{Framing, End, At};
@@ -78,7 +78,7 @@
 TEST_CASE("A stand-in's stream is cut where its description says",
           "[standin][ending]") {
   const auto Sent = [](AnswerCut At) {
-    return Exchange({AnswerFraming::Neither, ConnectionEnd::Fin, At}).m_Sent;
+    return Exchange({SentFraming::Neither, ConnectionEnd::Fin, At}).m_Sent;
   };
   const std::string First = "id: 1\ndata: piece-1\n\n";
   REQUIRE(Sent(AnswerCut::Nowhere) ==
@@ -95,7 +95,7 @@
 
 TEST_CASE("A half close leaves the other direction open", "[standin][ending]") {
   const bool Half = GENERATE(true, false);
-  Exchange Of({AnswerFraming::Neither,
+  Exchange Of({SentFraming::Neither,
                Half ? ConnectionEnd::HalfClose : ConnectionEnd::Fin,
                AnswerCut::Nowhere},
               true);
