--- a/packages/wire/common/HttpClient.cpp
+++ b/packages/wire/common/HttpClient.cpp
@@ -261,10 +261,13 @@
     if (Self->m_Done)
       return 0;
     const int Status = evhttp_request_get_response_code(Request);
-    // evhttp goes on to the final answer after this one, and after no other.
-    if (Status == ContinueStatus)
-      return 0;
     evkeyvalq *Headers = evhttp_request_get_input_headers(Request);
+    // evhttp goes on to the final answer after this one, and after no other; it
+    // would keep these fields for it.
+    if (Status == ContinueStatus) {
+      evhttp_clear_headers(Headers);
+      return 0;
+    }
     Self->m_Status = Status;
     Self->m_AnswerHeaders = copyHeaders(Headers);
     if (Status < FirstFinalStatus ||
