An answer without a length that is cut never ends in order

The socket was also closed behind evhttp's back, which closed the same number once more: with a descriptor opened in between, another one's.

The connection is dissolved (connect to AF_UNSPEC, which resets it) from the callback that names it, and at once on abort; the descriptor stays with evhttp. startStream() tells the framing that the answer has, as HTTP/1.0 callers always get the connection's. The load command takes an answer that its connection ended, where its end mark is there.

--- a/packages/havenstair/request/LoadCommand.cpp
+++ b/packages/havenstair/request/LoadCommand.cpp
@@ -119,7 +119,7 @@
   });
   std::string Outcome = "ok";
   const bool AnswerComplete =
-      End == HttpEnd::Complete &&
+      (End == HttpEnd::Complete || End == HttpEnd::Closed) &&
       (!m_Opts.m_Stream || Request->m_Status != 200 ||
        Request->m_Body.find(StreamEnd) != std::string::npos);
   if (!AnswerComplete)
--- a/packages/wire/common/HttpServer.cpp
+++ b/packages/wire/common/HttpServer.cpp
@@ -13,7 +13,6 @@
 #include <netinet/in.h>
 #include <stdexcept>
 #include <sys/socket.h>
-#include <unistd.h>
 #include <utility>
 
 namespace havenstair {
@@ -111,11 +110,13 @@
   return Connection == nullptr ? -1 : socketOf(Connection);
 }
 
-/// Closes the socket before evhttp does, which would end it in order first.
-void closeSocket(evhttp_connection *Connection) {
+/// Resets \p Connection, which evhttp would end in order; its socket stays
+/// open.
+void resetConnection(evhttp_connection *Connection) {
   bufferevent *Stream = evhttp_connection_get_bufferevent(Connection);
   bufferevent_disable(Stream, EV_READ | EV_WRITE);
-  close(bufferevent_getfd(Stream));
+  const sockaddr Nobody{.sa_family = AF_UNSPEC};
+  connect(bufferevent_getfd(Stream), &Nobody, sizeof(Nobody));
 }
 
 /// Decides whether closing \p Socket, also by the end of the process, is a
@@ -236,8 +237,8 @@
   event_add(m_CloseEvent, nullptr);
   evhttp_connection_set_closecb(
       Connection,
-      [](evhttp_connection *, void *Arg) {
-        static_cast<HttpExchange *>(Arg)->callerLeft(true);
+      [](evhttp_connection *Closing, void *Arg) {
+        static_cast<HttpExchange *>(Arg)->callerLeft(Closing);
       },
       this);
 }
@@ -245,26 +246,25 @@
 /// libevent reports a connection that was reset as readable, never as closed.
 void HttpExchange::onSocketEvent(int Socket, short What) {
   if ((What & EV_CLOSED) != 0 || hasError(Socket))
-    return callerLeft(false);
+    return callerLeft(nullptr);
   // Bytes of the next request, which evhttp reads after this answer, stay
   // readable until then.
   m_NextLook = m_Loop.after(PipelinedLookInterval,
                             [this] { event_add(m_CloseEvent, nullptr); });
 }
 
-void HttpExchange::callerLeft(bool ConnectionClosing) {
+void HttpExchange::callerLeft(evhttp_connection *Closing) {
   const HttpExchangePtr Self = shared_from_this();
   if (m_Request == nullptr)
     return;
   const std::function<void()> Left = std::exchange(m_Left, nullptr);
   evhttp_request *Request = m_Request;
-  evhttp_connection *Connection = evhttp_request_get_connection(Request);
-  const bool Detached = Connection == nullptr;
+  const bool Detached = evhttp_request_get_connection(Request) == nullptr;
   release();
-  if (m_Unframed && ConnectionClosing && !Detached)
-    closeSocket(Connection);
+  if (m_Unframed && Closing != nullptr)
+    resetConnection(Closing);
   // A closing connection frees its request, unless it has let go of it.
-  if (!ConnectionClosing || Detached)
+  if (Closing == nullptr || Detached)
     closeConnection(Request);
   if (Left)
     Left();
@@ -303,15 +303,18 @@
   evhttp_send_reply(Request, Status, nullptr, toBuffer(Body).get());
 }
 
-void HttpExchange::startStream(int Status, const HttpHeaders &Headers,
-                               AnswerFraming Framing) {
+AnswerFraming HttpExchange::startStream(int Status, const HttpHeaders &Headers,
+                                        AnswerFraming Framing) {
   if (m_Request == nullptr)
-    return;
+    return Framing;
   addHeaders(Headers);
   m_Streaming = true;
-  if (Framing == AnswerFraming::Connection || !understandsChunks(m_Request))
-    return startUnframed(Status);
+  if (Framing == AnswerFraming::Connection || !understandsChunks(m_Request)) {
+    startUnframed(Status);
+    return AnswerFraming::Connection;
+  }
   evhttp_send_reply_start(m_Request, Status, nullptr);
+  return Framing;
 }
 
 /// evhttp adds chunks or a length to the head of each answer that may have a
@@ -377,12 +380,10 @@
   bufferevent_disable(Stream, EV_READ | EV_WRITE);
   bufferevent_setcb(Stream, nullptr, nullptr, nullptr, nullptr);
   writeWhatIsLeft(Stream);
+  if (m_Unframed)
+    resetConnection(Connection);
   // The server frees those that are left when it is destroyed.
-  m_Loop.defer([Connection, Reset = m_Unframed] {
-    if (Reset)
-      closeSocket(Connection);
-    evhttp_connection_free(Connection);
-  });
+  m_Loop.defer([Connection] { evhttp_connection_free(Connection); });
 }
 
 HttpServer::HttpServer(EventLoop &Loop, Options Opts, Handler OnRequest,
--- a/packages/wire/common/HttpServer.h
+++ b/packages/wire/common/HttpServer.h
@@ -13,6 +13,7 @@
 
 struct evhttp;
 struct evhttp_bound_socket;
+struct evhttp_connection;
 struct evhttp_request;
 struct event;
 
@@ -53,9 +54,9 @@
   /// Starts a streamed answer, with the framing `Chunks` or `Connection`. To an
   /// HTTP/1.0 caller it always is `Connection`. Until endStream() an answer of
   /// that framing ends by a reset, also when the process ends, since an orderly
-  /// close would make it look whole.
-  void startStream(int Status, const HttpHeaders &Headers,
-                   AnswerFraming Framing = AnswerFraming::Chunks);
+  /// close would make it look whole. \returns the framing that it has.
+  AnswerFraming startStream(int Status, const HttpHeaders &Headers,
+                            AnswerFraming Framing = AnswerFraming::Chunks);
   /// Sends one piece. \returns false when the reader is too slow and its
   /// buffer is full; the stream must then be ended.
   bool sendChunk(std::string_view Bytes);
@@ -73,7 +74,8 @@
   friend class HttpServer;
   void watchClose();
   void onSocketEvent(int Socket, short What);
-  void callerLeft(bool ConnectionClosing);
+  /// \p Closing is the connection that evhttp is closing, or null.
+  void callerLeft(evhttp_connection *Closing);
   void addHeaders(const HttpHeaders &Headers);
   void startUnframed(int Status);
   void closeConnection(evhttp_request *Request);
--- a/tests/wire/HttpTest.cpp
+++ b/tests/wire/HttpTest.cpp
@@ -303,6 +303,75 @@
   REQUIRE(answerOf(Server).m_End == HttpEnd::Broken);
 }
 
+TEST_CASE("The fields of an interim answer are not those of the final one",
+          "[http]") {
+  RawServer Server("HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\n"
+                   "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+  const HttpAnswer Answer = answerOf(Server);
+  REQUIRE(Answer.m_Body != "bo");
+}
+
+/// Starts an answer without a length and ends it as \p End says. \returns
+/// whether the caller saw a reset.
+bool endsByReset(const std::function<void(HttpExchangePtr &,
+                                          std::unique_ptr<HttpServer> &)> &End,
+                 Duration IdleTimeout) {
+  EventLoop Loop;
+  HttpExchangePtr Held;
+  auto Server = std::make_unique<HttpServer>(
+      Loop,
+      HttpServer::Options{.m_Listen = Loopback, .m_IdleTimeout = IdleTimeout},
+      [&](const HttpExchangePtr &Exchange) { Held = Exchange; });
+  const int Socket = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_storage Address{};
+  const int Length = toSockaddr(Server->endpoint(), Address);
+  connect(Socket, reinterpret_cast<sockaddr *>(&Address),
+          static_cast<socklen_t>(Length));
+  const std::string Request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  send(Socket, Request.data(), Request.size(), MSG_NOSIGNAL);
+  REQUIRE(Loop.runUntil([&] { return Held != nullptr; }, Limit));
+  Held->startStream(200, {}, AnswerFraming::Connection);
+  REQUIRE(Held->sendChunk("data: a\n\n"));
+  End(Held, Server);
+  ssize_t Got = 1;
+  const Timer Wake = Loop.every(1ms, [] {});
+  REQUIRE(Loop.runUntil(
+      [&] {
+        char Buffer[4096];
+        while (Got > 0)
+          Got = recv(Socket, Buffer, sizeof(Buffer), MSG_DONTWAIT);
+        const bool Ended = Got == 0 || errno != EAGAIN;
+        Got = Ended ? Got : 1;
+        return Ended;
+      },
+      Limit));
+  const bool Reset = Got < 0 && errno == ECONNRESET;
+  close(Socket);
+  return Reset;
+}
+
+TEST_CASE("An answer without a length that is cut does not end in order",
+          "[http]") {
+  SECTION("by abort and the end of the server") {
+    REQUIRE(endsByReset(
+        [](HttpExchangePtr &Exchange, std::unique_ptr<HttpServer> &Server) {
+          Exchange->abort();
+          Server.reset();
+        },
+        60s));
+  }
+  SECTION("by the end of the server") {
+    REQUIRE(
+        endsByReset([](HttpExchangePtr &,
+                       std::unique_ptr<HttpServer> &Server) { Server.reset(); },
+                    60s));
+  }
+  SECTION("by a pause of the answer longer than the idle timeout") {
+    REQUIRE(endsByReset([](HttpExchangePtr &, std::unique_ptr<HttpServer> &) {},
+                        1s));
+  }
+}
+
 TEST_CASE("The server sees a caller that leaves", "[http]") {
   EventLoop Loop;
   bool Left = false;
