An empty rest does not complete a stream that broke off inside an event

A part of event 3 was seen, so a rest without events is no end, whatever its framing; nor is one without a framing after any broken send.

A whole rest that cannot be passed on, as the caller's stream is in chunks, is no failure of its upstream: neither its failure rate nor the crash detector hears of it.

--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -671,21 +671,24 @@
 /// The caller's answer is framed as the upstream's: it must not claim to be
 /// whole where only the end of a connection says so.
 void ProxiedRequest::startStream() {
-  m_CallerFraming = m_Send->m_Framing == AnswerFraming::Connection
-                        ? AnswerFraming::Connection
-                        : AnswerFraming::Chunks;
-  m_Exchange->startStream(m_Send->m_Status,
-                          withoutConnectionFields(m_Send->m_Headers),
-                          m_CallerFraming);
+  const AnswerFraming Framing = m_Send->m_Framing == AnswerFraming::Connection
+                                    ? AnswerFraming::Connection
+                                    : AnswerFraming::Chunks;
+  m_CallerFraming = m_Exchange->startStream(
+      m_Send->m_Status, withoutConnectionFields(m_Send->m_Headers), Framing);
 }
 
 void ProxiedRequest::onEnd(HttpEnd End) {
   if (m_Done || !m_Send)
     return;
   const SendOutcome Outcome = classify(End);
+  m_Send->m_Whole =
+      Outcome == SendOutcome::Broken && claimsMore(End) && !streamBrokeOff(End);
+  m_PartSeen = m_PartSeen || m_Events.insideEvent();
   if (m_Send->m_Box)
     return settle(Outcome);
-  if (End == HttpEnd::Broken || Outcome == SendOutcome::Broken)
+  if (End == HttpEnd::Broken ||
+      (Outcome == SendOutcome::Broken && !m_Send->m_Whole))
     m_Crashes.onConnectionBroken(upstreamIncarnation(), m_Send->m_Started,
                                  EventLoop::now());
   if (End == HttpEnd::NotWritten)
@@ -713,24 +716,31 @@
     return SendOutcome::Rejected;
   if (End == HttpEnd::NotWritten)
     return SendOutcome::NotSent;
-  if (End == HttpEnd::Broken || streamBrokeOff(End))
+  if (End == HttpEnd::Broken || streamBrokeOff(End) || claimsMore(End))
     return SendOutcome::Broken;
   return m_Send->m_Status >= 500 ? SendOutcome::ServerError
                                  : SendOutcome::Answered;
 }
 
-/// \returns whether a stream that has ended with \p End has been broken off: an
-/// event is incomplete, or nothing but the end of its connection says that it
-/// is whole, and it has no event or its caller would be told more.
+/// \returns whether a stream that has ended with \p End has been broken off by
+/// its upstream: an event is incomplete, or events are known to be missing.
 bool ProxiedRequest::streamBrokeOff(HttpEnd End) const {
   if (!streaming() || m_Send->m_Status != 200)
     return false;
-  if (m_Events.insideEvent() || End != HttpEnd::Closed)
-    return m_Events.insideEvent();
-  const bool ClaimsMore =
-      m_BytesPassed && m_CallerFraming == AnswerFraming::Chunks;
-  const bool Empty = !m_Events.anyEvent() && !m_Send->m_Resumed;
-  return ClaimsMore || Empty;
+  if (m_Events.insideEvent())
+    return true;
+  // Without a framing, a rest without events may have been cut; only a caller
+  // may ask for the rest of a stream that it has as a whole.
+  const bool MayBeCut =
+      End == HttpEnd::Closed && (!m_Send->m_Resumed || m_MayHaveRun);
+  return !m_Events.anyEvent() && (m_PartSeen || MayBeCut);
+}
+
+/// \returns whether the end of the caller's stream would say more than \p End
+/// does.
+bool ProxiedRequest::claimsMore(HttpEnd End) const {
+  return streaming() && End == HttpEnd::Closed && m_BytesPassed &&
+         m_CallerFraming == AnswerFraming::Chunks;
 }
 
 void ProxiedRequest::noteOutcome(SendOutcome Outcome, TimePoint Now) {
@@ -746,7 +756,7 @@
     m_Crashes.onCompleted(upstreamIncarnation());
   if (upstreamRestarted())
     return;
-  if (Outcome == SendOutcome::Answered)
+  if (Outcome == SendOutcome::Answered || m_Send->m_Whole)
     State.m_Failures.recordSuccess(At, Now);
   else if (Outcome == SendOutcome::NotSent)
     State.m_Failures.recordUnreachable(At, Now);
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -61,7 +61,9 @@
     bool m_NoRoom = false; ///< The upstream rejected it for lack of room.
     bool m_ForeignAnswer = false; ///< The answer is for another request.
     bool m_MayBeKept = false;     ///< It may use a kept connection.
-    bool m_Resumed = false;       ///< Only the rest of a stream was requested.
+    /// The answer may be whole, but cannot be passed on as such.
+    bool m_Whole = false;
+    bool m_Resumed = false; ///< Only the rest of a stream was requested.
     int m_Status = 0;
     HttpHeaders m_Headers;
     AnswerFraming m_Framing = AnswerFraming::Length;
@@ -121,6 +123,7 @@
   bool connectionFailed(HttpEnd End) const;
   SendOutcome classify(HttpEnd End) const;
   bool streamBrokeOff(HttpEnd End) const;
+  bool claimsMore(HttpEnd End) const;
   void settle(SendOutcome Outcome);
   void noteOutcome(SendOutcome Outcome, TimePoint Now);
   void releaseLoad();
@@ -176,6 +179,7 @@
   bool m_ConnectFailed = false;   ///< An upstream could not be connected to.
   int m_Sends = 0;
   bool m_MayHaveRun = false;  ///< An upstream may have run the request.
+  bool m_PartSeen = false;    ///< A send ended inside an event.
   bool m_BytesPassed = false; ///< The caller has received part of the answer.
   bool m_Waiting = false;     ///< Waits for an upstream or for permission.
   bool m_Done = false;
--- a/tests/gateway/StreamEndTest.cpp
+++ b/tests/gateway/StreamEndTest.cpp
@@ -52,6 +52,7 @@
     }
     return m_Ended;
   }
+  void halfClose() { shutdown(m_Socket, SHUT_WR); }
   std::string head() const { return m_Bytes.substr(0, headEnd()); }
   int status() const { return std::stoi(m_Bytes.substr(9, 3)); }
   bool chunked() const {
@@ -279,3 +280,70 @@
   REQUIRE(Caller.looksComplete());
   REQUIRE(Caller.body() == Text);
 }
+
+TEST_CASE("A caller that half closes does not see a cut answer end in order",
+          "[gateway][streams]") {
+  GatewayTest Test;
+  Test.addRunner(
+      "i-1", [&](const Request &Received, const ConnectionPtr &Connection) {
+        Connection->write(framed(Received, Framing::None, pieces(1, 2)));
+      });
+  Test.start();
+  RawCaller Caller(Test, "/stream/x", "id-1", GENERATE("1.0", "1.1"));
+  REQUIRE(Test.until([&] {
+    Caller.readAll();
+    return Caller.body() == pieces(1, 2);
+  }));
+  Caller.halfClose();
+  Caller.finish();
+  REQUIRE_FALSE(Caller.looksComplete());
+}
+
+TEST_CASE("An empty rest does not complete a stream that broke off inside an "
+          "event",
+          "[gateway][streams]") {
+  const Framing Rest =
+      GENERATE(Framing::None, Framing::Length, Framing::Chunks);
+  GatewayTest Test;
+  int Streams = 0;
+  const auto Behave = [&](const Request &Received,
+                          const ConnectionPtr &Connection) {
+    const bool First = Received.m_Method == "POST" && ++Streams == 1;
+    answerWith(First ? Framing::None : Rest,
+               First ? pieces(1, 2) + "id: 3\nda" : ": none\n")(Received,
+                                                                Connection);
+  };
+  Test.addRunner("i-1", Behave);
+  Test.addRunner("i-2", Behave);
+  Test.start();
+  RawCaller Caller(Test, "/resumable/x", "id-1");
+  Caller.finish();
+  REQUIRE_FALSE(Caller.looksComplete());
+}
+
+TEST_CASE(
+    "A whole rest without a length that cannot be passed on as such is no "
+    "failure of its upstream",
+    "[gateway][streams]") {
+  GatewayTest Test;
+  int Streams = 0;
+  InstanceId Second;
+  const auto Behave = [&](const std::string &Name) {
+    return [&, Name](const Request &Received, const ConnectionPtr &Connection) {
+      const bool First = Received.m_Method == "POST" && ++Streams == 1;
+      if (Received.m_Method == "POST" && !First)
+        Second = Name;
+      answerWith(First ? Framing::Chunks : Framing::None,
+                 First ? pieces(1, 2) + "id" : pieces(3, 4))(Received,
+                                                             Connection);
+    };
+  };
+  Test.addRunner("i-1", Behave("i-1"));
+  Test.addRunner("i-2", Behave("i-2"));
+  Test.start();
+  RawCaller Caller(Test, "/resumable/x", "id-1");
+  Caller.finish();
+  REQUIRE(Streams == 2);
+  REQUIRE(Test.m_Gateway->state().m_Failures.rate(Second, EventLoop::now()) ==
+          0);
+}
