--- a/tests/soak/SoakBox.cpp
+++ b/tests/soak/SoakBox.cpp
@@ -35,7 +35,7 @@
       {"zones", {{"za", "ra"}, {"zb", "rb"}}},
       {"listenAddresses",
        {{"frontend", callers().str()}, {"ready", readiness().str()}}},
-      {"internalPortRange", {Peers, Peers + 1}},
+      {"internalPortRange", {Peers, Peers + 2}},
       {"seedNodes", std::move(Seeds)},
       {"firstStart", m_Life == 1},
       {"limits", {{"cpuFraction", 1}}},
--- a/tests/soak/SoakBox.h
+++ b/tests/soak/SoakBox.h
@@ -18,7 +18,8 @@
 struct SoakPorts {
   int m_Callers = 0;
   int m_Readiness = 0;
-  int m_Peers = 0; ///< The metrics page has the port behind it.
+  /// Metrics, and requests of other boxes, have the two ports behind it.
+  int m_Peers = 0;
 };
 
 /// Starts the program, and starts it again after each end.
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -39,10 +39,10 @@
   return ntohs(Wanted.sin_port);
 }
 
-/// Four ports in a row that are free at \p Address.
+/// Five ports in a row that are free at \p Address.
 SoakPorts freePorts(const std::string &Address) {
   constexpr int Tries = 100;
-  constexpr int Ports = 4;
+  constexpr int Ports = 5;
   for (int Try = 0; Try < Tries; ++Try) {
     int Sockets[Ports];
     const int First = bindAt(Address, 0, Sockets[0]);
