Plans whose moves are refused are not made again without a pause

Cause, by reading: a move that the ledger does not allow is dropped, the contents are published, the requests that wait ask for their model again, and that plans again. The pause between plans was five times a plan's duration, which is nothing where a plan takes no measurable time. Now it is 5 ms at least. Test: 10,000 plans at one moment before (failed), at most 200 a second now.

--- a/packages/decisions/process/PlanSchedule.cpp
+++ b/packages/decisions/process/PlanSchedule.cpp
@@ -12,6 +12,10 @@
 /// of a large fleet would leave no time for anything else.
 constexpr int PlanPauseFactor = 5;
 
+/// Least time between two plans of one scope. A plan whose moves are refused
+/// makes the requests that wait ask for it again at once.
+constexpr Duration MinPlanPause = 5ms;
+
 } // namespace
 
 TimePoint PlanSchedule::request(TimePoint Now) {
@@ -32,7 +36,8 @@
                              TimePoint Ended) {
   if (Scope == PlanScope::None)
     return;
-  const TimePoint Earliest = Began + PlanPauseFactor * (Ended - Began);
+  const TimePoint Earliest =
+      Began + std::max(MinPlanPause, PlanPauseFactor * (Ended - Began));
   m_AwaitedRequested = false;
   if (Scope == PlanScope::AwaitedAdapters) {
     m_EarliestAwaited = Earliest;
--- a/tests/decisions/process/PlanScheduleTest.cpp
+++ b/tests/decisions/process/PlanScheduleTest.cpp
@@ -40,3 +40,16 @@
   REQUIRE(Schedule.due(at(2499ms)) == PlanScope::None);
   REQUIRE(Schedule.due(at(2500ms)) == PlanScope::AwaitedAdapters);
 }
+
+TEST_CASE("Requests that ask again after each plan do not have plans made "
+          "without a pause",
+          "[plan]") {
+  PlanSchedule Schedule;
+  int Plans = 0;
+  for (TimePoint Now = at(1s); Now < at(2s) && Plans < 10000;
+       Now = Schedule.request(Now)) {
+    Schedule.onPlanned(Schedule.due(Now), Now, Now);
+    ++Plans;
+  }
+  REQUIRE(Plans < 1000);
+}
