--- a/tests/gateway/UpstreamSignalsFleet.h
+++ b/tests/gateway/UpstreamSignalsFleet.h
@@ -6,6 +6,7 @@
 #include "gateway/GatewayTest.h"
 
 #include <algorithm>
+#include <limits>
 #include <vector>
 
 namespace havenstair {
@@ -57,7 +58,7 @@
   FleetOutcome sendOne() {
     FleetOutcome Result;
     while (Result.m_Served == 0)
-      Result = sendFor(BetweenRequests + BetweenRequests / 2);
+      Result = sendFor(BetweenRequests + BetweenRequests / 2, 1);
     return Result;
   }
 
@@ -84,13 +85,16 @@
     }));
   }
 
-  /// Sends requests through all boxes in turn for \p For, and waits for all
-  /// answers.
-  FleetOutcome sendFor(Duration For) {
+  /// Sends requests through all boxes in turn for \p For, \p AtMost of them,
+  /// and waits for all answers.
+  FleetOutcome sendFor(Duration For,
+                       int AtMost = std::numeric_limits<int>::max()) {
     FleetOutcome Result;
     int Done = 0;
     int Sent = 0;
     const auto Send = [&] {
+      if (Sent == AtMost)
+        return;
       const Gateway &Box =
           *m_Boxes[static_cast<std::size_t>(Sent) % m_Boxes.size()];
       ++Sent;
