A health answer that its connection ends shows that an upstream is reached

A box that had been partitioned stayed so for its probes where upstreams answer their health check without a length: HttpEnd::Closed was taken for a failure.

--- a/tests/gateway/PartitionTest.cpp
+++ b/tests/gateway/PartitionTest.cpp
@@ -101,6 +101,25 @@
     REQUIRE(Test.fetch("/unsafe/x", std::to_string(Try)).m_Status == 200);
 }
 
+TEST_CASE("A health answer that its connection ends shows that an upstream is "
+          "reached",
+          "[gateway][partition]") {
+  PartitionTest Test;
+  for (auto &[Id, Runner] : Test.m_Runners)
+    Runner->setBehaviour([](const StandinRunner::Request &Received,
+                            const StandinRunner::ConnectionPtr &To) {
+      if (Received.m_Method != "GET")
+        return To->write(StandinRunner::answer(Received, 200, "body"));
+      To->write("HTTP/1.1 200 OK\r\n\r\nhealthy");
+      To->close();
+    });
+  Test.cut(Way::Refused);
+  learn(Test);
+  Test.heal();
+  REQUIRE(Test.until(
+      [&] { return !Test.m_Gateway->state().m_Reach.partitioned(); }));
+}
+
 TEST_CASE("A single upstream that is gone is no partition",
           "[gateway][partition]") {
   PartitionTest Test;
