An empty rest does not complete a stream that broke off behind another box

By a review with fresh eyes: the asked box passes whole events on only, so that the box that asked never sees that its upstream broke off inside one, and took a framed answer without events to the resume for the end. A stream of a box that breaks after events counts as one of which a part was seen. Its test was not run without the change.

--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -685,6 +685,9 @@
   m_Send->m_Whole =
       Outcome == SendOutcome::Broken && claimsMore(End) && !streamBrokeOff(End);
   m_PartSeen = m_PartSeen || m_Events.insideEvent();
+  // A box passes whole events on only, whatever its upstream broke off in.
+  if (m_Send->m_Box && End == HttpEnd::Broken && m_BytesPassed)
+    m_PartSeen = true;
   if (m_Send->m_Box)
     return settle(Outcome);
   if (End == HttpEnd::Broken ||
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -63,6 +63,7 @@
     bool m_MayBeKept = false;     ///< It may use a kept connection.
     /// The answer may be whole, but cannot be passed on as such.
     bool m_Whole = false;
+    bool m_Ended = false;   ///< The call has ended by itself.
     bool m_Resumed = false; ///< Only the rest of a stream was requested.
     int m_Status = 0;
     HttpHeaders m_Headers;
--- a/tests/gateway/PartitionTest.cpp
+++ b/tests/gateway/PartitionTest.cpp
@@ -172,6 +172,29 @@
   REQUIRE(Test.arrivals("one") == 1);
 }
 
+TEST_CASE("An empty rest does not complete a stream that broke off behind "
+          "another box",
+          "[gateway][partition]") {
+  PartitionTest Test;
+  Test.cut(Way::Refused);
+  learn(Test);
+  int Streams = 0;
+  for (auto &[Id, Runner] : Test.m_Runners)
+    Runner->setBehaviour([&](const Request &Of, const ConnectionPtr &To) {
+      if (Of.m_Method == "GET")
+        return To->write(StandinRunner::answer(Of, 200, "healthy"));
+      To->write(StandinRunner::streamHead(Of));
+      if (++Streams > 1)
+        return To->write(StandinRunner::streamEnd());
+      To->write(StandinRunner::event(1));
+      To->write("9\r\nid: 2\ndata\r\n");
+      To->close();
+    });
+  const HttpAnswer Answer = Test.fetch("/resumable/x", "one");
+  REQUIRE(Answer.m_Status == 200);
+  REQUIRE(Answer.m_End == HttpEnd::Broken);
+}
+
 TEST_CASE("A stream comes whole through another box", "[gateway][partition]") {
   PartitionTest Test;
   for (auto &[Id, Runner] : Test.m_Runners)
