--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -688,6 +688,7 @@
   // A box passes whole events on only, whatever its upstream broke off in.
   if (m_Send->m_Box && End == HttpEnd::Broken && m_BytesPassed)
     m_PartSeen = true;
+  m_Send->m_Ended = true;
   if (m_Send->m_Box)
     return settle(Outcome);
   if (End == HttpEnd::Broken ||
@@ -769,10 +770,11 @@
 
 void ProxiedRequest::notePassed(SendOutcome Outcome) {
   m_Send->m_PassToken.reset();
-  // An answer that breaks off may be the fault of an upstream.
-  const bool Declined =
-      Outcome == SendOutcome::NotSent ||
-      (Outcome == SendOutcome::Broken && m_Send->m_Status == 0);
+  // An answer that breaks off, or is waited for in vain, may be the fault of an
+  // upstream.
+  const bool Declined = Outcome == SendOutcome::NotSent ||
+                        (Outcome == SendOutcome::Broken &&
+                         m_Send->m_Status == 0 && m_Send->m_Ended);
   if (const auto Service = m_Owner.m_Passes.lock())
     Service->onOutcome(*m_Send->m_Box, outcomeName(Outcome), Declined);
 }
