--- a/packages/gateway/request/Forwarder.cpp
+++ b/packages/gateway/request/Forwarder.cpp
@@ -81,6 +81,8 @@
 void Forwarder::handlePassed(const HttpExchangePtr &Exchange,
                              std::shared_ptr<void> Token) {
   try {
+    if (!Exchange->framedUnambiguously())
+      throw RequestError(ErrorKind::BadRequest, "ambiguous framing");
     begin({.m_Exchange = Exchange,
            .m_Request = m_Dialect.m_Read(*Exchange),
            .m_Arrived = EventLoop::now(),
