--- a/tests/soak/SoakSchedule.h
+++ b/tests/soak/SoakSchedule.h
@@ -45,24 +45,24 @@
   Configure,
   Rubbish,
   Evacuate,
-  // Of makeConfigPlan() alone.
+  // Drawn by makeConfigPlan() alone.
   SilenceConfigWatch,   ///< Of one box, while its other connections work.
   SilenceConfigWatches, ///< The same of all boxes at once.
   SilenceStoreLinks,    ///< All open connections of all boxes to the store.
   SilencePeerLinks,     ///< All open connections between boxes.
   SilenceAllLinks,      ///< Both.
   TurnAwayBoxes,        ///< All boxes but one are refused at the store.
-  // Of addWords() alone.
+  // Drawn by addWords() alone.
   NameLimit,  ///< A server names a limit in its answers.
   SayLeaving, ///< One says that it leaves, and the store does not hear of it.
   AskRetryAfter, ///< One turns requests away and names a time.
-  // Of addRestores() alone.
+  // Drawn by addRestores() alone.
   RestoreStore, ///< The store is away and comes back from a copy of itself.
-  // Of addEndings() alone.
+  // Drawn by addEndings() alone.
   HarmEndings, ///< Some answers of one server are cut or end wrongly.
-  // Of addPartitions() alone.
+  // Drawn by addPartitions() alone.
   CutBoxes, ///< Boxes reach no server, and everybody else.
-  // Of addBrittleness() alone.
+  // Drawn by addBrittleness() alone.
   BrittleService, ///< All servers of a service say that they are brittle.
   PauseServer     ///< A sound server is silent and goes on.
 };
