--- a/tests/gateway/PartitionTest.cpp
+++ b/tests/gateway/PartitionTest.cpp
@@ -176,6 +176,9 @@
           "another box",
           "[gateway][partition]") {
   PartitionTest Test;
+  const auto Third = Test.startBox("third");
+  REQUIRE(Test.until(
+      [&] { return Third->state().ready() && Test.m_Gateway->peers() == 2; }));
   Test.cut(Way::Refused);
   learn(Test);
   int Streams = 0;
