One function says whether an answer was received

Complete or closed stood in four places: HttpAnswer::received(), the reach monitor, the trial's owner of an upstream and the load command. Behaviour is the same.

--- a/packages/gateway/process/ReachMonitor.cpp
+++ b/packages/gateway/process/ReachMonitor.cpp
@@ -66,7 +66,7 @@
 }
 
 void ReachMonitor::onProbeEnd(const UpstreamReach::Call &Call, HttpEnd End) {
-  if (End == HttpEnd::Complete || End == HttpEnd::Closed)
+  if (received(End))
     onReached(Call);
   else
     onFailed(Call);
--- a/packages/havenstair/request/LoadCommand.cpp
+++ b/packages/havenstair/request/LoadCommand.cpp
@@ -119,9 +119,8 @@
   });
   std::string Outcome = "ok";
   const bool AnswerComplete =
-      (End == HttpEnd::Complete || End == HttpEnd::Closed) &&
-      (!m_Opts.m_Stream || Request->m_Status != 200 ||
-       Request->m_Body.find(StreamEnd) != std::string::npos);
+      received(End) && (!m_Opts.m_Stream || Request->m_Status != 200 ||
+                        Request->m_Body.find(StreamEnd) != std::string::npos);
   if (!AnswerComplete)
     Outcome = End == HttpEnd::NotWritten ? "not_connected" : "cut";
   else if (Request->m_Status != 200)
--- a/packages/havenstaird/process/UpstreamOwner.cpp
+++ b/packages/havenstaird/process/UpstreamOwner.cpp
@@ -222,7 +222,7 @@
 }
 
 void UpstreamOwner::onEnd(const CallPtr &Item, HttpEnd End) {
-  if (End != HttpEnd::Complete && End != HttpEnd::Closed)
+  if (!received(End))
     return finish(Item, failureFor(*Item, End));
   if (Item->m_Refused)
     return finish(Item, *Item->m_Refused);
--- a/packages/wire/common/HttpClient.h
+++ b/packages/wire/common/HttpClient.h
@@ -60,6 +60,13 @@
   Broken      ///< Bytes may have left; the answer is missing or cut.
 };
 
+/// Whether an answer that ended with \p End was received. One that its
+/// connection ended may be cut: its reader must be able to tell by the body, or
+/// need no body.
+constexpr bool received(HttpEnd End) {
+  return End == HttpEnd::Complete || End == HttpEnd::Closed;
+}
+
 /// Whether a call may use a kept connection, and leave one behind.
 enum class ConnectionUse {
   Fresh,     ///< A new connection, closed afterwards.
@@ -112,11 +119,7 @@
   HttpHeaders m_Headers;
   std::string m_Body;
 
-  /// Whether the answer was received. One that its connection ended may be
-  /// cut: its reader must be able to tell by the body, or need no body.
-  bool received() const {
-    return m_End == HttpEnd::Complete || m_End == HttpEnd::Closed;
-  }
+  bool received() const { return havenstair::received(m_End); }
   /// Whether it was received and is a success.
   bool ok() const { return received() && m_Status / 100 == 2; }
 };
