Sight: the software version of each send, and what a request takes up

sent names the upstream's software version, the last event and the attempt that the request resumes; send_failed and the ends name the version; upstreams counts listed ones by service and version. No choice depends on it yet.

--- a/packages/decisions/process/UpstreamInstance.h
+++ b/packages/decisions/process/UpstreamInstance.h
@@ -3,6 +3,7 @@
 #ifndef HAVENSTAIR_DECISIONS_PROCESS_UPSTREAMINSTANCE_H
 #define HAVENSTAIR_DECISIONS_PROCESS_UPSTREAMINSTANCE_H
 
+#include "decisions/common/SoftwareVersion.h"
 #include "decisions/common/StoreRevision.h"
 #include "decisions/common/Time.h"
 #include "decisions/process/UpstreamIncarnation.h"
@@ -29,6 +30,7 @@
   std::string m_Service;
   std::string m_Address;     ///< IP address with port.
   std::string m_Zone;        ///< Name of its data centre.
+  SoftwareVersion m_Software;
   int m_Slots = 1;           ///< Requests that it runs at once.
   bool m_Draining = false;   ///< It is leaving and takes no new work.
   StartTime m_StartTime = 0; ///< 0 when it does not report it.
--- a/packages/decisions/request/RequestDescriptor.h
+++ b/packages/decisions/request/RequestDescriptor.h
@@ -34,6 +34,9 @@
   CallerCredentials m_Caller;
   /// Id of the event after which the caller resumes a stream; empty without.
   std::optional<std::int64_t> m_LastEvent;
+  /// Attempt that brought the first event of the stream that the caller
+  /// resumes; empty if it names none.
+  std::string m_Resumes;
   /// Time left to the caller's deadline at arrival; empty without one.
   std::optional<Duration> m_Deadline;
 
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -60,6 +60,14 @@
 
 constexpr const char *MetricsPath = "/metrics";
 
+/// Number of listed upstreams by service and version of their software.
+Json countByVersion(const InstanceList &List) {
+  std::map<std::string, std::map<std::string, int>> Counts;
+  for (const auto &[Id, Each] : List.m_Instances)
+    ++Counts[Each.m_Service][Each.m_Software.str()];
+  return Counts;
+}
+
 double drawUnit(std::mt19937_64 &Random) {
   return std::uniform_real_distribution<double>(0, 1)(Random);
 }
@@ -704,6 +712,7 @@
                {"listed", m_Registry.size()},
                {"known", m_State.m_Upstreams.list().m_Instances.size()},
                {"tell_birth", m_State.m_Upstreams.countWithStartTime()},
+               {"versions", countByVersion(m_State.m_Upstreams.list())},
                {"kept", m_State.m_Upstreams.reconciler().keptCount()},
                {"held_back", m_State.m_Upstreams.reconciler().heldBackCount()},
                {"gone", std::move(Names)},
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -540,6 +540,7 @@
   m_Events = EventSplitter();
   m_Send = Send{.m_Instance = To.m_Id,
                 .m_StartTime = To.m_StartTime,
+                .m_Software = To.m_Software,
                 .m_At = Now,
                 .m_PendingMs = Chosen.m_PendingMs,
                 .m_WorkMs = Chosen.m_WorkMs,
@@ -548,21 +549,24 @@
                             OutputTokenWeight * m_Request.m_MaxOutputTokens,
                 .m_Resumed = m_LastEvent.has_value()};
   const ConfigFreshness Config = m_Owner.m_Hooks.m_ConfigFreshness(Now);
-  m_Owner.m_Log.write("sent",
-                      {{"request", m_Request.m_Id},
-                       {"digest", m_Crashes.digest().str()},
-                       {"route", m_Route.m_Name},
-                       {"config", m_Config->m_Version},
-                       {"config_age_ms", Config.m_Age / 1ms},
-                       {"config_by", Config.m_By.str()},
-                       {"list", State.m_Upstreams.list().m_Revision.m_Number},
-                       {"era", State.m_Upstreams.list().m_Revision.m_Era},
-                       {"upstream", To.m_Id},
-                       {"send", m_Sends},
-                       {"model", m_Request.m_Model},
-                       {"pending_ms", std::lround(Chosen.m_PendingMs)},
-                       {"work_ms", std::lround(Chosen.m_WorkMs)},
-                       {"expected_ms", std::lround(Chosen.m_ExpectedMs)}});
+  m_Owner.m_Log.write(
+      "sent", {{"request", m_Request.m_Id},
+               {"digest", m_Crashes.digest().str()},
+               {"route", m_Route.m_Name},
+               {"config", m_Config->m_Version},
+               {"config_age_ms", Config.m_Age / 1ms},
+               {"config_by", Config.m_By.str()},
+               {"list", State.m_Upstreams.list().m_Revision.m_Number},
+               {"era", State.m_Upstreams.list().m_Revision.m_Era},
+               {"upstream", To.m_Id},
+               {"software", To.m_Software.str()},
+               {"resumes", m_Request.m_Resumes},
+               {"last_event", m_LastEvent ? Json(*m_LastEvent) : Json()},
+               {"send", m_Sends},
+               {"model", m_Request.m_Model},
+               {"pending_ms", std::lround(Chosen.m_PendingMs)},
+               {"work_ms", std::lround(Chosen.m_WorkMs)},
+               {"expected_ms", std::lround(Chosen.m_ExpectedMs)}});
   HttpCall Call = makeCall(To, Now);
   m_Send->m_MayBeKept = Call.m_Use == ConnectionUse::Reused;
   State.m_Loads.onSent(To.m_Id, Chosen.m_WorkMs, m_Send->m_Tokens);
@@ -855,6 +859,7 @@
         {{"request", m_Request.m_Id},
          {"digest", m_Crashes.digest().str()},
          {"upstream", m_Send->m_Instance},
+         {"software", m_Send->m_Software.str()},
          {"box", m_Send->m_Box ? m_Send->m_Box->m_Box.str() : std::string()},
          {"send", m_Sends},
          {"outcome", outcomeName(Outcome)},
@@ -1008,6 +1013,7 @@
        {"gap_target_ms", m_Route.m_GapTarget / 1ms},
        {"first_ms", First / 1ms},
        {"gap_ms", m_LongestGap / 1ms},
+       {"software", m_Send ? m_Send->m_Software.str() : std::string()},
        {"framing", m_Send ? framingName(m_Send->m_Framing) : ""},
        {"rest_bytes", m_Events.rest().size()},
        {"whole_ms", waited(Now) / 1ms}});
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -48,6 +48,7 @@
     std::optional<PassService::Target> m_Box; ///< Empty for an upstream.
     std::shared_ptr<void> m_PassToken;        ///< Counts it as open at m_Box.
     StartTime m_StartTime = 0;                ///< Start time of the instance.
+    SoftwareVersion m_Software;               ///< Version that was listed.
     TimePoint m_At{};                         ///< When the request was sent.
     double m_PendingMs = 0;      ///< Work ahead of the request at the upstream.
     double m_WorkMs = 0;         ///< The request's own work.
