Decisions and frames for streams that are bound to a software version

StreamOrigins keeps by attempt id how a stream began, until its caller can come no more, bounded in number; two origins for one id leave it unknown. VersionHistory tells whether a service had one version of late. chooseStreamHolders picks the boxes that are told, by rendezvous hashing and spread over data centres. Protocol 7 brings streams_begun, stream_query and stream_answer at the end of the list of kinds. Nothing uses them yet; docs/design/stream-versions.md weighs them against four other ways.

--- a/packages/wire/connection/PeerFrames.h
+++ b/packages/wire/connection/PeerFrames.h
@@ -13,6 +13,7 @@
 #include "wire/connection/FleetFrames.h"
 #include "wire/connection/PermitFrames.h"
 #include "wire/connection/QuotaFrames.h"
+#include "wire/connection/StreamFrames.h"
 #include <optional>
 #include <set>
 #include <string>
@@ -27,13 +28,15 @@
 using PeerProtocol = int;
 /// Of builds that do not tell theirs.
 constexpr PeerProtocol FirstProtocol = 1;
-constexpr PeerProtocol OwnProtocol = 6;
+constexpr PeerProtocol OwnProtocol = 7;
 /// The first that reads compressed frames and loads that come apart.
 constexpr PeerProtocol PackingProtocol = 3;
 /// The first that compares revisions by the era of the store.
 constexpr PeerProtocol EraProtocol = 5;
 /// The first that issues permits for servers that name a refusal limit.
 constexpr PeerProtocol RefusalLimitProtocol = 6;
+/// The first that keeps streams at the software version that began them.
+constexpr PeerProtocol StreamProtocol = 7;
 
 /// First frame of each side.
 struct HelloFrame {
@@ -204,7 +207,7 @@
     QuotaAnswerFrame, QuotaUseFrame, PermitAskFrame, PermitAnswerFrame,
     ColdUpdateFrame, CrashFrame, CrashSuspectsFrame, RequestClearedFrame,
     QuarantinesFrame, PackedFrame, FleetTotalsFrame, UpstreamSignalFrame,
-    SendEndedFrame>;
+    SendEndedFrame, StreamsBegunFrame, StreamQueryFrame, StreamAnswerFrame>;
 
 /// Name of the kind of \p Frame, for metrics.
 std::string_view frameName(const PeerFrame &Frame);
--- /dev/null
+++ b/tests/decisions/process/VersionHistoryTest.cpp
@@ -0,0 +1,64 @@
+#include "decisions/process/VersionHistory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace havenstair;
+
+namespace {
+
+InstanceList listOf(const std::vector<std::string> &Versions) {
+  InstanceList Result;
+  for (const std::string &Version : Versions) {
+    const std::string Id =
+        "i-" + std::to_string(Result.m_Instances.size()) + Version;
+    Result.m_Instances[Id] = {
+        .m_Id = Id, .m_Service = "s", .m_Software = SoftwareVersion(Version)};
+  }
+  return Result;
+}
+
+TimePoint at(Duration After) { return TimePoint(1000s) + After; }
+
+} // namespace
+
+TEST_CASE("A service has one version while all its upstreams state the same",
+          "[stream-version]") {
+  VersionHistory History;
+  History.update(listOf({"v1", "v1"}), at(0s));
+  const auto Versions = History.versionsOf("s", at(1s));
+  REQUIRE(Versions.m_Only == SoftwareVersion("v1"));
+  REQUIRE_FALSE(Versions.m_Several);
+  REQUIRE_FALSE(History.versionsOf("other", at(1s)).m_Only);
+}
+
+TEST_CASE("A version counts for as long as its streams may be taken up after "
+          "its last upstream has left",
+          "[stream-version]") {
+  VersionHistory History;
+  History.update(listOf({"v1", "v2"}), at(0s));
+  History.update(listOf({"v2"}), at(10s));
+  REQUIRE(History.versionsOf("s", at(20s)).m_Several);
+  REQUIRE(History.versionsOf("s", at(10s) + VersionHistory::Memory).m_Several);
+  const auto Later = History.versionsOf("s", at(11s) + VersionHistory::Memory);
+  REQUIRE(Later.m_Only == SoftwareVersion("v2"));
+}
+
+TEST_CASE("A box is certain of a service's only version after it has known the "
+          "list for long enough",
+          "[stream-version]") {
+  VersionHistory History;
+  REQUIRE_FALSE(History.versionsOf("s", at(0s)).m_Certain);
+  History.update(listOf({"v1"}), at(0s));
+  REQUIRE_FALSE(History.versionsOf("s", at(1s)).m_Certain);
+  REQUIRE(History.versionsOf("s", at(VersionHistory::Memory)).m_Certain);
+}
+
+TEST_CASE("An upstream that states no version leaves the service without an "
+          "only one",
+          "[stream-version]") {
+  VersionHistory History;
+  const bool Mixed = GENERATE(true, false);
+  History.update(Mixed ? listOf({"v1", ""}) : listOf({""}), at(0s));
+  REQUIRE(History.versionsOf("s", at(1s)).m_Several);
+  REQUIRE_FALSE(History.versionsOf("s", at(1s)).m_Only);
+}
--- a/tests/wire/PeerFramesTest.cpp
+++ b/tests/wire/PeerFramesTest.cpp
@@ -188,76 +188,98 @@
 }
 
 /// One frame of each kind, with drawn contents.
+StreamOrigin drawnOrigin() {
+  return {.m_Service = drawnText(),
+          .m_Software = SoftwareVersion(drawnText()),
+          .m_Request = RequestDigest(drawnText())};
+}
+
+StreamAnswerFrame drawnStreamAnswer(std::uint64_t Id) {
+  StreamAnswerFrame Frame{.m_Id = Id, .m_Several = *rc::gen::arbitrary<bool>()};
+  Frame.m_Stream.m_Contradicted = *rc::gen::arbitrary<bool>();
+  if (*rc::gen::arbitrary<bool>())
+    Frame.m_Stream.m_Origin = drawnOrigin();
+  if (*rc::gen::arbitrary<bool>())
+    Frame.m_Only = SoftwareVersion(drawnText());
+  return Frame;
+}
+
 std::vector<PeerFrame> drawnFrames() {
   const AttemptId Attempt = *rc::gen::arbitrary<std::uint64_t>();
   const Failure Reason{.m_Kind =
                            static_cast<ErrorKind>(*drawn(0, ErrorKindCount)),
                        .m_RetryAfter = Duration(*drawn(0, 100000)),
                        .m_Detail = "detail"};
-  return {HelloFrame{boxName(1), DataCentreName("kl"), "nonce"},
-          ProofFrame{"abc"},
-          ForwardFrame{drawnRequest()},
-          CancelFrame{Attempt},
-          StartedFrame{Attempt, Duration(*drawn(0, 100000))},
-          HeadFrame{Attempt, {*drawn(100, 600), "text/plain"}},
-          BytesFrame{Attempt, drawnText()},
-          EndedFrame{Attempt, *drawn(0, 100) / 2.0},
-          FailedFrame{Attempt, Reason},
-          drawnDigestFrame(),
-          DemandFrame{{{modelName(1), *drawn(0, 100) / 4.0}}},
-          drawnTable(),
-          AssignmentFrame{drawnAssignment()},
-          PlanFrame{drawnMove()},
-          MoveFrame{{"id", drawnMove(), boxName(1), 1700000000000}},
-          LimitAskFrame{Attempt, groupName(1), *drawn(0, 9), *drawn(0, 9)},
-          LimitAnswerFrame{Attempt, *rc::gen::arbitrary<bool>()},
-          LimitUpdateFrame{groupName(2), *drawn(0, 9)},
-          drawnFleetDigest(),
-          FleetWantFrame{.m_Config = Attempt,
-                         .m_List = drawnRevision(),
-                         .m_Boxes = drawnRevision(),
-                         .m_Evacuations = drawnRevision()},
-          drawnKeys(),
-          drawnContents(),
-          FleetMissingFrame{{{"s", "m", "a"}, {"s", "m", ""}}},
-          FleetLoadsFrame{drawnLoads()},
-          QuotaAskFrame{Attempt,
-                        "o",
-                        {.m_Units = *drawn(-9000, 9000) / 4.0,
-                         .m_Patience = Duration(*drawn(0, 9000000)),
-                         .m_Waited = *rc::gen::arbitrary<bool>()},
-                        *rc::gen::arbitrary<bool>()},
-          QuotaAnswerFrame{Attempt,
-                           {.m_Step = static_cast<QuotaStep>(*drawn(0, 3)),
-                            .m_After = Duration(*drawn(0, 9000000)),
-                            .m_Ample = *rc::gen::arbitrary<bool>()}},
-          drawnUse(),
-          PermitAskFrame{Attempt, "i-1", Duration(*drawn(0, 9000000))},
-          PermitAnswerFrame{Attempt,
-                            {.m_Granted = *rc::gen::arbitrary<bool>(),
-                             .m_After = Duration(*drawn(0, 9000000))}},
-          ColdUpdateFrame{{.m_Id = "i-1", .m_StartTime = *drawn(0, 90000)},
+  return {
+      HelloFrame{boxName(1), DataCentreName("kl"), "nonce"},
+      ProofFrame{"abc"},
+      ForwardFrame{drawnRequest()},
+      CancelFrame{Attempt},
+      StartedFrame{Attempt, Duration(*drawn(0, 100000))},
+      HeadFrame{Attempt, {*drawn(100, 600), "text/plain"}},
+      BytesFrame{Attempt, drawnText()},
+      EndedFrame{Attempt, *drawn(0, 100) / 2.0},
+      FailedFrame{Attempt, Reason},
+      drawnDigestFrame(),
+      DemandFrame{{{modelName(1), *drawn(0, 100) / 4.0}}},
+      drawnTable(),
+      AssignmentFrame{drawnAssignment()},
+      PlanFrame{drawnMove()},
+      MoveFrame{{"id", drawnMove(), boxName(1), 1700000000000}},
+      LimitAskFrame{Attempt, groupName(1), *drawn(0, 9), *drawn(0, 9)},
+      LimitAnswerFrame{Attempt, *rc::gen::arbitrary<bool>()},
+      LimitUpdateFrame{groupName(2), *drawn(0, 9)},
+      drawnFleetDigest(),
+      FleetWantFrame{.m_Config = Attempt,
+                     .m_List = drawnRevision(),
+                     .m_Boxes = drawnRevision(),
+                     .m_Evacuations = drawnRevision()},
+      drawnKeys(),
+      drawnContents(),
+      FleetMissingFrame{{{"s", "m", "a"}, {"s", "m", ""}}},
+      FleetLoadsFrame{drawnLoads()},
+      QuotaAskFrame{Attempt,
+                    "o",
+                    {.m_Units = *drawn(-9000, 9000) / 4.0,
+                     .m_Patience = Duration(*drawn(0, 9000000)),
+                     .m_Waited = *rc::gen::arbitrary<bool>()},
+                    *rc::gen::arbitrary<bool>()},
+      QuotaAnswerFrame{Attempt,
+                       {.m_Step = static_cast<QuotaStep>(*drawn(0, 3)),
+                        .m_After = Duration(*drawn(0, 9000000)),
+                        .m_Ample = *rc::gen::arbitrary<bool>()}},
+      drawnUse(),
+      PermitAskFrame{Attempt, "i-1", Duration(*drawn(0, 9000000))},
+      PermitAnswerFrame{Attempt,
+                        {.m_Granted = *rc::gen::arbitrary<bool>(),
+                         .m_After = Duration(*drawn(0, 9000000))}},
+      ColdUpdateFrame{{.m_Id = "i-1", .m_StartTime = *drawn(0, 90000)},
+                      Duration(*drawn(0, 9000000))},
+      CrashFrame{{.m_Id = "i-1", .m_StartTime = *drawn(0, 90000)},
+                 {RequestDigest(drawnText()), RequestDigest("d")}},
+      CrashSuspectsFrame{{RequestDigest(drawnText())}},
+      RequestClearedFrame{RequestDigest(drawnText())},
+      QuarantinesFrame{{{.m_Request = RequestDigest("d"),
+                         .m_Upstreams = {"i-1", drawnText()},
+                         .m_By = BoxName("box"),
+                         .m_Age = Duration(*drawn(0, 9000000)),
+                         .m_Left = Duration(*drawn(0, 9000000))}}},
+      packed(CancelFrame{Attempt}),
+      FleetTotalsFrame{Attempt, Attempt / 2, drawnLoads()},
+      UpstreamSignalFrame{{.m_Id = "i-1", .m_StartTime = *drawn(0, 90000)},
+                          *drawn(0, 900) / 4.0,
+                          false,
+                          Duration(*drawn(0, 9000000)),
+                          *rc::gen::arbitrary<bool>(),
+                          *drawn(0, 900) / 4.0,
+                          *rc::gen::arbitrary<bool>(),
                           Duration(*drawn(0, 9000000))},
-          CrashFrame{{.m_Id = "i-1", .m_StartTime = *drawn(0, 90000)},
-                     {RequestDigest(drawnText()), RequestDigest("d")}},
-          CrashSuspectsFrame{{RequestDigest(drawnText())}},
-          RequestClearedFrame{RequestDigest(drawnText())},
-          QuarantinesFrame{{{.m_Request = RequestDigest("d"),
-                             .m_Upstreams = {"i-1", drawnText()},
-                             .m_By = BoxName("box"),
-                             .m_Age = Duration(*drawn(0, 9000000)),
-                             .m_Left = Duration(*drawn(0, 9000000))}}},
-          packed(CancelFrame{Attempt}),
-          FleetTotalsFrame{Attempt, Attempt / 2, drawnLoads()},
-          UpstreamSignalFrame{{.m_Id = "i-1", .m_StartTime = *drawn(0, 90000)},
-                              *drawn(0, 900) / 4.0,
-                              false,
-                              Duration(*drawn(0, 9000000)),
-                              *rc::gen::arbitrary<bool>(),
-                              *drawn(0, 900) / 4.0,
-                              *rc::gen::arbitrary<bool>(),
-                              Duration(*drawn(0, 9000000))},
-          SendEndedFrame{drawnText(), *rc::gen::arbitrary<bool>()}};
+      SendEndedFrame{drawnText(), *rc::gen::arbitrary<bool>()},
+      StreamsBegunFrame{{{.m_Attempt = drawnText(),
+                          .m_Origin = drawnOrigin(),
+                          .m_Left = *drawn(0, 90000) * 1ms}}},
+      StreamQueryFrame{Attempt, drawnText(), "s", *rc::gen::arbitrary<bool>()},
+      drawnStreamAnswer(Attempt)};
 }
 
 } // namespace
@@ -320,7 +342,8 @@
       {"warm_up_ask", 1},    {"warm_up_answer", 1}, {"warm_up_news", 1},
       {"crash", 2},          {"crash_suspects", 2}, {"ran_well", 2},
       {"request_bars", 2},   {"packed", 3},         {"fleet_totals", 3},
-      {"server_word", 4},    {"send_ended", 6}};
+      {"server_word", 4},    {"send_ended", 6},     {"streams_begun", 7},
+      {"stream_query", 7},   {"stream_answer", 7}};
   rc::prop("each kind", [&] {
     const std::vector<PeerFrame> Frames = drawnFrames();
     RC_ASSERT(Frames.size() == Known.size());
