Streams go on only at the software version that began them

Cause: the entry's version was demanded and dropped, Resumes was not read, and a resume was bound to Last-Event-Id alone, so that the choice took any upstream that held the model. Evidence: of three resumes within an answer that the logs hold, one joins v1.1 and v1; five tests failed on.

A stream is bound to (service, version) by the first event that its caller is given, and a request that takes one up before its first send; candidates, loads to wait for and boxes that it is passed on to follow from that. The box that gave the first event tells three others, who are asked by the box that the caller comes to. Without a record a stream goes on if its service had one version only within 120 s; else the caller gets 503 stream_unknown at once. A box of an older build is not asked.

Why it works: no path to an upstream is left that does not go through the eligibility of the request, which the binding restricts; what is not known restricts it to nothing.

--- a/packages/decisions/request/ErrorKind.cpp
+++ b/packages/decisions/request/ErrorKind.cpp
@@ -68,6 +68,10 @@
     {502, "servers_ended", Unknown, false,
      "Upstreams crashed while running this request; it was not repeated."},
     {500, "internal", Unknown, false, "An error inside the box."},
+    {503, "stream_unknown", NotRun, false,
+     "It is not known which software version began the stream."},
+    {503, "no_upstream_of_version", NotRun, true,
+     "No upstream of the software version that began the stream is there."},
 }};
 
 std::string describe(const Failure &Reason) {
--- a/packages/decisions/request/ErrorKind.h
+++ b/packages/decisions/request/ErrorKind.h
@@ -47,11 +47,14 @@
   Stopping,
   RequestQuarantined,
   UpstreamsCrashed,
-  Internal
+  Internal,
+  StreamUnknown,
+  NoUpstreamOfVersion
 };
 
 /// Number of error kinds; the table has one row for each.
-constexpr int ErrorKindCount = static_cast<int>(ErrorKind::Internal) + 1;
+constexpr int ErrorKindCount =
+    static_cast<int>(ErrorKind::NoUpstreamOfVersion) + 1;
 
 /// Whether a request that failed may have been run.
 enum class RunState {
--- a/packages/gateway/process/Fleet.cpp
+++ b/packages/gateway/process/Fleet.cpp
@@ -100,7 +100,8 @@
 StoreTransaction Fleet::entry(LeaseId Lease) const {
   Json Value{{"peers", m_Mesh.endpoint().str()},
              {"zone", m_Opts.m_DataCentre.str()},
-             {"capacity", m_Opts.m_Capacity}};
+             {"capacity", m_Opts.m_Capacity},
+             {"protocol", OwnProtocol}};
   if (m_Passing)
     Value["passing"] = m_Passing->str();
   return {.m_Conditions = {},
@@ -153,6 +154,7 @@
     Result.m_Capacity = fieldOr<double>(Value, "capacity", 1);
     Result.m_Passing =
         Endpoint::parse(fieldOr<std::string>(Value, "passing", ""));
+    Result.m_Protocol = fieldOr<PeerProtocol>(Value, "protocol", FirstProtocol);
   } catch (const DecodeError &Error) {
     m_Log.write("bad_box", {{"key", Item.m_Key}, {"why", Error.what()}});
   }
@@ -301,7 +303,8 @@
     if (Each.m_Passing)
       Result.push_back({.m_Box = Box,
                         .m_DataCentre = Each.m_Address->m_DataCentre,
-                        .m_Endpoint = *Each.m_Passing});
+                        .m_Endpoint = *Each.m_Passing,
+                        .m_Protocol = Each.m_Protocol});
   return Result;
 }
 
--- a/packages/gateway/process/Fleet.h
+++ b/packages/gateway/process/Fleet.h
@@ -109,6 +109,7 @@
     BoxName m_Box;
     DataCentreName m_DataCentre;
     Endpoint m_Endpoint;
+    PeerProtocol m_Protocol = FirstProtocol;
   };
   /// The listed boxes that take requests; not those of older builds.
   std::vector<PassAddress> passAddresses() const;
@@ -126,6 +127,7 @@
   std::uint64_t skipped() const { return m_Skipped; }
   /// Name of this process of the box.
   const BoxName &self() const { return m_Opts.m_Box; }
+  const DataCentreName &dataCentre() const { return m_Opts.m_DataCentre; }
   /// Which boxes are relays, and which boxes to link to.
   const FleetTopology &topology() const { return m_Topology; }
   /// Sets the box that leads. \returns whether that changes the topology.
@@ -148,6 +150,7 @@
     std::optional<PeerAddress> m_Address; ///< None when the entry is invalid.
     double m_Capacity = 1;
     std::optional<Endpoint> m_Passing; ///< None when it takes no requests.
+    PeerProtocol m_Protocol = FirstProtocol;
   };
 
   void tick();
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -123,6 +123,10 @@
                [this](std::string_view Outcome) {
                  m_Metrics.recordSend(Outcome);
                },
+           .m_Resumed =
+               [this](OriginSource Source) {
+                 m_Metrics.recordResumed(originSourceName(Source));
+               },
            .m_Reached =
                [this](const UpstreamReach::Call &Call) {
                  m_ReachMonitor.onReached(Call);
@@ -232,8 +236,10 @@
           UpstreamSignalExchange::Hooks{
               .m_LimitsChanged = [this] { m_Permits->refreshRole(); },
               .m_NoRoom = [this] { m_Metrics.recordNoRoom(); },
-              .m_UpstreamLeaving = [this] { onUpstreamDraining(); }})) {
+              .m_UpstreamLeaving = [this] { onUpstreamDraining(); }})),
+      m_StreamOrigins(std::make_shared<StreamOriginExchange>(Loop, m_Fleet)) {
   m_Forwarder.setServices(m_Quotas, m_Permits, m_Crashes, m_Signals);
+  m_Forwarder.setStreamOrigins(m_StreamOrigins);
   m_State.setLocation(m_Options.m_DataCentre, m_Options.m_Regions);
   applyBounds();
   startServers();
@@ -315,6 +321,7 @@
                 m_Permits->onFrame(From, Frame);
                 m_Crashes->onFrame(From, Frame);
                 m_Signals->onFrame(From, Frame);
+                m_StreamOrigins->onFrame(From, Frame);
               },
           .m_Up =
               [this](const BoxName &Box) {
@@ -326,6 +333,7 @@
           .m_Down =
               [this](const BoxName &Box) {
                 m_Exchange.linkDown(Box);
+                m_StreamOrigins->linkDown(Box);
                 m_Permits->refreshRole();
               },
           .m_StoreBack = [this] { resync(); }};
@@ -479,6 +487,7 @@
   Now.m_QuarantinedRequests = Number(m_State.m_Crashes.quarantines().size());
   Now.m_BackedOffUpstreams =
       Number(m_State.m_Signals.backedOffCount(EventLoop::now()));
+  Now.m_StreamsKnown = Number(m_StreamOrigins->size());
   Now.m_Partitioned = m_State.m_Reach.partitioned() ? 1 : 0;
   Now.m_LimitedUpstreams = Number(m_State.m_Signals.limits().size());
   Now.m_RefusalLimitedUpstreams =
@@ -704,6 +713,7 @@
       m_UpstreamHttp.forget(*Address);
   }
   m_State.m_Signals.update(m_State.m_Upstreams.list(), EventLoop::now());
+  m_StreamOrigins->onListChanged(m_State.m_Upstreams.list());
   m_Permits->onListChanged(m_State.m_Upstreams.list());
   m_Crashes->onListChanged();
   m_Log.write("upstreams",
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -18,6 +18,7 @@
 #include "gateway/process/ReachMonitor.h"
 #include "gateway/process/ServingState.h"
 #include "gateway/process/StoreCallLog.h"
+#include "gateway/process/StreamOriginExchange.h"
 #include "gateway/process/UpstreamRegistry.h"
 #include "gateway/process/UpstreamSignalExchange.h"
 #include "gateway/process/WatchCache.h"
@@ -147,6 +148,7 @@
   std::shared_ptr<PermitExchange> m_Permits;
   std::shared_ptr<CrashExchange> m_Crashes;
   std::shared_ptr<UpstreamSignalExchange> m_Signals;
+  std::shared_ptr<StreamOriginExchange> m_StreamOrigins;
   std::unique_ptr<HttpServer> m_Callers;
   std::unique_ptr<HttpServer> m_Readiness;
   std::unique_ptr<HttpServer> m_MetricsServer;
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -49,6 +49,13 @@
           .Help("Requests that were passed on to other boxes (out) or came "
                 "from them (in), by outcome")
           .Register(m_Registry);
+  prometheus::Family<prometheus::Counter> &m_Resumed =
+      prometheus::BuildCounter()
+          .Name("havenstair_streams_resumed_total")
+          .Help(
+              "Streams that callers took up, by how the software version that "
+              "began them is known")
+          .Register(m_Registry);
   prometheus::Family<prometheus::Counter> &m_Orders =
       prometheus::BuildCounter()
           .Name("havenstair_orders_total")
@@ -181,6 +188,10 @@
       .Increment();
 }
 
+void GatewayMetrics::recordResumed(std::string_view Source) {
+  m_Families->m_Resumed.Add({{"known_by", std::string(Source)}}).Increment();
+}
+
 void GatewayMetrics::recordOrder(std::string_view Operation,
                                  std::string_view Answer) {
   m_Families->m_Orders
@@ -242,6 +253,7 @@
                     Gauges.m_RefusalLimitedUpstreams);
   m_Families->state("backed_off_servers", Gauges.m_BackedOffUpstreams);
   m_Families->state("partitioned", Gauges.m_Partitioned);
+  m_Families->state("streams_known", Gauges.m_StreamsKnown);
   m_Families->state("frames_skipped", Gauges.m_FramesSkipped);
   for (const auto &[Kind, Frames] : Gauges.m_PeerFrames)
     m_Families->m_PeerFrames.Add({{"kind", std::string(Kind)}}).Set(Frames);
--- a/packages/gateway/process/GatewayMetrics.h
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -41,6 +41,7 @@
   double m_BackedOffUpstreams = 0;
   double m_Partitioned = 0;   ///< 1 while this box reaches no upstream.
   double m_FramesSkipped = 0; ///< Frames of kinds that only later builds know.
+  double m_StreamsKnown = 0;  ///< Streams whose origin is remembered.
   std::map<int, int> m_Protocols;       ///< Linked boxes by protocol version.
   std::map<DataCentreName, int> m_Cold; ///< Cold upstreams by data centre.
   std::map<std::string_view, double> m_PeerFrames; ///< Frames sent, by kind.
@@ -67,6 +68,8 @@
   /// Records that a request that was passed on (\p Way "out") or came from
   /// another box ("in") ended with \p Outcome.
   void recordPassed(std::string_view Way, std::string_view Outcome);
+  /// Records that a caller took a stream up, and how its origin is known.
+  void recordResumed(std::string_view Source);
   /// Records the answer to an order to an engine.
   void recordOrder(std::string_view Operation, std::string_view Answer);
   /// Records the answer to a query for a permit for an upstream in \p At, which
--- a/packages/gateway/process/PassExchange.cpp
+++ b/packages/gateway/process/PassExchange.cpp
@@ -24,12 +24,14 @@
       }) {}
 
 std::optional<PassService::Target>
-PassExchange::choose(const AllowedRegions &Regions,
-                     const std::set<BoxName> &Tried) {
+PassExchange::choose(const Requirements &Needed) {
   std::vector<BoxChoice::Candidate> Candidates;
   std::map<BoxName, Target> Targets;
   for (const Fleet::PassAddress &Each : m_Fleet.passAddresses()) {
-    if (!Regions.allows(m_State.m_DataCentres.regionOf(Each.m_DataCentre)))
+    const RegionName &Region =
+        m_State.m_DataCentres.regionOf(Each.m_DataCentre);
+    if (!Needed.m_Regions.allows(Region) ||
+        (Needed.m_KeepsVersions && Each.m_Protocol < StreamProtocol))
       continue;
     Candidates.push_back(
         {.m_Box = Each.m_Box, .m_DataCentre = Each.m_DataCentre});
@@ -40,7 +42,7 @@
   const BoxChoice::Draws Random{.m_First = m_Hooks.m_Random(),
                                 .m_Second = m_Hooks.m_Random()};
   const auto Box =
-      m_Choice->choose(Candidates, Tried, Random, EventLoop::now());
+      m_Choice->choose(Candidates, Needed.m_Tried, Random, EventLoop::now());
   return Box ? std::optional(Targets.at(*Box)) : std::nullopt;
 }
 
--- a/packages/gateway/process/PassExchange.h
+++ b/packages/gateway/process/PassExchange.h
@@ -47,8 +47,7 @@
   PassExchange(EventLoop &Loop, Fleet &Others, const ServingState &State,
                DecisionLog &Log, Options Opts, Hooks Callbacks);
 
-  std::optional<Target> choose(const AllowedRegions &Regions,
-                               const std::set<BoxName> &Tried) override;
+  std::optional<Target> choose(const Requirements &Needed) override;
   HttpHeaders fields(const std::string &Id) const override;
   std::shared_ptr<void> open(const Target &To) override;
   void onOutcome(const Target &To, std::string_view Outcome,
--- /dev/null
+++ b/packages/gateway/process/StreamOriginExchange.h
@@ -0,0 +1,85 @@
+/// \file
+/// Shares between boxes how streams began. See docs/design/stream-versions.md.
+#ifndef HAVENSTAIR_GATEWAY_PROCESS_STREAMORIGINEXCHANGE_H
+#define HAVENSTAIR_GATEWAY_PROCESS_STREAMORIGINEXCHANGE_H
+
+#include "decisions/process/VersionHistory.h"
+#include "gateway/request/StreamOriginService.h"
+#include "wire/common/EventLoop.h"
+#include "wire/connection/PeerFrames.h"
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace havenstair {
+
+class Fleet;
+
+/// Tells a few other boxes of each stream that begins here, and asks them for
+/// streams that callers take up here and that began elsewhere. In a large fleet
+/// the relays of the data centre are told, and a leaf asks them; one of them
+/// asks all other relays if it does not know the stream.
+class StreamOriginExchange : public StreamOriginService {
+public:
+  StreamOriginExchange(EventLoop &Loop, Fleet &Boxes);
+  StreamOriginExchange(const StreamOriginExchange &) = delete;
+  StreamOriginExchange &operator=(const StreamOriginExchange &) = delete;
+
+  void record(const std::string &Attempt, const StreamOrigin &Origin,
+              Duration Left) override;
+  void find(const std::string &Attempt, const std::string &Service,
+            Done Callback) override;
+
+  /// Called when the list of upstreams has changed.
+  void onListChanged(const InstanceList &List);
+  /// Stops waiting for the answer of \p Box.
+  void linkDown(const BoxName &Box);
+  /// Handles the stream frames among those that \p From sends.
+  void onFrame(const BoxName &From, const PeerFrame &Frame);
+
+  /// Number of streams that this box remembers.
+  std::size_t size() const { return m_Streams.size(); }
+
+private:
+  /// A search that other boxes have not answered yet.
+  struct Search {
+    StreamAnswerFrame m_Found;                 ///< What is known so far.
+    OriginSource m_Source = OriginSource::Own; ///< Of a recorded origin.
+    Done m_Done;
+    std::set<BoxName> m_Waiting; ///< Boxes that have not answered.
+    Timer m_Timer;
+  };
+
+  bool knowsWholeList() const;
+  StreamAnswerFrame known(const std::string &Attempt,
+                          const std::string &Service, TimePoint Now) const;
+  bool certain(const std::string &Service, TimePoint Now) const;
+  std::vector<BoxName> holdersOf(const std::string &Attempt) const;
+  std::vector<BoxName> boxesToAsk() const;
+  void ask(const std::string &Attempt, const std::string &Service,
+           StreamAnswerFrame Known, const std::vector<BoxName> &Boxes,
+           Done Callback);
+  void tellBegun();
+  void finish(std::uint64_t Id);
+
+  void receive(const BoxName &From, const StreamsBegunFrame &Frame);
+  void receive(const BoxName &From, const StreamQueryFrame &Frame);
+  void receive(const BoxName &From, const StreamAnswerFrame &Frame);
+
+  EventLoop &m_Loop;
+  Fleet &m_Fleet;
+  StreamOrigins m_Streams;
+  VersionHistory m_Versions;
+  /// Streams that other boxes are told of when the loop is idle.
+  std::map<BoxName, StreamsBegunFrame> m_Begun;
+  Timer m_TellTimer;
+  std::uint64_t m_LastId = 0;
+  std::map<std::uint64_t, Search> m_Searches;
+};
+
+} // namespace havenstair
+
+#endif
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -15,6 +15,7 @@
 #include "gateway/request/QuotaService.h"
 #include "gateway/request/RequestDialect.h"
 #include "gateway/request/StartupQueue.h"
+#include "gateway/request/StreamOriginService.h"
 #include "gateway/request/UpstreamSignalService.h"
 #include "wire/common/EventLoop.h"
 #include "wire/common/HttpClient.h"
@@ -64,6 +65,9 @@
     std::function<void(const RequestResult &)> m_Ended;
     /// Called when a send to an upstream has ended.
     std::function<void(std::string_view Outcome)> m_SendEnded;
+    /// Called when it is known, or known to be unknown, how a stream began that
+    /// a caller takes up.
+    std::function<void(OriginSource)> m_Resumed;
     /// Called when an upstream has begun to answer a send.
     std::function<void(const UpstreamReach::Call &)> m_Reached;
     /// Called when a request that another box passed on has ended.
@@ -99,6 +103,11 @@
   void setPassService(std::weak_ptr<PassService> Passes) {
     m_Passes = std::move(Passes);
   }
+  /// Sets the service that knows how streams began; without, a stream that a
+  /// caller takes up is refused.
+  void setStreamOrigins(std::weak_ptr<StreamOriginService> Origins) {
+    m_Origins = std::move(Origins);
+  }
   /// Handles a request that another box passed on and that counts as open until
   /// \p Token is destroyed. This box must know what it needs to serve.
   void handlePassed(const HttpExchangePtr &Exchange,
@@ -144,6 +153,7 @@
   std::weak_ptr<PermitService> m_Permits;
   std::weak_ptr<CrashService> m_Crashes;
   std::weak_ptr<UpstreamSignalService> m_Signals;
+  std::weak_ptr<StreamOriginService> m_Origins;
   StartupQueue m_StartupQueue;
   Timer m_StartupTimer;
   std::set<std::shared_ptr<ProxiedRequest>> m_Open;
--- a/packages/gateway/request/PassFields.cpp
+++ b/packages/gateway/request/PassFields.cpp
@@ -15,8 +15,9 @@
 constexpr const char *ConfigField = "Havenstair-Config";
 constexpr const char *ProofField = "Havenstair-Proof";
 constexpr const char *VerdictField = "Havenstair-Verdict";
-constexpr std::array<const char *, 4> AllFields{FromField, ConfigField,
-                                                ProofField, VerdictField};
+constexpr const char *SoftwareField = "Havenstair-Software";
+constexpr std::array<const char *, 5> AllFields{
+    FromField, ConfigField, ProofField, VerdictField, SoftwareField};
 constexpr std::array<std::string_view, 4> VerdictNames{"none", "declined",
                                                        "rejected", "refused"};
 
@@ -58,6 +59,14 @@
   return Headers;
 }
 
+HttpHeader softwareField(const SoftwareVersion &Software) {
+  return {SoftwareField, Software.str()};
+}
+
+SoftwareVersion readSoftware(const HttpHeaders &Headers) {
+  return softwareVersionOf(findHeader(Headers, SoftwareField));
+}
+
 HttpHeader verdictField(PassVerdict Verdict) {
   return {VerdictField,
           std::string(VerdictNames.at(static_cast<std::size_t>(Verdict)))};
--- a/packages/gateway/request/PassFields.h
+++ b/packages/gateway/request/PassFields.h
@@ -5,6 +5,7 @@
 #define HAVENSTAIR_GATEWAY_REQUEST_PASSFIELDS_H
 
 #include "decisions/common/Id.h"
+#include "decisions/common/SoftwareVersion.h"
 #include "decisions/version/ServingConfig.h"
 #include "wire/common/HttpServer.h"
 #include <optional>
@@ -39,6 +40,11 @@
                                          const std::string &Secret);
 /// \returns \p Headers without the fields of this file.
 HttpHeaders withoutPassFields(HttpHeaders Headers);
+/// \returns the field that states the software version that a stream is bound
+/// to, in a request, or that runs it, in an answer.
+HttpHeader softwareField(const SoftwareVersion &Software);
+/// \returns the software version that \p Headers state; empty if they do not.
+SoftwareVersion readSoftware(const HttpHeaders &Headers);
 /// \returns the field that states \p Verdict.
 HttpHeader verdictField(PassVerdict Verdict);
 /// \returns the verdict that \p Headers of an answer state.
--- a/packages/gateway/request/PassService.h
+++ b/packages/gateway/request/PassService.h
@@ -29,10 +29,16 @@
   PassService &operator=(const PassService &) = delete;
   virtual ~PassService() = default;
 
-  /// \returns the box to pass a request on to, in \p Regions and without those
-  /// in \p Tried; empty if there is none.
-  virtual std::optional<Target> choose(const AllowedRegions &Regions,
-                                       const std::set<BoxName> &Tried) = 0;
+  /// What the box to pass a request on to has to be like.
+  struct Requirements {
+    const AllowedRegions &m_Regions;
+    const std::set<BoxName> &m_Tried; ///< Boxes that were asked already.
+    /// It keeps a stream at the software version that began it.
+    bool m_KeepsVersions = false;
+  };
+
+  /// \returns the box to pass a request on to; empty if there is none.
+  virtual std::optional<Target> choose(const Requirements &Needed) = 0;
   /// \returns the fields that tell the other box that the request \p Id comes
   /// from this one.
   virtual HttpHeaders fields(const std::string &Id) const = 0;
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -40,6 +40,10 @@
 /// Boxes that one request is passed on to. Each that declines answers at once.
 constexpr std::size_t MaxAskedBoxes = 6;
 
+/// Added to the time within which a caller may take a stream up: boxes' clocks
+/// and callers' deadlines are late by less.
+constexpr Duration ResumeMargin = 5s;
+
 /// A request that another box passed on has one send here: the other box counts
 /// it as one of the attempts that the route allows.
 constexpr int MaxPassedSends = 1;
@@ -56,6 +60,13 @@
   return "";
 }
 
+/// \returns whether the caller takes up a stream that another attempt began.
+bool continuesStream(const Route &MatchedRoute,
+                     const RequestDescriptor &Request) {
+  return MatchedRoute.m_Kind == RouteKind::Stream &&
+         (Request.m_LastEvent || !Request.m_Resumes.empty());
+}
+
 /// \returns the detail of a refusal for lack of permits.
 const char *refusalReason(BoundKind Kind) {
   switch (Kind) {
@@ -95,6 +106,11 @@
               m_Passed ? 0 : quotaUnits(m_Request, Caller)),
       m_Permit(Owner.m_Loop, Owner.m_Permits, Owner.m_State.m_SendBounds,
                [this] { resume(); }),
+      m_Binding(Owner.m_Origins,
+                {.m_Attempt = m_Request.m_Id,
+                 .m_Resumes = m_Request.m_Resumes,
+                 .m_Continues = continuesStream(MatchedRoute, m_Request),
+                 .m_Digest = m_Crashes.digest()}),
       m_Arrived(Arrived),
       m_Deadline(m_Arrived +
                  std::min(m_Request.m_Deadline.value_or(MaxDeadline),
@@ -111,6 +127,9 @@
 void ProxiedRequest::begin() {
   if (!m_Passed)
     countArrival();
+  else if (const SoftwareVersion Software = readSoftware(m_Exchange->headers());
+           !Software.empty())
+    m_Binding.bind(Software);
   const auto Weak = weak_from_this();
   m_Exchange->onCallerLeft([Weak] {
     if (const auto Self = Weak.lock())
@@ -149,7 +168,7 @@
 UpstreamEligibility ProxiedRequest::eligibility() const {
   const ServingState &State = m_Owner.m_State;
   return {State.m_Upstreams, State.m_DataCentres, m_Authorization.regions(),
-          m_Service, m_Request};
+          m_Service,         m_Request,           m_Binding.software()};
 }
 
 void ProxiedRequest::upstreamsChanged() {
@@ -161,7 +180,7 @@
   const TimePoint Now = EventLoop::now();
   ServingState &State = m_Owner.m_State;
   m_WaitTimer = Timer();
-  if (!stillAllowed() || refuseIfQuarantined(Now))
+  if (!stillAllowed() || refuseIfQuarantined(Now) || !bound())
     return;
   if (const auto HoldTime = m_Crashes.holdTime(Now))
     return wait(*HoldTime);
@@ -217,6 +236,79 @@
     send(*Chosen, Now);
 }
 
+/// \returns whether it is known which upstreams may run the request. If not,
+/// the answer about the stream's origin resumes it, or it has been refused.
+bool ProxiedRequest::bound() {
+  if (m_Binding.state() == StreamBinding::State::Open) {
+    m_AskingOrigin = true;
+    m_Binding.ask(m_Service,
+                  [this](const FoundOrigin &Found) { onOrigin(Found); });
+    m_AskingOrigin = false;
+  }
+  return !m_Done && m_Binding.state() != StreamBinding::State::Asked;
+}
+
+void ProxiedRequest::onOrigin(const FoundOrigin &Found) {
+  if (m_Done)
+    return;
+  const auto Self = shared_from_this();
+  const bool Known = m_Binding.state() == StreamBinding::State::Bound;
+  const bool Usable = Known && useBoundService();
+  m_Owner.m_Log.write(
+      "resumed", {{"request", m_Request.m_Id},
+                  {"resumes", m_Request.m_Resumes},
+                  {"last_event", m_LastEvent ? Json(*m_LastEvent) : Json()},
+                  {"by", originSourceName(Found.m_Source)},
+                  {"software", Found.m_Software.str()},
+                  {"known", Known},
+                  {"usable", Usable},
+                  {"after_ms", waited(EventLoop::now()) / 1ms}});
+  m_Owner.m_Hooks.m_Resumed(Found.m_Source);
+  if (!Usable)
+    return refuse(ErrorKind::StreamUnknown, 0us,
+                  std::string(originSourceName(Found.m_Source)));
+  // If the answer came at once, bound() continues.
+  if (!m_AskingOrigin)
+    step();
+}
+
+/// Sends the rest of a stream to the service that began it. \returns whether
+/// the route still leads there.
+bool ProxiedRequest::useBoundService() {
+  const std::string &Wanted = m_Binding.service();
+  const auto IsWanted = [&](const SplitShare &Each) {
+    return Each.m_Service == Wanted;
+  };
+  if (Wanted.empty())
+    return true;
+  if (std::none_of(m_Route.m_Split.begin(), m_Route.m_Split.end(), IsWanted))
+    return false;
+  m_Service = Wanted;
+  return true;
+}
+
+/// Binds the stream whose first event the caller is about to get.
+void ProxiedRequest::bindStream(TimePoint Now) {
+  if (m_Route.m_Resumable)
+    m_Binding.onEvent(m_Service, m_Send->m_Software, timeToResume(Now));
+}
+
+/// \returns how long the caller may take its stream up: callers keep to the
+/// deadline of their first try.
+Duration ProxiedRequest::timeToResume(TimePoint Now) const {
+  const Duration Wait = m_Request.m_Deadline.value_or(m_Route.m_Timeout);
+  return std::max<Duration>(0us, m_Arrived + Wait - Now) + ResumeMargin;
+}
+
+/// \returns whether the list now names another version for the upstream of the
+/// last send: it may have had that already, as lists are late.
+bool ProxiedRequest::listedOtherwise() const {
+  const UpstreamInstance *Listed =
+      m_Owner.m_State.m_Upstreams.find(m_Send->m_Instance);
+  return !m_Send->m_Box && Listed != nullptr &&
+         Listed->m_Software != m_Send->m_Software;
+}
+
 /// \returns whether a send from here would probably reach no upstream: a single
 /// failure counts for the request that met it, so that it does not meet the
 /// next one.
@@ -237,7 +329,10 @@
   }
   const std::shared_ptr<PassService> Service = m_Owner.m_Passes.lock();
   const auto To = Service
-                      ? Service->choose(m_Authorization.regions(), m_AskedBoxes)
+                      ? Service->choose({.m_Regions = m_Authorization.regions(),
+                                         .m_Tried = m_AskedBoxes,
+                                         .m_KeepsVersions =
+                                             m_Binding.software().has_value()})
                       : std::nullopt;
   if (!To || m_AskedBoxes.size() >= MaxAskedBoxes)
     return false;
@@ -275,6 +370,8 @@
                                                 .m_LastEvent = m_LastEvent});
   for (HttpHeader &Each : Service.fields(m_Request.m_Id))
     Call.m_Headers.push_back(std::move(Each));
+  if (m_Binding.software())
+    Call.m_Headers.push_back(softwareField(*m_Binding.software()));
   Call.m_Use = connectionFor(m_Route.idempotent(), false, 0);
   m_Call = m_Owner.m_Client.start(std::move(Call));
   if (!streaming())
@@ -370,12 +467,17 @@
   // Plain services queue requests themselves.
   if (Chosen && m_Request.m_Model.empty())
     return true;
+  if (!Chosen && m_Binding.software() && !eligibility().any()) {
+    refuse(ErrorKind::NoUpstreamOfVersion, NoUpstreamRetryAfter,
+           m_Binding.software()->str());
+    return false;
+  }
   if (!Chosen && !eligibility().any()) {
     refuse(ErrorKind::NoAllowedUpstream, NoUpstreamRetryAfter,
            m_Authorization.regions().text());
     return false;
   }
-  if (!Chosen && !m_Request.m_Model.empty())
+  if (!Chosen && !m_Request.m_Model.empty() && !m_Binding.software())
     m_Owner.m_Hooks.m_Missing(
         {m_Service, m_Request.m_Model, m_Request.m_Adapter});
   const AdmissionFacts Facts = admissionFacts(Chosen, Now);
@@ -608,6 +710,7 @@
   m_Send->m_Framing = framingOf(method(), Status, Headers);
   if (m_Send->m_Box) {
     m_Send->m_Verdict = readVerdict(Headers);
+    m_Send->m_Software = readSoftware(Headers);
   } else {
     m_Send->m_NotRun = Facts.m_NotRun;
     m_Send->m_NoRoom = Facts.m_NoRoom;
@@ -659,6 +762,7 @@
   noteStarted(Now);
   if (!m_BytesPassed) {
     m_BytesPassed = true;
+    bindStream(Now);
     startStream();
   }
   if (m_LastPassedAt)
@@ -678,8 +782,11 @@
   const AnswerFraming Framing = m_Send->m_Framing == AnswerFraming::Connection
                                     ? AnswerFraming::Connection
                                     : AnswerFraming::Chunks;
-  m_CallerFraming = m_Exchange->startStream(
-      m_Send->m_Status, withoutConnectionFields(m_Send->m_Headers), Framing);
+  HttpHeaders Headers = withoutConnectionFields(m_Send->m_Headers);
+  if (m_Passed)
+    Headers.push_back(softwareField(m_Send->m_Software));
+  m_CallerFraming =
+      m_Exchange->startStream(m_Send->m_Status, std::move(Headers), Framing);
 }
 
 void ProxiedRequest::onEnd(HttpEnd End) {
@@ -814,8 +921,12 @@
 }
 
 ForwardingStep ProxiedRequest::decide(SendOutcome Outcome, TimePoint Now) {
+  if (m_BytesPassed && m_Binding.software() && listedOtherwise())
+    m_Binding.onDoubt();
+  const bool Bound = m_Binding.state() == StreamBinding::State::Bound;
   const ForwardingFacts Facts{.m_Idempotent = m_Route.idempotent(),
-                              .m_Resumable = m_Route.m_Resumable,
+                              .m_Resumable = m_Route.m_Resumable &&
+                                             (Bound || !m_BytesPassed),
                               .m_BytesPassed = m_BytesPassed,
                               .m_MayHaveRun = m_MayHaveRun,
                               .m_Sends = m_Sends,
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -12,6 +12,7 @@
 #include "gateway/request/PassService.h"
 #include "gateway/request/RequestPermit.h"
 #include "gateway/request/RequestQuota.h"
+#include "gateway/request/StreamBinding.h"
 #include "gateway/request/StreamIdleMonitor.h"
 #include <memory>
 #include <optional>
@@ -84,6 +85,12 @@
 
   void countArrival();
   void step();
+  bool bound();
+  void onOrigin(const FoundOrigin &Found);
+  bool useBoundService();
+  void bindStream(TimePoint Now);
+  Duration timeToResume(TimePoint Now) const;
+  bool listedOtherwise() const;
   bool unreachable(TimePoint Now) const;
   bool passOn(TimePoint Now);
   void sendToBox(const PassService::Target &To, PassService &Service,
@@ -173,6 +180,8 @@
   RequestQuota m_Quota;
   bool m_AskingQuota = false; ///< A call to m_Quota.ask() is on the stack.
   RequestPermit m_Permit;
+  StreamBinding m_Binding;
+  bool m_AskingOrigin = false; ///< A call to m_Binding.ask() is on the stack.
   TimePoint m_Arrived;
   TimePoint m_Deadline;
   Duration m_SinceFirstTry = 0us; ///< Zero for a first try.
