Leaves know upstreams of each software version

A leaf's part of the list held the replicas of a model whatever their version, so that the few upstreams of one version might not be among them and a bound stream would find none. Each version of a model now counts by itself in the selection. The test failed before (1 of 50 and 10 engines of two versions, 2 wanted). While versions serve side by side the part grows by as many replicas for each version; with one version it is the same.

--- a/packages/decisions/process/UpstreamSubset.cpp
+++ b/packages/decisions/process/UpstreamSubset.cpp
@@ -50,12 +50,15 @@
                 .m_Region = Regions.of(Map.regionOf(DataCentre).str()),
                 .m_Models = {}};
     m_DataCentres.try_emplace(DataCentre, Added.m_DataCentre);
+    // Streams go on at the version that began them, so each version counts by
+    // itself.
+    const std::string Group =
+        Each->m_Service + Separator + Each->m_Software.str() + Separator;
     for (const ResidentModel &Model : Each->m_Models)
-      Added.m_Models.push_back(
-          Models.of(Each->m_Service + Separator + Model.m_Name));
+      Added.m_Models.push_back(Models.of(Group + Model.m_Name));
     // Upstreams of a service without models, and engines that hold none.
     if (Each->m_Models.empty())
-      Added.m_Models.push_back(Models.of(Each->m_Service + Separator));
+      Added.m_Models.push_back(Models.of(Group));
     m_Entries.push_back(std::move(Added));
   }
   m_Regions = Regions.size();
--- a/packages/decisions/process/UpstreamSubset.h
+++ b/packages/decisions/process/UpstreamSubset.h
@@ -15,10 +15,11 @@
 namespace havenstair {
 
 /// Selects some replicas of each model, and some upstreams of each service
-/// without models. Their number grows with models and data centres, not with
-/// upstreams. Upstreams are taken in the order of a stable hash, so that all
-/// boxes with the same list select the same ones, and a change of the list
-/// changes the selection little. Subsetting a selection again returns it whole.
+/// without models, at each software version. Their number grows with models and
+/// data centres, not with upstreams. Upstreams are taken in the order of a
+/// stable hash, so that all boxes with the same list select the same ones, and
+/// a change of the list changes the selection little. Subsetting a selection
+/// again returns it whole.
 class UpstreamSubset {
 public:
   struct Options {
--- a/tests/decisions/process/UpstreamSubsetTest.cpp
+++ b/tests/decisions/process/UpstreamSubsetTest.cpp
@@ -167,3 +167,19 @@
               ids(UpstreamSubset(Reversed, Map, Small).forAll()));
   });
 }
+
+TEST_CASE("Each software version of a model keeps replicas of its own in the "
+          "selection",
+          "[shortlist][stream-version]") {
+  Upstreams All;
+  for (int Number = 0; Number < 60; ++Number) {
+    All.push_back(engine(3 * Number, {"m"}));
+    All.back().m_Software = SoftwareVersion(Number < 50 ? "v1" : "v2");
+  }
+  std::map<SoftwareVersion, int> Selected;
+  const UpstreamSubset Of(pointers(All), Map, Small);
+  for (const UpstreamInstance *Each : Of.forDataCentre(DataCentreName("a-1")))
+    ++Selected[Each->m_Software];
+  REQUIRE(Selected[SoftwareVersion("v1")] >= 2);
+  REQUIRE(Selected[SoftwareVersion("v2")] >= 2);
+}
