Soak: servers of several software versions, callers who take streams up

--versions gives each server that starts under a new id one of three versions, told in its entry and in each event. Twelve callers take up what broke off, or what they cut themselves, with Resumes at any box; the judge reads the events of all tries: one version (one-version), no holes or repeats (stream-order).

--- a/tests/soak/SoakEngine.cpp
+++ b/tests/soak/SoakEngine.cpp
@@ -61,6 +61,19 @@
 void SoakEngine::takeName() {
   m_Id = m_Opts.m_Name + "-" + std::to_string(++m_Lives);
   m_StartTime = EventLoop::wallMillis();
+  if (m_PlaysVersions)
+    drawVersion();
+}
+
+void SoakEngine::drawVersion() {
+  constexpr int Versions = 3;
+  m_Version = "v" + std::to_string(draw(1, Versions));
+}
+
+void SoakEngine::playVersions() {
+  m_PlaysVersions = true;
+  drawVersion();
+  publish();
 }
 
 void SoakEngine::publish() {
@@ -70,7 +83,7 @@
       {"address", m_Link.endpoint().str()},
       {"zone", m_Opts.m_DataCentre},
       {"slots", m_Opts.m_Slots},
-      {"version", "v1"},
+      {"version", m_Version},
       {"state", m_Draining ? "draining" : "ready"},
       {"born", m_StartTime},
       {"coldRemainingMs", std::max<std::int64_t>(0, (m_ColdUntil - Now) / 1ms)},
@@ -316,8 +329,8 @@
   Started->m_Asked = Asked;
   Started->m_To = To;
   Started->m_Life = m_Lives;
-  Started->m_Signature =
-      m_Id + "." + std::to_string(m_Lives) + "." + std::to_string(++m_Runs);
+  Started->m_Signature = m_Id + "." + std::to_string(m_Lives) + "." +
+                         std::to_string(++m_Runs) + "." + m_Version;
   const std::string Id = Asked.header("x-attempt-id");
   const bool Streams = Asked.m_Target.find("stream") != std::string::npos;
   m_Oracle.made({.m_Id = Id,
@@ -333,9 +346,11 @@
   const Duration Work = std::chrono::milliseconds(draw(1, 60)) + m_Late;
   if (!Streams)
     return later(Work, [this, Started] { finish(Started); });
-  // A stream's length follows from its id, for runs that resume it.
+  // A stream's length follows from its first id, for runs that resume it.
+  const std::string Resumes = Asked.header("resumes");
   Started->m_Last =
-      LeastEvents + static_cast<int>(std::hash<std::string>()(Id) %
+      LeastEvents + static_cast<int>(std::hash<std::string>()(
+                                         Resumes.empty() ? Id : Resumes) %
                                      (MostEvents - LeastEvents));
   const std::string After = Asked.header("last-event-id");
   Started->m_Next = After.empty() ? 1 : std::stoi(After) + 1;
--- a/tests/soak/SoakEngine.h
+++ b/tests/soak/SoakEngine.h
@@ -63,6 +63,9 @@
   /// of room.
   void sayBrittle(int PerS);
   void sayBrittleNoMore();
+  /// Each process that starts under a new id has a version of three from now
+  /// on.
+  void playVersions();
   /// Mutation: the oracle hears the words, and the boxes do not.
   void setSilent(bool Silent) { m_Silent = Silent; }
   /// The next answers break off midway.
@@ -102,6 +105,7 @@
   void refuse(const Request &Asked, const Connection &To, int Status);
   bool modelHere(const Request &Asked) const;
   void takeName();
+  void drawVersion();
   int draw(int Least, int Most);
 
   EventLoop &m_Loop;
@@ -115,6 +119,8 @@
   Timer m_Tick;
 
   std::string m_Id;
+  bool m_PlaysVersions = false;
+  std::string m_Version = "v1";
   int m_Lives = 0;
   std::uint64_t m_Runs = 0;
   WallMillis m_StartTime = 0;
--- a/tests/soak/SoakEvents.cpp
+++ b/tests/soak/SoakEvents.cpp
@@ -50,6 +50,8 @@
     return "partition-served";
   case Promise::BrittleFalls:
     return "brittle-falls";
+  case Promise::OneVersion:
+    return "one-version";
   case Promise::WarmUpRate:
     return "warm-up-rate";
   case Promise::AllowedRegions:
--- a/tests/soak/SoakEvents.h
+++ b/tests/soak/SoakEvents.h
@@ -38,7 +38,8 @@
   SaidLeaving,      ///< An engine that says that it leaves gets nothing new.
   ServerRetryAfter, ///< A box keeps away for the time that an engine names.
   PartitionServed,  ///< A box that reaches no engine serves its callers.
-  BrittleFalls      ///< Servers that bear few refusals seldom fall.
+  BrittleFalls,     ///< Servers that bear few refusals seldom fall.
+  OneVersion        ///< A stream holds events of one software version only.
 };
 
 const char *toString(Promise Of);
--- a/tests/soak/SoakOracle.cpp
+++ b/tests/soak/SoakOracle.cpp
@@ -11,7 +11,7 @@
       m_Words(m_Bounds, m_Trouble, noteVerdict()),
       m_Partitions(m_Bounds, m_Trouble, noteVerdict()),
       m_Brittle(m_Bounds, m_Trouble, noteVerdict()),
-      m_Sound(m_Bounds, m_Trouble, noteVerdict()) {}
+      m_Sound(m_Bounds, m_Trouble, noteVerdict()), m_Versions(noteVerdict()) {}
 
 void SoakOracle::sent(const CallerRequest &Request) {
   m_Answers.sent(Request);
--- a/tests/soak/SoakOracle.h
+++ b/tests/soak/SoakOracle.h
@@ -12,6 +12,7 @@
 #include "soak/RoutingOracle.h"
 #include "soak/ServerWordsOracle.h"
 #include "soak/SoundAnswerOracle.h"
+#include "soak/VersionOracle.h"
 #include <vector>
 
 namespace havenstair {
@@ -51,6 +52,8 @@
   BrittleOracle &brittle() { return m_Brittle; }
   SoundAnswerOracle &sound() { return m_Sound; }
   ServerWordsOracle &words() { return m_Words; }
+  VersionOracle &versions() { return m_Versions; }
+  const VersionOracle &versions() const { return m_Versions; }
   const CrashOracle &crashes() const { return m_Crashes; }
   const std::vector<SoakVerdict> &verdicts() const { return m_Verdicts; }
 
@@ -73,6 +76,7 @@
   PartitionOracle m_Partitions;
   BrittleOracle m_Brittle;
   SoundAnswerOracle m_Sound;
+  VersionOracle m_Versions;
 };
 
 } // namespace havenstair
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -16,6 +16,8 @@
 constexpr Duration OwnPassEvery = 10ms;
 constexpr Duration OwnPause = 100ms; ///< Longer ones excuse late events.
 
+constexpr int StreamingCallers = 12;
+
 const char *const DataCentres[] = {"za", "zb"};
 
 /// Addresses of this process's boxes: 127.X.Y.N, with X and Y by its id.
@@ -84,12 +86,13 @@
       m_Oracle(m_Opts.m_Bounds), m_Store(m_Loop),
       m_Config(m_Store, m_Oracle, m_Opts.m_Bounds),
       m_Callers(m_Loop, m_Oracle, m_Config, m_Boxes),
-      m_Crashing(m_Loop, m_Oracle, m_Boxes), m_Faults({.m_Loop = m_Loop,
-                                                       .m_Oracle = m_Oracle,
-                                                       .m_Store = m_Store,
-                                                       .m_Config = m_Config,
-                                                       .m_Boxes = m_Boxes,
-                                                       .m_Engines = m_Engines}),
+      m_Crashing(m_Loop, m_Oracle, m_Boxes),
+      m_Streams(m_Loop, m_Oracle, m_Boxes), m_Faults({.m_Loop = m_Loop,
+                                                      .m_Oracle = m_Oracle,
+                                                      .m_Store = m_Store,
+                                                      .m_Config = m_Config,
+                                                      .m_Boxes = m_Boxes,
+                                                      .m_Engines = m_Engines}),
       m_Http(m_Loop) {
   // Of the two regions, the route may use the one with data centre za only.
   m_Oracle.routing().allowed("/near/x", {"za"});
@@ -101,6 +104,9 @@
     playEndings();
   if (m_Opts.m_Partitions)
     m_Faults.partitions().prepare();
+  if (m_Opts.m_Versions)
+    for (const auto &Each : m_Engines)
+      Each->playVersions();
   mutate();
 }
 
@@ -258,9 +264,11 @@
     replaceBoxes();
   m_Callers.start(m_Plan.m_Callers, m_Opts.m_Seed);
   m_Crashing.start(m_Opts.m_Crashing, m_Opts.m_Seed);
+  m_Streams.start(m_Opts.m_Versions ? StreamingCallers : 0, m_Opts.m_Seed);
   m_Loop.runUntil([this] { return m_Interrupted; }, m_Opts.m_Length);
   m_Callers.stop();
   m_Crashing.stop();
+  m_Streams.stop();
   m_Loop.runUntil([this] { return m_Interrupted || m_Callers.open() == 0; },
                   LastAnswers);
   m_Oracle.partitions().finish(EventLoop::now());
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -9,6 +9,7 @@
 #include "soak/SoakConfig.h"
 #include "soak/SoakOracle.h"
 #include "soak/SoakSchedule.h"
+#include "soak/StreamCallers.h"
 #include <memory>
 #include <optional>
 #include <string>
@@ -43,7 +44,9 @@
     bool m_Endings = false;    ///< Answers end in many ways, addEndings().
     bool m_Partitions = false; ///< Boxes reach no server, addPartitions().
     bool m_Brittle = false;    ///< Servers bear few refusals, addBrittleness().
-    std::string m_Program;     ///< The daemon.
+    /// Servers of several software versions, and callers who take streams up.
+    bool m_Versions = false;
+    std::string m_Program; ///< The daemon.
     /// An earlier daemon: boxes start with it, are replaced one after the
     /// other, and back again. Empty for none.
     std::string m_Previous;
@@ -87,6 +90,7 @@
   std::vector<std::unique_ptr<SoakBox>> m_Boxes;
   SoakCallers m_Callers;
   CrashingCallers m_Crashing;
+  StreamCallers m_Streams;
   FaultInjector m_Faults;
   HttpClient m_Http;
   bool m_Interrupted = false;
--- /dev/null
+++ b/tests/soak/StreamCallers.h
@@ -0,0 +1,58 @@
+/// \file
+/// Callers of a soak who take broken streams up again.
+#ifndef HAVENSTAIR_TESTS_SOAK_STREAMCALLERS_H
+#define HAVENSTAIR_TESTS_SOAK_STREAMCALLERS_H
+
+#include "soak/SoakBox.h"
+#include "soak/SoakOracle.h"
+#include "wire/common/HttpClient.h"
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace havenstair {
+
+/// Each asks for one stream after the other. What breaks off, also by its own
+/// doing, it takes up at any box until its deadline.
+class StreamCallers {
+public:
+  StreamCallers(EventLoop &Loop, SoakOracle &Oracle,
+                std::vector<std::unique_ptr<SoakBox>> &Boxes)
+      : m_Loop(Loop), m_Oracle(Oracle), m_Boxes(Boxes), m_Http(Loop) {}
+
+  void start(int Callers, std::uint64_t Seed);
+  void stop() { m_Callers.clear(); }
+
+private:
+  struct Caller {
+    CallerRequest m_Request;
+    HttpHeaders m_Headers;
+    std::string m_First; ///< Attempt that brought the first event.
+    std::vector<StreamPiece> m_Got;
+    std::string m_Bytes; ///< Of the present try.
+    int m_Status = 0;    ///< Of its answer; 0 before.
+    TimePoint m_Until{};
+    HttpCallHandle m_Call;
+    Timer m_Next;
+    Timer m_Cut;
+  };
+
+  void begin(Caller &By);
+  void later(Caller &By, bool Again);
+  void send(Caller &By);
+  void ended(Caller &By, HttpEnd End);
+  int draw(int Least, int Most);
+
+  EventLoop &m_Loop;
+  SoakOracle &m_Oracle;
+  std::vector<std::unique_ptr<SoakBox>> &m_Boxes;
+  HttpClient m_Http;
+  std::mt19937_64 m_Random;
+  std::uint64_t m_NextId = 1;
+  std::vector<std::unique_ptr<Caller>> m_Callers;
+};
+
+} // namespace havenstair
+
+#endif
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -38,6 +38,8 @@
   --brittle         Besides, servers of a service say that they bear few
                     refusals, and fall over more; others are silent for a
                     moment.
+  --versions        Besides, servers have several software versions, and callers
+                    take up streams that broke off.
   --config          Harm the ways on which boxes learn of configurations, in
                     place of the seed's usual plan.
   --again MS        With --config: each harm once more after MS [default: 0].
@@ -118,6 +120,12 @@
             << wallMillis(Run.started()) << "\n";
   if (const int Ended = Run.oracle().crashes().engines(); Ended > 0)
     std::cout << Ended << " engines ended under requests\n";
+  const VersionOracle::Counts &Streams = Run.oracle().versions().counts();
+  if (Streams.m_Asked > 0)
+    std::cout << Streams.m_Asked << " streams asked for, " << Streams.m_Begun
+              << " begun, " << Streams.m_Whole << " whole; "
+              << Streams.m_TakenUp << " tries took one up, " << Streams.m_WentOn
+              << " went on\n";
   const auto &Verdicts = Run.oracle().verdicts();
   constexpr std::size_t MostShown = 20;
   for (std::size_t Index = 0; Index < std::min(Verdicts.size(), MostShown);
@@ -170,6 +178,7 @@
   Opts.m_Endings = Flags["--endings"].asBool();
   Opts.m_Partitions = Flags["--partitions"].asBool();
   Opts.m_Brittle = Flags["--brittle"].asBool();
+  Opts.m_Versions = Flags["--versions"].asBool();
   Opts.m_ConfigPlan = Flags["--config"].asBool();
   Opts.m_Again = std::chrono::milliseconds(Flags["--again"].asLong());
   Opts.m_MoreRoutes = static_cast<int>(Flags["--routes"].asLong());
