A partitioned box asks boxes that declined again where no other is left

Callers of a box that reached no upstream got 'outcome unknown' for unsafe requests: boxes that had declined a request were left alone for a second, and then the box's own upstreams were tried. Where no other box is left, a box that knows that it is partitioned now asks the one that declined longest ago, up to the same number of boxes for a request; one that is not partitioned does not, as its upstreams may be what failed.

--- a/packages/decisions/request/BoxChoice.cpp
+++ b/packages/decisions/request/BoxChoice.cpp
@@ -47,6 +47,22 @@
   return open(Second) < open(First) ? Second : First;
 }
 
+std::optional<BoxName>
+BoxChoice::chooseDeclined(const std::vector<Candidate> &Candidates,
+                          const std::set<BoxName> &Tried) const {
+  std::optional<BoxName> Result;
+  TimePoint Oldest = TimePoint::max();
+  for (const Candidate &Each : Candidates) {
+    const auto Declined = m_DeclinedUntil.find(Each.m_Box);
+    if (Declined == m_DeclinedUntil.end() || Declined->second >= Oldest ||
+        Tried.contains(Each.m_Box) || open(Each.m_Box) >= m_Opts.m_MaxOpen)
+      continue;
+    Oldest = Declined->second;
+    Result = Each.m_Box;
+  }
+  return Result;
+}
+
 void BoxChoice::onEnded(const BoxName &Box) {
   const auto Found = m_Open.find(Box);
   if (Found != m_Open.end() && --Found->second == 0)
--- a/packages/decisions/request/BoxChoice.h
+++ b/packages/decisions/request/BoxChoice.h
@@ -45,6 +45,11 @@
   std::optional<BoxName> choose(const std::vector<Candidate> &Candidates,
                                 const std::set<BoxName> &Tried, Draws Random,
                                 TimePoint Now) const;
+  /// \returns the box that declined longest ago, for a request that no other
+  /// box is left for; without those in \p Tried, empty if there is none.
+  std::optional<BoxName>
+  chooseDeclined(const std::vector<Candidate> &Candidates,
+                 const std::set<BoxName> &Tried) const;
   /// Records that a request was passed on to \p Box.
   void onOpened(const BoxName &Box) { ++m_Open[Box]; }
   /// Records that a request that was passed on to \p Box has ended.
--- a/packages/gateway/process/PassExchange.cpp
+++ b/packages/gateway/process/PassExchange.cpp
@@ -41,8 +41,10 @@
   }
   const BoxChoice::Draws Random{.m_First = m_Hooks.m_Random(),
                                 .m_Second = m_Hooks.m_Random()};
-  const auto Box =
+  auto Box =
       m_Choice->choose(Candidates, Needed.m_Tried, Random, EventLoop::now());
+  if (!Box && Needed.m_AskDeclined)
+    Box = m_Choice->chooseDeclined(Candidates, Needed.m_Tried);
   return Box ? std::optional(Targets.at(*Box)) : std::nullopt;
 }
 
--- a/packages/gateway/request/PassService.h
+++ b/packages/gateway/request/PassService.h
@@ -35,6 +35,8 @@
     const std::set<BoxName> &m_Tried; ///< Boxes that were asked already.
     /// It keeps a stream at the software version that began it.
     bool m_KeepsVersions = false;
+    /// Boxes that declined of late are asked again where no other is left.
+    bool m_AskDeclined = false;
   };
 
   /// \returns the box to pass a request on to; empty if there is none.
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -328,12 +328,13 @@
     return true;
   }
   const std::shared_ptr<PassService> Service = m_Owner.m_Passes.lock();
-  const auto To = Service
-                      ? Service->choose({.m_Regions = m_Authorization.regions(),
-                                         .m_Tried = m_AskedBoxes,
-                                         .m_KeepsVersions =
-                                             m_Binding.software().has_value()})
-                      : std::nullopt;
+  const auto To =
+      Service ? Service->choose(
+                    {.m_Regions = m_Authorization.regions(),
+                     .m_Tried = m_AskedBoxes,
+                     .m_KeepsVersions = m_Binding.software().has_value(),
+                     .m_AskDeclined = m_Owner.m_State.m_Reach.partitioned()})
+              : std::nullopt;
   if (!To || m_AskedBoxes.size() >= MaxAskedBoxes)
     return false;
   m_Waiting = false;
--- a/tests/decisions/request/BoxChoiceTest.cpp
+++ b/tests/decisions/request/BoxChoiceTest.cpp
@@ -33,6 +33,18 @@
   REQUIRE(Choice.choose(Both, {}, Last, Now + 1s) == Near);
 }
 
+TEST_CASE("Where all boxes have declined, the one that did longest ago is left",
+          "[decisions][pass]") {
+  BoxChoice Choice(Here);
+  Choice.onDeclined(Far, There, Now);
+  Choice.onDeclined(Near, Here, Now + 10ms);
+  const TimePoint Later = Now + 20ms;
+  REQUIRE_FALSE(Choice.choose(Both, {}, Last, Later));
+  REQUIRE(Choice.chooseDeclined(Both, {}) == Far);
+  REQUIRE(Choice.chooseDeclined(Both, {Far}) == Near);
+  REQUIRE_FALSE(Choice.chooseDeclined(Both, {Near, Far}));
+}
+
 TEST_CASE("All data centres are alike after a box of the own one declined",
           "[decisions][pass]") {
   const BoxName Next("next");
