ProxiedRequest gives a stream's answer and passing on to classes of their own

StreamAnswer has what the caller was given of a stream and tells whether a send's part of it was broken off; BoxPass knows which boxes were asked and asks a few at most; RequestSend is one send. What a box tells of a refusal is in PassFields with the other fields. Behaviour is the same.

--- a/packages/gateway/request/PassFields.cpp
+++ b/packages/gateway/request/PassFields.cpp
@@ -67,6 +67,17 @@
   return softwareVersionOf(findHeader(Headers, SoftwareField));
 }
 
+PassVerdict verdictFor(ErrorKind Kind, bool WasSent) {
+  switch (Kind) {
+  case ErrorKind::Overloaded:
+  case ErrorKind::NoResidentCopy:
+  case ErrorKind::RequestQuarantined:
+    return PassVerdict::Refused;
+  default:
+    return WasSent ? PassVerdict::Rejected : PassVerdict::Declined;
+  }
+}
+
 HttpHeader verdictField(PassVerdict Verdict) {
   return {VerdictField,
           std::string(VerdictNames.at(static_cast<std::size_t>(Verdict)))};
--- a/packages/gateway/request/PassFields.h
+++ b/packages/gateway/request/PassFields.h
@@ -6,6 +6,7 @@
 
 #include "decisions/common/Id.h"
 #include "decisions/common/SoftwareVersion.h"
+#include "decisions/request/ErrorKind.h"
 #include "decisions/version/ServingConfig.h"
 #include "wire/common/HttpServer.h"
 #include <optional>
@@ -45,6 +46,9 @@
 HttpHeader softwareField(const SoftwareVersion &Software);
 /// \returns the software version that \p Headers state; empty if they do not.
 SoftwareVersion readSoftware(const HttpHeaders &Headers);
+/// \returns what the box that passed a request on is told of a refusal. \p
+/// WasSent says that an upstream was sent the request and did not run it.
+PassVerdict verdictFor(ErrorKind Kind, bool WasSent);
 /// \returns the field that states \p Verdict.
 HttpHeader verdictField(PassVerdict Verdict);
 /// \returns the verdict that \p Headers of an answer state.
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -37,9 +37,6 @@
 /// Weight of the maximum number of output tokens: most answers are shorter.
 constexpr double OutputTokenWeight = 0.5;
 
-/// Boxes that one request is passed on to. Each that declines answers at once.
-constexpr std::size_t MaxAskedBoxes = 6;
-
 /// Added to the time within which a caller may take a stream up: boxes' clocks
 /// and callers' deadlines are late by less.
 constexpr Duration ResumeMargin = 5s;
@@ -111,11 +108,11 @@
                  .m_Resumes = m_Request.m_Resumes,
                  .m_Continues = continuesStream(MatchedRoute, m_Request),
                  .m_Digest = m_Crashes.digest()}),
-      m_Arrived(Arrived),
+      m_BoxPass(Owner.m_Passes), m_Arrived(Arrived),
       m_Deadline(m_Arrived +
                  std::min(m_Request.m_Deadline.value_or(MaxDeadline),
                           MatchedRoute.m_Timeout)),
-      m_LastEvent(m_Request.m_LastEvent),
+      m_Stream(m_Request.m_LastEvent),
       m_IdleMonitor(Owner.m_Loop, Owner.m_Client,
                     {.m_Probe = [this] { return probe(); },
                      .m_Lost =
@@ -215,9 +212,9 @@
   if (m_Sends == 0 && !m_Permit.hasValidPermit(Now) && !admitted(Chosen, Now))
     return;
   if (!Chosen)
-    return carryOut(m_BytesPassed  ? ForwardingStep::Cut
-                    : m_MayHaveRun ? ForwardingStep::Fail
-                                   : ForwardingStep::Refuse);
+    return carryOut(m_Stream.begun() ? ForwardingStep::Cut
+                    : m_MayHaveRun   ? ForwardingStep::Fail
+                                     : ForwardingStep::Refuse);
   if (const auto Delay = m_Crashes.retryDelay(m_Owner.m_Hooks.m_Random(),
                                               m_Deadline - Now, Now))
     return wait(*Delay);
@@ -257,7 +254,8 @@
   m_Owner.m_Log.write(
       "resumed", {{"request", m_Request.m_Id},
                   {"resumes", m_Request.m_Resumes},
-                  {"last_event", m_LastEvent ? Json(*m_LastEvent) : Json()},
+                  {"last_event",
+                   m_Stream.lastEvent() ? Json(*m_Stream.lastEvent()) : Json()},
                   {"by", originSourceName(Found.m_Source)},
                   {"software", Found.m_Software.str()},
                   {"known", Known},
@@ -327,34 +325,27 @@
     refuse(ErrorKind::NoUpstream, RejectedRetryAfter, "partitioned");
     return true;
   }
-  const std::shared_ptr<PassService> Service = m_Owner.m_Passes.lock();
-  const auto To =
-      Service ? Service->choose(
-                    {.m_Regions = m_Authorization.regions(),
-                     .m_Tried = m_AskedBoxes,
-                     .m_KeepsVersions = m_Binding.software().has_value(),
-                     .m_AskDeclined = m_Owner.m_State.m_Reach.partitioned()})
-              : std::nullopt;
-  if (!To || m_AskedBoxes.size() >= MaxAskedBoxes)
+  const auto To = m_BoxPass.next(m_Authorization.regions(),
+                                 m_Binding.software().has_value(),
+                                 m_Owner.m_State.m_Reach.partitioned());
+  if (!To)
     return false;
   m_Waiting = false;
   m_Permit.drop();
   if (withinQuota(Now))
-    sendToBox(*To, *Service, Now);
+    sendToBox(*To, Now);
   return true;
 }
 
-void ProxiedRequest::sendToBox(const PassService::Target &To,
-                               PassService &Service, TimePoint Now) {
-  m_AskedBoxes.insert(To.m_Box);
+void ProxiedRequest::sendToBox(const BoxPass::Target &To, TimePoint Now) {
   m_Quota.noteSent();
   ++m_Sends;
-  m_Events = EventSplitter();
+  m_Stream.beginSend();
   m_Send = Send{.m_Box = To,
-                .m_PassToken = Service.open(To),
+                .m_PassToken = m_BoxPass.open(To),
                 .m_At = Now,
                 .m_CountedAsLoad = false,
-                .m_Resumed = m_LastEvent.has_value()};
+                .m_Resumed = m_Stream.lastEvent().has_value()};
   m_Owner.m_Log.write("passed_on",
                       {{"request", m_Request.m_Id},
                        {"digest", m_Crashes.digest().str()},
@@ -366,13 +357,12 @@
                        {"waited_ms", waited(Now) / 1ms}});
   HttpCall Call = commonCall(Now);
   Call.m_To = To.m_Endpoint;
-  Call.m_Headers =
-      m_Owner.m_Dialect.m_PassOn(m_FromCaller, {.m_TimeLeft = m_Deadline - Now,
-                                                .m_LastEvent = m_LastEvent});
-  for (HttpHeader &Each : Service.fields(m_Request.m_Id))
+  Call.m_Headers = m_Owner.m_Dialect.m_PassOn(
+      m_FromCaller,
+      {.m_TimeLeft = m_Deadline - Now, .m_LastEvent = m_Stream.lastEvent()});
+  for (HttpHeader &Each :
+       m_BoxPass.fields(m_Request.m_Id, m_Binding.software()))
     Call.m_Headers.push_back(std::move(Each));
-  if (m_Binding.software())
-    Call.m_Headers.push_back(softwareField(*m_Binding.software()));
   Call.m_Use = connectionFor(m_Route.idempotent(), false, 0);
   m_Call = m_Owner.m_Client.start(std::move(Call));
   if (!streaming())
@@ -402,7 +392,7 @@
 bool ProxiedRequest::refuseIfBound(const std::optional<ChosenReplica> &Chosen,
                                    TimePoint Now) {
   const auto Deferral = m_Permit.deferral(Now);
-  if (Chosen || !Deferral || m_BytesPassed || m_MayHaveRun)
+  if (Chosen || !Deferral || m_Stream.begun() || m_MayHaveRun)
     return false;
   refuse(ErrorKind::Overloaded, Deferral->m_After,
          refusalReason(Deferral->m_Kind));
@@ -413,7 +403,7 @@
 /// retry after, and no load of its model ends sooner. \returns whether it did.
 bool ProxiedRequest::refuseIfBackedOff(
     const std::optional<ChosenReplica> &Chosen, TimePoint Now) {
-  if (Chosen || m_BytesPassed || m_MayHaveRun)
+  if (Chosen || m_Stream.begun() || m_MayHaveRun)
     return false;
   const auto ExcludeNone = [](const InstanceId &) { return false; };
   const auto Refusal = refuseForRetryAfter(
@@ -524,7 +514,7 @@
   const auto Refused = m_Authorization.refusal();
   if (!Refused)
     return true;
-  if (m_BytesPassed)
+  if (m_Stream.begun())
     cut();
   else if (m_MayHaveRun)
     fail(ErrorKind::OutcomeUnknown);
@@ -540,7 +530,7 @@
   const RequestQuarantine *Quarantine = m_Crashes.quarantine(Now);
   if (Quarantine == nullptr)
     return false;
-  if (m_BytesPassed)
+  if (m_Stream.begun())
     cut();
   else if (m_MayHaveRun || m_Send)
     fail(ErrorKind::UpstreamsCrashed);
@@ -599,7 +589,7 @@
                                .m_Organisation = m_Organisation,
                                .m_TimeLeft = m_Deadline - Now,
                                .m_Priority = m_Priority,
-                               .m_LastEvent = m_LastEvent};
+                               .m_LastEvent = m_Stream.lastEvent()};
   HttpCall Call = commonCall(Now);
   Call.m_To = Endpoint::parse(To.m_Address).value_or(Endpoint{});
   Call.m_Headers = m_Owner.m_Dialect.m_Forward(m_FromCaller, Fields);
@@ -640,7 +630,7 @@
   m_Quota.noteSent();
   m_Permit.noteSent();
   ++m_Sends;
-  m_Events = EventSplitter();
+  m_Stream.beginSend();
   m_Send = Send{.m_Instance = To.m_Id,
                 .m_StartTime = To.m_StartTime,
                 .m_Software = To.m_Software,
@@ -650,7 +640,7 @@
                 .m_ExpectedMs = Chosen.m_ExpectedMs,
                 .m_Tokens = m_Request.m_PromptTokens +
                             OutputTokenWeight * m_Request.m_MaxOutputTokens,
-                .m_Resumed = m_LastEvent.has_value()};
+                .m_Resumed = m_Stream.lastEvent().has_value()};
   const ConfigFreshness Config = m_Owner.m_Hooks.m_ConfigFreshness(Now);
   m_Owner.m_Log.write(
       "sent", {{"request", m_Request.m_Id},
@@ -664,7 +654,8 @@
                {"upstream", To.m_Id},
                {"software", To.m_Software.str()},
                {"resumes", m_Request.m_Resumes},
-               {"last_event", m_LastEvent ? Json(*m_LastEvent) : Json()},
+               {"last_event",
+                m_Stream.lastEvent() ? Json(*m_Stream.lastEvent()) : Json()},
                {"send", m_Sends},
                {"model", m_Request.m_Model},
                {"pending_ms", std::lround(Chosen.m_PendingMs)},
@@ -735,7 +726,7 @@
   if (m_Done || !m_Send)
     return;
   if (streaming() && m_Send->m_Status == 200)
-    return passEvents(m_Events.feed(Bytes));
+    return passEvents(m_Stream.feed(Bytes));
   m_Send->m_Body.append(Bytes);
   if (m_Send->m_Body.size() > m_Owner.m_Opts.m_MaxAnswerBytes)
     settle(SendOutcome::Broken);
@@ -761,16 +752,11 @@
     return;
   const TimePoint Now = EventLoop::now();
   noteStarted(Now);
-  if (!m_BytesPassed) {
-    m_BytesPassed = true;
+  if (!m_Stream.begun()) {
     bindStream(Now);
     startStream();
   }
-  if (m_LastPassedAt)
-    m_LongestGap = std::max(m_LongestGap, Now - *m_LastPassedAt);
-  m_LastPassedAt = Now;
-  if (m_Events.lastId())
-    m_LastEvent = m_Events.lastId();
+  m_Stream.onPassed(Now);
   if (!m_Exchange->sendChunk(Events))
     return cut();
   expectBytesWithin(
@@ -786,8 +772,8 @@
   HttpHeaders Headers = withoutConnectionFields(m_Send->m_Headers);
   if (m_Passed)
     Headers.push_back(softwareField(m_Send->m_Software));
-  m_CallerFraming =
-      m_Exchange->startStream(m_Send->m_Status, std::move(Headers), Framing);
+  m_Stream.setFraming(
+      m_Exchange->startStream(m_Send->m_Status, std::move(Headers), Framing));
 }
 
 void ProxiedRequest::onEnd(HttpEnd End) {
@@ -796,10 +782,7 @@
   const SendOutcome Outcome = classify(End);
   m_Send->m_Whole =
       Outcome == SendOutcome::Broken && claimsMore(End) && !streamBrokeOff(End);
-  m_PartSeen = m_PartSeen || m_Events.insideEvent();
-  // A box passes whole events on only, whatever its upstream broke off in.
-  if (m_Send->m_Box && End == HttpEnd::Broken && m_BytesPassed)
-    m_PartSeen = true;
+  m_Stream.onSendEnded(streamEnd(End));
   m_Send->m_Ended = true;
   if (m_Send->m_Box)
     return settle(Outcome);
@@ -838,25 +821,20 @@
                                  : SendOutcome::Answered;
 }
 
-/// \returns whether a stream that has ended with \p End has been broken off by
-/// its upstream: an event is incomplete, or events are known to be missing.
+StreamAnswer::SendEnd ProxiedRequest::streamEnd(HttpEnd End) const {
+  return {.m_End = End,
+          .m_FromBox = m_Send->m_Box.has_value(),
+          .m_Resumed = m_Send->m_Resumed,
+          .m_MayHaveRun = m_MayHaveRun};
+}
+
 bool ProxiedRequest::streamBrokeOff(HttpEnd End) const {
-  if (!streaming() || m_Send->m_Status != 200)
-    return false;
-  if (m_Events.insideEvent())
-    return true;
-  // Without a framing, a rest without events may have been cut; only a caller
-  // may ask for the rest of a stream that it has as a whole.
-  const bool MayBeCut =
-      End == HttpEnd::Closed && (!m_Send->m_Resumed || m_MayHaveRun);
-  return !m_Events.anyEvent() && (m_PartSeen || MayBeCut);
+  return streaming() && m_Send->m_Status == 200 &&
+         m_Stream.brokeOff(streamEnd(End));
 }
 
-/// \returns whether the end of the caller's stream would say more than \p End
-/// does.
 bool ProxiedRequest::claimsMore(HttpEnd End) const {
-  return streaming() && End == HttpEnd::Closed && m_BytesPassed &&
-         m_CallerFraming == AnswerFraming::Chunks;
+  return streaming() && m_Stream.claimsMore(End);
 }
 
 void ProxiedRequest::noteOutcome(SendOutcome Outcome, TimePoint Now) {
@@ -887,8 +865,7 @@
   const bool Declined = Outcome == SendOutcome::NotSent ||
                         (Outcome == SendOutcome::Broken &&
                          m_Send->m_Status == 0 && m_Send->m_Ended);
-  if (const auto Service = m_Owner.m_Passes.lock())
-    Service->onOutcome(*m_Send->m_Box, outcomeName(Outcome), Declined);
+  m_BoxPass.onOutcome(*m_Send->m_Box, outcomeName(Outcome), Declined);
 }
 
 /// \returns whether the upstream ran the request completely. An error may be
@@ -922,13 +899,13 @@
 }
 
 ForwardingStep ProxiedRequest::decide(SendOutcome Outcome, TimePoint Now) {
-  if (m_BytesPassed && m_Binding.software() && listedOtherwise())
+  if (m_Stream.begun() && m_Binding.software() && listedOtherwise())
     m_Binding.onDoubt();
   const bool Bound = m_Binding.state() == StreamBinding::State::Bound;
   const ForwardingFacts Facts{.m_Idempotent = m_Route.idempotent(),
                               .m_Resumable = m_Route.m_Resumable &&
-                                             (Bound || !m_BytesPassed),
-                              .m_BytesPassed = m_BytesPassed,
+                                             (Bound || !m_Stream.begun()),
+                              .m_BytesPassed = m_Stream.begun(),
                               .m_MayHaveRun = m_MayHaveRun,
                               .m_Sends = m_Sends,
                               .m_MaxSends = maxSends(),
@@ -936,9 +913,9 @@
   // What another box refuses is an answer to the caller, as if refused here.
   if (Outcome == SendOutcome::Rejected &&
       m_Send->m_Verdict == PassVerdict::Refused)
-    return m_BytesPassed  ? ForwardingStep::Cut
-           : m_MayHaveRun ? ForwardingStep::Fail
-                          : ForwardingStep::Refuse;
+    return m_Stream.begun() ? ForwardingStep::Cut
+           : m_MayHaveRun   ? ForwardingStep::Fail
+                            : ForwardingStep::Refuse;
   const ForwardingStep Step = nextStep(Outcome, Facts, true);
   if (!needsRetryBudget(Step, Outcome))
     return Step;
@@ -955,7 +932,7 @@
   m_Call = HttpCallHandle();
   if (Outcome == SendOutcome::Answered) {
     if (streaming() && m_Send->m_Status == 200)
-      passEvents(std::string(m_Events.rest()));
+      passEvents(m_Stream.rest());
     else
       noteStarted(Now);
   }
@@ -978,9 +955,9 @@
          {"status", m_Send->m_Status},
          {"foreign", m_Send->m_ForeignAnswer},
          {"after_ms", (Now - m_Send->m_At) / 1ms},
-         {"passed", m_BytesPassed},
+         {"passed", m_Stream.begun()},
          {"framing", framingName(m_Send->m_Framing)},
-         {"rest_bytes", m_Events.rest().size()},
+         {"rest_bytes", m_Stream.rest().size()},
          {"step", stepName(Step)}});
   carryOut(Step);
 }
@@ -1006,7 +983,7 @@
 
 void ProxiedRequest::passAnswer() {
   if (streaming() && m_Send->m_Status == 200) {
-    if (!m_BytesPassed)
+    if (!m_Stream.begun())
       startStream();
     m_Exchange->endStream();
     return end("ok");
@@ -1030,25 +1007,13 @@
   end("refused_by_box");
 }
 
-/// \returns what the box that passed the request on is told of a refusal.
-PassVerdict ProxiedRequest::verdictFor(ErrorKind Kind) const {
-  switch (Kind) {
-  case ErrorKind::Overloaded:
-  case ErrorKind::NoResidentCopy:
-  case ErrorKind::RequestQuarantined:
-    return PassVerdict::Refused;
-  default:
-    return m_Sends > 0 ? PassVerdict::Rejected : PassVerdict::Declined;
-  }
-}
-
 void ProxiedRequest::refuse(ErrorKind Kind, Duration RetryAfter,
                             std::string Detail) {
   m_RefusalRetryAfter = RetryAfter;
   m_Quota.refund();
   HttpHeaders Headers = m_Owner.m_Dialect.m_FailureHeaders(m_Request.m_Id);
   if (m_Passed)
-    Headers.push_back(verdictField(verdictFor(Kind)));
+    Headers.push_back(verdictField(verdictFor(Kind, m_Sends > 0)));
   replyWithFailure(m_Exchange,
                    {.m_Kind = Kind,
                     .m_RetryAfter = RetryAfter,
@@ -1071,7 +1036,7 @@
 void ProxiedRequest::onDeadline() {
   if (m_Done)
     return;
-  if (m_BytesPassed)
+  if (m_Stream.begun())
     return cut();
   const bool Sent = m_Send.has_value() || m_MayHaveRun;
   fail(Sent ? ErrorKind::RouteTimeout : ErrorKind::DeadlinePassed);
@@ -1124,10 +1089,10 @@
        {"target_ms", m_Route.m_Target / 1ms},
        {"gap_target_ms", m_Route.m_GapTarget / 1ms},
        {"first_ms", First / 1ms},
-       {"gap_ms", m_LongestGap / 1ms},
+       {"gap_ms", m_Stream.longestGap() / 1ms},
        {"software", m_Send ? m_Send->m_Software.str() : std::string()},
        {"framing", m_Send ? framingName(m_Send->m_Framing) : ""},
-       {"rest_bytes", m_Events.rest().size()},
+       {"rest_bytes", m_Stream.rest().size()},
        {"whole_ms", waited(Now) / 1ms}});
   if (m_Passed)
     m_Owner.m_Hooks.m_PassedEnded(Outcome);
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -3,15 +3,16 @@
 #ifndef HAVENSTAIR_GATEWAY_REQUEST_PROXIEDREQUEST_H
 #define HAVENSTAIR_GATEWAY_REQUEST_PROXIEDREQUEST_H
 
-#include "decisions/request/EventSplitter.h"
 #include "decisions/request/ReplicaAdmission.h"
 #include "decisions/request/RequestAuthorization.h"
 #include "decisions/request/UpstreamEligibility.h"
+#include "gateway/request/BoxPass.h"
 #include "gateway/request/CrashGuard.h"
 #include "gateway/request/Forwarder.h"
-#include "gateway/request/PassService.h"
 #include "gateway/request/RequestPermit.h"
 #include "gateway/request/RequestQuota.h"
+#include "gateway/request/RequestSend.h"
+#include "gateway/request/StreamAnswer.h"
 #include "gateway/request/StreamBinding.h"
 #include "gateway/request/StreamIdleMonitor.h"
 #include <memory>
@@ -43,35 +44,7 @@
   void crashesChanged();
 
 private:
-  /// One send to an upstream, or to the box that the request is passed on to.
-  struct Send {
-    InstanceId m_Instance;                    ///< Empty for a box.
-    std::optional<PassService::Target> m_Box; ///< Empty for an upstream.
-    std::shared_ptr<void> m_PassToken;        ///< Counts it as open at m_Box.
-    StartTime m_StartTime = 0;                ///< Start time of the instance.
-    SoftwareVersion m_Software;               ///< Version that was listed.
-    TimePoint m_At{};                         ///< When the request was sent.
-    double m_PendingMs = 0;      ///< Work ahead of the request at the upstream.
-    double m_WorkMs = 0;         ///< The request's own work.
-    double m_ExpectedMs = 0;     ///< Expected time to the first token.
-    double m_Tokens = 0;         ///< Tokens that the request occupies.
-    bool m_CountedAsLoad = true; ///< The load tracker counts it.
-    std::optional<TimePoint> m_Started; ///< When the answer began.
-    /// What the box states; none for an upstream.
-    PassVerdict m_Verdict = PassVerdict::None;
-    bool m_NotRun = false; ///< The upstream states that it did not run it.
-    bool m_NoRoom = false; ///< The upstream rejected it for lack of room.
-    bool m_ForeignAnswer = false; ///< The answer is for another request.
-    bool m_MayBeKept = false;     ///< It may use a kept connection.
-    /// The answer may be whole, but cannot be passed on as such.
-    bool m_Whole = false;
-    bool m_Ended = false;   ///< The call has ended by itself.
-    bool m_Resumed = false; ///< Only the rest of a stream was requested.
-    int m_Status = 0;
-    HttpHeaders m_Headers;
-    AnswerFraming m_Framing = AnswerFraming::Length;
-    std::string m_Body;
-  };
+  using Send = RequestSend;
 
   /// What the last choice of an upstream was based on, for the log.
   struct ChoiceDetails {
@@ -93,11 +66,9 @@
   bool listedOtherwise() const;
   bool unreachable(TimePoint Now) const;
   bool passOn(TimePoint Now);
-  void sendToBox(const PassService::Target &To, PassService &Service,
-                 TimePoint Now);
+  void sendToBox(const BoxPass::Target &To, TimePoint Now);
   void notePassed(SendOutcome Outcome);
   void passRefusal();
-  PassVerdict verdictFor(ErrorKind Kind) const;
   int maxSends() const;
   void resume();
   bool refuseIfBound(const std::optional<ChosenReplica> &Chosen, TimePoint Now);
@@ -131,6 +102,7 @@
 
   bool connectionFailed(HttpEnd End) const;
   SendOutcome classify(HttpEnd End) const;
+  StreamAnswer::SendEnd streamEnd(HttpEnd End) const;
   bool streamBrokeOff(HttpEnd End) const;
   bool claimsMore(HttpEnd End) const;
   void settle(SendOutcome Outcome);
@@ -182,28 +154,21 @@
   RequestPermit m_Permit;
   StreamBinding m_Binding;
   bool m_AskingOrigin = false; ///< A call to m_Binding.ask() is on the stack.
+  BoxPass m_BoxPass;
   TimePoint m_Arrived;
   TimePoint m_Deadline;
   Duration m_SinceFirstTry = 0us; ///< Zero for a first try.
   std::set<InstanceId> m_Tried;   ///< Upstreams that it was sent to.
-  std::set<BoxName> m_AskedBoxes; ///< Boxes that it was passed on to.
   bool m_ConnectFailed = false;   ///< An upstream could not be connected to.
   int m_Sends = 0;
-  bool m_MayHaveRun = false;  ///< An upstream may have run the request.
-  bool m_PartSeen = false;    ///< A send ended inside an event.
-  bool m_BytesPassed = false; ///< The caller has received part of the answer.
-  bool m_Waiting = false;     ///< Waits for an upstream or for permission.
+  bool m_MayHaveRun = false; ///< An upstream may have run the request.
+  bool m_Waiting = false;    ///< Waits for an upstream or for permission.
   bool m_Done = false;
   std::optional<TimePoint> m_FirstByte;
-  std::optional<TimePoint> m_LastPassedAt; ///< When events were last passed on.
-  Duration m_LongestGap = 0us;             ///< Longest time between two events.
-  std::optional<std::int64_t> m_LastEvent;
+  StreamAnswer m_Stream;
   std::optional<Send> m_Send;
   ChoiceDetails m_Choice;
   Duration m_RefusalRetryAfter = 0us; ///< Retry time in the refusal.
-  EventSplitter m_Events;
-  /// Framing of the stream that the caller gets; of use once bytes were passed.
-  AnswerFraming m_CallerFraming = AnswerFraming::Chunks;
   HttpCallHandle m_Call;
   Timer m_DeadlineTimer;
   Timer m_WaitTimer;
