--- a/tests/soak/StreamCallers.cpp
+++ b/tests/soak/StreamCallers.cpp
@@ -2,6 +2,8 @@
 
 #include "soak/SoakConfig.h"
 
+#include <utility>
+
 namespace havenstair {
 
 namespace {
@@ -76,6 +78,7 @@
   Call.m_IdleTimeout = Patience;
   By.m_Bytes.clear();
   By.m_Status = 0;
+  By.m_Open = true;
   Call.m_OnHead = [&By](int Status, const HttpHeaders &) {
     By.m_Status = Status;
   };
@@ -91,6 +94,9 @@
 }
 
 void StreamCallers::ended(Caller &By, HttpEnd End) {
+  // A try may end by itself in the moment in which it is cut.
+  if (!std::exchange(By.m_Open, false))
+    return;
   VersionOracle::Counts &Counts = m_Oracle.versions().counts();
   const std::vector<StreamPiece> Came = By.m_Status == StreamStatus
                                             ? readStream(By.m_Bytes)
--- a/tests/soak/StreamCallers.h
+++ b/tests/soak/StreamCallers.h
@@ -33,6 +33,7 @@
     std::string m_Bytes; ///< Of the present try.
     int m_Status = 0;    ///< Of its answer; 0 before.
     TimePoint m_Until{};
+    bool m_Open = false; ///< The present try has not ended.
     HttpCallHandle m_Call;
     Timer m_Next;
     Timer m_Cut;
