--- a/packages/decisions/process/UpstreamInstance.h
+++ b/packages/decisions/process/UpstreamInstance.h
@@ -28,8 +28,8 @@
 struct UpstreamInstance {
   InstanceId m_Id;
   std::string m_Service;
-  std::string m_Address;     ///< IP address with port.
-  std::string m_Zone;        ///< Name of its data centre.
+  std::string m_Address; ///< IP address with port.
+  std::string m_Zone;    ///< Name of its data centre.
   SoftwareVersion m_Software;
   int m_Slots = 1;           ///< Requests that it runs at once.
   bool m_Draining = false;   ///< It is leaving and takes no new work.
--- a/packages/decisions/process/VersionHistory.h
+++ b/packages/decisions/process/VersionHistory.h
@@ -26,7 +26,7 @@
     /// The only one; empty if there were several, none, or unstated ones.
     std::optional<SoftwareVersion> m_Only;
     bool m_Several = false; ///< More than one, or one that is not stated.
-    /// The list was known, and not listed otherwise, for all of Memory.
+    /// The list was known for all of Memory.
     bool m_Certain = false;
 
     bool operator==(const Versions &) const = default;
--- a/packages/gateway/process/StreamOriginExchange.cpp
+++ b/packages/gateway/process/StreamOriginExchange.cpp
@@ -149,7 +149,6 @@
   const std::uint64_t Id = ++m_LastId;
   m_Searches[Id] = {
       .m_Found = std::move(Known),
-      .m_Source = OriginSource::Box,
       .m_Done = std::move(Callback),
       .m_Waiting = {Boxes.begin(), Boxes.end()},
       .m_Timer = m_Loop.after(AnswerTimeout, [this, Id] { finish(Id); })};
@@ -170,7 +169,7 @@
   // The search's timer may own the function that runs now.
   const Search Ended = std::move(Found->second);
   m_Searches.erase(Found);
-  Ended.m_Done(conclude(Ended.m_Found, Ended.m_Source));
+  Ended.m_Done(conclude(Ended.m_Found, OriginSource::Box));
 }
 
 void StreamOriginExchange::linkDown(const BoxName &Box) {
--- a/packages/gateway/process/StreamOriginExchange.h
+++ b/packages/gateway/process/StreamOriginExchange.h
@@ -46,8 +46,7 @@
 private:
   /// A search that other boxes have not answered yet.
   struct Search {
-    StreamAnswerFrame m_Found;                 ///< What is known so far.
-    OriginSource m_Source = OriginSource::Own; ///< Of a recorded origin.
+    StreamAnswerFrame m_Found; ///< What is known so far.
     Done m_Done;
     std::set<BoxName> m_Waiting; ///< Boxes that have not answered.
     Timer m_Timer;
