--- a/tests/gateway/StreamVersionTest.cpp
+++ b/tests/gateway/StreamVersionTest.cpp
@@ -231,7 +231,7 @@
   SECTION("an attempt id that is too long to be remembered") {
     Other.m_Headers.back().m_Value = std::string(5000, 'a');
   }
-  REQUIRE(Test.fetch(std::move(Other)).m_Status == 503);
+  REQUIRE(Test.fetch(Other).m_Status == 503);
   REQUIRE(Test.arrivals("again") == 0);
 }
 
