--- a/packages/decisions/process/CrashTracker.cpp
+++ b/packages/decisions/process/CrashTracker.cpp
@@ -10,16 +10,16 @@
 /// Upstreams named in a quarantine, for operators.
 constexpr std::size_t MaxNamedUpstreams = 8;
 
-/// A request is a suspect from its second crash on.
+/// A request or part is a suspect from its second crash on.
 constexpr std::size_t MinSuspectCrashes = 2;
 
 /// Drops the oldest tenth of \p Times when there are more than \p Most.
-void boundByTime(std::map<RequestDigest, TimePoint> &Times, std::size_t Most) {
+void boundByTime(std::map<CrashSuspect, TimePoint> &Times, std::size_t Most) {
   if (Times.size() <= Most)
     return;
   // Dropping a tenth at once keeps this rare: each call looks at all entries.
   std::vector<TimePoint> All;
-  for (const auto &[Request, At] : Times)
+  for (const auto &[Suspect, At] : Times)
     All.push_back(At);
   const auto Cut = All.begin() + std::ssize(All) / 10;
   std::nth_element(All.begin(), Cut, All.end());
@@ -27,15 +27,19 @@
   std::erase_if(Times, [&](const auto &Each) { return Each.second <= Oldest; });
 }
 
-void pruneByTime(std::map<RequestDigest, TimePoint> &Times, TimePoint Before) {
+void pruneByTime(std::map<CrashSuspect, TimePoint> &Times, TimePoint Before) {
   std::erase_if(Times, [&](const auto &Each) { return Each.second < Before; });
 }
 
+bool isPart(const CrashSuspect &Suspect) {
+  return Suspect.kind() == CrashSuspect::Kind::PromptPart;
+}
+
 } // namespace
 
 CrashTracker::RecordResult
 CrashTracker::recordCrash(const UpstreamIncarnation &Upstream,
-                          const std::vector<RequestDigest> &Running,
+                          const std::vector<RequestSuspects> &Running,
                           TimePoint Now) {
   RecordResult Result;
   if (!m_Crashes.contains(Upstream) && m_Crashes.size() >= m_Opts.m_MaxCrashes)
@@ -44,102 +48,169 @@
                                    return A.second.m_At < B.second.m_At;
                                  })
                     ->first);
-  Crash &Event =
-      m_Crashes.try_emplace(Upstream, Crash{.m_At = Now}).first->second;
-  for (const RequestDigest &Each : Running) {
-    if (completedRecently(Each, Now)) {
-      Result.m_Completed.push_back(Each);
+  Crash &Event = m_Crashes
+                     .try_emplace(Upstream, Crash{.m_At = Now,
+                                                  .m_UpdatedAt = Now,
+                                                  .m_Requests = {},
+                                                  .m_Suspects = {}})
+                     .first->second;
+  for (const RequestSuspects &Request : Running) {
+    std::vector<CrashSuspect> Counted;
+    for (const CrashSuspect &Each : Request.all())
+      if (completedRecently(Each, Now))
+        Result.m_Completed.insert(Each);
+      else
+        Counted.push_back(Each);
+    if (Counted.empty() || Event.m_Requests.size() >= m_Opts.m_MaxRunning ||
+        !Event.m_Requests.insert(Request).second)
       continue;
+    for (const CrashSuspect &Each : Counted) {
+      Event.m_Suspects.insert(Each);
+      m_CrashesBySuspect[Each].insert(Upstream);
     }
-    if (Event.m_Running.size() >= m_Opts.m_MaxRunning ||
-        !Event.m_Running.insert(Each).second)
-      continue;
-    m_CrashesByRequest[Each].insert(Upstream);
     Event.m_UpdatedAt = Now;
     Result.m_New = true;
   }
   return Result;
 }
 
-bool CrashTracker::completedRecently(const RequestDigest &Request,
+bool CrashTracker::completedRecently(const CrashSuspect &Suspect,
                                      TimePoint Now) const {
-  const auto Found = m_Completed.find(Request);
-  return Found != m_Completed.end() &&
-         Now - Found->second < m_Opts.m_CompletionRetention;
+  const auto Found = m_Completed.find(Suspect);
+  const Duration Retention =
+      isPart(Suspect) ? m_Opts.m_PartRetention : m_Opts.m_CompletionRetention;
+  return Found != m_Completed.end() && Now - Found->second < Retention;
+}
+
+std::vector<RequestSuspects>
+CrashTracker::uncleared(const std::vector<RequestSuspects> &Running,
+                        TimePoint Now) const {
+  std::vector<RequestSuspects> Result;
+  for (RequestSuspects Each : Running) {
+    std::erase_if(Each.m_Parts, [&](const CrashSuspect &Part) {
+      return completedRecently(Part, Now);
+    });
+    if (!Each.m_Parts.empty() || !completedRecently(Each.m_Digest, Now))
+      Result.push_back(std::move(Each));
+  }
+  return Result;
 }
 
-bool CrashTracker::recordCompletion(const RequestDigest &Request,
-                                    TimePoint Now) {
-  const bool Known = m_CrashesByRequest.contains(Request) ||
-                     m_Suspects.contains(Request) ||
-                     m_Quarantines.contains(Request);
-  m_Completed[Request] = Now;
+std::optional<TimePoint>
+CrashTracker::completedAt(const CrashSuspect &Suspect) const {
+  const auto Found = m_Completed.find(Suspect);
+  return Found == m_Completed.end() ? std::nullopt
+                                    : std::optional(Found->second);
+}
+
+bool CrashTracker::recordCompletion(const CrashSuspect &Suspect, TimePoint At) {
+  TimePoint &Last = m_Completed[Suspect];
+  Last = std::max(Last, At);
   boundByTime(m_Completed, m_Opts.m_MaxCompleted);
-  if (m_Quarantines.contains(Request))
-    m_Lifted[Request] = Now;
+  const bool WasQuarantined = m_Quarantines.contains(Suspect);
+  const bool Refuted =
+      clear(Suspect,
+            isPart(Suspect) ? At + m_Opts.m_PartRetention : TimePoint::max());
+  if (WasQuarantined && !m_Quarantines.contains(Suspect))
+    m_Lifted[Suspect] = At;
   boundByTime(m_Lifted, m_Opts.m_MaxQuarantines);
-  clear(Request);
-  return Known;
-}
-
-/// A request that crashes each upstream that runs it never completes, so one
-/// that did complete caused none of the crashes.
-void CrashTracker::clear(const RequestDigest &Request) {
-  if (const auto Found = m_CrashesByRequest.find(Request);
-      Found != m_CrashesByRequest.end()) {
-    for (const UpstreamIncarnation &Upstream : Found->second)
-      m_Crashes.at(Upstream).m_Running.erase(Request);
-    m_CrashesByRequest.erase(Found);
+  return Refuted;
+}
+
+/// Drops what speaks against \p Suspect and is no later than \p Until: what
+/// crashes each upstream that runs it never runs without harm. \returns whether
+/// there was anything.
+bool CrashTracker::clear(const CrashSuspect &Suspect, TimePoint Until) {
+  bool Result = clearCrashes(Suspect, Until);
+  if (const auto Found = m_Suspects.find(Suspect);
+      Found != m_Suspects.end() && Found->second <= Until) {
+    m_Suspects.erase(Found);
+    Result = true;
+  }
+  if (const auto Found = m_Quarantines.find(Suspect);
+      Found != m_Quarantines.end() && Found->second.m_Since <= Until) {
+    m_Quarantines.erase(Found);
+    Result = true;
   }
-  m_Suspects.erase(Request);
-  m_Quarantines.erase(Request);
-  m_Expired.erase(Request);
+  m_Expired.erase(Suspect);
+  if (isPart(Suspect))
+    for (auto &[Other, Entry] : m_Quarantines)
+      if (Entry.m_Since <= Until)
+        Entry.m_Beside.erase(Suspect);
+  return Result;
+}
+
+bool CrashTracker::clearCrashes(const CrashSuspect &Suspect, TimePoint Until) {
+  const auto Found = m_CrashesBySuspect.find(Suspect);
+  if (Found == m_CrashesBySuspect.end())
+    return false;
+  const std::size_t Before = Found->second.size();
+  std::erase_if(Found->second, [&](const UpstreamIncarnation &Upstream) {
+    Crash &Event = m_Crashes.at(Upstream);
+    return Event.m_At <= Until && Event.m_Suspects.erase(Suspect) > 0;
+  });
+  const bool Result = Found->second.size() < Before;
+  if (Found->second.empty())
+    m_CrashesBySuspect.erase(Found);
+  return Result;
 }
 
-bool CrashTracker::addSuspect(const RequestDigest &Request, TimePoint Now) {
-  if (completedRecently(Request, Now))
+bool CrashTracker::addSuspect(const CrashSuspect &Suspect, TimePoint Now) {
+  if (completedRecently(Suspect, Now))
     return true;
-  m_Suspects[Request] = Now;
+  m_Suspects[Suspect] = Now;
   boundByTime(m_Suspects, m_Opts.m_MaxSuspects);
   return false;
 }
 
-std::size_t CrashTracker::requiredCrashes(const RequestDigest &Request) const {
-  return m_Expired.contains(Request) ? 1 : m_Opts.m_CrashThreshold;
+std::size_t CrashTracker::requiredCrashes(const CrashSuspect &Suspect) const {
+  return m_Expired.contains(Suspect) ? 1 : m_Opts.m_CrashThreshold;
 }
 
+/// A quarantined request does not explain a crash for its own parts, nor does
+/// a part for those that may be the cause in its place: they would otherwise
+/// have to crash as many upstreams again.
 bool CrashTracker::explainedByQuarantine(const Crash &Event,
-                                         const RequestDigest &Request,
+                                         const CrashSuspect &Suspect,
                                          TimePoint Now) const {
   if (m_Quarantines.empty())
     return false;
-  return std::any_of(Event.m_Running.begin(), Event.m_Running.end(),
-                     [&](const RequestDigest &Other) {
-                       return Other != Request &&
-                              findQuarantine(Other, Now) != nullptr;
+  return std::any_of(Event.m_Suspects.begin(), Event.m_Suspects.end(),
+                     [&](const CrashSuspect &Other) {
+                       const Quarantine *Found = findQuarantine(Other, Now);
+                       if (Other == Suspect || Found == nullptr)
+                         return false;
+                       if (isPart(Other) || !isPart(Suspect))
+                         return !Found->m_Beside.contains(Suspect);
+                       return std::none_of(
+                           Event.m_Requests.begin(), Event.m_Requests.end(),
+                           [&](const RequestSuspects &Each) {
+                             return Each.holds(Other) && Each.holds(Suspect);
+                           });
                      });
 }
 
-std::vector<const CrashTracker::Crash *>
-CrashTracker::unexplainedCrashes(const RequestDigest &Request,
+CrashTracker::Crashes
+CrashTracker::unexplainedCrashes(const CrashSuspect &Suspect,
                                  TimePoint Now) const {
-  std::vector<const Crash *> Result;
-  const auto Found = m_CrashesByRequest.find(Request);
-  if (Found == m_CrashesByRequest.end())
+  Crashes Result;
+  const auto Found = m_CrashesBySuspect.find(Suspect);
+  if (Found == m_CrashesBySuspect.end())
     return Result;
   for (const UpstreamIncarnation &Upstream : Found->second) {
     const Crash &Event = m_Crashes.at(Upstream);
     if (Now - Event.m_At < m_Opts.m_CrashRetention &&
-        !explainedByQuarantine(Event, Request, Now))
+        !explainedByQuarantine(Event, Suspect, Now))
       Result.push_back(&Event);
   }
+  std::sort(Result.begin(), Result.end(),
+            [](const Crash *A, const Crash *B) { return A->m_At < B->m_At; });
   return Result;
 }
 
-std::vector<const CrashTracker::Crash *>
-CrashTracker::completeCrashes(const RequestDigest &Request,
-                              TimePoint Now) const {
-  std::vector<const Crash *> Result = unexplainedCrashes(Request, Now);
+CrashTracker::Crashes CrashTracker::completeCrashes(const CrashSuspect &Suspect,
+                                                    TimePoint Now) const {
+  Crashes Result = unexplainedCrashes(Suspect, Now);
   std::erase_if(Result, [&](const Crash *Each) {
     return Now < Each->m_UpdatedAt + m_Opts.m_ReportDelay;
   });
@@ -154,83 +225,148 @@
   return Result;
 }
 
-std::size_t CrashTracker::crashCount(const RequestDigest &Request,
+std::size_t CrashTracker::crashCount(const CrashSuspect &Suspect,
                                      TimePoint Now) const {
-  return independentCrashes(unexplainedCrashes(Request, Now), Request, Now);
+  return independentCrashes(unexplainedCrashes(Suspect, Now), Suspect, Now);
 }
 
-/// Counts correlated crashes as one where \p Request was on fewer than half of
-/// them: a request that crashes upstreams was running on most of those that
-/// crash together, a harmless one on a few of them.
-std::size_t CrashTracker::independentCrashes(std::vector<const Crash *> Crashes,
-                                             const RequestDigest &Request,
+/// Counts correlated crashes as one where \p Suspect was on fewer than half of
+/// them: what crashes upstreams was running on most of those that crash
+/// together, what is harmless on a few of them. \p Among is in order of time.
+std::size_t CrashTracker::independentCrashes(const Crashes &Among,
+                                             const CrashSuspect &Suspect,
                                              TimePoint Now) const {
-  std::sort(Crashes.begin(), Crashes.end(),
-            [](const Crash *A, const Crash *B) { return A->m_At < B->m_At; });
   std::size_t Result = 0;
-  for (auto First = Crashes.begin(); First != Crashes.end();) {
+  for (auto First = Among.begin(); First != Among.end();) {
     const TimePoint End = (*First)->m_At + m_Opts.m_CorrelationWindow;
-    const auto Next =
-        std::find_if(First, Crashes.end(),
-                     [&](const Crash *Each) { return Each->m_At >= End; });
-    const auto WithRequest = static_cast<std::size_t>(Next - First);
+    const auto Next = std::find_if(First, Among.end(), [&](const Crash *Each) {
+      return Each->m_At >= End;
+    });
+    const auto WithSuspect = static_cast<std::size_t>(Next - First);
     const auto Correlated = static_cast<std::size_t>(std::count_if(
         m_Crashes.begin(), m_Crashes.end(), [&](const auto &Each) {
           const Crash &Other = Each.second;
           return Other.m_At > (*First)->m_At - m_Opts.m_CorrelationWindow &&
                  Other.m_At < End &&
-                 !explainedByQuarantine(Other, Request, Now);
+                 !explainedByQuarantine(Other, Suspect, Now);
         }));
-    Result += 2 * WithRequest >= Correlated ? WithRequest : 1;
+    Result += 2 * WithSuspect >= Correlated ? WithSuspect : 1;
     First = Next;
   }
   return Result;
 }
 
-/// Whether another request was running at each of the crashes, so either may be
-/// the cause. A request that was quarantined before is blamed rather than those
-/// that ran beside it.
-bool CrashTracker::hasCoSuspect(const RequestDigest &Request,
-                                TimePoint Now) const {
-  const std::vector<const Crash *> All = completeCrashes(Request, Now);
-  if (m_Expired.contains(Request) || All.empty())
-    return false;
-  const std::set<RequestDigest> &First = All.front()->m_Running;
-  return std::any_of(First.begin(), First.end(), [&](const auto &Other) {
-    return Other != Request &&
-           std::all_of(All.begin(), All.end(), [&](const Crash *Each) {
-             return Each->m_Running.contains(Other);
-           });
+/// \returns the other suspects that were running at each of \p Among.
+std::set<CrashSuspect> CrashTracker::othersAtEach(const CrashSuspect &Suspect,
+                                                  const Crashes &Among) {
+  std::set<CrashSuspect> Result;
+  if (Among.empty())
+    return Result;
+  for (const CrashSuspect &Other : Among.front()->m_Suspects)
+    if (Other != Suspect &&
+        std::all_of(Among.begin(), Among.end(), [&](const Crash *Each) {
+          return Each->m_Suspects.contains(Other);
+        }))
+      Result.insert(Other);
+  return Result;
+}
+
+/// \returns whether at each of \p Among a request held both suspects.
+bool CrashTracker::heldTogether(const CrashSuspect &One,
+                                const CrashSuspect &Other,
+                                const Crashes &Among) {
+  return std::all_of(Among.begin(), Among.end(), [&](const Crash *Event) {
+    return std::any_of(Event->m_Requests.begin(), Event->m_Requests.end(),
+                       [&](const RequestSuspects &Each) {
+                         return Each.holds(One) && Each.holds(Other);
+                       });
   });
 }
 
-/// \returns the request with most crashes among those that qualify for
+/// \returns how many requests held \p Suspect at \p Among.
+std::size_t CrashTracker::holders(const CrashSuspect &Suspect,
+                                  const Crashes &Among) {
+  std::size_t Result = 0;
+  for (const Crash *Event : Among)
+    Result += static_cast<std::size_t>(std::count_if(
+        Event->m_Requests.begin(), Event->m_Requests.end(),
+        [&](const RequestSuspects &Each) { return Each.holds(Suspect); }));
+  return Result;
+}
+
+/// \returns whether there are enough crashes to quarantine \p Suspect although
+/// \p Others were running at each of them. Many requests share a part, so it
+/// is not blamed for crashes that have an explanation, nor while a part was
+/// there that fewer requests held.
+bool CrashTracker::tooMany(const CrashSuspect &Suspect, const Crashes &Complete,
+                           const std::set<CrashSuspect> &Others) const {
+  if (!isPart(Suspect))
+    return m_CrashesBySuspect.at(Suspect).size() >=
+           m_Opts.m_UnconditionalThreshold;
+  const std::size_t Holders = holders(Suspect, Complete);
+  return Complete.size() >= m_Opts.m_UnconditionalThreshold &&
+         std::none_of(
+             Others.begin(), Others.end(), [&](const CrashSuspect &Other) {
+               return isPart(Other) && holders(Other, Complete) < Holders;
+             });
+}
+
+/// Whether the crashes are of one time and may have one cause that is none of
+/// the suspects.
+bool CrashTracker::allCorrelated(const Crashes &Among) const {
+  return Among.empty() ||
+         Among.back()->m_At - Among.front()->m_At < m_Opts.m_CorrelationWindow;
+}
+
+/// \returns the number of crashes that \p Suspect qualifies for quarantine by;
+/// 0 if it does not. A suspect that was quarantined before is blamed rather
+/// than those that ran beside it.
+std::size_t CrashTracker::countToQuarantine(const CrashSuspect &Suspect,
+                                            TimePoint Now) const {
+  const Crashes Complete = completeCrashes(Suspect, Now);
+  const bool Renewed = m_Expired.contains(Suspect);
+  if (isPart(Suspect) && !Renewed && allCorrelated(Complete))
+    return 0;
+  const std::set<CrashSuspect> Others = othersAtEach(Suspect, Complete);
+  // The crashes of a part may all be those of one request.
+  if (isPart(Suspect) &&
+      std::any_of(Others.begin(), Others.end(), [&](const CrashSuspect &Other) {
+        return !isPart(Other) && heldTogether(Suspect, Other, Complete);
+      }))
+    return 0;
+  if (tooMany(Suspect, Complete, Others))
+    return m_CrashesBySuspect.at(Suspect).size();
+  const bool Ambiguous =
+      !Renewed &&
+      std::any_of(Others.begin(), Others.end(), [&](const CrashSuspect &Other) {
+        return !heldTogether(Suspect, Other, Complete);
+      });
+  const std::size_t Count = independentCrashes(Complete, Suspect, Now);
+  return Ambiguous || Count < requiredCrashes(Suspect) ? 0 : Count;
+}
+
+/// \returns the suspect with most crashes among those that qualify for
 /// quarantine, as its quarantine may explain the crashes of the others; empty
 /// when none qualifies.
-std::optional<RequestDigest> CrashTracker::primeSuspect(TimePoint Now) const {
-  std::optional<RequestDigest> Result;
+std::optional<CrashSuspect> CrashTracker::primeSuspect(TimePoint Now) const {
+  std::optional<CrashSuspect> Result;
   std::size_t Most = 0;
-  for (const auto &[Request, Upstreams] : m_CrashesByRequest) {
-    if (Upstreams.size() < requiredCrashes(Request) ||
-        findQuarantine(Request, Now) != nullptr || m_Released.contains(Request))
+  for (const auto &[Suspect, Upstreams] : m_CrashesBySuspect) {
+    if (Upstreams.size() < requiredCrashes(Suspect) ||
+        findQuarantine(Suspect, Now) != nullptr || m_Released.contains(Suspect))
       continue;
-    const bool TooMany = Upstreams.size() >= m_Opts.m_UnconditionalThreshold;
-    const std::size_t Count =
-        TooMany
-            ? Upstreams.size()
-            : independentCrashes(completeCrashes(Request, Now), Request, Now);
-    if (Count < requiredCrashes(Request) || Count <= Most ||
-        (!TooMany && hasCoSuspect(Request, Now)))
+    const std::size_t Count = countToQuarantine(Suspect, Now);
+    if (Count <= Most)
       continue;
-    Result = Request;
+    Result = Suspect;
     Most = Count;
   }
   return Result;
 }
 
-std::vector<RequestDigest> CrashTracker::quarantineSuspects(const BoxName &By,
-                                                            TimePoint Now) {
-  std::vector<RequestDigest> Result;
+std::vector<CrashSuspect> CrashTracker::quarantineSuspects(const BoxName &By,
+                                                           TimePoint Now) {
+  std::vector<CrashSuspect> Result = widenQuarantines(Now);
   while (const auto Suspect = primeSuspect(Now)) {
     addQuarantine(*Suspect, By, Now);
     Result.push_back(*Suspect);
@@ -238,57 +374,92 @@
   return Result;
 }
 
-void CrashTracker::addQuarantine(const RequestDigest &Request,
-                                 const BoxName &By, TimePoint Now) {
-  RequestQuarantine Quarantine{
-      .m_By = By, .m_Since = Now, .m_Until = Now + m_Opts.m_QuarantineDuration};
-  for (const UpstreamIncarnation &Upstream : m_CrashesByRequest.at(Request))
-    if (Quarantine.m_Upstreams.size() < MaxNamedUpstreams)
-      Quarantine.m_Upstreams.push_back(Upstream.m_Id);
-  insertQuarantine(Request, std::move(Quarantine));
+/// Drops what may have been the cause in place of a quarantined part but was
+/// not running at a later crash. \returns the parts whose quarantines hold for
+/// more requests now.
+std::vector<CrashSuspect> CrashTracker::widenQuarantines(TimePoint Now) {
+  std::vector<CrashSuspect> Result;
+  for (auto &[Suspect, Entry] : m_Quarantines) {
+    if (Entry.m_Beside.empty())
+      continue;
+    const Crashes Complete = completeCrashes(Suspect, Now);
+    if (Complete.empty())
+      continue;
+    const std::set<CrashSuspect> Others = othersAtEach(Suspect, Complete);
+    if (std::erase_if(Entry.m_Beside, [&](const CrashSuspect &Each) {
+          return !Others.contains(Each);
+        }) > 0)
+      Result.push_back(Suspect);
+  }
+  return Result;
+}
+
+void CrashTracker::addQuarantine(const CrashSuspect &Suspect, const BoxName &By,
+                                 TimePoint Now) {
+  Quarantine Added{.m_Upstreams = {},
+                   .m_Beside = {},
+                   .m_By = By,
+                   .m_Since = Now,
+                   .m_Until = Now + m_Opts.m_QuarantineDuration};
+  for (const UpstreamIncarnation &Upstream : m_CrashesBySuspect.at(Suspect))
+    if (Added.m_Upstreams.size() < MaxNamedUpstreams)
+      Added.m_Upstreams.push_back(Upstream.m_Id);
+  const Crashes Complete = completeCrashes(Suspect, Now);
+  if (isPart(Suspect) && !m_Expired.contains(Suspect))
+    for (const CrashSuspect &Other : othersAtEach(Suspect, Complete))
+      if (heldTogether(Suspect, Other, Complete))
+        Added.m_Beside.insert(Other);
+  insertQuarantine(Suspect, std::move(Added));
 }
 
-void CrashTracker::insertQuarantine(const RequestDigest &Request,
-                                    RequestQuarantine Quarantine) {
+void CrashTracker::insertQuarantine(const CrashSuspect &Suspect,
+                                    Quarantine Added) {
   if (m_Quarantines.size() >= m_Opts.m_MaxQuarantines)
     m_Quarantines.erase(
         std::min_element(m_Quarantines.begin(), m_Quarantines.end(),
                          [](const auto &A, const auto &B) {
                            return A.second.m_Until < B.second.m_Until;
                          }));
-  m_Suspects.erase(Request);
-  m_Expired.erase(Request);
-  m_Lifted.erase(Request);
-  m_Quarantines[Request] = std::move(Quarantine);
+  m_Suspects.erase(Suspect);
+  m_Expired.erase(Suspect);
+  m_Lifted.erase(Suspect);
+  m_Quarantines[Suspect] = std::move(Added);
 }
 
-bool CrashTracker::adopt(const RequestDigest &Request,
-                         RequestQuarantine Quarantine, TimePoint Now) {
+bool CrashTracker::adopt(const CrashSuspect &Suspect, Quarantine Declared,
+                         TimePoint Now) {
+  if (const auto Found = m_Quarantines.find(Suspect);
+      Found != m_Quarantines.end())
+    return std::erase_if(Found->second.m_Beside, [&](const CrashSuspect &Each) {
+             return !Declared.m_Beside.contains(Each);
+           }) > 0;
   // Otherwise boxes that learn of a quarantine from each other would keep it up
   // for ever.
-  if (m_Quarantines.contains(Request) || m_Expired.contains(Request) ||
-      m_Lifted.contains(Request) || m_Released.contains(Request) ||
-      completedRecently(Request, Now))
+  if (m_Expired.contains(Suspect) || m_Lifted.contains(Suspect) ||
+      m_Released.contains(Suspect) || completedRecently(Suspect, Now))
     return false;
-  Quarantine.m_Until =
-      std::min(Quarantine.m_Until, Now + m_Opts.m_QuarantineDuration);
-  insertQuarantine(Request, std::move(Quarantine));
+  Declared.m_Until =
+      std::min(Declared.m_Until, Now + m_Opts.m_QuarantineDuration);
+  std::erase_if(Declared.m_Beside, [&](const CrashSuspect &Each) {
+    return completedRecently(Each, Now);
+  });
+  insertQuarantine(Suspect, std::move(Declared));
   return true;
 }
 
-void CrashTracker::setReleased(std::set<RequestDigest> Requests) {
-  m_Released = std::move(Requests);
-  for (const RequestDigest &Each : m_Released)
-    clear(Each);
+void CrashTracker::setReleased(std::set<CrashSuspect> Suspects) {
+  m_Released = std::move(Suspects);
+  for (const CrashSuspect &Each : m_Released)
+    clear(Each, TimePoint::max());
 }
 
 void CrashTracker::forgetCrash(const UpstreamIncarnation &Upstream) {
   const auto Found = m_Crashes.find(Upstream);
-  for (const RequestDigest &Each : Found->second.m_Running) {
-    const auto WithRequest = m_CrashesByRequest.find(Each);
-    WithRequest->second.erase(Upstream);
-    if (WithRequest->second.empty())
-      m_CrashesByRequest.erase(WithRequest);
+  for (const CrashSuspect &Each : Found->second.m_Suspects) {
+    const auto WithSuspect = m_CrashesBySuspect.find(Each);
+    WithSuspect->second.erase(Upstream);
+    if (WithSuspect->second.empty())
+      m_CrashesBySuspect.erase(WithSuspect);
   }
   m_Crashes.erase(Found);
 }
@@ -315,39 +486,56 @@
   pruneByTime(m_Completed, Now - m_Opts.m_CompletionRetention);
 }
 
-const RequestQuarantine *
-CrashTracker::findQuarantine(const RequestDigest &Request,
-                             TimePoint Now) const {
-  const auto Found = m_Quarantines.find(Request);
+const Quarantine *CrashTracker::findQuarantine(const CrashSuspect &Suspect,
+                                               TimePoint Now) const {
+  const auto Found = m_Quarantines.find(Suspect);
   return Found == m_Quarantines.end() || Now >= Found->second.m_Until
              ? nullptr
              : &Found->second;
 }
 
-std::optional<TimePoint>
-CrashTracker::decisionTime(const RequestDigest &Request, TimePoint Now) const {
-  if (findQuarantine(Request, Now) != nullptr || m_Released.contains(Request) ||
-      crashCount(Request, Now) < requiredCrashes(Request))
+std::optional<CrashSuspect>
+CrashTracker::quarantinedIn(const RequestSuspects &Request,
+                            TimePoint Now) const {
+  if (m_Quarantines.empty())
+    return std::nullopt;
+  for (const CrashSuspect &Each : Request.all()) {
+    const Quarantine *Found = findQuarantine(Each, Now);
+    if (Found != nullptr &&
+        std::all_of(
+            Found->m_Beside.begin(), Found->m_Beside.end(),
+            [&](const CrashSuspect &Other) { return Request.holds(Other); }))
+      return Each;
+  }
+  return std::nullopt;
+}
+
+std::optional<TimePoint> CrashTracker::decisionTime(const CrashSuspect &Suspect,
+                                                    TimePoint Now) const {
+  if (findQuarantine(Suspect, Now) != nullptr || m_Released.contains(Suspect) ||
+      crashCount(Suspect, Now) < requiredCrashes(Suspect))
     return std::nullopt;
   TimePoint Result{};
-  for (const Crash *Each : unexplainedCrashes(Request, Now))
+  for (const Crash *Each : unexplainedCrashes(Suspect, Now))
     Result = std::max(Result, Each->m_UpdatedAt + m_Opts.m_ReportDelay);
   return Result > Now ? std::optional(Result) : std::nullopt;
 }
 
-bool CrashTracker::isAmbiguous(const RequestDigest &Request,
+bool CrashTracker::isAmbiguous(const CrashSuspect &Suspect,
                                TimePoint Now) const {
-  const auto Found = m_CrashesByRequest.find(Request);
-  return Found != m_CrashesByRequest.end() &&
-         Found->second.size() >= requiredCrashes(Request) &&
-         findQuarantine(Request, Now) == nullptr &&
-         !m_Released.contains(Request);
+  const auto Found = m_CrashesBySuspect.find(Suspect);
+  if (Found == m_CrashesBySuspect.end() || m_Released.contains(Suspect) ||
+      findQuarantine(Suspect, Now) != nullptr)
+    return false;
+  const std::size_t Count = isPart(Suspect)
+                                ? unexplainedCrashes(Suspect, Now).size()
+                                : Found->second.size();
+  return Count >= requiredCrashes(Suspect);
 }
 
-bool CrashTracker::isSuspect(const RequestDigest &Request,
-                             TimePoint Now) const {
-  return m_Suspects.contains(Request) ||
-         crashCount(Request, Now) >= MinSuspectCrashes;
+bool CrashTracker::isSuspect(const CrashSuspect &Suspect, TimePoint Now) const {
+  return m_Suspects.contains(Suspect) ||
+         crashCount(Suspect, Now) >= MinSuspectCrashes;
 }
 
 } // namespace havenstair
--- a/packages/gateway/process/CrashDetector.cpp
+++ b/packages/gateway/process/CrashDetector.cpp
@@ -26,7 +26,7 @@
 
 void CrashDetector::onConnectionBroken(
     const UpstreamIncarnation &Upstream,
-    const std::optional<RequestDigest> &Request, TimePoint Now) {
+    const std::optional<RequestSuspects> &Request, TimePoint Now) {
   const UpstreamInstance *At = m_View.find(Upstream.m_Id);
   // An upstream that leaves as planned breaks the connections of what still
   // runs.
@@ -86,16 +86,20 @@
 void CrashDetector::markEnded(const UpstreamIncarnation &Upstream) {
   Suspect &Entry = m_Suspects.at(Upstream);
   Entry.m_State = State::Ended;
-  const std::set<RequestDigest> Running = Entry.m_Running;
+  const std::set<RequestSuspects> Running = Entry.m_Running;
   m_Hooks.m_Ended(Upstream, Running);
 }
 
-bool CrashDetector::probing(const RequestDigest &Request) const {
-  return std::any_of(m_Suspects.begin(), m_Suspects.end(),
-                     [&](const auto &Entry) {
-                       return Entry.second.m_State == State::Probing &&
-                              Entry.second.m_Running.contains(Request);
-                     });
+bool CrashDetector::probing(const CrashSuspect &Suspect) const {
+  return std::any_of(
+      m_Suspects.begin(), m_Suspects.end(), [&](const auto &Entry) {
+        const std::set<RequestSuspects> &Running = Entry.second.m_Running;
+        return Entry.second.m_State == State::Probing &&
+               std::any_of(Running.begin(), Running.end(),
+                           [&](const RequestSuspects &Each) {
+                             return Each.holds(Suspect);
+                           });
+      });
 }
 
 void CrashDetector::onEndReported(const UpstreamIncarnation &Upstream) {
--- a/packages/gateway/process/CrashDetector.h
+++ b/packages/gateway/process/CrashDetector.h
@@ -3,7 +3,7 @@
 #ifndef HAVENSTAIR_GATEWAY_PROCESS_CRASHDETECTOR_H
 #define HAVENSTAIR_GATEWAY_PROCESS_CRASHDETECTOR_H
 
-#include "decisions/common/Id.h"
+#include "decisions/process/CrashSuspect.h"
 #include "decisions/process/ServingView.h"
 #include "gateway/request/RequestDialect.h"
 #include "wire/common/HttpClient.h"
@@ -30,7 +30,7 @@
     std::function<AnswerFacts(int Status, const HttpHeaders &)> m_ReadAnswer;
     /// Called when \p Upstream has ended while it ran the requests \p Running.
     std::function<void(const UpstreamIncarnation &Upstream,
-                       const std::set<RequestDigest> &Running)>
+                       const std::set<RequestSuspects> &Running)>
         m_Ended;
     /// Called when a probe that was sent at \p ProbedAt did not show that
     /// \p Upstream has ended. \p Answer is empty if it did not answer.
@@ -47,12 +47,12 @@
   /// it, and probes the upstream if needed. \p Request is empty if that request
   /// cannot have caused a crash.
   void onConnectionBroken(const UpstreamIncarnation &Upstream,
-                          const std::optional<RequestDigest> &Request,
+                          const std::optional<RequestSuspects> &Request,
                           TimePoint Now);
   /// Records that another box has detected the end of \p Upstream.
   void onEndReported(const UpstreamIncarnation &Upstream);
-  /// \returns whether an upstream that ran \p Request is being probed.
-  bool probing(const RequestDigest &Request) const;
+  /// \returns whether an upstream that ran \p Suspect is being probed.
+  bool probing(const CrashSuspect &Suspect) const;
   /// Looks for suspects that have ended according to the changed list of
   /// upstreams.
   void onListChanged(TimePoint Now);
@@ -73,9 +73,9 @@
   /// An upstream whose connections broke.
   struct Suspect {
     State m_State = State::Probing;
-    TimePoint m_At{};                  ///< When a connection last broke.
-    std::set<RequestDigest> m_Running; ///< Requests on broken connections.
-    std::shared_ptr<void> m_Probe;     ///< Keeps the probe's call alive.
+    TimePoint m_At{};                    ///< When a connection last broke.
+    std::set<RequestSuspects> m_Running; ///< Requests on broken connections.
+    std::shared_ptr<void> m_Probe;       ///< Keeps the probe's call alive.
   };
 
   void probe(const UpstreamIncarnation &Upstream, const UpstreamInstance &At);
--- a/packages/gateway/process/CrashExchange.cpp
+++ b/packages/gateway/process/CrashExchange.cpp
@@ -31,18 +31,22 @@
 /// a busy event loop runs its timers late.
 constexpr Duration EvaluationSlack = 100ms;
 
-/// Limit for digests in one log line.
-constexpr std::size_t MaxLoggedDigests = 16;
+/// Clearances come in numbers, as many boxes run the same parts; they are
+/// evaluated together.
+constexpr Duration EvaluationDelay = 10ms;
+
+/// Limits for digests and for parts in one log line.
+constexpr std::size_t MaxLoggedSuspects = 16;
 
 /// Limit for quarantines in one frame to a box that has just been linked, which
 /// keeps it below 20 KB.
 constexpr std::size_t MaxEntriesPerFrame = 128;
 
-Json loggedDigests(const std::vector<RequestDigest> &Requests) {
+Json logged(const auto &Suspects) {
   Json Result = Json::array();
-  for (const RequestDigest &Request : Requests)
-    if (Result.size() < MaxLoggedDigests)
-      Result.push_back(Request.str());
+  for (const auto &Each : Suspects)
+    if (Result.size() < MaxLoggedSuspects)
+      Result.push_back(Each.str());
   return Result;
 }
 
@@ -62,9 +66,9 @@
 
 CrashDetector::Hooks CrashExchange::detectorHooks(CrashDetector::Hooks Outer) {
   Outer.m_Ended = [this](const UpstreamIncarnation &Upstream,
-                         const std::set<RequestDigest> &Running) {
+                         const std::set<RequestSuspects> &Running) {
     m_Hooks.m_ProbeEnded("ended");
-    reportEnd(Upstream, {Running.begin(), Running.end()});
+    reportEnd(Upstream, Running);
   };
   Outer.m_NotEnded = [this, NotEnded = std::move(Outer.m_NotEnded)](
                          const UpstreamIncarnation &Upstream,
@@ -88,7 +92,7 @@
 
 void CrashExchange::onConnectionBroken(
     const UpstreamIncarnation &Upstream,
-    const std::optional<RequestDigest> &Request) {
+    const std::optional<RequestSuspects> &Request) {
   m_Detector.onConnectionBroken(Upstream, Request, EventLoop::now());
 }
 
@@ -100,21 +104,33 @@
 }
 
 void CrashExchange::onCompleted(const UpstreamIncarnation &Upstream,
-                                const RequestDigest &Request) {
+                                const RequestSuspects &Request,
+                                TimePoint Began) {
   if (m_Runs.size() >= MaxRuns)
     m_Runs.pop_front();
-  m_Runs.push_back(
-      {.m_Upstream = Upstream, .m_Request = Request, .m_At = EventLoop::now()});
+  m_Runs.push_back({.m_Upstream = Upstream,
+                    .m_Request = Request,
+                    .m_Began = Began,
+                    .m_At = EventLoop::now()});
+}
+
+void CrashExchange::onHarmless(const std::vector<CrashSuspect> &Parts,
+                               TimePoint Began) {
+  for (const CrashSuspect &Each : Parts)
+    clear(Each, Began);
 }
 
-/// Probes the upstreams of completed runs that would clear a suspicious
-/// request: without other requests nothing might show that the upstream has
-/// crashed.
+/// Probes the upstreams of completed runs that would clear a suspect: without
+/// other requests nothing might show that the upstream has crashed.
 void CrashExchange::probeAfterRuns(TimePoint Now) {
   for (Run &Completed : m_Runs) {
     if (Completed.m_Probed ||
-        Now - Completed.m_At < CrashGuard::BlameWindow / 2 ||
-        !m_Tracker.isSuspect(Completed.m_Request, Now))
+        Now - Completed.m_At < CrashGuard::BlameWindow / 2)
+      continue;
+    const std::vector<CrashSuspect> All = Completed.m_Request.all();
+    if (std::none_of(All.begin(), All.end(), [&](const CrashSuspect &Each) {
+          return m_Tracker.isSuspect(Each, Now);
+        }))
       continue;
     Completed.m_Probed = true;
     m_Detector.onConnectionBroken(Completed.m_Upstream, Completed.m_Request,
@@ -129,43 +145,60 @@
          Now - m_Runs.front().m_At >= CrashGuard::BlameWindow) {
     const Run Oldest = m_Runs.front();
     m_Runs.pop_front();
-    if (!m_Detector.mayHaveEnded(Oldest.m_Upstream))
-      clear(Oldest.m_Request);
+    if (m_Detector.mayHaveEnded(Oldest.m_Upstream))
+      continue;
+    clear(Oldest.m_Request.m_Digest, Now);
+    onHarmless(Oldest.m_Request.m_Parts, Oldest.m_Began);
   }
 }
 
-void CrashExchange::clear(const RequestDigest &Request) {
-  if (!m_Tracker.recordCompletion(Request, EventLoop::now()))
+void CrashExchange::clear(const CrashSuspect &Suspect, TimePoint At) {
+  if (!m_Tracker.recordCompletion(Suspect, At))
     return;
   m_Log.write("request_cleared",
-              {{"digest", Request.str()}, {"by", m_Fleet.self().str()}});
-  m_Fleet.sendAll(RequestClearedFrame{.m_Request = Request});
-  // The requests that shared its crashed upstreams become more likely causes.
-  evaluate();
+              {{"digest", Suspect.str()}, {"by", m_Fleet.self().str()}});
+  sendCleared(Suspect);
+  // What shared its crashed upstreams becomes a more likely cause.
+  evaluateSoon();
+}
+
+/// Tells all boxes that \p Suspect ran without harm, and how long ago.
+void CrashExchange::sendCleared(const CrashSuspect &Suspect) {
+  const TimePoint Now = EventLoop::now();
+  const TimePoint At = m_Tracker.completedAt(Suspect).value_or(Now);
+  m_Fleet.sendAll(RequestClearedFrame{.m_Suspect = Suspect, .m_Age = Now - At});
 }
 
-std::optional<Duration> CrashExchange::holdTime(const RequestDigest &Request,
+std::optional<Duration> CrashExchange::holdTime(const CrashSuspect &Suspect,
                                                 TimePoint Now) const {
-  if (const auto JudgedAt = m_Tracker.decisionTime(Request, Now))
+  if (const auto JudgedAt = m_Tracker.decisionTime(Suspect, Now))
     return *JudgedAt - Now + EvaluationSlack;
   // One more crash would quarantine it.
-  if (m_Tracker.isSuspect(Request, Now) && m_Detector.probing(Request))
+  if (m_Tracker.isSuspect(Suspect, Now) && m_Detector.probing(Suspect))
     return ProbeHold;
   return std::nullopt;
 }
 
 void CrashExchange::reportEnd(const UpstreamIncarnation &Upstream,
-                              const std::vector<RequestDigest> &Running) {
-  std::set<RequestDigest> All(Running.begin(), Running.end());
+                              const std::set<RequestSuspects> &Running) {
+  std::set<RequestSuspects> All = Running;
   for (const Run &Completed : m_Runs)
     if (Completed.m_Upstream == Upstream)
       All.insert(Completed.m_Request);
   const CrashFrame Frame{.m_Server = Upstream,
-                         .m_Running = {All.begin(), All.end()}};
+                         .m_Running = m_Tracker.uncleared(
+                             {All.begin(), All.end()}, EventLoop::now())};
+  std::set<RequestDigest> Digests;
+  std::set<CrashSuspect> Parts;
+  for (const RequestSuspects &Each : Frame.m_Running) {
+    Digests.insert(Each.m_Digest);
+    Parts.insert(Each.m_Parts.begin(), Each.m_Parts.end());
+  }
   m_Log.write("server_ended", {{"upstream", Upstream.m_Id},
                                {"born", Upstream.m_StartTime},
-                               {"requests", Frame.m_Running.size()},
-                               {"digests", loggedDigests(Frame.m_Running)}});
+                               {"requests", All.size()},
+                               {"digests", logged(Digests)},
+                               {"parts", logged(Parts)}});
   if (recordEnd(Frame))
     m_Fleet.sendRelays(Frame);
   m_Hooks.m_Changed();
@@ -177,25 +210,27 @@
   const TimePoint Now = EventLoop::now();
   const CrashTracker::RecordResult Result =
       m_Tracker.recordCrash(Frame.m_Server, Frame.m_Running, Now);
-  for (const RequestDigest &Request : Result.m_Completed)
-    m_Fleet.sendAll(RequestClearedFrame{.m_Request = Request});
+  for (const CrashSuspect &Each : Result.m_Completed)
+    sendCleared(Each);
   if (!Result.m_New)
     return false;
-  // Crashes are not reported to leaves, but these may know which of the
-  // requests completed without harm.
+  // Crashes are not reported to leaves, but these may know what ran without
+  // harm.
   if (m_Fleet.topology().relay() && !m_Fleet.topology().flat())
     sendSuspects(Frame.m_Running);
   scheduleEvaluation();
   return true;
 }
 
-void CrashExchange::sendSuspects(const std::vector<RequestDigest> &Among) {
-  CrashSuspectsFrame Frame;
-  for (const RequestDigest &Request : Among)
-    if (m_Tracker.isSuspect(Request, EventLoop::now()))
-      Frame.m_Requests.push_back(Request);
-  if (!Frame.m_Requests.empty())
-    m_Fleet.sendLeaves(Frame);
+void CrashExchange::sendSuspects(const std::vector<RequestSuspects> &Among) {
+  std::set<CrashSuspect> Suspects;
+  for (const RequestSuspects &Request : Among)
+    for (const CrashSuspect &Each : Request.all())
+      if (m_Tracker.isSuspect(Each, EventLoop::now()))
+        Suspects.insert(Each);
+  if (!Suspects.empty())
+    m_Fleet.sendLeaves(
+        CrashSuspectsFrame{.m_Suspects = {Suspects.begin(), Suspects.end()}});
 }
 
 void CrashExchange::scheduleEvaluation() {
@@ -205,46 +240,55 @@
         m_Loop.after(*First - Now + TimerSlack, [this] { evaluate(); });
 }
 
+void CrashExchange::evaluateSoon() {
+  if (std::exchange(m_EvaluatesSoon, true))
+    return;
+  m_SoonTimer = m_Loop.after(EvaluationDelay, [this] {
+    m_EvaluatesSoon = false;
+    evaluate();
+  });
+}
+
 void CrashExchange::evaluate() {
   const TimePoint Now = EventLoop::now();
-  const std::vector<RequestDigest> Quarantined =
+  const std::vector<CrashSuspect> Quarantined =
       m_Tracker.quarantineSuspects(m_Fleet.self(), Now);
   scheduleEvaluation();
-  for (const RequestDigest &Request : Quarantined)
-    logQuarantined(Request, "judged");
+  for (const CrashSuspect &Each : Quarantined)
+    logQuarantined(Each, "judged");
   if (!Quarantined.empty())
     m_Fleet.sendAll(
         QuarantinesFrame{.m_Quarantines = quarantineEntries(Quarantined)});
   m_Hooks.m_Changed();
 }
 
-void CrashExchange::logQuarantined(const RequestDigest &Request,
+void CrashExchange::logQuarantined(const CrashSuspect &Suspect,
                                    std::string_view How) {
   const TimePoint Now = EventLoop::now();
-  const RequestQuarantine *Quarantine = m_Tracker.findQuarantine(Request, Now);
-  if (Quarantine == nullptr)
+  const Quarantine *Entry = m_Tracker.findQuarantine(Suspect, Now);
+  if (Entry == nullptr)
     return;
-  m_Log.write("request_barred",
-              {{"digest", Request.str()},
-               {"servers", Quarantine->m_Upstreams},
-               {"by", Quarantine->m_By.str()},
-               {"how", How},
-               {"since_ms", (Now - Quarantine->m_Since) / 1ms},
-               {"for_ms", (Quarantine->m_Until - Now) / 1ms}});
+  m_Log.write("request_barred", {{"digest", Suspect.str()},
+                                 {"beside", logged(Entry->m_Beside)},
+                                 {"servers", Entry->m_Upstreams},
+                                 {"by", Entry->m_By.str()},
+                                 {"how", How},
+                                 {"since_ms", (Now - Entry->m_Since) / 1ms},
+                                 {"for_ms", (Entry->m_Until - Now) / 1ms}});
 }
 
 std::vector<ReportedQuarantine> CrashExchange::quarantineEntries(
-    const std::vector<RequestDigest> &Requests) const {
+    const std::vector<CrashSuspect> &Suspects) const {
   const TimePoint Now = EventLoop::now();
   std::vector<ReportedQuarantine> Result;
-  for (const RequestDigest &Request : Requests)
-    if (const RequestQuarantine *Quarantine =
-            m_Tracker.findQuarantine(Request, Now))
-      Result.push_back({.m_Request = Request,
-                        .m_Upstreams = Quarantine->m_Upstreams,
-                        .m_By = Quarantine->m_By,
-                        .m_Age = Now - Quarantine->m_Since,
-                        .m_Left = Quarantine->m_Until - Now});
+  for (const CrashSuspect &Suspect : Suspects)
+    if (const Quarantine *Entry = m_Tracker.findQuarantine(Suspect, Now))
+      Result.push_back({.m_Suspect = Suspect,
+                        .m_Upstreams = Entry->m_Upstreams,
+                        .m_Beside = Entry->m_Beside,
+                        .m_By = Entry->m_By,
+                        .m_Age = Now - Entry->m_Since,
+                        .m_Left = Entry->m_Until - Now});
   return Result;
 }
 
@@ -254,21 +298,21 @@
   QuarantineStore::Changes Changes =
       m_Quarantine.entriesChanged(Items, At, Now);
   m_Tracker.setReleased(std::move(Changes.m_Released));
-  for (auto &[Request, Quarantine] : Changes.m_Added) {
+  for (auto &[Suspect, Added] : Changes.m_Added) {
     // The age of the quarantine is unknown: the boxes that knew it may all have
     // stopped.
-    Quarantine.m_Since = Now;
-    Quarantine.m_Until = TimePoint::max();
-    if (m_Tracker.adopt(Request, Quarantine, Now))
-      logQuarantined(Request, "stored");
+    Added.m_Since = Now;
+    Added.m_Until = TimePoint::max();
+    if (m_Tracker.adopt(Suspect, Added, Now))
+      logQuarantined(Suspect, "stored");
   }
   m_Hooks.m_Changed();
 }
 
 void CrashExchange::linkUp(const BoxName &Box) {
-  std::vector<RequestDigest> All;
-  for (const auto &[Request, Quarantine] : m_Tracker.quarantines())
-    All.push_back(Request);
+  std::vector<CrashSuspect> All;
+  for (const auto &[Suspect, Entry] : m_Tracker.quarantines())
+    All.push_back(Suspect);
   std::vector<ReportedQuarantine> Quarantines = quarantineEntries(All);
   for (std::size_t First = 0; First < Quarantines.size();
        First += MaxEntriesPerFrame) {
@@ -302,19 +346,20 @@
 
 void CrashExchange::receive(const BoxName &, const CrashSuspectsFrame &Frame) {
   const TimePoint Now = EventLoop::now();
-  for (const RequestDigest &Request : Frame.m_Requests)
-    if (m_Tracker.addSuspect(Request, Now))
-      m_Fleet.sendAll(RequestClearedFrame{.m_Request = Request});
+  for (const CrashSuspect &Each : Frame.m_Suspects)
+    if (m_Tracker.addSuspect(Each, Now))
+      sendCleared(Each);
 }
 
 void CrashExchange::receive(const BoxName &From,
                             const RequestClearedFrame &Frame) {
-  if (!m_Tracker.recordCompletion(Frame.m_Request, EventLoop::now()))
+  if (!m_Tracker.recordCompletion(Frame.m_Suspect,
+                                  EventLoop::now() - Frame.m_Age))
     return;
   m_Log.write("request_cleared",
-              {{"digest", Frame.m_Request.str()}, {"by", From.str()}});
+              {{"digest", Frame.m_Suspect.str()}, {"by", From.str()}});
   m_Fleet.passOn(Frame, From);
-  evaluate();
+  evaluateSoon();
 }
 
 void CrashExchange::receive(const BoxName &From,
@@ -324,15 +369,17 @@
   for (const ReportedQuarantine &Received : Frame.m_Quarantines) {
     // A box that was disconnected when the quarantine was lifted would
     // otherwise bring it back.
-    if (m_Tracker.wasLifted(Received.m_Request))
-      m_Fleet.send(From, RequestClearedFrame{.m_Request = Received.m_Request});
-    const RequestQuarantine Quarantine{.m_Upstreams = Received.m_Upstreams,
-                                       .m_By = Received.m_By,
-                                       .m_Since = Now - Received.m_Age,
-                                       .m_Until = Now + Received.m_Left};
-    if (!m_Tracker.adopt(Received.m_Request, Quarantine, Now))
+    if (m_Tracker.wasLifted(Received.m_Suspect))
+      m_Fleet.send(From, RequestClearedFrame{.m_Suspect = Received.m_Suspect,
+                                             .m_Age = 0us});
+    const Quarantine Declared{.m_Upstreams = Received.m_Upstreams,
+                              .m_Beside = Received.m_Beside,
+                              .m_By = Received.m_By,
+                              .m_Since = Now - Received.m_Age,
+                              .m_Until = Now + Received.m_Left};
+    if (!m_Tracker.adopt(Received.m_Suspect, Declared, Now))
       continue;
-    logQuarantined(Received.m_Request, "told");
+    logQuarantined(Received.m_Suspect, "told");
     Adopted.m_Quarantines.push_back(Received);
   }
   if (Adopted.m_Quarantines.empty())
--- a/packages/gateway/process/CrashExchange.h
+++ b/packages/gateway/process/CrashExchange.h
@@ -1,5 +1,5 @@
 /// \file
-/// Shares between boxes which requests were running on crashed upstreams.
+/// Shares between boxes what was running on crashed upstreams.
 /// See docs/design/crashing-requests.md.
 #ifndef HAVENSTAIR_GATEWAY_PROCESS_CRASHEXCHANGE_H
 #define HAVENSTAIR_GATEWAY_PROCESS_CRASHEXCHANGE_H
@@ -12,6 +12,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,10 +22,10 @@
 class DecisionLog;
 class Fleet;
 
-/// Finds the requests that crash upstreams, together with the other boxes, and
-/// quarantines them. All relays receive which requests were running on a
-/// crashed upstream, and each evaluates that for itself. Quarantines, and that
-/// a suspected request completed without harm, are sent to all boxes.
+/// Finds the requests and parts of prompts that crash upstreams, together with
+/// the other boxes, and quarantines them. All relays receive what was running
+/// on a crashed upstream, and each evaluates that for itself. Quarantines, and
+/// that a suspect ran without harm, are sent to all boxes.
 /// Quarantines are also kept in the store, to survive a restart of all boxes.
 class CrashExchange : public CrashService {
 public:
@@ -44,12 +45,15 @@
                 Fleet &Boxes, const ServingView &View, CrashTracker &Tracker,
                 DecisionLog &Log, const std::string &Prefix, Hooks Callbacks);
 
-  void onConnectionBroken(const UpstreamIncarnation &Upstream,
-                          const std::optional<RequestDigest> &Request) override;
+  void
+  onConnectionBroken(const UpstreamIncarnation &Upstream,
+                     const std::optional<RequestSuspects> &Request) override;
   void onConnectFailed(const UpstreamIncarnation &Upstream) override;
   void onCompleted(const UpstreamIncarnation &Upstream,
-                   const RequestDigest &Request) override;
-  std::optional<Duration> holdTime(const RequestDigest &Request,
+                   const RequestSuspects &Request, TimePoint Began) override;
+  void onHarmless(const std::vector<CrashSuspect> &Parts,
+                  TimePoint Began) override;
+  std::optional<Duration> holdTime(const CrashSuspect &Suspect,
                                    TimePoint Now) const override;
 
   /// Called when the list of upstreams has changed.
@@ -69,7 +73,8 @@
   /// A completed request whose upstream may still crash because of it.
   struct Run {
     UpstreamIncarnation m_Upstream;
-    RequestDigest m_Request;
+    RequestSuspects m_Request;
+    TimePoint m_Began{};   ///< When the upstream began to answer.
     TimePoint m_At{};      ///< When the request completed.
     bool m_Probed = false; ///< The upstream has been probed since.
   };
@@ -77,16 +82,18 @@
   void tick();
   void probeAfterRuns(TimePoint Now);
   void confirmRuns(TimePoint Now);
-  void clear(const RequestDigest &Request);
+  void clear(const CrashSuspect &Suspect, TimePoint At);
+  void sendCleared(const CrashSuspect &Suspect);
   void reportEnd(const UpstreamIncarnation &Upstream,
-                 const std::vector<RequestDigest> &Running);
+                 const std::set<RequestSuspects> &Running);
   bool recordEnd(const CrashFrame &Frame);
-  void sendSuspects(const std::vector<RequestDigest> &Among);
+  void sendSuspects(const std::vector<RequestSuspects> &Among);
   void scheduleEvaluation();
+  void evaluateSoon();
   void evaluate();
-  void logQuarantined(const RequestDigest &Request, std::string_view How);
+  void logQuarantined(const CrashSuspect &Suspect, std::string_view How);
   std::vector<ReportedQuarantine>
-  quarantineEntries(const std::vector<RequestDigest> &Requests) const;
+  quarantineEntries(const std::vector<CrashSuspect> &Suspects) const;
 
   void receive(const BoxName &From, const CrashFrame &Frame);
   void receive(const BoxName &From, const CrashSuspectsFrame &Frame);
@@ -102,6 +109,8 @@
   QuarantineStore m_Quarantine;
   std::deque<Run> m_Runs; ///< From the oldest to the newest.
   Timer m_EvaluationTimer;
+  Timer m_SoonTimer;
+  bool m_EvaluatesSoon = false; ///< m_SoonTimer is set.
   Timer m_TickTimer;
 };
 
--- a/packages/gateway/process/QuarantineStore.cpp
+++ b/packages/gateway/process/QuarantineStore.cpp
@@ -19,39 +19,65 @@
 /// Keys that one transaction changes: half of what the store accepts in one.
 constexpr std::size_t MaxKeysPerTransaction = 16;
 
+Json toJson(const Quarantine &Entry) {
+  Json Beside = Json::array();
+  for (const CrashSuspect &Each : Entry.m_Beside)
+    Beside.push_back(Each.str());
+  return {{"servers", Entry.m_Upstreams},
+          {"beside", std::move(Beside)},
+          {"by", Entry.m_By.str()}};
+}
+
+/// \throws DecodeError for a value of another form.
+Quarantine quarantineFrom(const Json &Value) {
+  Quarantine Result{.m_Upstreams =
+                        field<std::vector<InstanceId>>(Value, "servers"),
+                    .m_By = BoxName(field<std::string>(Value, "by"))};
+  for (const std::string &Each :
+       fieldOr<std::vector<std::string>>(Value, "beside", {}))
+    Result.m_Beside.insert(CrashSuspect::parse(Each));
+  return Result;
+}
+
 } // namespace
 
 QuarantineStore::QuarantineStore(CoordinationStore &Store, DecisionLog &Log,
                                  std::string Prefix)
     : m_Store(Store), m_Log(Log), m_Prefix(std::move(Prefix)) {}
 
-std::string QuarantineStore::keyOf(const RequestDigest &Request) const {
-  return m_Prefix + QuarantineKeys + Request.str();
+std::string QuarantineStore::keyOf(const CrashSuspect &Suspect) const {
+  return m_Prefix + QuarantineKeys + Suspect.str();
+}
+
+bool QuarantineStore::isStored(const CrashSuspect &Suspect,
+                               const Quarantine &Wanted) const {
+  const auto Found = m_Stored.find(Suspect);
+  return Found != m_Stored.end() && Found->second == Wanted.m_Beside;
 }
 
 QuarantineStore::Changes
 QuarantineStore::entriesChanged(const std::map<std::string, StoreItem> &Items,
                                 const StoreRevision &At, TimePoint Now) {
   m_HasRead = true;
-  const std::set<RequestDigest> Before = std::exchange(m_Stored, {});
+  const auto Before = std::exchange(m_Stored, {});
   const std::string QuarantinePrefix = m_Prefix + QuarantineKeys;
   const std::string ReleasedPrefix = m_Prefix + ReleasedKeys;
   Changes Result;
   for (const auto &[Key, Item] : Items) {
     if (Key.starts_with(ReleasedPrefix))
-      Result.m_Released.emplace(Key.substr(ReleasedPrefix.size()));
+      Result.m_Released.insert(
+          CrashSuspect::parse(Key.substr(ReleasedPrefix.size())));
     if (!Key.starts_with(QuarantinePrefix))
       continue;
-    const RequestDigest Request(Key.substr(QuarantinePrefix.size()));
-    m_Stored.insert(Request);
-    // A quarantine that was adopted before may have been cleared since.
-    if (Before.contains(Request))
-      continue;
+    const CrashSuspect Suspect =
+        CrashSuspect::parse(Key.substr(QuarantinePrefix.size()));
+    m_Stored[Suspect];
     try {
-      const Json Value = parseJson(Item.m_Value);
-      Result.m_Added[Request] = {
-          .m_Upstreams = field<std::vector<InstanceId>>(Value, "servers"),
-          .m_By = BoxName(field<std::string>(Value, "by"))};
+      const Quarantine Read = quarantineFrom(parseJson(Item.m_Value));
+      m_Stored[Suspect] = Read.m_Beside;
+      // A quarantine that was adopted before may have been cleared since.
+      if (!Before.contains(Suspect))
+        Result.m_Added[Suspect] = Read;
     } catch (const DecodeError &Error) {
       m_Log.write("bad_bar", {{"key", Key}, {"why", Error.what()}});
     }
@@ -60,7 +86,7 @@
   return Result;
 }
 
-void QuarantineStore::keepReleases(std::set<RequestDigest> &Released,
+void QuarantineStore::keepReleases(std::set<CrashSuspect> &Released,
                                    const StoreRevision &At, TimePoint Now) {
   if (!m_ReadAt.none() && At.m_Era > m_ReadAt.m_Era) {
     m_KeptReleases = m_Released;
@@ -69,7 +95,7 @@
   m_ReadAt = At;
   if (Now >= m_ReleasesKeptUntil)
     m_KeptReleases.clear();
-  for (const RequestDigest &Each : Released)
+  for (const CrashSuspect &Each : Released)
     m_KeptReleases.erase(Each);
   Released.insert(m_KeptReleases.begin(), m_KeptReleases.end());
   m_Released = Released;
@@ -78,20 +104,20 @@
 void QuarantineStore::reconcile(const Entries &Wanted, TimePoint Now) {
   if (m_InFlight || !m_HasRead)
     return;
-  std::vector<RequestDigest> Surplus;
-  for (const RequestDigest &Request : m_Stored)
-    if (!Wanted.contains(Request) && Surplus.size() < MaxKeysPerTransaction)
-      Surplus.push_back(Request);
+  std::vector<CrashSuspect> Surplus;
+  for (const auto &[Suspect, Beside] : m_Stored)
+    if (!Wanted.contains(Suspect) && Surplus.size() < MaxKeysPerTransaction)
+      Surplus.push_back(Suspect);
   if (!Surplus.empty())
     return remove(Surplus);
   Entries Missing;
   Duration Longest = 0us;
-  for (const auto &[Request, Quarantine] : Wanted) {
-    if (m_Stored.contains(Request) || Quarantine.m_Until <= Now ||
+  for (const auto &[Suspect, Each] : Wanted) {
+    if (isStored(Suspect, Each) || Each.m_Until <= Now ||
         Missing.size() >= MaxKeysPerTransaction)
       continue;
-    Missing[Request] = Quarantine;
-    Longest = std::max(Longest, Quarantine.m_Until - Now);
+    Missing[Suspect] = Each;
+    Longest = std::max(Longest, Each.m_Until - Now);
   }
   if (Missing.empty())
     return;
@@ -109,23 +135,21 @@
 
 void QuarantineStore::put(LeaseId Lease, const Entries &Missing) {
   StoreTransaction Transaction;
-  for (const auto &[Request, Quarantine] : Missing) {
-    const Json Value{{"servers", Quarantine.m_Upstreams},
-                     {"by", Quarantine.m_By.str()}};
-    Transaction.m_Puts.push_back({.m_Key = keyOf(Request),
-                                  .m_Value = dumpJson(Value),
+  for (const auto &[Suspect, Each] : Missing) {
+    Transaction.m_Puts.push_back({.m_Key = keyOf(Suspect),
+                                  .m_Value = dumpJson(toJson(Each)),
                                   .m_Lease = Lease});
-    m_Stored.insert(Request);
+    m_Stored[Suspect] = Each.m_Beside;
   }
   transact(Transaction);
 }
 
-void QuarantineStore::remove(const std::vector<RequestDigest> &Surplus) {
+void QuarantineStore::remove(const std::vector<CrashSuspect> &Surplus) {
   m_InFlight = true;
   StoreTransaction Transaction;
-  for (const RequestDigest &Request : Surplus) {
-    Transaction.m_Removals.push_back(keyOf(Request));
-    m_Stored.erase(Request);
+  for (const CrashSuspect &Suspect : Surplus) {
+    Transaction.m_Removals.push_back(keyOf(Suspect));
+    m_Stored.erase(Suspect);
   }
   transact(Transaction);
 }
@@ -147,9 +171,9 @@
         const std::size_t Start =
             m_Prefix.size() + std::string(QuarantineKeys).size();
         for (const StorePut &Put : Transaction.m_Puts)
-          m_Stored.erase(RequestDigest(Put.m_Key.substr(Start)));
+          m_Stored.erase(CrashSuspect::parse(Put.m_Key.substr(Start)));
         for (const std::string &Key : Transaction.m_Removals)
-          m_Stored.insert(RequestDigest(Key.substr(Start)));
+          m_Stored[CrashSuspect::parse(Key.substr(Start))];
       });
 }
 
--- a/packages/gateway/process/QuarantineStore.h
+++ b/packages/gateway/process/QuarantineStore.h
@@ -1,5 +1,5 @@
 /// \file
-/// Keeps quarantined requests in the store, where they survive the boxes.
+/// Keeps quarantines in the store, where they survive the boxes.
 #ifndef HAVENSTAIR_GATEWAY_PROCESS_QUARANTINESTORE_H
 #define HAVENSTAIR_GATEWAY_PROCESS_QUARANTINESTORE_H
 
@@ -17,12 +17,11 @@
 class DecisionLog;
 
 /// Stores one key for each quarantine, under a lease as long as the quarantine.
-/// One box writes, and all boxes read. Operators release a request by a key of
+/// One box writes, and all boxes read. Operators release a suspect by a key of
 /// its own.
 class QuarantineStore {
 public:
-  /// Quarantines by request.
-  using Entries = std::map<RequestDigest, RequestQuarantine>;
+  using Entries = std::map<CrashSuspect, Quarantine>;
 
   QuarantineStore(CoordinationStore &Store, DecisionLog &Log,
                   std::string Prefix);
@@ -33,8 +32,8 @@
   struct Changes {
     /// Quarantines whose keys were not there before. Their times are not set.
     Entries m_Added;
-    /// All requests that operators have released, new or not.
-    std::set<RequestDigest> m_Released;
+    /// All suspects that operators have released, new or not.
+    std::set<CrashSuspect> m_Released;
   };
   /// Reads the store's keys, of which \p Items are all under the gateway's
   /// prefix, as of \p At. Releases that a restored store lacks hold until
@@ -47,20 +46,23 @@
   void reconcile(const Entries &Wanted, TimePoint Now);
 
 private:
-  void keepReleases(std::set<RequestDigest> &Released, const StoreRevision &At,
+  void keepReleases(std::set<CrashSuspect> &Released, const StoreRevision &At,
                     TimePoint Now);
   void put(LeaseId Lease, const Entries &Missing);
-  void remove(const std::vector<RequestDigest> &Surplus);
+  void remove(const std::vector<CrashSuspect> &Surplus);
   void transact(const StoreTransaction &Transaction);
-  std::string keyOf(const RequestDigest &Request) const;
+  std::string keyOf(const CrashSuspect &Suspect) const;
+  bool isStored(const CrashSuspect &Suspect, const Quarantine &Wanted) const;
 
   CoordinationStore &m_Store;
   DecisionLog &m_Log;
   std::string m_Prefix;
-  std::set<RequestDigest> m_Stored;   ///< Requests whose keys are in the store.
-  std::set<RequestDigest> m_Released; ///< Requests with a key that releases.
+  /// Suspects whose keys are in the store, with those that the keys name beside
+  /// them.
+  std::map<CrashSuspect, std::set<CrashSuspect>> m_Stored;
+  std::set<CrashSuspect> m_Released; ///< Suspects with a key that releases.
   /// Releases that the restored store lacks.
-  std::set<RequestDigest> m_KeptReleases;
+  std::set<CrashSuspect> m_KeptReleases;
   TimePoint m_ReleasesKeptUntil{};
   StoreRevision m_ReadAt;
   bool m_HasRead = false; ///< The keys have been read.
--- a/packages/gateway/request/CrashGuard.cpp
+++ b/packages/gateway/request/CrashGuard.cpp
@@ -17,27 +17,38 @@
 
 std::optional<Duration> CrashGuard::holdTime(TimePoint Now) const {
   const std::shared_ptr<CrashService> Service = m_Service.lock();
-  return Service ? Service->holdTime(m_Request, Now) : std::nullopt;
+  std::optional<Duration> Result;
+  if (Service)
+    for (const CrashSuspect &Each : m_All)
+      Result = std::max(Result, Service->holdTime(Each, Now));
+  return Result;
 }
 
 bool CrashGuard::blamed(TimePoint Now) const {
-  return m_Tracker.crashCount(m_Request, Now) > 0 ||
-         m_Tracker.isSuspect(m_Request, Now) ||
-         m_Tracker.isAmbiguous(m_Request, Now);
+  return std::any_of(m_All.begin(), m_All.end(), [&](const CrashSuspect &Each) {
+    return m_Tracker.crashCount(Each, Now) > 0 ||
+           m_Tracker.isSuspect(Each, Now) || m_Tracker.isAmbiguous(Each, Now);
+  });
+}
+
+bool CrashGuard::anySuspect(TimePoint Now) const {
+  return std::any_of(m_All.begin(), m_All.end(), [&](const CrashSuspect &Each) {
+    return m_Tracker.isSuspect(Each, Now);
+  });
 }
 
 void CrashGuard::narrowCandidates(
     std::vector<const UpstreamInstance *> &Candidates, bool ConnectionBroke,
     TimePoint Now) const {
-  const bool SeveralCrashes = m_Tracker.isSuspect(m_Request, Now);
+  const bool SeveralCrashes = anySuspect(Now);
   const std::size_t Left = SeveralCrashes ? 1 : (Candidates.size() + 1) / 2;
-  if (Candidates.size() < 2 || !(SeveralCrashes || ConnectionBroke ||
-                                 m_Tracker.crashCount(m_Request, Now) > 0))
+  if (Candidates.size() < 2 ||
+      !(SeveralCrashes || ConnectionBroke || blamed(Now)))
     return;
   // Rendezvous hashing lets all boxes choose the same upstreams without
   // communication.
   const auto Weight = [&](const UpstreamInstance *Candidate) {
-    return stableHash(Candidate->m_Id, m_Request.str());
+    return stableHash(Candidate->m_Id, digest().str());
   };
   std::sort(
       Candidates.begin(), Candidates.end(),
@@ -47,8 +58,11 @@
 
 std::optional<Duration> CrashGuard::retryDelay(double Random, Duration TimeLeft,
                                                TimePoint Now) {
-  if (!m_Tracker.isAmbiguous(m_Request, Now) &&
-      !m_Tracker.isSuspect(m_Request, Now))
+  const bool Ambiguous =
+      std::any_of(m_All.begin(), m_All.end(), [&](const CrashSuspect &Each) {
+        return m_Tracker.isAmbiguous(Each, Now);
+      });
+  if (!Ambiguous && !anySuspect(Now))
     return std::nullopt;
   if (!m_DelayedUntil) {
     const Duration Within = std::min(MaxRetryDelay, TimeLeft / 2);
@@ -69,8 +83,8 @@
                                     TimePoint Now) const {
   const bool Blameless = Started && Now - *Started >= BlameWindow;
   if (const std::shared_ptr<CrashService> Service = m_Service.lock())
-    Service->onConnectionBroken(Upstream, Blameless ? std::nullopt
-                                                    : std::optional(m_Request));
+    Service->onConnectionBroken(
+        Upstream, Blameless ? std::nullopt : std::optional(m_Suspects));
 }
 
 void CrashGuard::onConnectFailed(const UpstreamIncarnation &Upstream) const {
@@ -78,9 +92,19 @@
     Service->onConnectFailed(Upstream);
 }
 
-void CrashGuard::onCompleted(const UpstreamIncarnation &Upstream) const {
+void CrashGuard::onCompleted(const UpstreamIncarnation &Upstream,
+                             TimePoint Started) const {
+  if (const std::shared_ptr<CrashService> Service = m_Service.lock())
+    Service->onCompleted(Upstream, m_Suspects, Started);
+}
+
+void CrashGuard::onWriting(TimePoint Started, TimePoint Now) {
+  if (m_PartsHarmless || m_Suspects.m_Parts.empty() ||
+      Now - Started < BlameWindow)
+    return;
+  m_PartsHarmless = true;
   if (const std::shared_ptr<CrashService> Service = m_Service.lock())
-    Service->onCompleted(Upstream, m_Request);
+    Service->onHarmless(m_Suspects.m_Parts, Started);
 }
 
 } // namespace havenstair
--- a/packages/gateway/request/CrashGuard.h
+++ b/packages/gateway/request/CrashGuard.h
@@ -1,5 +1,6 @@
 /// \file
-/// Protects upstreams from one request that may crash them.
+/// Protects upstreams from one request that may crash them, by its content or
+/// by a part of its prompt.
 #ifndef HAVENSTAIR_GATEWAY_REQUEST_CRASHGUARD_H
 #define HAVENSTAIR_GATEWAY_REQUEST_CRASHGUARD_H
 
@@ -14,8 +15,8 @@
 namespace havenstair {
 
 /// Reports the crashes that one request is involved in, and limits where and
-/// when it is sent. The request is identified by a digest of its content, which
-/// stays the same when the caller retries.
+/// when it is sent. Its content stays the same when the caller retries; other
+/// requests share the parts of its prompt.
 class CrashGuard {
 public:
   /// An upstream that is still up this long after it began to answer a request,
@@ -27,16 +28,16 @@
   /// \p Service may be destroyed before the request ends.
   CrashGuard(RequestSuspects Suspects, const CrashTracker &Tracker,
              std::weak_ptr<CrashService> Service)
-      : m_Suspects(std::move(Suspects)), m_Request(m_Suspects.m_Digest),
+      : m_Suspects(std::move(Suspects)), m_All(m_Suspects.all()),
         m_Tracker(Tracker), m_Service(std::move(Service)) {}
 
   /// \returns the digest of the request's content.
-  const RequestDigest &digest() const { return m_Request; }
+  const RequestDigest &digest() const { return m_Suspects.m_Digest; }
   /// \returns the content and the parts of the prompt.
   const RequestSuspects &suspects() const { return m_Suspects; }
-  /// \returns the quarantine of the request, or null if it may be sent.
-  const RequestQuarantine *quarantine(TimePoint Now) const {
-    return m_Tracker.findQuarantine(m_Request, Now);
+  /// \returns what the request is quarantined for; empty if it may be sent.
+  std::optional<CrashSuspect> quarantinedFor(TimePoint Now) const {
+    return m_Tracker.quarantinedIn(m_Suspects, Now);
   }
   /// \returns how long the request has to wait before it is sent; empty if it
   /// need not wait.
@@ -65,15 +66,22 @@
   /// Reports that no connection to \p Upstream could be established.
   void onConnectFailed(const UpstreamIncarnation &Upstream) const;
   /// Reports that \p Upstream ran the request completely and answered with
-  /// success.
-  void onCompleted(const UpstreamIncarnation &Upstream) const;
+  /// success; it began to answer at \p Started.
+  void onCompleted(const UpstreamIncarnation &Upstream,
+                   TimePoint Started) const;
+  /// Reports that the upstream still writes the answer that it began at \p
+  /// Started.
+  void onWriting(TimePoint Started, TimePoint Now);
 
 private:
+  bool anySuspect(TimePoint Now) const;
+
   RequestSuspects m_Suspects;
-  RequestDigest m_Request;
+  std::vector<CrashSuspect> m_All; ///< Content and parts.
   const CrashTracker &m_Tracker;
   std::weak_ptr<CrashService> m_Service;
   std::optional<TimePoint> m_DelayedUntil; ///< End of the current retry delay.
+  bool m_PartsHarmless = false;            ///< onWriting() has reported it.
 };
 
 } // namespace havenstair
--- a/packages/gateway/request/CrashService.h
+++ b/packages/gateway/request/CrashService.h
@@ -3,10 +3,11 @@
 #ifndef HAVENSTAIR_GATEWAY_REQUEST_CRASHSERVICE_H
 #define HAVENSTAIR_GATEWAY_REQUEST_CRASHSERVICE_H
 
-#include "decisions/common/Id.h"
 #include "decisions/common/Time.h"
+#include "decisions/process/CrashSuspect.h"
 #include "decisions/process/UpstreamIncarnation.h"
 #include <optional>
+#include <vector>
 
 namespace havenstair {
 
@@ -23,17 +24,21 @@
   /// it. \p Request is empty if that request cannot have caused a crash.
   virtual void
   onConnectionBroken(const UpstreamIncarnation &Upstream,
-                     const std::optional<RequestDigest> &Request) = 0;
+                     const std::optional<RequestSuspects> &Request) = 0;
   /// Reports that no connection to \p Upstream could be established.
   virtual void onConnectFailed(const UpstreamIncarnation &Upstream) = 0;
   /// Reports that \p Upstream ran \p Request completely and answered with
-  /// success.
+  /// success; it began to answer at \p Began.
   virtual void onCompleted(const UpstreamIncarnation &Upstream,
-                           const RequestDigest &Request) = 0;
-  /// \returns how long \p Request has to wait before it is sent because it may
-  /// be quarantined by then; empty if it need not wait. The wait ends earlier
-  /// when the crash state changes.
-  virtual std::optional<Duration> holdTime(const RequestDigest &Request,
+                           const RequestSuspects &Request, TimePoint Began) = 0;
+  /// Reports that an upstream has long been writing an answer to a prompt that
+  /// holds \p Parts; it began at \p Began.
+  virtual void onHarmless(const std::vector<CrashSuspect> &Parts,
+                          TimePoint Began) = 0;
+  /// \returns how long requests that hold \p Suspect have to wait before they
+  /// are sent because it may be quarantined by then; empty if they need not
+  /// wait. The wait ends earlier when the crash state changes.
+  virtual std::optional<Duration> holdTime(const CrashSuspect &Suspect,
                                            TimePoint Now) const = 0;
 };
 
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -158,8 +158,10 @@
   if (m_Request.m_Deadline)
     m_SinceFirstTry = State.m_RetryDetector.timeSinceFirstAttempt(
         m_Route.m_Name, *m_Request.m_Deadline, m_Arrived);
-  // A retry of the caller is not counted as demand again.
-  if (!m_Request.m_Model.empty() && m_SinceFirstTry == 0us) {
+  // A retry of the caller is not counted as demand again, and a quarantined
+  // request needs no replica.
+  if (!m_Request.m_Model.empty() && m_SinceFirstTry == 0us &&
+      !m_Crashes.quarantinedFor(m_Arrived)) {
     // Reading a prompt occupies the whole engine, generating the answer one
     // slot.
     const double Work =
@@ -535,12 +537,10 @@
   return false;
 }
 
-/// Ends the request if it is quarantined because upstreams crashed under it. It
-/// is recognised by its content, as each try has another id. \returns whether
-/// it did.
+/// Ends the request if its content, or a part of its prompt, is quarantined
+/// because upstreams crashed under it. \returns whether it did.
 bool ProxiedRequest::refuseIfQuarantined(TimePoint Now) {
-  const RequestQuarantine *Quarantine = m_Crashes.quarantine(Now);
-  if (Quarantine == nullptr)
+  if (!m_Crashes.quarantinedFor(Now))
     return false;
   if (m_Stream.begun())
     cut();
@@ -770,6 +770,9 @@
     startStream();
   }
   m_Stream.onPassed(Now);
+  // The rest of a resumed stream may be empty, and another box sees for itself.
+  if (m_Send->m_Started && !m_Send->m_Resumed && !m_Send->m_Box)
+    m_Crashes.onWriting(*m_Send->m_Started, Now);
   if (!m_Exchange->sendChunk(Events))
     return cut();
   expectBytesWithin(
@@ -860,7 +863,8 @@
   if (m_Send->m_Box)
     return notePassed(Outcome);
   if (completed(Outcome))
-    m_Crashes.onCompleted(upstreamIncarnation());
+    m_Crashes.onCompleted(upstreamIncarnation(),
+                          m_Send->m_Started.value_or(m_Send->m_At));
   if (upstreamRestarted())
     return;
   if (Outcome == SendOutcome::Answered || m_Send->m_Whole)
--- a/packages/wire/connection/CrashFrames.h
+++ b/packages/wire/connection/CrashFrames.h
@@ -6,6 +6,7 @@
 
 #include "decisions/process/CrashTracker.h"
 #include "wire/common/Json.h"
+#include <set>
 #include <vector>
 
 namespace havenstair {
@@ -14,35 +15,39 @@
 /// were running on it.
 struct CrashFrame {
   UpstreamIncarnation m_Server;
-  std::vector<RequestDigest> m_Running;
+  std::vector<RequestSuspects> m_Running;
 
   bool operator==(const CrashFrame &) const = default;
 };
 
-/// More than one upstream has ended while it ran these requests. A box that
-/// knows that an upstream ran one of them to its end answers with a
-/// RequestClearedFrame.
+/// More than one upstream has ended while it ran these. A box that knows that
+/// an upstream ran one of them without harm answers with a RequestClearedFrame.
 struct CrashSuspectsFrame {
-  std::vector<RequestDigest> m_Requests;
+  std::vector<CrashSuspect> m_Suspects;
 
   bool operator==(const CrashSuspectsFrame &) const = default;
 };
 
-/// An upstream ran a suspected request to its end and is still alive.
+/// An upstream ran a suspect without harm.
 struct RequestClearedFrame {
-  RequestDigest m_Request;
+  CrashSuspect m_Suspect;
+  /// Since it completed the request, or since it began to write on the part.
+  Duration m_Age = 0us;
 
   bool operator==(const RequestClearedFrame &) const = default;
 };
 
-/// One quarantined request. Clocks differ from box to box, so times are
+/// One quarantine. Clocks differ from box to box, so times are
 /// relative to the sending of the frame.
 struct ReportedQuarantine {
-  RequestDigest m_Request;
+  CrashSuspect m_Suspect;
   std::vector<InstanceId> m_Upstreams; ///< Those that crashed.
-  BoxName m_By;                        ///< The box that quarantined it.
-  Duration m_Age = 0us;                ///< Since the quarantine began.
-  Duration m_Left = 0us;               ///< Until the quarantine ends.
+  /// The quarantine is for requests that hold these, too. Boxes that do not
+  /// read it refuse all that hold the suspect.
+  std::set<CrashSuspect> m_Beside;
+  BoxName m_By;          ///< The box that quarantined it.
+  Duration m_Age = 0us;  ///< Since the quarantine began.
+  Duration m_Left = 0us; ///< Until the quarantine ends.
 
   bool operator==(const ReportedQuarantine &) const = default;
 };
--- a/tests/decisions/process/CrashTrackerTest.cpp
+++ b/tests/decisions/process/CrashTrackerTest.cpp
@@ -12,10 +12,19 @@
 
 namespace {
 
-const RequestDigest Bad("bad");
-const RequestDigest Beside("beside");
+const CrashSuspect Bad = RequestDigest("bad");
+const CrashSuspect Beside = RequestDigest("beside");
 const BoxName Box("box");
 
+/// \returns requests without parts that have these contents.
+std::vector<RequestSuspects>
+requests(const std::vector<CrashSuspect> &Contents) {
+  std::vector<RequestSuspects> Result;
+  for (const CrashSuspect &Each : Contents)
+    Result.push_back({.m_Digest = RequestDigest(Each.str())});
+  return Result;
+}
+
 /// A tracker and the time that is passed to it.
 struct TrackerTest {
   CrashTracker m_Tracker;
@@ -24,17 +33,17 @@
 
   /// One more upstream crashes while it runs \p Running; all reports of it
   /// arrive.
-  void crash(const std::vector<RequestDigest> &Running) {
-    m_Tracker.recordCrash({.m_Id = "i-" + std::to_string(++m_Servers)}, Running,
-                          m_Now);
+  void crash(const std::vector<CrashSuspect> &Running) {
+    m_Tracker.recordCrash({.m_Id = "i-" + std::to_string(++m_Servers)},
+                          requests(Running), m_Now);
     m_Now += 200ms;
   }
 
-  std::vector<RequestDigest> quarantineSuspects() {
+  std::vector<CrashSuspect> quarantineSuspects() {
     return m_Tracker.quarantineSuspects(Box, m_Now);
   }
-  bool quarantined(const RequestDigest &Request) const {
-    return m_Tracker.findQuarantine(Request, m_Now) != nullptr;
+  bool quarantined(const CrashSuspect &Suspect) const {
+    return m_Tracker.findQuarantine(Suspect, m_Now) != nullptr;
   }
 };
 
@@ -59,11 +68,11 @@
           "[crash][decisions]") {
   TrackerTest Test;
   for (int Report = 0; Report < 5; ++Report)
-    Test.m_Tracker.recordCrash({.m_Id = "i-1"}, {Bad}, Test.m_Now);
+    Test.m_Tracker.recordCrash({.m_Id = "i-1"}, requests({Bad}), Test.m_Now);
   REQUIRE(Test.m_Tracker.crashCount(Bad, Test.m_Now) == 1);
   SECTION("and a crash of a later incarnation is another one") {
-    Test.m_Tracker.recordCrash({.m_Id = "i-1", .m_StartTime = 5}, {Bad},
-                               Test.m_Now);
+    Test.m_Tracker.recordCrash({.m_Id = "i-1", .m_StartTime = 5},
+                               requests({Bad}), Test.m_Now);
     REQUIRE(Test.m_Tracker.crashCount(Bad, Test.m_Now) == 2);
   }
 }
@@ -74,13 +83,13 @@
   Test.crash({Bad, Beside});
   Test.crash({Bad, Beside});
   const UpstreamIncarnation Last{.m_Id = "last"};
-  Test.m_Tracker.recordCrash(Last, {Beside}, Test.m_Now);
+  Test.m_Tracker.recordCrash(Last, requests({Beside}), Test.m_Now);
   REQUIRE(Test.quarantineSuspects().empty());
   const auto DecisionTime = Test.m_Tracker.decisionTime(Beside, Test.m_Now);
   REQUIRE(DecisionTime);
   REQUIRE(Test.m_Tracker.nextDecisionTime(Test.m_Now) == DecisionTime);
   SECTION("so a late report counts") {
-    Test.m_Tracker.recordCrash(Last, {Bad}, *DecisionTime - 1ms);
+    Test.m_Tracker.recordCrash(Last, requests({Bad}), *DecisionTime - 1ms);
     Test.m_Now = *DecisionTime + 200ms;
     REQUIRE(Test.quarantineSuspects().empty());
     Test.crash({Bad});
@@ -124,7 +133,7 @@
 
 TEST_CASE("Each of several crashing requests is found", "[crash][decisions]") {
   TrackerTest Test;
-  const RequestDigest Other("other");
+  const CrashSuspect Other = RequestDigest("other");
   for (int Crash = 0; Crash < 3; ++Crash) {
     Test.crash({Bad, Beside});
     Test.crash({Other});
@@ -141,8 +150,8 @@
   SECTION("shortly before the crashes") {
     Test.m_Tracker.recordCompletion(Bad, Test.m_Now);
     const auto Result =
-        Test.m_Tracker.recordCrash({.m_Id = "i"}, {Bad}, Test.m_Now);
-    REQUIRE(Result.m_Completed == std::vector{Bad});
+        Test.m_Tracker.recordCrash({.m_Id = "i"}, requests({Bad}), Test.m_Now);
+    REQUIRE(Result.m_Completed == std::set{Bad});
     REQUIRE_FALSE(Result.m_New);
     for (int Crash = 0; Crash < 5; ++Crash)
       Test.crash({Bad});
@@ -175,8 +184,7 @@
   for (int Crash = 0; Crash < 3; ++Crash)
     Test.crash({Bad});
   Test.quarantineSuspects();
-  const RequestQuarantine Lifted =
-      *Test.m_Tracker.findQuarantine(Bad, Test.m_Now);
+  const Quarantine Lifted = *Test.m_Tracker.findQuarantine(Bad, Test.m_Now);
   Test.m_Tracker.recordCompletion(Bad, Test.m_Now);
   Test.m_Now += 60s;
   REQUIRE(Test.m_Tracker.wasLifted(Bad));
@@ -200,7 +208,7 @@
   REQUIRE_FALSE(Test.quarantined(Bad));
   SECTION(
       "a report of it from a box that learned of it later does not renew it") {
-    RequestQuarantine Late{.m_Until = Test.m_Now + 60s};
+    Quarantine Late{.m_Until = Test.m_Now + 60s};
     REQUIRE_FALSE(Test.m_Tracker.adopt(Bad, Late, Test.m_Now));
   }
   Test.crash({Bad, Beside});
@@ -210,10 +218,10 @@
 TEST_CASE("A quarantine that another box reports is taken over once",
           "[crash][decisions]") {
   TrackerTest Test;
-  const RequestQuarantine Reported{.m_Upstreams = {"i-1"},
-                                   .m_By = BoxName("other"),
-                                   .m_Since = Test.m_Now - 60s,
-                                   .m_Until = TimePoint::max()};
+  const Quarantine Reported{.m_Upstreams = {"i-1"},
+                            .m_By = BoxName("other"),
+                            .m_Since = Test.m_Now - 60s,
+                            .m_Until = TimePoint::max()};
   REQUIRE(Test.m_Tracker.adopt(Bad, Reported, Test.m_Now));
   REQUIRE_FALSE(Test.m_Tracker.adopt(Bad, Reported, Test.m_Now));
   REQUIRE(Test.m_Tracker.findQuarantine(Bad, Test.m_Now)->m_By ==
@@ -253,7 +261,7 @@
   TrackerTest Test;
   const CrashTracker::Options Bounds;
   for (std::size_t Number = 0; Number < 2 * Bounds.m_MaxQuarantines; ++Number) {
-    const RequestDigest Each("d" + std::to_string(Number));
+    const CrashSuspect Each = RequestDigest("d" + std::to_string(Number));
     for (int Crash = 0; Crash < 3; ++Crash)
       Test.crash({Each});
     REQUIRE(Test.quarantineSuspects() == std::vector{Each});
@@ -273,10 +281,10 @@
     return std::uniform_int_distribution<int>(0, Below - 1)(Random);
   };
   for (int Correlated = 0; Correlated < 2; ++Correlated) {
-    std::map<int, std::vector<RequestDigest>> Lost;
-    std::set<RequestDigest> RanWell;
+    std::map<int, std::vector<CrashSuspect>> Lost;
+    std::set<CrashSuspect> RanWell;
     for (int Content = 0; Content < Contents; ++Content) {
-      const RequestDigest Each(std::to_string(Content));
+      const CrashSuspect Each = RequestDigest(std::to_string(Content));
       for (int Runs = 1 + Draw(MostRuns); Runs > 0; --Runs)
         if (const int Server = Draw(100); Server < 10)
           Lost[Server].push_back(Each);
@@ -285,9 +293,9 @@
     }
     for (const auto &[Server, Running] : Lost)
       Test.m_Tracker.recordCrash(
-          {.m_Id = std::to_string(100 * Correlated + Server)}, Running,
-          Test.m_Now += 20ms);
-    for (const RequestDigest &Each : RanWell)
+          {.m_Id = std::to_string(100 * Correlated + Server)},
+          requests(Running), Test.m_Now += 20ms);
+    for (const CrashSuspect &Each : RanWell)
       Test.m_Tracker.recordCompletion(Each, Test.m_Now);
     Test.m_Now += 5s;
     Test.quarantineSuspects();
@@ -317,7 +325,7 @@
           "[crash][decisions]") {
   TrackerTest Test;
   for (int Crash = 0; Crash < 3; ++Crash)
-    Test.m_Tracker.recordCrash({.m_Id = std::to_string(Crash)}, {Bad},
+    Test.m_Tracker.recordCrash({.m_Id = std::to_string(Crash)}, requests({Bad}),
                                Test.m_Now += 50ms);
   Test.m_Now += 200ms;
   REQUIRE(Test.quarantineSuspects() == std::vector{Bad});
@@ -327,15 +335,15 @@
     "A request is quarantined after five crashes whatever else was running",
     "[crash][decisions]") {
   TrackerTest Test;
-  const RequestDigest Other("other");
+  const CrashSuspect Other = RequestDigest("other");
   for (int Crash = 0; Crash < 5; ++Crash) {
     REQUIRE(Test.quarantineSuspects().empty());
     Test.m_Tracker.recordCrash({.m_Id = std::to_string(Crash)},
-                               {Bad, Beside, Other}, Test.m_Now);
+                               requests({Bad, Beside, Other}), Test.m_Now);
     for (int Correlated = 0; Correlated < 3; ++Correlated)
       Test.m_Tracker.recordCrash(
-          {.m_Id = std::to_string(10 * Crash + Correlated + 10)}, {Other},
-          Test.m_Now);
+          {.m_Id = std::to_string(10 * Crash + Correlated + 10)},
+          requests({Other}), Test.m_Now);
     Test.m_Now += 100ms;
     Test.m_Tracker.recordCompletion(Other, Test.m_Now - 20s);
   }
@@ -348,10 +356,10 @@
           "[crash][decisions]") {
   TrackerTest Test;
   for (int Crash = 0; Crash < 12; ++Crash)
-    Test.m_Tracker.recordCrash(
-        {.m_Id = std::to_string(Crash)},
-        {Crash % 4 == 0 ? Bad : Beside, RequestDigest(std::to_string(Crash))},
-        Test.m_Now);
+    Test.m_Tracker.recordCrash({.m_Id = std::to_string(Crash)},
+                               requests({Crash % 4 == 0 ? Bad : Beside,
+                                         RequestDigest(std::to_string(Crash))}),
+                               Test.m_Now);
   Test.m_Tracker.recordCompletion(Beside, Test.m_Now);
   Test.m_Now += 2s;
   REQUIRE(Test.quarantineSuspects().empty());
@@ -360,3 +368,159 @@
   Test.crash({Bad});
   REQUIRE(Test.quarantineSuspects() == std::vector{Bad});
 }
+
+namespace {
+
+const CrashSuspect First = CrashSuspect::ofPromptPart("first");
+const CrashSuspect Second = CrashSuspect::ofPromptPart("second");
+const CrashSuspect BadPart = CrashSuspect::ofPromptPart("bad");
+
+/// Requests of different contents whose prompts share parts.
+struct PartsTest : TrackerTest {
+  RequestSuspects request(const std::vector<CrashSuspect> &Parts) {
+    return {.m_Digest = RequestDigest("r" + std::to_string(++m_Requests)),
+            .m_Parts = Parts};
+  }
+
+  /// One more upstream crashes while it runs \p Running, 400 ms after the last.
+  void crashUnder(const std::vector<RequestSuspects> &Running) {
+    m_Tracker.recordCrash({.m_Id = "i-" + std::to_string(++m_Servers)}, Running,
+                          m_Now);
+    m_Now += 400ms;
+  }
+
+  bool refused(const std::vector<CrashSuspect> &Parts) {
+    return m_Tracker.quarantinedIn(request(Parts), m_Now).has_value();
+  }
+
+  int m_Requests = 0;
+};
+
+} // namespace
+
+TEST_CASE("A part is quarantined after it crashed upstreams in requests that "
+          "have nothing else in common",
+          "[crash][decisions]") {
+  PartsTest Test;
+  for (int Crash = 0; Crash < 4; ++Crash) {
+    REQUIRE_FALSE(Test.refused({BadPart}));
+    Test.crashUnder({Test.request({BadPart})});
+    Test.quarantineSuspects();
+  }
+  REQUIRE(Test.refused({BadPart}));
+  REQUIRE(Test.refused({First, BadPart, Second}));
+  REQUIRE_FALSE(Test.refused({First, Second}));
+}
+
+TEST_CASE("A part that stood beside the crashing one each time is not refused "
+          "without it",
+          "[crash][decisions]") {
+  PartsTest Test;
+  for (int Crash = 0; Crash < 6; ++Crash) {
+    Test.crashUnder({Test.request({First, Second, BadPart})});
+    Test.quarantineSuspects();
+  }
+  REQUIRE(Test.refused({First, Second, BadPart}));
+  REQUIRE_FALSE(Test.refused({First, Second}));
+  REQUIRE_FALSE(Test.refused({First, BadPart}));
+  SECTION("one more crash without it tells them apart") {
+    Test.crashUnder({Test.request({First, BadPart})});
+    REQUIRE_FALSE(Test.quarantineSuspects().empty());
+    REQUIRE(Test.refused({First, BadPart}));
+    REQUIRE_FALSE(Test.refused({BadPart}));
+    Test.crashUnder({Test.request({BadPart})});
+    Test.quarantineSuspects();
+    REQUIRE(Test.refused({BadPart}));
+    REQUIRE_FALSE(Test.refused({First, Second}));
+  }
+  SECTION("so does a run of the others without harm") {
+    Test.m_Tracker.recordCompletion(First, Test.m_Now);
+    Test.m_Tracker.recordCompletion(Second, Test.m_Now);
+    REQUIRE(Test.refused({BadPart}));
+    REQUIRE_FALSE(Test.refused({First, Second}));
+  }
+}
+
+TEST_CASE("A part that many requests share is cleared by those that run well",
+          "[crash][decisions]") {
+  PartsTest Test;
+  for (int Crash = 0; Crash < 20; ++Crash) {
+    Test.m_Tracker.recordCompletion(First, Test.m_Now);
+    Test.crashUnder(
+        {Test.request({First, BadPart}), Test.request({First, Second})});
+    Test.m_Tracker.recordCompletion(Second, Test.m_Now);
+    Test.quarantineSuspects();
+  }
+  REQUIRE(Test.refused({First, BadPart}));
+  REQUIRE_FALSE(Test.refused({First, Second}));
+}
+
+TEST_CASE("No part is quarantined for upstreams that crash at once",
+          "[crash][decisions]") {
+  PartsTest Test;
+  for (int Crash = 0; Crash < 10; ++Crash)
+    Test.m_Tracker.recordCrash({.m_Id = std::to_string(Crash)},
+                               {Test.request({First}), Test.request({Second})},
+                               Test.m_Now += 20ms);
+  Test.m_Now += 500ms;
+  REQUIRE(Test.quarantineSuspects().empty());
+}
+
+TEST_CASE("The retries of one request quarantine it and none of its parts",
+          "[crash][decisions]") {
+  PartsTest Test;
+  const RequestSuspects Same = Test.request({First});
+  for (int Crash = 0; Crash < 4; ++Crash)
+    Test.crashUnder({Same});
+  REQUIRE(Test.quarantineSuspects() ==
+          std::vector<CrashSuspect>{Same.m_Digest});
+  REQUIRE(Test.m_Tracker.quarantinedIn(Same, Test.m_Now));
+  REQUIRE_FALSE(Test.refused({First}));
+  SECTION("and the part as soon as another request crashes under it") {
+    Test.crashUnder({Test.request({First})});
+    Test.quarantineSuspects();
+    REQUIRE(Test.refused({First}));
+  }
+}
+
+TEST_CASE("Each of several parts that crash upstreams is found",
+          "[crash][decisions]") {
+  PartsTest Test;
+  const CrashSuspect Other = CrashSuspect::ofPromptPart("other");
+  for (int Crash = 0; Crash < 5; ++Crash) {
+    Test.crashUnder({Test.request({BadPart})});
+    Test.crashUnder({Test.request({Other}), Test.request({BadPart})});
+    Test.crashUnder({Test.request({Other})});
+    Test.quarantineSuspects();
+  }
+  REQUIRE(Test.refused({BadPart}));
+  REQUIRE(Test.refused({Other}));
+}
+
+TEST_CASE("A part that begins to crash upstreams is found although it ran well "
+          "before",
+          "[crash][decisions]") {
+  PartsTest Test;
+  Test.m_Tracker.recordCompletion(BadPart, Test.m_Now);
+  int Crashes = 0;
+  while (!Test.refused({BadPart})) {
+    Test.crashUnder({Test.request({BadPart})});
+    Test.quarantineSuspects();
+    REQUIRE(++Crashes < 14);
+  }
+}
+
+TEST_CASE("What may be the cause in place of a quarantined part is taken over "
+          "from other boxes, and never grows",
+          "[crash][decisions]") {
+  PartsTest Test;
+  const Quarantine Wide{.m_Until = Test.m_Now + 60s};
+  Quarantine Narrow = Wide;
+  Narrow.m_Beside = {First};
+  REQUIRE(Test.m_Tracker.adopt(BadPart, Narrow, Test.m_Now));
+  REQUIRE_FALSE(Test.refused({BadPart}));
+  REQUIRE(Test.m_Tracker.adopt(BadPart, Wide, Test.m_Now));
+  REQUIRE(Test.refused({BadPart}));
+  REQUIRE_FALSE(Test.m_Tracker.adopt(BadPart, Narrow, Test.m_Now));
+  REQUIRE(Test.refused({BadPart}));
+}
--- a/tests/gateway/PromptPartCrashTest.cpp
+++ b/tests/gateway/PromptPartCrashTest.cpp
@@ -70,7 +70,7 @@
 } // namespace
 
 TEST_CASE("A part of prompts that crashes upstreams is soon sent to none",
-          "[gateway][crash][known-red]") {
+          "[gateway][crash]") {
   const std::string Target = GENERATE("/unsafe/x", "/resumable/x");
   PromptPartTest Test(3);
   const int Last = Test.storm(16, Target);
@@ -80,7 +80,7 @@
 }
 
 TEST_CASE("A part that crashes upstreams is barred whatever stands beside it",
-          "[gateway][crash][known-red]") {
+          "[gateway][crash]") {
   PromptPartTest Test(3);
   Test.storm(10);
   const std::size_t Before = Test.crashed();
@@ -93,7 +93,7 @@
 
 TEST_CASE("Sound requests are served that share all but the part that crashes "
           "upstreams",
-          "[gateway][crash][known-red]") {
+          "[gateway][crash]") {
   PromptPartTest Test(3);
   // Nothing has shown yet that bb22 is harmless: it was in the bad requests
   // only.
