A box that loses all upstreams at once reports no crashes

What callers saw: nothing yet in a record; the postmortem of the boxes cut from upstreams suspected it. Three tries of one sound request on three upstreams, and the box that sent them cut off from all: the request was quarantined at all boxes for ten minutes, 400 to every caller.

Cause: a refused probe counted as the end of the upstream, though it is refused as well where the box itself is partitioned. With parts of prompts as suspects popular parts would pay for it.

Evidence: the new test in PartitionTest fails on (a quarantine at both boxes), passes now.

Change: the first upstream that refuses has ended, as before and at once. A second one, while nothing that was started since has reached any, waits until an upstream is reached; after a partition it is probed again. The list and other boxes' reports still tell its end. Two stand-ins of CrashTest crashed at health checks, which are not what these tests are about and which the box makes here; they answer them now, and their requirements stand.

Tried before: each refusal waits until another upstream has answered. Two runs of [crash],[partition]: four and two tests failed, among them those two; of the others one was 'A stream that breaks off behind another box goes on at its software version behind a third one', the fourth was not read. It was not tried with the stand-ins changed: it asks one more upstream at each crash. Of the change that stands, [partition] ran six times and [crash],[partition] once: all passed.

--- a/packages/gateway/process/CrashDetector.cpp
+++ b/packages/gateway/process/CrashDetector.cpp
@@ -3,6 +3,7 @@
 #include "wire/common/EventLoop.h"
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace havenstair {
 
@@ -76,8 +77,20 @@
       m_Hooks.m_ReadAnswer(Answer.m_Status, Answer.m_Headers);
   const bool OtherInstance =
       !Facts.m_Instance.empty() && Facts.m_Instance != Upstream.m_Id;
-  if (Refused || OtherInstance || m_View.superseded(Upstream))
+  if (OtherInstance || m_View.superseded(Upstream))
     return markEnded(Upstream);
+  if (Refused && m_FirstRefused.empty()) {
+    m_FirstRefused = Upstream.m_Id;
+    m_FirstRefusedAt = EventLoop::now();
+  }
+  // One upstream alone has rather ended than been cut off from this box.
+  if (Refused && m_FirstRefused == Upstream.m_Id)
+    return markEnded(Upstream);
+  if (Refused) {
+    Found->second.m_State = State::Refused;
+    return m_Hooks.m_Refused(
+        {.m_Upstream = Upstream.m_Id, .m_StartedAt = ProbedAt});
+  }
   const bool Answered = Answer.received();
   Found->second.m_State = Answered ? State::Alive : State::Silent;
   m_Hooks.m_NotEnded(Upstream, Facts, ProbedAt);
@@ -90,11 +103,31 @@
   m_Hooks.m_Ended(Upstream, Running);
 }
 
+void CrashDetector::onReached(TimePoint StartedAt) {
+  if (StartedAt >= m_FirstRefusedAt)
+    m_FirstRefused.clear();
+}
+
+void CrashDetector::onReachable(bool WasPartitioned) {
+  std::vector<UpstreamIncarnation> Refused;
+  for (const auto &[Upstream, Entry] : m_Suspects)
+    if (Entry.m_State == State::Refused)
+      Refused.push_back(Upstream);
+  for (const UpstreamIncarnation &Upstream : Refused) {
+    const UpstreamInstance *At = m_View.find(Upstream.m_Id);
+    if (WasPartitioned && At != nullptr)
+      probe(Upstream, *At);
+    else
+      markEnded(Upstream);
+  }
+}
+
 bool CrashDetector::probing(const CrashSuspect &Suspect) const {
   return std::any_of(
       m_Suspects.begin(), m_Suspects.end(), [&](const auto &Entry) {
         const std::set<RequestSuspects> &Running = Entry.second.m_Running;
-        return Entry.second.m_State == State::Probing &&
+        return (Entry.second.m_State == State::Probing ||
+                Entry.second.m_State == State::Refused) &&
                std::any_of(Running.begin(), Running.end(),
                            [&](const RequestSuspects &Each) {
                              return Each.holds(Suspect);
@@ -104,8 +137,8 @@
 
 void CrashDetector::onEndReported(const UpstreamIncarnation &Upstream) {
   const auto Found = m_Suspects.find(Upstream);
-  if (Found != m_Suspects.end() && (Found->second.m_State == State::Probing ||
-                                    Found->second.m_State == State::Silent))
+  if (Found != m_Suspects.end() && Found->second.m_State != State::Alive &&
+      Found->second.m_State != State::Ended)
     markEnded(Upstream);
 }
 
@@ -117,9 +150,10 @@
 void CrashDetector::onListChanged(TimePoint Now) {
   std::vector<UpstreamIncarnation> Ended;
   for (const auto &[Upstream, Entry] : m_Suspects) {
-    const bool Gone = Entry.m_State == State::Silent &&
-                      !m_View.list().m_Instances.contains(Upstream.m_Id) &&
-                      Now - Entry.m_At < SuspectRetention;
+    const bool Gone =
+        (Entry.m_State == State::Silent || Entry.m_State == State::Refused) &&
+        !m_View.list().m_Instances.contains(Upstream.m_Id) &&
+        Now - Entry.m_At < SuspectRetention;
     if (Entry.m_State != State::Ended && (Gone || m_View.superseded(Upstream)))
       Ended.push_back(Upstream);
   }
--- a/packages/gateway/process/CrashExchange.h
+++ b/packages/gateway/process/CrashExchange.h
@@ -58,6 +58,14 @@
 
   /// Called when the list of upstreams has changed.
   void onListChanged() { m_Detector.onListChanged(EventLoop::now()); }
+  /// Called when an upstream has answered a call that was started at \p
+  /// StartedAt on a new connection.
+  void onReached(TimePoint StartedAt) { m_Detector.onReached(StartedAt); }
+  /// Called when this box reaches upstreams again, after it was in doubt or
+  /// (\p WasPartitioned) reached none.
+  void onReachable(bool WasPartitioned) {
+    m_Detector.onReachable(WasPartitioned);
+  }
   /// Called when the store's keys have changed. \p Items are all keys
   /// under the gateway's prefix.
   void entriesChanged(const std::map<std::string, StoreItem> &Items,
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -105,9 +105,16 @@
             if (Report.m_Leaving)
               m_Signals->recordLeaving(Engine.incarnation());
           })),
-      m_ReachMonitor(Loop, m_UpstreamHttp, m_State, m_Log,
-                     {.m_ProbeTimeout = Forwarder::Options{}.m_ConnectTimeout},
-                     {.m_Changed = [this](bool) { reachChanged(); }}),
+      m_ReachMonitor(
+          Loop, m_UpstreamHttp, m_State, m_Log,
+          {.m_ProbeTimeout = Forwarder::Options{}.m_ConnectTimeout},
+          {.m_Changed = [this](bool) { reachChanged(); },
+           .m_Reached =
+               [this](TimePoint StartedAt) { m_Crashes->onReached(StartedAt); },
+           .m_Reachable =
+               [this](bool WasPartitioned) {
+                 m_Crashes->onReachable(WasPartitioned);
+               }}),
       m_Forwarder(
           Loop, m_UpstreamHttp, m_State, m_Binding.m_Dialect, m_Log,
           forwarderOptions(m_Policy),
@@ -348,6 +355,10 @@
                                Forwarder::Options{}.m_ConnectTimeout);
                          },
                      .m_ReadAnswer = m_Binding.m_Dialect.m_ReadAnswer,
+                     .m_Refused =
+                         [this](const UpstreamReach::Call &Probe) {
+                           m_ReachMonitor.onFailed(Probe);
+                         },
                      // The upstream may have restarted and be cold; its answer
                      // arrives before the updated list.
                      .m_NotEnded =
--- a/packages/gateway/process/ReachMonitor.cpp
+++ b/packages/gateway/process/ReachMonitor.cpp
@@ -14,9 +14,14 @@
       m_Hooks(std::move(Callbacks)) {}
 
 void ReachMonitor::onReached(const UpstreamReach::Call &Call) {
+  if (!Call.m_MayBeKept)
+    m_Hooks.m_Reached(Call.m_StartedAt);
   // recordReached() empties the set.
   const std::set<InstanceId> Failed = m_State.m_Reach.failed();
-  if (!m_State.m_Reach.recordReached(Call))
+  const bool WasPartitioned = m_State.m_Reach.recordReached(Call);
+  if (!Failed.empty() && m_State.m_Reach.failed().empty())
+    m_Hooks.m_Reachable(WasPartitioned);
+  if (!WasPartitioned)
     return;
   const TimePoint Now = EventLoop::now();
   // What failed for want of a way says nothing about the upstreams.
--- a/packages/gateway/process/ReachMonitor.h
+++ b/packages/gateway/process/ReachMonitor.h
@@ -24,6 +24,12 @@
   struct Hooks {
     /// A partition has begun or ended.
     std::function<void(bool Partitioned)> m_Changed;
+    /// An upstream has answered a call that was started at \p StartedAt on a
+    /// new connection.
+    std::function<void(TimePoint StartedAt)> m_Reached;
+    /// An upstream was reached after others were not. \p WasPartitioned: none
+    /// was reached until now.
+    std::function<void(bool WasPartitioned)> m_Reachable;
   };
 
   ReachMonitor(EventLoop &Loop, HttpClient &Client, ServingState &State,
--- a/tests/gateway/CrashTest.cpp
+++ b/tests/gateway/CrashTest.cpp
@@ -393,6 +393,8 @@
   for (const auto &[Id, Runner] : Test.m_Runners)
     Runner->setBehaviour(
         [Upstream = Runner.get()](const Request &Of, const ConnectionPtr &To) {
+          if (Of.m_Method == "GET")
+            return To->write(StandinRunner::answer(Of, 200, "healthy"));
           To->write(StandinRunner::streamHead(Of));
           if (!Of.header("last-event-id").empty())
             return To->write(StandinRunner::streamEnd());
@@ -416,6 +418,8 @@
   for (const auto &[Id, Runner] : Test.m_Runners)
     Runner->setBehaviour([&, Upstream = Runner.get()](const Request &Of,
                                                       const ConnectionPtr &To) {
+      if (Of.m_Method == "GET")
+        return To->write(StandinRunner::answer(Of, 200, "healthy"));
       if (++Requests % 2 == 0)
         return To->write(StandinRunner::answer(Of, 500, "shed"));
       Upstream->crash();
--- a/tests/gateway/PartitionTest.cpp
+++ b/tests/gateway/PartitionTest.cpp
@@ -214,3 +214,33 @@
   REQUIRE(Passed.m_Body == Direct.m_Body);
   REQUIRE(Passed.m_End == HttpEnd::Complete);
 }
+
+TEST_CASE("A box that loses all upstreams at once has no request quarantined",
+          "[gateway][partition][crash]") {
+  PartitionTest Test;
+  std::size_t Held = 0;
+  for (auto &[Id, Runner] : Test.m_Runners)
+    Runner->setBehaviour([&, Id = Id](const StandinRunner::Request &Received,
+                                      const StandinRunner::ConnectionPtr &To) {
+      if (Received.m_Body != "held")
+        return To->write(StandinRunner::answer(Received, 200, "body"));
+      ++Held;
+    });
+  // The same content runs on each upstream when the box is cut off.
+  std::size_t Ended = 0;
+  for (int Try = 0; Try < 12; ++Try)
+    Test.m_Http.fetch(Test.call("/unsafe/x", std::to_string(Try), "held"),
+                      [&](const HttpAnswer &) { ++Ended; });
+  REQUIRE(Test.until([&] { return Held == 12; }));
+  Test.cut(Way::Refused);
+  REQUIRE(Test.until([&] { return Ended == 12; }));
+  Test.wait(500ms);
+  for (const Gateway *Box : {Test.m_Gateway.get(), Test.m_Other.get()})
+    REQUIRE(Box->state().m_Crashes.quarantines().empty());
+  Test.heal();
+  REQUIRE(Test.until(
+      [&] { return !Test.m_Gateway->state().m_Reach.partitioned(); }));
+  Test.wait(500ms);
+  for (const Gateway *Box : {Test.m_Gateway.get(), Test.m_Other.get()})
+    REQUIRE(Box->state().m_Crashes.quarantines().empty());
+}
