Upstreams that ended get no requests, and are no sign of a partition

Cause: the list names a crashed upstream for up to three heartbeats. Boxes tell each other of its end within milliseconds, but only the count of crashes used that; two such upstreams made a partition, and its end made the box forget that they could not be reached.

Change: EndedUpstreams remembers ends, from this box's reports and from others', for 3 s, by incarnation; such upstreams are no candidates and do not count for the reach.

Evidence: the new test in CrashTest (six of eight upstreams crash at another box, 24 requests at once) fails with the two uses of EndedUpstreams switched off, two of two runs (the box is partitioned in between), and passes with them, two of two.

--- a/packages/gateway/process/CrashExchange.cpp
+++ b/packages/gateway/process/CrashExchange.cpp
@@ -208,6 +208,7 @@
 /// new.
 bool CrashExchange::recordEnd(const CrashFrame &Frame) {
   const TimePoint Now = EventLoop::now();
+  m_Hooks.m_UpstreamEnded(Frame.m_Server);
   const CrashTracker::RecordResult Result =
       m_Tracker.recordCrash(Frame.m_Server, Frame.m_Running, Now);
   for (const CrashSuspect &Each : Result.m_Completed)
--- a/packages/gateway/process/CrashExchange.h
+++ b/packages/gateway/process/CrashExchange.h
@@ -31,6 +31,8 @@
 public:
   struct Hooks {
     CrashDetector::Hooks m_Detector; ///< m_Ended is set by the exchange.
+    /// Called when \p Upstream has ended, as this box or another has found.
+    std::function<void(const UpstreamIncarnation &Upstream)> m_UpstreamEnded;
     /// Called when waiting requests may continue and quarantined ones have to
     /// end.
     std::function<void()> m_Changed;
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -370,6 +370,10 @@
                            if (Answer.m_Leaving)
                              m_Signals->recordLeaving(Server);
                          }},
+      .m_UpstreamEnded =
+          [this](const UpstreamIncarnation &Upstream) {
+            m_State.m_Ended.recordEnd(Upstream, EventLoop::now());
+          },
       .m_Changed = [this] { m_Forwarder.crashesChanged(); },
       .m_ProbeEnded = [this](auto What) { m_Metrics.recordProbe(What); },
       .m_IsWriter = [this] { return m_Leader.leading(); }};
--- a/packages/gateway/process/ReachMonitor.cpp
+++ b/packages/gateway/process/ReachMonitor.cpp
@@ -26,7 +26,8 @@
   const TimePoint Now = EventLoop::now();
   // What failed for want of a way says nothing about the upstreams.
   for (const InstanceId &Each : Failed)
-    m_State.m_Failures.forget(Each);
+    if (!hasEnded(Each, Now))
+      m_State.m_Failures.forget(Each);
   m_Log.write("reconnected", {{"upstream", Call.m_Upstream},
                               {"failed", Failed.size()},
                               {"partitioned_ms", (Now - m_Since) / 1ms}});
@@ -35,6 +36,8 @@
 
 void ReachMonitor::onFailed(const UpstreamReach::Call &Call) {
   const TimePoint Now = EventLoop::now();
+  if (hasEnded(Call.m_Upstream, Now))
+    return;
   const std::size_t Known = m_State.m_Upstreams.current().size();
   const bool Began = m_State.m_Reach.recordFailed(Call, Known, Now);
   if (Began) {
@@ -50,6 +53,12 @@
     m_Hooks.m_Changed(true);
 }
 
+bool ReachMonitor::hasEnded(const InstanceId &Id, TimePoint Now) const {
+  const UpstreamInstance *Listed = m_State.m_Upstreams.find(Id);
+  return Listed != nullptr &&
+         m_State.m_Ended.contains(Listed->incarnation(), Now);
+}
+
 void ReachMonitor::probeLater(Duration Pause) {
   m_Probing = true;
   m_Timer = m_Loop.after(Pause, [this] { probe(); });
@@ -86,12 +95,13 @@
 const UpstreamInstance *ReachMonitor::nextUpstream() const {
   const auto &Known = m_State.m_Upstreams.current();
   const std::set<InstanceId> &Failed = m_State.m_Reach.failed();
+  const TimePoint Now = EventLoop::now();
   const UpstreamInstance *Next = nullptr;
   auto At = Known.upper_bound(m_Probed);
   for (std::size_t Count = 0; Count < Known.size(); ++Count, ++At) {
     if (At == Known.end())
       At = Known.begin();
-    if (!Failed.contains(At->first))
+    if (!Failed.contains(At->first) && !hasEnded(At->first, Now))
       return &At->second;
     if (Next == nullptr)
       Next = &At->second;
--- a/packages/gateway/process/ReachMonitor.h
+++ b/packages/gateway/process/ReachMonitor.h
@@ -47,6 +47,7 @@
   void probe();
   void onProbeEnd(const UpstreamReach::Call &Call, HttpEnd End);
   const UpstreamInstance *nextUpstream() const;
+  bool hasEnded(const InstanceId &Id, TimePoint Now) const;
 
   EventLoop &m_Loop;
   HttpClient &m_Client;
--- a/packages/gateway/process/ServingState.h
+++ b/packages/gateway/process/ServingState.h
@@ -5,6 +5,7 @@
 
 #include "decisions/common/DataCentreMap.h"
 #include "decisions/process/CrashTracker.h"
+#include "decisions/process/EndedUpstreams.h"
 #include "decisions/process/FailureTracker.h"
 #include "decisions/process/LatencyModel.h"
 #include "decisions/process/LoadTracker.h"
@@ -44,6 +45,7 @@
   FailureTracker m_Failures;
   UpstreamReach m_Reach;
   CrashTracker m_Crashes;
+  EndedUpstreams m_Ended;
   SharedRetryBudget m_Budget{{}, EventLoop::now()};
   RetryDetector m_RetryDetector;
   ModelDemands m_Demand; ///< Demand since it was last taken.
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -202,6 +202,9 @@
            State.m_Signals.retryAt(Id, Now);
   };
   auto Candidates = eligibility().candidates(Excluded, Now);
+  std::erase_if(Candidates, [&](const UpstreamInstance *Each) {
+    return State.m_Ended.contains(Each->incarnation(), Now);
+  });
   m_Crashes.narrowCandidates(Candidates, m_MayHaveRun, Now);
   const ReplicaStatistics Knowledge{.m_Loads = State.m_Loads,
                                     .m_Prefixes = State.m_Prefixes,
--- a/tests/gateway/CrashTest.cpp
+++ b/tests/gateway/CrashTest.cpp
@@ -544,3 +544,37 @@
   Test.attempt("/unsafe/x", "body");
   REQUIRE(Test.until(Cold));
 }
+
+// Two crashed upstreams that the list still names made a box take itself for
+// partitioned, and all boxes passed their requests on to each other.
+TEST_CASE("Upstreams that another box saw crash are no sign of a partition",
+          "[gateway][crash][partition]") {
+  CrashTest Test(2, 8);
+  Gateway &Box = *Test.m_Boxes.front();
+  constexpr std::size_t Held = 24;
+  for (std::size_t Number = 0; Number < Held; ++Number) {
+    Test.m_Attempts = 1;
+    Test.beginRequest("/unsafe/x", CrashTest::HeldBody);
+  }
+  REQUIRE(Test.until([&] { return Test.m_HeldRequests.size() == Held; }));
+  const std::set<std::string> Lost{"i-10", "i-11", "i-12",
+                                   "i-13", "i-14", "i-15"};
+  for (const std::string &Id : Lost)
+    Test.m_Runners.at(Id)->crash();
+  Test.wait(500ms);
+  Test.m_Statuses.clear();
+  for (std::size_t Number = 0; Number < Held; ++Number) {
+    Test.m_Attempts = 0;
+    Test.beginRequest("/unsafe/x", "sound");
+  }
+  bool Partitioned = false;
+  REQUIRE(Test.until([&] {
+    Partitioned = Partitioned || Box.state().m_Reach.partitioned();
+    return Test.m_Statuses.size() == Held;
+  }));
+  REQUIRE_FALSE(Partitioned);
+  REQUIRE(std::count(Test.m_Statuses.begin(), Test.m_Statuses.end(), 200) ==
+          std::ssize(Test.m_Statuses));
+  for (const std::string &Id : Lost)
+    REQUIRE(Box.state().m_Failures.rate(Id, EventLoop::now()) == 0);
+}
