What several crashing parts have beside them is not refused in their place

Cause: the first part stood beside one bad part or the other at each crash, and no sound run cleared it, as no engine lived long enough. Neither bad part was at all crashes, so what was named beside the first part shrank to nothing.

Change: a part is not quarantined, nor its quarantine widened, while one or two rarer suspects (fewer requests held them, both together) were at each of its crashes; those are quarantined instead, which refuses fewer requests. A bad first part under many others is found as before.

Evidence: the new test of CrashTracker fails without the change.

--- a/packages/decisions/process/CrashTracker.cpp
+++ b/packages/decisions/process/CrashTracker.cpp
@@ -311,6 +311,37 @@
              });
 }
 
+/// \returns whether each of \p Among has one of two other parts that are
+/// suspects themselves and that fewer requests held, both together. That
+/// refuses fewer requests than to quarantine what all have in common; where it
+/// takes more of them, the common part is the likelier cause.
+bool CrashTracker::rarerPartsExplain(const CrashSuspect &Part,
+                                     const Crashes &Among) const {
+  const std::size_t Holders = holders(Part, Among);
+  const auto MayBeCause = [&](const CrashSuspect &Other) {
+    return isPart(Other) && Other != Part &&
+           m_CrashesBySuspect.at(Other).size() >= MinSuspectCrashes;
+  };
+  const auto Explain = [&](const CrashSuspect &One, const CrashSuspect &Other) {
+    return std::all_of(Among.begin(), Among.end(), [&](const Crash *Each) {
+      return Each->m_Suspects.contains(One) || Each->m_Suspects.contains(Other);
+    });
+  };
+  std::set<CrashSuspect> Candidates;
+  for (const Crash *Event : Among)
+    for (const CrashSuspect &Each : Event->m_Suspects)
+      if (MayBeCause(Each))
+        Candidates.insert(Each);
+  for (const CrashSuspect &One : Candidates)
+    for (const CrashSuspect &Other : Candidates) {
+      const std::size_t Together =
+          holders(One, Among) + (One == Other ? 0 : holders(Other, Among));
+      if (Together < Holders && Explain(One, Other))
+        return true;
+    }
+  return false;
+}
+
 /// Whether the crashes are of one time and may have one cause that is none of
 /// the suspects.
 bool CrashTracker::allCorrelated(const Crashes &Among) const {
@@ -325,7 +356,8 @@
                                             TimePoint Now) const {
   const Crashes Complete = completeCrashes(Suspect, Now);
   const bool Renewed = m_Expired.contains(Suspect);
-  if (isPart(Suspect) && !Renewed && allCorrelated(Complete))
+  if (isPart(Suspect) && !Renewed &&
+      (allCorrelated(Complete) || rarerPartsExplain(Suspect, Complete)))
     return 0;
   const std::set<CrashSuspect> Others = othersAtEach(Suspect, Complete);
   // The crashes of a part may all be those of one request.
@@ -383,7 +415,7 @@
     if (Entry.m_Beside.empty())
       continue;
     const Crashes Complete = completeCrashes(Suspect, Now);
-    if (Complete.empty())
+    if (Complete.empty() || rarerPartsExplain(Suspect, Complete))
       continue;
     const std::set<CrashSuspect> Others = othersAtEach(Suspect, Complete);
     if (std::erase_if(Entry.m_Beside, [&](const CrashSuspect &Each) {
--- a/packages/decisions/process/CrashTracker.h
+++ b/packages/decisions/process/CrashTracker.h
@@ -192,6 +192,7 @@
   static bool heldTogether(const CrashSuspect &One, const CrashSuspect &Other,
                            const Crashes &Among);
   bool allCorrelated(const Crashes &Among) const;
+  bool rarerPartsExplain(const CrashSuspect &Part, const Crashes &Among) const;
   std::size_t countToQuarantine(const CrashSuspect &Suspect,
                                 TimePoint Now) const;
   static std::size_t holders(const CrashSuspect &Suspect, const Crashes &Among);
--- a/tests/decisions/process/CrashTrackerTest.cpp
+++ b/tests/decisions/process/CrashTrackerTest.cpp
@@ -497,6 +497,37 @@
   REQUIRE(Test.refused({Other}));
 }
 
+// Two bad parts under one first part, and no sound request ran in between: the
+// first part was refused to all.
+TEST_CASE("What two parts that crash upstreams have beside them is not refused",
+          "[crash][decisions]") {
+  PartsTest Test;
+  const CrashSuspect Other = CrashSuspect::ofPromptPart("other");
+  for (int Crash = 0; Crash < 8; ++Crash) {
+    const CrashSuspect &Bad = Crash % 2 == 0 ? BadPart : Other;
+    Test.crashUnder({Test.request({First, Bad}), Test.request({First})});
+    Test.quarantineSuspects();
+    REQUIRE_FALSE(Test.refused({First}));
+  }
+  REQUIRE(Test.refused({First, BadPart}));
+  REQUIRE(Test.refused({First, Other}));
+}
+
+TEST_CASE("A first part that crashes upstreams is found under many others",
+          "[crash][decisions]") {
+  PartsTest Test;
+  int Crashes = 0;
+  for (; !Test.refused({BadPart}); ++Crashes) {
+    const CrashSuspect Under =
+        CrashSuspect::ofPromptPart(std::to_string(Crashes % 20));
+    Test.crashUnder({Test.request({BadPart, Under}),
+                     Test.request({BadPart, Second}), Test.request({Under})});
+    Test.m_Tracker.recordCompletion(Second, Test.m_Now);
+    Test.quarantineSuspects();
+    REQUIRE(Crashes < 6);
+  }
+}
+
 TEST_CASE("A part that begins to crash upstreams is found although it ran well "
           "before",
           "[crash][decisions]") {
