Soak: parts of prompts that end engines

--parts N: callers whose requests have one bad part and nothing else in common, behind other parts, at any box and for any model; crashing-barred judges them by the part, five ends and three arrivals more; any other request that is answered request_barred breaks others-served.

--- a/tests/soak/CrashOracle.cpp
+++ b/tests/soak/CrashOracle.cpp
@@ -2,17 +2,24 @@
 
 namespace havenstair {
 
+int CrashOracle::allowedEnds(const std::string &Cause) const {
+  return Cause.starts_with(PartPrefix) ? m_Bounds.m_PartCrashes
+                                       : m_Bounds.m_Crashes;
+}
+
 void CrashOracle::ended(const std::string &Body, TimePoint At) {
-  Story &Of = m_Stories[Body];
+  const std::string Cause = causeOf(Body);
+  Story &Of = m_Stories[Cause];
   ++m_Engines;
-  if (++Of.m_Ended == m_Bounds.m_Crashes)
+  if (++Of.m_Ended == allowedEnds(Cause))
     Of.m_Known = At;
 }
 
 void CrashOracle::arrived(const EngineArrival &Arrival,
                           const CallerRequest &Request) {
-  const auto Found = m_Stories.find(Request.m_Body);
-  if (Found == m_Stories.end() || Found->second.m_Ended < m_Bounds.m_Crashes)
+  const std::string Cause = causeOf(Request.m_Body);
+  const auto Found = m_Stories.find(Cause);
+  if (Found == m_Stories.end() || Found->second.m_Ended < allowedEnds(Cause))
     return;
   Story &Of = Found->second;
   const TimePoint At = Arrival.m_At;
@@ -24,8 +31,9 @@
   if (Counts && ++Of.m_Late == m_Bounds.m_CrashingArrivals + 1)
     m_Broken({Promise::CrashingBarred, At, Arrival.m_Id,
               "sent by " + Request.m_Box + " to " + Arrival.m_Engine + " " +
-                  std::to_string((At - Of.m_Known) / 1ms) +
-                  " ms after the third engine ended under it, as one of " +
+                  std::to_string((At - Of.m_Known) / 1ms) + " ms after " +
+                  std::to_string(allowedEnds(Cause)) +
+                  " engines had ended under it, as one of " +
                   std::to_string(Of.m_Late) + "; " +
                   std::to_string(Of.m_Ended) + " ended"});
 }
--- a/tests/soak/CrashOracleTest.cpp
+++ b/tests/soak/CrashOracleTest.cpp
@@ -9,19 +9,20 @@
 const std::string Body = CrashOracle::Prefix + "0";
 
 /// A try of the request that ends engines arrives at one.
-void arrive(SoakOracle &Oracle, const std::string &Id, Duration At) {
+void arrive(SoakOracle &Oracle, const std::string &Id, Duration At,
+            const std::string &Text = Body) {
   Oracle.sent({.m_Id = Id,
                .m_Box = "box-1",
                .m_Service = "plain",
                .m_Target = "/x",
-               .m_Body = Body,
+               .m_Body = Text,
                .m_At = at(At)});
   Oracle.arrived({.m_Id = Id,
                   .m_Engine = "e1",
                   .m_Service = "plain",
                   .m_DataCentre = "za",
                   .m_Target = "/x",
-                  .m_Body = Body,
+                  .m_Body = Text,
                   .m_Runs = true,
                   .m_At = at(At)});
 }
@@ -77,3 +78,24 @@
   Answer("fine", "");
   REQUIRE(broken(Oracle) == Promises{Promise::OthersServed});
 }
+
+TEST_CASE(
+    "The soak's oracle judges requests that share a part of their prompts",
+    "[soak][oracle]") {
+  SoakOracle Oracle((SoakBounds()));
+  const auto Body = [](const std::string &Id) {
+    return CrashOracle::PartPrefix + "0" + CrashOracle::Separator + Id;
+  };
+  for (int End = 0; End < 5; ++End)
+    Oracle.crashes().ended(Body(std::to_string(End)), at(0s));
+  SECTION("three after the fifth end are right") {
+    for (int Try = 0; Try < 3; ++Try)
+      arrive(Oracle, std::to_string(Try), 10s, Body(std::to_string(Try)));
+    REQUIRE(broken(Oracle).empty());
+  }
+  SECTION("a fourth is wrong, though no two were alike") {
+    for (int Try = 0; Try < 4; ++Try)
+      arrive(Oracle, std::to_string(Try), 10s, Body(std::to_string(Try)));
+    REQUIRE(broken(Oracle) == Promises{Promise::CrashingBarred});
+  }
+}
--- a/tests/soak/CrashingCallers.cpp
+++ b/tests/soak/CrashingCallers.cpp
@@ -30,13 +30,28 @@
   return std::uniform_int_distribution<int>(Least, Most)(m_Random);
 }
 
-void CrashingCallers::start(int Callers, std::uint64_t Seed) {
+CrashingCallers::Caller &CrashingCallers::add() {
+  Caller &Made = *m_Callers.emplace_back(std::make_unique<Caller>());
+  // Some come many times a second, some hardly ever.
+  Made.m_MostPauseMs = draw(0, 1) == 0 ? 150 : 1500;
+  return Made;
+}
+
+void CrashingCallers::start(int Requests, int Parts, std::uint64_t Seed) {
   m_Random.seed(Seed);
+  for (int Number = 0; Number < Parts; ++Number) {
+    Caller &Made = add();
+    Made.m_Part = std::to_string(Number);
+    Made.m_Request.m_Kind = RequestKind::ResumableStream;
+    Made.m_Request.m_Target = "/genstream/x";
+    Made.m_Request.m_Service = SoakConfig::EngineService;
+    next(Made);
+  }
   const int First = draw(0, static_cast<int>(std::size(Kinds)) - 1);
-  for (int Number = 0; Number < Callers; ++Number) {
+  for (int Number = 0; Number < Requests; ++Number) {
     const Kind &Of =
         Kinds[static_cast<std::size_t>(First + Number) % std::size(Kinds)];
-    Caller &Made = *m_Callers.emplace_back(std::make_unique<Caller>());
+    Caller &Made = add();
     Made.m_Request.m_Kind = Of.m_Kind;
     Made.m_Request.m_Target = Of.m_Target;
     Made.m_Request.m_Service = Of.m_Model == nullptr
@@ -47,12 +62,24 @@
       Made.m_Headers = {{"X-Model-Name", Of.m_Model},
                         {"X-Token-Counts", "100,20"},
                         {"X-Prompt-Prefix", "ab12:60,cd34:40"}};
-    // Some come many times a second, some hardly ever.
-    Made.m_MostPauseMs = draw(0, 1) == 0 ? 150 : 1500;
     next(Made);
   }
 }
 
+/// Draws what differs between two requests with one bad part.
+void CrashingCallers::drawPrompt(Caller &By) {
+  const std::string Number = std::to_string(m_NextId);
+  By.m_Request.m_Body =
+      CrashOracle::PartPrefix + By.m_Part + CrashOracle::Separator + Number;
+  std::string Prompt = draw(0, 3) == 0 ? "ef56:30," : "ab12:60,";
+  if (draw(0, 1) == 0)
+    Prompt += "0a0b:20,";
+  Prompt += BadPart + By.m_Part + ":20,e" + Number + ":40";
+  By.m_Headers = {{"X-Model-Name", "m" + std::to_string(draw(0, 3))},
+                  {"X-Token-Counts", "100,20"},
+                  {"X-Prompt-Prefix", std::move(Prompt)}};
+}
+
 void CrashingCallers::next(Caller &By) {
   By.m_Next = m_Loop.after(
       std::chrono::milliseconds(draw(10, By.m_MostPauseMs)), [this, &By] {
@@ -64,6 +91,8 @@
 void CrashingCallers::send(Caller &By) {
   const SoakBox &Box =
       *m_Boxes[static_cast<std::size_t>(draw(0, std::ssize(m_Boxes) - 1))];
+  if (!By.m_Part.empty())
+    drawPrompt(By);
   CallerRequest &Request = By.m_Request;
   Request.m_Id = "c" + std::to_string(m_NextId++);
   Request.m_Box = Box.name();
--- a/tests/soak/SoakBounds.h
+++ b/tests/soak/SoakBounds.h
@@ -30,6 +30,7 @@
   /// m_Contact after that.
   int m_Crashes = 3;
   int m_CrashingArrivals = 3;
+  int m_PartCrashes = 5; ///< The same for a part of prompts.
   Duration m_LimitSpan = 4s;
   double m_LimitOverage = 1.5;
   double m_LimitAllowance = 5;
--- a/tests/soak/SoakEngine.cpp
+++ b/tests/soak/SoakEngine.cpp
@@ -1,5 +1,6 @@
 #include "soak/SoakEngine.h"
 
+#include "soak/CrashingCallers.h"
 #include "soak/SoakConfig.h"
 #include "soak/StreamText.h"
 #include "wire/common/Json.h"
@@ -12,6 +13,14 @@
 
 namespace {
 
+/// \returns whether a part of \p Prompt but the last ends engines.
+bool holdsBadPart(const std::string &Prompt) {
+  const std::size_t Last = Prompt.rfind(',');
+  return Last != std::string::npos &&
+         Prompt.substr(0, Last).find(CrashingCallers::BadPart) !=
+             std::string::npos;
+}
+
 constexpr Duration TickEvery = 50ms;
 constexpr Duration EventGap = 20ms;
 constexpr int NotFound = 404;
@@ -340,7 +349,10 @@
                                    : "answer to " + Id + " by " +
                                          Started->m_Signature + " " +
                                          Asked.m_Body});
-  if (CrashOracle::crashes(Asked.m_Body))
+  const bool Crashes = Asked.m_Body.starts_with(CrashOracle::PartPrefix)
+                           ? holdsBadPart(Asked.header("x-prompt-prefix"))
+                           : CrashOracle::crashes(Asked.m_Body);
+  if (Crashes)
     return later(std::chrono::milliseconds(draw(1, 120)),
                  [this, Body = Asked.m_Body] { crash(Body); });
   const Duration Work = std::chrono::milliseconds(draw(1, 60)) + m_Late;
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -263,7 +263,7 @@
   if (!m_Opts.m_Previous.empty())
     replaceBoxes();
   m_Callers.start(m_Plan.m_Callers, m_Opts.m_Seed);
-  m_Crashing.start(m_Opts.m_Crashing, m_Opts.m_Seed);
+  m_Crashing.start(m_Opts.m_Crashing, m_Opts.m_Parts, m_Opts.m_Seed);
   m_Streams.start(m_Opts.m_Versions ? StreamingCallers : 0, m_Opts.m_Seed);
   m_Loop.runUntil([this] { return m_Interrupted; }, m_Opts.m_Length);
   m_Callers.stop();
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -39,6 +39,7 @@
     int m_MoreRoutes = 0;       ///< In each configuration, for its size.
     std::optional<int> m_Boxes; ///< In place of the plan's number.
     int m_Crashing = 0;         ///< Requests that end engines.
+    int m_Parts = 0;            ///< Parts of prompts that end engines.
     bool m_Words = false; ///< Servers say something of themselves, addWords().
     bool m_Restores = false;   ///< The store comes back from copies of itself.
     bool m_Endings = false;    ///< Answers end in many ways, addEndings().
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -26,6 +26,8 @@
   --seconds N       Length, from the callers' start [default: 20].
   --crashing N      Requests that end the engines that run them, from 0 to 6
                     [default: 0].
+  --parts N         Parts of prompts that end the engines that run them, from 0
+                    to 6 [default: 0].
   --boxes N         Boxes, from 1 to 60, in place of the seed's number.
   --words           Servers besides that name limits, say that they leave or
                     name a time to retry after in their answers.
@@ -171,6 +173,7 @@
   if (Flags["--boxes"].isString())
     Opts.m_Boxes = boxes(Flags["--boxes"].asString());
   Opts.m_Crashing = static_cast<int>(Flags["--crashing"].asLong());
+  Opts.m_Parts = static_cast<int>(Flags["--parts"].asLong());
   const docopt::value &Mutate = Flags["--mutate"];
   Opts.m_Mutation = mutation(Mutate.isString() ? Mutate.asString() : "");
   Opts.m_Words = Flags["--words"].asBool();
