--- a/review/standin/longprompts.cpp
+++ b/review/standin/longprompts.cpp
@@ -364,6 +364,20 @@
         sleepFor(0.1);
       }
     });
+  // The platform's questions, for the record.
+  std::atomic<int> Questions{0}, Missed{0};
+  for (int Each = 0; Each < Machines; ++Each)
+    Askers.emplace_back([&, Each] {
+      const Machine &At = *Boxes[static_cast<std::size_t>(Each)];
+      for (; !Over; sleepFor(1)) {
+        ++Questions;
+        if (At.ready())
+          continue;
+        ++Missed;
+        Log.write("%s does not say within a second that it is ready",
+                  At.name().c_str());
+      }
+    });
   sleepFor(2);
   std::thread Client([&] {
     // Its own retries, as PROTOCOL tells them: a few within the deadline, each
@@ -419,8 +433,10 @@
     Later += Took > StatusTimeoutMs / 1000.0 + 0.5 ? 1 : 0;
   }
   Log.write("%zu requests to the plain service, %d served; without an answer "
-            "at timeoutMs: %d, half a second later: %d; processes live: %s",
-            Asked.size(), Good, AtTimeout, Later, AllLive ? "yes" : "no");
+            "at timeoutMs: %d, half a second later: %d; readiness: %d of %d "
+            "questions missed; processes live: %s",
+            Asked.size(), Good, AtTimeout, Later, Missed.load(),
+            Questions.load(), AllLive ? "yes" : "no");
   const bool Broken = Later >= 8 && 2 * Later > AtTimeout;
   Log.write(Broken ? "CONFIG is broken: requests are held past timeoutMs"
                    : "CONFIG held");
