--- a/review/slashes/run.sh
+++ b/review/tried/slashes/run.sh
@@ -3,7 +3,7 @@
 # case couldn't run. TROUBLE=0 leaves the second slash out.
 set -u
 Here=$(cd "$(dirname "$0")" && pwd)
-cd "$Here/../.." || exit 2
+cd "$Here/../../.." || exit 2
 if [ ! -x target/bin/havenstaird ] || [ ! -x review/build/slashes ]; then
   echo "build the deploy file and review/build.sh first" >&2
   exit 2
