Soak: all boxes are lost at once and must serve again (--returns)

The users saw service that was not back in time after all machines had returned. None of the soak's 22 promises said that service comes back, and its seeds draw two to six boxes, of which no relays form: a fleet that refused everybody for good after a loss of all boxes would have passed.

--returns loses all boxes of a fleet with relays and leaves, by SIGKILL or SIGTERM, and brings them back in many orders; service-back judges the rule's sentence of all boxes, and of each box by itself, as callers of one that refuses for good are not served by the others.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -48,6 +48,8 @@
     return restoreStore(Fault);
   if (Fault.m_Kind == SoakFault::CutBoxes)
     return m_Partitions.strike(Fault);
+  if (Fault.m_Kind == SoakFault::LoseBoxes)
+    return m_Returns.strike(Fault);
   if (Fault.m_Kind == SoakFault::BrittleService)
     return strikeService(Fault);
   if (Fault.m_Kind == SoakFault::PauseServer)
--- /dev/null
+++ b/tests/soak/ReturnInjector.h
@@ -0,0 +1,37 @@
+/// \file
+/// Loses all boxes at once, and brings them back in many orders.
+#ifndef HAVENSTAIR_TESTS_SOAK_RETURNINJECTOR_H
+#define HAVENSTAIR_TESTS_SOAK_RETURNINJECTOR_H
+
+#include "soak/SoakBox.h"
+#include "soak/SoakSchedule.h"
+#include <memory>
+#include <vector>
+
+namespace havenstair {
+
+class ReturnInjector {
+public:
+  ReturnInjector(EventLoop &Loop, SoakOracle &Oracle,
+                 std::vector<std::unique_ptr<SoakBox>> &Boxes)
+      : m_Loop(Loop), m_Oracle(Oracle), m_Boxes(Boxes) {}
+
+  /// All boxes end, by SIGKILL or by SIGTERM, and come back from the fault's
+  /// time on: at once or one after the other, drawn, weakest or strongest
+  /// first.
+  void strike(const ScheduledFault &Fault);
+
+private:
+  std::vector<SoakBox *> order(int Target) const;
+  void look();
+
+  EventLoop &m_Loop;
+  SoakOracle &m_Oracle;
+  std::vector<std::unique_ptr<SoakBox>> &m_Boxes;
+  std::vector<int> m_LivesBefore;
+  Timer m_Look;
+};
+
+} // namespace havenstair
+
+#endif
--- a/tests/soak/SoakBounds.h
+++ b/tests/soak/SoakBounds.h
@@ -44,6 +44,11 @@
   /// Falls of brittle servers in one time, and more by the number of servers.
   double m_BrittleFalls = 2;
   double m_BrittleFallRatio = 0.1;
+  /// Of what is sent so long after all boxes that were lost are back, the share
+  /// that is served; of what was sent before, up to a margin, at least as much.
+  Duration m_Recovery = 15s;
+  Duration m_LossMargin = 500ms;
+  double m_Back = 0.25;
   /// Routes time out later; slower answers are not judged as sound ones.
   Duration m_SoundWithin = 3s;
   /// What the soak's own process may take to note an event.
--- a/tests/soak/SoakBox.cpp
+++ b/tests/soak/SoakBox.cpp
@@ -38,7 +38,7 @@
       {"internalPortRange", {Peers, Peers + 2}},
       {"seedNodes", std::move(Seeds)},
       {"firstStart", m_Life == 1},
-      {"limits", {{"cpuFraction", 1}}},
+      {"limits", {{"cpuFraction", m_Opts.m_Capacity}}},
       {"bounds",
        {{"gracePeriodS", GraceSeconds},
         {"drainTimeoutMs", Bounds.m_Drain / 1ms},
--- a/tests/soak/SoakBox.h
+++ b/tests/soak/SoakBox.h
@@ -28,6 +28,7 @@
   struct Options {
     std::string m_Name;
     std::string m_DataCentre;
+    double m_Capacity = 1;     ///< As the box tells the others, in cores.
     std::string m_Address;     ///< Loopback address of this box alone.
     std::string m_SeedAddress; ///< Where others find it through the proxy.
     SoakPorts m_Ports;
--- a/tests/soak/SoakCallers.cpp
+++ b/tests/soak/SoakCallers.cpp
@@ -134,7 +134,7 @@
     return;
   By.m_Leave =
       m_Loop.after(std::chrono::milliseconds(By.draw(0, 300)), [this, &By, Id] {
-        m_Oracle.partitions().left(Id);
+        m_Oracle.left(Id);
         ++m_Counts.m_Left;
         --m_Open;
         By.m_Call.reset();
@@ -188,7 +188,7 @@
   ++(!Answer.m_Complete ? m_Counts.m_Broken
      : Success          ? m_Counts.m_Served
                         : m_Counts.m_Refused);
-  if (!Answer.m_Complete)
+  if (!Answer.m_Complete && !m_StayAtBox)
     By.m_Box = (By.m_Box + 1) % m_Boxes.size();
   next(By);
 }
--- a/tests/soak/SoakCallers.h
+++ b/tests/soak/SoakCallers.h
@@ -36,6 +36,8 @@
 
   /// Every second caller reads answers by itself, on a connection for each.
   void readRaw() { m_ReadRaw = true; }
+  /// Callers come back to the same box also when it did not answer.
+  void stayAtBox() { m_StayAtBox = true; }
   void start(int Callers, std::uint64_t Seed);
   /// No new requests from now on.
   void stop() { m_Stopped = true; }
@@ -65,6 +67,7 @@
   std::size_t m_Open = 0;
   bool m_Stopped = false;
   bool m_ReadRaw = false;
+  bool m_StayAtBox = false;
 };
 
 } // namespace havenstair
--- a/tests/soak/SoakEvents.cpp
+++ b/tests/soak/SoakEvents.cpp
@@ -52,6 +52,8 @@
     return "brittle-falls";
   case Promise::OneVersion:
     return "one-version";
+  case Promise::ServiceBack:
+    return "service-back";
   case Promise::WarmUpRate:
     return "warm-up-rate";
   case Promise::AllowedRegions:
--- a/tests/soak/SoakEvents.h
+++ b/tests/soak/SoakEvents.h
@@ -39,7 +39,8 @@
   ServerRetryAfter, ///< A box keeps away for the time that an engine names.
   PartitionServed,  ///< A box that reaches no engine serves its callers.
   BrittleFalls,     ///< Servers that bear few refusals seldom fall.
-  OneVersion        ///< A stream holds events of one software version only.
+  OneVersion,       ///< A stream holds events of one software version only.
+  ServiceBack       ///< After all boxes were lost, they serve again.
 };
 
 const char *toString(Promise Of);
@@ -62,6 +63,7 @@
   case Promise::PartitionServed:
   case Promise::BrittleFalls:
   case Promise::SoundAnswer:
+  case Promise::ServiceBack:
     return true;
   default:
     return false;
--- a/tests/soak/SoakOracle.cpp
+++ b/tests/soak/SoakOracle.cpp
@@ -10,6 +10,7 @@
       m_Crashes(m_Bounds, m_Trouble, noteVerdict()),
       m_Words(m_Bounds, m_Trouble, noteVerdict()),
       m_Partitions(m_Bounds, m_Trouble, noteVerdict()),
+      m_Returns(m_Bounds, m_Trouble, noteVerdict()),
       m_Brittle(m_Bounds, m_Trouble, noteVerdict()),
       m_Sound(m_Bounds, m_Trouble, noteVerdict()), m_Versions(noteVerdict()) {}
 
@@ -17,6 +18,7 @@
   m_Answers.sent(Request);
   m_Routing.sent(Request);
   m_Partitions.sent(Request);
+  m_Returns.sent(Request);
 }
 
 void SoakOracle::arrived(const EngineArrival &Arrival) {
@@ -45,6 +47,7 @@
 void SoakOracle::answered(const CallerAnswer &Answer) {
   m_Answers.answered(Answer);
   m_Partitions.answered(Answer);
+  m_Returns.answered(Answer);
   constexpr int NotFound = 404;
   const CallerRequest *Request = m_Answers.request(Answer.m_Id);
   const bool Unknown = Request != nullptr && Request->m_Since &&
@@ -58,6 +61,16 @@
     m_Config.unknown(*Request, Answer.m_At);
 }
 
+void SoakOracle::left(const std::string &Id) {
+  m_Partitions.left(Id);
+  m_Returns.left(Id);
+}
+
+void SoakOracle::finish(TimePoint At) {
+  m_Partitions.finish(At);
+  m_Returns.finish(At);
+}
+
 void SoakOracle::boxEnded(const std::string &Box, int Status, TimePoint At) {
   m_Verdicts.push_back(
       {Promise::BoxLives, At, Box,
--- a/tests/soak/SoakOracle.h
+++ b/tests/soak/SoakOracle.h
@@ -9,6 +9,7 @@
 #include "soak/CrashOracle.h"
 #include "soak/OrderOracle.h"
 #include "soak/PartitionOracle.h"
+#include "soak/ReturnOracle.h"
 #include "soak/RoutingOracle.h"
 #include "soak/ServerWordsOracle.h"
 #include "soak/SoundAnswerOracle.h"
@@ -36,6 +37,10 @@
   /// A brittle engine turns a request away for want of room.
   void turnedAway(const std::string &Id, const std::string &Engine,
                   TimePoint At);
+  /// The caller gave up by itself.
+  void left(const std::string &Id);
+  /// Nothing more comes.
+  void finish(TimePoint At);
   /// A box ended although nobody stopped it.
   void boxEnded(const std::string &Box, int Status, TimePoint At);
 
@@ -49,6 +54,8 @@
   OrderOracle &orders() { return m_Orders; }
   CrashOracle &crashes() { return m_Crashes; }
   PartitionOracle &partitions() { return m_Partitions; }
+  ReturnOracle &returns() { return m_Returns; }
+  const ReturnOracle &returns() const { return m_Returns; }
   BrittleOracle &brittle() { return m_Brittle; }
   SoundAnswerOracle &sound() { return m_Sound; }
   ServerWordsOracle &words() { return m_Words; }
@@ -74,6 +81,7 @@
   CrashOracle m_Crashes;
   ServerWordsOracle m_Words;
   PartitionOracle m_Partitions;
+  ReturnOracle m_Returns;
   BrittleOracle m_Brittle;
   SoundAnswerOracle m_Sound;
   VersionOracle m_Versions;
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -66,8 +66,12 @@
   SoakPlan Result =
       Opts.m_ConfigPlan
           ? makeConfigPlan(Opts.m_Seed, Opts.m_Length, Opts.m_Again)
-          : makePlan(Opts.m_Seed, Opts.m_Length);
+      : Opts.m_Returns ? makeReturnPlan(Opts.m_Seed, Opts.m_Length)
+                       : makePlan(Opts.m_Seed, Opts.m_Length);
   Result.m_Boxes = Opts.m_Boxes.value_or(Result.m_Boxes);
+  // Each box has callers, who tell what it serves.
+  if (Opts.m_Returns)
+    Result.m_Callers = 2 * Result.m_Boxes;
   if (Opts.m_Words)
     addWords(Result, Opts.m_Seed, Opts.m_Length);
   if (Opts.m_Restores)
@@ -100,6 +104,8 @@
   makeBoxes();
   if (m_Opts.m_ConfigPlan)
     linkThroughProxies();
+  if (m_Opts.m_Returns)
+    m_Callers.stayAtBox();
   if (m_Opts.m_Endings)
     playEndings();
   if (m_Opts.m_Partitions)
@@ -148,7 +154,7 @@
         .m_Name = (Plain ? "s" : "e") + std::to_string(Number),
         .m_Service =
             Plain ? SoakConfig::PlainService : SoakConfig::EngineService,
-        .m_DataCentre = DataCentres[Number % 2],
+        .m_DataCentre = DataCentres[Number % m_Plan.m_DataCentres],
         .m_Shelf = std::nullopt,
         .m_Seed = m_Opts.m_Seed + static_cast<std::uint64_t>(Number)};
     if (!Plain)
@@ -158,6 +164,14 @@
   }
 }
 
+double SoakRun::capacity(int Number) const {
+  constexpr double Strong = 0.5;
+  constexpr double Weak = 0.12;
+  if (m_Plan.m_Strong == 0)
+    return 1;
+  return Number <= m_Plan.m_Strong ? Strong : Weak;
+}
+
 void SoakRun::makeBoxes() {
   constexpr int FirstSeedAddress = 100;
   constexpr int SeedBoxes = 3;
@@ -169,7 +183,9 @@
     m_Boxes.push_back(std::make_unique<SoakBox>(
         m_Loop, m_Oracle,
         SoakBox::Options{.m_Name = "box-" + std::to_string(Number),
-                         .m_DataCentre = DataCentres[Number % 2],
+                         .m_DataCentre =
+                             DataCentres[Number % m_Plan.m_DataCentres],
+                         .m_Capacity = capacity(Number),
                          .m_Address = loopback(Number),
                          .m_SeedAddress = loopback(FirstSeedAddress + Number),
                          .m_Ports = Ports,
@@ -211,6 +227,16 @@
   }
 }
 
+/// No server takes anything any more once the boxes were lost.
+void SoakRun::refuseAfterLoss() {
+  for (const ScheduledFault &Each : m_Plan.m_Faults)
+    if (Each.m_Kind == SoakFault::LoseBoxes)
+      m_Timers.push_back(m_Loop.after(Each.m_At, [this] {
+        for (const auto &Engine : m_Engines)
+          Engine->link().setRefusing(true);
+      }));
+}
+
 void SoakRun::watchOwnPauses() {
   m_LastPass = EventLoop::now();
   m_Timers.push_back(m_Loop.every(OwnPassEvery, [this] {
@@ -260,6 +286,8 @@
   for (const ScheduledFault &Each : m_Plan.m_Faults)
     m_Timers.push_back(
         m_Loop.after(Each.m_At, [this, Each] { m_Faults.strike(Each); }));
+  if (m_Opts.m_Mutation == Mutation::RefuseAfterLoss)
+    refuseAfterLoss();
   if (!m_Opts.m_Previous.empty())
     replaceBoxes();
   m_Callers.start(m_Plan.m_Callers, m_Opts.m_Seed);
@@ -271,7 +299,7 @@
   m_Streams.stop();
   m_Loop.runUntil([this] { return m_Interrupted || m_Callers.open() == 0; },
                   LastAnswers);
-  m_Oracle.partitions().finish(EventLoop::now());
+  m_Oracle.finish(EventLoop::now());
   return !m_Interrupted;
 }
 
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -28,7 +28,8 @@
     WithholdLeaving,
     SilenceWords,
     HideEra,
-    ClaimWhole
+    ClaimWhole,
+    RefuseAfterLoss
   };
 
   struct Options {
@@ -40,6 +41,7 @@
     std::optional<int> m_Boxes; ///< In place of the plan's number.
     int m_Crashing = 0;         ///< Requests that end engines.
     int m_Parts = 0;            ///< Parts of prompts that end engines.
+    bool m_Returns = false;     ///< makeReturnPlan() in place of makePlan().
     bool m_Words = false; ///< Servers say something of themselves, addWords().
     bool m_Restores = false;   ///< The store comes back from copies of itself.
     bool m_Endings = false;    ///< Answers end in many ways, addEndings().
@@ -73,6 +75,8 @@
 
 private:
   void makeBoxes();
+  double capacity(int Number) const;
+  void refuseAfterLoss();
   void linkThroughProxies();
   void replaceBoxes();
   void makeEngines();
--- a/tests/soak/SoakSchedule.cpp
+++ b/tests/soak/SoakSchedule.cpp
@@ -69,12 +69,13 @@
 }};
 
 // Each of an option of its own. A restore lasts as long as the store is away.
-constexpr std::array<FaultKind, 5> OptionKinds{{
+constexpr std::array<FaultKind, 6> OptionKinds{{
     {SoakFault::RestoreStore, "restore-store", 50, 3000},
     {SoakFault::HarmEndings, "harm-endings", 500, 4000},
     {SoakFault::CutBoxes, "cut-boxes", 4000, 12000},
     {SoakFault::BrittleService, "brittle-service", 6000, 15000},
     {SoakFault::PauseServer, "pause-server", 800, 1500},
+    {SoakFault::LoseBoxes, "lose-boxes", 100, 3000},
 }};
 
 const FaultKind &kindOf(SoakFault Of) {
@@ -196,6 +197,44 @@
   return Result;
 }
 
+SoakPlan makeReturnPlan(std::uint64_t Seed, Duration Length) {
+  constexpr std::array Beside{
+      SoakFault::Configure,         SoakFault::RestartEngine,
+      SoakFault::RestartColdEngine, SoakFault::DownStore,
+      SoakFault::SlowStore,         SoakFault::ForgetHistory};
+  constexpr int StrongOneIn = 8;
+  constexpr int MostBesideMs = 4000;
+  Drawing Draw(Seed);
+  const int Boxes = Draw(17, 28);
+  SoakPlan Result{.m_Boxes = Boxes,
+                  .m_Strong = Boxes / StrongOneIn,
+                  .m_DataCentres = Draw(1, 2),
+                  .m_Plain = Draw(4, 8),
+                  // Engines' entries change all the time, those of plain
+                  // servers only with their lives.
+                  .m_Engines = 2 * Draw(0, 1),
+                  .m_Callers = 0,
+                  .m_FencingEnforced = Draw(0, 1) == 1,
+                  .m_Faults = {}};
+  // Judged from 15 s after the return on.
+  const Duration Latest = std::max<Duration>(4s, Length - 26s);
+  Duration At =
+      std::chrono::milliseconds(Draw(3000, static_cast<int>(Latest / 1ms)));
+  const int Losses = Draw(1, 3) == 1 ? 2 : 1;
+  for (int Number = 0; Number < Losses; ++Number) {
+    Result.m_Faults.push_back(Draw.fault(At, SoakFault::LoseBoxes));
+    for (int Count = Draw(0, 3); Count > 0; --Count) {
+      const int Kind = Draw(0, static_cast<int>(Beside.size()) - 1);
+      const Duration Into = std::chrono::milliseconds(Draw(0, MostBesideMs));
+      Result.m_Faults.push_back(
+          Draw.fault(At + Into, Beside.at(static_cast<std::size_t>(Kind))));
+    }
+    At += std::chrono::milliseconds(Draw(500, 5000));
+  }
+  sortByTime(Result.m_Faults);
+  return Result;
+}
+
 void addWords(SoakPlan &Plan, std::uint64_t Seed, Duration Length) {
   Drawing Draw(Seed);
   for (Duration At = 500ms; At < Length;
--- a/tests/soak/SoakSchedule.h
+++ b/tests/soak/SoakSchedule.h
@@ -64,7 +64,9 @@
   CutBoxes, ///< Boxes reach no server, and everybody else.
   // Drawn by addBrittleness() alone.
   BrittleService, ///< All servers of a service say that they are brittle.
-  PauseServer     ///< A sound server is silent and goes on.
+  PauseServer,    ///< A sound server is silent and goes on.
+  // Drawn by makeReturnPlan() alone.
+  LoseBoxes ///< All boxes are lost at once and come back.
 };
 
 const char *toString(SoakFault Of);
@@ -82,6 +84,8 @@
 
 struct SoakPlan {
   int m_Boxes = 0;
+  int m_Strong = 0; ///< Boxes from the first on with much more capacity.
+  int m_DataCentres = 2;
   int m_Plain = 0;   ///< Servers of the plain service.
   int m_Engines = 0; ///< Engines with models.
   int m_Callers = 0;
@@ -102,6 +106,11 @@
 SoakPlan makeConfigPlan(std::uint64_t Seed, Duration Length,
                         Duration Again = 0us);
 
+/// All boxes of a larger fleet are lost at once and come back, while servers
+/// start again, the store is away or configurations come. The end leaves time
+/// to judge what is served then.
+SoakPlan makeReturnPlan(std::uint64_t Seed, Duration Length);
+
 /// Adds servers that say something of themselves in their answers to \p Plan,
 /// beside its other faults.
 void addWords(SoakPlan &Plan, std::uint64_t Seed, Duration Length);
--- a/tests/soak/SoakScheduleTest.cpp
+++ b/tests/soak/SoakScheduleTest.cpp
@@ -1,4 +1,5 @@
 #include "soak/SoakSchedule.h"
+#include "soak/SoakBounds.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -25,6 +26,30 @@
                    SoakFault::SilenceAllLinks, SoakFault::TurnAwayBoxes});
 }
 
+TEST_CASE("A plan of returns loses all boxes and leaves time to judge them",
+          "[soak][schedule]") {
+  std::set<SoakFault> Kinds;
+  for (std::uint64_t Seed = 1; Seed <= 60; ++Seed) {
+    const SoakPlan Plan = makeReturnPlan(Seed, 40s);
+    REQUIRE(Plan == makeReturnPlan(Seed, 40s));
+    // More boxes than link to each other in a full mesh.
+    REQUIRE(Plan.m_Boxes > 16);
+    REQUIRE(Plan.m_Strong > 0);
+    Duration Last = 0us;
+    for (const ScheduledFault &Each : Plan.m_Faults) {
+      Kinds.insert(Each.m_Kind);
+      if (Each.m_Kind == SoakFault::LoseBoxes)
+        Last = Each.m_At + Each.m_For;
+    }
+    REQUIRE(Last > 0us);
+    REQUIRE(Last + SoakBounds().m_Recovery < 40s);
+  }
+  REQUIRE(Kinds == std::set{SoakFault::LoseBoxes, SoakFault::Configure,
+                            SoakFault::RestartEngine,
+                            SoakFault::RestartColdEngine, SoakFault::DownStore,
+                            SoakFault::SlowStore, SoakFault::ForgetHistory});
+}
+
 TEST_CASE("Words of servers come beside the other faults of a plan",
           "[soak][schedule]") {
   SoakPlan Plan = makePlan(7, 600s);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -42,6 +42,8 @@
                     moment.
   --versions        Besides, servers have several software versions, and callers
                     take up streams that broke off.
+  --returns         A larger fleet, of which all boxes are lost at once and come
+                    back, in place of the seed's usual plan; 40 s and more.
   --config          Harm the ways on which boxes learn of configurations, in
                     place of the seed's usual plan.
   --again MS        With --config: each harm once more after MS [default: 0].
@@ -54,7 +56,8 @@
   --plan            Show the plan and end.
   --mutate NAME     Harm the soak's own parts: double-unsafe, spoil-answer,
                     withhold-config, withhold-leaving, silence-words,
-                    hide-era, or, with --endings, claim-whole.
+                    hide-era; claim-whole, with --endings; and
+                    refuse-after-loss, with --returns.
   --untimed         Tell broken bounds in time, but end with 0 all the same.
 
 Ends with 0 when all promises were kept, 1 when one was broken, 2 when the soak
@@ -78,7 +81,8 @@
       {"withhold-leaving", Mutation::WithholdLeaving},
       {"silence-words", Mutation::SilenceWords},
       {"hide-era", Mutation::HideEra},
-      {"claim-whole", Mutation::ClaimWhole}};
+      {"claim-whole", Mutation::ClaimWhole},
+      {"refuse-after-loss", Mutation::RefuseAfterLoss}};
   if (const auto Found = Known.find(Name); Found != Known.end())
     return Found->second;
   throw std::runtime_error("no mutation is called " + Name);
@@ -113,6 +117,22 @@
   return EventLoop::wallMillis() - (EventLoop::now() - Then) / 1ms;
 }
 
+/// What was served second by second after each loss of all boxes.
+void showReturns(const SoakRun &Run) {
+  for (const ReturnOracle::Report &Each : Run.oracle().returns().reports()) {
+    std::cout << "all boxes back after "
+              << (Each.m_BackAt - Run.started()) / 1ms << " ms; ";
+    if (Each.m_FirstServed)
+      std::cout << "first answer " << *Each.m_FirstServed / 1ms
+                << " ms later; served in each second:";
+    else
+      std::cout << "nothing was served; sent in each second:";
+    for (const auto &[Second, Count] : Each.m_BySecond)
+      std::cout << " " << Count.first << "/" << Count.second;
+    std::cout << "\n";
+  }
+}
+
 int report(const SoakRun &Run, bool Played, const ReportOptions &Opts) {
   const SoakCallers::Counts &Counts = Run.counts();
   std::cout << "sent " << Counts.m_Sent << ", served " << Counts.m_Served
@@ -122,6 +142,7 @@
             << wallMillis(Run.started()) << "\n";
   if (const int Ended = Run.oracle().crashes().engines(); Ended > 0)
     std::cout << Ended << " engines ended under requests\n";
+  showReturns(Run);
   const VersionOracle::Counts &Streams = Run.oracle().versions().counts();
   if (Streams.m_Asked > 0)
     std::cout << Streams.m_Asked << " streams asked for, " << Streams.m_Begun
@@ -182,6 +203,7 @@
   Opts.m_Partitions = Flags["--partitions"].asBool();
   Opts.m_Brittle = Flags["--brittle"].asBool();
   Opts.m_Versions = Flags["--versions"].asBool();
+  Opts.m_Returns = Flags["--returns"].asBool();
   Opts.m_ConfigPlan = Flags["--config"].asBool();
   Opts.m_Again = std::chrono::milliseconds(Flags["--again"].asLong());
   Opts.m_MoreRoutes = static_cast<int>(Flags["--routes"].asLong());
