--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -312,11 +312,14 @@
   for (const auto &[Name, Each] : Leaves) {
     const DataCentreName At = m_Deps.m_Fleet.dataCentreOf(Name);
     auto Update = Updates.find(At);
-    if (Update == Updates.end())
+    if (Update == Updates.end()) {
       Update =
           Updates
               .emplace(At, m_LeafSubsets.takeUpdate(At, List, Subset, Now, All))
               .first;
+      if (Update->second)
+        logSentList(At, "leaves");
+    }
     if (Update->second && m_Lists.mayFollow(Name))
       m_Deps.m_Fleet.send(Name, *Update->second);
   }
@@ -328,9 +331,23 @@
     return;
   // Later updates continue from the same state for all leaves.
   sendListUpdates(true);
-  m_Deps.m_Fleet.send(
-      To, m_LeafSubsets.snapshot(m_Deps.m_Fleet.dataCentreOf(To), List,
-                                 m_Deps.m_Registry.subset(), EventLoop::now()));
+  const DataCentreName At = m_Deps.m_Fleet.dataCentreOf(To);
+  m_Deps.m_Fleet.send(To, m_LeafSubsets.snapshot(At, List,
+                                                 m_Deps.m_Registry.subset(),
+                                                 EventLoop::now()));
+  logSentList(At, To.str());
+}
+
+void FleetExchange::logSentList(const DataCentreName &DataCentre,
+                                std::string_view To) const {
+  m_Deps.m_Log.write("list_sent",
+                     {{"to", To},
+                      {"data_centre", DataCentre.str()},
+                      {"keys", m_LeafSubsets.sentKeys(DataCentre)},
+                      {"listed", m_Deps.m_Upstreams.items().size()},
+                      {"revision", m_Deps.m_Upstreams.revision().m_Number},
+                      {"relay", m_Deps.m_Fleet.topology().relay()},
+                      {"leaves", m_Leaves.size()}});
 }
 
 // Routing.
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace havenstair {
@@ -94,6 +95,7 @@
   void sendKeysToLeaves(const FleetKeysFrame &Frame);
   void sendListUpdates(bool All);
   void sendListSnapshot(const BoxName &To);
+  void logSentList(const DataCentreName &DataCentre, std::string_view To) const;
   bool readsForOthers(const WatchCache &Cache) const;
   void dropSilentLeaves(TimePoint Now);
   bool strongerUplinkLinked() const;
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -86,8 +86,8 @@
                      return StoreCallLog::Role{m_Fleet.topology().relay(),
                                                m_Leader.leading()};
                    }),
-      m_Random(std::random_device()()), m_UpstreamHttp(Loop), m_StoreHttp(Loop),
-      m_Eras(eraHooks()),
+      m_Startup(m_Log, m_StartedAt), m_Random(std::random_device()()),
+      m_UpstreamHttp(Loop), m_StoreHttp(Loop), m_Eras(eraHooks()),
       m_Store(std::make_unique<MeteredStore>(
           m_Binding.m_MakeStore(m_StoreHttp, m_Options.m_Store, m_Eras),
           MeteredStore::Hooks{
@@ -121,11 +121,7 @@
           {.m_Missing =
                [this](const ModelKey &Key) { m_Exchange.reportMissing(Key); },
            .m_Ended =
-               [this](const RequestResult &Result) {
-                 m_Metrics.recordRequest(Result);
-                 if (!m_State.m_Upstreams.evacuations().m_DataCentres.empty())
-                   m_Metrics.recordRequestInEvacuation(Result.m_Outcome);
-               },
+               [this](const RequestResult &Result) { onRequestEnded(Result); },
            .m_SendEnded =
                [this](std::string_view Outcome) {
                  m_Metrics.recordSend(Outcome);
@@ -208,7 +204,12 @@
           {.m_Lists = {.m_DrainTimeout = m_Options.m_Bounds.m_DrainTimeout,
                        .m_FirstStart = m_Options.m_FirstStart},
            .m_Random = [this] { return drawUnit(m_Random); }},
-          {.m_ContentsChanged = [this] { m_Forwarder.upstreamsChanged(); },
+          {.m_ContentsChanged =
+               [this] {
+                 noteStartup(StartupStep::Contents,
+                             m_Leader.leader().m_Box.str());
+                 m_Forwarder.upstreamsChanged();
+               },
            .m_DropConnections =
                [this] { m_StoreHttp.forget(m_Options.m_Store); },
            .m_OfferConfig =
@@ -379,8 +380,24 @@
       .m_IsWriter = [this] { return m_Leader.leading(); }};
 }
 
+void Gateway::noteStartup(StartupStep Step, std::string_view From) {
+  const TimePoint Now = EventLoop::now();
+  m_Startup.reached(Step, From, Now);
+  if (m_State.ready())
+    m_Startup.reached(StartupStep::Ready, "", Now);
+}
+
+void Gateway::onRequestEnded(const RequestResult &Result) {
+  if (Result.m_Outcome == "ok")
+    noteStartup(StartupStep::FirstAnswer, "");
+  m_Metrics.recordRequest(Result);
+  if (!m_State.m_Upstreams.evacuations().m_DataCentres.empty())
+    m_Metrics.recordRequestInEvacuation(Result.m_Outcome);
+}
+
 void Gateway::ownKeysChanged() {
   const TimePoint Now = EventLoop::now();
+  noteStartup(StartupStep::Boxes, toString(m_OwnKeysCache.source()));
   const StoreRevision &At = m_OwnKeysCache.revision();
   m_Fleet.entriesChanged(m_OwnKeysCache.items(), At, Now);
   if (const auto Until = m_Fleet.entriesKeptUntil())
@@ -507,6 +524,8 @@
   Now.m_LimitedUpstreams = Number(m_State.m_Signals.limits().size());
   Now.m_RefusalLimitedUpstreams =
       Number(m_State.m_Signals.refusalLimits().size());
+  for (const auto &[Step, After] : m_Startup.reachedAfter())
+    Now.m_Startup[toString(Step)] = inSeconds(After);
   Now.m_Cold = m_State.m_WarmUp.coldByDataCentre(EventLoop::now());
   m_Metrics.set(Now);
   Exchange->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
@@ -679,6 +698,8 @@
 }
 
 void Gateway::onConfigTaken() {
+  if (m_State.m_Config)
+    noteStartup(StartupStep::Config, toString(m_ConfigCache.source()));
   m_Permits->refreshRole();
   m_Forwarder.upstreamsChanged();
   m_Forwarder.releaseStartupQueue();
@@ -715,6 +736,7 @@
     shareLeaving();
   const std::vector<UpstreamInstance> Gone =
       m_State.m_Upstreams.update(readUpstreams(), EventLoop::now());
+  noteStartup(StartupStep::Upstreams, toString(m_UpstreamCache.source()));
   reconcileLater();
   Json Names = Json::array();
   for (const UpstreamInstance &Each : Gone) {
@@ -760,6 +782,7 @@
     Asked.m_DataCentres.emplace(
         Key.substr(m_Binding.m_EvacuationPrefix.size()));
   applyEvacuations(std::move(Asked));
+  noteStartup(StartupStep::Evacuations, toString(m_EvacuationCache.source()));
   m_Exchange.evacuationsChanged();
   const TimePoint Now = EventLoop::now();
   if (const auto Until = m_State.m_Upstreams.evacuationsKeptUntil())
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -17,6 +17,7 @@
 #include "gateway/process/QuotaExchange.h"
 #include "gateway/process/ReachMonitor.h"
 #include "gateway/process/ServingState.h"
+#include "gateway/process/StartupLog.h"
 #include "gateway/process/StoreCallLog.h"
 #include "gateway/process/StreamOriginExchange.h"
 #include "gateway/process/UpstreamRegistry.h"
@@ -86,6 +87,8 @@
   void startServers();
   PassExchange::Hooks passHooks();
   void reachChanged();
+  void noteStartup(StartupStep Step, std::string_view From);
+  void onRequestEnded(const RequestResult &Result);
   void ownKeysChanged();
   void resync();
   void configChanged();
@@ -124,7 +127,9 @@
   std::function<void()> m_Stopped;
   DecisionLog m_Log;
   GatewayMetrics m_Metrics;
+  TimePoint m_StartedAt = EventLoop::now();
   StoreCallLog m_StoreCalls;
+  StartupLog m_Startup;
   mutable std::mt19937_64 m_Random;
   HttpClient m_UpstreamHttp;
   HttpClient m_StoreHttp;
@@ -161,7 +166,6 @@
   Timer m_OwnKeysTimer;
   Timer m_ReachTimer;
   Timer m_StopTimer;
-  TimePoint m_StartedAt = EventLoop::now();
   TimePoint m_StopAt{};
   TimePoint m_LeaveAt{};
   TimePoint m_BusyAt{}; ///< When a request was last open.
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -108,6 +108,11 @@
           .Name("havenstair_linked_boxes")
           .Help("Linked boxes by the protocol that they understand")
           .Register(m_Registry);
+  prometheus::Family<prometheus::Gauge> &m_Startup =
+      prometheus::BuildGauge()
+          .Name("havenstair_startup_seconds")
+          .Help("Time from the start to each step on the way to serving")
+          .Register(m_Registry);
   prometheus::Family<prometheus::Gauge> &m_PeerFrames =
       prometheus::BuildGauge()
           .Name("havenstair_peer_frames_sent")
@@ -255,6 +260,8 @@
   m_Families->state("partitioned", Gauges.m_Partitioned);
   m_Families->state("streams_known", Gauges.m_StreamsKnown);
   m_Families->state("frames_skipped", Gauges.m_FramesSkipped);
+  for (const auto &[Step, After] : Gauges.m_Startup)
+    m_Families->m_Startup.Add({{"step", std::string(Step)}}).Set(After);
   for (const auto &[Kind, Frames] : Gauges.m_PeerFrames)
     m_Families->m_PeerFrames.Add({{"kind", std::string(Kind)}}).Set(Frames);
   for (const auto &[Kind, Bytes] : Gauges.m_PeerBytes)
--- a/packages/gateway/process/GatewayMetrics.h
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -44,6 +44,8 @@
   double m_StreamsKnown = 0;  ///< Streams whose origin is remembered.
   std::map<int, int> m_Protocols;       ///< Linked boxes by protocol version.
   std::map<DataCentreName, int> m_Cold; ///< Cold upstreams by data centre.
+  /// Seconds from the start to each step that was reached.
+  std::map<std::string_view, double> m_Startup;
   std::map<std::string_view, double> m_PeerFrames; ///< Frames sent, by kind.
   std::map<std::string_view, double> m_PeerBytes;  ///< Bytes sent, by kind.
 };
--- a/packages/gateway/process/LeafSubsets.cpp
+++ b/packages/gateway/process/LeafSubsets.cpp
@@ -95,6 +95,11 @@
   return *State.m_Snapshot;
 }
 
+std::size_t LeafSubsets::sentKeys(const DataCentreName &DataCentre) const {
+  const auto Entry = m_Lists.find(DataCentre);
+  return Entry == m_Lists.end() ? 0 : Entry->second.m_Keys.size();
+}
+
 std::optional<StoreRevision>
 LeafSubsets::sentRevision(const DataCentreName &DataCentre) const {
   const auto Entry = m_Lists.find(DataCentre);
--- a/packages/gateway/process/LeafSubsets.h
+++ b/packages/gateway/process/LeafSubsets.h
@@ -37,6 +37,8 @@
   /// none when nothing was sent.
   std::optional<StoreRevision>
   sentRevision(const DataCentreName &DataCentre) const;
+  /// Number of keys that the leaves of \p DataCentre were sent.
+  std::size_t sentKeys(const DataCentreName &DataCentre) const;
   /// Forgets what was sent, when no leaves are left.
   void clear() { m_Lists.clear(); }
 
--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -323,12 +323,16 @@
   }
   if (Cache == &m_Deps.m_Config)
     offerConfig(Frame);
-  if (Frame.m_Since.none())
+  // Most differences only add changed keys.
+  if (Frame.m_Since.none() || !Frame.m_Gone.empty())
     m_Deps.m_Log.write("keys_from_peer",
                        {{"peer", From.str()},
                         {"prefix", Frame.m_Prefix},
                         {"revision", Frame.m_Revision.m_Number},
                         {"era", Frame.m_Revision.m_Era},
+                        {"since", Frame.m_Since.m_Number},
+                        {"part", Frame.m_Part},
+                        {"gone", Frame.m_Gone.size()},
                         {"keys", Frame.m_Items.size()}});
 }
 
