--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -323,8 +323,7 @@
   }
   if (Cache == &m_Deps.m_Config)
     offerConfig(Frame);
-  // Most differences only add changed keys.
-  if (Frame.m_Since.none() || !Frame.m_Gone.empty())
+  if (Frame.m_Since.none() || !Frame.m_Gone.empty() || !Frame.m_Items.empty())
     m_Deps.m_Log.write("keys_from_peer",
                        {{"peer", From.str()},
                         {"prefix", Frame.m_Prefix},
