--- a/tests/gateway/LargeFleetTest.cpp
+++ b/tests/gateway/LargeFleetTest.cpp
@@ -96,6 +96,17 @@
     return m_Boxes.back()->state().m_Upstreams.list().m_Instances.size();
   }
 
+  /// Whether requests may be sent to "i-1" from the box \p Number.
+  bool knowsRunner(std::size_t Number) const {
+    return m_Boxes[Number]->state().m_Upstreams.current().contains("i-1");
+  }
+
+  /// Ends a box and starts it again.
+  void restart(std::size_t Number) {
+    m_Boxes[Number].reset();
+    m_Boxes[Number] = startBox(Number);
+  }
+
   std::vector<std::unique_ptr<Gateway>> m_Boxes;
 
 private:
@@ -219,6 +230,70 @@
   }));
 }
 
+TEST_CASE(
+    "A box that starts behind a relay that was a leaf knows the upstreams",
+    "[gateway][fleet][recover][known-red]") {
+  LargeFleetTest Test;
+  constexpr std::size_t FirstNext = LargeFleetTest::Strong;
+  constexpr std::size_t EndNext = 2 * LargeFleetTest::Strong;
+  REQUIRE(Test.until([&] { return Test.watching() == 1; }));
+  // With a change each leaf gets its part, which here is the whole list.
+  Test.addRunner("i-2", [](const Request &, const ConnectionPtr &) {});
+  REQUIRE(Test.until([&] {
+    return std::all_of(
+        Test.m_Boxes.begin(), Test.m_Boxes.end(), [](const auto &Box) {
+          return Box->state().m_Upstreams.current().contains("i-2");
+        });
+  }));
+  for (std::size_t Number = 0; Number < LargeFleetTest::Strong; ++Number)
+    Test.m_Boxes[Number].reset();
+  REQUIRE(Test.until([&] {
+    return std::any_of(Test.m_Boxes.begin() + FirstNext,
+                       Test.m_Boxes.begin() + EndNext,
+                       [](const auto &Box) { return Box->leading(); }) &&
+           Test.watching() == 1;
+  }));
+  for (std::size_t Number = EndNext; Number < LargeFleetTest::Boxes; ++Number) {
+    Test.restart(Number);
+    REQUIRE(Test.until([&] { return Test.knowsRunner(Number); }));
+    REQUIRE(Test.m_Boxes[Number]->state().ready());
+  }
+}
+
+TEST_CASE("A box that is no relay any more sends no lists to former leaves",
+          "[gateway][fleet][recover][known-red]") {
+  LargeFleetTest Test;
+  const auto Leaves = [&](std::size_t Number) {
+    return Test.m_Boxes[Number]->leaves();
+  };
+  for (std::size_t Number = 0; Number < LargeFleetTest::Strong; ++Number)
+    Test.m_Boxes[Number].reset();
+  constexpr std::size_t FirstNext = LargeFleetTest::Strong;
+  constexpr std::size_t EndNext = 2 * LargeFleetTest::Strong;
+  const auto LeavesOfNext = [&] {
+    std::size_t Sum = 0;
+    for (std::size_t Number = FirstNext; Number < EndNext; ++Number)
+      Sum += Leaves(Number);
+    return Sum;
+  };
+  constexpr std::size_t Weak = LargeFleetTest::Boxes - EndNext;
+  REQUIRE(Test.until([&] { return LeavesOfNext() == Weak; }));
+  for (std::size_t Number = 0; Number < LargeFleetTest::Strong; ++Number)
+    Test.restart(Number);
+  REQUIRE(Test.until([&] {
+    std::size_t Sum = 0;
+    for (std::size_t Number = 0; Number < LargeFleetTest::Strong; ++Number)
+      Sum += Leaves(Number);
+    return Sum >= Weak;
+  }));
+  // A leader stays a relay.
+  REQUIRE(Test.until([&] {
+    return std::all_of(
+        Test.m_Boxes.begin() + FirstNext, Test.m_Boxes.begin() + EndNext,
+        [](const auto &Box) { return Box->leading() || Box->leaves() == 0; });
+  }));
+}
+
 TEST_CASE("What leaves keep and are sent does not grow with the list",
           "[gateway][fleet][known-red]") {
   const auto Measure = [](int Engines) {
--- a/tests/gateway/WatchCacheTest.cpp
+++ b/tests/gateway/WatchCacheTest.cpp
@@ -210,6 +210,59 @@
   }
 }
 
+TEST_CASE("A part that turns out to be the whole list is a change, or a relay "
+          "sends its leaves an empty list",
+          "[gateway][mirror][recover][known-red]") {
+  EventLoop Loop;
+  ManualStore Store;
+  int Changes = 0;
+  bool PartAtChange = true;
+  WatchCache *Changed = nullptr;
+  WatchCache Cache(Loop, Store, {.m_Prefix = "p"}, {.m_Changed = [&] {
+                     ++Changes;
+                     PartAtChange = Changed->partial();
+                   }});
+  Changed = &Cache;
+  const StoreItem Only{.m_Key = "p/a", .m_Value = "1"};
+  REQUIRE(Cache.adopt({.m_Since = {},
+                       .m_Revision = revision(5),
+                       .m_Part = true,
+                       .m_Items = {Only},
+                       .m_Gone = {}}));
+  REQUIRE(Changes == 1);
+  Cache.readOnce(ReadKind::Current);
+  Store.m_Reads.back()(
+      {.m_Status = StoreStatus::Ok, .m_Items = {Only}, .m_At = revision(5)});
+  REQUIRE(Changes == 2);
+  REQUIRE_FALSE(PartAtChange);
+}
+
+TEST_CASE("A list that a box reads itself is not mixed with a leaf's part, or "
+          "what both lack stays lost",
+          "[gateway][mirror][recover][known-red]") {
+  EventLoop Loop;
+  ManualStore Store;
+  WatchCache Cache(Loop, Store, {.m_Prefix = "p"}, {.m_Changed = [] {}});
+  Cache.start();
+  Store.m_Reads.back()({.m_Status = StoreStatus::Ok,
+                        .m_Items = {{.m_Key = "p/a", .m_Value = "1"}},
+                        .m_At = revision(5)});
+  REQUIRE(Cache.adopt({.m_Since = {},
+                       .m_Revision = revision(6),
+                       .m_Part = true,
+                       .m_Items = {},
+                       .m_Gone = {}}));
+  const auto Watch = std::exchange(Store.m_Watch, {});
+  Watch({.m_Status = StoreStatus::Ok,
+         .m_Changes = {{.m_Key = "p/b",
+                        .m_Value = "1",
+                        .m_Revision = revision(7)}},
+         .m_At = revision(7)});
+  REQUIRE(Cache.items().contains("p/a"));
+  REQUIRE(Cache.items().contains("p/b"));
+  REQUIRE_FALSE(Cache.partial());
+}
+
 TEST_CASE("A copy follows the store into a new era, and never back",
           "[gateway][mirror][store-restore]") {
   EventLoop Loop;
