Leaves compare what they have of the list with what their relay sent

Digests to a leaf carry a fingerprint, the sum of stable hashes of the keys and revisions that it was sent. A leaf that differs as of the same revision asks for the whole part, and a whole copy of the same revision replaces one that holds something else, unless the box reads the list itself. So whatever the cause, a difference ends within a digest or two.

--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -184,8 +184,10 @@
       continue;
     // Changes of the list that may wait have not been sent, so leaves are shown
     // the revision that they were sent.
-    Frame.m_List = m_LeafSubsets.sentRevision(m_Deps.m_Fleet.dataCentreOf(Name))
-                       .value_or(m_Deps.m_Upstreams.revision());
+    const DataCentreName At = m_Deps.m_Fleet.dataCentreOf(Name);
+    Frame.m_List =
+        m_LeafSubsets.sentRevision(At).value_or(m_Deps.m_Upstreams.revision());
+    Frame.m_ListFingerprint = m_LeafSubsets.sentFingerprint(At);
     Frame.m_LoadsApart = m_Deps.m_Fleet.understands(Name, PackingProtocol);
     Frame.m_Loads.clear();
     if (!Frame.m_LoadsApart)
--- a/packages/gateway/process/LeafSubsets.cpp
+++ b/packages/gateway/process/LeafSubsets.cpp
@@ -1,5 +1,6 @@
 #include "gateway/process/LeafSubsets.h"
 
+#include "gateway/process/ListFingerprint.h"
 #include "gateway/process/ListFrames.h"
 #include <algorithm>
 #include <utility>
@@ -45,7 +46,9 @@
                            .m_Part = true,
                            .m_Items = {},
                            .m_Gone = {}};
+  ListFingerprint Fingerprint;
   for (const auto &[Name, Each] : Now) {
+    Fingerprint.add(Name, Each.m_Revision);
     const auto Sent = State.m_Keys.find(Name);
     if (Sent == State.m_Keys.end() ||
         Sent->second.m_Revision != Each.m_Revision)
@@ -57,6 +60,7 @@
   State = {.m_Revision = List.revision(),
            .m_SentAt = When,
            .m_Keys = std::move(Now),
+           .m_Fingerprint = Fingerprint.value(),
            .m_Snapshot = std::nullopt};
   return EncodedFrame(keysFrame(List, Update));
 }
@@ -95,6 +99,12 @@
   return *State.m_Snapshot;
 }
 
+std::uint64_t
+LeafSubsets::sentFingerprint(const DataCentreName &DataCentre) const {
+  const auto Entry = m_Lists.find(DataCentre);
+  return Entry == m_Lists.end() ? 0 : Entry->second.m_Fingerprint;
+}
+
 std::size_t LeafSubsets::sentKeys(const DataCentreName &DataCentre) const {
   const auto Entry = m_Lists.find(DataCentre);
   return Entry == m_Lists.end() ? 0 : Entry->second.m_Keys.size();
--- a/packages/gateway/process/LeafSubsets.h
+++ b/packages/gateway/process/LeafSubsets.h
@@ -37,6 +37,9 @@
   /// none when nothing was sent.
   std::optional<StoreRevision>
   sentRevision(const DataCentreName &DataCentre) const;
+  /// Fingerprint of what the leaves of \p DataCentre were sent; 0 when nothing
+  /// was sent.
+  std::uint64_t sentFingerprint(const DataCentreName &DataCentre) const;
   /// Number of keys that the leaves of \p DataCentre were sent.
   std::size_t sentKeys(const DataCentreName &DataCentre) const;
   /// Forgets what was sent, when no leaves are left.
@@ -53,6 +56,7 @@
     StoreRevision m_Revision;
     TimePoint m_SentAt{};
     Keys m_Keys;
+    std::uint64_t m_Fingerprint = 0; ///< Of m_Keys.
     /// The whole subset as of m_Revision; empty before it is requested.
     std::optional<EncodedFrame> m_Snapshot;
   };
--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -276,6 +276,15 @@
   // the leader.
   if (From != m_Hooks.m_NextHopToLeader() && !Frame.m_Reads)
     return;
+  if (differs(From, Frame)) {
+    m_Deps.m_Log.write("list_differs",
+                       {{"peer", From.str()},
+                        {"revision", Frame.m_List.m_Number},
+                        {"keys", m_Deps.m_Upstreams.items().size()}});
+    FleetWantFrame Wanted = m_Copies.makeWantFrame();
+    Wanted.m_List = {};
+    return m_Deps.m_Fleet.send(From, Wanted);
+  }
   // The age counts from when the digest was sent.
   const Duration Age = Frame.m_ListAge + ExcessDelay;
   if (!mayConfirm(Frame, Age)) {
@@ -301,6 +310,17 @@
   m_Deps.m_Fleet.send(From, Wanted);
 }
 
+/// Whether this box, a leaf, has another part of the list than its uplink, the
+/// sender of \p Frame, has sent it as of the same revision.
+bool ListFollower::differs(const BoxName &From,
+                           const FleetDigestFrame &Frame) const {
+  const WatchCache &List = m_Deps.m_Upstreams;
+  return From == m_Hooks.m_NextHopToLeader() &&
+         !m_Deps.m_Fleet.topology().relay() && List.partial() &&
+         Frame.m_ListFingerprint != 0 && Frame.m_List == List.revision() &&
+         Frame.m_ListFingerprint != List.fingerprint();
+}
+
 /// Whether the sender of \p Frame, whose lists are \p Age old, can confirm this
 /// box's copies. One that cannot reach the store, whose watch is dead or that
 /// does not follow the evacuations cannot.
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -135,6 +135,7 @@
   TimePoint confirmedAtOf(const WatchCache &Cache) const;
   Duration maxListAge() const;
   BoxName listSource(TimePoint Now) const;
+  bool differs(const BoxName &From, const FleetDigestFrame &Frame) const;
   bool mayConfirm(const FleetDigestFrame &Frame, Duration Age) const;
   bool confirms(const BoxName &Box, TimePoint Now) const;
   void offerConfig(const FleetKeysFrame &Frame) const;
--- a/packages/gateway/process/WatchCache.cpp
+++ b/packages/gateway/process/WatchCache.cpp
@@ -1,5 +1,6 @@
 #include "gateway/process/WatchCache.h"
 
+#include "gateway/process/ListFingerprint.h"
 #include <algorithm>
 #include <utility>
 
@@ -205,12 +206,31 @@
   return m_Running && m_LastCallSucceeded && !m_Part;
 }
 
+bool WatchCache::holdsJust(const std::vector<StoreItem> &Items) const {
+  return Items.size() == m_Items.size() &&
+         std::all_of(Items.begin(), Items.end(), [&](const StoreItem &Each) {
+           const auto Found = m_Items.find(Each.m_Key);
+           return Found != m_Items.end() && Found->second == Each;
+         });
+}
+
+std::uint64_t WatchCache::fingerprint() const {
+  ListFingerprint Result;
+  for (const auto &[Key, Item] : m_Items)
+    Result.add(Key, Item.m_Revision);
+  return Result.value();
+}
+
 bool WatchCache::adopt(const Delta &Update) {
   if (Update.m_Part && readsWhole())
     return true;
   const bool KindDiffers = Update.m_Part != m_Part;
   const bool Whole = Update.m_Since.none();
-  const bool Replaces = Whole && KindDiffers && Update.m_Revision >= m_Revision;
+  // A copy of the same revision differs where one of the two was made of
+  // messages that do not belong together.
+  const bool Replaces =
+      Whole && Update.m_Revision >= m_Revision &&
+      (KindDiffers || (!readsWhole() && !holdsJust(Update.m_Items)));
   if (Update.m_Revision <= m_Revision && !Replaces)
     return true;
   const bool Follows = !KindDiffers && Update.m_Since <= m_Revision &&
--- a/packages/gateway/process/WatchCache.h
+++ b/packages/gateway/process/WatchCache.h
@@ -136,6 +136,8 @@
   /// Revision of the newest change in the copy, or of the last read of the
   /// prefix; none before the first.
   StoreRevision revision() const { return m_Revision; }
+  /// Fingerprint of the copied keys.
+  std::uint64_t fingerprint() const;
   /// Counts the changes of the copy, also those that leave its revision.
   std::uint64_t changes() const { return m_Changes; }
   /// Where the newest change came from.
@@ -143,6 +145,7 @@
 
 private:
   bool readsWhole() const;
+  bool holdsJust(const std::vector<StoreItem> &Items) const;
   void read();
   void read(ReadKind Kind);
   void onReadFailed(ReadOutcome End);
--- a/packages/wire/connection/FleetFrames.cpp
+++ b/packages/wire/connection/FleetFrames.cpp
@@ -110,6 +110,8 @@
   putEra(Result, "list_era", Frame.m_List);
   putEra(Result, "boxes_era", Frame.m_Boxes);
   putEra(Result, "evacuations_era", Frame.m_Evacuations);
+  if (Frame.m_ListFingerprint != 0)
+    Result["list_print"] = Frame.m_ListFingerprint;
   if (Frame.m_ConfigKnown > Frame.m_Config)
     Result["config_known"] = Frame.m_ConfigKnown;
   if (!Frame.m_Evacuations.none())
@@ -148,6 +150,7 @@
       fieldOr<std::uint64_t>(From, "config_known", Frame.m_Config);
   Frame.m_Era = fieldOr<StoreEra>(From, "era", FirstEra);
   Frame.m_List = revisionField(From, "list", "list_era");
+  Frame.m_ListFingerprint = fieldOr<std::uint64_t>(From, "list_print", 0);
   Frame.m_Boxes = revisionField(From, "boxes", "boxes_era");
   Frame.m_Evacuations = revisionFrom(
       From, "evacuations_era", fieldOr<std::uint64_t>(From, "evacuations", 0));
--- a/packages/wire/connection/FleetFrames.h
+++ b/packages/wire/connection/FleetFrames.h
@@ -30,7 +30,10 @@
   std::uint64_t m_ConfigKnown = 0;
   /// The newest era of the store that it knows of.
   StoreEra m_Era = FirstEra;
-  StoreRevision m_List;        ///< Revision of its list of upstreams.
+  StoreRevision m_List; ///< Revision of its list of upstreams.
+  /// Fingerprint of what the receiver, a leaf, was sent of that list, as of
+  /// m_List; 0 when it is not told.
+  std::uint64_t m_ListFingerprint = 0;
   StoreRevision m_Boxes;       ///< Revision of its list of boxes.
   StoreRevision m_Evacuations; ///< Revision of its evacuations.
   bool m_Stopping = false;
