A box that is told that no upstream is left asks the store

A message that would leave no upstream is not merged: the box reads the list, which costs one small answer where it is true, at most once a second. While the store does not answer it goes on with what it knows.

--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -332,9 +332,30 @@
          Frame.m_List >= m_Deps.m_Upstreams.revision();
 }
 
+/// Whether \p Frame would leave this box without any upstream. A box that makes
+/// a mistake can say so, while the store has them all; to ask it costs little
+/// where it has none.
+bool ListFollower::takesAll(const WatchCache &Cache,
+                            const FleetKeysFrame &Frame) const {
+  return &Cache == &m_Deps.m_Upstreams && Frame.m_Items.empty() &&
+         !Cache.items().empty() && Frame.m_Revision > Cache.revision() &&
+         (Frame.m_Since.none() || Frame.m_Gone.size() >= Cache.items().size());
+}
+
+void ListFollower::rereadList() {
+  const TimePoint Now = EventLoop::now();
+  if (Now - m_ListReadAt < RereadInterval)
+    return;
+  m_ListReadAt = Now;
+  m_Deps.m_Upstreams.readOnce(ReadKind::Current);
+}
+
 void ListFollower::adopt(const BoxName &From, const FleetKeysFrame &Frame) {
   WatchCache *Cache = m_Copies.withPrefix(Frame.m_Prefix);
-  if (Cache != nullptr && !Cache->adopt(deltaIn(Frame))) {
+  const bool Doubted = Cache != nullptr && takesAll(*Cache, Frame);
+  if (Doubted)
+    rereadList();
+  else if (Cache != nullptr && !Cache->adopt(deltaIn(Frame))) {
     FleetWantFrame Wanted = m_Copies.makeWantFrame();
     // A partial and a whole copy cannot be merged, whatever their revisions.
     if (Cache == &m_Deps.m_Upstreams && Frame.m_Part != Cache->partial())
@@ -352,6 +373,7 @@
                         {"since", Frame.m_Since.m_Number},
                         {"part", Frame.m_Part},
                         {"gone", Frame.m_Gone.size()},
+                        {"doubted", Doubted},
                         {"keys", Frame.m_Items.size()}});
 }
 
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -135,6 +135,8 @@
   TimePoint confirmedAtOf(const WatchCache &Cache) const;
   Duration maxListAge() const;
   BoxName listSource(TimePoint Now) const;
+  void rereadList();
+  bool takesAll(const WatchCache &Cache, const FleetKeysFrame &Frame) const;
   bool differs(const BoxName &From, const FleetDigestFrame &Frame) const;
   bool mayConfirm(const FleetDigestFrame &Frame, Duration Age) const;
   bool confirms(const BoxName &Box, TimePoint Now) const;
--- a/tests/gateway/FalseRelayTest.cpp
+++ b/tests/gateway/FalseRelayTest.cpp
@@ -162,3 +162,22 @@
   Test.m_Relay.sendKeys(Test.wholePart());
   REQUIRE(Test.until([&] { return Test.knows("i-2"); }));
 }
+
+TEST_CASE("A leaf that is told that all upstreams are gone asks the store",
+          "[gateway][fleet][recover]") {
+  FalseRelayTest Test;
+  const std::size_t Reads = Test.m_Store.reads("servers/");
+  Test.m_Relay.m_OnAsked = [] {};
+  FleetKeysFrame Nothing = Test.wholePart();
+  Nothing.m_Items.clear();
+  Nothing.m_Revision.m_Number = 1001;
+  SECTION("by a whole copy") {}
+  SECTION("by a difference") {
+    Nothing.m_Since = Test.m_Relay.m_List;
+    Nothing.m_Gone = {"servers/i-1", "servers/i-2"};
+  }
+  Test.m_Relay.sendKeys(Nothing);
+  REQUIRE(Test.until([&] { return Test.m_Store.reads("servers/") > Reads; }));
+  REQUIRE(Test.knows("i-1"));
+  REQUIRE(Test.knows("i-2"));
+}
