Answers without an end are given up after few bytes, and in time

An answer that comes byte by byte never is silent, so that idle timeouts don't end calls that nobody cancels. And a stream kept an event that never ends up to 16 MB.

Now at most 8 interim answers, 4 KB of a line that tells a chunk's size, 64 KB of framing and 8 bytes for each byte of the body; collected calls have a total timeout, health checks their own; an event of more than 1 MB, which no caller could be sent, breaks its send off. Of the ten endless framings of the test none ends within 20 s without the change by reading only; it was not run.

--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -45,6 +45,10 @@
 /// it as one of the attempts that the route allows.
 constexpr int MaxPassedSends = 1;
 
+/// Longest event of a stream. A longer one would not fit into what waits for a
+/// caller either.
+constexpr std::size_t MaxEventBytes = 1 << 20;
+
 std::string_view framingName(AnswerFraming Framing) {
   switch (Framing) {
   case AnswerFraming::Length:
@@ -741,8 +745,12 @@
 void ProxiedRequest::onBytes(std::string_view Bytes) {
   if (m_Done || !m_Send)
     return;
-  if (streaming() && m_Send->m_Status == 200)
-    return passEvents(m_Stream.feed(Bytes));
+  if (streaming() && m_Send->m_Status == 200) {
+    passEvents(m_Stream.feed(Bytes));
+    if (!m_Done && m_Stream.rest().size() > MaxEventBytes)
+      settle(SendOutcome::Broken);
+    return;
+  }
   m_Send->m_Body.append(Bytes);
   if (m_Send->m_Body.size() > m_Owner.m_Opts.m_MaxAnswerBytes)
     settle(SendOutcome::Broken);
--- a/packages/gateway/request/UpstreamCall.cpp
+++ b/packages/gateway/request/UpstreamCall.cpp
@@ -24,6 +24,7 @@
                       : Service->m_HealthPath;
   Call.m_ConnectTimeout = Timeout;
   Call.m_IdleTimeout = Timeout;
+  Call.m_TotalTimeout = Timeout;
   return Call;
 }
 
--- a/packages/wire/common/HttpClient.cpp
+++ b/packages/wire/common/HttpClient.cpp
@@ -24,6 +24,20 @@
 
 constexpr std::size_t MaxHeaderBytes = 16 << 10;
 
+/// Most interim answers before the final one.
+constexpr int MaxInterimAnswers = 8;
+
+/// Most bytes of framing around a body: of each of its bytes, and besides.
+/// Chunks of a single byte have five.
+constexpr std::size_t MaxFramingPerByte = 8;
+constexpr std::size_t MaxFramingBytes = 64 << 10;
+
+/// Longest line that tells a chunk's size; evhttp sets no bound.
+constexpr std::size_t MaxChunkLine = 4 << 10;
+
+/// Idle timeouts within which a collected answer must be whole.
+constexpr int IdleTimeoutsPerCall = 3;
+
 constexpr const char *LengthField = "Content-Length";
 constexpr const char *CodingField = "Transfer-Encoding";
 
@@ -161,7 +175,12 @@
   std::weak_ptr<KeptConnections> m_Kept;
   HttpCall m_Call;
   evhttp_connection *m_Connection = nullptr;
+  evhttp_request *m_Request = nullptr; ///< Null when evhttp has ended it.
   Timer m_ConnectTimer;
+  Timer m_TotalTimer;
+  std::size_t m_Received = 0; ///< Bytes of this answer, framing included.
+  std::size_t m_Passed = 0;   ///< Bytes of its body that were passed on.
+  int m_InterimAnswers = 0;
   int m_Status = 0;
   HttpHeaders m_AnswerHeaders;
   AnswerFraming m_Framing = AnswerFraming::Length;
@@ -180,6 +199,8 @@
     bufferevent_setcb(evhttp_connection_get_bufferevent(Closing), nullptr,
                       nullptr, nullptr, nullptr);
     stopNotingWrites(Closing);
+    stopNotingReads(Closing);
+    m_Request = nullptr;
     const std::shared_ptr<evhttp_connection> Held(Closing,
                                                   evhttp_connection_free);
     m_Loop->defer([Self = shared_from_this(), Held] {});
@@ -191,6 +212,49 @@
       static_cast<State *>(Arg)->m_Written = true;
   }
 
+  /// evhttp reads an answer for as long as bytes come, so what is no answer
+  /// would be read, and partly kept, without end.
+  static void onInput(evbuffer *Input, const evbuffer_cb_info *Change,
+                      void *Arg) {
+    auto *Self = static_cast<State *>(Arg);
+    Self->m_Received += Change->n_added;
+    if (Change->n_added > 0 &&
+        Self->exceedsFraming(Change->orig_size, evbuffer_get_length(Input)))
+      Self->giveUpLater();
+  }
+
+  /// \p Waiting bytes were left when evhttp last read, and there are \p Now.
+  bool exceedsFraming(std::size_t Waiting, std::size_t Now) const {
+    if (m_Status == 0)
+      return m_Received - Now > MaxHeaderBytes * (MaxInterimAnswers + 1);
+    const bool AwaitsChunk = m_Framing == AnswerFraming::Chunks &&
+                             m_Request != nullptr && m_Request->ntoread < 0;
+    return (AwaitsChunk && Waiting > MaxChunkLine) ||
+           m_Received - Now > m_Passed * (MaxFramingPerByte + 1) +
+                                  MaxHeaderBytes * (MaxInterimAnswers + 1) +
+                                  MaxFramingBytes;
+  }
+
+  /// Not at once: evhttp is using the connection.
+  void giveUpLater() {
+    m_Loop->defer([Self = weak_from_this()] {
+      if (const auto Still = Self.lock())
+        Still->finish(HttpEnd::Broken);
+    });
+  }
+
+  void noteReads() {
+    evbuffer_add_cb(
+        bufferevent_get_input(evhttp_connection_get_bufferevent(m_Connection)),
+        onInput, this);
+  }
+
+  void stopNotingReads(evhttp_connection *Connection) {
+    evbuffer_remove_cb(
+        bufferevent_get_input(evhttp_connection_get_bufferevent(Connection)),
+        onInput, this);
+  }
+
   void noteWrites() {
     evbuffer_add_cb(
         bufferevent_get_output(evhttp_connection_get_bufferevent(m_Connection)),
@@ -213,6 +277,7 @@
       return;
     m_Done = true;
     m_ConnectTimer = Timer();
+    m_TotalTimer = Timer();
     if (End == HttpEnd::Complete && mayKeep())
       keep();
     closeLater();
@@ -239,19 +304,19 @@
       return;
     evhttp_connection *Connection = std::exchange(m_Connection, nullptr);
     stopNotingWrites(Connection);
+    stopNotingReads(Connection);
+    m_Request = nullptr;
     Kept->put(m_Call.m_To, Connection, EventLoop::now() + Rest);
   }
 
   void passBytes(evhttp_request *Request) {
     evbuffer *Input = evhttp_request_get_input_buffer(Request);
     const std::size_t Length = evbuffer_get_length(Input);
-    if (Length == 0 || m_Done || !m_Call.m_OnBytes)
-      return;
-    const auto *Bytes =
-        reinterpret_cast<const char *>(evbuffer_pullup(Input, -1));
-    const std::string Copy(Bytes, Length);
-    evbuffer_drain(Input, Length);
-    m_Call.m_OnBytes(Copy);
+    m_Passed += Length;
+    std::string Copy(Length, '\0');
+    evbuffer_remove(Input, Copy.data(), Length);
+    if (Length > 0 && !m_Done && m_Call.m_OnBytes)
+      m_Call.m_OnBytes(Copy);
   }
 
   /// \returns a negative value for an answer that cannot be read, which evhttp
@@ -266,7 +331,7 @@
     // would keep these fields for it.
     if (Status == ContinueStatus) {
       evhttp_clear_headers(Headers);
-      return 0;
+      return ++Self->m_InterimAnswers > MaxInterimAnswers ? -1 : 0;
     }
     Self->m_Status = Status;
     Self->m_AnswerHeaders = copyHeaders(Headers);
@@ -303,6 +368,7 @@
   /// request without a status when the connection could not be opened.
   static void onDone(evhttp_request *Request, void *Arg) {
     const auto Self = static_cast<State *>(Arg)->shared_from_this();
+    Self->m_Request = nullptr;
     if (Self->m_Done)
       return;
     if (Request == nullptr || Self->m_Failed)
@@ -330,6 +396,7 @@
     if (m_Connection == nullptr)
       return false;
     noteWrites();
+    noteReads();
     const Duration Idle = m_Call.m_IdleTimeout;
     const timeval Timeout{.tv_sec = Idle.count() / 1000000,
                           .tv_usec = Idle.count() % 1000000};
@@ -341,6 +408,16 @@
     return true;
   }
 
+  void limitWhole() {
+    if (m_Call.m_TotalTimeout <= 0us)
+      return;
+    m_TotalTimer =
+        m_Loop->after(m_Call.m_TotalTimeout, [Self = weak_from_this()] {
+          if (const auto Still = Self.lock())
+            Still->finish(Still->failure());
+        });
+  }
+
   void limitConnecting() {
     if (m_Call.m_ConnectTimeout <= 0us || connected(m_Connection))
       return;
@@ -371,6 +448,7 @@
                         std::to_string(m_Call.m_Body.size()).c_str());
     evbuffer_add(evhttp_request_get_output_buffer(Request),
                  m_Call.m_Body.data(), m_Call.m_Body.size());
+    m_Request = Request;
     const int Failed =
         evhttp_make_request(m_Connection, Request, toCommand(m_Call.m_Method),
                             m_Call.m_Target.c_str());
@@ -381,6 +459,7 @@
       return true;
     tuneSocket(m_Connection);
     limitConnecting();
+    limitWhole();
     return true;
   }
 };
@@ -431,6 +510,8 @@
 
 /// Lets \p Call collect its answer. \returns where it is collected.
 std::shared_ptr<HttpAnswer> collect(HttpCall &Call) {
+  if (Call.m_TotalTimeout <= 0us)
+    Call.m_TotalTimeout = IdleTimeoutsPerCall * Call.m_IdleTimeout;
   auto Answer = std::make_shared<HttpAnswer>();
   Call.m_OnHead = [Answer](int Status, const HttpHeaders &Headers) {
     Answer->m_Status = Status;
--- a/packages/wire/common/HttpClient.h
+++ b/packages/wire/common/HttpClient.h
@@ -88,6 +88,9 @@
   Duration m_ConnectTimeout = 0us;
   /// Longest silence of the other side before the call counts as broken.
   Duration m_IdleTimeout = 10s;
+  /// Longest time for the whole call; zero leaves it to the owner, who cancels
+  /// it. Silence alone does not end an answer that comes byte by byte.
+  Duration m_TotalTimeout = 0us;
   std::size_t m_MaxBody = 16 << 20;
 
   std::function<void(int Status, const HttpHeaders &)> m_OnHead;
@@ -138,7 +141,8 @@
   [[nodiscard]] HttpCallHandle start(HttpCall Call);
 
   /// Starts \p Call, collects its answer and hands it to \p Done. The call
-  /// runs on after this client's caller has forgotten it.
+  /// runs on after this client's caller has forgotten it. Without a total
+  /// timeout it ends as broken after some of its idle timeouts.
   void fetch(HttpCall Call, std::function<void(HttpAnswer)> Done);
 
   /// Like fetch(), but destroying what is returned cancels the call.
--- /dev/null
+++ b/tests/wire/EndlessAnswerTest.cpp
@@ -0,0 +1,150 @@
+/// \file
+/// Servers whose bytes come without end, in a head or in a body.
+#include "wire/common/EventLoop.h"
+#include "wire/common/HttpClient.h"
+
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <netinet/in.h>
+#include <optional>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace havenstair;
+
+namespace {
+
+constexpr Duration Limit = 20s;
+
+/// Answers one connection with a beginning, and then with the same bytes again
+/// and again for as long as they are taken.
+class EndlessServer {
+public:
+  EndlessServer(std::string Beginning, std::string Repeated)
+      : m_Beginning(std::move(Beginning)), m_Repeated(std::move(Repeated)) {
+    m_Socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Length = sizeof(Address);
+    bind(m_Socket, reinterpret_cast<sockaddr *>(&Address), Length);
+    listen(m_Socket, 1);
+    getsockname(m_Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
+    m_Endpoint = {"127.0.0.1", ntohs(Address.sin_port)};
+  }
+  ~EndlessServer() {
+    close(m_Accepted);
+    close(m_Socket);
+  }
+  EndlessServer(const EndlessServer &) = delete;
+  EndlessServer &operator=(const EndlessServer &) = delete;
+
+  /// Writes what the other side takes now.
+  void write() {
+    if (m_Accepted < 0) {
+      m_Accepted = accept4(m_Socket, nullptr, nullptr, SOCK_NONBLOCK);
+      m_Next = m_Beginning;
+    }
+    if (m_Accepted < 0)
+      return;
+    if (m_Next.empty())
+      for (int Times = 0; Times < m_TimesAtOnce; ++Times)
+        m_Next += m_Repeated;
+    const ssize_t Put =
+        send(m_Accepted, m_Next.data(), m_Next.size(), MSG_NOSIGNAL);
+    if (Put > 0) {
+      m_Next.erase(0, static_cast<std::size_t>(Put));
+      m_Written += static_cast<std::size_t>(Put);
+    }
+    const bool AllWritten = m_Next.empty() && m_Repeated.empty();
+    m_Closed = m_Closed || AllWritten || (Put < 0 && errno != EAGAIN);
+  }
+
+  Endpoint m_Endpoint;
+  int m_TimesAtOnce = 500;
+  std::size_t m_Written = 0;
+  /// The other side has closed the connection, or all was written.
+  bool m_Closed = false;
+
+private:
+  std::string m_Beginning;
+  std::string m_Repeated;
+  std::string m_Next;
+  int m_Socket;
+  int m_Accepted = -1;
+};
+
+/// The end of a call to \p Server, which has seen that the connection closed.
+HttpEnd endOf(EndlessServer &Server, HttpCall Call) {
+  EventLoop Loop;
+  HttpClient Client(Loop);
+  Call.m_To = Server.m_Endpoint;
+  Call.m_Target = "/";
+  std::optional<HttpAnswer> Got;
+  Client.fetch(std::move(Call),
+               [&](HttpAnswer Answer) { Got = std::move(Answer); });
+  const Timer Wake = Loop.every(1ms, [&] { Server.write(); });
+  REQUIRE(Loop.runUntil([&] { return Got && Server.m_Closed; }, Limit));
+  return Got->m_End;
+}
+
+} // namespace
+
+TEST_CASE("An answer that is framing without end is given up after few bytes",
+          "[http][endless]") {
+  const std::string Head = "HTTP/1.1 200 OK\r\n";
+  const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  const auto [Name, Beginning, Repeated] =
+      GENERATE_COPY(table<std::string, std::string, std::string>(
+          {{"a status line", "HTTP/1.1 200 ", "O"},
+           {"bytes that are none", "", std::string(8, '\0')},
+           {"fields", Head, "Name: value\r\n"},
+           {"one field", Head + "Name: ", "value"},
+           {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+           {"the size of a chunk", Chunked, "0"},
+           {"an extension of a chunk", Chunked + "1;", "name=value;"},
+           {"empty lines", Chunked, "\r\n"},
+           {"extensions", Chunked,
+            "1;name=" + std::string(1000, 'v') + "\r\nx\r\n"},
+           {"trailers", Chunked + "0\r\n", "Name: value\r\n"}}));
+  INFO(Name);
+  EndlessServer Server(Beginning, Repeated);
+  REQUIRE(endOf(Server, {}) == HttpEnd::Broken);
+  // What sockets hold comes on top.
+  constexpr std::size_t Most = 16 << 20;
+  REQUIRE(Server.m_Written < Most);
+}
+
+TEST_CASE("A body without end is given up at its bound", "[http][endless]") {
+  constexpr std::size_t Bound = 1 << 20;
+  const std::string Beginning =
+      GENERATE("HTTP/1.1 200 OK\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const std::string Repeated =
+      Beginning.find("chunked") == std::string::npos ? "bytes" : "1\r\nx\r\n";
+  EndlessServer Server(Beginning, Repeated);
+  HttpCall Call;
+  Call.m_MaxBody = Bound;
+  REQUIRE(endOf(Server, std::move(Call)) == HttpEnd::Broken);
+}
+
+TEST_CASE("An answer that comes byte by byte ends at the total timeout",
+          "[http][endless]") {
+  EndlessServer Server("HTTP/1.1 200 OK\r\n\r\n", "x");
+  Server.m_TimesAtOnce = 1;
+  HttpCall Call;
+  Call.m_TotalTimeout = 200ms;
+  REQUIRE(endOf(Server, std::move(Call)) == HttpEnd::Broken);
+}
+
+TEST_CASE("Small chunks are no framing without end", "[http][endless]") {
+  constexpr std::size_t Bytes = 200000;
+  std::string Beginning =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t Each = 0; Each < Bytes; ++Each)
+    Beginning += "1\r\nx\r\n";
+  EndlessServer Server(Beginning + "0\r\n\r\n", "");
+  REQUIRE(endOf(Server, {}) == HttpEnd::Complete);
+}
