A leaf whose relay is none any more reads the list of boxes

An uplink counts only if it sends digests, or has been chosen less than half a second ago. Otherwise the leaf watches the list of boxes, and waits for lists no longer than one without an uplink. By reading, the test fails before: the list of boxes is not read while any relay is linked.

--- a/packages/gateway/process/FleetExchange.cpp
+++ b/packages/gateway/process/FleetExchange.cpp
@@ -31,6 +31,8 @@
 /// Shortest time with an uplink before another one is taken because its lists
 /// are outdated or a stronger one is linked.
 constexpr Duration MinUplinkTime = 2s;
+/// Within this time a relay that is chosen sends its first digest.
+constexpr Duration FirstDigestTime = 2 * DigestInterval;
 
 /// The loads that differ between \p Before and \p Now; zeros stand for loads
 /// that have ended.
@@ -56,6 +58,7 @@
       m_Lists(
           Loop, Deps, m_Opts.m_Lists,
           {.m_NextHopToLeader = [this] { return nextHopToLeader(); },
+           .m_UplinkResponds = [this] { return uplinkResponds(); },
            .m_SendNow = [this] { sendDigests(); },
            .m_SendToLeaf = [this](const BoxName &To) { sendListSnapshot(To); },
            .m_DropConnections = [this] { m_Hooks.m_DropConnections(); },
@@ -424,6 +427,7 @@
     if (!Boxes.linked().contains(Candidate))
       continue;
     m_Uplink = Candidate;
+    m_UplinkDigests = 0;
     m_UplinkSince = Now;
     m_UplinkLastDigestAt = Now;
     break;
@@ -433,6 +437,15 @@
                        {{"relay", m_Uplink.str()}, {"before", Before.str()}});
 }
 
+/// Whether this box, a leaf, has an uplink that treats it as a leaf, or may
+/// still do so. Another box may be no relay any more: only the list of boxes
+/// tells.
+bool FleetExchange::uplinkResponds() const {
+  return !m_Uplink.empty() &&
+         (m_UplinkDigests > 0 ||
+          EventLoop::now() - m_UplinkSince <= FirstDigestTime);
+}
+
 /// The next hop towards the leader.
 BoxName FleetExchange::nextHopToLeader() const {
   return m_Deps.m_Fleet.topology().relay() ? m_Deps.m_Leader.leader().m_Box
@@ -474,8 +487,10 @@
                                  m_Clock.sentAt(Frame.m_Echo));
   m_Lists.config().recordDigest(From, Frame, Now);
   m_Lists.readIfBehind(Frame, Now);
-  if (From == m_Uplink)
+  if (From == m_Uplink) {
     m_UplinkLastDigestAt = Now;
+    ++m_UplinkDigests;
+  }
   // Another relay would repeat to a leaf what its own relay has sent.
   if (!m_Deps.m_Fleet.topology().relay() && From != m_Uplink)
     return;
--- a/packages/gateway/process/FleetExchange.h
+++ b/packages/gateway/process/FleetExchange.h
@@ -101,6 +101,7 @@
   void dropSilentLeaves(TimePoint Now);
   bool strongerUplinkLinked() const;
   void chooseUplink(TimePoint Now);
+  bool uplinkResponds() const;
   BoxName nextHopToLeader() const;
   void requestFromPeers();
 
@@ -143,6 +144,7 @@
   BoxName m_Uplink; ///< The relay of this box, a leaf; empty on a relay.
   TimePoint m_UplinkSince{};
   TimePoint m_UplinkLastDigestAt{};
+  std::uint64_t m_UplinkDigests = 0; ///< Received since it was chosen.
   /// Number of the last totals from the uplink; 0 for none.
   std::uint64_t m_ReceivedTotalsNumber = 0;
   ListFollower m_Lists;
--- a/packages/gateway/process/ListFollower.cpp
+++ b/packages/gateway/process/ListFollower.cpp
@@ -156,7 +156,7 @@
 bool ListFollower::followsUplink() const {
   return !m_Deps.m_Fleet.topology().relay() &&
          leavesListToUplink(m_Deps.m_Upstreams.items().size()) &&
-         !m_Hooks.m_NextHopToLeader().empty();
+         m_Hooks.m_UplinkResponds();
 }
 
 bool ListFollower::uplinkOutdated(TimePoint Now) const {
@@ -216,8 +216,7 @@
   if (Now - age(Now) - m_SentConfirmedAt >= MuchNewerBy)
     m_Hooks.m_SendNow();
   // A leaf needs the list of boxes only while it has no relay.
-  setRelayed(m_Deps.m_Boxes,
-             !Topology.relay() && !m_Hooks.m_NextHopToLeader().empty());
+  setRelayed(m_Deps.m_Boxes, !Topology.relay() && m_Hooks.m_UplinkResponds());
 }
 
 /// Whether this box need not or cannot read the evacuations itself.
@@ -244,7 +243,7 @@
       {.m_Role = role(),
        .m_SinceStart = Now - m_StartedAt,
        .m_OthersEnter = m_Opts.m_FirstStart || m_Deps.m_Fleet.size() == 1,
-       .m_HasUplink = !m_Hooks.m_NextHopToLeader().empty()});
+       .m_HasUplink = m_Hooks.m_UplinkResponds()});
 }
 
 void ListFollower::setRelayed(WatchCache &Cache, bool Relayed) {
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -52,6 +52,8 @@
   struct Hooks {
     /// Returns the next hop towards the leader; may be empty.
     std::function<BoxName()> m_NextHopToLeader;
+    /// Returns whether this box is a leaf with an uplink that sends it lists.
+    std::function<bool()> m_UplinkResponds;
     /// Sends a digest at once: other boxes are about to read what this box has
     /// just learned.
     std::function<void()> m_SendNow;
--- a/tests/gateway/FalseRelayTest.cpp
+++ b/tests/gateway/FalseRelayTest.cpp
@@ -20,10 +20,10 @@
 /// A relay whose messages the test makes.
 class FalseRelay {
 public:
-  explicit FalseRelay(EventLoop &Loop)
+  FalseRelay(EventLoop &Loop, const BoxName &Name)
       : m_Mesh(Loop,
                {.m_Listen = {"127.0.0.1", 0},
-                .m_Link = {.m_Self = RelayName,
+                .m_Link = {.m_Self = Name,
                            .m_DataCentre = DataCentreName("a"),
                            .m_Secret = PeerSecret},
                 .m_Random = [] { return 0.5; }},
@@ -75,10 +75,11 @@
   Timer m_Timer;
 };
 
-/// A leaf behind a relay of the test's, in a fleet that is listed only.
-class FalseRelayTest : public GatewayTest {
+/// A leaf that is linked to a relay of the test's, in a fleet that is listed
+/// only. The relay says nothing.
+class SilentRelayTest : public GatewayTest {
 public:
-  FalseRelayTest() {
+  SilentRelayTest() {
     for (const char *Id : {"i-1", "i-2"})
       addRunner(Id, [](const Request &, const ConnectionPtr &) {});
     configure(1);
@@ -91,11 +92,6 @@
     Options.m_PeerSecret = PeerSecret;
     m_Gateway = makeGateway(Options, [] {});
     REQUIRE(until([&] { return m_Gateway->peers() == 1; }));
-    // A revision that the store has not reached: none of its reads replace it.
-    m_Relay.m_List = {.m_Era = FirstEra, .m_Number = 1000};
-    m_Relay.m_OnAsked = [this] { m_Relay.sendKeys(wholePart()); };
-    m_Relay.m_Fingerprint = fingerprint();
-    REQUIRE(until([&] { return follows(); }));
   }
 
   void listBox(const std::string &Name, double Capacity,
@@ -107,6 +103,20 @@
                           {"protocol", OwnProtocol}}));
   }
 
+  FalseRelay m_Relay{m_Loop, RelayName};
+};
+
+/// The leaf follows that relay.
+class FalseRelayTest : public SilentRelayTest {
+public:
+  FalseRelayTest() {
+    // A revision that the store has not reached: none of its reads replace it.
+    m_Relay.m_List = {.m_Era = FirstEra, .m_Number = 1000};
+    m_Relay.m_OnAsked = [this] { m_Relay.sendKeys(wholePart()); };
+    m_Relay.m_Fingerprint = fingerprint();
+    REQUIRE(until([&] { return follows(); }));
+  }
+
   FleetKeysFrame wholePart() const {
     FleetKeysFrame Result{.m_Prefix = "",
                           .m_Since = {},
@@ -138,12 +148,21 @@
     return m_Gateway->state().m_Upstreams.list().m_Instances.contains(Id);
   }
 
-  FalseRelay m_Relay{m_Loop};
   const StoreRevision m_ItemRevision{.m_Era = FirstEra, .m_Number = 5};
 };
 
 } // namespace
 
+TEST_CASE("A leaf whose relay is none any more learns of other relays",
+          "[gateway][fleet][recover]") {
+  SilentRelayTest Test;
+  // Whatever the leaf reads while it starts, it has read before.
+  REQUIRE(Test.until([&] { return Test.m_Store.waitedOut("servers/") > 0; }));
+  FalseRelay Next(Test.m_Loop, BoxName("relay-2"));
+  Test.listBox("relay-2", RelayCapacity, Next.m_Mesh.endpoint().str());
+  REQUIRE(Test.until([&] { return Test.m_Gateway->peers() == 2; }));
+}
+
 TEST_CASE("A leaf that lost keys gets them back though no entry changes",
           "[gateway][fleet][recover]") {
   FalseRelayTest Test;
