--- a/tests/wire/EndlessAnswerTest.cpp
+++ b/tests/wire/EndlessAnswerTest.cpp
@@ -76,9 +76,10 @@
 };
 
 /// The end of a call to \p Server, which has seen that the connection closed.
-HttpEnd endOf(EndlessServer &Server, HttpCall Call) {
+HttpEnd endOf(EndlessServer &Server, const HttpCall &With) {
   EventLoop Loop;
   HttpClient Client(Loop);
+  HttpCall Call = With;
   Call.m_To = Server.m_Endpoint;
   Call.m_Target = "/";
   std::optional<HttpAnswer> Got;
@@ -127,7 +128,7 @@
   EndlessServer Server(Beginning, Repeated);
   HttpCall Call;
   Call.m_MaxBody = Bound;
-  REQUIRE(endOf(Server, std::move(Call)) == HttpEnd::Broken);
+  REQUIRE(endOf(Server, Call) == HttpEnd::Broken);
 }
 
 TEST_CASE("An answer that comes byte by byte ends at the total timeout",
@@ -136,7 +137,7 @@
   Server.m_TimesAtOnce = 1;
   HttpCall Call;
   Call.m_TotalTimeout = 200ms;
-  REQUIRE(endOf(Server, std::move(Call)) == HttpEnd::Broken);
+  REQUIRE(endOf(Server, Call) == HttpEnd::Broken);
 }
 
 TEST_CASE("Small chunks are no framing without end", "[http][endless]") {
