--- a/tests/gateway/StreamTest.cpp
+++ b/tests/gateway/StreamTest.cpp
@@ -149,3 +149,32 @@
   REQUIRE(Answer.m_Body == plain(1, Pieces));
   REQUIRE(Test.arrivals("id-1") == 2);
 }
+
+TEST_CASE("A stream whose event never ends is given up, and others are served",
+          "[gateway][streams][endless]") {
+  GatewayTest Test;
+  const std::string Piece(10000, 'x');
+  const std::string Chunk = "2710\r\n" + Piece + "\r\n"; // 10,000 bytes.
+  std::vector<Timer> Writing;
+  std::size_t Written = 0;
+  Test.addRunner("i-1", [&](const Request &Received,
+                            const ConnectionPtr &Connection) {
+    if (Received.m_Target.starts_with("/safe/"))
+      return Connection->write(StandinRunner::answer(Received, 200, "body"));
+    Connection->write(StandinRunner::streamHead(Received));
+    Writing.push_back(Test.m_Loop.every(1ms, [&, Connection] {
+      if (!Connection->open())
+        return;
+      Connection->write(Chunk);
+      Written += Chunk.size();
+    }));
+  });
+  Test.start();
+  const HttpAnswer Answer = Test.fetch("/stream/x", "id-1");
+  REQUIRE_FALSE(Answer.ok());
+  REQUIRE(Test.until(
+      [&] { return Test.m_Runners.at("i-1")->closedByCaller() == 1; }));
+  constexpr std::size_t Most = 4 << 20;
+  REQUIRE(Written < Most);
+  REQUIRE(Test.fetch("/safe/x", "id-2").m_Status == 200);
+}
