Which versions may have begun a stream, and which did, outlives all boxes

Cause: a mark was written by the order leader from what it saw listed, and its absence was taken for proof that there had been one version; which version began a stream was known to boxes alone. Class: what is not there taken for proof.

Change: VersionRecords keeps one lasting key a service with the versions that may have begun streams. Any relay writes it by compare-and-set, no leader is needed; a young box counts list and key together, and a key that lacks, cannot be read or is of an earlier era counts as several. New streams prefer versions that the key names. StreamOriginStore writes the origins of streams in batches while a service has several versions, those that live when the second one comes too; what no box knows is looked for there. Ways weighed: docs/design/stream-versions.md. Marks are still written and read for older builds. `stream_origin` logs what decided.

New tests of the two classes, of lost and outdated keys, of the frame's new field.

--- a/packages/decisions/process/VersionHistory.h
+++ b/packages/decisions/process/VersionHistory.h
@@ -14,6 +14,8 @@
 
 namespace havenstair {
 
+using SoftwareVersions = std::set<SoftwareVersion>;
+
 /// Tells whether all streams of a service that callers may still take up were
 /// begun by upstreams of one version.
 class VersionHistory {
@@ -33,8 +35,22 @@
     bool operator==(const Versions &) const = default;
   };
 
+  /// How much longer than it counts a version is left in what boxes share, so
+  /// that boxes that saw it leave at different times agree.
+  static constexpr Duration ForgetMargin = 30s;
+
   /// Takes over the list of upstreams as of now.
   void update(const InstanceList &List, TimePoint Now);
+  /// Takes over the versions that boxes share about \p Service: they count
+  /// like listed ones until boxes no longer name them, and for Memory at most.
+  void learn(const std::string &Service, const SoftwareVersions &Named,
+             TimePoint Now);
+  /// \returns the versions of each service that were listed within Memory.
+  std::map<std::string, SoftwareVersions> observed(TimePoint Now) const;
+  /// Whether \p Version of \p Service was neither listed nor learned of within
+  /// Memory and ForgetMargin.
+  bool outlived(const std::string &Service, const SoftwareVersion &Version,
+                TimePoint Now) const;
   Versions versionsOf(const std::string &Service, TimePoint Now) const;
   /// \returns the services that had several versions within Memory.
   std::set<std::string> servicesWithSeveral(TimePoint Now) const;
@@ -43,7 +59,11 @@
   /// When a version was last listed; the maximum while it is.
   using LastListed = std::map<SoftwareVersion, TimePoint>;
 
+  SoftwareVersions countedOf(const std::string &Service, TimePoint Now) const;
+
   std::map<std::string, LastListed> m_Services;
+  /// Since when boxes have named each version.
+  std::map<std::string, std::map<SoftwareVersion, TimePoint>> m_Learned;
   std::optional<TimePoint> m_KnownSince;
 };
 
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/process/ComponentOptions.h"
 #include "gateway/process/ObservedEngineControl.h"
+#include "gateway/process/StreamOriginExchange.h"
 #include "gateway/request/UpstreamCall.h"
 #include "wire/common/Build.h"
 #include "wire/common/Crypto.h"
@@ -251,7 +252,12 @@
               .m_NoRoom = [this] { m_Metrics.recordNoRoom(); },
               .m_UpstreamLeaving = [this] { onUpstreamDraining(); }})),
       m_StreamOrigins(std::make_shared<StreamOriginExchange>(
-          Loop, m_Fleet, *m_Store, m_Log, m_Binding.m_OwnPrefix,
+          Loop, m_Fleet, *m_Store, m_Log,
+          StreamOriginExchange::Options{.m_Prefix = m_Binding.m_OwnPrefix,
+                                        .m_StreamPrefix =
+                                            m_Binding.m_StreamPrefix,
+                                        .m_Process = m_ProcessName.str(),
+                                        .m_FirstStart = m_Options.m_FirstStart},
           [this] { return m_Leader.leading(); })) {
   m_Forwarder.setServices(m_Quotas, m_Permits, m_Crashes, m_Signals);
   m_Forwarder.setStreamOrigins(m_StreamOrigins);
@@ -411,7 +417,7 @@
     m_OwnKeysTimer = m_Loop.after(*Until - Now + ReconcileSlack,
                                   [this] { ownKeysChanged(); });
   m_Leader.entriesChanged(m_OwnKeysCache.items(), At);
-  m_StreamOrigins->entriesChanged(m_OwnKeysCache.items());
+  m_StreamOrigins->entriesChanged(m_OwnKeysCache.items(), At);
   m_Exchange.boxesChanged();
   m_Quotas->boxesChanged();
   m_Crashes->entriesChanged(m_OwnKeysCache.items(), At);
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -20,7 +20,6 @@
 #include "gateway/process/ServingState.h"
 #include "gateway/process/StartupLog.h"
 #include "gateway/process/StoreCallLog.h"
-#include "gateway/process/StreamOriginExchange.h"
 #include "gateway/process/UpstreamRegistry.h"
 #include "gateway/process/UpstreamSignalExchange.h"
 #include "gateway/process/WatchCache.h"
@@ -38,6 +37,8 @@
 
 namespace havenstair {
 
+class StreamOriginExchange;
+
 /// Owns and connects the components of one process, all of which run on one
 /// event loop.
 class Gateway {
--- a/packages/gateway/process/PlatformBinding.h
+++ b/packages/gateway/process/PlatformBinding.h
@@ -37,6 +37,9 @@
   /// exist; the data centre's name follows.
   std::string m_EvacuationPrefix;
   std::string m_OwnPrefix; ///< Prefix of the keys that the gateway may write.
+  /// Prefix of further keys that the gateway may write, which are read on
+  /// demand and not watched.
+  std::string m_StreamPrefix;
   std::string m_ReadinessPath;
 
   /// Decodes a configuration. \throws DecodeError when \p Value is not one.
--- a/packages/gateway/process/StreamOriginExchange.cpp
+++ b/packages/gateway/process/StreamOriginExchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/process/StreamOriginExchange.h"
 
 #include "decisions/process/StreamHolders.h"
+#include "gateway/common/DecisionLog.h"
 #include "gateway/process/Fleet.h"
 #include <algorithm>
 #include <optional>
@@ -18,8 +19,11 @@
 /// they have stopped.
 constexpr Duration AnswerTimeout = 150ms;
 
-/// Interval at which marks of versions are looked at.
-constexpr Duration MarkInterval = 1s;
+/// The same for a leaf, whose relay asks others and the store.
+constexpr Duration RelayTimeout = 600ms;
+
+/// Interval at which it is looked at what the store has to be told.
+constexpr Duration RefreshInterval = 1s;
 
 /// Adds to \p Known what another box knows. \returns whether that tells how the
 /// stream began.
@@ -58,21 +62,50 @@
 StreamOriginExchange::StreamOriginExchange(EventLoop &Loop, Fleet &Boxes,
                                            CoordinationStore &Store,
                                            DecisionLog &Log,
-                                           const std::string &Prefix,
+                                           const Options &Opts,
                                            std::function<bool()> IsWriter)
-    : m_Loop(Loop), m_Fleet(Boxes), m_Marks(Store, Log, Prefix),
+    : m_Loop(Loop), m_Fleet(Boxes), m_Log(Log),
+      m_Marks(Store, Log, Opts.m_Prefix),
+      m_Records(Store, Log,
+                {.m_Prefix = Opts.m_Prefix, .m_FirstStart = Opts.m_FirstStart},
+                m_Versions),
+      m_Stored(
+          Loop, Store, Log,
+          {.m_Prefix = Opts.m_StreamPrefix, .m_Process = Opts.m_Process},
+          {.m_Needed = [this](const std::string &Service,
+                              TimePoint Now) { return several(Service, Now); },
+           .m_Writers = [this] { return m_Fleet.linkedRelays().size() + 1; }}),
       m_IsWriter(std::move(IsWriter)),
-      m_MarkTimer(Loop.every(MarkInterval, [this] { refreshMarks(); })) {}
+      m_RefreshTimer(Loop.every(RefreshInterval, [this] { refresh(); })) {}
 
 void StreamOriginExchange::onListChanged(const InstanceList &List) {
   m_Versions.update(List, EventLoop::now());
-  refreshMarks();
+  refresh();
+}
+
+void StreamOriginExchange::entriesChanged(
+    const std::map<std::string, StoreItem> &Items, const StoreRevision &At) {
+  m_Marks.entriesChanged(Items);
+  m_Records.entriesChanged(Items, At, EventLoop::now());
 }
 
-void StreamOriginExchange::refreshMarks() {
+void StreamOriginExchange::refresh() {
   const TimePoint Now = EventLoop::now();
   if (m_IsWriter())
     m_Marks.refresh(m_Versions.servicesWithSeveral(Now), Now);
+  if (knowsWholeList())
+    m_Records.refresh(Now);
+  m_Stored.refresh(Now);
+}
+
+bool StreamOriginExchange::several(const std::string &Service,
+                                   TimePoint Now) const {
+  return m_Versions.versionsOf(Service, Now).m_Several;
+}
+
+bool StreamOriginExchange::recorded(const std::string &Service,
+                                    const SoftwareVersion &Software) const {
+  return m_Records.names(Service, Software);
 }
 
 /// A leaf knows some of the upstreams only.
@@ -84,10 +117,7 @@
                                               const std::string &Service,
                                               TimePoint Now) const {
   const VersionHistory::Versions Versions = m_Versions.versionsOf(Service, Now);
-  // What a box that has just started sees in the list may be new.
-  const bool MayBeNew =
-      !Versions.m_Certain && knowsWholeList() && m_Marks.marked(Service);
-  StreamAnswerFrame Result{.m_Several = Versions.m_Several || MayBeNew};
+  StreamAnswerFrame Result{.m_Several = Versions.m_Several};
   if (!Attempt.empty())
     Result.m_Stream = m_Streams.find(Attempt, Now);
   if (knowsWholeList())
@@ -95,6 +125,14 @@
   return Result;
 }
 
+/// Whether there may have been versions of \p Service that this box does not
+/// know: it has just started and has not read what the store names.
+bool StreamOriginExchange::mayLackVersions(const std::string &Service,
+                                           TimePoint Now) const {
+  return !certain(Service, Now) &&
+         (m_Marks.marked(Service) || !m_Records.known());
+}
+
 /// Whether no other box can know of another version of \p Service.
 bool StreamOriginExchange::certain(const std::string &Service,
                                    TimePoint Now) const {
@@ -129,19 +167,27 @@
 
 void StreamOriginExchange::record(const std::string &Attempt,
                                   const StreamOrigin &Origin, Duration Left) {
-  m_Streams.record(Attempt, Origin, Left, EventLoop::now());
+  const TimePoint Now = EventLoop::now();
+  const BegunStream Stream{
+      .m_Attempt = Attempt, .m_Origin = Origin, .m_Left = Left};
+  m_Streams.record(Attempt, Origin, Left, Now);
+  // One box writes each stream to the store: leaves are too many.
+  bool Store = !knowsWholeList();
+  if (!Store)
+    m_Stored.record(Stream, Now);
   const std::vector<BoxName> Holders = holdersOf(Attempt);
   if (Holders.empty())
     return;
   for (const BoxName &Box : Holders)
-    m_Begun[Box].m_Streams.push_back(
-        {.m_Attempt = Attempt, .m_Origin = Origin, .m_Left = Left});
+    m_Begun[{Box, std::exchange(Store, false)}].m_Streams.push_back(Stream);
   m_TellTimer = m_Loop.after(0us, [this] { tellBegun(); });
 }
 
 void StreamOriginExchange::tellBegun() {
-  for (const auto &[Box, Frame] : std::exchange(m_Begun, {}))
-    m_Fleet.send(Box, Frame);
+  for (auto &[To, Frame] : std::exchange(m_Begun, {})) {
+    Frame.m_Store = To.second;
+    m_Fleet.send(To.first, Frame);
+  }
 }
 
 void StreamOriginExchange::find(const std::string &Attempt,
@@ -153,28 +199,28 @@
   const bool Final =
       Found.m_Source == OriginSource::Own ||
       Found.m_Source == OriginSource::Contradicted ||
-      (Found.m_Source == OriginSource::OnlyVersion && certain(Service, Now)) ||
-      Boxes.empty();
+      (Found.m_Source == OriginSource::OnlyVersion && certain(Service, Now));
   if (Final)
     return Callback(Found);
-  ask(Attempt, Service, std::move(Known), Boxes, std::move(Callback));
+  const StreamQueryFrame Query{.m_Attempt = Attempt, .m_Service = Service};
+  if (Boxes.empty())
+    return end(Query, Known, OriginSource::Own, Callback);
+  ask(Query, std::move(Known), Boxes, std::move(Callback));
 }
 
-void StreamOriginExchange::ask(const std::string &Attempt,
-                               const std::string &Service,
-                               StreamAnswerFrame Known,
+void StreamOriginExchange::ask(StreamQueryFrame Query, StreamAnswerFrame Known,
                                const std::vector<BoxName> &Boxes,
                                Done Callback) {
   const std::uint64_t Id = ++m_LastId;
+  Query.m_Id = Id;
+  Query.m_AskOthers = !knowsWholeList();
   m_Searches[Id] = {
+      .m_Query = Query,
       .m_Found = std::move(Known),
       .m_Done = std::move(Callback),
       .m_Waiting = {Boxes.begin(), Boxes.end()},
-      .m_Timer = m_Loop.after(AnswerTimeout, [this, Id] { finish(Id); })};
-  StreamQueryFrame Query{.m_Id = Id,
-                         .m_Attempt = Attempt,
-                         .m_Service = Service,
-                         .m_AskOthers = !knowsWholeList()};
+      .m_Timer = m_Loop.after(knowsWholeList() ? AnswerTimeout : RelayTimeout,
+                              [this, Id] { finish(Id); })};
   for (const BoxName &Box : Boxes) {
     m_Fleet.send(Box, Query);
     Query.m_AskOthers = false;
@@ -188,7 +234,41 @@
   // The search's timer may own the function that runs now.
   const Search Ended = std::move(Found->second);
   m_Searches.erase(Found);
-  Ended.m_Done(conclude(Ended.m_Found, OriginSource::Box));
+  end(Ended.m_Query, Ended.m_Found, OriginSource::Box, Ended.m_Done);
+}
+
+/// Decides as soon as this box knows what the store names.
+void StreamOriginExchange::end(const StreamQueryFrame &Query,
+                               const StreamAnswerFrame &Known,
+                               OriginSource Source, const Done &Callback) {
+  m_Records.afterRead([this, Query, Known, Source, Callback] {
+    decide(Query, Known, Source, Callback);
+  });
+}
+
+/// Concludes from what boxes know, or else from what the store does.
+void StreamOriginExchange::decide(const StreamQueryFrame &Query,
+                                  StreamAnswerFrame Known, OriginSource Source,
+                                  const Done &Callback) {
+  const TimePoint Now = EventLoop::now();
+  const bool Lacking = mayLackVersions(Query.m_Service, Now);
+  merge(Known, known({}, Query.m_Service, Now));
+  Known.m_Several = Known.m_Several || (Lacking && knowsWholeList());
+  const FoundOrigin Found = conclude(Known, Source);
+  m_Log.write("stream_origin",
+              {{"attempt", Query.m_Attempt},
+               {"service", Query.m_Service},
+               {"by", originSourceName(Found.m_Source)},
+               {"only", Known.m_Only ? Json(Known.m_Only->str()) : Json()},
+               {"several", Known.m_Several},
+               {"lacking", Lacking}});
+  if (Found.m_Source != OriginSource::Unknown || Query.m_Attempt.empty() ||
+      !knowsWholeList())
+    return Callback(Found);
+  m_Stored.find(Query.m_Attempt,
+                [Callback](const StreamOrigins::Knowledge &Stored) {
+                  Callback(conclude({.m_Stream = Stored}, OriginSource::Store));
+                });
 }
 
 void StreamOriginExchange::linkDown(const BoxName &Box) {
@@ -213,8 +293,11 @@
 void StreamOriginExchange::receive(const BoxName & /*From*/,
                                    const StreamsBegunFrame &Frame) {
   const TimePoint Now = EventLoop::now();
-  for (const BegunStream &Each : Frame.m_Streams)
+  for (const BegunStream &Each : Frame.m_Streams) {
     m_Streams.record(Each.m_Attempt, Each.m_Origin, Each.m_Left, Now);
+    if (Frame.m_Store)
+      m_Stored.record(Each, Now);
+  }
 }
 
 void StreamOriginExchange::receive(const BoxName &From,
@@ -231,19 +314,19 @@
     return Answer(Known);
   std::vector<BoxName> Others = boxesToAsk();
   std::erase(Others, From);
+  const Done Found = [Answer](const FoundOrigin &Origin) {
+    StreamAnswerFrame Result{
+        .m_Stream = {.m_Origin = Origin.m_Origin,
+                     .m_Contradicted =
+                         Origin.m_Source == OriginSource::Contradicted},
+        .m_Several = Origin.m_Source == OriginSource::Unknown};
+    if (Origin.m_Source == OriginSource::OnlyVersion)
+      Result.m_Only = Origin.m_Software;
+    Answer(Result);
+  };
   if (Others.empty())
-    return Answer(Known);
-  ask(Frame.m_Attempt, Frame.m_Service, Known, Others,
-      [Answer](const FoundOrigin &Found) {
-        StreamAnswerFrame Result{
-            .m_Stream = {.m_Origin = Found.m_Origin,
-                         .m_Contradicted =
-                             Found.m_Source == OriginSource::Contradicted},
-            .m_Several = Found.m_Source == OriginSource::Unknown};
-        if (Found.m_Source == OriginSource::OnlyVersion)
-          Result.m_Only = Found.m_Software;
-        Answer(Result);
-      });
+    return end(Frame, Known, OriginSource::Own, Found);
+  ask(Frame, Known, Others, Found);
 }
 
 void StreamOriginExchange::receive(const BoxName &From,
--- a/packages/gateway/process/StreamOriginExchange.h
+++ b/packages/gateway/process/StreamOriginExchange.h
@@ -4,7 +4,9 @@
 #define HAVENSTAIR_GATEWAY_PROCESS_STREAMORIGINEXCHANGE_H
 
 #include "decisions/process/VersionHistory.h"
+#include "gateway/process/StreamOriginStore.h"
 #include "gateway/process/VersionMarks.h"
+#include "gateway/process/VersionRecords.h"
 #include "gateway/request/StreamOriginService.h"
 #include "wire/common/EventLoop.h"
 #include "wire/connection/PeerFrames.h"
@@ -14,6 +16,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace havenstair {
@@ -24,26 +27,35 @@
 /// streams that callers take up here and that began elsewhere. In a large fleet
 /// the relays of the data centre are told, and a leaf asks them; one of them
 /// asks all other relays if it does not know the stream.
+/// What no box knows may be in the store.
 class StreamOriginExchange : public StreamOriginService {
 public:
+  struct Options {
+    std::string m_Prefix;       ///< Prefix of the gateway's keys.
+    std::string m_StreamPrefix; ///< Prefix of the keys of streams.
+    std::string m_Process;      ///< Name of this process.
+    bool m_FirstStart = false;  ///< The whole fleet starts with this box.
+  };
+
   /// \p IsWriter tells whether this box writes the marks of versions to the
   /// store.
   StreamOriginExchange(EventLoop &Loop, Fleet &Boxes, CoordinationStore &Store,
-                       DecisionLog &Log, const std::string &Prefix,
+                       DecisionLog &Log, const Options &Opts,
                        std::function<bool()> IsWriter);
   StreamOriginExchange(const StreamOriginExchange &) = delete;
   StreamOriginExchange &operator=(const StreamOriginExchange &) = delete;
 
   void record(const std::string &Attempt, const StreamOrigin &Origin,
               Duration Left) override;
+  bool recorded(const std::string &Service,
+                const SoftwareVersion &Software) const override;
   void find(const std::string &Attempt, const std::string &Service,
             Done Callback) override;
 
   /// Called when the store's keys have changed. \p Items are all keys under the
-  /// gateway's prefix.
-  void entriesChanged(const std::map<std::string, StoreItem> &Items) {
-    m_Marks.entriesChanged(Items);
-  }
+  /// gateway's prefix as of \p At.
+  void entriesChanged(const std::map<std::string, StoreItem> &Items,
+                      const StoreRevision &At);
   /// Called when the list of upstreams has changed.
   void onListChanged(const InstanceList &List);
   /// Stops waiting for the answer of \p Box.
@@ -57,6 +69,7 @@
 private:
   /// A search that other boxes have not answered yet.
   struct Search {
+    StreamQueryFrame m_Query;
     StreamAnswerFrame m_Found; ///< What is known so far.
     Done m_Done;
     std::set<BoxName> m_Waiting; ///< Boxes that have not answered.
@@ -69,11 +82,16 @@
   bool certain(const std::string &Service, TimePoint Now) const;
   std::vector<BoxName> holdersOf(const std::string &Attempt) const;
   std::vector<BoxName> boxesToAsk() const;
-  void ask(const std::string &Attempt, const std::string &Service,
-           StreamAnswerFrame Known, const std::vector<BoxName> &Boxes,
-           Done Callback);
+  void ask(StreamQueryFrame Query, StreamAnswerFrame Known,
+           const std::vector<BoxName> &Boxes, Done Callback);
   void tellBegun();
-  void refreshMarks();
+  void refresh();
+  bool several(const std::string &Service, TimePoint Now) const;
+  bool mayLackVersions(const std::string &Service, TimePoint Now) const;
+  void end(const StreamQueryFrame &Query, const StreamAnswerFrame &Known,
+           OriginSource Source, const Done &Callback);
+  void decide(const StreamQueryFrame &Query, StreamAnswerFrame Known,
+              OriginSource Source, const Done &Callback);
   void finish(std::uint64_t Id);
 
   void receive(const BoxName &From, const StreamsBegunFrame &Frame);
@@ -84,11 +102,16 @@
   Fleet &m_Fleet;
   StreamOrigins m_Streams;
   VersionHistory m_Versions;
+  DecisionLog &m_Log;
   VersionMarks m_Marks;
+  VersionRecords m_Records;
+  StreamOriginStore m_Stored;
   std::function<bool()> m_IsWriter;
-  Timer m_MarkTimer;
+  Timer m_RefreshTimer;
+  /// A box, and whether it is to write to the store what it is told.
+  using Holder = std::pair<BoxName, bool>;
   /// Streams that other boxes are told of when the loop is idle.
-  std::map<BoxName, StreamsBegunFrame> m_Begun;
+  std::map<Holder, StreamsBegunFrame> m_Begun;
   Timer m_TellTimer;
   std::uint64_t m_LastId = 0;
   std::map<std::uint64_t, Search> m_Searches;
--- /dev/null
+++ b/packages/gateway/process/StreamOriginStore.cpp
@@ -0,0 +1,207 @@
+#include "gateway/process/StreamOriginStore.h"
+
+#include "decisions/process/VersionHistory.h"
+#include "gateway/common/DecisionLog.h"
+#include <algorithm>
+#include <utility>
+
+namespace havenstair {
+
+namespace {
+
+/// Shortest time between two writes of a box. A stream that begins within it
+/// before its box is lost is unknown.
+constexpr Duration MinInterval = 250ms;
+
+/// Added for each box that writes, so that all of them together keep to a tenth
+/// of the writes that the store takes.
+constexpr Duration IntervalPerWriter = 25ms;
+
+/// Streams after which a batch is full: it is written anew with each that is
+/// added.
+constexpr std::size_t FullBatch = 16;
+
+/// Most streams in one key.
+constexpr std::size_t MaxBatch = 512;
+
+/// Most streams of a service that are kept until they are needed; the oldest
+/// are dropped first.
+constexpr std::size_t MaxWaiting = 20'000;
+
+/// A key outlives the last stream in it by half of this.
+constexpr Duration LeaseLife = 2 * VersionHistory::Memory;
+constexpr Duration LeaseUse = VersionHistory::Memory / 2;
+
+/// What was read for one stream serves those that are looked for soon after.
+constexpr Duration ReadInterval = 300ms;
+
+} // namespace
+
+StreamOriginStore::StreamOriginStore(EventLoop &Loop, CoordinationStore &Store,
+                                     DecisionLog &Log, Options Opts,
+                                     Hooks Callbacks)
+    : m_Loop(Loop), m_Store(Store), m_Log(Log), m_Opts(std::move(Opts)),
+      m_Hooks(std::move(Callbacks)) {}
+
+Duration StreamOriginStore::interval() const {
+  return std::max(MinInterval,
+                  static_cast<int>(m_Hooks.m_Writers()) * IntervalPerWriter);
+}
+
+void StreamOriginStore::record(const BegunStream &Stream, TimePoint Now) {
+  const std::string &Service = Stream.m_Origin.m_Service;
+  std::deque<Waiting> &Queue = m_Waiting[Service];
+  while (!Queue.empty() &&
+         (Queue.front().m_Until < Now || Queue.size() >= MaxWaiting))
+    Queue.pop_front();
+  Queue.push_back({.m_Stream = Stream, .m_Until = Now + Stream.m_Left});
+  if (m_Hooks.m_Needed(Service, Now))
+    flushLater(Now);
+}
+
+bool StreamOriginStore::anyNeeded(TimePoint Now) const {
+  return std::any_of(m_Waiting.begin(), m_Waiting.end(), [&](const auto &Each) {
+    return !Each.second.empty() && m_Hooks.m_Needed(Each.first, Now);
+  });
+}
+
+void StreamOriginStore::refresh(TimePoint Now) {
+  if (anyNeeded(Now))
+    flushLater(Now);
+}
+
+void StreamOriginStore::flushLater(TimePoint Now) {
+  if (m_FlushDue || m_InFlight)
+    return;
+  m_FlushDue = true;
+  const TimePoint At = std::max(Now, m_FlushedAt + interval());
+  m_FlushTimer = m_Loop.after(At - Now, [this] { flush(); });
+}
+
+void StreamOriginStore::flush() {
+  m_FlushDue = false;
+  const TimePoint Now = EventLoop::now();
+  takeNeeded(Now);
+  if (!m_Unwritten)
+    return;
+  m_InFlight = true;
+  m_FlushedAt = Now;
+  if (m_Lease == 0 || Now - m_LeaseAt > LeaseUse)
+    renewLease(Now);
+  else
+    put();
+}
+
+/// Moves streams whose callers may still take them up into the batch.
+void StreamOriginStore::takeNeeded(TimePoint Now) {
+  if (m_Batch.m_Streams.size() >= FullBatch && !m_Unwritten) {
+    m_Batch.m_Streams.clear();
+    ++m_BatchNumber;
+  }
+  for (auto &[Service, Queue] : m_Waiting) {
+    if (!m_Hooks.m_Needed(Service, Now))
+      continue;
+    for (; !Queue.empty() && m_Batch.m_Streams.size() < MaxBatch;
+         Queue.pop_front()) {
+      if (Queue.front().m_Until < Now)
+        continue;
+      m_Batch.m_Streams.push_back(std::move(Queue.front().m_Stream));
+      m_Unwritten = true;
+    }
+  }
+  std::erase_if(m_Waiting,
+                [](const auto &Each) { return Each.second.empty(); });
+}
+
+void StreamOriginStore::renewLease(TimePoint Now) {
+  m_Store.grantLease(LeaseLife,
+                     [this, Now, Weak = std::weak_ptr(m_Alive)](
+                         StoreStatus Status, LeaseId Lease, Duration) {
+                       if (Weak.expired())
+                         return;
+                       if (Status != StoreStatus::Ok)
+                         return endCall();
+                       m_Lease = Lease;
+                       m_LeaseAt = Now;
+                       put();
+                     });
+}
+
+void StreamOriginStore::put() {
+  StoreTransaction Transaction;
+  Transaction.m_Puts.push_back({.m_Key = m_Opts.m_Prefix + m_Opts.m_Process +
+                                         "/" + std::to_string(m_BatchNumber),
+                                .m_Value = dumpJson(toJson(m_Batch)),
+                                .m_Lease = m_Lease});
+  m_Store.transact(Transaction, [this, Streams = m_Batch.m_Streams.size(),
+                                 Weak = std::weak_ptr(m_Alive)](
+                                    StoreStatus Status, const StoreRevision &) {
+    if (!Weak.expired())
+      onPut(Streams, Status);
+  });
+}
+
+void StreamOriginStore::onPut(std::size_t Streams, StoreStatus Status) {
+  m_Log.write("streams_stored", {{"batch", m_BatchNumber},
+                                 {"streams", Streams},
+                                 {"outcome", toString(Status)}});
+  if (Status == StoreStatus::Ok)
+    m_Unwritten = false;
+  // The lease has ended, as when the store has come back from a copy.
+  if (Status == StoreStatus::NotFound)
+    m_Lease = 0;
+  endCall();
+}
+
+void StreamOriginStore::endCall() {
+  m_InFlight = false;
+  const TimePoint Now = EventLoop::now();
+  if (m_Unwritten || anyNeeded(Now))
+    flushLater(Now);
+}
+
+void StreamOriginStore::find(const std::string &Attempt, Done Callback) {
+  const TimePoint Now = EventLoop::now();
+  if (m_HasRead && Now - m_ReadAt < ReadInterval)
+    return Callback(m_Read.find(Attempt, Now));
+  m_Readers.push_back({.m_Attempt = Attempt, .m_Done = std::move(Callback)});
+  if (!m_Reading)
+    read();
+}
+
+void StreamOriginStore::read() {
+  m_Reading = true;
+  m_Store.range(
+      m_Opts.m_Prefix, ReadKind::Current,
+      [this, Weak = std::weak_ptr(m_Alive)](const StoreItems &Result) {
+        if (!Weak.expired())
+          onRead(Result);
+      });
+}
+
+void StreamOriginStore::onRead(const StoreItems &Result) {
+  m_Reading = false;
+  const TimePoint Now = EventLoop::now();
+  m_Read = StreamOrigins();
+  m_HasRead = Result.m_Status == StoreStatus::Ok;
+  m_ReadAt = Now;
+  for (const StoreItem &Item : Result.m_Items)
+    try {
+      StreamsBegunFrame Batch;
+      fromJson(parseJson(Item.m_Value), Batch);
+      for (const BegunStream &Each : Batch.m_Streams)
+        m_Read.record(Each.m_Attempt, Each.m_Origin, VersionHistory::Memory,
+                      Now);
+    } catch (const DecodeError &Error) {
+      m_Log.write("bad_stored_streams",
+                  {{"key", Item.m_Key}, {"why", Error.what()}});
+    }
+  m_Log.write("streams_read", {{"outcome", toString(Result.m_Status)},
+                               {"batches", Result.m_Items.size()},
+                               {"streams", m_Read.size()},
+                               {"for", m_Readers.size()}});
+  for (const Reader &Each : std::exchange(m_Readers, {}))
+    Each.m_Done(m_Read.find(Each.m_Attempt, Now));
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/gateway/process/VersionRecords.h
@@ -0,0 +1,95 @@
+/// \file
+/// Keys of the store that name the software versions of each service.
+/// See docs/design/stream-versions.md.
+#ifndef HAVENSTAIR_GATEWAY_PROCESS_VERSIONRECORDS_H
+#define HAVENSTAIR_GATEWAY_PROCESS_VERSIONRECORDS_H
+
+#include "decisions/process/VersionHistory.h"
+#include "gateway/process/CoordinationStore.h"
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace havenstair {
+
+class DecisionLog;
+
+/// Keeps one lasting key for each service, which names the versions that may
+/// have begun streams that callers can still take up. Any box writes it, on the
+/// condition that no other has. It outlives all boxes, so that one that has
+/// just started learns of versions that no upstream has any more.
+class VersionRecords {
+public:
+  struct Options {
+    std::string m_Prefix; ///< Prefix of the gateway's keys.
+    /// The whole fleet starts now: a service without a key had no versions
+    /// before.
+    bool m_FirstStart = false;
+  };
+
+  /// \p History is told of what the keys name.
+  VersionRecords(CoordinationStore &Store, DecisionLog &Log, Options Opts,
+                 VersionHistory &History);
+  VersionRecords(const VersionRecords &) = delete;
+  VersionRecords &operator=(const VersionRecords &) = delete;
+
+  /// \p Items are all keys under the gateway's prefix as of \p At.
+  void entriesChanged(const std::map<std::string, StoreItem> &Items,
+                      const StoreRevision &At, TimePoint Now);
+  /// Reads the keys if that has not succeeded yet, and brings them closer to
+  /// what the history holds, by one transaction. Does nothing while a call is
+  /// in flight.
+  void refresh(TimePoint Now);
+  /// Runs \p Call at the end of the read of the keys that is in flight, or else
+  /// at once.
+  void afterRead(std::function<void()> Call);
+  /// Whether the keys have been read, and those that lacked been judged.
+  bool known() const { return m_Judged; }
+  /// Whether the key of \p Service names \p Software.
+  bool names(const std::string &Service, const SoftwareVersion &Software) const;
+
+private:
+  struct Record {
+    SoftwareVersions m_Versions;
+    StoreRevision m_Revision; ///< Of the key; none while there is no key.
+    /// Written before the store came back from a copy, or not readable: it may
+    /// lack versions until a box writes it again.
+    bool m_Outdated = false;
+
+    bool operator==(const Record &) const = default;
+  };
+  using Records = std::map<std::string, Record>;
+
+  void read();
+  void onRead(const StoreItems &Result);
+  void adopt(const std::map<std::string, StoreItem> &Items,
+             const StoreRevision &At, TimePoint Now);
+  Record decode(const StoreItem &Item, const StoreRevision &At) const;
+  Record combine(Record Read, const Record *Before) const;
+  void judgeMissing(TimePoint Now);
+  std::map<std::string, SoftwareVersions> due(TimePoint Now) const;
+  void write(const std::map<std::string, SoftwareVersions> &Due);
+  void onWritten(const std::map<std::string, SoftwareVersions> &Due,
+                 StoreStatus Status, const StoreRevision &At);
+
+  CoordinationStore &m_Store;
+  DecisionLog &m_Log;
+  Options m_Opts;
+  VersionHistory &m_History;
+  Records m_Records;
+  StoreRevision m_At; ///< The records are complete up to here.
+  bool m_Read = false;
+  /// Services without a key, when the keys were first read, have been judged.
+  bool m_Judged = false;
+  bool m_InFlight = false;
+  bool m_Reading = false;
+  std::vector<std::function<void()>> m_AfterRead;
+  /// Expires with this object.
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
+};
+
+} // namespace havenstair
+
+#endif
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -222,6 +222,8 @@
     return State.m_Ended.contains(Each->incarnation(), Now);
   });
   m_Crashes.narrowCandidates(Candidates, m_MayHaveRun, Now);
+  if (m_Route.m_Resumable)
+    m_Binding.preferRecorded(Candidates);
   const ReplicaStatistics Knowledge{.m_Loads = State.m_Loads,
                                     .m_Prefixes = State.m_Prefixes,
                                     .m_Latency = State.m_Latency,
--- a/packages/gateway/request/StreamBinding.cpp
+++ b/packages/gateway/request/StreamBinding.cpp
@@ -1,5 +1,7 @@
 #include "gateway/request/StreamBinding.h"
 
+#include "decisions/process/UpstreamInstance.h"
+#include <algorithm>
 #include <cstddef>
 #include <utility>
 
@@ -21,6 +23,18 @@
       m_State(m_Subject.m_Continues ? State::Open : State::Free),
       m_Self(std::make_shared<StreamBinding *>(this)) {}
 
+void StreamBinding::preferRecorded(
+    std::vector<const UpstreamInstance *> &Candidates) const {
+  const std::shared_ptr<StreamOriginService> Origins = m_Origins.lock();
+  if (!Origins || m_State != State::Free)
+    return;
+  const auto Unrecorded = [&](const UpstreamInstance *Each) {
+    return !Origins->recorded(Each->m_Service, Each->m_Software);
+  };
+  if (!std::all_of(Candidates.begin(), Candidates.end(), Unrecorded))
+    std::erase_if(Candidates, Unrecorded);
+}
+
 void StreamBinding::ask(const std::string &Service,
                         std::function<void(const FoundOrigin &)> Callback) {
   m_State = State::Asked;
--- a/packages/gateway/request/StreamBinding.h
+++ b/packages/gateway/request/StreamBinding.h
@@ -9,9 +9,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace havenstair {
 
+struct UpstreamInstance;
+
 /// A request is bound from the first event that its caller is given; one that
 /// takes a stream up, from the start. Before that it may use any version.
 class StreamBinding {
@@ -43,6 +46,9 @@
   /// it.
   const std::string &service() const { return m_Service; }
 
+  /// Leaves of \p Candidates those at which the store tells that streams may
+  /// begin, if there are any and the request may use any version.
+  void preferRecorded(std::vector<const UpstreamInstance *> &Candidates) const;
   /// Finds out how the stream began that the caller takes up at \p Service.
   /// Calls \p Callback once, before this function returns or later; never after
   /// this object is destroyed.
--- a/packages/gateway/request/StreamOriginService.cpp
+++ b/packages/gateway/request/StreamOriginService.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 5> SourceNames{
-    "unknown", "contradicted", "own", "box", "only_version"};
+constexpr std::array<std::string_view, 6> SourceNames{
+    "unknown", "contradicted", "own", "box", "only_version", "store"};
 
 } // namespace
 
--- a/packages/gateway/request/StreamOriginService.h
+++ b/packages/gateway/request/StreamOriginService.h
@@ -18,7 +18,8 @@
   Contradicted, ///< Boxes know different origins.
   Own,          ///< This box gave the first event or was told of it.
   Box,          ///< Another box knew it.
-  OnlyVersion   ///< The service had no other version of late.
+  OnlyVersion,  ///< The service had no other version of late.
+  Store         ///< Only the store knew it.
 };
 
 /// The name of \p Source in logs and metrics.
@@ -48,6 +49,10 @@
   /// \p Attempt, and may take it up within \p Left.
   virtual void record(const std::string &Attempt, const StreamOrigin &Origin,
                       Duration Left) = 0;
+  /// Whether a box that has just started would know that an upstream of
+  /// \p Software may have begun a stream of \p Service.
+  virtual bool recorded(const std::string &Service,
+                        const SoftwareVersion &Software) const = 0;
   /// Finds how the stream of \p Attempt, which may be empty, began at \p
   /// Service. Calls \p Callback once, before this function returns or later.
   virtual void find(const std::string &Attempt, const std::string &Service,
--- a/packages/wire/connection/StreamFrames.cpp
+++ b/packages/wire/connection/StreamFrames.cpp
@@ -35,10 +35,14 @@
     for (Json &Text : originToJson(Each.m_Origin))
       List.push_back(std::move(Text));
   }
-  return {{"streams", std::move(List)}};
+  Json Result{{"streams", std::move(List)}};
+  if (Frame.m_Store)
+    Result["store"] = true;
+  return Result;
 }
 
 void fromJson(const Json &From, StreamsBegunFrame &Frame) {
+  Frame.m_Store = fieldOr<bool>(From, "store", false);
   const auto List = field<Json>(From, "streams");
   if (!List.is_array() || List.size() % FieldsPerStream != 0)
     throw DecodeError("field streams is missing or wrong");
--- a/packages/wire/connection/StreamFrames.h
+++ b/packages/wire/connection/StreamFrames.h
@@ -26,6 +26,8 @@
 /// Streams that began at the sender. The receiver remembers them for others.
 struct StreamsBegunFrame {
   std::vector<BegunStream> m_Streams;
+  /// The receiver is to write them to the store when that is needed.
+  bool m_Store = false;
 
   bool operator==(const StreamsBegunFrame &) const = default;
 };
--- a/tests/decisions/process/VersionHistoryTest.cpp
+++ b/tests/decisions/process/VersionHistoryTest.cpp
@@ -62,3 +62,41 @@
   REQUIRE(History.versionsOf("s", at(1s)).m_Several);
   REQUIRE_FALSE(History.versionsOf("s", at(1s)).m_Only);
 }
+
+TEST_CASE("Versions that boxes share count like listed ones",
+          "[stream-version]") {
+  VersionHistory History;
+  History.update(listOf({"v2"}), at(0s));
+  History.learn("s", {SoftwareVersion("v1"), SoftwareVersion("v2")}, at(1s));
+  REQUIRE(History.versionsOf("s", at(2s)).m_Several);
+  SECTION("until no box names them") {
+    History.learn("s", {SoftwareVersion("v2")}, at(3s));
+    REQUIRE(History.versionsOf("s", at(3s)).m_Only == SoftwareVersion("v2"));
+  }
+  SECTION("for as long as streams of theirs may be taken up") {
+    REQUIRE(History.versionsOf("s", at(1s) + VersionHistory::Memory).m_Several);
+    REQUIRE(History.versionsOf("s", at(2s) + VersionHistory::Memory).m_Only ==
+            SoftwareVersion("v2"));
+  }
+  SECTION("an unknown one too") {
+    History.learn("s", {SoftwareVersion()}, at(3s));
+    REQUIRE(History.versionsOf("s", at(3s)).m_Several);
+  }
+}
+
+TEST_CASE("A version is outlived later than it counts", "[stream-version]") {
+  constexpr Duration Limit =
+      VersionHistory::Memory + VersionHistory::ForgetMargin;
+  const SoftwareVersion Gone("v1");
+  VersionHistory History;
+  History.update(listOf({"v1", "v2"}), at(0s));
+  REQUIRE_FALSE(History.outlived("s", Gone, at(2 * Limit)));
+  History.update(listOf({"v2"}), at(0s));
+  REQUIRE_FALSE(History.outlived("s", Gone, at(Limit)));
+  REQUIRE(History.outlived("s", Gone, at(Limit + 1s)));
+  REQUIRE(History.observed(at(1s)).at("s").contains(Gone));
+  REQUIRE_FALSE(
+      History.observed(at(VersionHistory::Memory + 1s)).at("s").contains(Gone));
+  History.learn("s", {Gone}, at(10s));
+  REQUIRE_FALSE(History.outlived("s", Gone, at(Limit + 1s)));
+}
--- a/tests/gateway/GatewayTest.h
+++ b/tests/gateway/GatewayTest.h
@@ -136,6 +136,7 @@
     Options.m_Passing = Endpoint{"127.0.0.1", 0};
     Options.m_Store = m_Store.endpoint();
     Options.m_Bounds.m_RetryAllowance = 100;
+    Options.m_FirstStart = m_FirstStart;
     return Options;
   }
 
@@ -245,6 +246,8 @@
   BoxName m_OutdatedBox;
   /// Changes what a box reads of an upstream's entry; may be empty.
   std::function<UpstreamInstance(const BoxName &, UpstreamInstance)> m_SeenBy;
+  /// Boxes start with the whole fleet: there were none before.
+  bool m_FirstStart = true;
   int m_TimeoutMs = 8000;
   /// Organisations of the next configuration.
   Json m_Organisations = Json::array();
--- a/tests/gateway/StreamVersionTest.cpp
+++ b/tests/gateway/StreamVersionTest.cpp
@@ -434,6 +434,7 @@
   /// All boxes end at once, as if killed.
   void loseAll() {
     m_Calls.clear();
+    m_FirstStart = false;
     m_Gateway.reset();
     m_Other.reset();
   }
@@ -508,7 +509,7 @@
 // The new version came and the old one left while all boxes were gone; all
 // streams that were taken up then went on at the new one.
 TEST_CASE("No stream is joined when a release falls into a loss of all boxes",
-          "[gateway][stream-version][known-red]") {
+          "[gateway][stream-version]") {
   LossTest Test;
   Test.add("i-1", "v1");
   Test.startTwo();
@@ -524,7 +525,7 @@
 // before one of them gave orders.
 TEST_CASE("No stream is joined when a release falls between two losses of all "
           "boxes",
-          "[gateway][stream-version][known-red]") {
+          "[gateway][stream-version]") {
   LossTest Test;
   Test.add("i-1", "v1");
   Test.startTwo();
@@ -544,7 +545,7 @@
 // their versions served.
 TEST_CASE("After a loss of all boxes streams go on at the version that began "
           "them while several serve",
-          "[gateway][stream-version][known-red]") {
+          "[gateway][stream-version]") {
   LossTest Test;
   for (const std::string Version : {"v1", "v2"})
     for (const std::string Number : {"1", "2"})
@@ -561,7 +562,7 @@
 // the store.
 TEST_CASE("Streams that began before a second version came go on after a loss "
           "of all boxes",
-          "[gateway][stream-version][known-red]") {
+          "[gateway][stream-version]") {
   LossTest Test;
   Test.add("i-1", "v1");
   Test.startTwo();
@@ -573,3 +574,41 @@
   Test.startTwo();
   REQUIRE(Test.takeUp() == LossTest::Outcome{.m_WentOn = Streams});
 }
+
+TEST_CASE("After a loss of all boxes no stream goes on by a key that may lack "
+          "versions",
+          "[gateway][stream-version]") {
+  LossTest Test;
+  Test.add("i-1", "v1");
+  Test.startTwo();
+  Test.begin(Streams);
+  const std::string Key = "havenstair/software/s";
+  REQUIRE(Test.until([&] { return Test.m_Store.has(Key); }));
+  Test.loseAll();
+  SECTION("the key is gone") { Test.m_Store.remove(Key); }
+  SECTION("the key is of an earlier era") {
+    Test.m_Store.put(Key, R"({"era":0,"versions":["v1"]})");
+  }
+  Test.startTwo();
+  REQUIRE(Test.takeUp() == LossTest::Outcome{.m_Refused = Streams});
+}
+
+TEST_CASE("Versions that the store has lost are named again by boxes that knew "
+          "them",
+          "[gateway][stream-version]") {
+  const std::string Key = "havenstair/software/s";
+  StreamVersionTest Test;
+  Test.add("i-1", "v1");
+  Test.startTwo();
+  const auto Named = [&](const std::string &Text) {
+    return Test.until([&] {
+      return Test.m_Store.value(Key).find(Text) != std::string::npos;
+    });
+  };
+  REQUIRE(Named(R"(["v1"])"));
+  Test.m_Store.keepCopy();
+  Test.add("i-2", "v2");
+  REQUIRE(Named(R"(["v1","v2"])"));
+  Test.m_Store.restore(0us);
+  REQUIRE(Named(R"("era":2,"versions":["v1","v2"])"));
+}
--- /dev/null
+++ b/tests/gateway/VersionRecordsTest.cpp
@@ -0,0 +1,154 @@
+#include "gateway/process/VersionRecords.h"
+#include "gateway/common/DecisionLog.h"
+#include "platform/StoreClient.h"
+#include "standin/StandinStore.h"
+#include "wire/common/HttpClient.h"
+#include "wire/common/Json.h"
+
+#include <catch2/catch.hpp>
+#include <fcntl.h>
+#include <string>
+#include <vector>
+
+using namespace havenstair;
+
+namespace {
+
+constexpr Duration Limit = 20s;
+const std::string Key = "havenstair/software/s";
+
+InstanceList listOf(const std::vector<std::string> &Versions) {
+  InstanceList Result;
+  for (const std::string &Version : Versions)
+    Result.m_Instances["i-" + Version] = {.m_Id = "i-" + Version,
+                                          .m_Service = "s",
+                                          .m_Software =
+                                              SoftwareVersion(Version)};
+  return Result;
+}
+
+/// A store, and the loop on which all runs.
+struct World {
+  EventLoop m_Loop;
+  StandinStore m_Store{m_Loop};
+
+  bool until(const std::function<bool()> &Done) {
+    return m_Loop.runUntil(Done, Limit);
+  }
+  Json versions() const {
+    return m_Store.has(Key) ? parseJson(m_Store.value(Key))["versions"]
+                            : Json();
+  }
+};
+
+/// What one box knows of the versions of the service `s`.
+class Box {
+public:
+  explicit Box(World &In, bool FirstStart = false)
+      : m_World(In),
+        m_Records(m_Client, m_Log,
+                  {.m_Prefix = "havenstair/", .m_FirstStart = FirstStart},
+                  m_History) {}
+
+  void list(const std::vector<std::string> &Versions, TimePoint Now) {
+    m_History.update(listOf(Versions), Now);
+    m_Records.refresh(Now);
+  }
+  VersionHistory::Versions known(TimePoint Now) const {
+    return m_History.versionsOf("s", Now);
+  }
+
+  World &m_World;
+  HttpClient m_Http{m_World.m_Loop};
+  StoreEraTracker m_Eras{
+      {.m_Changed = [](const auto &) {}, .m_Ignored = [](const auto &) {}}};
+  platform::StoreClient m_Client{m_Http, m_World.m_Store.endpoint(), m_Eras};
+  DecisionLog m_Log{m_World.m_Loop,
+                    {.m_Descriptor = open("/dev/null", O_WRONLY)}};
+  VersionHistory m_History;
+  VersionRecords m_Records;
+};
+
+/// Time at which the boxes of a test list their first upstreams. The records
+/// ask the clock for when they learned of a version.
+TimePoint start() { return EventLoop::now(); }
+
+} // namespace
+
+TEST_CASE("A box that has just started learns of a version that no upstream "
+          "has any more",
+          "[stream-version]") {
+  World Now;
+  {
+    Box Before(Now, true);
+    Before.list({"v1"}, start());
+    REQUIRE(Now.until(
+        [&] { return Before.m_Records.names("s", SoftwareVersion("v1")); }));
+  }
+  Box After(Now);
+  After.list({"v2"}, start());
+  REQUIRE(Now.until([&] { return After.m_Records.known(); }));
+  REQUIRE(After.known(start()).m_Several);
+  REQUIRE(Now.until([&] { return Now.versions() == Json({"v1", "v2"}); }));
+}
+
+TEST_CASE("A service whose versions no key names may have had others unless "
+          "the whole fleet starts",
+          "[stream-version]") {
+  World Now;
+  const bool FirstStart = GENERATE(true, false);
+  Box Started(Now, FirstStart);
+  Started.list({"v1"}, start());
+  REQUIRE(Now.until([&] { return Started.m_Records.known(); }));
+  REQUIRE(Started.known(start()).m_Several == !FirstStart);
+  REQUIRE(Now.until([&] { return Now.m_Store.has(Key); }));
+}
+
+TEST_CASE("A key that cannot be read, or is of an earlier era, may lack "
+          "versions",
+          "[stream-version]") {
+  World Now;
+  Now.m_Store.put(Key, GENERATE("not JSON", R"({"era":1})",
+                                R"({"era":0,"versions":["v1"]})",
+                                R"({"era":1,"versions":[1]})"));
+  Box Started(Now);
+  Started.list({"v1"}, start());
+  REQUIRE(Now.until([&] { return Started.m_Records.known(); }));
+  REQUIRE(Started.known(start()).m_Several);
+}
+
+TEST_CASE("Boxes that write the versions of a service at one moment lose none",
+          "[stream-version]") {
+  World Now;
+  Box First(Now, true);
+  Box Second(Now, true);
+  Box Third(Now, true);
+  First.list({"v1"}, start());
+  Second.list({"v1", "v2"}, start());
+  Third.list({"v3"}, start());
+  const Json All{"v1", "v2", "v3"};
+  REQUIRE(Now.until([&] {
+    for (Box *Each : {&First, &Second, &Third})
+      Each->m_Records.refresh(start());
+    return Now.versions() == All;
+  }));
+}
+
+TEST_CASE("A version is named until every stream that it may have begun is "
+          "over",
+          "[stream-version]") {
+  World Now;
+  Box One(Now, true);
+  const TimePoint Begin = start();
+  One.list({"v1", "v2"}, Begin);
+  REQUIRE(Now.until([&] { return Now.versions() == Json({"v1", "v2"}); }));
+  One.list({"v2"}, Begin + 1s);
+  One.list({"v2"}, Begin + VersionHistory::Memory);
+  REQUIRE(Now.versions() == Json({"v1", "v2"}));
+  const TimePoint Later =
+      Begin + 10s + VersionHistory::Memory + VersionHistory::ForgetMargin;
+  REQUIRE(Now.until([&] {
+    One.list({"v2"}, Later);
+    return Now.versions() == Json::array({"v2"});
+  }));
+}
--- a/tests/wire/PeerFramesTest.cpp
+++ b/tests/wire/PeerFramesTest.cpp
@@ -283,7 +283,8 @@
       SendEndedFrame{drawnText(), *rc::gen::arbitrary<bool>()},
       StreamsBegunFrame{{{.m_Attempt = drawnText(),
                           .m_Origin = drawnOrigin(),
-                          .m_Left = *drawn(0, 90000) * 1ms}}},
+                          .m_Left = *drawn(0, 90000) * 1ms}},
+                        *rc::gen::arbitrary<bool>()},
       StreamQueryFrame{Attempt, drawnText(), "s", *rc::gen::arbitrary<bool>()},
       drawnStreamAnswer(Attempt)};
 }
