The limits in time of a request are a class of their own

What callers saw: nothing; no behaviour changes. Change: RequestTimes holds the arrival, the deadline and the route's targets, and derives the others. ProxiedRequest asks it; where it waits and how it ends is as before. The constants move with it.

--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -14,10 +14,6 @@
 
 namespace {
 
-/// Deadline of requests for which the caller set none. The timeout of the route
-/// ends them earlier.
-constexpr Duration MaxDeadline = 3600s;
-
 /// Time after which a caller should retry if no listed upstream is eligible:
 /// upstreams that have started are listed within a second.
 constexpr Duration NoUpstreamRetryAfter = 1s;
@@ -25,23 +21,9 @@
 /// Time after which a caller should retry if all upstreams rejected a request.
 constexpr Duration RejectedRetryAfter = 150ms;
 
-/// Lower limit for idle timeouts.
-constexpr Duration MinIdleTimeout = 1200ms;
-
-/// Idle timeouts as multiples of what is usual: of the target of a plain
-/// service; of the expected time to the first token, which takes up to two and
-/// a half times as long; of the target for gaps in a stream.
-constexpr int IdleTargetMultiple = 3;
-constexpr double IdleExpectedMultiple = 2.5;
-constexpr int IdleGapMultiple = 4;
-
 /// Weight of the maximum number of output tokens: most answers are shorter.
 constexpr double OutputTokenWeight = 0.5;
 
-/// Added to the time within which a caller may take a stream up: boxes' clocks
-/// and callers' deadlines are late by less.
-constexpr Duration ResumeMargin = 5s;
-
 /// A request that another box passed on has one send here: the other box counts
 /// it as one of the attempts that the route allows.
 constexpr int MaxPassedSends = 1;
@@ -136,10 +118,8 @@
                  .m_Resumes = m_Request.m_Resumes,
                  .m_Continues = continuesStream(MatchedRoute, m_Request),
                  .m_Digest = m_Crashes.digest()}),
-      m_BoxPass(Owner.m_Passes), m_Arrived(Arrived),
-      m_Deadline(m_Arrived +
-                 std::min(m_Request.m_Deadline.value_or(MaxDeadline),
-                          MatchedRoute.m_Timeout)),
+      m_BoxPass(Owner.m_Passes),
+      m_Times(MatchedRoute, m_Request.m_Deadline, Arrived),
       m_Stream(m_Request.m_LastEvent),
       m_IdleMonitor(Owner.m_Loop, Owner.m_Client,
                     {.m_Probe = [this] { return probe(); },
@@ -160,24 +140,25 @@
     if (const auto Self = Weak.lock())
       Self->onCallerLeft();
   });
-  m_DeadlineTimer = m_Owner.m_Loop.after(m_Deadline - EventLoop::now(), [Weak] {
-    if (const auto Self = Weak.lock())
-      Self->onDeadline();
-  });
+  m_DeadlineTimer =
+      m_Owner.m_Loop.after(m_Times.left(EventLoop::now()), [Weak] {
+        if (const auto Self = Weak.lock())
+          Self->onDeadline();
+      });
   step();
 }
 
 /// Counts the request as demand at the box that the caller has sent it to.
 void ProxiedRequest::countArrival() {
   ServingState &State = m_Owner.m_State;
-  State.m_Budget.recordRequest(m_Service, m_Arrived);
+  State.m_Budget.recordRequest(m_Service, m_Times.arrived());
   if (m_Request.m_Deadline)
     m_SinceFirstTry = State.m_RetryDetector.timeSinceFirstAttempt(
-        m_Route.m_Name, *m_Request.m_Deadline, m_Arrived);
+        m_Route.m_Name, *m_Request.m_Deadline, m_Times.arrived());
   // A retry of the caller is not counted as demand again, and a quarantined
   // request needs no replica.
   if (!m_Request.m_Model.empty() && m_SinceFirstTry == 0us &&
-      !m_Crashes.quarantinedFor(m_Arrived)) {
+      !m_Crashes.quarantinedFor(m_Times.arrived())) {
     // Reading a prompt occupies the whole engine, generating the answer one
     // slot.
     const double Work =
@@ -249,7 +230,7 @@
                     : m_MayHaveRun   ? ForwardingStep::Fail
                                      : ForwardingStep::Refuse);
   if (const auto Delay = m_Crashes.retryDelay(m_Owner.m_Hooks.m_Random(),
-                                              m_Deadline - Now, Now))
+                                              m_Times.left(Now), Now))
     return wait(*Delay);
   m_Waiting = false;
   if (!withinQuota(Now))
@@ -293,7 +274,7 @@
                   {"software", Found.m_Software.str()},
                   {"known", Known},
                   {"usable", Usable},
-                  {"after_ms", waited(EventLoop::now()) / 1ms}});
+                  {"after_ms", m_Times.waited(EventLoop::now()) / 1ms}});
   m_Owner.m_Hooks.m_Resumed(Found.m_Source);
   if (!Usable)
     return refuse(ErrorKind::StreamUnknown, 0us,
@@ -321,14 +302,7 @@
 /// Binds the stream whose first event the caller is about to get.
 void ProxiedRequest::bindStream(TimePoint Now) {
   if (m_Route.m_Resumable)
-    m_Binding.onEvent(m_Service, m_Send->m_Software, timeToResume(Now));
-}
-
-/// \returns how long the caller may take its stream up: callers keep to the
-/// deadline of their first try.
-Duration ProxiedRequest::timeToResume(TimePoint Now) const {
-  const Duration Wait = m_Request.m_Deadline.value_or(m_Route.m_Timeout);
-  return std::max<Duration>(0us, m_Arrived + Wait - Now) + ResumeMargin;
+    m_Binding.onEvent(m_Service, m_Send->m_Software, m_Times.toResume(Now));
 }
 
 /// \returns whether the list now names another version for the upstream of the
@@ -387,19 +361,19 @@
                        {"box", To.m_Box.str()},
                        {"send", m_Sends},
                        {"partitioned", m_Owner.m_State.m_Reach.partitioned()},
-                       {"waited_ms", waited(Now) / 1ms}});
+                       {"waited_ms", m_Times.waited(Now) / 1ms}});
   HttpCall Call = commonCall(Now);
   Call.m_To = To.m_Endpoint;
   Call.m_Headers = m_Owner.m_Dialect.m_PassOn(
       m_FromCaller,
-      {.m_TimeLeft = m_Deadline - Now, .m_LastEvent = m_Stream.lastEvent()});
+      {.m_TimeLeft = m_Times.left(Now), .m_LastEvent = m_Stream.lastEvent()});
   for (HttpHeader &Each :
        m_BoxPass.fields(m_Request.m_Id, m_Binding.software()))
     Call.m_Headers.push_back(std::move(Each));
   Call.m_Use = connectionFor(m_Route.idempotent(), false, 0);
   m_Call = m_Owner.m_Client.start(std::move(Call));
   if (!streaming())
-    expectBytesWithin(IdleTargetMultiple * m_Route.m_Target);
+    expectBytesWithin(m_Times.answerTimeout());
 }
 
 /// A quarantine also ends the tries that wait for an answer. One that an
@@ -457,7 +431,7 @@
                                                     TimePoint Now) const {
   const PacingFacts Facts{.m_GapTarget = m_Route.m_GapTarget,
                           .m_Target = m_Route.m_Target,
-                          .m_Waited = waited(Now),
+                          .m_Waited = m_Times.waited(Now),
                           .m_PendingMs = Chosen.m_PendingMs};
   if (m_Sends > 0 || !streaming() || m_Request.m_Model.empty() ||
       m_Permit.hasValidPermit(Now))
@@ -470,8 +444,8 @@
                                TimePoint Now) const {
   AdmissionFacts Facts{.m_Target = m_Route.m_Target,
                        .m_GapTarget = m_Route.m_GapTarget,
-                       .m_Waited = waited(Now),
-                       .m_TimeLeft = m_Deadline - Now,
+                       .m_Waited = m_Times.waited(Now),
+                       .m_TimeLeft = m_Times.left(Now),
                        .m_NamesModel = !m_Request.m_Model.empty(),
                        .m_Start = std::nullopt,
                        .m_ServesIn = std::nullopt};
@@ -576,13 +550,9 @@
   return true;
 }
 
-/// \returns how long to wait for quota units or permits: as long as the answer
-/// still meets its target, and if that is missed already, as long as a message
-/// from the other boxes takes.
+/// \returns how long to wait for quota units or permits.
 Duration ProxiedRequest::timeToSpare(TimePoint Now) const {
-  constexpr Duration MinTime = 100ms;
-  return std::max<Duration>(MinTime, m_Route.m_Target - waited(Now) -
-                                         fromMillis(m_Choice.m_ExpectedMs));
+  return m_Times.toSpare(m_Choice.m_ExpectedMs, Now);
 }
 
 /// \returns how long to wait for a permit. If the upstream sets a limit, that
@@ -624,7 +594,7 @@
 HttpCall ProxiedRequest::makeCall(const UpstreamInstance &To, TimePoint Now) {
   const ForwardedFields Fields{.m_Instance = To.m_Id,
                                .m_Organisation = m_Organisation,
-                               .m_TimeLeft = m_Deadline - Now,
+                               .m_TimeLeft = m_Times.left(Now),
                                .m_Priority = m_Priority,
                                .m_LastEvent = m_Stream.lastEvent()};
   HttpCall Call = commonCall(Now);
@@ -642,7 +612,7 @@
   Call.m_Target = m_Exchange->target();
   Call.m_Body = m_Exchange->sharedBody();
   Call.m_ConnectTimeout = m_Owner.m_Opts.m_ConnectTimeout;
-  Call.m_IdleTimeout = m_Deadline - Now + 1s;
+  Call.m_IdleTimeout = m_Times.left(Now) + 1s;
   Call.m_MaxBody = m_Owner.m_Opts.m_MaxAnswerBytes;
   const auto Weak = weak_from_this();
   Call.m_OnWritten = [Weak] {
@@ -711,10 +681,8 @@
     State.m_Prefixes.recordRead(To.m_Id, m_Request);
   m_Call = m_Owner.m_Client.start(std::move(Call));
   if (!streaming())
-    return expectBytesWithin(IdleTargetMultiple * m_Route.m_Target);
-  expectBytesWithin(std::max<Duration>(
-      MinIdleTimeout, fromMillis(IdleExpectedMultiple * Chosen.m_ExpectedMs) +
-                          m_Route.m_Target));
+    return expectBytesWithin(m_Times.answerTimeout());
+  expectBytesWithin(m_Times.firstEventTimeout(Chosen.m_ExpectedMs));
 }
 
 /// Only idempotent requests that may be sent again have an idle timeout. Others
@@ -853,8 +821,7 @@
     m_Crashes.onWriting(*m_Send->m_Started, Now);
   if (!m_Exchange->sendChunk(Events))
     return cut();
-  expectBytesWithin(
-      std::max(MinIdleTimeout, IdleGapMultiple * m_Route.m_GapTarget));
+  expectBytesWithin(m_Times.nextEventTimeout());
 }
 
 /// The caller's answer is framed as the upstream's: it must not claim to be
@@ -1005,7 +972,7 @@
                               .m_MayHaveRun = m_MayHaveRun,
                               .m_Sends = m_Sends,
                               .m_MaxSends = maxSends(),
-                              .m_TimeLeft = Now < m_Deadline};
+                              .m_TimeLeft = Now < m_Times.deadline()};
   // What another box refuses is an answer to the caller, as if refused here.
   if (Outcome == SendOutcome::Rejected &&
       m_Send->m_Verdict == PassVerdict::Refused)
@@ -1158,7 +1125,7 @@
   m_PacingTimer = Timer();
   m_RoomTimer.reset();
   m_IdleMonitor.stop();
-  const Duration First = m_FirstByte ? *m_FirstByte - m_Arrived : 0us;
+  const Duration First = m_FirstByte ? *m_FirstByte - m_Times.arrived() : 0us;
   if (!m_Passed && Outcome != "ok" &&
       Outcome != answerFor(ErrorKind::CallerLeft).m_Code)
     m_Owner.m_State.m_RetryDetector.recordRefusal(m_Route.m_Name, Now);
@@ -1193,7 +1160,7 @@
        {"software", m_Send ? m_Send->m_Software.str() : std::string()},
        {"framing", m_Send ? framingName(m_Send->m_Framing) : ""},
        {"rest_bytes", m_Stream.rest().size()},
-       {"whole_ms", waited(Now) / 1ms}});
+       {"whole_ms", m_Times.waited(Now) / 1ms}});
   if (m_Passed)
     m_Owner.m_Hooks.m_PassedEnded(Outcome);
   else
@@ -1201,7 +1168,7 @@
                              .m_Organisation = m_Organisation,
                              .m_Outcome = Outcome,
                              .m_FirstByte = First,
-                             .m_Whole = waited(Now)});
+                             .m_Whole = m_Times.waited(Now)});
   m_Owner.remove(Self);
 }
 
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -12,6 +12,7 @@
 #include "gateway/request/RequestPermit.h"
 #include "gateway/request/RequestQuota.h"
 #include "gateway/request/RequestSend.h"
+#include "gateway/request/RequestTimes.h"
 #include "gateway/request/StreamAnswer.h"
 #include "gateway/request/StreamBinding.h"
 #include "gateway/request/StreamIdleMonitor.h"
@@ -62,7 +63,6 @@
   void onOrigin(const FoundOrigin &Found);
   bool useBoundService();
   void bindStream(TimePoint Now);
-  Duration timeToResume(TimePoint Now) const;
   bool listedOtherwise() const;
   bool unreachable(TimePoint Now) const;
   bool passOn(TimePoint Now);
@@ -136,7 +136,6 @@
   HttpMethod method() const {
     return parseHttpMethod(m_Exchange->method()).value_or(HttpMethod::Get);
   }
-  Duration waited(TimePoint Now) const { return Now - m_Arrived; }
 
   /// Null for a request that a caller sent to this box; else counts it as one
   /// that another box passed on.
@@ -158,8 +157,7 @@
   StreamBinding m_Binding;
   bool m_AskingOrigin = false; ///< A call to m_Binding.ask() is on the stack.
   BoxPass m_BoxPass;
-  TimePoint m_Arrived;
-  TimePoint m_Deadline;
+  RequestTimes m_Times;
   Duration m_SinceFirstTry = 0us; ///< Zero for a first try.
   std::set<InstanceId> m_Tried;   ///< Upstreams that it was sent to.
   bool m_ConnectFailed = false;   ///< An upstream could not be connected to.
