How the answer of one send is received and judged is a class of its own

What callers saw: nothing; no behaviour changes. Cause: the head, the body and the verdict of an answer were fields of a struct that ProxiedRequest filled and read in a dozen places, so that the judgement of a send could be tried only through a whole box. Change: SendAnswer takes the head, holds and charges the body, and says how the send ended; RequestSend has one. What a stream's content shows stays with StreamAnswer, and is handed in. The two readings of the end of a call that were computed twice in onEnd() are computed once.

--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -352,7 +352,10 @@
                 .m_PassToken = m_BoxPass.open(To),
                 .m_At = Now,
                 .m_CountedAsLoad = false,
-                .m_Resumed = m_Stream.lastEvent().has_value()};
+                .m_Resumed = m_Stream.lastEvent().has_value(),
+                .m_Answer = SendAnswer({.m_Method = method(),
+                                        .m_RequestId = m_Request.m_Id,
+                                        .m_FromBox = true})};
   m_Owner.m_Log.write("passed_on",
                       {{"request", m_Request.m_Id},
                        {"digest", m_Crashes.digest().str()},
@@ -652,7 +655,9 @@
                 .m_ExpectedMs = Chosen.m_ExpectedMs,
                 .m_Tokens = m_Request.m_PromptTokens +
                             OutputTokenWeight * m_Request.m_MaxOutputTokens,
-                .m_Resumed = m_Stream.lastEvent().has_value()};
+                .m_Resumed = m_Stream.lastEvent().has_value(),
+                .m_Answer = SendAnswer(
+                    {.m_Method = method(), .m_RequestId = m_Request.m_Id})};
   const ConfigFreshness Config = m_Owner.m_Hooks.m_ConfigFreshness(Now);
   m_Owner.m_Log.write(
       "sent", {{"request", m_Request.m_Id},
@@ -715,25 +720,15 @@
   if (m_Done || !m_Send)
     return;
   const AnswerFacts Facts = m_Owner.m_Dialect.m_ReadAnswer(Status, Headers);
-  m_Send->m_Status = Status;
-  m_Send->m_Headers = withoutPassFields(Headers);
-  m_Send->m_Framing = framingOf(method(), Status, Headers);
+  m_Send->m_Answer.readHead(Status, Headers, Facts);
   if (m_Send->m_Box) {
-    m_Send->m_Verdict = readVerdict(Headers);
     m_Send->m_Software = readSoftware(Headers);
   } else {
-    m_Send->m_NotRun = Facts.m_NotRun;
-    m_Send->m_NoRoom = Facts.m_NoRoom;
     m_Owner.m_Hooks.m_Reached(reachCall());
     m_Permit.reportCold(Facts, m_Send->m_Instance, m_Send->m_At);
   }
-  m_Send->m_ForeignAnswer =
-      !Facts.m_RequestId.empty() && Facts.m_RequestId != m_Request.m_Id;
-  const bool LacksRequestId = Facts.m_RequestId.empty() && Status / 100 == 2;
-  if (m_Send->m_ForeignAnswer || LacksRequestId) {
-    m_Send->m_ForeignAnswer = true;
+  if (m_Send->m_Answer.foreign())
     return settle(SendOutcome::Broken);
-  }
   if (const auto Service = m_Owner.m_Signals.lock(); Service && !m_Send->m_Box)
     Service->recordSignals(upstreamIncarnation(), Facts, m_Send->m_At);
   if (!(streaming() && Status == 200))
@@ -742,12 +737,14 @@
 
 /// Reads an answer of \p Bytes once all that is held leaves room for it.
 void ProxiedRequest::awaitRoom(std::size_t Bytes) {
-  if (Bytes > m_Owner.m_Opts.m_MaxAnswerBytes || holdAnswer(Bytes))
+  const MemoryBudget &Memory = m_Owner.m_Opts.m_Memory;
+  if (Bytes > m_Owner.m_Opts.m_MaxAnswerBytes ||
+      m_Send->m_Answer.hold(Bytes, Memory))
     return;
   m_IdleMonitor.stop();
   m_Call.pauseReading();
   m_RoomTimer = m_Owner.m_Loop.every(RoomCheckInterval, [this, Bytes] {
-    if (!holdAnswer(Bytes))
+    if (!m_Send->m_Answer.hold(Bytes, m_Owner.m_Opts.m_Memory))
       return;
     m_Call.resumeReading();
     m_RoomTimer.reset();
@@ -757,38 +754,26 @@
 void ProxiedRequest::onBytes(std::string_view Bytes) {
   if (m_Done || !m_Send)
     return;
-  if (streaming() && m_Send->m_Status == 200) {
+  if (answersStream()) {
     passEvents(m_Stream.feed(Bytes));
     if (!m_Done && m_Stream.rest().size() > MaxEventBytes)
       settle(SendOutcome::Broken);
     return;
   }
-  const std::size_t Size = m_Send->m_Body.size() + Bytes.size();
+  SendAnswer &Answer = m_Send->m_Answer;
+  const MemoryBudget &Memory = m_Owner.m_Opts.m_Memory;
+  const std::size_t Size = Answer.body().size() + Bytes.size();
   if (Size > m_Owner.m_Opts.m_MaxAnswerBytes)
     return settle(SendOutcome::Broken);
   // While the answer waits for room, only what had been read before comes.
-  if (!m_RoomTimer && Size > m_Send->m_Body.capacity() &&
-      !holdAnswer(Size + Size / 2)) {
-    m_Owner.m_Log.write("answer_not_held",
-                        {{"request", m_Request.m_Id},
-                         {"bytes", Size},
-                         {"held", m_Owner.m_Opts.m_Memory.held()},
-                         {"limit", m_Owner.m_Opts.m_Memory.limit()}});
+  if (!m_RoomTimer && !Answer.growTo(Size, Memory)) {
+    m_Owner.m_Log.write("answer_not_held", {{"request", m_Request.m_Id},
+                                            {"bytes", Size},
+                                            {"held", Memory.held()},
+                                            {"limit", Memory.limit()}});
     return settle(SendOutcome::Broken);
   }
-  m_Send->m_Body.append(Bytes);
-}
-
-/// Makes room for an answer of \p Bytes. \returns false where all that is held
-/// leaves none.
-bool ProxiedRequest::holdAnswer(std::size_t Bytes) {
-  const MemoryBudget &Memory = m_Owner.m_Opts.m_Memory;
-  if (m_Send->m_Held.bytes() == 0)
-    m_Send->m_Held = Memory.chargeAnswer();
-  if (!m_Send->m_Held.resize(Bytes))
-    return false;
-  m_Send->m_Body.reserve(Bytes);
-  return true;
+  Answer.append(Bytes);
 }
 
 void ProxiedRequest::noteStarted(TimePoint Now) {
@@ -827,22 +812,25 @@
 /// The caller's answer is framed as the upstream's: it must not claim to be
 /// whole where only the end of a connection says so.
 void ProxiedRequest::startStream() {
-  const AnswerFraming Framing = m_Send->m_Framing == AnswerFraming::Connection
-                                    ? AnswerFraming::Connection
-                                    : AnswerFraming::Chunks;
-  HttpHeaders Headers = withoutConnectionFields(m_Send->m_Headers);
+  const AnswerFraming Framing =
+      m_Send->m_Answer.framing() == AnswerFraming::Connection
+          ? AnswerFraming::Connection
+          : AnswerFraming::Chunks;
+  HttpHeaders Headers = withoutConnectionFields(m_Send->m_Answer.headers());
   if (m_Passed)
     Headers.push_back(softwareField(m_Send->m_Software));
-  m_Stream.setFraming(
-      m_Exchange->startStream(m_Send->m_Status, std::move(Headers), Framing));
+  m_Stream.setFraming(m_Exchange->startStream(m_Send->m_Answer.status(),
+                                              std::move(Headers), Framing));
 }
 
 void ProxiedRequest::onEnd(HttpEnd End) {
   if (m_Done || !m_Send)
     return;
-  const SendOutcome Outcome = classify(End);
-  m_Send->m_Whole =
-      Outcome == SendOutcome::Broken && claimsMore(End) && !streamBrokeOff(End);
+  const bool BrokeOff = streamBrokeOff(End);
+  const bool ClaimsMore = claimsMore(End);
+  const SendOutcome Outcome =
+      m_Send->m_Answer.outcome(End, BrokeOff || ClaimsMore);
+  m_Send->m_Whole = Outcome == SendOutcome::Broken && ClaimsMore && !BrokeOff;
   m_Stream.onSendEnded(streamEnd(End));
   m_Send->m_Ended = true;
   if (m_Send->m_Box)
@@ -853,35 +841,13 @@
                                  EventLoop::now());
   if (End == HttpEnd::NotWritten)
     m_Crashes.onConnectFailed(upstreamIncarnation());
-  m_ConnectFailed = m_ConnectFailed || connectionFailed(End);
-  if (connectionFailed(End))
+  if (m_Send->m_Answer.connectionFailed(End)) {
+    m_ConnectFailed = true;
     m_Owner.m_Hooks.m_ConnectFailed(reachCall());
+  }
   settle(Outcome);
 }
 
-/// \returns whether no byte came over the connection. A kept one may also break
-/// because the upstream closes it; the probe that follows then clears the
-/// doubt.
-bool ProxiedRequest::connectionFailed(HttpEnd End) const {
-  return End == HttpEnd::NotWritten ||
-         (End == HttpEnd::Broken && m_Send->m_Status == 0);
-}
-
-SendOutcome ProxiedRequest::classify(HttpEnd End) const {
-  const bool Whole = End == HttpEnd::Complete;
-  if (m_Send->m_Verdict == PassVerdict::Declined)
-    return SendOutcome::NotSent;
-  if (m_Send->m_NotRun || m_Send->m_Verdict == PassVerdict::Rejected ||
-      (m_Send->m_Verdict == PassVerdict::Refused && Whole))
-    return SendOutcome::Rejected;
-  if (End == HttpEnd::NotWritten)
-    return SendOutcome::NotSent;
-  if (End == HttpEnd::Broken || streamBrokeOff(End) || claimsMore(End))
-    return SendOutcome::Broken;
-  return m_Send->m_Status >= 500 ? SendOutcome::ServerError
-                                 : SendOutcome::Answered;
-}
-
 StreamAnswer::SendEnd ProxiedRequest::streamEnd(HttpEnd End) const {
   return {.m_End = End,
           .m_FromBox = m_Send->m_Box.has_value(),
@@ -890,8 +856,7 @@
 }
 
 bool ProxiedRequest::streamBrokeOff(HttpEnd End) const {
-  return streaming() && m_Send->m_Status == 200 &&
-         m_Stream.brokeOff(streamEnd(End));
+  return answersStream() && m_Stream.brokeOff(streamEnd(End));
 }
 
 bool ProxiedRequest::claimsMore(HttpEnd End) const {
@@ -926,7 +891,7 @@
   // upstream.
   const bool Declined = Outcome == SendOutcome::NotSent ||
                         (Outcome == SendOutcome::Broken &&
-                         m_Send->m_Status == 0 && m_Send->m_Ended);
+                         m_Send->m_Answer.status() == 0 && m_Send->m_Ended);
   m_BoxPass.onOutcome(*m_Send->m_Box, outcomeName(Outcome), Declined);
 }
 
@@ -935,7 +900,7 @@
 /// empty; an answer that finds fault with the request has read it.
 bool ProxiedRequest::completed(SendOutcome Outcome) const {
   return Outcome == SendOutcome::Answered && !m_Send->m_Resumed &&
-         !impliesNotRun(m_Send->m_Status);
+         !impliesNotRun(m_Send->m_Answer.status());
 }
 
 /// \returns whether the upstream has restarted since the send. What an earlier
@@ -947,7 +912,7 @@
 void ProxiedRequest::releaseLoad() {
   if (!m_Send || !std::exchange(m_Send->m_CountedAsLoad, false))
     return;
-  m_Permit.reportEnd(m_Send->m_Instance, m_Send->m_NoRoom);
+  m_Permit.reportEnd(m_Send->m_Instance, m_Send->m_Answer.noRoom());
   if (upstreamRestarted())
     return;
   LoadTracker &Loads = m_Owner.m_State.m_Loads;
@@ -975,7 +940,7 @@
                               .m_TimeLeft = Now < m_Times.deadline()};
   // What another box refuses is an answer to the caller, as if refused here.
   if (Outcome == SendOutcome::Rejected &&
-      m_Send->m_Verdict == PassVerdict::Refused)
+      m_Send->m_Answer.verdict() == PassVerdict::Refused)
     return m_Stream.begun() ? ForwardingStep::Cut
            : m_MayHaveRun   ? ForwardingStep::Fail
                             : ForwardingStep::Refuse;
@@ -995,7 +960,7 @@
   // Destroying the handle cancels rejected and aborted calls.
   m_Call = HttpCallHandle();
   if (Outcome == SendOutcome::Answered) {
-    if (streaming() && m_Send->m_Status == 200)
+    if (answersStream())
       passEvents(m_Stream.rest());
     else
       noteStarted(Now);
@@ -1017,11 +982,11 @@
          {"box", m_Send->m_Box ? m_Send->m_Box->m_Box.str() : std::string()},
          {"send", m_Sends},
          {"outcome", outcomeName(Outcome)},
-         {"status", m_Send->m_Status},
-         {"foreign", m_Send->m_ForeignAnswer},
+         {"status", m_Send->m_Answer.status()},
+         {"foreign", m_Send->m_Answer.foreign()},
          {"after_ms", (Now - m_Send->m_At) / 1ms},
          {"passed", m_Stream.begun()},
-         {"framing", framingName(m_Send->m_Framing)},
+         {"framing", framingName(m_Send->m_Answer.framing())},
          {"rest_bytes", m_Stream.rest().size()},
          {"step", stepName(Step)}});
   carryOut(Step);
@@ -1036,7 +1001,7 @@
   case ForwardingStep::PassOn:
     return passAnswer();
   case ForwardingStep::Refuse:
-    if (m_Send && m_Send->m_Verdict == PassVerdict::Refused)
+    if (m_Send && m_Send->m_Answer.verdict() == PassVerdict::Refused)
       return passRefusal();
     return refuse(ErrorKind::NoUpstream, RejectedRetryAfter, {});
   case ForwardingStep::Fail:
@@ -1047,7 +1012,7 @@
 }
 
 void ProxiedRequest::passAnswer() {
-  if (streaming() && m_Send->m_Status == 200) {
+  if (answersStream()) {
     if (!m_Stream.begun())
       startStream();
     m_Exchange->endStream();
@@ -1055,21 +1020,21 @@
   }
   // Without the upstream's statement that it did not run the request, this
   // status would wrongly promise that to the caller.
-  if (impliesNotRun(m_Send->m_Status))
+  if (impliesNotRun(m_Send->m_Answer.status()))
     return fail(ErrorKind::UpstreamFailed);
-  const bool Success = m_Send->m_Status < 500;
-  m_Exchange->reply(
-      m_Send->m_Status, withoutConnectionFields(m_Send->m_Headers),
-      SharedBytes(std::move(m_Send->m_Body), std::move(m_Send->m_Held)),
-      m_Send->m_Framing);
+  const bool Success = m_Send->m_Answer.status() < 500;
+  m_Exchange->reply(m_Send->m_Answer.status(),
+                    withoutConnectionFields(m_Send->m_Answer.headers()),
+                    m_Send->m_Answer.takeBody(), m_Send->m_Answer.framing());
   end(Success ? "ok" : "upstream_error");
 }
 
 /// Answers as the box did that was asked.
 void ProxiedRequest::passRefusal() {
   m_Quota.refund();
-  m_Exchange->reply(m_Send->m_Status,
-                    withoutConnectionFields(m_Send->m_Headers), m_Send->m_Body);
+  m_Exchange->reply(m_Send->m_Answer.status(),
+                    withoutConnectionFields(m_Send->m_Answer.headers()),
+                    m_Send->m_Answer.body());
   end("refused_by_box");
 }
 
@@ -1158,7 +1123,7 @@
        {"first_ms", First / 1ms},
        {"gap_ms", m_Stream.longestGap() / 1ms},
        {"software", m_Send ? m_Send->m_Software.str() : std::string()},
-       {"framing", m_Send ? framingName(m_Send->m_Framing) : ""},
+       {"framing", m_Send ? framingName(m_Send->m_Answer.framing()) : ""},
        {"rest_bytes", m_Stream.rest().size()},
        {"whole_ms", m_Times.waited(Now) / 1ms}});
   if (m_Passed)
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -98,13 +98,10 @@
   void onBytes(std::string_view Bytes);
   void onEnd(HttpEnd End);
   void awaitRoom(std::size_t Bytes);
-  bool holdAnswer(std::size_t Bytes);
   void noteStarted(TimePoint Now);
   void startStream();
   void passEvents(const std::string &Events);
 
-  bool connectionFailed(HttpEnd End) const;
-  SendOutcome classify(HttpEnd End) const;
   StreamAnswer::SendEnd streamEnd(HttpEnd End) const;
   bool streamBrokeOff(HttpEnd End) const;
   bool claimsMore(HttpEnd End) const;
@@ -133,6 +130,9 @@
   void end(std::string_view Outcome);
 
   bool streaming() const { return m_Route.m_Kind == RouteKind::Stream; }
+  bool answersStream() const {
+    return streaming() && m_Send->m_Answer.status() == 200;
+  }
   HttpMethod method() const {
     return parseHttpMethod(m_Exchange->method()).value_or(HttpMethod::Get);
   }
