The log lines of a request are written by a class of their own

What callers saw: nothing. Events, fields and values of the log are the same. Change: RequestLog writes sent, passed_on, send_failed, resumed, answer_not_held, and answered or not_answered; ProxiedRequest hands in what each rests on.

--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -2,13 +2,11 @@
 
 #include "decisions/request/EnginePriority.h"
 #include "decisions/request/RetryAfterRefusal.h"
-#include "gateway/common/DecisionLog.h"
 #include "gateway/request/FailureReply.h"
 #include "gateway/request/RequestDigest.h"
 #include "gateway/request/UpstreamCall.h"
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 
 namespace havenstair {
 
@@ -43,29 +41,6 @@
   return Result;
 }
 
-std::string_view framingName(AnswerFraming Framing) {
-  switch (Framing) {
-  case AnswerFraming::Length:
-    return "length";
-  case AnswerFraming::Chunks:
-    return "chunks";
-  case AnswerFraming::Connection:
-    return "connection";
-  }
-  return "";
-}
-
-/// Limit for parts of a prompt in one log line.
-constexpr std::size_t MaxLoggedParts = 8;
-
-Json partNames(const RequestSuspects &Request) {
-  Json Result = Json::array();
-  for (const CrashSuspect &Part : Request.m_Parts)
-    if (Result.size() < MaxLoggedParts)
-      Result.push_back(Part.str());
-  return Result;
-}
-
 /// \returns whether the caller takes up a stream that another attempt began.
 bool continuesStream(const Route &MatchedRoute,
                      const RequestDescriptor &Request) {
@@ -107,6 +82,7 @@
                                        .m_Body = m_Exchange->body()}),
                  .m_Parts = promptSuspects(m_Request.m_Prompt)},
                 Owner.m_State.m_Crashes, Owner.m_Crashes),
+      m_Log(Owner.m_Log, m_Request, m_Crashes.suspects(), MatchedRoute),
       m_Priority(enginePriority(*m_Config, MatchedRoute, Caller)),
       m_Authorization(m_Config, MatchedRoute, Caller, m_Request.m_Caller),
       m_Quota(Owner.m_Quotas, m_Organisation,
@@ -265,16 +241,10 @@
   const auto Self = shared_from_this();
   const bool Known = m_Binding.state() == StreamBinding::State::Bound;
   const bool Usable = Known && useBoundService();
-  m_Owner.m_Log.write(
-      "resumed", {{"request", m_Request.m_Id},
-                  {"resumes", m_Request.m_Resumes},
-                  {"last_event",
-                   m_Stream.lastEvent() ? Json(*m_Stream.lastEvent()) : Json()},
-                  {"by", originSourceName(Found.m_Source)},
-                  {"software", Found.m_Software.str()},
-                  {"known", Known},
-                  {"usable", Usable},
-                  {"after_ms", m_Times.waited(EventLoop::now()) / 1ms}});
+  m_Log.resumed(Found, {.m_LastEvent = m_Stream.lastEvent(),
+                        .m_Known = Known,
+                        .m_Usable = Usable,
+                        .m_Waited = m_Times.waited(EventLoop::now())});
   m_Owner.m_Hooks.m_Resumed(Found.m_Source);
   if (!Usable)
     return refuse(ErrorKind::StreamUnknown, 0us,
@@ -356,15 +326,11 @@
                 .m_Answer = SendAnswer({.m_Method = method(),
                                         .m_RequestId = m_Request.m_Id,
                                         .m_FromBox = true})};
-  m_Owner.m_Log.write("passed_on",
-                      {{"request", m_Request.m_Id},
-                       {"digest", m_Crashes.digest().str()},
-                       {"route", m_Route.m_Name},
-                       {"config", m_Config->m_Version},
-                       {"box", To.m_Box.str()},
-                       {"send", m_Sends},
-                       {"partitioned", m_Owner.m_State.m_Reach.partitioned()},
-                       {"waited_ms", m_Times.waited(Now) / 1ms}});
+  m_Log.passedOn({.m_Number = m_Sends,
+                  .m_Config = m_Config->m_Version,
+                  .m_Box = To.m_Box,
+                  .m_Partitioned = m_Owner.m_State.m_Reach.partitioned(),
+                  .m_Waited = m_Times.waited(Now)});
   HttpCall Call = commonCall(Now);
   Call.m_To = To.m_Endpoint;
   Call.m_Headers = m_Owner.m_Dialect.m_PassOn(
@@ -658,27 +624,11 @@
                 .m_Resumed = m_Stream.lastEvent().has_value(),
                 .m_Answer = SendAnswer(
                     {.m_Method = method(), .m_RequestId = m_Request.m_Id})};
-  const ConfigFreshness Config = m_Owner.m_Hooks.m_ConfigFreshness(Now);
-  m_Owner.m_Log.write(
-      "sent", {{"request", m_Request.m_Id},
-               {"digest", m_Crashes.digest().str()},
-               {"parts", partNames(m_Crashes.suspects())},
-               {"route", m_Route.m_Name},
-               {"config", m_Config->m_Version},
-               {"config_age_ms", Config.m_Age / 1ms},
-               {"config_by", Config.m_By.str()},
-               {"list", State.m_Upstreams.list().m_Revision.m_Number},
-               {"era", State.m_Upstreams.list().m_Revision.m_Era},
-               {"upstream", To.m_Id},
-               {"software", To.m_Software.str()},
-               {"resumes", m_Request.m_Resumes},
-               {"last_event",
-                m_Stream.lastEvent() ? Json(*m_Stream.lastEvent()) : Json()},
-               {"send", m_Sends},
-               {"model", m_Request.m_Model},
-               {"pending_ms", std::lround(Chosen.m_PendingMs)},
-               {"work_ms", std::lround(Chosen.m_WorkMs)},
-               {"expected_ms", std::lround(Chosen.m_ExpectedMs)}});
+  m_Log.sent(*m_Send, {.m_Number = m_Sends,
+                       .m_Config = m_Config->m_Version,
+                       .m_Freshness = m_Owner.m_Hooks.m_ConfigFreshness(Now),
+                       .m_List = State.m_Upstreams.list().m_Revision,
+                       .m_LastEvent = m_Stream.lastEvent()});
   HttpCall Call = makeCall(To, Now);
   m_Send->m_MayBeKept = Call.m_Use == ConnectionUse::Reused;
   State.m_Loads.onSent(To.m_Id, Chosen.m_WorkMs, m_Send->m_Tokens);
@@ -767,10 +717,7 @@
     return settle(SendOutcome::Broken);
   // While the answer waits for room, only what had been read before comes.
   if (!m_RoomTimer && !Answer.growTo(Size, Memory)) {
-    m_Owner.m_Log.write("answer_not_held", {{"request", m_Request.m_Id},
-                                            {"bytes", Size},
-                                            {"held", Memory.held()},
-                                            {"limit", Memory.limit()}});
+    m_Log.answerNotHeld(Size, Memory);
     return settle(SendOutcome::Broken);
   }
   Answer.append(Bytes);
@@ -972,23 +919,13 @@
     m_Owner.m_Hooks.m_SendEnded(outcomeName(Outcome));
   const ForwardingStep Step = decide(Outcome, Now);
   if (Outcome != SendOutcome::Answered)
-    m_Owner.m_Log.write(
-        "send_failed",
-        {{"request", m_Request.m_Id},
-         {"digest", m_Crashes.digest().str()},
-         {"parts", partNames(m_Crashes.suspects())},
-         {"upstream", m_Send->m_Instance},
-         {"software", m_Send->m_Software.str()},
-         {"box", m_Send->m_Box ? m_Send->m_Box->m_Box.str() : std::string()},
-         {"send", m_Sends},
-         {"outcome", outcomeName(Outcome)},
-         {"status", m_Send->m_Answer.status()},
-         {"foreign", m_Send->m_Answer.foreign()},
-         {"after_ms", (Now - m_Send->m_At) / 1ms},
-         {"passed", m_Stream.begun()},
-         {"framing", framingName(m_Send->m_Answer.framing())},
-         {"rest_bytes", m_Stream.rest().size()},
-         {"step", stepName(Step)}});
+    m_Log.sendFailed(*m_Send,
+                     {.m_Number = m_Sends,
+                      .m_Outcome = Outcome,
+                      .m_Passed = m_Stream.begun(),
+                      .m_RestBytes = m_Stream.rest().size(),
+                      .m_Step = Step},
+                     Now);
   carryOut(Step);
 }
 
@@ -1097,35 +1034,20 @@
   if (Outcome == "ok" && streaming() && m_FirstByte)
     m_Owner.m_State.m_Latency.observeHold(m_Request.m_Model,
                                           inMillis(Now - *m_FirstByte));
-  m_Owner.m_Log.write(
-      Outcome == "ok" ? "answered" : "not_answered",
-      {{"request", m_Request.m_Id},
-       {"digest", m_Crashes.digest().str()},
-       {"route", m_Route.m_Name},
-       {"outcome", Outcome},
-       {"organisation", m_Organisation},
-       {"passed_here", m_Passed != nullptr},
-       {"units", std::lround(m_Quota.units())},
-       {"model", m_Request.m_Model},
-       {"adapter", m_Request.m_Adapter},
-       {"tried_before_ms", m_SinceFirstTry / 1ms},
-       {"sends", m_Sends},
-       {"replicas", m_Choice.m_Replicas},
-       {"expected_ms", std::lround(m_Choice.m_ExpectedMs)},
-       {"pending_ms", std::lround(m_Choice.m_PendingMs)},
-       {"judged", m_Choice.m_Reason},
-       {"regions", m_Authorization.regions().text()},
-       {"serves_in_ms",
-        m_Choice.m_ServesIn ? Json(*m_Choice.m_ServesIn / 1ms) : Json()},
-       {"told_ms", m_RefusalRetryAfter / 1ms},
-       {"target_ms", m_Route.m_Target / 1ms},
-       {"gap_target_ms", m_Route.m_GapTarget / 1ms},
-       {"first_ms", First / 1ms},
-       {"gap_ms", m_Stream.longestGap() / 1ms},
-       {"software", m_Send ? m_Send->m_Software.str() : std::string()},
-       {"framing", m_Send ? framingName(m_Send->m_Answer.framing()) : ""},
-       {"rest_bytes", m_Stream.rest().size()},
-       {"whole_ms", m_Times.waited(Now) / 1ms}});
+  m_Log.ended({.m_Outcome = Outcome,
+               .m_Organisation = m_Organisation,
+               .m_PassedHere = m_Passed != nullptr,
+               .m_Units = m_Quota.units(),
+               .m_SinceFirstTry = m_SinceFirstTry,
+               .m_Sends = m_Sends,
+               .m_Choice = m_Choice,
+               .m_Regions = m_Authorization.regions().text(),
+               .m_RetryAfter = m_RefusalRetryAfter,
+               .m_First = First,
+               .m_Gap = m_Stream.longestGap(),
+               .m_Last = m_Send ? &*m_Send : nullptr,
+               .m_RestBytes = m_Stream.rest().size(),
+               .m_Whole = m_Times.waited(Now)});
   if (m_Passed)
     m_Owner.m_Hooks.m_PassedEnded(Outcome);
   else
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -9,6 +9,7 @@
 #include "gateway/request/BoxPass.h"
 #include "gateway/request/CrashGuard.h"
 #include "gateway/request/Forwarder.h"
+#include "gateway/request/RequestLog.h"
 #include "gateway/request/RequestPermit.h"
 #include "gateway/request/RequestQuota.h"
 #include "gateway/request/RequestSend.h"
@@ -47,16 +48,6 @@
 private:
   using Send = RequestSend;
 
-  /// What the last choice of an upstream was based on, for the log.
-  struct ChoiceDetails {
-    std::size_t m_Replicas = 0; ///< Number of candidates.
-    double m_ExpectedMs = 0;
-    double m_PendingMs = 0;
-    std::string_view m_Reason = ""; ///< Reason of the admission decision.
-    /// Time until a load of the model in progress ends; empty if there is none.
-    std::optional<Duration> m_ServesIn;
-  };
-
   void countArrival();
   void step();
   bool bound();
@@ -149,6 +140,7 @@
   std::string m_Service;
   std::string m_Organisation; ///< Empty if the caller belongs to none.
   CrashGuard m_Crashes;
+  RequestLog m_Log;
   int m_Priority; ///< Priority that is sent to an engine.
   RequestAuthorization m_Authorization;
   RequestQuota m_Quota;
