--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -318,14 +318,13 @@
   m_Quota.noteSent();
   ++m_Sends;
   m_Stream.beginSend();
-  m_Send = Send{.m_Box = To,
-                .m_PassToken = m_BoxPass.open(To),
-                .m_At = Now,
-                .m_CountedAsLoad = false,
-                .m_Resumed = m_Stream.lastEvent().has_value(),
-                .m_Answer = SendAnswer({.m_Method = method(),
-                                        .m_RequestId = m_Request.m_Id,
-                                        .m_FromBox = true})};
+  m_Send.emplace(Send{.m_Box = To,
+                      .m_PassToken = m_BoxPass.open(To),
+                      .m_At = Now,
+                      .m_Resumed = m_Stream.lastEvent().has_value(),
+                      .m_Answer = SendAnswer({.m_Method = method(),
+                                              .m_RequestId = m_Request.m_Id,
+                                              .m_FromBox = true})});
   m_Log.passedOn({.m_Number = m_Sends,
                   .m_Config = m_Config->m_Version,
                   .m_Box = To.m_Box,
@@ -612,18 +611,16 @@
   m_Crashes.onSent(Now);
   ++m_Sends;
   m_Stream.beginSend();
-  m_Send = Send{.m_Instance = To.m_Id,
-                .m_StartTime = To.m_StartTime,
-                .m_Software = To.m_Software,
-                .m_At = Now,
-                .m_PendingMs = Chosen.m_PendingMs,
-                .m_WorkMs = Chosen.m_WorkMs,
-                .m_ExpectedMs = Chosen.m_ExpectedMs,
-                .m_Tokens = m_Request.m_PromptTokens +
-                            OutputTokenWeight * m_Request.m_MaxOutputTokens,
-                .m_Resumed = m_Stream.lastEvent().has_value(),
-                .m_Answer = SendAnswer(
-                    {.m_Method = method(), .m_RequestId = m_Request.m_Id})};
+  m_Send.emplace(Send{.m_Instance = To.m_Id,
+                      .m_StartTime = To.m_StartTime,
+                      .m_Software = To.m_Software,
+                      .m_At = Now,
+                      .m_PendingMs = Chosen.m_PendingMs,
+                      .m_WorkMs = Chosen.m_WorkMs,
+                      .m_ExpectedMs = Chosen.m_ExpectedMs,
+                      .m_Resumed = m_Stream.lastEvent().has_value(),
+                      .m_Answer = SendAnswer({.m_Method = method(),
+                                              .m_RequestId = m_Request.m_Id})});
   m_Log.sent(*m_Send, {.m_Number = m_Sends,
                        .m_Config = m_Config->m_Version,
                        .m_Freshness = m_Owner.m_Hooks.m_ConfigFreshness(Now),
@@ -631,7 +628,15 @@
                        .m_LastEvent = m_Stream.lastEvent()});
   HttpCall Call = makeCall(To, Now);
   m_Send->m_MayBeKept = Call.m_Use == ConnectionUse::Reused;
-  State.m_Loads.onSent(To.m_Id, Chosen.m_WorkMs, m_Send->m_Tokens);
+  m_Send->m_Statistics.emplace(
+      State, SendStatistics::Facts{
+                 .m_Upstream = To.incarnation(),
+                 .m_Model = m_Request.m_Model,
+                 .m_SentAt = Now,
+                 .m_PendingMs = Chosen.m_PendingMs,
+                 .m_WorkMs = Chosen.m_WorkMs,
+                 .m_Tokens = m_Request.m_PromptTokens +
+                             OutputTokenWeight * m_Request.m_MaxOutputTokens});
   if (!m_Request.m_Model.empty())
     State.m_Prefixes.recordRead(To.m_Id, m_Request);
   m_Call = m_Owner.m_Client.start(std::move(Call));
@@ -724,18 +729,14 @@
 }
 
 void ProxiedRequest::noteStarted(TimePoint Now) {
-  if (m_Send->m_Started || !(m_Send->m_CountedAsLoad || m_Send->m_Box))
+  std::optional<SendStatistics> &Statistics = m_Send->m_Statistics;
+  if (m_Send->m_Started || (Statistics && !Statistics->running()))
     return;
   m_Send->m_Started = Now;
   if (!m_FirstByte)
     m_FirstByte = Now;
-  if (m_Send->m_Box || upstreamRestarted())
-    return;
-  ServingState &State = m_Owner.m_State;
-  const double Observed = inMillis(Now - m_Send->m_At);
-  State.m_Loads.onFirstToken(m_Send->m_Instance, m_Send->m_WorkMs);
-  State.m_Latency.observe(m_Send->m_Instance, m_Request.m_Model,
-                          m_Send->m_PendingMs, m_Send->m_WorkMs, Observed);
+  if (Statistics)
+    Statistics->onStarted(Now);
 }
 
 void ProxiedRequest::passEvents(const std::string &Events) {
@@ -811,8 +812,6 @@
 }
 
 void ProxiedRequest::noteOutcome(SendOutcome Outcome, TimePoint Now) {
-  ServingState &State = m_Owner.m_State;
-  const InstanceId &At = m_Send->m_Instance;
   releaseLoad();
   m_Sends -= Outcome == SendOutcome::NotSent ? 1 : 0;
   m_MayHaveRun = m_MayHaveRun || Outcome == SendOutcome::Broken ||
@@ -822,14 +821,7 @@
   if (completed(Outcome))
     m_Crashes.onCompleted(upstreamIncarnation(),
                           m_Send->m_Started.value_or(m_Send->m_At));
-  if (upstreamRestarted())
-    return;
-  if (Outcome == SendOutcome::Answered || m_Send->m_Whole)
-    State.m_Failures.recordSuccess(At, Now);
-  else if (Outcome == SendOutcome::NotSent)
-    State.m_Failures.recordUnreachable(At, Now);
-  else
-    State.m_Failures.recordFailure(At, Now);
+  m_Send->m_Statistics->recordOutcome(Outcome, m_Send->m_Whole, Now);
 }
 
 void ProxiedRequest::notePassed(SendOutcome Outcome) {
@@ -850,22 +842,11 @@
          !impliesNotRun(m_Send->m_Answer.status());
 }
 
-/// \returns whether the upstream has restarted since the send. What an earlier
-/// incarnation did does not count for the present one.
-bool ProxiedRequest::upstreamRestarted() const {
-  return m_Owner.m_State.m_Upstreams.superseded(upstreamIncarnation());
-}
-
 void ProxiedRequest::releaseLoad() {
-  if (!m_Send || !std::exchange(m_Send->m_CountedAsLoad, false))
+  if (!m_Send || !m_Send->m_Statistics || !m_Send->m_Statistics->running())
     return;
   m_Permit.reportEnd(m_Send->m_Instance, m_Send->m_Answer.noRoom());
-  if (upstreamRestarted())
-    return;
-  LoadTracker &Loads = m_Owner.m_State.m_Loads;
-  if (!m_Send->m_Started)
-    Loads.onFirstToken(m_Send->m_Instance, m_Send->m_WorkMs);
-  Loads.onEnded(m_Send->m_Instance, m_Send->m_Tokens);
+  m_Send->m_Statistics->onEnded();
 }
 
 int ProxiedRequest::maxSends() const {
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -108,7 +108,6 @@
             .m_MayBeKept = m_Send->m_MayBeKept};
   }
   bool completed(SendOutcome Outcome) const;
-  bool upstreamRestarted() const;
   ForwardingStep decide(SendOutcome Outcome, TimePoint Now);
   void carryOut(ForwardingStep Step);
 
--- a/packages/gateway/request/RequestSend.h
+++ b/packages/gateway/request/RequestSend.h
@@ -8,6 +8,7 @@
 #include "decisions/process/UpstreamIncarnation.h"
 #include "gateway/request/PassService.h"
 #include "gateway/request/SendAnswer.h"
+#include "gateway/request/SendStatistics.h"
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,11 +23,11 @@
   StartTime m_StartTime = 0;                ///< Start time of the instance.
   SoftwareVersion m_Software;               ///< Version that was listed.
   TimePoint m_At{};                         ///< When the request was sent.
-  double m_PendingMs = 0;      ///< Work ahead of the request at the upstream.
-  double m_WorkMs = 0;         ///< The request's own work.
-  double m_ExpectedMs = 0;     ///< Expected time to the first token.
-  double m_Tokens = 0;         ///< Tokens that the request occupies.
-  bool m_CountedAsLoad = true; ///< The load tracker counts it.
+  double m_PendingMs = 0;  ///< Work ahead of the request at the upstream.
+  double m_WorkMs = 0;     ///< The request's own work.
+  double m_ExpectedMs = 0; ///< Expected time to the first token.
+  /// Empty for a box, and until the call has been made.
+  std::optional<SendStatistics> m_Statistics;
   std::optional<TimePoint> m_Started; ///< When the answer began.
   bool m_MayBeKept = false;           ///< It may use a kept connection.
   /// The answer may be whole, but cannot be passed on as such.
