The admission of one request is a class of its own

What callers saw: nothing; no behaviour changes. Cause: whether a request with a chosen upstream, or without one, is sent, waits or is refused stood in five functions of ProxiedRequest, each of which also answered the caller, so that none could be tried without a box. Change: RequestAdmission decides and hands back what to do, with the refusal as a Failure; ProxiedRequest carries it out. It keeps the details of the last choice for the log. Two refusals for upstreams that can be sent to later became one, in the same order. step() calls it where it judged itself before.

--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -1,7 +1,6 @@
 #include "gateway/request/ProxiedRequest.h"
 
 #include "decisions/request/EnginePriority.h"
-#include "decisions/request/RetryAfterRefusal.h"
 #include "gateway/request/FailureReply.h"
 #include "gateway/request/RequestDigest.h"
 #include "gateway/request/UpstreamCall.h"
@@ -12,10 +11,6 @@
 
 namespace {
 
-/// Time after which a caller should retry if no listed upstream is eligible:
-/// upstreams that have started are listed within a second.
-constexpr Duration NoUpstreamRetryAfter = 1s;
-
 /// Time after which a caller should retry if all upstreams rejected a request.
 constexpr Duration RejectedRetryAfter = 150ms;
 
@@ -48,19 +43,6 @@
          (Request.m_LastEvent || !Request.m_Resumes.empty());
 }
 
-/// \returns the detail of a refusal for lack of permits.
-const char *refusalReason(BoundKind Kind) {
-  switch (Kind) {
-  case BoundKind::Cold:
-    return "cold";
-  case BoundKind::Limit:
-    return "server_limit";
-  case BoundKind::Room:
-    return "server_room";
-  }
-  return "unknown";
-}
-
 } // namespace
 
 ProxiedRequest::ProxiedRequest(Forwarder &Owner, HttpExchangePtr Exchange,
@@ -96,6 +78,16 @@
                  .m_Digest = m_Crashes.digest()}),
       m_BoxPass(Owner.m_Passes),
       m_Times(MatchedRoute, m_Request.m_Deadline, Arrived),
+      m_Admission(Owner.m_State,
+                  {.m_Admission = Owner.m_Opts.m_Admission,
+                   .m_Pacing = Owner.m_Opts.m_Pacing,
+                   .m_StoppingRetryAfter = Forwarder::StoppingRetryAfter},
+                  {.m_Missing = Owner.m_Hooks.m_Missing,
+                   .m_Random = Owner.m_Hooks.m_Random},
+                  {.m_Request = m_Request,
+                   .m_Route = MatchedRoute,
+                   .m_Times = m_Times,
+                   .m_Service = m_Service}),
       m_Stream(m_Request.m_LastEvent),
       m_IdleMonitor(Owner.m_Loop, Owner.m_Client,
                     {.m_Probe = [this] { return probe(); },
@@ -188,14 +180,12 @@
   const auto Chosen =
       chooseReplica(Candidates, m_Request, State.m_Zone, Knowledge,
                     m_Owner.m_Opts.m_Weights, m_Owner.m_Hooks.m_Random(), Now);
-  m_Choice = {.m_Replicas = Candidates.size(),
-              .m_ExpectedMs = Chosen ? Chosen->m_ExpectedMs : 0,
-              .m_PendingMs = Chosen ? Chosen->m_PendingMs : 0};
+  m_Admission.onChosen(Candidates.size(), Chosen);
   if (!Chosen && m_Permit.drop())
     return step();
   if (!Chosen && m_ConnectFailed && passOn(Now))
     return;
-  if (refuseIfBound(Chosen, Now) || refuseIfBackedOff(Chosen, Now))
+  if (refuseUntilLater(Chosen, Now))
     return;
   // A request with a valid permit is not refused because of what other requests
   // have learnt meanwhile.
@@ -362,113 +352,43 @@
     step();
 }
 
-/// Refuses the request if only upstreams are left that need permits, and no
-/// permit for one is available in time. \returns whether it did.
-bool ProxiedRequest::refuseIfBound(const std::optional<ChosenReplica> &Chosen,
-                                   TimePoint Now) {
-  const auto Deferral = m_Permit.deferral(Now);
-  if (Chosen || !Deferral || m_Stream.begun() || m_MayHaveRun)
-    return false;
-  refuse(ErrorKind::Overloaded, Deferral->m_After,
-         refusalReason(Deferral->m_Kind));
-  return true;
-}
-
-/// Refuses the request if all upstreams that could run it have stated a time to
-/// retry after, and no load of its model ends sooner. \returns whether it did.
-bool ProxiedRequest::refuseIfBackedOff(
+/// Refuses the request if it is known when the upstreams that could run it can
+/// be sent to, and that is later. \returns whether it did.
+bool ProxiedRequest::refuseUntilLater(
     const std::optional<ChosenReplica> &Chosen, TimePoint Now) {
   if (Chosen || m_Stream.begun() || m_MayHaveRun)
     return false;
-  const auto ExcludeNone = [](const InstanceId &) { return false; };
-  const auto Refusal = refuseForRetryAfter(
-      eligibility().candidates(ExcludeNone, Now), m_Owner.m_State.m_Signals,
-      m_Owner.m_Hooks.m_Random(), Now);
-  const auto ServesAt = eligibility().servesAt(Now);
-  if (!Refusal || (ServesAt && *ServesAt < Now + Refusal->m_After))
-    return false;
-  m_Choice.m_Reason = "server_retry_after";
-  refuse(ErrorKind::Overloaded, Refusal->m_After, "server_retry_after");
-  return true;
+  const auto Refusal =
+      m_Admission.refusalUntilLater(eligibility(), m_Permit.deferral(Now), Now);
+  if (Refusal)
+    refuse(*Refusal);
+  return Refusal.has_value();
 }
 
 /// \returns how long to wait before a prompt is read beside running streams;
-/// empty if there is no need to wait. Streams pause while a prompt is read, so
-/// prompts are spread out.
+/// empty if there is no need to wait.
 std::optional<Duration> ProxiedRequest::promptDelay(const ChosenReplica &Chosen,
                                                     TimePoint Now) const {
-  const PacingFacts Facts{.m_GapTarget = m_Route.m_GapTarget,
-                          .m_Target = m_Route.m_Target,
-                          .m_Waited = m_Times.waited(Now),
-                          .m_PendingMs = Chosen.m_PendingMs};
-  if (m_Sends > 0 || !streaming() || m_Request.m_Model.empty() ||
-      m_Permit.hasValidPermit(Now))
+  if (m_Sends > 0 || m_Permit.hasValidPermit(Now))
     return std::nullopt;
-  return pacingDelay(Facts, m_Owner.m_Opts.m_Pacing);
-}
-
-AdmissionFacts
-ProxiedRequest::admissionFacts(const std::optional<ChosenReplica> &Chosen,
-                               TimePoint Now) const {
-  AdmissionFacts Facts{.m_Target = m_Route.m_Target,
-                       .m_GapTarget = m_Route.m_GapTarget,
-                       .m_Waited = m_Times.waited(Now),
-                       .m_TimeLeft = m_Times.left(Now),
-                       .m_NamesModel = !m_Request.m_Model.empty(),
-                       .m_Start = std::nullopt,
-                       .m_ServesIn = std::nullopt};
-  if (Chosen)
-    Facts.m_Start = {.m_FirstTokenMs = Chosen->m_ExpectedMs,
-                     .m_WorkMs = Chosen->m_WorkMs};
-  const auto ServesAt = eligibility().servesAt(Now);
-  if (Facts.m_NamesModel && ServesAt)
-    Facts.m_ServesIn = std::max<Duration>(0us, *ServesAt - Now);
-  return Facts;
+  return m_Admission.promptDelay(Chosen, Now);
 }
 
 /// \returns whether admission lets the request be sent now. If not, it waits
 /// for the next decision, or has been refused.
 bool ProxiedRequest::admitted(const std::optional<ChosenReplica> &Chosen,
                               TimePoint Now) {
-  // Plain services queue requests themselves.
-  if (Chosen && m_Request.m_Model.empty())
-    return true;
-  if (!Chosen && m_Binding.software() && !eligibility().any()) {
-    refuse(ErrorKind::NoUpstreamOfVersion, NoUpstreamRetryAfter,
-           m_Binding.software()->str());
-    return false;
-  }
-  if (!Chosen && !eligibility().any()) {
-    refuse(ErrorKind::NoAllowedUpstream, NoUpstreamRetryAfter,
-           m_Authorization.regions().text());
-    return false;
-  }
-  if (!Chosen && !m_Request.m_Model.empty() && !m_Binding.software())
-    m_Owner.m_Hooks.m_Missing(
-        {m_Service, m_Request.m_Model, m_Request.m_Adapter});
-  const AdmissionFacts Facts = admissionFacts(Chosen, Now);
-  const AdmissionDecision Decision =
-      admit(Facts, m_Owner.m_Opts.m_Admission, m_Owner.m_Hooks.m_Random());
-  m_Choice.m_Reason = Decision.m_Reason;
-  m_Choice.m_ServesIn = Facts.m_ServesIn;
-  switch (Decision.m_Step) {
-  case AdmissionStep::Send:
-    return true;
-  case AdmissionStep::Wait:
-    // A waiting request might outlive the process.
-    if (m_Owner.m_State.m_Stopping)
-      refuse(ErrorKind::Stopping, Forwarder::StoppingRetryAfter, {});
-    else
-      wait(Decision.m_Delay);
-    return false;
-  case AdmissionStep::Refuse:
-    refuse(Chosen               ? ErrorKind::Overloaded
-           : Facts.m_NamesModel ? ErrorKind::NoResidentCopy
-                                : ErrorKind::NoUpstream,
-           Decision.m_Delay, std::string(Decision.m_Reason));
-    return false;
-  }
-  return false;
+  const RequestAdmission::Verdict Verdict =
+      m_Admission.decide({.m_Eligible = eligibility(),
+                          .m_Chosen = Chosen,
+                          .m_Regions = m_Authorization.regions(),
+                          .m_Software = m_Binding.software()},
+                         Now);
+  if (Verdict.m_Step == AdmissionStep::Wait)
+    wait(Verdict.m_Delay);
+  else if (Verdict.m_Step == AdmissionStep::Refuse)
+    refuse(Verdict.m_Refusal);
+  return Verdict.m_Step == AdmissionStep::Send;
 }
 
 /// Waits until the state of upstreams changes, but for \p For at most.
@@ -520,7 +440,7 @@
 
 /// \returns how long to wait for quota units or permits.
 Duration ProxiedRequest::timeToSpare(TimePoint Now) const {
-  return m_Times.toSpare(m_Choice.m_ExpectedMs, Now);
+  return m_Times.toSpare(m_Admission.details().m_ExpectedMs, Now);
 }
 
 /// \returns how long to wait for a permit. If the upstream sets a limit, that
@@ -958,17 +878,19 @@
 
 void ProxiedRequest::refuse(ErrorKind Kind, Duration RetryAfter,
                             std::string Detail) {
-  m_RefusalRetryAfter = RetryAfter;
+  refuse({.m_Kind = Kind,
+          .m_RetryAfter = RetryAfter,
+          .m_Detail = std::move(Detail)});
+}
+
+void ProxiedRequest::refuse(const Failure &Reason) {
+  m_RefusalRetryAfter = Reason.m_RetryAfter;
   m_Quota.refund();
   HttpHeaders Headers = m_Owner.m_Dialect.m_FailureHeaders(m_Request.m_Id);
   if (m_Passed)
-    Headers.push_back(verdictField(verdictFor(Kind, m_Sends > 0)));
-  replyWithFailure(m_Exchange,
-                   {.m_Kind = Kind,
-                    .m_RetryAfter = RetryAfter,
-                    .m_Detail = std::move(Detail)},
-                   std::move(Headers));
-  end(answerFor(Kind).m_Code);
+    Headers.push_back(verdictField(verdictFor(Reason.m_Kind, m_Sends > 0)));
+  replyWithFailure(m_Exchange, Reason, std::move(Headers));
+  end(answerFor(Reason.m_Kind).m_Code);
 }
 
 void ProxiedRequest::fail(ErrorKind Kind) {
@@ -1021,7 +943,7 @@
                .m_Units = m_Quota.units(),
                .m_SinceFirstTry = m_SinceFirstTry,
                .m_Sends = m_Sends,
-               .m_Choice = m_Choice,
+               .m_Choice = m_Admission.details(),
                .m_Regions = m_Authorization.regions().text(),
                .m_RetryAfter = m_RefusalRetryAfter,
                .m_First = First,
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -3,12 +3,12 @@
 #ifndef HAVENSTAIR_GATEWAY_REQUEST_PROXIEDREQUEST_H
 #define HAVENSTAIR_GATEWAY_REQUEST_PROXIEDREQUEST_H
 
-#include "decisions/request/ReplicaAdmission.h"
 #include "decisions/request/RequestAuthorization.h"
 #include "decisions/request/UpstreamEligibility.h"
 #include "gateway/request/BoxPass.h"
 #include "gateway/request/CrashGuard.h"
 #include "gateway/request/Forwarder.h"
+#include "gateway/request/RequestAdmission.h"
 #include "gateway/request/RequestLog.h"
 #include "gateway/request/RequestPermit.h"
 #include "gateway/request/RequestQuota.h"
@@ -62,13 +62,10 @@
   void passRefusal();
   int maxSends() const;
   void resume();
-  bool refuseIfBound(const std::optional<ChosenReplica> &Chosen, TimePoint Now);
-  bool refuseIfBackedOff(const std::optional<ChosenReplica> &Chosen,
-                         TimePoint Now);
+  bool refuseUntilLater(const std::optional<ChosenReplica> &Chosen,
+                        TimePoint Now);
   std::optional<Duration> promptDelay(const ChosenReplica &Chosen,
                                       TimePoint Now) const;
-  AdmissionFacts admissionFacts(const std::optional<ChosenReplica> &Chosen,
-                                TimePoint Now) const;
   bool admitted(const std::optional<ChosenReplica> &Chosen, TimePoint Now);
   void wait(Duration For);
   bool stillAllowed();
@@ -112,6 +109,7 @@
   void carryOut(ForwardingStep Step);
 
   void passAnswer();
+  void refuse(const Failure &Reason);
   void refuse(ErrorKind Kind, Duration RetryAfter, std::string Detail);
   void fail(ErrorKind Kind);
   void cut();
@@ -149,6 +147,7 @@
   bool m_AskingOrigin = false; ///< A call to m_Binding.ask() is on the stack.
   BoxPass m_BoxPass;
   RequestTimes m_Times;
+  RequestAdmission m_Admission;
   Duration m_SinceFirstTry = 0us; ///< Zero for a first try.
   std::set<InstanceId> m_Tried;   ///< Upstreams that it was sent to.
   bool m_ConnectFailed = false;   ///< An upstream could not be connected to.
@@ -159,7 +158,6 @@
   std::optional<TimePoint> m_FirstByte;
   StreamAnswer m_Stream;
   std::optional<Send> m_Send;
-  ChoiceDetails m_Choice;
   Duration m_RefusalRetryAfter = 0us; ///< Retry time in the refusal.
   HttpCallHandle m_Call;
   Timer m_DeadlineTimer;
