One reader of Content-Length serves requests and answers

What callers saw: nothing. Cause: ProxiedRequest read an answer's Content-Length in its own way, which took "4, 4" or "4x" for 4 where the reader of a request's head takes neither. Only the room that is made for an answer before its body comes depends on it. Change: parseContentLength() is the strict reader of RequestHead in a file of its own; SendAnswer asks it. An answer with an unreadable length has no room made before its bytes come; room is then made as they come. A request's head with an unreadable length is ambiguous, as before; its length is 0 now, which nothing reads.

--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -5,7 +5,6 @@
 #include "gateway/request/RequestDigest.h"
 #include "gateway/request/UpstreamCall.h"
 #include <algorithm>
-#include <charconv>
 
 namespace havenstair {
 
@@ -28,14 +27,6 @@
 /// Interval at which an answer that waits for room tries again.
 constexpr Duration RoomCheckInterval = 20ms;
 
-/// \returns the bytes that \p Headers announce; zero where they do not.
-std::size_t contentLength(const HttpHeaders &Headers) {
-  const std::string Text = findHeader(Headers, "Content-Length");
-  std::size_t Result = 0;
-  std::from_chars(Text.data(), Text.data() + Text.size(), Result);
-  return Result;
-}
-
 /// \returns whether the caller takes up a stream that another attempt began.
 bool continuesStream(const Route &MatchedRoute,
                      const RequestDescriptor &Request) {
@@ -607,7 +598,7 @@
   if (const auto Service = m_Owner.m_Signals.lock(); Service && !m_Send->m_Box)
     Service->recordSignals(upstreamIncarnation(), Facts, m_Send->m_At);
   if (!(streaming() && Status == 200))
-    awaitRoom(contentLength(Headers));
+    awaitRoom(m_Send->m_Answer.announcedBytes());
 }
 
 /// Reads an answer of \p Bytes once all that is held leaves room for it.
--- a/packages/gateway/request/SendAnswer.cpp
+++ b/packages/gateway/request/SendAnswer.cpp
@@ -1,5 +1,6 @@
 #include "gateway/request/SendAnswer.h"
 
+#include "wire/common/ContentLength.h"
 #include <utility>
 
 namespace havenstair {
@@ -21,6 +22,11 @@
   m_Foreign = LacksRequestId || OfAnother;
 }
 
+std::size_t SendAnswer::announcedBytes() const {
+  return parseContentLength(findHeader(m_Headers, ContentLengthField))
+      .value_or(0);
+}
+
 bool SendAnswer::hold(std::size_t Bytes, const MemoryBudget &Memory) {
   if (m_Held.bytes() == 0)
     m_Held = Memory.chargeAnswer();
--- a/packages/gateway/request/SendAnswer.h
+++ b/packages/gateway/request/SendAnswer.h
@@ -38,6 +38,8 @@
   int status() const { return m_Status; }
   /// \returns the header fields without those between two boxes.
   const HttpHeaders &headers() const { return m_Headers; }
+  /// \returns the bytes of the body that the head states; 0 if it does not.
+  std::size_t announcedBytes() const;
   AnswerFraming framing() const { return m_Framing; }
   /// \returns what the box states; none for an upstream.
   PassVerdict verdict() const { return m_Verdict; }
--- a/packages/wire/common/RequestHead.cpp
+++ b/packages/wire/common/RequestHead.cpp
@@ -1,11 +1,10 @@
 #include "wire/common/RequestHead.h"
 
+#include "wire/common/ContentLength.h"
 #include "wire/common/HttpClient.h"
 #include <algorithm>
 #include <cctype>
-#include <charconv>
-#include <limits>
-#include <system_error>
+#include <optional>
 
 namespace havenstair {
 
@@ -54,15 +53,6 @@
   return Line;
 }
 
-bool readLength(std::string_view Value, std::size_t &Length) {
-  const auto IsDigit = [](char Sign) { return Sign >= '0' && Sign <= '9'; };
-  const char *End = Value.data() + Value.size();
-  const auto Read = std::from_chars(Value.data(), End, Length);
-  return !Value.empty() && std::all_of(Value.begin(), Value.end(), IsDigit) &&
-         Read.ec == std::errc() && Read.ptr == End &&
-         Length < std::numeric_limits<std::size_t>::max() / 4;
-}
-
 /// Reads the fields of one head.
 class HeadReader {
 public:
@@ -120,14 +110,16 @@
   bool readFraming(std::string_view Name, std::string_view Value) {
     // Also a name with blanks around it, which another reader may accept.
     const std::string_view Bare = trimmed(Name);
-    const bool IsLength = sameFieldName(Bare, "Content-Length");
+    const bool IsLength = sameFieldName(Bare, ContentLengthField);
     const bool IsCoding = sameFieldName(Bare, "Transfer-Encoding");
     if (!IsLength && !IsCoding)
       return false;
     ++m_Framings;
     bool Readable = Name == Bare;
     if (IsLength) {
-      Readable = readLength(Value, m_Head.m_Length) && Readable;
+      const std::optional<std::size_t> Length = parseContentLength(Value);
+      m_Head.m_Length = Length.value_or(0);
+      Readable = Length && Readable;
       m_HasBody = m_HasBody || m_Head.m_Length > 0 || !Readable;
     } else {
       m_Head.m_Chunked = true;
--- a/tests/gateway/SendAnswerTest.cpp
+++ b/tests/gateway/SendAnswerTest.cpp
@@ -99,6 +99,14 @@
   REQUIRE_FALSE(answered(200).connectionFailed(HttpEnd::Broken));
 }
 
+TEST_CASE("An answer announces the bytes that its length states",
+          "[gateway][send-answer]") {
+  REQUIRE(answered(200).announcedBytes() == 4);
+  REQUIRE(answered(200, Own, {}).announcedBytes() == 0);
+  REQUIRE(answered(200, Own, {{"content-length", "4, 4"}}).announcedBytes() ==
+          0);
+}
+
 TEST_CASE("The body of an answer is charged until its bytes are destroyed",
           "[gateway][send-answer]") {
   const MemoryBudget Memory({.m_Limit = 1000});
