--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -1,47 +1,21 @@
 #include "gateway/request/ProxiedRequest.h"
 
 #include "decisions/request/EnginePriority.h"
-#include "decisions/request/RetryAfterRefusal.h"
-#include "gateway/common/DecisionLog.h"
 #include "gateway/request/FailureReply.h"
 #include "gateway/request/RequestDigest.h"
 #include "gateway/request/UpstreamCall.h"
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 
 namespace havenstair {
 
 namespace {
 
-/// Deadline of requests for which the caller set none. The timeout of the route
-/// ends them earlier.
-constexpr Duration MaxDeadline = 3600s;
-
-/// Time after which a caller should retry if no listed upstream is eligible:
-/// upstreams that have started are listed within a second.
-constexpr Duration NoUpstreamRetryAfter = 1s;
-
 /// Time after which a caller should retry if all upstreams rejected a request.
 constexpr Duration RejectedRetryAfter = 150ms;
 
-/// Lower limit for idle timeouts.
-constexpr Duration MinIdleTimeout = 1200ms;
-
-/// Idle timeouts as multiples of what is usual: of the target of a plain
-/// service; of the expected time to the first token, which takes up to two and
-/// a half times as long; of the target for gaps in a stream.
-constexpr int IdleTargetMultiple = 3;
-constexpr double IdleExpectedMultiple = 2.5;
-constexpr int IdleGapMultiple = 4;
-
 /// Weight of the maximum number of output tokens: most answers are shorter.
 constexpr double OutputTokenWeight = 0.5;
 
-/// Added to the time within which a caller may take a stream up: boxes' clocks
-/// and callers' deadlines are late by less.
-constexpr Duration ResumeMargin = 5s;
-
 /// A request that another box passed on has one send here: the other box counts
 /// it as one of the attempts that the route allows.
 constexpr int MaxPassedSends = 1;
@@ -53,37 +27,6 @@
 /// Interval at which an answer that waits for room tries again.
 constexpr Duration RoomCheckInterval = 20ms;
 
-/// \returns the bytes that \p Headers announce; zero where they do not.
-std::size_t contentLength(const HttpHeaders &Headers) {
-  const std::string Text = findHeader(Headers, "Content-Length");
-  std::size_t Result = 0;
-  std::from_chars(Text.data(), Text.data() + Text.size(), Result);
-  return Result;
-}
-
-std::string_view framingName(AnswerFraming Framing) {
-  switch (Framing) {
-  case AnswerFraming::Length:
-    return "length";
-  case AnswerFraming::Chunks:
-    return "chunks";
-  case AnswerFraming::Connection:
-    return "connection";
-  }
-  return "";
-}
-
-/// Limit for parts of a prompt in one log line.
-constexpr std::size_t MaxLoggedParts = 8;
-
-Json partNames(const RequestSuspects &Request) {
-  Json Result = Json::array();
-  for (const CrashSuspect &Part : Request.m_Parts)
-    if (Result.size() < MaxLoggedParts)
-      Result.push_back(Part.str());
-  return Result;
-}
-
 /// \returns whether the caller takes up a stream that another attempt began.
 bool continuesStream(const Route &MatchedRoute,
                      const RequestDescriptor &Request) {
@@ -91,19 +34,6 @@
          (Request.m_LastEvent || !Request.m_Resumes.empty());
 }
 
-/// \returns the detail of a refusal for lack of permits.
-const char *refusalReason(BoundKind Kind) {
-  switch (Kind) {
-  case BoundKind::Cold:
-    return "cold";
-  case BoundKind::Limit:
-    return "server_limit";
-  case BoundKind::Room:
-    return "server_room";
-  }
-  return "unknown";
-}
-
 } // namespace
 
 ProxiedRequest::ProxiedRequest(Forwarder &Owner, HttpExchangePtr Exchange,
@@ -125,6 +55,7 @@
                                        .m_Body = m_Exchange->body()}),
                  .m_Parts = promptSuspects(m_Request.m_Prompt)},
                 Owner.m_State.m_Crashes, Owner.m_Crashes),
+      m_Log(Owner.m_Log, m_Request, m_Crashes.suspects(), MatchedRoute),
       m_Priority(enginePriority(*m_Config, MatchedRoute, Caller)),
       m_Authorization(m_Config, MatchedRoute, Caller, m_Request.m_Caller),
       m_Quota(Owner.m_Quotas, m_Organisation,
@@ -136,10 +67,18 @@
                  .m_Resumes = m_Request.m_Resumes,
                  .m_Continues = continuesStream(MatchedRoute, m_Request),
                  .m_Digest = m_Crashes.digest()}),
-      m_BoxPass(Owner.m_Passes), m_Arrived(Arrived),
-      m_Deadline(m_Arrived +
-                 std::min(m_Request.m_Deadline.value_or(MaxDeadline),
-                          MatchedRoute.m_Timeout)),
+      m_BoxPass(Owner.m_Passes),
+      m_Times(MatchedRoute, m_Request.m_Deadline, Arrived),
+      m_Admission(Owner.m_State,
+                  {.m_Admission = Owner.m_Opts.m_Admission,
+                   .m_Pacing = Owner.m_Opts.m_Pacing,
+                   .m_StoppingRetryAfter = Forwarder::StoppingRetryAfter},
+                  {.m_Missing = Owner.m_Hooks.m_Missing,
+                   .m_Random = Owner.m_Hooks.m_Random},
+                  {.m_Request = m_Request,
+                   .m_Route = MatchedRoute,
+                   .m_Times = m_Times,
+                   .m_Service = m_Service}),
       m_Stream(m_Request.m_LastEvent),
       m_IdleMonitor(Owner.m_Loop, Owner.m_Client,
                     {.m_Probe = [this] { return probe(); },
@@ -160,24 +99,25 @@
     if (const auto Self = Weak.lock())
       Self->onCallerLeft();
   });
-  m_DeadlineTimer = m_Owner.m_Loop.after(m_Deadline - EventLoop::now(), [Weak] {
-    if (const auto Self = Weak.lock())
-      Self->onDeadline();
-  });
+  m_DeadlineTimer =
+      m_Owner.m_Loop.after(m_Times.left(EventLoop::now()), [Weak] {
+        if (const auto Self = Weak.lock())
+          Self->onDeadline();
+      });
   step();
 }
 
 /// Counts the request as demand at the box that the caller has sent it to.
 void ProxiedRequest::countArrival() {
   ServingState &State = m_Owner.m_State;
-  State.m_Budget.recordRequest(m_Service, m_Arrived);
+  State.m_Budget.recordRequest(m_Service, m_Times.arrived());
   if (m_Request.m_Deadline)
     m_SinceFirstTry = State.m_RetryDetector.timeSinceFirstAttempt(
-        m_Route.m_Name, *m_Request.m_Deadline, m_Arrived);
+        m_Route.m_Name, *m_Request.m_Deadline, m_Times.arrived());
   // A retry of the caller is not counted as demand again, and a quarantined
   // request needs no replica.
   if (!m_Request.m_Model.empty() && m_SinceFirstTry == 0us &&
-      !m_Crashes.quarantinedFor(m_Arrived)) {
+      !m_Crashes.quarantinedFor(m_Times.arrived())) {
     // Reading a prompt occupies the whole engine, generating the answer one
     // slot.
     const double Work =
@@ -233,14 +173,12 @@
   const auto Chosen =
       chooseReplica(Candidates, m_Request, State.m_Zone, Knowledge,
                     m_Owner.m_Opts.m_Weights, m_Owner.m_Hooks.m_Random(), Now);
-  m_Choice = {.m_Replicas = Candidates.size(),
-              .m_ExpectedMs = Chosen ? Chosen->m_ExpectedMs : 0,
-              .m_PendingMs = Chosen ? Chosen->m_PendingMs : 0};
+  m_Admission.onChosen(Candidates.size(), Chosen);
   if (!Chosen && m_Permit.drop())
     return step();
   if (!Chosen && m_ConnectFailed && passOn(Now))
     return;
-  if (refuseIfBound(Chosen, Now) || refuseIfBackedOff(Chosen, Now))
+  if (refuseUntilLater(Chosen, Now))
     return;
   // A request with a valid permit is not refused because of what other requests
   // have learnt meanwhile.
@@ -251,7 +189,7 @@
                     : m_MayHaveRun   ? ForwardingStep::Fail
                                      : ForwardingStep::Refuse);
   if (const auto Delay = m_Crashes.retryDelay(m_Owner.m_Hooks.m_Random(),
-                                              m_Deadline - Now, Now))
+                                              m_Times.left(Now), Now))
     return wait(*Delay);
   m_Waiting = false;
   if (!withinQuota(Now))
@@ -286,16 +224,10 @@
   const auto Self = shared_from_this();
   const bool Known = m_Binding.state() == StreamBinding::State::Bound;
   const bool Usable = Known && useBoundService();
-  m_Owner.m_Log.write(
-      "resumed", {{"request", m_Request.m_Id},
-                  {"resumes", m_Request.m_Resumes},
-                  {"last_event",
-                   m_Stream.lastEvent() ? Json(*m_Stream.lastEvent()) : Json()},
-                  {"by", originSourceName(Found.m_Source)},
-                  {"software", Found.m_Software.str()},
-                  {"known", Known},
-                  {"usable", Usable},
-                  {"after_ms", waited(EventLoop::now()) / 1ms}});
+  m_Log.resumed(Found, {.m_LastEvent = m_Stream.lastEvent(),
+                        .m_Known = Known,
+                        .m_Usable = Usable,
+                        .m_Waited = m_Times.waited(EventLoop::now())});
   m_Owner.m_Hooks.m_Resumed(Found.m_Source);
   if (!Usable)
     return refuse(ErrorKind::StreamUnknown, 0us,
@@ -323,14 +255,7 @@
 /// Binds the stream whose first event the caller is about to get.
 void ProxiedRequest::bindStream(TimePoint Now) {
   if (m_Route.m_Resumable)
-    m_Binding.onEvent(m_Service, m_Send->m_Software, timeToResume(Now));
-}
-
-/// \returns how long the caller may take its stream up: callers keep to the
-/// deadline of their first try.
-Duration ProxiedRequest::timeToResume(TimePoint Now) const {
-  const Duration Wait = m_Request.m_Deadline.value_or(m_Route.m_Timeout);
-  return std::max<Duration>(0us, m_Arrived + Wait - Now) + ResumeMargin;
+    m_Binding.onEvent(m_Service, m_Send->m_Software, m_Times.toResume(Now));
 }
 
 /// \returns whether the list now names another version for the upstream of the
@@ -376,32 +301,30 @@
   m_Quota.noteSent();
   ++m_Sends;
   m_Stream.beginSend();
-  m_Send = Send{.m_Box = To,
-                .m_PassToken = m_BoxPass.open(To),
-                .m_At = Now,
-                .m_CountedAsLoad = false,
-                .m_Resumed = m_Stream.lastEvent().has_value()};
-  m_Owner.m_Log.write("passed_on",
-                      {{"request", m_Request.m_Id},
-                       {"digest", m_Crashes.digest().str()},
-                       {"route", m_Route.m_Name},
-                       {"config", m_Config->m_Version},
-                       {"box", To.m_Box.str()},
-                       {"send", m_Sends},
-                       {"partitioned", m_Owner.m_State.m_Reach.partitioned()},
-                       {"waited_ms", waited(Now) / 1ms}});
+  m_Send.emplace(Send{.m_Box = To,
+                      .m_PassToken = m_BoxPass.open(To),
+                      .m_At = Now,
+                      .m_Resumed = m_Stream.lastEvent().has_value(),
+                      .m_Answer = SendAnswer({.m_Method = method(),
+                                              .m_RequestId = m_Request.m_Id,
+                                              .m_FromBox = true})});
+  m_Log.passedOn({.m_Number = m_Sends,
+                  .m_Config = m_Config->m_Version,
+                  .m_Box = To.m_Box,
+                  .m_Partitioned = m_Owner.m_State.m_Reach.partitioned(),
+                  .m_Waited = m_Times.waited(Now)});
   HttpCall Call = commonCall(Now);
   Call.m_To = To.m_Endpoint;
   Call.m_Headers = m_Owner.m_Dialect.m_PassOn(
       m_FromCaller,
-      {.m_TimeLeft = m_Deadline - Now, .m_LastEvent = m_Stream.lastEvent()});
+      {.m_TimeLeft = m_Times.left(Now), .m_LastEvent = m_Stream.lastEvent()});
   for (HttpHeader &Each :
        m_BoxPass.fields(m_Request.m_Id, m_Binding.software()))
     Call.m_Headers.push_back(std::move(Each));
   Call.m_Use = connectionFor(m_Route.idempotent(), false, 0);
   m_Call = m_Owner.m_Client.start(std::move(Call));
   if (!streaming())
-    expectBytesWithin(IdleTargetMultiple * m_Route.m_Target);
+    expectBytesWithin(m_Times.answerTimeout());
 }
 
 /// A quarantine also ends the tries that wait for an answer. One that an
@@ -422,113 +345,43 @@
     step();
 }
 
-/// Refuses the request if only upstreams are left that need permits, and no
-/// permit for one is available in time. \returns whether it did.
-bool ProxiedRequest::refuseIfBound(const std::optional<ChosenReplica> &Chosen,
-                                   TimePoint Now) {
-  const auto Deferral = m_Permit.deferral(Now);
-  if (Chosen || !Deferral || m_Stream.begun() || m_MayHaveRun)
-    return false;
-  refuse(ErrorKind::Overloaded, Deferral->m_After,
-         refusalReason(Deferral->m_Kind));
-  return true;
-}
-
-/// Refuses the request if all upstreams that could run it have stated a time to
-/// retry after, and no load of its model ends sooner. \returns whether it did.
-bool ProxiedRequest::refuseIfBackedOff(
+/// Refuses the request if it is known when the upstreams that could run it can
+/// be sent to, and that is later. \returns whether it did.
+bool ProxiedRequest::refuseUntilLater(
     const std::optional<ChosenReplica> &Chosen, TimePoint Now) {
   if (Chosen || m_Stream.begun() || m_MayHaveRun)
     return false;
-  const auto ExcludeNone = [](const InstanceId &) { return false; };
-  const auto Refusal = refuseForRetryAfter(
-      eligibility().candidates(ExcludeNone, Now), m_Owner.m_State.m_Signals,
-      m_Owner.m_Hooks.m_Random(), Now);
-  const auto ServesAt = eligibility().servesAt(Now);
-  if (!Refusal || (ServesAt && *ServesAt < Now + Refusal->m_After))
-    return false;
-  m_Choice.m_Reason = "server_retry_after";
-  refuse(ErrorKind::Overloaded, Refusal->m_After, "server_retry_after");
-  return true;
+  const auto Refusal =
+      m_Admission.refusalUntilLater(eligibility(), m_Permit.deferral(Now), Now);
+  if (Refusal)
+    refuse(*Refusal);
+  return Refusal.has_value();
 }
 
 /// \returns how long to wait before a prompt is read beside running streams;
-/// empty if there is no need to wait. Streams pause while a prompt is read, so
-/// prompts are spread out.
+/// empty if there is no need to wait.
 std::optional<Duration> ProxiedRequest::promptDelay(const ChosenReplica &Chosen,
                                                     TimePoint Now) const {
-  const PacingFacts Facts{.m_GapTarget = m_Route.m_GapTarget,
-                          .m_Target = m_Route.m_Target,
-                          .m_Waited = waited(Now),
-                          .m_PendingMs = Chosen.m_PendingMs};
-  if (m_Sends > 0 || !streaming() || m_Request.m_Model.empty() ||
-      m_Permit.hasValidPermit(Now))
+  if (m_Sends > 0 || m_Permit.hasValidPermit(Now))
     return std::nullopt;
-  return pacingDelay(Facts, m_Owner.m_Opts.m_Pacing);
-}
-
-AdmissionFacts
-ProxiedRequest::admissionFacts(const std::optional<ChosenReplica> &Chosen,
-                               TimePoint Now) const {
-  AdmissionFacts Facts{.m_Target = m_Route.m_Target,
-                       .m_GapTarget = m_Route.m_GapTarget,
-                       .m_Waited = waited(Now),
-                       .m_TimeLeft = m_Deadline - Now,
-                       .m_NamesModel = !m_Request.m_Model.empty(),
-                       .m_Start = std::nullopt,
-                       .m_ServesIn = std::nullopt};
-  if (Chosen)
-    Facts.m_Start = {.m_FirstTokenMs = Chosen->m_ExpectedMs,
-                     .m_WorkMs = Chosen->m_WorkMs};
-  const auto ServesAt = eligibility().servesAt(Now);
-  if (Facts.m_NamesModel && ServesAt)
-    Facts.m_ServesIn = std::max<Duration>(0us, *ServesAt - Now);
-  return Facts;
+  return m_Admission.promptDelay(Chosen, Now);
 }
 
 /// \returns whether admission lets the request be sent now. If not, it waits
 /// for the next decision, or has been refused.
 bool ProxiedRequest::admitted(const std::optional<ChosenReplica> &Chosen,
                               TimePoint Now) {
-  // Plain services queue requests themselves.
-  if (Chosen && m_Request.m_Model.empty())
-    return true;
-  if (!Chosen && m_Binding.software() && !eligibility().any()) {
-    refuse(ErrorKind::NoUpstreamOfVersion, NoUpstreamRetryAfter,
-           m_Binding.software()->str());
-    return false;
-  }
-  if (!Chosen && !eligibility().any()) {
-    refuse(ErrorKind::NoAllowedUpstream, NoUpstreamRetryAfter,
-           m_Authorization.regions().text());
-    return false;
-  }
-  if (!Chosen && !m_Request.m_Model.empty() && !m_Binding.software())
-    m_Owner.m_Hooks.m_Missing(
-        {m_Service, m_Request.m_Model, m_Request.m_Adapter});
-  const AdmissionFacts Facts = admissionFacts(Chosen, Now);
-  const AdmissionDecision Decision =
-      admit(Facts, m_Owner.m_Opts.m_Admission, m_Owner.m_Hooks.m_Random());
-  m_Choice.m_Reason = Decision.m_Reason;
-  m_Choice.m_ServesIn = Facts.m_ServesIn;
-  switch (Decision.m_Step) {
-  case AdmissionStep::Send:
-    return true;
-  case AdmissionStep::Wait:
-    // A waiting request might outlive the process.
-    if (m_Owner.m_State.m_Stopping)
-      refuse(ErrorKind::Stopping, Forwarder::StoppingRetryAfter, {});
-    else
-      wait(Decision.m_Delay);
-    return false;
-  case AdmissionStep::Refuse:
-    refuse(Chosen               ? ErrorKind::Overloaded
-           : Facts.m_NamesModel ? ErrorKind::NoResidentCopy
-                                : ErrorKind::NoUpstream,
-           Decision.m_Delay, std::string(Decision.m_Reason));
-    return false;
-  }
-  return false;
+  const RequestAdmission::Verdict Verdict =
+      m_Admission.decide({.m_Eligible = eligibility(),
+                          .m_Chosen = Chosen,
+                          .m_Regions = m_Authorization.regions(),
+                          .m_Software = m_Binding.software()},
+                         Now);
+  if (Verdict.m_Step == AdmissionStep::Wait)
+    wait(Verdict.m_Delay);
+  else if (Verdict.m_Step == AdmissionStep::Refuse)
+    refuse(Verdict.m_Refusal);
+  return Verdict.m_Step == AdmissionStep::Send;
 }
 
 /// Waits until the state of upstreams changes, but for \p For at most.
@@ -578,13 +431,9 @@
   return true;
 }
 
-/// \returns how long to wait for quota units or permits: as long as the answer
-/// still meets its target, and if that is missed already, as long as a message
-/// from the other boxes takes.
+/// \returns how long to wait for quota units or permits.
 Duration ProxiedRequest::timeToSpare(TimePoint Now) const {
-  constexpr Duration MinTime = 100ms;
-  return std::max<Duration>(MinTime, m_Route.m_Target - waited(Now) -
-                                         fromMillis(m_Choice.m_ExpectedMs));
+  return m_Times.toSpare(m_Admission.details().m_ExpectedMs, Now);
 }
 
 /// \returns how long to wait for a permit. If the upstream sets a limit, that
@@ -626,7 +475,7 @@
 HttpCall ProxiedRequest::makeCall(const UpstreamInstance &To, TimePoint Now) {
   const ForwardedFields Fields{.m_Instance = To.m_Id,
                                .m_Organisation = m_Organisation,
-                               .m_TimeLeft = m_Deadline - Now,
+                               .m_TimeLeft = m_Times.left(Now),
                                .m_Priority = m_Priority,
                                .m_LastEvent = m_Stream.lastEvent()};
   HttpCall Call = commonCall(Now);
@@ -644,7 +493,7 @@
   Call.m_Target = m_Exchange->target();
   Call.m_Body = m_Exchange->sharedBody();
   Call.m_ConnectTimeout = m_Owner.m_Opts.m_ConnectTimeout;
-  Call.m_IdleTimeout = m_Deadline - Now + 1s;
+  Call.m_IdleTimeout = m_Times.left(Now) + 1s;
   Call.m_MaxBody = m_Owner.m_Opts.m_MaxAnswerBytes;
   const auto Weak = weak_from_this();
   Call.m_OnWritten = [Weak] {
@@ -675,48 +524,38 @@
   m_Crashes.onSent(Now);
   ++m_Sends;
   m_Stream.beginSend();
-  m_Send = Send{.m_Instance = To.m_Id,
-                .m_StartTime = To.m_StartTime,
-                .m_Software = To.m_Software,
-                .m_At = Now,
-                .m_PendingMs = Chosen.m_PendingMs,
-                .m_WorkMs = Chosen.m_WorkMs,
-                .m_ExpectedMs = Chosen.m_ExpectedMs,
-                .m_Tokens = m_Request.m_PromptTokens +
-                            OutputTokenWeight * m_Request.m_MaxOutputTokens,
-                .m_Resumed = m_Stream.lastEvent().has_value()};
-  const ConfigFreshness Config = m_Owner.m_Hooks.m_ConfigFreshness(Now);
-  m_Owner.m_Log.write(
-      "sent", {{"request", m_Request.m_Id},
-               {"digest", m_Crashes.digest().str()},
-               {"parts", partNames(m_Crashes.suspects())},
-               {"route", m_Route.m_Name},
-               {"config", m_Config->m_Version},
-               {"config_age_ms", Config.m_Age / 1ms},
-               {"config_by", Config.m_By.str()},
-               {"list", State.m_Upstreams.list().m_Revision.m_Number},
-               {"era", State.m_Upstreams.list().m_Revision.m_Era},
-               {"upstream", To.m_Id},
-               {"software", To.m_Software.str()},
-               {"resumes", m_Request.m_Resumes},
-               {"last_event",
-                m_Stream.lastEvent() ? Json(*m_Stream.lastEvent()) : Json()},
-               {"send", m_Sends},
-               {"model", m_Request.m_Model},
-               {"pending_ms", std::lround(Chosen.m_PendingMs)},
-               {"work_ms", std::lround(Chosen.m_WorkMs)},
-               {"expected_ms", std::lround(Chosen.m_ExpectedMs)}});
+  m_Send.emplace(Send{.m_Instance = To.m_Id,
+                      .m_StartTime = To.m_StartTime,
+                      .m_Software = To.m_Software,
+                      .m_At = Now,
+                      .m_PendingMs = Chosen.m_PendingMs,
+                      .m_WorkMs = Chosen.m_WorkMs,
+                      .m_ExpectedMs = Chosen.m_ExpectedMs,
+                      .m_Resumed = m_Stream.lastEvent().has_value(),
+                      .m_Answer = SendAnswer({.m_Method = method(),
+                                              .m_RequestId = m_Request.m_Id})});
+  m_Log.sent(*m_Send, {.m_Number = m_Sends,
+                       .m_Config = m_Config->m_Version,
+                       .m_Freshness = m_Owner.m_Hooks.m_ConfigFreshness(Now),
+                       .m_List = State.m_Upstreams.list().m_Revision,
+                       .m_LastEvent = m_Stream.lastEvent()});
   HttpCall Call = makeCall(To, Now);
   m_Send->m_MayBeKept = Call.m_Use == ConnectionUse::Reused;
-  State.m_Loads.onSent(To.m_Id, Chosen.m_WorkMs, m_Send->m_Tokens);
+  m_Send->m_Statistics.emplace(
+      State, SendStatistics::Facts{
+                 .m_Upstream = To.incarnation(),
+                 .m_Model = m_Request.m_Model,
+                 .m_SentAt = Now,
+                 .m_PendingMs = Chosen.m_PendingMs,
+                 .m_WorkMs = Chosen.m_WorkMs,
+                 .m_Tokens = m_Request.m_PromptTokens +
+                             OutputTokenWeight * m_Request.m_MaxOutputTokens});
   if (!m_Request.m_Model.empty())
     State.m_Prefixes.recordRead(To.m_Id, m_Request);
   m_Call = m_Owner.m_Client.start(std::move(Call));
   if (!streaming())
-    return expectBytesWithin(IdleTargetMultiple * m_Route.m_Target);
-  expectBytesWithin(std::max<Duration>(
-      MinIdleTimeout, fromMillis(IdleExpectedMultiple * Chosen.m_ExpectedMs) +
-                          m_Route.m_Target));
+    return expectBytesWithin(m_Times.answerTimeout());
+  expectBytesWithin(m_Times.firstEventTimeout(Chosen.m_ExpectedMs));
 }
 
 /// Only idempotent requests that may be sent again have an idle timeout. Others
@@ -749,39 +588,31 @@
   if (m_Done || !m_Send)
     return;
   const AnswerFacts Facts = m_Owner.m_Dialect.m_ReadAnswer(Status, Headers);
-  m_Send->m_Status = Status;
-  m_Send->m_Headers = withoutPassFields(Headers);
-  m_Send->m_Framing = framingOf(method(), Status, Headers);
+  m_Send->m_Answer.readHead(Status, Headers, Facts);
   if (m_Send->m_Box) {
-    m_Send->m_Verdict = readVerdict(Headers);
     m_Send->m_Software = readSoftware(Headers);
   } else {
-    m_Send->m_NotRun = Facts.m_NotRun;
-    m_Send->m_NoRoom = Facts.m_NoRoom;
     m_Owner.m_Hooks.m_Reached(reachCall());
     m_Permit.reportCold(Facts, m_Send->m_Instance, m_Send->m_At);
   }
-  m_Send->m_ForeignAnswer =
-      !Facts.m_RequestId.empty() && Facts.m_RequestId != m_Request.m_Id;
-  const bool LacksRequestId = Facts.m_RequestId.empty() && Status / 100 == 2;
-  if (m_Send->m_ForeignAnswer || LacksRequestId) {
-    m_Send->m_ForeignAnswer = true;
+  if (m_Send->m_Answer.foreign())
     return settle(SendOutcome::Broken);
-  }
   if (const auto Service = m_Owner.m_Signals.lock(); Service && !m_Send->m_Box)
     Service->recordSignals(upstreamIncarnation(), Facts, m_Send->m_At);
   if (!(streaming() && Status == 200))
-    awaitRoom(contentLength(Headers));
+    awaitRoom(m_Send->m_Answer.announcedBytes());
 }
 
 /// Reads an answer of \p Bytes once all that is held leaves room for it.
 void ProxiedRequest::awaitRoom(std::size_t Bytes) {
-  if (Bytes > m_Owner.m_Opts.m_MaxAnswerBytes || holdAnswer(Bytes))
+  const MemoryBudget &Memory = m_Owner.m_Opts.m_Memory;
+  if (Bytes > m_Owner.m_Opts.m_MaxAnswerBytes ||
+      m_Send->m_Answer.hold(Bytes, Memory))
     return;
   m_IdleMonitor.stop();
   m_Call.pauseReading();
   m_RoomTimer = m_Owner.m_Loop.every(RoomCheckInterval, [this, Bytes] {
-    if (!holdAnswer(Bytes))
+    if (!m_Send->m_Answer.hold(Bytes, m_Owner.m_Opts.m_Memory))
       return;
     m_Call.resumeReading();
     m_RoomTimer.reset();
@@ -791,53 +622,34 @@
 void ProxiedRequest::onBytes(std::string_view Bytes) {
   if (m_Done || !m_Send)
     return;
-  if (streaming() && m_Send->m_Status == 200) {
+  if (answersStream()) {
     passEvents(m_Stream.feed(Bytes));
     if (!m_Done && m_Stream.rest().size() > MaxEventBytes)
       settle(SendOutcome::Broken);
     return;
   }
-  const std::size_t Size = m_Send->m_Body.size() + Bytes.size();
+  SendAnswer &Answer = m_Send->m_Answer;
+  const MemoryBudget &Memory = m_Owner.m_Opts.m_Memory;
+  const std::size_t Size = Answer.body().size() + Bytes.size();
   if (Size > m_Owner.m_Opts.m_MaxAnswerBytes)
     return settle(SendOutcome::Broken);
   // While the answer waits for room, only what had been read before comes.
-  if (!m_RoomTimer && Size > m_Send->m_Body.capacity() &&
-      !holdAnswer(Size + Size / 2)) {
-    m_Owner.m_Log.write("answer_not_held",
-                        {{"request", m_Request.m_Id},
-                         {"bytes", Size},
-                         {"held", m_Owner.m_Opts.m_Memory.held()},
-                         {"limit", m_Owner.m_Opts.m_Memory.limit()}});
+  if (!m_RoomTimer && !Answer.growTo(Size, Memory)) {
+    m_Log.answerNotHeld(Size, Memory);
     return settle(SendOutcome::Broken);
   }
-  m_Send->m_Body.append(Bytes);
-}
-
-/// Makes room for an answer of \p Bytes. \returns false where all that is held
-/// leaves none.
-bool ProxiedRequest::holdAnswer(std::size_t Bytes) {
-  const MemoryBudget &Memory = m_Owner.m_Opts.m_Memory;
-  if (m_Send->m_Held.bytes() == 0)
-    m_Send->m_Held = Memory.chargeAnswer();
-  if (!m_Send->m_Held.resize(Bytes))
-    return false;
-  m_Send->m_Body.reserve(Bytes);
-  return true;
+  Answer.append(Bytes);
 }
 
 void ProxiedRequest::noteStarted(TimePoint Now) {
-  if (m_Send->m_Started || !(m_Send->m_CountedAsLoad || m_Send->m_Box))
+  std::optional<SendStatistics> &Statistics = m_Send->m_Statistics;
+  if (m_Send->m_Started || (Statistics && !Statistics->running()))
     return;
   m_Send->m_Started = Now;
   if (!m_FirstByte)
     m_FirstByte = Now;
-  if (m_Send->m_Box || upstreamRestarted())
-    return;
-  ServingState &State = m_Owner.m_State;
-  const double Observed = inMillis(Now - m_Send->m_At);
-  State.m_Loads.onFirstToken(m_Send->m_Instance, m_Send->m_WorkMs);
-  State.m_Latency.observe(m_Send->m_Instance, m_Request.m_Model,
-                          m_Send->m_PendingMs, m_Send->m_WorkMs, Observed);
+  if (Statistics)
+    Statistics->onStarted(Now);
 }
 
 void ProxiedRequest::passEvents(const std::string &Events) {
@@ -855,29 +667,31 @@
     m_Crashes.onWriting(*m_Send->m_Started, Now);
   if (!m_Exchange->sendChunk(Events))
     return cut();
-  expectBytesWithin(
-      std::max(MinIdleTimeout, IdleGapMultiple * m_Route.m_GapTarget));
+  expectBytesWithin(m_Times.nextEventTimeout());
 }
 
 /// The caller's answer is framed as the upstream's: it must not claim to be
 /// whole where only the end of a connection says so.
 void ProxiedRequest::startStream() {
-  const AnswerFraming Framing = m_Send->m_Framing == AnswerFraming::Connection
-                                    ? AnswerFraming::Connection
-                                    : AnswerFraming::Chunks;
-  HttpHeaders Headers = withoutConnectionFields(m_Send->m_Headers);
+  const AnswerFraming Framing =
+      m_Send->m_Answer.framing() == AnswerFraming::Connection
+          ? AnswerFraming::Connection
+          : AnswerFraming::Chunks;
+  HttpHeaders Headers = withoutConnectionFields(m_Send->m_Answer.headers());
   if (m_Passed)
     Headers.push_back(softwareField(m_Send->m_Software));
-  m_Stream.setFraming(
-      m_Exchange->startStream(m_Send->m_Status, std::move(Headers), Framing));
+  m_Stream.setFraming(m_Exchange->startStream(m_Send->m_Answer.status(),
+                                              std::move(Headers), Framing));
 }
 
 void ProxiedRequest::onEnd(HttpEnd End) {
   if (m_Done || !m_Send)
     return;
-  const SendOutcome Outcome = classify(End);
-  m_Send->m_Whole =
-      Outcome == SendOutcome::Broken && claimsMore(End) && !streamBrokeOff(End);
+  const bool BrokeOff = streamBrokeOff(End);
+  const bool ClaimsMore = claimsMore(End);
+  const SendOutcome Outcome =
+      m_Send->m_Answer.outcome(End, BrokeOff || ClaimsMore);
+  m_Send->m_Whole = Outcome == SendOutcome::Broken && ClaimsMore && !BrokeOff;
   m_Stream.onSendEnded(streamEnd(End));
   m_Send->m_Ended = true;
   if (m_Send->m_Box)
@@ -888,35 +702,13 @@
                                  EventLoop::now());
   if (End == HttpEnd::NotWritten)
     m_Crashes.onConnectFailed(upstreamIncarnation());
-  m_ConnectFailed = m_ConnectFailed || connectionFailed(End);
-  if (connectionFailed(End))
+  if (m_Send->m_Answer.connectionFailed(End)) {
+    m_ConnectFailed = true;
     m_Owner.m_Hooks.m_ConnectFailed(reachCall());
+  }
   settle(Outcome);
 }
 
-/// \returns whether no byte came over the connection. A kept one may also break
-/// because the upstream closes it; the probe that follows then clears the
-/// doubt.
-bool ProxiedRequest::connectionFailed(HttpEnd End) const {
-  return End == HttpEnd::NotWritten ||
-         (End == HttpEnd::Broken && m_Send->m_Status == 0);
-}
-
-SendOutcome ProxiedRequest::classify(HttpEnd End) const {
-  const bool Whole = End == HttpEnd::Complete;
-  if (m_Send->m_Verdict == PassVerdict::Declined)
-    return SendOutcome::NotSent;
-  if (m_Send->m_NotRun || m_Send->m_Verdict == PassVerdict::Rejected ||
-      (m_Send->m_Verdict == PassVerdict::Refused && Whole))
-    return SendOutcome::Rejected;
-  if (End == HttpEnd::NotWritten)
-    return SendOutcome::NotSent;
-  if (End == HttpEnd::Broken || streamBrokeOff(End) || claimsMore(End))
-    return SendOutcome::Broken;
-  return m_Send->m_Status >= 500 ? SendOutcome::ServerError
-                                 : SendOutcome::Answered;
-}
-
 StreamAnswer::SendEnd ProxiedRequest::streamEnd(HttpEnd End) const {
   return {.m_End = End,
           .m_FromBox = m_Send->m_Box.has_value(),
@@ -925,8 +717,7 @@
 }
 
 bool ProxiedRequest::streamBrokeOff(HttpEnd End) const {
-  return streaming() && m_Send->m_Status == 200 &&
-         m_Stream.brokeOff(streamEnd(End));
+  return answersStream() && m_Stream.brokeOff(streamEnd(End));
 }
 
 bool ProxiedRequest::claimsMore(HttpEnd End) const {
@@ -934,8 +725,6 @@
 }
 
 void ProxiedRequest::noteOutcome(SendOutcome Outcome, TimePoint Now) {
-  ServingState &State = m_Owner.m_State;
-  const InstanceId &At = m_Send->m_Instance;
   releaseLoad();
   m_Sends -= Outcome == SendOutcome::NotSent ? 1 : 0;
   m_MayHaveRun = m_MayHaveRun || Outcome == SendOutcome::Broken ||
@@ -945,14 +734,7 @@
   if (completed(Outcome))
     m_Crashes.onCompleted(upstreamIncarnation(),
                           m_Send->m_Started.value_or(m_Send->m_At));
-  if (upstreamRestarted())
-    return;
-  if (Outcome == SendOutcome::Answered || m_Send->m_Whole)
-    State.m_Failures.recordSuccess(At, Now);
-  else if (Outcome == SendOutcome::NotSent)
-    State.m_Failures.recordUnreachable(At, Now);
-  else
-    State.m_Failures.recordFailure(At, Now);
+  m_Send->m_Statistics->recordOutcome(Outcome, m_Send->m_Whole, Now);
 }
 
 void ProxiedRequest::notePassed(SendOutcome Outcome) {
@@ -961,7 +743,7 @@
   // upstream.
   const bool Declined = Outcome == SendOutcome::NotSent ||
                         (Outcome == SendOutcome::Broken &&
-                         m_Send->m_Status == 0 && m_Send->m_Ended);
+                         m_Send->m_Answer.status() == 0 && m_Send->m_Ended);
   m_BoxPass.onOutcome(*m_Send->m_Box, outcomeName(Outcome), Declined);
 }
 
@@ -970,25 +752,14 @@
 /// empty; an answer that finds fault with the request has read it.
 bool ProxiedRequest::completed(SendOutcome Outcome) const {
   return Outcome == SendOutcome::Answered && !m_Send->m_Resumed &&
-         !impliesNotRun(m_Send->m_Status);
-}
-
-/// \returns whether the upstream has restarted since the send. What an earlier
-/// incarnation did does not count for the present one.
-bool ProxiedRequest::upstreamRestarted() const {
-  return m_Owner.m_State.m_Upstreams.superseded(upstreamIncarnation());
+         !impliesNotRun(m_Send->m_Answer.status());
 }
 
 void ProxiedRequest::releaseLoad() {
-  if (!m_Send || !std::exchange(m_Send->m_CountedAsLoad, false))
+  if (!m_Send || !m_Send->m_Statistics || !m_Send->m_Statistics->running())
     return;
-  m_Permit.reportEnd(m_Send->m_Instance, m_Send->m_NoRoom);
-  if (upstreamRestarted())
-    return;
-  LoadTracker &Loads = m_Owner.m_State.m_Loads;
-  if (!m_Send->m_Started)
-    Loads.onFirstToken(m_Send->m_Instance, m_Send->m_WorkMs);
-  Loads.onEnded(m_Send->m_Instance, m_Send->m_Tokens);
+  m_Permit.reportEnd(m_Send->m_Instance, m_Send->m_Answer.noRoom());
+  m_Send->m_Statistics->onEnded();
 }
 
 int ProxiedRequest::maxSends() const {
@@ -1007,10 +778,10 @@
                               .m_MayHaveRun = m_MayHaveRun,
                               .m_Sends = m_Sends,
                               .m_MaxSends = maxSends(),
-                              .m_TimeLeft = Now < m_Deadline};
+                              .m_TimeLeft = Now < m_Times.deadline()};
   // What another box refuses is an answer to the caller, as if refused here.
   if (Outcome == SendOutcome::Rejected &&
-      m_Send->m_Verdict == PassVerdict::Refused)
+      m_Send->m_Answer.verdict() == PassVerdict::Refused)
     return m_Stream.begun() ? ForwardingStep::Cut
            : m_MayHaveRun   ? ForwardingStep::Fail
                             : ForwardingStep::Refuse;
@@ -1030,7 +801,7 @@
   // Destroying the handle cancels rejected and aborted calls.
   m_Call = HttpCallHandle();
   if (Outcome == SendOutcome::Answered) {
-    if (streaming() && m_Send->m_Status == 200)
+    if (answersStream())
       passEvents(m_Stream.rest());
     else
       noteStarted(Now);
@@ -1042,23 +813,13 @@
     m_Owner.m_Hooks.m_SendEnded(outcomeName(Outcome));
   const ForwardingStep Step = decide(Outcome, Now);
   if (Outcome != SendOutcome::Answered)
-    m_Owner.m_Log.write(
-        "send_failed",
-        {{"request", m_Request.m_Id},
-         {"digest", m_Crashes.digest().str()},
-         {"parts", partNames(m_Crashes.suspects())},
-         {"upstream", m_Send->m_Instance},
-         {"software", m_Send->m_Software.str()},
-         {"box", m_Send->m_Box ? m_Send->m_Box->m_Box.str() : std::string()},
-         {"send", m_Sends},
-         {"outcome", outcomeName(Outcome)},
-         {"status", m_Send->m_Status},
-         {"foreign", m_Send->m_ForeignAnswer},
-         {"after_ms", (Now - m_Send->m_At) / 1ms},
-         {"passed", m_Stream.begun()},
-         {"framing", framingName(m_Send->m_Framing)},
-         {"rest_bytes", m_Stream.rest().size()},
-         {"step", stepName(Step)}});
+    m_Log.sendFailed(*m_Send,
+                     {.m_Number = m_Sends,
+                      .m_Outcome = Outcome,
+                      .m_Passed = m_Stream.begun(),
+                      .m_RestBytes = m_Stream.rest().size(),
+                      .m_Step = Step},
+                     Now);
   carryOut(Step);
 }
 
@@ -1071,7 +832,7 @@
   case ForwardingStep::PassOn:
     return passAnswer();
   case ForwardingStep::Refuse:
-    if (m_Send && m_Send->m_Verdict == PassVerdict::Refused)
+    if (m_Send && m_Send->m_Answer.verdict() == PassVerdict::Refused)
       return passRefusal();
     return refuse(ErrorKind::NoUpstream, RejectedRetryAfter, {});
   case ForwardingStep::Fail:
@@ -1082,7 +843,7 @@
 }
 
 void ProxiedRequest::passAnswer() {
-  if (streaming() && m_Send->m_Status == 200) {
+  if (answersStream()) {
     if (!m_Stream.begun())
       startStream();
     m_Exchange->endStream();
@@ -1090,37 +851,39 @@
   }
   // Without the upstream's statement that it did not run the request, this
   // status would wrongly promise that to the caller.
-  if (impliesNotRun(m_Send->m_Status))
+  if (impliesNotRun(m_Send->m_Answer.status()))
     return fail(ErrorKind::UpstreamFailed);
-  const bool Success = m_Send->m_Status < 500;
-  m_Exchange->reply(
-      m_Send->m_Status, withoutConnectionFields(m_Send->m_Headers),
-      SharedBytes(std::move(m_Send->m_Body), std::move(m_Send->m_Held)),
-      m_Send->m_Framing);
+  const bool Success = m_Send->m_Answer.status() < 500;
+  m_Exchange->reply(m_Send->m_Answer.status(),
+                    withoutConnectionFields(m_Send->m_Answer.headers()),
+                    m_Send->m_Answer.takeBody(), m_Send->m_Answer.framing());
   end(Success ? "ok" : "upstream_error");
 }
 
 /// Answers as the box did that was asked.
 void ProxiedRequest::passRefusal() {
   m_Quota.refund();
-  m_Exchange->reply(m_Send->m_Status,
-                    withoutConnectionFields(m_Send->m_Headers), m_Send->m_Body);
+  m_Exchange->reply(m_Send->m_Answer.status(),
+                    withoutConnectionFields(m_Send->m_Answer.headers()),
+                    m_Send->m_Answer.body());
   end("refused_by_box");
 }
 
 void ProxiedRequest::refuse(ErrorKind Kind, Duration RetryAfter,
                             std::string Detail) {
-  m_RefusalRetryAfter = RetryAfter;
+  refuse({.m_Kind = Kind,
+          .m_RetryAfter = RetryAfter,
+          .m_Detail = std::move(Detail)});
+}
+
+void ProxiedRequest::refuse(const Failure &Reason) {
+  m_RefusalRetryAfter = Reason.m_RetryAfter;
   m_Quota.refund();
   HttpHeaders Headers = m_Owner.m_Dialect.m_FailureHeaders(m_Request.m_Id);
   if (m_Passed)
-    Headers.push_back(verdictField(verdictFor(Kind, m_Sends > 0)));
-  replyWithFailure(m_Exchange,
-                   {.m_Kind = Kind,
-                    .m_RetryAfter = RetryAfter,
-                    .m_Detail = std::move(Detail)},
-                   std::move(Headers));
-  end(answerFor(Kind).m_Code);
+    Headers.push_back(verdictField(verdictFor(Reason.m_Kind, m_Sends > 0)));
+  replyWithFailure(m_Exchange, Reason, std::move(Headers));
+  end(answerFor(Reason.m_Kind).m_Code);
 }
 
 void ProxiedRequest::fail(ErrorKind Kind) {
@@ -1160,42 +923,27 @@
   m_PacingTimer = Timer();
   m_RoomTimer.reset();
   m_IdleMonitor.stop();
-  const Duration First = m_FirstByte ? *m_FirstByte - m_Arrived : 0us;
+  const Duration First = m_FirstByte ? *m_FirstByte - m_Times.arrived() : 0us;
   if (!m_Passed && Outcome != "ok" &&
       Outcome != answerFor(ErrorKind::CallerLeft).m_Code)
     m_Owner.m_State.m_RetryDetector.recordRefusal(m_Route.m_Name, Now);
   if (Outcome == "ok" && streaming() && m_FirstByte)
     m_Owner.m_State.m_Latency.observeHold(m_Request.m_Model,
                                           inMillis(Now - *m_FirstByte));
-  m_Owner.m_Log.write(
-      Outcome == "ok" ? "answered" : "not_answered",
-      {{"request", m_Request.m_Id},
-       {"digest", m_Crashes.digest().str()},
-       {"route", m_Route.m_Name},
-       {"outcome", Outcome},
-       {"organisation", m_Organisation},
-       {"passed_here", m_Passed != nullptr},
-       {"units", std::lround(m_Quota.units())},
-       {"model", m_Request.m_Model},
-       {"adapter", m_Request.m_Adapter},
-       {"tried_before_ms", m_SinceFirstTry / 1ms},
-       {"sends", m_Sends},
-       {"replicas", m_Choice.m_Replicas},
-       {"expected_ms", std::lround(m_Choice.m_ExpectedMs)},
-       {"pending_ms", std::lround(m_Choice.m_PendingMs)},
-       {"judged", m_Choice.m_Reason},
-       {"regions", m_Authorization.regions().text()},
-       {"serves_in_ms",
-        m_Choice.m_ServesIn ? Json(*m_Choice.m_ServesIn / 1ms) : Json()},
-       {"told_ms", m_RefusalRetryAfter / 1ms},
-       {"target_ms", m_Route.m_Target / 1ms},
-       {"gap_target_ms", m_Route.m_GapTarget / 1ms},
-       {"first_ms", First / 1ms},
-       {"gap_ms", m_Stream.longestGap() / 1ms},
-       {"software", m_Send ? m_Send->m_Software.str() : std::string()},
-       {"framing", m_Send ? framingName(m_Send->m_Framing) : ""},
-       {"rest_bytes", m_Stream.rest().size()},
-       {"whole_ms", waited(Now) / 1ms}});
+  m_Log.ended({.m_Outcome = Outcome,
+               .m_Organisation = m_Organisation,
+               .m_PassedHere = m_Passed != nullptr,
+               .m_Units = m_Quota.units(),
+               .m_SinceFirstTry = m_SinceFirstTry,
+               .m_Sends = m_Sends,
+               .m_Choice = m_Admission.details(),
+               .m_Regions = m_Authorization.regions().text(),
+               .m_RetryAfter = m_RefusalRetryAfter,
+               .m_First = First,
+               .m_Gap = m_Stream.longestGap(),
+               .m_Last = m_Send ? &*m_Send : nullptr,
+               .m_RestBytes = m_Stream.rest().size(),
+               .m_Whole = m_Times.waited(Now)});
   if (m_Passed)
     m_Owner.m_Hooks.m_PassedEnded(Outcome);
   else
@@ -1203,7 +951,7 @@
                              .m_Organisation = m_Organisation,
                              .m_Outcome = Outcome,
                              .m_FirstByte = First,
-                             .m_Whole = waited(Now)});
+                             .m_Whole = m_Times.waited(Now)});
   m_Owner.remove(Self);
 }
 
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -3,15 +3,17 @@
 #ifndef HAVENSTAIR_GATEWAY_REQUEST_PROXIEDREQUEST_H
 #define HAVENSTAIR_GATEWAY_REQUEST_PROXIEDREQUEST_H
 
-#include "decisions/request/ReplicaAdmission.h"
 #include "decisions/request/RequestAuthorization.h"
 #include "decisions/request/UpstreamEligibility.h"
 #include "gateway/request/BoxPass.h"
 #include "gateway/request/CrashGuard.h"
 #include "gateway/request/Forwarder.h"
+#include "gateway/request/RequestAdmission.h"
+#include "gateway/request/RequestLog.h"
 #include "gateway/request/RequestPermit.h"
 #include "gateway/request/RequestQuota.h"
 #include "gateway/request/RequestSend.h"
+#include "gateway/request/RequestTimes.h"
 #include "gateway/request/StreamAnswer.h"
 #include "gateway/request/StreamBinding.h"
 #include "gateway/request/StreamIdleMonitor.h"
@@ -46,23 +48,12 @@
 private:
   using Send = RequestSend;
 
-  /// What the last choice of an upstream was based on, for the log.
-  struct ChoiceDetails {
-    std::size_t m_Replicas = 0; ///< Number of candidates.
-    double m_ExpectedMs = 0;
-    double m_PendingMs = 0;
-    std::string_view m_Reason = ""; ///< Reason of the admission decision.
-    /// Time until a load of the model in progress ends; empty if there is none.
-    std::optional<Duration> m_ServesIn;
-  };
-
   void countArrival();
   void step();
   bool bound();
   void onOrigin(const FoundOrigin &Found);
   bool useBoundService();
   void bindStream(TimePoint Now);
-  Duration timeToResume(TimePoint Now) const;
   bool listedOtherwise() const;
   bool unreachable(TimePoint Now) const;
   bool passOn(TimePoint Now);
@@ -71,13 +62,10 @@
   void passRefusal();
   int maxSends() const;
   void resume();
-  bool refuseIfBound(const std::optional<ChosenReplica> &Chosen, TimePoint Now);
-  bool refuseIfBackedOff(const std::optional<ChosenReplica> &Chosen,
-                         TimePoint Now);
+  bool refuseUntilLater(const std::optional<ChosenReplica> &Chosen,
+                        TimePoint Now);
   std::optional<Duration> promptDelay(const ChosenReplica &Chosen,
                                       TimePoint Now) const;
-  AdmissionFacts admissionFacts(const std::optional<ChosenReplica> &Chosen,
-                                TimePoint Now) const;
   bool admitted(const std::optional<ChosenReplica> &Chosen, TimePoint Now);
   void wait(Duration For);
   bool stillAllowed();
@@ -98,13 +86,10 @@
   void onBytes(std::string_view Bytes);
   void onEnd(HttpEnd End);
   void awaitRoom(std::size_t Bytes);
-  bool holdAnswer(std::size_t Bytes);
   void noteStarted(TimePoint Now);
   void startStream();
   void passEvents(const std::string &Events);
 
-  bool connectionFailed(HttpEnd End) const;
-  SendOutcome classify(HttpEnd End) const;
   StreamAnswer::SendEnd streamEnd(HttpEnd End) const;
   bool streamBrokeOff(HttpEnd End) const;
   bool claimsMore(HttpEnd End) const;
@@ -120,11 +105,11 @@
             .m_MayBeKept = m_Send->m_MayBeKept};
   }
   bool completed(SendOutcome Outcome) const;
-  bool upstreamRestarted() const;
   ForwardingStep decide(SendOutcome Outcome, TimePoint Now);
   void carryOut(ForwardingStep Step);
 
   void passAnswer();
+  void refuse(const Failure &Reason);
   void refuse(ErrorKind Kind, Duration RetryAfter, std::string Detail);
   void fail(ErrorKind Kind);
   void cut();
@@ -133,10 +118,12 @@
   void end(std::string_view Outcome);
 
   bool streaming() const { return m_Route.m_Kind == RouteKind::Stream; }
+  bool answersStream() const {
+    return streaming() && m_Send->m_Answer.status() == 200;
+  }
   HttpMethod method() const {
     return parseHttpMethod(m_Exchange->method()).value_or(HttpMethod::Get);
   }
-  Duration waited(TimePoint Now) const { return Now - m_Arrived; }
 
   /// Null for a request that a caller sent to this box; else counts it as one
   /// that another box passed on.
@@ -150,6 +137,7 @@
   std::string m_Service;
   std::string m_Organisation; ///< Empty if the caller belongs to none.
   CrashGuard m_Crashes;
+  RequestLog m_Log;
   int m_Priority; ///< Priority that is sent to an engine.
   RequestAuthorization m_Authorization;
   RequestQuota m_Quota;
@@ -158,8 +146,8 @@
   StreamBinding m_Binding;
   bool m_AskingOrigin = false; ///< A call to m_Binding.ask() is on the stack.
   BoxPass m_BoxPass;
-  TimePoint m_Arrived;
-  TimePoint m_Deadline;
+  RequestTimes m_Times;
+  RequestAdmission m_Admission;
   Duration m_SinceFirstTry = 0us; ///< Zero for a first try.
   std::set<InstanceId> m_Tried;   ///< Upstreams that it was sent to.
   bool m_ConnectFailed = false;   ///< An upstream could not be connected to.
@@ -170,7 +158,6 @@
   std::optional<TimePoint> m_FirstByte;
   StreamAnswer m_Stream;
   std::optional<Send> m_Send;
-  ChoiceDetails m_Choice;
   Duration m_RefusalRetryAfter = 0us; ///< Retry time in the refusal.
   HttpCallHandle m_Call;
   Timer m_DeadlineTimer;
