The soak draws releases around losses of all boxes, and judges who goes on

Callers who took a stream up after all boxes had been lost got events of another software version with 200 (ORDER), or 503 although two servers of their version served (LOST).

With both flags all servers begin at one version, and addReleases() draws one or two releases: before, within or just after a loss of all boxes, between two, or such that both versions serve through it. New servers start under new ids in the place of engines that are gone; every second old one says that it leaves, the others just go. 48 callers keep their connections, and one of three takes up what broke off only after 3 to 7 s.

GoesOnOracle is pure: tries, servers' lives and losses in, verdicts out. Of 12 or more streams that are taken up by tries from 3 s after the return on, while two servers of their version serve throughout, the share that goes on must reach half of that of new streams that begin; of all, and of those that began before the loss by themselves, as streams that boxes remember would hide those. Of the latter, one that goes on within the 3 s counts as well: else only those that fail would be left to judge. One-version stays; streams that are open at the end are now judged too.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -50,6 +50,9 @@
     return m_Partitions.strike(Fault);
   if (Fault.m_Kind == SoakFault::LoseBoxes)
     return m_Returns.strike(Fault);
+  if (Fault.m_Kind == SoakFault::ReplaceVersion ||
+      Fault.m_Kind == SoakFault::JoinVersion)
+    return m_Releases.strike(Fault);
   if (Fault.m_Kind == SoakFault::BrittleService)
     return strikeService(Fault);
   if (Fault.m_Kind == SoakFault::PauseServer)
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -4,6 +4,7 @@
 #define HAVENSTAIR_TESTS_SOAK_FAULTINJECTOR_H
 
 #include "soak/PartitionInjector.h"
+#include "soak/ReleaseInjector.h"
 #include "soak/ReturnInjector.h"
 #include "soak/SoakBox.h"
 #include "soak/SoakConfig.h"
@@ -32,7 +33,8 @@
   explicit FaultInjector(Parts On)
       : m_On(On),
         m_Partitions(On.m_Loop, On.m_Oracle, On.m_Boxes, On.m_Engines),
-        m_Returns(On.m_Loop, On.m_Oracle, On.m_Boxes) {}
+        m_Returns(On.m_Loop, On.m_Oracle, On.m_Boxes),
+        m_Releases(On.m_Loop, On.m_Engines) {}
 
   PartitionInjector &partitions() { return m_Partitions; }
 
@@ -66,6 +68,7 @@
   Parts m_On;
   PartitionInjector m_Partitions;
   ReturnInjector m_Returns;
+  ReleaseInjector m_Releases;
   std::map<std::pair<const void *, SoakFault>, int> m_Holding;
   int m_Down = 0;
   int m_Silent = 0;
--- a/tests/soak/ReturnInjector.cpp
+++ b/tests/soak/ReturnInjector.cpp
@@ -36,7 +36,7 @@
   const auto Number = static_cast<std::size_t>(Fault.m_Target);
   const Duration Gap = Gaps.at(Number / Orders.size() % Gaps.size());
   const bool Stops = Fault.m_Target % StopOneIn == 0;
-  m_Oracle.returns().lost(EventLoop::now());
+  m_Oracle.boxesLost(EventLoop::now());
   m_LivesBefore.clear();
   for (const auto &Each : m_Boxes)
     m_LivesBefore.push_back(Each->life());
@@ -56,7 +56,7 @@
     if (m_Boxes[Index]->life() == m_LivesBefore[Index])
       return;
   m_Look = Timer();
-  m_Oracle.returns().back(EventLoop::now());
+  m_Oracle.boxesBack(EventLoop::now());
 }
 
 } // namespace havenstair
--- a/tests/soak/SoakBounds.h
+++ b/tests/soak/SoakBounds.h
@@ -49,6 +49,10 @@
   Duration m_Recovery = 15s;
   Duration m_LossMargin = 500ms;
   double m_Back = 0.25;
+  /// Of the share of new streams that begin after all boxes are back, the share
+  /// of those that are taken up and go on; of so many or more.
+  double m_GoesOn = 0.5;
+  int m_LeastTakenUp = 12;
   /// Routes time out later; slower answers are not judged as sound ones.
   Duration m_SoundWithin = 3s;
   /// What the soak's own process may take to note an event.
--- a/tests/soak/SoakEngine.cpp
+++ b/tests/soak/SoakEngine.cpp
@@ -60,7 +60,10 @@
     if (m_Shelf && m_Shelf->advance(EventLoop::now()) && m_Listed)
       publish();
   });
-  publish();
+  if (m_Opts.m_Starts)
+    publish();
+  else
+    goAway();
 }
 
 int SoakEngine::draw(int Least, int Most) {
@@ -102,15 +105,15 @@
   m_Listed = true;
   m_Store.put("servers/" + m_Id, dumpJson(Entry));
   if (m_Draining)
-    m_Oracle.routing().engineLeaves(m_Id, Now);
+    m_Oracle.serverLeaves(m_Id, Now);
   else
-    m_Oracle.routing().engineServes(m_Id);
+    m_Oracle.serverServes(m_Opts.m_Service, m_Version, m_Id, Now);
 }
 
 void SoakEngine::lapse() {
   m_Listed = false;
   m_Store.remove("servers/" + m_Id);
-  m_Oracle.routing().engineLeaves(m_Id, EventLoop::now());
+  m_Oracle.serverLeaves(m_Id, EventLoop::now());
 }
 
 void SoakEngine::leave(bool Says) {
@@ -207,6 +210,18 @@
   publish();
 }
 
+void SoakEngine::startAs(const std::string &Version) {
+  m_Version = Version;
+  comeBack();
+}
+
+void SoakEngine::goAway() {
+  if (m_Listed)
+    lapse();
+  m_Down = true;
+  m_Link.setListening(false);
+}
+
 void SoakEngine::later(Duration Delay, std::function<void()> Call) {
   const std::uint64_t Number = m_NextTimer++;
   m_Timers[Number] =
--- a/tests/soak/SoakEngine.h
+++ b/tests/soak/SoakEngine.h
@@ -29,6 +29,7 @@
     int m_Slots = 8;
     std::optional<ModelShelf::Options> m_Shelf;
     std::uint64_t m_Seed = 0;
+    bool m_Starts = true; ///< At once; else by startAs().
   };
 
   SoakEngine(EventLoop &Loop, StandinStore &Store, SoakOracle &Oracle,
@@ -46,6 +47,14 @@
   void leave(bool Says);
   /// Ends, if it still runs, and comes back under a new id.
   void comeBack();
+  /// A process of \p Version starts under a new id.
+  void startAs(const std::string &Version);
+  /// The process ends and its entry goes, until it starts again.
+  void goAway();
+  /// Whether its entry says that it takes requests.
+  bool serves() const { return m_Listed && !m_Draining && !m_Down; }
+  /// Whether it ended, or never started.
+  bool gone() const { return m_Down; }
   /// The entry goes although the engine lives, as when the store forgot it.
   void lapse();
   void publish();
--- a/tests/soak/SoakEvents.cpp
+++ b/tests/soak/SoakEvents.cpp
@@ -54,6 +54,8 @@
     return "one-version";
   case Promise::ServiceBack:
     return "service-back";
+  case Promise::GoesOn:
+    return "goes-on";
   case Promise::WarmUpRate:
     return "warm-up-rate";
   case Promise::AllowedRegions:
--- a/tests/soak/SoakEvents.h
+++ b/tests/soak/SoakEvents.h
@@ -40,7 +40,8 @@
   PartitionServed,  ///< A box that reaches no engine serves its callers.
   BrittleFalls,     ///< Servers that bear few refusals seldom fall.
   OneVersion,       ///< A stream holds events of one software version only.
-  ServiceBack       ///< After all boxes were lost, they serve again.
+  ServiceBack,      ///< After all boxes were lost, they serve again.
+  GoesOn            ///< After that, streams that are taken up go on.
 };
 
 const char *toString(Promise Of);
@@ -64,6 +65,7 @@
   case Promise::BrittleFalls:
   case Promise::SoundAnswer:
   case Promise::ServiceBack:
+  case Promise::GoesOn:
     return true;
   default:
     return false;
@@ -119,6 +121,22 @@
   bool operator==(const CallerAnswer &) const = default;
 };
 
+/// A try of a stream, once it has ended.
+struct StreamTry {
+  std::string m_Stream; ///< Its first attempt.
+  std::string m_Box;
+  std::string m_Service;
+  std::string m_Version; ///< Of its first event; empty for a new stream.
+  bool m_TakesUp = false;
+  bool m_Brought = false; ///< An event, or the end of one that was taken up.
+  bool m_Left = false;    ///< The caller broke it off by itself.
+  TimePoint m_BegunAt;    ///< The stream; from its first attempt on.
+  TimePoint m_At;
+  TimePoint m_EndedAt;
+
+  bool operator==(const StreamTry &) const = default;
+};
+
 /// A request reaches an engine.
 struct EngineArrival {
   std::string m_Id;
--- a/tests/soak/SoakOracle.cpp
+++ b/tests/soak/SoakOracle.cpp
@@ -12,7 +12,8 @@
       m_Partitions(m_Bounds, m_Trouble, noteVerdict()),
       m_Returns(m_Bounds, m_Trouble, noteVerdict()),
       m_Brittle(m_Bounds, m_Trouble, noteVerdict()),
-      m_Sound(m_Bounds, m_Trouble, noteVerdict()), m_Versions(noteVerdict()) {}
+      m_Sound(m_Bounds, m_Trouble, noteVerdict()), m_Versions(noteVerdict()),
+      m_GoesOn(m_Bounds, m_Trouble, noteVerdict()) {}
 
 void SoakOracle::sent(const CallerRequest &Request) {
   m_Answers.sent(Request);
@@ -69,6 +70,29 @@
 void SoakOracle::finish(TimePoint At) {
   m_Partitions.finish(At);
   m_Returns.finish(At);
+  m_GoesOn.finish(At);
+}
+
+void SoakOracle::serverServes(const std::string &Service,
+                              const std::string &Version,
+                              const std::string &Server, TimePoint At) {
+  m_Routing.engineServes(Server);
+  m_GoesOn.serves(Service, Version, Server, At);
+}
+
+void SoakOracle::serverLeaves(const std::string &Server, TimePoint At) {
+  m_Routing.engineLeaves(Server, At);
+  m_GoesOn.leaves(Server, At);
+}
+
+void SoakOracle::boxesLost(TimePoint At) {
+  m_Returns.lost(At);
+  m_GoesOn.lost(At);
+}
+
+void SoakOracle::boxesBack(TimePoint At) {
+  m_Returns.back(At);
+  m_GoesOn.back(At);
 }
 
 void SoakOracle::boxEnded(const std::string &Box, int Status, TimePoint At) {
--- a/tests/soak/SoakOracle.h
+++ b/tests/soak/SoakOracle.h
@@ -7,6 +7,7 @@
 #include "soak/BrittleOracle.h"
 #include "soak/ConfigOracle.h"
 #include "soak/CrashOracle.h"
+#include "soak/GoesOnOracle.h"
 #include "soak/OrderOracle.h"
 #include "soak/PartitionOracle.h"
 #include "soak/ReturnOracle.h"
@@ -41,6 +42,13 @@
   void left(const std::string &Id);
   /// Nothing more comes.
   void finish(TimePoint At);
+  /// A server's entry says that it takes requests, or no longer.
+  void serverServes(const std::string &Service, const std::string &Version,
+                    const std::string &Server, TimePoint At);
+  void serverLeaves(const std::string &Server, TimePoint At);
+  /// All boxes are lost at once; the last one that is to come back is back.
+  void boxesLost(TimePoint At);
+  void boxesBack(TimePoint At);
   /// A box ended although nobody stopped it.
   void boxEnded(const std::string &Box, int Status, TimePoint At);
 
@@ -61,6 +69,8 @@
   ServerWordsOracle &words() { return m_Words; }
   VersionOracle &versions() { return m_Versions; }
   const VersionOracle &versions() const { return m_Versions; }
+  GoesOnOracle &goesOn() { return m_GoesOn; }
+  const GoesOnOracle &goesOn() const { return m_GoesOn; }
   const CrashOracle &crashes() const { return m_Crashes; }
   const std::vector<SoakVerdict> &verdicts() const { return m_Verdicts; }
 
@@ -85,6 +95,7 @@
   BrittleOracle m_Brittle;
   SoundAnswerOracle m_Sound;
   VersionOracle m_Versions;
+  GoesOnOracle m_GoesOn;
 };
 
 } // namespace havenstair
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -17,6 +17,10 @@
 constexpr Duration OwnPause = 100ms; ///< Longer ones excuse late events.
 
 constexpr int StreamingCallers = 12;
+// Enough streams are open at a loss of all boxes to judge how many go on.
+constexpr int StreamingCallersOfReleases = 48;
+constexpr Duration DeadlineOfReleases = 12s;
+constexpr int SlotsOfReleases = 32; ///< Room for all these streams.
 
 const char *const DataCentres[] = {"za", "zb"};
 
@@ -72,6 +76,8 @@
   // Each box has callers, who tell what it serves.
   if (Opts.m_Returns)
     Result.m_Callers = 2 * Result.m_Boxes;
+  if (Opts.m_Returns && Opts.m_Versions)
+    addReleases(Result, Opts.m_Seed);
   if (Opts.m_Words)
     addWords(Result, Opts.m_Seed, Opts.m_Length);
   if (Opts.m_Restores)
@@ -110,7 +116,7 @@
     playEndings();
   if (m_Opts.m_Partitions)
     m_Faults.partitions().prepare();
-  if (m_Opts.m_Versions)
+  if (m_Opts.m_Versions && !m_Plan.m_Releases)
     for (const auto &Each : m_Engines)
       Each->playVersions();
   mutate();
@@ -148,15 +154,21 @@
                                   .m_ModelMb = SoakConfig::ModelMb,
                                   .m_AdapterMb = SoakConfig::AdapterMb,
                                   .m_ChecksTokens = m_Plan.m_FencingEnforced};
-  for (int Number = 0; Number < m_Plan.m_Plain + m_Plan.m_Engines; ++Number) {
-    const bool Plain = Number < m_Plan.m_Plain;
+  const int Started = m_Plan.m_Plain + m_Plan.m_Engines;
+  // With releases, as many more may start.
+  const int All = m_Plan.m_Releases ? 2 * Started : Started;
+  for (int Number = 0; Number < All; ++Number) {
+    const bool Plain = Number % Started < m_Plan.m_Plain;
     SoakEngine::Options Opts{
         .m_Name = (Plain ? "s" : "e") + std::to_string(Number),
         .m_Service =
             Plain ? SoakConfig::PlainService : SoakConfig::EngineService,
         .m_DataCentre = DataCentres[Number % m_Plan.m_DataCentres],
         .m_Shelf = std::nullopt,
-        .m_Seed = m_Opts.m_Seed + static_cast<std::uint64_t>(Number)};
+        .m_Seed = m_Opts.m_Seed + static_cast<std::uint64_t>(Number),
+        .m_Starts = Number < Started};
+    if (m_Plan.m_Releases)
+      Opts.m_Slots = SlotsOfReleases;
     if (!Plain)
       Opts.m_Shelf = Shelf;
     m_Engines.push_back(
@@ -270,6 +282,20 @@
   }
 }
 
+void SoakRun::startStreams() {
+  StreamCallers::Options Opts{.m_Seed = m_Opts.m_Seed};
+  if (m_Opts.m_Versions)
+    Opts.m_Callers = StreamingCallers;
+  if (m_Plan.m_Releases) {
+    Opts.m_Callers = StreamingCallersOfReleases;
+    Opts.m_Deadline = DeadlineOfReleases;
+    Opts.m_WaitLong = true;
+    Opts.m_KeepConnections = true;
+    Opts.m_OnlyPlain = m_Plan.m_Engines == 0;
+  }
+  m_Streams.start(Opts);
+}
+
 bool SoakRun::play() {
   const auto Interrupt = [this] { m_Interrupted = true; };
   m_Timers.push_back(m_Loop.onSignal(SIGINT, Interrupt));
@@ -292,7 +318,7 @@
     replaceBoxes();
   m_Callers.start(m_Plan.m_Callers, m_Opts.m_Seed);
   m_Crashing.start(m_Opts.m_Crashing, m_Opts.m_Parts, m_Opts.m_Seed);
-  m_Streams.start(m_Opts.m_Versions ? StreamingCallers : 0, m_Opts.m_Seed);
+  startStreams();
   m_Loop.runUntil([this] { return m_Interrupted; }, m_Opts.m_Length);
   m_Callers.stop();
   m_Crashing.stop();
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -81,6 +81,7 @@
   void replaceBoxes();
   void makeEngines();
   void playEndings();
+  void startStreams();
   void mutate();
   void waitReady();
   void watchOwnPauses();
--- a/tests/soak/SoakSchedule.cpp
+++ b/tests/soak/SoakSchedule.cpp
@@ -69,13 +69,15 @@
 }};
 
 // Each of an option of its own. A restore lasts as long as the store is away.
-constexpr std::array<FaultKind, 6> OptionKinds{{
+constexpr std::array<FaultKind, 8> OptionKinds{{
     {SoakFault::RestoreStore, "restore-store", 50, 3000},
     {SoakFault::HarmEndings, "harm-endings", 500, 4000},
     {SoakFault::CutBoxes, "cut-boxes", 4000, 12000},
     {SoakFault::BrittleService, "brittle-service", 6000, 15000},
     {SoakFault::PauseServer, "pause-server", 800, 1500},
     {SoakFault::LoseBoxes, "lose-boxes", 100, 3000},
+    {SoakFault::ReplaceVersion, "replace-version", 0, 600},
+    {SoakFault::JoinVersion, "join-version", 0, 600},
 }};
 
 const FaultKind &kindOf(SoakFault Of) {
@@ -141,6 +143,60 @@
   }
 }
 
+/// Where a release falls beside a loss of all boxes.
+enum class ReleaseMoment { Before, Within, After, Between, Beside };
+constexpr std::array ReleaseMoments{
+    ReleaseMoment::Before, ReleaseMoment::Within, ReleaseMoment::After,
+    ReleaseMoment::Between, ReleaseMoment::Beside};
+
+/// Makes the loss long enough for a release within.
+void lengthen(ScheduledFault &Loss) {
+  constexpr Duration LeastAway = 1500ms;
+  Loss.m_For = std::max(Loss.m_For, LeastAway);
+}
+
+/// \returns when the boxes begin to be back for a while.
+Duration parted(Drawing &Draw, std::vector<ScheduledFault> &Losses) {
+  const Duration Back = Losses.front().m_At + Losses.front().m_For;
+  if (Losses.size() == 1)
+    Losses.push_back(Draw.fault(Back, SoakFault::LoseBoxes));
+  Losses.back().m_At = Back + std::chrono::milliseconds(Draw(2500, 6000));
+  return Back;
+}
+
+/// A release of a moment that is drawn; it may change \p Losses.
+ScheduledFault drawRelease(Drawing &Draw, std::vector<ScheduledFault> &Losses) {
+  const auto Into = [&](Duration From, Duration To) {
+    return std::chrono::milliseconds(
+        Draw(static_cast<int>(From / 1ms), static_cast<int>(To / 1ms)));
+  };
+  const ReleaseMoment Moment = ReleaseMoments.at(static_cast<std::size_t>(
+      Draw(0, static_cast<int>(ReleaseMoments.size()) - 1)));
+  const ScheduledFault First = Losses.front();
+  ScheduledFault Result = Draw.fault(
+      First.m_At, Moment == ReleaseMoment::Beside ? SoakFault::JoinVersion
+                                                  : SoakFault::ReplaceVersion);
+  switch (Moment) {
+  case ReleaseMoment::Before:
+    Result.m_At -= Into(100ms, 3s);
+    break;
+  case ReleaseMoment::Within:
+    lengthen(Losses.front());
+    Result.m_At += Into(50ms, Losses.front().m_For / 2);
+    break;
+  case ReleaseMoment::After:
+    Result.m_At += First.m_For + Into(0ms, 1500ms);
+    break;
+  case ReleaseMoment::Between:
+    Result.m_At = parted(Draw, Losses) + Into(300ms, 2s);
+    break;
+  case ReleaseMoment::Beside:
+    Result.m_At -= Into(1s, 2500ms);
+    break;
+  }
+  return Result;
+}
+
 } // namespace
 
 const char *toString(SoakFault Of) { return kindOf(Of).m_Name; }
@@ -235,6 +291,22 @@
   return Result;
 }
 
+void addReleases(SoakPlan &Plan, std::uint64_t Seed) {
+  Drawing Draw(Seed);
+  std::vector<ScheduledFault> Losses;
+  std::vector<ScheduledFault> Others;
+  for (const ScheduledFault &Each : Plan.m_Faults)
+    (Each.m_Kind == SoakFault::LoseBoxes ? Losses : Others).push_back(Each);
+  constexpr int OneHasTwoIn = 3;
+  const int Releases = Draw(1, OneHasTwoIn) == 1 ? 2 : 1;
+  for (int Number = 0; Number < Releases; ++Number)
+    Others.push_back(drawRelease(Draw, Losses));
+  Others.insert(Others.end(), Losses.begin(), Losses.end());
+  sortByTime(Others);
+  Plan.m_Faults = Others;
+  Plan.m_Releases = true;
+}
+
 void addWords(SoakPlan &Plan, std::uint64_t Seed, Duration Length) {
   Drawing Draw(Seed);
   for (Duration At = 500ms; At < Length;
--- a/tests/soak/SoakSchedule.h
+++ b/tests/soak/SoakSchedule.h
@@ -66,7 +66,10 @@
   BrittleService, ///< All servers of a service say that they are brittle.
   PauseServer,    ///< A sound server is silent and goes on.
   // Drawn by makeReturnPlan() alone.
-  LoseBoxes ///< All boxes are lost at once and come back.
+  LoseBoxes, ///< All boxes are lost at once and come back.
+  // Drawn by addReleases() alone.
+  ReplaceVersion, ///< Servers of a new version come, all others leave.
+  JoinVersion     ///< Servers of a new version come, and all serve on.
 };
 
 const char *toString(SoakFault Of);
@@ -90,6 +93,8 @@
   int m_Engines = 0; ///< Engines with models.
   int m_Callers = 0;
   bool m_FencingEnforced = false;
+  /// Servers begin at one version, which releases change.
+  bool m_Releases = false;
   std::vector<ScheduledFault> m_Faults; ///< By time.
 
   bool operator==(const SoakPlan &) const = default;
@@ -111,6 +116,11 @@
 /// to judge what is served then.
 SoakPlan makeReturnPlan(std::uint64_t Seed, Duration Length);
 
+/// Adds releases of servers' software to a \p Plan of makeReturnPlan(): before,
+/// within or just after a loss of all boxes, or between two, or so that several
+/// versions serve through it. May add a loss and make the first one longer.
+void addReleases(SoakPlan &Plan, std::uint64_t Seed);
+
 /// Adds servers that say something of themselves in their answers to \p Plan,
 /// beside its other faults.
 void addWords(SoakPlan &Plan, std::uint64_t Seed, Duration Length);
--- a/tests/soak/SoakScheduleTest.cpp
+++ b/tests/soak/SoakScheduleTest.cpp
@@ -50,6 +50,56 @@
                             SoakFault::SlowStore, SoakFault::ForgetHistory});
 }
 
+TEST_CASE("Releases strike before, within, after and between losses of all "
+          "boxes",
+          "[soak][schedule]") {
+  const auto IsRelease = [](const ScheduledFault &Each) {
+    return Each.m_Kind >= SoakFault::ReplaceVersion;
+  };
+  std::set<std::string> Moments;
+  for (std::uint64_t Seed = 1; Seed <= 100; ++Seed) {
+    const SoakPlan Before = makeReturnPlan(Seed, 36s);
+    REQUIRE_FALSE(Before.m_Releases);
+    REQUIRE(std::none_of(Before.m_Faults.begin(), Before.m_Faults.end(),
+                         IsRelease));
+    SoakPlan Plan = Before;
+    addReleases(Plan, Seed);
+    SoakPlan Again = Before;
+    addReleases(Again, Seed);
+    REQUIRE(Plan == Again);
+    REQUIRE(Plan.m_Releases);
+    std::vector<ScheduledFault> Losses;
+    for (const ScheduledFault &Each : Plan.m_Faults)
+      if (Each.m_Kind == SoakFault::LoseBoxes)
+        Losses.push_back(Each);
+    const Duration Back = Losses.front().m_At + Losses.front().m_For;
+    for (const ScheduledFault &Each : Plan.m_Faults) {
+      if (!IsRelease(Each))
+        continue;
+      if (Each.m_Kind == SoakFault::JoinVersion)
+        Moments.insert("beside");
+      else if (Each.m_At < Losses.front().m_At)
+        Moments.insert("before");
+      else if (Each.m_At < Back)
+        Moments.insert("within");
+      else if (Losses.size() > 1 && Each.m_At < Losses.back().m_At)
+        Moments.insert("between");
+      else
+        Moments.insert("after");
+    }
+    const auto IsOther = [&](const ScheduledFault &Each) {
+      return IsRelease(Each) || Each.m_Kind == SoakFault::LoseBoxes;
+    };
+    std::vector<ScheduledFault> Others = Plan.m_Faults;
+    std::vector<ScheduledFault> OthersBefore = Before.m_Faults;
+    std::erase_if(Others, IsOther);
+    std::erase_if(OthersBefore, IsOther);
+    REQUIRE(Others == OthersBefore);
+  }
+  REQUIRE(Moments == std::set<std::string>{"before", "within", "after",
+                                           "between", "beside"});
+}
+
 TEST_CASE("Words of servers come beside the other faults of a plan",
           "[soak][schedule]") {
   SoakPlan Plan = makePlan(7, 600s);
--- a/tests/soak/StreamCallers.cpp
+++ b/tests/soak/StreamCallers.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr Duration Deadline = 5s;
 constexpr Duration Patience = 6s;
 constexpr Duration MinLeft = 400ms; ///< For a try that may still bring events.
 constexpr int StreamStatus = 200;
@@ -19,20 +18,43 @@
   return std::uniform_int_distribution<int>(Least, Most)(m_Random);
 }
 
-void StreamCallers::start(int Callers, std::uint64_t Seed) {
-  m_Random.seed(Seed);
-  for (int Number = 0; Number < Callers; ++Number)
+void StreamCallers::start(Options Opts) {
+  m_Opts = Opts;
+  m_Random.seed(m_Opts.m_Seed);
+  for (int Number = 0; Number < m_Opts.m_Callers; ++Number)
     later(*m_Callers.emplace_back(std::make_unique<Caller>()), false);
 }
 
+void StreamCallers::stop() {
+  for (const auto &Each : m_Callers)
+    judge(*Each);
+  m_Callers.clear();
+}
+
+/// Nothing more comes of its stream.
+void StreamCallers::judge(Caller &By) {
+  if (!By.m_Got.empty())
+    m_Oracle.versions().judge(By.m_First, By.m_Got, EventLoop::now());
+  By.m_Got.clear();
+}
+
+Duration StreamCallers::pause(const Caller &By, bool Again) {
+  constexpr int OneWaitsIn = 3;
+  constexpr Duration LongAndMore = 9s;
+  const bool MayWait =
+      Again && m_Opts.m_WaitLong && EventLoop::now() + LongAndMore < By.m_Until;
+  if (MayWait && draw(1, OneWaitsIn) == 1)
+    return std::chrono::milliseconds(draw(3000, 7000));
+  return std::chrono::milliseconds(draw(5, 300));
+}
+
 void StreamCallers::later(Caller &By, bool Again) {
-  By.m_Next =
-      m_Loop.after(std::chrono::milliseconds(draw(5, 300)),
-                   [this, &By, Again] { Again ? send(By) : begin(By); });
+  By.m_Next = m_Loop.after(
+      pause(By, Again), [this, &By, Again] { Again ? send(By) : begin(By); });
 }
 
 void StreamCallers::begin(Caller &By) {
-  const bool Engine = draw(0, 1) == 0;
+  const bool Engine = draw(0, 1) == 0 && !m_Opts.m_OnlyPlain;
   By.m_Request.m_Kind = RequestKind::ResumableStream;
   By.m_Request.m_Target = Engine ? "/genstream/x" : "/resumestream/x";
   By.m_Request.m_Service =
@@ -45,7 +67,8 @@
                     {"X-Prompt-Prefix", "ab12:60,cd34:40"}};
   By.m_First.clear();
   By.m_Got.clear();
-  By.m_Until = EventLoop::now() + Deadline;
+  By.m_BegunAt = EventLoop::now();
+  By.m_Until = By.m_BegunAt + m_Opts.m_Deadline;
   ++m_Oracle.versions().counts().m_Asked;
   send(By);
 }
@@ -74,6 +97,8 @@
         {"Last-Event-Id", std::to_string(By.m_Got.back().m_Number)});
   }
   Call.m_Body = Request.m_Body;
+  if (m_Opts.m_KeepConnections)
+    Call.m_Use = ConnectionUse::Reused;
   Call.m_ConnectTimeout = 1s;
   Call.m_IdleTimeout = Patience;
   By.m_Bytes.clear();
@@ -83,17 +108,32 @@
     By.m_Status = Status;
   };
   Call.m_OnBytes = [&By](std::string_view Bytes) { By.m_Bytes += Bytes; };
-  Call.m_OnEnd = [this, &By](HttpEnd End) { ended(By, End); };
+  Call.m_OnEnd = [this, &By](HttpEnd End) { ended(By, End, false); };
   m_Oracle.sent(Request);
   m_Oracle.partitions().left(Request.m_Id);
   By.m_Call = m_Http.start(std::move(Call));
   constexpr int OneCutsIn = 4;
   if (draw(1, OneCutsIn) == 1)
     By.m_Cut = m_Loop.after(std::chrono::milliseconds(draw(20, 600)),
-                            [this, &By] { ended(By, HttpEnd::Broken); });
+                            [this, &By] { ended(By, HttpEnd::Broken, true); });
+}
+
+void StreamCallers::tell(const Caller &By, bool Brought, bool Left) {
+  const bool TakesUp = !By.m_Got.empty();
+  m_Oracle.goesOn().tried(
+      {.m_Stream = TakesUp ? By.m_First : By.m_Request.m_Id,
+       .m_Box = By.m_Request.m_Box,
+       .m_Service = By.m_Request.m_Service,
+       .m_Version = TakesUp ? versionOf(By.m_Got.front().m_Run) : "",
+       .m_TakesUp = TakesUp,
+       .m_Brought = Brought,
+       .m_Left = Left,
+       .m_BegunAt = By.m_BegunAt,
+       .m_At = By.m_Request.m_At,
+       .m_EndedAt = EventLoop::now()});
 }
 
-void StreamCallers::ended(Caller &By, HttpEnd End) {
+void StreamCallers::ended(Caller &By, HttpEnd End, bool Left) {
   // A try may end by itself in the moment in which it is cut.
   if (!std::exchange(By.m_Open, false))
     return;
@@ -102,6 +142,7 @@
                                             ? readStream(By.m_Bytes)
                                             : std::vector<StreamPiece>();
   const bool Ends = End == HttpEnd::Complete && By.m_Status == StreamStatus;
+  tell(By, !Came.empty() || (!By.m_Got.empty() && Ends), Left);
   if (!By.m_Got.empty() && (Ends || !Came.empty()))
     ++Counts.m_WentOn;
   if (By.m_Got.empty() && !Came.empty()) {
@@ -119,8 +160,8 @@
     By.m_Cut = Timer();
     const bool Again =
         !Whole && !By.m_Got.empty() && EventLoop::now() + MinLeft < By.m_Until;
-    if (!Again && !By.m_Got.empty())
-      m_Oracle.versions().judge(By.m_First, By.m_Got, EventLoop::now());
+    if (!Again)
+      judge(By);
     later(By, Again);
   });
 }
--- a/tests/soak/StreamCallers.h
+++ b/tests/soak/StreamCallers.h
@@ -17,12 +17,23 @@
 /// doing, it takes up at any box until its deadline.
 class StreamCallers {
 public:
+  struct Options {
+    int m_Callers = 0;
+    std::uint64_t m_Seed = 0;
+    Duration m_Deadline = 5s;
+    /// Some wait for seconds before they take up what broke off.
+    bool m_WaitLong = false;
+    /// A connection is used until the process at its other end is gone.
+    bool m_KeepConnections = false;
+    bool m_OnlyPlain = false; ///< Nothing of engines with models.
+  };
+
   StreamCallers(EventLoop &Loop, SoakOracle &Oracle,
                 std::vector<std::unique_ptr<SoakBox>> &Boxes)
       : m_Loop(Loop), m_Oracle(Oracle), m_Boxes(Boxes), m_Http(Loop) {}
 
-  void start(int Callers, std::uint64_t Seed);
-  void stop() { m_Callers.clear(); }
+  void start(Options Opts);
+  void stop();
 
 private:
   struct Caller {
@@ -34,6 +45,7 @@
     int m_Status = 0;    ///< Of its answer; 0 before.
     TimePoint m_Until{};
     bool m_Open = false; ///< The present try has not ended.
+    TimePoint m_BegunAt; ///< Of the stream.
     HttpCallHandle m_Call;
     Timer m_Next;
     Timer m_Cut;
@@ -42,9 +54,13 @@
   void begin(Caller &By);
   void later(Caller &By, bool Again);
   void send(Caller &By);
-  void ended(Caller &By, HttpEnd End);
+  void ended(Caller &By, HttpEnd End, bool Left);
+  void tell(const Caller &By, bool Brought, bool Left);
+  Duration pause(const Caller &By, bool Again);
+  void judge(Caller &By);
   int draw(int Least, int Most);
 
+  Options m_Opts;
   EventLoop &m_Loop;
   SoakOracle &m_Oracle;
   std::vector<std::unique_ptr<SoakBox>> &m_Boxes;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -41,7 +41,8 @@
                     refusals, and fall over more; others are silent for a
                     moment.
   --versions        Besides, servers have several software versions, and callers
-                    take up streams that broke off.
+                    take up streams that broke off. With --returns, releases
+                    strike beside the losses of all boxes.
   --returns         A larger fleet, of which all boxes are lost at once and come
                     back, in place of the seed's usual plan; 40 s and more.
   --config          Harm the ways on which boxes learn of configurations, in
@@ -133,6 +134,15 @@
   }
 }
 
+/// How many streams went on after each loss of all boxes.
+void showGoesOn(const SoakRun &Run) {
+  for (const GoesOnOracle::Report &Each : Run.oracle().goesOn().reports())
+    std::cout << "after " << (Each.m_BackAt - Run.started()) / 1ms << " ms "
+              << Each.m_TakenUp.str() << " streams that were taken up went on, "
+              << Each.m_FromPast.str() << " of before the loss; "
+              << Each.m_New.str() << " new ones began\n";
+}
+
 int report(const SoakRun &Run, bool Played, const ReportOptions &Opts) {
   const SoakCallers::Counts &Counts = Run.counts();
   std::cout << "sent " << Counts.m_Sent << ", served " << Counts.m_Served
@@ -149,6 +159,8 @@
               << " begun, " << Streams.m_Whole << " whole; "
               << Streams.m_TakenUp << " tries took one up, " << Streams.m_WentOn
               << " went on\n";
+  if (Streams.m_Asked > 0)
+    showGoesOn(Run);
   const auto &Verdicts = Run.oracle().verdicts();
   constexpr std::size_t MostShown = 20;
   for (std::size_t Index = 0; Index < std::min(Verdicts.size(), MostShown);
