--- a/packages/wire/common/HttpExchange.cpp
+++ b/packages/wire/common/HttpExchange.cpp
@@ -113,16 +113,30 @@
     : m_Loop(Loop), m_Request(Request), m_Opts(std::move(Opts)), m_From(From),
       m_Method(methodName(evhttp_request_get_command(Request))),
       m_Body(From->takeBody()), m_Unambiguous(From->unambiguous()) {
-  const evhttp_uri *Uri = evhttp_request_get_evhttp_uri(Request);
-  const char *Path = Uri == nullptr ? nullptr : evhttp_uri_get_path(Uri);
-  const char *Query = Uri == nullptr ? nullptr : evhttp_uri_get_query(Uri);
-  m_Path = Path == nullptr ? "" : Path;
-  m_Query = Query == nullptr ? "" : Query;
   const char *Target = evhttp_request_get_uri(Request);
   m_Target = Target == nullptr ? "" : Target;
+  readTarget(evhttp_request_get_evhttp_uri(Request));
   ++*m_Opts.m_OpenCount;
 }
 
+/// evhttp takes what follows two slashes for an authority, which a target that
+/// begins with a slash does not have (RFC 9112, section 3.2.1). \p Parsed,
+/// which may be null, is what it made of the target.
+void HttpExchange::readTarget(const evhttp_uri *Parsed) {
+  if (m_Target.starts_with('/')) {
+    const std::string Whole = m_Target.substr(0, m_Target.find('#'));
+    const std::size_t Mark = Whole.find('?');
+    m_Path = Whole.substr(0, Mark);
+    m_Query = Mark == std::string::npos ? "" : Whole.substr(Mark + 1);
+    return;
+  }
+  const char *Path = Parsed == nullptr ? nullptr : evhttp_uri_get_path(Parsed);
+  const char *Query =
+      Parsed == nullptr ? nullptr : evhttp_uri_get_query(Parsed);
+  m_Path = Path == nullptr ? "" : Path;
+  m_Query = Query == nullptr ? "" : Query;
+}
+
 HttpExchange::~HttpExchange() {
   // Whoever held it forgot to answer; the caller must not wait for ever.
   if (m_Request != nullptr)
--- a/packages/wire/common/HttpExchange.h
+++ b/packages/wire/common/HttpExchange.h
@@ -14,6 +14,7 @@
 
 struct evhttp_connection;
 struct evhttp_request;
+struct evhttp_uri;
 struct event;
 
 namespace havenstair {
@@ -84,6 +85,7 @@
 
 private:
   friend class HttpServer;
+  void readTarget(const evhttp_uri *Parsed);
   void watchClose();
   void onSocketEvent(int Socket, short What);
   /// \p Closing is the connection that evhttp is closing, or null.
--- a/tests/gateway/ForwardingTest.cpp
+++ b/tests/gateway/ForwardingTest.cpp
@@ -289,3 +289,30 @@
   REQUIRE(Test.fetch("/safe/x", "id-5").m_Status == 200);
   REQUIRE(Used.at(0) != Used.at(1));
 }
+
+TEST_CASE("A path that begins with two slashes takes no other path's route",
+          "[gateway]") {
+  const std::string Target =
+      GENERATE("//desk/safe/x", "///safe/x", "//desk:80/safe/x?a=/safe/x");
+  GatewayTest Test;
+  const StandinRunner &Runner = Test.addRunner("i-1", answerWell);
+  Test.start();
+  CAPTURE(Target);
+  REQUIRE(Test.fetch(Target, "id-1").m_Status == 404);
+  REQUIRE(Test.arrivals("id-1") == 0);
+  HttpCall Ready;
+  Ready.m_To = Test.m_Gateway->readiness();
+  Ready.m_Target = "//box/v1/readiness";
+  REQUIRE(Test.fetch(std::move(Ready)).m_Status == 404);
+  HttpCall Metrics;
+  Metrics.m_To = Test.m_Gateway->metrics();
+  Metrics.m_Target = "//box/metrics";
+  REQUIRE(Test.fetch(std::move(Metrics)).m_Status == 404);
+  Json Route = Test.route("desk", "safe");
+  Route["pathPrefix"] = "//desk/";
+  Test.configure(2, Json::array({Route}));
+  REQUIRE(
+      Test.until([&] { return Test.m_Gateway->state().configVersion() == 2; }));
+  REQUIRE(Test.fetch("//desk/safe/x", "id-2").m_Status == 200);
+  REQUIRE(Runner.requests().back().m_Target == "//desk/safe/x");
+}
--- a/tests/wire/HttpTest.cpp
+++ b/tests/wire/HttpTest.cpp
@@ -180,6 +180,48 @@
   REQUIRE(findHeader(Got.m_Headers, "x-test") == "/p");
 }
 
+TEST_CASE("What follows two slashes at the start of a target is a path",
+          "[http]") {
+  struct Reading {
+    std::string m_Target;
+    std::string m_Path;
+    std::string m_Query;
+  };
+  const Reading Expected = GENERATE(values<Reading>({
+      {"//desk/rooms/7", "//desk/rooms/7", ""},
+      {"//desk/rooms/7?a=b", "//desk/rooms/7", "a=b"},
+      {"//desk", "//desk", ""},
+      {"//", "//", ""},
+      {"///rooms/7?a=//b/c?d", "///rooms/7", "a=//b/c?d"},
+      {"//user@desk:80/rooms/7", "//user@desk:80/rooms/7", ""},
+      {"//desk?a=b/rooms/", "//desk", "a=b/rooms/"},
+      {"/rooms//7", "/rooms//7", ""},
+      {"/rooms/7?", "/rooms/7", ""},
+      {"/rooms/7?a#b", "/rooms/7", "a"},
+      {"/rooms/7#a?b", "/rooms/7", ""},
+      {"http://desk/rooms/7?a=b", "/rooms/7", "a=b"},
+      {"http://desk//rooms/7?a=b", "//rooms/7", "a=b"},
+  }));
+  EventLoop Loop;
+  HttpServer Server(Loop, {.m_Listen = Loopback},
+                    [](const HttpExchangePtr &Exchange) {
+                      Exchange->reply(200,
+                                      {{"X-Path", Exchange->path()},
+                                       {"X-Target", Exchange->target()}},
+                                      Exchange->query());
+                    });
+  HttpClient Client(Loop);
+  HttpAnswer Got;
+  Client.fetch(callTo(Server.endpoint(), Expected.m_Target),
+               [&](HttpAnswer Answer) { Got = std::move(Answer); });
+  REQUIRE(Loop.runUntil([&] { return Got.m_End == HttpEnd::Complete; }, Limit));
+  CAPTURE(Expected.m_Target);
+  REQUIRE(Got.m_Status == 200);
+  REQUIRE(findHeader(Got.m_Headers, "x-path") == Expected.m_Path);
+  REQUIRE(findHeader(Got.m_Headers, "x-target") == Expected.m_Target);
+  REQUIRE(Got.m_Body == Expected.m_Query);
+}
+
 TEST_CASE("A client may end right after an answer has come", "[http]") {
   EventLoop Loop;
   HttpServer Server(Loop, {.m_Listen = Loopback},
