An answer that comes in one piece with its 100 is read to its end

What callers saw: a 502 for a sound answer, where a server wrote 100 Continue and the answer at once and closed its connection.

Cause: after a 100 evhttp goes back to writing, without a callback for reading, until the socket can be written; strace shows the read of 94 bytes, and in the next pass EPOLLIN|EPOLLOUT, of which the end of the connection comes first:

Ruled out: with the connection left open, and byte by byte, it was read.

Change: where bytes wait behind a 100, the step of writing is run before the loop looks at sockets again. evhttp's output is empty then, since it reads only after it has written.

--- a/packages/wire/common/HttpClient.cpp
+++ b/packages/wire/common/HttpClient.cpp
@@ -249,6 +249,14 @@
     });
   }
 
+  /// After an interim answer evhttp reads once the socket can be written, and
+  /// until then takes the end of the connection for the answer's.
+  void readOn() {
+    bufferevent *Stream = evhttp_connection_get_bufferevent(m_Connection);
+    if (evbuffer_get_length(bufferevent_get_input(Stream)) > 0)
+      bufferevent_trigger(Stream, EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
+  }
+
   void noteReads() {
     evbuffer_add_cb(
         bufferevent_get_input(evhttp_connection_get_bufferevent(m_Connection)),
@@ -337,7 +345,10 @@
     // would keep these fields for it.
     if (Status == ContinueStatus) {
       evhttp_clear_headers(Headers);
-      return ++Self->m_InterimAnswers > MaxInterimAnswers ? -1 : 0;
+      if (++Self->m_InterimAnswers > MaxInterimAnswers)
+        return -1;
+      Self->readOn();
+      return 0;
     }
     Self->m_Status = Status;
     Self->m_AnswerHeaders = copyHeaders(Headers);
--- a/tests/wire/HeadCutTest.cpp
+++ b/tests/wire/HeadCutTest.cpp
@@ -186,6 +186,8 @@
        {Head + "\r\n" + Body, HttpEnd::Closed},
        {"HTTP/1.0 200 OK\r\n\r\n" + Body, HttpEnd::Closed},
        {"HTTP/1.0 200 OK\r\nContent-Length: 15\r\n\r\n" + Body,
+        HttpEnd::Complete},
+       {"HTTP/1.1 100 Continue\r\n\r\n" + LengthHead + Body,
         HttpEnd::Complete}}));
   EventLoop Loop;
   ScriptedServer Server(Loop);
