An answer whose head holds a NUL byte is broken

Cause: evhttp reads lines as C strings. A line that begins with NUL is taken for the empty one, so that the rest of the head becomes a body that ends with the connection; 'Content-Length: 1<NUL>5' is a length of 1.

The reader of requests refuses NUL already (RequestHead); the answers' did not.

Change: bytes are looked at for NUL while a head is read, before evhttp reads them, behind an interim answer once more; such an answer is broken (502, may have run), as RFC 9110, 5.5 lets a reader do. Bodies may hold NUL; a test says so.

--- a/packages/wire/common/HttpClient.cpp
+++ b/packages/wire/common/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "wire/common/EventBuffer.h"
 #include "wire/common/EventLoop.h"
 #include "wire/common/KeptConnections.h"
+#include "wire/common/RequestHead.h"
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -182,6 +183,7 @@
   std::size_t m_Received = 0; ///< Bytes of this answer, framing included.
   std::size_t m_Passed = 0;   ///< Bytes of its body that were passed on.
   int m_InterimAnswers = 0;
+  bool m_NulInHead = false;
   int m_Status = 0;
   HttpHeaders m_AnswerHeaders;
   AnswerFraming m_Framing = AnswerFraming::Length;
@@ -224,11 +226,25 @@
                       void *Arg) {
     auto *Self = static_cast<State *>(Arg);
     Self->m_Received += Change->n_added;
+    if (Change->n_added > 0 && Self->m_Status == 0)
+      Self->noteNul(Input);
     if (Change->n_added > 0 &&
         Self->exceedsFraming(Change->orig_size, evbuffer_get_length(Input)))
       Self->giveUpLater();
   }
 
+  /// evhttp takes a line for ended at a NUL byte: the head for whole, or a
+  /// length for a shorter one. \p Input begins with the rest of a head.
+  void noteNul(evbuffer *Input) {
+    constexpr char Nul = '\0';
+    const ev_ssize_t At = evbuffer_search(Input, &Nul, 1, nullptr).pos;
+    if (At < 0)
+      return;
+    std::string Before(static_cast<std::size_t>(At), Nul);
+    evbuffer_copyout(Input, Before.data(), Before.size());
+    m_NulInHead = m_NulInHead || findHeadEnd(Before) == 0;
+  }
+
   /// \p Waiting bytes were left when evhttp last read, and there are \p Now.
   bool exceedsFraming(std::size_t Waiting, std::size_t Now) const {
     if (m_Status == 0)
@@ -253,7 +269,9 @@
   /// until then takes the end of the connection for the answer's.
   void readOn() {
     bufferevent *Stream = evhttp_connection_get_bufferevent(m_Connection);
-    if (evbuffer_get_length(bufferevent_get_input(Stream)) > 0)
+    evbuffer *Input = bufferevent_get_input(Stream);
+    noteNul(Input);
+    if (evbuffer_get_length(Input) > 0)
       bufferevent_trigger(Stream, EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
   }
 
@@ -345,14 +363,14 @@
     // would keep these fields for it.
     if (Status == ContinueStatus) {
       evhttp_clear_headers(Headers);
-      if (++Self->m_InterimAnswers > MaxInterimAnswers)
+      if (++Self->m_InterimAnswers > MaxInterimAnswers || Self->m_NulInHead)
         return -1;
       Self->readOn();
       return 0;
     }
     Self->m_Status = Status;
     Self->m_AnswerHeaders = copyHeaders(Headers);
-    if (Status < FirstFinalStatus ||
+    if (Status < FirstFinalStatus || Self->m_NulInHead ||
         !framedUnambiguously(Self->m_AnswerHeaders))
       return -1;
     Self->m_Framing =
--- a/tests/wire/HeadCutTest.cpp
+++ b/tests/wire/HeadCutTest.cpp
@@ -232,3 +232,32 @@
       Server.answerOf(LengthHead + Body, Ending::Open, ConnectionUse::Reused)
           .m_End == HttpEnd::Complete);
 }
+
+TEST_CASE("A head that holds a NUL byte is broken", "[http][heads]") {
+  const std::string Nul(1, '\0');
+  const std::string Sent = GENERATE_COPY(
+      Head + Nul + Nul + "\r\nContent-Length: 15\r\n\r\n" + Body,
+      Head + "Content-Length: 1" + Nul + "5\r\n\r\n" + Body,
+      Head + "Content-Length: 15\r\nX-" + Nul + "Other: two\r\n\r\n" + Body,
+      "HTTP/1.1 200 " + Nul + "OK\r\nContent-Length: 15\r\n\r\n" + Body,
+      "HTTP/1.1 100 Continue\r\n\r\n" + Head + "Content-Length: 1" + Nul +
+          "5\r\n\r\n" + Body);
+  EventLoop Loop;
+  ScriptedServer Server(Loop);
+  Server.m_OneByOne = GENERATE(false, true);
+  CAPTURE(Sent, Server.m_OneByOne);
+  REQUIRE(Server.answerOf(Sent).m_End == HttpEnd::Broken);
+}
+
+TEST_CASE("A body may hold NUL bytes", "[http][heads]") {
+  const std::string Binary =
+      "a" + std::string(3, '\0') + "\n" + std::string(1, '\0') + "b\r\n\r\n";
+  EventLoop Loop;
+  ScriptedServer Server(Loop);
+  Server.m_OneByOne = GENERATE(false, true);
+  const HttpAnswer Got = Server.answerOf(
+      "HTTP/1.1 100 Continue\r\n\r\n" + Head +
+      "Content-Length: " + std::to_string(Binary.size()) + "\r\n\r\n" + Binary);
+  REQUIRE(Got.m_End == HttpEnd::Complete);
+  REQUIRE(Got.m_Body == Binary);
+}
