A framing field with blanks before its colon makes an answer broken

What callers saw: a 200 with a short body that ends in order, where a server wrote 'Content-Length : 15' and stopped within the body; of chunks so named they got the chunks' lines as text.

Cause: evhttp takes the blank for a part of the name, so that the answer has neither a length nor chunks and ends with its connection, also when cut. Seen to fail first:

REQUIRE( answerOf(Head + Field + "\r\n\r\nid: 1\n").m_End == HttpEnd::Broken ) Field := Content-Length : 15 1 == 3 (Closed) Field := Content-Length<tab>: 15 1 == 3 Field := Transfer-Encoding : chunked 1 == 3

RFC 9112, 5.1 has a server refuse such a request (RequestHead does) and a proxy remove the blank from an answer. Ruled out: removing it; evhttp reads the framing from the fields as they came.

Change: such an answer has more than one reading, as one with two lengths has.

--- a/packages/wire/common/HttpClient.cpp
+++ b/packages/wire/common/HttpClient.cpp
@@ -120,16 +120,26 @@
   return fromSeconds(Seconds * RestPart);
 }
 
+/// Whether \p Each is the field \p Name, or would be without blanks behind its
+/// name; evhttp takes these for a part of it.
+bool resemblesField(const HttpHeader &Each, std::string_view Name) {
+  return sameFieldName(std::string_view(Each.m_Name)
+                           .substr(0, Each.m_Name.find_last_not_of(" \t") + 1),
+                       Name);
+}
+
 /// Whether \p Headers can be read in one way only: not two lengths that
 /// differ, nor a coding that is not decoded here.
 bool framedUnambiguously(const HttpHeaders &Headers) {
   const std::string Length = findHeader(Headers, LengthField);
   return std::all_of(Headers.begin(), Headers.end(),
                      [&](const HttpHeader &Each) {
-                       if (sameFieldName(Each.m_Name, LengthField))
-                         return Each.m_Value == Length;
-                       return !sameFieldName(Each.m_Name, CodingField) ||
-                              sameFieldName(Each.m_Value, "chunked");
+                       if (resemblesField(Each, LengthField))
+                         return sameFieldName(Each.m_Name, LengthField) &&
+                                Each.m_Value == Length;
+                       return !resemblesField(Each, CodingField) ||
+                              (sameFieldName(Each.m_Name, CodingField) &&
+                               sameFieldName(Each.m_Value, "chunked"));
                      });
 }
 
--- a/tests/wire/HeadCutTest.cpp
+++ b/tests/wire/HeadCutTest.cpp
@@ -261,3 +261,15 @@
   REQUIRE(Got.m_End == HttpEnd::Complete);
   REQUIRE(Got.m_Body == Binary);
 }
+
+TEST_CASE("A framing field with blanks before its colon is not passed over",
+          "[http][heads]") {
+  const std::string Field =
+      GENERATE("Content-Length : 15", "Content-Length\t: 15",
+               "Transfer-Encoding : chunked");
+  EventLoop Loop;
+  ScriptedServer Server(Loop);
+  CAPTURE(Field);
+  REQUIRE(Server.answerOf(Head + Field + "\r\n\r\nid: 1\n").m_End ==
+          HttpEnd::Broken);
+}
