A connection of HTTP/1.0 is kept only where its answer says so

What callers saw: nothing yet; a request could go to a connection that its server closes, and counts then as one that may have run.

Cause: a connection was kept unless its answer said 'close', also after an answer of HTTP/1.0, whose connection ends with it unless it says 'keep-alive' (RFC 9112, 9.3).

Change: the version counts; one with a coding, which HTTP/1.0 does not have, is never kept (6.1).

--- a/packages/wire/common/HttpClient.cpp
+++ b/packages/wire/common/HttpClient.cpp
@@ -143,6 +143,16 @@
                      });
 }
 
+/// Whether the connection of \p Answer may carry another one (RFC 9112,
+/// sections 6.1 and 9.3).
+bool isPersistent(const evhttp_request &Answer, const HttpHeaders &Headers) {
+  const std::string Wish = findHeader(Headers, "Connection");
+  if (Answer.major > 1 || (Answer.major == 1 && Answer.minor >= 1))
+    return !sameFieldName(Wish, "close");
+  return sameFieldName(Wish, "keep-alive") &&
+         findHeader(Headers, CodingField).empty();
+}
+
 HttpHeaders copyHeaders(const evkeyvalq *From) {
   HttpHeaders Result;
   for (const evkeyval *Each = From->tqh_first; Each != nullptr;
@@ -196,6 +206,7 @@
   bool m_NulInHead = false;
   int m_Status = 0;
   HttpHeaders m_AnswerHeaders;
+  bool m_Persistent = false; ///< The answer lets its connection be kept.
   AnswerFraming m_Framing = AnswerFraming::Length;
   bool m_Done = false;
   bool m_Failed = false;
@@ -333,9 +344,7 @@
     if (m_Call.m_Use == ConnectionUse::Fresh || m_Connection == nullptr)
       return false;
     bufferevent *Stream = evhttp_connection_get_bufferevent(m_Connection);
-    return connected(m_Connection) &&
-           strcasecmp(findHeader(m_AnswerHeaders, "Connection").c_str(),
-                      "close") != 0 &&
+    return connected(m_Connection) && m_Persistent &&
            evbuffer_get_length(bufferevent_get_input(Stream)) == 0;
   }
 
@@ -380,6 +389,7 @@
     }
     Self->m_Status = Status;
     Self->m_AnswerHeaders = copyHeaders(Headers);
+    Self->m_Persistent = isPersistent(*Request, Self->m_AnswerHeaders);
     if (Status < FirstFinalStatus || Self->m_NulInHead ||
         !framedUnambiguously(Self->m_AnswerHeaders))
       return -1;
--- a/tests/wire/HeadCutTest.cpp
+++ b/tests/wire/HeadCutTest.cpp
@@ -273,3 +273,20 @@
   REQUIRE(Server.answerOf(Head + Field + "\r\n\r\nid: 1\n").m_End ==
           HttpEnd::Broken);
 }
+
+TEST_CASE("A connection of HTTP/1.0 is kept only where its answer says so",
+          "[http][heads]") {
+  const auto [Start, Connections] = GENERATE(table<std::string, std::size_t>(
+      {{"HTTP/1.0 200 OK\r\n", 2},
+       {"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n", 1},
+       {"HTTP/1.1 200 OK\r\n", 1},
+       {"HTTP/1.1 200 OK\r\nConnection: close\r\n", 2}}));
+  const std::string Sent = Start + "Content-Length: 15\r\n\r\n" + Body;
+  EventLoop Loop;
+  ScriptedServer Server(Loop);
+  for (int Each = 0; Each < 2; ++Each)
+    REQUIRE(Server.answerOf(Sent, Ending::Open, ConnectionUse::Reused).m_End ==
+            HttpEnd::Complete);
+  CAPTURE(Start);
+  REQUIRE(Server.accepted() == Connections);
+}
