A head with a return inside a line is refused

What callers saw: nothing; a server got the return as it had come, within the value of a folded field ('X: y', next line ' z<CR> w'). A reader that takes it for the end of a line reads another head than the box did.

Cause: RequestHead handed such lines on; evhttp refuses them, but not in folded lines. Seen to fail first, through a box:

CHECK( Caller.answer().status() == 400 ) 200 == 400 Sent := ... X: y<CR><LF> z<CR> w<CR><LF>

Change: a return within a line gives a request more than one reading: 400, and the connection is closed (RFC 9112, 2.2). With NUL, blanks and line ends, which are refused or unfolded already, no sign of framing goes on within a field.

--- a/packages/wire/common/RequestHead.cpp
+++ b/packages/wire/common/RequestHead.cpp
@@ -91,6 +91,9 @@
 
   void readField(std::string_view Line) {
     const std::string_view Field = withoutEnd(Line);
+    // A reader may take it for the end of a line.
+    if (Field.find('\r') != std::string_view::npos)
+      m_Head.m_Unambiguous = false;
     if (Field.starts_with(' ') || Field.starts_with('\t'))
       return continueField(Line);
     const std::size_t Colon = Field.find(':');
--- a/tests/gateway/HeadCutTest.cpp
+++ b/tests/gateway/HeadCutTest.cpp
@@ -307,6 +307,22 @@
     }
 }
 
+TEST_CASE("A head with a return inside a line is refused", "[gateway][heads]") {
+  GatewayTest Test;
+  Test.addRunner("i-1", answerAll);
+  Test.start();
+  for (const std::string &Sent :
+       {requestHead("id", "X: y\r Transfer-Encoding: chunked\r\n"),
+        requestHead("id", "X: y\rTransfer-Encoding: chunked\r\n"),
+        requestHead("id", "X: y\r\n z\r w\r\n")}) {
+    CAPTURE(Sent);
+    const ByteCaller Caller(Test);
+    Caller.send(Sent);
+    CHECK(Caller.answer().status() == 400);
+  }
+  REQUIRE(Test.arrivals("id") == 0);
+}
+
 TEST_CASE("A caller that half closes behind a whole request has left",
           "[gateway][heads]") {
   GatewayTest Test;
--- a/tests/wire/RequestHeadTest.cpp
+++ b/tests/wire/RequestHeadTest.cpp
@@ -46,7 +46,8 @@
                "Content-Length: 99999999999999999999999\r\n",
                "Content-Length: 1\r\n 2\r\n", "Transfer-Encoding: gzip\r\n",
                "Transfer-Encoding: chunked, gzip\r\n",
-               "Transfer-Encoding:\tchunked\r\r\n", "A b: c\r\n");
+               "Transfer-Encoding:\tchunked\r\r\n", "A b: c\r\n",
+               "A: b\r\n c\r d\r\n", "A: b\r Content-Length: 1\r\n");
   CAPTURE(Fields);
   REQUIRE_FALSE(read(Fields).m_Unambiguous);
 }
