A body in chunks is refused of HTTP/1.0

What callers saw: nothing; a request of HTTP/1.0 with Transfer-Encoding was read in chunks, and with keep-alive its connection was read on.

Cause: RequestHead did not look at the version. HTTP/1.0 has no chunks: what stands before the box may have read another end of this request, and RFC 9112, 6.1 has a server take the framing for faulty. Seen to fail first, through a box:

CHECK( Caller.answer().status() == 400 ) 200 == 400 Sent := POST /safe/x HTTP/1.0 ... Transfer-Encoding: chunked, Connection: keep-alive

Change: such a request has more than one reading: 400, connection closed.

--- a/packages/wire/common/RequestHead.cpp
+++ b/packages/wire/common/RequestHead.cpp
@@ -73,7 +73,9 @@
          Line = takeLine(Text))
       readField(Line);
     const bool Allowed = mayHaveBody(First.substr(0, First.find(' ')));
-    if (m_Framings > 1 || (m_HasBody && !Allowed))
+    const bool Old = withoutEnd(First).ends_with("HTTP/1.0");
+    // That version has no chunks, so its readers look for another end.
+    if (m_Framings > 1 || (m_HasBody && !Allowed) || (Old && m_Head.m_Chunked))
       m_Head.m_Unambiguous = false;
     // A reader may take a line that begins with it for the empty one.
     replaceNul(m_Head.m_Text);
--- a/tests/gateway/HeadCutTest.cpp
+++ b/tests/gateway/HeadCutTest.cpp
@@ -339,3 +339,16 @@
   REQUIRE(Caller.answer().status() == 0);
   REQUIRE(Test.until([&] { return Runner.closedByCaller() == 1; }));
 }
+
+TEST_CASE("A body in chunks is refused of HTTP/1.0", "[gateway][heads]") {
+  GatewayTest Test;
+  Test.addRunner("i-1", answerAll);
+  Test.start();
+  std::string Sent = requestHead("id", "Transfer-Encoding: chunked\r\n"
+                                       "Connection: keep-alive\r\n");
+  Sent.replace(Sent.find("HTTP/1.1"), 8, "HTTP/1.0");
+  const ByteCaller Caller(Test);
+  Caller.send(Sent + "0\r\n\r\n");
+  REQUIRE(Caller.answer().status() == 400);
+  REQUIRE(Test.arrivals("id") == 0);
+}
--- a/tests/wire/RequestHeadTest.cpp
+++ b/tests/wire/RequestHeadTest.cpp
@@ -58,6 +58,14 @@
   REQUIRE(read("Content-Length: 0\r\n", "GET").m_Unambiguous);
 }
 
+TEST_CASE("A body in chunks is not read of HTTP/1.0", "[http]") {
+  const std::string Fields = "Transfer-Encoding: chunked\r\n\r\n";
+  REQUIRE_FALSE(readRequestHead("POST /a HTTP/1.0\r\n" + Fields).m_Unambiguous);
+  REQUIRE(readRequestHead("POST /a HTTP/1.1\r\n" + Fields).m_Unambiguous);
+  REQUIRE(readRequestHead("POST /a HTTP/1.0\r\nContent-Length: 1\r\n\r\n")
+              .m_Unambiguous);
+}
+
 TEST_CASE("No byte of a head passes for its end", "[http][unsafe]") {
   const std::string Nul(1, '\0');
   const RequestHead Head = read("A: b\r\n" + Nul + "\r\nC: d\r\n");
