--- a/tests/gateway/HeadCutTest.cpp
+++ b/tests/gateway/HeadCutTest.cpp
@@ -54,7 +54,8 @@
 /// Answers well but for requests whose target ends with `cut`, which get what
 /// \p Bytes gives and an end.
 StandinRunner::Behaviour
-cutAnswers(std::function<std::string(const Request &)> Bytes, Ending How) {
+cutAnswers(const std::function<std::string(const Request &)> &Bytes,
+           Ending How) {
   return [=](const Request &Received, const ConnectionPtr &To) {
     if (!Received.m_Target.ends_with("cut"))
       return To->write(StandinRunner::answer(Received, 200, "whole"));
