Fuzz target of the readers of requests

RequestHead and ChunkDecoder read what callers send before evhttp does; only tests with chosen bytes and one of generated chunks looked at them.

--- a/Makefile
+++ b/Makefile
@@ -59,8 +59,8 @@
 FUZZ_RUNS ?= 200000
 fuzz: deps
 	cmake -S . -B $(BUILD)-fuzz -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_CXX_COMPILER=clang++ -DHAVENSTAIR_FUZZ=ON >/dev/null
-	cmake --build $(BUILD)-fuzz -j $(JOBS) --target havenstair-fuzz-frames havenstair-fuzz-documents
-	for T in frames documents; do mkdir -p $(BUILD)-fuzz/$$T && $(BUILD)-fuzz/bin/havenstair-fuzz-$$T -runs=$(FUZZ_RUNS) -seed=20261202 -print_final_stats=1 $(BUILD)-fuzz/$$T tests/fuzz/corpus/$$T || exit 1; done
+	cmake --build $(BUILD)-fuzz -j $(JOBS) --target havenstair-fuzz-frames havenstair-fuzz-documents havenstair-fuzz-requests
+	for T in frames documents requests; do mkdir -p $(BUILD)-fuzz/$$T && $(BUILD)-fuzz/bin/havenstair-fuzz-$$T -runs=$(FUZZ_RUNS) -seed=20261202 -print_final_stats=1 $(BUILD)-fuzz/$$T tests/fuzz/corpus/$$T || exit 1; done
 
 # A fault soak of one seed (docs/SOAK.md); the seed is random without SEED.
 SEED ?= $(shell od -An -N4 -tu4 /dev/urandom | tr -d ' ')
