--- a/packages/wire/common/HttpClient.cpp
+++ b/packages/wire/common/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "wire/common/EventBuffer.h"
 #include "wire/common/EventLoop.h"
 #include "wire/common/KeptConnections.h"
+#include "wire/common/RequestHead.h"
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -119,19 +120,39 @@
   return fromSeconds(Seconds * RestPart);
 }
 
+/// Whether \p Each is the field \p Name, or would be without blanks behind its
+/// name; evhttp takes these for a part of it.
+bool resemblesField(const HttpHeader &Each, std::string_view Name) {
+  return sameFieldName(std::string_view(Each.m_Name)
+                           .substr(0, Each.m_Name.find_last_not_of(" \t") + 1),
+                       Name);
+}
+
 /// Whether \p Headers can be read in one way only: not two lengths that
 /// differ, nor a coding that is not decoded here.
 bool framedUnambiguously(const HttpHeaders &Headers) {
   const std::string Length = findHeader(Headers, LengthField);
   return std::all_of(Headers.begin(), Headers.end(),
                      [&](const HttpHeader &Each) {
-                       if (sameFieldName(Each.m_Name, LengthField))
-                         return Each.m_Value == Length;
-                       return !sameFieldName(Each.m_Name, CodingField) ||
-                              sameFieldName(Each.m_Value, "chunked");
+                       if (resemblesField(Each, LengthField))
+                         return sameFieldName(Each.m_Name, LengthField) &&
+                                Each.m_Value == Length;
+                       return !resemblesField(Each, CodingField) ||
+                              (sameFieldName(Each.m_Name, CodingField) &&
+                               sameFieldName(Each.m_Value, "chunked"));
                      });
 }
 
+/// Whether the connection of \p Answer may carry another one (RFC 9112,
+/// sections 6.1 and 9.3).
+bool isPersistent(const evhttp_request &Answer, const HttpHeaders &Headers) {
+  const std::string Wish = findHeader(Headers, "Connection");
+  if (Answer.major > 1 || (Answer.major == 1 && Answer.minor >= 1))
+    return !sameFieldName(Wish, "close");
+  return sameFieldName(Wish, "keep-alive") &&
+         findHeader(Headers, CodingField).empty();
+}
+
 HttpHeaders copyHeaders(const evkeyvalq *From) {
   HttpHeaders Result;
   for (const evkeyval *Each = From->tqh_first; Each != nullptr;
@@ -182,8 +203,10 @@
   std::size_t m_Received = 0; ///< Bytes of this answer, framing included.
   std::size_t m_Passed = 0;   ///< Bytes of its body that were passed on.
   int m_InterimAnswers = 0;
+  bool m_NulInHead = false;
   int m_Status = 0;
   HttpHeaders m_AnswerHeaders;
+  bool m_Persistent = false; ///< The answer lets its connection be kept.
   AnswerFraming m_Framing = AnswerFraming::Length;
   bool m_Done = false;
   bool m_Failed = false;
@@ -224,11 +247,25 @@
                       void *Arg) {
     auto *Self = static_cast<State *>(Arg);
     Self->m_Received += Change->n_added;
+    if (Change->n_added > 0 && Self->m_Status == 0)
+      Self->noteNul(Input);
     if (Change->n_added > 0 &&
         Self->exceedsFraming(Change->orig_size, evbuffer_get_length(Input)))
       Self->giveUpLater();
   }
 
+  /// evhttp takes a line for ended at a NUL byte: the head for whole, or a
+  /// length for a shorter one. \p Input begins with the rest of a head.
+  void noteNul(evbuffer *Input) {
+    constexpr char Nul = '\0';
+    const ev_ssize_t At = evbuffer_search(Input, &Nul, 1, nullptr).pos;
+    if (At < 0)
+      return;
+    std::string Before(static_cast<std::size_t>(At), Nul);
+    evbuffer_copyout(Input, Before.data(), Before.size());
+    m_NulInHead = m_NulInHead || findHeadEnd(Before) == 0;
+  }
+
   /// \p Waiting bytes were left when evhttp last read, and there are \p Now.
   bool exceedsFraming(std::size_t Waiting, std::size_t Now) const {
     if (m_Status == 0)
@@ -249,6 +286,16 @@
     });
   }
 
+  /// After an interim answer evhttp reads once the socket can be written, and
+  /// until then takes the end of the connection for the answer's.
+  void readOn() {
+    bufferevent *Stream = evhttp_connection_get_bufferevent(m_Connection);
+    evbuffer *Input = bufferevent_get_input(Stream);
+    noteNul(Input);
+    if (evbuffer_get_length(Input) > 0)
+      bufferevent_trigger(Stream, EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
+  }
+
   void noteReads() {
     evbuffer_add_cb(
         bufferevent_get_input(evhttp_connection_get_bufferevent(m_Connection)),
@@ -297,9 +344,7 @@
     if (m_Call.m_Use == ConnectionUse::Fresh || m_Connection == nullptr)
       return false;
     bufferevent *Stream = evhttp_connection_get_bufferevent(m_Connection);
-    return connected(m_Connection) &&
-           strcasecmp(findHeader(m_AnswerHeaders, "Connection").c_str(),
-                      "close") != 0 &&
+    return connected(m_Connection) && m_Persistent &&
            evbuffer_get_length(bufferevent_get_input(Stream)) == 0;
   }
 
@@ -337,11 +382,15 @@
     // would keep these fields for it.
     if (Status == ContinueStatus) {
       evhttp_clear_headers(Headers);
-      return ++Self->m_InterimAnswers > MaxInterimAnswers ? -1 : 0;
+      if (++Self->m_InterimAnswers > MaxInterimAnswers || Self->m_NulInHead)
+        return -1;
+      Self->readOn();
+      return 0;
     }
     Self->m_Status = Status;
     Self->m_AnswerHeaders = copyHeaders(Headers);
-    if (Status < FirstFinalStatus ||
+    Self->m_Persistent = isPersistent(*Request, Self->m_AnswerHeaders);
+    if (Status < FirstFinalStatus || Self->m_NulInHead ||
         !framedUnambiguously(Self->m_AnswerHeaders))
       return -1;
     Self->m_Framing =
--- a/packages/wire/common/RequestHead.cpp
+++ b/packages/wire/common/RequestHead.cpp
@@ -63,7 +63,9 @@
          Line = takeLine(Text))
       readField(Line);
     const bool Allowed = mayHaveBody(First.substr(0, First.find(' ')));
-    if (m_Framings > 1 || (m_HasBody && !Allowed))
+    const bool Old = withoutEnd(First).ends_with("HTTP/1.0");
+    // That version has no chunks, so its readers look for another end.
+    if (m_Framings > 1 || (m_HasBody && !Allowed) || (Old && m_Head.m_Chunked))
       m_Head.m_Unambiguous = false;
     // A reader may take a line that begins with it for the empty one.
     replaceNul(m_Head.m_Text);
@@ -81,6 +83,9 @@
 
   void readField(std::string_view Line) {
     const std::string_view Field = withoutEnd(Line);
+    // A reader may take it for the end of a line.
+    if (Field.find('\r') != std::string_view::npos)
+      m_Head.m_Unambiguous = false;
     if (Field.starts_with(' ') || Field.starts_with('\t'))
       return continueField(Line);
     const std::size_t Colon = Field.find(':');
