No pause in the test of many waiting tries, whose ends are apart already

Each pair meets another list of upstreams, so its ends are at moments of their own without it. Why a pause makes the requests not ambiguous was not traced.

--- a/tests/gateway/CrashTest.cpp
+++ b/tests/gateway/CrashTest.cpp
@@ -482,7 +482,7 @@
 // an upstream.
 TEST_CASE(
     "Of many tries that wait for an upstream few are sent when it is listed",
-    "[gateway][crash][known-red]") {
+    "[gateway][crash]") {
   CrashTest Test(4, 8);
   const std::vector<std::string> Ids = Test.ids();
   for (std::size_t Number = 0; Number < 3; ++Number) {
@@ -493,7 +493,6 @@
         Test.until([&] { return Test.m_HeldRequests.size() == Number + 1; }));
     Test.beginRequest("/unsafe/x", CrashTest::CrashingBody);
     REQUIRE(Test.until([&] { return Test.m_Statuses.size() == Before + 2; }));
-    Test.pause();
   }
   REQUIRE(Test.until([&] {
     return std::all_of(
