A box that may lack versions tells others of no only one

In a fleet of leaves and relays a caller's stream could be joined after a loss of all boxes: a leaf whose first relay died or was late concluded from another one that had just started, which told it of the only version that it saw listed.

Cause: the check that a young box may lack versions had moved to where a box decides for itself; what it told others was its bare list. Change: a box tells of an only version once it knows what the store names.

Evidence: YoungBoxTest, red before (an only version was told beside a mark), passes.

--- a/packages/gateway/process/StreamOriginExchange.cpp
+++ b/packages/gateway/process/StreamOriginExchange.cpp
@@ -120,7 +120,7 @@
   StreamAnswerFrame Result{.m_Several = Versions.m_Several};
   if (!Attempt.empty())
     Result.m_Stream = m_Streams.find(Attempt, Now);
-  if (knowsWholeList())
+  if (knowsWholeList() && !mayLackVersions(Service, Now))
     Result.m_Only = Versions.m_Only;
   return Result;
 }
