A batch of streams whose write got no answer is written under another key

Callers' streams could be refused as unknown after a loss of all boxes though they had been written: the store may carry out a write seconds after it failed to answer, and the older batch then replaced the newer one under its key.

Change: after a lost answer the same streams go under the next key; a late write brings back only what is there. Evidence: the new test of StreamOriginStoreTest, red before (one key), passes.

--- a/packages/gateway/process/StreamOriginStore.cpp
+++ b/packages/gateway/process/StreamOriginStore.cpp
@@ -147,6 +147,9 @@
                                  {"outcome", toString(Status)}});
   if (Status == StoreStatus::Ok)
     m_Unwritten = false;
+  // The store may still carry it out, after a later write of the same key.
+  if (Status == StoreStatus::Lost)
+    ++m_BatchNumber;
   // The lease has ended, as when the store has come back from a copy.
   if (Status == StoreStatus::NotFound)
     m_Lease = 0;
--- a/tests/gateway/StreamOriginStoreTest.cpp
+++ b/tests/gateway/StreamOriginStoreTest.cpp
@@ -144,3 +144,16 @@
   Test.m_Store.setFault(StandinStore::Fault::Refuses);
   REQUIRE(Test.find("one") == StreamOrigins::Knowledge{});
 }
+
+// The store may carry out a write that it did not answer seconds later.
+TEST_CASE("A write of streams whose answer is lost is not made under the same "
+          "key again",
+          "[stream-version]") {
+  StoredStreams Test;
+  Test.m_Store.setFault(StandinStore::Fault::LosesAnswer);
+  Test.begin("one");
+  REQUIRE(Test.stored("one"));
+  Test.begin("two");
+  REQUIRE(Test.stored("two"));
+  REQUIRE(Test.m_Store.count(Prefix) == 2);
+}
