Streams go on at the first version when a second one comes in a loss of all boxes

Cause: the store named the versions that there may have been, and nothing told which of them could not have begun a stream that no box remembers and that stands in no batch. While there was one version no batches are written.

Change: the key of a service also names its first version, the only one there was before the others came. Boxes prefer not to begin streams at the others until a key of their own process stands in the store; the first batch, empty, is such a key. So where a stream is unknown, and all processes that have keys live and do not remember it, it began at the first version. No key of an earlier era counts, a process is named anew in a new era, and where a process is gone the stream stays unknown, as before.

--- a/packages/decisions/process/VersionHistory.cpp
+++ b/packages/decisions/process/VersionHistory.cpp
@@ -1,5 +1,7 @@
 #include "decisions/process/VersionHistory.h"
 
+#include <algorithm>
+
 namespace havenstair {
 
 namespace {
@@ -101,4 +103,10 @@
   return Result;
 }
 
+bool VersionHistory::anySeveral(TimePoint Now) const {
+  return std::any_of(
+      m_Services.begin(), m_Services.end(),
+      [&](const auto &Each) { return versionsOf(Each.first, Now).m_Several; });
+}
+
 } // namespace havenstair
--- a/packages/decisions/process/VersionHistory.h
+++ b/packages/decisions/process/VersionHistory.h
@@ -54,6 +54,9 @@
   Versions versionsOf(const std::string &Service, TimePoint Now) const;
   /// \returns the services that had several versions within Memory.
   std::set<std::string> servicesWithSeveral(TimePoint Now) const;
+  /// Whether streams of some service that has upstreams may have begun at
+  /// several versions.
+  bool anySeveral(TimePoint Now) const;
 
 private:
   /// When a version was last listed; the maximum while it is.
--- a/packages/gateway/process/StreamOriginExchange.cpp
+++ b/packages/gateway/process/StreamOriginExchange.cpp
@@ -69,11 +69,16 @@
       m_Records(Store, Log,
                 {.m_Prefix = Opts.m_Prefix, .m_FirstStart = Opts.m_FirstStart},
                 m_Versions),
+      m_Process(Opts.m_Process),
       m_Stored(
           Loop, Store, Log,
           {.m_Prefix = Opts.m_StreamPrefix, .m_Process = Opts.m_Process},
           {.m_Needed = [this](const std::string &Service,
                               TimePoint Now) { return several(Service, Now); },
+           .m_AnyNeeded =
+               [this](TimePoint Now) {
+                 return knowsWholeList() && m_Versions.anySeveral(Now);
+               },
            .m_Writers = [this] { return m_Fleet.linkedRelays().size() + 1; }}),
       m_IsWriter(std::move(IsWriter)),
       m_RefreshTimer(Loop.every(RefreshInterval, [this] { refresh(); })) {}
@@ -87,6 +92,7 @@
     const std::map<std::string, StoreItem> &Items, const StoreRevision &At) {
   m_Marks.entriesChanged(Items);
   m_Records.entriesChanged(Items, At, EventLoop::now());
+  m_Stored.observeEra(At.m_Era);
 }
 
 void StreamOriginExchange::refresh() {
@@ -105,7 +111,9 @@
 
 bool StreamOriginExchange::recorded(const std::string &Service,
                                     const SoftwareVersion &Software) const {
-  return m_Records.names(Service, Software);
+  return m_Records.names(Service, Software) &&
+         (m_Records.firstOf(Service) == Software ||
+          m_Stored.announced(EventLoop::now()));
 }
 
 /// A leaf knows some of the upstreams only.
@@ -204,7 +212,10 @@
     return Callback(Found);
   const StreamQueryFrame Query{.m_Attempt = Attempt, .m_Service = Service};
   if (Boxes.empty())
-    return end(Query, Known, OriginSource::Own, Callback);
+    return end({.m_Query = Query,
+                .m_Found = Known,
+                .m_Source = OriginSource::Own,
+                .m_Done = std::move(Callback)});
   ask(Query, std::move(Known), Boxes, std::move(Callback));
 }
 
@@ -215,9 +226,10 @@
   Query.m_Id = Id;
   Query.m_AskOthers = !knowsWholeList();
   m_Searches[Id] = {
-      .m_Query = Query,
-      .m_Found = std::move(Known),
-      .m_Done = std::move(Callback),
+      .m_Inquiry = {.m_Query = Query,
+                    .m_Found = std::move(Known),
+                    .m_Source = OriginSource::Box,
+                    .m_Done = std::move(Callback)},
       .m_Waiting = {Boxes.begin(), Boxes.end()},
       .m_Timer = m_Loop.after(knowsWholeList() ? AnswerTimeout : RelayTimeout,
                               [this, Id] { finish(Id); })};
@@ -234,43 +246,67 @@
   // The search's timer may own the function that runs now.
   const Search Ended = std::move(Found->second);
   m_Searches.erase(Found);
-  end(Ended.m_Query, Ended.m_Found, OriginSource::Box, Ended.m_Done);
+  end(Ended.m_Inquiry);
 }
 
 /// Decides as soon as this box knows what the store names.
-void StreamOriginExchange::end(const StreamQueryFrame &Query,
-                               const StreamAnswerFrame &Known,
-                               OriginSource Source, const Done &Callback) {
-  m_Records.afterRead([this, Query, Known, Source, Callback] {
-    decide(Query, Known, Source, Callback);
-  });
+void StreamOriginExchange::end(const Inquiry &About) {
+  m_Records.afterRead([this, About] { decide(About); });
 }
 
 /// Concludes from what boxes know, or else from what the store does.
-void StreamOriginExchange::decide(const StreamQueryFrame &Query,
-                                  StreamAnswerFrame Known, OriginSource Source,
-                                  const Done &Callback) {
+void StreamOriginExchange::decide(Inquiry About) {
   const TimePoint Now = EventLoop::now();
-  const bool Lacking = mayLackVersions(Query.m_Service, Now);
-  merge(Known, known({}, Query.m_Service, Now));
+  const std::string &Service = About.m_Query.m_Service;
+  StreamAnswerFrame &Known = About.m_Found;
+  const bool Lacking = mayLackVersions(Service, Now);
+  merge(Known, known({}, Service, Now));
   Known.m_Several = Known.m_Several || (Lacking && knowsWholeList());
-  const FoundOrigin Found = conclude(Known, Source);
+  const FoundOrigin Found = conclude(Known, About.m_Source);
   m_Log.write("stream_origin",
-              {{"attempt", Query.m_Attempt},
-               {"service", Query.m_Service},
+              {{"attempt", About.m_Query.m_Attempt},
+               {"service", Service},
                {"by", originSourceName(Found.m_Source)},
                {"only", Known.m_Only ? Json(Known.m_Only->str()) : Json()},
                {"several", Known.m_Several},
                {"lacking", Lacking}});
-  if (Found.m_Source != OriginSource::Unknown || Query.m_Attempt.empty() ||
-      !knowsWholeList())
-    return Callback(Found);
-  m_Stored.find(Query.m_Attempt,
-                [Callback](const StreamOrigins::Knowledge &Stored) {
-                  Callback(conclude({.m_Stream = Stored}, OriginSource::Store));
+  if (Found.m_Source != OriginSource::Unknown ||
+      About.m_Query.m_Attempt.empty() || !knowsWholeList())
+    return About.m_Done(Found);
+  m_Stored.find(About.m_Query.m_Attempt,
+                [this, About](const StreamOriginStore::Found &Stored) {
+                  const FoundOrigin Result = concludeFromStore(About, Stored);
+                  m_Log.write("stream_origin_stored",
+                              {{"attempt", About.m_Query.m_Attempt},
+                               {"by", originSourceName(Result.m_Source)},
+                               {"read", Stored.m_Read},
+                               {"writers", Stored.m_Writers},
+                               {"answered", About.m_Answered.size()}});
+                  About.m_Done(Result);
                 });
 }
 
+/// Only processes that are named in the store give first events at a version
+/// that came beside another. Where all of these live and do not remember a
+/// stream, it began at the version that was there before. Leaves are named
+/// nowhere.
+FoundOrigin StreamOriginExchange::concludeFromStore(
+    const Inquiry &About, const StreamOriginStore::Found &Stored) const {
+  const FoundOrigin Found =
+      conclude({.m_Stream = Stored.m_Stream}, OriginSource::Store);
+  const auto First = m_Records.firstOf(About.m_Query.m_Service);
+  const auto Lives = [&](const std::string &Process) {
+    return Process == m_Process || About.m_Answered.contains(BoxName(Process));
+  };
+  if (Found.m_Source != OriginSource::Unknown || !First || !Stored.m_Read ||
+      !m_Fleet.topology().flat() ||
+      !std::all_of(Stored.m_Writers.begin(), Stored.m_Writers.end(), Lives))
+    return Found;
+  return {.m_Source = OriginSource::FirstVersion,
+          .m_Origin = std::nullopt,
+          .m_Software = *First};
+}
+
 void StreamOriginExchange::linkDown(const BoxName &Box) {
   std::vector<std::uint64_t> Answered;
   for (auto &[Id, Each] : m_Searches)
@@ -325,7 +361,10 @@
     Answer(Result);
   };
   if (Others.empty())
-    return end(Frame, Known, OriginSource::Own, Found);
+    return end({.m_Query = Frame,
+                .m_Found = Known,
+                .m_Source = OriginSource::Own,
+                .m_Done = Found});
   ask(Frame, Known, Others, Found);
 }
 
@@ -335,7 +374,8 @@
   if (Found == m_Searches.end())
     return;
   Search &Pending = Found->second;
-  const bool Known = merge(Pending.m_Found, Frame);
+  const bool Known = merge(Pending.m_Inquiry.m_Found, Frame);
+  Pending.m_Inquiry.m_Answered.insert(From);
   Pending.m_Waiting.erase(From);
   if (Known || Pending.m_Waiting.empty())
     finish(Frame.m_Id);
--- a/packages/gateway/process/StreamOriginExchange.h
+++ b/packages/gateway/process/StreamOriginExchange.h
@@ -67,11 +67,17 @@
   std::size_t size() const { return m_Streams.size(); }
 
 private:
-  /// A search that other boxes have not answered yet.
-  struct Search {
+  /// What is known of a stream that is looked for.
+  struct Inquiry {
     StreamQueryFrame m_Query;
     StreamAnswerFrame m_Found; ///< What is known so far.
+    OriginSource m_Source;     ///< Who knows it.
+    std::set<BoxName> m_Answered;
     Done m_Done;
+  };
+  /// A search that other boxes have not answered yet.
+  struct Search {
+    Inquiry m_Inquiry;
     std::set<BoxName> m_Waiting; ///< Boxes that have not answered.
     Timer m_Timer;
   };
@@ -88,10 +94,10 @@
   void refresh();
   bool several(const std::string &Service, TimePoint Now) const;
   bool mayLackVersions(const std::string &Service, TimePoint Now) const;
-  void end(const StreamQueryFrame &Query, const StreamAnswerFrame &Known,
-           OriginSource Source, const Done &Callback);
-  void decide(const StreamQueryFrame &Query, StreamAnswerFrame Known,
-              OriginSource Source, const Done &Callback);
+  void end(const Inquiry &About);
+  void decide(Inquiry About);
+  FoundOrigin concludeFromStore(const Inquiry &About,
+                                const StreamOriginStore::Found &Stored) const;
   void finish(std::uint64_t Id);
 
   void receive(const BoxName &From, const StreamsBegunFrame &Frame);
@@ -105,6 +111,7 @@
   DecisionLog &m_Log;
   VersionMarks m_Marks;
   VersionRecords m_Records;
+  std::string m_Process;
   StreamOriginStore m_Stored;
   std::function<bool()> m_IsWriter;
   Timer m_RefreshTimer;
--- a/packages/gateway/process/StreamOriginStore.cpp
+++ b/packages/gateway/process/StreamOriginStore.cpp
@@ -35,6 +35,12 @@
 /// What was read for one stream serves those that are looked for soon after.
 constexpr Duration ReadInterval = 300ms;
 
+/// \returns the process that writes \p Key, which is behind \p Prefix.
+std::string writerOf(const std::string &Key, const std::string &Prefix) {
+  const std::string Rest = Key.substr(Prefix.size());
+  return Rest.substr(0, Rest.rfind('/'));
+}
+
 } // namespace
 
 StreamOriginStore::StreamOriginStore(EventLoop &Loop, CoordinationStore &Store,
@@ -43,6 +49,16 @@
     : m_Loop(Loop), m_Store(Store), m_Log(Log), m_Opts(std::move(Opts)),
       m_Hooks(std::move(Callbacks)) {}
 
+void StreamOriginStore::observeEra(StoreEra Era) {
+  if (std::exchange(m_Era, Era) != Era)
+    forgetLease();
+}
+
+void StreamOriginStore::forgetLease() {
+  m_Lease = 0;
+  m_AnnouncedUntil = {};
+}
+
 Duration StreamOriginStore::interval() const {
   return std::max(MinInterval,
                   static_cast<int>(m_Hooks.m_Writers()) * IntervalPerWriter);
@@ -65,8 +81,14 @@
   });
 }
 
+/// Whether the store does not yet, or will soon no longer, name this process.
+bool StreamOriginStore::mustAnnounce(TimePoint Now) const {
+  return m_Hooks.m_AnyNeeded(Now) &&
+         (!announced(Now) || Now - m_LeaseAt > LeaseUse);
+}
+
 void StreamOriginStore::refresh(TimePoint Now) {
-  if (anyNeeded(Now))
+  if (anyNeeded(Now) || mustAnnounce(Now))
     flushLater(Now);
 }
 
@@ -82,7 +104,7 @@
   m_FlushDue = false;
   const TimePoint Now = EventLoop::now();
   takeNeeded(Now);
-  if (!m_Unwritten)
+  if (!m_Unwritten && !mustAnnounce(Now))
     return;
   m_InFlight = true;
   m_FlushedAt = Now;
@@ -133,40 +155,45 @@
                                          "/" + std::to_string(m_BatchNumber),
                                 .m_Value = dumpJson(toJson(m_Batch)),
                                 .m_Lease = m_Lease});
-  m_Store.transact(Transaction, [this, Streams = m_Batch.m_Streams.size(),
-                                 Weak = std::weak_ptr(m_Alive)](
-                                    StoreStatus Status, const StoreRevision &) {
-    if (!Weak.expired())
-      onPut(Streams, Status);
-  });
+  m_Store.transact(Transaction,
+                   [this, Streams = m_Batch.m_Streams.size(),
+                    Weak = std::weak_ptr(m_Alive)](StoreStatus Status,
+                                                   const StoreRevision &At) {
+                     if (!Weak.expired())
+                       onPut(Streams, Status, At.m_Era);
+                   });
 }
 
-void StreamOriginStore::onPut(std::size_t Streams, StoreStatus Status) {
+void StreamOriginStore::onPut(std::size_t Streams, StoreStatus Status,
+                              StoreEra Era) {
   m_Log.write("streams_stored", {{"batch", m_BatchNumber},
                                  {"streams", Streams},
                                  {"outcome", toString(Status)}});
-  if (Status == StoreStatus::Ok)
+  if (Status == StoreStatus::Ok) {
     m_Unwritten = false;
+    if (Era >= m_Era)
+      m_AnnouncedUntil = m_LeaseAt + LeaseLife - VersionHistory::Memory;
+  }
   // The store may still carry it out, after a later write of the same key.
   if (Status == StoreStatus::Lost)
     ++m_BatchNumber;
   // The lease has ended, as when the store has come back from a copy.
   if (Status == StoreStatus::NotFound)
-    m_Lease = 0;
+    forgetLease();
   endCall();
 }
 
 void StreamOriginStore::endCall() {
   m_InFlight = false;
   const TimePoint Now = EventLoop::now();
-  if (m_Unwritten || anyNeeded(Now))
+  if (m_Unwritten || anyNeeded(Now) || mustAnnounce(Now))
     flushLater(Now);
 }
 
 void StreamOriginStore::find(const std::string &Attempt, Done Callback) {
   const TimePoint Now = EventLoop::now();
   if (m_HasRead && Now - m_ReadAt < ReadInterval)
-    return Callback(m_Read.find(Attempt, Now));
+    return Callback(foundNow(Attempt, Now));
   m_Readers.push_back({.m_Attempt = Attempt, .m_Done = std::move(Callback)});
   if (!m_Reading)
     read();
@@ -186,9 +213,11 @@
   m_Reading = false;
   const TimePoint Now = EventLoop::now();
   m_Read = StreamOrigins();
+  m_Writers.clear();
   m_HasRead = Result.m_Status == StoreStatus::Ok;
   m_ReadAt = Now;
-  for (const StoreItem &Item : Result.m_Items)
+  for (const StoreItem &Item : Result.m_Items) {
+    m_Writers.insert(writerOf(Item.m_Key, m_Opts.m_Prefix));
     try {
       StreamsBegunFrame Batch;
       fromJson(parseJson(Item.m_Value), Batch);
@@ -199,12 +228,21 @@
       m_Log.write("bad_stored_streams",
                   {{"key", Item.m_Key}, {"why", Error.what()}});
     }
+  }
   m_Log.write("streams_read", {{"outcome", toString(Result.m_Status)},
                                {"batches", Result.m_Items.size()},
                                {"streams", m_Read.size()},
                                {"for", m_Readers.size()}});
   for (const Reader &Each : std::exchange(m_Readers, {}))
-    Each.m_Done(m_Read.find(Each.m_Attempt, Now));
+    Each.m_Done(foundNow(Each.m_Attempt, Now));
+}
+
+/// \returns what the last read brought about the stream of \p Attempt.
+StreamOriginStore::Found StreamOriginStore::foundNow(const std::string &Attempt,
+                                                     TimePoint Now) const {
+  return {.m_Stream = m_Read.find(Attempt, Now),
+          .m_Read = m_HasRead,
+          .m_Writers = m_Writers};
 }
 
 } // namespace havenstair
--- a/packages/gateway/process/StreamOriginStore.h
+++ b/packages/gateway/process/StreamOriginStore.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,8 +24,9 @@
 
 /// Writes the origins of streams in batches, while they are needed: a service
 /// has several software versions. A batch is one key under a lease, written
-/// again while it fills. Reads the batches of all boxes for a stream that no
-/// box remembers.
+/// again while it fills. The first one is written before there is a stream, so
+/// that the keys name each process whose streams the store may lack. Reads the
+/// batches of all boxes for a stream that no box remembers.
 class StreamOriginStore {
 public:
   struct Options {
@@ -34,10 +36,19 @@
   struct Hooks {
     /// \returns whether streams of a service have to be written.
     std::function<bool(const std::string &Service, TimePoint Now)> m_Needed;
+    /// \returns whether streams of some service have to be written.
+    std::function<bool(TimePoint Now)> m_AnyNeeded;
     /// \returns how many boxes write.
     std::function<std::size_t()> m_Writers;
   };
-  using Done = std::function<void(const StreamOrigins::Knowledge &)>;
+  /// What the store holds.
+  struct Found {
+    StreamOrigins::Knowledge m_Stream;
+    bool m_Read = false; ///< Whether the store answered.
+    /// All processes that have written of late.
+    std::set<std::string> m_Writers;
+  };
+  using Done = std::function<void(const Found &)>;
 
   StreamOriginStore(EventLoop &Loop, CoordinationStore &Store, DecisionLog &Log,
                     Options Opts, Hooks Callbacks);
@@ -49,8 +60,14 @@
   void record(const BegunStream &Stream, TimePoint Now);
   /// Called when the versions of services may have changed.
   void refresh(TimePoint Now);
+  /// Called with the era of the store whenever it may have changed: what was
+  /// written in an earlier one may be gone.
+  void observeEra(StoreEra Era);
+  /// Whether the store names this process as one that writes, for as long as
+  /// callers may take up a stream that begins now.
+  bool announced(TimePoint Now) const { return Now <= m_AnnouncedUntil; }
   /// Finds how the stream of \p Attempt began. Calls \p Callback once, before
-  /// this function returns or later; with nothing if the store does not answer.
+  /// this function returns or later.
   void find(const std::string &Attempt, Done Callback);
 
 private:
@@ -65,12 +82,15 @@
 
   Duration interval() const;
   bool anyNeeded(TimePoint Now) const;
+  bool mustAnnounce(TimePoint Now) const;
+  Found foundNow(const std::string &Attempt, TimePoint Now) const;
   void flushLater(TimePoint Now);
   void flush();
   void takeNeeded(TimePoint Now);
   void renewLease(TimePoint Now);
+  void forgetLease();
   void put();
-  void onPut(std::size_t Streams, StoreStatus Status);
+  void onPut(std::size_t Streams, StoreStatus Status, StoreEra Era);
   void endCall();
   void read();
   void onRead(const StoreItems &Result);
@@ -85,15 +105,18 @@
   StreamsBegunFrame m_Batch; ///< The batch that fills.
   std::uint64_t m_BatchNumber = 0;
   bool m_Unwritten = false; ///< The batch holds streams that are not stored.
+  StoreEra m_Era = 0;
   LeaseId m_Lease = 0;
-  TimePoint m_LeaseAt{};   ///< When the lease was requested.
+  TimePoint m_LeaseAt{}; ///< When the lease was requested.
+  TimePoint m_AnnouncedUntil{};
   TimePoint m_FlushedAt{}; ///< When the last batch was sent.
   bool m_InFlight = false;
   Timer m_FlushTimer;
   bool m_FlushDue = false;
   std::vector<Reader> m_Readers;
   bool m_Reading = false;
-  StreamOrigins m_Read; ///< What the last read brought.
+  StreamOrigins m_Read;            ///< What the last read brought.
+  std::set<std::string> m_Writers; ///< The processes whose keys it brought.
   TimePoint m_ReadAt{};
   bool m_HasRead = false;
   /// Expires with this object.
--- a/packages/gateway/process/VersionRecords.cpp
+++ b/packages/gateway/process/VersionRecords.cpp
@@ -28,6 +28,13 @@
   return std::includes(All.begin(), All.end(), Some.begin(), Some.end());
 }
 
+/// \returns the one version in \p Versions, if it is stated.
+std::optional<SoftwareVersion> onlyOf(const SoftwareVersions &Versions) {
+  if (Versions.size() != 1 || Versions.begin()->empty())
+    return std::nullopt;
+  return *Versions.begin();
+}
+
 } // namespace
 
 VersionRecords::VersionRecords(CoordinationStore &Store, DecisionLog &Log,
@@ -43,6 +50,12 @@
          Found->second.m_Versions.contains(Software);
 }
 
+std::optional<SoftwareVersion>
+VersionRecords::firstOf(const std::string &Service) const {
+  const auto Found = m_Records.find(Service);
+  return Found == m_Records.end() ? std::nullopt : Found->second.m_First;
+}
+
 void VersionRecords::entriesChanged(
     const std::map<std::string, StoreItem> &Items, const StoreRevision &At,
     TimePoint Now) {
@@ -94,6 +107,9 @@
          field<std::vector<std::string>>(Value, "versions"))
       Result.m_Versions.insert(softwareVersionOf(Each));
     Result.m_Outdated = field<StoreEra>(Value, "era") != At.m_Era;
+    const auto First = fieldOr<std::string>(Value, "first", "");
+    if (!First.empty())
+      Result.m_First = softwareVersionOf(First);
   } catch (const DecodeError &Error) {
     Result.m_Outdated = true;
     m_Log.write("bad_version_record",
@@ -108,6 +124,7 @@
                                                const Record *Before) const {
   if (!Read.m_Outdated)
     return Read;
+  Read.m_First.reset();
   if (Before != nullptr)
     Read.m_Versions.insert(Before->m_Versions.begin(),
                            Before->m_Versions.end());
@@ -168,11 +185,10 @@
     write(Due);
 }
 
-/// \returns the services whose keys have to be written, with what the keys are
-/// to name.
-std::map<std::string, SoftwareVersions>
-VersionRecords::due(TimePoint Now) const {
-  std::map<std::string, SoftwareVersions> Result;
+/// \returns the keys that have to be written as they are to be, each with the
+/// revision that it has now.
+VersionRecords::Records VersionRecords::due(TimePoint Now) const {
+  Records Result;
   const auto Consider = [&](const std::string &Service,
                             SoftwareVersions Wanted) {
     const auto Found = m_Records.find(Service);
@@ -183,8 +199,14 @@
         Change = true;
       else
         Wanted.insert(Each);
-    if (Change && Result.size() < MaxKeysPerTransaction)
-      Result[Service] = std::move(Wanted);
+    if (!Change || Result.size() >= MaxKeysPerTransaction)
+      return;
+    Record &Next = Result[Service];
+    Next = {.m_Versions = std::move(Wanted), .m_Revision = Known.m_Revision};
+    Next.m_First = onlyOf(Next.m_Versions);
+    if (!Next.m_First && Known.m_First &&
+        Next.m_Versions.contains(*Known.m_First))
+      Next.m_First = Known.m_First;
   };
   const auto Observed = m_History.observed(Now);
   for (const auto &[Service, Versions] : Observed)
@@ -195,22 +217,20 @@
   return Result;
 }
 
-void VersionRecords::write(const std::map<std::string, SoftwareVersions> &Due) {
+void VersionRecords::write(const Records &Due) {
   StoreTransaction Transaction;
-  for (const auto &[Service, Versions] : Due) {
+  for (const auto &[Service, Next] : Due) {
     const std::string Key = m_Opts.m_Prefix + Service;
-    const auto Known = m_Records.find(Service);
     Transaction.m_Conditions.push_back(
-        {.m_Key = Key,
-         .m_Revision = Known == m_Records.end() ? StoreRevision{}
-                                                : Known->second.m_Revision});
-    if (Versions.empty())
+        {.m_Key = Key, .m_Revision = Next.m_Revision});
+    if (Next.m_Versions.empty()) {
       Transaction.m_Removals.push_back(Key);
-    else
-      Transaction.m_Puts.push_back(
-          {.m_Key = Key,
-           .m_Value = dumpJson(
-               {{"era", m_At.m_Era}, {"versions", toJson(Versions)}})});
+      continue;
+    }
+    Json Value = {{"era", m_At.m_Era}, {"versions", toJson(Next.m_Versions)}};
+    if (Next.m_First)
+      Value["first"] = Next.m_First->str();
+    Transaction.m_Puts.push_back({.m_Key = Key, .m_Value = dumpJson(Value)});
   }
   m_InFlight = true;
   m_Store.transact(Transaction,
@@ -223,12 +243,11 @@
                    });
 }
 
-void VersionRecords::onWritten(
-    const std::map<std::string, SoftwareVersions> &Due, StoreStatus Status,
-    const StoreRevision &At) {
+void VersionRecords::onWritten(const Records &Due, StoreStatus Status,
+                               const StoreRevision &At) {
   Json Written = Json::object();
-  for (const auto &[Service, Versions] : Due)
-    Written[Service] = toJson(Versions);
+  for (const auto &[Service, Next] : Due)
+    Written[Service] = toJson(Next.m_Versions);
   m_Log.write("versions_recorded", {{"services", std::move(Written)},
                                     {"outcome", toString(Status)}});
   const TimePoint Now = EventLoop::now();
@@ -238,12 +257,14 @@
   if (Status != StoreStatus::Ok)
     return;
   m_At = std::max(m_At, At);
-  for (const auto &[Service, Versions] : Due) {
-    if (Versions.empty())
+  for (const auto &[Service, Next] : Due) {
+    if (Next.m_Versions.empty()) {
       m_Records.erase(Service);
-    else
-      m_Records[Service] = {.m_Versions = Versions, .m_Revision = At};
-    m_History.learn(Service, Versions, Now);
+    } else {
+      m_Records[Service] = Next;
+      m_Records[Service].m_Revision = At;
+    }
+    m_History.learn(Service, Next.m_Versions, Now);
   }
   refresh(Now);
 }
--- a/packages/gateway/process/VersionRecords.h
+++ b/packages/gateway/process/VersionRecords.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,11 +50,16 @@
   bool known() const { return m_Judged; }
   /// Whether the key of \p Service names \p Software.
   bool names(const std::string &Service, const SoftwareVersion &Software) const;
+  /// \returns the version that was the only one of \p Service before those came
+  /// that its key names beside it; empty if that is not known.
+  std::optional<SoftwareVersion> firstOf(const std::string &Service) const;
 
 private:
   struct Record {
     SoftwareVersions m_Versions;
     StoreRevision m_Revision; ///< Of the key; none while there is no key.
+    /// The only version there was before the others came, if it is known.
+    std::optional<SoftwareVersion> m_First;
     /// Written before the store came back from a copy, or not readable: it may
     /// lack versions until a box writes it again.
     bool m_Outdated = false;
@@ -69,10 +75,10 @@
   Record decode(const StoreItem &Item, const StoreRevision &At) const;
   Record combine(Record Read, const Record *Before) const;
   void judgeMissing(TimePoint Now);
-  std::map<std::string, SoftwareVersions> due(TimePoint Now) const;
-  void write(const std::map<std::string, SoftwareVersions> &Due);
-  void onWritten(const std::map<std::string, SoftwareVersions> &Due,
-                 StoreStatus Status, const StoreRevision &At);
+  Records due(TimePoint Now) const;
+  void write(const Records &Due);
+  void onWritten(const Records &Due, StoreStatus Status,
+                 const StoreRevision &At);
 
   CoordinationStore &m_Store;
   DecisionLog &m_Log;
--- a/packages/gateway/request/StreamOriginService.cpp
+++ b/packages/gateway/request/StreamOriginService.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 6> SourceNames{
-    "unknown", "contradicted", "own", "box", "only_version", "store"};
+constexpr std::array<std::string_view, 7> SourceNames{
+    "unknown",      "contradicted", "own",          "box",
+    "only_version", "store",        "first_version"};
 
 } // namespace
 
--- a/packages/gateway/request/StreamOriginService.h
+++ b/packages/gateway/request/StreamOriginService.h
@@ -19,7 +19,8 @@
   Own,          ///< This box gave the first event or was told of it.
   Box,          ///< Another box knew it.
   OnlyVersion,  ///< The service had no other version of late.
-  Store         ///< Only the store knew it.
+  Store,        ///< Only the store knew it.
+  FirstVersion  ///< Those that came later cannot have begun it.
 };
 
 /// The name of \p Source in logs and metrics.
@@ -28,7 +29,7 @@
 /// How a stream began.
 struct FoundOrigin {
   OriginSource m_Source = OriginSource::Unknown;
-  /// The recorded origin; empty for the only version of a service.
+  /// The recorded origin; empty for the only or the first version of a service.
   std::optional<StreamOrigin> m_Origin;
   SoftwareVersion m_Software; ///< Empty when it is not known.
 
--- a/tests/gateway/StreamOriginStoreTest.cpp
+++ b/tests/gateway/StreamOriginStoreTest.cpp
@@ -40,13 +40,17 @@
     return until([&] { return m_Store.mentions('"' + Attempt + '"'); });
   }
 
-  StreamOrigins::Knowledge find(const std::string &Attempt) {
-    std::optional<StreamOrigins::Knowledge> Result;
+  StreamOriginStore::Found read(const std::string &Attempt) {
+    std::optional<StreamOriginStore::Found> Result;
     m_Reader.find(Attempt, [&](const auto &Found) { Result = Found; });
     REQUIRE(until([&] { return Result.has_value(); }));
     return *Result;
   }
 
+  StreamOrigins::Knowledge find(const std::string &Attempt) {
+    return read(Attempt).m_Stream;
+  }
+
   EventLoop m_Loop;
   StandinStore m_Store{m_Loop};
   HttpClient m_Http{m_Loop};
@@ -57,6 +61,7 @@
   bool m_Needed = true;
   StreamOriginStore::Hooks m_Hooks{
       .m_Needed = [this](const auto &, TimePoint) { return m_Needed; },
+      .m_AnyNeeded = [this](TimePoint) { return m_Needed; },
       .m_Writers = [] { return std::size_t{1}; }};
   StreamOriginStore m_Writer{m_Loop,
                              m_Client,
@@ -97,6 +102,57 @@
   REQUIRE(Test.stored("one"));
 }
 
+TEST_CASE("The store names a process before a stream of it has to be written",
+          "[stream-version]") {
+  StoredStreams Test;
+  const auto Announced = [&] {
+    return Test.m_Writer.announced(EventLoop::now());
+  };
+  Test.m_Needed = false;
+  Test.m_Writer.refresh(EventLoop::now());
+  REQUIRE_FALSE(Announced());
+  Test.m_Needed = true;
+  Test.m_Writer.refresh(EventLoop::now());
+  REQUIRE(Test.until(Announced));
+  const StreamOriginStore::Found Found = Test.read("none");
+  REQUIRE(Found.m_Read);
+  REQUIRE(Found.m_Writers == std::set<std::string>{"box.1"});
+}
+
+TEST_CASE("A process is named anew in a store that came back from a copy",
+          "[stream-version]") {
+  StoredStreams Test;
+  const auto Announced = [&] {
+    return Test.m_Writer.announced(EventLoop::now());
+  };
+  Test.m_Writer.observeEra(1);
+  Test.m_Store.keepCopy();
+  Test.m_Writer.refresh(EventLoop::now());
+  REQUIRE(Test.until(Announced));
+  Test.m_Store.restore(0us);
+  REQUIRE(Test.m_Store.count(Prefix) == 0);
+  Test.m_Writer.observeEra(2);
+  REQUIRE_FALSE(Announced());
+  Test.m_Writer.refresh(EventLoop::now());
+  REQUIRE(Test.until(Announced));
+  REQUIRE(Test.m_Store.count(Prefix) == 1);
+}
+
+TEST_CASE("A process whose write of the first key is refused is not named",
+          "[stream-version]") {
+  StoredStreams Test;
+  Test.m_Store.setFault(StandinStore::Fault::Refuses);
+  Test.m_Writer.refresh(EventLoop::now());
+  const std::size_t Calls = Test.m_Store.calls();
+  REQUIRE(Test.until([&] { return Test.m_Store.calls() > Calls; }));
+  REQUIRE_FALSE(Test.m_Writer.announced(EventLoop::now()));
+  REQUIRE_FALSE(Test.read("none").m_Read);
+  Test.m_Store.setFault(StandinStore::Fault::None);
+  Test.m_Writer.refresh(EventLoop::now());
+  REQUIRE(
+      Test.until([&] { return Test.m_Writer.announced(EventLoop::now()); }));
+}
+
 TEST_CASE("More streams than one key holds are all written",
           "[stream-version]") {
   constexpr int Streams = 1200;
--- a/tests/gateway/StreamVersionTest.cpp
+++ b/tests/gateway/StreamVersionTest.cpp
@@ -580,7 +580,7 @@
 // The version that came could not have begun them.
 TEST_CASE("Streams of the only version there was go on when a second one comes "
           "while all boxes are gone",
-          "[gateway][stream-version][known-red]") {
+          "[gateway][stream-version]") {
   LossTest Test;
   Test.add("i-1", "v1");
   Test.add("i-2", "v1");
--- a/tests/gateway/VersionRecordsTest.cpp
+++ b/tests/gateway/VersionRecordsTest.cpp
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 #include <fcntl.h>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -152,3 +153,65 @@
     return Now.versions() == Json::array({"v2"});
   }));
 }
+
+TEST_CASE("The only version there was stays named as the first one when others "
+          "come",
+          "[stream-version]") {
+  const std::optional<SoftwareVersion> V1 = SoftwareVersion("v1");
+  World Now;
+  Box One(Now, true);
+  const TimePoint Begin = start();
+  One.list({"v1"}, Begin);
+  REQUIRE(Now.until([&] { return One.m_Records.firstOf("s") == V1; }));
+  One.list({"v1", "v2"}, Begin + 1s);
+  REQUIRE(Now.until([&] { return Now.versions() == Json({"v1", "v2"}); }));
+  REQUIRE(One.m_Records.firstOf("s") == V1);
+  Box Started(Now);
+  Started.list({"v2", "v3"}, Begin + 1s);
+  REQUIRE(Now.until([&] {
+    return Now.versions() == Json({"v1", "v2", "v3"});
+  }));
+  REQUIRE(Started.m_Records.firstOf("s") == V1);
+}
+
+TEST_CASE("There is no first version where several came at once or the store "
+          "may lack some",
+          "[stream-version]") {
+  World Now;
+  Box One(Now, true);
+  const std::vector<std::string> Both{"v1", "v2"};
+  SECTION("several came at once") {}
+  SECTION("the key is of an earlier era") {
+    Now.m_Store.put(Key, R"({"era":0,"versions":["v1"],"first":"v1"})");
+  }
+  SECTION("the key names no first one") {
+    Now.m_Store.put(Key, R"({"era":1,"versions":["v1"]})");
+  }
+  One.list(Both, start());
+  REQUIRE(Now.until([&] {
+    return Now.m_Store.has(Key) &&
+           One.m_Records.names("s", SoftwareVersion("v2"));
+  }));
+  REQUIRE_FALSE(One.m_Records.firstOf("s"));
+}
+
+TEST_CASE("A first version that is over is not named when several others serve",
+          "[stream-version]") {
+  World Now;
+  Box One(Now, true);
+  const TimePoint Begin = start();
+  One.list({"v1"}, Begin);
+  REQUIRE(Now.until([&] { return Now.versions() == Json::array({"v1"}); }));
+  const TimePoint Later =
+      Begin + 10s + VersionHistory::Memory + VersionHistory::ForgetMargin;
+  One.list({"v2", "v3"}, Begin + 1s);
+  REQUIRE(Now.until([&] {
+    return Now.versions() == Json({"v1", "v2", "v3"});
+  }));
+  REQUIRE(One.m_Records.firstOf("s"));
+  REQUIRE(Now.until([&] {
+    One.list({"v2", "v3"}, Later);
+    return !One.m_Records.firstOf("s");
+  }));
+  REQUIRE(Now.versions() == Json({"v2", "v3"}));
+}
