A stream is looked for by a read of the store that is made after it was asked for

Callers were refused for good where the one read of the store failed, or where a read of up to 300 ms before did not hold their stream yet. Found by review.

Change: only a read that knows the stream may be older than the question; otherwise the next one answers, and a second one if that fails. Reads are 300 ms apart as before.

--- a/packages/gateway/process/StreamOriginStore.cpp
+++ b/packages/gateway/process/StreamOriginStore.cpp
@@ -32,9 +32,13 @@
 constexpr Duration LeaseLife = 2 * VersionHistory::Memory;
 constexpr Duration LeaseUse = VersionHistory::Memory / 2;
 
-/// What was read for one stream serves those that are looked for soon after.
+/// Shortest time between two reads, which bring all batches.
 constexpr Duration ReadInterval = 300ms;
 
+/// What was read for one stream serves those that are looked for soon after,
+/// and are in it.
+constexpr Duration ReadAge = 300ms;
+
 /// \returns the process that writes \p Key, which is behind \p Prefix.
 std::string writerOf(const std::string &Key, const std::string &Prefix) {
   const std::string Rest = Key.substr(Prefix.size());
@@ -192,15 +196,33 @@
 
 void StreamOriginStore::find(const std::string &Attempt, Done Callback) {
   const TimePoint Now = EventLoop::now();
-  if (m_HasRead && Now - m_ReadAt < ReadInterval)
-    return Callback(foundNow(Attempt, Now));
-  m_Readers.push_back({.m_Attempt = Attempt, .m_Done = std::move(Callback)});
-  if (!m_Reading)
+  if (m_HasRead && Now - m_ReadAt < ReadAge) {
+    const Found Known = foundNow(Attempt, Now);
+    if (Known.m_Stream != StreamOrigins::Knowledge())
+      return Callback(Known);
+  }
+  m_Readers.push_back(
+      {.m_Attempt = Attempt, .m_Since = Now, .m_Done = std::move(Callback)});
+  readLater();
+}
+
+void StreamOriginStore::readLater() {
+  if (m_Reading || m_ReadDue)
+    return;
+  const TimePoint Now = EventLoop::now();
+  const Duration Wait = m_ReadBegan + ReadInterval - Now;
+  if (Wait <= 0us)
+    return read();
+  m_ReadDue = true;
+  m_ReadTimer = m_Loop.after(Wait, [this] {
+    m_ReadDue = false;
     read();
+  });
 }
 
 void StreamOriginStore::read() {
   m_Reading = true;
+  m_ReadBegan = EventLoop::now();
   m_Store.range(
       m_Opts.m_Prefix, ReadKind::Current,
       [this, Weak = std::weak_ptr(m_Alive)](const StoreItems &Result) {
@@ -212,6 +234,23 @@
 void StreamOriginStore::onRead(const StoreItems &Result) {
   m_Reading = false;
   const TimePoint Now = EventLoop::now();
+  take(Result, Now);
+  m_Log.write("streams_read", {{"outcome", toString(Result.m_Status)},
+                               {"batches", Result.m_Items.size()},
+                               {"streams", m_Read.size()},
+                               {"for", m_Readers.size()}});
+  std::vector<Reader> Waiting;
+  std::vector<Reader> Answered;
+  for (Reader &Each : std::exchange(m_Readers, {}))
+    (answers(Each) ? Answered : Waiting).push_back(std::move(Each));
+  m_Readers = std::move(Waiting);
+  if (!m_Readers.empty())
+    readLater();
+  for (const Reader &Each : Answered)
+    Each.m_Done(foundNow(Each.m_Attempt, Now));
+}
+
+void StreamOriginStore::take(const StoreItems &Result, TimePoint Now) {
   m_Read = StreamOrigins();
   m_Writers.clear();
   m_HasRead = Result.m_Status == StoreStatus::Ok;
@@ -229,12 +268,14 @@
                   {{"key", Item.m_Key}, {"why", Error.what()}});
     }
   }
-  m_Log.write("streams_read", {{"outcome", toString(Result.m_Status)},
-                               {"batches", Result.m_Items.size()},
-                               {"streams", m_Read.size()},
-                               {"for", m_Readers.size()}});
-  for (const Reader &Each : std::exchange(m_Readers, {}))
-    Each.m_Done(foundNow(Each.m_Attempt, Now));
+}
+
+/// Whether the read that has just ended is the last one for \p Each.
+bool StreamOriginStore::answers(Reader &Each) const {
+  if (!m_HasRead)
+    return std::exchange(Each.m_Again, true);
+  return m_ReadBegan >= Each.m_Since ||
+         m_Read.find(Each.m_Attempt, m_ReadAt) != StreamOrigins::Knowledge();
 }
 
 /// \returns what the last read brought about the stream of \p Attempt.
--- a/packages/gateway/process/StreamOriginStore.h
+++ b/packages/gateway/process/StreamOriginStore.h
@@ -66,7 +66,9 @@
   /// Whether the store names this process as one that writes, for as long as
   /// callers may take up a stream that begins now.
   bool announced(TimePoint Now) const { return Now <= m_AnnouncedUntil; }
-  /// Finds how the stream of \p Attempt began. Calls \p Callback once, before
+  /// Finds how the stream of \p Attempt began: by a read that is made after
+  /// this call unless a recent one knows it, and by a second one if that
+  /// fails. Calls \p Callback once, before
   /// this function returns or later.
   void find(const std::string &Attempt, Done Callback);
 
@@ -77,6 +79,8 @@
   };
   struct Reader {
     std::string m_Attempt;
+    TimePoint m_Since;    ///< When it asked.
+    bool m_Again = false; ///< A read for it has failed.
     Done m_Done;
   };
 
@@ -92,8 +96,11 @@
   void put();
   void onPut(std::size_t Streams, StoreStatus Status, StoreEra Era);
   void endCall();
+  void readLater();
   void read();
   void onRead(const StoreItems &Result);
+  void take(const StoreItems &Result, TimePoint Now);
+  bool answers(Reader &Each) const;
 
   EventLoop &m_Loop;
   CoordinationStore &m_Store;
@@ -115,10 +122,13 @@
   bool m_FlushDue = false;
   std::vector<Reader> m_Readers;
   bool m_Reading = false;
+  Timer m_ReadTimer;
+  bool m_ReadDue = false;
   StreamOrigins m_Read;            ///< What the last read brought.
   std::set<std::string> m_Writers; ///< The processes whose keys it brought.
-  TimePoint m_ReadAt{};
-  bool m_HasRead = false;
+  TimePoint m_ReadAt{};            ///< When the last read ended.
+  TimePoint m_ReadBegan{};         ///< When the last read was sent.
+  bool m_HasRead = false;          ///< Whether it brought something.
   /// Expires with this object.
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
 };
--- a/tests/gateway/StreamOriginStoreTest.cpp
+++ b/tests/gateway/StreamOriginStoreTest.cpp
@@ -198,7 +198,33 @@
   Test.begin("one");
   REQUIRE(Test.stored("one"));
   Test.m_Store.setFault(StandinStore::Fault::Refuses);
+  const StreamOriginStore::Found Found = Test.read("one");
+  REQUIRE_FALSE(Found.m_Read);
+  REQUIRE(Found.m_Stream == StreamOrigins::Knowledge{});
+}
+
+TEST_CASE("A stream is found although the first read of the store fails",
+          "[stream-version]") {
+  StoredStreams Test;
+  Test.begin("one");
+  REQUIRE(Test.stored("one"));
+  Test.m_Store.setFault(StandinStore::Fault::Refuses);
+  const std::size_t Calls = Test.m_Store.calls();
+  std::optional<StreamOriginStore::Found> Found;
+  Test.m_Reader.find("one", [&](const auto &Result) { Found = Result; });
+  REQUIRE(Test.until([&] { return Test.m_Store.calls() > Calls; }));
+  Test.m_Store.setFault(StandinStore::Fault::None);
+  REQUIRE(Test.until([&] { return Found.has_value(); }));
+  REQUIRE(Found->m_Stream.m_Origin == StoredStreams::origin("v1"));
+}
+
+TEST_CASE("A stream that was stored after a read is found right behind it",
+          "[stream-version]") {
+  StoredStreams Test;
   REQUIRE(Test.find("one") == StreamOrigins::Knowledge{});
+  Test.begin("one");
+  REQUIRE(Test.stored("one"));
+  REQUIRE(Test.find("one").m_Origin == StoredStreams::origin("v1"));
 }
 
 // The store may carry out a write that it did not answer seconds later.
