Batches of streams that are all over leave the store

Each take-up that no box knows reads all batches. They stayed for the four minutes of their lease though streams are over within seconds, so that a read brought some 2 MB at 60 streams a second, by reckoning. Found by review.

Change: a box removes its earlier batches whose streams are over with its next write, at no call of its own. The test failed on the code before and passes now.

--- a/packages/gateway/process/StreamOriginStore.cpp
+++ b/packages/gateway/process/StreamOriginStore.cpp
@@ -24,6 +24,9 @@
 /// Most streams in one key.
 constexpr std::size_t MaxBatch = 512;
 
+/// Most batches that one write removes.
+constexpr std::size_t MaxRemovals = 8;
+
 /// Most streams of a service that are kept until they are needed; the oldest
 /// are dropped first.
 constexpr std::size_t MaxWaiting = 20'000;
@@ -121,8 +124,9 @@
 /// Moves streams whose callers may still take them up into the batch.
 void StreamOriginStore::takeNeeded(TimePoint Now) {
   if (m_Batch.m_Streams.size() >= FullBatch && !m_Unwritten) {
+    nextBatch();
     m_Batch.m_Streams.clear();
-    ++m_BatchNumber;
+    m_BatchUntil = {};
   }
   for (auto &[Service, Queue] : m_Waiting) {
     if (!m_Hooks.m_Needed(Service, Now))
@@ -131,6 +135,7 @@
          Queue.pop_front()) {
       if (Queue.front().m_Until < Now)
         continue;
+      m_BatchUntil = std::max(m_BatchUntil, Queue.front().m_Until);
       m_Batch.m_Streams.push_back(std::move(Queue.front().m_Stream));
       m_Unwritten = true;
     }
@@ -139,6 +144,16 @@
                 [](const auto &Each) { return Each.second.empty(); });
 }
 
+/// Writes the streams of the batch under another key from now on.
+void StreamOriginStore::nextBatch() {
+  m_Finished.push_back({.m_Number = m_BatchNumber, .m_Until = m_BatchUntil});
+  ++m_BatchNumber;
+}
+
+std::string StreamOriginStore::keyOf(std::uint64_t Batch) const {
+  return m_Opts.m_Prefix + m_Opts.m_Process + "/" + std::to_string(Batch);
+}
+
 void StreamOriginStore::renewLease(TimePoint Now) {
   m_Store.grantLease(LeaseLife,
                      [this, Now, Weak = std::weak_ptr(m_Alive)](
@@ -153,34 +168,43 @@
                      });
 }
 
+/// Writes the batch, and removes some of those whose streams are over.
 void StreamOriginStore::put() {
   StoreTransaction Transaction;
-  Transaction.m_Puts.push_back({.m_Key = m_Opts.m_Prefix + m_Opts.m_Process +
-                                         "/" + std::to_string(m_BatchNumber),
+  Transaction.m_Puts.push_back({.m_Key = keyOf(m_BatchNumber),
                                 .m_Value = dumpJson(toJson(m_Batch)),
                                 .m_Lease = m_Lease});
+  const TimePoint Now = EventLoop::now();
+  for (const Finished &Each : m_Finished) {
+    if (Each.m_Until >= Now || Transaction.m_Removals.size() >= MaxRemovals)
+      break;
+    Transaction.m_Removals.push_back(keyOf(Each.m_Number));
+  }
   m_Store.transact(Transaction,
                    [this, Streams = m_Batch.m_Streams.size(),
+                    Removed = Transaction.m_Removals.size(),
                     Weak = std::weak_ptr(m_Alive)](StoreStatus Status,
                                                    const StoreRevision &At) {
                      if (!Weak.expired())
-                       onPut(Streams, Status, At.m_Era);
+                       onPut(Streams, Removed, Status, At.m_Era);
                    });
 }
 
-void StreamOriginStore::onPut(std::size_t Streams, StoreStatus Status,
-                              StoreEra Era) {
+void StreamOriginStore::onPut(std::size_t Streams, std::size_t Removed,
+                              StoreStatus Status, StoreEra Era) {
   m_Log.write("streams_stored", {{"batch", m_BatchNumber},
                                  {"streams", Streams},
                                  {"outcome", toString(Status)}});
   if (Status == StoreStatus::Ok) {
     m_Unwritten = false;
+    m_Finished.erase(m_Finished.begin(),
+                     m_Finished.begin() + static_cast<std::ptrdiff_t>(Removed));
     if (Era >= m_Era)
       m_AnnouncedUntil = m_LeaseAt + LeaseLife - VersionHistory::Memory;
   }
   // The store may still carry it out, after a later write of the same key.
   if (Status == StoreStatus::Lost)
-    ++m_BatchNumber;
+    nextBatch();
   // The lease has ended, as when the store has come back from a copy.
   if (Status == StoreStatus::NotFound)
     forgetLease();
--- a/packages/gateway/process/StreamOriginStore.h
+++ b/packages/gateway/process/StreamOriginStore.h
@@ -77,6 +77,11 @@
     BegunStream m_Stream;
     TimePoint m_Until; ///< When its caller has given up.
   };
+  /// A batch that is not written any more.
+  struct Finished {
+    std::uint64_t m_Number;
+    TimePoint m_Until; ///< When the last stream in it is over.
+  };
   struct Reader {
     std::string m_Attempt;
     TimePoint m_Since;    ///< When it asked.
@@ -91,10 +96,13 @@
   void flushLater(TimePoint Now);
   void flush();
   void takeNeeded(TimePoint Now);
+  void nextBatch();
+  std::string keyOf(std::uint64_t Batch) const;
   void renewLease(TimePoint Now);
   void forgetLease();
   void put();
-  void onPut(std::size_t Streams, StoreStatus Status, StoreEra Era);
+  void onPut(std::size_t Streams, std::size_t Removed, StoreStatus Status,
+             StoreEra Era);
   void endCall();
   void readLater();
   void read();
@@ -111,6 +119,8 @@
   std::map<std::string, std::deque<Waiting>> m_Waiting;
   StreamsBegunFrame m_Batch; ///< The batch that fills.
   std::uint64_t m_BatchNumber = 0;
+  TimePoint m_BatchUntil{};        ///< When the last stream in it is over.
+  std::deque<Finished> m_Finished; ///< Earlier batches in the store.
   bool m_Unwritten = false; ///< The batch holds streams that are not stored.
   StoreEra m_Era = 0;
   LeaseId m_Lease = 0;
--- a/tests/gateway/StreamOriginStoreTest.cpp
+++ b/tests/gateway/StreamOriginStoreTest.cpp
@@ -20,9 +20,10 @@
 /// The store, one box that writes to it, and one that reads there.
 class StoredStreams {
 public:
-  void begin(const std::string &Attempt, const std::string &Software = "v1") {
+  void begin(const std::string &Attempt, const std::string &Software = "v1",
+             Duration Left = 60s) {
     m_Writer.record(
-        {.m_Attempt = Attempt, .m_Origin = origin(Software), .m_Left = 60s},
+        {.m_Attempt = Attempt, .m_Origin = origin(Software), .m_Left = Left},
         EventLoop::now());
   }
 
@@ -165,6 +166,24 @@
   REQUIRE(Test.m_Store.count(Prefix) >= 3);
 }
 
+TEST_CASE("Batches whose streams are all over leave the store",
+          "[stream-version]") {
+  constexpr int Streams = 20;
+  constexpr Duration Left = 2s;
+  StoredStreams Test;
+  for (int Index = 0; Index < Streams; ++Index)
+    Test.begin("short-" + std::to_string(Index), "v1", Left);
+  const TimePoint Over = EventLoop::now() + Left;
+  REQUIRE(Test.stored("short-" + std::to_string(Streams - 1)));
+  Test.begin("long");
+  REQUIRE(Test.stored("long"));
+  REQUIRE(Test.until([&] { return EventLoop::now() > Over; }));
+  Test.begin("new");
+  REQUIRE(Test.stored("new"));
+  REQUIRE(Test.m_Store.count(Prefix) == 1);
+  REQUIRE(Test.m_Store.mentions("\"long\""));
+}
+
 TEST_CASE("A write of streams that fails is made again", "[stream-version]") {
   StoredStreams Test;
   const auto Fault =
