A caller whose stream only the store may know is told when to come back

While the store did not answer, a caller that took a stream up after a loss of all boxes got stream_unknown, which has no time as it is final. It need not be: the store knows how the stream began.

--- a/packages/gateway/process/StreamOriginExchange.cpp
+++ b/packages/gateway/process/StreamOriginExchange.cpp
@@ -292,8 +292,9 @@
 /// nowhere.
 FoundOrigin StreamOriginExchange::concludeFromStore(
     const Inquiry &About, const StreamOriginStore::Found &Stored) const {
-  const FoundOrigin Found =
+  FoundOrigin Found =
       conclude({.m_Stream = Stored.m_Stream}, OriginSource::Store);
+  Found.m_StoreAway = !Stored.m_Read;
   const auto First = m_Records.firstOf(About.m_Query.m_Service);
   const auto Lives = [&](const std::string &Process) {
     return Process == m_Process || About.m_Answered.contains(BoxName(Process));
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -13,6 +13,10 @@
 /// Time after which a caller should retry if all upstreams rejected a request.
 constexpr Duration RejectedRetryAfter = 150ms;
 
+/// Time after which a caller should take up a stream again if the store did not
+/// answer how it began.
+constexpr Duration StoreAwayRetryAfter = 1s;
+
 /// Weight of the maximum number of output tokens: most answers are shorter.
 constexpr double OutputTokenWeight = 0.5;
 
@@ -229,6 +233,10 @@
                         .m_Usable = Usable,
                         .m_Waited = m_Times.waited(EventLoop::now())});
   m_Owner.m_Hooks.m_Resumed(Found.m_Source);
+  if (!Usable && Found.m_StoreAway)
+    return refuse({.m_Kind = ErrorKind::PlatformUnavailable,
+                   .m_RetryAfter = StoreAwayRetryAfter,
+                   .m_Detail = "stream origin"});
   if (!Usable)
     return refuse(ErrorKind::StreamUnknown, 0us,
                   std::string(originSourceName(Found.m_Source)));
--- a/packages/gateway/request/StreamOriginService.h
+++ b/packages/gateway/request/StreamOriginService.h
@@ -32,6 +32,7 @@
   /// The recorded origin; empty for the only or the first version of a service.
   std::optional<StreamOrigin> m_Origin;
   SoftwareVersion m_Software; ///< Empty when it is not known.
+  bool m_StoreAway = false;   ///< Not known as the store did not answer.
 
   bool operator==(const FoundOrigin &) const = default;
 };
--- a/tests/gateway/StreamVersionTest.cpp
+++ b/tests/gateway/StreamVersionTest.cpp
@@ -637,6 +637,26 @@
   REQUIRE(Test.takeUp() == LossTest::Outcome{.m_Refused = Streams});
 }
 
+TEST_CASE("A caller whose stream only the store may know is told when to come "
+          "back while the store does not answer",
+          "[gateway][stream-version]") {
+  LossTest Test;
+  for (const std::string Version : {"v1", "v2"})
+    Test.add("i-" + Version, Version);
+  Test.startTwo();
+  Test.begin(1);
+  CHECK(Test.stored());
+  Test.loseAll();
+  Test.startTwo();
+  Test.m_Store.setFault(StandinStore::Fault::Refuses);
+  const HttpAnswer Refused = Test.fetch(
+      StreamVersionTest::resumeAt(*Test.m_Other, "again", "first-0"));
+  REQUIRE(Refused.m_Status == 503);
+  REQUIRE(std::stod(findHeader(Refused.m_Headers, "Retry-After")) > 0);
+  Test.m_Store.setFault(StandinStore::Fault::None);
+  REQUIRE(Test.takeUp() == LossTest::Outcome{.m_WentOn = 1});
+}
+
 TEST_CASE("Versions that the store has lost are named again by boxes that knew "
           "them",
           "[gateway][stream-version]") {
