Streams begin at a version that the store has not taken after five seconds

New streams preferred the versions that the store names for as long as one upstream of these was left, also where the store took no writes: refused for want of room beside free upstreams.

Change: the preference holds for five seconds after a version is first listed, which is longer than a slow store takes for the two calls that it waits for.

--- a/packages/decisions/process/VersionHistory.cpp
+++ b/packages/decisions/process/VersionHistory.cpp
@@ -17,15 +17,17 @@
   if (!m_KnownSince)
     m_KnownSince = Now;
   for (auto &[Service, Versions] : m_Services) {
-    for (auto &[Version, At] : Versions)
-      if (At == TimePoint::max())
-        At = Now;
+    for (auto &[Version, Each] : Versions)
+      if (Each.m_Last == TimePoint::max())
+        Each.m_Last = Now;
     std::erase_if(Versions, [&](const auto &Each) {
-      return Now - Each.second > Memory + ForgetMargin;
+      return Now - Each.second.m_Last > Memory + ForgetMargin;
     });
   }
   for (const auto &[Id, Each] : List.m_Instances)
-    m_Services[Each.m_Service][Each.m_Software] = TimePoint::max();
+    m_Services[Each.m_Service]
+        .emplace(Each.m_Software, Listed{.m_Since = Now, .m_Last = Now})
+        .first->second.m_Last = TimePoint::max();
   std::erase_if(m_Services,
                 [](const auto &Each) { return Each.second.empty(); });
 }
@@ -45,41 +47,45 @@
 VersionHistory::observed(TimePoint Now) const {
   std::map<std::string, SoftwareVersions> Result;
   for (const auto &[Service, Versions] : m_Services)
-    for (const auto &[Version, At] : Versions)
-      if (within(At, Memory, Now))
+    for (const auto &[Version, Each] : Versions)
+      if (within(Each.m_Last, Memory, Now))
         Result[Service].insert(Version);
   return Result;
 }
 
+Duration VersionHistory::listedFor(const std::string &Service,
+                                   const SoftwareVersion &Version,
+                                   TimePoint Now) const {
+  const auto Found = m_Services.find(Service);
+  if (Found == m_Services.end())
+    return 0us;
+  const auto Each = Found->second.find(Version);
+  if (Each == Found->second.end() || Each->second.m_Last != TimePoint::max())
+    return 0us;
+  return Now - Each->second.m_Since;
+}
+
 bool VersionHistory::outlived(const std::string &Service,
                               const SoftwareVersion &Version,
                               TimePoint Now) const {
   constexpr Duration Limit = Memory + ForgetMargin;
-  const auto Counts = [&](const auto &Known) {
-    const auto Found = Known.find(Service);
-    if (Found == Known.end())
-      return false;
-    const auto At = Found->second.find(Version);
-    return At != Found->second.end() && within(At->second, Limit, Now);
-  };
-  return !Counts(m_Services) && !Counts(m_Learned);
+  return !countedOf(Service, Limit, Now).contains(Version);
 }
 
-/// \returns the versions that may have begun a stream of \p Service that its
-/// caller can still take up.
+/// \returns the versions of \p Service that were listed within \p Limit, or
+/// that this box has learned of within it.
 SoftwareVersions VersionHistory::countedOf(const std::string &Service,
+                                           Duration Limit,
                                            TimePoint Now) const {
   SoftwareVersions Result;
-  const auto Add = [&](const auto &Known) {
-    const auto Found = Known.find(Service);
-    if (Found == Known.end())
-      return;
+  if (const auto Found = m_Services.find(Service); Found != m_Services.end())
+    for (const auto &[Version, Each] : Found->second)
+      if (within(Each.m_Last, Limit, Now))
+        Result.insert(Version);
+  if (const auto Found = m_Learned.find(Service); Found != m_Learned.end())
     for (const auto &[Version, At] : Found->second)
-      if (within(At, Memory, Now))
+      if (within(At, Limit, Now))
         Result.insert(Version);
-  };
-  Add(m_Services);
-  Add(m_Learned);
   return Result;
 }
 
@@ -88,7 +94,7 @@
   Versions Result{.m_Only = std::nullopt,
                   .m_Several = false,
                   .m_Certain = m_KnownSince && Now - *m_KnownSince >= Memory};
-  const SoftwareVersions Counted = countedOf(Service, Now);
+  const SoftwareVersions Counted = countedOf(Service, Memory, Now);
   Result.m_Several = Counted.size() > 1 || Counted.contains(SoftwareVersion());
   if (Counted.size() == 1 && !Result.m_Several)
     Result.m_Only = *Counted.begin();
--- a/packages/decisions/process/VersionHistory.h
+++ b/packages/decisions/process/VersionHistory.h
@@ -52,6 +52,10 @@
   bool outlived(const std::string &Service, const SoftwareVersion &Version,
                 TimePoint Now) const;
   Versions versionsOf(const std::string &Service, TimePoint Now) const;
+  /// \returns for how long \p Version of \p Service has been listed without a
+  /// gap of Memory; 0 if it is not.
+  Duration listedFor(const std::string &Service, const SoftwareVersion &Version,
+                     TimePoint Now) const;
   /// \returns the services that had several versions within Memory.
   std::set<std::string> servicesWithSeveral(TimePoint Now) const;
   /// Whether streams of some service that has upstreams may have begun at
@@ -59,12 +63,16 @@
   bool anySeveral(TimePoint Now) const;
 
 private:
-  /// When a version was last listed; the maximum while it is.
-  using LastListed = std::map<SoftwareVersion, TimePoint>;
+  struct Listed {
+    TimePoint m_Since; ///< When it was first listed.
+    TimePoint m_Last;  ///< When it was last listed; the maximum while it is.
+  };
+  using ListedVersions = std::map<SoftwareVersion, Listed>;
 
-  SoftwareVersions countedOf(const std::string &Service, TimePoint Now) const;
+  SoftwareVersions countedOf(const std::string &Service, Duration Limit,
+                             TimePoint Now) const;
 
-  std::map<std::string, LastListed> m_Services;
+  std::map<std::string, ListedVersions> m_Services;
   /// Since when boxes have named each version.
   std::map<std::string, std::map<SoftwareVersion, TimePoint>> m_Learned;
   std::optional<TimePoint> m_KnownSince;
--- a/packages/gateway/process/StreamOriginExchange.cpp
+++ b/packages/gateway/process/StreamOriginExchange.cpp
@@ -22,6 +22,10 @@
 /// The same for a leaf, whose relay asks others and the store.
 constexpr Duration RelayTimeout = 600ms;
 
+/// Time after which streams begin at a new version that the store has not
+/// taken, though others could run them: longer than it takes when it is slow.
+constexpr Duration StorePatience = 5s;
+
 /// Interval at which it is looked at what the store has to be told.
 constexpr Duration RefreshInterval = 1s;
 
@@ -109,11 +113,13 @@
   return m_Versions.versionsOf(Service, Now).m_Several;
 }
 
-bool StreamOriginExchange::recorded(const std::string &Service,
+bool StreamOriginExchange::mayBegin(const std::string &Service,
                                     const SoftwareVersion &Software) const {
-  return m_Records.names(Service, Software) &&
-         (m_Records.firstOf(Service) == Software ||
-          m_Stored.announced(EventLoop::now()));
+  const TimePoint Now = EventLoop::now();
+  const bool Stored =
+      m_Records.names(Service, Software) &&
+      (m_Records.firstOf(Service) == Software || m_Stored.announced(Now));
+  return Stored || m_Versions.listedFor(Service, Software, Now) > StorePatience;
 }
 
 /// A leaf knows some of the upstreams only.
--- a/packages/gateway/process/StreamOriginExchange.h
+++ b/packages/gateway/process/StreamOriginExchange.h
@@ -47,7 +47,7 @@
 
   void record(const std::string &Attempt, const StreamOrigin &Origin,
               Duration Left) override;
-  bool recorded(const std::string &Service,
+  bool mayBegin(const std::string &Service,
                 const SoftwareVersion &Software) const override;
   void find(const std::string &Attempt, const std::string &Service,
             Done Callback) override;
--- a/packages/gateway/request/StreamBinding.cpp
+++ b/packages/gateway/request/StreamBinding.cpp
@@ -23,16 +23,16 @@
       m_State(m_Subject.m_Continues ? State::Open : State::Free),
       m_Self(std::make_shared<StreamBinding *>(this)) {}
 
-void StreamBinding::preferRecorded(
+void StreamBinding::preferStored(
     std::vector<const UpstreamInstance *> &Candidates) const {
   const std::shared_ptr<StreamOriginService> Origins = m_Origins.lock();
   if (!Origins || m_State != State::Free)
     return;
-  const auto Unrecorded = [&](const UpstreamInstance *Each) {
-    return !Origins->recorded(Each->m_Service, Each->m_Software);
+  const auto Unstored = [&](const UpstreamInstance *Each) {
+    return !Origins->mayBegin(Each->m_Service, Each->m_Software);
   };
-  if (!std::all_of(Candidates.begin(), Candidates.end(), Unrecorded))
-    std::erase_if(Candidates, Unrecorded);
+  if (!std::all_of(Candidates.begin(), Candidates.end(), Unstored))
+    std::erase_if(Candidates, Unstored);
 }
 
 void StreamBinding::ask(const std::string &Service,
--- a/packages/gateway/request/StreamBinding.h
+++ b/packages/gateway/request/StreamBinding.h
@@ -46,9 +46,9 @@
   /// it.
   const std::string &service() const { return m_Service; }
 
-  /// Leaves of \p Candidates those at which the store tells that streams may
-  /// begin, if there are any and the request may use any version.
-  void preferRecorded(std::vector<const UpstreamInstance *> &Candidates) const;
+  /// Leaves of \p Candidates those at whose versions streams may begin, if
+  /// there are any and the request may use any version.
+  void preferStored(std::vector<const UpstreamInstance *> &Candidates) const;
   /// Finds out how the stream began that the caller takes up at \p Service.
   /// Calls \p Callback once, before this function returns or later; never after
   /// this object is destroyed.
--- a/packages/gateway/request/StreamOriginService.h
+++ b/packages/gateway/request/StreamOriginService.h
@@ -51,9 +51,10 @@
   /// \p Attempt, and may take it up within \p Left.
   virtual void record(const std::string &Attempt, const StreamOrigin &Origin,
                       Duration Left) = 0;
-  /// Whether a box that has just started would know that an upstream of
-  /// \p Software may have begun a stream of \p Service.
-  virtual bool recorded(const std::string &Service,
+  /// Whether streams of \p Service may begin at upstreams of \p Software as
+  /// well as at others: a box that has just started would know of it, or the
+  /// store has not taken that for so long that room counts for more.
+  virtual bool mayBegin(const std::string &Service,
                         const SoftwareVersion &Software) const = 0;
   /// Finds how the stream of \p Attempt, which may be empty, began at \p
   /// Service. Calls \p Callback once, before this function returns or later.
--- a/tests/decisions/process/VersionHistoryTest.cpp
+++ b/tests/decisions/process/VersionHistoryTest.cpp
@@ -100,3 +100,16 @@
   History.learn("s", {Gone}, at(10s));
   REQUIRE_FALSE(History.outlived("s", Gone, at(Limit + 1s)));
 }
+
+TEST_CASE("It is known for how long a version has been listed",
+          "[stream-version]") {
+  VersionHistory History;
+  const SoftwareVersion V1("v1");
+  REQUIRE(History.listedFor("s", V1, at(0s)) == 0s);
+  History.update(listOf({"v1"}), at(0s));
+  History.update(listOf({"v1", "v2"}), at(2s));
+  REQUIRE(History.listedFor("s", V1, at(3s)) == 3s);
+  REQUIRE(History.listedFor("s", SoftwareVersion("v2"), at(3s)) == 1s);
+  History.update(listOf({"v2"}), at(4s));
+  REQUIRE(History.listedFor("s", V1, at(5s)) == 0s);
+}
