--- a/packages/gateway/process/StreamOriginStore.cpp
+++ b/packages/gateway/process/StreamOriginStore.cpp
@@ -11,7 +11,7 @@
 
 /// Shortest time between two writes of a box. A stream that begins within it
 /// before its box is lost is unknown.
-constexpr Duration MinInterval = 250ms;
+constexpr Duration MinInterval = 100ms;
 
 /// Added for each box that writes, so that all of them together keep to a tenth
 /// of the writes that the store takes.
