The fixture of many waiting tries waits until no box doubts its reach; known red

Trace of two of these (logs of the boxes): one server is listed at a time and ends under the request. A box that was refused by two servers in a row, and reached none between, takes itself for partitioned: it passes six tries on, which get 502 in place of 400; or it does not tell of the second end, so that no box counts it.

The checks and bounds are as they were. The other way stays: the first server that refused does not lapse in CrashDetector.

--- a/tests/gateway/CrashTest.h
+++ b/tests/gateway/CrashTest.h
@@ -114,6 +114,16 @@
     }));
   }
 
+  /// Waits until no box doubts that it reaches upstreams: one that was refused
+  /// by two in a row cannot tell whether these have ended or it is partitioned.
+  void untilNoDoubt() {
+    REQUIRE(until([&] {
+      return std::none_of(m_Boxes.begin(), m_Boxes.end(), [](const auto &Box) {
+        return Box->state().m_Reach.doubtful(EventLoop::now());
+      });
+    }));
+  }
+
   /// Starts a try without waiting for its answer.
   void beginRequest(const std::string &Target, const std::string &Body) {
     const Gateway &Box = *m_Boxes[m_Attempts % m_Boxes.size()];
