Only a box that knows the list is certain of a service's only version

A box that is cut off from the store and all boxes, or that was suspended, answered 200 from the only version of its old list.

Cause: VersionHistory counted certainty from the first list it had, for good. The time in which a machine is suspended counts for the clock, and so does the time in which nobody confirms the list. A box that others ask vouched for the only version of such a list, too. What is not noticed was taken for proof.

Change: ListContinuity tells since when the list has been known without a gap of 3 s, from the times as of which ListFollower knows it confirmed (a relay's whole list only). Certainty counts from there and lapses with it. A box whose list is old knows no only version, for its own callers and for boxes that ask. Once the list is known again, the box reads the keys anew, also when a caller comes first, and counts as one that has just started. That no batch knows a stream proves its first version under the same condition. stream_origin tells for how long the list is known and whether the keys were read.

The test of certainty confirms the list each second now, which the decision needs; its bounds are the same, and cases for gaps are added.

Price: one read of the keys a relay after each gap; while the store is away for all, streams of which no box has a record are refused.

--- a/packages/decisions/process/VersionHistory.cpp
+++ b/packages/decisions/process/VersionHistory.cpp
@@ -14,8 +14,6 @@
 } // namespace
 
 void VersionHistory::update(const InstanceList &List, TimePoint Now) {
-  if (!m_KnownSince)
-    m_KnownSince = Now;
   for (auto &[Service, Versions] : m_Services) {
     for (auto &[Version, Each] : Versions)
       if (Each.m_Last == TimePoint::max())
@@ -91,9 +89,10 @@
 
 VersionHistory::Versions VersionHistory::versionsOf(const std::string &Service,
                                                     TimePoint Now) const {
+  const auto Since = listKnownSince(Now);
   Versions Result{.m_Only = std::nullopt,
                   .m_Several = false,
-                  .m_Certain = m_KnownSince && Now - *m_KnownSince >= Memory};
+                  .m_Certain = Since && Now - *Since >= Memory};
   const SoftwareVersions Counted = countedOf(Service, Memory, Now);
   Result.m_Several = Counted.size() > 1 || Counted.contains(SoftwareVersion());
   if (Counted.size() == 1 && !Result.m_Several)
--- a/packages/decisions/process/VersionHistory.h
+++ b/packages/decisions/process/VersionHistory.h
@@ -6,6 +6,7 @@
 
 #include "decisions/common/SoftwareVersion.h"
 #include "decisions/common/Time.h"
+#include "decisions/process/ListContinuity.h"
 #include "decisions/process/UpstreamInstance.h"
 #include <map>
 #include <optional>
@@ -29,7 +30,7 @@
     /// The only one; empty if there were several, none, or unstated ones.
     std::optional<SoftwareVersion> m_Only;
     bool m_Several = false; ///< More than one, or one that is not stated.
-    /// The list was known for all of Memory.
+    /// The list was known for all of Memory, without a gap, and still is.
     bool m_Certain = false;
 
     bool operator==(const Versions &) const = default;
@@ -41,6 +42,14 @@
 
   /// Takes over the list of upstreams as of now.
   void update(const InstanceList &List, TimePoint Now);
+  /// The list that was taken over last was the store's state at \p At; the
+  /// beginning of time stands for never.
+  void confirm(TimePoint At) { m_List.confirm(At); }
+  /// \returns since when the list has been known without a gap; empty if it is
+  /// too old now.
+  std::optional<TimePoint> listKnownSince(TimePoint Now) const {
+    return m_List.since(Now);
+  }
   /// Takes over the versions that boxes share about \p Service: they count
   /// like listed ones until boxes no longer name them, and for Memory at most.
   void learn(const std::string &Service, const SoftwareVersions &Named,
@@ -75,7 +84,7 @@
   std::map<std::string, ListedVersions> m_Services;
   /// Since when boxes have named each version.
   std::map<std::string, std::map<SoftwareVersion, TimePoint>> m_Learned;
-  std::optional<TimePoint> m_KnownSince;
+  ListContinuity m_List;
 };
 
 } // namespace havenstair
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -258,7 +258,14 @@
                                             m_Binding.m_StreamPrefix,
                                         .m_Process = m_ProcessName.str(),
                                         .m_FirstStart = m_Options.m_FirstStart},
-          [this] { return m_Leader.leading(); })) {
+          StreamOriginExchange::Hooks{
+              .m_IsWriter = [this] { return m_Leader.leading(); },
+              .m_ListConfirmedAt =
+                  [this] {
+                    return m_UpstreamCache.partial()
+                               ? TimePoint()
+                               : m_Exchange.lists().listConfirmedAt();
+                  }})) {
   m_Forwarder.setServices(m_Quotas, m_Permits, m_Crashes, m_Signals);
   m_Forwarder.setStreamOrigins(m_StreamOrigins);
   m_State.setLocation(m_Options.m_DataCentre, m_Options.m_Regions);
--- a/packages/gateway/process/ListFollower.h
+++ b/packages/gateway/process/ListFollower.h
@@ -117,6 +117,9 @@
   /// too old for long: another relay may be fresher.
   bool uplinkOutdated(TimePoint Now) const;
 
+  /// Latest time at which this box's list of upstreams was known as the store's
+  /// state, whoever read it.
+  TimePoint listConfirmedAt() const;
   /// How old this box's configuration may be, and which box confirmed it.
   ConfigFreshness configFreshness(TimePoint Now) const;
   /// When this box's configuration was confirmed as the store's state; and its
@@ -133,7 +136,6 @@
 private:
   FleetRole role() const;
   Duration age(TimePoint Now) const;
-  TimePoint listConfirmedAt() const;
   TimePoint confirmedAtOf(const WatchCache &Cache) const;
   Duration maxListAge() const;
   BoxName listSource(TimePoint Now) const;
--- a/packages/gateway/process/StreamOriginExchange.cpp
+++ b/packages/gateway/process/StreamOriginExchange.cpp
@@ -29,6 +29,10 @@
 /// Interval at which it is looked at what the store has to be told.
 constexpr Duration RefreshInterval = 1s;
 
+/// Interval at which the list's age is looked at: small beside its bound, so
+/// that no gap appears between two looks.
+constexpr Duration ConfirmInterval = 250ms;
+
 /// Adds to \p Known what another box knows. \returns whether that tells how the
 /// stream began.
 bool merge(StreamAnswerFrame &Known, const StreamAnswerFrame &Other) {
@@ -66,8 +70,7 @@
 StreamOriginExchange::StreamOriginExchange(EventLoop &Loop, Fleet &Boxes,
                                            CoordinationStore &Store,
                                            DecisionLog &Log,
-                                           const Options &Opts,
-                                           std::function<bool()> IsWriter)
+                                           const Options &Opts, Hooks Callbacks)
     : m_Loop(Loop), m_Fleet(Boxes), m_Log(Log),
       m_Marks(Store, Log, Opts.m_Prefix),
       m_Records(Store, Log,
@@ -84,8 +87,9 @@
                  return knowsWholeList() && m_Versions.anySeveral(Now);
                },
            .m_Writers = [this] { return m_Fleet.linkedRelays().size() + 1; }}),
-      m_IsWriter(std::move(IsWriter)),
-      m_RefreshTimer(Loop.every(RefreshInterval, [this] { refresh(); })) {}
+      m_Hooks(std::move(Callbacks)),
+      m_RefreshTimer(Loop.every(RefreshInterval, [this] { refresh(); })),
+      m_ConfirmTimer(Loop.every(ConfirmInterval, [this] { confirmList(); })) {}
 
 void StreamOriginExchange::onListChanged(const InstanceList &List) {
   m_Versions.update(List, EventLoop::now());
@@ -101,7 +105,8 @@
 
 void StreamOriginExchange::refresh() {
   const TimePoint Now = EventLoop::now();
-  if (m_IsWriter())
+  confirmList();
+  if (m_Hooks.m_IsWriter())
     m_Marks.refresh(m_Versions.servicesWithSeveral(Now), Now);
   if (knowsWholeList())
     m_Records.refresh(Now);
@@ -127,6 +132,11 @@
   return m_Fleet.topology().relay();
 }
 
+void StreamOriginExchange::confirmList() {
+  if (knowsWholeList())
+    m_Versions.confirm(m_Hooks.m_ListConfirmedAt());
+}
+
 StreamAnswerFrame StreamOriginExchange::known(const std::string &Attempt,
                                               const std::string &Service,
                                               TimePoint Now) const {
@@ -139,12 +149,18 @@
   return Result;
 }
 
-/// Whether there may have been versions of \p Service that this box does not
-/// know: it has just started and has not read what the store names.
+/// Whether this box has read the keys since it has known the list.
+bool StreamOriginExchange::knowsKeys(TimePoint Now) const {
+  const auto Since = m_Versions.listKnownSince(Now);
+  return Since && m_Records.knownSince(*Since);
+}
+
+/// Whether there may be, or have been, versions of \p Service that this box
+/// does not know: its list is old, or it has not read what the store names
+/// since it knows the list.
 bool StreamOriginExchange::mayLackVersions(const std::string &Service,
                                            TimePoint Now) const {
-  return !certain(Service, Now) &&
-         (m_Marks.marked(Service) || !m_Records.known());
+  return !certain(Service, Now) && (m_Marks.marked(Service) || !knowsKeys(Now));
 }
 
 /// Whether no other box can know of another version of \p Service.
@@ -207,6 +223,7 @@
 void StreamOriginExchange::find(const std::string &Attempt,
                                 const std::string &Service, Done Callback) {
   const TimePoint Now = EventLoop::now();
+  confirmList();
   StreamAnswerFrame Known = known(Attempt, Service, Now);
   const FoundOrigin Found = conclude(Known, OriginSource::Own);
   const std::vector<BoxName> Boxes = boxesToAsk();
@@ -257,12 +274,17 @@
 
 /// Decides as soon as this box knows what the store names.
 void StreamOriginExchange::end(const Inquiry &About) {
+  confirmList();
+  if (knowsWholeList() && !knowsKeys(EventLoop::now()))
+    m_Records.refresh(EventLoop::now());
   m_Records.afterRead([this, About] { decide(About); });
 }
 
 /// Concludes from what boxes know, or else from what the store does.
 void StreamOriginExchange::decide(Inquiry About) {
+  confirmList();
   const TimePoint Now = EventLoop::now();
+  const auto Since = m_Versions.listKnownSince(Now);
   const std::string &Service = About.m_Query.m_Service;
   StreamAnswerFrame &Known = About.m_Found;
   const bool Lacking = mayLackVersions(Service, Now);
@@ -275,7 +297,9 @@
                {"by", originSourceName(Found.m_Source)},
                {"only", Known.m_Only ? Json(Known.m_Only->str()) : Json()},
                {"several", Known.m_Several},
-               {"lacking", Lacking}});
+               {"lacking", Lacking},
+               {"list_known_ms", Since ? Json((Now - *Since) / 1ms) : Json()},
+               {"keys_read", knowsKeys(Now)}});
   if (Found.m_Source != OriginSource::Unknown ||
       About.m_Query.m_Attempt.empty() || !knowsWholeList())
     return About.m_Done(Found);
@@ -306,7 +330,7 @@
     return Process == m_Process || About.m_Answered.contains(BoxName(Process));
   };
   if (Found.m_Source != OriginSource::Unknown || !First || !Stored.m_Read ||
-      !m_Fleet.topology().flat() ||
+      !knowsKeys(EventLoop::now()) || !m_Fleet.topology().flat() ||
       !std::all_of(Stored.m_Writers.begin(), Stored.m_Writers.end(), Lives))
     return Found;
   return {.m_Source = OriginSource::FirstVersion,
@@ -349,6 +373,7 @@
     Known.m_Id = Id;
     m_Fleet.send(From, Known);
   };
+  confirmList();
   const StreamAnswerFrame Known =
       known(Frame.m_Attempt, Frame.m_Service, EventLoop::now());
   const bool Recorded =
--- a/packages/gateway/process/StreamOriginExchange.h
+++ b/packages/gateway/process/StreamOriginExchange.h
@@ -37,11 +37,16 @@
     bool m_FirstStart = false;  ///< The whole fleet starts with this box.
   };
 
-  /// \p IsWriter tells whether this box writes the marks of versions to the
-  /// store.
+  struct Hooks {
+    /// \returns whether this box writes the marks of versions to the store.
+    std::function<bool()> m_IsWriter;
+    /// \returns when this box's list of upstreams, a whole one, was last known
+    /// as the store's state; the beginning of time stands for never.
+    std::function<TimePoint()> m_ListConfirmedAt;
+  };
+
   StreamOriginExchange(EventLoop &Loop, Fleet &Boxes, CoordinationStore &Store,
-                       DecisionLog &Log, const Options &Opts,
-                       std::function<bool()> IsWriter);
+                       DecisionLog &Log, const Options &Opts, Hooks Callbacks);
   StreamOriginExchange(const StreamOriginExchange &) = delete;
   StreamOriginExchange &operator=(const StreamOriginExchange &) = delete;
 
@@ -83,6 +88,7 @@
   };
 
   bool knowsWholeList() const;
+  void confirmList();
   StreamAnswerFrame known(const std::string &Attempt,
                           const std::string &Service, TimePoint Now) const;
   bool certain(const std::string &Service, TimePoint Now) const;
@@ -93,6 +99,7 @@
   void tellBegun();
   void refresh();
   bool several(const std::string &Service, TimePoint Now) const;
+  bool knowsKeys(TimePoint Now) const;
   bool mayLackVersions(const std::string &Service, TimePoint Now) const;
   void end(const Inquiry &About);
   void decide(Inquiry About);
@@ -113,8 +120,9 @@
   VersionRecords m_Records;
   std::string m_Process;
   StreamOriginStore m_Stored;
-  std::function<bool()> m_IsWriter;
+  Hooks m_Hooks;
   Timer m_RefreshTimer;
+  Timer m_ConfirmTimer;
   /// A box, and whether it is to write to the store what it is told.
   using Holder = std::pair<BoxName, bool>;
   /// Streams that other boxes are told of when the loop is idle.
--- a/packages/gateway/process/VersionRecords.cpp
+++ b/packages/gateway/process/VersionRecords.cpp
@@ -70,18 +70,25 @@
   m_AfterRead.push_back(std::move(Call));
 }
 
+/// Versions that came and went while the list was not known are in the keys
+/// only.
+bool VersionRecords::mustRead(TimePoint Now) const {
+  const auto Since = m_History.listKnownSince(Now);
+  return !m_Read || (Since && m_ReadAt < *Since);
+}
+
 void VersionRecords::read() {
   m_InFlight = true;
   m_Reading = true;
-  m_Store.range(
-      m_Opts.m_Prefix, ReadKind::Current,
-      [this, Weak = std::weak_ptr(m_Alive)](const StoreItems &Result) {
-        if (!Weak.expired())
-          onRead(Result);
-      });
+  m_Store.range(m_Opts.m_Prefix, ReadKind::Current,
+                [this, SentAt = EventLoop::now(),
+                 Weak = std::weak_ptr(m_Alive)](const StoreItems &Result) {
+                  if (!Weak.expired())
+                    onRead(Result, SentAt);
+                });
 }
 
-void VersionRecords::onRead(const StoreItems &Result) {
+void VersionRecords::onRead(const StoreItems &Result, TimePoint SentAt) {
   m_InFlight = false;
   m_Reading = false;
   // After a failure, the next refresh() reads again.
@@ -92,6 +99,7 @@
     const TimePoint Now = EventLoop::now();
     adopt(Items, Result.m_At, Now);
     m_Read = true;
+    m_ReadAt = SentAt;
     refresh(Now);
   }
   for (const auto &Each : std::exchange(m_AfterRead, {}))
@@ -177,7 +185,7 @@
 void VersionRecords::refresh(TimePoint Now) {
   if (m_InFlight)
     return;
-  if (!m_Read)
+  if (mustRead(Now))
     return read();
   judgeMissing(Now);
   const auto Due = due(Now);
--- a/packages/gateway/process/VersionRecords.h
+++ b/packages/gateway/process/VersionRecords.h
@@ -39,7 +39,8 @@
   /// \p Items are all keys under the gateway's prefix as of \p At.
   void entriesChanged(const std::map<std::string, StoreItem> &Items,
                       const StoreRevision &At, TimePoint Now);
-  /// Reads the keys if that has not succeeded yet, and brings them closer to
+  /// Reads the keys if that has not succeeded since the list has been known
+  /// without a gap, and brings them closer to
   /// what the history holds, by one transaction. Does nothing while a call is
   /// in flight.
   void refresh(TimePoint Now);
@@ -48,6 +49,8 @@
   void afterRead(std::function<void()> Call);
   /// Whether the keys have been read, and those that lacked been judged.
   bool known() const { return m_Judged; }
+  /// Whether that read was sent at \p At or later.
+  bool knownSince(TimePoint At) const { return known() && m_ReadAt >= At; }
   /// Whether the key of \p Service names \p Software.
   bool names(const std::string &Service, const SoftwareVersion &Software) const;
   /// \returns the version that was the only one of \p Service before those came
@@ -68,8 +71,9 @@
   };
   using Records = std::map<std::string, Record>;
 
+  bool mustRead(TimePoint Now) const;
   void read();
-  void onRead(const StoreItems &Result);
+  void onRead(const StoreItems &Result, TimePoint SentAt);
   void adopt(const std::map<std::string, StoreItem> &Items,
              const StoreRevision &At, TimePoint Now);
   Record decode(const StoreItem &Item, const StoreRevision &At) const;
@@ -87,6 +91,7 @@
   Records m_Records;
   StoreRevision m_At; ///< The records are complete up to here.
   bool m_Read = false;
+  TimePoint m_ReadAt{}; ///< When the last read that succeeded was sent.
   /// Services without a key, when the keys were first read, have been judged.
   bool m_Judged = false;
   bool m_InFlight = false;
--- a/tests/decisions/process/VersionHistoryTest.cpp
+++ b/tests/decisions/process/VersionHistoryTest.cpp
@@ -19,6 +19,12 @@
 
 TimePoint at(Duration After) { return TimePoint(1000s) + After; }
 
+/// The list is known as the store's state from \p From to \p To.
+void knowList(VersionHistory &History, Duration From, Duration To) {
+  for (Duration After = From; After <= To; After += 1s)
+    History.confirm(at(After));
+}
+
 } // namespace
 
 TEST_CASE("A service has one version while all its upstreams state the same",
@@ -49,10 +55,35 @@
   VersionHistory History;
   REQUIRE_FALSE(History.versionsOf("s", at(0s)).m_Certain);
   History.update(listOf({"v1"}), at(0s));
+  knowList(History, 0s, 1s);
   REQUIRE_FALSE(History.versionsOf("s", at(1s)).m_Certain);
+  knowList(History, 1s, VersionHistory::Memory);
   REQUIRE(History.versionsOf("s", at(VersionHistory::Memory)).m_Certain);
 }
 
+TEST_CASE("A box whose list is old, or was for a while, is not certain of a "
+          "service's only version",
+          "[stream-version]") {
+  constexpr Duration Gap = ListContinuity::MaxAge + 1s;
+  constexpr Duration Memory = VersionHistory::Memory;
+  VersionHistory History;
+  History.update(listOf({"v1"}), at(0s));
+  SECTION("never confirmed") {
+    REQUIRE_FALSE(History.versionsOf("s", at(Memory)).m_Certain);
+  }
+  SECTION("confirmed no more") {
+    knowList(History, 0s, Memory);
+    REQUIRE_FALSE(History.versionsOf("s", at(Memory + Gap)).m_Certain);
+  }
+  SECTION("confirmed again after a gap") {
+    knowList(History, 0s, Memory);
+    knowList(History, Memory + Gap, 2 * Memory);
+    REQUIRE_FALSE(History.versionsOf("s", at(2 * Memory)).m_Certain);
+    knowList(History, 2 * Memory, 2 * Memory + Gap);
+    REQUIRE(History.versionsOf("s", at(2 * Memory + Gap)).m_Certain);
+  }
+}
+
 TEST_CASE("An upstream that states no version leaves the service without an "
           "only one",
           "[stream-version]") {
--- a/tests/gateway/StreamVersionTest.cpp
+++ b/tests/gateway/StreamVersionTest.cpp
@@ -1,5 +1,7 @@
 #include "gateway/StreamVersionTest.h"
+#include "decisions/process/VersionHistory.h"
 #include "gateway/PartitionTest.h"
+#include "wire/common/Clock.h"
 
 #include <algorithm>
 #include <ostream>
@@ -675,3 +677,69 @@
   Test.m_Store.restore(0us);
   REQUIRE(Named(R"("era":2,"versions":["v1","v2"])"));
 }
+
+namespace {
+
+/// A box that has known the only version of a service for long.
+class OldListTest : public StreamVersionTest {
+public:
+  /// Prefix of the keys that name versions.
+  static inline const std::string Keys = "havenstair/software/";
+
+  OldListTest() {
+    add("i-1", "v1");
+    add("i-2", "v1");
+    start();
+    REQUIRE(until([&] { return m_Store.has(LossTest::Key); }));
+    REQUIRE(takeUp("before") == 200);
+  }
+
+  /// The status of the answer to a caller that takes up a stream of which this
+  /// box has no record.
+  int takeUp(const std::string &Id) {
+    return fetch(resumeAt(*m_Gateway, Id, "never-seen")).m_Status;
+  }
+
+  /// The boxes that went on have named \p Versions.
+  void name(const Json &Versions) {
+    m_Store.put(LossTest::Key, dumpJson({{"era", 1}, {"versions", Versions}}));
+  }
+};
+
+} // namespace
+
+// It took the only version of its old list for the only one there was.
+TEST_CASE("No stream is joined at a box that is cut off from the store and all "
+          "boxes",
+          "[gateway][stream-version]") {
+  OldListTest Test;
+  Test.m_Store.setFault(StandinStore::Fault::Silent);
+  Clock::skip(VersionHistory::Memory);
+  REQUIRE(Test.takeUp("again") == 503);
+  REQUIRE(Test.arrivals("again") == 0);
+}
+
+// A version came and went while it was suspended.
+TEST_CASE("No stream is joined at a box that was suspended",
+          "[gateway][stream-version][suspension]") {
+  OldListTest Test;
+  const std::size_t Reads = Test.m_Store.reads(OldListTest::Keys);
+  // The connection of its watch of the keys dies.
+  REQUIRE(Test.until([&] { return Test.m_Store.silenceWatch("havenstair/"); }));
+  Clock::skip(VersionHistory::Memory);
+  Test.name({"v1", "v2"});
+  REQUIRE(Test.takeUp("again") == 503);
+  REQUIRE(Test.until(
+      [&] { return Test.m_Store.reads(OldListTest::Keys) > Reads; }));
+  REQUIRE(Test.takeUp("later") == 503);
+}
+
+TEST_CASE("Streams of the only version go on again soon after a suspension",
+          "[gateway][stream-version][suspension]") {
+  OldListTest Test;
+  const std::size_t Reads = Test.m_Store.reads(OldListTest::Keys);
+  Clock::skip(VersionHistory::Memory);
+  REQUIRE(Test.until(
+      [&] { return Test.m_Store.reads(OldListTest::Keys) > Reads; }));
+  REQUIRE(Test.takeUp("again") == 200);
+}
