A service is judged as lacking a key whenever it is listed first

What callers saw: after a store that comes back from a copy without keys, a stream may go on at another version than the one that began it (ORDER), if its service is listed a moment after the boxes read the keys.

Cause: VersionRecords judged once which services lack a key, by those that were listed at that moment. A service that came later counted as one that had one version only. A later copy of the keys took back a judgement that was not written yet, too.

Change: each service is judged when it is listed first since the keys were read, and again when a newer copy of the keys still lacks it. It is not lacking where the whole fleet starts, or where the box has known the list for two minutes without a gap: it would have listed the versions. Until it is judged a box knows no only version of it. The log has a line version_record_missing.

Price: a service that is new, or comes back after minutes without upstreams, counts as one of several versions for two minutes if a box that has just started writes its key before the others do.

--- a/packages/gateway/process/StreamOriginExchange.cpp
+++ b/packages/gateway/process/StreamOriginExchange.cpp
@@ -149,10 +149,11 @@
   return Result;
 }
 
-/// Whether this box has read the keys since it has known the list.
-bool StreamOriginExchange::knowsKeys(TimePoint Now) const {
+/// Whether this box has read the key of \p Service since it has known the list.
+bool StreamOriginExchange::knowsKey(const std::string &Service,
+                                    TimePoint Now) const {
   const auto Since = m_Versions.listKnownSince(Now);
-  return Since && m_Records.knownSince(*Since);
+  return Since && m_Records.knownSince(Service, *Since);
 }
 
 /// Whether there may be, or have been, versions of \p Service that this box
@@ -160,7 +161,8 @@
 /// since it knows the list.
 bool StreamOriginExchange::mayLackVersions(const std::string &Service,
                                            TimePoint Now) const {
-  return !certain(Service, Now) && (m_Marks.marked(Service) || !knowsKeys(Now));
+  return !certain(Service, Now) &&
+         (m_Marks.marked(Service) || !knowsKey(Service, Now));
 }
 
 /// Whether no other box can know of another version of \p Service.
@@ -275,8 +277,9 @@
 /// Decides as soon as this box knows what the store names.
 void StreamOriginExchange::end(const Inquiry &About) {
   confirmList();
-  if (knowsWholeList() && !knowsKeys(EventLoop::now()))
-    m_Records.refresh(EventLoop::now());
+  const TimePoint Now = EventLoop::now();
+  if (knowsWholeList() && !knowsKey(About.m_Query.m_Service, Now))
+    m_Records.refresh(Now);
   m_Records.afterRead([this, About] { decide(About); });
 }
 
@@ -299,7 +302,7 @@
                {"several", Known.m_Several},
                {"lacking", Lacking},
                {"list_known_ms", Since ? Json((Now - *Since) / 1ms) : Json()},
-               {"keys_read", knowsKeys(Now)}});
+               {"key_read", knowsKey(Service, Now)}});
   if (Found.m_Source != OriginSource::Unknown ||
       About.m_Query.m_Attempt.empty() || !knowsWholeList())
     return About.m_Done(Found);
@@ -330,7 +333,8 @@
     return Process == m_Process || About.m_Answered.contains(BoxName(Process));
   };
   if (Found.m_Source != OriginSource::Unknown || !First || !Stored.m_Read ||
-      !knowsKeys(EventLoop::now()) || !m_Fleet.topology().flat() ||
+      !knowsKey(About.m_Query.m_Service, EventLoop::now()) ||
+      !m_Fleet.topology().flat() ||
       !std::all_of(Stored.m_Writers.begin(), Stored.m_Writers.end(), Lives))
     return Found;
   return {.m_Source = OriginSource::FirstVersion,
--- a/packages/gateway/process/StreamOriginExchange.h
+++ b/packages/gateway/process/StreamOriginExchange.h
@@ -99,7 +99,7 @@
   void tellBegun();
   void refresh();
   bool several(const std::string &Service, TimePoint Now) const;
-  bool knowsKeys(TimePoint Now) const;
+  bool knowsKey(const std::string &Service, TimePoint Now) const;
   bool mayLackVersions(const std::string &Service, TimePoint Now) const;
   void end(const Inquiry &About);
   void decide(Inquiry About);
--- a/packages/gateway/process/VersionRecords.cpp
+++ b/packages/gateway/process/VersionRecords.cpp
@@ -161,33 +161,37 @@
   for (const auto &[Service, Each] : Before)
     if (!m_Records.contains(Service))
       m_History.learn(Service, {}, Now);
+  std::erase_if(m_Judged, [&](const std::string &Service) {
+    return !m_Records.contains(Service);
+  });
   for (const auto &[Service, Each] : m_Records)
     m_History.learn(Service, Each.m_Versions, Now);
 }
 
 /// A service that has upstreams but no key may have had other versions, unless
-/// there were no boxes before.
+/// there were no boxes before, or this box would have listed them.
 void VersionRecords::judgeMissing(TimePoint Now) {
-  const auto Observed = m_History.observed(Now);
-  if (m_Judged || Observed.empty())
-    return;
-  m_Judged = true;
-  if (m_Opts.m_FirstStart)
-    return;
-  for (const auto &[Service, Versions] : Observed)
-    if (!m_Records.contains(Service)) {
-      m_Records[Service] = {.m_Versions = {SoftwareVersion()},
-                            .m_Outdated = true};
-      m_History.learn(Service, {SoftwareVersion()}, Now);
-    }
+  for (const auto &[Service, Versions] : m_History.observed(Now)) {
+    const bool Judged = !m_Judged.insert(Service).second;
+    if (Judged || m_Opts.m_FirstStart || m_Records.contains(Service) ||
+        m_History.versionsOf(Service, Now).m_Certain)
+      continue;
+    m_Log.write("version_record_missing", {{"service", Service}});
+    m_Records[Service] = {.m_Versions = {SoftwareVersion()},
+                          .m_Outdated = true};
+    m_History.learn(Service, {SoftwareVersion()}, Now);
+  }
 }
 
 void VersionRecords::refresh(TimePoint Now) {
-  if (m_InFlight)
+  if (mustRead(Now)) {
+    if (!m_InFlight)
+      read();
     return;
-  if (mustRead(Now))
-    return read();
+  }
   judgeMissing(Now);
+  if (m_InFlight)
+    return;
   const auto Due = due(Now);
   if (!Due.empty())
     write(Due);
--- a/packages/gateway/process/VersionRecords.h
+++ b/packages/gateway/process/VersionRecords.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,10 +48,15 @@
   /// Runs \p Call at the end of the read of the keys that is in flight, or else
   /// at once.
   void afterRead(std::function<void()> Call);
-  /// Whether the keys have been read, and those that lacked been judged.
-  bool known() const { return m_Judged; }
+  /// Whether the keys have been read and, if that of \p Service lacked, it has
+  /// been judged.
+  bool known(const std::string &Service) const {
+    return m_Judged.contains(Service);
+  }
   /// Whether that read was sent at \p At or later.
-  bool knownSince(TimePoint At) const { return known() && m_ReadAt >= At; }
+  bool knownSince(const std::string &Service, TimePoint At) const {
+    return known(Service) && m_ReadAt >= At;
+  }
   /// Whether the key of \p Service names \p Software.
   bool names(const std::string &Service, const SoftwareVersion &Software) const;
   /// \returns the version that was the only one of \p Service before those came
@@ -92,8 +98,8 @@
   StoreRevision m_At; ///< The records are complete up to here.
   bool m_Read = false;
   TimePoint m_ReadAt{}; ///< When the last read that succeeded was sent.
-  /// Services without a key, when the keys were first read, have been judged.
-  bool m_Judged = false;
+  /// Services that had upstreams since the keys were read.
+  std::set<std::string> m_Judged;
   bool m_InFlight = false;
   bool m_Reading = false;
   std::vector<std::function<void()>> m_AfterRead;
--- a/tests/gateway/VersionRecordsTest.cpp
+++ b/tests/gateway/VersionRecordsTest.cpp
@@ -28,6 +28,14 @@
   return Result;
 }
 
+/// \p List with an upstream of another service.
+InstanceList withOther(InstanceList List) {
+  List.m_Instances["i-other"] = {.m_Id = "i-other",
+                                 .m_Service = "other",
+                                 .m_Software = SoftwareVersion("v1")};
+  return List;
+}
+
 /// A store, and the loop on which all runs.
 struct World {
   EventLoop m_Loop;
@@ -52,7 +60,10 @@
                   m_History) {}
 
   void list(const std::vector<std::string> &Versions, TimePoint Now) {
-    m_History.update(listOf(Versions), Now);
+    list(listOf(Versions), Now);
+  }
+  void list(const InstanceList &List, TimePoint Now) {
+    m_History.update(List, Now);
     m_Records.refresh(Now);
   }
   VersionHistory::Versions known(TimePoint Now) const {
@@ -88,7 +99,7 @@
   }
   Box After(Now);
   After.list({"v2"}, start());
-  REQUIRE(Now.until([&] { return After.m_Records.known(); }));
+  REQUIRE(Now.until([&] { return After.m_Records.known("s"); }));
   REQUIRE(After.known(start()).m_Several);
   REQUIRE(Now.until([&] { return Now.versions() == Json({"v1", "v2"}); }));
 }
@@ -100,7 +111,7 @@
   const bool FirstStart = GENERATE(true, false);
   Box Started(Now, FirstStart);
   Started.list({"v1"}, start());
-  REQUIRE(Now.until([&] { return Started.m_Records.known(); }));
+  REQUIRE(Now.until([&] { return Started.m_Records.known("s"); }));
   REQUIRE(Started.known(start()).m_Several == !FirstStart);
   REQUIRE(Now.until([&] { return Now.m_Store.has(Key); }));
 }
@@ -114,7 +125,7 @@
                                 R"({"era":1,"versions":[1]})"));
   Box Started(Now);
   Started.list({"v1"}, start());
-  REQUIRE(Now.until([&] { return Started.m_Records.known(); }));
+  REQUIRE(Now.until([&] { return Started.m_Records.known("s"); }));
   REQUIRE(Started.known(start()).m_Several);
 }
 
@@ -215,3 +226,29 @@
   }));
   REQUIRE(Now.versions() == Json({"v2", "v3"}));
 }
+
+// The store came back from a copy without keys before its upstreams were
+// listed again.
+TEST_CASE("A service that is listed after the keys were read may have had "
+          "versions that no key names",
+          "[stream-version]") {
+  World Now;
+  Box Started(Now);
+  const TimePoint Begin = start();
+  Started.list(withOther({}), Begin);
+  REQUIRE(
+      Now.until([&] { return Now.m_Store.has("havenstair/software/other"); }));
+  SECTION("if the box has not known the list for long") {
+    Started.list(withOther(listOf({"v1"})), Begin + 1s);
+    REQUIRE(Now.until([&] { return Now.m_Store.has(Key); }));
+    REQUIRE(Started.known(Begin + 1s).m_Several);
+  }
+  SECTION("unless the box would have listed them") {
+    const TimePoint Later = Begin + VersionHistory::Memory;
+    for (TimePoint At = Begin; At <= Later; At += 1s)
+      Started.m_History.confirm(At);
+    Started.list(withOther(listOf({"v1"})), Later);
+    REQUIRE(Now.until([&] { return Now.m_Store.has(Key); }));
+    REQUIRE(Started.known(Later).m_Only == SoftwareVersion("v1"));
+  }
+}
