A box whose list is old leaves versions in the key that others list

What callers saw: none seen. After a loss of all boxes within that moment a stream could go on at another version (ORDER), as the key did not name the one that began it.

Cause: a version counted as outlived when a box had not listed it for 150 s, also if its list was that old, or had been old for a part of that time. What is not there was taken for proof.

Change: a version is outlived only at a box that has known the list without a gap for all of that time. The tests' lists are confirmed each second up to the time at which they are given, which the decision needs now; their bounds are the same.

Price: a version stays in the key for as long as no box knows the list for 150 s without a gap.

--- a/packages/decisions/process/VersionHistory.cpp
+++ b/packages/decisions/process/VersionHistory.cpp
@@ -67,7 +67,9 @@
                               const SoftwareVersion &Version,
                               TimePoint Now) const {
   constexpr Duration Limit = Memory + ForgetMargin;
-  return !countedOf(Service, Limit, Now).contains(Version);
+  const auto Since = listKnownSince(Now);
+  return Since && Now - *Since >= Limit &&
+         !countedOf(Service, Limit, Now).contains(Version);
 }
 
 /// \returns the versions of \p Service that were listed within \p Limit, or
--- a/packages/decisions/process/VersionHistory.h
+++ b/packages/decisions/process/VersionHistory.h
@@ -57,7 +57,7 @@
   /// \returns the versions of each service that were listed within Memory.
   std::map<std::string, SoftwareVersions> observed(TimePoint Now) const;
   /// Whether \p Version of \p Service was neither listed nor learned of within
-  /// Memory and ForgetMargin.
+  /// Memory and ForgetMargin, for all of which the list was known.
   bool outlived(const std::string &Service, const SoftwareVersion &Version,
                 TimePoint Now) const;
   Versions versionsOf(const std::string &Service, TimePoint Now) const;
--- a/tests/decisions/process/VersionHistoryTest.cpp
+++ b/tests/decisions/process/VersionHistoryTest.cpp
@@ -121,6 +121,7 @@
   const SoftwareVersion Gone("v1");
   VersionHistory History;
   History.update(listOf({"v1", "v2"}), at(0s));
+  knowList(History, 0s, 2 * Limit);
   REQUIRE_FALSE(History.outlived("s", Gone, at(2 * Limit)));
   History.update(listOf({"v2"}), at(0s));
   REQUIRE_FALSE(History.outlived("s", Gone, at(Limit)));
@@ -132,6 +133,22 @@
   REQUIRE_FALSE(History.outlived("s", Gone, at(Limit + 1s)));
 }
 
+TEST_CASE("No version is outlived at a box whose list is old, or was of late",
+          "[stream-version]") {
+  constexpr Duration Limit =
+      VersionHistory::Memory + VersionHistory::ForgetMargin;
+  constexpr Duration Gap = ListContinuity::MaxAge + 1s;
+  const SoftwareVersion Other("v1");
+  VersionHistory History;
+  History.update(listOf({"v2"}), at(0s));
+  knowList(History, 0s, 10s);
+  REQUIRE_FALSE(History.outlived("s", Other, at(Limit + 1s)));
+  knowList(History, 10s + Gap, Limit + 1s);
+  REQUIRE_FALSE(History.outlived("s", Other, at(Limit + 1s)));
+  knowList(History, Limit + 1s, 10s + Gap + Limit);
+  REQUIRE(History.outlived("s", Other, at(10s + Gap + Limit)));
+}
+
 TEST_CASE("It is known for how long a version has been listed",
           "[stream-version]") {
   VersionHistory History;
--- a/tests/gateway/VersionRecordsTest.cpp
+++ b/tests/gateway/VersionRecordsTest.cpp
@@ -62,7 +62,10 @@
   void list(const std::vector<std::string> &Versions, TimePoint Now) {
     list(listOf(Versions), Now);
   }
+  /// Its list is known all the time until \p Now.
   void list(const InstanceList &List, TimePoint Now) {
+    for (; m_Confirmed <= Now; m_Confirmed += 1s)
+      m_History.confirm(m_Confirmed);
     m_History.update(List, Now);
     m_Records.refresh(Now);
   }
@@ -79,6 +82,7 @@
                     {.m_Descriptor = open("/dev/null", O_WRONLY)}};
   VersionHistory m_History;
   VersionRecords m_Records;
+  TimePoint m_Confirmed = EventLoop::now();
 };
 
 /// Time at which the boxes of a test list their first upstreams. The records
@@ -245,10 +249,29 @@
   }
   SECTION("unless the box would have listed them") {
     const TimePoint Later = Begin + VersionHistory::Memory;
-    for (TimePoint At = Begin; At <= Later; At += 1s)
-      Started.m_History.confirm(At);
     Started.list(withOther(listOf({"v1"})), Later);
     REQUIRE(Now.until([&] { return Now.m_Store.has(Key); }));
     REQUIRE(Started.known(Later).m_Only == SoftwareVersion("v1"));
   }
 }
+
+TEST_CASE("A box whose list is old leaves in the key what other boxes may list",
+          "[stream-version]") {
+  World Now;
+  Box One(Now, true);
+  const TimePoint Begin = start();
+  One.list({"v1", "v2"}, Begin);
+  REQUIRE(Now.until([&] { return Now.versions() == Json({"v1", "v2"}); }));
+  Box Old(Now);
+  Old.list({"v2"}, Begin);
+  REQUIRE(Now.until(
+      [&] { return Old.m_Records.names("s", SoftwareVersion("v1")); }));
+  const TimePoint Later =
+      Begin + 10s + VersionHistory::Memory + VersionHistory::ForgetMargin;
+  Old.m_History.update(listOf({"v2", "v3"}), Later);
+  REQUIRE(Now.until([&] {
+    Old.m_Records.refresh(Later);
+    return Old.m_Records.names("s", SoftwareVersion("v3"));
+  }));
+  REQUIRE(Now.versions() == Json({"v1", "v2", "v3"}));
+}
