--- a/packages/gateway/process/VersionRecords.cpp
+++ b/packages/gateway/process/VersionRecords.cpp
@@ -70,18 +70,25 @@
   m_AfterRead.push_back(std::move(Call));
 }
 
+/// Versions that came and went while the list was not known are in the keys
+/// only.
+bool VersionRecords::mustRead(TimePoint Now) const {
+  const auto Since = m_History.listKnownSince(Now);
+  return !m_Read || (Since && m_ReadAt < *Since);
+}
+
 void VersionRecords::read() {
   m_InFlight = true;
   m_Reading = true;
-  m_Store.range(
-      m_Opts.m_Prefix, ReadKind::Current,
-      [this, Weak = std::weak_ptr(m_Alive)](const StoreItems &Result) {
-        if (!Weak.expired())
-          onRead(Result);
-      });
+  m_Store.range(m_Opts.m_Prefix, ReadKind::Current,
+                [this, SentAt = EventLoop::now(),
+                 Weak = std::weak_ptr(m_Alive)](const StoreItems &Result) {
+                  if (!Weak.expired())
+                    onRead(Result, SentAt);
+                });
 }
 
-void VersionRecords::onRead(const StoreItems &Result) {
+void VersionRecords::onRead(const StoreItems &Result, TimePoint SentAt) {
   m_InFlight = false;
   m_Reading = false;
   // After a failure, the next refresh() reads again.
@@ -92,6 +99,7 @@
     const TimePoint Now = EventLoop::now();
     adopt(Items, Result.m_At, Now);
     m_Read = true;
+    m_ReadAt = SentAt;
     refresh(Now);
   }
   for (const auto &Each : std::exchange(m_AfterRead, {}))
@@ -153,33 +161,37 @@
   for (const auto &[Service, Each] : Before)
     if (!m_Records.contains(Service))
       m_History.learn(Service, {}, Now);
+  std::erase_if(m_Judged, [&](const std::string &Service) {
+    return !m_Records.contains(Service);
+  });
   for (const auto &[Service, Each] : m_Records)
     m_History.learn(Service, Each.m_Versions, Now);
 }
 
 /// A service that has upstreams but no key may have had other versions, unless
-/// there were no boxes before.
+/// there were no boxes before, or this box would have listed them.
 void VersionRecords::judgeMissing(TimePoint Now) {
-  const auto Observed = m_History.observed(Now);
-  if (m_Judged || Observed.empty())
-    return;
-  m_Judged = true;
-  if (m_Opts.m_FirstStart)
-    return;
-  for (const auto &[Service, Versions] : Observed)
-    if (!m_Records.contains(Service)) {
-      m_Records[Service] = {.m_Versions = {SoftwareVersion()},
-                            .m_Outdated = true};
-      m_History.learn(Service, {SoftwareVersion()}, Now);
-    }
+  for (const auto &[Service, Versions] : m_History.observed(Now)) {
+    const bool Judged = !m_Judged.insert(Service).second;
+    if (Judged || m_Opts.m_FirstStart || m_Records.contains(Service) ||
+        m_History.versionsOf(Service, Now).m_Certain)
+      continue;
+    m_Log.write("version_record_missing", {{"service", Service}});
+    m_Records[Service] = {.m_Versions = {SoftwareVersion()},
+                          .m_Outdated = true};
+    m_History.learn(Service, {SoftwareVersion()}, Now);
+  }
 }
 
 void VersionRecords::refresh(TimePoint Now) {
-  if (m_InFlight)
+  if (mustRead(Now)) {
+    if (!m_InFlight)
+      read();
     return;
-  if (!m_Read)
-    return read();
+  }
   judgeMissing(Now);
+  if (m_InFlight)
+    return;
   const auto Due = due(Now);
   if (!Due.empty())
     write(Due);
--- a/packages/gateway/process/VersionRecords.h
+++ b/packages/gateway/process/VersionRecords.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,15 +40,23 @@
   /// \p Items are all keys under the gateway's prefix as of \p At.
   void entriesChanged(const std::map<std::string, StoreItem> &Items,
                       const StoreRevision &At, TimePoint Now);
-  /// Reads the keys if that has not succeeded yet, and brings them closer to
+  /// Reads the keys if that has not succeeded since the list has been known
+  /// without a gap, and brings them closer to
   /// what the history holds, by one transaction. Does nothing while a call is
   /// in flight.
   void refresh(TimePoint Now);
   /// Runs \p Call at the end of the read of the keys that is in flight, or else
   /// at once.
   void afterRead(std::function<void()> Call);
-  /// Whether the keys have been read, and those that lacked been judged.
-  bool known() const { return m_Judged; }
+  /// Whether the keys have been read and, if that of \p Service lacked, it has
+  /// been judged.
+  bool known(const std::string &Service) const {
+    return m_Judged.contains(Service);
+  }
+  /// Whether that read was sent at \p At or later.
+  bool knownSince(const std::string &Service, TimePoint At) const {
+    return known(Service) && m_ReadAt >= At;
+  }
   /// Whether the key of \p Service names \p Software.
   bool names(const std::string &Service, const SoftwareVersion &Software) const;
   /// \returns the version that was the only one of \p Service before those came
@@ -68,8 +77,9 @@
   };
   using Records = std::map<std::string, Record>;
 
+  bool mustRead(TimePoint Now) const;
   void read();
-  void onRead(const StoreItems &Result);
+  void onRead(const StoreItems &Result, TimePoint SentAt);
   void adopt(const std::map<std::string, StoreItem> &Items,
              const StoreRevision &At, TimePoint Now);
   Record decode(const StoreItem &Item, const StoreRevision &At) const;
@@ -87,8 +97,9 @@
   Records m_Records;
   StoreRevision m_At; ///< The records are complete up to here.
   bool m_Read = false;
-  /// Services without a key, when the keys were first read, have been judged.
-  bool m_Judged = false;
+  TimePoint m_ReadAt{}; ///< When the last read that succeeded was sent.
+  /// Services that had upstreams since the keys were read.
+  std::set<std::string> m_Judged;
   bool m_InFlight = false;
   bool m_Reading = false;
   std::vector<std::function<void()>> m_AfterRead;
