--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -72,12 +72,16 @@
           ? makeConfigPlan(Opts.m_Seed, Opts.m_Length, Opts.m_Again)
       : Opts.m_Returns ? makeReturnPlan(Opts.m_Seed, Opts.m_Length)
                        : makePlan(Opts.m_Seed, Opts.m_Length);
+  if (Opts.m_Returns && Opts.m_Absent)
+    addAbsentReleases(Result, Opts.m_Seed);
   Result.m_Boxes = Opts.m_Boxes.value_or(Result.m_Boxes);
   // Each box has callers, who tell what it serves.
   if (Opts.m_Returns)
     Result.m_Callers = 2 * Result.m_Boxes;
-  if (Opts.m_Returns && Opts.m_Versions)
+  if (Opts.m_Returns && Opts.m_Versions && !Opts.m_Absent)
     addReleases(Result, Opts.m_Seed);
+  if (Opts.m_Returns && Opts.m_StoreTroubles)
+    addStoreTroubles(Result, Opts.m_Seed);
   if (Opts.m_Words)
     addWords(Result, Opts.m_Seed, Opts.m_Length);
   if (Opts.m_Restores)
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -49,6 +49,9 @@
     bool m_Brittle = false;    ///< Servers bear few refusals, addBrittleness().
     /// Servers of several software versions, and callers who take streams up.
     bool m_Versions = false;
+    bool m_Absent = false; ///< addAbsentReleases() in place of addReleases().
+    /// The store is in trouble around a loss of all boxes, addStoreTroubles().
+    bool m_StoreTroubles = false;
     std::string m_Program; ///< The daemon.
     /// An earlier daemon: boxes start with it, are replaced one after the
     /// other, and back again. Empty for none.
--- a/tests/soak/SoakSchedule.cpp
+++ b/tests/soak/SoakSchedule.cpp
@@ -197,6 +197,30 @@
   return Result;
 }
 
+/// \pre a plan of makeReturnPlan().
+ScheduledFault &firstLoss(SoakPlan &Plan) {
+  return *std::find_if(
+      Plan.m_Faults.begin(), Plan.m_Faults.end(),
+      [](const auto &Each) { return Each.m_Kind == SoakFault::LoseBoxes; });
+}
+
+/// Trouble of the store that begins at about \p At, or none.
+void addStoreTrouble(Drawing &Draw, Duration At,
+                     std::vector<ScheduledFault> &To) {
+  constexpr std::array Troubles{SoakFault::SlowStore, SoakFault::DownStore,
+                                SoakFault::SilentStore,
+                                SoakFault::LoseStoreAnswer};
+  // Streams are judged from 3 s after it to their deadline.
+  constexpr Duration Longest = 2s;
+  constexpr int MostAroundMs = 700;
+  const int Kind = Draw(0, static_cast<int>(Troubles.size()));
+  At += std::chrono::milliseconds(Draw(-MostAroundMs, MostAroundMs));
+  if (Kind == static_cast<int>(Troubles.size()))
+    return;
+  To.push_back(Draw.fault(At, Troubles.at(static_cast<std::size_t>(Kind))));
+  To.back().m_For = std::min(To.back().m_For, Longest);
+}
+
 } // namespace
 
 const char *toString(SoakFault Of) { return kindOf(Of).m_Name; }
@@ -307,6 +331,32 @@
   Plan.m_Releases = true;
 }
 
+void addAbsentReleases(SoakPlan &Plan, std::uint64_t Seed) {
+  constexpr int LeastBoxes = 4;
+  constexpr int MostBoxes = 12;
+  constexpr int OneReplacesIn = 4;
+  Drawing Draw(Seed);
+  Plan.m_Boxes = Draw(LeastBoxes, MostBoxes);
+  Plan.m_Strong = 0;
+  Plan.m_Releases = true;
+  lengthen(firstLoss(Plan));
+  const ScheduledFault Loss = firstLoss(Plan);
+  const auto Half = static_cast<int>(Loss.m_For / 2 / 1ms);
+  const SoakFault Kind = Draw(1, OneReplacesIn) == 1 ? SoakFault::ReplaceVersion
+                                                     : SoakFault::JoinVersion;
+  const Duration Into = std::chrono::milliseconds(Draw(50, Half));
+  Plan.m_Faults.push_back(Draw.fault(Loss.m_At + Into, Kind));
+  sortByTime(Plan.m_Faults);
+}
+
+void addStoreTroubles(SoakPlan &Plan, std::uint64_t Seed) {
+  Drawing Draw(Seed);
+  const ScheduledFault Loss = firstLoss(Plan);
+  addStoreTrouble(Draw, Loss.m_At, Plan.m_Faults);
+  addStoreTrouble(Draw, Loss.m_At + Loss.m_For, Plan.m_Faults);
+  sortByTime(Plan.m_Faults);
+}
+
 void addWords(SoakPlan &Plan, std::uint64_t Seed, Duration Length) {
   Drawing Draw(Seed);
   for (Duration At = 500ms; At < Length;
--- a/tests/soak/SoakSchedule.h
+++ b/tests/soak/SoakSchedule.h
@@ -67,7 +67,7 @@
   PauseServer,    ///< A sound server is silent and goes on.
   // Drawn by makeReturnPlan() alone.
   LoseBoxes, ///< All boxes are lost at once and come back.
-  // Drawn by addReleases() alone.
+  // Drawn by addReleases() and addAbsentReleases() alone.
   ReplaceVersion, ///< Servers of a new version come, all others leave.
   JoinVersion     ///< Servers of a new version come, and all serve on.
 };
@@ -121,6 +121,15 @@
 /// versions serve through it. May add a loss and make the first one longer.
 void addReleases(SoakPlan &Plan, std::uint64_t Seed);
 
+/// In place of addReleases(), for a fleet without leaves: a second version
+/// comes while all boxes are gone, mostly beside the first one.
+void addAbsentReleases(SoakPlan &Plan, std::uint64_t Seed);
+
+/// The store is slow or away, or loses an answer, at the first loss of all
+/// boxes of a \p Plan of makeReturnPlan(), at the return, at both or at
+/// neither.
+void addStoreTroubles(SoakPlan &Plan, std::uint64_t Seed);
+
 /// Adds servers that say something of themselves in their answers to \p Plan,
 /// beside its other faults.
 void addWords(SoakPlan &Plan, std::uint64_t Seed, Duration Length);
--- a/tests/soak/SoakScheduleTest.cpp
+++ b/tests/soak/SoakScheduleTest.cpp
@@ -100,6 +100,64 @@
                                            "between", "beside"});
 }
 
+TEST_CASE("New versions come while all boxes of a small fleet are gone",
+          "[soak][schedule]") {
+  constexpr int MostMesh = 16;
+  std::set<SoakFault> Releases;
+  for (std::uint64_t Seed = 1; Seed <= 100; ++Seed) {
+    const SoakPlan Before = makeReturnPlan(Seed, 36s);
+    SoakPlan Plan = Before;
+    addAbsentReleases(Plan, Seed);
+    SoakPlan Again = Before;
+    addAbsentReleases(Again, Seed);
+    REQUIRE(Plan == Again);
+    REQUIRE(Plan.m_Releases);
+    REQUIRE(Plan.m_Boxes <= MostMesh);
+    const auto Loss = std::find_if(
+        Plan.m_Faults.begin(), Plan.m_Faults.end(),
+        [](const auto &Each) { return Each.m_Kind == SoakFault::LoseBoxes; });
+    REQUIRE(Plan.m_Faults.size() == Before.m_Faults.size() + 1);
+    const auto Release = std::find_if(
+        Plan.m_Faults.begin(), Plan.m_Faults.end(), [](const auto &Each) {
+          return Each.m_Kind >= SoakFault::ReplaceVersion;
+        });
+    REQUIRE(Release != Plan.m_Faults.end());
+    Releases.insert(Release->m_Kind);
+    REQUIRE(Release->m_At > Loss->m_At);
+    REQUIRE(Release->m_At + Release->m_For < Loss->m_At + Loss->m_For);
+  }
+  REQUIRE(Releases ==
+          std::set{SoakFault::ReplaceVersion, SoakFault::JoinVersion});
+}
+
+TEST_CASE("The store is in trouble at the loss of all boxes and at the return",
+          "[soak][schedule]") {
+  const std::set<SoakFault> All{SoakFault::SlowStore, SoakFault::DownStore,
+                                SoakFault::SilentStore,
+                                SoakFault::LoseStoreAnswer};
+  std::set<SoakFault> Before;
+  std::set<SoakFault> AtReturn;
+  for (std::uint64_t Seed = 1; Seed <= 200; ++Seed) {
+    const SoakPlan Others = makeReturnPlan(Seed, 36s);
+    SoakPlan Plan = Others;
+    addStoreTroubles(Plan, Seed);
+    const auto Loss = std::find_if(
+        Others.m_Faults.begin(), Others.m_Faults.end(),
+        [](const auto &Each) { return Each.m_Kind == SoakFault::LoseBoxes; });
+    for (const ScheduledFault &Each : Others.m_Faults)
+      std::erase(Plan.m_Faults, Each);
+    REQUIRE(Plan.m_Faults.size() <= 2);
+    for (const ScheduledFault &Each : Plan.m_Faults) {
+      if (Each.m_At < Loss->m_At)
+        Before.insert(Each.m_Kind);
+      if (Each.m_At > Loss->m_At + Loss->m_For)
+        AtReturn.insert(Each.m_Kind);
+    }
+  }
+  REQUIRE(Before == All);
+  REQUIRE(AtReturn == All);
+}
+
 TEST_CASE("Words of servers come beside the other faults of a plan",
           "[soak][schedule]") {
   SoakPlan Plan = makePlan(7, 600s);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -43,6 +43,11 @@
   --versions        Besides, servers have several software versions, and callers
                     take up streams that broke off. With --returns, releases
                     strike beside the losses of all boxes.
+  --absent          With --versions and --returns: a smaller fleet, to which a
+                    new version comes while all boxes are gone, mostly beside
+                    the one before, in place of the other releases.
+  --store-troubles  With --returns: the store is slow or away, or loses an
+                    answer, when all boxes are lost, when they return, or both.
   --returns         A larger fleet, of which all boxes are lost at once and come
                     back, in place of the seed's usual plan; 40 s and more.
   --config          Harm the ways on which boxes learn of configurations, in
@@ -216,6 +221,12 @@
   Opts.m_Brittle = Flags["--brittle"].asBool();
   Opts.m_Versions = Flags["--versions"].asBool();
   Opts.m_Returns = Flags["--returns"].asBool();
+  Opts.m_Absent = Flags["--absent"].asBool();
+  Opts.m_StoreTroubles = Flags["--store-troubles"].asBool();
+  if (Opts.m_Absent && !(Opts.m_Versions && Opts.m_Returns))
+    throw std::runtime_error("--absent takes --versions and --returns");
+  if (Opts.m_StoreTroubles && !Opts.m_Returns)
+    throw std::runtime_error("--store-troubles takes --returns");
   Opts.m_ConfigPlan = Flags["--config"].asBool();
   Opts.m_Again = std::chrono::milliseconds(Flags["--again"].asLong());
   Opts.m_MoreRoutes = static_cast<int>(Flags["--routes"].asLong());
