Soak: what stream callers get counts as served after a loss of all boxes

Cause: the judge heard each try of the callers who take streams up when it was sent, and never what it brought, so that it counted as not served. By box-21's log ten of these tries were answered in full in the three seconds that were judged; its other callers got four answers and seven truthful refusals for a model that no engine has. Ruled out: broken connections. A trial that printed each broken try had none from 19 s on.

The oracle hears of such a try once it ends: one that brought an event, or the end of a stream that was taken up, is served; one that its caller broke off before does not count, as with all callers; any other is not served. The bound is as it was, for streams too (test), and a fleet has now to serve the share that the bound names of what it is really asked.

--- a/tests/soak/ReturnOracle.cpp
+++ b/tests/soak/ReturnOracle.cpp
@@ -44,6 +44,14 @@
   Found->second.m_ServedAt = Answer.m_At;
 }
 
+void ReturnOracle::brought(const std::string &Id, TimePoint At) {
+  const auto Found = m_Tries.find(Id);
+  if (Found == m_Tries.end())
+    return;
+  Found->second.m_Served = true;
+  Found->second.m_ServedAt = At;
+}
+
 void ReturnOracle::finish(TimePoint At) {
   for (Loss &Each : m_Losses) {
     Each.m_Until = std::min(Each.m_Until, At);
--- a/tests/soak/ReturnOracle.h
+++ b/tests/soak/ReturnOracle.h
@@ -38,6 +38,8 @@
   void back(TimePoint At);
   void sent(const CallerRequest &Request);
   void answered(const CallerAnswer &Answer);
+  /// The try of a stream got an event, or the end of one that was taken up.
+  void brought(const std::string &Id, TimePoint At);
   /// The caller gave up by itself; its try does not count.
   void left(const std::string &Id) { m_Tries.erase(Id); }
   /// Nothing more comes: tries without an answer have failed.
--- a/tests/soak/ReturnOracleTest.cpp
+++ b/tests/soak/ReturnOracleTest.cpp
@@ -27,6 +27,18 @@
                                    .m_At = at(At)});
     }
   }
+  void playStreams(int Count, int Brought, Duration At) {
+    for (int Number = 0; Number < Count; ++Number) {
+      const std::string Id = "t" + std::to_string(m_Next++);
+      m_Oracle.sent({.m_Id = Id, .m_Box = "box-1", .m_At = at(At)});
+      m_Oracle.streamTried({.m_Id = Id,
+                            .m_Stream = Id,
+                            .m_Box = "box-1",
+                            .m_Brought = Number < Brought,
+                            .m_At = at(At),
+                            .m_EndedAt = at(At)});
+    }
+  }
   Promises verdict() {
     m_Oracle.finish(at(60s));
     return broken(m_Oracle);
@@ -61,6 +73,15 @@
     Of.play("box-2", 40, 1, After);
     REQUIRE(Of.verdict() == Promises{Promise::ServiceBack});
   }
+  SECTION("a quarter of streams that bring an event is enough") {
+    Of.playStreams(40, 10, After);
+    REQUIRE(Of.verdict() == None);
+  }
+  SECTION("less of them is too little, of all and of the box") {
+    Of.playStreams(40, 9, After);
+    REQUIRE(Of.verdict() ==
+            Promises{Promise::ServiceBack, Promise::ServiceBack});
+  }
   SECTION("a box that was lost again just before is not judged by itself") {
     Of.play("box-1", 400, 400, After);
     Of.play("box-2", 40, 1, After);
--- a/tests/soak/SoakEvents.h
+++ b/tests/soak/SoakEvents.h
@@ -123,6 +123,7 @@
 
 /// A try of a stream, once it has ended.
 struct StreamTry {
+  std::string m_Id;     ///< Its own attempt.
   std::string m_Stream; ///< Its first attempt.
   std::string m_Box;
   std::string m_Service;
--- a/tests/soak/SoakOracle.cpp
+++ b/tests/soak/SoakOracle.cpp
@@ -62,6 +62,14 @@
     m_Config.unknown(*Request, Answer.m_At);
 }
 
+void SoakOracle::streamTried(const StreamTry &Try) {
+  m_GoesOn.tried(Try);
+  if (Try.m_Brought)
+    m_Returns.brought(Try.m_Id, Try.m_EndedAt);
+  else if (Try.m_Left)
+    m_Returns.left(Try.m_Id);
+}
+
 void SoakOracle::left(const std::string &Id) {
   m_Partitions.left(Id);
   m_Returns.left(Id);
--- a/tests/soak/SoakOracle.h
+++ b/tests/soak/SoakOracle.h
@@ -38,6 +38,8 @@
   /// A brittle engine turns a request away for want of room.
   void turnedAway(const std::string &Id, const std::string &Engine,
                   TimePoint At);
+  /// A caller who takes streams up has made a try that was sent().
+  void streamTried(const StreamTry &Try);
   /// The caller gave up by itself.
   void left(const std::string &Id);
   /// Nothing more comes.
--- a/tests/soak/StreamCallers.cpp
+++ b/tests/soak/StreamCallers.cpp
@@ -26,8 +26,11 @@
 }
 
 void StreamCallers::stop() {
-  for (const auto &Each : m_Callers)
+  for (const auto &Each : m_Callers) {
     judge(*Each);
+    if (Each->m_Open)
+      m_Oracle.left(Each->m_Request.m_Id);
+  }
   m_Callers.clear();
 }
 
@@ -120,8 +123,9 @@
 
 void StreamCallers::tell(const Caller &By, bool Brought, bool Left) {
   const bool TakesUp = !By.m_Got.empty();
-  m_Oracle.goesOn().tried(
-      {.m_Stream = TakesUp ? By.m_First : By.m_Request.m_Id,
+  m_Oracle.streamTried(
+      {.m_Id = By.m_Request.m_Id,
+       .m_Stream = TakesUp ? By.m_First : By.m_Request.m_Id,
        .m_Box = By.m_Request.m_Box,
        .m_Service = By.m_Request.m_Service,
        .m_Version = TakesUp ? versionOf(By.m_Got.front().m_Run) : "",
