Requests that wait for their quota are refused when their box stops

Callers saw: whole requests got no answer around a SIGTERM of their box. Those of an organisation beyond its quota wait for units for as long as their objective allows; the process ends grace period less 600 ms after the SIGTERM, and nothing ended the waits.

Cause: admission refuses with `stopping` what would wait for an upstream, but the wait for the quota comes after it, in QuotaExchange, which knew of no stop.

Change: QuotaExchange::stopWaiting answers waits that have begun, and those that would begin, with the step Wait; the request, which has not run, is refused with 503 `stopping` and told to come back at once. Questions that a relay has not answered yet go on, as they take milliseconds, and what the quota refuses is 429 as before. Weighed: no patience while a box stops; the ledger would then also tell later requests of that organisation a later time.

Not mended: waits for permits.

--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -873,8 +873,10 @@
   m_BusyAt = Now;
   m_StopAt = Now + m_Options.m_Bounds.m_GracePeriod - GraceMargin;
   m_Callers->closeAfterAnswers();
-  // Requests that wait for a load go elsewhere at once.
+  // Requests that wait for a load, or for units of a quota, go elsewhere at
+  // once.
   m_Forwarder.upstreamsChanged();
+  m_Quotas->stopWaiting();
   m_Forwarder.releaseStartupQueue();
   m_Leader.resign();
   m_Fleet.leave();
--- a/packages/gateway/process/QuotaExchange.cpp
+++ b/packages/gateway/process/QuotaExchange.cpp
@@ -164,16 +164,33 @@
                            const QuotaService::Done &Callback) {
   const QuotaVerdict Verdict =
       m_Ledger.trySpend(Organisation, Request, EventLoop::now());
-  if (Verdict.m_Step != QuotaStep::Wait)
+  if (Verdict.m_Step != QuotaStep::Wait || !m_MayWait)
     return Callback(Verdict);
   const std::uint64_t Id = ++m_LastWait;
   const QuotaRequest Later = afterWait(Request, Verdict.m_After);
-  m_Waiting[Id] = m_Loop.after(Verdict.m_After, [=, this] {
+  Timer Wake = m_Loop.after(Verdict.m_After, [=, this] {
     // The timer owns the function that runs now, so it has to outlive it.
-    const Timer Ended = std::move(m_Waiting.at(Id));
+    const UnitWait Ended = std::move(m_Waiting.at(Id));
     m_Waiting.erase(Id);
-    decide(Organisation, Later, Callback);
+    decide(Organisation, Later, Ended.m_Done);
   });
+  m_Waiting[Id] = {.m_Done = Callback, .m_Timer = std::move(Wake)};
+}
+
+void QuotaExchange::stopWaiting() {
+  m_MayWait = false;
+  const TimePoint Now = EventLoop::now();
+  std::vector<QuotaService::Done> Waiting;
+  for (auto &[Id, Each] : std::exchange(m_Waiting, {}))
+    Waiting.push_back(std::move(Each.m_Done));
+  for (auto &[Id, Each] : m_Queries)
+    if (Each.waitsForUnits(Now))
+      Waiting.push_back(std::move(Each.m_Done));
+  std::erase_if(m_Queries, [Now](const auto &Each) {
+    return Each.second.waitsForUnits(Now);
+  });
+  for (const QuotaService::Done &Each : Waiting)
+    Each(QuotaVerdict{.m_Step = QuotaStep::Wait});
 }
 
 void QuotaExchange::refund(const std::string &Organisation, double Units) {
@@ -272,7 +289,7 @@
   if (Found == m_Queries.end())
     return;
   m_Relay = From;
-  if (Frame.m_Verdict.m_Step == QuotaStep::Wait) {
+  if (Frame.m_Verdict.m_Step == QuotaStep::Wait && m_MayWait) {
     Query &Pending = Found->second;
     Pending.m_Request = afterWait(Pending.m_Request, Frame.m_Verdict.m_After);
     Pending.m_Relays.clear();
--- a/packages/gateway/process/QuotaExchange.h
+++ b/packages/gateway/process/QuotaExchange.h
@@ -45,6 +45,9 @@
   void configure(const std::vector<Organisation> &All);
   /// Called when the list of boxes or the topology has changed.
   void boxesChanged();
+  /// Answers all requests that wait for units, and from now on those that would
+  /// have to, with the step `Wait`.
+  void stopWaiting();
 
   void acquire(const std::string &Organisation, const QuotaRequest &Request,
                Done Callback) override;
@@ -60,8 +63,16 @@
     QuotaRequest m_Request;
     QuotaService::Done m_Done;  ///< Empty to report units already used.
     std::set<BoxName> m_Relays; ///< Relays that have been asked.
+    /// When it was first sent; later than now while it waits for units.
     TimePoint m_Since{};
     Timer m_Timer;
+
+    bool waitsForUnits(TimePoint Now) const { return m_Since > Now; }
+  };
+  /// A request that waits until the units for it are there.
+  struct UnitWait {
+    QuotaService::Done m_Done;
+    Timer m_Timer;
   };
 
   std::size_t boxesCountedFor() const;
@@ -104,7 +115,8 @@
   TimePoint m_LastAskedAt{};
   int m_Ticks = 0;
   std::uint64_t m_LastWait = 0;
-  std::map<std::uint64_t, Timer> m_Waiting; ///< Requests that wait for units.
+  std::map<std::uint64_t, UnitWait> m_Waiting;
+  bool m_MayWait = true;
   Timer m_TickTimer;
   Timer m_AccountTimer;
 };
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -473,6 +473,9 @@
   const auto Self = shared_from_this();
   if (!Verdict)
     return refuse(ErrorKind::OwnerUnavailable, RejectedRetryAfter, "quota");
+  // Another box can wait for the units.
+  if (Verdict->m_Step == QuotaStep::Wait)
+    return refuse(ErrorKind::Stopping, Forwarder::StoppingRetryAfter, "quota");
   if (!Verdict->granted())
     return refuse(ErrorKind::RateLimited, Verdict->m_After, {});
   // If the answer came at once, withinQuota() continues.
--- a/packages/gateway/request/QuotaService.h
+++ b/packages/gateway/request/QuotaService.h
@@ -14,7 +14,8 @@
 /// Grants and takes back units of quotas that the whole fleet shares.
 class QuotaService {
 public:
-  /// Receives the verdict; empty when no box answered in time.
+  /// Receives the verdict; empty when no box answered in time. With the step
+  /// `Wait`, the units will be available, but this box stops before.
   using Done = std::function<void(const std::optional<QuotaVerdict> &)>;
 
   QuotaService() = default;
@@ -23,8 +24,8 @@
   virtual ~QuotaService() = default;
 
   /// Asks for the units of \p Request from the quota of \p Organisation. Calls
-  /// \p Callback once, before this function returns or later, with a grant or a
-  /// refusal.
+  /// \p Callback once, before this function returns or later, with a grant, a
+  /// refusal or, while this box stops, a wait.
   virtual void acquire(const std::string &Organisation,
                        const QuotaRequest &Request, Done Callback) = 0;
   /// Returns \p Units that were granted but did not reach an upstream.
--- a/tests/gateway/OrganisationTest.cpp
+++ b/tests/gateway/OrganisationTest.cpp
@@ -21,6 +21,55 @@
   Connection->write(StandinRunner::answer(Received, 200, "body"));
 }
 
+/// A route whose requests wait up to seconds for units of their quota.
+Json patientRoute(const GatewayTest &Test) {
+  Json Result = Test.route("patient", "unsafe");
+  Result["targetLatencyMs"] = 8000;
+  return Result;
+}
+
+/// The answers to requests of one organisation that were sent at once.
+class Burst {
+public:
+  /// Sends \p Count requests of 1000 units each through \p Box.
+  Burst(GatewayTest &Test, const Gateway &Box, int Count) : m_Test(Test) {
+    for (int Number = 0; Number < Count; ++Number) {
+      const std::string Id = "burst-" + std::to_string(Number);
+      HttpCall Call = GatewayTest::callTo(Box, "/patient/x", Id);
+      Call.m_Headers.push_back({"X-Token-Counts", "900,100"});
+      Call.m_Headers.push_back({"Api-Key", GymKey});
+      Test.m_Http.fetch(std::move(Call), [this, Id](HttpAnswer Answer) {
+        m_Answers[Id] = std::move(Answer);
+      });
+    }
+    m_Count = static_cast<std::size_t>(Count);
+  }
+
+  /// Requires that each request is served, or is refused without having run and
+  /// told when to come back. \returns how many are refused.
+  int refusals() {
+    REQUIRE(m_Test.until([&] { return m_Answers.size() == m_Count; }));
+    int Result = 0;
+    for (const auto &[Id, Answer] : m_Answers) {
+      INFO(Id);
+      if (Answer.m_Status == 200)
+        continue;
+      ++Result;
+      REQUIRE(Answer.m_Status == 503);
+      REQUIRE_FALSE(findHeader(Answer.m_Headers, "Retry-After").empty());
+      REQUIRE(m_Test.arrivals(Id) == 0);
+    }
+    return Result;
+  }
+
+  std::size_t answered() const { return m_Answers.size(); }
+
+private:
+  GatewayTest &m_Test;
+  std::size_t m_Count = 0;
+  std::map<std::string, HttpAnswer> m_Answers;
+};
+
 /// A gateway with a readable log, one runner and two organisations.
 class OrganisationTest : public GatewayTest {
 public:
@@ -41,7 +90,7 @@
   void configureWithPublic(std::uint64_t Version) {
     Json Public = route("public", "safe");
     Public["public"] = true;
-    configure(Version, Json::array({Public}));
+    configure(Version, Json::array({Public, patientRoute(*this)}));
   }
 
   HttpAnswer fetchWith(const std::string &Target, const std::string &Id,
@@ -248,6 +297,26 @@
               .m_Status == 200);
 }
 
+TEST_CASE("Requests that wait for their quota when their box stops are refused "
+          "at once",
+          "[gateway][quota][stop]") {
+  constexpr int Count = 5;
+  OrganisationTest Test(1000);
+  std::optional<Burst> Sent;
+  SECTION("requests that came before the stop") {
+    Sent.emplace(Test, *Test.m_Gateway, Count);
+    REQUIRE(Test.until([&] {
+      return Sent->answered() + Test.m_Gateway->openRequests() == Count;
+    }));
+    Test.m_Gateway->stop();
+  }
+  SECTION("requests that come during the stop") {
+    Test.m_Gateway->stop();
+    Sent.emplace(Test, *Test.m_Gateway, Count);
+  }
+  REQUIRE(Sent->refusals() >= Count - 2);
+}
+
 TEST_CASE("A request that reaches no runner costs no quota",
           "[gateway][quota]") {
   OrganisationTest Test(10000);
@@ -272,10 +341,10 @@
   static constexpr double Rate = 40000;
   static constexpr double Units = 1000;
 
-  QuotaFleetTest() {
-    m_Organisations = Json::array({organisation("gym", GymKey, Rate)});
+  explicit QuotaFleetTest(double GymRate = Rate) {
+    m_Organisations = Json::array({organisation("gym", GymKey, GymRate)});
     addRunner("i-1", answerWell);
-    configure(1);
+    configure(1, Json::array({patientRoute(*this)}));
     for (std::size_t Number = 0; Number < Boxes; ++Number) {
       GatewayOptions Options = options();
       Options.m_Box = BoxName("box-" + std::to_string(10 + Number));
@@ -344,6 +413,17 @@
   }
 }
 
+TEST_CASE("Requests that wait at a leaf for their quota when it stops are "
+          "refused at once",
+          "[gateway][quota][stop]") {
+  QuotaFleetTest Test(4000);
+  Gateway &Leaf = *Test.m_Boxes.back();
+  Burst Sent(Test, Leaf, 20);
+  REQUIRE(Test.until([&] { return Sent.answered() > 0; }));
+  Leaf.stop();
+  REQUIRE(Sent.refusals() > 0);
+}
+
 TEST_CASE("A configuration with 1000 organisations is decoded and indexed",
           "[gateway][keys]") {
   Json Organisations = Json::array();
