A box that stops waits for answers that its callers have not read yet

Callers saw: answers of megabytes, run and ready, ended short for those that read slowly, when their box got SIGTERM: the process ended 3 to 3.4 s later, with half a megabyte of each in its buffers, though it had 8 s.

Cause: a request ends when its answer is handed to evhttp, and the stop looked at open requests alone.

Change: the stop also waits while bytes of answers wait on connections of callers or of other boxes, until the grace period ends. Connections without such bytes count for nothing, nor do those whose other end has acknowledged nothing for 4 s: a system whose program does not read still answers probes, a dead one does not. Weighed: progress of the buffer; the kernel takes megabytes, then nothing for seconds while the caller reads on.

Dead connections were not played.

--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -46,6 +46,11 @@
 constexpr Duration StopCheckInterval = 100ms;
 constexpr Duration FlushTime = 400ms;
 
+/// A caller whose system has acknowledged nothing for longer is gone: while its
+/// window is closed, it does so at intervals that grow to 3.2 s within the
+/// grace period.
+constexpr Duration MaxCallerSilence = 4s;
+
 /// Added to the idle timeout of callers, so that they close idle connections
 /// first.
 constexpr Duration IdleMargin = 10s;
@@ -884,15 +889,23 @@
   m_StopTimer = m_Loop.every(StopCheckInterval, [this] { stopIfIdle(); });
 }
 
+/// \returns on how many connections answers wait to be sent to callers that
+/// may still read them.
+std::size_t Gateway::unsentAnswers() const {
+  return m_Callers->unsentAnswers(MaxCallerSilence) +
+         (m_Passes ? m_Passes->unsentAnswers(MaxCallerSilence) : 0);
+}
+
 void Gateway::stopIfIdle() {
   const TimePoint Now = EventLoop::now();
-  if (m_Forwarder.open() > 0)
+  const std::size_t Unsent = unsentAnswers();
+  if (m_Forwarder.open() > 0 || Unsent > 0)
     m_BusyAt = Now;
   // The last bytes of an answer may still be in transit when its request ends.
   const bool Idle = Now >= m_LeaveAt && Now - m_BusyAt >= FlushTime;
   if (!Idle && Now < m_StopAt)
     return;
-  m_Log.write("stopped", {{"open", m_Forwarder.open()}});
+  m_Log.write("stopped", {{"open", m_Forwarder.open()}, {"unsent", Unsent}});
   m_StopTimer = Timer();
   m_Stopped();
 }
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -77,7 +77,8 @@
   /// Reloads the settings; an invalid file leaves the last valid ones in force.
   void reload();
   /// Stops the process: the callback that the constructor got is called once no
-  /// request is open, at the latest shortly before the grace period ends.
+  /// request is open and all answers are sent, at the latest shortly before the
+  /// grace period ends.
   void stop();
 
 private:
@@ -121,6 +122,7 @@
   void answerMetrics(const HttpExchangePtr &Exchange);
   void turnAway(const HttpExchangePtr &Exchange, TurnedAway Why);
   void answerReadiness(const HttpExchangePtr &Exchange);
+  std::size_t unsentAnswers() const;
   void stopIfIdle();
 
   EventLoop &m_Loop;
@@ -172,7 +174,7 @@
   Timer m_StopTimer;
   TimePoint m_StopAt{};
   TimePoint m_LeaveAt{};
-  TimePoint m_BusyAt{}; ///< When a request was last open.
+  TimePoint m_BusyAt{}; ///< When a request was last open, or an answer unsent.
 };
 
 } // namespace havenstair
--- a/packages/gateway/process/PassExchange.h
+++ b/packages/gateway/process/PassExchange.h
@@ -56,6 +56,10 @@
   /// Most bytes of the body of a request that another box passes on.
   void setMaxBody(std::size_t Bytes) { m_Server.setMaxBody(Bytes); }
   Endpoint endpoint() const { return m_Server.endpoint(); }
+  /// As `HttpServer::unsentAnswers`, of answers to other boxes.
+  std::size_t unsentAnswers(Duration MaxSilence) const {
+    return m_Server.unsentAnswers(MaxSilence);
+  }
 
 private:
   /// Open requests that were taken, by asking box.
--- a/packages/wire/common/HttpServer.cpp
+++ b/packages/wire/common/HttpServer.cpp
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <utility>
@@ -33,6 +34,16 @@
   return ntohs(reinterpret_cast<sockaddr_in *>(&Address)->sin_port);
 }
 
+/// How long the system at the other end of \p Socket has acknowledged nothing.
+/// One whose program reads slowly, or not at all, still does that.
+Duration silenceOf(evutil_socket_t Socket) {
+  tcp_info Info{};
+  socklen_t Length = sizeof(Info);
+  if (getsockopt(Socket, IPPROTO_TCP, TCP_INFO, &Info, &Length) != 0)
+    return LongestDuration;
+  return std::chrono::milliseconds(Info.tcpi_last_ack_recv);
+}
+
 } // namespace
 
 HttpServer::HttpServer(EventLoop &Loop, Options Opts, Handler OnRequest,
@@ -81,6 +92,17 @@
   m_Socket = nullptr;
 }
 
+std::size_t HttpServer::unsentAnswers(Duration MaxSilence) const {
+  std::size_t Result = 0;
+  for (const auto &[Connection, Each] : m_Connections) {
+    bufferevent *Stream = evhttp_connection_get_bufferevent(Connection);
+    if (evbuffer_get_length(bufferevent_get_output(Stream)) > 0 &&
+        silenceOf(bufferevent_getfd(Stream)) < MaxSilence)
+      ++Result;
+  }
+  return Result;
+}
+
 void HttpServer::setIdleTimeout(Duration Timeout) {
   evhttp_set_timeout(m_Http, static_cast<int>(Timeout / 1s));
 }
--- a/packages/wire/common/HttpServer.h
+++ b/packages/wire/common/HttpServer.h
@@ -60,6 +60,9 @@
   /// Most bytes of a body, also on connections that are open.
   void setMaxBody(std::size_t Bytes) { m_Limits.m_MaxBody = Bytes; }
   std::size_t openExchanges() const { return *m_OpenCount; }
+  /// Number of connections on which bytes of answers wait for their caller,
+  /// without those whose caller has been silent for \p MaxSilence or longer.
+  std::size_t unsentAnswers(Duration MaxSilence) const;
 
 private:
   using ConnectionPtr = std::shared_ptr<InboundConnection>;
