Only models that are known count as demand, and demand is bounded

Callers saw: boxes ended. One client with a new model name of 8,000 bytes in each request took one to three boxes of three past 260 MB within 12 s.

Cause: the model of each request counted as demand, known or not; all boxes are told of it, and DemandRates kept each key for good. Evidence: the three new tests failed before (20,001 keys of at most 16,384, one of 8,000 bytes; the name was reported missing, and stood in the demand).

Change: a model counts, and is reported missing, only if the configuration lists it for its service or an engine of the service holds it; such requests are answered as before. DemandRates keeps 16,384 keys at most, of 1,024 bytes of names each, and drops those whose demand is long past: for what boxes of earlier releases send, and for adapters, whose names no configuration lists.

RequestAdmissionTest now has a configuration that lists its model, as a request that is admitted always has one; its checks are as they were.

--- a/packages/decisions/process/DemandRates.cpp
+++ b/packages/decisions/process/DemandRates.cpp
@@ -10,6 +10,17 @@
 /// Keys with fewer requests per second than this are not reported.
 constexpr double MinReportedRequests = 0.002;
 
+/// Keys are dropped whose baseline is lower, in requests per second and in
+/// milliseconds of work per second.
+constexpr ModelDemand Negligible{.m_Requests = 1e-6, .m_WorkMs = 1e-3};
+
+/// Looking through all keys takes as long as adding hundreds.
+constexpr Duration ExpireInterval = 1s;
+
+std::size_t nameBytes(const ModelKey &Key) {
+  return Key.m_Service.size() + Key.m_Model.size() + Key.m_Adapter.size();
+}
+
 ModelDemand scaled(const ModelDemand &Demand, double Factor) {
   return {.m_Requests = Demand.m_Requests * Factor,
           .m_WorkMs = Demand.m_WorkMs * Factor};
@@ -34,22 +45,47 @@
       .m_At = Now};
 }
 
+/// The baseline is the last to decay.
+void DemandRates::expire(TimePoint Now) {
+  if (Now < m_ExpireAt)
+    return;
+  m_ExpireAt = Now + ExpireInterval;
+  std::erase_if(m_ByKey, [&](const auto &Each) {
+    const ModelDemand Left = decayed(Each.second, Now).m_Baseline;
+    return Left.m_Requests < Negligible.m_Requests &&
+           Left.m_WorkMs < Negligible.m_WorkMs;
+  });
+}
+
+DemandRates::KeyRates *DemandRates::find(const ModelKey &Key, TimePoint Now) {
+  expire(Now);
+  const auto Known = m_ByKey.find(Key);
+  if (Known == m_ByKey.end() && (m_ByKey.size() >= m_Opts.m_MaxKeys ||
+                                 nameBytes(Key) > m_Opts.m_MaxNameBytes))
+    return nullptr;
+  KeyRates &Entry = Known == m_ByKey.end() ? m_ByKey[Key] : Known->second;
+  Entry = decayed(Entry, Now);
+  return &Entry;
+}
+
 void DemandRates::add(const ModelKey &Key, const ModelDemand &Demand,
                       TimePoint Now) {
-  KeyRates &Entry = m_ByKey[Key];
-  Entry = decayed(Entry, Now);
-  Entry.m_Fast += scaled(Demand, 1 / inSeconds(m_Opts.m_Fast));
-  Entry.m_Slow += scaled(Demand, 1 / inSeconds(m_Opts.m_Slow));
-  Entry.m_Baseline += scaled(Demand, 1 / inSeconds(m_Opts.m_Baseline));
+  KeyRates *Entry = find(Key, Now);
+  if (Entry == nullptr)
+    return;
+  Entry->m_Fast += scaled(Demand, 1 / inSeconds(m_Opts.m_Fast));
+  Entry->m_Slow += scaled(Demand, 1 / inSeconds(m_Opts.m_Slow));
+  Entry->m_Baseline += scaled(Demand, 1 / inSeconds(m_Opts.m_Baseline));
 }
 
 void DemandRates::expect(const ModelKey &Key, const ModelDemand &Demand,
                          TimePoint Now) {
-  KeyRates &Entry = m_ByKey[Key];
-  Entry = decayed(Entry, Now);
-  Entry.m_Baseline = {
-      .m_Requests = std::max(Entry.m_Baseline.m_Requests, Demand.m_Requests),
-      .m_WorkMs = std::max(Entry.m_Baseline.m_WorkMs, Demand.m_WorkMs)};
+  KeyRates *Entry = find(Key, Now);
+  if (Entry == nullptr)
+    return;
+  Entry->m_Baseline = {
+      .m_Requests = std::max(Entry->m_Baseline.m_Requests, Demand.m_Requests),
+      .m_WorkMs = std::max(Entry->m_Baseline.m_WorkMs, Demand.m_WorkMs)};
 }
 
 ModelDemand DemandRates::expected(const KeyRates &From) const {
--- a/packages/decisions/process/DemandRates.h
+++ b/packages/decisions/process/DemandRates.h
@@ -5,6 +5,7 @@
 
 #include "decisions/common/Time.h"
 #include "decisions/process/ModelDemand.h"
+#include <cstddef>
 #include <map>
 
 namespace havenstair {
@@ -23,12 +24,19 @@
     Duration m_Baseline = 30s;
     /// How far ahead demand is predicted from the difference of the two rates.
     double m_LookaheadSeconds = 1.5;
+    /// Most keys that are kept, far more than there are models and adapters.
+    /// Callers choose the names of adapters.
+    std::size_t m_MaxKeys = 16384;
+    /// Most bytes of the names of one key.
+    std::size_t m_MaxNameBytes = 1024;
   };
 
   DemandRates() : DemandRates(Options{}) {}
   explicit DemandRates(Options Opts) : m_Opts(Opts) {}
 
-  /// Adds \p Demand that came at \p Now.
+  /// Adds \p Demand that came at \p Now. Without room for \p Key, or if its
+  /// names are too long, it does not count. Keys whose demand is long past make
+  /// room.
   void add(const ModelKey &Key, const ModelDemand &Demand, TimePoint Now);
   /// Raises the baseline of \p Key to \p Demand, in units per second, where it
   /// is lower. It decays from there as any baseline does.
@@ -53,11 +61,15 @@
     TimePoint m_At{};
   };
 
+  /// \returns the rates of \p Key as of \p Now; null if it is not kept.
+  KeyRates *find(const ModelKey &Key, TimePoint Now);
+  void expire(TimePoint Now);
   KeyRates decayed(const KeyRates &From, TimePoint Now) const;
   ModelDemand expected(const KeyRates &From) const;
 
   Options m_Opts;
   std::map<ModelKey, KeyRates> m_ByKey;
+  TimePoint m_ExpireAt{}; ///< When keys are next looked through.
 };
 
 } // namespace havenstair
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -118,9 +118,10 @@
   if (m_Request.m_Deadline)
     m_SinceFirstTry = State.m_RetryDetector.timeSinceFirstAttempt(
         m_Route.m_Name, *m_Request.m_Deadline, m_Times.arrived());
-  // A retry of the caller is not counted as demand again, and a quarantined
-  // request needs no replica.
+  // A retry of the caller is not counted as demand again, a quarantined request
+  // needs no replica, and a model that nobody knows can have none.
   if (!m_Request.m_Model.empty() && m_SinceFirstTry == 0us &&
+      m_Admission.knowsModel() &&
       !m_Crashes.quarantinedFor(m_Times.arrived())) {
     // Reading a prompt occupies the whole engine, generating the answer one
     // slot.
--- a/packages/gateway/request/RequestAdmission.cpp
+++ b/packages/gateway/request/RequestAdmission.cpp
@@ -29,6 +29,21 @@
 
 } // namespace
 
+bool RequestAdmission::knowsModel() const {
+  const std::string &Model = m_Subject.m_Request.m_Model;
+  const ServiceSpec *Service =
+      m_State.m_Config ? m_State.m_Config->service(m_Subject.m_Service)
+                       : nullptr;
+  if (Service != nullptr && Service->m_Engine &&
+      Service->m_Engine->model(Model) != nullptr)
+    return true;
+  const auto &Upstreams = m_State.m_Upstreams.current();
+  return std::any_of(Upstreams.begin(), Upstreams.end(), [&](const auto &Each) {
+    return Each.second.m_Service == m_Subject.m_Service &&
+           Each.second.resident(Model) != nullptr;
+  });
+}
+
 void RequestAdmission::onChosen(std::size_t Candidates,
                                 const std::optional<ChosenReplica> &Chosen) {
   m_Details = {.m_Replicas = Candidates,
@@ -109,7 +124,7 @@
   if (const auto Refusal = refusalWithoutUpstream(Of))
     return {.m_Step = AdmissionStep::Refuse, .m_Refusal = *Refusal};
   const RequestDescriptor &Request = m_Subject.m_Request;
-  if (!Of.m_Chosen && namesModel() && !Of.m_Software)
+  if (!Of.m_Chosen && namesModel() && !Of.m_Software && knowsModel())
     m_Hooks.m_Missing(
         {m_Subject.m_Service, Request.m_Model, Request.m_Adapter});
   const AdmissionFacts Facts = factsOf(Of, Now);
--- a/packages/gateway/request/RequestAdmission.h
+++ b/packages/gateway/request/RequestAdmission.h
@@ -43,8 +43,8 @@
     Duration m_StoppingRetryAfter = 0us;
   };
   struct Hooks {
-    /// Called when the request waits for a model or adapter that no upstream
-    /// holds.
+    /// Called when the request waits for a known model, or an adapter of one,
+    /// that no upstream holds.
     std::function<void(const ModelKey &)> m_Missing;
     std::function<double()> m_Random; ///< Random numbers from 0 to 1.
   };
@@ -72,6 +72,9 @@
   /// Records that \p Chosen was chosen among \p Candidates upstreams.
   void onChosen(std::size_t Candidates,
                 const std::optional<ChosenReplica> &Chosen);
+  /// \returns whether the configuration lists the request's model for its
+  /// service, or an engine of the service holds it. Others cannot be loaded.
+  bool knowsModel() const;
   /// \returns what the last choice was based on.
   const ChoiceDetails &details() const { return m_Details; }
 
--- a/tests/decisions/process/DemandRatesTest.cpp
+++ b/tests/decisions/process/DemandRatesTest.cpp
@@ -67,3 +67,28 @@
     REQUIRE(Rates.rate(Key, Now).m_Requests < 2);
   }
 }
+
+TEST_CASE("Names that callers invent do not grow the demand without bound",
+          "[demand]") {
+  constexpr std::size_t Invented = 20000;
+  const auto Demand = ModelDemand{.m_Requests = 1, .m_WorkMs = 100};
+  DemandRates Rates;
+  const TimePoint Now = at(0s);
+  Rates.add(Key, Demand, Now);
+  SECTION("many of them") {
+    for (std::size_t Number = 0; Number < Invented; ++Number)
+      Rates.add({"s", "x-" + std::to_string(Number), ""}, Demand, Now);
+    REQUIRE(Rates.baseline(Now).size() <= 16384);
+    Rates.add(Key, Demand, Now);
+    REQUIRE(Rates.baseline(Now).at(Key).m_WorkMs > 6);
+    const TimePoint Later = Now + 600s;
+    const ModelKey Next{"s", "next", ""};
+    Rates.add(Next, Demand, Later);
+    REQUIRE(Rates.baseline(Later).size() == 1);
+    REQUIRE(Rates.baseline(Later).contains(Next));
+  }
+  SECTION("long ones") {
+    Rates.add({"s", std::string(8000, 'x'), ""}, Demand, Now);
+    REQUIRE(Rates.baseline(Now).size() == 1);
+  }
+}
--- a/tests/gateway/AdmissionTest.cpp
+++ b/tests/gateway/AdmissionTest.cpp
@@ -60,3 +60,16 @@
   REQUIRE(std::stod(RetryAfter) < 0.1);
   REQUIRE(Test.arrivals("id-1") == 0);
 }
+
+TEST_CASE("Requests for models that nobody knows do not count as demand",
+          "[gateway][admission]") {
+  AdmissionTest Test;
+  for (std::size_t Number = 0; Number < 20; ++Number) {
+    const std::string Model = "invented-" + std::to_string(Number);
+    Test.ask("id-" + std::to_string(Number), Model);
+    REQUIRE(
+        Test.until([&] { return Test.m_Gateway->openRequests() > Number; }));
+    REQUIRE_FALSE(
+        Test.m_Gateway->state().m_Demand.contains({"llm", Model, ""}));
+  }
+}
--- a/tests/gateway/RequestAdmissionTest.cpp
+++ b/tests/gateway/RequestAdmissionTest.cpp
@@ -18,6 +18,10 @@
         {.m_Revision = {.m_Number = 1},
          .m_Instances = {{"i-1", {.m_Id = "i-1", .m_Service = "s"}}}},
         Arrived);
+    ServiceSpec Service{.m_Name = "s"};
+    Service.m_Engine = EngineSpec{.m_Models = {{.m_Name = "m"}}};
+    m_State.m_Config = std::make_shared<const ServingConfig>(
+        ServingConfig{.m_Version = 1, .m_Services = {Service}});
   }
 
   RequestAdmission::Verdict
@@ -105,6 +109,14 @@
   REQUIRE(Test.m_Missing.empty());
 }
 
+TEST_CASE("A model that nobody knows is not reported missing",
+          "[gateway][request-admission]") {
+  AdmissionTest Test;
+  Test.m_Request.m_Model = std::string(8000, 'x');
+  REQUIRE(Test.decide().m_Step != AdmissionStep::Send);
+  REQUIRE(Test.m_Missing.empty());
+}
+
 TEST_CASE("A request for which no upstream is eligible is refused by what "
           "excludes all",
           "[gateway][request-admission]") {
