The stand-in upstreams of a crash test answer health questions

Cause: the test's own behaviour of upstreams holds every request that does not crash them, health questions too. After the only listed upstream has crashed the box doubts its reach and asks the next one listed; each such question stood in m_HeldRequests beside the streams that the test counts, and was never answered. Where two or more came before the next stream, the number was passed by and never met. The product was not at fault; it asks as it should.

Change: the upstreams answer GET as those of the other tests of the file do, and hold streams only. No check is changed.

--- a/tests/gateway/CrashTest.cpp
+++ b/tests/gateway/CrashTest.cpp
@@ -535,6 +535,8 @@
   for (const auto &[Id, Runner] : Test.m_Runners)
     Runner->setBehaviour([&Test, Upstream = Runner.get()](
                              const Request &Of, const ConnectionPtr &To) {
+      if (Of.m_Method == "GET")
+        return To->write(StandinRunner::answer(Of, 200, "healthy"));
       if (Of.m_Body.starts_with(CrashTest::CrashingBody))
         return Upstream->crash();
       Test.m_HeldRequests.emplace_back(Of, To);
