A run of a quarantined request that reaches no upstream is made again

What callers saw: requests whose quarantine is not certain got 503 request_suspected for minutes, though nothing had shown them guilty: nothing ran them any more.

Cause: a probe counted when it was sent. From the second crash on a request goes to one upstream by rendezvous, the same at all boxes; where that one has ended and is still listed (EndedUpstreams forgets it after 3 s), the connection is refused, so nothing ran. The log of a failed run: bar_probed, sent to i-28, which had ended at the third crash, and send_failed not_sent, four times at three boxes in 20 s. As the probe had been counted, the try did not go on to the next upstream either (step send_again, then request_suspected), and the next one was put off to 6, then 24 seconds later. Each upstream that cannot be reached has this effect, for harmless requests too.

Ruled out: that the crash of a probe's upstream is not noticed; there was none.

Change: what reached no upstream is withdrawn, by the time at which it was sent: the try goes on to another upstream, and the probe is due as it was. Rejected sends count as before, as they are arrivals.

--- a/packages/decisions/process/CrashTracker.cpp
+++ b/packages/decisions/process/CrashTracker.cpp
@@ -665,6 +665,18 @@
   }
 }
 
+void CrashTracker::withdrawProbe(const RequestSuspects &Request,
+                                 TimePoint SentAt) {
+  for (const CrashSuspect &Each : Request.all()) {
+    const auto Found = m_Quarantines.find(Each);
+    if (Found == m_Quarantines.end() || Found->second.m_ProbedAt != SentAt)
+      continue;
+    // The probe was due, and it is due again.
+    Found->second.m_ProbedAt = {};
+    --Found->second.m_Probes;
+  }
+}
+
 Duration CrashTracker::timeToProbeResult(const RequestSuspects &Request,
                                          TimePoint Now) const {
   TimePoint Latest = Now;
--- a/packages/decisions/process/CrashTracker.h
+++ b/packages/decisions/process/CrashTracker.h
@@ -36,7 +36,8 @@
   TimePoint m_Since{};
   /// When the quarantine expires.
   TimePoint m_Until{};
-  /// When this box last ran it in spite of the quarantine, and how often.
+  /// When this box last ran it in spite of the quarantine, and how often; no
+  /// time if that reached no upstream.
   TimePoint m_ProbedAt{};
   std::size_t m_Probes = 0;
 
@@ -169,6 +170,9 @@
                 std::size_t Boxes, TimePoint Now) const;
   /// Records that this box sends \p Request for that.
   void recordProbe(const RequestSuspects &Request, TimePoint Now);
+  /// Records that what was sent for that at \p SentAt reached no upstream, so
+  /// that \p Request may be sent again.
+  void withdrawProbe(const RequestSuspects &Request, TimePoint SentAt);
   /// \returns how long it takes until it is known how the next probe of the
   /// suspects of \p Request ended.
   Duration timeToProbeResult(const RequestSuspects &Request,
--- a/packages/gateway/process/CrashExchange.cpp
+++ b/packages/gateway/process/CrashExchange.cpp
@@ -174,13 +174,17 @@
   return m_Tracker.mayProbe(Request, m_Fleet.self(), m_Fleet.size(), Now);
 }
 
-void CrashExchange::onProbe(const RequestSuspects &Request) {
-  const TimePoint Now = EventLoop::now();
+void CrashExchange::onProbe(const RequestSuspects &Request, TimePoint Now) {
   m_Tracker.recordProbe(Request, Now);
   m_Log.write("bar_probed", {{"digest", Request.m_Digest.str()},
                              {"parts", logged(Request.m_Parts)}});
 }
 
+void CrashExchange::onProbeNotSent(const RequestSuspects &Request,
+                                   TimePoint SentAt) {
+  m_Tracker.withdrawProbe(Request, SentAt);
+}
+
 std::optional<Duration> CrashExchange::holdTime(const CrashSuspect &Suspect,
                                                 TimePoint Now) const {
   if (const auto JudgedAt = m_Tracker.decisionTime(Suspect, Now))
--- a/packages/gateway/process/CrashExchange.h
+++ b/packages/gateway/process/CrashExchange.h
@@ -56,7 +56,9 @@
   void onHarmless(const std::vector<CrashSuspect> &Parts,
                   TimePoint Began) override;
   bool mayProbe(const RequestSuspects &Request, TimePoint Now) const override;
-  void onProbe(const RequestSuspects &Request) override;
+  void onProbe(const RequestSuspects &Request, TimePoint Now) override;
+  void onProbeNotSent(const RequestSuspects &Request,
+                      TimePoint SentAt) override;
   std::optional<Duration> holdTime(const CrashSuspect &Suspect,
                                    TimePoint Now) const override;
 
--- a/packages/gateway/request/CrashGuard.cpp
+++ b/packages/gateway/request/CrashGuard.cpp
@@ -33,7 +33,12 @@
   if (!quarantinedFor(Now))
     return;
   if (const std::shared_ptr<CrashService> Service = m_Service.lock())
-    Service->onProbe(m_Suspects);
+    Service->onProbe(m_Suspects, Now);
+}
+
+void CrashGuard::onNotSent(TimePoint SentAt) const {
+  if (const std::shared_ptr<CrashService> Service = m_Service.lock())
+    Service->onProbeNotSent(m_Suspects, SentAt);
 }
 
 bool CrashGuard::blamed(TimePoint Now) const {
--- a/packages/gateway/request/CrashGuard.h
+++ b/packages/gateway/request/CrashGuard.h
@@ -47,6 +47,8 @@
   bool mayProbe(TimePoint Now) const;
   /// Must be called when the request is sent.
   void onSent(TimePoint Now) const;
+  /// Must be called when what was sent at \p SentAt reached no upstream.
+  void onNotSent(TimePoint SentAt) const;
   /// \returns how long it takes until a quarantine that is not certain may have
   /// been lifted.
   Duration timeToProbeResult(TimePoint Now) const {
--- a/packages/gateway/request/CrashService.h
+++ b/packages/gateway/request/CrashService.h
@@ -40,7 +40,10 @@
   virtual bool mayProbe(const RequestSuspects &Request,
                         TimePoint Now) const = 0;
   /// Reports that \p Request is sent for that.
-  virtual void onProbe(const RequestSuspects &Request) = 0;
+  virtual void onProbe(const RequestSuspects &Request, TimePoint Now) = 0;
+  /// Reports that what was sent for that at \p SentAt reached no upstream.
+  virtual void onProbeNotSent(const RequestSuspects &Request,
+                              TimePoint SentAt) = 0;
   /// \returns how long requests that hold \p Suspect have to wait before they
   /// are sent because it may be quarantined by then; empty if they need not
   /// wait. The wait ends earlier when the crash state changes.
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -739,6 +739,8 @@
                  Outcome == SendOutcome::ServerError;
   if (m_Send->m_Box)
     return notePassed(Outcome);
+  if (Outcome == SendOutcome::NotSent)
+    m_Crashes.onNotSent(m_Send->m_At);
   if (completed(Outcome))
     m_Crashes.onCompleted(upstreamIncarnation(),
                           m_Send->m_Started.value_or(m_Send->m_At));
--- a/tests/decisions/process/CrashTrackerTest.cpp
+++ b/tests/decisions/process/CrashTrackerTest.cpp
@@ -320,6 +320,42 @@
   REQUIRE(Quarantined * 1000 < std::size_t{Draws} * Contents);
 }
 
+// A server that had ended, and was still listed, was sent to each time: the
+// quarantine was neither lifted nor made certain.
+TEST_CASE("A run of a quarantined request that reaches no upstream is made "
+          "again at once",
+          "[crash][decisions]") {
+  TrackerTest Test;
+  for (int Crash = 0; Crash < 3; ++Crash)
+    Test.m_Tracker.recordCrash({.m_Id = std::to_string(Crash)}, requests({Bad}),
+                               Test.m_Now);
+  Test.m_Now += 200ms;
+  REQUIRE(Test.quarantineSuspects() == std::vector{Bad});
+  const RequestSuspects Request = requests({Bad}).front();
+  const auto MayProbe = [&] {
+    return Test.m_Tracker.mayProbe(Request, Box, 1, Test.m_Now);
+  };
+  REQUIRE_FALSE(MayProbe());
+  Test.m_Now += 1500ms;
+  REQUIRE(MayProbe());
+  const TimePoint First = Test.m_Now;
+  Test.m_Tracker.recordProbe(Request, First);
+  REQUIRE_FALSE(MayProbe());
+  Test.m_Now += 300ms;
+  Test.m_Tracker.withdrawProbe(Request, First);
+  REQUIRE(MayProbe());
+  SECTION("but not when a later one is on its way") {
+    Test.m_Tracker.recordProbe(Request, Test.m_Now);
+    Test.m_Tracker.withdrawProbe(Request, First);
+    REQUIRE_FALSE(MayProbe());
+  }
+  SECTION("and counts no more than those that were not made") {
+    Test.m_Tracker.recordProbe(Request, Test.m_Now);
+    Test.m_Now += 6s;
+    REQUIRE(MayProbe());
+  }
+}
+
 TEST_CASE("A request that crashes upstreams within a second is not excused as "
           "correlated",
           "[crash][decisions]") {
