--- a/tests/gateway/CrashTest.cpp
+++ b/tests/gateway/CrashTest.cpp
@@ -530,7 +530,7 @@
 // explained, so that the request that had caused them was sent on and crashed
 // five upstreams.
 TEST_CASE("A request that ran for long before the crash is not blamed for it",
-          "[gateway][crash][known-red]") {
+          "[gateway][crash]") {
   CrashTest Test(1, 8);
   for (const auto &[Id, Runner] : Test.m_Runners)
     Runner->setBehaviour([&Test, Upstream = Runner.get()](
