Two bad parts that explain all crashes go before what both have beside them

A part is excused where two rarer ones were at each of its crashes, judged by the requests that held them at just these crashes. Both bad parts together were held by more of these (behind ab12 or not) than ab12, so ab12 was barred, although it explains no crash without it, and one of the two bad parts is needed for these whatever ab12 is.

Change: a part is not quarantined either where two rarer ones explain all crashes that no quarantine explains, and it takes more requests, or on a tie more parts, to explain all of them with it. Each of the two must be rarer than the part itself. Where no two parts explain all, nothing changes. The tie is broken by the commoner part of the two; there is no new constant.

Evidence: the new decision test, played step by step with the rule off, bars the first part at the fourth request; PartExplanationTest compares with trying all pairs. All [crash] decision tests pass.

--- a/packages/decisions/process/CrashTracker.cpp
+++ b/packages/decisions/process/CrashTracker.cpp
@@ -315,6 +315,20 @@
   return Known.leastHolders() < Known.holders(Part);
 }
 
+/// \returns the crashes under any parts that no quarantine explains for \p
+/// Part, and whose reports have all arrived.
+CrashTracker::Crashes CrashTracker::crashesUnderParts(const CrashSuspect &Part,
+                                                      TimePoint Now) const {
+  Crashes Result;
+  for (const auto &[Upstream, Event] : m_Crashes)
+    if (std::any_of(Event.m_Suspects.begin(), Event.m_Suspects.end(), isPart) &&
+        Now - Event.m_At < m_Opts.m_CrashRetention &&
+        Now >= Event.m_UpdatedAt + m_Opts.m_ReportDelay &&
+        !explainedByQuarantine(Event, Part, Now))
+      Result.push_back(&Event);
+  return Result;
+}
+
 /// Whether the crashes are of one time and may have one cause that is none of
 /// the suspects.
 bool CrashTracker::allCorrelated(const Crashes &Among) const {
@@ -335,6 +349,11 @@
   const PartExplanation &Common = explain(Complete, Known);
   if (isPart(Suspect) && !Renewed && rarerPartsExplain(Suspect, Common))
     return 0;
+  // Crashes that it does not explain speak for those that explain them too.
+  if (isPart(Suspect) && !Renewed &&
+      explain(crashesUnderParts(Suspect, Now), Known)
+          .rarerPartsExplainAll(Suspect))
+    return 0;
   const std::set<CrashSuspect> &All = Common.common();
   // The crashes of a part may all be those of one request.
   if (isPart(Suspect) &&
--- a/packages/decisions/process/CrashTracker.h
+++ b/packages/decisions/process/CrashTracker.h
@@ -230,6 +230,7 @@
   static bool heldTogether(const CrashSuspect &One, const CrashSuspect &Other,
                            const Crashes &Among);
   bool allCorrelated(const Crashes &Among) const;
+  Crashes crashesUnderParts(const CrashSuspect &Part, TimePoint Now) const;
   static bool rarerPartsExplain(const CrashSuspect &Part,
                                 const PartExplanation &Known);
   std::size_t countToQuarantine(const CrashSuspect &Suspect, TimePoint Now,
--- a/packages/decisions/process/PartExplanation.cpp
+++ b/packages/decisions/process/PartExplanation.cpp
@@ -8,7 +8,8 @@
 
 PartExplanation::PartExplanation(
     const std::vector<Evidence> &Among,
-    const std::function<bool(const CrashSuspect &)> &MayBeCause) {
+    const std::function<bool(const CrashSuspect &)> &MayBeCause)
+    : m_Crashes(Among.size()) {
   std::map<CrashSuspect, std::uint64_t> Crashes;
   for (std::size_t Index = 0; Index < Among.size(); ++Index) {
     for (const CrashSuspect &Each : *Among[Index].m_Suspects)
@@ -26,6 +27,7 @@
     if (Suspect.kind() != CrashSuspect::Kind::PromptPart ||
         !MayBeCause(Suspect))
       continue;
+    m_At.emplace_hint(m_At.end(), Suspect, At);
     const std::size_t Holders = holders(Suspect);
     const auto [Entry, New] = Fewest.try_emplace(At, Holders);
     if (!New)
@@ -39,6 +41,48 @@
   return Found == m_Holders.end() ? 0 : Found->second;
 }
 
+/// \returns the least cost of two parts that explain all crashes, of which one
+/// is \p With, and the others have fewer holders than \p FewerThan; empty
+/// without any.
+std::optional<PartExplanation::Cost>
+PartExplanation::leastCost(const std::optional<CrashSuspect> &With,
+                           std::size_t FewerThan) const {
+  std::map<std::uint64_t, std::size_t> Fewest;
+  for (const auto &[Part, At] : m_At) {
+    const std::size_t Holders = holders(Part);
+    if (Holders >= FewerThan)
+      continue;
+    const auto [Entry, New] = Fewest.try_emplace(At, Holders);
+    if (!New)
+      Entry->second = std::min(Entry->second, Holders);
+  }
+  std::map<std::uint64_t, std::size_t> Firsts = Fewest;
+  if (With)
+    Firsts = {{m_At.at(*With), holders(*With)}};
+  std::optional<Cost> Result;
+  const auto Offer = [&](std::uint64_t At, const Cost &Offered) {
+    if (static_cast<std::size_t>(std::popcount(At)) == m_Crashes)
+      Result = std::min(Result.value_or(Offered), Offered);
+  };
+  for (const auto &[One, OneHolders] : Firsts) {
+    Offer(One, {OneHolders, 1, OneHolders});
+    for (const auto &[Other, OtherHolders] : Fewest)
+      Offer(One | Other,
+            {OneHolders + OtherHolders, 2, std::max(OneHolders, OtherHolders)});
+  }
+  return Result;
+}
+
+bool PartExplanation::rarerPartsExplainAll(const CrashSuspect &Part) const {
+  if (!m_At.contains(Part))
+    return false;
+  const auto Rarer = leastCost(std::nullopt, holders(Part));
+  if (!Rarer)
+    return false;
+  const auto WithPart = leastCost(Part, NoExplanation);
+  return !WithPart || *Rarer < *WithPart;
+}
+
 /// One of two parts that explain all crashes was at half of them or more.
 void PartExplanation::findLeastHolders(
     std::size_t Crashes,
--- a/tests/decisions/process/CrashTrackerTest.cpp
+++ b/tests/decisions/process/CrashTrackerTest.cpp
@@ -549,6 +549,40 @@
   REQUIRE(Test.refused({First, Other}));
 }
 
+// In a small service the crashed upstreams ran little but requests with one of
+// two bad parts, which together were more than those with the first part.
+TEST_CASE("What two parts that crash upstreams have beside them is not refused "
+          "although few sound requests ran",
+          "[crash][decisions]") {
+  PartsTest Test;
+  const CrashSuspect Other = CrashSuspect::ofPromptPart("other");
+  for (int Upstream = 0; Upstream < 3; ++Upstream) {
+    std::vector<RequestSuspects> Running{Test.request({First})};
+    for (const CrashSuspect &Bad : {BadPart, Other})
+      for (const CrashSuspect &Under : {First, First, First, Second})
+        Running.push_back(Test.request({Under, Bad}));
+    Test.crashUnder(Running);
+    Test.m_Now -= 300ms;
+  }
+  const std::vector<std::vector<CrashSuspect>> Later{{First, Other},
+                                                     {First, Other},
+                                                     {Second, BadPart},
+                                                     {First, BadPart},
+                                                     {Second, BadPart}};
+  for (const std::vector<CrashSuspect> &Parts : Later) {
+    Test.m_Now += 1s;
+    if (Test.refused(Parts))
+      continue;
+    Test.crashUnder({Test.request(Parts)});
+    Test.quarantineSuspects();
+    REQUIRE_FALSE(Test.refused({First}));
+    REQUIRE_FALSE(Test.refused({Second}));
+  }
+  REQUIRE(Test.refused({First, BadPart}));
+  REQUIRE(Test.refused({Second, BadPart}));
+  REQUIRE(Test.refused({First, Other}));
+}
+
 TEST_CASE("A first part that crashes upstreams is found under many others",
           "[crash][decisions]") {
   PartsTest Test;
--- a/tests/decisions/process/PartExplanationTest.cpp
+++ b/tests/decisions/process/PartExplanationTest.cpp
@@ -3,8 +3,10 @@
 #include "decisions/process/CrashTracker.h"
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <optional>
 #include <random>
 #include <string>
+#include <tuple>
 #include <vector>
 
 using namespace havenstair;
@@ -81,8 +83,55 @@
   return Result;
 }
 
+using Cost = std::tuple<std::size_t, std::size_t, std::size_t>;
+
+/// \returns the least cost of \p First, or any part, with another or alone, of
+/// parts with fewer holders than \p FewerThan but for \p First; by trying all.
+std::optional<Cost> leastCost(const Events &All, std::optional<int> First,
+                              std::size_t FewerThan) {
+  std::optional<Cost> Result;
+  for (int One = First.value_or(0); One <= First.value_or(6); ++One)
+    for (int Other = 0; Other <= 6; ++Other) {
+      const std::size_t OneHolders = countHolders(part(One), All);
+      const std::size_t OtherHolders = countHolders(part(Other), All);
+      if ((!First && OneHolders >= FewerThan) ||
+          (Other != One && OtherHolders >= FewerThan) ||
+          !std::all_of(All.begin(), All.end(), [&](const Event &Each) {
+            return Each.m_Suspects.contains(part(One)) ||
+                   Each.m_Suspects.contains(part(Other));
+          }))
+        continue;
+      const Cost Found = One == Other
+                             ? Cost{OneHolders, 1, OneHolders}
+                             : Cost{OneHolders + OtherHolders, 2,
+                                    std::max(OneHolders, OtherHolders)};
+      Result = std::min(Result.value_or(Found), Found);
+    }
+  return Result;
+}
+
 } // namespace
 
+TEST_CASE("Rarer parts explain crashes in place of a part as trying all pairs "
+          "of parts does",
+          "[crash][decisions]") {
+  std::mt19937_64 Random(20261205);
+  int Explained = 0;
+  for (int Trial = 0; Trial < 2000; ++Trial) {
+    const Events All = draw(Random);
+    const PartExplanation Known = explain(All);
+    for (int Number = 0; Number <= 6; ++Number) {
+      const auto Rarer =
+          leastCost(All, std::nullopt, countHolders(part(Number), All));
+      const auto With = leastCost(All, Number, PartExplanation::NoExplanation);
+      const bool Expected = Rarer && (!With || *Rarer < *With);
+      Explained += Expected ? 1 : 0;
+      REQUIRE(Known.rarerPartsExplainAll(part(Number)) == Expected);
+    }
+  }
+  REQUIRE(Explained > 0);
+}
+
 TEST_CASE("Rare parts explain crashes as trying all pairs of parts does",
           "[crash][decisions]") {
   std::mt19937_64 Random(20261204);
