A stored quarantine that a box cannot read is not removed

What happens: a box that writes the quarantines and cannot read one (a value of a later build, or of another writer) removes it from the store. After a loss of all boxes nothing bars that request any more, until it has ended three servers again.

Cause: the key was noted as stored before its value was read; what is stored and not wanted is surplus. That a value cannot be read was taken for a quarantine that has been lifted.

Change: only what was read counts as stored. A key that cannot be read stays until its lease ends, or until this box bars the same request and writes it anew.

--- a/packages/gateway/process/QuarantineStore.cpp
+++ b/packages/gateway/process/QuarantineStore.cpp
@@ -73,7 +73,6 @@
       continue;
     const CrashSuspect Suspect =
         CrashSuspect::parse(Key.substr(QuarantinePrefix.size()));
-    m_Stored[Suspect];
     try {
       const Quarantine Read = quarantineFrom(parseJson(Item.m_Value));
       m_Stored[Suspect] = holdOf(Read);
@@ -81,6 +80,8 @@
       if (!Before.contains(Suspect))
         Result.m_Added[Suspect] = Read;
     } catch (const DecodeError &Error) {
+      // Not known as stored, so that it is not removed as surplus: a newer box
+      // may read it.
       m_Log.write("bad_bar", {{"key", Key}, {"why", Error.what()}});
     }
   }
--- a/tests/gateway/CrashTest.cpp
+++ b/tests/gateway/CrashTest.cpp
@@ -222,6 +222,20 @@
   REQUIRE(Test.crashed() == Before);
 }
 
+TEST_CASE("A stored quarantine that cannot be read is left to those who can",
+          "[gateway][crash]") {
+  CrashTest Test(2);
+  const auto KeyOf = [](const std::string &Body) {
+    return "havenstair/barred/" + CrashTest::digest(Body).str();
+  };
+  Test.m_Store.put(KeyOf("another"), "{\"form\":2}");
+  // What is removed is removed before anything is written.
+  Test.untilQuarantined(CrashTest::CrashingBody);
+  REQUIRE(Test.until(
+      [&] { return Test.m_Store.has(KeyOf(CrashTest::CrashingBody)); }));
+  REQUIRE(Test.m_Store.has(KeyOf("another")));
+}
+
 TEST_CASE("Operators release a quarantined request", "[gateway][crash]") {
   CrashTest Test(2);
   Test.untilQuarantined(CrashTest::CrashingBody);
