A stream of a version that is not stated is not taken for one of the first version

Change: such streams are recorded with an empty version, which boxes answer and which is refused; and a service with a version that is not stated has no first one.

Both tests failed on the code before (joined 12 of 12; a first version beside one that is not stated) and pass now, 12 refused.

--- a/packages/gateway/process/VersionRecords.cpp
+++ b/packages/gateway/process/VersionRecords.cpp
@@ -28,11 +28,16 @@
   return std::includes(All.begin(), All.end(), Some.begin(), Some.end());
 }
 
-/// \returns the one version in \p Versions, if it is stated.
-std::optional<SoftwareVersion> onlyOf(const SoftwareVersions &Versions) {
-  if (Versions.size() != 1 || Versions.begin()->empty())
+/// \returns the first one of \p Versions: the only one, or \p Before. Streams
+/// of a version that is not stated leave none.
+std::optional<SoftwareVersion>
+firstAmong(const SoftwareVersions &Versions,
+           const std::optional<SoftwareVersion> &Before) {
+  if (Versions.empty() || Versions.contains(SoftwareVersion()))
     return std::nullopt;
-  return *Versions.begin();
+  if (Versions.size() == 1)
+    return *Versions.begin();
+  return Before && Versions.contains(*Before) ? Before : std::nullopt;
 }
 
 } // namespace
@@ -215,10 +220,7 @@
       return;
     Record &Next = Result[Service];
     Next = {.m_Versions = std::move(Wanted), .m_Revision = Known.m_Revision};
-    Next.m_First = onlyOf(Next.m_Versions);
-    if (!Next.m_First && Known.m_First &&
-        Next.m_Versions.contains(*Known.m_First))
-      Next.m_First = Known.m_First;
+    Next.m_First = firstAmong(Next.m_Versions, Known.m_First);
   };
   const auto Observed = m_History.observed(Now);
   for (const auto &[Service, Versions] : Observed)
--- a/packages/gateway/request/StreamBinding.cpp
+++ b/packages/gateway/request/StreamBinding.cpp
@@ -81,10 +81,13 @@
   m_Service = Service;
   if (m_State == State::Free && !Software.empty())
     bind(Software);
-  if (m_State != State::Bound)
+  // Others learn of a stream of an unknown version too: one that nobody knows
+  // may be taken for one of the first version.
+  if (m_State != State::Bound) {
     m_State = State::Unknown;
-  else
-    record(Left);
+    m_Software = SoftwareVersion();
+  }
+  record(Left);
 }
 
 void StreamBinding::onDoubt() {
--- a/tests/gateway/StreamVersionTest.cpp
+++ b/tests/gateway/StreamVersionTest.cpp
@@ -622,6 +622,25 @@
   REQUIRE(Test.takeUp().m_Joined == 0);
 }
 
+TEST_CASE(
+    "A stream of an upstream that states no version does not go on at the "
+    "first version",
+    "[gateway][stream-version]") {
+  LossTest Test;
+  Test.add("i-1", "v1");
+  Test.startTwo();
+  REQUIRE(Test.until([&] { return Test.m_Store.has(LossTest::Key); }));
+  Test.add("i-2", "");
+  REQUIRE(Test.listed({"v1", ""}));
+  Test.removeAll({"i-1"});
+  REQUIRE(Test.listed({""}));
+  Test.begin(Streams);
+  Test.m_Calls.clear();
+  Test.add("i-3", "v1");
+  REQUIRE(Test.listed({"v1", ""}));
+  REQUIRE(Test.takeUp() == LossTest::Outcome{.m_Refused = Streams});
+}
+
 TEST_CASE("After a loss of all boxes no stream goes on by a key that may lack "
           "versions",
           "[gateway][stream-version]") {
--- a/tests/gateway/VersionRecordsTest.cpp
+++ b/tests/gateway/VersionRecordsTest.cpp
@@ -210,6 +210,18 @@
   REQUIRE_FALSE(One.m_Records.firstOf("s"));
 }
 
+TEST_CASE("There is no first version beside one that is not stated",
+          "[stream-version]") {
+  World Now;
+  Box One(Now, true);
+  const TimePoint Begin = start();
+  One.list({"v1"}, Begin);
+  REQUIRE(Now.until([&] { return Now.versions() == Json::array({"v1"}); }));
+  One.list({"v1", ""}, Begin + 1s);
+  REQUIRE(Now.until([&] { return Now.versions() == Json({"", "v1"}); }));
+  REQUIRE(Now.until([&] { return !One.m_Records.firstOf("s"); }));
+}
+
 TEST_CASE("A first version that is over is not named when several others serve",
           "[stream-version]") {
   World Now;
