The first version is concluded only if all linked boxes have answered

Found by review, by reading. A box that is linked but silent, and that the store does not name as it takes no writes, may have begun streams at a later version; and streams began there after five seconds without the store. Both make the conclusion wrong (ORDER).

--- a/packages/gateway/process/StreamOriginExchange.cpp
+++ b/packages/gateway/process/StreamOriginExchange.cpp
@@ -86,7 +86,11 @@
                [this](TimePoint Now) {
                  return knowsWholeList() && m_Versions.anySeveral(Now);
                },
-           .m_Writers = [this] { return m_Fleet.linkedRelays().size() + 1; }}),
+           .m_Writers =
+               [this] {
+                 return std::max(m_Fleet.linkedRelays().size() + 1,
+                                 m_Fleet.topology().relays().size());
+               }}),
       m_Hooks(std::move(Callbacks)),
       m_RefreshTimer(Loop.every(RefreshInterval, [this] { refresh(); })),
       m_ConfirmTimer(Loop.every(ConfirmInterval, [this] { confirmList(); })) {}
@@ -118,13 +122,16 @@
   return m_Versions.versionsOf(Service, Now).m_Several;
 }
 
+/// The patience does not hold beside a first version: streams that began at
+/// another one, at a box that the store does not name, would be taken for its.
 bool StreamOriginExchange::mayBegin(const std::string &Service,
                                     const SoftwareVersion &Software) const {
   const TimePoint Now = EventLoop::now();
-  const bool Stored =
-      m_Records.names(Service, Software) &&
-      (m_Records.firstOf(Service) == Software || m_Stored.announced(Now));
-  return Stored || m_Versions.listedFor(Service, Software, Now) > StorePatience;
+  const auto First = m_Records.firstOf(Service);
+  const bool Stored = m_Records.names(Service, Software) &&
+                      (First == Software || m_Stored.announced(Now));
+  return Stored || (!First && m_Versions.listedFor(Service, Software, Now) >
+                                  StorePatience);
 }
 
 /// A leaf knows some of the upstreams only.
@@ -319,23 +326,28 @@
                 });
 }
 
-/// Only processes that are named in the store give first events at a version
-/// that came beside another. Where all of these live and do not remember a
-/// stream, it began at the version that was there before. Leaves are named
-/// nowhere.
+/// Processes that are named in the store give first events at a version that
+/// came beside another; others only if no upstream of the first one can. Where
+/// all named and all linked ones live and do not remember a stream, it began at
+/// the first version. Leaves are named nowhere.
 FoundOrigin StreamOriginExchange::concludeFromStore(
     const Inquiry &About, const StreamOriginStore::Found &Stored) const {
   FoundOrigin Found =
       conclude({.m_Stream = Stored.m_Stream}, OriginSource::Store);
   Found.m_StoreAway = !Stored.m_Read;
   const auto First = m_Records.firstOf(About.m_Query.m_Service);
+  const auto Answered = [&](const BoxName &Box) {
+    return About.m_Answered.contains(Box);
+  };
   const auto Lives = [&](const std::string &Process) {
-    return Process == m_Process || About.m_Answered.contains(BoxName(Process));
+    return Process == m_Process || Answered(BoxName(Process));
   };
+  const std::vector<BoxName> Linked = m_Fleet.linkedRelays();
   if (Found.m_Source != OriginSource::Unknown || !First || !Stored.m_Read ||
       !knowsKey(About.m_Query.m_Service, EventLoop::now()) ||
       !m_Fleet.topology().flat() ||
-      !std::all_of(Stored.m_Writers.begin(), Stored.m_Writers.end(), Lives))
+      !std::all_of(Stored.m_Writers.begin(), Stored.m_Writers.end(), Lives) ||
+      !std::all_of(Linked.begin(), Linked.end(), Answered))
     return Found;
   return {.m_Source = OriginSource::FirstVersion,
           .m_Origin = std::nullopt,
