--- a/packages/gateway/process/StreamOriginStore.h
+++ b/packages/gateway/process/StreamOriginStore.h
@@ -66,9 +66,9 @@
   /// Whether the store names this process as one that writes, for as long as
   /// callers may take up a stream that begins now.
   bool announced(TimePoint Now) const { return Now <= m_AnnouncedUntil; }
-  /// Finds how the stream of \p Attempt began: by a read that is made after this
-  /// call unless a recent one knows it, and by a second one if that fails. Calls
-  /// \p Callback once, before this function returns or later.
+  /// Finds how the stream of \p Attempt began: by a read that is made after
+  /// this call unless a recent one knows it, and by a second one if that fails.
+  /// Calls \p Callback once, before this function returns or later.
   void find(const std::string &Attempt, Done Callback);
 
 private:
