The test of regions that change names its model in the configuration

The configuration lists the model now, as one that can be loaded has to be; the checks are as they were. [regions]: 5 of 5 runs, 7 cases each.

--- a/tests/gateway/RegionTest.cpp
+++ b/tests/gateway/RegionTest.cpp
@@ -224,7 +224,7 @@
                       {"weightsMb", 100},
                       {"adapterCapacity", 4},
                       {"loadsPerS", 2},
-                      {"modelList", Json::array()}};
+                      {"modelList", Json::array({{{"name", "m"}}})}};
     Test.m_Store.put(
         "op/config",
         dumpJson({{"version", Version},
