A stream's candidates are judged once each, at one time

Reading the change again: preferStored asked mayBegin twice for each candidate of each step of a resumable request, and each answer read the clock. One stable partition asks once, with the time of the step as an argument, as what decides has it elsewhere. Order and choice are as they were.

The other gateway tests were not run again.

--- a/packages/gateway/process/StreamOriginExchange.cpp
+++ b/packages/gateway/process/StreamOriginExchange.cpp
@@ -125,8 +125,8 @@
 /// The patience does not hold beside a first version: streams that began at
 /// another one, at a box that the store does not name, would be taken for its.
 bool StreamOriginExchange::mayBegin(const std::string &Service,
-                                    const SoftwareVersion &Software) const {
-  const TimePoint Now = EventLoop::now();
+                                    const SoftwareVersion &Software,
+                                    TimePoint Now) const {
   const auto First = m_Records.firstOf(Service);
   const bool Stored = m_Records.names(Service, Software) &&
                       (First == Software || m_Stored.announced(Now));
--- a/packages/gateway/process/StreamOriginExchange.h
+++ b/packages/gateway/process/StreamOriginExchange.h
@@ -52,8 +52,8 @@
 
   void record(const std::string &Attempt, const StreamOrigin &Origin,
               Duration Left) override;
-  bool mayBegin(const std::string &Service,
-                const SoftwareVersion &Software) const override;
+  bool mayBegin(const std::string &Service, const SoftwareVersion &Software,
+                TimePoint Now) const override;
   void find(const std::string &Attempt, const std::string &Service,
             Done Callback) override;
 
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -168,7 +168,7 @@
   });
   m_Crashes.narrowCandidates(Candidates, m_MayHaveRun, Now);
   if (m_Route.m_Resumable)
-    m_Binding.preferStored(Candidates);
+    m_Binding.preferStored(Candidates, Now);
   const ReplicaStatistics Knowledge{.m_Loads = State.m_Loads,
                                     .m_Prefixes = State.m_Prefixes,
                                     .m_Latency = State.m_Latency,
--- a/packages/gateway/request/StreamBinding.cpp
+++ b/packages/gateway/request/StreamBinding.cpp
@@ -24,15 +24,16 @@
       m_Self(std::make_shared<StreamBinding *>(this)) {}
 
 void StreamBinding::preferStored(
-    std::vector<const UpstreamInstance *> &Candidates) const {
+    std::vector<const UpstreamInstance *> &Candidates, TimePoint Now) const {
   const std::shared_ptr<StreamOriginService> Origins = m_Origins.lock();
   if (!Origins || m_State != State::Free)
     return;
-  const auto Unstored = [&](const UpstreamInstance *Each) {
-    return !Origins->mayBegin(Each->m_Service, Each->m_Software);
-  };
-  if (!std::all_of(Candidates.begin(), Candidates.end(), Unstored))
-    std::erase_if(Candidates, Unstored);
+  const auto Unstored = std::stable_partition(
+      Candidates.begin(), Candidates.end(), [&](const UpstreamInstance *Each) {
+        return Origins->mayBegin(Each->m_Service, Each->m_Software, Now);
+      });
+  if (Unstored != Candidates.begin())
+    Candidates.erase(Unstored, Candidates.end());
 }
 
 void StreamBinding::ask(const std::string &Service,
--- a/packages/gateway/request/StreamBinding.h
+++ b/packages/gateway/request/StreamBinding.h
@@ -48,7 +48,8 @@
 
   /// Leaves of \p Candidates those at whose versions streams may begin, if
   /// there are any and the request may use any version.
-  void preferStored(std::vector<const UpstreamInstance *> &Candidates) const;
+  void preferStored(std::vector<const UpstreamInstance *> &Candidates,
+                    TimePoint Now) const;
   /// Finds out how the stream began that the caller takes up at \p Service.
   /// Calls \p Callback once, before this function returns or later; never after
   /// this object is destroyed.
--- a/packages/gateway/request/StreamOriginService.h
+++ b/packages/gateway/request/StreamOriginService.h
@@ -55,7 +55,8 @@
   /// well as at others: a box that has just started would know of it, or the
   /// store has not taken that for so long that room counts for more.
   virtual bool mayBegin(const std::string &Service,
-                        const SoftwareVersion &Software) const = 0;
+                        const SoftwareVersion &Software,
+                        TimePoint Now) const = 0;
   /// Finds how the stream of \p Attempt, which may be empty, began at \p
   /// Service. Calls \p Callback once, before this function returns or later.
   virtual void find(const std::string &Attempt, const std::string &Service,
