The soak loses power of a whole deployment and holds boxes to their share

Until now the soak had at most 60 boxes and 4 engines, which survived a loss of all boxes, and boxes that shared the idle cores of the machine.

Settings name memory and open files where they name a share. Without the options each seed's plan is as before.

--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -33,10 +33,11 @@
   explicit FaultInjector(Parts On)
       : m_On(On),
         m_Partitions(On.m_Loop, On.m_Oracle, On.m_Boxes, On.m_Engines),
-        m_Returns(On.m_Loop, On.m_Oracle, On.m_Boxes),
+        m_Returns(On.m_Loop, On.m_Oracle, On.m_Boxes, On.m_Engines),
         m_Releases(On.m_Loop, On.m_Engines) {}
 
   PartitionInjector &partitions() { return m_Partitions; }
+  ReturnInjector &returns() { return m_Returns; }
 
   void strike(const ScheduledFault &Fault);
 
--- a/tests/soak/ModelShelf.cpp
+++ b/tests/soak/ModelShelf.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-// Short, so that a soak of seconds sees many orders.
-constexpr Duration StoreLoad = 1000ms;
 constexpr Duration DiskLoad = 300ms;
 constexpr Duration AdapterLoad = 50ms;
 constexpr Duration Unload = 50ms;
@@ -85,7 +83,7 @@
   Seen.m_Adapters += Adapter.empty() ? 0 : 1;
   Seen.m_StoreLoad = Adapter.empty() && !m_OnDisk.contains(Model);
   m_Ends = Now + (!Adapter.empty()   ? AdapterLoad
-                  : Seen.m_StoreLoad ? StoreLoad
+                  : Seen.m_StoreLoad ? m_Opts.m_StoreLoad
                                      : DiskLoad);
   return Taken;
 }
@@ -115,6 +113,11 @@
   m_Busy = false;
 }
 
+void ModelShelf::replace() {
+  forget();
+  m_OnDisk.clear();
+}
+
 Json ModelShelf::models() const {
   Json Result = Json::array();
   for (const auto &[Name, Adapters] : m_Models)
--- a/tests/soak/ModelShelf.h
+++ b/tests/soak/ModelShelf.h
@@ -21,6 +21,8 @@
     double m_ModelMb = 0; ///< All models are of one size.
     double m_AdapterMb = 0;
     bool m_ChecksTokens = false;
+    /// Short, so that a soak of seconds sees many orders.
+    Duration m_StoreLoad = 1000ms;
   };
 
   explicit ModelShelf(Options Opts) : m_Opts(Opts) {}
@@ -38,6 +40,8 @@
   }
   /// A restart: models, counts and tokens are gone; the disk stays.
   void forget();
+  /// An empty engine in place of this one.
+  void replace();
 
   bool busy() const { return m_Busy; }
   std::uint64_t taken() const { return m_Taken; }
--- a/tests/soak/ReturnInjector.cpp
+++ b/tests/soak/ReturnInjector.cpp
@@ -15,6 +15,7 @@
 /// One loss of this many is by SIGTERM.
 constexpr int StopOneIn = 5;
 constexpr Duration LookEvery = 10ms;
+constexpr Duration ColdAfterPower = 2s;
 
 } // namespace
 
@@ -48,6 +49,9 @@
       Each->kill(Away);
     Away += Gap;
   }
+  if (m_LosesServers)
+    for (const auto &Each : m_Engines)
+      Each->losePower(Fault.m_For, ColdAfterPower);
   m_Look = m_Loop.every(LookEvery, [this] { look(); });
 }
 
--- a/tests/soak/ReturnInjector.h
+++ b/tests/soak/ReturnInjector.h
@@ -4,6 +4,7 @@
 #define HAVENSTAIR_TESTS_SOAK_RETURNINJECTOR_H
 
 #include "soak/SoakBox.h"
+#include "soak/SoakEngine.h"
 #include "soak/SoakSchedule.h"
 #include <memory>
 #include <vector>
@@ -13,8 +14,12 @@
 class ReturnInjector {
 public:
   ReturnInjector(EventLoop &Loop, SoakOracle &Oracle,
-                 std::vector<std::unique_ptr<SoakBox>> &Boxes)
-      : m_Loop(Loop), m_Oracle(Oracle), m_Boxes(Boxes) {}
+                 std::vector<std::unique_ptr<SoakBox>> &Boxes,
+                 std::vector<std::unique_ptr<SoakEngine>> &Engines)
+      : m_Loop(Loop), m_Oracle(Oracle), m_Boxes(Boxes), m_Engines(Engines) {}
+
+  /// Servers are lost with the boxes, and there with the first of them.
+  void loseServersToo() { m_LosesServers = true; }
 
   /// All boxes end, by SIGKILL or by SIGTERM, and come back from the fault's
   /// time on: at once or one after the other, drawn, weakest or strongest
@@ -28,6 +33,8 @@
   EventLoop &m_Loop;
   SoakOracle &m_Oracle;
   std::vector<std::unique_ptr<SoakBox>> &m_Boxes;
+  std::vector<std::unique_ptr<SoakEngine>> &m_Engines;
+  bool m_LosesServers = false;
   std::vector<int> m_LivesBefore;
   Timer m_Look;
 };
--- a/tests/soak/SoakBox.cpp
+++ b/tests/soak/SoakBox.cpp
@@ -32,13 +32,16 @@
       {"nodeName", m_Opts.m_Name},
       {"ipAddress", m_Opts.m_Address},
       {"zone", m_Opts.m_DataCentre},
-      {"zones", {{"za", "ra"}, {"zb", "rb"}}},
+      {"zones", {{"za", "ra"}, {"zb", "rb"}, {"zc", "rb"}}},
       {"listenAddresses",
        {{"frontend", callers().str()}, {"ready", readiness().str()}}},
       {"internalPortRange", {Peers, Peers + 2}},
       {"seedNodes", std::move(Seeds)},
       {"firstStart", m_Life == 1},
-      {"limits", {{"cpuFraction", m_Opts.m_Capacity}}},
+      {"limits",
+       {{"cpuFraction", m_Opts.m_Capacity},
+        {"memoryMb", m_Opts.m_MemoryMb},
+        {"fileDescriptors", m_Opts.m_Descriptors}}},
       {"bounds",
        {{"gracePeriodS", GraceSeconds},
         {"drainTimeoutMs", Bounds.m_Drain / 1ms},
@@ -87,6 +90,13 @@
     signal(SIGCONT);
 }
 
+void SoakBox::hold() { signal(SIGSTOP); }
+
+void SoakBox::release() {
+  if (m_Paused == 0)
+    signal(SIGCONT);
+}
+
 void SoakBox::hangUp() { signal(SIGHUP); }
 
 void SoakBox::kill(Duration Away) {
--- a/tests/soak/SoakBox.h
+++ b/tests/soak/SoakBox.h
@@ -29,6 +29,8 @@
     std::string m_Name;
     std::string m_DataCentre;
     double m_Capacity = 1;     ///< As the box tells the others, in cores.
+    int m_MemoryMb = 0;        ///< As its settings tell; zero for no limit.
+    int m_Descriptors = 0;     ///< The same of open files.
     std::string m_Address;     ///< Loopback address of this box alone.
     std::string m_SeedAddress; ///< Where others find it through the proxy.
     SoakPorts m_Ports;
@@ -61,6 +63,10 @@
   void start();
   void pause();
   void resume();
+  /// Stops the process for want of processor time, which is no trouble of the
+  /// box, and lets it go on.
+  void hold();
+  void release();
   void hangUp();
   /// Kills the process; it starts again after \p Away.
   void kill(Duration Away);
--- a/tests/soak/SoakCallers.cpp
+++ b/tests/soak/SoakCallers.cpp
@@ -2,6 +2,7 @@
 
 #include "soak/StreamText.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace havenstair {
@@ -54,6 +55,16 @@
                            [this, &By] { send(By); });
 }
 
+/// Low numbers are asked for most, and those beyond the wanted ones rarely.
+int SoakCallers::drawModel(Caller &By) const {
+  constexpr int Wanted = 24;
+  constexpr int RareOneIn = 20;
+  const int Models = m_Config.models();
+  if (Models > Wanted && By.draw(1, RareOneIn) == 1)
+    return By.draw(0, Models - 1);
+  return By.draw(0, By.draw(0, std::min(Models, Wanted) - 1));
+}
+
 void SoakCallers::chooseKind(Caller &By, CallerRequest &Request,
                              HttpHeaders &Headers) {
   Request.m_Service = SoakConfig::PlainService;
@@ -73,9 +84,8 @@
     Request.m_Kind = RequestKind::ResumableStream;
     Request.m_Service = SoakConfig::EngineService;
     Request.m_Target = "/genstream/x";
-    // Low numbers are asked for most.
     std::string Model = "m";
-    Model += std::to_string(By.draw(0, By.draw(0, SoakConfig::Models - 1)));
+    Model += std::to_string(drawModel(By));
     if (By.draw(0, 3) == 0)
       Model += "/a1";
     Headers.push_back({"X-Model-Name", Model});
--- a/tests/soak/SoakCallers.h
+++ b/tests/soak/SoakCallers.h
@@ -55,6 +55,7 @@
   bool claimsWhole(const std::string &Id, bool Framed,
                    const std::string &Body) const;
   HttpCall makeCall(Caller &By, CallerRequest &Request);
+  int drawModel(Caller &By) const;
   void chooseKind(Caller &By, CallerRequest &Request, HttpHeaders &Headers);
 
   EventLoop &m_Loop;
--- a/tests/soak/SoakConfig.cpp
+++ b/tests/soak/SoakConfig.cpp
@@ -16,9 +16,9 @@
           {"maxAttempts", 3},   {"resumable", Resumable}};
 }
 
-Json engineService(const SoakBounds &Bounds) {
+Json engineService(const SoakBounds &Bounds, int Count) {
   Json Models = Json::array();
-  for (int Number = 0; Number < SoakConfig::Models; ++Number)
+  for (int Number = 0; Number < Count; ++Number)
     Models.push_back({{"name", "m" + std::to_string(Number)},
                       {"weightsMb", SoakConfig::ModelMb},
                       {"loadTimeS", 1},
@@ -63,7 +63,7 @@
       {"services", Json::array({{{"name", PlainService},
                                  {"healthPath", HealthPath},
                                  {"coldPerS", m_Bounds.m_ColdPerS}},
-                                engineService(m_Bounds)})},
+                                engineService(m_Bounds, m_Models)})},
       {"limits", Json::object()}};
   if (!m_Withholding || m_Version == 1)
     m_Store.put("op/config", dumpJson(Config));
--- a/tests/soak/SoakConfig.h
+++ b/tests/soak/SoakConfig.h
@@ -17,7 +17,6 @@
   inline static const std::string HealthPath = "/health";
   inline static const std::string PlainService = "plain";
   inline static const std::string EngineService = "llm";
-  static constexpr int Models = 6;
   static constexpr double ModelMb = 40;
   static constexpr double EngineMb = 100; ///< Two models and some adapters.
   static constexpr double AdapterMb = 2;
@@ -30,6 +29,9 @@
   void next();
   /// Mutation: later versions are told to the oracle and never written.
   void setWithholding(bool Withholding) { m_Withholding = Withholding; }
+  /// Later versions name \p Count models.
+  void setModels(int Count) { m_Models = Count; }
+  int models() const { return m_Models; }
   /// Versions have \p Count routes more, which nobody asks for.
   void setMoreRoutes(int Count) { m_MoreRoutes = Count; }
   std::uint64_t version() const { return m_Version; }
@@ -45,6 +47,7 @@
   std::uint64_t m_Version = 0;
   bool m_Withholding = false;
   int m_MoreRoutes = 0;
+  int m_Models = 6;
 };
 
 } // namespace havenstair
--- a/tests/soak/SoakEngine.cpp
+++ b/tests/soak/SoakEngine.cpp
@@ -222,6 +222,17 @@
   m_Link.setListening(false);
 }
 
+void SoakEngine::losePower(Duration Away, Duration Cold) {
+  goAway();
+  m_BackTimer = m_Loop.after(Away, [this, Cold] {
+    if (m_Shelf)
+      m_Shelf->replace();
+    takeName();
+    restart(Cold);
+    publish();
+  });
+}
+
 void SoakEngine::later(Duration Delay, std::function<void()> Call) {
   const std::uint64_t Number = m_NextTimer++;
   m_Timers[Number] =
--- a/tests/soak/SoakEngine.h
+++ b/tests/soak/SoakEngine.h
@@ -51,6 +51,9 @@
   void startAs(const std::string &Version);
   /// The process ends and its entry goes, until it starts again.
   void goAway();
+  /// The machine is away for a while, with its entry; an empty one with a new
+  /// id is there after it, and cold at first.
+  void losePower(Duration Away, Duration Cold);
   /// Whether its entry says that it takes requests.
   bool serves() const { return m_Listed && !m_Draining && !m_Down; }
   /// Whether it ended, or never started.
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -1,5 +1,6 @@
 #include "soak/SoakRun.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <csignal>
 #include <netinet/in.h>
@@ -22,7 +23,9 @@
 constexpr Duration DeadlineOfReleases = 12s;
 constexpr int SlotsOfReleases = 32; ///< Room for all these streams.
 
-const char *const DataCentres[] = {"za", "zb"};
+constexpr std::size_t PageSizeOfPower = 50;
+
+const char *const DataCentres[] = {"za", "zb", "zc"};
 
 /// Addresses of this process's boxes: 127.X.Y.N, with X and Y by its id.
 std::string loopback(int Number) {
@@ -70,14 +73,22 @@
   SoakPlan Result =
       Opts.m_ConfigPlan
           ? makeConfigPlan(Opts.m_Seed, Opts.m_Length, Opts.m_Again)
-      : Opts.m_Returns ? makeReturnPlan(Opts.m_Seed, Opts.m_Length)
-                       : makePlan(Opts.m_Seed, Opts.m_Length);
+      : Opts.m_Returns
+          ? makeReturnPlan(Opts.m_Seed, Opts.m_Power
+                                            ? Opts.m_Length - PowerSettling
+                                            : Opts.m_Length)
+          : makePlan(Opts.m_Seed, Opts.m_Length);
   if (Opts.m_Returns && Opts.m_Absent)
     addAbsentReleases(Result, Opts.m_Seed);
   Result.m_Boxes = Opts.m_Boxes.value_or(Result.m_Boxes);
   // Each box has callers, who tell what it serves.
   if (Opts.m_Returns)
     Result.m_Callers = 2 * Result.m_Boxes;
+  Result.m_Engines = Opts.m_Engines.value_or(Result.m_Engines);
+  Result.m_Models = Opts.m_Models.value_or(Result.m_Models);
+  Result.m_DataCentres = Opts.m_DataCentres.value_or(Result.m_DataCentres);
+  if (Opts.m_Returns && Opts.m_Power)
+    addPower(Result, Opts.m_Seed);
   if (Opts.m_Returns && Opts.m_Versions && !Opts.m_Absent)
     addReleases(Result, Opts.m_Seed);
   if (Opts.m_Returns && Opts.m_StoreTroubles)
@@ -95,8 +106,16 @@
   return Result;
 }
 
+/// More engines load more models in the same time.
+SoakRun::Options SoakRun::withBounds(Options Opts) {
+  constexpr double LoadsPerSecondOfEngine = 1.0 / 7;
+  double &Loads = Opts.m_Bounds.m_LoadsPerSecond;
+  Loads = std::max(Loads, planOf(Opts).m_Engines * LoadsPerSecondOfEngine);
+  return Opts;
+}
+
 SoakRun::SoakRun(Options Opts)
-    : m_Opts(std::move(Opts)), m_Plan(planOf(m_Opts)),
+    : m_Opts(withBounds(std::move(Opts))), m_Plan(planOf(m_Opts)),
       m_Oracle(m_Opts.m_Bounds), m_Store(m_Loop),
       m_Config(m_Store, m_Oracle, m_Opts.m_Bounds),
       m_Callers(m_Loop, m_Oracle, m_Config, m_Boxes),
@@ -107,7 +126,12 @@
                                                       .m_Config = m_Config,
                                                       .m_Boxes = m_Boxes,
                                                       .m_Engines = m_Engines}),
-      m_Http(m_Loop) {
+      m_Shares(m_Loop), m_Http(m_Loop) {
+  m_Config.setModels(m_Plan.m_Models);
+  if (m_Plan.m_Power)
+    m_Store.setPageSize(PageSizeOfPower);
+  if (m_Plan.m_Power)
+    m_Faults.returns().loseServersToo();
   // Of the two regions, the route may use the one with data centre za only.
   m_Oracle.routing().allowed("/near/x", {"za"});
   makeEngines();
@@ -153,11 +177,14 @@
 }
 
 void SoakRun::makeEngines() {
-  const ModelShelf::Options Shelf{.m_LimitMb = SoakConfig::EngineMb,
-                                  .m_AdapterLimit = SoakConfig::AdapterLimit,
-                                  .m_ModelMb = SoakConfig::ModelMb,
-                                  .m_AdapterMb = SoakConfig::AdapterMb,
-                                  .m_ChecksTokens = m_Plan.m_FencingEnforced};
+  constexpr Duration StoreLoadOfPower = 3s;
+  ModelShelf::Options Shelf{.m_LimitMb = SoakConfig::EngineMb,
+                            .m_AdapterLimit = SoakConfig::AdapterLimit,
+                            .m_ModelMb = SoakConfig::ModelMb,
+                            .m_AdapterMb = SoakConfig::AdapterMb,
+                            .m_ChecksTokens = m_Plan.m_FencingEnforced};
+  if (m_Plan.m_Power)
+    Shelf.m_StoreLoad = StoreLoadOfPower;
   const int Started = m_Plan.m_Plain + m_Plan.m_Engines;
   // With releases, as many more may start.
   const int All = m_Plan.m_Releases ? 2 * Started : Started;
@@ -190,6 +217,9 @@
 
 void SoakRun::makeBoxes() {
   constexpr int FirstSeedAddress = 100;
+  constexpr int MemoryMb = 160;
+  constexpr int MemoryMbOfStrong = 512;
+  constexpr int Descriptors = 4100;
   constexpr int SeedBoxes = 3;
   const SoakPorts Ports = freePorts(loopback(1));
   std::vector<std::string> Seeds;
@@ -198,18 +228,22 @@
   for (int Number = 1; Number <= m_Plan.m_Boxes; ++Number)
     m_Boxes.push_back(std::make_unique<SoakBox>(
         m_Loop, m_Oracle,
-        SoakBox::Options{.m_Name = "box-" + std::to_string(Number),
-                         .m_DataCentre =
-                             DataCentres[Number % m_Plan.m_DataCentres],
-                         .m_Capacity = capacity(Number),
-                         .m_Address = loopback(Number),
-                         .m_SeedAddress = loopback(FirstSeedAddress + Number),
-                         .m_Ports = Ports,
-                         .m_Seeds = Seeds,
-                         .m_Store = m_Store.endpoint(),
-                         .m_Program = m_Opts.m_Program,
-                         .m_Folder = m_Opts.m_Folder,
-                         .m_Bounds = m_Opts.m_Bounds}));
+        SoakBox::Options{
+            .m_Name = "box-" + std::to_string(Number),
+            .m_DataCentre = DataCentres[Number % m_Plan.m_DataCentres],
+            .m_Capacity = capacity(Number),
+            .m_MemoryMb = m_Plan.m_Strong == 0        ? 0
+                          : Number <= m_Plan.m_Strong ? MemoryMbOfStrong
+                                                      : MemoryMb,
+            .m_Descriptors = m_Plan.m_Strong == 0 ? 0 : Descriptors,
+            .m_Address = loopback(Number),
+            .m_SeedAddress = loopback(FirstSeedAddress + Number),
+            .m_Ports = Ports,
+            .m_Seeds = Seeds,
+            .m_Store = m_Store.endpoint(),
+            .m_Program = m_Opts.m_Program,
+            .m_Folder = m_Opts.m_Folder,
+            .m_Bounds = m_Opts.m_Bounds}));
 }
 
 void SoakRun::mutate() {
@@ -312,6 +346,9 @@
     Box->start();
   }
   waitReady();
+  if (m_Opts.m_Held)
+    for (std::size_t Index = 0; Index < m_Boxes.size(); ++Index)
+      m_Shares.hold(*m_Boxes[Index], capacity(static_cast<int>(Index) + 1));
   m_Started = EventLoop::now();
   for (const ScheduledFault &Each : m_Plan.m_Faults)
     m_Timers.push_back(
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -5,6 +5,7 @@
 
 #include "soak/CrashingCallers.h"
 #include "soak/FaultInjector.h"
+#include "soak/ProcessorShares.h"
 #include "soak/SoakCallers.h"
 #include "soak/SoakConfig.h"
 #include "soak/SoakOracle.h"
@@ -35,13 +36,18 @@
   struct Options {
     std::uint64_t m_Seed = 1;
     Duration m_Length = 20s;
-    bool m_ConfigPlan = false;  ///< makeConfigPlan() in place of makePlan().
-    Duration m_Again = 0us;     ///< For makeConfigPlan().
-    int m_MoreRoutes = 0;       ///< In each configuration, for its size.
-    std::optional<int> m_Boxes; ///< In place of the plan's number.
-    int m_Crashing = 0;         ///< Requests that end engines.
-    int m_Parts = 0;            ///< Parts of prompts that end engines.
-    bool m_Returns = false;     ///< makeReturnPlan() in place of makePlan().
+    bool m_ConfigPlan = false;    ///< makeConfigPlan() in place of makePlan().
+    Duration m_Again = 0us;       ///< For makeConfigPlan().
+    int m_MoreRoutes = 0;         ///< In each configuration, for its size.
+    std::optional<int> m_Boxes;   ///< In place of the plan's number.
+    std::optional<int> m_Engines; ///< The same.
+    std::optional<int> m_Models;  ///< The same.
+    std::optional<int> m_DataCentres; ///< The same; at most three.
+    bool m_Power = false;   ///< Servers are lost with all boxes, addPower().
+    bool m_Held = false;    ///< Boxes get no more processor than their share.
+    int m_Crashing = 0;     ///< Requests that end engines.
+    int m_Parts = 0;        ///< Parts of prompts that end engines.
+    bool m_Returns = false; ///< makeReturnPlan() in place of makePlan().
     bool m_Words = false; ///< Servers say something of themselves, addWords().
     bool m_Restores = false;   ///< The store comes back from copies of itself.
     bool m_Endings = false;    ///< Answers end in many ways, addEndings().
@@ -77,6 +83,7 @@
   Duration longestPause() const { return m_LongestPause; }
 
 private:
+  static Options withBounds(Options Opts);
   void makeBoxes();
   double capacity(int Number) const;
   void refuseAfterLoss();
@@ -101,6 +108,7 @@
   CrashingCallers m_Crashing;
   StreamCallers m_Streams;
   FaultInjector m_Faults;
+  ProcessorShares m_Shares;
   HttpClient m_Http;
   bool m_Interrupted = false;
   TimePoint m_Started;
--- a/tests/soak/SoakSchedule.cpp
+++ b/tests/soak/SoakSchedule.cpp
@@ -357,6 +357,24 @@
   sortByTime(Plan.m_Faults);
 }
 
+void addPower(SoakPlan &Plan, std::uint64_t Seed) {
+  constexpr std::array<Duration, 4> StoreLater{0s, 1s, 3s, 6s};
+  Drawing Draw(Seed);
+  std::vector<ScheduledFault> Away;
+  for (ScheduledFault &Each : Plan.m_Faults) {
+    Each.m_At += PowerSettling;
+    const auto Later = static_cast<std::size_t>(
+        Draw(0, static_cast<int>(StoreLater.size()) - 1));
+    if (Each.m_Kind != SoakFault::LoseBoxes || Later == 0)
+      continue;
+    Away.push_back(Draw.fault(Each.m_At, SoakFault::DownStore));
+    Away.back().m_For = Each.m_For + StoreLater.at(Later);
+  }
+  Plan.m_Faults.insert(Plan.m_Faults.end(), Away.begin(), Away.end());
+  Plan.m_Power = true;
+  sortByTime(Plan.m_Faults);
+}
+
 void addWords(SoakPlan &Plan, std::uint64_t Seed, Duration Length) {
   Drawing Draw(Seed);
   for (Duration At = 500ms; At < Length;
--- a/tests/soak/SoakSchedule.h
+++ b/tests/soak/SoakSchedule.h
@@ -91,10 +91,12 @@
   int m_DataCentres = 2;
   int m_Plain = 0;   ///< Servers of the plain service.
   int m_Engines = 0; ///< Engines with models.
+  int m_Models = 6;
   int m_Callers = 0;
   bool m_FencingEnforced = false;
   /// Servers begin at one version, which releases change.
   bool m_Releases = false;
+  bool m_Power = false; ///< Servers are lost with all boxes, see addPower().
   std::vector<ScheduledFault> m_Faults; ///< By time.
 
   bool operator==(const SoakPlan &) const = default;
@@ -130,6 +132,14 @@
 /// neither.
 void addStoreTroubles(SoakPlan &Plan, std::uint64_t Seed);
 
+/// How much later faults come with addPower(): models are loaded first.
+constexpr Duration PowerSettling = 15s;
+
+/// Servers lose power at each loss of all boxes of a \p Plan of
+/// makeReturnPlan(), and the store at most of them; it is back up to some
+/// seconds after the first box. All comes later by PowerSettling.
+void addPower(SoakPlan &Plan, std::uint64_t Seed);
+
 /// Adds servers that say something of themselves in their answers to \p Plan,
 /// beside its other faults.
 void addWords(SoakPlan &Plan, std::uint64_t Seed, Duration Length);
--- a/tests/soak/SoakScheduleTest.cpp
+++ b/tests/soak/SoakScheduleTest.cpp
@@ -228,3 +228,40 @@
   });
   REQUIRE(Plan == Before);
 }
+
+TEST_CASE("Power is lost after models are loaded and the store is back in time",
+          "[soak][schedule]") {
+  constexpr Duration Length = 64s;
+  bool StoreStays = false;
+  bool StoreLater = false;
+  for (std::uint64_t Seed = 1; Seed <= 60; ++Seed) {
+    const SoakPlan Before = makeReturnPlan(Seed, Length - PowerSettling);
+    SoakPlan Plan = Before;
+    addPower(Plan, Seed);
+    REQUIRE(Plan.m_Power);
+    std::vector<ScheduledFault> Away;
+    for (const ScheduledFault &Each : Plan.m_Faults) {
+      ScheduledFault Earlier = Each;
+      Earlier.m_At -= PowerSettling;
+      if (std::find(Before.m_Faults.begin(), Before.m_Faults.end(), Earlier) ==
+          Before.m_Faults.end())
+        Away.push_back(Each);
+    }
+    REQUIRE(Plan.m_Faults.size() == Before.m_Faults.size() + Away.size());
+    StoreStays = StoreStays || Away.empty();
+    for (const ScheduledFault &Each : Away) {
+      const auto Loss = std::find_if(
+          Plan.m_Faults.begin(), Plan.m_Faults.end(), [&](const auto &Other) {
+            return Other.m_Kind == SoakFault::LoseBoxes &&
+                   Other.m_At == Each.m_At;
+          });
+      REQUIRE(Loss != Plan.m_Faults.end());
+      REQUIRE(Each.m_Kind == SoakFault::DownStore);
+      REQUIRE(Each.m_For > Loss->m_For);
+      REQUIRE(Each.m_For <= Loss->m_For + 6s);
+      StoreLater = true;
+    }
+  }
+  REQUIRE(StoreStays);
+  REQUIRE(StoreLater);
+}
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <iostream>
 #include <map>
+#include <optional>
 
 namespace {
 
@@ -28,7 +29,10 @@
                     [default: 0].
   --parts N         Parts of prompts that end the engines that run them, from 0
                     to 6 [default: 0].
-  --boxes N         Boxes, from 1 to 60, in place of the seed's number.
+  --boxes N         Boxes, from 1 to 100, in place of the seed's number.
+  --engines N       Engines with models, from 0 to 200, the same.
+  --models N        Models, from 1 to 400, the same.
+  --data-centres N  Data centres, from 1 to 3, the same.
   --words           Servers besides that name limits, say that they leave or
                     name a time to retry after in their answers.
   --restores        Besides, the store is away for a moment and comes back from
@@ -50,6 +54,10 @@
                     answer, when all boxes are lost, when they return, or both.
   --returns         A larger fleet, of which all boxes are lost at once and come
                     back, in place of the seed's usual plan; 40 s and more.
+  --power           With --returns, of 60 s and more: the servers lose power with
+                    the boxes, and mostly the store; engines come back empty.
+  --held            Boxes are stopped and continued so that none gets more of a
+                    core than its settings say.
   --config          Harm the ways on which boxes learn of configurations, in
                     place of the seed's usual plan.
   --again MS        With --config: each harm once more after MS [default: 0].
@@ -94,12 +102,23 @@
   throw std::runtime_error("no mutation is called " + Name);
 }
 
-int boxes(const std::string &Text) {
-  constexpr int MostBoxes = 60;
-  const int Number = std::stoi(Text);
-  if (Number < 1 || Number > MostBoxes)
-    throw std::runtime_error("--boxes takes a number from 1 to 60");
-  return Number;
+struct Range {
+  int m_Least = 0;
+  int m_Most = 0;
+};
+
+/// The number that option \p Name gives; none without the option.
+std::optional<int> number(std::map<std::string, docopt::value> &Flags,
+                          const std::string &Name, const Range &Of) {
+  const docopt::value &Given = Flags[Name];
+  if (!Given.isString())
+    return std::nullopt;
+  const int Result = std::stoi(Given.asString());
+  if (Result < Of.m_Least || Result > Of.m_Most)
+    throw std::runtime_error(Name + " takes a number from " +
+                             std::to_string(Of.m_Least) + " to " +
+                             std::to_string(Of.m_Most));
+  return Result;
 }
 
 void showPlan(std::uint64_t Seed, const SoakPlan &Plan) {
@@ -208,8 +227,13 @@
   SoakRun::Options Opts;
   Opts.m_Seed = std::stoull(Flags["--seed"].asString());
   Opts.m_Length = std::chrono::seconds(Flags["--seconds"].asLong());
-  if (Flags["--boxes"].isString())
-    Opts.m_Boxes = boxes(Flags["--boxes"].asString());
+  Opts.m_Boxes = number(Flags, "--boxes", {.m_Least = 1, .m_Most = 100});
+  Opts.m_Engines = number(Flags, "--engines", {.m_Least = 0, .m_Most = 200});
+  Opts.m_Models = number(Flags, "--models", {.m_Least = 1, .m_Most = 400});
+  Opts.m_DataCentres =
+      number(Flags, "--data-centres", {.m_Least = 1, .m_Most = 3});
+  Opts.m_Power = Flags["--power"].asBool();
+  Opts.m_Held = Flags["--held"].asBool();
   Opts.m_Crashing = static_cast<int>(Flags["--crashing"].asLong());
   Opts.m_Parts = static_cast<int>(Flags["--parts"].asLong());
   const docopt::value &Mutate = Flags["--mutate"];
@@ -227,6 +251,8 @@
     throw std::runtime_error("--absent takes --versions and --returns");
   if (Opts.m_StoreTroubles && !Opts.m_Returns)
     throw std::runtime_error("--store-troubles takes --returns");
+  if (Opts.m_Power && !Opts.m_Returns)
+    throw std::runtime_error("--power takes --returns");
   Opts.m_ConfigPlan = Flags["--config"].asBool();
   Opts.m_Again = std::chrono::milliseconds(Flags["--again"].asLong());
   Opts.m_MoreRoutes = static_cast<int>(Flags["--routes"].asLong());
--- a/tests/standin/StandinStore.cpp
+++ b/tests/standin/StandinStore.cpp
@@ -58,8 +58,8 @@
     Each.m_Ends = Now + Each.m_TimeToLive;
   m_Revision = m_Copy.m_Revision;
   m_NextLease = m_Copy.m_NextLease;
-  m_History.remove_if(
-      [&](const Change &Each) { return Each.m_Revision > m_Revision; });
+  while (!m_History.empty() && m_History.back().m_Revision > m_Revision)
+    m_History.pop_back();
   // Everyone writes again what holds now, not each step to it.
   for (const OutsideWrite &Each : std::exchange(m_SinceCopy, {})) {
     m_Lost.remove_if(
@@ -170,16 +170,16 @@
 
 /// Pages of two items, so that every reader meets them.
 void StandinStore::range(const HttpExchangePtr &Exchange) {
-  constexpr std::size_t PageSize = 2;
   const std::string Prefix = Exchange->queryValue("pathPrefix");
   const std::string After = Exchange->queryValue("after");
   ++m_Reads[Prefix];
   Json Items = Json::array();
   bool More = false;
-  for (const auto &[Key, Each] : m_Items) {
-    if (!Key.starts_with(Prefix) || Key <= After)
-      continue;
-    More = Items.size() == PageSize;
+  for (auto Next = After.empty() ? m_Items.lower_bound(Prefix)
+                                 : m_Items.upper_bound(After);
+       Next != m_Items.end() && Next->first.starts_with(Prefix); ++Next) {
+    const auto &[Key, Each] = *Next;
+    More = Items.size() == m_PageSize;
     if (More)
       break;
     Items.push_back({{"privateKey", Key},
@@ -201,8 +201,14 @@
 Json StandinStore::changes(const std::string &Prefix,
                            std::uint64_t After) const {
   Json Result = Json::array();
-  for (const Change &Each : m_History) {
-    if (Each.m_Revision <= After || !Each.m_Key.starts_with(Prefix))
+  const auto First =
+      std::upper_bound(m_History.begin(), m_History.end(), After,
+                       [](std::uint64_t Value, const Change &Each) {
+                         return Value < Each.m_Revision;
+                       });
+  for (auto Next = First; Next != m_History.end(); ++Next) {
+    const Change &Each = *Next;
+    if (!Each.m_Key.starts_with(Prefix))
       continue;
     Json News{{"privateKey", Each.m_Key}, {"revision", Each.m_Revision}};
     if (Each.m_Gone)
--- a/tests/standin/StandinStore.h
+++ b/tests/standin/StandinStore.h
@@ -6,6 +6,7 @@
 #include "wire/common/EventLoop.h"
 #include "wire/common/HttpServer.h"
 #include "wire/common/Json.h"
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -45,6 +46,8 @@
                       Rewrite) {
     m_Rewrite = std::move(Rewrite);
   }
+  /// Lists come in pages of \p Size items.
+  void setPageSize(std::size_t Size) { m_PageSize = Size; }
   /// Keeps a copy of the store as it is now.
   void keepCopy();
   /// Comes back from the copy in a new era. Changes since then are lost, leases
@@ -129,7 +132,7 @@
 
   HttpServer m_Server;
   std::map<std::string, Item> m_Items;
-  std::list<Change> m_History;
+  std::deque<Change> m_History; ///< By revision.
   std::uint64_t m_Forgotten = 0;
   std::map<std::uint64_t, Lease> m_Leases;
   std::list<Watch> m_Watches;
@@ -143,6 +146,7 @@
   std::list<OutsideWrite> m_Lost; ///< To be written again.
   TimePoint m_RewriteAt{};
   std::size_t m_Calls = 0;
+  std::size_t m_PageSize = 2; ///< Small, so that lists have several.
   Fault m_Fault = Fault::None;
   std::function<std::string(const std::string &, const std::string &)>
       m_Rewrite;
