--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -184,9 +184,14 @@
   int &Count = Fault.m_Kind == SoakFault::DownStore ? m_Down : m_Silent;
   ++Count;
   applyStoreFault();
+  // Leases of those who were lost with the store outlive its absence.
+  if (m_Returns.losesServers())
+    m_On.m_Store.holdLeases(true);
   later(Fault.m_For, [this, &Count] {
     --Count;
     applyStoreFault();
+    if (m_Returns.losesServers() && m_Down + m_Silent == 0)
+      m_On.m_Store.holdLeases(false);
   });
   // Some servers lapse meanwhile, and are back soon after.
   constexpr Duration Lapses = 3s;
--- a/tests/soak/ReturnInjector.h
+++ b/tests/soak/ReturnInjector.h
@@ -20,6 +20,7 @@
 
   /// Servers are lost with the boxes, and there with the first of them.
   void loseServersToo() { m_LosesServers = true; }
+  bool losesServers() const { return m_LosesServers; }
 
   /// All boxes end, by SIGKILL or by SIGTERM, and come back from the fault's
   /// time on: at once or one after the other, drawn, weakest or strongest
--- a/tests/standin/StandinStore.cpp
+++ b/tests/standin/StandinStore.cpp
@@ -50,6 +50,13 @@
   m_SinceCopy.clear();
 }
 
+void StandinStore::holdLeases(bool Held) {
+  m_LeasesHeld = Held;
+  const TimePoint Now = EventLoop::now();
+  for (auto &[Id, Each] : m_Leases)
+    Each.m_Ends = Now + Each.m_TimeToLive;
+}
+
 void StandinStore::restore(Duration RewriteAfter) {
   const TimePoint Now = EventLoop::now();
   m_Items = m_Copy.m_Items;
@@ -332,7 +339,7 @@
   const TimePoint Now = EventLoop::now();
   std::list<std::uint64_t> Ended;
   for (const auto &[Id, Each] : m_Leases)
-    if (Now >= Each.m_Ends)
+    if (Now >= Each.m_Ends && !m_LeasesHeld)
       Ended.push_back(Id);
   for (std::uint64_t Id : Ended)
     dropLease(Id);
--- a/tests/standin/StandinStore.h
+++ b/tests/standin/StandinStore.h
@@ -40,6 +40,8 @@
   /// Number of keys that begin with \p Prefix.
   std::size_t count(const std::string &Prefix) const;
   void setFault(Fault Now) { m_Fault = Now; }
+  /// No lease lapses while they are held; all are as if just renewed then.
+  void holdLeases(bool Held);
   /// What boxes write is kept as \p Rewrite, given key and value, returns it.
   void setRewrite(std::function<std::string(const std::string &Key,
                                             const std::string &Value)>
@@ -140,6 +142,7 @@
   std::map<std::string, std::size_t> m_Reads;     ///< By prefix.
   std::uint64_t m_Revision = 1;
   std::uint64_t m_NextLease = 100;
+  bool m_LeasesHeld = false;
   std::optional<std::uint64_t> m_Era = 1;
   Copy m_Copy;
   std::list<OutsideWrite> m_SinceCopy;
