A frame that is nested without end no longer ends the box that reads it

Whoever reached a box's port for links and sent one WebSocket message of 1,000,000 bytes 0x81 (CBOR: a list of one in a list of one ...) ended the box, before any proof. On a real box ended with SIGSEGV for 0x81, and for 0x7f and 0x5f (text and bytes in pieces).

Cause: the library's CBOR reader calls itself for each level, and for each piece of a text or binary without a length; parseJson has a bound of depth, from_cbor had none. Ways weighed: a reader of events by the library (it does not tell of pieces), and one pass over the heads of items before it, which is what parseCbor does: no deeper than JSON, lengths stated and within the bytes.

Class: a reader of bytes from outside whose depth the sender decides. parseJson was the other one, and has its bound.

--- a/packages/wire/common/Json.cpp
+++ b/packages/wire/common/Json.cpp
@@ -1,5 +1,7 @@
 #include "wire/common/Json.h"
 
+#include <vector>
+
 namespace havenstair {
 
 namespace {
@@ -33,8 +35,94 @@
   return true;
 }
 
+/// The major types of CBOR (RFC 8949, section 3.1).
+enum class CborType {
+  Unsigned,
+  Negative,
+  Binary,
+  Text,
+  List,
+  Object,
+  Tag,
+  Simple
+};
+
+/// The head of one CBOR item; the argument is the value, the length in bytes
+/// or the number of items.
+struct CborHead {
+  CborType m_Type = CborType::Unsigned;
+  std::uint64_t m_Argument = 0;
+};
+
+/// Reads the head at \p At and moves \p At behind it. \returns none when it is
+/// cut off, or the item states no length.
+std::optional<CborHead> readHead(std::string_view Bytes, std::size_t &At) {
+  constexpr unsigned OneByteArgument = 24;
+  constexpr unsigned EightByteArgument = 27;
+  if (At >= Bytes.size())
+    return std::nullopt;
+  const auto First = static_cast<unsigned char>(Bytes[At++]);
+  const unsigned Info = First & 0x1FU;
+  CborHead Result{.m_Type = static_cast<CborType>(First >> 5U),
+                  .m_Argument = Info};
+  if (Info < OneByteArgument)
+    return Result;
+  if (Info > EightByteArgument)
+    return std::nullopt;
+  Result.m_Argument = 0;
+  for (unsigned Left = 1U << (Info - OneByteArgument); Left > 0; --Left) {
+    if (At >= Bytes.size())
+      return std::nullopt;
+    Result.m_Argument =
+        Result.m_Argument << 8U | static_cast<unsigned char>(Bytes[At++]);
+  }
+  return Result;
+}
+
+/// Whether \p Bytes are items that state their lengths and are nested no deeper
+/// than MaxDepth. The library's reader calls itself for each level, and for
+/// each piece of a text or binary without a length.
+bool shallowCbor(std::string_view Bytes) {
+  std::vector<std::uint64_t> ItemsLeft{1}; // Of each level that is open.
+  std::size_t At = 0;
+  while (!ItemsLeft.empty()) {
+    if (ItemsLeft.back() == 0) {
+      ItemsLeft.pop_back();
+      continue;
+    }
+    --ItemsLeft.back();
+    const std::optional<CborHead> Head = readHead(Bytes, At);
+    if (!Head || Head->m_Type == CborType::Tag)
+      return false;
+    if (Head->m_Type < CborType::Binary || Head->m_Type > CborType::Object)
+      continue;
+    // Each item takes a byte at least.
+    if (Head->m_Argument > Bytes.size() - At)
+      return false;
+    if (Head->m_Type < CborType::List)
+      At += Head->m_Argument;
+    else
+      ItemsLeft.push_back(Head->m_Type == CborType::List
+                              ? Head->m_Argument
+                              : 2 * Head->m_Argument);
+    if (ItemsLeft.size() > MaxDepth + 1)
+      return false;
+  }
+  return At == Bytes.size();
+}
+
 } // namespace
 
+Json parseCbor(std::string_view Bytes) {
+  if (!shallowCbor(Bytes))
+    throw DecodeError("CBOR is nested too deeply, or cut off");
+  try {
+    return Json::from_cbor(Bytes.begin(), Bytes.end());
+  } catch (const Json::exception &) {
+    throw DecodeError("not valid CBOR");
+  }
+}
+
 Json parseJson(std::string_view Text) {
   if (!shallow(Text))
     throw DecodeError("JSON is nested too deeply");
--- a/packages/wire/common/Json.h
+++ b/packages/wire/common/Json.h
@@ -28,6 +28,10 @@
 /// Parses \p Text. \throws DecodeError unless it is exactly one JSON value.
 Json parseJson(std::string_view Text);
 
+/// Decodes \p Bytes. \throws DecodeError unless they are exactly one CBOR value
+/// in which each list, object, text and binary states its length.
+Json parseCbor(std::string_view Bytes);
+
 /// Serialises \p Value. Invalid UTF-8 is replaced and does not throw.
 std::string dumpJson(const Json &Value);
 
--- a/packages/wire/connection/PeerFrames.cpp
+++ b/packages/wire/connection/PeerFrames.cpp
@@ -487,12 +487,7 @@
 namespace {
 
 PeerFrame decodeOne(std::string_view Bytes) {
-  Json Body;
-  try {
-    Body = Json::from_cbor(Bytes.begin(), Bytes.end());
-  } catch (const Json::exception &) {
-    throw DecodeError("not valid CBOR");
-  }
+  const Json Body = parseCbor(Bytes);
   return decodeAs(field<std::size_t>(Body, KindField), Body);
 }
 
