A link is bounded until it has proved itself

A stranger's link might send messages of 4 MB, compressed ones of 64 MB, an upgrade with a body of 32 MB, and stay for ever if it sent a byte now and then; there was no bound on how many. All before any proof of the secret, on boxes of 160 MB.

Now until both proofs are valid: messages of 4 KB, only hello and proof, never compressed, no body; 64 KB of answers that wait; 10 looks (5 s); 512 accepted links, of which the oldest is closed for one more, so that boxes get in beside strangers. Each of the four tests fails with its bound switched off (greeting size, looks, number) or does not compile (decodeGreeting).

--- a/packages/wire/connection/PeerFrames.cpp
+++ b/packages/wire/connection/PeerFrames.cpp
@@ -493,6 +493,14 @@
 
 } // namespace
 
+PeerFrame decodeGreeting(std::string_view Bytes) {
+  PeerFrame Frame = decodeOne(Bytes);
+  if (!std::holds_alternative<HelloFrame>(Frame) &&
+      !std::holds_alternative<ProofFrame>(Frame))
+    throw DecodeError("neither a hello nor a proof");
+  return Frame;
+}
+
 PeerFrame decodeFrame(std::string_view Bytes) {
   PeerFrame Frame = decodeOne(Bytes);
   const auto *Packed = std::get_if<PackedFrame>(&Frame);
--- a/packages/wire/connection/PeerFrames.h
+++ b/packages/wire/connection/PeerFrames.h
@@ -227,6 +227,10 @@
 /// build does not know, and DecodeError for bytes that are not a frame.
 PeerFrame decodeFrame(std::string_view Bytes);
 
+/// Reads a hello or a proof, which are never compressed. \throws DecodeError
+/// for anything else.
+PeerFrame decodeGreeting(std::string_view Bytes);
+
 } // namespace havenstair
 
 #endif
--- a/packages/wire/connection/PeerLink.cpp
+++ b/packages/wire/connection/PeerLink.cpp
@@ -13,6 +13,11 @@
 namespace {
 
 constexpr std::size_t NonceBytes = 16;
+/// A hello has two names, a nonce and a number.
+constexpr std::size_t MaxGreetingBytes = 4096;
+/// Bytes that may wait to be sent before both proofs are valid, answers to
+/// pings among them.
+constexpr std::size_t MaxUnprovenBuffered = 65536;
 /// A ping is sent after 1.5 s without a received byte. Relays send each other
 /// their state four times a second, so only links that are otherwise unused get
 /// pings.
@@ -29,7 +34,7 @@
       m_Nonce(randomHex(NonceBytes)) {
   WebSocketSession::Hooks Session;
   Session.m_Write = [this](const char *Bytes, std::size_t Count) {
-    bufferevent_write(m_Stream, Bytes, Count);
+    write(Bytes, Count);
   };
   Session.m_Open = [this] {
     sendRaw(EncodedFrame(HelloFrame{.m_Box = m_Opts.m_Self,
@@ -42,8 +47,8 @@
   };
   Session.m_Closed = [this] { close(); };
   m_Session = Dialled ? WebSocketSession::dial("ws://peer/havenstair",
-                                               m_Opts.m_MaxMessage, Session)
-                      : WebSocketSession::accept(m_Opts.m_MaxMessage, Session);
+                                               MaxGreetingBytes, Session)
+                      : WebSocketSession::accept(MaxGreetingBytes, Session);
   bufferevent_setcb(
       m_Stream,
       [](bufferevent *, void *Arg) {
@@ -68,7 +73,9 @@
 
 void PeerLink::look() {
   ++m_QuietLooks;
-  if (m_QuietLooks >= MostQuietLooks)
+  if (!m_Up)
+    ++m_UnprovenLooks;
+  if (m_QuietLooks >= MostQuietLooks || m_UnprovenLooks >= MostUnprovenLooks)
     return close();
   if (m_QuietLooks == PingAfterLooks && m_Up)
     m_Session->ping();
@@ -101,13 +108,11 @@
   if (m_Closed)
     return;
   try {
-    PeerFrame Frame = decodeFrame(Payload);
+    PeerFrame Frame = m_Up ? decodeFrame(Payload) : decodeGreeting(Payload);
     if (const auto *Hello = std::get_if<HelloFrame>(&Frame))
       return onHello(*Hello);
     if (const auto *Proof = std::get_if<ProofFrame>(&Frame))
       return onProof(*Proof);
-    if (!m_Up)
-      return close();
     m_Hooks.m_Frame(*this, std::move(Frame));
   } catch (const UnknownFrame &) {
     // A later build may send kinds that this one does not know. If that closed
@@ -149,9 +154,16 @@
   if (!Valid)
     return close();
   m_Up = true;
+  m_Session->setMaxMessage(m_Opts.m_MaxMessage);
   m_Hooks.m_Up(*this);
 }
 
+void PeerLink::write(const char *Bytes, std::size_t Count) {
+  if (!m_Up && queued() > MaxUnprovenBuffered)
+    return close();
+  bufferevent_write(m_Stream, Bytes, Count);
+}
+
 std::size_t PeerLink::queued() const {
   return evbuffer_get_length(bufferevent_get_output(m_Stream));
 }
--- a/packages/wire/connection/PeerLink.h
+++ b/packages/wire/connection/PeerLink.h
@@ -27,6 +27,9 @@
   /// broke, so a silent link is closed by then. That leaves 1.5 s for the
   /// answer to a ping.
   static constexpr int MostQuietLooks = 6;
+  /// Calls of look() after which a link without valid proofs is closed,
+  /// whatever it receives.
+  static constexpr int MostUnprovenLooks = 10;
 
   struct Options {
     BoxName m_Self;
@@ -82,6 +85,7 @@
   void onMessage(const std::string &Payload);
   void onHello(const HelloFrame &Hello);
   void onProof(const ProofFrame &Proof);
+  void write(const char *Bytes, std::size_t Count);
   std::size_t sendRaw(const EncodedFrame &Frame);
   std::string proofOf(const BoxName &Prover, const std::string &Nonce) const;
 
@@ -96,6 +100,7 @@
   DataCentreName m_PeerDataCentre;
   PeerProtocol m_PeerProtocol = FirstProtocol;
   bool m_Up = false;
+  int m_UnprovenLooks = 0; ///< Calls of look() before both proofs were valid.
   /// Calls of look() since a byte was last received.
   int m_QuietLooks = 0;
   bool m_Closed = false;
--- a/packages/wire/connection/WebSocketSession.cpp
+++ b/packages/wire/connection/WebSocketSession.cpp
@@ -25,6 +25,7 @@
     m_Endpoint.clear_access_channels(websocketpp::log::alevel::all);
     m_Endpoint.clear_error_channels(websocketpp::log::elevel::all);
     m_Endpoint.set_max_message_size(MaxMessage);
+    m_Endpoint.set_max_http_body_size(0);
   }
 
   void attach(Connection Made) {
@@ -50,6 +51,10 @@
 
   EndpointType &endpoint() { return m_Endpoint; }
 
+  void setMaxMessage(std::size_t MaxMessage) override {
+    m_Connection->set_max_message_size(MaxMessage);
+  }
+
   void start() override {
     if constexpr (std::is_same_v<EndpointType, ClientEndpoint>)
       m_Endpoint.connect(m_Connection);
--- a/packages/wire/connection/WebSocketSession.h
+++ b/packages/wire/connection/WebSocketSession.h
@@ -34,6 +34,8 @@
                                                   Hooks Callbacks);
 
   virtual ~WebSocketSession() = default;
+  /// Later messages may have \p MaxMessage bytes.
+  virtual void setMaxMessage(std::size_t MaxMessage) = 0;
   /// Starts the handshake; may call m_Write.
   virtual void start() = 0;
   /// Processes received bytes.
--- a/packages/wire/process/PeerMesh.cpp
+++ b/packages/wire/process/PeerMesh.cpp
@@ -153,12 +153,24 @@
   auto Link = std::make_unique<PeerLink>(m_Loop, Stream, Dialled, m_Opts.m_Link,
                                          std::move(Callbacks));
   PeerLink *Key = Link.get();
-  if (Dialled)
-    m_DialledFor[Key] = Dialing;
   m_Links.emplace(Key, std::move(Link));
+  if (Dialled) {
+    m_DialledFor[Key] = Dialing;
+    return;
+  }
+  m_Unproven.push_back(Key);
+  boundUnproven();
+}
+
+void PeerMesh::boundUnproven() {
+  while (m_Unproven.size() > m_Opts.m_MaxUnproven) {
+    m_Unproven.front()->close();
+    m_Unproven.pop_front();
+  }
 }
 
 void PeerMesh::linkUp(PeerLink &Link) {
+  m_Unproven.remove(&Link);
   if (PeerLink *Old = find(Link.peer()); Old != nullptr && Old != &Link) {
     if (preferred(*Old) && !preferred(Link))
       return Link.close();
@@ -176,6 +188,7 @@
     return;
   const std::unique_ptr<PeerLink> Keep = std::move(Owned->second);
   m_Links.erase(Owned);
+  m_Unproven.remove(&Link);
   const BoxName Peer = Link.peer();
   if (const auto Dialled = m_DialledFor.find(&Link);
       Dialled != m_DialledFor.end()) {
--- a/packages/wire/process/PeerMesh.h
+++ b/packages/wire/process/PeerMesh.h
@@ -8,6 +8,7 @@
 #include "wire/common/EventLoop.h"
 #include "wire/connection/PeerLink.h"
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -38,6 +39,8 @@
     PeerLink::Options m_Link;
     Duration m_RedialFirst = 100ms;
     Duration m_RedialCap = 2s;
+    /// Accepted links without valid proofs; with more, the oldest is closed.
+    std::size_t m_MaxUnproven = 512;
     RandomUnit m_Random;
   };
   struct Hooks {
@@ -97,6 +100,7 @@
   void accept(int Socket);
   void dial(const BoxName &Box);
   void adopt(bufferevent *Stream, bool Dialled, const BoxName &Dialing);
+  void boundUnproven();
   void linkUp(PeerLink &Link);
   void linkDown(PeerLink &Link);
   void redialLater(Known &Peer);
@@ -114,6 +118,7 @@
   std::map<BoxName, Known> m_Known;
   std::map<PeerLink *, std::unique_ptr<PeerLink>> m_Links;
   std::map<PeerLink *, BoxName> m_DialledFor;
+  std::list<PeerLink *> m_Unproven; ///< Accepted links, the oldest first.
   std::map<BoxName, PeerLink *> m_UpLinks;
   Timer m_LookTimer;
 };
--- a/tests/wire/StrangerTest.cpp
+++ b/tests/wire/StrangerTest.cpp
@@ -156,3 +156,79 @@
   Other.learnSeeds({Mesh.endpoint()});
   REQUIRE(Loop.runUntil([&] { return Ups == 1 && OtherUps == 1; }, Limit));
 }
+
+// The link stands alone: nobody closes it for its silence.
+TEST_CASE("Before its proof a link takes no message larger than a greeting",
+          "[peers][stranger]") {
+  EventLoop Loop;
+  int Ends[2];
+  REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, Ends) == 0);
+  bool Down = false;
+  PeerLink Link(
+      Loop, bufferevent_socket_new(Loop.base(), Ends[0], BEV_OPT_CLOSE_ON_FREE),
+      false, options("a").m_Link,
+      {.m_Up = [](PeerLink &) {},
+       .m_Frame = [](PeerLink &, const PeerFrame &) {},
+       .m_Skipped = {},
+       .m_Down = [&](PeerLink &) { Down = true; }});
+  Stranger Sender(Loop, Ends[1]);
+  REQUIRE(Loop.runUntil([&] { return Sender.open(); }, Limit));
+  // The head of a masked binary frame of 1 MB, without its payload.
+  Sender.write(std::string("\x82\xff\x00\x00\x00\x00\x00\x10\x00\x00", 10) +
+               std::string(4, '\0'));
+  REQUIRE(Loop.runUntil([&] { return Down; }, Limit));
+}
+
+TEST_CASE("Before its proof a link does not unpack a compressed frame",
+          "[peers][stranger]") {
+  const HelloFrame Hello{.m_Box = BoxName("stranger"),
+                         .m_DataCentre = DataCentreName("kl"),
+                         .m_Nonce = std::string(32, 'a'),
+                         .m_Protocol = OwnProtocol};
+  const std::string Plain = encodeFrame(Hello);
+  REQUIRE(std::holds_alternative<HelloFrame>(decodeGreeting(Plain)));
+  const std::string Packed = encodeFrame(
+      PackedFrame{.m_Size = Plain.size(), .m_Bytes = deflateBytes(Plain)});
+  REQUIRE(std::holds_alternative<HelloFrame>(decodeFrame(Packed)));
+  REQUIRE_THROWS_AS(decodeGreeting(Packed), DecodeError);
+  REQUIRE_THROWS_AS(decodeGreeting(encodeFrame(CancelFrame{7})), DecodeError);
+}
+
+TEST_CASE("A link that does not prove itself is closed however often it sends",
+          "[peers][stranger]") {
+  EventLoop Loop;
+  int Ups = 0;
+  PeerMesh Mesh(Loop, options("a"), counting(Ups));
+  Stranger Sender(Loop, Mesh.endpoint());
+  REQUIRE(Loop.runUntil([&] { return Sender.open(); }, Limit));
+  // Pings, each a frame of its own.
+  const std::string Ping = std::string("\x89\x80\x00\x00\x00\x00", 6);
+  const Timer Pings = Loop.every(50ms, [&] { Sender.write(Ping); });
+  REQUIRE(Loop.runUntil([&] { return Sender.closed(); }, Limit));
+}
+
+TEST_CASE("Strangers' links are bounded in number and keep no box out",
+          "[peers][stranger]") {
+  EventLoop Loop;
+  int Ups = 0;
+  PeerMesh::Options Opts = options("a");
+  Opts.m_MaxUnproven = 20;
+  PeerMesh Mesh(Loop, Opts, counting(Ups));
+  std::vector<std::unique_ptr<Stranger>> Strangers;
+  for (std::size_t Number = 0; Number <= Opts.m_MaxUnproven; ++Number) {
+    Strangers.push_back(std::make_unique<Stranger>(Loop, Mesh.endpoint()));
+    REQUIRE(Loop.runUntil([&] { return Strangers.back()->open(); }, Limit));
+  }
+  const auto Open = [&] {
+    std::size_t Result = 0;
+    for (const auto &Each : Strangers)
+      Result += Each->closed() ? 0 : 1;
+    return Result;
+  };
+  REQUIRE(Loop.runUntil([&] { return Strangers.front()->closed(); }, Limit));
+  REQUIRE(Open() == Opts.m_MaxUnproven);
+  int OtherUps = 0;
+  PeerMesh Other(Loop, options("b"), counting(OtherUps));
+  Other.learnSeeds({Mesh.endpoint()});
+  REQUIRE(Loop.runUntil([&] { return Ups == 1 && OtherUps == 1; }, Limit));
+}
