--- a/packages/gateway/common/DecisionLog.cpp
+++ b/packages/gateway/common/DecisionLog.cpp
@@ -15,6 +15,28 @@
 /// Time until the next write to a descriptor whose buffer is full.
 constexpr Duration FullRetryDelay = 200ms;
 
+/// Longer texts in a line are cut off.
+constexpr std::size_t MaxTextBytes = 1024;
+/// Lists and objects that are written longer become texts that are cut off.
+constexpr std::size_t MaxListBytes = 4096;
+constexpr std::string_view Omitted = "...";
+
+std::string cut(std::string Text) {
+  if (Text.size() <= MaxTextBytes)
+    return Text;
+  Text.resize(MaxTextBytes - Omitted.size());
+  return Text.append(Omitted);
+}
+
+Json bounded(const Json &Value) {
+  if (Value.is_string())
+    return cut(Value.get<std::string>());
+  if (!Value.is_structured())
+    return Value;
+  std::string Text = dumpJson(Value);
+  return Text.size() <= MaxListBytes ? Value : Json(cut(std::move(Text)));
+}
+
 /// Makes writes to pipes and sockets non-blocking. Writes to regular files
 /// never block.
 void setNonBlocking(int Descriptor) {
@@ -63,7 +85,7 @@
     return;
   Json Line = Json::object();
   for (const auto &[Name, Value] : Values)
-    Line[std::string(Name)] = Value;
+    Line[std::string(Name)] = bounded(Value);
   append(Event, std::move(Line), Now);
 }
 
--- a/tests/gateway/EntryTest.cpp
+++ b/tests/gateway/EntryTest.cpp
@@ -133,6 +133,52 @@
                     DecodeError);
 }
 
+TEST_CASE("An entry or a report with names longer than any upstream has is "
+          "invalid",
+          "[platform][entries]") {
+  const std::string Key = "servers/i-1";
+  const std::string Good(256, 'n');
+  const std::string Long(257, 'n');
+  Json Entry = goodEntry();
+  const std::string Name = GENERATE("service", "zone", "version");
+  Entry[Name] = Good;
+  REQUIRE_NOTHROW(platform::decodeUpstream(Key, dumpJson(Entry)));
+  Entry[Name] = Long;
+  REQUIRE_THROWS_AS(platform::decodeUpstream(Key, dumpJson(Entry)),
+                    DecodeError);
+  REQUIRE_THROWS_AS(
+      platform::decodeUpstream("servers/" + Long, dumpJson(goodEntry())),
+      DecodeError);
+  const Json Models = GENERATE_COPY(
+      Json::array({{{"name", Long}, {"adapterList", Json::array()}}}),
+      Json::array({{{"name", "m"}, {"adapterList", {Long}}}}),
+      Json(std::vector<Json>(10'001, {{"name", "m"}})));
+  Entry = goodEntry();
+  Entry["modelList"] = Models;
+  REQUIRE_THROWS_AS(platform::decodeUpstream(Key, dumpJson(Entry)),
+                    DecodeError);
+  REQUIRE_THROWS_AS(platform::decodeReport(dumpJson(
+                        {{"sequenceNumber", 4}, {"modelList", Models}})),
+                    DecodeError);
+}
+
+TEST_CASE("A field of a log line has a bounded length", "[log][entries]") {
+  EventLoop Loop;
+  std::FILE *File = std::tmpfile();
+  REQUIRE(File != nullptr);
+  {
+    DecisionLog Log(Loop, {.m_Descriptor = fileno(File)});
+    const std::string Long(1 << 20, 'x');
+    Log.write(
+        "odd",
+        {{"key", Long}, {"names", {Long, "short"}}, {"counts", {{Long, 1}}}});
+  }
+  std::size_t Longest = 0;
+  REQUIRE(countEvents(File, "odd", Longest) == 1);
+  REQUIRE(Longest < 8192);
+  std::fclose(File);
+}
+
 TEST_CASE("A megabyte of invalid bytes costs one short line of the log",
           "[platform][entries]") {
   EventLoop Loop;
