--- a/tests/soak/SoakSchedule.cpp
+++ b/tests/soak/SoakSchedule.cpp
@@ -371,6 +371,8 @@
     Away.back().m_For = Each.m_For + StoreLater.at(Later);
   }
   Plan.m_Faults.insert(Plan.m_Faults.end(), Away.begin(), Away.end());
+  constexpr int StrongOneIn = 15;
+  Plan.m_Strong = Plan.m_Boxes / StrongOneIn;
   Plan.m_Power = true;
   sortByTime(Plan.m_Faults);
 }
