--- a/tests/gateway/FleetTest.cpp
+++ b/tests/gateway/FleetTest.cpp
@@ -46,6 +46,35 @@
   REQUIRE(Test.leaders() == 1);
 }
 
+namespace {
+
+/// Entries of processes that ended with their boxes, whose leases still stand.
+void listFormerProcesses(StandinStore &Store) {
+  for (const std::string Name : {"box.000001", "box.000002", "other.000001",
+                                 "other.000002", "other.000003"})
+    Store.put("havenstair/box/" + Name, dumpJson({{"peers", "127.0.0.1:1"},
+                                                  {"zone", "a"},
+                                                  {"capacity", 8},
+                                                  {"protocol", OwnProtocol}}));
+}
+
+} // namespace
+
+// Dead processes were counted as voters for as long as their leases stood.
+TEST_CASE("Boxes that return elect a leader beside entries of their former "
+          "processes",
+          "[gateway][fleet][recover][known-red]") {
+  GatewayTest Test;
+  listFormerProcesses(Test.m_Store);
+  Test.configure(1);
+  Test.startGateway();
+  GatewayOptions Options = Test.options();
+  Options.m_Box = BoxName("other");
+  const auto Other = Test.makeGateway(Options, [] {});
+  REQUIRE(Test.until(
+      [&] { return Test.m_Gateway->leading() || Other->leading(); }));
+}
+
 TEST_CASE("The leader goes on while the store is unreachable",
           "[gateway][fleet]") {
   FleetTest Test;
