A leader takes the end of its machine's earlier process for the end of its orders

After a loss of all boxes callers waited 4.3 s more for models: the new leader began no load although nothing had been loaded for longer than the bound's window.

Cause: whoever is elected assumes that the leader before it used up the window of loads until that moment. The machine that led last leads first again after a return, and its earlier process had ended when this one started, seconds before. Since engines are asked for reports only once elected, the loads still under way are counted when all have reported; those that do not count as loading after the time that was waited before.

Ways weighed: writing down the last order in the store (a call for each), births of engines (other clocks than the box's). Another machine's orders, and those of this process, are judged as before; engines that started again are held as long after the predecessor's end as before.

--- a/packages/gateway/process/LeaderElection.cpp
+++ b/packages/gateway/process/LeaderElection.cpp
@@ -185,10 +185,13 @@
     m_Log.write("giver_kept", {{"token", m_Token}, {"era", m_ClaimedEra}});
     return;
   }
+  const bool HasLed = m_Term > 0;
+  const bool SameMachine = m_TermMachine == m_Opts.m_Machine;
   ++m_Term;
   m_Hooks.m_Elected({.m_Machine = m_TermMachine,
                      .m_None = m_TermRevision.none(),
-                     .m_SameMachine = m_TermMachine == m_Opts.m_Machine});
+                     .m_SameMachine = SameMachine,
+                     .m_SameProcess = SameMachine && HasLed});
 }
 
 void LeaderElection::lost() {
--- a/packages/gateway/process/LeaderElection.h
+++ b/packages/gateway/process/LeaderElection.h
@@ -37,7 +37,8 @@
   struct Predecessor {
     std::string m_Machine;
     bool m_None = false;        ///< There never was a leader.
-    bool m_SameMachine = false; ///< It was an earlier process of this machine.
+    bool m_SameMachine = false; ///< It was a process of this machine.
+    bool m_SameProcess = false; ///< It was this process.
   };
   struct Hooks {
     /// This box has taken the key.
--- a/packages/gateway/process/ManagedEngines.cpp
+++ b/packages/gateway/process/ManagedEngines.cpp
@@ -29,6 +29,7 @@
   m_Engines.clear();
   m_DelistedEngines.clear();
   m_TermStart = Now;
+  m_HasPredecessor = LastPredecessorOrder.has_value();
   m_LoadLimiter = LoadRateLimiter();
   m_ReportsCurrentFrom =
       LastPredecessorOrder ? *LastPredecessorOrder + MaxReportLag : Now;
@@ -119,7 +120,7 @@
   m_LoadLimiter.addPossibleStarts(Loads, Now + OrderLife);
   // Orders of the leader before this one are unknown.
   const TimePoint FormerLate = m_ReportsCurrentFrom + OrderLife;
-  const bool Held = m_ReportsCurrentFrom > m_TermStart && Now < FormerLate;
+  const bool Held = m_HasPredecessor && Now < FormerLate;
   if (Held)
     Engine.m_Ledger.blockLoadsUntil(FormerLate);
   m_Log.write("engine_again", {{"engine", Id},
@@ -136,13 +137,20 @@
 
 /// A load from the store that takes longer than the bound's window is still in
 /// progress at the window's end, so once all engines have reported, only the
-/// loads in progress count.
+/// loads in progress count. Engines that do not report in time count as
+/// loading.
 void ManagedEngines::countPredecessorLoads(Duration Window, TimePoint Now) {
   if (!m_LoadLimiter.assumesFullWindow())
     return;
   const auto Shortest = m_State.m_Config->shortestStoreLoad();
   if (!Shortest || Now < m_ReportsCurrentFrom + Window - *Shortest)
     return;
+  const bool AllKnown =
+      std::all_of(m_Engines.begin(), m_Engines.end(), [](const auto &Each) {
+        return Each.second.m_Ledger.known();
+      });
+  if (!AllKnown && Now < m_TermStart + Window - *Shortest)
+    return;
   const auto InProgress = static_cast<std::size_t>(
       std::count_if(m_Engines.begin(), m_Engines.end(), [](const auto &Each) {
         const EngineLedger &Ledger = Each.second.m_Ledger;
--- a/packages/gateway/process/ManagedEngines.h
+++ b/packages/gateway/process/ManagedEngines.h
@@ -103,6 +103,7 @@
   LoadRateLimiter m_LoadLimiter;
   StoreSlowness m_StoreSlowness;
   TimePoint m_TermStart{}; ///< When this box became the leader.
+  bool m_HasPredecessor = false;
   TimePoint m_ReportsCurrentFrom{};
   /// When engines last returned to the list, or were listed at the start.
   TimePoint m_EnginesAddedAt{};
--- a/packages/gateway/process/OrderLeader.cpp
+++ b/packages/gateway/process/OrderLeader.cpp
@@ -2,7 +2,6 @@
 
 #include "gateway/common/DecisionLog.h"
 #include "wire/common/Json.h"
-#include <optional>
 #include <utility>
 
 namespace havenstair {
@@ -23,6 +22,15 @@
 
 } // namespace
 
+std::optional<TimePoint> lastOrderOf(const LeaderElection::Predecessor &Leader,
+                                     TimePoint OwnStart, TimePoint Now) {
+  if (Leader.m_None)
+    return std::nullopt;
+  if (!Leader.m_SameMachine)
+    return Now + DeposedNoticeDelay;
+  return Leader.m_SameProcess ? Now : OwnStart;
+}
+
 OrderLeader::OrderLeader(EventLoop &Loop, CoordinationStore &Store,
                          EngineControl &Engines, ServingState &State,
                          DecisionLog &Log, Options Opts, Hooks Callbacks)
@@ -99,11 +107,7 @@
           ? Now
           : Now + m_Opts.m_Bounds.m_LeaderHandover + HandoverMargin;
   m_Planner.startTerm();
-  std::optional<TimePoint> LastOrder;
-  // The former leader learns only with a delay that it was replaced.
-  if (!Before.m_None)
-    LastOrder = SameMachine ? Now : Now + DeposedNoticeDelay;
-  m_Engines.startTerm(LastOrder, Now);
+  m_Engines.startTerm(lastOrderOf(Before, m_StartedAt, Now), Now);
   m_Log.write("giver", {{"token", m_Election.token()},
                         {"before", Before.m_Machine},
                         {"orders_in_ms", (m_EarliestOrder - Now) / 1ms}});
--- a/packages/gateway/process/OrderLeader.h
+++ b/packages/gateway/process/OrderLeader.h
@@ -28,6 +28,13 @@
 
 class DecisionLog;
 
+/// \returns until when \p Leader, which led before this process, may have sent
+/// orders, of a process that started at \p OwnStart; none if there never was
+/// one. An earlier process of the machine had ended when this one started;
+/// another machine learns only with a delay that it was replaced.
+std::optional<TimePoint> lastOrderOf(const LeaderElection::Predecessor &Leader,
+                                     TimePoint OwnStart, TimePoint Now);
+
 /// While this box is the leader, plans replicas and adapters from demand and
 /// carries the plan out, one order at a time on each engine. See
 /// docs/design/orders.md.
@@ -117,6 +124,7 @@
   Hooks m_Hooks;
   LeaderElection m_Election;
   bool m_Resigned = false;
+  const TimePoint m_StartedAt = EventLoop::now();
   TimePoint m_EarliestOrder{}; ///< No order is sent earlier.
   PlanSchedule m_Schedule;
   ManagedEngines m_Engines;
