An entry under the boxes' keys with an odd capacity is of no box

An entry of another writer there with a capacity of 1e300 is the strongest box of its data centre, and so a relay and a voter that nobody reaches; one whose capacity is text was logged as bad and counted all the same, as its address had been read before. With three of them a box elects no leader for as long as they stand.

Capacities are above 0 and up to 1,024 cores; an entry with any error has no address. The test failed on the code before for all five values.

--- a/packages/gateway/process/Fleet.cpp
+++ b/packages/gateway/process/Fleet.cpp
@@ -28,6 +28,16 @@
 
 constexpr const char *BoxKeys = "box/";
 
+/// In cores; an entry that names more, or none, is of no box.
+constexpr double MaxCapacity = 1024;
+
+double capacityOf(const Json &Value) {
+  const auto Result = fieldOr<double>(Value, "capacity", 1);
+  if (!(Result > 0 && Result <= MaxCapacity))
+    throw DecodeError("field capacity is out of range");
+  return Result;
+}
+
 std::optional<PeerAddress> addressOf(const BoxName &Box, const Json &Value) {
   const auto Address = Endpoint::parse(field<std::string>(Value, "peers"));
   if (!Address)
@@ -156,11 +166,12 @@
   try {
     const Json Value = parseJson(Item.m_Value);
     Result.m_Address = addressOf(Box, Value);
-    Result.m_Capacity = fieldOr<double>(Value, "capacity", 1);
+    Result.m_Capacity = capacityOf(Value);
     Result.m_Passing =
         Endpoint::parse(fieldOr<std::string>(Value, "passing", ""));
     Result.m_Protocol = fieldOr<PeerProtocol>(Value, "protocol", FirstProtocol);
   } catch (const DecodeError &Error) {
+    Result.m_Address.reset();
     m_Log.write("bad_box", {{"key", Item.m_Key}, {"why", Error.what()}});
   }
   return Result;
--- a/tests/gateway/FleetTest.cpp
+++ b/tests/gateway/FleetTest.cpp
@@ -75,6 +75,21 @@
       [&] { return Test.m_Gateway->leading() || Other->leading(); }));
 }
 
+// The strongest boxes are relays, so that one such entry took a data centre's
+// lists away.
+TEST_CASE("An entry under the boxes' keys that no box writes is no voter",
+          "[gateway][fleet][entries]") {
+  const std::string Capacity = GENERATE("1e300", "1025", "0", "-1", "\"8\"");
+  GatewayTest Test;
+  for (const std::string Name : {"x.1", "y.1", "z.1"})
+    Test.m_Store.put("havenstair/box/" + Name,
+                     R"({"peers":"127.0.0.1:1","zone":"a","capacity":)" +
+                         Capacity + "}");
+  Test.configure(1);
+  Test.startGateway();
+  REQUIRE(Test.until([&] { return Test.m_Gateway->leading(); }));
+}
+
 TEST_CASE("The leader goes on while the store is unreachable",
           "[gateway][fleet]") {
   FleetTest Test;
