One comparison finds the processes that a later one has replaced

dropReplaced() judged this process's own machine by a second condition. Its own entry is one more revision of its machine, newer than all while it has yet to be written, so that the newest of each machine is compared once. Behaviour as before: [fleet], [recover] and [store-restore], 33 cases, passed; clang-tidy clean.

--- a/packages/gateway/process/Fleet.cpp
+++ b/packages/gateway/process/Fleet.cpp
@@ -4,6 +4,7 @@
 #include "gateway/common/ProcessName.h"
 #include "wire/common/Json.h"
 #include <algorithm>
+#include <limits>
 
 namespace havenstair {
 
@@ -208,20 +209,20 @@
 /// it would be a relay or a voter that nobody reaches.
 void Fleet::dropReplaced(std::map<BoxName, ListedBox> &Listed,
                          const std::map<std::string, StoreItem> &Items) const {
-  std::map<std::string, StoreRevision> Newest;
+  // The entry that this process has yet to write is newer than all.
+  constexpr StoreRevision NotWritten{
+      .m_Era = std::numeric_limits<StoreEra>::max(),
+      .m_Number = std::numeric_limits<std::uint64_t>::max()};
+  const auto Own = Items.find(ownKey());
+  std::map<std::string, StoreRevision> Newest{
+      {machineOf(m_Opts.m_Box),
+       Own == Items.end() ? NotWritten : Own->second.m_Revision}};
   for (const auto &[Box, Each] : Listed) {
     StoreRevision &Of = Newest[machineOf(Box)];
     Of = std::max(Of, Each.m_Revision);
   }
-  // Without an entry, this process has yet to write it.
-  const auto Own = Items.find(ownKey());
   std::erase_if(Listed, [&](const auto &Each) {
-    const std::string Machine = machineOf(Each.first);
-    if (Each.second.m_Revision < Newest.at(Machine))
-      return true;
-    return Machine == machineOf(m_Opts.m_Box) &&
-           (Own == Items.end() ||
-            Each.second.m_Revision < Own->second.m_Revision);
+    return Each.second.m_Revision < Newest.at(machineOf(Each.first));
   });
 }
 
