The store's stand-in renews all leases in one place

restore() and holdLeases() had the same loop. The comment on pages of two items no longer held, as their size can be set. No behaviour changed.

--- a/tests/standin/StandinStore.cpp
+++ b/tests/standin/StandinStore.cpp
@@ -52,7 +52,10 @@
 
 void StandinStore::holdLeases(bool Held) {
   m_LeasesHeld = Held;
-  const TimePoint Now = EventLoop::now();
+  renewLeases(EventLoop::now());
+}
+
+void StandinStore::renewLeases(TimePoint Now) {
   for (auto &[Id, Each] : m_Leases)
     Each.m_Ends = Now + Each.m_TimeToLive;
 }
@@ -61,8 +64,7 @@
   const TimePoint Now = EventLoop::now();
   m_Items = m_Copy.m_Items;
   m_Leases = m_Copy.m_Leases;
-  for (auto &[Id, Each] : m_Leases)
-    Each.m_Ends = Now + Each.m_TimeToLive;
+  renewLeases(Now);
   m_Revision = m_Copy.m_Revision;
   m_NextLease = m_Copy.m_NextLease;
   while (!m_History.empty() && m_History.back().m_Revision > m_Revision)
@@ -175,7 +177,6 @@
   reply(Exchange, 404, "");
 }
 
-/// Pages of two items, so that every reader meets them.
 void StandinStore::range(const HttpExchangePtr &Exchange) {
   const std::string Prefix = Exchange->queryValue("pathPrefix");
   const std::string After = Exchange->queryValue("after");
--- a/tests/standin/StandinStore.h
+++ b/tests/standin/StandinStore.h
@@ -116,6 +116,7 @@
   void writeOutside(const OutsideWrite &Write);
   void rewrite(TimePoint Now);
   void cutWatches();
+  void renewLeases(TimePoint Now);
   void reply(const HttpExchangePtr &Exchange, int Status,
              const std::string &Body) const;
   void handle(const HttpExchangePtr &Exchange);
