Tests of strangers, store answers and former leaders repeat less

StrangerTest linked a box up twice, StoreAnswerTest waited for an answer in three copies, and FormerLeaderTest set a bound that startTerm() resets at once.

--- a/tests/gateway/FormerLeaderTest.cpp
+++ b/tests/gateway/FormerLeaderTest.cpp
@@ -26,8 +26,6 @@
     for (const std::string Id : {"e-1", "e-2"})
       List.m_Instances[Id] = {.m_Id = Id, .m_Service = "llm"};
     m_State.m_Upstreams.update(List, OwnStart);
-    m_Engines.loadLimiter().configure(
-        {.m_LoadsPerSecond = 2, .m_Window = Window, .m_Slack = 0});
   }
 
   void startTerm(std::optional<TimePoint> LastOrder) {
--- a/tests/gateway/StoreAnswerTest.cpp
+++ b/tests/gateway/StoreAnswerTest.cpp
@@ -5,7 +5,9 @@
 #include "wire/common/Json.h"
 
 #include <catch2/catch.hpp>
+#include <memory>
 #include <optional>
+#include <utility>
 
 using namespace havenstair;
 
@@ -17,36 +19,38 @@
 class StoreAnswerTest {
 public:
   StoreItems range(const std::string &Body) {
-    m_Body = Body;
-    std::optional<StoreItems> Result;
-    m_Client.range("servers/", ReadKind::Current,
-                   [&](StoreItems Read) { Result = std::move(Read); });
-    REQUIRE(m_Loop.runUntil([&] { return Result.has_value(); }, Limit));
-    return *Result;
+    return answer<StoreItems>(Body, [&](const auto &Done) {
+      m_Client.range("servers/", ReadKind::Current, Done);
+    });
   }
   StoreChanges watch(const std::string &Body) {
-    m_Body = Body;
-    std::optional<StoreChanges> Result;
-    const auto Held =
-        m_Client.watch("servers/", {.m_Era = 1, .m_Number = 1}, 1s,
-                       [&](StoreChanges Read) { Result = std::move(Read); });
-    REQUIRE(m_Loop.runUntil([&] { return Result.has_value(); }, Limit));
-    return *Result;
+    std::shared_ptr<void> Held;
+    return answer<StoreChanges>(Body, [&](const auto &Done) {
+      Held = m_Client.watch("servers/", {.m_Era = 1, .m_Number = 1}, 1s, Done);
+    });
   }
   StoreStatus transact(const std::string &Body) {
-    m_Body = Body;
-    std::optional<StoreStatus> Result;
-    m_Client.transact({}, [&](StoreStatus Status, const StoreRevision &) {
-      Result = Status;
+    return answer<StoreStatus>(Body, [&](const auto &Done) {
+      m_Client.transact({}, [Done](StoreStatus Status, const StoreRevision &) {
+        Done(Status);
+      });
     });
-    REQUIRE(m_Loop.runUntil([&] { return Result.has_value(); }, Limit));
-    return *Result;
   }
 
 private:
   using Request = StandinRunner::Request;
   using ConnectionPtr = StandinRunner::ConnectionPtr;
 
+  /// What \p Call is told when the store answers with \p Body.
+  template <typename Told, typename Sender>
+  Told answer(const std::string &Body, Sender Call) {
+    m_Body = Body;
+    std::optional<Told> Result;
+    Call([&Result](Told Read) { Result = std::move(Read); });
+    REQUIRE(m_Loop.runUntil([&] { return Result.has_value(); }, Limit));
+    return *Result;
+  }
+
   EventLoop m_Loop;
   std::string m_Body;
   StandinRunner m_Store{
--- a/tests/wire/StrangerTest.cpp
+++ b/tests/wire/StrangerTest.cpp
@@ -106,6 +106,14 @@
           .m_Down = [](const BoxName &) {}};
 }
 
+/// Another box links to \p Mesh, which counts its links in \p Ups.
+void requireLinkFromBox(EventLoop &Loop, const PeerMesh &Mesh, const int &Ups) {
+  int OtherUps = 0;
+  PeerMesh Other(Loop, options("b"), counting(OtherUps));
+  Other.learnSeeds({Mesh.endpoint()});
+  REQUIRE(Loop.runUntil([&] { return Ups == 1 && OtherUps == 1; }, Limit));
+}
+
 std::string repeated(std::size_t Count, const std::string &Bytes) {
   std::string Result;
   while (Result.size() < Count * Bytes.size())
@@ -151,10 +159,7 @@
   REQUIRE(Loop.runUntil([&] { return Sender.open(); }, Limit));
   Sender.send(repeated(Deep, "\x81"));
   REQUIRE(Loop.runUntil([&] { return Sender.closed(); }, Limit));
-  int OtherUps = 0;
-  PeerMesh Other(Loop, options("b"), counting(OtherUps));
-  Other.learnSeeds({Mesh.endpoint()});
-  REQUIRE(Loop.runUntil([&] { return Ups == 1 && OtherUps == 1; }, Limit));
+  requireLinkFromBox(Loop, Mesh, Ups);
 }
 
 // The link stands alone: nobody closes it for its silence.
@@ -227,8 +232,5 @@
   };
   REQUIRE(Loop.runUntil([&] { return Strangers.front()->closed(); }, Limit));
   REQUIRE(Open() == Opts.m_MaxUnproven);
-  int OtherUps = 0;
-  PeerMesh Other(Loop, options("b"), counting(OtherUps));
-  Other.learnSeeds({Mesh.endpoint()});
-  REQUIRE(Loop.runUntil([&] { return Ups == 1 && OtherUps == 1; }, Limit));
+  requireLinkFromBox(Loop, Mesh, Ups);
 }
