--- a/tests/soak/ReturnInjector.cpp
+++ b/tests/soak/ReturnInjector.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <random>
 
 namespace havenstair {
 
@@ -16,6 +15,9 @@
 constexpr int StopOneIn = 5;
 constexpr Duration LookEvery = 10ms;
 constexpr Duration ColdAfterPower = 2s;
+constexpr int TakenOneIn = 4;
+constexpr Duration LeastTaken = 100ms;
+constexpr Duration MostTaken = 6s;
 
 } // namespace
 
@@ -33,6 +35,16 @@
   return Result;
 }
 
+void ReturnInjector::takePortsAt(SoakBox &Box, std::mt19937_64 &Random) const {
+  if (!m_TakesPorts || Random() % TakenOneIn != 0)
+    return;
+  const std::array<int, 5> Ports = Box.ports().all();
+  std::uniform_int_distribution<Duration::rep> Time(LeastTaken.count(),
+                                                    MostTaken.count());
+  const int Port = Ports.at(Random() % Ports.size());
+  Box.takePort(Port, Duration(Time(Random)));
+}
+
 void ReturnInjector::strike(const ScheduledFault &Fault) {
   const auto Number = static_cast<std::size_t>(Fault.m_Target);
   const Duration Gap = Gaps.at(Number / Orders.size() % Gaps.size());
@@ -42,11 +54,13 @@
   for (const auto &Each : m_Boxes)
     m_LivesBefore.push_back(Each->life());
   Duration Away = Fault.m_For;
+  std::mt19937_64 Random(static_cast<std::uint64_t>(Fault.m_Target));
   for (SoakBox *Each : order(Fault.m_Target)) {
     if (Stops)
       Each->stop(Away);
     else
       Each->kill(Away);
+    takePortsAt(*Each, Random);
     Away += Gap;
   }
   if (m_LosesServers)
--- a/tests/soak/ReturnInjector.h
+++ b/tests/soak/ReturnInjector.h
@@ -7,6 +7,7 @@
 #include "soak/SoakEngine.h"
 #include "soak/SoakSchedule.h"
 #include <memory>
+#include <random>
 #include <vector>
 
 namespace havenstair {
@@ -22,6 +23,10 @@
   void loseServersToo() { m_LosesServers = true; }
   bool losesServers() const { return m_LosesServers; }
 
+  /// One box in four finds one of its ports taken at its return, for up to six
+  /// seconds.
+  void takePorts() { m_TakesPorts = true; }
+
   /// All boxes end, by SIGKILL or by SIGTERM, and come back from the fault's
   /// time on: at once or one after the other, drawn, weakest or strongest
   /// first.
@@ -29,6 +34,7 @@
 
 private:
   std::vector<SoakBox *> order(int Target) const;
+  void takePortsAt(SoakBox &Box, std::mt19937_64 &Random) const;
   void look();
 
   EventLoop &m_Loop;
@@ -36,6 +42,7 @@
   std::vector<std::unique_ptr<SoakBox>> &m_Boxes;
   std::vector<std::unique_ptr<SoakEngine>> &m_Engines;
   bool m_LosesServers = false;
+  bool m_TakesPorts = false;
   std::vector<int> m_LivesBefore;
   Timer m_Look;
 };
--- a/tests/soak/SoakBox.cpp
+++ b/tests/soak/SoakBox.cpp
@@ -29,7 +29,8 @@
   for (const std::string &Address : m_Opts.m_Seeds)
     Seeds.push_back(Endpoint{Address, Peers}.str());
   const Json File{
-      {"nodeName", m_Opts.m_Name},
+      {"nodeName", m_Renamed ? m_Opts.m_Name + "-" + std::to_string(m_Life)
+                             : m_Opts.m_Name},
       {"ipAddress", m_Opts.m_Address},
       {"zone", m_Opts.m_DataCentre},
       {"zones", {{"za", "ra"}, {"zb", "rb"}, {"zc", "rb"}}},
@@ -60,8 +61,18 @@
       << dumpJson(File);
 }
 
+void SoakBox::holdPort() {
+  const std::optional<Taken> Wanted = std::exchange(m_Taken, std::nullopt);
+  if (!Wanted)
+    return;
+  m_HeldPort =
+      std::make_unique<HeldPort>(Endpoint{m_Opts.m_Address, Wanted->m_Port});
+  m_PortRelease = m_Loop.after(Wanted->m_For, [this] { m_HeldPort.reset(); });
+}
+
 void SoakBox::start() {
   ++m_Life;
+  holdPort();
   m_Away = m_Leaving = false;
   writeSettings();
   const std::string Base = m_Opts.m_Folder + "/" + m_Opts.m_Name;
--- a/tests/soak/SoakBox.h
+++ b/tests/soak/SoakBox.h
@@ -7,8 +7,11 @@
 #include "soak/SoakOracle.h"
 #include "standin/LoopbackProxy.h"
 #include "support/ChildProcess.h"
+#include "support/HeldPort.h"
 #include "wire/common/EventLoop.h"
+#include <array>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +23,11 @@
   int m_Readiness = 0;
   /// Metrics, and requests of other boxes, have the two ports behind it.
   int m_Peers = 0;
+
+  /// All that a box listens on.
+  std::array<int, 5> all() const {
+    return {m_Callers, m_Readiness, m_Peers, m_Peers + 1, m_Peers + 2};
+  }
 };
 
 /// Starts the program, and starts it again after each end.
@@ -49,6 +57,7 @@
   pid_t process() const { return m_Process ? m_Process->id() : -1; }
   /// Counts the starts.
   int life() const { return m_Life; }
+  const SoakPorts &ports() const { return m_Opts.m_Ports; }
   Endpoint callers() const {
     return {m_Opts.m_Address, m_Opts.m_Ports.m_Callers};
   }
@@ -70,12 +79,22 @@
   void hangUp();
   /// Kills the process; it starts again after \p Away.
   void kill(Duration Away);
+  /// At its next start something else has its port \p Port for \p For.
+  void takePort(int Port, Duration For) { m_Taken = Taken{Port, For}; }
+  /// It has another name at each start.
+  void renameAtStarts() { m_Renamed = true; }
   /// Its next starts are of the program at \p Path.
   void setProgram(std::string Path) { m_Opts.m_Program = std::move(Path); }
   /// Asks the process to stop; it starts again after its end and \p Away.
   void stop(Duration Away);
 
 private:
+  struct Taken {
+    int m_Port = 0;
+    Duration m_For{};
+  };
+
+  void holdPort();
   void writeSettings() const;
   void look();
   void startAgain();
@@ -93,6 +112,10 @@
   bool m_Away = false;    ///< Ended, and not started again yet.
   Duration m_AwayFor{};
   TimePoint m_KillAt;
+  bool m_Renamed = false;
+  std::optional<Taken> m_Taken;
+  std::unique_ptr<HeldPort> m_HeldPort;
+  Timer m_PortRelease;
   Timer m_Look;
   Timer m_Return;
 };
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -132,10 +132,15 @@
     m_Store.setPageSize(PageSizeOfPower);
   if (m_Plan.m_Power)
     m_Faults.returns().loseServersToo();
+  if (m_Opts.m_TakenPorts)
+    m_Faults.returns().takePorts();
   // Of the two regions, the route may use the one with data centre za only.
   m_Oracle.routing().allowed("/near/x", {"za"});
   makeEngines();
   makeBoxes();
+  if (m_Opts.m_Renamed)
+    for (const auto &Each : m_Boxes)
+      Each->renameAtStarts();
   if (m_Opts.m_ConfigPlan)
     linkThroughProxies();
   if (m_Opts.m_Returns)
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -43,7 +43,9 @@
     std::optional<int> m_Engines; ///< The same.
     std::optional<int> m_Models;  ///< The same.
     std::optional<int> m_DataCentres; ///< The same; at most three.
-    bool m_Power = false;   ///< Servers are lost with all boxes, addPower().
+    bool m_Power = false;      ///< Servers are lost with all boxes, addPower().
+    bool m_TakenPorts = false; ///< Boxes that return find ports taken.
+    bool m_Renamed = false;    ///< Boxes return under other names.
     bool m_Held = false;    ///< Boxes get no more processor than their share.
     int m_Crashing = 0;     ///< Requests that end engines.
     int m_Parts = 0;        ///< Parts of prompts that end engines.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -56,6 +56,9 @@
                     back, in place of the seed's usual plan; 40 s and more.
   --power           With --returns, of 60 s and more: the servers lose power with
                     the boxes, and mostly the store; engines come back empty.
+  --taken-ports     With --returns: one box in four finds one of its ports taken
+                    when it starts again, for up to six seconds.
+  --renamed         With --returns: boxes come back under other names.
   --held            Boxes are stopped and continued so that none gets more of a
                     core than its settings say.
   --config          Harm the ways on which boxes learn of configurations, in
@@ -233,6 +236,8 @@
   Opts.m_DataCentres =
       number(Flags, "--data-centres", {.m_Least = 1, .m_Most = 3});
   Opts.m_Power = Flags["--power"].asBool();
+  Opts.m_TakenPorts = Flags["--taken-ports"].asBool();
+  Opts.m_Renamed = Flags["--renamed"].asBool();
   Opts.m_Held = Flags["--held"].asBool();
   Opts.m_Crashing = static_cast<int>(Flags["--crashing"].asLong());
   Opts.m_Parts = static_cast<int>(Flags["--parts"].asLong());
@@ -253,6 +258,8 @@
     throw std::runtime_error("--store-troubles takes --returns");
   if (Opts.m_Power && !Opts.m_Returns)
     throw std::runtime_error("--power takes --returns");
+  if ((Opts.m_TakenPorts || Opts.m_Renamed) && !Opts.m_Returns)
+    throw std::runtime_error("--taken-ports and --renamed take --returns");
   Opts.m_ConfigPlan = Flags["--config"].asBool();
   Opts.m_Again = std::chrono::milliseconds(Flags["--again"].asLong());
   Opts.m_MoreRoutes = static_cast<int>(Flags["--routes"].asLong());
