--- a/tests/standin/StandinStore.cpp
+++ b/tests/standin/StandinStore.cpp
@@ -102,6 +102,14 @@
                                 : platform::decodeBase64(Found->second.m_Value);
 }
 
+std::optional<std::string>
+StandinStore::firstValue(const std::string &Prefix) const {
+  const auto Found = m_Items.lower_bound(Prefix);
+  if (Found == m_Items.end() || !Found->first.starts_with(Prefix))
+    return std::nullopt;
+  return platform::decodeBase64(Found->second.m_Value);
+}
+
 bool StandinStore::mentions(const std::string &Text) const {
   return std::any_of(m_Items.begin(), m_Items.end(), [&](const auto &Each) {
     return platform::decodeBase64(Each.second.m_Value).find(Text) !=
--- a/tests/standin/StandinStore.h
+++ b/tests/standin/StandinStore.h
@@ -34,6 +34,8 @@
   void remove(const std::string &Key);
   /// The value of a key; empty without it.
   std::string value(const std::string &Key) const;
+  /// The value of the first key that begins with \p Prefix.
+  std::optional<std::string> firstValue(const std::string &Prefix) const;
   bool has(const std::string &Key) const { return m_Items.contains(Key); }
   /// Whether the value of any key contains \p Text.
   bool mentions(const std::string &Text) const;
