A box whose ports are taken at its start waits for them

What callers see: before, a box that found one of its ports taken, be it for a moment, ended by itself; where nobody starts it again it stayed away for good. Cause: each listener bound once, in its constructor, and threw. A box is not ready while its callers' port is taken, has no entry while its port of links is, and names its port of passed requests once it has it. What can never become right (not allowed, not an address) still ends the process.

--- a/packages/gateway/process/Fleet.cpp
+++ b/packages/gateway/process/Fleet.cpp
@@ -77,7 +77,8 @@
   m_Hooks = {.m_Frame = [](const BoxName &, const PeerFrame &) {},
              .m_Up = [](const BoxName &) {},
              .m_Down = [](const BoxName &) {},
-             .m_StoreBack = [] {}};
+             .m_StoreBack = [] {},
+             .m_Listening = nullptr};
 }
 
 PeerMesh::Options Fleet::meshOptions() const {
@@ -106,25 +107,34 @@
                 m_Linked.erase(Box);
                 m_Log.write("peer_down", {{"peer", Box.str()}});
                 m_Hooks.m_Down(Box);
-              }};
+              },
+          .m_Listening = m_Hooks.m_Listening};
 }
 
 std::string Fleet::ownKey() const {
   return m_Opts.m_Prefix + BoxKeys + m_Opts.m_Box.str();
 }
 
-StoreTransaction Fleet::entry(LeaseId Lease) const {
+/// No box is sent to an address on which this one does not listen yet.
+std::optional<StoreTransaction> Fleet::entry(LeaseId Lease) const {
+  if (!m_Mesh.listening())
+    return std::nullopt;
   Json Value{{"peers", m_Mesh.endpoint().str()},
              {"zone", m_Opts.m_DataCentre.str()},
              {"capacity", m_Opts.m_Capacity},
              {"protocol", OwnProtocol}};
   if (m_Passing)
     Value["passing"] = m_Passing->str();
-  return {.m_Conditions = {},
-          .m_Puts = {{.m_Key = ownKey(),
-                      .m_Value = dumpJson(Value),
-                      .m_Lease = Lease}},
-          .m_Removals = {}};
+  return StoreTransaction{.m_Conditions = {},
+                          .m_Puts = {{.m_Key = ownKey(),
+                                      .m_Value = dumpJson(Value),
+                                      .m_Lease = Lease}},
+                          .m_Removals = {}};
+}
+
+void Fleet::setPassing(const Endpoint &Passing) {
+  m_Passing = Passing;
+  m_Entry.contentChanged();
 }
 
 void Fleet::tick() {
--- a/packages/gateway/process/Fleet.h
+++ b/packages/gateway/process/Fleet.h
@@ -51,6 +51,8 @@
     std::function<void(const BoxName &)> m_Down;
     /// The store answers again after an outage.
     std::function<void()> m_StoreBack;
+    /// Told how it stands with the address for links; may be empty.
+    PortListener::Reporter m_Listening;
   };
 
   Fleet(EventLoop &Loop, CoordinationStore &Store, DecisionLog &Log,
@@ -113,9 +115,8 @@
   };
   /// The listed boxes that take requests; not those of older builds.
   std::vector<PassAddress> passAddresses() const;
-  /// Sets where this box takes requests of other boxes. To be called before its
-  /// entry is written.
-  void setPassing(const Endpoint &Passing) { m_Passing = Passing; }
+  /// Sets where this box takes requests of other boxes.
+  void setPassing(const Endpoint &Passing);
   /// The linked boxes.
   const std::set<BoxName> &linked() const { return m_Linked; }
   /// The linked relays; in a small fleet all linked boxes. Returns a copy, as a
@@ -156,7 +157,7 @@
   void tick();
   void storeAnswered(bool Reached);
   std::string ownKey() const;
-  StoreTransaction entry(LeaseId Lease) const;
+  std::optional<StoreTransaction> entry(LeaseId Lease) const;
   std::map<BoxName, ListedBox>
   readEntries(const std::map<std::string, StoreItem> &Items) const;
   void keepMissing(std::map<BoxName, ListedBox> &Listed, TimePoint Now);
@@ -172,7 +173,7 @@
   DecisionLog &m_Log;
   Options m_Opts;
   Hooks m_Hooks;
-  std::optional<Endpoint> m_Passing;
+  std::optional<Endpoint> m_Passing; ///< Empty before it takes requests.
   LeasedKey m_Entry;
   PeerMesh m_Mesh;
   FleetTopology m_Topology;
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -96,7 +96,8 @@
                      return StoreCallLog::Role{m_Fleet.topology().relay(),
                                                m_Leader.leading()};
                    }),
-      m_Startup(m_Log, m_StartedAt), m_Random(std::random_device()()),
+      m_Startup(m_Log, m_StartedAt), m_Listeners(m_Log),
+      m_Random(std::random_device()()),
       m_UpstreamHttp(Loop), m_StoreHttp(Loop), m_Eras(eraHooks()),
       m_Store(std::make_unique<MeteredStore>(
           m_Binding.m_MakeStore(m_StoreHttp, m_Options.m_Store, m_Eras),
@@ -369,7 +370,8 @@
                 m_StreamOrigins->linkDown(Box);
                 m_Permits->refreshRole();
               },
-          .m_StoreBack = [this] { resync(); }};
+          .m_StoreBack = [this] { resync(); },
+          .m_Listening = listenerHook(listener::Peers)};
 }
 
 CrashExchange::Hooks Gateway::crashHooks() {
@@ -408,10 +410,29 @@
 void Gateway::noteStartup(StartupStep Step, std::string_view From) {
   const TimePoint Now = EventLoop::now();
   m_Startup.reached(Step, From, Now);
-  if (m_State.ready())
+  if (ready())
     m_Startup.reached(StartupStep::Ready, "", Now);
 }
 
+/// A box that takes no callers is not ready for them.
+bool Gateway::ready() const {
+  return m_State.ready() && m_Listeners.listening(listener::Callers);
+}
+
+PortListener::Reporter Gateway::listenerHook(std::string_view Name) {
+  return
+      [this, Name](const PortListener::Report &Now) { onListening(Name, Now); };
+}
+
+void Gateway::onListening(std::string_view Name,
+                          const PortListener::Report &Now) {
+  m_Listeners.onReport(Name, Now);
+  if (Name == listener::Passing && Now.listening())
+    m_Fleet.setPassing(Now.m_Address);
+  if (ready())
+    m_Startup.reached(StartupStep::Ready, "", EventLoop::now());
+}
+
 void Gateway::onRequestEnded(const RequestResult &Result) {
   if (Result.m_Outcome == "ok")
     noteStartup(StartupStep::FirstAnswer, "");
@@ -458,6 +479,7 @@
   Opts.m_MaxHeaders = 2 * CallerLimits{}.m_HeaderBytes;
   Opts.m_IdleTimeout = CallerLimits{}.m_IdleTimeout + IdleMargin;
   Opts.m_Memory = m_Memory;
+  Opts.m_OnListening = listenerHook(listener::Callers);
   m_Callers = std::make_unique<HttpServer>(
       m_Loop, Opts,
       [this](const HttpExchangePtr &Exchange) { takeRequest(Exchange); },
@@ -466,16 +488,19 @@
       });
   Opts.m_Memory = MemoryBudget();
   Opts.m_Listen = m_Options.m_Readiness;
+  Opts.m_OnListening = listenerHook(listener::Readiness);
   m_Readiness = std::make_unique<HttpServer>(
       m_Loop, Opts,
       [this](const HttpExchangePtr &Exchange) { answerReadiness(Exchange); });
   Opts.m_Listen = m_Options.m_Metrics;
+  Opts.m_OnListening = listenerHook(listener::Metrics);
   m_MetricsServer = std::make_unique<HttpServer>(
       m_Loop, Opts,
       [this](const HttpExchangePtr &Exchange) { answerMetrics(Exchange); });
   if (!m_Options.m_Passing)
     return;
   Opts.m_Listen = *m_Options.m_Passing;
+  Opts.m_OnListening = listenerHook(listener::Passing);
   Opts.m_Memory = m_Memory;
   Opts.m_MaxHeaders = 2 * Opts.m_MaxHeaders;
   m_Passes = std::make_shared<PassExchange>(
@@ -485,7 +510,6 @@
                             .m_Secret = peerSecret(m_Options)},
       passHooks());
   m_Forwarder.setPassService(m_Passes);
-  m_Fleet.setPassing(m_Passes->endpoint());
 }
 
 PassExchange::Hooks Gateway::passHooks() {
@@ -563,6 +587,8 @@
       Number(m_State.m_Signals.refusalLimits().size());
   for (const auto &[Step, After] : m_Startup.reachedAfter())
     Now.m_Startup[toString(Step)] = inSeconds(After);
+  for (const auto &[Name, Listening] : m_Listeners.all())
+    Now.m_Listening[Name] = Listening ? 1 : 0;
   Now.m_Cold = m_State.m_WarmUp.coldByDataCentre(EventLoop::now());
   m_Metrics.set(Now);
   Exchange->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
@@ -572,7 +598,7 @@
 void Gateway::answerReadiness(const HttpExchangePtr &Exchange) {
   if (Exchange->path() != m_Binding.m_ReadinessPath)
     return Exchange->reply(404, {}, "");
-  Exchange->reply(m_State.ready() ? 200 : 503, {}, "");
+  Exchange->reply(ready() ? 200 : 503, {}, "");
 }
 
 /// Refuses a request whose body is too large, or for which this box lacks room
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -10,6 +10,7 @@
 #include "gateway/process/FleetExchange.h"
 #include "gateway/process/GatewayMetrics.h"
 #include "gateway/process/GatewayPolicy.h"
+#include "gateway/process/ListenerLog.h"
 #include "gateway/process/MeteredStore.h"
 #include "gateway/process/OrderLeader.h"
 #include "gateway/process/PassExchange.h"
@@ -43,7 +44,8 @@
 /// event loop.
 class Gateway {
 public:
-  /// \throws std::runtime_error when an address cannot be bound.
+  /// Listens on each address as soon as it is free.
+  /// \throws std::runtime_error when an address can never be bound.
   Gateway(EventLoop &Loop, PlatformBinding Binding, GatewayOptions Options,
           GatewayPolicy Policy, int LogDescriptor,
           std::function<void()> Stopped);
@@ -87,6 +89,9 @@
   WatchCache::Options cacheOptions(const std::string &Prefix,
                                    Duration CoalesceDelay, Duration Wait,
                                    ReadKind FirstRead = ReadKind::Current);
+  PortListener::Reporter listenerHook(std::string_view Name);
+  void onListening(std::string_view Name, const PortListener::Report &Now);
+  bool ready() const;
   void startServers();
   PassExchange::Hooks passHooks();
   void reachChanged();
@@ -135,6 +140,7 @@
   TimePoint m_StartedAt = EventLoop::now();
   StoreCallLog m_StoreCalls;
   StartupLog m_Startup;
+  ListenerLog m_Listeners;
   mutable std::mt19937_64 m_Random;
   HttpClient m_UpstreamHttp;
   HttpClient m_StoreHttp;
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -113,6 +113,12 @@
           .Name("havenstair_startup_seconds")
           .Help("Time from the start to each step on the way to serving")
           .Register(m_Registry);
+  prometheus::Family<prometheus::Gauge> &m_Listening =
+      prometheus::BuildGauge()
+          .Name("havenstair_listening")
+          .Help("1 while the box listens on an address, which something else "
+                "may have")
+          .Register(m_Registry);
   prometheus::Family<prometheus::Gauge> &m_PeerFrames =
       prometheus::BuildGauge()
           .Name("havenstair_peer_frames_sent")
@@ -267,6 +273,9 @@
   m_Families->state("no_room", Gauges.m_NoRoom);
   for (const auto &[Step, After] : Gauges.m_Startup)
     m_Families->m_Startup.Add({{"step", std::string(Step)}}).Set(After);
+  for (const auto &[Name, Listening] : Gauges.m_Listening)
+    m_Families->m_Listening.Add({{"listener", std::string(Name)}})
+        .Set(Listening);
   for (const auto &[Kind, Frames] : Gauges.m_PeerFrames)
     m_Families->m_PeerFrames.Add({{"kind", std::string(Kind)}}).Set(Frames);
   for (const auto &[Kind, Bytes] : Gauges.m_PeerBytes)
--- a/packages/gateway/process/GatewayMetrics.h
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -51,6 +51,8 @@
   std::map<DataCentreName, int> m_Cold; ///< Cold upstreams by data centre.
   /// Seconds from the start to each step that was reached.
   std::map<std::string_view, double> m_Startup;
+  /// By address, 1 while the box listens on it.
+  std::map<std::string_view, double> m_Listening;
   std::map<std::string_view, double> m_PeerFrames; ///< Frames sent, by kind.
   std::map<std::string_view, double> m_PeerBytes;  ///< Bytes sent, by kind.
 };
--- a/packages/gateway/process/LeasedKey.cpp
+++ b/packages/gateway/process/LeasedKey.cpp
@@ -90,7 +90,7 @@
                        onAnswer(Status);
                        if (Status == StoreStatus::Ok) {
                          m_Keeper.onGranted(std::to_string(m_Lease), Now);
-                         if (!m_Claimed)
+                         if (!m_Claimed || m_Outdated)
                            claim(Now);
                          return;
                        }
@@ -111,9 +111,11 @@
     m_Claiming = false;
     return;
   }
+  m_Outdated = false;
   m_Store.transact(*Transaction,
                    guarded([this](StoreStatus Status, StoreRevision Revision) {
                      m_Claiming = false;
+                     m_Outdated = m_Outdated || Status != StoreStatus::Ok;
                      onAnswer(Status);
                      if (Status == StoreStatus::Ok) {
                        m_Claimed = true;
--- a/packages/gateway/process/LeasedKey.h
+++ b/packages/gateway/process/LeasedKey.h
@@ -53,6 +53,8 @@
   /// belong to another box: acquires a new one after \p Delay and claims the
   /// keys again. They count as written until the old lease would have ended.
   void onStoreRestored(TimePoint Now, Duration Delay);
+  /// What the claim writes has changed: writes it again with the next renewal.
+  void contentChanged() { m_Outdated = true; }
   /// Takes effect with the next renewal.
   void setRenewEvery(Duration Every);
   /// Backoff while the store does not answer.
@@ -76,6 +78,7 @@
   LeaseId m_Lease = 0;
   bool m_Claimed = false;
   bool m_Claiming = false;
+  bool m_Outdated = false; ///< The content has changed since it was claimed.
   /// When the keys have to be claimed again at the latest; empty when they need
   /// not be.
   std::optional<TimePoint> m_ReclaimBy;
--- a/packages/gateway/process/PassExchange.h
+++ b/packages/gateway/process/PassExchange.h
@@ -43,7 +43,7 @@
     std::function<double()> m_Random; ///< Random numbers from 0 to 1.
   };
 
-  /// \throws std::runtime_error when the address cannot be bound.
+  /// \throws std::runtime_error when the address can never be bound.
   PassExchange(EventLoop &Loop, Fleet &Others, const ServingState &State,
                DecisionLog &Log, Options Opts, Hooks Callbacks);
 
--- a/packages/havenstaird/process/Box.cpp
+++ b/packages/havenstaird/process/Box.cpp
@@ -25,6 +25,12 @@
 constexpr Duration HandoverTimeout = 5s;
 constexpr std::size_t EntryBuffer = 1 << 20;
 
+void logListener(const PortListener::Report &Now) {
+  if (!Now.listening())
+    logWarning(LogPart::Box, "Cannot listen on " + Now.m_Address.str() +
+                                 " yet: " + Now.m_Obstacle);
+}
+
 } // namespace
 
 BoxName makeIncarnation(const BoxName &Box) {
@@ -116,7 +122,8 @@
           },
       .m_Frame = [this](const BoxName &Peer,
                         PeerFrame Frame) { onFrame(Peer, std::move(Frame)); },
-      .m_Down = [this](const BoxName &Peer) { peerDown(Peer); }};
+      .m_Down = [this](const BoxName &Peer) { peerDown(Peer); },
+      .m_Listening = logListener};
 }
 
 Membership::Options Box::membershipOptions() {
@@ -284,7 +291,8 @@
 HttpServer::Options Box::serverOptions(const Endpoint &Listen) const {
   return {.m_Listen = Listen,
           .m_MaxBody = m_Settings.m_MaxBody,
-          .m_MaxBuffered = EntryBuffer};
+          .m_MaxBuffered = EntryBuffer,
+          .m_OnListening = logListener};
 }
 
 // Requests.
--- a/packages/wire/common/HttpServer.cpp
+++ b/packages/wire/common/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdexcept>
@@ -24,16 +25,6 @@
     EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
     EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
 
-int boundPort(evutil_socket_t Socket) {
-  sockaddr_storage Address{};
-  socklen_t Length = sizeof(Address);
-  if (getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length) != 0)
-    return 0;
-  if (Address.ss_family == AF_INET6)
-    return ntohs(reinterpret_cast<sockaddr_in6 *>(&Address)->sin6_port);
-  return ntohs(reinterpret_cast<sockaddr_in *>(&Address)->sin_port);
-}
-
 /// How long the system at the other end of \p Socket has acknowledged nothing.
 /// One whose program reads slowly, or not at all, still does that.
 Duration silenceOf(evutil_socket_t Socket) {
@@ -63,19 +54,22 @@
                      static_cast<int>(m_Opts.m_IdleTimeout.count() / 1000000));
   evhttp_set_gencb(m_Http, onRequest, this);
   evhttp_set_bevcb(m_Http, onAccepted, this);
-  m_Endpoint = m_Opts.m_Listen;
-  m_Socket = evhttp_bind_socket_with_handle(
-      m_Http, m_Endpoint.m_Address.c_str(),
-      static_cast<std::uint16_t>(m_Endpoint.m_Port));
-  if (m_Socket == nullptr) {
+  try {
+    m_Listener = std::make_unique<PortListener>(
+        Loop, m_Opts.m_Listen,
+        [this](evconnlistener *Listener) { onListening(Listener); },
+        m_Opts.m_OnListening);
+  } catch (const std::runtime_error &) {
     event_free(m_AcceptedEvent);
     evhttp_free(m_Http);
-    throw std::runtime_error("cannot listen on " + m_Opts.m_Listen.str());
+    throw;
   }
-  const evutil_socket_t Listener = evhttp_bound_socket_get_fd(m_Socket);
-  setsockopt(Listener, SOL_SOCKET, SO_RCVBUF, &ReceiveBuffer,
-             sizeof(ReceiveBuffer));
-  m_Endpoint.m_Port = boundPort(Listener);
+}
+
+void HttpServer::onListening(evconnlistener *Listener) {
+  m_Socket = evhttp_bind_listener(m_Http, Listener);
+  setsockopt(evconnlistener_get_fd(Listener), SOL_SOCKET, SO_RCVBUF,
+             &ReceiveBuffer, sizeof(ReceiveBuffer));
 }
 
 HttpServer::~HttpServer() {
@@ -86,6 +80,7 @@
 }
 
 void HttpServer::stopAccepting() {
+  m_Listener->giveUp();
   if (m_Socket == nullptr)
     return;
   evhttp_del_accept_socket(m_Http, m_Socket);
--- a/packages/wire/common/HttpServer.h
+++ b/packages/wire/common/HttpServer.h
@@ -8,6 +8,7 @@
 #include "wire/common/EventLoop.h"
 #include "wire/common/HttpExchange.h"
 #include "wire/common/InboundConnection.h"
+#include "wire/common/PortListener.h"
 #include <functional>
 #include <map>
 #include <memory>
@@ -20,6 +21,7 @@
 struct evhttp_connection;
 struct evhttp_request;
 struct event_base;
+struct evconnlistener;
 
 namespace havenstair {
 
@@ -37,6 +39,8 @@
     std::size_t m_MaxOpen = 20000;
     /// Bounds what is held for requests and their answers.
     MemoryBudget m_Memory;
+    /// Told how it stands with the address; may be empty.
+    PortListener::Reporter m_OnListening;
   };
   using Handler = std::function<void(const HttpExchangePtr &)>;
   using Turned = TurnedAway;
@@ -44,13 +48,16 @@
   /// body.
   using Refuser = std::function<void(const HttpExchangePtr &, Turned)>;
 
-  /// \throws std::runtime_error when the address cannot be bound.
+  /// Listens as soon as the address is free.
+  /// \throws std::runtime_error when the address can never be bound.
   HttpServer(EventLoop &Loop, Options Opts, Handler OnRequest,
              Refuser OnTurnedAway = nullptr);
   ~HttpServer();
 
-  /// The bound address, with the real port.
-  Endpoint endpoint() const { return m_Endpoint; }
+  /// The address, with the real port once it is bound.
+  Endpoint endpoint() const { return m_Listener->endpoint(); }
+  /// Whether the address is bound, or was until stopAccepting().
+  bool listening() const { return m_Listener->listening(); }
   /// Stops to accept connections; open exchanges go on.
   void stopAccepting();
   /// Answers from now on ask the other side to close the connection.
@@ -67,6 +74,7 @@
 private:
   using ConnectionPtr = std::shared_ptr<InboundConnection>;
 
+  void onListening(evconnlistener *Listener);
   static bufferevent *onAccepted(event_base *Base, void *Arg);
   static void onClosed(evhttp_connection *Closing, void *Arg);
   static void onRequest(evhttp_request *Request, void *Arg);
@@ -81,9 +89,10 @@
   Refuser m_TurnedAway;
   evhttp *m_Http;
   event *m_AcceptedEvent; ///< Handles m_Accepted.
+  std::unique_ptr<PortListener> m_Listener;
+  /// Null before the address is bound, and after stopAccepting().
   evhttp_bound_socket *m_Socket = nullptr;
   bool m_CloseAfterAnswers = false;
-  Endpoint m_Endpoint;
   std::vector<ConnectionPtr> m_Accepted; ///< evhttp makes connections of them.
   std::map<evhttp_connection *, ConnectionPtr> m_Connections;
   std::shared_ptr<std::size_t> m_OpenCount = std::make_shared<std::size_t>(0);
--- a/packages/wire/process/PeerMesh.cpp
+++ b/packages/wire/process/PeerMesh.cpp
@@ -2,44 +2,27 @@
 
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
-#include <netinet/in.h>
-#include <stdexcept>
 #include <sys/socket.h>
 
 namespace havenstair {
 
-namespace {
-
-constexpr unsigned ListenFlags =
-    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC;
-
-int listenerPort(evconnlistener *Listener) {
-  sockaddr_storage Address{};
-  socklen_t Length = sizeof(Address);
-  getsockname(evconnlistener_get_fd(Listener),
-              reinterpret_cast<sockaddr *>(&Address), &Length);
-  if (Address.ss_family == AF_INET6)
-    return ntohs(reinterpret_cast<sockaddr_in6 *>(&Address)->sin6_port);
-  return ntohs(reinterpret_cast<sockaddr_in *>(&Address)->sin_port);
-}
-
-} // namespace
-
 PeerMesh::PeerMesh(EventLoop &Loop, Options Opts, Hooks Callbacks)
     : m_Loop(Loop), m_Opts(std::move(Opts)), m_Hooks(std::move(Callbacks)),
-      m_Endpoint(m_Opts.m_Listen) {
-  sockaddr_storage Address{};
-  const int Length = toSockaddr(m_Endpoint, Address);
-  m_Listener = evconnlistener_new_bind(
-      Loop.base(),
+      m_Port(
+          Loop, m_Opts.m_Listen,
+          [this](evconnlistener *Listener) { onListening(Listener); },
+          m_Hooks.m_Listening) {
+  m_LookTimer = Loop.every(PeerLink::LookEvery, [this] { look(); });
+}
+
+void PeerMesh::onListening(evconnlistener *Listener) {
+  m_Listener = Listener;
+  evconnlistener_set_cb(
+      Listener,
       [](evconnlistener *, evutil_socket_t Socket, sockaddr *, int, void *Arg) {
         static_cast<PeerMesh *>(Arg)->accept(Socket);
       },
-      this, ListenFlags, -1, reinterpret_cast<sockaddr *>(&Address), Length);
-  if (m_Listener == nullptr)
-    throw std::runtime_error("cannot listen on " + m_Endpoint.str());
-  m_Endpoint.m_Port = listenerPort(m_Listener);
-  m_LookTimer = Loop.every(PeerLink::LookEvery, [this] { look(); });
+      this);
 }
 
 void PeerMesh::look() {
@@ -47,7 +30,10 @@
     Link->look();
 }
 
-PeerMesh::~PeerMesh() { evconnlistener_free(m_Listener); }
+PeerMesh::~PeerMesh() {
+  if (m_Listener != nullptr)
+    evconnlistener_free(m_Listener);
+}
 
 void PeerMesh::accept(int Socket) {
   bufferevent *Stream =
--- a/packages/wire/process/PeerMesh.h
+++ b/packages/wire/process/PeerMesh.h
@@ -6,6 +6,7 @@
 #include "decisions/process/Backoff.h"
 #include "wire/common/Endpoint.h"
 #include "wire/common/EventLoop.h"
+#include "wire/common/PortListener.h"
 #include "wire/connection/PeerLink.h"
 #include <functional>
 #include <list>
@@ -50,13 +51,19 @@
     /// empty.
     std::function<void()> m_Skipped;
     std::function<void(const BoxName &)> m_Down;
+    /// Told how it stands with the address; may be empty.
+    PortListener::Reporter m_Listening;
   };
 
-  /// \throws std::runtime_error when the address cannot be bound.
+  /// Listens as soon as the address is free, and connects to others meanwhile.
+  /// \throws std::runtime_error when the address can never be bound.
   PeerMesh(EventLoop &Loop, Options Opts, Hooks Callbacks);
   ~PeerMesh();
 
-  Endpoint endpoint() const { return m_Endpoint; }
+  /// The address, with the real port once it is bound.
+  Endpoint endpoint() const { return m_Port.endpoint(); }
+  /// Whether others can connect to this box.
+  bool listening() const { return m_Port.listening(); }
   /// Adds or updates addresses. Known boxes that are not in \p Peers stay
   /// known.
   void learn(const std::vector<PeerAddress> &Peers);
@@ -96,6 +103,7 @@
     bool m_Dialling = false;
   };
 
+  void onListening(evconnlistener *Listener);
   void learnOne(const PeerAddress &Peer, bool Seed);
   void accept(int Socket);
   void dial(const BoxName &Box);
@@ -113,8 +121,8 @@
   EventLoop &m_Loop;
   Options m_Opts;
   Hooks m_Hooks;
-  evconnlistener *m_Listener = nullptr;
-  Endpoint m_Endpoint;
+  evconnlistener *m_Listener = nullptr; ///< Null before it listens.
+  PortListener m_Port;
   std::map<BoxName, Known> m_Known;
   std::map<PeerLink *, std::unique_ptr<PeerLink>> m_Links;
   std::map<PeerLink *, BoxName> m_DialledFor;
--- a/tests/gateway/TakenPortTest.cpp
+++ b/tests/gateway/TakenPortTest.cpp
@@ -43,7 +43,7 @@
 
 TEST_CASE("A box whose callers' port is taken at its start serves once it is "
           "free, and is not ready before",
-          "[known-red][gateway][startup][ports]") {
+          "[gateway][startup][ports]") {
   TakenPortTest Test([](GatewayOptions &Options, const Endpoint &Taken) {
     Options.m_Callers = Taken;
   });
@@ -55,7 +55,7 @@
 
 TEST_CASE("A box whose readiness port is taken at its start says that it is "
           "ready once it is free",
-          "[known-red][gateway][startup][ports]") {
+          "[gateway][startup][ports]") {
   TakenPortTest Test([](GatewayOptions &Options, const Endpoint &Taken) {
     Options.m_Readiness = Taken;
   });
@@ -65,7 +65,7 @@
 }
 
 TEST_CASE("A box whose metrics port is taken at its start serves",
-          "[known-red][gateway][startup][ports]") {
+          "[gateway][startup][ports]") {
   TakenPortTest Test([](GatewayOptions &Options, const Endpoint &Taken) {
     Options.m_Metrics = Taken;
   });
@@ -79,7 +79,7 @@
 
 TEST_CASE("A box whose port for links is taken at its start has no entry in "
           "the store until it is free",
-          "[known-red][gateway][startup][ports]") {
+          "[gateway][startup][ports]") {
   TakenPortTest Test([](GatewayOptions &Options, const Endpoint &Taken) {
     Options.m_Peers = Taken;
   });
@@ -93,7 +93,7 @@
 
 TEST_CASE("A box whose port for passed requests is taken at its start names it "
           "in the store once it is free",
-          "[known-red][gateway][startup][ports]") {
+          "[gateway][startup][ports]") {
   TakenPortTest Test([](GatewayOptions &Options, const Endpoint &Taken) {
     Options.m_Passing = Taken;
   });
@@ -105,7 +105,7 @@
 }
 
 TEST_CASE("A box that stops while a port is taken stops",
-          "[known-red][gateway][startup][ports][stop]") {
+          "[gateway][startup][ports][stop]") {
   TakenPortTest Test([](GatewayOptions &Options, const Endpoint &Taken) {
     Options.m_Callers = Taken;
   });
