What all answers hold is bounded together, chunks and events among it

What callers saw: a faulty server's answers, each within its bound, ended a box by its memory limit, and all callers of that box with it. Cause: evhttp keeps a chunk until it is whole, in a buffer that nobody counted, and so is an unfinished event; where the budget had no room, whoever asked gave way, the small answer of a sound server too; what was announced stayed reserved.

--- a/packages/decisions/process/MemoryBudget.cpp
+++ b/packages/decisions/process/MemoryBudget.cpp
@@ -31,38 +31,69 @@
   return *this;
 }
 
+MemoryUse MemoryCharge::useFor(std::size_t Bytes) const {
+  if (m_Use != MemoryUse::SmallAnswer && m_Use != MemoryUse::LargeAnswer)
+    return m_Use;
+  return Bytes >= m_Sums->m_Large ? MemoryUse::LargeAnswer
+                                  : MemoryUse::SmallAnswer;
+}
+
+bool MemoryCharge::fits(std::size_t Bytes) const {
+  if (!m_Sums || Bytes <= m_Bytes)
+    return true;
+  const MemoryUse Use = useFor(Bytes);
+  const std::size_t Others = m_Sums->held() - m_Bytes;
+  const std::size_t Limit = m_Sums->m_Limits.at(std::size_t(Use));
+  if (Others > Limit || Bytes > Limit - Others)
+    return false;
+  if (Use != MemoryUse::LargeAnswer)
+    return true;
+  const std::size_t Large =
+      m_Sums->m_Held.at(std::size_t(Use)) - (m_Use == Use ? m_Bytes : 0);
+  return Large <= m_Sums->m_LargeAnswers &&
+         Bytes <= m_Sums->m_LargeAnswers - Large;
+}
+
 bool MemoryCharge::resize(std::size_t Bytes) {
-  if (m_Sums && Bytes > m_Bytes) {
-    const std::size_t Limit = m_Sums->m_Limits.at(std::size_t(m_Use));
-    const std::size_t Held = m_Sums->held();
-    if (Held > Limit || Bytes - m_Bytes > Limit - Held) {
-      ++m_Sums->m_Refusals;
-      return false;
-    }
+  if (!fits(Bytes) && m_Sums->m_MakeRoom)
+    m_Sums->m_MakeRoom(useFor(Bytes), Bytes);
+  if (!fits(Bytes)) {
+    ++m_Sums->m_Refusals;
+    return false;
   }
   set(Bytes);
   return true;
 }
 
 void MemoryCharge::set(std::size_t Bytes) {
-  if (m_Sums)
-    m_Sums->m_Held.at(std::size_t(m_Use)) += Bytes - m_Bytes;
+  if (m_Sums) {
+    m_Sums->m_Held.at(std::size_t(m_Use)) -= m_Bytes;
+    m_Use = useFor(Bytes);
+    m_Sums->m_Held.at(std::size_t(m_Use)) += Bytes;
+  }
   m_Bytes = Bytes;
 }
 
 MemoryBudget::MemoryBudget(Options Opts)
     : m_Opts(Opts), m_Sums(std::make_shared<MemoryCharge::Sums>()) {
   m_Sums->m_Limits = {partOf(Opts.m_Limit, Opts.m_LargeBodyPart),
-                      partOf(Opts.m_Limit, Opts.m_SmallBodyPart), Opts.m_Limit};
+                      partOf(Opts.m_Limit, Opts.m_SmallBodyPart), Opts.m_Limit,
+                      Opts.m_Limit};
+  m_Sums->m_LargeAnswers = partOf(Opts.m_Limit, Opts.m_LargeAnswerPart);
+  m_Sums->m_Large = Opts.m_Large;
 }
 
 MemoryCharge MemoryBudget::chargeBody(std::size_t Announced) const {
-  const bool Large = Announced >= m_Opts.m_LargeBody;
+  const bool Large = Announced >= m_Opts.m_Large;
   return {m_Sums, Large ? MemoryUse::LargeBody : MemoryUse::SmallBody};
 }
 
 MemoryCharge MemoryBudget::chargeAnswer() const {
-  return {m_Sums, MemoryUse::Answer};
+  return {m_Sums, MemoryUse::SmallAnswer};
+}
+
+void MemoryBudget::onNoRoom(MakeRoom Hook) const {
+  m_Sums->m_MakeRoom = std::move(Hook);
 }
 
 std::size_t MemoryBudget::limit() const { return m_Opts.m_Limit; }
--- a/packages/gateway/process/ComponentOptions.cpp
+++ b/packages/gateway/process/ComponentOptions.cpp
@@ -14,6 +14,11 @@
 /// Memory in bytes that a process needs without any request.
 constexpr std::size_t OwnMemory = 64 << 20;
 
+/// Parts of it that answers of upstreams to this process's own calls may hold,
+/// and answers of the store; one answer of the store may have 16 MB.
+constexpr std::size_t OwnCallsMemory = 12 << 20;
+constexpr std::size_t StoreCallsMemory = 24 << 20;
+
 /// Part of the rest that requests and answers may hold. The system's buffers of
 /// connections and gaps between allocations take some more.
 constexpr double BudgetPart = 0.7;
@@ -68,6 +73,14 @@
   return Opts;
 }
 
+MemoryBudget ownCallsBudget() {
+  return MemoryBudget({.m_Limit = OwnCallsMemory});
+}
+
+MemoryBudget storeCallsBudget() {
+  return MemoryBudget({.m_Limit = StoreCallsMemory});
+}
+
 MemoryBudget memoryBudget(std::size_t Memory) {
   if (Memory == 0)
     return MemoryBudget();
--- a/packages/gateway/process/ComponentOptions.h
+++ b/packages/gateway/process/ComponentOptions.h
@@ -25,6 +25,11 @@
 Forwarder::Options forwarderOptions(const GatewayPolicy &Policy,
                                     const MemoryBudget &Memory);
 
+/// \returns the budget of the answers to the calls that a process makes for
+/// itself to upstreams, and to the store.
+MemoryBudget ownCallsBudget();
+MemoryBudget storeCallsBudget();
+
 /// \returns the budget of a process of which the platform allows \p Memory
 /// bytes; one without a limit if that is zero.
 MemoryBudget memoryBudget(std::size_t Memory);
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -98,7 +98,12 @@
                    }),
       m_Startup(m_Log, m_StartedAt), m_Listeners(m_Log),
       m_Random(std::random_device()()),
-      m_UpstreamHttp(Loop), m_StoreHttp(Loop), m_Eras(eraHooks()),
+      m_Memory(memoryBudget(m_Options.m_Memory)),
+      m_UpstreamHttp(Loop,
+                     {.m_Started = m_Memory, .m_Collected = ownCallsBudget()}),
+      m_StoreHttp(Loop, {.m_Started = MemoryBudget(),
+                         .m_Collected = storeCallsBudget()}),
+      m_Eras(eraHooks()),
       m_Store(std::make_unique<MeteredStore>(
           m_Binding.m_MakeStore(m_StoreHttp, m_Options.m_Store, m_Eras),
           MeteredStore::Hooks{
@@ -116,7 +121,6 @@
             if (Report.m_Leaving)
               m_Signals->recordLeaving(Engine.incarnation());
           })),
-      m_Memory(memoryBudget(m_Options.m_Memory)),
       m_ReachMonitor(
           Loop, m_UpstreamHttp, m_State, m_Log,
           {.m_ProbeTimeout = Forwarder::Options{}.m_ConnectTimeout},
@@ -579,7 +583,8 @@
   Now.m_MemoryLimit = m_Options.m_Memory == 0 ? 0 : Number(m_Memory.limit());
   Now.m_LargeBodies = Number(m_Memory.held(MemoryUse::LargeBody));
   Now.m_SmallBodies = Number(m_Memory.held(MemoryUse::SmallBody));
-  Now.m_Answers = Number(m_Memory.held(MemoryUse::Answer));
+  Now.m_Answers = Number(m_Memory.held(MemoryUse::LargeAnswer) +
+                         m_Memory.held(MemoryUse::SmallAnswer));
   Now.m_NoRoom = Number(m_Memory.refusals());
   Now.m_Partitioned = m_State.m_Reach.partitioned() ? 1 : 0;
   Now.m_LimitedUpstreams = Number(m_State.m_Signals.limits().size());
@@ -606,12 +611,14 @@
 void Gateway::turnAway(const HttpExchangePtr &Exchange, TurnedAway Why) {
   if (Why == TurnedAway::BodyTooLarge)
     return m_Forwarder.refuse(Exchange, {.m_Kind = ErrorKind::BodyTooLarge});
-  m_Log.write("no_room", {{"held", m_Memory.held()},
-                          {"large_bodies", m_Memory.held(MemoryUse::LargeBody)},
-                          {"small_bodies", m_Memory.held(MemoryUse::SmallBody)},
-                          {"answers", m_Memory.held(MemoryUse::Answer)},
-                          {"limit", m_Memory.limit()},
-                          {"open", m_Callers->openExchanges()}});
+  m_Log.write("no_room",
+              {{"held", m_Memory.held()},
+               {"large_bodies", m_Memory.held(MemoryUse::LargeBody)},
+               {"small_bodies", m_Memory.held(MemoryUse::SmallBody)},
+               {"large_answers", m_Memory.held(MemoryUse::LargeAnswer)},
+               {"answers", m_Memory.held(MemoryUse::SmallAnswer)},
+               {"limit", m_Memory.limit()},
+               {"open", m_Callers->openExchanges()}});
   const Duration After =
       NoRoomRetryAfter +
       fromSeconds(drawUnit(m_Random) * inSeconds(NoRoomRetryAfter));
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -142,13 +142,13 @@
   StartupLog m_Startup;
   ListenerLog m_Listeners;
   mutable std::mt19937_64 m_Random;
+  MemoryBudget m_Memory; ///< Bounds what requests and answers hold.
   HttpClient m_UpstreamHttp;
   HttpClient m_StoreHttp;
   StoreEraTracker m_Eras;
   std::unique_ptr<CoordinationStore> m_Store;
   std::unique_ptr<EngineControl> m_Engines;
   ServingState m_State;
-  MemoryBudget m_Memory; ///< Bounds what requests and answers hold.
   ReachMonitor m_ReachMonitor;
   Forwarder m_Forwarder;
   UpstreamRegistry m_Registry;
--- a/packages/gateway/request/Forwarder.cpp
+++ b/packages/gateway/request/Forwarder.cpp
@@ -5,6 +5,7 @@
 #include "gateway/request/FailureReply.h"
 #include "gateway/request/ProxiedRequest.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace havenstair {
@@ -17,6 +18,13 @@
 /// Interval at which expired requests in the startup queue are refused.
 constexpr Duration ExpiryCheckInterval = 50ms;
 
+/// How long no room is reserved for answers of an upstream after one of them
+/// came too slowly.
+constexpr Duration StallMemory = 10s;
+
+/// After a search for memory that found none.
+constexpr Duration ReclaimPause = 20ms;
+
 } // namespace
 
 Forwarder::Forwarder(EventLoop &Loop, HttpClient &Client, ServingState &State,
@@ -25,9 +33,12 @@
     : m_Loop(Loop), m_Client(Client), m_State(State),
       m_Dialect(std::move(Dialect)), m_Log(Log), m_Opts(std::move(Opts)),
       m_Hooks(std::move(Callbacks)),
-      m_StartupQueue(EventLoop::now(), m_Opts.m_StartupQueue) {}
+      m_StartupQueue(EventLoop::now(), m_Opts.m_StartupQueue) {
+  m_Opts.m_Memory.onNoRoom(
+      [this](MemoryUse Use, std::size_t Wanted) { makeRoom(Use, Wanted); });
+}
 
-Forwarder::~Forwarder() = default;
+Forwarder::~Forwarder() { m_Opts.m_Memory.onNoRoom(nullptr); }
 
 void Forwarder::refuseUnread(const HttpExchangePtr &Exchange,
                              const Failure &Reason, const std::string &Id) {
@@ -172,6 +183,70 @@
     Request->crashesChanged();
 }
 
+/// Takes back what is reserved for answers that come too slowly. For an answer
+/// without room, one gives way whose length nobody knows: the largest one of
+/// the upstream whose answers hold the most.
+void Forwarder::makeRoom(MemoryUse Use, std::size_t Wanted) {
+  const TimePoint Now = EventLoop::now();
+  const bool SoughtInVain =
+      Now - m_NothingFoundAt < ReclaimPause && Wanted >= m_NothingFoundFor;
+  const bool ForAnswer =
+      Use == MemoryUse::SmallAnswer || Use == MemoryUse::LargeAnswer;
+  if (SoughtInVain || releaseStalled(Now) || !ForAnswer)
+    return;
+  if (const auto Largest = largestOfHeaviest(Wanted))
+    return Largest->giveUpAnswer();
+  m_NothingFoundAt = Now;
+  m_NothingFoundFor = Wanted;
+}
+
+/// \returns the request with the largest answer that can be given up, of the
+/// upstream whose such answers hold more than \p Wanted, and the most; null if
+/// there is none.
+std::shared_ptr<ProxiedRequest>
+Forwarder::largestOfHeaviest(std::size_t Wanted) const {
+  struct Answers {
+    std::size_t m_Bytes = 0;
+    std::shared_ptr<ProxiedRequest> m_Largest;
+  };
+  std::map<InstanceId, Answers> ByUpstream;
+  for (const auto &Each : m_Open) {
+    const std::size_t Bytes = Each->reclaimableBytes();
+    if (Bytes == 0)
+      continue;
+    Answers &Of = ByUpstream[Each->answeringUpstream()];
+    Of.m_Bytes += Bytes;
+    if (!Of.m_Largest || Of.m_Largest->reclaimableBytes() < Bytes)
+      Of.m_Largest = Each;
+  }
+  const auto Heaviest =
+      std::max_element(ByUpstream.begin(), ByUpstream.end(),
+                       [](const auto &One, const auto &Other) {
+                         return One.second.m_Bytes < Other.second.m_Bytes;
+                       });
+  const bool Enough =
+      Heaviest != ByUpstream.end() && Heaviest->second.m_Bytes > Wanted;
+  return Enough ? Heaviest->second.m_Largest : nullptr;
+}
+
+bool Forwarder::releaseStalled(TimePoint Now) {
+  std::erase_if(m_StalledAt, [&](const auto &Each) {
+    return Now - Each.second > StallMemory;
+  });
+  bool Result = false;
+  for (const auto &Each : m_Open)
+    if (const auto Upstream = Each->releaseStalledAnswer(Now)) {
+      m_StalledAt[*Upstream] = Now;
+      Result = true;
+    }
+  return Result;
+}
+
+bool Forwarder::stalledLately(const InstanceId &Upstream, TimePoint Now) const {
+  const auto Found = m_StalledAt.find(Upstream);
+  return Found != m_StalledAt.end() && Now - Found->second <= StallMemory;
+}
+
 void Forwarder::remove(const std::shared_ptr<ProxiedRequest> &Ended) {
   m_Open.erase(Ended);
 }
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -22,6 +22,7 @@
 #include "wire/common/HttpClient.h"
 #include "wire/common/HttpServer.h"
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -143,6 +144,10 @@
   void refuseExpired();
   void begin(StartupQueue::Item Item);
   void remove(const std::shared_ptr<ProxiedRequest> &Ended);
+  void makeRoom(MemoryUse Use, std::size_t Wanted);
+  std::shared_ptr<ProxiedRequest> largestOfHeaviest(std::size_t Wanted) const;
+  bool releaseStalled(TimePoint Now);
+  bool stalledLately(const InstanceId &Upstream, TimePoint Now) const;
 
   EventLoop &m_Loop;
   HttpClient &m_Client;
@@ -160,6 +165,12 @@
   StartupQueue m_StartupQueue;
   Timer m_StartupTimer;
   std::set<std::shared_ptr<ProxiedRequest>> m_Open;
+  /// When answers of these upstreams came too slowly while others found no
+  /// room.
+  std::map<InstanceId, TimePoint> m_StalledAt;
+  /// When a search for memory found none, and how many bytes were wanted.
+  TimePoint m_NothingFoundAt{};
+  std::size_t m_NothingFoundFor = 0;
 };
 
 } // namespace havenstair
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -600,6 +600,7 @@
   if (m_Done || !m_Send)
     return;
   const AnswerFacts Facts = m_Owner.m_Dialect.m_ReadAnswer(Status, Headers);
+  m_Send->m_HeadAt = EventLoop::now();
   m_Send->m_Answer.readHead(Status, Headers, Facts);
   if (m_Send->m_Box) {
     m_Send->m_Software = readSoftware(Headers);
@@ -619,12 +620,13 @@
 void ProxiedRequest::awaitRoom(std::size_t Bytes) {
   const MemoryBudget &Memory = m_Owner.m_Opts.m_Memory;
   if (Bytes > m_Owner.m_Opts.m_MaxAnswerBytes ||
-      m_Send->m_Answer.hold(Bytes, Memory))
+      m_Owner.stalledLately(m_Send->m_Instance, EventLoop::now()) ||
+      m_Send->m_Answer.reserve(Bytes, Memory))
     return;
   m_IdleMonitor.stop();
   m_Call.pauseReading();
   m_RoomTimer = m_Owner.m_Loop.every(RoomCheckInterval, [this, Bytes] {
-    if (!m_Send->m_Answer.hold(Bytes, m_Owner.m_Opts.m_Memory))
+    if (!m_Send->m_Answer.reserve(Bytes, m_Owner.m_Opts.m_Memory))
       return;
     m_Call.resumeReading();
     m_RoomTimer.reset();
@@ -636,7 +638,7 @@
     return;
   if (answersStream()) {
     passEvents(m_Stream.feed(Bytes));
-    if (!m_Done && m_Stream.rest().size() > MaxEventBytes)
+    if (!m_Done && m_Send && !holdRest())
       settle(SendOutcome::Broken);
     return;
   }
@@ -653,6 +655,46 @@
   Answer.append(Bytes);
 }
 
+/// \returns whether there is room for what has come of an unfinished event.
+bool ProxiedRequest::holdRest() {
+  const std::size_t Bytes = m_Stream.rest().size();
+  if (Bytes > MaxEventBytes)
+    return false;
+  if (m_RestHeld.bytes() == 0)
+    m_RestHeld = m_Owner.m_Opts.m_Memory.chargeAnswer();
+  if (m_RestHeld.resize(Bytes))
+    return true;
+  m_Log.answerNotHeld(Bytes, m_Owner.m_Opts.m_Memory);
+  return false;
+}
+
+std::optional<InstanceId> ProxiedRequest::releaseStalledAnswer(TimePoint Now) {
+  if (m_Done || !m_Send || !m_Send->m_HeadAt ||
+      !m_Send->m_Answer.releaseStalled(Now - *m_Send->m_HeadAt))
+    return std::nullopt;
+  return m_Send->m_Instance;
+}
+
+std::size_t ProxiedRequest::reclaimableBytes() const {
+  if (m_Done || !m_Send)
+    return 0;
+  return m_RestHeld.bytes() + m_Send->m_Answer.reclaimable();
+}
+
+void ProxiedRequest::giveUpAnswer() {
+  m_Log.answerNotHeld(reclaimableBytes(), m_Owner.m_Opts.m_Memory);
+  m_Call = HttpCallHandle();
+  m_Send->m_Answer.drop();
+  m_Stream.dropRest();
+  m_RestHeld = MemoryCharge();
+  // Not from here: whoever needs the room is at work.
+  m_GiveUpTimer = m_Owner.m_Loop.after(0us, [Weak = weak_from_this()] {
+    const auto Self = Weak.lock();
+    if (Self && !Self->m_Done && Self->m_Send)
+      Self->settle(SendOutcome::Broken);
+  });
+}
+
 void ProxiedRequest::noteStarted(TimePoint Now) {
   std::optional<SendStatistics> &Statistics = m_Send->m_Statistics;
   if (m_Send->m_Started || (Statistics && !Statistics->running()))
@@ -812,6 +854,8 @@
   const TimePoint Now = EventLoop::now();
   m_IdleMonitor.stop();
   m_RoomTimer.reset();
+  m_GiveUpTimer = Timer();
+  m_RestHeld = MemoryCharge();
   // Destroying the handle cancels rejected and aborted calls.
   m_Call = HttpCallHandle();
   if (Outcome == SendOutcome::Answered) {
@@ -935,8 +979,10 @@
   m_DeadlineTimer = Timer();
   m_WaitTimer = Timer();
   m_PacingTimer = Timer();
+  m_GiveUpTimer = Timer();
   m_RoomTimer.reset();
   m_IdleMonitor.stop();
+  m_RestHeld = MemoryCharge();
   const Duration First = m_FirstByte ? *m_FirstByte - m_Times.arrived() : 0us;
   if (!m_Passed && Outcome != "ok" &&
       Outcome != answerFor(ErrorKind::CallerLeft).m_Code)
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -44,6 +44,17 @@
   /// Chooses again if the request waits, and ends it if it is now quarantined
   /// and no upstream has begun to answer it.
   void crashesChanged();
+  /// Gives back the memory that is reserved for an answer which comes too
+  /// slowly. \returns the upstream that sends it; empty if there is none.
+  std::optional<InstanceId> releaseStalledAnswer(TimePoint Now);
+  /// \returns the bytes that giveUpAnswer() gives back.
+  std::size_t reclaimableBytes() const;
+  /// \returns the upstream that sends them; empty for another box.
+  InstanceId answeringUpstream() const {
+    return m_Send ? m_Send->m_Instance : InstanceId();
+  }
+  /// Forgets what has come of the answer; the send counts as broken.
+  void giveUpAnswer();
 
 private:
   using Send = RequestSend;
@@ -86,6 +97,7 @@
   void onBytes(std::string_view Bytes);
   void onEnd(HttpEnd End);
   void awaitRoom(std::size_t Bytes);
+  bool holdRest();
   void noteStarted(TimePoint Now);
   void startStream();
   void passEvents(const std::string &Events);
@@ -158,11 +170,13 @@
   std::optional<TimePoint> m_FirstByte;
   StreamAnswer m_Stream;
   std::optional<Send> m_Send;
+  MemoryCharge m_RestHeld; ///< Charged for the unfinished event of a stream.
   Duration m_RefusalRetryAfter = 0us; ///< Retry time in the refusal.
   HttpCallHandle m_Call;
   Timer m_DeadlineTimer;
   Timer m_WaitTimer;
   Timer m_PacingTimer;
+  Timer m_GiveUpTimer; ///< While an answer that was given up is settled.
   std::optional<Timer> m_RoomTimer; ///< While the answer waits for room.
   StreamIdleMonitor m_IdleMonitor;
 };
--- a/packages/gateway/request/RequestSend.h
+++ b/packages/gateway/request/RequestSend.h
@@ -23,6 +23,7 @@
   StartTime m_StartTime = 0;                ///< Start time of the instance.
   SoftwareVersion m_Software;               ///< Version that was listed.
   TimePoint m_At{};                         ///< When the request was sent.
+  std::optional<TimePoint> m_HeadAt; ///< When the head of the answer came.
   double m_PendingMs = 0;  ///< Work ahead of the request at the upstream.
   double m_WorkMs = 0;     ///< The request's own work.
   double m_ExpectedMs = 0; ///< Expected time to the first token.
--- a/packages/gateway/request/SendAnswer.cpp
+++ b/packages/gateway/request/SendAnswer.cpp
@@ -5,6 +5,15 @@
 
 namespace havenstair {
 
+namespace {
+
+/// Answers that come more slowly, in bytes a second, keep no memory reserved
+/// for what has not come; after a first time without a judgement.
+constexpr double MinAnswerRate = 64 << 10;
+constexpr Duration StallGrace = 200ms;
+
+} // namespace
+
 void SendAnswer::readHead(int Status, const HttpHeaders &Headers,
                           const AnswerFacts &Facts) {
   m_Status = Status;
@@ -27,17 +36,40 @@
       .value_or(0);
 }
 
-bool SendAnswer::hold(std::size_t Bytes, const MemoryBudget &Memory) {
+bool SendAnswer::reserve(std::size_t Bytes, const MemoryBudget &Memory) {
+  if (m_Held.bytes() == 0)
+    m_Held = Memory.chargeAnswer();
+  m_Reserved = m_Held.resize(Bytes);
+  if (m_Reserved)
+    m_Body.reserve(Bytes);
+  return m_Reserved;
+}
+
+bool SendAnswer::growTo(std::size_t Bytes, const MemoryBudget &Memory) {
+  if (Bytes <= m_Held.bytes())
+    return true;
   if (m_Held.bytes() == 0)
     m_Held = Memory.chargeAnswer();
-  if (!m_Held.resize(Bytes))
+  const std::size_t Grown = Bytes + Bytes / 2;
+  if (!m_Held.resize(Grown))
     return false;
-  m_Body.reserve(Bytes);
+  m_Body.reserve(Grown);
   return true;
 }
 
-bool SendAnswer::growTo(std::size_t Bytes, const MemoryBudget &Memory) {
-  return Bytes <= m_Body.capacity() || hold(Bytes + Bytes / 2, Memory);
+bool SendAnswer::releaseStalled(Duration Taken) {
+  const bool Stalled =
+      m_Reserved && Taken > StallGrace && m_Held.bytes() > m_Body.size() &&
+      static_cast<double>(m_Body.size()) < MinAnswerRate * inSeconds(Taken);
+  if (!Stalled)
+    return false;
+  m_Reserved = false;
+  return m_Held.resize(m_Body.size());
+}
+
+void SendAnswer::drop() {
+  m_Body = std::string();
+  m_Held = MemoryCharge();
 }
 
 SharedBytes SendAnswer::takeBody() {
--- a/packages/gateway/request/SendAnswer.h
+++ b/packages/gateway/request/SendAnswer.h
@@ -49,12 +49,20 @@
   /// not state which request it is for.
   bool foreign() const { return m_Foreign; }
 
-  /// Makes room in \p Memory for a body of \p Bytes. \returns false where all
-  /// that is held leaves none.
-  bool hold(std::size_t Bytes, const MemoryBudget &Memory);
+  /// Makes room in \p Memory for the body of \p Bytes that is announced.
+  /// \returns false where all that is held leaves none.
+  bool reserve(std::size_t Bytes, const MemoryBudget &Memory);
   /// Makes room for a body of \p Bytes and some more, unless it has the room
   /// already. \returns false where all that is held leaves none.
   bool growTo(std::size_t Bytes, const MemoryBudget &Memory);
+  /// Gives back what is reserved and has not come, if the body came slowly for
+  /// \p Taken. \returns whether it did.
+  bool releaseStalled(Duration Taken);
+  /// \returns the bytes that drop() gives back; 0 for a body that comes in time
+  /// into the room that it reserved.
+  std::size_t reclaimable() const { return m_Reserved ? 0 : m_Held.bytes(); }
+  /// Forgets the body, which is not passed on.
+  void drop();
   void append(std::string_view Bytes) { m_Body.append(Bytes); }
   const std::string &body() const { return m_Body; }
   /// \returns the body, which stays charged until it is destroyed.
@@ -79,7 +87,8 @@
   bool m_NoRoom = false;
   bool m_Foreign = false;
   std::string m_Body;
-  MemoryCharge m_Held; ///< Charged for the body.
+  MemoryCharge m_Held;     ///< Charged for the body.
+  bool m_Reserved = false; ///< There is room for all that is announced.
 };
 
 } // namespace havenstair
--- a/packages/gateway/request/StreamAnswer.h
+++ b/packages/gateway/request/StreamAnswer.h
@@ -38,6 +38,8 @@
   std::string feed(std::string_view Bytes) { return m_Events.feed(Bytes); }
   /// \returns the bytes after the last complete event.
   const std::string &rest() const { return m_Events.rest(); }
+  /// Forgets the bytes after the last complete event.
+  void dropRest() { m_Events = EventSplitter(); }
   /// Records that events of the present send are passed on.
   void onPassed(TimePoint Now);
   /// Records that the present send has ended.
--- a/packages/wire/common/HttpCallState.cpp
+++ b/packages/wire/common/HttpCallState.cpp
@@ -33,6 +33,17 @@
 /// Longest line that tells a chunk's size; evhttp sets no bound.
 constexpr std::size_t MaxChunkLine = 4 << 10;
 
+/// Most fields of an answer, and lines of heads before the final one is whole.
+constexpr std::size_t MaxFields = 256;
+constexpr std::size_t MaxHeadLines = MaxFields + 64;
+
+/// Bytes that evhttp and the copy of a field hold besides its text, which both
+/// have.
+constexpr std::size_t BytesPerField = 200;
+
+/// Copies of the text of a head that is being read.
+constexpr std::size_t CopiesOfHead = 4;
+
 constexpr const char *CodingField = "Transfer-Encoding";
 
 constexpr int ContinueStatus = 100;
@@ -111,6 +122,14 @@
          findHeader(Headers, CodingField).empty();
 }
 
+/// \returns the bytes that \p Headers and evhttp's own copy of them hold.
+std::size_t sizeInMemory(const HttpHeaders &Headers) {
+  std::size_t Result = 0;
+  for (const HttpHeader &Each : Headers)
+    Result += 2 * (Each.m_Name.size() + Each.m_Value.size()) + BytesPerField;
+  return Result;
+}
+
 HttpHeaders copyHeaders(const evkeyvalq *From) {
   HttpHeaders Result;
   for (const evkeyval *Each = From->tqh_first; Each != nullptr;
@@ -157,13 +176,62 @@
                                     const evbuffer_cb_info *Change, void *Arg) {
   auto *Self = static_cast<State *>(Arg);
   Self->m_Received += Change->n_added;
-  if (Change->n_added > 0 && Self->m_Status == 0)
+  if (Change->n_added == 0 || Self->m_Done)
+    return Self->releaseRead(Input);
+  if (Self->m_Status == 0 && Self->m_HeadLines > MaxHeadLines)
+    return Self->giveUpLater();
+  if (Self->m_Status == 0) {
     Self->noteNul(Input);
-  if (Change->n_added > 0 &&
-      Self->exceedsFraming(Change->orig_size, evbuffer_get_length(Input)))
+    Self->countLines(Input, Change->orig_size);
+  }
+  Self->passChunk(Input);
+  if (!Self->m_Done &&
+      (Self->exceedsFraming(Change->orig_size, evbuffer_get_length(Input)) ||
+       !Self->hold(Input)))
     Self->giveUpLater();
 }
 
+/// evhttp keeps a chunk until it is whole, and it may be as large as an
+/// answer: what comes of it is passed on before.
+void HttpCallHandle::State::passChunk(evbuffer *Input) {
+  const std::size_t Waiting = evbuffer_get_length(Input);
+  const bool InsideChunk =
+      m_Framing == AnswerFraming::Chunks && m_Request != nullptr &&
+      m_Request->ntoread > 0 &&
+      Waiting < static_cast<std::uint64_t>(m_Request->ntoread);
+  if (!InsideChunk)
+    return;
+  m_Request->ntoread -= static_cast<ev_int64_t>(Waiting);
+  pass(Input);
+}
+
+/// \returns whether there is memory for what has come and waits in \p Input,
+/// and for the part of a head that evhttp has read.
+bool HttpCallHandle::State::hold(evbuffer *Input) {
+  const std::size_t Waiting = evbuffer_get_length(Input);
+  if (m_Status == 0)
+    m_HeadInMemory =
+        CopiesOfHead * (m_Received - Waiting) + BytesPerField * m_HeadLines;
+  return m_Held.resize(m_HeadInMemory + Waiting);
+}
+
+/// Counts the lines of \p Input behind \p From.
+void HttpCallHandle::State::countLines(evbuffer *Input, std::size_t From) {
+  evbuffer_ptr At{};
+  evbuffer_ptr_set(Input, &At, From, EVBUFFER_PTR_SET);
+  while ((At = evbuffer_search(Input, "\n", 1, &At)).pos >= 0) {
+    ++m_HeadLines;
+    if (evbuffer_ptr_set(Input, &At, 1, EVBUFFER_PTR_ADD) != 0)
+      return;
+  }
+}
+
+void HttpCallHandle::State::releaseRead(evbuffer *Input) {
+  const std::size_t Left = m_HeadInMemory + evbuffer_get_length(Input);
+  if (m_Status != 0 && Left < m_Held.bytes())
+    m_Held.resize(Left);
+}
+
 /// evhttp takes a line for ended at a NUL byte: the head for whole, or a
 /// length for a shorter one. \p Input begins with the rest of a head.
 void HttpCallHandle::State::noteNul(evbuffer *Input) {
@@ -245,6 +313,7 @@
   if (End == HttpEnd::Complete && mayKeep())
     keep();
   closeLater();
+  m_Held = MemoryCharge();
   if (m_Call.m_OnEnd)
     m_Call.m_OnEnd(End);
 }
@@ -300,8 +369,11 @@
   Self->m_Status = Status;
   Self->m_AnswerHeaders = copyHeaders(Headers);
   Self->m_Persistent = isPersistent(*Request, Self->m_AnswerHeaders);
+  Self->m_HeadInMemory = sizeInMemory(Self->m_AnswerHeaders);
   if (Status < FirstFinalStatus || Self->m_NulInHead ||
-      !framedUnambiguously(Self->m_AnswerHeaders))
+      Self->m_AnswerHeaders.size() > MaxFields ||
+      !framedUnambiguously(Self->m_AnswerHeaders) ||
+      !Self->m_Held.resize(Self->m_HeadInMemory))
     return -1;
   Self->m_Framing =
       framingOf(Self->m_Call.m_Method, Status, Self->m_AnswerHeaders);
--- a/packages/wire/common/HttpCallState.h
+++ b/packages/wire/common/HttpCallState.h
@@ -3,6 +3,7 @@
 #ifndef HAVENSTAIR_WIRE_COMMON_HTTPCALLSTATE_H
 #define HAVENSTAIR_WIRE_COMMON_HTTPCALLSTATE_H
 
+#include "decisions/process/MemoryBudget.h"
 #include "wire/common/EventLoop.h"
 #include "wire/common/HttpClient.h"
 #include "wire/common/KeptConnections.h"
@@ -36,11 +37,20 @@
   bool m_Done = false;
   bool m_Failed = false;
   bool m_Written = false; ///< Bytes of the request may have left.
+  /// Charged for the head, and for what evhttp has not passed on.
+  MemoryCharge m_Held;
+  std::size_t m_HeadInMemory = 0; ///< Part of it for the head.
+  std::size_t m_HeadLines = 0;    ///< That have come; of a head that is not
+                                  ///< whole, all are of it.
 
   void closeLater();
   static void onOutput(evbuffer *, const evbuffer_cb_info *Change, void *Arg);
   static void onInput(evbuffer *Input, const evbuffer_cb_info *Change,
                       void *Arg);
+  void passChunk(evbuffer *Input);
+  bool hold(evbuffer *Input);
+  void releaseRead(evbuffer *Input);
+  void countLines(evbuffer *Input, std::size_t From);
   void noteNul(evbuffer *Input);
   bool exceedsFraming(std::size_t Waiting, std::size_t Now) const;
   void giveUpLater();
--- a/packages/wire/common/HttpClient.h
+++ b/packages/wire/common/HttpClient.h
@@ -4,6 +4,7 @@
 #define HAVENSTAIR_WIRE_COMMON_HTTPCLIENT_H
 
 #include "decisions/common/Time.h"
+#include "decisions/process/MemoryBudget.h"
 #include "wire/common/Endpoint.h"
 #include "wire/common/HttpMessage.h"
 #include "wire/common/SharedBytes.h"
@@ -107,7 +108,14 @@
 /// Sends calls on one loop.
 class HttpClient {
 public:
-  explicit HttpClient(EventLoop &Loop);
+  /// Bound what is held of answers. The owner of a call charges what it keeps
+  /// of the body itself.
+  struct Memory {
+    MemoryBudget m_Started;   ///< For calls of start().
+    MemoryBudget m_Collected; ///< For calls whose answer is collected.
+  };
+
+  explicit HttpClient(EventLoop &Loop, Memory Bounds = {});
   ~HttpClient();
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
@@ -119,7 +127,8 @@
 
   /// Starts \p Call, collects its answer and hands it to \p Done. The call
   /// runs on after this client's caller has forgotten it. Without a total
-  /// timeout it ends as broken after some of its idle timeouts.
+  /// timeout it ends as broken after some of its idle timeouts. An answer for
+  /// which there is no memory is broken, too.
   void fetch(HttpCall Call, std::function<void(HttpAnswer)> Done);
 
   /// Like fetch(), but destroying what is returned cancels the call.
@@ -132,7 +141,10 @@
 private:
   friend class HttpCallHandle;
 
+  HttpCallHandle start(HttpCall Call, const MemoryBudget &Memory);
+
   EventLoop &m_Loop;
+  Memory m_Memory;
   std::shared_ptr<KeptConnections> m_Kept;
   using Fetches = std::map<std::uint64_t, HttpCallHandle>;
   std::shared_ptr<Fetches> m_Fetches = std::make_shared<Fetches>();
--- a/tests/decisions/process/MemoryBudgetTest.cpp
+++ b/tests/decisions/process/MemoryBudgetTest.cpp
@@ -12,7 +12,7 @@
 
 MemoryBudget budget() {
   return MemoryBudget({.m_Limit = Limit,
-                       .m_LargeBody = 100,
+                       .m_Large = 100,
                        .m_LargeBodyPart = 0.5,
                        .m_SmallBodyPart = 0.75});
 }
@@ -78,3 +78,41 @@
     RC_ASSERT(Budget.held() == 0u);
   });
 }
+
+TEST_CASE("Large answers leave room for others and for bodies", "[memory]") {
+  const MemoryBudget Budget({.m_Limit = Limit,
+                             .m_Large = 100,
+                             .m_LargeBodyPart = 0.5,
+                             .m_SmallBodyPart = 0.75,
+                             .m_LargeAnswerPart = 0.25});
+  MemoryCharge Large = Budget.chargeAnswer();
+  REQUIRE(Large.resize(99));
+  REQUIRE(Budget.held(MemoryUse::SmallAnswer) == 99);
+  REQUIRE(Large.resize(250));
+  REQUIRE(Budget.held(MemoryUse::SmallAnswer) == 0);
+  REQUIRE(Budget.held(MemoryUse::LargeAnswer) == 250);
+  REQUIRE_FALSE(Large.resize(251));
+  MemoryCharge Small = Budget.chargeAnswer();
+  REQUIRE(Small.resize(99));
+  REQUIRE_FALSE(Small.resize(100));
+  REQUIRE(Budget.chargeBody(100).resize(151));
+}
+
+TEST_CASE("A charge that finds no room gets what others give back",
+          "[memory]") {
+  const MemoryBudget Budget = budget();
+  MemoryCharge Large = Budget.chargeAnswer();
+  REQUIRE(Large.resize(400));
+  std::size_t Asked = 0;
+  Budget.onNoRoom([&](MemoryUse Use, std::size_t Wanted) {
+    REQUIRE(Use == MemoryUse::LargeAnswer);
+    Asked = Wanted;
+    Large.resize(0);
+  });
+  MemoryCharge Small = Budget.chargeAnswer();
+  REQUIRE(Small.resize(200));
+  REQUIRE(Asked == 200);
+  REQUIRE(Budget.refusals() == 0);
+  Budget.onNoRoom(nullptr);
+  REQUIRE_FALSE(Small.resize(2000));
+}
--- a/tests/gateway/SendAnswerTest.cpp
+++ b/tests/gateway/SendAnswerTest.cpp
@@ -111,7 +111,7 @@
           "[gateway][send-answer]") {
   const MemoryBudget Memory({.m_Limit = 1000});
   SendAnswer Answer = answered(200);
-  REQUIRE(Answer.hold(400, Memory));
+  REQUIRE(Answer.reserve(400, Memory));
   Answer.append(std::string(400, 'a'));
   REQUIRE(Memory.held() == 400);
   REQUIRE(Answer.growTo(400, Memory));
--- a/tests/wire/EndlessAnswerTest.cpp
+++ b/tests/wire/EndlessAnswerTest.cpp
@@ -3,6 +3,7 @@
 #include "wire/common/EventLoop.h"
 #include "wire/common/HttpClient.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <catch2/catch.hpp>
 #include <netinet/in.h>
@@ -52,7 +53,8 @@
       for (int Times = 0; Times < m_TimesAtOnce; ++Times)
         m_Next += m_Repeated;
     const ssize_t Put =
-        send(m_Accepted, m_Next.data(), m_Next.size(), MSG_NOSIGNAL);
+        send(m_Accepted, m_Next.data(), std::min(m_Next.size(), m_MostAtOnce),
+             MSG_NOSIGNAL);
     if (Put > 0) {
       m_Next.erase(0, static_cast<std::size_t>(Put));
       m_Written += static_cast<std::size_t>(Put);
@@ -63,6 +65,7 @@
 
   Endpoint m_Endpoint;
   int m_TimesAtOnce = 500;
+  std::size_t m_MostAtOnce = std::size_t{1} << 30; ///< Bytes of one write.
   std::size_t m_Written = 0;
   /// The other side has closed the connection, or all was written.
   bool m_Closed = false;
@@ -75,10 +78,12 @@
   int m_Accepted = -1;
 };
 
-/// The end of a call to \p Server, which has seen that the connection closed.
-HttpEnd endOf(EndlessServer &Server, const HttpCall &With) {
+/// The answer to a call to \p Server, which has seen that the connection
+/// closed.
+HttpAnswer answerOf(EndlessServer &Server, const HttpCall &With,
+                    const HttpClient::Memory &Bounds = {}) {
   EventLoop Loop;
-  HttpClient Client(Loop);
+  HttpClient Client(Loop, Bounds);
   HttpCall Call = With;
   Call.m_To = Server.m_Endpoint;
   Call.m_Target = "/";
@@ -87,7 +92,11 @@
                [&](HttpAnswer Answer) { Got = std::move(Answer); });
   const Timer Wake = Loop.every(1ms, [&] { Server.write(); });
   REQUIRE(Loop.runUntil([&] { return Got && Server.m_Closed; }, Limit));
-  return Got->m_End;
+  return *Got;
+}
+
+HttpEnd endOf(EndlessServer &Server, const HttpCall &With) {
+  return answerOf(Server, With).m_End;
 }
 
 } // namespace
@@ -149,3 +158,57 @@
   EndlessServer Server(Beginning + "0\r\n\r\n", "");
   REQUIRE(endOf(Server, {}) == HttpEnd::Complete);
 }
+
+TEST_CASE("What comes of a chunk is passed on before the chunk is whole",
+          "[http][endless]") {
+  constexpr std::size_t Part = 1 << 20;
+  EndlessServer Server("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "f00000\r\n" +
+                           std::string(Part, 'x'),
+                       "");
+  EventLoop Loop;
+  HttpClient Client(Loop);
+  HttpCall Call;
+  Call.m_To = Server.m_Endpoint;
+  Call.m_Target = "/";
+  std::size_t Got = 0;
+  Call.m_OnBytes = [&](std::string_view Bytes) { Got += Bytes.size(); };
+  const HttpCallHandle Handle = Client.start(std::move(Call));
+  const Timer Wake = Loop.every(1ms, [&] { Server.write(); });
+  REQUIRE(Loop.runUntil([&] { return Got == Part; }, Limit));
+}
+
+TEST_CASE("Chunks are read alike however they come", "[http][endless]") {
+  const std::size_t Most = GENERATE(1, 2, 3, 7, 1000);
+  EndlessServer Server("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                       "4\r\nwxyz\r\n10\r\n0123456789abcdef\r\n"
+                       "1\r\n\n\r\n0\r\nName: value\r\n\r\n",
+                       "");
+  Server.m_MostAtOnce = Most;
+  const HttpAnswer Answer = answerOf(Server, {});
+  REQUIRE(Answer.m_End == HttpEnd::Complete);
+  REQUIRE(Answer.m_Body == "wxyz0123456789abcdef\n");
+}
+
+TEST_CASE("An answer of very many fields is broken", "[http][endless]") {
+  std::string Fields;
+  for (int Each = 0; Each < 300; ++Each)
+    Fields += "a: b\r\n";
+  EndlessServer Server(
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + Fields + "\r\n", "");
+  REQUIRE(endOf(Server, {}) == HttpEnd::Broken);
+}
+
+TEST_CASE("An answer for which there is no memory is broken",
+          "[http][endless]") {
+  const std::string Framing =
+      GENERATE("Content-Length: 1000000", "Connection: close");
+  EndlessServer Server("HTTP/1.1 200 OK\r\n" + Framing + "\r\n\r\n" +
+                           std::string(1000000, 'x'),
+                       "");
+  const HttpAnswer Answer = answerOf(
+      Server, {.m_IdleTimeout = 500ms},
+      {.m_Started = {}, .m_Collected = MemoryBudget({.m_Limit = 100000})});
+  REQUIRE(Answer.m_End == HttpEnd::Broken);
+  REQUIRE(Answer.m_Body.empty());
+}
