A process whose settings are not whole yet waits for them

What callers see: a box that starts while the platform writes its settings file ended by itself. Cause: a file that is missing or cut was judged like a wrong one. Change: it is read again each 200 ms, with a line on the error output each 5 s; fields that are wrong still end the process at once.

--- a/packages/gateway/process/GatewayOptions.h
+++ b/packages/gateway/process/GatewayOptions.h
@@ -11,6 +11,7 @@
 #include "wire/common/Endpoint.h"
 #include <cstddef>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,12 @@
   }
 };
 
+/// The settings cannot be read now, or are not whole; they may be later.
+class SettingsUnavailable : public std::runtime_error {
+public:
+  using std::runtime_error::runtime_error;
+};
+
 /// Identity, addresses and limits of a gateway process.
 struct GatewayOptions {
   BoxName m_Box;
--- a/packages/gateway/process/PlatformBinding.h
+++ b/packages/gateway/process/PlatformBinding.h
@@ -22,7 +22,8 @@
 /// Hooks and names that a platform's adapter fills in. None of the hooks makes
 /// decisions.
 struct PlatformBinding {
-  /// Reads the current settings. \throws SettingError for an invalid file.
+  /// Reads the current settings. \throws SettingsUnavailable while they cannot
+  /// be read, and std::runtime_error for invalid ones.
   std::function<GatewayOptions()> m_ReadOptions;
   std::function<std::unique_ptr<CoordinationStore>(
       HttpClient &, const Endpoint &, StoreEraTracker &)>
--- a/packages/havenstaird/process/ServeCommand.cpp
+++ b/packages/havenstaird/process/ServeCommand.cpp
@@ -11,6 +11,7 @@
 #include <docopt/docopt.h>
 #include <iostream>
 #include <malloc.h>
+#include <thread>
 #include <unistd.h>
 
 namespace havenstair {
@@ -45,6 +46,9 @@
 /// Free bytes at the top of the heap that are kept.
 constexpr int TrimThreshold = 2 << 20;
 
+constexpr Duration SettingsReadInterval = 200ms;
+constexpr int ReadsPerNotice = 25;
+
 /// Memory counts as used until the system has it back. The library would raise
 /// its thresholds after the first large body.
 void giveMemoryBack() {
@@ -52,6 +56,20 @@
   mallopt(M_TRIM_THRESHOLD, TrimThreshold);
 }
 
+/// The platform may not have written the settings yet, or not all of them.
+GatewayOptions awaitOptions(const PlatformBinding &Binding) {
+  for (int Try = 0;; ++Try) {
+    try {
+      return Binding.m_ReadOptions();
+    } catch (const SettingsUnavailable &Error) {
+      if (Try % ReadsPerNotice == 0)
+        std::cerr << "havenstaird: waits for its settings: " << Error.what()
+                  << std::endl;
+    }
+    std::this_thread::sleep_for(SettingsReadInterval);
+  }
+}
+
 int readPort(const std::string &Flag, const std::string &Text) {
   constexpr int MaxPort = 65535;
   int Port = 0;
@@ -86,10 +104,12 @@
     throw SettingError("--node-file", "", "the path of a file");
   const GatewayPolicy Policy = readPolicy(Find);
   PlatformBinding Binding = platform::makeBinding(NodeFile);
-  GatewayOptions Options = Binding.m_ReadOptions();
+  const bool OnlyCheck = Flags["--check-settings"].asBool();
+  GatewayOptions Options =
+      OnlyCheck ? Binding.m_ReadOptions() : awaitOptions(Binding);
   if (const auto Port = Find("--metrics-port"))
     Options.m_Metrics.m_Port = readPort("--metrics-port", *Port);
-  if (Flags["--check-settings"].asBool()) {
+  if (OnlyCheck) {
     std::cout << "settings are good\n";
     return 0;
   }
--- a/tests/gateway/PlatformTest.cpp
+++ b/tests/gateway/PlatformTest.cpp
@@ -3,6 +3,8 @@
 #include "platform/NodeFile.h"
 #include "platform/OperatorConfig.h"
 #include "platform/UpstreamEntry.h"
+#include <filesystem>
+#include <fstream>
 
 using namespace havenstair;
 
@@ -166,6 +168,26 @@
   REQUIRE_THROWS_AS(platform::parseNodeFile(dumpJson(File)), DecodeError);
 }
 
+TEST_CASE("Settings that are missing or not whole may come, wrong ones do not "
+          "become right",
+          "[platform][settings]") {
+  const std::string Path = std::filesystem::temp_directory_path() /
+                           ("settings-test-" + std::to_string(getpid()));
+  REQUIRE_THROWS_AS(platform::readNodeFile(Path), SettingsUnavailable);
+  std::ofstream(Path) << R"({"nodeName":"n","zo)";
+  REQUIRE_THROWS_AS(platform::readNodeFile(Path), SettingsUnavailable);
+  std::ofstream(Path) << R"({"nodeName":1})";
+  try {
+    platform::readNodeFile(Path);
+    FAIL("the settings are wrong");
+  } catch (const SettingsUnavailable &) {
+    FAIL("the settings do not become right");
+  } catch (const std::runtime_error &) {
+    SUCCEED();
+  }
+  std::filesystem::remove(Path);
+}
+
 TEST_CASE("Warm-up, start times, regions and evacuations are decoded",
           "[platform][regions][warm-up]") {
   const GatewayOptions Options = platform::parseNodeFile(
