A stopping box refuses what would outlast it, and answers what is left

What callers saw: requests that were taken late in a stop were cut with no answer at the end of the grace period, also such as may not be repeated. Cause: requests were taken for 3 s whatever the grace period is and whatever they take, and the end of the process closed their connections. Evidence: StopTest on the code before: a safe and an unsafe request under way at the end got status 0; one that takes a second was sent 0.9 s before the end. Change: AnswerDurations knows what nine in ten of a route's last answers took; what would outlast the process is refused at once with when to come back, none is taken beyond its end, and 600 ms before the end of the grace period all that is open is answered: 502 where it may have run, 503 where it has not. Passed requests are taken for as long as callers'. StopSequence has what Gateway had. After: StopTest passes; what takes less than the grace period is still taken.

--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -37,15 +37,6 @@
 /// How often the settings are reloaded without a signal.
 constexpr Duration ReloadInterval = 2s;
 
-/// The load balancer needs two health checks, a second apart, to see that a box
-/// stops.
-constexpr Duration MinStopTime = 3s;
-
-/// Time before the end of the grace period at which the process ends by itself.
-constexpr Duration GraceMargin = 600ms;
-constexpr Duration StopCheckInterval = 100ms;
-constexpr Duration FlushTime = 400ms;
-
 /// A caller whose system has acknowledged nothing for longer is gone: while its
 /// window is closed, it does so at intervals that grow to 3.2 s within the
 /// grace period.
@@ -275,7 +266,8 @@
                     return m_UpstreamCache.partial()
                                ? TimePoint()
                                : m_Exchange.lists().listConfirmedAt();
-                  }})) {
+                  }})),
+      m_Stop(Loop, m_Log, m_State, stopHooks()) {
   m_Forwarder.setServices(m_Quotas, m_Permits, m_Crashes, m_Signals);
   m_Forwarder.setStreamOrigins(m_StreamOrigins);
   m_State.setLocation(m_Options.m_DataCentre, m_Options.m_Regions);
@@ -540,7 +532,7 @@
 /// Refuses requests that come late in a stop, as they may not end before the
 /// process does.
 void Gateway::takeRequest(const HttpExchangePtr &Exchange) {
-  if (m_State.m_Stopping && EventLoop::now() >= m_LeaveAt)
+  if (!m_State.takesRequests(EventLoop::now()))
     return m_Forwarder.refuse(Exchange,
                               {.m_Kind = ErrorKind::Stopping,
                                .m_RetryAfter = Forwarder::StoppingRetryAfter});
@@ -911,12 +903,8 @@
 }
 
 void Gateway::stop() {
-  if (std::exchange(m_State.m_Stopping, true))
+  if (!m_Stop.begin(m_Options.m_Bounds.m_GracePeriod, EventLoop::now()))
     return;
-  const TimePoint Now = EventLoop::now();
-  m_LeaveAt = Now + MinStopTime;
-  m_BusyAt = Now;
-  m_StopAt = Now + m_Options.m_Bounds.m_GracePeriod - GraceMargin;
   m_Callers->closeAfterAnswers();
   // Requests that wait for a load, or for units of a quota, go elsewhere at
   // once.
@@ -925,8 +913,17 @@
   m_Forwarder.releaseStartupQueue();
   m_Leader.resign();
   m_Fleet.leave();
-  m_Log.write("stopping", {{"open", m_Forwarder.open()}});
-  m_StopTimer = m_Loop.every(StopCheckInterval, [this] { stopIfIdle(); });
+}
+
+StopSequence::Hooks Gateway::stopHooks() {
+  return {.m_Open = [this] { return m_Forwarder.open(); },
+          .m_Unsent = [this] { return unsentAnswers(); },
+          .m_AnswerRest =
+              [this] {
+                m_Callers->stopAccepting();
+                m_Forwarder.endAll();
+              },
+          .m_Stopped = m_Stopped};
 }
 
 /// \returns on how many connections answers wait to be sent to callers that
@@ -936,18 +933,4 @@
          (m_Passes ? m_Passes->unsentAnswers(MaxCallerSilence) : 0);
 }
 
-void Gateway::stopIfIdle() {
-  const TimePoint Now = EventLoop::now();
-  const std::size_t Unsent = unsentAnswers();
-  if (m_Forwarder.open() > 0 || Unsent > 0)
-    m_BusyAt = Now;
-  // The last bytes of an answer may still be in transit when its request ends.
-  const bool Idle = Now >= m_LeaveAt && Now - m_BusyAt >= FlushTime;
-  if (!Idle && Now < m_StopAt)
-    return;
-  m_Log.write("stopped", {{"open", m_Forwarder.open()}, {"unsent", Unsent}});
-  m_StopTimer = Timer();
-  m_Stopped();
-}
-
 } // namespace havenstair
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -20,6 +20,7 @@
 #include "gateway/process/ReachMonitor.h"
 #include "gateway/process/ServingState.h"
 #include "gateway/process/StartupLog.h"
+#include "gateway/process/StopSequence.h"
 #include "gateway/process/StoreCallLog.h"
 #include "gateway/process/UpstreamRegistry.h"
 #include "gateway/process/UpstreamSignalExchange.h"
@@ -79,8 +80,9 @@
   /// Reloads the settings; an invalid file leaves the last valid ones in force.
   void reload();
   /// Stops the process: the callback that the constructor got is called once no
-  /// request is open and all answers are sent, at the latest shortly before the
-  /// grace period ends.
+  /// request is open and all answers are sent. Requests that are open shortly
+  /// before the grace period ends get an answer that says whether they may have
+  /// run; streams that have begun are cut.
   void stop();
 
 private:
@@ -127,8 +129,8 @@
   void answerMetrics(const HttpExchangePtr &Exchange);
   void turnAway(const HttpExchangePtr &Exchange, TurnedAway Why);
   void answerReadiness(const HttpExchangePtr &Exchange);
+  StopSequence::Hooks stopHooks();
   std::size_t unsentAnswers() const;
-  void stopIfIdle();
 
   EventLoop &m_Loop;
   PlatformBinding m_Binding;
@@ -177,10 +179,7 @@
   Timer m_EvacuationTimer;
   Timer m_OwnKeysTimer;
   Timer m_ReachTimer;
-  Timer m_StopTimer;
-  TimePoint m_StopAt{};
-  TimePoint m_LeaveAt{};
-  TimePoint m_BusyAt{}; ///< When a request was last open, or an answer unsent.
+  StopSequence m_Stop;
 };
 
 } // namespace havenstair
--- a/packages/gateway/process/PassExchange.cpp
+++ b/packages/gateway/process/PassExchange.cpp
@@ -76,7 +76,7 @@
 PassExchange::reasonToDecline(const std::optional<PassedFrom> &From) const {
   if (!From)
     return "not_proved";
-  if (m_State.m_Stopping)
+  if (!m_State.takesRequests(EventLoop::now()))
     return "stopping";
   if (!m_State.hasRequiredState() || m_State.configVersion() < From->m_Config)
     return "older_config";
--- a/packages/gateway/process/ServingState.h
+++ b/packages/gateway/process/ServingState.h
@@ -4,6 +4,7 @@
 #define HAVENSTAIR_GATEWAY_PROCESS_SERVINGSTATE_H
 
 #include "decisions/common/DataCentreMap.h"
+#include "decisions/process/AnswerDurations.h"
 #include "decisions/process/CrashTracker.h"
 #include "decisions/process/EndedUpstreams.h"
 #include "decisions/process/FailureTracker.h"
@@ -50,7 +51,12 @@
   RetryDetector m_RetryDetector;
   ModelDemands m_Demand; ///< Demand since it was last taken.
   int m_Boxes = 1;       ///< Largest number of boxes known at one time.
+  AnswerDurations m_AnswerDurations;
   bool m_Stopping = false;
+  /// Of a process that stops: until when it takes requests, and when it answers
+  /// those that are left, to end.
+  TimePoint m_TakesUntil{};
+  TimePoint m_EndsAt{};
   /// Whether operators may evacuate data centres; then the list of evacuations
   /// must be known before requests are sent.
   bool m_NeedsEvacuations = false;
@@ -84,6 +90,16 @@
   }
   /// Whether this process can take requests.
   bool ready() const { return hasRequiredState() && !m_Stopping; }
+  /// Whether this process takes requests, though it may not be ready for more
+  /// callers.
+  bool takesRequests(TimePoint Now) const {
+    return !m_Stopping || Now < m_TakesUntil;
+  }
+  /// Whether an answer on \p Route that begins now is probably not whole when
+  /// this process ends.
+  bool outlasts(const std::string &Route, TimePoint Now) const {
+    return m_Stopping && Now + m_AnswerDurations.expected(Route) > m_EndsAt;
+  }
 };
 
 } // namespace havenstair
--- a/packages/gateway/request/Forwarder.cpp
+++ b/packages/gateway/request/Forwarder.cpp
@@ -183,6 +183,14 @@
     Request->crashesChanged();
 }
 
+void Forwarder::endAll() {
+  releaseStartupQueue();
+  const std::vector<std::shared_ptr<ProxiedRequest>> All(m_Open.begin(),
+                                                         m_Open.end());
+  for (const auto &Request : All)
+    Request->onProcessEnds();
+}
+
 /// Takes back what is reserved for answers that come too slowly. For an answer
 /// without room, one gives way whose length nobody knows: the largest one of
 /// the upstream whose answers hold the most.
--- a/packages/gateway/request/Forwarder.h
+++ b/packages/gateway/request/Forwarder.h
@@ -131,6 +131,8 @@
   /// Continues the requests in the startup queue if the box has all the state
   /// that it needs to serve, or stops.
   void releaseStartupQueue();
+  /// Answers all requests in progress, as this process ends.
+  void endAll();
   /// \returns the number of requests in progress, with those in the startup
   /// queue.
   std::size_t open() const { return m_Open.size() + m_StartupQueue.size(); }
--- a/packages/gateway/request/ProxiedRequest.cpp
+++ b/packages/gateway/request/ProxiedRequest.cpp
@@ -152,7 +152,8 @@
   const TimePoint Now = EventLoop::now();
   ServingState &State = m_Owner.m_State;
   m_WaitTimer = Timer();
-  if (!stillAllowed() || refuseIfQuarantined(Now) || !bound())
+  if (!stillAllowed() || refuseIfQuarantined(Now) || refuseIfOutlasting(Now) ||
+      !bound())
     return;
   if (const auto HoldTime = m_Crashes.holdTime(Now))
     return wait(*HoldTime);
@@ -440,6 +441,16 @@
   return true;
 }
 
+/// Refuses a request that would probably be cut off by the end of this process;
+/// another box can run it. \returns whether it did.
+bool ProxiedRequest::refuseIfOutlasting(TimePoint Now) {
+  if (m_Stream.begun() || m_MayHaveRun ||
+      !m_Owner.m_State.outlasts(m_Route.m_Name, Now))
+    return false;
+  refuse(ErrorKind::Stopping, Forwarder::StoppingRetryAfter, "outlasts");
+  return true;
+}
+
 /// \returns how long to wait for quota units or permits.
 Duration ProxiedRequest::timeToSpare(TimePoint Now) const {
   return m_Times.toSpare(m_Admission.details().m_ExpectedMs, Now);
@@ -616,7 +627,8 @@
     awaitRoom(m_Send->m_Answer.announcedBytes());
 }
 
-/// Reads an answer of \p Bytes once all that is held leaves room for it.
+/// Reads an answer of \p Bytes once all that is held leaves room for it. One of
+/// an upstream whose answers came too slowly gets room as it comes.
 void ProxiedRequest::awaitRoom(std::size_t Bytes) {
   const MemoryBudget &Memory = m_Owner.m_Opts.m_Memory;
   if (Bytes > m_Owner.m_Opts.m_MaxAnswerBytes ||
@@ -964,6 +976,16 @@
   fail(Sent ? ErrorKind::RouteTimeout : ErrorKind::DeadlinePassed);
 }
 
+void ProxiedRequest::onProcessEnds() {
+  if (m_Done)
+    return;
+  if (m_Stream.begun())
+    return cut();
+  if (m_Send || m_MayHaveRun)
+    return fail(ErrorKind::OutcomeUnknown);
+  refuse(ErrorKind::Stopping, Forwarder::StoppingRetryAfter, {});
+}
+
 void ProxiedRequest::onCallerLeft() {
   if (!m_Done)
     end(answerFor(ErrorKind::CallerLeft).m_Code);
@@ -987,6 +1009,9 @@
   if (!m_Passed && Outcome != "ok" &&
       Outcome != answerFor(ErrorKind::CallerLeft).m_Code)
     m_Owner.m_State.m_RetryDetector.recordRefusal(m_Route.m_Name, Now);
+  if (Outcome == "ok")
+    m_Owner.m_State.m_AnswerDurations.observe(m_Route.m_Name,
+                                              m_Times.waited(Now));
   if (Outcome == "ok" && streaming() && m_FirstByte)
     m_Owner.m_State.m_Latency.observeHold(m_Request.m_Model,
                                           inMillis(Now - *m_FirstByte));
--- a/packages/gateway/request/ProxiedRequest.h
+++ b/packages/gateway/request/ProxiedRequest.h
@@ -44,6 +44,8 @@
   /// Chooses again if the request waits, and ends it if it is now quarantined
   /// and no upstream has begun to answer it.
   void crashesChanged();
+  /// Gives the answer that is true of the request as the process ends.
+  void onProcessEnds();
   /// Gives back the memory that is reserved for an answer which comes too
   /// slowly. \returns the upstream that sends it; empty if there is none.
   std::optional<InstanceId> releaseStalledAnswer(TimePoint Now);
@@ -81,6 +83,7 @@
   void wait(Duration For);
   bool stillAllowed();
   bool refuseIfQuarantined(TimePoint Now);
+  bool refuseIfOutlasting(TimePoint Now);
   UpstreamEligibility eligibility() const;
   Duration timeToSpare(TimePoint Now) const;
   Duration permitPatience(const ChosenReplica &Chosen, TimePoint Now) const;
--- a/tests/gateway/StopTest.cpp
+++ b/tests/gateway/StopTest.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <cerrno>
+#include <optional>
 #include <sys/socket.h>
 
 using namespace havenstair;
@@ -136,3 +137,96 @@
   Test.m_Gateway->stop();
   REQUIRE(Test.until([&] { return Test.ended(); }));
 }
+
+namespace {
+
+/// A box whose upstream answers after a time, or never.
+class LateTest : public GatewayTest {
+public:
+  explicit LateTest(Duration GracePeriod) {
+    addRunner("i-1", [this](const Request &Of, const ConnectionPtr &On) {
+      if (!m_AnswersAfter)
+        return;
+      m_Timers.push_back(m_Loop.after(*m_AnswersAfter, [Of, On] {
+        On->write(StandinRunner::answer(Of, 200, "late"));
+      }));
+    });
+    m_TimeoutMs = 30000;
+    configure(1);
+    GatewayOptions Options = options();
+    Options.m_Bounds.m_GracePeriod = GracePeriod;
+    m_Gateway = makeGateway(Options, [this] { m_Stopped = true; });
+    REQUIRE(until([&] { return m_Gateway->state().ready(); }));
+  }
+
+  /// Waits until the process has ended, and until all callers know how their
+  /// requests did.
+  void end() {
+    REQUIRE(until([&] { return m_Stopped; }));
+    m_Gateway.reset();
+    REQUIRE(until([&] { return m_Answers.size() == m_Asked; }));
+  }
+
+  void ask(const std::string &Path, const std::string &Id) {
+    ++m_Asked;
+    m_Http.fetch(call(Path, Id), [this, Id](HttpAnswer Answer) {
+      m_Answers[Id] = std::move(Answer);
+    });
+  }
+
+  std::optional<Duration> m_AnswersAfter;
+  std::map<std::string, HttpAnswer> m_Answers;
+
+private:
+  std::vector<Timer> m_Timers;
+  std::size_t m_Asked = 0;
+};
+
+} // namespace
+
+TEST_CASE("Callers whose requests are under way as a box ends are told that "
+          "these may have run",
+          "[gateway][stop][restart]") {
+  LateTest Test(2s);
+  Test.ask("/unsafe/x", "unsafe");
+  Test.ask("/safe/x", "safe");
+  REQUIRE(Test.until([&] { return Test.m_Gateway->openRequests() == 2; }));
+  Test.m_Gateway->stop();
+  Test.end();
+  for (const char *Id : {"unsafe", "safe"}) {
+    INFO(Id);
+    CHECK(Test.m_Answers[Id].received());
+    CHECK(Test.m_Answers[Id].m_Status == 502);
+  }
+}
+
+TEST_CASE("A box that stops refuses at once what it expects to outlast it",
+          "[gateway][stop][restart]") {
+  LateTest Test(1500ms);
+  Test.m_AnswersAfter = 1s;
+  constexpr int Before = 20;
+  for (int Each = 0; Each < Before; ++Each)
+    Test.ask("/unsafe/x", "before-" + std::to_string(Each));
+  REQUIRE(Test.until([&] { return Test.m_Answers.size() == Before; }));
+  Test.m_Gateway->stop();
+  Test.ask("/unsafe/x", "late");
+  REQUIRE(Test.until([&] { return Test.m_Answers.contains("late"); }));
+  CHECK(Test.m_Answers["late"].m_Status == 503);
+  CHECK_FALSE(
+      findHeader(Test.m_Answers["late"].m_Headers, "Retry-After").empty());
+  CHECK(Test.arrivals("late") == 0);
+  Test.end();
+}
+
+TEST_CASE("A box that stops still takes what it expects to end in time",
+          "[gateway][stop][restart]") {
+  LateTest Test(8s);
+  Test.m_AnswersAfter = 100ms;
+  Test.ask("/unsafe/x", "before");
+  REQUIRE(Test.until([&] { return Test.m_Answers.contains("before"); }));
+  Test.m_Gateway->stop();
+  Test.ask("/unsafe/x", "late");
+  REQUIRE(Test.until([&] { return Test.m_Answers.contains("late"); }));
+  CHECK(Test.m_Answers["late"].m_Status == 200);
+  Test.end();
+}
