Streams without a record go on by what the store names after the caller asked

What callers saw: at a box that was out of step for a moment while servers of a new version came, streams that those had begun went on at the old version. Cause: the only version of a service was concluded from a list that is confirmed once a second and counts as known for three; a box that had known it for two minutes asked nobody; a leaf took the word of relays that had not looked. Change: such a conclusion needs the store's key in a read that was sent after the caller asked; without it within a second the caller is told when to come back. Every relay that a leaf asks looks for itself. Price: one read of the keys for streams of which no box has a record, and their refusal in the first three seconds of an outage of the store, too.

--- a/packages/gateway/process/StreamOriginExchange.cpp
+++ b/packages/gateway/process/StreamOriginExchange.cpp
@@ -22,6 +22,9 @@
 /// The same for a leaf, whose relay asks others and the store.
 constexpr Duration RelayTimeout = 600ms;
 
+/// Time to wait for the store, which names all versions.
+constexpr Duration KeyReadTimeout = 1s;
+
 /// Time after which streams begin at a new version that the store has not
 /// taken, though others could run them: longer than it takes when it is slow.
 constexpr Duration StorePatience = 5s;
@@ -236,18 +239,17 @@
   StreamAnswerFrame Known = known(Attempt, Service, Now);
   const FoundOrigin Found = conclude(Known, OriginSource::Own);
   const std::vector<BoxName> Boxes = boxesToAsk();
-  const bool Final =
-      Found.m_Source == OriginSource::Own ||
-      Found.m_Source == OriginSource::Contradicted ||
-      (Found.m_Source == OriginSource::OnlyVersion && certain(Service, Now));
-  if (Final)
+  if (Found.m_Source == OriginSource::Own ||
+      Found.m_Source == OriginSource::Contradicted)
     return Callback(Found);
   const StreamQueryFrame Query{.m_Attempt = Attempt, .m_Service = Service};
   if (Boxes.empty())
     return end({.m_Query = Query,
                 .m_Found = Known,
                 .m_Source = OriginSource::Own,
-                .m_Done = std::move(Callback)});
+                .m_Answered = {},
+                .m_Done = std::move(Callback),
+                .m_AskedAt = Now});
   ask(Query, std::move(Known), Boxes, std::move(Callback));
 }
 
@@ -261,14 +263,15 @@
       .m_Inquiry = {.m_Query = Query,
                     .m_Found = std::move(Known),
                     .m_Source = OriginSource::Box,
-                    .m_Done = std::move(Callback)},
+                    .m_Answered = {},
+                    .m_Done = std::move(Callback),
+                    .m_AskedAt = EventLoop::now()},
       .m_Waiting = {Boxes.begin(), Boxes.end()},
       .m_Timer = m_Loop.after(knowsWholeList() ? AnswerTimeout : RelayTimeout,
                               [this, Id] { finish(Id); })};
-  for (const BoxName &Box : Boxes) {
+  // Any relay may stand still, and what one says by itself may be old.
+  for (const BoxName &Box : Boxes)
     m_Fleet.send(Box, Query);
-    Query.m_AskOthers = false;
-  }
 }
 
 void StreamOriginExchange::finish(std::uint64_t Id) {
@@ -281,13 +284,43 @@
   end(Ended.m_Inquiry);
 }
 
-/// Decides as soon as this box knows what the store names.
-void StreamOriginExchange::end(const Inquiry &About) {
-  confirmList();
+/// A list is not known to be old at once, and other versions may have begun
+/// streams meanwhile: decides by what the store names now.
+void StreamOriginExchange::end(Inquiry About) {
+  const FoundOrigin Recorded =
+      conclude({.m_Stream = About.m_Found.m_Stream}, About.m_Source);
+  if (Recorded.m_Source != OriginSource::Unknown || !knowsWholeList())
+    return decide(std::move(About));
+  const std::uint64_t Id = ++m_LastId;
+  m_KeyReads[Id] = {.m_Inquiry = std::move(About),
+                    .m_Timer = m_Loop.after(
+                        KeyReadTimeout, [this, Id] { onKeyReadEnded(Id); })};
+  m_Records.readAfresh([this, Id] { onKeyRead(Id); });
+}
+
+/// The list may have become known only while the key was read.
+void StreamOriginExchange::onKeyRead(std::uint64_t Id) {
+  const auto Found = m_KeyReads.find(Id);
+  if (Found == m_KeyReads.end())
+    return;
+  const Inquiry &About = Found->second.m_Inquiry;
   const TimePoint Now = EventLoop::now();
-  if (knowsWholeList() && !knowsKey(About.m_Query.m_Service, Now))
-    m_Records.refresh(Now);
-  m_Records.afterRead([this, About] { decide(About); });
+  confirmList();
+  if (keyReadSince(About) && m_Versions.listKnownSince(Now) &&
+      !knowsKey(About.m_Query.m_Service, Now))
+    return m_Records.readAfresh([this, Id] { onKeyReadEnded(Id); });
+  onKeyReadEnded(Id);
+}
+
+void StreamOriginExchange::onKeyReadEnded(std::uint64_t Id) {
+  auto Ended = m_KeyReads.extract(Id);
+  if (!Ended.empty())
+    decide(std::move(Ended.mapped().m_Inquiry));
+}
+
+/// Whether this box knows what the store named after \p About was asked.
+bool StreamOriginExchange::keyReadSince(const Inquiry &About) const {
+  return m_Records.knownSince(About.m_Query.m_Service, About.m_AskedAt);
 }
 
 /// Concludes from what boxes know, or else from what the store does.
@@ -297,10 +330,11 @@
   const auto Since = m_Versions.listKnownSince(Now);
   const std::string &Service = About.m_Query.m_Service;
   StreamAnswerFrame &Known = About.m_Found;
-  const bool Lacking = mayLackVersions(Service, Now);
+  const bool KeyRead = keyReadSince(About);
+  const bool Lacking = !KeyRead || mayLackVersions(Service, Now);
   merge(Known, known({}, Service, Now));
   Known.m_Several = Known.m_Several || (Lacking && knowsWholeList());
-  const FoundOrigin Found = conclude(Known, About.m_Source);
+  FoundOrigin Found = conclude(Known, About.m_Source);
   m_Log.write("stream_origin",
               {{"attempt", About.m_Query.m_Attempt},
                {"service", Service},
@@ -309,7 +343,11 @@
                {"several", Known.m_Several},
                {"lacking", Lacking},
                {"list_known_ms", Since ? Json((Now - *Since) / 1ms) : Json()},
-               {"key_read", knowsKey(Service, Now)}});
+               {"key_read", KeyRead}});
+  Found.m_StoreAway =
+      Found.m_Source == OriginSource::Unknown && knowsWholeList() && !KeyRead;
+  if (Found.m_StoreAway)
+    return About.m_Done(Found);
   if (Found.m_Source != OriginSource::Unknown ||
       About.m_Query.m_Attempt.empty() || !knowsWholeList())
     return About.m_Done(Found);
@@ -412,7 +450,9 @@
     return end({.m_Query = Frame,
                 .m_Found = Known,
                 .m_Source = OriginSource::Own,
-                .m_Done = Found});
+                .m_Answered = {},
+                .m_Done = Found,
+                .m_AskedAt = EventLoop::now()});
   ask(Frame, Known, Others, Found);
 }
 
--- a/packages/gateway/process/StreamOriginExchange.h
+++ b/packages/gateway/process/StreamOriginExchange.h
@@ -79,6 +79,7 @@
     OriginSource m_Source;     ///< Who knows it.
     std::set<BoxName> m_Answered;
     Done m_Done;
+    TimePoint m_AskedAt{}; ///< What is concluded has to be true of then.
   };
   /// A search that other boxes have not answered yet.
   struct Search {
@@ -86,6 +87,11 @@
     std::set<BoxName> m_Waiting; ///< Boxes that have not answered.
     Timer m_Timer;
   };
+  /// A search that awaits what the store names.
+  struct KeyRead {
+    Inquiry m_Inquiry;
+    Timer m_Timer;
+  };
 
   bool knowsWholeList() const;
   void confirmList();
@@ -101,7 +107,10 @@
   bool several(const std::string &Service, TimePoint Now) const;
   bool knowsKey(const std::string &Service, TimePoint Now) const;
   bool mayLackVersions(const std::string &Service, TimePoint Now) const;
-  void end(const Inquiry &About);
+  bool keyReadSince(const Inquiry &About) const;
+  void end(Inquiry About);
+  void onKeyRead(std::uint64_t Id);
+  void onKeyReadEnded(std::uint64_t Id);
   void decide(Inquiry About);
   FoundOrigin concludeFromStore(const Inquiry &About,
                                 const StreamOriginStore::Found &Stored) const;
@@ -130,6 +139,7 @@
   Timer m_TellTimer;
   std::uint64_t m_LastId = 0;
   std::map<std::uint64_t, Search> m_Searches;
+  std::map<std::uint64_t, KeyRead> m_KeyReads;
 };
 
 } // namespace havenstair
--- a/packages/gateway/process/VersionRecords.cpp
+++ b/packages/gateway/process/VersionRecords.cpp
@@ -69,10 +69,16 @@
     adopt(Items, At, Now);
 }
 
-void VersionRecords::afterRead(std::function<void()> Call) {
-  if (!m_Reading)
-    return Call();
-  m_AfterRead.push_back(std::move(Call));
+void VersionRecords::readAfresh(std::function<void()> Call) {
+  // The read in flight may have been made before.
+  auto &Waiting = m_Reading ? m_AfterNextRead : m_AfterRead;
+  Waiting.push_back(std::move(Call));
+  readIfAwaited();
+}
+
+void VersionRecords::readIfAwaited() {
+  if (!m_InFlight && !m_AfterRead.empty())
+    read();
 }
 
 /// Versions that came and went while the list was not known are in the keys
@@ -107,7 +113,10 @@
     m_ReadAt = SentAt;
     refresh(Now);
   }
-  for (const auto &Each : std::exchange(m_AfterRead, {}))
+  const auto Ended =
+      std::exchange(m_AfterRead, std::exchange(m_AfterNextRead, {}));
+  readIfAwaited();
+  for (const auto &Each : Ended)
     Each();
 }
 
@@ -254,6 +263,7 @@
                        return;
                      m_InFlight = false;
                      onWritten(Due, Status, At);
+                     readIfAwaited();
                    });
 }
 
--- a/packages/gateway/process/VersionRecords.h
+++ b/packages/gateway/process/VersionRecords.h
@@ -45,9 +45,9 @@
   /// what the history holds, by one transaction. Does nothing while a call is
   /// in flight.
   void refresh(TimePoint Now);
-  /// Runs \p Call at the end of the read of the keys that is in flight, or else
-  /// at once.
-  void afterRead(std::function<void()> Call);
+  /// Runs \p Call once the keys are read as of now or later, or that has
+  /// failed.
+  void readAfresh(std::function<void()> Call);
   /// Whether the keys have been read and, if that of \p Service lacked, it has
   /// been judged.
   bool known(const std::string &Service) const {
@@ -79,6 +79,7 @@
 
   bool mustRead(TimePoint Now) const;
   void read();
+  void readIfAwaited();
   void onRead(const StoreItems &Result, TimePoint SentAt);
   void adopt(const std::map<std::string, StoreItem> &Items,
              const StoreRevision &At, TimePoint Now);
@@ -102,7 +103,9 @@
   std::set<std::string> m_Judged;
   bool m_InFlight = false;
   bool m_Reading = false;
+  /// Who waits for the read that is in flight, and for the one after it.
   std::vector<std::function<void()>> m_AfterRead;
+  std::vector<std::function<void()>> m_AfterNextRead;
   /// Expires with this object.
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
 };
--- a/tests/gateway/StreamVersionTest.cpp
+++ b/tests/gateway/StreamVersionTest.cpp
@@ -738,6 +738,20 @@
   REQUIRE(Test.arrivals("again") == 0);
 }
 
+// Its list was younger than what tells a box that it is cut off.
+TEST_CASE("No stream is joined at a box that does not know yet that it is cut "
+          "off",
+          "[gateway][stream-version]") {
+  OldListTest Test;
+  Test.m_Store.setFault(StandinStore::Fault::Silent);
+  Test.add("i-3", "v2");
+  const HttpAnswer Answer =
+      Test.fetch(Test.resumeAt(*Test.m_Gateway, "again", "of-another-box"));
+  REQUIRE(Answer.m_Status == 503);
+  REQUIRE_FALSE(findHeader(Answer.m_Headers, "Retry-After").empty());
+  REQUIRE(Test.arrivals("again") == 0);
+}
+
 // A version came and went while it was suspended.
 TEST_CASE("No stream is joined at a box that was suspended",
           "[gateway][stream-version][suspension]") {
