Memory of answers is checked once where there is room

No change of behaviour. resize() asked twice whether a charge fits, on each read of each answer; the second question is for after the hook. The head of an answer is judged in one place of onInput(). Checked: [memory], the wire tests (101 cases), [endless], [memory] and [start] of real processes.

--- a/packages/decisions/process/MemoryBudget.cpp
+++ b/packages/decisions/process/MemoryBudget.cpp
@@ -55,9 +55,12 @@
 }
 
 bool MemoryCharge::resize(std::size_t Bytes) {
-  if (!fits(Bytes) && m_Sums->m_MakeRoom)
+  bool Fits = fits(Bytes);
+  if (!Fits && m_Sums->m_MakeRoom) {
     m_Sums->m_MakeRoom(useFor(Bytes), Bytes);
-  if (!fits(Bytes)) {
+    Fits = fits(Bytes);
+  }
+  if (!Fits) {
     ++m_Sums->m_Refusals;
     return false;
   }
--- a/packages/wire/common/HttpCallState.cpp
+++ b/packages/wire/common/HttpCallState.cpp
@@ -178,9 +178,9 @@
   Self->m_Received += Change->n_added;
   if (Change->n_added == 0 || Self->m_Done)
     return Self->releaseRead(Input);
-  if (Self->m_Status == 0 && Self->m_HeadLines > MaxHeadLines)
-    return Self->giveUpLater();
   if (Self->m_Status == 0) {
+    if (Self->m_HeadLines > MaxHeadLines)
+      return Self->giveUpLater();
     Self->noteNul(Input);
     Self->countLines(Input, Change->orig_size);
   }
--- a/packages/wire/common/HttpCallState.h
+++ b/packages/wire/common/HttpCallState.h
@@ -40,8 +40,8 @@
   /// Charged for the head, and for what evhttp has not passed on.
   MemoryCharge m_Held;
   std::size_t m_HeadInMemory = 0; ///< Part of it for the head.
-  std::size_t m_HeadLines = 0;    ///< That have come; of a head that is not
-                                  ///< whole, all are of it.
+  /// Lines that came until the head was whole.
+  std::size_t m_HeadLines = 0;
 
   void closeLater();
   static void onOutput(evbuffer *, const evbuffer_cb_info *Change, void *Arg);
