A stop counts its open requests once a look; one way out of decide()

No change of behaviour. StopSequence::check() asked up to four times how many requests are open, and twice whether the end had come; decide() had two exits to the same call; a comment held a figure. Checked: [stop], [stream-version].

--- a/packages/gateway/process/ComponentOptions.cpp
+++ b/packages/gateway/process/ComponentOptions.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t OwnMemory = 64 << 20;
 
 /// Parts of it that answers of upstreams to this process's own calls may hold,
-/// and answers of the store; one answer of the store may have 16 MB.
+/// and answers of the store, which are longer.
 constexpr std::size_t OwnCallsMemory = 12 << 20;
 constexpr std::size_t StoreCallsMemory = 24 << 20;
 
--- a/packages/gateway/process/StopSequence.cpp
+++ b/packages/gateway/process/StopSequence.cpp
@@ -44,18 +44,20 @@
 
 void StopSequence::check() {
   const TimePoint Now = EventLoop::now();
-  if (Now >= m_State.m_EndsAt && m_Hooks.m_Open() > 0)
-    m_Log.write("rest_answered", {{"open", m_Hooks.m_Open()}});
-  if (Now >= m_State.m_EndsAt)
+  if (Now >= m_State.m_EndsAt) {
+    if (const std::size_t Left = m_Hooks.m_Open(); Left > 0)
+      m_Log.write("rest_answered", {{"open", Left}});
     m_Hooks.m_AnswerRest();
+  }
+  const std::size_t Open = m_Hooks.m_Open();
   const std::size_t Unsent = m_Hooks.m_Unsent();
-  if (m_Hooks.m_Open() > 0 || Unsent > 0)
+  if (Open > 0 || Unsent > 0)
     m_BusyAt = Now;
   const bool Idle = Now >= m_State.m_TakesUntil && Now - m_BusyAt >= FlushTime;
   const bool Over = Now >= m_State.m_EndsAt + LastFlushTime;
   if (!Idle && !Over)
     return;
-  m_Log.write("stopped", {{"open", m_Hooks.m_Open()}, {"unsent", Unsent}});
+  m_Log.write("stopped", {{"open", Open}, {"unsent", Unsent}});
   m_Timer = Timer();
   m_Hooks.m_Stopped();
 }
--- a/packages/gateway/process/StreamOriginExchange.cpp
+++ b/packages/gateway/process/StreamOriginExchange.cpp
@@ -346,9 +346,7 @@
                {"key_read", KeyRead}});
   Found.m_StoreAway =
       Found.m_Source == OriginSource::Unknown && knowsWholeList() && !KeyRead;
-  if (Found.m_StoreAway)
-    return About.m_Done(Found);
-  if (Found.m_Source != OriginSource::Unknown ||
+  if (Found.m_StoreAway || Found.m_Source != OriginSource::Unknown ||
       About.m_Query.m_Attempt.empty() || !knowsWholeList())
     return About.m_Done(Found);
   m_Stored.find(About.m_Query.m_Attempt,
