--- a/tests/gateway/StopTest.cpp
+++ b/tests/gateway/StopTest.cpp
@@ -72,13 +72,10 @@
   std::string m_Text;
 };
 
-/// A box whose runner answers with more than the system buffers.
-class StopTest : public GatewayTest {
-public:
-  explicit StopTest(Duration GracePeriod) {
-    addRunner("i-1", [](const Request &Of, const ConnectionPtr &On) {
-      On->write(StandinRunner::answer(Of, 200, std::string(AnswerBytes, 'x')));
-    });
+/// A box that is killed some time after it was told to stop.
+class GraceTest : public GatewayTest {
+protected:
+  void startWith(Duration GracePeriod) {
     m_TimeoutMs = 30000;
     configure(1);
     GatewayOptions Options = options();
@@ -86,6 +83,17 @@
     m_Gateway = makeGateway(Options, [this] { m_Stopped = true; });
     REQUIRE(until([&] { return m_Gateway->state().ready(); }));
   }
+};
+
+/// A box whose runner answers with more than the system buffers.
+class StopTest : public GraceTest {
+public:
+  explicit StopTest(Duration GracePeriod) {
+    addRunner("i-1", [](const Request &Of, const ConnectionPtr &On) {
+      On->write(StandinRunner::answer(Of, 200, std::string(AnswerBytes, 'x')));
+    });
+    startWith(GracePeriod);
+  }
 
   /// Waits until the answer to the request of \p Caller is ready.
   void ask(const Reader &Caller) {
@@ -141,7 +149,7 @@
 namespace {
 
 /// A box whose upstream answers after a time, or never.
-class LateTest : public GatewayTest {
+class LateTest : public GraceTest {
 public:
   explicit LateTest(Duration GracePeriod) {
     addRunner("i-1", [this](const Request &Of, const ConnectionPtr &On) {
@@ -151,12 +159,7 @@
         On->write(StandinRunner::answer(Of, 200, "late"));
       }));
     });
-    m_TimeoutMs = 30000;
-    configure(1);
-    GatewayOptions Options = options();
-    Options.m_Bounds.m_GracePeriod = GracePeriod;
-    m_Gateway = makeGateway(Options, [this] { m_Stopped = true; });
-    REQUIRE(until([&] { return m_Gateway->state().ready(); }));
+    startWith(GracePeriod);
   }
 
   /// Waits until the process has ended, and until all callers know how their
