--- a/tests/soak/AnswerOracle.cpp
+++ b/tests/soak/AnswerOracle.cpp
@@ -24,6 +24,11 @@
   return Found == m_Stories.end() ? nullptr : &Found->second.m_Request;
 }
 
+bool AnswerOracle::reachedEngine(const std::string &Id) const {
+  const auto Found = m_Stories.find(Id);
+  return Found != m_Stories.end() && Found->second.m_Arrived;
+}
+
 void AnswerOracle::sent(const CallerRequest &Request) {
   m_Stories[Request.m_Id].m_Request = Request;
 }
@@ -35,6 +40,7 @@
                   Arrival.m_Engine + " got a request that no caller sent: " +
                       Arrival.m_Target);
   Story &Of = Found->second;
+  Of.m_Arrived = true;
   const bool Same = Arrival.m_Target == Of.m_Request.m_Target &&
                     Arrival.m_Body == Of.m_Request.m_Body;
   if (!Same)
--- a/tests/soak/AnswerOracle.h
+++ b/tests/soak/AnswerOracle.h
@@ -24,9 +24,12 @@
   /// The request of that id; null when no caller sent it.
   const CallerRequest *request(const std::string &Id) const;
 
+  bool reachedEngine(const std::string &Id) const;
+
 private:
   struct Story {
     CallerRequest m_Request;
+    bool m_Arrived = false; ///< At an engine, which may have refused it.
     int m_Runs = 0;
     int m_Refused = 0; ///< Status that said "not run"; zero without.
     std::map<std::string, EngineAnswer> m_Made;  ///< By signature.
--- a/tests/soak/SoakBounds.h
+++ b/tests/soak/SoakBounds.h
@@ -53,6 +53,10 @@
   /// of those that are taken up and go on; of so many or more.
   double m_GoesOn = 0.5;
   int m_LeastTakenUp = 12;
+  /// Of the share that is served at the first try that a box has read, in the
+  /// seconds before most new connections go to one box, the share meanwhile.
+  double m_SkewServed = 0.75;
+  Duration m_SkewBefore = 6s;
   /// Routes time out later; slower answers are not judged as sound ones.
   Duration m_SoundWithin = 3s;
   /// What the soak's own process may take to note an event.
--- a/tests/soak/SoakEvents.cpp
+++ b/tests/soak/SoakEvents.cpp
@@ -56,6 +56,8 @@
     return "service-back";
   case Promise::GoesOn:
     return "goes-on";
+  case Promise::SkewServed:
+    return "skew-served";
   case Promise::WarmUpRate:
     return "warm-up-rate";
   case Promise::AllowedRegions:
--- a/tests/soak/SoakEvents.h
+++ b/tests/soak/SoakEvents.h
@@ -41,7 +41,8 @@
   BrittleFalls,     ///< Servers that bear few refusals seldom fall.
   OneVersion,       ///< A stream holds events of one software version only.
   ServiceBack,      ///< After all boxes were lost, they serve again.
-  GoesOn            ///< After that, streams that are taken up go on.
+  GoesOn,           ///< After that, streams that are taken up go on.
+  SkewServed ///< A box that most new connections go to serves what it reads.
 };
 
 const char *toString(Promise Of);
@@ -66,6 +67,7 @@
   case Promise::SoundAnswer:
   case Promise::ServiceBack:
   case Promise::GoesOn:
+  case Promise::SkewServed:
     return true;
   default:
     return false;
--- a/tests/soak/SoakOracle.cpp
+++ b/tests/soak/SoakOracle.cpp
@@ -13,7 +13,8 @@
       m_Returns(m_Bounds, m_Trouble, noteVerdict()),
       m_Brittle(m_Bounds, m_Trouble, noteVerdict()),
       m_Sound(m_Bounds, m_Trouble, noteVerdict()), m_Versions(noteVerdict()),
-      m_GoesOn(m_Bounds, m_Trouble, noteVerdict()) {}
+      m_GoesOn(m_Bounds, m_Trouble, noteVerdict()),
+      m_Skew(m_Bounds, noteVerdict()) {}
 
 void SoakOracle::sent(const CallerRequest &Request) {
   m_Answers.sent(Request);
@@ -79,6 +80,7 @@
   m_Partitions.finish(At);
   m_Returns.finish(At);
   m_GoesOn.finish(At);
+  m_Skew.finish();
 }
 
 void SoakOracle::serverServes(const std::string &Service,
--- a/tests/soak/SoakOracle.h
+++ b/tests/soak/SoakOracle.h
@@ -13,6 +13,7 @@
 #include "soak/ReturnOracle.h"
 #include "soak/RoutingOracle.h"
 #include "soak/ServerWordsOracle.h"
+#include "soak/SkewOracle.h"
 #include "soak/SoundAnswerOracle.h"
 #include "soak/VersionOracle.h"
 #include <vector>
@@ -58,6 +59,10 @@
   const CallerRequest *request(const std::string &Id) const {
     return m_Answers.request(Id);
   }
+  /// Whether a try of that id has reached an engine.
+  bool reachedEngine(const std::string &Id) const {
+    return m_Answers.reachedEngine(Id);
+  }
   Disturbances &trouble() { return m_Trouble; }
   ConfigOracle &config() { return m_Config; }
   RoutingOracle &routing() { return m_Routing; }
@@ -74,6 +79,8 @@
   GoesOnOracle &goesOn() { return m_GoesOn; }
   const GoesOnOracle &goesOn() const { return m_GoesOn; }
   const CrashOracle &crashes() const { return m_Crashes; }
+  SkewOracle &skew() { return m_Skew; }
+  const SkewOracle &skew() const { return m_Skew; }
   const std::vector<SoakVerdict> &verdicts() const { return m_Verdicts; }
 
 private:
@@ -98,6 +105,7 @@
   SoundAnswerOracle m_Sound;
   VersionOracle m_Versions;
   GoesOnOracle m_GoesOn;
+  SkewOracle m_Skew;
 };
 
 } // namespace havenstair
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -73,6 +73,7 @@
   SoakPlan Result =
       Opts.m_ConfigPlan
           ? makeConfigPlan(Opts.m_Seed, Opts.m_Length, Opts.m_Again)
+      : Opts.m_Skew ? makeSkewPlan(Opts.m_Seed)
       : Opts.m_Returns
           ? makeReturnPlan(Opts.m_Seed, Opts.m_Power
                                             ? Opts.m_Length - PowerSettling
@@ -120,12 +121,13 @@
       m_Config(m_Store, m_Oracle, m_Opts.m_Bounds),
       m_Callers(m_Loop, m_Oracle, m_Config, m_Boxes),
       m_Crashing(m_Loop, m_Oracle, m_Boxes),
-      m_Streams(m_Loop, m_Oracle, m_Boxes), m_Faults({.m_Loop = m_Loop,
-                                                      .m_Oracle = m_Oracle,
-                                                      .m_Store = m_Store,
-                                                      .m_Config = m_Config,
-                                                      .m_Boxes = m_Boxes,
-                                                      .m_Engines = m_Engines}),
+      m_Skewed(m_Loop, m_Oracle, m_Boxes), m_Streams(m_Loop, m_Oracle, m_Boxes),
+      m_Faults({.m_Loop = m_Loop,
+                .m_Oracle = m_Oracle,
+                .m_Store = m_Store,
+                .m_Config = m_Config,
+                .m_Boxes = m_Boxes,
+                .m_Engines = m_Engines}),
       m_Shares(m_Loop), m_Http(m_Loop) {
   m_Config.setModels(m_Plan.m_Models);
   if (m_Plan.m_Power)
@@ -214,10 +216,9 @@
 
 double SoakRun::capacity(int Number) const {
   constexpr double Strong = 0.5;
-  constexpr double Weak = 0.12;
   if (m_Plan.m_Strong == 0)
     return 1;
-  return Number <= m_Plan.m_Strong ? Strong : Weak;
+  return Number <= m_Plan.m_Strong ? Strong : m_Opts.m_WeakShare;
 }
 
 void SoakRun::makeBoxes() {
@@ -339,6 +340,21 @@
   m_Streams.start(Opts);
 }
 
+/// Before the end, connections go to all boxes again for a while.
+void SoakRun::startSkewed() {
+  constexpr Duration SkewedFor = 12s;
+  constexpr Duration CalmAtEnd = 4s;
+  if (!m_Opts.m_Skew)
+    return;
+  m_Skewed.start(
+      {.m_Seed = m_Opts.m_Seed,
+       .m_PerSecond = static_cast<double>(m_Opts.m_PerSecond),
+       .m_PerSecondSkewed = static_cast<double>(m_Opts.m_PerSecondSkewed),
+       .m_Models = m_Plan.m_Engines > 0 ? m_Plan.m_Models : 0,
+       .m_From = m_Opts.m_Length - CalmAtEnd - SkewedFor,
+       .m_For = SkewedFor});
+}
+
 bool SoakRun::play() {
   const auto Interrupt = [this] { m_Interrupted = true; };
   m_Timers.push_back(m_Loop.onSignal(SIGINT, Interrupt));
@@ -365,12 +381,17 @@
   m_Callers.start(m_Plan.m_Callers, m_Opts.m_Seed);
   m_Crashing.start(m_Opts.m_Crashing, m_Opts.m_Parts, m_Opts.m_Seed);
   startStreams();
+  startSkewed();
   m_Loop.runUntil([this] { return m_Interrupted; }, m_Opts.m_Length);
   m_Callers.stop();
   m_Crashing.stop();
   m_Streams.stop();
-  m_Loop.runUntil([this] { return m_Interrupted || m_Callers.open() == 0; },
-                  LastAnswers);
+  m_Skewed.stop();
+  m_Loop.runUntil(
+      [this] {
+        return m_Interrupted || m_Callers.open() + m_Skewed.open() == 0;
+      },
+      LastAnswers);
   m_Oracle.finish(EventLoop::now());
   return !m_Interrupted;
 }
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -6,6 +6,7 @@
 #include "soak/CrashingCallers.h"
 #include "soak/FaultInjector.h"
 #include "soak/ProcessorShares.h"
+#include "soak/SkewedCallers.h"
 #include "soak/SoakCallers.h"
 #include "soak/SoakConfig.h"
 #include "soak/SoakOracle.h"
@@ -50,6 +51,10 @@
     int m_Crashing = 0;     ///< Requests that end engines.
     int m_Parts = 0;        ///< Parts of prompts that end engines.
     bool m_Returns = false; ///< makeReturnPlan() in place of makePlan().
+    bool m_Skew = false;    ///< makeSkewPlan() in place of makePlan().
+    int m_PerSecond = 0;    ///< Requests of SkewedCallers.
+    int m_PerSecondSkewed = 0; ///< The same while they go to one box.
+    double m_WeakShare = 0.12; ///< Of a core, that most boxes have.
     bool m_Words = false; ///< Servers say something of themselves, addWords().
     bool m_Restores = false;   ///< The store comes back from copies of itself.
     bool m_Endings = false;    ///< Answers end in many ways, addEndings().
@@ -80,6 +85,7 @@
   const SoakPlan &plan() const { return m_Plan; }
   const SoakOracle &oracle() const { return m_Oracle; }
   const SoakCallers::Counts &counts() const { return m_Callers.counts(); }
+  const SkewedCallers &skewed() const { return m_Skewed; }
   /// When the callers started, for the times of verdicts.
   TimePoint started() const { return m_Started; }
   Duration longestPause() const { return m_LongestPause; }
@@ -94,6 +100,7 @@
   void makeEngines();
   void playEndings();
   void startStreams();
+  void startSkewed();
   void mutate();
   void waitReady();
   void watchOwnPauses();
@@ -108,6 +115,7 @@
   std::vector<std::unique_ptr<SoakBox>> m_Boxes;
   SoakCallers m_Callers;
   CrashingCallers m_Crashing;
+  SkewedCallers m_Skewed;
   StreamCallers m_Streams;
   FaultInjector m_Faults;
   ProcessorShares m_Shares;
--- a/tests/soak/SoakSchedule.cpp
+++ b/tests/soak/SoakSchedule.cpp
@@ -315,6 +315,19 @@
   return Result;
 }
 
+SoakPlan makeSkewPlan(std::uint64_t Seed) {
+  constexpr int StrongOneIn = 15;
+  Drawing Draw(Seed);
+  const int Boxes = Draw(12, 30);
+  return {.m_Boxes = Boxes,
+          .m_Strong = Boxes / StrongOneIn + 1,
+          .m_DataCentres = Draw(1, 3),
+          .m_Plain = Draw(30, 40),
+          .m_Callers = 0,
+          .m_FencingEnforced = Draw(0, 1) == 1,
+          .m_Faults = {}};
+}
+
 void addReleases(SoakPlan &Plan, std::uint64_t Seed) {
   Drawing Draw(Seed);
   std::vector<ScheduledFault> Losses;
--- a/tests/soak/SoakSchedule.h
+++ b/tests/soak/SoakSchedule.h
@@ -132,6 +132,9 @@
 /// neither.
 void addStoreTroubles(SoakPlan &Plan, std::uint64_t Seed);
 
+/// A fleet of mostly weak boxes without faults: SkewedCallers are the trouble.
+SoakPlan makeSkewPlan(std::uint64_t Seed);
+
 /// How much later faults come with addPower(): models are loaded first.
 constexpr Duration PowerSettling = 15s;
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -59,6 +59,14 @@
   --taken-ports     With --returns: one box in four finds one of its ports taken
                     when it starts again, for up to six seconds.
   --renamed         With --returns: boxes come back under other names.
+  --skew            Most new connections go to one box for 12 s, and on to
+                    another once that one is out, in place of the seed's usual
+                    plan; 26 s and more.
+  --rate N          With --skew: requests in a second [default: 250].
+  --skewed-rate N   The same while most connections go to one box
+                    [default: 375].
+  --weak-share N    With --skew or --returns: hundredths of a core that most
+                    boxes have [default: 12].
   --held            Boxes are stopped and continued so that none gets more of a
                     core than its settings say.
   --config          Harm the ways on which boxes learn of configurations, in
@@ -161,6 +169,17 @@
   }
 }
 
+/// What was served before and while most new connections went to one box.
+void showSkew(const SoakRun &Run) {
+  const SkewOracle &Skew = Run.oracle().skew();
+  if (!Skew.played())
+    return;
+  std::cout << "served at the first try that was read: before "
+            << Skew.before().str() << "; while most new connections went to "
+            << Run.skewed().inTurn() << " boxes in turn " << Skew.during().str()
+            << "\n";
+}
+
 /// How many streams went on after each loss of all boxes.
 void showGoesOn(const SoakRun &Run) {
   for (const GoesOnOracle::Report &Each : Run.oracle().goesOn().reports())
@@ -180,6 +199,7 @@
   if (const int Ended = Run.oracle().crashes().engines(); Ended > 0)
     std::cout << Ended << " engines ended under requests\n";
   showReturns(Run);
+  showSkew(Run);
   const VersionOracle::Counts &Streams = Run.oracle().versions().counts();
   if (Streams.m_Asked > 0)
     std::cout << Streams.m_Asked << " streams asked for, " << Streams.m_Begun
@@ -208,7 +228,7 @@
     return Broken;
   if (!Played)
     return Interrupted;
-  if (Counts.m_Served == 0)
+  if (Counts.m_Served == 0 && !Run.oracle().skew().played())
     return NothingServed;
   if (Verdicts.empty())
     std::cout << "all promises kept\n";
@@ -239,6 +259,10 @@
   Opts.m_TakenPorts = Flags["--taken-ports"].asBool();
   Opts.m_Renamed = Flags["--renamed"].asBool();
   Opts.m_Held = Flags["--held"].asBool();
+  Opts.m_Skew = Flags["--skew"].asBool();
+  Opts.m_PerSecond = static_cast<int>(Flags["--rate"].asLong());
+  Opts.m_PerSecondSkewed = static_cast<int>(Flags["--skewed-rate"].asLong());
+  Opts.m_WeakShare = static_cast<double>(Flags["--weak-share"].asLong()) / 100;
   Opts.m_Crashing = static_cast<int>(Flags["--crashing"].asLong());
   Opts.m_Parts = static_cast<int>(Flags["--parts"].asLong());
   const docopt::value &Mutate = Flags["--mutate"];
