--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -6,6 +6,7 @@
 #include "gateway/request/UpstreamCall.h"
 #include "wire/common/Build.h"
 #include "wire/common/Crypto.h"
+#include "wire/common/ProcessorTime.h"
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -482,6 +483,12 @@
       [this](const HttpExchangePtr &Exchange, TurnedAway Why) {
         turnAway(Exchange, Why);
       });
+  m_Load = std::make_unique<LoadMonitor>(
+      m_Loop, m_Log, m_Options.m_Capacity,
+      LoadMonitor::Hooks{
+          .m_Open = [this] { return m_Callers->openExchanges(); },
+          .m_Accepted = [this] { return m_Callers->accepted(); },
+          .m_Waiting = [this] { return m_Callers->waiting(); }});
   Opts.m_Memory = MemoryBudget();
   Opts.m_Listen = m_Options.m_Readiness;
   Opts.m_OnListening = listenerHook(listener::Readiness);
@@ -578,6 +585,10 @@
   Now.m_Answers = Number(m_Memory.held(MemoryUse::LargeAnswer) +
                          m_Memory.held(MemoryUse::SmallAnswer));
   Now.m_NoRoom = Number(m_Memory.refusals());
+  Now.m_LateShare = m_Load->lateness().share();
+  Now.m_ProcessorTime = inSeconds(processorTime());
+  Now.m_Accepted = Number(m_Callers->accepted());
+  Now.m_Waiting = Number(m_Callers->waiting());
   Now.m_Partitioned = m_State.m_Reach.partitioned() ? 1 : 0;
   Now.m_LimitedUpstreams = Number(m_State.m_Signals.limits().size());
   Now.m_RefusalLimitedUpstreams =
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/process/GatewayMetrics.h"
 #include "gateway/process/GatewayPolicy.h"
 #include "gateway/process/ListenerLog.h"
+#include "gateway/process/LoadMonitor.h"
 #include "gateway/process/MeteredStore.h"
 #include "gateway/process/OrderLeader.h"
 #include "gateway/process/PassExchange.h"
@@ -169,6 +170,7 @@
   std::shared_ptr<UpstreamSignalExchange> m_Signals;
   std::shared_ptr<StreamOriginExchange> m_StreamOrigins;
   std::unique_ptr<HttpServer> m_Callers;
+  std::unique_ptr<LoadMonitor> m_Load;
   std::unique_ptr<HttpServer> m_Readiness;
   std::unique_ptr<HttpServer> m_MetricsServer;
   std::shared_ptr<PassExchange> m_Passes; ///< Null without an address for it.
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -271,6 +271,10 @@
   m_Families->state("small_bodies_bytes", Gauges.m_SmallBodies);
   m_Families->state("answers_bytes", Gauges.m_Answers);
   m_Families->state("no_room", Gauges.m_NoRoom);
+  m_Families->state("late_share", Gauges.m_LateShare);
+  m_Families->state("processor_seconds", Gauges.m_ProcessorTime);
+  m_Families->state("connections_accepted", Gauges.m_Accepted);
+  m_Families->state("connections_waiting", Gauges.m_Waiting);
   for (const auto &[Step, After] : Gauges.m_Startup)
     m_Families->m_Startup.Add({{"step", std::string(Step)}}).Set(After);
   for (const auto &[Name, Listening] : Gauges.m_Listening)
--- a/packages/gateway/process/GatewayMetrics.h
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -46,6 +46,10 @@
   double m_LargeBodies = 0;   ///< Bytes held for large bodies of requests.
   double m_SmallBodies = 0;   ///< Bytes held for other bodies of requests.
   double m_Answers = 0;       ///< Bytes held for answers.
+  double m_LateShare = 0;     ///< Part of the time by which the loop is late.
+  double m_ProcessorTime = 0; ///< Seconds since the start.
+  double m_Accepted = 0;      ///< Connections of callers since the start.
+  double m_Waiting = 0;       ///< Those that wait to be accepted.
   double m_NoRoom = 0;        ///< Times that the budget had no room for more.
   std::map<int, int> m_Protocols;       ///< Linked boxes by protocol version.
   std::map<DataCentreName, int> m_Cold; ///< Cold upstreams by data centre.
--- a/packages/wire/common/HttpServer.cpp
+++ b/packages/wire/common/HttpServer.cpp
@@ -7,6 +7,7 @@
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <utility>
@@ -25,14 +26,20 @@
     EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
     EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
 
+std::optional<tcp_info> tcpInfo(evutil_socket_t Socket) {
+  tcp_info Result{};
+  socklen_t Length = sizeof(Result);
+  if (getsockopt(Socket, IPPROTO_TCP, TCP_INFO, &Result, &Length) != 0)
+    return std::nullopt;
+  return Result;
+}
+
 /// How long the system at the other end of \p Socket has acknowledged nothing.
 /// One whose program reads slowly, or not at all, still does that.
 Duration silenceOf(evutil_socket_t Socket) {
-  tcp_info Info{};
-  socklen_t Length = sizeof(Info);
-  if (getsockopt(Socket, IPPROTO_TCP, TCP_INFO, &Info, &Length) != 0)
-    return LongestDuration;
-  return std::chrono::milliseconds(Info.tcpi_last_ack_recv);
+  const std::optional<tcp_info> Info = tcpInfo(Socket);
+  return Info ? std::chrono::milliseconds(Info->tcpi_last_ack_recv)
+              : LongestDuration;
 }
 
 } // namespace
@@ -98,6 +105,15 @@
   return Result;
 }
 
+/// Of a socket that listens, Linux tells the length of its queue as that of
+/// unacknowledged segments.
+std::size_t HttpServer::waiting() const {
+  if (m_Socket == nullptr)
+    return 0;
+  const auto Info = tcpInfo(evhttp_bound_socket_get_fd(m_Socket));
+  return Info ? Info->tcpi_unacked : 0;
+}
+
 void HttpServer::setIdleTimeout(Duration Timeout) {
   evhttp_set_timeout(m_Http, static_cast<int>(Timeout / 1s));
 }
@@ -107,6 +123,7 @@
   bufferevent *Stream = bufferevent_socket_new(Base, -1, BEV_OPT_CLOSE_ON_FREE);
   if (Stream == nullptr)
     return nullptr;
+  ++Self->m_AcceptedCount;
   Self->m_Accepted.push_back(std::make_shared<InboundConnection>(
       Stream, Self->m_Limits, Self->m_Opts.m_Memory,
       [Self](TimePoint Now) { return Self->makeRoom(Now); }));
--- a/packages/wire/common/HttpServer.h
+++ b/packages/wire/common/HttpServer.h
@@ -67,6 +67,10 @@
   /// Most bytes of a body, also on connections that are open.
   void setMaxBody(std::size_t Bytes) { m_Limits.m_MaxBody = Bytes; }
   std::size_t openExchanges() const { return *m_OpenCount; }
+  /// Number of connections that have been accepted.
+  std::size_t accepted() const { return m_AcceptedCount; }
+  /// Number of connections that wait to be accepted.
+  std::size_t waiting() const;
   /// Number of connections on which bytes of answers wait for their caller,
   /// without those whose caller has been silent for \p MaxSilence or longer.
   std::size_t unsentAnswers(Duration MaxSilence) const;
@@ -93,6 +97,7 @@
   /// Null before the address is bound, and after stopAccepting().
   evhttp_bound_socket *m_Socket = nullptr;
   bool m_CloseAfterAnswers = false;
+  std::size_t m_AcceptedCount = 0;
   std::vector<ConnectionPtr> m_Accepted; ///< evhttp makes connections of them.
   std::map<evhttp_connection *, ConnectionPtr> m_Connections;
   std::shared_ptr<std::size_t> m_OpenCount = std::make_shared<std::size_t>(0);
