--- a/packages/decisions/process/LoopLateness.cpp
+++ b/packages/decisions/process/LoopLateness.cpp
@@ -34,10 +34,9 @@
 }
 
 bool LoopLateness::behind(TimePoint Now) const {
-  const bool LateNow = m_LastTimer != TimePoint() &&
-                       Now - m_LastTimer >= Interval + MinLateness;
-  return LateNow ||
-         (m_BehindAt != TimePoint() && Now - m_BehindAt < BehindFor);
+  const bool LateNow =
+      m_LastTimer != TimePoint() && Now - m_LastTimer >= Interval + MinLateness;
+  return LateNow || (m_BehindAt != TimePoint() && Now - m_BehindAt < BehindFor);
 }
 
 } // namespace havenstair
