--- a/tests/soak/SkewedCallers.cpp
+++ b/tests/soak/SkewedCallers.cpp
@@ -87,6 +87,14 @@
   return static_cast<std::size_t>(draw(0, std::ssize(m_Boxes) - 1));
 }
 
+/// Retries meet other boxes.
+std::size_t SkewedCallers::otherBox(std::size_t Than) {
+  const int Others = static_cast<int>(m_Boxes.size()) - 1;
+  const auto Result =
+      static_cast<std::size_t>(draw(0, std::max(0, Others - 1)));
+  return Result < Than ? Result : (Result + 1) % m_Boxes.size();
+}
+
 void SkewedCallers::choose(Asked &Of) {
   constexpr int Wanted = 24;
   Of.m_Request.m_Service = SoakConfig::PlainService;
@@ -123,11 +131,8 @@
 
 void SkewedCallers::send(std::uint64_t Number) {
   Asked &Of = m_Open.at(Number);
-  const bool Again = Of.m_Unread > 0;
-  const SoakBox &Box =
-      *m_Boxes[Again
-                   ? static_cast<std::size_t>(draw(0, std::ssize(m_Boxes) - 1))
-                   : pickBox()];
+  Of.m_Box = Of.m_Unread > 0 ? otherBox(Of.m_Box) : pickBox();
+  const SoakBox &Box = *m_Boxes[Of.m_Box];
   const TimePoint Now = EventLoop::now();
   Of.m_Request.m_Id = "k" + std::to_string(m_NextId++);
   Of.m_Request.m_Box = Box.name();
--- a/tests/soak/SkewedCallers.h
+++ b/tests/soak/SkewedCallers.h
@@ -49,6 +49,7 @@
     Duration m_Deadline{};
     TimePoint m_Since;
     int m_Unread = 0;
+    std::size_t m_Box = 0; ///< Of the last try.
     std::unique_ptr<RawCall> m_Call;
   };
 
@@ -59,6 +60,7 @@
   void done(std::uint64_t Number, const RawAnswer &Answer);
   bool retries(Asked &Of, const RawAnswer &Answer);
   std::size_t pickBox();
+  std::size_t otherBox(std::size_t Than);
   void skew(bool On);
   void probe();
   void nextBox();
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -21,7 +21,7 @@
 // Enough streams are open at a loss of all boxes to judge how many go on.
 constexpr int StreamingCallersOfReleases = 48;
 constexpr Duration DeadlineOfReleases = 12s;
-constexpr int SlotsOfReleases = 32; ///< Room for all these streams.
+constexpr int ManySlots = 32; ///< Room for all that callers send.
 
 constexpr std::size_t PageSizeOfPower = 50;
 
@@ -205,8 +205,8 @@
         .m_Shelf = std::nullopt,
         .m_Seed = m_Opts.m_Seed + static_cast<std::uint64_t>(Number),
         .m_Starts = Number < Started};
-    if (m_Plan.m_Releases)
-      Opts.m_Slots = SlotsOfReleases;
+    if (m_Plan.m_Releases || m_Opts.m_Skew)
+      Opts.m_Slots = ManySlots;
     if (!Plain)
       Opts.m_Shelf = Shelf;
     m_Engines.push_back(
