--- /dev/null
+++ b/packages/decisions/process/ConnectionAdmission.cpp
@@ -0,0 +1,130 @@
+#include "decisions/process/ConnectionAdmission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace havenstair {
+
+namespace {
+
+/// What requests took lately is what they are expected to take.
+constexpr Duration RecentMemory = 1s;
+
+/// What they took over this time counts as much as a few recent ones.
+constexpr Duration LongMemory = 30s;
+constexpr double LongRequests = 4;
+
+/// Assumed of a few requests before there are any.
+constexpr double FirstCost = 0.002; ///< Seconds.
+constexpr double FirstRequests = 4;
+
+/// Time over which the use without requests is averaged.
+constexpr Duration IdleMemory = 10s;
+
+/// Part of the capacity that is spent on requests by a process that keeps up,
+/// and by one that hardly runs: it has more to do than was foreseen.
+constexpr double FullRefill = 0.9;
+constexpr double LeastRefill = 0.3;
+/// Late shares at which these hold.
+constexpr double LowLateShare = 0.3;
+constexpr double HighLateShare = 0.9;
+
+/// Capacity of so long may be spent at once, and be owed.
+constexpr Duration BurstTime = 300ms;
+constexpr Duration MaxDebtTime = 1s;
+
+/// Capacity of so long is there before connections are accepted again.
+constexpr Duration ReopenTime = 50ms;
+constexpr Duration MinPause = 20ms;
+/// After it one connection is taken in any case, as the cost may be wrong.
+constexpr Duration MaxPause = 500ms;
+
+double kept(Duration Passed, Duration Memory) {
+  return std::exp(-inSeconds(Passed) / inSeconds(Memory));
+}
+
+} // namespace
+
+void ConnectionAdmission::History::age(Duration Passed, Duration Memory) {
+  m_Requests *= kept(Passed, Memory);
+  m_Processor *= kept(Passed, Memory);
+}
+
+ConnectionAdmission::ConnectionAdmission(Options Opts)
+    : m_Opts(Opts), m_Budget(burst()) {}
+
+double ConnectionAdmission::burst() const {
+  return m_Opts.m_Capacity * inSeconds(BurstTime);
+}
+
+Duration ConnectionAdmission::cost() const {
+  const double Usual = (m_Long.m_Processor + FirstRequests * FirstCost) /
+                       (m_Long.m_Requests + FirstRequests);
+  return fromSeconds((m_Recent.m_Processor + LongRequests * Usual) /
+                     (m_Recent.m_Requests + LongRequests));
+}
+
+double ConnectionAdmission::refillRate() const {
+  const double Lateness = std::clamp((m_Last.m_LateShare - LowLateShare) /
+                                         (HighLateShare - LowLateShare),
+                                     0.0, 1.0);
+  return m_Opts.m_Capacity *
+         (FullRefill - Lateness * (FullRefill - LeastRefill));
+}
+
+void ConnectionAdmission::sample(const Sample &Now) {
+  refill(Now.m_At);
+  const Sample Before = std::exchange(m_Last, Now);
+  if (Before.m_At != TimePoint() && Now.m_At > Before.m_At)
+    learn(Before);
+}
+
+void ConnectionAdmission::learn(const Sample &Before) {
+  const Duration Passed = m_Last.m_At - Before.m_At;
+  const double Used =
+      inSeconds(m_Last.m_ProcessorTime - Before.m_ProcessorTime);
+  const double Begun = std::exchange(m_Begun, 0);
+  if (Begun == 0 && Before.m_Open == 0 && m_Last.m_Open == 0) {
+    const double Kept = kept(Passed, IdleMemory);
+    m_IdleUse = m_IdleUse * Kept + Used / inSeconds(Passed) * (1 - Kept);
+    return;
+  }
+  // Half of a request's cost counts at its begin, half at its end.
+  const double Opened =
+      static_cast<double>(m_Last.m_Open) - static_cast<double>(Before.m_Open);
+  const double Requests = std::max(0.0, Begun - Opened / 2);
+  const double OnThem = std::max(0.0, Used - m_IdleUse * inSeconds(Passed));
+  m_Recent.age(Passed, RecentMemory);
+  m_Long.age(Passed, LongMemory);
+  for (History *Each : {&m_Recent, &m_Long}) {
+    Each->m_Requests += Requests;
+    Each->m_Processor += OnThem;
+  }
+}
+
+void ConnectionAdmission::refill(TimePoint Now) {
+  const Duration Passed = Now - std::exchange(m_RefilledAt, Now);
+  m_Budget = std::min(burst(), m_Budget + inSeconds(Passed) * refillRate());
+}
+
+void ConnectionAdmission::onRequest(TimePoint Now) {
+  refill(Now);
+  m_Begun += 1;
+  m_Budget = std::max(m_Budget - inSeconds(cost()),
+                      -m_Opts.m_Capacity * inSeconds(MaxDebtTime));
+}
+
+bool ConnectionAdmission::admits(TimePoint Now, bool Behind) {
+  refill(Now);
+  return m_Budget > 0 || !Behind;
+}
+
+Duration ConnectionAdmission::pause(TimePoint Now) {
+  refill(Now);
+  const double Missing = m_Opts.m_Capacity * inSeconds(ReopenTime) - m_Budget;
+  return std::clamp<Duration>(fromSeconds(Missing / refillRate()), MinPause,
+                              MaxPause);
+}
+
+} // namespace havenstair
--- /dev/null
+++ b/packages/gateway/process/ConnectionGate.cpp
@@ -0,0 +1,56 @@
+#include "gateway/process/ConnectionGate.h"
+
+#include "gateway/common/DecisionLog.h"
+#include "wire/common/ProcessorTime.h"
+#include <utility>
+
+namespace havenstair {
+
+namespace {
+
+constexpr Duration LogInterval = 1s;
+
+} // namespace
+
+ConnectionGate::ConnectionGate(DecisionLog &Log, double Capacity,
+                               const LoopLateness &Lateness)
+    : m_Log(Log), m_Lateness(Lateness), m_Admission({.m_Capacity = Capacity}) {}
+
+void ConnectionGate::sample(TimePoint Now, std::size_t Open) {
+  m_Admission.sample({.m_At = Now,
+                      .m_ProcessorTime = processorTime(),
+                      .m_Open = Open,
+                      .m_LateShare = m_Lateness.share()});
+  if (Now - m_LoggedAt >= LogInterval)
+    log(Now, Open);
+}
+
+Duration ConnectionGate::onConnection(TimePoint Now) {
+  ++m_Accepted;
+  m_Admission.onRequest(Now);
+  if (m_Admission.admits(Now, m_Lateness.behind(Now)))
+    return 0us;
+  const Duration Result = m_Admission.pause(Now);
+  ++m_Pauses;
+  m_Paused += Result;
+  return Result;
+}
+
+/// Tells of the pauses since the last line.
+void ConnectionGate::log(TimePoint Now, std::size_t Open) {
+  m_LoggedAt = Now;
+  const std::size_t Accepted =
+      m_Accepted - std::exchange(m_LoggedAccepted, m_Accepted);
+  const std::size_t Pauses = m_Pauses - std::exchange(m_LoggedPauses, m_Pauses);
+  const Duration Paused = m_Paused - std::exchange(m_LoggedPaused, m_Paused);
+  if (Pauses == 0)
+    return;
+  m_Log.write("connections_refused", {{"pauses", Pauses},
+                                      {"paused_ms", Paused / 1ms},
+                                      {"accepted", Accepted},
+                                      {"open", Open},
+                                      {"cost_us", m_Admission.cost() / 1us},
+                                      {"late_share", m_Lateness.share()}});
+}
+
+} // namespace havenstair
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -477,18 +477,19 @@
   Opts.m_IdleTimeout = CallerLimits{}.m_IdleTimeout + IdleMargin;
   Opts.m_Memory = m_Memory;
   Opts.m_OnListening = listenerHook(listener::Callers);
+  Opts.m_OnConnection = [this](TimePoint Now) {
+    return m_Gate->onConnection(Now);
+  };
+  Opts.m_OnFurtherRequest = [this](TimePoint Now) { m_Gate->onRequest(Now); };
   m_Callers = std::make_unique<HttpServer>(
       m_Loop, Opts,
       [this](const HttpExchangePtr &Exchange) { takeRequest(Exchange); },
       [this](const HttpExchangePtr &Exchange, TurnedAway Why) {
         turnAway(Exchange, Why);
       });
-  m_Load = std::make_unique<LoadMonitor>(
-      m_Loop, m_Log, m_Options.m_Capacity,
-      LoadMonitor::Hooks{
-          .m_Open = [this] { return m_Callers->openExchanges(); },
-          .m_Accepted = [this] { return m_Callers->accepted(); },
-          .m_Waiting = [this] { return m_Callers->waiting(); }});
+  Opts.m_OnConnection = nullptr;
+  Opts.m_OnFurtherRequest = nullptr;
+  watchLoad();
   Opts.m_Memory = MemoryBudget();
   Opts.m_Listen = m_Options.m_Readiness;
   Opts.m_OnListening = listenerHook(listener::Readiness);
@@ -515,10 +516,26 @@
   m_Forwarder.setPassService(m_Passes);
 }
 
+void Gateway::watchLoad() {
+  m_Load = std::make_unique<LoadMonitor>(
+      m_Loop, m_Log, m_Options.m_Capacity,
+      LoadMonitor::Hooks{
+          .m_Open = [this] { return m_Callers->openExchanges(); },
+          .m_Accepted = [this] { return m_Callers->accepted(); },
+          .m_Waiting = [this] { return m_Callers->waiting(); },
+          .m_OnTimer =
+              [this](TimePoint Now) {
+                m_Gate->sample(Now, m_Forwarder.open());
+              }});
+  m_Gate = std::make_unique<ConnectionGate>(m_Log, m_Options.m_Capacity,
+                                            m_Load->lateness());
+}
+
 PassExchange::Hooks Gateway::passHooks() {
   return {
       .m_Handle =
           [this](const HttpExchangePtr &Exchange, std::shared_ptr<void> Token) {
+            m_Gate->onRequest(EventLoop::now());
             m_Forwarder.handlePassed(Exchange, std::move(Token));
           },
       .m_ReadId =
@@ -589,6 +606,9 @@
   Now.m_ProcessorTime = inSeconds(processorTime());
   Now.m_Accepted = Number(m_Callers->accepted());
   Now.m_Waiting = Number(m_Callers->waiting());
+  Now.m_Pauses = Number(m_Gate->pauses());
+  Now.m_Paused = inSeconds(m_Gate->paused());
+  Now.m_RequestCost = inSeconds(m_Gate->cost());
   Now.m_Partitioned = m_State.m_Reach.partitioned() ? 1 : 0;
   Now.m_LimitedUpstreams = Number(m_State.m_Signals.limits().size());
   Now.m_RefusalLimitedUpstreams =
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -5,6 +5,7 @@
 
 #include "decisions/process/MemoryBudget.h"
 #include "gateway/common/DecisionLog.h"
+#include "gateway/process/ConnectionGate.h"
 #include "gateway/process/CrashExchange.h"
 #include "gateway/process/Fleet.h"
 #include "gateway/process/FleetExchange.h"
@@ -96,6 +97,7 @@
   void onListening(std::string_view Name, const PortListener::Report &Now);
   bool ready() const;
   void startServers();
+  void watchLoad();
   PassExchange::Hooks passHooks();
   void reachChanged();
   void noteStartup(StartupStep Step, std::string_view From);
@@ -171,6 +173,7 @@
   std::shared_ptr<StreamOriginExchange> m_StreamOrigins;
   std::unique_ptr<HttpServer> m_Callers;
   std::unique_ptr<LoadMonitor> m_Load;
+  std::unique_ptr<ConnectionGate> m_Gate;
   std::unique_ptr<HttpServer> m_Readiness;
   std::unique_ptr<HttpServer> m_MetricsServer;
   std::shared_ptr<PassExchange> m_Passes; ///< Null without an address for it.
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -275,6 +275,9 @@
   m_Families->state("processor_seconds", Gauges.m_ProcessorTime);
   m_Families->state("connections_accepted", Gauges.m_Accepted);
   m_Families->state("connections_waiting", Gauges.m_Waiting);
+  m_Families->state("connection_pauses", Gauges.m_Pauses);
+  m_Families->state("connection_paused_seconds", Gauges.m_Paused);
+  m_Families->state("request_processor_seconds", Gauges.m_RequestCost);
   for (const auto &[Step, After] : Gauges.m_Startup)
     m_Families->m_Startup.Add({{"step", std::string(Step)}}).Set(After);
   for (const auto &[Name, Listening] : Gauges.m_Listening)
--- a/packages/gateway/process/LoadMonitor.cpp
+++ b/packages/gateway/process/LoadMonitor.cpp
@@ -20,6 +20,7 @@
 void LoadMonitor::onTimer() {
   const TimePoint Now = EventLoop::now();
   m_Lateness.onTimer(Now);
+  m_Hooks.m_OnTimer(Now);
   if (Now - m_LoggedAt >= LogInterval)
     log(Now);
 }
--- a/packages/gateway/process/LoadMonitor.h
+++ b/packages/gateway/process/LoadMonitor.h
@@ -22,6 +22,8 @@
     std::function<std::size_t()> m_Accepted;
     /// Number of connections that wait to be accepted.
     std::function<std::size_t()> m_Waiting;
+    /// Called each time that the timer runs.
+    std::function<void(TimePoint Now)> m_OnTimer;
   };
 
   /// \p Capacity is the processor time that the process gets in a second, in
--- a/packages/wire/common/HttpServer.cpp
+++ b/packages/wire/common/HttpServer.cpp
@@ -75,6 +75,7 @@
 
 void HttpServer::onListening(evconnlistener *Listener) {
   m_Socket = evhttp_bind_listener(m_Http, Listener);
+  m_Pause = std::make_unique<ListenerPause>(m_Loop, Listener);
   setsockopt(evconnlistener_get_fd(Listener), SOL_SOCKET, SO_RCVBUF,
              &ReceiveBuffer, sizeof(ReceiveBuffer));
 }
@@ -90,6 +91,7 @@
   m_Listener->giveUp();
   if (m_Socket == nullptr)
     return;
+  m_Pause.reset();
   evhttp_del_accept_socket(m_Http, m_Socket);
   m_Socket = nullptr;
 }
@@ -123,7 +125,7 @@
   bufferevent *Stream = bufferevent_socket_new(Base, -1, BEV_OPT_CLOSE_ON_FREE);
   if (Stream == nullptr)
     return nullptr;
-  ++Self->m_AcceptedCount;
+  Self->noteAccepted();
   Self->m_Accepted.push_back(std::make_shared<InboundConnection>(
       Stream, Self->m_Limits, Self->m_Opts.m_Memory,
       [Self](TimePoint Now) { return Self->makeRoom(Now); }));
@@ -133,6 +135,15 @@
   return Stream;
 }
 
+void HttpServer::noteAccepted() {
+  ++m_AcceptedCount;
+  if (!m_Opts.m_OnConnection)
+    return;
+  const Duration Refused = m_Opts.m_OnConnection(EventLoop::now());
+  if (Refused > 0us)
+    m_Pause->begin(Refused);
+}
+
 void HttpServer::watchAccepted(evutil_socket_t, short, void *Arg) {
   auto *Self = static_cast<HttpServer *>(Arg);
   for (const ConnectionPtr &Each : std::exchange(Self->m_Accepted, {})) {
@@ -167,6 +178,8 @@
                             .m_OpenCount = Self->m_OpenCount,
                             .m_Unread = Self->m_Opts.m_Memory.chargeAnswer()});
   Exchange->watchClose();
+  if (!From->takeFirst() && Self->m_Opts.m_OnFurtherRequest)
+    Self->m_Opts.m_OnFurtherRequest(EventLoop::now());
   Self->handle(Exchange, *From);
 }
 
--- a/packages/wire/common/HttpServer.h
+++ b/packages/wire/common/HttpServer.h
@@ -8,6 +8,7 @@
 #include "wire/common/EventLoop.h"
 #include "wire/common/HttpExchange.h"
 #include "wire/common/InboundConnection.h"
+#include "wire/common/ListenerPause.h"
 #include "wire/common/PortListener.h"
 #include <functional>
 #include <map>
@@ -41,6 +42,11 @@
     MemoryBudget m_Memory;
     /// Told how it stands with the address; may be empty.
     PortListener::Reporter m_OnListening;
+    /// Called for each connection that is accepted. Returns for how long to
+    /// refuse further ones; zero for not at all. May be empty.
+    std::function<Duration(TimePoint Now)> m_OnConnection;
+    /// Called for each request but the first on a connection; may be empty.
+    std::function<void(TimePoint Now)> m_OnFurtherRequest;
   };
   using Handler = std::function<void(const HttpExchangePtr &)>;
   using Turned = TurnedAway;
@@ -83,6 +89,7 @@
   static void onClosed(evhttp_connection *Closing, void *Arg);
   static void onRequest(evhttp_request *Request, void *Arg);
   static void watchAccepted(int Socket, short What, void *Arg);
+  void noteAccepted();
   bool makeRoom(TimePoint Now);
   void handle(const HttpExchangePtr &Exchange, const InboundConnection &From);
 
@@ -96,6 +103,7 @@
   std::unique_ptr<PortListener> m_Listener;
   /// Null before the address is bound, and after stopAccepting().
   evhttp_bound_socket *m_Socket = nullptr;
+  std::unique_ptr<ListenerPause> m_Pause; ///< Null where m_Socket is.
   bool m_CloseAfterAnswers = false;
   std::size_t m_AcceptedCount = 0;
   std::vector<ConnectionPtr> m_Accepted; ///< evhttp makes connections of them.
--- a/packages/wire/common/InboundConnection.h
+++ b/packages/wire/common/InboundConnection.h
@@ -64,6 +64,8 @@
 
   /// Must be called when evhttp has read a head. \returns the request's body.
   SharedBytes takeBody();
+  /// \returns true the first time.
+  bool takeFirst() { return std::exchange(m_Unused, false); }
   bool unambiguous() const { return m_Head.m_Unambiguous; }
   /// Why the request is refused; empty if it is not.
   const std::optional<TurnedAway> &refusal() const { return m_Refusal; }
@@ -110,6 +112,7 @@
   const MemoryBudget &m_Memory;
   MakeRoom m_MakeRoom;
   State m_State = State::Head;
+  bool m_Unused = true; ///< It has brought no request.
   bool m_Processing = false;
   bool m_HeadWaits = false; ///< evhttp has not read the head that it was given.
   bool m_Skipping = false;  ///< The rest of a refused body is dropped.
--- /dev/null
+++ b/tests/gateway/ConnectionGateTest.cpp
@@ -0,0 +1,64 @@
+#include "gateway/process/ConnectionGate.h"
+#include "gateway/common/DecisionLog.h"
+
+#include <catch2/catch.hpp>
+
+using namespace havenstair;
+
+namespace {
+
+constexpr int NoDescriptor = -1;
+
+/// A gate of a weak process, at times that the test chooses.
+class Gate {
+public:
+  /// The timer runs each \p Interval for a second.
+  void run(Duration Interval) {
+    for (const TimePoint End = m_Now + 1s; m_Now < End; m_Now += Interval) {
+      m_Lateness.onTimer(m_Now);
+      m_Of.sample(m_Now, 0);
+    }
+  }
+  /// \returns how many connections were taken before the first pause.
+  int connect(int Count) {
+    for (int Taken = 1; Taken <= Count; ++Taken)
+      if (m_Of.onConnection(m_Now) > 0us)
+        return Taken;
+    return Count;
+  }
+
+  EventLoop m_Loop;
+  DecisionLog m_Log{m_Loop, {.m_Descriptor = NoDescriptor}};
+  LoopLateness m_Lateness;
+  ConnectionGate m_Of{m_Log, 0.001, m_Lateness};
+  TimePoint m_Now{100s};
+};
+
+} // namespace
+
+TEST_CASE("A box that keeps up refuses no connection", "[gate]") {
+  Gate Test;
+  Test.run(LoopLateness::Interval);
+  REQUIRE(Test.connect(1000) == 1000);
+  REQUIRE(Test.m_Of.pauses() == 0);
+}
+
+TEST_CASE("A box that most connections go to leaves to others what it cannot "
+          "do",
+          "[gate]") {
+  Gate Test;
+  Test.run(100ms);
+  REQUIRE(Test.connect(1000) < 10);
+  REQUIRE(Test.m_Of.pauses() == 1);
+  REQUIRE(Test.m_Of.paused() > 0us);
+}
+
+TEST_CASE("A box that was behind refuses no connection once it keeps up",
+          "[gate]") {
+  Gate Test;
+  Test.run(100ms);
+  Test.run(LoopLateness::Interval);
+  Test.run(LoopLateness::Interval);
+  Test.run(LoopLateness::Interval);
+  REQUIRE(Test.connect(1000) == 1000);
+}
