--- a/packages/wire/common/HttpCallState.cpp
+++ b/packages/wire/common/HttpCallState.cpp
@@ -3,6 +3,7 @@
 #include "wire/common/EventBuffer.h"
 #include "wire/common/RequestHead.h"
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cstdint>
 #include <event2/buffer.h>
@@ -182,6 +183,7 @@
     if (Self->m_HeadLines > MaxHeadLines)
       return Self->giveUpLater();
     Self->noteNul(Input);
+    Self->noteStatusLine(Input);
     Self->countLines(Input, Change->orig_size);
   }
   Self->passChunk(Input);
@@ -244,6 +246,18 @@
   m_NulInHead = m_NulInHead || findHeadEnd(Before) == 0;
 }
 
+/// evhttp reads a status as any number. It takes a line from \p Input only when
+/// the line is whole.
+void HttpCallHandle::State::noteStatusLine(evbuffer *Input) {
+  if (m_StatusLine != StatusLineCheck::Unfinished)
+    return;
+  std::array<char, CheckedStatusLine> Start{};
+  const ev_ssize_t Length = evbuffer_copyout(Input, Start.data(), Start.size());
+  m_StatusLine = checkStatusLine(
+      {Start.data(),
+       static_cast<std::size_t>(std::max<ev_ssize_t>(0, Length))});
+}
+
 /// \p Waiting bytes were left when evhttp last read, and there are \p Now.
 bool HttpCallHandle::State::exceedsFraming(std::size_t Waiting,
                                            std::size_t Now) const {
@@ -271,6 +285,7 @@
   bufferevent *Stream = evhttp_connection_get_bufferevent(m_Connection);
   evbuffer *Input = bufferevent_get_input(Stream);
   noteNul(Input);
+  noteStatusLine(Input);
   if (evbuffer_get_length(Input) > 0)
     bufferevent_trigger(Stream, EV_WRITE, BEV_TRIG_DEFER_CALLBACKS);
 }
@@ -361,8 +376,10 @@
   // would keep these fields for it.
   if (Status == ContinueStatus) {
     evhttp_clear_headers(Headers);
-    if (++Self->m_InterimAnswers > MaxInterimAnswers || Self->m_NulInHead)
+    if (++Self->m_InterimAnswers > MaxInterimAnswers || Self->m_NulInHead ||
+        Self->m_StatusLine != StatusLineCheck::Sound)
       return -1;
+    Self->m_StatusLine = StatusLineCheck::Unfinished;
     Self->readOn();
     return 0;
   }
@@ -371,6 +388,7 @@
   Self->m_Persistent = isPersistent(*Request, Self->m_AnswerHeaders);
   Self->m_HeadInMemory = sizeInMemory(Self->m_AnswerHeaders);
   if (Status < FirstFinalStatus || Self->m_NulInHead ||
+      Self->m_StatusLine != StatusLineCheck::Sound ||
       Self->m_AnswerHeaders.size() > MaxFields ||
       !framedUnambiguously(Self->m_AnswerHeaders) ||
       !Self->m_Held.resize(Self->m_HeadInMemory))
--- a/packages/wire/common/HttpCallState.h
+++ b/packages/wire/common/HttpCallState.h
@@ -7,6 +7,7 @@
 #include "wire/common/EventLoop.h"
 #include "wire/common/HttpClient.h"
 #include "wire/common/KeptConnections.h"
+#include "wire/common/StatusLine.h"
 #include <cstddef>
 #include <event2/http.h>
 #include <memory>
@@ -30,6 +31,8 @@
   std::size_t m_Passed = 0;   ///< Bytes of its body that were passed on.
   int m_InterimAnswers = 0;
   bool m_NulInHead = false;
+  /// Of the head that comes.
+  StatusLineCheck m_StatusLine = StatusLineCheck::Unfinished;
   int m_Status = 0;
   HttpHeaders m_AnswerHeaders;
   bool m_Persistent = false; ///< The answer lets its connection be kept.
@@ -52,6 +55,7 @@
   void releaseRead(evbuffer *Input);
   void countLines(evbuffer *Input, std::size_t From);
   void noteNul(evbuffer *Input);
+  void noteStatusLine(evbuffer *Input);
   bool exceedsFraming(std::size_t Waiting, std::size_t Now) const;
   void giveUpLater();
   void readOn();
--- a/tests/wire/HttpTest.cpp
+++ b/tests/wire/HttpTest.cpp
@@ -339,6 +339,35 @@
   REQUIRE(answerOf(Server).m_End == HttpEnd::Broken);
 }
 
+TEST_CASE("An answer with an odd status is broken, never passed on",
+          "[http][status]") {
+  const std::string Status =
+      GENERATE("000", "0", "099", "600", "700", "999", "1000", "2000", "0200",
+               "+200", "2x0", "20", "-20");
+  const std::string Before = GENERATE("", "HTTP/1.1 100 Continue\r\n\r\n");
+  CAPTURE(Status, Before);
+  RawServer Server(Before + "HTTP/1.1 " + Status +
+                   " Text\r\nContent-Length: 4\r\n\r\nbody");
+  REQUIRE(answerOf(Server).m_End == HttpEnd::Broken);
+}
+
+TEST_CASE("An interim answer with an odd status is broken", "[http][status]") {
+  const std::string Status = GENERATE("0100", "+100");
+  CAPTURE(Status);
+  RawServer Server("HTTP/1.1 " + Status +
+                   " Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+                   "Content-Length: 4\r\n\r\nbody");
+  REQUIRE(answerOf(Server).m_End == HttpEnd::Broken);
+}
+
+TEST_CASE("A final answer behind an interim one is read", "[http][status]") {
+  RawServer Server("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+                   "Content-Length: 4\r\n\r\nbody");
+  const HttpAnswer Answer = answerOf(Server);
+  REQUIRE(Answer.m_End == HttpEnd::Complete);
+  REQUIRE(Answer.m_Body == "body");
+}
+
 TEST_CASE("An informational answer is not taken for the final one", "[http]") {
   RawServer Server("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
                    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
