--- a/tests/wire/HttpTest.cpp
+++ b/tests/wire/HttpTest.cpp
@@ -339,6 +339,26 @@
   REQUIRE(answerOf(Server).m_End == HttpEnd::Broken);
 }
 
+TEST_CASE("An answer that is cut by a reset during an upload is broken",
+          "[http][unsafe][early]") {
+  const std::size_t Bytes = GENERATE(20U << 10, 200U << 10, 4U << 20);
+  // The server closes with bytes of the upload unread, which resets.
+  RawServer Server("HTTP/1.1 200 OK\r\n\r\na part of the body");
+  EventLoop Loop;
+  HttpClient Client(Loop);
+  HttpCall Call = callTo(Server.m_Endpoint, "/");
+  Call.m_Method = HttpMethod::Post;
+  Call.m_Body = std::string(Bytes, 'x');
+  std::optional<HttpAnswer> Got;
+  Client.fetch(std::move(Call),
+               [&](HttpAnswer Answer) { Got = std::move(Answer); });
+  bool Served = false;
+  const Timer Wake =
+      Loop.every(1ms, [&] { Served = Served || Server.tryServe(); });
+  REQUIRE(Loop.runUntil([&] { return Got.has_value(); }, Limit));
+  REQUIRE(Got->m_End == HttpEnd::Broken);
+}
+
 TEST_CASE("An answer with an odd status is broken, never passed on",
           "[http][status]") {
   const std::string Status =
