--- a/packages/wire/common/PortListener.cpp
+++ b/packages/wire/common/PortListener.cpp
@@ -5,11 +5,9 @@
 #include <cerrno>
 #include <event2/listener.h>
 #include <netinet/in.h>
-#include <optional>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <system_error>
-#include <unistd.h>
 #include <utility>
 
 namespace havenstair {
@@ -43,36 +41,6 @@
   return ntohs(reinterpret_cast<sockaddr_in *>(&Address)->sin_port);
 }
 
-/// A socket that holds a port which the system chose, until others have bound
-/// it by its number: a port that was not asked for is given up when its socket
-/// stops to listen for a while.
-class ChosenPort {
-public:
-  explicit ChosenPort(Endpoint At) {
-    sockaddr_storage Address{};
-    const int Length = toSockaddr(At, Address);
-    m_Socket = socket(Address.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const int On = 1;
-    setsockopt(m_Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
-    if (bind(m_Socket, reinterpret_cast<sockaddr *>(&Address),
-             static_cast<socklen_t>(Length)) == 0)
-      m_Port = boundPort(m_Socket);
-  }
-  ~ChosenPort() {
-    if (m_Socket >= 0)
-      close(m_Socket);
-  }
-  ChosenPort(const ChosenPort &) = delete;
-  ChosenPort &operator=(const ChosenPort &) = delete;
-
-  /// Zero if there is none.
-  int port() const { return m_Port; }
-
-private:
-  int m_Socket = -1;
-  int m_Port = 0;
-};
-
 } // namespace
 
 PortListener::PortListener(EventLoop &Loop, Endpoint Address, Opened OnOpened,
@@ -91,13 +59,9 @@
 
 int PortListener::tryOnce() {
   ++m_Tries;
-  errno = 0;
-  std::optional<ChosenPort> Chosen;
-  Endpoint Wanted = m_Endpoint;
-  if (Wanted.m_Port == 0)
-    Wanted.m_Port = Chosen.emplace(m_Endpoint).port();
   sockaddr_storage Address{};
-  const int Length = toSockaddr(Wanted, Address);
+  const int Length = toSockaddr(m_Endpoint, Address);
+  errno = 0;
   evconnlistener *Listener =
       evconnlistener_new_bind(m_Loop.base(), nullptr, nullptr, ListenFlags, -1,
                               reinterpret_cast<sockaddr *>(&Address), Length);
