--- a/packages/gateway/process/ConnectionGate.cpp
+++ b/packages/gateway/process/ConnectionGate.cpp
@@ -16,13 +16,13 @@
                                const LoopLateness &Lateness)
     : m_Log(Log), m_Lateness(Lateness), m_Admission({.m_Capacity = Capacity}) {}
 
-void ConnectionGate::sample(TimePoint Now, std::size_t Open) {
+void ConnectionGate::sample(TimePoint Now, const Counts &Counted) {
   m_Admission.sample({.m_At = Now,
                       .m_ProcessorTime = processorTime(),
-                      .m_Open = Open,
+                      .m_Open = Counted.m_Open,
                       .m_LateShare = m_Lateness.share()});
   if (Now - m_LoggedAt >= LogInterval)
-    log(Now, Open);
+    log(Now, Counted);
 }
 
 Duration ConnectionGate::onConnection(TimePoint Now) {
@@ -37,20 +37,24 @@
 }
 
 /// Tells of the pauses since the last line.
-void ConnectionGate::log(TimePoint Now, std::size_t Open) {
+void ConnectionGate::log(TimePoint Now, const Counts &Counted) {
   m_LoggedAt = Now;
   const std::size_t Accepted =
       m_Accepted - std::exchange(m_LoggedAccepted, m_Accepted);
+  const std::size_t Closed =
+      Counted.m_ClosedUnread -
+      std::exchange(m_LoggedClosed, Counted.m_ClosedUnread);
   const std::size_t Pauses = m_Pauses - std::exchange(m_LoggedPauses, m_Pauses);
   const Duration Paused = m_Paused - std::exchange(m_LoggedPaused, m_Paused);
-  if (Pauses == 0)
+  if (Pauses == 0 && Closed == 0)
     return;
-  m_Log.write("connections_refused", {{"pauses", Pauses},
-                                      {"paused_ms", Paused / 1ms},
-                                      {"accepted", Accepted},
-                                      {"open", Open},
-                                      {"cost_us", m_Admission.cost() / 1us},
-                                      {"late_share", m_Lateness.share()}});
+  m_Log.write("connections_closed", {{"closed", Closed},
+                                     {"pauses", Pauses},
+                                     {"paused_ms", Paused / 1ms},
+                                     {"accepted", Accepted},
+                                     {"open", Counted.m_Open},
+                                     {"cost_us", m_Admission.cost() / 1us},
+                                     {"late_share", m_Lateness.share()}});
 }
 
 } // namespace havenstair
--- a/packages/gateway/process/ConnectionGate.h
+++ b/packages/gateway/process/ConnectionGate.h
@@ -20,8 +20,14 @@
   ConnectionGate(DecisionLog &Log, double Capacity,
                  const LoopLateness &Lateness);
 
-  /// To be called some times a second, with the number of open requests.
-  void sample(TimePoint Now, std::size_t Open);
+  /// The callers' address at one moment.
+  struct Counts {
+    std::size_t m_Open = 0;         ///< Requests without an answer.
+    std::size_t m_ClosedUnread = 0; ///< Connections since the start.
+  };
+
+  /// To be called some times a second.
+  void sample(TimePoint Now, const Counts &Counted);
   /// A connection has been accepted. \returns for how long to accept none;
   /// zero to go on.
   Duration onConnection(TimePoint Now);
@@ -35,7 +41,7 @@
   Duration paused() const { return m_Paused; }
 
 private:
-  void log(TimePoint Now, std::size_t Open);
+  void log(TimePoint Now, const Counts &Counted);
 
   DecisionLog &m_Log;
   const LoopLateness &m_Lateness;
@@ -45,6 +51,7 @@
   Duration m_Paused{};
   TimePoint m_LoggedAt{};
   std::size_t m_LoggedAccepted = 0;
+  std::size_t m_LoggedClosed = 0;
   std::size_t m_LoggedPauses = 0;
   Duration m_LoggedPaused{};
 };
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -525,7 +525,9 @@
           .m_Waiting = [this] { return m_Callers->waiting(); },
           .m_OnTimer =
               [this](TimePoint Now) {
-                m_Gate->sample(Now, m_Forwarder.open());
+                m_Gate->sample(Now,
+                               {.m_Open = m_Forwarder.open(),
+                                .m_ClosedUnread = m_Callers->closedUnread()});
               }});
   m_Gate = std::make_unique<ConnectionGate>(m_Log, m_Options.m_Capacity,
                                             m_Load->lateness());
@@ -606,6 +608,7 @@
   Now.m_ProcessorTime = inSeconds(processorTime());
   Now.m_Accepted = Number(m_Callers->accepted());
   Now.m_Waiting = Number(m_Callers->waiting());
+  Now.m_ClosedUnread = Number(m_Callers->closedUnread());
   Now.m_Pauses = Number(m_Gate->pauses());
   Now.m_Paused = inSeconds(m_Gate->paused());
   Now.m_RequestCost = inSeconds(m_Gate->cost());
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -275,6 +275,7 @@
   m_Families->state("processor_seconds", Gauges.m_ProcessorTime);
   m_Families->state("connections_accepted", Gauges.m_Accepted);
   m_Families->state("connections_waiting", Gauges.m_Waiting);
+  m_Families->state("connections_closed_unread", Gauges.m_ClosedUnread);
   m_Families->state("connection_pauses", Gauges.m_Pauses);
   m_Families->state("connection_paused_seconds", Gauges.m_Paused);
   m_Families->state("request_processor_seconds", Gauges.m_RequestCost);
--- a/packages/gateway/process/GatewayMetrics.h
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -50,7 +50,8 @@
   double m_ProcessorTime = 0; ///< Seconds since the start.
   double m_Accepted = 0;      ///< Connections of callers since the start.
   double m_Waiting = 0;       ///< Those that wait to be accepted.
-  double m_Pauses = 0;        ///< Times in which connections were refused.
+  double m_ClosedUnread = 0;  ///< Connections since the start.
+  double m_Pauses = 0;        ///< Times in which connections were closed.
   double m_Paused = 0;        ///< Seconds of these.
   double m_RequestCost = 0;   ///< Processor seconds that a request takes.
   double m_NoRoom = 0;        ///< Times that the budget had no room for more.
--- a/packages/wire/common/HttpServer.h
+++ b/packages/wire/common/HttpServer.h
@@ -43,7 +43,7 @@
     /// Told how it stands with the address; may be empty.
     PortListener::Reporter m_OnListening;
     /// Called for each connection that is accepted. Returns for how long to
-    /// refuse further ones; zero for not at all. May be empty.
+    /// close further ones unread; zero for not at all. May be empty.
     std::function<Duration(TimePoint Now)> m_OnConnection;
     /// Called for each request but the first on a connection; may be empty.
     std::function<void(TimePoint Now)> m_OnFurtherRequest;
@@ -75,6 +75,8 @@
   std::size_t openExchanges() const { return *m_OpenCount; }
   /// Number of connections that have been accepted.
   std::size_t accepted() const { return m_AcceptedCount; }
+  /// Number of connections that were closed unread.
+  std::size_t closedUnread() const { return m_Pause ? m_Pause->closed() : 0; }
   /// Number of connections that wait to be accepted.
   std::size_t waiting() const;
   /// Number of connections on which bytes of answers wait for their caller,
--- a/packages/wire/common/ListenerPause.h
+++ b/packages/wire/common/ListenerPause.h
@@ -1,36 +1,39 @@
 /// \file
-/// Refuses new connections for a while.
+/// Turns new connections away for a while.
 #ifndef HAVENSTAIR_WIRE_COMMON_LISTENERPAUSE_H
 #define HAVENSTAIR_WIRE_COMMON_LISTENERPAUSE_H
 
 #include "wire/common/EventLoop.h"
+#include <cstddef>
 
 struct evconnlistener;
 
 namespace havenstair {
 
-/// Lets the system refuse connections at once, those that wait to be accepted
-/// among them, so that their callers can go elsewhere. The address stays bound,
-/// and a refusal takes no processor time of this process.
+/// Closes new connections without reading from them, those that wait to be
+/// accepted among them, so that their callers can go elsewhere at once.
 class ListenerPause {
 public:
   /// \p Listener must outlive it.
-  ListenerPause(EventLoop &Loop, evconnlistener *Listener);
-  ~ListenerPause();
-  ListenerPause(const ListenerPause &) = delete;
-  ListenerPause &operator=(const ListenerPause &) = delete;
+  ListenerPause(EventLoop &Loop, evconnlistener *Listener)
+      : m_Loop(Loop), m_Listener(Listener) {}
 
-  /// Accepts nothing for \p For. May be called from the listener's callback.
+  /// Begins a pause of \p For; nothing within a pause. May be called from the
+  /// listener's callback.
   void begin(Duration For);
-  bool active() const { return m_Active; }
+  /// Number of connections that were closed.
+  std::size_t closed() const { return m_Closed; }
 
 private:
+  void closeWaiting();
   void end();
 
   EventLoop &m_Loop;
   evconnlistener *m_Listener;
+  std::size_t m_Closed = 0;
   bool m_Active = false;
   Timer m_End;
+  Timer m_Close;
 };
 
 } // namespace havenstair
--- a/packages/wire/common/PortListener.cpp
+++ b/packages/wire/common/PortListener.cpp
@@ -17,6 +17,9 @@
 constexpr unsigned ListenFlags =
     LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC;
 
+/// Connections that may wait while the process is not run for a moment.
+constexpr int Backlog = 512;
+
 constexpr Duration RetryInterval = 50ms;
 constexpr Duration ReportInterval = 5s;
 
@@ -62,9 +65,9 @@
   sockaddr_storage Address{};
   const int Length = toSockaddr(m_Endpoint, Address);
   errno = 0;
-  evconnlistener *Listener =
-      evconnlistener_new_bind(m_Loop.base(), nullptr, nullptr, ListenFlags, -1,
-                              reinterpret_cast<sockaddr *>(&Address), Length);
+  evconnlistener *Listener = evconnlistener_new_bind(
+      m_Loop.base(), nullptr, nullptr, ListenFlags, Backlog,
+      reinterpret_cast<sockaddr *>(&Address), Length);
   if (Listener == nullptr)
     return errno != 0 ? errno : EINVAL;
   m_Listening = true;
