--- a/packages/wire/common/HttpServer.cpp
+++ b/packages/wire/common/HttpServer.cpp
@@ -91,7 +91,7 @@
   m_Listener->giveUp();
   if (m_Socket == nullptr)
     return;
-  m_Pause.reset();
+  m_Pause->giveUp();
   evhttp_del_accept_socket(m_Http, m_Socket);
   m_Socket = nullptr;
 }
--- a/packages/wire/common/HttpServer.h
+++ b/packages/wire/common/HttpServer.h
@@ -105,7 +105,7 @@
   std::unique_ptr<PortListener> m_Listener;
   /// Null before the address is bound, and after stopAccepting().
   evhttp_bound_socket *m_Socket = nullptr;
-  std::unique_ptr<ListenerPause> m_Pause; ///< Null where m_Socket is.
+  std::unique_ptr<ListenerPause> m_Pause; ///< Null before it is bound.
   bool m_CloseAfterAnswers = false;
   std::size_t m_AcceptedCount = 0;
   std::vector<ConnectionPtr> m_Accepted; ///< evhttp makes connections of them.
--- a/packages/wire/common/ListenerPause.cpp
+++ b/packages/wire/common/ListenerPause.cpp
@@ -23,6 +23,12 @@
   m_End = m_Loop.after(For, [this] { end(); });
 }
 
+void ListenerPause::giveUp() {
+  m_Active = true;
+  m_Close = Timer();
+  m_End = Timer();
+}
+
 void ListenerPause::closeWaiting() {
   for (;;) {
     const int Socket = accept4(evconnlistener_get_fd(m_Listener), nullptr,
--- a/tests/wire/ListenerPauseTest.cpp
+++ b/tests/wire/ListenerPauseTest.cpp
@@ -126,8 +126,10 @@
 
 TEST_CASE("A server that stops to accept does so within a pause, too",
           "[http][pause]") {
-  PausingServer Of(1ms);
+  PausingServer Of(Forever);
   REQUIRE(Of.fetch().ok());
-  Of.m_Server.stopAccepting();
   REQUIRE_FALSE(Of.fetch().received());
+  Of.m_Server.stopAccepting();
+  REQUIRE(Of.fetch().m_End == HttpEnd::NotWritten);
+  CHECK(Of.m_Server.closedUnread() == 1);
 }
