--- a/packages/wire/common/ListenerPause.cpp
+++ b/packages/wire/common/ListenerPause.cpp
@@ -13,6 +13,9 @@
 /// lacks it.
 constexpr Duration CloseInterval = 10ms;
 
+/// Most connections that are closed before other work goes on.
+constexpr int MaxClosedAtOnce = 512;
+
 } // namespace
 
 void ListenerPause::begin(Duration For) {
@@ -30,7 +33,7 @@
 }
 
 void ListenerPause::closeWaiting() {
-  for (;;) {
+  for (int Number = 0; Number < MaxClosedAtOnce; ++Number) {
     const int Socket = accept4(evconnlistener_get_fd(m_Listener), nullptr,
                                nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (Socket < 0)
