--- a/packages/decisions/process/ConnectionAdmission.cpp
+++ b/packages/decisions/process/ConnectionAdmission.cpp
@@ -16,14 +16,18 @@
 constexpr double LongRequests = 4;
 
 /// Assumed of a few requests before there are any.
-constexpr double FirstCost = 0.002; ///< Seconds.
+constexpr double FirstCost = 0.001; ///< Seconds.
 constexpr double FirstRequests = 4;
 
 /// Times over which use is averaged: all, and that without requests.
 constexpr Duration UseMemory = 2s;
 constexpr Duration IdleMemory = 10s;
 
-/// A process that uses more, in parts of its capacity, is not held to it.
+/// A process that has used less for so long, in parts of its capacity, is late
+/// for another reason.
+constexpr double MinBoundUse = 0.6;
+constexpr Duration BoundFor = 2s;
+/// One that uses more is not held to its capacity.
 constexpr double MaxHeldUse = 1.5;
 /// One that uses so much without requests has a clock that tells other time
 /// than its own.
@@ -97,6 +101,8 @@
       inSeconds(m_Last.m_ProcessorTime - Before.m_ProcessorTime);
   const double PerSecond = Used / inSeconds(Passed);
   average(m_Use, PerSecond, kept(Passed, UseMemory));
+  if (PerSecond >= MinBoundUse * m_Opts.m_Capacity)
+    m_UsedAt = m_Last.m_At;
   const double Begun = std::exchange(m_Begun, 0);
   if (Begun == 0 && Before.m_Open == 0 && m_Last.m_Open == 0) {
     average(m_IdleUse, PerSecond, kept(Passed, IdleMemory));
@@ -127,13 +133,14 @@
                       -m_Opts.m_Capacity * inSeconds(MaxDebtTime));
 }
 
-bool ConnectionAdmission::heldToCapacity() const {
-  return m_Use <= MaxHeldUse * m_Opts.m_Capacity && m_IdleUse <= MaxIdleUse;
+bool ConnectionAdmission::boundByCapacity(TimePoint Now) const {
+  return Now - m_UsedAt < BoundFor && m_Use <= MaxHeldUse * m_Opts.m_Capacity &&
+         m_IdleUse <= MaxIdleUse;
 }
 
 bool ConnectionAdmission::admits(TimePoint Now, bool Behind) {
   refill(Now);
-  return m_Budget > 0 || !Behind || !heldToCapacity();
+  return m_Budget > 0 || !Behind || !boundByCapacity(Now);
 }
 
 Duration ConnectionAdmission::pause(TimePoint Now) {
--- a/packages/decisions/process/ConnectionAdmission.h
+++ b/packages/decisions/process/ConnectionAdmission.h
@@ -10,7 +10,7 @@
 
 /// Keeps what new connections bring within the processor time that the process
 /// gets. What a request takes is learned from what requests took. A process
-/// that keeps up, or is not held to its capacity, takes all.
+/// that keeps up, or that its capacity does not bind, takes all.
 class ConnectionAdmission {
 public:
   struct Options {
@@ -55,7 +55,7 @@
   void refill(TimePoint Now);
   double refillRate() const;
   double burst() const;
-  bool heldToCapacity() const;
+  bool boundByCapacity(TimePoint Now) const;
 
   Options m_Opts;
   Sample m_Last;
@@ -65,6 +65,7 @@
   /// Processor time a second, in seconds: all, and without requests.
   double m_Use = 0;
   double m_IdleUse = 0;
+  TimePoint m_UsedAt{}; ///< When the capacity was last used for the most part.
   History m_Recent;
   History m_Long;
 };
--- a/packages/gateway/process/ConnectionGate.cpp
+++ b/packages/gateway/process/ConnectionGate.cpp
@@ -1,7 +1,6 @@
 #include "gateway/process/ConnectionGate.h"
 
 #include "gateway/common/DecisionLog.h"
-#include "wire/common/ProcessorTime.h"
 #include <utility>
 
 namespace havenstair {
@@ -18,7 +17,7 @@
 
 void ConnectionGate::sample(TimePoint Now, const Counts &Counted) {
   m_Admission.sample({.m_At = Now,
-                      .m_ProcessorTime = processorTime(),
+                      .m_ProcessorTime = Counted.m_ProcessorTime,
                       .m_Open = Counted.m_Open,
                       .m_LateShare = m_Lateness.share()});
   if (Now - m_LoggedAt >= LogInterval)
--- a/packages/gateway/process/ConnectionGate.h
+++ b/packages/gateway/process/ConnectionGate.h
@@ -20,8 +20,9 @@
   ConnectionGate(DecisionLog &Log, double Capacity,
                  const LoopLateness &Lateness);
 
-  /// The callers' address at one moment.
+  /// The process at one moment.
   struct Counts {
+    Duration m_ProcessorTime{};     ///< Used since the start.
     std::size_t m_Open = 0;         ///< Requests without an answer.
     std::size_t m_ClosedUnread = 0; ///< Connections since the start.
   };
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -526,7 +526,8 @@
           .m_OnTimer =
               [this](TimePoint Now) {
                 m_Gate->sample(Now,
-                               {.m_Open = m_Forwarder.open(),
+                               {.m_ProcessorTime = processorTime(),
+                                .m_Open = m_Forwarder.open(),
                                 .m_ClosedUnread = m_Callers->closedUnread()});
               }});
   m_Gate = std::make_unique<ConnectionGate>(m_Log, m_Options.m_Capacity,
