--- a/packages/gateway/process/ConnectionGate.cpp
+++ b/packages/gateway/process/ConnectionGate.cpp
@@ -25,7 +25,6 @@
 }
 
 Duration ConnectionGate::onConnection(TimePoint Now) {
-  ++m_Accepted;
   m_Admission.onRequest(Now);
   if (m_Admission.admits(Now, m_Lateness.behind(Now)))
     return 0us;
@@ -39,7 +38,7 @@
 void ConnectionGate::log(TimePoint Now, const Counts &Counted) {
   m_LoggedAt = Now;
   const std::size_t Accepted =
-      m_Accepted - std::exchange(m_LoggedAccepted, m_Accepted);
+      Counted.m_Accepted - std::exchange(m_LoggedAccepted, Counted.m_Accepted);
   const std::size_t Closed =
       Counted.m_ClosedUnread -
       std::exchange(m_LoggedClosed, Counted.m_ClosedUnread);
--- a/packages/gateway/process/ConnectionGate.h
+++ b/packages/gateway/process/ConnectionGate.h
@@ -22,9 +22,11 @@
 
   /// The process at one moment.
   struct Counts {
-    Duration m_ProcessorTime{};     ///< Used since the start.
-    std::size_t m_Open = 0;         ///< Requests without an answer.
-    std::size_t m_ClosedUnread = 0; ///< Connections since the start.
+    Duration m_ProcessorTime{}; ///< Used since the start.
+    std::size_t m_Open = 0;     ///< Requests without an answer.
+    /// Connections since the start.
+    std::size_t m_Accepted = 0;
+    std::size_t m_ClosedUnread = 0;
   };
 
   /// To be called some times a second.
@@ -47,7 +49,6 @@
   DecisionLog &m_Log;
   const LoopLateness &m_Lateness;
   ConnectionAdmission m_Admission;
-  std::size_t m_Accepted = 0;
   std::size_t m_Pauses = 0;
   Duration m_Paused{};
   TimePoint m_LoggedAt{};
--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -528,6 +528,7 @@
                 m_Gate->sample(Now,
                                {.m_ProcessorTime = processorTime(),
                                 .m_Open = m_Forwarder.open(),
+                                .m_Accepted = m_Callers->accepted(),
                                 .m_ClosedUnread = m_Callers->closedUnread()});
               }});
   m_Gate = std::make_unique<ConnectionGate>(m_Log, m_Options.m_Capacity,
