--- a/packages/decisions/process/ConnectionAdmission.cpp
+++ b/packages/decisions/process/ConnectionAdmission.cpp
@@ -1,7 +1,7 @@
 #include "decisions/process/ConnectionAdmission.h"
 
+#include "decisions/common/DecayingAverage.h"
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace havenstair {
@@ -51,19 +51,12 @@
 /// After it one connection is taken in any case, as the cost may be wrong.
 constexpr Duration MaxPause = 500ms;
 
-double kept(Duration Passed, Duration Memory) {
-  return std::exp(-inSeconds(Passed) / inSeconds(Memory));
-}
-
-void average(double &Of, double Now, double Kept) {
-  Of = Of * Kept + Now * (1 - Kept);
-}
-
 } // namespace
 
 void ConnectionAdmission::History::age(Duration Passed, Duration Memory) {
-  m_Requests *= kept(Passed, Memory);
-  m_Processor *= kept(Passed, Memory);
+  const double Kept = keptWeight(Passed, Memory);
+  m_Requests *= Kept;
+  m_Processor *= Kept;
 }
 
 ConnectionAdmission::ConnectionAdmission(Options Opts)
@@ -100,12 +93,12 @@
   const double Used =
       inSeconds(m_Last.m_ProcessorTime - Before.m_ProcessorTime);
   const double PerSecond = Used / inSeconds(Passed);
-  average(m_Use, PerSecond, kept(Passed, UseMemory));
+  m_Use = decayingAverage(m_Use, PerSecond, Passed, UseMemory);
   if (PerSecond >= MinBoundUse * m_Opts.m_Capacity)
     m_UsedAt = m_Last.m_At;
   const double Begun = std::exchange(m_Begun, 0);
   if (Begun == 0 && Before.m_Open == 0 && m_Last.m_Open == 0) {
-    average(m_IdleUse, PerSecond, kept(Passed, IdleMemory));
+    m_IdleUse = decayingAverage(m_IdleUse, PerSecond, Passed, IdleMemory);
     return;
   }
   // Half of a request's cost counts at its begin, half at its end.
--- a/packages/decisions/process/LoopLateness.cpp
+++ b/packages/decisions/process/LoopLateness.cpp
@@ -1,7 +1,7 @@
 #include "decisions/process/LoopLateness.h"
 
+#include "decisions/common/DecayingAverage.h"
 #include <algorithm>
-#include <cmath>
 
 namespace havenstair {
 
@@ -29,8 +29,7 @@
     m_BehindAt = Now;
   const double LateNow =
       std::clamp(inSeconds(Late) / inSeconds(Passed), 0.0, 1.0);
-  const double Kept = std::exp(-inSeconds(Passed) / inSeconds(Memory));
-  m_Share = m_Share * Kept + LateNow * (1 - Kept);
+  m_Share = decayingAverage(m_Share, LateNow, Passed, Memory);
 }
 
 bool LoopLateness::behind(TimePoint Now) const {
