--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -70,6 +70,14 @@
   return Counts;
 }
 
+/// \returns the limits of callers' connections under those of the operators.
+InboundConnection::Limits connectionLimits(const CallerLimits &Limits) {
+  return {.m_MaxHeaders = 2 * CallerLimits{}.m_HeaderBytes,
+          .m_MaxBody = Limits.m_BodyBytes,
+          .m_Timeouts = {.m_Header = Limits.m_IdleTimeout + IdleMargin,
+                         .m_Idle = Limits.m_IdleTimeout + IdleMargin}};
+}
+
 double drawUnit(std::mt19937_64 &Random) {
   return std::uniform_real_distribution<double>(0, 1)(Random);
 }
@@ -421,6 +429,22 @@
       [this, Name](const PortListener::Report &Now) { onListening(Name, Now); };
 }
 
+std::function<void(const TimedOutConnection &)>
+Gateway::timeoutHook(std::string_view Name) {
+  return [this, Name](const TimedOutConnection &Which) {
+    const char *Stage = toString(Which.m_Stage);
+    m_Metrics.recordTimedOut(Name, Stage);
+    m_Log.write("connection_timed_out",
+                {{"listener", Name},
+                 {"stage", Stage},
+                 {"limit_ms", Which.m_Limit / 1ms},
+                 {"version", m_State.configVersion()},
+                 {"since_read_ms", Which.m_SinceRead / 1ms},
+                 {"since_sent_ms", Which.m_SinceSent / 1ms},
+                 {"unsent", Which.m_Unsent}});
+  };
+}
+
 void Gateway::onListening(std::string_view Name,
                           const PortListener::Report &Now) {
   m_Listeners.onReport(Name, Now);
@@ -472,11 +496,10 @@
 void Gateway::startServers() {
   HttpServer::Options Opts;
   Opts.m_Listen = m_Options.m_Callers;
-  Opts.m_MaxBody = CallerLimits{}.m_BodyBytes;
-  Opts.m_MaxHeaders = 2 * CallerLimits{}.m_HeaderBytes;
-  Opts.m_IdleTimeout = CallerLimits{}.m_IdleTimeout + IdleMargin;
+  Opts.m_Limits = connectionLimits({});
   Opts.m_Memory = m_Memory;
   Opts.m_OnListening = listenerHook(listener::Callers);
+  Opts.m_OnTimeout = timeoutHook(listener::Callers);
   Opts.m_OnConnection = [this](TimePoint Now) {
     return m_Gate->onConnection(Now);
   };
@@ -493,11 +516,13 @@
   Opts.m_Memory = MemoryBudget();
   Opts.m_Listen = m_Options.m_Readiness;
   Opts.m_OnListening = listenerHook(listener::Readiness);
+  Opts.m_OnTimeout = timeoutHook(listener::Readiness);
   m_Readiness = std::make_unique<HttpServer>(
       m_Loop, Opts,
       [this](const HttpExchangePtr &Exchange) { answerReadiness(Exchange); });
   Opts.m_Listen = m_Options.m_Metrics;
   Opts.m_OnListening = listenerHook(listener::Metrics);
+  Opts.m_OnTimeout = timeoutHook(listener::Metrics);
   m_MetricsServer = std::make_unique<HttpServer>(
       m_Loop, Opts,
       [this](const HttpExchangePtr &Exchange) { answerMetrics(Exchange); });
@@ -505,8 +530,8 @@
     return;
   Opts.m_Listen = *m_Options.m_Passing;
   Opts.m_OnListening = listenerHook(listener::Passing);
+  Opts.m_OnTimeout = timeoutHook(listener::Passing);
   Opts.m_Memory = m_Memory;
-  Opts.m_MaxHeaders = 2 * Opts.m_MaxHeaders;
   m_Passes = std::make_shared<PassExchange>(
       m_Loop, m_Fleet, m_State, m_Log,
       PassExchange::Options{.m_Server = Opts,
@@ -765,12 +790,9 @@
       return Config.m_Version < m_State.configVersion() ? ConfigUse::Older
                                                         : ConfigUse::Known;
     logConfig(Config, Item.m_Revision);
-    m_Callers->setIdleTimeout(Config.m_Limits.m_IdleTimeout + IdleMargin);
-    m_Callers->setMaxBody(Config.m_Limits.m_BodyBytes);
-    if (m_Passes)
-      m_Passes->setMaxBody(Config.m_Limits.m_BodyBytes);
     m_State.m_Config = std::make_shared<const ServingConfig>(std::move(Config));
     m_ConfigItem = Item;
+    applyLimits(m_State.m_Config->m_Limits);
     m_Quotas->configure(m_State.m_Config->m_Organisations);
     m_State.m_WarmUp.configure(m_State.m_Config->m_Services);
     m_Log.write("config_in_force",
@@ -785,6 +807,15 @@
   }
 }
 
+void Gateway::applyLimits(const CallerLimits &Limits) {
+  const InboundConnection::Limits OfConnections = connectionLimits(Limits);
+  m_Callers->setLimits(OfConnections);
+  m_Readiness->setLimits(OfConnections);
+  m_MetricsServer->setLimits(OfConnections);
+  if (m_Passes)
+    m_Passes->setLimits(OfConnections);
+}
+
 /// A restored store has an older configuration, or none, until the operators'
 /// is written again; what it acknowledged before stays in force, and is what
 /// other boxes are sent.
--- a/packages/gateway/process/Gateway.h
+++ b/packages/gateway/process/Gateway.h
@@ -94,6 +94,8 @@
                                    Duration CoalesceDelay, Duration Wait,
                                    ReadKind FirstRead = ReadKind::Current);
   PortListener::Reporter listenerHook(std::string_view Name);
+  std::function<void(const TimedOutConnection &)>
+  timeoutHook(std::string_view Name);
   void onListening(std::string_view Name, const PortListener::Report &Now);
   bool ready() const;
   void startServers();
@@ -108,6 +110,7 @@
   /// What became of a configuration that arrived.
   enum class ConfigUse { Adopted, Known, Older, Unreadable };
   ConfigUse takeConfig(const StoreItem &Item);
+  void applyLimits(const CallerLimits &Limits);
   void offerConfig(const StoreItem &Item);
   void keepConfig();
   void onConfigTaken();
--- a/packages/gateway/process/GatewayMetrics.cpp
+++ b/packages/gateway/process/GatewayMetrics.cpp
@@ -49,6 +49,12 @@
           .Help("Requests that were passed on to other boxes (out) or came "
                 "from them (in), by outcome")
           .Register(m_Registry);
+  prometheus::Family<prometheus::Counter> &m_TimedOut =
+      prometheus::BuildCounter()
+          .Name("havenstair_connections_timed_out_total")
+          .Help("Connections that were closed because the other side made no "
+                "progress, by listener and stage")
+          .Register(m_Registry);
   prometheus::Family<prometheus::Counter> &m_Resumed =
       prometheus::BuildCounter()
           .Name("havenstair_streams_resumed_total")
@@ -199,6 +205,13 @@
       .Increment();
 }
 
+void GatewayMetrics::recordTimedOut(std::string_view Listener,
+                                    std::string_view Stage) {
+  m_Families->m_TimedOut
+      .Add({{"listener", std::string(Listener)}, {"stage", std::string(Stage)}})
+      .Increment();
+}
+
 void GatewayMetrics::recordResumed(std::string_view Source) {
   m_Families->m_Resumed.Add({{"known_by", std::string(Source)}}).Increment();
 }
--- a/packages/gateway/process/GatewayMetrics.h
+++ b/packages/gateway/process/GatewayMetrics.h
@@ -85,6 +85,8 @@
   /// Records that a request that was passed on (\p Way "out") or came from
   /// another box ("in") ended with \p Outcome.
   void recordPassed(std::string_view Way, std::string_view Outcome);
+  /// Records that a connection of \p Listener was closed for a timeout.
+  void recordTimedOut(std::string_view Listener, std::string_view Stage);
   /// Records that a caller took a stream up, and how its origin is known.
   void recordResumed(std::string_view Source);
   /// Records the answer to an order to an engine.
--- a/packages/gateway/process/PassExchange.cpp
+++ b/packages/gateway/process/PassExchange.cpp
@@ -11,6 +11,9 @@
 
 constexpr int Unavailable = 503;
 
+/// Heads of passed requests may be longer than callers' by this factor.
+constexpr std::size_t HeadGrowth = 2;
+
 } // namespace
 
 PassExchange::PassExchange(EventLoop &Loop, Fleet &Others,
@@ -24,7 +27,14 @@
           [this](const HttpExchangePtr &Exchange) { onRequest(Exchange); },
           [this](const HttpExchangePtr &Exchange, TurnedAway) {
             decline(Exchange, "no_room");
-          }) {}
+          }) {
+  setLimits(m_Opts.m_Server.m_Limits);
+}
+
+void PassExchange::setLimits(InboundConnection::Limits Limits) {
+  Limits.m_MaxHeaders *= HeadGrowth;
+  m_Server.setLimits(Limits);
+}
 
 std::optional<PassService::Target>
 PassExchange::choose(const Requirements &Needed) {
--- a/packages/gateway/process/PassExchange.h
+++ b/packages/gateway/process/PassExchange.h
@@ -53,8 +53,9 @@
   void onOutcome(const Target &To, std::string_view Outcome,
                  bool Declined) override;
 
-  /// Most bytes of the body of a request that another box passes on.
-  void setMaxBody(std::size_t Bytes) { m_Server.setMaxBody(Bytes); }
+  /// Puts the limits of callers into force for requests that other boxes pass
+  /// on, whose heads are longer.
+  void setLimits(InboundConnection::Limits Limits);
   Endpoint endpoint() const { return m_Server.endpoint(); }
   /// As `HttpServer::unsentAnswers`, of answers to other boxes.
   std::size_t unsentAnswers(Duration MaxSilence) const {
--- a/packages/havenstaird/process/Box.cpp
+++ b/packages/havenstaird/process/Box.cpp
@@ -290,7 +290,7 @@
 
 HttpServer::Options Box::serverOptions(const Endpoint &Listen) const {
   return {.m_Listen = Listen,
-          .m_MaxBody = m_Settings.m_MaxBody,
+          .m_Limits = {.m_MaxBody = m_Settings.m_MaxBody},
           .m_MaxBuffered = EntryBuffer,
           .m_OnListening = logListener};
 }
--- a/packages/wire/common/HttpExchange.cpp
+++ b/packages/wire/common/HttpExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "wire/common/EventBuffer.h"
 #include "wire/common/InboundConnection.h"
+#include "wire/common/TcpSocket.h"
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -64,21 +65,11 @@
   return Connection == nullptr ? -1 : socketOf(Connection);
 }
 
-/// Resets \p Connection, which evhttp would end in order; its socket stays
-/// open.
-void resetConnection(evhttp_connection *Connection) {
+/// Resets \p Connection, which evhttp would end in order.
+void endByReset(evhttp_connection *Connection) {
   bufferevent *Stream = evhttp_connection_get_bufferevent(Connection);
   bufferevent_disable(Stream, EV_READ | EV_WRITE);
-  const sockaddr Nobody{.sa_family = AF_UNSPEC};
-  connect(bufferevent_getfd(Stream), &Nobody, sizeof(Nobody));
-}
-
-/// Decides whether closing \p Socket, also by the end of the process, is a
-/// reset.
-void setResetOnClose(int Socket, bool Reset) {
-  const linger Choice{.l_onoff = Reset ? 1 : 0, .l_linger = 0};
-  if (Socket >= 0)
-    setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Choice, sizeof(Choice));
+  resetConnection(bufferevent_getfd(Stream));
 }
 
 bool hasError(evutil_socket_t Socket) {
@@ -208,7 +199,7 @@
   const bool Detached = evhttp_request_get_connection(Request) == nullptr;
   release();
   if (m_Unframed && Closing != nullptr)
-    resetConnection(Closing);
+    endByReset(Closing);
   // A closing connection frees its request, unless it has let go of it.
   if (Closing == nullptr || Detached)
     closeConnection(Request);
@@ -329,7 +320,7 @@
   bufferevent_setcb(Stream, nullptr, nullptr, nullptr, nullptr);
   writeWhatIsLeft(Stream);
   if (m_Unframed)
-    resetConnection(Connection);
+    endByReset(Connection);
   // The server frees those that are left when it is destroyed.
   m_Loop.defer([Connection] { evhttp_connection_free(Connection); });
 }
--- a/packages/wire/common/HttpServer.cpp
+++ b/packages/wire/common/HttpServer.cpp
@@ -1,12 +1,11 @@
 #include "wire/common/HttpServer.h"
 
+#include "wire/common/TcpSocket.h"
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/listener.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <optional>
 #include <stdexcept>
 #include <sys/socket.h>
@@ -26,29 +25,15 @@
     EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
     EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
 
-std::optional<tcp_info> tcpInfo(evutil_socket_t Socket) {
-  tcp_info Result{};
-  socklen_t Length = sizeof(Result);
-  if (getsockopt(Socket, IPPROTO_TCP, TCP_INFO, &Result, &Length) != 0)
-    return std::nullopt;
-  return Result;
-}
-
-/// How long the system at the other end of \p Socket has acknowledged nothing.
-/// One whose program reads slowly, or not at all, still does that.
-Duration silenceOf(evutil_socket_t Socket) {
-  const std::optional<tcp_info> Info = tcpInfo(Socket);
-  return Info ? std::chrono::milliseconds(Info->tcpi_last_ack_recv)
-              : LongestDuration;
+int socketOf(evhttp_connection *Connection) {
+  return bufferevent_getfd(evhttp_connection_get_bufferevent(Connection));
 }
 
 } // namespace
 
 HttpServer::HttpServer(EventLoop &Loop, Options Opts, Handler OnRequest,
                        Refuser OnTurnedAway)
-    : m_Loop(Loop),
-      m_Opts(std::move(Opts)), m_Limits{.m_MaxHeaders = m_Opts.m_MaxHeaders,
-                                        .m_MaxBody = m_Opts.m_MaxBody},
+    : m_Loop(Loop), m_Opts(std::move(Opts)), m_Limits(m_Opts.m_Limits),
       m_Handler(std::move(OnRequest)), m_TurnedAway(std::move(OnTurnedAway)),
       m_Http(evhttp_new(Loop.base())),
       m_AcceptedEvent(event_new(Loop.base(), -1, 0, watchAccepted, this)) {
@@ -56,9 +41,7 @@
     throw std::runtime_error("no HTTP server could be made");
   evhttp_set_allowed_methods(m_Http, AllMethods);
   evhttp_set_max_headers_size(m_Http,
-                              static_cast<ev_ssize_t>(m_Opts.m_MaxHeaders));
-  evhttp_set_timeout(m_Http,
-                     static_cast<int>(m_Opts.m_IdleTimeout.count() / 1000000));
+                              static_cast<ev_ssize_t>(m_Limits.m_MaxHeaders));
   evhttp_set_gencb(m_Http, onRequest, this);
   evhttp_set_bevcb(m_Http, onAccepted, this);
   try {
@@ -101,23 +84,29 @@
   for (const auto &[Connection, Each] : m_Connections) {
     bufferevent *Stream = evhttp_connection_get_bufferevent(Connection);
     if (evbuffer_get_length(bufferevent_get_output(Stream)) > 0 &&
-        silenceOf(bufferevent_getfd(Stream)) < MaxSilence)
+        silenceOf(socketOf(Connection)) < MaxSilence)
       ++Result;
   }
   return Result;
 }
 
-/// Of a socket that listens, Linux tells the length of its queue as that of
-/// unacknowledged segments.
 std::size_t HttpServer::waiting() const {
-  if (m_Socket == nullptr)
-    return 0;
-  const auto Info = tcpInfo(evhttp_bound_socket_get_fd(m_Socket));
-  return Info ? Info->tcpi_unacked : 0;
+  return m_Socket == nullptr
+             ? 0
+             : waitingConnections(evhttp_bound_socket_get_fd(m_Socket));
 }
 
-void HttpServer::setIdleTimeout(Duration Timeout) {
-  evhttp_set_timeout(m_Http, static_cast<int>(Timeout / 1s));
+void HttpServer::setLimits(const InboundConnection::Limits &Limits) {
+  if (Limits == m_Limits)
+    return;
+  m_Limits = Limits;
+  evhttp_set_max_headers_size(m_Http,
+                              static_cast<ev_ssize_t>(m_Limits.m_MaxHeaders));
+  std::vector<ConnectionPtr> Open = m_Accepted;
+  for (const auto &[Connection, Each] : m_Connections)
+    Open.push_back(Each);
+  for (const ConnectionPtr &Each : Open)
+    Each->limitsChanged();
 }
 
 bufferevent *HttpServer::onAccepted(event_base *Base, void *Arg) {
@@ -127,8 +116,11 @@
     return nullptr;
   Self->noteAccepted();
   Self->m_Accepted.push_back(std::make_shared<InboundConnection>(
-      Stream, Self->m_Limits, Self->m_Opts.m_Memory,
-      [Self](TimePoint Now) { return Self->makeRoom(Now); }));
+      Self->m_Loop, Stream, Self->m_Limits, Self->m_Opts.m_Memory,
+      [Self](TimePoint Now) { return Self->makeRoom(Now); },
+      [Self, Stream](const TimedOutConnection &Which) {
+        Self->onTimeout(Stream, Which);
+      }));
   // evhttp makes its connection after this, and reads from it in a later pass
   // of the loop.
   event_active(Self->m_AcceptedEvent, EV_TIMEOUT, 0);
@@ -160,6 +152,17 @@
     Found.mapped()->close(Closing);
 }
 
+/// An orderly close would leave what the caller does not read with the system.
+void HttpServer::onTimeout(bufferevent *Stream,
+                           const TimedOutConnection &Which) {
+  if (m_Opts.m_OnTimeout)
+    m_Opts.m_OnTimeout(Which);
+  if (Which.m_Stage == ConnectionStage::Answering ||
+      Which.m_Stage == ConnectionStage::Delivering)
+    resetConnection(bufferevent_getfd(Stream));
+  bufferevent_trigger_event(Stream, BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
+}
+
 /// Makes bodies that come slowly give up what they have reserved.
 bool HttpServer::makeRoom(TimePoint Now) {
   bool Result = false;
--- a/packages/wire/common/HttpServer.h
+++ b/packages/wire/common/HttpServer.h
@@ -31,11 +31,9 @@
 public:
   struct Options {
     Endpoint m_Listen; ///< Port 0 takes any free port.
-    std::size_t m_MaxBody = 1 << 20;
-    std::size_t m_MaxHeaders = 16 << 10;
+    InboundConnection::Limits m_Limits;
     /// Most bytes that wait for one slow reader.
     std::size_t m_MaxBuffered = 1 << 20;
-    Duration m_IdleTimeout = 60s;
     /// Requests open at once; more are refused at once.
     std::size_t m_MaxOpen = 20000;
     /// Bounds what is held for requests and their answers.
@@ -45,6 +43,8 @@
     /// Called for each connection that is accepted. Returns for how long to
     /// close further ones unread; zero for not at all. May be empty.
     std::function<Duration(TimePoint Now)> m_OnConnection;
+    /// Told of each connection that is closed for a timeout; may be empty.
+    std::function<void(const TimedOutConnection &)> m_OnTimeout;
     /// Called for each request but the first on a connection; may be empty.
     std::function<void(TimePoint Now)> m_OnFurtherRequest;
   };
@@ -68,10 +68,8 @@
   void stopAccepting();
   /// Answers from now on ask the other side to close the connection.
   void closeAfterAnswers() { m_CloseAfterAnswers = true; }
-  /// How long a connection may rest between requests, for new connections.
-  void setIdleTimeout(Duration Timeout);
-  /// Most bytes of a body, also on connections that are open.
-  void setMaxBody(std::size_t Bytes) { m_Limits.m_MaxBody = Bytes; }
+  /// Puts limits into force, also on connections that are open.
+  void setLimits(const InboundConnection::Limits &Limits);
   std::size_t openExchanges() const { return *m_OpenCount; }
   /// Number of connections that have been accepted.
   std::size_t accepted() const { return m_AcceptedCount; }
@@ -92,6 +90,7 @@
   static void onRequest(evhttp_request *Request, void *Arg);
   static void watchAccepted(int Socket, short What, void *Arg);
   void noteAccepted();
+  void onTimeout(bufferevent *Stream, const TimedOutConnection &Which);
   bool makeRoom(TimePoint Now);
   void handle(const HttpExchangePtr &Exchange, const InboundConnection &From);
 
--- a/packages/wire/common/InboundConnection.cpp
+++ b/packages/wire/common/InboundConnection.cpp
@@ -41,14 +41,30 @@
 
 } // namespace
 
-InboundConnection::InboundConnection(bufferevent *Stream, const Limits &Bounds,
+InboundConnection::InboundConnection(EventLoop &Loop, bufferevent *Stream,
+                                     const Limits &Bounds,
                                      const MemoryBudget &Memory,
-                                     MakeRoom Reclaim)
+                                     MakeRoom Reclaim,
+                                     ConnectionTimer::Expired OnExpired)
     : m_Stream(Stream), m_Limits(Bounds), m_Memory(Memory),
-      m_MakeRoom(std::move(Reclaim)) {
+      m_MakeRoom(std::move(Reclaim)),
+      m_Timer(Loop, Stream, Bounds.m_Timeouts, std::move(OnExpired)) {
   m_Watch = evbuffer_add_cb(input(), onInput, this);
+  boundInput();
+}
+
+void InboundConnection::boundInput() {
   bufferevent_setwatermark(m_Stream, EV_READ, 0,
-                           std::max(MaxReadAhead, 2 * Bounds.m_MaxHeaders));
+                           std::max(MaxReadAhead, 2 * m_Limits.m_MaxHeaders));
+}
+
+void InboundConnection::limitsChanged() {
+  if (evhttp_connection *Connection = connection()) {
+    evhttp_connection_set_max_headers_size(
+        Connection, static_cast<ev_ssize_t>(m_Limits.m_MaxHeaders));
+    boundInput();
+  }
+  m_Timer.limitsChanged();
 }
 
 InboundConnection::~InboundConnection() { detach(); }
@@ -75,6 +91,7 @@
   if (m_Stream == nullptr)
     return;
   evbuffer_remove_cb_entry(input(), m_Watch);
+  m_Timer.stop();
   m_Stream = nullptr;
   m_Held = MemoryCharge();
   m_Collected = std::string();
@@ -82,8 +99,11 @@
 
 void InboundConnection::onInput(evbuffer *, const evbuffer_cb_info *Change,
                                 void *Arg) {
-  if (Change->n_added > 0)
-    static_cast<InboundConnection *>(Arg)->process();
+  if (Change->n_added == 0)
+    return;
+  auto *Self = static_cast<InboundConnection *>(Arg);
+  Self->m_Timer.noteRead();
+  Self->process();
 }
 
 void InboundConnection::process() {
@@ -122,6 +142,8 @@
   const std::size_t Length = findHeadEnd(Text);
   const bool TooLong = Length == 0 && Text.size() > m_Limits.m_MaxHeaders;
   if (Length == 0 && !TooLong) {
+    if (m_Partial.empty())
+      m_Timer.enter(ConnectionStage::InHead);
     m_Partial = std::move(Text);
     evbuffer_drain(input(), evbuffer_get_length(input()));
     return false;
@@ -148,6 +170,7 @@
 
 void InboundConnection::beginBody(TimePoint Now) {
   m_State = State::Body;
+  m_Timer.enter(ConnectionStage::InBody);
   m_Left = m_Head.m_Length;
   m_Chunks = ChunkDecoder();
   m_BodySince = Now;
@@ -254,6 +277,7 @@
 /// evhttp reads the head before whatever else has come.
 void InboundConnection::giveHead(State Next) {
   m_State = Next;
+  m_Timer.enter(ConnectionStage::Answering);
   m_HeadWaits = true;
   // Closing a connection on which more of a body comes would reset it.
   const std::string Text = m_Head.whole(!m_Skipping);
@@ -272,6 +296,8 @@
 
 void InboundConnection::onAnswered() {
   m_Closed = nullptr;
+  m_Timer.enter(m_Skipping ? ConnectionStage::InBody
+                           : ConnectionStage::Delivering);
   if (m_State == State::Given)
     m_State = State::Head;
   process();
--- a/packages/wire/common/InboundConnection.h
+++ b/packages/wire/common/InboundConnection.h
@@ -6,6 +6,7 @@
 #include "decisions/common/Time.h"
 #include "decisions/process/MemoryBudget.h"
 #include "wire/common/ChunkDecoder.h"
+#include "wire/common/ConnectionTimer.h"
 #include "wire/common/RequestHead.h"
 #include "wire/common/SharedBytes.h"
 #include <cstddef>
@@ -38,20 +39,27 @@
 class InboundConnection {
 public:
   struct Limits {
-    std::size_t m_MaxHeaders = 0; ///< Bytes.
-    std::size_t m_MaxBody = 0;    ///< Bytes.
+    std::size_t m_MaxHeaders = 16 << 10; ///< Bytes.
+    std::size_t m_MaxBody = 1 << 20;     ///< Bytes.
+    CallerTimeouts m_Timeouts;
+
+    bool operator==(const Limits &) const = default;
   };
   /// \returns whether other requests gave up parts of the budget.
   using MakeRoom = std::function<bool(TimePoint Now)>;
 
   /// \p Stream is that of a connection that has just been accepted. The limits
-  /// may change.
-  InboundConnection(bufferevent *Stream, const Limits &Bounds,
-                    const MemoryBudget &Memory, MakeRoom Reclaim);
+  /// may change; limitsChanged() must be called then.
+  InboundConnection(EventLoop &Loop, bufferevent *Stream, const Limits &Bounds,
+                    const MemoryBudget &Memory, MakeRoom Reclaim,
+                    ConnectionTimer::Expired OnExpired);
   ~InboundConnection();
   InboundConnection(const InboundConnection &) = delete;
   InboundConnection &operator=(const InboundConnection &) = delete;
 
+  /// Applies limits that have changed.
+  void limitsChanged();
+
   /// The connection of evhttp; null once that is closing.
   evhttp_connection *connection() const;
   /// \p Closed runs once when evhttp closes the connection while the present
@@ -89,6 +97,7 @@
   };
 
   void detach();
+  void boundInput();
   static void onInput(evbuffer *Input, const evbuffer_cb_info *Change,
                       void *Arg);
   evbuffer *input() const;
@@ -111,6 +120,7 @@
   const Limits &m_Limits;
   const MemoryBudget &m_Memory;
   MakeRoom m_MakeRoom;
+  ConnectionTimer m_Timer;
   State m_State = State::Head;
   bool m_Unused = true; ///< It has brought no request.
   bool m_Processing = false;
