maxHeaderBytes and headerTimeoutMs of the configuration are followed

Callers with a head of 34,000 bytes got 400 under a limit of 65,536, and half a head kept its connection for the idle timeout: both limits were read and used by nothing; each box took 32 KB, always.

ConnectionLimits makes the limits of connections from those of the configuration, for all listeners and for connections that are open.

--- a/packages/gateway/process/Gateway.cpp
+++ b/packages/gateway/process/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/process/Gateway.h"
 
 #include "gateway/process/ComponentOptions.h"
+#include "gateway/process/ConnectionLimits.h"
 #include "gateway/process/ObservedEngineControl.h"
 #include "gateway/process/StreamOriginExchange.h"
 #include "gateway/request/UpstreamCall.h"
@@ -43,10 +44,6 @@
 /// grace period.
 constexpr Duration MaxCallerSilence = 4s;
 
-/// Added to the idle timeout of callers, so that they close idle connections
-/// first.
-constexpr Duration IdleMargin = 10s;
-
 /// Shortest time after which a caller should retry that found no room for its
 /// body; the longest is twice that.
 constexpr Duration NoRoomRetryAfter = 250ms;
@@ -70,14 +67,6 @@
   return Counts;
 }
 
-/// \returns the limits of callers' connections under those of the operators.
-InboundConnection::Limits connectionLimits(const CallerLimits &Limits) {
-  return {.m_MaxHeaders = 2 * CallerLimits{}.m_HeaderBytes,
-          .m_MaxBody = Limits.m_BodyBytes,
-          .m_Timeouts = {.m_Header = Limits.m_IdleTimeout + IdleMargin,
-                         .m_Idle = Limits.m_IdleTimeout + IdleMargin}};
-}
-
 double drawUnit(std::mt19937_64 &Random) {
   return std::uniform_real_distribution<double>(0, 1)(Random);
 }
--- a/tests/wire/CallerTimeoutTest.cpp
+++ b/tests/wire/CallerTimeoutTest.cpp
@@ -270,3 +270,15 @@
     REQUIRE(On.m_TimedOut.empty());
   }
 }
+
+TEST_CASE("A changed limit of heads holds for connections that are open",
+          "[caller-timeout]") {
+  Serving On({.m_Header = Long, .m_Idle = Long});
+  SlowCaller Caller(On.m_Loop, On.m_Server.endpoint());
+  REQUIRE(
+      On.m_Loop.runUntil([&] { return On.m_Server.accepted() == 1; }, Limit));
+  On.m_Server.setLimits({.m_MaxHeaders = 65536});
+  Caller.send("GET /a HTTP/1.1\r\nHost: a\r\nX-Long: " +
+              std::string(34000, 'x') + "\r\n\r\n");
+  REQUIRE(On.next()->header("X-Long").size() == 34000);
+}
