A head that is too long is refused, however short its lines are

A caller whose head was longer than the limit, cut at the end of a line, was served as if the head were whole: evhttp leaves the ends of lines out of its count, and the part of the head was given to it with an empty line behind. The new test failed before (the request stayed open). evhttp is made to refuse such a head.

An answer counts as begun when evhttp has read a head, and not when it is given one, so that what evhttp does not take stays bounded by the header timeout.

--- a/packages/wire/common/InboundConnection.cpp
+++ b/packages/wire/common/InboundConnection.cpp
@@ -141,9 +141,9 @@
   std::string Text = m_Partial + copyOf(input());
   const std::size_t Length = findHeadEnd(Text);
   const bool TooLong = Length == 0 && Text.size() > m_Limits.m_MaxHeaders;
+  if (Length == 0 && m_Partial.empty())
+    m_Timer.enter(ConnectionStage::InHead);
   if (Length == 0 && !TooLong) {
-    if (m_Partial.empty())
-      m_Timer.enter(ConnectionStage::InHead);
     m_Partial = std::move(Text);
     evbuffer_drain(input(), evbuffer_get_length(input()));
     return false;
@@ -152,7 +152,9 @@
   m_Partial.clear();
   m_Refusal.reset();
   if (TooLong) {
-    // evhttp refuses it.
+    // evhttp does not count the ends of lines, and is made to refuse it.
+    if (evhttp_connection *Connection = connection())
+      evhttp_connection_set_max_headers_size(Connection, 1);
     evbuffer_drain(input(), evbuffer_get_length(input()));
     m_Head = RequestHead{.m_Text = std::move(Text)};
     giveHead(State::Ended);
@@ -277,7 +279,6 @@
 /// evhttp reads the head before whatever else has come.
 void InboundConnection::giveHead(State Next) {
   m_State = Next;
-  m_Timer.enter(ConnectionStage::Answering);
   m_HeadWaits = true;
   // Closing a connection on which more of a body comes would reset it.
   const std::string Text = m_Head.whole(!m_Skipping);
@@ -289,6 +290,7 @@
 }
 
 SharedBytes InboundConnection::takeBody() {
+  m_Timer.enter(ConnectionStage::Answering);
   m_HeadWaits = false;
   process();
   return std::exchange(m_Body, {});
--- a/tests/wire/CallerTimeoutTest.cpp
+++ b/tests/wire/CallerTimeoutTest.cpp
@@ -282,3 +282,16 @@
               std::string(34000, 'x') + "\r\n\r\n");
   REQUIRE(On.next()->header("X-Long").size() == 34000);
 }
+
+TEST_CASE("A head that is too long is refused, however short its lines are",
+          "[caller-timeout]") {
+  Serving On;
+  SlowCaller Caller(On.m_Loop, On.m_Server.endpoint());
+  std::string Lines = "GET /a HTTP/1.1\r\n";
+  while (Lines.size() <= InboundConnection::Limits{}.m_MaxHeaders)
+    Lines += "a:b\r\n";
+  Caller.send(Lines);
+  REQUIRE(Caller.readUntil(
+      [&] { return Caller.got().starts_with("HTTP/1.1 400"); }));
+  REQUIRE(On.m_Open.empty());
+}
